--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# One build script for the whole workspace; every target does its own set-up.
+PYTHON ?= python3
+BIN := .venv/bin
+STAMP := .venv/.installed
+PACKAGES := $(foreach p,core node ctl lab,-e packages/$(p))
+TOOLS := hypothesis import-linter mypy pytest ruff testtools types-tabulate
+
+.PHONY: setup test lint format types contract docs check demo bench soak slopes
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet -c constraints.txt setuptools wheel
+	$(BIN)/pip install --quiet -c constraints.txt $(TOOLS)
+	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES)
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest tests
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+
+format: $(STAMP)
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
+
+types: $(STAMP)
+	$(BIN)/python -m mypy
+
+contract: $(STAMP)
+	$(BIN)/lint-imports
+
+check: lint types contract test
+
+demo: $(STAMP)
+	$(BIN)/tamarack lab demo
+
+bench: $(STAMP)
+	$(BIN)/tamarack lab bench --output out/bench.json
+
+slopes: $(STAMP)
+	$(BIN)/tamarack lab slopes --output out/slopes.json
+
+soak: $(STAMP)
+	TAMARACK_PROFILE=soak $(BIN)/python -m pytest tests/slow
--- /dev/null
+++ b/packages/core/src/tamarack_core/effects.py
@@ -0,0 +1,102 @@
+"""Effects: everything that a reducer asks its driver to do."""
+
+import dataclasses
+
+from tamarack_core import messages
+from tamarack_core import peers
+from tamarack_core import requests
+from tamarack_core import timeline
+
+
+@dataclasses.dataclass(slots=True)
+class SendDatagram:
+    """Send a Geneve datagram from the data socket.
+
+    Attributes:
+        endpoint: Where to; None stands for the fabric.
+        data: The UDP payload, starting with the Geneve header.
+    """
+
+    endpoint: peers.Endpoint | None
+    data: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class SendMessage:
+    """Send a message to another host; it may be lost.
+
+    Attributes:
+        peer: The receiver.
+        message: The message. The driver joins messages to one receiver.
+    """
+
+    peer: peers.Peer
+    message: messages.Message
+
+
+@dataclasses.dataclass(slots=True)
+class Respond:
+    """Answer a request.
+
+    Attributes:
+        request_id: Number of the `RequestArrived` event.
+        response: The answer.
+    """
+
+    request_id: int
+    response: requests.Response
+
+
+@dataclasses.dataclass(slots=True)
+class StartTimer:
+    """Fire a timer once; a running timer of that name is replaced.
+
+    Attributes:
+        timer: Name that the `TimerFired` event repeats.
+        delay_s: Seconds from now.
+    """
+
+    timer: str
+    delay_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Persist:
+    """Append records to the log file and sync it.
+
+    Attributes:
+        sequence: Number that the `WriteCompleted` event repeats.
+        records: Encoded records in order.
+    """
+
+    sequence: int
+    records: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """Add an entry to the time line and write it to the log.
+
+    Attributes:
+        entry: The entry.
+    """
+
+    entry: timeline.Entry
+
+
+@dataclasses.dataclass(slots=True)
+class Stop:
+    """End the process.
+
+    Attributes:
+        exit_code: Exit status of the process.
+        reason: Sentence for the operator.
+    """
+
+    exit_code: int
+    reason: str
+
+
+Effect = (
+    SendDatagram | SendMessage | Respond | StartTimer | Persist | Record | Stop
+)
--- /dev/null
+++ b/packages/core/src/tamarack_core/failure.py
@@ -0,0 +1,23 @@
+"""Sentinel value that a function returns in place of a result."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """States why a function has no result.
+
+    Functions of the core return a failure rather than raise, so that a caller
+    handles each reason by name. Test for it with `isinstance`.
+
+    Attributes:
+        reason: Short constant name, fit for a metric label.
+        detail: Sentence for an operator; names the value and the fix.
+    """
+
+    reason: str
+    detail: str = ""
+
+    def __bool__(self) -> bool:
+        """Returns False, so that `if not result` catches a failure."""
+        return False
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts behind the reducer; not for use outside this package."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/packets/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs and rewriting of the packets that the system carries."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/timeline.py
@@ -0,0 +1,73 @@
+"""Time line: events of all hosts in one order that respects causality."""
+
+import msgspec
+
+
+class Stamp(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Reading of a hybrid logical clock.
+
+    Attributes:
+        wall_ms: Highest wall-clock time seen, in milliseconds.
+        counter: Order among stamps of the same millisecond.
+    """
+
+    wall_ms: int
+    counter: int
+
+
+class HybridClock:
+    """Hybrid logical clock of one host.
+
+    Attributes:
+        latest: Last stamp given out or received.
+    """
+
+    __slots__ = ("latest",)
+
+    def __init__(self) -> None:
+        """Starts at the epoch; the first `tick` moves to wall time."""
+        self.latest = Stamp(0, 0)
+
+    def tick(self, wall_ms: int) -> Stamp:
+        """Returns a stamp later than all earlier ones.
+
+        Args:
+            wall_ms: Wall-clock time of the host in milliseconds.
+        """
+        if wall_ms > self.latest.wall_ms:
+            self.latest = Stamp(wall_ms, 0)
+        else:
+            self.latest = Stamp(self.latest.wall_ms, self.latest.counter + 1)
+        return self.latest
+
+    def observe(self, remote: Stamp) -> None:
+        """Moves past a stamp received from another host."""
+        self.latest = max(self.latest, remote)
+
+
+class Entry(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One event of the time line.
+
+    Attributes:
+        stamp: Position in the order.
+        host: Host that recorded the event.
+        name: Constant name of the event, such as `target-ejected`.
+        service: Service concerned, if any.
+        target: Target concerned, if any.
+        flow: Flow concerned in text form, if any.
+        version: Configuration version concerned, if any.
+        verdict: Outcome of the request concerned, if any.
+        reason: Constant name of the cause, if any.
+        detail: Sentence for an operator.
+    """
+
+    stamp: Stamp
+    host: str
+    name: str
+    service: str = ""
+    target: str = ""
+    flow: str = ""
+    version: int = 0
+    verdict: str = ""
+    reason: str = ""
+    detail: str = ""
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The tamarack command line for operators."""
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the ctl package; not for use outside it."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault proxy, naive version and experiments."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the lab package; not for use outside it."""
--- /dev/null
+++ b/packages/node/src/tamarack_node/__init__.py
@@ -0,0 +1,1 @@
+"""The tamarackd daemon: carries out the effects of the core."""
--- /dev/null
+++ b/packages/node/src/tamarack_node/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the node package; not for use outside it."""
