--- /dev/null
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -0,0 +1,77 @@
+"""Composes the parts of a host from its roles."""
+
+import dataclasses
+import enum
+
+from tamarack_core import context as context_lib
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal import status
+from tamarack_core.internal.control import single
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.entry import data_path
+from tamarack_core.internal.entry import hashing
+from tamarack_core.internal.targets import announcements
+from tamarack_core.internal.targets import table
+
+
+class Role(enum.StrEnum):
+    """What a host does."""
+
+    ENTRY = "entry"
+    RELAY = "relay"
+    CONTROL = "control"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What a host is made of.
+
+    Attributes:
+        host: Identity and addresses of this host.
+        roles: Roles of this host.
+        seed: Seed of the generator.
+        entry_peers: Other entry hosts of the failure domain.
+        sources: Hosts to fetch the configuration from.
+    """
+
+    host: peers.Peer
+    roles: frozenset[Role]
+    seed: int
+    entry_peers: tuple[peers.Peer, ...] = ()
+    sources: tuple[peers.Peer, ...] = ()
+
+
+def assemble(plan: Plan) -> reducer.Node:
+    """Returns the state of a host that has not started.
+
+    Args:
+        plan: What the host is made of.
+    """
+    context = context_lib.Context(plan.host, plan.seed)
+    held = holder.Holder()
+    targets = table.TargetTable()
+    distribution = polling.Polling(context, held, plan.sources)
+    path = data_path.DataPath(context, held, hashing.HashChooser(targets))
+    parts: list[reducer.Part] = [distribution]
+    if Role.ENTRY in plan.roles:
+        parts.append(path)
+        parts.append(
+            announcements.Announcements(
+                context, held, targets, plan.entry_peers
+            )
+        )
+    if Role.CONTROL in plan.roles:
+        parts.append(single.SingleControl(held, distribution))
+    parts.append(
+        status.Status(
+            context,
+            held,
+            tuple(sorted(plan.roles)),
+            lambda: tuple(peer.host for peer in plan.entry_peers),
+            lambda: len(targets.targets),
+            lambda: len(path.flows),
+        )
+    )
+    return reducer.Node(context, tuple(parts))
--- /dev/null
+++ b/packages/core/src/tamarack_core/context.py
@@ -0,0 +1,91 @@
+"""What all parts behind the reducer share on one host."""
+
+import collections
+import random
+
+from tamarack_core import effects
+from tamarack_core import peers
+from tamarack_core import timeline
+
+MS_PER_S = 1000
+
+
+class Context:
+    """Identity, chance, time and counters of one host.
+
+    Attributes:
+        host: Identity and addresses of this host.
+        random: Seeded generator; the only source of chance in the core.
+        clock: Hybrid logical clock for the time line.
+        counters: Counters by name, such as `dropped-ip-fragment`.
+        wall_offset_ms: Wall-clock time minus monotonic time, in milliseconds.
+    """
+
+    __slots__ = ("clock", "counters", "host", "random", "wall_offset_ms")
+
+    def __init__(self, host: peers.Peer, seed: int) -> None:
+        """Creates the context of a host that has not started.
+
+        Args:
+            host: Identity and addresses of this host.
+            seed: Seed of the generator.
+        """
+        self.host = host
+        self.random = random.Random(seed)
+        self.clock = timeline.HybridClock()
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.wall_offset_ms = 0
+
+    def start(self, now_s: float, wall_ms: int) -> None:
+        """Ties the wall clock to the monotonic clock.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            wall_ms: Wall-clock time in milliseconds.
+        """
+        self.wall_offset_ms = wall_ms - int(now_s * MS_PER_S)
+
+    def wall_ms(self, now_s: float) -> int:
+        """Returns the wall-clock time in ms at a monotonic time in seconds."""
+        return int(now_s * MS_PER_S) + self.wall_offset_ms
+
+    def record(
+        self,
+        now_s: float,
+        name: str,
+        *,
+        service: str = "",
+        target: str = "",
+        flow: str = "",
+        version: int = 0,
+        verdict: str = "",
+        reason: str = "",
+        detail: str = "",
+    ) -> effects.Record:
+        """Returns the effect that adds an entry to the time line.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            name: Constant name of the event.
+            service: Service concerned.
+            target: Target concerned.
+            flow: Flow concerned.
+            version: Configuration version concerned.
+            verdict: Outcome of the request concerned.
+            reason: Constant name of the cause.
+            detail: Sentence for an operator.
+        """
+        stamp = self.clock.tick(self.wall_ms(now_s))
+        entry = timeline.Entry(
+            stamp=stamp,
+            host=self.host.host,
+            name=name,
+            service=service,
+            target=target,
+            flow=flow,
+            version=version,
+            verdict=verdict,
+            reason=reason,
+            detail=detail,
+        )
+        return effects.Record(entry)
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control role: decides on patches of the configuration."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Spreads the numbered configuration over all hosts."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry role: carries packets between callers and targets."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Announced targets: leases, states and their spread in the domain."""
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -1,40 +1,52 @@
 """The one reducer: state and event in, effects out."""
 
 from collections.abc import Callable
-import random
 from typing import Any
+from typing import Protocol
 
+from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import peers
-from tamarack_core import timeline
 
-Handler = Callable[["Node", Any], list[effects.Effect]]
+Handler = Callable[[Any], list[effects.Effect]]
+Key = type | str
+
+
+class Part(Protocol):
+    """A part behind the reducer, with one job."""
+
+    def handlers(self) -> dict[Key, Handler]:
+        """Returns the handlers of this part.
+
+        The key is an event type, a message type, a request type, or the name
+        of a timer; the handler receives the whole event.
+        """
 
 
 class Node:
     """State of one host.
 
     Attributes:
-        host: Identity and addresses of this host.
-        random: Seeded generator; the only source of chance in the core.
-        clock: Hybrid logical clock for the time line.
-        handlers: Handler of each event type.
+        context: Identity, chance, time and counters.
+        handlers: Handlers by key, in the order of the parts.
     """
 
-    __slots__ = ("clock", "handlers", "host", "random")
+    __slots__ = ("context", "handlers")
 
-    def __init__(self, host: peers.Peer, seed: int) -> None:
-        """Creates the state of a host that has not started.
+    def __init__(
+        self, context: context_lib.Context, parts: tuple[Part, ...]
+    ) -> None:
+        """Composes the parts of a host.
 
         Args:
-            host: Identity and addresses of this host.
-            seed: Seed of the generator.
+            context: Identity, chance, time and counters.
+            parts: The parts, in the order in which they see an event.
         """
-        self.host = host
-        self.random = random.Random(seed)
-        self.clock = timeline.HybridClock()
-        self.handlers: dict[type, Handler] = {}
+        self.context = context
+        self.handlers: dict[Key, list[Handler]] = {}
+        for part in parts:
+            for key, handler in part.handlers().items():
+                self.handlers.setdefault(key, []).append(handler)
 
 
 def reduce(node: Node, event: events.Event) -> list[effects.Effect]:
@@ -47,7 +59,25 @@
     Returns:
         What the driver must do, in order.
     """
-    handler = node.handlers.get(type(event))
-    if handler is None:
+    if isinstance(event, events.Started):
+        node.context.start(event.now_s, event.wall_ms)
+    handlers = node.handlers.get(_key(event))
+    if handlers is None:
         return []
-    return handler(node, event)
+    if len(handlers) == 1:
+        return handlers[0](event)
+    return [effect for handler in handlers for effect in handler(event)]
+
+
+def _key(event: events.Event) -> Key:
+    """Returns what selects the handlers of an event."""
+    kind = type(event)
+    if kind is events.DatagramArrived:
+        return kind
+    if isinstance(event, events.MessageArrived):
+        return type(event.message)
+    if isinstance(event, events.RequestArrived):
+        return type(event.request)
+    if isinstance(event, events.TimerFired):
+        return event.timer
+    return kind
