Run the thin whole path over real processes

Change: tamarackd (settings, timers, transport, HTTP, logs, metrics), tamarack status and patch, a test with one control host, two entry hosts, two targets. Before: no process ran.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -6,6 +6,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
 from tamarack_core.internal.control import single
 from tamarack_core.internal.distribution import holder
@@ -74,4 +75,5 @@
             lambda: len(path.flows),
         )
     )
+    parts.append(lifecycle.Lifecycle(context))
     return reducer.Node(context, tuple(parts))
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/internal/options.py
@@ -0,0 +1,52 @@
+"""Options that the commands share."""
+
+from collections.abc import Callable
+import ipaddress
+from typing import Any
+
+import click
+
+from tamarack_core import peers
+
+HOSTS_VARIABLE = "TAMARACK_HOSTS"
+
+
+class EndpointType(click.ParamType[peers.Endpoint]):
+    """Address and port, such as `127.0.0.1:7001` or `[::1]:7001`."""
+
+    name = "address:port"
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> peers.Endpoint:
+        """Returns the endpoint in an argument."""
+        if isinstance(value, peers.Endpoint):
+            return value
+        address, _, port = str(value).rpartition(":")
+        address = address.strip("[]")
+        try:
+            ipaddress.ip_address(address)
+            return peers.Endpoint(address, int(port))
+        except ValueError:
+            self.fail(f"{value!r} is not ADDRESS:PORT", param, ctx)
+
+
+hosts = click.option(
+    "--host",
+    "hosts",
+    type=EndpointType(),
+    multiple=True,
+    required=True,
+    envvar=HOSTS_VARIABLE,
+    help=(
+        "Host to ask; repeat it for others to try. Default: the "
+        f"space-separated list in {HOSTS_VARIABLE}."
+    ),
+)
+
+as_json: Callable[..., Any] = click.option(
+    "--json", "as_json", is_flag=True, help="Print JSON."
+)
--- /dev/null
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -0,0 +1,292 @@
+"""Carries out the effects of the core on one event loop."""
+
+import asyncio
+import collections
+import dataclasses
+import itertools
+import logging
+import signal
+import socket
+import time
+
+from tamarack_core import assembly
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import messages
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core import timeline
+from tamarack_node import settings as settings_lib
+from tamarack_node.internal import http_server
+from tamarack_node.internal import logs
+from tamarack_node.internal import metrics
+from tamarack_node.internal import timers
+from tamarack_node.internal import transport
+
+TIMELINE_ENTRIES = 20_000
+RECEIVE_BYTES = 65536
+DATAGRAMS_PER_TURN = 128
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+# A graceful stop that hangs must not outlive the patience of an operator.
+STOP_TIMEOUT_S = 30.0
+MS_PER_S = 1000
+
+
+class Driver:
+    """Runs one host.
+
+    Attributes:
+        settings: Settings of the host.
+        node: State of the host.
+        transport: Messages to and from other hosts.
+        entries: Newest entries of the time line.
+        stopped: Resolves to the `Stop` effect that ends the process.
+    """
+
+    __slots__ = (
+        "_data_socket",
+        "_fabric",
+        "_pending",
+        "_request_ids",
+        "_server",
+        "_timers",
+        "entries",
+        "node",
+        "settings",
+        "stopped",
+        "transport",
+    )
+
+    def __init__(self, settings: settings_lib.Settings, seed: int) -> None:
+        """Creates a host that has not started.
+
+        Args:
+            settings: Settings of the host.
+            seed: Seed of the generator.
+        """
+        loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.node = assembly.assemble(_plan(settings, seed))
+        self.transport = transport.Transport(
+            self.node.context, self._handle_envelope
+        )
+        self.entries: collections.deque[timeline.Entry] = collections.deque(
+            maxlen=TIMELINE_ENTRIES
+        )
+        self.stopped: asyncio.Future[effects.Stop] = loop.create_future()
+        self._timers = timers.TimerService(loop, self._handle_timer)
+        self._pending: dict[int, asyncio.Future[requests.Response]] = {}
+        self._request_ids = itertools.count(1)
+        self._data_socket: socket.socket | None = None
+        self._fabric: tuple[str, int] | None = None
+        self._server = http_server.HttpServer(
+            self.ask,
+            self.transport,
+            metrics.Metrics(self.node.context, {}),
+            self._entries_since,
+        )
+
+    async def run(self) -> effects.Stop:
+        """Runs the host until it stops.
+
+        Returns:
+            Why it stopped.
+
+        Raises:
+            OSError: A socket can't be bound.
+        """
+        try:
+            await self._open()
+            self._handle(
+                events.Started(time.monotonic(), int(time.time() * MS_PER_S))
+            )
+            return await self.stopped
+        finally:
+            await self._close()
+
+    def request_stop(self) -> None:
+        """Starts a graceful stop; a second call ends the process at once."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            STOP_TIMEOUT_S,
+            self._finish,
+            effects.Stop(1, f"no graceful stop within {STOP_TIMEOUT_S:g} s"),
+        )
+        self._handle(events.StopRequested(time.monotonic()))
+
+    async def ask(self, request: requests.Request) -> requests.Response:
+        """Hands a request to the reducer and waits for the response.
+
+        Args:
+            request: The request.
+        """
+        request_id = next(self._request_ids)
+        answer: asyncio.Future[requests.Response] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending[request_id] = answer
+        try:
+            self._handle(
+                events.RequestArrived(time.monotonic(), request_id, request)
+            )
+            return await answer
+        finally:
+            del self._pending[request_id]
+
+    async def _open(self) -> None:
+        """Opens all sockets."""
+        control = self.settings.control
+        self.transport.open()
+        await self._server.open(control.address, control.port)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.request_stop)
+        loop.add_signal_handler(signal.SIGINT, self.request_stop)
+        if self.settings.data is not None:
+            self._data_socket = transport.bind_udp(self.settings.data)
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                self._data_socket.setsockopt(
+                    socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+                )
+            loop.add_reader(self._data_socket, self._read_datagrams)
+        if self.settings.fabric is not None:
+            fabric = self.settings.fabric
+            self._fabric = (fabric.address, fabric.port)
+
+    async def _close(self) -> None:
+        """Closes all sockets."""
+        self._timers.stop()
+        if self._data_socket is not None:
+            asyncio.get_running_loop().remove_reader(self._data_socket)
+            self._data_socket.close()
+        await self._server.close()
+        await self.transport.close()
+
+    def _entries_since(self, since_ms: int) -> list[timeline.Entry]:
+        """Returns the entries of the time line since a time in ms."""
+        return [
+            entry for entry in self.entries if entry.stamp.wall_ms >= since_ms
+        ]
+
+    def _read_datagrams(self) -> None:
+        """Handles the datagrams that have arrived, a bounded number."""
+        data_socket = self._data_socket
+        assert data_socket is not None
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                data = data_socket.recv(RECEIVE_BYTES)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            self._handle(events.DatagramArrived(time.monotonic(), data))
+
+    def _handle_envelope(self, envelope: messages.Envelope) -> None:
+        """Handles the messages of another host."""
+        now_s = time.monotonic()
+        for message in envelope.messages:
+            self._handle(events.MessageArrived(now_s, envelope.sender, message))
+
+    def _handle_timer(self, timer: str) -> None:
+        """Handles a timer that has run out."""
+        self._handle(events.TimerFired(time.monotonic(), timer))
+
+    def _handle(self, event: events.Event) -> None:
+        """Applies an event and carries out the effects."""
+        for effect in reducer.reduce(self.node, event):
+            if type(effect) is effects.SendDatagram:
+                self._send_datagram(effect)
+            else:
+                self._carry_out(effect)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Carries out an effect other than a datagram."""
+        match effect:
+            case effects.SendMessage(peer, message):
+                self.transport.send(peer, message)
+            case effects.StartTimer(timer, delay_s):
+                self._timers.start(timer, delay_s)
+            case effects.Respond(request_id, response):
+                answer = self._pending.get(request_id)
+                if answer is not None and not answer.done():
+                    answer.set_result(response)
+            case effects.Record(entry):
+                self._record(entry)
+            case effects.Stop():
+                self._finish(effect)
+            case _:
+                raise AssertionError(f"no driver for {type(effect)}")
+
+    def _send_datagram(self, effect: effects.SendDatagram) -> None:
+        """Sends a Geneve datagram; a full socket buffer loses it."""
+        if effect.endpoint is None:
+            address = self._fabric
+        else:
+            address = (effect.endpoint.address, effect.endpoint.port)
+        assert self._data_socket is not None and address is not None
+        try:
+            self._data_socket.sendto(effect.data, address)
+        except OSError:
+            self.node.context.counters["data-send-failed"] += 1
+
+    def _record(self, entry: timeline.Entry) -> None:
+        """Adds an entry to the time line and logs it."""
+        self.entries.append(entry)
+        if not logs.logger.isEnabledFor(logging.INFO):
+            return
+        fields = {
+            "host": entry.host,
+            "stamp": f"{entry.stamp.wall_ms}.{entry.stamp.counter}",
+            "service": entry.service,
+            "target": entry.target,
+            "flow": entry.flow,
+            "version": entry.version,
+            "verdict": entry.verdict,
+            "reason": entry.reason,
+            "detail": entry.detail,
+        }
+        present = {key: value for key, value in fields.items() if value}
+        logs.event(entry.name, logging.INFO, present)
+
+    def _finish(self, stop: effects.Stop) -> None:
+        """Ends the run."""
+        if not self.stopped.done():
+            self.stopped.set_result(stop)
+
+
+def _plan(settings: settings_lib.Settings, seed: int) -> assembly.Plan:
+    """Returns what a host is made of."""
+    return assembly.Plan(
+        host=settings.peer(),
+        roles=frozenset(settings.roles),
+        seed=seed,
+        entry_peers=tuple(
+            peer
+            for peer in settings.peers
+            if peer.domain == settings.domain and peer.data is not None
+        ),
+        sources=settings.peers,
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CannotStart:
+    """The host can't start.
+
+    Attributes:
+        reason: Sentence for the operator; names the fix.
+    """
+
+    reason: str
+
+
+async def run(
+    settings: settings_lib.Settings, seed: int
+) -> effects.Stop | CannotStart:
+    """Runs a host until it stops.
+
+    Args:
+        settings: Settings of the host.
+        seed: Seed of the generator.
+    """
+    try:
+        return await Driver(settings, seed).run()
+    except OSError as error:
+        return CannotStart(f"{error.strerror}; free the address or change it")
--- /dev/null
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -0,0 +1,195 @@
+"""HTTP interface of a host for targets, operators and other hosts."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from aiohttp import web
+import msgspec
+
+from tamarack_core import requests
+from tamarack_core import timeline
+from tamarack_node.internal import metrics as metrics_lib
+from tamarack_node.internal import transport as transport_lib
+
+REQUEST_TIMEOUT_S = 10.0
+MAX_BODY_BYTES = 64 * 1024 * 1024
+JSON_TYPE = "application/json"
+
+_STATUS_CODES = {
+    requests.PatchState.ACCEPTED: 200,
+    requests.PatchState.CONFLICT: 409,
+    requests.PatchState.INVALID: 422,
+    requests.PatchState.NO_QUORUM: 503,
+    requests.PatchState.UNKNOWN: 504,
+}
+
+Ask = Callable[[requests.Request], Awaitable[requests.Response]]
+
+
+class HttpServer:
+    """Serves the HTTP interface.
+
+    Attributes:
+        ask: Hands a request to the reducer and waits for the response.
+        transport: Receives envelopes posted by other hosts.
+        metrics: Metrics to scrape.
+        entries: Returns the entries of the time line since a time in ms.
+        runner: The running server.
+    """
+
+    __slots__ = ("ask", "entries", "metrics", "runner", "transport")
+
+    def __init__(
+        self,
+        ask: Ask,
+        transport: transport_lib.Transport,
+        metrics: metrics_lib.Metrics,
+        entries: Callable[[int], list[timeline.Entry]],
+    ) -> None:
+        """Creates a server that does not listen.
+
+        Args:
+            ask: Hands a request to the reducer and waits for the response.
+            transport: Receives envelopes posted by other hosts.
+            metrics: Metrics to scrape.
+            entries: Returns the entries of the time line since a time in ms.
+        """
+        self.ask = ask
+        self.transport = transport
+        self.metrics = metrics
+        self.entries = entries
+        self.runner: web.AppRunner | None = None
+
+    async def open(self, address: str, port: int) -> None:
+        """Starts to listen.
+
+        Args:
+            address: IP address to listen on.
+            port: Port to listen on.
+
+        Raises:
+            OSError: The endpoint can't be bound.
+        """
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.add_routes(
+            [
+                web.put("/v1/targets/{address}", self.put_target),
+                web.post("/v1/patches", self.post_patch),
+                web.get("/v1/configuration", self.get_configuration),
+                web.get("/v1/status", self.get_status),
+                web.get("/v1/timeline", self.get_timeline),
+                web.get("/v1/health", self.get_health),
+                web.get("/metrics", self.get_metrics),
+                web.post(transport_lib.MESSAGES_PATH, self.post_messages),
+            ]
+        )
+        self.runner = web.AppRunner(application, access_log=None)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, address, port).start()
+
+    async def close(self) -> None:
+        """Stops listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def put_target(self, request: web.Request) -> web.Response:
+        """Handles the announcement of a target."""
+        fields = await _read_json(request)
+        fields["address"] = request.match_info["address"]
+        return await self._answer(_convert(fields, requests.Announce))
+
+    async def post_patch(self, request: web.Request) -> web.Response:
+        """Handles a patch of an operator."""
+        fields = await _read_json(request)
+        if "operations" in fields:
+            encoded = msgspec.json.encode(fields["operations"])
+            fields["operations"] = msgspec.Raw(encoded)
+        return await self._answer(_convert(fields, requests.SubmitPatch))
+
+    async def get_configuration(self, request: web.Request) -> web.Response:
+        """Handles a read of the configuration."""
+        return await self._answer(requests.ReadConfiguration())
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Handles a read of the state of this host."""
+        return await self._answer(requests.ReadStatus())
+
+    async def get_timeline(self, request: web.Request) -> web.Response:
+        """Handles a read of the time line of this host."""
+        since = request.query.get("since_ms", "0")
+        if not since.isdecimal():
+            refused = requests.Refused(
+                "bad-request", f"since_ms {since!r} is not a time in ms"
+            )
+            return _respond(refused)
+        data = msgspec.json.encode(self.entries(int(since)))
+        return web.Response(body=data, content_type=JSON_TYPE)
+
+    async def get_health(self, request: web.Request) -> web.Response:
+        """Answers that the event loop runs."""
+        return web.json_response({"healthy": True})
+
+    async def get_metrics(self, request: web.Request) -> web.Response:
+        """Handles a scrape."""
+        headers = {"Content-Type": metrics_lib.CONTENT_TYPE}
+        return web.Response(body=self.metrics.scrape(), headers=headers)
+
+    async def post_messages(self, request: web.Request) -> web.Response:
+        """Handles an envelope of another host."""
+        self.transport.handle_bytes(await request.read())
+        return web.Response(status=204)
+
+    async def _answer(
+        self, request: requests.Request | requests.Refused
+    ) -> web.Response:
+        """Returns the HTTP response to a request of the core."""
+        if isinstance(request, requests.Refused):
+            return _respond(request)
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                return _respond(await self.ask(request))
+        except TimeoutError:
+            return _respond(_timed_out(request))
+
+
+def _timed_out(request: requests.Request) -> requests.Response:
+    """Returns the response to a request that got no answer in time."""
+    detail = f"no answer within {REQUEST_TIMEOUT_S:g} s"
+    if isinstance(request, requests.SubmitPatch):
+        return requests.PatchVerdict(
+            requests.PatchState.UNKNOWN,
+            reason=f"{detail}; send the patch again with the same id",
+        )
+    return requests.Refused("timeout", detail)
+
+
+def _respond(response: requests.Response) -> web.Response:
+    """Returns the HTTP form of a response of the core."""
+    status = 200
+    if isinstance(response, requests.Refused):
+        status = 400
+    elif isinstance(response, requests.PatchVerdict):
+        status = _STATUS_CODES[response.state]
+    data = msgspec.json.encode(response)
+    return web.Response(body=data, status=status, content_type=JSON_TYPE)
+
+
+async def _read_json(request: web.Request) -> dict[str, object]:
+    """Returns the JSON object in the body; an empty one without JSON."""
+    try:
+        document = msgspec.json.decode(await request.read())
+    except (msgspec.DecodeError, RecursionError):
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _convert(
+    fields: dict[str, object],
+    kind: type[requests.Announce] | type[requests.SubmitPatch],
+) -> requests.Announce | requests.SubmitPatch | requests.Refused:
+    """Returns the request in decoded fields, or why there is none."""
+    try:
+        return msgspec.convert(fields, kind)
+    except msgspec.ValidationError as error:
+        return requests.Refused("bad-request", str(error))
--- /dev/null
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -0,0 +1,207 @@
+"""Carries messages between hosts: JSON over UDP, or over HTTP when large."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import socket
+
+import aiohttp
+
+from tamarack_core import context as context_lib
+from tamarack_core import failure
+from tamarack_core import messages
+from tamarack_core import peers
+from tamarack_node.internal import logs
+
+# A datagram of this size is not fragmented on a link of 1,500 bytes.
+MAX_DATAGRAM_BYTES = 1400
+MAX_MESSAGES_PER_ENVELOPE = 64
+RECEIVE_BYTES = 65536
+POST_TIMEOUT_S = 5.0
+MESSAGES_PATH = "/v1/messages"
+
+
+class Transport:
+    """Sends and receives envelopes.
+
+    Attributes:
+        context: Identity, clock and counters.
+        receive: Called with each envelope received.
+        socket: UDP socket bound to the control endpoint.
+        outbox: Messages that wait for the end of the loop turn, by receiver.
+        session: HTTP client for large envelopes.
+    """
+
+    __slots__ = (
+        "_flush_scheduled",
+        "_tasks",
+        "context",
+        "outbox",
+        "receive",
+        "session",
+        "socket",
+    )
+
+    def __init__(
+        self,
+        context: context_lib.Context,
+        receive: Callable[[messages.Envelope], None],
+    ) -> None:
+        """Creates a transport that is not open.
+
+        Args:
+            context: Identity, clock and counters.
+            receive: Called with each envelope received.
+        """
+        self.context = context
+        self.receive = receive
+        self.socket: socket.socket | None = None
+        self.session: aiohttp.ClientSession | None = None
+        self.outbox: dict[peers.Peer, list[messages.Message]] = {}
+        self._flush_scheduled = False
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def open(self) -> None:
+        """Binds the socket and starts to receive.
+
+        Raises:
+            OSError: The control endpoint can't be bound.
+        """
+        endpoint = self.context.host.control
+        self.socket = bind_udp(endpoint)
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.socket, self._read)
+        timeout = aiohttp.ClientTimeout(total=POST_TIMEOUT_S)
+        self.session = aiohttp.ClientSession(timeout=timeout)
+
+    async def close(self) -> None:
+        """Sends what waits and closes the socket."""
+        self._flush()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=POST_TIMEOUT_S)
+        if self.socket is not None:
+            asyncio.get_running_loop().remove_reader(self.socket)
+            self.socket.close()
+        if self.session is not None:
+            await self.session.close()
+
+    def send(self, peer: peers.Peer, message: messages.Message) -> None:
+        """Sends a message at the end of this loop turn.
+
+        Args:
+            peer: The receiver.
+            message: The message.
+        """
+        self.outbox.setdefault(peer, []).append(message)
+        if not self._flush_scheduled:
+            self._flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def handle_bytes(self, data: bytes) -> None:
+        """Decodes an envelope; counts and drops a malformed one.
+
+        Args:
+            data: JSON form of an envelope.
+        """
+        envelope = messages.decode(data)
+        self.context.counters["control-received-bytes"] += len(data)
+        if isinstance(envelope, failure.Failure):
+            self.context.counters[envelope.reason] += 1
+            return
+        self.context.clock.observe(envelope.stamp)
+        self.receive(envelope)
+
+    def _read(self) -> None:
+        """Receives the datagrams that have arrived."""
+        assert self.socket is not None
+        for _ in range(MAX_MESSAGES_PER_ENVELOPE):
+            try:
+                data = self.socket.recv(RECEIVE_BYTES)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            self.handle_bytes(data)
+
+    def _flush(self) -> None:
+        """Sends the messages that wait, joined by receiver."""
+        self._flush_scheduled = False
+        waiting, self.outbox = self.outbox, {}
+        for peer, batch in waiting.items():
+            self._send_batch(peer, batch)
+
+    def _send_batch(
+        self, peer: peers.Peer, batch: list[messages.Message]
+    ) -> None:
+        """Sends messages in as few datagrams as hold them."""
+        envelope = messages.Envelope(
+            self.context.host, self.context.clock.latest, tuple(batch)
+        )
+        data = messages.encode(envelope)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            self._send_datagram(peer, data)
+        elif len(batch) > 1:
+            middle = len(batch) // 2
+            self._send_batch(peer, batch[:middle])
+            self._send_batch(peer, batch[middle:])
+        else:
+            task = asyncio.get_running_loop().create_task(
+                self._post(peer, data)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _send_datagram(self, peer: peers.Peer, data: bytes) -> None:
+        """Sends one datagram; a full socket buffer loses it."""
+        assert self.socket is not None
+        self.context.counters["control-sent-bytes"] += len(data)
+        try:
+            self.socket.sendto(data, (peer.control.address, peer.control.port))
+        except OSError as error:
+            self.context.counters["control-send-failed"] += 1
+            logs.event(
+                "send-failed",
+                logging.DEBUG,
+                {"peer": peer.host, "reason": error.strerror},
+            )
+
+    async def _post(self, peer: peers.Peer, data: bytes) -> None:
+        """Sends one large envelope over HTTP."""
+        assert self.session is not None
+        self.context.counters["control-sent-bytes"] += len(data)
+        url = f"http://{format_endpoint(peer.control)}{MESSAGES_PATH}"
+        try:
+            async with self.session.post(url, data=data) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self.context.counters["control-send-failed"] += 1
+            logs.event(
+                "send-failed",
+                logging.DEBUG,
+                {"peer": peer.host, "reason": type(error).__name__},
+            )
+
+
+def bind_udp(endpoint: peers.Endpoint) -> socket.socket:
+    """Returns a non-blocking UDP socket.
+
+    Args:
+        endpoint: Address and port to bind.
+
+    Raises:
+        OSError: The endpoint can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in endpoint.address else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    try:
+        bound.bind((endpoint.address, endpoint.port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def format_endpoint(endpoint: peers.Endpoint) -> str:
+    """Returns an endpoint as in a URL."""
+    if ":" in endpoint.address:
+        return f"[{endpoint.address}]:{endpoint.port}"
+    return f"{endpoint.address}:{endpoint.port}"
--- /dev/null
+++ b/packages/node/src/tamarack_node/settings.py
@@ -0,0 +1,201 @@
+"""Settings of `tamarackd`: a JSON file, checked as a whole."""
+
+import dataclasses
+import ipaddress
+import itertools
+import pathlib
+from typing import Any
+
+import msgspec
+
+from tamarack_core import assembly
+from tamarack_core import peers as peers_lib
+
+MAX_PORT = 65535
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one host.
+
+    Attributes:
+        host: Name that is unique in the system.
+        domain: Failure domain of the host.
+        roles: Roles of the host: entry, relay, control.
+        control: Address and port of HTTP and of messages between hosts.
+        data: Address and port of Geneve; required for the entry role.
+        fabric: Address and port of the fabric; required for the entry role.
+        peers: Other hosts that this host knows at its start.
+        data_folder: Folder of durable state; required for the control role.
+        seed: Seed of the generator; chosen at random without one.
+        log_level: Lowest level that is logged.
+    """
+
+    host: str
+    domain: str
+    roles: tuple[assembly.Role, ...]
+    control: peers_lib.Endpoint
+    data: peers_lib.Endpoint | None = None
+    fabric: peers_lib.Endpoint | None = None
+    peers: tuple[peers_lib.Peer, ...] = ()
+    data_folder: str = ""
+    seed: int | None = None
+    log_level: str = "info"
+
+    def peer(self) -> peers_lib.Peer:
+        """Returns this host as other hosts reach it."""
+        return peers_lib.Peer(self.host, self.domain, self.control, self.data)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """A bad setting.
+
+    Attributes:
+        path: JSON path of the setting.
+        value: The value found.
+        fix: What to do.
+    """
+
+    path: str
+    value: object
+    fix: str
+
+    def __str__(self) -> str:
+        """Returns one line for the operator."""
+        return f"{self.path}: {self.value!r}: {self.fix}"
+
+
+def load(path: pathlib.Path) -> Settings | list[Problem]:
+    """Returns the settings in a file, or all that is wrong with them.
+
+    Args:
+        path: The settings file.
+    """
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return [Problem("$", str(path), f"can't be read: {error.strerror}")]
+    try:
+        document = msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        return [Problem("$", str(path), f"is not JSON: {error}")]
+    return parse(document)
+
+
+def parse(document: Any) -> Settings | list[Problem]:
+    """Returns the settings in a decoded document, or all that is wrong.
+
+    Args:
+        document: The decoded JSON.
+    """
+    if not isinstance(document, dict):
+        return [Problem("$", document, "use a JSON object")]
+    problems = _check_fields(document)
+    if problems:
+        return problems
+    settings = msgspec.convert(document, Settings)
+    problems = _check_values(settings)
+    return problems or settings
+
+
+def _check_fields(document: dict[str, Any]) -> list[Problem]:
+    """Returns the fields that are unknown, missing or of a wrong type."""
+    fields = {field.name: field for field in msgspec.structs.fields(Settings)}
+    problems = [
+        Problem(f"$.{name}", document[name], "unknown setting; remove it")
+        for name in document
+        if name not in fields
+    ]
+    for name, field in fields.items():
+        if name not in document:
+            if field.required:
+                problems.append(Problem(f"$.{name}", None, "add this setting"))
+            continue
+        try:
+            msgspec.convert(document[name], field.type)
+        except msgspec.ValidationError as error:
+            problems.append(Problem(f"$.{name}", document[name], str(error)))
+    return problems
+
+
+def _check_values(settings: Settings) -> list[Problem]:
+    """Returns the fields whose values don't go together."""
+    problems = list(
+        itertools.chain(
+            _check_endpoint("$.control", settings.control),
+            _check_endpoint("$.data", settings.data),
+            _check_endpoint("$.fabric", settings.fabric),
+            *(
+                _check_endpoint(f"$.peers[{index}].control", peer.control)
+                for index, peer in enumerate(settings.peers)
+            ),
+            *(
+                _check_endpoint(f"$.peers[{index}].data", peer.data)
+                for index, peer in enumerate(settings.peers)
+            ),
+        )
+    )
+    problems.extend(_check_names(settings))
+    problems.extend(_check_roles(settings))
+    return problems
+
+
+def _check_endpoint(
+    path: str, endpoint: peers_lib.Endpoint | None
+) -> list[Problem]:
+    """Returns what is wrong with an address and port."""
+    if endpoint is None:
+        return []
+    problems = []
+    try:
+        ipaddress.ip_address(endpoint.address)
+    except ValueError:
+        fix = "use an IPv4 or IPv6 address"
+        problems.append(Problem(path, endpoint.address, fix))
+    if not 0 < endpoint.port <= MAX_PORT:
+        fix = f"use a port from 1 to {MAX_PORT}"
+        problems.append(Problem(path, endpoint.port, fix))
+    return problems
+
+
+def _check_names(settings: Settings) -> list[Problem]:
+    """Returns what is wrong with names and the log level."""
+    problems = [
+        Problem(f"$.{name}", value, "use a non-empty name")
+        for name, value in (
+            ("host", settings.host),
+            ("domain", settings.domain),
+        )
+        if not value
+    ]
+    names = [settings.host, *(peer.host for peer in settings.peers)]
+    problems.extend(
+        Problem("$.peers", name, "use each host name once")
+        for name in sorted({name for name in names if names.count(name) > 1})
+    )
+    if settings.log_level not in LOG_LEVELS:
+        fix = f"use one of {', '.join(LOG_LEVELS)}"
+        problems.append(Problem("$.log_level", settings.log_level, fix))
+    return problems
+
+
+def _check_roles(settings: Settings) -> list[Problem]:
+    """Returns what the roles of the host need and lack."""
+    problems = []
+    if not settings.roles:
+        fix = "name at least one of entry, relay, control"
+        problems.append(Problem("$.roles", settings.roles, fix))
+    if assembly.Role.ENTRY in settings.roles:
+        problems.extend(
+            Problem(f"$.{name}", None, "the entry role needs this setting")
+            for name, value in (
+                ("data", settings.data),
+                ("fabric", settings.fabric),
+            )
+            if value is None
+        )
+    if assembly.Role.CONTROL in settings.roles and not settings.data_folder:
+        fix = "the control role needs a folder"
+        problems.append(Problem("$.data_folder", "", fix))
+    return problems
