--- /dev/null
+++ b/packages/lab/src/tamarack_lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of one entry process."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/bench/command.py
@@ -0,0 +1,36 @@
+"""Command `tamarack lab bench`."""
+
+import json
+import pathlib
+
+import click
+import msgspec
+
+from tamarack_lab.bench import measures
+from tamarack_lab.bench import profile as profile_lib
+
+DEFAULT_RUNS = 5
+
+
+@click.command()
+@click.option(
+    "--output",
+    type=click.Path(path_type=pathlib.Path),
+    default=pathlib.Path("out/bench.json"),
+    help="File for the figures.",
+)
+@click.option("--runs", default=DEFAULT_RUNS, help="Runs for each median.")
+@click.option("--profile", is_flag=True, help="Print a profile instead.")
+def bench(output: pathlib.Path, runs: int, profile: bool) -> None:
+    """Measures one entry process on one core.
+
+    Example: tamarack lab bench --output out/bench.json
+    """
+    if profile:
+        click.echo(profile_lib.run())
+        return
+    results = msgspec.to_builtins(measures.run(runs))
+    output.parent.mkdir(parents=True, exist_ok=True)
+    text = json.dumps(results, indent=2)
+    output.write_text(text + "\n")
+    click.echo(text)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/bench/subject.py
@@ -0,0 +1,163 @@
+"""The entry process under measurement, and the socket of its fabric."""
+
+import json
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+SERVICE = {
+    "addresses": ["10.9.0.1"],
+    "target_networks": ["10.1.0.0/16"],
+    "classes": {
+        "routes": {"port": 80, "target_port": 8080, "lifetime": "long-lived"}
+    },
+}
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+RECEIVE_TIMEOUT_S = 2.0
+POLL_S = 0.05
+LEASE_S = 60.0
+BUFFER_BYTES = 4 * 1024 * 1024
+# Small enough that neither socket buffer overflows.
+WINDOW_DATAGRAMS = 256
+RECEIVE_BYTES = 65536
+KIB = 1024
+
+
+class Subject:
+    """A running entry host, alone in its failure domain.
+
+    Attributes:
+        fabric: Socket that stands for the fabric.
+        data: Address and port of the data socket of the host.
+        port: Port of the HTTP interface.
+        process: The process.
+    """
+
+    __slots__ = ("data", "fabric", "port", "process")
+
+    def __init__(self, folder: pathlib.Path, targets: int) -> None:
+        """Starts the host, patches its configuration, announces targets.
+
+        Args:
+            folder: Folder for settings, log and state.
+            targets: Number of targets to announce.
+        """
+        self.fabric = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.fabric.bind(("127.0.0.1", 0))
+        self.fabric.settimeout(RECEIVE_TIMEOUT_S)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self.fabric.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        self.port = free_port()
+        self.data = ("127.0.0.1", free_port())
+        settings = {
+            "host": "bench-1",
+            "domain": "bench",
+            "roles": ["entry", "control"],
+            "control": ["127.0.0.1", self.port],
+            "data": list(self.data),
+            "fabric": list(self.fabric.getsockname()),
+            "data_folder": str(folder / "state"),
+            "seed": 1,
+            "log_level": "error",
+        }
+        file = folder / "settings.json"
+        file.write_text(json.dumps(settings))
+        binary = pathlib.Path(sys.executable).parent / "tamarackd"
+        self.process = subprocess.Popen([binary, "--settings", file])
+        self._prepare(targets)
+
+    def call(self, method: str, path: str, body: object = None) -> bytes:
+        """Returns the body of an HTTP answer.
+
+        Raises:
+            OSError: The host refuses or does not answer.
+        """
+        data = None if body is None else json.dumps(body).encode()
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{self.port}{path}", data, method=method
+        )
+        with urllib.request.urlopen(request, timeout=START_TIMEOUT_S) as answer:
+            found: bytes = answer.read()
+            return found
+
+    def exchange(self, datagrams: list[bytes]) -> list[bytes]:
+        """Sends datagrams, keeping a window in flight.
+
+        Args:
+            datagrams: What to send, in order.
+
+        Returns:
+            What the host sent to the fabric, in order.
+        """
+        found: list[bytes] = []
+        sent = 0
+        total = len(datagrams)
+        while len(found) < total:
+            while sent < total and sent - len(found) < WINDOW_DATAGRAMS:
+                self.fabric.sendto(datagrams[sent], self.data)
+                sent += 1
+            try:
+                found.append(self.fabric.recv(RECEIVE_BYTES))
+            except TimeoutError:
+                break
+        return found
+
+    def resident_bytes(self) -> int:
+        """Returns the resident memory of the process in bytes."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith("VmRSS")
+        )
+        return int(line.split()[1]) * KIB
+
+    def processor_s(self) -> float:
+        """Returns the processor time of the process in seconds."""
+        text = pathlib.Path(f"/proc/{self.process.pid}/schedstat").read_text()
+        return int(text.split()[0]) / 1e9
+
+    def close(self) -> None:
+        """Ends the process and closes the socket."""
+        self.process.terminate()
+        self.process.wait(STOP_TIMEOUT_S)
+        self.fabric.close()
+
+    def _prepare(self, targets: int) -> None:
+        """Waits for the start and puts service and targets in place."""
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while not self._patch():
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"no start within {START_TIMEOUT_S} s")
+            time.sleep(POLL_S)
+        for number in range(targets):
+            high, low = divmod(number, 250)
+            body = {"service": "agenda", "domain": "bench", "lease_s": LEASE_S}
+            path = f"/v1/targets/10.1.{high}.{low + 1}"
+            self.call("PUT", path, {**body, "connections": 1_000_000})
+
+    def _patch(self) -> bool:
+        """Submits the service; returns whether it is accepted."""
+        patch = {
+            "patch_id": "bench",
+            "base_version": 0,
+            "author": "bench",
+            "operations": [
+                {"op": "add", "path": "/services/agenda", "value": SERVICE}
+            ],
+        }
+        try:
+            self.call("POST", "/v1/patches", patch)
+        except OSError:
+            return False
+        return True
+
+
+def free_port() -> int:
+    """Returns a free UDP port on the loopback address."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
