Read and rewrite plain IPv4 TCP headers in one step each

Cause: the profile showed rewriting (6.40 us) and parsing (2.76 us) as the largest costs of a packet beside the system calls. Change: one struct for the headers of an IPv4 TCP packet without IP options, cached sums of endpoint differences, the general path for all else; a differential test of both paths.

--- a/packages/core/src/tamarack_core/packets/geneve.py
+++ b/packages/core/src/tamarack_core/packets/geneve.py
@@ -33,7 +33,7 @@
 _PLAIN_V6 = _header.pack(0, 0, ETHERTYPE_IPV6, 0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Decapsulated:
     """Contents of a datagram.
 
--- a/packages/core/src/tamarack_core/packets/ip.py
+++ b/packages/core/src/tamarack_core/packets/ip.py
@@ -24,6 +24,10 @@
 _IPV6_FRAGMENT = 44
 _IPV6_EXTENSIONS = frozenset((0, 43, 50, 51, 60, 135, 139, 140))
 
+_PLAIN_IPV4 = 0x45
+_PLAIN_TCP4_BYTES = IPV4_HEADER_BYTES + TCP_HEADER_BYTES
+
+_plain_tcp4 = struct.Struct("!xxHxxHxBxx4s4sHHIIBB")
 _ports = struct.Struct("!HH")
 _tcp_numbers = struct.Struct("!IIBB")
 
@@ -42,6 +46,7 @@
         transport: Offset of the transport header in bytes.
         payload: Offset of the transport payload in bytes.
         flags: TCP flags; 0 for UDP.
+        is_plain_tcp4: Whether this is an IPv4 TCP packet without IP options.
         sequence: TCP sequence number; 0 for UDP.
         acknowledgment: TCP acknowledgment number; 0 for UDP.
     """
@@ -52,6 +57,7 @@
         "destination",
         "destination_port",
         "flags",
+        "is_plain_tcp4",
         "payload",
         "protocol",
         "sequence",
@@ -73,6 +79,7 @@
     flags: int
     sequence: int
     acknowledgment: int
+    is_plain_tcp4: bool
 
     @property
     def payload_bytes(self) -> int:
@@ -90,6 +97,19 @@
         The packet; a failure for a packet that is malformed, a fragment, or of
         a protocol other than TCP and UDP.
     """
+    if len(data) >= _PLAIN_TCP4_BYTES and data[0] == _PLAIN_IPV4:
+        packet = _parse_plain_tcp4(data)
+        if packet is not None:
+            return packet
+    return parse_general(data)
+
+
+def parse_general(data: bytes) -> Packet | failure.Failure:
+    """Returns what `parse` returns, without its fast path.
+
+    Args:
+        data: An IP packet, without bytes after its end.
+    """
     if not data:
         return failure.Failure("ip-truncated")
     version = data[0] >> 4
@@ -100,6 +120,45 @@
     return failure.Failure("ip-version")
 
 
+def _parse_plain_tcp4(data: bytes) -> Packet | None:
+    """Returns the headers of a well-formed IPv4 TCP packet without IP options.
+
+    Nearly all packets are of this kind, so their headers are read at once. The
+    general path below handles the others and names what is wrong with them.
+    """
+    fields = _plain_tcp4.unpack_from(data)
+    total, fragment, protocol = fields[:3]
+    payload = IPV4_HEADER_BYTES + (fields[9] >> 4) * 4
+    if (
+        protocol != PROTOCOL_TCP
+        or fragment & _IPV4_FRAGMENT_MASK
+        or total != len(data)
+        or not _PLAIN_TCP4_BYTES <= payload <= total
+    ):
+        return None
+    packet = Packet()
+    packet.data = data
+    packet.version = 4
+    packet.protocol = PROTOCOL_TCP
+    packet.transport = IPV4_HEADER_BYTES
+    packet.payload = payload
+    packet.is_plain_tcp4 = True
+    (
+        _,
+        _,
+        _,
+        packet.source,
+        packet.destination,
+        packet.source_port,
+        packet.destination_port,
+        packet.sequence,
+        packet.acknowledgment,
+        _,
+        packet.flags,
+    ) = fields
+    return packet
+
+
 def _parse_v4(data: bytes) -> Packet | failure.Failure:
     """Returns the headers of an IPv4 packet."""
     if len(data) < IPV4_HEADER_BYTES:
@@ -115,6 +174,7 @@
     packet = Packet()
     packet.data = data
     packet.version = 4
+    packet.is_plain_tcp4 = False
     packet.protocol = data[9]
     packet.source = data[12:16]
     packet.destination = data[16:20]
@@ -136,6 +196,7 @@
     packet = Packet()
     packet.data = data
     packet.version = 6
+    packet.is_plain_tcp4 = False
     packet.protocol = protocol
     packet.source = data[8:24]
     packet.destination = data[24:40]
--- a/packages/core/src/tamarack_core/packets/rewrite.py
+++ b/packages/core/src/tamarack_core/packets/rewrite.py
@@ -1,5 +1,6 @@
 """Address rewriting of packets, with incremental checksums (RFC 1624)."""
 
+import dataclasses
 import functools
 import struct
 
@@ -18,6 +19,8 @@
 _DIFFERENCE_CACHE_ENTRIES = 65536
 
 _port = struct.Struct("!H")
+_sums_v4_tcp = struct.Struct("!10xH24xH")
+_header_v4_tcp = struct.Struct("!10sH4s4sHH12sH")
 _difference = functools.lru_cache(_DIFFERENCE_CACHE_ENTRIES)(
     checksum.difference
 )
@@ -31,6 +34,17 @@
         address: New destination address, of the packet's IP version.
         port: New destination port.
     """
+    if packet.is_plain_tcp4:
+        return _rewrite_plain_tcp4(
+            packet,
+            packet.source,
+            address,
+            packet.source_port,
+            port,
+            _endpoint_difference(
+                packet.destination, packet.destination_port, address, port
+            ),
+        )
     place = _IPV4_DESTINATION if packet.version == 4 else _IPV6_DESTINATION
     return _rewrite(
         packet,
@@ -49,6 +63,17 @@
         address: New source address, of the packet's IP version.
         port: New source port.
     """
+    if packet.is_plain_tcp4:
+        return _rewrite_plain_tcp4(
+            packet,
+            address,
+            packet.destination,
+            port,
+            packet.destination_port,
+            _endpoint_difference(
+                packet.source, packet.source_port, address, port
+            ),
+        )
     place = _IPV4_SOURCE if packet.version == 4 else _IPV6_SOURCE
     return _rewrite(
         packet,
@@ -59,6 +84,58 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class _Difference:
+    """Sums that a new endpoint adds, as residues.
+
+    Attributes:
+        address: Sum that the address adds.
+        endpoint: Sum that the address and the port add.
+    """
+
+    address: int
+    endpoint: int
+
+
+@functools.lru_cache(_DIFFERENCE_CACHE_ENTRIES)
+def _endpoint_difference(
+    old_address: bytes, old_port: int, new_address: bytes, new_port: int
+) -> _Difference:
+    """Returns the sums that replacing an endpoint adds."""
+    address = checksum.difference(old_address, new_address)
+    return _Difference(address, (address + new_port - old_port) % 0xFFFF)
+
+
+def _rewrite_plain_tcp4(
+    packet: ip.Packet,
+    source_address: bytes,
+    destination_address: bytes,
+    source_port: int,
+    destination_port: int,
+    difference: _Difference,
+) -> bytes:
+    """Returns an IPv4 TCP packet without IP options with new endpoints.
+
+    Nearly all packets take this path, so it packs the headers at once. The
+    updates of the checksums are those of `checksum.adjust`.
+    """
+    data = packet.data
+    ip_sum, tcp_sum = _sums_v4_tcp.unpack_from(data)
+    return (
+        _header_v4_tcp.pack(
+            data[:10],
+            (ip_sum - difference.address) % 0xFFFF,
+            source_address,
+            destination_address,
+            source_port,
+            destination_port,
+            data[24:36],
+            (tcp_sum - difference.endpoint) % 0xFFFF,
+        )
+        + data[38:]
+    )
+
+
 def _rewrite(
     packet: ip.Packet, place: slice, old: bytes, new: bytes, port_at: int
 ) -> bytes:
--- a/tests/cover/test_packets.py
+++ b/tests/cover/test_packets.py
@@ -9,6 +9,8 @@
 from tamarack_core.packets import checksum
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
+from tamarack_core.packets import rewrite
+from tamarack_lab.bench import traffic
 
 MAX_PACKET_BYTES = 200
 
@@ -42,6 +44,64 @@
         self.assertIsInstance(result, ip.Packet | failure.Failure)
 
 
+class RewriteTest(testtools.TestCase):
+    """Address rewriting."""
+
+    @given(
+        st.integers(0, 2**32 - 1),
+        st.integers(1, 2**16 - 1),
+        st.binary(max_size=50),
+    )
+    def test_both_checksums_are_right_after_each_rewrite(
+        self, address, port, payload
+    ):
+        packet = ip.parse(
+            traffic.tcp_packet(
+                b"\x0a\x07\x00\x01",
+                5000,
+                b"\x0a\x09\x00\x01",
+                80,
+                ip.TCP_ACK,
+                7,
+                payload,
+            )
+        )
+        new = address.to_bytes(4, "big")
+        for change in (rewrite.destination, rewrite.source):
+            data = change(packet, new, port)
+            self.assertEqual(0, checksum.of(data[:20]))
+            pseudo = checksum.pseudo_header(
+                data[12:16], data[16:20], ip.PROTOCOL_TCP, len(data) - 20
+            )
+            self.assertEqual(0, checksum.of(pseudo + data[20:]))
+
+    @given(st.binary(max_size=50), st.integers(0, 255), st.integers(0, 200))
+    def test_the_fast_parser_agrees_with_the_general_one(
+        self, payload, value, position
+    ):
+        data = bytearray(
+            traffic.tcp_packet(
+                b"\x0a\x07\x00\x01",
+                5000,
+                b"\x0a\x09\x00\x01",
+                80,
+                ip.TCP_ACK,
+                7,
+                payload,
+            )
+        )
+        data[position % len(data)] = value
+        fast, general = ip.parse(bytes(data)), ip.parse_general(bytes(data))
+        if isinstance(general, failure.Failure):
+            self.assertEqual(general, fast)
+            return
+        names = set(ip.Packet.__slots__) - {"is_plain_tcp4"}
+        self.assertEqual(
+            {name: getattr(general, name) for name in names},
+            {name: getattr(fast, name) for name in names},
+        )
+
+
 class ChecksumTest(testtools.TestCase):
     """Internet checksum."""
 
