State the public face of the replicated log

Cause: storage, patches and the control daemon are built beside the log and need its messages, outputs and calls first.

--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -73,6 +73,21 @@
     records: tuple[bytes, ...]
 
 
+@dataclasses.dataclass(slots=True)
+class SaveSnapshot:
+    """Replace the log file by a snapshot and records, in one atomic step.
+
+    Attributes:
+        sequence: Number that the `WriteCompleted` event repeats.
+        data: The encoded snapshot.
+        records: Encoded records that follow the snapshot, in order.
+    """
+
+    sequence: int
+    data: bytes
+    records: tuple[bytes, ...]
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """Add an entry to the time line and write it to the log.
@@ -98,5 +113,12 @@
 
 
 Effect = (
-    SendDatagram | SendMessage | Respond | StartTimer | Persist | Record | Stop
+    SendDatagram
+    | SendMessage
+    | Respond
+    | StartTimer
+    | Persist
+    | SaveSnapshot
+    | Record
+    | Stop
 )
