Decide on numbered patches and check whole configurations

Cause: the one-voter role took any well-typed document and kept its ids in memory. A patch rebuilds and checks only the services that it names.

--- a/packages/core/src/tamarack_core/failure.py
+++ b/packages/core/src/tamarack_core/failure.py
@@ -13,10 +13,12 @@
     Attributes:
         reason: Short constant name, fit for a metric label.
         detail: Sentence for an operator; names the value and the fix.
+        path: JSON pointer of the value at fault, if it lies in a document.
     """
 
     reason: str
     detail: str = ""
+    path: str = ""
 
     def __bool__(self) -> bool:
         """Returns False, so that `if not result` catches a failure."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/patches/machine.py
@@ -0,0 +1,274 @@
+"""Applies committed commands and decides on patches."""
+
+import dataclasses
+
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import failure
+from tamarack_core import requests
+from tamarack_core.internal.patches import commands
+from tamarack_core.internal.patches import history
+from tamarack_core.internal.patches import operations
+from tamarack_core.internal.validation import document
+
+FORMAT_VERSION = 1
+
+_PATCH_ID_REUSED = "patch-id-reused"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Verdict on one committed command.
+
+    Attributes:
+        patch_id: Identifier of the patch.
+        digest: Digest of the patch.
+        verdict: The verdict.
+    """
+
+    patch_id: str
+    digest: bytes
+    verdict: requests.PatchVerdict
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """The whole state in encoded form.
+
+    Attributes:
+        format_version: Version of this form.
+        version: Version of the configuration.
+        time_ms: Time of the log in milliseconds.
+        configuration: The configuration.
+        entries: The newest accepted patches.
+        answers: First answers by patch id, the oldest first.
+    """
+
+    format_version: int
+    version: int
+    time_ms: int
+    configuration: configuration.Configuration
+    entries: list[history.Entry]
+    answers: list[tuple[str, history.Answer]]
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(Snapshot)
+
+
+class SnapshotError(ValueError):
+    """A snapshot can't be read by this release."""
+
+
+class PatchMachine:
+    """State that all voters agree on.
+
+    Attributes:
+        version: Version of the configuration; only rises.
+        time_ms: Time of the log in milliseconds; never goes back, whatever
+            the clocks of successive leaders say.
+        checked: The configuration.
+        history: The newest accepted patches.
+        answers: First answers to patch ids.
+        decisions: Decisions since the owner last took them; not replicated.
+    """
+
+    __slots__ = (
+        "answers",
+        "checked",
+        "decisions",
+        "history",
+        "time_ms",
+        "version",
+    )
+
+    def __init__(self) -> None:
+        """Starts with version 0, the empty configuration."""
+        self.version = 0
+        self.time_ms = 0
+        self.checked = document.Checked()
+        self.history = history.History()
+        self.answers = history.Answers()
+        self.decisions: list[Decision] = []
+
+    def numbered(self) -> configuration.Numbered:
+        """Returns the newest configuration with its version."""
+        return configuration.Numbered(
+            self.version, configuration.Configuration(self.checked.services)
+        )
+
+    def first_answer(
+        self, patch: requests.SubmitPatch
+    ) -> requests.PatchVerdict | None:
+        """Returns the answer to a patch that was decided before, or None."""
+        answer = self.answers.by_id.get(patch.patch_id)
+        if answer is None:
+            return None
+        if answer.digest == commands.digest(patch):
+            return answer.verdict
+        return requests.PatchVerdict(
+            requests.PatchState.INVALID,
+            reason=f"{_PATCH_ID_REUSED}: another patch has the id"
+            f" {patch.patch_id}; choose a new one",
+        )
+
+    def apply(self, index: int, command: bytes) -> None:
+        """Applies a committed command.
+
+        Args:
+            index: Position in the log; the order of calls is what counts.
+            command: The encoded command.
+        """
+        decoded = commands.decode(command)
+        if isinstance(decoded, failure.Failure):
+            # Every voter skips it alike. Only a newer release can write one.
+            return
+        self.time_ms = max(self.time_ms, decoded.time_ms)
+        patch = decoded.patch
+        digest = commands.digest(patch)
+        verdict = self.first_answer(patch)
+        if verdict is None:
+            verdict = self._decide(patch)
+            self.answers.add(
+                patch.patch_id, history.Answer(digest, self.time_ms, verdict)
+            )
+        self.decisions.append(Decision(patch.patch_id, digest, verdict))
+
+    def take_decisions(self) -> list[Decision]:
+        """Returns the decisions since the last call."""
+        taken = self.decisions
+        self.decisions = []
+        return taken
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state in encoded form."""
+        return _encoder.encode(
+            Snapshot(
+                FORMAT_VERSION,
+                self.version,
+                self.time_ms,
+                configuration.Configuration(self.checked.services),
+                self.history.entries,
+                list(self.answers.items()),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state.
+
+        Args:
+            data: What `snapshot` returned on some host.
+
+        Raises:
+            SnapshotError: `data` is of another format or damaged. The state
+                is then as it was.
+        """
+        decoded = decode_snapshot(data)
+        checked = document.Checked()
+        refused = checked.replace(decoded.configuration.services)
+        if refused is not None:
+            raise SnapshotError(f"{refused.path}: {refused.detail}")
+        self.version = decoded.version
+        self.time_ms = decoded.time_ms
+        self.checked = checked
+        self.history = history.History()
+        for entry in decoded.entries:
+            # A copy, as `Raw` would keep the whole snapshot in memory.
+            operations_copy = entry.operations.copy()
+            self.history.append(
+                msgspec.structs.replace(entry, operations=operations_copy)
+            )
+        self.answers = history.Answers()
+        self.answers.by_id = dict(decoded.answers)
+        self.decisions = []
+
+    def _decide(self, patch: requests.SubmitPatch) -> requests.PatchVerdict:
+        """Decides on a patch whose id is new."""
+        refused = commands.check(patch)
+        if refused is not None:
+            return _invalid(refused)
+        if patch.base_version > self.version or patch.base_version < 0:
+            return requests.PatchVerdict(
+                requests.PatchState.INVALID,
+                reason=f"base version {patch.base_version} doesn't exist; the"
+                f" newest is {self.version}",
+            )
+        if patch.base_version < self.version:
+            return self._conflict(patch.base_version)
+        return self._change(patch)
+
+    def _change(self, patch: requests.SubmitPatch) -> requests.PatchVerdict:
+        """Puts a patch on top of the newest version, if it is valid."""
+        parsed = operations.parse(patch.operations)
+        if isinstance(parsed, failure.Failure):
+            return _invalid(parsed)
+        changes = operations.apply(self.checked.services, parsed)
+        if isinstance(changes, failure.Failure):
+            return _invalid(changes)
+        refused = self.checked.replace(changes)
+        if refused is not None:
+            return _invalid(refused)
+        self.version += 1
+        changed = operations.changed_pointers(parsed)[: history.MAX_POINTERS]
+        self.history.append(
+            history.Entry(
+                self.version,
+                patch.patch_id,
+                patch.author,
+                patch.note,
+                self.time_ms,
+                changed,
+                msgspec.Raw(bytes(patch.operations)),
+            )
+        )
+        return requests.PatchVerdict(
+            requests.PatchState.ACCEPTED, self.version, changed=changed
+        )
+
+    def _conflict(self, base_version: int) -> requests.PatchVerdict:
+        """Says who changed what since the base version."""
+        later = self.history.after(base_version)
+        if later is None:
+            return requests.PatchVerdict(
+                requests.PatchState.CONFLICT,
+                self.version,
+                reason=f"version {base_version} is older than the log; read"
+                f" version {self.version} and write the patch anew",
+            )
+        changed = sorted({path for entry in later for path in entry.changed})
+        authors = dict.fromkeys(entry.author for entry in later)
+        return requests.PatchVerdict(
+            requests.PatchState.CONFLICT,
+            self.version,
+            reason=f"{len(later)} later patches; the newest version is"
+            f" {self.version}",
+            author=", ".join(authors)[: commands.MAX_NOTE_LENGTH],
+            changed=tuple(changed[: history.MAX_POINTERS]),
+        )
+
+
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Returns the decoded form of a snapshot.
+
+    Raises:
+        SnapshotError: `data` is of another format or damaged.
+    """
+    try:
+        decoded = _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise SnapshotError(f"unreadable snapshot: {error}") from error
+    if decoded.format_version != FORMAT_VERSION:
+        raise SnapshotError(
+            f"format {decoded.format_version}; this release reads format"
+            f" {FORMAT_VERSION}"
+        )
+    return decoded
+
+
+def _invalid(refused: failure.Failure) -> requests.PatchVerdict:
+    """Returns the verdict that a failed check stands for."""
+    return requests.PatchVerdict(
+        requests.PatchState.INVALID,
+        path=refused.path,
+        reason=f"{refused.reason}: {refused.detail}",
+    )
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -0,0 +1,246 @@
+"""Applies a JSON patch (RFC 6902) to the services that it names.
+
+Only the services that a patch names are built as JSON, patched and checked
+again, so that the cost of a patch doesn't grow with the configuration.
+"""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+import itertools
+
+import jsonpatch
+import jsonpointer
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import failure
+from tamarack_core.internal.validation import fields
+from tamarack_core.internal.validation import pointers
+
+MAX_OPERATIONS = 100_000
+MAX_DEPTH = 16
+
+_MOVING = ("move", "copy")
+_PATCH_ERRORS = (
+    jsonpatch.JsonPatchException,
+    jsonpointer.JsonPointerException,
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
+Changes = dict[str, configuration.Service | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """One operation of a patch.
+
+    Attributes:
+        raw: The operation as decoded JSON.
+        steps: Unescaped steps of its path.
+        source: Unescaped steps of `from`; empty without one.
+    """
+
+    raw: dict[str, object]
+    steps: list[str]
+    source: list[str]
+
+
+def parse(encoded: msgspec.Raw) -> list[Operation] | failure.Failure:
+    """Returns the operations of an encoded patch.
+
+    Returns:
+        The operations, or a failure. Its path is that of the operation at
+        fault in the configuration, where there is one.
+    """
+    try:
+        decoded = msgspec.json.decode(encoded)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return failure.Failure("bad-patch", f"the patch is not JSON: {error}")
+    if not isinstance(decoded, list):
+        return failure.Failure("bad-patch", "a patch is an array of operations")
+    if len(decoded) > MAX_OPERATIONS:
+        return failure.Failure(
+            "bad-patch",
+            f"{len(decoded)} operations; give at most {MAX_OPERATIONS}",
+        )
+    parsed: list[Operation] = []
+    for position, raw in enumerate(decoded):
+        operation = _parse_operation(position, raw)
+        if isinstance(operation, failure.Failure):
+            return operation
+        parsed.append(operation)
+    return parsed
+
+
+def apply(
+    services: Mapping[str, configuration.Service],
+    operations: list[Operation],
+) -> Changes | failure.Failure:
+    """Returns the services that a patch changes, each checked on its own.
+
+    Args:
+        services: The services before the patch; left alone.
+        operations: The operations in order.
+    """
+    names = _names(services, operations)
+    document: dict[str, object] = {
+        "services": {
+            name: msgspec.to_builtins(services[name])
+            for name in names
+            if name in services
+        }
+    }
+    for operation in operations:
+        patched = _apply_one(document, operation.raw)
+        if isinstance(patched, failure.Failure):
+            return patched
+        document = patched
+    return _convert(document, names)
+
+
+def changed_pointers(operations: list[Operation]) -> tuple[str, ...]:
+    """Returns the pointers that a patch changes, sorted."""
+    changing = [
+        operation for operation in operations if operation.raw["op"] != "test"
+    ]
+    moved = [
+        operation.source
+        for operation in changing
+        if operation.raw["op"] == "move"
+    ]
+    steps = itertools.chain((operation.steps for operation in changing), moved)
+    return tuple(sorted({pointers.join(*path) for path in steps}))
+
+
+def _parse_operation(position: int, raw: object) -> Operation | failure.Failure:
+    """Returns a checked operation."""
+    if not isinstance(raw, dict):
+        return failure.Failure(
+            "bad-patch", f"operation {position} is not an object"
+        )
+    path = raw.get("path")
+    source = raw.get("from", "")
+    steps = pointers.split(path) if isinstance(path, str) else None
+    source_steps = pointers.split(source) if isinstance(source, str) else None
+    if steps is None or source_steps is None:
+        return failure.Failure(
+            "bad-patch",
+            f"operation {position} has no JSON pointer as its path or from",
+        )
+    operation = Operation(raw, steps, source_steps)
+    refused = _check_operation(operation, str(path))
+    return operation if refused is None else refused
+
+
+def _check_operation(operation: Operation, path: str) -> failure.Failure | None:
+    """Returns why an operation is refused before it is tried, or None."""
+    name = operation.raw.get("op")
+    if name not in jsonpatch.JsonPatch.operations:
+        return failure.Failure(
+            "bad-patch", f"unknown operation {str(name)[:40]!r}", path
+        )
+    needs_value = name in ("add", "replace", "test")
+    if needs_value and "value" not in operation.raw:
+        return failure.Failure("bad-patch", f"{name} has no value", path)
+    if name in _MOVING and "from" not in operation.raw:
+        return failure.Failure("bad-patch", f"{name} has no from", path)
+    # A copy to another depth could double the document again and again.
+    if name == "copy" and len(operation.steps) != len(operation.source):
+        return failure.Failure(
+            "bad-patch", "copy needs a from of the same depth", path
+        )
+    if _depth(operation.raw.get("value")) > MAX_DEPTH:
+        return failure.Failure(
+            "bad-patch", f"the value is deeper than {MAX_DEPTH} levels", path
+        )
+    return None
+
+
+def _depth(value: object) -> int:
+    """Returns how many levels of arrays and objects a value has."""
+    level = [value]
+    for depth in itertools.count():
+        level = list(itertools.chain.from_iterable(map(_children, level)))
+        if not level:
+            return depth
+    raise AssertionError("a JSON value has a finite depth")
+
+
+def _children(value: object) -> Iterator[object]:
+    """Yields the members of an array or object."""
+    if isinstance(value, dict):
+        yield from value.values()
+    elif isinstance(value, list):
+        yield from value
+
+
+def _names(
+    services: Mapping[str, configuration.Service],
+    operations: list[Operation],
+) -> list[str]:
+    """Returns the services that may change, in order."""
+    paths = list(
+        itertools.chain.from_iterable(
+            (operation.steps, operation.source)
+            if operation.raw["op"] in _MOVING
+            else (operation.steps,)
+            for operation in operations
+        )
+    )
+    named = {path[1] for path in paths if len(path) > 1}
+    if any(len(path) < 2 for path in paths):
+        named.update(services)
+    return sorted(named)
+
+
+def _apply_one(
+    document: dict[str, object], raw: dict[str, object]
+) -> dict[str, object] | failure.Failure:
+    """Applies one operation to a document that no one else holds."""
+    path = str(raw["path"])
+    try:
+        patched = jsonpatch.JsonPatch([raw]).apply(document, in_place=True)
+    except _PATCH_ERRORS as error:
+        return failure.Failure("patch-failed", _sentence(error), path)
+    if not isinstance(patched, dict):
+        return failure.Failure(
+            "bad-value", "the document is not an object", path
+        )
+    return patched
+
+
+def _sentence(error: Exception) -> str:
+    """Returns the message of a patch error, cut to one short line."""
+    text = " ".join(str(error).split())
+    return text[:200] or type(error).__name__
+
+
+def _convert(
+    document: dict[str, object], names: list[str]
+) -> Changes | failure.Failure:
+    """Returns the checked services of a patched document."""
+    unknown = sorted(set(document) - {"services"})
+    if unknown:
+        return failure.Failure(
+            "unknown-field",
+            f"unknown field {unknown[0][:80]!r}; the document has the field"
+            " services alone",
+            pointers.join(unknown[0]),
+        )
+    patched = document.get("services", {})
+    if not isinstance(patched, dict):
+        return failure.Failure(
+            "bad-value", "services is not an object", "/services"
+        )
+    changes: Changes = dict.fromkeys(names)
+    for name, value in sorted(patched.items()):
+        service = fields.convert_service(name, value)
+        if isinstance(service, failure.Failure):
+            return service
+        changes[name] = service
+    return changes
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/validation/fields.py
@@ -0,0 +1,216 @@
+"""Checks of one service on its own: types, ranges and its own ports."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import itertools
+import math
+import re
+
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import failure
+from tamarack_core.internal.validation import addresses
+from tamarack_core.internal.validation import pointers
+
+MAX_PORT = 65535
+MAX_CLASSES = 64
+MAX_NETWORKS = 64
+MAX_COST_UNITS = 1_000_000.0
+MAX_DEADLINE_S = 7 * 86_400.0
+MAX_CONCURRENT = 1_000_000_000
+MAX_OPENING_RATE = 1e9
+MAX_WEIGHT = 1e6
+
+_NAME = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Range:
+    """Inclusive range of a numeric field.
+
+    Attributes:
+        field: Name of the field.
+        low: Smallest value.
+        high: Largest value.
+    """
+
+    field: str
+    low: float
+    high: float
+
+
+_CLASS_RANGES = (
+    _Range("port", 1, MAX_PORT),
+    _Range("target_port", 1, MAX_PORT),
+    _Range("cost", 0.001, MAX_COST_UNITS),
+    _Range("deadline_s", 0.001, MAX_DEADLINE_S),
+    _Range("max_concurrent", 0, MAX_CONCURRENT),
+    _Range("max_opening_rate", 0, MAX_OPENING_RATE),
+)
+
+_WEIGHT_RANGES = (
+    _Range("broken_flows", 0, MAX_WEIGHT),
+    _Range("imbalance", 0, MAX_WEIGHT),
+)
+
+
+def convert_service(
+    name: str, value: object
+) -> configuration.Service | failure.Failure:
+    """Returns the checked service that a JSON value describes.
+
+    Args:
+        name: Name of the service.
+        value: Decoded JSON.
+
+    Returns:
+        The service, or a failure with the pointer of the value at fault.
+    """
+    prefix = pointers.join("services", name)
+    refused = _check_name(name, prefix)
+    if refused is None:
+        refused = _check_classes(value, prefix)
+    if refused is not None:
+        return refused
+    try:
+        service = msgspec.convert(value, configuration.Service)
+    except msgspec.ValidationError as error:
+        return pointers.from_error(prefix, error)
+    fault = check_service(name, service)
+    return service if fault is None else fault
+
+
+def check_service(
+    name: str, service: configuration.Service
+) -> failure.Failure | None:
+    """Returns why a well-typed service can't be put in force, or None."""
+    prefix = pointers.join("services", name)
+    return next(_faults(service, prefix), None)
+
+
+def _check_name(name: str, prefix: str) -> failure.Failure | None:
+    """Refuses names that don't fit log lines and metric labels."""
+    if _NAME.fullmatch(name):
+        return None
+    return failure.Failure(
+        "bad-name",
+        f"{name[:80]!r} is not a name: use 1 to 63 letters, digits, '.', '_'"
+        " and '-', with a letter or digit at both ends",
+        prefix,
+    )
+
+
+def _check_classes(value: object, prefix: str) -> failure.Failure | None:
+    """Converts each class alone, so that a failure names the class."""
+    classes = value.get("classes") if isinstance(value, dict) else None
+    if not isinstance(classes, dict):
+        return None
+    for name, work_class in sorted(classes.items()):
+        path = prefix + pointers.join("classes", name)
+        refused = _check_name(name, path)
+        if refused is not None:
+            return refused
+        try:
+            msgspec.convert(work_class, configuration.WorkClass)
+        except msgspec.ValidationError as error:
+            return pointers.from_error(path, error)
+    return None
+
+
+def _faults(
+    service: configuration.Service, prefix: str
+) -> Iterator[failure.Failure]:
+    """Yields the faults of one service in a fixed order."""
+    yield from _size_faults(service, prefix)
+    yield from addresses.service_faults(service, prefix)
+    yield from _range_faults(
+        service.weights, _WEIGHT_RANGES, prefix + "/weights"
+    )
+    named = sorted(service.classes.items())
+    for name, work_class in named:
+        path = prefix + pointers.join("classes", name)
+        yield from _class_faults(work_class, path)
+    yield from _port_faults(named, prefix)
+
+
+def _size_faults(
+    service: configuration.Service, prefix: str
+) -> Iterator[failure.Failure]:
+    """Yields faults in the number of addresses, classes and networks."""
+    limits = (
+        ("addresses", len(service.addresses), 2),
+        ("classes", len(service.classes), MAX_CLASSES),
+        ("target_networks", len(service.target_networks), MAX_NETWORKS),
+    )
+    for field, count, most in limits:
+        if not 1 <= count <= most:
+            yield failure.Failure(
+                "bad-count",
+                f"{field} has {count} members; give 1 to {most}",
+                f"{prefix}/{field}",
+            )
+
+
+def _class_faults(
+    work_class: configuration.WorkClass, path: str
+) -> Iterator[failure.Failure]:
+    """Yields the faults of one work class."""
+    yield from _range_faults(work_class, _CLASS_RANGES, path)
+    is_udp = work_class.protocol is configuration.Protocol.UDP
+    if is_udp and not work_class.idempotent:
+        yield failure.Failure(
+            "udp-not-idempotent",
+            "UDP may deliver a request twice; use TCP or make the class"
+            " idempotent",
+            path + "/idempotent",
+        )
+
+
+def _range_faults(
+    value: msgspec.Struct, ranges: tuple[_Range, ...], path: str
+) -> Iterator[failure.Failure]:
+    """Yields the numeric fields of `value` that lie outside their range."""
+    for limit in ranges:
+        number = getattr(value, limit.field)
+        if not (math.isfinite(number) and limit.low <= number <= limit.high):
+            yield failure.Failure(
+                "out-of-range",
+                f"{limit.field} is {number}; give"
+                f" {limit.low:g} to {limit.high:g}",
+                f"{path}/{limit.field}",
+            )
+
+
+_Named = tuple[str, configuration.WorkClass]
+
+
+def _port_faults(named: list[_Named], prefix: str) -> Iterator[failure.Failure]:
+    """Yields classes of one service that can't be told apart by port."""
+    yield from _repeated(
+        named, prefix, "port", lambda work_class: work_class.port
+    )
+    yield from _repeated(
+        named,
+        prefix,
+        "target_port",
+        lambda work_class: (work_class.target_port, work_class.protocol),
+    )
+
+
+def _repeated(
+    named: list[_Named],
+    prefix: str,
+    field: str,
+    key: Callable[[configuration.WorkClass], object],
+) -> Iterator[failure.Failure]:
+    """Yields pairs of classes with equal keys."""
+    for (first, one), (second, other) in itertools.combinations(named, 2):
+        if key(one) == key(other):
+            yield failure.Failure(
+                "port-clash",
+                f"{field} {getattr(other, field)} belongs to class {first}"
+                " too; give each class its own",
+                prefix + pointers.join("classes", second, field),
+            )
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/validation/pointers.py
@@ -0,0 +1,51 @@
+"""JSON pointers (RFC 6901) of values in the configuration document."""
+
+import re
+
+import jsonpointer
+import msgspec
+
+from tamarack_core import failure
+
+_UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]*)`")
+_MISSING_FIELD = re.compile(r"missing required field `(?P<name>[^`]*)`")
+_LOCATION = re.compile(r" - at `(?:key in )?\$(?P<steps>[^`]*)`$")
+_STEP = re.compile(r"\.(?P<name>[^.\[]+)|\[(?P<index>[^\]]*)\]")
+
+
+def join(*steps: str) -> str:
+    """Returns the pointer that leads through `steps`, each unescaped."""
+    return "".join("/" + jsonpointer.escape(step) for step in steps)
+
+
+def split(pointer: str) -> list[str] | None:
+    """Returns the unescaped steps of a pointer; None if it is malformed."""
+    try:
+        return list(jsonpointer.JsonPointer(pointer).get_parts())
+    except (jsonpointer.JsonPointerException, TypeError):
+        return None
+
+
+def from_error(prefix: str, error: msgspec.ValidationError) -> failure.Failure:
+    """Returns the failure that a conversion error stands for.
+
+    Args:
+        prefix: Pointer of the value that was converted.
+        error: The error of `msgspec.convert`.
+    """
+    text = str(error)
+    located = _LOCATION.search(text)
+    steps = _steps(located["steps"]) if located else []
+    named = _UNKNOWN_FIELD.search(text) or _MISSING_FIELD.search(text)
+    if named:
+        steps.append(named["name"])
+    sentence = _LOCATION.sub("", text)
+    reason = "unknown-field" if _UNKNOWN_FIELD.search(text) else "bad-value"
+    return failure.Failure(reason, sentence, prefix + join(*steps))
+
+
+def _steps(location: str) -> list[str]:
+    """Returns the steps of a location such as `.addresses[1]`."""
+    return [
+        match["name"] or match["index"] for match in _STEP.finditer(location)
+    ]
