--- a/packages/core/src/tamarack_core/internal/patches/operations.py
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -18,7 +18,7 @@
 from tamarack_core.internal.validation import fields
 from tamarack_core.internal.validation import pointers
 
-MAX_OPERATIONS = 100_000
+MAX_OPERATIONS = 1_000
 MAX_DEPTH = 16
 
 _MOVING = ("move", "copy")
--- /dev/null
+++ b/packages/core/src/tamarack_core/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Forms of the files in the data folder, without access to files."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/storage/frames.py
@@ -0,0 +1,207 @@
+"""The log file: a header, then checksummed frames.
+
+A frame is its kind, the length of its payload, a checksum and the payload.
+The checksum covers the generation of the file and the place of the frame, so
+that a frame is valid in its own place only.
+
+A SYNCED frame follows each batch once the batch is on disk. A bad frame with
+a SYNCED frame behind it is damage to data that was acknowledged. A bad frame
+without one is the torn end of a batch that was never acknowledged.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+import enum
+import struct
+import zlib
+
+from tamarack_core import failure
+
+MAGIC = b"tamarack-log\n\x00"
+FORMAT_VERSION = 1
+MAX_PAYLOAD_BYTES = 1 << 30
+
+_SYNCED_MARK = b"\xf5synced\xfa"
+_header = struct.Struct(">14sHQI")
+_frame = struct.Struct(">BII")
+_place = struct.Struct(">QQBI")
+
+HEADER_BYTES = _header.size
+
+
+class Kind(enum.IntEnum):
+    """What a frame holds; 0 is never used, so that zeros are no frame."""
+
+    SNAPSHOT = 1
+    RECORD = 2
+    SYNCED = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A valid frame.
+
+    Attributes:
+        kind: What it holds.
+        payload: The data.
+        end: Offset of the byte after the frame.
+    """
+
+    kind: Kind
+    payload: bytes
+    end: int
+
+
+@dataclasses.dataclass(slots=True)
+class Contents:
+    """What a log file holds.
+
+    Attributes:
+        generation: Generation of the file.
+        snapshot: Data of the snapshot, if there is one.
+        records: Records in order.
+        end: Offset of the byte after the last valid frame.
+        torn_bytes: Bytes behind it, of a batch that was never acknowledged.
+        is_marked: Whether the last valid frame is a SYNCED frame.
+    """
+
+    generation: int
+    snapshot: bytes | None = None
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    end: int = HEADER_BYTES
+    torn_bytes: int = 0
+    is_marked: bool = False
+
+
+def encode_header(generation: int) -> bytes:
+    """Returns the first bytes of the file of a generation."""
+    unsigned = _header.pack(MAGIC, FORMAT_VERSION, generation, 0)[:-4]
+    return unsigned + struct.pack(">I", zlib.crc32(unsigned))
+
+
+def encode(kind: Kind, payload: bytes, generation: int, offset: int) -> bytes:
+    """Returns a frame.
+
+    Args:
+        kind: What it holds.
+        payload: The data, at most `MAX_PAYLOAD_BYTES`.
+        generation: Generation of the file.
+        offset: Place of the frame in the file.
+
+    Raises:
+        ValueError: The payload is too long.
+    """
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise ValueError(
+            f"a payload of {len(payload)} bytes; at most {MAX_PAYLOAD_BYTES}"
+        )
+    checksum = _checksum(kind, payload, generation, offset)
+    return _frame.pack(kind, len(payload), checksum) + payload
+
+
+def encode_batch(
+    kind: Kind, payloads: tuple[bytes, ...], generation: int, offset: int
+) -> bytes:
+    """Returns frames of one kind that follow each other from `offset` on."""
+    batch = bytearray()
+    for payload in payloads:
+        batch += encode(kind, payload, generation, offset + len(batch))
+    return bytes(batch)
+
+
+def encode_synced(generation: int, offset: int) -> bytes:
+    """Returns the frame that marks everything before `offset` as synced."""
+    return encode(Kind.SYNCED, _SYNCED_MARK, generation, offset)
+
+
+def decode(data: bytes) -> Contents | failure.Failure:
+    """Returns what a log file holds.
+
+    Args:
+        data: The whole file.
+
+    Returns:
+        The contents, or the failure bad-header, other-format or damaged. A
+        failure must not be repaired by cutting the file: acknowledged data
+        would be lost.
+    """
+    generation = _decode_header(data)
+    if isinstance(generation, failure.Failure):
+        return generation
+    contents = Contents(generation)
+    for frame in _frames(data, generation):
+        contents.end = frame.end
+        contents.is_marked = frame.kind is Kind.SYNCED
+        if frame.kind is Kind.RECORD:
+            contents.records.append(frame.payload)
+        elif frame.kind is Kind.SNAPSHOT:
+            contents.snapshot = frame.payload
+    contents.torn_bytes = len(data) - contents.end
+    if contents.torn_bytes:
+        synced = _find_synced(data, generation, contents.end)
+        if synced is not None:
+            return failure.Failure(
+                "damaged",
+                f"bytes from {contents.end} to {synced} are damaged, although"
+                " they were synced",
+            )
+    return contents
+
+
+def _decode_header(data: bytes) -> int | failure.Failure:
+    """Returns the generation that the header names."""
+    if len(data) < HEADER_BYTES:
+        return failure.Failure(
+            "bad-header", f"the file has {len(data)} bytes and no header"
+        )
+    magic, version, generation, checksum = _header.unpack_from(data)
+    if checksum != zlib.crc32(data[: HEADER_BYTES - 4]) or magic != MAGIC:
+        return failure.Failure("bad-header", "the header is damaged")
+    if version != FORMAT_VERSION:
+        return failure.Failure(
+            "other-format",
+            f"the file has format {version}; this release reads"
+            f" {FORMAT_VERSION}",
+        )
+    return int(generation)
+
+
+def _frames(data: bytes, generation: int) -> Iterator[Frame]:
+    """Yields the valid frames up to the first bad one."""
+    offset = HEADER_BYTES
+    while (frame := _decode_frame(data, generation, offset)) is not None:
+        yield frame
+        offset = frame.end
+
+
+def _decode_frame(data: bytes, generation: int, offset: int) -> Frame | None:
+    """Returns the frame at `offset`, or None if there is no valid one."""
+    start = offset + _frame.size
+    if start > len(data):
+        return None
+    kind, length, checksum = _frame.unpack_from(data, offset)
+    end = start + length
+    if kind not in Kind.__members__.values() or end > len(data):
+        return None
+    payload = data[start:end]
+    if checksum != _checksum(kind, payload, generation, offset):
+        return None
+    return Frame(Kind(kind), payload, end)
+
+
+def _find_synced(data: bytes, generation: int, offset: int) -> int | None:
+    """Returns the place of a SYNCED frame behind `offset`, or None."""
+    mark = data.find(_SYNCED_MARK, offset)
+    while mark != -1:
+        place = mark - _frame.size
+        frame = _decode_frame(data, generation, place)
+        if place >= offset and frame and frame.kind is Kind.SYNCED:
+            return place
+        mark = data.find(_SYNCED_MARK, mark + 1)
+    return None
+
+
+def _checksum(kind: int, payload: bytes, generation: int, offset: int) -> int:
+    """Returns the checksum of a frame in its place."""
+    place = _place.pack(generation, offset, kind, len(payload))
+    return zlib.crc32(payload, zlib.crc32(place))
