--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/consensus/elections.py
@@ -0,0 +1,145 @@
+"""Elections with pre-vote.
+
+A replica first asks whether it would win. Only then does it raise its term,
+so that a host that was cut off for long disturbs nobody when it returns.
+"""
+
+from tamarack_core import peers
+from tamarack_core.internal.consensus import replication
+from tamarack_core.internal.consensus import roles
+from tamarack_core.internal.consensus import state as states
+from tamarack_core.messages import consensus
+
+
+def start_pre_vote(state: states.State, now_s: float) -> None:
+    """Asks all voters whether they would vote for this replica."""
+    state.role = states.Role.PRE_CANDIDATE
+    state.set_leader(None)
+    state.reset_election_timer(now_s)
+    state.votes = {state.own.incarnation}
+    _ask_voters(state, state.term + 1, is_pre_vote=True, is_transfer=False)
+    _count_votes(state, now_s)
+
+
+def start_election(
+    state: states.State, now_s: float, is_transfer: bool
+) -> None:
+    """Raises the term and asks all voters for their vote.
+
+    Args:
+        state: The replica.
+        now_s: Monotonic time in seconds.
+        is_transfer: The leader itself asked for it.
+    """
+    state.role = states.Role.CANDIDATE
+    state.set_term(state.term + 1, state.own.incarnation)
+    state.set_leader(None)
+    state.reset_election_timer(now_s)
+    state.votes = set()
+    state.vote_sequence = state.journal.covering_sequence
+    _ask_voters(state, state.term, is_pre_vote=False, is_transfer=is_transfer)
+
+
+def _ask_voters(
+    state: states.State, term: int, *, is_pre_vote: bool, is_transfer: bool
+) -> None:
+    for member in state.latest_membership.members.values():
+        if not member.is_voter or member.incarnation == state.own.incarnation:
+            continue
+        request = consensus.VoteRequest(
+            consensus.Header(term, state.own.incarnation, member.incarnation),
+            state.log.last_index,
+            state.log.last_term,
+            is_pre_vote,
+            is_transfer,
+        )
+        if is_pre_vote:
+            state.send(member.peer, request)
+        else:
+            state.send_synced(member.peer, request)
+
+
+def count_own_vote(state: states.State, now_s: float) -> None:
+    """Counts this replica's own vote once it is on disk."""
+    if state.role is not states.Role.CANDIDATE:
+        return
+    if state.journal.completed >= state.vote_sequence:
+        state.votes.add(state.own.incarnation)
+        _count_votes(state, now_s)
+
+
+def _count_votes(state: states.State, now_s: float) -> None:
+    if not state.latest_membership.has_quorum(state.votes):
+        return
+    if state.role is states.Role.PRE_CANDIDATE:
+        start_election(state, now_s, is_transfer=False)
+    elif state.role is states.Role.CANDIDATE:
+        replication.become_leader(state, now_s)
+
+
+def handle_vote_request(
+    state: states.State,
+    now_s: float,
+    sender: peers.Peer,
+    request: consensus.VoteRequest,
+) -> None:
+    """Grants or refuses a vote; a pre-vote changes nothing here."""
+    if _has_live_leader(state, now_s) and not request.is_transfer:
+        return
+    term = request.header.term
+    if term > state.term and not request.is_pre_vote:
+        roles.become_follower(state, now_s, term, None)
+    is_granted = _may_grant(state, request)
+    header = consensus.Header(
+        term if is_granted else state.term,
+        state.own.incarnation,
+        request.header.source,
+    )
+    response = consensus.VoteResponse(header, is_granted, request.is_pre_vote)
+    if request.is_pre_vote:
+        state.send(sender, response)
+        return
+    if is_granted:
+        state.set_term(state.term, request.header.source)
+        state.reset_election_timer(now_s)
+    state.send_synced(sender, response)
+
+
+def _has_live_leader(state: states.State, now_s: float) -> bool:
+    if state.is_leader:
+        return True
+    silence_s = now_s - state.leader_seen_s
+    return (
+        state.leader is not None
+        and silence_s < state.bounds.election_timeout_min_s
+    )
+
+
+def _may_grant(state: states.State, request: consensus.VoteRequest) -> bool:
+    theirs = (request.last_term, request.last_index)
+    if theirs < (state.log.last_term, state.log.last_index):
+        return False
+    term = request.header.term
+    if request.is_pre_vote:
+        return term > state.term
+    return term == state.term and state.voted_for in (
+        "",
+        request.header.source,
+    )
+
+
+def handle_vote_response(
+    state: states.State, now_s: float, response: consensus.VoteResponse
+) -> None:
+    """Counts a vote of a voter."""
+    expected = (
+        (states.Role.PRE_CANDIDATE, state.term + 1)
+        if response.is_pre_vote
+        else (states.Role.CANDIDATE, state.term)
+    )
+    if not response.is_granted:
+        return
+    if (state.role, response.header.term) != expected:
+        return
+    state.votes.add(response.header.source)
+    _count_votes(state, now_s)
--- a/packages/core/src/tamarack_core/internal/consensus/face.py
+++ b/packages/core/src/tamarack_core/internal/consensus/face.py
@@ -19,12 +19,17 @@
     or counted towards a quorum, before the `WriteCompleted` for it.
     """
 
-    def recover(self, snapshot: bytes | None, records: Sequence[bytes]) -> None:
+    def recover(
+        self, snapshot: bytes | None, encoded: Sequence[bytes]
+    ) -> failure.Failure | None:
         """Takes over what the disk holds; call it before `start`.
 
         Args:
             snapshot: Data of the last completed `SaveSnapshot`, if any.
-            records: Its records and those of each `Persist` since, in order.
+            encoded: Its records and those of each `Persist` since, in order.
+
+        Returns:
+            Why the disk can't be read, or None.
         """
 
     def start(self, now_s: float) -> outputs.Step:
--- a/packages/core/src/tamarack_core/internal/consensus/outputs.py
+++ b/packages/core/src/tamarack_core/internal/consensus/outputs.py
@@ -130,6 +130,9 @@
 )
 
 
+Effects = list[effects.Effect]
+
+
 @dataclasses.dataclass(slots=True)
 class Step:
     """Result of one call.
@@ -139,7 +142,7 @@
         outputs: What happened, in order.
     """
 
-    effects: list[effects.Effect] = dataclasses.field(default_factory=list)
+    effects: Effects = dataclasses.field(default_factory=list)
     outputs: list[Output] = dataclasses.field(default_factory=list)
 
 
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -0,0 +1,430 @@
+"""One replica of the log: dispatches calls to the parts, ends each step."""
+
+from collections.abc import Sequence
+import math
+import random
+
+from tamarack_core import effects
+from tamarack_core import failure
+from tamarack_core import peers
+from tamarack_core.internal.consensus import elections
+from tamarack_core.internal.consensus import face
+from tamarack_core.internal.consensus import following
+from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import membership
+from tamarack_core.internal.consensus import outputs
+from tamarack_core.internal.consensus import reads
+from tamarack_core.internal.consensus import records
+from tamarack_core.internal.consensus import replication
+from tamarack_core.internal.consensus import roles
+from tamarack_core.internal.consensus import snapshots
+from tamarack_core.internal.consensus import state as states
+from tamarack_core.messages import consensus
+
+# Keeps a timer that fired early from firing again without time passing.
+MIN_DELAY_S = 0.001
+REQUEST_NUMBER_BITS = 52
+
+_FROM_MEMBERS = (
+    consensus.VoteResponse,
+    consensus.AppendResponse,
+    consensus.SnapshotResponse,
+    consensus.ReadRequest,
+)
+
+
+class Replica:
+    """One replica of the log; see `face.Consensus` for the calls.
+
+    Attributes:
+        state: State of the replica; read-only for other parts.
+    """
+
+    __slots__ = ("state",)
+
+    def __init__(
+        self,
+        own: membership.Member,
+        voters: Sequence[membership.Member],
+        generator: random.Random,
+        machine: outputs.StateMachine,
+        bounds: limits.Limits | None = None,
+    ) -> None:
+        """Creates a replica with an empty disk.
+
+        Args:
+            own: Host and incarnation of this replica.
+            voters: Membership before the first entry, equal at all replicas
+                that start with one; empty at a replica that joins later.
+            generator: Seeded generator, the only source of chance.
+            machine: The state that the log replicates.
+            bounds: Times and sizes; the defaults if None.
+        """
+        self.state = states.State(
+            own, voters, generator, machine, bounds or limits.Limits()
+        )
+
+    def recover(
+        self, snapshot: bytes | None, encoded: Sequence[bytes]
+    ) -> failure.Failure | None:
+        """Takes over what the disk holds; call it before `start`.
+
+        Args:
+            snapshot: Data of the last completed `SaveSnapshot`, if any.
+            encoded: Its records and those of each `Persist` since, in order.
+
+        Returns:
+            Why the disk can't be read, or None.
+        """
+        return snapshots.recover(self.state, snapshot, encoded)
+
+    def start(self, now_s: float) -> outputs.Step:
+        """Starts to take part; the step reports what was recovered."""
+        self.state.reset_election_timer(now_s)
+        return self._finish(now_s)
+
+    def handle_message(
+        self, now_s: float, sender: peers.Peer, message: consensus.Message
+    ) -> outputs.Step:
+        """Handles a message of another replica."""
+        state = self.state
+        if self._is_for_this_replica(message):
+            if isinstance(message, consensus.VoteRequest):
+                elections.handle_vote_request(state, now_s, sender, message)
+            elif self._observe_term(now_s, sender, message):
+                self._dispatch(now_s, sender, message)
+        return self._finish(now_s)
+
+    def _is_for_this_replica(self, message: consensus.Message) -> bool:
+        state = self.state
+        header = message.header
+        if state.halted or header.destination != state.own.incarnation:
+            return False
+        if isinstance(message, _FROM_MEMBERS):
+            return header.source in state.latest_membership.members
+        return True
+
+    def _observe_term(
+        self, now_s: float, sender: peers.Peer, message: consensus.Message
+    ) -> bool:
+        """Follows a later term; returns whether to handle the message."""
+        state = self.state
+        term = message.header.term
+        if isinstance(
+            message, consensus.AppendRequest | consensus.SnapshotChunk
+        ):
+            if term < state.term:
+                following.answer_stale_leader(state, sender, message)
+                return False
+            following.note_leader(state, now_s, sender, message.header)
+            return True
+        is_granted_pre_vote = (
+            isinstance(message, consensus.VoteResponse)
+            and message.is_pre_vote
+            and message.is_granted
+        )
+        if term > state.term and not is_granted_pre_vote:
+            roles.become_follower(state, now_s, term, None)
+        return True
+
+    def _dispatch(
+        self, now_s: float, sender: peers.Peer, message: consensus.Message
+    ) -> None:
+        state = self.state
+        match message:
+            case consensus.VoteResponse():
+                elections.handle_vote_response(state, now_s, message)
+            case consensus.AppendRequest():
+                following.handle_append(state, sender, message)
+            case consensus.AppendResponse():
+                replication.handle_append_response(
+                    state, now_s, sender, message
+                )
+            case consensus.SnapshotChunk():
+                following.handle_chunk(state, sender, message)
+            case consensus.SnapshotResponse():
+                replication.handle_snapshot_response(state, now_s, message)
+            case consensus.TimeoutNow():
+                self._handle_timeout_now(now_s, message)
+            case consensus.ReadRequest():
+                self._handle_read_request(message)
+            case consensus.ReadResponse():
+                self._handle_read_response(message)
+            case consensus.IdentityRefused():
+                self._handle_refusal(now_s, message)
+
+    def _handle_timeout_now(
+        self, now_s: float, message: consensus.TimeoutNow
+    ) -> None:
+        state = self.state
+        is_follower = state.role is states.Role.FOLLOWER
+        if is_follower and state.is_voter and message.header.term == state.term:
+            elections.start_election(state, now_s, is_transfer=True)
+
+    def _handle_read_request(self, message: consensus.ReadRequest) -> None:
+        if self.state.is_leader:
+            read = reads.Read(message.header.source, message.number)
+            self.state.reads.waiting.append(read)
+
+    def _handle_read_response(self, message: consensus.ReadResponse) -> None:
+        forwarded = self.state.forwarded.get(message.number)
+        if forwarded is not None:
+            forwarded.index = message.index
+
+    def _handle_refusal(
+        self, now_s: float, message: consensus.IdentityRefused
+    ) -> None:
+        detail = (
+            f"this host once acknowledged entry {message.acknowledged_index}"
+            f" and now holds {message.last_index}: its disk has gone back;"
+            " remove this member and rejoin with an empty data folder"
+        )
+        roles.become_follower(self.state, now_s, self.state.term, None)
+        self.state.record(records.RefusedRecord(detail))
+        self.state.halt("identity-refused", detail)
+
+    def handle_timer(self, now_s: float) -> outputs.Step:
+        """Handles the timer named `face.TIMER`."""
+        state = self.state
+        state.armed_s = math.inf
+        self._fail_late_reads(now_s)
+        if now_s >= state.commit_deadline_s:
+            self._record_commit()
+        if state.is_leader and now_s >= state.heartbeat_deadline_s:
+            replication.tick(state, now_s)
+        elif self._is_election_due(now_s):
+            elections.start_pre_vote(state, now_s)
+        return self._finish(now_s)
+
+    def _is_election_due(self, now_s: float) -> bool:
+        state = self.state
+        is_candidate = state.is_voter and not state.is_leader
+        is_due = now_s >= state.election_deadline_s
+        return is_candidate and is_due and not state.halted
+
+    def _fail_late_reads(self, now_s: float) -> None:
+        state = self.state
+        late = [
+            number
+            for number, read in state.forwarded.items()
+            if now_s >= read.deadline_s
+        ]
+        for number in late:
+            token = state.forwarded.pop(number).token
+            state.output(outputs.ReadFailed(token, "timeout"))
+
+    def handle_write_completed(
+        self, now_s: float, sequence: int
+    ) -> outputs.Step:
+        """Handles the end of a `Persist` or `SaveSnapshot`, in order."""
+        state = self.state
+        state.journal.complete(sequence)
+        if state.is_leader:
+            replication.advance_commit(state)
+        else:
+            elections.count_own_vote(state, now_s)
+        return self._finish(now_s)
+
+    def propose(
+        self, now_s: float, command: bytes
+    ) -> outputs.Proposal | failure.Failure:
+        """Appends a command; see `face.Consensus.propose`."""
+        refusal = self._find_refusal()
+        if refusal is not None:
+            return refusal
+        if len(command) > self.state.bounds.command_bytes:
+            return failure.Failure(
+                "too-large",
+                f"the command has {len(command)} bytes, the limit is"
+                f" {self.state.bounds.command_bytes}; split it",
+            )
+        return self._append(now_s, consensus.EntryKind.COMMAND, command)
+
+    def _append(
+        self, now_s: float, kind: consensus.EntryKind, data: bytes
+    ) -> outputs.Proposal:
+        entry = consensus.Entry(self.state.term, kind, data)
+        index = self.state.append(entry)
+        if kind is consensus.EntryKind.MEMBERSHIP:
+            replication.follow_membership(self.state, now_s)
+        return outputs.Proposal(index, entry.term, self._finish(now_s))
+
+    def _find_refusal(self) -> failure.Failure | None:
+        """Returns why nothing can be appended now, if so."""
+        state = self.state
+        if state.halted is not None:
+            return failure.Failure("halted", state.halted.detail)
+        if not state.is_leader:
+            host = state.leader.peer.host if state.leader else ""
+            return failure.Failure("not-leader", host)
+        if state.handover is not None:
+            return failure.Failure(
+                "transferring", "the leadership is being handed over"
+            )
+        backlog = state.log.last_index - state.commit_index
+        if backlog >= state.bounds.backlog_entries:
+            return failure.Failure(
+                "busy", f"{backlog} entries wait to be committed; retry later"
+            )
+        return None
+
+    def read_index(self, now_s: float, token: int) -> outputs.Step:
+        """Asks for a linearizable read; see `face.Consensus.read_index`."""
+        state = self.state
+        if state.is_leader:
+            read = reads.Read(state.own.incarnation, token)
+            state.reads.waiting.append(read)
+        elif state.leader is None or state.halted:
+            state.output(outputs.ReadFailed(token, "no-leader"))
+        else:
+            number = state.random.getrandbits(REQUEST_NUMBER_BITS)
+            state.forwarded[number] = reads.ForwardedRead(
+                token, now_s + state.bounds.read_timeout_s
+            )
+            header = state.header(state.leader.incarnation)
+            request = consensus.ReadRequest(header, number)
+            state.send(state.leader.peer, request)
+        return self._finish(now_s)
+
+    def transfer_leadership(
+        self, now_s: float
+    ) -> outputs.Step | failure.Failure:
+        """Hands over; see `face.Consensus.transfer_leadership`."""
+        refusal = self._find_refusal()
+        if refusal is not None and refusal.reason != "busy":
+            return refusal
+        if not replication.start_handover(self.state, now_s):
+            return failure.Failure(
+                "no-successor", "no other voter answers; restore one first"
+            )
+        return self._finish(now_s)
+
+    def change_membership(
+        self, now_s: float, change: membership.Change
+    ) -> outputs.Proposal | failure.Failure:
+        """Changes one member; see `face.Consensus.change_membership`."""
+        refusal = self._find_refusal() or self._find_change_refusal(change)
+        if refusal is not None:
+            return refusal
+        wanted = membership.change(self.state.latest_membership, change)
+        if isinstance(wanted, failure.Failure):
+            return wanted
+        if not replication.membership_answers(self.state, wanted, now_s):
+            return failure.Failure(
+                "would-lose-quorum",
+                "too few of the voters after the change answer; restore or"
+                " remove those that don't first",
+            )
+        return self._append(
+            now_s, consensus.EntryKind.MEMBERSHIP, wanted.encode()
+        )
+
+    def _find_change_refusal(
+        self, change: membership.Change
+    ) -> failure.Failure | None:
+        state = self.state
+        if state.memberships[-1].index > state.commit_index:
+            return failure.Failure(
+                "change-running", "the last membership change isn't committed"
+            )
+        # Without an entry of its own term a leader may miss a change that its
+        # predecessor began, and then two majorities need not overlap.
+        if not replication.has_committed_in_term(state):
+            return failure.Failure(
+                "leader-starting", "the leader has just been elected; retry"
+            )
+        if change.incarnation == state.own.incarnation:
+            return failure.Failure(
+                "is-leader", "hand over the leadership first"
+            )
+        if change.kind is membership.ChangeKind.PROMOTE:
+            return self._find_lag(change.incarnation)
+        return None
+
+    def _find_lag(self, incarnation: str) -> failure.Failure | None:
+        progress = self.state.progress.get(incarnation)
+        if progress is None:
+            return None
+        lag = self.state.log.last_index - progress.match_index
+        if lag <= self.state.bounds.promotion_entries:
+            return None
+        return failure.Failure(
+            "learner-behind",
+            f"{progress.member.peer.host!r} lacks {lag} entries; retry later",
+        )
+
+    def _record_commit(self) -> None:
+        state = self.state
+        if state.commit_index > state.recorded_commit:
+            state.record(records.CommitRecord(state.commit_index))
+            state.recorded_commit = state.commit_index
+        state.commit_deadline_s = math.inf
+
+    def _finish(self, now_s: float) -> outputs.Step:
+        """Ends a call: sends, writes, compacts, sets the timer."""
+        state = self.state
+        if state.is_leader:
+            replication.pump_reads(state)
+            replication.send_all(state)
+        self._complete_forwarded_reads()
+        self._write(now_s)
+        self._release_messages()
+        self._arm_timer(now_s)
+        step = state.step
+        state.step = outputs.Step()
+        return step
+
+    def _complete_forwarded_reads(self) -> None:
+        state = self.state
+        done = [
+            number
+            for number, read in state.forwarded.items()
+            if read.index is not None and read.index <= state.commit_index
+        ]
+        for number in done:
+            read = state.forwarded.pop(number)
+            state.output(outputs.ReadCompleted(read.token, read.index or 0))
+
+    def _write(self, now_s: float) -> None:
+        state = self.state
+        if not state.halted:
+            snapshots.compact(state)
+        if state.journal.records:
+            self._record_commit()
+        elif (
+            state.commit_index > state.recorded_commit
+            and state.commit_deadline_s == math.inf
+        ):
+            state.commit_deadline_s = now_s + state.bounds.commit_record_delay_s
+        state.step.effects += state.journal.flush(state.log.last_index)
+
+    def _release_messages(self) -> None:
+        state = self.state
+        # A promise made in an earlier term must not be given any more.
+        state.step.effects += [
+            held
+            for held in state.journal.release()
+            if _term_of(held) == state.term and not state.halted
+        ]
+
+    def _arm_timer(self, now_s: float) -> None:
+        state = self.state
+        deadlines_s = [state.commit_deadline_s]
+        deadlines_s += [read.deadline_s for read in state.forwarded.values()]
+        if state.is_leader:
+            deadlines_s.append(state.heartbeat_deadline_s)
+        elif state.is_voter:
+            deadlines_s.append(state.election_deadline_s)
+        next_s = min(deadlines_s)
+        if state.halted or next_s >= state.armed_s:
+            return
+        delay_s = max(next_s - now_s, MIN_DELAY_S)
+        state.armed_s = now_s + delay_s
+        state.step.effects.append(effects.StartTimer(face.TIMER, delay_s))
+
+
+def _term_of(held: effects.SendMessage) -> int | None:
+    message = held.message
+    if isinstance(message, consensus.Message):
+        return message.header.term
+    return None
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -0,0 +1,169 @@
+"""Snapshots: taking them, gathering those of a leader, recovering."""
+
+from collections.abc import Sequence
+import math
+
+from tamarack_core import failure
+from tamarack_core.internal.consensus import log
+from tamarack_core.internal.consensus import membership
+from tamarack_core.internal.consensus import outputs
+from tamarack_core.internal.consensus import records
+from tamarack_core.internal.consensus import state as states
+from tamarack_core.messages import consensus
+
+
+def compact(state: states.State) -> None:
+    """Takes a snapshot when enough entries were applied since the last."""
+    covered = state.snapshot.index if state.snapshot else 0
+    if state.commit_index - covered < state.bounds.compaction_entries:
+        return
+    index = state.commit_index
+    snapshot = records.Snapshot(
+        index,
+        state.log.term_at(index) or 0,
+        _members_at(state, index),
+        state.machine.snapshot(),
+    )
+    _save(state, index, records.encode(snapshot))
+    base_index = index - state.bounds.retained_entries
+    if base_index > state.log.base_index:
+        state.log.compact(base_index)
+
+
+def _members_at(
+    state: states.State, index: int
+) -> tuple[membership.Member, ...]:
+    while len(state.memberships) > 1 and state.memberships[1].index <= index:
+        state.memberships.pop(0)
+    return tuple(state.memberships[0].membership.members.values())
+
+
+def _save(state: states.State, index: int, data: bytes) -> None:
+    """Replaces what the disk holds by a snapshot and the state after it."""
+    state.snapshot = states.SavedSnapshot(index, data)
+    kept: list[records.Record] = [
+        records.TermRecord(state.term, state.voted_for),
+        *(
+            records.EntryRecord(place, entry)
+            for place, entry in state.log.numbered_after(index)
+        ),
+    ]
+    encoded = tuple(records.encode(record) for record in kept)
+    state.recorded_commit = state.commit_index
+    state.step.effects.append(
+        state.journal.save_snapshot(data, encoded, state.log.last_index)
+    )
+
+
+def gather(state: states.State, chunk: consensus.SnapshotChunk) -> int:
+    """Adds a chunk and returns how many bytes are held from the start on."""
+    incoming = state.incoming
+    if incoming is None or (incoming.term, incoming.index) != (
+        state.term,
+        chunk.index,
+    ):
+        incoming = states.IncomingSnapshot(state.term, chunk.index, bytearray())
+        state.incoming = incoming
+    if chunk.offset == len(incoming.data):
+        incoming.data.extend(chunk.data)
+    return len(incoming.data)
+
+
+def install(state: states.State) -> bool:
+    """Replaces the state by the gathered snapshot; False if it is bad."""
+    incoming = state.incoming
+    state.incoming = None
+    if incoming is None:
+        return False
+    data = bytes(incoming.data)
+    snapshot = records.decode_snapshot(data)
+    if isinstance(snapshot, failure.Failure):
+        return False
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        state.log.compact(snapshot.index)
+    else:
+        state.log = log.Log(snapshot.index, snapshot.term)
+        state.journal.truncate(snapshot.index)
+    _adopt(state, snapshot)
+    _save(state, snapshot.index, data)
+    return True
+
+
+def _adopt(state: states.State, snapshot: records.Snapshot) -> None:
+    placed = states.PlacedMembership(
+        snapshot.index, membership.Membership(snapshot.members)
+    )
+    later = [
+        entry
+        for entry in state.memberships
+        if snapshot.index < entry.index <= state.log.last_index
+    ]
+    state.memberships = [placed, *later]
+    state.commit_index = snapshot.index
+    state.machine.restore(snapshot.state)
+    state.output(outputs.Restored(snapshot.index))
+    if not later:
+        state.output(
+            outputs.MembershipChanged(snapshot.index, snapshot.members)
+        )
+
+
+def recover(
+    state: states.State, data: bytes | None, encoded: Sequence[bytes]
+) -> failure.Failure | None:
+    """Takes over what the disk holds, and applies what is committed.
+
+    Args:
+        state: A replica that has not started.
+        data: The last snapshot, if any.
+        encoded: The records after it, in order.
+
+    Returns:
+        Why the disk can't be read, or None.
+    """
+    if data is not None:
+        snapshot = records.decode_snapshot(data)
+        if isinstance(snapshot, failure.Failure):
+            return snapshot
+        state.log = log.Log(snapshot.index, snapshot.term)
+        state.snapshot = states.SavedSnapshot(snapshot.index, data)
+        _adopt(state, snapshot)
+    decoded = records.decode_all(encoded)
+    if isinstance(decoded, failure.Failure):
+        return decoded
+    committed = 0
+    for record in decoded:
+        if isinstance(record, records.CommitRecord):
+            committed = record.index
+        elif (refused := _replay(state, record)) is not None:
+            return refused
+    state.journal.records.clear()
+    state.journal.durable_index = state.log.last_index
+    state.commit(min(committed, state.log.last_index))
+    state.recorded_commit = state.commit_index
+    state.commit_deadline_s = math.inf
+    return None
+
+
+def _replay(
+    state: states.State,
+    record: records.TermRecord | records.EntryRecord | records.RefusedRecord,
+) -> failure.Failure | None:
+    if isinstance(record, records.TermRecord):
+        state.term = record.term
+        state.voted_for = record.voted_for
+        return None
+    if isinstance(record, records.RefusedRecord):
+        state.halt("identity-refused", record.detail)
+        return None
+    if not state.log.base_index < record.index <= state.log.last_index + 1:
+        return failure.Failure(
+            "bad-record-order",
+            f"the log holds entry {record.index} after entry"
+            f" {state.log.last_index}; rejoin this host with an empty data"
+            " folder",
+        )
+    if record.index <= state.log.last_index:
+        state.truncate(record.index - 1)
+    state.append(record.entry)
+    return None
