Replicate patches over the control hosts

Cause: the control role was one host that kept its state in memory. Change: a control part on top of the replicated log and the data folder; patches are forwarded to the leader, reads go through the read index, the first voters find together by introductions, hosts without the role say whom to ask. no-quorum is answered only for a patch that was never sent on.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -8,7 +8,8 @@
 from tamarack_core import reducer
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
-from tamarack_core.internal.control import single
+from tamarack_core.internal.control import outside
+from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
@@ -35,6 +36,8 @@
         seed: Seed of the generator.
         entry_peers: Other entry hosts of the failure domain.
         sources: Hosts to fetch the configuration from.
+        voters: First voters in the order of the settings.
+        disk: What the data folder holds; required for the control role.
     """
 
     host: peers.Peer
@@ -42,6 +45,8 @@
     seed: int
     entry_peers: tuple[peers.Peer, ...] = ()
     sources: tuple[peers.Peer, ...] = ()
+    voters: tuple[peers.Peer, ...] = ()
+    disk: voter.Disk | None = None
 
 
 def assemble(plan: Plan) -> reducer.Node:
@@ -49,6 +54,9 @@
 
     Args:
         plan: What the host is made of.
+
+    Raises:
+        ValueError: The plan has the control role and no disk.
     """
     context = context_lib.Context(plan.host, plan.seed)
     held = holder.Holder()
@@ -64,7 +72,21 @@
             )
         )
     if Role.CONTROL in plan.roles:
-        parts.append(single.SingleControl(held, distribution))
+        if plan.disk is None:
+            raise ValueError("the control role needs Plan.disk")
+        parts.append(
+            voter.VoterControl(context, distribution, plan.voters, plan.disk)
+        )
+    else:
+        parts.append(
+            outside.Outside(
+                held,
+                tuple(
+                    f"{peer.control.address}:{peer.control.port}"
+                    for peer in plan.voters
+                ),
+            )
+        )
     parts.append(
         status.Status(
             context,
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/control/outside.py
@@ -0,0 +1,53 @@
+"""Answers operators at a host without the control role."""
+
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core.internal.distribution import holder
+
+
+class Outside:
+    """Part that answers what needs no control host, and refuses the rest.
+
+    Attributes:
+        holder: Configuration in force at this host.
+        control_hosts: Endpoints of the control hosts, for the operator.
+    """
+
+    __slots__ = ("control_hosts", "holder")
+
+    def __init__(
+        self,
+        configuration_holder: holder.Holder,
+        control_hosts: tuple[str, ...],
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            configuration_holder: Configuration in force at this host.
+            control_hosts: Endpoints of the control hosts, for the operator.
+        """
+        self.holder = configuration_holder
+        self.control_hosts = control_hosts
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {
+            requests.SubmitPatch: self.refuse,
+            requests.ReadLog: self.refuse,
+            requests.ReadConfiguration: self.handle_read,
+        }
+
+    def refuse(self, event: events.RequestArrived) -> list[effects.Effect]:
+        """Refuses a request and names the hosts to ask."""
+        hosts = " ".join(self.control_hosts)
+        refused = requests.Refused(
+            "not-a-control-host", f"ask a control host: {hosts or 'unknown'}"
+        )
+        return [effects.Respond(event.request_id, refused)]
+
+    def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
+        """Answers with the configuration in force at this host."""
+        answer = requests.ConfigurationRead(self.holder.numbered)
+        return [effects.Respond(event.request_id, answer)]
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -11,10 +11,13 @@
 from tamarack_core import peers
 from tamarack_core import timeline
 from tamarack_core.messages import consensus
+from tamarack_core.messages import control
 from tamarack_core.messages import distribution
 from tamarack_core.messages import targets
 
-Message = consensus.Message | distribution.Message | targets.Message
+Message = (
+    consensus.Message | control.Message | distribution.Message | targets.Message
+)
 
 FORMAT_VERSION = 1
 
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -51,6 +51,9 @@
         operations: The patch as encoded JSON.
         author: Who submits it.
         note: Why, in a sentence.
+        is_resend: Whether an earlier sending may have been left without a
+            verdict. A host can then no longer be certain that the patch is
+            not accepted, and says unknown in place of no-quorum.
     """
 
     patch_id: str
@@ -58,17 +61,28 @@
     operations: msgspec.Raw
     author: str
     note: str = ""
+    is_resend: bool = False
 
 
 class ReadConfiguration(msgspec.Struct, frozen=True, tag="read-configuration"):
     """An operator reads the newest accepted configuration."""
 
 
+class ReadLog(msgspec.Struct, frozen=True, tag="read-log"):
+    """An operator reads the accepted patches.
+
+    Attributes:
+        after: Only patches later than this version.
+    """
+
+    after: int = 0
+
+
 class ReadStatus(msgspec.Struct, frozen=True, tag="read-status"):
     """An operator reads the state of this host."""
 
 
-Request = Announce | SubmitPatch | ReadConfiguration | ReadStatus
+Request = Announce | SubmitPatch | ReadConfiguration | ReadLog | ReadStatus
 
 
 class Announced(msgspec.Struct, frozen=True, tag="announced"):
@@ -133,6 +147,40 @@
     numbered: configuration.Numbered
 
 
+class LogEntry(msgspec.Struct, frozen=True):
+    """One accepted patch; it was written on top of the version before.
+
+    Attributes:
+        version: Version that the patch made.
+        patch_id: Identifier of the patch.
+        author: Who submitted it.
+        note: Why.
+        time_ms: Wall-clock time in ms at which it was accepted.
+        changed: JSON pointers that it changed, the first of them.
+        operations: The patch as encoded JSON.
+    """
+
+    version: int
+    patch_id: str
+    author: str
+    note: str
+    time_ms: int
+    changed: tuple[str, ...]
+    operations: msgspec.Raw
+
+
+class LogRead(msgspec.Struct, frozen=True, tag="log-read"):
+    """Answer to `ReadLog`.
+
+    Attributes:
+        version: The newest version.
+        entries: The patches in order; the oldest may be forgotten.
+    """
+
+    version: int
+    entries: tuple[LogEntry, ...]
+
+
 class StatusRead(msgspec.Struct, frozen=True, tag="status-read"):
     """Answer to `ReadStatus`.
 
@@ -159,4 +207,11 @@
     counters: dict[str, int]
 
 
-Response = Announced | Refused | PatchVerdict | ConfigurationRead | StatusRead
+Response = (
+    Announced
+    | Refused
+    | PatchVerdict
+    | ConfigurationRead
+    | LogRead
+    | StatusRead
+)
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import logging
+import pathlib
 import signal
 import socket
 import time
@@ -16,12 +17,15 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import timeline
+from tamarack_core.internal.control import voter
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import http_server
 from tamarack_node.internal import logs
 from tamarack_node.internal import metrics
 from tamarack_node.internal import timers
 from tamarack_node.internal import transport
+from tamarack_node.internal.storage import errors as storage_errors
+from tamarack_node.internal.storage import folder as folders
 
 TIMELINE_ENTRIES = 20_000
 RECEIVE_BYTES = 65536
@@ -30,6 +34,7 @@
 # A graceful stop that hangs must not outlive the patience of an operator.
 STOP_TIMEOUT_S = 30.0
 MS_PER_S = 1000
+EXIT_DISK_FAILED = 4
 
 
 class Driver:
@@ -46,6 +51,7 @@
     __slots__ = (
         "_data_socket",
         "_fabric",
+        "_folder",
         "_pending",
         "_request_ids",
         "_server",
@@ -66,7 +72,8 @@
         """
         loop = asyncio.get_running_loop()
         self.settings = settings
-        self.node = assembly.assemble(_plan(settings, seed))
+        self._folder = _open_folder(settings)
+        self.node = assembly.assemble(_plan(settings, seed, self._folder))
         self.transport = transport.Transport(
             self.node.context, self._handle_envelope
         )
@@ -160,6 +167,8 @@
             self._data_socket.close()
         await self._server.close()
         await self.transport.close()
+        if self._folder is not None:
+            self._folder.close()
 
     def _entries_since(self, since_ms: int) -> list[timeline.Entry]:
         """Returns the entries of the time line since a time in ms."""
@@ -209,11 +218,39 @@
                     answer.set_result(response)
             case effects.Record(entry):
                 self._record(entry)
+            case effects.Persist() | effects.SaveSnapshot():
+                self._write(effect)
             case effects.Stop():
                 self._finish(effect)
             case _:
                 raise AssertionError(f"no driver for {type(effect)}")
 
+    def _write(self, effect: effects.Persist | effects.SaveSnapshot) -> None:
+        """Writes to the data folder; a failure ends the process.
+
+        Nobody can know what reached the disk after a failed write, so the
+        host must not answer on the strength of it, nor try again.
+        """
+        assert self._folder is not None
+        try:
+            if isinstance(effect, effects.Persist):
+                self._folder.append(effect.records)
+            else:
+                self._folder.save_snapshot(effect.data, effect.records)
+        except storage_errors.StorageError as error:
+            fields = {"reason": error.reason, "detail": str(error)}
+            logs.event("write-failed", logging.CRITICAL, fields)
+            self._finish(effects.Stop(EXIT_DISK_FAILED, str(error)))
+            return
+        asyncio.get_running_loop().call_soon(
+            self._complete_write, effect.sequence
+        )
+
+    def _complete_write(self, sequence: int) -> None:
+        """Tells the core that a write is synced."""
+        if not self.stopped.done():
+            self._handle(events.WriteCompleted(time.monotonic(), sequence))
+
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
         """Sends a Geneve datagram; a full socket buffer loses it."""
         if effect.endpoint is None:
@@ -251,7 +288,33 @@
             self.stopped.set_result(stop)
 
 
-def _plan(settings: settings_lib.Settings, seed: int) -> assembly.Plan:
+def _open_folder(
+    settings: settings_lib.Settings,
+) -> folders.DataFolder | None:
+    """Returns the data folder of a control host; None for other hosts."""
+    if assembly.Role.CONTROL not in settings.roles:
+        return None
+    created_ms = int(time.time() * MS_PER_S)
+    path = pathlib.Path(settings.data_folder)
+    return folders.DataFolder(path, settings.host, created_ms)
+
+
+def _disk(folder: folders.DataFolder | None) -> voter.Disk | None:
+    """Returns what a data folder held when it was opened."""
+    if folder is None:
+        return None
+    return voter.Disk(
+        folder.identity.incarnation,
+        folder.contents.snapshot,
+        folder.contents.records,
+    )
+
+
+def _plan(
+    settings: settings_lib.Settings,
+    seed: int,
+    folder: folders.DataFolder | None,
+) -> assembly.Plan:
     """Returns what a host is made of."""
     return assembly.Plan(
         host=settings.peer(),
@@ -263,6 +326,8 @@
             if peer.domain == settings.domain and peer.data is not None
         ),
         sources=settings.peers,
+        voters=settings.voter_peers(),
+        disk=_disk(folder),
     )
 
 
@@ -288,5 +353,7 @@
     """
     try:
         return await Driver(settings, seed).run()
+    except storage_errors.StorageError as error:
+        return CannotStart(str(error))
     except OSError as error:
         return CannotStart(f"{error.strerror}; free the address or change it")
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -77,6 +77,7 @@
                 web.put("/v1/targets/{address}", self.put_target),
                 web.post("/v1/patches", self.post_patch),
                 web.get("/v1/configuration", self.get_configuration),
+                web.get("/v1/log", self.get_log),
                 web.get("/v1/status", self.get_status),
                 web.get("/v1/timeline", self.get_timeline),
                 web.get("/v1/health", self.get_health),
@@ -111,6 +112,16 @@
         """Handles a read of the configuration."""
         return await self._answer(requests.ReadConfiguration())
 
+    async def get_log(self, request: web.Request) -> web.Response:
+        """Handles a read of the accepted patches."""
+        after = request.query.get("after", "0")
+        if not after.isdecimal():
+            refused = requests.Refused(
+                "bad-request", f"after {after!r} is not a version"
+            )
+            return _respond(refused)
+        return await self._answer(requests.ReadLog(int(after)))
+
     async def get_status(self, request: web.Request) -> web.Response:
         """Handles a read of the state of this host."""
         return await self._answer(requests.ReadStatus())
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -12,6 +12,7 @@
 from tamarack_core import peers as peers_lib
 
 MAX_PORT = 65535
+MAX_VOTERS = 7
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -27,6 +28,8 @@
         fabric: Address and port of the fabric; required for the entry role.
         peers: Other hosts that this host knows at its start.
         data_folder: Folder of durable state; required for the control role.
+        voters: Names of the control hosts that found the system, the founder
+            first; by default a host with the control role founds it alone.
         seed: Seed of the generator; chosen at random without one.
         log_level: Lowest level that is logged.
     """
@@ -39,6 +42,7 @@
     fabric: peers_lib.Endpoint | None = None
     peers: tuple[peers_lib.Peer, ...] = ()
     data_folder: str = ""
+    voters: tuple[str, ...] = ()
     seed: int | None = None
     log_level: str = "info"
 
@@ -46,6 +50,13 @@
         """Returns this host as other hosts reach it."""
         return peers_lib.Peer(self.host, self.domain, self.control, self.data)
 
+    def voter_peers(self) -> tuple[peers_lib.Peer, ...]:
+        """Returns the control hosts that found the system, in order."""
+        known = {peer.host: peer for peer in (*self.peers, self.peer())}
+        is_alone = not self.voters and assembly.Role.CONTROL in self.roles
+        names = (self.host,) if is_alone else self.voters
+        return tuple(known[name] for name in names)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
@@ -195,6 +206,15 @@
             )
             if value is None
         )
+    known = {settings.host, *(peer.host for peer in settings.peers)}
+    problems.extend(
+        Problem("$.voters", name, "name this host or one of $.peers")
+        for name in settings.voters
+        if name not in known
+    )
+    if len(settings.voters) > MAX_VOTERS:
+        fix = f"name at most {MAX_VOTERS} hosts"
+        problems.append(Problem("$.voters", settings.voters, fix))
     if assembly.Role.CONTROL in settings.roles and not settings.data_folder:
         fix = "the control role needs a folder"
         problems.append(Problem("$.data_folder", "", fix))
