--- /dev/null
+++ b/packages/lab/src/tamarack_lab/tcp/connection.py
@@ -0,0 +1,429 @@
+"""One TCP connection as a state machine without I/O (RFC 9293)."""
+
+import enum
+from typing import NamedTuple
+from typing import Protocol
+
+from tamarack_lab.tcp import receiver as receiving
+from tamarack_lab.tcp import segment as segments
+from tamarack_lab.tcp import sender as sending
+from tamarack_lab.tcp import sequence
+
+# Twice a maximum segment lifetime of 30 s.
+TIME_WAIT_S = 60.0
+# How many bytes of room an application must free before the peer is told.
+_WINDOW_UPDATE_BYTES = receiving.BUFFER_BYTES // 2
+
+
+class Path(NamedTuple):
+    """Addresses and ports of a connection, seen from one end.
+
+    Attributes:
+        address: Own address in network byte order.
+        port: Own port.
+        remote_address: Address of the peer in network byte order.
+        remote_port: Port of the peer.
+    """
+
+    address: bytes
+    port: int
+    remote_address: bytes
+    remote_port: int
+
+
+class State(enum.StrEnum):
+    """State of a connection, by the names of RFC 9293."""
+
+    CLOSED = "closed"
+    SYN_SENT = "syn-sent"
+    SYN_RECEIVED = "syn-received"
+    ESTABLISHED = "established"
+    FIN_WAIT_1 = "fin-wait-1"
+    FIN_WAIT_2 = "fin-wait-2"
+    CLOSE_WAIT = "close-wait"
+    CLOSING = "closing"
+    LAST_ACK = "last-ack"
+    TIME_WAIT = "time-wait"
+
+
+class Occurrence(enum.StrEnum):
+    """What an application is told.
+
+    `REFUSED` is a reset in answer to the SYN, `RESET` one at any later time.
+    """
+
+    CONNECTED = "connected"
+    READABLE = "readable"
+    WRITABLE = "writable"
+    ENDED = "ended"
+    CLOSED = "closed"
+    REFUSED = "refused"
+    RESET = "reset"
+    TIMED_OUT = "timed-out"
+
+
+class Application(Protocol):
+    """What uses a connection."""
+
+    def notify(self, connection: "Connection", event: Occurrence) -> None:
+        """Reacts to an occurrence; `connection` may be used at once."""
+
+
+_AFTER_FIN_ACKNOWLEDGED = {
+    State.FIN_WAIT_1: State.FIN_WAIT_2,
+    State.CLOSING: State.TIME_WAIT,
+    State.LAST_ACK: State.CLOSED,
+}
+_AFTER_FIN_RECEIVED = {
+    State.ESTABLISHED: State.CLOSE_WAIT,
+    State.FIN_WAIT_1: State.CLOSING,
+    State.FIN_WAIT_2: State.TIME_WAIT,
+}
+_AFTER_FIN_SENT = {
+    State.ESTABLISHED: State.FIN_WAIT_1,
+    State.CLOSE_WAIT: State.LAST_ACK,
+}
+
+
+class Connection:
+    """A connection between two ends.
+
+    Attributes:
+        path: Addresses and ports.
+        state: State by RFC 9293.
+        sender: Sending half.
+        receiver: Receiving half; None before the peer's SYN.
+        application: What uses the connection.
+        outgoing: Segments to send, oldest first.
+        mss: Longest payload that this side accepts, in bytes.
+        is_acknowledgment_due: Whether an ACK must leave with the next flush.
+        time_wait_until_s: When TIME_WAIT ends; None in other states.
+        sent_payload: Whether any payload has been sent.
+        timer_at_s: When the timer that the stack runs for this fires.
+    """
+
+    __slots__ = (
+        "application",
+        "is_acknowledgment_due",
+        "mss",
+        "outgoing",
+        "path",
+        "receiver",
+        "sender",
+        "sent_payload",
+        "state",
+        "time_wait_until_s",
+        "timer_at_s",
+    )
+
+    def __init__(
+        self, path: Path, initial: int, mss: int, application: Application
+    ) -> None:
+        """Creates a closed connection.
+
+        Args:
+            path: Addresses and ports.
+            initial: Initial sequence number, 32 bits.
+            mss: Longest payload that this side accepts, in bytes.
+            application: What uses the connection.
+        """
+        self.path = path
+        self.state = State.CLOSED
+        self.sender = sending.Sender(initial, mss)
+        self.receiver: receiving.Receiver | None = None
+        self.application = application
+        self.outgoing: list[segments.Segment] = []
+        self.mss = mss
+        self.is_acknowledgment_due = False
+        self.time_wait_until_s: float | None = None
+        self.sent_payload = False
+        self.timer_at_s: float | None = None
+
+    @property
+    def deadline_s(self) -> float | None:
+        """When `expire` must be called; None for never."""
+        if self.time_wait_until_s is not None:
+            return self.time_wait_until_s
+        return self.sender.deadline_s
+
+    def connect(self, now_s: float) -> None:
+        """Opens the connection from this side."""
+        self.state = State.SYN_SENT
+        self.sender.open(now_s)
+        self._send_syn()
+
+    def accept(self, now_s: float, syn: segments.Segment) -> None:
+        """Opens the connection in answer to a SYN."""
+        self.state = State.SYN_RECEIVED
+        self._start_receiving(syn)
+        self.sender.open(now_s)
+        self._send_syn()
+
+    def write(self, data: bytes) -> None:
+        """Queues payload; it leaves with the next flush."""
+        self.sender.buffer += data
+
+    def read(self) -> bytes:
+        """Returns the payload received in order so far."""
+        if self.receiver is None:
+            return b""
+        room = self.receiver.window
+        data = self.receiver.read()
+        if room < _WINDOW_UPDATE_BYTES <= self.receiver.window:
+            self.is_acknowledgment_due = True
+        return data
+
+    def finish(self) -> None:
+        """Closes this side once all queued payload has been sent."""
+        if self.sender.is_closing or self.state is State.CLOSED:
+            return
+        self.sender.is_closing = True
+        self.state = _AFTER_FIN_SENT.get(self.state, self.state)
+
+    def abort(self) -> None:
+        """Resets the connection; the application isn't told."""
+        if self.state is not State.CLOSED:
+            self._emit(self.sender.next, segments.RST | segments.ACK)
+        self._close()
+
+    def flush(self, now_s: float) -> list[segments.Segment]:
+        """Returns all segments that may leave now."""
+        if self.state not in (State.CLOSED, State.SYN_SENT, State.SYN_RECEIVED):
+            for chunk in self.sender.pull(now_s):
+                self._send_chunk(chunk)
+        if self.is_acknowledgment_due and self.state is not State.CLOSED:
+            self._emit(self.sender.highest, segments.ACK)
+        leaving = self.outgoing
+        self.outgoing = []
+        return leaving
+
+    def expire(self, now_s: float) -> None:
+        """Handles a timer that has run out."""
+        if self.time_wait_until_s is not None:
+            self._end(Occurrence.CLOSED)
+            return
+        if self.sender.retries >= sending.MAX_RETRIES:
+            self._end(Occurrence.TIMED_OUT)
+            return
+        chunks = self.sender.expire(now_s)
+        if self.state in (State.SYN_SENT, State.SYN_RECEIVED):
+            self._send_syn()
+        for chunk in chunks:
+            self._send_chunk(chunk)
+
+    def receive(self, now_s: float, segment: segments.Segment) -> None:
+        """Handles a segment of the peer."""
+        if self.state is State.SYN_SENT:
+            self._receive_in_syn_sent(now_s, segment)
+        elif self.receiver is not None:
+            self._receive_synchronized(now_s, segment, self.receiver)
+
+    def _receive_in_syn_sent(
+        self, now_s: float, segment: segments.Segment
+    ) -> None:
+        """Handles the answer to a SYN."""
+        expected = self.sender.base & sequence.MASK
+        is_answer = bool(segment.flags & segments.ACK)
+        if is_answer and segment.acknowledgment != expected:
+            self._refuse(segment)
+            return
+        if not is_answer:
+            return
+        if segment.flags & segments.RST:
+            self._end(Occurrence.REFUSED)
+        elif segment.flags & segments.SYN:
+            self._start_receiving(segment)
+            self.sender.acknowledge(
+                now_s, self.sender.base, segment.window, False
+            )
+            self._establish()
+            self.is_acknowledgment_due = True
+
+    def _refuse(self, segment: segments.Segment) -> None:
+        """Resets what is left of an earlier connection at the peer."""
+        if not segment.flags & segments.RST:
+            self._emit(segment.acknowledgment, segments.RST)
+
+    def _receive_synchronized(
+        self,
+        now_s: float,
+        segment: segments.Segment,
+        receiver: receiving.Receiver,
+    ) -> None:
+        """Handles a segment once both initial sequence numbers are known."""
+        number = sequence.unwrap(segment.sequence, receiver.next)
+        if not self._is_acceptable(number, segment, receiver):
+            if not segment.flags & segments.RST:
+                self._emit(self.sender.highest, segments.ACK)
+            if self.state is State.TIME_WAIT and segment.flags & segments.FIN:
+                self._wait(now_s)
+            return
+        if segment.flags & segments.RST:
+            self._receive_reset(number, receiver)
+            return
+        if segment.flags & segments.SYN:
+            # RFC 5961: a SYN in a synchronized state gets a challenge ACK. A
+            # SYN that is sent again in SYN_RECEIVED falls outside the window.
+            self._emit(self.sender.highest, segments.ACK)
+            return
+        if not segment.flags & segments.ACK:
+            return
+        self._receive_acknowledgment(now_s, segment)
+        if self.state is not State.CLOSED:
+            self._receive_payload(now_s, number, segment, receiver)
+
+    def _is_acceptable(
+        self,
+        number: int,
+        segment: segments.Segment,
+        receiver: receiving.Receiver,
+    ) -> bool:
+        """Returns True when a segment touches the receive window."""
+        after = number + segment.length
+        if segment.length and after <= receiver.next:
+            return False
+        # A segment that carries nothing new may be one behind (keepalive).
+        return receiver.next - 1 <= after and (
+            number <= receiver.next + receiver.window
+        )
+
+    def _receive_reset(self, number: int, receiver: receiving.Receiver) -> None:
+        """Handles a reset; only an exact one counts (RFC 5961)."""
+        if number != receiver.next:
+            self._emit(self.sender.highest, segments.ACK)
+            return
+        self._end(Occurrence.RESET)
+
+    def _receive_acknowledgment(
+        self, now_s: float, segment: segments.Segment
+    ) -> None:
+        """Handles the acknowledgment number of a segment."""
+        sender = self.sender
+        number = sequence.unwrap(segment.acknowledgment, sender.unacknowledged)
+        if self.state is State.SYN_RECEIVED:
+            if number < sender.base or number > sender.highest:
+                return
+            self._establish()
+        before = sender.unacknowledged
+        was_finished = sender.is_closing and sender.is_acknowledged
+        resent = sender.acknowledge(
+            now_s, number, segment.window, not segment.length
+        )
+        for chunk in resent:
+            self._send_chunk(chunk)
+        if sender.is_closing and sender.is_acknowledged and not was_finished:
+            self._receive_last_acknowledgment(now_s)
+        elif sender.unacknowledged > before:
+            self.application.notify(self, Occurrence.WRITABLE)
+
+    def _receive_last_acknowledgment(self, now_s: float) -> None:
+        """Handles the acknowledgment of the own FIN."""
+        self.state = _AFTER_FIN_ACKNOWLEDGED.get(self.state, self.state)
+        if self.state is State.TIME_WAIT:
+            self._wait(now_s)
+        elif self.state is State.CLOSED:
+            self._end(Occurrence.CLOSED)
+
+    def _receive_payload(
+        self,
+        now_s: float,
+        number: int,
+        segment: segments.Segment,
+        receiver: receiving.Receiver,
+    ) -> None:
+        """Handles payload and FIN of a segment."""
+        if not segment.length:
+            return
+        before = receiver.next
+        is_last = bool(segment.flags & segments.FIN)
+        if receiver.accept(number, segment.payload, is_last):
+            self.is_acknowledgment_due = True
+        else:
+            # Each segment out of order is answered, so that the peer can
+            # count duplicate acknowledgments.
+            self._emit(self.sender.highest, segments.ACK)
+        if receiver.next == before:
+            return
+        if receiver.unread:
+            self.application.notify(self, Occurrence.READABLE)
+        if receiver.is_finished:
+            self._receive_end(now_s)
+
+    def _receive_end(self, now_s: float) -> None:
+        """Handles the FIN of the peer once all before it has arrived."""
+        after = _AFTER_FIN_RECEIVED.get(self.state)
+        if after is None:
+            return
+        self.state = after
+        if after is State.TIME_WAIT:
+            self._wait(now_s)
+        self.application.notify(self, Occurrence.ENDED)
+
+    def _start_receiving(self, syn: segments.Segment) -> None:
+        """Takes the peer's initial sequence number and segment size."""
+        self.receiver = receiving.Receiver(syn.sequence + 1)
+        offered = syn.mss or segments.DEFAULT_MSS_BYTES
+        self.sender.mss = min(self.sender.mss, offered)
+        self.sender.window = syn.window
+
+    def _establish(self) -> None:
+        """Enters ESTABLISHED, or FIN_WAIT_1 when already closing."""
+        self.state = State.ESTABLISHED
+        if self.sender.is_closing:
+            self.state = State.FIN_WAIT_1
+        self.application.notify(self, Occurrence.CONNECTED)
+
+    def _wait(self, now_s: float) -> None:
+        """Enters TIME_WAIT."""
+        self.sender.deadline_s = None
+        self.time_wait_until_s = now_s + TIME_WAIT_S
+
+    def _end(self, event: Occurrence) -> None:
+        """Closes without a segment and tells the application."""
+        self._close()
+        self.application.notify(self, event)
+
+    def _close(self) -> None:
+        """Enters CLOSED."""
+        self.state = State.CLOSED
+        self.sender.deadline_s = None
+        self.time_wait_until_s = None
+
+    def _send_syn(self) -> None:
+        """Sends the SYN, or the SYN with ACK, of this side."""
+        flags = segments.SYN
+        if self.receiver is not None:
+            flags |= segments.ACK
+        self._emit(self.sender.base - 1, flags, mss=self.mss)
+
+    def _send_chunk(self, chunk: sending.Chunk) -> None:
+        """Sends payload, a FIN or both."""
+        flags = segments.ACK
+        if chunk.payload:
+            flags |= segments.PSH
+            self.sent_payload = True
+        if chunk.is_last:
+            flags |= segments.FIN
+        self._emit(chunk.sequence, flags, chunk.payload)
+
+    def _emit(
+        self, number: int, flags: int, payload: bytes = b"", mss: int = 0
+    ) -> None:
+        """Adds a segment to the outgoing ones."""
+        receiver = self.receiver
+        path = self.path
+        self.is_acknowledgment_due = False
+        self.outgoing.append(
+            segments.Segment(
+                path.address,
+                path.port,
+                path.remote_address,
+                path.remote_port,
+                number & sequence.MASK,
+                (receiver.next & sequence.MASK) if receiver else 0,
+                flags,
+                receiver.window if receiver else receiving.BUFFER_BYTES,
+                mss,
+                payload,
+            )
+        )
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/tcp/receiver.py
@@ -0,0 +1,87 @@
+"""Receiving half of a connection: reassembly and the receive window."""
+
+BUFFER_BYTES = 65535
+
+
+class Receiver:
+    """Puts payload back in order.
+
+    Attributes:
+        next: Next sequence number expected, unbounded.
+        unread: Payload in order that the application has not read.
+        early: Payload that arrived out of order, by sequence number.
+        end: Sequence number of the peer's FIN; None before it has arrived.
+    """
+
+    __slots__ = ("early", "end", "next", "unread")
+
+    def __init__(self, first: int) -> None:
+        """Starts to expect payload.
+
+        Args:
+            first: Sequence number of the first byte of payload.
+        """
+        self.next = first
+        self.unread = bytearray()
+        self.early: dict[int, bytes] = {}
+        self.end: int | None = None
+
+    @property
+    def window(self) -> int:
+        """Bytes that may still be sent to this side."""
+        return max(0, BUFFER_BYTES - len(self.unread))
+
+    @property
+    def is_finished(self) -> bool:
+        """True when everything up to the peer's FIN has arrived."""
+        return self.end is not None and self.next > self.end
+
+    def accept(self, sequence: int, payload: bytes, is_last: bool) -> bool:
+        """Takes the payload of a segment.
+
+        Args:
+            sequence: Unbounded sequence number of the first byte.
+            payload: The payload; may be empty.
+            is_last: Whether a FIN follows the payload.
+
+        Returns:
+            True when the segment was the next one expected.
+        """
+        after = sequence + len(payload)
+        if is_last:
+            self.end = after
+        in_order = sequence <= self.next
+        # What lies beyond the window was sent in spite of it.
+        if after > self.next and after <= self.next + self.window:
+            longest = self.early.get(sequence, b"")
+            if len(payload) > len(longest):
+                self.early[sequence] = payload
+        self._join()
+        return in_order
+
+    def read(self) -> bytes:
+        """Returns all payload that is in order, and frees its buffer."""
+        data = bytes(self.unread)
+        self.unread.clear()
+        return data
+
+    def _join(self) -> None:
+        """Moves early payload that is now in order to the unread bytes."""
+        while self.early:
+            payload = self.early.pop(self.next, None)
+            if payload is None:
+                payload = self._overlapping()
+            if payload is None:
+                break
+            self.unread += payload
+            self.next += len(payload)
+        if self.end is not None and self.next == self.end:
+            self.next += 1
+
+    def _overlapping(self) -> bytes | None:
+        """Takes early payload that starts before the expected number."""
+        for sequence in [s for s in self.early if s < self.next]:
+            payload = self.early.pop(sequence)[self.next - sequence :]
+            if payload:
+                return payload
+        return None
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/tcp/sender.py
@@ -0,0 +1,297 @@
+"""Sending half of a connection: buffer, retransmission and congestion.
+
+Loss recovery follows NewReno (RFC 6582) and the timer RFC 6298.
+"""
+
+from collections.abc import Iterator
+import dataclasses
+
+INITIAL_RTO_S = 1.0
+MIN_RTO_S = 0.2
+MAX_RTO_S = 4.0
+MAX_RETRIES = 14
+INITIAL_WINDOW_SEGMENTS = 10
+# A fabric that sprays packets over hosts reorders them, so that a few
+# duplicate acknowledgments are no sign of loss.
+DUPLICATE_THRESHOLD = 8
+
+_RTT_GAIN = 1 / 8
+_VARIATION_GAIN = 1 / 4
+_VARIATION_FACTOR = 4
+
+
+@dataclasses.dataclass(slots=True)
+class Chunk:
+    """Payload to send.
+
+    Attributes:
+        sequence: Unbounded sequence number of the first byte.
+        payload: The payload.
+        is_last: Whether a FIN follows it.
+    """
+
+    sequence: int
+    payload: bytes
+    is_last: bool
+
+
+class Sender:
+    """Decides what to send and when to send it again.
+
+    Attributes:
+        mss: Longest payload of a segment in bytes.
+        buffer: Payload not yet acknowledged; starts at `base`.
+        base: Sequence number of the first byte of `buffer`.
+        unacknowledged: Lowest sequence number without acknowledgment.
+        next: Next sequence number to send.
+        highest: Highest sequence number sent so far, plus one.
+        window: Receive window of the peer in bytes.
+        congestion_window: Congestion window in bytes.
+        threshold: Slow start threshold in bytes.
+        duplicates: Duplicate acknowledgments in a row.
+        recovery_end: Where fast recovery ends; None outside of it.
+        is_closing: Whether a FIN follows the buffer.
+        rtt_s: Smoothed round-trip time in seconds; None before a sample.
+        variation_s: Variation of the round-trip time in seconds.
+        rto_s: Retransmission timeout in seconds.
+        deadline_s: When the retransmission timer fires; None when stopped.
+        retries: Timeouts in a row without progress.
+        timed: Sequence number whose round-trip time is measured.
+        timed_at_s: When it was sent.
+        retransmitted: Segments sent again.
+    """
+
+    __slots__ = (
+        "base",
+        "buffer",
+        "congestion_window",
+        "deadline_s",
+        "duplicates",
+        "highest",
+        "is_closing",
+        "mss",
+        "next",
+        "recovery_end",
+        "retransmitted",
+        "retries",
+        "rto_s",
+        "rtt_s",
+        "threshold",
+        "timed",
+        "timed_at_s",
+        "unacknowledged",
+        "variation_s",
+        "window",
+    )
+
+    def __init__(self, initial: int, mss: int) -> None:
+        """Starts before the SYN.
+
+        Args:
+            initial: Initial sequence number.
+            mss: Longest payload of a segment in bytes.
+        """
+        self.mss = mss
+        self.buffer = bytearray()
+        self.base = initial + 1
+        self.unacknowledged = initial
+        self.next = initial
+        self.highest = initial
+        self.window = 0
+        self.congestion_window = INITIAL_WINDOW_SEGMENTS * mss
+        self.threshold = 1 << 20
+        self.duplicates = 0
+        self.recovery_end: int | None = None
+        self.is_closing = False
+        self.rtt_s: float | None = None
+        self.variation_s = 0.0
+        self.rto_s = INITIAL_RTO_S
+        self.deadline_s: float | None = None
+        self.retries = 0
+        self.timed: int | None = None
+        self.timed_at_s = 0.0
+        self.retransmitted = 0
+
+    @property
+    def end(self) -> int:
+        """Sequence number after the buffer, and after the FIN if any."""
+        return self.base + len(self.buffer) + self.is_closing
+
+    @property
+    def in_flight(self) -> int:
+        """Sequence numbers sent and not acknowledged."""
+        return self.next - self.unacknowledged
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """True when the peer has everything, a FIN included."""
+        return self.unacknowledged == self.end
+
+    def open(self, now_s: float) -> None:
+        """Counts the SYN as sent."""
+        self.next = self.base
+        self.highest = self.base
+        self.timed = self.unacknowledged
+        self.timed_at_s = now_s
+        self.deadline_s = now_s + self.rto_s
+
+    def pull(self, now_s: float) -> Iterator[Chunk]:
+        """Yields the chunks that the windows let through."""
+        limit = self.unacknowledged + min(self.window, self.congestion_window)
+        while self.next < self.end:
+            size = min(self.mss, limit - self.next)
+            if size <= 0:
+                break
+            chunk = self._chunk(self.next, size)
+            self._count(now_s, chunk)
+            yield chunk
+        # With a closed window only the timer can find out that it has opened.
+        if self.deadline_s is None and self.next < self.end:
+            self.deadline_s = now_s + self.rto_s
+
+    def acknowledge(
+        self, now_s: float, number: int, window: int, is_pure: bool
+    ) -> list[Chunk]:
+        """Takes an acknowledgment.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            number: Unbounded acknowledgment number.
+            window: Receive window of the peer in bytes.
+            is_pure: Whether the segment had neither payload nor FIN.
+
+        Returns:
+            Chunks to send again at once.
+        """
+        same_window = window == self.window
+        self.window = window
+        if number > self.highest or number < self.unacknowledged:
+            return []
+        if number > self.unacknowledged:
+            return self._advance(now_s, number)
+        if is_pure and same_window and self.in_flight:
+            return self._duplicate(now_s)
+        return []
+
+    def expire(self, now_s: float) -> list[Chunk]:
+        """Handles the retransmission timer.
+
+        Returns:
+            Chunks to send again at once; the rest follows from `pull`.
+        """
+        self.retries += 1
+        self.rto_s = min(MAX_RTO_S, self.rto_s * 2)
+        self.deadline_s = now_s + self.rto_s
+        self.timed = None
+        if self.unacknowledged < self.base:
+            return []
+        if not self.window:
+            return self._probe()
+        self.threshold = max(self.in_flight // 2, 2 * self.mss)
+        self.congestion_window = self.mss
+        self.recovery_end = None
+        self.duplicates = 0
+        chunk = self._chunk(self.unacknowledged, self.mss)
+        self.next = self._after(chunk)
+        self.highest = max(self.highest, self.next)
+        self.retransmitted += 1
+        return [chunk]
+
+    def _probe(self) -> list[Chunk]:
+        """Returns one byte beyond a closed window."""
+        chunk = self._chunk(self.unacknowledged, 1)
+        # The probe stays outside of `next`, so that an open window sends the
+        # byte again with what follows it.
+        self.highest = max(self.highest, self._after(chunk))
+        # The peer may keep its window closed for as long as it likes.
+        self.retries = 0
+        return [chunk]
+
+    def _advance(self, now_s: float, number: int) -> list[Chunk]:
+        """Takes an acknowledgment of something new."""
+        acknowledged = number - self.unacknowledged
+        self._measure(now_s, number)
+        data_end = self.base + len(self.buffer)
+        del self.buffer[: max(0, number - self.base)]
+        self.base = min(max(self.base, number), data_end)
+        self.unacknowledged = number
+        self.next = max(self.next, number)
+        self.duplicates = 0
+        self.retries = 0
+        self.deadline_s = now_s + self.rto_s if self.in_flight else None
+        return self._recover(number, acknowledged)
+
+    def _recover(self, number: int, acknowledged: int) -> list[Chunk]:
+        """Grows the congestion window, or goes on with fast recovery."""
+        if self.recovery_end is None:
+            if self.congestion_window < self.threshold:
+                self.congestion_window += min(acknowledged, self.mss * 2)
+            else:
+                gain = self.mss * acknowledged // self.congestion_window
+                self.congestion_window += max(1, gain)
+            return []
+        if number >= self.recovery_end:
+            self.recovery_end = None
+            self.congestion_window = self.threshold
+            return []
+        # A partial acknowledgment points at the next lost segment.
+        return self._resend()
+
+    def _duplicate(self, now_s: float) -> list[Chunk]:
+        """Takes a duplicate acknowledgment."""
+        self.duplicates += 1
+        if self.recovery_end is not None:
+            self.congestion_window += self.mss
+            return []
+        if self.duplicates < DUPLICATE_THRESHOLD:
+            return []
+        self.threshold = max(self.in_flight // 2, 2 * self.mss)
+        self.congestion_window = self.threshold
+        self.recovery_end = self.next
+        self.deadline_s = now_s + self.rto_s
+        return self._resend()
+
+    def _resend(self) -> list[Chunk]:
+        """Returns the first chunk without acknowledgment."""
+        self.timed = None
+        self.retransmitted += 1
+        return [self._chunk(self.unacknowledged, self.mss)]
+
+    def _measure(self, now_s: float, number: int) -> None:
+        """Takes a sample of the round-trip time (RFC 6298)."""
+        if self.timed is None or number <= self.timed:
+            return
+        sample_s = now_s - self.timed_at_s
+        self.timed = None
+        if self.rtt_s is None:
+            self.rtt_s = sample_s
+            self.variation_s = sample_s / 2
+        else:
+            error_s = abs(self.rtt_s - sample_s)
+            self.variation_s += _VARIATION_GAIN * (error_s - self.variation_s)
+            self.rtt_s += _RTT_GAIN * (sample_s - self.rtt_s)
+        rto_s = self.rtt_s + _VARIATION_FACTOR * self.variation_s
+        self.rto_s = min(MAX_RTO_S, max(MIN_RTO_S, rto_s))
+
+    def _chunk(self, sequence: int, size: int) -> Chunk:
+        """Returns a chunk of the buffer."""
+        start = sequence - self.base
+        payload = bytes(self.buffer[start : start + size])
+        is_last = self.is_closing and start + len(payload) == len(self.buffer)
+        return Chunk(sequence, payload, is_last)
+
+    def _after(self, chunk: Chunk) -> int:
+        """Returns the sequence number after a chunk."""
+        return chunk.sequence + len(chunk.payload) + chunk.is_last
+
+    def _count(self, now_s: float, chunk: Chunk) -> None:
+        """Counts a chunk as sent."""
+        if chunk.sequence < self.highest:
+            self.retransmitted += 1
+        elif self.timed is None:
+            self.timed = chunk.sequence
+            self.timed_at_s = now_s
+        self.next = self._after(chunk)
+        self.highest = max(self.highest, self.next)
+        if self.deadline_s is None:
+            self.deadline_s = now_s + self.rto_s
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -0,0 +1,265 @@
+"""All connections of one machine, or of several that share a process."""
+
+from collections.abc import Callable
+import heapq
+import random
+
+import dpkt
+
+from tamarack_core import failure
+from tamarack_lab.tcp import connection as connections
+from tamarack_lab.tcp import segment as segments
+from tamarack_lab.tcp import sequence
+
+DEFAULT_MSS_BYTES = 1400
+
+Listener = Callable[[connections.Path], connections.Application | None]
+DatagramHandler = Callable[[connections.Path, bytes], None]
+
+
+class Stack:
+    """Gives each packet to its connection and collects what leaves.
+
+    Attributes:
+        connections: Connections by path.
+        listeners: Makes the application of a new connection, by address and
+            port; a listener that returns None refuses.
+        datagram_handlers: Takes UDP payload, by address and port.
+        packets: Packets that must leave, oldest first.
+        changed: Connections that must be flushed.
+        timers: Heap of deadlines in seconds, with a number and a connection.
+        timer_number: Orders timers of the same deadline.
+        random: Generator of initial sequence numbers.
+        mss: Longest TCP payload of a packet in bytes.
+        unreadable: Packets dropped, by reason.
+    """
+
+    __slots__ = (
+        "changed",
+        "connections",
+        "datagram_handlers",
+        "listeners",
+        "mss",
+        "packets",
+        "random",
+        "timer_number",
+        "timers",
+        "unreadable",
+    )
+
+    def __init__(self, seed: int, mss: int = DEFAULT_MSS_BYTES) -> None:
+        """Creates a stack without connections.
+
+        Args:
+            seed: Seed of the initial sequence numbers.
+            mss: Longest TCP payload of a packet in bytes.
+        """
+        self.connections: dict[connections.Path, connections.Connection] = {}
+        self.listeners: dict[tuple[bytes, int], Listener] = {}
+        self.datagram_handlers: dict[tuple[bytes, int], DatagramHandler] = {}
+        self.packets: list[bytes] = []
+        self.changed: dict[connections.Path, connections.Connection] = {}
+        self.timers: list[tuple[float, int, connections.Connection]] = []
+        self.timer_number = 0
+        self.random = random.Random(seed)
+        self.mss = mss
+        self.unreadable: dict[str, int] = {}
+
+    def connect(
+        self,
+        now_s: float,
+        path: connections.Path,
+        application: connections.Application,
+    ) -> connections.Connection:
+        """Opens a connection.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            path: Addresses and ports; not in use by another connection.
+            application: What uses the connection.
+        """
+        connection = self._create(path, application)
+        connection.connect(now_s)
+        return connection
+
+    def touch(self, connection: connections.Connection) -> None:
+        """Marks a connection that was used outside of `notify`."""
+        self.changed[connection.path] = connection
+
+    def send_datagram(self, path: connections.Path, payload: bytes) -> None:
+        """Sends a UDP datagram."""
+        header = dpkt.udp.UDP(
+            sport=path.port,
+            dport=path.remote_port,
+            ulen=dpkt.udp.UDP_HDR_LEN + len(payload),
+            data=payload,
+        )
+        self.packets.append(
+            segments.wrap(
+                path.address,
+                path.remote_address,
+                dpkt.ip.IP_PROTO_UDP,
+                header,
+            )
+        )
+
+    def receive(self, now_s: float, packet: bytes) -> None:
+        """Handles an IP packet; what leaves is collected by `flush`."""
+        opened = segments.decode(packet)
+        if isinstance(opened, segments.Segment):
+            self._receive_segment(now_s, opened)
+        elif opened.reason == "not-tcp":
+            self._receive_datagram(packet)
+        else:
+            self._drop(opened.reason)
+
+    def flush(self, now_s: float) -> list[bytes]:
+        """Returns the packets that must leave now."""
+        while self.changed:
+            batch = self.changed
+            self.changed = {}
+            for connection in batch.values():
+                self._flush_connection(now_s, connection)
+        packets = self.packets
+        self.packets = []
+        return packets
+
+    def expire(self, now_s: float) -> None:
+        """Handles all timers that have run out."""
+        while self.timers and self.timers[0][0] <= now_s:
+            at_s, _, connection = heapq.heappop(self.timers)
+            if at_s != connection.timer_at_s:
+                continue
+            connection.timer_at_s = None
+            deadline_s = connection.deadline_s
+            if deadline_s is not None and deadline_s <= now_s:
+                connection.expire(now_s)
+            self.touch(connection)
+
+    def next_deadline(self) -> float | None:
+        """Returns when `expire` must be called; None for never."""
+        return self.timers[0][0] if self.timers else None
+
+    def _create(
+        self,
+        path: connections.Path,
+        application: connections.Application,
+    ) -> connections.Connection:
+        """Adds a connection."""
+        initial = self.random.getrandbits(32)
+        connection = connections.Connection(
+            path, initial, self.mss, application
+        )
+        self.connections[path] = connection
+        self.touch(connection)
+        return connection
+
+    def _receive_segment(self, now_s: float, segment: segments.Segment) -> None:
+        """Gives a segment to its connection or listener."""
+        path = connections.Path(
+            segment.destination,
+            segment.destination_port,
+            segment.source,
+            segment.source_port,
+        )
+        connection = self.connections.get(path)
+        is_opening = segment.flags & (segments.SYN | segments.ACK) == (
+            segments.SYN
+        )
+        if connection is not None and is_opening:
+            connection = self._reuse(segment, connection)
+        if connection is not None:
+            connection.receive(now_s, segment)
+            self.touch(connection)
+        elif is_opening:
+            self._accept(now_s, path, segment)
+        elif not segment.flags & segments.RST:
+            self._reset(segment)
+
+    def _reuse(
+        self, segment: segments.Segment, connection: connections.Connection
+    ) -> connections.Connection | None:
+        """Lets a new incarnation replace a connection in TIME_WAIT."""
+        receiver = connection.receiver
+        if connection.state is not connections.State.TIME_WAIT or not receiver:
+            return connection
+        number = sequence.unwrap(segment.sequence, receiver.next)
+        return None if number > receiver.next else connection
+
+    def _accept(
+        self, now_s: float, path: connections.Path, syn: segments.Segment
+    ) -> None:
+        """Opens a connection for a SYN, or refuses it."""
+        listener = self.listeners.get((path.address, path.port))
+        application = listener(path) if listener else None
+        if application is None:
+            self._reset(syn)
+            return
+        self._create(path, application).accept(now_s, syn)
+
+    def _reset(self, segment: segments.Segment) -> None:
+        """Answers a segment that belongs to no connection."""
+        flags = segments.RST
+        number = segment.acknowledgment
+        if not segment.flags & segments.ACK:
+            flags |= segments.ACK
+            number = 0
+        after = (segment.sequence + segment.length) & sequence.MASK
+        answer = segments.Segment(
+            segment.destination,
+            segment.destination_port,
+            segment.source,
+            segment.source_port,
+            number,
+            after if flags & segments.ACK else 0,
+            flags,
+        )
+        self.packets.append(segments.encode(answer))
+
+    def _receive_datagram(self, packet: bytes) -> None:
+        """Gives UDP payload to its handler."""
+        opened = segments.unwrap(packet)
+        if isinstance(opened, failure.Failure):
+            self._drop(opened.reason)
+            return
+        header = opened.data
+        if not isinstance(header, dpkt.udp.UDP):
+            self._drop("protocol")
+            return
+        path = connections.Path(
+            opened.dst, header.dport, opened.src, header.sport
+        )
+        handler = self.datagram_handlers.get((path.address, path.port))
+        if handler is None:
+            self._drop("udp-port")
+            return
+        handler(path, bytes(header.data))
+
+    def _flush_connection(
+        self, now_s: float, connection: connections.Connection
+    ) -> None:
+        """Collects the segments of a connection and sets its timer."""
+        leaving = connection.flush(now_s)
+        self.packets.extend(segments.encode(segment) for segment in leaving)
+        if connection.state is connections.State.CLOSED:
+            if self.connections.get(connection.path) is connection:
+                del self.connections[connection.path]
+            return
+        deadline_s = connection.deadline_s
+        if deadline_s is not None:
+            self._schedule(deadline_s, connection)
+
+    def _schedule(
+        self, deadline_s: float, connection: connections.Connection
+    ) -> None:
+        """Adds a timer unless one that fires no later is running."""
+        running_s = connection.timer_at_s
+        if running_s is not None and running_s <= deadline_s:
+            return
+        connection.timer_at_s = deadline_s
+        self.timer_number += 1
+        heapq.heappush(self.timers, (deadline_s, self.timer_number, connection))
+
+    def _drop(self, reason: str) -> None:
+        """Counts a packet that can't be handled."""
+        self.unreadable[reason] = self.unreadable.get(reason, 0) + 1
