Add target and caller stand-ins and the layout of deployments

Cause: flows, refusals and wrong answers must be counted at both ends. Change: target announces itself, runs requests in slots, can lie and drain; caller judges each answer by request, service and work class.

--- a/packages/lab/src/tamarack_lab/attachment.py
+++ b/packages/lab/src/tamarack_lab/attachment.py
@@ -11,6 +11,8 @@
 from tamarack_lab.tcp import connection as connections
 from tamarack_lab.tcp import stack as stacks
 
+ConnectionCall = Callable[[connections.Connection], None]
+
 # A long batch would keep the loop from its timers and other sockets.
 _BATCH_DATAGRAMS = 64
 
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Caller stand-in."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/caller/flow.py
@@ -0,0 +1,200 @@
+"""One connection of a caller."""
+
+import asyncio
+import itertools
+
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import verdict
+from tamarack_lab import attachment as attachments
+from tamarack_lab import exchange
+from tamarack_lab.caller import report as reports
+from tamarack_lab.caller import settings as caller_settings
+from tamarack_lab.tcp import connection as connections
+
+Occurrence = connections.Occurrence
+
+
+class Flow:
+    """Sends requests and judges the answers.
+
+    Attributes:
+        load: What the connection is for.
+        counts: Counts of the work class.
+        attachment: Carries the packets.
+        name: Prefix of the request identifiers.
+        connection: The connection; None before it is opened.
+        awaited: Identifier of the request without answer; empty for none.
+        is_over: Whether the outcome has been counted.
+    """
+
+    __slots__ = (
+        "_loop",
+        "_numbers",
+        "_reader",
+        "_sent_at_s",
+        "_timer",
+        "attachment",
+        "awaited",
+        "connection",
+        "counts",
+        "is_over",
+        "load",
+        "name",
+    )
+
+    def __init__(
+        self,
+        load: caller_settings.Load,
+        counts: reports.Counts,
+        attachment: attachments.Attachment,
+        name: str,
+    ) -> None:
+        """Creates a flow that isn't opened.
+
+        Args:
+            load: What the connection is for.
+            counts: Counts of the work class.
+            attachment: Carries the packets.
+            name: Prefix of the request identifiers, used by no other flow.
+        """
+        self.load = load
+        self.counts = counts
+        self.attachment = attachment
+        self.name = name
+        self.connection: connections.Connection | None = None
+        self.awaited = ""
+        self.is_over = False
+        self._reader = exchange.LineReader(exchange.Answer)
+        self._numbers = itertools.count()
+        self._sent_at_s = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def open(self, path: connections.Path) -> None:
+        """Opens the connection."""
+        self.counts.tried += 1
+        self.connection = self.attachment.connect(path, self)
+
+    def finish(self) -> None:
+        """Closes a connection that has nothing outstanding."""
+        if self.connection is None or self.is_over or self.awaited:
+            return
+        self._complete(self.connection)
+
+    def notify(
+        self, connection: connections.Connection, event: Occurrence
+    ) -> None:
+        """Reacts to an occurrence of the connection."""
+        if self.is_over:
+            return
+        if event is Occurrence.CONNECTED:
+            self.counts.opened += 1
+            self.counts.open += 1
+            self._send(connection)
+        elif event is Occurrence.READABLE:
+            self._read(connection)
+        elif event is Occurrence.REFUSED:
+            self._refuse("connection-refused")
+        elif event is Occurrence.TIMED_OUT and not connection.receiver:
+            self._refuse("no-answer-to-syn")
+        elif event is not Occurrence.WRITABLE:
+            self._break(connection, f"connection-{event}")
+
+    def _send(self, connection: connections.Connection) -> None:
+        """Sends the next request."""
+        if self.is_over:
+            return
+        self.awaited = f"{self.name}-{next(self._numbers)}"
+        self._sent_at_s = self._loop.time()
+        self.counts.requests += 1
+        request = exchange.Request(self.awaited, self.load.answer_bytes)
+        connection.write(exchange.encode(request))
+        self.attachment.use(connection)
+        self._schedule(self.load.answer_timeout_s, self._miss, connection)
+
+    def _read(self, connection: connections.Connection) -> None:
+        """Judges the answers that have arrived."""
+        try:
+            for answer in self._reader.feed(connection.read()):
+                self._judge(answer)
+        except msgspec.DecodeError:
+            self.counts.mixed_up += 1
+            self._cut(connection, "unreadable-answer")
+            return
+        if not self.awaited:
+            self._go_on(connection)
+
+    def _judge(self, answer: exchange.Answer) -> None:
+        """Counts an answer as right or wrong."""
+        expected = (self.load.service, self.load.work_class)
+        if (answer.service, answer.work_class) != expected:
+            self.counts.wrong_service += 1
+            return
+        is_whole = len(answer.filling) == self.load.answer_bytes
+        if answer.id != self.awaited or not is_whole:
+            self.counts.mixed_up += 1
+            return
+        self.counts.answers += 1
+        self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
+        self.awaited = ""
+
+    def _go_on(self, connection: connections.Connection) -> None:
+        """Closes a bounded connection, or waits for the next request."""
+        if self.load.lifetime is configuration.Lifetime.BOUNDED:
+            self._complete(connection)
+        else:
+            self._schedule(self.load.request_interval_s, self._send, connection)
+
+    def _complete(self, connection: connections.Connection) -> None:
+        """Closes the connection in order."""
+        self.counts.completed += 1
+        self._close()
+        connection.finish()
+        self.attachment.use(connection)
+
+    def _refuse(self, reason: str) -> None:
+        """Counts a connection that was never established."""
+        self.is_over = True
+        self.counts.refused[verdict.not_run(reason)] += 1
+
+    def _break(self, connection: connections.Connection, reason: str) -> None:
+        """Counts a connection that was cut."""
+        self._close()
+        found = verdict.may_have_run(reason)
+        if not connection.sent_payload:
+            found = verdict.not_run(reason)
+        self.counts.broken[found] += 1
+        if connection.state is connections.State.CLOSE_WAIT:
+            connection.finish()
+            self.attachment.use(connection)
+
+    def _miss(self, connection: connections.Connection) -> None:
+        """Gives up on an answer that doesn't come."""
+        if not self.is_over:
+            self._cut(connection, "no-answer")
+
+    def _cut(self, connection: connections.Connection, reason: str) -> None:
+        """Resets the connection and counts it as broken."""
+        self._break(connection, reason)
+        connection.abort()
+        self.attachment.use(connection)
+
+    def _close(self) -> None:
+        """Marks the outcome as counted."""
+        self.is_over = True
+        self.counts.open -= 1
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _schedule(
+        self,
+        delay_s: float,
+        call: attachments.ConnectionCall,
+        connection: connections.Connection,
+    ) -> None:
+        """Replaces the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(delay_s, call, connection)
--- a/packages/lab/src/tamarack_lab/commands.py
+++ b/packages/lab/src/tamarack_lab/commands.py
@@ -2,7 +2,14 @@
 
 import click
 
+from tamarack_lab import stand_in_commands
+
 
 @click.group()
 def lab() -> None:
     """Runs stand-ins, experiments and measurements."""
+
+
+lab.add_command(stand_in_commands.fabric)
+lab.add_command(stand_in_commands.target)
+lab.add_command(stand_in_commands.caller)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Whole deployments of real processes on loopback addresses."""
--- a/packages/lab/src/tamarack_lab/settings.py
+++ b/packages/lab/src/tamarack_lab/settings.py
@@ -1,5 +1,7 @@
 """Settings files of the stand-ins."""
 
+from collections.abc import Iterator
+import contextlib
 import pathlib
 from typing import TypeVar
 
@@ -25,3 +27,16 @@
         raise click.ClickException(f"{path}: {error.strerror}") from error
     except msgspec.DecodeError as error:
         raise click.ClickException(f"{path}: {error}") from error
+
+
+@contextlib.contextmanager
+def problems_shown() -> Iterator[None]:
+    """Turns a bad value into one line for the user.
+
+    Raises:
+        click.ClickException: The body raised ValueError.
+    """
+    try:
+        yield
+    except ValueError as error:
+        raise click.ClickException(str(error)) from error
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -0,0 +1,92 @@
+"""Commands that run one stand-in each."""
+
+import asyncio
+import pathlib
+
+import click
+import msgspec
+
+from tamarack_lab import fabric as fabric_lib
+from tamarack_lab import running
+from tamarack_lab import settings as settings_lib
+from tamarack_lab.caller import process as caller_process
+from tamarack_lab.caller import settings as caller_settings
+from tamarack_lab.target import process as target_process
+from tamarack_lab.target import settings as target_settings
+
+settings_option = click.option(
+    "--settings",
+    "settings_file",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help="Settings file in JSON; docs/lab.md describes it.",
+)
+
+
+@click.command()
+@settings_option
+def fabric(settings_file: pathlib.Path) -> None:
+    """Sprays packets over entry hosts until stopped.
+
+    Example: tamarack lab fabric --settings fabric.json
+    """
+    settings = settings_lib.load(settings_file, fabric_lib.Settings)
+    asyncio.run(_run_fabric(settings))
+
+
+@click.command()
+@settings_option
+def target(settings_file: pathlib.Path) -> None:
+    """Runs targets; SIGTERM drains them before the process ends.
+
+    Example: tamarack lab target --settings targets.json
+    """
+    settings = settings_lib.load(settings_file, target_settings.Settings)
+    asyncio.run(_run_target(settings))
+
+
+@click.command()
+@settings_option
+def caller(settings_file: pathlib.Path) -> None:
+    """Opens connections for a time and prints a report in JSON.
+
+    Example: tamarack lab caller --settings caller.json
+    """
+    settings = settings_lib.load(settings_file, caller_settings.Settings)
+    report = asyncio.run(_run_caller(settings))
+    click.echo(msgspec.json.encode(report).decode())
+
+
+async def _run_fabric(settings: fabric_lib.Settings) -> None:
+    """Runs the fabric until a signal."""
+    stop = running.stop_event()
+    with settings_lib.problems_shown():
+        process = fabric_lib.Fabric(settings)
+    async with running.started(process):
+        await stop.wait()
+
+
+async def _run_target(settings: target_settings.Settings) -> None:
+    """Runs targets until a signal, then drains them."""
+    stop = running.stop_event()
+    with settings_lib.problems_shown():
+        process = target_process.Process(settings)
+    async with running.started(process):
+        await stop.wait()
+        await process.drain()
+
+
+async def _run_caller(
+    settings: caller_settings.Settings,
+) -> msgspec.Struct:
+    """Runs callers to their end, or until a signal."""
+    stop = running.stop_event()
+    with settings_lib.problems_shown():
+        process = caller_process.Process(settings)
+    async with running.started(process):
+        run = asyncio.create_task(process.run())
+        waiting = asyncio.create_task(stop.wait())
+        await asyncio.wait((run, waiting), return_when=asyncio.FIRST_COMPLETED)
+        waiting.cancel()
+        run.cancel()
+        return process.report()
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/target/__init__.py
@@ -0,0 +1,1 @@
+"""Target stand-in."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/target/announcer.py
@@ -0,0 +1,125 @@
+"""Announces targets to entry hosts and renews their leases."""
+
+import asyncio
+import itertools
+
+import aiohttp
+import msgspec
+
+from tamarack_core import peers
+from tamarack_lab.target import server as servers
+
+# A lease survives the loss of two renewals in a row.
+RENEWALS_PER_LEASE = 3
+_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+_ACCEPTED = 200
+
+
+class Announcer:
+    """Keeps the leases of some targets.
+
+    Attributes:
+        targets: The targets.
+        entries: HTTP endpoints of entry hosts by failure domain.
+        lease_s: Lease that is asked for, in seconds.
+        incarnation: Number that rises when the process restarts.
+        failures: Announcements that no entry host accepted.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_turn",
+        "entries",
+        "failures",
+        "incarnation",
+        "lease_s",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        targets: list[servers.Server],
+        entries: dict[str, tuple[peers.Endpoint, ...]],
+        lease_s: float,
+        incarnation: int,
+    ) -> None:
+        """Creates an announcer that doesn't run.
+
+        Args:
+            targets: The targets.
+            entries: HTTP endpoints of entry hosts by failure domain.
+            lease_s: Lease that is asked for, in seconds.
+            incarnation: Number that rises when the process restarts.
+        """
+        self.targets = targets
+        self.entries = entries
+        self.lease_s = lease_s
+        self.incarnation = incarnation
+        self.failures = 0
+        self._changed = asyncio.Event()
+        self._turn = itertools.count()
+
+    def wake(self) -> None:
+        """Announces now, as when a target has changed its state."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Announces until cancelled."""
+        async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
+            while True:
+                self._changed.clear()
+                accepted = await self.announce(session)
+                await self._wait(accepted)
+
+    async def announce(self, session: aiohttp.ClientSession) -> bool:
+        """Announces all targets once.
+
+        Returns:
+            True when each was accepted by an entry host.
+        """
+        accepted = await asyncio.gather(
+            *(self._announce_one(session, target) for target in self.targets)
+        )
+        self.failures += accepted.count(False)
+        return all(accepted)
+
+    async def _wait(self, accepted: bool) -> None:
+        """Waits for the next renewal, or until something has changed."""
+        wait_s = self.lease_s / RENEWALS_PER_LEASE if accepted else 0.5
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _announce_one(
+        self, session: aiohttp.ClientSession, target: servers.Server
+    ) -> bool:
+        """Announces a target to the first entry host that accepts."""
+        entries = self.entries.get(target.member.domain, ())
+        if not entries:
+            return False
+        # The turn spreads renewals, and moves on when a host has died.
+        first = next(self._turn) % len(entries)
+        announcement = target.announcement(self.lease_s, self.incarnation)
+        body = msgspec.json.encode(announcement)
+        for entry in entries[first:] + entries[:first]:
+            if await _put(session, entry, target.member.address, body):
+                return True
+        return False
+
+
+async def _put(
+    session: aiohttp.ClientSession,
+    entry: peers.Endpoint,
+    address: str,
+    body: bytes,
+) -> bool:
+    """Returns True when an entry host accepts an announcement."""
+    url = f"http://{entry.address}:{entry.port}/v1/targets/{address}"
+    try:
+        async with session.put(url, data=body) as response:
+            await response.read()
+            return response.status == _ACCEPTED
+    except (aiohttp.ClientError, TimeoutError):
+        return False
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -0,0 +1,243 @@
+"""One target: its connections, requests and what it says of itself."""
+
+import collections
+import dataclasses
+import ipaddress
+
+import msgspec
+
+from tamarack_core import requests
+from tamarack_lab import attachment as attachments
+from tamarack_lab import exchange
+from tamarack_lab.target import settings as target_settings
+from tamarack_lab.target import work
+from tamarack_lab.tcp import connection as connections
+
+Occurrence = connections.Occurrence
+_ENDINGS = (
+    Occurrence.CLOSED,
+    Occurrence.RESET,
+    Occurrence.TIMED_OUT,
+    Occurrence.REFUSED,
+)
+
+
+class Lie(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a target says in place of the truth; None stands for the truth.
+
+    Attributes:
+        healthy: Health that it states.
+        load: Work units in use that it states.
+    """
+
+    healthy: bool | None = None
+    load: float | None = None
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a target has done.
+
+    Attributes:
+        service: Service that it belongs to.
+        address: IP address.
+        domain: Failure domain.
+        state: Ready or draining.
+        connections: Connections open now.
+        opened: Connections accepted, by work class.
+        refused: Connections refused because too many were open.
+        requests: Requests run, by work class.
+        repeated: Requests that ran more than once.
+        work: Work units of all requests so far.
+        in_use: Work units running or waiting now.
+    """
+
+    service: str
+    address: str
+    domain: str
+    state: requests.TargetState
+    connections: int
+    opened: dict[str, int]
+    refused: int
+    requests: dict[str, int]
+    repeated: int
+    work: float
+    in_use: float
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A target.
+
+    Attributes:
+        member: Its address and failure domain.
+        service: Settings of its service.
+        attachment: Carries its packets.
+        slots: Runs its requests.
+        state: Ready or draining.
+        lie: What it says in place of the truth.
+        open: Connections open now.
+        opened: Connections accepted, by work class.
+        refused: Connections refused because too many were open.
+        ran: How often each request ran, by identifier.
+        request_counts: Requests run, by work class.
+        work_units: Work units of all requests so far.
+    """
+
+    member: target_settings.Member
+    service: target_settings.Service
+    attachment: attachments.Attachment
+    slots: work.Slots
+    state: requests.TargetState = requests.TargetState.READY
+    lie: Lie = dataclasses.field(default_factory=Lie)
+    open: int = 0
+    opened: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refused: int = 0
+    ran: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    request_counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    work_units: float = 0.0
+
+    def listen(self) -> None:
+        """Accepts connections at all ports of the service."""
+        packed = ipaddress.ip_address(self.member.address).packed
+        listeners = self.attachment.stack.listeners
+        for port in self.service.ports:
+            listeners[(packed, port.port)] = _Listener(self, port).accept
+
+    def announcement(
+        self, lease_s: float, incarnation: int
+    ) -> requests.Announce:
+        """Returns what the target announces, lies included."""
+        return requests.Announce(
+            service=self.member.service,
+            address=self.member.address,
+            domain=self.member.domain,
+            state=self.state,
+            slots=self.service.slots,
+            connections=self.service.connections,
+            incarnation=incarnation,
+            lease_s=lease_s,
+            load=self.stated_load(),
+            healthy=self.stated_health(),
+        )
+
+    def stated_health(self) -> bool:
+        """Returns the health that the target states."""
+        return True if self.lie.healthy is None else self.lie.healthy
+
+    def stated_load(self) -> float:
+        """Returns the work units in use that the target states."""
+        return self.slots.in_use if self.lie.load is None else self.lie.load
+
+    def report(self) -> Report:
+        """Returns what the target has done."""
+        return Report(
+            service=self.member.service,
+            address=self.member.address,
+            domain=self.member.domain,
+            state=self.state,
+            connections=self.open,
+            opened=dict(self.opened),
+            refused=self.refused,
+            requests=dict(self.request_counts),
+            repeated=sum(1 for count in self.ran.values() if count > 1),
+            work=self.work_units,
+            in_use=self.slots.in_use,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listener:
+    """Accepts the connections of one port.
+
+    Attributes:
+        server: The target.
+        port: The port.
+    """
+
+    server: Server
+    port: target_settings.Port
+
+    def accept(self, path: connections.Path) -> connections.Application | None:
+        """Returns the application of a new connection; None to refuse."""
+        if self.server.open >= self.server.service.connections:
+            self.server.refused += 1
+            return None
+        self.server.open += 1
+        self.server.opened[self.port.work_class] += 1
+        return _Session(self.server, self.port)
+
+
+class _Session:
+    """Answers the requests of one connection.
+
+    Attributes:
+        server: The target.
+        port: The port.
+        reader: Cuts the stream into requests.
+    """
+
+    __slots__ = ("port", "reader", "server")
+
+    def __init__(self, server: Server, port: target_settings.Port) -> None:
+        """Creates a session without requests.
+
+        Args:
+            server: The target.
+            port: The port.
+        """
+        self.server = server
+        self.port = port
+        self.reader = exchange.LineReader(exchange.Request)
+
+    def notify(
+        self, connection: connections.Connection, event: Occurrence
+    ) -> None:
+        """Reacts to an occurrence of the connection."""
+        if event is Occurrence.READABLE:
+            self._read(connection)
+        elif event is Occurrence.ENDED:
+            connection.finish()
+        elif event in _ENDINGS:
+            self.server.open -= 1
+
+    def _read(self, connection: connections.Connection) -> None:
+        """Runs the requests that have arrived."""
+        try:
+            for request in self.reader.feed(connection.read()):
+                self._run(connection, request)
+        except msgspec.DecodeError:
+            connection.abort()
+            self.server.open -= 1
+
+    def _run(
+        self, connection: connections.Connection, request: exchange.Request
+    ) -> None:
+        """Runs a request and answers once it is done."""
+        server = self.server
+        cost = self.port.cost
+        server.ran[request.id] += 1
+        server.request_counts[self.port.work_class] += 1
+        server.work_units += cost
+
+        def finish() -> None:
+            if connection.state is not connections.State.CLOSED:
+                connection.write(exchange.encode(self._answer(request)))
+                server.attachment.use(connection)
+
+        server.slots.submit(work.Job(cost, finish))
+
+    def _answer(self, request: exchange.Request) -> exchange.Answer:
+        """Returns the answer to a request."""
+        return exchange.Answer(
+            id=request.id,
+            service=self.server.member.service,
+            work_class=self.port.work_class,
+            target=self.server.member.address,
+            filling="." * request.answer_bytes,
+        )
--- a/packages/lab/src/tamarack_lab/tcp/stack.py
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -31,6 +31,7 @@
         timer_number: Orders timers of the same deadline.
         random: Generator of initial sequence numbers.
         mss: Longest TCP payload of a packet in bytes.
+        muted: Own addresses at which all packets are lost, both ways.
         unreadable: Packets dropped, by reason.
     """
 
@@ -40,6 +41,7 @@
         "datagram_handlers",
         "listeners",
         "mss",
+        "muted",
         "packets",
         "random",
         "timer_number",
@@ -63,6 +65,7 @@
         self.timer_number = 0
         self.random = random.Random(seed)
         self.mss = mss
+        self.muted: set[bytes] = set()
         self.unreadable: dict[str, int] = {}
 
     def connect(
@@ -162,6 +165,8 @@
             segment.source,
             segment.source_port,
         )
+        if path.address in self.muted:
+            return
         connection = self.connections.get(path)
         is_opening = segment.flags & (segments.SYN | segments.ACK) == (
             segments.SYN
@@ -240,7 +245,8 @@
     ) -> None:
         """Collects the segments of a connection and sets its timer."""
         leaving = connection.flush(now_s)
-        self.packets.extend(segments.encode(segment) for segment in leaving)
+        if connection.path.address not in self.muted:
+            self.packets.extend(segments.encode(s) for s in leaving)
         if connection.state is connections.State.CLOSED:
             if self.connections.get(connection.path) is connection:
                 del self.connections[connection.path]
