--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 contract: $(STAMP)
 	$(BIN)/lint-imports
 
-check: lint types contract test
+check: lint types contract docs test
 
 demo: $(STAMP)
 	$(BIN)/tamarack lab demo
