Change lookup tables service by service; add time line and services commands

Change: Lookup.apply replaces only the services named; networks are found by prefix instead of by a search over all. tamarack timeline, services and completion; tests of the links in the documentation. Conclusion: distribution has to send changed services, not whole documents. The link test fails until docs/CAPACITY.md exists (README names it).

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES)
 	touch $(STAMP)
 
+docs: $(STAMP)
+	$(BIN)/python -m pytest tests/quality
+
 test: $(STAMP)
 	$(BIN)/python -m pytest tests
 
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -1,6 +1,9 @@
 """Lookup tables that the data path derives from the configuration."""
 
+from collections.abc import Iterator
+from collections.abc import Mapping
 import dataclasses
+import ipaddress
 import struct
 
 from tamarack_core import configuration
@@ -37,18 +40,26 @@
     target_port: int
 
 
+Changes = Mapping[str, configuration.Service | None]
+
+
 class Lookup:
     """Finds the service port of a packet.
 
+    A change of some services costs time in proportion to these alone, so that
+    a host can follow frequent changes of a large configuration.
+
     Attributes:
+        documents: Services by name.
         inbound: Service port by destination address, protocol and port.
-        outbound: Service port by service, IP version, protocol and target
+        outbound: Service port by service, address length, protocol and target
             port.
-        service_networks: Networks of targets with the service of each.
+        networks: Service by network prefix, for each address length in bytes
+            and prefix length in bits.
         services: Service by target address; filled on demand.
     """
 
-    __slots__ = ("inbound", "outbound", "service_networks", "services")
+    __slots__ = ("documents", "inbound", "networks", "outbound", "services")
 
     def __init__(self, document: configuration.Configuration) -> None:
         """Derives the tables.
@@ -56,36 +67,51 @@
         Args:
             document: A configuration that passed validation.
         """
+        self.documents: dict[str, configuration.Service] = {}
         self.inbound: dict[tuple[bytes, int, int], ServicePort] = {}
         self.outbound: dict[tuple[str, int, int, int], ServicePort] = {}
-        self.service_networks = [
-            (network, name)
-            for name, service in document.services.items()
-            for network in configuration.networks(service)
-        ]
+        self.networks: dict[tuple[int, int], dict[int, str]] = {}
         self.services: dict[bytes, str] = {}
-        for name, service in document.services.items():
-            for address in service.addresses:
-                self._add(name, service, ip.pack_address(address))
-
-    def _add(
-        self, name: str, service: configuration.Service, address: bytes
-    ) -> None:
-        """Adds the ports of one service address."""
-        for class_name, work_class in service.classes.items():
-            port = ServicePort(
-                service=name,
-                work_class=class_name,
-                settings=work_class,
-                weights=service.weights,
-                address=address,
-                port=work_class.port,
-                target_port=work_class.target_port,
-            )
-            protocol = _PROTOCOL_NUMBERS[work_class.protocol]
-            self.inbound[address, protocol, port.port] = port
-            key = (name, len(address), protocol, port.target_port)
-            self.outbound[key] = port
+        self.apply(document.services)
+
+    def apply(self, changes: Changes) -> None:
+        """Replaces services; the result must pass validation.
+
+        Args:
+            changes: New services by name; None removes a service.
+        """
+        # An address may move between two services of one change, so all old
+        # services go before any new one comes.
+        for name in changes:
+            self._remove(name)
+        for name, service in changes.items():
+            if service is not None:
+                self._add(name, service)
+        self.services.clear()
+
+    def _add(self, name: str, service: configuration.Service) -> None:
+        """Adds the ports and networks of a service."""
+        self.documents[name] = service
+        for port in _ports(name, service):
+            self.inbound[_inbound_key(port)] = port
+            self.outbound[_outbound_key(port)] = port
+        for size, network in _networks(service):
+            prefixes = self.networks.setdefault((size, network.prefixlen), {})
+            prefixes[_prefix(network)] = name
+
+    def _remove(self, name: str) -> None:
+        """Removes the ports and networks of a service, if it exists."""
+        service = self.documents.pop(name, None)
+        if service is None:
+            return
+        for port in _ports(name, service):
+            del self.inbound[_inbound_key(port)]
+            del self.outbound[_outbound_key(port)]
+        for size, network in _networks(service):
+            prefixes = self.networks[size, network.prefixlen]
+            del prefixes[_prefix(network)]
+            if not prefixes:
+                del self.networks[size, network.prefixlen]
 
     def find_inbound(self, packet: ip.Packet) -> ServicePort | None:
         """Returns the service port that a caller's packet is sent to."""
@@ -118,16 +144,56 @@
     def _search_networks(self, target: bytes) -> str:
         """Returns the service whose networks hold a target."""
         number = int.from_bytes(target, "big")
-        for network, name in self.service_networks:
-            if network.max_prefixlen != len(target) * 8:
-                continue
-            if (number ^ int(network.network_address)) >> (
-                network.max_prefixlen - network.prefixlen
-            ) == 0:
-                return name
+        bits = len(target) * 8
+        for (size, length), prefixes in self.networks.items():
+            if size == len(target):
+                name = prefixes.get(number >> (bits - length))
+                if name is not None:
+                    return name
         return ""
 
 
+def _ports(name: str, service: configuration.Service) -> Iterator[ServicePort]:
+    """Yields the ports of a service."""
+    for address in map(ip.pack_address, service.addresses):
+        for class_name, work_class in service.classes.items():
+            yield ServicePort(
+                service=name,
+                work_class=class_name,
+                settings=work_class,
+                weights=service.weights,
+                address=address,
+                port=work_class.port,
+                target_port=work_class.target_port,
+            )
+
+
+def _networks(
+    service: configuration.Service,
+) -> Iterator[tuple[int, ipaddress.IPv4Network | ipaddress.IPv6Network]]:
+    """Yields the address length in bytes and each network of a service."""
+    for network in configuration.networks(service):
+        yield network.max_prefixlen // 8, network
+
+
+def _prefix(network: ipaddress.IPv4Network | ipaddress.IPv6Network) -> int:
+    """Returns the leading bits that all addresses of a network share."""
+    shift = network.max_prefixlen - network.prefixlen
+    return int(network.network_address) >> shift
+
+
+def _inbound_key(port: ServicePort) -> tuple[bytes, int, int]:
+    """Returns the key of a port in `Lookup.inbound`."""
+    protocol = _PROTOCOL_NUMBERS[port.settings.protocol]
+    return port.address, protocol, port.port
+
+
+def _outbound_key(port: ServicePort) -> tuple[str, int, int, int]:
+    """Returns the key of a port in `Lookup.outbound`."""
+    protocol = _PROTOCOL_NUMBERS[port.settings.protocol]
+    return port.service, len(port.address), protocol, port.target_port
+
+
 def flow_key(packet: ip.Packet) -> bytes:
     """Returns the key of the flow that a caller's packet belongs to."""
     return (
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/internal/timeline.py
@@ -0,0 +1,144 @@
+"""Command `tamarack timeline`."""
+
+from collections.abc import Iterable
+import datetime
+
+import click
+import msgspec
+
+from tamarack_core import failure
+from tamarack_core import peers
+from tamarack_core import timeline as timeline_lib
+from tamarack_ctl.internal import client
+from tamarack_ctl.internal import options
+from tamarack_ctl.internal import output
+from tamarack_ctl.internal import status
+
+MS_PER_S = 1000
+HEADERS = ("time (UTC)", "host", "event", "about", "reason", "detail")
+
+
+class Filter:
+    """Which entries of the time line to show.
+
+    Attributes:
+        service: Only this service; empty for all.
+        target: Only this target; empty for all.
+        flow: Only flows whose text contains this; empty for all.
+        version: Only this configuration version; 0 for all.
+        name: Only events whose name contains this; empty for all.
+    """
+
+    __slots__ = ("flow", "name", "service", "target", "version")
+
+    def __init__(
+        self, service: str, target: str, flow: str, version: int, name: str
+    ) -> None:
+        """Creates a filter."""
+        self.service = service
+        self.target = target
+        self.flow = flow
+        self.version = version
+        self.name = name
+
+    def matches(self, entry: timeline_lib.Entry) -> bool:
+        """Returns whether to show an entry."""
+        return (
+            self.service in ("", entry.service)
+            and self.target in ("", entry.target)
+            and self.flow in entry.flow
+            and self.version in (0, entry.version)
+            and self.name in entry.name
+        )
+
+
+def merge(
+    parts: Iterable[list[timeline_lib.Entry]],
+) -> list[timeline_lib.Entry]:
+    """Returns the entries of several hosts in one causal order.
+
+    Args:
+        parts: Entries of each host.
+    """
+    entries = [entry for part in parts for entry in part]
+    return sorted(entries, key=lambda entry: (entry.stamp, entry.host))
+
+
+@click.command(epilog=output.EXIT_CODES_HELP)
+@options.hosts
+@options.as_json
+@click.option("--service", default="", help="Only this service.")
+@click.option("--target", default="", help="Only this target.")
+@click.option("--flow", default="", help="Only flows that contain this text.")
+@click.option("--version", default=0, help="Only this version.")
+@click.option("--event", "name", default="", help="Only events named so.")
+@click.option(
+    "--since",
+    type=click.DateTime(),
+    help="Only entries from this time (UTC) on.",
+)
+def timeline(
+    hosts: tuple[peers.Endpoint, ...],
+    as_json: bool,
+    service: str,
+    target: str,
+    flow: str,
+    version: int,
+    name: str,
+    since: datetime.datetime | None,
+) -> None:
+    """Merges the time lines of all hosts named.
+
+    Example: tamarack timeline --service agenda --since 2026-12-01T22:00:00
+    """
+    chosen = Filter(service, target, flow, version, name)
+    path = f"/v1/timeline?since_ms={_since_ms(since)}"
+    answers = client.ask_all(hosts, path)
+    parts = [
+        msgspec.convert(answer.body, list[timeline_lib.Entry])
+        for answer in answers
+        if isinstance(answer, client.Answer)
+    ]
+    entries = [entry for entry in merge(parts) if chosen.matches(entry)]
+    output.show(
+        as_json,
+        msgspec.to_builtins(entries),
+        HEADERS,
+        [_row(entry) for entry in entries],
+    )
+    missing = [
+        answer.detail
+        for answer in answers
+        if isinstance(answer, failure.Failure)
+    ]
+    if missing:
+        output.fail(
+            output.EXIT_NO_HOST,
+            f"the time line lacks hosts: {'; '.join(missing)}",
+        )
+
+
+def _since_ms(since: datetime.datetime | None) -> int:
+    """Returns a time in UTC as wall-clock time in ms; 0 without one."""
+    if since is None:
+        return 0
+    return int(since.replace(tzinfo=datetime.UTC).timestamp() * MS_PER_S)
+
+
+def _row(entry: timeline_lib.Entry) -> list[object]:
+    """Returns the cells of an entry."""
+    about = (
+        entry.service,
+        entry.target,
+        entry.flow,
+        f"version {entry.version}" if entry.version else "",
+    )
+    reason = " ".join(part for part in (entry.verdict, entry.reason) if part)
+    return [
+        status.format_time(entry.stamp.wall_ms),
+        entry.host,
+        entry.name,
+        " ".join(part for part in about if part),
+        reason,
+        entry.detail,
+    ]
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -4,8 +4,11 @@
 
 import click
 
+from tamarack_ctl.internal import completion
 from tamarack_ctl.internal import patching
+from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
+from tamarack_ctl.internal import timeline
 
 COMMANDS_GROUP = "tamarack.commands"
 
@@ -16,7 +19,10 @@
 
 
 main.add_command(status.status)
+main.add_command(services.services)
 main.add_command(patching.patch)
+main.add_command(timeline.timeline)
+main.add_command(completion.completion)
 
 for _entry_point in importlib.metadata.entry_points(group=COMMANDS_GROUP):
     main.add_command(_entry_point.load(), _entry_point.name)
