--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(foreach p,core node ctl lab,-e packages/$(p))
 TOOLS := hypothesis import-linter mypy pytest ruff testtools types-tabulate
 
-.PHONY: setup test lint format types contract docs check demo bench soak slopes
+.PHONY: setup test lint format types contract docs check demo bench soak slopes capacity
 
 setup: $(STAMP)
 
@@ -49,3 +49,6 @@
 
 soak: $(STAMP)
 	TAMARACK_PROFILE=soak $(BIN)/python -m pytest tests/slow
+
+capacity: $(STAMP)
+	$(BIN)/tamarack capacity --targets-file docs/capacity/sizes.json --page docs/CAPACITY.md
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity of each role at a given size, from measured slopes."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/capacity/bursts.py
@@ -0,0 +1,83 @@
+"""What a burst of events costs, beside the averages."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from tamarack_lab.capacity import sizes
+
+RACK_HOSTS = 40
+CUT_S = 600.0
+ROLLING_SHARE_PER_MINUTE = 0.02
+SECONDS_PER_MINUTE = 60.0
+
+
+class Burst(msgspec.Struct, frozen=True):
+    """One burst at one host.
+
+    Attributes:
+        name: What happens.
+        bytes: Bytes that one host receives because of it.
+        seconds: Seconds that these take at the budget of a host.
+        note: What it means for the users.
+    """
+
+    name: str
+    bytes: float
+    seconds: float
+    note: str
+
+
+def bursts(
+    size: sizes.Size, budget: sizes.Budget, slope: Mapping[str, float]
+) -> list[Burst]:
+    """Returns the bursts that the system must bear.
+
+    Args:
+        size: Size of the system.
+        budget: What a host may spend.
+        slope: Value of each slope by name.
+    """
+    rack = min(RACK_HOSTS, max(size.hosts_per_domain / 2, 1))
+    rack_flows = rack * size.flows_per_host / size.hosts_per_domain
+    missed = CUT_S * size.changes_per_s
+    restarting = size.hosts * ROLLING_SHARE_PER_MINUTE / SECONDS_PER_MINUTE
+    rows = (
+        (
+            f"a rack of {rack:.0f} hosts lost",
+            rack * slope["member_change_bytes"]
+            + rack_flows * slope["tracked_opening_bytes"],
+            "flows of the rack pass to their backups, which name new backups",
+        ),
+        (
+            "a failure domain lost",
+            size.openings_per_host
+            / max(size.domains - 1, 1)
+            * slope["tracked_opening_bytes"]
+            * CUT_S,
+            "the other domains take its new flows; open ones end with it",
+        ),
+        (
+            f"regions cut for {CUT_S:.0f} s and healed",
+            missed * slope["delta_bytes"],
+            "the cut hosts catch up with the changes missed",
+        ),
+        (
+            "a host restarts",
+            size.addresses * slope["snapshot_bytes"],
+            "the whole configuration is fetched",
+        ),
+        (
+            "a rolling restart, 2% of the hosts a minute",
+            restarting
+            / max(size.domains, 1)
+            * 2
+            * slope["member_change_bytes"]
+            * SECONDS_PER_MINUTE,
+            "membership changes of one minute in a failure domain",
+        ),
+    )
+    return [
+        Burst(name, amount, amount / budget.bytes_per_s, note)
+        for name, amount, note in rows
+    ]
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/capacity/render.py
@@ -0,0 +1,124 @@
+"""Tables of the capacity model."""
+
+from collections.abc import Sequence
+
+import tabulate
+
+from tamarack_lab.capacity import bursts as bursts_lib
+from tamarack_lab.capacity import model
+from tamarack_lab.capacity import sizes
+from tamarack_lab.capacity import slopes as slopes_lib
+
+MEGABYTE = 1_000_000.0
+KILOBYTE = 1_000.0
+PERCENT = 100.0
+
+
+def report(targets: sizes.TargetsFile, slopes: slopes_lib.SlopeFile) -> str:
+    """Returns all tables as Markdown.
+
+    Args:
+        targets: Sizes and budget.
+        slopes: The slopes.
+    """
+    values = slopes.values()
+    parts = ["## Totals\n", _totals(targets, values)]
+    for size in targets.sizes:
+        parts.append(f"\n## Terms at size {size.name}\n")
+        parts.append(_terms(model.terms(size, values)))
+    largest = targets.sizes[-1]
+    parts.append(f"\n## Bursts at size {largest.name}\n")
+    parts.append(_bursts(bursts_lib.bursts(largest, targets.budget, values)))
+    parts.append("\n## Slopes\n")
+    parts.append(_slopes(slopes.slopes))
+    return "\n".join(parts) + "\n"
+
+
+def _totals(targets: sizes.TargetsFile, values: dict[str, float]) -> str:
+    """Returns the sums of all sizes."""
+    rows = [
+        [
+            size.name,
+            total.role,
+            total.resource,
+            format_amount(total.resource, total.amount),
+            format_amount(total.resource, total.budget),
+            "exceeded" if total.is_exceeded else "within",
+            total.dominant,
+        ]
+        for size in targets.sizes
+        for total in model.totals(model.terms(size, values), targets.budget)
+    ]
+    heads = ("size", "role", "resource", "cost", "budget", "", "largest term")
+    return _table(heads, rows)
+
+
+def _terms(terms: Sequence[model.Term]) -> str:
+    """Returns the terms of one size."""
+    rows = [
+        [
+            term.role,
+            term.resource,
+            term.name,
+            format_amount(term.resource, term.amount),
+            term.mechanism,
+        ]
+        for term in terms
+    ]
+    return _table(("role", "resource", "term", "cost", "mechanism"), rows)
+
+
+def _bursts(bursts: Sequence[bursts_lib.Burst]) -> str:
+    """Returns the bursts at the largest size."""
+    rows = [
+        [
+            burst.name,
+            f"{burst.bytes / KILOBYTE:,.1f} KB",
+            f"{burst.seconds:,.1f} s",
+            burst.note,
+        ]
+        for burst in bursts
+    ]
+    heads = ("burst", "bytes to one host", "at the budget", "meaning")
+    return _table(heads, rows)
+
+
+def _slopes(slopes: Sequence[slopes_lib.Slope]) -> str:
+    """Returns the slopes with their sources."""
+    rows = [
+        [
+            slope.name,
+            f"{slope.value:,.2f}",
+            slope.unit,
+            slope.source,
+            f"{slope.residual * PERCENT:.1f}%" if slope.sizes else "",
+            slope.command,
+            slope.date,
+        ]
+        for slope in slopes
+    ]
+    heads = ("slope", "value", "unit", "source", "residual", "command", "date")
+    return _table(heads, rows)
+
+
+def format_amount(resource: model.Resource, amount: float) -> str:
+    """Returns an amount with its unit.
+
+    Args:
+        resource: What is spent.
+        amount: Bytes, share of a core, or bytes a second.
+    """
+    match resource:
+        case model.Resource.MEMORY:
+            return f"{amount / MEGABYTE:,.2f} MB"
+        case model.Resource.PROCESSOR:
+            return f"{amount * PERCENT:.3f}%"
+        case model.Resource.TRAFFIC:
+            return f"{amount / KILOBYTE:,.3f} KB/s"
+
+
+def _table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Returns a Markdown table."""
+    return tabulate.tabulate(
+        rows, headers=heads, tablefmt="github", disable_numparse=True
+    )
