Kill control hosts at random points while two operators race

Cause: nothing showed that answers survive the death of control hosts. Change: an integration test with three real control hosts, 200 patches of two operators that lose a fifth of the answers and resend, 15 kills.

--- /dev/null
+++ b/tests/slow/test_control_hosts.py
@@ -0,0 +1,219 @@
+"""Control hosts as real processes that are killed while operators race."""
+
+import itertools
+import pathlib
+import random
+import tempfile
+import threading
+import time
+
+import testtools
+
+from tests import processes
+
+PATCHES_EACH = 100
+VOTERS = 3
+SEED = 20261
+KILLS = 15
+LOST_ANSWERS = 0.2
+RESEND_PAUSE_S = 0.05
+DEADLINE_S = 120.0
+
+
+def settings(names, ports, folder):
+    """Returns the settings of all control hosts."""
+    peers = [
+        {
+            "host": name,
+            "domain": f"d{index}",
+            "control": ["127.0.0.1", ports[index]],
+        }
+        for index, name in enumerate(names)
+    ]
+    return [
+        {
+            "host": name,
+            "domain": f"d{index}",
+            "roles": ["control"],
+            "control": ["127.0.0.1", ports[index]],
+            "peers": [peer for peer in peers if peer["host"] != name],
+            "voters": names,
+            "data_folder": str(folder / name),
+            "seed": SEED + index,
+        }
+        for index, name in enumerate(names)
+    ]
+
+
+def service(number):
+    """Returns a service that differs from others by number."""
+    return {
+        "addresses": [f"10.1.{number // 250}.{number % 250 + 1}"],
+        "classes": {"routes": {"port": 80, "target_port": 8080}},
+        "target_networks": [f"10.2.{number // 250}.{number % 250 + 1}/32"],
+    }
+
+
+class Operator(threading.Thread):
+    """Adds services one by one, and resends until there is a verdict.
+
+    Attributes:
+        ports: Ports of the control hosts.
+        numbers: Numbers of the services to add.
+        accepted: Version by service, as told by verdicts.
+        conflicts: Number of conflicts met.
+        unknowns: Number of sendings without a verdict.
+        resends: Number of patches sent again after an answer.
+        error: What ended the thread early, if anything did.
+    """
+
+    def __init__(self, name, ports, numbers, seed):
+        super().__init__(name=name)
+        self.ports = ports
+        self.numbers = numbers
+        self.random = random.Random(seed)
+        self.accepted = {}
+        self.conflicts = 0
+        self.unknowns = 0
+        self.resends = 0
+        self.error = None
+        self.end_s = time.monotonic() + DEADLINE_S
+
+    def run(self):
+        try:
+            for number in self.numbers:
+                self.add(number)
+        except Exception as error:
+            self.error = error
+
+    def add(self, number):
+        """Adds one service, on top of whatever version is the newest."""
+        base = len(self.accepted)
+        for attempt in itertools.count():
+            patch_id = f"{self.name}-{number}-{attempt}"
+            verdict = self.send(patch_id, base, number)
+            if self.random.random() < LOST_ANSWERS:
+                # As if the answer was lost on its way.
+                self.resends += 1
+                again = self.send(patch_id, base, number)
+                assert again == verdict, (again, verdict)
+            if verdict["state"] == "accepted":
+                self.accepted[f"s{number}"] = verdict["version"]
+                return
+            assert verdict["state"] == "conflict", verdict
+            self.conflicts += 1
+            base = verdict["version"]
+
+    def send(self, patch_id, base, number):
+        """Sends a patch until it has a verdict."""
+        body = {
+            "patch_id": patch_id,
+            "base_version": base,
+            "author": self.name,
+            "operations": [
+                {
+                    "op": "add",
+                    "path": f"/services/s{number}",
+                    "value": service(number),
+                }
+            ],
+        }
+        while time.monotonic() < self.end_s:
+            port = self.random.choice(self.ports)
+            try:
+                _, verdict = processes.call(port, "POST", "/v1/patches", body)
+            except (OSError, ValueError):
+                verdict = {}
+            state = verdict.get("state", "unknown")
+            if state not in ("unknown", "no-quorum"):
+                return verdict
+            self.unknowns += 1
+            body["is_resend"] = True
+            time.sleep(RESEND_PAUSE_S)
+        raise AssertionError(f"no verdict on {patch_id} within {DEADLINE_S} s")
+
+
+class ControlHostsTest(testtools.TestCase):
+    """The final state equals the accepted patches, no more and no less."""
+
+    def setUp(self):
+        super().setUp()
+        parent = tempfile.TemporaryDirectory()
+        self.addCleanup(parent.cleanup)
+        self.folder = pathlib.Path(parent.name)
+        self.names = [f"c{number}" for number in range(VOTERS)]
+        self.ports = [processes.free_port() for _ in self.names]
+        self.daemons = [
+            processes.Daemon(self.folder, one)
+            for one in settings(self.names, self.ports, self.folder)
+        ]
+        for daemon in self.daemons:
+            self.addCleanup(daemon.kill)
+
+    def read(self, path, port):
+        """Returns what a host answers, or None."""
+        try:
+            status, body = processes.call(port, "GET", path)
+        except OSError:
+            return None
+        return body if status == 200 else None
+
+    def wait_for_leader(self):
+        """Waits until every host confirms reads."""
+        for port in self.ports:
+            processes.wait_until(
+                lambda port=port: self.read("/v1/configuration", port),
+                f"a confirmed read at port {port}",
+            )
+
+    def test_killed_hosts_keep_exactly_the_accepted_patches(self):
+        chance = random.Random(SEED)
+        self.wait_for_leader()
+        operators = [
+            Operator(
+                name,
+                self.ports,
+                range(first, first + PATCHES_EACH),
+                SEED + first,
+            )
+            for name, first in (("ana", 0), ("bea", PATCHES_EACH))
+        ]
+        for operator in operators:
+            operator.start()
+        highest = 0
+        points = sorted(chance.sample(range(2 * PATCHES_EACH), KILLS))
+        for point in points:
+            processes.wait_until(
+                lambda point=point: (
+                    sum(len(operator.accepted) for operator in operators)
+                    >= point
+                    or not any(operator.is_alive() for operator in operators)
+                ),
+                f"{point} accepted patches",
+                DEADLINE_S,
+            )
+            daemon = chance.choice(self.daemons)
+            daemon.kill()
+            time.sleep(chance.uniform(0.0, 0.5))
+            daemon.start()
+            read = self.read("/v1/configuration", chance.choice(self.ports))
+            if read is not None:
+                version = read["numbered"]["version"]
+                self.assertTrue(version >= highest, (version, highest))
+                highest = version
+        accepted = {}
+        for operator in operators:
+            operator.join()
+            self.assertIsNone(operator.error)
+            accepted.update(operator.accepted)
+        self.assertTrue(all(operator.resends for operator in operators))
+        self.wait_for_leader()
+        self.assertEqual(2 * PATCHES_EACH, len(accepted))
+        self.assertEqual(
+            list(range(1, 2 * PATCHES_EACH + 1)), sorted(accepted.values())
+        )
+        for port in self.ports:
+            numbered = self.read("/v1/configuration", port)["numbered"]
+            services = numbered["configuration"]["services"]
+            self.assertEqual(2 * PATCHES_EACH, numbered["version"])
+            self.assertEqual(sorted(accepted), sorted(services))
