--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,9 @@
 	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES)
 	touch $(STAMP)
 
+docs: $(STAMP)
+	$(BIN)/python -m pytest tests/quality
+
 test: $(STAMP)
 	$(BIN)/python -m pytest tests
 
@@ -33,7 +36,7 @@
 contract: $(STAMP)
 	$(BIN)/lint-imports
 
-check: lint types contract test
+check: lint types contract docs test
 
 demo: $(STAMP)
 	$(BIN)/tamarack lab demo
--- a/packages/lab/src/tamarack_lab/commands.py
+++ b/packages/lab/src/tamarack_lab/commands.py
@@ -2,6 +2,7 @@
 
 import click
 
+from tamarack_lab import stand_in_commands
 from tamarack_lab.bench import command as bench
 
 
@@ -11,3 +12,6 @@
 
 
 lab.add_command(bench.bench)
+lab.add_command(stand_in_commands.fabric)
+lab.add_command(stand_in_commands.target)
+lab.add_command(stand_in_commands.caller)
