Add the gateway, the demo and deployments of real processes

Cause: ordinary clients and servers must be carried through entry hosts that die, and both users' deployments shown running. Change: gateway joins ordinary sockets to the stand-ins' TCP with flow control both ways; deployment/ starts processes and brings about a kill, a replacement, a drain and patches; demo shows it and judges what must hold.

--- a/packages/lab/src/tamarack_lab/commands.py
+++ b/packages/lab/src/tamarack_lab/commands.py
@@ -3,6 +3,7 @@
 import click
 
 from tamarack_lab import stand_in_commands
+from tamarack_lab.demo import command as demo_command
 
 
 @click.group()
@@ -13,3 +14,5 @@
 lab.add_command(stand_in_commands.fabric)
 lab.add_command(stand_in_commands.target)
 lab.add_command(stand_in_commands.caller)
+lab.add_command(demo_command.demo)
+lab.add_command(stand_in_commands.gateway)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: both users' deployments through a kill and a drain."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/demo/command.py
@@ -0,0 +1,74 @@
+"""Command `tamarack lab demo`."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import click
+
+from tamarack_lab.demo import script
+from tamarack_lab.demo import summary
+from tamarack_lab.deployment import plan as plans
+from tamarack_lab.deployment import run as runs
+
+EXIT_BROKEN = 1
+TIMEOUT_S = 58.0
+_PLANS = {plan.name: plan for plan in (plans.ASOCIACION, plans.GLOCKENTON)}
+
+
+@click.command()
+@click.option(
+    "--only",
+    type=click.Choice(sorted(_PLANS)),
+    multiple=True,
+    help="Deployment to run; all without it.",
+)
+@click.option("--seed", default=1, show_default=True, help="Seed of chance.")
+@click.option(
+    "--folder",
+    type=click.Path(path_type=pathlib.Path),
+    help="Folder for settings and logs; a temporary one without it.",
+)
+def demo(only: tuple[str, ...], seed: int, folder: pathlib.Path | None) -> None:
+    """Runs two deployments on loopback through a kill, a drain and a patch.
+
+    Example: tamarack lab demo --only asociacion
+    """
+    chosen = [_PLANS[name] for name in only or _PLANS]
+    with tempfile.TemporaryDirectory(prefix="tamarack-demo-") as temporary:
+        base = folder or pathlib.Path(temporary)
+        try:
+            outcomes = asyncio.run(_run(chosen, base, seed))
+        except (runs.DeploymentError, TimeoutError) as error:
+            click.echo(f"the demo failed: {error or 'out of time'}", err=True)
+            sys.exit(EXIT_BROKEN)
+    for outcome in outcomes:
+        click.echo("\n" + summary.render(outcome))
+    problems = [p for outcome in outcomes for p in outcome.problems()]
+    for problem in problems:
+        click.echo(f"BROKEN  {problem}", err=True)
+    if problems:
+        sys.exit(EXIT_BROKEN)
+    click.echo("\nnothing that must hold was broken")
+
+
+async def _run(
+    chosen: list[plans.Plan], base: pathlib.Path, seed: int
+) -> list[summary.Outcome]:
+    """Runs the demonstrations side by side."""
+    demos = []
+    for plan in chosen:
+        folder = base / plan.name
+        folder.mkdir(parents=True, exist_ok=True)
+        demos.append(script.Demo(plan, folder, seed, click.echo))
+    async with asyncio.timeout(TIMEOUT_S):
+        found = await asyncio.gather(
+            *(demo.run() for demo in demos), return_exceptions=True
+        )
+    outcomes = []
+    for result in found:
+        if isinstance(result, BaseException):
+            raise result
+        outcomes.append(result)
+    return outcomes
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/demo/summary.py
@@ -0,0 +1,169 @@
+"""Summary of a demonstration and the verdict on it."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+
+import tabulate
+
+from tamarack_core import requests
+from tamarack_lab.caller import report as reports
+from tamarack_lab.target import server as servers
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What was seen of one deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        callers: Final report of the callers.
+        targets: Final reports of the targets.
+        drained: Address of the target that was drained.
+        opened_at_drain: Connections it had accepted when it should have been
+            left alone.
+        version: Last accepted version of the configuration.
+        versions: Versions in force by failure domain.
+        exit_statuses: Exit status of each process that was stopped.
+    """
+
+    name: str
+    callers: reports.Report
+    targets: list[servers.Report]
+    drained: str
+    opened_at_drain: int
+    version: int
+    versions: dict[str, list[int]]
+    exit_statuses: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def problems(self) -> list[str]:
+        """Returns what must hold and did not."""
+        return [
+            f"{self.name}: {problem}"
+            for problem in (
+                *self._caller_problems(),
+                *self._target_problems(),
+                *self._system_problems(),
+            )
+        ]
+
+    def _caller_problems(self) -> Iterator[str]:
+        """Yields what the callers saw and should not have seen."""
+        for load in self.callers.loads:
+            where = f"{load.service}/{load.work_class}"
+            if not load.opened:
+                yield f"{where}: no connection was opened"
+            if load.broken:
+                yield f"{where}: broken connections {load.broken}"
+            if load.refused:
+                yield f"{where}: refused connections {load.refused}"
+            if load.open:
+                yield f"{where}: {load.open} connections did not end"
+            if load.wrong_service or load.mixed_up:
+                yield (
+                    f"{where}: {load.wrong_service} answers of a wrong "
+                    f"service, {load.mixed_up} to a wrong request"
+                )
+        if self.callers.unreadable:
+            yield f"callers: unreadable packets {self.callers.unreadable}"
+
+    def _target_problems(self) -> Iterator[str]:
+        """Yields what the targets saw and should not have seen."""
+        for target in self.targets:
+            if target.repeated:
+                yield f"{target.address}: {target.repeated} requests ran twice"
+            if target.address != self.drained:
+                continue
+            opened = sum(target.opened.values())
+            if opened > self.opened_at_drain:
+                late = opened - self.opened_at_drain
+                yield f"{target.address}: {late} connections after its drain"
+
+    def _system_problems(self) -> Iterator[str]:
+        """Yields what the hosts did and should not have done."""
+        for domain, versions in self.versions.items():
+            if set(versions) != {self.version}:
+                yield f"{domain}: versions {versions}, not {self.version}"
+        for name, status in self.exit_statuses.items():
+            if status:
+                yield f"{name}: exit status {status}"
+
+
+def imbalance(targets: list[servers.Report]) -> float:
+    """Returns the work of the busiest target by that of the mean one."""
+    work = [target.work for target in targets]
+    mean = sum(work) / len(work) if work else 0.0
+    return max(work) / mean if mean else 0.0
+
+
+def render(outcome: Outcome) -> str:
+    """Returns the summary as tables."""
+    return "\n".join(
+        (
+            f"== {outcome.name}",
+            _render_loads(outcome.callers),
+            "",
+            _render_services(outcome),
+            "",
+            _render_versions(outcome),
+        )
+    )
+
+
+def _render_loads(callers: reports.Report) -> str:
+    """Returns the table of what the callers saw."""
+    rows = [
+        (
+            load.service,
+            load.work_class,
+            load.opened,
+            sum(load.broken.values()),
+            sum(load.refused.values()),
+            load.answers,
+            load.wrong_service + load.mixed_up,
+            f"{load.latency_p50_s * 1000:.0f}",
+            f"{load.latency_p99_s * 1000:.0f}",
+        )
+        for load in callers.loads
+    ]
+    headers = (
+        "service",
+        "class",
+        "opened",
+        "broken",
+        "refused",
+        "answers",
+        "wrong",
+        "p50 ms",
+        "p99 ms",
+    )
+    return tabulate.tabulate(rows, headers)
+
+
+def _render_services(outcome: Outcome) -> str:
+    """Returns the table of how even the work was."""
+    by_service: dict[str, list[servers.Report]] = collections.defaultdict(list)
+    for target in outcome.targets:
+        # A drained target has had less work on purpose.
+        if target.state is requests.TargetState.READY:
+            by_service[target.service].append(target)
+    rows = [
+        (
+            service,
+            len(targets),
+            " ".join(f"{target.work:.0f}" for target in targets),
+            f"{imbalance(targets):.2f}",
+        )
+        for service, targets in by_service.items()
+    ]
+    headers = ("service", "ready", "work units by target", "imbalance")
+    return tabulate.tabulate(rows, headers)
+
+
+def _render_versions(outcome: Outcome) -> str:
+    """Returns the table of versions."""
+    rows = [
+        (domain, " ".join(str(version) for version in versions))
+        for domain, versions in sorted(outcome.versions.items())
+    ]
+    return tabulate.tabulate(rows, ("failure domain", "version in force"))
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/gateway/joint.py
@@ -0,0 +1,170 @@
+"""Joins one ordinary TCP connection to one of the stand-ins."""
+
+import asyncio
+import socket
+import struct
+
+from tamarack_lab import attachment as attachments
+from tamarack_lab.tcp import connection as connections
+
+Occurrence = connections.Occurrence
+
+# Above this much unsent payload the ordinary side is not read any more.
+MOST_UNSENT_BYTES = 256 * 1024
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_CUT = (Occurrence.REFUSED, Occurrence.RESET, Occurrence.TIMED_OUT)
+
+
+class Joint(asyncio.Protocol):
+    """Passes payload, ends and resets from each side to the other.
+
+    Attributes:
+        attachment: Carries the packets.
+        connection: Side of the stand-ins; None before it is known.
+        transport: Ordinary side; None before it is connected.
+    """
+
+    __slots__ = (
+        "_is_full",
+        "_is_lost",
+        "attachment",
+        "connection",
+        "transport",
+    )
+
+    def __init__(self, attachment: attachments.Attachment) -> None:
+        """Creates a joint without sides.
+
+        Args:
+            attachment: Carries the packets.
+        """
+        self.attachment = attachment
+        self.connection: connections.Connection | None = None
+        self.transport: asyncio.Transport | None = None
+        self._is_full = False
+        self._is_lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the ordinary side."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.connection is None:
+            # A server that speaks first must wait for its caller.
+            transport.pause_reading()
+        self._pass_on()
+
+    def data_received(self, data: bytes) -> None:
+        """Passes payload of the ordinary side on."""
+        if self.connection is None or self.transport is None:
+            return
+        self.connection.write(data)
+        if len(self.connection.sender.buffer) > MOST_UNSENT_BYTES:
+            self.transport.pause_reading()
+        self.attachment.use(self.connection)
+
+    def eof_received(self) -> bool:
+        """Passes the end of the ordinary side on; the other may go on."""
+        if self.connection is not None:
+            self.connection.finish()
+            self.attachment.use(self.connection)
+        return not self._is_finished()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Passes a reset of the ordinary side on."""
+        self.transport = None
+        if exc is not None or self.connection is None:
+            self.abort()
+            return
+        self.connection.finish()
+        self.attachment.use(self.connection)
+
+    def abort(self) -> None:
+        """Resets the side of the stand-ins, now or once it is known."""
+        self._is_lost = True
+        if self.connection is not None:
+            self.connection.abort()
+            self.attachment.use(self.connection)
+
+    def pause_writing(self) -> None:
+        """Leaves payload unread, which closes the receive window."""
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        """Reads payload again."""
+        self._is_full = False
+        self._pass_on()
+
+    def notify(
+        self, connection: connections.Connection, event: Occurrence
+    ) -> None:
+        """Passes an occurrence at the side of the stand-ins on."""
+        self.connection = connection
+        if event is Occurrence.CONNECTED:
+            self._start(connection)
+        elif event is Occurrence.READABLE:
+            self._pass_on()
+        elif event is Occurrence.WRITABLE:
+            self._read_again(connection)
+        elif event is Occurrence.ENDED:
+            self._pass_end_on()
+        elif event in _CUT:
+            self._cut()
+        elif event is Occurrence.CLOSED and self.transport is not None:
+            self.transport.close()
+
+    def _start(self, connection: connections.Connection) -> None:
+        """Reads the ordinary side once both sides are known."""
+        if self._is_lost:
+            connection.abort()
+        elif self.transport is not None:
+            self.transport.resume_reading()
+
+    def _is_finished(self) -> bool:
+        """Returns True when the stand-ins have ended and all is passed on."""
+        receiver = self.connection.receiver if self.connection else None
+        return (
+            receiver is not None
+            and receiver.is_finished
+            and not receiver.unread
+        )
+
+    def _pass_on(self) -> None:
+        """Writes the payload of the stand-ins to the ordinary side."""
+        if self.connection is None or self.transport is None:
+            return
+        # One write may fill the transport; the rest then stays unread.
+        while not self._is_full:
+            data = self.connection.read()
+            if not data:
+                break
+            self.transport.write(data)
+        self.attachment.use(self.connection)
+        self._pass_end_on()
+
+    def _pass_end_on(self) -> None:
+        """Ends the ordinary side once all payload has been written to it."""
+        transport = self.transport
+        if transport is None or self.connection is None:
+            return
+        if not self._is_finished() or transport.is_closing():
+            return
+        transport.write_eof()
+        if self.connection.sender.is_closing:
+            transport.close()
+
+    def _read_again(self, connection: connections.Connection) -> None:
+        """Reads the ordinary side again when there is room."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if len(connection.sender.buffer) <= MOST_UNSENT_BYTES // 2:
+            self.transport.resume_reading()
+
+    def _cut(self) -> None:
+        """Resets the ordinary side."""
+        if self.transport is None:
+            return
+        ordinary = self.transport.get_extra_info("socket")
+        ordinary.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+        self.transport.abort()
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -0,0 +1,290 @@
+"""The gateway as a process."""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import ipaddress
+import itertools
+import time
+from typing import Any
+
+from tamarack_core import peers
+from tamarack_core import requests
+from tamarack_lab import attachment as attachments
+from tamarack_lab.gateway import joint as joints
+from tamarack_lab.gateway import settings as gateway_settings
+from tamarack_lab.target import announcer as announcers
+from tamarack_lab.target import settings as target_settings
+from tamarack_lab.tcp import connection as connections
+from tamarack_lab.tcp import stack as stacks
+
+FIRST_PORT = 10_000
+LAST_PORT = 60_000
+
+
+class Near:
+    """The side of the callers.
+
+    Attributes:
+        settings: Settings.
+        attachment: Carries the packets.
+        doors: Where ordinary connections are accepted, once started.
+    """
+
+    __slots__ = ("_ports", "_servers", "attachment", "doors", "settings")
+
+    def __init__(
+        self,
+        settings: gateway_settings.Near,
+        attachment: attachments.Attachment,
+    ) -> None:
+        """Creates the side.
+
+        Args:
+            settings: Settings.
+            attachment: Carries the packets.
+        """
+        self.settings = settings
+        self.attachment = attachment
+        self.doors: list[peers.Endpoint] = []
+        self._servers: list[asyncio.Server] = []
+        self._ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+
+    async def start(self) -> None:
+        """Listens at the doors.
+
+        Raises:
+            OSError: An endpoint can't be bound.
+        """
+        self.attachment.start()
+        for door in self.settings.doors:
+            await self._listen(door)
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        for server in self._servers:
+            server.close()
+        self.attachment.close()
+
+    async def _listen(self, door: gateway_settings.Door) -> None:
+        """Listens at one door."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: NearJoint(self, door), door.listen.address, door.listen.port
+        )
+        self._servers.append(server)
+        name = server.sockets[0].getsockname()
+        self.doors.append(peers.Endpoint(name[0], name[1]))
+
+    def connect(
+        self, door: gateway_settings.Door, joint: joints.Joint
+    ) -> connections.Connection:
+        """Opens a connection to the service behind a door."""
+        path = connections.Path(
+            ipaddress.ip_address(self.settings.address).packed,
+            next(self._ports),
+            ipaddress.ip_address(door.address).packed,
+            door.port,
+        )
+        return self.attachment.connect(path, joint)
+
+
+class NearJoint(joints.Joint):
+    """Joint that opens its connection when an ordinary one is accepted.
+
+    Attributes:
+        near: The side that it belongs to.
+        door: Where the ordinary connection was accepted.
+    """
+
+    __slots__ = ("door", "near")
+
+    def __init__(self, near: Near, door: gateway_settings.Door) -> None:
+        """Creates a joint without sides.
+
+        Args:
+            near: The side that it belongs to.
+            door: Where the ordinary connection is accepted.
+        """
+        super().__init__(near.attachment)
+        self.near = near
+        self.door = door
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Opens the connection of the stand-ins."""
+        self.connection = self.near.connect(self.door, self)
+        super().connection_made(transport)
+
+
+@dataclasses.dataclass(slots=True)
+class FarTarget:
+    """A target that hands its connections to ordinary servers.
+
+    Attributes:
+        member: Address and failure domain.
+    """
+
+    member: target_settings.Member
+
+    def announcement(
+        self, lease_s: float, incarnation: int
+    ) -> requests.Announce:
+        """Returns what the target announces."""
+        return requests.Announce(
+            service=self.member.service,
+            address=self.member.address,
+            domain=self.member.domain,
+            incarnation=incarnation,
+            lease_s=lease_s,
+        )
+
+
+class Far:
+    """The side of the targets.
+
+    Attributes:
+        settings: Settings.
+        attachment: Carries the packets.
+        announcer: Renews the leases.
+        accepted: Connections accepted, by target address.
+    """
+
+    __slots__ = ("_tasks", "accepted", "announcer", "attachment", "settings")
+
+    def __init__(
+        self,
+        settings: gateway_settings.Far,
+        attachment: attachments.Attachment,
+    ) -> None:
+        """Creates the side.
+
+        Args:
+            settings: Settings.
+            attachment: Carries the packets.
+        """
+        self.settings = settings
+        self.attachment = attachment
+        self.announcer = announcers.Announcer(
+            [FarTarget(member) for member in settings.targets],
+            dict(settings.entries),
+            settings.lease_s,
+            int(time.time()),
+        )
+        self.accepted: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listens at all targets and announces them.
+
+        Raises:
+            OSError: The endpoint can't be bound.
+        """
+        self.attachment.start()
+        listeners = self.attachment.stack.listeners
+        for member in self.settings.targets:
+            packed = ipaddress.ip_address(member.address).packed
+            for server in self.settings.servers:
+                listener = _Listener(self, member.address, server)
+                listeners[(packed, server.port)] = listener.accept
+        self._start_task(self.announcer.run())
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        for task in self._tasks:
+            task.cancel()
+        self.attachment.close()
+
+    def join(
+        self, address: str, server: gateway_settings.Server
+    ) -> joints.Joint:
+        """Returns the joint of a new connection."""
+        self.accepted[address] = self.accepted.get(address, 0) + 1
+        joint = joints.Joint(self.attachment)
+        self._start_task(self._connect(joint, server))
+        return joint
+
+    async def _connect(
+        self, joint: joints.Joint, server: gateway_settings.Server
+    ) -> None:
+        """Connects a joint to its server, or resets its connection."""
+        loop = asyncio.get_running_loop()
+        to = server.connect
+        try:
+            await loop.create_connection(lambda: joint, to.address, to.port)
+        except OSError:
+            joint.abort()
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine and keeps it until it is done."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listener:
+    """Accepts the connections of one port of a target.
+
+    Attributes:
+        far: The side that it belongs to.
+        address: Address of the target.
+        server: The server behind the port.
+    """
+
+    far: Far
+    address: str
+    server: gateway_settings.Server
+
+    def accept(self, path: connections.Path) -> connections.Application:
+        """Returns the joint of a new connection."""
+        return self.far.join(self.address, self.server)
+
+
+class Process:
+    """The gateway.
+
+    Attributes:
+        near: The side of the callers; None for none.
+        far: The side of the targets; None for none.
+    """
+
+    __slots__ = ("far", "near")
+
+    def __init__(self, settings: gateway_settings.Settings) -> None:
+        """Creates a gateway that isn't started; needs a running loop.
+
+        Args:
+            settings: Settings.
+        """
+        self.near: Near | None = None
+        self.far: Far | None = None
+        if settings.near is not None:
+            attachment = _attach(settings, settings.near.listen, 0)
+            self.near = Near(settings.near, attachment)
+        if settings.far is not None:
+            attachment = _attach(settings, settings.far.listen, 1)
+            self.far = Far(settings.far, attachment)
+
+    async def start(self) -> None:
+        """Binds the sockets.
+
+        Raises:
+            OSError: An endpoint can't be bound.
+        """
+        for side in (self.far, self.near):
+            if side is not None:
+                await side.start()
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        for side in (self.near, self.far):
+            if side is not None:
+                await side.close()
+
+
+def _attach(
+    settings: gateway_settings.Settings, listen: peers.Endpoint, side: int
+) -> attachments.Attachment:
+    """Returns the attachment of one side."""
+    stack = stacks.Stack(2 * settings.seed + side, settings.mss)
+    return attachments.Attachment(stack, settings.fabric, listen)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/gateway/settings.py
@@ -0,0 +1,83 @@
+"""Settings of the gateway."""
+
+import msgspec
+
+from tamarack_core import peers
+from tamarack_lab.target import settings as target_settings
+
+
+class Door(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A loopback port whose connections are carried to a service.
+
+    Attributes:
+        listen: Endpoint of ordinary TCP; port 0 takes a free port.
+        address: Service address.
+        port: Service port.
+    """
+
+    listen: peers.Endpoint
+    address: str
+    port: int
+
+
+class Near(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The side of the callers.
+
+    Attributes:
+        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
+        address: IP address of the caller that the gateway stands for.
+        doors: Ports to accept connections at.
+    """
+
+    listen: peers.Endpoint
+    address: str
+    doors: tuple[Door, ...]
+
+
+class Server(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An ordinary server behind a port of the targets.
+
+    Attributes:
+        port: Port of the targets.
+        connect: Endpoint of the server.
+    """
+
+    port: int
+    connect: peers.Endpoint
+
+
+class Far(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The side of the targets.
+
+    Attributes:
+        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
+        targets: Targets that the gateway stands for.
+        servers: Servers behind the ports of each target.
+        entries: HTTP endpoints of entry hosts to announce to, by failure
+            domain.
+        lease_s: Lease that is asked for, in seconds.
+    """
+
+    listen: peers.Endpoint
+    targets: tuple[target_settings.Member, ...]
+    servers: tuple[Server, ...]
+    entries: dict[str, tuple[peers.Endpoint, ...]] = {}
+    lease_s: float = 10.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the gateway; it may have one side or both.
+
+    Attributes:
+        fabric: Endpoint of the fabric.
+        near: The side of the callers; None for none.
+        far: The side of the targets; None for none.
+        mss: Longest TCP payload of a packet in bytes.
+        seed: Seed of the initial sequence numbers.
+    """
+
+    fabric: peers.Endpoint
+    near: Near | None = None
+    far: Far | None = None
+    mss: int = 1400
+    seed: int = 0
--- a/packages/lab/src/tamarack_lab/stand_in_commands.py
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -11,6 +11,8 @@
 from tamarack_lab import settings as settings_lib
 from tamarack_lab.caller import process as caller_process
 from tamarack_lab.caller import settings as caller_settings
+from tamarack_lab.gateway import process as gateway_process
+from tamarack_lab.gateway import settings as gateway_settings
 from tamarack_lab.target import process as target_process
 from tamarack_lab.target import settings as target_settings
 
@@ -57,6 +59,17 @@
     click.echo(msgspec.json.encode(report).decode())
 
 
+@click.command()
+@settings_option
+def gateway(settings_file: pathlib.Path) -> None:
+    """Joins ordinary TCP connections to the stand-ins until stopped.
+
+    Example: tamarack lab gateway --settings gateway.json
+    """
+    settings = settings_lib.load(settings_file, gateway_settings.Settings)
+    asyncio.run(_run_gateway(settings))
+
+
 async def _run_fabric(settings: fabric_lib.Settings) -> None:
     """Runs the fabric until a signal."""
     stop = running.stop_event()
@@ -76,6 +89,15 @@
         await process.drain()
 
 
+async def _run_gateway(settings: gateway_settings.Settings) -> None:
+    """Runs the gateway until a signal."""
+    stop = running.stop_event()
+    with settings_lib.problems_shown():
+        process = gateway_process.Process(settings)
+    async with running.started(process):
+        await stop.wait()
+
+
 async def _run_caller(
     settings: caller_settings.Settings,
 ) -> msgspec.Struct:
--- a/packages/lab/src/tamarack_lab/target/announcer.py
+++ b/packages/lab/src/tamarack_lab/target/announcer.py
@@ -1,13 +1,32 @@
 """Announces targets to entry hosts and renews their leases."""
 
 import asyncio
+from collections.abc import Sequence
 import itertools
+from typing import Protocol
 
 import aiohttp
 import msgspec
 
 from tamarack_core import peers
-from tamarack_lab.target import server as servers
+from tamarack_core import requests
+from tamarack_lab.target import settings as target_settings
+
+
+class Announced(Protocol):
+    """What can be announced.
+
+    Attributes:
+        member: Address and failure domain of the target.
+    """
+
+    member: target_settings.Member
+
+    def announcement(
+        self, lease_s: float, incarnation: int
+    ) -> requests.Announce:
+        """Returns what the target announces."""
+
 
 # A lease survives the loss of two renewals in a row.
 RENEWALS_PER_LEASE = 3
@@ -38,7 +57,7 @@
 
     def __init__(
         self,
-        targets: list[servers.Server],
+        targets: Sequence[Announced],
         entries: dict[str, tuple[peers.Endpoint, ...]],
         lease_s: float,
         incarnation: int,
@@ -93,7 +112,7 @@
             return
 
     async def _announce_one(
-        self, session: aiohttp.ClientSession, target: servers.Server
+        self, session: aiohttp.ClientSession, target: Announced
     ) -> bool:
         """Announces a target to the first entry host that accepts."""
         entries = self.entries.get(target.member.domain, ())
