Add the fault-injecting proxy for UDP and TCP

Cause: partitions, loss and varying delay between real processes must be brought about by a seed and a schedule. Change: proxy/ decides fates without I/O, one seeded generator for each direction of a link; drivers for UDP and TCP; usable as a process, on a loop and in a thread beside code without one.

--- /dev/null
+++ b/packages/lab/src/tamarack_lab/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Fault-injecting proxy for UDP and TCP."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/proxy/thread.py
@@ -0,0 +1,93 @@
+"""Runs a proxy beside code that has no event loop, such as a test."""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Sequence
+import threading
+from typing import Any
+
+from tamarack_core import peers
+from tamarack_lab.proxy import process
+from tamarack_lab.proxy import settings as proxy_settings
+
+_TIMEOUT_S = 10.0
+
+
+class ThreadedProxy:
+    """A proxy on a loop in a thread of its own.
+
+    Attributes:
+        settings: Settings.
+    """
+
+    __slots__ = ("_loop", "_proxy", "_thread", "settings")
+
+    def __init__(self, settings: proxy_settings.Settings) -> None:
+        """Creates a proxy that isn't started.
+
+        Args:
+            settings: Settings.
+        """
+        self.settings = settings
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, daemon=True
+        )
+        self._proxy: process.Proxy | None = None
+
+    @property
+    def proxy(self) -> process.Proxy:
+        """The running proxy."""
+        if self._proxy is None:
+            raise RuntimeError("the proxy isn't started; call start()")
+        return self._proxy
+
+    def start(self) -> None:
+        """Starts the proxy.
+
+        Raises:
+            OSError: An endpoint can't be bound.
+            ValueError: A setting is bad.
+        """
+        self._thread.start()
+        try:
+            self._wait(self._start())
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Closes the proxy and ends the thread."""
+        if self._proxy is not None:
+            self._wait(self._proxy.close())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(_TIMEOUT_S)
+        self._loop.close()
+
+    def endpoint(self, name: str) -> peers.Endpoint:
+        """Returns where a link listens."""
+        return self.proxy.endpoint(name)
+
+    def set_faults(self, *schedule: proxy_settings.Fault) -> None:
+        """Replaces all faults; none at all heals every link."""
+        self._wait(self._set_faults(schedule))
+
+    def counters(self) -> dict[str, dict[str, int]]:
+        """Returns counts of each way, by link and direction."""
+        return self.proxy.counters()
+
+    async def _start(self) -> None:
+        """Starts the proxy on its loop."""
+        proxy = process.Proxy(self.settings)
+        self._proxy = proxy
+        await proxy.start()
+
+    async def _set_faults(
+        self, schedule: Sequence[proxy_settings.Fault]
+    ) -> None:
+        """Replaces all faults on the loop."""
+        self.proxy.set_faults(schedule)
+
+    def _wait(self, work: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine on the loop and waits for it."""
+        asyncio.run_coroutine_threadsafe(work, self._loop).result(_TIMEOUT_S)
--- a/packages/lab/src/tamarack_lab/stand_in_commands.py
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -13,6 +13,8 @@
 from tamarack_lab.caller import settings as caller_settings
 from tamarack_lab.gateway import process as gateway_process
 from tamarack_lab.gateway import settings as gateway_settings
+from tamarack_lab.proxy import process as proxy_process
+from tamarack_lab.proxy import settings as proxy_settings
 from tamarack_lab.target import process as target_process
 from tamarack_lab.target import settings as target_settings
 
@@ -70,6 +72,17 @@
     asyncio.run(_run_gateway(settings))
 
 
+@click.command()
+@settings_option
+def proxy(settings_file: pathlib.Path) -> None:
+    """Carries links between processes and brings about faults.
+
+    Example: tamarack lab proxy --settings proxy.json
+    """
+    settings = settings_lib.load(settings_file, proxy_settings.Settings)
+    asyncio.run(_run_proxy(settings))
+
+
 async def _run_fabric(settings: fabric_lib.Settings) -> None:
     """Runs the fabric until a signal."""
     stop = running.stop_event()
@@ -98,6 +111,15 @@
         await stop.wait()
 
 
+async def _run_proxy(settings: proxy_settings.Settings) -> None:
+    """Runs the proxy until a signal."""
+    stop = running.stop_event()
+    with settings_lib.problems_shown():
+        process = proxy_process.Proxy(settings)
+    async with running.started(process):
+        await stop.wait()
+
+
 async def _run_caller(
     settings: caller_settings.Settings,
 ) -> msgspec.Struct:
--- /dev/null
+++ b/tests/cover/test_fault_proxy.py
@@ -0,0 +1,216 @@
+"""Fault-injecting proxy."""
+
+import random
+import socket
+import threading
+
+import testtools
+from testtools import matchers
+
+from tamarack_core import peers
+from tamarack_lab.proxy import faults as faults_lib
+from tamarack_lab.proxy import settings as proxy_settings
+from tamarack_lab.proxy import thread
+
+Direction = proxy_settings.Direction
+Directions = proxy_settings.Directions
+Fault = proxy_settings.Fault
+TCP = proxy_settings.Protocol.TCP
+UDP = proxy_settings.Protocol.UDP
+ANY = peers.Endpoint("127.0.0.1", 0)
+TIMEOUT_S = 10.0
+SILENCE_S = 0.2
+COUNT = 400
+
+
+def delays(schedule, count=COUNT, seed=1, link="a-b", spacing_s=0.001):
+    """Returns the delays of the copies of each of some datagrams."""
+    way = faults_lib.Way(seed, link, Direction.FORWARD)
+    faults = faults_lib.Faults(schedule)
+    return [
+        faults.datagram_delays(way, number * spacing_s)
+        for number in range(count)
+    ]
+
+
+def where(endpoint):
+    """Returns the socket address of an endpoint."""
+    return endpoint.address, endpoint.port
+
+
+class FaultsTest(testtools.TestCase):
+    """Decisions, without sockets."""
+
+    def test_the_same_seed_gives_the_same_fates(self):
+        schedule = [Fault(loss=0.3, jitter_s=0.01, duplicate=0.2, reorder=0.2)]
+        self.assertEqual(delays(schedule), delays(schedule))
+        self.assertNotEqual(delays(schedule), delays(schedule, seed=2))
+
+    def test_loss_takes_about_its_share(self):
+        lost = delays([Fault(loss=0.25)]).count([])
+        self.assertThat(lost, matchers.GreaterThan(COUNT // 8))
+        self.assertThat(lost, matchers.LessThan(COUNT // 2))
+
+    def test_jitter_varies_the_delay_and_keeps_the_order(self):
+        found = delays([Fault(delay_s=0.003, jitter_s=0.01)])
+        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(found)]
+        self.assertEqual(sorted(arrivals), arrivals)
+        self.assertThat(
+            len({delay for (delay,) in found}), matchers.GreaterThan(9)
+        )
+
+    def test_reordering_lets_later_datagrams_pass(self):
+        found = delays([Fault(reorder=0.1, reorder_s=0.01)])
+        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(found)]
+        self.assertNotEqual(sorted(arrivals), arrivals)
+
+    def test_duplication_gives_two_copies(self):
+        found = delays([Fault(duplicate=1.0)])
+        self.assertEqual({2}, {len(copies) for copies in found})
+
+    def test_a_partition_holds_for_its_time_and_direction_only(self):
+        schedule = [
+            Fault(
+                links=("a-*",),
+                direction=Directions.FORWARD,
+                from_s=0.1,
+                until_s=0.2,
+                partition=True,
+            )
+        ]
+        found = delays(schedule)
+        self.assertEqual(
+            list(range(100, 200)),
+            [n for n, copies in enumerate(found) if not copies],
+        )
+        self.assertNotIn([], delays(schedule, link="c-d"))
+        back = faults_lib.Way(1, "a-b", Direction.BACK)
+        faults = faults_lib.Faults(schedule)
+        self.assertFalse(faults.is_partitioned(back, 0.15))
+
+    def test_bad_links_are_refused_by_path(self):
+        link = proxy_settings.Link("x", TCP, ANY, ANY, ANY, ANY)
+        settings = proxy_settings.Settings((link,))
+        error = self.assertRaises(ValueError, proxy_settings.check, settings)
+        self.assertIn("$.links[0].outward", str(error))
+
+
+class ProxyTest(testtools.TestCase):
+    """Real sockets on loopback."""
+
+    def start(self, *links, schedule=()):
+        settings = proxy_settings.Settings(links, 1, schedule)
+        proxy = thread.ThreadedProxy(settings)
+        proxy.start()
+        self.addCleanup(proxy.close)
+        return proxy
+
+    def udp(self):
+        bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        bound.bind(("127.0.0.1", 0))
+        bound.settimeout(TIMEOUT_S)
+        self.addCleanup(bound.close)
+        return bound
+
+    def test_datagrams_pass_both_ways_for_each_sender(self):
+        server, one, two = self.udp(), self.udp(), self.udp()
+        proxy = self.start(self.udp_link(server))
+        for client, text in ((one, b"one"), (two, b"two")):
+            client.sendto(text, where(proxy.endpoint("link")))
+            data, source = server.recvfrom(100)
+            server.sendto(data.upper(), source)
+        self.assertEqual((b"ONE", b"TWO"), (one.recv(100), two.recv(100)))
+
+    def test_a_fixed_pair_keeps_the_endpoints_that_each_side_sees(self):
+        near, far, place = self.udp(), self.udp(), self.udp()
+        outward = peers.Endpoint(*place.getsockname())
+        place.close()
+        link = proxy_settings.Link(
+            "link",
+            UDP,
+            ANY,
+            peers.Endpoint(*far.getsockname()),
+            outward,
+            peers.Endpoint(*near.getsockname()),
+        )
+        proxy = self.start(link)
+        far.sendto(b"first", where(outward))
+        data, source = near.recvfrom(100)
+        self.assertEqual(b"first", data)
+        self.assertEqual(where(proxy.endpoint("link")), source)
+        near.sendto(b"second", source)
+        self.assertEqual((b"second", where(outward)), far.recvfrom(100))
+
+    def test_a_one_way_partition_lets_the_other_way_pass(self):
+        server, client = self.udp(), self.udp()
+        proxy = self.start(self.udp_link(server))
+        client.sendto(b"open", where(proxy.endpoint("link")))
+        _, source = server.recvfrom(100)
+        proxy.set_faults(Fault(direction=Directions.FORWARD, partition=True))
+        client.sendto(b"lost", where(proxy.endpoint("link")))
+        server.sendto(b"back", source)
+        self.assertEqual(b"back", client.recv(100))
+        server.settimeout(SILENCE_S)
+        self.assertRaises(TimeoutError, server.recv, 100)
+        self.assertEqual(1, proxy.counters()["link/forward"]["lost"])
+
+    def test_a_silent_partition_holds_tcp_and_heals_without_a_reset(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        to = peers.Endpoint(*server.getsockname())
+        proxy = self.start(proxy_settings.Link("link", TCP, ANY, to))
+        client = socket.create_connection(
+            where(proxy.endpoint("link")), TIMEOUT_S
+        )
+        self.addCleanup(client.close)
+        accepted, _ = server.accept()
+        self.addCleanup(accepted.close)
+        proxy.set_faults(Fault(partition=True))
+        client.sendall(b"held")
+        accepted.settimeout(SILENCE_S)
+        self.assertRaises(TimeoutError, accepted.recv, 100)
+        proxy.set_faults()
+        accepted.settimeout(TIMEOUT_S)
+        self.assertEqual(b"held", accepted.recv(100))
+        client.shutdown(socket.SHUT_WR)
+        self.assertEqual(b"", accepted.recv(100))
+
+    def test_a_delayed_datagram_comes_after_a_later_one_of_another_link(self):
+        server, client = self.udp(), self.udp()
+        to = peers.Endpoint(*server.getsockname())
+        proxy = self.start(
+            proxy_settings.Link("slow", UDP, ANY, to),
+            proxy_settings.Link("fast", UDP, ANY, to),
+            schedule=(Fault(links=("slow",), delay_s=SILENCE_S),),
+        )
+        client.sendto(b"slow", where(proxy.endpoint("slow")))
+        client.sendto(b"fast", where(proxy.endpoint("fast")))
+        self.assertEqual(
+            (b"fast", b"slow"), (server.recv(100), server.recv(100))
+        )
+
+    def test_delay_and_loss_on_tcp_change_neither_data_nor_order(self):
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        to = peers.Endpoint(*server.getsockname())
+        proxy = self.start(
+            proxy_settings.Link("link", TCP, ANY, to),
+            schedule=(Fault(loss=0.2, delay_s=0.001, jitter_s=0.005),),
+        )
+        client = socket.create_connection(
+            where(proxy.endpoint("link")), TIMEOUT_S
+        )
+        data = random.Random(1).randbytes(300_000)
+        sending = threading.Thread(target=client.sendall, args=(data,))
+        sending.start()
+        accepted, _ = server.accept()
+        self.addCleanup(accepted.close)
+        with accepted.makefile("rb") as received:
+            got = received.read(len(data))
+        sending.join()
+        client.close()
+        self.assertTrue(data == got)
+
+    def udp_link(self, server):
+        to = peers.Endpoint(*server.getsockname())
+        return proxy_settings.Link("link", UDP, ANY, to)
