Add membership of the entry hosts inside a failure domain

Cause: entry hosts must know who is alive without any control host, at a traffic that does not grow with the number of members. Change: failure detection after SWIM (one probe a second, indirect probes, suspicion, incarnation numbers, refutation), changes that ride on probes, joins by pages, a digest that reads one page at a time while views differ, graceful leaving state, probes of dead members so that a healed cut merges.

--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -11,9 +11,10 @@
 from tamarack_core import peers
 from tamarack_core import timeline
 from tamarack_core.messages import distribution
+from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
-Message = distribution.Message | targets.Message
+Message = distribution.Message | membership.Message | targets.Message
 
 FORMAT_VERSION = 1
 
