--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -10,11 +10,19 @@
 from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_core import timeline
+from tamarack_core.messages import consensus
+from tamarack_core.messages import control
 from tamarack_core.messages import distribution
 from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
-Message = distribution.Message | membership.Message | targets.Message
+Message = (
+    consensus.Message
+    | control.Message
+    | distribution.Message
+    | membership.Message
+    | targets.Message
+)
 
 FORMAT_VERSION = 1
 
--- a/tests/slow/test_membership.py
+++ b/tests/slow/test_membership.py
@@ -3,10 +3,10 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
-import membership_network
 import testtools
 
 from tamarack_core.messages import membership
+from tests.slow import membership_network
 
 BUDGET_BYTES_PER_S = 1024
 JOIN_S = 15.0
