Load the lab's commands only when they are used; test the commands

Cause: tamarack status took 2.19 s, of which 2.0 s went to the import of plotting libraries for commands that were not called. Change: a group that loads the entry points on use; tests of patch, resend, exit statuses, status, time line, bad settings, a port in use, a bad or locked data folder, over real processes.

--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -1,19 +1,16 @@
 """Entry point of `tamarack`."""
 
-import importlib.metadata
-
 import click
 
 from tamarack_ctl.internal import completion
+from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import patching
 from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
 from tamarack_ctl.internal import timeline
 
-COMMANDS_GROUP = "tamarack.commands"
-
 
-@click.group()
+@click.group(cls=extensions.ExtensibleGroup)
 def main() -> None:
     """Operates the tamarackford load balancer."""
 
@@ -23,6 +20,3 @@
 main.add_command(patching.patch)
 main.add_command(timeline.timeline)
 main.add_command(completion.completion)
-
-for _entry_point in importlib.metadata.entry_points(group=COMMANDS_GROUP):
-    main.add_command(_entry_point.load(), _entry_point.name)
--- /dev/null
+++ b/tests/slow/test_command_line.py
@@ -0,0 +1,207 @@
+"""Operators' commands and bad starts, with real processes."""
+
+import json
+import pathlib
+import subprocess
+import tempfile
+
+import testtools
+from testtools import matchers
+
+from tests import processes
+
+SERVICE = {
+    "addresses": ["10.9.0.1"],
+    "target_networks": ["10.1.0.0/24"],
+    "classes": {"routes": {"port": 80, "target_port": 8080}},
+}
+ADD_SERVICE = [{"op": "add", "path": "/services/agenda", "value": SERVICE}]
+SILENT_HOST = "127.0.0.1:9"
+COMMAND_TIMEOUT_S = 60
+
+
+def run(program, *arguments):
+    """Returns the finished run of one of the two programs."""
+    return subprocess.run(
+        [processes.BINARIES / program, *map(str, arguments)],
+        capture_output=True,
+        text=True,
+        timeout=COMMAND_TIMEOUT_S,
+    )
+
+
+class HostCase(testtools.TestCase):
+    """A folder, and settings of a host with both roles."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.settings = {
+            "host": "both-1",
+            "domain": "a",
+            "roles": ["entry", "control"],
+            "control": ["127.0.0.1", processes.free_port()],
+            "data": ["127.0.0.1", processes.free_port()],
+            "fabric": ["127.0.0.1", processes.free_port()],
+            "data_folder": str(self.folder / "state"),
+            "seed": 1,
+        }
+
+    def write(self, name, document):
+        """Returns the path of a new JSON file."""
+        path = self.folder / name
+        path.write_text(json.dumps(document))
+        return path
+
+    def start(self):
+        daemon = processes.Daemon(self.folder, self.settings)
+        self.addCleanup(daemon.kill)
+        daemon.wait_started()
+        return daemon
+
+
+class OperatorTest(HostCase):
+    """A night operator at work."""
+
+    def setUp(self):
+        super().setUp()
+        self.daemon = self.start()
+        self.host = f"127.0.0.1:{self.daemon.port}"
+        processes.wait_until(
+            lambda: (
+                run("tamarack", "services", "--host", self.host).returncode == 0
+            ),
+            "a leader",
+        )
+
+    def tamarack(self, command, *arguments):
+        """Returns exit status, decoded output and error text."""
+        hosts = ("--host", SILENT_HOST, "--host", self.host, "--json")
+        done = run("tamarack", command, *arguments, *hosts)
+        document = json.loads(done.stdout) if done.stdout else None
+        return done.returncode, document, done.stderr
+
+    def patch(self, version, patch_id, operations):
+        file = self.write("patch.json", operations)
+        options = ("--on", version, "--id", patch_id, "--author", "ada")
+        return self.tamarack("patch", file, *options)
+
+    def test_a_patch_goes_past_a_silent_host_and_a_resend_changes_nothing(self):
+        first = self.patch(0, "p1", ADD_SERVICE)
+        again = self.patch(0, "p1", ADD_SERVICE)
+        self.assertEqual(
+            (0, "accepted", 1),
+            (first[0], first[1]["state"], first[1]["version"]),
+        )
+        self.assertEqual(first[:2], again[:2])
+        code, numbered, _ = self.tamarack("services")
+        self.assertEqual((0, 1), (code, numbered["version"]))
+        self.assertEqual(
+            ["agenda"], list(numbered["configuration"]["services"])
+        )
+
+    def test_each_verdict_has_its_exit_status(self):
+        self.patch(0, "p1", ADD_SERVICE)
+        remove = [{"op": "remove", "path": "/services/agenda"}]
+        absent = [{"op": "remove", "path": "/services/informe"}]
+        codes = [
+            self.patch(0, "p2", remove)[0],
+            self.patch(1, "p3", absent)[0],
+            run(
+                "tamarack",
+                "patch",
+                self.write("p", remove),
+                "--on",
+                1,
+                "--author",
+                "a",
+                "--host",
+                SILENT_HOST,
+            ).returncode,
+        ]
+        self.assertEqual([3, 1, 5], codes)
+
+    def test_status_names_the_host_that_does_not_answer(self):
+        code, hosts, error = self.tamarack("status")
+        self.assertEqual(
+            (4, ["both-1"]), (code, [host["host"] for host in hosts])
+        )
+        self.assertThat(error, matchers.Contains(SILENT_HOST))
+
+    def test_the_time_line_shows_what_changed_and_can_be_filtered(self):
+        self.patch(0, "p1", ADD_SERVICE)
+        self.patch(1, "p2", [{"op": "remove", "path": "/services/agenda"}])
+        processes.wait_until(
+            lambda: (
+                processes.call(self.daemon.port, "GET", "/v1/status")[1][
+                    "version"
+                ]
+                == 2
+            ),
+            "version 2 in force",
+        )
+        _, entries, _ = self.tamarack("timeline", "--event", "version-in-force")
+        self.assertEqual([1, 2], [entry["version"] for entry in entries])
+        stamps = [entry["stamp"] for entry in entries]
+        self.assertEqual(sorted(stamps), stamps)
+        _, entries, _ = self.tamarack(
+            "timeline", "--version", 2, "--event", "version-in-force"
+        )
+        self.assertEqual([2], [entry["version"] for entry in entries])
+
+
+class BadStartTest(HostCase):
+    """One clear line and a status that is not zero."""
+
+    def start_badly(self):
+        file = self.write("bad.json", self.settings)
+        return run("tamarackd", "--settings", file)
+
+    def test_each_bad_setting_is_named_with_path_value_and_fix(self):
+        self.settings.update(colour="red", log_level="loud", roles=["guard"])
+        del self.settings["domain"]
+        file = self.write("bad.json", self.settings)
+        done = run("tamarackd", "check", "--settings", file)
+        self.assertEqual(2, done.returncode)
+        for path in ("$.colour", "$.domain", "$.roles"):
+            self.assertThat(done.stderr, matchers.Contains(f"{path}: "))
+        self.assertThat(done.stderr, matchers.Contains("guard"))
+
+    def test_values_that_do_not_go_together_are_named(self):
+        del self.settings["data"], self.settings["data_folder"]
+        file = self.write("bad.json", self.settings)
+        done = run("tamarackd", "check", "--settings", file)
+        self.assertEqual(2, done.returncode)
+        for path in ("$.data: ", "$.data_folder: "):
+            self.assertThat(done.stderr, matchers.Contains(path))
+
+    def test_a_port_in_use_ends_the_second_process(self):
+        self.start()
+        self.settings["data_folder"] = str(self.folder / "other")
+        done = self.start_badly()
+        self.assertEqual(3, done.returncode, done.stderr)
+        self.assertThat(done.stderr, matchers.Contains("event=cannot-start"))
+
+    def test_a_data_folder_that_is_a_file_ends_the_process(self):
+        self.settings["data_folder"] = str(self.write("file", {}))
+        done = self.start_badly()
+        self.assertNotEqual(0, done.returncode)
+        lines = [
+            line for line in done.stderr.splitlines() if "level=error" in line
+        ]
+        self.assertEqual(1, len(lines), done.stderr)
+        self.assertThat(
+            done.stderr, matchers.Not(matchers.Contains("Traceback"))
+        )
+
+    def test_a_second_process_on_one_data_folder_is_refused(self):
+        self.start()
+        self.settings["control"][1] = processes.free_port()
+        self.settings["data"][1] = processes.free_port()
+        done = self.start_badly()
+        self.assertNotEqual(0, done.returncode)
+        self.assertThat(
+            done.stderr, matchers.Not(matchers.Contains("Traceback"))
+        )
