--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -139,6 +139,7 @@
                 for domain in self.plan.domains
             },
             lease_s=6.0,
+            drain_s=5.0,
             seed=self.seed,
         )
 
