--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -8,11 +8,14 @@
 from tamarack_core import reducer
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
+from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import chooser
+from tamarack_core.internal.balancing import reporting
 from tamarack_core.internal.control import single
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
-from tamarack_core.internal.entry import hashing
+from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
 
@@ -54,15 +57,21 @@
     held = holder.Holder()
     targets = table.TargetTable()
     distribution = polling.Polling(context, held, plan.sources)
-    path = data_path.DataPath(context, held, hashing.HashChooser(targets))
+    book = book_lib.Book()
+    choice = chooser.BalancingChooser(context, targets, book)
+    path = data_path.DataPath(context, held, choice)
+
+    def live_members() -> tuple[peers.Peer, ...]:
+        """Returns the other live entry hosts of the failure domain."""
+        return plan.entry_peers
+
     parts: list[reducer.Part] = [distribution]
     if Role.ENTRY in plan.roles:
         parts.append(path)
-        parts.append(
-            announcements.Announcements(
-                context, held, targets, plan.entry_peers
-            )
-        )
+        leases = aggregation.Aggregation(context, targets, live_members)
+        parts.append(leases)
+        parts.append(announcements.Announcements(context, held, leases))
+        parts.append(reporting.Reporting(context, held, book, live_members))
     if Role.CONTROL in plan.roles:
         parts.append(single.SingleControl(held, distribution))
     parts.append(
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -72,12 +72,16 @@
         target_networks: Networks in CIDR form that hold the targets of this
             service and of no other.
         weights: What the service values.
+        opening_hosts: Hosts of a failure domain that choose the targets of
+            new connections, at least 1; fewer know the load better, more
+            share the opening packets.
     """
 
     addresses: tuple[str, ...]
     classes: dict[str, WorkClass]
     target_networks: tuple[str, ...]
     weights: Weights = Weights()
+    opening_hosts: int = 2
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -0,0 +1,182 @@
+"""Choice of the least loaded target over all hosts of a failure domain."""
+
+from collections.abc import Sequence
+
+from tamarack_core import configuration
+from tamarack_core import context as context_lib
+from tamarack_core import verdict
+from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import health as health_lib
+from tamarack_core.internal.balancing import ramp
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import hashing
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.targets import table
+
+HELD_WEIGHT = 0.01
+"""Weight of a held unit beside an active one when a bounded flow opens."""
+
+TIE_UNITS = 0.25
+"""Work units within which two loads count as equal."""
+
+MAX_SLACK_UNITS = 4.0
+"""Work units that a target may be above the least loaded one when broken
+flows are all that a service weighs."""
+
+_FAILURES = frozenset(
+    {choosing.Progress.REFUSED_BY_TARGET, choosing.Progress.SILENT}
+)
+
+
+class BalancingChooser:
+    """Gives each flow the target with the least work for its capacity.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        targets: Announced targets.
+        book: Work in flight by target.
+        health: Health by target.
+        ramp: Capacity of targets that have just started.
+    """
+
+    __slots__ = (
+        "book",
+        "context",
+        "health",
+        "ramp",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        context: context_lib.Context,
+        targets: table.TargetTable,
+        book: book_lib.Book,
+    ) -> None:
+        """Creates a chooser.
+
+        Args:
+            context: Identity, chance, time and counters.
+            targets: Announced targets.
+            book: Work in flight by target.
+        """
+        self.context = context
+        self.targets = targets
+        self.book = book
+        self.health = health_lib.HealthBook()
+        self.ramp = ramp.Ramp()
+
+    def choose(
+        self, now_s: float, opening: choosing.Opening
+    ) -> choosing.Choice | choosing.Refusal:
+        """Returns the target for a connection, or the refusal of it."""
+        port = opening.port
+        ready = self.targets.ready(now_s, port.service, len(port.address))
+        if not ready:
+            return choosing.Refusal(verdict.not_run("no-ready-target"))
+        room = [target for target in ready if self._has_room(target, port)]
+        if not room:
+            return choosing.Refusal(verdict.not_run("connections-full"))
+        eligible = self.health.eligible(now_s, room)
+        target = self._pick(now_s, opening, eligible)
+        self.book.add(now_s, target, port.settings)
+        return choosing.Choice(target)
+
+    def observe(self, now_s: float, observation: choosing.Observation) -> None:
+        """Counts a step in the life of a flow."""
+        progress = observation.progress
+        target = observation.target
+        settings = observation.port.settings
+        if progress is choosing.Progress.OPENED:
+            self.book.add(now_s, target, settings)
+        elif progress is choosing.Progress.ESTABLISHED:
+            if self.health.answer(now_s, target, observation.elapsed_s):
+                self.ramp.restart(now_s, target)
+        elif progress is choosing.Progress.REPLIED:
+            self.book.answer(now_s, target, settings)
+        if progress in _FAILURES and self._is_fault(now_s, target):
+            self.health.fail(now_s, target)
+        if progress in choosing.ENDS:
+            answered = progress is choosing.Progress.CLOSED
+            self.book.remove(target, observation.port, answered)
+
+    def _is_fault(self, now_s: float, target: bytes) -> bool:
+        """Returns False for a target that refuses since it is full."""
+        held = self.targets.targets.get(target)
+        slots = held.announcement.slots if held else 1
+        return self.book.active(now_s, target) <= slots
+
+    def _has_room(self, target: bytes, port: lookup.ServicePort) -> bool:
+        """Returns whether a target can hold one more connection."""
+        announcement = self.targets.targets[target].announcement
+        cost = port.settings.cost
+        held = self.book.held(target) / cost if cost else 0.0
+        return held < announcement.connections
+
+    def _pick(
+        self, now_s: float, opening: choosing.Opening, targets: list[bytes]
+    ) -> bytes:
+        """Returns a target with little work for its capacity.
+
+        Among targets that count as equal the default one is taken: a flow at
+        its default target survives the loss of every host that knows of it.
+        """
+        loads = self._loads(now_s, opening.port, targets)
+        capacities = self._capacities(now_s, targets)
+        slack = TIE_UNITS + _slack(opening.port.weights)
+        bound = min(
+            (load + slack) / capacity
+            for load, capacity in zip(loads, capacities, strict=True)
+        )
+        low = [
+            target
+            for target, load, capacity in zip(
+                targets, loads, capacities, strict=True
+            )
+            if load / capacity <= bound
+        ]
+        return max(low, key=lambda target: hashing.weight(opening.flow, target))
+
+    def _loads(
+        self, now_s: float, port: lookup.ServicePort, targets: Sequence[bytes]
+    ) -> list[float]:
+        """Returns the work units at each target that count for a flow."""
+        bounded = port.settings.lifetime is configuration.Lifetime.BOUNDED
+        weight = HELD_WEIGHT if bounded else 1.0
+        return [
+            self.book.active(now_s, target) + weight * self.book.held(target)
+            for target in targets
+        ]
+
+    def _capacities(
+        self, now_s: float, targets: Sequence[bytes]
+    ) -> list[float]:
+        """Returns the capacity of each target in work units, above 0."""
+        announced = [self.targets.targets[target] for target in targets]
+        unhealthy = {
+            target
+            for target, entry in zip(targets, announced, strict=True)
+            if not entry.announcement.healthy
+        }
+        factors = self.health.capacity_factors(now_s, targets, unhealthy)
+        return [
+            max(1, entry.announcement.slots)
+            * factor
+            * self.ramp.factor(now_s, target, entry.announcement)
+            for target, entry, factor in zip(
+                targets, announced, factors, strict=True
+            )
+        ]
+
+
+def _slack(weights: configuration.Weights) -> float:
+    """Returns the work units that the default target may be above the least.
+
+    A service that weighs broken flows more than imbalance keeps more flows
+    at their default targets.
+    """
+    total = weights.broken_flows + weights.imbalance
+    if not total:
+        return 0.0
+    lead = (weights.broken_flows - weights.imbalance) / total
+    return MAX_SLACK_UNITS * max(0.0, lead)
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/balancing/owner_group.py
@@ -0,0 +1,34 @@
+"""Hosts that own the flows of a service.
+
+A service with few slots is balanced best by few hosts with exact knowledge,
+so its flows are owned by a group that each host derives from the members.
+"""
+
+from collections.abc import Iterable
+import hashlib
+
+from tamarack_core import peers
+
+_DIGEST_BYTES = 8
+
+
+def members(
+    service: str, live: Iterable[peers.Peer], size: int
+) -> list[peers.Peer]:
+    """Returns the hosts of the group, by descending rendezvous weight.
+
+    Args:
+        service: Name of the service.
+        live: Entry hosts of the failure domain that are held to be alive.
+        size: Number of hosts in the group, at least 1.
+    """
+    ranked = sorted(
+        live, key=lambda peer: _weight(service, peer.host), reverse=True
+    )
+    return ranked[:size]
+
+
+def _weight(service: str, host: str) -> bytes:
+    """Returns the pseudo-random weight of a host for a service."""
+    text = f"{service}\0{host}".encode()
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/choosing.py
@@ -56,6 +56,17 @@
     SILENT = "silent"
 
 
+ENDS = frozenset(
+    {
+        Progress.CLOSED,
+        Progress.RESET_BY_TARGET,
+        Progress.REFUSED_BY_TARGET,
+        Progress.SILENT,
+    }
+)
+"""Steps after which a flow is over."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
     """A step in the life of a flow.
--- a/packages/core/src/tamarack_core/internal/entry/hashing.py
+++ b/packages/core/src/tamarack_core/internal/entry/hashing.py
@@ -31,13 +31,13 @@
         if not ready:
             return choosing.Refusal(verdict.not_run("no-ready-target"))
         return choosing.Choice(
-            max(ready, key=lambda target: _weight(opening.flow, target))
+            max(ready, key=lambda target: weight(opening.flow, target))
         )
 
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
         """Ignores the observation; the hash depends on no load."""
 
 
-def _weight(flow: bytes, target: bytes) -> bytes:
+def weight(flow: bytes, target: bytes) -> bytes:
     """Returns the pseudo-random weight of a target for a flow."""
     return hashlib.blake2b(flow + target, digest_size=_DIGEST_BYTES).digest()
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/targets/aggregation.py
@@ -0,0 +1,363 @@
+"""Leases of targets: each target has one aggregator among the entry hosts.
+
+Renewals end at the aggregator; only changes travel on to the other hosts.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import hashlib
+
+from tamarack_core import context as context_lib
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core.internal.targets import outbox as outbox_lib
+from tamarack_core.internal.targets import table
+from tamarack_core.messages import targets as target_messages
+from tamarack_core.packets import ip
+
+TIMER = "target-leases"
+TICK_S = 0.5
+FORGET_S = 600.0
+"""Time after which an expired target is forgotten."""
+
+FORWARD_S = 5.0
+"""Time for which a change is forwarded until the aggregator spreads it."""
+
+_DIGEST_BYTES = 8
+
+
+@dataclasses.dataclass(slots=True)
+class Forward:
+    """A change that this host received and another one aggregates.
+
+    Attributes:
+        announcement: What the target announced.
+        received_s: Time at which this host received it, in seconds.
+    """
+
+    announcement: requests.Announce
+    received_s: float
+
+
+class Aggregation:
+    """Part that keeps the leases of targets and spreads their changes.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        table: Announced targets.
+        members: Returns the other live entry hosts of the failure domain.
+        outbox: Changes that other hosts have not confirmed.
+        announced_s: Time in seconds at which each target that this host
+            aggregates was last announced, by packed address.
+        forwards: Changes that the aggregator has not spread so far, by
+            packed address.
+        unconfirmed: Targets that have not been announced since this host
+            became their aggregator.
+        known: Names of the members at the last tick.
+    """
+
+    __slots__ = (
+        "announced_s",
+        "context",
+        "forwards",
+        "known",
+        "members",
+        "outbox",
+        "table",
+        "unconfirmed",
+    )
+
+    def __init__(
+        self,
+        context: context_lib.Context,
+        target_table: table.TargetTable,
+        live_members: Callable[[], tuple[peers.Peer, ...]],
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            context: Identity, chance, time and counters.
+            target_table: Table to keep up to date.
+            live_members: Returns the other live entry hosts of the failure
+                domain.
+        """
+        self.context = context
+        self.table = target_table
+        self.members = live_members
+        self.outbox = outbox_lib.Outbox()
+        self.announced_s: dict[bytes, float] = {}
+        self.forwards: dict[bytes, Forward] = {}
+        self.unconfirmed: set[bytes] = set()
+        self.known: set[str] = set()
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {
+            events.Started: self.handle_started,
+            TIMER: self.handle_timer,
+            target_messages.TargetForwarded: self.handle_forwarded,
+            target_messages.TargetChanged: self.handle_changed,
+            target_messages.TargetReceived: self.handle_received,
+        }
+
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Starts the timer."""
+        return [effects.StartTimer(TIMER, TICK_S)]
+
+    def accept(
+        self, now_s: float, announcement: requests.Announce, age_s: float = 0.0
+    ) -> list[effects.Effect]:
+        """Takes in an announcement at the host that received it.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            announcement: What the target announced.
+            age_s: Seconds since a host received it.
+        """
+        address = ip.pack_address(announcement.address)
+        aggregator = self._aggregator(address)
+        if aggregator.host == self.context.host.host:
+            return self._renew(now_s, address, announcement, age_s)
+        self.forwards.pop(address, None)
+        held = self.table.targets.get(address)
+        if held is None or _differs(held.announcement, announcement):
+            self.forwards[address] = Forward(announcement, now_s)
+        message = target_messages.TargetForwarded(announcement, age_s)
+        return [effects.SendMessage(aggregator, message)]
+
+    def _forward_again(self, now_s: float) -> list[effects.Effect]:
+        """Forwards the changes that their aggregators have not spread."""
+        waiting = self.forwards
+        self.forwards = {}
+        found = []
+        for address, forward in waiting.items():
+            held = self.table.targets.get(address)
+            age_s = now_s - forward.received_s
+            if age_s > FORWARD_S:
+                continue
+            if held and not _differs(held.announcement, forward.announcement):
+                continue
+            found.extend(self.accept(now_s, forward.announcement, age_s))
+            self.forwards[address] = forward
+        return found
+
+    def handle_forwarded(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Takes in an announcement that another host received.
+
+        A host that is not the aggregator in its own view takes it as well,
+        since views differ for a while when members come and go.
+        """
+        message = event.message
+        assert isinstance(message, target_messages.TargetForwarded)
+        address = ip.pack_address(message.announcement.address)
+        return self._renew(
+            event.now_s, address, message.announcement, message.age_s
+        )
+
+    def handle_changed(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Applies a change that the aggregator accepted."""
+        message = event.message
+        assert isinstance(message, target_messages.TargetChanged)
+        announcement = message.announcement
+        address = ip.pack_address(announcement.address)
+        expires_s = event.now_s if message.expired else table.NEVER_S
+        target = table.Target(
+            announcement, message.sequence, event.sender.host, expires_s
+        )
+        held = self.table.targets.get(address)
+        found: list[effects.Effect] = [
+            effects.SendMessage(
+                event.sender,
+                target_messages.TargetReceived(
+                    announcement.address, message.sequence
+                ),
+            )
+        ]
+        if held is not None and held.order >= target.order:
+            return found
+        if self._aggregator(address).host == self.context.host.host:
+            self.unconfirmed.add(address)
+            if not message.expired:
+                target.expires_s = event.now_s + announcement.lease_s
+        self.table.put(target)
+        found.extend(self._record(event.now_s, held, target))
+        return found
+
+    def handle_received(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Takes note of a confirmation."""
+        message = event.message
+        assert isinstance(message, target_messages.TargetReceived)
+        self.outbox.confirm(
+            event.sender.host, message.address, message.sequence
+        )
+        return []
+
+    def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
+        """Ends leases, greets new members and sends again what was lost."""
+        now_s = event.now_s
+        live = self.members()
+        names = {peer.host for peer in live}
+        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        found.extend(self.outbox.resend(now_s, names))
+        found.extend(self._forward_again(now_s))
+        arrived = [peer for peer in live if peer.host not in self.known]
+        has_changed = names != self.known
+        self.known = names
+        for address, target in list(self.table.targets.items()):
+            if not self._is_own(address):
+                self.announced_s.pop(address, None)
+                continue
+            if has_changed:
+                found.extend(self._take_over(now_s, target, arrived))
+            found.extend(self._expire(now_s, address, target))
+        return found
+
+    def _renew(
+        self,
+        now_s: float,
+        address: bytes,
+        announcement: requests.Announce,
+        age_s: float,
+    ) -> list[effects.Effect]:
+        """Renews the lease of a target; spreads what has changed."""
+        at_s = now_s - age_s
+        held = self.table.targets.get(address)
+        if at_s < self.announced_s.get(address, at_s):
+            return []
+        if held and announcement.incarnation < held.announcement.incarnation:
+            return []
+        self.announced_s[address] = at_s
+        expires_s = at_s + announcement.lease_s
+        is_new = held is None or held.expires_s <= now_s
+        is_confirmed = not is_new and address not in self.unconfirmed
+        if (
+            held
+            and is_confirmed
+            and not _differs(held.announcement, announcement)
+        ):
+            held.announcement = announcement
+            held.expires_s = expires_s
+            return []
+        self.unconfirmed.discard(address)
+        sequence = held.sequence + 1 if held else 1
+        host = self.context.host.host
+        target = table.Target(announcement, sequence, host, expires_s)
+        self.table.put(target)
+        found = self._record(now_s, held, target)
+        message = target_messages.TargetChanged(announcement, sequence)
+        return found + self.outbox.send(now_s, self.members(), message)
+
+    def _take_over(
+        self, now_s: float, target: table.Target, arrived: list[peers.Peer]
+    ) -> list[effects.Effect]:
+        """Starts the lease of a target that this host aggregates from now."""
+        address = ip.pack_address(target.announcement.address)
+        if target.expires_s == table.NEVER_S:
+            self.unconfirmed.add(address)
+            target.expires_s = now_s + target.announcement.lease_s
+        message = target_messages.TargetChanged(
+            target.announcement, target.sequence, target.expires_s <= now_s
+        )
+        return self.outbox.send(now_s, arrived, message)
+
+    def _expire(
+        self, now_s: float, address: bytes, target: table.Target
+    ) -> list[effects.Effect]:
+        """Ends the lease of a target when its time has come."""
+        if target.expires_s > now_s:
+            return []
+        if now_s - target.expires_s > FORGET_S:
+            self.table.remove(address)
+            self.announced_s.pop(address, None)
+            return []
+        if address not in self.announced_s and address not in self.unconfirmed:
+            return []
+        self.announced_s.pop(address, None)
+        self.unconfirmed.discard(address)
+        target.sequence += 1
+        target.aggregator = self.context.host.host
+        message = target_messages.TargetChanged(
+            target.announcement, target.sequence, expired=True
+        )
+        found: list[effects.Effect] = [
+            self.context.record(
+                now_s,
+                "target-expired",
+                service=target.announcement.service,
+                target=target.announcement.address,
+                reason="lease-ran-out",
+            )
+        ]
+        return found + self.outbox.send(now_s, self.members(), message)
+
+    def _aggregator(self, address: bytes) -> peers.Peer:
+        """Returns the host with the highest weight for a target."""
+        return max(
+            (self.context.host, *self.members()),
+            key=lambda peer: _weight(address, peer.host),
+        )
+
+    def _is_own(self, address: bytes) -> bool:
+        """Returns whether this host aggregates a target."""
+        return self._aggregator(address).host == self.context.host.host
+
+    def _record(
+        self,
+        now_s: float,
+        before: table.Target | None,
+        after: table.Target,
+    ) -> list[effects.Effect]:
+        """Records a change of state of a target at this host."""
+        state = _state(after)
+        if before is not None and _state(before) == state:
+            return []
+        return [
+            self.context.record(
+                now_s,
+                f"target-{state}",
+                service=after.announcement.service,
+                target=after.announcement.address,
+            )
+        ]
+
+
+def _state(target: table.Target) -> str:
+    """Returns the constant name of the state of a target."""
+    return str(target.announcement.state)
+
+
+def _differs(old: requests.Announce, new: requests.Announce) -> bool:
+    """Returns whether an announcement says more than a renewal."""
+    return (
+        old.service,
+        old.domain,
+        old.state,
+        old.slots,
+        old.connections,
+        old.incarnation,
+        old.healthy,
+    ) != (
+        new.service,
+        new.domain,
+        new.state,
+        new.slots,
+        new.connections,
+        new.incarnation,
+        new.healthy,
+    )
+
+
+def _weight(address: bytes, host: str) -> bytes:
+    """Returns the pseudo-random weight of a host for a target."""
+    return hashlib.blake2b(
+        address + host.encode(), digest_size=_DIGEST_BYTES
+    ).digest()
--- a/packages/core/src/tamarack_core/internal/targets/announcements.py
+++ b/packages/core/src/tamarack_core/internal/targets/announcements.py
@@ -1,17 +1,14 @@
-"""Accepts announcements of targets and passes them on in the domain."""
+"""Checks the announcements of targets at the host that receives them."""
 
 import ipaddress
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.targets import table
-from tamarack_core.messages import targets as target_messages
-from tamarack_core.packets import ip
+from tamarack_core.internal.targets import aggregation as aggregation_lib
 
 MAX_LEASE_S = 60.0
 
@@ -22,85 +19,67 @@
     Attributes:
         context: Identity, chance, time and counters.
         holder: Configuration in force, which names the target networks.
-        table: Announced targets.
-        peers: Other entry hosts of the failure domain.
+        aggregation: Keeps the leases.
     """
 
-    __slots__ = ("context", "holder", "peers", "table")
+    __slots__ = ("aggregation", "context", "holder")
 
     def __init__(
         self,
         context: context_lib.Context,
         configuration_holder: holder.Holder,
-        target_table: table.TargetTable,
-        entry_peers: tuple[peers.Peer, ...],
+        aggregation: aggregation_lib.Aggregation,
     ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
             configuration_holder: Configuration in force.
-            target_table: Table to keep up to date.
-            entry_peers: Other entry hosts of the failure domain.
+            aggregation: Keeps the leases.
         """
         self.context = context
         self.holder = configuration_holder
-        self.table = target_table
-        self.peers = entry_peers
+        self.aggregation = aggregation
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
-        return {
-            requests.Announce: self.handle_announce,
-            target_messages.TargetChanged: self.handle_changed,
-        }
+        return {requests.Announce: self.handle_announce}
 
     def handle_announce(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Stores an announcement and passes it on."""
+        """Refuses an announcement, or hands it to the aggregation."""
         announcement = event.request
         assert isinstance(announcement, requests.Announce)
         refusal = self._check(announcement)
+        if refusal is None:
+            refusal = self._check_held(event.now_s, announcement)
         if refusal is not None:
             return [effects.Respond(event.request_id, refusal)]
-        sequence = self.context.wall_ms(event.now_s)
-        found: list[effects.Effect] = self._store(
-            event.now_s, announcement, sequence
-        )
-        message = target_messages.TargetChanged(announcement, sequence)
-        found.extend(effects.SendMessage(peer, message) for peer in self.peers)
         answer = requests.Announced(announcement.lease_s)
-        found.append(effects.Respond(event.request_id, answer))
-        return found
-
-    def handle_changed(
-        self, event: events.MessageArrived
-    ) -> list[effects.Effect]:
-        """Stores an announcement that another host accepted."""
-        message = event.message
-        assert isinstance(message, target_messages.TargetChanged)
-        return self._store(event.now_s, message.announcement, message.sequence)
-
-    def _store(
-        self, now_s: float, announcement: requests.Announce, sequence: int
-    ) -> list[effects.Effect]:
-        """Stores an announcement; records a change of state."""
-        address = ip.pack_address(announcement.address)
-        before = self.table.targets.get(address)
-        if not self.table.put(now_s, announcement, sequence):
-            return []
-        if before and before.announcement.state is announcement.state:
-            return []
         return [
-            self.context.record(
-                now_s,
-                f"target-{announcement.state}",
-                service=announcement.service,
-                target=announcement.address,
-            )
+            *self.aggregation.accept(event.now_s, announcement),
+            effects.Respond(event.request_id, answer),
         ]
 
+    def _check_held(
+        self, now_s: float, announcement: requests.Announce
+    ) -> requests.Refused | None:
+        """Returns why an announcement clashes with the one held."""
+        address = ipaddress.ip_address(announcement.address).packed
+        held = self.aggregation.table.targets.get(address)
+        if held is None or held.expires_s <= now_s:
+            return None
+        newest = held.announcement.incarnation
+        if announcement.incarnation >= newest:
+            return None
+        return requests.Refused(
+            "stale-incarnation",
+            f"incarnation {announcement.incarnation} of "
+            f"{announcement.address} is older than {newest}; "
+            "raise it at each start of the target",
+        )
+
     def _check(
         self, announcement: requests.Announce
     ) -> requests.Refused | None:
@@ -113,6 +92,13 @@
                 f"address {announcement.address!r} is not an IP address; "
                 "announce the IPv4 or IPv6 address of the target",
             )
+        if announcement.slots < 1 or announcement.connections < 1:
+            return requests.Refused(
+                "bad-capacity",
+                f"slots {announcement.slots} and connections "
+                f"{announcement.connections} must be at least 1; "
+                "announce what the target can take",
+            )
         if not 0 < announcement.lease_s <= MAX_LEASE_S:
             return requests.Refused(
                 "bad-lease",
--- a/packages/core/src/tamarack_core/internal/targets/table.py
+++ b/packages/core/src/tamarack_core/internal/targets/table.py
@@ -5,6 +5,8 @@
 from tamarack_core import requests
 from tamarack_core.packets import ip
 
+NEVER_S = float("inf")
+
 
 @dataclasses.dataclass(slots=True)
 class Target:
@@ -12,14 +14,22 @@
 
     Attributes:
         announcement: What the target last announced.
-        sequence: Number of that announcement.
-        expires_s: Monotonic time in seconds at which the lease runs out.
+        sequence: Number of that change.
+        aggregator: Host that accepted the change.
+        expires_s: Monotonic time in seconds at which the lease runs out; at
+            hosts other than the aggregator infinite until they are told.
     """
 
     announcement: requests.Announce
     sequence: int
+    aggregator: str
     expires_s: float
 
+    @property
+    def order(self) -> tuple[int, int, str]:
+        """What decides between two changes of the same target."""
+        return self.announcement.incarnation, self.sequence, self.aggregator
+
 
 class TargetTable:
     """Targets by address.
@@ -28,32 +38,26 @@
         targets: Announced targets by packed IP address.
     """
 
-    __slots__ = ("targets",)
+    __slots__ = ("_by_service", "targets")
 
     def __init__(self) -> None:
         """Creates an empty table."""
         self.targets: dict[bytes, Target] = {}
-
-    def put(
-        self, now_s: float, announcement: requests.Announce, sequence: int
-    ) -> bool:
-        """Stores an announcement unless a newer one is held.
-
-        Args:
-            now_s: Monotonic time in seconds.
-            announcement: What the target announced.
-            sequence: Number that orders announcements of one target.
-
-        Returns:
-            Whether the announcement was newer than what was held.
-        """
-        address = ip.pack_address(announcement.address)
-        held = self.targets.get(address)
-        if held is not None and held.sequence >= sequence:
-            return False
-        expires_s = now_s + announcement.lease_s
-        self.targets[address] = Target(announcement, sequence, expires_s)
-        return True
+        self._by_service: dict[str, dict[bytes, Target]] = {}
+
+    def put(self, target: Target) -> None:
+        """Stores a target in place of what was held for its address."""
+        address = ip.pack_address(target.announcement.address)
+        self.remove(address)
+        self.targets[address] = target
+        service = target.announcement.service
+        self._by_service.setdefault(service, {})[address] = target
+
+    def remove(self, address: bytes) -> None:
+        """Forgets a target, if it is held."""
+        held = self.targets.pop(address, None)
+        if held is not None:
+            del self._by_service[held.announcement.service][address]
 
     def ready(
         self, now_s: float, service: str, address_bytes: int
@@ -67,9 +71,8 @@
         """
         return [
             address
-            for address, target in self.targets.items()
-            if target.announcement.service == service
-            and target.announcement.state is requests.TargetState.READY
+            for address, target in self._by_service.get(service, {}).items()
+            if target.announcement.state is requests.TargetState.READY
             and target.expires_s > now_s
             and len(address) == address_bytes
         ]
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -10,10 +10,11 @@
 from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_core import timeline
+from tamarack_core.messages import balancing
 from tamarack_core.messages import distribution
 from tamarack_core.messages import targets
 
-Message = distribution.Message | targets.Message
+Message = balancing.Message | distribution.Message | targets.Message
 
 FORMAT_VERSION = 1
 
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: scripted runs of the decisions by small fakes."""
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/commands.py
@@ -0,0 +1,72 @@
+"""Command `tamarack experiment`."""
+
+import pathlib
+import sys
+
+import click
+
+from tamarack_lab.experiments import catalogue
+from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import report
+from tamarack_lab.experiments import run as run_lib
+from tamarack_lab.experiments import versions
+
+
+@click.group()
+def experiment() -> None:
+    """Runs scripted comparisons with the naive version."""
+
+
+@experiment.command("list")
+def list_experiments() -> None:
+    """Lists the experiments."""
+    for plan in catalogue.ALL.values():
+        click.echo(f"{plan.name:24} {plan.summary}")
+
+
+@experiment.command("run")
+@click.argument("name", type=click.Choice(list(catalogue.ALL)))
+@click.option("--seed", default=1, show_default=True, help="Seed of the run.")
+@click.option(
+    "--output",
+    type=click.Path(file_okay=False, path_type=pathlib.Path),
+    required=True,
+    help="Directory for result.json, report.md and plots.",
+)
+def run_experiment(name: str, seed: int, output: pathlib.Path) -> None:
+    """Runs an experiment; exits with 1 if a promise was broken."""
+    outcome = run_plan(catalogue.ALL[name], seed, output)
+    for broken in outcome.broken:
+        click.echo(f"promise not kept: {broken}", err=True)
+    sys.exit(1 if outcome.broken else 0)
+
+
+def run_plan(
+    plan: plans.Plan, seed: int, output: pathlib.Path
+) -> report.Outcome:
+    """Runs a plan with both versions and writes the report.
+
+    Args:
+        plan: The plan.
+        seed: Seed of the run.
+        output: Directory for the report.
+    """
+    ours = run_lib.Run(plan, versions.Tamarackford(), seed)
+    naive = run_lib.Run(plan, versions.Naive(), seed)
+    figures = ours.execute()
+    outcome = report.Outcome(
+        plan.name,
+        seed,
+        figures,
+        naive.execute(),
+        report.check(figures, plan.bounds),
+    )
+    series = [_series("tamarackford", ours), _series("naive", naive)]
+    report.write(output, plan, outcome, series)
+    return outcome
+
+
+def _series(label: str, run: run_lib.Run) -> report.Series:
+    """Returns the work in flight over a run."""
+    times_s = [time_s for time_s, _ in run.timeline]
+    return report.Series(label, times_s, [work for _, work in run.timeline])
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/network.py
@@ -0,0 +1,214 @@
+"""Carries messages between simulated hosts, with faults."""
+
+import dataclasses
+import random
+
+from tamarack_core import context as context_lib
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import messages
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core import timeline
+from tamarack_lab.experiments import event_queue
+
+DATAGRAM_HEADER_BYTES = 28
+WALL_MS = 1_800_000_000_000
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """Quality of the links between two failure domains or within one.
+
+    Attributes:
+        delay_s: One-way delay in seconds.
+        jitter_s: Greatest random addition to the delay in seconds.
+        loss: Share of messages that are lost.
+    """
+
+    delay_s: float = 0.0002
+    jitter_s: float = 0.0001
+    loss: float = 0.0
+
+
+class Host:
+    """A reducer that runs on the simulated network.
+
+    Attributes:
+        node: State of the host.
+        alive: Whether the host runs.
+        timers: Generation of each timer.
+        bytes_sent: Bytes of control messages with their headers.
+        responses: Last response by request id.
+        entries: Entries of the time line.
+    """
+
+    __slots__ = (
+        "_network",
+        "alive",
+        "bytes_sent",
+        "entries",
+        "node",
+        "responses",
+        "timers",
+    )
+
+    def __init__(self, network: "Network", node: reducer.Node) -> None:
+        """Creates a host; `start` sets it going."""
+        self._network = network
+        self.node = node
+        self.alive = True
+        self.timers: dict[str, int] = {}
+        self.bytes_sent = 0
+        self.responses: dict[int, requests.Response] = {}
+        self.entries: list[timeline.Entry] = []
+
+    @property
+    def peer(self) -> peers.Peer:
+        """Identity of the host."""
+        return self.node.context.host
+
+    def start(self) -> None:
+        """Tells the reducer that its driver is ready."""
+        now_s = self._network.queue.now_s
+        self.handle(events.Started(now_s, WALL_MS + int(now_s * 1000)))
+
+    def handle(self, event: events.Event) -> None:
+        """Applies an event and carries out its effects."""
+        if not self.alive:
+            return
+        for effect in reducer.reduce(self.node, event):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Carries out one effect."""
+        if isinstance(effect, effects.SendMessage):
+            self._send(effect)
+        elif isinstance(effect, effects.StartTimer):
+            self._start_timer(effect)
+        elif isinstance(effect, effects.Respond):
+            self.responses[effect.request_id] = effect.response
+        elif isinstance(effect, effects.Record):
+            self.entries.append(effect.entry)
+
+    def _send(self, effect: effects.SendMessage) -> None:
+        """Hands a message to the network and counts its bytes."""
+        stamp = self.node.context.clock.latest
+        envelope = messages.Envelope(self.peer, stamp, (effect.message,))
+        self.bytes_sent += len(messages.encode(envelope))
+        self.bytes_sent += DATAGRAM_HEADER_BYTES
+        self._network.send(self, effect.peer, effect.message)
+
+    def _start_timer(self, effect: effects.StartTimer) -> None:
+        """Starts or replaces a timer."""
+        generation = self.timers.get(effect.timer, 0) + 1
+        self.timers[effect.timer] = generation
+        queue = self._network.queue
+
+        def fire() -> None:
+            """Fires unless the timer was replaced."""
+            if self.timers[effect.timer] == generation:
+                self.handle(events.TimerFired(queue.now_s, effect.timer))
+
+        queue.after(effect.delay_s, fire)
+
+
+class Network:
+    """All hosts of a run and the links between them.
+
+    Attributes:
+        queue: The queue of timed actions.
+        random: Seeded generator.
+        hosts: Hosts by name.
+        inside: Quality inside a failure domain.
+        between: Quality between failure domains.
+        cut: Pairs of host names, sender and receiver, that are cut off.
+        cut_domains: Failure domains that are cut off from all others.
+    """
+
+    __slots__ = (
+        "between",
+        "cut",
+        "cut_domains",
+        "hosts",
+        "inside",
+        "queue",
+        "random",
+    )
+
+    def __init__(self, queue: event_queue.EventQueue, seed: int) -> None:
+        """Creates a network without hosts.
+
+        Args:
+            queue: The queue of timed actions.
+            seed: Seed of the generator.
+        """
+        self.queue = queue
+        self.random = random.Random(seed)
+        self.hosts: dict[str, Host] = {}
+        self.inside = Link()
+        self.between = Link(0.004, 0.002, 0.005)
+        self.cut: set[tuple[str, str]] = set()
+        self.cut_domains: set[str] = set()
+
+    def add(self, node: reducer.Node) -> Host:
+        """Adds a host, in place of one of the same name."""
+        host = Host(self, node)
+        self.hosts[host.peer.host] = host
+        return host
+
+    def live(self, domain: str) -> list[Host]:
+        """Returns the hosts of a failure domain that run."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.alive and host.peer.domain == domain
+        ]
+
+    def is_cut(self, sender: peers.Peer, receiver: peers.Peer) -> bool:
+        """Returns whether messages from one host to another are lost."""
+        if (sender.host, receiver.host) in self.cut:
+            return True
+        domains = {sender.domain, receiver.domain}
+        return len(domains) > 1 and bool(domains & self.cut_domains)
+
+    def send(
+        self, sender: Host, receiver: peers.Peer, message: messages.Message
+    ) -> None:
+        """Delivers a message later, or loses it."""
+        origin = sender.peer
+        if self.is_cut(origin, receiver):
+            return
+        same = origin.domain == receiver.domain
+        link = self.inside if same else self.between
+        if self.random.random() < link.loss:
+            return
+        delay_s = link.delay_s + self.random.random() * link.jitter_s
+
+        def deliver() -> None:
+            """Hands the message to the receiver if it still runs."""
+            target = self.hosts.get(receiver.host)
+            if target is not None:
+                now_s = self.queue.now_s
+                target.handle(events.MessageArrived(now_s, origin, message))
+
+        self.queue.after(delay_s, deliver)
+
+
+def context(name: str, domain: str, number: int) -> context_lib.Context:
+    """Returns the context of a simulated entry host.
+
+    Args:
+        name: Name of the host.
+        domain: Failure domain of the host.
+        number: Number that makes addresses and seed unique.
+    """
+    address = f"10.255.{number >> 8}.{number & 255}"
+    peer = peers.Peer(
+        name,
+        domain,
+        peers.Endpoint(address, 7000),
+        peers.Endpoint(address, 6081),
+    )
+    return context_lib.Context(peer, number)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/report.py
@@ -0,0 +1,145 @@
+"""Report of an experiment: result.json, report.md and plots."""
+
+from collections.abc import Sequence
+import pathlib
+
+import matplotlib as mpl
+from matplotlib import figure
+import msgspec
+import tabulate
+
+from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import plans
+
+mpl.use("agg")
+
+PLOT_INCHES = (9.0, 4.0)
+
+
+class Broken(msgspec.Struct):
+    """A promise that was not kept.
+
+    Attributes:
+        figure: Name of the figure.
+        value: Its value.
+        least: Least permitted value; None if there is none.
+        most: Greatest permitted value; None if there is none.
+    """
+
+    figure: str
+    value: float
+    least: float | None
+    most: float | None
+
+
+class Outcome(msgspec.Struct):
+    """Result of both versions in one experiment.
+
+    Attributes:
+        name: Name of the experiment.
+        seed: Seed of the run.
+        tamarackford: Figures of tamarackford.
+        naive: Figures of the naive version.
+        broken: Promises that tamarackford has not kept.
+    """
+
+    name: str
+    seed: int
+    tamarackford: measure.Figures
+    naive: measure.Figures
+    broken: list[Broken]
+
+
+class Series(msgspec.Struct):
+    """Work in flight of each target over time.
+
+    Attributes:
+        label: Name of the version.
+        times_s: Times of the samples in seconds.
+        work: Work units of each target at each time.
+    """
+
+    label: str
+    times_s: list[float]
+    work: list[list[float]]
+
+
+def check(
+    figures: measure.Figures, bounds: Sequence[plans.Bound]
+) -> list[Broken]:
+    """Returns the promises that the figures do not keep."""
+    found = []
+    for bound in bounds:
+        value = float(getattr(figures, bound.figure))
+        if bound.least <= value <= bound.most:
+            continue
+        least = bound.least if bound.least > float("-inf") else None
+        most = bound.most if bound.most < float("inf") else None
+        found.append(Broken(bound.figure, value, least, most))
+    return found
+
+
+def write(
+    directory: pathlib.Path,
+    plan: plans.Plan,
+    outcome: Outcome,
+    series: Sequence[Series],
+) -> None:
+    """Writes result.json, report.md and a plot of each version.
+
+    Args:
+        directory: Directory to write to; made if absent.
+        plan: The plan that was run.
+        outcome: The figures.
+        series: Work in flight of each version.
+    """
+    directory.mkdir(parents=True, exist_ok=True)
+    encoded = msgspec.json.format(msgspec.json.encode(outcome))
+    (directory / "result.json").write_bytes(encoded + b"\n")
+    for item in series:
+        _plot(directory / f"{item.label}.png", item)
+    (directory / "report.md").write_text(_text(plan, outcome, series))
+
+
+def _text(plan: plans.Plan, outcome: Outcome, series: Sequence[Series]) -> str:
+    """Returns the report as Markdown."""
+    ours = msgspec.structs.asdict(outcome.tamarackford)
+    theirs = msgspec.structs.asdict(outcome.naive)
+    rows = [(name, ours[name], theirs[name]) for name in ours]
+    lines = [
+        f"# Experiment {plan.name}, seed {outcome.seed}",
+        "",
+        plan.summary,
+        "",
+        tabulate.tabulate(
+            rows,
+            ("figure", "tamarackford", "naive version"),
+            tablefmt="github",
+            floatfmt=".4g",
+        ),
+        "",
+        "## Promises",
+        "",
+    ]
+    lines.extend(
+        f"- not kept: {item.figure} is {item.value:g}, bound "
+        f"{item.least if item.least is not None else item.most:g}"
+        for item in outcome.broken
+    )
+    if not outcome.broken:
+        lines.append(f"- all {len(plan.bounds)} kept")
+    lines.append("")
+    lines.extend(f"![{item.label}]({item.label}.png)" for item in series)
+    return "\n".join(lines) + "\n"
+
+
+def _plot(path: pathlib.Path, series: Series) -> None:
+    """Draws the work in flight of each target."""
+    canvas = figure.Figure(figsize=PLOT_INCHES)
+    axes = canvas.subplots()
+    for values in zip(*series.work, strict=True):
+        axes.plot(series.times_s, values, linewidth=0.7)
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("work units in flight at each target")
+    axes.set_title(series.label)
+    canvas.savefig(path)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -0,0 +1,450 @@
+"""One run of a plan: hosts, targets and callers on the event queue."""
+
+import collections
+import dataclasses
+import functools
+import hashlib
+import itertools
+import random
+
+from tamarack_core import configuration
+from tamarack_core import events
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core import verdict
+from tamarack_core.internal.balancing import owner_group
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
+from tamarack_core.packets import ip
+from tamarack_lab.experiments import event_queue
+from tamarack_lab.experiments import machine as machine_lib
+from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import network as network_lib
+from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import versions
+
+RENEWAL_S = 3.0
+LEASE_S = 10.0
+SAMPLE_S = 0.1
+SYN_TIMEOUT_S = 1.0
+HANDSHAKE_S = 0.001
+DRAIN_GRACE_S = 3.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Target:
+    """A simulated target and what it announces.
+
+    Attributes:
+        machine: The slots.
+        announcement: What it announces next.
+        domain: Failure domain.
+        drained_s: Time at which it announced draining, in seconds.
+        flows: Connections that it holds.
+    """
+
+    machine: machine_lib.Machine
+    announcement: requests.Announce
+    domain: str
+    drained_s: float = float("inf")
+    flows: set["Flow"] = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Flow:
+    """A connection of a caller over all its tries.
+
+    Attributes:
+        number: Number of the connection.
+        stream: The stream that it belongs to.
+        port: Service port.
+        domain: Failure domain of the caller.
+        work_s: Seconds of work.
+        hold_s: Seconds to stay open after the answer.
+        opened_s: Time of the first try in seconds.
+        tries: Tries so far.
+        key: Flow key of the present try.
+        owner: Name of the owning host.
+        target: Its target.
+        job: Its work at the target.
+        runs: How often its work has started.
+        over: Whether the caller is done with it.
+    """
+
+    number: int
+    stream: plans.Stream
+    port: lookup.ServicePort
+    domain: str
+    work_s: float
+    hold_s: float
+    opened_s: float
+    tries: int = 0
+    key: bytes = b""
+    owner: str = ""
+    target: Target | None = None
+    job: machine_lib.Job | None = None
+    tried_s: float = 0.0
+    runs: int = 0
+    over: bool = False
+
+
+class Run:
+    """State of a run.
+
+    Attributes:
+        plan: The plan.
+        queue: The queue of timed actions.
+        random: Seeded generator of traffic and faults.
+        network: Hosts and links.
+        choosers: Chooser of each host by name.
+        targets: Targets by packed address.
+        figures: Counts of the run.
+        flows: Connections by owner.
+        waits: Seconds until the answer of each completed connection.
+        completed_units: Work units completed after the warm-up.
+    """
+
+    def __init__(
+        self, plan: plans.Plan, version: versions.Version, seed: int
+    ) -> None:
+        """Builds hosts and targets.
+
+        Args:
+            plan: The plan.
+            version: The version of the decisions.
+            seed: Seed of traffic, faults and hosts.
+        """
+        self.plan = plan
+        self.version = version
+        self.queue = event_queue.EventQueue()
+        self.random = random.Random(seed)
+        self.network = network_lib.Network(self.queue, seed)
+        self.numbered = configuration.Numbered(
+            1,
+            configuration.Configuration(
+                {item.name: item.settings for item in plan.services}
+            ),
+        )
+        self.holders: dict[str, holder.Holder] = {}
+        self.choosers: dict[str, choosing.Chooser] = {}
+        self.targets: dict[bytes, Target] = {}
+        self.figures = measure.Figures()
+        self.flows: dict[str, set[Flow]] = collections.defaultdict(set)
+        self.waits: list[float] = []
+        self.completed_units = 0.0
+        self.meters: list[measure.BalanceMeter] = []
+        self.timeline: list[tuple[float, list[float]]] = []
+        self._numbers = itertools.count(1)
+        self._seed = seed
+        self._ports = {
+            (name, class_name): port
+            for port in lookup.Lookup(
+                self.numbered.configuration
+            ).inbound.values()
+            for name, class_name in ((port.service, port.work_class),)
+        }
+        for domain in plan.domains:
+            for index in range(plan.hosts):
+                self.start_host(f"{domain}-entry-{index}", domain)
+        for domain in plan.domains:
+            self._add_targets(domain)
+
+    def start_host(self, name: str, domain: str) -> network_lib.Host:
+        """Starts an entry host, or starts it anew without its state."""
+        number = self._seed * 1000 + next(self._numbers)
+        context = network_lib.context(name, domain, number)
+        held = holder.Holder()
+        held.put(self.numbered, network_lib.WALL_MS)
+        self.holders[name] = held
+
+        def live_peers() -> tuple[peers.Peer, ...]:
+            """Returns the other live entry hosts of the failure domain."""
+            return tuple(
+                host.peer
+                for host in self.network.live(domain)
+                if host.peer.host != name
+            )
+
+        parts = self.version.build(
+            context,
+            held,
+            live_peers,
+            self.plan.hosts * len(self.plan.domains),
+        )
+        self.choosers[name] = parts.chooser
+        host = self.network.add(reducer.Node(context, parts.parts))
+        host.start()
+        return host
+
+    def _add_targets(self, domain: str) -> None:
+        """Creates the targets of a failure domain."""
+        area = self.plan.domains.index(domain)
+        for item in self.plan.services:
+            network = configuration.networks(item.settings)[0]
+            base = int(network.network_address) + 256 * area
+            found = []
+            for index in range(item.targets):
+                address = (base + index + 1).to_bytes(4, "big")
+                target = Target(
+                    machine_lib.Machine(self.queue, address, item.slots),
+                    requests.Announce(
+                        item.name,
+                        ip.format_address(address),
+                        domain,
+                        slots=item.slots,
+                        connections=2000,
+                        incarnation=1,
+                        lease_s=LEASE_S,
+                    ),
+                    domain,
+                )
+                self.targets[address] = target
+                found.append(target.machine)
+                self.queue.after(
+                    self.random.random() * 0.1,
+                    functools.partial(self.renew, target),
+                )
+            if found:
+                self.meters.append(measure.BalanceMeter(found))
+
+    def renew(self, target: Target) -> None:
+        """Announces a target now and from then on."""
+        if not target.machine.alive:
+            return
+        self.announce(target)
+        self.queue.after(RENEWAL_S, functools.partial(self.renew, target))
+
+    def announce(self, target: Target) -> None:
+        """Announces a target once, to any host of its failure domain."""
+        hosts = self.network.live(target.domain)
+        if not hosts:
+            return
+        event = events.RequestArrived(self.queue.now_s, 1, target.announcement)
+        self.random.choice(hosts).handle(event)
+
+    def execute(self) -> measure.Figures:
+        """Runs the plan and returns its figures."""
+        for stream in self.plan.streams:
+            for domain in stream.domains or self.plan.domains:
+                self.queue.at(
+                    1.0, functools.partial(self._arrive, stream, domain)
+                )
+        self.queue.at(self.plan.warm_up_s, self._sample)
+        if self.plan.script is not None:
+            self.plan.script(self)
+        self.queue.run_until(self.plan.duration_s)
+        return self._conclude()
+
+    def _arrive(self, stream: plans.Stream, domain: str) -> None:
+        """Opens a connection and schedules the next one."""
+        rate = stream.rate(self.queue.now_s)
+        delay_s = self.random.expovariate(rate) if rate > 0 else SAMPLE_S
+        self.queue.after(
+            delay_s, functools.partial(self._arrive, stream, domain)
+        )
+        if rate <= 0:
+            return
+        flow = Flow(
+            next(self._numbers),
+            stream,
+            self._ports[stream.service, stream.work_class],
+            domain,
+            stream.work_s * self.random.uniform(0.5, 1.5),
+            stream.hold_s * self.random.uniform(0.5, 1.5),
+            self.queue.now_s,
+        )
+        self.figures.openings += 1
+        self.open(flow)
+
+    def open(self, flow: Flow) -> None:
+        """Tries to open a connection."""
+        flow.tries += 1
+        self.figures.attempts += 1
+        caller_port = 1024 + (flow.number * 7 + flow.tries) % 60000
+        caller = (0x64400000 + flow.number).to_bytes(4, "big")
+        flow.key = (
+            caller
+            + caller_port.to_bytes(2, "big")
+            + flow.port.address
+            + flow.port.port.to_bytes(2, "big")
+            + bytes((ip.PROTOCOL_TCP,))
+        )
+        flow.owner = self.owner(flow)
+        flow.tried_s = self.queue.now_s
+        if not flow.owner:
+            self._refused(flow, verdict.unknown("no-host"))
+            return
+        self._choose(flow)
+
+    def owner(self, flow: Flow) -> str:
+        """Returns the name of the host that owns a flow."""
+        hosts = self.network.live(flow.domain)
+        settings = self.numbered.configuration.services[flow.port.service]
+        group = owner_group.members(
+            flow.port.service,
+            (host.peer for host in hosts),
+            settings.opening_hosts,
+        )
+        names = (peer.host for peer in group)
+        return max(names, key=lambda name: _weight(flow.key, name), default="")
+
+    def _choose(self, flow: Flow) -> None:
+        """Lets the owner choose the target."""
+        chooser = self.choosers[flow.owner]
+        opening = choosing.Opening(flow.key, flow.port)
+        choice = chooser.choose(self.queue.now_s, opening)
+        if isinstance(choice, choosing.Refusal):
+            self._refused(flow, choice.verdict)
+            return
+        target = self.targets[choice.target]
+        if target.announcement.service != flow.port.service:
+            self.figures.wrong_service += 1
+        if self.queue.now_s > target.drained_s + DRAIN_GRACE_S:
+            self.figures.late_new_flows += 1
+        if target.domain != flow.domain:
+            self.figures.spilled_share += 1
+        flow.target = target
+        self._submit(flow, target)
+
+    def _submit(self, flow: Flow, target: Target) -> None:
+        """Hands the opening to the target."""
+        if not target.machine.alive:
+            self.queue.after(
+                SYN_TIMEOUT_S, functools.partial(self._syn_lost, flow)
+            )
+            return
+        self.flows[flow.owner].add(flow)
+        target.flows.add(flow)
+        self.queue.after(
+            HANDSHAKE_S,
+            lambda: self.observe(flow, choosing.Progress.ESTABLISHED),
+        )
+        job = machine_lib.Job(
+            flow.port.settings.cost,
+            flow.work_s,
+            lambda: self._answered(flow),
+        )
+        flow.job = job
+        target.machine.submit(job)
+        self.queue.after(
+            flow.stream.patience_s, lambda: self._give_up(flow, job)
+        )
+
+    def observe(self, flow: Flow, progress: choosing.Progress) -> None:
+        """Tells the owner of a flow what was seen of it."""
+        host = self.network.hosts.get(flow.owner)
+        if host is None or not host.alive or flow.target is None:
+            return
+        elapsed_s = self.queue.now_s - flow.tried_s
+        observation = choosing.Observation(
+            progress, flow.target.machine.address, flow.port, elapsed_s
+        )
+        self.choosers[flow.owner].observe(self.queue.now_s, observation)
+
+    def _answered(self, flow: Flow) -> None:
+        """Takes the answer of the target to its caller."""
+        flow.runs += 1
+        if flow.over:
+            return
+        self.observe(flow, choosing.Progress.REPLIED)
+        self.waits.append(self.queue.now_s - flow.opened_s)
+        self.figures.completed += 1
+        if self.queue.now_s > self.plan.warm_up_s:
+            self.completed_units += flow.port.settings.cost
+        self.queue.after(flow.hold_s, functools.partial(self._close, flow))
+
+    def _close(self, flow: Flow) -> None:
+        """Ends a connection as its caller wants."""
+        if not flow.over:
+            self.end(flow, choosing.Progress.CLOSED)
+
+    def end(self, flow: Flow, progress: choosing.Progress) -> None:
+        """Ends a connection and tells its owner."""
+        flow.over = True
+        self.observe(flow, progress)
+        self.flows[flow.owner].discard(flow)
+        if flow.target is not None:
+            flow.target.flows.discard(flow)
+
+    def _give_up(self, flow: Flow, job: machine_lib.Job) -> None:
+        """Cancels a connection that got no answer in time."""
+        if flow.over or flow.job is not job or flow.runs:
+            return
+        if flow.target is not None:
+            flow.target.machine.cancel(job)
+        self.end(flow, choosing.Progress.CLOSED)
+
+    def _syn_lost(self, flow: Flow) -> None:
+        """Handles an opening that a dead target never answered."""
+        self.observe(flow, choosing.Progress.SILENT)
+        self._retry(flow)
+
+    def _refused(self, flow: Flow, outcome: verdict.Verdict) -> None:
+        """Handles a refusal of an opening."""
+        self.figures.refused += 1
+        if flow.runs and outcome.outcome is verdict.Outcome.NOT_RUN:
+            self.figures.false_verdicts += 1
+        self._retry(flow)
+
+    def _retry(self, flow: Flow) -> None:
+        """Lets the caller try again if it still wants to."""
+        if flow.tries >= flow.stream.tries:
+            flow.over = True
+            return
+        delay_s = flow.stream.backoff_s * self.random.uniform(0.5, 1.5)
+        self.queue.after(delay_s, functools.partial(self.open, flow))
+
+    def kill_host(self, name: str) -> None:
+        """Ends a host at once; other hosts take over its flows."""
+        self.network.hosts[name].alive = False
+        for flow in self.flows.pop(name, set()):
+            flow.owner = self.owner(flow)
+            self.flows[flow.owner].add(flow)
+            self.observe(flow, choosing.Progress.OPENED)
+
+    def kill_target(self, target: Target) -> None:
+        """Ends a target with all its connections."""
+        target.machine.die()
+        for flow in list(target.flows):
+            self.figures.broken_flows += 1
+            self.end(flow, choosing.Progress.SILENT)
+
+    def _sample(self) -> None:
+        """Samples all meters."""
+        for meter in self.meters:
+            meter.sample()
+        work = [target.machine.work for target in self.targets.values()]
+        self.timeline.append((self.queue.now_s, work))
+        self.queue.after(SAMPLE_S, self._sample)
+
+    def _conclude(self) -> measure.Figures:
+        """Returns the figures of the run."""
+        figures = self.figures
+        meters = [meter for meter in self.meters if any(meter.samples[-1])]
+        window = int(10 / SAMPLE_S)
+        figures.imbalance_peak_over_mean = max(
+            (meter.peak_over_mean() for meter in meters), default=0.0
+        )
+        figures.imbalance_window_peak_over_mean = max(
+            (meter.window_peak_over_mean(window) for meter in meters),
+            default=0.0,
+        )
+        figures.imbalance_spread_units = max(
+            (meter.spread() for meter in meters), default=0.0
+        )
+        figures.spilled_share /= max(1, figures.attempts)
+        sent = sum(host.bytes_sent for host in self.network.hosts.values())
+        figures.control_bytes_per_host_s = (
+            sent / len(self.network.hosts) / self.plan.duration_s
+        )
+        measured_s = self.plan.duration_s - self.plan.warm_up_s
+        figures.goodput_units_s = self.completed_units / measured_s
+        figures.wait_p99_s = measure.percentile(self.waits, 0.99)
+        return figures
+
+
+def _weight(flow: bytes, name: str) -> bytes:
+    """Returns the pseudo-random weight of a host for a flow."""
+    return hashlib.blake2b(flow + name.encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -0,0 +1,111 @@
+"""Versions of the decisions that a run can compare."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Protocol
+
+from tamarack_core import context as context_lib
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import chooser as chooser_lib
+from tamarack_core.internal.balancing import reporting
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.targets import aggregation
+from tamarack_core.internal.targets import announcements
+from tamarack_core.internal.targets import table
+from tamarack_lab.naive import chooser as naive_chooser
+
+LivePeers = Callable[[], tuple[peers.Peer, ...]]
+
+
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """What one host of a version consists of.
+
+    Attributes:
+        chooser: Chooses the target of each connection.
+        parts: Parts behind the reducer.
+    """
+
+    chooser: choosing.Chooser
+    parts: tuple[reducer.Part, ...]
+
+
+class Version(Protocol):
+    """Builds the hosts of a run."""
+
+    def build(
+        self,
+        context: context_lib.Context,
+        held: holder.Holder,
+        live_peers: LivePeers,
+        hosts: int,
+    ) -> Parts:
+        """Returns the parts of one host.
+
+        Args:
+            context: Identity, chance, time and counters.
+            held: Configuration in force.
+            live_peers: Returns the other entry hosts of the failure domain.
+            hosts: Number of entry hosts in all failure domains.
+        """
+
+
+class Naive:
+    """Hash modulo the local list, with local limits."""
+
+    def build(
+        self,
+        context: context_lib.Context,
+        held: holder.Holder,
+        live_peers: LivePeers,
+        hosts: int,
+    ) -> Parts:
+        """Returns the parts of one host."""
+        targets = table.TargetTable()
+        leases = aggregation.Aggregation(context, targets, live_peers)
+        announced = announcements.Announcements(context, held, leases)
+        chooser = naive_chooser.NaiveChooser(targets, hosts)
+        return Parts(chooser, (leases, announced))
+
+
+class Tamarackford:
+    """The decisions of the core."""
+
+    def build(
+        self,
+        context: context_lib.Context,
+        held: holder.Holder,
+        live_peers: LivePeers,
+        hosts: int,
+    ) -> Parts:
+        """Returns the parts of one host."""
+        targets = table.TargetTable()
+        book = book_lib.Book()
+        chooser = chooser_lib.BalancingChooser(context, targets, book)
+        leases = aggregation.Aggregation(context, targets, live_peers)
+        announced = announcements.Announcements(context, held, leases)
+        report = reporting.Reporting(context, held, book, live_peers)
+        return Parts(chooser, (leases, announced, report))
+
+
+class Central:
+    """One chooser with exact knowledge for all hosts; a bound to aim at."""
+
+    def __init__(self) -> None:
+        """Starts a run without hosts."""
+        self.shared: Parts | None = None
+
+    def build(
+        self,
+        context: context_lib.Context,
+        held: holder.Holder,
+        live_peers: LivePeers,
+        hosts: int,
+    ) -> Parts:
+        """Returns the parts of one host; all share one chooser."""
+        if self.shared is None:
+            self.shared = Tamarackford().build(context, held, live_peers, hosts)
+        return self.shared
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -0,0 +1,59 @@
+"""Choice of a target by hash modulo the local list."""
+
+import hashlib
+
+from tamarack_core import verdict
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.targets import table
+
+_DIGEST_BYTES = 8
+
+
+class NaiveChooser:
+    """Gives each flow the target at its hash modulo the local list.
+
+    Each host limits the concurrent connections of a class by itself, to its
+    even part of the limit.
+
+    Attributes:
+        targets: Announced targets as this host knows them.
+        hosts: Number of hosts that divide a limit.
+        concurrent: Open connections of this host by service port.
+    """
+
+    __slots__ = ("concurrent", "hosts", "targets")
+
+    def __init__(self, targets: table.TargetTable, hosts: int) -> None:
+        """Creates a chooser.
+
+        Args:
+            targets: Announced targets as this host knows them.
+            hosts: Number of hosts that divide a limit.
+        """
+        self.targets = targets
+        self.hosts = hosts
+        self.concurrent: dict[tuple[bytes, int], int] = {}
+
+    def choose(
+        self, now_s: float, opening: choosing.Opening
+    ) -> choosing.Choice | choosing.Refusal:
+        """Returns the target for a connection, or the refusal of it."""
+        port = opening.port
+        ready = self.targets.ready(now_s, port.service, len(port.address))
+        if not ready:
+            return choosing.Refusal(verdict.not_run("no-ready-target"))
+        key = (port.address, port.port)
+        count = self.concurrent.get(key, 0)
+        limit = port.settings.max_concurrent
+        if limit and count >= limit // self.hosts:
+            return choosing.Refusal(verdict.not_run("local-limit"))
+        self.concurrent[key] = count + 1
+        digest = hashlib.blake2b(opening.flow, digest_size=_DIGEST_BYTES)
+        index = int.from_bytes(digest.digest(), "big") % len(ready)
+        return choosing.Choice(sorted(ready)[index])
+
+    def observe(self, now_s: float, observation: choosing.Observation) -> None:
+        """Counts a closed connection; nothing else matters to the hash."""
+        if observation.progress in choosing.ENDS:
+            key = (observation.port.address, observation.port.port)
+            self.concurrent[key] = max(0, self.concurrent.get(key, 0) - 1)
--- /dev/null
+++ b/tests/cover/test_balancing.py
@@ -0,0 +1,168 @@
+"""Choice of a target."""
+
+import random
+
+import testtools
+
+from tamarack_core import configuration
+from tamarack_core import requests
+from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import chooser as chooser_lib
+from tamarack_core.internal.balancing import health as health_lib
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.targets import table
+from tamarack_lab.experiments import network
+from tamarack_lab.experiments import users
+
+NOW_S = 100.0
+
+
+def port(
+    name: str = "report", weights: configuration.Weights | None = None
+) -> lookup.ServicePort:
+    """Returns a service port of agenda."""
+    return lookup.ServicePort(
+        "agenda",
+        name,
+        users.AGENDA.classes[name],
+        weights or configuration.Weights(1.0, 1.0),
+        b"\x0a\x09\x00\x01",
+        444,
+        8444,
+    )
+
+
+def address(number: int) -> bytes:
+    """Returns the packed address of a target."""
+    return bytes((10, 20, 0, number))
+
+
+class BalancingTest(testtools.TestCase):
+    """One host with targets whose leases are valid."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = table.TargetTable()
+        self.book = book_lib.Book()
+        self.chooser = chooser_lib.BalancingChooser(
+            network.context("entry", "a", 1), self.table, self.book
+        )
+        for number in range(1, 8):
+            self.announce(number)
+            self.chooser.ramp.started[address(number)] = (0, 0.0)
+        self.random = random.Random(1)
+
+    def announce(self, number, **changes):
+        """Announces a target."""
+        announcement = requests.Announce(
+            "agenda", f"10.20.0.{number}", "a", slots=2, **changes
+        )
+        target = table.Target(announcement, 1, "entry", table.NEVER_S)
+        self.table.put(target)
+
+    def choose(self, opened=None):
+        """Returns the target that takes a new flow."""
+        opening = choosing.Opening(self.random.randbytes(13), opened or port())
+        choice = self.chooser.choose(NOW_S, opening)
+        if isinstance(choice, choosing.Refusal):
+            return choice.verdict.reason
+        return choice.target[-1]
+
+    def observe(self, number, progress, elapsed_s=0.001):
+        """Tells the chooser what was seen of a flow."""
+        self.chooser.observe(
+            NOW_S,
+            choosing.Observation(progress, address(number), port(), elapsed_s),
+        )
+
+    def test_flows_without_an_end_spread_evenly(self):
+        chosen = [self.choose() for _ in range(70)]
+        self.assertEqual({10}, {chosen.count(n) for n in range(1, 8)})
+
+    def test_work_that_another_host_reports_counts(self):
+        work = [(address(n), book_lib.Reported(2.0, 0.0)) for n in range(1, 7)]
+        self.book.report("other", work)
+        self.assertEqual(7, self.choose())
+        self.book.report("other", [(address(3), book_lib.Reported(0.0, 0.0))])
+        self.assertEqual(3, self.choose())
+
+    def test_an_ended_flow_frees_its_work(self):
+        for _ in range(7):
+            self.choose()
+        self.observe(4, choosing.Progress.CLOSED)
+        self.assertEqual(4, self.choose())
+
+    def test_a_service_that_weighs_broken_flows_keeps_default_targets(self):
+        settled = configuration.Weights(broken_flows=9.0, imbalance=1.0)
+        chosen = [self.choose(port(weights=settled)) for _ in range(70)]
+        self.assertNotEqual({10}, {chosen.count(n) for n in range(1, 8)})
+
+    def test_held_connections_end_at_the_announced_number(self):
+        self.table = table.TargetTable()
+        self.chooser.targets = self.table
+        self.announce(1, connections=2)
+        chosen = [self.choose(port("route")) for _ in range(3)]
+        self.assertEqual([1, 1, "connections-full"], chosen)
+
+    def test_a_cold_target_takes_less_than_its_even_share(self):
+        self.chooser.ramp.started[address(1)] = (0, NOW_S)
+        chosen = [self.choose() for _ in range(70)]
+        self.assertTrue(0 < chosen.count(1) < 5, chosen.count(1))
+
+    def test_a_slow_handshake_lowers_the_share(self):
+        for number in range(1, 8):
+            elapsed_s = 0.5 if number == 1 else 0.001
+            self.observe(number, choosing.Progress.ESTABLISHED, elapsed_s)
+        chosen = [self.choose() for _ in range(70)]
+        self.assertTrue(0 < chosen.count(1) < 5, chosen.count(1))
+
+    def test_a_health_endpoint_is_outweighed_by_a_handshake(self):
+        self.announce(1, healthy=False)
+        self.observe(1, choosing.Progress.ESTABLISHED)
+        chosen = [self.choose() for _ in range(70)]
+        self.assertEqual(10, chosen.count(1))
+
+    def test_a_bad_health_endpoint_alone_never_takes_a_target_out(self):
+        self.announce(1, healthy=False)
+        chosen = [self.choose() for _ in range(70)]
+        self.assertTrue(0 < chosen.count(1) < 10, chosen.count(1))
+
+    def test_a_silent_target_is_ejected(self):
+        for _ in range(health_lib.FAILURES_TO_EJECT):
+            self.observe(1, choosing.Progress.SILENT)
+        self.assertNotIn(1, [self.choose() for _ in range(70)])
+
+
+class EjectionTest(testtools.TestCase):
+    """Ejection and the way back."""
+
+    def fail(self, health, number, times=health_lib.FAILURES_TO_EJECT):
+        """Lets openings at a target fail."""
+        for _ in range(times):
+            health.fail(NOW_S, address(number))
+
+    def test_the_ejected_share_is_capped(self):
+        health = health_lib.HealthBook()
+        targets = [address(number) for number in range(1, 8)]
+        for number in range(1, 8):
+            self.fail(health, number)
+        left = health.eligible(NOW_S, targets)
+        self.assertEqual(7 - int(health_lib.MAX_EJECTED_SHARE * 7), len(left))
+
+    def test_the_last_target_is_never_ejected(self):
+        health = health_lib.HealthBook()
+        self.fail(health, 1)
+        self.assertEqual([address(1)], health.eligible(NOW_S, [address(1)]))
+
+    def test_each_further_ejection_lasts_twice_as_long(self):
+        health = health_lib.HealthBook()
+        self.fail(health, 1)
+        later_s = NOW_S + health_lib.EJECTION_S + 0.1
+        targets = [address(1), address(2), address(3)]
+        self.assertEqual(targets, health.eligible(later_s, targets))
+        health.fail(later_s, address(1))
+        later_s += health_lib.EJECTION_S + 0.1
+        self.assertNotIn(address(1), health.eligible(later_s, targets))
+        health.answer(later_s, address(1), 0.001)
+        self.assertEqual(targets, health.eligible(later_s, targets))
