--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(foreach p,core node ctl lab,-e packages/$(p))
 TOOLS := hypothesis import-linter mypy pytest ruff testtools types-tabulate
 
-.PHONY: setup test lint format types contract docs check demo bench soak slopes
+.PHONY: setup test lint format types contract docs check demo bench soak slopes capacity
 
 setup: $(STAMP)
 
@@ -16,6 +16,9 @@
 	$(BIN)/pip install --quiet -c constraints.txt --no-build-isolation $(PACKAGES)
 	touch $(STAMP)
 
+docs: $(STAMP)
+	$(BIN)/python -m pytest tests/quality
+
 test: $(STAMP)
 	$(BIN)/python -m pytest tests
 
@@ -33,7 +36,7 @@
 contract: $(STAMP)
 	$(BIN)/lint-imports
 
-check: lint types contract test
+check: lint types contract docs test
 
 demo: $(STAMP)
 	$(BIN)/tamarack lab demo
@@ -46,3 +49,6 @@
 
 soak: $(STAMP)
 	TAMARACK_PROFILE=soak $(BIN)/python -m pytest tests/slow
+
+capacity: $(STAMP)
+	$(BIN)/tamarack capacity --targets-file docs/capacity/sizes.json --page docs/CAPACITY.md
--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -9,12 +9,13 @@
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
 from tamarack_core.internal.balancing import book as book_lib
-from tamarack_core.internal.balancing import chooser
 from tamarack_core.internal.balancing import reporting
-from tamarack_core.internal.control import single
+from tamarack_core.internal.control import outside
+from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
+from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
@@ -38,6 +39,8 @@
         seed: Seed of the generator.
         entry_peers: Other entry hosts of the failure domain.
         sources: Hosts to fetch the configuration from.
+        voters: First voters in the order of the settings.
+        disk: What the data folder holds; required for the control role.
     """
 
     host: peers.Peer
@@ -45,6 +48,8 @@
     seed: int
     entry_peers: tuple[peers.Peer, ...] = ()
     sources: tuple[peers.Peer, ...] = ()
+    voters: tuple[peers.Peer, ...] = ()
+    disk: voter.Disk | None = None
 
 
 def assemble(plan: Plan) -> reducer.Node:
@@ -52,14 +57,16 @@
 
     Args:
         plan: What the host is made of.
+
+    Raises:
+        ValueError: The plan has the control role and no disk.
     """
     context = context_lib.Context(plan.host, plan.seed)
     held = holder.Holder()
     targets = table.TargetTable()
     distribution = polling.Polling(context, held, plan.sources)
     book = book_lib.Book()
-    choice = chooser.BalancingChooser(context, targets, book)
-    path = data_path.DataPath(context, held, choice)
+    path = data_path.DataPath(context, held, hashing.HashChooser(targets))
 
     def live_members() -> tuple[peers.Peer, ...]:
         """Returns the other live entry hosts of the failure domain."""
@@ -73,7 +80,21 @@
         parts.append(announcements.Announcements(context, held, leases))
         parts.append(reporting.Reporting(context, held, book, live_members))
     if Role.CONTROL in plan.roles:
-        parts.append(single.SingleControl(held, distribution))
+        if plan.disk is None:
+            raise ValueError("the control role needs Plan.disk")
+        parts.append(
+            voter.VoterControl(context, distribution, plan.voters, plan.disk)
+        )
+    else:
+        parts.append(
+            outside.Outside(
+                held,
+                tuple(
+                    f"{peer.control.address}:{peer.control.port}"
+                    for peer in plan.voters
+                ),
+            )
+        )
     parts.append(
         status.Status(
             context,
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -11,10 +11,20 @@
 from tamarack_core import peers
 from tamarack_core import timeline
 from tamarack_core.messages import balancing
+from tamarack_core.messages import consensus
+from tamarack_core.messages import control
 from tamarack_core.messages import distribution
+from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
-Message = balancing.Message | distribution.Message | targets.Message
+Message = (
+    balancing.Message
+    | consensus.Message
+    | control.Message
+    | distribution.Message
+    | membership.Message
+    | targets.Message
+)
 
 FORMAT_VERSION = 1
 
