--- /dev/null
+++ b/packages/lab/src/tamarack_lab/capacity/probes/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind the slopes, each over several sizes."""
