--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -14,6 +14,7 @@
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
 from tamarack_core.internal.entry import hashing
+from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
 
@@ -62,9 +63,13 @@
     held = holder.Holder()
     targets = table.TargetTable()
     distribution = polling.Polling(context, held, plan.sources)
-    path = data_path.DataPath(context, held, hashing.HashChooser(targets))
+    members = membership_part.Membership(context, plan.entry_peers)
+    path = data_path.DataPath(
+        context, held, hashing.HashChooser(targets), members
+    )
     parts: list[reducer.Part] = [distribution]
     if Role.ENTRY in plan.roles:
+        parts.append(members)
         parts.append(path)
         parts.append(
             announcements.Announcements(
@@ -92,10 +97,11 @@
             context,
             held,
             tuple(sorted(plan.roles)),
-            lambda: tuple(peer.host for peer in plan.entry_peers),
+            lambda: tuple(peer.host for peer in members.others()),
             lambda: len(targets.targets),
-            lambda: len(path.flows),
+            lambda: len(path.records.table),
         )
     )
-    parts.append(lifecycle.Lifecycle(context))
+    ends_at_once = Role.ENTRY not in plan.roles
+    parts.append(lifecycle.Lifecycle(context, ends_at_once))
     return reducer.Node(context, tuple(parts))
--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/choosing.py
@@ -16,10 +16,14 @@
         flow: Packed caller address, caller port, service address, service
             port and protocol, as `lookup.flow_key` gives them.
         port: Service port that the caller opens.
+        preferred: Packed IP address of the target of the last flow with this
+            key, if that was closed seconds ago. Another target can't take
+            the flow yet. Empty if any target may.
     """
 
     flow: bytes
     port: lookup.ServicePort
+    preferred: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -6,31 +6,52 @@
 from tamarack_core import failure
 from tamarack_core import reducer
 from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import asking
 from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import domain as domain_lib
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import owner
+from tamarack_core.internal.entry import passage as passage_lib
+from tamarack_core.internal.entry import records
+from tamarack_core.internal.entry import refusing
+from tamarack_core.internal.entry import steering
+from tamarack_core.internal.entry import upkeep
+from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.messages import flows
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
-from tamarack_core.packets import reset
 from tamarack_core.packets import rewrite
 
+_CAREFUL = ip.TCP_SYN | ip.TCP_FIN | ip.TCP_RST
+
 
 class DataPath:
-    """Part that handles datagrams of the fabric.
+    """Part that handles datagrams of the fabric and of other hosts.
 
     Attributes:
         context: Identity, chance, time and counters.
         holder: Configuration in force.
-        chooser: Chooses the target of a new flow.
-        flows: Target of each known flow, by flow key.
+        records: The flow table.
+        refusing: Drops and resets.
+        steering: Handles what the fast path does not.
+        upkeep: Expires, takes over and repairs flows.
     """
 
-    __slots__ = ("chooser", "context", "flows", "holder")
+    __slots__ = (
+        "context",
+        "holder",
+        "records",
+        "refusing",
+        "steering",
+        "upkeep",
+    )
 
     def __init__(
         self,
         context: context_lib.Context,
         configuration_holder: holder.Holder,
         chooser: choosing.Chooser,
+        membership_of_host: membership_part.Membership,
     ) -> None:
         """Creates the part.
 
@@ -38,15 +59,34 @@
             context: Identity, chance, time and counters.
             configuration_holder: Configuration in force.
             chooser: Chooses the target of a new flow.
+            membership_of_host: Membership of this host.
         """
         self.context = context
         self.holder = configuration_holder
-        self.chooser = chooser
-        self.flows: dict[bytes, bytes] = {}
+        self.records = records.Records(context, chooser)
+        self.refusing = refusing.Refusing(context)
+        domain = domain_lib.Domain(context, membership_of_host)
+        questions = asking.Asking(context, membership_of_host)
+        self.steering = steering.Steering(
+            domain,
+            self.records,
+            owner.Owner(domain, self.records, questions, self.refusing),
+            self.refusing,
+        )
+        self.upkeep = upkeep.Upkeep(
+            domain, self.records, questions, configuration_holder
+        )
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
-        return {events.DatagramArrived: self.handle_datagram}
+        return {
+            events.DatagramArrived: self.handle_datagram,
+            events.Started: self.upkeep.handle_started,
+            upkeep.TIMER: self.upkeep.handle_timer,
+            flows.FlowCopies: self.upkeep.handle_copies,
+            flows.FlowQuery: self.upkeep.handle_query,
+            flows.FlowAnswer: self.upkeep.handle_answer,
+        }
 
     def handle_datagram(
         self, event: events.DatagramArrived
@@ -54,63 +94,92 @@
         """Rewrites a packet and sends it on, or counts why it is dropped."""
         datagram = geneve.decapsulate(event.data)
         if isinstance(datagram, failure.Failure):
-            return self._drop(datagram.reason)
+            return self.refusing.drop(datagram.reason)
         packet = ip.parse(datagram.packet)
         if isinstance(packet, failure.Failure):
-            return self._drop(packet.reason)
-        port = self.holder.lookup.find_inbound(packet)
+            return self.refusing.drop(packet.reason)
+        tables = self.holder.lookup
+        now_s = event.now_s
+        word = datagram.hops
+        port = tables.find_inbound(packet)
         if port is not None:
-            return self._carry_in(event.now_s, packet, port)
-        port = self.holder.lookup.find_outbound(packet)
+            key = lookup.flow_key(packet)
+            if not word and not packet.flags & _CAREFUL:
+                sent = self._carry_in(now_s, packet, port, key)
+                if sent:
+                    return sent
+            form = passage_lib.Form.INBOUND
+            return self._steer(now_s, packet, form, port, key, word)
+        port = tables.find_outbound(packet)
         if port is not None:
-            return self._carry_out(packet, port)
-        return self._drop("no-service")
+            key = lookup.reply_key(packet, port)
+            if not word and not packet.flags & _CAREFUL:
+                sent = self._carry_out(now_s, packet, port, key)
+                if sent:
+                    return sent
+            form = passage_lib.Form.OUTBOUND
+            return self._steer(now_s, packet, form, port, key, word)
+        return self._carry_inside(now_s, packet, word)
 
     def _carry_in(
-        self, now_s: float, packet: ip.Packet, port: lookup.ServicePort
+        self,
+        now_s: float,
+        packet: ip.Packet,
+        port: lookup.ServicePort,
+        key: bytes,
     ) -> list[effects.Effect]:
-        """Sends a caller's packet to the target of its flow."""
-        key = lookup.flow_key(packet)
-        target = self.flows.get(key)
-        if target is None:
-            choice = self.chooser.choose(now_s, choosing.Opening(key, port))
-            if isinstance(choice, choosing.Refusal):
-                return self._refuse(now_s, packet, port, choice)
-            target = choice.target
-            self.flows[key] = target
-        rewritten = rewrite.destination(packet, target, port.target_port)
+        """Sends a caller's packet to its target, if that is certain."""
+        table = self.records.table
+        slot = table.slots.get(key)
+        if slot is None or now_s >= table.due_s[slot]:
+            return []
+        table.seen_s[slot] = int(now_s)
+        rewritten = rewrite.destination(
+            packet, table.targets[table.target[slot]], port.target_port
+        )
         return [effects.SendDatagram(None, geneve.encapsulate(rewritten))]
 
     def _carry_out(
-        self, packet: ip.Packet, port: lookup.ServicePort
+        self,
+        now_s: float,
+        packet: ip.Packet,
+        port: lookup.ServicePort,
+        key: bytes,
     ) -> list[effects.Effect]:
-        """Sends a target's packet to the caller and learns the flow."""
-        self.flows[lookup.reply_key(packet, port)] = packet.source
+        """Sends a target's packet to its caller, if that is certain."""
+        table = self.records.table
+        slot = table.slots.get(key)
+        if (
+            slot is None
+            or now_s >= table.due_s[slot]
+            or table.targets[table.target[slot]] != packet.source
+        ):
+            return []
+        table.seen_s[slot] = int(now_s)
         rewritten = rewrite.source(packet, port.address, port.port)
         return [effects.SendDatagram(None, geneve.encapsulate(rewritten))]
 
-    def _refuse(
+    def _carry_inside(
+        self, now_s: float, packet: ip.Packet, word: int
+    ) -> list[effects.Effect]:
+        """Carries a packet that another host has rewritten."""
+        port = self.holder.lookup.find_inside(packet) if word else None
+        if port is None:
+            return self.refusing.drop("no-service")
+        key = lookup.inside_key(packet, port)
+        form = passage_lib.Form.INSIDE
+        return self._steer(now_s, packet, form, port, key, word)
+
+    def _steer(
         self,
         now_s: float,
         packet: ip.Packet,
+        form: passage_lib.Form,
         port: lookup.ServicePort,
-        refusal: choosing.Refusal,
+        key: bytes,
+        word: int,
     ) -> list[effects.Effect]:
-        """Answers an opening with a reset, which means not run."""
-        if packet.flags & ip.TCP_RST or packet.protocol != ip.PROTOCOL_TCP:
-            return self._drop(refusal.verdict.reason)
-        record = self.context.record(
-            now_s,
-            "flow-refused",
-            service=port.service,
-            flow=lookup.format_flow(lookup.flow_key(packet)),
-            verdict=refusal.verdict.outcome,
-            reason=refusal.verdict.reason,
+        """Carries a packet that needs care."""
+        return self.steering.handle(
+            passage_lib.Passage(now_s, packet, form, port, key, word)
         )
-        answer = geneve.encapsulate(reset.answer(packet))
-        return [effects.SendDatagram(None, answer), record]
-
-    def _drop(self, reason: str) -> list[effects.Effect]:
-        """Counts a dropped packet."""
-        self.context.counters["dropped-" + reason] += 1
-        return []
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -102,6 +102,26 @@
             (service, len(packet.source), packet.protocol, packet.source_port)
         )
 
+    def find_inside(self, packet: ip.Packet) -> ServicePort | None:
+        """Returns the service port of a packet rewritten for its target."""
+        service = self.find_service(packet.destination)
+        if not service:
+            return None
+        return self.outbound.get(
+            (
+                service,
+                len(packet.destination),
+                packet.protocol,
+                packet.destination_port,
+            )
+        )
+
+    def find_key(self, key: bytes) -> ServicePort | None:
+        """Returns the service port of a flow key."""
+        start = caller_bytes(key)
+        port = int.from_bytes(key[-3:-1], "big")
+        return self.inbound.get((key[start:-3], key[-1], port))
+
     def find_service(self, target: bytes) -> str:
         """Returns the service whose networks hold a target; empty if none.
 
@@ -155,6 +175,27 @@
     )
 
 
+def inside_key(packet: ip.Packet, port: ServicePort) -> bytes:
+    """Returns the key of the flow of a packet rewritten for its target.
+
+    Args:
+        packet: Packet from a caller to a target.
+        port: Service port of the flow.
+    """
+    return (
+        packet.source
+        + _port.pack(packet.source_port)
+        + port.address
+        + _port.pack(port.port)
+        + bytes((packet.protocol,))
+    )
+
+
+def caller_bytes(key: bytes) -> int:
+    """Returns how many bytes of a flow key name the caller."""
+    return (len(key) - 5) // 2 + 2
+
+
 def format_flow(key: bytes) -> str:
     """Returns the text form of a flow key for logs and the time line."""
     size = (len(key) - 5) // 2
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/entry/upkeep.py
@@ -0,0 +1,288 @@
+"""Upkeep of the flow table: expiry, change of owners, repair of backups."""
+
+import collections
+
+from tamarack_core import configuration
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import peers
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import asking
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import domain as domain_lib
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import owner
+from tamarack_core.internal.entry import records as records_lib
+from tamarack_core.internal.flows import table as table_lib
+from tamarack_core.messages import flows
+
+TIMER = "flows-upkeep"
+TICK_S = 0.1
+
+SWEEP_S = 10.0
+# After a change of members the whole table is looked through in this time.
+SCAN_S = 3.0
+REPAIR_INTERVAL_S = 1.0
+# Share of the control budget that repair may use.
+REPAIR_BYTES_PER_S = 1800
+MESSAGE_BYTES = 330
+# Backups are first repaired by the packets of a flow, which costs no control
+# traffic. What is still missing after this time goes into messages.
+REPAIR_PATIENCE_S = 4.0
+
+CLOSED_LIFETIME_S = 30.0
+OPENING_TIMEOUT_S = 15.0
+LEARNED_IDLE_S = 60.0
+LONG_LIVED_IDLE_S = 86400.0
+DEADLINE_GRACE_S = 60.0
+
+
+class Upkeep:
+    """Keeps the flow table in step with time and with the members.
+
+    Attributes:
+        domain: The other entry hosts.
+        records: The flow table.
+        asking: Questions about flows that this host does not know.
+        holder: Configuration in force.
+        repairs: Keys of flows whose backups may have to be told.
+    """
+
+    __slots__ = (
+        "_cursor",
+        "_epoch",
+        "_repair_s",
+        "_scan_end",
+        "asking",
+        "domain",
+        "holder",
+        "records",
+        "repairs",
+    )
+
+    def __init__(
+        self,
+        domain: domain_lib.Domain,
+        records: records_lib.Records,
+        questions: asking.Asking,
+        configuration_holder: holder.Holder,
+    ) -> None:
+        """Creates the upkeep of a host.
+
+        Args:
+            domain: The other entry hosts.
+            records: The flow table.
+            questions: Questions about flows that this host does not know.
+            configuration_holder: Configuration in force.
+        """
+        self.domain = domain
+        self.records = records
+        self.asking = questions
+        self.holder = configuration_holder
+        self.repairs: dict[bytes, None] = {}
+        self._cursor = 0
+        self._epoch = 0
+        self._scan_end = 0
+        self._repair_s = 0.0
+
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Starts the timer."""
+        return [effects.StartTimer(TIMER, TICK_S)]
+
+    def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
+        """Looks through a slice of the table and sends repairs."""
+        now_s = event.now_s
+        self.domain.refresh(now_s)
+        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        if self._epoch != self.domain.epoch:
+            self._epoch = self.domain.epoch
+            self._begin_scan(now_s)
+        self._sweep(now_s)
+        if now_s >= self._repair_s:
+            self._repair_s = now_s + REPAIR_INTERVAL_S
+            self.asking.expire(now_s)
+            found.extend(self._repair(now_s))
+        return found
+
+    def handle_copies(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Holds flows as a backup or, after a change, as their owner."""
+        message = event.message
+        assert isinstance(message, flows.FlowCopies)
+        size = len(message.service) - 1
+        for start in range(0, len(message.entries), size + 1):
+            entry = message.entries[start : start + size + 1]
+            if len(entry) <= size or entry[-1] >= len(message.targets):
+                break
+            key = entry[:-1] + message.service
+            self._take_copy(event.now_s, key, message.targets[entry[-1]])
+        return []
+
+    def handle_query(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Answers whether this host knows a flow."""
+        message = event.message
+        assert isinstance(message, flows.FlowQuery)
+        table = self.records.table
+        slot = self.records.find(event.now_s, message.key)
+        target = b"" if slot is None else table.target_of(slot)
+        answer = flows.FlowAnswer(message.key, target)
+        return [effects.SendMessage(event.sender, answer)]
+
+    def handle_answer(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Learns a flow that another host knows."""
+        message = event.message
+        assert isinstance(message, flows.FlowAnswer)
+        if self.asking.take_answer(event.sender, message):
+            self._take_copy(event.now_s, message.key, message.target)
+        return []
+
+    def _take_copy(self, now_s: float, key: bytes, target: bytes) -> None:
+        """Stores a flow that another host told of."""
+        port = self.holder.lookup.find_key(key)
+        if port is None:
+            return
+        if self.holder.lookup.find_service(target) != port.service:
+            return
+        slot = self.records.learn(now_s, key, target)
+        if slot is not None:
+            self._place(now_s, slot, key)
+
+    def _begin_scan(self, now_s: float) -> None:
+        """Begins to look through the whole table."""
+        self._scan_end = len(self.records.table.keys)
+        self._cursor = 0
+        self._repair_s = now_s + REPAIR_PATIENCE_S
+
+    def _sweep(self, now_s: float) -> None:
+        """Looks through the next slots."""
+        table = self.records.table
+        size = len(table.keys)
+        is_scanning = self._cursor < self._scan_end
+        turns = (SCAN_S if is_scanning else SWEEP_S) / TICK_S
+        count = int(size / turns) + 1
+        for slot in table.sweep(self._cursor, count):
+            key = table.keys[slot]
+            assert key is not None
+            if self._expire(now_s, slot, key):
+                continue
+            if is_scanning:
+                self._place(now_s, slot, key)
+        self._cursor += count
+        if self._cursor >= size:
+            self._cursor = 0
+            self._scan_end = 0
+
+    def _expire(self, now_s: float, slot: int, key: bytes) -> bool:
+        """Removes a flow that is over; returns whether it did."""
+        table = self.records.table
+        flags = table.flags[slot]
+        port = self.holder.lookup.find_key(key)
+        if port is None:
+            table.remove(slot)
+            return True
+        if flags & table_lib.CLOSED:
+            is_over = now_s - table.valid_s[slot] > CLOSED_LIFETIME_S
+        else:
+            idle_s = now_s - table.seen_s[slot]
+            is_over = idle_s > _idle_timeout_s(flags, port)
+        if not is_over:
+            return False
+        if flags & table_lib.OWNED:
+            progress = (
+                choosing.Progress.CLOSED
+                if flags & table_lib.ESTABLISHED
+                else choosing.Progress.SILENT
+            )
+            self.records.observe(now_s, slot, port, progress)
+        table.remove(slot)
+        return True
+
+    def _place(self, now_s: float, slot: int, key: bytes) -> None:
+        """Puts a flow into the role that the members give this host."""
+        table = self.records.table
+        if table.flags[slot] & table_lib.CLOSED:
+            return
+        if not self.records.is_certain(now_s, slot):
+            return
+        port = self.holder.lookup.find_key(key)
+        order = self.domain.order(key)
+        if port is None or not order:
+            return
+        roles = [self.domain.is_me(peer) for peer in order]
+        if roles[0]:
+            self.records.take_over(now_s, slot, port)
+            if table.placed[slot] != owner.placement_stamp(order[1:]):
+                table.due_s[slot] = min(table.due_s[slot], now_s)
+                self.repairs[key] = None
+            return
+        if table.flags[slot] & table_lib.OWNED:
+            self.records.release(now_s, slot, port)
+            self.repairs[key] = None
+        if any(roles):
+            table.flags[slot] |= table_lib.BACKUP
+        else:
+            table.flags[slot] &= ~table_lib.BACKUP
+
+    def _repair(self, now_s: float) -> list[effects.Effect]:
+        """Tells new owners and backups of flows, within the budget."""
+        budget = REPAIR_BYTES_PER_S
+        batches: dict[tuple[peers.Peer, bytes], list[bytes]] = (
+            collections.defaultdict(list)
+        )
+        while self.repairs and budget > 0:
+            key = next(iter(self.repairs))
+            del self.repairs[key]
+            for peer in self._receivers(key):
+                size = lookup.caller_bytes(key)
+                batch = batches[peer, key[size:]]
+                budget -= 0 if batch else MESSAGE_BYTES
+                # The JSON form carries bytes in base64.
+                budget -= (size + 1) * 4 // 3 + 1
+                batch.append(key)
+        return [
+            effects.SendMessage(peer, self._copies(service, keys))
+            for (peer, service), keys in batches.items()
+        ]
+
+    def _receivers(self, key: bytes) -> list[peers.Peer]:
+        """Returns the hosts that must be told of a flow."""
+        table = self.records.table
+        slot = table.slots.get(key)
+        order = self.domain.order(key)
+        if slot is None or table.flags[slot] & table_lib.CLOSED:
+            return []
+        if not self.domain.is_me(order[0]):
+            return [order[0]]
+        stamp = owner.placement_stamp(order[1:])
+        if table.placed[slot] == stamp or len(order) == 1:
+            return []
+        table.placed[slot] = stamp
+        joined = [peer for peer in order[1:] if peer in self.domain.recent]
+        return joined or [order[-1]]
+
+    def _copies(self, service: bytes, keys: list[bytes]) -> flows.FlowCopies:
+        """Returns the message that tells of flows."""
+        table = self.records.table
+        targets: dict[bytes, int] = {}
+        entries = bytearray()
+        for key in keys:
+            target = table.target_of(table.slots[key])
+            index = targets.setdefault(target, len(targets))
+            entries += key[: -len(service)] + bytes((index,))
+        return flows.FlowCopies(service, tuple(targets), bytes(entries))
+
+
+def _idle_timeout_s(flags: int, port: lookup.ServicePort) -> float:
+    """Returns the time without packets after which a flow is over."""
+    if not flags & table_lib.ESTABLISHED:
+        return OPENING_TIMEOUT_S
+    if not flags & (table_lib.OWNED | table_lib.BACKUP):
+        return LEARNED_IDLE_S
+    if port.settings.lifetime is configuration.Lifetime.LONG_LIVED:
+        return LONG_LIVED_IDLE_S
+    return port.settings.deadline_s + DEADLINE_GRACE_S
--- a/packages/core/src/tamarack_core/internal/lifecycle.py
+++ b/packages/core/src/tamarack_core/internal/lifecycle.py
@@ -11,17 +11,23 @@
 
     Attributes:
         context: Identity, chance, time and counters.
+        ends_at_once: Whether a stop request ends the process at once. On an
+            entry host the membership ends it, after the handover of flows.
     """
 
-    __slots__ = ("context",)
+    __slots__ = ("context", "ends_at_once")
 
-    def __init__(self, context: context_lib.Context) -> None:
+    def __init__(
+        self, context: context_lib.Context, ends_at_once: bool = True
+    ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
+            ends_at_once: Whether a stop request ends the process at once.
         """
         self.context = context
+        self.ends_at_once = ends_at_once
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
@@ -36,6 +42,8 @@
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
         """Records the stop and ends the process."""
+        if not self.ends_at_once:
+            return []
         return [
             self.context.record(event.now_s, "host-stopped"),
             effects.Stop(0, "stop requested"),
--- a/packages/core/src/tamarack_core/internal/membership/detector.py
+++ b/packages/core/src/tamarack_core/internal/membership/detector.py
@@ -60,13 +60,13 @@
         spread: Changes to pass on.
         health: Number of periods by which this host stretches its timeouts,
             because it missed answers itself.
+        is_joining: Whether this host still reads a first view.
         is_leaving: Whether a graceful stop has begun.
     """
 
     __slots__ = (
         "_cursor",
         "_differences",
-        "_is_joining",
         "_is_read_twice",
         "_order",
         "_probed",
@@ -76,6 +76,7 @@
         "_sequence",
         "_stretch",
         "health",
+        "is_joining",
         "is_leaving",
         "me",
         "random",
@@ -118,7 +119,7 @@
         self._relays: dict[int, Relay] = {}
         self._differences = 0
         self._cursor = ""
-        self._is_joining = True
+        self.is_joining = bool(self.seeds)
         self._is_read_twice = False
 
     def start(self, now_s: float, wall_ms: int) -> list[effects.Effect]:
@@ -307,7 +308,7 @@
         # The seeds know the most, since every host asks them first.
         known = {peer.host for peer in others}
         seeds = [seed for seed in self.seeds if seed.host in known]
-        self._is_joining = True
+        self.is_joining = True
         return [self._fetch(self.random.choice(seeds or others), "")]
 
     def _handle_probe(
@@ -393,10 +394,10 @@
         self._take(message.members, now_s)
         if message.is_last or not message.members:
             self._cursor = ""
-            self._is_joining = False
+            self.is_joining = False
             return []
         self._cursor = message.members[-1].host
-        if not self._is_joining:
+        if not self.is_joining:
             return []
         return [self._fetch(sender, self._cursor)]
 
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/membership/part.py
@@ -0,0 +1,160 @@
+"""Part that runs the membership of an entry host behind the reducer."""
+
+from tamarack_core import context as context_lib
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.membership import detector as detector_lib
+from tamarack_core.internal.membership import view
+from tamarack_core.messages import membership
+
+# A host that starts alone, or cut off from all its seeds, serves after this.
+JOIN_PATIENCE_S = 3.0
+
+_RECORDED = {
+    membership.State.ALIVE: "member-alive",
+    membership.State.SUSPECT: "member-suspected",
+    membership.State.LEAVING: "member-leaving",
+    membership.State.DEAD: "member-dead",
+    membership.State.LEFT: "member-left",
+}
+
+
+class Membership:
+    """Membership of this host in its failure domain.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        detector: Failure detection and joins.
+        started_s: Monotonic time of the start.
+        is_stopping: Whether a graceful stop has begun.
+    """
+
+    __slots__ = ("context", "detector", "is_stopping", "started_s")
+
+    def __init__(
+        self, context: context_lib.Context, seeds: tuple[peers.Peer, ...]
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            context: Identity, chance, time and counters.
+            seeds: Peers from the settings.
+        """
+        self.context = context
+        self.detector = detector_lib.Detector(
+            context.host, seeds, context.random
+        )
+        self.started_s = 0.0
+        self.is_stopping = False
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        found: dict[reducer.Key, reducer.Handler] = {
+            events.Started: self.handle_started,
+            events.StopRequested: self.handle_stop,
+            detector_lib.PROBE_TIMER: self.handle_timer,
+            detector_lib.INDIRECT_TIMER: self.handle_timer,
+            detector_lib.STOP_TIMER: self.handle_stop_timer,
+        }
+        for message_type in (
+            membership.Probe,
+            membership.ProbeRequest,
+            membership.Ack,
+            membership.MembersFetch,
+            membership.MembersPage,
+        ):
+            found[message_type] = self.handle_message
+        return found
+
+    def view(self) -> view.View:
+        """Returns what this host holds about each member."""
+        return self.detector.view
+
+    def others(self) -> tuple[peers.Peer, ...]:
+        """Returns the other members that are reachable or only suspected."""
+        return tuple(
+            member.peer
+            for member in self.detector.view.present(self.context.host.host)
+        )
+
+    def is_ready(self, now_s: float) -> bool:
+        """Returns whether this host may take decisions about flows.
+
+        A host that does not know its peers yet would take itself for the
+        owner of every flow.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return (
+            not self.detector.is_joining
+            or now_s >= self.started_s + JOIN_PATIENCE_S
+        )
+
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Joins the other members."""
+        self.started_s = event.now_s
+        return self.detector.start(event.now_s, event.wall_ms)
+
+    def handle_message(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Hands a message to the detector."""
+        message = event.message
+        assert isinstance(message, membership.Message)
+        before = self._states()
+        sent = self.detector.handle_message(event.now_s, event.sender, message)
+        return sent + self._record_changes(event.now_s, before)
+
+    def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
+        """Hands a timer to the detector."""
+        before = self._states()
+        sent = self.detector.handle_timer(event.now_s, event.timer)
+        return sent + self._record_changes(event.now_s, before)
+
+    def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
+        """Gives up the ownership of all flows, then ends the process."""
+        if self.is_stopping:
+            return []
+        self.is_stopping = True
+        record = self.context.record(event.now_s, "host-leaving")
+        if not self.others():
+            return [record, *self._finish(event.now_s)]
+        return [record, *self.detector.leave(event.now_s)]
+
+    def handle_stop_timer(
+        self, event: events.TimerFired
+    ) -> list[effects.Effect]:
+        """Ends the process after the handover."""
+        return [
+            *self.detector.stop(event.now_s),
+            *self._finish(event.now_s),
+        ]
+
+    def _finish(self, now_s: float) -> list[effects.Effect]:
+        """Returns the effects that end the process."""
+        return [
+            self.context.record(now_s, "host-stopped"),
+            effects.Stop(0, "stop requested"),
+        ]
+
+    def _states(self) -> dict[str, membership.State]:
+        """Returns the state of each member by host name."""
+        return {
+            host: member.state
+            for host, member in self.detector.view.members.items()
+        }
+
+    def _record_changes(
+        self, now_s: float, before: dict[str, membership.State]
+    ) -> list[effects.Effect]:
+        """Returns time line entries for the members that changed state."""
+        return [
+            self.context.record(
+                now_s, _RECORDED[member.state], detail=f"member {host}"
+            )
+            for host, member in self.detector.view.members.items()
+            if before.get(host) is not member.state
+        ]
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -13,6 +13,7 @@
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
+from tamarack_core.messages import flows
 from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
@@ -20,6 +21,7 @@
     consensus.Message
     | control.Message
     | distribution.Message
+    | flows.Message
     | membership.Message
     | targets.Message
 )
