Route flows by owner and backups

Cause: any packet may reach any host, and hosts come and go. Change: the owner chooses; its SYN-ACK passes the backups before the caller sees it, so payload is only sent after the backups know the target; FIN and RST pass the same way; hosts that hand over packets get them back and learn; an owner that misses asks its backups in band, then all hosts by message; roles follow the members; backups are repaired in band or, for idle flows, in messages within a byte budget; a host that has never reached a seed resets nothing.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -97,7 +97,7 @@
             context,
             held,
             tuple(sorted(plan.roles)),
-            lambda: tuple(peer.host for peer in members.others()),
+            members.joined,
             lambda: len(targets.targets),
             lambda: len(path.records.table),
         )
--- a/packages/core/src/tamarack_core/internal/entry/domain.py
+++ b/packages/core/src/tamarack_core/internal/entry/domain.py
@@ -25,7 +25,6 @@
         endpoints: Data endpoint of each member by tag.
         tag: Tag of this host.
         epoch: Epoch of the view that is in force here.
-        recent: Members that joined in the last change.
         settled_s: Monotonic time from which on what no host knows is lost.
     """
 
@@ -35,7 +34,6 @@
         "epoch",
         "membership",
         "ownership",
-        "recent",
         "settled_s",
         "tag",
     )
@@ -57,7 +55,6 @@
         self.endpoints: dict[int, peers.Endpoint] = {}
         self.tag = hops.tag(context.host)
         self.epoch = 0
-        self.recent: frozenset[peers.Peer] = frozenset()
         self.settled_s = 0.0
 
     def refresh(self, now_s: float) -> bool:
@@ -74,7 +71,6 @@
         self.epoch = current.epoch
         before = set(self.ownership.members)
         members = [peer for peer in current.owning() if peer.data is not None]
-        self.recent = frozenset(members) - before
         if self._is_any_dead(current, before - set(members)):
             self.settled_s = now_s + PARTITION_PATIENCE_S
         self.ownership.set_members(members)
@@ -89,6 +85,18 @@
         """Returns the owner and the backups of a flow."""
         return self.ownership.order(key)
 
+    def is_settled(self, now_s: float) -> bool:
+        """Returns whether what no reachable host knows is lost.
+
+        A host that has never reached any of its seeds can't tell.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        if self.membership.detector.is_joining:
+            return False
+        return now_s >= self.settled_s
+
     def is_me(self, peer: peers.Peer) -> bool:
         """Returns whether a peer is this host."""
         return peer.host == self.context.host.host
--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -1,7 +1,5 @@
 """Decisions about the flows that this host owns."""
 
-import zlib
-
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core import verdict as verdict_lib
@@ -13,6 +11,7 @@
 from tamarack_core.internal.entry import refusing
 from tamarack_core.internal.flows import hops
 from tamarack_core.internal.flows import ownership
+from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.packets import ip
 
@@ -92,7 +91,7 @@
         if not passage.is_tcp():
             return self._choose(passage, b"")
         if self.asking.is_exhausted(passage):
-            if passage.now_s < self.domain.settled_s:
+            if not self.domain.is_settled(passage.now_s):
                 return self.refusing.drop("unknown-flow-unsettled")
             return self.refusing.reset_unknown(passage)
         return self.asking.ask(passage)
@@ -209,7 +208,7 @@
         now_s = passage.now_s
         target = passage.target()
         is_over = passage.packet.flags & (ip.TCP_RST | ip.TCP_FIN)
-        is_news = passage.is_acceptance() or now_s < self.domain.settled_s
+        is_news = passage.is_acceptance() or not self.domain.is_settled(now_s)
         slot = None
         if is_news and not is_over:
             slot = self.records.learn(now_s, passage.key, target)
@@ -303,10 +302,12 @@
         if table.flags[slot] & table_lib.CLOSED:
             return self._emit(passage, slot)
         count = self._wanted_backups(passage, slot)
-        stamp = placement_stamp(order[1 : 1 + count])
-        if passage.is_acceptance() or table.placed[slot] != stamp:
+        backups = order[1 : 1 + count]
+        if passage.is_acceptance() or placement.missing(
+            table.placed[slot], backups
+        ):
             if table.flags[slot] & table_lib.ESTABLISHED:
-                table.placed[slot] = stamp
+                table.placed[slot] = placement.pack(backups)
                 table.due_s[slot] = passage.now_s + records_lib.OWNER_CARE_S
                 return self._pass_along(passage, slot, order, hops.Kind.COPY)
         else:
@@ -365,12 +366,6 @@
 _ENDING = ip.TCP_FIN | ip.TCP_RST
 
 
-def placement_stamp(backups: tuple[peers.Peer, ...]) -> int:
-    """Returns a stamp, never 0, of the hosts that hold a flow."""
-    names = "/".join(peer.host for peer in backups)
-    return zlib.crc32(names.encode()) & 0xFFFF or 1
-
-
 def _acknowledged(passage: passage_lib.Passage) -> int:
     """Returns the initial sequence number that a SYN-ACK acknowledges."""
     return (passage.packet.acknowledgment - 1) & _SEQUENCE_MASK
--- a/packages/core/src/tamarack_core/internal/entry/records.py
+++ b/packages/core/src/tamarack_core/internal/entry/records.py
@@ -7,9 +7,9 @@
 from tamarack_core.internal.flows import table as table_lib
 
 # A copy at a host that is not the owner needs a word of the owner this often.
-LEASE_S = 10.0
+LEASE_S = 20.0
 # While the owner does not answer, a copy is used this long.
-COPY_LIFETIME_S = 20.0
+COPY_LIFETIME_S = 30.0
 # Time between two attempts to reach an owner that does not answer.
 RETRY_S = 1.0
 # Time after which the owner looks at the backups of a flow again.
--- a/packages/core/src/tamarack_core/internal/entry/upkeep.py
+++ b/packages/core/src/tamarack_core/internal/entry/upkeep.py
@@ -1,6 +1,6 @@
 """Upkeep of the flow table: expiry, change of owners, repair of backups."""
 
-import collections
+import dataclasses
 
 from tamarack_core import configuration
 from tamarack_core import effects
@@ -11,8 +11,8 @@
 from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import domain as domain_lib
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import owner
 from tamarack_core.internal.entry import records as records_lib
+from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.messages import flows
 
@@ -21,22 +21,39 @@
 
 SWEEP_S = 10.0
 # After a change of members the whole table is looked through in this time.
-SCAN_S = 3.0
+SCAN_S = 1.0
 REPAIR_INTERVAL_S = 1.0
 # Share of the control budget that repair may use.
 REPAIR_BYTES_PER_S = 1800
 MESSAGE_BYTES = 330
 # Backups are first repaired by the packets of a flow, which costs no control
 # traffic. What is still missing after this time goes into messages.
-REPAIR_PATIENCE_S = 4.0
+REPAIR_PATIENCE_S = 1.5
 
-CLOSED_LIFETIME_S = 30.0
+MAX_ADDITIONS = 20_000
+
+CLOSED_LIFETIME_S = 40.0
 OPENING_TIMEOUT_S = 15.0
 LEARNED_IDLE_S = 60.0
 LONG_LIVED_IDLE_S = 86400.0
 DEADLINE_GRACE_S = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Flows that go into one message.
+
+    Attributes:
+        receiver: Host that is to hold them.
+        service: Packed service address, port and protocol.
+        is_replicated: Whether the backups after the receiver hold them.
+    """
+
+    receiver: peers.Peer
+    service: bytes
+    is_replicated: bool
+
+
 class Upkeep:
     """Keeps the flow table in step with time and with the members.
 
@@ -45,7 +62,8 @@
         records: The flow table.
         asking: Questions about flows that this host does not know.
         holder: Configuration in force.
-        repairs: Keys of flows whose backups may have to be told.
+        repairs: Keys of flows whose owner or backups have changed.
+        additions: Keys of flows that last and lack their second backup.
     """
 
     __slots__ = (
@@ -53,6 +71,7 @@
         "_epoch",
         "_repair_s",
         "_scan_end",
+        "additions",
         "asking",
         "domain",
         "holder",
@@ -80,6 +99,7 @@
         self.asking = questions
         self.holder = configuration_holder
         self.repairs: dict[bytes, None] = {}
+        self.additions: dict[bytes, None] = {}
         self._cursor = 0
         self._epoch = 0
         self._scan_end = 0
@@ -116,7 +136,8 @@
             if len(entry) <= size or entry[-1] >= len(message.targets):
                 break
             key = entry[:-1] + message.service
-            self._take_copy(event.now_s, key, message.targets[entry[-1]])
+            target = message.targets[entry[-1]]
+            self._take_copy(event.now_s, key, target, message.is_replicated)
         return []
 
     def handle_query(
@@ -138,10 +159,12 @@
         message = event.message
         assert isinstance(message, flows.FlowAnswer)
         if self.asking.take_answer(event.sender, message):
-            self._take_copy(event.now_s, message.key, message.target)
+            self._take_copy(event.now_s, message.key, message.target, False)
         return []
 
-    def _take_copy(self, now_s: float, key: bytes, target: bytes) -> None:
+    def _take_copy(
+        self, now_s: float, key: bytes, target: bytes, is_replicated: bool
+    ) -> None:
         """Stores a flow that another host told of."""
         port = self.holder.lookup.find_key(key)
         if port is None:
@@ -149,8 +172,13 @@
         if self.holder.lookup.find_service(target) != port.service:
             return
         slot = self.records.learn(now_s, key, target)
-        if slot is not None:
-            self._place(now_s, slot, key)
+        if slot is None:
+            return
+        order = self.domain.order(key)
+        if is_replicated and order and self.domain.is_me(order[0]):
+            self.records.take_over(now_s, slot, port)
+            self.records.table.placed[slot] = placement.pack(order[1:])
+        self._place(now_s, slot, key)
 
     def _begin_scan(self, now_s: float) -> None:
         """Begins to look through the whole table."""
@@ -172,6 +200,8 @@
                 continue
             if is_scanning:
                 self._place(now_s, slot, key)
+            elif table.flags[slot] & table_lib.OWNED:
+                self._complete(now_s, slot, key)
         self._cursor += count
         if self._cursor >= size:
             self._cursor = 0
@@ -216,7 +246,7 @@
         roles = [self.domain.is_me(peer) for peer in order]
         if roles[0]:
             self.records.take_over(now_s, slot, port)
-            if table.placed[slot] != owner.placement_stamp(order[1:]):
+            if placement.missing(table.placed[slot], order[1:]):
                 table.due_s[slot] = min(table.due_s[slot], now_s)
                 self.repairs[key] = None
             return
@@ -228,44 +258,66 @@
         else:
             table.flags[slot] &= ~table_lib.BACKUP
 
+    def _complete(self, now_s: float, slot: int, key: bytes) -> None:
+        """Queues a flow that has lasted with too few backups."""
+        table = self.records.table
+        age_s = now_s - table.opened_s[slot]
+        if (
+            age_s >= records_lib.OWNER_CARE_S
+            and len(self.additions) < MAX_ADDITIONS
+            and table.flags[slot] & table_lib.ESTABLISHED
+            and placement.missing(
+                table.placed[slot], self.domain.order(key)[1:]
+            )
+        ):
+            self.additions[key] = None
+
     def _repair(self, now_s: float) -> list[effects.Effect]:
         """Tells new owners and backups of flows, within the budget."""
         budget = REPAIR_BYTES_PER_S
-        batches: dict[tuple[peers.Peer, bytes], list[bytes]] = (
-            collections.defaultdict(list)
-        )
-        while self.repairs and budget > 0:
-            key = next(iter(self.repairs))
-            del self.repairs[key]
-            for peer in self._receivers(key):
-                size = lookup.caller_bytes(key)
-                batch = batches[peer, key[size:]]
-                budget -= 0 if batch else MESSAGE_BYTES
+        batches: dict[Batch, list[bytes]] = {}
+        while budget > 0:
+            key = self._next_repair()
+            if key is None:
+                break
+            for batch in self._batches(now_s, key):
+                budget -= 0 if batch in batches else MESSAGE_BYTES
                 # The JSON form carries bytes in base64.
-                budget -= (size + 1) * 4 // 3 + 1
-                batch.append(key)
+                budget -= (lookup.caller_bytes(key) + 1) * 4 // 3 + 1
+                batches.setdefault(batch, []).append(key)
         return [
-            effects.SendMessage(peer, self._copies(service, keys))
-            for (peer, service), keys in batches.items()
+            effects.SendMessage(batch.receiver, self._copies(batch, keys))
+            for batch, keys in batches.items()
         ]
 
-    def _receivers(self, key: bytes) -> list[peers.Peer]:
-        """Returns the hosts that must be told of a flow."""
+    def _next_repair(self) -> bytes | None:
+        """Takes the next flow to repair, those after a change first."""
+        for queue in (self.repairs, self.additions):
+            if queue:
+                key = next(iter(queue))
+                del queue[key]
+                return key
+        return None
+
+    def _batches(self, now_s: float, key: bytes) -> list[Batch]:
+        """Returns the batches that must tell of a flow."""
         table = self.records.table
-        slot = table.slots.get(key)
+        slot = self.records.find(now_s, key)
         order = self.domain.order(key)
         if slot is None or table.flags[slot] & table_lib.CLOSED:
             return []
+        service = key[lookup.caller_bytes(key) :]
         if not self.domain.is_me(order[0]):
-            return [order[0]]
-        stamp = owner.placement_stamp(order[1:])
-        if table.placed[slot] == stamp or len(order) == 1:
-            return []
-        table.placed[slot] = stamp
-        joined = [peer for peer in order[1:] if peer in self.domain.recent]
-        return joined or [order[-1]]
+            others = tuple(
+                peer for peer in order[1:] if not self.domain.is_me(peer)
+            )
+            is_held = not placement.missing(table.placed[slot], others)
+            return [Batch(order[0], service, is_held)]
+        lacking = placement.missing(table.placed[slot], order[1:])
+        table.placed[slot] = placement.pack(order[1:])
+        return [Batch(peer, service, False) for peer in lacking]
 
-    def _copies(self, service: bytes, keys: list[bytes]) -> flows.FlowCopies:
+    def _copies(self, batch: Batch, keys: list[bytes]) -> flows.FlowCopies:
         """Returns the message that tells of flows."""
         table = self.records.table
         targets: dict[bytes, int] = {}
@@ -273,8 +325,10 @@
         for key in keys:
             target = table.target_of(table.slots[key])
             index = targets.setdefault(target, len(targets))
-            entries += key[: -len(service)] + bytes((index,))
-        return flows.FlowCopies(service, tuple(targets), bytes(entries))
+            entries += key[: lookup.caller_bytes(key)] + bytes((index,))
+        return flows.FlowCopies(
+            batch.service, tuple(targets), bytes(entries), batch.is_replicated
+        )
 
 
 def _idle_timeout_s(flags: int, port: lookup.ServicePort) -> float:
--- a/packages/core/src/tamarack_core/internal/flows/table.py
+++ b/packages/core/src/tamarack_core/internal/flows/table.py
@@ -63,7 +63,7 @@
         valid_s: Monotonic time of the last word of the owner, by slot. For a
             closed flow, when it was closed.
         handed: Packets that other hosts handed over, at most 255, by slot.
-        placed: Stamp of the backups that hold the flow, by slot.
+        placed: Backups that hold the flow, by slot; see `placement`.
         targets: Packed address by index.
     """
 
@@ -103,7 +103,7 @@
         self.due_s = array.array("d")
         self.valid_s = array.array("d")
         self.handed = bytearray()
-        self.placed = array.array("H")
+        self.placed = array.array("I")
         self.targets: list[bytes] = []
         self._indices: dict[bytes, int] = {}
         self._free: list[int] = []
--- a/packages/core/src/tamarack_core/internal/membership/detector.py
+++ b/packages/core/src/tamarack_core/internal/membership/detector.py
@@ -68,6 +68,7 @@
         "_cursor",
         "_differences",
         "_is_read_twice",
+        "_is_reading",
         "_order",
         "_probed",
         "_probed_sequence",
@@ -121,6 +122,7 @@
         self._cursor = ""
         self.is_joining = bool(self.seeds)
         self._is_read_twice = False
+        self._is_reading = self.is_joining
 
     def start(self, now_s: float, wall_ms: int) -> list[effects.Effect]:
         """Begins to probe and joins through the seeds.
@@ -224,6 +226,9 @@
             self._stretch = self.health
             sent.append(self._probe(subject.peer, self._probed_sequence))
             sent.append(effects.StartTimer(INDIRECT_TIMER, ACK_TIMEOUT_S))
+        if self.is_joining and not self._is_read_twice:
+            seed = self.random.choice(self.seeds)
+            sent.append(self._fetch(seed, ""))
         if now_s >= self._recontact_s:
             self._recontact_s = now_s + RECONTACT_INTERVAL_S
             sent.extend(self._recontact())
@@ -308,7 +313,7 @@
         # The seeds know the most, since every host asks them first.
         known = {peer.host for peer in others}
         seeds = [seed for seed in self.seeds if seed.host in known]
-        self.is_joining = True
+        self._is_reading = True
         return [self._fetch(self.random.choice(seeds or others), "")]
 
     def _handle_probe(
@@ -394,10 +399,11 @@
         self._take(message.members, now_s)
         if message.is_last or not message.members:
             self._cursor = ""
+            self._is_reading = False
             self.is_joining = False
             return []
         self._cursor = message.members[-1].host
-        if not self.is_joining:
+        if not self._is_reading:
             return []
         return [self._fetch(sender, self._cursor)]
 
--- a/packages/core/src/tamarack_core/internal/membership/part.py
+++ b/packages/core/src/tamarack_core/internal/membership/part.py
@@ -79,6 +79,12 @@
             for member in self.detector.view.present(self.context.host.host)
         )
 
+    def joined(self) -> tuple[str, ...]:
+        """Returns the names of the others, once this host has joined them."""
+        if self.detector.is_joining:
+            return ()
+        return tuple(peer.host for peer in self.others())
+
     def is_ready(self, now_s: float) -> bool:
         """Returns whether this host may take decisions about flows.
 
--- a/packages/core/src/tamarack_core/messages/flows.py
+++ b/packages/core/src/tamarack_core/messages/flows.py
@@ -12,11 +12,13 @@
         targets: Packed addresses of targets.
         entries: For each flow the packed caller address and port, the
             beginning of its key, and one byte with the index of its target.
+        is_replicated: Whether the backups after the receiver hold the flows.
     """
 
     service: bytes
     targets: tuple[bytes, ...]
     entries: bytes
+    is_replicated: bool = False
 
 
 class FlowQuery(msgspec.Struct, frozen=True, tag="flow-query"):
