--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -9,13 +9,14 @@
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
 from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import chooser
 from tamarack_core.internal.balancing import reporting
 from tamarack_core.internal.control import outside
 from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
-from tamarack_core.internal.entry import hashing
+from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
@@ -66,19 +67,21 @@
     targets = table.TargetTable()
     distribution = polling.Polling(context, held, plan.sources)
     book = book_lib.Book()
-    path = data_path.DataPath(context, held, hashing.HashChooser(targets))
-
-    def live_members() -> tuple[peers.Peer, ...]:
-        """Returns the other live entry hosts of the failure domain."""
-        return plan.entry_peers
-
+    members = membership_part.Membership(context, plan.entry_peers)
+    path = data_path.DataPath(
+        context,
+        held,
+        chooser.BalancingChooser(context, targets, book),
+        members,
+    )
     parts: list[reducer.Part] = [distribution]
     if Role.ENTRY in plan.roles:
+        parts.append(members)
         parts.append(path)
-        leases = aggregation.Aggregation(context, targets, live_members)
+        leases = aggregation.Aggregation(context, targets, members.others)
         parts.append(leases)
         parts.append(announcements.Announcements(context, held, leases))
-        parts.append(reporting.Reporting(context, held, book, live_members))
+        parts.append(reporting.Reporting(context, held, book, members.others))
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
             raise ValueError("the control role needs Plan.disk")
@@ -100,10 +103,11 @@
             context,
             held,
             tuple(sorted(plan.roles)),
-            lambda: tuple(peer.host for peer in plan.entry_peers),
+            members.joined,
             lambda: len(targets.targets),
-            lambda: len(path.flows),
+            lambda: len(path.records.table),
         )
     )
-    parts.append(lifecycle.Lifecycle(context))
+    ends_at_once = Role.ENTRY not in plan.roles
+    parts.append(lifecycle.Lifecycle(context, ends_at_once))
     return reducer.Node(context, tuple(parts))
