Let the group that knows a service's load own its flows

Cause: the work reports and the limits went to a group of hosts for each service, while the owners of flows were drawn from all members, so that an owner outside the group chose with a stale view. Change: owner and backups come from the service's group and its standby; a host that takes over was a backup before. Conclusion: opening_hosts now sets how many hosts share the opening packets.

--- a/packages/core/src/tamarack_core/internal/balancing/owner_group.py
+++ b/packages/core/src/tamarack_core/internal/balancing/owner_group.py
@@ -23,12 +23,17 @@
         size: Number of hosts in the group, at least 1.
     """
     ranked = sorted(
-        live, key=lambda peer: _weight(service, peer.host), reverse=True
+        live, key=lambda peer: weight(service, peer.host), reverse=True
     )
     return ranked[:size]
 
 
-def _weight(service: str, host: str) -> bytes:
-    """Returns the pseudo-random weight of a host for a service."""
+def weight(service: str, host: str) -> bytes:
+    """Returns the pseudo-random weight of a host for a service.
+
+    Args:
+        service: Name of the service.
+        host: Name of the host.
+    """
     text = f"{service}\0{host}".encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/packages/core/src/tamarack_core/internal/entry/domain.py
+++ b/packages/core/src/tamarack_core/internal/entry/domain.py
@@ -3,6 +3,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import peers
+from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.flows import hops
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.membership import part as membership_part
@@ -81,9 +82,16 @@
         }
         return True
 
-    def order(self, key: bytes) -> tuple[peers.Peer, ...]:
-        """Returns the owner and the backups of a flow."""
-        return self.ownership.order(key)
+    def order(
+        self, port: lookup.ServicePort, key: bytes
+    ) -> tuple[peers.Peer, ...]:
+        """Returns the owner and the backups of a flow.
+
+        Args:
+            port: Service port of the flow.
+            key: Flow key.
+        """
+        return self.ownership.order(port.service, port.opening_hosts, key)
 
     def is_settled(self, now_s: float) -> bool:
         """Returns whether what no reachable host knows is lost.
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -29,6 +29,7 @@
         address: Service address in network byte order.
         port: Port of the service address.
         target_port: Port at each target.
+        opening_hosts: Hosts of a failure domain that own flows of the service.
     """
 
     service: str
@@ -38,6 +39,7 @@
     address: bytes
     port: int
     target_port: int
+    opening_hosts: int = 2
 
 
 Changes = Mapping[str, configuration.Service | None]
@@ -185,6 +187,7 @@
                 address=address,
                 port=work_class.port,
                 target_port=work_class.target_port,
+                opening_hosts=service.opening_hosts,
             )
 
 
--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -192,7 +192,7 @@
             return self._adopt(passage)
         if passage.packet.flags & ip.TCP_RST:
             return self.refusing.drop("unknown-flow")
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         if len(order) > 1:
             return self.domain.hand(
                 order[1], passage.packet.data, hops.Kind.ASK, 1
@@ -295,7 +295,7 @@
     ) -> list[effects.Effect]:
         """Sends a packet on, by way of the hosts that must learn from it."""
         table = self.records.table
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         table.seen_s[slot] = int(passage.now_s)
         if is_over:
             return self._pass_along(passage, slot, order, hops.Kind.CLOSED)
--- a/packages/core/src/tamarack_core/internal/entry/steering.py
+++ b/packages/core/src/tamarack_core/internal/entry/steering.py
@@ -83,7 +83,7 @@
             count: Number of hosts visited, this one included.
             tag: Tag of the first host that handed it over; 0 for none.
         """
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         if not order or self.domain.is_me(order[0]):
             return self.owner.serve(passage, tag)
         if count > hops.MAX_COUNT:
@@ -116,7 +116,7 @@
         """Learns from a packet that the owner or an asked host hands back."""
         target = passage.target()
         slot = self.records.learn(passage.now_s, passage.key, target)
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         if slot is not None and order and self.domain.is_me(order[0]):
             self.records.take_over(passage.now_s, slot, passage.port)
         return [effects.SendDatagram(None, passage.for_fabric(target))]
@@ -137,7 +137,7 @@
         if slot is not None and kind is hops.Kind.CLOSED:
             table.flags[slot] |= table_lib.CLOSED
             table.due_s[slot] = passage.now_s
-        following = self._next_backup(passage.key, count, wanted)
+        following = self._next_backup(passage, count, wanted)
         if following is None:
             return [effects.SendDatagram(None, passage.for_fabric(target))]
         word = hops.pack(kind, count + 1, wanted)
@@ -189,14 +189,14 @@
         )
 
     def _next_backup(
-        self, key: bytes, count: int, wanted: int
+        self, passage: passage_lib.Passage, count: int, wanted: int
     ) -> peers.Peer | None:
         """Returns the backup after this host; None at the end."""
         if count >= wanted:
             return None
         others = [
             peer
-            for peer in self.domain.order(key)[1:]
+            for peer in self.domain.order(passage.port, passage.key)[1:]
             if not self.domain.is_me(peer)
         ]
         return others[-1] if others else None
@@ -220,7 +220,7 @@
         self, passage: passage_lib.Passage, count: int
     ) -> list[effects.Effect]:
         """Asks the next backup, or gives up on the backups."""
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         if not order or not self.domain.is_me(order[0]):
             return self._steer(passage, count + 1, 0)
         if count + 1 < len(order):
--- a/packages/core/src/tamarack_core/internal/entry/upkeep.py
+++ b/packages/core/src/tamarack_core/internal/entry/upkeep.py
@@ -174,7 +174,7 @@
         slot = self.records.learn(now_s, key, target)
         if slot is None:
             return
-        order = self.domain.order(key)
+        order = self.domain.order(port, key)
         if is_replicated and order and self.domain.is_me(order[0]):
             self.records.take_over(now_s, slot, port)
             self.records.table.placed[slot] = placement.pack(order[1:])
@@ -240,8 +240,10 @@
         if not self.records.is_certain(now_s, slot):
             return
         port = self.holder.lookup.find_key(key)
-        order = self.domain.order(key)
-        if port is None or not order:
+        if port is None:
+            return
+        order = self.domain.order(port, key)
+        if not order:
             return
         roles = [self.domain.is_me(peer) for peer in order]
         if roles[0]:
@@ -261,13 +263,15 @@
     def _complete(self, now_s: float, slot: int, key: bytes) -> None:
         """Queues a flow that has lasted with too few backups."""
         table = self.records.table
+        port = self.holder.lookup.find_key(key)
         age_s = now_s - table.opened_s[slot]
         if (
-            age_s >= records_lib.OWNER_CARE_S
+            port is not None
+            and age_s >= records_lib.OWNER_CARE_S
             and len(self.additions) < MAX_ADDITIONS
             and table.flags[slot] & table_lib.ESTABLISHED
             and placement.missing(
-                table.placed[slot], self.domain.order(key)[1:]
+                table.placed[slot], self.domain.order(port, key)[1:]
             )
         ):
             self.additions[key] = None
@@ -303,8 +307,9 @@
         """Returns the batches that must tell of a flow."""
         table = self.records.table
         slot = self.records.find(now_s, key)
-        order = self.domain.order(key)
-        if slot is None or table.flags[slot] & table_lib.CLOSED:
+        port = self.holder.lookup.find_key(key)
+        order = () if port is None else self.domain.order(port, key)
+        if slot is None or not order or table.flags[slot] & table_lib.CLOSED:
             return []
         service = key[lookup.caller_bytes(key) :]
         if not self.domain.is_me(order[0]):
