Cut a failure domain off between real processes; bind apart from the address

Cause: integration tests need a proxy between any two hosts, which takes that hosts bind one endpoint and are known by another.

--- a/packages/lab/src/tamarack_lab/proxy/settings.py
+++ b/packages/lab/src/tamarack_lab/proxy/settings.py
@@ -60,6 +60,8 @@
 
     Attributes:
         links: Names of links; `*` and `?` stand for any text and character.
+        senders: IP addresses of those who send to `listen`, with `*` and `?`
+            as above. What goes back to them is concerned as well.
         direction: Directions concerned.
         from_s: Start in seconds after the start of the proxy.
         until_s: End in seconds after the start of the proxy; None for never.
@@ -77,6 +79,7 @@
     """
 
     links: tuple[str, ...] = ("*",)
+    senders: tuple[str, ...] = ("*",)
     direction: Directions = Directions.BOTH
     from_s: Seconds = 0.0
     until_s: Seconds | None = None
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -142,14 +142,15 @@
 
     async def _open(self) -> None:
         """Opens all sockets."""
-        control = self.settings.control
-        self.transport.open()
+        control = self.settings.control_listen or self.settings.control
+        self.transport.open(control)
         await self._server.open(control.address, control.port)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        if self.settings.data is not None:
-            self._data_socket = transport.bind_udp(self.settings.data)
+        data = self.settings.data_listen or self.settings.data
+        if data is not None:
+            self._data_socket = transport.bind_udp(data)
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 self._data_socket.setsockopt(
                     socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -61,18 +61,24 @@
         self._flush_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def open(self) -> None:
+    def open(self, endpoint: peers.Endpoint) -> None:
         """Binds the socket and starts to receive.
 
+        Args:
+            endpoint: Address and port to bind. Connections to other hosts
+                leave from the same address.
+
         Raises:
-            OSError: The control endpoint can't be bound.
+            OSError: The endpoint can't be bound.
         """
-        endpoint = self.context.host.control
         self.socket = bind_udp(endpoint)
         loop = asyncio.get_running_loop()
         loop.add_reader(self.socket, self._read)
         timeout = aiohttp.ClientTimeout(total=POST_TIMEOUT_S)
-        self.session = aiohttp.ClientSession(timeout=timeout)
+        connector = aiohttp.TCPConnector(local_addr=(endpoint.address, 0))
+        self.session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout
+        )
 
     async def close(self) -> None:
         """Sends what waits and closes the socket."""
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -25,6 +25,9 @@
         roles: Roles of the host: entry, relay, control.
         control: Address and port of HTTP and of messages between hosts.
         data: Address and port of Geneve; required for the entry role.
+        control_listen: Address and port to bind in place of `control`, when
+            other hosts reach this one by another address.
+        data_listen: Address and port to bind in place of `data`.
         fabric: Address and port of the fabric; required for the entry role.
         peers: Other hosts that this host knows at its start.
         data_folder: Folder of durable state; required for the control role.
@@ -39,6 +42,8 @@
     roles: tuple[assembly.Role, ...]
     control: peers_lib.Endpoint
     data: peers_lib.Endpoint | None = None
+    control_listen: peers_lib.Endpoint | None = None
+    data_listen: peers_lib.Endpoint | None = None
     fabric: peers_lib.Endpoint | None = None
     peers: tuple[peers_lib.Peer, ...] = ()
     data_folder: str = ""
@@ -136,6 +141,8 @@
         itertools.chain(
             _check_endpoint("$.control", settings.control),
             _check_endpoint("$.data", settings.data),
+            _check_endpoint("$.control_listen", settings.control_listen),
+            _check_endpoint("$.data_listen", settings.data_listen),
             _check_endpoint("$.fabric", settings.fabric),
             *(
                 _check_endpoint(f"$.peers[{index}].control", peer.control)
