--- a/packages/lab/src/tamarack_lab/attachment.py
+++ b/packages/lab/src/tamarack_lab/attachment.py
@@ -89,6 +89,11 @@
         self.wake()
         return connection
 
+    def send_datagram(self, path: connections.Path, payload: bytes) -> None:
+        """Sends UDP payload; it may be lost."""
+        self.stack.send_datagram(path, payload)
+        self.wake()
+
     def use(self, connection: connections.Connection) -> None:
         """Sends what an application has queued outside of `notify`."""
         self.stack.touch(connection)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/caller/datagram_flow.py
@@ -0,0 +1,114 @@
+"""One request of a caller over UDP."""
+
+import asyncio
+
+import msgspec
+
+from tamarack_core import verdict
+from tamarack_lab import attachment as attachments
+from tamarack_lab import exchange
+from tamarack_lab.caller import report as reports
+from tamarack_lab.caller import settings as caller_settings
+from tamarack_lab.tcp import connection as connections
+
+
+class DatagramFlow:
+    """Sends a request once and judges the answer.
+
+    Attributes:
+        load: What the request is for.
+        counts: Counts of the work class.
+        attachment: Carries the packets.
+        name: Identifier of the request.
+        is_over: Whether the outcome has been counted.
+    """
+
+    __slots__ = (
+        "_loop",
+        "_sent_at_s",
+        "_timer",
+        "attachment",
+        "counts",
+        "is_over",
+        "load",
+        "name",
+    )
+
+    def __init__(
+        self,
+        load: caller_settings.Load,
+        counts: reports.Counts,
+        attachment: attachments.Attachment,
+        name: str,
+    ) -> None:
+        """Creates a request that isn't sent.
+
+        Args:
+            load: What the request is for.
+            counts: Counts of the work class.
+            attachment: Carries the packets.
+            name: Identifier that no other request has.
+        """
+        self.load = load
+        self.counts = counts
+        self.attachment = attachment
+        self.name = name
+        self.is_over = False
+        self._loop = asyncio.get_running_loop()
+        self._sent_at_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    def open(self, path: connections.Path) -> None:
+        """Sends the request."""
+        self.counts.tried += 1
+        self.counts.requests += 1
+        self._sent_at_s = self._loop.time()
+        handlers = self.attachment.stack.datagram_handlers
+        handlers[(path.address, path.port)] = self._receive
+        request = exchange.Request(self.name, self.load.answer_bytes)
+        self.attachment.send_datagram(path, exchange.encode(request))
+        self._timer = self._loop.call_later(
+            self.load.answer_timeout_s, self._miss, path
+        )
+
+    def finish(self) -> None:
+        """Does nothing; a request ends with its answer."""
+
+    def _receive(self, path: connections.Path, payload: bytes) -> None:
+        """Judges an answer."""
+        reader = exchange.LineReader(exchange.Answer)
+        try:
+            answers = list(reader.feed(payload))
+        except msgspec.DecodeError:
+            answers = []
+        if not answers:
+            self.counts.mixed_up += 1
+        for answer in answers:
+            self._judge(path, answer)
+
+    def _judge(self, path: connections.Path, answer: exchange.Answer) -> None:
+        """Counts an answer as right or wrong."""
+        expected = (self.load.service, self.load.work_class)
+        if (answer.service, answer.work_class) != expected:
+            self.counts.wrong_service += 1
+        elif answer.id != self.name:
+            self.counts.mixed_up += 1
+        else:
+            self.counts.opened += 1
+            self.counts.completed += 1
+            self.counts.answers += 1
+            self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
+            self._end(path)
+
+    def _miss(self, path: connections.Path) -> None:
+        """Gives up on an answer that doesn't come."""
+        self.counts.broken[verdict.unknown("no-answer")] += 1
+        self._end(path)
+
+    def _end(self, path: connections.Path) -> None:
+        """Marks the outcome as counted."""
+        self.is_over = True
+        if self._timer is not None:
+            self._timer.cancel()
+        handlers = self.attachment.stack.datagram_handlers
+        handlers.pop((path.address, path.port), None)
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -10,6 +10,7 @@
 from tamarack_core import configuration
 from tamarack_lab import attachment as attachments
 from tamarack_lab import web_server
+from tamarack_lab.caller import datagram_flow
 from tamarack_lab.caller import flow as flows
 from tamarack_lab.caller import report as reports
 from tamarack_lab.caller import settings as caller_settings
@@ -20,6 +21,13 @@
 LAST_PORT = 60_000
 _POLL_S = 0.05
 _FORGET_EVERY = 1000
+_KINDS: dict[
+    configuration.Protocol,
+    type[flows.Flow] | type[datagram_flow.DatagramFlow],
+] = {
+    configuration.Protocol.TCP: flows.Flow,
+    configuration.Protocol.UDP: datagram_flow.DatagramFlow,
+}
 
 
 class Process:
@@ -60,7 +68,7 @@
         self.counts = [reports.Counts() for _ in settings.loads]
         self.http = settings.http
         self._random = random.Random(settings.seed)
-        self._flows: list[flows.Flow] = []
+        self._flows: list[flows.Flow | datagram_flow.DatagramFlow] = []
         self._runner: web.AppRunner | None = None
         _check(settings)
         packed = [ipaddress.ip_address(a).packed for a in settings.addresses]
@@ -137,7 +145,8 @@
         port, address = next(self._paths[len(remote)])
         path = connections.Path(address, port, remote, load.port)
         name = f"{self.settings.seed}-{load.work_class}-{counts.tried}"
-        flow = flows.Flow(load, counts, self.attachment, name)
+        kind = _KINDS[load.protocol]
+        flow = kind(load, counts, self.attachment, name)
         flow.open(path)
         if not counts.tried % _FORGET_EVERY:
             self._flows = [f for f in self._flows if not f.is_over]
--- a/packages/lab/src/tamarack_lab/caller/settings.py
+++ b/packages/lab/src/tamarack_lab/caller/settings.py
@@ -14,6 +14,7 @@
         work_class: Work class that must answer.
         address: Service address.
         port: Service port.
+        protocol: TCP, or UDP with one request in each datagram.
         lifetime: Bounded connections carry one request each; long-lived ones
             carry requests until the end.
         rate: New connections a second.
@@ -28,6 +29,7 @@
     work_class: str
     address: str
     port: int
+    protocol: configuration.Protocol = configuration.Protocol.TCP
     lifetime: configuration.Lifetime = configuration.Lifetime.BOUNDED
     rate: float = 10.0
     most: int = 0
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -1,6 +1,7 @@
 """Addresses, ports and settings of a planned deployment."""
 
 import dataclasses
+import ipaddress
 import itertools
 
 from tamarack_core import assembly
@@ -190,7 +191,7 @@
         return [
             target_settings.Member(
                 service=service.name,
-                address=f"{service.network}.{number + 1}",
+                address=_address(service.network, number),
                 domain=domains[next(numbers) % len(domains)],
             )
             for service in self.plan.services
@@ -245,23 +246,22 @@
         """Returns the callers' addresses, each with its failure domain."""
         domains = itertools.cycle(self.plan.domains)
         return [
-            (f"{self.plan.callers}.{number + 1}", next(domains))
+            (_address(network, number), next(domains))
+            for network in self.plan.callers
             for number in range(_CALLERS)
         ]
 
     def _caller_routes(self) -> list[fabric_lib.Route]:
         """Returns the routes to the callers."""
         return [
-            fabric_lib.Route(f"{address}/32", self.callers, domain)
+            fabric_lib.Route(address, self.callers, domain)
             for address, domain in self._caller_addresses()
         ]
 
     def _target_routes(self) -> list[fabric_lib.Route]:
         """Returns the routes to the targets."""
         return [
-            fabric_lib.Route(
-                f"{member.address}/32", self.targets, member.domain
-            )
+            fabric_lib.Route(member.address, self.targets, member.domain)
             for member in self.members()
         ]
 
@@ -308,6 +308,11 @@
     return peers.Peer(name, domain, ports.take(), ports.take())
 
 
+def _address(network: str, number: int) -> str:
+    """Returns an address of a network, counted from 0."""
+    return str(ipaddress.ip_network(network)[number + 1])
+
+
 def domain_address(number: int) -> str:
     """Returns the loopback address of the hosts of a failure domain.
 
@@ -341,6 +346,7 @@
             target_settings.Port(
                 work_class=work_class.name,
                 port=work_class.settings.target_port,
+                protocol=work_class.settings.protocol,
                 cost=work_class.settings.cost,
             )
             for work_class in service.classes
--- a/packages/lab/src/tamarack_lab/deployment/plan.py
+++ b/packages/lab/src/tamarack_lab/deployment/plan.py
@@ -34,6 +34,7 @@
             work_class=self.name,
             address=service.address,
             port=self.settings.port,
+            protocol=self.settings.protocol,
             lifetime=self.settings.lifetime,
             rate=self.rate,
             most=self.most,
@@ -48,7 +49,7 @@
     Attributes:
         name: Name of the service.
         address: Service address.
-        network: First three bytes of the addresses of its targets.
+        network: Network of its targets in CIDR form.
         targets: Number of targets.
         classes: Work classes.
         weights: What the service values.
@@ -72,7 +73,7 @@
         return configuration.Service(
             addresses=(self.address,),
             classes={c.name: c.settings for c in self.classes},
-            target_networks=(f"{self.network}.0/24",),
+            target_networks=(self.network,),
             weights=self.weights,
         )
 
@@ -87,7 +88,7 @@
         entry_hosts: Number of entry hosts, spread over the domains.
         control_hosts: Number of control hosts, spread over the domains.
         services: Services.
-        callers: First three bytes of the addresses of the callers.
+        callers: Networks of the callers in CIDR form.
     """
 
     name: str
@@ -95,7 +96,7 @@
     entry_hosts: int
     control_hosts: int
     services: tuple[Service, ...]
-    callers: str = "10.7.0"
+    callers: tuple[str, ...] = ("10.7.0.0/24",)
 
     def document(self) -> configuration.Configuration:
         """Returns the configuration with all services."""
@@ -113,7 +114,7 @@
         Service(
             name="agenda",
             address="10.9.0.1",
-            network="10.1.1",
+            network="10.1.1.0/24",
             targets=7,
             classes=(
                 WorkClass(
@@ -144,7 +145,7 @@
         Service(
             name="informe",
             address="10.9.0.2",
-            network="10.1.2",
+            network="10.1.2.0/24",
             targets=3,
             classes=(
                 WorkClass(
@@ -171,7 +172,7 @@
         Service(
             name="schedule-svc",
             address="10.9.0.1",
-            network="10.1.1",
+            network="10.1.1.0/24",
             targets=7,
             classes=(
                 WorkClass(
@@ -202,7 +203,7 @@
         Service(
             name="chime-store",
             address="10.9.0.2",
-            network="10.1.2",
+            network="10.1.2.0/24",
             targets=4,
             classes=(
                 WorkClass(
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -30,7 +30,8 @@
     """Owner of the addresses of a network.
 
     Attributes:
-        network: Addresses of callers or targets, in CIDR form.
+        network: Addresses of callers or targets, in CIDR form; a single
+            address stands for itself.
         endpoint: UDP endpoint of the stand-in that owns them.
         domain: Failure domain over whose entry hosts its packets are sprayed.
     """
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -1,11 +1,14 @@
 """One target: its connections, requests and what it says of itself."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
+import functools
 import ipaddress
 
 import msgspec
 
+from tamarack_core import configuration
 from tamarack_core import requests
 from tamarack_lab import attachment as attachments
 from tamarack_lab import exchange
@@ -105,9 +108,40 @@
     def listen(self) -> None:
         """Accepts connections at all ports of the service."""
         packed = ipaddress.ip_address(self.member.address).packed
-        listeners = self.attachment.stack.listeners
+        stack = self.attachment.stack
         for port in self.service.ports:
-            listeners[(packed, port.port)] = _Listener(self, port).accept
+            listener = _Listener(self, port)
+            if port.protocol is configuration.Protocol.UDP:
+                stack.datagram_handlers[(packed, port.port)] = listener.answer
+            else:
+                stack.listeners[(packed, port.port)] = listener.accept
+
+    def run(
+        self,
+        port: target_settings.Port,
+        request: exchange.Request,
+        reply: Callable[[bytes], None],
+    ) -> None:
+        """Runs a request and replies once it is done.
+
+        Args:
+            port: Where the request arrived.
+            request: The request.
+            reply: Takes the encoded answer.
+        """
+        self.ran[request.id] += 1
+        self.request_counts[port.work_class] += 1
+        self.work_units += port.cost
+        answer = exchange.Answer(
+            id=request.id,
+            service=self.member.service,
+            work_class=port.work_class,
+            target=self.member.address,
+            filling="." * request.answer_bytes,
+        )
+        self.slots.submit(
+            work.Job(port.cost, lambda: reply(exchange.encode(answer)))
+        )
 
     def announcement(
         self, lease_s: float, incarnation: int
@@ -172,6 +206,19 @@
         self.server.opened[self.port.work_class] += 1
         return _Session(self.server, self.port)
 
+    def answer(self, path: connections.Path, payload: bytes) -> None:
+        """Answers the requests in a datagram; a malformed one is dropped."""
+        reader = exchange.LineReader(exchange.Request)
+        send = self.server.attachment.send_datagram
+        try:
+            for request in reader.feed(payload):
+                self.server.opened[self.port.work_class] += 1
+                self.server.run(
+                    self.port, request, functools.partial(send, path)
+                )
+        except msgspec.DecodeError:
+            return
+
 
 class _Session:
     """Answers the requests of one connection.
@@ -218,26 +265,11 @@
     def _run(
         self, connection: connections.Connection, request: exchange.Request
     ) -> None:
-        """Runs a request and answers once it is done."""
-        server = self.server
-        cost = self.port.cost
-        server.ran[request.id] += 1
-        server.request_counts[self.port.work_class] += 1
-        server.work_units += cost
-
-        def finish() -> None:
-            if connection.state is not connections.State.CLOSED:
-                connection.write(exchange.encode(self._answer(request)))
-                server.attachment.use(connection)
+        """Runs a request and answers it unless the connection has ended."""
 
-        server.slots.submit(work.Job(cost, finish))
+        def reply(answer: bytes) -> None:
+            if connection.state is not connections.State.CLOSED:
+                connection.write(answer)
+                self.server.attachment.use(connection)
 
-    def _answer(self, request: exchange.Request) -> exchange.Answer:
-        """Returns the answer to a request."""
-        return exchange.Answer(
-            id=request.id,
-            service=self.server.member.service,
-            work_class=self.port.work_class,
-            target=self.server.member.address,
-            filling="." * request.answer_bytes,
-        )
+        self.server.run(self.port, request, reply)
--- a/packages/lab/src/tamarack_lab/target/settings.py
+++ b/packages/lab/src/tamarack_lab/target/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from tamarack_core import configuration
 from tamarack_core import peers
 
 
@@ -10,12 +11,14 @@
 
     Attributes:
         work_class: Name of the work class.
-        port: TCP port.
+        port: Port number.
+        protocol: TCP, or UDP with one request in each datagram.
         cost: Work units that one request takes.
     """
 
     work_class: str
     port: int
+    protocol: configuration.Protocol = configuration.Protocol.TCP
     cost: float = 1.0
 
 
--- a/tests/slow/test_gateway.py
+++ b/tests/slow/test_gateway.py
@@ -43,7 +43,7 @@
         plans.Service(
             name="files",
             address="10.9.0.1",
-            network="10.1.1",
+            network="10.1.1.0/24",
             targets=2,
             classes=(
                 plans.WorkClass("files", work_class(80, plans.BOUNDED), 1.0),
--- a/tests/slow/test_partition.py
+++ b/tests/slow/test_partition.py
@@ -39,7 +39,7 @@
         plans.Service(
             name="agenda",
             address="10.9.0.1",
-            network="10.1.1",
+            network="10.1.1.0/24",
             targets=6,
             classes=(
                 plans.WorkClass(
