Show both IP versions and both protocols through real entry hosts

Cause: the data path must carry inner IPv4 and IPv6, TCP and UDP. Change: a deployment with a service of each IP version, each with a TCP and a UDP class; targets and callers speak UDP.

--- a/tests/slow/test_protocols.py
+++ b/tests/slow/test_protocols.py
@@ -29,12 +29,12 @@
             plans.WorkClass(
                 protocol.value,
                 configuration.WorkClass(
-                    port=80, target_port=8080, protocol=protocol
+                    port=port, target_port=8000 + port, protocol=protocol
                 ),
                 rate=30.0,
                 answer_bytes=1000,
             )
-            for protocol in configuration.Protocol
+            for port, protocol in enumerate(configuration.Protocol, 80)
         ),
     )
 
@@ -86,7 +86,8 @@
                 "path": "/services",
                 "value": document["services"],
             }
-            await deployment.submit([operation], "create")
+            found = await deployment.submit([operation], "create")
+            self.assertEqual("accepted", found.state, found.reason)
             await deployment.wait_version()
             await deployment.start_targets()
             await deployment.start_callers(LOAD_S, GRACE_S)
