Plan, apply, log, diff and read data folders from the command line

Cause: operators had only a raw patch; declarations in version control could not be applied, and a data folder could not be looked into. Change: exact plans in the core, commands plan, apply, log, diff, data inspect and data export. A patch that got no answer from one host is marked as a resend to the next, so that no host calls it not accepted.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -16,6 +16,7 @@
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
+from tamarack_core.storage import disk as disks
 
 
 class Role(enum.StrEnum):
@@ -46,7 +47,7 @@
     entry_peers: tuple[peers.Peer, ...] = ()
     sources: tuple[peers.Peer, ...] = ()
     voters: tuple[peers.Peer, ...] = ()
-    disk: voter.Disk | None = None
+    disk: disks.Disk | None = None
 
 
 def assemble(plan: Plan) -> reducer.Node:
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -1,6 +1,5 @@
 """Control role: the replicated log, patches and reads of one control host."""
 
-from collections.abc import Sequence
 import dataclasses
 import itertools
 import random
@@ -24,6 +23,7 @@
 from tamarack_core.internal.patches import machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
+from tamarack_core.storage import disk as disks
 
 TICK_INTERVAL_S = 0.25
 TIMER = "control"
@@ -44,21 +44,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Disk:
-    """What the data folder held at the start.
-
-    Attributes:
-        incarnation: Identifier made when the folder was created.
-        snapshot: Data of the last snapshot, if any.
-        records: Records after it, in order.
-    """
-
-    incarnation: str
-    snapshot: bytes | None = None
-    records: Sequence[bytes] = ()
-
-
 class VoterControl:
     """Part that replicates patches and answers operators.
 
@@ -94,7 +79,7 @@
         context: context_lib.Context,
         distribution: polling.Polling,
         named: tuple[peers.Peer, ...],
-        disk: Disk,
+        disk: disks.Disk,
         bounds: limits.Limits | None = None,
     ) -> None:
         """Creates the part from what the disk holds.
--- /dev/null
+++ b/packages/core/src/tamarack_core/storage/disk.py
@@ -0,0 +1,19 @@
+"""What the core gets to know of a data folder."""
+
+from collections.abc import Sequence
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disk:
+    """What the data folder held at the start.
+
+    Attributes:
+        incarnation: Identifier made when the folder was created.
+        snapshot: Data of the last snapshot, if any.
+        records: Records after it, in order.
+    """
+
+    incarnation: str
+    snapshot: bytes | None = None
+    records: Sequence[bytes] = ()
--- /dev/null
+++ b/packages/ctl/src/tamarack_ctl/internal/declaring.py
@@ -0,0 +1,151 @@
+"""Commands `tamarack plan` and `tamarack apply`."""
+
+import hashlib
+import json
+import pathlib
+import sys
+from typing import Any
+
+import click
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import declarations
+from tamarack_core import failure
+from tamarack_core import peers
+from tamarack_ctl.internal import client
+from tamarack_ctl.internal import options
+from tamarack_ctl.internal import output
+from tamarack_ctl.internal import patching
+
+PATTERN = "*.json"
+PATCH_ID_CHARACTERS = 32
+
+_folder = click.argument(
+    "folder",
+    type=click.Path(exists=True, file_okay=False, path_type=pathlib.Path),
+)
+
+
+@click.command(epilog=output.EXIT_CODES_HELP)
+@_folder
+@options.hosts
+@options.as_json
+def plan(
+    folder: pathlib.Path, hosts: tuple[peers.Endpoint, ...], as_json: bool
+) -> None:
+    """Shows what `apply` would change; each service is a file NAME.json.
+
+    Example: tamarack plan services/
+    """
+    numbered = read_configuration(hosts)
+    planned = _plan(folder, numbered)
+    _show(as_json, numbered.version, planned)
+
+
+@click.command(epilog=output.EXIT_CODES_HELP)
+@_folder
+@click.option("--author", required=True, help="Who submits the patch.")
+@click.option("--note", default="", help="Why, in a sentence.")
+@options.hosts
+@options.as_json
+def apply(
+    folder: pathlib.Path,
+    author: str,
+    note: str,
+    hosts: tuple[peers.Endpoint, ...],
+    as_json: bool,
+) -> None:
+    """Makes the configuration equal to the files of a folder.
+
+    Services without a file are removed. A second run changes nothing.
+
+    Example: tamarack apply services/ --author ada --note "more targets"
+    """
+    numbered = read_configuration(hosts)
+    planned = _plan(folder, numbered)
+    batches = declarations.batches(planned)
+    if not batches:
+        _show(as_json, numbered.version, planned)
+    for number, batch in enumerate(batches):
+        body = _body(numbered.version + number, batch, author, note)
+        exit_code = patching.submit(hosts, body, as_json)
+        if exit_code != output.EXIT_OK:
+            if number:
+                click.echo(
+                    f"tamarack: {number} of {len(batches)} patches are in"
+                    " force; run apply again",
+                    err=True,
+                )
+            sys.exit(exit_code)
+
+
+def read_configuration(
+    hosts: tuple[peers.Endpoint, ...],
+) -> configuration.Numbered:
+    """Returns the newest configuration; ends the process without one."""
+    answer = client.ask(hosts, "GET", "/v1/configuration")
+    if isinstance(answer, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, answer.detail)
+    if "numbered" not in answer.body:
+        output.fail(output.EXIT_NO_HOST, str(answer.body.get("detail")))
+    return msgspec.convert(answer.body["numbered"], configuration.Numbered)
+
+
+def _plan(
+    folder: pathlib.Path, numbered: configuration.Numbered
+) -> list[declarations.Operation]:
+    """Returns the operations for a folder; ends the process if it is bad."""
+    services: dict[str, object] = {}
+    for path in sorted(folder.glob(PATTERN)):
+        try:
+            services[path.stem] = json.loads(path.read_bytes())
+        except (OSError, ValueError) as error:
+            output.fail(output.EXIT_REFUSED, f"{path}: {error}")
+    if not services:
+        output.fail(
+            output.EXIT_REFUSED,
+            f"{folder} holds no {PATTERN} file; to remove all services, use"
+            " tamarack patch",
+        )
+    declared = declarations.check(services)
+    if isinstance(declared, failure.Failure):
+        output.fail(
+            output.EXIT_REFUSED, f"{folder}{declared.path}: {declared.detail}"
+        )
+    return declarations.plan(numbered.configuration, declared)
+
+
+def _body(
+    base_version: int,
+    batch: list[declarations.Operation],
+    author: str,
+    note: str,
+) -> dict[str, Any]:
+    """Returns a patch whose id follows from its content."""
+    body = {
+        "base_version": base_version,
+        "operations": msgspec.to_builtins(
+            msgspec.json.decode(msgspec.json.encode(batch))
+        ),
+        "author": author,
+        "note": note,
+    }
+    digest = hashlib.sha256(json.dumps(body, sort_keys=True).encode())
+    return {"patch_id": digest.hexdigest()[:PATCH_ID_CHARACTERS], **body}
+
+
+def _show(
+    as_json: bool, version: int, planned: list[declarations.Operation]
+) -> None:
+    """Prints planned operations."""
+    encoded = msgspec.json.decode(msgspec.json.encode(planned))
+    if not planned and not as_json:
+        click.echo(f"nothing to change on top of version {version}")
+        return
+    output.show(
+        as_json,
+        {"base_version": version, "operations": encoded},
+        ("operation", "path"),
+        [(operation.op, operation.path) for operation in planned],
+    )
--- a/packages/ctl/src/tamarack_ctl/internal/patching.py
+++ b/packages/ctl/src/tamarack_ctl/internal/patching.py
@@ -35,6 +35,12 @@
     help="Version that the patch was written against.",
 )
 @click.option("--id", "patch_id", help="Patch id; a resend repeats it.")
+@click.option(
+    "--resend",
+    "is_resend",
+    is_flag=True,
+    help="The patch was sent before, and its verdict is not known.",
+)
 @click.option("--author", required=True, help="Who submits the patch.")
 @click.option("--note", default="", help="Why, in a sentence.")
 @options.hosts
@@ -43,6 +49,7 @@
     file: Any,
     base_version: int,
     patch_id: str | None,
+    is_resend: bool,
     author: str,
     note: str,
     hosts: tuple[peers.Endpoint, ...],
@@ -63,6 +70,7 @@
         "operations": operations,
         "author": author,
         "note": note,
+        "is_resend": is_resend,
     }
     sys.exit(submit(hosts, body, as_json))
 
@@ -80,13 +88,13 @@
     Returns:
         The exit code for the verdict.
     """
-    answer = client.ask(hosts, "POST", "/v1/patches", body)
+    answer = _send(hosts, body)
     chosen = body["patch_id"]
     if isinstance(answer, failure.Failure):
         output.fail(
             output.EXIT_UNKNOWN,
             f"{answer.detail}; unknown whether the patch is accepted: "
-            f"send it again with --id {chosen}",
+            f"send it again with --id {chosen} --resend",
         )
     verdict = answer.body
     state = verdict.get("state", "refused")
@@ -96,3 +104,27 @@
         as_json, verdict, ("verdict", "version", "patch id", "reason"), [row]
     )
     return EXIT_CODES.get(state, output.EXIT_REFUSED)
+
+
+def _send(
+    hosts: tuple[peers.Endpoint, ...], body: dict[str, Any]
+) -> client.Answer | failure.Failure:
+    """Sends a patch to the hosts in order until there is a verdict.
+
+    A sending that got no answer may have been accepted, so that each later
+    one says that it is a resend.
+    """
+    problems = []
+    sent = dict(body)
+    for endpoint in hosts:
+        answer = client.ask([endpoint], "POST", "/v1/patches", sent)
+        if isinstance(answer, failure.Failure):
+            problems.append(answer.detail)
+            sent["is_resend"] = True
+            continue
+        if answer.body.get("state") == requests.PatchState.UNKNOWN:
+            problems.append(str(answer.body.get("reason")))
+            sent["is_resend"] = True
+            continue
+        return answer
+    return failure.Failure("no-verdict", "; ".join(problems))
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -5,6 +5,9 @@
 import click
 
 from tamarack_ctl.internal import completion
+from tamarack_ctl.internal import data
+from tamarack_ctl.internal import declaring
+from tamarack_ctl.internal import history
 from tamarack_ctl.internal import patching
 from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
@@ -21,6 +24,11 @@
 main.add_command(status.status)
 main.add_command(services.services)
 main.add_command(patching.patch)
+main.add_command(declaring.plan)
+main.add_command(declaring.apply)
+main.add_command(history.log)
+main.add_command(history.diff)
+main.add_command(data.data)
 main.add_command(timeline.timeline)
 main.add_command(completion.completion)
 
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -17,7 +17,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import timeline
-from tamarack_core.internal.control import voter
+from tamarack_core.storage import disk as disks
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import http_server
 from tamarack_node.internal import logs
@@ -299,11 +299,11 @@
     return folders.DataFolder(path, settings.host, created_ms)
 
 
-def _disk(folder: folders.DataFolder | None) -> voter.Disk | None:
+def _disk(folder: folders.DataFolder | None) -> disks.Disk | None:
     """Returns what a data folder held when it was opened."""
     if folder is None:
         return None
-    return voter.Disk(
+    return disks.Disk(
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
--- a/tests/fake_hosts.py
+++ b/tests/fake_hosts.py
@@ -11,7 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import timeline
-from tamarack_core.internal.control import voter
+from tamarack_core.storage import disk as disks
 
 LATENCY_S = 0.005
 SYNC_S = 0.002
@@ -69,7 +69,7 @@
             )
             plan = dataclasses.replace(
                 plan,
-                disk=voter.Disk(
+                disk=disks.Disk(
                     disk.incarnation, disk.snapshot, tuple(disk.records)
                 ),
             )
--- /dev/null
+++ b/tests/slow/test_operator_commands.py
@@ -0,0 +1,103 @@
+"""The operator's commands against a real control host."""
+
+import json
+import pathlib
+import subprocess
+import tempfile
+
+import testtools
+
+from tests import processes
+
+SERVICE = {
+    "addresses": ["192.0.2.1"],
+    "classes": {"routes": {"port": 80, "target_port": 8080}},
+    "target_networks": ["10.0.0.0/24"],
+}
+
+
+class OperatorCommandTest(testtools.TestCase):
+    """Declarations are applied exactly, and the log and the disk show it."""
+
+    def setUp(self):
+        super().setUp()
+        parent = tempfile.TemporaryDirectory()
+        self.addCleanup(parent.cleanup)
+        self.folder = pathlib.Path(parent.name)
+        self.port = processes.free_port()
+        self.daemon = processes.Daemon(
+            self.folder,
+            {
+                "host": "c1",
+                "domain": "a",
+                "roles": ["control"],
+                "control": ["127.0.0.1", self.port],
+                "data_folder": str(self.folder / "data"),
+            },
+        )
+        self.addCleanup(self.daemon.kill)
+        self.declared = self.folder / "services"
+        self.declared.mkdir()
+        (self.declared / "agenda.json").write_text(json.dumps(SERVICE))
+
+    def tamarack(self, *arguments, expect=0, asks=True):
+        """Runs a command and returns what it printed."""
+        hosts = ["--host", f"127.0.0.1:{self.port}"] if asks else []
+        done = subprocess.run(
+            [processes.BINARIES / "tamarack", *arguments, *hosts],
+            capture_output=True,
+            text=True,
+            timeout=processes.START_TIMEOUT_S,
+        )
+        self.assertEqual(expect, done.returncode, done.stdout + done.stderr)
+        return done.stdout + done.stderr
+
+    def test_declarations_are_applied_once_and_leave_a_trace(self):
+        self.daemon.wait_started()
+        processes.wait_until(
+            lambda: (
+                processes.call(self.port, "GET", "/v1/configuration")[0] == 200
+            ),
+            "a leader",
+        )
+        self.assertIn("/services/agenda", self.tamarack("plan", self.declared))
+        apply = ["apply", self.declared, "--author", "ana", "--note", "first"]
+        self.assertIn("accepted", self.tamarack(*apply))
+        self.assertIn("nothing to change", self.tamarack(*apply))
+        changed = {**SERVICE, "addresses": ["192.0.2.2"]}
+        (self.declared / "agenda.json").write_text(json.dumps(changed))
+        self.tamarack(*apply)
+        self.assertIn("first", self.tamarack("log", "--after", "1"))
+        self.assertIn(
+            "/services/agenda/addresses", self.tamarack("diff", "1", "2")
+        )
+        late = self.folder / "late.json"
+        late.write_text("[]")
+        patch = ["patch", "--on", "1", "--author", "bea", late]
+        self.assertIn("conflict", self.tamarack(*patch, expect=3))
+        clash = {**SERVICE, "target_networks": ["10.0.0.0/8"]}
+        (self.declared / "informe.json").write_text(json.dumps(clash))
+        self.assertIn("services/informe", self.tamarack(*apply, expect=1))
+        self.daemon.stop()
+        data = self.folder / "data"
+        shown = self.tamarack("data", "inspect", data, asks=False)
+        self.assertIn("configuration version", shown)
+        exported = self.folder / "exported.json"
+        self.tamarack("data", "export", data, exported, asks=False)
+        numbered = json.loads(exported.read_text())
+        self.assertEqual(2, numbered["version"])
+        self.damage(data)
+        self.assertIn(
+            "damaged",
+            self.tamarack("data", "inspect", data, expect=1, asks=False),
+        )
+        self.daemon.start()
+        self.assertEqual(3, self.daemon.process.wait(20))
+        self.assertIn("move the folder away", self.daemon.log_file.read_text())
+
+    def damage(self, data):
+        """Flips one bit of the newest log file's first frame."""
+        log = max(data.glob("log-*"))
+        content = bytearray(log.read_bytes())
+        content[60] ^= 1
+        log.write_bytes(content)
