--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -13,10 +13,15 @@
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
+from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
 Message = (
-    consensus.Message | control.Message | distribution.Message | targets.Message
+    consensus.Message
+    | control.Message
+    | distribution.Message
+    | membership.Message
+    | targets.Message
 )
 
 FORMAT_VERSION = 1
