--- /dev/null
+++ b/tests/slow/test_consensus_model.py
@@ -0,0 +1,256 @@
+"""Model checking of the replicated log on a fake network."""
+
+import os
+import random
+
+import consensus_checker
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import testtools
+
+from tamarack_core import failure
+from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import membership
+from tamarack_lab.internal import replica_network
+
+VOTERS = 5
+SPARES = 2
+MIN_VOTERS = 3
+MAX_EVENTS = 60
+HEAL_S = 60.0
+SETTLE_S = 20.0
+BOUNDS = limits.Limits(
+    append_entries=3,
+    append_bytes=64,
+    window_requests=2,
+    chunk_bytes=100,
+    compaction_entries=8,
+    retained_entries=3,
+    promotion_entries=20,
+)
+IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
+CI_EXAMPLES = 60
+SOAK_EXAMPLES = 100
+SOAK_RUNS = int(os.environ.get("TAMARACK_SOAK_RUNS", "20"))
+
+NUMBERS = st.integers(0, 2**16)
+HOSTS = st.integers(0, VOTERS + SPARES - 1)
+CHANCES = st.sampled_from([0.0, 0.03, 0.2])
+
+
+class ConsensusModel(stateful.RuleBasedStateMachine):
+    """Replicas under faults; the checker looks at every step."""
+
+    @stateful.initialize(
+        seed=NUMBERS, loss=CHANCES, duplication=CHANCES, straggling=CHANCES
+    )
+    def set_up(self, seed, loss, duplication, straggling):
+        faults = replica_network.Faults(
+            loss, duplication, straggling, sync_max_s=0.1
+        )
+        self.network = replica_network.Network(
+            seed, VOTERS, SPARES, faults, BOUNDS
+        )
+        self.checker = consensus_checker.Checker(self.network)
+        self.names = list(self.network.hosts)
+        self.proposed = 0
+        self.lost = set()
+        self.network.start()
+        self.network.run_for(4.0)
+
+    def host(self, number):
+        return self.network.hosts[self.names[number]]
+
+    def leading(self):
+        """Returns all hosts that believe to lead, old leaders included."""
+        return [
+            host
+            for host in self.network.hosts.values()
+            if host.is_up and host.replica.state.is_leader
+        ]
+
+    @stateful.rule(count=st.integers(1, MAX_EVENTS))
+    def run_events(self, count):
+        for _ in range(count):
+            self.network.run_event()
+
+    @stateful.rule(duration_s=st.sampled_from([0.02, 0.6, 2.0, 8.0]))
+    def run_for(self, duration_s):
+        self.network.run_for(duration_s)
+
+    @stateful.rule(count=st.integers(1, 12))
+    def propose(self, count):
+        for host in self.leading():
+            for _ in range(count):
+                self.proposed += 1
+                self.checker.propose(host, b"command-%d" % self.proposed)
+
+    @stateful.rule(number=HOSTS)
+    def read(self, number):
+        if self.host(number).is_up:
+            self.checker.read(self.host(number))
+
+    @stateful.rule(number=HOSTS)
+    def crash(self, number):
+        if self.host(number).is_up:
+            self.network.crash(self.names[number])
+
+    @stateful.rule()
+    def crash_leader(self):
+        for host in self.leading():
+            self.network.crash(host.peer.host)
+
+    @stateful.rule(number=HOSTS)
+    def restart(self, number):
+        if not self.host(number).is_up:
+            refused = self.network.restart(self.names[number])
+            consensus_checker.require(refused is None, refused)
+
+    @stateful.rule(number=HOSTS)
+    def lose_disk(self, number):
+        host = self.host(number)
+        if not self.leaves_quorum(self.lost | {host.incarnation}):
+            return
+        if host.is_up:
+            self.network.crash(host.peer.host)
+        self.lost.add(host.incarnation)
+        self.network.replace_disk(host.peer.host)
+        self.network.restart(host.peer.host)
+
+    def leaves_quorum(self, lost):
+        """Returns whether each membership in use keeps a quorum of disks."""
+        return all(
+            placed.membership.has_quorum(placed.membership.voters - lost)
+            for host in self.network.hosts.values()
+            for placed in host.replica.state.memberships
+            if placed.membership.voters
+        )
+
+    @stateful.rule(number=HOSTS)
+    def isolate(self, number):
+        self.network.isolate(self.names[number])
+
+    @stateful.rule(sender=HOSTS, receiver=HOSTS)
+    def cut_one_way(self, sender, receiver):
+        self.network.cuts.add((self.names[sender], self.names[receiver]))
+
+    @stateful.rule(size=st.integers(1, VOTERS + SPARES - 1))
+    def partition(self, size):
+        left = set(self.names[:size])
+        self.network.cuts.update(
+            (sender, receiver)
+            for sender in self.names
+            for receiver in self.names
+            if (sender in left) != (receiver in left)
+        )
+
+    @stateful.rule()
+    def heal(self):
+        self.network.cuts.clear()
+
+    @stateful.rule()
+    def transfer(self):
+        for host in self.leading():
+            step = host.replica.transfer_leadership(self.network.now_s)
+            if not isinstance(step, failure.Failure):
+                self.network.carry_out(host, step)
+
+    @stateful.rule(choice=NUMBERS)
+    def change_membership(self, choice):
+        for host in self.leading():
+            changes = self.sensible_changes(host)
+            if changes:
+                self.change(host, changes[choice % len(changes)])
+
+    def sensible_changes(self, leader):
+        current = leader.replica.state.latest_membership
+        kinds = membership.ChangeKind
+        known = current.members
+        changes = [
+            membership.Change(kinds.ADD_LEARNER, host.incarnation, host.peer)
+            for host in self.network.hosts.values()
+            if host.incarnation not in known
+        ]
+        changes += [
+            membership.Change(kinds.PROMOTE, incarnation)
+            for incarnation, member in known.items()
+            if not member.is_voter
+        ]
+        changes += [
+            membership.Change(kinds.REMOVE, incarnation)
+            for incarnation, member in known.items()
+            if not member.is_voter or len(current.voters) > MIN_VOTERS
+        ]
+        return [item for item in changes if self.keeps_quorum(current, item)]
+
+    def keeps_quorum(self, current, change):
+        """Returns whether disks that remain hold a quorum after a change."""
+        wanted = membership.change(current, change)
+        if isinstance(wanted, failure.Failure):
+            return False
+        return wanted.has_quorum(wanted.voters - self.lost)
+
+    def change(self, host, change):
+        result = host.replica.change_membership(self.network.now_s, change)
+        if not isinstance(result, failure.Failure):
+            self.network.carry_out(host, result.step)
+
+    def teardown(self):
+        if hasattr(self, "network"):
+            self.check_recovery()
+
+    def check_recovery(self):
+        """After all faults end, a leader commits and all members agree."""
+        self.network.cuts.clear()
+        self.network.faults = replica_network.Faults()
+        for number, _ in enumerate(self.names):
+            self.restart(number)
+        self.network.run_for(HEAL_S)
+        leader = self.network.leader()
+        consensus_checker.require(leader is not None, "no leader")
+        accepted = self.checker.propose(leader, b"last")
+        consensus_checker.require(accepted, "leader refuses")
+        self.network.run_for(SETTLE_S)
+        consensus_checker.require(
+            self.checker.applied[-1] == b"last", "not committed"
+        )
+        members = leader.replica.state.latest_membership.members
+        behind = [
+            host.incarnation
+            for host in self.network.hosts.values()
+            if host.incarnation in members
+            and host.machine.commands != self.checker.applied
+        ]
+        consensus_checker.require(not behind, "behind", behind)
+
+
+def settings(examples, is_same_each_time):
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        derandomize=is_same_each_time,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+class ConsensusModelTest(testtools.TestCase):
+    """The log under loss, partition, crash, disk loss, membership change."""
+
+    def test_no_fault_breaks_an_invariant(self):
+        stateful.run_state_machine_as_test(
+            ConsensusModel, settings=settings(CI_EXAMPLES, True)
+        )
+
+    @testtools.skipUnless(IS_SOAK, "runs under TAMARACK_PROFILE=soak only")
+    def test_no_fault_breaks_an_invariant_in_a_deep_run(self):
+        first = os.environ.get("TAMARACK_SOAK_SEED")
+        seed = int(first) if first else random.SystemRandom().randrange(10**9)
+        for number in range(SOAK_RUNS):
+            print(f"consensus soak seed {seed + number}", flush=True)
+            model = hypothesis.seed(seed + number)(ConsensusModel)
+            stateful.run_state_machine_as_test(
+                model, settings=settings(SOAK_EXAMPLES, False)
+            )
