Spread versions as deltas over relays and neighbours

Cause: every host asked a random host once a second and got whole configurations. Each host tells which version is in force downstream.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -11,7 +11,7 @@
 from tamarack_core.internal.control import outside
 from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.entry import data_path
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.targets import announcements
@@ -36,7 +36,8 @@
         roles: Roles of this host.
         seed: Seed of the generator.
         entry_peers: Other entry hosts of the failure domain.
-        sources: Hosts to fetch the configuration from.
+        sources: Hosts to fetch the configuration from; they are nearer to the
+            control hosts, or control hosts.
         voters: First voters in the order of the settings.
         disk: What the data folder holds; required for the control role.
     """
@@ -62,7 +63,9 @@
     context = context_lib.Context(plan.host, plan.seed)
     held = holder.Holder()
     targets = table.TargetTable()
-    distribution = polling.Polling(context, held, plan.sources)
+    distribution = spreading.Spreading(
+        context, held, plan.sources, plan.entry_peers
+    )
     path = data_path.DataPath(context, held, hashing.HashChooser(targets))
     parts: list[reducer.Part] = [distribution]
     if Role.ENTRY in plan.roles:
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -19,7 +19,7 @@
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.control import joining
 from tamarack_core.internal.control import submissions
-from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.patches import machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
@@ -49,7 +49,7 @@
 
     Attributes:
         context: Identity, chance, time and counters.
-        polling: Puts accepted configurations into force on this host.
+        spreading: Puts accepted configurations into force on this host.
         machine: The replicated state.
         replica: The replicated log.
         submissions: Patches without a verdict.
@@ -67,9 +67,9 @@
         "is_blank",
         "joining",
         "machine",
-        "polling",
         "reads",
         "replica",
+        "spreading",
         "submissions",
         "unreadable",
     )
@@ -77,7 +77,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        distribution: polling.Polling,
+        distribution: spreading.Spreading,
         named: tuple[peers.Peer, ...],
         disk: disks.Disk,
         bounds: limits.Limits | None = None,
@@ -93,7 +93,7 @@
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
-        self.polling = distribution
+        self.spreading = distribution
         self.disk = disk
         self.is_blank = disk.snapshot is None and not disk.records
         self.machine = machines.PatchMachine()
@@ -283,8 +283,17 @@
         decisions = self.machine.take_decisions()
         found.extend(self.submissions.handle_decisions(decisions))
         found.extend(self._record_decisions(now_s, decisions))
-        if self.machine.version > self.polling.holder.numbered.version:
-            found.extend(self.polling.put(now_s, self.machine.numbered()))
+        found.extend(self._put_in_force(now_s))
+        return found
+
+    def _put_in_force(self, now_s: float) -> list[effects.Effect]:
+        """Puts new versions into force on this host, which spreads them."""
+        found: list[effects.Effect] = []
+        for delta in self.machine.take_deltas():
+            found.extend(self.spreading.put_delta(now_s, delta))
+        # After a restart or a snapshot, single changes aren't known.
+        if self.machine.version > self.spreading.holder.numbered.version:
+            found.extend(self.spreading.put(now_s, self.machine.numbered()))
         return found
 
     def _record_decisions(
--- a/packages/core/src/tamarack_core/internal/distribution/holder.py
+++ b/packages/core/src/tamarack_core/internal/distribution/holder.py
@@ -1,7 +1,32 @@
 """Configuration in force at this host; its version only rises."""
 
+import dataclasses
+import itertools
+
 from tamarack_core import configuration
 from tamarack_core.internal.entry import lookup
+from tamarack_core.messages import distribution
+
+MAX_CHANGES = 1_000
+# A delta of more services than this share of all is no smaller than a
+# snapshot.
+MAX_DELTA_SHARE = 0.5
+MIN_DELTA_SERVICES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Services that changed between two versions.
+
+    Attributes:
+        base_version: The version before.
+        version: The version after.
+        names: Names of the services.
+    """
+
+    base_version: int
+    version: int
+    names: frozenset[str]
 
 
 class Holder:
@@ -11,15 +36,17 @@
         numbered: Configuration in force.
         lookup: Lookup tables derived from it.
         since_ms: Wall-clock time in ms at which it came into force.
+        changes: The newest changes without a gap, the oldest first.
     """
 
-    __slots__ = ("lookup", "numbered", "since_ms")
+    __slots__ = ("changes", "lookup", "numbered", "since_ms")
 
     def __init__(self) -> None:
         """Holds the empty configuration, version 0."""
         self.numbered = configuration.Numbered(0, configuration.Configuration())
         self.lookup = lookup.Lookup(self.numbered.configuration)
         self.since_ms = 0
+        self.changes: list[Change] = []
 
     def put(self, numbered: configuration.Numbered, wall_ms: int) -> bool:
         """Puts a configuration into force unless a newer one is.
@@ -36,4 +63,61 @@
         self.lookup = lookup.Lookup(numbered.configuration)
         self.numbered = numbered
         self.since_ms = wall_ms
+        # What changed since the last version isn't known.
+        self.changes.clear()
+        return True
+
+    def put_delta(self, delta: distribution.Delta, wall_ms: int) -> bool:
+        """Puts a delta into force unless it is old or doesn't fit.
+
+        Args:
+            delta: The delta.
+            wall_ms: Wall-clock time in milliseconds.
+
+        Returns:
+            Whether a newer version came into force.
+        """
+        held = self.numbered.version
+        if not delta.base_version <= held < delta.version:
+            return False
+        services = dict(self.numbered.configuration.services)
+        for name, service in delta.changes.items():
+            services.pop(name, None)
+            if service is not None:
+                services[name] = service
+        self.lookup.apply(delta.changes)
+        self.numbered = configuration.Numbered(
+            delta.version, configuration.Configuration(services)
+        )
+        self.since_ms = wall_ms
+        change = Change(held, delta.version, frozenset(delta.changes))
+        self.changes.append(change)
+        del self.changes[:-MAX_CHANGES]
         return True
+
+    def newer_than(
+        self, version: int
+    ) -> distribution.Delta | distribution.Snapshot:
+        """Returns the smaller message that brings a host up to date.
+
+        Args:
+            version: Version that the host holds.
+        """
+        if not self.changes or version < self.changes[0].base_version:
+            return distribution.Snapshot(self.numbered)
+        services = self.numbered.configuration.services
+        names = set(
+            itertools.chain.from_iterable(
+                change.names
+                for change in self.changes
+                if change.version > version
+            )
+        )
+        limit = max(MIN_DELTA_SERVICES, MAX_DELTA_SHARE * len(services))
+        if len(names) > limit:
+            return distribution.Snapshot(self.numbered)
+        return distribution.Delta(
+            version,
+            self.numbered.version,
+            {name: services.get(name) for name in sorted(names)},
+        )
--- a/packages/core/src/tamarack_core/internal/patches/machine.py
+++ b/packages/core/src/tamarack_core/internal/patches/machine.py
@@ -11,6 +11,7 @@
 from tamarack_core.internal.patches import history
 from tamarack_core.internal.patches import operations
 from tamarack_core.internal.validation import document
+from tamarack_core.messages import distribution
 
 FORMAT_VERSION = 1
 
@@ -71,12 +72,14 @@
         history: The newest accepted patches.
         answers: First answers to patch ids.
         decisions: Decisions since the owner last took them; not replicated.
+        deltas: Changes since the owner last took them; not replicated.
     """
 
     __slots__ = (
         "answers",
         "checked",
         "decisions",
+        "deltas",
         "history",
         "time_ms",
         "version",
@@ -90,6 +93,7 @@
         self.history = history.History()
         self.answers = history.Answers()
         self.decisions: list[Decision] = []
+        self.deltas: list[distribution.Delta] = []
 
     def numbered(self) -> configuration.Numbered:
         """Returns the newest configuration with its version."""
@@ -140,6 +144,12 @@
         self.decisions = []
         return taken
 
+    def take_deltas(self) -> list[distribution.Delta]:
+        """Returns the changes of the configuration since the last call."""
+        taken = self.deltas
+        self.deltas = []
+        return taken
+
     def snapshot(self) -> bytes:
         """Returns the whole state in encoded form."""
         return _encoder.encode(
@@ -181,6 +191,7 @@
         self.answers = history.Answers()
         self.answers.by_id = dict(decoded.answers)
         self.decisions = []
+        self.deltas = []
 
     def _decide(self, patch: requests.SubmitPatch) -> requests.PatchVerdict:
         """Decides on a patch whose id is new."""
@@ -208,6 +219,9 @@
         refused = self.checked.replace(changes)
         if refused is not None:
             return _invalid(refused)
+        self.deltas.append(
+            distribution.Delta(self.version, self.version + 1, changes)
+        )
         self.version += 1
         changed = operations.changed_pointers(parsed)[: history.MAX_POINTERS]
         self.history.append(
--- a/packages/core/src/tamarack_core/messages/distribution.py
+++ b/packages/core/src/tamarack_core/messages/distribution.py
@@ -10,19 +10,28 @@
 
     Attributes:
         version: Version in force at the sender.
+        since_ms: Wall-clock time in ms at which it came into force there.
+        wants_answer: Whether the receiver is to answer with what it holds;
+            it also sends newer versions for a while.
     """
 
     version: int
+    since_ms: int = 0
+    wants_answer: bool = False
 
 
-class VersionFetch(msgspec.Struct, frozen=True, tag="version-fetch"):
-    """The sender asks for what came after its own version.
+class Delta(msgspec.Struct, frozen=True, tag="delta"):
+    """All services that changed between two versions.
 
     Attributes:
-        version: Version in force at the sender.
+        base_version: The delta fits on this version and on later ones.
+        version: Version that it leads to.
+        changes: Services as of `version`; None for a removed one.
     """
 
+    base_version: int
     version: int
+    changes: dict[str, configuration.Service | None]
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
@@ -35,4 +44,4 @@
     numbered: configuration.Numbered
 
 
-Message = VersionOffer | VersionFetch | Snapshot
+Message = VersionOffer | Delta | Snapshot
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -78,11 +78,22 @@
     after: int = 0
 
 
+class ReadRollout(msgspec.Struct, frozen=True, tag="read-rollout"):
+    """An operator reads which version is in force at the hosts downstream."""
+
+
 class ReadStatus(msgspec.Struct, frozen=True, tag="read-status"):
     """An operator reads the state of this host."""
 
 
-Request = Announce | SubmitPatch | ReadConfiguration | ReadLog | ReadStatus
+Request = (
+    Announce
+    | SubmitPatch
+    | ReadConfiguration
+    | ReadLog
+    | ReadRollout
+    | ReadStatus
+)
 
 
 class Announced(msgspec.Struct, frozen=True, tag="announced"):
@@ -181,6 +192,36 @@
     entries: tuple[LogEntry, ...]
 
 
+class HostVersion(msgspec.Struct, frozen=True):
+    """Version in force at a host, as it last said.
+
+    Attributes:
+        host: Name of the host.
+        domain: Failure domain of the host.
+        version: Version in force there.
+        since_ms: Wall-clock time in ms at which it came into force there.
+        age_ms: Milliseconds since the host said so.
+    """
+
+    host: str
+    domain: str
+    version: int
+    since_ms: int
+    age_ms: int
+
+
+class RolloutRead(msgspec.Struct, frozen=True, tag="rollout-read"):
+    """Answer to `ReadRollout`.
+
+    Attributes:
+        version: Version in force at the answering host.
+        hosts: Hosts that asked the answering host for versions.
+    """
+
+    version: int
+    hosts: tuple[HostVersion, ...]
+
+
 class StatusRead(msgspec.Struct, frozen=True, tag="status-read"):
     """Answer to `ReadStatus`.
 
@@ -213,5 +254,6 @@
     | PatchVerdict
     | ConfigurationRead
     | LogRead
+    | RolloutRead
     | StatusRead
 )
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -325,7 +325,7 @@
             for peer in settings.peers
             if peer.domain == settings.domain and peer.data is not None
         ),
-        sources=settings.peers,
+        sources=settings.upstream_peers(),
         voters=settings.voter_peers(),
         disk=_disk(folder),
     )
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -78,6 +78,7 @@
                 web.post("/v1/patches", self.post_patch),
                 web.get("/v1/configuration", self.get_configuration),
                 web.get("/v1/log", self.get_log),
+                web.get("/v1/rollout", self.get_rollout),
                 web.get("/v1/status", self.get_status),
                 web.get("/v1/timeline", self.get_timeline),
                 web.get("/v1/health", self.get_health),
@@ -122,6 +123,10 @@
             return _respond(refused)
         return await self._answer(requests.ReadLog(int(after)))
 
+    async def get_rollout(self, request: web.Request) -> web.Response:
+        """Handles a read of the versions in force downstream."""
+        return await self._answer(requests.ReadRollout())
+
     async def get_status(self, request: web.Request) -> web.Response:
         """Handles a read of the state of this host."""
         return await self._answer(requests.ReadStatus())
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -50,6 +50,33 @@
         """Returns this host as other hosts reach it."""
         return peers_lib.Peer(self.host, self.domain, self.control, self.data)
 
+    def upstream_peers(self) -> tuple[peers_lib.Peer, ...]:
+        """Returns the hosts to fetch the configuration from.
+
+        An entry host asks the relays of its failure domain, and without any
+        the control hosts. A relay is a peer without data that is no voter.
+        """
+        if assembly.Role.CONTROL in self.roles:
+            return ()
+        control = tuple(
+            peer
+            for peer in self.peers
+            if peer.data is None or peer.host in self.voters
+        )
+        relays = tuple(
+            peer
+            for peer in control
+            if peer.domain == self.domain and peer.host not in self.voters
+        )
+        is_relay = assembly.Role.RELAY in self.roles
+        if self.voters and relays and not is_relay:
+            return relays
+        if self.voters:
+            return tuple(
+                peer for peer in self.peers if peer.host in self.voters
+            )
+        return control
+
     def voter_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the control hosts that found the system, in order."""
         known = {peer.host: peer for peer in (*self.peers, self.peer())}
