Show and change members, and show the rollout of a version

Cause: a control host that lost its disk could not be replaced, and nobody could see which version is in force where. Change: commands member list, member change and rollout with their requests; a named host that lost its disk is added again once its old member is removed.

--- a/packages/core/src/tamarack_core/internal/control/joining.py
+++ b/packages/core/src/tamarack_core/internal/control/joining.py
@@ -8,6 +8,8 @@
 is added again once its old incarnation has been removed.
 """
 
+import dataclasses
+
 from tamarack_core import effects
 from tamarack_core import failure
 from tamarack_core import peers
@@ -19,6 +21,21 @@
 INTERVAL_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Introduced:
+    """A control host that introduced itself.
+
+    Attributes:
+        peer: The host.
+        incarnation: Identifier of its data folder.
+        is_blank: Whether its data folder has never held anything.
+    """
+
+    peer: peers.Peer
+    incarnation: str
+    is_blank: bool
+
+
 class Joining:
     """Introduces this host, and at the leader adds those that do.
 
@@ -26,7 +43,7 @@
         own: This host under its incarnation.
         named: Control hosts that the settings name as first voters, this
             host included if it is one.
-        introduced: Blank hosts that introduced themselves, by host.
+        introduced: Hosts that introduced themselves, by host.
     """
 
     __slots__ = ("introduced", "named", "own")
@@ -42,14 +59,16 @@
         """
         self.own = own
         self.named = named
-        self.introduced: dict[str, str] = {}
+        self.introduced: dict[str, Introduced] = {}
 
     def is_ready_to_found(self) -> bool:
         """Returns whether this blank host may found the system alone."""
         if not self.named or self.named[0].host != self.own.peer.host:
             return False
-        others = {peer.host for peer in self.named[1:]}
-        return others <= self.introduced.keys()
+        return all(
+            peer.host in self.introduced and self.introduced[peer.host].is_blank
+            for peer in self.named[1:]
+        )
 
     def introduce(self, *, is_blank: bool) -> list[effects.Effect]:
         """Returns the messages that introduce this host to the others."""
@@ -62,10 +81,9 @@
 
     def note(self, sender: peers.Peer, message: control.Introduction) -> None:
         """Takes note of a host that introduced itself."""
-        if message.is_blank:
-            self.introduced[sender.host] = message.incarnation
-        else:
-            self.introduced.pop(sender.host, None)
+        self.introduced[sender.host] = Introduced(
+            sender, message.incarnation, message.is_blank
+        )
 
     def admit(
         self,
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/control/members.py
@@ -0,0 +1,106 @@
+"""Answers operators about the members of the replicated log."""
+
+from tamarack_core import failure
+from tamarack_core import peers
+from tamarack_core import requests
+from tamarack_core.internal.consensus import membership
+from tamarack_core.internal.consensus import outputs
+from tamarack_core.internal.consensus import replica as replicas
+from tamarack_core.internal.control import joining as joining_lib
+
+_KINDS = {
+    requests.MemberAction.ADD: membership.ChangeKind.ADD_LEARNER,
+    requests.MemberAction.PROMOTE: membership.ChangeKind.PROMOTE,
+    requests.MemberAction.REMOVE: membership.ChangeKind.REMOVE,
+}
+
+
+def describe(
+    replica: replicas.Replica, joining: joining_lib.Joining
+) -> requests.MembersRead:
+    """Returns the members and the hosts that wait to become one."""
+    state = replica.state
+    known = state.latest_membership.members
+    members = [
+        _member(
+            member.peer,
+            member.incarnation,
+            requests.MemberState.VOTER
+            if member.is_voter
+            else requests.MemberState.LEARNER,
+        )
+        for member in known.values()
+    ]
+    members += [
+        _member(
+            introduced.peer,
+            introduced.incarnation,
+            requests.MemberState.WAITING,
+        )
+        for introduced in joining.introduced.values()
+        if introduced.incarnation not in known
+    ]
+    leader = state.leader.peer.host if state.leader else ""
+    return requests.MembersRead(leader, tuple(members))
+
+
+def change(
+    now_s: float,
+    replica: replicas.Replica,
+    joining: joining_lib.Joining,
+    request: requests.ChangeMember,
+) -> outputs.Proposal | failure.Failure:
+    """Proposes the change that an operator asked for."""
+    state = replica.state
+    if not state.is_leader:
+        leader = state.leader.peer if state.leader else None
+        where = (
+            f"{leader.host} at {leader.control.address}:{leader.control.port}"
+            if leader
+            else "unknown; ask again"
+        )
+        return failure.Failure("not-leader", f"the leader is {where}")
+    found = _find(state.latest_membership, joining, request)
+    if isinstance(found, failure.Failure):
+        return found
+    return replica.change_membership(now_s, found)
+
+
+def _find(
+    members: membership.Membership,
+    joining: joining_lib.Joining,
+    request: requests.ChangeMember,
+) -> membership.Change | failure.Failure:
+    """Returns the change for the member that a request names."""
+    kind = _KINDS[request.action]
+    if kind is membership.ChangeKind.ADD_LEARNER:
+        waiting = joining.introduced.get(request.host)
+        if waiting is None:
+            return failure.Failure(
+                "unknown-member",
+                f"{request.host} has not introduced itself; start it with this"
+                " host among its voters",
+            )
+        return membership.Change(kind, waiting.incarnation, waiting.peer)
+    incarnations = [
+        member.incarnation
+        for member in members.members.values()
+        if member.peer.host == request.host
+        and request.incarnation in ("", member.incarnation)
+    ]
+    if len(incarnations) == 1:
+        return membership.Change(kind, incarnations[0])
+    reason = "unknown-member" if not incarnations else "ambiguous-member"
+    return failure.Failure(
+        reason,
+        f"{len(incarnations)} members match host {request.host}; read the"
+        " members and name the incarnation",
+    )
+
+
+def _member(
+    peer: peers.Peer, incarnation: str, state: requests.MemberState
+) -> requests.Member:
+    """Returns the form that operators see."""
+    endpoint = f"{peer.control.address}:{peer.control.port}"
+    return requests.Member(peer.host, peer.domain, endpoint, incarnation, state)
--- a/packages/core/src/tamarack_core/internal/control/outside.py
+++ b/packages/core/src/tamarack_core/internal/control/outside.py
@@ -36,6 +36,8 @@
         return {
             requests.SubmitPatch: self.refuse,
             requests.ReadLog: self.refuse,
+            requests.ReadMembers: self.refuse,
+            requests.ChangeMember: self.refuse,
             requests.ReadConfiguration: self.handle_read,
         }
 
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -18,6 +18,7 @@
 from tamarack_core.internal.consensus import records
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.control import joining
+from tamarack_core.internal.control import members
 from tamarack_core.internal.control import submissions
 from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.patches import machine as machines
@@ -130,6 +131,8 @@
                 requests.SubmitPatch: self.handle_patch,
                 requests.ReadConfiguration: self.handle_read,
                 requests.ReadLog: self.handle_read,
+                requests.ReadMembers: self.handle_read_members,
+                requests.ChangeMember: self.handle_change_member,
             }
         )
         return handlers
@@ -237,6 +240,31 @@
             event.now_s, self.replica.read_index(event.now_s, token)
         )
 
+    def handle_read_members(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Answers with the members of the log."""
+        answer = members.describe(self.replica, self.joining)
+        return [effects.Respond(event.request_id, answer)]
+
+    def handle_change_member(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Changes one member, if this host leads."""
+        request = event.request
+        assert isinstance(request, requests.ChangeMember)
+        proposal = members.change(
+            event.now_s, self.replica, self.joining, request
+        )
+        if isinstance(proposal, failure.Failure):
+            refused = requests.Refused(proposal.reason, proposal.detail)
+            return [effects.Respond(event.request_id, refused)]
+        started = requests.MemberChangeStarted()
+        return [
+            *self._carry(event.now_s, proposal.step),
+            effects.Respond(event.request_id, started),
+        ]
+
     def _is_addressed(self, message: consensus.Message) -> bool:
         """Returns whether a message is meant for this incarnation."""
         return message.header.destination == self.disk.incarnation
@@ -354,12 +382,14 @@
         self, now_s: float, changed: outputs.MembershipChanged
     ) -> effects.Effect:
         """Returns the time line entry of a membership."""
-        members = " ".join(
+        described = " ".join(
             f"{member.peer.host}/{member.incarnation}"
             f"{'' if member.is_voter else '(learner)'}"
             for member in changed.members
         )
-        return self.context.record(now_s, "membership-changed", detail=members)
+        return self.context.record(
+            now_s, "membership-changed", detail=described
+        )
 
     def _answer_read(self, token: int) -> list[effects.Effect]:
         """Answers a read that has reached its index."""
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -82,6 +82,33 @@
     """An operator reads which version is in force at the hosts downstream."""
 
 
+class MemberAction(enum.StrEnum):
+    """What an operator does with a control host."""
+
+    ADD = "add"
+    PROMOTE = "promote"
+    REMOVE = "remove"
+
+
+class ReadMembers(msgspec.Struct, frozen=True, tag="read-members"):
+    """An operator reads the members of the replicated log."""
+
+
+class ChangeMember(msgspec.Struct, frozen=True, tag="change-member"):
+    """An operator changes one member; the leader alone can do it.
+
+    Attributes:
+        action: What to do.
+        host: Name of the control host.
+        incarnation: Which of its data folders; needed only where the host is
+            known under more than one.
+    """
+
+    action: MemberAction
+    host: str
+    incarnation: str = ""
+
+
 class ReadStatus(msgspec.Struct, frozen=True, tag="read-status"):
     """An operator reads the state of this host."""
 
@@ -92,6 +119,8 @@
     | ReadConfiguration
     | ReadLog
     | ReadRollout
+    | ReadMembers
+    | ChangeMember
     | ReadStatus
 )
 
@@ -222,6 +251,50 @@
     hosts: tuple[HostVersion, ...]
 
 
+class MemberState(enum.StrEnum):
+    """Part that a control host takes in the replicated log."""
+
+    VOTER = "voter"
+    LEARNER = "learner"
+    WAITING = "waiting"
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A control host under one of its data folders.
+
+    Attributes:
+        host: Name of the host.
+        domain: Failure domain of the host.
+        endpoint: Address and port to ask it at.
+        incarnation: Identifier of its data folder.
+        state: Its part in the log; waiting if it has none.
+    """
+
+    host: str
+    domain: str
+    endpoint: str
+    incarnation: str
+    state: MemberState
+
+
+class MembersRead(msgspec.Struct, frozen=True, tag="members-read"):
+    """Answer to `ReadMembers`, as far as the answering host knows.
+
+    Attributes:
+        leader: Name of the leader; empty if none is known.
+        members: The members, and the hosts that wait.
+    """
+
+    leader: str
+    members: tuple[Member, ...]
+
+
+class MemberChangeStarted(
+    msgspec.Struct, frozen=True, tag="member-change-started"
+):
+    """The change is in the log; read the members to see it take effect."""
+
+
 class StatusRead(msgspec.Struct, frozen=True, tag="status-read"):
     """Answer to `ReadStatus`.
 
@@ -255,5 +328,7 @@
     | ConfigurationRead
     | LogRead
     | RolloutRead
+    | MembersRead
+    | MemberChangeStarted
     | StatusRead
 )
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -8,7 +8,9 @@
 from tamarack_ctl.internal import data
 from tamarack_ctl.internal import declaring
 from tamarack_ctl.internal import history
+from tamarack_ctl.internal import members
 from tamarack_ctl.internal import patching
+from tamarack_ctl.internal import rollout
 from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
 from tamarack_ctl.internal import timeline
@@ -29,6 +31,8 @@
 main.add_command(history.log)
 main.add_command(history.diff)
 main.add_command(data.data)
+main.add_command(members.member)
+main.add_command(rollout.rollout)
 main.add_command(timeline.timeline)
 main.add_command(completion.completion)
 
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TypeVar
 
 from aiohttp import web
 import msgspec
@@ -24,6 +25,10 @@
     requests.PatchState.UNKNOWN: 504,
 }
 
+_Posted = TypeVar(
+    "_Posted", requests.Announce, requests.SubmitPatch, requests.ChangeMember
+)
+
 Ask = Callable[[requests.Request], Awaitable[requests.Response]]
 
 
@@ -79,6 +84,8 @@
                 web.get("/v1/configuration", self.get_configuration),
                 web.get("/v1/log", self.get_log),
                 web.get("/v1/rollout", self.get_rollout),
+                web.get("/v1/members", self.get_members),
+                web.post("/v1/members", self.post_member),
                 web.get("/v1/status", self.get_status),
                 web.get("/v1/timeline", self.get_timeline),
                 web.get("/v1/health", self.get_health),
@@ -127,6 +134,15 @@
         """Handles a read of the versions in force downstream."""
         return await self._answer(requests.ReadRollout())
 
+    async def get_members(self, request: web.Request) -> web.Response:
+        """Handles a read of the members of the replicated log."""
+        return await self._answer(requests.ReadMembers())
+
+    async def post_member(self, request: web.Request) -> web.Response:
+        """Handles a change of one member."""
+        fields = await _read_json(request)
+        return await self._answer(_convert(fields, requests.ChangeMember))
+
     async def get_status(self, request: web.Request) -> web.Response:
         """Handles a read of the state of this host."""
         return await self._answer(requests.ReadStatus())
@@ -202,8 +218,8 @@
 
 def _convert(
     fields: dict[str, object],
-    kind: type[requests.Announce] | type[requests.SubmitPatch],
-) -> requests.Announce | requests.SubmitPatch | requests.Refused:
+    kind: type[_Posted],
+) -> _Posted | requests.Refused:
     """Returns the request in decoded fields, or why there is none."""
     try:
         return msgspec.convert(fields, kind)
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -152,6 +152,24 @@
         self.network.run(15.0)
         self.assertFalse(self.part("c0").replica.state.is_voter)
 
+    def test_a_host_that_lost_its_disk_votes_again_once_removed(self):
+        self.found()
+        lost = self.followers()[0]
+        before = self.part(lost).disk.incarnation
+        self.network.kill(lost, lose_disk=True)
+        self.network.start(lost)
+        self.network.run(5.0)
+        self.assertFalse(self.part(lost).replica.state.is_voter)
+        request = requests.ChangeMember(requests.MemberAction.REMOVE, lost)
+        refused = self.network.answer(self.followers()[0], request)
+        self.assertEqual("not-leader", refused.reason)
+        self.network.answer(self.leader(), request)
+        self.wait_for_voters(self.names)
+        read = self.network.answer(self.leader(), requests.ReadMembers())
+        incarnations = [member.incarnation for member in read.members]
+        self.assertEqual(3, len(incarnations))
+        self.assertNotIn(before, incarnations)
+
     def test_all_hosts_restart_from_their_disks(self):
         self.found()
         first = self.network.answer("c0", patch("a", 0))
--- a/tests/slow/test_operator_commands.py
+++ b/tests/slow/test_operator_commands.py
@@ -68,6 +68,9 @@
         (self.declared / "agenda.json").write_text(json.dumps(changed))
         self.tamarack(*apply)
         self.assertIn("first", self.tamarack("log", "--after", "1"))
+        self.assertIn("voter", self.tamarack("member", "list"))
+        refused = self.tamarack("member", "change", "remove", "c1", expect=1)
+        self.assertIn("leader", refused)
         self.assertIn(
             "/services/agenda/addresses", self.tamarack("diff", "1", "2")
         )
