--- a/packages/core/src/tamarack_core/declarations.py
+++ b/packages/core/src/tamarack_core/declarations.py
@@ -18,7 +18,11 @@
 MAX_PATCH_BYTES = commands.MAX_OPERATIONS_BYTES
 MAX_PATCH_OPERATIONS = operations.MAX_OPERATIONS
 
-_FIELDS = ("addresses", "target_networks", "weights")
+_FIELDS = tuple(
+    field.name
+    for field in msgspec.structs.fields(configuration.Service)
+    if field.name != "classes"
+)
 
 
 class Operation(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/core/src/tamarack_core/internal/validation/fields.py
+++ b/packages/core/src/tamarack_core/internal/validation/fields.py
@@ -22,6 +22,7 @@
 MAX_CONCURRENT = 1_000_000_000
 MAX_OPENING_RATE = 1e9
 MAX_WEIGHT = 1e6
+MAX_OPENING_HOSTS = 10_000
 
 _NAME = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9._-]{0,61}[A-Za-z0-9])?")
 
@@ -50,6 +51,8 @@
     _Range("max_opening_rate", 0, MAX_OPENING_RATE),
 )
 
+_SERVICE_RANGES = (_Range("opening_hosts", 1, MAX_OPENING_HOSTS),)
+
 _WEIGHT_RANGES = (
     _Range("broken_flows", 0, MAX_WEIGHT),
     _Range("imbalance", 0, MAX_WEIGHT),
@@ -125,6 +128,7 @@
     """Yields the faults of one service in a fixed order."""
     yield from _size_faults(service, prefix)
     yield from addresses.service_faults(service, prefix)
+    yield from _range_faults(service, _SERVICE_RANGES, prefix)
     yield from _range_faults(
         service.weights, _WEIGHT_RANGES, prefix + "/weights"
     )
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -1,12 +1,11 @@
 """Entry point of `tamarack`."""
 
-import importlib.metadata
-
 import click
 
 from tamarack_ctl.internal import completion
 from tamarack_ctl.internal import data
 from tamarack_ctl.internal import declaring
+from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import history
 from tamarack_ctl.internal import members
 from tamarack_ctl.internal import patching
@@ -15,10 +14,8 @@
 from tamarack_ctl.internal import status
 from tamarack_ctl.internal import timeline
 
-COMMANDS_GROUP = "tamarack.commands"
-
 
-@click.group()
+@click.group(cls=extensions.ExtensibleGroup)
 def main() -> None:
     """Operates the tamarackford load balancer."""
 
@@ -35,6 +32,3 @@
 main.add_command(rollout.rollout)
 main.add_command(timeline.timeline)
 main.add_command(completion.completion)
-
-for _entry_point in importlib.metadata.entry_points(group=COMMANDS_GROUP):
-    main.add_command(_entry_point.load(), _entry_point.name)
--- a/tests/cover/test_validation.py
+++ b/tests/cover/test_validation.py
@@ -120,6 +120,7 @@
         ),
         "/services/two/classes/b/target_port",
     ),
+    (with_services(opening_hosts=0), "/services/two/opening_hosts"),
     (
         with_services(weights={"imbalance": -1}),
         "/services/two/weights/imbalance",
