--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -75,7 +75,9 @@
         self._folder = _open_folder(settings)
         self.node = assembly.assemble(_plan(settings, seed, self._folder))
         self.transport = transport.Transport(
-            self.node.context, self._handle_envelope
+            self.node.context,
+            self._handle_envelope,
+            {peer.host: peer.control for peer in settings.peers},
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
             maxlen=TIMELINE_ENTRIES
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import logging
 import socket
 
@@ -27,6 +28,9 @@
     Attributes:
         context: Identity, clock and counters.
         receive: Called with each envelope received.
+        routes: Endpoint of each host that the settings name; it goes before
+            the one that the host states itself, as the way may lead through
+            an address translation.
         socket: UDP socket bound to the control endpoint.
         outbox: Messages that wait for the end of the loop turn, by receiver.
         session: HTTP client for large envelopes.
@@ -38,6 +42,7 @@
         "context",
         "outbox",
         "receive",
+        "routes",
         "session",
         "socket",
     )
@@ -46,14 +51,17 @@
         self,
         context: context_lib.Context,
         receive: Callable[[messages.Envelope], None],
+        routes: Mapping[str, peers.Endpoint],
     ) -> None:
         """Creates a transport that is not open.
 
         Args:
             context: Identity, clock and counters.
             receive: Called with each envelope received.
+            routes: Endpoint of each host that the settings name.
         """
         self.context = context
+        self.routes = routes
         self.receive = receive
         self.socket: socket.socket | None = None
         self.session: aiohttp.ClientSession | None = None
@@ -111,6 +119,10 @@
         self.context.clock.observe(envelope.stamp)
         self.receive(envelope)
 
+    def _route(self, peer: peers.Peer) -> peers.Endpoint:
+        """Returns the endpoint to reach a host at."""
+        return self.routes.get(peer.host, peer.control)
+
     def _read(self) -> None:
         """Receives the datagrams that have arrived."""
         assert self.socket is not None
@@ -154,7 +166,8 @@
         assert self.socket is not None
         self.context.counters["control-sent-bytes"] += len(data)
         try:
-            self.socket.sendto(data, (peer.control.address, peer.control.port))
+            endpoint = self._route(peer)
+            self.socket.sendto(data, (endpoint.address, endpoint.port))
         except OSError as error:
             self.context.counters["control-send-failed"] += 1
             logs.event(
@@ -167,7 +180,7 @@
         """Sends one large envelope over HTTP."""
         assert self.session is not None
         self.context.counters["control-sent-bytes"] += len(data)
-        url = f"http://{format_endpoint(peer.control)}{MESSAGES_PATH}"
+        url = f"http://{format_endpoint(self._route(peer))}{MESSAGES_PATH}"
         try:
             async with self.session.post(url, data=data) as response:
                 await response.read()
