--- a/packages/core/src/tamarack_core/internal/consensus/following.py
+++ b/packages/core/src/tamarack_core/internal/consensus/following.py
@@ -28,7 +28,16 @@
     request: consensus.AppendRequest | consensus.SnapshotChunk,
 ) -> None:
     """Tells a leader of an earlier term that there is a later one."""
-    _respond(state, sender, request, is_accepted=False, match_index=0)
+    # The sender may lead again by the time this arrives, and must not take it
+    # for an answer to a request of its new term: rounds start at 1.
+    response = consensus.AppendResponse(
+        state.header(request.header.source),
+        round=0,
+        is_accepted=False,
+        match_index=0,
+        last_index=state.log.last_index,
+    )
+    state.send_synced(sender, response)
 
 
 def handle_append(
--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -20,10 +20,25 @@
     follow_membership(state, now_s)
     state.set_leader(state.own)
     # Entries of earlier terms commit only together with one of this term.
-    state.append(consensus.Entry(state.term, consensus.EntryKind.NOOP))
+    state.append(_first_entry(state))
     state.heartbeat_deadline_s = now_s + state.bounds.heartbeat_interval_s
 
 
+def _first_entry(state: states.State) -> consensus.Entry:
+    """Returns the entry that begins a term.
+
+    The first entry of all states the initial membership, so that a replica
+    that joins without one learns it from the log.
+    """
+    if state.log.last_index > 0:
+        return consensus.Entry(state.term, consensus.EntryKind.NOOP)
+    return consensus.Entry(
+        state.term,
+        consensus.EntryKind.MEMBERSHIP,
+        state.latest_membership.encode(),
+    )
+
+
 def follow_membership(state: states.State, now_s: float) -> None:
     """Tracks exactly the other members of the newest membership."""
     members = state.latest_membership.members
--- a/packages/core/src/tamarack_core/internal/consensus/snapshots.py
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -82,8 +82,9 @@
     if state.log.term_at(snapshot.index) == snapshot.term:
         state.log.compact(snapshot.index)
     else:
+        # Of the old entries only committed ones equal the snapshot.
+        state.journal.truncate(state.commit_index)
         state.log = log.Log(snapshot.index, snapshot.term)
-        state.journal.truncate(snapshot.index)
     _adopt(state, snapshot)
     _save(state, snapshot.index, data)
     return True
