--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/choosing.py
@@ -16,10 +16,14 @@
         flow: Packed caller address, caller port, service address, service
             port and protocol, as `lookup.flow_key` gives them.
         port: Service port that the caller opens.
+        preferred: Packed IP address of the target of the last flow with this
+            key, if that was closed seconds ago. Another target can't take
+            the flow yet. Empty if any target may.
     """
 
     flow: bytes
     port: lookup.ServicePort
+    preferred: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +60,17 @@
     SILENT = "silent"
 
 
+ENDS = frozenset(
+    {
+        Progress.CLOSED,
+        Progress.RESET_BY_TARGET,
+        Progress.REFUSED_BY_TARGET,
+        Progress.SILENT,
+    }
+)
+"""Steps after which a flow is over."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
     """A step in the life of a flow.
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -10,13 +10,22 @@
 from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_core import timeline
+from tamarack_core.messages import balancing
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
+from tamarack_core.messages import flows
+from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
 Message = (
-    consensus.Message | control.Message | distribution.Message | targets.Message
+    balancing.Message
+    | consensus.Message
+    | control.Message
+    | distribution.Message
+    | flows.Message
+    | membership.Message
+    | targets.Message
 )
 
 FORMAT_VERSION = 1
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -1,22 +1,22 @@
 """Entry point of `tamarack`."""
 
-import importlib.metadata
-
 import click
 
+from tamarack_ctl.internal import completion
+from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import patching
+from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
-
-COMMANDS_GROUP = "tamarack.commands"
+from tamarack_ctl.internal import timeline
 
 
-@click.group()
+@click.group(cls=extensions.ExtensibleGroup)
 def main() -> None:
     """Operates the tamarackford load balancer."""
 
 
 main.add_command(status.status)
+main.add_command(services.services)
 main.add_command(patching.patch)
-
-for _entry_point in importlib.metadata.entry_points(group=COMMANDS_GROUP):
-    main.add_command(_entry_point.load(), _entry_point.name)
+main.add_command(timeline.timeline)
+main.add_command(completion.completion)
