Test exact fault sequences of the replicated log

Cause: pre-vote, check-quorum, handover, identity and flow control each need a fault of their own. Change: tests/cover/test_consensus.py.

--- /dev/null
+++ b/tests/cover/test_consensus.py
@@ -0,0 +1,239 @@
+"""Faults of the replicated log that call for one exact sequence."""
+
+import copy
+import random
+
+import testtools
+from testtools import matchers
+
+from tamarack_core import effects
+from tamarack_core import failure
+from tamarack_core import messages
+from tamarack_core import timeline
+from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import membership
+from tamarack_core.internal.consensus import outputs
+from tamarack_core.internal.consensus import replica
+from tamarack_core.messages import consensus
+from tamarack_lab.internal import replica_network
+
+SEED = 7
+ELECTED_S = 10.0
+LONG_S = 600.0
+COMMANDS = 40
+
+
+def running(voters=5, spares=0, **options):
+    """Returns a network with a leader."""
+    network = replica_network.Network(SEED, voters, spares, **options)
+    network.start()
+    network.run_for(ELECTED_S)
+    return network
+
+
+def propose(network, count):
+    """Proposes commands at the leader."""
+    for number in range(count):
+        leader = network.leader()
+        result = leader.replica.propose(network.now_s, b"%d" % number)
+        network.carry_out(leader, result.step)
+
+
+def follower(network):
+    """Returns some host that does not lead."""
+    leader = network.leader()
+    return next(h for h in network.hosts.values() if h is not leader)
+
+
+class ElectionTest(testtools.TestCase):
+    """Who leads, and for how long."""
+
+    def test_a_single_voter_leads_only_once_its_vote_is_synced(self):
+        network = replica_network.Network(SEED, 1)
+        alone = network.hosts["control-0"].replica
+        alone.start(0.0)
+        step = alone.handle_timer(ELECTED_S)
+        writes = [e for e in step.effects if isinstance(e, effects.Persist)]
+        self.assertFalse(alone.state.is_leader)
+        alone.handle_write_completed(ELECTED_S, writes[0].sequence)
+        self.assertTrue(alone.state.is_leader)
+
+    def test_a_host_that_returns_from_isolation_forces_no_election(self):
+        network = running()
+        leader, away = network.leader(), follower(network)
+        term = leader.replica.state.term
+        network.isolate(away.peer.host)
+        network.run_for(LONG_S)
+        network.cuts.clear()
+        network.run_for(ELECTED_S)
+        self.assertIs(leader, network.leader())
+        self.assertEqual(term, away.replica.state.term)
+
+    def test_a_leader_without_a_quorum_steps_down(self):
+        network = running()
+        old = network.leader()
+        network.isolate(old.peer.host)
+        network.run_for(ELECTED_S)
+        self.assertFalse(old.replica.state.is_leader)
+        refused = old.replica.propose(network.now_s, b"late")
+        self.assertEqual("not-leader", refused.reason)
+        self.assertIsNot(old, network.leader())
+
+    def test_a_handover_moves_the_leadership_without_a_timeout(self):
+        network = running()
+        old = network.leader()
+        propose(network, COMMANDS)
+        step = old.replica.transfer_leadership(network.now_s)
+        network.carry_out(old, step)
+        network.run_for(network.bounds.heartbeat_interval_s)
+        self.assertFalse(old.replica.state.is_leader)
+        self.assertIsNot(None, network.leader())
+        self.assertEqual(COMMANDS, len(network.leader().machine.commands))
+
+
+class IdentityTest(testtools.TestCase):
+    """Replicas that lost their disk, or got an old one back."""
+
+    def test_a_disk_that_has_gone_back_is_refused_for_good(self):
+        network = running()
+        victim = follower(network)
+        old_records = copy.copy(victim.disk.records)
+        propose(network, COMMANDS)
+        network.run_for(ELECTED_S)
+        network.crash(victim.peer.host)
+        victim.disk.records = old_records
+        for _ in range(2):
+            network.restart(victim.peer.host)
+            network.run_for(ELECTED_S)
+            halted = victim.replica.state.halted
+            self.assertIsInstance(halted, outputs.Halted)
+            self.assertEqual("identity-refused", halted.reason)
+            network.crash(victim.peer.host)
+
+    def test_a_message_for_an_earlier_incarnation_is_dropped(self):
+        network = running(3)
+        target = follower(network)
+        source = network.leader()
+        header = consensus.Header(99, source.incarnation, "control-9.9")
+        message = consensus.AppendRequest(header, 1, 0, 0, 0)
+        step = target.replica.handle_message(
+            network.now_s, source.peer, message
+        )
+        self.assertEqual([], step.effects)
+        self.assertThat(target.replica.state.term, matchers.LessThan(99))
+
+    def test_an_answer_of_an_unknown_incarnation_is_not_counted(self):
+        network = running(3)
+        leader, other = network.leader(), follower(network)
+        header = consensus.Header(99, "stranger", leader.incarnation)
+        message = consensus.AppendResponse(header, 1, False, 0, 0)
+        leader.replica.handle_message(network.now_s, other.peer, message)
+        self.assertTrue(leader.replica.state.is_leader)
+
+    def test_a_host_with_a_new_disk_becomes_a_voter_step_by_step(self):
+        network = running(3)
+        lost, leader = follower(network), network.leader()
+        old = lost.incarnation
+        network.crash(lost.peer.host)
+        network.replace_disk(lost.peer.host)
+        network.restart(lost.peer.host)
+        kinds = membership.ChangeKind
+        for change in (
+            membership.Change(kinds.REMOVE, old),
+            membership.Change(kinds.ADD_LEARNER, lost.incarnation, lost.peer),
+            membership.Change(kinds.PROMOTE, lost.incarnation),
+        ):
+            result = leader.replica.change_membership(network.now_s, change)
+            network.carry_out(leader, result.step)
+            network.run_for(1.0)
+        voters = lost.replica.state.latest_membership.voters
+        self.assertThat(voters, matchers.HasLength(3))
+        self.assertIn(lost.incarnation, voters)
+
+    def test_a_promotion_that_would_lose_the_quorum_is_refused(self):
+        network = running(2, spares=1)
+        leader = network.leader()
+        spare = network.hosts["control-2"]
+        kinds = membership.ChangeKind
+        added = leader.replica.change_membership(
+            network.now_s,
+            membership.Change(kinds.ADD_LEARNER, spare.incarnation, spare.peer),
+        )
+        network.carry_out(leader, added.step)
+        network.run_for(1.0)
+        network.crash(spare.peer.host)
+        other = next(
+            h for h in network.hosts.values() if h not in (leader, spare)
+        )
+        leader.replica.state.progress[other.incarnation].answered_s = 0.0
+        leader.replica.state.progress[spare.incarnation].answered_s = 0.0
+        refused = leader.replica.change_membership(
+            network.now_s, membership.Change(kinds.PROMOTE, spare.incarnation)
+        )
+        self.assertEqual("would-lose-quorum", refused.reason)
+
+
+class FlowTest(testtools.TestCase):
+    """Slow followers, sizes, and damaged input."""
+
+    def test_a_silent_follower_is_sent_no_more_than_its_window(self):
+        bounds = limits.Limits(window_bytes=4096, append_bytes=1024)
+        network = running(bounds=bounds)
+        silent = follower(network)
+        sent = []
+        network.cuts.add((silent.peer.host, network.leader().peer.host))
+
+        def watch(host, step):
+            sent.extend(
+                len(entry.data)
+                for effect in step.effects
+                if isinstance(effect, effects.SendMessage)
+                and effect.peer == silent.peer
+                and isinstance(effect.message, consensus.AppendRequest)
+                for entry in effect.message.entries
+            )
+
+        network.observer = watch
+        leader = network.leader()
+        for _ in range(COMMANDS):
+            result = leader.replica.propose(network.now_s, b"x" * 512)
+            network.carry_out(leader, result.step)
+            network.run_for(0.02)
+        self.assertEqual(COMMANDS, leader.replica.state.commit_index - 1)
+        bound = bounds.window_bytes + bounds.append_bytes
+        self.assertThat(sum(sent), matchers.LessThan(bound + 1))
+
+    def test_a_command_beyond_the_limit_is_refused(self):
+        network = running(1, bounds=limits.Limits(command_bytes=10))
+        leader = network.leader()
+        refused = leader.replica.propose(network.now_s, b"x" * 11)
+        self.assertEqual("too-large", refused.reason)
+
+    def test_damaged_records_give_a_named_failure(self):
+        member = membership.Member(follower(running(2)).peer, "x")
+        fresh = replica.Replica(
+            member, [member], random.Random(1), replica_network.Register()
+        )
+        for snapshot, records, reason in (
+            (None, [b"\xc1"], "bad-record"),
+            (b"\xc1", [], "bad-snapshot"),
+        ):
+            result = fresh.recover(snapshot, records)
+            self.assertIsInstance(result, failure.Failure)
+            self.assertEqual(reason, result.reason)
+
+    def test_messages_survive_their_json_form(self):
+        network = running(2)
+        sent = []
+        network.observer = lambda host, step: sent.extend(
+            effect.message
+            for effect in step.effects
+            if isinstance(effect, effects.SendMessage)
+        )
+        propose(network, 3)
+        network.run_for(1.0)
+        envelope = messages.Envelope(
+            network.leader().peer, timeline.Stamp(1, 0), tuple(sent)
+        )
+        self.assertThat(sent, matchers.Not(matchers.HasLength(0)))
+        self.assertEqual(envelope, messages.decode(messages.encode(envelope)))
