Ask the voters when the relays are silent; try five and seven voters

Cause: a domain whose relays are all dead got no newer version. Change: a host whose upstream is silent chooses among the voters too; tests of that and of 1, 5 and 7 control hosts that lose a minority.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -42,6 +42,8 @@
         entry_peers: Other entry hosts of the failure domain.
         sources: Hosts to fetch the configuration from; they are nearer to the
             control hosts, or control hosts.
+        fallback_sources: Hosts to fetch it from as well when one of the
+            sources is silent.
         voters: First voters in the order of the settings.
         disk: What the data folder holds; required for the control role.
     """
@@ -51,6 +53,7 @@
     seed: int
     entry_peers: tuple[peers.Peer, ...] = ()
     sources: tuple[peers.Peer, ...] = ()
+    fallback_sources: tuple[peers.Peer, ...] = ()
     voters: tuple[peers.Peer, ...] = ()
     disk: disks.Disk | None = None
 
@@ -68,7 +71,7 @@
     held = holder.Holder()
     targets = table.TargetTable()
     distribution = spreading.Spreading(
-        context, held, plan.sources, plan.entry_peers
+        context, held, plan.sources, plan.entry_peers, plan.fallback_sources
     )
     book = book_lib.Book()
     members = membership_part.Membership(context, plan.entry_peers)
--- a/packages/core/src/tamarack_core/internal/distribution/spreading.py
+++ b/packages/core/src/tamarack_core/internal/distribution/spreading.py
@@ -31,6 +31,7 @@
         context: Identity, chance, time and counters.
         holder: Configuration in force.
         upstream: Hosts that are nearer to the control hosts.
+        fallback: Hosts to choose from as well when one upstream is silent.
         neighbours: Peers of the failure domain.
         chosen: The upstream host that is asked, if any.
         unanswered: Questions to it since it last answered.
@@ -41,6 +42,7 @@
     __slots__ = (
         "chosen",
         "context",
+        "fallback",
         "holder",
         "is_neighbour_next",
         "neighbours",
@@ -55,6 +57,7 @@
         configuration_holder: holder.Holder,
         upstream: tuple[peers.Peer, ...],
         neighbours: tuple[peers.Peer, ...],
+        fallback: tuple[peers.Peer, ...] = (),
     ) -> None:
         """Creates the part.
 
@@ -63,8 +66,11 @@
             configuration_holder: Configuration in force.
             upstream: Hosts that are nearer to the control hosts.
             neighbours: Peers of the failure domain.
+            fallback: Hosts to choose from as well when one upstream is
+                silent.
         """
         self.context = context
+        self.fallback = fallback
         self.holder = configuration_holder
         self.upstream = upstream
         self.neighbours = neighbours
@@ -211,8 +217,11 @@
             return self.context.random.choice(self.neighbours)
         if not self.upstream:
             return None
-        if self.chosen is None or self.unanswered >= SILENT_QUESTIONS:
-            self.chosen = self.context.random.choice(self.upstream)
+        is_silent = self.unanswered >= SILENT_QUESTIONS
+        if self.chosen is None or is_silent:
+            fallback = self.fallback if is_silent else ()
+            choices = self.upstream + fallback
+            self.chosen = self.context.random.choice(choices)
             self.unanswered = 0
         self.unanswered += 1
         return self.chosen
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -328,6 +328,7 @@
             if peer.domain == settings.domain and peer.data is not None
         ),
         sources=settings.upstream_peers(),
+        fallback_sources=settings.fallback_peers(),
         voters=settings.voter_peers(),
         disk=_disk(folder),
     )
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -77,6 +77,12 @@
             )
         return control
 
+    def fallback_peers(self) -> tuple[peers_lib.Peer, ...]:
+        """Returns the hosts to ask as well when a relay is silent."""
+        if assembly.Role.CONTROL in self.roles:
+            return ()
+        return tuple(peer for peer in self.peers if peer.host in self.voters)
+
     def voter_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the control hosts that found the system, in order."""
         known = {peer.host: peer for peer in (*self.peers, self.peer())}
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -23,7 +23,11 @@
 
     def setUp(self):
         super().setUp()
-        self.names = ["c0", "c1", "c2"]
+        self.create(3)
+
+    def create(self, count):
+        """Creates a network of control hosts that haven't started."""
+        self.names = [f"c{number}" for number in range(count)]
         voters = tuple(fake_hosts.peer(name, name) for name in self.names)
         self.network = fake_hosts.Network(
             [
@@ -170,6 +174,20 @@
         self.assertEqual(3, len(incarnations))
         self.assertNotIn(before, incarnations)
 
+    def test_five_and_seven_hosts_outlive_the_loss_of_a_minority(self):
+        for count in (1, 5, 7):
+            self.create(count)
+            self.found()
+            self.network.answer("c0", patch("a", 0))
+            for _ in range(count // 2):
+                self.network.kill(self.leader())
+                self.network.run_until(self.leader, 10.0)
+            alive = next(iter(self.network.nodes))
+            verdict = self.network.answer(alive, patch("b", 1))
+            self.assertEqual(State.ACCEPTED, verdict.state, count)
+            first = self.network.answer(alive, patch("a", 0))
+            self.assertEqual(1, first.version)
+
     def test_all_hosts_restart_from_their_disks(self):
         self.found()
         first = self.network.answer("c0", patch("a", 0))
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -75,6 +75,7 @@
                     peer for other, peer in entry_peers.items() if other != name
                 ),
                 sources=(relay,),
+                fallback_sources=(control,),
             )
             for number, name in enumerate(self.entries, 3)
         ]
@@ -132,6 +133,12 @@
         self.assertEqual(0, self.version("entry2"))
         self.wait_for(1, ["entry2"])
 
+    def test_a_domain_without_its_relay_turns_to_the_control_hosts(self):
+        self.network.kill("relay")
+        self.network.run(5.0)
+        self.accept(1)
+        self.wait_for(1, self.entries)
+
     def test_the_relay_says_who_lags(self):
         self.wait_for(0, self.entries)
         self.network.isolate("entry3")
