--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -10,6 +10,7 @@
 from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_core import timeline
+from tamarack_core.messages import balancing
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
@@ -18,7 +19,8 @@
 from tamarack_core.messages import targets
 
 Message = (
-    consensus.Message
+    balancing.Message
+    | consensus.Message
     | control.Message
     | distribution.Message
     | flows.Message
