Print the figures of the ways of routing

Cause: the choice among ways of routing rests on figures. Change: tests/slow/routing_figures.py runs hash modulo, rendezvous without tracking and owner with one or two backups in the same runs.

--- /dev/null
+++ b/tests/slow/routing_figures.py
@@ -0,0 +1,237 @@
+"""Prints the figures of docs/design/routing.md.
+
+Run it as `python -m tests.slow.routing_figures`; seeds are fixed.
+"""
+
+import hashlib
+import sys
+import zlib
+
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import failure
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import records
+from tamarack_core.internal.flows import ownership
+from tamarack_core.internal.flows import placement
+from tamarack_core.internal.flows import table
+from tamarack_core.packets import geneve
+from tamarack_core.packets import ip
+from tamarack_core.packets import rewrite
+from tests.slow import routing_network
+
+FLOWS = 400
+SEED = 11
+HELD_BY_OWNER = 66_000
+RATE_PER_HOST = 2000
+HOSTS = 4
+
+
+class HashPath:
+    """Data path that keeps no flow: a hash over the ready targets."""
+
+    def __init__(self, held, ready, pick):
+        self.held = held
+        self.ready = ready
+        self.pick = pick
+
+    def handlers(self):
+        return {events.DatagramArrived: self.handle_datagram}
+
+    def handle_datagram(self, event):
+        packet = ip.parse(geneve.decapsulate(event.data).packet)
+        assert not isinstance(packet, failure.Failure)
+        port = self.held.lookup.find_inbound(packet)
+        if port is None:
+            port = self.held.lookup.find_outbound(packet)
+            data = rewrite.source(packet, port.address, port.port)
+        else:
+            ready = self.ready[port.service]
+            target = self.pick(lookup.flow_key(packet), ready)
+            data = rewrite.destination(packet, target, port.target_port)
+        return [effects.SendDatagram(None, geneve.encapsulate(data))]
+
+
+def modulo(key, ready):
+    """Returns the target at the hash modulo the number of targets."""
+    return ready[zlib.crc32(key) % len(ready)]
+
+
+def rendezvous(key, ready):
+    """Returns the target with the highest random weight."""
+    return max(
+        ready,
+        key=lambda target: hashlib.blake2b(
+            key + target, digest_size=8
+        ).digest(),
+    )
+
+
+def drain(network):
+    """Two targets drain: they take no new flow but keep theirs."""
+    for found in network.ready.values():
+        found.pop(0)
+    network.run(20.0)
+
+
+def one_death(network):
+    """One host dies."""
+    network.kill(network.live()[2])
+    network.run(20.0)
+
+
+def two_deaths(network):
+    """Two hosts die 10 s apart."""
+    network.kill(network.live()[2])
+    network.run(10.0)
+    network.kill(network.live()[2])
+    network.run(20.0)
+
+
+def replacement(network):
+    """All hosts are replaced, one after the other."""
+    old = network.live()
+    for number, leaver in enumerate(old):
+        network.start(network.peers[len(old) + number])
+        network.run(4.0)
+        network.stop(leaver)
+        network.run(8.0)
+
+
+def way(name, pick, spray):
+    """Returns a function that makes a network of one way of routing."""
+
+    def make():
+        if name.startswith("owner"):
+            backups = 2 if name.endswith("2") else 1
+            ownership.ORDER_HOSTS = backups + 1
+            records.backups_at_opening = (
+                (lambda port: 1) if backups == 1 else _AT_OPENING
+            )
+            return routing_network.Network(SEED, spray=spray)
+        network = routing_network.Network(SEED, spray=spray)
+        for peer in network.live():
+            path = network.paths[peer.host]
+            hashed = HashPath(path.holder, network.ready, pick)
+            network.nodes[peer.host].datagram_handler = hashed.handle_datagram
+        return network
+
+    return make
+
+
+_AT_OPENING = records.backups_at_opening
+
+
+def show_ways():
+    """Prints broken flows and hops of each way."""
+    print("way | fabric | silent | event | broken | extra hops a packet")
+    ways = (
+        ("modulo", modulo),
+        ("rendezvous", rendezvous),
+        ("owner-1", None),
+        ("owner-2", None),
+    )
+    for name, pick in ways:
+        for event in (drain, one_death, two_deaths, replacement):
+            if pick and event is replacement:
+                continue
+            for spray in (True, False):
+                for is_silent in (False, True):
+                    show_run(name, pick, event, spray, is_silent)
+
+
+def show_run(name, pick, event, spray, is_silent):
+    """Prints one line."""
+    network = way(name, pick, spray)()
+    network.open_many(FLOWS)
+    network.run(25.0)
+    hops, packets = network.counter("extra-hops"), network.packets
+    network.run(20.0)
+    hops = network.counter("extra-hops") - hops
+    ratio = hops / (network.packets - packets)
+    if is_silent:
+        network.fall_silent()
+    event(network)
+    network.wake()
+    broken = FLOWS - network.count("open")
+    fabric = "spray" if spray else "affinity"
+    print(
+        f"{name} | {fabric} | {is_silent} | {event.__name__} | {broken} |"
+        f" {ratio:.3f} | doubled {len(network.doubled())}"
+    )
+
+
+def fill(network):
+    """Stores open flows as if they had been opened long ago."""
+    hosts = network.live()
+    number = 0
+    for service in routing_network.SERVICES.values():
+        port = 80
+        tail = ip.pack_address(service.addresses[0]) + bytes((0, port, 6))
+        domain = network.paths[hosts[0].host].steering.domain
+        for _ in range(HELD_BY_OWNER * HOSTS // 2):
+            number += 1
+            key = (0x0A800000 + number).to_bytes(4, "big") + b"\x20\x00" + tail
+            order = domain.order(key)
+            target = bytes((10, 1 + (tail[3] == 2), 0, 1 + number % 4))
+            for peer in order:
+                store(network, network.paths[peer.host], key, target, order)
+
+
+def store(network, path, key, target, order):
+    """Stores one flow at one host."""
+    slot = path.records.learn(network.now_s, key, target)
+    path.records.table.opened_s[slot] = network.now_s - 100
+    path.records.table.seen_s[slot] = int(network.now_s)
+    if path.steering.domain.is_me(order[0]):
+        port = path.holder.lookup.find_key(key)
+        path.records.take_over(network.now_s, slot, port)
+        path.records.table.placed[slot] = placement.pack(order[1:])
+    else:
+        path.records.table.flags[slot] |= table.BACKUP
+
+
+def show_control():
+    """Prints control bytes at the stated load."""
+    ownership.ORDER_HOSTS = 3
+    records.backups_at_opening = _AT_OPENING
+    network = routing_network.Network(SEED, hosts=HOSTS)
+    fill(network)
+    held = [len(network.paths[p.host].records.table) for p in network.live()]
+    print("held a host", held)
+    network.run(15.0)
+    total = RATE_PER_HOST * HOSTS
+    first = network.now_s
+
+    def open_next(number):
+        flow = network.open(number, "schedule-svc", "edits")
+        network.after(1.5, flow.close)
+        if network.now_s < first + 6.0:
+            network.after(1 / total, lambda: open_next(number + 1))
+
+    open_next(0)
+    for second in range(6):
+        show_second(network, f"opening {second}")
+    network.run(10.0)
+    network.kill(network.live()[1])
+    for second in range(20):
+        show_second(network, f"after a death {second}")
+
+
+def show_second(network, label):
+    """Prints the control bytes of one second."""
+    before, count = network.control_bytes, len(network.all_flows)
+    network.run(1.0)
+    sent = network.control_bytes - before
+    print(
+        f"{label}: {sent / len(network.live()):.0f} bytes a host,"
+        f" {len(network.all_flows) - count} new flows,"
+        f" {network.counter('extra-hops')} hops so far"
+    )
+
+
+if __name__ == "__main__":
+    if "control" in sys.argv:
+        show_control()
+    else:
+        show_ways()
