Lease shares of limits; shed overload before the handshake

Cause: limits and overload had no code.

Change: - limits: one keeper a failure domain, which grants shares only while more than half of the entry hosts promise to ask no other; a new keeper renews what hosts report and waits out earlier leases. A limit is divided over failure_domains of the configuration. - admission: sheds when the queue is long and answers have become slow, idempotent classes first, a class within its even part last; retry budget as a share of openings. Lending between failure domains is not here.

--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -89,9 +89,12 @@
 
     Attributes:
         services: Services by name.
+        failure_domains: Failure domains that divide each limit; empty for
+            one failure domain.
     """
 
     services: dict[str, Service] = {}
+    failure_domains: tuple[str, ...] = ()
 
 
 class Numbered(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Overload: sheds openings before their handshake completes."""
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -5,12 +5,14 @@
 from tamarack_core import configuration
 from tamarack_core import context as context_lib
 from tamarack_core import verdict
+from tamarack_core.internal.admission import overload as overload_lib
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.balancing import ramp
 from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.targets import table
 
 HELD_WEIGHT = 0.01
@@ -37,12 +39,16 @@
         book: Work in flight by target.
         health: Health by target.
         ramp: Capacity of targets that have just started.
+        gate: Admits openings within the limits.
+        overload: Sheds openings of overloaded services.
     """
 
     __slots__ = (
         "book",
         "context",
+        "gate",
         "health",
+        "overload",
         "ramp",
         "targets",
     )
@@ -52,6 +58,7 @@
         context: context_lib.Context,
         targets: table.TargetTable,
         book: book_lib.Book,
+        gate: gate_lib.Gate,
     ) -> None:
         """Creates a chooser.
 
@@ -59,12 +66,15 @@
             context: Identity, chance, time and counters.
             targets: Announced targets.
             book: Work in flight by target.
+            gate: Admits openings within the limits.
         """
         self.context = context
         self.targets = targets
         self.book = book
         self.health = health_lib.HealthBook()
         self.ramp = ramp.Ramp()
+        self.gate = gate
+        self.overload = overload_lib.Overload()
 
     def choose(
         self, now_s: float, opening: choosing.Opening
@@ -78,8 +88,14 @@
         if not room:
             return choosing.Refusal(verdict.not_run("connections-full"))
         eligible = self.health.eligible(now_s, room)
+        if self._must_shed(now_s, port, eligible):
+            return choosing.Refusal(verdict.not_run("overload"))
+        refused = self.gate.admit(now_s, port)
+        if refused is not None:
+            return choosing.Refusal(refused)
         target = self._pick(now_s, opening, eligible)
         self.book.add(now_s, target, port.settings)
+        self.overload.add(port)
         return choosing.Choice(target)
 
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
@@ -89,16 +105,45 @@
         settings = observation.port.settings
         if progress is choosing.Progress.OPENED:
             self.book.add(now_s, target, settings)
+            self.overload.add(observation.port)
+            self.gate.add(observation.port)
         elif progress is choosing.Progress.ESTABLISHED:
             if self.health.answer(now_s, target, observation.elapsed_s):
                 self.ramp.restart(now_s, target)
         elif progress is choosing.Progress.REPLIED:
-            self.book.answer(now_s, target, settings)
+            self._answer(now_s, observation)
         if progress in _FAILURES and self._is_fault(now_s, target):
             self.health.fail(now_s, target)
         if progress in choosing.ENDS:
             answered = progress is choosing.Progress.CLOSED
             self.book.remove(target, observation.port, answered)
+            self.overload.remove(observation.port)
+            self.gate.remove(observation.port)
+
+    def _answer(self, now_s: float, observation: choosing.Observation) -> None:
+        """Counts the first reply on a connection."""
+        port = observation.port
+        targets = self.targets.ready(now_s, port.service, len(port.address))
+        has_queue = self._active(now_s, targets) > self._slots(targets)
+        self.overload.answer(port, observation.elapsed_s, has_queue)
+        self.book.answer(now_s, observation.target, port.settings)
+
+    def _must_shed(
+        self, now_s: float, port: lookup.ServicePort, targets: list[bytes]
+    ) -> bool:
+        """Returns whether the service is overloaded for this opening."""
+        active = self._active(now_s, targets)
+        slots = self._slots(targets)
+        return self.overload.must_shed(now_s, port, active, slots)
+
+    def _active(self, now_s: float, targets: Sequence[bytes]) -> float:
+        """Returns the work units that occupy slots of some targets."""
+        return sum(self.book.active(now_s, target) for target in targets)
+
+    def _slots(self, targets: Sequence[bytes]) -> float:
+        """Returns the work units that some targets run at once."""
+        entries = (self.targets.targets[target] for target in targets)
+        return float(sum(entry.announcement.slots for entry in entries))
 
     def _is_fault(self, now_s: float, target: bytes) -> bool:
         """Returns False for a target that refuses since it is full."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits over all hosts, held by leased shares."""
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -14,6 +14,7 @@
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
+from tamarack_core.messages import limits
 from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
@@ -22,6 +23,7 @@
     | consensus.Message
     | control.Message
     | distribution.Message
+    | limits.Message
     | membership.Message
     | targets.Message
 )
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -124,7 +124,8 @@
         self.numbered = configuration.Numbered(
             1,
             configuration.Configuration(
-                {item.name: item.settings for item in plan.services}
+                {item.name: item.settings for item in plan.services},
+                plan.domains,
             ),
         )
         self.holders: dict[str, holder.Holder] = {}
@@ -171,7 +172,7 @@
             context,
             held,
             live_peers,
-            self.plan.hosts * len(self.plan.domains),
+            self.plan.hosts,
         )
         self.choosers[name] = parts.chooser
         host = self.network.add(reducer.Node(context, parts.parts))
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -12,6 +12,8 @@
 from tamarack_core.internal.balancing import reporting
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.limits import gate as gate_lib
+from tamarack_core.internal.limits import sharing
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
@@ -49,7 +51,7 @@
             context: Identity, chance, time and counters.
             held: Configuration in force.
             live_peers: Returns the other entry hosts of the failure domain.
-            hosts: Number of entry hosts in all failure domains.
+            hosts: Number of entry hosts of each failure domain.
         """
 
 
@@ -67,7 +69,9 @@
         targets = table.TargetTable()
         leases = aggregation.Aggregation(context, targets, live_peers)
         announced = announcements.Announcements(context, held, leases)
-        chooser = naive_chooser.NaiveChooser(targets, hosts)
+        domains = held.numbered.configuration.failure_domains
+        divisor = hosts * max(1, len(domains))
+        chooser = naive_chooser.NaiveChooser(targets, divisor)
         return Parts(chooser, (leases, announced))
 
 
@@ -84,11 +88,13 @@
         """Returns the parts of one host."""
         targets = table.TargetTable()
         book = book_lib.Book()
-        chooser = chooser_lib.BalancingChooser(context, targets, book)
+        gate = gate_lib.Gate()
+        chooser = chooser_lib.BalancingChooser(context, targets, book, gate)
+        shares = sharing.Sharing(context, held, gate, live_peers, hosts)
         leases = aggregation.Aggregation(context, targets, live_peers)
         announced = announcements.Announcements(context, held, leases)
         report = reporting.Reporting(context, held, book, live_peers)
-        return Parts(chooser, (leases, announced, report))
+        return Parts(chooser, (leases, announced, report, shares))
 
 
 class Central:
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -11,6 +11,7 @@
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.targets import table
 from tamarack_lab.experiments import network
 from tamarack_lab.experiments import users
@@ -46,7 +47,10 @@
         self.table = table.TargetTable()
         self.book = book_lib.Book()
         self.chooser = chooser_lib.BalancingChooser(
-            network.context("entry", "a", 1), self.table, self.book
+            network.context("entry", "a", 1),
+            self.table,
+            self.book,
+            gate_lib.Gate(),
         )
         for number in range(1, 8):
             self.announce(number)
--- /dev/null
+++ b/tests/slow/test_limits.py
@@ -0,0 +1,244 @@
+"""Leased shares of limits under faults and wrong views of the members."""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import msgspec
+import testtools
+
+from tamarack_core import configuration
+from tamarack_core import reducer
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.limits import catalogue
+from tamarack_core.internal.limits import gate as gate_lib
+from tamarack_core.internal.limits import sharing
+from tamarack_lab.experiments import event_queue
+from tamarack_lab.experiments import network
+from tamarack_lab.experiments import users
+
+HOSTS = 5
+LIMIT = 20
+RATE = 10.0
+MOVE_S = 5.0
+START_S = 15.0
+IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
+
+WORK_CLASS = msgspec.structs.replace(
+    users.AGENDA.classes["report"],
+    max_concurrent=LIMIT,
+    max_opening_rate=RATE,
+)
+SERVICE = msgspec.structs.replace(
+    users.AGENDA, classes={"report": WORK_CLASS}, opening_hosts=HOSTS
+)
+PORT = lookup.ServicePort(
+    "agenda", "report", WORK_CLASS, SERVICE.weights, b"", 444, 8444
+)
+TOTALS = {
+    catalogue.concurrent_key(PORT): LIMIT,
+    catalogue.rate_key(PORT): RATE,
+}
+
+
+class Domain:
+    """Entry hosts of one failure domain that share two limits."""
+
+    def __init__(self):
+        self.queue = event_queue.EventQueue()
+        self.network = network.Network(self.queue, 1)
+        self.gates = {}
+        self.views = {}
+        for number in range(HOSTS):
+            self.start(number)
+
+    def start(self, number):
+        """Starts a host without state."""
+        context = network.context(f"entry-{number}", "a", number)
+        held = holder.Holder()
+        document = configuration.Configuration({"agenda": SERVICE})
+        held.put(configuration.Numbered(1, document), 0)
+        gate = gate_lib.Gate()
+        name = context.host.host
+        self.views[name] = frozenset(range(HOSTS))
+
+        def members():
+            return tuple(
+                self.network.hosts[f"entry-{other}"].peer
+                for other in sorted(self.views[name])
+                if f"entry-{other}" != name
+            )
+
+        part = sharing.Sharing(context, held, gate, members, HOSTS)
+        self.gates[name] = gate
+        self.network.add(reducer.Node(context, (part,))).start()
+
+    def live_gates(self):
+        """Returns the gates of the hosts that run."""
+        return {
+            host.peer.host: self.gates[host.peer.host]
+            for host in self.network.live("a")
+        }
+
+    def share_sum(self, key):
+        """Returns the sum of the shares that hosts may use now."""
+        return sum(
+            gate.usage(key).valid_share(self.queue.now_s)
+            for gate in self.live_gates().values()
+        )
+
+    def open(self, number, count):
+        """Opens connections at a host; returns how many were admitted."""
+        gate = self.gates[f"entry-{number}"]
+        return sum(
+            gate.admit(self.queue.now_s, PORT) is None for _ in range(count)
+        )
+
+    def check(self):
+        """Raises AssertionError if more is leased out than the limit."""
+        for key, limit in TOTALS.items():
+            total = self.share_sum(key)
+            if total > limit + 1e-6:
+                raise AssertionError(f"{key}: {total} above {limit}")
+
+
+class SharesMachine(stateful.RuleBasedStateMachine):
+    """Faults in any order; the sum of the shares stays within the limit."""
+
+    def __init__(self):
+        super().__init__()
+        self.domain = Domain()
+        self.domain.queue.run_until(START_S)
+
+    @stateful.rule(steps=st.integers(1, 60))
+    def run(self, steps):
+        for _ in range(steps):
+            self.domain.queue.run_until(self.domain.queue.now_s + 0.1)
+            self.domain.check()
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1))
+    def restart(self, number):
+        self.domain.network.hosts[f"entry-{number}"].alive = False
+        self.domain.start(number)
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1))
+    def kill(self, number):
+        self.domain.network.hosts[f"entry-{number}"].alive = False
+
+    @stateful.rule(
+        number=st.integers(0, HOSTS - 1),
+        view=st.frozensets(st.integers(0, HOSTS - 1)),
+    )
+    def change_view(self, number, view):
+        self.domain.views[f"entry-{number}"] = view
+
+    @stateful.rule(view=st.frozensets(st.integers(0, HOSTS - 1)))
+    def change_all_views(self, view):
+        for number in range(HOSTS):
+            self.domain.views[f"entry-{number}"] = view
+
+    @stateful.rule(loss=st.sampled_from([0.0, 0.3]))
+    def lose(self, loss):
+        self.domain.network.inside.loss = loss
+
+    @stateful.rule(delay_s=st.sampled_from([0.0002, 0.5, 3.0]))
+    def delay(self, delay_s):
+        self.domain.network.inside.delay_s = delay_s
+
+    @stateful.rule(
+        pair=st.tuples(st.integers(0, HOSTS - 1), st.integers(0, HOSTS - 1))
+    )
+    def cut_one_way(self, pair):
+        sender, receiver = pair
+        self.domain.network.cut.add((f"entry-{sender}", f"entry-{receiver}"))
+
+    @stateful.rule()
+    def heal(self):
+        self.domain.network.cut.clear()
+
+    @stateful.rule(
+        number=st.integers(0, HOSTS - 1), count=st.integers(1, LIMIT)
+    )
+    def open(self, number, count):
+        self.domain.open(number, count)
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1))
+    def close(self, number):
+        self.domain.gates[f"entry-{number}"].remove(PORT)
+
+
+TestShares = SharesMachine.TestCase
+TestShares.settings = hypothesis.settings(
+    max_examples=2000 if IS_SOAK else 60,
+    stateful_step_count=60 if IS_SOAK else 40,
+    derandomize=not IS_SOAK,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class MovementTest(testtools.TestCase):
+    """Shares move to demand."""
+
+    def setUp(self):
+        super().setUp()
+        self.domain = Domain()
+        self.domain.queue.run_until(START_S)
+
+    def push(self, number, seconds):
+        """Keeps trying to open connections at one host."""
+        admitted = 0
+        for _ in range(int(seconds * 10)):
+            admitted += self.domain.open(number, 3)
+            self.domain.queue.run_until(self.domain.queue.now_s + 0.1)
+            self.domain.check()
+        return admitted
+
+    def test_an_unused_share_moves_to_demand_within_seconds(self):
+        for number in range(HOSTS):
+            admitted = self.push(number, MOVE_S)
+            self.assertTrue(admitted >= LIMIT * 0.75, admitted)
+            for _ in range(admitted):
+                self.domain.gates[f"entry-{number}"].remove(PORT)
+
+    def test_the_share_of_a_dead_host_comes_back_after_its_lease(self):
+        admitted = self.push(1, MOVE_S)
+        self.assertTrue(admitted >= LIMIT * 0.75, admitted)
+        self.domain.network.hosts["entry-1"].alive = False
+        for number in range(HOSTS):
+            self.domain.views[f"entry-{number}"] = frozenset({0, 2, 3, 4})
+        self.push(2, 3 * START_S)
+        usage = self.domain.gates["entry-2"].usage(
+            catalogue.concurrent_key(PORT)
+        )
+        self.assertTrue(usage.used >= LIMIT * 0.75, usage)
+
+    def test_a_minority_loses_its_shares_and_the_majority_keeps_serving(self):
+        cut = {0, 1}
+        rest = {2, 3, 4}
+        for number in range(HOSTS):
+            side = cut if number in cut else rest
+            self.domain.views[f"entry-{number}"] = frozenset(side)
+            self.domain.network.cut |= {
+                (f"entry-{number}", f"entry-{other}")
+                for other in range(HOSTS)
+                if other not in side
+            }
+        self.domain.queue.run_until(START_S + 20.0)
+        self.assertEqual(0, self.domain.open(0, 5))
+        self.assertTrue(self.domain.open(2, 5) > 0)
+
+
+class CatalogueTest(testtools.TestCase):
+    """Division of limits over the failure domains."""
+
+    def test_the_parts_of_all_domains_make_up_the_limit(self):
+        names = ("c", "a", "b")
+        document = configuration.Configuration({"agenda": SERVICE}, names)
+        key = catalogue.concurrent_key(PORT)
+        parts = [catalogue.totals(document, name)[key] for name in names]
+        self.assertEqual([6.0, 7.0, 7.0], parts)
+        self.assertEqual(0.0, catalogue.totals(document, "other")[key])
