Route flows to the owner group; wire limits and shedding; experiments

Change: Domain.order takes the owner of a flow from the opening_hosts of its service and the backups from all members; the chooser takes the preferred target of a reused key; taken-over long-lived flows count as held, not as openings; gate and shares are in the assembly; shedding thresholds 2.0, 2.5 and 3.0 units a slot in place of 1.3, 1.6 and 2.0; experiments on overload, limits and the sizes of today.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -16,6 +16,8 @@
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import polling
 from tamarack_core.internal.entry import data_path
+from tamarack_core.internal.limits import gate as gate_lib
+from tamarack_core.internal.limits import sharing
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
@@ -67,11 +69,12 @@
     targets = table.TargetTable()
     distribution = polling.Polling(context, held, plan.sources)
     book = book_lib.Book()
+    gate = gate_lib.Gate()
     members = membership_part.Membership(context, plan.entry_peers)
     path = data_path.DataPath(
         context,
         held,
-        chooser.BalancingChooser(context, targets, book),
+        chooser.BalancingChooser(context, targets, book, gate),
         members,
     )
     parts: list[reducer.Part] = [distribution]
@@ -82,6 +85,10 @@
         parts.append(leases)
         parts.append(announcements.Announcements(context, held, leases))
         parts.append(reporting.Reporting(context, held, book, members.others))
+        roster = len(plan.entry_peers) + 1
+        parts.append(
+            sharing.Sharing(context, held, gate, members.others, roster)
+        )
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
             raise ValueError("the control role needs Plan.disk")
--- a/packages/core/src/tamarack_core/internal/admission/overload.py
+++ b/packages/core/src/tamarack_core/internal/admission/overload.py
@@ -12,9 +12,9 @@
 from tamarack_core import configuration
 from tamarack_core.internal.entry import lookup
 
-IDEMPOTENT_QUEUE = 1.3
-NON_IDEMPOTENT_QUEUE = 1.6
-FAIR_QUEUE = 2.0
+IDEMPOTENT_QUEUE = 2.0
+NON_IDEMPOTENT_QUEUE = 2.5
+FAIR_QUEUE = 3.0
 """Work units in flight for each slot at which openings are shed."""
 
 SLOW_ANSWER_FACTOR = 1.25
--- a/packages/core/src/tamarack_core/internal/balancing/book.py
+++ b/packages/core/src/tamarack_core/internal/balancing/book.py
@@ -72,15 +72,24 @@
     def add(
         self, now_s: float, target: bytes, settings: configuration.WorkClass
     ) -> None:
-        """Counts a connection that this host now owns."""
-        work = self.own.setdefault(target, Work())
+        """Counts a connection that this host has opened."""
+        self.take_over(target, settings)
         if settings.lifetime is configuration.Lifetime.BOUNDED:
-            work.bounded += settings.cost
             return
+        work = self.own[target]
         work.active(now_s)
         work.decayed_s = now_s
         work.opening += settings.cost
-        work.held += settings.cost
+
+    def take_over(
+        self, target: bytes, settings: configuration.WorkClass
+    ) -> None:
+        """Counts a connection that another host has opened."""
+        work = self.own.setdefault(target, Work())
+        if settings.lifetime is configuration.Lifetime.BOUNDED:
+            work.bounded += settings.cost
+        else:
+            work.held += settings.cost
 
     def answer(
         self, now_s: float, target: bytes, settings: configuration.WorkClass
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -93,7 +93,9 @@
         refused = self.gate.admit(now_s, port)
         if refused is not None:
             return choosing.Refusal(refused)
-        target = self._pick(now_s, opening, eligible)
+        target = opening.preferred
+        if target not in room:
+            target = self._pick(now_s, opening, eligible)
         self.book.add(now_s, target, port.settings)
         self.overload.add(port)
         return choosing.Choice(target)
@@ -104,7 +106,7 @@
         target = observation.target
         settings = observation.port.settings
         if progress is choosing.Progress.OPENED:
-            self.book.add(now_s, target, settings)
+            self.book.take_over(target, settings)
             self.overload.add(observation.port)
             self.gate.add(observation.port)
         elif progress is choosing.Progress.ESTABLISHED:
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -65,7 +65,9 @@
         self.holder = configuration_holder
         self.records = records.Records(context, chooser)
         self.refusing = refusing.Refusing(context)
-        domain = domain_lib.Domain(context, membership_of_host)
+        domain = domain_lib.Domain(
+            context, configuration_holder, membership_of_host
+        )
         questions = asking.Asking(context, membership_of_host)
         self.steering = steering.Steering(
             domain,
--- a/packages/core/src/tamarack_core/internal/entry/domain.py
+++ b/packages/core/src/tamarack_core/internal/entry/domain.py
@@ -1,8 +1,12 @@
 """What the routing of flows knows about the other entry hosts."""
 
+import itertools
+
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import peers
+from tamarack_core.internal.balancing import owner_group
+from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.flows import hops
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.membership import part as membership_part
@@ -22,6 +26,8 @@
         context: Identity, chance, time and counters.
         membership: Membership of this host.
         ownership: Order of the members for each flow.
+        holder: Configuration in force.
+        owners: Order within the owner group, by service and group size.
         endpoints: Data endpoint of each member by tag.
         tag: Tag of this host.
         epoch: Epoch of the view that is in force here.
@@ -32,7 +38,9 @@
         "context",
         "endpoints",
         "epoch",
+        "holder",
         "membership",
+        "owners",
         "ownership",
         "settled_s",
         "tag",
@@ -41,17 +49,21 @@
     def __init__(
         self,
         context: context_lib.Context,
+        configuration_holder: holder.Holder,
         membership_of_host: membership_part.Membership,
     ) -> None:
         """Creates the domain of a host that has not started.
 
         Args:
             context: Identity, chance, time and counters.
+            configuration_holder: Configuration in force.
             membership_of_host: Membership of this host.
         """
         self.context = context
         self.membership = membership_of_host
         self.ownership = ownership.Ownership()
+        self.holder = configuration_holder
+        self.owners: dict[tuple[str, int], ownership.Ownership] = {}
         self.endpoints: dict[int, peers.Endpoint] = {}
         self.tag = hops.tag(context.host)
         self.epoch = 0
@@ -74,6 +86,7 @@
         if self._is_any_dead(current, before - set(members)):
             self.settled_s = now_s + PARTITION_PATIENCE_S
         self.ownership.set_members(members)
+        self.owners.clear()
         self.endpoints = {
             hops.tag(member.peer): member.peer.data
             for member in current.present(self.context.host.host)
@@ -82,8 +95,31 @@
         return True
 
     def order(self, key: bytes) -> tuple[peers.Peer, ...]:
-        """Returns the owner and the backups of a flow."""
-        return self.ownership.order(key)
+        """Returns the owner and the backups of a flow.
+
+        The owner is one of the few hosts that know the load of the service;
+        the backups are any hosts.
+        """
+        order = self.ownership.order(key)
+        port = self.holder.lookup.find_key(key)
+        if port is None:
+            return order
+        owners = self._owners(port.service).order(key)[:1]
+        rest = (peer for peer in order if peer not in owners)
+        return tuple(itertools.islice((*owners, *rest), ownership.ORDER_HOSTS))
+
+    def _owners(self, service: str) -> ownership.Ownership:
+        """Returns the order within the owner group of a service."""
+        settings = self.holder.numbered.configuration.services[service]
+        found = self.owners.get((service, settings.opening_hosts))
+        if found is None:
+            found = ownership.Ownership()
+            group = owner_group.members(
+                service, self.ownership.members, settings.opening_hosts
+            )
+            found.set_members(group)
+            self.owners[service, settings.opening_hosts] = found
+        return found
 
     def is_settled(self, now_s: float) -> bool:
         """Returns whether what no reachable host knows is lost.
--- a/packages/core/src/tamarack_core/internal/limits/keeper.py
+++ b/packages/core/src/tamarack_core/internal/limits/keeper.py
@@ -104,10 +104,11 @@
             ledger_lib.Ledger(total, catalogue.is_whole(claim.limit)),
         )
         ledger.total = total
-        ledger.needs[host] = ledger_lib.Need(claim.used, claim.wanted)
-        ledger.keep_needs(
-            name for name, end_s in self.promises.items() if end_s > now_s
+        promised = (
+            name for name, until_s in self.promises.items() if until_s > now_s
         )
+        ledger.keep_needs(promised)
+        ledger.needs[host] = ledger_lib.Need(claim.used, claim.wanted)
         until_s = now_s + LEASE_S * (1.0 + CLOCK_DRIFT)
         assert self.since_s is not None
         if now_s - self.since_s <= LEASE_S * (1.0 + CLOCK_DRIFT):
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -14,8 +14,8 @@
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
-from tamarack_core.messages import limits
 from tamarack_core.messages import flows
+from tamarack_core.messages import limits
 from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
--- a/packages/lab/src/tamarack_lab/experiments/balance_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/balance_plans.py
@@ -14,7 +14,7 @@
 MAX_PEAK_OVER_MEAN = 1.15
 FAULT_S = 40.0
 
-_NEVER_BROKEN = (
+NEVER_BROKEN = (
     plan_lib.Bound("at_most_once_violations", most=0),
     plan_lib.Bound("false_verdicts", most=0),
     plan_lib.Bound("wrong_service", most=0),
@@ -33,10 +33,12 @@
         (users.agenda(),),
         users.agenda_traffic(users.units_at(LOAD, 7, WORK_S), WORK_S),
         duration_s=320.0,
-        bounds=(*_NEVER_BROKEN, _EVEN, _CONTROL, _UNBROKEN),
+        bounds=(*NEVER_BROKEN, _EVEN, _CONTROL, _UNBROKEN),
     )
     return (
         base,
+        _cl_centro(base),
+        _at_east(base),
         dataclasses.replace(
             base,
             name="steady-milliseconds",
@@ -53,7 +55,7 @@
             ),
             script=_drain,
             duration_s=160.0,
-            bounds=(*_NEVER_BROKEN, _CONTROL, _UNBROKEN),
+            bounds=(*NEVER_BROKEN, _CONTROL, _UNBROKEN),
         ),
         dataclasses.replace(
             base,
@@ -64,21 +66,21 @@
             ),
             script=_kill,
             duration_s=160.0,
-            bounds=(*_NEVER_BROKEN, _CONTROL),
+            bounds=(*NEVER_BROKEN, _CONTROL),
         ),
         dataclasses.replace(
             base,
             name="lying-health",
             summary="A healthy target says that it is unhealthy.",
             script=_lie_about_health,
-            bounds=(*_NEVER_BROKEN, _EVEN, _UNBROKEN),
+            bounds=(*NEVER_BROKEN, _EVEN, _UNBROKEN),
         ),
         dataclasses.replace(
             base,
             name="lying-load",
             summary="One target says that it is idle, another that it is full.",
             script=_lie_about_load,
-            bounds=(*_NEVER_BROKEN, _EVEN, _UNBROKEN),
+            bounds=(*NEVER_BROKEN, _EVEN, _UNBROKEN),
         ),
         dataclasses.replace(
             base,
@@ -89,14 +91,65 @@
             ),
             script=_cold_start,
             duration_s=160.0,
-            bounds=(*_NEVER_BROKEN, _UNBROKEN),
+            bounds=(*NEVER_BROKEN, _UNBROKEN),
         ),
         dataclasses.replace(
             base,
             name="host-death-load",
             summary="An owner of the flows dies; load stays even after it.",
             script=_kill_host,
-            bounds=(*_NEVER_BROKEN, _EVEN, _UNBROKEN),
+            bounds=(*NEVER_BROKEN, _EVEN, _UNBROKEN),
+        ),
+    )
+
+
+def _cl_centro(base: plan_lib.Plan) -> plan_lib.Plan:
+    """Returns today's sizes of agenda and informe."""
+    certificates = users.units_at(LOAD, 3, WORK_S)
+    return dataclasses.replace(
+        base,
+        name="today-cl-centro",
+        summary="Agenda with 7 and informe with 3 targets at 70% load.",
+        services=(users.agenda(), users.informe()),
+        streams=(
+            *base.streams,
+            plan_lib.Stream(
+                "informe",
+                "certificate",
+                plan_lib.constant(certificates),
+                WORK_S,
+            ),
+        ),
+        hosts=6,
+    )
+
+
+def _at_east(base: plan_lib.Plan) -> plan_lib.Plan:
+    """Returns today's sizes of schedule-svc and chime-store."""
+    each = users.units_at(LOAD, 7, WORK_S) / 2
+    downloads = users.units_at(LOAD, 4, WORK_S)
+    return dataclasses.replace(
+        base,
+        name="today-at-east",
+        summary="Schedule-svc with 7 and chime-store with 4 targets at 70%.",
+        services=(users.schedule(), users.chimes()),
+        streams=(
+            plan_lib.Stream(
+                "schedule-svc",
+                "feed",
+                plan_lib.constant(each),
+                WORK_S,
+                hold_s=60.0,
+            ),
+            plan_lib.Stream(
+                "schedule-svc", "edit", plan_lib.constant(each), WORK_S
+            ),
+            plan_lib.Stream(
+                "chime-store",
+                "download",
+                plan_lib.constant(downloads),
+                WORK_S,
+            ),
         ),
     )
 
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -405,6 +405,19 @@
             self.flows[flow.owner].add(flow)
             self.observe(flow, choosing.Progress.OPENED)
 
+    def restart_host(self, name: str) -> None:
+        """Starts a host without state; flows move back to their owners."""
+        domain = self.network.hosts[name].peer.domain
+        self.start_host(name, domain)
+        for old, flows in list(self.flows.items()):
+            moved = {flow for flow in flows if self.owner(flow) != old}
+            flows -= moved
+            for flow in moved:
+                self.observe(flow, choosing.Progress.CLOSED)
+                flow.owner = self.owner(flow)
+                self.flows[flow.owner].add(flow)
+                self.observe(flow, choosing.Progress.OPENED)
+
     def kill_target(self, target: Target) -> None:
         """Ends a target with all its connections."""
         target.machine.die()
--- a/packages/lab/src/tamarack_lab/experiments/users.py
+++ b/packages/lab/src/tamarack_lab/experiments/users.py
@@ -49,6 +49,21 @@
     return plans.ServicePlan("agenda", AGENDA, targets, SLOTS)
 
 
+def informe() -> plans.ServicePlan:
+    """Returns informe with its three targets."""
+    return plans.ServicePlan("informe", INFORME, 3, SLOTS)
+
+
+def schedule() -> plans.ServicePlan:
+    """Returns schedule-svc with its seven targets."""
+    return plans.ServicePlan("schedule-svc", SCHEDULE, 7, SLOTS)
+
+
+def chimes() -> plans.ServicePlan:
+    """Returns chime-store with its four targets."""
+    return plans.ServicePlan("chime-store", CHIMES, 4, SLOTS)
+
+
 def agenda_traffic(
     units_s: float, work_s: float, hold_s: float = 30.0
 ) -> tuple[plans.Stream, ...]:
--- /dev/null
+++ b/tests/cover/test_overload.py
@@ -0,0 +1,70 @@
+"""Overload: what is shed, and what is not."""
+
+import testtools
+
+from tamarack_core.internal.admission import overload as overload_lib
+from tamarack_core.internal.admission import retry_budget
+from tamarack_core.internal.entry import lookup
+from tamarack_lab.experiments import users
+
+NOW_S = 100.0
+SLOTS = 10.0
+
+
+def port(name, settings):
+    """Returns a service port."""
+    return lookup.ServicePort(
+        "agenda", name, settings, users.AGENDA.weights, b"", 444, 8444
+    )
+
+
+REPORT = port("report", users.AGENDA.classes["report"])
+CERTIFICATE = port("certificate", users.INFORME.classes["certificate"])
+
+
+class OverloadTest(testtools.TestCase):
+    """A service of ten slots that answers in a second when unloaded."""
+
+    def setUp(self):
+        super().setUp()
+        self.overload = overload_lib.Overload()
+        for asked in (REPORT, CERTIFICATE):
+            self.overload.answer(asked, 1.0, has_queue=False)
+
+    def answer_slowly(self):
+        """Lets answers take three times as long."""
+        for _ in range(20):
+            self.overload.answer(CERTIFICATE, 3.0, has_queue=True)
+
+    def sheds(self, asked, queue):
+        """Returns whether an opening is shed at a queue."""
+        return self.overload.must_shed(NOW_S, asked, queue * SLOTS, SLOTS)
+
+    def test_a_long_queue_with_quick_answers_is_no_overload(self):
+        self.assertFalse(self.sheds(CERTIFICATE, 50.0))
+        self.answer_slowly()
+        self.assertTrue(self.sheds(CERTIFICATE, 50.0))
+
+    def test_idempotent_work_is_shed_first(self):
+        self.answer_slowly()
+        between = overload_lib.NON_IDEMPOTENT_QUEUE - 0.1
+        self.assertTrue(self.sheds(CERTIFICATE, between))
+        self.assertFalse(self.sheds(REPORT, between))
+        self.assertTrue(self.sheds(REPORT, between + 0.2))
+
+    def test_a_class_within_its_even_part_is_shed_last(self):
+        self.answer_slowly()
+        self.sheds(REPORT, 0.0)
+        for _ in range(5):
+            self.overload.add(REPORT)
+        between = overload_lib.FAIR_QUEUE - 0.1
+        self.assertFalse(self.sheds(CERTIFICATE, between))
+        self.assertTrue(self.sheds(REPORT, between))
+
+    def test_retries_stay_a_fraction_of_the_openings(self):
+        budget = retry_budget.RetryBudget()
+        retries = 0
+        for _ in range(1000):
+            budget.add_opening()
+            retries += budget.take()
+        self.assertTrue(90 <= retries <= 102, retries)
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -216,6 +216,16 @@
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
+    def test_a_host_that_starts_late_is_served_by_a_settled_keeper(self):
+        self.domain.network.hosts["entry-1"].alive = False
+        self.domain.queue.run_until(START_S * 2)
+        self.domain.start(1)
+        self.push(1, 3 * MOVE_S)
+        usage = self.domain.gates["entry-1"].usage(
+            catalogue.concurrent_key(PORT)
+        )
+        self.assertTrue(usage.used >= LIMIT * 0.75, usage)
+
     def test_a_minority_loses_its_shares_and_the_majority_keeps_serving(self):
         cut = {0, 1}
         rest = {2, 3, 4}
