--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -6,6 +6,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import verdict
 from tamarack_core.internal.admission import overload as overload_lib
+from tamarack_core.internal.admission import retry_budget
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.balancing import ramp
@@ -41,10 +42,12 @@
         ramp: Capacity of targets that have just started.
         gate: Admits openings within the limits.
         overload: Sheds openings of overloaded services.
+        budgets: Retry budget of each service.
     """
 
     __slots__ = (
         "book",
+        "budgets",
         "context",
         "gate",
         "health",
@@ -75,6 +78,7 @@
         self.ramp = ramp.Ramp()
         self.gate = gate
         self.overload = overload_lib.Overload()
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def choose(
         self, now_s: float, opening: choosing.Opening
@@ -98,8 +102,23 @@
             target = self._pick(now_s, opening, eligible)
         self.book.add(now_s, target, port.settings)
         self.overload.add(port)
+        self._budget(port.service).add_opening()
         return choosing.Choice(target)
 
+    def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns whether an unanswered opening may go to another target.
+
+        Retries are a fraction of the openings, and there are none while the
+        service sheds openings.
+        """
+        if self.overload.is_shedding(now_s, port.service):
+            return False
+        return self._budget(port.service).take()
+
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        """Returns the retry budget of a service."""
+        return self.budgets.setdefault(service, retry_budget.RetryBudget())
+
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
         """Counts a step in the life of a flow."""
         progress = observation.progress
--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/choosing.py
@@ -99,6 +99,14 @@
             opening: The connection.
         """
 
+    def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns whether an unanswered opening may go to another target.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            port: Service port of the flow.
+        """
+
     def observe(self, now_s: float, observation: Observation) -> None:
         """Takes note of a step in the life of a flow.
 
--- a/packages/core/src/tamarack_core/internal/entry/hashing.py
+++ b/packages/core/src/tamarack_core/internal/entry/hashing.py
@@ -4,6 +4,7 @@
 
 from tamarack_core import verdict
 from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.targets import table
 
 _DIGEST_BYTES = 8
@@ -34,6 +35,10 @@
             max(ready, key=lambda target: weight(opening.flow, target))
         )
 
+    def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns True; there is no budget."""
+        return True
+
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
         """Ignores the observation; the hash depends on no load."""
 
--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -126,7 +126,12 @@
     def _reopen(
         self, passage: passage_lib.Passage, slot: int
     ) -> list[effects.Effect]:
-        """Chooses again for an opening that got no answer."""
+        """Chooses again for an opening that got no answer.
+
+        Without a retry budget the opening stays with its target.
+        """
+        if not self.records.chooser.may_retry(passage.now_s, passage.port):
+            return self._emit(passage, slot)
         self.records.close(
             passage.now_s, slot, passage.port, choosing.Progress.SILENT
         )
@@ -192,7 +197,7 @@
             return self._adopt(passage)
         if passage.packet.flags & ip.TCP_RST:
             return self.refusing.drop("unknown-flow")
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         if len(order) > 1:
             return self.domain.hand(
                 order[1], passage.packet.data, hops.Kind.ASK, 1
@@ -295,7 +300,7 @@
     ) -> list[effects.Effect]:
         """Sends a packet on, by way of the hosts that must learn from it."""
         table = self.records.table
-        order = self.domain.order(passage.key)
+        order = self.domain.order(passage.port, passage.key)
         table.seen_s[slot] = int(passage.now_s)
         if is_over:
             return self._pass_along(passage, slot, order, hops.Kind.CLOSED)
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -4,6 +4,7 @@
 
 from tamarack_core import verdict
 from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.targets import table
 
 _DIGEST_BYTES = 8
@@ -52,6 +53,10 @@
         index = int.from_bytes(digest.digest(), "big") % len(ready)
         return choosing.Choice(sorted(ready)[index])
 
+    def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns True; there is no budget."""
+        return True
+
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
         """Counts a closed connection; nothing else matters to the hash."""
         if observation.progress in choosing.ENDS:
