--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -124,7 +124,8 @@
         self.numbered = configuration.Numbered(
             1,
             configuration.Configuration(
-                {item.name: item.settings for item in plan.services}
+                {item.name: item.settings for item in plan.services},
+                plan.domains,
             ),
         )
         self.holders: dict[str, holder.Holder] = {}
@@ -171,7 +172,7 @@
             context,
             held,
             live_peers,
-            self.plan.hosts * len(self.plan.domains),
+            self.plan.hosts,
         )
         self.choosers[name] = parts.chooser
         host = self.network.add(reducer.Node(context, parts.parts))
@@ -404,6 +405,19 @@
             self.flows[flow.owner].add(flow)
             self.observe(flow, choosing.Progress.OPENED)
 
+    def restart_host(self, name: str) -> None:
+        """Starts a host without state; flows move back to their owners."""
+        domain = self.network.hosts[name].peer.domain
+        self.start_host(name, domain)
+        for old, flows in list(self.flows.items()):
+            moved = {flow for flow in flows if self.owner(flow) != old}
+            flows -= moved
+            for flow in moved:
+                self.observe(flow, choosing.Progress.CLOSED)
+                flow.owner = self.owner(flow)
+                self.flows[flow.owner].add(flow)
+                self.observe(flow, choosing.Progress.OPENED)
+
     def kill_target(self, target: Target) -> None:
         """Ends a target with all its connections."""
         target.machine.die()
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -86,6 +86,9 @@
         self.counts[target] += 1
         return choosing.Choice(target)
 
+    def may_retry(self, now_s, port):
+        return True
+
     def observe(self, now_s, observation):
         progress = observation.progress.name
         if progress == "OPENED":
