Make the demo's ports and counts right; show imbalance within domains

Cause: two deployments side by side got the same ports, so that a host could not start; long-lived connections still being established at the end counted as ended, which gave -1 open ones. Change: deployments share one giver of ports below the kernel's own range; a connection ends only once it is established; the bound on open connections counts those being established; the summary splits the imbalance, since a failure domain with fewer targets has more work for each.

--- a/packages/lab/src/tamarack_lab/caller/flow.py
+++ b/packages/lab/src/tamarack_lab/caller/flow.py
@@ -26,6 +26,7 @@
         name: Prefix of the request identifiers.
         connection: The connection; None before it is opened.
         awaited: Identifier of the request without answer; empty for none.
+        is_open: Whether the connection is established.
         is_over: Whether the outcome has been counted.
     """
 
@@ -39,6 +40,7 @@
         "awaited",
         "connection",
         "counts",
+        "is_open",
         "is_over",
         "load",
         "name",
@@ -65,6 +67,7 @@
         self.name = name
         self.connection: connections.Connection | None = None
         self.awaited = ""
+        self.is_open = False
         self.is_over = False
         self._reader = exchange.LineReader(exchange.Answer)
         self._numbers = itertools.count()
@@ -81,7 +84,9 @@
         """Closes a connection that has nothing outstanding."""
         if self.connection is None or self.is_over or self.awaited:
             return
-        self._complete(self.connection)
+        # One that is still being established ends once it is.
+        if self.is_open:
+            self._complete(self.connection)
 
     def notify(
         self, connection: connections.Connection, event: Occurrence
@@ -90,8 +95,8 @@
         if self.is_over:
             return
         if event is Occurrence.CONNECTED:
+            self.is_open = True
             self.counts.opened += 1
-            self.counts.open += 1
             self._send(connection)
         elif event is Occurrence.READABLE:
             self._read(connection)
@@ -184,7 +189,6 @@
     def _close(self) -> None:
         """Marks the outcome as counted."""
         self.is_over = True
-        self.counts.open -= 1
         if self._timer is not None:
             self._timer.cancel()
 
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -134,7 +134,7 @@
         end_s = next_s + self.settings.duration_s
         while next_s < end_s:
             await asyncio.sleep(next_s - loop.time())
-            if not load.most or counts.open < load.most:
+            if not load.most or counts.unfinished < load.most:
                 self._open(load, counts)
             next_s += self._random.expovariate(load.rate)
         await asyncio.sleep(end_s - loop.time())
--- a/packages/lab/src/tamarack_lab/caller/report.py
+++ b/packages/lab/src/tamarack_lab/caller/report.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import msgspec
 
@@ -17,7 +18,7 @@
         tried: Connections tried.
         opened: Connections established.
         completed: Connections that ended as their caller meant them to.
-        open: Connections open now.
+        open: Connections open or being established now.
         broken: Established connections that were cut, by verdict and reason.
         refused: Connections never established, by verdict and reason.
         requests: Requests sent.
@@ -64,7 +65,6 @@
         tried: Connections tried.
         opened: Connections established.
         completed: Connections that ended as their caller meant them to.
-        open: Connections established and not ended.
         broken: Established connections that were cut, by verdict.
         refused: Connections never established, by verdict.
         requests: Requests sent.
@@ -77,7 +77,6 @@
     tried: int = 0
     opened: int = 0
     completed: int = 0
-    open: int = 0
     broken: collections.Counter[verdict.Verdict] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -90,6 +89,15 @@
     mixed_up: int = 0
     latencies_s: list[float] = dataclasses.field(default_factory=list)
 
+    @property
+    def unfinished(self) -> int:
+        """Connections that are open or being established."""
+        return (
+            self.tried
+            - self.completed
+            - sum(itertools.chain(self.refused.values(), self.broken.values()))
+        )
+
     def report(self, service: str, work_class: str) -> LoadReport:
         """Returns the counts so far.
 
@@ -104,7 +112,7 @@
             tried=self.tried,
             opened=self.opened,
             completed=self.completed,
-            open=self.open,
+            open=self.unfinished,
             broken=_name(self.broken),
             refused=_name(self.refused),
             requests=self.requests,
--- a/packages/lab/src/tamarack_lab/demo/command.py
+++ b/packages/lab/src/tamarack_lab/demo/command.py
@@ -10,6 +10,7 @@
 from tamarack_lab.demo import script
 from tamarack_lab.demo import summary
 from tamarack_lab.deployment import plan as plans
+from tamarack_lab.deployment import ports as ports_lib
 from tamarack_lab.deployment import run as runs
 
 EXIT_BROKEN = 1
@@ -58,10 +59,11 @@
 ) -> list[summary.Outcome]:
     """Runs the demonstrations side by side."""
     demos = []
+    ports = ports_lib.Ports()
     for plan in chosen:
         folder = base / plan.name
         folder.mkdir(parents=True, exist_ok=True)
-        demos.append(script.Demo(plan, folder, seed, click.echo))
+        demos.append(script.Demo(plan, folder, seed, ports, click.echo))
     async with asyncio.timeout(TIMEOUT_S):
         found = await asyncio.gather(
             *(demo.run() for demo in demos), return_exceptions=True
--- a/packages/lab/src/tamarack_lab/demo/script.py
+++ b/packages/lab/src/tamarack_lab/demo/script.py
@@ -12,6 +12,7 @@
 from tamarack_lab.demo import summary
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
+from tamarack_lab.deployment import ports as ports_lib
 from tamarack_lab.deployment import run as runs
 
 LOAD_S = 20.0
@@ -36,7 +37,12 @@
     __slots__ = ("deployment", "show", "started_s")
 
     def __init__(
-        self, plan: plans.Plan, folder: pathlib.Path, seed: int, show: Show
+        self,
+        plan: plans.Plan,
+        folder: pathlib.Path,
+        seed: int,
+        ports: ports_lib.Ports,
+        show: Show,
     ) -> None:
         """Creates a demonstration that isn't started.
 
@@ -44,9 +50,10 @@
             plan: The deployment.
             folder: Folder of settings, logs and state; must exist.
             seed: Seed of all chance.
+            ports: Gives out free ports.
             show: Shows a line of progress.
         """
-        layout = layouts.build(plan, str(folder), seed)
+        layout = layouts.build(plan, str(folder), seed, ports)
         self.deployment = runs.Deployment(layout, folder)
         self.show = show
         self.started_s = time.monotonic()
--- a/packages/lab/src/tamarack_lab/demo/summary.py
+++ b/packages/lab/src/tamarack_lab/demo/summary.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 import dataclasses
+import itertools
 
 import tabulate
 
@@ -96,6 +97,17 @@
     return max(work) / mean if mean else 0.0
 
 
+def imbalance_in_domains(targets: list[servers.Report]) -> float:
+    """Returns the highest imbalance within a failure domain.
+
+    The callers of a failure domain reach its own targets only, so that domains
+    with fewer targets have more work for each.
+    """
+    ordered = sorted(targets, key=lambda target: target.domain)
+    groups = itertools.groupby(ordered, key=lambda target: target.domain)
+    return max(imbalance(list(group)) for _, group in groups)
+
+
 def render(outcome: Outcome) -> str:
     """Returns the summary as tables."""
     return "\n".join(
@@ -153,10 +165,17 @@
             len(targets),
             " ".join(f"{target.work:.0f}" for target in targets),
             f"{imbalance(targets):.2f}",
+            f"{imbalance_in_domains(targets):.2f}",
         )
         for service, targets in by_service.items()
     ]
-    headers = ("service", "ready", "work units by target", "imbalance")
+    headers = (
+        "service",
+        "ready",
+        "work units by target",
+        "imbalance",
+        "within domains",
+    )
     return tabulate.tabulate(rows, headers)
 
 
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -266,15 +266,21 @@
         ]
 
 
-def build(plan: plans.Plan, folder: str, seed: int) -> Layout:
+def build(
+    plan: plans.Plan,
+    folder: str,
+    seed: int,
+    ports: ports_lib.Ports | None = None,
+) -> Layout:
     """Returns the layout of a deployment on free loopback ports.
 
     Args:
         plan: The deployment.
         folder: Folder of durable state.
         seed: Seed of all chance.
+        ports: Gives out free ports; shared by deployments side by side.
     """
-    ports = ports_lib.Ports()
+    ports = ports or ports_lib.Ports()
     domains = itertools.cycle(plan.domains)
     entries = [
         _entry(f"{plan.name}-entry-{number + 1}", next(domains), ports)
--- a/packages/lab/src/tamarack_lab/deployment/run.py
+++ b/packages/lab/src/tamarack_lab/deployment/run.py
@@ -306,6 +306,7 @@
 
     async def _status_field(self, host: peers.Peer, name: str) -> int:
         """Returns a number of a host's status; -1 without an answer."""
+        self._check_running(host.host)
         found = await self.client.call("GET", host.control, "/v1/status")
         if isinstance(found, failure.Failure) or found.status != _OK:
             return -1
