--- a/packages/lab/src/tamarack_lab/bench/command.py
+++ b/packages/lab/src/tamarack_lab/bench/command.py
@@ -10,6 +10,8 @@
 from tamarack_lab.bench import profile as profile_lib
 
 DEFAULT_RUNS = 5
+# The most targets that a service has today.
+DEFAULT_TARGETS = 7
 
 
 @click.command()
@@ -20,16 +22,19 @@
     help="File for the figures.",
 )
 @click.option("--runs", default=DEFAULT_RUNS, help="Runs for each median.")
+@click.option(
+    "--targets", default=DEFAULT_TARGETS, help="Targets of the service."
+)
 @click.option("--profile", is_flag=True, help="Print a profile instead.")
-def bench(output: pathlib.Path, runs: int, profile: bool) -> None:
+def bench(output: pathlib.Path, runs: int, targets: int, profile: bool) -> None:
     """Measures one entry process on one core.
 
     Example: tamarack lab bench --output out/bench.json
     """
     if profile:
-        click.echo(profile_lib.run())
+        click.echo(profile_lib.run(targets))
         return
-    results = msgspec.to_builtins(measures.run(runs))
+    results = msgspec.to_builtins(measures.run(runs, targets))
     output.parent.mkdir(parents=True, exist_ok=True)
     text = json.dumps(results, indent=2)
     output.write_text(text + "\n")
--- a/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
@@ -59,6 +59,14 @@
     return msgspec.json.encode(configuration.Configuration(services))
 
 
+def configuration_of(count: int) -> configuration.Numbered:
+    """Returns a configuration with a number of services as version 1."""
+    decoded = msgspec.json.decode(
+        document(count), type=configuration.Configuration
+    )
+    return configuration.Numbered(1, decoded)
+
+
 def probe() -> list[slopes.Slope]:
     """Returns the slopes of this module."""
     measured = slopes.Source.MEASURED
@@ -91,10 +99,7 @@
 
 def _tables(count: int) -> lookup.Lookup:
     """Returns the lookup tables of a number of services."""
-    decoded = msgspec.json.decode(
-        document(count), type=configuration.Configuration
-    )
-    return lookup.Lookup(decoded)
+    return lookup.Lookup(configuration_of(count).configuration)
 
 
 def _held_bytes(count: int) -> float:
