--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -20,6 +20,7 @@
 from tamarack_core.storage import disk as disks
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import http_server
+from tamarack_node.internal import keys
 from tamarack_node.internal import logs
 from tamarack_node.internal import metrics
 from tamarack_node.internal import timers
@@ -55,6 +56,7 @@
         "_pending",
         "_request_ids",
         "_server",
+        "_signer",
         "_timers",
         "entries",
         "node",
@@ -72,12 +74,14 @@
         """
         loop = asyncio.get_running_loop()
         self.settings = settings
+        self._signer = _load_keys(settings)
         self._folder = _open_folder(settings)
         self.node = assembly.assemble(_plan(settings, seed, self._folder))
         self.transport = transport.Transport(
             self.node.context,
             self._handle_envelope,
             {peer.host: peer.control for peer in settings.peers},
+            self._signer,
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
             maxlen=TIMELINE_ENTRIES
@@ -150,6 +154,8 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
+        if self._signer is not None:
+            loop.add_signal_handler(signal.SIGHUP, self._signer.reload)
         if self.settings.data is not None:
             self._data_socket = transport.bind_udp(self.settings.data)
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
@@ -290,6 +296,15 @@
             self.stopped.set_result(stop)
 
 
+def _load_keys(
+    settings: settings_lib.Settings,
+) -> keys.MessageSigner | None:
+    """Returns the signer of messages; None without a key file."""
+    if not settings.key_file:
+        return None
+    return keys.MessageSigner(pathlib.Path(settings.key_file), settings.host)
+
+
 def _open_folder(
     settings: settings_lib.Settings,
 ) -> folders.DataFolder | None:
@@ -356,7 +371,7 @@
     """
     try:
         return await Driver(settings, seed).run()
-    except storage_errors.StorageError as error:
+    except (storage_errors.StorageError, ValueError) as error:
         return CannotStart(str(error))
     except OSError as error:
         return CannotStart(f"{error.strerror}; free the address or change it")
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -12,6 +12,7 @@
 from tamarack_core import failure
 from tamarack_core import messages
 from tamarack_core import peers
+from tamarack_node.internal import keys
 from tamarack_node.internal import logs
 
 # A datagram of this size is not fragmented on a link of 1,500 bytes.
@@ -31,6 +32,7 @@
         routes: Endpoint of each host that the settings name; it goes before
             the one that the host states itself, as the way may lead through
             an address translation.
+        signer: Signs and verifies; None where messages carry no signature.
         socket: UDP socket bound to the control endpoint.
         outbox: Messages that wait for the end of the loop turn, by receiver.
         session: HTTP client for large envelopes.
@@ -44,6 +46,7 @@
         "receive",
         "routes",
         "session",
+        "signer",
         "socket",
     )
 
@@ -52,6 +55,7 @@
         context: context_lib.Context,
         receive: Callable[[messages.Envelope], None],
         routes: Mapping[str, peers.Endpoint],
+        signer: keys.MessageSigner | None = None,
     ) -> None:
         """Creates a transport that is not open.
 
@@ -59,7 +63,9 @@
             context: Identity, clock and counters.
             receive: Called with each envelope received.
             routes: Endpoint of each host that the settings name.
+            signer: Signs and verifies; None for no signatures.
         """
+        self.signer = signer
         self.context = context
         self.routes = routes
         self.receive = receive
@@ -106,13 +112,17 @@
             asyncio.get_running_loop().call_soon(self._flush)
 
     def handle_bytes(self, data: bytes) -> None:
-        """Decodes an envelope; counts and drops a malformed one.
+        """Decodes an envelope; counts and drops a refused one.
 
         Args:
-            data: JSON form of an envelope.
+            data: JSON form of an envelope, signed where there are keys.
         """
-        envelope = messages.decode(data)
         self.context.counters["control-received-bytes"] += len(data)
+        body = data if self.signer is None else self.signer.verify(data)
+        if isinstance(body, failure.Failure):
+            self.context.counters[body.reason] += 1
+            return
+        envelope = messages.decode(body)
         if isinstance(envelope, failure.Failure):
             self.context.counters[envelope.reason] += 1
             return
@@ -148,6 +158,8 @@
             self.context.host, self.context.clock.latest, tuple(batch)
         )
         data = messages.encode(envelope)
+        if self.signer is not None:
+            data = self.signer.sign(peer.host, data)
         if len(data) <= MAX_DATAGRAM_BYTES:
             self._send_datagram(peer, data)
         elif len(batch) > 1:
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -30,6 +30,8 @@
         data_folder: Folder of durable state; required for the control role.
         voters: Names of the control hosts that found the system, the founder
             first; by default a host with the control role founds it alone.
+        key_file: File of the keys that sign messages between hosts; without
+            one, messages carry no signature and none is asked for.
         seed: Seed of the generator; chosen at random without one.
         log_level: Lowest level that is logged.
     """
@@ -43,6 +45,7 @@
     peers: tuple[peers_lib.Peer, ...] = ()
     data_folder: str = ""
     voters: tuple[str, ...] = ()
+    key_file: str = ""
     seed: int | None = None
     log_level: str = "info"
 
--- a/tests/slow/test_control_hosts.py
+++ b/tests/slow/test_control_hosts.py
@@ -1,8 +1,10 @@
 """Control hosts as real processes that are killed while operators race."""
 
 import itertools
+import json
 import pathlib
 import random
+import signal
 import tempfile
 import threading
 import time
@@ -18,6 +20,7 @@
 VOTERS = 3
 SEED = 20261
 LOST_ANSWERS = 0.2
+SECRETS = {"old": "0a" * 16, "new": "0b" * 16}
 RESEND_PAUSE_S = 0.05
 DEADLINE_S = 120.0
 
@@ -72,6 +75,7 @@
             ],
             "voters": names,
             "data_folder": str(folder / name),
+            "key_file": str(folder / "keys.json"),
             "seed": SEED + index,
         }
         for index, name in enumerate(names)
@@ -176,6 +180,7 @@
         self.folder = pathlib.Path(parent.name)
         self.names = [f"c{number}" for number in range(VOTERS)]
         self.ports = [processes.free_port() for _ in self.names]
+        self.write_keys("old")
         found = links(self.names, self.ports)
         self.proxy = thread.ThreadedProxy(
             proxy_settings.Settings(tuple(found), SEED, (BASE,))
@@ -189,6 +194,19 @@
         for daemon in self.daemons:
             self.addCleanup(daemon.kill)
 
+    def write_keys(self, *names):
+        """Writes the key file that all hosts read."""
+        encoded = [{"id": name, "secret": SECRETS[name]} for name in names]
+        content = json.dumps({"keys": encoded})
+        (self.folder / "keys.json").write_text(content)
+
+    def rotate_keys(self):
+        """Rotates the keys of the running hosts, one host at a time."""
+        for names in (("old", "new"), ("new", "old"), ("new",)):
+            self.write_keys(*names)
+            for daemon in self.daemons:
+                daemon.process.send_signal(signal.SIGHUP)
+
     def read(self, path, port):
         """Returns what a host answers, or None."""
         try:
@@ -240,6 +258,7 @@
         ]
         for operator in operators:
             operator.start()
+        self.rotate_keys()
         highest = 0
         points = sorted(chance.sample(range(2 * PATCHES_EACH), len(FAULTS)))
         for point, faults in zip(points, FAULTS, strict=True):
@@ -269,6 +288,10 @@
         self.assertEqual(
             list(range(1, 2 * PATCHES_EACH + 1)), sorted(accepted.values())
         )
+        for port in self.ports:
+            counters = self.read("/v1/status", port)["counters"]
+            self.assertEqual(0, counters.get("message-unsigned", 0))
+            self.assertEqual(0, counters.get("message-bad-signature", 0))
         for port in self.ports:
             numbered = self.read("/v1/configuration", port)["numbered"]
             services = numbered["configuration"]["services"]
