Ask again when a question for a read index is lost

Change: a read that isn't confirmed is asked again for 6 s. Result: the new test in tests/cover/test_control.py failed before and passes now.

--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -28,6 +28,8 @@
 
 TICK_INTERVAL_S = 0.25
 TIMER = "control"
+# A question to the leader may be lost; it is repeated for so long.
+READ_PATIENCE_S = 6.0
 # The log numbers its own writes from 1 on.
 FOUNDING_SEQUENCE = 0
 
@@ -58,6 +60,7 @@
         disk: What the data folder held at the start.
         is_blank: Whether the data folder has never held anything.
         reads: Requests that wait for a read index, by token.
+        failed_reads: Requests to be tried again at the next tick.
         unreadable: Why the disk can't be read, if it can't.
     """
 
@@ -65,6 +68,7 @@
         "_tokens",
         "context",
         "disk",
+        "failed_reads",
         "is_blank",
         "joining",
         "machine",
@@ -110,6 +114,7 @@
         )
         self.joining = joining.Joining(own, named)
         self.reads: dict[int, events.RequestArrived] = {}
+        self.failed_reads: list[events.RequestArrived] = []
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
         self._tokens = itertools.count(1)
 
@@ -190,6 +195,9 @@
             found.extend(self.joining.introduce(is_blank=self.is_blank))
         step = self.submissions.tick(event.now_s)
         found.extend(self._carry(event.now_s, step))
+        failed, self.failed_reads = self.failed_reads, []
+        for read in failed:
+            found.extend(self._ask_read(event.now_s, read))
         return found
 
     def handle_introduction(
@@ -234,11 +242,15 @@
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Asks for a read index; the answer follows when it is reached."""
+        return self._ask_read(event.now_s, event)
+
+    def _ask_read(
+        self, now_s: float, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Asks for a read index, perhaps again."""
         token = next(self._tokens)
         self.reads[token] = event
-        return self._carry(
-            event.now_s, self.replica.read_index(event.now_s, token)
-        )
+        return self._carry(now_s, self.replica.read_index(now_s, token))
 
     def handle_read_members(
         self, event: events.RequestArrived
@@ -353,7 +365,7 @@
             case outputs.ReadCompleted(token):
                 return self._answer_read(token)
             case outputs.ReadFailed(token, reason):
-                return self._refuse_read(token, reason)
+                return self._refuse_read(now_s, token, reason)
             case outputs.LeaderChanged():
                 return self._change_leader(now_s, output)
             case outputs.Halted(reason, detail):
@@ -423,11 +435,16 @@
             ),
         )
 
-    def _refuse_read(self, token: int, reason: str) -> list[effects.Effect]:
-        """Answers a read that could not be confirmed."""
+    def _refuse_read(
+        self, now_s: float, token: int, reason: str
+    ) -> list[effects.Effect]:
+        """Tries a read again that was not confirmed, or refuses it."""
         event = self.reads.pop(token, None)
         if event is None:
             return []
+        if now_s - event.now_s < READ_PATIENCE_S:
+            self.failed_reads.append(event)
+            return []
         refused = requests.Refused(
             "no-quorum",
             f"{reason}: the newest version can't be confirmed; ask again, or"
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -107,6 +107,16 @@
         read = self.network.answer(lonely, requests.ReadConfiguration())
         self.assertEqual("no-quorum", read.reason)
 
+    def test_a_read_whose_question_is_lost_is_asked_again(self):
+        self.found()
+        follower = self.followers()[0]
+        self.network.cut = {(follower, self.leader())}
+        number = self.network.ask(follower, requests.ReadConfiguration())
+        self.network.cut = set()
+        self.network.run_until(lambda: number in self.network.answers, 9.0)
+        read = self.network.answers[number]
+        self.assertIsInstance(read, requests.ConfigurationRead)
+
     def test_a_resend_without_a_leader_stays_unknown(self):
         self.found()
         lonely = self.followers()[0]
