--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -1,7 +1,6 @@
 """Control role: the replicated log, patches and reads of one control host."""
 
 import dataclasses
-import itertools
 import random
 
 from tamarack_core import context as context_lib
@@ -19,6 +18,7 @@
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.control import joining
 from tamarack_core.internal.control import members
+from tamarack_core.internal.control import reading
 from tamarack_core.internal.control import submissions
 from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.patches import machine as machines
@@ -28,8 +28,6 @@
 
 TICK_INTERVAL_S = 0.25
 TIMER = "control"
-# A question to the leader may be lost; it is repeated for so long.
-READ_PATIENCE_S = 6.0
 # The log numbers its own writes from 1 on.
 FOUNDING_SEQUENCE = 0
 
@@ -59,20 +57,17 @@
         joining: How this host becomes a voter.
         disk: What the data folder held at the start.
         is_blank: Whether the data folder has never held anything.
-        reads: Requests that wait for a read index, by token.
-        failed_reads: Requests to be tried again at the next tick.
+        reading: Requests that wait for a read index.
         unreadable: Why the disk can't be read, if it can't.
     """
 
     __slots__ = (
-        "_tokens",
         "context",
         "disk",
-        "failed_reads",
         "is_blank",
         "joining",
         "machine",
-        "reads",
+        "reading",
         "replica",
         "spreading",
         "submissions",
@@ -113,10 +108,8 @@
             context, self.machine, self._propose
         )
         self.joining = joining.Joining(own, named)
-        self.reads: dict[int, events.RequestArrived] = {}
-        self.failed_reads: list[events.RequestArrived] = []
+        self.reading = reading.Reading(self.machine, self.replica)
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
-        self._tokens = itertools.count(1)
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
@@ -195,9 +188,8 @@
             found.extend(self.joining.introduce(is_blank=self.is_blank))
         step = self.submissions.tick(event.now_s)
         found.extend(self._carry(event.now_s, step))
-        failed, self.failed_reads = self.failed_reads, []
-        for read in failed:
-            found.extend(self._ask_read(event.now_s, read))
+        for step in self.reading.tick(event.now_s):
+            found.extend(self._carry(event.now_s, step))
         return found
 
     def handle_introduction(
@@ -242,15 +234,7 @@
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Asks for a read index; the answer follows when it is reached."""
-        return self._ask_read(event.now_s, event)
-
-    def _ask_read(
-        self, now_s: float, event: events.RequestArrived
-    ) -> list[effects.Effect]:
-        """Asks for a read index, perhaps again."""
-        token = next(self._tokens)
-        self.reads[token] = event
-        return self._carry(now_s, self.replica.read_index(now_s, token))
+        return self._carry(event.now_s, self.reading.ask(event.now_s, event))
 
     def handle_read_members(
         self, event: events.RequestArrived
@@ -363,9 +347,9 @@
             case outputs.Restored():
                 return self.submissions.handle_restored()
             case outputs.ReadCompleted(token):
-                return self._answer_read(token)
+                return self.reading.complete(token)
             case outputs.ReadFailed(token, reason):
-                return self._refuse_read(now_s, token, reason)
+                return self.reading.fail(now_s, token, reason)
             case outputs.LeaderChanged():
                 return self._change_leader(now_s, output)
             case outputs.Halted(reason, detail):
@@ -402,52 +386,3 @@
         return self.context.record(
             now_s, "membership-changed", detail=described
         )
-
-    def _answer_read(self, token: int) -> list[effects.Effect]:
-        """Answers a read that has reached its index."""
-        event = self.reads.pop(token, None)
-        if event is None:
-            return []
-        response: requests.Response
-        if isinstance(event.request, requests.ReadLog):
-            response = self._read_log(event.request)
-        else:
-            response = requests.ConfigurationRead(self.machine.numbered())
-        return [effects.Respond(event.request_id, response)]
-
-    def _read_log(self, request: requests.ReadLog) -> requests.Response:
-        """Returns the accepted patches after a version."""
-        entries = self.machine.history.entries
-        return requests.LogRead(
-            self.machine.version,
-            tuple(
-                requests.LogEntry(
-                    entry.version,
-                    entry.patch_id,
-                    entry.author,
-                    entry.note,
-                    entry.time_ms,
-                    entry.changed,
-                    entry.operations,
-                )
-                for entry in entries
-                if entry.version > request.after
-            ),
-        )
-
-    def _refuse_read(
-        self, now_s: float, token: int, reason: str
-    ) -> list[effects.Effect]:
-        """Tries a read again that was not confirmed, or refuses it."""
-        event = self.reads.pop(token, None)
-        if event is None:
-            return []
-        if now_s - event.now_s < READ_PATIENCE_S:
-            self.failed_reads.append(event)
-            return []
-        refused = requests.Refused(
-            "no-quorum",
-            f"{reason}: the newest version can't be confirmed; ask again, or"
-            " read the status of the hosts for the versions in force",
-        )
-        return [effects.Respond(event.request_id, refused)]
