--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -1,6 +1,7 @@
 """Addresses, ports and settings of a planned deployment."""
 
 import dataclasses
+import ipaddress
 import itertools
 
 from tamarack_core import assembly
@@ -9,12 +10,26 @@
 from tamarack_lab.caller import settings as caller_settings
 from tamarack_lab.deployment import plan as plans
 from tamarack_lab.deployment import ports as ports_lib
+from tamarack_lab.proxy import settings as proxy_lib
 from tamarack_lab.target import settings as target_settings
 from tamarack_node import settings as node_settings
 
 _CALLERS = 20
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listening:
+    """Where a host binds its sockets behind a proxy.
+
+    Attributes:
+        control: Endpoint in place of the one that other hosts know.
+        data: The same for Geneve; None on a host without the entry role.
+    """
+
+    control: peers.Endpoint
+    data: peers.Endpoint | None
+
+
 @dataclasses.dataclass(slots=True)
 class Layout:
     """Where everything of a deployment is.
@@ -32,6 +47,8 @@
         folder: Folder of durable state.
         seed: Seed of all chance.
         ports: Gives out free ports.
+        listening: Where the hosts bind their sockets, by name, when a proxy
+            is between them; hosts reach each other through it.
     """
 
     plan: plans.Plan
@@ -46,6 +63,7 @@
     entries: list[peers.Peer]
     controls: list[peers.Peer]
     ports: ports_lib.Ports
+    listening: dict[str, Listening] = dataclasses.field(default_factory=dict)
 
     @property
     def hosts(self) -> list[peers.Peer]:
@@ -70,15 +88,19 @@
     def host_settings(self, host: peers.Peer) -> node_settings.Settings:
         """Returns the settings of a host of the system."""
         is_entry = host.data is not None
+        listening = self.listening.get(host.host)
         return node_settings.Settings(
             host=host.host,
             domain=host.domain,
             roles=(assembly.Role.ENTRY if is_entry else assembly.Role.CONTROL,),
             control=host.control,
             data=host.data,
+            control_listen=listening.control if listening else None,
+            data_listen=listening.data if listening else None,
             fabric=self.fabric if is_entry else None,
             peers=tuple(peer for peer in self.hosts if peer != host),
             data_folder="" if is_entry else f"{self.folder}/{host.host}",
+            voters=tuple(peer.host for peer in self.controls),
             seed=self.seed,
         )
 
@@ -102,8 +124,61 @@
     def data_endpoints(self, domain: str) -> tuple[peers.Endpoint, ...]:
         """Returns where the entry hosts of a failure domain take packets."""
         return tuple(
-            entry.data for entry in self.in_domain(domain) if entry.data
+            endpoint
+            for endpoint in map(self.data_endpoint, self.in_domain(domain))
+            if endpoint is not None
+        )
+
+    def data_endpoint(self, entry: peers.Peer) -> peers.Endpoint | None:
+        """Returns where the fabric sends the packets of an entry host."""
+        listening = self.listening.get(entry.host)
+        return listening.data if listening else entry.data
+
+    def put_behind_proxy(self) -> None:
+        """Gives each failure domain loopback addresses of its own.
+
+        The endpoints that the hosts have so far become those of a proxy.
+        """
+        numbers = {d: n for n, d in enumerate(self.plan.domains, start=1)}
+        for host in self.hosts:
+            address = domain_address(numbers[host.domain])
+            self.listening[host.host] = Listening(
+                self.ports.take(address),
+                self.ports.take(address) if host.data else None,
+            )
+
+    def proxy_settings(self) -> proxy_lib.Settings:
+        """Returns the settings of the proxy between the hosts."""
+        return proxy_lib.Settings(
+            links=tuple(
+                link
+                for host in self.hosts
+                for link in _links(host, self.listening[host.host])
+            ),
+            seed=self.seed,
+        )
+
+    def partition(self, domain: str) -> list[proxy_lib.Fault]:
+        """Returns faults that cut a failure domain off from the others."""
+        number = self.plan.domains.index(domain) + 1
+        inside = domain_address(number)
+        outside = tuple(
+            domain_address(other + 1)
+            for other in range(len(self.plan.domains))
+            if other + 1 != number
         )
+        return [
+            proxy_lib.Fault(
+                links=(f"{domain}/*",), senders=outside, partition=True
+            ),
+            *(
+                proxy_lib.Fault(
+                    links=(f"{other}/*",), senders=(inside,), partition=True
+                )
+                for other in self.plan.domains
+                if other != domain
+            ),
+        ]
 
     def control_endpoints(self, domain: str) -> tuple[peers.Endpoint, ...]:
         """Returns where the entry hosts of a failure domain take HTTP."""
@@ -116,7 +191,7 @@
         return [
             target_settings.Member(
                 service=service.name,
-                address=f"{service.network}.{number + 1}",
+                address=_address(service.network, number),
                 domain=domains[next(numbers) % len(domains)],
             )
             for service in self.plan.services
@@ -171,23 +246,22 @@
         """Returns the callers' addresses, each with its failure domain."""
         domains = itertools.cycle(self.plan.domains)
         return [
-            (f"{self.plan.callers}.{number + 1}", next(domains))
+            (_address(network, number), next(domains))
+            for network in self.plan.callers
             for number in range(_CALLERS)
         ]
 
     def _caller_routes(self) -> list[fabric_lib.Route]:
         """Returns the routes to the callers."""
         return [
-            fabric_lib.Route(f"{address}/32", self.callers, domain)
+            fabric_lib.Route(address, self.callers, domain)
             for address, domain in self._caller_addresses()
         ]
 
     def _target_routes(self) -> list[fabric_lib.Route]:
         """Returns the routes to the targets."""
         return [
-            fabric_lib.Route(
-                f"{member.address}/32", self.targets, member.domain
-            )
+            fabric_lib.Route(member.address, self.targets, member.domain)
             for member in self.members()
         ]
 
@@ -234,6 +308,37 @@
     return peers.Peer(name, domain, ports.take(), ports.take())
 
 
+def _address(network: str, number: int) -> str:
+    """Returns an address of a network, counted from 0."""
+    return str(ipaddress.ip_network(network)[number + 1])
+
+
+def domain_address(number: int) -> str:
+    """Returns the loopback address of the hosts of a failure domain.
+
+    Args:
+        number: Number of the failure domain, from 1.
+    """
+    return f"127.0.{number}.1"
+
+
+def _links(host: peers.Peer, listening: Listening) -> list[proxy_lib.Link]:
+    """Returns the links of the proxy to a host."""
+    name = f"{host.domain}/{host.host}"
+    udp, tcp = proxy_lib.Protocol.UDP, proxy_lib.Protocol.TCP
+    links = [
+        proxy_lib.Link(
+            f"{name}/messages", udp, host.control, listening.control
+        ),
+        proxy_lib.Link(f"{name}/http", tcp, host.control, listening.control),
+    ]
+    if host.data is not None and listening.data is not None:
+        links.append(
+            proxy_lib.Link(f"{name}/data", udp, host.data, listening.data)
+        )
+    return links
+
+
 def _target_service(service: plans.Service) -> target_settings.Service:
     """Returns what the targets of a service have in common."""
     return target_settings.Service(
@@ -241,6 +346,7 @@
             target_settings.Port(
                 work_class=work_class.name,
                 port=work_class.settings.target_port,
+                protocol=work_class.settings.protocol,
                 cost=work_class.settings.cost,
             )
             for work_class in service.classes
