--- a/packages/lab/src/tamarack_lab/consensus_costs.py
+++ b/packages/lab/src/tamarack_lab/consensus_costs.py
@@ -27,6 +27,8 @@
 # At 0.8 patches a second, the rate of 69,000 changes a day.
 COMMAND_INTERVAL_S = 1.25
 BURST_COMMANDS = 20
+ISOLATION_S = 600.0
+RETURN_S = 60.0
 ELECTIONS = 40
 ELECTION_STEP_S = 0.01
 ELECTION_LIMIT_S = 60.0
@@ -63,6 +65,8 @@
         election_p50_s: Median fake time from the loss of the leader to the
             next leader, in seconds.
         election_max_s: Longest such time.
+        return_terms: Terms begun when a follower returns from isolation.
+        return_commit_max_ms: Longest commit while it returns, fake time.
     """
 
     voters: int
@@ -74,6 +78,8 @@
     cpu_us: float
     election_p50_s: float
     election_max_s: float
+    return_terms: int
+    return_commit_max_ms: float
 
 
 class Meter:
@@ -196,6 +202,7 @@
         for size in (1, BURST_COMMANDS)
     )
     elections_s = [_election_s(voters, seed + i) for i in range(ELECTIONS)]
+    return_terms, return_commit_max_ms = _return(voters, seed)
     followers = [size for host, size in bytes_s.items() if host != leader]
     return Costs(
         voters,
@@ -207,9 +214,41 @@
         _cpu_us(voters, seed),
         statistics.median(elections_s),
         max(elections_s),
+        return_terms,
+        return_commit_max_ms,
     )
 
 
+def _return(voters: int, seed: int) -> tuple[int, float]:
+    """Isolates a follower for long; returns what its return costs."""
+    network = _started(seed, voters)
+    meter = Meter(network)
+    leader = _leader(network)
+    term = leader.replica.state.term
+    away = next(host for host in network.hosts.values() if host is not leader)
+    network.isolate(away.peer.host)
+    _run_for(network, ISOLATION_S)
+    network.cuts.clear()
+    meter.reset()
+    proposed_s = _run_for(network, RETURN_S)
+    times_s = zip(proposed_s, meter.applied_s, strict=True)
+    longest_s = max(end - begin for begin, end in times_s)
+    rise = _leader(network).replica.state.term - term
+    return rise, longest_s * 1000
+
+
+def _run_for(
+    network: replica_network.Network, duration_s: float
+) -> list[float]:
+    """Proposes at the steady rate and returns the times of proposal."""
+    proposed_s: list[float] = []
+    for _ in range(int(duration_s / COMMAND_INTERVAL_S)):
+        proposed_s.append(network.now_s)
+        _propose(network, 1)
+        network.run_for(COMMAND_INTERVAL_S)
+    return proposed_s
+
+
 def _cpu_us(voters: int, seed: int) -> float:
     network = _started(seed, voters)
     begun_s = time.process_time()
