--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	$(BIN)/tamarack lab slopes --output out/slopes.json
 
 soak: $(STAMP)
-	TAMARACK_PROFILE=soak $(BIN)/python -m pytest tests/slow
+	TAMARACK_PROFILE=soak $(BIN)/python -m pytest -s tests/slow
 
 capacity: $(STAMP)
 	$(BIN)/tamarack capacity --targets-file docs/capacity/sizes.json --page docs/CAPACITY.md
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -7,13 +7,14 @@
 from tamarack_core import effects
 from tamarack_core import failure
 from tamarack_core import peers
+from tamarack_core.internal.consensus import changes
 from tamarack_core.internal.consensus import elections
 from tamarack_core.internal.consensus import face
 from tamarack_core.internal.consensus import following
+from tamarack_core.internal.consensus import forwarding
 from tamarack_core.internal.consensus import limits
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
-from tamarack_core.internal.consensus import reads
 from tamarack_core.internal.consensus import records
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.consensus import roles
@@ -23,7 +24,6 @@
 
 # Keeps a timer that fired early from firing again without time passing.
 MIN_DELAY_S = 0.001
-REQUEST_NUMBER_BITS = 52
 
 _FROM_MEMBERS = (
     consensus.VoteResponse,
@@ -147,9 +147,9 @@
             case consensus.TimeoutNow():
                 self._handle_timeout_now(now_s, message)
             case consensus.ReadRequest():
-                self._handle_read_request(message)
+                forwarding.handle_request(state, message)
             case consensus.ReadResponse():
-                self._handle_read_response(message)
+                forwarding.handle_response(state, message)
             case consensus.IdentityRefused():
                 self._handle_refusal(now_s, message)
 
@@ -161,16 +161,6 @@
         if is_follower and state.is_voter and message.header.term == state.term:
             elections.start_election(state, now_s, is_transfer=True)
 
-    def _handle_read_request(self, message: consensus.ReadRequest) -> None:
-        if self.state.is_leader:
-            read = reads.Read(message.header.source, message.number)
-            self.state.reads.waiting.append(read)
-
-    def _handle_read_response(self, message: consensus.ReadResponse) -> None:
-        forwarded = self.state.forwarded.get(message.number)
-        if forwarded is not None:
-            forwarded.index = message.index
-
     def _handle_refusal(
         self, now_s: float, message: consensus.IdentityRefused
     ) -> None:
@@ -187,7 +177,7 @@
         """Handles the timer named `face.TIMER`."""
         state = self.state
         state.armed_s = math.inf
-        self._fail_late_reads(now_s)
+        forwarding.fail_late(state, now_s)
         if now_s >= state.commit_deadline_s:
             self._record_commit()
         if state.is_leader and now_s >= state.heartbeat_deadline_s:
@@ -202,17 +192,6 @@
         is_due = now_s >= state.election_deadline_s
         return is_candidate and is_due and not state.halted
 
-    def _fail_late_reads(self, now_s: float) -> None:
-        state = self.state
-        late = [
-            number
-            for number, read in state.forwarded.items()
-            if now_s >= read.deadline_s
-        ]
-        for number in late:
-            token = state.forwarded.pop(number).token
-            state.output(outputs.ReadFailed(token, "timeout"))
-
     def handle_write_completed(
         self, now_s: float, sequence: int
     ) -> outputs.Step:
@@ -270,20 +249,7 @@
 
     def read_index(self, now_s: float, token: int) -> outputs.Step:
         """Asks for a linearizable read; see `face.Consensus.read_index`."""
-        state = self.state
-        if state.is_leader:
-            read = reads.Read(state.own.incarnation, token)
-            state.reads.waiting.append(read)
-        elif state.leader is None or state.halted:
-            state.output(outputs.ReadFailed(token, "no-leader"))
-        else:
-            number = state.random.getrandbits(REQUEST_NUMBER_BITS)
-            state.forwarded[number] = reads.ForwardedRead(
-                token, now_s + state.bounds.read_timeout_s
-            )
-            header = state.header(state.leader.incarnation)
-            request = consensus.ReadRequest(header, number)
-            state.send(state.leader.peer, request)
+        forwarding.begin(self.state, now_s, token)
         return self._finish(now_s)
 
     def transfer_leadership(
@@ -303,56 +269,18 @@
         self, now_s: float, change: membership.Change
     ) -> outputs.Proposal | failure.Failure:
         """Changes one member; see `face.Consensus.change_membership`."""
-        refusal = self._find_refusal() or self._find_change_refusal(change)
+        refusal = self._find_refusal() or changes.find_refusal(
+            self.state, change
+        )
         if refusal is not None:
             return refusal
-        wanted = membership.change(self.state.latest_membership, change)
+        wanted = changes.find_membership(self.state, now_s, change)
         if isinstance(wanted, failure.Failure):
             return wanted
-        if not replication.membership_answers(self.state, wanted, now_s):
-            return failure.Failure(
-                "would-lose-quorum",
-                "too few of the voters after the change answer; restore or"
-                " remove those that don't first",
-            )
         return self._append(
             now_s, consensus.EntryKind.MEMBERSHIP, wanted.encode()
         )
 
-    def _find_change_refusal(
-        self, change: membership.Change
-    ) -> failure.Failure | None:
-        state = self.state
-        if state.memberships[-1].index > state.commit_index:
-            return failure.Failure(
-                "change-running", "the last membership change isn't committed"
-            )
-        # Without an entry of its own term a leader may miss a change that its
-        # predecessor began, and then two majorities need not overlap.
-        if not replication.has_committed_in_term(state):
-            return failure.Failure(
-                "leader-starting", "the leader has just been elected; retry"
-            )
-        if change.incarnation == state.own.incarnation:
-            return failure.Failure(
-                "is-leader", "hand over the leadership first"
-            )
-        if change.kind is membership.ChangeKind.PROMOTE:
-            return self._find_lag(change.incarnation)
-        return None
-
-    def _find_lag(self, incarnation: str) -> failure.Failure | None:
-        progress = self.state.progress.get(incarnation)
-        if progress is None:
-            return None
-        lag = self.state.log.last_index - progress.match_index
-        if lag <= self.state.bounds.promotion_entries:
-            return None
-        return failure.Failure(
-            "learner-behind",
-            f"{progress.member.peer.host!r} lacks {lag} entries; retry later",
-        )
-
     def _record_commit(self) -> None:
         state = self.state
         if state.commit_index > state.recorded_commit:
@@ -366,7 +294,7 @@
         if state.is_leader:
             replication.pump_reads(state)
             replication.send_all(state)
-        self._complete_forwarded_reads()
+        forwarding.complete(state)
         self._write(now_s)
         self._release_messages()
         self._arm_timer(now_s)
@@ -374,17 +302,6 @@
         state.step = outputs.Step()
         return step
 
-    def _complete_forwarded_reads(self) -> None:
-        state = self.state
-        done = [
-            number
-            for number, read in state.forwarded.items()
-            if read.index is not None and read.index <= state.commit_index
-        ]
-        for number in done:
-            read = state.forwarded.pop(number)
-            state.output(outputs.ReadCompleted(read.token, read.index or 0))
-
     def _write(self, now_s: float) -> None:
         state = self.state
         if not state.halted:
