Test the refusals of the replicated log

Cause: refused changes, a full backlog and a lost read had no test. Change: six cover tests; the type checker compares Replica with its Protocol.

--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -345,3 +345,7 @@
     if isinstance(message, consensus.Message):
         return message.header.term
     return None
+
+
+# Lets the type checker compare the class with what it promises.
+_promised: type[face.Consensus] = Replica
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -208,6 +208,62 @@
         self.assertEqual("would-lose-quorum", refused.reason)
 
 
+class ChangeTest(testtools.TestCase):
+    """Membership changes that a leader must refuse."""
+
+    def change(self, network, kind, incarnation, peer=None):
+        leader = network.leader()
+        result = leader.replica.change_membership(
+            network.now_s, membership.Change(kind, incarnation, peer)
+        )
+        if not isinstance(result, failure.Failure):
+            network.carry_out(leader, result.step)
+        return getattr(result, "reason", None)
+
+    def test_a_second_change_waits_for_the_first(self):
+        network = running(3, spares=2)
+        first, second = network.hosts["control-3"], network.hosts["control-4"]
+        add = membership.ChangeKind.ADD_LEARNER
+        reasons = [
+            self.change(network, add, host.incarnation, host.peer)
+            for host in (first, second)
+        ]
+        self.assertEqual([None, "change-running"], reasons)
+
+    def test_a_leader_changes_nothing_before_its_first_commit(self):
+        network = running(3)
+        network.crash(network.leader().peer.host)
+        while network.leader() is None:
+            network.run_event()
+        other = follower(network)
+        remove = membership.ChangeKind.REMOVE
+        reason = self.change(network, remove, other.incarnation)
+        self.assertEqual("leader-starting", reason)
+
+    def test_a_learner_that_lags_is_not_promoted(self):
+        network = running(3, spares=1)
+        spare = network.hosts["control-3"]
+        kinds = membership.ChangeKind
+        self.change(network, kinds.ADD_LEARNER, spare.incarnation, spare.peer)
+        network.isolate(spare.peer.host)
+        propose(network, network.bounds.promotion_entries + 1)
+        network.run_for(1.0)
+        reason = self.change(network, kinds.PROMOTE, spare.incarnation)
+        self.assertEqual("learner-behind", reason)
+
+    def test_neither_the_leader_nor_the_last_voter_is_removed(self):
+        network = running(3)
+        leader = network.leader().incarnation
+        remove = membership.ChangeKind.REMOVE
+        reason = self.change(network, remove, leader)
+        self.assertEqual("is-leader", reason)
+        only = membership.Membership(
+            [membership.Member(network.leader().peer, leader)]
+        )
+        refused = membership.change(only, membership.Change(remove, leader))
+        self.assertEqual("last-voter", refused.reason)
+
+
 class FlowTest(testtools.TestCase):
     """Slow followers, sizes, and damaged input."""
 
@@ -238,6 +294,25 @@
         bound = bounds.window_bytes + bounds.append_bytes
         self.assertThat(sum(sent), matchers.LessThan(bound + 1))
 
+    def test_a_leader_with_a_full_backlog_refuses(self):
+        network = running(3, bounds=limits.Limits(backlog_entries=COMMANDS))
+        leader = network.leader()
+        network.isolate(leader.peer.host)
+        propose(network, COMMANDS)
+        refused = leader.replica.propose(network.now_s, b"one more")
+        self.assertEqual("busy", refused.reason)
+
+    def test_a_forwarded_read_without_an_answer_fails(self):
+        network = running(3)
+        asking = follower(network)
+        network.isolate(network.leader().peer.host)
+        seen = []
+        network.observer = lambda host, step: seen.extend(step.outputs)
+        step = asking.replica.read_index(network.now_s, 5)
+        network.carry_out(asking, step)
+        network.run_for(2 * network.bounds.read_timeout_s)
+        self.assertIn(outputs.ReadFailed(5, "timeout"), seen)
+
     def test_a_command_beyond_the_limit_is_refused(self):
         network = running(1, bounds=limits.Limits(command_bytes=10))
         leader = network.leader()
