--- a/packages/core/src/tamarack_core/internal/consensus/elections.py
+++ b/packages/core/src/tamarack_core/internal/consensus/elections.py
@@ -84,7 +84,8 @@
     request: consensus.VoteRequest,
 ) -> None:
     """Grants or refuses a vote; a pre-vote changes nothing here."""
-    if _has_live_leader(state, now_s) and not request.is_transfer:
+    is_withheld = _is_returning(state, now_s) or _has_live_leader(state, now_s)
+    if is_withheld and not request.is_transfer:
         return
     term = request.header.term
     if term > state.term and not request.is_pre_vote:
@@ -105,6 +106,16 @@
     state.send_synced(sender, response)
 
 
+def _is_returning(state: states.State, now_s: float) -> bool:
+    """Returns whether a live leader had no time yet to reach this replica.
+
+    The leader brings a disk that has gone back up to date, or refuses it.
+    Before that the replica may not remember what it promised.
+    """
+    returned_s = now_s - state.restarted_s
+    return returned_s < state.bounds.election_timeout_min_s
+
+
 def _has_live_leader(state: states.State, now_s: float) -> bool:
     if state.is_leader:
         return True
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -81,6 +81,8 @@
     def start(self, now_s: float) -> outputs.Step:
         """Starts to take part; the step reports what was recovered."""
         self.state.reset_election_timer(now_s)
+        if self.state.term > 0:
+            self.state.restarted_s = now_s
         return self._finish(now_s)
 
     def handle_message(
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -100,6 +100,7 @@
         role: Role in the term.
         leader: Identity of the leader, if known.
         leader_seen_s: Monotonic time of the leader's last message.
+        restarted_s: Monotonic time at which this replica came back.
         commit_index: Highest index known to be committed and applied.
         recorded_commit: Highest commit index among the records.
         commit_deadline_s: Time at which the commit index is recorded.
@@ -141,6 +142,7 @@
         "random",
         "reads",
         "recorded_commit",
+        "restarted_s",
         "role",
         "round",
         "snapshot",
@@ -173,6 +175,7 @@
         self.role = Role.FOLLOWER
         self.leader: membership.Member | None = None
         self.leader_seen_s = -math.inf
+        self.restarted_s = -math.inf
         self.commit_index = 0
         self.recorded_commit = 0
         self.commit_deadline_s = math.inf
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -91,6 +91,23 @@
         self.assertEqual(COMMANDS, len(network.leader().machine.commands))
 
 
+class StaleAnswerTest(testtools.TestCase):
+    """Answers that a leader of a later term must not count."""
+
+    def test_an_answer_to_an_earlier_term_confirms_nothing(self):
+        network = running(3)
+        leader, other = network.leader(), follower(network)
+        stale_round = 10**6
+        header = consensus.Header(0, leader.incarnation, other.incarnation)
+        stale = consensus.AppendRequest(header, stale_round, 0, 0, 0)
+        step = other.replica.handle_message(network.now_s, leader.peer, stale)
+        network.carry_out(other, step)
+        network.run_for(1.0)
+        progress = leader.replica.state.progress[other.incarnation]
+        self.assertThat(progress.answered_round, matchers.LessThan(stale_round))
+        self.assertThat(step.effects, matchers.Not(matchers.HasLength(0)))
+
+
 class IdentityTest(testtools.TestCase):
     """Replicas that lost their disk, or got an old one back."""
 
@@ -112,6 +129,26 @@
             # The second time nobody is there to refuse it again.
             network.isolate(victim.peer.host)
 
+    def test_a_host_that_just_came_back_grants_no_vote(self):
+        network = running(3)
+        back, leader = follower(network), network.leader()
+        term = leader.replica.state.term
+        network.crash(back.peer.host)
+        network.crash(leader.peer.host)
+        network.restart(back.peer.host)
+        request = consensus.VoteRequest(
+            consensus.Header(term + 1, leader.incarnation, back.incarnation),
+            last_index=COMMANDS,
+            last_term=term,
+        )
+        answers = []
+        for wait_s in (0.0, network.bounds.election_timeout_min_s):
+            step = back.replica.handle_message(
+                network.now_s + wait_s, leader.peer, request
+            )
+            answers.append(len(step.effects) > 0)
+        self.assertEqual([False, True], answers)
+
     def test_a_promise_of_an_earlier_term_is_never_given(self):
         network = running(3)
         target, leader = follower(network), network.leader()
@@ -313,6 +350,23 @@
         network.run_for(2 * network.bounds.read_timeout_s)
         self.assertIn(outputs.ReadFailed(5, "timeout"), seen)
 
+    def test_a_burst_goes_out_in_few_requests(self):
+        network = running(3)
+        receiver = follower(network)
+        sent = []
+        network.observer = lambda host, step: sent.extend(
+            effect.message
+            for effect in step.effects
+            if isinstance(effect, effects.SendMessage)
+            and effect.peer == receiver.peer
+            and getattr(effect.message, "entries", ())
+        )
+        propose(network, COMMANDS)
+        network.run_for(1.0)
+        self.assertEqual(COMMANDS, len(receiver.machine.commands))
+        # The first goes alone, all others gather behind it.
+        self.assertThat(sent, matchers.HasLength(2))
+
     def test_a_command_beyond_the_limit_is_refused(self):
         network = running(1, bounds=limits.Limits(command_bytes=10))
         leader = network.leader()
