--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -277,6 +277,18 @@
         reason = self.change(network, remove, other.incarnation)
         self.assertEqual("leader-starting", reason)
 
+    def test_a_host_that_joins_learns_the_voters_from_the_log(self):
+        network = running(3, spares=1)
+        spare = network.hosts["control-3"]
+        add = membership.ChangeKind.ADD_LEARNER
+        propose(network, COMMANDS)
+        self.change(network, add, spare.incarnation, spare.peer)
+        network.run_for(1.0)
+        placed = spare.replica.state.memberships
+        voters = placed[1].membership.voters
+        self.assertEqual([0, 1, COMMANDS + 2], [p.index for p in placed])
+        self.assertThat(voters, matchers.HasLength(3))
+
     def test_a_learner_that_lags_is_not_promoted(self):
         network = running(3, spares=1)
         spare = network.hosts["control-3"]
