Cover the last mutations of the replicated log

Change: a cover test on what a request lets a follower commit; the oracle reports an index beyond all commits as a violation instead of a KeyError.

--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -107,6 +107,28 @@
         self.assertThat(progress.answered_round, matchers.LessThan(stale_round))
         self.assertThat(step.effects, matchers.Not(matchers.HasLength(0)))
 
+    def test_entries_that_the_request_does_not_cover_stay_uncommitted(self):
+        network = running(3)
+        target, leader = follower(network), network.leader()
+        state = target.replica.state
+        term, last = state.term, state.log.last_index
+        stale = consensus.Entry(term, consensus.EntryKind.COMMAND, b"stale")
+        for later, entries in ((0, (stale, stale)), (1, ())):
+            header = consensus.Header(
+                term + later, leader.incarnation, target.incarnation
+            )
+            request = consensus.AppendRequest(
+                header,
+                10**6,
+                last,
+                state.log.term_at(last),
+                last + 2 * later,
+                entries,
+            )
+            target.replica.handle_message(network.now_s, leader.peer, request)
+        self.assertEqual(last + 2, state.log.last_index)
+        self.assertEqual(last, state.commit_index)
+
 
 class IdentityTest(testtools.TestCase):
     """Replicas that lost their disk, or got an old one back."""
--- a/tests/slow/consensus_checker.py
+++ b/tests/slow/consensus_checker.py
@@ -254,7 +254,7 @@
         state = host.replica.state
         index = state.journal.durable_index
         term = state.log.term_at(index)
-        if term is None and index:
+        if term is None and index in self.committed:
             term = self.committed[index].term
         require(
             not host.is_up or self.synced(host.disk).holds(index, term),
