--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -14,12 +14,13 @@
 from tamarack_core.internal.control import outside
 from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.entry import data_path
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
+from tamarack_core.storage import disk as disks
 
 
 class Role(enum.StrEnum):
@@ -39,7 +40,10 @@
         roles: Roles of this host.
         seed: Seed of the generator.
         entry_peers: Other entry hosts of the failure domain.
-        sources: Hosts to fetch the configuration from.
+        sources: Hosts to fetch the configuration from; they are nearer to the
+            control hosts, or control hosts.
+        fallback_sources: Hosts to fetch it from as well when one of the
+            sources is silent.
         voters: First voters in the order of the settings.
         disk: What the data folder holds; required for the control role.
     """
@@ -49,8 +53,9 @@
     seed: int
     entry_peers: tuple[peers.Peer, ...] = ()
     sources: tuple[peers.Peer, ...] = ()
+    fallback_sources: tuple[peers.Peer, ...] = ()
     voters: tuple[peers.Peer, ...] = ()
-    disk: voter.Disk | None = None
+    disk: disks.Disk | None = None
 
 
 def assemble(plan: Plan) -> reducer.Node:
@@ -65,7 +70,9 @@
     context = context_lib.Context(plan.host, plan.seed)
     held = holder.Holder()
     targets = table.TargetTable()
-    distribution = polling.Polling(context, held, plan.sources)
+    distribution = spreading.Spreading(
+        context, held, plan.sources, plan.entry_peers, plan.fallback_sources
+    )
     book = book_lib.Book()
     members = membership_part.Membership(context, plan.entry_peers)
     path = data_path.DataPath(
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -17,7 +17,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import timeline
-from tamarack_core.internal.control import voter
+from tamarack_core.storage import disk as disks
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import http_server
 from tamarack_node.internal import logs
@@ -75,7 +75,9 @@
         self._folder = _open_folder(settings)
         self.node = assembly.assemble(_plan(settings, seed, self._folder))
         self.transport = transport.Transport(
-            self.node.context, self._handle_envelope
+            self.node.context,
+            self._handle_envelope,
+            {peer.host: peer.control for peer in settings.peers},
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
             maxlen=TIMELINE_ENTRIES
@@ -142,14 +144,15 @@
 
     async def _open(self) -> None:
         """Opens all sockets."""
-        control = self.settings.control
-        self.transport.open()
+        control = self.settings.control_listen or self.settings.control
+        self.transport.open(control)
         await self._server.open(control.address, control.port)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGINT, self.request_stop)
-        if self.settings.data is not None:
-            self._data_socket = transport.bind_udp(self.settings.data)
+        data = self.settings.data_listen or self.settings.data
+        if data is not None:
+            self._data_socket = transport.bind_udp(data)
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 self._data_socket.setsockopt(
                     socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
@@ -299,11 +302,11 @@
     return folders.DataFolder(path, settings.host, created_ms)
 
 
-def _disk(folder: folders.DataFolder | None) -> voter.Disk | None:
+def _disk(folder: folders.DataFolder | None) -> disks.Disk | None:
     """Returns what a data folder held when it was opened."""
     if folder is None:
         return None
-    return voter.Disk(
+    return disks.Disk(
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
@@ -325,7 +328,8 @@
             for peer in settings.peers
             if peer.domain == settings.domain and peer.data is not None
         ),
-        sources=settings.peers,
+        sources=settings.upstream_peers(),
+        fallback_sources=settings.fallback_peers(),
         voters=settings.voter_peers(),
         disk=_disk(folder),
     )
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -25,6 +25,9 @@
         roles: Roles of the host: entry, relay, control.
         control: Address and port of HTTP and of messages between hosts.
         data: Address and port of Geneve; required for the entry role.
+        control_listen: Address and port to bind in place of `control`, when
+            other hosts reach this one by another address.
+        data_listen: Address and port to bind in place of `data`.
         fabric: Address and port of the fabric; required for the entry role.
         peers: Other hosts that this host knows at its start.
         data_folder: Folder of durable state; required for the control role.
@@ -39,6 +42,8 @@
     roles: tuple[assembly.Role, ...]
     control: peers_lib.Endpoint
     data: peers_lib.Endpoint | None = None
+    control_listen: peers_lib.Endpoint | None = None
+    data_listen: peers_lib.Endpoint | None = None
     fabric: peers_lib.Endpoint | None = None
     peers: tuple[peers_lib.Peer, ...] = ()
     data_folder: str = ""
@@ -50,6 +55,39 @@
         """Returns this host as other hosts reach it."""
         return peers_lib.Peer(self.host, self.domain, self.control, self.data)
 
+    def upstream_peers(self) -> tuple[peers_lib.Peer, ...]:
+        """Returns the hosts to fetch the configuration from.
+
+        An entry host asks the relays of its failure domain, and without any
+        the control hosts. A relay is a peer without data that is no voter.
+        """
+        if assembly.Role.CONTROL in self.roles:
+            return ()
+        control = tuple(
+            peer
+            for peer in self.peers
+            if peer.data is None or peer.host in self.voters
+        )
+        relays = tuple(
+            peer
+            for peer in control
+            if peer.domain == self.domain and peer.host not in self.voters
+        )
+        is_relay = assembly.Role.RELAY in self.roles
+        if self.voters and relays and not is_relay:
+            return relays
+        if self.voters:
+            return tuple(
+                peer for peer in self.peers if peer.host in self.voters
+            )
+        return control
+
+    def fallback_peers(self) -> tuple[peers_lib.Peer, ...]:
+        """Returns the hosts to ask as well when a relay is silent."""
+        if assembly.Role.CONTROL in self.roles:
+            return ()
+        return tuple(peer for peer in self.peers if peer.host in self.voters)
+
     def voter_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the control hosts that found the system, in order."""
         known = {peer.host: peer for peer in (*self.peers, self.peer())}
@@ -136,6 +174,8 @@
         itertools.chain(
             _check_endpoint("$.control", settings.control),
             _check_endpoint("$.data", settings.data),
+            _check_endpoint("$.control_listen", settings.control_listen),
+            _check_endpoint("$.data_listen", settings.data_listen),
             _check_endpoint("$.fabric", settings.fabric),
             *(
                 _check_endpoint(f"$.peers[{index}].control", peer.control)
