Run the experiments on connections through whole entry hosts

Cause: the experiments called the chooser only; what the issue measures first is broken flows.

Change: packet runs drive assembled entry hosts with the lab's TCP stack as callers and targets, a fabric that hands each packet to a random host and notices a death after 1 s, and the naive version as a data path of its own.

--- a/packages/lab/src/tamarack_lab/experiments/commands.py
+++ b/packages/lab/src/tamarack_lab/experiments/commands.py
@@ -6,11 +6,14 @@
 import click
 
 from tamarack_lab.experiments import catalogue
-from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import packet_run
+from tamarack_lab.experiments import packet_versions
 from tamarack_lab.experiments import report
 from tamarack_lab.experiments import run as run_lib
 from tamarack_lab.experiments import versions
 
+Runnable = run_lib.Run | packet_run.PacketRun
+
 
 @click.group()
 def experiment() -> None:
@@ -42,7 +45,7 @@
 
 
 def run_plan(
-    plan: plans.Plan, seed: int, output: pathlib.Path
+    plan: catalogue.Plan, seed: int, output: pathlib.Path
 ) -> report.Outcome:
     """Runs a plan with both versions and writes the report.
 
@@ -51,8 +54,7 @@
         seed: Seed of the run.
         output: Directory for the report.
     """
-    ours = run_lib.Run(plan, versions.Tamarackford(), seed)
-    naive = run_lib.Run(plan, versions.Naive(), seed)
+    ours, naive = _runs(plan, seed)
     figures = ours.execute()
     outcome = report.Outcome(
         plan.name,
@@ -66,7 +68,22 @@
     return outcome
 
 
-def _series(label: str, run: run_lib.Run) -> report.Series:
+def _runs(plan: catalogue.Plan, seed: int) -> tuple[Runnable, Runnable]:
+    """Returns the runs of tamarackford and of the naive version."""
+    if isinstance(plan, packet_run.PacketPlan):
+        return (
+            packet_run.PacketRun(
+                plan, packet_versions.build_tamarackford, seed
+            ),
+            packet_run.PacketRun(plan, packet_versions.build_naive, seed),
+        )
+    return (
+        run_lib.Run(plan, versions.Tamarackford(), seed),
+        run_lib.Run(plan, versions.Naive(), seed),
+    )
+
+
+def _series(label: str, run: Runnable) -> report.Series:
     """Returns the work in flight over a run."""
     times_s = [time_s for time_s, _ in run.timeline]
     return report.Series(label, times_s, [work for _, work in run.timeline])
--- a/packages/lab/src/tamarack_lab/experiments/measure.py
+++ b/packages/lab/src/tamarack_lab/experiments/measure.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import itertools
+import math
 
 import msgspec
 
@@ -79,9 +80,7 @@
             target.settle()
         self.samples.append([target.integral for target in self.machines])
         work = [target.work for target in self.machines]
-        mean = sum(work) / len(work)
-        variance = sum((units - mean) ** 2 for units in work) / len(work)
-        self.spreads.append(variance**0.5)
+        self.spreads.append(deviation(work))
 
     def peak_over_mean(self) -> float:
         """Returns the highest over the mean work, over the whole run."""
@@ -109,6 +108,13 @@
     return max(grown) * len(grown) / total if total else 1.0
 
 
+def deviation(values: Sequence[float]) -> float:
+    """Returns the standard deviation of values."""
+    mean = sum(values) / len(values)
+    variance = sum((value - mean) ** 2 for value in values) / len(values)
+    return math.sqrt(variance)
+
+
 def percentile(values: Sequence[float], share: float) -> float:
     """Returns a percentile of values, 0 for none.
 
--- a/packages/lab/src/tamarack_lab/experiments/network.py
+++ b/packages/lab/src/tamarack_lab/experiments/network.py
@@ -1,5 +1,6 @@
 """Carries messages between simulated hosts, with faults."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -91,6 +92,11 @@
             self.responses[effect.request_id] = effect.response
         elif isinstance(effect, effects.Record):
             self.entries.append(effect.entry)
+        elif isinstance(effect, effects.SendDatagram):
+            if self._network.datagrams is not None:
+                self._network.datagrams(self, effect)
+        elif isinstance(effect, effects.Stop):
+            self.alive = False
 
     def _send(self, effect: effects.SendMessage) -> None:
         """Hands a message to the network and counts its bytes."""
@@ -114,6 +120,9 @@
         queue.after(effect.delay_s, fire)
 
 
+DatagramCarrier = Callable[[Host, effects.SendDatagram], None]
+
+
 class Network:
     """All hosts of a run and the links between them.
 
@@ -124,6 +133,7 @@
         inside: Quality inside a failure domain.
         between: Quality between failure domains.
         cut: Pairs of host names, sender and receiver, that are cut off.
+        datagrams: Carries datagrams of the data sockets; None loses them.
         cut_domains: Failure domains that are cut off from all others.
     """
 
@@ -131,6 +141,7 @@
         "between",
         "cut",
         "cut_domains",
+        "datagrams",
         "hosts",
         "inside",
         "queue",
@@ -151,10 +162,14 @@
         self.between = Link(0.004, 0.002, 0.005)
         self.cut: set[tuple[str, str]] = set()
         self.cut_domains: set[str] = set()
+        self.datagrams: DatagramCarrier | None = None
 
     def add(self, node: reducer.Node) -> Host:
         """Adds a host, in place of one of the same name."""
         host = Host(self, node)
+        replaced = self.hosts.get(host.peer.host)
+        if replaced is not None:
+            host.bytes_sent = replaced.bytes_sent
         self.hosts[host.peer.host] = host
         return host
 
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/packet_plans.py
@@ -0,0 +1,118 @@
+"""Experiments on the survival of connections."""
+
+import dataclasses
+import functools
+
+from tamarack_lab.experiments import balance_plans
+from tamarack_lab.experiments import packet_run
+from tamarack_lab.experiments import plans as plan_lib
+from tamarack_lab.experiments import users
+
+FAULT_S = 25.0
+BETWEEN_DEATHS_S = 10.0
+REPLACEMENT_S = 8.0
+RESTART_S = 3.0
+
+_UNBROKEN = plan_lib.Bound("broken_flows", most=0)
+
+
+def plans() -> tuple[packet_run.PacketPlan, ...]:
+    """Returns the experiments on the survival of connections."""
+    base = packet_run.PacketPlan(
+        "host-death",
+        "One of six entry hosts dies under held feeds.",
+        users.schedule(),
+        script=lambda run: _kill(run, 0, FAULT_S),
+        bounds=(*balance_plans.NEVER_BROKEN, _UNBROKEN),
+    )
+    return (
+        base,
+        dataclasses.replace(
+            base,
+            name="two-host-deaths",
+            summary="Two of six entry hosts die, 10 s apart.",
+            script=_kill_two,
+        ),
+        dataclasses.replace(
+            base,
+            name="rolling-replacement",
+            summary="All six entry hosts are stopped and started in turn.",
+            script=_replace_all,
+            duration_s=120.0,
+        ),
+        dataclasses.replace(
+            base,
+            name="one-way-cut",
+            summary="Messages and packets of one host to another are lost.",
+            script=_cut_one_way,
+        ),
+        dataclasses.replace(
+            base,
+            name="target-join",
+            summary="An eighth target joins under held feeds.",
+            script=_join,
+            targets=8,
+            first_targets=7,
+        ),
+        dataclasses.replace(
+            base,
+            name="target-drain-packets",
+            summary="A target drains under held feeds; it keeps its own.",
+            script=_drain,
+        ),
+        dataclasses.replace(
+            base,
+            name="target-death-packets",
+            summary="A target dies; only its own connections may break.",
+            script=_kill_target,
+            bounds=(
+                *balance_plans.NEVER_BROKEN,
+                plan_lib.Bound("broken_flows", most=2 * base.flows / 7),
+            ),
+        ),
+    )
+
+
+def _kill(run: packet_run.PacketRun, number: int, at_s: float) -> None:
+    """Ends a host at a time in seconds."""
+    run.queue.at(at_s, lambda: run.kill_host(run.peers[number]))
+
+
+def _kill_two(run: packet_run.PacketRun) -> None:
+    """Ends two hosts."""
+    _kill(run, 0, FAULT_S)
+    _kill(run, 1, FAULT_S + BETWEEN_DEATHS_S)
+
+
+def _replace_all(run: packet_run.PacketRun) -> None:
+    """Stops and starts all hosts in turn."""
+    for number, peer in enumerate(run.peers):
+        at_s = FAULT_S + number * (REPLACEMENT_S + RESTART_S)
+        run.queue.at(at_s, functools.partial(run.stop_host, peer))
+        started_s = at_s + REPLACEMENT_S
+        run.queue.at(started_s, functools.partial(run.start_host, peer))
+
+
+def _cut_one_way(run: packet_run.PacketRun) -> None:
+    """Cuts one direction between two hosts for 30 s."""
+    pair = (run.peers[0].host, run.peers[1].host)
+    run.queue.at(FAULT_S, lambda: run.network.cut.add(pair))
+    run.queue.at(FAULT_S + 30.0, run.network.cut.clear)
+
+
+def _join(run: packet_run.PacketRun) -> None:
+    """Starts one more target."""
+    number = run.plan.first_targets
+    run.queue.at(FAULT_S, lambda: run.start_target(number))
+
+
+def _drain(run: packet_run.PacketRun) -> None:
+    """Drains the first target."""
+    address = next(iter(run.targets))
+    run.queue.at(FAULT_S, lambda: run.drain_target(address))
+
+
+def _kill_target(run: packet_run.PacketRun) -> None:
+    """Ends the first target."""
+    address = next(iter(run.targets))
+    run.queue.at(FAULT_S, lambda: run.kill_target(address))
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -0,0 +1,342 @@
+"""Runs of whole entry hosts with TCP callers and targets, packet by packet.
+
+The fabric hands each packet to a random entry host, and goes on handing
+packets to a dead one for `FABRIC_NOTICES_S`.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import random
+
+import msgspec
+
+from tamarack_core import configuration
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import failure
+from tamarack_core import peers
+from tamarack_core import requests
+from tamarack_core.messages import distribution
+from tamarack_core.packets import geneve
+from tamarack_core.packets import ip
+from tamarack_lab.experiments import event_queue
+from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import network as network_lib
+from tamarack_lab.experiments import packet_ends
+from tamarack_lab.experiments import packet_versions
+from tamarack_lab.experiments import plans
+from tamarack_lab.tcp import connection as connections
+from tamarack_lab.tcp import stack as stacks
+
+DOMAIN = "a"
+DELAY_S = 0.0005
+FABRIC_NOTICES_S = 1.0
+RENEWAL_S = 3.0
+LEASE_S = 10.0
+GIVE_UP_S = 40.0
+SAMPLE_S = 1.0
+CALLER_PORTS = 20000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PacketPlan:
+    """One experiment on packets.
+
+    Attributes:
+        name: Name on the command line.
+        summary: Sentence for `tamarack experiment list`.
+        service: The service.
+        targets: Number of targets.
+        first_targets: Targets that run from the start; 0 for all.
+        hosts: Number of entry hosts.
+        flows: Long-lived connections that are held all the time.
+        duration_s: Length of the run in seconds.
+        script: Schedules the faults of the run.
+        bounds: Promises that tamarackford must keep.
+    """
+
+    name: str
+    summary: str
+    service: plans.ServicePlan
+    targets: int = 7
+    first_targets: int = 0
+    hosts: int = 6
+    flows: int = 150
+    duration_s: float = 90.0
+    script: Callable[["PacketRun"], None] | None = None
+    bounds: tuple[plans.Bound, ...] = ()
+
+
+class PacketRun:
+    """State of a run.
+
+    Attributes:
+        plan: The plan.
+        queue: The queue of timed actions.
+        random: Seeded generator of traffic and faults.
+        network: Entry hosts.
+        targets: TCP stack of each live target by packed address.
+        figures: Counts of the run.
+    """
+
+    def __init__(
+        self, plan: PacketPlan, build: packet_versions.Build, seed: int
+    ) -> None:
+        """Builds hosts, targets and callers."""
+        self.plan = plan
+        self.build = build
+        self.queue = event_queue.EventQueue()
+        self.random = random.Random(seed)
+        self.network = network_lib.Network(self.queue, seed)
+        self.network.datagrams = self._send_datagram
+        self.figures = measure.Figures()
+        self.callers = stacks.Stack(seed)
+        self.targets: dict[bytes, stacks.Stack] = {}
+        self.announcements: dict[bytes, requests.Announce] = {}
+        self.fabric: set[str] = set()
+        self.executed: set[bytes] = set()
+        self.open_callers: dict[int, packet_ends.Caller] = {}
+        self.hops = 0
+        self.packets = 0
+        self.seed = seed
+        self.peers = tuple(
+            network_lib.context(f"entry-{n}", DOMAIN, n + 1).host
+            for n in range(plan.hosts)
+        )
+        self.samples: list[list[int]] = []
+        self.timeline: list[tuple[float, list[float]]] = []
+        for peer in self.peers:
+            self.start_host(peer)
+        for number in range(plan.first_targets or plan.targets):
+            self.start_target(number)
+
+    def start_host(self, peer: peers.Peer) -> None:
+        """Starts an entry host, or starts it anew without its state."""
+        others = tuple(other for other in self.peers if other != peer)
+        seed = self.random.getrandbits(30)
+        host = self.network.add(self.build(peer, others, seed))
+        host.start()
+        services = {self.plan.service.name: self.plan.service.settings}
+        numbered = configuration.Numbered(
+            1, configuration.Configuration(services)
+        )
+        snapshot = distribution.Snapshot(numbered)
+        now_s = self.queue.now_s
+        host.handle(events.MessageArrived(now_s, self.peers[0], snapshot))
+        self.queue.after(FABRIC_NOTICES_S, lambda: self.fabric.add(peer.host))
+
+    def kill_host(self, peer: peers.Peer) -> None:
+        """Ends a host at once."""
+        self.network.hosts[peer.host].alive = False
+        self.withdraw(peer)
+
+    def stop_host(self, peer: peers.Peer) -> None:
+        """Asks a host for a graceful stop."""
+        host = self.network.hosts[peer.host]
+        host.handle(events.StopRequested(self.queue.now_s))
+        self.withdraw(peer)
+
+    def withdraw(self, peer: peers.Peer) -> None:
+        """Lets the fabric notice that a host goes."""
+        self.queue.after(
+            FABRIC_NOTICES_S, lambda: self.fabric.discard(peer.host)
+        )
+
+    def start_target(self, number: int) -> None:
+        """Starts a target and lets it announce itself."""
+        settings = self.plan.service.settings
+        network = configuration.networks(settings)[0]
+        address = (int(network.network_address) + 1 + number).to_bytes(4, "big")
+        stack = stacks.Stack(self.seed * 100 + number)
+        for work_class in settings.classes.values():
+            key = (address, work_class.target_port)
+            stack.listeners[key] = lambda _: packet_ends.Server(self)
+        self.targets[address] = stack
+        self.announcements[address] = requests.Announce(
+            self.plan.service.name,
+            ip.format_address(address),
+            DOMAIN,
+            slots=self.plan.service.slots,
+            connections=2000,
+            lease_s=LEASE_S,
+        )
+        self._renew(address)
+
+    def drain_target(self, address: bytes) -> None:
+        """Lets a target announce that it drains."""
+        self.announcements[address] = msgspec.structs.replace(
+            self.announcements[address], state=requests.TargetState.DRAINING
+        )
+
+    def kill_target(self, address: bytes) -> None:
+        """Ends a target with all its connections."""
+        del self.targets[address]
+
+    def _renew(self, address: bytes) -> None:
+        """Announces a target now and from then on."""
+        if address not in self.targets:
+            return
+        live = self.network.live(DOMAIN)
+        event = events.RequestArrived(
+            self.queue.now_s, 1, self.announcements[address]
+        )
+        self.random.choice(live).handle(event)
+        self.queue.after(RENEWAL_S, functools.partial(self._renew, address))
+
+    def execute(self) -> measure.Figures:
+        """Runs the plan and returns its figures."""
+        for uid in range(self.plan.flows):
+            at_s = 5.0 + 10.0 * self.random.random()
+            self.queue.at(at_s, functools.partial(self.open, uid))
+        self.queue.at(20.0, self._sample)
+        if self.plan.script is not None:
+            self.plan.script(self)
+        self.queue.run_until(self.plan.duration_s)
+        return self._conclude()
+
+    def open(self, uid: int) -> None:
+        """Opens the connection of a caller."""
+        caller = packet_ends.Caller(self, uid)
+        self.figures.openings += 1
+        self.figures.attempts += 1
+        self.open_callers[uid] = caller
+        caller.since_s = self.queue.now_s
+        port = next(iter(self.plan.service.settings.classes.values())).port
+        path = connections.Path(
+            bytes((100, 64, uid >> 8, uid & 255)),
+            CALLER_PORTS + uid,
+            ip.pack_address(self.plan.service.settings.addresses[0]),
+            port,
+        )
+        self.callers.connect(self.queue.now_s, path, caller)
+        self._flush(self.callers)
+
+    def refuse(self, caller: packet_ends.Caller) -> None:
+        """Counts a refusal, which promises that nothing has run."""
+        self.figures.refused += 1
+        caller.is_over = True
+        self.open_callers.pop(caller.uid, None)
+        if caller.asked:
+            self.figures.false_verdicts += 1
+
+    def break_off(self, caller: packet_ends.Caller) -> None:
+        """Counts a connection that broke."""
+        if not caller.is_over:
+            self.figures.broken_flows += 1
+        caller.is_over = True
+        self.open_callers.pop(caller.uid, None)
+
+    def note_execution(self, record: bytes) -> None:
+        """Counts a request that a target runs."""
+        if record in self.executed:
+            self.figures.at_most_once_violations += 1
+        self.executed.add(record)
+
+    def wake(self, connection: connections.Connection) -> None:
+        """Sends what a caller's connection has queued."""
+        self.callers.touch(connection)
+        self._flush(self.callers)
+
+    def _flush(self, stack: stacks.Stack) -> None:
+        """Hands the packets of a stack to the fabric and sets its timer."""
+        now_s = self.queue.now_s
+        for packet in stack.flush(now_s):
+            self._to_host(packet)
+        deadline_s = stack.next_deadline()
+        if deadline_s is not None:
+            self.queue.at(deadline_s, functools.partial(self._expire, stack))
+
+    def _expire(self, stack: stacks.Stack) -> None:
+        """Handles the timers of a stack."""
+        deadline_s = stack.next_deadline()
+        if deadline_s is None or deadline_s > self.queue.now_s:
+            return
+        stack.expire(self.queue.now_s)
+        self._flush(stack)
+
+    def _to_host(self, packet: bytes) -> None:
+        """Lets the fabric hand a packet to a random host."""
+        self.packets += 1
+        if not self.fabric:
+            return
+        name = self.random.choice(sorted(self.fabric))
+        self._deliver(name, geneve.encapsulate(packet))
+
+    def _deliver(self, name: str, data: bytes) -> None:
+        """Hands a datagram to a host after the delay."""
+
+        def arrive() -> None:
+            """Hands it over if the host still runs."""
+            now_s = self.queue.now_s
+            host = self.network.hosts[name]
+            host.handle(events.DatagramArrived(now_s, data))
+
+        delay_s = DELAY_S * self.random.uniform(0.5, 1.5)
+        self.queue.after(delay_s, arrive)
+
+    def _send_datagram(
+        self, sender: network_lib.Host, effect: effects.SendDatagram
+    ) -> None:
+        """Carries a datagram of a host to another or to the fabric."""
+        if effect.endpoint is not None:
+            self.hops += 1
+            receivers = [
+                peer.host
+                for peer in self.peers
+                if peer.data == effect.endpoint
+                and not self.network.is_cut(sender.peer, peer)
+            ]
+            for name in receivers:
+                self._deliver(name, effect.data)
+            return
+        datagram = geneve.decapsulate(effect.data)
+        if isinstance(datagram, failure.Failure):
+            return
+        packet = datagram.packet
+        self.queue.after(DELAY_S, functools.partial(self._arrive, packet))
+
+    def _arrive(self, packet: bytes) -> None:
+        """Hands a packet to a target or to the callers."""
+        address = packet[16:20]
+        if address[0] == 100:
+            stack: stacks.Stack | None = self.callers
+        else:
+            stack = self.targets.get(address)
+        if stack is not None:
+            stack.receive(self.queue.now_s, packet)
+            self._flush(stack)
+
+    def _sample(self) -> None:
+        """Samples the connections of each target; finds stalled callers."""
+        now_s = self.queue.now_s
+        counts = [len(stack.connections) for stack in self.targets.values()]
+        counts += [0] * (self.plan.targets - len(counts))
+        self.samples.append(counts)
+        self.timeline.append((now_s, [float(count) for count in counts]))
+        for caller in list(self.open_callers.values()):
+            waits = caller.asked > caller.answered or not caller.asked
+            if waits and now_s - caller.since_s > GIVE_UP_S:
+                self.break_off(caller)
+        self.queue.after(SAMPLE_S, self._sample)
+
+    def _conclude(self) -> measure.Figures:
+        """Returns the figures of the run."""
+        figures = self.figures
+        totals = [sum(column) for column in zip(*self.samples, strict=True)]
+        if sum(totals):
+            figures.imbalance_peak_over_mean = (
+                max(totals) * len(totals) / sum(totals)
+            )
+        spreads = [
+            measure.deviation([float(count) for count in row])
+            for row in self.samples
+        ]
+        figures.imbalance_spread_units = sum(spreads) / len(spreads)
+        sent = sum(host.bytes_sent for host in self.network.hosts.values())
+        figures.control_bytes_per_host_s = (
+            sent / self.plan.hosts / self.plan.duration_s
+        )
+        figures.hops_per_packet = self.hops / max(1, self.packets)
+        figures.goodput_units_s = figures.completed / self.plan.duration_s
+        return figures
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/experiments/packet_versions.py
@@ -0,0 +1,48 @@
+"""Whole entry hosts of tamarackford and of the naive version."""
+
+from collections.abc import Callable
+
+from tamarack_core import assembly
+from tamarack_core import context as context_lib
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.targets import aggregation
+from tamarack_core.internal.targets import announcements
+from tamarack_core.internal.targets import table
+from tamarack_lab.naive import chooser as naive_chooser
+from tamarack_lab.naive import data_path as naive_data_path
+
+Build = Callable[
+    [peers.Peer, tuple[peers.Peer, ...], int],
+    reducer.Node,
+]
+
+
+def build_tamarackford(
+    peer: peers.Peer, others: tuple[peers.Peer, ...], seed: int
+) -> reducer.Node:
+    """Returns an entry host as the daemon assembles it."""
+    roles = frozenset({assembly.Role.ENTRY})
+    return assembly.assemble(assembly.Plan(peer, roles, seed, others))
+
+
+def build_naive(
+    peer: peers.Peer, others: tuple[peers.Peer, ...], seed: int
+) -> reducer.Node:
+    """Returns an entry host of the naive version."""
+    context = context_lib.Context(peer, seed)
+    held = holder.Holder()
+    targets = table.TargetTable()
+    leases = aggregation.Aggregation(context, targets, lambda: others)
+    chooser = naive_chooser.NaiveChooser(targets, len(others) + 1)
+    return reducer.Node(
+        context,
+        (
+            polling.Polling(context, held, ()),
+            leases,
+            announcements.Announcements(context, held, leases),
+            naive_data_path.NaiveDataPath(held, chooser),
+        ),
+    )
--- a/packages/lab/src/tamarack_lab/experiments/report.py
+++ b/packages/lab/src/tamarack_lab/experiments/report.py
@@ -9,6 +9,7 @@
 import tabulate
 
 from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import packet_run
 from tamarack_lab.experiments import plans
 
 mpl.use("agg")
@@ -81,7 +82,7 @@
 
 def write(
     directory: pathlib.Path,
-    plan: plans.Plan,
+    plan: plans.Plan | packet_run.PacketPlan,
     outcome: Outcome,
     series: Sequence[Series],
 ) -> None:
@@ -101,7 +102,11 @@
     (directory / "report.md").write_text(_text(plan, outcome, series))
 
 
-def _text(plan: plans.Plan, outcome: Outcome, series: Sequence[Series]) -> str:
+def _text(
+    plan: plans.Plan | packet_run.PacketPlan,
+    outcome: Outcome,
+    series: Sequence[Series],
+) -> str:
     """Returns the report as Markdown."""
     ours = msgspec.structs.asdict(outcome.tamarackford)
     theirs = msgspec.structs.asdict(outcome.naive)
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/naive/data_path.py
@@ -0,0 +1,69 @@
+"""Data path of the naive version: no record of any flow."""
+
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import failure
+from tamarack_core import reducer
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
+from tamarack_core.packets import geneve
+from tamarack_core.packets import ip
+from tamarack_core.packets import reset
+from tamarack_core.packets import rewrite
+
+
+class NaiveDataPath:
+    """Part that hashes each packet anew.
+
+    Attributes:
+        holder: Configuration in force.
+        chooser: Hash modulo the local list.
+    """
+
+    __slots__ = ("chooser", "holder")
+
+    def __init__(
+        self, configuration_holder: holder.Holder, chooser: choosing.Chooser
+    ) -> None:
+        """Creates the part."""
+        self.holder = configuration_holder
+        self.chooser = chooser
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {events.DatagramArrived: self.handle_datagram}
+
+    def handle_datagram(
+        self, event: events.DatagramArrived
+    ) -> list[effects.Effect]:
+        """Rewrites a packet and sends it on."""
+        datagram = geneve.decapsulate(event.data)
+        if isinstance(datagram, failure.Failure):
+            return []
+        packet = ip.parse(datagram.packet)
+        if isinstance(packet, failure.Failure):
+            return []
+        port = self.holder.lookup.find_inbound(packet)
+        if port is not None:
+            return self._carry_in(event.now_s, packet, port)
+        port = self.holder.lookup.find_outbound(packet)
+        if port is None:
+            return []
+        return _send(rewrite.source(packet, port.address, port.port))
+
+    def _carry_in(
+        self, now_s: float, packet: ip.Packet, port: lookup.ServicePort
+    ) -> list[effects.Effect]:
+        """Sends a caller's packet where the hash says."""
+        opening = choosing.Opening(lookup.flow_key(packet), port)
+        choice = self.chooser.choose(now_s, opening)
+        if isinstance(choice, choosing.Refusal):
+            return _send(reset.answer(packet))
+        target = choice.target
+        return _send(rewrite.destination(packet, target, port.target_port))
+
+
+def _send(packet: bytes) -> list[effects.Effect]:
+    """Returns the effect that hands a packet to the fabric."""
+    return [effects.SendDatagram(None, geneve.encapsulate(packet))]
