--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -17,7 +17,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import timeline
-from tamarack_core.internal.control import voter
+from tamarack_core.storage import disk as disks
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import http_server
 from tamarack_node.internal import logs
@@ -75,7 +75,9 @@
         self._folder = _open_folder(settings)
         self.node = assembly.assemble(_plan(settings, seed, self._folder))
         self.transport = transport.Transport(
-            self.node.context, self._handle_envelope
+            self.node.context,
+            self._handle_envelope,
+            {peer.host: peer.control for peer in settings.peers},
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
             maxlen=TIMELINE_ENTRIES
@@ -300,11 +302,11 @@
     return folders.DataFolder(path, settings.host, created_ms)
 
 
-def _disk(folder: folders.DataFolder | None) -> voter.Disk | None:
+def _disk(folder: folders.DataFolder | None) -> disks.Disk | None:
     """Returns what a data folder held when it was opened."""
     if folder is None:
         return None
-    return voter.Disk(
+    return disks.Disk(
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
@@ -326,7 +328,8 @@
             for peer in settings.peers
             if peer.domain == settings.domain and peer.data is not None
         ),
-        sources=settings.peers,
+        sources=settings.upstream_peers(),
+        fallback_sources=settings.fallback_peers(),
         voters=settings.voter_peers(),
         disk=_disk(folder),
     )
