Divide limits over the failure domains of each service

Cause: failure_domains stood beside the services, and deltas and patches carry services only; the first delta would have dropped it, and each domain would have taken the whole limit. Change: failure_domains is a field of the service. Conclusion: the division now travels with each version.

--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -75,6 +75,8 @@
         opening_hosts: Hosts of a failure domain that choose the targets of
             new connections, at least 1; fewer know the load better, more
             share the opening packets.
+        failure_domains: Failure domains that divide the limits of the
+            classes; empty for one failure domain.
     """
 
     addresses: tuple[str, ...]
@@ -82,6 +84,7 @@
     target_networks: tuple[str, ...]
     weights: Weights = Weights()
     opening_hosts: int = 2
+    failure_domains: tuple[str, ...] = ()
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -89,12 +92,9 @@
 
     Attributes:
         services: Services by name.
-        failure_domains: Failure domains that divide each limit; empty for
-            one failure domain.
     """
 
     services: dict[str, Service] = {}
-    failure_domains: tuple[str, ...] = ()
 
 
 class Numbered(msgspec.Struct, frozen=True):
--- a/packages/core/src/tamarack_core/internal/limits/catalogue.py
+++ b/packages/core/src/tamarack_core/internal/limits/catalogue.py
@@ -40,33 +40,34 @@
         document: Configuration in force.
         domain: Name of the failure domain.
     """
-    domains = sorted(document.failure_domains) or [domain]
-    if domain not in domains:
-        return {key: 0.0 for key, _ in _limits(document)}
-    index = domains.index(domain)
     return {
-        key: _part(key, limit, index, len(domains))
-        for key, limit in _limits(document)
+        key: _part(key, limit, service, domain)
+        for key, limit, service in _limits(document)
     }
 
 
-def _part(key: str, limit: float, index: int, count: int) -> float:
+def _part(
+    key: str, limit: float, service: configuration.Service, domain: str
+) -> float:
     """Returns one part of a limit; whole connections stay whole."""
+    domains = sorted(service.failure_domains) or [domain]
+    if domain not in domains:
+        return 0.0
     if not is_whole(key):
-        return limit / count
-    each, rest = divmod(int(limit), count)
-    return float(each + (1 if index < rest else 0))
+        return limit / len(domains)
+    each, rest = divmod(int(limit), len(domains))
+    return float(each + (1 if domains.index(domain) < rest else 0))
 
 
 def _limits(
     document: configuration.Configuration,
-) -> Iterator[tuple[str, float]]:
-    """Yields the key and the amount of each limit."""
+) -> Iterator[tuple[str, float, configuration.Service]]:
+    """Yields key, amount and service of each limit."""
     for name, service in document.services.items():
         for class_name, work_class in service.classes.items():
             prefix = f"{name}/{class_name}"
             if work_class.max_concurrent:
                 key = f"{prefix}/{_CONCURRENT}"
-                yield key, float(work_class.max_concurrent)
+                yield key, float(work_class.max_concurrent), service
             if work_class.max_opening_rate:
-                yield f"{prefix}/rate", work_class.max_opening_rate
+                yield f"{prefix}/rate", work_class.max_opening_rate, service
--- a/packages/lab/src/tamarack_lab/experiments/packet_versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_versions.py
@@ -7,7 +7,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.targets import aggregation
 from tamarack_core.internal.targets import announcements
 from tamarack_core.internal.targets import table
@@ -40,7 +40,7 @@
     return reducer.Node(
         context,
         (
-            polling.Polling(context, held, ()),
+            spreading.Spreading(context, held, (), ()),
             leases,
             announcements.Announcements(context, held, leases),
             naive_data_path.NaiveDataPath(held, chooser),
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -7,6 +7,8 @@
 import itertools
 import random
 
+import msgspec
+
 from tamarack_core import configuration
 from tamarack_core import events
 from tamarack_core import peers
@@ -124,8 +126,7 @@
         self.numbered = configuration.Numbered(
             1,
             configuration.Configuration(
-                {item.name: item.settings for item in plan.services},
-                plan.domains,
+                {item.name: _in_domains(plan, item) for item in plan.services}
             ),
         )
         self.holders: dict[str, holder.Holder] = {}
@@ -459,6 +460,13 @@
         return figures
 
 
+def _in_domains(
+    plan: plans.Plan, item: plans.ServicePlan
+) -> configuration.Service:
+    """Returns a service whose limits the failure domains divide."""
+    return msgspec.structs.replace(item.settings, failure_domains=plan.domains)
+
+
 def _weight(flow: bytes, name: str) -> bytes:
     """Returns the pseudo-random weight of a host for a flow."""
     return hashlib.blake2b(flow + name.encode(), digest_size=8).digest()
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -69,9 +69,7 @@
         targets = table.TargetTable()
         leases = aggregation.Aggregation(context, targets, live_peers)
         announced = announcements.Announcements(context, held, leases)
-        domains = held.numbered.configuration.failure_domains
-        divisor = hosts * max(1, len(domains))
-        chooser = naive_chooser.NaiveChooser(targets, divisor)
+        chooser = naive_chooser.NaiveChooser(targets, hosts, _domains(held))
         return Parts(chooser, (leases, announced))
 
 
@@ -115,3 +113,9 @@
         if self.shared is None:
             self.shared = Tamarackford().build(context, held, live_peers, hosts)
         return self.shared
+
+
+def _domains(held: holder.Holder) -> int:
+    """Returns the number of failure domains that divide the limits."""
+    services = held.numbered.configuration.services.values()
+    return max((len(item.failure_domains) for item in services), default=1) or 1
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -18,19 +18,24 @@
 
     Attributes:
         targets: Announced targets as this host knows them.
-        hosts: Number of hosts that divide a limit.
+        hosts: Number of entry hosts of a failure domain.
+        domains: Number of failure domains that divide a limit.
         concurrent: Open connections of this host by service port.
     """
 
-    __slots__ = ("concurrent", "hosts", "targets")
+    __slots__ = ("concurrent", "domains", "hosts", "targets")
 
-    def __init__(self, targets: table.TargetTable, hosts: int) -> None:
+    def __init__(
+        self, targets: table.TargetTable, hosts: int, domains: int = 1
+    ) -> None:
         """Creates a chooser.
 
         Args:
             targets: Announced targets as this host knows them.
-            hosts: Number of hosts that divide a limit.
+            hosts: Number of entry hosts of a failure domain.
+            domains: Number of failure domains that divide a limit.
         """
+        self.domains = domains
         self.targets = targets
         self.hosts = hosts
         self.concurrent: dict[tuple[bytes, int], int] = {}
@@ -46,7 +51,7 @@
         key = (port.address, port.port)
         count = self.concurrent.get(key, 0)
         limit = port.settings.max_concurrent
-        if limit and count >= limit // self.hosts:
+        if limit and count >= limit // (self.hosts * self.domains):
             return choosing.Refusal(verdict.not_run("local-limit"))
         self.concurrent[key] = count + 1
         digest = hashlib.blake2b(opening.flow, digest_size=_DIGEST_BYTES)
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -247,7 +247,8 @@
 
     def test_the_parts_of_all_domains_make_up_the_limit(self):
         names = ("c", "a", "b")
-        document = configuration.Configuration({"agenda": SERVICE}, names)
+        service = msgspec.structs.replace(SERVICE, failure_domains=names)
+        document = configuration.Configuration({"agenda": service})
         key = catalogue.concurrent_key(PORT)
         parts = [catalogue.totals(document, name)[key] for name in names]
         self.assertEqual([6.0, 7.0, 7.0], parts)
