Let a new entry host send before the fabric sprays over it

Cause: the fabric dropped what a host sent that it didn't spray over yet, and so hid the resets of an entry host that had just joined. Change: PUT /v1/hosts; the deployment names a new host at its start.

--- a/packages/lab/src/tamarack_lab/deployment/run.py
+++ b/packages/lab/src/tamarack_lab/deployment/run.py
@@ -241,6 +241,8 @@
             DeploymentError: That takes too long.
         """
         found = self.layout.replace(lost, name)
+        endpoint = self.layout.data_endpoint(found)
+        await self._put(self.layout.fabric_http, "/v1/hosts", endpoint)
         await self.start_host(found)
         await self.wait_host(found)
         await self.tell_targets(found.domain)
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -133,6 +133,10 @@
         self.entries[domain] = chosen
         self.known.update(chosen)
 
+    def add_host(self, endpoint: peers.Endpoint) -> None:
+        """Adds an entry host that may send and isn't sprayed over so far."""
+        self.known.add((endpoint.address, endpoint.port))
+
     def add_service(self, service: Service) -> None:
         """Adds a service address.
 
@@ -313,6 +317,7 @@
         application.router.add_put(
             "/v1/domains/{domain}/entries", self._put_entries
         )
+        application.router.add_put("/v1/hosts", self._put_host)
         application.router.add_put("/v1/routes", self._put_route)
         return application
 
@@ -332,6 +337,11 @@
         self.table.set_entries(request.match_info["domain"], endpoints)
         return web_server.answer({})
 
+    async def _put_host(self, request: web.Request) -> web.Response:
+        """Adds an entry host that may send."""
+        self.table.add_host(await web_server.read(request, peers.Endpoint))
+        return web_server.answer({})
+
     async def _put_route(self, request: web.Request) -> web.Response:
         """Adds or replaces the owner of a network."""
         route = await web_server.read(request, Route)
--- a/tests/cover/test_fabric.py
+++ b/tests/cover/test_fabric.py
@@ -93,6 +93,14 @@
             place(TARGET), self.forward("10.7.0.1", "10.1.0.1", ENTRIES[0])
         )
 
+    def test_a_new_entry_host_may_send_before_it_gets_packets(self):
+        new = peers.Endpoint("127.0.0.1", 77)
+        self.assertEqual(None, self.forward("10.1.0.1", "10.200.0.1", new))
+        self.table.add_host(new)
+        self.assertEqual(
+            place(CALLER), self.forward("10.9.0.1", "10.7.0.1", new)
+        )
+
     def test_packets_without_a_way_are_counted_by_reason(self):
         self.forward("10.7.0.1", "10.200.0.1", CALLER)
         self.forward("10.200.0.1", "10.9.0.1", CALLER)
