--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -1,6 +1,5 @@
 """Control role: the replicated log, patches and reads of one control host."""
 
-from collections.abc import Sequence
 import dataclasses
 import itertools
 import random
@@ -19,11 +18,13 @@
 from tamarack_core.internal.consensus import records
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.control import joining
+from tamarack_core.internal.control import members
 from tamarack_core.internal.control import submissions
-from tamarack_core.internal.distribution import polling
+from tamarack_core.internal.distribution import spreading
 from tamarack_core.internal.patches import machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
+from tamarack_core.storage import disk as disks
 
 TICK_INTERVAL_S = 0.25
 TIMER = "control"
@@ -44,27 +45,12 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Disk:
-    """What the data folder held at the start.
-
-    Attributes:
-        incarnation: Identifier made when the folder was created.
-        snapshot: Data of the last snapshot, if any.
-        records: Records after it, in order.
-    """
-
-    incarnation: str
-    snapshot: bytes | None = None
-    records: Sequence[bytes] = ()
-
-
 class VoterControl:
     """Part that replicates patches and answers operators.
 
     Attributes:
         context: Identity, chance, time and counters.
-        polling: Puts accepted configurations into force on this host.
+        spreading: Puts accepted configurations into force on this host.
         machine: The replicated state.
         replica: The replicated log.
         submissions: Patches without a verdict.
@@ -82,9 +68,9 @@
         "is_blank",
         "joining",
         "machine",
-        "polling",
         "reads",
         "replica",
+        "spreading",
         "submissions",
         "unreadable",
     )
@@ -92,9 +78,9 @@
     def __init__(
         self,
         context: context_lib.Context,
-        distribution: polling.Polling,
+        distribution: spreading.Spreading,
         named: tuple[peers.Peer, ...],
-        disk: Disk,
+        disk: disks.Disk,
         bounds: limits.Limits | None = None,
     ) -> None:
         """Creates the part from what the disk holds.
@@ -108,7 +94,7 @@
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
-        self.polling = distribution
+        self.spreading = distribution
         self.disk = disk
         self.is_blank = disk.snapshot is None and not disk.records
         self.machine = machines.PatchMachine()
@@ -145,6 +131,8 @@
                 requests.SubmitPatch: self.handle_patch,
                 requests.ReadConfiguration: self.handle_read,
                 requests.ReadLog: self.handle_read,
+                requests.ReadMembers: self.handle_read_members,
+                requests.ChangeMember: self.handle_change_member,
             }
         )
         return handlers
@@ -252,6 +240,31 @@
             event.now_s, self.replica.read_index(event.now_s, token)
         )
 
+    def handle_read_members(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Answers with the members of the log."""
+        answer = members.describe(self.replica, self.joining)
+        return [effects.Respond(event.request_id, answer)]
+
+    def handle_change_member(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Changes one member, if this host leads."""
+        request = event.request
+        assert isinstance(request, requests.ChangeMember)
+        proposal = members.change(
+            event.now_s, self.replica, self.joining, request
+        )
+        if isinstance(proposal, failure.Failure):
+            refused = requests.Refused(proposal.reason, proposal.detail)
+            return [effects.Respond(event.request_id, refused)]
+        started = requests.MemberChangeStarted()
+        return [
+            *self._carry(event.now_s, proposal.step),
+            effects.Respond(event.request_id, started),
+        ]
+
     def _is_addressed(self, message: consensus.Message) -> bool:
         """Returns whether a message is meant for this incarnation."""
         return message.header.destination == self.disk.incarnation
@@ -298,8 +311,17 @@
         decisions = self.machine.take_decisions()
         found.extend(self.submissions.handle_decisions(decisions))
         found.extend(self._record_decisions(now_s, decisions))
-        if self.machine.version > self.polling.holder.numbered.version:
-            found.extend(self.polling.put(now_s, self.machine.numbered()))
+        found.extend(self._put_in_force(now_s))
+        return found
+
+    def _put_in_force(self, now_s: float) -> list[effects.Effect]:
+        """Puts new versions into force on this host, which spreads them."""
+        found: list[effects.Effect] = []
+        for delta in self.machine.take_deltas():
+            found.extend(self.spreading.put_delta(now_s, delta))
+        # After a restart or a snapshot, single changes aren't known.
+        if self.machine.version > self.spreading.holder.numbered.version:
+            found.extend(self.spreading.put(now_s, self.machine.numbered()))
         return found
 
     def _record_decisions(
@@ -360,12 +382,14 @@
         self, now_s: float, changed: outputs.MembershipChanged
     ) -> effects.Effect:
         """Returns the time line entry of a membership."""
-        members = " ".join(
+        described = " ".join(
             f"{member.peer.host}/{member.incarnation}"
             f"{'' if member.is_voter else '(learner)'}"
             for member in changed.members
         )
-        return self.context.record(now_s, "membership-changed", detail=members)
+        return self.context.record(
+            now_s, "membership-changed", detail=described
+        )
 
     def _answer_read(self, token: int) -> list[effects.Effect]:
         """Answers a read that has reached its index."""
