Show targets and flows to operators; refuse requests of another role at once

Cause: an operator who drains a target needs to see its open flows; a request that no part of a host handles was answered only by a timeout of 10 s. Change: tamarack targets and flows, with the views behind them; the reducer answers wrong-role. Before: no such commands; GET /v1/flows at a control host gave no answer.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -8,6 +8,7 @@
 from tamarack_core import reducer
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
+from tamarack_core.internal import views
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser
 from tamarack_core.internal.balancing import reporting
@@ -96,6 +97,7 @@
         parts.append(
             sharing.Sharing(context, held, gate, members.others, roster)
         )
+        parts.append(views.Views(held, targets, book, path.records.table))
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
             raise ValueError("the control role needs Plan.disk")
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/views.py
@@ -0,0 +1,152 @@
+"""Shows operators the targets and the flows that this host knows."""
+
+import itertools
+
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import reducer
+from tamarack_core import requests
+from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.flows import table as flow_table
+from tamarack_core.internal.targets import table as target_table
+from tamarack_core.packets import ip
+
+
+class Views:
+    """Part that answers reads of targets and flows.
+
+    Attributes:
+        holder: Configuration in force.
+        targets: Announced targets.
+        book: Work in flight by target.
+        flows: Flow table.
+    """
+
+    __slots__ = ("book", "flows", "holder", "targets")
+
+    def __init__(
+        self,
+        configuration_holder: holder.Holder,
+        targets: target_table.TargetTable,
+        book: book_lib.Book,
+        flows: flow_table.FlowTable,
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            configuration_holder: Configuration in force.
+            targets: Announced targets.
+            book: Work in flight by target.
+            flows: Flow table.
+        """
+        self.holder = configuration_holder
+        self.targets = targets
+        self.book = book
+        self.flows = flows
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {
+            requests.ReadTargets: self.handle_targets,
+            requests.ReadFlows: self.handle_flows,
+        }
+
+    def handle_targets(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Answers with the announced targets of a service."""
+        request = event.request
+        assert isinstance(request, requests.ReadTargets)
+        open_flows = self._open_flows()
+        found = [
+            self._target_view(event.now_s, address, target, open_flows)
+            for address, target in self.targets.targets.items()
+            if request.service in ("", target.announcement.service)
+        ]
+        answer = requests.TargetsRead(tuple(found))
+        return [effects.Respond(event.request_id, answer)]
+
+    def handle_flows(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Answers with the open flows that match, up to a limit."""
+        request = event.request
+        assert isinstance(request, requests.ReadFlows)
+        matching = (
+            view
+            for slot in self.flows.sweep(0, len(self.flows.keys))
+            if (view := self._flow_view(event.now_s, slot, request))
+        )
+        # One more than the limit tells whether there are others.
+        found = tuple(itertools.islice(matching, request.limit + 1))
+        answer = requests.FlowsRead(
+            found[: request.limit], len(found) > request.limit
+        )
+        return [effects.Respond(event.request_id, answer)]
+
+    def _open_flows(self) -> dict[bytes, int]:
+        """Returns the number of open flows that this host owns by target."""
+        found: dict[bytes, int] = {}
+        for slot in self.flows.sweep(0, len(self.flows.keys)):
+            flags = self.flows.flags[slot]
+            if flags & flow_table.OWNED and not flags & flow_table.CLOSED:
+                target = self.flows.target_of(slot)
+                found[target] = found.get(target, 0) + 1
+        return found
+
+    def _target_view(
+        self,
+        now_s: float,
+        address: bytes,
+        target: target_table.Target,
+        open_flows: dict[bytes, int],
+    ) -> requests.TargetView:
+        """Returns what an operator sees of a target."""
+        announcement = target.announcement
+        return requests.TargetView(
+            address=announcement.address,
+            service=announcement.service,
+            domain=announcement.domain,
+            state=announcement.state,
+            is_expired=target.expires_s <= now_s,
+            slots=announcement.slots,
+            active=round(self.book.active(now_s, address), 2),
+            held=round(self.book.held(address), 2),
+            owned_flows=open_flows.get(address, 0),
+        )
+
+    def _flow_view(
+        self, now_s: float, slot: int, request: requests.ReadFlows
+    ) -> requests.FlowView | None:
+        """Returns what an operator sees of a flow; None if not asked for."""
+        key = self.flows.keys[slot]
+        flags = self.flows.flags[slot]
+        if key is None or flags & flow_table.CLOSED:
+            return None
+        port = self.holder.lookup.find_key(key)
+        target = ip.format_address(self.flows.target_of(slot))
+        if port is None or request.service not in ("", port.service):
+            return None
+        if request.target not in ("", target):
+            return None
+        return requests.FlowView(
+            flow=lookup.format_flow(key),
+            service=port.service,
+            work_class=port.work_class,
+            target=target,
+            role=_role(flags),
+            is_established=bool(flags & flow_table.ESTABLISHED),
+            age_s=round(now_s - self.flows.opened_s[slot], 1),
+            idle_s=max(0.0, round(now_s - self.flows.seen_s[slot], 1)),
+        )
+
+
+def _role(flags: int) -> requests.FlowRole:
+    """Returns what this host is to a flow."""
+    if flags & flow_table.OWNED:
+        return requests.FlowRole.OWNER
+    if flags & flow_table.BACKUP:
+        return requests.FlowRole.BACKUP
+    return requests.FlowRole.COPY
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -7,6 +7,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import requests
 
 Handler = Callable[[Any], list[effects.Effect]]
 Key = type | str
@@ -70,9 +71,21 @@
     if isinstance(event, events.Started):
         node.context.start(event.now_s, event.wall_ms)
     handlers = node.handlers.get(_key(event), ())
+    if not handlers and isinstance(event, events.RequestArrived):
+        return [_refuse(event)]
     return [effect for handler in handlers for effect in handler(event)]
 
 
+def _refuse(event: events.RequestArrived) -> effects.Effect:
+    """Answers a request that no part of the host handles."""
+    refused = requests.Refused(
+        "wrong-role",
+        "this host lacks the role for the request; announcements, targets and "
+        "flows are for entry hosts, patches and members for control hosts",
+    )
+    return effects.Respond(event.request_id, refused)
+
+
 def _ignore(event: Any) -> list[effects.Effect]:
     """Handles an event that no part of the host reacts to."""
     return []
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -113,6 +113,30 @@
     """An operator reads the state of this host."""
 
 
+class ReadTargets(msgspec.Struct, frozen=True, tag="read-targets"):
+    """An operator reads the targets that this host knows.
+
+    Attributes:
+        service: Only this service; empty for all.
+    """
+
+    service: str = ""
+
+
+class ReadFlows(msgspec.Struct, frozen=True, tag="read-flows"):
+    """An operator reads the open flows that this host knows.
+
+    Attributes:
+        service: Only this service; empty for all.
+        target: Only this target, by IP address in text form; empty for all.
+        limit: Most flows to answer with.
+    """
+
+    service: str = ""
+    target: str = ""
+    limit: int = 100
+
+
 Request = (
     Announce
     | SubmitPatch
@@ -122,6 +146,8 @@
     | ReadMembers
     | ChangeMember
     | ReadStatus
+    | ReadTargets
+    | ReadFlows
 )
 
 
@@ -321,6 +347,86 @@
     counters: dict[str, int]
 
 
+class TargetView(msgspec.Struct, frozen=True):
+    """What a host knows of a target.
+
+    Attributes:
+        address: IP address of the target.
+        service: Service that it belongs to.
+        domain: Failure domain of the target.
+        state: State that it announced.
+        is_expired: Whether its lease has run out.
+        slots: Work units that it runs at once.
+        active: Work units that occupy slots, over all hosts that report.
+        held: Work units of open long-lived connections, likewise.
+        owned_flows: Open flows that this host owns.
+    """
+
+    address: str
+    service: str
+    domain: str
+    state: TargetState
+    is_expired: bool
+    slots: int
+    active: float
+    held: float
+    owned_flows: int
+
+
+class TargetsRead(msgspec.Struct, frozen=True, tag="targets-read"):
+    """Answer to `ReadTargets`.
+
+    Attributes:
+        targets: The targets.
+    """
+
+    targets: tuple[TargetView, ...]
+
+
+class FlowRole(enum.StrEnum):
+    """What a host is to a flow."""
+
+    OWNER = "owner"
+    BACKUP = "backup"
+    COPY = "copy"
+
+
+class FlowView(msgspec.Struct, frozen=True):
+    """What a host knows of a flow.
+
+    Attributes:
+        flow: The flow in text form.
+        service: Service of the flow.
+        work_class: Work class of the flow.
+        target: IP address of its target.
+        role: What the host is to the flow.
+        is_established: Whether the host has seen the handshake complete.
+        age_s: Seconds since the host has known the flow.
+        idle_s: Seconds since the last packet through this host.
+    """
+
+    flow: str
+    service: str
+    work_class: str
+    target: str
+    role: FlowRole
+    is_established: bool
+    age_s: float
+    idle_s: float
+
+
+class FlowsRead(msgspec.Struct, frozen=True, tag="flows-read"):
+    """Answer to `ReadFlows`.
+
+    Attributes:
+        flows: The flows.
+        is_cut: Whether there are more than the limit.
+    """
+
+    flows: tuple[FlowView, ...]
+    is_cut: bool
+
+
 Response = (
     Announced
     | Refused
@@ -331,4 +437,6 @@
     | MembersRead
     | MemberChangeStarted
     | StatusRead
+    | TargetsRead
+    | FlowsRead
 )
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -13,6 +13,7 @@
 from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
 from tamarack_ctl.internal import timeline
+from tamarack_ctl.internal import traffic
 
 
 @click.group(cls=extensions.ExtensibleGroup)
@@ -30,5 +31,7 @@
 main.add_command(data.data)
 main.add_command(members.member)
 main.add_command(rollout.rollout)
+main.add_command(traffic.targets)
+main.add_command(traffic.flows)
 main.add_command(timeline.timeline)
 main.add_command(completion.completion)
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -15,6 +15,8 @@
 
 REQUEST_TIMEOUT_S = 10.0
 MAX_BODY_BYTES = 64 * 1024 * 1024
+DEFAULT_FLOWS = 100
+MAX_FLOWS = 10_000
 JSON_TYPE = "application/json"
 
 _STATUS_CODES = {
@@ -87,6 +89,8 @@
                 web.get("/v1/members", self.get_members),
                 web.post("/v1/members", self.post_member),
                 web.get("/v1/status", self.get_status),
+                web.get("/v1/targets", self.get_targets),
+                web.get("/v1/flows", self.get_flows),
                 web.get("/v1/timeline", self.get_timeline),
                 web.get("/v1/health", self.get_health),
                 web.get("/metrics", self.get_metrics),
@@ -147,6 +151,27 @@
         """Handles a read of the state of this host."""
         return await self._answer(requests.ReadStatus())
 
+    async def get_targets(self, request: web.Request) -> web.Response:
+        """Handles a read of the targets."""
+        service = request.query.get("service", "")
+        return await self._answer(requests.ReadTargets(service))
+
+    async def get_flows(self, request: web.Request) -> web.Response:
+        """Handles a read of the open flows."""
+        limit = request.query.get("limit", str(DEFAULT_FLOWS))
+        if not limit.isdecimal() or int(limit) > MAX_FLOWS:
+            refused = requests.Refused(
+                "bad-request",
+                f"limit {limit!r} is not a number up to {MAX_FLOWS}",
+            )
+            return _respond(refused)
+        read = requests.ReadFlows(
+            request.query.get("service", ""),
+            request.query.get("target", ""),
+            int(limit),
+        )
+        return await self._answer(read)
+
     async def get_timeline(self, request: web.Request) -> web.Response:
         """Handles a read of the time line of this host."""
         since = request.query.get("since_ms", "0")
--- a/tests/slow/test_command_line.py
+++ b/tests/slow/test_command_line.py
@@ -2,12 +2,14 @@
 
 import json
 import pathlib
+import socket
 import subprocess
 import tempfile
 
 import testtools
 from testtools import matchers
 
+from tamarack_lab.bench import traffic
 from tests import processes
 
 SERVICE = {
@@ -205,3 +207,56 @@
         self.assertThat(
             done.stderr, matchers.Not(matchers.Contains("Traceback"))
         )
+
+
+class TrafficTest(HostCase):
+    """Targets and flows as an operator sees them."""
+
+    def setUp(self):
+        super().setUp()
+        self.fabric = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(self.fabric.close)
+        self.fabric.bind(("127.0.0.1", 0))
+        self.fabric.settimeout(COMMAND_TIMEOUT_S)
+        self.settings["fabric"] = list(self.fabric.getsockname())
+        self.daemon = self.start()
+        patch = {
+            "patch_id": "p1",
+            "base_version": 0,
+            "author": "ada",
+            "operations": ADD_SERVICE,
+        }
+        processes.wait_until(
+            lambda: (
+                processes.call(self.daemon.port, "POST", "/v1/patches", patch)[
+                    0
+                ]
+                == 200
+            ),
+            "the patch is accepted",
+        )
+        body = {"service": "agenda", "domain": "a", "lease_s": 30, "slots": 2}
+        processes.call(self.daemon.port, "PUT", "/v1/targets/10.1.0.1", body)
+
+    def read(self, command, *arguments):
+        host = f"127.0.0.1:{self.daemon.port}"
+        done = run("tamarack", command, "--host", host, "--json", *arguments)
+        self.assertEqual(0, done.returncode, done.stderr)
+        return json.loads(done.stdout)
+
+    def test_an_open_flow_is_shown_with_its_target(self):
+        opening = traffic.Flow(0).opening()
+        self.fabric.sendto(opening, tuple(self.settings["data"]))
+        self.fabric.recv(65536)
+        [flow] = self.read("flows", "--service", "agenda")
+        self.assertEqual(
+            ("tcp:10.16.0.0:1024>10.9.0.1:80", "10.1.0.1", "owner"),
+            (flow["flow"], flow["target"], flow["role"]),
+        )
+        self.assertEqual([], self.read("flows", "--target", "10.1.0.2"))
+        [target] = self.read("targets")
+        self.assertEqual(
+            (1, 2, "ready"),
+            tuple(target[name] for name in ("owned_flows", "slots", "state")),
+        )
+        self.assertEqual([], self.read("targets", "--service", "informe"))
--- a/tests/slow/test_whole_path.py
+++ b/tests/slow/test_whole_path.py
@@ -168,5 +168,10 @@
         opening = segment("10.7.0.1", 5000, "10.9.0.1", 80, dpkt.tcp.TH_SYN)
         self.assertEqual(9090, self.send(0, opening).data.dport)
 
+    def test_a_host_without_the_role_refuses_at_once(self):
+        for path in ("/v1/flows", "/v1/targets"):
+            status, body = processes.call(self.daemons[2].port, "GET", path)
+            self.assertEqual((400, "wrong-role"), (status, body["reason"]))
+
     def test_a_stop_request_ends_each_process_with_status_zero(self):
         self.assertEqual([0, 0, 0], [daemon.stop() for daemon in self.daemons])
