--- a/tests/slow/test_control_hosts.py
+++ b/tests/slow/test_control_hosts.py
@@ -293,7 +293,9 @@
             self.assertEqual(0, counters.get("message-unsigned", 0))
             self.assertEqual(0, counters.get("message-bad-signature", 0))
         for port in self.ports:
-            numbered = self.read("/v1/configuration", port)["numbered"]
+            status, body = processes.call(port, "GET", "/v1/configuration")
+            self.assertEqual(200, status, body)
+            numbered = body["numbered"]
             services = numbered["configuration"]["services"]
             self.assertEqual(2 * PATCHES_EACH, numbered["version"])
             self.assertEqual(sorted(accepted), sorted(services))
