--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -141,7 +141,12 @@
     def _reopen(
         self, passage: passage_lib.Passage, slot: int
     ) -> list[effects.Effect]:
-        """Chooses again for an opening that got no answer."""
+        """Chooses again for an opening that got no answer.
+
+        Without a retry budget the opening stays with its target.
+        """
+        if not self.records.chooser.may_retry(passage.now_s, passage.port):
+            return self._emit(passage, slot)
         self.records.close(
             passage.now_s, slot, passage.port, choosing.Progress.SILENT
         )
--- a/packages/lab/src/tamarack_lab/demo/script.py
+++ b/packages/lab/src/tamarack_lab/demo/script.py
@@ -12,12 +12,11 @@
 from tamarack_lab.demo import summary
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
+from tamarack_lab.deployment import ports as ports_lib
 from tamarack_lab.deployment import run as runs
 
 LOAD_S = 20.0
 GRACE_S = 8.0
-# A leaving target gets no new work after this time.
-DRAIN_S = 3.0
 # The fabric notices a dead entry host after this time.
 WITHDRAW_S = 0.5
 
@@ -36,7 +35,12 @@
     __slots__ = ("deployment", "show", "started_s")
 
     def __init__(
-        self, plan: plans.Plan, folder: pathlib.Path, seed: int, show: Show
+        self,
+        plan: plans.Plan,
+        folder: pathlib.Path,
+        seed: int,
+        ports: ports_lib.Ports,
+        show: Show,
     ) -> None:
         """Creates a demonstration that isn't started.
 
@@ -44,9 +48,10 @@
             plan: The deployment.
             folder: Folder of settings, logs and state; must exist.
             seed: Seed of all chance.
+            ports: Gives out free ports.
             show: Shows a line of progress.
         """
-        layout = layouts.build(plan, str(folder), seed)
+        layout = layouts.build(plan, str(folder), seed, ports)
         self.deployment = runs.Deployment(layout, folder)
         self.show = show
         self.started_s = time.monotonic()
@@ -79,8 +84,7 @@
         await deployment.start_callers(LOAD_S, GRACE_S)
         await asyncio.sleep(LOAD_S * 0.2)
         await self._replace_entry()
-        drained = deployment.layout.members()[0].address
-        opened_at_drain = await self._drain(drained)
+        await self._drain(deployment.layout.members()[0].address)
         await self._patch(
             [
                 {
@@ -98,8 +102,6 @@
             name=deployment.layout.plan.name,
             callers=callers,
             targets=await deployment.read_targets(),
-            drained=drained,
-            opened_at_drain=opened_at_drain,
             version=deployment.version,
             versions=await deployment.versions(),
         )
@@ -145,19 +147,8 @@
         await deployment.replace_entry(lost, name)
         self.say(f"{name} takes packets")
 
-    async def _drain(self, address: str) -> int:
-        """Drains a target.
-
-        Returns:
-            Connections that it has accepted once it should be left alone.
-        """
-        deployment = self.deployment
+    async def _drain(self, address: str) -> None:
+        """Drains a target and lets the callers go on for a while."""
         self.say(f"draining target {address}")
-        await deployment.drain_target(address)
-        await asyncio.sleep(DRAIN_S)
-        (report,) = [
-            found
-            for found in await deployment.read_targets()
-            if found.address == address
-        ]
-        return sum(report.opened.values())
+        await self.deployment.drain_target(address)
+        await asyncio.sleep(summary.DRAIN_S)
--- a/tests/slow/test_routing.py
+++ b/tests/slow/test_routing.py
@@ -35,6 +35,24 @@
             ],
         )
 
+    def act(self, network, action, unused):
+        hosts = network.live()
+        if action == "open":
+            network.open_many(20)
+        elif action == "close":
+            for flow in network.all_flows:
+                flow.close()
+        elif action in ("kill", "stop") and len(hosts) > 2:
+            getattr(network, action)(network.random.choice(hosts))
+        elif action == "start":
+            network.start(next(unused))
+        elif action == "cut":
+            network.cuts |= network.split(hosts[:2], hosts[2:])
+        elif action == "heal":
+            network.cuts = set()
+        elif action == "drain" and len(network.ready["schedule-svc"]) > 3:
+            network.ready["schedule-svc"].pop()
+
     def check_all_open(self, network):
         self.check(network)
         self.assertEqual(len(network.all_flows), network.count("open"))
@@ -239,20 +257,30 @@
         network.run(30.0)
         self.check(network)
 
-    def act(self, network, action, unused):
-        hosts = network.live()
-        if action == "open":
-            network.open_many(20)
-        elif action == "close":
-            for flow in network.all_flows:
-                flow.close()
-        elif action in ("kill", "stop") and len(hosts) > 2:
-            getattr(network, action)(network.random.choice(hosts))
-        elif action == "start":
-            network.start(next(unused))
-        elif action == "cut":
-            network.cuts |= network.split(hosts[:2], hosts[2:])
-        elif action == "heal":
-            network.cuts = set()
-        elif action == "drain" and len(network.ready["schedule-svc"]) > 3:
-            network.ready["schedule-svc"].pop()
+
+class ReuseUnderChangeTest(RoutingTest):
+    """Runs found by the soak profile, in which callers reuse open keys."""
+
+    def replay(self, seed, loss, steps):
+        network = routing_network.Network(seed)
+        network.loss = network.duplication = loss
+        unused = iter(network.peers[6:])
+        network.open_many(20)
+        for action, duration_s in steps:
+            self.act(network, action, unused)
+            network.run(duration_s)
+        self.check(network)
+
+    def test_a_key_reused_while_a_host_dies_keeps_its_target(self):
+        actions = ("close", "open", "open", "open", "kill")
+        durations = (0.1, 10.385033640435013, 2.9155484577875983)
+        durations += (4.709423836793936, 20.0)
+        steps = zip(actions, durations, strict=True)
+        self.replay(4382, 0.02, steps)
+
+    def test_a_key_reused_while_the_domain_is_cut_keeps_its_target(self):
+        actions = ("drain", "open", "cut", "start", "open")
+        durations = (3.6149488685944844, 8.75380669507948)
+        durations += (6.543449775075225, 8.354987697916398, 20.0)
+        steps = zip(actions, durations, strict=True)
+        self.replay(43898770, 0.0, steps)
