--- a/packages/lab/src/tamarack_lab/experiments/balance_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/balance_plans.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tamarack_core import requests
+from tamarack_lab.experiments import entities
 from tamarack_lab.experiments import plans as plan_lib
 from tamarack_lab.experiments import run as run_lib
 from tamarack_lab.experiments import users
@@ -220,6 +221,6 @@
     run.queue.at(FAULT_S + 10.0, warm)
 
 
-def _replace(target: run_lib.Target, **changes: object) -> requests.Announce:
+def _replace(target: entities.Target, **changes: object) -> requests.Announce:
     """Returns the announcement of a target with changes."""
     return msgspec.structs.replace(target.announcement, **changes)
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -1,7 +1,6 @@
 """One run of a plan: hosts, targets and callers on the event queue."""
 
 import collections
-import dataclasses
 import functools
 import hashlib
 import itertools
@@ -20,6 +19,7 @@
 from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
 from tamarack_core.packets import ip
+from tamarack_lab.experiments import entities
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import machine as machine_lib
 from tamarack_lab.experiments import measure
@@ -35,63 +35,6 @@
 DRAIN_GRACE_S = 3.0
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Target:
-    """A simulated target and what it announces.
-
-    Attributes:
-        machine: The slots.
-        announcement: What it announces next.
-        domain: Failure domain.
-        drained_s: Time at which it announced draining, in seconds.
-        flows: Connections that it holds.
-    """
-
-    machine: machine_lib.Machine
-    announcement: requests.Announce
-    domain: str
-    drained_s: float = float("inf")
-    flows: set["Flow"] = dataclasses.field(default_factory=set)
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Flow:
-    """A connection of a caller over all its tries.
-
-    Attributes:
-        number: Number of the connection.
-        stream: The stream that it belongs to.
-        port: Service port.
-        domain: Failure domain of the caller.
-        work_s: Seconds of work.
-        hold_s: Seconds to stay open after the answer.
-        opened_s: Time of the first try in seconds.
-        tries: Tries so far.
-        key: Flow key of the present try.
-        owner: Name of the owning host.
-        target: Its target.
-        job: Its work at the target.
-        runs: How often its work has started.
-        over: Whether the caller is done with it.
-    """
-
-    number: int
-    stream: plans.Stream
-    port: lookup.ServicePort
-    domain: str
-    work_s: float
-    hold_s: float
-    opened_s: float
-    tries: int = 0
-    key: bytes = b""
-    owner: str = ""
-    target: Target | None = None
-    job: machine_lib.Job | None = None
-    tried_s: float = 0.0
-    runs: int = 0
-    over: bool = False
-
-
 class Run:
     """State of a run.
 
@@ -131,9 +74,9 @@
         )
         self.holders: dict[str, holder.Holder] = {}
         self.choosers: dict[str, choosing.Chooser] = {}
-        self.targets: dict[bytes, Target] = {}
+        self.targets: dict[bytes, entities.Target] = {}
         self.figures = measure.Figures()
-        self.flows: dict[str, set[Flow]] = collections.defaultdict(set)
+        self.flows: dict[str, set[entities.Flow]] = collections.defaultdict(set)
         self.waits: list[float] = []
         self.completed_units = 0.0
         self.meters: list[measure.BalanceMeter] = []
@@ -189,7 +132,7 @@
             found = []
             for index in range(item.targets):
                 address = (base + index + 1).to_bytes(4, "big")
-                target = Target(
+                target = entities.Target(
                     machine_lib.Machine(self.queue, address, item.slots),
                     requests.Announce(
                         item.name,
@@ -211,14 +154,14 @@
             if found:
                 self.meters.append(measure.BalanceMeter(found))
 
-    def renew(self, target: Target) -> None:
+    def renew(self, target: entities.Target) -> None:
         """Announces a target now and from then on."""
         if not target.machine.alive:
             return
         self.announce(target)
         self.queue.after(RENEWAL_S, functools.partial(self.renew, target))
 
-    def announce(self, target: Target) -> None:
+    def announce(self, target: entities.Target) -> None:
         """Announces a target once, to any host of its failure domain."""
         hosts = self.network.live(target.domain)
         if not hosts:
@@ -248,7 +191,7 @@
         )
         if rate <= 0:
             return
-        flow = Flow(
+        flow = entities.Flow(
             next(self._numbers),
             stream,
             self._ports[stream.service, stream.work_class],
@@ -260,7 +203,7 @@
         self.figures.openings += 1
         self.open(flow)
 
-    def open(self, flow: Flow) -> None:
+    def open(self, flow: entities.Flow) -> None:
         """Tries to open a connection."""
         flow.tries += 1
         self.figures.attempts += 1
@@ -280,7 +223,7 @@
             return
         self._choose(flow)
 
-    def owner(self, flow: Flow) -> str:
+    def owner(self, flow: entities.Flow) -> str:
         """Returns the name of the host that owns a flow."""
         hosts = self.network.live(flow.domain)
         settings = self.numbered.configuration.services[flow.port.service]
@@ -292,7 +235,7 @@
         names = (peer.host for peer in group)
         return max(names, key=lambda name: _weight(flow.key, name), default="")
 
-    def _choose(self, flow: Flow) -> None:
+    def _choose(self, flow: entities.Flow) -> None:
         """Lets the owner choose the target."""
         chooser = self.choosers[flow.owner]
         opening = choosing.Opening(flow.key, flow.port)
@@ -310,7 +253,7 @@
         flow.target = target
         self._submit(flow, target)
 
-    def _submit(self, flow: Flow, target: Target) -> None:
+    def _submit(self, flow: entities.Flow, target: entities.Target) -> None:
         """Hands the opening to the target."""
         if not target.machine.alive:
             self.queue.after(
@@ -334,7 +277,7 @@
             flow.stream.patience_s, lambda: self._give_up(flow, job)
         )
 
-    def observe(self, flow: Flow, progress: choosing.Progress) -> None:
+    def observe(self, flow: entities.Flow, progress: choosing.Progress) -> None:
         """Tells the owner of a flow what was seen of it."""
         host = self.network.hosts.get(flow.owner)
         if host is None or not host.alive or flow.target is None:
@@ -345,7 +288,7 @@
         )
         self.choosers[flow.owner].observe(self.queue.now_s, observation)
 
-    def _answered(self, flow: Flow) -> None:
+    def _answered(self, flow: entities.Flow) -> None:
         """Takes the answer of the target to its caller."""
         flow.runs += 1
         if flow.over:
@@ -357,12 +300,12 @@
             self.completed_units += flow.port.settings.cost
         self.queue.after(flow.hold_s, functools.partial(self._close, flow))
 
-    def _close(self, flow: Flow) -> None:
+    def _close(self, flow: entities.Flow) -> None:
         """Ends a connection as its caller wants."""
         if not flow.over:
             self.end(flow, choosing.Progress.CLOSED)
 
-    def end(self, flow: Flow, progress: choosing.Progress) -> None:
+    def end(self, flow: entities.Flow, progress: choosing.Progress) -> None:
         """Ends a connection and tells its owner."""
         flow.over = True
         self.observe(flow, progress)
@@ -370,7 +313,7 @@
         if flow.target is not None:
             flow.target.flows.discard(flow)
 
-    def _give_up(self, flow: Flow, job: machine_lib.Job) -> None:
+    def _give_up(self, flow: entities.Flow, job: machine_lib.Job) -> None:
         """Cancels a connection that got no answer in time."""
         if flow.over or flow.job is not job or flow.runs:
             return
@@ -378,19 +321,19 @@
             flow.target.machine.cancel(job)
         self.end(flow, choosing.Progress.CLOSED)
 
-    def _syn_lost(self, flow: Flow) -> None:
+    def _syn_lost(self, flow: entities.Flow) -> None:
         """Handles an opening that a dead target never answered."""
         self.observe(flow, choosing.Progress.SILENT)
         self._retry(flow)
 
-    def _refused(self, flow: Flow, outcome: verdict.Verdict) -> None:
+    def _refused(self, flow: entities.Flow, outcome: verdict.Verdict) -> None:
         """Handles a refusal of an opening."""
         self.figures.refused += 1
         if flow.runs and outcome.outcome is verdict.Outcome.NOT_RUN:
             self.figures.false_verdicts += 1
         self._retry(flow)
 
-    def _retry(self, flow: Flow) -> None:
+    def _retry(self, flow: entities.Flow) -> None:
         """Lets the caller try again if it still wants to."""
         if flow.tries >= flow.stream.tries:
             flow.over = True
@@ -419,7 +362,7 @@
                 self.flows[flow.owner].add(flow)
                 self.observe(flow, choosing.Progress.OPENED)
 
-    def kill_target(self, target: Target) -> None:
+    def kill_target(self, target: entities.Target) -> None:
         """Ends a target with all its connections."""
         target.machine.die()
         for flow in list(target.flows):
