--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -15,6 +15,7 @@
 from tamarack_core.messages import control
 from tamarack_core.messages import distribution
 from tamarack_core.messages import flows
+from tamarack_core.messages import limits
 from tamarack_core.messages import membership
 from tamarack_core.messages import targets
 
@@ -23,6 +24,7 @@
     | consensus.Message
     | control.Message
     | distribution.Message
+    | limits.Message
     | flows.Message
     | membership.Message
     | targets.Message
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -7,6 +7,8 @@
 import itertools
 import random
 
+import msgspec
+
 from tamarack_core import configuration
 from tamarack_core import events
 from tamarack_core import peers
@@ -124,7 +126,7 @@
         self.numbered = configuration.Numbered(
             1,
             configuration.Configuration(
-                {item.name: item.settings for item in plan.services}
+                {item.name: _in_domains(plan, item) for item in plan.services}
             ),
         )
         self.holders: dict[str, holder.Holder] = {}
@@ -171,7 +173,7 @@
             context,
             held,
             live_peers,
-            self.plan.hosts * len(self.plan.domains),
+            self.plan.hosts,
         )
         self.choosers[name] = parts.chooser
         host = self.network.add(reducer.Node(context, parts.parts))
@@ -404,6 +406,19 @@
             self.flows[flow.owner].add(flow)
             self.observe(flow, choosing.Progress.OPENED)
 
+    def restart_host(self, name: str) -> None:
+        """Starts a host without state; flows move back to their owners."""
+        domain = self.network.hosts[name].peer.domain
+        self.start_host(name, domain)
+        for old, flows in list(self.flows.items()):
+            moved = {flow for flow in flows if self.owner(flow) != old}
+            flows -= moved
+            for flow in moved:
+                self.observe(flow, choosing.Progress.CLOSED)
+                flow.owner = self.owner(flow)
+                self.flows[flow.owner].add(flow)
+                self.observe(flow, choosing.Progress.OPENED)
+
     def kill_target(self, target: Target) -> None:
         """Ends a target with all its connections."""
         target.machine.die()
@@ -445,6 +460,13 @@
         return figures
 
 
+def _in_domains(
+    plan: plans.Plan, item: plans.ServicePlan
+) -> configuration.Service:
+    """Returns a service whose limits the failure domains divide."""
+    return msgspec.structs.replace(item.settings, failure_domains=plan.domains)
+
+
 def _weight(flow: bytes, name: str) -> bytes:
     """Returns the pseudo-random weight of a host for a flow."""
     return hashlib.blake2b(flow + name.encode(), digest_size=8).digest()
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -4,6 +4,7 @@
 
 from tamarack_core import verdict
 from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.targets import table
 
 _DIGEST_BYTES = 8
@@ -17,19 +18,24 @@
 
     Attributes:
         targets: Announced targets as this host knows them.
-        hosts: Number of hosts that divide a limit.
+        hosts: Number of entry hosts of a failure domain.
+        domains: Number of failure domains that divide a limit.
         concurrent: Open connections of this host by service port.
     """
 
-    __slots__ = ("concurrent", "hosts", "targets")
+    __slots__ = ("concurrent", "domains", "hosts", "targets")
 
-    def __init__(self, targets: table.TargetTable, hosts: int) -> None:
+    def __init__(
+        self, targets: table.TargetTable, hosts: int, domains: int = 1
+    ) -> None:
         """Creates a chooser.
 
         Args:
             targets: Announced targets as this host knows them.
-            hosts: Number of hosts that divide a limit.
+            hosts: Number of entry hosts of a failure domain.
+            domains: Number of failure domains that divide a limit.
         """
+        self.domains = domains
         self.targets = targets
         self.hosts = hosts
         self.concurrent: dict[tuple[bytes, int], int] = {}
@@ -45,13 +51,17 @@
         key = (port.address, port.port)
         count = self.concurrent.get(key, 0)
         limit = port.settings.max_concurrent
-        if limit and count >= limit // self.hosts:
+        if limit and count >= limit // (self.hosts * self.domains):
             return choosing.Refusal(verdict.not_run("local-limit"))
         self.concurrent[key] = count + 1
         digest = hashlib.blake2b(opening.flow, digest_size=_DIGEST_BYTES)
         index = int.from_bytes(digest.digest(), "big") % len(ready)
         return choosing.Choice(sorted(ready)[index])
 
+    def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns True; there is no budget."""
+        return True
+
     def observe(self, now_s: float, observation: choosing.Observation) -> None:
         """Counts a closed connection; nothing else matters to the hash."""
         if observation.progress in choosing.ENDS:
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -11,6 +11,7 @@
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.targets import table
 from tamarack_lab.experiments import network
 from tamarack_lab.experiments import users
@@ -46,7 +47,10 @@
         self.table = table.TargetTable()
         self.book = book_lib.Book()
         self.chooser = chooser_lib.BalancingChooser(
-            network.context("entry", "a", 1), self.table, self.book
+            network.context("entry", "a", 1),
+            self.table,
+            self.book,
+            gate_lib.Gate(),
         )
         for number in range(1, 8):
             self.announce(number)
@@ -133,6 +137,24 @@
             self.observe(1, choosing.Progress.SILENT)
         self.assertNotIn(1, [self.choose() for _ in range(70)])
 
+    def test_retries_are_a_fraction_of_the_openings(self):
+        self.assertTrue(self.chooser.may_retry(NOW_S, port()))
+        self.assertFalse(self.chooser.may_retry(NOW_S, port()))
+        for _ in range(20):
+            self.choose()
+        allowed = sum(self.chooser.may_retry(NOW_S, port()) for _ in range(9))
+        self.assertEqual(2, allowed)
+
+    def test_there_are_no_retries_while_openings_are_shed(self):
+        self.chooser.overload.shed_s["agenda"] = NOW_S - 1.0
+        self.assertFalse(self.chooser.may_retry(NOW_S, port()))
+
+    def test_a_reused_flow_keeps_its_target(self):
+        for number in range(1, 8):
+            opening = choosing.Opening(b"flow", port(), address(number))
+            choice = self.chooser.choose(NOW_S, opening)
+            self.assertEqual(address(number), choice.target)
+
 
 class EjectionTest(testtools.TestCase):
     """Ejection and the way back."""
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -91,6 +91,45 @@
         self.assertEqual(COMMANDS, len(network.leader().machine.commands))
 
 
+class StaleAnswerTest(testtools.TestCase):
+    """Answers that a leader of a later term must not count."""
+
+    def test_an_answer_to_an_earlier_term_confirms_nothing(self):
+        network = running(3)
+        leader, other = network.leader(), follower(network)
+        stale_round = 10**6
+        header = consensus.Header(0, leader.incarnation, other.incarnation)
+        stale = consensus.AppendRequest(header, stale_round, 0, 0, 0)
+        step = other.replica.handle_message(network.now_s, leader.peer, stale)
+        network.carry_out(other, step)
+        network.run_for(1.0)
+        progress = leader.replica.state.progress[other.incarnation]
+        self.assertThat(progress.answered_round, matchers.LessThan(stale_round))
+        self.assertThat(step.effects, matchers.Not(matchers.HasLength(0)))
+
+    def test_entries_that_the_request_does_not_cover_stay_uncommitted(self):
+        network = running(3)
+        target, leader = follower(network), network.leader()
+        state = target.replica.state
+        term, last = state.term, state.log.last_index
+        stale = consensus.Entry(term, consensus.EntryKind.COMMAND, b"stale")
+        for later, entries in ((0, (stale, stale)), (1, ())):
+            header = consensus.Header(
+                term + later, leader.incarnation, target.incarnation
+            )
+            request = consensus.AppendRequest(
+                header,
+                10**6,
+                last,
+                state.log.term_at(last),
+                last + 2 * later,
+                entries,
+            )
+            target.replica.handle_message(network.now_s, leader.peer, request)
+        self.assertEqual(last + 2, state.log.last_index)
+        self.assertEqual(last, state.commit_index)
+
+
 class IdentityTest(testtools.TestCase):
     """Replicas that lost their disk, or got an old one back."""
 
@@ -109,6 +148,61 @@
             self.assertIsInstance(halted, outputs.Halted)
             self.assertEqual("identity-refused", halted.reason)
             network.crash(victim.peer.host)
+            # The second time nobody is there to refuse it again.
+            network.isolate(victim.peer.host)
+
+    def test_a_host_that_just_came_back_grants_no_vote(self):
+        network = running(3)
+        back, leader = follower(network), network.leader()
+        term = leader.replica.state.term
+        network.crash(back.peer.host)
+        network.crash(leader.peer.host)
+        network.restart(back.peer.host)
+        request = consensus.VoteRequest(
+            consensus.Header(term + 1, leader.incarnation, back.incarnation),
+            last_index=COMMANDS,
+            last_term=term,
+        )
+        answers = []
+        for wait_s in (0.0, network.bounds.election_timeout_min_s):
+            step = back.replica.handle_message(
+                network.now_s + wait_s, leader.peer, request
+            )
+            answers.append(len(step.effects) > 0)
+        self.assertEqual([False, True], answers)
+
+    def test_a_promise_of_an_earlier_term_is_never_given(self):
+        network = running(3)
+        target, leader = follower(network), network.leader()
+        log = target.replica.state.log
+        term = target.replica.state.term
+        for later in (0, 1):
+            header = consensus.Header(
+                term + later, leader.incarnation, target.incarnation
+            )
+            entry = consensus.Entry(term + later, consensus.EntryKind.NOOP)
+            request = consensus.AppendRequest(
+                header, 10**6, 1, log.term_at(1), 0, (entry,)
+            )
+            step = target.replica.handle_message(
+                network.now_s, leader.peer, request
+            )
+            self.assertNotIn(
+                consensus.AppendResponse,
+                [type(getattr(e, "message", None)) for e in step.effects],
+            )
+        issued = target.replica.state.journal.issued
+        steps = [
+            target.replica.handle_write_completed(network.now_s, sequence)
+            for sequence in (issued, issued + 1)
+        ]
+        answers = [
+            effect.message.header.term
+            for step in steps
+            for effect in step.effects
+            if isinstance(effect, effects.SendMessage)
+        ]
+        self.assertEqual([term + 1], answers)
 
     def test_a_message_for_an_earlier_incarnation_is_dropped(self):
         network = running(3)
@@ -173,6 +267,74 @@
         self.assertEqual("would-lose-quorum", refused.reason)
 
 
+class ChangeTest(testtools.TestCase):
+    """Membership changes that a leader must refuse."""
+
+    def change(self, network, kind, incarnation, peer=None):
+        leader = network.leader()
+        result = leader.replica.change_membership(
+            network.now_s, membership.Change(kind, incarnation, peer)
+        )
+        if not isinstance(result, failure.Failure):
+            network.carry_out(leader, result.step)
+        return getattr(result, "reason", None)
+
+    def test_a_second_change_waits_for_the_first(self):
+        network = running(3, spares=2)
+        first, second = network.hosts["control-3"], network.hosts["control-4"]
+        add = membership.ChangeKind.ADD_LEARNER
+        reasons = [
+            self.change(network, add, host.incarnation, host.peer)
+            for host in (first, second)
+        ]
+        self.assertEqual([None, "change-running"], reasons)
+
+    def test_a_leader_changes_nothing_before_its_first_commit(self):
+        network = running(3)
+        network.crash(network.leader().peer.host)
+        while network.leader() is None:
+            network.run_event()
+        other = follower(network)
+        remove = membership.ChangeKind.REMOVE
+        reason = self.change(network, remove, other.incarnation)
+        self.assertEqual("leader-starting", reason)
+
+    def test_a_host_that_joins_learns_the_voters_from_the_log(self):
+        network = running(3, spares=1)
+        spare = network.hosts["control-3"]
+        add = membership.ChangeKind.ADD_LEARNER
+        propose(network, COMMANDS)
+        self.change(network, add, spare.incarnation, spare.peer)
+        network.run_for(1.0)
+        placed = spare.replica.state.memberships
+        voters = placed[1].membership.voters
+        self.assertEqual([0, 1, COMMANDS + 2], [p.index for p in placed])
+        self.assertThat(voters, matchers.HasLength(3))
+
+    def test_a_learner_that_lags_is_not_promoted(self):
+        network = running(3, spares=1)
+        spare = network.hosts["control-3"]
+        kinds = membership.ChangeKind
+        self.change(network, kinds.ADD_LEARNER, spare.incarnation, spare.peer)
+        network.isolate(spare.peer.host)
+        propose(network, network.bounds.promotion_entries + 1)
+        network.run_for(1.0)
+        reason = self.change(network, kinds.PROMOTE, spare.incarnation)
+        self.assertEqual("learner-behind", reason)
+
+    def test_neither_the_leader_nor_the_last_voter_is_removed(self):
+        network = running(3)
+        leader = network.leader().incarnation
+        remove = membership.ChangeKind.REMOVE
+        reason = self.change(network, remove, leader)
+        self.assertEqual("is-leader", reason)
+        only = membership.Membership(
+            [membership.Member(network.leader().peer, leader)]
+        )
+        refused = membership.change(only, membership.Change(remove, leader))
+        self.assertEqual("last-voter", refused.reason)
+
+
 class FlowTest(testtools.TestCase):
     """Slow followers, sizes, and damaged input."""
 
@@ -203,6 +365,42 @@
         bound = bounds.window_bytes + bounds.append_bytes
         self.assertThat(sum(sent), matchers.LessThan(bound + 1))
 
+    def test_a_leader_with_a_full_backlog_refuses(self):
+        network = running(3, bounds=limits.Limits(backlog_entries=COMMANDS))
+        leader = network.leader()
+        network.isolate(leader.peer.host)
+        propose(network, COMMANDS)
+        refused = leader.replica.propose(network.now_s, b"one more")
+        self.assertEqual("busy", refused.reason)
+
+    def test_a_forwarded_read_without_an_answer_fails(self):
+        network = running(3)
+        asking = follower(network)
+        network.isolate(network.leader().peer.host)
+        seen = []
+        network.observer = lambda host, step: seen.extend(step.outputs)
+        step = asking.replica.read_index(network.now_s, 5)
+        network.carry_out(asking, step)
+        network.run_for(2 * network.bounds.read_timeout_s)
+        self.assertIn(outputs.ReadFailed(5, "timeout"), seen)
+
+    def test_a_burst_goes_out_in_few_requests(self):
+        network = running(3)
+        receiver = follower(network)
+        sent = []
+        network.observer = lambda host, step: sent.extend(
+            effect.message
+            for effect in step.effects
+            if isinstance(effect, effects.SendMessage)
+            and effect.peer == receiver.peer
+            and getattr(effect.message, "entries", ())
+        )
+        propose(network, COMMANDS)
+        network.run_for(1.0)
+        self.assertEqual(COMMANDS, len(receiver.machine.commands))
+        # The first goes alone, all others gather behind it.
+        self.assertThat(sent, matchers.HasLength(2))
+
     def test_a_command_beyond_the_limit_is_refused(self):
         network = running(1, bounds=limits.Limits(command_bytes=10))
         leader = network.leader()
