Drop openings at a host that knows no target yet; shed less at few slots

The time line named two reasons: no-ready-target at the host that had just joined, and overload at failure domains with one or two targets of two slots, where a handful of openings that arrive together was a queue of over 1.6 times the slots. Ruled out: limits (none in the demo) and the fabric. Change: a host drops openings of services without a known target for 8 s after its start, so that TCP repeats them; a queue at few slots counts as at 8. The longer cure is that a host owns nothing until it knows the targets, and that openings spill to other failure domains.

--- a/packages/core/src/tamarack_core/internal/admission/overload.py
+++ b/packages/core/src/tamarack_core/internal/admission/overload.py
@@ -17,6 +17,9 @@
 FAIR_QUEUE = 3.0
 """Work units in flight for each slot at which openings are shed."""
 
+BURST_SLOTS = 8.0
+"""Slots below which a queue counts as that of a service of so many slots."""
+
 SLOW_ANSWER_FACTOR = 1.25
 ANSWER_GAIN = 0.05
 DEMAND_WINDOW_S = 5.0
@@ -78,7 +81,7 @@
         """
         load = self._load(port)
         load.opened_s = now_s
-        queue = active / slots if slots else math.inf
+        queue = _relative_queue(active, slots)
         if queue < IDEMPOTENT_QUEUE or not self._is_slow(port.service):
             return False
         if queue < self._bound(now_s, port, load):
@@ -146,6 +149,20 @@
         return classes.setdefault(port.work_class, ClassLoad())
 
 
+def _relative_queue(active: float, slots: float) -> float:
+    """Returns the work in flight for each slot; chance bursts count less.
+
+    With few slots a handful of openings that arrive together is a queue of
+    several times the slots, although it is gone a moment later.
+    """
+    if not slots:
+        return math.inf
+    waiting = active - slots
+    if waiting <= 0.0:
+        return active / slots
+    return 1.0 + waiting / max(slots, BURST_SLOTS)
+
+
 def _smooth(old: float, new: float) -> float:
     """Returns a smoothed value; the first one counts in full."""
     return old + ANSWER_GAIN * (new - old) if old else new
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -87,7 +87,7 @@
         port = opening.port
         ready = self.targets.ready(now_s, port.service, len(port.address))
         if not ready:
-            return choosing.Refusal(verdict.not_run("no-ready-target"))
+            return choosing.Refusal(verdict.not_run(choosing.NO_READY_TARGET))
         room = [target for target in ready if self._has_room(target, port)]
         if not room:
             return choosing.Refusal(verdict.not_run("connections-full"))
--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/choosing.py
@@ -7,6 +7,9 @@
 from tamarack_core import verdict
 from tamarack_core.internal.entry import lookup
 
+NO_READY_TARGET = "no-ready-target"
+"""Reason of a refusal when no target of the service takes new flows."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opening:
--- a/packages/core/src/tamarack_core/internal/entry/domain.py
+++ b/packages/core/src/tamarack_core/internal/entry/domain.py
@@ -14,6 +14,8 @@
 # A host that is unreachable may be cut off rather than dead. Until this time
 # has passed, nothing that only it may know is taken as lost.
 PARTITION_PATIENCE_S = 30.0
+# Two rounds of the renewal of leases bring all targets to a new host.
+WARMING_S = 8.0
 
 
 class Domain:
@@ -109,6 +111,14 @@
             return False
         return now_s >= self.settled_s
 
+    def is_warming(self, now_s: float) -> bool:
+        """Returns whether this host has started too lately to know much.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        return now_s < self.membership.started_s + WARMING_S
+
     def is_me(self, peer: peers.Peer) -> bool:
         """Returns whether a peer is this host."""
         return peer.host == self.context.host.host
--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -182,7 +182,7 @@
             now_s, choosing.Opening(passage.key, port, preferred)
         )
         if isinstance(choice, choosing.Refusal):
-            return self.refusing.refuse(passage, choice.verdict)
+            return self._refuse(passage, choice.verdict)
         if preferred and choice.target != preferred:
             self._forget(passage, choice.target)
             return self.refusing.drop("time-wait")
@@ -198,6 +198,19 @@
             self.records.table.flags[slot] |= table_lib.ESTABLISHED
         return self._emit(passage, slot)
 
+    def _refuse(
+        self, passage: passage_lib.Passage, verdict: verdict_lib.Verdict
+    ) -> list[effects.Effect]:
+        """Refuses an opening, unless the caller had better try again.
+
+        A host that has just joined may not know the targets yet. It drops the
+        opening, so that the caller's TCP sends it again a second later.
+        """
+        is_blind = verdict.reason == choosing.NO_READY_TARGET
+        if is_blind and self.domain.is_warming(passage.now_s):
+            return self.refusing.drop("warming")
+        return self.refusing.refuse(passage, verdict)
+
     def _forget(self, passage: passage_lib.Passage, target: bytes) -> None:
         """Takes back an opening that the chooser has counted."""
         self.records.chooser.observe(
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -61,6 +61,14 @@
         self.assertFalse(self.sheds(CERTIFICATE, between))
         self.assertTrue(self.sheds(REPORT, between))
 
+    def test_a_burst_at_two_slots_is_no_overload_but_a_long_queue_is(self):
+        self.answer_slowly()
+        shed = [
+            self.overload.must_shed(NOW_S, CERTIFICATE, active, 2.0)
+            for active in (3.0, 4.0, 12.0)
+        ]
+        self.assertEqual([False, False, True], shed)
+
     def test_retries_stay_a_fraction_of_the_openings(self):
         budget = retry_budget.RetryBudget()
         retries = 0
