Find connections that have gone silent and reset them

Change: hosts notice payload that is repeated late, ask the others twice, and reset both ends with the verdict may-have-run. Ruled out on the way: one question (10 resets after a cut of 34 s heals), two questions without looking at other flows of the target (5 resets), asking while hosts are out of sight (a test of routing failed). Before: a silent flow was never reset. UDP and target-only traffic are not covered.

--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -14,6 +14,7 @@
 from tamarack_core.internal.entry import passage as passage_lib
 from tamarack_core.internal.entry import records
 from tamarack_core.internal.entry import refusing
+from tamarack_core.internal.entry import silence
 from tamarack_core.internal.entry import steering
 from tamarack_core.internal.entry import upkeep
 from tamarack_core.internal.membership import part as membership_part
@@ -33,6 +34,7 @@
         holder: Configuration in force.
         records: The flow table.
         refusing: Drops and resets.
+        silence: Finds flows that have gone silent.
         steering: Handles what the fast path does not.
         upkeep: Expires, takes over and repairs flows.
     """
@@ -42,6 +44,7 @@
         "holder",
         "records",
         "refusing",
+        "silence",
         "steering",
         "upkeep",
     )
@@ -73,6 +76,9 @@
             owner.Owner(domain, self.records, questions, self.refusing),
             self.refusing,
         )
+        self.silence = silence.Silence(
+            domain, self.records, self.refusing, self.steering
+        )
         self.upkeep = upkeep.Upkeep(
             domain, self.records, questions, configuration_holder
         )
@@ -86,6 +92,8 @@
             flows.FlowCopies: self.upkeep.handle_copies,
             flows.FlowQuery: self.upkeep.handle_query,
             flows.FlowAnswer: self.upkeep.handle_answer,
+            flows.SilenceQuestion: self.silence.handle_question,
+            flows.SilenceAnswer: self.silence.handle_answer,
         }
 
     def handle_datagram(
@@ -104,6 +112,11 @@
         port = tables.find_inbound(packet)
         if port is not None:
             key = lookup.flow_key(packet)
+            asked = self._note_payload(now_s, packet, port, key)
+            if asked:
+                form = passage_lib.Form.INBOUND
+                sent = self._steer(now_s, packet, form, port, key, word)
+                return [*asked, *sent]
             if not word and not packet.flags & _CAREFUL:
                 sent = self._carry_in(now_s, packet, port, key)
                 if sent:
@@ -113,6 +126,7 @@
         port = tables.find_outbound(packet)
         if port is not None:
             key = lookup.reply_key(packet, port)
+            self.silence.note_reply(now_s, key, packet.source)
             if not word and not packet.flags & _CAREFUL:
                 sent = self._carry_out(now_s, packet, port, key)
                 if sent:
@@ -121,6 +135,18 @@
             return self._steer(now_s, packet, form, port, key, word)
         return self._carry_inside(now_s, packet, word)
 
+    def _note_payload(
+        self,
+        now_s: float,
+        packet: ip.Packet,
+        port: lookup.ServicePort,
+        key: bytes,
+    ) -> list[effects.Effect]:
+        """Watches the payload of a caller for late repetitions."""
+        if packet.payload == len(packet.data) or not packet.flags & ip.TCP_ACK:
+            return []
+        return self.silence.note_payload(now_s, packet, port, key)
+
     def _carry_in(
         self,
         now_s: float,
--- a/packages/core/src/tamarack_core/internal/entry/refusing.py
+++ b/packages/core/src/tamarack_core/internal/entry/refusing.py
@@ -51,6 +51,17 @@
         verdict = verdict_lib.may_have_run("unknown-flow")
         return self._reset(passage, verdict, "flow-reset")
 
+    def reset_silent(
+        self, passage: passage_lib.Passage, verdict: verdict_lib.Verdict
+    ) -> list[effects.Effect]:
+        """Resets a flow whose target does not answer any more.
+
+        Args:
+            passage: The repeated packet of the caller, inbound.
+            verdict: Verdict with the reason.
+        """
+        return self._reset(passage, verdict, "flow-reset")
+
     def drop(self, reason: str) -> list[effects.Effect]:
         """Counts a dropped packet.
 
--- a/packages/core/src/tamarack_core/internal/flows/table.py
+++ b/packages/core/src/tamarack_core/internal/flows/table.py
@@ -63,6 +63,11 @@
         valid_s: Monotonic time of the last word of the owner, by slot. For a
             closed flow, when it was closed.
         handed: Packets that other hosts handed over, at most 255, by slot.
+        repeated: Sequence number of the caller's last payload, by slot.
+        unanswered_s: Monotonic time at which that payload was first seen, in
+            whole seconds, by slot.
+        replied_s: Monotonic time of the last packet of the target through
+            this host, in whole seconds, by slot.
         placed: Backups that hold the flow, by slot; see `placement`.
         targets: Packed address by index.
     """
@@ -79,10 +84,13 @@
         "keys",
         "opened_s",
         "placed",
+        "repeated",
+        "replied_s",
         "seen_s",
         "slots",
         "target",
         "targets",
+        "unanswered_s",
         "valid_s",
     )
 
@@ -103,6 +111,9 @@
         self.due_s = array.array("d")
         self.valid_s = array.array("d")
         self.handed = bytearray()
+        self.repeated = array.array("I")
+        self.unanswered_s = array.array("I")
+        self.replied_s = array.array("I")
         self.placed = array.array("I")
         self.targets: list[bytes] = []
         self._indices: dict[bytes, int] = {}
@@ -140,6 +151,9 @@
         self.valid_s[slot] = now_s
         self.handed[slot] = 0
         self.placed[slot] = 0
+        self.repeated[slot] = 0
+        self.unanswered_s[slot] = int(now_s)
+        self.replied_s[slot] = 0
         return slot
 
     def remove(self, slot: int) -> None:
@@ -186,6 +200,9 @@
             self.due_s,
             self.valid_s,
             self.placed,
+            self.repeated,
+            self.unanswered_s,
+            self.replied_s,
         ):
             column.frombytes(bytes(_GROWTH * column.itemsize))
         self.flags.extend(bytes(_GROWTH))
--- a/packages/core/src/tamarack_core/messages/flows.py
+++ b/packages/core/src/tamarack_core/messages/flows.py
@@ -43,4 +43,35 @@
     target: bytes = b""
 
 
-Message = FlowCopies | FlowQuery | FlowAnswer
+class SilenceQuestion(msgspec.Struct, frozen=True, tag="silence-question"):
+    """The sender asks whether the receiver has seen a reply on a flow.
+
+    Attributes:
+        key: Flow key.
+        target: Packed address of the target of the flow.
+        age_s: Seconds for which the sender has seen none.
+        sequence: Sequence number of the payload that the caller repeats.
+    """
+
+    key: bytes
+    target: bytes
+    age_s: float
+    sequence: int
+
+
+class SilenceAnswer(msgspec.Struct, frozen=True, tag="silence-answer"):
+    """Answer to `SilenceQuestion`.
+
+    Attributes:
+        key: Flow key.
+        has_reply: Whether the sender has seen a reply in that time.
+        is_target_heard: Whether the sender has lately seen packets of the
+            target on any flow.
+    """
+
+    key: bytes
+    has_reply: bool
+    is_target_heard: bool
+
+
+Message = FlowCopies | FlowQuery | FlowAnswer | SilenceQuestion | SilenceAnswer
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -109,6 +109,8 @@
         me = (self.address, packet.destination_port)
         caller = (packet.source, packet.source_port)
         key = (caller, me)
+        if caller in self.network.muted:
+            return
         held = self.connections.get(key)
         if len(packet.data) > packet.payload:
             # Payload counts even where the numbers make the target refuse it.
@@ -266,6 +268,7 @@
         self.jitter_s = 0.002
         self.cuts = set()
         self.control_cuts = set()
+        self.muted = set()
         self.now_s = 100.0
         self.queue = []
         self.numbers = itertools.count()
