Replace most estimates of the capacity page by measured slopes

Cause: the page stood on estimates for membership, distribution, flows, targets, relays and the replicated log.

--- a/packages/lab/src/tamarack_lab/capacity/measure.py
+++ b/packages/lab/src/tamarack_lab/capacity/measure.py
@@ -8,10 +8,12 @@
 from tamarack_lab.capacity import slopes as slopes_lib
 from tamarack_lab.capacity.probes import configurations
 from tamarack_lab.capacity.probes import domains
+from tamarack_lab.capacity.probes import relays
 
 PROBES: tuple[Callable[[], list[slopes_lib.Slope]], ...] = (
     configurations.probe,
     domains.probe,
+    relays.probe,
 )
 
 
--- a/packages/lab/src/tamarack_lab/capacity/model.py
+++ b/packages/lab/src/tamarack_lab/capacity/model.py
@@ -177,9 +177,13 @@
             "deltas of the services changed; tables changed in place",
         ),
         (
-            "membership",
-            slope["membership_us_per_s"] / US_PER_S,
-            "a constant number of probes a second",
+            "membership and versions",
+            (
+                slope["membership_us_per_s"]
+                + slope["member_us_per_s"] * size.hosts_per_domain
+            )
+            / US_PER_S,
+            "a constant number of probes a second; the view is looked through",
         ),
         (
             "tracking of flows",
@@ -298,16 +302,21 @@
                     per_s * slope["relay_child_us"] / US_PER_S,
                     mechanism,
                 ),
+                (
+                    "changes",
+                    size.changes_per_s * slope["relay_change_us"] / US_PER_S,
+                    "deltas of the services changed",
+                ),
             ),
         ),
         *_make(
             Role.RELAY,
             Resource.TRAFFIC,
             (
-                ("children", per_s * slope["delta_bytes"], mechanism),
+                ("children", per_s * slope["relay_change_bytes"], mechanism),
                 (
                     "version offers",
-                    children * slope["offer_bytes_per_s"],
+                    children * slope["relay_child_bytes_per_s"],
                     "a host offers its version to one source a period",
                 ),
             ),
@@ -336,7 +345,11 @@
         ),
         (
             "relays",
-            size.changes_per_s * receivers * slope["delta_bytes"],
+            receivers
+            * (
+                size.changes_per_s * slope["relay_change_bytes"]
+                + slope["relay_child_bytes_per_s"]
+            ),
             "deltas to relays, not to entry hosts",
         ),
     )
--- /dev/null
+++ b/packages/lab/src/tamarack_lab/capacity/probes/relays.py
@@ -0,0 +1,210 @@
+"""Cost of a relay with several numbers of children."""
+
+import functools
+import time
+
+from tamarack_core import assembly
+from tamarack_core import configuration
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import messages
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core import timeline
+from tamarack_core.messages import distribution
+from tamarack_lab.capacity import slopes
+from tamarack_lab.capacity.probes import configurations
+from tamarack_lab.capacity.probes import measuring
+
+CHILDREN = (50, 125, 250)
+SERVICES = 16_000
+DURATION_S = 30
+CHANGE_INTERVAL_S = 1.25
+CHANGES = 22
+# A host asks every 2 s, upstream and a neighbour in turn.
+ASK_INTERVAL_S = 4.0
+DATAGRAM_HEADER_BYTES = 28
+WALL_MS = 1_800_000_000_000
+SEED = 1
+
+
+class Relay:
+    """A relay whose children ask for versions while these change.
+
+    Attributes:
+        node: State of the relay.
+        held: Version that each child holds, by host name.
+        sent_bytes: Bytes sent, with headers.
+        received_bytes: Bytes received, with headers.
+        processor_s: Processor time in seconds.
+    """
+
+    __slots__ = ("held", "node", "processor_s", "received_bytes", "sent_bytes")
+
+    def __init__(self, children: int) -> None:
+        """Creates a relay that holds a configuration.
+
+        Args:
+            children: Number of hosts that ask it.
+        """
+        plan = assembly.Plan(
+            _peer("relay", 0), frozenset((assembly.Role.RELAY,)), SEED
+        )
+        self.node = assembly.assemble(plan)
+        self.held = {_name(number): 1 for number in range(children)}
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.processor_s = 0.0
+        reducer.reduce(self.node, events.Started(0.0, WALL_MS))
+        document = configurations.configuration_of(SERVICES)
+        self._take(0.0, _peer("voter", 1), distribution.Snapshot(document))
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.processor_s = 0.0
+
+    def traffic_bytes(self) -> int:
+        """Returns the bytes sent and received."""
+        return self.sent_bytes + self.received_bytes
+
+    def run(self, changes: bool) -> None:
+        """Lets children ask for `DURATION_S`.
+
+        Args:
+            changes: Whether versions change `CHANGES` times meanwhile.
+        """
+        agenda: list[tuple[float, int]] = [
+            (CHANGE_INTERVAL_S * number, -1)
+            for number in range(1, CHANGES + 1)
+            if changes
+        ]
+        count = len(self.held)
+        agenda += [
+            (ASK_INTERVAL_S * (turn + child / count), child)
+            for turn in range(int(DURATION_S / ASK_INTERVAL_S))
+            for child in range(count)
+        ]
+        version = 1
+        for now_s, child in sorted(agenda):
+            if child < 0:
+                self._change(now_s, version)
+                version += 1
+            else:
+                self._ask(now_s, child)
+
+    def _change(self, now_s: float, version: int) -> None:
+        """Delivers the next version from upstream."""
+        changes: dict[str, configuration.Service | None] = {
+            f"service-{version:05}": configurations.service(version, cost=2.0)
+        }
+        delta = distribution.Delta(version, version + 1, changes)
+        self._take(now_s, _peer("voter", 1), delta)
+
+    def _ask(self, now_s: float, child: int) -> None:
+        """Lets a child ask for what it lacks."""
+        name = _name(child)
+        offer = distribution.VersionOffer(self.held[name], WALL_MS, True)
+        self._take(now_s, _peer(name, child), offer)
+
+    def _take(
+        self, now_s: float, sender: peers.Peer, message: messages.Message
+    ) -> None:
+        """Hands a message to the relay and counts what follows."""
+        self.received_bytes += _size(sender, message)
+        start_s = time.process_time()
+        found = reducer.reduce(
+            self.node, events.MessageArrived(now_s, sender, message)
+        )
+        self.processor_s += time.process_time() - start_s
+        for effect in found:
+            if isinstance(effect, effects.SendMessage):
+                self._send(effect)
+
+    def _send(self, effect: effects.SendMessage) -> None:
+        """Counts a message and lets the child hold what it carries."""
+        me = self.node.context.host
+        self.sent_bytes += _size(me, effect.message)
+        if isinstance(effect.message, distribution.Delta):
+            self.held[effect.peer.host] = effect.message.version
+
+
+def probe() -> list[slopes.Slope]:
+    """Returns the slopes of this module."""
+    quiet = {count: _run(count, changes=False) for count in CHILDREN}
+    busy = {count: _run(count, changes=True) for count in CHILDREN}
+    idle_traffic = [
+        slopes.Point(count, relay.traffic_bytes() / DURATION_S)
+        for count, relay in quiet.items()
+    ]
+    change_traffic = [
+        slopes.Point(
+            count,
+            (relay.traffic_bytes() - quiet[count].traffic_bytes()) / CHANGES,
+        )
+        for count, relay in busy.items()
+    ]
+    change_time = [
+        slopes.Point(
+            count,
+            (relay.processor_s - quiet[count].processor_s)
+            * measuring.US_PER_S
+            / CHANGES,
+        )
+        for count, relay in busy.items()
+    ]
+    counted = slopes.Source.COUNTED
+    time_fit = measuring.Series(
+        "relay_child_us",
+        "us/change/child",
+        slopes.Source.MEASURED,
+        tuple(change_time),
+    ).fit()
+    return [
+        measuring.Series(
+            "relay_child_bytes_per_s",
+            "bytes/s/child",
+            counted,
+            tuple(idle_traffic),
+        ).fit(),
+        measuring.Series(
+            "relay_change_bytes",
+            "bytes/change/child",
+            counted,
+            tuple(change_traffic),
+        ).fit(),
+        time_fit,
+        slopes.Slope(
+            name="relay_change_us",
+            value=time_fit.intercept,
+            unit="us/change",
+            source=slopes.Source.MEASURED,
+            sizes=CHILDREN,
+            command=measuring.COMMAND,
+            date=measuring.today(),
+        ),
+    ]
+
+
+def _run(children: int, changes: bool) -> Relay:
+    """Returns a relay after a run, with versions that change or not."""
+    relay = Relay(children)
+    relay.run(changes)
+    return relay
+
+
+def _size(sender: peers.Peer, message: messages.Message) -> int:
+    """Returns the bytes of a message on the wire."""
+    envelope = messages.Envelope(sender, timeline.Stamp(WALL_MS, 0), (message,))
+    return len(messages.encode(envelope)) + DATAGRAM_HEADER_BYTES
+
+
+@functools.cache
+def _peer(name: str, number: int) -> peers.Peer:
+    """Returns a host."""
+    high, low = divmod(number, 256)
+    endpoint = peers.Endpoint(f"10.255.{high}.{low}", 7000)
+    return peers.Peer(name, "probe", endpoint, None)
+
+
+def _name(number: int) -> str:
+    """Returns the name of a child."""
+    return f"entry-{number:05}"
