Read the acknowledged opening in one place

Cause: owner and steering each had their own copy of the same function. Change: a method of the passage. Result: tests of the entry pass; behaviour is the same.

--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -249,7 +249,7 @@
         if slot is None:
             return [effects.SendDatagram(None, passage.for_fabric(target))]
         if passage.is_acceptance():
-            self.records.table.initial[slot] = _acknowledged(passage)
+            self.records.table.initial[slot] = passage.acknowledged()
         self.records.take_over(now_s, slot, passage.port)
         return self._route(passage, slot, 0, False)
 
@@ -265,7 +265,7 @@
             passage.is_tcp()
             and passage.is_acceptance()
             and initial != 0
-            and initial != _acknowledged(passage)
+            and initial != passage.acknowledged()
         )
 
     def _advance(self, passage: passage_lib.Passage, slot: int) -> bool:
@@ -412,11 +412,6 @@
 _ENDING = ip.TCP_FIN | ip.TCP_RST
 
 
-def _acknowledged(passage: passage_lib.Passage) -> int:
-    """Returns the initial sequence number that a SYN-ACK acknowledges."""
-    return (passage.packet.acknowledgment - 1) & _SEQUENCE_MASK
-
-
 def _reset_progress(is_reply: bool, state: int) -> choosing.Progress:
     """Returns what a reset means for the chooser."""
     if not is_reply:
--- a/packages/core/src/tamarack_core/internal/entry/passage.py
+++ b/packages/core/src/tamarack_core/internal/entry/passage.py
@@ -8,6 +8,8 @@
 from tamarack_core.packets import ip
 from tamarack_core.packets import rewrite
 
+_SEQUENCE_MASK = 0xFFFFFFFF
+
 
 class Form(enum.Enum):
     """Which addresses a packet carries.
@@ -57,6 +59,10 @@
         flags = self.packet.flags & wanted
         return self.form is Form.OUTBOUND and flags == wanted
 
+    def acknowledged(self) -> int:
+        """Returns the initial sequence number that a SYN-ACK acknowledges."""
+        return (self.packet.acknowledgment - 1) & _SEQUENCE_MASK
+
     def target(self) -> bytes:
         """Returns the target that an inside or outbound packet names."""
         if self.form is Form.INSIDE:
--- a/packages/core/src/tamarack_core/internal/entry/steering.py
+++ b/packages/core/src/tamarack_core/internal/entry/steering.py
@@ -12,7 +12,6 @@
 from tamarack_core.packets import ip
 
 _CAREFUL = ip.TCP_SYN | ip.TCP_FIN | ip.TCP_RST
-_SEQUENCE_MASK = 0xFFFFFFFF
 
 
 class Steering:
@@ -156,7 +155,7 @@
             return None
         table.flags[slot] |= table_lib.BACKUP
         if passage.is_acceptance():
-            table.initial[slot] = _acknowledged(passage)
+            table.initial[slot] = passage.acknowledged()
             table.opened_s[slot] = passage.now_s
         return slot
 
@@ -184,7 +183,7 @@
         open_flags = table_lib.ESTABLISHED | table_lib.CLOSED
         return (
             table.flags[slot] & open_flags == table_lib.ESTABLISHED
-            and table.initial[slot] == _acknowledged(passage)
+            and table.initial[slot] == passage.acknowledged()
             and table.target_of(slot) != target
         )
 
@@ -237,8 +236,3 @@
                 count + 1,
             )
         return self.owner.serve_unknown(passage)
-
-
-def _acknowledged(passage: passage_lib.Passage) -> int:
-    """Returns the initial sequence number that a SYN-ACK acknowledges."""
-    return (passage.packet.acknowledgment - 1) & _SEQUENCE_MASK
