--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/owner.py
@@ -93,7 +93,7 @@
         if self.asking.is_exhausted(passage):
             if not self.domain.is_settled(passage.now_s):
                 return self.refusing.drop("unknown-flow-unsettled")
-            return self.refusing.reset_unknown(passage)
+            return self.refusing.reset_open(passage, "unknown-flow")
         return self.asking.ask(passage)
 
     def _open(
--- a/packages/core/src/tamarack_core/internal/entry/refusing.py
+++ b/packages/core/src/tamarack_core/internal/entry/refusing.py
@@ -40,26 +40,16 @@
             return self.drop(verdict.reason)
         return self._reset(passage, verdict, "flow-refused")
 
-    def reset_unknown(
-        self, passage: passage_lib.Passage
+    def reset_open(
+        self, passage: passage_lib.Passage, reason: str
     ) -> list[effects.Effect]:
-        """Resets a flow whose target no host knows.
+        """Resets a flow that can't go on; its request may have run.
 
         Args:
             passage: A packet of the caller, inbound.
+            reason: Constant name of the cause.
         """
-        verdict = verdict_lib.may_have_run("unknown-flow")
-        return self._reset(passage, verdict, "flow-reset")
-
-    def reset_silent(
-        self, passage: passage_lib.Passage, verdict: verdict_lib.Verdict
-    ) -> list[effects.Effect]:
-        """Resets a flow whose target does not answer any more.
-
-        Args:
-            passage: The repeated packet of the caller, inbound.
-            verdict: Verdict with the reason.
-        """
+        verdict = verdict_lib.may_have_run(reason)
         return self._reset(passage, verdict, "flow-reset")
 
     def drop(self, reason: str) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/entry/silence.py
+++ b/packages/core/src/tamarack_core/internal/entry/silence.py
@@ -13,7 +13,6 @@
 
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import verdict as verdict_lib
 from tamarack_core.internal.entry import domain as domain_lib
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import passage as passage_lib
@@ -248,8 +247,7 @@
             key,
             0,
         )
-        verdict = verdict_lib.may_have_run("silent-flow")
-        found = self.refusing.reset_silent(passage, verdict)
+        found = self.refusing.reset_open(passage, "silent-flow")
         found.extend(self.steering.handle(_reset_of_caller(passage)))
         return found
 
