--- /dev/null
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -0,0 +1,43 @@
+"""Composes an entry host that forwards by flow cookies."""
+
+import dataclasses
+
+from tamarack_core import context as context_lib
+from tamarack_core import flow_packets
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.cookie import forwarding
+from tamarack_core.internal.cookie import mirror as mirrors
+from tamarack_core.internal.cookie import routes
+from tamarack_core.internal.cookie import tags
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What an entry host is made of.
+
+    Attributes:
+        host: Identity and addresses of this host.
+        seed: Seed of the generator.
+        seeds: Control hosts to begin with.
+        codec: Form of packets on the wire.
+    """
+
+    host: peers.Peer
+    seed: int
+    seeds: tuple[peers.Peer, ...]
+    codec: flow_packets.PacketCodec
+
+
+def assemble(plan: Plan) -> reducer.Node:
+    """Returns the state of an entry host that has not started.
+
+    Args:
+        plan: What the host is made of.
+    """
+    context = context_lib.Context(plan.host, plan.seed)
+    mirror = mirrors.Mirror(
+        context, routes.RouteTable(), tags.TargetTable(), plan.seeds
+    )
+    path = forwarding.Forwarding(context, plan.codec, mirror)
+    return reducer.Node(context, (path, mirror))
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -104,8 +104,22 @@
     sequence: int
 
 
+@dataclasses.dataclass(slots=True)
+class SeedsChanged:
+    """The settings name other control hosts to begin with.
+
+    Attributes:
+        now_s: Monotonic time in seconds.
+        seeds: The control hosts.
+    """
+
+    now_s: float
+    seeds: tuple[peers.Peer, ...]
+
+
 Event = (
     Started
+    | SeedsChanged
     | StopRequested
     | DatagramArrived
     | MessageArrived
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -0,0 +1,285 @@
+"""Forwards packets by the tag that they carry, and places new flows."""
+
+from tamarack_core import context as context_lib
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import failure
+from tamarack_core import flow_packets
+from tamarack_core import outside
+from tamarack_core import reducer
+from tamarack_core.internal.cookie import choosing
+from tamarack_core.internal.cookie import mirror as mirrors
+from tamarack_core.internal.cookie import routes as routes_lib
+from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import watching
+
+TIMER = "forwarding"
+
+FORGET_INTERVAL_S = 1.0
+"""Time between searches for idle flows, in seconds."""
+
+LINGER_S = 2.2
+"""Time for which a stopping host carries packets, in seconds; the fabric asks
+twice a second and leaves a host out after two misses."""
+
+DEFAULT_IDLE_S = 15.0
+"""Time after which a flow is forgotten while no document states one."""
+
+
+class Forwarding:
+    """Part that takes the packets of callers.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        codec: Form of packets on the wire.
+        mirror: Follows a control host.
+        routes: Routes in force.
+        targets: Known targets.
+        seen: What the packets show of flows and targets.
+        is_stopping: Whether the host is about to end.
+    """
+
+    __slots__ = (
+        "codec",
+        "context",
+        "is_stopping",
+        "mirror",
+        "routes",
+        "seen",
+        "targets",
+    )
+
+    def __init__(
+        self,
+        context: context_lib.Context,
+        codec: flow_packets.PacketCodec,
+        mirror: mirrors.Mirror,
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            context: Identity, chance, time and counters.
+            codec: Form of packets on the wire.
+            mirror: Follows a control host.
+        """
+        self.context = context
+        self.codec = codec
+        self.mirror = mirror
+        self.routes = mirror.routes
+        self.targets = mirror.targets
+        self.seen = watching.Watching()
+        self.is_stopping = False
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {
+            events.DatagramArrived: self.handle_datagram,
+            events.Started: self.handle_started,
+            events.StopRequested: self.handle_stop,
+            TIMER: self.handle_timer,
+            "linger": self.handle_end,
+            outside.ReadReadiness: self.handle_readiness,
+        }
+
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Records the start."""
+        return [
+            self.context.record(event.now_s, "host-started"),
+            effects.StartTimer(TIMER, FORGET_INTERVAL_S),
+        ]
+
+    def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
+        """Forgets flows that have been idle for long."""
+        idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
+        self.seen.forget_idle(event.now_s, idle_s)
+        return [effects.StartTimer(TIMER, FORGET_INTERVAL_S)]
+
+    def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
+        """Withdraws the readiness; packets are carried on for a while."""
+        if self.is_stopping:
+            return []
+        self.is_stopping = True
+        return [
+            self.context.record(event.now_s, "host-stopping"),
+            effects.StartTimer("linger", LINGER_S),
+        ]
+
+    def handle_end(self, event: events.TimerFired) -> list[effects.Effect]:
+        """Ends the process after the fabric has turned elsewhere."""
+        return [
+            self.context.record(event.now_s, "host-stopped"),
+            effects.Stop(0, "stop requested"),
+        ]
+
+    def handle_readiness(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Answers whether packets are welcome here."""
+        is_ready = self.mirror.is_synced and not self.is_stopping
+        return [
+            effects.Respond(event.request_id, outside.Readiness(is_ready))
+        ]
+
+    def handle_datagram(
+        self, event: events.DatagramArrived
+    ) -> list[effects.Effect]:
+        """Forwards, refuses or drops a packet."""
+        packet = self.codec.decode(event.data)
+        if isinstance(packet, failure.Failure):
+            return self._drop(packet.reason)
+        if packet.is_opening:
+            return self._place(event.now_s, packet)
+        return self._carry(event.now_s, packet)
+
+    def _place(
+        self, now_s: float, packet: flow_packets.FlowPacket
+    ) -> list[effects.Effect]:
+        """Chooses a target for an opening, or refuses it."""
+        if not self.mirror.is_synced:
+            return self._drop("opening-before-sync")
+        route = self.routes.find(packet.flow)
+        if route is None:
+            return self._refuse(now_s, packet, "no-route")
+        service = routes_lib.service_of(route, packet.flow)
+        tried: tuple[str, ...] = ()
+        if packet.copy_number:
+            tried = self.seen.note_unanswered(now_s, packet.flow)
+        entry = choosing.choose(
+            self.targets.by_service.get(service, ()),
+            self.seen,
+            now_s,
+            tried,
+            self.context.random,
+        )
+        if entry is None:
+            if not self.mirror.is_settled:
+                return self._drop("opening-before-targets")
+            return self._refuse(now_s, packet, "no-target", service)
+        return self._open(now_s, packet, entry)
+
+    def _open(
+        self,
+        now_s: float,
+        packet: flow_packets.FlowPacket,
+        entry: tags.Entry,
+    ) -> list[effects.Effect]:
+        """Sends an opening to a target."""
+        self.seen.note_opening(now_s, packet.flow, entry.target.name)
+        self.context.counters["flows-placed"] += 1
+        if packet.copy_number:
+            self.context.counters["flows-placed-again"] += 1
+        record = self.context.record(
+            now_s,
+            "flow-placed",
+            service=entry.target.service,
+            target=entry.target.name,
+            flow=flow_packets.describe(packet.flow),
+            version=self.routes.number,
+            detail=f"copy {packet.copy_number} tag {entry.tag:08x}",
+        )
+        return [*self._forward(packet, entry), record]
+
+    def _carry(
+        self, now_s: float, packet: flow_packets.FlowPacket
+    ) -> list[effects.Effect]:
+        """Hands a packet of an open flow to the target that it names."""
+        entry = self.targets.by_tag.get(packet.cookie)
+        if entry is None:
+            # The target may be unknown here alone, so nobody is told.
+            reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
+            return self._drop(reason)
+        if self.mirror.is_synced and self.routes.find(packet.flow) is None:
+            return self._reset(now_s, packet, entry, "route-removed")
+        if entry.is_gone:
+            return self._reset(now_s, packet, entry, "target-gone")
+        if packet.is_reset or packet.is_last:
+            if packet.is_reset:
+                self.seen.end(packet.flow)
+            return self._forward(packet, entry)
+        self.seen.note_packet(
+            now_s,
+            packet.flow,
+            entry.target.name,
+            packet.sequence,
+            packet.acknowledged,
+            packet.payload_bytes,
+        )
+        if self._is_dead(now_s, entry):
+            return self._reset(now_s, packet, entry, "target-silent")
+        return self._forward(packet, entry)
+
+    def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
+        """Returns whether both its announcements and its flows are silent."""
+        watch = self.seen.watch(entry.target.name)
+        return entry.is_overdue and watch.is_suspect(now_s)
+
+    def _forward(
+        self, packet: flow_packets.FlowPacket, entry: tags.Entry
+    ) -> list[effects.Effect]:
+        """Returns the effect that hands a packet to a target."""
+        target = entry.target
+        data = self.codec.encode_forward(packet, target.name, entry.tag)
+        if data is None:
+            return self._drop("target-name")
+        self.context.counters["packets-forwarded"] += 1
+        return [effects.SendDatagram(target.endpoint, data)]
+
+    def _reset(
+        self,
+        now_s: float,
+        packet: flow_packets.FlowPacket,
+        entry: tags.Entry,
+        reason: str,
+    ) -> list[effects.Effect]:
+        """Tells a caller that its flow can't live; it may have run."""
+        self.seen.end(packet.flow)
+        if packet.is_reset:
+            return self._drop(reason)
+        return [
+            self._send_reset(packet, reason),
+            self.context.record(
+                now_s,
+                "flow-reset",
+                service=entry.target.service,
+                target=entry.target.name,
+                flow=flow_packets.describe(packet.flow),
+                version=self.routes.number,
+                verdict="may-have-run",
+                reason=reason,
+                detail=f"announced {now_s - entry.since_s:.1f} s ago",
+            ),
+        ]
+
+    def _refuse(
+        self,
+        now_s: float,
+        packet: flow_packets.FlowPacket,
+        reason: str,
+        service: str = "",
+    ) -> list[effects.Effect]:
+        """Refuses an opening at once; nothing of it has run."""
+        return [
+            self._send_reset(packet, reason),
+            self.context.record(
+                now_s,
+                "flow-refused",
+                service=service,
+                flow=flow_packets.describe(packet.flow),
+                version=self.routes.number,
+                verdict="not-run",
+                reason=reason,
+            ),
+        ]
+
+    def _send_reset(
+        self, packet: flow_packets.FlowPacket, reason: str
+    ) -> effects.Effect:
+        """Returns the effect that resets a flow at its caller."""
+        self.context.counters[f"reset-{reason}"] += 1
+        endpoint, data = self.codec.encode_reset(packet)
+        return effects.SendDatagram(endpoint, data)
+
+    def _drop(self, reason: str) -> list[effects.Effect]:
+        """Counts a packet that is dropped."""
+        self.context.counters[f"dropped-{reason}"] += 1
+        return []
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -0,0 +1,103 @@
+"""Routes in the form that the data path looks up."""
+
+import dataclasses
+import ipaddress
+import struct
+import zlib
+
+from tamarack_core import documents
+from tamarack_core.messages import sync
+
+_flow_form = struct.Struct("!IHIH")
+
+
+@dataclasses.dataclass(slots=True)
+class RouteEntry:
+    """A route for openings.
+
+    Attributes:
+        shares: Services with weights.
+        total: Sum of the weights.
+        kind: Whether its requests may be repeated.
+        timeout_s: Time that its requests have, in seconds.
+    """
+
+    shares: tuple[documents.Share, ...]
+    total: int
+    kind: documents.WorkKind
+    timeout_s: float
+
+
+class RouteTable:
+    """Routes by service address and port; their number only rises.
+
+    Attributes:
+        number: Number of the document in force; 0 for none.
+        by_place: Routes by packed address and port.
+        idle_timeout_s: Time after which an idle flow may be forgotten.
+    """
+
+    __slots__ = ("by_place", "idle_timeout_s", "number")
+
+    def __init__(self) -> None:
+        """Creates a table without a document."""
+        self.number = 0
+        self.by_place: dict[tuple[int, int], RouteEntry] = {}
+        self.idle_timeout_s = 0.0
+
+    def put(self, update: sync.DocumentUpdate) -> bool:
+        """Takes an update if it fits and is newer.
+
+        Args:
+            update: Routes that changed.
+
+        Returns:
+            Whether a newer document is in force.
+        """
+        if not update.base <= self.number < update.number:
+            return False
+        if update.base == 0:
+            self.by_place.clear()
+        for route in update.routes:
+            place = (int(ipaddress.IPv4Address(route.address)), route.port)
+            if route.shares:
+                self.by_place[place] = _entry(route)
+            else:
+                self.by_place.pop(place, None)
+        self.number = update.number
+        self.idle_timeout_s = update.idle_timeout_ms / 1000
+        return True
+
+    def find(self, flow: tuple[int, int, int, int]) -> RouteEntry | None:
+        """Returns the route of a flow, or None."""
+        return self.by_place.get((flow[2], flow[3]))
+
+
+def _entry(route: sync.RouteChange) -> RouteEntry:
+    """Returns the form of a route that is looked up."""
+    return RouteEntry(
+        shares=route.shares,
+        total=sum(share.weight for share in route.shares),
+        kind=route.kind,
+        timeout_s=route.timeout_ms / 1000,
+    )
+
+
+def service_of(route: RouteEntry, flow: tuple[int, int, int, int]) -> str:
+    """Returns the service of a new flow.
+
+    The choice follows from the flow alone, so that copies of an opening reach
+    one service through whichever host they come.
+
+    Args:
+        route: Route of the flow.
+        flow: The flow.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    point = zlib.crc32(_flow_form.pack(*flow)) % route.total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    raise AssertionError("the weights add up to the total")
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/cookie/tags.py
@@ -0,0 +1,169 @@
+"""Tags that flows carry, and the targets that they stand for.
+
+A tag is a checksum of the target's name, so that every entry host finds the
+same one without asking. Two names may share a tag. The target that was born
+first then keeps it; the other takes no flows until the first is gone.
+"""
+
+import dataclasses
+import zlib
+
+from tamarack_core import announced
+
+FORGET_S = 90.0
+"""Time for which the tag of a target that is gone is remembered, in seconds.
+
+A flow lives for 60 s at most on the deployments that state a bound; packets
+that come later are counted as unknown."""
+
+
+def tag_of(name: str) -> int:
+    """Returns the tag of a target, which is never 0."""
+    return zlib.crc32(name.encode()) or 1
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A target as an entry host knows it.
+
+    Attributes:
+        target: Its newest announcement.
+        tag: Tag of its flows.
+        is_overdue: Whether the control hosts miss its announcements.
+        since_s: Time of the newest announcement here, in seconds.
+        warm_at_s: Time from which it runs at full speed, in seconds.
+        gone_s: Time at which it was known to be gone; None before.
+    """
+
+    target: announced.Target
+    tag: int
+    is_overdue: bool
+    since_s: float
+    warm_at_s: float
+    gone_s: float | None = None
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the target has ended for good."""
+        return self.gone_s is not None
+
+
+class TargetTable:
+    """Targets by name, by tag and by service.
+
+    Attributes:
+        by_name: All targets, those that are gone included.
+        by_tag: The target that a tag leads to.
+        by_service: Targets that take new flows, by service.
+    """
+
+    __slots__ = ("by_name", "by_service", "by_tag")
+
+    def __init__(self) -> None:
+        """Creates an empty table."""
+        self.by_name: dict[str, Entry] = {}
+        self.by_tag: dict[int, Entry] = {}
+        self.by_service: dict[str, list[Entry]] = {}
+
+    def put(self, now_s: float, known: announced.Known) -> Entry | None:
+        """Takes an announcement, unless a newer one is held.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            known: The target as a control host sees it.
+
+        Returns:
+            The entry if anything changed, otherwise None.
+        """
+        target = known.target
+        held = self.by_name.get(target.name)
+        if held is not None and not _is_news(held, known):
+            return None
+        if held is not None and target.order < held.target.order:
+            # Control hosts pass on renewals only with the next change.
+            target = held.target
+        gone_s = now_s if target.phase is announced.Phase.GONE else None
+        entry = Entry(
+            target=target,
+            tag=tag_of(target.name),
+            is_overdue=known.is_overdue,
+            since_s=now_s,
+            warm_at_s=now_s + target.cold_ms / 1000,
+            gone_s=gone_s,
+        )
+        self.by_name[target.name] = entry
+        self._place_tag(entry)
+        self._list_services(target.service, held)
+        return entry
+
+    def _place_tag(self, entry: Entry) -> None:
+        """Gives a tag to its target, or to the one born first of two."""
+        holder = self.by_tag.get(entry.tag)
+        is_free = (
+            holder is None
+            or holder.target.name == entry.target.name
+            or (holder.is_gone and not entry.is_gone)
+        )
+        if is_free or self._yields(holder, entry):
+            self.by_tag[entry.tag] = entry
+
+    def _yields(self, holder: Entry | None, entry: Entry) -> bool:
+        """Returns whether the holder of a tag must give it to another."""
+        if holder is None or entry.is_gone or holder.is_gone:
+            return False
+        theirs = (entry.target.born_ms, entry.target.name)
+        return theirs < (holder.target.born_ms, holder.target.name)
+
+    def _list_services(self, service: str, held: Entry | None) -> None:
+        """Brings the lists of targets for new flows up to date."""
+        names = {service} | ({held.target.service} if held else set())
+        for name in names:
+            self.by_service[name] = [
+                entry
+                for entry in self.by_name.values()
+                if entry.target.service == name
+                and entry.target.phase is announced.Phase.READY
+                and self.by_tag.get(entry.tag) is entry
+            ]
+
+    def forget(self, now_s: float) -> None:
+        """Forgets targets that have been gone for long."""
+        old = [
+            entry
+            for entry in self.by_name.values()
+            if entry.gone_s is not None and now_s - entry.gone_s > FORGET_S
+        ]
+        for entry in old:
+            del self.by_name[entry.target.name]
+            if self.by_tag.get(entry.tag) is entry:
+                del self.by_tag[entry.tag]
+
+    def retain(self, now_s: float, names: set[str]) -> list[Entry]:
+        """Marks as gone what a settled control host doesn't know any more.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            names: Names that the control host knows.
+
+        Returns:
+            The targets that are now held to be gone.
+        """
+        lost = [
+            entry
+            for entry in self.by_name.values()
+            if not entry.is_gone and entry.target.name not in names
+        ]
+        for entry in lost:
+            entry.gone_s = now_s
+            self._list_services(entry.target.service, entry)
+        return lost
+
+
+def _is_news(held: Entry, known: announced.Known) -> bool:
+    """Returns whether an announcement says more than what is held."""
+    target = known.target
+    if held.is_gone or target.born_ms != held.target.born_ms:
+        return target.born_ms > held.target.born_ms
+    return (
+        target.order > held.target.order or known.is_overdue != held.is_overdue
+    )
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered documents in the replicated log."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/group/__init__.py
@@ -0,0 +1,1 @@
+"""How control hosts find one another and keep their group whole."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Announced targets at control hosts, and their copy at entry hosts."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -0,0 +1,191 @@
+"""Hands changes of targets and routes to the hosts that follow this one."""
+
+import dataclasses
+
+from tamarack_core import context as context_lib
+from tamarack_core import documents
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.registry import history as histories
+from tamarack_core.internal.registry import table
+from tamarack_core.messages import sync
+
+SUBSCRIPTION_S = 3.5
+"""Time after its last question for which a host is sent changes."""
+
+SETTLE_INTERVALS = 2.0
+"""Announcement intervals after which a control host that started without any
+knowledge holds that all live targets have announced themselves."""
+
+_RUN_BITS = 48
+
+
+@dataclasses.dataclass(slots=True)
+class Follower:
+    """A host that asked lately.
+
+    Attributes:
+        peer: The host.
+        position: Last change that it holds, or was sent.
+        number: Number of the document that it holds, or was sent.
+        is_control: Whether it is a control host.
+        asked_s: Time of its last question, in seconds.
+        controls: Control hosts that it was told of.
+    """
+
+    peer: peers.Peer
+    position: int
+    number: int
+    is_control: bool
+    asked_s: float
+    controls: tuple[peers.Peer, ...] = ()
+
+
+class Publisher:
+    """Part that answers questions and pushes changes.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        registry: Announced targets.
+        routes: Changes of the document.
+        run: Identifier of this life of the process.
+        followers: Hosts that asked lately, by name.
+        controls: Live control hosts.
+        started_s: Time of the start, in seconds.
+    """
+
+    __slots__ = (
+        "context",
+        "controls",
+        "followers",
+        "registry",
+        "routes",
+        "run",
+        "started_s",
+    )
+
+    def __init__(
+        self, context: context_lib.Context, registry: table.Registry
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            context: Identity, chance, time and counters.
+            registry: Announced targets.
+        """
+        self.context = context
+        self.registry = registry
+        self.routes = histories.RouteHistory()
+        self.run = f"{context.random.getrandbits(_RUN_BITS):012x}"
+        self.followers: dict[str, Follower] = {}
+        self.controls: tuple[peers.Peer, ...] = (context.host,)
+        self.started_s = float("inf")
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {
+            events.Started: self.handle_started,
+            sync.SyncRequest: self.handle_request,
+        }
+
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Takes note of the start."""
+        self.started_s = event.now_s
+        return []
+
+    def handle_request(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Answers with what the sender lacks."""
+        request = event.message
+        assert isinstance(request, sync.SyncRequest)
+        held = self.followers.get(event.sender.host)
+        is_same_run = request.run == self.run
+        follower = Follower(
+            event.sender,
+            request.position if is_same_run else 0,
+            request.number,
+            request.is_control,
+            event.now_s,
+            held.controls if held is not None and is_same_run else (),
+        )
+        self.followers[event.sender.host] = follower
+        return [self._update(event.now_s, follower)]
+
+    def put_document(
+        self, now_s: float, document: documents.Document
+    ) -> list[effects.Effect]:
+        """Puts a document into force and pushes it.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            document: The document, with a higher number than before.
+        """
+        self.routes.put(document)
+        record = self.context.record(
+            now_s, "version-in-force", version=document.number
+        )
+        return [record, *self.push(now_s)]
+
+    def put_controls(
+        self, now_s: float, controls: tuple[peers.Peer, ...]
+    ) -> list[effects.Effect]:
+        """Takes the control hosts that are alive, and tells the followers."""
+        if controls == self.controls:
+            return []
+        self.controls = controls
+        return self.push(now_s)
+
+    def push(self, now_s: float) -> list[effects.Effect]:
+        """Sends the followers what they lack.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        for name, follower in list(self.followers.items()):
+            if now_s - follower.asked_s > SUBSCRIPTION_S:
+                del self.followers[name]
+        return [
+            self._update(now_s, follower)
+            for follower in self.followers.values()
+            if self._lacks(follower)
+        ]
+
+    def _lacks(self, follower: Follower) -> bool:
+        """Returns whether there is news for a follower."""
+        if follower.position < self.registry.position:
+            return True
+        if follower.is_control:
+            return False
+        return (
+            follower.number < self.routes.document.number
+            or follower.controls != self.controls
+        )
+
+    def _update(self, now_s: float, follower: Follower) -> effects.Effect:
+        """Returns the message that brings a follower up to date."""
+        base = follower.position
+        document = None
+        if not follower.is_control:
+            document = self.routes.newer_than(follower.number)
+        is_told = follower.is_control or follower.controls == self.controls
+        follower.position = self.registry.position
+        follower.number = max(follower.number, self.routes.document.number)
+        follower.controls = self.controls
+        update = sync.SyncUpdate(
+            run=self.run,
+            base=base,
+            position=self.registry.position,
+            is_settled=self._is_settled(now_s),
+            targets=self.registry.since(base),
+            controls=() if is_told else self.controls,
+            document=document,
+        )
+        return effects.SendMessage(follower.peer, update)
+
+    def _is_settled(self, now_s: float) -> bool:
+        """Returns whether all live targets had time to announce themselves."""
+        settle_s = SETTLE_INTERVALS * self.registry.interval_s
+        return now_s - self.started_s > settle_s
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/registry/table.py
@@ -0,0 +1,215 @@
+"""Announced targets at a control host."""
+
+import dataclasses
+
+import msgspec
+
+from tamarack_core import announced
+
+MISSED_ANNOUNCEMENTS = 2.2
+"""Intervals without an announcement after which a target is overdue; one may
+be lost and the next be late."""
+
+LATENESS_S = 0.2
+"""Time that an announcement may be late besides, in seconds."""
+
+FORGET_S = 120.0
+"""Time after which a target that is gone is forgotten, in seconds."""
+
+ABANDON_S = 60.0
+"""Time without an announcement after which a target is held to be gone."""
+
+GONE_SEQUENCE = 1 << 62
+"""Sequence of the end of a target, later than all its announcements."""
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """A target and what this host knows of it.
+
+    Attributes:
+        target: Its newest announcement.
+        heard_s: Time of its last announcement to any control host, as far as
+            this one knows, in seconds.
+        changed_at: Position of the last change that others must hear of.
+        is_overdue: Whether its announcements are missed.
+        is_direct: Whether this host took its last announcement itself.
+    """
+
+    target: announced.Target
+    heard_s: float
+    changed_at: int
+    is_overdue: bool = False
+    is_direct: bool = False
+
+
+class Registry:
+    """Targets by name; every change has a position.
+
+    Attributes:
+        interval_s: Time between the announcements of a target, in seconds.
+        records: The targets by name.
+        position: Position of the newest change.
+    """
+
+    __slots__ = ("_by_endpoint", "interval_s", "position", "records")
+
+    def __init__(self, interval_s: float) -> None:
+        """Creates an empty registry.
+
+        Args:
+            interval_s: Time between the announcements of a target.
+        """
+        self.interval_s = interval_s
+        self.records: dict[str, Record] = {}
+        self.position = 0
+        self._by_endpoint: dict[tuple[str, int], str] = {}
+
+    def put(
+        self,
+        now_s: float,
+        target: announced.Target,
+        age_s: float = 0.0,
+        *,
+        is_direct: bool = False,
+    ) -> bool:
+        """Takes an announcement unless a newer one is held.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            target: The announcement.
+            age_s: Seconds since a control host received it.
+            is_direct: Whether the target sent it to this host.
+
+        Returns:
+            Whether others must hear of it.
+        """
+        held = self.records.get(target.name)
+        if held is not None and target.order < held.target.order:
+            return False
+        if held is not None and held.target.phase is announced.Phase.GONE:
+            if target.born_ms <= held.target.born_ms:
+                return False
+        if target.phase is not announced.Phase.GONE:
+            if self._is_superseded(target):
+                return False
+            self._take_endpoint(now_s, target)
+        heard_s = now_s - age_s
+        if held is None or _differs(held, target):
+            self.position += 1
+            record = Record(
+                target, heard_s, self.position, is_direct=is_direct
+            )
+            record.is_overdue = self._is_late(now_s, record)
+            self.records[target.name] = record
+            return True
+        held.target = target
+        held.is_direct = is_direct or held.is_direct
+        return self.hear(now_s, target.name, age_s)
+
+    def hear(self, now_s: float, name: str, age_s: float) -> bool:
+        """Takes note that a target announced itself; returns as `put`."""
+        held = self.records.get(name)
+        if held is None:
+            return False
+        held.heard_s = max(held.heard_s, now_s - age_s)
+        if held.is_overdue and not self._is_late(now_s, held):
+            return self._set_overdue(held, False)
+        return False
+
+    def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
+        """Takes note that a target ends; returns as `put`."""
+        held = self.records.get(name)
+        if held is None:
+            return False
+        if born_ms is not None and born_ms < held.target.born_ms:
+            return False
+        return self._end(now_s, held)
+
+    def tick(self, now_s: float) -> bool:
+        """Finds targets that are overdue or forgotten; returns as `put`."""
+        is_changed = False
+        for record in list(self.records.values()):
+            silent_s = now_s - record.heard_s
+            if record.target.phase is announced.Phase.GONE:
+                if silent_s > FORGET_S:
+                    self._forget(record)
+            elif silent_s > ABANDON_S:
+                is_changed |= self._end(now_s, record)
+            elif not record.is_overdue and self._is_late(now_s, record):
+                is_changed |= self._set_overdue(record, True)
+        return is_changed
+
+    def excuse(self, now_s: float) -> None:
+        """Counts all as heard just now, after this host was away itself."""
+        for record in self.records.values():
+            record.heard_s = max(record.heard_s, now_s)
+
+    def since(self, position: int) -> tuple[announced.Known, ...]:
+        """Returns the targets that changed after a position."""
+        return tuple(
+            announced.Known(record.target, record.is_overdue)
+            for record in self.records.values()
+            if record.changed_at > position
+        )
+
+    @property
+    def patience_s(self) -> float:
+        """Time without an announcement after which a target is overdue."""
+        return MISSED_ANNOUNCEMENTS * self.interval_s + LATENESS_S
+
+    def _is_late(self, now_s: float, record: Record) -> bool:
+        return now_s - record.heard_s > self.patience_s
+
+    def _set_overdue(self, record: Record, is_overdue: bool) -> bool:
+        record.is_overdue = is_overdue
+        self.position += 1
+        record.changed_at = self.position
+        return True
+
+    def _is_superseded(self, target: announced.Target) -> bool:
+        """Returns whether a target born later has the address."""
+        name = self._by_endpoint.get(_place(target))
+        if name is None or name == target.name:
+            return False
+        holder = self.records[name].target
+        is_gone = holder.phase is announced.Phase.GONE
+        return not is_gone and holder.born_ms > target.born_ms
+
+    def _take_endpoint(self, now_s: float, target: announced.Target) -> None:
+        """Ends the target that had the address before."""
+        place = _place(target)
+        name = self._by_endpoint.get(place)
+        if name is not None and name != target.name:
+            self._end(now_s, self.records[name])
+        self._by_endpoint[place] = target.name
+
+    def _end(self, now_s: float, record: Record) -> bool:
+        if record.target.phase is announced.Phase.GONE:
+            return False
+        self.position += 1
+        record.target = msgspec.structs.replace(
+            record.target, phase=announced.Phase.GONE, sequence=GONE_SEQUENCE
+        )
+        record.heard_s = now_s
+        record.is_overdue = False
+        record.changed_at = self.position
+        return True
+
+    def _forget(self, record: Record) -> None:
+        target = record.target
+        del self.records[target.name]
+        if self._by_endpoint.get(_place(target)) == target.name:
+            del self._by_endpoint[_place(target)]
+
+
+def _place(target: announced.Target) -> tuple[str, int]:
+    return (target.endpoint.address, target.endpoint.port)
+
+
+def _differs(held: Record, target: announced.Target) -> bool:
+    """Returns whether an announcement says more than that a target lives."""
+    ignored = {"sequence": 0, "cold_ms": 0}
+    return msgspec.structs.replace(
+        held.target, **ignored
+    ) != msgspec.structs.replace(target, **ignored)
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -17,6 +17,7 @@
 from tamarack_core.messages import flows
 from tamarack_core.messages import limits
 from tamarack_core.messages import membership
+from tamarack_core.messages import sync
 from tamarack_core.messages import targets
 
 Message = (
@@ -27,6 +28,7 @@
     | limits.Message
     | flows.Message
     | membership.Message
+    | sync.Message
     | targets.Message
 )
 
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tamarack_core import configuration
+from tamarack_core import outside
 
 
 class TargetState(enum.StrEnum):
@@ -139,6 +140,7 @@
 
 Request = (
     Announce
+    | outside.Request
     | SubmitPatch
     | ReadConfiguration
     | ReadLog
@@ -429,6 +431,7 @@
 
 Response = (
     Announced
+    | outside.Response
     | Refused
     | PatchVerdict
     | ConfigurationRead
--- a/packages/core/src/tamarack_core/timeline.py
+++ b/packages/core/src/tamarack_core/timeline.py
@@ -1,5 +1,7 @@
 """Time line: events of all hosts in one order that respects causality."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 
@@ -71,3 +73,8 @@
     verdict: str = ""
     reason: str = ""
     detail: str = ""
+
+
+def encode(entries: Iterable[Entry]) -> bytes:
+    """Returns entries as JSON, as hosts answer with them."""
+    return msgspec.json.encode(list(entries))
--- /dev/null
+++ b/packages/node/src/tamarack_node/internal/disk_writer.py
@@ -0,0 +1,96 @@
+"""Writes the log on a thread, so that a slow disk does not stop the loop."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import queue
+import threading
+import time
+
+from tamarack_core import effects
+from tamarack_node.internal import logs
+from tamarack_node.internal.storage import errors as storage_errors
+from tamarack_node.internal.storage import folder as folders
+
+RETRY_S = 0.25
+"""Time between attempts while a disk takes no bytes, in seconds."""
+
+Write = effects.Persist | effects.SaveSnapshot
+
+
+class DiskWriter:
+    """Carries out writes in their order.
+
+    A write that the disk refuses for want of space is tried again until it
+    succeeds; nothing is acknowledged meanwhile. After any other error nobody
+    knows what reached the disk, and the process ends.
+
+    Attributes:
+        folder: The data folder.
+        completed: Called on the loop with the sequence of a synced write.
+        failed: Called on the loop with the error that ends the process.
+    """
+
+    __slots__ = ("_loop", "_queue", "_thread", "completed", "failed", "folder")
+
+    def __init__(
+        self,
+        folder: folders.DataFolder,
+        completed: Callable[[int], None],
+        failed: Callable[[storage_errors.StorageError], None],
+    ) -> None:
+        """Starts the thread.
+
+        Args:
+            folder: The data folder.
+            completed: Called with the sequence of a synced write.
+            failed: Called with the error that ends the process.
+        """
+        self.folder = folder
+        self.completed = completed
+        self.failed = failed
+        self._loop = asyncio.get_running_loop()
+        self._queue: queue.SimpleQueue[Write | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def write(self, effect: Write) -> None:
+        """Hands over a write.
+
+        Args:
+            effect: What to write.
+        """
+        self._queue.put(effect)
+
+    def close(self) -> None:
+        """Lets the thread end after the writes that wait."""
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        """Carries out the writes until the end."""
+        while (effect := self._queue.get()) is not None:
+            try:
+                self._write(effect)
+            except storage_errors.StorageError as error:
+                self._loop.call_soon_threadsafe(self.failed, error)
+                return
+            self._loop.call_soon_threadsafe(self.completed, effect.sequence)
+
+    def _write(self, effect: Write) -> None:
+        """Writes, again and again while the disk is full."""
+        is_reported = False
+        while True:
+            try:
+                if isinstance(effect, effects.Persist):
+                    self.folder.append(effect.records)
+                else:
+                    self.folder.save_snapshot(effect.data, effect.records)
+                return
+            except storage_errors.StorageError as error:
+                if error.reason != storage_errors.FULL:
+                    raise
+                if not is_reported:
+                    is_reported = True
+                    fields = {"reason": error.reason, "detail": str(error)}
+                    logs.event("write-postponed", logging.WARNING, fields)
+            time.sleep(RETRY_S)
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -19,6 +19,7 @@
 from tamarack_core import timeline
 from tamarack_core.storage import disk as disks
 from tamarack_node import settings as settings_lib
+from tamarack_node.internal import aiohttp_sender
 from tamarack_node.internal import http_server
 from tamarack_node.internal import keys
 from tamarack_node.internal import logs
@@ -81,6 +82,7 @@
             self.node.context,
             self._handle_envelope,
             {peer.host: peer.control for peer in settings.peers},
+            aiohttp_sender.AiohttpSender(),
             self._signer,
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
@@ -275,21 +277,7 @@
     def _record(self, entry: timeline.Entry) -> None:
         """Adds an entry to the time line and logs it."""
         self.entries.append(entry)
-        if not logs.logger.isEnabledFor(logging.INFO):
-            return
-        fields = {
-            "host": entry.host,
-            "stamp": f"{entry.stamp.wall_ms}.{entry.stamp.counter}",
-            "service": entry.service,
-            "target": entry.target,
-            "flow": entry.flow,
-            "version": entry.version,
-            "verdict": entry.verdict,
-            "reason": entry.reason,
-            "detail": entry.detail,
-        }
-        present = {key: value for key, value in fields.items() if value}
-        logs.event(entry.name, logging.INFO, present)
+        logs.entry(entry)
 
     def _finish(self, stop: effects.Stop) -> None:
         """Ends the run."""
--- a/packages/node/src/tamarack_node/internal/logs.py
+++ b/packages/node/src/tamarack_node/internal/logs.py
@@ -6,6 +6,9 @@
 import sys
 import time
 from typing import Any
+from typing import Protocol
+
+from tamarack_core import timeline
 
 FIELDS_ATTRIBUTE = "fields"
 _BARE_CHARACTERS = frozenset(
@@ -15,6 +18,16 @@
 logger = logging.getLogger("tamarackd")
 
 
+class Stream(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> int:
+        """Writes lines and returns the length of the text."""
+
+    def flush(self) -> None:
+        """Hands over what waits."""
+
+
 class KeyValueFormatter(logging.Formatter):
     """Formats a record as `time=... level=... event=... key=value`."""
 
@@ -32,13 +45,14 @@
         return " ".join(f"{key}={_quote(pairs[key])}" for key in pairs)
 
 
-def set_up(level: str) -> None:
-    """Sends the log to standard error.
+def set_up(level: str, stream: Stream | None = None) -> None:
+    """Sends the log to a stream.
 
     Args:
         level: Lowest level that is logged, such as `info`.
+        stream: Where lines go; standard error if None.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stderr if stream is None else stream)
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
     # One line a request would drown the events of the system.
@@ -67,3 +81,26 @@
     if text and _BARE_CHARACTERS.issuperset(text):
         return text
     return json.dumps(text)
+
+
+def entry(recorded: timeline.Entry) -> None:
+    """Logs an entry of the time line.
+
+    Args:
+        recorded: The entry.
+    """
+    if not logger.isEnabledFor(logging.INFO):
+        return
+    fields = {
+        "host": recorded.host,
+        "stamp": f"{recorded.stamp.wall_ms}.{recorded.stamp.counter}",
+        "service": recorded.service,
+        "target": recorded.target,
+        "flow": recorded.flow,
+        "version": recorded.version,
+        "verdict": recorded.verdict,
+        "reason": recorded.reason,
+        "detail": recorded.detail,
+    }
+    present = {key: value for key, value in fields.items() if value}
+    event(recorded.name, logging.INFO, present)
--- a/packages/node/src/tamarack_node/internal/storage/errors.py
+++ b/packages/node/src/tamarack_node/internal/storage/errors.py
@@ -2,6 +2,10 @@
 
 import pathlib
 
+FULL = "disk-full"
+"""Reason of a write that the disk refused for want of space; nothing of it
+counts, and it may be tried again."""
+
 REJOIN = (
     "move the folder away, start the host with an empty one, add it as a"
     " learner and promote it; docs/operators/patches.md describes it"
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -29,9 +29,10 @@
 class DataFolder:
     """Durable state of one control host.
 
-    Every method that writes returns only when the data is synced. After an
-    error the folder takes no further write, as nobody can know what reached
-    the disk; the process has to stop.
+    Every method that writes returns only when the data is synced. After a
+    write that was refused for want of space, what is synced stays and the
+    write may be repeated. After any other error the folder takes no further
+    write, as nobody can know what reached the disk; the process has to stop.
 
     Attributes:
         path: The folder.
@@ -57,6 +58,7 @@
         host: str,
         created_ms: int,
         files: files_lib.Files | None = None,
+        incarnation: str = "",
     ) -> None:
         """Opens a data folder, or creates one in an empty or missing folder.
 
@@ -65,6 +67,7 @@
             host: Name of this host.
             created_ms: Wall-clock time in milliseconds, for a new folder.
             files: Access to files.
+            incarnation: Incarnation of a new folder; drawn if empty.
 
         Raises:
             StorageError: The folder is in use, damaged, of another host or of
@@ -76,7 +79,7 @@
         self._descriptor = -1
         self._lock = self._take_lock()
         try:
-            self.identity = self._open_identity(host, created_ms)
+            self.identity = self._open_identity(host, created_ms, incarnation)
             self.contents = self._open_log()
         except OSError as error:
             self.close()
@@ -96,9 +99,15 @@
         )
         self._guard()
         try:
-            self._write(batch)
+            self._files.append(self._descriptor, batch)
+        except OSError as error:
+            raise self._refused(error) from error
+        try:
+            self._files.sync(self._descriptor)
         except OSError as error:
             raise self._disk_error(error) from error
+        self._size += len(batch)
+        self._try_mark()
 
     def save_snapshot(self, data: bytes, records: tuple[bytes, ...]) -> None:
         """Replaces the log file by a snapshot and the records after it.
@@ -108,9 +117,13 @@
         """
         self._guard()
         old = log_path(self.path, self._generation)
+        previous = self._descriptor
         try:
-            self._close_log()
             self._create_log(self._generation + 1, data, records)
+        except OSError as error:
+            raise self._refused_creation(error) from error
+        try:
+            self._files.close(previous)
             self._files.remove(old)
             self._files.sync_folder(self.path)
         except OSError as error:
@@ -127,15 +140,38 @@
             self._files.close(self._descriptor)
             self._descriptor = -1
 
-    def _write(self, batch: bytes) -> None:
-        """Appends a batch, syncs it, then marks it as synced.
+    def _refused(self, error: OSError) -> errors.StorageError:
+        """Returns the error of an append, after undoing a part of it."""
+        if error.errno not in _FULL:
+            return self._disk_error(error)
+        try:
+            self._files.truncate(self._descriptor, self._size)
+        except OSError as second:
+            return self._disk_error(second)
+        return self._storage_error(errors.FULL, error)
+
+    def _refused_creation(self, error: OSError) -> errors.StorageError:
+        """Returns the error of a log file that did not come to be.
 
-        The mark itself isn't synced: it only tells damage from a torn end.
+        The file that holds for now is untouched. A file of the next
+        generation can't be there: it is renamed only once it is synced.
         """
-        self._files.append(self._descriptor, batch)
-        self._files.sync(self._descriptor)
-        self._size += len(batch)
-        self._mark_synced()
+        if error.errno not in _FULL:
+            return self._disk_error(error)
+        try:
+            self._remove_temporary()
+        except OSError as second:
+            return self._disk_error(second)
+        return self._storage_error(errors.FULL, error)
+
+    def _try_mark(self) -> None:
+        """Marks what is synced; a full disk only costs the mark."""
+        try:
+            self._mark_synced()
+        except OSError as error:
+            if error.errno not in _FULL:
+                raise self._disk_error(error) from error
+            self._files.truncate(self._descriptor, self._size)
 
     def _mark_synced(self) -> None:
         """Marks all that is in the log file as synced."""
@@ -156,7 +192,13 @@
     def _disk_error(self, error: OSError) -> errors.StorageError:
         """Returns the error for a failed file operation."""
         self._has_failed = True
-        reason = "disk-full" if error.errno in _FULL else "disk-failed"
+        reason = errors.FULL if error.errno in _FULL else "disk-failed"
+        return self._storage_error(reason, error)
+
+    def _storage_error(
+        self, reason: str, error: OSError
+    ) -> errors.StorageError:
+        """Returns an error with a reason."""
         return errors.StorageError(
             reason,
             self.path,
@@ -189,13 +231,13 @@
         return lock
 
     def _open_identity(
-        self, host: str, created_ms: int
+        self, host: str, created_ms: int, incarnation: str
     ) -> identity_lib.Identity:
         """Returns the identity of the folder; creates a new folder's."""
         path = self.path / IDENTITY_NAME
         self._remove_temporary()
         if not path.exists():
-            return self._create_identity(host, created_ms)
+            return self._create_identity(host, created_ms, incarnation)
         identity = identity_lib.decode(self._files.read(path))
         if isinstance(identity, failure.Failure):
             raise errors.StorageError(
@@ -211,15 +253,14 @@
         return identity
 
     def _create_identity(
-        self, host: str, created_ms: int
+        self, host: str, created_ms: int, incarnation: str
     ) -> identity_lib.Identity:
         """Creates the first log file, then the identity that completes it."""
         self._check_is_new()
         self._create_log(1, None, ())
         self._close_log()
-        identity = identity_lib.Identity(
-            host, secrets.token_hex(INCARNATION_BYTES), created_ms
-        )
+        drawn = incarnation or secrets.token_hex(INCARNATION_BYTES)
+        identity = identity_lib.Identity(host, drawn, created_ms)
         self._create_file(
             self.path / IDENTITY_NAME, identity_lib.encode(identity)
         )
@@ -328,3 +369,23 @@
         """Removes files whose creation was cut short."""
         for path in self.path.glob("*" + TEMPORARY_SUFFIX):
             self._files.remove(path)
+
+
+def discard(path: pathlib.Path, files: files_lib.Files | None = None) -> None:
+    """Empties a data folder that can't be used any more.
+
+    The host comes back under a new incarnation, and is a new member.
+
+    Args:
+        path: The folder.
+        files: Access to files.
+
+    Raises:
+        OSError: A file can't be removed.
+    """
+    access = files or files_lib.SystemFiles()
+    # The identity goes first: without it, nothing else in the folder counts.
+    found = sorted(path.iterdir(), key=lambda entry: entry.name != IDENTITY_NAME)
+    for entry in found:
+        access.remove(entry)
+        access.sync_folder(path)
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -5,8 +5,7 @@
 from collections.abc import Mapping
 import logging
 import socket
-
-import aiohttp
+from typing import Protocol
 
 from tamarack_core import context as context_lib
 from tamarack_core import failure
@@ -23,6 +22,29 @@
 MESSAGES_PATH = "/v1/messages"
 
 
+class SendError(Exception):
+    """A large envelope could not be sent."""
+
+
+class LargeSender(Protocol):
+    """Sends envelopes that do not fit a datagram."""
+
+    def open(self, endpoint: peers.Endpoint) -> None:
+        """Prepares to send from the address of an endpoint."""
+
+    async def post(
+        self, endpoint: peers.Endpoint, path: str, data: bytes
+    ) -> None:
+        """Sends one body over HTTP.
+
+        Raises:
+            SendError: It was not answered.
+        """
+
+    async def close(self) -> None:
+        """Ends what is open."""
+
+
 class Transport:
     """Sends and receives envelopes.
 
@@ -35,7 +57,7 @@
         signer: Signs and verifies; None where messages carry no signature.
         socket: UDP socket bound to the control endpoint.
         outbox: Messages that wait for the end of the loop turn, by receiver.
-        session: HTTP client for large envelopes.
+        sender: Sends large envelopes.
     """
 
     __slots__ = (
@@ -45,7 +67,7 @@
         "outbox",
         "receive",
         "routes",
-        "session",
+        "sender",
         "signer",
         "socket",
     )
@@ -55,6 +77,7 @@
         context: context_lib.Context,
         receive: Callable[[messages.Envelope], None],
         routes: Mapping[str, peers.Endpoint],
+        sender: LargeSender,
         signer: keys.MessageSigner | None = None,
     ) -> None:
         """Creates a transport that is not open.
@@ -63,6 +86,7 @@
             context: Identity, clock and counters.
             receive: Called with each envelope received.
             routes: Endpoint of each host that the settings name.
+            sender: Sends large envelopes.
             signer: Signs and verifies; None for no signatures.
         """
         self.signer = signer
@@ -70,7 +94,7 @@
         self.routes = routes
         self.receive = receive
         self.socket: socket.socket | None = None
-        self.session: aiohttp.ClientSession | None = None
+        self.sender = sender
         self.outbox: dict[peers.Peer, list[messages.Message]] = {}
         self._flush_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -88,11 +112,7 @@
         self.socket = bind_udp(endpoint)
         loop = asyncio.get_running_loop()
         loop.add_reader(self.socket, self._read)
-        timeout = aiohttp.ClientTimeout(total=POST_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(local_addr=(endpoint.address, 0))
-        self.session = aiohttp.ClientSession(
-            connector=connector, timeout=timeout
-        )
+        self.sender.open(endpoint)
 
     async def close(self) -> None:
         """Sends what waits and closes the socket."""
@@ -102,8 +122,7 @@
         if self.socket is not None:
             asyncio.get_running_loop().remove_reader(self.socket)
             self.socket.close()
-        if self.session is not None:
-            await self.session.close()
+        await self.sender.close()
 
     def send(self, peer: peers.Peer, message: messages.Message) -> None:
         """Sends a message at the end of this loop turn.
@@ -196,18 +215,15 @@
 
     async def _post(self, peer: peers.Peer, data: bytes) -> None:
         """Sends one large envelope over HTTP."""
-        assert self.session is not None
         self.context.counters["control-sent-bytes"] += len(data)
-        url = f"http://{format_endpoint(self._route(peer))}{MESSAGES_PATH}"
         try:
-            async with self.session.post(url, data=data) as response:
-                await response.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+            await self.sender.post(self._route(peer), MESSAGES_PATH, data)
+        except SendError as error:
             self.context.counters["control-send-failed"] += 1
             logs.event(
                 "send-failed",
                 logging.DEBUG,
-                {"peer": peer.host, "reason": type(error).__name__},
+                {"peer": peer.host, "reason": str(error)},
             )
 
 
--- /dev/null
+++ b/packages/node/src/tamarack_node/light_disk.py
@@ -0,0 +1,64 @@
+"""The data folder of a control host that the light driver runs."""
+
+import asyncio
+import logging
+import pathlib
+import time
+
+from tamarack_core.storage import disk as disks
+from tamarack_node import light
+from tamarack_node.internal import disk_writer
+from tamarack_node.internal import logs
+from tamarack_node.internal.storage import errors as storage_errors
+from tamarack_node.internal.storage import folder as folders
+
+RETRY_S = 0.25
+"""Time between attempts to open a folder on a full disk, in seconds."""
+
+MS_PER_S = 1000
+
+
+async def open_folder(
+    path: pathlib.Path, host: str, incarnation: str
+) -> folders.DataFolder:
+    """Opens a data folder, or begins a new one where it is of no use.
+
+    A folder that is damaged is emptied, and the host joins as a new member;
+    what it had acknowledged is held by the others.
+
+    Args:
+        path: The folder.
+        host: Name of this host.
+        incarnation: Incarnation of a new folder; drawn if empty.
+    """
+    while True:
+        try:
+            created_ms = int(time.time() * MS_PER_S)
+            return folders.DataFolder(
+                path, host, created_ms, incarnation=incarnation
+            )
+        except storage_errors.StorageError as error:
+            fields = {"reason": error.reason, "detail": str(error)}
+            logs.event("folder-unusable", logging.WARNING, fields)
+            if error.reason not in ("disk-failed", storage_errors.FULL):
+                incarnation = ""
+                folders.discard(path)
+        await asyncio.sleep(RETRY_S)
+
+
+def disk_of(folder: folders.DataFolder) -> disks.Disk:
+    """Returns what a data folder held when it was opened."""
+    return disks.Disk(
+        folder.identity.incarnation,
+        folder.contents.snapshot,
+        folder.contents.records,
+    )
+
+
+def writer(
+    folder: folders.DataFolder, driver: light.LightDriver
+) -> disk_writer.DiskWriter:
+    """Returns what writes to a folder and tells the driver."""
+    return disk_writer.DiskWriter(
+        folder, driver.complete_write, driver.fail_write
+    )
