--- a/packages/core/src/tamarack_core/internal/cookie/mirror.py
+++ b/packages/core/src/tamarack_core/internal/cookie/mirror.py
@@ -5,7 +5,6 @@
 nothing asks the others; one that has just started asks all that it knows.
 """
 
-from tamarack_core import announced
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
@@ -263,7 +262,7 @@
             names = {known.target.name for known in update.targets}
             found += [
                 self._record_target(now_s, entry)
-                for entry in self.targets.retain(now_s, names)
+                for entry in self.targets.doubt(names)
             ]
         if update.run != self.run:
             self.run = update.run
@@ -278,8 +277,6 @@
         """Returns the time line entry of a target that changed."""
         target = entry.target
         state = target.phase.name.lower()
-        if entry.is_gone and target.phase is not announced.Phase.GONE:
-            state = "unknown to the control host"
         if entry.is_overdue:
             state += " overdue"
         return self.context.record(
--- a/packages/core/src/tamarack_core/internal/cookie/tags.py
+++ b/packages/core/src/tamarack_core/internal/cookie/tags.py
@@ -138,25 +138,28 @@
             if self.by_tag.get(entry.tag) is entry:
                 del self.by_tag[entry.tag]
 
-    def retain(self, now_s: float, names: set[str]) -> list[Entry]:
-        """Marks as gone what a settled control host doesn't know any more.
+    def doubt(self, names: set[str]) -> list[Entry]:
+        """Puts behind the others what a control host does not mention.
+
+        That it does not know a target proves nothing: it may have been away
+        when the target began. The target keeps its flows.
 
         Args:
-            now_s: Monotonic time in seconds.
             names: Names that the control host knows.
 
         Returns:
-            The targets that are now held to be gone.
+            The targets that are doubted from now on.
         """
-        lost = [
+        doubted = [
             entry
             for entry in self.by_name.values()
-            if not entry.is_gone and entry.target.name not in names
+            if not entry.is_gone
+            and not entry.is_overdue
+            and entry.target.name not in names
         ]
-        for entry in lost:
-            entry.gone_s = now_s
-            self._list_services(entry.target.service, entry)
-        return lost
+        for entry in doubted:
+            entry.is_overdue = True
+        return doubted
 
 
 def _is_news(held: Entry, known: announced.Known) -> bool:
--- /dev/null
+++ b/tests/cookie_host.py
@@ -0,0 +1,252 @@
+"""An entry host that forwards by cookies, driven by hand."""
+
+import ipaddress
+
+import msgspec
+
+from tamarack_core import announced
+from tamarack_core import cookie_entry
+from tamarack_core import documents
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import failure
+from tamarack_core import flow_packets
+from tamarack_core import outside
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core.internal.cookie import tags
+from tamarack_core.messages import sync
+
+SERVICE_ADDRESS = "198.18.0.1"
+SERVICE_PORT = 443
+CALLER_PORT = 9000
+DOMAIN = "a"
+
+
+class FakeCodec:
+    """Packets as MessagePack, so that a test reads what left the host."""
+
+    def decode(
+        self, data: bytes
+    ) -> flow_packets.FlowPacket | failure.Failure:
+        """Returns the packet in a datagram."""
+        fields = msgspec.msgpack.decode(data)
+        if not fields:
+            return failure.Failure("short-packet")
+        fields["flow"] = tuple(fields["flow"])
+        return flow_packets.FlowPacket(**fields, data=data)
+
+    def encode_forward(
+        self, packet: flow_packets.FlowPacket, target: str, cookie: int
+    ) -> bytes:
+        """Returns who gets the packet, and its tag."""
+        return msgspec.msgpack.encode(["forward", target, cookie])
+
+    def encode_reset(
+        self, packet: flow_packets.FlowPacket
+    ) -> tuple[peers.Endpoint, bytes]:
+        """Returns a reset for the caller."""
+        address = str(ipaddress.IPv4Address(packet.flow[0]))
+        endpoint = peers.Endpoint(address, CALLER_PORT)
+        return endpoint, msgspec.msgpack.encode(["reset"])
+
+
+def flow(number: int) -> tuple[int, int, int, int]:
+    """Returns the key of a flow to the service."""
+    service = int(ipaddress.IPv4Address(SERVICE_ADDRESS))
+    return (0x64400000 + number, 40000 + number, service, SERVICE_PORT)
+
+
+def packet(
+    number: int,
+    *,
+    is_opening: bool = False,
+    is_reset: bool = False,
+    is_last: bool = False,
+    cookie: int = 0,
+    copy_number: int = 0,
+    sequence: int = 1,
+    acknowledged: int = 1,
+    payload_bytes: int = 0,
+) -> bytes:
+    """Returns a packet of the flow with a number."""
+    fields = {
+        "flow": flow(number),
+        "is_opening": is_opening,
+        "is_reset": is_reset,
+        "is_last": is_last,
+        "cookie": cookie,
+        "copy_number": copy_number,
+        "sequence": sequence,
+        "acknowledged": acknowledged,
+        "payload_bytes": payload_bytes,
+    }
+    return msgspec.msgpack.encode(fields)
+
+
+def target(
+    name: str,
+    *,
+    service: str = "web",
+    born_ms: int = 1000,
+    sequence: int = 1,
+    phase: announced.Phase = announced.Phase.READY,
+    cold_ms: int = 0,
+    port: int = 80,
+) -> announced.Target:
+    """Returns an announcement."""
+    return announced.Target(
+        name=name,
+        born_ms=born_ms,
+        sequence=sequence,
+        service=service,
+        endpoint=peers.Endpoint("10.0.0.1", port),
+        domain=DOMAIN,
+        slots=2,
+        phase=phase,
+        cold_ms=cold_ms,
+    )
+
+
+def document(
+    number: int,
+    service: str = "web",
+    *,
+    base: int = 0,
+    port: int = SERVICE_PORT,
+) -> sync.DocumentUpdate:
+    """Returns a document with one route."""
+    route = sync.RouteChange(
+        SERVICE_ADDRESS,
+        port,
+        (documents.Share(service, 1),) if service else (),
+        documents.WorkKind.IDEMPOTENT,
+        1500.0,
+    )
+    return sync.DocumentUpdate(base, number, (route,), 15000.0)
+
+
+def control(name: str, domain: str = DOMAIN) -> peers.Peer:
+    """Returns a control host."""
+    last = sum(name.encode()) % 250 + 1
+    return peers.Peer(name, domain, peers.Endpoint(f"10.9.0.{last}", 7000))
+
+
+class CookieHost:
+    """An entry host with a clock that the test moves.
+
+    Attributes:
+        now_s: Time in seconds.
+        node: State of the host.
+        sent: Messages that left, by receiver.
+        records: Time line entries.
+    """
+
+    def __init__(self, seed: int = 1) -> None:
+        """Starts the host."""
+        self.now_s = 100.0
+        own = peers.Peer("entry", DOMAIN, peers.Endpoint("10.0.0.9", 7000))
+        plan = cookie_entry.Plan(own, seed, (control("c1"),), FakeCodec())
+        self.node = cookie_entry.assemble(plan)
+        self.sent: list[effects.SendMessage] = []
+        self.records: list[effects.Record] = []
+        self.handle(events.Started(self.now_s, 0))
+
+    def handle(self, event: events.Event) -> list[effects.Effect]:
+        """Applies an event and returns what it made the host do."""
+        found = reducer.reduce(self.node, event)
+        for effect in found:
+            if isinstance(effect, effects.SendMessage):
+                self.sent.append(effect)
+            if isinstance(effect, effects.Record):
+                self.records.append(effect)
+        return found
+
+    def tick(self, seconds: float) -> None:
+        """Lets time pass with the timers of the host running."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s = min(self.now_s + 0.1, end_s)
+            for timer in ("mirror", "forwarding"):
+                self.handle(events.TimerFired(self.now_s, timer))
+
+    def update(
+        self,
+        *known: announced.Known | announced.Target,
+        sender: peers.Peer | None = None,
+        run: str = "run",
+        base: int = 0,
+        position: int = 1,
+        is_settled: bool = True,
+        document: sync.DocumentUpdate | None = None,
+        controls: tuple[peers.Peer, ...] = (),
+    ) -> None:
+        """Hands over an update of a control host."""
+        message = sync.SyncUpdate(
+            run=run,
+            base=base,
+            position=position,
+            is_settled=is_settled,
+            targets=tuple(
+                item
+                if isinstance(item, announced.Known)
+                else announced.Known(item)
+                for item in known
+            ),
+            controls=controls,
+            document=document,
+        )
+        peer = sender or control("c1")
+        self.handle(events.MessageArrived(self.now_s, peer, message))
+
+    def packet(self, data: bytes) -> list[object]:
+        """Hands over a packet; returns what left for it."""
+        found = self.handle(events.DatagramArrived(self.now_s, data))
+        left = [
+            effect
+            for effect in found
+            if isinstance(effect, effects.SendDatagram)
+        ]
+        return msgspec.msgpack.decode(left[0].data) if left else []
+
+    def open(self, number: int, copy_number: int = 0) -> str:
+        """Sends an opening; returns the chosen target, or what left."""
+        left = self.packet(
+            packet(number, is_opening=True, copy_number=copy_number)
+        )
+        if left and left[0] == "forward":
+            return str(left[1])
+        return str(left[0]) if left else ""
+
+    def carry(
+        self,
+        number: int,
+        name: str,
+        *,
+        acknowledged: int = 1,
+        sequence: int = 1,
+        payload_bytes: int = 0,
+    ) -> str:
+        """Sends a packet of an open flow; returns where it went."""
+        left = self.packet(
+            packet(
+                number,
+                cookie=tags.tag_of(name),
+                acknowledged=acknowledged,
+                sequence=sequence,
+                payload_bytes=payload_bytes,
+            )
+        )
+        if left and left[0] == "forward":
+            return str(left[1])
+        return str(left[0]) if left else ""
+
+    def is_ready(self) -> bool:
+        """Asks whether the host takes packets."""
+        found = self.handle(
+            events.RequestArrived(self.now_s, 1, outside.ReadReadiness())
+        )
+        answer = found[0]
+        assert isinstance(answer, effects.Respond)
+        assert isinstance(answer.response, outside.Readiness)
+        return answer.response.is_ready
