Keep the announced targets on the disks of control hosts

Ruled out: the replicated log for targets (a sync on a quorum for each change). Events and effects became msgspec structs, which are created faster.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -63,7 +63,7 @@
         plan.tolerated_hosts,
     )
     announcements = announcing.Announcing(
-        context, registry, publisher, contacts
+        context, registry, publisher, contacts, plan.disk.targets
     )
     return reducer.Node(context, (publisher, documents, announcements))
 
--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -1,6 +1,6 @@
 """Effects: everything that a reducer asks its driver to do."""
 
-import dataclasses
+import msgspec
 
 from tamarack_core import messages
 from tamarack_core import peers
@@ -8,8 +8,7 @@
 from tamarack_core import timeline
 
 
-@dataclasses.dataclass(slots=True)
-class SendDatagram:
+class SendDatagram(msgspec.Struct):
     """Send a Geneve datagram from the data socket.
 
     Attributes:
@@ -21,8 +20,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class SendMessage:
+class SendMessage(msgspec.Struct):
     """Send a message to another host; it may be lost.
 
     Attributes:
@@ -34,8 +32,7 @@
     message: messages.Message
 
 
-@dataclasses.dataclass(slots=True)
-class Respond:
+class Respond(msgspec.Struct):
     """Answer a request.
 
     Attributes:
@@ -47,8 +44,7 @@
     response: requests.Response
 
 
-@dataclasses.dataclass(slots=True)
-class StartTimer:
+class StartTimer(msgspec.Struct):
     """Fire a timer once; a running timer of that name is replaced.
 
     Attributes:
@@ -60,8 +56,7 @@
     delay_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class Persist:
+class Persist(msgspec.Struct):
     """Append records to the log file and sync it.
 
     Attributes:
@@ -73,8 +68,7 @@
     records: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class SaveSnapshot:
+class SaveSnapshot(msgspec.Struct):
     """Replace the log file by a snapshot and records, in one atomic step.
 
     Attributes:
@@ -88,8 +82,20 @@
     records: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(slots=True)
-class Record:
+class SaveTargets(msgspec.Struct):
+    """Keep the announced targets for the next start of this host.
+
+    It is advice: a host that loses it learns the targets from their next
+    announcements.
+
+    Attributes:
+        data: The encoded targets.
+    """
+
+    data: bytes
+
+
+class Record(msgspec.Struct):
     """Add an entry to the time line and write it to the log.
 
     Attributes:
@@ -99,8 +105,7 @@
     entry: timeline.Entry
 
 
-@dataclasses.dataclass(slots=True)
-class Stop:
+class Stop(msgspec.Struct):
     """End the process.
 
     Attributes:
@@ -119,6 +124,7 @@
     | StartTimer
     | Persist
     | SaveSnapshot
+    | SaveTargets
     | Record
     | Stop
 )
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -4,15 +4,14 @@
 no other clock.
 """
 
-import dataclasses
+import msgspec
 
 from tamarack_core import messages
 from tamarack_core import peers
 from tamarack_core import requests
 
 
-@dataclasses.dataclass(slots=True)
-class Started:
+class Started(msgspec.Struct):
     """The driver is ready to carry out effects.
 
     Attributes:
@@ -24,8 +23,7 @@
     wall_ms: int
 
 
-@dataclasses.dataclass(slots=True)
-class StopRequested:
+class StopRequested(msgspec.Struct):
     """The operator asked for a graceful stop.
 
     Attributes:
@@ -35,8 +33,7 @@
     now_s: float
 
 
-@dataclasses.dataclass(slots=True)
-class DatagramArrived:
+class DatagramArrived(msgspec.Struct):
     """A Geneve datagram arrived on the data socket.
 
     Attributes:
@@ -48,8 +45,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class MessageArrived:
+class MessageArrived(msgspec.Struct):
     """A message of another host arrived.
 
     Attributes:
@@ -63,8 +59,7 @@
     message: messages.Message
 
 
-@dataclasses.dataclass(slots=True)
-class RequestArrived:
+class RequestArrived(msgspec.Struct):
     """A target or an operator sent a request over HTTP.
 
     Attributes:
@@ -78,8 +73,7 @@
     request: requests.Request
 
 
-@dataclasses.dataclass(slots=True)
-class TimerFired:
+class TimerFired(msgspec.Struct):
     """A timer that the core started has run out.
 
     Attributes:
@@ -91,8 +85,7 @@
     timer: str
 
 
-@dataclasses.dataclass(slots=True)
-class WriteCompleted:
+class WriteCompleted(msgspec.Struct):
     """Records handed over by a `Persist` effect are synced to disk.
 
     Attributes:
@@ -104,8 +97,7 @@
     sequence: int
 
 
-@dataclasses.dataclass(slots=True)
-class SeedsChanged:
+class SeedsChanged(msgspec.Struct):
     """The settings name other control hosts to begin with.
 
     Attributes:
--- a/packages/core/src/tamarack_core/flow_packets.py
+++ b/packages/core/src/tamarack_core/flow_packets.py
@@ -4,16 +4,15 @@
 platform, knows the form on the wire.
 """
 
-import dataclasses
-import ipaddress
 from typing import Protocol
 
+import msgspec
+
 from tamarack_core import failure
 from tamarack_core import peers
 
 
-@dataclasses.dataclass(slots=True)
-class FlowPacket:
+class FlowPacket(msgspec.Struct):
     """A packet of a caller.
 
     Attributes:
@@ -68,8 +67,20 @@
         """Returns where a reset for the caller goes, and the datagram."""
 
 
+def number_of(address: str) -> int:
+    """Returns the number of an IPv4 address that was checked before.
+
+    The module `ipaddress` would add a fiftieth to the start of an entry host.
+    """
+    return int.from_bytes(bytes(map(int, address.split("."))), "big")
+
+
+def address_of(number: int) -> str:
+    """Returns the text form of an IPv4 address."""
+    return ".".join(map(str, number.to_bytes(4, "big")))
+
+
 def describe(flow: tuple[int, int, int, int]) -> str:
     """Returns the text form of a flow, as in logs."""
-    caller = ipaddress.IPv4Address(flow[0])
-    service = ipaddress.IPv4Address(flow[2])
+    caller, service = address_of(flow[0]), address_of(flow[2])
     return f"{caller}:{flow[1]}>{service}:{flow[3]}"
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -1,18 +1,18 @@
 """Routes in the form that the data path looks up."""
 
-import dataclasses
-import ipaddress
 import struct
 import zlib
 
+import msgspec
+
 from tamarack_core import documents
+from tamarack_core import flow_packets
 from tamarack_core.messages import sync
 
 _flow_form = struct.Struct("!IHIH")
 
 
-@dataclasses.dataclass(slots=True)
-class RouteEntry:
+class RouteEntry(msgspec.Struct):
     """A route for openings.
 
     Attributes:
@@ -59,7 +59,7 @@
         if update.base == 0:
             self.by_place.clear()
         for route in update.routes:
-            place = (int(ipaddress.IPv4Address(route.address)), route.port)
+            place = (flow_packets.number_of(route.address), route.port)
             if route.shares:
                 self.by_place[place] = _entry(route)
             else:
--- a/packages/core/src/tamarack_core/internal/cookie/tags.py
+++ b/packages/core/src/tamarack_core/internal/cookie/tags.py
@@ -5,9 +5,10 @@
 first then keeps it; the other takes no flows until the first is gone.
 """
 
-import dataclasses
 import zlib
 
+import msgspec
+
 from tamarack_core import announced
 
 FORGET_S = 90.0
@@ -22,8 +23,7 @@
     return zlib.crc32(name.encode()) or 1
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
+class Entry(msgspec.Struct):
     """A target as an entry host knows it.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -4,7 +4,7 @@
 that is repeated was not answered, an acknowledgement that moves on was.
 """
 
-import dataclasses
+import msgspec
 
 MAX_FLOWS = 50_000
 """Flows that are remembered; 16 MB at about 330 bytes each."""
@@ -21,8 +21,7 @@
 """Time after which a suspect target is tried with one opening, in seconds."""
 
 
-@dataclasses.dataclass(slots=True)
-class Flow:
+class Flow(msgspec.Struct):
     """A flow as this host sees it.
 
     Attributes:
@@ -45,8 +44,7 @@
     waits_since_s: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class Watch:
+class Watch(msgspec.Struct):
     """What is seen of one target.
 
     Attributes:
@@ -60,9 +58,7 @@
     flows: int = 0
     waiting: int = 0
     answered_s: float = float("-inf")
-    silent: set[tuple[int, int, int, int]] = dataclasses.field(
-        default_factory=set
-    )
+    silent: set[tuple[int, int, int, int]] = msgspec.field(default_factory=set)
     tried_s: float = float("-inf")
 
     def is_suspect(self, now_s: float) -> bool:
--- a/packages/core/src/tamarack_core/internal/registry/announcing.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcing.py
@@ -23,6 +23,9 @@
 FOLLOW_INTERVAL_S = 1.0
 """Time between questions to each other control host, in seconds."""
 
+SAVE_INTERVAL_S = 1.0
+"""Shortest time between two savings of the targets, in seconds."""
+
 GAP_S = 0.8
 """Time without a turn of the loop after which this host has been away."""
 
@@ -37,12 +40,15 @@
         registry: Announced targets.
         publisher: Pushes changes to followers.
         contacts: The other control hosts.
+        targets: Targets that an earlier start left, if any.
         positions: Run and position followed at each other control host.
         directly: Time of the last announcement to this host, by name, for
             those that the other hosts have not heard of.
         heard_s: Time of the last `Heard` message, in seconds.
         asked_s: Time of the last questions, in seconds.
         ticked_s: Time of the last tick, in seconds.
+        saved: Position that was saved last.
+        saved_s: Time of the last saving, in seconds.
     """
 
     __slots__ = (
@@ -54,6 +60,9 @@
         "positions",
         "publisher",
         "registry",
+        "saved",
+        "saved_s",
+        "targets",
         "ticked_s",
     )
 
@@ -63,6 +72,7 @@
         registry: table.Registry,
         publisher: publishers.Publisher,
         contacts: contacts_lib.Contacts,
+        targets: bytes | None,
     ) -> None:
         """Creates the part.
 
@@ -71,6 +81,7 @@
             registry: Announced targets.
             publisher: Pushes changes to followers.
             contacts: The other control hosts.
+            targets: Targets that an earlier start left, if any.
         """
         self.context = context
         self.registry = registry
@@ -81,11 +92,14 @@
         self.heard_s = float("-inf")
         self.asked_s = float("-inf")
         self.ticked_s = float("inf")
+        self.targets = targets
+        self.saved = 0
+        self.saved_s = float("-inf")
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
         return {
-            events.Started: self.handle_tick,
+            events.Started: self.handle_started,
             TIMER: self.handle_tick,
             outside.AnnounceTarget: self.handle_announce,
             outside.WithdrawTarget: self.handle_withdraw,
@@ -93,6 +107,22 @@
             sync.Heard: self.handle_heard,
         }
 
+    def handle_started(self, event: events.Started) -> list[effects.Effect]:
+        """Takes over the targets that an earlier start left."""
+        found = self.handle_tick(event)
+        if self.targets is None:
+            return found
+        refused = self.registry.restore(event.now_s, self.targets)
+        self.targets = None
+        self.saved = self.registry.position
+        record = self.context.record(
+            event.now_s,
+            "targets-restored",
+            reason=refused.reason if refused is not None else "",
+            detail=f"{len(self.registry.records)} targets",
+        )
+        return [*found, record]
+
     def handle_announce(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
@@ -152,6 +182,10 @@
         found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
         if self.registry.tick(now_s):
             found += self.publisher.push(now_s)
+        if self._is_saving_due(now_s):
+            self.saved = self.registry.position
+            self.saved_s = now_s
+            found.append(effects.SaveTargets(self.registry.encode()))
         others = self.contacts.others()
         if now_s - self.heard_s >= HEARD_INTERVAL_S:
             found += self._tell_heard(now_s)
@@ -163,6 +197,11 @@
             ]
         return found
 
+    def _is_saving_due(self, now_s: float) -> bool:
+        """Returns whether targets changed and the last saving is over."""
+        is_changed = self.saved != self.registry.position
+        return is_changed and now_s - self.saved_s >= SAVE_INTERVAL_S
+
     def _tell_heard(self, now_s: float) -> list[effects.Effect]:
         """Tells the other control hosts who announced itself here."""
         self.heard_s = now_s
--- a/packages/core/src/tamarack_core/internal/registry/table.py
+++ b/packages/core/src/tamarack_core/internal/registry/table.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tamarack_core import announced
+from tamarack_core import failure
 
 MISSED_ANNOUNCEMENTS = 2.2
 """Intervals without an announcement after which a target is overdue; one may
@@ -22,6 +23,9 @@
 GONE_SEQUENCE = 1 << 62
 """Sequence of the end of a target, later than all its announcements."""
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[announced.Target])
+
 
 @dataclasses.dataclass(slots=True)
 class Record:
@@ -158,6 +162,37 @@
         """Time without an announcement after which a target is overdue."""
         return MISSED_ANNOUNCEMENTS * self.interval_s + LATENESS_S
 
+    def encode(self) -> bytes:
+        """Returns the targets that have not ended, for the next start."""
+        return _encoder.encode(
+            [
+                record.target
+                for record in self.records.values()
+                if record.target.phase is not announced.Phase.GONE
+            ]
+        )
+
+    def restore(self, now_s: float, data: bytes) -> failure.Failure | None:
+        """Takes over what an earlier start left.
+
+        Each target counts as heard now: it has an interval or two to announce
+        itself before it is overdue.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            data: What `encode` returned.
+
+        Returns:
+            Why the data can't be read, or None.
+        """
+        try:
+            targets = _decoder.decode(data)
+        except msgspec.DecodeError as error:
+            return failure.Failure("bad-targets", str(error))
+        for target in targets:
+            self.put(now_s, target)
+        return None
+
     def _is_late(self, now_s: float, record: Record) -> bool:
         return now_s - record.heard_s > self.patience_s
 
--- a/packages/core/src/tamarack_core/storage/disk.py
+++ b/packages/core/src/tamarack_core/storage/disk.py
@@ -12,8 +12,10 @@
         incarnation: Identifier made when the folder was created.
         snapshot: Data of the last snapshot, if any.
         records: Records after it, in order.
+        targets: Data of the last `SaveTargets`, if any.
     """
 
     incarnation: str
     snapshot: bytes | None = None
     records: Sequence[bytes] = ()
+    targets: bytes | None = None
--- a/packages/node/src/tamarack_node/internal/disk_writer.py
+++ b/packages/node/src/tamarack_node/internal/disk_writer.py
@@ -15,7 +15,7 @@
 RETRY_S = 0.25
 """Time between attempts while a disk takes no bytes, in seconds."""
 
-Write = effects.Persist | effects.SaveSnapshot
+Write = effects.Persist | effects.SaveSnapshot | effects.SaveTargets
 
 
 class DiskWriter:
@@ -74,7 +74,10 @@
             except storage_errors.StorageError as error:
                 self._loop.call_soon_threadsafe(self.failed, error)
                 return
-            self._loop.call_soon_threadsafe(self.completed, effect.sequence)
+            if not isinstance(effect, effects.SaveTargets):
+                self._loop.call_soon_threadsafe(
+                    self.completed, effect.sequence
+                )
 
     def _write(self, effect: Write) -> None:
         """Writes, again and again while the disk is full."""
@@ -83,12 +86,16 @@
             try:
                 if isinstance(effect, effects.Persist):
                     self.folder.append(effect.records)
+                elif isinstance(effect, effects.SaveTargets):
+                    self.folder.save_targets(effect.data)
                 else:
                     self.folder.save_snapshot(effect.data, effect.records)
                 return
             except storage_errors.StorageError as error:
                 if error.reason != storage_errors.FULL:
                     raise
+                if isinstance(effect, effects.SaveTargets):
+                    return
                 if not is_reported:
                     is_reported = True
                     fields = {"reason": error.reason, "detail": str(error)}
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -14,6 +14,7 @@
 
 LOCK_NAME = "lock"
 IDENTITY_NAME = "identity"
+TARGETS_NAME = "targets"
 LOG_PATTERN = "log-*"
 TEMPORARY_SUFFIX = ".tmp"
 INCARNATION_BYTES = 8
@@ -129,6 +130,23 @@
         except OSError as error:
             raise self._disk_error(error) from error
 
+    def save_targets(self, data: bytes) -> None:
+        """Replaces the file of announced targets.
+
+        Raises:
+            StorageError: The disk is full or failed.
+        """
+        self._guard()
+        try:
+            self._create_file(self.path / TARGETS_NAME, data)
+        except OSError as error:
+            raise self._refused_creation(error) from error
+
+    def load_targets(self) -> bytes | None:
+        """Returns the file of announced targets; None without one."""
+        path = self.path / TARGETS_NAME
+        return self._files.read(path) if path.exists() else None
+
     def close(self) -> None:
         """Gives up the lock; everything written is synced already."""
         self._close_log()
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -63,7 +63,10 @@
 class Writer(Protocol):
     """Carries out writes; see `disk_writer.DiskWriter`."""
 
-    def write(self, effect: effects.Persist | effects.SaveSnapshot) -> None:
+    def write(
+        self,
+        effect: effects.Persist | effects.SaveSnapshot | effects.SaveTargets,
+    ) -> None:
         """Hands over a write."""
 
     def close(self) -> None:
@@ -279,7 +282,11 @@
             case effects.Record(entry):
                 self.entries.append(entry)
                 logs.entry(entry)
-            case effects.Persist() | effects.SaveSnapshot():
+            case (
+                effects.Persist()
+                | effects.SaveSnapshot()
+                | effects.SaveTargets()
+            ):
                 assert self.writer is not None
                 self.writer.write(effect)
             case effects.Stop():
--- a/packages/node/src/tamarack_node/light_disk.py
+++ b/packages/node/src/tamarack_node/light_disk.py
@@ -52,6 +52,7 @@
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
+        folder.load_targets(),
     )
 
 
