Load less before a host starts

Ruled out: the standard site module (left out already with -S). Change: codecs of the messages that a role needs, structs in place of dataclasses on the way to the first packet, no ssl, ipaddress, pathlib.

--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -1,19 +1,23 @@
 """Composes an entry host that forwards by flow cookies."""
 
-import dataclasses
+import msgspec
 
 from tamarack_core import context as context_lib
+from tamarack_core import envelopes
 from tamarack_core import flow_packets
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.cookie import forwarding
 from tamarack_core.internal.cookie import mirror as mirrors
 from tamarack_core.internal.cookie import routes
 from tamarack_core.internal.cookie import tags
 
+MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
+"""Translates the messages that an entry host takes and sends."""
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
+
+class Plan(msgspec.Struct, frozen=True):
     """What an entry host is made of.
 
     Attributes:
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -3,16 +3,24 @@
 import dataclasses
 
 from tamarack_core import context as context_lib
+from tamarack_core import envelopes
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.group import control
 from tamarack_core.internal.registry import announcing
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import table
+from tamarack_core.messages import consensus
 from tamarack_core.storage import disk as disks
 
+MESSAGES = envelopes.Codec(
+    envelopes.Envelope[sync.Message | consensus.Message]
+)
+"""Translates the messages that a control host takes and sends."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -1,11 +1,17 @@
 """Effects: everything that a reducer asks its driver to do."""
 
+from __future__ import annotations
+
+import typing
+
 import msgspec
 
-from tamarack_core import messages
-from tamarack_core import peers
-from tamarack_core import requests
-from tamarack_core import timeline
+if typing.TYPE_CHECKING:
+    # Entry hosts start often, and need few of these types to run.
+    from tamarack_core import messages
+    from tamarack_core import peers
+    from tamarack_core import requests
+    from tamarack_core import timeline
 
 
 class SendDatagram(msgspec.Struct):
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -4,11 +4,17 @@
 no other clock.
 """
 
+from __future__ import annotations
+
+import typing
+
 import msgspec
 
-from tamarack_core import messages
-from tamarack_core import peers
-from tamarack_core import requests
+if typing.TYPE_CHECKING:
+    # Entry hosts start often, and need few of these types to run.
+    from tamarack_core import messages
+    from tamarack_core import peers
+    from tamarack_core import requests
 
 
 class Started(msgspec.Struct):
--- a/packages/core/src/tamarack_core/internal/cookie/mirror.py
+++ b/packages/core/src/tamarack_core/internal/cookie/mirror.py
@@ -12,7 +12,7 @@
 from tamarack_core import reducer
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import tags
-from tamarack_core.messages import sync
+from tamarack_core import sync
 
 TIMER = "mirror"
 
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -7,7 +7,7 @@
 
 from tamarack_core import documents
 from tamarack_core import flow_packets
-from tamarack_core.messages import sync
+from tamarack_core import sync
 
 _flow_form = struct.Struct("!IHIH")
 
--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -22,7 +22,7 @@
 from tamarack_core.internal.group import upkeep
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.messages import consensus
-from tamarack_core.messages import sync
+from tamarack_core import sync
 from tamarack_core.storage import disk as disks
 
 TIMER = "group"
--- a/packages/core/src/tamarack_core/internal/registry/announcing.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcing.py
@@ -9,7 +9,7 @@
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import table
-from tamarack_core.messages import sync
+from tamarack_core import sync
 
 TIMER = "registry"
 
--- a/packages/core/src/tamarack_core/internal/registry/history.py
+++ b/packages/core/src/tamarack_core/internal/registry/history.py
@@ -1,7 +1,7 @@
 """Which routes changed with which number of the document."""
 
 from tamarack_core import documents
-from tamarack_core.messages import sync
+from tamarack_core import sync
 
 MAX_REMOVED = 2_000
 """Removed routes that are remembered; older ones force a whole document."""
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -7,7 +7,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import requests
+from tamarack_core import refusal
 
 Handler = Callable[[Any], list[effects.Effect]]
 Key = type | str
@@ -78,7 +78,7 @@
 
 def _refuse(event: events.RequestArrived) -> effects.Effect:
     """Answers a request that no part of the host handles."""
-    refused = requests.Refused(
+    refused = refusal.Refused(
         "wrong-role",
         "this host lacks the role for the request; announcements, targets and "
         "flows are for entry hosts, patches and members for control hosts",
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -6,6 +6,7 @@
 
 from tamarack_core import configuration
 from tamarack_core import outside
+from tamarack_core import refusal
 
 
 class TargetState(enum.StrEnum):
@@ -153,6 +154,9 @@
 )
 
 
+Refused = refusal.Refused
+
+
 class Announced(msgspec.Struct, frozen=True, tag="announced"):
     """The announcement is accepted.
 
@@ -163,18 +167,6 @@
     lease_s: float
 
 
-class Refused(msgspec.Struct, frozen=True, tag="refused"):
-    """The request is refused and has had no effect.
-
-    Attributes:
-        reason: Constant name of the cause.
-        detail: Sentence for an operator.
-    """
-
-    reason: str
-    detail: str = ""
-
-
 class PatchState(enum.StrEnum):
     """Verdict on a patch."""
 
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -83,6 +83,7 @@
             self._handle_envelope,
             {peer.host: peer.control for peer in settings.peers},
             aiohttp_sender.AiohttpSender(),
+            messages.codec,
             self._signer,
         )
         self.entries: collections.deque[timeline.Entry] = collections.deque(
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -8,11 +8,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
-import http
 import socket
 
 import httptools
+import msgspec
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Largest body that is taken; a document of 16,000 routes has 4 MB."""
@@ -28,9 +27,21 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 
-
-@dataclasses.dataclass(slots=True)
-class HttpRequest:
+BAD_REQUEST = 400
+BODY_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+_PHRASES = {
+    200: "OK",
+    307: "Temporary Redirect",
+    BAD_REQUEST: "Bad Request",
+    404: "Not Found",
+    BODY_TOO_LARGE: "Content Too Large",
+    HEADERS_TOO_LARGE: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
+
+
+class HttpRequest(msgspec.Struct):
     """A request that arrived whole.
 
     Attributes:
@@ -44,8 +55,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class HttpReply:
+class HttpReply(msgspec.Struct):
     """An answer.
 
     Attributes:
@@ -140,7 +150,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._refuse(http.HTTPStatus.BAD_REQUEST)
+            self._refuse(BAD_REQUEST)
 
     def on_message_begin(self) -> None:
         self._path.clear()
@@ -153,12 +163,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
-            self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+            self._refuse(HEADERS_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
-            self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self._refuse(BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         request = HttpRequest(
@@ -171,7 +181,7 @@
             loop = asyncio.get_running_loop()
             self._busy = loop.create_task(self._answer_all())
 
-    def _refuse(self, status: http.HTTPStatus) -> None:
+    def _refuse(self, status: int) -> None:
         if self._transport is not None:
             self._transport.write(_encode_reply(HttpReply(status), False))
             self._transport.close()
@@ -195,9 +205,8 @@
 
 def _encode_reply(reply: HttpReply, is_kept: bool) -> bytes:
     """Returns the bytes of an answer."""
-    status = http.HTTPStatus(reply.status)
     lines = [
-        f"HTTP/1.1 {status.value} {status.phrase}",
+        f"HTTP/1.1 {reply.status} {_PHRASES.get(reply.status, '')}",
         f"Content-Type: {reply.content_type}",
         f"Content-Length: {len(reply.body)}",
         *(f"{name}: {value}" for name, value in reply.headers),
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -1,19 +1,25 @@
 """Carries messages between hosts: JSON over UDP, or over HTTP when large."""
 
+from __future__ import annotations
+
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
 import logging
 import socket
+import typing
 from typing import Protocol
 
 from tamarack_core import context as context_lib
 from tamarack_core import failure
-from tamarack_core import messages
+from tamarack_core import envelopes
 from tamarack_core import peers
-from tamarack_node.internal import keys
 from tamarack_node.internal import logs
 
+if typing.TYPE_CHECKING:
+    from tamarack_core import messages
+    from tamarack_node.internal import keys
+
 # A datagram of this size is not fragmented on a link of 1,500 bytes.
 MAX_DATAGRAM_BYTES = 1400
 MAX_MESSAGES_PER_ENVELOPE = 64
@@ -58,11 +64,13 @@
         socket: UDP socket bound to the control endpoint.
         outbox: Messages that wait for the end of the loop turn, by receiver.
         sender: Sends large envelopes.
+        codec: Translates envelopes.
     """
 
     __slots__ = (
         "_flush_scheduled",
         "_tasks",
+        "codec",
         "context",
         "outbox",
         "receive",
@@ -75,9 +83,10 @@
     def __init__(
         self,
         context: context_lib.Context,
-        receive: Callable[[messages.Envelope], None],
+        receive: Callable[[envelopes.Envelope[messages.Message]], None],
         routes: Mapping[str, peers.Endpoint],
         sender: LargeSender,
+        codec: envelopes.Codec,
         signer: keys.MessageSigner | None = None,
     ) -> None:
         """Creates a transport that is not open.
@@ -87,6 +96,7 @@
             receive: Called with each envelope received.
             routes: Endpoint of each host that the settings name.
             sender: Sends large envelopes.
+            codec: Translates envelopes.
             signer: Signs and verifies; None for no signatures.
         """
         self.signer = signer
@@ -95,6 +105,7 @@
         self.receive = receive
         self.socket: socket.socket | None = None
         self.sender = sender
+        self.codec = codec
         self.outbox: dict[peers.Peer, list[messages.Message]] = {}
         self._flush_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -147,7 +158,7 @@
         if isinstance(body, failure.Failure):
             self.context.counters[body.reason] += 1
             return
-        envelope = messages.decode(body)
+        envelope = self.codec.decode(body)
         if isinstance(envelope, failure.Failure):
             self.context.counters[envelope.reason] += 1
             return
@@ -179,10 +190,10 @@
         self, peer: peers.Peer, batch: list[messages.Message]
     ) -> None:
         """Sends messages in as few datagrams as hold them."""
-        envelope = messages.Envelope(
+        envelope = envelopes.Envelope(
             self.context.host, self.context.clock.latest, tuple(batch)
         )
-        data = messages.encode(envelope)
+        data = self.codec.encode(envelope)
         if self.signer is not None:
             data = self.signer.sign(peer.host, data)
         if len(data) <= MAX_DATAGRAM_BYTES:
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -5,25 +5,28 @@
 restarted often, this driver carries out the same effects with less.
 """
 
+from __future__ import annotations
+
 import asyncio
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import itertools
 import logging
 import os
 import signal
 import socket
 import time
+import typing
 from typing import Protocol
 
+import msgspec
+
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import messages
+from tamarack_core import envelopes
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core import requests
 from tamarack_core import timeline
 from tamarack_node.internal import http1
 from tamarack_node.internal import light_sender
@@ -33,6 +36,10 @@
 from tamarack_node.internal import timers
 from tamarack_node.internal import transport
 
+if typing.TYPE_CHECKING:
+    from tamarack_core import messages
+    from tamarack_core import requests
+
 HttpRequest = http1.HttpRequest
 HttpReply = http1.HttpReply
 
@@ -73,8 +80,7 @@
         """Lets it end after the writes that wait."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Addresses:
+class Addresses(msgspec.Struct, frozen=True):
     """What a host listens on.
 
     Attributes:
@@ -123,6 +129,7 @@
         node: reducer.Node,
         addresses: Addresses,
         dialect: Dialect,
+        codec: envelopes.Codec,
     ) -> None:
         """Creates a host that has not started.
 
@@ -130,6 +137,7 @@
             node: State of the host.
             addresses: What the host listens on.
             dialect: Translates HTTP.
+            codec: Translates envelopes.
         """
         loop = asyncio.get_running_loop()
         self.node = node
@@ -146,6 +154,7 @@
             self._handle_envelope,
             {},
             light_sender.LightSender(),
+            codec,
         )
         self._dialect = dialect
         self._timers = timers.TimerService(loop, self._handle_timer)
@@ -258,7 +267,9 @@
             self.handle(events.DatagramArrived(now_s, data))
         self.turn.observe(time.monotonic() - now_s)
 
-    def _handle_envelope(self, envelope: messages.Envelope) -> None:
+    def _handle_envelope(
+        self, envelope: envelopes.Envelope[messages.Message]
+    ) -> None:
         """Handles the messages of another host."""
         now_s = time.monotonic()
         for message in envelope.messages:
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -15,7 +15,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core.internal.cookie import tags
-from tamarack_core.messages import sync
+from tamarack_core import sync
 
 SERVICE_ADDRESS = "198.18.0.1"
 SERVICE_PORT = 443
