Reset flows of targets and domains that several flows find silent; stop sooner

Cause: in a zone cut and after a crash without a word, callers waited on dead flows until their deadline; two stopping hosts of a zone overlapped for 2.2 s. Test: SilenceTest; the first two failed before. Found on the way: a flow met in its middle counted as a sign of life, which cleared the evidence. Conclusion: a host sees too few flows of one target; probes are to decide.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -16,9 +16,7 @@
 from tamarack_core.messages import consensus
 from tamarack_core.storage import disk as disks
 
-MESSAGES = envelopes.Codec(
-    envelopes.Envelope[sync.Message | consensus.Message]
-)
+MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message | consensus.Message])
 """Translates the messages that a control host takes and sends."""
 
 
--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -213,9 +213,7 @@
         ),
         idle_timeout_ms=document.idle_timeout_ms,
         remainder=(
-            None
-            if base.remainder == document.remainder
-            else document.remainder
+            None if base.remainder == document.remainder else document.remainder
         ),
     )
 
--- a/packages/core/src/tamarack_core/flow_packets.py
+++ b/packages/core/src/tamarack_core/flow_packets.py
@@ -61,9 +61,7 @@
             The datagram; None if the name can't be written in it.
         """
 
-    def encode_reset(
-        self, packet: FlowPacket
-    ) -> tuple[peers.Endpoint, bytes]:
+    def encode_reset(self, packet: FlowPacket) -> tuple[peers.Endpoint, bytes]:
         """Returns where a reset for the caller goes, and the datagram."""
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/choosing.py
@@ -16,10 +16,6 @@
 """Factor by which a cold target counts its flows; targets that have just
 started run their work that much slower."""
 
-MAX_SUSPECT_SHARE = 0.5
-"""Largest share of a service's targets that is left out as suspect; when more
-are silent, the cause is nearer to this host than to them."""
-
 
 def choose(
     candidates: Sequence[tags.Entry],
@@ -31,8 +27,10 @@
     """Returns the target for a new flow, or None if there is none.
 
     Targets that did not answer this opening come last. Then those whose
-    announcements are missed, then those that several flows find silent; one
-    opening a second still tests each of these. Among the others the least
+    announcements are missed, then those that several flows find silent, alone
+    or with all of their failure domain; one opening a second still tests each
+    of these. When all are silent, the cause may be near, and all are used.
+    Among the others the least
     loaded as seen here is taken, by lot among equals.
 
     Args:
@@ -53,33 +51,18 @@
         entry for entry in candidates if entry.target.name not in tried
     ]
     usable = usable or list(candidates)
-    pool = _without_suspects(usable, seen, now_s)
+    sound = [
+        entry for entry in usable if not seen.watch(entry).is_avoided(now_s)
+    ]
     return min(
-        pool,
+        sound or usable,
         key=lambda entry: (_load(entry, seen, now_s), generator.random()),
     )
 
 
-def _without_suspects(
-    usable: list[tags.Entry], seen: watching.Watching, now_s: float
-) -> list[tags.Entry]:
-    """Returns the targets that answer, and one that is due for a test."""
-    sound = []
-    for entry in usable:
-        watch = seen.watch(entry.target.name)
-        if not watch.is_suspect(now_s) or watch.may_try(now_s):
-            sound.append(entry)
-    left_out = len(usable) - len(sound)
-    if left_out > MAX_SUSPECT_SHARE * len(usable):
-        return usable
-    return sound
-
-
-def _load(
-    entry: tags.Entry, seen: watching.Watching, now_s: float
-) -> float:
+def _load(entry: tags.Entry, seen: watching.Watching, now_s: float) -> float:
     """Returns the work that a target has through this host, by slot."""
-    watch = seen.watch(entry.target.name)
+    watch = seen.watch(entry)
     work = 1.0 + watch.flows + watch.waiting
     if now_s < entry.warm_at_s:
         work *= COLD_FACTOR
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -15,12 +15,13 @@
 
 TIMER = "forwarding"
 
-FORGET_INTERVAL_S = 1.0
+FORGET_INTERVAL_S = 0.25
 """Time between searches for idle flows, in seconds."""
 
-LINGER_S = 2.2
+LINGER_S = 1.3
 """Time for which a stopping host carries packets, in seconds; the fabric asks
-twice a second and leaves a host out after two misses."""
+twice a second and leaves a host out after two misses. The sooner the host is
+back, the fewer hosts of a failure domain are away at once."""
 
 DEFAULT_IDLE_S = 15.0
 """Time after which a flow is forgotten while no document states one."""
@@ -90,6 +91,7 @@
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
         """Forgets flows that have been idle for long."""
+        self.seen.turn(event.now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
         self.seen.forget_idle(event.now_s, idle_s)
         return [effects.StartTimer(TIMER, FORGET_INTERVAL_S)]
@@ -116,14 +118,13 @@
     ) -> list[effects.Effect]:
         """Answers whether packets are welcome here."""
         is_ready = self.mirror.is_synced and not self.is_stopping
-        return [
-            effects.Respond(event.request_id, outside.Readiness(is_ready))
-        ]
+        return [effects.Respond(event.request_id, outside.Readiness(is_ready))]
 
     def handle_datagram(
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
         """Forwards, refuses or drops a packet."""
+        self.seen.turn(event.now_s)
         packet = self.codec.decode(event.data)
         if isinstance(packet, failure.Failure):
             return self._drop(packet.reason)
@@ -164,7 +165,7 @@
         entry: tags.Entry,
     ) -> list[effects.Effect]:
         """Sends an opening to a target."""
-        self.seen.note_opening(now_s, packet.flow, entry.target.name)
+        self.seen.note_opening(now_s, packet.flow, entry)
         self.context.counters["flows-placed"] += 1
         if packet.copy_number:
             self.context.counters["flows-placed-again"] += 1
@@ -196,22 +197,20 @@
             if packet.is_reset:
                 self.seen.end(packet.flow)
             return self._forward(packet, entry)
-        self.seen.note_packet(
-            now_s,
-            packet.flow,
-            entry.target.name,
-            packet.sequence,
-            packet.acknowledged,
-            packet.payload_bytes,
-        )
+        self.seen.note_packet(now_s, entry, packet)
         if self._is_dead(now_s, entry):
             return self._reset(now_s, packet, entry, "target-silent")
         return self._forward(packet, entry)
 
     def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
-        """Returns whether both its announcements and its flows are silent."""
-        watch = self.seen.watch(entry.target.name)
-        return entry.is_overdue and watch.is_suspect(now_s)
+        """Returns whether the flows of a target wait in vain.
+
+        A target that also misses its announcements needs less evidence.
+        """
+        watch = self.seen.watch(entry)
+        if entry.is_overdue and watch.is_suspect(now_s):
+            return True
+        return watch.is_dark(now_s)
 
     def _forward(
         self, packet: flow_packets.FlowPacket, entry: tags.Entry
--- a/packages/core/src/tamarack_core/internal/cookie/mirror.py
+++ b/packages/core/src/tamarack_core/internal/cookie/mirror.py
@@ -10,9 +10,9 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import tags
-from tamarack_core import sync
 
 TIMER = "mirror"
 
@@ -182,9 +182,7 @@
         if now_s - self.home_s < HOME_INTERVAL_S:
             return []
         self.home_s = now_s
-        return [
-            self._ask(peer) for peer in self.controls if peer.domain == own
-        ]
+        return [self._ask(peer) for peer in self.controls if peer.domain == own]
 
     def _known(self) -> list[peers.Peer]:
         """Returns the control hosts to ask, without repetition."""
@@ -271,9 +269,7 @@
         self.is_settled = self.is_settled or update.is_settled
         return found
 
-    def _record_target(
-        self, now_s: float, entry: tags.Entry
-    ) -> effects.Effect:
+    def _record_target(self, now_s: float, entry: tags.Entry) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         target = entry.target
         state = target.phase.name.lower()
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -6,26 +6,25 @@
 
 import msgspec
 
+from tamarack_core import flow_packets
+from tamarack_core.internal.cookie import silence
+from tamarack_core.internal.cookie import tags
+
 MAX_FLOWS = 50_000
 """Flows that are remembered; 16 MB at about 330 bytes each."""
 
-SUSPECT_FLOWS = 2
-"""Flows without an answer that make a target suspect; one packet in a
-thousand is lost, so a single repetition says little."""
-
-SUSPECT_SILENCE_S = 0.18
-"""Time without any answer that makes a target suspect, in seconds; just under
-the 0.2 s after which callers repeat a packet."""
+AWAY_S = 0.8
+"""Time without a packet or a timer after which this host has been away, and
+the repetitions that it reads say nothing."""
 
-RETRY_S = 1.0
-"""Time after which a suspect target is tried with one opening, in seconds."""
+SEQUENCE_SPACE = 1 << 32
 
 
 class Flow(msgspec.Struct):
     """A flow as this host sees it.
 
     Attributes:
-        target: Name of the target.
+        target: The target.
         last_s: Time of its last packet, in seconds.
         is_open: Whether a target has answered the opening.
         tried: Targets that were sent the opening.
@@ -35,7 +34,7 @@
             is waiting.
     """
 
-    target: str
+    target: tags.Entry
     last_s: float
     is_open: bool = False
     tried: tuple[str, ...] = ()
@@ -48,29 +47,38 @@
     """What is seen of one target.
 
     Attributes:
+        silence: Flows of the target that wait in vain.
+        domain: Flows of its failure domain that do.
         flows: Flows that are open, or being opened, through this host.
         waiting: Flows whose last request has no reply.
-        answered_s: Time of the last sign of life, in seconds.
-        silent: Flows that repeated a packet since then.
-        tried_s: Time of the last opening sent to it while suspect.
     """
 
+    silence: silence.Silence
+    domain: silence.Silence
     flows: int = 0
     waiting: int = 0
-    answered_s: float = float("-inf")
-    silent: set[tuple[int, int, int, int]] = msgspec.field(default_factory=set)
-    tried_s: float = float("-inf")
+
+    def note_repetition(self, now_s: float, key: silence.FlowKey) -> None:
+        """Takes note that a flow repeats a packet."""
+        self.silence.note_repetition(now_s, key)
+        self.domain.note_repetition(now_s, key)
+
+    def note_answer(self, now_s: float) -> None:
+        """Takes note of a sign of life."""
+        self.silence.note_answer(now_s)
+        self.domain.note_answer(now_s)
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Returns whether openings had better go elsewhere."""
+        return self.silence.is_avoided(now_s) or self.domain.is_avoided(now_s)
 
     def is_suspect(self, now_s: float) -> bool:
         """Returns whether several flows wait and none is answered."""
-        return (
-            len(self.silent) >= SUSPECT_FLOWS
-            and now_s - self.answered_s > SUSPECT_SILENCE_S
-        )
+        return self.silence.is_suspect(now_s)
 
-    def may_try(self, now_s: float) -> bool:
-        """Returns whether one opening may test a suspect target."""
-        return now_s - self.tried_s > RETRY_S
+    def is_dark(self, now_s: float) -> bool:
+        """Returns whether open flows had better be given up."""
+        return self.silence.is_dark(now_s) or self.domain.is_dark(now_s)
 
 
 class Watching:
@@ -79,24 +87,40 @@
     Attributes:
         flows: Flows by their key, the longest idle first.
         targets: Watches by name of the target.
+        domains: Silences by failure domain.
+        turned_s: Time of the last packet or timer, in seconds.
     """
 
-    __slots__ = ("flows", "targets")
+    __slots__ = ("domains", "flows", "targets", "turned_s")
 
     def __init__(self) -> None:
         """Creates an empty record."""
-        self.flows: dict[tuple[int, int, int, int], Flow] = {}
+        self.flows: dict[silence.FlowKey, Flow] = {}
         self.targets: dict[str, Watch] = {}
+        self.domains: dict[str, silence.Silence] = {}
+        self.turned_s = float("inf")
+
+    def turn(self, now_s: float) -> None:
+        """Takes note that this host runs; forgives all if it was away."""
+        if now_s - self.turned_s > AWAY_S:
+            for watch in self.targets.values():
+                watch.note_answer(now_s)
+        self.turned_s = now_s
 
-    def watch(self, name: str) -> Watch:
+    def watch(self, entry: tags.Entry) -> Watch:
         """Returns the watch of a target."""
-        found = self.targets.get(name)
+        found = self.targets.get(entry.target.name)
         if found is None:
-            found = self.targets[name] = Watch()
+            name = entry.target.domain
+            domain = self.domains.get(name)
+            if domain is None:
+                domain = self.domains[name] = silence.Silence(silence.DOMAIN)
+            found = Watch(silence.Silence(silence.TARGET), domain)
+            self.targets[entry.target.name] = found
         return found
 
     def note_opening(
-        self, now_s: float, key: tuple[int, int, int, int], target: str
+        self, now_s: float, key: silence.FlowKey, target: tags.Entry
     ) -> None:
         """Takes note that an opening is sent to a target."""
         held = self.flows.pop(key, None)
@@ -105,16 +129,18 @@
             self._release(held)
             if not held.is_open:
                 tried = held.tried
-        self.flows[key] = Flow(target, now_s, tried=(*tried, target))
+        self.flows[key] = Flow(
+            target, now_s, tried=(*tried, target.target.name)
+        )
         watch = self.watch(target)
         watch.flows += 1
-        if watch.silent:
-            watch.tried_s = now_s
+        watch.silence.note_opening(now_s)
+        watch.domain.note_opening(now_s)
         if len(self.flows) > MAX_FLOWS:
             self.end(next(iter(self.flows)))
 
     def note_unanswered(
-        self, now_s: float, key: tuple[int, int, int, int]
+        self, now_s: float, key: silence.FlowKey
     ) -> tuple[str, ...]:
         """Takes note that a caller repeats its opening.
 
@@ -124,76 +150,67 @@
         held = self.flows.get(key)
         if held is None or held.is_open:
             return ()
-        self.watch(held.target).silent.add(key)
+        self.watch(held.target).note_repetition(now_s, key)
         return held.tried
 
     def note_packet(
         self,
         now_s: float,
-        key: tuple[int, int, int, int],
-        target: str,
-        sequence: int,
-        acknowledged: int,
-        payload_bytes: int,
-    ) -> bool:
+        target: tags.Entry,
+        packet: flow_packets.FlowPacket,
+    ) -> None:
         """Takes note of a packet of an open flow.
 
         Args:
             now_s: Monotonic time in seconds.
-            key: The flow.
-            target: Name of its target.
-            sequence: Place of the payload.
-            acknowledged: How much the caller has received.
-            payload_bytes: Length of the payload.
-
-        Returns:
-            Whether the flow is seen open for the first time.
+            target: The target that it goes to.
+            packet: The packet.
         """
+        key = packet.flow
         flow = self.flows.pop(key, None)
         watch = self.watch(target)
-        is_new = flow is None or not flow.is_open
-        if flow is None or flow.target != target:
+        if flow is None or flow.target.target.name != target.target.name:
+            # Met in its middle, a flow shows nothing of its target.
             if flow is not None:
                 self._release(flow)
-            flow = Flow(target, now_s, sequence=sequence)
+            flow = Flow(
+                target,
+                now_s,
+                is_open=True,
+                acknowledged=packet.acknowledged,
+                sequence=packet.sequence,
+            )
             watch.flows += 1
         self.flows[key] = flow
         flow.last_s = now_s
-        if is_new:
+        if not flow.is_open:
             flow.is_open = True
-            flow.sequence = sequence
-            self._note_answer(now_s, key, watch)
-        elif acknowledged != flow.acknowledged:
-            self._note_answer(now_s, key, watch)
+            flow.sequence = packet.sequence
+            watch.note_answer(now_s)
+        elif packet.acknowledged != flow.acknowledged:
+            watch.note_answer(now_s)
             self._stop_waiting(flow, watch)
-        flow.acknowledged = acknowledged
-        if payload_bytes:
-            self._note_payload(now_s, key, flow, sequence + payload_bytes)
-        return is_new
+        flow.acknowledged = packet.acknowledged
+        if packet.payload_bytes:
+            self._note_payload(now_s, flow, packet, watch)
 
     def _note_payload(
         self,
         now_s: float,
-        key: tuple[int, int, int, int],
         flow: Flow,
-        end: int,
+        packet: flow_packets.FlowPacket,
+        watch: Watch,
     ) -> None:
         """Takes note of payload; what was sent before is a repetition."""
-        watch = self.watch(flow.target)
-        if (end - flow.sequence) % (1 << 32) in range(1, 1 << 31):
+        end = packet.sequence + packet.payload_bytes
+        ahead = (end - flow.sequence) % SEQUENCE_SPACE
+        if 0 < ahead < SEQUENCE_SPACE // 2:
             flow.sequence = end
             if flow.waits_since_s is None:
                 flow.waits_since_s = now_s
                 watch.waiting += 1
         else:
-            watch.silent.add(key)
-
-    def _note_answer(
-        self, now_s: float, key: tuple[int, int, int, int], watch: Watch
-    ) -> None:
-        """Takes note of a sign of life of a target."""
-        watch.answered_s = now_s
-        watch.silent.clear()
+            watch.note_repetition(now_s, packet.flow)
 
     def _stop_waiting(self, flow: Flow, watch: Watch) -> None:
         """Takes note that a reply has come."""
@@ -201,7 +218,7 @@
             flow.waits_since_s = None
             watch.waiting -= 1
 
-    def end(self, key: tuple[int, int, int, int]) -> None:
+    def end(self, key: silence.FlowKey) -> None:
         """Forgets a flow."""
         flow = self.flows.pop(key, None)
         if flow is not None:
--- a/packages/core/src/tamarack_core/internal/group/contacts.py
+++ b/packages/core/src/tamarack_core/internal/group/contacts.py
@@ -88,12 +88,10 @@
         """Returns all other control hosts to speak to, seeds included."""
         known = {peer.control: peer for peer in self.seeds}
         known.update(
-            (endpoint, peer)
-            for endpoint, (peer, _) in self.mentioned.items()
+            (endpoint, peer) for endpoint, (peer, _) in self.mentioned.items()
         )
         known.update(
-            (endpoint, contact.peer)
-            for endpoint, contact in self.heard.items()
+            (endpoint, contact.peer) for endpoint, contact in self.heard.items()
         )
         known.pop(self.context.host.control, None)
         return tuple(known.values())
--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -11,6 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
+from tamarack_core import sync
 from tamarack_core.internal.consensus import face
 from tamarack_core.internal.consensus import limits
 from tamarack_core.internal.consensus import membership
@@ -22,7 +23,6 @@
 from tamarack_core.internal.group import upkeep
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.messages import consensus
-from tamarack_core import sync
 from tamarack_core.storage import disk as disks
 
 TIMER = "group"
@@ -169,7 +169,9 @@
             return [effects.Stop(1, self.unreadable.detail)]
         found: list[effects.Effect] = [
             self.context.record(
-                event.now_s, "host-started", version=self.machine.document.number
+                event.now_s,
+                "host-started",
+                version=self.machine.document.number,
             )
         ]
         found += self._carry(event.now_s, self.replica.start(event.now_s))
@@ -257,8 +259,7 @@
         hello = sync.ControlHello(self.replica.state.own.incarnation, live)
         found = self.publisher.put_controls(now_s, live)
         found += [
-            effects.SendMessage(peer, hello)
-            for peer in self.contacts.others()
+            effects.SendMessage(peer, hello) for peer in self.contacts.others()
         ]
         return found
 
--- a/packages/core/src/tamarack_core/internal/group/publishing.py
+++ b/packages/core/src/tamarack_core/internal/group/publishing.py
@@ -93,9 +93,7 @@
         state = self.replica.state
         if not state.is_leader:
             return _answer(request_id, self._point_to_leader())
-        self.waiting.append(
-            Waiting(request_id, document, now_s + PATIENCE_S)
-        )
+        self.waiting.append(Waiting(request_id, document, now_s + PATIENCE_S))
         return self._propose(now_s, document)
 
     def _point_to_leader(self) -> outside.Elsewhere | outside.Unavailable:
@@ -157,9 +155,7 @@
         ordered = sorted(
             self.waiting, key=lambda waiting: waiting.document.number
         )
-        return [
-            self._propose(now_s, waiting.document) for waiting in ordered
-        ]
+        return [self._propose(now_s, waiting.document) for waiting in ordered]
 
 
 def _answer(request_id: int, answer: requests.Response) -> outputs.Step:
--- a/packages/core/src/tamarack_core/internal/registry/announcing.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcing.py
@@ -6,10 +6,10 @@
 from tamarack_core import events
 from tamarack_core import outside
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import table
-from tamarack_core import sync
 
 TIMER = "registry"
 
@@ -240,9 +240,7 @@
         changed = [
             known.target
             for known in update.targets
-            if self.registry.put(
-                event.now_s, known.target, self._age_s(known)
-            )
+            if self.registry.put(event.now_s, known.target, self._age_s(known))
         ]
         if not changed:
             return []
@@ -268,9 +266,7 @@
             )
         return self.publisher.push(event.now_s) if is_changed else []
 
-    def _record(
-        self, now_s: float, target: announced.Target
-    ) -> effects.Effect:
+    def _record(self, now_s: float, target: announced.Target) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         return self.context.record(
             now_s,
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -8,9 +8,9 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.registry import history as histories
 from tamarack_core.internal.registry import table
-from tamarack_core import sync
 
 SUBSCRIPTION_S = 3.5
 """Time after its last question for which a host is sent changes."""
--- a/packages/core/src/tamarack_core/internal/registry/table.py
+++ b/packages/core/src/tamarack_core/internal/registry/table.py
@@ -89,11 +89,8 @@
             Whether others must hear of it.
         """
         held = self.records.get(target.name)
-        if held is not None and target.order < held.target.order:
+        if held is not None and not _may_follow(held.target, target):
             return False
-        if held is not None and held.target.phase is announced.Phase.GONE:
-            if target.born_ms <= held.target.born_ms:
-                return False
         if target.phase is not announced.Phase.GONE:
             if self._is_superseded(target):
                 return False
@@ -101,9 +98,7 @@
         heard_s = now_s - age_s
         if held is None or _differs(held, target):
             self.position += 1
-            record = Record(
-                target, heard_s, self.position, is_direct=is_direct
-            )
+            record = Record(target, heard_s, self.position, is_direct=is_direct)
             record.is_overdue = self._is_late(now_s, record)
             self.records[target.name] = record
             return True
@@ -242,6 +237,13 @@
     return (target.endpoint.address, target.endpoint.port)
 
 
+def _may_follow(held: announced.Target, target: announced.Target) -> bool:
+    """Returns whether an announcement is not older than the one held."""
+    if held.phase is announced.Phase.GONE:
+        return target.born_ms > held.born_ms
+    return target.order >= held.order
+
+
 def _differs(held: Record, target: announced.Target) -> bool:
     """Returns whether an announcement says more than that a target lives."""
     ignored = {"sequence": 0, "cold_ms": 0}
--- a/packages/core/src/tamarack_core/outside.py
+++ b/packages/core/src/tamarack_core/outside.py
@@ -51,9 +51,7 @@
     """The fabric asks whether this entry host takes packets."""
 
 
-class DocumentPublished(
-    msgspec.Struct, frozen=True, tag="document-published"
-):
+class DocumentPublished(msgspec.Struct, frozen=True, tag="document-published"):
     """The document, or one with a higher number, is accepted.
 
     Attributes:
--- a/packages/node/src/tamarack_node/internal/disk_writer.py
+++ b/packages/node/src/tamarack_node/internal/disk_writer.py
@@ -75,9 +75,7 @@
                 self._loop.call_soon_threadsafe(self.failed, error)
                 return
             if not isinstance(effect, effects.SaveTargets):
-                self._loop.call_soon_threadsafe(
-                    self.completed, effect.sequence
-                )
+                self._loop.call_soon_threadsafe(self.completed, effect.sequence)
 
     def _write(self, effect: Write) -> None:
         """Writes, again and again while the disk is full."""
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -403,7 +403,9 @@
     """
     access = files or files_lib.SystemFiles()
     # The identity goes first: without it, nothing else in the folder counts.
-    found = sorted(path.iterdir(), key=lambda entry: entry.name != IDENTITY_NAME)
+    found = sorted(
+        path.iterdir(), key=lambda entry: entry.name != IDENTITY_NAME
+    )
     for entry in found:
         access.remove(entry)
         access.sync_folder(path)
--- a/packages/node/src/tamarack_node/internal/text_metrics.py
+++ b/packages/node/src/tamarack_node/internal/text_metrics.py
@@ -61,9 +61,7 @@
     return ("\n".join(lines) + "\n").encode()
 
 
-def _render_histogram(
-    host: str, name: str, histogram: Histogram
-) -> list[str]:
+def _render_histogram(host: str, name: str, histogram: Histogram) -> list[str]:
     """Returns the lines of one histogram."""
     full = f"tamarackford_{name}_seconds"
     lines = [f"# TYPE {full} histogram"]
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -11,8 +11,8 @@
 from typing import Protocol
 
 from tamarack_core import context as context_lib
-from tamarack_core import failure
 from tamarack_core import envelopes
+from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_node.internal import logs
 
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -23,8 +23,8 @@
 import msgspec
 
 from tamarack_core import effects
-from tamarack_core import events
 from tamarack_core import envelopes
+from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import timeline
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -14,8 +14,8 @@
 from tamarack_core import outside
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core.internal.cookie import tags
 from tamarack_core import sync
+from tamarack_core.internal.cookie import tags
 
 SERVICE_ADDRESS = "198.18.0.1"
 SERVICE_PORT = 443
@@ -26,9 +26,7 @@
 class FakeCodec:
     """Packets as MessagePack, so that a test reads what left the host."""
 
-    def decode(
-        self, data: bytes
-    ) -> flow_packets.FlowPacket | failure.Failure:
+    def decode(self, data: bytes) -> flow_packets.FlowPacket | failure.Failure:
         """Returns the packet in a datagram."""
         fields = msgspec.msgpack.decode(data)
         if not fields:
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -1,6 +1,10 @@
 """An entry host that forwards by the cookies of flows."""
 
+import itertools
+
+import msgspec
 import testtools
+from testtools import matchers
 
 from tamarack_core import announced
 from tests import cookie_host
@@ -29,6 +33,117 @@
             base=1,
             position=2,
         )
-        self.assertEqual(
-            {"t-1", "t-2"}, {host.open(n) for n in range(30, 40)}
+        self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(30, 40)})
+
+
+def domain_target(name, domain):
+    """Returns a target of a failure domain."""
+    return msgspec.structs.replace(cookie_host.target(name), domain=domain)
+
+
+class SilenceTest(testtools.TestCase):
+    """What an entry host does about targets that do not answer."""
+
+    def start(self):
+        """Returns a host with two targets in each of two domains."""
+        host = cookie_host.CookieHost()
+        host.update(
+            *(
+                domain_target(f"{domain}-{number}", domain)
+                for domain in ("a", "b")
+                for number in range(2)
+            ),
+            document=cookie_host.document(1),
+        )
+        return host
+
+    def talk(self, host, number, name):
+        """Opens a flow at a target and gets an answer to a request."""
+        host.carry(number, name)
+        host.carry(number, name, payload_bytes=10)
+        host.carry(number, name, sequence=11, acknowledged=500)
+
+    def ask_in_vain(self, host, names, flows):
+        """Sends a request on each flow, and again without an answer."""
+        pairs = list(zip(flows, itertools.cycle(names), strict=False))
+        for number, name in pairs:
+            host.carry(number, name, acknowledged=500, sequence=11,
+                       payload_bytes=10)
+        left = []
+        for wait_s in (0.2, 0.4, 0.8):
+            host.tick(wait_s)
+            left = [
+                host.carry(number, name, acknowledged=500, sequence=11,
+                           payload_bytes=10)
+                for number, name in pairs
+            ]
+        return left
+
+    def test_a_domain_that_is_cut_off_gets_no_openings_and_resets_flows(self):
+        host = self.start()
+        for number in range(8):
+            self.talk(host, number, f"b-{number % 2}")
+        left = self.ask_in_vain(host, ["b-0", "b-1"], range(8))
+        self.assertEqual({"reset"}, set(left))
+        opened = [host.open(number) for number in range(20, 40)]
+        self.assertThat(
+            [name for name in opened if name.startswith("b")],
+            matchers.HasLength(1),
         )
+
+    def test_a_domain_that_answers_again_is_used_again(self):
+        host = self.start()
+        for number in range(8):
+            self.talk(host, number, f"b-{number % 2}")
+        self.ask_in_vain(host, ["b-0", "b-1"], range(8))
+        for number in range(40, 100):
+            host.tick(0.1)
+            self.assertEqual(name := host.open(number), host.carry(number, name))
+        opened = {host.open(number) for number in range(100, 110)}
+        self.assertEqual({"a-0", "a-1", "b-0", "b-1"}, opened)
+
+    def test_one_silent_flow_is_no_reason_to_reset(self):
+        host = self.start()
+        self.talk(host, 1, "a-0")
+        left = self.ask_in_vain(host, ["a-0"], [1])
+        self.assertEqual(["a-0"], left)
+
+    def test_flows_of_a_target_that_answers_others_are_left_alone(self):
+        host = self.start()
+        for number in range(6):
+            self.talk(host, number, "a-0")
+        for number in range(5):
+            host.carry(number, "a-0", acknowledged=500, sequence=11,
+                       payload_bytes=10)
+        for turn in range(10):
+            host.tick(0.15)
+            self.talk(host, 100 + turn, "a-0")
+            left = {
+                host.carry(number, "a-0", acknowledged=500, sequence=11,
+                           payload_bytes=10)
+                for number in range(5)
+            }
+            self.assertEqual({"a-0"}, left)
+
+    def test_a_host_that_was_frozen_resets_nothing_when_it_wakes(self):
+        # All that was sent meanwhile is read at once, with its repetitions.
+        host = self.start()
+        for number in range(8):
+            self.talk(host, number, f"b-{number % 2}")
+        host.now_s += 4.0
+        for _ in range(4):
+            for number in range(8):
+                left = host.carry(
+                    number, f"b-{number % 2}", acknowledged=500,
+                    sequence=11, payload_bytes=10,
+                )
+                self.assertEqual(f"b-{number % 2}", left)
+
+    def test_a_repeated_opening_goes_to_another_target(self):
+        host = self.start()
+        first = host.open(1)
+        host.tick(0.2)
+        second = host.open(1, copy_number=1)
+        host.tick(0.4)
+        third = host.open(1, copy_number=2)
+        self.assertThat({first, second, third}, matchers.HasLength(3))
