Ask a silent target itself, and reset its flows at once if it is dead

Cause: an entry host has two or three flows of a target, too few to judge by; callers learned one by one that a crashed target's flows were dead, and a report sent on an idle dead flow was lost. Ruled out: reports of silence gathered at control hosts (slower, more traffic).

--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -101,6 +101,20 @@
     data: bytes
 
 
+class ProbeTarget(msgspec.Struct):
+    """Ask a target for a connection, and close it at once.
+
+    Attributes:
+        target: Name that the `TargetProbed` event repeats.
+        endpoint: Address and port of the target.
+        timeout_s: Seconds until the probe has failed.
+    """
+
+    target: str
+    endpoint: peers.Endpoint
+    timeout_s: float
+
+
 class Record(msgspec.Struct):
     """Add an entry to the time line and write it to the log.
 
@@ -131,6 +145,7 @@
     | Persist
     | SaveSnapshot
     | SaveTargets
+    | ProbeTarget
     | Record
     | Stop
 )
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -115,8 +115,23 @@
     seeds: tuple[peers.Peer, ...]
 
 
+class TargetProbed(msgspec.Struct):
+    """A probe has ended.
+
+    Attributes:
+        now_s: Monotonic time in seconds.
+        target: Name given in the `ProbeTarget` effect.
+        is_answered: Whether the target took the connection.
+    """
+
+    now_s: float
+    target: str
+    is_answered: bool
+
+
 Event = (
     Started
+    | TargetProbed
     | SeedsChanged
     | StopRequested
     | DatagramArrived
--- a/packages/core/src/tamarack_core/flow_packets.py
+++ b/packages/core/src/tamarack_core/flow_packets.py
@@ -11,13 +11,15 @@
 from tamarack_core import failure
 from tamarack_core import peers
 
+FlowKey = tuple[int, int, int, int]
+"""Caller address and port, service address and port; addresses as numbers."""
+
 
 class FlowPacket(msgspec.Struct):
     """A packet of a caller.
 
     Attributes:
-        flow: Caller address and port, service address and port; addresses as
-            numbers.
+        flow: The flow that it belongs to.
         is_opening: Whether it asks to open the flow.
         is_reset: Whether it ends the flow at once.
         is_last: Whether the caller sends nothing after it.
@@ -29,7 +31,7 @@
         data: The packet as it arrived.
     """
 
-    flow: tuple[int, int, int, int]
+    flow: FlowKey
     is_opening: bool
     is_reset: bool
     is_last: bool
@@ -78,7 +80,7 @@
     return ".".join(map(str, number.to_bytes(4, "big")))
 
 
-def describe(flow: tuple[int, int, int, int]) -> str:
+def describe(flow: FlowKey) -> str:
     """Returns the text form of a flow, as in logs."""
     caller, service = address_of(flow[0]), address_of(flow[2])
     return f"{caller}:{flow[1]}>{service}:{flow[3]}"
--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/choosing.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import random
 
+from tamarack_core.internal.cookie import probing
 from tamarack_core.internal.cookie import tags
 from tamarack_core.internal.cookie import watching
 
@@ -20,37 +21,36 @@
 def choose(
     candidates: Sequence[tags.Entry],
     seen: watching.Watching,
+    probes: probing.Probing,
     now_s: float,
     tried: Collection[str],
     generator: random.Random,
 ) -> tags.Entry | None:
     """Returns the target for a new flow, or None if there is none.
 
-    Targets that did not answer this opening come last. Then those whose
-    announcements are missed, then those that several flows find silent, alone
-    or with all of their failure domain; one opening a second still tests each
-    of these. When all are silent, the cause may be near, and all are used.
-    Among the others the least
-    loaded as seen here is taken, by lot among equals.
+    Targets that did not answer this opening come last. Then those that don't
+    answer probes, then those whose announcements are missed, then those that
+    several flows find silent, alone or with all of their failure domain; one
+    opening a second still tests each of these. When all are silent, the cause
+    may be near, and all are used. Among the others the least loaded as seen
+    here is taken, by lot among equals.
 
     Args:
         candidates: Targets of the service that take new flows.
         seen: What the packets show.
+        probes: What probes show.
         now_s: Monotonic time in seconds.
         tried: Targets that were sent this opening before.
         generator: Seeded generator.
     """
     if not candidates:
         return None
-    fresh = [
-        entry
-        for entry in candidates
-        if entry.target.name not in tried and not entry.is_overdue
+    untried = [entry for entry in candidates if entry.target.name not in tried]
+    living = [
+        entry for entry in untried if not probes.is_dead(entry.target.name)
     ]
-    usable = fresh or [
-        entry for entry in candidates if entry.target.name not in tried
-    ]
-    usable = usable or list(candidates)
+    fresh = [entry for entry in living if not entry.is_overdue]
+    usable = fresh or living or untried or candidates
     sound = [
         entry for entry in usable if not seen.watch(entry).is_avoided(now_s)
     ]
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -9,14 +9,19 @@
 from tamarack_core import reducer
 from tamarack_core.internal.cookie import choosing
 from tamarack_core.internal.cookie import mirror as mirrors
+from tamarack_core.internal.cookie import probing
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import tags
 from tamarack_core.internal.cookie import watching
 
 TIMER = "forwarding"
 
-FORGET_INTERVAL_S = 0.25
-"""Time between searches for idle flows, in seconds."""
+TICK_S = 0.25
+"""Time between searches for idle flows and dead targets, in seconds."""
+
+END_S = 0.3
+"""Time between the withdrawal of a target and the reset of its flows, in
+seconds; it may still be on its way out."""
 
 LINGER_S = 1.3
 """Time for which a stopping host carries packets, in seconds; the fabric asks
@@ -37,6 +42,7 @@
         routes: Routes in force.
         targets: Known targets.
         seen: What the packets show of flows and targets.
+        probes: What probes show of targets.
         is_stopping: Whether the host is about to end.
     """
 
@@ -45,6 +51,7 @@
         "context",
         "is_stopping",
         "mirror",
+        "probes",
         "routes",
         "seen",
         "targets",
@@ -69,6 +76,7 @@
         self.routes = mirror.routes
         self.targets = mirror.targets
         self.seen = watching.Watching()
+        self.probes = probing.Probing()
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -77,6 +85,7 @@
             events.DatagramArrived: self.handle_datagram,
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
+            events.TargetProbed: self.handle_probed,
             TIMER: self.handle_timer,
             "linger": self.handle_end,
             outside.ReadReadiness: self.handle_readiness,
@@ -86,15 +95,77 @@
         """Records the start."""
         return [
             self.context.record(event.now_s, "host-started"),
-            effects.StartTimer(TIMER, FORGET_INTERVAL_S),
+            effects.StartTimer(TIMER, TICK_S),
         ]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Forgets flows that have been idle for long."""
-        self.seen.turn(event.now_s)
+        """Forgets idle flows, and gives up those of targets that ended."""
+        now_s = event.now_s
+        self._turn(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
-        self.seen.forget_idle(event.now_s, idle_s)
-        return [effects.StartTimer(TIMER, FORGET_INTERVAL_S)]
+        self.seen.forget_idle(now_s, idle_s)
+        found: list[effects.Effect] = [
+            effects.StartTimer(TIMER, TICK_S),
+            *self.probes.tick(now_s),
+        ]
+        for entry in self.targets.by_name.values():
+            if entry.is_overdue and self.seen.watch(entry).flows:
+                found += self.probes.ask(now_s, entry)
+            if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
+                found += self._give_up(now_s, entry, "target-gone")
+        return found
+
+    def _turn(self, now_s: float) -> None:
+        """Takes note that this host runs, and forgives all if it was away."""
+        if self.seen.turn(now_s):
+            self.probes.forgive()
+
+    def handle_probed(self, event: events.TargetProbed) -> list[effects.Effect]:
+        """Takes the end of a probe; a dead target loses its flows."""
+        self._turn(event.now_s)
+        is_turned, found = self.probes.complete(
+            event.now_s, event.target, is_answered=event.is_answered
+        )
+        entry = self.targets.by_name.get(event.target)
+        if entry is None:
+            return found
+        if event.is_answered:
+            self.seen.watch(entry).silence.note_answer(event.now_s)
+        if not is_turned:
+            return found
+        is_dead = self.probes.is_dead(event.target)
+        found.append(
+            self.context.record(
+                event.now_s,
+                "target-dead" if is_dead else "target-alive",
+                service=entry.target.service,
+                target=event.target,
+                reason="probe",
+                detail=f"announced {event.now_s - entry.since_s:.1f} s ago",
+            )
+        )
+        if is_dead:
+            found += self._give_up(event.now_s, entry, "target-silent")
+        return found
+
+    def _give_up(
+        self, now_s: float, entry: tags.Entry, reason: str
+    ) -> list[effects.Effect]:
+        """Resets all known flows of a target.
+
+        Idle flows too: what a caller sends on one later would be lost, and
+        may be something that can't be repeated.
+        """
+        name = entry.target.name
+        if not self.seen.watch(entry).flows:
+            return []
+        found: list[effects.Effect] = []
+        for key, flow in list(self.seen.flows.items()):
+            if flow.target.target.name == name:
+                found += self._reset(
+                    now_s, key, flow.acknowledged, entry, reason
+                )
+        return found
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
         """Withdraws the readiness; packets are carried on for a while."""
@@ -124,7 +195,7 @@
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
         """Forwards, refuses or drops a packet."""
-        self.seen.turn(event.now_s)
+        self._turn(event.now_s)
         packet = self.codec.decode(event.data)
         if isinstance(packet, failure.Failure):
             return self._drop(packet.reason)
@@ -143,11 +214,14 @@
             return self._refuse(now_s, packet, "no-route")
         service = routes_lib.service_of(route, packet.flow)
         tried: tuple[str, ...] = ()
+        found: list[effects.Effect] = []
         if packet.copy_number:
             tried = self.seen.note_unanswered(now_s, packet.flow)
+            found = self._ask_unanswered(now_s, packet.flow)
         entry = choosing.choose(
             self.targets.by_service.get(service, ()),
             self.seen,
+            self.probes,
             now_s,
             tried,
             self.context.random,
@@ -156,7 +230,16 @@
             if not self.mirror.is_settled:
                 return self._drop("opening-before-targets")
             return self._refuse(now_s, packet, "no-target", service)
-        return self._open(now_s, packet, entry)
+        return found + self._open(now_s, packet, entry)
+
+    def _ask_unanswered(
+        self, now_s: float, key: flow_packets.FlowKey
+    ) -> list[effects.Effect]:
+        """Asks the target that did not answer an opening."""
+        flow = self.seen.flows.get(key)
+        if flow is None or flow.is_open:
+            return []
+        return self.probes.ask(now_s, flow.target)
 
     def _open(
         self,
@@ -190,23 +273,28 @@
             reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
             return self._drop(reason)
         if self.mirror.is_synced and self.routes.find(packet.flow) is None:
-            return self._reset(now_s, packet, entry, "route-removed")
-        if entry.is_gone:
-            return self._reset(now_s, packet, entry, "target-gone")
+            return self._reset_packet(now_s, packet, entry, "route-removed")
+        if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
+            return self._reset_packet(now_s, packet, entry, "target-gone")
         if packet.is_reset or packet.is_last:
             if packet.is_reset:
                 self.seen.end(packet.flow)
             return self._forward(packet, entry)
-        self.seen.note_packet(now_s, entry, packet)
+        is_repeated = self.seen.note_packet(now_s, entry, packet)
         if self._is_dead(now_s, entry):
-            return self._reset(now_s, packet, entry, "target-silent")
-        return self._forward(packet, entry)
+            return self._reset_packet(now_s, packet, entry, "target-silent")
+        found = self._forward(packet, entry)
+        if is_repeated:
+            found += self.probes.ask(now_s, entry)
+        return found
 
     def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
         """Returns whether the flows of a target wait in vain.
 
         A target that also misses its announcements needs less evidence.
         """
+        if self.probes.is_dead(entry.target.name):
+            return True
         watch = self.seen.watch(entry)
         if entry.is_overdue and watch.is_suspect(now_s):
             return True
@@ -223,25 +311,39 @@
         self.context.counters["packets-forwarded"] += 1
         return [effects.SendDatagram(target.endpoint, data)]
 
-    def _reset(
+    def _reset_packet(
         self,
         now_s: float,
         packet: flow_packets.FlowPacket,
         entry: tags.Entry,
         reason: str,
     ) -> list[effects.Effect]:
-        """Tells a caller that its flow can't live; it may have run."""
-        self.seen.end(packet.flow)
+        """Resets the flow of a packet, unless that is what it asks for."""
         if packet.is_reset:
+            self.seen.end(packet.flow)
             return self._drop(reason)
+        return self._reset(
+            now_s, packet.flow, packet.acknowledged, entry, reason
+        )
+
+    def _reset(
+        self,
+        now_s: float,
+        key: flow_packets.FlowKey,
+        acknowledged: int,
+        entry: tags.Entry,
+        reason: str,
+    ) -> list[effects.Effect]:
+        """Tells a caller that its flow can't live; it may have run."""
+        self.seen.end(key)
         return [
-            self._send_reset(packet, reason),
+            self._send_reset(key, acknowledged, reason),
             self.context.record(
                 now_s,
                 "flow-reset",
                 service=entry.target.service,
                 target=entry.target.name,
-                flow=flow_packets.describe(packet.flow),
+                flow=flow_packets.describe(key),
                 version=self.routes.number,
                 verdict="may-have-run",
                 reason=reason,
@@ -258,7 +360,7 @@
     ) -> list[effects.Effect]:
         """Refuses an opening at once; nothing of it has run."""
         return [
-            self._send_reset(packet, reason),
+            self._send_reset(packet.flow, 0, reason),
             self.context.record(
                 now_s,
                 "flow-refused",
@@ -271,11 +373,11 @@
         ]
 
     def _send_reset(
-        self, packet: flow_packets.FlowPacket, reason: str
+        self, key: flow_packets.FlowKey, acknowledged: int, reason: str
     ) -> effects.Effect:
         """Returns the effect that resets a flow at its caller."""
         self.context.counters[f"reset-{reason}"] += 1
-        endpoint, data = self.codec.encode_reset(packet)
+        endpoint, data = self.codec.encode_reset(key, acknowledged)
         return effects.SendDatagram(endpoint, data)
 
     def _drop(self, reason: str) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -68,7 +68,7 @@
         self.idle_timeout_s = update.idle_timeout_ms / 1000
         return True
 
-    def find(self, flow: tuple[int, int, int, int]) -> RouteEntry | None:
+    def find(self, flow: flow_packets.FlowKey) -> RouteEntry | None:
         """Returns the route of a flow, or None."""
         return self.by_place.get((flow[2], flow[3]))
 
@@ -83,7 +83,7 @@
     )
 
 
-def service_of(route: RouteEntry, flow: tuple[int, int, int, int]) -> str:
+def service_of(route: RouteEntry, flow: flow_packets.FlowKey) -> str:
     """Returns the service of a new flow.
 
     The choice follows from the flow alone, so that copies of an opening reach
--- a/packages/core/src/tamarack_core/internal/cookie/silence.py
+++ b/packages/core/src/tamarack_core/internal/cookie/silence.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-FlowKey = tuple[int, int, int, int]
+from tamarack_core import flow_packets
 
 RETRY_S = 1.0
 """Time after which one opening tests who is suspect, in seconds."""
@@ -30,16 +30,12 @@
     dark_s: float
 
 
-TARGET = Patience(
-    suspect_flows=2, suspect_s=0.18, dark_flows=3, dark_s=0.6
-)
+TARGET = Patience(suspect_flows=2, suspect_s=0.18, dark_flows=3, dark_s=0.6)
 """Of one target. Callers repeat after 0.2 s, and one packet in a thousand is
 lost, so a single repetition says little. No request takes 0.6 s in which no
 other one of the target ends."""
 
-DOMAIN = Patience(
-    suspect_flows=4, suspect_s=0.18, dark_flows=5, dark_s=0.35
-)
+DOMAIN = Patience(suspect_flows=4, suspect_s=0.18, dark_flows=5, dark_s=0.35)
 """Of all targets of a failure domain together, of which some always answer."""
 
 
@@ -55,12 +51,12 @@
     """
 
     patience: Patience
-    flows: set[FlowKey] = msgspec.field(default_factory=set)
+    flows: set[flow_packets.FlowKey] = msgspec.field(default_factory=set)
     since_s: float = 0.0
     answered_s: float = float("-inf")
     tested_s: float = float("-inf")
 
-    def note_repetition(self, now_s: float, key: FlowKey) -> None:
+    def note_repetition(self, now_s: float, key: flow_packets.FlowKey) -> None:
         """Takes note that a flow repeats a packet."""
         if not self.flows:
             self.since_s = now_s
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -58,7 +58,7 @@
     flows: int = 0
     waiting: int = 0
 
-    def note_repetition(self, now_s: float, key: silence.FlowKey) -> None:
+    def note_repetition(self, now_s: float, key: flow_packets.FlowKey) -> None:
         """Takes note that a flow repeats a packet."""
         self.silence.note_repetition(now_s, key)
         self.domain.note_repetition(now_s, key)
@@ -95,17 +95,23 @@
 
     def __init__(self) -> None:
         """Creates an empty record."""
-        self.flows: dict[silence.FlowKey, Flow] = {}
+        self.flows: dict[flow_packets.FlowKey, Flow] = {}
         self.targets: dict[str, Watch] = {}
         self.domains: dict[str, silence.Silence] = {}
         self.turned_s = float("inf")
 
-    def turn(self, now_s: float) -> None:
-        """Takes note that this host runs; forgives all if it was away."""
-        if now_s - self.turned_s > AWAY_S:
+    def turn(self, now_s: float) -> bool:
+        """Takes note that this host runs.
+
+        Returns:
+            Whether it was away; all silence is forgiven then.
+        """
+        was_away = now_s - self.turned_s > AWAY_S
+        if was_away:
             for watch in self.targets.values():
                 watch.note_answer(now_s)
         self.turned_s = now_s
+        return was_away
 
     def watch(self, entry: tags.Entry) -> Watch:
         """Returns the watch of a target."""
@@ -120,7 +126,7 @@
         return found
 
     def note_opening(
-        self, now_s: float, key: silence.FlowKey, target: tags.Entry
+        self, now_s: float, key: flow_packets.FlowKey, target: tags.Entry
     ) -> None:
         """Takes note that an opening is sent to a target."""
         held = self.flows.pop(key, None)
@@ -140,7 +146,7 @@
             self.end(next(iter(self.flows)))
 
     def note_unanswered(
-        self, now_s: float, key: silence.FlowKey
+        self, now_s: float, key: flow_packets.FlowKey
     ) -> tuple[str, ...]:
         """Takes note that a caller repeats its opening.
 
@@ -158,13 +164,16 @@
         now_s: float,
         target: tags.Entry,
         packet: flow_packets.FlowPacket,
-    ) -> None:
+    ) -> bool:
         """Takes note of a packet of an open flow.
 
         Args:
             now_s: Monotonic time in seconds.
             target: The target that it goes to.
             packet: The packet.
+
+        Returns:
+            Whether the caller repeats what it sent before.
         """
         key = packet.flow
         flow = self.flows.pop(key, None)
@@ -191,8 +200,9 @@
             watch.note_answer(now_s)
             self._stop_waiting(flow, watch)
         flow.acknowledged = packet.acknowledged
-        if packet.payload_bytes:
-            self._note_payload(now_s, flow, packet, watch)
+        if not packet.payload_bytes:
+            return False
+        return self._note_payload(now_s, flow, packet, watch)
 
     def _note_payload(
         self,
@@ -200,8 +210,8 @@
         flow: Flow,
         packet: flow_packets.FlowPacket,
         watch: Watch,
-    ) -> None:
-        """Takes note of payload; what was sent before is a repetition."""
+    ) -> bool:
+        """Takes note of payload; returns as `note_packet`."""
         end = packet.sequence + packet.payload_bytes
         ahead = (end - flow.sequence) % SEQUENCE_SPACE
         if 0 < ahead < SEQUENCE_SPACE // 2:
@@ -209,8 +219,9 @@
             if flow.waits_since_s is None:
                 flow.waits_since_s = now_s
                 watch.waiting += 1
-        else:
-            watch.note_repetition(now_s, packet.flow)
+            return False
+        watch.note_repetition(now_s, packet.flow)
+        return True
 
     def _stop_waiting(self, flow: Flow, watch: Watch) -> None:
         """Takes note that a reply has come."""
@@ -218,7 +229,7 @@
             flow.waits_since_s = None
             watch.waiting -= 1
 
-    def end(self, key: silence.FlowKey) -> None:
+    def end(self, key: flow_packets.FlowKey) -> None:
         """Forgets a flow."""
         flow = self.flows.pop(key, None)
         if flow is not None:
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -112,6 +112,7 @@
         "_dialect",
         "_listeners",
         "_pending",
+        "_probes",
         "_request_ids",
         "_timers",
         "addresses",
@@ -159,6 +160,7 @@
         self._dialect = dialect
         self._timers = timers.TimerService(loop, self._handle_timer)
         self._pending: dict[int, asyncio.Future[requests.Response]] = {}
+        self._probes: set[asyncio.Task[None]] = set()
         self._request_ids = itertools.count(1)
         self._data_socket: socket.socket | None = None
         self._listeners: list[http1.HttpListener] = []
@@ -300,11 +302,29 @@
             ):
                 assert self.writer is not None
                 self.writer.write(effect)
+            case effects.ProbeTarget():
+                task = asyncio.get_running_loop().create_task(
+                    self._probe(effect)
+                )
+                self._probes.add(task)
+                task.add_done_callback(self._probes.discard)
             case effects.Stop():
                 self._finish(effect)
             case _:
                 raise AssertionError(f"no driver for {type(effect)}")
 
+    async def _probe(self, effect: effects.ProbeTarget) -> None:
+        """Asks a target for a connection, and closes it at once."""
+        is_answered = await http1.is_answering(
+            effect.endpoint.address,
+            effect.endpoint.port,
+            self.addresses.internal.address,
+            effect.timeout_s,
+        )
+        self.handle(
+            events.TargetProbed(time.monotonic(), effect.target, is_answered)
+        )
+
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
         """Sends a packet; a full socket buffer loses it."""
         assert self._data_socket is not None and effect.endpoint is not None
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -41,10 +41,10 @@
         return msgspec.msgpack.encode(["forward", target, cookie])
 
     def encode_reset(
-        self, packet: flow_packets.FlowPacket
+        self, key: flow_packets.FlowKey, acknowledged: int
     ) -> tuple[peers.Endpoint, bytes]:
         """Returns a reset for the caller."""
-        address = str(ipaddress.IPv4Address(packet.flow[0]))
+        address = str(ipaddress.IPv4Address(key[0]))
         endpoint = peers.Endpoint(address, CALLER_PORT)
         return endpoint, msgspec.msgpack.encode(["reset"])
 
@@ -138,6 +138,8 @@
         node: State of the host.
         sent: Messages that left, by receiver.
         records: Time line entries.
+        probed: Names of the targets that the host asked itself.
+        resets: Endpoints of the callers that were sent a reset.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -148,6 +150,8 @@
         self.node = cookie_entry.assemble(plan)
         self.sent: list[effects.SendMessage] = []
         self.records: list[effects.Record] = []
+        self.probed: list[str] = []
+        self.resets: list[peers.Endpoint] = []
         self.handle(events.Started(self.now_s, 0))
 
     def handle(self, event: events.Event) -> list[effects.Effect]:
@@ -158,8 +162,22 @@
                 self.sent.append(effect)
             if isinstance(effect, effects.Record):
                 self.records.append(effect)
+            if isinstance(effect, effects.ProbeTarget):
+                self.probed.append(effect.target)
+            if isinstance(effect, effects.SendDatagram):
+                self._note_datagram(effect)
         return found
 
+    def _note_datagram(self, effect: effects.SendDatagram) -> None:
+        """Takes note of a reset."""
+        if msgspec.msgpack.decode(effect.data)[0] == "reset":
+            assert effect.endpoint is not None
+            self.resets.append(effect.endpoint)
+
+    def probe_ends(self, name: str, *, is_answered: bool) -> None:
+        """Ends the probe of a target."""
+        self.handle(events.TargetProbed(self.now_s, name, is_answered))
+
     def tick(self, seconds: float) -> None:
         """Lets time pass with the timers of the host running."""
         end_s = self.now_s + seconds
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -67,14 +67,20 @@
         """Sends a request on each flow, and again without an answer."""
         pairs = list(zip(flows, itertools.cycle(names), strict=False))
         for number, name in pairs:
-            host.carry(number, name, acknowledged=500, sequence=11,
-                       payload_bytes=10)
+            host.carry(
+                number, name, acknowledged=500, sequence=11, payload_bytes=10
+            )
         left = []
         for wait_s in (0.2, 0.4, 0.8):
             host.tick(wait_s)
             left = [
-                host.carry(number, name, acknowledged=500, sequence=11,
-                           payload_bytes=10)
+                host.carry(
+                    number,
+                    name,
+                    acknowledged=500,
+                    sequence=11,
+                    payload_bytes=10,
+                )
                 for number, name in pairs
             ]
         return left
@@ -98,7 +104,9 @@
         self.ask_in_vain(host, ["b-0", "b-1"], range(8))
         for number in range(40, 100):
             host.tick(0.1)
-            self.assertEqual(name := host.open(number), host.carry(number, name))
+            self.assertEqual(
+                name := host.open(number), host.carry(number, name)
+            )
         opened = {host.open(number) for number in range(100, 110)}
         self.assertEqual({"a-0", "a-1", "b-0", "b-1"}, opened)
 
@@ -113,14 +121,20 @@
         for number in range(6):
             self.talk(host, number, "a-0")
         for number in range(5):
-            host.carry(number, "a-0", acknowledged=500, sequence=11,
-                       payload_bytes=10)
+            host.carry(
+                number, "a-0", acknowledged=500, sequence=11, payload_bytes=10
+            )
         for turn in range(10):
             host.tick(0.15)
             self.talk(host, 100 + turn, "a-0")
             left = {
-                host.carry(number, "a-0", acknowledged=500, sequence=11,
-                           payload_bytes=10)
+                host.carry(
+                    number,
+                    "a-0",
+                    acknowledged=500,
+                    sequence=11,
+                    payload_bytes=10,
+                )
                 for number in range(5)
             }
             self.assertEqual({"a-0"}, left)
@@ -134,8 +148,11 @@
         for _ in range(4):
             for number in range(8):
                 left = host.carry(
-                    number, f"b-{number % 2}", acknowledged=500,
-                    sequence=11, payload_bytes=10,
+                    number,
+                    f"b-{number % 2}",
+                    acknowledged=500,
+                    sequence=11,
+                    payload_bytes=10,
                 )
                 self.assertEqual(f"b-{number % 2}", left)
 
@@ -147,3 +164,78 @@
         host.tick(0.4)
         third = host.open(1, copy_number=2)
         self.assertThat({first, second, third}, matchers.HasLength(3))
+
+
+class ProbeTest(testtools.TestCase):
+    """A host asks a target itself before it gives its flows up."""
+
+    def start(self):
+        """Returns a host with two targets, and three flows at the first."""
+        host = cookie_host.CookieHost()
+        host.update(
+            cookie_host.target("t-1"),
+            cookie_host.target("t-2", port=81),
+            document=cookie_host.document(1),
+        )
+        for number in range(3):
+            host.carry(number, "t-1", acknowledged=500, payload_bytes=10)
+            host.carry(number, "t-1", acknowledged=600, sequence=11)
+        return host
+
+    def repeat(self, host):
+        """Sends one request on the first flow, and repeats it."""
+        host.carry(0, "t-1", acknowledged=600, sequence=11, payload_bytes=10)
+        host.tick(0.2)
+        host.carry(0, "t-1", acknowledged=600, sequence=11, payload_bytes=10)
+
+    def test_one_repetition_makes_the_host_ask(self):
+        host = self.start()
+        self.assertEqual([], host.probed)
+        self.repeat(host)
+        self.assertEqual(["t-1"], host.probed)
+
+    def test_a_target_that_answers_keeps_its_flows(self):
+        host = self.start()
+        self.repeat(host)
+        host.probe_ends("t-1", is_answered=True)
+        self.assertEqual([], host.resets)
+        self.assertEqual(["t-1"], host.probed)
+
+    def test_two_probes_in_vain_reset_all_flows_at_once(self):
+        # Idle flows too: a report sent on one later could not be repeated.
+        host = self.start()
+        self.repeat(host)
+        host.probe_ends("t-1", is_answered=False)
+        self.assertEqual([], host.resets)
+        self.assertEqual(["t-1", "t-1"], host.probed)
+        host.probe_ends("t-1", is_answered=False)
+        self.assertEqual(3, len(host.resets))
+        self.assertEqual({"t-2"}, {host.open(n) for n in range(20, 40)})
+
+    def test_a_target_that_answers_again_is_used_again(self):
+        host = self.start()
+        self.repeat(host)
+        host.probe_ends("t-1", is_answered=False)
+        host.probe_ends("t-1", is_answered=False)
+        host.tick(1.0)
+        self.assertEqual(["t-1"] * 3, host.probed)
+        host.probe_ends("t-1", is_answered=True)
+        self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(20, 40)})
+
+    def test_a_frozen_host_does_not_trust_its_probe(self):
+        host = self.start()
+        self.repeat(host)
+        host.now_s += 4.0
+        host.probe_ends("t-1", is_answered=False)
+        host.probe_ends("t-1", is_answered=False)
+        self.assertEqual([], host.resets)
+
+    def test_the_flows_of_a_target_that_ended_are_reset_at_once(self):
+        host = self.start()
+        host.update(
+            cookie_host.target("t-1", sequence=9, phase=announced.Phase.GONE),
+            base=1,
+            position=2,
+        )
+        host.tick(0.6)
+        self.assertEqual(3, len(host.resets))
