--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -348,9 +348,8 @@
         found = list(step.effects)
         for output in step.outputs:
             found += self._handle_output(now_s, output)
-        document = self.machine.document
-        if document.number > self.publisher.routes.document.number:
-            found += self.publisher.put_document(now_s, document)
+        if self.machine.passed:
+            found += self.publisher.follow(now_s, self.machine)
             found += self.publishing.settle(now_s)
         return found
 
--- a/packages/core/src/tamarack_core/internal/registry/history.py
+++ b/packages/core/src/tamarack_core/internal/registry/history.py
@@ -36,6 +36,18 @@
         self.document = document
         self._forget_removed(after)
 
+    def jump(self, document: documents.Document) -> None:
+        """Takes a document after others that nobody here has seen.
+
+        A route may have come and gone in between; whoever holds an earlier
+        document gets the whole one.
+        """
+        self.document = document
+        self.horizon = document.number
+        self.changed_at = {
+            route.place: document.number for route in document.routes
+        }
+
     def _forget_removed(
         self, after: dict[tuple[str, int], documents.Route]
     ) -> None:
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -3,12 +3,12 @@
 import msgspec
 
 from tamarack_core import context as context_lib
-from tamarack_core import documents
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core.internal.documents import machine as machines
 from tamarack_core.internal.registry import history as histories
 from tamarack_core.internal.registry import table
 
@@ -130,18 +130,18 @@
             )
         return found
 
-    def put_document(
-        self, now_s: float, document: documents.Document
+    def follow(
+        self, now_s: float, machine: machines.DocumentMachine
     ) -> list[effects.Effect]:
-        """Puts a document into force and pushes it.
+        """Pushes the documents that have come into force.
 
         Args:
             now_s: Monotonic time in seconds.
-            document: The document, with a higher number than before.
+            machine: The replicated state.
         """
-        self.routes.put(document)
+        machine.feed(self.routes)
         record = self.context.record(
-            now_s, "version-in-force", version=document.number
+            now_s, "version-in-force", version=self.routes.document.number
         )
         return [record, *self.push(now_s)]
 
--- /dev/null
+++ b/tests/cover/test_control_group.py
@@ -0,0 +1,311 @@
+"""Control hosts found, mend and replace their group by themselves."""
+
+import testtools
+
+from tamarack_core import announced
+from tamarack_core import outside
+from tamarack_core import refusal
+from tests import group_network
+
+
+def started(count=3, tolerated=1, seed=1):
+    """Returns a group with one document."""
+    network = group_network.GroupNetwork(count, tolerated, seed)
+    network.start_all()
+    network.publish(1)
+    return network
+
+
+class FoundingTest(testtools.TestCase):
+    """The first start."""
+
+    def test_three_seeds_found_one_group(self):
+        network = started()
+        self.assertEqual({"c1", "c2", "c3"}, network.voters("c1"))
+        self.assertEqual(1, len(network.leaders()))
+
+    def test_two_of_three_seeds_are_enough(self):
+        network = group_network.GroupNetwork(3)
+        network.start("c2", is_first_start=True)
+        network.run(0.3)
+        network.start("c3", is_first_start=True)
+        network.publish(1)
+        network.start("c1", is_first_start=True)
+        network.run(3.0)
+        self.assertEqual(1, network.read().number)
+        self.assertEqual(1, len(network.leaders()))
+
+    def test_one_seed_alone_founds_nothing(self):
+        network = group_network.GroupNetwork(3)
+        network.start("c1", is_first_start=True)
+        network.run(20.0)
+        answer = network.try_at(
+            "c1", outside.PublishDocument(group_network.document(1))
+        )
+        self.assertIsInstance(answer, outside.Unavailable)
+
+    def test_hosts_that_restart_with_empty_disks_found_nothing(self):
+        network = group_network.GroupNetwork(3)
+        for host in network.peers:
+            network.start(host, is_first_start=False)
+        network.run(20.0)
+        self.assertEqual(set(), network.leaders())
+
+    def test_a_fourth_host_joins_without_a_vote(self):
+        network = started(count=4)
+        network.run(3.0)
+        self.assertEqual(3, len(network.voters("c4")))
+        self.assertEqual(
+            1, network.try_at("c4", outside.ReadDocument()).document.number
+        )
+
+    def test_five_vote_where_two_may_be_lost(self):
+        network = started(count=6, tolerated=2)
+        network.run(4.0)
+        self.assertEqual(5, len(network.voters("c1")))
+        voters = sorted(network.voters("c1"))
+        network.kill(voters[0])
+        network.kill(voters[1])
+        network.publish(2)
+
+
+class MendingTest(testtools.TestCase):
+    """Hosts that are lost come back, or others take their place."""
+
+    def test_a_host_that_lost_its_disk_votes_again(self):
+        network = started()
+        network.kill("c2", lose_disk=True)
+        network.run(0.5)
+        network.start("c2")
+        network.run(5.0)
+        self.assertEqual({"c1", "c2", "c3"}, network.voters("c2"))
+        network.kill("c1")
+        network.publish(2)
+
+    def test_an_empty_disk_gets_no_vote_before_it_holds_the_document(self):
+        # One host holds the document, one missed it, one lost its disk.
+        network = started()
+        network.part(["c3"], ["c1", "c2"])
+        network.run(3.0)
+        network.publish(2)
+        network.kill("c1", lose_disk=True)
+        network.kill("c2")
+        network.cut.clear()
+        network.start("c1")
+        network.run(10.0)
+        self.assertEqual(set(), network.leaders())
+        network.start("c2")
+        self.assertEqual(2, network.read().number)
+
+    def test_a_host_at_a_new_address_replaces_a_lost_one(self):
+        network = started()
+        network.kill("c3", lose_disk=True)
+        network.add(7)
+        network.run(8.0)
+        self.assertEqual({"c1", "c2", "c7"}, network.voters("c7"))
+        network.kill("c1")
+        network.publish(2)
+
+    def test_a_replaced_host_that_comes_back_does_no_harm(self):
+        network = started()
+        network.kill("c3")
+        network.add(7)
+        network.run(8.0)
+        network.start("c3")
+        network.run(8.0)
+        self.assertEqual({"c1", "c2", "c7"}, network.voters("c1"))
+        self.assertEqual(1, len(network.leaders()))
+        network.publish(2)
+        self.assertEqual(2, network.read().number)
+
+    def test_a_host_that_waits_takes_the_place_of_one_that_is_lost(self):
+        network = started(count=4)
+        network.run(3.0)
+        lost = min(network.voters("c1") - network.leaders())
+        network.kill(lost)
+        network.run(6.0)
+        self.assertIn("c4", network.voters("c4"))
+        self.assertNotIn(lost, network.voters("c4"))
+
+    def test_all_lose_power_and_come_back(self):
+        network = started()
+        network.publish(5)
+        for host in list(network.nodes):
+            network.kill(host)
+        network.run(1.0)
+        for host in network.peers:
+            network.start(host)
+        began_s = network.now_s
+        self.assertEqual(5, network.read().number)
+        self.assertThat(
+            network.now_s - began_s, testtools.matchers.LessThan(2.0)
+        )
+
+
+class PublishingTest(testtools.TestCase):
+    """Documents under outside numbers."""
+
+    def test_the_highest_number_wins_and_a_resend_is_acknowledged(self):
+        network = started()
+        self.assertEqual(7, network.publish(7).number)
+        for host in network.peers:
+            answer = network.try_at(
+                host, outside.PublishDocument(group_network.document(3))
+            )
+            self.assertEqual(7, answer.number)
+        self.assertEqual(7, network.read().number)
+
+    def test_other_content_under_a_held_number_changes_nothing(self):
+        network = started()
+        network.publish(4, content="first")
+        network.publish(4, content="second")
+        self.assertEqual("first", network.read().remainder)
+
+    def test_two_operators_at_once_agree_on_one_content(self):
+        network = started()
+        requests = [
+            outside.PublishDocument(group_network.document(9, content=content))
+            for content in ("first", "second")
+        ]
+        leader = network.leaders().pop()
+        numbers = [network.ask(leader, request) for request in requests]
+        network.run(1.0)
+        for number in numbers:
+            self.assertEqual(9, network.answers[number].number)
+        contents = {
+            network.try_at(host, outside.ReadDocument()).document.remainder
+            for host in network.peers
+        }
+        self.assertEqual({"first"}, contents)
+
+    def test_eight_orders_at_once_end_at_the_highest(self):
+        network = started()
+        leader = network.leaders().pop()
+        numbers = [
+            network.ask(
+                leader,
+                outside.PublishDocument(group_network.document(number)),
+            )
+            for number in (12, 15, 11, 18, 14, 13, 17, 16)
+        ]
+        network.run(1.0)
+        for number in numbers:
+            self.assertIsInstance(
+                network.answers[number], outside.DocumentPublished
+            )
+        self.assertEqual(18, network.read().number)
+
+    def test_a_minority_answers_nothing_it_can_not_know(self):
+        network = started()
+        network.isolate("c1")
+        network.run(2.0)
+        read = network.try_at("c1", outside.ReadDocument())
+        order = network.try_at(
+            "c1", outside.PublishDocument(group_network.document(2))
+        )
+        for answer in (read, order):
+            self.assertIsInstance(answer, outside.Unavailable | None)
+
+    def test_a_host_that_was_away_asks_before_it_answers(self):
+        network = started()
+        network.isolate("c1")
+        network.publish(6)
+        network.cut.clear()
+        answer = network.try_at("c1", outside.ReadDocument())
+        if isinstance(answer, outside.DocumentRead):
+            self.assertEqual(6, answer.document.number)
+
+    def test_invalid_documents_are_refused_with_the_reason(self):
+        network = started()
+        good = group_network.route("a", 443)
+        twice = group_network.route("b", 443)
+        unknown = group_network.route("c", 80, service="none")
+        for routes, reason in (
+            ((good, twice), "repeated-place"),
+            ((good, good), "repeated-place"),
+            ((unknown,), "unknown-service"),
+        ):
+            answer = network.try_at(
+                "c1",
+                outside.PublishDocument(group_network.document(2, *routes)),
+            )
+            self.assertIsInstance(answer, refusal.Refused)
+            self.assertEqual(reason, answer.reason)
+        self.assertEqual(1, network.read().number)
+
+    def test_a_document_is_read_back_as_it_was_published(self):
+        network = started()
+        ports = (443, 80, 8080, 9090)
+        routes = [group_network.route(f"r{port}", port) for port in ports]
+        for number, kept in ((2, routes), (3, routes[1:]), (4, routes[::-1])):
+            network.publish(number, *kept)
+            self.assertEqual(tuple(kept), network.read().routes)
+
+
+class AnnouncingTest(testtools.TestCase):
+    """Targets announce themselves to any control host."""
+
+    def known_at(self, network, host, name):
+        """Returns what a host knows of a target."""
+        part = network.part_of(host, outside.AnnounceTarget)
+        record = part.registry.records.get(name)
+        return None if record is None else record.target
+
+    def announce(self, network, host, **changes):
+        """Announces a target to a host."""
+        changes.setdefault("name", "t-1")
+        name = changes.pop("name")
+        target = group_network.target(name, **changes)
+        return network.try_at(host, outside.AnnounceTarget(target))
+
+    def test_a_drain_reaches_all_control_hosts_at_once(self):
+        network = started()
+        self.announce(network, "c1")
+        network.run(1.0)
+        self.announce(network, "c2", sequence=2, phase=announced.Phase.DRAINING)
+        network.run(0.05)
+        for host in network.peers:
+            phase = self.known_at(network, host, "t-1").phase
+            self.assertEqual(announced.Phase.DRAINING, phase)
+
+    def test_a_late_announcement_changes_nothing(self):
+        network = started()
+        self.announce(network, "c1", sequence=5, phase=announced.Phase.DRAINING)
+        network.run(1.0)
+        self.announce(network, "c2", sequence=4)
+        network.run(1.0)
+        for host in network.peers:
+            self.assertEqual(5, self.known_at(network, host, "t-1").sequence)
+
+    def test_a_birth_makes_all_earlier_things_void(self):
+        network = started()
+        self.announce(
+            network, "c1", sequence=90, phase=announced.Phase.DRAINING
+        )
+        network.run(1.0)
+        self.announce(network, "c1", sequence=1, born_ms=2000)
+        network.run(1.0)
+        for host in network.peers:
+            known = self.known_at(network, host, "t-1")
+            self.assertEqual((2000, 1), known.order)
+
+    def test_the_dead_are_not_believed_at_an_address_used_again(self):
+        network = started()
+        self.announce(network, "c1")
+        self.announce(network, "c1", name="t-2", born_ms=2000, service="b")
+        network.run(1.0)
+        self.announce(network, "c3", sequence=7)
+        network.run(1.0)
+        for host in network.peers:
+            phase = self.known_at(network, host, "t-1").phase
+            self.assertEqual(announced.Phase.GONE, phase)
+
+    def test_a_silent_target_is_overdue_and_returns(self):
+        network = started()
+        self.announce(network, "c1")
+        network.run(4.0)
+        part = network.part_of("c2", outside.AnnounceTarget)
+        self.assertTrue(part.registry.records["t-1"].is_overdue)
+        self.announce(network, "c1", sequence=2)
+        network.run(1.0)
+        self.assertFalse(part.registry.records["t-1"].is_overdue)
--- /dev/null
+++ b/tests/group_network.py
@@ -0,0 +1,275 @@
+"""Control hosts with numbered documents on the small fake network."""
+
+import itertools
+
+import msgspec
+
+from tamarack_core import announced
+from tamarack_core import document_control
+from tamarack_core import documents
+from tamarack_core import effects
+from tamarack_core import envelopes
+from tamarack_core import events
+from tamarack_core import outside
+from tamarack_core import peers
+from tamarack_core import timeline
+from tamarack_core.storage import disk as disks
+from tests import fake_hosts
+
+ANNOUNCE_INTERVAL_S = 1.2
+
+
+def peer(number, domain=None):
+    """Returns the control host with a number."""
+    endpoint = peers.Endpoint(f"10.0.{number}.1", 7000)
+    return peers.Peer(f"c{number}", domain or f"zone-{number}", endpoint)
+
+
+def seed_of(control):
+    """Returns a host as a settings file names it: by its address alone."""
+    address = control.control.address
+    return peers.Peer(address, "", control.control)
+
+
+def route(name, port, service="web"):
+    """Returns a route."""
+    return documents.Route(
+        name=name,
+        address="198.18.0.1",
+        port=port,
+        kind=documents.WorkKind.IDEMPOTENT,
+        timeout_ms=1500.0,
+        priority=1,
+        shares=(documents.Share(service, 1),),
+        source=f'{{"name":"{name}"}}',
+    )
+
+
+def document(number, *routes, content=""):
+    """Returns a document; `content` tells it from others of its number."""
+    return documents.Document(
+        number=number,
+        routes=routes or (route("r", 443),),
+        services=(documents.Service("web", "/health", "{}"),),
+        idle_timeout_ms=15000.0,
+        remainder=content,
+    )
+
+
+def target(name, **changes):
+    """Returns an announcement."""
+    known = announced.Target(
+        name=name,
+        born_ms=1000,
+        sequence=1,
+        service="web",
+        endpoint=peers.Endpoint("10.9.0.1", 80),
+        domain="zone-1",
+        slots=2,
+        phase=announced.Phase.READY,
+    )
+    return msgspec.structs.replace(known, **changes)
+
+
+class GroupNetwork(fake_hosts.Network):
+    """Control hosts that know three seeds and nothing else.
+
+    Attributes:
+        seeds: The seeds.
+        tolerated: Hosts that may be lost at once.
+        first_starts: Hosts that start with empty disks for the first time.
+        unsynced: Writes on their way to disk, by host.
+    """
+
+    def __init__(self, count, tolerated=1, seed=1):
+        """Creates the hosts; none runs."""
+        super().__init__([])
+        self.peers = {f"c{n}": peer(n) for n in range(1, count + 1)}
+        self.tolerated = tolerated
+        self.seed = seed
+        self.seeds = [seed_of(peer(n)) for n in (1, 2, 3)]
+        self.sent = {}
+        self.unsynced = {}
+        self.lives_of = itertools.count(1)
+
+    def add(self, number):
+        """Adds a host that replaces another one."""
+        self.peers[f"c{number}"] = peer(number)
+        self.start(f"c{number}", is_first_start=False)
+
+    def start_all(self):
+        """Starts all hosts for the first time."""
+        for host in self.peers:
+            self.start(host, is_first_start=True)
+
+    def start(self, host, *, is_first_start=False):
+        """Starts a host from its disk."""
+        own = self.peers[host]
+        if host not in self.disks:
+            is_seed = any(s.control == own.control for s in self.seeds)
+            incarnation = f"{host}-{next(self.lives_of)}"
+            if is_first_start and is_seed:
+                incarnation = document_control.founder_incarnation(own.control)
+            self.disks[host] = fake_hosts.Disk(incarnation)
+        disk = self.disks[host]
+        life = next(self._lives)
+        self._life[host] = life
+        self.sent.setdefault(host, 0)
+        self.unsynced[host] = []
+        plan = document_control.Plan(
+            host=own,
+            seed=self.seed * 1000 + life,
+            seeds=tuple(self.seeds),
+            disk=disks.Disk(
+                disk.incarnation, disk.snapshot, tuple(disk.records)
+            ),
+            tolerated_hosts=self.tolerated,
+            announce_interval_s=ANNOUNCE_INTERVAL_S,
+        )
+        self.nodes[host] = document_control.assemble(plan)
+        self.handle(host, events.Started(self.now_s, int(self.now_s * 1000)))
+
+    def _carry_out(self, host, node, effect):
+        life = self._life[host]
+        match effect:
+            case effects.Persist(sequence, records):
+                write = (sequence, None, records)
+                self._sync(host, life, write)
+            case effects.SaveSnapshot(sequence, data, records):
+                self._sync(host, life, (sequence, data, records))
+            case effects.SaveTargets() | effects.Record():
+                pass
+            case _:
+                super()._carry_out(host, node, effect)
+
+    def _sync(self, host, life, write):
+        """A write is on disk, and may count, only after a while."""
+
+        def finish(now_s):
+            sequence, data, records = write
+            disk = self.disks[host]
+            if data is not None:
+                disk.snapshot = data
+                disk.records = []
+            disk.records.extend(records)
+            return events.WriteCompleted(now_s, sequence)
+
+        def finish_if_alive(now_s):
+            if self._life.get(host) != life or host not in self.nodes:
+                return None
+            return finish(now_s)
+
+        self._schedule(fake_hosts.SYNC_S, host, finish_if_alive, life)
+
+    def _send(self, host, node, receiver, message):
+        envelope = envelopes.Envelope(
+            node.context.host, timeline.Stamp(0, 0), (message,)
+        )
+        data = document_control.MESSAGES.encode(envelope)
+        self.sent[host] += len(data)
+        name = next(
+            (
+                other
+                for other, known in self.peers.items()
+                if known.control == receiver.control
+            ),
+            None,
+        )
+        if name is None or (host, name) in self.cut:
+            return
+        decoded = document_control.MESSAGES.decode(data)
+        self._schedule(
+            fake_hosts.LATENCY_S,
+            name,
+            lambda now_s: events.MessageArrived(
+                now_s, decoded.sender, decoded.messages[0]
+            ),
+        )
+
+    def kill(self, host, *, lose_disk=False):
+        """Ends a host at once; writes on their way are lost."""
+        self.nodes.pop(host, None)
+        if lose_disk:
+            self.disks.pop(host, None)
+
+    def isolate(self, host):
+        """Cuts a host off from all others."""
+        for other in self.peers:
+            self.cut |= {(host, other), (other, host)}
+
+    def part(self, first, second):
+        """Cuts two sets of hosts from each other."""
+        for one in first:
+            for other in second:
+                self.cut |= {(one, other), (other, one)}
+
+    def publish(self, number, *routes, content="", patience_s=8.0):
+        """Publishes as operators do, at one host after another."""
+        request = outside.PublishDocument(
+            document(number, *routes, content=content)
+        )
+        return self._insist(request, outside.DocumentPublished, patience_s)
+
+    def read(self, patience_s=8.0):
+        """Reads the document as operators do."""
+        return self._insist(
+            outside.ReadDocument(), outside.DocumentRead, patience_s
+        ).document
+
+    def _insist(self, request, wanted, patience_s):
+        end_s = self.now_s + patience_s
+        for host in itertools.cycle(sorted(self.peers)):
+            answer = self.try_at(host, request)
+            if isinstance(answer, wanted):
+                return answer
+            self.run(0.05)
+            if self.now_s > end_s:
+                raise AssertionError(f"no answer but {answer}")
+
+    def try_at(self, host, request):
+        """Asks one host, follows where it points, waits for a second."""
+        for _ in range(3):
+            if host not in self.nodes:
+                self.run(0.1)
+                return None
+            number = self.ask(host, request)
+            end_s = self.now_s + 1.0
+            while number not in self.answers and self.now_s < end_s:
+                self.run(0.01)
+            answer = self.answers.get(number)
+            if not isinstance(answer, outside.Elsewhere):
+                return answer
+            host = next(
+                (
+                    name
+                    for name, known in self.peers.items()
+                    if known.control == answer.peer.control
+                ),
+                "",
+            )
+        return None
+
+    def part_of(self, host, kind):
+        """Returns the part of a host that handles a message or request."""
+        return self.nodes[host].handlers[kind][0].__self__
+
+    def voters(self, host):
+        """Returns the names of the voters that a host knows."""
+        control = self.part_of(host, outside.PublishDocument)
+        state = control.replica.state
+        by_endpoint = {p.control: name for name, p in self.peers.items()}
+        return {
+            by_endpoint[member.peer.control]
+            for member in state.latest_membership.members.values()
+            if member.is_voter
+        }
+
+    def leaders(self):
+        """Returns the hosts that hold themselves to lead."""
+        return {
+            host
+            for host in self.nodes
+            if self.part_of(
+                host, outside.PublishDocument
+            ).replica.state.is_leader
+        }
