--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,15 @@
 PYTHON ?= python3
 BIN := .venv/bin
 STAMP := .venv/.installed
-PACKAGES := $(foreach p,core node ctl lab,-e packages/$(p))
+PACKAGES := $(foreach p,core node ctl lab,-e packages/$(p)) -e platform
+SOURCES := packages platform tests
 TOOLS := hypothesis import-linter mypy pytest ruff testtools types-tabulate
 
 .PHONY: setup test lint format types contract docs check demo bench soak slopes capacity
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet -c constraints.txt setuptools wheel
 	$(BIN)/pip install --quiet -c constraints.txt $(TOOLS)
@@ -23,12 +24,12 @@
 	$(BIN)/python -m pytest tests
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/ruff check packages tests
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
 
 format: $(STAMP)
-	$(BIN)/ruff format packages tests
-	$(BIN)/ruff check --fix packages tests
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
 
 types: $(STAMP)
 	$(BIN)/python -m mypy
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -50,8 +50,14 @@
 MS_PER_S = 1000
 METRICS_PATH = "/metrics"
 TIMELINE_PATH = "/v1/timeline"
+METRICS_DELAY_S = 1.0
+"""Time after the start at which the metrics open, in seconds."""
 EXIT_DISK_FAILED = 4
 
+METRICS_PORT = 9464
+"""Port of the metrics, on the address of the host; that of the OpenTelemetry
+exporter for Prometheus."""
+
 
 class Dialect(Protocol):
     """Translates between HTTP and the requests of the core."""
@@ -84,7 +90,7 @@
     """What a host listens on.
 
     Attributes:
-        internal: Messages of other hosts, metrics and time line.
+        internal: Messages of other hosts.
         public: HTTP of the platform: readiness, or orders and announcements.
         data: Packets; None on a control host.
     """
@@ -111,6 +117,7 @@
         "_data_socket",
         "_dialect",
         "_listeners",
+        "_opening",
         "_pending",
         "_probes",
         "_request_ids",
@@ -164,6 +171,7 @@
         self._request_ids = itertools.count(1)
         self._data_socket: socket.socket | None = None
         self._listeners: list[http1.HttpListener] = []
+        self._opening: asyncio.Task[None] | None = None
 
     async def run(self) -> effects.Stop:
         """Runs the host until it stops.
@@ -229,6 +237,36 @@
         self.transport.open(self.addresses.internal)
         await self._listen(self.addresses.internal, self._answer_internal)
         await self._listen(self.addresses.public, self._answer_public)
+        # Metrics wait until packets flow.
+        loop.call_later(METRICS_DELAY_S, self._open_metrics)
+
+    def _open_metrics(self) -> None:
+        """Opens the metrics; a host runs on without them."""
+        loop = asyncio.get_running_loop()
+        self._opening = loop.create_task(self._listen_for_metrics())
+
+    async def _listen_for_metrics(self) -> None:
+        """Opens the port of the metrics."""
+        address = self.addresses.internal.address
+        try:
+            await self._listen(
+                peers.Endpoint(address, METRICS_PORT), self._answer_metrics
+            )
+        except OSError as error:
+            log_event("metrics-unavailable", str(error))
+
+    async def _answer_metrics(
+        self, request: http1.HttpRequest
+    ) -> http1.HttpReply:
+        """Answers who reads metrics or the time line."""
+        path, _, _ = request.path.partition("?")
+        if request.method == "GET" and path == METRICS_PATH:
+            return http1.HttpReply(
+                200, self._metrics(), text_metrics.CONTENT_TYPE
+            )
+        if request.method == "GET" and path == TIMELINE_PATH:
+            return http1.HttpReply(200, timeline.encode(self.entries))
+        return http1.HttpReply(404)
 
     async def _listen(
         self,
@@ -369,18 +407,12 @@
     async def _answer_internal(
         self, request: http1.HttpRequest
     ) -> http1.HttpReply:
-        """Answers other hosts, and who reads metrics or the time line."""
-        path, _, _ = request.path.partition("?")
-        if request.method == "POST" and path == transport.MESSAGES_PATH:
-            self.transport.handle_bytes(request.body)
-            return http1.HttpReply(200)
-        if request.method == "GET" and path == METRICS_PATH:
-            return http1.HttpReply(
-                200, self._metrics(), text_metrics.CONTENT_TYPE
-            )
-        if request.method == "GET" and path == TIMELINE_PATH:
-            return http1.HttpReply(200, timeline.encode(self.entries))
-        return http1.HttpReply(404)
+        """Answers other hosts."""
+        call = (request.method, request.path)
+        if call != ("POST", transport.MESSAGES_PATH):
+            return http1.HttpReply(404)
+        self.transport.handle_bytes(request.body)
+        return http1.HttpReply(200)
 
     def _metrics(self) -> bytes:
         """Returns all metrics as text."""
