--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/choosing.py
@@ -28,12 +28,13 @@
 ) -> tags.Entry | None:
     """Returns the target for a new flow, or None if there is none.
 
-    Targets that did not answer this opening come last. Then those that don't
-    answer probes, then those whose announcements are missed, then those that
-    several flows find silent, alone or with all of their failure domain; one
-    opening a second still tests each of these. When all are silent, the cause
-    may be near, and all are used. Among the others the least loaded as seen
-    here is taken, by lot among equals.
+    Targets that don't answer probes get none: when these are all, the opening
+    is to be refused at once. Targets that did not answer this opening come
+    last. Then those whose announcements are missed, then those that several
+    flows find silent, alone or with all of their failure domain; one opening a
+    second still tests each of these. When all are silent, the cause may be
+    near, and all are used. Among the others the least loaded as seen here is
+    taken, by lot among equals.
 
     Args:
         candidates: Targets of the service that take new flows.
@@ -43,14 +44,14 @@
         tried: Targets that were sent this opening before.
         generator: Seeded generator.
     """
-    if not candidates:
-        return None
-    untried = [entry for entry in candidates if entry.target.name not in tried]
     living = [
-        entry for entry in untried if not probes.is_dead(entry.target.name)
+        entry for entry in candidates if not probes.is_dead(entry.target.name)
     ]
-    fresh = [entry for entry in living if not entry.is_overdue]
-    usable = fresh or living or untried or candidates
+    if not living:
+        return None
+    untried = [entry for entry in living if entry.target.name not in tried]
+    fresh = [entry for entry in untried if not entry.is_overdue]
+    usable = fresh or untried or living
     sound = [
         entry for entry in usable if not seen.watch(entry).is_avoided(now_s)
     ]
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -218,8 +218,9 @@
         if packet.copy_number:
             tried = self.seen.note_unanswered(now_s, packet.flow)
             found = self._ask_unanswered(now_s, packet.flow)
+        candidates = self.targets.by_service.get(service, ())
         entry = choosing.choose(
-            self.targets.by_service.get(service, ()),
+            candidates,
             self.seen,
             self.probes,
             now_s,
@@ -227,6 +228,8 @@
             self.context.random,
         )
         if entry is None:
+            if candidates:
+                return self._refuse(now_s, packet, "targets-dead", service)
             if not self.mirror.is_settled:
                 return self._drop("opening-before-targets")
             return self._refuse(now_s, packet, "no-target", service)
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -239,3 +239,20 @@
         )
         host.tick(0.6)
         self.assertEqual(3, len(host.resets))
+
+    def test_an_opening_is_refused_at_once_when_all_targets_are_dead(self):
+        # A host that is cut off; the caller's next try may reach another.
+        host = self.start()
+        self.repeat(host)
+        for name in ("t-1", "t-1", "t-2", "t-2"):
+            host.open(90)
+            host.tick(0.2)
+            host.open(90, copy_number=1)
+            host.open(91)
+            host.tick(0.2)
+            host.open(91, copy_number=1)
+            host.probe_ends(name, is_answered=False)
+        self.assertEqual("reset", host.open(50))
+        host.tick(0.6)
+        host.probe_ends("t-2", is_answered=True)
+        self.assertEqual("t-2", host.open(51))
