Let control hosts find their group in the log; test the programs as processes

Cause: a control host whose seeds are all gone introduced itself to nobody, so a lost disk could not be made good (found by a random history of the group). Ruled out: a fault of the membership policy; the history's own fault, that a new host was given dead seeds, was mended too.

--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -255,6 +255,7 @@
     def _greet(self, now_s: float) -> list[effects.Effect]:
         """Names this host to the others, and who else is alive."""
         self.contacts.forget(now_s)
+        self.contacts.mention(now_s, self._members())
         live = self.contacts.live(now_s)
         hello = sync.ControlHello(self.replica.state.own.incarnation, live)
         found = self.publisher.put_controls(now_s, live)
@@ -263,6 +264,11 @@
         ]
         return found
 
+    def _members(self) -> tuple[peers.Peer, ...]:
+        """Returns the hosts that the log names; seeds may be long gone."""
+        members = self.replica.state.latest_membership.members.values()
+        return tuple(member.peer for member in members)
+
     def _mend(self, now_s: float) -> list[effects.Effect]:
         """Makes the membership change that is due, at the leader."""
         if now_s - self.changed_s < CHANGE_INTERVAL_S:
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -127,6 +127,28 @@
         self.assertIn("c4", network.voters("c4"))
         self.assertNotIn(lost, network.voters("c4"))
 
+    def test_a_host_whose_seeds_are_gone_finds_its_group_in_its_log(self):
+        network = started()
+        for lost, new in ((1, 7), (2, 8), (3, 9)):
+            network.kill(f"c{lost}", lose_disk=True)
+            del network.peers[f"c{lost}"]
+            network.add(new)
+            network.run(8.0)
+        for host in list(network.nodes):
+            network.kill(host)
+        network.run(1.0)
+        for host in network.peers:
+            # The files still name the first three hosts.
+            network.seeds_of[host] = network.seeds
+            network.start(host)
+        network.publish(4)
+        network.kill("c8", lose_disk=True)
+        network.start("c8")
+        network.seeds_of["c8"] = network.seeds
+        network.run(6.0)
+        network.kill("c7")
+        network.publish(5)
+
     def test_all_lose_power_and_come_back(self):
         network = started()
         network.publish(5)
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -78,7 +78,7 @@
         seeds: The seeds.
         tolerated: Hosts that may be lost at once.
         first_starts: Hosts that start with empty disks for the first time.
-        unsynced: Writes on their way to disk, by host.
+        seeds_of: Seeds of hosts that came later.
     """
 
     def __init__(self, count, tolerated=1, seed=1):
@@ -88,13 +88,20 @@
         self.tolerated = tolerated
         self.seed = seed
         self.seeds = [seed_of(peer(n)) for n in (1, 2, 3)]
+        self.seeds_of = {}
         self.sent = {}
-        self.unsynced = {}
         self.lives_of = itertools.count(1)
 
     def add(self, number):
-        """Adds a host that replaces another one."""
+        """Adds a host that replaces another one.
+
+        Its settings name three hosts that run when they are written.
+        """
+        running = sorted(self.nodes)[:3]
         self.peers[f"c{number}"] = peer(number)
+        self.seeds_of[f"c{number}"] = [
+            seed_of(self.peers[host]) for host in running
+        ]
         self.start(f"c{number}", is_first_start=False)
 
     def start_all(self):
@@ -115,11 +122,10 @@
         life = next(self._lives)
         self._life[host] = life
         self.sent.setdefault(host, 0)
-        self.unsynced[host] = []
         plan = document_control.Plan(
             host=own,
             seed=self.seed * 1000 + life,
-            seeds=tuple(self.seeds),
+            seeds=tuple(self.seeds_of.get(host, self.seeds)),
             disk=disks.Disk(
                 disk.incarnation, disk.snapshot, tuple(disk.records)
             ),
--- /dev/null
+++ b/tests/slow/test_light_hosts.py
@@ -0,0 +1,226 @@
+"""The programs of the platform as real processes on loopback."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import testtools
+
+from tamarack_platform import packets
+
+CONTROL_PORT = 18166
+DATA_PORT = 18172
+READY_PORT = 18167
+INTERNAL_PORT = 17720
+CONTROLS = ("127.0.71.1", "127.0.71.2", "127.0.71.3")
+ENTRY = "127.0.71.9"
+CALLER = "127.0.71.20"
+TARGET = "127.0.71.30"
+SERVICE = "127.0.71.40"
+PATIENCE_S = 20.0
+
+DOCUMENT = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": SERVICE,
+            "path-prefix": "/443/",
+            "type": "idempotent",
+            "timeout-ms": 1500,
+            "service": "web",
+        }
+    ],
+    "services": [{"name": "web", "health-path": "/health"}],
+    "limits": {"idle-timeout-ms": 15000},
+}
+
+HEARTBEAT = {
+    "service": "web",
+    "address": f"{TARGET}:8080",
+    "zone": "z1",
+    "slots": 2,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "sequence": 1,
+    "born": 1,
+}
+
+
+def wait_for(condition):
+    """Waits until a condition holds, and returns what it returned."""
+    end_s = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end_s:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError("not in time")
+
+
+def call(address, port, method, path, body=None):
+    """Makes one HTTP call; returns status, headers and body, or None."""
+    connection = http.client.HTTPConnection(address, port, timeout=2)
+    try:
+        data = None if body is None else json.dumps(body)
+        connection.request(method, path, data)
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+class LightHostsTest(testtools.TestCase):
+    """Three control hosts and an entry host."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.processes = {}
+        self.addCleanup(self.end_all)
+
+    def end_all(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def start(self, program, address, *, is_first=True):
+        """Starts a program with settings as the platform writes them."""
+        serves = "frontend" if program == "entry" else "control"
+        seeds = ",".join(f"{seed}:{CONTROL_PORT}" for seed in CONTROLS)
+        lines = [
+            f"node-name={program}-{address}",
+            f"serves={serves}",
+            f"ip={address}",
+            f"zone=z{address[-1]}",
+            f"listen-addrs.datagram-addr={address}:{DATA_PORT}",
+            f"listen-addrs.ready={address}:{READY_PORT}",
+            f"listen-addrs.control={address}:{CONTROL_PORT}",
+            f"internal-ports={INTERNAL_PORT},{INTERNAL_PORT + 9}",
+            f"seeds={seeds}",
+            f"bootstrap={'true' if is_first else 'false'}",
+            f"data-dir={self.folder / address}",
+            "heartbeat-ms=1200",
+            "fault-tolerance.machines=1",
+        ]
+        path = self.folder / f"{address}.conf"
+        path.write_text("\n".join(lines))
+        self.processes[address] = subprocess.Popen(
+            [sys.executable, "-m", f"tamarack_platform.{program}"],
+            env={**os.environ, "TAMARACKFORD_BOOT": str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+
+    def publish(self, document):
+        """Publishes at any control host that acknowledges."""
+
+        def attempt():
+            for address in CONTROLS:
+                answer = call(
+                    address,
+                    CONTROL_PORT,
+                    "POST",
+                    "/config/replace",
+                    document,
+                )
+                if answer and answer[0] == 200:
+                    return True
+            return False
+
+        wait_for(attempt)
+
+    def read(self):
+        """Reads the configuration at any control host."""
+
+        def attempt():
+            for address in CONTROLS:
+                answer = call(address, CONTROL_PORT, "GET", "/config/get")
+                if answer and answer[0] == 200:
+                    return json.loads(answer[2])
+            return None
+
+        return wait_for(attempt)
+
+    def open_flow(self, taker, port):
+        """Sends an opening; returns the datagram that a target gets."""
+        head = packets._head.pack(
+            7,
+            0,
+            443,
+            port,
+            int.from_bytes(socket.inet_aton(SERVICE), "big"),
+            int.from_bytes(socket.inet_aton(CALLER), "big"),
+            0,
+            packets.OPENING,
+            0,
+            0,
+        )
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
+            caller.sendto(head, (ENTRY, DATA_PORT))
+        return taker.recv(2000)
+
+    def test_the_whole_path_survives_a_kill_and_ends_in_order(self):
+        for address in CONTROLS:
+            self.start("control", address)
+        self.start("entry", ENTRY)
+        self.publish(DOCUMENT)
+        noted = wait_for(
+            lambda: call(
+                CONTROLS[0],
+                CONTROL_PORT,
+                "POST",
+                "/instances/i-7f3a91c2/heartbeat",
+                HEARTBEAT,
+            )
+        )
+        self.assertEqual(
+            f"{CONTROLS[0]}:{CONTROL_PORT}",
+            json.loads(noted[2])["heartbeat-addr"],
+        )
+        taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(taker.close)
+        taker.bind((TARGET, 8080))
+        taker.settimeout(PATIENCE_S)
+        wait_for(self.is_ready)
+        data = self.open_flow(taker, 40001)
+        self.assertEqual(0x7F3A91C2, int.from_bytes(data[:8], "big"))
+
+        self.processes[CONTROLS[1]].kill()
+        self.publish({**DOCUMENT, "version": 5})
+        self.assertEqual(5, self.read()["version"])
+        self.start("control", CONTROLS[1], is_first=False)
+        bad = call(
+            CONTROLS[0],
+            CONTROL_PORT,
+            "POST",
+            "/config/replace",
+            {**DOCUMENT, "version": 9, "services": []},
+        )
+        self.assertEqual(400, bad[0])
+        self.assertEqual(5, self.read()["version"])
+
+        entry = self.processes[ENTRY]
+        entry.send_signal(signal.SIGHUP)
+        self.open_flow(taker, 40002)
+        metrics = wait_for(lambda: call(ENTRY, 9464, "GET", "/metrics"))
+        self.assertIn(b'name="flows-placed"} 2', metrics[2])
+        entry.send_signal(signal.SIGTERM)
+        wait_for(lambda: not self.is_ready())
+        self.open_flow(taker, 40003)
+        self.assertEqual(0, entry.wait(PATIENCE_S))
+
+    def is_ready(self):
+        """Returns whether the entry host says that it is ready."""
+        answer = call(ENTRY, READY_PORT, "GET", "/ready")
+        return answer is not None and answer[0] == 200
