--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -110,7 +110,7 @@
         ]
         for entry in self.targets.by_name.values():
             if entry.is_overdue and self.seen.watch(entry).flows:
-                found += self.probes.ask(now_s, entry)
+                found += self._ask(now_s, entry)
             if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
                 found += self._give_up(now_s, entry, "target-gone")
         return found
@@ -123,10 +123,13 @@
     def handle_probed(self, event: events.TargetProbed) -> list[effects.Effect]:
         """Takes the end of a probe; a dead target loses its flows."""
         self._turn(event.now_s)
+        entry = self.targets.by_name.get(event.target)
         is_turned, found = self.probes.complete(
-            event.now_s, event.target, is_answered=event.is_answered
+            event.now_s,
+            event.target,
+            is_answered=event.is_answered,
+            reference=self._reference(event.target),
         )
-        entry = self.targets.by_name.get(event.target)
         if entry is None:
             return found
         if event.is_answered:
@@ -148,6 +151,26 @@
             found += self._give_up(event.now_s, entry, "target-silent")
         return found
 
+    def _ask(self, now_s: float, entry: tags.Entry) -> list[effects.Effect]:
+        """Asks a target itself whether it lives."""
+        reference = self._reference(entry.target.name)
+        return self.probes.ask(now_s, entry, reference)
+
+    def _reference(self, name: str) -> tags.Entry | None:
+        """Returns the other target that gave the last sign of life."""
+        others = [
+            entry
+            for entry in self.targets.by_name.values()
+            if entry.target.name != name
+            and not entry.is_gone
+            and not self.probes.is_dead(entry.target.name)
+        ]
+        return max(
+            others,
+            key=lambda entry: self.seen.watch(entry).silence.answered_s,
+            default=None,
+        )
+
     def _give_up(
         self, now_s: float, entry: tags.Entry, reason: str
     ) -> list[effects.Effect]:
@@ -242,7 +265,7 @@
         flow = self.seen.flows.get(key)
         if flow is None or flow.is_open:
             return []
-        return self.probes.ask(now_s, flow.target)
+        return self._ask(now_s, flow.target)
 
     def _open(
         self,
@@ -288,7 +311,7 @@
             return self._reset_packet(now_s, packet, entry, "target-silent")
         found = self._forward(packet, entry)
         if is_repeated:
-            found += self.probes.ask(now_s, entry)
+            found += self._ask(now_s, entry)
         return found
 
     def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/probing.py
@@ -4,6 +4,9 @@
 host has two or three flows with it, too few to judge by. One repeated packet
 is enough to ask; two connections in vain are needed to believe, as one packet
 may be lost. Each probe is paid for, so none is sent while all is well.
+
+A probe in vain counts only if another target, asked at the same moment, has
+answered: where a large document fills the link of this host, all are late.
 """
 
 import msgspec
@@ -33,6 +36,8 @@
         asked_s: Time of the last probe, in seconds.
         is_running: Whether a probe is on its way.
         failures: Probes in vain since the last that was answered.
+        answered_s: Time of the last answer to a probe, in seconds.
+        reference: Target that was asked at the same moment.
         is_dead: Whether the target is held to be dead.
     """
 
@@ -40,6 +45,8 @@
     asked_s: float = float("-inf")
     is_running: bool = False
     failures: int = 0
+    answered_s: float = float("-inf")
+    reference: str = ""
     is_dead: bool = False
 
 
@@ -61,22 +68,47 @@
         probe = self.probes.get(name)
         return probe is not None and probe.is_dead
 
-    def ask(self, now_s: float, entry: tags.Entry) -> list[effects.Effect]:
+    def ask(
+        self, now_s: float, entry: tags.Entry, reference: tags.Entry | None
+    ) -> list[effects.Effect]:
         """Returns a probe of a suspected target, if none was sent lately.
 
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
+            reference: A target that answered lately, to tell a silent target
+                from a busy link; None if there is none.
         """
-        name = entry.target.name
-        probe = self.probes.setdefault(name, Probe(entry))
-        probe.entry = entry
+        probe = self._probe_of(entry)
         if probe.is_running or now_s - probe.asked_s < ASK_INTERVAL_S:
             return []
-        return [_send(now_s, probe)]
+        return self._send_pair(now_s, probe, reference)
+
+    def _probe_of(self, entry: tags.Entry) -> Probe:
+        """Returns the probe of a target."""
+        probe = self.probes.setdefault(entry.target.name, Probe(entry))
+        probe.entry = entry
+        return probe
+
+    def _send_pair(
+        self, now_s: float, probe: Probe, reference: tags.Entry | None
+    ) -> list[effects.Effect]:
+        """Returns a probe of a target, and one of its reference."""
+        found = [_send(now_s, probe)]
+        probe.reference = "" if reference is None else reference.target.name
+        if reference is not None:
+            other = self._probe_of(reference)
+            if not other.is_running:
+                found.append(_send(now_s, other))
+        return found
 
     def complete(
-        self, now_s: float, name: str, *, is_answered: bool
+        self,
+        now_s: float,
+        name: str,
+        *,
+        is_answered: bool,
+        reference: tags.Entry | None,
     ) -> tuple[bool, list[effects.Effect]]:
         """Takes the end of a probe.
 
@@ -84,6 +116,7 @@
             now_s: Monotonic time in seconds.
             name: Name of the target.
             is_answered: Whether it took the connection.
+            reference: A target to ask beside the next probe.
 
         Returns:
             Whether the target has changed between dead and alive, and the
@@ -96,15 +129,21 @@
         if is_answered:
             was_dead, probe.is_dead = probe.is_dead, False
             probe.failures = 0
+            probe.answered_s = now_s
             return was_dead, []
-        probe.failures += 1
-        if probe.is_dead:
+        if probe.is_dead or not self._is_conclusive(probe):
             return False, []
+        probe.failures += 1
         if probe.failures < FAILURES:
-            return False, [_send(now_s, probe)]
+            return False, self._send_pair(now_s, probe, reference)
         probe.is_dead = True
         return True, []
 
+    def _is_conclusive(self, probe: Probe) -> bool:
+        """Returns whether the reference of a probe in vain has answered."""
+        reference = self.probes.get(probe.reference)
+        return reference is not None and reference.answered_s >= probe.asked_s
+
     def forgive(self) -> None:
         """Forgets failures, also of probes on their way.
 
