Remove a constant that nothing reads; one encoder of the time line

Cause: a read of the whole change. A constant had no reader, the time line was encoded in two places, and a timeout of the transport had kept the name of the sender's that moved to its own module. Behaviour is the same. Linter and types clean; 32 tests of the command line, the processes, entry hosts and pages pass.

--- a/packages/core/src/tamarack_core/announced.py
+++ b/packages/core/src/tamarack_core/announced.py
@@ -6,8 +6,6 @@
 
 from tamarack_core import peers
 
-NO_SEQUENCE = -1
-
 
 class Phase(enum.IntEnum):
     """Where a target is in its life; a later phase never goes back."""
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -180,7 +180,7 @@
                 "bad-request", f"since_ms {since!r} is not a time in ms"
             )
             return _respond(refused)
-        data = msgspec.json.encode(self.entries(int(since)))
+        data = timeline.encode(self.entries(int(since)))
         return web.Response(body=data, content_type=JSON_TYPE)
 
     async def get_health(self, request: web.Request) -> web.Response:
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -24,7 +24,9 @@
 MAX_DATAGRAM_BYTES = 1400
 MAX_MESSAGES_PER_ENVELOPE = 64
 RECEIVE_BYTES = 65536
-POST_TIMEOUT_S = 5.0
+CLOSE_TIMEOUT_S = 5.0
+"""Time that large envelopes on their way have when a host ends; no sender
+waits longer for an answer."""
 MESSAGES_PATH = "/v1/messages"
 
 
@@ -129,7 +131,7 @@
         """Sends what waits and closes the socket."""
         self._flush()
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=POST_TIMEOUT_S)
+            await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
         if self.socket is not None:
             asyncio.get_running_loop().remove_reader(self.socket)
             self.socket.close()
