--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -1,4 +1,8 @@
-"""Carries messages between hosts: JSON over UDP, or over HTTP when large."""
+"""Carries messages between hosts: JSON over UDP, or over HTTP when large.
+
+An envelope that does not fit a datagram goes in fragments, and one that is
+larger still over a connection.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import logging
+import os
 import socket
 import typing
 from typing import Protocol
@@ -13,6 +18,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import envelopes
 from tamarack_core import failure
+from tamarack_core import fragments
 from tamarack_core import peers
 from tamarack_node.internal import logs
 
@@ -20,14 +26,16 @@
     from tamarack_core import messages
     from tamarack_node.internal import keys
 
-# A datagram of this size is not fragmented on a link of 1,500 bytes.
-MAX_DATAGRAM_BYTES = 1400
 MAX_MESSAGES_PER_ENVELOPE = 64
 RECEIVE_BYTES = 65536
+ID_BYTES = 8
+"""Random bytes of which the identifiers of fragments begin."""
+
 CLOSE_TIMEOUT_S = 5.0
 """Time that large envelopes on their way have when a host ends; no sender
 waits longer for an answer."""
 MESSAGES_PATH = "/v1/messages"
+_FRAGMENT_START = bytes([fragments.MARKER])
 
 
 class SendError(Exception):
@@ -71,6 +79,8 @@
 
     __slots__ = (
         "_flush_scheduled",
+        "_joiner",
+        "_splitter",
         "_tasks",
         "codec",
         "context",
@@ -109,6 +119,10 @@
         self.sender = sender
         self.codec = codec
         self.outbox: dict[peers.Peer, list[messages.Message]] = {}
+        self._splitter = fragments.Splitter(
+            int.from_bytes(os.urandom(ID_BYTES), "big")
+        )
+        self._joiner = fragments.Joiner()
         self._flush_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -179,7 +193,16 @@
                 data = self.socket.recv(RECEIVE_BYTES)
             except (BlockingIOError, ConnectionRefusedError):
                 return
+            self._receive_datagram(data)
+
+    def _receive_datagram(self, data: bytes) -> None:
+        """Handles an envelope, or a fragment of one."""
+        if data[:1] != _FRAGMENT_START:
             self.handle_bytes(data)
+            return
+        joined = self._joiner.join(data)
+        if joined is not None:
+            self.handle_bytes(joined)
 
     def _flush(self) -> None:
         """Sends the messages that wait, joined by receiver."""
@@ -198,12 +221,15 @@
         data = self.codec.encode(envelope)
         if self.signer is not None:
             data = self.signer.sign(peer.host, data)
-        if len(data) <= MAX_DATAGRAM_BYTES:
+        if len(data) <= fragments.DATAGRAM_BYTES:
             self._send_datagram(peer, data)
         elif len(batch) > 1:
             middle = len(batch) // 2
             self._send_batch(peer, batch[:middle])
             self._send_batch(peer, batch[middle:])
+        elif len(data) <= fragments.MAX_BYTES:
+            for fragment in self._splitter.split(data):
+                self._send_datagram(peer, fragment)
         else:
             task = asyncio.get_running_loop().create_task(
                 self._post(peer, data)
