Believe a failed probe only once another target answers after it

(a) FLOW 1 at 45.8 s: two connections of 0.15 s in vain and an answer of the reference from before made a live target dead while the link was full. (b) Where at-east-d was cut off, its 30 targets were given up one by one from 34 to 35.6 s, each after a caller had waited. Change: a probe asks for three connections in 0.25 s; when it is in vain, another target is asked, and only its answer makes the first one dead; a flow that goes on meanwhile voids the probe. The neighbors of a dead target that have flows and gave no sign of life since are asked at once.

--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -102,17 +102,21 @@
 
 
 class ProbeTarget(msgspec.Struct):
-    """Ask a target for a connection, and close it at once.
+    """Ask a target for connections until it takes one, and close it at once.
 
     Attributes:
         target: Name that the `TargetProbed` event repeats.
         endpoint: Address and port of the target.
         timeout_s: Seconds until the probe has failed.
+        attempts: Connections that are asked for, as one packet may be lost.
+        spacing_s: Seconds between the attempts.
     """
 
     target: str
     endpoint: peers.Endpoint
     timeout_s: float
+    attempts: int = 1
+    spacing_s: float = 0.0
 
 
 class Record(msgspec.Struct):
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -1,5 +1,7 @@
 """Forwards packets by the tag that they carry, and places new flows."""
 
+from collections.abc import Iterator
+
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
@@ -110,7 +112,7 @@
         ]
         for entry in self.targets.by_name.values():
             if entry.is_overdue and self.seen.watch(entry).flows:
-                found += self._ask(now_s, entry)
+                found += self.probes.ask(now_s, entry)
             if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
                 found += self._give_up(now_s, entry, "target-gone")
         return found
@@ -123,54 +125,80 @@
     def handle_probed(self, event: events.TargetProbed) -> list[effects.Effect]:
         """Takes the end of a probe; a dead target loses its flows."""
         self._turn(event.now_s)
-        entry = self.targets.by_name.get(event.target)
-        is_turned, found = self.probes.complete(
-            event.now_s,
-            event.target,
-            is_answered=event.is_answered,
-            reference=self._reference(event.target),
-        )
-        if entry is None:
-            return found
         if event.is_answered:
-            self.seen.watch(entry).silence.note_answer(event.now_s)
-        if not is_turned:
-            return found
-        is_dead = self.probes.is_dead(event.target)
-        found.append(
-            self.context.record(
-                event.now_s,
-                "target-dead" if is_dead else "target-alive",
-                service=entry.target.service,
-                target=event.target,
-                reason="probe",
-                detail=f"announced {event.now_s - entry.since_s:.1f} s ago",
-            )
+            return self._take_answer(event.now_s, event.target)
+        return self.probes.note_failure(
+            event.now_s, event.target, self._references()
         )
-        if is_dead:
-            found += self._give_up(event.now_s, entry, "target-silent")
+
+    def _take_answer(self, now_s: float, name: str) -> list[effects.Effect]:
+        """Takes the answer of a target, and believes failures before it."""
+        was_dead = self.probes.note_answer(name)
+        entry = self.targets.by_name.get(name)
+        found: list[effects.Effect] = []
+        if entry is not None:
+            self.seen.note_probe_answer(now_s, entry)
+            if was_dead:
+                found.append(self._record_life(now_s, entry, "target-alive"))
+        for probe in self.probes.waiting_for(name):
+            found += self._believe(now_s, probe)
         return found
 
-    def _ask(self, now_s: float, entry: tags.Entry) -> list[effects.Effect]:
-        """Asks a target itself whether it lives."""
-        reference = self._reference(entry.target.name)
-        return self.probes.ask(now_s, entry, reference)
+    def _believe(
+        self, now_s: float, probe: probing.Probe
+    ) -> list[effects.Effect]:
+        """Gives up a target whose probe was in vain while others answer."""
+        probe.reference = ""
+        entry = probe.entry
+        if self.seen.watch(entry).silence.answered_s >= probe.asked_s:
+            # Its flows go on; only the probe was lost.
+            return []
+        probe.is_dead = True
+        return [
+            self._record_life(now_s, entry, "target-dead"),
+            *self._give_up(now_s, entry, "target-silent"),
+            *self._ask_neighbors(now_s, probe),
+        ]
 
-    def _reference(self, name: str) -> tags.Entry | None:
-        """Returns the other target that gave the last sign of life."""
-        others = [
-            entry
+    def _ask_neighbors(
+        self, now_s: float, dead: probing.Probe
+    ) -> list[effects.Effect]:
+        """Asks the other targets of the domain of a dead one.
+
+        Where a domain is cut off, callers need not find out target by target.
+        """
+        domain = dead.entry.target.domain
+        return [
+            effect
             for entry in self.targets.by_name.values()
-            if entry.target.name != name
+            if entry.target.domain == domain
             and not entry.is_gone
             and not self.probes.is_dead(entry.target.name)
+            and (watch := self.seen.watch(entry)).flows
+            and watch.silence.answered_s < dead.asked_s
+            for effect in self.probes.ask(now_s, entry)
         ]
-        return max(
-            others,
-            key=lambda entry: self.seen.watch(entry).silence.answered_s,
-            default=None,
+
+    def _record_life(
+        self, now_s: float, entry: tags.Entry, name: str
+    ) -> effects.Effect:
+        """Returns the time line entry of what probes showed."""
+        return self.context.record(
+            now_s,
+            name,
+            service=entry.target.service,
+            target=entry.target.name,
+            reason="probe",
+            detail=f"announced {now_s - entry.since_s:.1f} s ago",
         )
 
+    def _references(self) -> Iterator[tags.Entry]:
+        """Yields the targets that gave signs of life, the last one first."""
+        for name in reversed(self.seen.answered):
+            entry = self.targets.by_name.get(name)
+            if entry is not None and not entry.is_gone:
+                yield entry
+
     def _give_up(
         self, now_s: float, entry: tags.Entry, reason: str
     ) -> list[effects.Effect]:
@@ -265,7 +293,7 @@
         flow = self.seen.flows.get(key)
         if flow is None or flow.is_open:
             return []
-        return self._ask(now_s, flow.target)
+        return self.probes.ask(now_s, flow.target)
 
     def _open(
         self,
@@ -311,7 +339,7 @@
             return self._reset_packet(now_s, packet, entry, "target-silent")
         found = self._forward(packet, entry)
         if is_repeated:
-            found += self._ask(now_s, entry)
+            found += self.probes.ask(now_s, entry)
         return found
 
     def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/probing.py
@@ -2,24 +2,32 @@
 
 The load that it answers: a target crashes without a word while each entry
 host has two or three flows with it, too few to judge by. One repeated packet
-is enough to ask; two connections in vain are needed to believe, as one packet
-may be lost. Each probe is paid for, so none is sent while all is well.
+is enough to ask. A probe asks for several connections, as one packet may be
+lost; none is sent while all is well.
 
-A probe in vain counts only if another target, asked at the same moment, has
-answered: where a large document fills the link of this host, all are late.
+A probe in vain is believed once another target, asked afterwards, answers:
+where a large document fills the link of this host, or the host is cut off, all
+are silent. What the flows of the target show goes before what probes show.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from tamarack_core import effects
 from tamarack_core.internal.cookie import tags
 
-TIMEOUT_S = 0.15
-"""Time that a target has to take a connection, in seconds; the longest way
-between failure domains and back takes 0.02 s."""
+ATTEMPTS = 3
+"""Connections that a probe asks for; where one packet in forty is lost, one
+probe in 8,000 of a live target is in vain."""
+
+SPACING_S = 0.06
+"""Time between these connections, in seconds."""
 
-FAILURES = 2
-"""Probes in vain after which a target is held to be dead."""
+TIMEOUT_S = 0.25
+"""Time that a target has to take one of them, in seconds; the longest way
+between failure domains and back takes 0.02 s, and a host with a quota of
+processor time may pause for 0.1 s."""
 
 ASK_INTERVAL_S = 0.5
 """Time between probes of a target that answers them, in seconds."""
@@ -35,17 +43,14 @@
         entry: The target.
         asked_s: Time of the last probe, in seconds.
         is_running: Whether a probe is on its way.
-        failures: Probes in vain since the last that was answered.
-        answered_s: Time of the last answer to a probe, in seconds.
-        reference: Target that was asked at the same moment.
+        reference: Target whose answer is waited for before a probe in vain
+            is believed; empty for none.
         is_dead: Whether the target is held to be dead.
     """
 
     entry: tags.Entry
     asked_s: float = float("-inf")
     is_running: bool = False
-    failures: int = 0
-    answered_s: float = float("-inf")
     reference: str = ""
     is_dead: bool = False
 
@@ -68,21 +73,18 @@
         probe = self.probes.get(name)
         return probe is not None and probe.is_dead
 
-    def ask(
-        self, now_s: float, entry: tags.Entry, reference: tags.Entry | None
-    ) -> list[effects.Effect]:
+    def ask(self, now_s: float, entry: tags.Entry) -> list[effects.Effect]:
         """Returns a probe of a suspected target, if none was sent lately.
 
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
-            reference: A target that answered lately, to tell a silent target
-                from a busy link; None if there is none.
         """
         probe = self._probe_of(entry)
-        if probe.is_running or now_s - probe.asked_s < ASK_INTERVAL_S:
+        is_waiting = probe.is_running or bool(probe.reference)
+        if is_waiting or now_s - probe.asked_s < ASK_INTERVAL_S:
             return []
-        return self._send_pair(now_s, probe, reference)
+        return [_send(now_s, probe)]
 
     def _probe_of(self, entry: tags.Entry) -> Probe:
         """Returns the probe of a target."""
@@ -90,59 +92,63 @@
         probe.entry = entry
         return probe
 
-    def _send_pair(
-        self, now_s: float, probe: Probe, reference: tags.Entry | None
+    def note_answer(self, name: str) -> bool:
+        """Takes note that a target answered a probe.
+
+        Args:
+            name: Name of the target.
+
+        Returns:
+            Whether it was held to be dead.
+        """
+        probe = self.probes.get(name)
+        if probe is None or not probe.is_running:
+            return False
+        was_dead, probe.is_dead = probe.is_dead, False
+        probe.is_running = False
+        probe.reference = ""
+        return was_dead
+
+    def note_failure(
+        self, now_s: float, name: str, references: Iterable[tags.Entry]
     ) -> list[effects.Effect]:
-        """Returns a probe of a target, and one of its reference."""
-        found = [_send(now_s, probe)]
-        probe.reference = "" if reference is None else reference.target.name
-        if reference is not None:
-            other = self._probe_of(reference)
-            if not other.is_running:
-                found.append(_send(now_s, other))
-        return found
-
-    def complete(
-        self,
-        now_s: float,
-        name: str,
-        *,
-        is_answered: bool,
-        reference: tags.Entry | None,
-    ) -> tuple[bool, list[effects.Effect]]:
-        """Takes the end of a probe.
+        """Takes note that a probe was in vain.
 
         Args:
             now_s: Monotonic time in seconds.
             name: Name of the target.
-            is_answered: Whether it took the connection.
-            reference: A target to ask beside the next probe.
+            references: Targets that answered lately, the last one first.
 
         Returns:
-            Whether the target has changed between dead and alive, and the
-            next probe, if one is needed at once.
+            A probe of the first reference that no probe doubts.
         """
         probe = self.probes.get(name)
         if probe is None or not probe.is_running:
-            return False, []
+            return []
         probe.is_running = False
-        if is_answered:
-            was_dead, probe.is_dead = probe.is_dead, False
-            probe.failures = 0
-            probe.answered_s = now_s
-            return was_dead, []
-        if probe.is_dead or not self._is_conclusive(probe):
-            return False, []
-        probe.failures += 1
-        if probe.failures < FAILURES:
-            return False, self._send_pair(now_s, probe, reference)
-        probe.is_dead = True
-        return True, []
-
-    def _is_conclusive(self, probe: Probe) -> bool:
-        """Returns whether the reference of a probe in vain has answered."""
-        reference = self.probes.get(probe.reference)
-        return reference is not None and reference.answered_s >= probe.asked_s
+        self._doubt_waiting(name)
+        if probe.is_dead:
+            return []
+        for entry in references:
+            other = self._probe_of(entry)
+            if other is probe or other.is_dead or other.reference:
+                continue
+            probe.reference = entry.target.name
+            return [] if other.is_running else [_send(now_s, other)]
+        return []
+
+    def _doubt_waiting(self, reference: str) -> None:
+        """Forgets the failures that a silent reference was to confirm."""
+        for probe in self.waiting_for(reference):
+            probe.reference = ""
+
+    def waiting_for(self, reference: str) -> list[Probe]:
+        """Returns the probes in vain that wait for the answer of a target."""
+        return [
+            probe
+            for probe in self.probes.values()
+            if probe.reference == reference
+        ]
 
     def forgive(self) -> None:
         """Forgets failures, also of probes on their way.
@@ -150,7 +156,7 @@
         This host was away itself, and may have missed the answers.
         """
         for probe in self.probes.values():
-            probe.failures = 0
+            probe.reference = ""
             probe.is_running = False
 
     def tick(self, now_s: float) -> list[effects.Effect]:
@@ -160,7 +166,7 @@
         ]:
             del self.probes[name]
         return [
-            _send(now_s, probe)
+            _send(now_s, probe, attempts=1)
             for probe in self.probes.values()
             if probe.is_dead
             and not probe.is_running
@@ -168,9 +174,13 @@
         ]
 
 
-def _send(now_s: float, probe: Probe) -> effects.Effect:
+def _send(
+    now_s: float, probe: Probe, attempts: int = ATTEMPTS
+) -> effects.Effect:
     """Returns a probe."""
     probe.is_running = True
     probe.asked_s = now_s
     target = probe.entry.target
-    return effects.ProbeTarget(target.name, target.endpoint, TIMEOUT_S)
+    return effects.ProbeTarget(
+        target.name, target.endpoint, TIMEOUT_S, attempts, SPACING_S
+    )
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -88,16 +88,18 @@
         flows: Flows by their key, the longest idle first.
         targets: Watches by name of the target.
         domains: Silences by failure domain.
+        answered: Targets that gave a sign of life, the last one at the end.
         turned_s: Time of the last packet or timer, in seconds.
     """
 
-    __slots__ = ("domains", "flows", "targets", "turned_s")
+    __slots__ = ("answered", "domains", "flows", "targets", "turned_s")
 
     def __init__(self) -> None:
         """Creates an empty record."""
         self.flows: dict[flow_packets.FlowKey, Flow] = {}
         self.targets: dict[str, Watch] = {}
         self.domains: dict[str, silences.Silence] = {}
+        self.answered: dict[str, None] = {}
         self.turned_s = float("inf")
 
     def turn(self, now_s: float) -> bool:
@@ -195,15 +197,36 @@
         if not flow.is_open:
             flow.is_open = True
             flow.sequence = packet.sequence
-            watch.note_answer(now_s)
+            self._note_answer(now_s, target, watch)
         elif packet.acknowledged != flow.acknowledged:
-            watch.note_answer(now_s)
+            self._note_answer(now_s, target, watch)
             self._stop_waiting(flow, watch)
         flow.acknowledged = packet.acknowledged
         if not packet.payload_bytes:
             return False
         return self._note_payload(now_s, flow, packet, watch)
 
+    def _note_answer(
+        self, now_s: float, target: tags.Entry, watch: Watch
+    ) -> None:
+        """Takes note that a flow shows a sign of life of its target."""
+        watch.note_answer(now_s)
+        self._move_last(target)
+
+    def note_probe_answer(self, now_s: float, target: tags.Entry) -> None:
+        """Takes note that a target answered a probe.
+
+        Its failure domain is judged by flows alone.
+        """
+        self.watch(target).silence.note_answer(now_s)
+        self._move_last(target)
+
+    def _move_last(self, target: tags.Entry) -> None:
+        """Makes a target the last that gave a sign of life."""
+        name = target.target.name
+        self.answered.pop(name, None)
+        self.answered[name] = None
+
     def _note_payload(
         self,
         now_s: float,
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -330,28 +330,6 @@
         writer.close()
 
 
-async def is_answering(
-    host: str, port: int, local: str, timeout_s: float
-) -> bool:
-    """Returns whether a host takes a TCP connection in time.
-
-    Args:
-        host: IP address to connect to.
-        port: Port to connect to.
-        local: IP address to connect from.
-        timeout_s: Seconds that it has.
-    """
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(
-                host, port, local_addr=(local, 0)
-            )
-    except (TimeoutError, OSError):
-        return False
-    writer.close()
-    return True
-
-
 def set_keepalive(connection: socket.socket) -> None:
     """Lets the system find a connection whose other end is gone.
 
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light.py
@@ -28,6 +28,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import timeline
+from tamarack_node.internal import connects
 from tamarack_node.internal import http1
 from tamarack_node.internal import light_sender
 from tamarack_node.internal import log_stream
@@ -352,12 +353,9 @@
                 raise AssertionError(f"no driver for {type(effect)}")
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
-        """Asks a target for a connection, and closes it at once."""
-        is_answered = await http1.is_answering(
-            effect.endpoint.address,
-            effect.endpoint.port,
-            self.addresses.internal.address,
-            effect.timeout_s,
+        """Asks a target for a connection, and tells the core."""
+        is_answered = await connects.is_answered(
+            effect, self.addresses.internal.address
         )
         self.handle(
             events.TargetProbed(time.monotonic(), effect.target, is_answered)
