Ask the next control host at once when one has no document

Each target that was learned built the list of its service anew (150 targets: 22,500 steps). Tests, failed before: test_a_control_host_without_a_document_makes_it_ask_the_next, test_a_service_of_many_targets_is_learned_in_one_pass. The lists of targets by service are also tested for a moved target and for two names with one tag.

--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/choosing.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Collection
-from collections.abc import Sequence
 import random
 
 from tamarack_core.internal.cookie import probing
@@ -19,7 +18,7 @@
 
 
 def choose(
-    candidates: Sequence[tags.Entry],
+    candidates: Collection[tags.Entry],
     seen: watching.Watching,
     probes: probing.Probing,
     now_s: float,
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -269,7 +269,7 @@
         if packet.copy_number:
             tried = self.seen.note_unanswered(now_s, packet.flow)
             found = self._ask_unanswered(now_s, packet.flow)
-        candidates = self.targets.by_service.get(service, ())
+        candidates = self.targets.by_service.get(service, {}).values()
         entry = choosing.choose(
             candidates,
             self.seen,
--- a/packages/core/src/tamarack_core/internal/cookie/mirror.py
+++ b/packages/core/src/tamarack_core/internal/cookie/mirror.py
@@ -226,6 +226,9 @@
         if update.controls:
             self.controls = update.controls
         found = self._take_document(event.now_s, update)
+        if not self.is_synced:
+            # It has no document yet; another one may.
+            found += self._ask_in_turn()
         held = self.position if update.run == self.run else 0
         if update.base > held:
             # A change was lost on its way.
--- a/packages/core/src/tamarack_core/internal/cookie/tags.py
+++ b/packages/core/src/tamarack_core/internal/cookie/tags.py
@@ -54,7 +54,7 @@
     Attributes:
         by_name: All targets, those that are gone included.
         by_tag: The target that a tag leads to.
-        by_service: Targets that take new flows, by service.
+        by_service: Targets that take new flows, by service and name.
     """
 
     __slots__ = ("by_name", "by_service", "by_tag")
@@ -63,7 +63,7 @@
         """Creates an empty table."""
         self.by_name: dict[str, Entry] = {}
         self.by_tag: dict[int, Entry] = {}
-        self.by_service: dict[str, list[Entry]] = {}
+        self.by_service: dict[str, dict[str, Entry]] = {}
 
     def put(self, now_s: float, known: announced.Known) -> Entry | None:
         """Takes an announcement, unless a newer one is held.
@@ -92,8 +92,14 @@
             gone_s=gone_s,
         )
         self.by_name[target.name] = entry
+        if held is not None:
+            self._unlist(held)
         self._place_tag(entry)
-        self._list_services(target.service, held)
+        if (
+            target.phase is announced.Phase.READY
+            and self.by_tag[entry.tag] is entry
+        ):
+            self.by_service.setdefault(target.service, {})[target.name] = entry
         return entry
 
     def _place_tag(self, entry: Entry) -> None:
@@ -105,6 +111,8 @@
             or (holder.is_gone and not entry.is_gone)
         )
         if is_free or self._yields(holder, entry):
+            if holder is not None:
+                self._unlist(holder)
             self.by_tag[entry.tag] = entry
 
     def _yields(self, holder: Entry | None, entry: Entry) -> bool:
@@ -114,17 +122,10 @@
         theirs = (entry.target.born_ms, entry.target.name)
         return theirs < (holder.target.born_ms, holder.target.name)
 
-    def _list_services(self, service: str, held: Entry | None) -> None:
-        """Brings the lists of targets for new flows up to date."""
-        names = {service} | ({held.target.service} if held else set())
-        for name in names:
-            self.by_service[name] = [
-                entry
-                for entry in self.by_name.values()
-                if entry.target.service == name
-                and entry.target.phase is announced.Phase.READY
-                and self.by_tag.get(entry.tag) is entry
-            ]
+    def _unlist(self, entry: Entry) -> None:
+        """Sends no new flows to a target."""
+        target = entry.target
+        self.by_service.get(target.service, {}).pop(target.name, None)
 
     def forget(self, now_s: float) -> None:
         """Forgets targets that have been gone for long."""
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -1,14 +1,19 @@
 """An entry host that forwards by the cookies of flows."""
 
 import itertools
+import time
 
 import msgspec
 import testtools
 from testtools import matchers
 
 from tamarack_core import announced
+from tamarack_core.internal.cookie import tags
 from tests import cookie_host
 
+SAME_TAG = ("i-69d19deb1c", "i-ff81d0f447")
+"""Two names with one checksum."""
+
 
 class FollowingTest(testtools.TestCase):
     """What an entry host believes of targets and routes."""
@@ -61,6 +66,16 @@
         self.assertEqual([1, 1, 1], [len(names) for names in rounds])
         self.assertEqual({"c1", "c2", "c3"}, {names[0] for names in rounds})
 
+    def test_a_control_host_without_a_document_makes_it_ask_the_next(self):
+        # A control host that lost its disk learns the document after a while.
+        host = cookie_host.CookieHost(controls=("c1", "c2", "c3"))
+        (first,) = self.asked(host)
+        host.update(
+            cookie_host.target("t-1"), sender=cookie_host.control(first)
+        )
+        (second,) = self.asked(host)
+        self.assertNotEqual(first, second)
+
     def test_hosts_that_start_together_begin_with_different_control_hosts(self):
         first = {
             self.asked(
@@ -196,6 +211,48 @@
         self.assertThat({first, second, third}, matchers.HasLength(3))
 
 
+class TagTest(testtools.TestCase):
+    """Which targets take new flows."""
+
+    def names(self, table, service="web"):
+        """Returns the targets of a service that take new flows."""
+        return set(table.by_service.get(service, {}))
+
+    def test_a_target_that_changes_its_service_leaves_the_other(self):
+        table = tags.TargetTable()
+        table.put(1.0, announced.Known(cookie_host.target("t-1")))
+        moved = cookie_host.target("t-1", service="files", born_ms=2000)
+        table.put(2.0, announced.Known(moved))
+        self.assertEqual(set(), self.names(table))
+        self.assertEqual({"t-1"}, self.names(table, "files"))
+
+    def test_of_two_targets_with_one_tag_the_older_takes_flows(self):
+        table = tags.TargetTable()
+        first, second = SAME_TAG
+        self.assertEqual(tags.tag_of(first), tags.tag_of(second))
+        for born_ms, name in ((2000, second), (1000, first)):
+            target = cookie_host.target(name, born_ms=born_ms)
+            table.put(1.0, announced.Known(target))
+        self.assertEqual({first}, self.names(table))
+
+    def test_a_service_of_many_targets_is_learned_in_one_pass(self):
+        # An entry host learns all targets at once when it starts.
+        def cost(count):
+            table = tags.TargetTable()
+            known = [
+                announced.Known(cookie_host.target(f"t-{n}", port=n))
+                for n in range(1, count)
+            ]
+            began_s = time.process_time()
+            for item in known:
+                table.put(1.0, item)
+            return time.process_time() - began_s
+
+        small = min(cost(200) for _ in range(5))
+        large = min(cost(3200) for _ in range(3))
+        self.assertThat(large, matchers.LessThan(64 * small))
+
+
 class ProbeTest(testtools.TestCase):
     """A host asks a target itself before it gives its flows up."""
 
