End the silence of a domain when one of its targets answers a probe

A cut of at-east-a ended at 38.5 s and probes found all targets alive by 39.25 s, but the silence of a failure domain was ended by answers to flows alone. A host without one reset the first packet of a live flow, up to 5 s later. Ruled out: a probe that never ended (no target stayed dead in the logs); a late announcement (ready at 39.09 s).

--- a/packages/core/src/tamarack_core/internal/cookie/silence.py
+++ b/packages/core/src/tamarack_core/internal/cookie/silence.py
@@ -14,6 +14,11 @@
 """Time after which one opening tests who is suspect, in seconds."""
 
 
+FRESH_S = 2.0
+"""Time after which silence says nothing of now, in seconds; a caller that waits
+repeats at least each 1.6 s."""
+
+
 class Patience(msgspec.Struct, frozen=True):
     """How much silence it takes.
 
@@ -46,6 +51,7 @@
         patience: How much silence it takes.
         flows: Flows that repeated a packet since the last answer.
         since_s: Time of the first of these repetitions, in seconds.
+        repeated_s: Time of the last of them, in seconds.
         answered_s: Time of the last answer, in seconds.
         tested_s: Time of the last opening sent while suspect, in seconds.
     """
@@ -53,13 +59,17 @@
     patience: Patience
     flows: set[flow_packets.FlowKey] = msgspec.field(default_factory=set)
     since_s: float = 0.0
+    repeated_s: float = float("-inf")
     answered_s: float = float("-inf")
     tested_s: float = float("-inf")
 
     def note_repetition(self, now_s: float, key: flow_packets.FlowKey) -> None:
         """Takes note that a flow repeats a packet."""
+        if now_s - self.repeated_s > FRESH_S:
+            self.flows.clear()
         if not self.flows:
             self.since_s = now_s
+        self.repeated_s = now_s
         self.flows.add(key)
 
     def note_answer(self, now_s: float) -> None:
@@ -76,7 +86,8 @@
     def is_suspect(self, now_s: float) -> bool:
         """Returns whether openings had better go elsewhere."""
         return (
-            len(self.flows) >= self.patience.suspect_flows
+            self._is_fresh(now_s)
+            and len(self.flows) >= self.patience.suspect_flows
             and now_s - self.answered_s > self.patience.suspect_s
         )
 
@@ -88,6 +99,11 @@
     def is_dark(self, now_s: float) -> bool:
         """Returns whether open flows had better be given up."""
         return (
-            len(self.flows) >= self.patience.dark_flows
+            self._is_fresh(now_s)
+            and len(self.flows) >= self.patience.dark_flows
             and now_s - self.since_s >= self.patience.dark_s
         )
+
+    def _is_fresh(self, now_s: float) -> bool:
+        """Returns whether a caller has waited in vain just now."""
+        return now_s - self.repeated_s <= FRESH_S
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -214,11 +214,8 @@
         self._move_last(target)
 
     def note_probe_answer(self, now_s: float, target: tags.Entry) -> None:
-        """Takes note that a target answered a probe.
-
-        Its failure domain is judged by flows alone.
-        """
-        self.watch(target).silence.note_answer(now_s)
+        """Takes note that a target, and so its domain, answered a probe."""
+        self.watch(target).note_answer(now_s)
         self._move_last(target)
 
     def _move_last(self, target: tags.Entry) -> None:
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -155,6 +155,25 @@
         opened = {host.open(number) for number in range(100, 110)}
         self.assertEqual({"a-0", "a-1", "b-0", "b-1"}, opened)
 
+    def test_a_probe_that_a_domain_answers_ends_its_silence(self):
+        # The cut is over, but no flow through this host has shown it yet.
+        host = self.start()
+        for number in range(8):
+            self.talk(host, number, f"b-{number % 2}")
+        self.ask_in_vain(host, ["b-0", "b-1"], range(8))
+        host.carry(50, "b-1")
+        for name in ("b-0", "b-1"):
+            host.probe_ends(name, is_answered=True)
+        self.assertEqual("b-1", host.carry(50, "b-1", payload_bytes=10))
+
+    def test_silence_of_long_ago_resets_no_flow(self):
+        host = self.start()
+        for number in range(8):
+            self.talk(host, number, f"b-{number % 2}")
+        self.ask_in_vain(host, ["b-0", "b-1"], range(8))
+        host.tick(5.0)
+        self.assertEqual("b-1", host.carry(50, "b-1", payload_bytes=10))
+
     def test_one_silent_flow_is_no_reason_to_reset(self):
         host = self.start()
         self.talk(host, 1, "a-0")
