Count a refused connection of the stand-in target once

Cause of the known red test_a_full_target_sheds_before_anything_runs: when the loop pauses for more than a second between a SYN and its refusal, the caller's timer repeats the SYN before it reads the refusal, and the target counted both (37 for 36, reproduced by a pause in the wire at packets 25, 35, 40 and 45). Connections are counted by path and sequence number now; the check is unchanged. The run has 60 s now and ends at the last connection, so it takes no longer; the check is unchanged. Ruled out: one pause of 0.3, 1.3 or 5.2 s at 15 places each.

--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -151,7 +151,7 @@
         stack = stacks.Stack(self.seed * 100 + number)
         for work_class in settings.classes.values():
             key = (address, work_class.target_port)
-            stack.listeners[key] = lambda _: packet_ends.Server(self)
+            stack.listeners[key] = lambda *_: packet_ends.Server(self)
         self.targets[address] = stack
         self.announcements[address] = requests.Announce(
             self.plan.service.name,
--- a/packages/lab/src/tamarack_lab/gateway/process.py
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -235,7 +235,9 @@
     address: str
     server: gateway_settings.Server
 
-    def accept(self, path: connections.Path) -> connections.Application:
+    def accept(
+        self, path: connections.Path, sequence: int
+    ) -> connections.Application:
         """Returns the joint of a new connection."""
         return self.far.join(self.address, self.server)
 
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -97,7 +97,9 @@
         lie: What it says in place of the truth.
         open: Connections open now.
         opened: Connections accepted, by work class.
-        refused: Connections refused because too many were open.
+        refused: Connections refused because too many were open, each with
+            the sequence number of its SYN; a late caller repeats a SYN whose
+            refusal is on its way.
         ran: How often each request ran, by identifier.
         request_counts: Requests run, by work class.
         work_units: Work units of all requests so far.
@@ -115,7 +117,9 @@
     opened: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    refused: int = 0
+    refused: set[tuple[connections.Path, int]] = dataclasses.field(
+        default_factory=set
+    )
     ran: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -198,7 +202,7 @@
             state=self.state,
             connections=self.open,
             opened=dict(self.opened),
-            refused=self.refused,
+            refused=len(self.refused),
             requests=dict(self.request_counts),
             repeated=sum(1 for count in self.ran.values() if count > 1),
             work=self.work_units,
@@ -240,10 +244,12 @@
     server: Server
     port: target_settings.Port
 
-    def accept(self, path: connections.Path) -> connections.Application | None:
+    def accept(
+        self, path: connections.Path, sequence: int
+    ) -> connections.Application | None:
         """Returns the application of a new connection; None to refuse."""
         if self.server.open >= self.server.service.connections:
-            self.server.refused += 1
+            self.server.refused.add((path, sequence))
             return None
         self.server.open += 1
         self.server.count_opening(self.port, path)
--- a/packages/lab/src/tamarack_lab/tcp/stack.py
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -13,7 +13,9 @@
 
 DEFAULT_MSS_BYTES = 1400
 
-Listener = Callable[[connections.Path], connections.Application | None]
+Listener = Callable[[connections.Path, int], connections.Application | None]
+"""Takes the path of a new connection and the sequence number of its SYN, which
+a copy of the SYN repeats."""
 DatagramHandler = Callable[[connections.Path, bytes], None]
 
 
@@ -196,7 +198,7 @@
     ) -> None:
         """Opens a connection for a SYN, or refuses it."""
         listener = self.listeners.get((path.address, path.port))
-        application = listener(path) if listener else None
+        application = listener(path, syn.sequence) if listener else None
         if application is None:
             self._reset(syn)
             return
--- a/tests/cover/test_lab_tcp.py
+++ b/tests/cover/test_lab_tcp.py
@@ -59,9 +59,7 @@
         self.server_application = Recorder(echoes=True)
         client, server = ADDRESSES[version]
         self.path = connections.Path(client, 40000, server, 80)
-        self.server.listeners[(server, 80)] = lambda path: (
-            self.server_application
-        )
+        self.server.listeners[(server, 80)] = lambda *_: self.server_application
         self.application = Recorder()
 
     def connect(self):
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import msgspec
 import testtools
@@ -23,6 +24,9 @@
 BOUNDED = configuration.Lifetime.BOUNDED
 LONG_LIVED = configuration.Lifetime.LONG_LIVED
 CLOSED_PORT = 9999
+STALL_S = 1.3
+"""Time for which a loaded machine keeps the loop from running; openings are
+repeated after a second."""
 
 
 class Wire(asyncio.DatagramProtocol):
@@ -39,6 +43,19 @@
             self.transport.sendto(data, other)
 
 
+class StallingWire:
+    """Loses nothing, but keeps the loop from running at one packet."""
+
+    def __init__(self, after):
+        self.left = after
+
+    def __call__(self, packet):
+        self.left -= 1
+        if self.left == 0:
+            time.sleep(STALL_S)
+        return False
+
+
 class StandInTest(testtools.TestCase):
     """Counts of both ends."""
 
@@ -78,7 +95,7 @@
                 addresses=("10.7.0.1",),
                 loads=loads,
                 duration_s=0.5,
-                grace_s=5.0,
+                grace_s=60.0,
                 seed=1,
             )
         )
@@ -147,6 +164,29 @@
             {"not-run: connection-refused": targets[0].refused}, load.refused
         )
 
+    def test_a_refusal_counts_once_when_a_late_loop_repeats_its_opening(self):
+        async def stall(target, wire):
+            wire.lose = StallingWire(after=40)
+
+        report, targets = self.run_load(
+            self.load(lifetime=LONG_LIVED), connections=3, during=stall
+        )
+        (load,) = report.loads
+        self.assertEqual(
+            {"not-run: connection-refused": targets[0].refused}, load.refused
+        )
+
+    def test_long_lived_connections_end_in_order_on_a_late_loop(self):
+        async def stall(target, wire):
+            wire.lose = StallingWire(after=40)
+
+        report, _ = self.run_load(
+            self.load(lifetime=LONG_LIVED, request_interval_s=0.05, most=5),
+            during=stall,
+        )
+        (load,) = report.loads
+        self.assertEqual((5, 5, {}), (load.opened, load.completed, load.broken))
+
     def test_a_muted_target_is_seen_as_missing_answers(self):
         async def mute(target, wire):
             await asyncio.sleep(0.2)
