Answer a read that can't be confirmed with 503 and when to come back

Cause of the known red test_faults_leave_exactly_the_accepted_patches ("another status than 200"): a control host whose peers are paused for longer than a read may wait (6 s) refuses it with reason no-quorum, and the HTTP interface answered 400, which tells callers that the request itself is wrong.

--- a/packages/core/src/tamarack_core/internal/control/reading.py
+++ b/packages/core/src/tamarack_core/internal/control/reading.py
@@ -12,6 +12,9 @@
 # A question to the leader may be lost; it is repeated for so long.
 READ_PATIENCE_S = 6.0
 
+RETRY_AFTER_S = 0.5
+"""When to read again, in seconds; an election takes about that long."""
+
 
 class Reading:
     """Answers requests once the state is recent enough.
@@ -77,6 +80,7 @@
             "no-quorum",
             f"{reason}: the newest version can't be confirmed; ask again, or"
             " read the status of the hosts for the versions in force",
+            RETRY_AFTER_S,
         )
         return [effects.Respond(event.request_id, refused)]
 
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 from typing import TypeVar
 
 from aiohttp import web
@@ -14,6 +15,9 @@
 from tamarack_node.internal import transport as transport_lib
 
 REQUEST_TIMEOUT_S = 10.0
+RETRY_AFTER_S = 1.0
+"""When to ask again after no answer in time, in seconds."""
+
 MAX_BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_FLOWS = 100
 MAX_FLOWS = 10_000
@@ -218,18 +222,24 @@
             requests.PatchState.UNKNOWN,
             reason=f"{detail}; send the patch again with the same id",
         )
-    return requests.Refused("timeout", detail)
+    return requests.Refused("timeout", detail, RETRY_AFTER_S)
 
 
 def _respond(response: requests.Response) -> web.Response:
     """Returns the HTTP form of a response of the core."""
     status = 200
+    headers = {}
     if isinstance(response, requests.Refused):
         status = 400
+        if response.retry_after_s:
+            status = 503
+            headers["Retry-After"] = str(math.ceil(response.retry_after_s))
     elif isinstance(response, requests.PatchVerdict):
         status = _STATUS_CODES[response.state]
     data = msgspec.json.encode(response)
-    return web.Response(body=data, status=status, content_type=JSON_TYPE)
+    return web.Response(
+        body=data, status=status, headers=headers, content_type=JSON_TYPE
+    )
 
 
 async def _read_json(request: web.Request) -> dict[str, object]:
