Close a connection after the answer when the caller asks for it

A caller that sent `Connection: close` and read to the end waited for the idle timeout. Ruled out: the group (documents were in force and flows served); the proxy. Tests, failed before: test_small_http.py, two of three.

--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -115,7 +115,7 @@
         self._path = bytearray()
         self._body = bytearray()
         self._header_bytes = 0
-        self._queue: list[HttpRequest] = []
+        self._queue: list[tuple[HttpRequest, bool]] = []
         self._busy: asyncio.Task[None] | None = None
         self._idle: asyncio.TimerHandle | None = None
 
@@ -176,7 +176,9 @@
             self._path.decode("latin-1"),
             bytes(self._body),
         )
-        self._queue.append(request)
+        # The parser forgets what a request says of the connection with the
+        # next byte, so that the answer can't ask for it.
+        self._queue.append((request, self._parser.should_keep_alive()))
         if self._busy is None:
             loop = asyncio.get_running_loop()
             self._busy = loop.create_task(self._answer_all())
@@ -190,10 +192,10 @@
         """Answers requests in their order."""
         try:
             while self._queue:
-                reply = await self._handler(self._queue.pop(0))
+                request, is_kept = self._queue.pop(0)
+                reply = await self._handler(request)
                 if self._transport is None:
                     return
-                is_kept = self._parser.should_keep_alive()
                 self._transport.write(_encode_reply(reply, is_kept))
                 if not is_kept:
                     self._transport.close()
