Soak the programs of the platform under overlapping faults

Real control and entry hosts behind the fault proxy; kills, freezes, stops, cuts one way and both, delay, loss, steps of the clock, full, slow and lost disks, targets that crash, drain and are replaced, lost answers to the operator.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of real processes under overlapping faults from outside."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,28 @@
+"""Runs seeds by hand: python -m tests.soak FIRST COUNT [SLOT]."""
+
+import sys
+
+from tests.soak import plan
+from tests.soak import run
+
+
+def main():
+    """Runs some seeds one after the other, and prints what they broke."""
+    first, count = int(sys.argv[1]), int(sys.argv[2])
+    slot = int(sys.argv[3]) if len(sys.argv) > 3 else 0
+    failed = []
+    for seed in range(first, first + count):
+        promises = run.run(seed, slot)
+        print(f"seed {seed}: {dict(promises.counts)}", flush=True)
+        if promises.broken:
+            failed.append(seed)
+            for fault in plan.draw(seed):
+                print(f"  {fault}")
+            for line in promises.broken:
+                print(f"  broken: {line}", flush=True)
+    print(f"{count} seeds, {len(failed)} broke a promise: {failed}")
+    sys.exit(bool(failed))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/ends.py
@@ -0,0 +1,411 @@
+"""Callers and targets that speak the packets of the platform."""
+
+import asyncio
+import ipaddress
+import json
+import random
+import socket
+import zlib
+
+from tamarack_platform import packets
+from tests.soak import hosts as hosts_lib
+
+SERVICES = {"agenda": 80, "informe": 81}
+SERVICE_ADDRESS = "198.18.0.1"
+OPENING_WAITS_S = (0.2, 0.4, 0.8)
+REPEAT_WAITS_S = (0.2, 0.4, 0.8, 1.6)
+THINK_S = 0.25
+REQUESTS = 6
+SUM_OF_TARGETS = 1
+"""Sum in the packets of targets; the system's own resets have 0."""
+
+
+def number(address):
+    """Returns an IPv4 address as the number in a packet head."""
+    return int(ipaddress.IPv4Address(address))
+
+
+def encode(source, destination, flags, seq, ack, echo=0, data=b"", total=0):
+    """Returns a packet between two (address, port) pairs."""
+    head = packets._head.pack(
+        seq,
+        ack,
+        destination[1],
+        source[1],
+        number(destination[0]),
+        number(source[0]),
+        total,
+        flags,
+        echo,
+        len(data),
+    )
+    return head + data
+
+
+def decode(data):
+    """Returns the fields of a packet and its payload."""
+    seq, ack, dport, sport, dst, src, total, flags, echo, _ = (
+        packets._head.unpack_from(data)
+    )
+    ends = ((src, sport), (dst, dport))
+    return ends, flags, seq, ack, total, echo, data[packets.HEAD_BYTES :]
+
+
+class Target(asyncio.DatagramProtocol):
+    """A server that answers each request once.
+
+    Attributes:
+        name: Identifier in the platform's form.
+        service: Its service.
+        address: IP address; the same for all lives.
+        life: Number of its life.
+        is_alive: Whether it runs.
+        drained_s: Time at which its drain was acknowledged, or None.
+    """
+
+    def __init__(self, index, network, promises):
+        self.index = index
+        self.name = f"i-{0xA0000000 + index:08x}"
+        self.service = list(SERVICES)[index % len(SERVICES)]
+        self.address = f"{network}.{40 + index}"
+        self.promises = promises
+        self.life = 0
+        self.is_alive = False
+        self.is_draining = False
+        self.drained_s = None
+        self.flows = {}
+        self.random = random.Random(index)
+        self.server = None
+        self.transport = None
+
+    @property
+    def port(self):
+        """Port at which it takes packets and connections."""
+        return 8080
+
+    async def start(self):
+        """Begins another life, which knows nothing of the one before."""
+        self.life += 1
+        self.flows = {}
+        self.is_draining, self.drained_s = False, None
+        loop = asyncio.get_running_loop()
+        if self.transport is None:
+            self.transport, _ = await loop.create_datagram_endpoint(
+                lambda: self, (self.address, self.port)
+            )
+        self.server = await asyncio.start_server(
+            _close, self.address, self.port
+        )
+        self.is_alive = True
+
+    def close(self):
+        """Ends for good."""
+        self.crash()
+        self.transport.close()
+
+    def crash(self):
+        """Ends without a word."""
+        self.is_alive = False
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def datagram_received(self, data, sender):
+        """Takes a packet that an entry host hands over."""
+        if not self.is_alive:
+            return
+        tag, packet = int.from_bytes(data[:8], "big"), data[8:]
+        if tag not in (0, int(self.name[2:], 16)):
+            return
+        ends, flags, seq, ack, _, echo, payload = decode(packet)
+        _, service = ends
+        if service[1] in SERVICES.values() and (
+            service[1] != SERVICES[self.service]
+        ):
+            self.promises.breaks(f"{self.name} gets a packet for {service}")
+            return
+        if flags & packets.OPENING:
+            self._open(ends, seq, echo)
+        elif payload:
+            self._run(ends, seq, ack, echo, payload)
+
+    def _open(self, ends, seq, echo):
+        """Takes an opening, or answers its copy."""
+        if ends not in self.flows:
+            self.promises.note_opening(self.name, self.drained_s)
+            own = self.random.getrandbits(31)
+            self.flows[ends] = [own, seq + 1, own + 1, None]
+        own, expected, _, _ = self.flows[ends]
+        flags = packets.OPENING | packets.ACKNOWLEDGING
+        self._send(ends, flags, own, expected, echo)
+
+    def _run(self, ends, seq, ack, echo, payload):
+        """Runs a request, or answers its copy."""
+        flow = self.flows.get(ends)
+        if flow is None:
+            self._send(ends, packets.RESET, ack, 0, echo)
+            return
+        _, expected, following, answer = flow
+        if seq == expected and ack == following:
+            request = payload.decode()
+            self.promises.note_run(request, self.name)
+            answer = (following, json.dumps([request, self.service]).encode())
+            flow[1] = expected + len(payload)
+            flow[2] = following + len(answer[1])
+            flow[3] = answer
+        if answer is not None:
+            self._send(
+                ends,
+                packets.ACKNOWLEDGING,
+                answer[0],
+                flow[1],
+                echo,
+                answer[1],
+            )
+
+    def _send(self, ends, flags, seq, ack, echo, data=b""):
+        """Answers a caller directly."""
+        caller, service = ends
+        packet = encode(
+            (service[0], service[1]),
+            (caller[0], caller[1]),
+            flags,
+            seq,
+            ack,
+            echo,
+            data,
+            SUM_OF_TARGETS,
+        )
+        place = str(ipaddress.IPv4Address(caller[0]))
+        self.transport.sendto(packet, (place, hosts_lib.DATA_PORT))
+
+
+async def _close(reader, writer):
+    """Takes a connection and closes it, as a probe asks."""
+    writer.close()
+
+
+class Routers:
+    """The platform's routers: a hash over the entry hosts that are ready.
+
+    Attributes:
+        ready: Addresses of the entry hosts in rotation.
+    """
+
+    def __init__(self, entries):
+        self.entries = [host.address for host in entries]
+        self.ready = []
+
+    async def watch(self):
+        """Asks all entry hosts twice a second, and leaves out who is late."""
+        misses = dict.fromkeys(self.entries, 2)
+        while True:
+            found = await asyncio.gather(*map(self._ask, self.entries))
+            for address, is_ready in zip(self.entries, found, strict=True):
+                misses[address] = 0 if is_ready else misses[address] + 1
+            ready = [one for one in self.entries if misses[one] < 2]
+            is_half = 2 * len(ready) >= len(self.entries)
+            self.ready = ready if is_half else self.entries
+            await asyncio.sleep(0.5)
+
+    async def _ask(self, address):
+        """Returns whether an entry host says that it is ready."""
+        answer = await call(address, hosts_lib.READY_PORT, "GET", "/ready", 0.4)
+        return answer is not None and answer[0] == 200
+
+    def pick(self, key):
+        """Returns the entry host of a flow at this moment."""
+        return self.ready[zlib.crc32(repr(key).encode()) % len(self.ready)]
+
+
+class Caller(asyncio.DatagramProtocol):
+    """Opens flows from one address."""
+
+    def __init__(self, address, routers, targets, promises):
+        self.address = address
+        self.routers = routers
+        self.targets = {target.name: target for target in targets}
+        self.promises = promises
+        self.flows = {}
+        self.ports = iter(range(2000, 65000))
+        self.transport = None
+
+    def datagram_received(self, data, sender):
+        """Hands a packet to its flow."""
+        ends, *fields = decode(data)
+        flow = self.flows.get(ends[1][1])
+        if flow is not None:
+            flow.inbox.put_nowait(fields)
+
+    async def try_open(self, entry, port):
+        """Opens a flow through an entry host; returns what came of it."""
+        own = next(self.ports)
+        flow = Flow(self, own, ("probe", port), f"probe-{own}")
+        self.flows[own] = flow
+        flow.entry = entry
+        try:
+            return await flow.open()
+        finally:
+            del self.flows[own]
+
+    def send(self, data, key, entry=None):
+        """Sends a packet to an entry host, or the one that routers pick."""
+        if entry is not None:
+            self.transport.sendto(data, (entry, hosts_lib.DATA_PORT))
+            return
+        if self.routers.ready:
+            place = (self.routers.pick(key), hosts_lib.DATA_PORT)
+            self.transport.sendto(data, place)
+
+    async def run(self, name, service, until_s):
+        """Opens one flow after another until a time of the run."""
+        for index, port in enumerate(self.ports):
+            if self.promises.now_s > until_s:
+                return
+            place = (service, SERVICES[service])
+            flow = Flow(self, port, place, f"{name}-{index}")
+            self.flows[port] = flow
+            await flow.run()
+            del self.flows[port]
+
+
+class Flow:
+    """A connection that carries some requests, one after the other."""
+
+    def __init__(self, caller, port, service, name):
+        self.caller = caller
+        self.promises = caller.promises
+        self.name = name
+        self.source = (caller.address, port)
+        self.expects, port = service
+        self.service = (SERVICE_ADDRESS, port)
+        self.entry = None
+        self.inbox = asyncio.Queue()
+        self.echo = 0
+        self.seq, self.ack = 1000, 0
+        self.target = None
+        self.sent = []
+
+    async def run(self):
+        """Opens, sends its requests, and ends."""
+        began_s = self.promises.now_s
+        outcome = await self.open()
+        if outcome != "opened":
+            self.promises.note_unserved(self.name, outcome, began_s)
+            return
+        for index in range(REQUESTS):
+            began_s = self.promises.now_s
+            outcome = await self._request(f"{self.name}-{index}")
+            if outcome != "served":
+                if outcome == "unanswered":
+                    self.promises.note_unserved(self.name, outcome, began_s)
+                return
+            await asyncio.sleep(THINK_S)
+
+    def _send(self, flags, ack, data=b""):
+        """Sends a packet through the routers."""
+        packet = encode(
+            self.source, self.service, flags, self.seq, ack, self.echo, data
+        )
+        self.caller.send(packet, self.source, self.entry)
+
+    async def _receive(self, wait_s):
+        """Returns the next packet, or None."""
+        try:
+            return await asyncio.wait_for(self.inbox.get(), wait_s)
+        except TimeoutError:
+            return None
+
+    async def open(self):
+        """Opens the flow; returns what came of it."""
+        for copy, wait_s in enumerate(OPENING_WAITS_S):
+            self._send(packets.OPENING, copy)
+            found = await self._receive(wait_s)
+            if found is None:
+                continue
+            flags, seq, _, _, echo, _ = found
+            if flags & packets.RESET:
+                self.promises.note_refused(self.sent)
+                await asyncio.sleep(THINK_S)
+                return "refused"
+            self.seq, self.ack, self.echo = self.seq + 1, seq + 1, echo
+            self._send(packets.ACKNOWLEDGING, self.ack)
+            return "opened"
+        return "unopened"
+
+    async def _request(self, request):
+        """Sends a request until it is answered; returns what came of it."""
+        self.sent.append(request)
+        data = request.encode()
+        for wait_s in REPEAT_WAITS_S:
+            self._send(packets.ACKNOWLEDGING, self.ack, data)
+            end_s = self.promises.now_s + wait_s
+            while (left_s := end_s - self.promises.now_s) > 0:
+                found = await self._receive(left_s)
+                if found is None:
+                    break
+                outcome = self._judge(request, data, found)
+                if outcome:
+                    return outcome
+        return "unanswered"
+
+    def _judge(self, request, data, found):
+        """Returns what a packet says of a request, or an empty string."""
+        flags, seq, _, total, echo, payload = found
+        if flags & packets.RESET:
+            if total != SUM_OF_TARGETS:
+                self._note_reset()
+            return "reset"
+        if not payload or seq != self.ack:
+            return ""
+        answered, service = json.loads(payload)
+        if (answered, service) != (request, self.expects):
+            self.promises.breaks(f"{request} gets the answer {payload!r}")
+        self.promises.counts["served"] += 1
+        self.seq += len(data)
+        self.ack += len(payload)
+        self.echo = echo
+        self._send(packets.ACKNOWLEDGING, self.ack)
+        return "served"
+
+    def _note_reset(self):
+        """The system reset this flow, whose target ran its last request."""
+        ran = [run for name in self.sent for run in self.promises.runs[name]]
+        target = self.caller.targets.get(ran[-1]) if ran else None
+        is_alive = target is not None and target.is_alive
+        self.promises.note_reset(self.name, ran[-1:] or "?", is_alive)
+
+
+async def call(address, port, method, path, timeout_s, body=None):
+    """Makes one HTTP call; returns status, headers and body, or None."""
+    data = b"" if body is None else json.dumps(body).encode()
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
+        f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
+    )
+    writer = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(address, port)
+            writer.write(head.encode() + data)
+            answer = await reader.read()
+    except (OSError, TimeoutError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+    head, _, content = answer.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    if not lines[0].startswith("HTTP/1.1 "):
+        return None
+    pairs = (line.partition(":") for line in lines[1:])
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    return int(lines[0].split()[1]), headers, content
+
+
+def reset_connection(writer):
+    """Resets a connection, so that its answer is lost."""
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.close()
--- /dev/null
+++ b/tests/soak/host_program.py
@@ -0,0 +1,75 @@
+"""Runs a program of the platform with what the soak does to it from outside.
+
+Messages to other hosts leave through the links of the fault proxy. Files in
+the folder of the host, which the soak writes and removes, move its time of day,
+fill its disk and slow it down.
+"""
+
+import errno
+import importlib
+import json
+import os
+import pathlib
+import sys
+import time
+import typing
+
+from tamarack_core import peers
+from tamarack_node import light
+
+CLOCK, FULL, SLOW = "clock-offset", "disk-full", "disk-slow"
+STANDARD_ERROR = 2
+
+
+class RoutedDriver(light.LightDriver):
+    """A driver whose messages go through the proxy."""
+
+    __slots__ = ()
+    routes: typing.ClassVar[dict[str, peers.Endpoint]] = {}
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.transport.routes = self.routes
+
+
+def read(path):
+    """Returns the text of a file, or None if there is none."""
+    try:
+        return path.read_text()
+    except FileNotFoundError:
+        return None
+
+
+def bring_faults_in(folder):
+    """Lets clock and disk obey the files in a folder."""
+    wall_s, write, sync = time.time, os.write, os.fsync
+
+    def shifted_wall_s():
+        return wall_s() + float(read(folder / CLOCK) or 0.0)
+
+    def full_write(descriptor, data):
+        if descriptor > STANDARD_ERROR and (folder / FULL).exists():
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return write(descriptor, data)
+
+    def slow_sync(descriptor):
+        time.sleep(float(read(folder / SLOW) or 0.0))
+        sync(descriptor)
+
+    time.time, os.write, os.fsync = shifted_wall_s, full_write, slow_sync
+
+
+def main():
+    """Runs the program that the arguments name."""
+    program, folder = sys.argv[1], pathlib.Path(sys.argv[2])
+    stored = json.loads((folder / "routes.json").read_text())
+    RoutedDriver.routes = {
+        name: peers.Endpoint(*endpoint) for name, endpoint in stored.items()
+    }
+    light.LightDriver = RoutedDriver
+    bring_faults_in(folder)
+    importlib.import_module(f"tamarack_platform.{program}").main()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/hosts.py
@@ -0,0 +1,284 @@
+"""The programs of the platform as processes whose messages pass a proxy."""
+
+import itertools
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+
+from tamarack_core import peers
+from tamarack_lab.proxy import settings as proxy_settings
+from tests.soak import host_program
+from tests.soak import plan
+
+CONTROL_PORT, DATA_PORT, READY_PORT, INTERNAL_PORT = 18166, 18172, 18167, 17720
+FIRST_LINK_PORT = 20000
+"""Port of the first link of the proxy, on an address of the run alone."""
+
+ANNOUNCE_MS = 600
+CLOCK_STEP_S = 300.0
+SLOW_SYNC_S = 0.3
+
+
+class Host:
+    """One process, which faults kill, stop and start again.
+
+    Attributes:
+        name: Name, such as `c0` or `e1`.
+        address: IP address.
+        folder: Its settings, its disk and what the soak does to it.
+        seeds: Addresses of the control hosts that its settings name.
+        process: The running process; None while it is down on purpose.
+        has_started: Whether it ran before.
+        is_stopping: Whether it was told to end.
+        ended: Exit codes of ends that nobody asked for.
+    """
+
+    def __init__(self, name, address, folder, seeds):
+        self.name = name
+        self.address = address
+        self.seeds = seeds
+        self.has_started = False
+        self.is_stopping = False
+        self.folder = folder / name
+        self.folder.mkdir()
+        self.process = None
+        self.ended = []
+
+    @property
+    def program(self):
+        """Name of the program that it runs."""
+        return "entry" if self.name.startswith("e") else "control"
+
+    @property
+    def disk(self):
+        """Folder of its durable state."""
+        return self.folder / "disk"
+
+    def write_settings(self):
+        """Writes the settings as the platform does."""
+        serves = "frontend" if self.program == "entry" else "control"
+        addresses = ",".join(f"{seed}:{CONTROL_PORT}" for seed in self.seeds)
+        lines = [
+            f"node-name={self.name}",
+            f"serves={serves}",
+            f"ip={self.address}",
+            f"zone=z{self.name[-1]}",
+            f"listen-addrs.datagram-addr={self.address}:{DATA_PORT}",
+            f"listen-addrs.ready={self.address}:{READY_PORT}",
+            f"listen-addrs.control={self.address}:{CONTROL_PORT}",
+            f"internal-ports={INTERNAL_PORT},{INTERNAL_PORT + 9}",
+            f"seeds={addresses}",
+            f"bootstrap={'false' if self.has_started else 'true'}",
+            f"data-dir={self.disk}",
+            f"heartbeat-ms={ANNOUNCE_MS}",
+            "fault-tolerance.machines=1",
+        ]
+        (self.folder / "settings.conf").write_text("\n".join(lines))
+
+    def start(self):
+        """Starts the process."""
+        self.write_settings()
+        self.has_started = True
+        self.is_stopping = False
+        settings = str(self.folder / "settings.conf")
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    host_program.__name__,
+                    self.program,
+                    str(self.folder),
+                ],
+                cwd=pathlib.Path(__file__).parents[2],
+                env={**os.environ, "TAMARACKFORD_BOOT": settings},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self):
+        """Kills the process."""
+        if self.process is not None:
+            self.check()
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    def check(self):
+        """Notes an end that nobody asked for."""
+        code = self.process.poll() if self.process is not None else None
+        if code is None:
+            return
+        self.process = None
+        if code or not self.is_stopping:
+            self.ended.append(code)
+
+    def stop(self):
+        """Tells the process to end in order."""
+        if self.process is not None:
+            self.is_stopping = True
+            self.signal(signal.SIGTERM)
+
+    def signal(self, number):
+        """Sends a signal, unless the process is down."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Hosts:
+    """All processes, and the links between them.
+
+    Attributes:
+        by_name: Hosts by name.
+        network: First three parts of all addresses.
+        links: Links of the proxy.
+    """
+
+    def __init__(self, folder, network):
+        """Creates hosts that have not started.
+
+        Args:
+            folder: Where their files go.
+            network: First three parts of their addresses.
+        """
+        addresses = {
+            name: f"{network}.{number}"
+            for number, name in enumerate(plan.names("host"), start=10)
+        }
+        seeds = [addresses[name] for name in plan.names("control")]
+        self.by_name = {
+            name: Host(name, address, folder, seeds)
+            for name, address in addresses.items()
+        }
+        self.network = network
+        self.links = []
+        for sender in self.by_name.values():
+            self._link(sender)
+
+    def controls(self):
+        """Returns the control hosts."""
+        return [self.by_name[name] for name in plan.names("control")]
+
+    def entries(self):
+        """Returns the entry hosts."""
+        return [self.by_name[name] for name in plan.names("entry")]
+
+    def _link(self, sender):
+        """Gives a host its own links to all others."""
+        routes = {}
+        for receiver in self.by_name.values():
+            if receiver is sender:
+                continue
+            port = FIRST_LINK_PORT + len(self.links)
+            listen = peers.Endpoint(f"{self.network}.1", port)
+            to = peers.Endpoint(receiver.address, INTERNAL_PORT)
+            for protocol in proxy_settings.Protocol:
+                name = f"{sender.name}>{receiver.name}>{protocol}"
+                self.links.append(
+                    proxy_settings.Link(name, protocol, listen, to)
+                )
+            # Seeds are known by their address until they name themselves.
+            routes[receiver.name] = routes[receiver.address] = listen
+        stored = {name: list(end) for name, end in _pairs(routes)}
+        (sender.folder / "routes.json").write_text(json.dumps(stored))
+
+    def start(self):
+        """Starts all for the first time."""
+        for host in self.by_name.values():
+            host.start()
+
+    def end(self):
+        """Ends all."""
+        for host in self.by_name.values():
+            host.signal(signal.SIGCONT)
+            host.kill()
+
+    def check(self):
+        """Notes ends that nobody asked for, and starts those hosts again."""
+        for host in self.by_name.values():
+            is_up = host.process is not None and not host.is_stopping
+            host.check()
+            if is_up and host.process is None:
+                host.start()
+
+    def proxy_faults(self, faults):
+        """Returns the faults that the proxy brings about by itself."""
+        found = []
+        for fault in faults:
+            name = fault.subject
+            lines = {
+                "cut": ((f"{name}>*", f"*>{name}>*"), {"partition": True}),
+                "cut-out": ((f"{name}>*",), {"partition": True}),
+                "cut-in": ((f"*>{name}>*",), {"partition": True}),
+                "delay": (("*",), {"delay_s": 0.2, "jitter_s": 0.2}),
+                "loss": (("*",), {"loss": 0.1, "duplicate": 0.05}),
+            }
+            if fault.kind in lines:
+                links, wrong = lines[fault.kind]
+                found.append(
+                    proxy_settings.Fault(
+                        links,
+                        from_s=fault.from_s,
+                        until_s=fault.until_s,
+                        **wrong,
+                    )
+                )
+        return found
+
+    def begin(self, fault):
+        """Brings a fault of a process about."""
+        for host in self.concerned(fault):
+            if fault.kind in ("kill", "kill-all", "kill-all-controls"):
+                host.kill()
+            elif fault.kind == plan.LOSES_DISK:
+                host.kill()
+                shutil.rmtree(host.disk, ignore_errors=True)
+            elif fault.kind == "freeze":
+                host.signal(signal.SIGSTOP)
+            elif fault.kind == "stop":
+                host.stop()
+            elif fault.kind == "clock":
+                write(host, host_program.CLOCK, str(CLOCK_STEP_S))
+            elif fault.kind == "disk-full":
+                write(host, host_program.FULL, "")
+            elif fault.kind == "disk-slow":
+                write(host, host_program.SLOW, str(SLOW_SYNC_S))
+
+    def take_back(self, fault):
+        """Ends a fault of a process."""
+        for host in self.concerned(fault):
+            if fault.kind == "freeze":
+                host.signal(signal.SIGCONT)
+            elif host.process is None:
+                host.start()
+            for name in (
+                host_program.CLOCK,
+                host_program.FULL,
+                host_program.SLOW,
+            ):
+                (host.folder / name).unlink(missing_ok=True)
+
+    def concerned(self, fault):
+        """Returns the hosts that a fault concerns."""
+        if fault.kind == "kill-all":
+            return list(self.by_name.values())
+        if fault.kind == "kill-all-controls":
+            return self.controls()
+        host = self.by_name.get(fault.subject)
+        return [host] if host is not None else []
+
+
+def write(host, name, text):
+    """Writes a file that the program of a host obeys."""
+    (host.folder / name).write_text(text)
+
+
+def _pairs(routes):
+    """Returns names and endpoints as JSON holds them."""
+    return itertools.starmap(
+        lambda name, end: (name, (end.address, end.port)), routes.items()
+    )
--- /dev/null
+++ b/tests/soak/orders.py
@@ -0,0 +1,256 @@
+"""Operators and the announcements of targets, over HTTP to control hosts."""
+
+import asyncio
+import json
+import random
+import urllib.parse
+
+from tests.soak import ends
+from tests.soak import hosts as hosts_lib
+from tests.soak import promises as promises_lib
+
+CALL_S = 1.0
+PAUSE_S = 0.35
+ANNOUNCE_S = hosts_lib.ANNOUNCE_MS / 1000
+LOST_ANSWERS = 0.15
+PROBE_PORTS = (5000, 5999)
+"""Ports of routes that come and go."""
+
+KEPT_PROBES = 20
+"""Documents for which such a route stays."""
+
+
+class Operator:
+    """Publishes documents, reads them back and looks at their effect.
+
+    Attributes:
+        sent: Documents by number, as they were sent.
+        taken_s: Times of acknowledgements by number, in seconds of the run.
+        acknowledged: Highest number that was acknowledged.
+    """
+
+    def __init__(self, hosts, promises, seed):
+        self.addresses = [host.address for host in hosts.controls()]
+        self.entries = hosts.entries()
+        self.promises = promises
+        self.random = random.Random(seed)
+        self.sent = {}
+        self.taken_s = {}
+        self.acknowledged = 0
+        self.number = 1
+
+    def document(self, number):
+        """Returns a document with the services, and one route of its own."""
+        routes = [
+            route(name, port, name) for name, port in ends.SERVICES.items()
+        ]
+        routes += [
+            route(f"probe-{kept}", probe_port(kept), "agenda")
+            for kept in [*self.sent, number][-KEPT_PROBES:]
+        ]
+        return {
+            "version": number,
+            "routes": routes,
+            "services": [
+                {"name": name, "health-path": "/health"}
+                for name in ends.SERVICES
+            ],
+            "limits": {"idle-timeout-ms": 15000},
+        }
+
+    async def publish(self, until_s):
+        """Publishes one document after another, each until it is taken."""
+        while self.promises.now_s < until_s:
+            self.number += self.random.randint(1, 3)
+            self.sent[self.number] = self.document(self.number)
+            await self._send_until_taken(self.number)
+            await asyncio.sleep(self.random.uniform(0.05, 2 * PAUSE_S))
+
+    async def _send_until_taken(self, number):
+        """Sends a document to any control host until it is acknowledged."""
+        document = self.sent[number]
+        while True:
+            address = self.random.choice(self.addresses)
+            if self.random.random() < LOST_ANSWERS:
+                await lose_answer(address, "/config/replace", document)
+                continue
+            answer = await follow(address, "POST", "/config/replace", document)
+            status = 0 if answer is None else answer[0]
+            if status == 200:
+                self.acknowledged = max(self.acknowledged, number)
+                self.taken_s[number] = self.promises.now_s
+                self.promises.counts["published"] += 1
+                return
+            if 400 <= status < 500:
+                self.promises.breaks(f"document {number}: status {status}")
+                return
+            await asyncio.sleep(PAUSE_S)
+
+    async def read(self, until_s):
+        """Reads at any control host; what it says is never older."""
+        while self.promises.now_s < until_s:
+            await self.read_once()
+            await asyncio.sleep(PAUSE_S)
+
+    async def read_once(self):
+        """Reads once; returns the number, or None if the read was refused."""
+        before = self.acknowledged
+        address = self.random.choice(self.addresses)
+        answer = await ends.call(
+            address, hosts_lib.CONTROL_PORT, "GET", "/config/get", CALL_S
+        )
+        if answer is None or answer[0] != 200 or not before:
+            return None
+        content = json.loads(answer[2])
+        self.promises.note_read(content["version"], before, content, self.sent)
+        return content["version"]
+
+    async def check_effects(self, caller, until_s):
+        """Opens flows on routes that came, and on routes that went."""
+        while self.promises.now_s < until_s:
+            await asyncio.sleep(PAUSE_S)
+            if self.promises.is_calm(self.promises.now_s):
+                for entry in self.entries:
+                    await self._check_effect(caller, entry.address)
+
+    async def _check_effect(self, caller, entry):
+        """Opens one flow of each kind through an entry host."""
+        now_s = self.promises.now_s
+        settled = [
+            number
+            for number, at_s in self.taken_s.items()
+            if now_s - at_s > promises_lib.APPLY_S
+        ]
+        numbers = list(self.sent)
+        for number in settled[-1:]:
+            # Nothing that was sent since may have dropped it.
+            if number in numbers[-KEPT_PROBES // 2 :]:
+                await self._expect(caller, entry, number, "opened")
+        if not settled:
+            return
+        dropped = max(0, numbers.index(settled[-1]) + 1 - KEPT_PROBES)
+        for number in numbers[:dropped][-1:]:
+            await self._expect(caller, entry, number, "refused")
+
+    async def _expect(self, caller, entry, number, expected):
+        """Opens a flow on the route of a number."""
+        found = await caller.try_open(entry, probe_port(number))
+        self.promises.note_effect(number, entry, found, expected)
+
+    async def read_back(self, until_s):
+        """Reads until an answer comes; what was acknowledged is there."""
+        while self.promises.now_s < until_s:
+            if await self.read_once() is not None:
+                return
+            await asyncio.sleep(PAUSE_S)
+        self.promises.breaks("nobody answers a read at the end")
+
+
+def probe_port(number):
+    """Returns the port of the route that comes with a number."""
+    first, last = PROBE_PORTS
+    return first + number % (last - first)
+
+
+def route(name, port, service):
+    """Returns a route to a service."""
+    return {
+        "name": name,
+        "host": ends.SERVICE_ADDRESS,
+        "path-prefix": f"/{port}/",
+        "type": "non_idempotent",
+        "timeout-ms": 2000,
+        "service": service,
+    }
+
+
+async def follow(address, method, path, body):
+    """Makes a call, and follows two redirections."""
+    answer = None
+    for _ in range(3):
+        answer = await ends.call(
+            address, hosts_lib.CONTROL_PORT, method, path, CALL_S, body
+        )
+        if answer is None or answer[0] != 307:
+            return answer
+        address = urllib.parse.urlsplit(answer[1]["location"]).hostname
+    return answer
+
+
+async def lose_answer(address, path, body):
+    """Sends an order and resets the connection before it is answered."""
+    data = json.dumps(body).encode()
+    try:
+        async with asyncio.timeout(CALL_S):
+            _, writer = await asyncio.open_connection(
+                address, hosts_lib.CONTROL_PORT
+            )
+            head = (
+                f"POST {path} HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
+            )
+            writer.write(head.encode() + data)
+            await writer.drain()
+    except (OSError, TimeoutError):
+        return
+    ends.reset_connection(writer)
+
+
+class Announcer:
+    """Announces a target, as its own process would.
+
+    Attributes:
+        target: The target.
+        home: Address that the last answer named, or None.
+    """
+
+    def __init__(self, target, hosts, promises):
+        self.target = target
+        self.addresses = [host.address for host in hosts.controls()]
+        self.promises = promises
+        self.random = random.Random(target.index)
+        self.home = None
+
+    async def run(self):
+        """Announces the target for as long as it lives."""
+        sequence, life, born = 0, 0, 0
+        while True:
+            target = self.target
+            if life != target.life:
+                life, sequence = target.life, 0
+                born = int(1000 * self.promises.now_s) + 1
+            if target.is_alive:
+                sequence += 1
+                await self._announce(sequence, born)
+            await asyncio.sleep(ANNOUNCE_S)
+
+    async def _announce(self, sequence, born):
+        """Announces the target at the first control host that answers."""
+        target = self.target
+        is_draining = target.is_draining
+        body = {
+            "service": target.service,
+            "address": f"{target.address}:{target.port}",
+            "zone": f"z{target.index % 3}",
+            "slots": 2,
+            "state": "draining" if is_draining else "ready",
+            "warmup-left-ms": 0,
+            "sequence": sequence,
+            "born": born,
+        }
+        order = self.random.sample(self.addresses, len(self.addresses))
+        for address in [self.home, *order] if self.home else order:
+            answer = await ends.call(
+                address,
+                hosts_lib.CONTROL_PORT,
+                "POST",
+                f"/instances/{target.name}/heartbeat",
+                CALL_S,
+                body,
+            )
+            if answer is not None and answer[0] == 200:
+                named = json.loads(answer[2]).get("heartbeat-addr", "")
+                self.home = named.rpartition(":")[0] or None
+                if is_draining and target.drained_s is None:
+                    target.drained_s = self.promises.now_s
+                return
+            self.home = None
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,191 @@
+"""One run of the soak: processes, both ends, faults, and what they broke."""
+
+import asyncio
+import pathlib
+import tempfile
+
+from tamarack_lab.proxy import settings as proxy_settings
+from tamarack_lab.proxy import thread
+from tests.soak import ends
+from tests.soak import hosts as hosts_lib
+from tests.soak import orders
+from tests.soak import plan
+from tests.soak import promises as promises_lib
+
+CALLERS = 6
+START_S = 3.0
+"""Time for the hosts to start before callers come, in seconds."""
+
+LOOK_S = 0.1
+
+
+class World:
+    """Everything in one run.
+
+    Attributes:
+        promises: What was broken.
+        hosts: The processes.
+        targets: Stand-ins of servers.
+        operator: Publishes, reads and looks at the effect.
+        routers: Spread the packets of callers.
+        callers: Open flows and send requests.
+        prober: Opens flows on routes that come and go.
+    """
+
+    def __init__(self, faults, folder, network, seed):
+        self.promises = promises_lib.Promises(faults)
+        self.hosts = hosts_lib.Hosts(folder, network)
+        self.targets = [
+            ends.Target(index, network, self.promises)
+            for index in range(plan.TARGETS)
+        ]
+        self.operator = orders.Operator(self.hosts, self.promises, seed)
+        self.routers = ends.Routers(self.hosts.entries())
+        *self.callers, self.prober = [
+            ends.Caller(
+                f"{network}.{60 + number}",
+                self.routers,
+                self.targets,
+                self.promises,
+            )
+            for number in range(CALLERS + 1)
+        ]
+
+    async def run(self):
+        """Runs from the start to the end, with all faults."""
+        for target in self.targets:
+            await target.start()
+        loop = asyncio.get_running_loop()
+        for caller in [*self.callers, self.prober]:
+            caller.transport, _ = await loop.create_datagram_endpoint(
+                lambda caller=caller: caller,
+                (caller.address, hosts_lib.DATA_PORT),
+            )
+        announcers = [
+            orders.Announcer(target, self.hosts, self.promises)
+            for target in self.targets
+        ]
+        endless = [
+            self.routers.watch(),
+            self.watch(),
+            *(announcer.run() for announcer in announcers),
+            *map(self.bring_about, self.promises.faults),
+        ]
+        tasks = [asyncio.create_task(one) for one in endless]
+        try:
+            await self.serve()
+        finally:
+            for task in tasks:
+                task.cancel()
+            for target in self.targets:
+                target.close()
+            for caller in [*self.callers, self.prober]:
+                caller.transport.close()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        for task in tasks:
+            if not task.cancelled() and task.exception() is not None:
+                raise task.exception()
+
+    async def serve(self):
+        """Lets callers and operator work until the end."""
+        end_s = plan.END_S - 2.0
+        publishing = asyncio.create_task(self.operator.publish(end_s))
+        reading = asyncio.create_task(self.operator.read(end_s))
+        await asyncio.sleep(START_S)
+        services = list(ends.SERVICES)
+        await asyncio.gather(
+            *(
+                caller.run(
+                    f"r{number}", services[number % len(services)], end_s
+                )
+                for number, caller in enumerate(self.callers)
+            ),
+            reading,
+            self.operator.check_effects(self.prober, end_s),
+        )
+        publishing.cancel()
+        await self.operator.read_back(self.promises.now_s + 5.0)
+
+    async def watch(self):
+        """Looks for processes that end by themselves."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.hosts.check()
+
+    async def bring_about(self, fault):
+        """Brings one fault about and takes it back."""
+        await asyncio.sleep(fault.from_s - self.promises.now_s)
+        if fault.subject.startswith("t"):
+            await self._change_target(fault)
+            return
+        self.hosts.begin(fault)
+        await asyncio.sleep(fault.for_s)
+        self.hosts.take_back(fault)
+
+    async def _change_target(self, fault):
+        """Lets a target crash, be replaced at once, or drain and end."""
+        target = self.targets[int(fault.subject[1:])]
+        if fault.kind == "drain-target":
+            target.is_draining = True
+            await asyncio.sleep(fault.for_s)
+        target.crash()
+        if fault.kind == "crash-target":
+            await asyncio.sleep(fault.for_s)
+        if not target.is_alive:
+            await target.start()
+
+
+def run(seed, slot=0):
+    """Runs a seed, and returns what callers, targets and operator saw.
+
+    Args:
+        seed: Seed of the faults and of all chance of the stand-ins.
+        slot: Number of the network; runs beside one another take different
+            ones.
+    """
+    return run_faults(plan.draw(seed), seed, slot)
+
+
+def run_faults(faults, seed=0, slot=0):
+    """Runs faults that were drawn or written down; see `run`."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        world = World(faults, folder, f"127.0.{80 + slot}", seed)
+        proxy = thread.ThreadedProxy(
+            proxy_settings.Settings(
+                tuple(world.hosts.links),
+                seed,
+                tuple(world.hosts.proxy_faults(faults)),
+            )
+        )
+        try:
+            proxy.start()
+            world.hosts.start()
+            asyncio.run(world.run())
+        finally:
+            world.hosts.end()
+            proxy.close()
+        for host in world.hosts.by_name.values():
+            if host.ended:
+                world.promises.breaks(
+                    f"{host.name} ended by itself: {host.ended}"
+                    f" {_last_lines(host)}"
+                )
+        if world.promises.broken:
+            _keep_logs(world, seed)
+        return world.promises
+
+
+def _last_lines(host, count=6):
+    """Returns the end of the log of a host."""
+    return (host.folder / "log").read_text().splitlines()[-count:]
+
+
+def _keep_logs(world, seed):
+    """Keeps the logs of a run that broke a promise."""
+    kept = pathlib.Path("out") / f"soak-{seed}"
+    kept.mkdir(parents=True, exist_ok=True)
+    for host in world.hosts.by_name.values():
+        text = (host.folder / "log").read_text()
+        (kept / f"{host.name}.log").write_text(text)
+    (kept / "broken.txt").write_text("\n".join(world.promises.broken))
