Tell the other entry hosts of a dead target through the control hosts

Change: `Doubt` to the followed control host, from there to its other followers and to the control hosts, once a second for a target. Who is told asks the target itself, unless it showed life within 0.3 s; what was told is not told again. Ruled out: giving up flows for the word of another host, which may be cut off.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -11,6 +11,7 @@
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.group import control
 from tamarack_core.internal.registry import announcing
+from tamarack_core.internal.registry import doubting
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import table
 from tamarack_core.messages import consensus
@@ -70,7 +71,8 @@
     announcements = announcing.Announcing(
         context, registry, publisher, contacts, plan.disk.targets
     )
-    return reducer.Node(context, (publisher, documents, announcements))
+    doubts = doubting.Doubting(context, publisher)
+    return reducer.Node(context, (publisher, documents, announcements, doubts))
 
 
 def _founders(plan: Plan) -> tuple[membership.Member, ...]:
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -9,6 +9,7 @@
 from tamarack_core import flow_packets
 from tamarack_core import outside
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core.internal.cookie import choosing
 from tamarack_core.internal.cookie import mirror as mirrors
 from tamarack_core.internal.cookie import probing
@@ -25,6 +26,10 @@
 """Time between the withdrawal of a target and the reset of its flows, in
 seconds; it may still be on its way out."""
 
+ALIVE_S = 0.3
+"""Time for which a sign of life outweighs what another host found, in
+seconds; finding a target dead takes as long."""
+
 LINGER_S = 1.3
 """Time for which a stopping host carries packets, in seconds; the fabric asks
 twice a second and leaves a host out after two misses. The sooner the host is
@@ -88,6 +93,7 @@
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
             events.TargetProbed: self.handle_probed,
+            sync.Doubt: self.handle_doubt,
             TIMER: self.handle_timer,
             "linger": self.handle_end,
             outside.ReadReadiness: self.handle_readiness,
@@ -158,6 +164,33 @@
             self._record_life(now_s, entry, "target-dead"),
             *self._give_up(now_s, entry, "target-silent"),
             *self._ask_neighbors(now_s, probe),
+            *self._tell(probe),
+        ]
+
+    def _tell(self, dead: probing.Probe) -> list[effects.Effect]:
+        """Tells other hosts of a dead target, unless they told this one."""
+        followed = self.mirror.followed
+        if followed is None or dead.is_hinted:
+            return []
+        doubt = sync.Doubt((dead.entry.target.name,))
+        return [effects.SendMessage(followed, doubt)]
+
+    def handle_doubt(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Asks the targets that another host found dead."""
+        message = event.message
+        assert isinstance(message, sync.Doubt)
+        now_s = event.now_s
+        entries = map(self.targets.by_name.get, message.targets)
+        return [
+            effect
+            for entry in entries
+            if entry is not None
+            and not entry.is_gone
+            and not self.probes.is_dead(entry.target.name)
+            and now_s - self.seen.watch(entry).silence.answered_s > ALIVE_S
+            for effect in self.probes.ask(now_s, entry, is_hinted=True)
         ]
 
     def _ask_neighbors(
@@ -176,7 +209,9 @@
             and not self.probes.is_dead(entry.target.name)
             and (watch := self.seen.watch(entry)).flows
             and watch.silence.answered_s < dead.asked_s
-            for effect in self.probes.ask(now_s, entry)
+            for effect in self.probes.ask(
+                now_s, entry, is_hinted=dead.is_hinted
+            )
         ]
 
     def _record_life(
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/probing.py
@@ -43,6 +43,7 @@
         entry: The target.
         asked_s: Time of the last probe, in seconds.
         is_running: Whether a probe is on its way.
+        is_hinted: Whether another host said that the target is dead.
         reference: Target whose answer is waited for before a probe in vain
             is believed; empty for none.
         is_dead: Whether the target is held to be dead.
@@ -51,6 +52,7 @@
     entry: tags.Entry
     asked_s: float = float("-inf")
     is_running: bool = False
+    is_hinted: bool = False
     reference: str = ""
     is_dead: bool = False
 
@@ -73,17 +75,21 @@
         probe = self.probes.get(name)
         return probe is not None and probe.is_dead
 
-    def ask(self, now_s: float, entry: tags.Entry) -> list[effects.Effect]:
+    def ask(
+        self, now_s: float, entry: tags.Entry, *, is_hinted: bool = False
+    ) -> list[effects.Effect]:
         """Returns a probe of a suspected target, if none was sent lately.
 
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
+            is_hinted: Whether another host said that it is dead.
         """
         probe = self._probe_of(entry)
         is_waiting = probe.is_running or bool(probe.reference)
         if is_waiting or now_s - probe.asked_s < ASK_INTERVAL_S:
             return []
+        probe.is_hinted = is_hinted
         return [_send(now_s, probe)]
 
     def _probe_of(self, entry: tags.Entry) -> Probe:
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/registry/doubting.py
@@ -0,0 +1,89 @@
+"""Passes on which targets an entry host found dead.
+
+The load that it answers: a target crashes without a word, and each of many
+entry hosts would let a caller of its own wait to find out. Who is told asks the
+target itself; nobody loses a flow for the word of another host.
+"""
+
+from tamarack_core import context as context_lib
+from tamarack_core import effects
+from tamarack_core import events
+from tamarack_core import reducer
+from tamarack_core import sync
+from tamarack_core.internal.registry import publisher as publishers
+
+QUIET_S = 1.0
+"""Time for which a target is not passed on again, in seconds; hosts that find
+out by themselves do so within it."""
+
+
+class Doubting:
+    """Part of a control host that passes doubts on.
+
+    Attributes:
+        context: Identity, chance, time and counters.
+        publisher: Knows the followers and the other control hosts.
+        told_s: Times at which targets were passed on last, by name.
+    """
+
+    __slots__ = ("context", "publisher", "told_s")
+
+    def __init__(
+        self, context: context_lib.Context, publisher: publishers.Publisher
+    ) -> None:
+        """Creates the part.
+
+        Args:
+            context: Identity, chance, time and counters.
+            publisher: Knows the followers and the other control hosts.
+        """
+        self.context = context
+        self.publisher = publisher
+        self.told_s: dict[str, float] = {}
+
+    def handlers(self) -> dict[reducer.Key, reducer.Handler]:
+        """Returns the handlers of this part."""
+        return {sync.Doubt: self.handle_doubt}
+
+    def handle_doubt(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Tells followers and, unless one of them says it, control hosts."""
+        message = event.message
+        assert isinstance(message, sync.Doubt)
+        news = self._news(event.now_s, message.targets)
+        if not news:
+            return []
+        doubt = sync.Doubt(news)
+        controls = {peer.host for peer in self.publisher.controls}
+        receivers = self.publisher.entry_followers(event.now_s)
+        if event.sender.host not in controls:
+            receivers += [
+                peer
+                for peer in self.publisher.controls
+                if peer.host != self.context.host.host
+            ]
+        record = self.context.record(
+            event.now_s,
+            "targets-doubted",
+            detail=f"{event.sender.host}: {' '.join(news)}",
+        )
+        return [
+            record,
+            *(
+                effects.SendMessage(peer, doubt)
+                for peer in receivers
+                if peer.host != event.sender.host
+            ),
+        ]
+
+    def _news(self, now_s: float, names: tuple[str, ...]) -> tuple[str, ...]:
+        """Returns the targets that were not passed on just now."""
+        self.told_s = {
+            name: at_s
+            for name, at_s in self.told_s.items()
+            if now_s - at_s < QUIET_S
+        }
+        news = tuple(name for name in names if name not in self.told_s)
+        self.told_s.update(dict.fromkeys(news, now_s))
+        return news
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -169,6 +169,15 @@
             if self._lacks(follower)
         ]
 
+    def entry_followers(self, now_s: float) -> list[peers.Peer]:
+        """Returns the entry hosts that asked lately."""
+        return [
+            follower.peer
+            for follower in self.followers.values()
+            if not follower.is_control
+            and now_s - follower.asked_s <= SUBSCRIPTION_S
+        ]
+
     def _lacks(self, follower: Follower) -> bool:
         """Returns whether there is news for a follower."""
         if follower.position < self.registry.position:
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -93,6 +93,16 @@
     ages_ms: dict[str, int]
 
 
+class Doubt(msgspec.Struct, frozen=True, tag="doubt"):
+    """Targets that a host found dead, for others to ask themselves.
+
+    Attributes:
+        targets: Names of the targets.
+    """
+
+    targets: tuple[str, ...]
+
+
 class ControlHello(msgspec.Struct, frozen=True, tag="control-hello"):
     """A control host names itself to the others.
 
@@ -105,4 +115,4 @@
     known: tuple[peers.Peer, ...] = ()
 
 
-Message = SyncRequest | SyncUpdate | Heard | ControlHello
+Message = SyncRequest | SyncUpdate | Heard | Doubt | ControlHello
