Forget what probes showed of a target's earlier life

Cause, from a read of the change: what probes show was kept by name. A probe of a life that ended could give up the flows of the next, and a target born again under its name was held to be dead until a probe answered (0.5 s). Tests, failed before: test_a_probe_of_an_earlier_life_says_nothing_of_the_next, test_a_dead_target_that_is_born_again_is_used_at_once, test_nothing_is_kept_of_targets_that_were_forgotten.

--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/choosing.py
@@ -43,9 +43,7 @@
         tried: Targets that were sent this opening before.
         generator: Seeded generator.
     """
-    living = [
-        entry for entry in candidates if not probes.is_dead(entry.target.name)
-    ]
+    living = [entry for entry in candidates if not probes.is_dead(entry)]
     if not living:
         return None
     untried = [entry for entry in living if entry.target.name not in tried]
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -112,6 +112,8 @@
         self._turn(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
         self.seen.forget_idle(now_s, idle_s)
+        if len(self.seen.targets) > len(self.targets.by_name):
+            self.seen.forget_targets(self.targets.by_name)
         found: list[effects.Effect] = [
             effects.StartTimer(TIMER, TICK_S),
             *self.probes.tick(now_s),
@@ -155,7 +157,12 @@
     ) -> list[effects.Effect]:
         """Gives up a target whose probe was in vain while others answer."""
         probe.reference = ""
-        entry = probe.entry
+        entry = self.targets.by_name.get(probe.entry.target.name)
+        if entry is None or entry.is_gone:
+            return []
+        if entry.target.born_ms != probe.entry.target.born_ms:
+            # Another life of the target began meanwhile.
+            return []
         if self.seen.watch(entry).silence.answered_s >= probe.asked_s:
             # Its flows go on; only the probe was lost.
             return []
@@ -188,7 +195,7 @@
             for entry in entries
             if entry is not None
             and not entry.is_gone
-            and not self.probes.is_dead(entry.target.name)
+            and not self.probes.is_dead(entry)
             and now_s - self.seen.watch(entry).silence.answered_s > ALIVE_S
             for effect in self.probes.ask(now_s, entry, is_hinted=True)
         ]
@@ -206,7 +213,7 @@
             for entry in self.targets.by_name.values()
             if entry.target.domain == domain
             and not entry.is_gone
-            and not self.probes.is_dead(entry.target.name)
+            and not self.probes.is_dead(entry)
             and (watch := self.seen.watch(entry)).flows
             and watch.silence.answered_s < dead.asked_s
             for effect in self.probes.ask(
@@ -382,7 +389,7 @@
 
         A target that also misses its announcements needs less evidence.
         """
-        if self.probes.is_dead(entry.target.name):
+        if self.probes.is_dead(entry):
             return True
         watch = self.seen.watch(entry)
         if entry.is_overdue and watch.is_suspect(now_s):
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/probing.py
@@ -70,10 +70,14 @@
         """Knows no target."""
         self.probes: dict[str, Probe] = {}
 
-    def is_dead(self, name: str) -> bool:
-        """Returns whether a target is held to be dead."""
-        probe = self.probes.get(name)
-        return probe is not None and probe.is_dead
+    def is_dead(self, entry: tags.Entry) -> bool:
+        """Returns whether a target is held to be dead, in this life."""
+        probe = self.probes.get(entry.target.name)
+        return (
+            probe is not None
+            and probe.is_dead
+            and not _is_reborn(probe.entry, entry)
+        )
 
     def ask(
         self, now_s: float, entry: tags.Entry, *, is_hinted: bool = False
@@ -93,8 +97,11 @@
         return [_send(now_s, probe)]
 
     def _probe_of(self, entry: tags.Entry) -> Probe:
-        """Returns the probe of a target."""
-        probe = self.probes.setdefault(entry.target.name, Probe(entry))
+        """Returns the probe of a target, a new one for each of its lives."""
+        name = entry.target.name
+        probe = self.probes.get(name)
+        if probe is None or _is_reborn(probe.entry, entry):
+            probe = self.probes[name] = Probe(entry)
         probe.entry = entry
         return probe
 
@@ -180,6 +187,11 @@
         ]
 
 
+def _is_reborn(held: tags.Entry, entry: tags.Entry) -> bool:
+    """Returns whether a target has begun another life."""
+    return held.target.born_ms != entry.target.born_ms
+
+
 def _send(
     now_s: float, probe: Probe, attempts: int = ATTEMPTS
 ) -> effects.Effect:
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -4,6 +4,8 @@
 that is repeated was not answered, an acknowledgement that moves on was.
 """
 
+from collections.abc import Container
+
 import msgspec
 
 from tamarack_core import flow_packets
@@ -261,6 +263,17 @@
         watch.flows -= 1
         self._stop_waiting(flow, watch)
 
+    def forget_targets(self, known: Container[str]) -> None:
+        """Forgets targets that are not known any more and have no flows.
+
+        Args:
+            known: Names of the targets that are known.
+        """
+        for name, watch in list(self.targets.items()):
+            if name not in known and not watch.flows:
+                del self.targets[name]
+                self.answered.pop(name, None)
+
     def forget_idle(self, now_s: float, idle_s: float) -> None:
         """Forgets flows without a packet for `idle_s` seconds."""
         while self.flows:
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -8,6 +8,7 @@
 from testtools import matchers
 
 from tamarack_core import announced
+from tamarack_core import events
 from tamarack_core.internal.cookie import tags
 from tests import cookie_host
 
@@ -272,6 +273,38 @@
         self.assertThat(large, matchers.LessThan(64 * small))
 
 
+class MemoryTest(testtools.TestCase):
+    """Load: releases replace all targets day after day."""
+
+    def test_nothing_is_kept_of_targets_that_were_forgotten(self):
+        host = cookie_host.CookieHost()
+        host.update(document=cookie_host.document(1))
+        for life in range(5):
+            name = f"t-{life}"
+            position = 2 * life + 1
+            host.update(
+                cookie_host.target(name, port=100 + life),
+                base=position,
+                position=position + 1,
+            )
+            host.carry(life, name, acknowledged=500)
+            host.carry(life, name, acknowledged=600)
+            gone = cookie_host.target(
+                name,
+                port=100 + life,
+                sequence=9,
+                phase=announced.Phase.GONE,
+            )
+            host.update(gone, base=position + 1, position=position + 2)
+            host.tick(1.0)
+        host.tick(tags.FORGET_S + 1.0)
+        (handler,) = host.node.handlers[events.DatagramArrived]
+        path = handler.__self__
+        self.assertEqual({}, path.targets.by_name)
+        self.assertEqual({}, path.seen.targets)
+        self.assertEqual({}, path.seen.answered)
+
+
 class ProbeTest(testtools.TestCase):
     """A host asks a target itself before it gives its flows up."""
 
@@ -367,6 +400,28 @@
         self.assertEqual(3, len(host.resets))
         self.assertEqual({"t-2"}, {host.open(n) for n in range(20, 40)})
 
+    def test_a_probe_of_an_earlier_life_says_nothing_of_the_next(self):
+        host = self.start()
+        self.repeat(host)
+        host.probe_ends("t-1", is_answered=False)
+        host.update(cookie_host.target("t-1", born_ms=2000), base=1, position=2)
+        host.probe_ends("t-3", is_answered=True)
+        self.assertEqual([], host.resets)
+        self.assertIn("t-1", {host.open(n) for n in range(20, 40)})
+
+    def test_a_dead_target_that_is_born_again_is_used_at_once(self):
+        host = self.start()
+        self.repeat(host)
+        self.fail(host, "t-1")
+        self.assertEqual({"t-2"}, {host.open(n) for n in range(20, 40)})
+        host.update(cookie_host.target("t-1", born_ms=2000), base=1, position=2)
+        self.assertIn("t-1", {host.open(n) for n in range(40, 60)})
+        # A caller that waits there now makes the host ask, not refuse.
+        host.carry(80, "t-1", acknowledged=1, payload_bytes=10)
+        host.tick(0.6)
+        host.carry(80, "t-1", acknowledged=1, payload_bytes=10)
+        self.assertIn("t-1", {host.open(n) for n in range(60, 80)})
+
     def test_a_target_that_answers_again_is_used_again(self):
         host = self.start()
         self.repeat(host)
