--- a/tests/cover/test_envelopes.py
+++ b/tests/cover/test_envelopes.py
@@ -26,7 +26,7 @@
 after 0.2 s."""
 
 
-def large_document() -> sync.DocumentUpdate:
+def large_document(count: int = ROUTES) -> sync.DocumentUpdate:
     """Returns a whole document with many routes."""
     generator = random.Random(7)
     split = (documents.Share("schedule", 90), documents.Share("chimes", 10))
@@ -38,7 +38,7 @@
             documents.WorkKind.IDEMPOTENT,
             generator.choice((2900.0, 3000.0, 3100.0)),
         )
-        for number in range(ROUTES)
+        for number in range(count)
     )
     return sync.DocumentUpdate(0, 73, routes, 15000.0)
 
--- /dev/null
+++ b/tests/slow/cookie_figures.py
@@ -0,0 +1,129 @@
+"""Figures of entry hosts that forward by cookies.
+
+Run it as `python -m tests.slow.cookie_figures`; seeds are fixed.
+`docs/CAPACITY.md` gives what it printed.
+"""
+
+import random
+import time
+import tracemalloc
+
+from tamarack_core import announced
+from tamarack_core import cookie_entry
+from tamarack_core import envelopes
+from tamarack_core import peers
+from tamarack_core import sync
+from tamarack_core import timeline
+from tamarack_core.internal.cookie import choosing
+from tamarack_core.internal.cookie import probing
+from tamarack_core.internal.cookie import routes
+from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import watching
+from tests import cookie_host
+from tests.cover import test_envelopes
+
+TARGETS = (1_000, 10_000, 82_000)
+ROUTES = (2_000, 16_000)
+CANDIDATES = (10, 75, 1_000)
+CHOICES = 200
+SENDER = cookie_host.control("c1")
+
+
+def target(number):
+    """Returns an announcement with a name like the platform's."""
+    generator = random.Random(number)
+    return announced.Target(
+        name=f"i-{generator.getrandbits(40):010x}",
+        born_ms=1_786_473_460_000 + number,
+        sequence=number % 50,
+        service=f"service-{number % 700}",
+        endpoint=peers.Endpoint(
+            f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 8080
+        ),
+        domain=f"domain-{number % 12}",
+        slots=2,
+        phase=announced.Phase.READY,
+    )
+
+
+def measured(work):
+    """Returns what some work returned, its seconds and the bytes it kept."""
+    tracemalloc.start()
+    found = work()
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    began_s = time.process_time()
+    work()
+    return found, time.process_time() - began_s, kept
+
+
+def wire_bytes(update):
+    """Returns the size of an update on its way to an entry host."""
+    envelope = envelopes.Envelope(SENDER, timeline.Stamp(0, 0), (update,))
+    return len(cookie_entry.MESSAGES.encode(envelope))
+
+
+def print_targets(count):
+    """Prints what an entry host spends on so many targets."""
+    known = tuple(announced.Known(target(n)) for n in range(count))
+
+    def learn():
+        table = tags.TargetTable()
+        for item in known:
+            table.put(0.0, item)
+        return table
+
+    _, took_s, kept = measured(learn)
+    size = wire_bytes(sync.SyncUpdate("run", 0, count, True, known))
+    print(
+        f"{count} targets: {kept / count:.0f} B kept and"
+        f" {took_s / count * 1e6:.1f} us to learn each, {size / count:.1f} B"
+        f" on the wire each, {size / 1000:.0f} kB in all"
+    )
+
+
+def print_routes(count):
+    """Prints what an entry host spends on so many routes."""
+    document = test_envelopes.large_document(count)
+
+    def learn():
+        table = routes.RouteTable()
+        table.put(document)
+        return table
+
+    _, took_s, kept = measured(learn)
+    size = wire_bytes(sync.SyncUpdate("run", 0, 1, True, document=document))
+    print(
+        f"{count} routes: {kept / count:.0f} B kept and"
+        f" {took_s / count * 1e6:.1f} us to learn each, {size / count:.1f} B"
+        f" on the wire each, {size / 1000:.0f} kB in all"
+    )
+
+
+def print_choice(count):
+    """Prints how long the choice among so many targets takes."""
+    table = tags.TargetTable()
+    for number in range(count):
+        table.put(0.0, announced.Known(target(number * 700)))
+    candidates = list(table.by_name.values())
+    seen, probes = watching.Watching(), probing.Probing()
+    generator = random.Random(1)
+    began_s = time.process_time()
+    for _ in range(CHOICES):
+        choosing.choose(candidates, seen, probes, 1.0, (), generator)
+    took_s = time.process_time() - began_s
+    print(f"choice among {count}: {took_s / CHOICES * 1e6:.0f} us")
+
+
+def main():
+    """Prints all figures."""
+    for count in TARGETS:
+        print_targets(count)
+    for count in ROUTES:
+        print_routes(count)
+    for count in CANDIDATES:
+        print_choice(count)
+
+
+if __name__ == "__main__":
+    main()
