--- a/packages/ctl/src/tamarack_ctl/internal/options.py
+++ b/packages/ctl/src/tamarack_ctl/internal/options.py
@@ -34,18 +34,24 @@
             self.fail(f"{value!r} is not ADDRESS:PORT", param, ctx)
 
 
-hosts = click.option(
-    "--host",
-    "hosts",
-    type=EndpointType(),
-    multiple=True,
-    required=True,
-    envvar=HOSTS_VARIABLE,
-    help=(
-        "Host to ask; repeat it for others to try. Default: the "
-        f"space-separated list in {HOSTS_VARIABLE}."
-    ),
-)
+def _hosts(*, required: bool) -> Callable[..., Any]:
+    """Returns the option that names hosts."""
+    return click.option(
+        "--host",
+        "hosts",
+        type=EndpointType(),
+        multiple=True,
+        required=required,
+        envvar=HOSTS_VARIABLE,
+        help=(
+            "Host to ask; repeat it for others to try. Default: the "
+            f"space-separated list in {HOSTS_VARIABLE}."
+        ),
+    )
+
+
+hosts = _hosts(required=True)
+hosts_if_any = _hosts(required=False)
 
 as_json: Callable[..., Any] = click.option(
     "--json", "as_json", is_flag=True, help="Print JSON."
--- a/packages/ctl/src/tamarack_ctl/internal/timeline.py
+++ b/packages/ctl/src/tamarack_ctl/internal/timeline.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import datetime
+import pathlib
 
 import click
 import msgspec
@@ -10,6 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import timeline as timeline_lib
 from tamarack_ctl.internal import client
+from tamarack_ctl.internal import log_lines
 from tamarack_ctl.internal import options
 from tamarack_ctl.internal import output
 from tamarack_ctl.internal import status
@@ -65,7 +67,7 @@
 
 
 @click.command(epilog=output.EXIT_CODES_HELP)
-@options.hosts
+@options.hosts_if_any
 @options.as_json
 @click.option("--service", default="", help="Only this service.")
 @click.option("--target", default="", help="Only this target.")
@@ -77,6 +79,13 @@
     type=click.DateTime(),
     help="Only entries from this time (UTC) on.",
 )
+@click.option(
+    "--log",
+    "logs",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help="Read log files of hosts, and ask no host.",
+)
 def timeline(
     hosts: tuple[peers.Endpoint, ...],
     as_json: bool,
@@ -86,31 +95,30 @@
     version: int,
     name: str,
     since: datetime.datetime | None,
+    logs: tuple[pathlib.Path, ...],
 ) -> None:
-    """Merges the time lines of all hosts named.
+    """Merges the time lines of all hosts named, or of log files.
 
     Example: tamarack timeline --service agenda --since 2026-12-01T22:00:00
+
+    Example: tamarack timeline --log day.log --flow 100.66.0.18:1042
     """
+    if not hosts and not logs:
+        raise click.UsageError("name hosts with --host, or files with --log")
     chosen = Filter(service, target, flow, version, name)
-    path = f"/v1/timeline?since_ms={_since_ms(since)}"
-    answers = client.ask_all(hosts, path)
-    parts = [
-        msgspec.convert(answer.body, list[timeline_lib.Entry])
-        for answer in answers
-        if isinstance(answer, client.Answer)
+    since_ms = _since_ms(since)
+    parts, missing = _read(logs) if logs else _ask(hosts, since_ms)
+    entries = [
+        entry
+        for entry in merge(parts)
+        if entry.stamp.wall_ms >= since_ms and chosen.matches(entry)
     ]
-    entries = [entry for entry in merge(parts) if chosen.matches(entry)]
     output.show(
         as_json,
         msgspec.to_builtins(entries),
         HEADERS,
         [_row(entry) for entry in entries],
     )
-    missing = [
-        answer.detail
-        for answer in answers
-        if isinstance(answer, failure.Failure)
-    ]
     if missing:
         output.fail(
             output.EXIT_NO_HOST,
@@ -118,6 +126,38 @@
         )
 
 
+def _ask(
+    hosts: tuple[peers.Endpoint, ...], since_ms: int
+) -> tuple[list[list[timeline_lib.Entry]], list[str]]:
+    """Returns the entries of live hosts, and which did not answer."""
+    answers = client.ask_all(hosts, f"/v1/timeline?since_ms={since_ms}")
+    parts = [
+        msgspec.convert(answer.body, list[timeline_lib.Entry])
+        for answer in answers
+        if isinstance(answer, client.Answer)
+    ]
+    missing = [
+        answer.detail
+        for answer in answers
+        if isinstance(answer, failure.Failure)
+    ]
+    return parts, missing
+
+
+def _read(
+    logs: tuple[pathlib.Path, ...],
+) -> tuple[list[list[timeline_lib.Entry]], list[str]]:
+    """Returns the entries of log files; says how many lines hold none."""
+    parts = []
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            entries, others = log_lines.read(lines)
+        parts.append(entries)
+        if others:
+            click.echo(f"{path}: {others} lines without an entry", err=True)
+    return parts, []
+
+
 def _since_ms(since: datetime.datetime | None) -> int:
     """Returns a time in UTC as wall-clock time in ms; 0 without one."""
     if since is None:
--- /dev/null
+++ b/tests/cover/test_log_lines.py
@@ -0,0 +1,128 @@
+"""Log lines are read back as they were recorded."""
+
+import json
+import logging
+import pathlib
+import tempfile
+
+from click import testing
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from tamarack_core import timeline
+from tamarack_ctl import main as commands
+from tamarack_ctl.internal import log_lines
+from tamarack_node.internal import logs
+
+TEXTS = strategies.text(max_size=30)
+
+
+def line_of(entry):
+    """Returns the line that a host logs for an entry."""
+    lines = []
+
+    class Keeper(logging.Handler):
+        def emit(self, record):
+            lines.append(logs.KeyValueFormatter().format(record))
+
+    keeper = Keeper()
+    level = logs.logger.level
+    logs.logger.addHandler(keeper)
+    logs.logger.setLevel(logging.INFO)
+    try:
+        logs.entry(entry)
+    finally:
+        logs.logger.removeHandler(keeper)
+        logs.logger.setLevel(level)
+    (line,) = lines
+    return line
+
+
+class LogLineTest(testtools.TestCase):
+    """Lines of one and of several hosts."""
+
+    @hypothesis.given(
+        entry=strategies.builds(
+            timeline.Entry,
+            stamp=strategies.builds(
+                timeline.Stamp,
+                strategies.integers(0, 1 << 45),
+                strategies.integers(0, 99),
+            ),
+            host=strategies.text(min_size=1, max_size=10),
+            name=strategies.from_regex("[a-z][a-z-]{0,20}", fullmatch=True),
+            service=TEXTS,
+            target=TEXTS,
+            flow=TEXTS,
+            version=strategies.integers(0, 1 << 40),
+            verdict=TEXTS,
+            reason=TEXTS,
+            detail=TEXTS,
+        )
+    )
+    def test_any_entry_is_read_back_from_its_one_line(self, entry):
+        line = line_of(entry)
+        self.assertEqual(1, len(line.splitlines()))
+        self.assertEqual(([entry], 0), log_lines.read([line + "\n"]))
+
+    def test_what_a_collector_puts_first_is_passed_over(self):
+        line = (
+            "  46.9409 frontend-a-1 time=2026-08-11T18:37:40.120Z level=info"
+            " event=flow-refused host=frontend-a-1 stamp=1786473460122.3"
+            " flow=100.64.0.4:2323>198.18.0.5:8080 version=73"
+            " verdict=not-run reason=no-route"
+        )
+        ((entry,), others) = log_lines.read([line])
+        self.assertEqual(0, others)
+        self.assertEqual(("flow-refused", 73), (entry.name, entry.version))
+        self.assertEqual(timeline.Stamp(1786473460122, 3), entry.stamp)
+
+    @hypothesis.given(strategies.text(max_size=80))
+    def test_other_lines_are_counted(self, text):
+        line = text.replace("\n", " ").replace("stamp", "")
+        self.assertEqual(([], 1), log_lines.read([line]))
+
+
+class CommandTest(testtools.TestCase):
+    """`tamarack timeline --log`."""
+
+    def run_command(self, *arguments):
+        """Returns the result of a command."""
+        arguments = ["timeline", *map(str, arguments)]
+        return testing.CliRunner().invoke(commands.main, arguments)
+
+    def write(self, *entries, more=""):
+        """Returns a log file that holds some entries."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / "day.log"
+        path.write_text("\n".join([*map(line_of, entries), more]))
+        return path
+
+    def entry(self, host, wall_ms, name, **fields):
+        """Returns an entry."""
+        stamp = timeline.Stamp(wall_ms, 0)
+        return timeline.Entry(stamp=stamp, host=host, name=name, **fields)
+
+    def test_logs_of_several_hosts_are_merged_and_filtered(self):
+        first = self.write(
+            self.entry("a", 3, "flow-reset", flow="1.2.3.4:5>6.7.8.9:80"),
+            self.entry("a", 9, "host-stopped"),
+        )
+        second = self.write(
+            self.entry("b", 1, "flow-placed", flow="1.2.3.4:5>6.7.8.9:80"),
+            more="Killed\n",
+        )
+        result = self.run_command(
+            "--log", first, "--log", second, "--flow", "1.2.3.4:5", "--json"
+        )
+        self.assertEqual(0, result.exit_code, result.output)
+        found = json.loads(result.stdout)
+        self.assertEqual(["b", "a"], [entry["host"] for entry in found])
+        self.assertIn("1 lines without an entry", result.stderr)
+
+    def test_neither_hosts_nor_logs_is_a_usage_error(self):
+        result = self.run_command()
+        self.assertEqual(2, result.exit_code)
+        self.assertIn("--log", result.output)
