Split what callers are told and who is dead from forwarding

CallerAnswers refuses, resets and drops; Judging decides by probes, silence and doubts which targets are dead; Forwarding places openings and carries packets. Behaviour is the same; the tests are unchanged.

--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -8,10 +8,13 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core.internal.cookie import answers
 from tamarack_core.internal.cookie import forwarding
+from tamarack_core.internal.cookie import judging
 from tamarack_core.internal.cookie import mirror as mirrors
 from tamarack_core.internal.cookie import routes
 from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import watching
 
 MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
 """Translates the messages that an entry host takes and sends."""
@@ -43,5 +46,9 @@
     mirror = mirrors.Mirror(
         context, routes.RouteTable(), tags.TargetTable(), plan.seeds
     )
-    path = forwarding.Forwarding(context, plan.codec, mirror)
-    return reducer.Node(context, (path, mirror))
+    told = answers.CallerAnswers(
+        context, plan.codec, mirror.routes, watching.Watching()
+    )
+    judge = judging.Judging(told, mirror)
+    path = forwarding.Forwarding(told, judge, mirror)
+    return reducer.Node(context, (path, judge, mirror))
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarding.py
@@ -1,21 +1,17 @@
 """Forwards packets by the tag that they carry, and places new flows."""
 
-from collections.abc import Iterator
-
-from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import failure
 from tamarack_core import flow_packets
 from tamarack_core import outside
 from tamarack_core import reducer
-from tamarack_core import sync
+from tamarack_core.internal.cookie import answers as answers_lib
 from tamarack_core.internal.cookie import choosing
+from tamarack_core.internal.cookie import judging as judging_lib
 from tamarack_core.internal.cookie import mirror as mirrors
-from tamarack_core.internal.cookie import probing
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import tags
-from tamarack_core.internal.cookie import watching
 
 TIMER = "forwarding"
 
@@ -26,10 +22,6 @@
 """Time between the withdrawal of a target and the reset of its flows, in
 seconds; it may still be on its way out."""
 
-ALIVE_S = 0.3
-"""Time for which a sign of life outweighs what another host found, in
-seconds; finding a target dead takes as long."""
-
 LINGER_S = 1.3
 """Time for which a stopping host carries packets, in seconds; the fabric asks
 twice a second and leaves a host out after two misses. The sooner the host is
@@ -46,6 +38,8 @@
         context: Identity, chance, time and counters.
         codec: Form of packets on the wire.
         mirror: Follows a control host.
+        answers: Tells callers what became of their flows.
+        judging: Decides which targets are dead.
         routes: Routes in force.
         targets: Known targets.
         seen: What the packets show of flows and targets.
@@ -54,9 +48,11 @@
     """
 
     __slots__ = (
+        "answers",
         "codec",
         "context",
         "is_stopping",
+        "judging",
         "mirror",
         "probes",
         "routes",
@@ -66,24 +62,26 @@
 
     def __init__(
         self,
-        context: context_lib.Context,
-        codec: flow_packets.PacketCodec,
+        answers: answers_lib.CallerAnswers,
+        judging: judging_lib.Judging,
         mirror: mirrors.Mirror,
     ) -> None:
         """Creates the part.
 
         Args:
-            context: Identity, chance, time and counters.
-            codec: Form of packets on the wire.
+            answers: Tells callers what became of their flows.
+            judging: Decides which targets are dead.
             mirror: Follows a control host.
         """
-        self.context = context
-        self.codec = codec
+        self.context = answers.context
+        self.codec = answers.codec
         self.mirror = mirror
+        self.answers = answers
+        self.judging = judging
         self.routes = mirror.routes
         self.targets = mirror.targets
-        self.seen = watching.Watching()
-        self.probes = probing.Probing()
+        self.seen = answers.seen
+        self.probes = judging.probes
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -92,8 +90,6 @@
             events.DatagramArrived: self.handle_datagram,
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
-            events.TargetProbed: self.handle_probed,
-            sync.Doubt: self.handle_doubt,
             TIMER: self.handle_timer,
             "linger": self.handle_end,
             outside.ReadReadiness: self.handle_readiness,
@@ -109,7 +105,7 @@
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
         """Forgets idle flows, and gives up those of targets that ended."""
         now_s = event.now_s
-        self._turn(now_s)
+        self.judging.turn(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
         self.seen.forget_idle(now_s, idle_s)
         if len(self.seen.targets) > len(self.targets.by_name):
@@ -122,142 +118,7 @@
             if entry.is_overdue and self.seen.watch(entry).flows:
                 found += self.probes.ask(now_s, entry)
             if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
-                found += self._give_up(now_s, entry, "target-gone")
-        return found
-
-    def _turn(self, now_s: float) -> None:
-        """Takes note that this host runs, and forgives all if it was away."""
-        if self.seen.turn(now_s):
-            self.probes.forgive()
-
-    def handle_probed(self, event: events.TargetProbed) -> list[effects.Effect]:
-        """Takes the end of a probe; a dead target loses its flows."""
-        self._turn(event.now_s)
-        if event.is_answered:
-            return self._take_answer(event.now_s, event.target)
-        return self.probes.note_failure(
-            event.now_s, event.target, self._references()
-        )
-
-    def _take_answer(self, now_s: float, name: str) -> list[effects.Effect]:
-        """Takes the answer of a target, and believes failures before it."""
-        was_dead = self.probes.note_answer(name)
-        entry = self.targets.by_name.get(name)
-        found: list[effects.Effect] = []
-        if entry is not None:
-            self.seen.note_probe_answer(now_s, entry)
-            if was_dead:
-                found.append(self._record_life(now_s, entry, "target-alive"))
-        for probe in self.probes.waiting_for(name):
-            found += self._believe(now_s, probe)
-        return found
-
-    def _believe(
-        self, now_s: float, probe: probing.Probe
-    ) -> list[effects.Effect]:
-        """Gives up a target whose probe was in vain while others answer."""
-        probe.reference = ""
-        entry = self.targets.by_name.get(probe.entry.target.name)
-        if entry is None or entry.is_gone:
-            return []
-        if entry.target.born_ms != probe.entry.target.born_ms:
-            # Another life of the target began meanwhile.
-            return []
-        if self.seen.watch(entry).silence.answered_s >= probe.asked_s:
-            # Its flows go on; only the probe was lost.
-            return []
-        probe.is_dead = True
-        return [
-            self._record_life(now_s, entry, "target-dead"),
-            *self._give_up(now_s, entry, "target-silent"),
-            *self._ask_neighbors(now_s, probe),
-            *self._tell(probe),
-        ]
-
-    def _tell(self, dead: probing.Probe) -> list[effects.Effect]:
-        """Tells other hosts of a dead target, unless they told this one."""
-        followed = self.mirror.followed
-        if followed is None or dead.is_hinted:
-            return []
-        doubt = sync.Doubt((dead.entry.target.name,))
-        return [effects.SendMessage(followed, doubt)]
-
-    def handle_doubt(
-        self, event: events.MessageArrived
-    ) -> list[effects.Effect]:
-        """Asks the targets that another host found dead."""
-        message = event.message
-        assert isinstance(message, sync.Doubt)
-        now_s = event.now_s
-        entries = map(self.targets.by_name.get, message.targets)
-        return [
-            effect
-            for entry in entries
-            if entry is not None
-            and not entry.is_gone
-            and not self.probes.is_dead(entry)
-            and now_s - self.seen.watch(entry).silence.answered_s > ALIVE_S
-            for effect in self.probes.ask(now_s, entry, is_hinted=True)
-        ]
-
-    def _ask_neighbors(
-        self, now_s: float, dead: probing.Probe
-    ) -> list[effects.Effect]:
-        """Asks the other targets of the domain of a dead one.
-
-        Where a domain is cut off, callers need not find out target by target.
-        """
-        domain = dead.entry.target.domain
-        return [
-            effect
-            for entry in self.targets.by_name.values()
-            if entry.target.domain == domain
-            and not entry.is_gone
-            and not self.probes.is_dead(entry)
-            and (watch := self.seen.watch(entry)).flows
-            and watch.silence.answered_s < dead.asked_s
-            for effect in self.probes.ask(
-                now_s, entry, is_hinted=dead.is_hinted
-            )
-        ]
-
-    def _record_life(
-        self, now_s: float, entry: tags.Entry, name: str
-    ) -> effects.Effect:
-        """Returns the time line entry of what probes showed."""
-        return self.context.record(
-            now_s,
-            name,
-            service=entry.target.service,
-            target=entry.target.name,
-            reason="probe",
-            detail=f"announced {now_s - entry.since_s:.1f} s ago",
-        )
-
-    def _references(self) -> Iterator[tags.Entry]:
-        """Yields the targets that gave signs of life, the last one first."""
-        for name in reversed(self.seen.answered):
-            entry = self.targets.by_name.get(name)
-            if entry is not None and not entry.is_gone:
-                yield entry
-
-    def _give_up(
-        self, now_s: float, entry: tags.Entry, reason: str
-    ) -> list[effects.Effect]:
-        """Resets all known flows of a target.
-
-        Idle flows too: what a caller sends on one later would be lost, and
-        may be something that can't be repeated.
-        """
-        name = entry.target.name
-        if not self.seen.watch(entry).flows:
-            return []
-        found: list[effects.Effect] = []
-        for key, flow in list(self.seen.flows.items()):
-            if flow.target.target.name == name:
-                found += self._reset(
-                    now_s, key, flow.acknowledged, entry, reason
-                )
+                found += self.answers.give_up(now_s, entry, "target-gone")
         return found
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
@@ -288,10 +149,10 @@
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
         """Forwards, refuses or drops a packet."""
-        self._turn(event.now_s)
+        self.judging.turn(event.now_s)
         packet = self.codec.decode(event.data)
         if isinstance(packet, failure.Failure):
-            return self._drop(packet.reason)
+            return self.answers.drop(packet.reason)
         if packet.is_opening:
             return self._place(event.now_s, packet)
         return self._carry(event.now_s, packet)
@@ -301,10 +162,10 @@
     ) -> list[effects.Effect]:
         """Chooses a target for an opening, or refuses it."""
         if not self.mirror.is_synced:
-            return self._drop("opening-before-sync")
+            return self.answers.drop("opening-before-sync")
         route = self.routes.find(packet.flow)
         if route is None:
-            return self._refuse(now_s, packet, "no-route")
+            return self.answers.refuse(now_s, packet, "no-route")
         service = routes_lib.service_of(route, packet.flow)
         tried: tuple[str, ...] = ()
         found: list[effects.Effect] = []
@@ -322,10 +183,12 @@
         )
         if entry is None:
             if candidates:
-                return self._refuse(now_s, packet, "targets-dead", service)
+                return self.answers.refuse(
+                    now_s, packet, "targets-dead", service
+                )
             if not self.mirror.is_settled:
-                return self._drop("opening-before-targets")
-            return self._refuse(now_s, packet, "no-target", service)
+                return self.answers.drop("opening-before-targets")
+            return self.answers.refuse(now_s, packet, "no-target", service)
         return found + self._open(now_s, packet, entry)
 
     def _ask_unanswered(
@@ -367,7 +230,7 @@
         if entry is None:
             # The target may be unknown here alone, so nobody is told.
             reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
-            return self._drop(reason)
+            return self.answers.drop(reason)
         if self.mirror.is_synced and self.routes.find(packet.flow) is None:
             return self._reset_packet(now_s, packet, entry, "route-removed")
         if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
@@ -377,25 +240,13 @@
                 self.seen.end(packet.flow)
             return self._forward(packet, entry)
         is_repeated = self.seen.note_packet(now_s, entry, packet)
-        if self._is_dead(now_s, entry):
+        if self.judging.is_dead(now_s, entry):
             return self._reset_packet(now_s, packet, entry, "target-silent")
         found = self._forward(packet, entry)
         if is_repeated:
             found += self.probes.ask(now_s, entry)
         return found
 
-    def _is_dead(self, now_s: float, entry: tags.Entry) -> bool:
-        """Returns whether the flows of a target wait in vain.
-
-        A target that also misses its announcements needs less evidence.
-        """
-        if self.probes.is_dead(entry):
-            return True
-        watch = self.seen.watch(entry)
-        if entry.is_overdue and watch.is_suspect(now_s):
-            return True
-        return watch.is_dark(now_s)
-
     def _forward(
         self, packet: flow_packets.FlowPacket, entry: tags.Entry
     ) -> list[effects.Effect]:
@@ -403,7 +254,7 @@
         target = entry.target
         data = self.codec.encode_forward(packet, target.name, entry.tag)
         if data is None:
-            return self._drop("target-name")
+            return self.answers.drop("target-name")
         self.context.counters["packets-forwarded"] += 1
         return [effects.SendDatagram(target.endpoint, data)]
 
@@ -417,66 +268,7 @@
         """Resets the flow of a packet, unless that is what it asks for."""
         if packet.is_reset:
             self.seen.end(packet.flow)
-            return self._drop(reason)
-        return self._reset(
+            return self.answers.drop(reason)
+        return self.answers.reset(
             now_s, packet.flow, packet.acknowledged, entry, reason
         )
-
-    def _reset(
-        self,
-        now_s: float,
-        key: flow_packets.FlowKey,
-        acknowledged: int,
-        entry: tags.Entry,
-        reason: str,
-    ) -> list[effects.Effect]:
-        """Tells a caller that its flow can't live; it may have run."""
-        self.seen.end(key)
-        return [
-            self._send_reset(key, acknowledged, reason),
-            self.context.record(
-                now_s,
-                "flow-reset",
-                service=entry.target.service,
-                target=entry.target.name,
-                flow=flow_packets.describe(key),
-                version=self.routes.number,
-                verdict="may-have-run",
-                reason=reason,
-                detail=f"announced {now_s - entry.since_s:.1f} s ago",
-            ),
-        ]
-
-    def _refuse(
-        self,
-        now_s: float,
-        packet: flow_packets.FlowPacket,
-        reason: str,
-        service: str = "",
-    ) -> list[effects.Effect]:
-        """Refuses an opening at once; nothing of it has run."""
-        return [
-            self._send_reset(packet.flow, 0, reason),
-            self.context.record(
-                now_s,
-                "flow-refused",
-                service=service,
-                flow=flow_packets.describe(packet.flow),
-                version=self.routes.number,
-                verdict="not-run",
-                reason=reason,
-            ),
-        ]
-
-    def _send_reset(
-        self, key: flow_packets.FlowKey, acknowledged: int, reason: str
-    ) -> effects.Effect:
-        """Returns the effect that resets a flow at its caller."""
-        self.context.counters[f"reset-{reason}"] += 1
-        endpoint, data = self.codec.encode_reset(key, acknowledged)
-        return effects.SendDatagram(endpoint, data)
-
-    def _drop(self, reason: str) -> list[effects.Effect]:
-        """Counts a packet that is dropped."""
-        self.context.counters[f"dropped-{reason}"] += 1
-        return []
