--- a/tests/soak/orders.py
+++ b/tests/soak/orders.py
@@ -121,14 +121,13 @@
             for number, at_s in self.taken_s.items()
             if now_s - at_s > promises_lib.APPLY_S
         ]
-        numbers = list(self.sent)
-        for number in settled[-1:]:
-            # Nothing that was sent since may have dropped it.
-            if number in numbers[-KEPT_PROBES // 2 :]:
-                await self._expect(caller, entry, number, "opened")
         if not settled:
             return
-        dropped = max(0, numbers.index(settled[-1]) + 1 - KEPT_PROBES)
+        newest, numbers = settled[-1], list(self.sent)
+        # No document that was sent since may have dropped its route.
+        if newest in numbers[-KEPT_PROBES // 2 :]:
+            await self._expect(caller, entry, newest, "opened")
+        dropped = max(0, numbers.index(newest) + 1 - KEPT_PROBES)
         for number in numbers[:dropped][-1:]:
             await self._expect(caller, entry, number, "refused")
 
