Merge two ways to note a sign of life; compare births in one place

Cause: a read of the whole change. A flow and a probe noted the same sign of life in two methods of Watching, and Judging wrote the comparison of births out that probing already has. Behaviour is the same; tests are unchanged.

--- a/packages/core/src/tamarack_core/internal/cookie/judging.py
+++ b/packages/core/src/tamarack_core/internal/cookie/judging.py
@@ -77,7 +77,7 @@
         entry = self.targets.by_name.get(name)
         found: list[effects.Effect] = []
         if entry is not None:
-            self.seen.note_probe_answer(now_s, entry)
+            self.seen.note_answer(now_s, entry)
             if was_dead:
                 found.append(self._record_life(now_s, entry, "target-alive"))
         for probe in self.probes.waiting_for(name):
@@ -92,7 +92,7 @@
         entry = self.targets.by_name.get(probe.entry.target.name)
         if entry is None or entry.is_gone:
             return []
-        if entry.target.born_ms != probe.entry.target.born_ms:
+        if probing.is_reborn(probe.entry, entry):
             # Another life of the target began meanwhile.
             return []
         if self.seen.watch(entry).silence.answered_s >= probe.asked_s:
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/probing.py
@@ -76,7 +76,7 @@
         return (
             probe is not None
             and probe.is_dead
-            and not _is_reborn(probe.entry, entry)
+            and not is_reborn(probe.entry, entry)
         )
 
     def ask(
@@ -100,7 +100,7 @@
         """Returns the probe of a target, a new one for each of its lives."""
         name = entry.target.name
         probe = self.probes.get(name)
-        if probe is None or _is_reborn(probe.entry, entry):
+        if probe is None or is_reborn(probe.entry, entry):
             probe = self.probes[name] = Probe(entry)
         probe.entry = entry
         return probe
@@ -187,7 +187,7 @@
         ]
 
 
-def _is_reborn(held: tags.Entry, entry: tags.Entry) -> bool:
+def is_reborn(held: tags.Entry, entry: tags.Entry) -> bool:
     """Returns whether a target has begun another life."""
     return held.target.born_ms != entry.target.born_ms
 
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/watching.py
@@ -199,29 +199,21 @@
         if not flow.is_open:
             flow.is_open = True
             flow.sequence = packet.sequence
-            self._note_answer(now_s, target, watch)
+            self.note_answer(now_s, target)
         elif packet.acknowledged != flow.acknowledged:
-            self._note_answer(now_s, target, watch)
+            self.note_answer(now_s, target)
             self._stop_waiting(flow, watch)
         flow.acknowledged = packet.acknowledged
         if not packet.payload_bytes:
             return False
         return self._note_payload(now_s, flow, packet, watch)
 
-    def _note_answer(
-        self, now_s: float, target: tags.Entry, watch: Watch
-    ) -> None:
-        """Takes note that a flow shows a sign of life of its target."""
-        watch.note_answer(now_s)
-        self._move_last(target)
+    def note_answer(self, now_s: float, target: tags.Entry) -> None:
+        """Takes note that a target, and so its domain, gave a sign of life.
 
-    def note_probe_answer(self, now_s: float, target: tags.Entry) -> None:
-        """Takes note that a target, and so its domain, answered a probe."""
+        A flow shows it, or an answer to a probe.
+        """
         self.watch(target).note_answer(now_s)
-        self._move_last(target)
-
-    def _move_last(self, target: tags.Entry) -> None:
-        """Makes a target the last that gave a sign of life."""
         name = target.target.name
         self.answered.pop(name, None)
         self.answered[name] = None
