--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -8,13 +8,13 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
-from tamarack_core.internal.cookie import answers
-from tamarack_core.internal.cookie import forwarding
-from tamarack_core.internal.cookie import judging
-from tamarack_core.internal.cookie import mirror as mirrors
+from tamarack_core.internal.cookie import failure_detector
+from tamarack_core.internal.cookie import flow_rejection
+from tamarack_core.internal.cookie import flow_tracker
+from tamarack_core.internal.cookie import forwarder
 from tamarack_core.internal.cookie import routes
-from tamarack_core.internal.cookie import tags
-from tamarack_core.internal.cookie import watching
+from tamarack_core.internal.cookie import subscription as mirrors
+from tamarack_core.internal.cookie import target_table
 
 MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
 """Translates the messages that an entry host takes and sends."""
@@ -43,12 +43,12 @@
         plan: What the host is made of.
     """
     context = context_lib.Context(plan.host, plan.seed)
-    mirror = mirrors.Mirror(
-        context, routes.RouteTable(), tags.TargetTable(), plan.seeds
+    mirror = mirrors.ControlSubscription(
+        context, routes.RouteTable(), target_table.TargetTable(), plan.seeds
     )
-    told = answers.CallerAnswers(
-        context, plan.codec, mirror.routes, watching.Watching()
+    told = flow_rejection.FlowRejector(
+        context, plan.codec, mirror.routes, flow_tracker.FlowTracker()
     )
-    judge = judging.Judging(told, mirror)
-    path = forwarding.Forwarding(told, judge, mirror)
+    judge = failure_detector.TargetFailureDetector(told, mirror)
+    path = forwarder.Forwarder(told, judge, mirror)
     return reducer.Node(context, (path, judge, mirror))
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -10,10 +10,10 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.group import control
-from tamarack_core.internal.registry import announcing
-from tamarack_core.internal.registry import doubting
+from tamarack_core.internal.registry import announcement_receiver
 from tamarack_core.internal.registry import publisher as publishers
-from tamarack_core.internal.registry import table
+from tamarack_core.internal.registry import suspicion_relay
+from tamarack_core.internal.registry import target_registry
 from tamarack_core.messages import consensus
 from tamarack_core.storage import disk as disks
 
@@ -58,7 +58,7 @@
     """
     context = context_lib.Context(plan.host, plan.seed)
     contacts = contacts_lib.Contacts(context, plan.seeds)
-    registry = table.Registry(plan.announce_interval_s)
+    registry = target_registry.TargetRegistry(plan.announce_interval_s)
     publisher = publishers.Publisher(context, registry)
     documents = control.DocumentControl(
         context,
@@ -68,10 +68,10 @@
         _founders(plan),
         plan.tolerated_hosts,
     )
-    announcements = announcing.Announcing(
+    announcements = announcement_receiver.AnnouncementReceiver(
         context, registry, publisher, contacts, plan.disk.targets
     )
-    doubts = doubting.Doubting(context, publisher)
+    doubts = suspicion_relay.SuspicionRelay(context, publisher)
     return reducer.Node(context, (publisher, documents, announcements, doubts))
 
 
--- a/packages/core/src/tamarack_core/flow_packets.py
+++ b/packages/core/src/tamarack_core/flow_packets.py
@@ -74,7 +74,7 @@
         """
 
 
-def number_of(address: str) -> int:
+def address_to_number(address: str) -> int:
     """Returns the number of an IPv4 address that was checked before.
 
     The module `ipaddress` would add a fiftieth to the start of an entry host.
@@ -82,12 +82,12 @@
     return int.from_bytes(bytes(map(int, address.split("."))), "big")
 
 
-def address_of(number: int) -> str:
+def number_to_address(number: int) -> str:
     """Returns the text form of an IPv4 address."""
     return ".".join(map(str, number.to_bytes(4, "big")))
 
 
 def describe(flow: FlowKey) -> str:
     """Returns the text form of a flow, as in logs."""
-    caller, service = address_of(flow[0]), address_of(flow[2])
+    caller, service = number_to_address(flow[0]), number_to_address(flow[2])
     return f"{caller}:{flow[1]}>{service}:{flow[3]}"
--- a/packages/core/src/tamarack_core/fragments.py
+++ b/packages/core/src/tamarack_core/fragments.py
@@ -32,7 +32,7 @@
 """Largest envelope that can be sent in fragments."""
 
 
-class Splitter:
+class Fragmenter:
     """Cuts envelopes into fragments.
 
     Attributes:
@@ -79,7 +79,7 @@
     pieces: dict[int, bytes]
 
 
-class Joiner:
+class Reassembler:
     """Joins fragments to envelopes; old unfinished ones are forgotten.
 
     Attributes:
@@ -94,7 +94,7 @@
             collections.OrderedDict()
         )
 
-    def join(self, data: bytes) -> bytes | None:
+    def reassemble(self, data: bytes) -> bytes | None:
         """Takes a fragment.
 
         Args:
--- a/packages/core/src/tamarack_core/internal/cookie/answers.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -3,29 +3,29 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import flow_packets
+from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import routes as routes_lib
-from tamarack_core.internal.cookie import tags
-from tamarack_core.internal.cookie import watching
+from tamarack_core.internal.cookie import target_table
 
 
-class CallerAnswers:
+class FlowRejector:
     """Tells callers what became of their flows.
 
     Attributes:
         context: Identity, chance, time and counters.
         codec: Form of packets on the wire.
         routes: Routes in force.
-        seen: What the packets show of flows and targets.
+        tracker: What the packets show of flows and targets.
     """
 
-    __slots__ = ("codec", "context", "routes", "seen")
+    __slots__ = ("codec", "context", "routes", "tracker")
 
     def __init__(
         self,
         context: context_lib.Context,
         codec: flow_packets.PacketCodec,
         routes: routes_lib.RouteTable,
-        seen: watching.Watching,
+        tracker: flow_tracker.FlowTracker,
     ) -> None:
         """Creates the part.
 
@@ -33,15 +33,15 @@
             context: Identity, chance, time and counters.
             codec: Form of packets on the wire.
             routes: Routes in force.
-            seen: What the packets show of flows and targets.
+            tracker: What the packets show of flows and targets.
         """
         self.context = context
         self.codec = codec
         self.routes = routes
-        self.seen = seen
+        self.tracker = tracker
 
     def give_up(
-        self, now_s: float, entry: tags.Entry, reason: str
+        self, now_s: float, entry: target_table.Entry, reason: str
     ) -> list[effects.Effect]:
         """Resets all known flows of a target.
 
@@ -49,10 +49,10 @@
         may be something that can't be repeated.
         """
         name = entry.target.name
-        if not self.seen.watch(entry).flows:
+        if not self.tracker.watch(entry).flows:
             return []
         found: list[effects.Effect] = []
-        for key, flow in list(self.seen.flows.items()):
+        for key, flow in list(self.tracker.flows.items()):
             if flow.target.target.name == name:
                 found += self.reset(
                     now_s, key, flow.acknowledged, entry, reason
@@ -64,11 +64,11 @@
         now_s: float,
         key: flow_packets.FlowKey,
         acknowledged: int,
-        entry: tags.Entry,
+        entry: target_table.Entry,
         reason: str,
     ) -> list[effects.Effect]:
         """Tells a caller that its flow can't live; it may have run."""
-        self.seen.end(key)
+        self.tracker.end(key)
         return [
             self._send_reset(key, acknowledged, reason),
             self.context.record(
--- a/packages/core/src/tamarack_core/internal/cookie/watching.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from tamarack_core import flow_packets
-from tamarack_core.internal.cookie import silence as silences
-from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import target_liveness as silences
+from tamarack_core.internal.cookie import target_table
 
 MAX_FLOWS = 50_000
 """Flows that are remembered; 16 MB at about 330 bytes each."""
@@ -36,7 +36,7 @@
             is waiting.
     """
 
-    target: tags.Entry
+    target: target_table.Entry
     last_s: float
     is_open: bool = False
     tried: tuple[str, ...] = ()
@@ -83,25 +83,25 @@
         return self.silence.is_dark(now_s) or self.domain.is_dark(now_s)
 
 
-class Watching:
+class FlowTracker:
     """Flows and targets as the packets show them.
 
     Attributes:
         flows: Flows by their key, the longest idle first.
         targets: Watches by name of the target.
         domains: Silences by failure domain.
-        answered: Targets that gave a sign of life, the last one at the end.
+        responsive: Targets that gave a sign of life, the last one at the end.
         turned_s: Time of the last packet or timer, in seconds.
     """
 
-    __slots__ = ("answered", "domains", "flows", "targets", "turned_s")
+    __slots__ = ("domains", "flows", "responsive", "targets", "turned_s")
 
     def __init__(self) -> None:
         """Creates an empty record."""
         self.flows: dict[flow_packets.FlowKey, Flow] = {}
         self.targets: dict[str, Watch] = {}
         self.domains: dict[str, silences.Silence] = {}
-        self.answered: dict[str, None] = {}
+        self.responsive: dict[str, None] = {}
         self.turned_s = float("inf")
 
     def turn(self, now_s: float) -> bool:
@@ -117,7 +117,7 @@
         self.turned_s = now_s
         return was_away
 
-    def watch(self, entry: tags.Entry) -> Watch:
+    def watch(self, entry: target_table.Entry) -> Watch:
         """Returns the watch of a target."""
         found = self.targets.get(entry.target.name)
         if found is None:
@@ -130,7 +130,10 @@
         return found
 
     def note_opening(
-        self, now_s: float, key: flow_packets.FlowKey, target: tags.Entry
+        self,
+        now_s: float,
+        key: flow_packets.FlowKey,
+        target: target_table.Entry,
     ) -> None:
         """Takes note that an opening is sent to a target."""
         held = self.flows.pop(key, None)
@@ -166,7 +169,7 @@
     def note_packet(
         self,
         now_s: float,
-        target: tags.Entry,
+        target: target_table.Entry,
         packet: flow_packets.FlowPacket,
     ) -> bool:
         """Takes note of a packet of an open flow.
@@ -208,15 +211,15 @@
             return False
         return self._note_payload(now_s, flow, packet, watch)
 
-    def note_answer(self, now_s: float, target: tags.Entry) -> None:
+    def note_answer(self, now_s: float, target: target_table.Entry) -> None:
         """Takes note that a target, and so its domain, gave a sign of life.
 
         A flow shows it, or an answer to a probe.
         """
         self.watch(target).note_answer(now_s)
         name = target.target.name
-        self.answered.pop(name, None)
-        self.answered[name] = None
+        self.responsive.pop(name, None)
+        self.responsive[name] = None
 
     def _note_payload(
         self,
@@ -264,7 +267,7 @@
         for name, watch in list(self.targets.items()):
             if name not in known and not watch.flows:
                 del self.targets[name]
-                self.answered.pop(name, None)
+                self.responsive.pop(name, None)
 
     def forget_idle(self, now_s: float, idle_s: float) -> None:
         """Forgets flows without a packet for `idle_s` seconds."""
--- a/packages/core/src/tamarack_core/internal/cookie/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -6,12 +6,12 @@
 from tamarack_core import flow_packets
 from tamarack_core import outside
 from tamarack_core import reducer
-from tamarack_core.internal.cookie import answers as answers_lib
-from tamarack_core.internal.cookie import choosing
-from tamarack_core.internal.cookie import judging as judging_lib
-from tamarack_core.internal.cookie import mirror as mirrors
+from tamarack_core.internal.cookie import failure_detector as judging_lib
+from tamarack_core.internal.cookie import flow_rejection as answers_lib
 from tamarack_core.internal.cookie import routes as routes_lib
-from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import subscription as mirrors
+from tamarack_core.internal.cookie import target_choice
+from tamarack_core.internal.cookie import target_table
 
 TIMER = "forwarding"
 
@@ -31,7 +31,7 @@
 """Time after which a flow is forgotten while no document states one."""
 
 
-class Forwarding:
+class Forwarder:
     """Part that takes the packets of callers.
 
     Attributes:
@@ -42,7 +42,7 @@
         judging: Decides which targets are dead.
         routes: Routes in force.
         targets: Known targets.
-        seen: What the packets show of flows and targets.
+        tracker: What the packets show of flows and targets.
         probes: What probes show of targets.
         is_stopping: Whether the host is about to end.
     """
@@ -56,15 +56,15 @@
         "mirror",
         "probes",
         "routes",
-        "seen",
         "targets",
+        "tracker",
     )
 
     def __init__(
         self,
-        answers: answers_lib.CallerAnswers,
-        judging: judging_lib.Judging,
-        mirror: mirrors.Mirror,
+        answers: answers_lib.FlowRejector,
+        judging: judging_lib.TargetFailureDetector,
+        mirror: mirrors.ControlSubscription,
     ) -> None:
         """Creates the part.
 
@@ -80,7 +80,7 @@
         self.judging = judging
         self.routes = mirror.routes
         self.targets = mirror.targets
-        self.seen = answers.seen
+        self.tracker = answers.tracker
         self.probes = judging.probes
         self.is_stopping = False
 
@@ -107,15 +107,15 @@
         now_s = event.now_s
         self.judging.turn(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
-        self.seen.forget_idle(now_s, idle_s)
-        if len(self.seen.targets) > len(self.targets.by_name):
-            self.seen.forget_targets(self.targets.by_name)
+        self.tracker.forget_idle(now_s, idle_s)
+        if len(self.tracker.targets) > len(self.targets.by_name):
+            self.tracker.forget_targets(self.targets.by_name)
         found: list[effects.Effect] = [
             effects.StartTimer(TIMER, TICK_S),
             *self.probes.tick(now_s),
         ]
         for entry in self.targets.by_name.values():
-            if entry.is_overdue and self.seen.watch(entry).flows:
+            if entry.is_overdue and self.tracker.watch(entry).flows:
                 found += self.probes.ask(now_s, entry)
             if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
                 found += self.answers.give_up(now_s, entry, "target-gone")
@@ -170,12 +170,12 @@
         tried: tuple[str, ...] = ()
         found: list[effects.Effect] = []
         if packet.copy_number:
-            tried = self.seen.note_unanswered(now_s, packet.flow)
+            tried = self.tracker.note_unanswered(now_s, packet.flow)
             found = self._ask_unanswered(now_s, packet.flow)
         candidates = self.targets.by_service.get(service, {}).values()
-        entry = choosing.choose(
+        entry = target_choice.choose(
             candidates,
-            self.seen,
+            self.tracker,
             self.probes,
             now_s,
             tried,
@@ -195,7 +195,7 @@
         self, now_s: float, key: flow_packets.FlowKey
     ) -> list[effects.Effect]:
         """Asks the target that did not answer an opening."""
-        flow = self.seen.flows.get(key)
+        flow = self.tracker.flows.get(key)
         if flow is None or flow.is_open:
             return []
         return self.probes.ask(now_s, flow.target)
@@ -204,10 +204,10 @@
         self,
         now_s: float,
         packet: flow_packets.FlowPacket,
-        entry: tags.Entry,
+        entry: target_table.Entry,
     ) -> list[effects.Effect]:
         """Sends an opening to a target."""
-        self.seen.note_opening(now_s, packet.flow, entry)
+        self.tracker.note_opening(now_s, packet.flow, entry)
         self.context.counters["flows-placed"] += 1
         if packet.copy_number:
             self.context.counters["flows-placed-again"] += 1
@@ -237,9 +237,9 @@
             return self._reset_packet(now_s, packet, entry, "target-gone")
         if packet.is_reset or packet.is_last:
             if packet.is_reset:
-                self.seen.end(packet.flow)
+                self.tracker.end(packet.flow)
             return self._forward(packet, entry)
-        is_repeated = self.seen.note_packet(now_s, entry, packet)
+        is_repeated = self.tracker.note_packet(now_s, entry, packet)
         if self.judging.is_dead(now_s, entry):
             return self._reset_packet(now_s, packet, entry, "target-silent")
         found = self._forward(packet, entry)
@@ -248,7 +248,7 @@
         return found
 
     def _forward(
-        self, packet: flow_packets.FlowPacket, entry: tags.Entry
+        self, packet: flow_packets.FlowPacket, entry: target_table.Entry
     ) -> list[effects.Effect]:
         """Returns the effect that hands a packet to a target."""
         target = entry.target
@@ -262,12 +262,12 @@
         self,
         now_s: float,
         packet: flow_packets.FlowPacket,
-        entry: tags.Entry,
+        entry: target_table.Entry,
         reason: str,
     ) -> list[effects.Effect]:
         """Resets the flow of a packet, unless that is what it asks for."""
         if packet.is_reset:
-            self.seen.end(packet.flow)
+            self.tracker.end(packet.flow)
             return self.answers.drop(reason)
         return self.answers.reset(
             now_s, packet.flow, packet.acknowledged, entry, reason
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -33,16 +33,16 @@
 
     Attributes:
         number: Number of the document in force; 0 for none.
-        by_place: Routes by packed address and port.
+        by_endpoint: Routes by packed address and port.
         idle_timeout_s: Time after which an idle flow may be forgotten.
     """
 
-    __slots__ = ("by_place", "idle_timeout_s", "number")
+    __slots__ = ("by_endpoint", "idle_timeout_s", "number")
 
     def __init__(self) -> None:
         """Creates a table without a document."""
         self.number = 0
-        self.by_place: dict[tuple[int, int], RouteEntry] = {}
+        self.by_endpoint: dict[tuple[int, int], RouteEntry] = {}
         self.idle_timeout_s = 0.0
 
     def put(self, update: sync.DocumentUpdate) -> bool:
@@ -57,20 +57,20 @@
         if not update.base <= self.number < update.number:
             return False
         if update.base == 0:
-            self.by_place.clear()
+            self.by_endpoint.clear()
         for route in update.routes:
-            place = (flow_packets.number_of(route.address), route.port)
+            place = (flow_packets.address_to_number(route.address), route.port)
             if route.shares:
-                self.by_place[place] = _entry(route)
+                self.by_endpoint[place] = _entry(route)
             else:
-                self.by_place.pop(place, None)
+                self.by_endpoint.pop(place, None)
         self.number = update.number
         self.idle_timeout_s = update.idle_timeout_ms / 1000
         return True
 
     def find(self, flow: flow_packets.FlowKey) -> RouteEntry | None:
         """Returns the route of a flow, or None."""
-        return self.by_place.get((flow[2], flow[3]))
+        return self.by_endpoint.get((flow[2], flow[3]))
 
 
 def _entry(route: sync.RouteChange) -> RouteEntry:
--- a/packages/core/src/tamarack_core/internal/cookie/mirror.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -13,7 +13,7 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core.internal.cookie import routes as routes_lib
-from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import target_table
 
 TIMER = "mirror"
 
@@ -36,7 +36,7 @@
 _TURNS = 1 << 16
 
 
-class Mirror:
+class ControlSubscription:
     """Part that follows a control host.
 
     Attributes:
@@ -78,7 +78,7 @@
         self,
         context: context_lib.Context,
         routes: routes_lib.RouteTable,
-        targets: tags.TargetTable,
+        targets: target_table.TargetTable,
         seeds: tuple[peers.Peer, ...],
     ) -> None:
         """Creates the part.
@@ -286,7 +286,9 @@
         self.is_settled = self.is_settled or update.is_settled
         return found
 
-    def _record_target(self, now_s: float, entry: tags.Entry) -> effects.Effect:
+    def _record_target(
+        self, now_s: float, entry: target_table.Entry
+    ) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         target = entry.target
         state = target.phase.name.lower()
--- a/packages/core/src/tamarack_core/internal/cookie/choosing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -8,9 +8,9 @@
 from collections.abc import Collection
 import random
 
-from tamarack_core.internal.cookie import probing
-from tamarack_core.internal.cookie import tags
-from tamarack_core.internal.cookie import watching
+from tamarack_core.internal.cookie import flow_tracker
+from tamarack_core.internal.cookie import target_probes
+from tamarack_core.internal.cookie import target_table
 
 COLD_FACTOR = 1.6
 """Factor by which a cold target counts its flows; targets that have just
@@ -18,13 +18,13 @@
 
 
 def choose(
-    candidates: Collection[tags.Entry],
-    seen: watching.Watching,
-    probes: probing.Probing,
+    candidates: Collection[target_table.Entry],
+    tracker: flow_tracker.FlowTracker,
+    probes: target_probes.TargetProbes,
     now_s: float,
     tried: Collection[str],
     generator: random.Random,
-) -> tags.Entry | None:
+) -> target_table.Entry | None:
     """Returns the target for a new flow, or None if there is none.
 
     Targets that don't answer probes get none: when these are all, the opening
@@ -37,7 +37,7 @@
 
     Args:
         candidates: Targets of the service that take new flows.
-        seen: What the packets show.
+        tracker: What the packets show.
         probes: What probes show.
         now_s: Monotonic time in seconds.
         tried: Targets that were sent this opening before.
@@ -50,17 +50,19 @@
     fresh = [entry for entry in untried if not entry.is_overdue]
     usable = fresh or untried or living
     sound = [
-        entry for entry in usable if not seen.watch(entry).is_avoided(now_s)
+        entry for entry in usable if not tracker.watch(entry).is_avoided(now_s)
     ]
     return min(
         sound or usable,
-        key=lambda entry: (_load(entry, seen, now_s), generator.random()),
+        key=lambda entry: (_load(entry, tracker, now_s), generator.random()),
     )
 
 
-def _load(entry: tags.Entry, seen: watching.Watching, now_s: float) -> float:
+def _load(
+    entry: target_table.Entry, tracker: flow_tracker.FlowTracker, now_s: float
+) -> float:
     """Returns the work that a target has through this host, by slot."""
-    watch = seen.watch(entry)
+    watch = tracker.watch(entry)
     work = 1.0 + watch.flows + watch.waiting
     if now_s < entry.warm_at_s:
         work *= COLD_FACTOR
--- a/packages/core/src/tamarack_core/internal/cookie/probing.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from tamarack_core import effects
-from tamarack_core.internal.cookie import tags
+from tamarack_core.internal.cookie import target_table
 
 ATTEMPTS = 3
 """Connections that a probe asks for; where one packet in forty is lost, one
@@ -49,7 +49,7 @@
         is_dead: Whether the target is held to be dead.
     """
 
-    entry: tags.Entry
+    entry: target_table.Entry
     asked_s: float = float("-inf")
     is_running: bool = False
     is_hinted: bool = False
@@ -57,7 +57,7 @@
     is_dead: bool = False
 
 
-class Probing:
+class TargetProbes:
     """Probes by name of the target.
 
     Attributes:
@@ -70,7 +70,7 @@
         """Knows no target."""
         self.probes: dict[str, Probe] = {}
 
-    def is_dead(self, entry: tags.Entry) -> bool:
+    def is_dead(self, entry: target_table.Entry) -> bool:
         """Returns whether a target is held to be dead, in this life."""
         probe = self.probes.get(entry.target.name)
         return (
@@ -80,7 +80,11 @@
         )
 
     def ask(
-        self, now_s: float, entry: tags.Entry, *, is_hinted: bool = False
+        self,
+        now_s: float,
+        entry: target_table.Entry,
+        *,
+        is_hinted: bool = False,
     ) -> list[effects.Effect]:
         """Returns a probe of a suspected target, if none was sent lately.
 
@@ -96,7 +100,7 @@
         probe.is_hinted = is_hinted
         return [_send(now_s, probe)]
 
-    def _probe_of(self, entry: tags.Entry) -> Probe:
+    def _probe_of(self, entry: target_table.Entry) -> Probe:
         """Returns the probe of a target, a new one for each of its lives."""
         name = entry.target.name
         probe = self.probes.get(name)
@@ -123,7 +127,7 @@
         return was_dead
 
     def note_failure(
-        self, now_s: float, name: str, references: Iterable[tags.Entry]
+        self, now_s: float, name: str, references: Iterable[target_table.Entry]
     ) -> list[effects.Effect]:
         """Takes note that a probe was in vain.
 
@@ -187,7 +191,7 @@
         ]
 
 
-def is_reborn(held: tags.Entry, entry: tags.Entry) -> bool:
+def is_reborn(held: target_table.Entry, entry: target_table.Entry) -> bool:
     """Returns whether a target has begun another life."""
     return held.target.born_ms != entry.target.born_ms
 
--- a/packages/core/src/tamarack_core/internal/cookie/tags.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from tamarack_core import announced
+from tamarack_core import target_announcement
 
-FORGET_S = 90.0
+GONE_RETENTION_S = 90.0
 """Time for which the tag of a target that is gone is remembered, in seconds.
 
 A flow lives for 60 s at most on the deployments that state a bound; packets
@@ -35,7 +35,7 @@
         gone_s: Time at which it was known to be gone; None before.
     """
 
-    target: announced.Target
+    target: target_announcement.Announcement
     tag: int
     is_overdue: bool
     since_s: float
@@ -65,7 +65,9 @@
         self.by_tag: dict[int, Entry] = {}
         self.by_service: dict[str, dict[str, Entry]] = {}
 
-    def put(self, now_s: float, known: announced.Known) -> Entry | None:
+    def put(
+        self, now_s: float, known: target_announcement.KnownTarget
+    ) -> Entry | None:
         """Takes an announcement, unless a newer one is held.
 
         Args:
@@ -82,7 +84,9 @@
         if held is not None and target.order < held.target.order:
             # Control hosts pass on renewals only with the next change.
             target = held.target
-        gone_s = now_s if target.phase is announced.Phase.GONE else None
+        gone_s = (
+            now_s if target.phase is target_announcement.Phase.GONE else None
+        )
         entry = Entry(
             target=target,
             tag=tag_of(target.name),
@@ -96,7 +100,7 @@
             self._unlist(held)
         self._place_tag(entry)
         if (
-            target.phase is announced.Phase.READY
+            target.phase is target_announcement.Phase.READY
             and self.by_tag[entry.tag] is entry
         ):
             self.by_service.setdefault(target.service, {})[target.name] = entry
@@ -132,7 +136,8 @@
         old = [
             entry
             for entry in self.by_name.values()
-            if entry.gone_s is not None and now_s - entry.gone_s > FORGET_S
+            if entry.gone_s is not None
+            and now_s - entry.gone_s > GONE_RETENTION_S
         ]
         for entry in old:
             del self.by_name[entry.target.name]
@@ -163,7 +168,7 @@
         return doubted
 
 
-def _is_news(held: Entry, known: announced.Known) -> bool:
+def _is_news(held: Entry, known: target_announcement.KnownTarget) -> bool:
     """Returns whether an announcement says more than what is held."""
     target = known.target
     if held.is_gone or target.born_ms != held.target.born_ms:
--- a/packages/core/src/tamarack_core/internal/documents/machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/machine.py
@@ -17,7 +17,7 @@
     def put(self, document: documents.Document) -> None:
         """Takes the document that follows on the last one."""
 
-    def jump(self, document: documents.Document) -> None:
+    def reset_to(self, document: documents.Document) -> None:
         """Takes a document after others that nobody here has seen."""
 
 
@@ -74,7 +74,7 @@
         """
         for document in self.passed:
             if self.has_jumped:
-                history.jump(document)
+                history.reset_to(document)
             else:
                 history.put(document)
             self.has_jumped = False
--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -245,7 +245,7 @@
         self.contacts.mention(now_s, self._members())
         live = self.contacts.live(now_s)
         hello = sync.ControlHello(self.replica.state.own.incarnation, live)
-        found = self.publisher.put_controls(now_s, live)
+        found = self.publisher.set_controls(now_s, live)
         found += [
             effects.SendMessage(peer, hello) for peer in self.contacts.others()
         ]
@@ -342,7 +342,7 @@
         for output in step.outputs:
             found += self._handle_output(now_s, output)
         if self.machine.passed:
-            found += self.publisher.follow(now_s, self.machine)
+            found += self.publisher.publish_documents(now_s, self.machine)
             found += self.publishing.settle(now_s)
         return found
 
--- a/packages/core/src/tamarack_core/internal/registry/announcing.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -1,15 +1,15 @@
 """Takes announcements, and shares them among the control hosts."""
 
-from tamarack_core import announced
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import outside
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core import target_announcement
 from tamarack_core.internal.group import contacts as contacts_lib
 from tamarack_core.internal.registry import publisher as publishers
-from tamarack_core.internal.registry import table
+from tamarack_core.internal.registry import target_registry
 
 TIMER = "registry"
 
@@ -32,7 +32,7 @@
 MS_PER_S = 1000
 
 
-class Announcing:
+class AnnouncementReceiver:
     """Part that keeps the registry of a control host.
 
     Attributes:
@@ -44,7 +44,7 @@
         positions: Run and position followed at each other control host.
         directly: Time of the last announcement to this host, by name, for
             those that the other hosts have not heard of.
-        heard_s: Time of the last `Heard` message, in seconds.
+        heard_s: Time of the last `AnnouncementAges` message, in seconds.
         asked_s: Time of the last questions, in seconds.
         ticked_s: Time of the last tick, in seconds.
         saved: Position that was saved last.
@@ -69,7 +69,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        registry: table.Registry,
+        registry: target_registry.TargetRegistry,
         publisher: publishers.Publisher,
         contacts: contacts_lib.Contacts,
         targets: bytes | None,
@@ -104,7 +104,7 @@
             outside.AnnounceTarget: self.handle_announce,
             outside.WithdrawTarget: self.handle_withdraw,
             sync.SyncUpdate: self.handle_update,
-            sync.Heard: self.handle_heard,
+            sync.AnnouncementAges: self.handle_heard,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -142,7 +142,7 @@
         found.append(effects.Respond(event.request_id, noted))
         return found
 
-    def _home_of(self, target: announced.Target) -> str:
+    def _home_of(self, target: target_announcement.Announcement) -> str:
         """Returns the address of a control host of the target's domain."""
         if target.domain == self.context.host.domain:
             return self.context.host.control.address
@@ -212,7 +212,7 @@
             for name, at_s in self.directly.items()
         }
         self.directly.clear()
-        message = sync.Heard(ages_ms)
+        message = sync.AnnouncementAges(ages_ms)
         return [
             effects.SendMessage(peer, message)
             for peer in self.contacts.others()
@@ -249,7 +249,7 @@
             *self.publisher.push(event.now_s),
         ]
 
-    def _age_s(self, known: announced.Known) -> float:
+    def _age_s(self, known: target_announcement.KnownTarget) -> float:
         """Returns the age to assume of what another control host tells."""
         return 2 * self.registry.patience_s if known.is_overdue else 0.0
 
@@ -258,7 +258,7 @@
     ) -> list[effects.Effect]:
         """Takes note of whom another control host heard."""
         message = event.message
-        assert isinstance(message, sync.Heard)
+        assert isinstance(message, sync.AnnouncementAges)
         is_changed = False
         for name, age_ms in message.ages_ms.items():
             is_changed |= self.registry.hear(
@@ -266,7 +266,9 @@
             )
         return self.publisher.push(event.now_s) if is_changed else []
 
-    def _record(self, now_s: float, target: announced.Target) -> effects.Effect:
+    def _record(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         return self.context.record(
             now_s,
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -9,8 +9,8 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core.internal.documents import machine as machines
-from tamarack_core.internal.registry import history as histories
-from tamarack_core.internal.registry import table
+from tamarack_core.internal.registry import route_history as histories
+from tamarack_core.internal.registry import target_registry
 
 SUBSCRIPTION_S = 3.5
 """Time after its last question for which a host is sent changes."""
@@ -32,7 +32,7 @@
 _RUN_BITS = 48
 
 
-class Follower(msgspec.Struct):
+class Subscriber(msgspec.Struct):
     """A host that asked lately.
 
     Attributes:
@@ -60,7 +60,7 @@
         registry: Announced targets.
         routes: Changes of the document.
         run: Identifier of this life of the process.
-        followers: Hosts that asked lately, by name.
+        subscribers: Hosts that asked lately, by name.
         controls: Live control hosts.
         started_s: Time of the start, in seconds.
         pushed_s: Time of the last push, in seconds.
@@ -70,17 +70,19 @@
     __slots__ = (
         "context",
         "controls",
-        "followers",
         "is_push_due",
         "pushed_s",
         "registry",
         "routes",
         "run",
         "started_s",
+        "subscribers",
     )
 
     def __init__(
-        self, context: context_lib.Context, registry: table.Registry
+        self,
+        context: context_lib.Context,
+        registry: target_registry.TargetRegistry,
     ) -> None:
         """Creates the part.
 
@@ -92,7 +94,7 @@
         self.registry = registry
         self.routes = histories.RouteHistory()
         self.run = f"{context.random.getrandbits(_RUN_BITS):012x}"
-        self.followers: dict[str, Follower] = {}
+        self.subscribers: dict[str, Subscriber] = {}
         self.controls: tuple[peers.Peer, ...] = (context.host,)
         self.started_s = float("inf")
         self.pushed_s = float("-inf")
@@ -117,12 +119,12 @@
         """Answers with what the sender lacks."""
         request = event.message
         assert isinstance(request, sync.SyncRequest)
-        held = self.followers.get(event.sender.host)
+        held = self.subscribers.get(event.sender.host)
         asked_s = float("-inf") if held is None else held.asked_s
         if request.is_first and event.now_s - asked_s < REPEAT_S:
             return []
         is_same_run = request.run == self.run
-        follower = Follower(
+        follower = Subscriber(
             event.sender,
             request.position if is_same_run else 0,
             request.number,
@@ -130,7 +132,7 @@
             event.now_s,
             held.controls if held is not None and is_same_run else (),
         )
-        self.followers[event.sender.host] = follower
+        self.subscribers[event.sender.host] = follower
         found = [self._update(event.now_s, follower)]
         if not is_same_run:
             found.append(
@@ -143,7 +145,7 @@
             )
         return found
 
-    def follow(
+    def publish_documents(
         self, now_s: float, machine: machines.DocumentMachine
     ) -> list[effects.Effect]:
         """Pushes the documents that have come into force.
@@ -158,7 +160,7 @@
         )
         return [record, *self.push(now_s)]
 
-    def put_controls(
+    def set_controls(
         self, now_s: float, controls: tuple[peers.Peer, ...]
     ) -> list[effects.Effect]:
         """Takes the control hosts that are alive, and tells the followers."""
@@ -189,25 +191,25 @@
     def _push(self, now_s: float) -> list[effects.Effect]:
         """Sends the followers what they lack."""
         self.pushed_s = now_s
-        for name, follower in list(self.followers.items()):
+        for name, follower in list(self.subscribers.items()):
             if now_s - follower.asked_s > SUBSCRIPTION_S:
-                del self.followers[name]
+                del self.subscribers[name]
         return [
             self._update(now_s, follower)
-            for follower in self.followers.values()
+            for follower in self.subscribers.values()
             if self._lacks(follower)
         ]
 
-    def entry_followers(self, now_s: float) -> list[peers.Peer]:
+    def entry_subscribers(self, now_s: float) -> list[peers.Peer]:
         """Returns the entry hosts that asked lately."""
         return [
             follower.peer
-            for follower in self.followers.values()
+            for follower in self.subscribers.values()
             if not follower.is_control
             and now_s - follower.asked_s <= SUBSCRIPTION_S
         ]
 
-    def _lacks(self, follower: Follower) -> bool:
+    def _lacks(self, follower: Subscriber) -> bool:
         """Returns whether there is news for a follower."""
         if follower.position < self.registry.position:
             return True
@@ -218,12 +220,12 @@
             or follower.controls != self.controls
         )
 
-    def _update(self, now_s: float, follower: Follower) -> effects.Effect:
+    def _update(self, now_s: float, follower: Subscriber) -> effects.Effect:
         """Returns the message that brings a follower up to date."""
         base = follower.position
         document = None
         if not follower.is_control:
-            document = self.routes.newer_than(follower.number)
+            document = self.routes.changes_since(follower.number)
         is_told = follower.is_control or follower.controls == self.controls
         follower.position = self.registry.position
         follower.number = max(follower.number, self.routes.document.number)
@@ -233,7 +235,7 @@
             base=base,
             position=self.registry.position,
             is_settled=self._is_settled(now_s),
-            targets=self.registry.since(base),
+            targets=self.registry.changes_since(base),
             controls=() if is_told else self.controls,
             document=document,
         )
--- a/packages/core/src/tamarack_core/internal/registry/history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -36,7 +36,7 @@
         self.document = document
         self._forget_removed(after)
 
-    def jump(self, document: documents.Document) -> None:
+    def reset_to(self, document: documents.Document) -> None:
         """Takes a document after others that nobody here has seen.
 
         A route may have come and gone in between; whoever holds an earlier
@@ -61,7 +61,7 @@
             self.horizon = max(self.horizon, number)
             del self.changed_at[place]
 
-    def newer_than(self, number: int) -> sync.DocumentUpdate | None:
+    def changes_since(self, number: int) -> sync.DocumentUpdate | None:
         """Returns what a host with document `number` lacks, or None."""
         document = self.document
         if number >= document.number:
--- a/packages/core/src/tamarack_core/internal/registry/doubting.py
+++ b/packages/core/src/tamarack_core/internal/registry/suspicion_relay.py
@@ -17,7 +17,7 @@
 out by themselves do so within it."""
 
 
-class Doubting:
+class SuspicionRelay:
     """Part of a control host that passes doubts on.
 
     Attributes:
@@ -43,20 +43,20 @@
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
-        return {sync.Doubt: self.handle_doubt}
+        return {sync.SuspectTargets: self.handle_suspects}
 
-    def handle_doubt(
+    def handle_suspects(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
         """Tells followers and, unless one of them says it, control hosts."""
         message = event.message
-        assert isinstance(message, sync.Doubt)
+        assert isinstance(message, sync.SuspectTargets)
         news = self._news(event.now_s, message.targets)
         if not news:
             return []
-        doubt = sync.Doubt(news)
+        doubt = sync.SuspectTargets(news)
         controls = {peer.host for peer in self.publisher.controls}
-        receivers = self.publisher.entry_followers(event.now_s)
+        receivers = self.publisher.entry_subscribers(event.now_s)
         if event.sender.host not in controls:
             receivers += [
                 peer
--- a/packages/core/src/tamarack_core/internal/registry/table.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from tamarack_core import announced
 from tamarack_core import failure
+from tamarack_core import target_announcement
 
 MISSED_ANNOUNCEMENTS = 2.2
 """Intervals without an announcement after which a target is overdue; one may
@@ -14,7 +14,7 @@
 LATENESS_S = 0.2
 """Time that an announcement may be late besides, in seconds."""
 
-FORGET_S = 120.0
+GONE_RETENTION_S = 120.0
 """Time after which a target that is gone is forgotten, in seconds."""
 
 ABANDON_S = 60.0
@@ -24,7 +24,7 @@
 """Sequence of the end of a target, later than all its announcements."""
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[announced.Target])
+_decoder = msgspec.msgpack.Decoder(list[target_announcement.Announcement])
 
 
 class Record(msgspec.Struct):
@@ -38,13 +38,13 @@
         is_overdue: Whether its announcements are missed.
     """
 
-    target: announced.Target
+    target: target_announcement.Announcement
     heard_s: float
     changed_at: int
     is_overdue: bool = False
 
 
-class Registry:
+class TargetRegistry:
     """Targets by name; every change has a position.
 
     Attributes:
@@ -69,7 +69,7 @@
     def put(
         self,
         now_s: float,
-        target: announced.Target,
+        target: target_announcement.Announcement,
         age_s: float = 0.0,
     ) -> bool:
         """Takes an announcement unless a newer one is held.
@@ -85,7 +85,7 @@
         held = self.records.get(target.name)
         if held is not None and not _may_follow(held.target, target):
             return False
-        if target.phase is not announced.Phase.GONE:
+        if target.phase is not target_announcement.Phase.GONE:
             if self._is_superseded(target):
                 return False
             self._take_endpoint(now_s, target)
@@ -122,8 +122,8 @@
         is_changed = False
         for record in list(self.records.values()):
             silent_s = now_s - record.heard_s
-            if record.target.phase is announced.Phase.GONE:
-                if silent_s > FORGET_S:
+            if record.target.phase is target_announcement.Phase.GONE:
+                if silent_s > GONE_RETENTION_S:
                     self._forget(record)
             elif silent_s > ABANDON_S:
                 is_changed |= self._end(now_s, record)
@@ -136,14 +136,16 @@
         for record in self.records.values():
             record.heard_s = max(record.heard_s, now_s)
 
-    def since(self, position: int) -> tuple[announced.Known, ...]:
+    def changes_since(
+        self, position: int
+    ) -> tuple[target_announcement.KnownTarget, ...]:
         """Returns the targets that changed after a position."""
         newest_first = itertools.takewhile(
             lambda record: record.changed_at > position,
             reversed(self.records.values()),
         )
         return tuple(
-            announced.Known(record.target, record.is_overdue)
+            target_announcement.KnownTarget(record.target, record.is_overdue)
             for record in reversed(list(newest_first))
         )
 
@@ -158,7 +160,7 @@
             [
                 record.target
                 for record in self.records.values()
-                if record.target.phase is not announced.Phase.GONE
+                if record.target.phase is not target_announcement.Phase.GONE
             ]
         )
 
@@ -198,16 +200,18 @@
         self.records.pop(record.target.name, None)
         self.records[record.target.name] = record
 
-    def _is_superseded(self, target: announced.Target) -> bool:
+    def _is_superseded(self, target: target_announcement.Announcement) -> bool:
         """Returns whether a target born later has the address."""
         name = self._by_endpoint.get(_place(target))
         if name is None or name == target.name:
             return False
         holder = self.records[name].target
-        is_gone = holder.phase is announced.Phase.GONE
+        is_gone = holder.phase is target_announcement.Phase.GONE
         return not is_gone and holder.born_ms > target.born_ms
 
-    def _take_endpoint(self, now_s: float, target: announced.Target) -> None:
+    def _take_endpoint(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> None:
         """Ends the target that had the address before."""
         place = _place(target)
         name = self._by_endpoint.get(place)
@@ -216,10 +220,12 @@
         self._by_endpoint[place] = target.name
 
     def _end(self, now_s: float, record: Record) -> bool:
-        if record.target.phase is announced.Phase.GONE:
+        if record.target.phase is target_announcement.Phase.GONE:
             return False
         record.target = msgspec.structs.replace(
-            record.target, phase=announced.Phase.GONE, sequence=GONE_SEQUENCE
+            record.target,
+            phase=target_announcement.Phase.GONE,
+            sequence=GONE_SEQUENCE,
         )
         record.heard_s = now_s
         record.is_overdue = False
@@ -233,18 +239,21 @@
             del self._by_endpoint[_place(target)]
 
 
-def _place(target: announced.Target) -> tuple[str, int]:
+def _place(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
 
-def _may_follow(held: announced.Target, target: announced.Target) -> bool:
+def _may_follow(
+    held: target_announcement.Announcement,
+    target: target_announcement.Announcement,
+) -> bool:
     """Returns whether an announcement is not older than the one held."""
-    if held.phase is announced.Phase.GONE:
+    if held.phase is target_announcement.Phase.GONE:
         return target.born_ms > held.born_ms
     return target.order >= held.order
 
 
-def _differs(held: Record, target: announced.Target) -> bool:
+def _differs(held: Record, target: target_announcement.Announcement) -> bool:
     """Returns whether an announcement says more than that a target lives."""
     ignored = {"sequence": 0, "cold_ms": 0}
     return msgspec.structs.replace(
--- a/packages/core/src/tamarack_core/outside.py
+++ b/packages/core/src/tamarack_core/outside.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from tamarack_core import announced
 from tamarack_core import documents
 from tamarack_core import peers
+from tamarack_core import target_announcement
 
 
 class PublishDocument(msgspec.Struct, frozen=True, tag="publish-document"):
@@ -32,7 +32,7 @@
         target: What it says of itself.
     """
 
-    target: announced.Target
+    target: target_announcement.Announcement
 
 
 class WithdrawTarget(msgspec.Struct, frozen=True, tag="withdraw-target"):
--- a/packages/core/src/tamarack_core/signing.py
+++ b/packages/core/src/tamarack_core/signing.py
@@ -61,7 +61,7 @@
         self.secrets = secrets
 
 
-class Window:
+class ReplayWindow:
     """Counters of one sender that were seen.
 
     Attributes:
@@ -119,7 +119,7 @@
         self.keyring = keyring
         self.boot = f"{generator.getrandbits(BOOT_BITS):016x}"
         self.counter = 0
-        self.windows: dict[str, Window] = {}
+        self.windows: dict[str, ReplayWindow] = {}
 
     def sign(self, receiver: str, body: bytes, wall_ms: int) -> bytes:
         """Returns the signed form of a message.
@@ -161,9 +161,9 @@
             return failure.Failure("message-replayed")
         return body
 
-    def _window(self, boot: str) -> Window:
+    def _window(self, boot: str) -> ReplayWindow:
         """Returns the window of a sender; forgets the least recent ones."""
-        window = self.windows.pop(boot, None) or Window()
+        window = self.windows.pop(boot, None) or ReplayWindow()
         self.windows[boot] = window
         if len(self.windows) > MAX_SENDERS:
             del self.windows[next(iter(self.windows))]
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from tamarack_core import announced
 from tamarack_core import documents
 from tamarack_core import peers
+from tamarack_core import target_announcement
 
 
 class SyncRequest(msgspec.Struct, frozen=True, tag="sync-request"):
@@ -78,12 +78,12 @@
     base: int
     position: int
     is_settled: bool
-    targets: tuple[announced.Known, ...] = ()
+    targets: tuple[target_announcement.KnownTarget, ...] = ()
     controls: tuple[peers.Peer, ...] = ()
     document: DocumentUpdate | None = None
 
 
-class Heard(msgspec.Struct, frozen=True, tag="heard"):
+class AnnouncementAges(msgspec.Struct, frozen=True, tag="heard"):
     """A control host tells the others whose announcements reached it.
 
     Attributes:
@@ -93,7 +93,7 @@
     ages_ms: dict[str, int]
 
 
-class Doubt(msgspec.Struct, frozen=True, tag="doubt"):
+class SuspectTargets(msgspec.Struct, frozen=True, tag="doubt"):
     """Targets that a host found dead, for others to ask themselves.
 
     Attributes:
@@ -115,4 +115,6 @@
     known: tuple[peers.Peer, ...] = ()
 
 
-Message = SyncRequest | SyncUpdate | Heard | Doubt | ControlHello
+Message = (
+    SyncRequest | SyncUpdate | AnnouncementAges | SuspectTargets | ControlHello
+)
--- a/packages/core/src/tamarack_core/announced.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -15,7 +15,7 @@
     GONE = 2
 
 
-class Target(msgspec.Struct, frozen=True, array_like=True):
+class Announcement(msgspec.Struct, frozen=True, array_like=True):
     """One announcement of a target.
 
     A target that starts again under its name has a later birth, and nothing
@@ -50,7 +50,7 @@
         return (self.born_ms, self.sequence)
 
 
-class Known(msgspec.Struct, frozen=True, array_like=True):
+class KnownTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target as a control host sees it.
 
     Attributes:
@@ -58,5 +58,5 @@
         is_overdue: Whether no control host has heard of it for too long.
     """
 
-    target: Target
+    target: Announcement
     is_overdue: bool = False
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -79,8 +79,8 @@
 
     __slots__ = (
         "_flush_scheduled",
-        "_joiner",
-        "_splitter",
+        "_fragmenter",
+        "_reassembler",
         "_tasks",
         "codec",
         "context",
@@ -119,10 +119,10 @@
         self.sender = sender
         self.codec = codec
         self.outbox: dict[peers.Peer, list[messages.Message]] = {}
-        self._splitter = fragments.Splitter(
+        self._fragmenter = fragments.Fragmenter(
             int.from_bytes(os.urandom(ID_BYTES), "big")
         )
-        self._joiner = fragments.Joiner()
+        self._reassembler = fragments.Reassembler()
         self._flush_scheduled = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -200,7 +200,7 @@
         if data[:1] != _FRAGMENT_START:
             self.handle_bytes(data)
             return
-        joined = self._joiner.join(data)
+        joined = self._reassembler.reassemble(data)
         if joined is not None:
             self.handle_bytes(joined)
 
@@ -228,7 +228,7 @@
             self._send_batch(peer, batch[:middle])
             self._send_batch(peer, batch[middle:])
         elif len(data) <= fragments.MAX_BYTES:
-            for fragment in self._splitter.split(data):
+            for fragment in self._fragmenter.split(data):
                 self._send_datagram(peer, fragment)
         else:
             task = asyncio.get_running_loop().create_task(
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from tamarack_core import announced
 from tamarack_core import cookie_entry
 from tamarack_core import documents
 from tamarack_core import effects
@@ -15,7 +14,8 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
-from tamarack_core.internal.cookie import tags
+from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import target_table
 
 SERVICE_ADDRESS = "198.18.0.1"
 SERVICE_PORT = 443
@@ -88,13 +88,13 @@
     service: str = "web",
     born_ms: int = 1000,
     sequence: int = 1,
-    phase: announced.Phase = announced.Phase.READY,
+    phase: target_announcement.Phase = target_announcement.Phase.READY,
     cold_ms: int = 0,
     port: int = 80,
     slots: int = 2,
-) -> announced.Target:
+) -> target_announcement.Announcement:
     """Returns an announcement."""
-    return announced.Target(
+    return target_announcement.Announcement(
         name=name,
         born_ms=born_ms,
         sequence=sequence,
@@ -202,7 +202,8 @@
 
     def update(
         self,
-        *known: announced.Known | announced.Target,
+        *known: target_announcement.KnownTarget
+        | target_announcement.Announcement,
         sender: peers.Peer | None = None,
         run: str = "run",
         base: int = 0,
@@ -219,8 +220,8 @@
             is_settled=is_settled,
             targets=tuple(
                 item
-                if isinstance(item, announced.Known)
-                else announced.Known(item)
+                if isinstance(item, target_announcement.KnownTarget)
+                else target_announcement.KnownTarget(item)
                 for item in known
             ),
             controls=controls,
@@ -261,7 +262,7 @@
         left = self.packet(
             packet(
                 number,
-                cookie=tags.tag_of(name),
+                cookie=target_table.tag_of(name),
                 acknowledged=acknowledged,
                 sequence=sequence,
                 payload_bytes=payload_bytes,
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from tamarack_core import announced
 from tamarack_core import outside
 from tamarack_core import refusal
+from tamarack_core import target_announcement
 from tests import group_network
 
 
@@ -284,15 +284,19 @@
         network = started()
         self.announce(network, "c1")
         network.run(1.0)
-        self.announce(network, "c2", sequence=2, phase=announced.Phase.DRAINING)
+        self.announce(
+            network, "c2", sequence=2, phase=target_announcement.Phase.DRAINING
+        )
         network.run(0.05)
         for host in network.peers:
             phase = self.known_at(network, host, "t-1").phase
-            self.assertEqual(announced.Phase.DRAINING, phase)
+            self.assertEqual(target_announcement.Phase.DRAINING, phase)
 
     def test_a_late_announcement_changes_nothing(self):
         network = started()
-        self.announce(network, "c1", sequence=5, phase=announced.Phase.DRAINING)
+        self.announce(
+            network, "c1", sequence=5, phase=target_announcement.Phase.DRAINING
+        )
         network.run(1.0)
         self.announce(network, "c2", sequence=4)
         network.run(1.0)
@@ -302,7 +306,7 @@
     def test_a_birth_makes_all_earlier_things_void(self):
         network = started()
         self.announce(
-            network, "c1", sequence=90, phase=announced.Phase.DRAINING
+            network, "c1", sequence=90, phase=target_announcement.Phase.DRAINING
         )
         network.run(1.0)
         self.announce(network, "c1", sequence=1, born_ms=2000)
@@ -320,7 +324,7 @@
         network.run(1.0)
         for host in network.peers:
             phase = self.known_at(network, host, "t-1").phase
-            self.assertEqual(announced.Phase.GONE, phase)
+            self.assertEqual(target_announcement.Phase.GONE, phase)
 
     def test_a_silent_target_is_overdue_and_returns(self):
         network = started()
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -7,9 +7,9 @@
 import testtools
 from testtools import matchers
 
-from tamarack_core import announced
 from tamarack_core import events
-from tamarack_core.internal.cookie import tags
+from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import target_table
 from tests import cookie_host
 
 SAME_TAG = ("i-69d19deb1c", "i-ff81d0f447")
@@ -33,7 +33,7 @@
         self.assertEqual("t-2", host.carry(7, "t-2", payload_bytes=10))
         self.assertEqual({"t-1"}, {host.open(n) for n in range(20, 30)})
         host.update(
-            announced.Known(cookie_host.target("t-2", port=81)),
+            target_announcement.KnownTarget(cookie_host.target("t-2", port=81)),
             sender=woken,
             run="other",
             base=1,
@@ -239,28 +239,34 @@
         return set(table.by_service.get(service, {}))
 
     def test_a_target_that_changes_its_service_leaves_the_other(self):
-        table = tags.TargetTable()
-        table.put(1.0, announced.Known(cookie_host.target("t-1")))
+        table = target_table.TargetTable()
+        table.put(
+            1.0, target_announcement.KnownTarget(cookie_host.target("t-1"))
+        )
         moved = cookie_host.target("t-1", service="files", born_ms=2000)
-        table.put(2.0, announced.Known(moved))
+        table.put(2.0, target_announcement.KnownTarget(moved))
         self.assertEqual(set(), self.names(table))
         self.assertEqual({"t-1"}, self.names(table, "files"))
 
     def test_of_two_targets_with_one_tag_the_older_takes_flows(self):
-        table = tags.TargetTable()
+        table = target_table.TargetTable()
         first, second = SAME_TAG
-        self.assertEqual(tags.tag_of(first), tags.tag_of(second))
+        self.assertEqual(
+            target_table.tag_of(first), target_table.tag_of(second)
+        )
         for born_ms, name in ((2000, second), (1000, first)):
             target = cookie_host.target(name, born_ms=born_ms)
-            table.put(1.0, announced.Known(target))
+            table.put(1.0, target_announcement.KnownTarget(target))
         self.assertEqual({first}, self.names(table))
 
     def test_a_service_of_many_targets_is_learned_in_one_pass(self):
         # An entry host learns all targets at once when it starts.
         def cost(count):
-            table = tags.TargetTable()
+            table = target_table.TargetTable()
             known = [
-                announced.Known(cookie_host.target(f"t-{n}", port=n))
+                target_announcement.KnownTarget(
+                    cookie_host.target(f"t-{n}", port=n)
+                )
                 for n in range(1, count)
             ]
             began_s = time.process_time()
@@ -293,16 +299,16 @@
                 name,
                 port=100 + life,
                 sequence=9,
-                phase=announced.Phase.GONE,
+                phase=target_announcement.Phase.GONE,
             )
             host.update(gone, base=position + 1, position=position + 2)
             host.tick(1.0)
-        host.tick(tags.FORGET_S + 1.0)
+        host.tick(target_table.GONE_RETENTION_S + 1.0)
         (handler,) = host.node.handlers[events.DatagramArrived]
         path = handler.__self__
         self.assertEqual({}, path.targets.by_name)
-        self.assertEqual({}, path.seen.targets)
-        self.assertEqual({}, path.seen.answered)
+        self.assertEqual({}, path.tracker.targets)
+        self.assertEqual({}, path.tracker.responsive)
 
 
 class ProbeTest(testtools.TestCase):
@@ -441,7 +447,9 @@
     def test_the_flows_of_a_target_that_ended_are_reset_at_once(self):
         host = self.start()
         host.update(
-            cookie_host.target("t-1", sequence=9, phase=announced.Phase.GONE),
+            cookie_host.target(
+                "t-1", sequence=9, phase=target_announcement.Phase.GONE
+            ),
             base=1,
             position=2,
         )
--- a/tests/cover/test_doubts.py
+++ b/tests/cover/test_doubts.py
@@ -10,9 +10,9 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import sync
-from tamarack_core.internal.registry import doubting
 from tamarack_core.internal.registry import publisher as publishers
-from tamarack_core.internal.registry import table
+from tamarack_core.internal.registry import suspicion_relay
+from tamarack_core.internal.registry import target_registry
 from tests import cookie_host
 
 ENTRY = cookie_host.control("entry-1")
@@ -26,19 +26,21 @@
     def setUp(self):
         super().setUp()
         context = context_lib.Context(OWN, 1)
-        self.publisher = publishers.Publisher(context, table.Registry(1.2))
+        self.publisher = publishers.Publisher(
+            context, target_registry.TargetRegistry(1.2)
+        )
         self.publisher.controls = (OWN, PEER)
         for host, is_control in ((ENTRY, False), (OTHER, False), (PEER, True)):
             request = sync.SyncRequest("", 0, 0, is_control=is_control)
             self.publisher.handle_request(
                 events.MessageArrived(10.0, host, request)
             )
-        self.part = doubting.Doubting(context, self.publisher)
+        self.part = suspicion_relay.SuspicionRelay(context, self.publisher)
 
     def told(self, now_s, sender, *names):
         """Returns who is told of the targets that a host doubts."""
-        found = self.part.handle_doubt(
-            events.MessageArrived(now_s, sender, sync.Doubt(names))
+        found = self.part.handle_suspects(
+            events.MessageArrived(now_s, sender, sync.SuspectTargets(names))
         )
         return [
             (effect.peer.host, effect.message.targets)
@@ -95,14 +97,16 @@
         return [
             (effect.peer.host, effect.message.targets)
             for effect in host.sent
-            if isinstance(effect.message, sync.Doubt)
+            if isinstance(effect.message, sync.SuspectTargets)
         ]
 
     def tell(self, host, *names):
         """Tells the host which targets another one doubts."""
         host.handle(
             events.MessageArrived(
-                host.now_s, cookie_host.control("c1"), sync.Doubt(names)
+                host.now_s,
+                cookie_host.control("c1"),
+                sync.SuspectTargets(names),
             )
         )
 
--- a/tests/cover/test_fragments.py
+++ b/tests/cover/test_fragments.py
@@ -14,7 +14,7 @@
 
     def split(self, size, first=5):
         data = bytes(number % 251 for number in range(size))
-        return data, fragments.Splitter(first).split(data)
+        return data, fragments.Fragmenter(first).split(data)
 
     def test_a_whole_document_of_the_largest_deployment_fits(self):
         data = cookie_entry.MESSAGES.encode(
@@ -33,21 +33,21 @@
         )
         sent = pieces[:-1] + pieces
         order.shuffle(sent)
-        joiner = fragments.Joiner()
-        joined = [found for found in map(joiner.join, sent) if found]
+        reassembler = fragments.Reassembler()
+        joined = [found for found in map(reassembler.reassemble, sent) if found]
         self.assertIn(data, joined)
         self.assertEqual({data}, set(joined))
 
     def test_a_lost_fragment_leaves_nothing_and_bounded_memory(self):
-        joiner = fragments.Joiner()
+        reassembler = fragments.Reassembler()
         for first in range(3 * fragments.MAX_UNFINISHED):
             _, pieces = self.split(5000, first)
             for piece in pieces[1:]:
-                self.assertIsNone(joiner.join(piece))
-        self.assertEqual(fragments.MAX_UNFINISHED, len(joiner.unfinished))
+                self.assertIsNone(reassembler.reassemble(piece))
+        self.assertEqual(fragments.MAX_UNFINISHED, len(reassembler.unfinished))
 
     @hypothesis.given(strategies.binary(max_size=60))
     def test_forged_fragments_raise_nothing(self, data):
-        joiner = fragments.Joiner()
-        joiner.join(bytes([fragments.MARKER]) + data)
-        joiner.join(data)
+        reassembler = fragments.Reassembler()
+        reassembler.reassemble(bytes([fragments.MARKER]) + data)
+        reassembler.reassemble(data)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -8,12 +8,12 @@
 import testtools
 from testtools import matchers
 
-from tamarack_core import announced
 from tamarack_core import documents as core_documents
 from tamarack_core import failure
 from tamarack_core import flow_packets
 from tamarack_core import outside
 from tamarack_core import peers
+from tamarack_core import target_announcement
 from tamarack_node import light
 from tamarack_platform import dialect
 from tamarack_platform import documents
@@ -302,7 +302,7 @@
     def test_a_heartbeat_becomes_an_announcement(self):
         target = self.announce(HEARTBEAT).target
         self.assertEqual((1700000000000, 4), target.order)
-        self.assertEqual(announced.Phase.READY, target.phase)
+        self.assertEqual(target_announcement.Phase.READY, target.phase)
         self.assertEqual(peers.Endpoint("10.128.0.9", 8080), target.endpoint)
 
     def test_what_another_writer_sends_names_no_target(self):
--- a/tests/cover/test_publishing_load.py
+++ b/tests/cover/test_publishing_load.py
@@ -7,7 +7,7 @@
 from tamarack_core import events
 from tamarack_core import sync
 from tamarack_core.internal.registry import publisher as publishers
-from tamarack_core.internal.registry import table
+from tamarack_core.internal.registry import target_registry
 from tests import cookie_host
 
 FOLLOWERS = 60
@@ -20,7 +20,7 @@
     def setUp(self):
         super().setUp()
         self.now_s = 10.0
-        self.registry = table.Registry(1.2)
+        self.registry = target_registry.TargetRegistry(1.2)
         context = context_lib.Context(OWN, 1)
         self.publisher = publishers.Publisher(context, self.registry)
         for number in range(FOLLOWERS):
@@ -86,7 +86,7 @@
         self.registry.put(self.now_s, cookie_host.target("t-new", port=9999))
         looked = CountingDict(self.registry.records)
         self.registry.records = looked
-        found = self.registry.since(position)
+        found = self.registry.changes_since(position)
         self.assertEqual(["t-new"], [known.target.name for known in found])
         self.assertLess(looked.seen, 5)
 
@@ -103,7 +103,7 @@
                 for record in self.registry.records.values()
                 if record.changed_at > position
             }
-            found = self.registry.since(position)
+            found = self.registry.changes_since(position)
             self.assertEqual(expected, {known.target.name for known in found})
 
 
--- a/tests/cover/test_route_history.py
+++ b/tests/cover/test_route_history.py
@@ -7,13 +7,13 @@
 from tamarack_core import documents
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.documents import machine as machines
-from tamarack_core.internal.registry import history as histories
+from tamarack_core.internal.registry import route_history as histories
 from tests import group_network
 
 
 def places(table):
     """Returns the ports of the routes that an entry host knows."""
-    return {place[1] for place in table.by_place}
+    return {place[1] for place in table.by_endpoint}
 
 
 class RouteHistoryTest(testtools.TestCase):
@@ -25,14 +25,14 @@
         stays = group_network.route("stays", 443)
         history = histories.RouteHistory()
         history.put(group_network.document(4, stays))
-        history.jump(group_network.document(25, stays))
+        history.reset_to(group_network.document(25, stays))
         table = routes_lib.RouteTable()
         passing = group_network.route("passing", 80)
         other = histories.RouteHistory()
         other.put(group_network.document(13, stays, passing))
-        table.put(other.newer_than(0))
+        table.put(other.changes_since(0))
         self.assertEqual({80, 443}, places(table))
-        table.put(history.newer_than(13))
+        table.put(history.changes_since(13))
         self.assertEqual(25, table.number)
         self.assertEqual({443}, places(table))
 
@@ -73,8 +73,8 @@
         holder = histories.RouteHistory()
         if held:
             holder.put(versions[held - 1])
-            table.put(holder.newer_than(0))
-        update = history.newer_than(table.number)
+            table.put(holder.changes_since(0))
+        update = history.changes_since(table.number)
         if update is not None:
             table.put(update)
         newest = max(history.document.number, held)
--- a/tests/cover/test_signing.py
+++ b/tests/cover/test_signing.py
@@ -84,7 +84,7 @@
     @hypothesis.given(strategies.lists(strategies.integers(1, 3000)))
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
     def test_no_counter_passes_twice(self, counters):
-        window = signing.Window()
+        window = signing.ReplayWindow()
         seen = set()
         for counter in counters:
             is_recent = counter > max(seen, default=0) - 1024
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from tamarack_core import announced
 from tamarack_core import document_control
 from tamarack_core import documents
 from tamarack_core import effects
@@ -12,6 +11,7 @@
 from tamarack_core import events
 from tamarack_core import outside
 from tamarack_core import peers
+from tamarack_core import target_announcement
 from tamarack_core import timeline
 from tamarack_core.storage import disk as disks
 from tests import fake_hosts
@@ -58,7 +58,7 @@
 
 def target(name, **changes):
     """Returns an announcement."""
-    known = announced.Target(
+    known = target_announcement.Announcement(
         name=name,
         born_ms=1000,
         sequence=1,
@@ -66,7 +66,7 @@
         endpoint=peers.Endpoint("10.9.0.1", 80),
         domain="zone-1",
         slots=2,
-        phase=announced.Phase.READY,
+        phase=target_announcement.Phase.READY,
     )
     return msgspec.structs.replace(known, **changes)
 
--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -8,17 +8,17 @@
 import time
 import tracemalloc
 
-from tamarack_core import announced
 from tamarack_core import cookie_entry
 from tamarack_core import envelopes
 from tamarack_core import peers
 from tamarack_core import sync
+from tamarack_core import target_announcement
 from tamarack_core import timeline
-from tamarack_core.internal.cookie import choosing
-from tamarack_core.internal.cookie import probing
+from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import routes
-from tamarack_core.internal.cookie import tags
-from tamarack_core.internal.cookie import watching
+from tamarack_core.internal.cookie import target_choice
+from tamarack_core.internal.cookie import target_probes
+from tamarack_core.internal.cookie import target_table
 from tests import cookie_host
 from tests.cover import test_envelopes
 
@@ -32,7 +32,7 @@
 def target(number):
     """Returns an announcement with a name like the platform's."""
     generator = random.Random(number)
-    return announced.Target(
+    return target_announcement.Announcement(
         name=f"i-{generator.getrandbits(40):010x}",
         born_ms=1_786_473_460_000 + number,
         sequence=number % 50,
@@ -42,7 +42,7 @@
         ),
         domain=f"domain-{number % 12}",
         slots=2,
-        phase=announced.Phase.READY,
+        phase=target_announcement.Phase.READY,
     )
 
 
@@ -65,10 +65,12 @@
 
 def print_targets(count):
     """Prints what an entry host spends on so many targets."""
-    known = tuple(announced.Known(target(n)) for n in range(count))
+    known = tuple(
+        target_announcement.KnownTarget(target(n)) for n in range(count)
+    )
 
     def learn():
-        table = tags.TargetTable()
+        table = target_table.TargetTable()
         for item in known:
             table.put(0.0, item)
         return table
@@ -102,15 +104,15 @@
 
 def print_choice(count):
     """Prints how long the choice among so many targets takes."""
-    table = tags.TargetTable()
+    table = target_table.TargetTable()
     for number in range(count):
-        table.put(0.0, announced.Known(target(number * 700)))
+        table.put(0.0, target_announcement.KnownTarget(target(number * 700)))
     candidates = list(table.by_name.values())
-    seen, probes = watching.Watching(), probing.Probing()
+    seen, probes = flow_tracker.FlowTracker(), target_probes.TargetProbes()
     generator = random.Random(1)
     began_s = time.process_time()
     for _ in range(CHOICES):
-        choosing.choose(candidates, seen, probes, 1.0, (), generator)
+        target_choice.choose(candidates, seen, probes, 1.0, (), generator)
     took_s = time.process_time() - began_s
     print(f"choice among {count}: {took_s / CHOICES * 1e6:.0f} us")
 
