--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -10,9 +10,9 @@
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.balancing import ramp
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.targets import table
 
@@ -27,7 +27,10 @@
 flows are all that a service weighs."""
 
 _FAILURES = frozenset(
-    {choosing.Progress.REFUSED_BY_TARGET, choosing.Progress.SILENT}
+    {
+        target_choice.Progress.REFUSED_BY_TARGET,
+        target_choice.Progress.UNRESPONSIVE,
+    }
 )
 
 
@@ -81,29 +84,31 @@
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def choose(
-        self, now_s: float, opening: choosing.Opening
-    ) -> choosing.Choice | choosing.Refusal:
+        self, now_s: float, opening: target_choice.Opening
+    ) -> target_choice.Choice | target_choice.Refusal:
         """Returns the target for a connection, or the refusal of it."""
         port = opening.port
         ready = self.targets.ready(now_s, port.service, len(port.address))
         if not ready:
-            return choosing.Refusal(verdict.not_run(choosing.NO_READY_TARGET))
+            return target_choice.Refusal(
+                verdict.not_run(target_choice.NO_READY_TARGET)
+            )
         room = [target for target in ready if self._has_room(target, port)]
         if not room:
-            return choosing.Refusal(verdict.not_run("connections-full"))
+            return target_choice.Refusal(verdict.not_run("connections-full"))
         eligible = self.health.eligible(now_s, room)
         if self._must_shed(now_s, port, eligible):
-            return choosing.Refusal(verdict.not_run("overload"))
+            return target_choice.Refusal(verdict.not_run("overload"))
         refused = self.gate.admit(now_s, port)
         if refused is not None:
-            return choosing.Refusal(refused)
+            return target_choice.Refusal(refused)
         target = opening.preferred
         if target not in room:
             target = self._pick(now_s, opening, eligible)
         self.book.add(now_s, target, port.settings)
         self.overload.add(port)
         self._budget(port.service).add_opening()
-        return choosing.Choice(target)
+        return target_choice.Choice(target)
 
     def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
         """Returns whether an unanswered opening may go to another target.
@@ -119,29 +124,33 @@
         """Returns the retry budget of a service."""
         return self.budgets.setdefault(service, retry_budget.RetryBudget())
 
-    def observe(self, now_s: float, observation: choosing.Observation) -> None:
+    def observe(
+        self, now_s: float, observation: target_choice.Observation
+    ) -> None:
         """Counts a step in the life of a flow."""
         progress = observation.progress
         target = observation.target
         settings = observation.port.settings
-        if progress is choosing.Progress.OPENED:
+        if progress is target_choice.Progress.OPENED:
             self.book.take_over(target, settings)
             self.overload.add(observation.port)
             self.gate.add(observation.port)
-        elif progress is choosing.Progress.ESTABLISHED:
+        elif progress is target_choice.Progress.ESTABLISHED:
             if self.health.answer(now_s, target, observation.elapsed_s):
                 self.ramp.restart(now_s, target)
-        elif progress is choosing.Progress.REPLIED:
+        elif progress is target_choice.Progress.REPLIED:
             self._answer(now_s, observation)
         if progress in _FAILURES and self._is_fault(now_s, target):
             self.health.fail(now_s, target)
-        if progress in choosing.ENDS:
-            answered = progress is choosing.Progress.CLOSED
+        if progress in target_choice.FINAL_PROGRESS:
+            answered = progress is target_choice.Progress.CLOSED
             self.book.remove(target, observation.port, answered)
             self.overload.remove(observation.port)
             self.gate.remove(observation.port)
 
-    def _answer(self, now_s: float, observation: choosing.Observation) -> None:
+    def _answer(
+        self, now_s: float, observation: target_choice.Observation
+    ) -> None:
         """Counts the first reply on a connection."""
         port = observation.port
         targets = self.targets.ready(now_s, port.service, len(port.address))
@@ -180,7 +189,7 @@
         return held < announcement.connections
 
     def _pick(
-        self, now_s: float, opening: choosing.Opening, targets: list[bytes]
+        self, now_s: float, opening: target_choice.Opening, targets: list[bytes]
     ) -> bytes:
         """Returns a target with little work for its capacity.
 
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -6,17 +6,17 @@
 from tamarack_core import failure
 from tamarack_core import reducer
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import asking
-from tamarack_core.internal.entry import choosing
-from tamarack_core.internal.entry import domain as domain_lib
+from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import flow_maintenance
+from tamarack_core.internal.entry import flow_owner
+from tamarack_core.internal.entry import flow_queries
+from tamarack_core.internal.entry import flow_records
+from tamarack_core.internal.entry import flow_rejection
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import owner
-from tamarack_core.internal.entry import passage as passage_lib
-from tamarack_core.internal.entry import records
-from tamarack_core.internal.entry import refusing
-from tamarack_core.internal.entry import silence
-from tamarack_core.internal.entry import steering
-from tamarack_core.internal.entry import upkeep
+from tamarack_core.internal.entry import packet_router
+from tamarack_core.internal.entry import stalled_flows
+from tamarack_core.internal.entry import target_choice
+from tamarack_core.internal.entry import transit_packet as passage_lib
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.messages import flows
 from tamarack_core.packets import geneve
@@ -35,7 +35,7 @@
         records: The flow table.
         refusing: Drops and resets.
         silence: Finds flows that have gone silent.
-        steering: Handles what the fast path does not.
+        router: Handles what the fast path does not.
         upkeep: Expires, takes over and repairs flows.
     """
 
@@ -44,8 +44,8 @@
         "holder",
         "records",
         "refusing",
+        "router",
         "silence",
-        "steering",
         "upkeep",
     )
 
@@ -53,7 +53,7 @@
         self,
         context: context_lib.Context,
         configuration_holder: holder.Holder,
-        chooser: choosing.Chooser,
+        chooser: target_choice.Chooser,
         membership_of_host: membership_part.Membership,
     ) -> None:
         """Creates the part.
@@ -66,21 +66,23 @@
         """
         self.context = context
         self.holder = configuration_holder
-        self.records = records.Records(context, chooser)
-        self.refusing = refusing.Refusing(context)
-        domain = domain_lib.Domain(context, membership_of_host)
-        questions = asking.Asking(context, membership_of_host)
-        self.steering = steering.Steering(
-            domain,
+        self.records = flow_records.FlowRecords(context, chooser)
+        self.refusing = flow_rejection.FlowRejector(context)
+        entry_hosts = domain_lib.EntryHosts(context, membership_of_host)
+        questions = flow_queries.FlowQueries(context, membership_of_host)
+        self.router = packet_router.PacketRouter(
+            entry_hosts,
             self.records,
-            owner.Owner(domain, self.records, questions, self.refusing),
+            flow_owner.FlowOwner(
+                entry_hosts, self.records, questions, self.refusing
+            ),
             self.refusing,
         )
-        self.silence = silence.Silence(
-            domain, self.records, self.refusing, self.steering
+        self.silence = stalled_flows.StalledFlowDetector(
+            entry_hosts, self.records, self.refusing, self.router
         )
-        self.upkeep = upkeep.Upkeep(
-            domain, self.records, questions, configuration_holder
+        self.upkeep = flow_maintenance.FlowMaintenance(
+            entry_hosts, self.records, questions, configuration_holder
         )
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -88,12 +90,12 @@
         return {
             events.DatagramArrived: self.handle_datagram,
             events.Started: self.upkeep.handle_started,
-            upkeep.TIMER: self.upkeep.handle_timer,
+            flow_maintenance.TIMER: self.upkeep.handle_timer,
             flows.FlowCopies: self.upkeep.handle_copies,
             flows.FlowQuery: self.upkeep.handle_query,
-            flows.FlowAnswer: self.upkeep.handle_answer,
-            flows.SilenceQuestion: self.silence.handle_question,
-            flows.SilenceAnswer: self.silence.handle_answer,
+            flows.FlowResponse: self.upkeep.handle_answer,
+            flows.StalledFlowQuery: self.silence.handle_question,
+            flows.StalledFlowResponse: self.silence.handle_answer,
         }
 
     def handle_datagram(
@@ -206,6 +208,6 @@
         word: int,
     ) -> list[effects.Effect]:
         """Carries a packet that needs care."""
-        return self.steering.handle(
-            passage_lib.Passage(now_s, packet, form, port, key, word)
+        return self.router.handle(
+            passage_lib.TransitPacket(now_s, packet, form, port, key, word)
         )
--- a/packages/core/src/tamarack_core/internal/entry/domain.py
+++ b/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
@@ -4,7 +4,7 @@
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.flows import hops
+from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.internal.membership import view
@@ -18,7 +18,7 @@
 WARMING_S = 8.0
 
 
-class Domain:
+class EntryHosts:
     """Owners and backups by the newest view of the members.
 
     Attributes:
@@ -58,7 +58,7 @@
         self.membership = membership_of_host
         self.ownership = ownership.Ownership()
         self.endpoints: dict[int, peers.Endpoint] = {}
-        self.tag = hops.tag(context.host)
+        self.tag = hop_option.tag(context.host)
         self.epoch = 0
         self.changed_s = 0.0
         self.settled_s = 0.0
@@ -82,7 +82,7 @@
             self.settled_s = now_s + PARTITION_PATIENCE_S
         self.ownership.set_members(members)
         self.endpoints = {
-            hops.tag(member.peer): member.peer.data
+            hop_option.tag(member.peer): member.peer.data
             for member in current.present(self.context.host.host)
             if member.peer.data is not None
         }
@@ -119,12 +119,12 @@
         """
         return now_s < self.membership.started_s + WARMING_S
 
-    def is_me(self, peer: peers.Peer) -> bool:
+    def is_self(self, peer: peers.Peer) -> bool:
         """Returns whether a peer is this host."""
         return peer.host == self.context.host.host
 
     def hand(
-        self, peer: peers.Peer, packet: bytes, kind: hops.Kind, count: int
+        self, peer: peers.Peer, packet: bytes, kind: hop_option.Kind, count: int
     ) -> list[effects.Effect]:
         """Returns the effect that hands a packet to another host.
 
@@ -134,7 +134,9 @@
             kind: Why it is handed over.
             count: Number of hosts visited, this one included.
         """
-        return self.hand_word(peer, packet, hops.pack(kind, count, self.tag))
+        return self.hand_word(
+            peer, packet, hop_option.pack(kind, count, self.tag)
+        )
 
     def hand_word(
         self, peer: peers.Peer, packet: bytes, word: int
@@ -145,7 +147,7 @@
         return [effects.SendDatagram(peer.data, datagram)]
 
     def hand_back(
-        self, tag: int, packet: bytes, kind: hops.Kind, count: int
+        self, tag: int, packet: bytes, kind: hop_option.Kind, count: int
     ) -> list[effects.Effect]:
         """Returns the effect that hands a packet to the host with a tag.
 
@@ -157,7 +159,7 @@
         """
         self.context.counters["extra-hops"] += 1
         datagram = geneve.encapsulate_hop(
-            packet, hops.pack(kind, count, self.tag)
+            packet, hop_option.pack(kind, count, self.tag)
         )
         return [effects.SendDatagram(self.endpoints[tag], datagram)]
 
--- a/packages/core/src/tamarack_core/internal/entry/upkeep.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -7,11 +7,11 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import asking
-from tamarack_core.internal.entry import choosing
-from tamarack_core.internal.entry import domain as domain_lib
+from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import flow_queries
+from tamarack_core.internal.entry import flow_records as records_lib
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import records as records_lib
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.messages import flows
@@ -54,11 +54,11 @@
     is_replicated: bool
 
 
-class Upkeep:
+class FlowMaintenance:
     """Keeps the flow table in step with time and with the members.
 
     Attributes:
-        domain: The other entry hosts.
+        entry_hosts: The other entry hosts.
         records: The flow table.
         asking: Questions about flows that this host does not know.
         holder: Configuration in force.
@@ -73,7 +73,7 @@
         "_scan_end",
         "additions",
         "asking",
-        "domain",
+        "entry_hosts",
         "holder",
         "records",
         "repairs",
@@ -81,20 +81,20 @@
 
     def __init__(
         self,
-        domain: domain_lib.Domain,
-        records: records_lib.Records,
-        questions: asking.Asking,
+        entry_hosts: domain_lib.EntryHosts,
+        records: records_lib.FlowRecords,
+        questions: flow_queries.FlowQueries,
         configuration_holder: holder.Holder,
     ) -> None:
         """Creates the upkeep of a host.
 
         Args:
-            domain: The other entry hosts.
+            entry_hosts: The other entry hosts.
             records: The flow table.
             questions: Questions about flows that this host does not know.
             configuration_holder: Configuration in force.
         """
-        self.domain = domain
+        self.entry_hosts = entry_hosts
         self.records = records
         self.asking = questions
         self.holder = configuration_holder
@@ -112,10 +112,10 @@
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
         """Looks through a slice of the table and sends repairs."""
         now_s = event.now_s
-        self.domain.refresh(now_s)
+        self.entry_hosts.refresh(now_s)
         found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
-        if self._epoch != self.domain.epoch:
-            self._epoch = self.domain.epoch
+        if self._epoch != self.entry_hosts.epoch:
+            self._epoch = self.entry_hosts.epoch
             self._begin_scan(now_s)
         self._sweep(now_s)
         if now_s >= self._repair_s:
@@ -149,7 +149,7 @@
         table = self.records.table
         slot = self.records.find(event.now_s, message.key)
         target = b"" if slot is None else table.target_of(slot)
-        answer = flows.FlowAnswer(message.key, target)
+        answer = flows.FlowResponse(message.key, target)
         return [effects.SendMessage(event.sender, answer)]
 
     def handle_answer(
@@ -157,7 +157,7 @@
     ) -> list[effects.Effect]:
         """Learns a flow that another host knows."""
         message = event.message
-        assert isinstance(message, flows.FlowAnswer)
+        assert isinstance(message, flows.FlowResponse)
         if self.asking.take_answer(event.sender, message):
             self._take_copy(event.now_s, message.key, message.target, False)
         return []
@@ -174,8 +174,8 @@
         slot = self.records.learn(now_s, key, target)
         if slot is None:
             return
-        order = self.domain.order(port, key)
-        if is_replicated and order and self.domain.is_me(order[0]):
+        order = self.entry_hosts.order(port, key)
+        if is_replicated and order and self.entry_hosts.is_self(order[0]):
             self.records.take_over(now_s, slot, port)
             self.records.table.placed[slot] = placement.pack(order[1:])
         self._place(now_s, slot, key)
@@ -224,9 +224,9 @@
             return False
         if flags & table_lib.OWNED:
             progress = (
-                choosing.Progress.CLOSED
+                target_choice.Progress.CLOSED
                 if flags & table_lib.ESTABLISHED
-                else choosing.Progress.SILENT
+                else target_choice.Progress.UNRESPONSIVE
             )
             self.records.observe(now_s, slot, port, progress)
         table.remove(slot)
@@ -242,10 +242,10 @@
         port = self.holder.lookup.find_key(key)
         if port is None:
             return
-        order = self.domain.order(port, key)
+        order = self.entry_hosts.order(port, key)
         if not order:
             return
-        roles = [self.domain.is_me(peer) for peer in order]
+        roles = [self.entry_hosts.is_self(peer) for peer in order]
         if roles[0]:
             self.records.take_over(now_s, slot, port)
             if placement.missing(table.placed[slot], order[1:]):
@@ -271,7 +271,7 @@
             and len(self.additions) < MAX_ADDITIONS
             and table.flags[slot] & table_lib.ESTABLISHED
             and placement.missing(
-                table.placed[slot], self.domain.order(port, key)[1:]
+                table.placed[slot], self.entry_hosts.order(port, key)[1:]
             )
         ):
             self.additions[key] = None
@@ -308,13 +308,13 @@
         table = self.records.table
         slot = self.records.find(now_s, key)
         port = self.holder.lookup.find_key(key)
-        order = () if port is None else self.domain.order(port, key)
+        order = () if port is None else self.entry_hosts.order(port, key)
         if slot is None or not order or table.flags[slot] & table_lib.CLOSED:
             return []
         service = key[lookup.caller_bytes(key) :]
-        if not self.domain.is_me(order[0]):
+        if not self.entry_hosts.is_self(order[0]):
             others = tuple(
-                peer for peer in order[1:] if not self.domain.is_me(peer)
+                peer for peer in order[1:] if not self.entry_hosts.is_self(peer)
             )
             is_held = not placement.missing(table.placed[slot], others)
             return [Batch(order[0], service, is_held)]
--- a/packages/core/src/tamarack_core/internal/entry/owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -3,13 +3,13 @@
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core import verdict as verdict_lib
-from tamarack_core.internal.entry import asking
-from tamarack_core.internal.entry import choosing
-from tamarack_core.internal.entry import domain as domain_lib
-from tamarack_core.internal.entry import passage as passage_lib
-from tamarack_core.internal.entry import records as records_lib
-from tamarack_core.internal.entry import refusing
-from tamarack_core.internal.flows import hops
+from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import flow_queries
+from tamarack_core.internal.entry import flow_records as records_lib
+from tamarack_core.internal.entry import flow_rejection
+from tamarack_core.internal.entry import target_choice
+from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table as table_lib
@@ -25,40 +25,40 @@
 _COUNT_LIMIT = 255
 
 
-class Owner:
+class FlowOwner:
     """Serves packets of the flows that this host owns.
 
     Attributes:
-        domain: The other entry hosts.
+        entry_hosts: The other entry hosts.
         records: The flow table.
         asking: Questions about flows that this host does not know.
         refusing: Resets to callers.
     """
 
-    __slots__ = ("asking", "domain", "records", "refusing")
+    __slots__ = ("asking", "entry_hosts", "records", "refusing")
 
     def __init__(
         self,
-        domain: domain_lib.Domain,
-        records: records_lib.Records,
-        questions: asking.Asking,
-        refusals: refusing.Refusing,
+        entry_hosts: domain_lib.EntryHosts,
+        records: records_lib.FlowRecords,
+        questions: flow_queries.FlowQueries,
+        refusals: flow_rejection.FlowRejector,
     ) -> None:
         """Creates the owner side of the data path.
 
         Args:
-            domain: The other entry hosts.
+            entry_hosts: The other entry hosts.
             records: The flow table.
             questions: Questions about flows that this host does not know.
             refusals: Resets to callers.
         """
-        self.domain = domain
+        self.entry_hosts = entry_hosts
         self.records = records
         self.asking = questions
         self.refusing = refusals
 
     def serve(
-        self, passage: passage_lib.Passage, tag: int
+        self, passage: passage_lib.TransitPacket, tag: int
     ) -> list[effects.Effect]:
         """Carries a packet of a flow that this host owns.
 
@@ -78,7 +78,7 @@
         return self._route(passage, slot, tag, is_over)
 
     def serve_unknown(
-        self, passage: passage_lib.Passage
+        self, passage: passage_lib.TransitPacket
     ) -> list[effects.Effect]:
         """Carries a packet whose flow no backup knows.
 
@@ -91,13 +91,13 @@
         if not passage.is_tcp() or passage.is_opening():
             return self._choose(passage, b"")
         if self.asking.is_exhausted(passage):
-            if not self.domain.is_settled(passage.now_s):
+            if not self.entry_hosts.is_settled(passage.now_s):
                 return self.refusing.drop("unknown-flow-unsettled")
             return self.refusing.reset_open(passage, "unknown-flow")
         return self.asking.ask(passage)
 
     def _open(
-        self, passage: passage_lib.Passage, slot: int | None
+        self, passage: passage_lib.TransitPacket, slot: int | None
     ) -> list[effects.Effect]:
         """Handles a SYN."""
         if (
@@ -124,22 +124,22 @@
         return self._emit(passage, slot)
 
     def _open_unknown(
-        self, passage: passage_lib.Passage
+        self, passage: passage_lib.TransitPacket
     ) -> list[effects.Effect]:
         """Opens a flow that this host holds no record of.
 
         After a change of owners, the one before may hold a flow with the same
         key, of which other hosts have copies; it is asked first.
         """
-        age_s = passage.now_s - self.domain.changed_s
-        order = self.domain.order(passage.port, passage.key)
+        age_s = passage.now_s - self.entry_hosts.changed_s
+        order = self.entry_hosts.order(passage.port, passage.key)
         if age_s > records_lib.COPY_LIFETIME_S or len(order) < 2:
             return self._choose(passage, b"")
         packet = passage.packet.data
-        return self.domain.hand(order[1], packet, hops.Kind.ASK, 1)
+        return self.entry_hosts.hand(order[1], packet, hop_option.Kind.ASK, 1)
 
     def _reopen(
-        self, passage: passage_lib.Passage, slot: int
+        self, passage: passage_lib.TransitPacket, slot: int
     ) -> list[effects.Effect]:
         """Chooses again for an opening that got no answer.
 
@@ -148,16 +148,21 @@
         if not self.records.chooser.may_retry(passage.now_s, passage.port):
             return self._emit(passage, slot)
         self.records.close(
-            passage.now_s, slot, passage.port, choosing.Progress.SILENT
+            passage.now_s,
+            slot,
+            passage.port,
+            target_choice.Progress.UNRESPONSIVE,
         )
         return self._choose(passage, b"")
 
-    def _is_idle(self, passage: passage_lib.Passage, slot: int) -> bool:
+    def _is_idle(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
         """Returns whether no host has seen a packet of a flow lately."""
         age_s = passage.now_s - self.records.table.seen_s[slot]
         return age_s > 2 * records_lib.COPY_LIFETIME_S
 
-    def _preferred(self, passage: passage_lib.Passage, slot: int) -> bytes:
+    def _preferred(
+        self, passage: passage_lib.TransitPacket, slot: int
+    ) -> bytes:
         """Returns the only target that a reused key may go to.
 
         Packets of the flow that was closed may still arrive, and other hosts
@@ -173,15 +178,15 @@
         return table.target_of(slot)
 
     def _choose(
-        self, passage: passage_lib.Passage, preferred: bytes
+        self, passage: passage_lib.TransitPacket, preferred: bytes
     ) -> list[effects.Effect]:
         """Opens a flow."""
         now_s = passage.now_s
         port = passage.port
         choice = self.records.chooser.choose(
-            now_s, choosing.Opening(passage.key, port, preferred)
+            now_s, target_choice.Opening(passage.key, port, preferred)
         )
-        if isinstance(choice, choosing.Refusal):
+        if isinstance(choice, target_choice.Refusal):
             return self._refuse(passage, choice.verdict)
         if preferred and choice.target != preferred:
             self._forget(passage, choice.target)
@@ -199,41 +204,45 @@
         return self._emit(passage, slot)
 
     def _refuse(
-        self, passage: passage_lib.Passage, verdict: verdict_lib.Verdict
+        self, passage: passage_lib.TransitPacket, verdict: verdict_lib.Verdict
     ) -> list[effects.Effect]:
         """Refuses an opening, unless the caller had better try again.
 
         A host that has just joined may not know the targets yet. It drops the
         opening, so that the caller's TCP sends it again a second later.
         """
-        is_blind = verdict.reason == choosing.NO_READY_TARGET
-        if is_blind and self.domain.is_warming(passage.now_s):
+        is_blind = verdict.reason == target_choice.NO_READY_TARGET
+        if is_blind and self.entry_hosts.is_warming(passage.now_s):
             return self.refusing.drop("warming")
         return self.refusing.refuse(passage, verdict)
 
-    def _forget(self, passage: passage_lib.Passage, target: bytes) -> None:
+    def _forget(
+        self, passage: passage_lib.TransitPacket, target: bytes
+    ) -> None:
         """Takes back an opening that the chooser has counted."""
         self.records.chooser.observe(
             passage.now_s,
-            choosing.Observation(
-                choosing.Progress.CLOSED, target, passage.port, 0.0
+            target_choice.Observation(
+                target_choice.Progress.CLOSED, target, passage.port, 0.0
             ),
         )
 
-    def _miss(self, passage: passage_lib.Passage) -> list[effects.Effect]:
+    def _miss(self, passage: passage_lib.TransitPacket) -> list[effects.Effect]:
         """Handles a packet of a flow that this host does not know."""
         if passage.form is passage_lib.Form.OUTBOUND:
             return self._adopt(passage)
         if passage.packet.flags & ip.TCP_RST:
             return self.refusing.drop("unknown-flow")
-        order = self.domain.order(passage.port, passage.key)
+        order = self.entry_hosts.order(passage.port, passage.key)
         if len(order) > 1:
-            return self.domain.hand(
-                order[1], passage.packet.data, hops.Kind.ASK, 1
+            return self.entry_hosts.hand(
+                order[1], passage.packet.data, hop_option.Kind.ASK, 1
             )
         return self.serve_unknown(passage)
 
-    def _adopt(self, passage: passage_lib.Passage) -> list[effects.Effect]:
+    def _adopt(
+        self, passage: passage_lib.TransitPacket
+    ) -> list[effects.Effect]:
         """Learns a flow from a reply of its target.
 
         Only a reply that opens a flow, or one that comes while owners change,
@@ -242,7 +251,9 @@
         now_s = passage.now_s
         target = passage.target()
         is_over = passage.packet.flags & (ip.TCP_RST | ip.TCP_FIN)
-        is_news = passage.is_acceptance() or not self.domain.is_settled(now_s)
+        is_news = passage.is_acceptance() or not self.entry_hosts.is_settled(
+            now_s
+        )
         slot = None
         if is_news and not is_over:
             slot = self.records.learn(now_s, passage.key, target)
@@ -253,7 +264,7 @@
         self.records.take_over(now_s, slot, passage.port)
         return self._route(passage, slot, 0, False)
 
-    def _is_late(self, passage: passage_lib.Passage, slot: int) -> bool:
+    def _is_late(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
         """Returns whether a reply belongs to an earlier flow."""
         if passage.form is not passage_lib.Form.OUTBOUND:
             return False
@@ -268,7 +279,7 @@
             and initial != passage.acknowledged()
         )
 
-    def _advance(self, passage: passage_lib.Passage, slot: int) -> bool:
+    def _advance(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
         """Follows the life of a flow; returns whether it has just ended."""
         table = self.records.table
         state = table.flags[slot]
@@ -290,11 +301,13 @@
             table.flags[slot] = state
         both = table_lib.TARGET_FIN | table_lib.CALLER_FIN
         if state & both == both:
-            self._close(passage, slot, choosing.Progress.CLOSED)
+            self._close(passage, slot, target_choice.Progress.CLOSED)
             return True
         return False
 
-    def _is_old_reset(self, passage: passage_lib.Passage, slot: int) -> bool:
+    def _is_old_reset(
+        self, passage: passage_lib.TransitPacket, slot: int
+    ) -> bool:
         """Returns whether a caller resets what it held before its opening."""
         table = self.records.table
         if passage.form is passage_lib.Form.OUTBOUND:
@@ -304,47 +317,55 @@
         expected = (table.initial[slot] + 1) & _SEQUENCE_MASK
         return passage.packet.sequence != expected
 
-    def _establish(self, passage: passage_lib.Passage, slot: int) -> int:
+    def _establish(self, passage: passage_lib.TransitPacket, slot: int) -> int:
         """Notes that the target has answered; returns the new flags."""
         table = self.records.table
         table.flags[slot] |= table_lib.ESTABLISHED
         self.records.observe(
-            passage.now_s, slot, passage.port, choosing.Progress.ESTABLISHED
+            passage.now_s,
+            slot,
+            passage.port,
+            target_choice.Progress.ESTABLISHED,
         )
         return table.flags[slot]
 
-    def _note_reply(self, passage: passage_lib.Passage, slot: int) -> int:
+    def _note_reply(self, passage: passage_lib.TransitPacket, slot: int) -> int:
         """Notes the first payload of the target; returns the new flags."""
         table = self.records.table
         if not table.flags[slot] & table_lib.REPLIED:
             table.flags[slot] |= table_lib.REPLIED
             self.records.observe(
-                passage.now_s, slot, passage.port, choosing.Progress.REPLIED
+                passage.now_s,
+                slot,
+                passage.port,
+                target_choice.Progress.REPLIED,
             )
         return table.flags[slot]
 
     def _close(
         self,
-        passage: passage_lib.Passage,
+        passage: passage_lib.TransitPacket,
         slot: int,
-        progress: choosing.Progress,
+        progress: target_choice.Progress,
     ) -> None:
         """Ends a flow."""
         self.records.close(passage.now_s, slot, passage.port, progress)
 
     def _route(
         self,
-        passage: passage_lib.Passage,
+        passage: passage_lib.TransitPacket,
         slot: int,
         tag: int,
         is_over: bool,
     ) -> list[effects.Effect]:
         """Sends a packet on, by way of the hosts that must learn from it."""
         table = self.records.table
-        order = self.domain.order(passage.port, passage.key)
+        order = self.entry_hosts.order(passage.port, passage.key)
         table.seen_s[slot] = int(passage.now_s)
         if is_over:
-            return self._pass_along(passage, slot, order, hops.Kind.CLOSED)
+            return self._pass_along(
+                passage, slot, order, hop_option.Kind.CLOSED
+            )
         if table.flags[slot] & table_lib.CLOSED:
             return self._emit(passage, slot)
         count = self._wanted_backups(passage, slot)
@@ -355,15 +376,21 @@
             if table.flags[slot] & table_lib.ESTABLISHED:
                 table.placed[slot] = placement.pack(backups)
                 table.due_s[slot] = passage.now_s + records_lib.OWNER_CARE_S
-                return self._pass_along(passage, slot, order, hops.Kind.COPY)
+                return self._pass_along(
+                    passage, slot, order, hop_option.Kind.COPY
+                )
         else:
             table.due_s[slot] = passage.now_s + records_lib.OWNER_CARE_S
         if tag and self._is_returned(passage, slot, tag):
             packet = passage.for_host(table.target_of(slot))
-            return self.domain.hand_back(tag, packet, hops.Kind.RETURN, 2)
+            return self.entry_hosts.hand_back(
+                tag, packet, hop_option.Kind.RETURN, 2
+            )
         return self._emit(passage, slot)
 
-    def _wanted_backups(self, passage: passage_lib.Passage, slot: int) -> int:
+    def _wanted_backups(
+        self, passage: passage_lib.TransitPacket, slot: int
+    ) -> int:
         """Returns the number of backups that a flow should have now."""
         age_s = passage.now_s - self.records.table.opened_s[slot]
         if age_s >= records_lib.OWNER_CARE_S:
@@ -371,38 +398,40 @@
         return records_lib.backups_at_opening(passage.port)
 
     def _is_returned(
-        self, passage: passage_lib.Passage, slot: int, tag: int
+        self, passage: passage_lib.TransitPacket, slot: int, tag: int
     ) -> bool:
         """Counts a packet handed over; returns whether it goes back."""
         handed = self.records.table.handed
         handed[slot] = min(handed[slot] + 1, _COUNT_LIMIT)
         return (
             handed[slot] >= RETURN_AFTER_PACKETS
-            and tag in self.domain.endpoints
+            and tag in self.entry_hosts.endpoints
             and not passage.packet.flags & _ENDING
         )
 
     def _pass_along(
         self,
-        passage: passage_lib.Passage,
+        passage: passage_lib.TransitPacket,
         slot: int,
         order: tuple[peers.Peer, ...],
-        kind: hops.Kind,
+        kind: hop_option.Kind,
     ) -> list[effects.Effect]:
         """Sends a packet on by way of the backups."""
         count = self._wanted_backups(passage, slot)
         backups = [
-            peer for peer in order[: count + 1] if not self.domain.is_me(peer)
+            peer
+            for peer in order[: count + 1]
+            if not self.entry_hosts.is_self(peer)
         ]
         if not backups:
             return self._emit(passage, slot)
         packet = passage.for_host(self.records.table.target_of(slot))
         # The tag of a copy is the number of backups that are to have it.
-        word = hops.pack(kind, 1, count)
-        return self.domain.hand_word(backups[0], packet, word)
+        word = hop_option.pack(kind, 1, count)
+        return self.entry_hosts.hand_word(backups[0], packet, word)
 
     def _emit(
-        self, passage: passage_lib.Passage, slot: int
+        self, passage: passage_lib.TransitPacket, slot: int
     ) -> list[effects.Effect]:
         """Sends a packet to the fabric."""
         target = self.records.table.target_of(slot)
@@ -412,10 +441,10 @@
 _ENDING = ip.TCP_FIN | ip.TCP_RST
 
 
-def _reset_progress(is_reply: bool, state: int) -> choosing.Progress:
+def _reset_progress(is_reply: bool, state: int) -> target_choice.Progress:
     """Returns what a reset means for the chooser."""
     if not is_reply:
-        return choosing.Progress.CLOSED
+        return target_choice.Progress.CLOSED
     if state & table_lib.ESTABLISHED:
-        return choosing.Progress.RESET_BY_TARGET
-    return choosing.Progress.REFUSED_BY_TARGET
+        return target_choice.Progress.RESET_BY_TARGET
+    return target_choice.Progress.REFUSED_BY_TARGET
--- a/packages/core/src/tamarack_core/internal/entry/asking.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_queries.py
@@ -3,7 +3,7 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import peers
-from tamarack_core.internal.entry import passage as passage_lib
+from tamarack_core.internal.entry import transit_packet as passage_lib
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.messages import flows
 
@@ -14,7 +14,7 @@
 FORGET_S = 60.0
 
 
-class Question:
+class PendingQuery:
     """A flow that this host asks about.
 
     Attributes:
@@ -30,7 +30,7 @@
         self.asked_s = asked_s
 
 
-class Asking:
+class FlowQueries:
     """Asks the other hosts, within a budget, and remembers the answers.
 
     The packet that raised a question is dropped; its sender repeats it.
@@ -57,11 +57,11 @@
         """
         self.context = context
         self.membership = membership_of_host
-        self.questions: dict[bytes, Question] = {}
+        self.questions: dict[bytes, PendingQuery] = {}
         self._tokens = QUESTIONS_PER_S
         self._tokens_s = 0.0
 
-    def is_exhausted(self, passage: passage_lib.Passage) -> bool:
+    def is_exhausted(self, passage: passage_lib.TransitPacket) -> bool:
         """Returns whether every reachable host has said that it knows not.
 
         A host that left the domain since it was asked need not answer.
@@ -75,7 +75,7 @@
         present = {peer.host for peer in self.membership.others()}
         return present.isdisjoint(question.waiting)
 
-    def ask(self, passage: passage_lib.Passage) -> list[effects.Effect]:
+    def ask(self, passage: passage_lib.TransitPacket) -> list[effects.Effect]:
         """Asks the hosts that have not answered yet.
 
         Args:
@@ -89,7 +89,7 @@
         if not self._take_token(now_s):
             return []
         if question is None:
-            question = Question(self._hosts(), now_s)
+            question = PendingQuery(self._hosts(), now_s)
             self.questions[passage.key] = question
         question.asked_s = now_s
         query = flows.FlowQuery(passage.key)
@@ -98,7 +98,9 @@
             for peer in question.waiting.values()
         ]
 
-    def take_answer(self, sender: peers.Peer, answer: flows.FlowAnswer) -> bool:
+    def take_answer(
+        self, sender: peers.Peer, answer: flows.FlowResponse
+    ) -> bool:
         """Notes an answer; returns whether it was awaited.
 
         Args:
--- a/packages/core/src/tamarack_core/internal/entry/records.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_records.py
@@ -2,8 +2,8 @@
 
 from tamarack_core import configuration
 from tamarack_core import context as context_lib
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.flows import table as table_lib
 
 # A copy at a host that is not the owner needs a word of the owner this often.
@@ -16,7 +16,7 @@
 OWNER_CARE_S = 3.0
 
 
-class Records:
+class FlowRecords:
     """Flow table of this host, kept in step with the chooser.
 
     Attributes:
@@ -28,7 +28,7 @@
     __slots__ = ("chooser", "context", "table")
 
     def __init__(
-        self, context: context_lib.Context, chooser: choosing.Chooser
+        self, context: context_lib.Context, chooser: target_choice.Chooser
     ) -> None:
         """Creates an empty table.
 
@@ -85,12 +85,12 @@
         now_s: float,
         slot: int,
         port: lookup.ServicePort,
-        progress: choosing.Progress,
+        progress: target_choice.Progress,
     ) -> None:
         """Tells the chooser of a step in the life of a flow."""
         self.chooser.observe(
             now_s,
-            choosing.Observation(
+            target_choice.Observation(
                 progress,
                 self.table.target_of(slot),
                 port,
@@ -126,7 +126,7 @@
         self.table.valid_s[slot] = now_s
         self.table.due_s[slot] = now_s
         self.table.placed[slot] = 0
-        self.observe(now_s, slot, port, choosing.Progress.OPENED)
+        self.observe(now_s, slot, port, target_choice.Progress.OPENED)
         self.context.counters["flows-taken-over"] += 1
 
     def release(
@@ -138,7 +138,7 @@
         self.table.flags[slot] &= ~table_lib.OWNED
         self.table.valid_s[slot] = now_s
         self.table.due_s[slot] = now_s
-        self.observe(now_s, slot, port, choosing.Progress.CLOSED)
+        self.observe(now_s, slot, port, target_choice.Progress.CLOSED)
         self.context.counters["flows-released"] += 1
 
     def close(
@@ -146,7 +146,7 @@
         now_s: float,
         slot: int,
         port: lookup.ServicePort,
-        progress: choosing.Progress,
+        progress: target_choice.Progress,
     ) -> None:
         """Marks a flow as over; its record stays for late packets."""
         if self.table.flags[slot] & table_lib.OWNED:
--- a/packages/core/src/tamarack_core/internal/entry/refusing.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_rejection.py
@@ -4,13 +4,13 @@
 from tamarack_core import effects
 from tamarack_core import verdict as verdict_lib
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import passage as passage_lib
+from tamarack_core.internal.entry import transit_packet as passage_lib
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tamarack_core.packets import reset
 
 
-class Refusing:
+class FlowRejector:
     """Tells callers what has become of their packets.
 
     Attributes:
@@ -28,7 +28,7 @@
         self.context = context
 
     def refuse(
-        self, passage: passage_lib.Passage, verdict: verdict_lib.Verdict
+        self, passage: passage_lib.TransitPacket, verdict: verdict_lib.Verdict
     ) -> list[effects.Effect]:
         """Answers an opening with a reset, which means not run.
 
@@ -41,7 +41,7 @@
         return self._reset(passage, verdict, "flow-refused")
 
     def reset_open(
-        self, passage: passage_lib.Passage, reason: str
+        self, passage: passage_lib.TransitPacket, reason: str
     ) -> list[effects.Effect]:
         """Resets a flow that can't go on; its request may have run.
 
@@ -63,7 +63,7 @@
 
     def _reset(
         self,
-        passage: passage_lib.Passage,
+        passage: passage_lib.TransitPacket,
         verdict: verdict_lib.Verdict,
         name: str,
     ) -> list[effects.Effect]:
@@ -79,5 +79,5 @@
             verdict=verdict.outcome,
             reason=verdict.reason,
         )
-        answer = geneve.encapsulate(reset.answer(passage.packet))
+        answer = geneve.encapsulate(reset.for_packet(passage.packet))
         return [effects.SendDatagram(None, answer), record]
--- a/packages/core/src/tamarack_core/internal/entry/steering.py
+++ b/packages/core/src/tamarack_core/internal/entry/packet_router.py
@@ -2,78 +2,80 @@
 
 from tamarack_core import effects
 from tamarack_core import peers
-from tamarack_core.internal.entry import domain as domain_lib
-from tamarack_core.internal.entry import owner as owner_lib
-from tamarack_core.internal.entry import passage as passage_lib
-from tamarack_core.internal.entry import records as records_lib
-from tamarack_core.internal.entry import refusing
-from tamarack_core.internal.flows import hops
+from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import flow_owner as owner_lib
+from tamarack_core.internal.entry import flow_records as records_lib
+from tamarack_core.internal.entry import flow_rejection
+from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.packets import ip
 
 _CAREFUL = ip.TCP_SYN | ip.TCP_FIN | ip.TCP_RST
 
 
-class Steering:
+class PacketRouter:
     """Handles all packets that the fast path does not.
 
     Attributes:
-        domain: The other entry hosts.
+        entry_hosts: The other entry hosts.
         records: The flow table.
         owner: Decisions about the flows that this host owns.
         refusing: Drops and resets.
     """
 
-    __slots__ = ("domain", "owner", "records", "refusing")
+    __slots__ = ("entry_hosts", "owner", "records", "refusing")
 
     def __init__(
         self,
-        domain: domain_lib.Domain,
-        records: records_lib.Records,
-        owner: owner_lib.Owner,
-        refusals: refusing.Refusing,
+        entry_hosts: domain_lib.EntryHosts,
+        records: records_lib.FlowRecords,
+        owner: owner_lib.FlowOwner,
+        refusals: flow_rejection.FlowRejector,
     ) -> None:
         """Creates the steering of a host.
 
         Args:
-            domain: The other entry hosts.
+            entry_hosts: The other entry hosts.
             records: The flow table.
             owner: Decisions about the flows that this host owns.
             refusals: Drops and resets.
         """
-        self.domain = domain
+        self.entry_hosts = entry_hosts
         self.records = records
         self.owner = owner
         self.refusing = refusals
 
-    def handle(self, passage: passage_lib.Passage) -> list[effects.Effect]:
+    def handle(
+        self, passage: passage_lib.TransitPacket
+    ) -> list[effects.Effect]:
         """Carries a packet.
 
         Args:
             passage: The packet.
         """
-        self.domain.refresh(passage.now_s)
-        if not self.domain.membership.is_ready(passage.now_s):
+        self.entry_hosts.refresh(passage.now_s)
+        if not self.entry_hosts.membership.is_ready(passage.now_s):
             return self.refusing.drop("joining")
         if not passage.word:
             return self._steer(passage, 1, 0)
-        count = hops.count_of(passage.word)
-        tag = hops.tag_of(passage.word)
-        match hops.kind_of(passage.word):
-            case hops.Kind.HANDOVER:
+        count = hop_option.count_of(passage.word)
+        tag = hop_option.tag_of(passage.word)
+        match hop_option.kind_of(passage.word):
+            case hop_option.Kind.HANDOVER:
                 return self._steer(passage, count + 1, tag)
-            case hops.Kind.RETURN:
+            case hop_option.Kind.RETURN:
                 return self._take_return(passage)
-            case hops.Kind.COPY | hops.Kind.CLOSED as kind:
+            case hop_option.Kind.COPY | hop_option.Kind.CLOSED as kind:
                 return self._take_copy(passage, kind, count, tag)
-            case hops.Kind.ASK:
+            case hop_option.Kind.ASK:
                 return self._answer(passage, count, tag)
-            case hops.Kind.UNKNOWN:
+            case hop_option.Kind.UNKNOWN:
                 return self._ask_next(passage, count)
         return self.refusing.drop("unknown-hop-kind")
 
     def _steer(
-        self, passage: passage_lib.Passage, count: int, tag: int
+        self, passage: passage_lib.TransitPacket, count: int, tag: int
     ) -> list[effects.Effect]:
         """Serves a packet as the owner or hands it to the owner.
 
@@ -82,18 +84,18 @@
             count: Number of hosts visited, this one included.
             tag: Tag of the first host that handed it over; 0 for none.
         """
-        order = self.domain.order(passage.port, passage.key)
-        if not order or self.domain.is_me(order[0]):
+        order = self.entry_hosts.order(passage.port, passage.key)
+        if not order or self.entry_hosts.is_self(order[0]):
             return self.owner.serve(passage, tag)
-        if count > hops.MAX_COUNT:
+        if count > hop_option.MAX_COUNT:
             return self.refusing.drop("hop-limit")
         if not tag:
             self._prepare_handover(passage)
-            tag = self.domain.tag
-        word = hops.pack(hops.Kind.HANDOVER, count, tag)
-        return self.domain.hand_word(order[0], passage.packet.data, word)
+            tag = self.entry_hosts.tag
+        word = hop_option.pack(hop_option.Kind.HANDOVER, count, tag)
+        return self.entry_hosts.hand_word(order[0], passage.packet.data, word)
 
-    def _prepare_handover(self, passage: passage_lib.Passage) -> None:
+    def _prepare_handover(self, passage: passage_lib.TransitPacket) -> None:
         """Decides whether this host's copy serves the packets after this."""
         table = self.records.table
         slot = table.slots.get(passage.key)
@@ -110,20 +112,20 @@
             table.due_s[slot] = passage.now_s + records_lib.RETRY_S
 
     def _take_return(
-        self, passage: passage_lib.Passage
+        self, passage: passage_lib.TransitPacket
     ) -> list[effects.Effect]:
         """Learns from a packet that the owner or an asked host hands back."""
         target = passage.target()
         slot = self.records.learn(passage.now_s, passage.key, target)
-        order = self.domain.order(passage.port, passage.key)
-        if slot is not None and order and self.domain.is_me(order[0]):
+        order = self.entry_hosts.order(passage.port, passage.key)
+        if slot is not None and order and self.entry_hosts.is_self(order[0]):
             self.records.take_over(passage.now_s, slot, passage.port)
         return [effects.SendDatagram(None, passage.for_fabric(target))]
 
     def _take_copy(
         self,
-        passage: passage_lib.Passage,
-        kind: hops.Kind,
+        passage: passage_lib.TransitPacket,
+        kind: hop_option.Kind,
         count: int,
         wanted: int,
     ) -> list[effects.Effect]:
@@ -133,17 +135,17 @@
             return self.refusing.drop("conflicting-answer")
         slot = self._store_copy(passage, target)
         table = self.records.table
-        if slot is not None and kind is hops.Kind.CLOSED:
+        if slot is not None and kind is hop_option.Kind.CLOSED:
             table.flags[slot] |= table_lib.CLOSED
             table.due_s[slot] = passage.now_s
         following = self._next_backup(passage, count, wanted)
         if following is None:
             return [effects.SendDatagram(None, passage.for_fabric(target))]
-        word = hops.pack(kind, count + 1, wanted)
-        return self.domain.hand_word(following, passage.packet.data, word)
+        word = hop_option.pack(kind, count + 1, wanted)
+        return self.entry_hosts.hand_word(following, passage.packet.data, word)
 
     def _store_copy(
-        self, passage: passage_lib.Passage, target: bytes
+        self, passage: passage_lib.TransitPacket, target: bytes
     ) -> int | None:
         """Stores a flow as a backup; returns its slot."""
         table = self.records.table
@@ -160,7 +162,7 @@
         return slot
 
     def _retarget(
-        self, passage: passage_lib.Passage, slot: int, target: bytes
+        self, passage: passage_lib.TransitPacket, slot: int, target: bytes
     ) -> None:
         """Prepares a record for a new flow with the same key."""
         table = self.records.table
@@ -170,7 +172,9 @@
         kept = table.flags[slot] & table_lib.OWNED
         table.flags[slot] = kept | table_lib.ESTABLISHED
 
-    def _is_conflict(self, passage: passage_lib.Passage, target: bytes) -> bool:
+    def _is_conflict(
+        self, passage: passage_lib.TransitPacket, target: bytes
+    ) -> bool:
         """Returns whether another target has accepted the same opening.
 
         Two hosts may hold themselves to be the owner for a moment and choose
@@ -188,23 +192,23 @@
         )
 
     def _next_backup(
-        self, passage: passage_lib.Passage, count: int, wanted: int
+        self, passage: passage_lib.TransitPacket, count: int, wanted: int
     ) -> peers.Peer | None:
         """Returns the backup after this host; None at the end."""
         if count >= wanted:
             return None
         others = [
             peer
-            for peer in self.domain.order(passage.port, passage.key)[1:]
-            if not self.domain.is_me(peer)
+            for peer in self.entry_hosts.order(passage.port, passage.key)[1:]
+            if not self.entry_hosts.is_self(peer)
         ]
         return others[-1] if others else None
 
     def _answer(
-        self, passage: passage_lib.Passage, count: int, tag: int
+        self, passage: passage_lib.TransitPacket, count: int, tag: int
     ) -> list[effects.Effect]:
         """Serves a packet for an owner that does not know its flow."""
-        if tag not in self.domain.endpoints:
+        if tag not in self.entry_hosts.endpoints:
             return self.refusing.drop("unknown-host")
         table = self.records.table
         slot = self.records.find(passage.now_s, passage.key)
@@ -215,24 +219,26 @@
         ):
             slot = None
         if slot is None:
-            return self.domain.hand_back(
-                tag, passage.packet.data, hops.Kind.UNKNOWN, count
+            return self.entry_hosts.hand_back(
+                tag, passage.packet.data, hop_option.Kind.UNKNOWN, count
             )
         packet = passage.for_host(table.target_of(slot))
-        return self.domain.hand_back(tag, packet, hops.Kind.RETURN, 2)
+        return self.entry_hosts.hand_back(
+            tag, packet, hop_option.Kind.RETURN, 2
+        )
 
     def _ask_next(
-        self, passage: passage_lib.Passage, count: int
+        self, passage: passage_lib.TransitPacket, count: int
     ) -> list[effects.Effect]:
         """Asks the next backup, or gives up on the backups."""
-        order = self.domain.order(passage.port, passage.key)
-        if not order or not self.domain.is_me(order[0]):
+        order = self.entry_hosts.order(passage.port, passage.key)
+        if not order or not self.entry_hosts.is_self(order[0]):
             return self._steer(passage, count + 1, 0)
         if count + 1 < len(order):
-            return self.domain.hand(
+            return self.entry_hosts.hand(
                 order[count + 1],
                 passage.packet.data,
-                hops.Kind.ASK,
+                hop_option.Kind.ASK,
                 count + 1,
             )
         return self.owner.serve_unknown(passage)
--- a/packages/core/src/tamarack_core/internal/entry/silence.py
+++ b/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
@@ -13,12 +13,12 @@
 
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core.internal.entry import domain as domain_lib
+from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import flow_records as records_lib
+from tamarack_core.internal.entry import flow_rejection
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import passage as passage_lib
-from tamarack_core.internal.entry import records as records_lib
-from tamarack_core.internal.entry import refusing
-from tamarack_core.internal.entry import steering
+from tamarack_core.internal.entry import packet_router
+from tamarack_core.internal.entry import transit_packet as passage_lib
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.messages import flows
 from tamarack_core.packets import ip
@@ -55,48 +55,48 @@
     port: lookup.ServicePort
 
 
-class Silence:
+class StalledFlowDetector:
     """Watches the flows that pass through this host.
 
     Attributes:
-        domain: The other entry hosts.
+        entry_hosts: The other entry hosts.
         records: The flow table.
         refusing: Resets to callers.
-        steering: Carries the reset of a target to the owner of the flow.
+        router: Carries the reset of a target to the owner of the flow.
         heard_s: Monotonic time of the last packet of each target.
         suspicions: Suspected flows by key.
         noted_s: Monotonic time of the first question about a flow, by key.
     """
 
     __slots__ = (
-        "domain",
+        "entry_hosts",
         "heard_s",
         "noted_s",
         "records",
         "refusing",
-        "steering",
+        "router",
         "suspicions",
     )
 
     def __init__(
         self,
-        domain: domain_lib.Domain,
-        records: records_lib.Records,
-        refusals: refusing.Refusing,
-        steering_of_host: steering.Steering,
+        entry_hosts: domain_lib.EntryHosts,
+        records: records_lib.FlowRecords,
+        refusals: flow_rejection.FlowRejector,
+        steering_of_host: packet_router.PacketRouter,
     ) -> None:
         """Creates the watch of a host that has seen no packet.
 
         Args:
-            domain: The other entry hosts.
+            entry_hosts: The other entry hosts.
             records: The flow table.
             refusals: Resets to callers.
             steering_of_host: Carries the reset of a target to the owner.
         """
-        self.domain = domain
+        self.entry_hosts = entry_hosts
         self.records = records
         self.refusing = refusals
-        self.steering = steering_of_host
+        self.router = steering_of_host
         self.heard_s: dict[bytes, float] = {}
         self.suspicions: dict[bytes, Suspicion] = {}
         self.noted_s: dict[bytes, float] = {}
@@ -148,7 +148,7 @@
     ) -> list[effects.Effect]:
         """Answers whether this host has seen a reply on a flow."""
         message = event.message
-        assert isinstance(message, flows.SilenceQuestion)
+        assert isinstance(message, flows.StalledFlowQuery)
         since_s = event.now_s - message.age_s
         table = self.records.table
         slot = table.slots.get(message.key)
@@ -160,7 +160,7 @@
             table.unanswered_s[slot] = max(0, int(since_s))
             if is_heard:
                 self._note(event.now_s, message.key)
-        answer = flows.SilenceAnswer(message.key, has_reply, is_heard)
+        answer = flows.StalledFlowResponse(message.key, has_reply, is_heard)
         return [effects.SendMessage(event.sender, answer)]
 
     def handle_answer(
@@ -168,7 +168,7 @@
     ) -> list[effects.Effect]:
         """Takes in an answer; resets the flow if no host has seen a reply."""
         message = event.message
-        assert isinstance(message, flows.SilenceAnswer)
+        assert isinstance(message, flows.StalledFlowResponse)
         suspicion = self.suspicions.get(message.key)
         if suspicion is None:
             return []
@@ -192,7 +192,7 @@
         if table.flags[slot] & table_lib.CLOSED:
             return []
         # A host that can't be reached may see the replies of the flow.
-        if not self.domain.is_settled(now_s):
+        if not self.entry_hosts.is_settled(now_s):
             return []
         if table.replied_s[slot] >= table.unanswered_s[slot]:
             table.unanswered_s[slot] = int(now_s)
@@ -204,7 +204,7 @@
             self._forget_old(now_s)
             return []
         target = table.target_of(slot)
-        others = self.domain.membership.others()
+        others = self.entry_hosts.membership.others()
         suspicion = Suspicion(
             asked_s=now_s,
             waiting={peer.host for peer in others},
@@ -216,7 +216,7 @@
         )
         self.suspicions[key] = suspicion
         age_s = now_s - table.unanswered_s[slot]
-        question = flows.SilenceQuestion(key, target, age_s, packet.sequence)
+        question = flows.StalledFlowQuery(key, target, age_s, packet.sequence)
         if not others:
             return self._conclude(now_s, key, suspicion)
         return [effects.SendMessage(peer, question) for peer in others]
@@ -239,7 +239,7 @@
         if now_s - first_s < ASK_AGAIN_S:
             return []
         del self.noted_s[key]
-        passage = passage_lib.Passage(
+        passage = passage_lib.TransitPacket(
             now_s,
             suspicion.packet,
             passage_lib.Form.INBOUND,
@@ -248,7 +248,7 @@
             0,
         )
         found = self.refusing.reset_open(passage, "silent-flow")
-        found.extend(self.steering.handle(_reset_of_caller(passage)))
+        found.extend(self.router.handle(_reset_of_caller(passage)))
         return found
 
     def _note(self, now_s: float, key: bytes) -> float:
@@ -299,7 +299,9 @@
         self.noted_s = {} if len(fresh) >= MAX_SUSPICIONS else fresh
 
 
-def _reset_of_caller(passage: passage_lib.Passage) -> passage_lib.Passage:
+def _reset_of_caller(
+    passage: passage_lib.TransitPacket,
+) -> passage_lib.TransitPacket:
     """Returns the reset that the caller would send to its target."""
     packet = passage.packet
     built = ip.parse(
--- a/packages/core/src/tamarack_core/internal/entry/choosing.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -60,15 +60,15 @@
     CLOSED = "closed"
     RESET_BY_TARGET = "reset-by-target"
     REFUSED_BY_TARGET = "refused-by-target"
-    SILENT = "silent"
+    UNRESPONSIVE = "silent"
 
 
-ENDS = frozenset(
+FINAL_PROGRESS = frozenset(
     {
         Progress.CLOSED,
         Progress.RESET_BY_TARGET,
         Progress.REFUSED_BY_TARGET,
-        Progress.SILENT,
+        Progress.UNRESPONSIVE,
     }
 )
 """Steps after which a flow is over."""
--- a/packages/core/src/tamarack_core/internal/entry/passage.py
+++ b/packages/core/src/tamarack_core/internal/entry/transit_packet.py
@@ -25,7 +25,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Passage:
+class TransitPacket:
     """A packet with what is known about it.
 
     Attributes:
--- a/packages/core/src/tamarack_core/messages/flows.py
+++ b/packages/core/src/tamarack_core/messages/flows.py
@@ -31,7 +31,7 @@
     key: bytes
 
 
-class FlowAnswer(msgspec.Struct, frozen=True, tag="flow-answer"):
+class FlowResponse(msgspec.Struct, frozen=True, tag="flow-answer"):
     """Answer to `FlowQuery`.
 
     Attributes:
@@ -43,7 +43,7 @@
     target: bytes = b""
 
 
-class SilenceQuestion(msgspec.Struct, frozen=True, tag="silence-question"):
+class StalledFlowQuery(msgspec.Struct, frozen=True, tag="silence-question"):
     """The sender asks whether the receiver has seen a reply on a flow.
 
     Attributes:
@@ -59,8 +59,8 @@
     sequence: int
 
 
-class SilenceAnswer(msgspec.Struct, frozen=True, tag="silence-answer"):
-    """Answer to `SilenceQuestion`.
+class StalledFlowResponse(msgspec.Struct, frozen=True, tag="silence-answer"):
+    """Answer to `StalledFlowQuery`.
 
     Attributes:
         key: Flow key.
@@ -74,4 +74,10 @@
     is_target_heard: bool
 
 
-Message = FlowCopies | FlowQuery | FlowAnswer | SilenceQuestion | SilenceAnswer
+Message = (
+    FlowCopies
+    | FlowQuery
+    | FlowResponse
+    | StalledFlowQuery
+    | StalledFlowResponse
+)
--- a/packages/core/src/tamarack_core/packets/reset.py
+++ b/packages/core/src/tamarack_core/packets/reset.py
@@ -14,7 +14,7 @@
 _ipv6 = struct.Struct("!IHBB")
 
 
-def answer(packet: ip.Packet) -> bytes:
+def for_packet(packet: ip.Packet) -> bytes:
     """Returns the reset that answers a packet (RFC 9293, section 3.10.7.1).
 
     Args:
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -16,8 +16,8 @@
 from tamarack_core import verdict
 from tamarack_core.internal.balancing import owner_group
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import entities
 from tamarack_lab.experiments import event_queue
@@ -73,7 +73,7 @@
             ),
         )
         self.holders: dict[str, holder.Holder] = {}
-        self.choosers: dict[str, choosing.Chooser] = {}
+        self.choosers: dict[str, target_choice.Chooser] = {}
         self.targets: dict[bytes, entities.Target] = {}
         self.figures = measure.Figures()
         self.flows: dict[str, set[entities.Flow]] = collections.defaultdict(set)
@@ -238,9 +238,9 @@
     def _choose(self, flow: entities.Flow) -> None:
         """Lets the owner choose the target."""
         chooser = self.choosers[flow.owner]
-        opening = choosing.Opening(flow.key, flow.port)
+        opening = target_choice.Opening(flow.key, flow.port)
         choice = chooser.choose(self.queue.now_s, opening)
-        if isinstance(choice, choosing.Refusal):
+        if isinstance(choice, target_choice.Refusal):
             self._refused(flow, choice.verdict)
             return
         target = self.targets[choice.target]
@@ -264,7 +264,7 @@
         target.flows.add(flow)
         self.queue.after(
             HANDSHAKE_S,
-            lambda: self.observe(flow, choosing.Progress.ESTABLISHED),
+            lambda: self.observe(flow, target_choice.Progress.ESTABLISHED),
         )
         job = machine_lib.Job(
             flow.port.settings.cost,
@@ -277,13 +277,15 @@
             flow.stream.patience_s, lambda: self._give_up(flow, job)
         )
 
-    def observe(self, flow: entities.Flow, progress: choosing.Progress) -> None:
+    def observe(
+        self, flow: entities.Flow, progress: target_choice.Progress
+    ) -> None:
         """Tells the owner of a flow what was seen of it."""
         host = self.network.hosts.get(flow.owner)
         if host is None or not host.alive or flow.target is None:
             return
         elapsed_s = self.queue.now_s - flow.tried_s
-        observation = choosing.Observation(
+        observation = target_choice.Observation(
             progress, flow.target.machine.address, flow.port, elapsed_s
         )
         self.choosers[flow.owner].observe(self.queue.now_s, observation)
@@ -293,7 +295,7 @@
         flow.runs += 1
         if flow.over:
             return
-        self.observe(flow, choosing.Progress.REPLIED)
+        self.observe(flow, target_choice.Progress.REPLIED)
         self.waits.append(self.queue.now_s - flow.opened_s)
         self.figures.completed += 1
         if self.queue.now_s > self.plan.warm_up_s:
@@ -303,9 +305,11 @@
     def _close(self, flow: entities.Flow) -> None:
         """Ends a connection as its caller wants."""
         if not flow.over:
-            self.end(flow, choosing.Progress.CLOSED)
+            self.end(flow, target_choice.Progress.CLOSED)
 
-    def end(self, flow: entities.Flow, progress: choosing.Progress) -> None:
+    def end(
+        self, flow: entities.Flow, progress: target_choice.Progress
+    ) -> None:
         """Ends a connection and tells its owner."""
         flow.over = True
         self.observe(flow, progress)
@@ -319,11 +323,11 @@
             return
         if flow.target is not None:
             flow.target.machine.cancel(job)
-        self.end(flow, choosing.Progress.CLOSED)
+        self.end(flow, target_choice.Progress.CLOSED)
 
     def _syn_lost(self, flow: entities.Flow) -> None:
         """Handles an opening that a dead target never answered."""
-        self.observe(flow, choosing.Progress.SILENT)
+        self.observe(flow, target_choice.Progress.UNRESPONSIVE)
         self._retry(flow)
 
     def _refused(self, flow: entities.Flow, outcome: verdict.Verdict) -> None:
@@ -347,7 +351,7 @@
         for flow in self.flows.pop(name, set()):
             flow.owner = self.owner(flow)
             self.flows[flow.owner].add(flow)
-            self.observe(flow, choosing.Progress.OPENED)
+            self.observe(flow, target_choice.Progress.OPENED)
 
     def restart_host(self, name: str) -> None:
         """Starts a host without state; flows move back to their owners."""
@@ -357,17 +361,17 @@
             moved = {flow for flow in flows if self.owner(flow) != old}
             flows -= moved
             for flow in moved:
-                self.observe(flow, choosing.Progress.CLOSED)
+                self.observe(flow, target_choice.Progress.CLOSED)
                 flow.owner = self.owner(flow)
                 self.flows[flow.owner].add(flow)
-                self.observe(flow, choosing.Progress.OPENED)
+                self.observe(flow, target_choice.Progress.OPENED)
 
     def kill_target(self, target: entities.Target) -> None:
         """Ends a target with all its connections."""
         target.machine.die()
         for flow in list(target.flows):
             self.figures.broken_flows += 1
-            self.end(flow, choosing.Progress.SILENT)
+            self.end(flow, target_choice.Progress.UNRESPONSIVE)
 
     def _sample(self) -> None:
         """Samples all meters."""
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -11,7 +11,7 @@
 from tamarack_core.internal.balancing import chooser as chooser_lib
 from tamarack_core.internal.balancing import reporting
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.limits import sharing
 from tamarack_core.internal.targets import aggregation
@@ -31,7 +31,7 @@
         parts: Parts behind the reducer.
     """
 
-    chooser: choosing.Chooser
+    chooser: target_choice.Chooser
     parts: tuple[reducer.Part, ...]
 
 
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -3,8 +3,8 @@
 import hashlib
 
 from tamarack_core import verdict
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.targets import table
 
 _DIGEST_BYTES = 8
@@ -41,29 +41,31 @@
         self.concurrent: dict[tuple[bytes, int], int] = {}
 
     def choose(
-        self, now_s: float, opening: choosing.Opening
-    ) -> choosing.Choice | choosing.Refusal:
+        self, now_s: float, opening: target_choice.Opening
+    ) -> target_choice.Choice | target_choice.Refusal:
         """Returns the target for a connection, or the refusal of it."""
         port = opening.port
         ready = self.targets.ready(now_s, port.service, len(port.address))
         if not ready:
-            return choosing.Refusal(verdict.not_run("no-ready-target"))
+            return target_choice.Refusal(verdict.not_run("no-ready-target"))
         key = (port.address, port.port)
         count = self.concurrent.get(key, 0)
         limit = port.settings.max_concurrent
         if limit and count >= limit // (self.hosts * self.domains):
-            return choosing.Refusal(verdict.not_run("local-limit"))
+            return target_choice.Refusal(verdict.not_run("local-limit"))
         self.concurrent[key] = count + 1
         digest = hashlib.blake2b(opening.flow, digest_size=_DIGEST_BYTES)
         index = int.from_bytes(digest.digest(), "big") % len(ready)
-        return choosing.Choice(sorted(ready)[index])
+        return target_choice.Choice(sorted(ready)[index])
 
     def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
         """Returns True; there is no budget."""
         return True
 
-    def observe(self, now_s: float, observation: choosing.Observation) -> None:
+    def observe(
+        self, now_s: float, observation: target_choice.Observation
+    ) -> None:
         """Counts a closed connection; nothing else matters to the hash."""
-        if observation.progress in choosing.ENDS:
+        if observation.progress in target_choice.FINAL_PROGRESS:
             key = (observation.port.address, observation.port.port)
             self.concurrent[key] = max(0, self.concurrent.get(key, 0) - 1)
--- a/packages/lab/src/tamarack_lab/naive/data_path.py
+++ b/packages/lab/src/tamarack_lab/naive/data_path.py
@@ -5,8 +5,8 @@
 from tamarack_core import failure
 from tamarack_core import reducer
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tamarack_core.packets import reset
@@ -24,7 +24,9 @@
     __slots__ = ("chooser", "holder")
 
     def __init__(
-        self, configuration_holder: holder.Holder, chooser: choosing.Chooser
+        self,
+        configuration_holder: holder.Holder,
+        chooser: target_choice.Chooser,
     ) -> None:
         """Creates the part."""
         self.holder = configuration_holder
@@ -56,10 +58,10 @@
         self, now_s: float, packet: ip.Packet, port: lookup.ServicePort
     ) -> list[effects.Effect]:
         """Sends a caller's packet where the hash says."""
-        opening = choosing.Opening(lookup.flow_key(packet), port)
+        opening = target_choice.Opening(lookup.flow_key(packet), port)
         choice = self.chooser.choose(now_s, opening)
-        if isinstance(choice, choosing.Refusal):
-            return _send(reset.answer(packet))
+        if isinstance(choice, target_choice.Refusal):
+            return _send(reset.for_packet(packet))
         target = choice.target
         return _send(rewrite.destination(packet, target, port.target_port))
 
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -9,8 +9,8 @@
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser as chooser_lib
 from tamarack_core.internal.balancing import health as health_lib
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import lookup
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.limits import gate as gate_lib
 from tamarack_core.internal.targets import table
 from tamarack_lab.experiments import network
@@ -67,9 +67,11 @@
 
     def choose(self, opened=None):
         """Returns the target that takes a new flow."""
-        opening = choosing.Opening(self.random.randbytes(13), opened or port())
+        opening = target_choice.Opening(
+            self.random.randbytes(13), opened or port()
+        )
         choice = self.chooser.choose(NOW_S, opening)
-        if isinstance(choice, choosing.Refusal):
+        if isinstance(choice, target_choice.Refusal):
             return choice.verdict.reason
         return choice.target[-1]
 
@@ -77,7 +79,9 @@
         """Tells the chooser what was seen of a flow."""
         self.chooser.observe(
             NOW_S,
-            choosing.Observation(progress, address(number), port(), elapsed_s),
+            target_choice.Observation(
+                progress, address(number), port(), elapsed_s
+            ),
         )
 
     def test_flows_without_an_end_spread_evenly(self):
@@ -94,7 +98,7 @@
     def test_an_ended_flow_frees_its_work(self):
         for _ in range(7):
             self.choose()
-        self.observe(4, choosing.Progress.CLOSED)
+        self.observe(4, target_choice.Progress.CLOSED)
         self.assertEqual(4, self.choose())
 
     def test_a_service_that_weighs_broken_flows_keeps_default_targets(self):
@@ -117,13 +121,13 @@
     def test_a_slow_handshake_lowers_the_share(self):
         for number in range(1, 8):
             elapsed_s = 0.5 if number == 1 else 0.001
-            self.observe(number, choosing.Progress.ESTABLISHED, elapsed_s)
+            self.observe(number, target_choice.Progress.ESTABLISHED, elapsed_s)
         chosen = [self.choose() for _ in range(70)]
         self.assertTrue(0 < chosen.count(1) < 5, chosen.count(1))
 
     def test_a_health_endpoint_is_outweighed_by_a_handshake(self):
         self.announce(1, healthy=False)
-        self.observe(1, choosing.Progress.ESTABLISHED)
+        self.observe(1, target_choice.Progress.ESTABLISHED)
         chosen = [self.choose() for _ in range(70)]
         self.assertEqual(10, chosen.count(1))
 
@@ -134,7 +138,7 @@
 
     def test_a_silent_target_is_ejected(self):
         for _ in range(health_lib.FAILURES_TO_EJECT):
-            self.observe(1, choosing.Progress.SILENT)
+            self.observe(1, target_choice.Progress.UNRESPONSIVE)
         self.assertNotIn(1, [self.choose() for _ in range(70)])
 
     def test_retries_are_a_fraction_of_the_openings(self):
@@ -151,7 +155,7 @@
 
     def test_a_reused_flow_keeps_its_target(self):
         for number in range(1, 8):
-            opening = choosing.Opening(b"flow", port(), address(number))
+            opening = target_choice.Opening(b"flow", port(), address(number))
             choice = self.chooser.choose(NOW_S, opening)
             self.assertEqual(address(number), choice.target)
 
--- a/tests/cover/test_entry.py
+++ b/tests/cover/test_entry.py
@@ -5,8 +5,8 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import reducer
-from tamarack_core.internal.entry import records
-from tamarack_core.internal.flows import hops
+from tamarack_core.internal.entry import flow_records
+from tamarack_core.internal.flows import hop_option
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tests.slow import routing_network
@@ -116,7 +116,7 @@
 
     def test_of_two_targets_that_accept_one_opening_the_first_counts(self):
         first, second = routing_network.TARGETS["schedule-svc"][:2]
-        word = hops.pack(hops.Kind.COPY, 2, 2)
+        word = hop_option.pack(hop_option.Kind.COPY, 2, 2)
         self.assertEqual(1, len(self.answer(first, word=word)))
         self.assertEqual([], self.answer(second, word=word))
         self.assertEqual(1, self.dropped("conflicting-answer"))
@@ -127,11 +127,11 @@
         packet = routing_network.segment(
             CALLER, (target, 8080), ACK, INITIAL + 1, SERVER + 1
         )
-        self.send(packet, hops.pack(hops.Kind.RETURN, 2, 1))
+        self.send(packet, hop_option.pack(hop_option.Kind.RETURN, 2, 1))
         key = next(iter(self.path.records.table.slots))
         slot = self.path.records.table.slots[key]
         self.path.records.table.flags[slot] = 0
         now_s = self.network.now_s
         self.assertEqual(slot, self.path.records.find(now_s, key))
-        now_s += records.COPY_LIFETIME_S
+        now_s += flow_records.COPY_LIFETIME_S
         self.assertIsNone(self.path.records.find(now_s, key))
--- a/tests/cover/test_packets_differential.py
+++ b/tests/cover/test_packets_differential.py
@@ -215,7 +215,7 @@
         packet = ip.parse(build(*endpoints))
         if packet.protocol != ip.PROTOCOL_TCP:
             return
-        data = reset.answer(packet)
+        data = reset.for_packet(packet)
         found = open_packet(data)
         header = found.data
         self.assertTrue(header.flags & dpkt.tcp.TH_RST)
--- a/tests/slow/routing_figures.py
+++ b/tests/slow/routing_figures.py
@@ -10,8 +10,8 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import failure
+from tamarack_core.internal.entry import flow_records
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import records
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table
@@ -105,7 +105,7 @@
         if name.startswith("owner"):
             backups = 2 if name.endswith("2") else 1
             ownership.ORDER_HOSTS = backups + 1
-            records.backups_at_opening = (
+            flow_records.backups_at_opening = (
                 (lambda port: 1) if backups == 1 else _AT_OPENING
             )
             return routing_network.Network(SEED, spray=spray)
@@ -119,7 +119,7 @@
     return make
 
 
-_AT_OPENING = records.backups_at_opening
+_AT_OPENING = flow_records.backups_at_opening
 
 
 def show_ways():
@@ -174,7 +174,7 @@
             number += 1
             key = (0x0A800000 + number).to_bytes(4, "big") + b"\x20\x00" + tail
             found = path.holder.lookup.find_key(key)
-            order = path.steering.domain.order(found, key)
+            order = path.router.entry_hosts.order(found, key)
             target = bytes((10, 1 + (tail[3] == 2), 0, 1 + number % 4))
             for peer in order:
                 store(network, network.paths[peer.host], key, target, order)
@@ -185,7 +185,7 @@
     slot = path.records.learn(network.now_s, key, target)
     path.records.table.opened_s[slot] = network.now_s - 100
     path.records.table.seen_s[slot] = int(network.now_s)
-    if path.steering.domain.is_me(order[0]):
+    if path.router.entry_hosts.is_self(order[0]):
         port = path.holder.lookup.find_key(key)
         path.records.take_over(network.now_s, slot, port)
         path.records.table.placed[slot] = placement.pack(order[1:])
@@ -196,7 +196,7 @@
 def show_control():
     """Prints control bytes at the stated load."""
     ownership.ORDER_HOSTS = 3
-    records.backups_at_opening = _AT_OPENING
+    flow_records.backups_at_opening = _AT_OPENING
     network = routing_network.Network(SEED, hosts=HOSTS)
     fill(network)
     held = [len(network.paths[p.host].records.table) for p in network.live()]
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -16,8 +16,8 @@
 from tamarack_core import timeline
 from tamarack_core import verdict
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import choosing
 from tamarack_core.internal.entry import data_path
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.membership import part
 from tamarack_core.packets import checksum
 from tamarack_core.packets import geneve
@@ -78,13 +78,13 @@
     def choose(self, now_s, opening):
         ready = self.ready[opening.port.service]
         if not ready:
-            return choosing.Refusal(verdict.not_run("no-ready-target"))
+            return target_choice.Refusal(verdict.not_run("no-ready-target"))
         if opening.preferred in ready:
             target = opening.preferred
         else:
             target = min(ready, key=self.counts.__getitem__)
         self.counts[target] += 1
-        return choosing.Choice(target)
+        return target_choice.Choice(target)
 
     def may_retry(self, now_s, port):
         return True
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -13,7 +13,7 @@
 from tamarack_core import requests
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import choosing
+from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import network
@@ -28,7 +28,10 @@
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
 SERVICES = {"agenda": users.AGENDA, "informe": users.INFORME}
 NETWORKS = {"agenda": "10.20.0", "informe": "10.21.0"}
-FAILURES = (choosing.Progress.SILENT, choosing.Progress.REFUSED_BY_TARGET)
+FAILURES = (
+    target_choice.Progress.UNRESPONSIVE,
+    target_choice.Progress.REFUSED_BY_TARGET,
+)
 
 
 class Version:
@@ -76,9 +79,9 @@
         """Returns the target that a live host chooses; None if refused."""
         live = self.network.live("a")
         chooser = self.choosers[live[number % len(live)].peer.host]
-        opening = choosing.Opening(flow, self.ports[key])
+        opening = target_choice.Opening(flow, self.ports[key])
         choice = chooser.choose(self.queue.now_s, opening)
-        if isinstance(choice, choosing.Refusal):
+        if isinstance(choice, target_choice.Refusal):
             return None
         return choice.target
 
@@ -182,7 +185,7 @@
                 name = live[number % len(live)].peer.host
                 version.choosers[name].observe(
                     version.queue.now_s,
-                    choosing.Observation(
+                    target_choice.Observation(
                         failure, target, version.ports[key], 1.0
                     ),
                 )
@@ -196,8 +199,8 @@
         chooser = self.ours.choosers[live[number % len(live)].peer.host]
         for pick in picks:
             target = ip.pack_address(f"{NETWORKS['agenda']}.{pick}")
-            observation = choosing.Observation(
-                choosing.Progress.SILENT,
+            observation = target_choice.Observation(
+                target_choice.Progress.UNRESPONSIVE,
                 target,
                 self.ours.ports["agenda", "report"],
                 1.0,
@@ -217,8 +220,8 @@
                 self.check_drained(ip.format_address(target))
                 self.ours.choosers[host.peer.host].observe(
                     now_s,
-                    choosing.Observation(
-                        choosing.Progress.CLOSED, target, port, 0.1
+                    target_choice.Observation(
+                        target_choice.Progress.CLOSED, target, port, 0.1
                     ),
                 )
 
