Reword the comments of the packet parser, checksums and rewriting

Plain terms: modulo 0xFFFF for residues, segment length for the occupied sequence numbers, offset and slice for places in a packet. Code is the same.

--- a/packages/core/src/tamarack_core/packets/__init__.py
+++ b/packages/core/src/tamarack_core/packets/__init__.py
@@ -1,1 +1,1 @@
-"""Codecs and rewriting of the packets that the system carries."""
+"""Parsing, encapsulation and rewriting of packets."""
--- a/packages/core/src/tamarack_core/packets/checksum.py
+++ b/packages/core/src/tamarack_core/packets/checksum.py
@@ -11,8 +11,8 @@
     """
     if len(data) % 2:
         data += b"\0"
-    # The sum modulo 0xFFFF equals the folded sum, apart from the two forms
-    # of zero, which the caller of `finish` can't tell apart.
+    # The sum modulo 0xFFFF equals the folded sum, except for the two forms of
+    # zero, for which `finish` returns the same checksum.
     return int.from_bytes(data, "big") % 0xFFFF
 
 
@@ -27,11 +27,11 @@
 
 
 def difference(old: bytes, new: bytes) -> int:
-    """Returns the sum that replacing `old` by `new` adds, as a residue.
+    """Returns the sum that replacing `old` with `new` adds, modulo 0xFFFF.
 
     Args:
         old: Bytes replaced, an even number at an even offset.
-        new: Bytes put in their place, of the same length.
+        new: Replacement of the same length.
     """
     return (int.from_bytes(new, "big") - int.from_bytes(old, "big")) % 0xFFFF
 
--- a/packages/core/src/tamarack_core/packets/ip.py
+++ b/packages/core/src/tamarack_core/packets/ip.py
@@ -1,4 +1,4 @@
-"""Reading of the IP, TCP and UDP headers of a packet."""
+"""Parser of the IP, TCP and UDP headers of a packet."""
 
 import ipaddress
 import struct
@@ -33,7 +33,7 @@
 
 
 class Packet:
-    """An IP packet with the positions of its headers.
+    """An IP packet with its parsed headers.
 
     Attributes:
         data: The whole packet.
@@ -88,7 +88,7 @@
 
 
 def parse(data: bytes) -> Packet | failure.Failure:
-    """Returns the headers of a packet, or why it can't be handled.
+    """Returns a parsed packet, or the reason why it is not supported.
 
     Args:
         data: An IP packet, without bytes after its end.
@@ -123,8 +123,9 @@
 def _parse_plain_tcp4(data: bytes) -> Packet | None:
     """Returns the headers of a well-formed IPv4 TCP packet without IP options.
 
-    Nearly all packets are of this kind, so their headers are read at once. The
-    general path below handles the others and names what is wrong with them.
+    Nearly all packets are of this kind, so their headers are unpacked at once.
+    For others it returns None, and `parse_general` handles them or reports the
+    failure.
     """
     fields = _plain_tcp4.unpack_from(data)
     total, fragment, protocol = fields[:3]
--- a/packages/core/src/tamarack_core/packets/reset.py
+++ b/packages/core/src/tamarack_core/packets/reset.py
@@ -1,4 +1,4 @@
-"""Building of TCP resets."""
+"""Construction of TCP resets."""
 
 import struct
 
@@ -15,7 +15,7 @@
 
 
 def for_packet(packet: ip.Packet) -> bytes:
-    """Returns the reset that answers a packet (RFC 9293, section 3.10.7.1).
+    """Returns the reset for a packet (RFC 9293, section 3.10.7.1).
 
     Args:
         packet: A TCP packet that is not a reset.
@@ -30,16 +30,16 @@
             0,
             ip.TCP_RST,
         )
-    occupied = packet.payload_bytes
-    occupied += bool(packet.flags & ip.TCP_SYN)
-    occupied += bool(packet.flags & ip.TCP_FIN)
+    segment_length = packet.payload_bytes
+    segment_length += bool(packet.flags & ip.TCP_SYN)
+    segment_length += bool(packet.flags & ip.TCP_FIN)
     return build(
         packet.destination,
         packet.destination_port,
         packet.source,
         packet.source_port,
         0,
-        (packet.sequence + occupied) & _SEQUENCE_MASK,
+        (packet.sequence + segment_length) & _SEQUENCE_MASK,
         ip.TCP_RST | ip.TCP_ACK,
     )
 
--- a/packages/core/src/tamarack_core/packets/rewrite.py
+++ b/packages/core/src/tamarack_core/packets/rewrite.py
@@ -27,7 +27,7 @@
 
 
 def destination(packet: ip.Packet, address: bytes, port: int) -> bytes:
-    """Returns the packet with another destination.
+    """Returns the packet with a new destination.
 
     Args:
         packet: A parsed packet.
@@ -45,10 +45,12 @@
                 packet.destination, packet.destination_port, address, port
             ),
         )
-    place = _IPV4_DESTINATION if packet.version == 4 else _IPV6_DESTINATION
+    address_slice = (
+        _IPV4_DESTINATION if packet.version == 4 else _IPV6_DESTINATION
+    )
     return _rewrite(
         packet,
-        place,
+        address_slice,
         packet.destination + _port.pack(packet.destination_port),
         address + _port.pack(port),
         packet.transport + _DESTINATION_PORT_OFFSET,
@@ -56,7 +58,7 @@
 
 
 def source(packet: ip.Packet, address: bytes, port: int) -> bytes:
-    """Returns the packet with another source.
+    """Returns the packet with a new source.
 
     Args:
         packet: A parsed packet.
@@ -74,10 +76,10 @@
                 packet.source, packet.source_port, address, port
             ),
         )
-    place = _IPV4_SOURCE if packet.version == 4 else _IPV6_SOURCE
+    address_slice = _IPV4_SOURCE if packet.version == 4 else _IPV6_SOURCE
     return _rewrite(
         packet,
-        place,
+        address_slice,
         packet.source + _port.pack(packet.source_port),
         address + _port.pack(port),
         packet.transport + _SOURCE_PORT_OFFSET,
@@ -86,7 +88,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Difference:
-    """Sums that a new endpoint adds, as residues.
+    """Sums that a new endpoint adds to checksums, modulo 0xFFFF.
 
     Attributes:
         address: Sum that the address adds.
@@ -137,12 +139,16 @@
 
 
 def _rewrite(
-    packet: ip.Packet, place: slice, old: bytes, new: bytes, port_at: int
+    packet: ip.Packet,
+    address_slice: slice,
+    old: bytes,
+    new: bytes,
+    port_offset: int,
 ) -> bytes:
     """Replaces an address and a port and adjusts both checksums."""
     data = bytearray(packet.data)
-    data[place] = new[:-2]
-    data[port_at : port_at + 2] = new[-2:]
+    data[address_slice] = new[:-2]
+    data[port_offset : port_offset + 2] = new[-2:]
     if packet.version == 4:
         added = _difference(old[:-2], new[:-2])
         _adjust(data, _IPV4_CHECKSUM.start, added)
@@ -154,14 +160,14 @@
     return bytes(data)
 
 
-def _adjust(data: bytearray, at: int, added: int) -> None:
+def _adjust(data: bytearray, offset: int, added: int) -> None:
     """Adjusts the checksum at an offset."""
-    (old,) = _port.unpack_from(data, at)
-    _port.pack_into(data, at, checksum.adjust(old, added))
+    (old,) = _port.unpack_from(data, offset)
+    _port.pack_into(data, offset, checksum.adjust(old, added))
 
 
-def _adjust_udp(data: bytearray, at: int, added: int) -> None:
-    """Adjusts a UDP checksum, in which zero stands for none (RFC 768)."""
-    (old,) = _port.unpack_from(data, at)
+def _adjust_udp(data: bytearray, offset: int, added: int) -> None:
+    """Adjusts a UDP checksum, where zero means none (RFC 768)."""
+    (old,) = _port.unpack_from(data, offset)
     if old:
-        _port.pack_into(data, at, checksum.adjust(old, added) or 0xFFFF)
+        _port.pack_into(data, offset, checksum.adjust(old, added) or 0xFFFF)
