--- a/packages/core/src/tamarack_core/internal/entry/__init__.py
+++ b/packages/core/src/tamarack_core/internal/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Entry role: carries packets between callers and targets."""
+"""Entry role: forwards packets between callers and targets."""
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -1,4 +1,4 @@
-"""Data path: carries packets between callers and targets."""
+"""Data path: forwards packets between callers and targets."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -6,7 +6,7 @@
 from tamarack_core import failure
 from tamarack_core import reducer
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import entry_hosts as hosts_lib
 from tamarack_core.internal.entry import flow_maintenance
 from tamarack_core.internal.entry import flow_owner
 from tamarack_core.internal.entry import flow_queries
@@ -16,37 +16,38 @@
 from tamarack_core.internal.entry import packet_router
 from tamarack_core.internal.entry import stalled_flows
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.entry import transit_packet as transit_lib
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.messages import flows
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tamarack_core.packets import rewrite
 
-_CAREFUL = ip.TCP_SYN | ip.TCP_FIN | ip.TCP_RST
+# Packets with these flags open or close a flow; they skip the fast path.
+_STATE_FLAGS = ip.TCP_SYN | ip.TCP_FIN | ip.TCP_RST
 
 
 class DataPath:
-    """Part that handles datagrams of the fabric and of other hosts.
+    """Component that handles datagrams from the fabric and from other hosts.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         holder: Configuration in force.
         records: The flow table.
-        refusing: Drops and resets.
-        silence: Finds flows that have gone silent.
-        router: Handles what the fast path does not.
-        upkeep: Expires, takes over and repairs flows.
+        rejector: Drops packets and resets flows.
+        stall_detector: Finds and resets stalled flows.
+        router: Handles all packets that the fast path does not.
+        maintenance: Expires, takes over and repairs flows.
     """
 
     __slots__ = (
         "context",
         "holder",
+        "maintenance",
         "records",
-        "refusing",
+        "rejector",
         "router",
-        "silence",
-        "upkeep",
+        "stall_detector",
     )
 
     def __init__(
@@ -56,10 +57,11 @@
         chooser: target_choice.Chooser,
         membership_of_host: membership_part.Membership,
     ) -> None:
-        """Creates the part.
+        """Initializes the data path.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             configuration_holder: Configuration in force.
             chooser: Chooses the target of a new flow.
             membership_of_host: Membership of this host.
@@ -67,99 +69,105 @@
         self.context = context
         self.holder = configuration_holder
         self.records = flow_records.FlowRecords(context, chooser)
-        self.refusing = flow_rejection.FlowRejector(context)
-        entry_hosts = domain_lib.EntryHosts(context, membership_of_host)
-        questions = flow_queries.FlowQueries(context, membership_of_host)
+        self.rejector = flow_rejection.FlowRejector(context)
+        entry_hosts = hosts_lib.EntryHosts(context, membership_of_host)
+        queries = flow_queries.FlowQueries(context, membership_of_host)
         self.router = packet_router.PacketRouter(
             entry_hosts,
             self.records,
             flow_owner.FlowOwner(
-                entry_hosts, self.records, questions, self.refusing
+                entry_hosts, self.records, queries, self.rejector
             ),
-            self.refusing,
+            self.rejector,
         )
-        self.silence = stalled_flows.StalledFlowDetector(
-            entry_hosts, self.records, self.refusing, self.router
+        self.stall_detector = stalled_flows.StalledFlowDetector(
+            entry_hosts, self.records, self.rejector, self.router
         )
-        self.upkeep = flow_maintenance.FlowMaintenance(
-            entry_hosts, self.records, questions, configuration_holder
+        self.maintenance = flow_maintenance.FlowMaintenance(
+            entry_hosts, self.records, queries, configuration_holder
         )
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.DatagramArrived: self.handle_datagram,
-            events.Started: self.upkeep.handle_started,
-            flow_maintenance.TIMER: self.upkeep.handle_timer,
-            flows.FlowCopies: self.upkeep.handle_copies,
-            flows.FlowQuery: self.upkeep.handle_query,
-            flows.FlowResponse: self.upkeep.handle_answer,
-            flows.StalledFlowQuery: self.silence.handle_question,
-            flows.StalledFlowResponse: self.silence.handle_answer,
+            events.Started: self.maintenance.handle_started,
+            flow_maintenance.TIMER: self.maintenance.handle_timer,
+            flows.FlowCopies: self.maintenance.handle_copies,
+            flows.FlowQuery: self.maintenance.handle_query,
+            flows.FlowResponse: self.maintenance.handle_response,
+            flows.StalledFlowQuery: self.stall_detector.handle_query,
+            flows.StalledFlowResponse: self.stall_detector.handle_response,
         }
 
     def handle_datagram(
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
-        """Rewrites a packet and sends it on, or counts why it is dropped."""
+        """Rewrites and forwards a packet, or drops it and counts the reason."""
         datagram = geneve.decapsulate(event.data)
         if isinstance(datagram, failure.Failure):
-            return self.refusing.drop(datagram.reason)
+            return self.rejector.drop(datagram.reason)
         packet = ip.parse(datagram.packet)
         if isinstance(packet, failure.Failure):
-            return self.refusing.drop(packet.reason)
+            return self.rejector.drop(packet.reason)
         tables = self.holder.lookup
         now_s = event.now_s
-        word = datagram.hops
+        hop_value = datagram.hop_value
         port = tables.find_inbound(packet)
         if port is not None:
             key = lookup.flow_key(packet)
-            asked = self._note_payload(now_s, packet, port, key)
-            if asked:
-                form = passage_lib.Form.INBOUND
-                sent = self._steer(now_s, packet, form, port, key, word)
-                return [*asked, *sent]
-            if not word and not packet.flags & _CAREFUL:
-                sent = self._carry_in(now_s, packet, port, key)
+            stall_queries = self._observe_payload(now_s, packet, port, key)
+            if stall_queries:
+                addressing = transit_lib.Addressing.INBOUND
+                sent = self._route(
+                    now_s, packet, addressing, port, key, hop_value
+                )
+                return [*stall_queries, *sent]
+            if not hop_value and not packet.flags & _STATE_FLAGS:
+                sent = self._forward_inbound(now_s, packet, port, key)
                 if sent:
                     return sent
-            form = passage_lib.Form.INBOUND
-            return self._steer(now_s, packet, form, port, key, word)
+            addressing = transit_lib.Addressing.INBOUND
+            return self._route(now_s, packet, addressing, port, key, hop_value)
         port = tables.find_outbound(packet)
         if port is not None:
             key = lookup.reply_key(packet, port)
-            self.silence.note_reply(now_s, key, packet.source)
-            if not word and not packet.flags & _CAREFUL:
-                sent = self._carry_out(now_s, packet, port, key)
+            self.stall_detector.observe_reply(now_s, key, packet.source)
+            if not hop_value and not packet.flags & _STATE_FLAGS:
+                sent = self._forward_outbound(now_s, packet, port, key)
                 if sent:
                     return sent
-            form = passage_lib.Form.OUTBOUND
-            return self._steer(now_s, packet, form, port, key, word)
-        return self._carry_inside(now_s, packet, word)
+            addressing = transit_lib.Addressing.OUTBOUND
+            return self._route(now_s, packet, addressing, port, key, hop_value)
+        return self._route_rewritten(now_s, packet, hop_value)
 
-    def _note_payload(
+    def _observe_payload(
         self,
         now_s: float,
         packet: ip.Packet,
         port: lookup.ServicePort,
         key: bytes,
     ) -> list[effects.Effect]:
-        """Watches the payload of a caller for late repetitions."""
+        """Passes a caller's TCP payload to the detector of stalled flows."""
         if packet.payload == len(packet.data) or not packet.flags & ip.TCP_ACK:
             return []
-        return self.silence.note_payload(now_s, packet, port, key)
+        return self.stall_detector.observe_payload(now_s, packet, port, key)
 
-    def _carry_in(
+    def _forward_inbound(
         self,
         now_s: float,
         packet: ip.Packet,
         port: lookup.ServicePort,
         key: bytes,
     ) -> list[effects.Effect]:
-        """Sends a caller's packet to its target, if that is certain."""
+        """Forwards a caller's packet on the fast path.
+
+        Returns:
+            The effect; empty if the flow is not on the fast path.
+        """
         table = self.records.table
         slot = table.slots.get(key)
-        if slot is None or now_s >= table.due_s[slot]:
+        if slot is None or now_s >= table.fast_until_s[slot]:
             return []
         table.seen_s[slot] = int(now_s)
         rewritten = rewrite.destination(
@@ -167,19 +175,24 @@
         )
         return [effects.SendDatagram(None, geneve.encapsulate(rewritten))]
 
-    def _carry_out(
+    def _forward_outbound(
         self,
         now_s: float,
         packet: ip.Packet,
         port: lookup.ServicePort,
         key: bytes,
     ) -> list[effects.Effect]:
-        """Sends a target's packet to its caller, if that is certain."""
+        """Forwards a target's packet on the fast path.
+
+        Returns:
+            The effect; empty if the flow is not on the fast path or has
+            another target.
+        """
         table = self.records.table
         slot = table.slots.get(key)
         if (
             slot is None
-            or now_s >= table.due_s[slot]
+            or now_s >= table.fast_until_s[slot]
             or table.targets[table.target[slot]] != packet.source
         ):
             return []
@@ -187,27 +200,29 @@
         rewritten = rewrite.source(packet, port.address, port.port)
         return [effects.SendDatagram(None, geneve.encapsulate(rewritten))]
 
-    def _carry_inside(
-        self, now_s: float, packet: ip.Packet, word: int
+    def _route_rewritten(
+        self, now_s: float, packet: ip.Packet, hop_value: int
     ) -> list[effects.Effect]:
-        """Carries a packet that another host has rewritten."""
-        port = self.holder.lookup.find_inside(packet) if word else None
+        """Routes a packet that another host has rewritten for its target."""
+        port = self.holder.lookup.find_rewritten(packet) if hop_value else None
         if port is None:
-            return self.refusing.drop("no-service")
-        key = lookup.inside_key(packet, port)
-        form = passage_lib.Form.INSIDE
-        return self._steer(now_s, packet, form, port, key, word)
+            return self.rejector.drop("no-service")
+        key = lookup.rewritten_key(packet, port)
+        addressing = transit_lib.Addressing.REWRITTEN
+        return self._route(now_s, packet, addressing, port, key, hop_value)
 
-    def _steer(
+    def _route(
         self,
         now_s: float,
         packet: ip.Packet,
-        form: passage_lib.Form,
+        addressing: transit_lib.Addressing,
         port: lookup.ServicePort,
         key: bytes,
-        word: int,
+        hop_value: int,
     ) -> list[effects.Effect]:
-        """Carries a packet that needs care."""
+        """Passes a packet to the router."""
         return self.router.handle(
-            passage_lib.TransitPacket(now_s, packet, form, port, key, word)
+            transit_lib.TransitPacket(
+                now_s, packet, addressing, port, key, hop_value
+            )
         )
--- a/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
+++ b/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
@@ -1,4 +1,4 @@
-"""What the routing of flows knows about the other entry hosts."""
+"""Entry hosts of the failure domain, as the routing of flows sees them."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -11,25 +11,26 @@
 from tamarack_core.messages import membership
 from tamarack_core.packets import geneve
 
-# A host that is unreachable may be cut off rather than dead. Until this time
-# has passed, nothing that only it may know is taken as lost.
-PARTITION_PATIENCE_S = 30.0
-# Two rounds of the renewal of leases bring all targets to a new host.
-WARMING_S = 8.0
+# An unreachable host may be partitioned rather than dead. Until this time has
+# passed, flows that only it may know do not count as lost.
+PARTITION_GRACE_S = 30.0
+# A new host learns all targets within two rounds of lease renewals.
+WARM_UP_S = 8.0
 
 
 class EntryHosts:
-    """Owners and backups by the newest view of the members.
+    """Owner and backups of each flow, by the latest membership view.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         membership: Membership of this host.
         ownership: Order of the members for each flow.
         endpoints: Data endpoint of each member by tag.
         tag: Tag of this host.
-        epoch: Epoch of the view that is in force here.
+        epoch: Epoch of the membership view in use.
         changed_s: Monotonic time at which the view last changed.
-        settled_s: Monotonic time from which on what no host knows is lost.
+        grace_end_s: Monotonic time from which a flow that no reachable host
+            knows counts as lost.
     """
 
     __slots__ = (
@@ -37,9 +38,9 @@
         "context",
         "endpoints",
         "epoch",
+        "grace_end_s",
         "membership",
         "ownership",
-        "settled_s",
         "tag",
     )
 
@@ -48,10 +49,11 @@
         context: context_lib.Context,
         membership_of_host: membership_part.Membership,
     ) -> None:
-        """Creates the domain of a host that has not started.
+        """Initializes the entry hosts; there are no members before `refresh`.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             membership_of_host: Membership of this host.
         """
         self.context = context
@@ -61,10 +63,10 @@
         self.tag = hop_option.tag(context.host)
         self.epoch = 0
         self.changed_s = 0.0
-        self.settled_s = 0.0
+        self.grace_end_s = 0.0
 
     def refresh(self, now_s: float) -> bool:
-        """Puts the newest view into force; returns whether it changed.
+        """Applies the latest membership view; returns whether it changed.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -73,13 +75,13 @@
         if current.epoch == self.epoch:
             return False
         if not self.epoch:
-            self.settled_s = now_s + PARTITION_PATIENCE_S
+            self.grace_end_s = now_s + PARTITION_GRACE_S
         self.epoch = current.epoch
         self.changed_s = now_s
         before = set(self.ownership.members)
         members = [peer for peer in current.owning() if peer.data is not None]
         if self._is_any_dead(current, before - set(members)):
-            self.settled_s = now_s + PARTITION_PATIENCE_S
+            self.grace_end_s = now_s + PARTITION_GRACE_S
         self.ownership.set_members(members)
         self.endpoints = {
             hop_option.tag(member.peer): member.peer.data
@@ -99,63 +101,64 @@
         """
         return self.ownership.order(port.service, port.opening_hosts, key)
 
-    def is_settled(self, now_s: float) -> bool:
-        """Returns whether what no reachable host knows is lost.
+    def is_grace_period_over(self, now_s: float) -> bool:
+        """Returns whether a flow that no reachable host knows counts as lost.
 
-        A host that has never reached any of its seeds can't tell.
+        A host that has never reached any of its seeds can't tell, so that its
+        grace period does not end.
 
         Args:
             now_s: Monotonic time in seconds.
         """
         if self.membership.detector.is_joining:
             return False
-        return now_s >= self.settled_s
+        return now_s >= self.grace_end_s
 
-    def is_warming(self, now_s: float) -> bool:
-        """Returns whether this host has started too lately to know much.
+    def is_warming_up(self, now_s: float) -> bool:
+        """Returns whether this host may not know all targets yet.
 
         Args:
             now_s: Monotonic time in seconds.
         """
-        return now_s < self.membership.started_s + WARMING_S
+        return now_s < self.membership.started_s + WARM_UP_S
 
     def is_self(self, peer: peers.Peer) -> bool:
         """Returns whether a peer is this host."""
         return peer.host == self.context.host.host
 
-    def hand(
+    def forward(
         self, peer: peers.Peer, packet: bytes, kind: hop_option.Kind, count: int
     ) -> list[effects.Effect]:
-        """Returns the effect that hands a packet to another host.
+        """Returns the effect that forwards a packet to another host.
 
         Args:
             peer: The other host, which has a data endpoint.
             packet: The packet.
-            kind: Why it is handed over.
+            kind: Why it is forwarded.
             count: Number of hosts visited, this one included.
         """
-        return self.hand_word(
+        return self.forward_with_hop(
             peer, packet, hop_option.pack(kind, count, self.tag)
         )
 
-    def hand_word(
-        self, peer: peers.Peer, packet: bytes, word: int
+    def forward_with_hop(
+        self, peer: peers.Peer, packet: bytes, hop_value: int
     ) -> list[effects.Effect]:
-        """Returns the effect that hands over a packet with a given word."""
+        """Returns the effect that forwards a packet with a given hop value."""
         self.context.counters["extra-hops"] += 1
-        datagram = geneve.encapsulate_hop(packet, word)
+        datagram = geneve.encapsulate_hop(packet, hop_value)
         return [effects.SendDatagram(peer.data, datagram)]
 
-    def hand_back(
+    def forward_to_tag(
         self, tag: int, packet: bytes, kind: hop_option.Kind, count: int
     ) -> list[effects.Effect]:
-        """Returns the effect that hands a packet to the host with a tag.
+        """Returns the effect that forwards a packet to the host with a tag.
 
         Args:
             tag: Tag of the receiver, one of `endpoints`.
             packet: The packet.
-            kind: Why it is handed back.
-            count: Number of hosts visited or asked.
+            kind: Why it is forwarded.
+            count: Number of hosts visited or queried.
         """
         self.context.counters["extra-hops"] += 1
         datagram = geneve.encapsulate_hop(
@@ -164,7 +167,7 @@
         return [effects.SendDatagram(self.endpoints[tag], datagram)]
 
     def _is_any_dead(self, current: view.View, lost: set[peers.Peer]) -> bool:
-        """Returns whether a member was lost without a word."""
+        """Returns whether a lost member is dead rather than having left."""
         return any(
             current.members[peer.host].state is membership.State.DEAD
             for peer in lost
--- a/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -1,4 +1,4 @@
-"""Upkeep of the flow table: expiry, change of owners, repair of backups."""
+"""Maintenance of the flow table: expiry, changes of owner, backup repair."""
 
 import dataclasses
 
@@ -7,7 +7,7 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import entry_hosts as hosts_lib
 from tamarack_core.internal.entry import flow_queries
 from tamarack_core.internal.entry import flow_records as records_lib
 from tamarack_core.internal.entry import lookup
@@ -19,18 +19,20 @@
 TIMER = "flows-upkeep"
 TICK_S = 0.1
 
+# The whole table is swept in this time.
 SWEEP_S = 10.0
-# After a change of members the whole table is looked through in this time.
+# After a change of members the whole table is swept in this time.
 SCAN_S = 1.0
 REPAIR_INTERVAL_S = 1.0
-# Share of the control budget that repair may use.
+# Part of the control traffic budget that repair may use.
 REPAIR_BYTES_PER_S = 1800
-MESSAGE_BYTES = 330
+# Bytes charged to the budget for each message, in addition to its flows.
+MESSAGE_OVERHEAD_BYTES = 330
 # Backups are first repaired by the packets of a flow, which costs no control
-# traffic. What is still missing after this time goes into messages.
-REPAIR_PATIENCE_S = 1.5
+# traffic. What is still missing after this time is sent in messages.
+REPAIR_DELAY_S = 1.5
 
-MAX_ADDITIONS = 20_000
+MAX_INCOMPLETE = 20_000
 
 CLOSED_LIFETIME_S = 40.0
 OPENING_TIMEOUT_S = 15.0
@@ -41,10 +43,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """Flows that go into one message.
+    """Flows that are sent in one message.
 
     Attributes:
-        receiver: Host that is to hold them.
+        receiver: Host that is to store them.
         service: Packed service address, port and protocol.
         is_replicated: Whether the backups after the receiver hold them.
     """
@@ -55,15 +57,15 @@
 
 
 class FlowMaintenance:
-    """Keeps the flow table in step with time and with the members.
+    """Expires, assigns and repairs the flows in the table of this host.
 
     Attributes:
         entry_hosts: The other entry hosts.
         records: The flow table.
-        asking: Questions about flows that this host does not know.
+        queries: Queries about flows that this host does not know.
         holder: Configuration in force.
         repairs: Keys of flows whose owner or backups have changed.
-        additions: Keys of flows that last and lack their second backup.
+        incomplete: Keys of flows that have lasted and lack a backup.
     """
 
     __slots__ = (
@@ -71,35 +73,35 @@
         "_epoch",
         "_repair_s",
         "_scan_end",
-        "additions",
-        "asking",
         "entry_hosts",
         "holder",
+        "incomplete",
+        "queries",
         "records",
         "repairs",
     )
 
     def __init__(
         self,
-        entry_hosts: domain_lib.EntryHosts,
+        entry_hosts: hosts_lib.EntryHosts,
         records: records_lib.FlowRecords,
-        questions: flow_queries.FlowQueries,
+        queries: flow_queries.FlowQueries,
         configuration_holder: holder.Holder,
     ) -> None:
-        """Creates the upkeep of a host.
+        """Initializes the maintenance of the flow table.
 
         Args:
             entry_hosts: The other entry hosts.
             records: The flow table.
-            questions: Questions about flows that this host does not know.
+            queries: Queries about flows that this host does not know.
             configuration_holder: Configuration in force.
         """
         self.entry_hosts = entry_hosts
         self.records = records
-        self.asking = questions
+        self.queries = queries
         self.holder = configuration_holder
         self.repairs: dict[bytes, None] = {}
-        self.additions: dict[bytes, None] = {}
+        self.incomplete: dict[bytes, None] = {}
         self._cursor = 0
         self._epoch = 0
         self._scan_end = 0
@@ -110,24 +112,24 @@
         return [effects.StartTimer(TIMER, TICK_S)]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Looks through a slice of the table and sends repairs."""
+        """Sweeps a slice of the table and sends repairs."""
         now_s = event.now_s
         self.entry_hosts.refresh(now_s)
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
         if self._epoch != self.entry_hosts.epoch:
             self._epoch = self.entry_hosts.epoch
-            self._begin_scan(now_s)
+            self._start_scan(now_s)
         self._sweep(now_s)
         if now_s >= self._repair_s:
             self._repair_s = now_s + REPAIR_INTERVAL_S
-            self.asking.expire(now_s)
-            found.extend(self._repair(now_s))
-        return found
+            self.queries.expire(now_s)
+            result.extend(self._repair(now_s))
+        return result
 
     def handle_copies(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Holds flows as a backup or, after a change, as their owner."""
+        """Stores flows as a backup or, after a change, as their owner."""
         message = event.message
         assert isinstance(message, flows.FlowCopies)
         size = len(message.service) - 1
@@ -137,35 +139,35 @@
                 break
             key = entry[:-1] + message.service
             target = message.targets[entry[-1]]
-            self._take_copy(event.now_s, key, target, message.is_replicated)
+            self._store_copy(event.now_s, key, target, message.is_replicated)
         return []
 
     def handle_query(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Answers whether this host knows a flow."""
+        """Responds with the target of a flow, if this host knows it."""
         message = event.message
         assert isinstance(message, flows.FlowQuery)
         table = self.records.table
         slot = self.records.find(event.now_s, message.key)
         target = b"" if slot is None else table.target_of(slot)
-        answer = flows.FlowResponse(message.key, target)
-        return [effects.SendMessage(event.sender, answer)]
+        response = flows.FlowResponse(message.key, target)
+        return [effects.SendMessage(event.sender, response)]
 
-    def handle_answer(
+    def handle_response(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Learns a flow that another host knows."""
+        """Stores a flow that another host knows."""
         message = event.message
         assert isinstance(message, flows.FlowResponse)
-        if self.asking.take_answer(event.sender, message):
-            self._take_copy(event.now_s, message.key, message.target, False)
+        if self.queries.handle_response(event.sender, message):
+            self._store_copy(event.now_s, message.key, message.target, False)
         return []
 
-    def _take_copy(
+    def _store_copy(
         self, now_s: float, key: bytes, target: bytes, is_replicated: bool
     ) -> None:
-        """Stores a flow that another host told of."""
+        """Stores a flow that another host has reported."""
         port = self.holder.lookup.find_key(key)
         if port is None:
             return
@@ -178,30 +180,30 @@
         if is_replicated and order and self.entry_hosts.is_self(order[0]):
             self.records.take_over(now_s, slot, port)
             self.records.table.placed[slot] = placement.pack(order[1:])
-        self._place(now_s, slot, key)
+        self._assign_role(now_s, slot, key)
 
-    def _begin_scan(self, now_s: float) -> None:
-        """Begins to look through the whole table."""
+    def _start_scan(self, now_s: float) -> None:
+        """Starts a fast sweep of the whole table."""
         self._scan_end = len(self.records.table.keys)
         self._cursor = 0
-        self._repair_s = now_s + REPAIR_PATIENCE_S
+        self._repair_s = now_s + REPAIR_DELAY_S
 
     def _sweep(self, now_s: float) -> None:
-        """Looks through the next slots."""
+        """Sweeps the next slots."""
         table = self.records.table
         size = len(table.keys)
         is_scanning = self._cursor < self._scan_end
-        turns = (SCAN_S if is_scanning else SWEEP_S) / TICK_S
-        count = int(size / turns) + 1
+        ticks = (SCAN_S if is_scanning else SWEEP_S) / TICK_S
+        count = int(size / ticks) + 1
         for slot in table.sweep(self._cursor, count):
             key = table.keys[slot]
             assert key is not None
             if self._expire(now_s, slot, key):
                 continue
             if is_scanning:
-                self._place(now_s, slot, key)
+                self._assign_role(now_s, slot, key)
             elif table.flags[slot] & table_lib.OWNED:
-                self._complete(now_s, slot, key)
+                self._queue_incomplete(now_s, slot, key)
         self._cursor += count
         if self._cursor >= size:
             self._cursor = 0
@@ -216,7 +218,7 @@
             table.remove(slot)
             return True
         if flags & table_lib.CLOSED:
-            is_over = now_s - table.valid_s[slot] > CLOSED_LIFETIME_S
+            is_over = now_s - table.confirmed_s[slot] > CLOSED_LIFETIME_S
         else:
             idle_s = now_s - table.seen_s[slot]
             is_over = idle_s > _idle_timeout_s(flags, port)
@@ -232,12 +234,12 @@
         table.remove(slot)
         return True
 
-    def _place(self, now_s: float, slot: int, key: bytes) -> None:
-        """Puts a flow into the role that the members give this host."""
+    def _assign_role(self, now_s: float, slot: int, key: bytes) -> None:
+        """Makes this host owner, backup or neither, by the current members."""
         table = self.records.table
         if table.flags[slot] & table_lib.CLOSED:
             return
-        if not self.records.is_certain(now_s, slot):
+        if not self.records.is_reliable(now_s, slot):
             return
         port = self.holder.lookup.find_key(key)
         if port is None:
@@ -249,7 +251,7 @@
         if roles[0]:
             self.records.take_over(now_s, slot, port)
             if placement.missing(table.placed[slot], order[1:]):
-                table.due_s[slot] = min(table.due_s[slot], now_s)
+                table.fast_until_s[slot] = min(table.fast_until_s[slot], now_s)
                 self.repairs[key] = None
             return
         if table.flags[slot] & table_lib.OWNED:
@@ -260,24 +262,24 @@
         else:
             table.flags[slot] &= ~table_lib.BACKUP
 
-    def _complete(self, now_s: float, slot: int, key: bytes) -> None:
-        """Queues a flow that has lasted with too few backups."""
+    def _queue_incomplete(self, now_s: float, slot: int, key: bytes) -> None:
+        """Queues an established flow that has lasted with too few backups."""
         table = self.records.table
         port = self.holder.lookup.find_key(key)
         age_s = now_s - table.opened_s[slot]
         if (
             port is not None
-            and age_s >= records_lib.OWNER_CARE_S
-            and len(self.additions) < MAX_ADDITIONS
+            and age_s >= records_lib.BACKUP_CHECK_S
+            and len(self.incomplete) < MAX_INCOMPLETE
             and table.flags[slot] & table_lib.ESTABLISHED
             and placement.missing(
                 table.placed[slot], self.entry_hosts.order(port, key)[1:]
             )
         ):
-            self.additions[key] = None
+            self.incomplete[key] = None
 
     def _repair(self, now_s: float) -> list[effects.Effect]:
-        """Tells new owners and backups of flows, within the budget."""
+        """Reports flows to new owners and backups, within the budget."""
         budget = REPAIR_BYTES_PER_S
         batches: dict[Batch, list[bytes]] = {}
         while budget > 0:
@@ -285,8 +287,8 @@
             if key is None:
                 break
             for batch in self._batches(now_s, key):
-                budget -= 0 if batch in batches else MESSAGE_BYTES
-                # The JSON form carries bytes in base64.
+                budget -= 0 if batch in batches else MESSAGE_OVERHEAD_BYTES
+                # JSON encodes bytes in base64.
                 budget -= (lookup.caller_bytes(key) + 1) * 4 // 3 + 1
                 batches.setdefault(batch, []).append(key)
         return [
@@ -295,8 +297,8 @@
         ]
 
     def _next_repair(self) -> bytes | None:
-        """Takes the next flow to repair, those after a change first."""
-        for queue in (self.repairs, self.additions):
+        """Removes and returns the next flow to repair, after changes first."""
+        for queue in (self.repairs, self.incomplete):
             if queue:
                 key = next(iter(queue))
                 del queue[key]
@@ -304,7 +306,7 @@
         return None
 
     def _batches(self, now_s: float, key: bytes) -> list[Batch]:
-        """Returns the batches that must tell of a flow."""
+        """Returns the batches that a flow must be sent in."""
         table = self.records.table
         slot = self.records.find(now_s, key)
         port = self.holder.lookup.find_key(key)
@@ -316,14 +318,14 @@
             others = tuple(
                 peer for peer in order[1:] if not self.entry_hosts.is_self(peer)
             )
-            is_held = not placement.missing(table.placed[slot], others)
-            return [Batch(order[0], service, is_held)]
+            is_replicated = not placement.missing(table.placed[slot], others)
+            return [Batch(order[0], service, is_replicated)]
         lacking = placement.missing(table.placed[slot], order[1:])
         table.placed[slot] = placement.pack(order[1:])
         return [Batch(peer, service, False) for peer in lacking]
 
     def _copies(self, batch: Batch, keys: list[bytes]) -> flows.FlowCopies:
-        """Returns the message that tells of flows."""
+        """Returns the message that reports flows."""
         table = self.records.table
         targets: dict[bytes, int] = {}
         entries = bytearray()
--- a/packages/core/src/tamarack_core/internal/entry/flow_owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -1,24 +1,25 @@
-"""Decisions about the flows that this host owns."""
+"""Handling of the flows that this host owns."""
 
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core import verdict as verdict_lib
-from tamarack_core.internal.entry import entry_hosts as domain_lib
+from tamarack_core.internal.entry import entry_hosts as hosts_lib
 from tamarack_core.internal.entry import flow_queries
 from tamarack_core.internal.entry import flow_records as records_lib
 from tamarack_core.internal.entry import flow_rejection
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.entry import transit_packet as transit_lib
 from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import ownership
 from tamarack_core.internal.flows import placement
 from tamarack_core.internal.flows import table as table_lib
 from tamarack_core.packets import ip
 
-# An opening without an answer is tried on another target after this time.
-REOPEN_S = 2.5
-# From this packet on, a host that hands over packets of a flow gets them
-# back and learns. Most short flows end before.
+# An opening without a reply is tried on another target after this time.
+OPENING_RETRY_S = 2.5
+# From this many forwarded packets of a flow on, the owner returns packets to
+# the host that forwards them, which learns the target. Most short flows end
+# before.
 RETURN_AFTER_PACKETS = 4
 
 _SEQUENCE_MASK = 0xFFFFFFFF
@@ -31,418 +32,441 @@
     Attributes:
         entry_hosts: The other entry hosts.
         records: The flow table.
-        asking: Questions about flows that this host does not know.
-        refusing: Resets to callers.
+        queries: Queries about flows that this host does not know.
+        rejector: Drops packets and resets flows.
     """
 
-    __slots__ = ("asking", "entry_hosts", "records", "refusing")
+    __slots__ = ("entry_hosts", "queries", "records", "rejector")
 
     def __init__(
         self,
-        entry_hosts: domain_lib.EntryHosts,
+        entry_hosts: hosts_lib.EntryHosts,
         records: records_lib.FlowRecords,
-        questions: flow_queries.FlowQueries,
-        refusals: flow_rejection.FlowRejector,
+        queries: flow_queries.FlowQueries,
+        rejector: flow_rejection.FlowRejector,
     ) -> None:
-        """Creates the owner side of the data path.
+        """Initializes the owner.
 
         Args:
             entry_hosts: The other entry hosts.
             records: The flow table.
-            questions: Questions about flows that this host does not know.
-            refusals: Resets to callers.
+            queries: Queries about flows that this host does not know.
+            rejector: Drops packets and resets flows.
         """
         self.entry_hosts = entry_hosts
         self.records = records
-        self.asking = questions
-        self.refusing = refusals
+        self.queries = queries
+        self.rejector = rejector
 
     def serve(
-        self, passage: passage_lib.TransitPacket, tag: int
+        self, transit: transit_lib.TransitPacket, tag: int
     ) -> list[effects.Effect]:
-        """Carries a packet of a flow that this host owns.
+        """Serves a packet of a flow that this host owns.
 
         Args:
-            passage: The packet, inbound or outbound.
-            tag: Tag of the host that handed it over; 0 from the fabric.
+            transit: The packet, inbound or outbound.
+            tag: Tag of the host that forwarded it; 0 for a packet from the
+                fabric.
         """
-        slot = self.records.find(passage.now_s, passage.key)
-        if passage.is_tcp() and passage.is_opening():
-            return self._open(passage, slot)
+        slot = self.records.find(transit.now_s, transit.key)
+        if transit.is_tcp() and transit.is_syn():
+            return self._handle_syn(transit, slot)
         if slot is None:
-            return self._miss(passage)
-        if self._is_late(passage, slot):
-            return self.refusing.drop("late-answer")
-        self.records.take_over(passage.now_s, slot, passage.port)
-        is_over = self._advance(passage, slot)
-        return self._route(passage, slot, tag, is_over)
+            return self._handle_unknown(transit)
+        if self._is_stale_reply(transit, slot):
+            return self.rejector.drop("late-answer")
+        self.records.take_over(transit.now_s, slot, transit.port)
+        is_over = self._update_state(transit, slot)
+        return self._forward(transit, slot, tag, is_over)
 
     def serve_unknown(
-        self, passage: passage_lib.TransitPacket
+        self, transit: transit_lib.TransitPacket
     ) -> list[effects.Effect]:
-        """Carries a packet whose flow no backup knows.
+        """Serves a packet whose flow no backup knows.
 
         Args:
-            passage: The packet, inbound.
+            transit: The packet, inbound.
         """
-        slot = self.records.find(passage.now_s, passage.key)
+        slot = self.records.find(transit.now_s, transit.key)
         if slot is not None:
-            return self.serve(passage, 0)
-        if not passage.is_tcp() or passage.is_opening():
-            return self._choose(passage, b"")
-        if self.asking.is_exhausted(passage):
-            if not self.entry_hosts.is_settled(passage.now_s):
-                return self.refusing.drop("unknown-flow-unsettled")
-            return self.refusing.reset_open(passage, "unknown-flow")
-        return self.asking.ask(passage)
-
-    def _open(
-        self, passage: passage_lib.TransitPacket, slot: int | None
+            return self.serve(transit, 0)
+        if not transit.is_tcp() or transit.is_syn():
+            return self._choose_target(transit, b"")
+        if self.queries.is_exhausted(transit):
+            if not self.entry_hosts.is_grace_period_over(transit.now_s):
+                return self.rejector.drop("unknown-flow-unsettled")
+            return self.rejector.reset_open(transit, "unknown-flow")
+        return self.queries.query_hosts(transit)
+
+    def _handle_syn(
+        self, transit: transit_lib.TransitPacket, slot: int | None
     ) -> list[effects.Effect]:
         """Handles a SYN."""
         if (
-            passage.packet.payload_bytes
-            and not passage.port.settings.idempotent
+            transit.packet.payload_bytes
+            and not transit.port.settings.idempotent
         ):
-            return self.refusing.drop("syn-payload")
+            return self.rejector.drop("syn-payload")
         if slot is None:
-            return self._open_unknown(passage)
+            return self._open_unknown(transit)
         table = self.records.table
         flags = table.flags[slot]
         if flags & table_lib.CLOSED:
-            return self._choose(passage, self._preferred(passage, slot))
+            return self._choose_target(
+                transit, self._required_target(transit, slot)
+            )
         if not flags & table_lib.ESTABLISHED:
-            if passage.now_s - table.opened_s[slot] >= REOPEN_S:
-                return self._reopen(passage, slot)
-        elif self._is_idle(passage, slot):
-            return self._reopen(passage, slot)
-        # A target that still holds the old connection answers the new one
-        # itself (RFC 9293, section 3.10.7.4).
-        self.records.take_over(passage.now_s, slot, passage.port)
-        table.initial[slot] = passage.packet.sequence
-        table.due_s[slot] = passage.now_s
-        return self._emit(passage, slot)
+            if transit.now_s - table.opened_s[slot] >= OPENING_RETRY_S:
+                return self._retry_opening(transit, slot)
+        elif self._is_idle(transit, slot):
+            return self._retry_opening(transit, slot)
+        # A target that still has the old connection handles the new SYN itself
+        # (RFC 9293, section 3.10.7.4).
+        self.records.take_over(transit.now_s, slot, transit.port)
+        table.initial_sequence[slot] = transit.packet.sequence
+        table.fast_until_s[slot] = transit.now_s
+        return self._send_to_fabric(transit, slot)
 
     def _open_unknown(
-        self, passage: passage_lib.TransitPacket
+        self, transit: transit_lib.TransitPacket
     ) -> list[effects.Effect]:
-        """Opens a flow that this host holds no record of.
+        """Opens a flow that this host has no record of.
 
-        After a change of owners, the one before may hold a flow with the same
-        key, of which other hosts have copies; it is asked first.
+        After a change of members, the previous owner may have a flow with the
+        same key, of which other hosts hold copies, so the first backup is
+        queried before a target is chosen.
         """
-        age_s = passage.now_s - self.entry_hosts.changed_s
-        order = self.entry_hosts.order(passage.port, passage.key)
+        age_s = transit.now_s - self.entry_hosts.changed_s
+        order = self.entry_hosts.order(transit.port, transit.key)
         if age_s > records_lib.COPY_LIFETIME_S or len(order) < 2:
-            return self._choose(passage, b"")
-        packet = passage.packet.data
-        return self.entry_hosts.hand(order[1], packet, hop_option.Kind.ASK, 1)
+            return self._choose_target(transit, b"")
+        packet = transit.packet.data
+        return self.entry_hosts.forward(
+            order[1], packet, hop_option.Kind.QUERY, 1
+        )
 
-    def _reopen(
-        self, passage: passage_lib.TransitPacket, slot: int
+    def _retry_opening(
+        self, transit: transit_lib.TransitPacket, slot: int
     ) -> list[effects.Effect]:
-        """Chooses again for an opening that got no answer.
+        """Chooses another target for an opening that got no reply.
 
         Without a retry budget the opening stays with its target.
         """
-        if not self.records.chooser.may_retry(passage.now_s, passage.port):
-            return self._emit(passage, slot)
+        if not self.records.chooser.may_retry(transit.now_s, transit.port):
+            return self._send_to_fabric(transit, slot)
         self.records.close(
-            passage.now_s,
+            transit.now_s,
             slot,
-            passage.port,
+            transit.port,
             target_choice.Progress.UNRESPONSIVE,
         )
-        return self._choose(passage, b"")
+        return self._choose_target(transit, b"")
 
-    def _is_idle(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
-        """Returns whether no host has seen a packet of a flow lately."""
-        age_s = passage.now_s - self.records.table.seen_s[slot]
+    def _is_idle(self, transit: transit_lib.TransitPacket, slot: int) -> bool:
+        """Returns whether no host has seen a packet of a flow recently."""
+        age_s = transit.now_s - self.records.table.seen_s[slot]
         return age_s > 2 * records_lib.COPY_LIFETIME_S
 
-    def _preferred(
-        self, passage: passage_lib.TransitPacket, slot: int
+    def _required_target(
+        self, transit: transit_lib.TransitPacket, slot: int
     ) -> bytes:
-        """Returns the only target that a reused key may go to.
+        """Returns the only target that a reused key may go to; empty for any.
 
-        Packets of the flow that was closed may still arrive, and other hosts
-        may hold a copy of it until its lifetime is over. With the same target
-        neither does harm.
+        Packets of the closed flow may still arrive, and other hosts may hold a
+        copy of it until the copy expires. Both are harmless if the target
+        stays the same.
         """
         table = self.records.table
-        age_s = passage.now_s - table.valid_s[slot]
+        age_s = transit.now_s - table.confirmed_s[slot]
         if age_s > records_lib.COPY_LIFETIME_S:
             return b""
         if not table.flags[slot] & table_lib.ESTABLISHED:
             return b""
         return table.target_of(slot)
 
-    def _choose(
-        self, passage: passage_lib.TransitPacket, preferred: bytes
+    def _choose_target(
+        self, transit: transit_lib.TransitPacket, preferred: bytes
     ) -> list[effects.Effect]:
-        """Opens a flow."""
-        now_s = passage.now_s
-        port = passage.port
+        """Opens a flow with the target that the chooser returns."""
+        now_s = transit.now_s
+        port = transit.port
         choice = self.records.chooser.choose(
-            now_s, target_choice.Opening(passage.key, port, preferred)
+            now_s, target_choice.Opening(transit.key, port, preferred)
         )
         if isinstance(choice, target_choice.Refusal):
-            return self._refuse(passage, choice.verdict)
+            return self._refuse(transit, choice.verdict)
         if preferred and choice.target != preferred:
-            self._forget(passage, choice.target)
-            return self.refusing.drop("time-wait")
-        slot = self.records.put_owned(
-            now_s, passage.key, choice.target, passage.packet.sequence
+            self._cancel_opening(transit, choice.target)
+            return self.rejector.drop("time-wait")
+        slot = self.records.store_owned(
+            now_s, transit.key, choice.target, transit.packet.sequence
         )
         if slot is None:
-            self._forget(passage, choice.target)
-            return self.refusing.refuse(
-                passage, verdict_lib.not_run("flow-table-full")
+            self._cancel_opening(transit, choice.target)
+            return self.rejector.refuse(
+                transit, verdict_lib.not_run("flow-table-full")
             )
-        if not passage.is_tcp():
+        if not transit.is_tcp():
             self.records.table.flags[slot] |= table_lib.ESTABLISHED
-        return self._emit(passage, slot)
+        return self._send_to_fabric(transit, slot)
 
     def _refuse(
-        self, passage: passage_lib.TransitPacket, verdict: verdict_lib.Verdict
+        self, transit: transit_lib.TransitPacket, verdict: verdict_lib.Verdict
     ) -> list[effects.Effect]:
-        """Refuses an opening, unless the caller had better try again.
+        """Refuses an opening, or drops it while this host warms up.
 
         A host that has just joined may not know the targets yet. It drops the
-        opening, so that the caller's TCP sends it again a second later.
+        opening, so that the caller's TCP retransmits it a second later.
         """
-        is_blind = verdict.reason == target_choice.NO_READY_TARGET
-        if is_blind and self.entry_hosts.is_warming(passage.now_s):
-            return self.refusing.drop("warming")
-        return self.refusing.refuse(passage, verdict)
+        has_no_target = verdict.reason == target_choice.NO_READY_TARGET
+        if has_no_target and self.entry_hosts.is_warming_up(transit.now_s):
+            return self.rejector.drop("warming")
+        return self.rejector.refuse(transit, verdict)
 
-    def _forget(
-        self, passage: passage_lib.TransitPacket, target: bytes
+    def _cancel_opening(
+        self, transit: transit_lib.TransitPacket, target: bytes
     ) -> None:
-        """Takes back an opening that the chooser has counted."""
+        """Cancels an opening that the chooser has counted."""
         self.records.chooser.observe(
-            passage.now_s,
+            transit.now_s,
             target_choice.Observation(
-                target_choice.Progress.CLOSED, target, passage.port, 0.0
+                target_choice.Progress.CLOSED, target, transit.port, 0.0
             ),
         )
 
-    def _miss(self, passage: passage_lib.TransitPacket) -> list[effects.Effect]:
+    def _handle_unknown(
+        self, transit: transit_lib.TransitPacket
+    ) -> list[effects.Effect]:
         """Handles a packet of a flow that this host does not know."""
-        if passage.form is passage_lib.Form.OUTBOUND:
-            return self._adopt(passage)
-        if passage.packet.flags & ip.TCP_RST:
-            return self.refusing.drop("unknown-flow")
-        order = self.entry_hosts.order(passage.port, passage.key)
+        if transit.addressing is transit_lib.Addressing.OUTBOUND:
+            return self._learn_from_reply(transit)
+        if transit.packet.flags & ip.TCP_RST:
+            return self.rejector.drop("unknown-flow")
+        order = self.entry_hosts.order(transit.port, transit.key)
         if len(order) > 1:
-            return self.entry_hosts.hand(
-                order[1], passage.packet.data, hop_option.Kind.ASK, 1
+            return self.entry_hosts.forward(
+                order[1], transit.packet.data, hop_option.Kind.QUERY, 1
             )
-        return self.serve_unknown(passage)
+        return self.serve_unknown(transit)
 
-    def _adopt(
-        self, passage: passage_lib.TransitPacket
+    def _learn_from_reply(
+        self, transit: transit_lib.TransitPacket
     ) -> list[effects.Effect]:
         """Learns a flow from a reply of its target.
 
-        Only a reply that opens a flow, or one that comes while owners change,
-        is taken for a flow that goes on; any other may be a late one.
+        Only a SYN-ACK, or a reply during the grace period of `EntryHosts`,
+        counts as part of an open flow; any other may be a late one.
         """
-        now_s = passage.now_s
-        target = passage.target()
-        is_over = passage.packet.flags & (ip.TCP_RST | ip.TCP_FIN)
-        is_news = passage.is_acceptance() or not self.entry_hosts.is_settled(
-            now_s
+        now_s = transit.now_s
+        target = transit.target()
+        is_over = transit.packet.flags & (ip.TCP_RST | ip.TCP_FIN)
+        is_current = (
+            transit.is_syn_ack()
+            or not self.entry_hosts.is_grace_period_over(now_s)
         )
         slot = None
-        if is_news and not is_over:
-            slot = self.records.learn(now_s, passage.key, target)
+        if is_current and not is_over:
+            slot = self.records.learn(now_s, transit.key, target)
         if slot is None:
-            return [effects.SendDatagram(None, passage.for_fabric(target))]
-        if passage.is_acceptance():
-            self.records.table.initial[slot] = passage.acknowledged()
-        self.records.take_over(now_s, slot, passage.port)
-        return self._route(passage, slot, 0, False)
+            return [
+                effects.SendDatagram(None, transit.datagram_for_fabric(target))
+            ]
+        if transit.is_syn_ack():
+            self.records.table.initial_sequence[slot] = (
+                transit.acknowledged_sequence()
+            )
+        self.records.take_over(now_s, slot, transit.port)
+        return self._forward(transit, slot, 0, False)
 
-    def _is_late(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
+    def _is_stale_reply(
+        self, transit: transit_lib.TransitPacket, slot: int
+    ) -> bool:
         """Returns whether a reply belongs to an earlier flow."""
-        if passage.form is not passage_lib.Form.OUTBOUND:
+        if transit.addressing is not transit_lib.Addressing.OUTBOUND:
             return False
         table = self.records.table
-        if passage.target() != table.target_of(slot):
+        if transit.target() != table.target_of(slot):
             return True
-        initial = table.initial[slot]
+        initial_sequence = table.initial_sequence[slot]
         return (
-            passage.is_tcp()
-            and passage.is_acceptance()
-            and initial != 0
-            and initial != passage.acknowledged()
+            transit.is_tcp()
+            and transit.is_syn_ack()
+            and initial_sequence != 0
+            and initial_sequence != transit.acknowledged_sequence()
         )
 
-    def _advance(self, passage: passage_lib.TransitPacket, slot: int) -> bool:
-        """Follows the life of a flow; returns whether it has just ended."""
+    def _update_state(
+        self, transit: transit_lib.TransitPacket, slot: int
+    ) -> bool:
+        """Updates the state of a flow; returns whether it has just ended."""
         table = self.records.table
         state = table.flags[slot]
-        if not passage.is_tcp() or state & table_lib.CLOSED:
+        if not transit.is_tcp() or state & table_lib.CLOSED:
             return False
-        is_reply = passage.form is passage_lib.Form.OUTBOUND
-        flags = passage.packet.flags
+        is_reply = transit.addressing is transit_lib.Addressing.OUTBOUND
+        flags = transit.packet.flags
         if flags & ip.TCP_RST:
-            if self._is_old_reset(passage, slot):
+            if self._is_stale_reset(transit, slot):
                 return False
-            self._close(passage, slot, _reset_progress(is_reply, state))
+            self._close(transit, slot, _reset_progress(is_reply, state))
             return True
         if not state & table_lib.ESTABLISHED:
-            state = self._establish(passage, slot)
-        if is_reply and passage.packet.payload_bytes:
-            state = self._note_reply(passage, slot)
+            state = self._establish(transit, slot)
+        if is_reply and transit.packet.payload_bytes:
+            state = self._observe_reply(transit, slot)
         if flags & ip.TCP_FIN:
             state |= table_lib.TARGET_FIN if is_reply else table_lib.CALLER_FIN
             table.flags[slot] = state
         both = table_lib.TARGET_FIN | table_lib.CALLER_FIN
         if state & both == both:
-            self._close(passage, slot, target_choice.Progress.CLOSED)
+            self._close(transit, slot, target_choice.Progress.CLOSED)
             return True
         return False
 
-    def _is_old_reset(
-        self, passage: passage_lib.TransitPacket, slot: int
+    def _is_stale_reset(
+        self, transit: transit_lib.TransitPacket, slot: int
     ) -> bool:
-        """Returns whether a caller resets what it held before its opening."""
+        """Returns whether a caller resets a connection before this flow."""
         table = self.records.table
-        if passage.form is passage_lib.Form.OUTBOUND:
+        if transit.addressing is transit_lib.Addressing.OUTBOUND:
             return False
         if table.flags[slot] & table_lib.ESTABLISHED:
             return False
-        expected = (table.initial[slot] + 1) & _SEQUENCE_MASK
-        return passage.packet.sequence != expected
+        expected = (table.initial_sequence[slot] + 1) & _SEQUENCE_MASK
+        return transit.packet.sequence != expected
 
-    def _establish(self, passage: passage_lib.TransitPacket, slot: int) -> int:
-        """Notes that the target has answered; returns the new flags."""
+    def _establish(self, transit: transit_lib.TransitPacket, slot: int) -> int:
+        """Marks a flow as established; returns the new flags."""
         table = self.records.table
         table.flags[slot] |= table_lib.ESTABLISHED
         self.records.observe(
-            passage.now_s,
+            transit.now_s,
             slot,
-            passage.port,
+            transit.port,
             target_choice.Progress.ESTABLISHED,
         )
         return table.flags[slot]
 
-    def _note_reply(self, passage: passage_lib.TransitPacket, slot: int) -> int:
-        """Notes the first payload of the target; returns the new flags."""
+    def _observe_reply(
+        self, transit: transit_lib.TransitPacket, slot: int
+    ) -> int:
+        """Observes the first payload of the target; returns the new flags."""
         table = self.records.table
         if not table.flags[slot] & table_lib.REPLIED:
             table.flags[slot] |= table_lib.REPLIED
             self.records.observe(
-                passage.now_s,
+                transit.now_s,
                 slot,
-                passage.port,
+                transit.port,
                 target_choice.Progress.REPLIED,
             )
         return table.flags[slot]
 
     def _close(
         self,
-        passage: passage_lib.TransitPacket,
+        transit: transit_lib.TransitPacket,
         slot: int,
         progress: target_choice.Progress,
     ) -> None:
-        """Ends a flow."""
-        self.records.close(passage.now_s, slot, passage.port, progress)
+        """Closes a flow."""
+        self.records.close(transit.now_s, slot, transit.port, progress)
 
-    def _route(
+    def _forward(
         self,
-        passage: passage_lib.TransitPacket,
+        transit: transit_lib.TransitPacket,
         slot: int,
         tag: int,
         is_over: bool,
     ) -> list[effects.Effect]:
-        """Sends a packet on, by way of the hosts that must learn from it."""
+        """Forwards a packet, through the hosts that must learn the flow."""
         table = self.records.table
-        order = self.entry_hosts.order(passage.port, passage.key)
-        table.seen_s[slot] = int(passage.now_s)
+        order = self.entry_hosts.order(transit.port, transit.key)
+        table.seen_s[slot] = int(transit.now_s)
         if is_over:
-            return self._pass_along(
-                passage, slot, order, hop_option.Kind.CLOSED
+            return self._forward_via_backups(
+                transit, slot, order, hop_option.Kind.CLOSED
             )
         if table.flags[slot] & table_lib.CLOSED:
-            return self._emit(passage, slot)
-        count = self._wanted_backups(passage, slot)
+            return self._send_to_fabric(transit, slot)
+        count = self._wanted_backups(transit, slot)
         backups = order[1 : 1 + count]
-        if passage.is_acceptance() or placement.missing(
+        if transit.is_syn_ack() or placement.missing(
             table.placed[slot], backups
         ):
             if table.flags[slot] & table_lib.ESTABLISHED:
                 table.placed[slot] = placement.pack(backups)
-                table.due_s[slot] = passage.now_s + records_lib.OWNER_CARE_S
-                return self._pass_along(
-                    passage, slot, order, hop_option.Kind.COPY
+                table.fast_until_s[slot] = (
+                    transit.now_s + records_lib.BACKUP_CHECK_S
+                )
+                return self._forward_via_backups(
+                    transit, slot, order, hop_option.Kind.COPY
                 )
         else:
-            table.due_s[slot] = passage.now_s + records_lib.OWNER_CARE_S
-        if tag and self._is_returned(passage, slot, tag):
-            packet = passage.for_host(table.target_of(slot))
-            return self.entry_hosts.hand_back(
+            table.fast_until_s[slot] = (
+                transit.now_s + records_lib.BACKUP_CHECK_S
+            )
+        if tag and self._should_return(transit, slot, tag):
+            packet = transit.packet_for_host(table.target_of(slot))
+            return self.entry_hosts.forward_to_tag(
                 tag, packet, hop_option.Kind.RETURN, 2
             )
-        return self._emit(passage, slot)
+        return self._send_to_fabric(transit, slot)
 
     def _wanted_backups(
-        self, passage: passage_lib.TransitPacket, slot: int
+        self, transit: transit_lib.TransitPacket, slot: int
     ) -> int:
         """Returns the number of backups that a flow should have now."""
-        age_s = passage.now_s - self.records.table.opened_s[slot]
-        if age_s >= records_lib.OWNER_CARE_S:
+        age_s = transit.now_s - self.records.table.opened_s[slot]
+        if age_s >= records_lib.BACKUP_CHECK_S:
             return ownership.ORDER_HOSTS - 1
-        return records_lib.backups_at_opening(passage.port)
+        return records_lib.backups_at_opening(transit.port)
 
-    def _is_returned(
-        self, passage: passage_lib.TransitPacket, slot: int, tag: int
+    def _should_return(
+        self, transit: transit_lib.TransitPacket, slot: int, tag: int
     ) -> bool:
-        """Counts a packet handed over; returns whether it goes back."""
-        handed = self.records.table.handed
-        handed[slot] = min(handed[slot] + 1, _COUNT_LIMIT)
+        """Counts a forwarded packet; returns whether to return it."""
+        forwarded = self.records.table.forwarded
+        forwarded[slot] = min(forwarded[slot] + 1, _COUNT_LIMIT)
         return (
-            handed[slot] >= RETURN_AFTER_PACKETS
+            forwarded[slot] >= RETURN_AFTER_PACKETS
             and tag in self.entry_hosts.endpoints
-            and not passage.packet.flags & _ENDING
+            and not transit.packet.flags & _CLOSING_FLAGS
         )
 
-    def _pass_along(
+    def _forward_via_backups(
         self,
-        passage: passage_lib.TransitPacket,
+        transit: transit_lib.TransitPacket,
         slot: int,
         order: tuple[peers.Peer, ...],
         kind: hop_option.Kind,
     ) -> list[effects.Effect]:
-        """Sends a packet on by way of the backups."""
-        count = self._wanted_backups(passage, slot)
+        """Forwards a packet through the backups."""
+        count = self._wanted_backups(transit, slot)
         backups = [
             peer
             for peer in order[: count + 1]
             if not self.entry_hosts.is_self(peer)
         ]
         if not backups:
-            return self._emit(passage, slot)
-        packet = passage.for_host(self.records.table.target_of(slot))
-        # The tag of a copy is the number of backups that are to have it.
-        word = hop_option.pack(kind, 1, count)
-        return self.entry_hosts.hand_word(backups[0], packet, word)
-
-    def _emit(
-        self, passage: passage_lib.TransitPacket, slot: int
+            return self._send_to_fabric(transit, slot)
+        packet = transit.packet_for_host(self.records.table.target_of(slot))
+        # The tag field of a copy holds the number of backups wanted.
+        hop_value = hop_option.pack(kind, 1, count)
+        return self.entry_hosts.forward_with_hop(backups[0], packet, hop_value)
+
+    def _send_to_fabric(
+        self, transit: transit_lib.TransitPacket, slot: int
     ) -> list[effects.Effect]:
         """Sends a packet to the fabric."""
         target = self.records.table.target_of(slot)
-        return [effects.SendDatagram(None, passage.for_fabric(target))]
+        return [effects.SendDatagram(None, transit.datagram_for_fabric(target))]
 
 
-_ENDING = ip.TCP_FIN | ip.TCP_RST
+_CLOSING_FLAGS = ip.TCP_FIN | ip.TCP_RST
 
 
 def _reset_progress(is_reply: bool, state: int) -> target_choice.Progress:
-    """Returns what a reset means for the chooser."""
+    """Returns the progress that a reset stands for."""
     if not is_reply:
         return target_choice.Progress.CLOSED
     if state & table_lib.ESTABLISHED:
--- a/packages/core/src/tamarack_core/internal/entry/flow_queries.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_queries.py
@@ -1,144 +1,162 @@
-"""Questions to all hosts about a flow that neither owner nor backup knows."""
+"""Queries to other hosts about flows that no owner or backup knows."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import peers
-from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.entry import transit_packet as transit_lib
 from tamarack_core.internal.membership import part as membership_part
 from tamarack_core.messages import flows
 
-# Bounds the traffic of a host after many flows are lost at once.
-QUESTIONS_PER_S = 10.0
-MAX_ASKED_HOSTS = 16
-REPEAT_S = 1.0
-FORGET_S = 60.0
+# Rate limit of new and repeated queries. It bounds the traffic of a host after
+# many flows are lost at once.
+QUERIES_PER_S = 10.0
+# In a larger failure domain a random sample of this size is queried.
+MAX_QUERIED_HOSTS = 16
+REPEAT_INTERVAL_S = 1.0
+EXPIRY_S = 60.0
 
 
 class PendingQuery:
-    """A flow that this host asks about.
+    """Query about one flow.
 
     Attributes:
-        waiting: Hosts that have not answered.
-        asked_s: Monotonic time of the last question.
+        waiting: Hosts that have not responded, by name.
+        queried_s: Monotonic time at which the query was last sent.
     """
 
-    __slots__ = ("asked_s", "waiting")
+    __slots__ = ("queried_s", "waiting")
 
-    def __init__(self, waiting: dict[str, peers.Peer], asked_s: float) -> None:
-        """Creates a question."""
+    def __init__(
+        self, waiting: dict[str, peers.Peer], queried_s: float
+    ) -> None:
+        """Initializes the query."""
         self.waiting = waiting
-        self.asked_s = asked_s
+        self.queried_s = queried_s
 
 
 class FlowQueries:
-    """Asks the other hosts, within a budget, and remembers the answers.
+    """Queries the other hosts, within a rate limit, and tracks the responses.
 
-    The packet that raised a question is dropped; its sender repeats it.
+    The packet that triggers a query is dropped; its sender retransmits it.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         membership: Membership of this host.
-        questions: Open questions and those that all hosts answered with no,
-            by flow key.
+        pending: Queries by flow key. Those that all hosts have answered with
+            an unknown flow stay until they expire.
     """
 
-    __slots__ = ("_tokens", "_tokens_s", "context", "membership", "questions")
+    __slots__ = ("_tokens", "_tokens_s", "context", "membership", "pending")
 
     def __init__(
         self,
         context: context_lib.Context,
         membership_of_host: membership_part.Membership,
     ) -> None:
-        """Creates the questions of a host.
+        """Initializes the queries of a host.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             membership_of_host: Membership of this host.
         """
         self.context = context
         self.membership = membership_of_host
-        self.questions: dict[bytes, PendingQuery] = {}
-        self._tokens = QUESTIONS_PER_S
+        self.pending: dict[bytes, PendingQuery] = {}
+        self._tokens = QUERIES_PER_S
         self._tokens_s = 0.0
 
-    def is_exhausted(self, passage: passage_lib.TransitPacket) -> bool:
-        """Returns whether every reachable host has said that it knows not.
+    def is_exhausted(self, transit: transit_lib.TransitPacket) -> bool:
+        """Returns whether no reachable host knows the flow.
 
-        A host that left the domain since it was asked need not answer.
+        A host that has left the failure domain since it was queried does not
+        need to respond.
 
         Args:
-            passage: A packet of the flow.
+            transit: A packet of the flow.
         """
-        question = self.questions.get(passage.key)
-        if question is None:
+        pending_query = self.pending.get(transit.key)
+        if pending_query is None:
             return not self.membership.others()
         present = {peer.host for peer in self.membership.others()}
-        return present.isdisjoint(question.waiting)
+        return present.isdisjoint(pending_query.waiting)
 
-    def ask(self, passage: passage_lib.TransitPacket) -> list[effects.Effect]:
-        """Asks the hosts that have not answered yet.
+    def query_hosts(
+        self, transit: transit_lib.TransitPacket
+    ) -> list[effects.Effect]:
+        """Queries the hosts that have not responded yet.
+
+        Sends nothing if the flow was queried less than `REPEAT_INTERVAL_S` ago
+        or the rate limit is reached.
 
         Args:
-            passage: A packet of the flow; it is dropped.
+            transit: A packet of the flow; it is dropped.
         """
-        now_s = passage.now_s
+        now_s = transit.now_s
         self.context.counters["dropped-asking"] += 1
-        question = self.questions.get(passage.key)
-        if question is not None and now_s - question.asked_s < REPEAT_S:
+        pending_query = self.pending.get(transit.key)
+        if (
+            pending_query is not None
+            and now_s - pending_query.queried_s < REPEAT_INTERVAL_S
+        ):
             return []
         if not self._take_token(now_s):
             return []
-        if question is None:
-            question = PendingQuery(self._hosts(), now_s)
-            self.questions[passage.key] = question
-        question.asked_s = now_s
-        query = flows.FlowQuery(passage.key)
+        if pending_query is None:
+            pending_query = PendingQuery(self._hosts_to_query(), now_s)
+            self.pending[transit.key] = pending_query
+        pending_query.queried_s = now_s
+        query = flows.FlowQuery(transit.key)
         return [
             effects.SendMessage(peer, query)
-            for peer in question.waiting.values()
+            for peer in pending_query.waiting.values()
         ]
 
-    def take_answer(
-        self, sender: peers.Peer, answer: flows.FlowResponse
+    def handle_response(
+        self, sender: peers.Peer, response: flows.FlowResponse
     ) -> bool:
-        """Notes an answer; returns whether it was awaited.
+        """Handles a response; returns whether its target is to be stored.
+
+        The first response with a target ends the query.
 
         Args:
-            sender: The host that answered.
-            answer: The answer.
+            sender: The host that responded.
+            response: The response.
         """
-        question = self.questions.get(answer.key)
-        if question is None:
+        pending_query = self.pending.get(response.key)
+        if pending_query is None:
             return False
-        if answer.target:
-            del self.questions[answer.key]
+        if response.target:
+            del self.pending[response.key]
             return True
-        question.waiting.pop(sender.host, None)
+        pending_query.waiting.pop(sender.host, None)
         return False
 
     def expire(self, now_s: float) -> None:
-        """Forgets old questions.
+        """Removes old queries.
 
         Args:
             now_s: Monotonic time in seconds.
         """
-        self.questions = {
-            key: question
-            for key, question in self.questions.items()
-            if now_s - question.asked_s < FORGET_S
+        self.pending = {
+            key: pending_query
+            for key, pending_query in self.pending.items()
+            if now_s - pending_query.queried_s < EXPIRY_S
         }
 
-    def _hosts(self) -> dict[str, peers.Peer]:
-        """Returns the hosts to ask, all of them in a small domain."""
+    def _hosts_to_query(self) -> dict[str, peers.Peer]:
+        """Returns the hosts to query by name: all, or a random sample."""
         others = self.membership.others()
-        if len(others) > MAX_ASKED_HOSTS:
-            others = tuple(self.context.random.sample(others, MAX_ASKED_HOSTS))
+        if len(others) > MAX_QUERIED_HOSTS:
+            others = tuple(
+                self.context.random.sample(others, MAX_QUERIED_HOSTS)
+            )
         return {peer.host: peer for peer in others}
 
     def _take_token(self, now_s: float) -> bool:
-        """Returns whether the budget allows one more question."""
-        gained = (now_s - self._tokens_s) * QUESTIONS_PER_S
-        self._tokens = min(self._tokens + gained, QUESTIONS_PER_S)
+        """Takes a token of the rate limit; returns whether there was one."""
+        gained = (now_s - self._tokens_s) * QUERIES_PER_S
+        self._tokens = min(self._tokens + gained, QUERIES_PER_S)
         self._tokens_s = now_s
         if self._tokens < 1:
             return False
--- a/packages/core/src/tamarack_core/internal/entry/flow_records.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_records.py
@@ -1,4 +1,4 @@
-"""Changes of flow records, and what the chooser is told of them."""
+"""Changes of flow records, which the chooser is notified of."""
 
 from tamarack_core import configuration
 from tamarack_core import context as context_lib
@@ -6,21 +6,23 @@
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.flows import table as table_lib
 
-# A copy at a host that is not the owner needs a word of the owner this often.
-LEASE_S = 20.0
-# While the owner does not answer, a copy is used this long.
+# A host other than the owner needs a confirmation by the owner at this interval
+# to keep its copy on the fast path.
+CONFIRMATION_S = 20.0
+# A copy is used for this long after its last confirmation while the owner does
+# not respond.
 COPY_LIFETIME_S = 30.0
-# Time between two attempts to reach an owner that does not answer.
+# Time between two attempts to reach an owner that does not respond.
 RETRY_S = 1.0
-# Time after which the owner looks at the backups of a flow again.
-OWNER_CARE_S = 3.0
+# Time after which the owner checks the backups of a flow again.
+BACKUP_CHECK_S = 3.0
 
 
 class FlowRecords:
-    """Flow table of this host, kept in step with the chooser.
+    """Flow table of this host; notifies the chooser of changes.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         table: The flow table.
         chooser: Chooses targets and counts the flows of each.
     """
@@ -30,21 +32,22 @@
     def __init__(
         self, context: context_lib.Context, chooser: target_choice.Chooser
     ) -> None:
-        """Creates an empty table.
+        """Initializes an empty flow table.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             chooser: Chooses targets and counts the flows of each.
         """
         self.context = context
         self.chooser = chooser
         self.table = table_lib.FlowTable()
 
-    def is_certain(self, now_s: float, slot: int) -> bool:
-        """Returns whether what this host knows of a flow may be relied on.
+    def is_reliable(self, now_s: float, slot: int) -> bool:
+        """Returns whether the record of a flow is reliable.
 
-        A copy that no owner has confirmed for long may describe an earlier
-        flow with the same key.
+        A copy that no owner has confirmed for `COPY_LIFETIME_S` may describe an
+        earlier flow with the same key.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -52,22 +55,22 @@
         """
         if self.table.flags[slot] & (table_lib.OWNED | table_lib.BACKUP):
             return True
-        return now_s - self.table.valid_s[slot] < COPY_LIFETIME_S
+        return now_s - self.table.confirmed_s[slot] < COPY_LIFETIME_S
 
     def find(self, now_s: float, key: bytes) -> int | None:
-        """Returns the slot of a flow; None if nothing certain is known.
+        """Returns the slot of a flow; None without a reliable record.
 
         Args:
             now_s: Monotonic time in seconds.
             key: Flow key.
         """
         slot = self.table.slots.get(key)
-        if slot is None or not self.is_certain(now_s, slot):
+        if slot is None or not self.is_reliable(now_s, slot):
             return None
         return slot
 
     def is_recent(self, now_s: float, slot: int) -> bool:
-        """Returns whether packets or copies of a flow may still be about.
+        """Returns whether packets or copies of a flow may still exist.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -77,7 +80,7 @@
         if not flags & table_lib.ESTABLISHED:
             return False
         if flags & table_lib.CLOSED:
-            return now_s - self.table.valid_s[slot] < COPY_LIFETIME_S
+            return now_s - self.table.confirmed_s[slot] < COPY_LIFETIME_S
         return now_s - self.table.seen_s[slot] < 2 * COPY_LIFETIME_S
 
     def observe(
@@ -87,7 +90,7 @@
         port: lookup.ServicePort,
         progress: target_choice.Progress,
     ) -> None:
-        """Tells the chooser of a step in the life of a flow."""
+        """Notifies the chooser of the progress of a flow."""
         self.chooser.observe(
             now_s,
             target_choice.Observation(
@@ -98,10 +101,10 @@
             ),
         )
 
-    def put_owned(
+    def store_owned(
         self, now_s: float, key: bytes, target: bytes, sequence: int
     ) -> int | None:
-        """Stores a flow that the chooser has just counted.
+        """Stores a new flow that this host owns and the chooser has counted.
 
         Returns:
             The slot; None if the table is full.
@@ -112,19 +115,19 @@
         slot = self.table.put(key, target, now_s)
         if slot is not None:
             self.table.flags[slot] = table_lib.OWNED
-            self.table.initial[slot] = sequence
+            self.table.initial_sequence[slot] = sequence
         return slot
 
     def take_over(
         self, now_s: float, slot: int, port: lookup.ServicePort
     ) -> None:
-        """Makes this host the owner of a flow that it holds a copy of."""
+        """Makes this host the owner of an open flow that it holds a copy of."""
         flags = self.table.flags[slot]
         if flags & (table_lib.OWNED | table_lib.CLOSED):
             return
         self.table.flags[slot] = flags | table_lib.OWNED
-        self.table.valid_s[slot] = now_s
-        self.table.due_s[slot] = now_s
+        self.table.confirmed_s[slot] = now_s
+        self.table.fast_until_s[slot] = now_s
         self.table.placed[slot] = 0
         self.observe(now_s, slot, port, target_choice.Progress.OPENED)
         self.context.counters["flows-taken-over"] += 1
@@ -132,12 +135,12 @@
     def release(
         self, now_s: float, slot: int, port: lookup.ServicePort
     ) -> None:
-        """Ends the ownership of a flow that another host owns now."""
+        """Ends the ownership of a flow that another host now owns."""
         if not self.table.flags[slot] & table_lib.OWNED:
             return
         self.table.flags[slot] &= ~table_lib.OWNED
-        self.table.valid_s[slot] = now_s
-        self.table.due_s[slot] = now_s
+        self.table.confirmed_s[slot] = now_s
+        self.table.fast_until_s[slot] = now_s
         self.observe(now_s, slot, port, target_choice.Progress.CLOSED)
         self.context.counters["flows-released"] += 1
 
@@ -148,16 +151,18 @@
         port: lookup.ServicePort,
         progress: target_choice.Progress,
     ) -> None:
-        """Marks a flow as over; its record stays for late packets."""
+        """Marks a flow as closed; its record stays for late packets."""
         if self.table.flags[slot] & table_lib.OWNED:
             self.observe(now_s, slot, port, progress)
         self.table.flags[slot] |= table_lib.CLOSED
         self.table.flags[slot] &= ~table_lib.OWNED
-        self.table.valid_s[slot] = now_s
-        self.table.due_s[slot] = now_s
+        self.table.confirmed_s[slot] = now_s
+        self.table.fast_until_s[slot] = now_s
 
     def learn(self, now_s: float, key: bytes, target: bytes) -> int | None:
-        """Stores the word of the owner about a flow.
+        """Stores a flow whose target another host has reported.
+
+        The target of a flow that this host owns is not changed.
 
         Returns:
             The slot; None if the table is full.
@@ -174,8 +179,8 @@
                 return slot
             table.set_target(slot, target)
             table.flags[slot] = table_lib.ESTABLISHED
-        table.valid_s[slot] = now_s
-        table.due_s[slot] = now_s + LEASE_S
+        table.confirmed_s[slot] = now_s
+        table.fast_until_s[slot] = now_s + CONFIRMATION_S
         table.seen_s[slot] = int(now_s)
         return slot
 
@@ -183,8 +188,8 @@
 def backups_at_opening(port: lookup.ServicePort) -> int:
     """Returns the number of backups that a flow has from its opening.
 
-    A bounded flow gets the second one if it lasts, so that short flows,
-    which are the most, cost one hop less.
+    A bounded flow gets the second one only if it lasts, so that short flows,
+    which are the majority, cost one hop less.
     """
     if port.settings.lifetime is configuration.Lifetime.BOUNDED:
         return 1
--- a/packages/core/src/tamarack_core/internal/entry/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_rejection.py
@@ -1,83 +1,89 @@
-"""Drops and resets of the data path, with their verdicts."""
+"""Dropped packets, refused openings and reset flows, with their verdicts."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import verdict as verdict_lib
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.entry import transit_packet as passage_lib
+from tamarack_core.internal.entry import transit_packet as transit_lib
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tamarack_core.packets import reset
 
 
 class FlowRejector:
-    """Tells callers what has become of their packets.
+    """Drops packets, and sends resets to callers.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
     """
 
     __slots__ = ("context",)
 
     def __init__(self, context: context_lib.Context) -> None:
-        """Creates the refusals of a host.
+        """Initializes the rejector.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
         """
         self.context = context
 
     def refuse(
-        self, passage: passage_lib.TransitPacket, verdict: verdict_lib.Verdict
+        self, transit: transit_lib.TransitPacket, verdict: verdict_lib.Verdict
     ) -> list[effects.Effect]:
-        """Answers an opening with a reset, which means not run.
+        """Refuses an opening with a reset; the request has not run.
+
+        An opening without TCP is dropped.
 
         Args:
-            passage: The opening, inbound.
+            transit: The opening, inbound.
             verdict: Verdict with the reason.
         """
-        if not passage.is_tcp():
+        if not transit.is_tcp():
             return self.drop(verdict.reason)
-        return self._reset(passage, verdict, "flow-refused")
+        return self._reset(transit, verdict, "flow-refused")
 
     def reset_open(
-        self, passage: passage_lib.TransitPacket, reason: str
+        self, transit: transit_lib.TransitPacket, reason: str
     ) -> list[effects.Effect]:
-        """Resets a flow that can't go on; its request may have run.
+        """Resets a flow that can't continue; its request may have run.
 
         Args:
-            passage: A packet of the caller, inbound.
-            reason: Constant name of the cause.
+            transit: A packet of the caller, inbound.
+            reason: Constant name of the reason.
         """
         verdict = verdict_lib.may_have_run(reason)
-        return self._reset(passage, verdict, "flow-reset")
+        return self._reset(transit, verdict, "flow-reset")
 
     def drop(self, reason: str) -> list[effects.Effect]:
-        """Counts a dropped packet.
+        """Drops a packet and counts the reason.
 
         Args:
-            reason: Constant name of the cause.
+            reason: Constant name of the reason.
         """
         self.context.counters["dropped-" + reason] += 1
         return []
 
     def _reset(
         self,
-        passage: passage_lib.TransitPacket,
+        transit: transit_lib.TransitPacket,
         verdict: verdict_lib.Verdict,
         name: str,
     ) -> list[effects.Effect]:
-        """Answers a packet with a reset and records the verdict."""
-        if passage.packet.flags & ip.TCP_RST:
+        """Sends a reset for a packet and records the verdict.
+
+        A packet that is itself a reset is dropped.
+        """
+        if transit.packet.flags & ip.TCP_RST:
             return self.drop(verdict.reason)
         self.context.counters[name] += 1
         record = self.context.record(
-            passage.now_s,
+            transit.now_s,
             name,
-            service=passage.port.service,
-            flow=lookup.format_flow(passage.key),
+            service=transit.port.service,
+            flow=lookup.format_flow(transit.key),
             verdict=verdict.outcome,
             reason=verdict.reason,
         )
-        answer = geneve.encapsulate(reset.for_packet(passage.packet))
-        return [effects.SendDatagram(None, answer), record]
+        datagram = geneve.encapsulate(reset.for_packet(transit.packet))
+        return [effects.SendDatagram(None, datagram), record]
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -25,7 +25,7 @@
         service: Name of the service.
         work_class: Name of the work class.
         settings: The work class.
-        weights: What the service values.
+        weights: Weights of the goals of the service.
         address: Service address in network byte order.
         port: Port of the service address.
         target_port: Port at each target.
@@ -48,8 +48,8 @@
 class Lookup:
     """Finds the service port of a packet.
 
-    A change of some services costs time in proportion to these alone, so that
-    a host can follow frequent changes of a large configuration.
+    The cost of an update is proportional to the number of changed services, so
+    that a host keeps up with frequent changes of a large configuration.
 
     Attributes:
         documents: Services by name.
@@ -64,7 +64,7 @@
     __slots__ = ("documents", "inbound", "networks", "outbound", "services")
 
     def __init__(self, document: configuration.Configuration) -> None:
-        """Derives the tables.
+        """Initializes the tables.
 
         Args:
             document: A configuration that passed validation.
@@ -82,8 +82,8 @@
         Args:
             changes: New services by name; None removes a service.
         """
-        # An address may move between two services of one change, so all old
-        # services go before any new one comes.
+        # One change may move an address between two services, so all old
+        # services are removed before any new one is added.
         for name in changes:
             self._remove(name)
         for name, service in changes.items():
@@ -122,7 +122,7 @@
         )
 
     def find_outbound(self, packet: ip.Packet) -> ServicePort | None:
-        """Returns the service port that a target's packet answers for."""
+        """Returns the service port that a target's packet replies for."""
         service = self.find_service(packet.source)
         if not service:
             return None
@@ -130,7 +130,7 @@
             (service, len(packet.source), packet.protocol, packet.source_port)
         )
 
-    def find_inside(self, packet: ip.Packet) -> ServicePort | None:
+    def find_rewritten(self, packet: ip.Packet) -> ServicePort | None:
         """Returns the service port of a packet rewritten for its target."""
         service = self.find_service(packet.destination)
         if not service:
@@ -233,7 +233,7 @@
 
     Args:
         packet: Packet from a target to a caller.
-        port: Service port that the target answers for.
+        port: Service port that the target replies for.
     """
     return (
         packet.destination
@@ -244,7 +244,7 @@
     )
 
 
-def inside_key(packet: ip.Packet, port: ServicePort) -> bytes:
+def rewritten_key(packet: ip.Packet, port: ServicePort) -> bytes:
     """Returns the key of the flow of a packet rewritten for its target.
 
     Args:
@@ -261,7 +261,7 @@
 
 
 def caller_bytes(key: bytes) -> int:
-    """Returns how many bytes of a flow key name the caller."""
+    """Returns the size of the caller address and port in a flow key."""
     return (len(key) - 5) // 2 + 2
 
 
--- a/packages/core/src/tamarack_core/internal/entry/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -16,12 +16,12 @@
     """A connection that a caller opens.
 
     Attributes:
-        flow: Packed caller address, caller port, service address, service
-            port and protocol, as `lookup.flow_key` gives them.
+        flow: Flow key, as returned by `lookup.flow_key`: packed caller
+            address, caller port, service address, service port and protocol.
         port: Service port that the caller opens.
         preferred: Packed IP address of the target of the last flow with this
-            key, if that was closed seconds ago. Another target can't take
-            the flow yet. Empty if any target may.
+            key, if that flow was closed seconds ago. No other target can take
+            the new flow yet. Empty if any target can.
     """
 
     flow: bytes
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
-    """No target takes the connection.
+    """Refusal of a connection that no target takes.
 
     Attributes:
         verdict: Always `not-run`, with the reason.
@@ -52,7 +52,10 @@
 
 
 class Progress(enum.Enum):
-    """What the owner of a flow has seen of it."""
+    """Progress of a flow, as seen by its owner.
+
+    UNRESPONSIVE: the target did not reply to the opening in time.
+    """
 
     OPENED = "opened"
     ESTABLISHED = "established"
@@ -71,15 +74,15 @@
         Progress.UNRESPONSIVE,
     }
 )
-"""Steps after which a flow is over."""
+"""Progress after which a flow is over."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
-    """A step in the life of a flow.
+    """Change of the progress of a flow.
 
     Attributes:
-        progress: What was seen.
+        progress: The new progress.
         target: Packed IP address of the target.
         port: Service port of the flow.
         elapsed_s: Seconds since the flow was opened.
@@ -111,9 +114,9 @@
         """
 
     def observe(self, now_s: float, observation: Observation) -> None:
-        """Takes note of a step in the life of a flow.
+        """Handles a change of the progress of a flow.
 
         Args:
             now_s: Monotonic time in seconds.
-            observation: What was seen.
+            observation: The change.
         """
--- a/packages/core/src/tamarack_core/internal/flows/__init__.py
+++ b/packages/core/src/tamarack_core/internal/flows/__init__.py
@@ -1,1 +1,1 @@
-"""Flows: which host owns them, where they go, and what is known of them."""
+"""Flows: owner and backups, hop option, placement and flow table."""
--- a/packages/core/src/tamarack_core/internal/flows/ownership.py
+++ b/packages/core/src/tamarack_core/internal/flows/ownership.py
@@ -1,8 +1,9 @@
 """Owner and backups of each flow, by rendezvous hash over the members.
 
-The flows of a service are owned by a group of a few hosts, so that these know
-the load of its targets well. The next host in the order of the service is the
-standby, which holds their flows in case it joins the group.
+The flows of a service are owned by a group of a few hosts, so that these have
+an accurate view of the load of its targets. The next host in the order of the
+service is the standby, which holds copies of their flows in case it joins the
+group.
 """
 
 import dataclasses
@@ -13,7 +14,7 @@
 
 # The owner and two backups.
 ORDER_HOSTS = 3
-# Few enough that the orders of all services of a domain fit the memory.
+# Few enough that the orders of all services of a failure domain fit in memory.
 BUCKETS = 64
 
 _BUCKET_MASK = BUCKETS - 1
@@ -23,7 +24,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Group:
+class OwnerGroup:
     """First hosts in the order of a service.
 
     Attributes:
@@ -45,24 +46,24 @@
 
 
 class Ownership:
-    """Group of each service, computed on demand.
+    """Owner group of each service, computed on demand.
 
     Attributes:
         members: Seed of the score of each member, by peer.
-        groups: Group of each service that was asked for.
+        groups: Owner group by service, filled on demand.
     """
 
     __slots__ = ("groups", "members")
 
     def __init__(self) -> None:
-        """Creates the ownership of a domain without members."""
+        """Initializes the ownership without members."""
         self.members: dict[peers.Peer, int] = {}
-        self.groups: dict[str, Group] = {}
+        self.groups: dict[str, OwnerGroup] = {}
 
     def order(
         self, service: str, opening_hosts: int, key: bytes
     ) -> tuple[peers.Peer, ...]:
-        """Returns the owner and the backups of a flow, as far as there are.
+        """Returns the owner and the backups of a flow, as many as exist.
 
         Args:
             service: Name of the service.
@@ -71,7 +72,7 @@
         """
         group = self.groups.get(service)
         if group is None or group.opening_hosts != opening_hosts:
-            group = self._compute(service, opening_hosts)
+            group = self._compute_group(service, opening_hosts)
         bucket = zlib.crc32(key) & _BUCKET_MASK
         order = group.orders.get(bucket)
         if order is None:
@@ -100,14 +101,14 @@
         for service in stale:
             del self.groups[service]
 
-    def _compute(self, service: str, opening_hosts: int) -> Group:
+    def _compute_group(self, service: str, opening_hosts: int) -> OwnerGroup:
         """Computes and stores the group of a service."""
-        group = Group([], opening_hosts)
+        group = OwnerGroup([], opening_hosts)
         group.hosts = owner_group.members(service, self.members, group.size)
         self.groups[service] = group
         return group
 
-    def _order(self, group: Group, bucket: int) -> tuple[peers.Peer, ...]:
+    def _order(self, group: OwnerGroup, bucket: int) -> tuple[peers.Peer, ...]:
         """Returns the owner and the backups of a bucket of flows."""
         owners = sorted(
             group.hosts[: group.opening_hosts],
@@ -119,7 +120,7 @@
 
 def _is_stale(
     service: str,
-    group: Group,
+    group: OwnerGroup,
     removed: set[peers.Peer],
     added: list[peers.Peer],
 ) -> bool:
--- a/packages/core/src/tamarack_core/internal/flows/placement.py
+++ b/packages/core/src/tamarack_core/internal/flows/placement.py
@@ -1,7 +1,8 @@
-"""Which backups hold a flow, in four bytes.
+"""Set of the backups that hold a flow, packed into four bytes.
 
-The owner notes the tags of up to two backups. Two hosts may share a tag of 16
-bits; a backup is then missed, and the other one still holds the flow.
+The owner stores 16-bit tags of up to two backups. If two hosts share a tag, a
+backup may count as holding a flow that it lacks; the other backup still holds
+the flow.
 """
 
 from collections.abc import Iterable
@@ -10,7 +11,7 @@
 
 from tamarack_core import peers
 
-NOWHERE = 0
+NO_BACKUPS = 0
 
 _TAG_BITS = 16
 _TAG_MASK = 0xFFFF
@@ -22,10 +23,10 @@
     Args:
         backups: At most two hosts that hold the flow beside its owner.
     """
-    found = NOWHERE
+    result = NO_BACKUPS
     for peer in backups:
-        found = found << _TAG_BITS | _tag(peer.host)
-    return found
+        result = result << _TAG_BITS | _tag(peer.host)
+    return result
 
 
 def missing(placed: int, backups: tuple[peers.Peer, ...]) -> list[peers.Peer]:
--- a/packages/core/src/tamarack_core/internal/flows/table.py
+++ b/packages/core/src/tamarack_core/internal/flows/table.py
@@ -1,6 +1,6 @@
-"""Flow table: what this host knows of each flow, in compact form.
+"""Flow table of a host, in compact form.
 
-The columns are arrays, since one object a flow would need several times the
+The columns are arrays, since one object per flow would need several times the
 memory. A slot is the index of a flow in all columns.
 """
 
@@ -15,14 +15,14 @@
 
 
 class Flag(enum.IntFlag):
-    """What is known of a flow.
+    """State of a flow.
 
-    OWNED: this host is its owner and has told the chooser of it.
+    OWNED: this host is its owner and has notified the chooser of it.
     ESTABLISHED: the handshake is complete.
     CALLER_FIN: the caller has sent a FIN.
     TARGET_FIN: the target has sent a FIN.
     CLOSED: both have, or one has sent a reset.
-    BACKUP: the owner counts on this host to keep the flow.
+    BACKUP: this host is a backup that the owner relies on to keep the flow.
     REPLIED: the target has sent payload.
     """
 
@@ -47,8 +47,8 @@
 class FlowTable:
     """Flows by key, bounded.
 
-    A full table evicts closed flows and copies that are not backups first,
-    then backups; it never evicts an open flow that this host owns.
+    A full table first evicts closed flows and copies that are not backups, then
+    backups. It never evicts an open flow that this host owns.
 
     Attributes:
         capacity: Largest number of flows.
@@ -56,16 +56,19 @@
         keys: Flow key by slot; None for a free slot.
         target: Index of the target by slot; see `targets`.
         flags: `Flag` bits by slot.
-        initial: Initial sequence number of the caller by slot, or 0.
+        initial_sequence: Initial sequence number of the caller by slot, or 0.
         seen_s: Monotonic time of the last packet in whole seconds, by slot.
         opened_s: Monotonic time at which the flow was opened, by slot.
-        due_s: Monotonic time up to which packets of the flow need no care.
-        valid_s: Monotonic time of the last word of the owner, by slot. For a
-            closed flow, when it was closed.
-        handed: Packets that other hosts handed over, at most 255, by slot.
-        repeated: Sequence number of the caller's last payload, by slot.
-        unanswered_s: Monotonic time at which that payload was first seen, in
-            whole seconds, by slot.
+        fast_until_s: Monotonic time up to which the fast path serves packets of
+            the flow, by slot.
+        confirmed_s: Monotonic time of the last confirmation by the owner, by
+            slot. For a closed flow, when it was closed.
+        forwarded: Packets that other hosts have forwarded, at most 255, by
+            slot.
+        payload_sequence: Sequence number of the caller's last payload, by
+            slot.
+        unanswered_since_s: Monotonic time at which that payload was first
+            seen, in whole seconds, by slot.
         replied_s: Monotonic time of the last packet of the target through
             this host, in whole seconds, by slot.
         placed: Backups that hold the flow, by slot; see `placement`.
@@ -73,29 +76,29 @@
     """
 
     __slots__ = (
+        "_clock_hand",
         "_free",
-        "_hand",
         "_indices",
         "capacity",
-        "due_s",
+        "confirmed_s",
+        "fast_until_s",
         "flags",
-        "handed",
-        "initial",
+        "forwarded",
+        "initial_sequence",
         "keys",
         "opened_s",
+        "payload_sequence",
         "placed",
-        "repeated",
         "replied_s",
         "seen_s",
         "slots",
         "target",
         "targets",
-        "unanswered_s",
-        "valid_s",
+        "unanswered_since_s",
     )
 
     def __init__(self, capacity: int = DEFAULT_CAPACITY) -> None:
-        """Creates an empty table.
+        """Initializes an empty flow table.
 
         Args:
             capacity: Largest number of flows, at least 1.
@@ -105,20 +108,20 @@
         self.keys: list[bytes | None] = []
         self.target = array.array("H")
         self.flags = bytearray()
-        self.initial = array.array("I")
+        self.initial_sequence = array.array("I")
         self.seen_s = array.array("I")
         self.opened_s = array.array("d")
-        self.due_s = array.array("d")
-        self.valid_s = array.array("d")
-        self.handed = bytearray()
-        self.repeated = array.array("I")
-        self.unanswered_s = array.array("I")
+        self.fast_until_s = array.array("d")
+        self.confirmed_s = array.array("d")
+        self.forwarded = bytearray()
+        self.payload_sequence = array.array("I")
+        self.unanswered_since_s = array.array("I")
         self.replied_s = array.array("I")
         self.placed = array.array("I")
         self.targets: list[bytes] = []
         self._indices: dict[bytes, int] = {}
         self._free: list[int] = []
-        self._hand = 0
+        self._clock_hand = 0
 
     def __len__(self) -> int:
         """Returns the number of flows."""
@@ -133,7 +136,7 @@
             now_s: Monotonic time in seconds.
 
         Returns:
-            The slot; None if the table is full of flows that must stay.
+            The slot; None if the table is full and no flow can be evicted.
         """
         if len(self.slots) >= self.capacity and not self._evict():
             return None
@@ -144,15 +147,15 @@
         self.keys[slot] = key
         self.set_target(slot, target)
         self.flags[slot] = 0
-        self.initial[slot] = 0
+        self.initial_sequence[slot] = 0
         self.seen_s[slot] = int(now_s)
         self.opened_s[slot] = now_s
-        self.due_s[slot] = now_s
-        self.valid_s[slot] = now_s
-        self.handed[slot] = 0
+        self.fast_until_s[slot] = now_s
+        self.confirmed_s[slot] = now_s
+        self.forwarded[slot] = 0
         self.placed[slot] = 0
-        self.repeated[slot] = 0
-        self.unanswered_s[slot] = int(now_s)
+        self.payload_sequence[slot] = 0
+        self.unanswered_since_s[slot] = int(now_s)
         self.replied_s[slot] = 0
         return slot
 
@@ -194,27 +197,27 @@
         self.keys.extend([None] * _GROWTH)
         for column in (
             self.target,
-            self.initial,
+            self.initial_sequence,
             self.seen_s,
             self.opened_s,
-            self.due_s,
-            self.valid_s,
+            self.fast_until_s,
+            self.confirmed_s,
             self.placed,
-            self.repeated,
-            self.unanswered_s,
+            self.payload_sequence,
+            self.unanswered_since_s,
             self.replied_s,
         ):
             column.frombytes(bytes(_GROWTH * column.itemsize))
         self.flags.extend(bytes(_GROWTH))
-        self.handed.extend(bytes(_GROWTH))
+        self.forwarded.extend(bytes(_GROWTH))
         self._free.extend(range(first + _GROWTH - 1, first - 1, -1))
 
     def _evict(self) -> bool:
-        """Frees a slot if one of the next slots may go."""
+        """Evicts a flow from one of the next slots; returns whether it did."""
         spare = -1
         for _ in range(EVICTION_TRIES):
-            self._hand = (self._hand + 1) % len(self.keys)
-            slot = self._hand
+            self._clock_hand = (self._clock_hand + 1) % len(self.keys)
+            slot = self._clock_hand
             if self.keys[slot] is None:
                 continue
             flags = self.flags[slot]
--- a/packages/core/src/tamarack_core/messages/flows.py
+++ b/packages/core/src/tamarack_core/messages/flows.py
@@ -4,7 +4,7 @@
 
 
 class FlowCopies(msgspec.Struct, frozen=True, tag="flow-copies"):
-    """The receiver is to hold these flows of one service port.
+    """Flows of one service port that the receiver is to store.
 
     Attributes:
         service: Packed service address, port and protocol, the end of each
@@ -22,7 +22,7 @@
 
 
 class FlowQuery(msgspec.Struct, frozen=True, tag="flow-query"):
-    """The sender asks for the target of a flow that it must carry.
+    """Query for the target of a flow that the sender must serve.
 
     Attributes:
         key: Flow key.
@@ -32,7 +32,7 @@
 
 
 class FlowResponse(msgspec.Struct, frozen=True, tag="flow-answer"):
-    """Answer to `FlowQuery`.
+    """Response to `FlowQuery`.
 
     Attributes:
         key: Flow key.
@@ -44,13 +44,13 @@
 
 
 class StalledFlowQuery(msgspec.Struct, frozen=True, tag="silence-question"):
-    """The sender asks whether the receiver has seen a reply on a flow.
+    """Query whether the receiver has seen a reply on a flow.
 
     Attributes:
         key: Flow key.
         target: Packed address of the target of the flow.
-        age_s: Seconds for which the sender has seen none.
-        sequence: Sequence number of the payload that the caller repeats.
+        age_s: Seconds for which the sender has seen no reply.
+        sequence: Sequence number of the payload that the caller retransmits.
     """
 
     key: bytes
@@ -60,12 +60,12 @@
 
 
 class StalledFlowResponse(msgspec.Struct, frozen=True, tag="silence-answer"):
-    """Answer to `StalledFlowQuery`.
+    """Response to `StalledFlowQuery`.
 
     Attributes:
         key: Flow key.
         has_reply: Whether the sender has seen a reply in that time.
-        is_target_heard: Whether the sender has lately seen packets of the
+        is_target_heard: Whether the sender has recently seen packets of the
             target on any flow.
     """
 
--- a/packages/core/src/tamarack_core/packets/geneve.py
+++ b/packages/core/src/tamarack_core/packets/geneve.py
@@ -1,8 +1,8 @@
 """Geneve encapsulation (RFC 8926).
 
 A datagram between the fabric and a host carries no option. A datagram between
-two hosts carries one option with the number of hosts that it has visited, so
-that a packet can't circle.
+two hosts carries one option, whose value includes the number of hosts visited,
+so that a packet can't loop.
 """
 
 import dataclasses
@@ -39,11 +39,11 @@
 
     Attributes:
         packet: The inner IP packet.
-        hops: Number of hosts of the system that the packet has visited.
+        hop_value: Value of the hop option; 0 without one.
     """
 
     packet: bytes
-    hops: int
+    hop_value: int
 
 
 def encapsulate(packet: bytes) -> bytes:
@@ -55,23 +55,23 @@
     return (_PLAIN_V4 if packet[0] >> 4 == 4 else _PLAIN_V6) + packet
 
 
-def encapsulate_hop(packet: bytes, hops: int) -> bytes:
+def encapsulate_hop(packet: bytes, hop_value: int) -> bytes:
     """Returns a datagram for another host.
 
     Args:
         packet: An IPv4 or IPv6 packet of at least one byte.
-        hops: Number of hosts that the packet has visited, this one included.
+        hop_value: Value of the hop option, 32 bits.
     """
     ethertype = ETHERTYPE_IPV4 if packet[0] >> 4 == 4 else ETHERTYPE_IPV6
     return (
         _header.pack(_option.size // _WORD_BYTES, 0, ethertype, 0)
-        + _option.pack(HOP_OPTION_CLASS, HOP_OPTION_TYPE, 1, hops)
+        + _option.pack(HOP_OPTION_CLASS, HOP_OPTION_TYPE, 1, hop_value)
         + packet
     )
 
 
 def decapsulate(data: bytes) -> Decapsulated | failure.Failure:
-    """Returns the inner packet of a datagram, or why there is none.
+    """Returns the contents of a datagram, or the reason why it is invalid.
 
     Args:
         data: The UDP payload, starting with the Geneve header.
@@ -92,16 +92,16 @@
     end = HEADER_BYTES + (first & _OPTION_WORDS_MASK) * _WORD_BYTES
     if len(data) < end:
         return failure.Failure("geneve-truncated")
-    hops = _read_hops(data, end)
-    if isinstance(hops, failure.Failure):
-        return hops
-    return Decapsulated(data[end:], hops)
+    hop_value = _read_hop_option(data, end)
+    if isinstance(hop_value, failure.Failure):
+        return hop_value
+    return Decapsulated(data[end:], hop_value)
 
 
-def _read_hops(data: bytes, end: int) -> int | failure.Failure:
-    """Returns the hop count among the options; 0 without one."""
+def _read_hop_option(data: bytes, end: int) -> int | failure.Failure:
+    """Returns the value of the hop option; 0 without one."""
     offset = HEADER_BYTES
-    hops = 0
+    hop_value = 0
     while offset < end:
         if end - offset < OPTION_HEADER_BYTES:
             return failure.Failure("geneve-option")
@@ -113,10 +113,10 @@
         if option_class == HOP_OPTION_CLASS and kind == HOP_OPTION_TYPE:
             if words != 1:
                 return failure.Failure("geneve-option")
-            hops = int.from_bytes(data[after - _WORD_BYTES : after], "big")
+            hop_value = int.from_bytes(data[after - _WORD_BYTES : after], "big")
         elif kind & _CRITICAL_OPTION:
-            # RFC 8926 section 3.5: an unknown critical option must not be
-            # passed over.
+            # A packet with an unknown critical option must be dropped (RFC
+            # 8926, section 3.5).
             return failure.Failure("geneve-critical-option")
         offset = after
-    return hops
+    return hop_value
