Rename the replicated log's modules and the reducer's component

consensus/face.py -> interface.py, Consensus -> ReplicatedLog: the module holds the interface of the replicated log. limits.py, Limits, bounds -> log_parameters.py, LogParameters, parameters: it holds times and sizes, not only limits. following.py -> follower.py, forwarding.py -> read_forwarding.py, changes.py -> membership_checks.py: named after what they hold. membership.change -> apply_change: a function is named by a verb phrase. messages.consensus.KINDS -> MESSAGE_TYPES. reducer.Part -> Component.

Fields: storage.disk.Disk -> DiskContents (what a data folder contained at the start) and Contents.is_marked -> is_end_synced (whether the last frame is a SYNCED frame). Neither struct is ever encoded.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -58,7 +58,7 @@
     sources: tuple[peers.Peer, ...] = ()
     fallback_sources: tuple[peers.Peer, ...] = ()
     voters: tuple[peers.Peer, ...] = ()
-    disk: disks.Disk | None = None
+    disk: disks.DiskContents | None = None
 
 
 def assemble(plan: Plan) -> reducer.Node:
@@ -85,27 +85,29 @@
         chooser.BalancingChooser(context, targets, book, gate),
         members,
     )
-    parts: list[reducer.Part] = [distribution]
+    components: list[reducer.Component] = [distribution]
     if Role.ENTRY in plan.roles:
-        parts.append(members)
-        parts.append(path)
+        components.append(members)
+        components.append(path)
         leases = aggregation.Aggregation(context, targets, members.others)
-        parts.append(leases)
-        parts.append(announcements.Announcements(context, held, leases))
-        parts.append(reporting.Reporting(context, held, book, members.others))
+        components.append(leases)
+        components.append(announcements.Announcements(context, held, leases))
+        components.append(
+            reporting.Reporting(context, held, book, members.others)
+        )
         roster = len(plan.entry_peers) + 1
-        parts.append(
+        components.append(
             sharing.Sharing(context, held, gate, members.others, roster)
         )
-        parts.append(views.Views(held, targets, book, path.records.table))
+        components.append(views.Views(held, targets, book, path.records.table))
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
             raise ValueError("the control role needs Plan.disk")
-        parts.append(
+        components.append(
             voter.VoterControl(context, distribution, plan.voters, plan.disk)
         )
     else:
-        parts.append(
+        components.append(
             outside.Outside(
                 held,
                 tuple(
@@ -114,7 +116,7 @@
                 ),
             )
         )
-    parts.append(
+    components.append(
         status.Status(
             context,
             held,
@@ -125,5 +127,5 @@
         )
     )
     ends_at_once = Role.ENTRY not in plan.roles
-    parts.append(lifecycle.Lifecycle(context, ends_at_once))
-    return reducer.Node(context, tuple(parts))
+    components.append(lifecycle.Lifecycle(context, ends_at_once))
+    return reducer.Node(context, tuple(components))
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -36,7 +36,7 @@
     host: peers.Peer
     seed: int
     seeds: tuple[peers.Peer, ...]
-    disk: disks.Disk
+    disk: disks.DiskContents
     tolerated_hosts: int
     announce_interval_s: float
 
--- a/packages/core/src/tamarack_core/internal/consensus/elections.py
+++ b/packages/core/src/tamarack_core/internal/consensus/elections.py
@@ -113,7 +113,7 @@
     Before that the replica may not remember what it promised.
     """
     returned_s = now_s - state.restarted_s
-    return returned_s < state.bounds.election_timeout_min_s
+    return returned_s < state.parameters.election_timeout_min_s
 
 
 def _has_live_leader(state: states.State, now_s: float) -> bool:
@@ -122,7 +122,7 @@
     silence_s = now_s - state.leader_seen_s
     return (
         state.leader is not None
-        and silence_s < state.bounds.election_timeout_min_s
+        and silence_s < state.parameters.election_timeout_min_s
     )
 
 
--- a/packages/core/src/tamarack_core/internal/consensus/face.py
+++ b/packages/core/src/tamarack_core/internal/consensus/interface.py
@@ -12,7 +12,7 @@
 TIMER = "consensus"
 
 
-class Consensus(Protocol):
+class ReplicatedLog(Protocol):
     """What `replica.Replica` offers to the part above it.
 
     Times are monotonic seconds. Nothing is acknowledged to another replica,
--- a/packages/core/src/tamarack_core/internal/consensus/limits.py
+++ b/packages/core/src/tamarack_core/internal/consensus/log_parameters.py
@@ -5,7 +5,7 @@
 KIB = 1024
 
 
-class Limits(msgspec.Struct, frozen=True):
+class LogParameters(msgspec.Struct, frozen=True):
     """Times and sizes; all replicas should use the same.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/consensus/membership.py
+++ b/packages/core/src/tamarack_core/internal/consensus/membership.py
@@ -97,7 +97,9 @@
     return Membership(_decoder.decode(data))
 
 
-def change(current: Membership, wanted: Change) -> Membership | failure.Failure:
+def apply_change(
+    current: Membership, wanted: Change
+) -> Membership | failure.Failure:
     """Returns the membership after a change, or why it is refused."""
     member = current.members.get(wanted.incarnation)
     if wanted.kind is ChangeKind.ADD_LEARNER:
--- a/packages/core/src/tamarack_core/internal/consensus/changes.py
+++ b/packages/core/src/tamarack_core/internal/consensus/membership_checks.py
@@ -32,7 +32,7 @@
     if progress is None:
         return None
     lag = state.log.last_index - progress.match_index
-    if lag <= state.bounds.promotion_entries:
+    if lag <= state.parameters.promotion_entries:
         return None
     return failure.Failure(
         "learner-behind",
@@ -50,7 +50,7 @@
         now_s: Monotonic time in seconds.
         change: The change.
     """
-    wanted = membership.change(state.latest_membership, change)
+    wanted = membership.apply_change(state.latest_membership, change)
     if isinstance(wanted, failure.Failure):
         return wanted
     if not replication.membership_answers(state, wanted, now_s):
--- a/packages/core/src/tamarack_core/internal/consensus/progress.py
+++ b/packages/core/src/tamarack_core/internal/consensus/progress.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 
 
@@ -92,7 +92,7 @@
         """Whether a request with entries is unanswered."""
         return bool(self._requests)
 
-    def can_send(self, bounds: limits.Limits) -> bool:
+    def can_send(self, parameters: log_parameters.LogParameters) -> bool:
         """Returns whether the window has room for another request."""
         if self.transfer is not None or self.is_refused:
             return False
@@ -100,8 +100,8 @@
             return not self.is_awaiting_probe
         size_bytes = sum(request.size_bytes for request in self._requests)
         return (
-            len(self._requests) < bounds.window_requests
-            and size_bytes < bounds.window_bytes
+            len(self._requests) < parameters.window_requests
+            and size_bytes < parameters.window_bytes
         )
 
     def note_sent(self, last_index: int, size_bytes: int) -> None:
--- a/packages/core/src/tamarack_core/internal/consensus/forwarding.py
+++ b/packages/core/src/tamarack_core/internal/consensus/read_forwarding.py
@@ -28,7 +28,7 @@
     # A number that is drawn isn't mistaken for one of before a restart.
     number = state.random.getrandbits(REQUEST_NUMBER_BITS)
     state.forwarded[number] = reads.ForwardedRead(
-        token, now_s + state.bounds.read_timeout_s
+        token, now_s + state.parameters.read_timeout_s
     )
     header = state.header(leader.incarnation)
     state.send(leader.peer, consensus.ReadRequest(header, number))
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -7,14 +7,14 @@
 from tamarack_core import effects
 from tamarack_core import failure
 from tamarack_core import peers
-from tamarack_core.internal.consensus import changes
 from tamarack_core.internal.consensus import elections
-from tamarack_core.internal.consensus import face
-from tamarack_core.internal.consensus import following
-from tamarack_core.internal.consensus import forwarding
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import follower
+from tamarack_core.internal.consensus import interface
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
+from tamarack_core.internal.consensus import membership_checks
 from tamarack_core.internal.consensus import outputs
+from tamarack_core.internal.consensus import read_forwarding
 from tamarack_core.internal.consensus import records
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.consensus import roles
@@ -34,7 +34,7 @@
 
 
 class Replica:
-    """One replica of the log; see `face.Consensus` for the calls.
+    """One replica of the log; see `interface.ReplicatedLog` for the calls.
 
     Attributes:
         state: State of the replica; read-only for other parts.
@@ -48,7 +48,7 @@
         voters: Sequence[membership.Member],
         generator: random.Random,
         machine: outputs.StateMachine,
-        bounds: limits.Limits | None = None,
+        parameters: log_parameters.LogParameters | None = None,
     ) -> None:
         """Creates a replica with an empty disk.
 
@@ -58,10 +58,14 @@
                 that start with one; empty at a replica that joins later.
             generator: Seeded generator, the only source of chance.
             machine: The state that the log replicates.
-            bounds: Times and sizes; the defaults if None.
+            parameters: Times and sizes; the defaults if None.
         """
         self.state = states.State(
-            own, voters, generator, machine, bounds or limits.Limits()
+            own,
+            voters,
+            generator,
+            machine,
+            parameters or log_parameters.LogParameters(),
         )
 
     def recover(
@@ -116,9 +120,9 @@
             message, consensus.AppendRequest | consensus.SnapshotChunk
         ):
             if term < state.term:
-                following.answer_stale_leader(state, sender, message)
+                follower.answer_stale_leader(state, sender, message)
                 return False
-            following.note_leader(state, now_s, sender, message.header)
+            follower.note_leader(state, now_s, sender, message.header)
             return True
         is_granted_pre_vote = (
             isinstance(message, consensus.VoteResponse)
@@ -137,21 +141,21 @@
             case consensus.VoteResponse():
                 elections.handle_vote_response(state, now_s, message)
             case consensus.AppendRequest():
-                following.handle_append(state, sender, message)
+                follower.handle_append(state, sender, message)
             case consensus.AppendResponse():
                 replication.handle_append_response(
                     state, now_s, sender, message
                 )
             case consensus.SnapshotChunk():
-                following.handle_chunk(state, sender, message)
+                follower.handle_chunk(state, sender, message)
             case consensus.SnapshotResponse():
                 replication.handle_snapshot_response(state, now_s, message)
             case consensus.TimeoutNow():
                 self._handle_timeout_now(now_s, message)
             case consensus.ReadRequest():
-                forwarding.handle_request(state, message)
+                read_forwarding.handle_request(state, message)
             case consensus.ReadResponse():
-                forwarding.handle_response(state, message)
+                read_forwarding.handle_response(state, message)
             case consensus.IdentityRefused():
                 self._handle_refusal(now_s, message)
 
@@ -176,10 +180,10 @@
         self.state.halt("identity-refused", detail)
 
     def handle_timer(self, now_s: float) -> outputs.Step:
-        """Handles the timer named `face.TIMER`."""
+        """Handles the timer named `interface.TIMER`."""
         state = self.state
         state.armed_s = math.inf
-        forwarding.fail_late(state, now_s)
+        read_forwarding.fail_late(state, now_s)
         if now_s >= state.commit_deadline_s:
             self._record_commit()
         if state.is_leader and now_s >= state.heartbeat_deadline_s:
@@ -209,15 +213,15 @@
     def propose(
         self, now_s: float, command: bytes
     ) -> outputs.Proposal | failure.Failure:
-        """Appends a command; see `face.Consensus.propose`."""
+        """Appends a command; see `interface.ReplicatedLog.propose`."""
         refusal = self._find_refusal()
         if refusal is not None:
             return refusal
-        if len(command) > self.state.bounds.command_bytes:
+        if len(command) > self.state.parameters.command_bytes:
             return failure.Failure(
                 "too-large",
                 f"the command has {len(command)} bytes, the limit is"
-                f" {self.state.bounds.command_bytes}; split it",
+                f" {self.state.parameters.command_bytes}; split it",
             )
         return self._append(now_s, consensus.EntryKind.COMMAND, command)
 
@@ -243,21 +247,21 @@
                 "transferring", "the leadership is being handed over"
             )
         backlog = state.log.last_index - state.commit_index
-        if backlog >= state.bounds.backlog_entries:
+        if backlog >= state.parameters.backlog_entries:
             return failure.Failure(
                 "busy", f"{backlog} entries wait to be committed; retry later"
             )
         return None
 
     def read_index(self, now_s: float, token: int) -> outputs.Step:
-        """Asks for a linearizable read; see `face.Consensus.read_index`."""
-        forwarding.begin(self.state, now_s, token)
+        """See `interface.ReplicatedLog.read_index`."""
+        read_forwarding.begin(self.state, now_s, token)
         return self._finish(now_s)
 
     def transfer_leadership(
         self, now_s: float
     ) -> outputs.Step | failure.Failure:
-        """Hands over; see `face.Consensus.transfer_leadership`."""
+        """See `interface.ReplicatedLog.transfer_leadership`."""
         refusal = self._find_refusal()
         if refusal is not None and refusal.reason != "busy":
             return refusal
@@ -270,13 +274,13 @@
     def change_membership(
         self, now_s: float, change: membership.Change
     ) -> outputs.Proposal | failure.Failure:
-        """Changes one member; see `face.Consensus.change_membership`."""
-        refusal = self._find_refusal() or changes.find_refusal(
+        """See `interface.ReplicatedLog.change_membership`."""
+        refusal = self._find_refusal() or membership_checks.find_refusal(
             self.state, change
         )
         if refusal is not None:
             return refusal
-        wanted = changes.find_membership(self.state, now_s, change)
+        wanted = membership_checks.find_membership(self.state, now_s, change)
         if isinstance(wanted, failure.Failure):
             return wanted
         return self._append(
@@ -296,7 +300,7 @@
         if state.is_leader:
             replication.pump_reads(state)
             replication.send_all(state)
-        forwarding.complete(state)
+        read_forwarding.complete(state)
         self._write(now_s)
         self._release_messages()
         self._arm_timer(now_s)
@@ -314,7 +318,9 @@
             state.commit_index > state.recorded_commit
             and state.commit_deadline_s == math.inf
         ):
-            state.commit_deadline_s = now_s + state.bounds.commit_record_delay_s
+            state.commit_deadline_s = (
+                now_s + state.parameters.commit_record_delay_s
+            )
         state.step.effects += state.journal.flush(state.log.last_index)
 
     def _release_messages(self) -> None:
@@ -339,7 +345,7 @@
             return
         delay_s = max(next_s - now_s, MIN_DELAY_S)
         state.armed_s = now_s + delay_s
-        state.step.effects.append(effects.StartTimer(face.TIMER, delay_s))
+        state.step.effects.append(effects.StartTimer(interface.TIMER, delay_s))
 
 
 def _term_of(held: effects.SendMessage) -> int | None:
@@ -350,4 +356,4 @@
 
 
 # Lets the type checker compare the class with what it promises.
-_promised: type[face.Consensus] = Replica
+_promised: type[interface.ReplicatedLog] = Replica
--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -21,7 +21,7 @@
     state.set_leader(state.own)
     # Entries of earlier terms commit only together with one of this term.
     state.append(_first_entry(state))
-    state.heartbeat_deadline_s = now_s + state.bounds.heartbeat_interval_s
+    state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
 
 
 def _first_entry(state: states.State) -> consensus.Entry:
@@ -60,7 +60,7 @@
     if not membership_answers(state, state.latest_membership, now_s):
         roles.become_follower(state, now_s, state.term, None)
         return
-    state.heartbeat_deadline_s = now_s + state.bounds.heartbeat_interval_s
+    state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
     _tick_handover(state, now_s)
     for progress in state.progress.values():
         progress.is_awaiting_probe = False
@@ -74,7 +74,7 @@
     state: states.State, members: membership.Membership, now_s: float
 ) -> bool:
     """Returns whether a quorum of `members` answered lately."""
-    oldest_s = now_s - state.bounds.election_timeout_max_s
+    oldest_s = now_s - state.parameters.election_timeout_max_s
     answering = [
         incarnation
         for incarnation, progress in state.progress.items()
@@ -131,7 +131,9 @@
 def send_all(state: states.State) -> None:
     """Sends what the windows of the other replicas have room for."""
     for progress in state.progress.values():
-        while _has_more(state, progress) and progress.can_send(state.bounds):
+        while _has_more(state, progress) and progress.can_send(
+            state.parameters
+        ):
             entries = _next_batch(state, progress)
             if _should_gather(state, progress, entries):
                 break
@@ -151,7 +153,7 @@
     """
     end = progress.next_index - 1 + len(entries)
     is_full = end < state.log.last_index or (
-        len(entries) == state.bounds.append_entries
+        len(entries) == state.parameters.append_entries
     )
     return progress.is_awaiting_answer and bool(entries) and not is_full
 
@@ -163,8 +165,8 @@
         return ()
     return state.log.batch(
         progress.next_index,
-        state.bounds.append_entries,
-        state.bounds.append_bytes,
+        state.parameters.append_entries,
+        state.parameters.append_bytes,
     )
 
 
@@ -182,7 +184,7 @@
     if transfer is None:
         return
     transfer.sent_round = _next_round(state)
-    end = transfer.offset + state.bounds.chunk_bytes
+    end = transfer.offset + state.parameters.chunk_bytes
     chunk = consensus.SnapshotChunk(
         state.header(progress.member.incarnation),
         transfer.sent_round,
@@ -334,7 +336,7 @@
 
 def start_handover(state: states.State, now_s: float) -> bool:
     """Begins to hand over to the most up-to-date voter, if one answers."""
-    oldest_s = now_s - state.bounds.election_timeout_max_s
+    oldest_s = now_s - state.parameters.election_timeout_max_s
     candidates = [
         progress
         for progress in state.progress.values()
@@ -346,7 +348,7 @@
         return False
     best = max(candidates, key=lambda progress: progress.match_index)
     state.handover = states.Handover(
-        best.member.incarnation, now_s + state.bounds.election_timeout_max_s
+        best.member.incarnation, now_s + state.parameters.election_timeout_max_s
     )
     return True
 
--- a/packages/core/src/tamarack_core/internal/consensus/snapshots.py
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -15,7 +15,7 @@
 def compact(state: states.State) -> None:
     """Takes a snapshot when enough entries were applied since the last."""
     covered = state.snapshot.index if state.snapshot else 0
-    if state.commit_index - covered < state.bounds.compaction_entries:
+    if state.commit_index - covered < state.parameters.compaction_entries:
         return
     index = state.commit_index
     snapshot = records.Snapshot(
@@ -25,7 +25,7 @@
         state.machine.snapshot(),
     )
     _save(state, index, records.encode(snapshot))
-    base_index = index - state.bounds.retained_entries
+    base_index = index - state.parameters.retained_entries
     if base_index > state.log.base_index:
         state.log.compact(base_index)
 
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -10,8 +10,8 @@
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core.internal.consensus import journal
-from tamarack_core.internal.consensus import limits
 from tamarack_core.internal.consensus import log
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import progress
@@ -88,7 +88,7 @@
         own: Identity of this replica.
         random: Seeded generator for timeouts and request numbers.
         machine: The replicated state machine.
-        bounds: Times and sizes.
+        parameters: Times and sizes.
         log: Entries in memory.
         journal: Writes on their way to disk.
         memberships: Memberships in the log, oldest first; the last counts.
@@ -119,7 +119,6 @@
 
     __slots__ = (
         "armed_s",
-        "bounds",
         "commit_deadline_s",
         "commit_index",
         "election_deadline_s",
@@ -135,6 +134,7 @@
         "machine",
         "memberships",
         "own",
+        "parameters",
         "progress",
         "random",
         "reads",
@@ -156,13 +156,13 @@
         voters: Sequence[membership.Member],
         generator: random.Random,
         machine: outputs.StateMachine,
-        bounds: limits.Limits,
+        parameters: log_parameters.LogParameters,
     ) -> None:
         """Creates the state of a replica with an empty disk."""
         self.own = own
         self.random = generator
         self.machine = machine
-        self.bounds = bounds
+        self.parameters = parameters
         self.log = log.Log()
         self.journal = journal.Journal()
         initial = membership.Membership(voters)
@@ -248,8 +248,8 @@
     def reset_election_timer(self, now_s: float) -> None:
         """Draws a new election timeout."""
         self.election_deadline_s = now_s + self.random.uniform(
-            self.bounds.election_timeout_min_s,
-            self.bounds.election_timeout_max_s,
+            self.parameters.election_timeout_min_s,
+            self.parameters.election_timeout_max_s,
         )
 
     def append(self, entry: consensus.Entry) -> int:
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -11,8 +11,8 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.consensus import face
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import interface
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import records
@@ -67,8 +67,8 @@
         context: context_lib.Context,
         distribution: spreading.Spreading,
         named: tuple[peers.Peer, ...],
-        disk: disks.Disk,
-        bounds: limits.Limits | None = None,
+        disk: disks.DiskContents,
+        parameters: log_parameters.LogParameters | None = None,
     ) -> None:
         """Creates the part from what the disk holds.
 
@@ -77,7 +77,7 @@
             distribution: Puts accepted configurations into force here.
             named: First voters in the order of the settings.
             disk: What the data folder held at the start.
-            bounds: Times and sizes of the log; the defaults if None.
+            parameters: Times and sizes of the log; the defaults if None.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
@@ -90,7 +90,7 @@
             (),
             random.Random(context.random.getrandbits(64)),
             self.machine,
-            bounds,
+            parameters,
         )
         self.submissions = submissions.Submissions(
             context, self.machine, self._propose
@@ -102,14 +102,14 @@
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
         handlers: dict[reducer.Key, reducer.Handler] = dict.fromkeys(
-            consensus.KINDS, self.handle_consensus
+            consensus.MESSAGE_TYPES, self.handle_consensus
         )
         handlers.update(
             {
                 events.Started: self.handle_started,
                 events.StopRequested: self.handle_stop,
                 events.WriteCompleted: self.handle_write_completed,
-                face.TIMER: self.handle_log_timer,
+                interface.TIMER: self.handle_log_timer,
                 TIMER: self.handle_tick,
                 control.Introduction: self.handle_introduction,
                 control.PatchForward: self.handle_forward,
--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/control.py
@@ -12,8 +12,8 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import sync
-from tamarack_core.internal.consensus import face
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import interface
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
@@ -39,13 +39,13 @@
 STOP_S = 0.6
 """Time that a stopping host has to hand over and answer, in seconds."""
 
-BOUNDS = limits.Limits(
+LOG_PARAMETERS = log_parameters.LogParameters(
     heartbeat_interval_s=0.15,
     election_timeout_min_s=0.6,
     election_timeout_max_s=1.2,
     read_timeout_s=0.8,
     commit_record_delay_s=0.25,
-    command_bytes=1024 * limits.KIB,
+    command_bytes=1024 * log_parameters.KIB,
     compaction_entries=200,
     retained_entries=50,
     promotion_entries=5,
@@ -92,10 +92,10 @@
         context: context_lib.Context,
         contacts: contacts_lib.Contacts,
         publisher: publishers.Publisher,
-        disk: disks.Disk,
+        disk: disks.DiskContents,
         founders: tuple[membership.Member, ...],
         tolerated_hosts: int,
-        bounds: limits.Limits = BOUNDS,
+        parameters: log_parameters.LogParameters = LOG_PARAMETERS,
     ) -> None:
         """Creates the part from what the disk holds.
 
@@ -107,7 +107,7 @@
             founders: Members of a system that starts for the first time;
                 empty on a host that joins.
             tolerated_hosts: Control hosts that may be lost at once.
-            bounds: Times and sizes of the log.
+            parameters: Times and sizes of the log.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
@@ -119,7 +119,7 @@
             founders,
             random.Random(context.random.getrandbits(64)),
             self.machine,
-            bounds,
+            parameters,
         )
         self.publishing = publishing.Publishing(self.machine, self.replica)
         self.reads: dict[int, float] = {}
@@ -132,7 +132,7 @@
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
         handlers: dict[reducer.Key, reducer.Handler] = dict.fromkeys(
-            consensus.KINDS, self.handle_consensus
+            consensus.MESSAGE_TYPES, self.handle_consensus
         )
         handlers.update(
             {
@@ -140,7 +140,7 @@
                 events.StopRequested: self.handle_stop,
                 events.SeedsChanged: self.handle_seeds,
                 events.WriteCompleted: self.handle_write_completed,
-                face.TIMER: self.handle_log_timer,
+                interface.TIMER: self.handle_log_timer,
                 TIMER: self.handle_tick,
                 "stop": self.handle_end,
                 sync.ControlHello: self.handle_hello,
@@ -273,7 +273,7 @@
     def _situation(self) -> upkeep.Situation:
         """Returns what the leader knows of the group."""
         state = self.replica.state
-        newest = state.log.last_index - state.bounds.promotion_entries
+        newest = state.log.last_index - state.parameters.promotion_entries
         return upkeep.Situation(
             members=state.latest_membership,
             own=state.own.incarnation,
--- a/packages/core/src/tamarack_core/messages/consensus.py
+++ b/packages/core/src/tamarack_core/messages/consensus.py
@@ -218,5 +218,5 @@
     | IdentityRefused
 )
 
-KINDS: tuple[type, ...] = typing.get_args(Message)
+MESSAGE_TYPES: tuple[type, ...] = typing.get_args(Message)
 """The types of `Message`, as keys of handlers."""
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -13,7 +13,7 @@
 Key = type | str
 
 
-class Part(Protocol):
+class Component(Protocol):
     """A part behind the reducer, with one job."""
 
     def handlers(self) -> dict[Key, Handler]:
@@ -36,18 +36,18 @@
     __slots__ = ("context", "datagram_handler", "handlers")
 
     def __init__(
-        self, context: context_lib.Context, parts: tuple[Part, ...]
+        self, context: context_lib.Context, components: tuple[Component, ...]
     ) -> None:
         """Composes the parts of a host.
 
         Args:
             context: Identity, chance, time and counters.
-            parts: The parts, in the order in which they see an event.
+            components: The components, in the order in which they see an event.
         """
         self.context = context
         self.handlers: dict[Key, list[Handler]] = {}
-        for part in parts:
-            for key, handler in part.handlers().items():
+        for component in components:
+            for key, handler in component.handlers().items():
                 self.handlers.setdefault(key, []).append(handler)
         datagram = self.handlers.get(events.DatagramArrived, [_ignore])
         if len(datagram) > 1:
--- a/packages/core/src/tamarack_core/storage/disk.py
+++ b/packages/core/src/tamarack_core/storage/disk.py
@@ -5,7 +5,7 @@
 import msgspec
 
 
-class Disk(msgspec.Struct, frozen=True):
+class DiskContents(msgspec.Struct, frozen=True):
     """What the data folder held at the start.
 
     Attributes:
--- a/packages/core/src/tamarack_core/storage/frames.py
+++ b/packages/core/src/tamarack_core/storage/frames.py
@@ -61,7 +61,7 @@
         records: Records in order.
         end: Offset of the byte after the last valid frame.
         torn_bytes: Bytes behind it, of a batch that was never acknowledged.
-        is_marked: Whether the last valid frame is a SYNCED frame.
+        is_end_synced: Whether the last valid frame is a SYNCED frame.
     """
 
     generation: int
@@ -69,7 +69,7 @@
     records: list[bytes] = msgspec.field(default_factory=list)
     end: int = HEADER_BYTES
     torn_bytes: int = 0
-    is_marked: bool = False
+    is_end_synced: bool = False
 
 
 def encode_header(generation: int) -> bytes:
@@ -130,7 +130,7 @@
     contents = Contents(generation)
     for frame in _frames(data, generation):
         contents.end = frame.end
-        contents.is_marked = frame.kind is Kind.SYNCED
+        contents.is_end_synced = frame.kind is Kind.SYNCED
         if frame.kind is Kind.RECORD:
             contents.records.append(frame.payload)
         elif frame.kind is Kind.SNAPSHOT:
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -32,7 +32,7 @@
     """
 
     chooser: target_choice.Chooser
-    parts: tuple[reducer.Part, ...]
+    parts: tuple[reducer.Component, ...]
 
 
 class Version(Protocol):
--- a/packages/lab/src/tamarack_lab/internal/replica_network.py
+++ b/packages/lab/src/tamarack_lab/internal/replica_network.py
@@ -13,7 +13,7 @@
 from tamarack_core import effects
 from tamarack_core import failure
 from tamarack_core import peers
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica
@@ -153,7 +153,7 @@
         now_s: Time of the last event in seconds.
         random: Seeded generator of all faults.
         faults: Chances and delays.
-        bounds: Times and sizes of the replicas.
+        parameters: Times and sizes of the replicas.
         hosts: The hosts by name.
         cuts: Pairs of sender and receiver between which all is lost.
         observer: Called after each step of a replica.
@@ -162,12 +162,12 @@
     __slots__ = (
         "_counter",
         "_queue",
-        "bounds",
         "cuts",
         "faults",
         "hosts",
         "now_s",
         "observer",
+        "parameters",
         "random",
     )
 
@@ -177,7 +177,7 @@
         voters: int,
         spares: int = 0,
         faults: Faults | None = None,
-        bounds: limits.Limits | None = None,
+        parameters: log_parameters.LogParameters | None = None,
     ) -> None:
         """Creates hosts that have not started.
 
@@ -186,12 +186,12 @@
             voters: Number of initial voters.
             spares: Number of hosts that are no members yet.
             faults: Chances and delays; none by default.
-            bounds: Times and sizes of the replicas.
+            parameters: Times and sizes of the replicas.
         """
         self.now_s = 0.0
         self.random = random.Random(seed)
         self.faults = faults or Faults()
-        self.bounds = bounds or limits.Limits()
+        self.parameters = parameters or log_parameters.LogParameters()
         self.cuts: set[tuple[str, str]] = set()
         self.observer: Callable[[Host, outputs.Step], None] = _ignore
         self._counter = itertools.count()
@@ -223,7 +223,9 @@
         machine: Register,
     ) -> replica.Replica:
         generator = random.Random(self.random.getrandbits(64))
-        return replica.Replica(own, initial, generator, machine, self.bounds)
+        return replica.Replica(
+            own, initial, generator, machine, self.parameters
+        )
 
     def start(self) -> None:
         """Starts all hosts."""
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -306,11 +306,11 @@
     return folders.DataFolder(path, settings.host, created_ms)
 
 
-def _disk(folder: folders.DataFolder | None) -> disks.Disk | None:
+def _disk(folder: folders.DataFolder | None) -> disks.DiskContents | None:
     """Returns what a data folder held when it was opened."""
     if folder is None:
         return None
-    return disks.Disk(
+    return disks.DiskContents(
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -331,7 +331,7 @@
         self._files.sync(self._descriptor)
         self._generation = contents.generation
         self._size = contents.end
-        if not contents.is_marked:
+        if not contents.is_end_synced:
             self._mark_synced()
         for path in paths[:-1]:
             self._files.remove(path)
--- a/packages/node/src/tamarack_node/light_disk.py
+++ b/packages/node/src/tamarack_node/light_disk.py
@@ -46,9 +46,9 @@
         await asyncio.sleep(RETRY_S)
 
 
-def disk_of(folder: folders.DataFolder) -> disks.Disk:
+def disk_of(folder: folders.DataFolder) -> disks.DiskContents:
     """Returns what a data folder held when it was opened."""
-    return disks.Disk(
+    return disks.DiskContents(
         folder.identity.incarnation,
         folder.contents.snapshot,
         folder.contents.records,
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -10,7 +10,7 @@
 from tamarack_core import failure
 from tamarack_core import messages
 from tamarack_core import timeline
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica
@@ -85,7 +85,7 @@
         propose(network, COMMANDS)
         step = old.replica.transfer_leadership(network.now_s)
         network.carry_out(old, step)
-        network.run_for(network.bounds.heartbeat_interval_s)
+        network.run_for(network.parameters.heartbeat_interval_s)
         self.assertFalse(old.replica.state.is_leader)
         self.assertIsNot(None, network.leader())
         self.assertEqual(COMMANDS, len(network.leader().machine.commands))
@@ -164,7 +164,7 @@
             last_term=term,
         )
         answers = []
-        for wait_s in (0.0, network.bounds.election_timeout_min_s):
+        for wait_s in (0.0, network.parameters.election_timeout_min_s):
             step = back.replica.handle_message(
                 network.now_s + wait_s, leader.peer, request
             )
@@ -317,7 +317,7 @@
         kinds = membership.ChangeKind
         self.change(network, kinds.ADD_LEARNER, spare.incarnation, spare.peer)
         network.isolate(spare.peer.host)
-        propose(network, network.bounds.promotion_entries + 1)
+        propose(network, network.parameters.promotion_entries + 1)
         network.run_for(1.0)
         reason = self.change(network, kinds.PROMOTE, spare.incarnation)
         self.assertEqual("learner-behind", reason)
@@ -331,7 +331,9 @@
         only = membership.Membership(
             [membership.Member(network.leader().peer, leader)]
         )
-        refused = membership.change(only, membership.Change(remove, leader))
+        refused = membership.apply_change(
+            only, membership.Change(remove, leader)
+        )
         self.assertEqual("last-voter", refused.reason)
 
 
@@ -339,8 +341,10 @@
     """Slow followers, sizes, and damaged input."""
 
     def test_a_silent_follower_is_sent_no_more_than_its_window(self):
-        bounds = limits.Limits(window_bytes=4096, append_bytes=1024)
-        network = running(bounds=bounds)
+        parameters = log_parameters.LogParameters(
+            window_bytes=4096, append_bytes=1024
+        )
+        network = running(parameters=parameters)
         silent = follower(network)
         sent = []
         network.cuts.add((silent.peer.host, network.leader().peer.host))
@@ -362,11 +366,13 @@
             network.carry_out(leader, result.step)
             network.run_for(0.02)
         self.assertEqual(COMMANDS, leader.replica.state.commit_index - 1)
-        bound = bounds.window_bytes + bounds.append_bytes
+        bound = parameters.window_bytes + parameters.append_bytes
         self.assertThat(sum(sent), matchers.LessThan(bound + 1))
 
     def test_a_leader_with_a_full_backlog_refuses(self):
-        network = running(3, bounds=limits.Limits(backlog_entries=COMMANDS))
+        network = running(
+            3, parameters=log_parameters.LogParameters(backlog_entries=COMMANDS)
+        )
         leader = network.leader()
         network.isolate(leader.peer.host)
         propose(network, COMMANDS)
@@ -381,7 +387,7 @@
         network.observer = lambda host, step: seen.extend(step.outputs)
         step = asking.replica.read_index(network.now_s, 5)
         network.carry_out(asking, step)
-        network.run_for(2 * network.bounds.read_timeout_s)
+        network.run_for(2 * network.parameters.read_timeout_s)
         self.assertIn(outputs.ReadFailed(5, "timeout"), seen)
 
     def test_a_burst_goes_out_in_few_requests(self):
@@ -402,7 +408,9 @@
         self.assertThat(sent, matchers.HasLength(2))
 
     def test_a_command_beyond_the_limit_is_refused(self):
-        network = running(1, bounds=limits.Limits(command_bytes=10))
+        network = running(
+            1, parameters=log_parameters.LogParameters(command_bytes=10)
+        )
         leader = network.leader()
         refused = leader.replica.propose(network.now_s, b"x" * 11)
         self.assertEqual("too-large", refused.reason)
--- a/tests/fake_hosts.py
+++ b/tests/fake_hosts.py
@@ -69,7 +69,7 @@
             )
             plan = dataclasses.replace(
                 plan,
-                disk=disks.Disk(
+                disk=disks.DiskContents(
                     disk.incarnation, disk.snapshot, tuple(disk.records)
                 ),
             )
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -126,7 +126,7 @@
             host=own,
             seed=self.seed * 1000 + life,
             seeds=tuple(self.seeds_of.get(host, self.seeds)),
-            disk=disks.Disk(
+            disk=disks.DiskContents(
                 disk.incarnation, disk.snapshot, tuple(disk.records)
             ),
             tolerated_hosts=self.tolerated,
--- a/tests/slow/test_consensus_model.py
+++ b/tests/slow/test_consensus_model.py
@@ -9,7 +9,7 @@
 import testtools
 
 from tamarack_core import failure
-from tamarack_core.internal.consensus import limits
+from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
 from tamarack_lab.internal import replica_network
 from tests.slow import consensus_checker
@@ -21,7 +21,7 @@
 CRASH_CHANCE = 0.2
 HEAL_S = 60.0
 SETTLE_S = 20.0
-BOUNDS = limits.Limits(
+LOG_PARAMETERS = log_parameters.LogParameters(
     append_entries=3,
     append_bytes=64,
     window_requests=2,
@@ -52,7 +52,7 @@
             loss, duplication, straggling, sync_max_s=0.1
         )
         self.network = replica_network.Network(
-            seed, VOTERS, SPARES, faults, BOUNDS
+            seed, VOTERS, SPARES, faults, LOG_PARAMETERS
         )
         self.checker = consensus_checker.Checker(self.network)
         self.names = list(self.network.hosts)
@@ -223,7 +223,7 @@
 
     def keeps_quorum(self, current, change):
         """Returns whether disks that remain hold a quorum after a change."""
-        wanted = membership.change(current, change)
+        wanted = membership.apply_change(current, change)
         if isinstance(wanted, failure.Failure):
             return False
         return wanted.has_quorum(wanted.voters - self.lost)
