--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -25,7 +25,7 @@
         service: Name of the service.
         work_class: Name of the work class.
         settings: The work class.
-        weights: Weights of the goals of the service.
+        weights: Weights of broken connections and of uneven load.
         address: Service address in network byte order.
         port: Port of the service address.
         target_port: Port at each target.
