--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -12,7 +12,7 @@
 from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser
 from tamarack_core.internal.balancing import reporting
-from tamarack_core.internal.control import outside
+from tamarack_core.internal.control import non_control_requests
 from tamarack_core.internal.control import voter
 from tamarack_core.internal.distribution import holder
 from tamarack_core.internal.distribution import spreading
@@ -108,7 +108,7 @@
         )
     else:
         components.append(
-            outside.Outside(
+            non_control_requests.NonControlRequests(
                 held,
                 tuple(
                     f"{peer.control.address}:{peer.control.port}"
--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -16,7 +16,7 @@
 from tamarack_core.internal.cookie import subscription as mirrors
 from tamarack_core.internal.cookie import target_table
 
-MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
+CODEC = envelopes.Codec(envelopes.Envelope[sync.Message])
 """Translates the messages that an entry host takes and sends."""
 
 
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -8,8 +8,8 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core.internal.consensus import membership
-from tamarack_core.internal.group import contacts as contacts_lib
-from tamarack_core.internal.group import control
+from tamarack_core.internal.group import document_replication
+from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.registry import announcement_receiver
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import suspicion_relay
@@ -17,7 +17,7 @@
 from tamarack_core.messages import consensus
 from tamarack_core.storage import disk as disks
 
-MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message | consensus.Message])
+CODEC = envelopes.Codec(envelopes.Envelope[sync.Message | consensus.Message])
 """Translates the messages that a control host takes and sends."""
 
 
@@ -57,19 +57,19 @@
         plan: What the host is made of.
     """
     context = context_lib.Context(plan.host, plan.seed)
-    contacts = contacts_lib.Contacts(context, plan.seeds)
+    directory = host_directory.ControlHostDirectory(context, plan.seeds)
     registry = target_registry.TargetRegistry(plan.announce_interval_s)
     publisher = publishers.Publisher(context, registry)
-    documents = control.DocumentControl(
+    documents = document_replication.DocumentReplicator(
         context,
-        contacts,
+        directory,
         publisher,
         plan.disk,
         _founders(plan),
         plan.tolerated_hosts,
     )
     announcements = announcement_receiver.AnnouncementReceiver(
-        context, registry, publisher, contacts, plan.disk.targets
+        context, registry, publisher, directory, plan.disk.targets
     )
     doubts = suspicion_relay.SuspicionRelay(context, publisher)
     return reducer.Node(context, (publisher, documents, announcements, doubts))
--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -22,7 +22,7 @@
     DOWNLOAD = "download"
 
 
-class Share(msgspec.Struct, frozen=True, array_like=True):
+class WeightedService(msgspec.Struct, frozen=True, array_like=True):
     """The part of a route's openings that goes to one service.
 
     Attributes:
@@ -54,11 +54,11 @@
     kind: WorkKind
     timeout_ms: float
     priority: int
-    shares: tuple[Share, ...]
+    shares: tuple[WeightedService, ...]
     source: str = ""
 
     @property
-    def place(self) -> tuple[str, int]:
+    def endpoint(self) -> tuple[str, int]:
         """Address and port, of which each pair has one route at most."""
         return (self.address, self.port)
 
@@ -135,15 +135,15 @@
         refused = _check_route(route, known)
         if refused is not None:
             return refused
-        if route.place in places:
+        if route.endpoint in places:
             return _invalid(
-                "repeated-place", f"{route.place} has two routes; keep one"
+                "repeated-place", f"{route.endpoint} has two routes; keep one"
             )
         if route.name in names:
             return _invalid(
                 "repeated-route", f"{route.name!r} stands twice; rename one"
             )
-        places.add(route.place)
+        places.add(route.endpoint)
         names.add(route.name)
     return None
 
--- a/packages/core/src/tamarack_core/outside.py
+++ b/packages/core/src/tamarack_core/external_requests.py
@@ -71,7 +71,7 @@
     document: documents.Document
 
 
-class TargetNoted(msgspec.Struct, frozen=True, tag="target-noted"):
+class TargetAcknowledged(msgspec.Struct, frozen=True, tag="target-noted"):
     """The announcement or withdrawal is taken.
 
     Attributes:
@@ -124,7 +124,7 @@
 Response = (
     DocumentPublished
     | DocumentRead
-    | TargetNoted
+    | TargetAcknowledged
     | Elsewhere
     | Unavailable
     | Readiness
--- a/packages/core/src/tamarack_core/internal/control/joining.py
+++ b/packages/core/src/tamarack_core/internal/control/bootstrap.py
@@ -36,7 +36,7 @@
     is_blank: bool
 
 
-class Joining:
+class VoterBootstrap:
     """Introduces this host, and at the leader adds those that do.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/control/reading.py
+++ b/packages/core/src/tamarack_core/internal/control/linearizable_reads.py
@@ -7,7 +7,7 @@
 from tamarack_core import requests
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.patches import machine as machines
+from tamarack_core.internal.patches import state_machine as machines
 
 # A question to the leader may be lost; it is repeated for so long.
 READ_PATIENCE_S = 6.0
@@ -16,7 +16,7 @@
 """When to read again, in seconds; an election takes about that long."""
 
 
-class Reading:
+class LinearizableReads:
     """Answers requests once the state is recent enough.
 
     Attributes:
@@ -29,7 +29,7 @@
     __slots__ = ("_tokens", "failed", "machine", "replica", "waiting")
 
     def __init__(
-        self, machine: machines.PatchMachine, replica: replicas.Replica
+        self, machine: machines.PatchStateMachine, replica: replicas.Replica
     ) -> None:
         """Creates the part without a request.
 
--- a/packages/core/src/tamarack_core/internal/control/members.py
+++ b/packages/core/src/tamarack_core/internal/control/members.py
@@ -6,7 +6,7 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.control import joining as joining_lib
+from tamarack_core.internal.control import bootstrap as joining_lib
 
 _KINDS = {
     requests.MemberAction.ADD: membership.ChangeKind.ADD_LEARNER,
@@ -16,7 +16,7 @@
 
 
 def describe(
-    replica: replicas.Replica, joining: joining_lib.Joining
+    replica: replicas.Replica, joining: joining_lib.VoterBootstrap
 ) -> requests.MembersRead:
     """Returns the members and the hosts that wait to become one."""
     state = replica.state
@@ -47,7 +47,7 @@
 def change(
     now_s: float,
     replica: replicas.Replica,
-    joining: joining_lib.Joining,
+    joining: joining_lib.VoterBootstrap,
     request: requests.ChangeMember,
 ) -> outputs.Proposal | failure.Failure:
     """Proposes the change that an operator asked for."""
@@ -68,7 +68,7 @@
 
 def _find(
     members: membership.Membership,
-    joining: joining_lib.Joining,
+    joining: joining_lib.VoterBootstrap,
     request: requests.ChangeMember,
 ) -> membership.Change | failure.Failure:
     """Returns the change for the member that a request names."""
--- a/packages/core/src/tamarack_core/internal/control/outside.py
+++ b/packages/core/src/tamarack_core/internal/control/non_control_requests.py
@@ -7,7 +7,7 @@
 from tamarack_core.internal.distribution import holder
 
 
-class Outside:
+class NonControlRequests:
     """Part that answers what needs no control host, and refuses the rest.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/control/submissions.py
+++ b/packages/core/src/tamarack_core/internal/control/submissions.py
@@ -10,7 +10,7 @@
 from tamarack_core import requests
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.patches import commands
-from tamarack_core.internal.patches import machine as machines
+from tamarack_core.internal.patches import state_machine as machines
 from tamarack_core.messages import control
 
 RETRY_INTERVAL_S = 1.0
@@ -91,7 +91,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        machine: machines.PatchMachine,
+        machine: machines.PatchStateMachine,
         propose: Propose,
     ) -> None:
         """Creates the part without a patch.
@@ -134,7 +134,7 @@
         return self._place(now_s, submission)
 
     def handle_answer(
-        self, now_s: float, message: control.PatchAnswer
+        self, now_s: float, message: control.PatchResponse
     ) -> list[effects.Effect]:
         """Handles the leader's answer to a forwarded patch."""
         for submission in self.waiting:
@@ -273,7 +273,7 @@
         """Returns the effect that answers whoever waits."""
         if origin.peer is None:
             return effects.Respond(origin.request_id, answer)
-        message = control.PatchAnswer(origin.token, patch.patch_id, answer)
+        message = control.PatchResponse(origin.token, patch.patch_id, answer)
         return effects.SendMessage(origin.peer, message)
 
     def _matching(self, key: tuple[str, bytes]) -> list[Submission]:
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -17,12 +17,12 @@
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import records
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.control import joining
+from tamarack_core.internal.control import bootstrap
+from tamarack_core.internal.control import linearizable_reads
 from tamarack_core.internal.control import members
-from tamarack_core.internal.control import reading
 from tamarack_core.internal.control import submissions
 from tamarack_core.internal.distribution import spreading
-from tamarack_core.internal.patches import machine as machines
+from tamarack_core.internal.patches import state_machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
 from tamarack_core.storage import disk as disks
@@ -84,7 +84,7 @@
         self.spreading = distribution
         self.disk = disk
         self.is_blank = disk.snapshot is None and not disk.records
-        self.machine = machines.PatchMachine()
+        self.machine = machines.PatchStateMachine()
         self.replica = replicas.Replica(
             own,
             (),
@@ -95,8 +95,10 @@
         self.submissions = submissions.Submissions(
             context, self.machine, self._propose
         )
-        self.joining = joining.Joining(own, named)
-        self.reading = reading.Reading(self.machine, self.replica)
+        self.joining = bootstrap.VoterBootstrap(own, named)
+        self.reading = linearizable_reads.LinearizableReads(
+            self.machine, self.replica
+        )
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -113,7 +115,7 @@
                 TIMER: self.handle_tick,
                 control.Introduction: self.handle_introduction,
                 control.PatchForward: self.handle_forward,
-                control.PatchAnswer: self.handle_answer,
+                control.PatchResponse: self.handle_answer,
                 requests.SubmitPatch: self.handle_patch,
                 requests.ReadConfiguration: self.handle_read,
                 requests.ReadLog: self.handle_read,
@@ -217,7 +219,7 @@
     ) -> list[effects.Effect]:
         """Takes the leader's answer to a forwarded patch."""
         message = event.message
-        assert isinstance(message, control.PatchAnswer)
+        assert isinstance(message, control.PatchResponse)
         return self.submissions.handle_answer(event.now_s, message)
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -2,9 +2,9 @@
 
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
-from tamarack_core import outside
 from tamarack_core import reducer
 from tamarack_core.internal.cookie import failure_detector as judging_lib
 from tamarack_core.internal.cookie import flow_rejection as answers_lib
@@ -92,7 +92,7 @@
             events.StopRequested: self.handle_stop,
             TIMER: self.handle_timer,
             "linger": self.handle_end,
-            outside.ReadReadiness: self.handle_readiness,
+            external_requests.ReadReadiness: self.handle_readiness,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -143,7 +143,11 @@
     ) -> list[effects.Effect]:
         """Answers whether packets are welcome here."""
         is_ready = self.mirror.is_synced and not self.is_stopping
-        return [effects.Respond(event.request_id, outside.Readiness(is_ready))]
+        return [
+            effects.Respond(
+                event.request_id, external_requests.Readiness(is_ready)
+            )
+        ]
 
     def handle_datagram(
         self, event: events.DatagramArrived
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -22,7 +22,7 @@
         timeout_s: Time that its requests have, in seconds.
     """
 
-    shares: tuple[documents.Share, ...]
+    shares: tuple[documents.WeightedService, ...]
     total: int
     kind: documents.WorkKind
     timeout_s: float
--- a/packages/core/src/tamarack_core/internal/documents/machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -21,12 +21,12 @@
         """Takes a document after others that nobody here has seen."""
 
 
-class DocumentMachine:
+class DocumentStateMachine:
     """State machine of the replicated log.
 
     Attributes:
         document: The document in force.
-        passed: Documents that came into force since the last `feed`.
+        passed: Documents that came into force since the last `flush_to`.
         has_jumped: Whether documents before these were not seen.
     """
 
@@ -66,7 +66,7 @@
         self.passed = [self.document]
         self.has_jumped = True
 
-    def feed(self, history: History) -> None:
+    def flush_to(self, history: History) -> None:
         """Hands over the documents that came into force.
 
         Args:
--- a/packages/core/src/tamarack_core/internal/group/control.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -6,8 +6,8 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import external_requests
 from tamarack_core import failure
-from tamarack_core import outside
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
@@ -17,10 +17,10 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.documents import machine as machines
-from tamarack_core.internal.group import contacts as contacts_lib
-from tamarack_core.internal.group import publishing
-from tamarack_core.internal.group import upkeep
+from tamarack_core.internal.documents import state_machine as machines
+from tamarack_core.internal.group import host_directory
+from tamarack_core.internal.group import membership_policy
+from tamarack_core.internal.group import publish_requests
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.messages import consensus
 from tamarack_core.storage import disk as disks
@@ -54,12 +54,12 @@
 elect within the 3 s in which a configuration has to be in force."""
 
 
-class DocumentControl:
+class DocumentReplicator:
     """Part that replicates documents and keeps the group whole.
 
     Attributes:
         context: Identity, chance, time and counters.
-        contacts: The other control hosts.
+        directory: The other control hosts.
         publisher: Pushes documents to followers.
         machine: The replicated state.
         replica: The replicated log.
@@ -74,8 +74,8 @@
 
     __slots__ = (
         "changed_s",
-        "contacts",
         "context",
+        "directory",
         "hello_s",
         "is_stopping",
         "machine",
@@ -90,7 +90,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        contacts: contacts_lib.Contacts,
+        directory: host_directory.ControlHostDirectory,
         publisher: publishers.Publisher,
         disk: disks.DiskContents,
         founders: tuple[membership.Member, ...],
@@ -101,7 +101,7 @@
 
         Args:
             context: Identity, chance, time and counters.
-            contacts: The other control hosts.
+            directory: The other control hosts.
             publisher: Pushes documents to followers.
             disk: What the data folder held at the start.
             founders: Members of a system that starts for the first time;
@@ -111,9 +111,9 @@
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
-        self.contacts = contacts
+        self.directory = directory
         self.publisher = publisher
-        self.machine = machines.DocumentMachine()
+        self.machine = machines.DocumentStateMachine()
         self.replica = replicas.Replica(
             own,
             founders,
@@ -121,7 +121,9 @@
             self.machine,
             parameters,
         )
-        self.publishing = publishing.Publishing(self.machine, self.replica)
+        self.publishing = publish_requests.PublishRequests(
+            self.machine, self.replica
+        )
         self.reads: dict[int, float] = {}
         self.wanted_voters = 2 * tolerated_hosts + 1
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
@@ -144,8 +146,8 @@
                 TIMER: self.handle_tick,
                 "stop": self.handle_end,
                 sync.ControlHello: self.handle_hello,
-                outside.PublishDocument: self.handle_publish,
-                outside.ReadDocument: self.handle_read,
+                external_requests.PublishDocument: self.handle_publish,
+                external_requests.ReadDocument: self.handle_read,
             }
         )
         return handlers
@@ -188,7 +190,7 @@
 
     def handle_seeds(self, event: events.SeedsChanged) -> list[effects.Effect]:
         """Takes other seeds; what was learned stays."""
-        self.contacts.seeds = event.seeds
+        self.directory.seeds = event.seeds
         return []
 
     def handle_consensus(
@@ -219,8 +221,8 @@
         """Takes note of another control host."""
         message = event.message
         assert isinstance(message, sync.ControlHello)
-        self.contacts.note(event.now_s, event.sender, message.incarnation)
-        self.contacts.mention(event.now_s, message.known)
+        self.directory.note(event.now_s, event.sender, message.incarnation)
+        self.directory.mention(event.now_s, message.known)
         return []
 
     def handle_tick(
@@ -241,13 +243,13 @@
 
     def _greet(self, now_s: float) -> list[effects.Effect]:
         """Names this host to the others, and who else is alive."""
-        self.contacts.forget(now_s)
-        self.contacts.mention(now_s, self._members())
-        live = self.contacts.live(now_s)
+        self.directory.forget(now_s)
+        self.directory.mention(now_s, self._members())
+        live = self.directory.live(now_s)
         hello = sync.ControlHello(self.replica.state.own.incarnation, live)
         found = self.publisher.set_controls(now_s, live)
         found += [
-            effects.SendMessage(peer, hello) for peer in self.contacts.others()
+            effects.SendMessage(peer, hello) for peer in self.directory.others()
         ]
         return found
 
@@ -260,7 +262,7 @@
         """Makes the membership change that is due, at the leader."""
         if now_s - self.changed_s < CHANGE_INTERVAL_S:
             return []
-        change = upkeep.next_change(now_s, self._situation())
+        change = membership_policy.next_change(now_s, self._situation())
         if change is None:
             return []
         proposal = self.replica.change_membership(now_s, change)
@@ -270,14 +272,14 @@
         self.changed_s = now_s
         return self._carry(now_s, proposal.step)
 
-    def _situation(self) -> upkeep.Situation:
+    def _situation(self) -> membership_policy.Situation:
         """Returns what the leader knows of the group."""
         state = self.replica.state
         newest = state.log.last_index - state.parameters.promotion_entries
-        return upkeep.Situation(
+        return membership_policy.Situation(
             members=state.latest_membership,
             own=state.own.incarnation,
-            contacts=self.contacts.heard,
+            directory=self.directory.heard,
             answered_s={
                 incarnation: progress.answered_s
                 for incarnation, progress in state.progress.items()
@@ -295,7 +297,7 @@
     ) -> list[effects.Effect]:
         """Takes a document of an operator."""
         request = event.request
-        assert isinstance(request, outside.PublishDocument)
+        assert isinstance(request, external_requests.PublishDocument)
         step = self.publishing.submit(
             event.now_s, event.request_id, request.document
         )
@@ -308,7 +310,7 @@
     def _record_order(
         self,
         now_s: float,
-        request: outside.PublishDocument,
+        request: external_requests.PublishDocument,
         step: outputs.Step,
     ) -> effects.Effect:
         """Returns the time line entry of an order that arrived."""
@@ -371,7 +373,9 @@
         document = self.machine.document
         if document.number == 0:
             return [_unavailable(token, "no-document")]
-        return [effects.Respond(token, outside.DocumentRead(document))]
+        return [
+            effects.Respond(token, external_requests.DocumentRead(document))
+        ]
 
     def _change_leader(
         self, now_s: float, changed: outputs.LeaderChanged
@@ -400,5 +404,7 @@
 
 
 def _unavailable(request_id: int, reason: str) -> effects.Effect:
-    answer = outside.Unavailable(reason, publishing.RETRY_AFTER_S)
+    answer = external_requests.Unavailable(
+        reason, publish_requests.RETRY_AFTER_S
+    )
     return effects.Respond(request_id, answer)
--- a/packages/core/src/tamarack_core/internal/group/contacts.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -12,7 +12,7 @@
 """Time after which a silent control host that is no seed is forgotten."""
 
 
-class Contact(msgspec.Struct):
+class KnownControlHost(msgspec.Struct):
     """A control host that was heard.
 
     Attributes:
@@ -26,7 +26,7 @@
     seen_s: float
 
 
-class Contacts:
+class ControlHostDirectory:
     """Control hosts by endpoint.
 
     Attributes:
@@ -49,12 +49,14 @@
         """
         self.context = context
         self.seeds = seeds
-        self.heard: dict[peers.Endpoint, Contact] = {}
+        self.heard: dict[peers.Endpoint, KnownControlHost] = {}
         self.mentioned: dict[peers.Endpoint, tuple[peers.Peer, float]] = {}
 
     def note(self, now_s: float, sender: peers.Peer, incarnation: str) -> None:
         """Takes note of a message of another control host."""
-        self.heard[sender.control] = Contact(sender, incarnation, now_s)
+        self.heard[sender.control] = KnownControlHost(
+            sender, incarnation, now_s
+        )
 
     def mention(self, now_s: float, named: tuple[peers.Peer, ...]) -> None:
         """Takes note of control hosts that another one heard."""
--- a/packages/core/src/tamarack_core/internal/group/upkeep.py
+++ b/packages/core/src/tamarack_core/internal/group/membership_policy.py
@@ -13,7 +13,7 @@
 
 from tamarack_core import peers
 from tamarack_core.internal.consensus import membership
-from tamarack_core.internal.group import contacts as contacts_lib
+from tamarack_core.internal.group import host_directory
 
 REPLACE_S = 2.5
 """Time after which a silent voter gives way to a host that can replace it."""
@@ -28,7 +28,7 @@
     Attributes:
         members: The newest membership.
         own: Incarnation of the leader.
-        contacts: Control hosts that were heard, by endpoint.
+        directory: Control hosts that were heard, by endpoint.
         answered_s: Time of the last answer of each member.
         caught_up: Learners that hold nearly all of the log.
         wanted_voters: How many voters the stated losses ask for.
@@ -36,7 +36,7 @@
 
     members: membership.Membership
     own: str
-    contacts: Mapping[peers.Endpoint, contacts_lib.Contact]
+    directory: Mapping[peers.Endpoint, host_directory.KnownControlHost]
     answered_s: Mapping[str, float]
     caught_up: Collection[str]
     wanted_voters: int
@@ -74,7 +74,7 @@
 def _drop_lost_disk(situation: Situation) -> membership.Change | None:
     """Removes a member whose host came back with another disk."""
     for member in situation.members.members.values():
-        contact = situation.contacts.get(member.peer.control)
+        contact = situation.directory.get(member.peer.control)
         if contact is not None and contact.incarnation != member.incarnation:
             return _remove(member.incarnation)
     return None
@@ -94,7 +94,7 @@
         if not member.is_voter
         and member.incarnation in situation.caught_up
         and not situation.is_silent(
-            now_s, member.incarnation, contacts_lib.LIVE_S
+            now_s, member.incarnation, host_directory.LIVE_S
         )
     ]
     ready.sort(
@@ -108,7 +108,7 @@
 
 def _domain(situation: Situation, member: membership.Member) -> str:
     """Returns the failure domain of a member; founders are told by contact."""
-    contact = situation.contacts.get(member.peer.control)
+    contact = situation.directory.get(member.peer.control)
     return member.peer.domain if contact is None else contact.peer.domain
 
 
@@ -149,8 +149,8 @@
 def _admit(now_s: float, situation: Situation) -> membership.Change | None:
     """Adds a control host that is no member as a learner."""
     known = situation.members.members
-    for contact in situation.contacts.values():
-        is_live = now_s - contact.seen_s <= contacts_lib.LIVE_S
+    for contact in situation.directory.values():
+        is_live = now_s - contact.seen_s <= host_directory.LIVE_S
         if is_live and contact.incarnation not in known:
             return membership.Change(
                 membership.ChangeKind.ADD_LEARNER,
--- a/packages/core/src/tamarack_core/internal/group/publishing.py
+++ b/packages/core/src/tamarack_core/internal/group/publish_requests.py
@@ -4,13 +4,13 @@
 
 from tamarack_core import documents
 from tamarack_core import effects
+from tamarack_core import external_requests
 from tamarack_core import failure
-from tamarack_core import outside
 from tamarack_core import requests
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.consensus import replication
-from tamarack_core.internal.documents import machine as machines
+from tamarack_core.internal.documents import state_machine as machines
 
 PATIENCE_S = 0.9
 """Time for which an operator waits, in seconds; operators turn to another
@@ -34,7 +34,7 @@
     deadline_s: float
 
 
-class Publishing:
+class PublishRequests:
     """Proposes documents at the leader and answers when they are in force.
 
     Attributes:
@@ -57,7 +57,7 @@
     )
 
     def __init__(
-        self, machine: machines.DocumentMachine, replica: replicas.Replica
+        self, machine: machines.DocumentStateMachine, replica: replicas.Replica
     ) -> None:
         """Creates the part.
 
@@ -88,19 +88,23 @@
             return _answer(request_id, answer)
         if document.number <= self.machine.document.number:
             number = self.machine.document.number
-            return _answer(request_id, outside.DocumentPublished(number))
+            return _answer(
+                request_id, external_requests.DocumentPublished(number)
+            )
         state = self.replica.state
         if not state.is_leader:
             return _answer(request_id, self._point_to_leader())
         self.waiting.append(Waiting(request_id, document, now_s + PATIENCE_S))
         return self._propose(now_s, document)
 
-    def _point_to_leader(self) -> outside.Elsewhere | outside.Unavailable:
+    def _point_to_leader(
+        self,
+    ) -> external_requests.Elsewhere | external_requests.Unavailable:
         """Returns where the operator should turn."""
         leader = self.replica.state.leader
         if leader is None:
-            return outside.Unavailable("no-leader", RETRY_AFTER_S)
-        return outside.Elsewhere(leader.peer)
+            return external_requests.Unavailable("no-leader", RETRY_AFTER_S)
+        return external_requests.Elsewhere(leader.peer)
 
     def _propose(
         self, now_s: float, document: documents.Document
@@ -135,11 +139,15 @@
         kept = []
         for waiting in self.waiting:
             if waiting.document.number <= number:
-                answer: requests.Response = outside.DocumentPublished(number)
+                answer: requests.Response = external_requests.DocumentPublished(
+                    number
+                )
             elif not self.replica.state.is_leader:
                 answer = self._point_to_leader()
             elif now_s >= waiting.deadline_s:
-                answer = outside.Unavailable("no-quorum", RETRY_AFTER_S)
+                answer = external_requests.Unavailable(
+                    "no-quorum", RETRY_AFTER_S
+                )
             else:
                 kept.append(waiting)
                 continue
--- a/packages/core/src/tamarack_core/internal/patches/machine.py
+++ b/packages/core/src/tamarack_core/internal/patches/state_machine.py
@@ -61,7 +61,7 @@
     """A snapshot can't be read by this release."""
 
 
-class PatchMachine:
+class PatchStateMachine:
     """State that all voters agree on.
 
     Attributes:
@@ -70,18 +70,18 @@
             the clocks of successive leaders say.
         checked: The configuration.
         history: The newest accepted patches.
-        answers: First answers to patch ids.
+        verdicts: First answers to patch ids.
         decisions: Decisions since the owner last took them; not replicated.
         deltas: Changes since the owner last took them; not replicated.
     """
 
     __slots__ = (
-        "answers",
         "checked",
         "decisions",
         "deltas",
         "history",
         "time_ms",
+        "verdicts",
         "version",
     )
 
@@ -91,7 +91,7 @@
         self.time_ms = 0
         self.checked = document.Checked()
         self.history = history.History()
-        self.answers = history.Answers()
+        self.verdicts = history.Answers()
         self.decisions: list[Decision] = []
         self.deltas: list[distribution.Delta] = []
 
@@ -105,7 +105,7 @@
         self, patch: requests.SubmitPatch
     ) -> requests.PatchVerdict | None:
         """Returns the answer to a patch that was decided before, or None."""
-        answer = self.answers.by_id.get(patch.patch_id)
+        answer = self.verdicts.by_id.get(patch.patch_id)
         if answer is None:
             return None
         if answer.digest == commands.digest(patch):
@@ -133,7 +133,7 @@
         verdict = self.first_answer(patch)
         if verdict is None:
             verdict = self._decide(patch)
-            self.answers.add(
+            self.verdicts.add(
                 patch.patch_id, history.Answer(digest, self.time_ms, verdict)
             )
         self.decisions.append(Decision(patch.patch_id, digest, verdict))
@@ -159,7 +159,7 @@
                 self.time_ms,
                 configuration.Configuration(self.checked.services),
                 self.history.entries,
-                list(self.answers.items()),
+                list(self.verdicts.items()),
             )
         )
 
@@ -188,8 +188,8 @@
             self.history.append(
                 msgspec.structs.replace(entry, operations=operations_copy)
             )
-        self.answers = history.Answers()
-        self.answers.by_id = dict(decoded.answers)
+        self.verdicts = history.Answers()
+        self.verdicts.by_id = dict(decoded.answers)
         self.decisions = []
         self.deltas = []
 
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -3,11 +3,11 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core import target_announcement
-from tamarack_core.internal.group import contacts as contacts_lib
+from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import target_registry
 
@@ -39,7 +39,7 @@
         context: Identity, chance, time and counters.
         registry: Announced targets.
         publisher: Pushes changes to followers.
-        contacts: The other control hosts.
+        directory: The other control hosts.
         targets: Targets that an earlier start left, if any.
         positions: Run and position followed at each other control host.
         directly: Time of the last announcement to this host, by name, for
@@ -53,9 +53,9 @@
 
     __slots__ = (
         "asked_s",
-        "contacts",
         "context",
         "directly",
+        "directory",
         "heard_s",
         "positions",
         "publisher",
@@ -71,7 +71,7 @@
         context: context_lib.Context,
         registry: target_registry.TargetRegistry,
         publisher: publishers.Publisher,
-        contacts: contacts_lib.Contacts,
+        directory: host_directory.ControlHostDirectory,
         targets: bytes | None,
     ) -> None:
         """Creates the part.
@@ -80,13 +80,13 @@
             context: Identity, chance, time and counters.
             registry: Announced targets.
             publisher: Pushes changes to followers.
-            contacts: The other control hosts.
+            directory: The other control hosts.
             targets: Targets that an earlier start left, if any.
         """
         self.context = context
         self.registry = registry
         self.publisher = publisher
-        self.contacts = contacts
+        self.directory = directory
         self.positions: dict[str, tuple[str, int]] = {}
         self.directly: dict[str, float] = {}
         self.heard_s = float("-inf")
@@ -101,8 +101,8 @@
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_tick,
-            outside.AnnounceTarget: self.handle_announce,
-            outside.WithdrawTarget: self.handle_withdraw,
+            external_requests.AnnounceTarget: self.handle_announce,
+            external_requests.WithdrawTarget: self.handle_withdraw,
             sync.SyncUpdate: self.handle_update,
             sync.AnnouncementAges: self.handle_heard,
         }
@@ -128,7 +128,7 @@
     ) -> list[effects.Effect]:
         """Takes an announcement of a target."""
         request = event.request
-        assert isinstance(request, outside.AnnounceTarget)
+        assert isinstance(request, external_requests.AnnounceTarget)
         target = request.target
         is_changed = self.registry.put(event.now_s, target)
         held = self.registry.records.get(target.name)
@@ -138,7 +138,7 @@
         if is_changed:
             found.append(self._record(event.now_s, target))
             found += self.publisher.push(event.now_s)
-        noted = outside.TargetNoted(self._home_of(target))
+        noted = external_requests.TargetAcknowledged(self._home_of(target))
         found.append(effects.Respond(event.request_id, noted))
         return found
 
@@ -156,8 +156,8 @@
     ) -> list[effects.Effect]:
         """Takes the end of a target."""
         request = event.request
-        assert isinstance(request, outside.WithdrawTarget)
-        noted = outside.TargetNoted()
+        assert isinstance(request, external_requests.WithdrawTarget)
+        noted = external_requests.TargetAcknowledged()
         answer = effects.Respond(event.request_id, noted)
         self.directly.pop(request.name, None)
         if not self.registry.withdraw(
@@ -186,7 +186,7 @@
             self.saved = self.registry.position
             self.saved_s = now_s
             found.append(effects.SaveTargets(self.registry.encode()))
-        others = self.contacts.others()
+        others = self.directory.others()
         if now_s - self.heard_s >= HEARD_INTERVAL_S:
             found += self._tell_heard(now_s)
         if now_s - self.asked_s >= FOLLOW_INTERVAL_S:
@@ -215,7 +215,7 @@
         message = sync.AnnouncementAges(ages_ms)
         return [
             effects.SendMessage(peer, message)
-            for peer in self.contacts.others()
+            for peer in self.directory.others()
         ]
 
     def _question(self, host: str) -> sync.SyncRequest:
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -8,7 +8,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
-from tamarack_core.internal.documents import machine as machines
+from tamarack_core.internal.documents import state_machine as machines
 from tamarack_core.internal.registry import route_history as histories
 from tamarack_core.internal.registry import target_registry
 
@@ -146,7 +146,7 @@
         return found
 
     def publish_documents(
-        self, now_s: float, machine: machines.DocumentMachine
+        self, now_s: float, machine: machines.DocumentStateMachine
     ) -> list[effects.Effect]:
         """Pushes the documents that have come into force.
 
@@ -154,7 +154,7 @@
             now_s: Monotonic time in seconds.
             machine: The replicated state.
         """
-        machine.feed(self.routes)
+        machine.flush_to(self.routes)
         record = self.context.record(
             now_s, "version-in-force", version=self.routes.document.number
         )
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -26,8 +26,8 @@
 
     def put(self, document: documents.Document) -> None:
         """Takes the document that follows on the one held."""
-        before = {route.place: route for route in self.document.routes}
-        after = {route.place: route for route in document.routes}
+        before = {route.endpoint: route for route in self.document.routes}
+        after = {route.endpoint: route for route in document.routes}
         for place in before.keys() | after.keys():
             if before.get(place) != after.get(place):
                 self.changed_at[place] = document.number
@@ -45,7 +45,7 @@
         self.document = document
         self.horizon = document.number
         self.changed_at = {
-            route.place: document.number for route in document.routes
+            route.endpoint: document.number for route in document.routes
         }
 
     def _forget_removed(
@@ -70,10 +70,10 @@
         routes = [
             _change(route)
             for route in document.routes
-            if is_whole or self.changed_at[route.place] > number
+            if is_whole or self.changed_at[route.endpoint] > number
         ]
         if not is_whole:
-            present = {route.place for route in document.routes}
+            present = {route.endpoint for route in document.routes}
             routes += [
                 _removal(place)
                 for place, changed in self.changed_at.items()
--- a/packages/core/src/tamarack_core/messages/control.py
+++ b/packages/core/src/tamarack_core/messages/control.py
@@ -17,7 +17,7 @@
     patch: requests.SubmitPatch
 
 
-class PatchAnswer(msgspec.Struct, frozen=True, tag="patch-answer"):
+class PatchResponse(msgspec.Struct, frozen=True, tag="patch-answer"):
     """Answer to a `PatchForward`.
 
     Attributes:
@@ -43,4 +43,4 @@
     is_blank: bool
 
 
-Message = PatchForward | PatchAnswer | Introduction
+Message = PatchForward | PatchResponse | Introduction
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from tamarack_core import configuration
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tamarack_core import refusal
 
 
@@ -141,7 +141,7 @@
 
 Request = (
     Announce
-    | outside.Request
+    | external_requests.Request
     | SubmitPatch
     | ReadConfiguration
     | ReadLog
@@ -423,7 +423,7 @@
 
 Response = (
     Announced
-    | outside.Response
+    | external_requests.Response
     | Refused
     | PatchVerdict
     | ConfigurationRead
--- a/packages/core/src/tamarack_core/storage/summary.py
+++ b/packages/core/src/tamarack_core/storage/summary.py
@@ -8,7 +8,7 @@
 from tamarack_core import peers
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.patches import machine as machines
+from tamarack_core.internal.patches import state_machine as machines
 from tamarack_core.storage import frames
 
 
@@ -37,7 +37,7 @@
 
 def summarize(contents: frames.Contents) -> Summary | failure.Failure:
     """Returns the state in a log file, or why it can't be read."""
-    machine = machines.PatchMachine()
+    machine = machines.PatchStateMachine()
     reader = membership.Member(
         peers.Peer("reader", "", peers.Endpoint("0.0.0.0", 0)), ""
     )
@@ -57,5 +57,5 @@
             for member in state.latest_membership.members.values()
         ),
         patches=len(machine.history.entries),
-        patch_ids=len(machine.answers.by_id),
+        patch_ids=len(machine.verdicts.by_id),
     )
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -38,7 +38,7 @@
 
     address: str
     port: int
-    shares: tuple[documents.Share, ...]
+    shares: tuple[documents.WeightedService, ...]
     kind: documents.WorkKind
     timeout_ms: float
 
--- a/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
@@ -9,7 +9,7 @@
 from tamarack_core import requests
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.patches import commands
-from tamarack_core.internal.patches import machine
+from tamarack_core.internal.patches import state_machine
 from tamarack_lab.capacity import slopes
 from tamarack_lab.capacity.probes import measuring
 
@@ -122,9 +122,9 @@
     )
 
 
-def _machine(count: int) -> machine.PatchMachine:
+def _machine(count: int) -> state_machine.PatchStateMachine:
     """Returns the state of a voter with a number of services."""
-    state = machine.PatchMachine()
+    state = state_machine.PatchStateMachine()
     for first in range(0, count, SERVICES_PER_FILL):
         last = min(first + SERVICES_PER_FILL, count)
         operations = [
@@ -140,7 +140,9 @@
     return state
 
 
-def _check_accepted(state: machine.PatchMachine, expected: int) -> None:
+def _check_accepted(
+    state: state_machine.PatchStateMachine, expected: int
+) -> None:
     """Ends the probe unless all patches are accepted.
 
     Raises:
@@ -169,7 +171,7 @@
 def _patch_us(count: int) -> float:
     """Returns the time that a voter needs to decide on one patch."""
 
-    def decide(state: machine.PatchMachine) -> None:
+    def decide(state: state_machine.PatchStateMachine) -> None:
         """Decides on patches one after the other."""
         for number in range(PATCHES):
             path = f"/services/service-{number:05}/classes/reports/cost"
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -8,9 +8,9 @@
 from tamarack_core import documents
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
-from tamarack_core import outside
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
@@ -118,7 +118,7 @@
     route = sync.RouteChange(
         SERVICE_ADDRESS,
         port,
-        (documents.Share(service, 1),) if service else (),
+        (documents.WeightedService(service, 1),) if service else (),
         documents.WorkKind.IDEMPOTENT,
         1500.0,
     )
@@ -275,9 +275,11 @@
     def is_ready(self) -> bool:
         """Asks whether the host takes packets."""
         found = self.handle(
-            events.RequestArrived(self.now_s, 1, outside.ReadReadiness())
+            events.RequestArrived(
+                self.now_s, 1, external_requests.ReadReadiness()
+            )
         )
         answer = found[0]
         assert isinstance(answer, effects.Respond)
-        assert isinstance(answer.response, outside.Readiness)
+        assert isinstance(answer.response, external_requests.Readiness)
         return answer.response.is_ready
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tamarack_core import refusal
 from tamarack_core import target_announcement
 from tests import group_network
@@ -40,9 +40,9 @@
         network.start("c1", is_first_start=True)
         network.run(20.0)
         answer = network.try_at(
-            "c1", outside.PublishDocument(group_network.document(1))
+            "c1", external_requests.PublishDocument(group_network.document(1))
         )
-        self.assertIsInstance(answer, outside.Unavailable)
+        self.assertIsInstance(answer, external_requests.Unavailable)
 
     def test_hosts_that_restart_with_empty_disks_found_nothing(self):
         network = group_network.GroupNetwork(3)
@@ -56,7 +56,10 @@
         network.run(3.0)
         self.assertEqual(3, len(network.voters("c4")))
         self.assertEqual(
-            1, network.try_at("c4", outside.ReadDocument()).document.number
+            1,
+            network.try_at(
+                "c4", external_requests.ReadDocument()
+            ).document.number,
         )
 
     def test_five_vote_where_two_may_be_lost(self):
@@ -172,7 +175,8 @@
         self.assertEqual(7, network.publish(7).number)
         for host in network.peers:
             answer = network.try_at(
-                host, outside.PublishDocument(group_network.document(3))
+                host,
+                external_requests.PublishDocument(group_network.document(3)),
             )
             self.assertEqual(7, answer.number)
         self.assertEqual(7, network.read().number)
@@ -186,7 +190,9 @@
     def test_two_operators_at_once_agree_on_one_content(self):
         network = started()
         requests = [
-            outside.PublishDocument(group_network.document(9, content=content))
+            external_requests.PublishDocument(
+                group_network.document(9, content=content)
+            )
             for content in ("first", "second")
         ]
         leader = network.leaders().pop()
@@ -195,7 +201,9 @@
         for number in numbers:
             self.assertEqual(9, network.answers[number].number)
         contents = {
-            network.try_at(host, outside.ReadDocument()).document.remainder
+            network.try_at(
+                host, external_requests.ReadDocument()
+            ).document.remainder
             for host in network.peers
         }
         self.assertEqual({"first"}, contents)
@@ -206,14 +214,16 @@
         numbers = [
             network.ask(
                 leader,
-                outside.PublishDocument(group_network.document(number)),
+                external_requests.PublishDocument(
+                    group_network.document(number)
+                ),
             )
             for number in (12, 15, 11, 18, 14, 13, 17, 16)
         ]
         network.run(1.0)
         for number in numbers:
             self.assertIsInstance(
-                network.answers[number], outside.DocumentPublished
+                network.answers[number], external_requests.DocumentPublished
             )
         self.assertEqual(18, network.read().number)
 
@@ -221,20 +231,20 @@
         network = started()
         network.isolate("c1")
         network.run(2.0)
-        read = network.try_at("c1", outside.ReadDocument())
+        read = network.try_at("c1", external_requests.ReadDocument())
         order = network.try_at(
-            "c1", outside.PublishDocument(group_network.document(2))
+            "c1", external_requests.PublishDocument(group_network.document(2))
         )
         for answer in (read, order):
-            self.assertIsInstance(answer, outside.Unavailable | None)
+            self.assertIsInstance(answer, external_requests.Unavailable | None)
 
     def test_a_host_that_was_away_asks_before_it_answers(self):
         network = started()
         network.isolate("c1")
         network.publish(6)
         network.cut.clear()
-        answer = network.try_at("c1", outside.ReadDocument())
-        if isinstance(answer, outside.DocumentRead):
+        answer = network.try_at("c1", external_requests.ReadDocument())
+        if isinstance(answer, external_requests.DocumentRead):
             self.assertEqual(6, answer.document.number)
 
     def test_invalid_documents_are_refused_with_the_reason(self):
@@ -249,7 +259,9 @@
         ):
             answer = network.try_at(
                 "c1",
-                outside.PublishDocument(group_network.document(2, *routes)),
+                external_requests.PublishDocument(
+                    group_network.document(2, *routes)
+                ),
             )
             self.assertIsInstance(answer, refusal.Refused)
             self.assertEqual(reason, answer.reason)
@@ -269,7 +281,7 @@
 
     def known_at(self, network, host, name):
         """Returns what a host knows of a target."""
-        part = network.part_of(host, outside.AnnounceTarget)
+        part = network.part_of(host, external_requests.AnnounceTarget)
         record = part.registry.records.get(name)
         return None if record is None else record.target
 
@@ -278,7 +290,7 @@
         changes.setdefault("name", "t-1")
         name = changes.pop("name")
         target = group_network.target(name, **changes)
-        return network.try_at(host, outside.AnnounceTarget(target))
+        return network.try_at(host, external_requests.AnnounceTarget(target))
 
     def test_a_drain_reaches_all_control_hosts_at_once(self):
         network = started()
@@ -330,7 +342,7 @@
         network = started()
         self.announce(network, "c1")
         network.run(4.0)
-        part = network.part_of("c2", outside.AnnounceTarget)
+        part = network.part_of("c2", external_requests.AnnounceTarget)
         self.assertTrue(part.registry.records["t-1"].is_overdue)
         self.announce(network, "c1", sequence=2)
         network.run(1.0)
--- a/tests/cover/test_declarations.py
+++ b/tests/cover/test_declarations.py
@@ -9,7 +9,7 @@
 from tamarack_core import declarations
 from tamarack_core import requests
 from tamarack_core.internal.patches import commands
-from tamarack_core.internal.patches import machine
+from tamarack_core.internal.patches import state_machine
 
 _classes = strategies.builds(
     lambda port, cost: {"port": port, "target_port": 8080, "cost": cost},
@@ -70,7 +70,7 @@
     def test_applying_gives_what_is_declared_and_twice_changes_nothing(
         self, first, second
     ):
-        state = machine.PatchMachine()
+        state = state_machine.PatchStateMachine()
         for described in (first, second):
             declared = declare(described)
             apply(state, declared)
@@ -78,7 +78,7 @@
             self.assertEqual(0, apply(state, declared))
 
     def test_a_large_plan_is_split_into_patches_that_are_taken(self):
-        state = machine.PatchMachine()
+        state = state_machine.PatchStateMachine()
         many = {
             f"s{number}": {
                 "addresses": [f"10.1.{number >> 8}.{number & 255}"],
@@ -92,7 +92,7 @@
         self.assertEqual(declared.services, state.checked.services)
 
     def test_a_swap_of_networks_fits_into_one_patch(self):
-        state = machine.PatchMachine()
+        state = state_machine.PatchStateMachine()
         work = {"a": {"port": 80, "target_port": 80}}
         services = {
             name: {
--- a/tests/cover/test_envelopes.py
+++ b/tests/cover/test_envelopes.py
@@ -29,7 +29,10 @@
 def large_document(count: int = ROUTES) -> sync.DocumentUpdate:
     """Returns a whole document with many routes."""
     generator = random.Random(7)
-    split = (documents.Share("schedule", 90), documents.Share("chimes", 10))
+    split = (
+        documents.WeightedService("schedule", 90),
+        documents.WeightedService("chimes", 10),
+    )
     routes = tuple(
         sync.RouteChange(
             f"198.18.{number // 200}.{number % 200}",
@@ -58,16 +61,16 @@
     """What crosses the link of an entry host."""
 
     def test_a_whole_document_takes_a_moment_of_a_slow_link(self):
-        data = cookie_entry.MESSAGES.encode(envelope(update()))
+        data = cookie_entry.CODEC.encode(envelope(update()))
         self.assertLess(len(data), RECOVERY_S * LINK_BYTES_PER_S)
 
     def test_a_large_envelope_is_read_as_it_was_written(self):
         sent = envelope(update())
-        data = cookie_entry.MESSAGES.encode(sent)
-        self.assertEqual(sent, cookie_entry.MESSAGES.decode(data))
+        data = cookie_entry.CODEC.encode(sent)
+        self.assertEqual(sent, cookie_entry.CODEC.decode(data))
 
     def test_a_small_envelope_stays_readable_json(self):
-        data = cookie_entry.MESSAGES.encode(
+        data = cookie_entry.CODEC.encode(
             envelope(sync.SyncRequest("run", 3, 4))
         )
         self.assertEqual(b"{", data[:1])
@@ -77,7 +80,7 @@
     """Bytes that nobody should have sent."""
 
     def assert_refused(self, data):
-        refused = cookie_entry.MESSAGES.decode(data)
+        refused = cookie_entry.CODEC.decode(data)
         self.assertIsInstance(refused, failure.Failure)
         self.assertEqual("bad-envelope", refused.reason)
 
@@ -86,7 +89,7 @@
         self.assert_refused(zlib.compress(zeros))
 
     def test_a_body_cut_short_is_refused(self):
-        data = cookie_entry.MESSAGES.encode(envelope(update()))
+        data = cookie_entry.CODEC.encode(envelope(update()))
         self.assert_refused(data[:-20])
 
     @hypothesis.given(strategies.binary(max_size=200))
--- a/tests/cover/test_fragments.py
+++ b/tests/cover/test_fragments.py
@@ -17,7 +17,7 @@
         return data, fragments.Fragmenter(first).split(data)
 
     def test_a_whole_document_of_the_largest_deployment_fits(self):
-        data = cookie_entry.MESSAGES.encode(
+        data = cookie_entry.CODEC.encode(
             test_envelopes.envelope(test_envelopes.update())
         )
         self.assertLessEqual(len(data), fragments.MAX_BYTES)
--- a/tests/cover/test_patches.py
+++ b/tests/cover/test_patches.py
@@ -10,7 +10,7 @@
 from tamarack_core import requests
 from tamarack_core.internal.patches import commands
 from tamarack_core.internal.patches import history
-from tamarack_core.internal.patches import machine
+from tamarack_core.internal.patches import state_machine
 
 State = requests.PatchState
 
@@ -39,7 +39,7 @@
 def submit(state, request, time_ms=0):
     """Applies a patch and returns its verdict."""
     command = commands.Submit(request, time_ms)
-    state.apply(len(state.answers.by_id) + 1, commands.encode(command))
+    state.apply(len(state.verdicts.by_id) + 1, commands.encode(command))
     (decision,) = state.take_decisions()
     return decision.verdict
 
@@ -49,7 +49,7 @@
 
     def setUp(self):
         super().setUp()
-        self.state = machine.PatchMachine()
+        self.state = state_machine.PatchStateMachine()
         self.first = submit(self.state, patch("a", 0, add(1)))
 
     def test_an_accepted_patch_raises_the_version(self):
@@ -68,7 +68,7 @@
 
     def test_a_resend_gets_the_first_answer_after_a_snapshot(self):
         submit(self.state, patch("b", 1, add(2)))
-        other = machine.PatchMachine()
+        other = state_machine.PatchStateMachine()
         other.restore(self.state.snapshot())
         self.assertEqual(self.first, submit(other, patch("a", 0, add(1))))
         self.assertEqual(2, other.version)
@@ -87,14 +87,14 @@
     def test_a_forgotten_id_still_can_not_run_twice(self):
         late_ms = history.ID_RETENTION_MS + 1
         submit(self.state, patch("b", 9), late_ms)
-        self.assertNotIn("a", self.state.answers.by_id)
+        self.assertNotIn("a", self.state.verdicts.by_id)
         again = submit(self.state, patch("a", 0, add(1)), late_ms)
         self.assertEqual(State.CONFLICT, again.state)
 
     def test_log_time_never_goes_back(self):
         submit(self.state, patch("b", 9), 500)
         submit(self.state, patch("c", 9), 400)
-        self.assertEqual(500, self.state.answers.by_id["c"].time_ms)
+        self.assertEqual(500, self.state.verdicts.by_id["c"].time_ms)
 
     def test_the_history_says_who_changed_what_on_top_of_what(self):
         submit(self.state, patch("b", 1, add(2), author="bea", note="move"))
@@ -117,7 +117,7 @@
 
     def refuse(self, path, *operations):
         """Checks that a patch on top of service s1 is invalid at `path`."""
-        state = machine.PatchMachine()
+        state = state_machine.PatchStateMachine()
         submit(state, patch("a", 0, add(1)))
         before = state.numbered()
         verdict = submit(state, patch("b", 1, *operations))
@@ -209,12 +209,12 @@
     def test_replicas_agree_also_when_one_starts_from_a_snapshot(
         self, patches, restart
     ):
-        one = machine.PatchMachine()
-        other = machine.PatchMachine()
+        one = state_machine.PatchStateMachine()
+        other = state_machine.PatchStateMachine()
         accepted = 0
         for number, operations in enumerate(patches):
             if number == restart:
-                other = machine.PatchMachine()
+                other = state_machine.PatchStateMachine()
                 other.restore(one.snapshot())
             request = patch(f"p{number}", one.version, *operations)
             verdict = submit(one, request, number)
@@ -226,6 +226,6 @@
     @hypothesis.given(strategies.binary(max_size=40))
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
     def test_a_command_of_any_bytes_is_skipped_alike(self, data):
-        state = machine.PatchMachine()
+        state = state_machine.PatchStateMachine()
         state.apply(1, data)
         self.assertEqual(0, state.version)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -9,9 +9,9 @@
 from testtools import matchers
 
 from tamarack_core import documents as core_documents
+from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
-from tamarack_core import outside
 from tamarack_core import peers
 from tamarack_core import target_announcement
 from tamarack_node import light
@@ -325,13 +325,13 @@
         for body, born_ms in ((b"", None), ({"born": 5}, 5)):
             request = self.dialect.decode(post(path, body))
             self.assertEqual(
-                outside.WithdrawTarget("i-7f3a91c2", born_ms), request
+                external_requests.WithdrawTarget("i-7f3a91c2", born_ms), request
             )
 
     def test_answers_take_the_form_of_the_platform(self):
         put = post("/config/replace", DOCUMENT)
         leader = peers.Peer("c", "a", peers.Endpoint("10.0.0.4", 7720))
-        moved = self.dialect.encode(put, outside.Elsewhere(leader))
+        moved = self.dialect.encode(put, external_requests.Elsewhere(leader))
         self.assertEqual(307, moved.status)
         self.assertThat(
             moved.headers,
@@ -339,10 +339,14 @@
                 ("Location", "http://10.0.0.4:8166/config/replace")
             ),
         )
-        later = self.dialect.encode(put, outside.Unavailable("no-leader", 0.5))
+        later = self.dialect.encode(
+            put, external_requests.Unavailable("no-leader", 0.5)
+        )
         self.assertEqual(503, later.status)
         self.assertIn(("Retry-After", "0.5"), later.headers)
-        noted = self.dialect.encode(put, outside.TargetNoted("10.0.0.4"))
+        noted = self.dialect.encode(
+            put, external_requests.TargetAcknowledged("10.0.0.4")
+        )
         self.assertEqual(
             {"heartbeat-addr": "10.0.0.4:8166"}, json.loads(noted.body)
         )
@@ -355,9 +359,11 @@
     def test_readiness_is_a_status(self):
         entry = readiness.EntryDialect()
         request = light.HttpRequest("GET", "/ready", b"")
-        self.assertEqual(outside.ReadReadiness(), entry.decode(request))
+        self.assertEqual(
+            external_requests.ReadReadiness(), entry.decode(request)
+        )
         for is_ready, status in ((True, 200), (False, 503)):
-            reply = entry.encode(request, outside.Readiness(is_ready))
+            reply = entry.encode(request, external_requests.Readiness(is_ready))
             self.assertEqual(status, reply.status)
 
     @hypothesis.given(JSON)
--- a/tests/cover/test_route_history.py
+++ b/tests/cover/test_route_history.py
@@ -6,7 +6,7 @@
 
 from tamarack_core import documents
 from tamarack_core.internal.cookie import routes as routes_lib
-from tamarack_core.internal.documents import machine as machines
+from tamarack_core.internal.documents import state_machine as machines
 from tamarack_core.internal.registry import route_history as histories
 from tests import group_network
 
@@ -57,9 +57,9 @@
             for number, ports in enumerate(steps, start=1)
         ]
         # The sender begins with some document, jumps once, then follows.
-        sender = machines.DocumentMachine()
+        sender = machines.DocumentStateMachine()
         history = histories.RouteHistory()
-        first = machines.DocumentMachine()
+        first = machines.DocumentStateMachine()
         for index, document in enumerate(versions):
             change = documents.difference(first.document, document)
             first.apply(index, machines.encode(change))
@@ -67,7 +67,7 @@
                 sender.restore(first.snapshot())
             elif index > restored or index == 0:
                 sender.apply(index, machines.encode(change))
-            sender.feed(history)
+            sender.flush_to(history)
         held = min(held, len(versions))
         table = routes_lib.RouteTable()
         holder = histories.RouteHistory()
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -9,7 +9,7 @@
 from tamarack_core import effects
 from tamarack_core import envelopes
 from tamarack_core import events
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tamarack_core import peers
 from tamarack_core import target_announcement
 from tamarack_core import timeline
@@ -40,7 +40,7 @@
         kind=documents.WorkKind.IDEMPOTENT,
         timeout_ms=1500.0,
         priority=1,
-        shares=(documents.Share(service, 1),),
+        shares=(documents.WeightedService(service, 1),),
         source=f'{{"name":"{name}"}}',
     )
 
@@ -171,7 +171,7 @@
         envelope = envelopes.Envelope(
             node.context.host, timeline.Stamp(0, 0), (message,)
         )
-        data = document_control.MESSAGES.encode(envelope)
+        data = document_control.CODEC.encode(envelope)
         self.sent[host] += len(data)
         name = next(
             (
@@ -183,7 +183,7 @@
         )
         if name is None or (host, name) in self.cut:
             return
-        decoded = document_control.MESSAGES.decode(data)
+        decoded = document_control.CODEC.decode(data)
         self._schedule(
             fake_hosts.LATENCY_S,
             name,
@@ -211,15 +211,19 @@
 
     def publish(self, number, *routes, content="", patience_s=8.0):
         """Publishes as operators do, at one host after another."""
-        request = outside.PublishDocument(
+        request = external_requests.PublishDocument(
             document(number, *routes, content=content)
         )
-        return self._insist(request, outside.DocumentPublished, patience_s)
+        return self._insist(
+            request, external_requests.DocumentPublished, patience_s
+        )
 
     def read(self, patience_s=8.0):
         """Reads the document as operators do."""
         return self._insist(
-            outside.ReadDocument(), outside.DocumentRead, patience_s
+            external_requests.ReadDocument(),
+            external_requests.DocumentRead,
+            patience_s,
         ).document
 
     def _insist(self, request, wanted, patience_s):
@@ -243,7 +247,7 @@
             while number not in self.answers and self.now_s < end_s:
                 self.run(0.01)
             answer = self.answers.get(number)
-            if not isinstance(answer, outside.Elsewhere):
+            if not isinstance(answer, external_requests.Elsewhere):
                 return answer
             host = next(
                 (
@@ -261,7 +265,7 @@
 
     def voters(self, host):
         """Returns the names of the voters that a host knows."""
-        control = self.part_of(host, outside.PublishDocument)
+        control = self.part_of(host, external_requests.PublishDocument)
         state = control.replica.state
         by_endpoint = {p.control: name for name, p in self.peers.items()}
         return {
@@ -276,6 +280,6 @@
             host
             for host in self.nodes
             if self.part_of(
-                host, outside.PublishDocument
+                host, external_requests.PublishDocument
             ).replica.state.is_leader
         }
--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -60,7 +60,7 @@
 def wire_bytes(update):
     """Returns the size of an update on its way to an entry host."""
     envelope = envelopes.Envelope(SENDER, timeline.Stamp(0, 0), (update,))
-    return len(cookie_entry.MESSAGES.encode(envelope))
+    return len(cookie_entry.CODEC.encode(envelope))
 
 
 def print_targets(count):
--- a/tests/slow/test_group_model.py
+++ b/tests/slow/test_group_model.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tests import group_network
 
 CI_SEEDS = 6
@@ -69,16 +69,18 @@
         ports = self.random.sample(range(1, 9), 4)
         routes = [group_network.route(f"r{port}", port) for port in ports]
         document = group_network.document(self.sent, *routes)
-        answer = self.network.try_at(host, outside.PublishDocument(document))
-        if isinstance(answer, outside.DocumentPublished):
+        answer = self.network.try_at(
+            host, external_requests.PublishDocument(document)
+        )
+        if isinstance(answer, external_requests.DocumentPublished):
             self.acknowledged = max(self.acknowledged, answer.number)
 
     def read(self):
         """Reads at any host; what it says is never older."""
         known = self.acknowledged
         host = self.random.choice(sorted(self.network.peers))
-        answer = self.network.try_at(host, outside.ReadDocument())
-        if not isinstance(answer, outside.DocumentRead):
+        answer = self.network.try_at(host, external_requests.ReadDocument())
+        if not isinstance(answer, external_requests.DocumentRead):
             return
         if answer.document.number < known:
             raise AssertionError(
