--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -9,20 +9,20 @@
 from tamarack_core.internal import lifecycle
 from tamarack_core.internal import status
 from tamarack_core.internal import views
-from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser
-from tamarack_core.internal.balancing import reporting
+from tamarack_core.internal.balancing import load_reporter
+from tamarack_core.internal.balancing import load_table as load_table_lib
 from tamarack_core.internal.control import non_control_requests
 from tamarack_core.internal.control import voter
-from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.distribution import spreading
+from tamarack_core.internal.distribution import configuration_distributor
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import data_path
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.limits import sharing
-from tamarack_core.internal.membership import part as membership_part
-from tamarack_core.internal.targets import aggregation
-from tamarack_core.internal.targets import announcements
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.limits import quota_lease_manager
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.membership import host_membership
+from tamarack_core.internal.targets import announcement_validator
+from tamarack_core.internal.targets import lease_aggregator
+from tamarack_core.internal.targets import lease_table
 from tamarack_core.storage import disk as disks
 
 
@@ -71,45 +71,65 @@
         ValueError: The plan has the control role and no disk.
     """
     context = context_lib.Context(plan.host, plan.seed)
-    held = holder.Holder()
-    targets = table.TargetTable()
-    distribution = spreading.Spreading(
-        context, held, plan.sources, plan.entry_peers, plan.fallback_sources
+    config_store = configuration_store.ConfigurationStore()
+    targets = lease_table.TargetLeaseTable()
+    distributor = configuration_distributor.ConfigurationDistributor(
+        context,
+        config_store,
+        plan.sources,
+        plan.entry_peers,
+        plan.fallback_sources,
     )
-    book = book_lib.Book()
-    gate = gate_lib.Gate()
-    members = membership_part.Membership(context, plan.entry_peers)
+    load_table = load_table_lib.LoadTable()
+    limiter = quota_limiter.QuotaLimiter()
+    members = host_membership.HostMembership(context, plan.entry_peers)
     path = data_path.DataPath(
         context,
-        held,
-        chooser.BalancingChooser(context, targets, book, gate),
+        config_store,
+        chooser.BalancingChooser(context, targets, load_table, limiter),
         members,
     )
-    components: list[reducer.Component] = [distribution]
+    components: list[reducer.Component] = [distributor]
     if Role.ENTRY in plan.roles:
         components.append(members)
         components.append(path)
-        leases = aggregation.Aggregation(context, targets, members.others)
+        leases = lease_aggregator.LeaseAggregator(
+            context, targets, members.other_members
+        )
         components.append(leases)
-        components.append(announcements.Announcements(context, held, leases))
         components.append(
-            reporting.Reporting(context, held, book, members.others)
+            announcement_validator.AnnouncementValidator(
+                context, config_store, leases
+            )
+        )
+        components.append(
+            load_reporter.LoadReporter(
+                context, config_store, load_table, members.other_members
+            )
+        )
+        configured_hosts = len(plan.entry_peers) + 1
+        components.append(
+            quota_lease_manager.QuotaLeaseManager(
+                context,
+                config_store,
+                limiter,
+                members.other_members,
+                configured_hosts,
+            )
         )
-        roster = len(plan.entry_peers) + 1
         components.append(
-            sharing.Sharing(context, held, gate, members.others, roster)
+            views.Views(config_store, targets, load_table, path.records.table)
         )
-        components.append(views.Views(held, targets, book, path.records.table))
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
             raise ValueError("the control role needs Plan.disk")
         components.append(
-            voter.VoterControl(context, distribution, plan.voters, plan.disk)
+            voter.VoterControl(context, distributor, plan.voters, plan.disk)
         )
     else:
         components.append(
             non_control_requests.NonControlRequests(
-                held,
+                config_store,
                 tuple(
                     f"{peer.control.address}:{peer.control.port}"
                     for peer in plan.voters
@@ -119,7 +139,7 @@
     components.append(
         status.Status(
             context,
-            held,
+            config_store,
             tuple(sorted(plan.roles)),
             members.joined,
             lambda: len(targets.targets),
--- a/packages/core/src/tamarack_core/internal/admission/overload.py
+++ b/packages/core/src/tamarack_core/internal/admission/load_shedder.py
@@ -49,7 +49,7 @@
         return self.answer_s > SLOW_ANSWER_FACTOR * reference_s
 
 
-class Overload:
+class LoadShedder:
     """Decides on the openings of all services.
 
     Attributes:
@@ -104,7 +104,7 @@
             load = self._load(port)
             load.units = max(0.0, load.units - port.settings.cost)
 
-    def answer(
+    def record_reply(
         self,
         port: lookup.ServicePort,
         elapsed_s: float,
--- a/packages/core/src/tamarack_core/internal/admission/retry_budget.py
+++ b/packages/core/src/tamarack_core/internal/admission/retry_budget.py
@@ -21,7 +21,7 @@
         """Counts an opening, which adds a fraction of a try."""
         self.retries = min(MAX_RETRIES, self.retries + RETRY_SHARE)
 
-    def take(self) -> bool:
+    def try_consume(self) -> bool:
         """Takes a try; returns False if none is left."""
         if self.retries < 1.0:
             return False
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -5,16 +5,16 @@
 from tamarack_core import configuration
 from tamarack_core import context as context_lib
 from tamarack_core import verdict
-from tamarack_core.internal.admission import overload as overload_lib
+from tamarack_core.internal.admission import load_shedder as load_shedder_lib
 from tamarack_core.internal.admission import retry_budget
-from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import health as health_lib
-from tamarack_core.internal.balancing import ramp
+from tamarack_core.internal.balancing import load_table as load_table_lib
+from tamarack_core.internal.balancing import slow_start
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.targets import lease_table
 
 HELD_WEIGHT = 0.01
 """Weight of a held unit beside an active one when a bounded flow opens."""
@@ -40,47 +40,47 @@
     Attributes:
         context: Identity, chance, time and counters.
         targets: Announced targets.
-        book: Work in flight by target.
+        load_table: Work in flight by target.
         health: Health by target.
-        ramp: Capacity of targets that have just started.
-        gate: Admits openings within the limits.
-        overload: Sheds openings of overloaded services.
+        slow_start: Capacity of targets that have just started.
+        limiter: Admits openings within the limits.
+        load_shedder: Sheds openings of overloaded services.
         budgets: Retry budget of each service.
     """
 
     __slots__ = (
-        "book",
         "budgets",
         "context",
-        "gate",
         "health",
-        "overload",
-        "ramp",
+        "limiter",
+        "load_shedder",
+        "load_table",
+        "slow_start",
         "targets",
     )
 
     def __init__(
         self,
         context: context_lib.Context,
-        targets: table.TargetTable,
-        book: book_lib.Book,
-        gate: gate_lib.Gate,
+        targets: lease_table.TargetLeaseTable,
+        load_table: load_table_lib.LoadTable,
+        limiter: quota_limiter.QuotaLimiter,
     ) -> None:
         """Creates a chooser.
 
         Args:
             context: Identity, chance, time and counters.
             targets: Announced targets.
-            book: Work in flight by target.
-            gate: Admits openings within the limits.
+            load_table: Work in flight by target.
+            limiter: Admits openings within the limits.
         """
         self.context = context
         self.targets = targets
-        self.book = book
-        self.health = health_lib.HealthBook()
-        self.ramp = ramp.Ramp()
-        self.gate = gate
-        self.overload = overload_lib.Overload()
+        self.load_table = load_table
+        self.health = health_lib.PassiveHealth()
+        self.slow_start = slow_start.SlowStart()
+        self.limiter = limiter
+        self.load_shedder = load_shedder_lib.LoadShedder()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def choose(
@@ -99,14 +99,14 @@
         eligible = self.health.eligible(now_s, room)
         if self._must_shed(now_s, port, eligible):
             return target_choice.Refusal(verdict.not_run("overload"))
-        refused = self.gate.admit(now_s, port)
+        refused = self.limiter.admit(now_s, port)
         if refused is not None:
             return target_choice.Refusal(refused)
         target = opening.preferred
         if target not in room:
             target = self._pick(now_s, opening, eligible)
-        self.book.add(now_s, target, port.settings)
-        self.overload.add(port)
+        self.load_table.add(now_s, target, port.settings)
+        self.load_shedder.add(port)
         self._budget(port.service).add_opening()
         return target_choice.Choice(target)
 
@@ -116,9 +116,9 @@
         Retries are a fraction of the openings, and there are none while the
         service sheds openings.
         """
-        if self.overload.is_shedding(now_s, port.service):
+        if self.load_shedder.is_shedding(now_s, port.service):
             return False
-        return self._budget(port.service).take()
+        return self._budget(port.service).try_consume()
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
@@ -132,21 +132,21 @@
         target = observation.target
         settings = observation.port.settings
         if progress is target_choice.Progress.OPENED:
-            self.book.take_over(target, settings)
-            self.overload.add(observation.port)
-            self.gate.add(observation.port)
+            self.load_table.take_over(target, settings)
+            self.load_shedder.add(observation.port)
+            self.limiter.add(observation.port)
         elif progress is target_choice.Progress.ESTABLISHED:
             if self.health.answer(now_s, target, observation.elapsed_s):
-                self.ramp.restart(now_s, target)
+                self.slow_start.restart(now_s, target)
         elif progress is target_choice.Progress.REPLIED:
             self._answer(now_s, observation)
         if progress in _FAILURES and self._is_fault(now_s, target):
             self.health.fail(now_s, target)
         if progress in target_choice.FINAL_PROGRESS:
             answered = progress is target_choice.Progress.CLOSED
-            self.book.remove(target, observation.port, answered)
-            self.overload.remove(observation.port)
-            self.gate.remove(observation.port)
+            self.load_table.remove(target, observation.port, answered)
+            self.load_shedder.remove(observation.port)
+            self.limiter.remove(observation.port)
 
     def _answer(
         self, now_s: float, observation: target_choice.Observation
@@ -155,8 +155,8 @@
         port = observation.port
         targets = self.targets.ready(now_s, port.service, len(port.address))
         has_queue = self._active(now_s, targets) > self._slots(targets)
-        self.overload.answer(port, observation.elapsed_s, has_queue)
-        self.book.answer(now_s, observation.target, port.settings)
+        self.load_shedder.record_reply(port, observation.elapsed_s, has_queue)
+        self.load_table.answer(now_s, observation.target, port.settings)
 
     def _must_shed(
         self, now_s: float, port: lookup.ServicePort, targets: list[bytes]
@@ -164,11 +164,11 @@
         """Returns whether the service is overloaded for this opening."""
         active = self._active(now_s, targets)
         slots = self._slots(targets)
-        return self.overload.must_shed(now_s, port, active, slots)
+        return self.load_shedder.must_shed(now_s, port, active, slots)
 
     def _active(self, now_s: float, targets: Sequence[bytes]) -> float:
         """Returns the work units that occupy slots of some targets."""
-        return sum(self.book.active(now_s, target) for target in targets)
+        return sum(self.load_table.active(now_s, target) for target in targets)
 
     def _slots(self, targets: Sequence[bytes]) -> float:
         """Returns the work units that some targets run at once."""
@@ -179,13 +179,13 @@
         """Returns False for a target that refuses since it is full."""
         held = self.targets.targets.get(target)
         slots = held.announcement.slots if held else 1
-        return self.book.active(now_s, target) <= slots
+        return self.load_table.active(now_s, target) <= slots
 
     def _has_room(self, target: bytes, port: lookup.ServicePort) -> bool:
         """Returns whether a target can hold one more connection."""
         announcement = self.targets.targets[target].announcement
         cost = port.settings.cost
-        held = self.book.held(target) / cost if cost else 0.0
+        held = self.load_table.held(target) / cost if cost else 0.0
         return held < announcement.connections
 
     def _pick(
@@ -219,7 +219,8 @@
         bounded = port.settings.lifetime is configuration.Lifetime.BOUNDED
         weight = HELD_WEIGHT if bounded else 1.0
         return [
-            self.book.active(now_s, target) + weight * self.book.held(target)
+            self.load_table.active(now_s, target)
+            + weight * self.load_table.held(target)
             for target in targets
         ]
 
@@ -237,7 +238,7 @@
         return [
             max(1, entry.announcement.slots)
             * factor
-            * self.ramp.factor(now_s, target, entry.announcement)
+            * self.slow_start.factor(now_s, target, entry.announcement)
             for target, entry, factor in zip(
                 targets, announced, factors, strict=True
             )
--- a/packages/core/src/tamarack_core/internal/balancing/health.py
+++ b/packages/core/src/tamarack_core/internal/balancing/health.py
@@ -36,7 +36,7 @@
     answered_s: float = float("-inf")
 
 
-class HealthBook:
+class PassiveHealth:
     """Health by target.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/balancing/reporting.py
+++ b/packages/core/src/tamarack_core/internal/balancing/load_reporter.py
@@ -8,9 +8,9 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core.internal.balancing import book as book_lib
+from tamarack_core.internal.balancing import load_table as load_table_lib
 from tamarack_core.internal.balancing import owner_group
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.messages import balancing
 from tamarack_core.packets import ip
 
@@ -38,45 +38,52 @@
     """
 
     hosts: frozenset[str] = frozenset()
-    work: dict[bytes, book_lib.Reported] = dataclasses.field(
+    work: dict[bytes, load_table_lib.ReportedLoad] = dataclasses.field(
         default_factory=dict
     )
     round: int = 0
 
 
-class Reporting:
+class LoadReporter:
     """Part that reports changes of work and takes in those of others.
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force.
-        book: Work in flight by target.
+        config_store: Configuration in force.
+        load_table: Work in flight by target.
         members: Returns the other live entry hosts of the failure domain.
         sent: What was reported, by service.
         absent: Time since which a reporting host has been gone, in seconds.
     """
 
-    __slots__ = ("absent", "book", "context", "holder", "members", "sent")
+    __slots__ = (
+        "absent",
+        "config_store",
+        "context",
+        "load_table",
+        "members",
+        "sent",
+    )
 
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
-        book: book_lib.Book,
+        config_store: configuration_store.ConfigurationStore,
+        load_table: load_table_lib.LoadTable,
         live_members: Callable[[], tuple[peers.Peer, ...]],
     ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
-            book: Work in flight by target.
+            config_store: Configuration in force.
+            load_table: Work in flight by target.
             live_members: Returns the other live entry hosts of the failure
                 domain.
         """
         self.context = context
-        self.holder = configuration_holder
-        self.book = book
+        self.config_store = config_store
+        self.load_table = load_table
         self.members = live_members
         self.sent: dict[str, Sent] = {}
         self.absent: dict[str, float] = {}
@@ -86,7 +93,7 @@
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_timer,
-            balancing.WorkReport: self.handle_report,
+            balancing.TargetLoadReport: self.handle_report,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -108,36 +115,40 @@
     ) -> list[effects.Effect]:
         """Takes in the work of another host."""
         report = event.message
-        assert isinstance(report, balancing.WorkReport)
+        assert isinstance(report, balancing.TargetLoadReport)
         work = [
             (
                 ip.pack_address(item.address),
-                book_lib.Reported(item.active, item.held),
+                load_table_lib.ReportedLoad(item.active, item.held),
             )
             for item in report.targets
         ]
-        self.book.report(event.sender.host, work)
+        self.load_table.apply_report(event.sender.host, work)
         return []
 
     def _work_by_service(
         self, now_s: float
-    ) -> dict[str, dict[bytes, book_lib.Reported]]:
+    ) -> dict[str, dict[bytes, load_table_lib.ReportedLoad]]:
         """Returns the present work of this host by service and target."""
-        found: dict[str, dict[bytes, book_lib.Reported]] = {}
-        for target, work in self.book.own.items():
-            service = self.holder.lookup.find_service(target)
-            reported = book_lib.Reported(work.active(now_s), work.held)
+        found: dict[str, dict[bytes, load_table_lib.ReportedLoad]] = {}
+        for target, work in self.load_table.own.items():
+            service = self.config_store.lookup.find_service(target)
+            reported = load_table_lib.ReportedLoad(
+                work.active(now_s), work.held
+            )
             found.setdefault(service, {})[target] = reported
         return found
 
     def _report(
         self,
         service: str,
-        work: dict[bytes, book_lib.Reported],
+        work: dict[bytes, load_table_lib.ReportedLoad],
         live: tuple[peers.Peer, ...],
     ) -> list[effects.Effect]:
         """Reports the work of one service if there is something to say."""
-        settings = self.holder.numbered.configuration.services.get(service)
+        settings = self.config_store.numbered.configuration.services.get(
+            service
+        )
         if settings is None:
             return []
         size = settings.opening_hosts + STANDBY_HOSTS
@@ -155,7 +166,7 @@
         if not changed:
             return []
         sent.work.update(changed)
-        report = balancing.WorkReport(tuple(map(_item, changed.items())))
+        report = balancing.TargetLoadReport(tuple(map(_item, changed.items())))
         return [
             effects.SendMessage(peer, report)
             for peer in group
@@ -164,23 +175,27 @@
 
     def _forget_absent(self, now_s: float, live: set[str]) -> None:
         """Drops the work of hosts that have been gone for `FORGET_S`."""
-        for host in list(self.book.others):
+        for host in list(self.load_table.others):
             if host in live:
                 self.absent.pop(host, None)
             elif now_s - self.absent.setdefault(host, now_s) > FORGET_S:
-                self.book.forget(host)
+                self.load_table.forget(host)
                 del self.absent[host]
 
 
-def _item(work: tuple[bytes, book_lib.Reported]) -> balancing.TargetWork:
+def _item(
+    work: tuple[bytes, load_table_lib.ReportedLoad],
+) -> balancing.TargetLoad:
     """Returns the form of work that is sent."""
     target, units = work
-    return balancing.TargetWork(
+    return balancing.TargetLoad(
         ip.format_address(target), round(units.active, 2), round(units.held, 2)
     )
 
 
-def _differs(old: book_lib.Reported | None, new: book_lib.Reported) -> bool:
+def _differs(
+    old: load_table_lib.ReportedLoad | None, new: load_table_lib.ReportedLoad
+) -> bool:
     """Returns whether a change of work is worth a report."""
     if old is None:
         return new.active > 0 or new.held > 0
--- a/packages/core/src/tamarack_core/internal/balancing/book.py
+++ b/packages/core/src/tamarack_core/internal/balancing/load_table.py
@@ -12,7 +12,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Work:
+class LocalLoad:
     """Work at one target, in work units.
 
     Attributes:
@@ -37,7 +37,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reported:
+class ReportedLoad:
     """Work that another host has reported for one target.
 
     Attributes:
@@ -49,10 +49,10 @@
     held: float
 
 
-_NOTHING = Reported(0.0, 0.0)
+_NOTHING = ReportedLoad(0.0, 0.0)
 
 
-class Book:
+class LoadTable:
     """Work in flight by target.
 
     Attributes:
@@ -64,8 +64,8 @@
 
     def __init__(self) -> None:
         """Creates a book without work."""
-        self.own: dict[bytes, Work] = {}
-        self.others: dict[str, dict[bytes, Reported]] = {}
+        self.own: dict[bytes, LocalLoad] = {}
+        self.others: dict[str, dict[bytes, ReportedLoad]] = {}
         self._active: dict[bytes, float] = {}
         self._held: dict[bytes, float] = {}
 
@@ -85,7 +85,7 @@
         self, target: bytes, settings: configuration.WorkClass
     ) -> None:
         """Counts a connection that another host has opened."""
-        work = self.own.setdefault(target, Work())
+        work = self.own.setdefault(target, LocalLoad())
         if settings.lifetime is configuration.Lifetime.BOUNDED:
             work.bounded += settings.cost
         else:
@@ -116,7 +116,9 @@
         if not answered:
             work.opening = max(0.0, work.opening - cost)
 
-    def report(self, host: str, work: Iterable[tuple[bytes, Reported]]) -> None:
+    def apply_report(
+        self, host: str, work: Iterable[tuple[bytes, ReportedLoad]]
+    ) -> None:
         """Replaces what another host has reported for some targets.
 
         Args:
@@ -144,7 +146,9 @@
         own = self.own.get(target)
         return self._held.get(target, 0.0) + (own.held if own else 0.0)
 
-    def _apply(self, target: bytes, old: Reported, new: Reported) -> None:
+    def _apply(
+        self, target: bytes, old: ReportedLoad, new: ReportedLoad
+    ) -> None:
         """Moves the sums from an old report to a new one."""
         active = self._active.get(target, 0.0) + new.active - old.active
         held = self._held.get(target, 0.0) + new.held - old.held
--- a/packages/core/src/tamarack_core/internal/balancing/ramp.py
+++ b/packages/core/src/tamarack_core/internal/balancing/slow_start.py
@@ -6,7 +6,7 @@
 COLD_CAPACITY = 0.2
 
 
-class Ramp:
+class SlowStart:
     """Raises the capacity of a new target over `RAMP_S`.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/control/non_control_requests.py
+++ b/packages/core/src/tamarack_core/internal/control/non_control_requests.py
@@ -4,31 +4,31 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 
 
 class NonControlRequests:
     """Part that answers what needs no control host, and refuses the rest.
 
     Attributes:
-        holder: Configuration in force at this host.
+        config_store: Configuration in force at this host.
         control_hosts: Endpoints of the control hosts, for the operator.
     """
 
-    __slots__ = ("control_hosts", "holder")
+    __slots__ = ("config_store", "control_hosts")
 
     def __init__(
         self,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         control_hosts: tuple[str, ...],
     ) -> None:
         """Creates the part.
 
         Args:
-            configuration_holder: Configuration in force at this host.
+            config_store: Configuration in force at this host.
             control_hosts: Endpoints of the control hosts, for the operator.
         """
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.control_hosts = control_hosts
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -51,5 +51,5 @@
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Answers with the configuration in force at this host."""
-        answer = requests.ConfigurationRead(self.holder.numbered)
+        answer = requests.ConfigurationRead(self.config_store.numbered)
         return [effects.Respond(event.request_id, answer)]
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -21,7 +21,7 @@
 from tamarack_core.internal.control import linearizable_reads
 from tamarack_core.internal.control import members
 from tamarack_core.internal.control import submissions
-from tamarack_core.internal.distribution import spreading
+from tamarack_core.internal.distribution import configuration_distributor
 from tamarack_core.internal.patches import state_machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
@@ -38,7 +38,7 @@
 
     Attributes:
         context: Identity, chance, time and counters.
-        spreading: Puts accepted configurations into force on this host.
+        distributor: Puts accepted configurations into force on this host.
         machine: The replicated state.
         replica: The replicated log.
         submissions: Patches without a verdict.
@@ -52,12 +52,12 @@
     __slots__ = (
         "context",
         "disk",
+        "distributor",
         "is_blank",
         "joining",
         "machine",
         "reading",
         "replica",
-        "spreading",
         "submissions",
         "unreadable",
     )
@@ -65,7 +65,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        distribution: spreading.Spreading,
+        distributor: configuration_distributor.ConfigurationDistributor,
         named: tuple[peers.Peer, ...],
         disk: disks.DiskContents,
         parameters: log_parameters.LogParameters | None = None,
@@ -74,14 +74,14 @@
 
         Args:
             context: Identity, chance, time and counters.
-            distribution: Puts accepted configurations into force here.
+            distributor: Puts accepted configurations into force here.
             named: First voters in the order of the settings.
             disk: What the data folder held at the start.
             parameters: Times and sizes of the log; the defaults if None.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
-        self.spreading = distribution
+        self.distributor = distributor
         self.disk = disk
         self.is_blank = disk.snapshot is None and not disk.records
         self.machine = machines.PatchStateMachine()
@@ -304,10 +304,13 @@
         """Puts new versions into force on this host, which spreads them."""
         found: list[effects.Effect] = []
         for delta in self.machine.take_deltas():
-            found.extend(self.spreading.put_delta(now_s, delta))
+            found.extend(self.distributor.put_delta(now_s, delta))
         # After a restart or a snapshot, single changes aren't known.
-        if self.machine.version > self.spreading.holder.numbered.version:
-            found.extend(self.spreading.put(now_s, self.machine.numbered()))
+        if (
+            self.machine.version
+            > self.distributor.config_store.numbered.version
+        ):
+            found.extend(self.distributor.put(now_s, self.machine.numbered()))
         return found
 
     def _record_decisions(
--- a/packages/core/src/tamarack_core/internal/distribution/spreading.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
@@ -12,7 +12,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.distribution import subscribers
 from tamarack_core.messages import distribution
 
@@ -24,12 +24,12 @@
 _TIMER = "distribution-ask"
 
 
-class Spreading:
+class ConfigurationDistributor:
     """Part that keeps the configuration of this host up to date.
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         upstream: Hosts that are nearer to the control hosts.
         fallback: Hosts to choose from as well when one upstream is silent.
         neighbours: Peers of the failure domain.
@@ -41,9 +41,9 @@
 
     __slots__ = (
         "chosen",
+        "config_store",
         "context",
         "fallback",
-        "holder",
         "is_neighbour_next",
         "neighbours",
         "subscribers",
@@ -54,7 +54,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         upstream: tuple[peers.Peer, ...],
         neighbours: tuple[peers.Peer, ...],
         fallback: tuple[peers.Peer, ...] = (),
@@ -63,7 +63,7 @@
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             upstream: Hosts that are nearer to the control hosts.
             neighbours: Peers of the failure domain.
             fallback: Hosts to choose from as well when one upstream is
@@ -71,7 +71,7 @@
         """
         self.context = context
         self.fallback = fallback
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.upstream = upstream
         self.neighbours = neighbours
         self.chosen: peers.Peer | None = None
@@ -113,7 +113,7 @@
         offer = event.message
         assert isinstance(offer, distribution.VersionOffer)
         self._note_answer(event.sender)
-        held = self.holder.numbered.version
+        held = self.config_store.numbered.version
         if offer.wants_answer:
             self.subscribers.note(event.now_s, event.sender, offer)
             return [self._answer(event.sender, offer.version)]
@@ -128,7 +128,7 @@
         delta = event.message
         assert isinstance(delta, distribution.Delta)
         self._note_answer(event.sender)
-        if delta.base_version > self.holder.numbered.version:
+        if delta.base_version > self.config_store.numbered.version:
             return [self._ask(event.sender)]
         return self.put_delta(event.now_s, delta)
 
@@ -144,7 +144,7 @@
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Answers which version is in force at the hosts that ask this one."""
         answer = requests.RolloutRead(
-            self.holder.numbered.version,
+            self.config_store.numbered.version,
             self.subscribers.report(event.now_s),
         )
         return [effects.Respond(event.request_id, answer)]
@@ -158,7 +158,7 @@
             now_s: Monotonic time in seconds.
             numbered: The configuration.
         """
-        if not self.holder.put(numbered, self.context.wall_ms(now_s)):
+        if not self.config_store.put(numbered, self.context.wall_ms(now_s)):
             return []
         return self._push(now_s)
 
@@ -171,27 +171,27 @@
             now_s: Monotonic time in seconds.
             delta: The delta.
         """
-        if not self.holder.put_delta(delta, self.context.wall_ms(now_s)):
+        if not self.config_store.put_delta(delta, self.context.wall_ms(now_s)):
             return []
         return self._push(now_s)
 
     def _push(self, now_s: float) -> list[effects.Effect]:
         """Sends a version that came into force to those behind."""
-        version = self.holder.numbered.version
+        version = self.config_store.numbered.version
         found: list[effects.Effect] = [
             self.context.record(now_s, "version-in-force", version=version)
         ]
         for subscriber in self.subscribers.behind(now_s, version):
-            message = self.holder.newer_than(subscriber.assumed)
+            message = self.config_store.newer_than(subscriber.assumed)
             subscriber.assumed = version
             found.append(effects.SendMessage(subscriber.peer, message))
         return found
 
     def _answer(self, peer: peers.Peer, version: int) -> effects.Effect:
         """Returns the answer to a host that holds a version."""
-        numbered = self.holder.numbered
+        numbered = self.config_store.numbered
         if version < numbered.version:
-            message = self.holder.newer_than(version)
+            message = self.config_store.newer_than(version)
             return effects.SendMessage(peer, message)
         offer = distribution.VersionOffer(numbered.version)
         return effects.SendMessage(peer, offer)
@@ -199,8 +199,8 @@
     def _ask(self, peer: peers.Peer) -> effects.Effect:
         """Returns a question to a host."""
         offer = distribution.VersionOffer(
-            self.holder.numbered.version,
-            self.holder.since_ms,
+            self.config_store.numbered.version,
+            self.config_store.since_ms,
             wants_answer=True,
         )
         return effects.SendMessage(peer, offer)
--- a/packages/core/src/tamarack_core/internal/distribution/holder.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
@@ -29,7 +29,7 @@
     names: frozenset[str]
 
 
-class Holder:
+class ConfigurationStore:
     """Holds the newest configuration that this host has received.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -5,7 +5,7 @@
 from tamarack_core import events
 from tamarack_core import failure
 from tamarack_core import reducer
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import entry_hosts as domain_lib
 from tamarack_core.internal.entry import flow_maintenance
 from tamarack_core.internal.entry import flow_owner
@@ -17,7 +17,7 @@
 from tamarack_core.internal.entry import stalled_flows
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.entry import transit_packet as passage_lib
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.messages import flows
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
@@ -31,7 +31,7 @@
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         records: The flow table.
         refusing: Drops and resets.
         silence: Finds flows that have gone silent.
@@ -40,8 +40,8 @@
     """
 
     __slots__ = (
+        "config_store",
         "context",
-        "holder",
         "records",
         "refusing",
         "router",
@@ -52,20 +52,20 @@
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         chooser: target_choice.Chooser,
-        membership_of_host: membership_part.Membership,
+        membership_of_host: host_membership.HostMembership,
     ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             chooser: Chooses the target of a new flow.
             membership_of_host: Membership of this host.
         """
         self.context = context
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.records = flow_records.FlowRecords(context, chooser)
         self.refusing = flow_rejection.FlowRejector(context)
         entry_hosts = domain_lib.EntryHosts(context, membership_of_host)
@@ -82,7 +82,7 @@
             entry_hosts, self.records, self.refusing, self.router
         )
         self.upkeep = flow_maintenance.FlowMaintenance(
-            entry_hosts, self.records, questions, configuration_holder
+            entry_hosts, self.records, questions, config_store
         )
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -108,7 +108,7 @@
         packet = ip.parse(datagram.packet)
         if isinstance(packet, failure.Failure):
             return self.refusing.drop(packet.reason)
-        tables = self.holder.lookup
+        tables = self.config_store.lookup
         now_s = event.now_s
         word = datagram.hops
         port = tables.find_inbound(packet)
@@ -191,7 +191,7 @@
         self, now_s: float, packet: ip.Packet, word: int
     ) -> list[effects.Effect]:
         """Carries a packet that another host has rewritten."""
-        port = self.holder.lookup.find_inside(packet) if word else None
+        port = self.config_store.lookup.find_inside(packet) if word else None
         if port is None:
             return self.refusing.drop("no-service")
         key = lookup.inside_key(packet, port)
--- a/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
+++ b/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
@@ -6,7 +6,7 @@
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import ownership
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.internal.membership import view
 from tamarack_core.messages import membership
 from tamarack_core.packets import geneve
@@ -46,7 +46,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        membership_of_host: membership_part.Membership,
+        membership_of_host: host_membership.HostMembership,
     ) -> None:
         """Creates the domain of a host that has not started.
 
@@ -107,7 +107,7 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        if self.membership.detector.is_joining:
+        if self.membership.swim.is_joining:
             return False
         return now_s >= self.settled_s
 
@@ -163,7 +163,9 @@
         )
         return [effects.SendDatagram(self.endpoints[tag], datagram)]
 
-    def _is_any_dead(self, current: view.View, lost: set[peers.Peer]) -> bool:
+    def _is_any_dead(
+        self, current: view.MembershipView, lost: set[peers.Peer]
+    ) -> bool:
         """Returns whether a member was lost without a word."""
         return any(
             current.members[peer.host].state is membership.State.DEAD
--- a/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -6,7 +6,7 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import peers
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import entry_hosts as domain_lib
 from tamarack_core.internal.entry import flow_queries
 from tamarack_core.internal.entry import flow_records as records_lib
@@ -61,7 +61,7 @@
         entry_hosts: The other entry hosts.
         records: The flow table.
         asking: Questions about flows that this host does not know.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         repairs: Keys of flows whose owner or backups have changed.
         additions: Keys of flows that last and lack their second backup.
     """
@@ -73,8 +73,8 @@
         "_scan_end",
         "additions",
         "asking",
+        "config_store",
         "entry_hosts",
-        "holder",
         "records",
         "repairs",
     )
@@ -84,7 +84,7 @@
         entry_hosts: domain_lib.EntryHosts,
         records: records_lib.FlowRecords,
         questions: flow_queries.FlowQueries,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
     ) -> None:
         """Creates the upkeep of a host.
 
@@ -92,12 +92,12 @@
             entry_hosts: The other entry hosts.
             records: The flow table.
             questions: Questions about flows that this host does not know.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
         """
         self.entry_hosts = entry_hosts
         self.records = records
         self.asking = questions
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.repairs: dict[bytes, None] = {}
         self.additions: dict[bytes, None] = {}
         self._cursor = 0
@@ -166,10 +166,10 @@
         self, now_s: float, key: bytes, target: bytes, is_replicated: bool
     ) -> None:
         """Stores a flow that another host told of."""
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             return
-        if self.holder.lookup.find_service(target) != port.service:
+        if self.config_store.lookup.find_service(target) != port.service:
             return
         slot = self.records.learn(now_s, key, target)
         if slot is None:
@@ -211,7 +211,7 @@
         """Removes a flow that is over; returns whether it did."""
         table = self.records.table
         flags = table.flags[slot]
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             table.remove(slot)
             return True
@@ -239,7 +239,7 @@
             return
         if not self.records.is_certain(now_s, slot):
             return
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             return
         order = self.entry_hosts.order(port, key)
@@ -263,7 +263,7 @@
     def _complete(self, now_s: float, slot: int, key: bytes) -> None:
         """Queues a flow that has lasted with too few backups."""
         table = self.records.table
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         age_s = now_s - table.opened_s[slot]
         if (
             port is not None
@@ -307,7 +307,7 @@
         """Returns the batches that must tell of a flow."""
         table = self.records.table
         slot = self.records.find(now_s, key)
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         order = () if port is None else self.entry_hosts.order(port, key)
         if slot is None or not order or table.flags[slot] & table_lib.CLOSED:
             return []
--- a/packages/core/src/tamarack_core/internal/entry/flow_queries.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_queries.py
@@ -4,7 +4,7 @@
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core.internal.entry import transit_packet as passage_lib
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.messages import flows
 
 # Bounds the traffic of a host after many flows are lost at once.
@@ -47,7 +47,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        membership_of_host: membership_part.Membership,
+        membership_of_host: host_membership.HostMembership,
     ) -> None:
         """Creates the questions of a host.
 
@@ -71,8 +71,8 @@
         """
         question = self.questions.get(passage.key)
         if question is None:
-            return not self.membership.others()
-        present = {peer.host for peer in self.membership.others()}
+            return not self.membership.other_members()
+        present = {peer.host for peer in self.membership.other_members()}
         return present.isdisjoint(question.waiting)
 
     def ask(self, passage: passage_lib.TransitPacket) -> list[effects.Effect]:
@@ -130,7 +130,7 @@
 
     def _hosts(self) -> dict[str, peers.Peer]:
         """Returns the hosts to ask, all of them in a small domain."""
-        others = self.membership.others()
+        others = self.membership.other_members()
         if len(others) > MAX_ASKED_HOSTS:
             others = tuple(self.context.random.sample(others, MAX_ASKED_HOSTS))
         return {peer.host: peer for peer in others}
--- a/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
+++ b/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
@@ -204,7 +204,7 @@
             self._forget_old(now_s)
             return []
         target = table.target_of(slot)
-        others = self.entry_hosts.membership.others()
+        others = self.entry_hosts.membership.other_members()
         suspicion = Suspicion(
             asked_s=now_s,
             waiting={peer.host for peer in others},
--- a/packages/core/src/tamarack_core/internal/limits/ledger.py
+++ b/packages/core/src/tamarack_core/internal/limits/ledger.py
@@ -18,7 +18,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Need:
+class Demand:
     """What a holder uses and wants.
 
     Attributes:
@@ -37,10 +37,10 @@
         total: What may be leased out in all.
         is_whole: Whether only whole units count.
         grants: Latest grant of each holder.
-        needs: Latest need of each holder.
+        demands: Latest need of each holder.
     """
 
-    __slots__ = ("grants", "is_whole", "needs", "total")
+    __slots__ = ("demands", "grants", "is_whole", "total")
 
     def __init__(self, total: float, is_whole: bool) -> None:
         """Creates a ledger with nothing leased out.
@@ -52,7 +52,7 @@
         self.total = total
         self.is_whole = is_whole
         self.grants: dict[str, Grant] = {}
-        self.needs: dict[str, Need] = {}
+        self.demands: dict[str, Demand] = {}
 
     def outstanding(self, now_s: float, but: str = "") -> float:
         """Returns what holders may use at a time in seconds.
@@ -103,11 +103,11 @@
         self.grants[holder] = Grant(held, until_s)
         return amount
 
-    def keep_needs(self, holders: Iterable[str]) -> None:
+    def keep_needs(self, config_stores: Iterable[str]) -> None:
         """Drops the needs of all but the given holders."""
-        kept = set(holders)
-        self.needs = {
-            name: need for name, need in self.needs.items() if name in kept
+        kept = set(config_stores)
+        self.demands = {
+            name: need for name, need in self.demands.items() if name in kept
         }
 
     def _share(self, holder: str) -> float:
@@ -118,8 +118,8 @@
         fair = self._fair(holder)
         if not self.is_whole:
             return fair
-        parts = {name: self._fair(name) % 1.0 for name in self.needs}
-        floors = sum(self._fair(name) - parts[name] for name in self.needs)
+        parts = {name: self._fair(name) % 1.0 for name in self.demands}
+        floors = sum(self._fair(name) - parts[name] for name in self.demands)
         left = int(self.total - floors)
         ranked = sorted(parts, key=lambda name: (-parts[name], name))
         return fair - parts[holder] + (holder in ranked[: max(0, left)])
@@ -130,11 +130,11 @@
         What nobody wants is spread evenly, so that openings after a pause
         find a share.
         """
-        need = self.needs[holder]
-        used = sum(other.used for other in self.needs.values())
-        wanted = sum(other.wanted for other in self.needs.values())
+        need = self.demands[holder]
+        used = sum(other.used for other in self.demands.values())
+        wanted = sum(other.wanted for other in self.demands.values())
         free = max(0.0, self.total - used)
         if wanted > free:
             return need.used + free * need.wanted / wanted
-        spare = (free - wanted) / len(self.needs)
+        spare = (free - wanted) / len(self.demands)
         return need.used + need.wanted + spare
--- a/packages/core/src/tamarack_core/internal/limits/sharing.py
+++ b/packages/core/src/tamarack_core/internal/limits/quota_lease_manager.py
@@ -11,10 +11,10 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core.internal.balancing import owner_group
-from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.limits import catalogue
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.limits import keeper as keeper_lib
+from tamarack_core.internal.distribution import configuration_store
+from tamarack_core.internal.limits import quota_coordinator
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.limits import quotas
 from tamarack_core.messages import limits
 
 TIMER = "limit-shares"
@@ -28,36 +28,36 @@
     """Promise to ask no other keeper.
 
     Attributes:
-        keeper: Name of the keeper; empty after a start, when an earlier
+        coordinator: Name of the keeper; empty after a start, when an earlier
             process of this host may have made a promise.
         until_s: Time at which the promise ends, in seconds.
         echo_s: Last time that this keeper stated, in its own seconds.
     """
 
-    keeper: str
+    coordinator: str
     until_s: float
     echo_s: float = -1.0
 
 
-class Sharing:
+class QuotaLeaseManager:
     """Part that keeps the shares of this host leased.
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force.
-        gate: Admits openings within the shares.
+        config_store: Configuration in force.
+        limiter: Admits openings within the shares.
         members: Returns the other live entry hosts of the failure domain.
-        keeper: State of this host as a keeper.
+        coordinator: State of this host as a keeper.
         promise: Promise of this host.
         number: Number of the last request.
         sent_s: Time of the last request in seconds.
     """
 
     __slots__ = (
+        "config_store",
         "context",
-        "gate",
-        "holder",
-        "keeper",
+        "coordinator",
+        "limiter",
         "members",
         "number",
         "promise",
@@ -67,27 +67,27 @@
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
-        gate: gate_lib.Gate,
+        config_store: configuration_store.ConfigurationStore,
+        limiter: quota_limiter.QuotaLimiter,
         live_members: Callable[[], tuple[peers.Peer, ...]],
-        roster: int,
+        configured_hosts: int,
     ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
-            gate: Admits openings within the shares.
+            config_store: Configuration in force.
+            limiter: Admits openings within the shares.
             live_members: Returns the other live entry hosts of the failure
                 domain.
-            roster: Number of entry hosts of the failure domain by the
+            configured_hosts: Number of entry hosts of the failure domain by the
                 settings, whether alive or not.
         """
         self.context = context
-        self.holder = configuration_holder
-        self.gate = gate
+        self.config_store = config_store
+        self.limiter = limiter
         self.members = live_members
-        self.keeper = keeper_lib.Keeper(roster)
+        self.coordinator = quota_coordinator.QuotaCoordinator(configured_hosts)
         self.promise = Promise("", float("inf"))
         self.number = 0
         self.sent_s = 0.0
@@ -97,14 +97,14 @@
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_timer,
-            limits.ShareRequest: self.handle_request,
-            limits.ShareResponse: self.handle_response,
+            limits.QuotaRequest: self.handle_request,
+            limits.QuotaResponse: self.handle_response,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
         """Waits for promises of an earlier process of this host to end."""
-        self.keeper.started_s = event.now_s
-        self.promise = Promise("", event.now_s + keeper_lib.PROMISE_S)
+        self.coordinator.started_s = event.now_s
+        self.promise = Promise("", event.now_s + quota_coordinator.PROMISE_S)
         # Numbers must rise over restarts, since a keeper outlives this host.
         self.number = event.wall_ms
         delay_s = self.context.random.random() * INTERVAL_S
@@ -117,21 +117,21 @@
         totals = self._totals()
         if not totals:
             return found
-        peer = self._choose_keeper()
-        if peer.host != self.promise.keeper:
+        peer = self._choose_coordinator()
+        if peer.host != self.promise.coordinator:
             if now_s < self.promise.until_s:
                 return found
             self.promise = Promise(peer.host, now_s)
-        self.promise.until_s = now_s + keeper_lib.PROMISE_S
+        self.promise.until_s = now_s + quota_coordinator.PROMISE_S
         self.number += 1
         self.sent_s = now_s
-        request = limits.ShareRequest(
+        request = limits.QuotaRequest(
             self.number, self.promise.echo_s, self._claims(now_s, totals)
         )
         if peer.host != self.context.host.host:
             return [*found, effects.SendMessage(peer, request)]
-        response = self.keeper.respond(now_s, peer.host, request, totals)
-        if isinstance(response, limits.ShareResponse):
+        response = self.coordinator.respond(now_s, peer.host, request, totals)
+        if isinstance(response, limits.QuotaResponse):
             self._apply(peer.host, response)
         return found
 
@@ -140,8 +140,8 @@
     ) -> list[effects.Effect]:
         """Answers another host as a keeper."""
         request = event.message
-        assert isinstance(request, limits.ShareRequest)
-        response = self.keeper.respond(
+        assert isinstance(request, limits.QuotaRequest)
+        response = self.coordinator.respond(
             event.now_s, event.sender.host, request, self._totals()
         )
         if isinstance(response, failure.Failure):
@@ -154,20 +154,23 @@
     ) -> list[effects.Effect]:
         """Takes the shares that the keeper leases to this host."""
         response = event.message
-        assert isinstance(response, limits.ShareResponse)
+        assert isinstance(response, limits.QuotaResponse)
         self._apply(event.sender.host, response)
         return []
 
-    def _apply(self, keeper: str, response: limits.ShareResponse) -> None:
+    def _apply(self, coordinator: str, response: limits.QuotaResponse) -> None:
         """Takes the shares of a response to the last request."""
-        if keeper != self.promise.keeper or response.number != self.number:
+        if (
+            coordinator != self.promise.coordinator
+            or response.number != self.number
+        ):
             return
         self.promise.echo_s = response.time_s
         if not response.is_keeper:
             return
-        expires_s = self.sent_s + keeper_lib.LEASE_S
+        expires_s = self.sent_s + quota_coordinator.LEASE_S
         for share in response.shares:
-            usage = self.gate.usage(share.limit)
+            usage = self.limiter.usage(share.limit)
             usage.share = share.amount
             usage.expires_s = expires_s
 
@@ -178,10 +181,10 @@
         live = (self.context.host, *self.members())
         claims = []
         for limit in totals:
-            usage = self.gate.usage(limit)
-            held = usage.valid_share(now_s)
+            usage = self.limiter.usage(limit)
+            held = usage.valid_quota(now_s)
             wanted = round(usage.wanted, 2)
-            usage.wanted *= gate_lib.DEMAND_DECAY
+            usage.wanted *= quota_limiter.DEMAND_DECAY
             if held or usage.used or wanted or self._owns(limit, live):
                 claim = limits.Claim(limit, held, usage.used, wanted)
                 claims.append(claim)
@@ -189,18 +192,18 @@
 
     def _owns(self, limit: str, live: tuple[peers.Peer, ...]) -> bool:
         """Returns whether this host opens the connections of a limit."""
-        name = catalogue.service_of(limit)
-        services = self.holder.numbered.configuration.services
+        name = quotas.service_of(limit)
+        services = self.config_store.numbered.configuration.services
         group = owner_group.members(name, live, services[name].opening_hosts)
         return self.context.host in group
 
     def _totals(self) -> dict[str, float]:
         """Returns this failure domain's part of each limit."""
-        return catalogue.totals(
-            self.holder.numbered.configuration, self.context.host.domain
+        return quotas.totals(
+            self.config_store.numbered.configuration, self.context.host.domain
         )
 
-    def _choose_keeper(self) -> peers.Peer:
+    def _choose_coordinator(self) -> peers.Peer:
         """Returns the member with the highest weight."""
         return max(
             (self.context.host, *self.members()),
--- a/packages/core/src/tamarack_core/internal/limits/gate.py
+++ b/packages/core/src/tamarack_core/internal/limits/quota_limiter.py
@@ -4,7 +4,7 @@
 
 from tamarack_core import verdict
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.limits import catalogue
+from tamarack_core.internal.limits import quotas
 
 RATE_BURST_S = 1.0
 DEMAND_DECAY = 0.25
@@ -31,12 +31,12 @@
     tokens: float = 0.0
     refilled_s: float = 0.0
 
-    def valid_share(self, now_s: float) -> float:
+    def valid_quota(self, now_s: float) -> float:
         """Returns the share at a time in seconds; 0 after its lease."""
         return self.share if now_s < self.expires_s else 0.0
 
 
-class Gate:
+class QuotaLimiter:
     """Counts openings against the limits.
 
     Attributes:
@@ -54,12 +54,10 @@
     ) -> verdict.Verdict | None:
         """Counts an opening, or returns why it must be refused."""
         concurrent = self._want(
-            port.settings.max_concurrent, catalogue.concurrent_key(port)
+            port.settings.max_concurrent, quotas.concurrent_key(port)
         )
-        rate = self._want(
-            port.settings.max_opening_rate, catalogue.rate_key(port)
-        )
-        if concurrent and concurrent.used + 1.0 > concurrent.valid_share(now_s):
+        rate = self._want(port.settings.max_opening_rate, quotas.rate_key(port))
+        if concurrent and concurrent.used + 1.0 > concurrent.valid_quota(now_s):
             return verdict.not_run("concurrent-limit")
         if rate and not _take_token(rate, now_s):
             return verdict.not_run("rate-limit")
@@ -77,12 +75,12 @@
     def add(self, port: lookup.ServicePort) -> None:
         """Counts a connection that this host now owns."""
         if port.settings.max_concurrent:
-            self.usage(catalogue.concurrent_key(port)).used += 1.0
+            self.usage(quotas.concurrent_key(port)).used += 1.0
 
     def remove(self, port: lookup.ServicePort) -> None:
         """Counts the end of a connection."""
         if port.settings.max_concurrent:
-            usage = self.usage(catalogue.concurrent_key(port))
+            usage = self.usage(quotas.concurrent_key(port))
             usage.used = max(0.0, usage.used - 1.0)
 
     def usage(self, key: str) -> Usage:
@@ -92,7 +90,7 @@
 
 def _take_token(usage: Usage, now_s: float) -> bool:
     """Takes a token of the bucket that a rate share refills."""
-    share = usage.valid_share(now_s)
+    share = usage.valid_quota(now_s)
     capacity = max(1.0, share * RATE_BURST_S)
     elapsed_s = max(0.0, now_s - usage.refilled_s)
     usage.tokens = min(capacity, usage.tokens + share * elapsed_s)
--- a/packages/core/src/tamarack_core/internal/membership/dissemination.py
+++ b/packages/core/src/tamarack_core/internal/membership/dissemination.py
@@ -32,7 +32,7 @@
         self.remaining[host] = SPREAD_FACTOR * math.ceil(math.log2(members + 2))
 
     def take(
-        self, known: view.View, receiver: str
+        self, known: view.MembershipView, receiver: str
     ) -> tuple[membership.Update, ...]:
         """Returns the changes that ride on the next message.
 
--- a/packages/core/src/tamarack_core/internal/membership/part.py
+++ b/packages/core/src/tamarack_core/internal/membership/host_membership.py
@@ -5,7 +5,7 @@
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core.internal.membership import detector as detector_lib
+from tamarack_core.internal.membership import swim_protocol
 from tamarack_core.internal.membership import view
 from tamarack_core.messages import membership
 
@@ -21,17 +21,17 @@
 }
 
 
-class Membership:
+class HostMembership:
     """Membership of this host in its failure domain.
 
     Attributes:
         context: Identity, chance, time and counters.
-        detector: Failure detection and joins.
+        swim: Failure detection and joins.
         started_s: Monotonic time of the start.
         is_stopping: Whether a graceful stop has begun.
     """
 
-    __slots__ = ("context", "detector", "is_stopping", "started_s")
+    __slots__ = ("context", "is_stopping", "started_s", "swim")
 
     def __init__(
         self, context: context_lib.Context, seeds: tuple[peers.Peer, ...]
@@ -43,7 +43,7 @@
             seeds: Peers from the settings.
         """
         self.context = context
-        self.detector = detector_lib.Detector(
+        self.swim = swim_protocol.SwimProtocol(
             context.host, seeds, context.random
         )
         self.started_s = 0.0
@@ -54,9 +54,9 @@
         found: dict[reducer.Key, reducer.Handler] = {
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
-            detector_lib.PROBE_TIMER: self.handle_timer,
-            detector_lib.INDIRECT_TIMER: self.handle_timer,
-            detector_lib.STOP_TIMER: self.handle_stop_timer,
+            swim_protocol.PROBE_TIMER: self.handle_timer,
+            swim_protocol.INDIRECT_TIMER: self.handle_timer,
+            swim_protocol.STOP_TIMER: self.handle_stop_timer,
         }
         for message_type in (
             membership.Probe,
@@ -68,22 +68,22 @@
             found[message_type] = self.handle_message
         return found
 
-    def view(self) -> view.View:
+    def view(self) -> view.MembershipView:
         """Returns what this host holds about each member."""
-        return self.detector.view
+        return self.swim.view
 
-    def others(self) -> tuple[peers.Peer, ...]:
+    def other_members(self) -> tuple[peers.Peer, ...]:
         """Returns the other members that are reachable or only suspected."""
         return tuple(
             member.peer
-            for member in self.detector.view.present(self.context.host.host)
+            for member in self.swim.view.present(self.context.host.host)
         )
 
     def joined(self) -> tuple[str, ...]:
         """Returns the names of the others, once this host has joined them."""
-        if self.detector.is_joining:
+        if self.swim.is_joining:
             return ()
-        return tuple(peer.host for peer in self.others())
+        return tuple(peer.host for peer in self.other_members())
 
     def is_ready(self, now_s: float) -> bool:
         """Returns whether this host may take decisions about flows.
@@ -95,14 +95,14 @@
             now_s: Monotonic time in seconds.
         """
         return (
-            not self.detector.is_joining
+            not self.swim.is_joining
             or now_s >= self.started_s + JOIN_PATIENCE_S
         )
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
         """Joins the other members."""
         self.started_s = event.now_s
-        return self.detector.start(event.now_s, event.wall_ms)
+        return self.swim.start(event.now_s, event.wall_ms)
 
     def handle_message(
         self, event: events.MessageArrived
@@ -111,13 +111,13 @@
         message = event.message
         assert isinstance(message, membership.Message)
         before = self._states()
-        sent = self.detector.handle_message(event.now_s, event.sender, message)
+        sent = self.swim.handle_message(event.now_s, event.sender, message)
         return sent + self._record_changes(event.now_s, before)
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
         """Hands a timer to the detector."""
         before = self._states()
-        sent = self.detector.handle_timer(event.now_s, event.timer)
+        sent = self.swim.handle_timer(event.now_s, event.timer)
         return sent + self._record_changes(event.now_s, before)
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
@@ -126,16 +126,16 @@
             return []
         self.is_stopping = True
         record = self.context.record(event.now_s, "host-leaving")
-        if not self.others():
+        if not self.other_members():
             return [record, *self._finish(event.now_s)]
-        return [record, *self.detector.leave(event.now_s)]
+        return [record, *self.swim.leave(event.now_s)]
 
     def handle_stop_timer(
         self, event: events.TimerFired
     ) -> list[effects.Effect]:
         """Ends the process after the handover."""
         return [
-            *self.detector.stop(event.now_s),
+            *self.swim.stop(event.now_s),
             *self._finish(event.now_s),
         ]
 
@@ -150,7 +150,7 @@
         """Returns the state of each member by host name."""
         return {
             host: member.state
-            for host, member in self.detector.view.members.items()
+            for host, member in self.swim.view.members.items()
         }
 
     def _record_changes(
@@ -161,6 +161,6 @@
             self.context.record(
                 now_s, _RECORDED[member.state], detail=f"member {host}"
             )
-            for host, member in self.detector.view.members.items()
+            for host, member in self.swim.view.members.items()
             if before.get(host) is not member.state
         ]
--- a/packages/core/src/tamarack_core/internal/membership/detector.py
+++ b/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
@@ -49,7 +49,7 @@
         self.expires_s = expires_s
 
 
-class Detector:
+class SwimProtocol:
     """Membership of one host.
 
     Attributes:
@@ -107,7 +107,7 @@
             if seed.domain == me.domain and seed.host != me.host
         )
         self.random = generator
-        self.view = view.View(me.domain)
+        self.view = view.MembershipView(me.domain)
         self.spread = dissemination.Dissemination()
         self.health = 0
         self.is_leaving = False
--- a/packages/core/src/tamarack_core/internal/membership/view.py
+++ b/packages/core/src/tamarack_core/internal/membership/view.py
@@ -60,7 +60,7 @@
         return zlib.crc32(text.encode())
 
 
-class View:
+class MembershipView:
     """All members that this host has heard of.
 
     Attributes:
--- a/packages/core/src/tamarack_core/internal/status.py
+++ b/packages/core/src/tamarack_core/internal/status.py
@@ -7,7 +7,7 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 
 
 class Status:
@@ -15,19 +15,26 @@
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         roles: Roles of this host.
         members: Returns the hosts held to be alive.
         targets: Returns the number of targets known.
         flows: Returns the number of flows known.
     """
 
-    __slots__ = ("context", "flows", "holder", "members", "roles", "targets")
+    __slots__ = (
+        "config_store",
+        "context",
+        "flows",
+        "members",
+        "roles",
+        "targets",
+    )
 
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         roles: tuple[str, ...],
         members: Callable[[], tuple[str, ...]],
         targets: Callable[[], int],
@@ -37,14 +44,14 @@
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             roles: Roles of this host.
             members: Returns the hosts held to be alive.
             targets: Returns the number of targets known.
             flows: Returns the number of flows known.
         """
         self.context = context
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.roles = roles
         self.members = members
         self.targets = targets
@@ -62,8 +69,8 @@
             host=self.context.host.host,
             domain=self.context.host.domain,
             roles=self.roles,
-            version=self.holder.numbered.version,
-            since_ms=self.holder.since_ms,
+            version=self.config_store.numbered.version,
+            since_ms=self.config_store.since_ms,
             members=self.members(),
             targets=self.targets(),
             flows=self.flows(),
--- a/packages/core/src/tamarack_core/internal/targets/announcements.py
+++ b/packages/core/src/tamarack_core/internal/targets/announcement_validator.py
@@ -7,38 +7,38 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.targets import aggregation as aggregation_lib
+from tamarack_core.internal.distribution import configuration_store
+from tamarack_core.internal.targets import lease_aggregator as aggregation_lib
 
 MAX_LEASE_S = 60.0
 
 
-class Announcements:
+class AnnouncementValidator:
     """Part that handles the announcements of targets.
 
     Attributes:
         context: Identity, chance, time and counters.
-        holder: Configuration in force, which names the target networks.
+        config_store: Configuration in force, which names the target networks.
         aggregation: Keeps the leases.
     """
 
-    __slots__ = ("aggregation", "context", "holder")
+    __slots__ = ("aggregation", "config_store", "context")
 
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
-        aggregation: aggregation_lib.Aggregation,
+        config_store: configuration_store.ConfigurationStore,
+        aggregation: aggregation_lib.LeaseAggregator,
     ) -> None:
         """Creates the part.
 
         Args:
             context: Identity, chance, time and counters.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             aggregation: Keeps the leases.
         """
         self.context = context
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.aggregation = aggregation
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -105,7 +105,7 @@
                 f"lease_s {announcement.lease_s} is out of range; "
                 f"choose more than 0 and at most {MAX_LEASE_S:g}",
             )
-        service = self.holder.lookup.find_service(address)
+        service = self.config_store.lookup.find_service(address)
         if service != announcement.service:
             return requests.Refused(
                 "wrong-service",
--- a/packages/core/src/tamarack_core/internal/targets/aggregation.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_aggregator.py
@@ -13,8 +13,8 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
+from tamarack_core.internal.targets import lease_table
 from tamarack_core.internal.targets import outbox as outbox_lib
-from tamarack_core.internal.targets import table
 from tamarack_core.messages import targets as target_messages
 from tamarack_core.packets import ip
 
@@ -42,7 +42,7 @@
     received_s: float
 
 
-class Aggregation:
+class LeaseAggregator:
     """Part that keeps the leases of targets and spreads their changes.
 
     Attributes:
@@ -73,7 +73,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        target_table: table.TargetTable,
+        target_table: lease_table.TargetLeaseTable,
         live_members: Callable[[], tuple[peers.Peer, ...]],
     ) -> None:
         """Creates the part.
@@ -167,8 +167,8 @@
         assert isinstance(message, target_messages.TargetChanged)
         announcement = message.announcement
         address = ip.pack_address(announcement.address)
-        expires_s = event.now_s if message.expired else table.NEVER_S
-        target = table.Target(
+        expires_s = event.now_s if message.expired else lease_table.NEVER_S
+        target = lease_table.TargetLease(
             announcement, message.sequence, event.sender.host, expires_s
         )
         held = self.table.targets.get(address)
@@ -250,18 +250,23 @@
         self.unconfirmed.discard(address)
         sequence = held.sequence + 1 if held else 1
         host = self.context.host.host
-        target = table.Target(announcement, sequence, host, expires_s)
+        target = lease_table.TargetLease(
+            announcement, sequence, host, expires_s
+        )
         self.table.put(target)
         found = self._record(now_s, held, target)
         message = target_messages.TargetChanged(announcement, sequence)
         return found + self.outbox.send(now_s, self.members(), message)
 
     def _take_over(
-        self, now_s: float, target: table.Target, arrived: list[peers.Peer]
+        self,
+        now_s: float,
+        target: lease_table.TargetLease,
+        arrived: list[peers.Peer],
     ) -> list[effects.Effect]:
         """Starts the lease of a target that this host aggregates from now."""
         address = ip.pack_address(target.announcement.address)
-        if target.expires_s == table.NEVER_S:
+        if target.expires_s == lease_table.NEVER_S:
             self.unconfirmed.add(address)
             target.expires_s = now_s + target.announcement.lease_s
         message = target_messages.TargetChanged(
@@ -270,7 +275,7 @@
         return self.outbox.send(now_s, arrived, message)
 
     def _expire(
-        self, now_s: float, address: bytes, target: table.Target
+        self, now_s: float, address: bytes, target: lease_table.TargetLease
     ) -> list[effects.Effect]:
         """Ends the lease of a target when its time has come."""
         if target.expires_s > now_s:
@@ -313,8 +318,8 @@
     def _record(
         self,
         now_s: float,
-        before: table.Target | None,
-        after: table.Target,
+        before: lease_table.TargetLease | None,
+        after: lease_table.TargetLease,
     ) -> list[effects.Effect]:
         """Records a change of state of a target at this host."""
         state = _state(after)
@@ -330,7 +335,7 @@
         ]
 
 
-def _state(target: table.Target) -> str:
+def _state(target: lease_table.TargetLease) -> str:
     """Returns the constant name of the state of a target."""
     return str(target.announcement.state)
 
--- a/packages/core/src/tamarack_core/internal/targets/table.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_table.py
@@ -9,7 +9,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Target:
+class TargetLease:
     """An announced target.
 
     Attributes:
@@ -31,7 +31,7 @@
         return self.announcement.incarnation, self.sequence, self.aggregator
 
 
-class TargetTable:
+class TargetLeaseTable:
     """Targets by address.
 
     Attributes:
@@ -42,10 +42,10 @@
 
     def __init__(self) -> None:
         """Creates an empty table."""
-        self.targets: dict[bytes, Target] = {}
-        self._by_service: dict[str, dict[bytes, Target]] = {}
+        self.targets: dict[bytes, TargetLease] = {}
+        self._by_service: dict[str, dict[bytes, TargetLease]] = {}
 
-    def put(self, target: Target) -> None:
+    def put(self, target: TargetLease) -> None:
         """Stores a target in place of what was held for its address."""
         address = ip.pack_address(target.announcement.address)
         self.remove(address)
--- a/packages/core/src/tamarack_core/internal/views.py
+++ b/packages/core/src/tamarack_core/internal/views.py
@@ -6,11 +6,11 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.balancing import book as book_lib
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.balancing import load_table as load_table_lib
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.flows import table as flow_table
-from tamarack_core.internal.targets import table as target_table
+from tamarack_core.internal.targets import lease_table
 from tamarack_core.packets import ip
 
 
@@ -18,32 +18,32 @@
     """Part that answers reads of targets and flows.
 
     Attributes:
-        holder: Configuration in force.
+        config_store: Configuration in force.
         targets: Announced targets.
-        book: Work in flight by target.
+        load_table: Work in flight by target.
         flows: Flow table.
     """
 
-    __slots__ = ("book", "flows", "holder", "targets")
+    __slots__ = ("config_store", "flows", "load_table", "targets")
 
     def __init__(
         self,
-        configuration_holder: holder.Holder,
-        targets: target_table.TargetTable,
-        book: book_lib.Book,
+        config_store: configuration_store.ConfigurationStore,
+        targets: lease_table.TargetLeaseTable,
+        load_table: load_table_lib.LoadTable,
         flows: flow_table.FlowTable,
     ) -> None:
         """Creates the part.
 
         Args:
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             targets: Announced targets.
-            book: Work in flight by target.
+            load_table: Work in flight by target.
             flows: Flow table.
         """
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.targets = targets
-        self.book = book
+        self.load_table = load_table
         self.flows = flows
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -100,7 +100,7 @@
         self,
         now_s: float,
         address: bytes,
-        target: target_table.Target,
+        target: lease_table.TargetLease,
         open_flows: dict[bytes, int],
     ) -> requests.TargetView:
         """Returns what an operator sees of a target."""
@@ -112,8 +112,8 @@
             state=announcement.state,
             is_expired=target.expires_s <= now_s,
             slots=announcement.slots,
-            active=round(self.book.active(now_s, address), 2),
-            held=round(self.book.held(address), 2),
+            active=round(self.load_table.active(now_s, address), 2),
+            held=round(self.load_table.held(address), 2),
             owned_flows=open_flows.get(address, 0),
         )
 
@@ -125,7 +125,7 @@
         flags = self.flows.flags[slot]
         if key is None or flags & flow_table.CLOSED:
             return None
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         target = ip.format_address(self.flows.target_of(slot))
         if port is None or request.service not in ("", port.service):
             return None
--- a/packages/core/src/tamarack_core/messages/balancing.py
+++ b/packages/core/src/tamarack_core/messages/balancing.py
@@ -3,7 +3,7 @@
 import msgspec
 
 
-class TargetWork(msgspec.Struct, frozen=True, array_like=True):
+class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
     """Work that one host has in flight at one target.
 
     Attributes:
@@ -17,14 +17,14 @@
     held: float
 
 
-class WorkReport(msgspec.Struct, frozen=True, tag="work"):
+class TargetLoadReport(msgspec.Struct, frozen=True, tag="work"):
     """Work of the sender that has changed since its last report.
 
     Attributes:
         targets: Work by target.
     """
 
-    targets: tuple[TargetWork, ...]
+    targets: tuple[TargetLoad, ...]
 
 
-Message = WorkReport
+Message = TargetLoadReport
--- a/packages/core/src/tamarack_core/messages/limits.py
+++ b/packages/core/src/tamarack_core/messages/limits.py
@@ -19,7 +19,7 @@
     wanted: float
 
 
-class ShareRequest(msgspec.Struct, frozen=True, tag="share-request"):
+class QuotaRequest(msgspec.Struct, frozen=True, tag="share-request"):
     """The sender asks its keeper for shares, and promises to ask no other.
 
     Attributes:
@@ -35,7 +35,7 @@
     claims: tuple[Claim, ...]
 
 
-class Share(msgspec.Struct, frozen=True, array_like=True):
+class QuotaLease(msgspec.Struct, frozen=True, array_like=True):
     """A leased share of one limit.
 
     Attributes:
@@ -47,7 +47,7 @@
     amount: float
 
 
-class ShareResponse(msgspec.Struct, frozen=True, tag="share-response"):
+class QuotaResponse(msgspec.Struct, frozen=True, tag="share-response"):
     """Answer of the keeper.
 
     Attributes:
@@ -61,7 +61,7 @@
     number: int
     time_s: float
     is_keeper: bool
-    shares: tuple[Share, ...]
+    shares: tuple[QuotaLease, ...]
 
 
-Message = ShareRequest | ShareResponse
+Message = QuotaRequest | QuotaResponse
--- a/packages/lab/src/tamarack_lab/capacity/probes/domains.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/domains.py
@@ -13,7 +13,7 @@
 from tamarack_core import requests
 from tamarack_core import timeline
 from tamarack_core.internal.flows import table as flow_table
-from tamarack_core.internal.targets import table as target_table
+from tamarack_core.internal.targets import lease_table
 from tamarack_core.messages import distribution
 from tamarack_core.messages import membership
 from tamarack_lab.capacity import slopes
@@ -222,12 +222,12 @@
 def _target_bytes(count: int) -> float:
     """Returns the memory of a table with a number of targets."""
 
-    def build() -> target_table.TargetTable:
+    def build() -> lease_table.TargetLeaseTable:
         """Fills a table."""
-        table = target_table.TargetTable()
+        table = lease_table.TargetLeaseTable()
         for number in range(count):
             table.put(
-                target_table.Target(
+                lease_table.TargetLease(
                     _announcement(number), 1, "entry-00000", 60.0
                 )
             )
--- a/packages/lab/src/tamarack_lab/experiments/packet_versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_versions.py
@@ -6,11 +6,11 @@
 from tamarack_core import context as context_lib
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.distribution import spreading
-from tamarack_core.internal.targets import aggregation
-from tamarack_core.internal.targets import announcements
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.distribution import configuration_distributor
+from tamarack_core.internal.distribution import configuration_store
+from tamarack_core.internal.targets import announcement_validator
+from tamarack_core.internal.targets import lease_aggregator
+from tamarack_core.internal.targets import lease_table
 from tamarack_lab.naive import chooser as naive_chooser
 from tamarack_lab.naive import data_path as naive_data_path
 
@@ -33,16 +33,20 @@
 ) -> reducer.Node:
     """Returns an entry host of the naive version."""
     context = context_lib.Context(peer, seed)
-    held = holder.Holder()
-    targets = table.TargetTable()
-    leases = aggregation.Aggregation(context, targets, lambda: others)
+    config_store = configuration_store.ConfigurationStore()
+    targets = lease_table.TargetLeaseTable()
+    leases = lease_aggregator.LeaseAggregator(context, targets, lambda: others)
     chooser = naive_chooser.NaiveChooser(targets, len(others) + 1)
     return reducer.Node(
         context,
         (
-            spreading.Spreading(context, held, (), ()),
+            configuration_distributor.ConfigurationDistributor(
+                context, config_store, (), ()
+            ),
             leases,
-            announcements.Announcements(context, held, leases),
-            naive_data_path.NaiveDataPath(held, chooser),
+            announcement_validator.AnnouncementValidator(
+                context, config_store, leases
+            ),
+            naive_data_path.NaiveDataPath(config_store, chooser),
         ),
     )
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -15,7 +15,7 @@
 from tamarack_core import requests
 from tamarack_core import verdict
 from tamarack_core.internal.balancing import owner_group
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import ip
@@ -72,7 +72,9 @@
                 {item.name: _in_domains(plan, item) for item in plan.services}
             ),
         )
-        self.holders: dict[str, holder.Holder] = {}
+        self.config_stores: dict[
+            str, configuration_store.ConfigurationStore
+        ] = {}
         self.choosers: dict[str, target_choice.Chooser] = {}
         self.targets: dict[bytes, entities.Target] = {}
         self.figures = measure.Figures()
@@ -100,9 +102,9 @@
         """Starts an entry host, or starts it anew without its state."""
         number = self._seed * 1000 + next(self._numbers)
         context = network_lib.context(name, domain, number)
-        held = holder.Holder()
-        held.put(self.numbered, network_lib.WALL_MS)
-        self.holders[name] = held
+        config_store = configuration_store.ConfigurationStore()
+        config_store.put(self.numbered, network_lib.WALL_MS)
+        self.config_stores[name] = config_store
 
         def live_peers() -> tuple[peers.Peer, ...]:
             """Returns the other live entry hosts of the failure domain."""
@@ -114,7 +116,7 @@
 
         parts = self.version.build(
             context,
-            held,
+            config_store,
             live_peers,
             self.plan.hosts,
         )
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -7,16 +7,16 @@
 from tamarack_core import context as context_lib
 from tamarack_core import peers
 from tamarack_core import reducer
-from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser as chooser_lib
-from tamarack_core.internal.balancing import reporting
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.balancing import load_reporter
+from tamarack_core.internal.balancing import load_table as load_table_lib
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.limits import sharing
-from tamarack_core.internal.targets import aggregation
-from tamarack_core.internal.targets import announcements
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.limits import quota_lease_manager
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.targets import announcement_validator
+from tamarack_core.internal.targets import lease_aggregator
+from tamarack_core.internal.targets import lease_table
 from tamarack_lab.naive import chooser as naive_chooser
 
 LivePeers = Callable[[], tuple[peers.Peer, ...]]
@@ -41,7 +41,7 @@
     def build(
         self,
         context: context_lib.Context,
-        held: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
     ) -> Parts:
@@ -49,7 +49,7 @@
 
         Args:
             context: Identity, chance, time and counters.
-            held: Configuration in force.
+            config_store: Configuration in force.
             live_peers: Returns the other entry hosts of the failure domain.
             hosts: Number of entry hosts of each failure domain.
         """
@@ -61,15 +61,19 @@
     def build(
         self,
         context: context_lib.Context,
-        held: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
     ) -> Parts:
         """Returns the parts of one host."""
-        targets = table.TargetTable()
-        leases = aggregation.Aggregation(context, targets, live_peers)
-        announced = announcements.Announcements(context, held, leases)
-        chooser = naive_chooser.NaiveChooser(targets, hosts, _domains(held))
+        targets = lease_table.TargetLeaseTable()
+        leases = lease_aggregator.LeaseAggregator(context, targets, live_peers)
+        announced = announcement_validator.AnnouncementValidator(
+            context, config_store, leases
+        )
+        chooser = naive_chooser.NaiveChooser(
+            targets, hosts, _domains(config_store)
+        )
         return Parts(chooser, (leases, announced))
 
 
@@ -79,19 +83,27 @@
     def build(
         self,
         context: context_lib.Context,
-        held: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
     ) -> Parts:
         """Returns the parts of one host."""
-        targets = table.TargetTable()
-        book = book_lib.Book()
-        gate = gate_lib.Gate()
-        chooser = chooser_lib.BalancingChooser(context, targets, book, gate)
-        shares = sharing.Sharing(context, held, gate, live_peers, hosts)
-        leases = aggregation.Aggregation(context, targets, live_peers)
-        announced = announcements.Announcements(context, held, leases)
-        report = reporting.Reporting(context, held, book, live_peers)
+        targets = lease_table.TargetLeaseTable()
+        load_table = load_table_lib.LoadTable()
+        limiter = quota_limiter.QuotaLimiter()
+        chooser = chooser_lib.BalancingChooser(
+            context, targets, load_table, limiter
+        )
+        shares = quota_lease_manager.QuotaLeaseManager(
+            context, config_store, limiter, live_peers, hosts
+        )
+        leases = lease_aggregator.LeaseAggregator(context, targets, live_peers)
+        announced = announcement_validator.AnnouncementValidator(
+            context, config_store, leases
+        )
+        report = load_reporter.LoadReporter(
+            context, config_store, load_table, live_peers
+        )
         return Parts(chooser, (leases, announced, report, shares))
 
 
@@ -105,17 +117,19 @@
     def build(
         self,
         context: context_lib.Context,
-        held: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
     ) -> Parts:
         """Returns the parts of one host; all share one chooser."""
         if self.shared is None:
-            self.shared = Tamarackford().build(context, held, live_peers, hosts)
+            self.shared = Tamarackford().build(
+                context, config_store, live_peers, hosts
+            )
         return self.shared
 
 
-def _domains(held: holder.Holder) -> int:
+def _domains(config_store: configuration_store.ConfigurationStore) -> int:
     """Returns the number of failure domains that divide the limits."""
-    services = held.numbered.configuration.services.values()
+    services = config_store.numbered.configuration.services.values()
     return max((len(item.failure_domains) for item in services), default=1) or 1
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -5,7 +5,7 @@
 from tamarack_core import verdict
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.targets import lease_table
 
 _DIGEST_BYTES = 8
 
@@ -26,7 +26,10 @@
     __slots__ = ("concurrent", "domains", "hosts", "targets")
 
     def __init__(
-        self, targets: table.TargetTable, hosts: int, domains: int = 1
+        self,
+        targets: lease_table.TargetLeaseTable,
+        hosts: int,
+        domains: int = 1,
     ) -> None:
         """Creates a chooser.
 
--- a/packages/lab/src/tamarack_lab/naive/data_path.py
+++ b/packages/lab/src/tamarack_lab/naive/data_path.py
@@ -4,7 +4,7 @@
 from tamarack_core import events
 from tamarack_core import failure
 from tamarack_core import reducer
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import geneve
@@ -17,19 +17,19 @@
     """Part that hashes each packet anew.
 
     Attributes:
-        holder: Configuration in force.
+        config_store: Configuration in force.
         chooser: Hash modulo the local list.
     """
 
-    __slots__ = ("chooser", "holder")
+    __slots__ = ("chooser", "config_store")
 
     def __init__(
         self,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         chooser: target_choice.Chooser,
     ) -> None:
         """Creates the part."""
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.chooser = chooser
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -46,10 +46,10 @@
         packet = ip.parse(datagram.packet)
         if isinstance(packet, failure.Failure):
             return []
-        port = self.holder.lookup.find_inbound(packet)
+        port = self.config_store.lookup.find_inbound(packet)
         if port is not None:
             return self._carry_in(event.now_s, packet, port)
-        port = self.holder.lookup.find_outbound(packet)
+        port = self.config_store.lookup.find_outbound(packet)
         if port is None:
             return []
         return _send(rewrite.source(packet, port.address, port.port))
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -6,13 +6,13 @@
 
 from tamarack_core import configuration
 from tamarack_core import requests
-from tamarack_core.internal.balancing import book as book_lib
 from tamarack_core.internal.balancing import chooser as chooser_lib
 from tamarack_core.internal.balancing import health as health_lib
+from tamarack_core.internal.balancing import load_table as load_table_lib
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.targets import lease_table
 from tamarack_lab.experiments import network
 from tamarack_lab.experiments import users
 
@@ -44,17 +44,17 @@
 
     def setUp(self):
         super().setUp()
-        self.table = table.TargetTable()
-        self.book = book_lib.Book()
+        self.table = lease_table.TargetLeaseTable()
+        self.load_table = load_table_lib.LoadTable()
         self.chooser = chooser_lib.BalancingChooser(
             network.context("entry", "a", 1),
             self.table,
-            self.book,
-            gate_lib.Gate(),
+            self.load_table,
+            quota_limiter.QuotaLimiter(),
         )
         for number in range(1, 8):
             self.announce(number)
-            self.chooser.ramp.started[address(number)] = (0, 0.0)
+            self.chooser.slow_start.started[address(number)] = (0, 0.0)
         self.random = random.Random(1)
 
     def announce(self, number, **changes):
@@ -62,7 +62,9 @@
         announcement = requests.Announce(
             "agenda", f"10.20.0.{number}", "a", slots=2, **changes
         )
-        target = table.Target(announcement, 1, "entry", table.NEVER_S)
+        target = lease_table.TargetLease(
+            announcement, 1, "entry", lease_table.NEVER_S
+        )
         self.table.put(target)
 
     def choose(self, opened=None):
@@ -89,10 +91,15 @@
         self.assertEqual({10}, {chosen.count(n) for n in range(1, 8)})
 
     def test_work_that_another_host_reports_counts(self):
-        work = [(address(n), book_lib.Reported(2.0, 0.0)) for n in range(1, 7)]
-        self.book.report("other", work)
+        work = [
+            (address(n), load_table_lib.ReportedLoad(2.0, 0.0))
+            for n in range(1, 7)
+        ]
+        self.load_table.apply_report("other", work)
         self.assertEqual(7, self.choose())
-        self.book.report("other", [(address(3), book_lib.Reported(0.0, 0.0))])
+        self.load_table.apply_report(
+            "other", [(address(3), load_table_lib.ReportedLoad(0.0, 0.0))]
+        )
         self.assertEqual(3, self.choose())
 
     def test_an_ended_flow_frees_its_work(self):
@@ -107,14 +114,14 @@
         self.assertNotEqual({10}, {chosen.count(n) for n in range(1, 8)})
 
     def test_held_connections_end_at_the_announced_number(self):
-        self.table = table.TargetTable()
+        self.table = lease_table.TargetLeaseTable()
         self.chooser.targets = self.table
         self.announce(1, connections=2)
         chosen = [self.choose(port("route")) for _ in range(3)]
         self.assertEqual([1, 1, "connections-full"], chosen)
 
     def test_a_cold_target_takes_less_than_its_even_share(self):
-        self.chooser.ramp.started[address(1)] = (0, NOW_S)
+        self.chooser.slow_start.started[address(1)] = (0, NOW_S)
         chosen = [self.choose() for _ in range(70)]
         self.assertTrue(0 < chosen.count(1) < 5, chosen.count(1))
 
@@ -150,7 +157,7 @@
         self.assertEqual(2, allowed)
 
     def test_there_are_no_retries_while_openings_are_shed(self):
-        self.chooser.overload.shed_s["agenda"] = NOW_S - 1.0
+        self.chooser.load_shedder.shed_s["agenda"] = NOW_S - 1.0
         self.assertFalse(self.chooser.may_retry(NOW_S, port()))
 
     def test_a_reused_flow_keeps_its_target(self):
@@ -169,7 +176,7 @@
             health.fail(NOW_S, address(number))
 
     def test_the_ejected_share_is_capped(self):
-        health = health_lib.HealthBook()
+        health = health_lib.PassiveHealth()
         targets = [address(number) for number in range(1, 8)]
         for number in range(1, 8):
             self.fail(health, number)
@@ -177,12 +184,12 @@
         self.assertEqual(7 - int(health_lib.MAX_EJECTED_SHARE * 7), len(left))
 
     def test_the_last_target_is_never_ejected(self):
-        health = health_lib.HealthBook()
+        health = health_lib.PassiveHealth()
         self.fail(health, 1)
         self.assertEqual([address(1)], health.eligible(NOW_S, [address(1)]))
 
     def test_each_further_ejection_lasts_twice_as_long(self):
-        health = health_lib.HealthBook()
+        health = health_lib.PassiveHealth()
         self.fail(health, 1)
         later_s = NOW_S + health_lib.EJECTION_S + 0.1
         targets = [address(1), address(2), address(3)]
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -11,7 +11,7 @@
 from tamarack_core import configuration
 from tamarack_core import peers
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.distribution import subscribers
 from tamarack_core.messages import distribution
 from tests import fake_hosts
@@ -161,14 +161,14 @@
 )
 
 
-class HolderTest(testtools.TestCase):
+class ConfigurationStoreTest(testtools.TestCase):
     """Whatever a host holds, one message brings it up to date."""
 
     @hypothesis.given(_changes, strategies.data())
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
     def test_any_host_catches_up_exactly(self, changes, data):
-        source = holder.Holder()
-        others = [holder.Holder() for _ in range(3)]
+        source = configuration_store.ConfigurationStore()
+        others = [configuration_store.ConfigurationStore() for _ in range(3)]
         for number, change in enumerate(changes, 1):
             services = {
                 f"s{key}": service(key) if is_kept else None
@@ -199,7 +199,7 @@
         )
 
     def test_an_older_or_unfitting_version_is_not_put_into_force(self):
-        held = holder.Holder()
+        held = configuration_store.ConfigurationStore()
         held.put_delta(distribution.Delta(0, 5, {"s1": service(1)}), 1)
         old = configuration.Numbered(4, configuration.Configuration())
         self.assertFalse(held.put(old, 2))
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from tamarack_core.internal.admission import overload as overload_lib
+from tamarack_core.internal.admission import load_shedder as load_shedder_lib
 from tamarack_core.internal.admission import retry_budget
 from tamarack_core.internal.entry import lookup
 from tamarack_lab.experiments import users
@@ -27,18 +27,18 @@
 
     def setUp(self):
         super().setUp()
-        self.overload = overload_lib.Overload()
+        self.load_shedder = load_shedder_lib.LoadShedder()
         for asked in (REPORT, CERTIFICATE):
-            self.overload.answer(asked, 1.0, has_queue=False)
+            self.load_shedder.record_reply(asked, 1.0, has_queue=False)
 
     def answer_slowly(self):
         """Lets answers take three times as long."""
         for _ in range(20):
-            self.overload.answer(CERTIFICATE, 3.0, has_queue=True)
+            self.load_shedder.record_reply(CERTIFICATE, 3.0, has_queue=True)
 
     def sheds(self, asked, queue):
         """Returns whether an opening is shed at a queue."""
-        return self.overload.must_shed(NOW_S, asked, queue * SLOTS, SLOTS)
+        return self.load_shedder.must_shed(NOW_S, asked, queue * SLOTS, SLOTS)
 
     def test_a_long_queue_with_quick_answers_is_no_overload(self):
         self.assertFalse(self.sheds(CERTIFICATE, 50.0))
@@ -47,7 +47,7 @@
 
     def test_idempotent_work_is_shed_first(self):
         self.answer_slowly()
-        between = overload_lib.NON_IDEMPOTENT_QUEUE - 0.1
+        between = load_shedder_lib.NON_IDEMPOTENT_QUEUE - 0.1
         self.assertTrue(self.sheds(CERTIFICATE, between))
         self.assertFalse(self.sheds(REPORT, between))
         self.assertTrue(self.sheds(REPORT, between + 0.2))
@@ -56,15 +56,15 @@
         self.answer_slowly()
         self.sheds(REPORT, 0.0)
         for _ in range(5):
-            self.overload.add(REPORT)
-        between = overload_lib.FAIR_QUEUE - 0.1
+            self.load_shedder.add(REPORT)
+        between = load_shedder_lib.FAIR_QUEUE - 0.1
         self.assertFalse(self.sheds(CERTIFICATE, between))
         self.assertTrue(self.sheds(REPORT, between))
 
     def test_a_burst_at_two_slots_is_no_overload_but_a_long_queue_is(self):
         self.answer_slowly()
         shed = [
-            self.overload.must_shed(NOW_S, CERTIFICATE, active, 2.0)
+            self.load_shedder.must_shed(NOW_S, CERTIFICATE, active, 2.0)
             for active in (3.0, 4.0, 12.0)
         ]
         self.assertEqual([False, False, True], shed)
@@ -74,5 +74,5 @@
         retries = 0
         for _ in range(1000):
             budget.add_opening()
-            retries += budget.take()
+            retries += budget.try_consume()
         self.assertTrue(90 <= retries <= 102, retries)
--- a/tests/slow/membership_network.py
+++ b/tests/slow/membership_network.py
@@ -8,7 +8,7 @@
 from tamarack_core import messages
 from tamarack_core import peers
 from tamarack_core import timeline
-from tamarack_core.internal.membership import detector
+from tamarack_core.internal.membership import swim_protocol
 from tamarack_core.messages import membership
 
 START_MS = 1_700_000_000_000
@@ -46,7 +46,7 @@
 
     def start(self, peer):
         """Starts a host that knows the first three as seeds."""
-        node = detector.Detector(
+        node = swim_protocol.SwimProtocol(
             peer,
             tuple(self.peers[:3]),
             random.Random(self.random.random()),
--- a/tests/slow/routing_figures.py
+++ b/tests/slow/routing_figures.py
@@ -112,7 +112,7 @@
         network = routing_network.Network(SEED, spray=spray)
         for peer in network.live():
             path = network.paths[peer.host]
-            hashed = HashPath(path.holder, network.ready, pick)
+            hashed = HashPath(path.config_store, network.ready, pick)
             network.nodes[peer.host].datagram_handler = hashed.handle_datagram
         return network
 
@@ -173,7 +173,7 @@
         for _ in range(HELD_BY_OWNER * HOSTS // 2):
             number += 1
             key = (0x0A800000 + number).to_bytes(4, "big") + b"\x20\x00" + tail
-            found = path.holder.lookup.find_key(key)
+            found = path.config_store.lookup.find_key(key)
             order = path.router.entry_hosts.order(found, key)
             target = bytes((10, 1 + (tail[3] == 2), 0, 1 + number % 4))
             for peer in order:
@@ -186,7 +186,7 @@
     path.records.table.opened_s[slot] = network.now_s - 100
     path.records.table.seen_s[slot] = int(network.now_s)
     if path.router.entry_hosts.is_self(order[0]):
-        port = path.holder.lookup.find_key(key)
+        port = path.config_store.lookup.find_key(key)
         path.records.take_over(network.now_s, slot, port)
         path.records.table.placed[slot] = placement.pack(order[1:])
     else:
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -15,10 +15,10 @@
 from tamarack_core import reducer
 from tamarack_core import timeline
 from tamarack_core import verdict
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import data_path
 from tamarack_core.internal.entry import target_choice
-from tamarack_core.internal.membership import part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.packets import checksum
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
@@ -307,11 +307,11 @@
     def start(self, peer, seeds=()):
         """Starts an entry host that knows some others from its settings."""
         shared = context.Context(peer, self.random.getrandbits(32))
-        held = holder.Holder()
+        held = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
         held.put(configuration.Numbered(1, document), WALL_MS)
         seeds = seeds or self.in_fabric[:3] or self.peers[:3]
-        members = part.Membership(
+        members = host_membership.HostMembership(
             shared, tuple(seed for seed in seeds if seed is not peer)
         )
         path = data_path.DataPath(
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -12,7 +12,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core.internal.balancing import health as health_lib
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
@@ -48,12 +48,12 @@
     def start(self, number):
         """Starts a host without state."""
         context = network.context(f"entry-{number}", "a", number)
-        held = holder.Holder()
+        config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
-        held.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.Numbered(1, document), 0)
         self.ports = {
             (port.service, port.work_class): port
-            for port in held.lookup.inbound.values()
+            for port in config_store.lookup.inbound.values()
         }
 
         def members():
@@ -63,7 +63,7 @@
                 if host.peer.host != context.host.host
             )
 
-        parts = self.version.build(context, held, members, HOSTS)
+        parts = self.version.build(context, config_store, members, HOSTS)
         self.choosers[context.host.host] = parts.chooser
         self.network.add(reducer.Node(context, parts.parts)).start()
 
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -10,11 +10,11 @@
 
 from tamarack_core import configuration
 from tamarack_core import reducer
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.limits import catalogue
-from tamarack_core.internal.limits import gate as gate_lib
-from tamarack_core.internal.limits import sharing
+from tamarack_core.internal.limits import quota_lease_manager
+from tamarack_core.internal.limits import quota_limiter
+from tamarack_core.internal.limits import quotas
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import network
 from tamarack_lab.experiments import users
@@ -38,8 +38,8 @@
     "agenda", "report", WORK_CLASS, SERVICE.weights, b"", 444, 8444
 )
 TOTALS = {
-    catalogue.concurrent_key(PORT): LIMIT,
-    catalogue.rate_key(PORT): RATE,
+    quotas.concurrent_key(PORT): LIMIT,
+    quotas.rate_key(PORT): RATE,
 }
 
 
@@ -49,7 +49,7 @@
     def __init__(self):
         self.queue = event_queue.EventQueue()
         self.network = network.Network(self.queue, 1)
-        self.gates = {}
+        self.limiters = {}
         self.views = {}
         for number in range(HOSTS):
             self.start(number)
@@ -57,10 +57,10 @@
     def start(self, number):
         """Starts a host without state."""
         context = network.context(f"entry-{number}", "a", number)
-        held = holder.Holder()
+        config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration({"agenda": SERVICE})
-        held.put(configuration.Numbered(1, document), 0)
-        gate = gate_lib.Gate()
+        config_store.put(configuration.Numbered(1, document), 0)
+        limiter = quota_limiter.QuotaLimiter()
         name = context.host.host
         self.views[name] = frozenset(range(HOSTS))
 
@@ -71,29 +71,31 @@
                 if f"entry-{other}" != name
             )
 
-        part = sharing.Sharing(context, held, gate, members, HOSTS)
-        self.gates[name] = gate
+        part = quota_lease_manager.QuotaLeaseManager(
+            context, config_store, limiter, members, HOSTS
+        )
+        self.limiters[name] = limiter
         self.network.add(reducer.Node(context, (part,))).start()
 
-    def live_gates(self):
+    def live_limiters(self):
         """Returns the gates of the hosts that run."""
         return {
-            host.peer.host: self.gates[host.peer.host]
+            host.peer.host: self.limiters[host.peer.host]
             for host in self.network.live("a")
         }
 
     def share_sum(self, key):
         """Returns the sum of the shares that hosts may use now."""
         return sum(
-            gate.usage(key).valid_share(self.queue.now_s)
-            for gate in self.live_gates().values()
+            limiter.usage(key).valid_quota(self.queue.now_s)
+            for limiter in self.live_limiters().values()
         )
 
     def open(self, number, count):
         """Opens connections at a host; returns how many were admitted."""
-        gate = self.gates[f"entry-{number}"]
+        limiter = self.limiters[f"entry-{number}"]
         return sum(
-            gate.admit(self.queue.now_s, PORT) is None for _ in range(count)
+            limiter.admit(self.queue.now_s, PORT) is None for _ in range(count)
         )
 
     def check(self):
@@ -166,7 +168,7 @@
 
     @stateful.rule(number=st.integers(0, HOSTS - 1))
     def close(self, number):
-        self.domain.gates[f"entry-{number}"].remove(PORT)
+        self.domain.limiters[f"entry-{number}"].remove(PORT)
 
 
 TestShares = SharesMachine.TestCase
@@ -202,7 +204,7 @@
             admitted = self.push(number, MOVE_S)
             self.assertTrue(admitted >= LIMIT * 0.75, admitted)
             for _ in range(admitted):
-                self.domain.gates[f"entry-{number}"].remove(PORT)
+                self.domain.limiters[f"entry-{number}"].remove(PORT)
 
     def test_the_share_of_a_dead_host_comes_back_after_its_lease(self):
         admitted = self.push(1, MOVE_S)
@@ -211,8 +213,8 @@
         for number in range(HOSTS):
             self.domain.views[f"entry-{number}"] = frozenset({0, 2, 3, 4})
         self.push(2, 3 * START_S)
-        usage = self.domain.gates["entry-2"].usage(
-            catalogue.concurrent_key(PORT)
+        usage = self.domain.limiters["entry-2"].usage(
+            quotas.concurrent_key(PORT)
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
@@ -221,8 +223,8 @@
         self.domain.queue.run_until(START_S * 2)
         self.domain.start(1)
         self.push(1, 3 * MOVE_S)
-        usage = self.domain.gates["entry-1"].usage(
-            catalogue.concurrent_key(PORT)
+        usage = self.domain.limiters["entry-1"].usage(
+            quotas.concurrent_key(PORT)
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
@@ -249,7 +251,7 @@
         names = ("c", "a", "b")
         service = msgspec.structs.replace(SERVICE, failure_domains=names)
         document = configuration.Configuration({"agenda": service})
-        key = catalogue.concurrent_key(PORT)
-        parts = [catalogue.totals(document, name)[key] for name in names]
+        key = quotas.concurrent_key(PORT)
+        parts = [quotas.totals(document, name)[key] for name in names]
         self.assertEqual([6.0, 7.0, 7.0], parts)
-        self.assertEqual(0.0, catalogue.totals(document, "other")[key])
+        self.assertEqual(0.0, quotas.totals(document, "other")[key])
--- a/tests/slow/test_targets.py
+++ b/tests/slow/test_targets.py
@@ -10,10 +10,10 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
-from tamarack_core.internal.distribution import holder
-from tamarack_core.internal.targets import aggregation
-from tamarack_core.internal.targets import announcements
-from tamarack_core.internal.targets import table
+from tamarack_core.internal.distribution import configuration_store
+from tamarack_core.internal.targets import announcement_validator
+from tamarack_core.internal.targets import lease_aggregator
+from tamarack_core.internal.targets import lease_table
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import network
@@ -44,11 +44,11 @@
     def start(self, number):
         """Starts a host without state."""
         context = network.context(f"entry-{number}", "a", number)
-        held = holder.Holder()
+        config_store = configuration_store.ConfigurationStore()
         services = {"agenda": users.AGENDA, "informe": users.INFORME}
         document = configuration.Configuration(services)
-        held.put(configuration.Numbered(1, document), 0)
-        targets = table.TargetTable()
+        config_store.put(configuration.Numbered(1, document), 0)
+        targets = lease_table.TargetLeaseTable()
 
         def members():
             return tuple(
@@ -57,8 +57,10 @@
                 if host.peer.host != context.host.host
             )
 
-        leases = aggregation.Aggregation(context, targets, members)
-        edge = announcements.Announcements(context, held, leases)
+        leases = lease_aggregator.LeaseAggregator(context, targets, members)
+        edge = announcement_validator.AnnouncementValidator(
+            context, config_store, leases
+        )
         self.tables[context.host.host] = targets
         host = self.network.add(reducer.Node(context, (leases, edge)))
         host.start()
