--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -5,7 +5,7 @@
 from tamarack_core import events
 from tamarack_core import failure
 from tamarack_core import reducer
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import entry_hosts as hosts_lib
 from tamarack_core.internal.entry import flow_maintenance
 from tamarack_core.internal.entry import flow_owner
@@ -17,7 +17,7 @@
 from tamarack_core.internal.entry import stalled_flows
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.entry import transit_packet as transit_lib
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.messages import flows
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
@@ -32,7 +32,7 @@
 
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         records: The flow table.
         rejector: Drops packets and resets flows.
         stall_detector: Finds and resets stalled flows.
@@ -41,8 +41,8 @@
     """
 
     __slots__ = (
+        "config_store",
         "context",
-        "holder",
         "maintenance",
         "records",
         "rejector",
@@ -53,25 +53,25 @@
     def __init__(
         self,
         context: context_lib.Context,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
         chooser: target_choice.Chooser,
-        membership_of_host: membership_part.Membership,
+        membership: host_membership.HostMembership,
     ) -> None:
         """Initializes the data path.
 
         Args:
             context: Identity, random generator, clocks and counters of the
                 host.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
             chooser: Chooses the target of a new flow.
-            membership_of_host: Membership of this host.
+            membership: Membership of this host.
         """
         self.context = context
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.records = flow_records.FlowRecords(context, chooser)
         self.rejector = flow_rejection.FlowRejector(context)
-        entry_hosts = hosts_lib.EntryHosts(context, membership_of_host)
-        queries = flow_queries.FlowQueries(context, membership_of_host)
+        entry_hosts = hosts_lib.EntryHosts(context, membership)
+        queries = flow_queries.FlowQueries(context, membership)
         self.router = packet_router.PacketRouter(
             entry_hosts,
             self.records,
@@ -84,7 +84,7 @@
             entry_hosts, self.records, self.rejector, self.router
         )
         self.maintenance = flow_maintenance.FlowMaintenance(
-            entry_hosts, self.records, queries, configuration_holder
+            entry_hosts, self.records, queries, config_store
         )
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -110,7 +110,7 @@
         packet = ip.parse(datagram.packet)
         if isinstance(packet, failure.Failure):
             return self.rejector.drop(packet.reason)
-        tables = self.holder.lookup
+        tables = self.config_store.lookup
         now_s = event.now_s
         hop_value = datagram.hop_value
         port = tables.find_inbound(packet)
@@ -204,7 +204,11 @@
         self, now_s: float, packet: ip.Packet, hop_value: int
     ) -> list[effects.Effect]:
         """Routes a packet that another host has rewritten for its target."""
-        port = self.holder.lookup.find_rewritten(packet) if hop_value else None
+        port = (
+            self.config_store.lookup.find_rewritten(packet)
+            if hop_value
+            else None
+        )
         if port is None:
             return self.rejector.drop("no-service")
         key = lookup.rewritten_key(packet, port)
--- a/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
+++ b/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
@@ -6,9 +6,9 @@
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.flows import hop_option
 from tamarack_core.internal.flows import ownership
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.internal.membership import view
-from tamarack_core.messages import membership
+from tamarack_core.messages import membership as membership_messages
 from tamarack_core.packets import geneve
 
 # An unreachable host may be partitioned rather than dead. Until this time has
@@ -47,17 +47,17 @@
     def __init__(
         self,
         context: context_lib.Context,
-        membership_of_host: membership_part.Membership,
+        membership: host_membership.HostMembership,
     ) -> None:
         """Initializes the entry hosts; there are no members before `refresh`.
 
         Args:
             context: Identity, random generator, clocks and counters of the
                 host.
-            membership_of_host: Membership of this host.
+            membership: Membership of this host.
         """
         self.context = context
-        self.membership = membership_of_host
+        self.membership = membership
         self.ownership = ownership.Ownership()
         self.endpoints: dict[int, peers.Endpoint] = {}
         self.tag = hop_option.tag(context.host)
@@ -110,7 +110,7 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        if self.membership.detector.is_joining:
+        if self.membership.swim.is_joining:
             return False
         return now_s >= self.grace_end_s
 
@@ -166,10 +166,12 @@
         )
         return [effects.SendDatagram(self.endpoints[tag], datagram)]
 
-    def _is_any_dead(self, current: view.View, lost: set[peers.Peer]) -> bool:
+    def _is_any_dead(
+        self, current: view.MembershipView, lost: set[peers.Peer]
+    ) -> bool:
         """Returns whether a lost member is dead rather than having left."""
         return any(
-            current.members[peer.host].state is membership.State.DEAD
+            current.members[peer.host].state is membership_messages.State.DEAD
             for peer in lost
             if peer.host in current.members
         )
--- a/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -6,7 +6,7 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import peers
-from tamarack_core.internal.distribution import holder
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import entry_hosts as hosts_lib
 from tamarack_core.internal.entry import flow_queries
 from tamarack_core.internal.entry import flow_records as records_lib
@@ -63,7 +63,7 @@
         entry_hosts: The other entry hosts.
         records: The flow table.
         queries: Queries about flows that this host does not know.
-        holder: Configuration in force.
+        config_store: Configuration in force.
         repairs: Keys of flows whose owner or backups have changed.
         incomplete: Keys of flows that have lasted and lack a backup.
     """
@@ -73,8 +73,8 @@
         "_epoch",
         "_repair_s",
         "_scan_end",
+        "config_store",
         "entry_hosts",
-        "holder",
         "incomplete",
         "queries",
         "records",
@@ -86,7 +86,7 @@
         entry_hosts: hosts_lib.EntryHosts,
         records: records_lib.FlowRecords,
         queries: flow_queries.FlowQueries,
-        configuration_holder: holder.Holder,
+        config_store: configuration_store.ConfigurationStore,
     ) -> None:
         """Initializes the maintenance of the flow table.
 
@@ -94,12 +94,12 @@
             entry_hosts: The other entry hosts.
             records: The flow table.
             queries: Queries about flows that this host does not know.
-            configuration_holder: Configuration in force.
+            config_store: Configuration in force.
         """
         self.entry_hosts = entry_hosts
         self.records = records
         self.queries = queries
-        self.holder = configuration_holder
+        self.config_store = config_store
         self.repairs: dict[bytes, None] = {}
         self.incomplete: dict[bytes, None] = {}
         self._cursor = 0
@@ -168,10 +168,10 @@
         self, now_s: float, key: bytes, target: bytes, is_replicated: bool
     ) -> None:
         """Stores a flow that another host has reported."""
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             return
-        if self.holder.lookup.find_service(target) != port.service:
+        if self.config_store.lookup.find_service(target) != port.service:
             return
         slot = self.records.learn(now_s, key, target)
         if slot is None:
@@ -213,7 +213,7 @@
         """Removes a flow that is over; returns whether it did."""
         table = self.records.table
         flags = table.flags[slot]
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             table.remove(slot)
             return True
@@ -241,7 +241,7 @@
             return
         if not self.records.is_reliable(now_s, slot):
             return
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         if port is None:
             return
         order = self.entry_hosts.order(port, key)
@@ -265,7 +265,7 @@
     def _queue_incomplete(self, now_s: float, slot: int, key: bytes) -> None:
         """Queues an established flow that has lasted with too few backups."""
         table = self.records.table
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         age_s = now_s - table.opened_s[slot]
         if (
             port is not None
@@ -309,7 +309,7 @@
         """Returns the batches that a flow must be sent in."""
         table = self.records.table
         slot = self.records.find(now_s, key)
-        port = self.holder.lookup.find_key(key)
+        port = self.config_store.lookup.find_key(key)
         order = () if port is None else self.entry_hosts.order(port, key)
         if slot is None or not order or table.flags[slot] & table_lib.CLOSED:
             return []
--- a/packages/core/src/tamarack_core/internal/entry/flow_queries.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_queries.py
@@ -4,7 +4,7 @@
 from tamarack_core import effects
 from tamarack_core import peers
 from tamarack_core.internal.entry import transit_packet as transit_lib
-from tamarack_core.internal.membership import part as membership_part
+from tamarack_core.internal.membership import host_membership
 from tamarack_core.messages import flows
 
 # Rate limit of new and repeated queries. It bounds the traffic of a host after
@@ -51,17 +51,17 @@
     def __init__(
         self,
         context: context_lib.Context,
-        membership_of_host: membership_part.Membership,
+        membership: host_membership.HostMembership,
     ) -> None:
         """Initializes the queries of a host.
 
         Args:
             context: Identity, random generator, clocks and counters of the
                 host.
-            membership_of_host: Membership of this host.
+            membership: Membership of this host.
         """
         self.context = context
-        self.membership = membership_of_host
+        self.membership = membership
         self.pending: dict[bytes, PendingQuery] = {}
         self._tokens = QUERIES_PER_S
         self._tokens_s = 0.0
@@ -77,8 +77,8 @@
         """
         pending_query = self.pending.get(transit.key)
         if pending_query is None:
-            return not self.membership.others()
-        present = {peer.host for peer in self.membership.others()}
+            return not self.membership.other_members()
+        present = {peer.host for peer in self.membership.other_members()}
         return present.isdisjoint(pending_query.waiting)
 
     def query_hosts(
@@ -146,7 +146,7 @@
 
     def _hosts_to_query(self) -> dict[str, peers.Peer]:
         """Returns the hosts to query by name: all, or a random sample."""
-        others = self.membership.others()
+        others = self.membership.other_members()
         if len(others) > MAX_QUERIED_HOSTS:
             others = tuple(
                 self.context.random.sample(others, MAX_QUERIED_HOSTS)
--- a/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
+++ b/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
@@ -211,7 +211,7 @@
             self._expire(now_s)
             return []
         target = table.target_of(slot)
-        others = self.entry_hosts.membership.others()
+        others = self.entry_hosts.membership.other_members()
         suspicion = Suspicion(
             queried_s=now_s,
             waiting={peer.host for peer in others},
