--- a/packages/core/src/tamarack_core/internal/consensus/__init__.py
+++ b/packages/core/src/tamarack_core/internal/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""The replicated log: Raft over 3 to 7 control hosts, sans I/O."""
+"""Replicated log: Raft among 3 to 7 control hosts, without I/O."""
--- a/packages/core/src/tamarack_core/internal/consensus/elections.py
+++ b/packages/core/src/tamarack_core/internal/consensus/elections.py
@@ -1,7 +1,8 @@
-"""Elections with pre-vote.
+"""Leader elections with pre-vote.
 
-A replica first asks whether it would win. Only then does it raise its term,
-so that a host that was cut off for long disturbs nobody when it returns.
+A replica first queries the voters whether it would win, and raises its term
+only then. A host that returns after a long partition thus doesn't force the
+others into a new term.
 """
 
 from tamarack_core import peers
@@ -12,24 +13,25 @@
 
 
 def start_pre_vote(state: states.State, now_s: float) -> None:
-    """Asks all voters whether they would vote for this replica."""
+    """Starts a pre-vote: would a majority vote for this replica?"""
     state.role = states.Role.PRE_CANDIDATE
     state.set_leader(None)
     state.reset_election_timer(now_s)
     state.votes = {state.own.incarnation}
-    _ask_voters(state, state.term + 1, is_pre_vote=True, is_transfer=False)
+    _request_votes(state, state.term + 1, is_pre_vote=True, is_transfer=False)
     _count_votes(state, now_s)
 
 
 def start_election(
     state: states.State, now_s: float, is_transfer: bool
 ) -> None:
-    """Raises the term and asks all voters for their vote.
+    """Raises the term and requests the votes of all voters.
 
     Args:
-        state: The replica.
+        state: State of the replica.
         now_s: Monotonic time in seconds.
-        is_transfer: The leader itself asked for it.
+        is_transfer: Whether the leader requested the election in order to
+            transfer its leadership.
     """
     state.role = states.Role.CANDIDATE
     state.set_term(state.term + 1, state.own.incarnation)
@@ -37,10 +39,12 @@
     state.reset_election_timer(now_s)
     state.votes = set()
     state.vote_sequence = state.journal.covering_sequence
-    _ask_voters(state, state.term, is_pre_vote=False, is_transfer=is_transfer)
+    _request_votes(
+        state, state.term, is_pre_vote=False, is_transfer=is_transfer
+    )
 
 
-def _ask_voters(
+def _request_votes(
     state: states.State, term: int, *, is_pre_vote: bool, is_transfer: bool
 ) -> None:
     for member in state.latest_membership.members.values():
@@ -60,7 +64,7 @@
 
 
 def count_own_vote(state: states.State, now_s: float) -> None:
-    """Counts this replica's own vote once it is on disk."""
+    """Counts the vote of this replica for itself once it is synced."""
     if state.role is not states.Role.CANDIDATE:
         return
     if state.journal.completed >= state.vote_sequence:
@@ -83,14 +87,20 @@
     sender: peers.Peer,
     request: consensus.VoteRequest,
 ) -> None:
-    """Grants or refuses a vote; a pre-vote changes nothing here."""
-    is_withheld = _is_returning(state, now_s) or _has_live_leader(state, now_s)
+    """Responds to a vote request; a pre-vote changes no state here.
+
+    There is no response while the leader is live or this replica has just
+    restarted, unless the leader itself requested the election.
+    """
+    is_withheld = _has_just_restarted(state, now_s) or _has_live_leader(
+        state, now_s
+    )
     if is_withheld and not request.is_transfer:
         return
     term = request.header.term
     if term > state.term and not request.is_pre_vote:
         roles.become_follower(state, now_s, term, None)
-    is_granted = _may_grant(state, request)
+    is_granted = _can_grant(state, request)
     header = consensus.Header(
         term if is_granted else state.term,
         state.own.incarnation,
@@ -106,29 +116,30 @@
     state.send_synced(sender, response)
 
 
-def _is_returning(state: states.State, now_s: float) -> bool:
-    """Returns whether a live leader had no time yet to reach this replica.
+def _has_just_restarted(state: states.State, now_s: float) -> bool:
+    """Returns whether a live leader may not have reached this replica yet.
 
-    The leader brings a disk that has gone back up to date, or refuses it.
-    Before that the replica may not remember what it promised.
+    A disk that was rolled back to an earlier state may lack votes and entries
+    that the replica has acknowledged. The leader brings such a replica up to
+    date or refuses its identity; until then, the replica must not vote.
     """
-    returned_s = now_s - state.restarted_s
-    return returned_s < state.parameters.election_timeout_min_s
+    since_restart_s = now_s - state.restarted_s
+    return since_restart_s < state.parameters.election_timeout_min_s
 
 
 def _has_live_leader(state: states.State, now_s: float) -> bool:
     if state.is_leader:
         return True
-    silence_s = now_s - state.leader_seen_s
+    since_message_s = now_s - state.leader_seen_s
     return (
         state.leader is not None
-        and silence_s < state.parameters.election_timeout_min_s
+        and since_message_s < state.parameters.election_timeout_min_s
     )
 
 
-def _may_grant(state: states.State, request: consensus.VoteRequest) -> bool:
-    theirs = (request.last_term, request.last_index)
-    if theirs < (state.log.last_term, state.log.last_index):
+def _can_grant(state: states.State, request: consensus.VoteRequest) -> bool:
+    candidate_last = (request.last_term, request.last_index)
+    if candidate_last < (state.log.last_term, state.log.last_index):
         return False
     term = request.header.term
     if request.is_pre_vote:
@@ -142,7 +153,7 @@
 def handle_vote_response(
     state: states.State, now_s: float, response: consensus.VoteResponse
 ) -> None:
-    """Counts a vote of a voter."""
+    """Counts a vote or pre-vote if it belongs to the current election."""
     expected = (
         (states.Role.PRE_CANDIDATE, state.term + 1)
         if response.is_pre_vote
--- a/packages/core/src/tamarack_core/internal/consensus/follower.py
+++ b/packages/core/src/tamarack_core/internal/consensus/follower.py
@@ -1,4 +1,4 @@
-"""The follower: takes over the entries of the leader."""
+"""Follower: replicates the entries and snapshots of the leader."""
 
 import itertools
 
@@ -10,26 +10,26 @@
 from tamarack_core.messages import consensus
 
 
-def note_leader(
+def follow_leader(
     state: states.State,
     now_s: float,
     sender: peers.Peer,
     header: consensus.Header,
 ) -> None:
-    """Follows the sender, which leads the current term."""
+    """Becomes a follower of the sender, the leader of the header's term."""
     leader = membership.Member(sender, header.source)
     roles.become_follower(state, now_s, header.term, leader)
     state.leader_seen_s = now_s
 
 
-def answer_stale_leader(
+def reject_stale_leader(
     state: states.State,
     sender: peers.Peer,
     request: consensus.AppendRequest | consensus.SnapshotChunk,
 ) -> None:
-    """Tells a leader of an earlier term that there is a later one."""
-    # The sender may lead again by the time this arrives, and must not take it
-    # for an answer to a request of its new term: rounds start at 1.
+    """Informs a leader of an earlier term that there is a later one."""
+    # The sender may lead again when this arrives, and must not match it to a
+    # request of its new term. Rounds start at 1, so round 0 matches none.
     response = consensus.AppendResponse(
         state.header(request.header.source),
         round=0,
@@ -43,13 +43,13 @@
 def handle_append(
     state: states.State, sender: peers.Peer, request: consensus.AppendRequest
 ) -> None:
-    """Appends entries that fit, and answers once they are on disk."""
+    """Appends entries that match the log; responds once they are synced."""
     hint = _find_mismatch(state, request)
     if hint is not None:
         _respond(state, sender, request, is_accepted=False, match_index=hint)
         return
     last_index = request.previous_index + len(request.entries)
-    if not _take_entries(state, request):
+    if not _append_new_entries(state, request):
         return
     commit_index = min(request.commit_index, last_index)
     if commit_index > state.commit_index:
@@ -60,10 +60,10 @@
 def _find_mismatch(
     state: states.State, request: consensus.AppendRequest
 ) -> int | None:
-    """Returns the last index that may match, or None if `previous` does."""
+    """Returns the last index that may match, or None if `previous` matches."""
     index = request.previous_index
     if index < state.log.base_index:
-        # All entries up to the base are committed, so they match.
+        # Entries up to the base are committed, so they match.
         return None
     if index > state.log.last_index:
         return state.log.last_index
@@ -72,14 +72,18 @@
     return max(state.log.first_of_term(index) - 1, state.commit_index)
 
 
-def _take_entries(
+def _append_new_entries(
     state: states.State, request: consensus.AppendRequest
 ) -> bool:
-    """Appends what is new; returns False after halting on a contradiction."""
+    """Appends the new entries.
+
+    Returns:
+        False if the leader contradicts a committed entry; the replica halts.
+    """
     first = request.previous_index + 1
     numbered = zip(itertools.count(first), request.entries, strict=False)
     new = list(
-        itertools.dropwhile(lambda pair: _is_held(state, *pair), numbered)
+        itertools.dropwhile(lambda pair: _has_entry(state, *pair), numbered)
     )
     if not new:
         return True
@@ -87,8 +91,9 @@
     if index <= state.commit_index:
         state.halt(
             "committed-entry-contradicted",
-            f"the leader contradicts committed entry {index}; keep the data"
-            " folder for examination and rejoin with an empty one",
+            f"the leader's log contradicts entry {index}, which is committed"
+            " here; keep the data folder for analysis and rejoin with an empty"
+            " one",
         )
         return False
     if index <= state.log.last_index:
@@ -98,7 +103,7 @@
     return True
 
 
-def _is_held(state: states.State, index: int, entry: consensus.Entry) -> bool:
+def _has_entry(state: states.State, index: int, entry: consensus.Entry) -> bool:
     if index <= state.log.base_index:
         return True
     return state.log.term_at(index) == entry.term
@@ -125,9 +130,14 @@
 def handle_chunk(
     state: states.State, sender: peers.Peer, chunk: consensus.SnapshotChunk
 ) -> None:
-    """Gathers a snapshot, and answers once the whole is on disk."""
+    """Receives a chunk of a snapshot.
+
+    Responds with a `SnapshotResponse` while chunks are missing, and with an
+    `AppendResponse` once the snapshot is synced, or at once if it covers only
+    entries that are committed here.
+    """
     if chunk.index > state.commit_index:
-        received = snapshots.gather(state, chunk)
+        received = snapshots.receive_chunk(state, chunk)
         if received < chunk.size:
             header = state.header(chunk.header.source)
             response = consensus.SnapshotResponse(
--- a/packages/core/src/tamarack_core/internal/consensus/interface.py
+++ b/packages/core/src/tamarack_core/internal/consensus/interface.py
@@ -1,4 +1,4 @@
-"""The public face of the replicated log."""
+"""Interface of the replicated log."""
 
 from collections.abc import Sequence
 from typing import Protocol
@@ -13,27 +13,28 @@
 
 
 class ReplicatedLog(Protocol):
-    """What `replica.Replica` offers to the part above it.
+    """Calls that `replica.Replica` offers to the component that owns it.
 
-    Times are monotonic seconds. Nothing is acknowledged to another replica,
-    or counted towards a quorum, before the `WriteCompleted` for it.
+    Times are monotonic seconds. A record is acknowledged to other replicas
+    and counted towards a quorum only after its `WriteCompleted` event.
     """
 
     def recover(
         self, snapshot: bytes | None, encoded: Sequence[bytes]
     ) -> failure.Failure | None:
-        """Takes over what the disk holds; call it before `start`.
+        """Restores the state from disk; must be called before `start`.
 
         Args:
             snapshot: Data of the last completed `SaveSnapshot`, if any.
-            encoded: Its records and those of each `Persist` since, in order.
+            encoded: The records of that effect and of each later `Persist`, in
+                order.
 
         Returns:
-            Why the disk can't be read, or None.
+            Why the contents of the disk can't be read, or None.
         """
 
     def start(self, now_s: float) -> outputs.Step:
-        """Starts to take part."""
+        """Starts to take part in elections and replication."""
 
     def handle_message(
         self, now_s: float, sender: peers.Peer, message: consensus.Message
@@ -46,36 +47,40 @@
     def handle_write_completed(
         self, now_s: float, sequence: int
     ) -> outputs.Step:
-        """Handles the end of a `Persist` or `SaveSnapshot`, in order."""
+        """Handles the completion of a `Persist` or `SaveSnapshot`, in order."""
 
     def propose(
         self, now_s: float, command: bytes
     ) -> outputs.Proposal | failure.Failure:
-        """Appends a command; only the leader can.
+        """Appends a command to the log; only the leader can.
 
         Returns:
-            The place in the log, or one of the reasons not-leader,
-            transferring, busy, too-large and halted. After a failure the
-            command is not in the log.
+            The index and term of the entry, or a failure with the reason
+            not-leader, transferring, busy, too-large or halted. After a
+            failure the command is not in the log.
         """
 
     def read_index(self, now_s: float, token: int) -> outputs.Step:
-        """Asks for a linearizable read, on any replica.
+        """Requests a linearizable read, at any replica.
 
-        A `ReadCompleted` or `ReadFailed` with the token follows, in this step
-        or in a later one.
+        A `ReadCompleted` or `ReadFailed` output with the token follows, in
+        this step or in a later one.
         """
 
     def transfer_leadership(
         self, now_s: float
     ) -> outputs.Step | failure.Failure:
-        """Hands the leadership to the voter that is most up to date.
+        """Transfers the leadership to the most up-to-date voter.
 
-        A `LeaderChanged` follows. Without one after an election timeout the
-        replica goes on leading.
+        A `LeaderChanged` output follows. If none follows within the election
+        timeout, this replica remains the leader.
         """
 
     def change_membership(
         self, now_s: float, change: membership.Change
     ) -> outputs.Proposal | failure.Failure:
-        """Changes one member; only the leader can, one change at a time."""
+        """Changes one member; only the leader can, one change at a time.
+
+        Returns:
+            The index and term of the entry, or the reason of the refusal.
+        """
--- a/packages/core/src/tamarack_core/internal/consensus/journal.py
+++ b/packages/core/src/tamarack_core/internal/consensus/journal.py
@@ -1,4 +1,4 @@
-"""Writes on their way to disk, and the messages that wait for them."""
+"""Writes in flight to disk, and the messages held back until they sync."""
 
 import collections
 
@@ -12,22 +12,22 @@
     last_index: int
 
 
-class _Held(msgspec.Struct):
+class _HeldMessage(msgspec.Struct):
     sequence: int
     message: effects.SendMessage
 
 
 class Journal:
-    """Joins records into writes and knows what is synced.
+    """Batches records into writes and tracks which of them are synced.
 
-    While a write runs, further records gather for the next one, so that a
-    burst of proposals costs one sync.
+    Records that are added while a write is in flight are batched into the
+    next write, so that a burst of proposals costs one sync.
 
     Attributes:
-        issued: Sequence of the last write handed to the driver.
-        completed: Sequence of the last write that is synced.
-        durable_index: Last index of the log that is synced.
-        records: Encoded records that gather for the next write.
+        issued: Sequence number of the last write passed to the driver.
+        completed: Sequence number of the last write that is synced.
+        durable_index: Index of the last log entry that is synced.
+        records: Encoded records batched for the next write.
     """
 
     __slots__ = (
@@ -40,31 +40,31 @@
     )
 
     def __init__(self) -> None:
-        """Creates a journal with nothing to write."""
+        """Initializes a journal with nothing to write."""
         self.issued = 0
         self.completed = 0
         self.durable_index = 0
         self.records: list[bytes] = []
         self._writes: collections.deque[_Write] = collections.deque()
-        self._held: collections.deque[_Held] = collections.deque()
+        self._held: collections.deque[_HeldMessage] = collections.deque()
 
     @property
     def covering_sequence(self) -> int:
-        """Sequence of the write after which all records so far are synced."""
+        """Sequence number of the write that syncs the last record so far."""
         return self.issued + 1 if self.records else self.issued
 
     def hold(self, message: effects.SendMessage) -> None:
-        """Keeps a message until all records so far are synced."""
-        self._held.append(_Held(self.covering_sequence, message))
+        """Holds a message back until all records so far are synced."""
+        self._held.append(_HeldMessage(self.covering_sequence, message))
 
     def truncate(self, last_index: int) -> None:
-        """Takes note that the log lost its entries after `last_index`."""
+        """Accounts for the removal of the log entries after `last_index`."""
         self.durable_index = min(self.durable_index, last_index)
         for write in self._writes:
             write.last_index = min(write.last_index, last_index)
 
     def flush(self, last_index: int) -> list[effects.Effect]:
-        """Returns the next write, unless one runs or there is no record.
+        """Returns the next write; none if one is in flight or no record waits.
 
         Args:
             last_index: Last index of the log in memory.
@@ -77,12 +77,12 @@
     def save_snapshot(
         self, data: bytes, records: tuple[bytes, ...], last_index: int
     ) -> effects.Effect:
-        """Returns the write that replaces all others.
+        """Returns the write that replaces the whole file.
 
         Args:
             data: The encoded snapshot.
-            records: Records that make up the state after it; they contain
-                what the gathered records say.
+            records: Records that restore the state after the snapshot. They
+                supersede the batched records, which are dropped.
             last_index: Last index of the log in memory.
         """
         return effects.SaveSnapshot(self._issue(last_index), data, records)
@@ -94,13 +94,13 @@
         return self.issued
 
     def complete(self, sequence: int) -> None:
-        """Takes note that the writes up to `sequence` are synced."""
+        """Marks the writes up to `sequence` as synced."""
         self.completed = max(self.completed, sequence)
         while self._writes and self._writes[0].sequence <= sequence:
             self.durable_index = self._writes.popleft().last_index
 
     def release(self) -> list[effects.SendMessage]:
-        """Returns the messages that need to wait no longer."""
+        """Returns the held messages whose records are synced."""
         released = []
         while self._held and self._held[0].sequence <= self.completed:
             released.append(self._held.popleft().message)
--- a/packages/core/src/tamarack_core/internal/consensus/log.py
+++ b/packages/core/src/tamarack_core/internal/consensus/log.py
@@ -1,4 +1,4 @@
-"""The log in memory: entries after a base that a snapshot covers."""
+"""Log in memory: the entries after a base index that a snapshot covers."""
 
 from collections.abc import Iterable
 import itertools
@@ -7,25 +7,26 @@
 
 
 class Log:
-    """Entries by index, without those up to the base.
+    """Log entries by index, without those up to the base.
 
     Attributes:
-        base_index: Index of the entry before the first one kept.
-        base_term: Term of that entry.
+        base_index: Index of the entry before the first one in memory; 0 if
+            there is none.
+        base_term: Term of the entry at `base_index`.
         entries: The entries after the base.
     """
 
     __slots__ = ("base_index", "base_term", "entries")
 
     def __init__(self, base_index: int = 0, base_term: int = 0) -> None:
-        """Creates a log without entries after its base."""
+        """Initializes a log without entries after its base."""
         self.base_index = base_index
         self.base_term = base_term
         self.entries: list[consensus.Entry] = []
 
     @property
     def last_index(self) -> int:
-        """Index of the last entry; 0 for a log that never held one."""
+        """Index of the last entry; 0 for a log that never contained one."""
         return self.base_index + len(self.entries)
 
     @property
@@ -51,11 +52,11 @@
         return self.last_index
 
     def truncate(self, last_index: int) -> None:
-        """Drops the entries after `last_index`."""
+        """Removes the entries after `last_index`."""
         del self.entries[last_index - self.base_index :]
 
     def compact(self, base_index: int) -> None:
-        """Drops the entries up to `base_index`, which must be kept."""
+        """Removes the entries up to `base_index`, which must be in the log."""
         base_term = self.term_at(base_index)
         if base_term is None:
             return
@@ -66,7 +67,7 @@
     def numbered_after(
         self, index: int
     ) -> Iterable[tuple[int, consensus.Entry]]:
-        """Returns index and entry of all kept entries after `index`."""
+        """Returns the entries kept after `index`, each with its index."""
         start = max(index - self.base_index, 0)
         first = self.base_index + start + 1
         return enumerate(self.entries[start:], start=first)
@@ -85,7 +86,7 @@
         return tuple(candidates[: max(fitting, 1)])
 
     def first_of_term(self, index: int) -> int:
-        """Returns the first kept index with the term found at `index`."""
+        """Returns the first index kept of the term of the entry at `index`."""
         term = self.term_at(index)
         while index > self.base_index + 1 and self.term_at(index - 1) == term:
             index -= 1
--- a/packages/core/src/tamarack_core/internal/consensus/log_parameters.py
+++ b/packages/core/src/tamarack_core/internal/consensus/log_parameters.py
@@ -6,30 +6,35 @@
 
 
 class LogParameters(msgspec.Struct, frozen=True):
-    """Times and sizes; all replicas should use the same.
+    """Times and sizes; should be equal at all replicas.
 
     Attributes:
         heartbeat_interval_s: Seconds between heartbeats of the leader.
-        election_timeout_min_s: A replica that heard its leader within this
-            many seconds grants no vote.
-        election_timeout_max_s: Upper bound of the randomized timeout; a
-            leader without a quorum of answers for so long steps down.
-        read_timeout_s: Seconds until an unanswered read fails.
-        commit_record_delay_s: Seconds until the commit index is written down
-            on its own, when no other record takes it along.
-        command_bytes: Largest command.
-        append_bytes: Bytes of entries in one request; one entry always fits.
-        append_entries: Entries in one request.
-        window_requests: Unanswered requests with entries to one replica.
-        window_bytes: Unanswered bytes of entries to one replica.
-        chunk_bytes: Bytes of a snapshot in one message.
-        backlog_entries: Uncommitted entries before proposals are refused.
-        compaction_entries: Applied entries since the last snapshot before
-            the next one.
+        election_timeout_min_s: Lower bound of the randomized election timeout
+            in seconds; a replica that received a message of its leader within
+            this time grants no vote.
+        election_timeout_max_s: Upper bound of the randomized election timeout
+            in seconds; a leader without responses from a quorum for this long
+            steps down.
+        read_timeout_s: Seconds until an unconfirmed forwarded read fails.
+        commit_record_delay_s: Seconds until the commit index is written on its
+            own if no other record is written before.
+        command_bytes: Maximum size of a command.
+        append_bytes: Maximum bytes of entries in one request; a single entry
+            may exceed it.
+        append_entries: Maximum number of entries in one request.
+        window_requests: Maximum number of requests with entries in flight to
+            one replica.
+        window_bytes: Bytes of entries in flight to one replica at which no
+            further request is sent.
+        chunk_bytes: Maximum bytes of a snapshot in one message.
+        backlog_entries: Uncommitted entries at which proposals are refused.
+        compaction_entries: Entries applied since the last snapshot at which
+            the next one is taken.
         retained_entries: Entries before the snapshot that stay in memory for
             slow followers.
-        promotion_entries: Entries that a learner may lack when it becomes a
-            voter.
+        promotion_entries: Maximum number of entries by which a learner may be
+            behind when it becomes a voter.
     """
 
     heartbeat_interval_s: float = 0.5
--- a/packages/core/src/tamarack_core/internal/consensus/membership.py
+++ b/packages/core/src/tamarack_core/internal/consensus/membership.py
@@ -1,4 +1,4 @@
-"""Members of the replicated log, and changes of them one at a time."""
+"""Members of the replicated log, and changes to them, one at a time."""
 
 from collections.abc import Collection
 from collections.abc import Sequence
@@ -13,16 +13,16 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """One replica under one identity.
+    """One replica under one incarnation.
 
-    A replica that has lost its disk gets a new incarnation, and so is another
-    member although its host is the same.
+    A replica that has lost its disk gets a new incarnation and is therefore a
+    different member, although its host is the same.
 
     Attributes:
         peer: Host of the replica.
         incarnation: Identifier made when the data folder was created.
-        is_voter: False for a learner, which receives the log but is not
-            counted.
+        is_voter: False for a learner, which receives the log but doesn't
+            count towards a quorum.
     """
 
     peer: peers.Peer
@@ -39,12 +39,12 @@
 
 
 class Change(msgspec.Struct, frozen=True):
-    """A membership change; it touches one member.
+    """Change of the membership by one member.
 
     Attributes:
-        kind: What to do.
-        incarnation: The member concerned.
-        peer: Host of the member; needed to add a learner only.
+        kind: Kind of the change.
+        incarnation: Incarnation of the member.
+        peer: Host of the member; required only to add a learner.
     """
 
     kind: ChangeKind
@@ -53,7 +53,7 @@
 
 
 class Membership:
-    """The members at one point of the log.
+    """Set of members at one index of the log.
 
     Attributes:
         members: The members by incarnation.
@@ -63,10 +63,10 @@
     __slots__ = ("members", "voters")
 
     def __init__(self, members: Sequence[Member]) -> None:
-        """Creates a membership.
+        """Initializes a membership.
 
         Args:
-            members: Members with different incarnations.
+            members: Members with distinct incarnations.
         """
         self.members = {member.incarnation: member for member in members}
         self.voters = frozenset(
@@ -74,13 +74,13 @@
         )
 
     def has_quorum(self, incarnations: Collection[str]) -> bool:
-        """Returns whether `incarnations` hold a majority of the voters."""
+        """Returns whether `incarnations` include a majority of the voters."""
         return 2 * len(self.voters.intersection(incarnations)) > len(
             self.voters
         )
 
     def encode(self) -> bytes:
-        """Returns the form that is kept in the log."""
+        """Returns the members as encoded in the log."""
         return _encoder.encode(tuple(self.members.values()))
 
 
@@ -92,7 +92,7 @@
     """Returns the membership in `data`.
 
     Raises:
-        msgspec.DecodeError: `data` is not what `encode` made.
+        msgspec.DecodeError: `data` is not an encoded membership.
     """
     return Membership(_decoder.decode(data))
 
@@ -121,7 +121,7 @@
     if wanted.incarnation in current.members:
         return failure.Failure(
             "known-member",
-            f"incarnation {wanted.incarnation!r} is a member already",
+            f"incarnation {wanted.incarnation!r} is already a member",
         )
     if wanted.peer is None or not wanted.incarnation:
         return failure.Failure(
@@ -136,12 +136,12 @@
 ) -> Membership | failure.Failure:
     if member.is_voter:
         return failure.Failure(
-            "known-member", f"{member.peer.host!r} is a voter already"
+            "known-member", f"{member.peer.host!r} is already a voter"
         )
     if len(current.voters) >= MAX_VOTERS:
         return failure.Failure(
             "too-many-voters",
-            f"{MAX_VOTERS} voters are the most; remove one first",
+            f"there are {MAX_VOTERS} voters at most; remove one first",
         )
     voter = Member(member.peer, member.incarnation)
     return Membership(
--- a/packages/core/src/tamarack_core/internal/consensus/membership_checks.py
+++ b/packages/core/src/tamarack_core/internal/consensus/membership_checks.py
@@ -1,4 +1,4 @@
-"""Checks before a leader changes the membership."""
+"""Checks that a leader makes before it changes the membership."""
 
 from tamarack_core import failure
 from tamarack_core.internal.consensus import membership
@@ -9,25 +9,31 @@
 def find_refusal(
     state: states.State, change: membership.Change
 ) -> failure.Failure | None:
-    """Returns why the leader can't make a change now, if so."""
+    """Returns why the leader can't change the membership now, or None."""
     if state.memberships[-1].index > state.commit_index:
         return failure.Failure(
-            "change-running", "the last membership change isn't committed"
+            "change-running",
+            "the previous membership change isn't committed yet; retry later",
         )
-    # Without an entry of its own term a leader may miss a change that its
-    # predecessor began, and then two majorities need not overlap.
+    # Until an entry of its own term is committed, a leader may not know of a
+    # change that its predecessor started, and the majorities before and after
+    # the two changes need not overlap.
     if not replication.has_committed_in_term(state):
         return failure.Failure(
             "leader-starting", "the leader has just been elected; retry"
         )
     if change.incarnation == state.own.incarnation:
-        return failure.Failure("is-leader", "hand over the leadership first")
+        return failure.Failure(
+            "is-leader", "the member leads; transfer the leadership first"
+        )
     if change.kind is membership.ChangeKind.PROMOTE:
-        return _find_lag(state, change.incarnation)
+        return _find_learner_lag(state, change.incarnation)
     return None
 
 
-def _find_lag(state: states.State, incarnation: str) -> failure.Failure | None:
+def _find_learner_lag(
+    state: states.State, incarnation: str
+) -> failure.Failure | None:
     progress = state.progress.get(incarnation)
     if progress is None:
         return None
@@ -36,27 +42,31 @@
         return None
     return failure.Failure(
         "learner-behind",
-        f"{progress.member.peer.host!r} lacks {lag} entries; retry later",
+        f"{progress.member.peer.host!r} is {lag} entries behind; retry later",
     )
 
 
-def find_membership(
+def find_changed_membership(
     state: states.State, now_s: float, change: membership.Change
 ) -> membership.Membership | failure.Failure:
-    """Returns the membership after a change, if its voters answer.
+    """Returns the membership after a change.
 
     Args:
-        state: The leader.
+        state: State of the leader.
         now_s: Monotonic time in seconds.
         change: The change.
+
+    Returns:
+        The new membership, or why the change is refused: would-lose-quorum
+        if no majority of the new voters has responded lately.
     """
     wanted = membership.apply_change(state.latest_membership, change)
     if isinstance(wanted, failure.Failure):
         return wanted
-    if not replication.membership_answers(state, wanted, now_s):
+    if not replication.has_active_quorum(state, wanted, now_s):
         return failure.Failure(
             "would-lose-quorum",
-            "too few of the voters after the change answer; restore or remove"
-            " those that don't first",
+            "no majority of the voters after the change responds; first restore"
+            " or remove those that don't",
         )
     return wanted
--- a/packages/core/src/tamarack_core/internal/consensus/outputs.py
+++ b/packages/core/src/tamarack_core/internal/consensus/outputs.py
@@ -1,4 +1,4 @@
-"""What a replica tells the part above it."""
+"""Outputs of a replica to the component that owns it."""
 
 from typing import Protocol
 
@@ -10,29 +10,29 @@
 
 
 class StateMachine(Protocol):
-    """The state that the log replicates; it must be deterministic."""
+    """State that the log replicates; it must be deterministic."""
 
     def apply(self, index: int, command: bytes) -> None:
         """Applies a committed command.
 
         Args:
-            index: Place in the log; rises from call to call.
-            command: What was proposed.
+            index: Index of the entry; increases from call to call.
+            command: The proposed command.
         """
 
     def snapshot(self) -> bytes:
         """Returns the state after the last applied command."""
 
     def restore(self, data: bytes) -> None:
-        """Replaces the state by one that `snapshot` returned."""
+        """Replaces the state with one that `snapshot` returned."""
 
 
 class Applied(msgspec.Struct, frozen=True):
-    """A command was handed to the state machine.
+    """A command was applied to the state machine.
 
     Attributes:
-        index: Place in the log.
-        term: Term of the entry; a proposal at this index with another term
+        index: Index of the entry.
+        term: Term of the entry; a proposal with this index and another term
             was lost.
     """
 
@@ -41,22 +41,22 @@
 
 
 class Restored(msgspec.Struct, frozen=True):
-    """The state machine was replaced by a snapshot.
+    """The state machine was restored from a snapshot.
 
     Attributes:
-        index: Place in the log that the snapshot covers. Proposals up to
-            here must be looked up in the state.
+        index: Index of the last entry that the snapshot covers. Only the
+            state shows whether proposals up to this index were applied.
     """
 
     index: int
 
 
 class ReadCompleted(msgspec.Struct, frozen=True):
-    """The state machine holds all that was acknowledged before the read.
+    """The state machine contains all that was acknowledged before the read.
 
     Attributes:
-        token: Repeats the call of `read_index`.
-        index: Index that had to be applied.
+        token: Token passed to `read_index`.
+        index: Read index; the state machine has applied it.
     """
 
     token: int
@@ -64,10 +64,10 @@
 
 
 class ReadFailed(msgspec.Struct, frozen=True):
-    """A read could not be confirmed; it may be repeated.
+    """A read could not be confirmed; the caller may retry it.
 
     Attributes:
-        token: Repeats the call of `read_index`.
+        token: Token passed to `read_index`.
         reason: Constant name of the cause.
     """
 
@@ -76,11 +76,11 @@
 
 
 class LeaderChanged(msgspec.Struct, frozen=True):
-    """This replica holds another leader to be valid.
+    """The leader that this replica recognizes has changed.
 
     Attributes:
         term: Term of the replica.
-        leader: Host of the leader; None when there is none.
+        leader: Host of the leader; None if no leader is known.
         is_self: Whether this replica leads.
     """
 
@@ -90,11 +90,11 @@
 
 
 class MembershipChanged(msgspec.Struct, frozen=True):
-    """A membership entry was appended, replaced or restored.
+    """The newest membership in the log changed.
 
     Attributes:
-        index: Place in the log.
-        members: The members, learners included.
+        index: Index of the membership entry.
+        members: The members, including learners.
     """
 
     index: int
@@ -102,11 +102,11 @@
 
 
 class Halted(msgspec.Struct, frozen=True):
-    """This replica must not take part any more under its identity.
+    """This replica has stopped for good under its current incarnation.
 
     Attributes:
         reason: Constant name of the cause.
-        detail: Sentence for the operator, with the fix.
+        detail: Message for the operator, with the remedy.
     """
 
     reason: str
@@ -128,11 +128,11 @@
 
 
 class Step(msgspec.Struct):
-    """Result of one call.
+    """Result of one call to a replica.
 
     Attributes:
-        effects: What the driver must do, in order.
-        outputs: What happened, in order.
+        effects: Effects that the driver must carry out, in order.
+        outputs: Outputs for the owner of the replica, in order.
     """
 
     effects: Effects = msgspec.field(default_factory=list)
@@ -140,12 +140,12 @@
 
 
 class Proposal(msgspec.Struct):
-    """A command was appended to the leader's log; it may still be lost.
+    """An entry was appended to the leader's log; it may still be lost.
 
     Attributes:
-        index: Place in the log.
+        index: Index of the entry.
         term: Term of the entry.
-        step: What the driver must do.
+        step: Result of the call.
     """
 
     index: int
--- a/packages/core/src/tamarack_core/internal/consensus/progress.py
+++ b/packages/core/src/tamarack_core/internal/consensus/progress.py
@@ -1,4 +1,4 @@
-"""What the leader knows of one other replica."""
+"""Replication progress of one other replica, as known to the leader."""
 
 import collections
 
@@ -13,13 +13,13 @@
     size_bytes: int
 
 
-class Transfer(msgspec.Struct):
-    """A snapshot on its way to a replica.
+class SnapshotTransfer(msgspec.Struct):
+    """Transfer of a snapshot to a replica.
 
     Attributes:
-        index: Index that the snapshot covers.
+        index: Index of the last entry that the snapshot covers.
         data: The encoded snapshot.
-        offset: Bytes that the replica is known to hold.
+        offset: Number of bytes that the replica is known to have received.
         sent_round: Round of the last chunk sent.
     """
 
@@ -30,23 +30,24 @@
 
 
 class Progress:
-    """Replication to one member.
+    """Replication progress of one member.
 
-    While the common prefix is unknown the leader probes with one request at a
-    time; then it sends requests in a row, up to the window.
+    While the last matching index is unknown, the leader probes with one
+    request at a time. Afterwards it pipelines requests, up to the window.
 
     Attributes:
         member: The other replica.
-        match_index: Last index that the replica has synced.
-        match_round: Round of the leader when `match_index` last rose.
+        match_index: Last index known to be synced by the replica.
+        match_round: Round of the leader when `match_index` last increased.
         next_index: Index of the next entry to send.
-        is_probing: Whether the common prefix is unknown.
-        is_awaiting_probe: Whether a probe is unanswered.
-        barrier_round: Rejections of rounds up to here are out of date.
-        answered_round: Highest round that the replica answered.
-        answered_s: Monotonic time of its last answer.
-        transfer: Snapshot on its way, if any.
-        is_refused: The replica's disk has gone back; it is not counted.
+        is_probing: Whether the last matching index is unknown.
+        is_awaiting_probe: Whether a probe is in flight.
+        barrier_round: Rejections of requests up to this round are stale.
+        answered_round: Highest round to which the replica responded.
+        answered_s: Monotonic time of the last response.
+        snapshot_transfer: Snapshot transfer in progress, if any.
+        is_refused: Whether the replica lost entries that it had synced; it no
+            longer counts towards a quorum.
     """
 
     __slots__ = (
@@ -61,17 +62,17 @@
         "match_round",
         "member",
         "next_index",
-        "transfer",
+        "snapshot_transfer",
     )
 
     def __init__(
         self, member: membership.Member, next_index: int, now_s: float
     ) -> None:
-        """Starts with an unknown common prefix.
+        """Initializes the progress with an unknown matching index.
 
         Args:
             member: The other replica.
-            next_index: Index after the leader's last entry.
+            next_index: Index after the last entry of the leader.
             now_s: Monotonic time in seconds.
         """
         self.member = member
@@ -83,18 +84,18 @@
         self.barrier_round = 0
         self.answered_round = 0
         self.answered_s = now_s
-        self.transfer: Transfer | None = None
+        self.snapshot_transfer: SnapshotTransfer | None = None
         self.is_refused = False
         self._requests: collections.deque[_Request] = collections.deque()
 
     @property
-    def is_awaiting_answer(self) -> bool:
-        """Whether a request with entries is unanswered."""
+    def has_requests_in_flight(self) -> bool:
+        """Whether a request with entries is in flight."""
         return bool(self._requests)
 
     def can_send(self, parameters: log_parameters.LogParameters) -> bool:
-        """Returns whether the window has room for another request."""
-        if self.transfer is not None or self.is_refused:
+        """Returns whether another request with entries may be sent now."""
+        if self.snapshot_transfer is not None or self.is_refused:
             return False
         if self.is_probing:
             return not self.is_awaiting_probe
@@ -104,35 +105,38 @@
             and size_bytes < parameters.window_bytes
         )
 
-    def note_sent(self, last_index: int, size_bytes: int) -> None:
-        """Takes note of a request with entries up to `last_index`."""
+    def record_sent(self, last_index: int, size_bytes: int) -> None:
+        """Records that a request with entries up to `last_index` was sent."""
         if self.is_probing:
             self.is_awaiting_probe = True
             return
         self.next_index = last_index + 1
         self._requests.append(_Request(last_index, size_bytes))
 
-    def accept(self, match_index: int, leader_round: int) -> None:
-        """Takes note that the replica has synced up to `match_index`."""
+    def record_match(self, match_index: int, leader_round: int) -> None:
+        """Records that the replica has synced its log up to `match_index`."""
         if match_index > self.match_index:
             self.match_index = match_index
             self.match_round = leader_round
         self.next_index = max(self.next_index, self.match_index + 1)
         self.is_probing = False
         self.is_awaiting_probe = False
-        if self.transfer and self.transfer.index <= self.match_index:
-            self.transfer = None
+        if (
+            self.snapshot_transfer
+            and self.snapshot_transfer.index <= self.match_index
+        ):
+            self.snapshot_transfer = None
         while self._requests and (
             self._requests[0].last_index <= self.match_index
         ):
             self._requests.popleft()
 
-    def reject(self, hint_index: int, leader_round: int) -> None:
-        """Goes back to probing after a rejection.
+    def record_rejection(self, hint_index: int, leader_round: int) -> None:
+        """Returns to probing after a rejected request.
 
         Args:
             hint_index: Last index that may equal the leader's log.
-            leader_round: Round of the last request that was sent.
+            leader_round: Round of the last request sent to any replica.
         """
         self.next_index = max(
             self.match_index + 1, min(self.next_index - 1, hint_index + 1)
@@ -142,11 +146,13 @@
         self.barrier_round = leader_round
         self._requests.clear()
 
-    def has_gone_back(self, last_index: int, request_round: int) -> bool:
+    def has_lost_synced_entries(
+        self, last_index: int, request_round: int
+    ) -> bool:
         """Returns whether the replica lost entries that it had synced.
 
         Args:
-            last_index: Index of its last entry, as of a rejection.
+            last_index: Index of its last entry, from a rejection.
             request_round: Round of the rejected request.
         """
         return (
--- a/packages/core/src/tamarack_core/internal/consensus/records.py
+++ b/packages/core/src/tamarack_core/internal/consensus/records.py
@@ -1,8 +1,8 @@
-"""Records of the log on disk, and the form of a snapshot.
+"""Records on disk, and the encoding of a snapshot.
 
-The disk holds a snapshot and the records after it. Replaying the records in
-order gives the state of the replica; an entry at an index that is held
-already replaces that entry and all after it.
+The disk contains a snapshot and the records after it. Replaying the records in
+order restores the state of the replica. An entry record whose index is in the
+log already replaces that entry and all later ones.
 """
 
 from collections.abc import Iterable
@@ -19,7 +19,7 @@
 
     Attributes:
         term: The term.
-        voted_for: Incarnation that has the vote; empty if none has.
+        voted_for: Incarnation that received the vote; empty if none did.
     """
 
     term: int
@@ -27,10 +27,10 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """An entry was appended.
+    """An entry was appended to the log.
 
     Attributes:
-        index: Place in the log.
+        index: Index of the entry.
         entry: The entry.
     """
 
@@ -42,31 +42,31 @@
     """The entries up to an index are committed.
 
     Attributes:
-        index: Place in the log.
+        index: The commit index.
     """
 
     index: int
 
 
 class RefusedRecord(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """The leader has refused the identity of this replica for good.
+    """The leader has refused this incarnation of the replica for good.
 
     Attributes:
-        detail: Sentence for the operator.
+        detail: Message for the operator.
     """
 
     detail: str
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """All state up to an index.
+    """Snapshot of the membership and the state machine at an index.
 
     Attributes:
-        index: Index of the last entry that is covered.
+        index: Index of the last entry that the snapshot covers.
         term: Term of that entry.
         members: Members at that index.
-        state: What the state machine returned.
-        format_version: Version of this form.
+        state: Encoded state of the state machine.
+        format_version: Version of the encoding.
     """
 
     index: int
@@ -84,14 +84,14 @@
 
 
 def encode(record: Record | Snapshot) -> bytes:
-    """Returns the form on disk."""
+    """Returns a record or snapshot as encoded on disk."""
     return _encoder.encode(record)
 
 
 def decode_all(
     encoded: Iterable[bytes],
 ) -> list[Record] | failure.Failure:
-    """Returns the records, or why one of them can't be read."""
+    """Returns the decoded records, or why one can't be decoded."""
     try:
         return [_record_decoder.decode(data) for data in encoded]
     except msgspec.DecodeError as error:
@@ -103,7 +103,7 @@
 
 
 def decode_snapshot(data: bytes) -> Snapshot | failure.Failure:
-    """Returns the snapshot, or why it can't be read."""
+    """Returns the decoded snapshot, or why it can't be decoded."""
     try:
         return _snapshot_decoder.decode(data)
     except msgspec.DecodeError as error:
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -1,4 +1,4 @@
-"""One replica of the log: dispatches calls to the parts, ends each step."""
+"""One replica of the log: dispatches calls and completes their results."""
 
 from collections.abc import Sequence
 import math
@@ -22,10 +22,10 @@
 from tamarack_core.internal.consensus import state as states
 from tamarack_core.messages import consensus
 
-# Keeps a timer that fired early from firing again without time passing.
+# Lower bound of timer delays; prevents a busy loop if a timer fires early.
 MIN_DELAY_S = 0.001
 
-_FROM_MEMBERS = (
+_MEMBER_ONLY_MESSAGES = (
     consensus.VoteResponse,
     consensus.AppendResponse,
     consensus.SnapshotResponse,
@@ -34,10 +34,10 @@
 
 
 class Replica:
-    """One replica of the log; see `interface.ReplicatedLog` for the calls.
+    """One replica of the log; `interface.ReplicatedLog` describes the calls.
 
     Attributes:
-        state: State of the replica; read-only for other parts.
+        state: State of the replica; read-only for its owner.
     """
 
     __slots__ = ("state",)
@@ -50,14 +50,14 @@
         machine: outputs.StateMachine,
         parameters: log_parameters.LogParameters | None = None,
     ) -> None:
-        """Creates a replica with an empty disk.
+        """Initializes a replica with an empty disk.
 
         Args:
             own: Host and incarnation of this replica.
-            voters: Membership before the first entry, equal at all replicas
-                that start with one; empty at a replica that joins later.
-            generator: Seeded generator, the only source of chance.
-            machine: The state that the log replicates.
+            voters: Membership before the first entry; the same at all replicas
+                that start with one, empty at a replica that joins later.
+            generator: Seeded generator, the only source of randomness.
+            machine: The state machine that the log replicates.
             parameters: Times and sizes; the defaults if None.
         """
         self.state = states.State(
@@ -71,19 +71,20 @@
     def recover(
         self, snapshot: bytes | None, encoded: Sequence[bytes]
     ) -> failure.Failure | None:
-        """Takes over what the disk holds; call it before `start`.
+        """Restores the state from disk; must be called before `start`.
 
         Args:
             snapshot: Data of the last completed `SaveSnapshot`, if any.
-            encoded: Its records and those of each `Persist` since, in order.
+            encoded: The records of that effect and of each later `Persist`, in
+                order.
 
         Returns:
-            Why the disk can't be read, or None.
+            Why the contents of the disk can't be read, or None.
         """
         return snapshots.recover(self.state, snapshot, encoded)
 
     def start(self, now_s: float) -> outputs.Step:
-        """Starts to take part; the step reports what was recovered."""
+        """Starts to take part; the step outputs what was recovered."""
         self.state.reset_election_timer(now_s)
         if self.state.term > 0:
             self.state.restarted_s = now_s
@@ -94,35 +95,39 @@
     ) -> outputs.Step:
         """Handles a message of another replica."""
         state = self.state
-        if self._is_for_this_replica(message):
+        if self._should_handle(message):
             if isinstance(message, consensus.VoteRequest):
                 elections.handle_vote_request(state, now_s, sender, message)
             elif self._observe_term(now_s, sender, message):
                 self._dispatch(now_s, sender, message)
         return self._finish(now_s)
 
-    def _is_for_this_replica(self, message: consensus.Message) -> bool:
+    def _should_handle(self, message: consensus.Message) -> bool:
         state = self.state
         header = message.header
         if state.halted or header.destination != state.own.incarnation:
             return False
-        if isinstance(message, _FROM_MEMBERS):
+        if isinstance(message, _MEMBER_ONLY_MESSAGES):
             return header.source in state.latest_membership.members
         return True
 
     def _observe_term(
         self, now_s: float, sender: peers.Peer, message: consensus.Message
     ) -> bool:
-        """Follows a later term; returns whether to handle the message."""
+        """Updates the term and the leader from a message.
+
+        Returns:
+            False if the message is from a leader of an earlier term.
+        """
         state = self.state
         term = message.header.term
         if isinstance(
             message, consensus.AppendRequest | consensus.SnapshotChunk
         ):
             if term < state.term:
-                follower.answer_stale_leader(state, sender, message)
+                follower.reject_stale_leader(state, sender, message)
                 return False
-            follower.note_leader(state, now_s, sender, message.header)
+            follower.follow_leader(state, now_s, sender, message.header)
             return True
         is_granted_pre_vote = (
             isinstance(message, consensus.VoteResponse)
@@ -157,7 +162,7 @@
             case consensus.ReadResponse():
                 read_forwarding.handle_response(state, message)
             case consensus.IdentityRefused():
-                self._handle_refusal(now_s, message)
+                self._handle_identity_refused(now_s, message)
 
     def _handle_timeout_now(
         self, now_s: float, message: consensus.TimeoutNow
@@ -167,12 +172,12 @@
         if is_follower and state.is_voter and message.header.term == state.term:
             elections.start_election(state, now_s, is_transfer=True)
 
-    def _handle_refusal(
+    def _handle_identity_refused(
         self, now_s: float, message: consensus.IdentityRefused
     ) -> None:
         detail = (
             f"this host once acknowledged entry {message.acknowledged_index}"
-            f" and now holds {message.last_index}: its disk has gone back;"
+            f" and now ends at {message.last_index}: its disk was rolled back;"
             " remove this member and rejoin with an empty data folder"
         )
         roles.become_follower(self.state, now_s, self.state.term, None)
@@ -182,8 +187,8 @@
     def handle_timer(self, now_s: float) -> outputs.Step:
         """Handles the timer named `interface.TIMER`."""
         state = self.state
-        state.armed_s = math.inf
-        read_forwarding.fail_late(state, now_s)
+        state.timer_due_s = math.inf
+        read_forwarding.fail_expired(state, now_s)
         if now_s >= state.commit_deadline_s:
             self._record_commit()
         if state.is_leader and now_s >= state.heartbeat_deadline_s:
@@ -201,7 +206,7 @@
     def handle_write_completed(
         self, now_s: float, sequence: int
     ) -> outputs.Step:
-        """Handles the end of a `Persist` or `SaveSnapshot`, in order."""
+        """Handles the completion of a `Persist` or `SaveSnapshot`, in order."""
         state = self.state
         state.journal.complete(sequence)
         if state.is_leader:
@@ -231,31 +236,32 @@
         entry = consensus.Entry(self.state.term, kind, data)
         index = self.state.append(entry)
         if kind is consensus.EntryKind.MEMBERSHIP:
-            replication.follow_membership(self.state, now_s)
+            replication.track_members(self.state, now_s)
         return outputs.Proposal(index, entry.term, self._finish(now_s))
 
     def _find_refusal(self) -> failure.Failure | None:
-        """Returns why nothing can be appended now, if so."""
+        """Returns why this replica can't append an entry now, or None."""
         state = self.state
         if state.halted is not None:
             return failure.Failure("halted", state.halted.detail)
         if not state.is_leader:
             host = state.leader.peer.host if state.leader else ""
             return failure.Failure("not-leader", host)
-        if state.handover is not None:
+        if state.leadership_transfer is not None:
             return failure.Failure(
-                "transferring", "the leadership is being handed over"
+                "transferring",
+                "a leadership transfer is in progress; retry later",
             )
         backlog = state.log.last_index - state.commit_index
         if backlog >= state.parameters.backlog_entries:
             return failure.Failure(
-                "busy", f"{backlog} entries wait to be committed; retry later"
+                "busy", f"{backlog} entries are not committed yet; retry later"
             )
         return None
 
     def read_index(self, now_s: float, token: int) -> outputs.Step:
         """See `interface.ReplicatedLog.read_index`."""
-        read_forwarding.begin(self.state, now_s, token)
+        read_forwarding.start_read(self.state, now_s, token)
         return self._finish(now_s)
 
     def transfer_leadership(
@@ -265,9 +271,9 @@
         refusal = self._find_refusal()
         if refusal is not None and refusal.reason != "busy":
             return refusal
-        if not replication.start_handover(self.state, now_s):
+        if not replication.start_leadership_transfer(self.state, now_s):
             return failure.Failure(
-                "no-successor", "no other voter answers; restore one first"
+                "no-successor", "no other voter responds; restore one first"
             )
         return self._finish(now_s)
 
@@ -280,7 +286,9 @@
         )
         if refusal is not None:
             return refusal
-        wanted = membership_checks.find_membership(self.state, now_s, change)
+        wanted = membership_checks.find_changed_membership(
+            self.state, now_s, change
+        )
         if isinstance(wanted, failure.Failure):
             return wanted
         return self._append(
@@ -295,12 +303,12 @@
         state.commit_deadline_s = math.inf
 
     def _finish(self, now_s: float) -> outputs.Step:
-        """Ends a call: sends, writes, compacts, sets the timer."""
+        """Completes a call: sends, writes, compacts and sets the timer."""
         state = self.state
         if state.is_leader:
-            replication.pump_reads(state)
-            replication.send_all(state)
-        read_forwarding.complete(state)
+            replication.start_read_round(state)
+            replication.send_pending_entries(state)
+        read_forwarding.complete_applied(state)
         self._write(now_s)
         self._release_messages()
         self._arm_timer(now_s)
@@ -325,7 +333,7 @@
 
     def _release_messages(self) -> None:
         state = self.state
-        # A promise made in an earlier term must not be given any more.
+        # Votes and acknowledgments of an earlier term are no longer valid.
         state.step.effects += [
             held
             for held in state.journal.release()
@@ -335,16 +343,18 @@
     def _arm_timer(self, now_s: float) -> None:
         state = self.state
         deadlines_s = [state.commit_deadline_s]
-        deadlines_s += [read.deadline_s for read in state.forwarded.values()]
+        deadlines_s += [
+            read.deadline_s for read in state.forwarded_reads.values()
+        ]
         if state.is_leader:
             deadlines_s.append(state.heartbeat_deadline_s)
         elif state.is_voter:
             deadlines_s.append(state.election_deadline_s)
         next_s = min(deadlines_s)
-        if state.halted or next_s >= state.armed_s:
+        if state.halted or next_s >= state.timer_due_s:
             return
         delay_s = max(next_s - now_s, MIN_DELAY_S)
-        state.armed_s = now_s + delay_s
+        state.timer_due_s = now_s + delay_s
         state.step.effects.append(effects.StartTimer(interface.TIMER, delay_s))
 
 
@@ -355,5 +365,5 @@
     return None
 
 
-# Lets the type checker compare the class with what it promises.
-_promised: type[interface.ReplicatedLog] = Replica
+# Makes the type checker verify that the class implements the protocol.
+_protocol_check: type[interface.ReplicatedLog] = Replica
--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -1,4 +1,4 @@
-"""The leader: sends entries, counts answers, commits."""
+"""Leader: replicates entries, counts acknowledgments, commits."""
 
 from tamarack_core import peers
 from tamarack_core.internal.consensus import membership
@@ -11,24 +11,24 @@
 
 
 def become_leader(state: states.State, now_s: float) -> None:
-    """Takes up the leadership of the current term."""
+    """Becomes the leader of the current term."""
     state.role = states.Role.LEADER
     state.votes.clear()
     state.round = 0
     state.reads = reads.LeaderReads()
     state.progress.clear()
-    follow_membership(state, now_s)
+    track_members(state, now_s)
     state.set_leader(state.own)
-    # Entries of earlier terms commit only together with one of this term.
+    # Entries of earlier terms are committed only through one of this term.
     state.append(_first_entry(state))
     state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
 
 
 def _first_entry(state: states.State) -> consensus.Entry:
-    """Returns the entry that begins a term.
+    """Returns the entry that a new leader appends first.
 
-    The first entry of all states the initial membership, so that a replica
-    that joins without one learns it from the log.
+    In an empty log it contains the initial membership, so that a replica that
+    joins without knowing it receives it with the log.
     """
     if state.log.last_index > 0:
         return consensus.Entry(state.term, consensus.EntryKind.NOOP)
@@ -39,8 +39,8 @@
     )
 
 
-def follow_membership(state: states.State, now_s: float) -> None:
-    """Tracks exactly the other members of the newest membership."""
+def track_members(state: states.State, now_s: float) -> None:
+    """Tracks the progress of the other members of the newest membership."""
     members = state.latest_membership.members
     for incarnation in list(state.progress):
         if incarnation not in members:
@@ -56,24 +56,27 @@
 
 
 def tick(state: states.State, now_s: float) -> None:
-    """Sends heartbeats, or steps down without a quorum of answers."""
-    if not membership_answers(state, state.latest_membership, now_s):
+    """Sends heartbeats, or steps down if no quorum has responded lately."""
+    if not has_active_quorum(state, state.latest_membership, now_s):
         roles.become_follower(state, now_s, state.term, None)
         return
     state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
-    _tick_handover(state, now_s)
+    _update_leadership_transfer(state, now_s)
     for progress in state.progress.values():
         progress.is_awaiting_probe = False
-        if progress.transfer is not None:
+        if progress.snapshot_transfer is not None:
             _send_chunk(state, progress)
         elif not progress.is_probing or not _has_more(state, progress):
             _send_heartbeat(state, progress)
 
 
-def membership_answers(
+def has_active_quorum(
     state: states.State, members: membership.Membership, now_s: float
 ) -> bool:
-    """Returns whether a quorum of `members` answered lately."""
+    """Returns whether a quorum of `members` responded lately.
+
+    This is within `election_timeout_max_s`; the leader itself counts.
+    """
     oldest_s = now_s - state.parameters.election_timeout_max_s
     answering = [
         incarnation
@@ -83,12 +86,12 @@
     return members.has_quorum([state.own.incarnation, *answering])
 
 
-def _tick_handover(state: states.State, now_s: float) -> None:
-    if state.handover is None:
+def _update_leadership_transfer(state: states.State, now_s: float) -> None:
+    if state.leadership_transfer is None:
         return
-    state.handover.is_asked = False
-    if now_s >= state.handover.deadline_s:
-        state.handover = None
+    state.leadership_transfer.is_timeout_now_sent = False
+    if now_s >= state.leadership_transfer.deadline_s:
+        state.leadership_transfer = None
 
 
 def _has_more(state: states.State, progress: progresses.Progress) -> bool:
@@ -112,7 +115,7 @@
     previous_index = progress.next_index - 1
     previous_term = state.log.term_at(previous_index)
     if previous_term is None:
-        _start_transfer(state, progress)
+        _start_snapshot_transfer(state, progress)
         return
     request = consensus.AppendRequest(
         state.header(progress.member.incarnation),
@@ -125,37 +128,37 @@
     state.send(progress.member.peer, request)
     if entries:
         size_bytes = sum(len(entry.data) for entry in entries)
-        progress.note_sent(previous_index + len(entries), size_bytes)
+        progress.record_sent(previous_index + len(entries), size_bytes)
 
 
-def send_all(state: states.State) -> None:
-    """Sends what the windows of the other replicas have room for."""
+def send_pending_entries(state: states.State) -> None:
+    """Sends pending entries to all replicas, as far as windows allow."""
     for progress in state.progress.values():
         while _has_more(state, progress) and progress.can_send(
             state.parameters
         ):
             entries = _next_batch(state, progress)
-            if _should_gather(state, progress, entries):
+            if _should_delay_batch(state, progress, entries):
                 break
             _send_entries(state, progress, entries)
-    _ask_successor(state)
+    _send_timeout_now(state)
 
 
-def _should_gather(
+def _should_delay_batch(
     state: states.State,
     progress: progresses.Progress,
     entries: tuple[consensus.Entry, ...],
 ) -> bool:
-    """Returns whether to wait for more entries, as Nagle's algorithm does.
+    """Returns whether to wait for more entries, as in Nagle's algorithm.
 
-    A request that is not full waits while another is unanswered, so that a
-    burst goes out in few requests, which seldom overtake one another.
+    A request that is not full waits while another one is in flight. A burst
+    is thus sent in few requests, which are seldom reordered.
     """
     end = progress.next_index - 1 + len(entries)
     is_full = end < state.log.last_index or (
         len(entries) == state.parameters.append_entries
     )
-    return progress.is_awaiting_answer and bool(entries) and not is_full
+    return progress.has_requests_in_flight and bool(entries) and not is_full
 
 
 def _next_batch(
@@ -170,17 +173,19 @@
     )
 
 
-def _start_transfer(state: states.State, progress: progresses.Progress) -> None:
+def _start_snapshot_transfer(
+    state: states.State, progress: progresses.Progress
+) -> None:
     if state.snapshot is None:
         return
-    progress.transfer = progresses.Transfer(
+    progress.snapshot_transfer = progresses.SnapshotTransfer(
         state.snapshot.index, state.snapshot.data
     )
     _send_chunk(state, progress)
 
 
 def _send_chunk(state: states.State, progress: progresses.Progress) -> None:
-    transfer = progress.transfer
+    transfer = progress.snapshot_transfer
     if transfer is None:
         return
     transfer.sent_round = _next_round(state)
@@ -196,10 +201,15 @@
     state.send(progress.member.peer, chunk)
 
 
-def _find_answering(
+def _record_response(
     state: states.State, now_s: float, header: consensus.Header, round_: int
 ) -> progresses.Progress | None:
-    """Returns the progress of the sender of an answer, if it counts."""
+    """Records that a member responded.
+
+    Returns:
+        The progress of the sender; None if the response is of another term or
+        its sender isn't a member, or if this replica doesn't lead.
+    """
     if not state.is_leader or header.term != state.term:
         return None
     progress = state.progress.get(header.source)
@@ -216,29 +226,32 @@
     sender: peers.Peer,
     response: consensus.AppendResponse,
 ) -> None:
-    """Takes note of what a replica holds, and commits what a quorum holds."""
-    progress = _find_answering(state, now_s, response.header, response.round)
+    """Records which entries a replica has, and commits those of a quorum."""
+    progress = _record_response(state, now_s, response.header, response.round)
     if progress is None:
         return
-    if progress.is_refused or _has_gone_back(progress, response):
-        _refuse(state, sender, progress, response.last_index)
+    if progress.is_refused or _has_lost_synced_entries(progress, response):
+        _refuse_identity(state, sender, progress, response.last_index)
     elif response.is_accepted:
-        progress.accept(response.match_index, state.round)
+        progress.record_match(response.match_index, state.round)
         advance_commit(state)
-    elif progress.transfer is None and response.round > progress.barrier_round:
-        progress.reject(response.match_index, state.round)
+    elif (
+        progress.snapshot_transfer is None
+        and response.round > progress.barrier_round
+    ):
+        progress.record_rejection(response.match_index, state.round)
     confirm_reads(state)
 
 
-def _has_gone_back(
+def _has_lost_synced_entries(
     progress: progresses.Progress, response: consensus.AppendResponse
 ) -> bool:
-    return not response.is_accepted and progress.has_gone_back(
+    return not response.is_accepted and progress.has_lost_synced_entries(
         response.last_index, response.round
     )
 
 
-def _refuse(
+def _refuse_identity(
     state: states.State,
     sender: peers.Peer,
     progress: progresses.Progress,
@@ -256,12 +269,12 @@
 def handle_snapshot_response(
     state: states.State, now_s: float, response: consensus.SnapshotResponse
 ) -> None:
-    """Sends the next part of a snapshot."""
-    progress = _find_answering(state, now_s, response.header, response.round)
+    """Sends the next chunk of a snapshot."""
+    progress = _record_response(state, now_s, response.header, response.round)
     if progress is None:
         return
     confirm_reads(state)
-    transfer = progress.transfer
+    transfer = progress.snapshot_transfer
     if transfer is None or transfer.index != response.index:
         return
     is_current = response.round >= transfer.sent_round
@@ -271,12 +284,13 @@
 
 
 def advance_commit(state: states.State) -> None:
-    """Commits what a quorum of voters has on disk."""
-    held = sorted(
+    """Commits the entries that a quorum of voters has synced."""
+    durable = sorted(
         _durable_index(state, voter) for voter in state.latest_membership.voters
     )
-    index = held[(len(held) - 1) // 2]
-    # An entry of an earlier term may still be replaced, however many hold it.
+    index = durable[(len(durable) - 1) // 2]
+    # An entry of an earlier term may still be replaced, even if a majority
+    # has it.
     if index > state.commit_index and state.log.term_at(index) == state.term:
         state.commit(index)
 
@@ -289,24 +303,27 @@
 
 
 def has_committed_in_term(state: states.State) -> bool:
-    """Returns whether the commit index is known to be up to date."""
+    """Returns whether an entry of the current term is committed.
+
+    Only then is the commit index of the leader known to be up to date.
+    """
     return state.log.term_at(state.commit_index) == state.term
 
 
-def pump_reads(state: states.State) -> None:
-    """Begins a round for the waiting reads, unless one runs."""
+def start_read_round(state: states.State) -> None:
+    """Starts a heartbeat round for the waiting reads if none is running."""
     queue = state.reads
     if queue.running or not queue.waiting or not has_committed_in_term(state):
         return
-    queue.begin(state.round + 1, state.commit_index)
+    queue.start_round(state.round + 1, state.commit_index)
     for progress in state.progress.values():
-        if progress.transfer is None:
+        if progress.snapshot_transfer is None:
             _send_heartbeat(state, progress)
     confirm_reads(state)
 
 
 def confirm_reads(state: states.State) -> None:
-    """Completes the running reads once a quorum answered their round."""
+    """Completes the running reads once a quorum responded to their round."""
     queue = state.reads
     answered = [
         incarnation
@@ -334,8 +351,12 @@
         state.send(progress.member.peer, response)
 
 
-def start_handover(state: states.State, now_s: float) -> bool:
-    """Begins to hand over to the most up-to-date voter, if one answers."""
+def start_leadership_transfer(state: states.State, now_s: float) -> bool:
+    """Starts to transfer the leadership to the most up-to-date voter.
+
+    Returns:
+        False if no other voter has responded lately.
+    """
     oldest_s = now_s - state.parameters.election_timeout_max_s
     candidates = [
         progress
@@ -347,19 +368,19 @@
     if not candidates:
         return False
     best = max(candidates, key=lambda progress: progress.match_index)
-    state.handover = states.Handover(
+    state.leadership_transfer = states.LeadershipTransfer(
         best.member.incarnation, now_s + state.parameters.election_timeout_max_s
     )
     return True
 
 
-def _ask_successor(state: states.State) -> None:
-    handover = state.handover
-    if handover is None or handover.is_asked:
+def _send_timeout_now(state: states.State) -> None:
+    transfer = state.leadership_transfer
+    if transfer is None or transfer.is_timeout_now_sent:
         return
-    progress = state.progress.get(handover.successor)
+    progress = state.progress.get(transfer.successor)
     if progress is None or progress.match_index < state.log.last_index:
         return
-    handover.is_asked = True
-    header = state.header(handover.successor)
+    transfer.is_timeout_now_sent = True
+    header = state.header(transfer.successor)
     state.send(progress.member.peer, consensus.TimeoutNow(header))
--- a/packages/core/src/tamarack_core/internal/consensus/roles.py
+++ b/packages/core/src/tamarack_core/internal/consensus/roles.py
@@ -1,4 +1,4 @@
-"""Stepping down: every way into the follower role."""
+"""Transition to the follower role, from any role."""
 
 import math
 
@@ -13,18 +13,18 @@
     term: int,
     leader: membership.Member | None,
 ) -> None:
-    """Follows in a term that is at least the current one.
+    """Becomes a follower in the current term or a later one.
 
     Args:
-        state: The replica.
+        state: State of the replica.
         now_s: Monotonic time in seconds.
-        term: The term; a higher one clears the vote.
+        term: The term; one higher than the current term clears the vote.
         leader: Leader of the term, if known.
     """
     if term > state.term:
         state.set_term(term, "")
     if state.is_leader:
-        _leave_leadership(state)
+        _step_down(state)
     if state.role is not states.Role.FOLLOWER or leader is not None:
         state.reset_election_timer(now_s)
     state.role = states.Role.FOLLOWER
@@ -32,11 +32,15 @@
     state.set_leader(leader)
 
 
-def _leave_leadership(state: states.State) -> None:
-    """Fails the reads of this replica; other replicas repeat theirs."""
-    for read in state.reads.take_all():
+def _step_down(state: states.State) -> None:
+    """Discards the leader's state.
+
+    Fails the reads that this replica requested; forwarded reads fail by the
+    timeout of the replica that forwarded them.
+    """
+    for read in state.reads.drain():
         if read.requester == state.own.incarnation:
             state.output(outputs.ReadFailed(read.number, "leader-lost"))
     state.progress.clear()
-    state.handover = None
+    state.leadership_transfer = None
     state.heartbeat_deadline_s = math.inf
--- a/packages/core/src/tamarack_core/internal/consensus/snapshots.py
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots: taking them, gathering those of a leader, recovering."""
+"""Snapshots: compaction, transfer from a leader, and recovery."""
 
 from collections.abc import Sequence
 import math
@@ -13,7 +13,7 @@
 
 
 def compact(state: states.State) -> None:
-    """Takes a snapshot when enough entries were applied since the last."""
+    """Takes a snapshot if enough entries were applied since the last one."""
     covered = state.snapshot.index if state.snapshot else 0
     if state.commit_index - covered < state.parameters.compaction_entries:
         return
@@ -39,7 +39,7 @@
 
 
 def _save(state: states.State, index: int, data: bytes) -> None:
-    """Replaces what the disk holds by a snapshot and the state after it."""
+    """Replaces the contents of the disk by a snapshot and later records."""
     state.snapshot = states.SavedSnapshot(index, data)
     kept: list[records.Record] = [
         records.TermRecord(state.term, state.voted_for),
@@ -55,8 +55,12 @@
     )
 
 
-def gather(state: states.State, chunk: consensus.SnapshotChunk) -> int:
-    """Adds a chunk and returns how many bytes are held from the start on."""
+def receive_chunk(state: states.State, chunk: consensus.SnapshotChunk) -> int:
+    """Stores the next chunk and returns how many bytes are received.
+
+    A chunk at any other offset is ignored. A chunk of another snapshot or term
+    starts the transfer anew.
+    """
     incoming = state.incoming
     if incoming is None or (incoming.term, incoming.index) != (
         state.term,
@@ -70,7 +74,11 @@
 
 
 def install(state: states.State) -> bool:
-    """Replaces the state by the gathered snapshot; False if it is bad."""
+    """Replaces the state with the snapshot received.
+
+    Returns:
+        False if the snapshot can't be decoded; it is dropped.
+    """
     incoming = state.incoming
     state.incoming = None
     if incoming is None:
@@ -82,16 +90,16 @@
     if state.log.term_at(snapshot.index) == snapshot.term:
         state.log.compact(snapshot.index)
     else:
-        # Of the old entries only committed ones equal the snapshot.
+        # The snapshot is known to agree only with the committed entries.
         state.journal.truncate(state.commit_index)
         state.log = log.Log(snapshot.index, snapshot.term)
-    _adopt(state, snapshot)
+    _restore(state, snapshot)
     _save(state, snapshot.index, data)
     return True
 
 
-def _adopt(state: states.State, snapshot: records.Snapshot) -> None:
-    placed = states.PlacedMembership(
+def _restore(state: states.State, snapshot: records.Snapshot) -> None:
+    restored = states.IndexedMembership(
         snapshot.index, membership.Membership(snapshot.members)
     )
     later = [
@@ -99,7 +107,7 @@
         for entry in state.memberships
         if snapshot.index < entry.index <= state.log.last_index
     ]
-    state.memberships = [placed, *later]
+    state.memberships = [restored, *later]
     state.commit_index = snapshot.index
     state.machine.restore(snapshot.state)
     state.output(outputs.Restored(snapshot.index))
@@ -112,15 +120,15 @@
 def recover(
     state: states.State, data: bytes | None, encoded: Sequence[bytes]
 ) -> failure.Failure | None:
-    """Takes over what the disk holds, and applies what is committed.
+    """Restores the state from disk and applies the committed entries.
 
     Args:
-        state: A replica that has not started.
+        state: State of a replica that has not started.
         data: The last snapshot, if any.
         encoded: The records after it, in order.
 
     Returns:
-        Why the disk can't be read, or None.
+        Why the contents of the disk can't be read, or None.
     """
     if data is not None:
         snapshot = records.decode_snapshot(data)
@@ -128,7 +136,7 @@
             return snapshot
         state.log = log.Log(snapshot.index, snapshot.term)
         state.snapshot = states.SavedSnapshot(snapshot.index, data)
-        _adopt(state, snapshot)
+        _restore(state, snapshot)
     decoded = records.decode_all(encoded)
     if isinstance(decoded, failure.Failure):
         return decoded
@@ -160,7 +168,7 @@
     if not state.log.base_index < record.index <= state.log.last_index + 1:
         return failure.Failure(
             "bad-record-order",
-            f"the log holds entry {record.index} after entry"
+            f"the log has entry {record.index} after entry"
             f" {state.log.last_index}; rejoin this host with an empty data"
             " folder",
         )
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -1,4 +1,4 @@
-"""State of one replica, and the primitives that all its parts use."""
+"""State of one replica, and the operations that its modules share."""
 
 from collections.abc import Sequence
 import enum
@@ -29,11 +29,11 @@
     LEADER = "leader"
 
 
-class PlacedMembership(msgspec.Struct):
-    """A membership and the index of its entry.
+class IndexedMembership(msgspec.Struct):
+    """A membership and the index of its log entry.
 
     Attributes:
-        index: Place in the log; 0 for the initial membership.
+        index: Index of the entry; 0 for the initial membership.
         membership: The members.
     """
 
@@ -42,7 +42,7 @@
 
 
 class SavedSnapshot(msgspec.Struct):
-    """The last snapshot.
+    """The last snapshot of this replica.
 
     Attributes:
         index: Index of the last entry that it covers.
@@ -58,8 +58,8 @@
 
     Attributes:
         term: Term of the leader.
-        index: Index that the snapshot covers.
-        data: The bytes so far.
+        index: Index of the last entry that the snapshot covers.
+        data: Bytes received so far.
     """
 
     term: int
@@ -67,69 +67,74 @@
     data: bytearray
 
 
-class Handover(msgspec.Struct):
-    """A transfer of the leadership.
+class LeadershipTransfer(msgspec.Struct):
+    """A leadership transfer in progress.
 
     Attributes:
-        successor: Incarnation of the voter that shall lead.
-        deadline_s: Monotonic time at which this replica goes on leading.
-        is_asked: Whether the successor was asked since the last heartbeat.
+        successor: Incarnation of the voter that is to become the leader.
+        deadline_s: Monotonic time at which the transfer is abandoned.
+        is_timeout_now_sent: Whether a `TimeoutNow` was sent since the last
+            heartbeat.
     """
 
     successor: str
     deadline_s: float
-    is_asked: bool = False
+    is_timeout_now_sent: bool = False
 
 
 class State:
     """State of one replica.
 
     Attributes:
-        own: Identity of this replica.
+        own: Host and incarnation of this replica.
         random: Seeded generator for timeouts and request numbers.
         machine: The replicated state machine.
         parameters: Times and sizes.
         log: Entries in memory.
-        journal: Writes on their way to disk.
-        memberships: Memberships in the log, oldest first; the last counts.
+        journal: Records and messages that wait for the disk.
+        memberships: Memberships in the log, oldest first; the last one is in
+            effect.
         term: Current term.
-        voted_for: Incarnation that has this replica's vote, or empty.
-        role: Role in the term.
-        leader: Identity of the leader, if known.
+        voted_for: Incarnation that received this replica's vote, or empty.
+        role: Role in the current term.
+        leader: Host and incarnation of the leader, if known.
         leader_seen_s: Monotonic time of the leader's last message.
-        restarted_s: Monotonic time at which this replica came back.
+        restarted_s: Monotonic time at which this replica restarted with the
+            state of an earlier run; negative infinity if it had none.
         commit_index: Highest index known to be committed and applied.
-        recorded_commit: Highest commit index among the records.
-        commit_deadline_s: Time at which the commit index is recorded.
+        recorded_commit: Highest commit index that was recorded.
+        commit_deadline_s: Monotonic time at which the commit index is
+            recorded.
         snapshot: The last snapshot, if any.
         incoming: Snapshot that a leader is sending, if any.
-        election_deadline_s: Time at which a voter starts an election.
-        heartbeat_deadline_s: Time of the leader's next heartbeat.
-        votes: Incarnations that granted a (pre-)vote to this replica.
-        vote_sequence: Write after which the own vote counts.
-        progress: At the leader, replication by incarnation.
-        round: At the leader, number of the last request.
+        election_deadline_s: Monotonic time at which a voter starts an
+            election.
+        heartbeat_deadline_s: Monotonic time of the leader's next heartbeat.
+        votes: Incarnations that granted a vote or pre-vote to this replica.
+        vote_sequence: Sequence number of the write that syncs the replica's
+            vote for itself.
+        progress: At the leader, replication progress by incarnation.
+        round: At the leader, round of the last request.
         reads: At the leader, reads to confirm.
-        forwarded: Reads sent to the leader, by number.
-        handover: Transfer of the leadership, if one runs.
-        halted: Why this replica takes no part any more, if so.
-        armed_s: Time at which the driver's timer fires.
-        step: Result of the running call.
+        forwarded_reads: Reads forwarded to the leader, by request number.
+        leadership_transfer: Leadership transfer in progress, if any.
+        halted: Why this replica has stopped for good, if so.
+        timer_due_s: Monotonic time at which the driver's timer fires.
+        step: Result of the current call.
     """
 
     __slots__ = (
-        "armed_s",
         "commit_deadline_s",
         "commit_index",
         "election_deadline_s",
-        "forwarded",
+        "forwarded_reads",
         "halted",
-        "handover",
         "heartbeat_deadline_s",
         "incoming",
         "journal",
         "leader",
         "leader_seen_s",
+        "leadership_transfer",
         "log",
         "machine",
         "memberships",
@@ -145,6 +150,7 @@
         "snapshot",
         "step",
         "term",
+        "timer_due_s",
         "vote_sequence",
         "voted_for",
         "votes",
@@ -158,7 +164,7 @@
         machine: outputs.StateMachine,
         parameters: log_parameters.LogParameters,
     ) -> None:
-        """Creates the state of a replica with an empty disk."""
+        """Initializes the state of a replica with an empty disk."""
         self.own = own
         self.random = generator
         self.machine = machine
@@ -166,7 +172,7 @@
         self.log = log.Log()
         self.journal = journal.Journal()
         initial = membership.Membership(voters)
-        self.memberships = [PlacedMembership(0, initial)]
+        self.memberships = [IndexedMembership(0, initial)]
         self.term = 0
         self.voted_for = ""
         self.role = Role.FOLLOWER
@@ -185,15 +191,15 @@
         self.progress: dict[str, progress.Progress] = {}
         self.round = 0
         self.reads = reads.LeaderReads()
-        self.forwarded: dict[int, reads.ForwardedRead] = {}
-        self.handover: Handover | None = None
+        self.forwarded_reads: dict[int, reads.ForwardedRead] = {}
+        self.leadership_transfer: LeadershipTransfer | None = None
         self.halted: outputs.Halted | None = None
-        self.armed_s = math.inf
+        self.timer_due_s = math.inf
         self.step = outputs.Step()
 
     @property
     def latest_membership(self) -> membership.Membership:
-        """The membership that counts: the newest in the log."""
+        """The membership in effect: the newest one in the log."""
         return self.memberships[-1].membership
 
     @property
@@ -203,7 +209,7 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this replica leads its term."""
+        """Whether this replica is the leader of its term."""
         return self.role is Role.LEADER
 
     def header(self, destination: str) -> consensus.Header:
@@ -211,15 +217,15 @@
         return consensus.Header(self.term, self.own.incarnation, destination)
 
     def send(self, peer: peers.Peer, message: consensus.Message) -> None:
-        """Sends a message that promises nothing that must be on disk."""
+        """Sends a message that doesn't depend on unsynced records."""
         self.step.effects.append(effects.SendMessage(peer, message))
 
     def send_synced(self, peer: peers.Peer, message: consensus.Message) -> None:
-        """Sends a message once all records so far are on disk."""
+        """Sends a message once all records so far are synced."""
         self.journal.hold(effects.SendMessage(peer, message))
 
     def output(self, item: outputs.Output) -> None:
-        """Tells the part above what happened."""
+        """Adds an output to the result of the current call."""
         self.step.outputs.append(item)
 
     def record(self, item: records.Record) -> None:
@@ -227,13 +233,13 @@
         self.journal.records.append(records.encode(item))
 
     def set_term(self, term: int, voted_for: str) -> None:
-        """Moves to a term or votes in it."""
+        """Records a new term or a vote in the current term."""
         self.term = term
         self.voted_for = voted_for
         self.record(records.TermRecord(term, voted_for))
 
     def set_leader(self, leader: membership.Member | None) -> None:
-        """Takes note of the leader of the current term."""
+        """Sets the leader of the current term; outputs a change."""
         if leader == self.leader:
             return
         self.leader = leader
@@ -246,22 +252,22 @@
         )
 
     def reset_election_timer(self, now_s: float) -> None:
-        """Draws a new election timeout."""
+        """Restarts the election timer with a random timeout."""
         self.election_deadline_s = now_s + self.random.uniform(
             self.parameters.election_timeout_min_s,
             self.parameters.election_timeout_max_s,
         )
 
     def append(self, entry: consensus.Entry) -> int:
-        """Appends an entry to the log and to the next write."""
+        """Appends an entry to the log and its record to the next write."""
         index = self.log.append(entry)
         self.record(records.EntryRecord(index, entry))
         if entry.kind is consensus.EntryKind.MEMBERSHIP:
-            self.place_membership(index, membership.decode(entry.data))
+            self.append_membership(index, membership.decode(entry.data))
         return index
 
     def truncate(self, last_index: int) -> None:
-        """Drops uncommitted entries that the leader contradicts."""
+        """Removes the entries after `last_index`, which aren't committed."""
         self.log.truncate(last_index)
         self.journal.truncate(last_index)
         if self.memberships[-1].index <= last_index:
@@ -270,11 +276,11 @@
             self.memberships.pop()
         self._report_membership()
 
-    def place_membership(
+    def append_membership(
         self, index: int, placed: membership.Membership
     ) -> None:
-        """Puts a membership into force."""
-        self.memberships.append(PlacedMembership(index, placed))
+        """Puts the membership of the entry at `index` into effect."""
+        self.memberships.append(IndexedMembership(index, placed))
         self._report_membership()
 
     def _report_membership(self) -> None:
@@ -286,7 +292,7 @@
         )
 
     def commit(self, index: int) -> None:
-        """Applies the entries up to `index`, which are committed."""
+        """Advances the commit index to `index` and applies the entries."""
         first = self.commit_index + 1
         for place in range(first, index + 1):
             self.commit_index = place
@@ -296,7 +302,7 @@
                 self.output(outputs.Applied(place, entry.term))
 
     def halt(self, reason: str, detail: str) -> None:
-        """Stops taking part for good."""
+        """Stops the replica for good under its current incarnation."""
         self.halted = outputs.Halted(reason, detail)
         self.role = Role.FOLLOWER
         self.set_leader(None)
