--- a/packages/core/src/tamarack_core/context.py
+++ b/packages/core/src/tamarack_core/context.py
@@ -1,4 +1,4 @@
-"""What all parts behind the reducer share on one host."""
+"""Context that all components of one host share."""
 
 import collections
 import random
@@ -11,12 +11,12 @@
 
 
 class Context:
-    """Identity, chance, time and counters of one host.
+    """Identity, random generator, clocks and counters of one host.
 
     Attributes:
         host: Identity and addresses of this host.
-        random: Seeded generator; the only source of chance in the core.
-        clock: Hybrid logical clock for the time line.
+        random: Seeded generator; the only source of randomness in the core.
+        clock: Hybrid logical clock that stamps entries of the time line.
         counters: Counters by name, such as `dropped-ip-fragment`.
         wall_offset_ms: Wall-clock time minus monotonic time, in milliseconds.
     """
@@ -24,11 +24,11 @@
     __slots__ = ("clock", "counters", "host", "random", "wall_offset_ms")
 
     def __init__(self, host: peers.Peer, seed: int) -> None:
-        """Creates the context of a host that has not started.
+        """Initializes the context of a host that has not started.
 
         Args:
             host: Identity and addresses of this host.
-            seed: Seed of the generator.
+            seed: Seed of the random generator.
         """
         self.host = host
         self.random = random.Random(seed)
@@ -37,7 +37,7 @@
         self.wall_offset_ms = 0
 
     def start(self, now_s: float, wall_ms: int) -> None:
-        """Ties the wall clock to the monotonic clock.
+        """Sets the offset between the wall clock and the monotonic clock.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -67,13 +67,13 @@
         Args:
             now_s: Monotonic time in seconds.
             name: Constant name of the event.
-            service: Service concerned.
-            target: Target concerned.
-            flow: Flow concerned.
-            version: Configuration version concerned.
-            verdict: Outcome of the request concerned.
+            service: Service concerned, if any.
+            target: Target concerned, if any.
+            flow: Flow concerned, if any.
+            version: Configuration version concerned, if any.
+            verdict: Outcome of the request concerned, if any.
             reason: Constant name of the cause.
-            detail: Sentence for an operator.
+            detail: Message for an operator.
         """
         stamp = self.clock.tick(self.wall_ms(now_s))
         entry = timeline.Entry(
--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -1,4 +1,4 @@
-"""Effects: everything that a reducer asks its driver to do."""
+"""Effects: actions that the reducer requests of its driver."""
 
 from __future__ import annotations
 
@@ -7,7 +7,8 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
-    # Entry hosts start often, and need few of these types to run.
+    # Saves start-up time: entry hosts start often and need few of these types
+    # at run time.
     from tamarack_core import messages
     from tamarack_core import peers
     from tamarack_core import requests
@@ -18,7 +19,7 @@
     """Send a Geneve datagram from the data socket.
 
     Attributes:
-        endpoint: Where to; None stands for the fabric.
+        endpoint: Destination; None stands for the fabric.
         data: The UDP payload, starting with the Geneve header.
     """
 
@@ -31,7 +32,7 @@
 
     Attributes:
         peer: The receiver.
-        message: The message. The driver joins messages to one receiver.
+        message: The message. The driver batches messages to one receiver.
     """
 
     peer: peers.Peer
@@ -39,11 +40,11 @@
 
 
 class Respond(msgspec.Struct):
-    """Answer a request.
+    """Respond to a request.
 
     Attributes:
         request_id: Number of the `RequestArrived` event.
-        response: The answer.
+        response: The response.
     """
 
     request_id: int
@@ -51,10 +52,10 @@
 
 
 class StartTimer(msgspec.Struct):
-    """Fire a timer once; a running timer of that name is replaced.
+    """Start a one-shot timer; replaces a running timer of the same name.
 
     Attributes:
-        timer: Name that the `TimerFired` event repeats.
+        timer: Name of the timer, also in the `TimerFired` event.
         delay_s: Seconds from now.
     """
 
@@ -66,7 +67,7 @@
     """Append records to the log file and sync it.
 
     Attributes:
-        sequence: Number that the `WriteCompleted` event repeats.
+        sequence: Number of the write, also in the `WriteCompleted` event.
         records: Encoded records in order.
     """
 
@@ -75,10 +76,10 @@
 
 
 class SaveSnapshot(msgspec.Struct):
-    """Replace the log file by a snapshot and records, in one atomic step.
+    """Replace the log file atomically by a snapshot and records.
 
     Attributes:
-        sequence: Number that the `WriteCompleted` event repeats.
+        sequence: Number of the write, also in the `WriteCompleted` event.
         data: The encoded snapshot.
         records: Encoded records that follow the snapshot, in order.
     """
@@ -89,10 +90,10 @@
 
 
 class SaveTargets(msgspec.Struct):
-    """Keep the announced targets for the next start of this host.
+    """Save the announced targets for the next start of this host.
 
-    It is advice: a host that loses it learns the targets from their next
-    announcements.
+    The driver may skip the write: a host without the data learns the targets
+    from their next announcements.
 
     Attributes:
         data: The encoded targets.
@@ -102,13 +103,14 @@
 
 
 class ProbeTarget(msgspec.Struct):
-    """Ask a target for connections until it takes one, and close it at once.
+    """Probe a target over TCP; a connection that opens is closed at once.
 
     Attributes:
-        target: Name that the `TargetProbed` event repeats.
+        target: Name of the target, also in the `TargetProbed` event.
         endpoint: Address and port of the target.
-        timeout_s: Seconds until the probe has failed.
-        attempts: Connections that are asked for, as one packet may be lost.
+        timeout_s: Seconds until the probe fails.
+        attempts: Maximum number of connection attempts; more than one, as a
+            packet may be lost.
         spacing_s: Seconds between the attempts.
     """
 
@@ -134,7 +136,7 @@
 
     Attributes:
         exit_code: Exit status of the process.
-        reason: Sentence for the operator.
+        reason: Message for the operator.
     """
 
     exit_code: int
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -1,7 +1,7 @@
-"""Events: everything that a reducer reacts to.
+"""Events: inputs of the reducer.
 
-Each event carries the monotonic time at which the driver saw it; the core has
-no other clock.
+Each event carries the monotonic time at which the driver observed it; the core
+has no other clock.
 """
 
 from __future__ import annotations
@@ -11,7 +11,8 @@
 import msgspec
 
 if typing.TYPE_CHECKING:
-    # Entry hosts start often, and need few of these types to run.
+    # Saves start-up time: entry hosts start often and need few of these types
+    # at run time.
     from tamarack_core import messages
     from tamarack_core import peers
     from tamarack_core import requests
@@ -30,7 +31,7 @@
 
 
 class StopRequested(msgspec.Struct):
-    """The operator asked for a graceful stop.
+    """The operator requested a graceful stop.
 
     Attributes:
         now_s: Monotonic time in seconds.
@@ -52,7 +53,7 @@
 
 
 class MessageArrived(msgspec.Struct):
-    """A message of another host arrived.
+    """A message from another host arrived.
 
     Attributes:
         now_s: Monotonic time in seconds.
@@ -70,7 +71,7 @@
 
     Attributes:
         now_s: Monotonic time in seconds.
-        request_id: Number that the `Respond` effect repeats.
+        request_id: Number of the request, also in the `Respond` effect.
         request: The decoded request.
     """
 
@@ -80,11 +81,11 @@
 
 
 class TimerFired(msgspec.Struct):
-    """A timer that the core started has run out.
+    """A timer that the core started has expired.
 
     Attributes:
         now_s: Monotonic time in seconds.
-        timer: Name given in the `StartTimer` effect.
+        timer: Name from the `StartTimer` effect.
     """
 
     now_s: float
@@ -92,11 +93,11 @@
 
 
 class WriteCompleted(msgspec.Struct):
-    """Records handed over by a `Persist` effect are synced to disk.
+    """The write of a `Persist` or `SaveSnapshot` effect is synced to disk.
 
     Attributes:
         now_s: Monotonic time in seconds.
-        sequence: Number of the `Persist` effect.
+        sequence: Sequence number of the effect.
     """
 
     now_s: float
@@ -104,11 +105,11 @@
 
 
 class SeedsChanged(msgspec.Struct):
-    """The settings name other control hosts to begin with.
+    """The settings were reloaded and name other control hosts as seeds.
 
     Attributes:
         now_s: Monotonic time in seconds.
-        seeds: The control hosts.
+        seeds: Control hosts to contact first.
     """
 
     now_s: float
@@ -116,12 +117,12 @@
 
 
 class TargetProbed(msgspec.Struct):
-    """A probe has ended.
+    """A probe of a target has ended.
 
     Attributes:
         now_s: Monotonic time in seconds.
-        target: Name given in the `ProbeTarget` effect.
-        is_answered: Whether the target took the connection.
+        target: Name from the `ProbeTarget` effect.
+        is_answered: Whether the target accepted a connection.
     """
 
     now_s: float
--- a/packages/core/src/tamarack_core/messages/__init__.py
+++ b/packages/core/src/tamarack_core/messages/__init__.py
@@ -1,8 +1,8 @@
 """Messages between hosts of the system, and their JSON form.
 
-Each part of the core declares its messages in a module of its own; `Message`
-is their union. Unknown fields are ignored, so that hosts of two releases can
-talk.
+Each area of the core declares its messages in its own module; `Message` is the
+union of all of them. Unknown fields are ignored, so that hosts of different
+releases can communicate.
 """
 
 from tamarack_core import envelopes
@@ -31,7 +31,7 @@
 Envelope = envelopes.Envelope[Message]
 
 codec = envelopes.Codec(Envelope)
-"""Translates envelopes that may hold any message."""
+"""Encodes and decodes envelopes with any message."""
 
 encode = codec.encode
 decode = codec.decode
--- a/packages/core/src/tamarack_core/messages/consensus.py
+++ b/packages/core/src/tamarack_core/messages/consensus.py
@@ -1,8 +1,8 @@
 """Messages between replicas of the replicated log.
 
-Every message names the incarnation of its sender and of its receiver. A
-replica drops a message for another incarnation of its host, and counts an
-answer only when the sender's incarnation is in the membership.
+Every message contains the incarnations of its sender and receiver. A replica
+drops messages to another incarnation of its host, and accepts a response only
+from an incarnation that is in the membership.
 """
 
 import enum
@@ -12,7 +12,7 @@
 
 
 class EntryKind(enum.IntEnum):
-    """What an entry of the log holds."""
+    """Kind of a log entry."""
 
     NOOP = 0
     COMMAND = 1
@@ -20,11 +20,11 @@
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One entry of the log; its index follows from its place.
+    """One entry of the log; its index follows from its position.
 
     Attributes:
         term: Term of the leader that appended it.
-        kind: What `data` holds.
+        kind: Kind of the entry.
         data: Command of the state machine, or the encoded membership.
     """
 
@@ -34,10 +34,11 @@
 
 
 class Header(msgspec.Struct, frozen=True, array_like=True):
-    """Who speaks to whom, and in which term.
+    """Header of all messages: sender, receiver and term.
 
     Attributes:
-        term: Term of the sender; of a pre-vote, the term it would ask for.
+        term: Term of the sender; in a pre-vote, the term that an election would
+            start.
         source: Incarnation of the sender.
         destination: Incarnation of the receiver.
     """
@@ -48,14 +49,16 @@
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag="vote-request"):
-    """A candidate asks for a vote.
+    """A candidate requests a vote.
 
     Attributes:
         header: Sender, receiver, term.
         last_index: Index of the candidate's last entry.
         last_term: Term of the candidate's last entry.
-        is_pre_vote: Asks whether a vote would be granted; binds nobody.
-        is_transfer: The leader itself asked for this election.
+        is_pre_vote: Whether this only queries if a vote would be granted; the
+            response commits the voter to nothing.
+        is_transfer: Whether the leader requested this election to transfer its
+            leadership.
     """
 
     header: Header
@@ -66,13 +69,13 @@
 
 
 class VoteResponse(msgspec.Struct, frozen=True, tag="vote-response"):
-    """Answer to a `VoteRequest`.
+    """Response to a `VoteRequest`.
 
     Attributes:
         header: Sender, receiver, and the term of the request if granted,
-            otherwise the sender's own.
+            otherwise the sender's own term.
         is_granted: Whether the vote is granted.
-        is_pre_vote: Repeats the request.
+        is_pre_vote: Copied from the request.
     """
 
     header: Header
@@ -81,11 +84,11 @@
 
 
 class AppendRequest(msgspec.Struct, frozen=True, tag="append-request"):
-    """The leader sends entries; without entries it is a heartbeat.
+    """The leader sends entries; a request without entries is a heartbeat.
 
     Attributes:
         header: Sender, receiver, term.
-        round: Number of the request, rising within the term.
+        round: Number of the request, increasing within the term.
         previous_index: Index of the entry before `entries`.
         previous_term: Term of that entry.
         commit_index: Highest index that the leader knows to be committed.
@@ -101,14 +104,14 @@
 
 
 class AppendResponse(msgspec.Struct, frozen=True, tag="append-response"):
-    """Answer to an `AppendRequest`, sent when its entries are synced.
+    """Response to an `AppendRequest`, sent once its entries are synced.
 
     Attributes:
         header: Sender, receiver, term.
-        round: Repeats the request.
+        round: Copied from the request.
         is_accepted: Whether the entry before `entries` matched.
-        match_index: Last index known to equal the leader's log, if accepted;
-            otherwise the last index that may equal it.
+        match_index: Last index known to match the leader's log, if accepted;
+            otherwise the last index that may match it.
         last_index: Index of the sender's last entry.
     """
 
@@ -120,15 +123,15 @@
 
 
 class SnapshotChunk(msgspec.Struct, frozen=True, tag="snapshot-chunk"):
-    """The leader sends a part of a snapshot.
+    """The leader sends a chunk of a snapshot.
 
     Attributes:
         header: Sender, receiver, term.
-        round: Number of the request, rising within the term.
+        round: Number of the request, increasing within the term.
         index: Index of the last entry that the snapshot covers.
-        offset: Place of `data` in the snapshot, in bytes.
+        offset: Position of `data` in the snapshot, in bytes.
         size: Size of the whole snapshot in bytes.
-        data: The part.
+        data: Bytes of the chunk.
     """
 
     header: Header
@@ -140,13 +143,13 @@
 
 
 class SnapshotResponse(msgspec.Struct, frozen=True, tag="snapshot-response"):
-    """Answer to a `SnapshotChunk` that is not the last one.
+    """Response to a `SnapshotChunk` that is not the last one.
 
     Attributes:
         header: Sender, receiver, term.
-        round: Repeats the request.
-        index: Repeats the request.
-        received: Bytes that the sender holds from the start on.
+        round: Copied from the request.
+        index: Copied from the request.
+        received: Number of bytes received so far, without a gap.
     """
 
     header: Header
@@ -156,7 +159,7 @@
 
 
 class TimeoutNow(msgspec.Struct, frozen=True, tag="timeout-now"):
-    """The leader asks the receiver to start an election at once.
+    """The leader requests that the receiver starts an election at once.
 
     Attributes:
         header: Sender, receiver, term.
@@ -166,11 +169,11 @@
 
 
 class ReadRequest(msgspec.Struct, frozen=True, tag="read-request"):
-    """A follower asks the leader for a read index.
+    """A follower requests a read index from the leader.
 
     Attributes:
         header: Sender, receiver, term.
-        number: Number that the answer repeats.
+        number: Number of the request, also in the response.
     """
 
     header: Header
@@ -178,12 +181,13 @@
 
 
 class ReadResponse(msgspec.Struct, frozen=True, tag="read-response"):
-    """Answer to a `ReadRequest`, once a quorum has confirmed the leader.
+    """Response to a `ReadRequest`, once a quorum has confirmed the leader.
 
     Attributes:
         header: Sender, receiver, term.
-        number: Repeats the request.
-        index: The state applied up to here is recent enough.
+        number: Copied from the request.
+        index: Read index: the read is linearizable once the entries up to it
+            are applied.
     """
 
     header: Header
@@ -192,12 +196,14 @@
 
 
 class IdentityRefused(msgspec.Struct, frozen=True, tag="identity-refused"):
-    """The receiver's disk has gone back; it must not take part again.
+    """The receiver lost acknowledged entries and must stop for good.
+
+    Its disk was rolled back to an earlier state.
 
     Attributes:
         header: Sender, receiver, term.
-        acknowledged_index: Index that the receiver once acknowledged.
-        last_index: Index of the last entry that it holds now.
+        acknowledged_index: Last index that the receiver has acknowledged.
+        last_index: Index of the last entry that it still has.
     """
 
     header: Header
@@ -219,4 +225,4 @@
 )
 
 MESSAGE_TYPES: tuple[type, ...] = typing.get_args(Message)
-"""The types of `Message`, as keys of handlers."""
+"""Types of `Message`, used as handler keys."""
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -1,4 +1,4 @@
-"""The one reducer: state and event in, effects out."""
+"""Reducer of a host: takes its state and an event, returns effects."""
 
 from collections.abc import Callable
 from typing import Any
@@ -14,13 +14,13 @@
 
 
 class Component(Protocol):
-    """A part behind the reducer, with one job."""
+    """Component of a host; it handles some of the events."""
 
     def handlers(self) -> dict[Key, Handler]:
-        """Returns the handlers of this part.
+        """Returns the event handlers by key.
 
-        The key is an event type, a message type, a request type, or the name
-        of a timer; the handler receives the whole event.
+        A key is an event type, a message type, a request type, or the name of
+        a timer. A handler receives the whole event.
         """
 
 
@@ -28,9 +28,9 @@
     """State of one host.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        handlers: Handlers by key, in the order of the parts.
-        datagram_handler: The handler of datagrams.
+        context: Identity, random generator, clocks and counters of the host.
+        handlers: Handlers by key, in the order of the components.
+        datagram_handler: The only handler of datagrams.
     """
 
     __slots__ = ("context", "datagram_handler", "handlers")
@@ -38,11 +38,16 @@
     def __init__(
         self, context: context_lib.Context, components: tuple[Component, ...]
     ) -> None:
-        """Composes the parts of a host.
+        """Initializes a host from its components.
 
         Args:
-            context: Identity, chance, time and counters.
-            components: The components, in the order in which they see an event.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            components: The components, in the order in which they handle an
+                event.
+
+        Raises:
+            ValueError: More than one component handles datagrams.
         """
         self.context = context
         self.handlers: dict[Key, list[Handler]] = {}
@@ -51,7 +56,9 @@
                 self.handlers.setdefault(key, []).append(handler)
         datagram = self.handlers.get(events.DatagramArrived, [_ignore])
         if len(datagram) > 1:
-            raise ValueError("two parts handle datagrams; name one")
+            raise ValueError(
+                "several components handle datagrams; pass only one of them"
+            )
         self.datagram_handler: Handler = datagram[0]
 
 
@@ -60,12 +67,12 @@
 
     Args:
         node: State of the host; changed in place.
-        event: What happened.
+        event: The event.
 
     Returns:
-        What the driver must do, in order.
+        The effects that the driver must carry out, in order.
     """
-    # Datagrams outnumber all other events by far, so they go first.
+    # Datagrams outnumber all other events by far, so they are checked first.
     if type(event) is events.DatagramArrived:
         return node.datagram_handler(event)
     if isinstance(event, events.Started):
@@ -77,22 +84,23 @@
 
 
 def _refuse(event: events.RequestArrived) -> effects.Effect:
-    """Answers a request that no part of the host handles."""
+    """Refuses a request that no component of the host handles."""
     refused = refusal.Refused(
         "wrong-role",
-        "this host lacks the role for the request; announcements, targets and "
-        "flows are for entry hosts, patches and members for control hosts",
+        "this host lacks the role for the request; send requests about "
+        "announcements, targets and flows to entry hosts, and those about "
+        "patches and members to control hosts",
     )
     return effects.Respond(event.request_id, refused)
 
 
 def _ignore(event: Any) -> list[effects.Effect]:
-    """Handles an event that no part of the host reacts to."""
+    """Handles an event that no component of the host handles."""
     return []
 
 
 def _key(event: events.Event) -> Key:
-    """Returns what selects the handlers of an event."""
+    """Returns the key of the handlers of an event."""
     if isinstance(event, events.MessageArrived):
         return type(event.message)
     if isinstance(event, events.RequestArrived):
--- a/packages/core/src/tamarack_core/storage/__init__.py
+++ b/packages/core/src/tamarack_core/storage/__init__.py
@@ -1,1 +1,1 @@
-"""Forms of the files in the data folder, without access to files."""
+"""Formats of the files in the data folder; performs no file access."""
--- a/packages/core/src/tamarack_core/storage/disk.py
+++ b/packages/core/src/tamarack_core/storage/disk.py
@@ -1,4 +1,4 @@
-"""What the core gets to know of a data folder."""
+"""Contents of a data folder, as passed to the core."""
 
 from collections.abc import Sequence
 
@@ -6,12 +6,12 @@
 
 
 class DiskContents(msgspec.Struct, frozen=True):
-    """What the data folder held at the start.
+    """Contents of the data folder at the start of the host.
 
     Attributes:
-        incarnation: Identifier made when the folder was created.
+        incarnation: Identifier generated when the folder was created.
         snapshot: Data of the last snapshot, if any.
-        records: Records after it, in order.
+        records: Records after the snapshot, in order.
         targets: Data of the last `SaveTargets`, if any.
     """
 
--- a/packages/core/src/tamarack_core/storage/frames.py
+++ b/packages/core/src/tamarack_core/storage/frames.py
@@ -1,12 +1,13 @@
-"""The log file: a header, then checksummed frames.
+"""Format of the log file: a header followed by checksummed frames.
 
-A frame is its kind, the length of its payload, a checksum and the payload.
-The checksum covers the generation of the file and the place of the frame, so
-that a frame is valid in its own place only.
+A frame consists of its kind, the length of its payload, a checksum and the
+payload. The checksum covers the generation of the file and the offset of the
+frame, so that a frame is valid only at its own position.
 
-A SYNCED frame follows each batch once the batch is on disk. A bad frame with
-a SYNCED frame behind it is damage to data that was acknowledged. A bad frame
-without one is the torn end of a batch that was never acknowledged.
+A SYNCED frame is written after each batch once the batch is on disk. An invalid
+frame with a SYNCED frame after it means that acknowledged data is damaged. An
+invalid frame without one is the torn end of a batch that was never
+acknowledged.
 """
 
 from collections.abc import Iterator
@@ -23,15 +24,15 @@
 MAX_PAYLOAD_BYTES = 1 << 30
 
 _SYNCED_MARK = b"\xf5synced\xfa"
-_header = struct.Struct(">14sHQI")
-_frame = struct.Struct(">BII")
-_place = struct.Struct(">QQBI")
+_header_format = struct.Struct(">14sHQI")
+_frame_format = struct.Struct(">BII")
+_position_format = struct.Struct(">QQBI")
 
-HEADER_BYTES = _header.size
+HEADER_BYTES = _header_format.size
 
 
 class Kind(enum.IntEnum):
-    """What a frame holds; 0 is never used, so that zeros are no frame."""
+    """Kind of a frame; 0 is unused, so that zero bytes are no valid frame."""
 
     SNAPSHOT = 1
     RECORD = 2
@@ -42,7 +43,7 @@
     """A valid frame.
 
     Attributes:
-        kind: What it holds.
+        kind: Kind of the frame.
         payload: The data.
         end: Offset of the byte after the frame.
     """
@@ -53,14 +54,15 @@
 
 
 class Contents(msgspec.Struct):
-    """What a log file holds.
+    """Decoded contents of a log file.
 
     Attributes:
         generation: Generation of the file.
-        snapshot: Data of the snapshot, if there is one.
+        snapshot: Data of the snapshot, if any.
         records: Records in order.
         end: Offset of the byte after the last valid frame.
-        torn_bytes: Bytes behind it, of a batch that was never acknowledged.
+        torn_bytes: Number of bytes after it; they belong to a batch that was
+            never acknowledged.
         is_end_synced: Whether the last valid frame is a SYNCED frame.
     """
 
@@ -73,35 +75,36 @@
 
 
 def encode_header(generation: int) -> bytes:
-    """Returns the first bytes of the file of a generation."""
-    unsigned = _header.pack(MAGIC, FORMAT_VERSION, generation, 0)[:-4]
+    """Returns the header of the file of a generation."""
+    unsigned = _header_format.pack(MAGIC, FORMAT_VERSION, generation, 0)[:-4]
     return unsigned + struct.pack(">I", zlib.crc32(unsigned))
 
 
 def encode(kind: Kind, payload: bytes, generation: int, offset: int) -> bytes:
-    """Returns a frame.
+    """Returns an encoded frame.
 
     Args:
-        kind: What it holds.
+        kind: Kind of the frame.
         payload: The data, at most `MAX_PAYLOAD_BYTES`.
         generation: Generation of the file.
-        offset: Place of the frame in the file.
+        offset: Offset of the frame in the file.
 
     Raises:
         ValueError: The payload is too long.
     """
     if len(payload) > MAX_PAYLOAD_BYTES:
         raise ValueError(
-            f"a payload of {len(payload)} bytes; at most {MAX_PAYLOAD_BYTES}"
+            f"payload has {len(payload)} bytes; at most"
+            f" {MAX_PAYLOAD_BYTES} are allowed"
         )
     checksum = _checksum(kind, payload, generation, offset)
-    return _frame.pack(kind, len(payload), checksum) + payload
+    return _frame_format.pack(kind, len(payload), checksum) + payload
 
 
 def encode_batch(
     kind: Kind, payloads: tuple[bytes, ...], generation: int, offset: int
 ) -> bytes:
-    """Returns frames of one kind that follow each other from `offset` on."""
+    """Returns consecutive frames of one kind, the first at `offset`."""
     batch = bytearray()
     for payload in payloads:
         batch += encode(kind, payload, generation, offset + len(batch))
@@ -114,21 +117,21 @@
 
 
 def decode(data: bytes) -> Contents | failure.Failure:
-    """Returns what a log file holds.
+    """Decodes a log file.
 
     Args:
         data: The whole file.
 
     Returns:
         The contents, or the failure bad-header, other-format or damaged. A
-        failure must not be repaired by cutting the file: acknowledged data
-        would be lost.
+        failure must not be repaired by truncating the file, as this would lose
+        acknowledged data.
     """
     generation = _decode_header(data)
     if isinstance(generation, failure.Failure):
         return generation
     contents = Contents(generation)
-    for frame in _frames(data, generation):
+    for frame in _decode_frames(data, generation):
         contents.end = frame.end
         contents.is_end_synced = frame.kind is Kind.SYNCED
         if frame.kind is Kind.RECORD:
@@ -148,12 +151,12 @@
 
 
 def _decode_header(data: bytes) -> int | failure.Failure:
-    """Returns the generation that the header names."""
+    """Returns the generation from the header, or why it is invalid."""
     if len(data) < HEADER_BYTES:
         return failure.Failure(
-            "bad-header", f"the file has {len(data)} bytes and no header"
+            "bad-header", f"the file has only {len(data)} bytes and no header"
         )
-    magic, version, generation, checksum = _header.unpack_from(data)
+    magic, version, generation, checksum = _header_format.unpack_from(data)
     if checksum != zlib.crc32(data[: HEADER_BYTES - 4]) or magic != MAGIC:
         return failure.Failure("bad-header", "the header is damaged")
     if version != FORMAT_VERSION:
@@ -165,8 +168,8 @@
     return int(generation)
 
 
-def _frames(data: bytes, generation: int) -> Iterator[Frame]:
-    """Yields the valid frames up to the first bad one."""
+def _decode_frames(data: bytes, generation: int) -> Iterator[Frame]:
+    """Yields the frames up to the first invalid one."""
     offset = HEADER_BYTES
     while (frame := _decode_frame(data, generation, offset)) is not None:
         yield frame
@@ -174,11 +177,11 @@
 
 
 def _decode_frame(data: bytes, generation: int, offset: int) -> Frame | None:
-    """Returns the frame at `offset`, or None if there is no valid one."""
-    start = offset + _frame.size
+    """Returns the frame at `offset`, or None if it is invalid."""
+    start = offset + _frame_format.size
     if start > len(data):
         return None
-    kind, length, checksum = _frame.unpack_from(data, offset)
+    kind, length, checksum = _frame_format.unpack_from(data, offset)
     end = start + length
     if kind not in Kind.__members__.values() or end > len(data):
         return None
@@ -189,18 +192,18 @@
 
 
 def _find_synced(data: bytes, generation: int, offset: int) -> int | None:
-    """Returns the place of a SYNCED frame behind `offset`, or None."""
+    """Returns the offset of the next SYNCED frame after `offset`, or None."""
     mark = data.find(_SYNCED_MARK, offset)
     while mark != -1:
-        place = mark - _frame.size
-        frame = _decode_frame(data, generation, place)
-        if place >= offset and frame and frame.kind is Kind.SYNCED:
-            return place
+        start = mark - _frame_format.size
+        frame = _decode_frame(data, generation, start)
+        if start >= offset and frame and frame.kind is Kind.SYNCED:
+            return start
         mark = data.find(_SYNCED_MARK, mark + 1)
     return None
 
 
 def _checksum(kind: int, payload: bytes, generation: int, offset: int) -> int:
-    """Returns the checksum of a frame in its place."""
-    place = _place.pack(generation, offset, kind, len(payload))
-    return zlib.crc32(payload, zlib.crc32(place))
+    """Returns the checksum of a frame at its offset."""
+    position = _position_format.pack(generation, offset, kind, len(payload))
+    return zlib.crc32(payload, zlib.crc32(position))
--- a/packages/core/src/tamarack_core/storage/identity.py
+++ b/packages/core/src/tamarack_core/storage/identity.py
@@ -1,4 +1,4 @@
-"""The identity file of a data folder."""
+"""Format of the identity file of a data folder."""
 
 import zlib
 
@@ -10,13 +10,13 @@
 
 
 class Identity(msgspec.Struct, frozen=True):
-    """Who a data folder belongs to.
+    """Identity of the host that owns a data folder.
 
     Attributes:
         host: Name of the host.
-        incarnation: Random identifier made when the folder was created.
+        incarnation: Random identifier generated when the folder was created.
         created_ms: Wall-clock time of the creation in milliseconds.
-        format_version: Version of this form.
+        format_version: Version of the file format.
     """
 
     host: str
@@ -26,13 +26,13 @@
 
 
 def encode(identity: Identity) -> bytes:
-    """Returns the contents of the identity file."""
+    """Encodes the contents of the identity file."""
     body = msgspec.json.encode(identity)
     return body + b"\n%08x\n" % zlib.crc32(body)
 
 
 def decode(data: bytes) -> Identity | failure.Failure:
-    """Returns the identity in a file, or why there is none."""
+    """Decodes an identity file, or returns why it is invalid."""
     body, _, checksum = data.rstrip(b"\n").rpartition(b"\n")
     if checksum != b"%08x" % zlib.crc32(body):
         return failure.Failure("damaged", "the checksum doesn't match")
@@ -43,7 +43,7 @@
     if identity.format_version != FORMAT_VERSION:
         return failure.Failure(
             "other-format",
-            f"format {identity.format_version}; this release reads"
+            f"the file has format {identity.format_version}; this release reads"
             f" {FORMAT_VERSION}",
         )
     return identity
--- a/packages/core/src/tamarack_core/storage/summary.py
+++ b/packages/core/src/tamarack_core/storage/summary.py
@@ -1,4 +1,4 @@
-"""Reads the replicated state out of the contents of a log file."""
+"""Summary of the replicated state in a log file."""
 
 import dataclasses
 import random
@@ -14,16 +14,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
-    """State that a log file holds.
+    """Replicated state in a log file.
 
     Attributes:
-        numbered: The newest configuration that the host knew to be accepted.
-        term: Term of the log.
-        commit_index: Last entry that the host knew to be committed.
-        last_index: Last entry of the log.
+        numbered: Newest configuration known to be accepted.
+        term: Current term of the replica.
+        commit_index: Last index known to be committed.
+        last_index: Index of the last entry of the log.
         members: Members of the replicated log as `host/incarnation`.
-        patches: Accepted patches that the log still lists.
-        patch_ids: Patch ids whose first answer is kept.
+        patches: Number of accepted patches kept in the history.
+        patch_ids: Number of patch ids whose verdict is kept.
     """
 
     numbered: configuration.Numbered
@@ -36,12 +36,12 @@
 
 
 def summarize(contents: frames.Contents) -> Summary | failure.Failure:
-    """Returns the state in a log file, or why it can't be read."""
+    """Summarizes a log file, or returns why it can't be read."""
     machine = machines.PatchMachine()
     reader = membership.Member(
         peers.Peer("reader", "", peers.Endpoint("0.0.0.0", 0)), ""
     )
-    # It never starts, so that it neither votes nor draws a number.
+    # The replica never starts: it doesn't vote and uses no random numbers.
     replica = replicas.Replica(reader, (), random.Random(0), machine)
     refused = replica.recover(contents.snapshot, contents.records)
     if refused is not None:
