--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -126,6 +126,6 @@
             lambda: len(path.records.table),
         )
     )
-    ends_at_once = Role.ENTRY not in plan.roles
-    components.append(lifecycle.Lifecycle(context, ends_at_once))
+    stops_immediately = Role.ENTRY not in plan.roles
+    components.append(lifecycle.Lifecycle(context, stops_immediately))
     return reducer.Node(context, tuple(components))
--- a/packages/core/src/tamarack_core/internal/lifecycle.py
+++ b/packages/core/src/tamarack_core/internal/lifecycle.py
@@ -1,4 +1,4 @@
-"""Records the start of a host and ends it when asked."""
+"""Start and stop of a host."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -7,42 +7,45 @@
 
 
 class Lifecycle:
-    """Part that starts and ends the host.
+    """Component that records the start of the host and ends the process.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        ends_at_once: Whether a stop request ends the process at once. On an
-            entry host the membership ends it, after the handover of flows.
+        context: Identity, random generator, clocks and counters of the host.
+        stops_immediately: Whether a stop request ends the process immediately.
+            On an entry host, the host membership ends it instead, after the
+            flows were handed over to other hosts.
     """
 
-    __slots__ = ("context", "ends_at_once")
+    __slots__ = ("context", "stops_immediately")
 
     def __init__(
-        self, context: context_lib.Context, ends_at_once: bool = True
+        self, context: context_lib.Context, stops_immediately: bool = True
     ) -> None:
-        """Creates the part.
+        """Initializes the lifecycle component.
 
         Args:
-            context: Identity, chance, time and counters.
-            ends_at_once: Whether a stop request ends the process at once.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            stops_immediately: Whether a stop request ends the process
+                immediately.
         """
         self.context = context
-        self.ends_at_once = ends_at_once
+        self.stops_immediately = stops_immediately
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Records the start."""
+        """Records the start in the time line."""
         return [self.context.record(event.now_s, "host-started")]
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Records the stop and ends the process."""
-        if not self.ends_at_once:
+        """Records the stop and ends the process, unless another component does."""
+        if not self.stops_immediately:
             return []
         return [
             self.context.record(event.now_s, "host-stopped"),
