--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -78,12 +78,12 @@
     This is within `election_timeout_max_s`; the leader itself counts.
     """
     oldest_s = now_s - state.parameters.election_timeout_max_s
-    answering = [
+    active = [
         incarnation
         for incarnation, progress in state.progress.items()
         if progress.answered_s > oldest_s and not progress.is_refused
     ]
-    return members.has_quorum([state.own.incarnation, *answering])
+    return members.has_quorum([state.own.incarnation, *active])
 
 
 def _update_leadership_transfer(state: states.State, now_s: float) -> None:
@@ -325,12 +325,12 @@
 def confirm_reads(state: states.State) -> None:
     """Completes the running reads once a quorum responded to their round."""
     queue = state.reads
-    answered = [
+    responded = [
         incarnation
         for incarnation, progress in state.progress.items()
         if progress.answered_round >= queue.round and not progress.is_refused
     ]
-    confirming = [state.own.incarnation, *answered]
+    confirming = [state.own.incarnation, *responded]
     if not queue.running or not state.latest_membership.has_quorum(confirming):
         return
     completed = queue.running
--- a/packages/core/src/tamarack_core/internal/consensus/snapshots.py
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -44,8 +44,8 @@
     kept: list[records.Record] = [
         records.TermRecord(state.term, state.voted_for),
         *(
-            records.EntryRecord(place, entry)
-            for place, entry in state.log.numbered_after(index)
+            records.EntryRecord(entry_index, entry)
+            for entry_index, entry in state.log.numbered_after(index)
         ),
     ]
     encoded = tuple(records.encode(record) for record in kept)
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -277,10 +277,10 @@
         self._report_membership()
 
     def append_membership(
-        self, index: int, placed: membership.Membership
+        self, index: int, latest: membership.Membership
     ) -> None:
         """Puts the membership of the entry at `index` into effect."""
-        self.memberships.append(IndexedMembership(index, placed))
+        self.memberships.append(IndexedMembership(index, latest))
         self._report_membership()
 
     def _report_membership(self) -> None:
@@ -294,12 +294,12 @@
     def commit(self, index: int) -> None:
         """Advances the commit index to `index` and applies the entries."""
         first = self.commit_index + 1
-        for place in range(first, index + 1):
-            self.commit_index = place
-            entry = self.log.entry_at(place)
+        for entry_index in range(first, index + 1):
+            self.commit_index = entry_index
+            entry = self.log.entry_at(entry_index)
             if entry.kind is consensus.EntryKind.COMMAND:
-                self.machine.apply(place, entry.data)
-                self.output(outputs.Applied(place, entry.term))
+                self.machine.apply(entry_index, entry.data)
+                self.output(outputs.Applied(entry_index, entry.term))
 
     def halt(self, reason: str, detail: str) -> None:
         """Stops the replica for good under its current incarnation."""
--- a/packages/core/src/tamarack_core/internal/lifecycle.py
+++ b/packages/core/src/tamarack_core/internal/lifecycle.py
@@ -44,7 +44,7 @@
         return [self.context.record(event.now_s, "host-started")]
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Records the stop and ends the process, unless another component does."""
+        """Records the stop and ends the process if that is immediate."""
         if not self.stops_immediately:
             return []
         return [
