--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -1,4 +1,4 @@
-"""Composes the parts of a host from its roles."""
+"""Assembles the components of a host according to its roles."""
 
 import dataclasses
 import enum
@@ -27,7 +27,7 @@
 
 
 class Role(enum.StrEnum):
-    """What a host does."""
+    """Role of a host; a host may have several."""
 
     ENTRY = "entry"
     RELAY = "relay"
@@ -36,19 +36,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """What a host is made of.
+    """Description of a host to assemble.
 
     Attributes:
         host: Identity and addresses of this host.
         roles: Roles of this host.
-        seed: Seed of the generator.
+        seed: Seed of the random generator.
         entry_peers: Other entry hosts of the failure domain.
-        sources: Hosts to fetch the configuration from; they are nearer to the
-            control hosts, or control hosts.
-        fallback_sources: Hosts to fetch it from as well when one of the
-            sources is silent.
-        voters: First voters in the order of the settings.
-        disk: What the data folder holds; required for the control role.
+        sources: Hosts to fetch the configuration from: control hosts, or hosts
+            nearer to them.
+        fallback_sources: Hosts to fetch it from as well while one of the
+            sources is unresponsive.
+        voters: Initial voters, in the order of the settings.
+        disk: Contents of the data folder; required for the control role.
     """
 
     host: peers.Peer
@@ -65,7 +65,7 @@
     """Returns the state of a host that has not started.
 
     Args:
-        plan: What the host is made of.
+        plan: Description of the host.
 
     Raises:
         ValueError: The plan has the control role and no disk.
@@ -118,7 +118,9 @@
             )
         )
         components.append(
-            views.Views(config_store, targets, load_table, path.records.table)
+            views.OperatorViews(
+                config_store, targets, load_table, path.records.table
+            )
         )
     if Role.CONTROL in plan.roles:
         if plan.disk is None:
@@ -137,7 +139,7 @@
             )
         )
     components.append(
-        status.Status(
+        status.StatusReporter(
             context,
             config_store,
             tuple(sorted(plan.roles)),
--- a/packages/core/src/tamarack_core/internal/status.py
+++ b/packages/core/src/tamarack_core/internal/status.py
@@ -1,4 +1,4 @@
-"""Answers status requests about this host."""
+"""Responds to requests for the status of this host."""
 
 from collections.abc import Callable
 
@@ -10,16 +10,17 @@
 from tamarack_core.internal.distribution import configuration_store
 
 
-class Status:
-    """Part that reports the state of this host.
+class StatusReporter:
+    """Component that reports the status of this host.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         config_store: Configuration in force.
         roles: Roles of this host.
-        members: Returns the hosts held to be alive.
-        targets: Returns the number of targets known.
-        flows: Returns the number of flows known.
+        members: Returns the names of the other hosts considered alive; empty
+            before this host has joined them.
+        targets: Returns the number of known targets.
+        flows: Returns the number of known flows.
     """
 
     __slots__ = (
@@ -40,15 +41,17 @@
         targets: Callable[[], int],
         flows: Callable[[], int],
     ) -> None:
-        """Creates the part.
+        """Initializes the status reporter.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             config_store: Configuration in force.
             roles: Roles of this host.
-            members: Returns the hosts held to be alive.
-            targets: Returns the number of targets known.
-            flows: Returns the number of flows known.
+            members: Returns the names of the other hosts considered alive;
+                empty before this host has joined them.
+            targets: Returns the number of known targets.
+            flows: Returns the number of known flows.
         """
         self.context = context
         self.config_store = config_store
@@ -58,14 +61,14 @@
         self.flows = flows
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {requests.ReadStatus: self.handle_status}
 
     def handle_status(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Answers with the state of this host."""
-        answer = requests.StatusRead(
+        """Responds with the status of this host."""
+        response = requests.StatusRead(
             host=self.context.host.host,
             domain=self.context.host.domain,
             roles=self.roles,
@@ -76,4 +79,4 @@
             flows=self.flows(),
             counters=dict(self.context.counters),
         )
-        return [effects.Respond(event.request_id, answer)]
+        return [effects.Respond(event.request_id, response)]
--- a/packages/core/src/tamarack_core/internal/views.py
+++ b/packages/core/src/tamarack_core/internal/views.py
@@ -1,4 +1,4 @@
-"""Shows operators the targets and the flows that this host knows."""
+"""Views of the targets and flows of this host, for operators."""
 
 import itertools
 
@@ -14,13 +14,13 @@
 from tamarack_core.packets import ip
 
 
-class Views:
-    """Part that answers reads of targets and flows.
+class OperatorViews:
+    """Component that responds to reads of targets and flows.
 
     Attributes:
         config_store: Configuration in force.
         targets: Announced targets.
-        load_table: Work in flight by target.
+        load_table: Load by target.
         flows: Flow table.
     """
 
@@ -33,12 +33,12 @@
         load_table: load_table_lib.LoadTable,
         flows: flow_table.FlowTable,
     ) -> None:
-        """Creates the part.
+        """Initializes the operator views.
 
         Args:
             config_store: Configuration in force.
             targets: Announced targets.
-            load_table: Work in flight by target.
+            load_table: Load by target.
             flows: Flow table.
         """
         self.config_store = config_store
@@ -47,7 +47,7 @@
         self.flows = flows
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             requests.ReadTargets: self.handle_targets,
             requests.ReadFlows: self.handle_flows,
@@ -56,22 +56,22 @@
     def handle_targets(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Answers with the announced targets of a service."""
+        """Responds with the announced targets, of one service or of all."""
         request = event.request
         assert isinstance(request, requests.ReadTargets)
         open_flows = self._open_flows()
-        found = [
+        views = [
             self._target_view(event.now_s, address, target, open_flows)
             for address, target in self.targets.targets.items()
             if request.service in ("", target.announcement.service)
         ]
-        answer = requests.TargetsRead(tuple(found))
-        return [effects.Respond(event.request_id, answer)]
+        response = requests.TargetsRead(tuple(views))
+        return [effects.Respond(event.request_id, response)]
 
     def handle_flows(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Answers with the open flows that match, up to a limit."""
+        """Responds with the open flows that match, up to a limit."""
         request = event.request
         assert isinstance(request, requests.ReadFlows)
         matching = (
@@ -79,22 +79,22 @@
             for slot in self.flows.sweep(0, len(self.flows.keys))
             if (view := self._flow_view(event.now_s, slot, request))
         )
-        # One more than the limit tells whether there are others.
-        found = tuple(itertools.islice(matching, request.limit + 1))
-        answer = requests.FlowsRead(
-            found[: request.limit], len(found) > request.limit
+        # One view beyond the limit shows whether there are more flows.
+        views = tuple(itertools.islice(matching, request.limit + 1))
+        response = requests.FlowsRead(
+            views[: request.limit], len(views) > request.limit
         )
-        return [effects.Respond(event.request_id, answer)]
+        return [effects.Respond(event.request_id, response)]
 
     def _open_flows(self) -> dict[bytes, int]:
-        """Returns the number of open flows that this host owns by target."""
-        found: dict[bytes, int] = {}
+        """Returns the number of open flows that this host owns, by target."""
+        counts: dict[bytes, int] = {}
         for slot in self.flows.sweep(0, len(self.flows.keys)):
             flags = self.flows.flags[slot]
             if flags & flow_table.OWNED and not flags & flow_table.CLOSED:
                 target = self.flows.target_of(slot)
-                found[target] = found.get(target, 0) + 1
-        return found
+                counts[target] = counts.get(target, 0) + 1
+        return counts
 
     def _target_view(
         self,
@@ -103,7 +103,7 @@
         target: lease_table.TargetLease,
         open_flows: dict[bytes, int],
     ) -> requests.TargetView:
-        """Returns what an operator sees of a target."""
+        """Returns the view of a target."""
         announcement = target.announcement
         return requests.TargetView(
             address=announcement.address,
@@ -120,7 +120,7 @@
     def _flow_view(
         self, now_s: float, slot: int, request: requests.ReadFlows
     ) -> requests.FlowView | None:
-        """Returns what an operator sees of a flow; None if not asked for."""
+        """Returns the view of a flow, or None if the request excludes it."""
         key = self.flows.keys[slot]
         flags = self.flows.flags[slot]
         if key is None or flags & flow_table.CLOSED:
@@ -144,7 +144,7 @@
 
 
 def _role(flags: int) -> requests.FlowRole:
-    """Returns what this host is to a flow."""
+    """Returns the role of this host for a flow."""
     if flags & flow_table.OWNED:
         return requests.FlowRole.OWNER
     if flags & flow_table.BACKUP:
