Reword the control group and the document state machine

Comments, docstrings, private names and locals in plain terms: publish request, pending, repair, unresponsive, subscriber, state machine. The struct field directory of the policy's GroupState (never encoded) is known_hosts, as it is a mapping and not a directory.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -1,4 +1,4 @@
-"""Composes a control host that keeps numbered documents and targets."""
+"""Composes a control host for numbered documents and announced targets."""
 
 import msgspec
 
@@ -18,19 +18,20 @@
 from tamarack_core.storage import disk as disks
 
 CODEC = envelopes.Codec(envelopes.Envelope[sync.Message | consensus.Message])
-"""Translates the messages that a control host takes and sends."""
+"""Codec of the messages between control hosts and other hosts."""
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """What a control host is made of.
+    """Identity, settings and stored data of a control host.
 
     Attributes:
         host: Identity and addresses of this host.
-        seed: Seed of the generator.
-        seeds: Control hosts to begin with.
-        disk: What the data folder holds.
-        tolerated_hosts: Control hosts that may be lost at once.
-        announce_interval_s: Time between the announcements of a target.
+        seed: Seed of the random generator.
+        seeds: Control hosts listed in the settings.
+        disk: Contents of the data folder.
+        tolerated_hosts: Number of control hosts that may be lost at once.
+        announce_interval_s: Time between the announcements of a target, in
+            seconds.
     """
 
     host: peers.Peer
@@ -42,25 +43,27 @@
 
 
 def founder_incarnation(endpoint: peers.Endpoint) -> str:
-    """Returns the incarnation of a founder, which all seeds know beforehand.
+    """Returns the incarnation of a founder.
+
+    It depends on the address alone, so that all seeds know it in advance.
 
     Args:
-        endpoint: Its control endpoint.
+        endpoint: Control endpoint of the founder.
     """
     return f"first-{endpoint.address}"
 
 
 def assemble(plan: Plan) -> reducer.Node:
-    """Returns the state of a control host that has not started.
+    """Returns the node of a control host that has not been started.
 
     Args:
-        plan: What the host is made of.
+        plan: Identity, settings and stored data of the host.
     """
     context = context_lib.Context(plan.host, plan.seed)
     directory = host_directory.ControlHostDirectory(context, plan.seeds)
     registry = target_registry.TargetRegistry(plan.announce_interval_s)
     publisher = publishers.Publisher(context, registry)
-    documents = document_replication.DocumentReplicator(
+    replicator = document_replication.DocumentReplicator(
         context,
         directory,
         publisher,
@@ -71,16 +74,18 @@
     announcements = announcement_receiver.AnnouncementReceiver(
         context, registry, publisher, directory, plan.disk.targets
     )
-    doubts = suspicion_relay.SuspicionRelay(context, publisher)
-    return reducer.Node(context, (publisher, documents, announcements, doubts))
+    suspicions = suspicion_relay.SuspicionRelay(context, publisher)
+    return reducer.Node(
+        context, (publisher, replicator, announcements, suspicions)
+    )
 
 
 def _founders(plan: Plan) -> tuple[membership.Member, ...]:
-    """Returns the first members, equal at all seeds; none elsewhere.
+    """Returns the first members: the same at all seeds, none at other hosts.
 
-    A founder is known by its address alone, as seeds don't know one another's
-    names. Its incarnation is fixed, so that the group needs no further
-    agreement; a founder that loses its disk comes back under another one.
+    A founder is identified by its address alone, because seeds don't know one
+    another's names. Its incarnation is fixed, so that the seeds need no further
+    agreement; a founder that loses its disk returns with another incarnation.
     """
     if plan.disk.incarnation != founder_incarnation(plan.host.control):
         return ()
@@ -89,9 +94,9 @@
             peers.Peer(seed.control.address, "", seed.control),
             founder_incarnation(seed.control),
         )
-        for seed in sorted(plan.seeds, key=_place)
+        for seed in sorted(plan.seeds, key=_endpoint_key)
     )
 
 
-def _place(peer: peers.Peer) -> tuple[str, int]:
+def _endpoint_key(peer: peers.Peer) -> tuple[str, int]:
     return (peer.control.address, peer.control.port)
--- a/packages/core/src/tamarack_core/internal/documents/__init__.py
+++ b/packages/core/src/tamarack_core/internal/documents/__init__.py
@@ -1,1 +1,1 @@
-"""Numbered documents in the replicated log."""
+"""Replicated state machine for numbered documents."""
--- a/packages/core/src/tamarack_core/internal/documents/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -1,4 +1,4 @@
-"""The replicated state: the document with the highest number."""
+"""Replicated state machine that holds the document with the highest number."""
 
 from typing import Protocol
 
@@ -11,14 +11,17 @@
 _document_decoder = msgspec.msgpack.Decoder(documents.Document)
 
 
-class History(Protocol):
-    """Follows the documents in force."""
+class DocumentHistory(Protocol):
+    """Receiver of the documents that come into force."""
 
     def put(self, document: documents.Document) -> None:
-        """Takes the document that follows on the last one."""
+        """Appends the document that directly follows the last one."""
 
     def reset_to(self, document: documents.Document) -> None:
-        """Takes a document after others that nobody here has seen."""
+        """Replaces the history by a document after a gap.
+
+        The documents between the last one and this one are unknown.
+        """
 
 
 class DocumentStateMachine:
@@ -26,27 +29,29 @@
 
     Attributes:
         document: The document in force.
-        passed: Documents that came into force since the last `flush_to`.
-        has_jumped: Whether documents before these were not seen.
+        new_documents: Documents that came into force since the last
+            `flush_to`.
+        has_gap: Whether the documents before `new_documents` are unknown, as
+            they are after a snapshot was restored.
     """
 
-    __slots__ = ("document", "has_jumped", "passed")
+    __slots__ = ("document", "has_gap", "new_documents")
 
     def __init__(self) -> None:
-        """Holds no document."""
+        """Initializes the state with the empty document 0."""
         self.document = documents.Document(0)
-        self.passed: list[documents.Document] = []
-        self.has_jumped = False
+        self.new_documents: list[documents.Document] = []
+        self.has_gap = False
 
     def apply(self, index: int, command: bytes) -> None:
-        """Applies a committed change unless its base is not in force.
+        """Applies a committed change if its base is in force.
 
-        A change whose base differs was proposed by a leader that did not yet
-        know what another one had committed; whoever published it hears
-        nothing and sends it again.
+        A change with another base was proposed by a leader that had not yet
+        applied an entry committed by an earlier leader. It is skipped, so that
+        its publisher gets no acknowledgment and sends the document again.
 
         Args:
-            index: Place in the log.
+            index: Index in the log.
             command: The encoded change.
         """
         change = _change_decoder.decode(command)
@@ -54,33 +59,33 @@
             return
         if change.number > self.document.number:
             self.document = documents.apply(self.document, change)
-            self.passed.append(self.document)
+            self.new_documents.append(self.document)
 
     def snapshot(self) -> bytes:
-        """Returns the state after the last applied command."""
+        """Returns the encoded state after the last applied command."""
         return _encoder.encode(self.document)
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by one that `snapshot` returned."""
         self.document = _document_decoder.decode(data)
-        self.passed = [self.document]
-        self.has_jumped = True
+        self.new_documents = [self.document]
+        self.has_gap = True
 
-    def flush_to(self, history: History) -> None:
-        """Hands over the documents that came into force.
+    def flush_to(self, history: DocumentHistory) -> None:
+        """Moves the documents that came into force to a history.
 
         Args:
-            history: What follows the documents one by one.
+            history: Receives the documents one by one.
         """
-        for document in self.passed:
-            if self.has_jumped:
+        for document in self.new_documents:
+            if self.has_gap:
                 history.reset_to(document)
             else:
                 history.put(document)
-            self.has_jumped = False
-        self.passed.clear()
+            self.has_gap = False
+        self.new_documents.clear()
 
 
 def encode(change: documents.Change) -> bytes:
-    """Returns the command for the log that makes a change."""
+    """Returns the command for the log that applies a change."""
     return _encoder.encode(change)
--- a/packages/core/src/tamarack_core/internal/group/__init__.py
+++ b/packages/core/src/tamarack_core/internal/group/__init__.py
@@ -1,1 +1,1 @@
-"""How control hosts find one another and keep their group whole."""
+"""Discovery, membership and repair of the group of control hosts."""
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -1,4 +1,4 @@
-"""Control role for numbered documents: the log, orders, reads, membership."""
+"""Replication of numbered documents among the control hosts of a group."""
 
 import math
 import random
@@ -28,16 +28,17 @@
 TIMER = "group"
 
 TICK_S = 0.1
-"""Time between two looks at what waits, in seconds."""
+"""Interval of the maintenance of pending work, in seconds."""
 
 HELLO_INTERVAL_S = 0.5
-"""Time between two messages to each other control host, in seconds."""
+"""Time between two `ControlHello` messages to each control host, in seconds."""
 
 CHANGE_INTERVAL_S = 0.2
 """Time between two membership changes, in seconds."""
 
 STOP_S = 0.6
-"""Time that a stopping host has to hand over and answer, in seconds."""
+"""Time that a stopping host has to transfer the leadership and to respond to
+pending requests, in seconds."""
 
 LOG_PARAMETERS = log_parameters.LogParameters(
     heartbeat_interval_s=0.15,
@@ -50,26 +51,29 @@
     retained_entries=50,
     promotion_entries=5,
 )
-"""Times and sizes of the log. Control hosts are 3 to 12 ms apart and must
-elect within the 3 s in which a configuration has to be in force."""
+"""Parameters of the replicated log. The latency between control hosts is 3 to
+12 ms, and an election must complete within the 3 s in which a configuration
+has to be in force."""
 
 
 class DocumentReplicator:
-    """Part that replicates documents and keeps the group whole.
+    """Component that replicates documents and repairs the group membership.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        directory: The other control hosts.
-        publisher: Pushes documents to followers.
-        machine: The replicated state.
+        context: Identity, random generator, clocks and counters of the host.
+        directory: The known control hosts.
+        publisher: Pushes documents to subscribers.
+        machine: The replicated state machine.
         replica: The replicated log.
-        publishing: Documents on their way into the log.
-        reads: Requests that wait for a read index, by token.
-        wanted_voters: How many voters the stated losses ask for.
-        unreadable: Why the disk can't be read, if it can't.
+        publish_requests: Publish requests that have no response yet.
+        reads: Times of arrival of reads that wait for a read index, by request
+            number.
+        wanted_voters: Number of voters needed to tolerate the configured
+            number of lost hosts.
+        unreadable: Why the data folder can't be read, or None.
         hello_s: Time of the last `ControlHello`, in seconds.
         changed_s: Time of the last membership change, in seconds.
-        is_stopping: Whether the host is about to end.
+        is_stopping: Whether a stop of this host was requested.
     """
 
     __slots__ = (
@@ -79,8 +83,8 @@
         "hello_s",
         "is_stopping",
         "machine",
+        "publish_requests",
         "publisher",
-        "publishing",
         "reads",
         "replica",
         "unreadable",
@@ -97,17 +101,18 @@
         tolerated_hosts: int,
         parameters: log_parameters.LogParameters = LOG_PARAMETERS,
     ) -> None:
-        """Creates the part from what the disk holds.
+        """Initializes the replicated log from the data folder.
 
         Args:
-            context: Identity, chance, time and counters.
-            directory: The other control hosts.
-            publisher: Pushes documents to followers.
-            disk: What the data folder held at the start.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            directory: The known control hosts.
+            publisher: Pushes documents to subscribers.
+            disk: Contents of the data folder at the start.
             founders: Members of a system that starts for the first time;
                 empty on a host that joins.
-            tolerated_hosts: Control hosts that may be lost at once.
-            parameters: Times and sizes of the log.
+            tolerated_hosts: Number of control hosts that may be lost at once.
+            parameters: Parameters of the replicated log.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
@@ -121,7 +126,7 @@
             self.machine,
             parameters,
         )
-        self.publishing = publish_requests.PublishRequests(
+        self.publish_requests = publish_requests.PublishRequests(
             self.machine, self.replica
         )
         self.reads: dict[int, float] = {}
@@ -132,7 +137,7 @@
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         handlers: dict[reducer.Key, reducer.Handler] = dict.fromkeys(
             consensus.MESSAGE_TYPES, self.handle_consensus
         )
@@ -153,33 +158,35 @@
         return handlers
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Starts to take part."""
+        """Starts the replicated log; stops if the disk is unreadable."""
         if self.unreadable is not None:
             return [effects.Stop(1, self.unreadable.detail)]
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             self.context.record(
                 event.now_s,
                 "host-started",
                 version=self.machine.document.number,
             )
         ]
-        found += self._carry(event.now_s, self.replica.start(event.now_s))
-        found += self.handle_tick(event)
-        return found
+        result += self._collect_effects(
+            event.now_s, self.replica.start(event.now_s)
+        )
+        result += self.handle_tick(event)
+        return result
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Hands over the leadership; the process ends a little later."""
+        """Transfers the leadership; the process ends `STOP_S` later."""
         if self.is_stopping:
             return []
         self.is_stopping = True
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             self.context.record(event.now_s, "host-stopping"),
             effects.StartTimer("stop", STOP_S),
         ]
         step = self.replica.transfer_leadership(event.now_s)
         if not isinstance(step, failure.Failure):
-            found += self._carry(event.now_s, step)
-        return found
+            result += self._collect_effects(event.now_s, step)
+        return result
 
     def handle_end(self, event: events.TimerFired) -> list[effects.Effect]:
         """Ends the process."""
@@ -189,80 +196,89 @@
         ]
 
     def handle_seeds(self, event: events.SeedsChanged) -> list[effects.Effect]:
-        """Takes other seeds; what was learned stays."""
+        """Replaces the seeds; the other known control hosts are kept."""
         self.directory.seeds = event.seeds
         return []
 
     def handle_consensus(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Hands a message of another replica to the log."""
+        """Passes a message of another replica to the log."""
         message = event.message
         assert isinstance(message, consensus.Message)
         step = self.replica.handle_message(event.now_s, event.sender, message)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_log_timer(
         self, event: events.TimerFired
     ) -> list[effects.Effect]:
-        """Hands a timer to the log."""
-        return self._carry(event.now_s, self.replica.handle_timer(event.now_s))
+        """Passes a timer event to the log."""
+        return self._collect_effects(
+            event.now_s, self.replica.handle_timer(event.now_s)
+        )
 
     def handle_write_completed(
         self, event: events.WriteCompleted
     ) -> list[effects.Effect]:
-        """Tells the log that a write is synced."""
+        """Notifies the log that a write is synced to disk."""
         step = self.replica.handle_write_completed(event.now_s, event.sequence)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_hello(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes note of another control host."""
+        """Stores the sender and the live hosts that it reports."""
         message = event.message
         assert isinstance(message, sync.ControlHello)
-        self.directory.note(event.now_s, event.sender, message.incarnation)
-        self.directory.mention(event.now_s, message.known)
+        self.directory.observe(event.now_s, event.sender, message.incarnation)
+        self.directory.add_reported(event.now_s, message.known)
         return []
 
     def handle_tick(
         self, event: events.TimerFired | events.Started
     ) -> list[effects.Effect]:
-        """Moves on what waits: orders, reads, hellos, membership."""
+        """Runs the maintenance.
+
+        It retries and responses publish requests, announces this host to the
+        other control hosts and, at the leader, repairs the membership.
+        """
         now_s = event.now_s
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
-        for step in self.publishing.retry(now_s):
-            found += self._carry(now_s, step)
-        found += self.publishing.settle(now_s)
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        for step in self.publish_requests.retry(now_s):
+            result += self._collect_effects(now_s, step)
+        result += self.publish_requests.respond_to_pending(now_s)
         if now_s - self.hello_s >= HELLO_INTERVAL_S:
             self.hello_s = now_s
-            found += self._greet(now_s)
+            result += self._send_hellos(now_s)
         if self.replica.state.is_leader and not self.is_stopping:
-            found += self._mend(now_s)
-        return found
+            result += self._repair_membership(now_s)
+        return result
 
-    def _greet(self, now_s: float) -> list[effects.Effect]:
-        """Names this host to the others, and who else is alive."""
-        self.directory.forget(now_s)
-        self.directory.mention(now_s, self._members())
+    def _send_hellos(self, now_s: float) -> list[effects.Effect]:
+        """Announces this host and the live hosts to the other control hosts."""
+        self.directory.expire(now_s)
+        self.directory.add_reported(now_s, self._members())
         live = self.directory.live(now_s)
         hello = sync.ControlHello(self.replica.state.own.incarnation, live)
-        found = self.publisher.set_controls(now_s, live)
-        found += [
+        result = self.publisher.set_controls(now_s, live)
+        result += [
             effects.SendMessage(peer, hello) for peer in self.directory.others()
         ]
-        return found
+        return result
 
     def _members(self) -> tuple[peers.Peer, ...]:
-        """Returns the hosts that the log names; seeds may be long gone."""
+        """Returns the member hosts in the log.
+
+        They keep the group reachable after all seeds have been replaced.
+        """
         members = self.replica.state.latest_membership.members.values()
         return tuple(member.peer for member in members)
 
-    def _mend(self, now_s: float) -> list[effects.Effect]:
-        """Makes the membership change that is due, at the leader."""
+    def _repair_membership(self, now_s: float) -> list[effects.Effect]:
+        """Proposes the next membership change; called at the leader only."""
         if now_s - self.changed_s < CHANGE_INTERVAL_S:
             return []
-        change = membership_policy.next_change(now_s, self._situation())
+        change = membership_policy.next_change(now_s, self._group_state())
         if change is None:
             return []
         proposal = self.replica.change_membership(now_s, change)
@@ -270,16 +286,16 @@
             self.context.counters[f"change-refused-{proposal.reason}"] += 1
             return []
         self.changed_s = now_s
-        return self._carry(now_s, proposal.step)
+        return self._collect_effects(now_s, proposal.step)
 
-    def _situation(self) -> membership_policy.Situation:
-        """Returns what the leader knows of the group."""
+    def _group_state(self) -> membership_policy.GroupState:
+        """Returns the state of the group as the leader knows it."""
         state = self.replica.state
         newest = state.log.last_index - state.parameters.promotion_entries
-        return membership_policy.Situation(
+        return membership_policy.GroupState(
             members=state.latest_membership,
             own=state.own.incarnation,
-            directory=self.directory.heard,
+            known_hosts=self.directory.known_hosts,
             answered_s={
                 incarnation: progress.answered_s
                 for incarnation, progress in state.progress.items()
@@ -295,35 +311,35 @@
     def handle_publish(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Takes a document of an operator."""
+        """Handles a publish request of an operator."""
         request = event.request
         assert isinstance(request, external_requests.PublishDocument)
-        step = self.publishing.submit(
+        step = self.publish_requests.submit(
             event.now_s, event.request_id, request.document
         )
-        found: list[effects.Effect] = [
-            self._record_order(event.now_s, request, step)
+        result: list[effects.Effect] = [
+            self._record_request(event.now_s, request, step)
         ]
-        found += self._carry(event.now_s, step)
-        return found
+        result += self._collect_effects(event.now_s, step)
+        return result
 
-    def _record_order(
+    def _record_request(
         self,
         now_s: float,
         request: external_requests.PublishDocument,
         step: outputs.Step,
     ) -> effects.Effect:
-        """Returns the time line entry of an order that arrived."""
-        answers = [
+        """Returns the time line entry of a publish request."""
+        responses = [
             effect.response
             for effect in step.effects
             if isinstance(effect, effects.Respond)
         ]
         reason = verdict = ""
-        if answers and isinstance(answers[0], requests.Refused):
-            verdict, reason = "refused", answers[0].reason
-        elif answers:
-            verdict = type(answers[0]).__name__
+        if responses and isinstance(responses[0], requests.Refused):
+            verdict, reason = "refused", responses[0].reason
+        elif responses:
+            verdict = type(responses[0]).__name__
         return self.context.record(
             now_s,
             "document-arrived",
@@ -333,41 +349,43 @@
         )
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
-        """Asks for a read index; the answer follows when it is reached."""
+        """Requests a read index; the response follows once it is applied."""
         self.reads[event.request_id] = event.now_s
         step = self.replica.read_index(event.now_s, event.request_id)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
-    def _carry(self, now_s: float, step: outputs.Step) -> list[effects.Effect]:
-        """Returns the effects of a step and of what it made happen."""
-        found = list(step.effects)
+    def _collect_effects(
+        self, now_s: float, step: outputs.Step
+    ) -> list[effects.Effect]:
+        """Returns the effects of a step and of handling its outputs."""
+        result = list(step.effects)
         for output in step.outputs:
-            found += self._handle_output(now_s, output)
-        if self.machine.passed:
-            found += self.publisher.publish_documents(now_s, self.machine)
-            found += self.publishing.settle(now_s)
-        return found
+            result += self._handle_output(now_s, output)
+        if self.machine.new_documents:
+            result += self.publisher.publish_documents(now_s, self.machine)
+            result += self.publish_requests.respond_to_pending(now_s)
+        return result
 
     def _handle_output(
         self, now_s: float, output: outputs.Output
     ) -> list[effects.Effect]:
-        """Handles one thing that happened in the log."""
+        """Handles an output of the replicated log."""
         match output:
             case outputs.ReadCompleted(token):
-                return self._answer_read(token)
+                return self._respond_to_read(token)
             case outputs.ReadFailed(token, reason):
                 self.reads.pop(token, None)
                 return [_unavailable(token, reason)]
             case outputs.LeaderChanged():
-                return self._change_leader(now_s, output)
+                return self._record_leader(now_s, output)
             case outputs.MembershipChanged():
                 return [self._record_membership(now_s, output)]
             case outputs.Halted(reason, detail):
                 return [effects.Stop(1, f"{reason}: {detail}")]
         return []
 
-    def _answer_read(self, token: int) -> list[effects.Effect]:
-        """Answers a read with what is applied."""
+    def _respond_to_read(self, token: int) -> list[effects.Effect]:
+        """Responds to a read with the document in force."""
         if self.reads.pop(token, None) is None:
             return []
         document = self.machine.document
@@ -377,10 +395,10 @@
             effects.Respond(token, external_requests.DocumentRead(document))
         ]
 
-    def _change_leader(
+    def _record_leader(
         self, now_s: float, changed: outputs.LeaderChanged
     ) -> list[effects.Effect]:
-        """Records a new leader."""
+        """Returns the time line entry of a change of leader."""
         leader: peers.Peer | None = changed.leader
         name = leader.host if leader is not None else "none"
         return [
@@ -392,7 +410,7 @@
     def _record_membership(
         self, now_s: float, changed: outputs.MembershipChanged
     ) -> effects.Effect:
-        """Returns the time line entry of a membership."""
+        """Returns the time line entry of a membership change."""
         described = " ".join(
             f"{member.peer.host}/{member.incarnation}"
             f"{'' if member.is_voter else '(learner)'}"
@@ -404,7 +422,7 @@
 
 
 def _unavailable(request_id: int, reason: str) -> effects.Effect:
-    answer = external_requests.Unavailable(
+    response = external_requests.Unavailable(
         reason, publish_requests.RETRY_AFTER_S
     )
-    return effects.Respond(request_id, answer)
+    return effects.Respond(request_id, response)
--- a/packages/core/src/tamarack_core/internal/group/host_directory.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -1,19 +1,20 @@
-"""The control hosts that this one has heard of, beginning with the seeds."""
+"""Directory of the control hosts that this host knows."""
 
 import msgspec
 
 from tamarack_core import context as context_lib
 from tamarack_core import peers
 
-LIVE_S = 2.0
+LIVENESS_TIMEOUT_S = 2.0
 """Time after its last message for which a control host counts as alive."""
 
-FORGET_S = 30.0
-"""Time after which a silent control host that is no seed is forgotten."""
+EXPIRY_S = 30.0
+"""Time without a message after which a control host is removed from the
+directory unless it is a seed."""
 
 
 class KnownControlHost(msgspec.Struct):
-    """A control host that was heard.
+    """A control host that has sent a message to this host.
 
     Attributes:
         peer: The host.
@@ -30,73 +31,81 @@
     """Control hosts by endpoint.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        seeds: Control hosts that the settings name.
-        heard: Control hosts that were heard, by endpoint.
-        mentioned: Control hosts that others named, with the time.
+        context: Identity, random generator, clocks and counters of the host.
+        seeds: Control hosts listed in the settings.
+        known_hosts: Control hosts that sent a message to this host, by
+            endpoint.
+        reported_hosts: Control hosts that other hosts or the log listed, and
+            the time of the last report in seconds, by endpoint.
     """
 
-    __slots__ = ("context", "heard", "mentioned", "seeds")
+    __slots__ = ("context", "known_hosts", "reported_hosts", "seeds")
 
     def __init__(
         self, context: context_lib.Context, seeds: tuple[peers.Peer, ...]
     ) -> None:
-        """Creates the contacts.
+        """Initializes a directory that holds only the seeds.
 
         Args:
-            context: Identity, chance, time and counters.
-            seeds: Control hosts that the settings name.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            seeds: Control hosts listed in the settings.
         """
         self.context = context
         self.seeds = seeds
-        self.heard: dict[peers.Endpoint, KnownControlHost] = {}
-        self.mentioned: dict[peers.Endpoint, tuple[peers.Peer, float]] = {}
+        self.known_hosts: dict[peers.Endpoint, KnownControlHost] = {}
+        self.reported_hosts: dict[peers.Endpoint, tuple[peers.Peer, float]] = {}
 
-    def note(self, now_s: float, sender: peers.Peer, incarnation: str) -> None:
-        """Takes note of a message of another control host."""
-        self.heard[sender.control] = KnownControlHost(
+    def observe(
+        self, now_s: float, sender: peers.Peer, incarnation: str
+    ) -> None:
+        """Stores the sender of a message as a live control host."""
+        self.known_hosts[sender.control] = KnownControlHost(
             sender, incarnation, now_s
         )
 
-    def mention(self, now_s: float, named: tuple[peers.Peer, ...]) -> None:
-        """Takes note of control hosts that another one heard."""
-        for peer in named:
-            self.mentioned[peer.control] = (peer, now_s)
-
-    def forget(self, now_s: float) -> None:
-        """Forgets hosts that were silent for long."""
-        self.heard = {
-            endpoint: contact
-            for endpoint, contact in self.heard.items()
-            if now_s - contact.seen_s <= FORGET_S
+    def add_reported(
+        self, now_s: float, reported: tuple[peers.Peer, ...]
+    ) -> None:
+        """Stores control hosts that another host or the log lists."""
+        for peer in reported:
+            self.reported_hosts[peer.control] = (peer, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Removes hosts without a message or report for `EXPIRY_S`."""
+        self.known_hosts = {
+            endpoint: known
+            for endpoint, known in self.known_hosts.items()
+            if now_s - known.seen_s <= EXPIRY_S
         }
-        self.mentioned = {
+        self.reported_hosts = {
             endpoint: (peer, at_s)
-            for endpoint, (peer, at_s) in self.mentioned.items()
-            if now_s - at_s <= FORGET_S
+            for endpoint, (peer, at_s) in self.reported_hosts.items()
+            if now_s - at_s <= EXPIRY_S
         }
 
     def live(self, now_s: float) -> tuple[peers.Peer, ...]:
-        """Returns the control hosts that are alive, this one included."""
+        """Returns the live control hosts, including this one, by endpoint."""
         others = [
-            contact.peer
-            for contact in self.heard.values()
-            if now_s - contact.seen_s <= LIVE_S
+            known.peer
+            for known in self.known_hosts.values()
+            if now_s - known.seen_s <= LIVENESS_TIMEOUT_S
         ]
-        return tuple(sorted([self.context.host, *others], key=_place))
+        return tuple(sorted([self.context.host, *others], key=_endpoint_key))
 
     def others(self) -> tuple[peers.Peer, ...]:
-        """Returns all other control hosts to speak to, seeds included."""
+        """Returns all other control hosts to contact, including the seeds."""
         known = {peer.control: peer for peer in self.seeds}
         known.update(
-            (endpoint, peer) for endpoint, (peer, _) in self.mentioned.items()
+            (endpoint, peer)
+            for endpoint, (peer, _) in self.reported_hosts.items()
         )
         known.update(
-            (endpoint, contact.peer) for endpoint, contact in self.heard.items()
+            (endpoint, host.peer) for endpoint, host in self.known_hosts.items()
         )
         known.pop(self.context.host.control, None)
         return tuple(known.values())
 
 
-def _place(peer: peers.Peer) -> tuple[str, int]:
+def _endpoint_key(peer: peers.Peer) -> tuple[str, int]:
     return (peer.control.address, peer.control.port)
--- a/packages/core/src/tamarack_core/internal/group/membership_policy.py
+++ b/packages/core/src/tamarack_core/internal/group/membership_policy.py
@@ -1,9 +1,9 @@
 """Decides which membership change the group of control hosts needs next.
 
-The load that it answers: control hosts that are killed, lose their disks, move
-to other addresses or are replaced, one or several at a time, while orders go
-on. Changes are made one at a time, and only such that the group tolerates the
-stated losses afterwards as well as before.
+The policy repairs the group while publish requests continue, when one or
+several control hosts are killed, lose their disks, move to other addresses or
+are replaced. It makes one change at a time, and only changes that leave the
+group able to tolerate the configured number of lost hosts, as it was before.
 """
 
 from collections.abc import Collection
@@ -15,55 +15,57 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.group import host_directory
 
-REPLACE_S = 2.5
-"""Time after which a silent voter gives way to a host that can replace it."""
+VOTER_TIMEOUT_S = 2.5
+"""Time after which an unresponsive voter is removed if a learner can take its
+place."""
 
-DISCARD_S = 10.0
-"""Time after which a silent learner is removed."""
+LEARNER_TIMEOUT_S = 10.0
+"""Time after which an unresponsive learner is removed."""
 
 
-class Situation(msgspec.Struct, frozen=True):
-    """What the leader knows.
+class GroupState(msgspec.Struct, frozen=True):
+    """State of the group as the leader knows it.
 
     Attributes:
         members: The newest membership.
         own: Incarnation of the leader.
-        directory: Control hosts that were heard, by endpoint.
-        answered_s: Time of the last answer of each member.
+        known_hosts: Control hosts that sent a message, by endpoint.
+        answered_s: Time of the last response of each member, in seconds.
         caught_up: Learners that hold nearly all of the log.
-        wanted_voters: How many voters the stated losses ask for.
+        wanted_voters: Number of voters needed to tolerate the configured
+            number of lost hosts.
     """
 
     members: membership.Membership
     own: str
-    directory: Mapping[peers.Endpoint, host_directory.KnownControlHost]
+    known_hosts: Mapping[peers.Endpoint, host_directory.KnownControlHost]
     answered_s: Mapping[str, float]
     caught_up: Collection[str]
     wanted_voters: int
 
-    def is_silent(
-        self, now_s: float, incarnation: str, patience_s: float
+    def is_unresponsive(
+        self, now_s: float, incarnation: str, timeout_s: float
     ) -> bool:
-        """Returns whether a member has not answered for `patience_s`."""
+        """Returns whether a member has sent no response for `timeout_s`."""
         if incarnation == self.own:
             return False
         answered_s = self.answered_s.get(incarnation, now_s)
-        return now_s - answered_s > patience_s
+        return now_s - answered_s > timeout_s
 
 
-def next_change(now_s: float, situation: Situation) -> membership.Change | None:
-    """Returns the change that is due, or None.
+def next_change(now_s: float, state: GroupState) -> membership.Change | None:
+    """Returns the membership change to make now, or None.
 
     Args:
         now_s: Monotonic time in seconds.
-        situation: What the leader knows.
+        state: State of the group as the leader knows it.
     """
     return (
-        _drop_lost_disk(situation)
-        or _promote(now_s, situation)
-        or _replace_silent(now_s, situation)
-        or _discard(now_s, situation)
-        or _admit(now_s, situation)
+        _remove_lost_disk(state)
+        or _promote(now_s, state)
+        or _replace_unresponsive(now_s, state)
+        or _remove_learner(now_s, state)
+        or _add_learner(now_s, state)
     )
 
 
@@ -71,52 +73,57 @@
     return membership.Change(membership.ChangeKind.REMOVE, incarnation)
 
 
-def _drop_lost_disk(situation: Situation) -> membership.Change | None:
+def _remove_lost_disk(state: GroupState) -> membership.Change | None:
     """Removes a member whose host came back with another disk."""
-    for member in situation.members.members.values():
-        contact = situation.directory.get(member.peer.control)
-        if contact is not None and contact.incarnation != member.incarnation:
+    for member in state.members.members.values():
+        known = state.known_hosts.get(member.peer.control)
+        if known is not None and known.incarnation != member.incarnation:
             return _remove(member.incarnation)
     return None
 
 
-def _ready_learners(
-    now_s: float, situation: Situation
-) -> list[membership.Member]:
-    """Returns the learners that could vote, those of empty domains first."""
-    members = situation.members.members.values()
-    voting = [
-        _domain(situation, member) for member in members if member.is_voter
+def _ready_learners(now_s: float, state: GroupState) -> list[membership.Member]:
+    """Returns the learners that can be promoted.
+
+    Learners of the failure domains with the fewest voters come first.
+    """
+    members = state.members.members.values()
+    voter_domains = [
+        _domain(state, member) for member in members if member.is_voter
     ]
     ready = [
         member
         for member in members
         if not member.is_voter
-        and member.incarnation in situation.caught_up
-        and not situation.is_silent(
-            now_s, member.incarnation, host_directory.LIVE_S
+        and member.incarnation in state.caught_up
+        and not state.is_unresponsive(
+            now_s, member.incarnation, host_directory.LIVENESS_TIMEOUT_S
         )
     ]
     ready.sort(
         key=lambda member: (
-            voting.count(_domain(situation, member)),
+            voter_domains.count(_domain(state, member)),
             member.incarnation,
         )
     )
     return ready
 
 
-def _domain(situation: Situation, member: membership.Member) -> str:
-    """Returns the failure domain of a member; founders are told by contact."""
-    contact = situation.directory.get(member.peer.control)
-    return member.peer.domain if contact is None else contact.peer.domain
+def _domain(state: GroupState, member: membership.Member) -> str:
+    """Returns the failure domain of a member.
 
+    The log doesn't hold the domains of founders; they come from the messages
+    of these hosts.
+    """
+    known = state.known_hosts.get(member.peer.control)
+    return member.peer.domain if known is None else known.peer.domain
 
-def _promote(now_s: float, situation: Situation) -> membership.Change | None:
-    """Makes a learner a voter while there are too few."""
-    if len(situation.members.voters) >= situation.wanted_voters:
+
+def _promote(now_s: float, state: GroupState) -> membership.Change | None:
+    """Makes a learner a voter while there are too few voters."""
+    if len(state.members.voters) >= state.wanted_voters:
         return None
-    ready = _ready_learners(now_s, situation)
+    ready = _ready_learners(now_s, state)
     if not ready:
         return None
     return membership.Change(
@@ -124,37 +131,39 @@
     )
 
 
-def _replace_silent(
-    now_s: float, situation: Situation
+def _replace_unresponsive(
+    now_s: float, state: GroupState
 ) -> membership.Change | None:
-    """Removes a silent voter if a learner can take its place."""
-    if not _ready_learners(now_s, situation):
+    """Removes an unresponsive voter if a learner can take its place."""
+    if not _ready_learners(now_s, state):
         return None
-    for incarnation in sorted(situation.members.voters):
-        if situation.is_silent(now_s, incarnation, REPLACE_S):
+    for incarnation in sorted(state.members.voters):
+        if state.is_unresponsive(now_s, incarnation, VOTER_TIMEOUT_S):
             return _remove(incarnation)
     return None
 
 
-def _discard(now_s: float, situation: Situation) -> membership.Change | None:
-    """Removes a learner that has been silent for long."""
-    for member in situation.members.members.values():
-        if not member.is_voter and situation.is_silent(
-            now_s, member.incarnation, DISCARD_S
+def _remove_learner(
+    now_s: float, state: GroupState
+) -> membership.Change | None:
+    """Removes a learner that has been unresponsive for a long time."""
+    for member in state.members.members.values():
+        if not member.is_voter and state.is_unresponsive(
+            now_s, member.incarnation, LEARNER_TIMEOUT_S
         ):
             return _remove(member.incarnation)
     return None
 
 
-def _admit(now_s: float, situation: Situation) -> membership.Change | None:
-    """Adds a control host that is no member as a learner."""
-    known = situation.members.members
-    for contact in situation.directory.values():
-        is_live = now_s - contact.seen_s <= host_directory.LIVE_S
-        if is_live and contact.incarnation not in known:
+def _add_learner(now_s: float, state: GroupState) -> membership.Change | None:
+    """Adds a live control host that is not a member as a learner."""
+    members = state.members.members
+    for known in state.known_hosts.values():
+        is_live = now_s - known.seen_s <= host_directory.LIVENESS_TIMEOUT_S
+        if is_live and known.incarnation not in members:
             return membership.Change(
                 membership.ChangeKind.ADD_LEARNER,
-                contact.incarnation,
-                contact.peer,
+                known.incarnation,
+                known.peer,
             )
     return None
--- a/packages/core/src/tamarack_core/internal/group/publish_requests.py
+++ b/packages/core/src/tamarack_core/internal/group/publish_requests.py
@@ -1,4 +1,4 @@
-"""Documents on their way into the replicated log, and who waits for them."""
+"""Publish requests of operators that wait for the replicated log."""
 
 import msgspec
 
@@ -12,21 +12,22 @@
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.documents import state_machine as machines
 
-PATIENCE_S = 0.9
-"""Time for which an operator waits, in seconds; operators turn to another
-host after a second."""
+TIMEOUT_S = 0.9
+"""Time after which a pending request is answered as unavailable, in seconds;
+operators try another host after a second."""
 
 RETRY_AFTER_S = 0.5
-"""When to come back, in seconds; an election takes about that long."""
+"""Delay before the operator should retry, in seconds; an election takes about
+that long."""
 
 
-class Waiting(msgspec.Struct):
-    """An operator that waits for a document.
+class PendingRequest(msgspec.Struct):
+    """A publish request that has no response yet.
 
     Attributes:
         request_id: Number of the request.
         document: The document.
-        deadline_s: Time at which the operator is told to ask again.
+        deadline_s: Time at which the operator is told to retry, in seconds.
     """
 
     request_id: int
@@ -35,72 +36,76 @@
 
 
 class PublishRequests:
-    """Proposes documents at the leader and answers when they are in force.
+    """Proposes documents at the leader and responds once they are in force.
 
     Attributes:
-        machine: The replicated state.
+        machine: The replicated state machine.
         replica: The replicated log.
-        tail: The document that the last proposal makes; that in force while
-            nothing is proposed.
-        tail_index: Place of the last proposal in the log.
-        tail_term: Term of the last proposal.
-        waiting: Operators without an answer.
+        last_proposed: The document that results from the last proposal; the
+            document in force while no proposal is pending.
+        proposal_index: Index of the last proposal in the log.
+        proposal_term: Term of the last proposal.
+        pending: Requests that have no response yet.
     """
 
     __slots__ = (
+        "last_proposed",
         "machine",
+        "pending",
+        "proposal_index",
+        "proposal_term",
         "replica",
-        "tail",
-        "tail_index",
-        "tail_term",
-        "waiting",
     )
 
     def __init__(
-        self, machine: machines.DocumentStateMachine, replica: replicas.Replica
+        self,
+        machine: machines.DocumentStateMachine,
+        replica: replicas.Replica,
     ) -> None:
-        """Creates the part.
+        """Initializes without pending requests.
 
         Args:
-            machine: The replicated state.
+            machine: The replicated state machine.
             replica: The replicated log.
         """
         self.machine = machine
         self.replica = replica
-        self.tail = machine.document
-        self.tail_index = 0
-        self.tail_term = 0
-        self.waiting: list[Waiting] = []
+        self.last_proposed = machine.document
+        self.proposal_index = 0
+        self.proposal_term = 0
+        self.pending: list[PendingRequest] = []
 
     def submit(
         self, now_s: float, request_id: int, document: documents.Document
     ) -> outputs.Step:
-        """Takes a document of an operator.
+        """Handles a publish request.
 
         Args:
             now_s: Monotonic time in seconds.
             request_id: Number of the request.
-            document: The document.
+            document: The document to publish.
         """
         refused = documents.check(document)
         if refused is not None:
-            answer = requests.Refused(refused.reason, refused.detail)
-            return _answer(request_id, answer)
+            response = requests.Refused(refused.reason, refused.detail)
+            return _respond(request_id, response)
         if document.number <= self.machine.document.number:
             number = self.machine.document.number
-            return _answer(
+            return _respond(
                 request_id, external_requests.DocumentPublished(number)
             )
         state = self.replica.state
         if not state.is_leader:
-            return _answer(request_id, self._point_to_leader())
-        self.waiting.append(Waiting(request_id, document, now_s + PATIENCE_S))
+            return _respond(request_id, self._leader_response())
+        self.pending.append(
+            PendingRequest(request_id, document, now_s + TIMEOUT_S)
+        )
         return self._propose(now_s, document)
 
-    def _point_to_leader(
+    def _leader_response(
         self,
     ) -> external_requests.Elsewhere | external_requests.Unavailable:
-        """Returns where the operator should turn."""
+        """Returns the response that points the operator to the leader."""
         leader = self.replica.state.leader
         if leader is None:
             return external_requests.Unavailable("no-leader", RETRY_AFTER_S)
@@ -109,61 +114,65 @@
     def _propose(
         self, now_s: float, document: documents.Document
     ) -> outputs.Step:
-        """Appends a document that is newer than all proposed before."""
+        """Proposes a document that is newer than all earlier proposals."""
         if not replication.has_committed_in_term(self.replica.state):
             return outputs.Step()
-        self._follow_tail()
-        if document.number <= self.tail.number:
+        self._update_last_proposed()
+        if document.number <= self.last_proposed.number:
             return outputs.Step()
-        change = documents.difference(self.tail, document)
+        change = documents.difference(self.last_proposed, document)
         proposal = self.replica.propose(now_s, machines.encode(change))
         if isinstance(proposal, failure.Failure):
             return outputs.Step()
-        self.tail = document
-        self.tail_index = proposal.index
-        self.tail_term = proposal.term
+        self.last_proposed = document
+        self.proposal_index = proposal.index
+        self.proposal_term = proposal.term
         return proposal.step
 
-    def _follow_tail(self) -> None:
-        """Begins again at the document in force, if nothing is on its way."""
+    def _update_last_proposed(self) -> None:
+        """Restarts at the document in force if no proposal is pending."""
         state = self.replica.state
-        is_lost = self.tail_term != state.term
-        is_applied = self.tail_index <= state.commit_index
+        is_lost = self.proposal_term != state.term
+        is_applied = self.proposal_index <= state.commit_index
         if is_lost or is_applied:
-            self.tail = self.machine.document
+            self.last_proposed = self.machine.document
 
-    def settle(self, now_s: float) -> list[effects.Effect]:
-        """Answers the operators whose document is in force, or too late."""
+    def respond_to_pending(self, now_s: float) -> list[effects.Effect]:
+        """Responds to requests whose document is in force or that timed out.
+
+        Once this host no longer leads, all pending requests are pointed to
+        the new leader.
+        """
         number = self.machine.document.number
-        found: list[effects.Effect] = []
+        result: list[effects.Effect] = []
         kept = []
-        for waiting in self.waiting:
-            if waiting.document.number <= number:
-                answer: requests.Response = external_requests.DocumentPublished(
-                    number
+        for request in self.pending:
+            if request.document.number <= number:
+                response: requests.Response = (
+                    external_requests.DocumentPublished(number)
                 )
             elif not self.replica.state.is_leader:
-                answer = self._point_to_leader()
-            elif now_s >= waiting.deadline_s:
-                answer = external_requests.Unavailable(
+                response = self._leader_response()
+            elif now_s >= request.deadline_s:
+                response = external_requests.Unavailable(
                     "no-quorum", RETRY_AFTER_S
                 )
             else:
-                kept.append(waiting)
+                kept.append(request)
                 continue
-            found.append(effects.Respond(waiting.request_id, answer))
-        self.waiting = kept
-        return found
+            result.append(effects.Respond(request.request_id, response))
+        self.pending = kept
+        return result
 
     def retry(self, now_s: float) -> list[outputs.Step]:
-        """Proposes what could not be proposed before."""
+        """Proposes pending documents that could not be proposed before."""
         if not self.replica.state.is_leader:
             return []
         ordered = sorted(
-            self.waiting, key=lambda waiting: waiting.document.number
+            self.pending, key=lambda request: request.document.number
         )
-        return [self._propose(now_s, waiting.document) for waiting in ordered]
+        return [self._propose(now_s, request.document) for request in ordered]
 
 
-def _answer(request_id: int, answer: requests.Response) -> outputs.Step:
-    return outputs.Step(effects=[effects.Respond(request_id, answer)])
+def _respond(request_id: int, response: requests.Response) -> outputs.Step:
+    return outputs.Step(effects=[effects.Respond(request_id, response)])
