--- a/packages/core/src/tamarack_core/internal/control/__init__.py
+++ b/packages/core/src/tamarack_core/internal/control/__init__.py
@@ -1,1 +1,1 @@
-"""Control role: decides on patches of the configuration."""
+"""Control role: replicates the configuration and decides on patches."""
--- a/packages/core/src/tamarack_core/internal/control/bootstrap.py
+++ b/packages/core/src/tamarack_core/internal/control/bootstrap.py
@@ -1,11 +1,12 @@
-"""How the first voters find together, and how later ones join.
-
-The founder is the first host named in the settings. It founds the system
-alone, but only when every named host has introduced itself with a blank data
-folder: a founder that lost its disk meets hosts whose folders aren't blank,
-and waits to be added like any other. The leader then adds each named host as
-a learner and promotes it. A host that lost its disk has a new incarnation, and
-is added again once its old incarnation has been removed.
+"""Bootstrap of the first voters and admission of later ones.
+
+The founder is the first voter in the settings. It bootstraps the replicated
+log with itself as the only member, but only after every other voter in the
+settings has introduced itself with a blank data folder. A founder that lost
+its disk receives introductions of hosts whose folders aren't blank, and waits
+to be added like any other host. The leader then adds each voter of the
+settings as a learner and promotes it. A host that lost its disk has a new
+incarnation and is added again once its old incarnation has been removed.
 """
 
 import dataclasses
@@ -22,8 +23,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Introduced:
-    """A control host that introduced itself.
+class IntroducedHost:
+    """A control host that sent an `Introduction`.
 
     Attributes:
         peer: The host.
@@ -37,37 +38,40 @@
 
 
 class VoterBootstrap:
-    """Introduces this host, and at the leader adds those that do.
+    """Introduces this host, and at the leader admits introduced hosts.
 
     Attributes:
-        own: This host under its incarnation.
-        named: Control hosts that the settings name as first voters, this
-            host included if it is one.
-        introduced: Hosts that introduced themselves, by host.
+        own: This host with its incarnation.
+        initial_voters: First voters in the order of the settings, including
+            this host if it is one.
+        introduced: Hosts that introduced themselves, by host name.
     """
 
-    __slots__ = ("introduced", "named", "own")
+    __slots__ = ("initial_voters", "introduced", "own")
 
     def __init__(
-        self, own: membership.Member, named: tuple[peers.Peer, ...]
+        self, own: membership.Member, initial_voters: tuple[peers.Peer, ...]
     ) -> None:
-        """Creates the part.
+        """Initializes without introduced hosts.
 
         Args:
-            own: This host under its incarnation.
-            named: First voters in the order of the settings.
+            own: This host with its incarnation.
+            initial_voters: First voters in the order of the settings.
         """
         self.own = own
-        self.named = named
-        self.introduced: dict[str, Introduced] = {}
-
-    def is_ready_to_found(self) -> bool:
-        """Returns whether this blank host may found the system alone."""
-        if not self.named or self.named[0].host != self.own.peer.host:
+        self.initial_voters = initial_voters
+        self.introduced: dict[str, IntroducedHost] = {}
+
+    def can_bootstrap(self) -> bool:
+        """Returns whether this blank host may bootstrap the system."""
+        if (
+            not self.initial_voters
+            or self.initial_voters[0].host != self.own.peer.host
+        ):
             return False
         return all(
             peer.host in self.introduced and self.introduced[peer.host].is_blank
-            for peer in self.named[1:]
+            for peer in self.initial_voters[1:]
         )
 
     def introduce(self, *, is_blank: bool) -> list[effects.Effect]:
@@ -75,13 +79,15 @@
         message = control.Introduction(self.own.incarnation, is_blank)
         return [
             effects.SendMessage(peer, message)
-            for peer in self.named
+            for peer in self.initial_voters
             if peer.host != self.own.peer.host
         ]
 
-    def note(self, sender: peers.Peer, message: control.Introduction) -> None:
-        """Takes note of a host that introduced itself."""
-        self.introduced[sender.host] = Introduced(
+    def observe(
+        self, sender: peers.Peer, message: control.Introduction
+    ) -> None:
+        """Stores a host that introduced itself."""
+        self.introduced[sender.host] = IntroducedHost(
             sender, message.incarnation, message.is_blank
         )
 
@@ -92,33 +98,37 @@
         sender: peers.Peer,
         message: control.Introduction,
     ) -> outputs.Step:
-        """Adds or promotes a host at the leader; elsewhere does nothing.
+        """Proposes to add or promote a host; does nothing if not the leader.
 
         Args:
             now_s: Monotonic time in seconds.
-            replica: The replica of this host.
+            replica: The replicated log of this host.
             sender: The host that introduced itself.
             message: Its introduction.
         """
-        change = self._wanted(replica.state.latest_membership, sender, message)
+        change = self._next_change(
+            replica.state.latest_membership, sender, message
+        )
         if change is None or not replica.state.is_leader:
             return outputs.Step()
         proposal = replica.change_membership(now_s, change)
         if isinstance(proposal, failure.Failure):
-            # Another change runs, or the learner is behind: it will
-            # introduce itself again.
+            # Another change is in progress or the learner is behind. The host
+            # introduces itself again later.
             return outputs.Step()
         return proposal.step
 
-    def _wanted(
+    def _next_change(
         self,
         members: membership.Membership,
         sender: peers.Peer,
         message: control.Introduction,
     ) -> membership.Change | None:
-        """Returns the change that brings the sender closer to a vote."""
-        is_named = any(peer.host == sender.host for peer in self.named)
-        if not is_named:
+        """Returns the next change towards making the sender a voter."""
+        is_initial_voter = any(
+            peer.host == sender.host for peer in self.initial_voters
+        )
+        if not is_initial_voter:
             return None
         known = members.members.get(message.incarnation)
         if known is not None:
--- a/packages/core/src/tamarack_core/internal/control/linearizable_reads.py
+++ b/packages/core/src/tamarack_core/internal/control/linearizable_reads.py
@@ -1,4 +1,7 @@
-"""Reads of the replicated state that never go back."""
+"""Linearizable reads of the replicated state.
+
+A read never returns an older state than an earlier read returned.
+"""
 
 import itertools
 
@@ -9,54 +12,56 @@
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.patches import state_machine as machines
 
-# A question to the leader may be lost; it is repeated for so long.
-READ_PATIENCE_S = 6.0
+READ_TIMEOUT_S = 6.0
+"""Time for which a read is retried, in seconds; a read index request to the
+leader may be lost."""
 
 RETRY_AFTER_S = 0.5
-"""When to read again, in seconds; an election takes about that long."""
+"""Delay before the operator should retry, in seconds; an election takes about
+that long."""
 
 
 class LinearizableReads:
-    """Answers requests once the state is recent enough.
+    """Read requests that wait until the state has reached their read index.
 
     Attributes:
-        machine: The replicated state.
+        machine: The replicated state machine.
         replica: The replicated log.
-        waiting: Requests that wait for a read index, by token.
-        failed: Requests to be tried again at the next tick.
+        pending: Requests that wait for their read index, by token.
+        failed: Requests to retry at the next tick.
     """
 
-    __slots__ = ("_tokens", "failed", "machine", "replica", "waiting")
+    __slots__ = ("_tokens", "failed", "machine", "pending", "replica")
 
     def __init__(
         self, machine: machines.PatchStateMachine, replica: replicas.Replica
     ) -> None:
-        """Creates the part without a request.
+        """Initializes without requests.
 
         Args:
-            machine: The replicated state.
+            machine: The replicated state machine.
             replica: The replicated log.
         """
         self.machine = machine
         self.replica = replica
-        self.waiting: dict[int, events.RequestArrived] = {}
+        self.pending: dict[int, events.RequestArrived] = {}
         self.failed: list[events.RequestArrived] = []
         self._tokens = itertools.count(1)
 
-    def ask(self, now_s: float, event: events.RequestArrived) -> outputs.Step:
-        """Asks for a read index, perhaps again."""
+    def begin(self, now_s: float, event: events.RequestArrived) -> outputs.Step:
+        """Requests a read index; also used for retries."""
         token = next(self._tokens)
-        self.waiting[token] = event
+        self.pending[token] = event
         return self.replica.read_index(now_s, token)
 
     def tick(self, now_s: float) -> list[outputs.Step]:
-        """Tries again what failed."""
+        """Retries the failed reads."""
         failed, self.failed = self.failed, []
-        return [self.ask(now_s, event) for event in failed]
+        return [self.begin(now_s, event) for event in failed]
 
     def complete(self, token: int) -> list[effects.Effect]:
-        """Answers a read that has reached its index."""
-        event = self.waiting.pop(token, None)
+        """Responds to a read whose index has been applied."""
+        event = self.pending.pop(token, None)
         if event is None:
             return []
         response: requests.Response
@@ -69,16 +74,16 @@
     def fail(
         self, now_s: float, token: int, reason: str
     ) -> list[effects.Effect]:
-        """Tries a read again that was not confirmed, or refuses it."""
-        event = self.waiting.pop(token, None)
+        """Retries an unconfirmed read later, or refuses it when overdue."""
+        event = self.pending.pop(token, None)
         if event is None:
             return []
-        if now_s - event.now_s < READ_PATIENCE_S:
+        if now_s - event.now_s < READ_TIMEOUT_S:
             self.failed.append(event)
             return []
         refused = requests.Refused(
             "no-quorum",
-            f"{reason}: the newest version can't be confirmed; ask again, or"
+            f"{reason}: the newest version can't be confirmed; retry later, or"
             " read the status of the hosts for the versions in force",
             RETRY_AFTER_S,
         )
--- a/packages/core/src/tamarack_core/internal/control/members.py
+++ b/packages/core/src/tamarack_core/internal/control/members.py
@@ -1,4 +1,4 @@
-"""Answers operators about the members of the replicated log."""
+"""Requests of operators about the members of the replicated log."""
 
 from tamarack_core import failure
 from tamarack_core import peers
@@ -6,9 +6,9 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
-from tamarack_core.internal.control import bootstrap as joining_lib
+from tamarack_core.internal.control import bootstrap as bootstrap_lib
 
-_KINDS = {
+_CHANGE_KINDS = {
     requests.MemberAction.ADD: membership.ChangeKind.ADD_LEARNER,
     requests.MemberAction.PROMOTE: membership.ChangeKind.PROMOTE,
     requests.MemberAction.REMOVE: membership.ChangeKind.REMOVE,
@@ -16,9 +16,9 @@
 
 
 def describe(
-    replica: replicas.Replica, joining: joining_lib.VoterBootstrap
+    replica: replicas.Replica, bootstrap: bootstrap_lib.VoterBootstrap
 ) -> requests.MembersRead:
-    """Returns the members and the hosts that wait to become one."""
+    """Returns the members and the introduced hosts that are not members."""
     state = replica.state
     known = state.latest_membership.members
     members = [
@@ -37,7 +37,7 @@
             introduced.incarnation,
             requests.MemberState.WAITING,
         )
-        for introduced in joining.introduced.values()
+        for introduced in bootstrap.introduced.values()
         if introduced.incarnation not in known
     ]
     leader = state.leader.peer.host if state.leader else ""
@@ -47,39 +47,39 @@
 def change(
     now_s: float,
     replica: replicas.Replica,
-    joining: joining_lib.VoterBootstrap,
+    bootstrap: bootstrap_lib.VoterBootstrap,
     request: requests.ChangeMember,
 ) -> outputs.Proposal | failure.Failure:
-    """Proposes the change that an operator asked for."""
+    """Proposes the change that an operator requested, if this host leads."""
     state = replica.state
     if not state.is_leader:
         leader = state.leader.peer if state.leader else None
         where = (
             f"{leader.host} at {leader.control.address}:{leader.control.port}"
             if leader
-            else "unknown; ask again"
+            else "unknown; retry later"
         )
         return failure.Failure("not-leader", f"the leader is {where}")
-    found = _find(state.latest_membership, joining, request)
-    if isinstance(found, failure.Failure):
-        return found
-    return replica.change_membership(now_s, found)
+    requested = _find_change(state.latest_membership, bootstrap, request)
+    if isinstance(requested, failure.Failure):
+        return requested
+    return replica.change_membership(now_s, requested)
 
 
-def _find(
+def _find_change(
     members: membership.Membership,
-    joining: joining_lib.VoterBootstrap,
+    bootstrap: bootstrap_lib.VoterBootstrap,
     request: requests.ChangeMember,
 ) -> membership.Change | failure.Failure:
-    """Returns the change for the member that a request names."""
-    kind = _KINDS[request.action]
+    """Returns the membership change that a request describes."""
+    kind = _CHANGE_KINDS[request.action]
     if kind is membership.ChangeKind.ADD_LEARNER:
-        waiting = joining.introduced.get(request.host)
+        waiting = bootstrap.introduced.get(request.host)
         if waiting is None:
             return failure.Failure(
                 "unknown-member",
                 f"{request.host} has not introduced itself; start it with this"
-                " host among its voters",
+                " host in the list of voters in its settings",
             )
         return membership.Change(kind, waiting.incarnation, waiting.peer)
     incarnations = [
@@ -93,14 +93,14 @@
     reason = "unknown-member" if not incarnations else "ambiguous-member"
     return failure.Failure(
         reason,
-        f"{len(incarnations)} members match host {request.host}; read the"
-        " members and name the incarnation",
+        f"{len(incarnations)} members match host {request.host}; list the"
+        " members and specify the incarnation",
     )
 
 
 def _member(
     peer: peers.Peer, incarnation: str, state: requests.MemberState
 ) -> requests.Member:
-    """Returns the form that operators see."""
+    """Returns a member as operators see it."""
     endpoint = f"{peer.control.address}:{peer.control.port}"
     return requests.Member(peer.host, peer.domain, endpoint, incarnation, state)
--- a/packages/core/src/tamarack_core/internal/control/non_control_requests.py
+++ b/packages/core/src/tamarack_core/internal/control/non_control_requests.py
@@ -1,4 +1,4 @@
-"""Answers operators at a host without the control role."""
+"""Requests of operators at hosts without the control role."""
 
 from tamarack_core import effects
 from tamarack_core import events
@@ -8,11 +8,13 @@
 
 
 class NonControlRequests:
-    """Part that answers what needs no control host, and refuses the rest.
+    """Component that responds locally to reads of the configuration.
+
+    It refuses all requests that need a control host.
 
     Attributes:
         holder: Configuration in force at this host.
-        control_hosts: Endpoints of the control hosts, for the operator.
+        control_hosts: Endpoints of the control hosts, for error messages.
     """
 
     __slots__ = ("control_hosts", "holder")
@@ -22,17 +24,17 @@
         configuration_holder: holder.Holder,
         control_hosts: tuple[str, ...],
     ) -> None:
-        """Creates the part.
+        """Initializes the component.
 
         Args:
             configuration_holder: Configuration in force at this host.
-            control_hosts: Endpoints of the control hosts, for the operator.
+            control_hosts: Endpoints of the control hosts, for error messages.
         """
         self.holder = configuration_holder
         self.control_hosts = control_hosts
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             requests.SubmitPatch: self.refuse,
             requests.ReadLog: self.refuse,
@@ -42,14 +44,15 @@
         }
 
     def refuse(self, event: events.RequestArrived) -> list[effects.Effect]:
-        """Refuses a request and names the hosts to ask."""
+        """Refuses a request and lists the control hosts."""
         hosts = " ".join(self.control_hosts)
         refused = requests.Refused(
-            "not-a-control-host", f"ask a control host: {hosts or 'unknown'}"
+            "not-a-control-host",
+            f"send the request to a control host: {hosts or 'unknown'}",
         )
         return [effects.Respond(event.request_id, refused)]
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
-        """Answers with the configuration in force at this host."""
-        answer = requests.ConfigurationRead(self.holder.numbered)
-        return [effects.Respond(event.request_id, answer)]
+        """Responds with the configuration in force at this host."""
+        response = requests.ConfigurationRead(self.holder.numbered)
+        return [effects.Respond(event.request_id, response)]
--- a/packages/core/src/tamarack_core/internal/control/submissions.py
+++ b/packages/core/src/tamarack_core/internal/control/submissions.py
@@ -1,4 +1,4 @@
-"""Patches on their way to a verdict at one control host."""
+"""Patches that wait for a verdict at one control host."""
 
 from collections.abc import Callable
 import dataclasses
@@ -14,24 +14,25 @@
 from tamarack_core.messages import control
 
 RETRY_INTERVAL_S = 1.0
-# Longer than an election, and shorter than the timeout of the HTTP server.
-PATIENCE_S = 6.0
+TIMEOUT_S = 6.0
+"""Time for which a patch waits for a verdict, in seconds; longer than an
+election and shorter than the timeout of the HTTP server."""
 TOKEN_BITS = 52
 
 NO_LEADER = "no-leader"
 
 Propose = Callable[[float, bytes], outputs.Proposal | failure.Failure]
-Answer = requests.PatchVerdict | requests.Refused
+Response = requests.PatchVerdict | requests.Refused
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
-    """Who waits for a verdict.
+    """Requester of a verdict: an operator or another control host.
 
     Attributes:
-        request_id: Number of the operator's request here, or 0.
+        request_id: Number of the operator's request at this host, or 0.
         peer: Control host that forwarded the patch, if one did.
-        token: Number that the answer to that host repeats.
+        token: Token of the forward, repeated in the response to that host.
     """
 
     request_id: int = 0
@@ -46,14 +47,14 @@
     Attributes:
         patch: The patch.
         digest: Digest of the patch.
-        origin: Who waits.
-        deadline_s: When to give up waiting.
-        is_absent: Whether it is certain that no sending of this patch has
+        origin: Requester of the verdict.
+        deadline_s: Monotonic time at which waiting ends, in seconds.
+        is_absent: Whether it is certain that no copy of this patch has
             entered a log.
-        index: Place in this leader's log, or 0.
-        term: Term of that place.
-        token: Number of the last forward, or 0.
-        forwarded_s: When it was last forwarded.
+        index: Index in the log of this leader, or 0.
+        term: Term of that log entry.
+        token: Token of the last forward, or 0.
+        forwarded_s: Monotonic time of the last forward, in seconds.
     """
 
     patch: requests.SubmitPatch
@@ -68,15 +69,15 @@
 
 
 class Submissions:
-    """Carries each patch to the leader and its verdict back.
+    """Forwards patches to the leader and returns their verdicts.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        machine: The replicated state.
-        propose: Appends a command if this host leads.
-        leader: Host of the leader, if it is known and another one.
+        context: Identity, random generator, clocks and counters of the host.
+        machine: The replicated state machine.
+        propose: Appends a command to the log if this host leads.
+        leader: Host of the leader; None if it is unknown or this host.
         is_leading: Whether this host leads.
-        waiting: Patches without a verdict.
+        pending: Patches without a verdict.
     """
 
     __slots__ = (
@@ -84,8 +85,8 @@
         "is_leading",
         "leader",
         "machine",
+        "pending",
         "propose",
-        "waiting",
     )
 
     def __init__(
@@ -94,24 +95,25 @@
         machine: machines.PatchStateMachine,
         propose: Propose,
     ) -> None:
-        """Creates the part without a patch.
+        """Initializes without patches.
 
         Args:
-            context: Identity, chance, time and counters.
-            machine: The replicated state.
-            propose: Appends a command if this host leads.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            machine: The replicated state machine.
+            propose: Appends a command to the log if this host leads.
         """
         self.context = context
         self.machine = machine
         self.propose = propose
         self.leader: peers.Peer | None = None
         self.is_leading = False
-        self.waiting: list[Submission] = []
+        self.pending: list[Submission] = []
 
     def submit(
         self, now_s: float, patch: requests.SubmitPatch, origin: Origin
     ) -> outputs.Step:
-        """Takes a patch from an operator or from another control host."""
+        """Handles a patch from an operator or from another control host."""
         refused = commands.check(patch)
         if refused is not None:
             verdict = requests.PatchVerdict(
@@ -119,58 +121,60 @@
                 path=refused.path,
                 reason=f"{refused.reason}: {refused.detail}",
             )
-            return outputs.Step([self._answer(origin, patch, verdict)])
-        first = self.machine.first_answer(patch)
-        if first is not None:
-            return outputs.Step([self._answer(origin, patch, first)])
+            return outputs.Step([self._respond(origin, patch, verdict)])
+        recorded = self.machine.recorded_verdict(patch)
+        if recorded is not None:
+            return outputs.Step([self._respond(origin, patch, recorded)])
         submission = Submission(
             patch,
             commands.digest(patch),
             origin,
-            now_s + PATIENCE_S,
+            now_s + TIMEOUT_S,
             is_absent=not patch.is_resend,
         )
-        self.waiting.append(submission)
-        return self._place(now_s, submission)
+        self.pending.append(submission)
+        return self._dispatch(now_s, submission)
 
-    def handle_answer(
+    def handle_response(
         self, now_s: float, message: control.PatchResponse
     ) -> list[effects.Effect]:
-        """Handles the leader's answer to a forwarded patch."""
-        for submission in self.waiting:
+        """Handles the leader's response to a forwarded patch."""
+        for submission in self.pending:
             if (
                 submission.token == message.token
                 and submission.patch.patch_id == message.patch_id
             ):
-                return self._take_answer(submission, message.response)
+                return self._apply_response(submission, message.response)
         return []
 
     def handle_decisions(
         self, decisions: list[machines.Decision]
     ) -> list[effects.Effect]:
-        """Answers those who wait for committed patches."""
-        found: list[effects.Effect] = []
+        """Responds to the requesters of committed patches."""
+        result: list[effects.Effect] = []
         for decision in decisions:
             key = (decision.patch_id, decision.digest)
             for submission in self._matching(key):
-                found.append(self._finish(submission, decision.verdict))
-        return found
+                result.append(self._finish(submission, decision.verdict))
+        return result
 
     def handle_restored(self) -> list[effects.Effect]:
-        """Looks up those who wait in a state that was replaced."""
-        answered = [
+        """Responds to patches that were decided in a restored state."""
+        decided = [
             (submission, verdict)
-            for submission in self.waiting
-            if (verdict := self.machine.first_answer(submission.patch))
+            for submission in self.pending
+            if (verdict := self.machine.recorded_verdict(submission.patch))
         ]
         return [
-            self._finish(submission, verdict)
-            for submission, verdict in answered
+            self._finish(submission, verdict) for submission, verdict in decided
         ]
 
     def handle_applied(self, applied: outputs.Applied) -> None:
-        """Takes note of proposals that lost their place to another entry."""
-        for submission in self.waiting:
+        """Clears the index of proposals that another entry replaced.
+
+        A later tick proposes these patches again.
+        """
+        for submission in self.pending:
             if (
                 submission.index == applied.index
                 and submission.term != applied.term
@@ -178,39 +182,42 @@
                 submission.index = 0
 
     def tick(self, now_s: float) -> outputs.Step:
-        """Sends again what got no answer, and gives up what took too long."""
+        """Retries patches without a response and times out overdue ones."""
         step = outputs.Step()
-        for submission in list(self.waiting):
+        for submission in list(self.pending):
             if now_s >= submission.deadline_s:
-                step.effects.append(self._give_up(submission))
+                step.effects.append(self._time_out(submission))
                 continue
             if submission.index:
                 continue
             if now_s - submission.forwarded_s >= RETRY_INTERVAL_S:
-                placed = self._place(now_s, submission)
-                step.effects.extend(placed.effects)
-                step.outputs.extend(placed.outputs)
+                retried = self._dispatch(now_s, submission)
+                step.effects.extend(retried.effects)
+                step.outputs.extend(retried.outputs)
         return step
 
-    def _place(self, now_s: float, submission: Submission) -> outputs.Step:
+    def _dispatch(self, now_s: float, submission: Submission) -> outputs.Step:
         """Proposes a patch here or forwards it to the leader."""
         if self.is_leading:
             return self._propose(now_s, submission)
         if submission.origin.peer is not None:
-            refused = requests.Refused(NO_LEADER, "this host doesn't lead")
+            refused = requests.Refused(NO_LEADER, "this host is not the leader")
             return outputs.Step([self._finish(submission, refused)])
         if self.leader is None:
             return outputs.Step()
         submission.token = self.context.random.getrandbits(TOKEN_BITS)
         submission.forwarded_s = now_s
-        # The network may deliver a forward late and twice, so that not even
-        # a refusal makes it certain that the patch stays out of the log.
+        # The network may delay and duplicate a forward, so that even after a
+        # refusal the patch may still enter the log.
         submission.is_absent = False
         forward = control.PatchForward(submission.token, submission.patch)
         return outputs.Step([effects.SendMessage(self.leader, forward)])
 
     def _propose(self, now_s: float, submission: Submission) -> outputs.Step:
-        """Appends a patch to the log of this leader, once."""
+        """Appends a patch to the log of this leader.
+
+        A patch that is pending in the log already is not appended again.
+        """
         key = (submission.patch.patch_id, submission.digest)
         for other in self._matching(key):
             if other.index:
@@ -233,12 +240,12 @@
         submission.is_absent = False
         return proposal.step
 
-    def _take_answer(
-        self, submission: Submission, response: Answer
+    def _apply_response(
+        self, submission: Submission, response: Response
     ) -> list[effects.Effect]:
-        """Handles what the leader said."""
+        """Handles the response of the leader to a forwarded patch."""
         if isinstance(response, requests.Refused):
-            # The next tick tries again, perhaps with another leader.
+            # The next tick retries, possibly with another leader.
             submission.token = 0
             submission.forwarded_s = 0.0
             return []
@@ -246,40 +253,42 @@
             return []
         return [self._finish(submission, response)]
 
-    def _give_up(self, submission: Submission) -> effects.Effect:
-        """Answers that there is no verdict in time."""
+    def _time_out(self, submission: Submission) -> effects.Effect:
+        """Responds that no verdict was reached before the deadline."""
         if submission.is_absent:
             verdict = requests.PatchVerdict(
                 requests.PatchState.NO_QUORUM,
-                reason="no leader with a quorum is reachable from here; the"
-                " patch is not accepted and will not be",
+                reason="no leader with a quorum is reachable from this host;"
+                " the patch was not accepted and will not be",
             )
         else:
             verdict = requests.PatchVerdict(
                 requests.PatchState.UNKNOWN,
-                reason="no verdict in time; send the patch again with the"
-                " same id",
+                reason="no verdict before the timeout; send the patch again"
+                " with the same id",
             )
         return self._finish(submission, verdict)
 
-    def _finish(self, submission: Submission, answer: Answer) -> effects.Effect:
-        """Answers and forgets a submission."""
-        self.waiting.remove(submission)
-        return self._answer(submission.origin, submission.patch, answer)
+    def _finish(
+        self, submission: Submission, response: Response
+    ) -> effects.Effect:
+        """Removes a submission and responds to its requester."""
+        self.pending.remove(submission)
+        return self._respond(submission.origin, submission.patch, response)
 
-    def _answer(
-        self, origin: Origin, patch: requests.SubmitPatch, answer: Answer
+    def _respond(
+        self, origin: Origin, patch: requests.SubmitPatch, response: Response
     ) -> effects.Effect:
-        """Returns the effect that answers whoever waits."""
+        """Returns the effect that sends a response to the requester."""
         if origin.peer is None:
-            return effects.Respond(origin.request_id, answer)
-        message = control.PatchResponse(origin.token, patch.patch_id, answer)
+            return effects.Respond(origin.request_id, response)
+        message = control.PatchResponse(origin.token, patch.patch_id, response)
         return effects.SendMessage(origin.peer, message)
 
     def _matching(self, key: tuple[str, bytes]) -> list[Submission]:
         """Returns the submissions of one patch."""
         return [
             submission
-            for submission in self.waiting
+            for submission in self.pending
             if (submission.patch.patch_id, submission.digest) == key
         ]
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -1,4 +1,4 @@
-"""Control role: the replicated log, patches and reads of one control host."""
+"""Control role: replicated log, patches and reads at one control host."""
 
 import random
 
@@ -29,33 +29,35 @@
 
 TICK_INTERVAL_S = 0.25
 TIMER = "control"
-# The log numbers its own writes from 1 on.
-FOUNDING_SEQUENCE = 0
+BOOTSTRAP_SEQUENCE = 0
+"""Sequence of the write of the first membership; the log numbers its own writes
+from 1."""
 
 
 class VoterControl:
-    """Part that replicates patches and answers operators.
+    """Component that replicates patches and handles operator requests.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        spreading: Puts accepted configurations into force on this host.
-        machine: The replicated state.
+        context: Identity, random generator, clocks and counters of the host.
+        spreading: Puts accepted configurations into force at this host.
+        machine: The replicated state machine.
         replica: The replicated log.
         submissions: Patches without a verdict.
-        joining: How this host becomes a voter.
-        disk: What the data folder held at the start.
+        bootstrap: Bootstrap of the log and admission of voters.
+        disk: Contents of the data folder at the start; after a bootstrap also
+            the snapshot that it saved.
         is_blank: Whether the data folder has never held anything.
-        reading: Requests that wait for a read index.
-        unreadable: Why the disk can't be read, if it can't.
+        reads: Requests that wait for a read index.
+        unreadable: Why the data folder can't be read, or None.
     """
 
     __slots__ = (
+        "bootstrap",
         "context",
         "disk",
         "is_blank",
-        "joining",
         "machine",
-        "reading",
+        "reads",
         "replica",
         "spreading",
         "submissions",
@@ -66,18 +68,19 @@
         self,
         context: context_lib.Context,
         distribution: spreading.Spreading,
-        named: tuple[peers.Peer, ...],
+        initial_voters: tuple[peers.Peer, ...],
         disk: disks.DiskContents,
         parameters: log_parameters.LogParameters | None = None,
     ) -> None:
-        """Creates the part from what the disk holds.
+        """Initializes the replicated log from the data folder.
 
         Args:
-            context: Identity, chance, time and counters.
-            distribution: Puts accepted configurations into force here.
-            named: First voters in the order of the settings.
-            disk: What the data folder held at the start.
-            parameters: Times and sizes of the log; the defaults if None.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            distribution: Puts accepted configurations into force at this host.
+            initial_voters: First voters in the order of the settings.
+            disk: Contents of the data folder at the start.
+            parameters: Parameters of the replicated log; the defaults if None.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
@@ -95,14 +98,14 @@
         self.submissions = submissions.Submissions(
             context, self.machine, self._propose
         )
-        self.joining = bootstrap.VoterBootstrap(own, named)
-        self.reading = linearizable_reads.LinearizableReads(
+        self.bootstrap = bootstrap.VoterBootstrap(own, initial_voters)
+        self.reads = linearizable_reads.LinearizableReads(
             self.machine, self.replica
         )
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         handlers: dict[reducer.Key, reducer.Handler] = dict.fromkeys(
             consensus.MESSAGE_TYPES, self.handle_consensus
         )
@@ -115,7 +118,7 @@
                 TIMER: self.handle_tick,
                 control.Introduction: self.handle_introduction,
                 control.PatchForward: self.handle_forward,
-                control.PatchResponse: self.handle_answer,
+                control.PatchResponse: self.handle_patch_response,
                 requests.SubmitPatch: self.handle_patch,
                 requests.ReadConfiguration: self.handle_read,
                 requests.ReadLog: self.handle_read,
@@ -126,194 +129,206 @@
         return handlers
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Starts to take part; a blank host introduces itself first."""
+        """Starts the replicated log; stops if the disk is unreadable.
+
+        A host that is not a voter introduces itself to the initial voters.
+        """
         if self.unreadable is not None:
             return [effects.Stop(1, self.unreadable.detail)]
-        found = self._carry(event.now_s, self.replica.start(event.now_s))
-        found.extend(self.handle_tick(event))
-        return found
+        result = self._collect_effects(
+            event.now_s, self.replica.start(event.now_s)
+        )
+        result.extend(self.handle_tick(event))
+        return result
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Hands over the leadership before the process ends."""
+        """Transfers the leadership before the process ends."""
         step = self.replica.transfer_leadership(event.now_s)
         if isinstance(step, failure.Failure):
             return []
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_consensus(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Hands a message of another replica to the log."""
+        """Passes a message of another replica to the log."""
         message = event.message
         assert isinstance(message, consensus.Message)
         self.is_blank = False if self._is_addressed(message) else self.is_blank
         step = self.replica.handle_message(event.now_s, event.sender, message)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_log_timer(
         self, event: events.TimerFired
     ) -> list[effects.Effect]:
-        """Hands a timer to the log."""
-        return self._carry(event.now_s, self.replica.handle_timer(event.now_s))
+        """Passes a timer event to the log."""
+        return self._collect_effects(
+            event.now_s, self.replica.handle_timer(event.now_s)
+        )
 
     def handle_write_completed(
         self, event: events.WriteCompleted
     ) -> list[effects.Effect]:
-        """Tells the log that a write is synced."""
-        if event.sequence == FOUNDING_SEQUENCE:
-            return self._start_founded(event.now_s)
+        """Notifies the log that a write is synced to disk."""
+        if event.sequence == BOOTSTRAP_SEQUENCE:
+            return self._start_after_bootstrap(event.now_s)
         step = self.replica.handle_write_completed(event.now_s, event.sequence)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_tick(
         self, event: events.TimerFired | events.Started
     ) -> list[effects.Effect]:
-        """Moves on what waits: introductions and patches."""
-        found: list[effects.Effect] = [
+        """Runs the maintenance: bootstrap, introductions, patches and reads."""
+        result: list[effects.Effect] = [
             effects.StartTimer(TIMER, TICK_INTERVAL_S)
         ]
-        if self.is_blank and self.joining.is_ready_to_found():
-            found.append(self._found())
+        if self.is_blank and self.bootstrap.can_bootstrap():
+            result.append(self._bootstrap_log())
         elif not self.replica.state.is_voter:
-            found.extend(self.joining.introduce(is_blank=self.is_blank))
+            result.extend(self.bootstrap.introduce(is_blank=self.is_blank))
         step = self.submissions.tick(event.now_s)
-        found.extend(self._carry(event.now_s, step))
-        for step in self.reading.tick(event.now_s):
-            found.extend(self._carry(event.now_s, step))
-        return found
+        result.extend(self._collect_effects(event.now_s, step))
+        for step in self.reads.tick(event.now_s):
+            result.extend(self._collect_effects(event.now_s, step))
+        return result
 
     def handle_introduction(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes note of a host that wants to take part."""
+        """Stores an introduction and admits the sender if this host leads."""
         message = event.message
         assert isinstance(message, control.Introduction)
-        self.joining.note(event.sender, message)
-        step = self.joining.admit(
+        self.bootstrap.observe(event.sender, message)
+        step = self.bootstrap.admit(
             event.now_s, self.replica, event.sender, message
         )
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_patch(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Takes a patch of an operator."""
+        """Handles a patch of an operator."""
         patch = event.request
         assert isinstance(patch, requests.SubmitPatch)
         origin = submissions.Origin(request_id=event.request_id)
         step = self.submissions.submit(event.now_s, patch, origin)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
     def handle_forward(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes a patch from another control host."""
+        """Handles a patch that another control host forwarded."""
         message = event.message
         assert isinstance(message, control.PatchForward)
         origin = submissions.Origin(peer=event.sender, token=message.token)
         step = self.submissions.submit(event.now_s, message.patch, origin)
-        return self._carry(event.now_s, step)
+        return self._collect_effects(event.now_s, step)
 
-    def handle_answer(
+    def handle_patch_response(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes the leader's answer to a forwarded patch."""
+        """Handles the leader's response to a forwarded patch."""
         message = event.message
         assert isinstance(message, control.PatchResponse)
-        return self.submissions.handle_answer(event.now_s, message)
+        return self.submissions.handle_response(event.now_s, message)
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
-        """Asks for a read index; the answer follows when it is reached."""
-        return self._carry(event.now_s, self.reading.ask(event.now_s, event))
+        """Requests a read index; the response follows once it is applied."""
+        return self._collect_effects(
+            event.now_s, self.reads.begin(event.now_s, event)
+        )
 
     def handle_read_members(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Answers with the members of the log."""
-        answer = members.describe(self.replica, self.joining)
-        return [effects.Respond(event.request_id, answer)]
+        """Responds with the members of the log."""
+        response = members.describe(self.replica, self.bootstrap)
+        return [effects.Respond(event.request_id, response)]
 
     def handle_change_member(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Changes one member, if this host leads."""
+        """Proposes a membership change if this host leads."""
         request = event.request
         assert isinstance(request, requests.ChangeMember)
         proposal = members.change(
-            event.now_s, self.replica, self.joining, request
+            event.now_s, self.replica, self.bootstrap, request
         )
         if isinstance(proposal, failure.Failure):
             refused = requests.Refused(proposal.reason, proposal.detail)
             return [effects.Respond(event.request_id, refused)]
         started = requests.MemberChangeStarted()
         return [
-            *self._carry(event.now_s, proposal.step),
+            *self._collect_effects(event.now_s, proposal.step),
             effects.Respond(event.request_id, started),
         ]
 
     def _is_addressed(self, message: consensus.Message) -> bool:
-        """Returns whether a message is meant for this incarnation."""
+        """Returns whether a message is addressed to this incarnation."""
         return message.header.destination == self.disk.incarnation
 
-    def _found(self) -> effects.Effect:
-        """Founds the system: writes down a membership of this host alone."""
+    def _bootstrap_log(self) -> effects.Effect:
+        """Bootstraps the log: saves a membership with this host alone."""
         self.is_blank = False
         snapshot = records.Snapshot(
-            0, 0, (self.joining.own,), self.machine.snapshot()
+            0, 0, (self.bootstrap.own,), self.machine.snapshot()
         )
         data = records.encode(snapshot)
         self.disk = msgspec.structs.replace(self.disk, snapshot=data)
-        return effects.SaveSnapshot(FOUNDING_SEQUENCE, data, ())
+        return effects.SaveSnapshot(BOOTSTRAP_SEQUENCE, data, ())
 
-    def _start_founded(self, now_s: float) -> list[effects.Effect]:
-        """Starts the log anew from the membership written down."""
+    def _start_after_bootstrap(self, now_s: float) -> list[effects.Effect]:
+        """Restarts the log from the saved membership."""
         self.unreadable = self.replica.recover(self.disk.snapshot, ())
-        return self._carry(now_s, self.replica.start(now_s))
+        return self._collect_effects(now_s, self.replica.start(now_s))
 
     def _propose(
         self, now_s: float, command: bytes
     ) -> outputs.Proposal | failure.Failure:
-        """Appends a command if this host leads.
+        """Appends a command to the log if this host leads.
 
-        The first patch waits until a majority of the named voters takes part,
-        so that it isn't kept by the founder alone.
+        The first patch waits until a majority of the initial voters are
+        voters, so that it isn't stored by the founder alone.
         """
         voters = self.replica.state.latest_membership.voters
         if not self.machine.version and len(voters) <= self._minority():
             return failure.Failure(
-                "founding", f"{len(voters)} voters take part; wait for more"
+                "founding", f"{len(voters)} voters have joined; wait for more"
             )
         return self.replica.propose(now_s, command)
 
     def _minority(self) -> int:
-        """Returns the largest number of named voters that is no majority."""
-        return len(self.joining.named) // 2
+        """Returns the largest number of initial voters that is no majority."""
+        return len(self.bootstrap.initial_voters) // 2
 
-    def _carry(self, now_s: float, step: outputs.Step) -> list[effects.Effect]:
-        """Returns the effects of a step and of what it made happen."""
-        found = list(step.effects)
+    def _collect_effects(
+        self, now_s: float, step: outputs.Step
+    ) -> list[effects.Effect]:
+        """Returns the effects of a step and of handling its outputs."""
+        result = list(step.effects)
         for output in step.outputs:
-            found.extend(self._handle_output(now_s, output))
+            result.extend(self._handle_output(now_s, output))
         decisions = self.machine.take_decisions()
-        found.extend(self.submissions.handle_decisions(decisions))
-        found.extend(self._record_decisions(now_s, decisions))
-        found.extend(self._put_in_force(now_s))
-        return found
+        result.extend(self.submissions.handle_decisions(decisions))
+        result.extend(self._record_decisions(now_s, decisions))
+        result.extend(self._put_in_force(now_s))
+        return result
 
     def _put_in_force(self, now_s: float) -> list[effects.Effect]:
-        """Puts new versions into force on this host, which spreads them."""
-        found: list[effects.Effect] = []
+        """Puts new versions into force at this host, which distributes them."""
+        result: list[effects.Effect] = []
         for delta in self.machine.take_deltas():
-            found.extend(self.spreading.put_delta(now_s, delta))
-        # After a restart or a snapshot, single changes aren't known.
+            result.extend(self.spreading.put_delta(now_s, delta))
+        # After a restart or a restored snapshot, the single changes aren't
+        # known.
         if self.machine.version > self.spreading.holder.numbered.version:
-            found.extend(self.spreading.put(now_s, self.machine.numbered()))
-        return found
+            result.extend(self.spreading.put(now_s, self.machine.numbered()))
+        return result
 
     def _record_decisions(
         self, now_s: float, decisions: list[machines.Decision]
     ) -> list[effects.Effect]:
-        """Returns the time line entries of verdicts, at the leader alone."""
+        """Returns the time line entries of verdicts; none unless leading."""
         if not self.replica.state.is_leader:
             return []
         return [
@@ -330,16 +345,16 @@
     def _handle_output(
         self, now_s: float, output: outputs.Output
     ) -> list[effects.Effect]:
-        """Handles one thing that happened in the log."""
+        """Handles an output of the replicated log."""
         match output:
             case outputs.Applied():
                 self.submissions.handle_applied(output)
             case outputs.Restored():
                 return self.submissions.handle_restored()
             case outputs.ReadCompleted(token):
-                return self.reading.complete(token)
+                return self.reads.complete(token)
             case outputs.ReadFailed(token, reason):
-                return self.reading.fail(now_s, token, reason)
+                return self.reads.fail(now_s, token, reason)
             case outputs.LeaderChanged():
                 return self._change_leader(now_s, output)
             case outputs.Halted(reason, detail):
@@ -351,23 +366,23 @@
     def _change_leader(
         self, now_s: float, changed: outputs.LeaderChanged
     ) -> list[effects.Effect]:
-        """Follows a new leader; what waits is placed with it at once."""
+        """Records a new leader and retries the pending patches that are due."""
         self.submissions.is_leading = changed.is_self
         self.submissions.leader = None if changed.is_self else changed.leader
         leader = changed.leader.host if changed.leader else ""
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             self.context.record(
                 now_s, "leader-changed", detail=f"{leader} {changed.term}"
             )
         ]
         step = self.submissions.tick(now_s)
-        found.extend(self._carry(now_s, step))
-        return found
+        result.extend(self._collect_effects(now_s, step))
+        return result
 
     def _record_membership(
         self, now_s: float, changed: outputs.MembershipChanged
     ) -> effects.Effect:
-        """Returns the time line entry of a membership."""
+        """Returns the time line entry of a membership change."""
         described = " ".join(
             f"{member.peer.host}/{member.incarnation}"
             f"{'' if member.is_voter else '(learner)'}"
--- a/packages/core/src/tamarack_core/internal/patches/__init__.py
+++ b/packages/core/src/tamarack_core/internal/patches/__init__.py
@@ -1,5 +1,6 @@
-"""The replicated state machine: numbered configuration, patches, verdicts.
+"""Replicated state machine for the configuration, its patches and verdicts.
 
 Every voter applies the same commands in the same order and reaches the same
-verdicts; nothing here depends on a clock, on chance or on the host.
+verdicts; nothing in this package depends on a clock, on a random generator or
+on the host.
 """
--- a/packages/core/src/tamarack_core/internal/patches/commands.py
+++ b/packages/core/src/tamarack_core/internal/patches/commands.py
@@ -1,4 +1,4 @@
-"""Commands of the replicated log, and their encoded form."""
+"""Commands of the replicated log and their encoding."""
 
 import hashlib
 
@@ -15,12 +15,12 @@
 
 
 class Submit(msgspec.Struct, frozen=True, tag="submit"):
-    """A patch, as the leader appends it to the log.
+    """A patch as the leader appends it to the log.
 
     Attributes:
         patch: The operator's request.
         time_ms: Wall-clock time of the leader in milliseconds.
-        format_version: Version of this form.
+        format_version: Version of this encoding.
     """
 
     patch: requests.SubmitPatch
@@ -33,12 +33,12 @@
 
 
 def encode(command: Submit) -> bytes:
-    """Returns the form of a command that is kept in the log."""
+    """Returns a command in the encoding of the log."""
     return _encoder.encode(command)
 
 
 def decode(data: bytes) -> Submit | failure.Failure:
-    """Returns the command in `data`, or why there is none."""
+    """Returns the command in `data`, or why it can't be decoded."""
     try:
         return _decoder.decode(data)
     except (msgspec.DecodeError, RecursionError) as error:
@@ -46,7 +46,7 @@
 
 
 def digest(patch: requests.SubmitPatch) -> bytes:
-    """Returns a digest of everything that a resend must repeat."""
+    """Returns a digest of all fields that a resend must repeat unchanged."""
     content = _encoder.encode(
         (patch.base_version, patch.author, patch.note, patch.operations)
     )
@@ -56,8 +56,8 @@
 def check(patch: requests.SubmitPatch) -> failure.Failure | None:
     """Returns why a patch must not enter the log, or None.
 
-    The leader checks before it appends, so that nothing oversized is
-    replicated.
+    The leader checks a patch before it appends it, so that oversized patches
+    are never replicated.
     """
     if not 1 <= len(patch.patch_id) <= MAX_ID_LENGTH:
         return failure.Failure(
--- a/packages/core/src/tamarack_core/internal/patches/history.py
+++ b/packages/core/src/tamarack_core/internal/patches/history.py
@@ -1,4 +1,4 @@
-"""What the state machine remembers of past patches."""
+"""Accepted patches and recorded verdicts, within fixed limits."""
 
 from collections.abc import Iterator
 import itertools
@@ -18,11 +18,11 @@
     """One accepted patch.
 
     Attributes:
-        version: Version that the patch made.
+        version: Version that the patch created.
         patch_id: Identifier of the patch.
-        author: Who submitted it.
-        note: Why.
-        time_ms: Time of the log at which it was accepted, in milliseconds.
+        author: Author of the patch.
+        note: Reason that the author gave.
+        time_ms: Log time at which it was accepted, in milliseconds.
         changed: JSON pointers that it changed, at most `MAX_POINTERS`.
         operations: The patch as encoded JSON.
     """
@@ -36,13 +36,13 @@
     operations: msgspec.Raw
 
 
-class Answer(msgspec.Struct, frozen=True, array_like=True):
-    """First answer to a patch id.
+class RecordedVerdict(msgspec.Struct, frozen=True, array_like=True):
+    """The first verdict on a patch id.
 
     Attributes:
         digest: Digest of the patch.
-        time_ms: Time of the log in milliseconds.
-        verdict: The answer.
+        time_ms: Log time of the verdict in milliseconds.
+        verdict: The verdict.
     """
 
     digest: bytes
@@ -50,74 +50,74 @@
     verdict: requests.PatchVerdict
 
 
-class History:
-    """The newest accepted patches, without a gap.
+class PatchHistory:
+    """The newest accepted patches, with consecutive versions.
 
     Attributes:
-        entries: Entries in order of version.
-        size_bytes: Size of the operations of all entries.
+        entries: Accepted patches by ascending version.
+        size_bytes: Size of the operations of all entries in bytes.
     """
 
     __slots__ = ("entries", "size_bytes")
 
     def __init__(self) -> None:
-        """Starts with no entry."""
+        """Initializes an empty history."""
         self.entries: list[Entry] = []
         self.size_bytes = 0
 
     def append(self, entry: Entry) -> None:
-        """Adds the newest entry and forgets the oldest beyond the limits."""
+        """Appends the newest entry and evicts the oldest beyond the limits."""
         self.entries.append(entry)
         self.size_bytes += len(bytes(entry.operations))
-        forgotten = 0
-        while self._is_over(forgotten):
-            oldest = self.entries[forgotten]
+        evicted = 0
+        while self._is_over_limit(evicted):
+            oldest = self.entries[evicted]
             self.size_bytes -= len(bytes(oldest.operations))
-            forgotten += 1
-        del self.entries[:forgotten]
+            evicted += 1
+        del self.entries[:evicted]
 
     def after(self, version: int) -> list[Entry] | None:
         """Returns the entries later than `version`.
 
         Returns:
-            The entries in order, or None if some are forgotten.
+            The entries in order, or None if some of them were evicted.
         """
         if not self.entries or self.entries[0].version > version + 1:
             return None
         start = version + 1 - self.entries[0].version
         return list(itertools.islice(self.entries, start, None))
 
-    def _is_over(self, forgotten: int) -> bool:
-        """Returns True while the oldest entry has to go."""
-        count = len(self.entries) - forgotten
+    def _is_over_limit(self, evicted: int) -> bool:
+        """Returns whether more than `evicted` entries must be evicted."""
+        count = len(self.entries) - evicted
         return count > MAX_ENTRIES or (
             count > 1 and self.size_bytes > MAX_ENTRY_BYTES
         )
 
 
-class Answers:
-    """First answers by patch id, the oldest first.
+class RecordedVerdicts:
+    """First verdicts by patch id, the oldest first.
 
     An id is kept for `ID_RETENTION_MS` of log time, and at most `MAX_IDS` are
-    kept. A patch whose id is forgotten still can't run twice: an accepted
-    patch raised the version, so that its base version is stale for ever.
+    kept. A patch whose id was evicted still can't be applied twice: an accepted
+    patch raised the version, so that its base version is stale forever.
 
     Attributes:
-        by_id: The answers.
+        by_id: The verdicts by patch id.
     """
 
     __slots__ = ("by_id",)
 
     def __init__(self) -> None:
-        """Starts with no answer."""
-        self.by_id: dict[str, Answer] = {}
+        """Initializes without verdicts."""
+        self.by_id: dict[str, RecordedVerdict] = {}
 
-    def add(self, patch_id: str, answer: Answer) -> None:
-        """Keeps an answer and forgets those beyond the limits."""
-        self.by_id[patch_id] = answer
+    def add(self, patch_id: str, recorded: RecordedVerdict) -> None:
+        """Records a verdict and evicts those beyond the limits."""
+        self.by_id[patch_id] = recorded
         expired = list(
             itertools.takewhile(
-                lambda known: self._is_expired(known, answer.time_ms),
+                lambda known: self._is_expired(known, recorded.time_ms),
                 self.by_id,
             )
         )
@@ -126,10 +126,10 @@
         if len(self.by_id) > MAX_IDS:
             del self.by_id[next(iter(self.by_id))]
 
-    def items(self) -> Iterator[tuple[str, Answer]]:
-        """Yields ids and answers, the oldest first."""
+    def items(self) -> Iterator[tuple[str, RecordedVerdict]]:
+        """Yields patch ids and verdicts, the oldest first."""
         yield from self.by_id.items()
 
     def _is_expired(self, patch_id: str, now_ms: int) -> bool:
-        """Returns True if the answer is older than the retention."""
+        """Returns whether a verdict is older than the retention."""
         return self.by_id[patch_id].time_ms + ID_RETENTION_MS < now_ms
--- a/packages/core/src/tamarack_core/internal/patches/operations.py
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -1,7 +1,8 @@
 """Applies a JSON patch (RFC 6902) to the services that it names.
 
-Only the services that a patch names are built as JSON, patched and checked
-again, so that the cost of a patch doesn't grow with the configuration.
+Only the services that a patch names are converted to JSON, patched and
+validated again, so that the cost of a patch doesn't grow with the
+configuration.
 """
 
 from collections.abc import Iterator
@@ -41,8 +42,8 @@
 
     Attributes:
         raw: The operation as decoded JSON.
-        steps: Unescaped steps of its path.
-        source: Unescaped steps of `from`; empty without one.
+        steps: Unescaped reference tokens of its path.
+        source: Unescaped reference tokens of `from`; empty without one.
     """
 
     raw: dict[str, object]
@@ -54,8 +55,8 @@
     """Returns the operations of an encoded patch.
 
     Returns:
-        The operations, or a failure. Its path is that of the operation at
-        fault in the configuration, where there is one.
+        The operations, or a failure with the path of the invalid operation
+        if it has one.
     """
     try:
         decoded = msgspec.json.decode(encoded)
@@ -81,10 +82,10 @@
     services: Mapping[str, configuration.Service],
     operations: list[Operation],
 ) -> Changes | failure.Failure:
-    """Returns the services that a patch changes, each checked on its own.
+    """Returns the services that a patch changes, each validated by itself.
 
     Args:
-        services: The services before the patch; left alone.
+        services: The services before the patch; not modified.
         operations: The operations in order.
     """
     names = _names(services, operations)
@@ -118,7 +119,7 @@
 
 
 def _parse_operation(position: int, raw: object) -> Operation | failure.Failure:
-    """Returns a checked operation."""
+    """Returns the validated operation, or why it is invalid."""
     if not isinstance(raw, dict):
         return failure.Failure(
             "bad-patch", f"operation {position} is not an object"
@@ -130,7 +131,7 @@
     if steps is None or source_steps is None:
         return failure.Failure(
             "bad-patch",
-            f"operation {position} has no JSON pointer as its path or from",
+            f"the path or from of operation {position} is not a JSON pointer",
         )
     operation = Operation(raw, steps, source_steps)
     refused = _check_operation(operation, str(path))
@@ -138,7 +139,7 @@
 
 
 def _check_operation(operation: Operation, path: str) -> failure.Failure | None:
-    """Returns why an operation is refused before it is tried, or None."""
+    """Returns why an operation is refused before it is applied, or None."""
     name = operation.raw.get("op")
     if name not in jsonpatch.JsonPatch.operations:
         return failure.Failure(
@@ -149,10 +150,11 @@
         return failure.Failure("bad-patch", f"{name} has no value", path)
     if name in _MOVING and "from" not in operation.raw:
         return failure.Failure("bad-patch", f"{name} has no from", path)
-    # A copy to another depth could double the document again and again.
+    # Repeated copies to another depth could double the size of the document
+    # with every operation.
     if name == "copy" and len(operation.steps) != len(operation.source):
         return failure.Failure(
-            "bad-patch", "copy needs a from of the same depth", path
+            "bad-patch", "copy needs a path and a from of the same depth", path
         )
     if _depth(operation.raw.get("value")) > MAX_DEPTH:
         return failure.Failure(
@@ -162,7 +164,7 @@
 
 
 def _depth(value: object) -> int:
-    """Returns how many levels of arrays and objects a value has."""
+    """Returns the number of nested levels of arrays and objects."""
     level = [value]
     for depth in itertools.count():
         level = list(itertools.chain.from_iterable(map(_children, level)))
@@ -183,7 +185,7 @@
     services: Mapping[str, configuration.Service],
     operations: list[Operation],
 ) -> list[str]:
-    """Returns the services that may change, in order."""
+    """Returns the sorted names of the services that may change."""
     paths = list(
         itertools.chain.from_iterable(
             (operation.steps, operation.source)
@@ -201,7 +203,10 @@
 def _apply_one(
     document: dict[str, object], raw: dict[str, object]
 ) -> dict[str, object] | failure.Failure:
-    """Applies one operation to a document that no one else holds."""
+    """Applies one operation in place.
+
+    The caller must own the document and drop it after a failure.
+    """
     path = str(raw["path"])
     try:
         patched = jsonpatch.JsonPatch([raw]).apply(document, in_place=True)
@@ -215,7 +220,7 @@
 
 
 def _sentence(error: Exception) -> str:
-    """Returns the message of a patch error, cut to one short line."""
+    """Returns the message of a patch error, shortened to one line."""
     text = " ".join(str(error).split())
     return text[:200] or type(error).__name__
 
@@ -223,13 +228,13 @@
 def _convert(
     document: dict[str, object], names: list[str]
 ) -> Changes | failure.Failure:
-    """Returns the checked services of a patched document."""
+    """Returns the validated services of a patched document."""
     unknown = sorted(set(document) - {"services"})
     if unknown:
         return failure.Failure(
             "unknown-field",
-            f"unknown field {unknown[0][:80]!r}; the document has the field"
-            " services alone",
+            f"unknown field {unknown[0][:80]!r}; the only field of the document"
+            " is services",
             pointers.join(unknown[0]),
         )
     patched = document.get("services", {})
--- a/packages/core/src/tamarack_core/internal/patches/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/patches/state_machine.py
@@ -1,4 +1,4 @@
-"""Applies committed commands and decides on patches."""
+"""Replicated state machine that decides on patches."""
 
 import dataclasses
 
@@ -34,15 +34,15 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """The whole state in encoded form.
+    """The whole state, as it is encoded.
 
     Attributes:
-        format_version: Version of this form.
+        format_version: Version of this encoding.
         version: Version of the configuration.
-        time_ms: Time of the log in milliseconds.
+        time_ms: Log time in milliseconds.
         configuration: The configuration.
-        entries: The newest accepted patches.
-        answers: First answers by patch id, the oldest first.
+        entries: The newest accepted patches, the oldest first.
+        answers: First verdicts by patch id, the oldest first.
     """
 
     format_version: int
@@ -50,7 +50,7 @@
     time_ms: int
     configuration: configuration.Configuration
     entries: list[history.Entry]
-    answers: list[tuple[str, history.Answer]]
+    answers: list[tuple[str, history.RecordedVerdict]]
 
 
 _encoder = msgspec.json.Encoder()
@@ -58,21 +58,21 @@
 
 
 class SnapshotError(ValueError):
-    """A snapshot can't be read by this release."""
+    """A snapshot is damaged or has another format version."""
 
 
 class PatchStateMachine:
-    """State that all voters agree on.
+    """State machine of the replicated log.
 
     Attributes:
-        version: Version of the configuration; only rises.
-        time_ms: Time of the log in milliseconds; never goes back, whatever
-            the clocks of successive leaders say.
-        checked: The configuration.
+        version: Version of the configuration; it only increases.
+        time_ms: Log time in milliseconds. It never decreases, even if the
+            clocks of successive leaders differ.
+        checked: The validated configuration.
         history: The newest accepted patches.
-        verdicts: First answers to patch ids.
-        decisions: Decisions since the owner last took them; not replicated.
-        deltas: Changes since the owner last took them; not replicated.
+        verdicts: First verdicts by patch id.
+        decisions: Decisions since the last `take_decisions`; not replicated.
+        deltas: Changes since the last `take_deltas`; not replicated.
     """
 
     __slots__ = (
@@ -86,12 +86,12 @@
     )
 
     def __init__(self) -> None:
-        """Starts with version 0, the empty configuration."""
+        """Initializes the state with version 0, the empty configuration."""
         self.version = 0
         self.time_ms = 0
         self.checked = document.Checked()
-        self.history = history.History()
-        self.verdicts = history.Answers()
+        self.history = history.PatchHistory()
+        self.verdicts = history.RecordedVerdicts()
         self.decisions: list[Decision] = []
         self.deltas: list[distribution.Delta] = []
 
@@ -101,15 +101,18 @@
             self.version, configuration.Configuration(self.checked.services)
         )
 
-    def first_answer(
+    def recorded_verdict(
         self, patch: requests.SubmitPatch
     ) -> requests.PatchVerdict | None:
-        """Returns the answer to a patch that was decided before, or None."""
-        answer = self.verdicts.by_id.get(patch.patch_id)
-        if answer is None:
+        """Returns the verdict on a patch that was decided before, or None.
+
+        A different patch with a known patch id is invalid.
+        """
+        recorded = self.verdicts.by_id.get(patch.patch_id)
+        if recorded is None:
             return None
-        if answer.digest == commands.digest(patch):
-            return answer.verdict
+        if recorded.digest == commands.digest(patch):
+            return recorded.verdict
         return requests.PatchVerdict(
             requests.PatchState.INVALID,
             reason=f"{_PATCH_ID_REUSED}: another patch has the id"
@@ -120,38 +123,40 @@
         """Applies a committed command.
 
         Args:
-            index: Position in the log; the order of calls is what counts.
+            index: Index in the log. Only the order of the calls matters.
             command: The encoded command.
         """
         decoded = commands.decode(command)
         if isinstance(decoded, failure.Failure):
-            # Every voter skips it alike. Only a newer release can write one.
+            # Every voter skips the same commands. Only a newer release writes
+            # commands that this one can't decode.
             return
         self.time_ms = max(self.time_ms, decoded.time_ms)
         patch = decoded.patch
         digest = commands.digest(patch)
-        verdict = self.first_answer(patch)
+        verdict = self.recorded_verdict(patch)
         if verdict is None:
             verdict = self._decide(patch)
             self.verdicts.add(
-                patch.patch_id, history.Answer(digest, self.time_ms, verdict)
+                patch.patch_id,
+                history.RecordedVerdict(digest, self.time_ms, verdict),
             )
         self.decisions.append(Decision(patch.patch_id, digest, verdict))
 
     def take_decisions(self) -> list[Decision]:
-        """Returns the decisions since the last call."""
+        """Returns and clears the decisions since the last call."""
         taken = self.decisions
         self.decisions = []
         return taken
 
     def take_deltas(self) -> list[distribution.Delta]:
-        """Returns the changes of the configuration since the last call."""
+        """Returns and clears the configuration changes since the last call."""
         taken = self.deltas
         self.deltas = []
         return taken
 
     def snapshot(self) -> bytes:
-        """Returns the whole state in encoded form."""
+        """Returns the encoded state."""
         return _encoder.encode(
             Snapshot(
                 FORMAT_VERSION,
@@ -164,14 +169,14 @@
         )
 
     def restore(self, data: bytes) -> None:
-        """Replaces the whole state.
+        """Replaces the state by one that `snapshot` returned.
 
         Args:
-            data: What `snapshot` returned on some host.
+            data: Encoded state of any voter.
 
         Raises:
-            SnapshotError: `data` is of another format or damaged. The state
-                is then as it was.
+            SnapshotError: `data` is damaged or has another format version.
+                The state is then unchanged.
         """
         decoded = decode_snapshot(data)
         checked = document.Checked()
@@ -181,20 +186,20 @@
         self.version = decoded.version
         self.time_ms = decoded.time_ms
         self.checked = checked
-        self.history = history.History()
+        self.history = history.PatchHistory()
         for entry in decoded.entries:
-            # A copy, as `Raw` would keep the whole snapshot in memory.
+            # Copied because `Raw` would keep the whole snapshot in memory.
             operations_copy = entry.operations.copy()
             self.history.append(
                 msgspec.structs.replace(entry, operations=operations_copy)
             )
-        self.verdicts = history.Answers()
+        self.verdicts = history.RecordedVerdicts()
         self.verdicts.by_id = dict(decoded.answers)
         self.decisions = []
         self.deltas = []
 
     def _decide(self, patch: requests.SubmitPatch) -> requests.PatchVerdict:
-        """Decides on a patch whose id is new."""
+        """Returns the verdict on a patch whose id is new."""
         refused = commands.check(patch)
         if refused is not None:
             return _invalid(refused)
@@ -206,10 +211,12 @@
             )
         if patch.base_version < self.version:
             return self._conflict(patch.base_version)
-        return self._change(patch)
+        return self._apply_patch(patch)
 
-    def _change(self, patch: requests.SubmitPatch) -> requests.PatchVerdict:
-        """Puts a patch on top of the newest version, if it is valid."""
+    def _apply_patch(
+        self, patch: requests.SubmitPatch
+    ) -> requests.PatchVerdict:
+        """Applies a patch to the newest version if the result is valid."""
         parsed = operations.parse(patch.operations)
         if isinstance(parsed, failure.Failure):
             return _invalid(parsed)
@@ -240,14 +247,17 @@
         )
 
     def _conflict(self, base_version: int) -> requests.PatchVerdict:
-        """Says who changed what since the base version."""
+        """Returns the verdict on a patch with an older base version.
+
+        It lists the changes since that version and their authors.
+        """
         later = self.history.after(base_version)
         if later is None:
             return requests.PatchVerdict(
                 requests.PatchState.CONFLICT,
                 self.version,
                 reason=f"version {base_version} is older than the log; read"
-                f" version {self.version} and write the patch anew",
+                f" version {self.version} and base the patch on it",
             )
         changed = sorted({path for entry in later for path in entry.changed})
         authors = dict.fromkeys(entry.author for entry in later)
@@ -262,10 +272,10 @@
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
-    """Returns the decoded form of a snapshot.
+    """Returns a decoded snapshot.
 
     Raises:
-        SnapshotError: `data` is of another format or damaged.
+        SnapshotError: `data` is damaged or has another format version.
     """
     try:
         decoded = _decoder.decode(data)
@@ -280,7 +290,7 @@
 
 
 def _invalid(refused: failure.Failure) -> requests.PatchVerdict:
-    """Returns the verdict that a failed check stands for."""
+    """Returns the verdict on a patch that failed a check."""
     return requests.PatchVerdict(
         requests.PatchState.INVALID,
         path=refused.path,
--- a/packages/core/src/tamarack_core/messages/control.py
+++ b/packages/core/src/tamarack_core/messages/control.py
@@ -1,4 +1,4 @@
-"""Messages between control hosts beside those of the replicated log."""
+"""Messages between control hosts, except those of the replicated log."""
 
 import msgspec
 
@@ -6,10 +6,10 @@
 
 
 class PatchForward(msgspec.Struct, frozen=True, tag="patch-forward"):
-    """A control host hands an operator's patch to the leader.
+    """A control host forwards an operator's patch to the leader.
 
     Attributes:
-        token: Number that the answer repeats.
+        token: Number that the response repeats.
         patch: The patch.
     """
 
@@ -18,12 +18,12 @@
 
 
 class PatchResponse(msgspec.Struct, frozen=True, tag="patch-answer"):
-    """Answer to a `PatchForward`.
+    """Response to a `PatchForward`.
 
     Attributes:
-        token: Repeats the request.
-        patch_id: Repeats the request.
-        response: The verdict; `Refused` if this sending had no effect.
+        token: Token of the request.
+        patch_id: Patch id of the request.
+        response: The verdict; `Refused` if this forward had no effect.
     """
 
     token: int
@@ -32,10 +32,10 @@
 
 
 class Introduction(msgspec.Struct, frozen=True, tag="introduction"):
-    """A control host that is no voter names itself to the others.
+    """A control host that is not a voter introduces itself to the others.
 
     Attributes:
-        incarnation: Identifier made when its data folder was created.
+        incarnation: Identifier created with its data folder.
         is_blank: Whether its data folder has never held anything.
     """
 
