Reword documents and the requests of operators and external systems

Docstrings say response, start time, advisory and external system. Messages of the document check name the cause and the fix; the message about a negative weight says 0 or more, which is what the check accepts.

--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -1,8 +1,8 @@
-"""A whole configuration that an outside system numbers.
+"""Whole configurations that are numbered by an external system.
 
-Beside patches against the configuration of this system, a deployment may
-publish whole documents under numbers of its own. The highest number is in
-force; a document whose number is not higher changes nothing.
+As an alternative to patches, a deployment may publish whole documents under
+its own numbers. The document with the highest number is in force; a document
+whose number is not higher changes nothing.
 """
 
 import enum
@@ -23,11 +23,11 @@
 
 
 class WeightedService(msgspec.Struct, frozen=True, array_like=True):
-    """The part of a route's openings that goes to one service.
+    """A service that receives new flows of a route, with its weight.
 
     Attributes:
         service: Name of the service.
-        weight: Weight among the shares of the route.
+        weight: Weight relative to the other services of the route.
     """
 
     service: str
@@ -35,17 +35,18 @@
 
 
 class Route(msgspec.Struct, frozen=True):
-    """Where the openings of one service address and port go.
+    """Destinations of the new flows to one service address and port.
 
     Attributes:
         name: Name of the route, unique in the document.
         address: Service address in text form.
         port: Service port.
         kind: Whether its requests may be repeated.
-        timeout_ms: Time that its requests have, in milliseconds.
-        priority: Rank when load is shed; 0 is the highest.
+        timeout_ms: Timeout of its requests in milliseconds.
+        priority: Priority when load is shed; 0 is the highest.
         shares: Services with their weights.
-        source: Outside form of the route, returned unchanged to readers.
+        source: The route as the external system encoded it; returned
+            unchanged to readers.
     """
 
     name: str
@@ -59,17 +60,18 @@
 
     @property
     def endpoint(self) -> tuple[str, int]:
-        """Address and port, of which each pair has one route at most."""
+        """Address and port; at most one route in a document has each pair."""
         return (self.address, self.port)
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service that routes name.
+    """A service that routes refer to.
 
     Attributes:
         name: Name of the service.
-        health_path: Path of the health request of its targets.
-        source: Outside form of the service, returned unchanged to readers.
+        health_path: Path of the health checks of its targets.
+        source: The service as the external system encoded it; returned
+            unchanged to readers.
     """
 
     name: str
@@ -81,11 +83,12 @@
     """One numbered configuration.
 
     Attributes:
-        number: Its outside number; 0 stands for no document.
+        number: Number given by the external system; 0 stands for no document.
         routes: The routes in the order of the document.
         services: The services in the order of the document.
-        idle_timeout_ms: Time after which an idle flow may be forgotten.
-        remainder: Outside form of everything else.
+        idle_timeout_ms: Time after which an idle flow may be removed, in
+            milliseconds.
+        remainder: All other content, as the external system encoded it.
     """
 
     number: int
@@ -96,18 +99,18 @@
 
 
 class Change(msgspec.Struct, frozen=True):
-    """What leads from one document to a later one.
+    """The difference between a document and a later one.
 
     Attributes:
         base: Number of the document that it applies to.
-        number: Number of the document that it makes.
-        order: Names of the routes in order; empty if the order of the base
-            holds after removal, with new routes at the end.
-        removed: Names of routes that are gone.
-        routes: Routes that are new or differ.
+        number: Number of the resulting document.
+        order: Names of the routes in order; empty if the remaining routes of
+            the base keep their order and new routes follow at the end.
+        removed: Names of removed routes.
+        routes: New and changed routes.
         services: All services if any differs, otherwise None.
-        idle_timeout_ms: As in the document.
-        remainder: As in the document; None if it is that of the base.
+        idle_timeout_ms: As in the document, in milliseconds.
+        remainder: As in the document; None if it equals that of the base.
     """
 
     base: int
@@ -128,22 +131,25 @@
     """
     known = {service.name for service in document.services}
     if len(known) < len(document.services):
-        return _invalid("repeated-service", "name each service once")
+        return _invalid(
+            "repeated-service", "two services have the same name; rename one"
+        )
     names: set[str] = set()
-    places: set[tuple[str, int]] = set()
+    endpoints: set[tuple[str, int]] = set()
     for route in document.routes:
         refused = _check_route(route, known)
         if refused is not None:
             return refused
-        if route.endpoint in places:
+        if route.endpoint in endpoints:
             return _invalid(
-                "repeated-place", f"{route.endpoint} has two routes; keep one"
+                "repeated-place", f"{route.endpoint} has two routes; remove one"
             )
         if route.name in names:
             return _invalid(
-                "repeated-route", f"{route.name!r} stands twice; rename one"
+                "repeated-route",
+                f"two routes are named {route.name!r}; rename one",
             )
-        places.add(route.endpoint)
+        endpoints.add(route.endpoint)
         names.add(route.name)
     return None
 
@@ -165,20 +171,20 @@
         if share.service not in known:
             return _invalid(
                 "unknown-service",
-                f"route {route.name!r} names {share.service!r}; add the"
-                " service",
+                f"route {route.name!r} refers to unknown service"
+                f" {share.service!r}; add the service",
             )
         if share.weight < 0:
             return _invalid(
                 "bad-weight",
-                f"route {route.name!r} has weight {share.weight}; use a"
-                " positive one",
+                f"route {route.name!r} has weight {share.weight}; use 0 or"
+                " more",
             )
     if sum(share.weight for share in route.shares) <= 0:
         return _invalid(
             "bad-weight",
-            f"route {route.name!r} leads to no service; give one a positive"
-            " weight",
+            f"route {route.name!r} has no service with a positive weight;"
+            " set one",
         )
     return None
 
@@ -188,24 +194,26 @@
 
 
 def difference(base: Document, document: Document) -> Change:
-    """Returns the change that leads from `base` to `document`.
+    """Returns the change from `base` to `document`.
 
     Args:
         base: The earlier document.
         document: The later document.
     """
-    held = {route.name: route for route in base.routes}
-    wanted = {route.name for route in document.routes}
-    removed = tuple(name for name in held if name not in wanted)
+    base_routes = {route.name: route for route in base.routes}
+    names = {route.name for route in document.routes}
+    removed = tuple(name for name in base_routes if name not in names)
     routes = tuple(
-        route for route in document.routes if held.get(route.name) != route
+        route
+        for route in document.routes
+        if base_routes.get(route.name) != route
     )
     order = tuple(route.name for route in document.routes)
-    natural = _order(base, removed, routes)
+    default_order = _default_order(base, removed, routes)
     return Change(
         base=base.number,
         number=document.number,
-        order=() if natural == order else order,
+        order=() if default_order == order else order,
         removed=removed,
         routes=routes,
         services=(
@@ -218,26 +226,31 @@
     )
 
 
-def _order(
+def _default_order(
     base: Document, removed: tuple[str, ...], routes: tuple[Route, ...]
 ) -> tuple[str, ...]:
-    """Returns the names in the order that needs no mention."""
-    gone = set(removed)
-    kept = [route.name for route in base.routes if route.name not in gone]
+    """Returns the route names in the order implied by a change.
+
+    The remaining routes of the base come first, then the new ones.
+    """
+    removed_names = set(removed)
+    kept = [
+        route.name for route in base.routes if route.name not in removed_names
+    ]
     known = set(kept)
     added = [route.name for route in routes if route.name not in known]
     return (*kept, *added)
 
 
 def apply(base: Document, change: Change) -> Document:
-    """Returns the document that a change makes of its base.
+    """Returns the document that results from a change to its base.
 
     Args:
         base: The document with the number `change.base`.
         change: The change.
     """
     routes = {route.name: route for route in base.routes}
-    order = change.order or _order(base, change.removed, change.routes)
+    order = change.order or _default_order(base, change.removed, change.routes)
     routes.update((route.name, route) for route in change.routes)
     return Document(
         number=change.number,
--- a/packages/core/src/tamarack_core/external_requests.py
+++ b/packages/core/src/tamarack_core/external_requests.py
@@ -1,7 +1,8 @@
-"""Requests about numbered documents, announced targets and readiness.
+"""Requests of external systems and the responses to them.
 
-They reach control and entry hosts from operators, targets and the fabric of a
-platform that numbers its configuration itself.
+Operators, targets and the fabric of a platform that numbers its configuration
+itself send them to control and entry hosts. They concern numbered documents,
+announced targets and readiness.
 """
 
 import msgspec
@@ -12,7 +13,7 @@
 
 
 class PublishDocument(msgspec.Struct, frozen=True, tag="publish-document"):
-    """An operator publishes a whole document under its number.
+    """An operator publishes a whole numbered document.
 
     Attributes:
         document: The document.
@@ -29,18 +30,18 @@
     """A target announces itself to a control host.
 
     Attributes:
-        target: What it says of itself.
+        target: The announcement.
     """
 
     target: target_announcement.Announcement
 
 
 class WithdrawTarget(msgspec.Struct, frozen=True, tag="withdraw-target"):
-    """A target says that it ends.
+    """A target withdraws its announcement because it stops.
 
     Attributes:
         name: Name of the target.
-        born_ms: Its birth, or None if it did not say.
+        born_ms: Its start time in milliseconds, or None if not given.
     """
 
     name: str
@@ -48,21 +49,21 @@
 
 
 class ReadReadiness(msgspec.Struct, frozen=True, tag="read-readiness"):
-    """The fabric asks whether this entry host takes packets."""
+    """The fabric queries whether this entry host accepts packets."""
 
 
 class DocumentPublished(msgspec.Struct, frozen=True, tag="document-published"):
     """The document, or one with a higher number, is accepted.
 
     Attributes:
-        number: Number that is in force.
+        number: Number of the document in force.
     """
 
     number: int
 
 
 class DocumentRead(msgspec.Struct, frozen=True, tag="document-read"):
-    """Answer to `ReadDocument`.
+    """Response to `ReadDocument`.
 
     Attributes:
         document: The newest document.
@@ -72,7 +73,7 @@
 
 
 class TargetAcknowledged(msgspec.Struct, frozen=True, tag="target-noted"):
-    """The announcement or withdrawal is taken.
+    """The announcement or withdrawal is accepted.
 
     Attributes:
         renew_at: Address of the control host in the target's failure domain
@@ -83,21 +84,21 @@
 
 
 class Elsewhere(msgspec.Struct, frozen=True, tag="elsewhere"):
-    """Another host answers the request; it has had no effect here.
+    """Another host handles the request; it had no effect at this host.
 
     Attributes:
-        peer: The host to ask.
+        peer: The host to send the request to.
     """
 
     peer: peers.Peer
 
 
 class Unavailable(msgspec.Struct, frozen=True, tag="unavailable"):
-    """The request can't be answered now; it may be sent again.
+    """The request can't be handled now; it may be sent again.
 
     Attributes:
-        reason: Constant name of the cause.
-        retry_after_s: When to come back, in seconds.
+        reason: Tag of the cause.
+        retry_after_s: Delay before a retry in seconds.
     """
 
     reason: str
@@ -105,10 +106,10 @@
 
 
 class Readiness(msgspec.Struct, frozen=True, tag="readiness"):
-    """Answer to `ReadReadiness`.
+    """Response to `ReadReadiness`.
 
     Attributes:
-        is_ready: Whether the host takes packets.
+        is_ready: Whether the host accepts packets.
     """
 
     is_ready: bool
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -24,12 +24,12 @@
         address: IP address of the target.
         domain: Failure domain of the target.
         state: Ready or draining.
-        slots: Work units that the target runs at once.
-        connections: Connections that the target can hold.
-        incarnation: Number that rises when the target restarts.
+        slots: Work units that the target processes concurrently.
+        connections: Connections that the target can hold open.
+        incarnation: Number that increases when the target restarts.
         lease_s: Seconds until the announcement expires unless renewed.
-        load: Work units that the target says are in use; advice only.
-        healthy: Health that the target states; advice only.
+        load: Work units in use as the target reports it; advisory.
+        healthy: Health as the target reports it; advisory.
     """
 
     service: str
@@ -51,11 +51,11 @@
         patch_id: Identifier chosen by the operator; a resend repeats it.
         base_version: Version that the patch was written against.
         operations: The patch as encoded JSON.
-        author: Who submits it.
-        note: Why, in a sentence.
-        is_resend: Whether an earlier sending may have been left without a
-            verdict. A host can then no longer be certain that the patch is
-            not accepted, and says unknown in place of no-quorum.
+        author: Author of the patch.
+        note: Reason for the patch, in a sentence.
+        is_resend: Whether the patch was sent before and may have got no
+            verdict. A host can then not be certain that the patch was not
+            accepted, and responds with unknown instead of no-quorum.
     """
 
     patch_id: str
@@ -74,18 +74,18 @@
     """An operator reads the accepted patches.
 
     Attributes:
-        after: Only patches later than this version.
+        after: Return only patches after this version.
     """
 
     after: int = 0
 
 
 class ReadRollout(msgspec.Struct, frozen=True, tag="read-rollout"):
-    """An operator reads which version is in force at the hosts downstream."""
+    """An operator reads the versions in force at downstream hosts."""
 
 
 class MemberAction(enum.StrEnum):
-    """What an operator does with a control host."""
+    """Membership change that an operator requests for a control host."""
 
     ADD = "add"
     PROMOTE = "promote"
@@ -97,13 +97,13 @@
 
 
 class ChangeMember(msgspec.Struct, frozen=True, tag="change-member"):
-    """An operator changes one member; the leader alone can do it.
+    """An operator changes one member; only the leader accepts it.
 
     Attributes:
-        action: What to do.
+        action: Kind of the change.
         host: Name of the control host.
-        incarnation: Which of its data folders; needed only where the host is
-            known under more than one.
+        incarnation: Identifier of its data folder; needed only if the host is
+            known with more than one.
     """
 
     action: MemberAction
@@ -131,7 +131,7 @@
     Attributes:
         service: Only this service; empty for all.
         target: Only this target, by IP address in text form; empty for all.
-        limit: Most flows to answer with.
+        limit: Maximum number of flows in the response.
     """
 
     service: str = ""
@@ -178,13 +178,13 @@
 
 
 class PatchVerdict(msgspec.Struct, frozen=True, tag="patch-verdict"):
-    """Answer to a patch.
+    """Response to a patch.
 
     Attributes:
         state: The verdict.
-        version: Version that the patch made or conflicts with; 0 if neither.
+        version: Version that the patch created or conflicts with; 0 if neither.
         path: JSON pointer of the invalid value, if any.
-        reason: Sentence for the operator.
+        reason: Explanation for the operator.
         author: Author of the conflicting patch, if any.
         changed: JSON pointers that the conflicting patches changed.
     """
@@ -198,7 +198,7 @@
 
 
 class ConfigurationRead(msgspec.Struct, frozen=True, tag="configuration-read"):
-    """Answer to `ReadConfiguration`.
+    """Response to `ReadConfiguration`.
 
     Attributes:
         numbered: The newest accepted configuration.
@@ -208,15 +208,15 @@
 
 
 class LogEntry(msgspec.Struct, frozen=True):
-    """One accepted patch; it was written on top of the version before.
+    """One accepted patch; its base is the previous version.
 
     Attributes:
-        version: Version that the patch made.
+        version: Version that the patch created.
         patch_id: Identifier of the patch.
-        author: Who submitted it.
-        note: Why.
-        time_ms: Wall-clock time in ms at which it was accepted.
-        changed: JSON pointers that it changed, the first of them.
+        author: Author of the patch.
+        note: Reason that the author gave.
+        time_ms: Wall-clock time at which it was accepted, in milliseconds.
+        changed: JSON pointers that it changed; a long list is cut.
         operations: The patch as encoded JSON.
     """
 
@@ -230,11 +230,11 @@
 
 
 class LogRead(msgspec.Struct, frozen=True, tag="log-read"):
-    """Answer to `ReadLog`.
+    """Response to `ReadLog`.
 
     Attributes:
         version: The newest version.
-        entries: The patches in order; the oldest may be forgotten.
+        entries: The patches in order; the oldest may have been evicted.
     """
 
     version: int
@@ -242,14 +242,15 @@
 
 
 class HostVersion(msgspec.Struct, frozen=True):
-    """Version in force at a host, as it last said.
+    """Version in force at a host, as it last reported.
 
     Attributes:
         host: Name of the host.
         domain: Failure domain of the host.
-        version: Version in force there.
-        since_ms: Wall-clock time in ms at which it came into force there.
-        age_ms: Milliseconds since the host said so.
+        version: Version in force at the host.
+        since_ms: Wall-clock time at which it came into force, in
+            milliseconds.
+        age_ms: Milliseconds since the report of the host.
     """
 
     host: str
@@ -260,11 +261,11 @@
 
 
 class RolloutRead(msgspec.Struct, frozen=True, tag="rollout-read"):
-    """Answer to `ReadRollout`.
+    """Response to `ReadRollout`.
 
     Attributes:
-        version: Version in force at the answering host.
-        hosts: Hosts that asked the answering host for versions.
+        version: Version in force at the responding host.
+        hosts: Hosts that requested versions from the responding host.
     """
 
     version: int
@@ -272,7 +273,7 @@
 
 
 class MemberState(enum.StrEnum):
-    """Part that a control host takes in the replicated log."""
+    """Role of a control host in the replicated log."""
 
     VOTER = "voter"
     LEARNER = "learner"
@@ -280,14 +281,14 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """A control host under one of its data folders.
+    """A control host with one of its data folders.
 
     Attributes:
         host: Name of the host.
         domain: Failure domain of the host.
-        endpoint: Address and port to ask it at.
+        endpoint: Address and port of the host.
         incarnation: Identifier of its data folder.
-        state: Its part in the log; waiting if it has none.
+        state: Its role in the log; waiting if it is not a member.
     """
 
     host: str
@@ -298,11 +299,11 @@
 
 
 class MembersRead(msgspec.Struct, frozen=True, tag="members-read"):
-    """Answer to `ReadMembers`, as far as the answering host knows.
+    """Response to `ReadMembers`, as the responding host knows the members.
 
     Attributes:
         leader: Name of the leader; empty if none is known.
-        members: The members, and the hosts that wait.
+        members: The members and the introduced hosts that are not members.
     """
 
     leader: str
@@ -312,19 +313,23 @@
 class MemberChangeStarted(
     msgspec.Struct, frozen=True, tag="member-change-started"
 ):
-    """The change is in the log; read the members to see it take effect."""
+    """The change was appended to the log.
+
+    Read the members to see it take effect.
+    """
 
 
 class StatusRead(msgspec.Struct, frozen=True, tag="status-read"):
-    """Answer to `ReadStatus`.
+    """Response to `ReadStatus`.
 
     Attributes:
         host: Name of the host.
         domain: Failure domain of the host.
         roles: Roles of the host.
         version: Configuration version in force.
-        since_ms: Wall-clock time at which it came into force, in ms.
-        members: Hosts that this host holds to be alive.
+        since_ms: Wall-clock time at which it came into force, in
+            milliseconds.
+        members: Hosts that this host considers alive.
         targets: Targets with a valid lease.
         flows: Open flows that this host knows.
         counters: Counters by name.
@@ -342,17 +347,18 @@
 
 
 class TargetView(msgspec.Struct, frozen=True):
-    """What a host knows of a target.
+    """State of a target as a host knows it.
 
     Attributes:
         address: IP address of the target.
         service: Service that it belongs to.
         domain: Failure domain of the target.
         state: State that it announced.
-        is_expired: Whether its lease has run out.
-        slots: Work units that it runs at once.
-        active: Work units that occupy slots, over all hosts that report.
-        held: Work units of open long-lived connections, likewise.
+        is_expired: Whether its lease has expired.
+        slots: Work units that it processes concurrently.
+        active: Work units that occupy slots, summed over all reporting hosts.
+        held: Work units of open long-lived connections, summed over all
+            reporting hosts.
         owned_flows: Open flows that this host owns.
     """
 
@@ -368,7 +374,7 @@
 
 
 class TargetsRead(msgspec.Struct, frozen=True, tag="targets-read"):
-    """Answer to `ReadTargets`.
+    """Response to `ReadTargets`.
 
     Attributes:
         targets: The targets.
@@ -378,7 +384,7 @@
 
 
 class FlowRole(enum.StrEnum):
-    """What a host is to a flow."""
+    """Role of a host for a flow."""
 
     OWNER = "owner"
     BACKUP = "backup"
@@ -386,14 +392,14 @@
 
 
 class FlowView(msgspec.Struct, frozen=True):
-    """What a host knows of a flow.
+    """State of a flow as a host knows it.
 
     Attributes:
         flow: The flow in text form.
         service: Service of the flow.
         work_class: Work class of the flow.
         target: IP address of its target.
-        role: What the host is to the flow.
+        role: Role of the host for the flow.
         is_established: Whether the host has seen the handshake complete.
         age_s: Seconds since the host has known the flow.
         idle_s: Seconds since the last packet through this host.
@@ -410,11 +416,11 @@
 
 
 class FlowsRead(msgspec.Struct, frozen=True, tag="flows-read"):
-    """Answer to `ReadFlows`.
+    """Response to `ReadFlows`.
 
     Attributes:
         flows: The flows.
-        is_cut: Whether there are more than the limit.
+        is_cut: Whether there are more flows than the limit.
     """
 
     flows: tuple[FlowView, ...]
