--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -21,7 +21,7 @@
 from tamarack_core.internal.control import linearizable_reads
 from tamarack_core.internal.control import members
 from tamarack_core.internal.control import submissions
-from tamarack_core.internal.distribution import spreading
+from tamarack_core.internal.distribution import configuration_distributor
 from tamarack_core.internal.patches import state_machine as machines
 from tamarack_core.messages import consensus
 from tamarack_core.messages import control
@@ -39,7 +39,7 @@
 
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
-        spreading: Puts accepted configurations into force at this host.
+        distributor: Puts accepted configurations into force at this host.
         machine: The replicated state machine.
         replica: The replicated log.
         submissions: Patches without a verdict.
@@ -55,11 +55,11 @@
         "bootstrap",
         "context",
         "disk",
+        "distributor",
         "is_blank",
         "machine",
         "reads",
         "replica",
-        "spreading",
         "submissions",
         "unreadable",
     )
@@ -67,7 +67,7 @@
     def __init__(
         self,
         context: context_lib.Context,
-        distribution: spreading.Spreading,
+        distributor: configuration_distributor.ConfigurationDistributor,
         initial_voters: tuple[peers.Peer, ...],
         disk: disks.DiskContents,
         parameters: log_parameters.LogParameters | None = None,
@@ -77,14 +77,14 @@
         Args:
             context: Identity, random generator, clocks and counters of the
                 host.
-            distribution: Puts accepted configurations into force at this host.
+            distributor: Puts accepted configurations into force at this host.
             initial_voters: First voters in the order of the settings.
             disk: Contents of the data folder at the start.
             parameters: Parameters of the replicated log; the defaults if None.
         """
         own = membership.Member(context.host, disk.incarnation)
         self.context = context
-        self.spreading = distribution
+        self.distributor = distributor
         self.disk = disk
         self.is_blank = disk.snapshot is None and not disk.records
         self.machine = machines.PatchStateMachine()
@@ -318,11 +318,14 @@
         """Puts new versions into force at this host, which distributes them."""
         result: list[effects.Effect] = []
         for delta in self.machine.take_deltas():
-            result.extend(self.spreading.put_delta(now_s, delta))
+            result.extend(self.distributor.put_delta(now_s, delta))
         # After a restart or a restored snapshot, the single changes aren't
         # known.
-        if self.machine.version > self.spreading.holder.numbered.version:
-            result.extend(self.spreading.put(now_s, self.machine.numbered()))
+        if (
+            self.machine.version
+            > self.distributor.config_store.numbered.version
+        ):
+            result.extend(self.distributor.put(now_s, self.machine.numbered()))
         return result
 
     def _record_decisions(
