--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -239,8 +239,8 @@
     ) -> list[effects.Effect]:
         """Runs the maintenance.
 
-        It retries and responses publish requests, announces this host to the
-        other control hosts and, at the leader, repairs the membership.
+        It retries publish requests and responds to them, announces this host to
+        the other control hosts and, at the leader, repairs the membership.
         """
         now_s = event.now_s
         result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
