Rename validation, declarations and platform adapter in field terms

- tamarack_core/internal/validation/document.py -> tamarack_core/internal/validation/validated_configuration.py: document is the other control plane's numbered document
- tamarack_core/internal/validation/fields.py -> tamarack_core/internal/validation/service_checks.py: checks of one service
- tamarack_core/internal/validation/addresses.py -> tamarack_core/internal/validation/address_checks.py: checks, not addresses
- tamarack_core/internal/validation/clashes.py -> tamarack_core/internal/validation/clash_index.py: holds ClashIndex
- tamarack_core/internal/validation/pointers.py -> tamarack_core/internal/validation/json_pointers.py: which pointers
- tamarack_platform/dialect.py -> tamarack_platform/control_http.py: HTTP of control hosts
- tamarack_platform/readiness.py -> tamarack_platform/entry_http.py: HTTP of entry hosts
- Checked -> ValidatedConfiguration: participle
- Declared -> DeclaredServices: participle
- batches -> split_into_patches: what it does
- Numbered -> VersionedConfiguration: participle; a configuration with its version (untagged struct, name is not encoded)
- networks -> parse_target_networks: it parses
- ControlDialect -> ControlHttpCodec: as PacketCodec, the usual term for decode and encode
- EntryDialect -> EntryHttpCodec: same
- WireCodec -> PlatformPacketCodec: which wire
- Boot -> HostSettings: what it holds
- HEAD_BYTES -> HEADER_BYTES: term of the field
- _head -> _header: same
- OPENING -> OPENING_FLAG: flag bits
- ACKNOWLEDGING -> ACKNOWLEDGMENT_FLAG: flag bits
- RESET -> RESET_FLAG: flag bits

The fields of the encoded structs keep their names.

--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -97,7 +97,7 @@
     services: dict[str, Service] = {}
 
 
-class Numbered(msgspec.Struct, frozen=True):
+class VersionedConfiguration(msgspec.Struct, frozen=True):
     """A configuration with its version.
 
     Attributes:
@@ -109,7 +109,7 @@
     configuration: Configuration
 
 
-def networks(
+def parse_target_networks(
     service: Service,
 ) -> list[ipaddress.IPv4Network | ipaddress.IPv6Network]:
     """Returns the parsed target networks of a service."""
--- a/packages/core/src/tamarack_core/declarations.py
+++ b/packages/core/src/tamarack_core/declarations.py
@@ -11,8 +11,8 @@
 from tamarack_core import failure
 from tamarack_core.internal.patches import commands
 from tamarack_core.internal.patches import operations
-from tamarack_core.internal.validation import document
-from tamarack_core.internal.validation import pointers
+from tamarack_core.internal.validation import json_pointers
+from tamarack_core.internal.validation import validated_configuration
 
 # Leaves room for author, note and the frame of the command.
 MAX_PATCH_BYTES = commands.MAX_OPERATIONS_BYTES
@@ -40,7 +40,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Declared:
+class DeclaredServices:
     """Services that passed all checks.
 
     Attributes:
@@ -50,20 +50,20 @@
     services: Mapping[str, configuration.Service]
 
 
-def check(services: Mapping[str, object]) -> Declared | failure.Failure:
+def check(services: Mapping[str, object]) -> DeclaredServices | failure.Failure:
     """Checks declared services as a whole.
 
     Args:
         services: Decoded JSON of each service by name.
     """
-    checked = document.check({"services": dict(services)})
+    checked = validated_configuration.check({"services": dict(services)})
     if isinstance(checked, failure.Failure):
         return checked
-    return Declared(checked.services)
+    return DeclaredServices(checked.services)
 
 
 def plan(
-    current: configuration.Configuration, declared: Declared
+    current: configuration.Configuration, declared: DeclaredServices
 ) -> list[Operation]:
     """Returns the operations that turn `current` into what is declared.
 
@@ -81,7 +81,7 @@
     )
 
 
-def batches(planned: list[Operation]) -> list[list[Operation]]:
+def split_into_patches(planned: list[Operation]) -> list[list[Operation]]:
     """Splits operations into patches that a control host takes.
 
     Removals come first, so that what they free can be used again. Only a plan
@@ -115,7 +115,7 @@
     wanted: configuration.Service | None,
 ) -> Iterator[Operation]:
     """Yields the operations for one service."""
-    path = pointers.join("services", name)
+    path = json_pointers.join("services", name)
     if wanted is None:
         yield Operation("remove", path)
     elif current is None:
@@ -135,7 +135,7 @@
 ) -> Iterator[Operation]:
     """Yields the operations for the classes of one service."""
     for name in sorted({*current, *wanted}):
-        place = path + pointers.join("classes", name)
+        place = path + json_pointers.join("classes", name)
         if name not in wanted:
             yield Operation("remove", place)
         elif name not in current:
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
@@ -150,7 +150,7 @@
         return [effects.Respond(event.request_id, answer)]
 
     def put(
-        self, now_s: float, numbered: configuration.Numbered
+        self, now_s: float, numbered: configuration.VersionedConfiguration
     ) -> list[effects.Effect]:
         """Puts a configuration into force if it is newer.
 
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
@@ -43,12 +43,16 @@
 
     def __init__(self) -> None:
         """Holds the empty configuration, version 0."""
-        self.numbered = configuration.Numbered(0, configuration.Configuration())
+        self.numbered = configuration.VersionedConfiguration(
+            0, configuration.Configuration()
+        )
         self.lookup = lookup.Lookup(self.numbered.configuration)
         self.since_ms = 0
         self.changes: list[Change] = []
 
-    def put(self, numbered: configuration.Numbered, wall_ms: int) -> bool:
+    def put(
+        self, numbered: configuration.VersionedConfiguration, wall_ms: int
+    ) -> bool:
         """Puts a configuration into force unless a newer one is.
 
         Args:
@@ -86,7 +90,7 @@
             if service is not None:
                 services[name] = service
         self.lookup.apply(delta.changes)
-        self.numbered = configuration.Numbered(
+        self.numbered = configuration.VersionedConfiguration(
             delta.version, configuration.Configuration(services)
         )
         self.since_ms = wall_ms
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -195,7 +195,7 @@
     service: configuration.Service,
 ) -> Iterator[tuple[int, ipaddress.IPv4Network | ipaddress.IPv6Network]]:
     """Yields the address length in bytes and each network of a service."""
-    for network in configuration.networks(service):
+    for network in configuration.parse_target_networks(service):
         yield network.max_prefixlen // 8, network
 
 
--- a/packages/core/src/tamarack_core/internal/patches/operations.py
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -15,8 +15,8 @@
 
 from tamarack_core import configuration
 from tamarack_core import failure
-from tamarack_core.internal.validation import fields
-from tamarack_core.internal.validation import pointers
+from tamarack_core.internal.validation import json_pointers
+from tamarack_core.internal.validation import service_checks
 
 MAX_OPERATIONS = 1_000
 MAX_DEPTH = 16
@@ -114,7 +114,7 @@
         if operation.raw["op"] == "move"
     ]
     steps = itertools.chain((operation.steps for operation in changing), moved)
-    return tuple(sorted({pointers.join(*path) for path in steps}))
+    return tuple(sorted({json_pointers.join(*path) for path in steps}))
 
 
 def _parse_operation(position: int, raw: object) -> Operation | failure.Failure:
@@ -125,8 +125,10 @@
         )
     path = raw.get("path")
     source = raw.get("from", "")
-    steps = pointers.split(path) if isinstance(path, str) else None
-    source_steps = pointers.split(source) if isinstance(source, str) else None
+    steps = json_pointers.split(path) if isinstance(path, str) else None
+    source_steps = (
+        json_pointers.split(source) if isinstance(source, str) else None
+    )
     if steps is None or source_steps is None:
         return failure.Failure(
             "bad-patch",
@@ -230,7 +232,7 @@
             "unknown-field",
             f"unknown field {unknown[0][:80]!r}; the document has the field"
             " services alone",
-            pointers.join(unknown[0]),
+            json_pointers.join(unknown[0]),
         )
     patched = document.get("services", {})
     if not isinstance(patched, dict):
@@ -239,7 +241,7 @@
         )
     changes: Changes = dict.fromkeys(names)
     for name, value in sorted(patched.items()):
-        service = fields.convert_service(name, value)
+        service = service_checks.convert_service(name, value)
         if isinstance(service, failure.Failure):
             return service
         changes[name] = service
--- a/packages/core/src/tamarack_core/internal/patches/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/patches/state_machine.py
@@ -10,7 +10,7 @@
 from tamarack_core.internal.patches import commands
 from tamarack_core.internal.patches import history
 from tamarack_core.internal.patches import operations
-from tamarack_core.internal.validation import document
+from tamarack_core.internal.validation import validated_configuration
 from tamarack_core.messages import distribution
 
 FORMAT_VERSION = 1
@@ -89,15 +89,15 @@
         """Starts with version 0, the empty configuration."""
         self.version = 0
         self.time_ms = 0
-        self.checked = document.Checked()
+        self.checked = validated_configuration.ValidatedConfiguration()
         self.history = history.History()
         self.verdicts = history.Answers()
         self.decisions: list[Decision] = []
         self.deltas: list[distribution.Delta] = []
 
-    def numbered(self) -> configuration.Numbered:
+    def numbered(self) -> configuration.VersionedConfiguration:
         """Returns the newest configuration with its version."""
-        return configuration.Numbered(
+        return configuration.VersionedConfiguration(
             self.version, configuration.Configuration(self.checked.services)
         )
 
@@ -174,7 +174,7 @@
                 is then as it was.
         """
         decoded = decode_snapshot(data)
-        checked = document.Checked()
+        checked = validated_configuration.ValidatedConfiguration()
         refused = checked.replace(decoded.configuration.services)
         if refused is not None:
             raise SnapshotError(f"{refused.path}: {refused.detail}")
--- a/packages/core/src/tamarack_core/internal/validation/clashes.py
+++ b/packages/core/src/tamarack_core/internal/validation/clash_index.py
@@ -10,7 +10,7 @@
 
 from tamarack_core import configuration
 from tamarack_core import failure
-from tamarack_core.internal.validation import pointers
+from tamarack_core.internal.validation import json_pointers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,7 +103,7 @@
             if refused is not None:
                 return refused
         self.ports.update(dict.fromkeys(_port_keys(service), name))
-        for network in configuration.networks(service):
+        for network in configuration.parse_target_networks(service):
             ranges = self.networks[network.version]
             ranges.add(*_bounds(network), name)
         for address in map(ipaddress.ip_address, service.addresses):
@@ -114,7 +114,7 @@
         """Removes a service that was added."""
         for key in _port_keys(service):
             del self.ports[key]
-        for network in configuration.networks(service):
+        for network in configuration.parse_target_networks(service):
             self.networks[network.version].remove(_bounds(network)[0])
         for address in map(ipaddress.ip_address, service.addresses):
             numbers = self.addresses[address.version]
@@ -133,7 +133,7 @@
                         "port-clash",
                         f"{work_class.protocol} port {work_class.port} of"
                         f" {address} belongs to service {owner}",
-                        pointers.join(
+                        json_pointers.join(
                             "services", name, "classes", class_name, "port"
                         ),
                     )
@@ -144,9 +144,11 @@
     ) -> failure.Failure | None:
         """Finds a target network that overlaps another or an address."""
         own = {4: _Ranges(), 6: _Ranges()}
-        for index, network in enumerate(configuration.networks(service)):
+        for index, network in enumerate(
+            configuration.parse_target_networks(service)
+        ):
             first, last = _bounds(network)
-            path = pointers.join(
+            path = json_pointers.join(
                 "services", name, "target_networks", str(index)
             )
             owner = self.networks[network.version].find(first, last)
@@ -177,7 +179,7 @@
         self, name: str, service: configuration.Service
     ) -> failure.Failure | None:
         """Finds a service address that lies in a target network."""
-        own = configuration.networks(service)
+        own = configuration.parse_target_networks(service)
         for index, text in enumerate(service.addresses):
             address = ipaddress.ip_address(text)
             number = int(address)
@@ -188,7 +190,9 @@
                 return failure.Failure(
                     "address-clash",
                     f"{text} lies in a target network of service {owner}",
-                    pointers.join("services", name, "addresses", str(index)),
+                    json_pointers.join(
+                        "services", name, "addresses", str(index)
+                    ),
                 )
         return None
 
--- a/packages/core/src/tamarack_core/internal/validation/fields.py
+++ b/packages/core/src/tamarack_core/internal/validation/service_checks.py
@@ -11,8 +11,8 @@
 
 from tamarack_core import configuration
 from tamarack_core import failure
-from tamarack_core.internal.validation import addresses
-from tamarack_core.internal.validation import pointers
+from tamarack_core.internal.validation import address_checks
+from tamarack_core.internal.validation import json_pointers
 
 MAX_PORT = 65535
 MAX_CLASSES = 64
@@ -71,7 +71,7 @@
     Returns:
         The service, or a failure with the pointer of the value at fault.
     """
-    prefix = pointers.join("services", name)
+    prefix = json_pointers.join("services", name)
     refused = _check_name(name, prefix)
     if refused is None:
         refused = _check_classes(value, prefix)
@@ -80,7 +80,7 @@
     try:
         service = msgspec.convert(value, configuration.Service)
     except msgspec.ValidationError as error:
-        return pointers.from_error(prefix, error)
+        return json_pointers.from_error(prefix, error)
     fault = check_service(name, service)
     return service if fault is None else fault
 
@@ -89,7 +89,7 @@
     name: str, service: configuration.Service
 ) -> failure.Failure | None:
     """Returns why a well-typed service can't be put in force, or None."""
-    prefix = pointers.join("services", name)
+    prefix = json_pointers.join("services", name)
     return next(_faults(service, prefix), None)
 
 
@@ -111,14 +111,14 @@
     if not isinstance(classes, dict):
         return None
     for name, work_class in sorted(classes.items()):
-        path = prefix + pointers.join("classes", name)
+        path = prefix + json_pointers.join("classes", name)
         refused = _check_name(name, path)
         if refused is not None:
             return refused
         try:
             msgspec.convert(work_class, configuration.WorkClass)
         except msgspec.ValidationError as error:
-            return pointers.from_error(path, error)
+            return json_pointers.from_error(path, error)
     return None
 
 
@@ -127,14 +127,14 @@
 ) -> Iterator[failure.Failure]:
     """Yields the faults of one service in a fixed order."""
     yield from _size_faults(service, prefix)
-    yield from addresses.service_faults(service, prefix)
+    yield from address_checks.service_faults(service, prefix)
     yield from _range_faults(service, _SERVICE_RANGES, prefix)
     yield from _range_faults(
         service.weights, _WEIGHT_RANGES, prefix + "/weights"
     )
     named = sorted(service.classes.items())
     for name, work_class in named:
-        path = prefix + pointers.join("classes", name)
+        path = prefix + json_pointers.join("classes", name)
         yield from _class_faults(work_class, path)
     yield from _port_faults(named, prefix)
 
@@ -216,5 +216,5 @@
                 "port-clash",
                 f"{field} {getattr(other, field)} belongs to class {first}"
                 " too; give each class its own",
-                prefix + pointers.join("classes", second, field),
+                prefix + json_pointers.join("classes", second, field),
             )
--- a/packages/core/src/tamarack_core/internal/validation/document.py
+++ b/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
@@ -4,14 +4,14 @@
 
 from tamarack_core import configuration
 from tamarack_core import failure
-from tamarack_core.internal.validation import clashes
-from tamarack_core.internal.validation import fields
-from tamarack_core.internal.validation import pointers
+from tamarack_core.internal.validation import clash_index
+from tamarack_core.internal.validation import json_pointers
+from tamarack_core.internal.validation import service_checks
 
 MAX_SERVICES = 65_536
 
 
-class Checked:
+class ValidatedConfiguration:
     """A configuration that every entry host can put in force.
 
     Attributes:
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         """Starts with the empty configuration."""
         self.services: dict[str, configuration.Service] = {}
-        self.index = clashes.ClashIndex()
+        self.index = clash_index.ClashIndex()
 
     def replace(
         self, changes: Mapping[str, configuration.Service | None]
@@ -89,7 +89,7 @@
             self.index.add(name, service)
 
 
-def check(document: object) -> Checked | failure.Failure:
+def check(document: object) -> ValidatedConfiguration | failure.Failure:
     """Checks a whole document.
 
     Args:
@@ -104,11 +104,11 @@
         return services
     converted: dict[str, configuration.Service] = {}
     for name, value in sorted(services.items()):
-        service = fields.convert_service(name, value)
+        service = service_checks.convert_service(name, value)
         if isinstance(service, failure.Failure):
             return service
         converted[name] = service
-    checked = Checked()
+    checked = ValidatedConfiguration()
     refused = checked.replace(converted)
     return checked if refused is None else refused
 
@@ -125,7 +125,7 @@
             "unknown-field",
             f"unknown field {unknown[0][:80]!r}; the document has the field"
             " services alone",
-            pointers.join(unknown[0]),
+            json_pointers.join(unknown[0]),
         )
     services = document.get("services", {})
     if not isinstance(services, dict):
--- a/packages/core/src/tamarack_core/messages/distribution.py
+++ b/packages/core/src/tamarack_core/messages/distribution.py
@@ -41,7 +41,7 @@
         numbered: The configuration with its version.
     """
 
-    numbered: configuration.Numbered
+    numbered: configuration.VersionedConfiguration
 
 
 Message = VersionOffer | Delta | Snapshot
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -204,7 +204,7 @@
         numbered: The newest accepted configuration.
     """
 
-    numbered: configuration.Numbered
+    numbered: configuration.VersionedConfiguration
 
 
 class LogEntry(msgspec.Struct, frozen=True):
--- a/packages/core/src/tamarack_core/storage/summary.py
+++ b/packages/core/src/tamarack_core/storage/summary.py
@@ -26,7 +26,7 @@
         patch_ids: Patch ids whose first answer is kept.
     """
 
-    numbered: configuration.Numbered
+    numbered: configuration.VersionedConfiguration
     term: int
     commit_index: int
     last_index: int
--- a/packages/ctl/src/tamarack_ctl/internal/declaring.py
+++ b/packages/ctl/src/tamarack_ctl/internal/declaring.py
@@ -64,7 +64,7 @@
     """
     numbered = read_configuration(hosts)
     planned = _plan(folder, numbered)
-    batches = declarations.batches(planned)
+    batches = declarations.split_into_patches(planned)
     if not batches:
         _show(as_json, numbered.version, planned)
     for number, batch in enumerate(batches):
@@ -82,18 +82,20 @@
 
 def read_configuration(
     hosts: tuple[peers.Endpoint, ...],
-) -> configuration.Numbered:
+) -> configuration.VersionedConfiguration:
     """Returns the newest configuration; ends the process without one."""
     answer = client.ask(hosts, "GET", "/v1/configuration")
     if isinstance(answer, failure.Failure):
         output.fail(output.EXIT_NO_HOST, answer.detail)
     if "numbered" not in answer.body:
         output.fail(output.EXIT_NO_HOST, str(answer.body.get("detail")))
-    return msgspec.convert(answer.body["numbered"], configuration.Numbered)
+    return msgspec.convert(
+        answer.body["numbered"], configuration.VersionedConfiguration
+    )
 
 
 def _plan(
-    folder: pathlib.Path, numbered: configuration.Numbered
+    folder: pathlib.Path, numbered: configuration.VersionedConfiguration
 ) -> list[declarations.Operation]:
     """Returns the operations for a folder; ends the process if it is bad."""
     services: dict[str, object] = {}
--- a/packages/lab/src/tamarack_lab/bench/profile.py
+++ b/packages/lab/src/tamarack_lab/bench/profile.py
@@ -52,7 +52,9 @@
     document = msgspec.convert(
         {"services": {"agenda": subject.SERVICE}}, configuration.Configuration
     )
-    message = distribution.Snapshot(configuration.Numbered(1, document))
+    message = distribution.Snapshot(
+        configuration.VersionedConfiguration(1, document)
+    )
     reducer.reduce(node, events.MessageArrived(0.0, host, message))
     for number in range(targets):
         announcement = requests.Announce(
--- a/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
@@ -59,12 +59,12 @@
     return msgspec.json.encode(configuration.Configuration(services))
 
 
-def configuration_of(count: int) -> configuration.Numbered:
+def configuration_of(count: int) -> configuration.VersionedConfiguration:
     """Returns a configuration with a number of services as version 1."""
     decoded = msgspec.json.decode(
         document(count), type=configuration.Configuration
     )
-    return configuration.Numbered(1, decoded)
+    return configuration.VersionedConfiguration(1, decoded)
 
 
 def probe() -> list[slopes.Slope]:
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -118,7 +118,7 @@
         host = self.network.add(self.build(peer, others, seed))
         host.start()
         services = {self.plan.service.name: self.plan.service.settings}
-        numbered = configuration.Numbered(
+        numbered = configuration.VersionedConfiguration(
             1, configuration.Configuration(services)
         )
         snapshot = distribution.Snapshot(numbered)
@@ -146,7 +146,7 @@
     def start_target(self, number: int) -> None:
         """Starts a target and lets it announce itself."""
         settings = self.plan.service.settings
-        network = configuration.networks(settings)[0]
+        network = configuration.parse_target_networks(settings)[0]
         address = (int(network.network_address) + 1 + number).to_bytes(4, "big")
         stack = stacks.Stack(self.seed * 100 + number)
         for work_class in settings.classes.values():
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -66,7 +66,7 @@
         self.queue = event_queue.EventQueue()
         self.random = random.Random(seed)
         self.network = network_lib.Network(self.queue, seed)
-        self.numbered = configuration.Numbered(
+        self.numbered = configuration.VersionedConfiguration(
             1,
             configuration.Configuration(
                 {item.name: _in_domains(plan, item) for item in plan.services}
@@ -129,7 +129,7 @@
         """Creates the targets of a failure domain."""
         area = self.plan.domains.index(domain)
         for item in self.plan.services:
-            network = configuration.networks(item.settings)[0]
+            network = configuration.parse_target_networks(item.settings)[0]
             base = int(network.network_address) + 256 * area
             found = []
             for index in range(item.targets):
--- a/tests/cover/test_declarations.py
+++ b/tests/cover/test_declarations.py
@@ -51,7 +51,7 @@
     """Applies a plan and returns the number of patches."""
     current = state.numbered()
     planned = declarations.plan(current.configuration, declared)
-    found = declarations.batches(planned)
+    found = declarations.split_into_patches(planned)
     for number, batch in enumerate(found):
         operations = msgspec.Raw(msgspec.json.encode(batch))
         version = current.version + number
@@ -113,6 +113,6 @@
         self.assertEqual(swapped.services, state.checked.services)
 
     def test_the_empty_configuration_needs_no_plan(self):
-        declared = declarations.Declared({})
+        declared = declarations.DeclaredServices({})
         empty = configuration.Configuration()
         self.assertEqual([], declarations.plan(empty, declared))
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -201,7 +201,9 @@
     def test_an_older_or_unfitting_version_is_not_put_into_force(self):
         held = configuration_store.ConfigurationStore()
         held.put_delta(distribution.Delta(0, 5, {"s1": service(1)}), 1)
-        old = configuration.Numbered(4, configuration.Configuration())
+        old = configuration.VersionedConfiguration(
+            4, configuration.Configuration()
+        )
         self.assertFalse(held.put(old, 2))
         self.assertFalse(held.put_delta(distribution.Delta(0, 5, {}), 2))
         self.assertFalse(held.put_delta(distribution.Delta(6, 7, {}), 2))
--- a/tests/cover/test_limit_shares.py
+++ b/tests/cover/test_limit_shares.py
@@ -86,7 +86,7 @@
         )
         services = {"informe": plan.services[0].settings}
         document = configuration.Configuration(services)
-        held.put(configuration.Numbered(1, document), 0)
+        held.put(configuration.VersionedConfiguration(1, document), 0)
         self.limiter = quota_limiter.QuotaLimiter()
         self.live = ()
         own = network.context("e0", "a", 1)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -15,10 +15,10 @@
 from tamarack_core import peers
 from tamarack_core import target_announcement
 from tamarack_node import light
-from tamarack_platform import dialect
+from tamarack_platform import control_http
 from tamarack_platform import documents
+from tamarack_platform import entry_http
 from tamarack_platform import packets
-from tamarack_platform import readiness
 from tamarack_platform import settings
 
 SETTINGS = """\
@@ -160,7 +160,7 @@
         index = data.draw(strategies.integers(0, len(lines) - 1))
         lines[index] = data.draw(strategies.text(max_size=30))
         parsed = settings.parse("\n".join(lines))
-        self.assertIsInstance(parsed, failure.Failure | settings.Boot)
+        self.assertIsInstance(parsed, failure.Failure | settings.HostSettings)
 
 
 class PacketTest(testtools.TestCase):
@@ -176,7 +176,7 @@
 
     def setUp(self):
         super().setUp()
-        self.codec = packets.WireCodec(8172)
+        self.codec = packets.PlatformPacketCodec(8172)
 
     def test_the_published_opening_is_read(self):
         packet = self.codec.decode(self.OPENING)
@@ -212,7 +212,7 @@
         packet = self.codec.decode(data)
         if isinstance(packet, failure.Failure):
             return
-        self.assertEqual(packets.HEAD_BYTES + packet.payload_bytes, len(data))
+        self.assertEqual(packets.HEADER_BYTES + packet.payload_bytes, len(data))
         self.codec.encode_forward(packet, "i-1", 1)
         self.codec.encode_reset(packet.flow, packet.acknowledged)
 
@@ -292,7 +292,7 @@
 
     def setUp(self):
         super().setUp()
-        self.dialect = dialect.ControlDialect(8166)
+        self.dialect = control_http.ControlHttpCodec(8166)
 
     def announce(self, body, name="i-7f3a91c2"):
         """Decodes a heartbeat."""
@@ -357,7 +357,7 @@
             self.assertEqual(404, reply.status)
 
     def test_readiness_is_a_status(self):
-        entry = readiness.EntryDialect()
+        entry = entry_http.EntryHttpCodec()
         request = light.HttpRequest("GET", "/ready", b"")
         self.assertEqual(
             external_requests.ReadReadiness(), entry.decode(request)
--- a/tests/cover/test_validation.py
+++ b/tests/cover/test_validation.py
@@ -9,7 +9,7 @@
 from tamarack_core import configuration
 from tamarack_core import failure
 from tamarack_core.internal.entry import lookup
-from tamarack_core.internal.validation import document
+from tamarack_core.internal.validation import validated_configuration
 
 SERVICE = {
     "addresses": ["192.0.2.1"],
@@ -186,18 +186,18 @@
     """A document is accepted whole or refused with the value at fault."""
 
     def test_a_valid_document_is_accepted(self):
-        checked = document.check(with_services())
+        checked = validated_configuration.check(with_services())
         self.assertEqual(["one", "two"], sorted(checked.services))
 
     def test_each_fault_is_refused_with_its_path(self):
         for value, path in REFUSED:
             with self.subTest(path=path, value=value):
-                refused = document.check(value)
+                refused = validated_configuration.check(value)
                 self.assertIsInstance(refused, failure.Failure, value)
                 self.assertEqual(path, refused.path, refused)
 
     def test_a_refused_change_leaves_the_index_as_it_was(self):
-        checked = document.check(with_services())
+        checked = validated_configuration.check(with_services())
         ports = dict(checked.index.ports)
         clash = checked.services["one"]
         refused = checked.replace({"two": clash, "three": clash})
@@ -208,7 +208,7 @@
     @hypothesis.given(_documents)
     @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
     def test_what_is_accepted_can_be_put_in_force(self, value):
-        checked = document.check(value)
+        checked = validated_configuration.check(value)
         if isinstance(checked, failure.Failure):
             self.assertTrue(checked.reason)
             self.assertIsInstance(checked.path, str)
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -309,7 +309,7 @@
         shared = context.Context(peer, self.random.getrandbits(32))
         held = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
-        held.put(configuration.Numbered(1, document), WALL_MS)
+        held.put(configuration.VersionedConfiguration(1, document), WALL_MS)
         seeds = seeds or self.in_fabric[:3] or self.peers[:3]
         members = host_membership.HostMembership(
             shared, tuple(seed for seed in seeds if seed is not peer)
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -50,7 +50,7 @@
         context = network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
-        config_store.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.VersionedConfiguration(1, document), 0)
         self.ports = {
             (port.service, port.work_class): port
             for port in config_store.lookup.inbound.values()
--- a/tests/slow/test_light_hosts.py
+++ b/tests/slow/test_light_hosts.py
@@ -155,7 +155,7 @@
 
     def open_flow(self, taker, port):
         """Sends an opening; returns the datagram that a target gets."""
-        head = packets._head.pack(
+        head = packets._header.pack(
             7,
             0,
             443,
@@ -163,7 +163,7 @@
             int.from_bytes(socket.inet_aton(SERVICE), "big"),
             int.from_bytes(socket.inet_aton(CALLER), "big"),
             0,
-            packets.OPENING,
+            packets.OPENING_FLAG,
             0,
             0,
         )
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -59,7 +59,7 @@
         context = network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration({"agenda": SERVICE})
-        config_store.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.VersionedConfiguration(1, document), 0)
         limiter = quota_limiter.QuotaLimiter()
         name = context.host.host
         self.views[name] = frozenset(range(HOSTS))
--- a/tests/slow/test_targets.py
+++ b/tests/slow/test_targets.py
@@ -47,7 +47,7 @@
         config_store = configuration_store.ConfigurationStore()
         services = {"agenda": users.AGENDA, "informe": users.INFORME}
         document = configuration.Configuration(services)
-        config_store.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.VersionedConfiguration(1, document), 0)
         targets = lease_table.TargetLeaseTable()
 
         def members():
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -27,7 +27,7 @@
 
 def encode(source, destination, flags, seq, ack, echo=0, data=b"", total=0):
     """Returns a packet between two (address, port) pairs."""
-    head = packets._head.pack(
+    head = packets._header.pack(
         seq,
         ack,
         destination[1],
@@ -45,10 +45,10 @@
 def decode(data):
     """Returns the fields of a packet and its payload."""
     seq, ack, dport, sport, dst, src, total, flags, echo, _ = (
-        packets._head.unpack_from(data)
+        packets._header.unpack_from(data)
     )
     ends = ((src, sport), (dst, dport))
-    return ends, flags, seq, ack, total, echo, data[packets.HEAD_BYTES :]
+    return ends, flags, seq, ack, total, echo, data[packets.HEADER_BYTES :]
 
 
 class Target(asyncio.DatagramProtocol):
@@ -124,7 +124,7 @@
         ):
             self.promises.breaks(f"{self.name} gets a packet for {service}")
             return
-        if flags & packets.OPENING:
+        if flags & packets.OPENING_FLAG:
             self._open(ends, seq, echo)
         elif payload:
             self._run(ends, seq, ack, echo, payload)
@@ -136,14 +136,14 @@
             own = self.random.getrandbits(31)
             self.flows[ends] = [own, seq + 1, own + 1, None]
         own, expected, _, _ = self.flows[ends]
-        flags = packets.OPENING | packets.ACKNOWLEDGING
+        flags = packets.OPENING_FLAG | packets.ACKNOWLEDGMENT_FLAG
         self._send(ends, flags, own, expected, echo)
 
     def _run(self, ends, seq, ack, echo, payload):
         """Runs a request, or answers its copy."""
         flow = self.flows.get(ends)
         if flow is None:
-            self._send(ends, packets.RESET, ack, 0, echo)
+            self._send(ends, packets.RESET_FLAG, ack, 0, echo)
             return
         _, expected, following, answer = flow
         if seq == expected and ack == following:
@@ -156,7 +156,7 @@
         if answer is not None:
             self._send(
                 ends,
-                packets.ACKNOWLEDGING,
+                packets.ACKNOWLEDGMENT_FLAG,
                 answer[0],
                 flow[1],
                 echo,
@@ -319,17 +319,17 @@
     async def open(self):
         """Opens the flow; returns what came of it."""
         for copy, wait_s in enumerate(OPENING_WAITS_S):
-            self._send(packets.OPENING, copy)
+            self._send(packets.OPENING_FLAG, copy)
             found = await self._receive(wait_s)
             if found is None:
                 continue
             flags, seq, _, _, echo, _ = found
-            if flags & packets.RESET:
+            if flags & packets.RESET_FLAG:
                 self.promises.note_refused(self.sent)
                 await asyncio.sleep(THINK_S)
                 return "refused"
             self.seq, self.ack, self.echo = self.seq + 1, seq + 1, echo
-            self._send(packets.ACKNOWLEDGING, self.ack)
+            self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack)
             return "opened"
         return "unopened"
 
@@ -338,7 +338,7 @@
         self.sent.append(request)
         data = request.encode()
         for wait_s in REPEAT_WAITS_S:
-            self._send(packets.ACKNOWLEDGING, self.ack, data)
+            self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack, data)
             end_s = self.promises.now_s + wait_s
             while (left_s := end_s - self.promises.now_s) > 0:
                 found = await self._receive(left_s)
@@ -352,7 +352,7 @@
     def _judge(self, request, data, found):
         """Returns what a packet says of a request, or an empty string."""
         flags, seq, _, total, echo, payload = found
-        if flags & packets.RESET:
+        if flags & packets.RESET_FLAG:
             if total != SUM_OF_TARGETS:
                 self._note_reset()
             return "reset"
@@ -365,7 +365,7 @@
         self.seq += len(data)
         self.ack += len(payload)
         self.echo = echo
-        self._send(packets.ACKNOWLEDGING, self.ack)
+        self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack)
         return "served"
 
     def _note_reset(self):
