--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -1,7 +1,9 @@
-"""Decides which targets are dead, by probes and by the silence of flows.
+"""Failure detector for targets, based on probes and stalled flows.
 
-Probes are sent when a caller repeats a packet, when another host found a target
-dead, and beside a dead target; what they show counts for this host alone.
+A target is probed when a caller retransmits to it, when it is overdue while it
+has flows, when another host suspects it, and when another target of its
+failure domain was found dead. The results count for this host only; other
+hosts run their own probes.
 """
 
 from collections.abc import Iterator
@@ -10,116 +12,132 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import sync
-from tamarack_core.internal.cookie import flow_rejection as answers_lib
-from tamarack_core.internal.cookie import subscription as mirrors
+from tamarack_core.internal.cookie import flow_rejection
+from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_probes
 from tamarack_core.internal.cookie import target_table
 
-ALIVE_S = 0.3
-"""Time for which a sign of life outweighs what another host found, in
-seconds; finding a target dead takes as long."""
+RECENT_REPLY_S = 0.3
+"""Time for which a reply outweighs a suspicion of another host, in seconds.
+Finding a target dead takes as long, so a later reply contradicts it."""
 
 
 class TargetFailureDetector:
-    """Part that gives up targets that do not answer.
+    """Component that detects dead targets and resets their flows.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        answers: Tells callers.
-        mirror: Follows a control host.
+        context: Identity, random generator, clocks and counters of the host.
+        rejector: Resets flows at their callers.
+        subscription: Subscription to a control host.
         targets: Known targets.
-        tracker: What the packets show of flows and targets.
-        probes: What probes show of targets.
+        tracker: State of flows and targets, observed in packets.
+        probes: State of the target probes.
     """
 
-    __slots__ = ("answers", "context", "mirror", "probes", "targets", "tracker")
+    __slots__ = (
+        "context",
+        "probes",
+        "rejector",
+        "subscription",
+        "targets",
+        "tracker",
+    )
 
     def __init__(
         self,
-        answers: answers_lib.FlowRejector,
-        mirror: mirrors.ControlSubscription,
+        rejector: flow_rejection.FlowRejector,
+        subscription: subscriptions.ControlSubscription,
     ) -> None:
-        """Creates the part.
+        """Initializes the failure detector.
 
         Args:
-            answers: Tells callers.
-            mirror: Follows a control host.
+            rejector: Resets flows at their callers.
+            subscription: Subscription to a control host.
         """
-        self.context = answers.context
-        self.answers = answers
-        self.mirror = mirror
-        self.targets = mirror.targets
-        self.tracker = answers.tracker
+        self.context = rejector.context
+        self.rejector = rejector
+        self.subscription = subscription
+        self.targets = subscription.targets
+        self.tracker = rejector.tracker
         self.probes = target_probes.TargetProbes()
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
-            events.TargetProbed: self.handle_probed,
+            events.TargetProbed: self.handle_probe_result,
             sync.SuspectTargets: self.handle_suspects,
         }
 
-    def turn(self, now_s: float) -> None:
-        """Takes note that this host runs, and forgives all if it was away."""
-        if self.tracker.turn(now_s):
-            self.probes.forgive()
+    def check_suspension(self, now_s: float) -> None:
+        """Checks for a suspension, which makes earlier evidence void."""
+        if self.tracker.check_suspension(now_s):
+            self.probes.reset_pending()
 
-    def handle_probed(self, event: events.TargetProbed) -> list[effects.Effect]:
-        """Takes the end of a probe; a dead target loses its flows."""
-        self.turn(event.now_s)
+    def handle_probe_result(
+        self, event: events.TargetProbed
+    ) -> list[effects.Effect]:
+        """Handles the result of a probe; flows of a dead target are reset."""
+        self.check_suspension(event.now_s)
         if event.is_answered:
-            return self._take_answer(event.now_s, event.target)
-        return self.probes.note_failure(
+            return self._handle_reply(event.now_s, event.target)
+        return self.probes.handle_failure(
             event.now_s, event.target, self._references()
         )
 
-    def _take_answer(self, now_s: float, name: str) -> list[effects.Effect]:
-        """Takes the answer of a target, and believes failures before it."""
-        was_dead = self.probes.note_answer(name)
+    def _handle_reply(self, now_s: float, name: str) -> list[effects.Effect]:
+        """Handles a reply, and confirms the failures that waited for it."""
+        was_dead = self.probes.handle_success(name)
         entry = self.targets.by_name.get(name)
-        found: list[effects.Effect] = []
+        result: list[effects.Effect] = []
         if entry is not None:
-            self.tracker.note_answer(now_s, entry)
+            self.tracker.observe_reply(now_s, entry)
             if was_dead:
-                found.append(self._record_life(now_s, entry, "target-alive"))
-        for probe in self.probes.waiting_for(name):
-            found += self._believe(now_s, probe)
-        return found
-
-    def _believe(
-        self, now_s: float, probe: target_probes.Probe
+                result.append(
+                    self._record_transition(now_s, entry, "target-alive")
+                )
+        for probe in self.probes.awaiting_reference(name):
+            result += self._confirm_failure(now_s, probe)
+        return result
+
+    def _confirm_failure(
+        self, now_s: float, probe: target_probes.ProbeState
     ) -> list[effects.Effect]:
-        """Gives up a target whose probe was in vain while others answer."""
+        """Marks a target dead if its failed probe is confirmed."""
         probe.reference = ""
         entry = self.targets.by_name.get(probe.entry.target.name)
         if entry is None or entry.is_gone:
             return []
-        if target_probes.is_reborn(probe.entry, entry):
-            # Another life of the target began meanwhile.
+        if target_probes.is_restarted(probe.entry, entry):
+            # The target has restarted since the probe.
             return []
-        if self.tracker.watch(entry).silence.answered_s >= probe.asked_s:
-            # Its flows go on; only the probe was lost.
+        if (
+            self.tracker.activity_of(entry).liveness.last_reply_s
+            >= probe.sent_s
+        ):
+            # Its flows make progress, so only the probe was lost.
             return []
         probe.is_dead = True
         return [
-            self._record_life(now_s, entry, "target-dead"),
-            *self.answers.give_up(now_s, entry, "target-silent"),
-            *self._ask_neighbors(now_s, probe),
-            *self._tell(probe),
+            self._record_transition(now_s, entry, "target-dead"),
+            *self.rejector.reset_flows(now_s, entry, "target-silent"),
+            *self._probe_neighbors(now_s, probe),
+            *self._report_failure(probe),
         ]
 
-    def _tell(self, dead: target_probes.Probe) -> list[effects.Effect]:
-        """Tells other hosts of a dead target, unless they told this one."""
-        followed = self.mirror.followed
-        if followed is None or dead.is_hinted:
+    def _report_failure(
+        self, dead: target_probes.ProbeState
+    ) -> list[effects.Effect]:
+        """Reports a dead target, unless another host reported it."""
+        publisher = self.subscription.publisher
+        if publisher is None or dead.is_reported:
             return []
-        doubt = sync.SuspectTargets((dead.entry.target.name,))
-        return [effects.SendMessage(followed, doubt)]
+        message = sync.SuspectTargets((dead.entry.target.name,))
+        return [effects.SendMessage(publisher, message)]
 
     def handle_suspects(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Asks the targets that another host found dead."""
+        """Probes the targets that another host suspects."""
         message = event.message
         assert isinstance(message, sync.SuspectTargets)
         now_s = event.now_s
@@ -130,16 +148,18 @@
             if entry is not None
             and not entry.is_gone
             and not self.probes.is_dead(entry)
-            and now_s - self.tracker.watch(entry).silence.answered_s > ALIVE_S
-            for effect in self.probes.ask(now_s, entry, is_hinted=True)
+            and now_s - self.tracker.activity_of(entry).liveness.last_reply_s
+            > RECENT_REPLY_S
+            for effect in self.probes.probe(now_s, entry, is_reported=True)
         ]
 
-    def _ask_neighbors(
-        self, now_s: float, dead: target_probes.Probe
+    def _probe_neighbors(
+        self, now_s: float, dead: target_probes.ProbeState
     ) -> list[effects.Effect]:
-        """Asks the other targets of the domain of a dead one.
+        """Probes the other targets in the failure domain of a dead one.
 
-        Where a domain is cut off, callers need not find out target by target.
+        If the whole domain is cut off, its other targets are found dead before
+        callers have to retransmit to each of them.
         """
         domain = dead.entry.target.domain
         return [
@@ -148,41 +168,41 @@
             if entry.target.domain == domain
             and not entry.is_gone
             and not self.probes.is_dead(entry)
-            and (watch := self.tracker.watch(entry)).flows
-            and watch.silence.answered_s < dead.asked_s
-            for effect in self.probes.ask(
-                now_s, entry, is_hinted=dead.is_hinted
+            and (activity := self.tracker.activity_of(entry)).flows
+            and activity.liveness.last_reply_s < dead.sent_s
+            for effect in self.probes.probe(
+                now_s, entry, is_reported=dead.is_reported
             )
         ]
 
-    def _record_life(
-        self, now_s: float, entry: target_table.Entry, name: str
+    def _record_transition(
+        self, now_s: float, entry: target_table.TargetEntry, name: str
     ) -> effects.Effect:
-        """Returns the time line entry of what probes showed."""
+        """Returns the time line entry of a target found dead or alive."""
         return self.context.record(
             now_s,
             name,
             service=entry.target.service,
             target=entry.target.name,
             reason="probe",
-            detail=f"announced {now_s - entry.since_s:.1f} s ago",
+            detail=f"announced {now_s - entry.announced_s:.1f} s ago",
         )
 
-    def _references(self) -> Iterator[target_table.Entry]:
-        """Yields the targets that gave signs of life, the last one first."""
+    def _references(self) -> Iterator[target_table.TargetEntry]:
+        """Yields the targets that have replied, the most recent one first."""
         for name in reversed(self.tracker.responsive):
             entry = self.targets.by_name.get(name)
             if entry is not None and not entry.is_gone:
                 yield entry
 
-    def is_dead(self, now_s: float, entry: target_table.Entry) -> bool:
-        """Returns whether the flows of a target wait in vain.
+    def is_dead(self, now_s: float, entry: target_table.TargetEntry) -> bool:
+        """Returns whether the flows of a target are to be reset.
 
-        A target that also misses its announcements needs less evidence.
+        Less evidence is needed if the target is overdue as well.
         """
         if self.probes.is_dead(entry):
             return True
-        watch = self.tracker.watch(entry)
-        if entry.is_overdue and watch.is_suspect(now_s):
+        activity = self.tracker.activity_of(entry)
+        if entry.is_overdue and activity.is_suspect(now_s):
             return True
-        return watch.is_dark(now_s)
+        return activity.is_unresponsive(now_s)
--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -1,4 +1,4 @@
-"""What callers are told: refusals, resets, and packets that are dropped."""
+"""Rejection of flows: resets, refusals and dropped packets."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -9,13 +9,13 @@
 
 
 class FlowRejector:
-    """Tells callers what became of their flows.
+    """Sends resets to callers and counts dropped packets.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        codec: Form of packets on the wire.
+        context: Identity, random generator, clocks and counters of the host.
+        codec: Wire format of packets.
         routes: Routes in force.
-        tracker: What the packets show of flows and targets.
+        tracker: State of flows and targets, observed in packets.
     """
 
     __slots__ = ("codec", "context", "routes", "tracker")
@@ -27,48 +27,49 @@
         routes: routes_lib.RouteTable,
         tracker: flow_tracker.FlowTracker,
     ) -> None:
-        """Creates the part.
+        """Initializes the flow rejector.
 
         Args:
-            context: Identity, chance, time and counters.
-            codec: Form of packets on the wire.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            codec: Wire format of packets.
             routes: Routes in force.
-            tracker: What the packets show of flows and targets.
+            tracker: State of flows and targets, observed in packets.
         """
         self.context = context
         self.codec = codec
         self.routes = routes
         self.tracker = tracker
 
-    def give_up(
-        self, now_s: float, entry: target_table.Entry, reason: str
+    def reset_flows(
+        self, now_s: float, entry: target_table.TargetEntry, reason: str
     ) -> list[effects.Effect]:
-        """Resets all known flows of a target.
+        """Resets all known flows of a target, idle ones included.
 
-        Idle flows too: what a caller sends on one later would be lost, and
-        may be something that can't be repeated.
+        A later request on an idle flow would be lost, and the caller may not
+        be able to repeat it.
         """
         name = entry.target.name
-        if not self.tracker.watch(entry).flows:
+        if not self.tracker.activity_of(entry).flows:
             return []
-        found: list[effects.Effect] = []
+        result: list[effects.Effect] = []
         for key, flow in list(self.tracker.flows.items()):
             if flow.target.target.name == name:
-                found += self.reset(
+                result += self.reset_flow(
                     now_s, key, flow.acknowledged, entry, reason
                 )
-        return found
+        return result
 
-    def reset(
+    def reset_flow(
         self,
         now_s: float,
         key: flow_packets.FlowKey,
         acknowledged: int,
-        entry: target_table.Entry,
+        entry: target_table.TargetEntry,
         reason: str,
     ) -> list[effects.Effect]:
-        """Tells a caller that its flow can't live; it may have run."""
-        self.tracker.end(key)
+        """Resets an open flow; its last request may have run."""
+        self.tracker.remove_flow(key)
         return [
             self._send_reset(key, acknowledged, reason),
             self.context.record(
@@ -80,7 +81,7 @@
                 version=self.routes.number,
                 verdict="may-have-run",
                 reason=reason,
-                detail=f"announced {now_s - entry.since_s:.1f} s ago",
+                detail=f"announced {now_s - entry.announced_s:.1f} s ago",
             ),
         ]
 
@@ -91,7 +92,7 @@
         reason: str,
         service: str = "",
     ) -> list[effects.Effect]:
-        """Refuses an opening at once; nothing of it has run."""
+        """Refuses to open a flow; nothing of it has run."""
         return [
             self._send_reset(packet.flow, 0, reason),
             self.context.record(
@@ -108,12 +109,12 @@
     def _send_reset(
         self, key: flow_packets.FlowKey, acknowledged: int, reason: str
     ) -> effects.Effect:
-        """Returns the effect that resets a flow at its caller."""
+        """Returns the effect that sends a reset to the caller of a flow."""
         self.context.counters[f"reset-{reason}"] += 1
         endpoint, data = self.codec.encode_reset(key, acknowledged)
         return effects.SendDatagram(endpoint, data)
 
     def drop(self, reason: str) -> list[effects.Effect]:
-        """Counts a packet that is dropped."""
+        """Counts a dropped packet."""
         self.context.counters[f"dropped-{reason}"] += 1
         return []
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -1,7 +1,8 @@
-"""What an entry host sees of flows and targets in the packets that pass.
+"""Tracks flows and targets by the packets that pass through an entry host.
 
-Replies go straight to the callers, so that only callers are seen: an opening
-that is repeated was not answered, an acknowledgement that moves on was.
+Targets reply to callers directly, so only packets of callers are seen. A
+repeated opening packet shows that the target did not reply to it; an
+acknowledgement number that advances shows that it replied.
 """
 
 from collections.abc import Container
@@ -9,133 +10,145 @@
 import msgspec
 
 from tamarack_core import flow_packets
-from tamarack_core.internal.cookie import target_liveness as silences
+from tamarack_core.internal.cookie import target_liveness
 from tamarack_core.internal.cookie import target_table
 
 MAX_FLOWS = 50_000
-"""Flows that are remembered; 16 MB at about 330 bytes each."""
+"""Maximum number of tracked flows; 16 MB at about 330 bytes each."""
 
-AWAY_S = 0.8
-"""Time without a packet or a timer after which this host has been away, and
-the repetitions that it reads say nothing."""
+SUSPENSION_S = 0.8
+"""Time without a packet or a timer, in seconds, after which this host counts as
+suspended. Retransmissions read after that prove nothing about targets."""
 
 SEQUENCE_SPACE = 1 << 32
 
 
 class Flow(msgspec.Struct):
-    """A flow as this host sees it.
+    """State of a flow as observed by this host.
 
     Attributes:
         target: The target.
-        last_s: Time of its last packet, in seconds.
-        is_open: Whether a target has answered the opening.
-        tried: Targets that were sent the opening.
-        acknowledged: How much the caller has received.
-        sequence: End of the payload that the caller has sent.
-        waits_since_s: Time since which a request has no reply; None if none
-            is waiting.
+        last_packet_s: Time of its last packet, in seconds.
+        is_open: Whether a target has replied to the opening packet.
+        tried: Targets that were sent the opening packet.
+        acknowledged: Last acknowledgement number of the caller.
+        sequence: Sequence number after the last payload of the caller.
+        pending_since_s: Time since which a request has no reply, in seconds;
+            None if no request is pending.
     """
 
-    target: target_table.Entry
-    last_s: float
+    target: target_table.TargetEntry
+    last_packet_s: float
     is_open: bool = False
     tried: tuple[str, ...] = ()
     acknowledged: int = 0
     sequence: int = 0
-    waits_since_s: float | None = None
+    pending_since_s: float | None = None
 
 
-class Watch(msgspec.Struct):
-    """What is seen of one target.
+class TargetActivity(msgspec.Struct):
+    """Flows of one target and evidence of its liveness.
 
     Attributes:
-        silence: Flows of the target that wait in vain.
-        domain: Flows of its failure domain that do.
+        liveness: Evidence from flows of the target.
+        domain_liveness: Evidence from all flows of its failure domain.
         flows: Flows that are open, or being opened, through this host.
-        waiting: Flows whose last request has no reply.
+        pending: Flows whose last request has no reply.
     """
 
-    silence: silences.Silence
-    domain: silences.Silence
+    liveness: target_liveness.Liveness
+    domain_liveness: target_liveness.Liveness
     flows: int = 0
-    waiting: int = 0
+    pending: int = 0
 
-    def note_repetition(self, now_s: float, key: flow_packets.FlowKey) -> None:
-        """Takes note that a flow repeats a packet."""
-        self.silence.note_repetition(now_s, key)
-        self.domain.note_repetition(now_s, key)
+    def observe_retransmission(
+        self, now_s: float, key: flow_packets.FlowKey
+    ) -> None:
+        """Records that a caller repeated a packet of a flow."""
+        self.liveness.observe_retransmission(now_s, key)
+        self.domain_liveness.observe_retransmission(now_s, key)
 
-    def note_answer(self, now_s: float) -> None:
-        """Takes note of a sign of life."""
-        self.silence.note_answer(now_s)
-        self.domain.note_answer(now_s)
+    def observe_reply(self, now_s: float) -> None:
+        """Records that the target replied."""
+        self.liveness.observe_reply(now_s)
+        self.domain_liveness.observe_reply(now_s)
 
     def is_avoided(self, now_s: float) -> bool:
-        """Returns whether openings had better go elsewhere."""
-        return self.silence.is_avoided(now_s) or self.domain.is_avoided(now_s)
+        """Returns whether new flows should go to other targets."""
+        return self.liveness.is_avoided(
+            now_s
+        ) or self.domain_liveness.is_avoided(now_s)
 
     def is_suspect(self, now_s: float) -> bool:
-        """Returns whether several flows wait and none is answered."""
-        return self.silence.is_suspect(now_s)
+        """Returns whether several flows are stalled and none got a reply."""
+        return self.liveness.is_suspect(now_s)
 
-    def is_dark(self, now_s: float) -> bool:
-        """Returns whether open flows had better be given up."""
-        return self.silence.is_dark(now_s) or self.domain.is_dark(now_s)
+    def is_unresponsive(self, now_s: float) -> bool:
+        """Returns whether open flows should be reset."""
+        return self.liveness.is_unresponsive(
+            now_s
+        ) or self.domain_liveness.is_unresponsive(now_s)
 
 
 class FlowTracker:
-    """Flows and targets as the packets show them.
+    """Tracks flows and targets by the packets of callers.
 
     Attributes:
-        flows: Flows by their key, the longest idle first.
-        targets: Watches by name of the target.
-        domains: Silences by failure domain.
-        responsive: Targets that gave a sign of life, the last one at the end.
-        turned_s: Time of the last packet or timer, in seconds.
+        flows: Flows by key, the longest idle first.
+        targets: Activity by name of the target.
+        domains: Liveness by failure domain.
+        responsive: Names of targets that replied, the most recent one last.
+        last_event_s: Time of the last packet or timer, in seconds.
     """
 
-    __slots__ = ("domains", "flows", "responsive", "targets", "turned_s")
+    __slots__ = ("domains", "flows", "last_event_s", "responsive", "targets")
 
     def __init__(self) -> None:
-        """Creates an empty record."""
+        """Initializes an empty flow tracker."""
         self.flows: dict[flow_packets.FlowKey, Flow] = {}
-        self.targets: dict[str, Watch] = {}
-        self.domains: dict[str, silences.Silence] = {}
+        self.targets: dict[str, TargetActivity] = {}
+        self.domains: dict[str, target_liveness.Liveness] = {}
         self.responsive: dict[str, None] = {}
-        self.turned_s = float("inf")
+        self.last_event_s = float("inf")
+
+    def check_suspension(self, now_s: float) -> bool:
+        """Records that the event loop runs.
 
-    def turn(self, now_s: float) -> bool:
-        """Takes note that this host runs.
+        All targets count as having replied now if the host was suspended.
 
         Returns:
-            Whether it was away; all silence is forgiven then.
+            Whether it was suspended since the last call.
         """
-        was_away = now_s - self.turned_s > AWAY_S
-        if was_away:
-            for watch in self.targets.values():
-                watch.note_answer(now_s)
-        self.turned_s = now_s
-        return was_away
-
-    def watch(self, entry: target_table.Entry) -> Watch:
-        """Returns the watch of a target."""
-        found = self.targets.get(entry.target.name)
-        if found is None:
+        was_suspended = now_s - self.last_event_s > SUSPENSION_S
+        if was_suspended:
+            for activity in self.targets.values():
+                activity.observe_reply(now_s)
+        self.last_event_s = now_s
+        return was_suspended
+
+    def activity_of(self, entry: target_table.TargetEntry) -> TargetActivity:
+        """Returns the activity of a target; creates it if it is new."""
+        activity = self.targets.get(entry.target.name)
+        if activity is None:
             name = entry.target.domain
             domain = self.domains.get(name)
             if domain is None:
-                domain = self.domains[name] = silences.Silence(silences.DOMAIN)
-            found = Watch(silences.Silence(silences.TARGET), domain)
-            self.targets[entry.target.name] = found
-        return found
+                domain = self.domains[name] = target_liveness.Liveness(
+                    target_liveness.DOMAIN
+                )
+            activity = TargetActivity(
+                target_liveness.Liveness(target_liveness.TARGET), domain
+            )
+            self.targets[entry.target.name] = activity
+        return activity
 
-    def note_opening(
+    def observe_opening(
         self,
         now_s: float,
         key: flow_packets.FlowKey,
-        target: target_table.Entry,
+        target: target_table.TargetEntry,
     ) -> None:
-        """Takes note that an opening is sent to a target."""
+        """Records that the opening packet of a flow goes to a target."""
         held = self.flows.pop(key, None)
         tried: tuple[str, ...] = ()
         if held is not None:
@@ -145,34 +158,34 @@
         self.flows[key] = Flow(
             target, now_s, tried=(*tried, target.target.name)
         )
-        watch = self.watch(target)
-        watch.flows += 1
-        watch.silence.note_opening(now_s)
-        watch.domain.note_opening(now_s)
+        activity = self.activity_of(target)
+        activity.flows += 1
+        activity.liveness.observe_opening(now_s)
+        activity.domain_liveness.observe_opening(now_s)
         if len(self.flows) > MAX_FLOWS:
-            self.end(next(iter(self.flows)))
+            self.remove_flow(next(iter(self.flows)))
 
-    def note_unanswered(
+    def observe_repeated_opening(
         self, now_s: float, key: flow_packets.FlowKey
     ) -> tuple[str, ...]:
-        """Takes note that a caller repeats its opening.
+        """Records that a caller repeated an opening packet.
 
         Returns:
-            The targets that did not answer it.
+            The targets that did not reply to it.
         """
         held = self.flows.get(key)
         if held is None or held.is_open:
             return ()
-        self.watch(held.target).note_repetition(now_s, key)
+        self.activity_of(held.target).observe_retransmission(now_s, key)
         return held.tried
 
-    def note_packet(
+    def observe_packet(
         self,
         now_s: float,
-        target: target_table.Entry,
+        target: target_table.TargetEntry,
         packet: flow_packets.FlowPacket,
     ) -> bool:
-        """Takes note of a packet of an open flow.
+        """Records a packet of an open flow.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -180,13 +193,14 @@
             packet: The packet.
 
         Returns:
-            Whether the caller repeats what it sent before.
+            Whether the packet is a retransmission.
         """
         key = packet.flow
         flow = self.flows.pop(key, None)
-        watch = self.watch(target)
+        activity = self.activity_of(target)
         if flow is None or flow.target.target.name != target.target.name:
-            # Met in its middle, a flow shows nothing of its target.
+            # The first packet of a flow that was opened through another host
+            # proves nothing about its target.
             if flow is not None:
                 self._release(flow)
             flow = Flow(
@@ -196,83 +210,85 @@
                 acknowledged=packet.acknowledged,
                 sequence=packet.sequence,
             )
-            watch.flows += 1
+            activity.flows += 1
         self.flows[key] = flow
-        flow.last_s = now_s
+        flow.last_packet_s = now_s
         if not flow.is_open:
             flow.is_open = True
             flow.sequence = packet.sequence
-            self.note_answer(now_s, target)
+            self.observe_reply(now_s, target)
         elif packet.acknowledged != flow.acknowledged:
-            self.note_answer(now_s, target)
-            self._stop_waiting(flow, watch)
+            self.observe_reply(now_s, target)
+            self._clear_pending(flow, activity)
         flow.acknowledged = packet.acknowledged
         if not packet.payload_bytes:
             return False
-        return self._note_payload(now_s, flow, packet, watch)
+        return self._observe_payload(now_s, flow, packet, activity)
 
-    def note_answer(self, now_s: float, target: target_table.Entry) -> None:
-        """Takes note that a target, and so its domain, gave a sign of life.
+    def observe_reply(
+        self, now_s: float, target: target_table.TargetEntry
+    ) -> None:
+        """Records that a target, and so its failure domain, replied.
 
-        A flow shows it, or an answer to a probe.
+        The evidence is an open flow or a successful probe.
         """
-        self.watch(target).note_answer(now_s)
+        self.activity_of(target).observe_reply(now_s)
         name = target.target.name
         self.responsive.pop(name, None)
         self.responsive[name] = None
 
-    def _note_payload(
+    def _observe_payload(
         self,
         now_s: float,
         flow: Flow,
         packet: flow_packets.FlowPacket,
-        watch: Watch,
+        activity: TargetActivity,
     ) -> bool:
-        """Takes note of payload; returns as `note_packet`."""
+        """Records payload; returns whether it is a retransmission."""
         end = packet.sequence + packet.payload_bytes
         ahead = (end - flow.sequence) % SEQUENCE_SPACE
         if 0 < ahead < SEQUENCE_SPACE // 2:
             flow.sequence = end
-            if flow.waits_since_s is None:
-                flow.waits_since_s = now_s
-                watch.waiting += 1
+            if flow.pending_since_s is None:
+                flow.pending_since_s = now_s
+                activity.pending += 1
             return False
-        watch.note_repetition(now_s, packet.flow)
+        activity.observe_retransmission(now_s, packet.flow)
         return True
 
-    def _stop_waiting(self, flow: Flow, watch: Watch) -> None:
-        """Takes note that a reply has come."""
-        if flow.waits_since_s is not None:
-            flow.waits_since_s = None
-            watch.waiting -= 1
+    def _clear_pending(self, flow: Flow, activity: TargetActivity) -> None:
+        """Clears the pending request of a flow, if it has one."""
+        if flow.pending_since_s is not None:
+            flow.pending_since_s = None
+            activity.pending -= 1
 
-    def end(self, key: flow_packets.FlowKey) -> None:
-        """Forgets a flow."""
+    def remove_flow(self, key: flow_packets.FlowKey) -> None:
+        """Removes a flow, if it is known."""
         flow = self.flows.pop(key, None)
         if flow is not None:
             self._release(flow)
 
     def _release(self, flow: Flow) -> None:
-        """Takes a flow off its target."""
-        watch = self.watch(flow.target)
-        watch.flows -= 1
-        self._stop_waiting(flow, watch)
+        """Removes a flow from the counts of its target."""
+        activity = self.activity_of(flow.target)
+        activity.flows -= 1
+        self._clear_pending(flow, activity)
 
-    def forget_targets(self, known: Container[str]) -> None:
-        """Forgets targets that are not known any more and have no flows.
+    def remove_targets(self, known: Container[str]) -> None:
+        """Removes targets that are no longer known and have no flows.
 
         Args:
-            known: Names of the targets that are known.
+            known: Names of the known targets.
         """
-        for name, watch in list(self.targets.items()):
-            if name not in known and not watch.flows:
+        for name, activity in list(self.targets.items()):
+            if name not in known and not activity.flows:
                 del self.targets[name]
                 self.responsive.pop(name, None)
 
-    def forget_idle(self, now_s: float, idle_s: float) -> None:
-        """Forgets flows without a packet for `idle_s` seconds."""
+    def expire_idle(self, now_s: float, idle_s: float) -> None:
+        """Removes flows without a packet for `idle_s` seconds."""
         while self.flows:
             key, flow = next(iter(self.flows.items()))
-            if now_s - flow.last_s <= idle_s:
+            if now_s - flow.last_packet_s <= idle_s:
                 return
-            self.end(key)
+            self.remove_flow(key)
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -1,4 +1,4 @@
-"""Forwards packets by the tag that they carry, and places new flows."""
+"""Forwards packets by the tags in their cookies, and assigns new flows."""
 
 from tamarack_core import effects
 from tamarack_core import events
@@ -6,123 +6,127 @@
 from tamarack_core import flow_packets
 from tamarack_core import outside
 from tamarack_core import reducer
-from tamarack_core.internal.cookie import failure_detector as judging_lib
-from tamarack_core.internal.cookie import flow_rejection as answers_lib
+from tamarack_core.internal.cookie import failure_detector
+from tamarack_core.internal.cookie import flow_rejection
 from tamarack_core.internal.cookie import routes as routes_lib
-from tamarack_core.internal.cookie import subscription as mirrors
+from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_choice
 from tamarack_core.internal.cookie import target_table
 
 TIMER = "forwarding"
 
 TICK_S = 0.25
-"""Time between searches for idle flows and dead targets, in seconds."""
+"""Interval of the checks for idle flows and ended targets, in seconds."""
 
-END_S = 0.3
+WITHDRAWAL_GRACE_S = 0.3
 """Time between the withdrawal of a target and the reset of its flows, in
-seconds; it may still be on its way out."""
+seconds. The target may still be shutting down."""
 
 LINGER_S = 1.3
-"""Time for which a stopping host carries packets, in seconds; the fabric asks
-twice a second and leaves a host out after two misses. The sooner the host is
-back, the fewer hosts of a failure domain are away at once."""
+"""Time for which a stopping host still forwards packets, in seconds. The fabric
+polls twice a second and removes a host after two failures. A short time lets
+the host return sooner, so that fewer hosts of a failure domain are down at
+once."""
 
-DEFAULT_IDLE_S = 15.0
-"""Time after which a flow is forgotten while no document states one."""
+DEFAULT_IDLE_TIMEOUT_S = 15.0
+"""Idle timeout of flows before the first document arrives, in seconds."""
 
 
 class Forwarder:
-    """Part that takes the packets of callers.
+    """Component that forwards the packets of callers to targets.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        codec: Form of packets on the wire.
-        mirror: Follows a control host.
-        answers: Tells callers what became of their flows.
-        judging: Decides which targets are dead.
+        context: Identity, random generator, clocks and counters of the host.
+        codec: Wire format of packets.
+        subscription: Subscription to a control host.
+        rejector: Resets flows and counts dropped packets.
+        detector: Failure detector for targets.
         routes: Routes in force.
         targets: Known targets.
-        tracker: What the packets show of flows and targets.
-        probes: What probes show of targets.
-        is_stopping: Whether the host is about to end.
+        tracker: State of flows and targets, observed in packets.
+        probes: State of the target probes.
+        is_stopping: Whether the host is shutting down.
     """
 
     __slots__ = (
-        "answers",
         "codec",
         "context",
+        "detector",
         "is_stopping",
-        "judging",
-        "mirror",
         "probes",
+        "rejector",
         "routes",
+        "subscription",
         "targets",
         "tracker",
     )
 
     def __init__(
         self,
-        answers: answers_lib.FlowRejector,
-        judging: judging_lib.TargetFailureDetector,
-        mirror: mirrors.ControlSubscription,
+        rejector: flow_rejection.FlowRejector,
+        detector: failure_detector.TargetFailureDetector,
+        subscription: subscriptions.ControlSubscription,
     ) -> None:
-        """Creates the part.
+        """Initializes the forwarder.
 
         Args:
-            answers: Tells callers what became of their flows.
-            judging: Decides which targets are dead.
-            mirror: Follows a control host.
+            rejector: Resets flows and counts dropped packets.
+            detector: Failure detector for targets.
+            subscription: Subscription to a control host.
         """
-        self.context = answers.context
-        self.codec = answers.codec
-        self.mirror = mirror
-        self.answers = answers
-        self.judging = judging
-        self.routes = mirror.routes
-        self.targets = mirror.targets
-        self.tracker = answers.tracker
-        self.probes = judging.probes
+        self.context = rejector.context
+        self.codec = rejector.codec
+        self.subscription = subscription
+        self.rejector = rejector
+        self.detector = detector
+        self.routes = subscription.routes
+        self.targets = subscription.targets
+        self.tracker = rejector.tracker
+        self.probes = detector.probes
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.DatagramArrived: self.handle_datagram,
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
             TIMER: self.handle_timer,
-            "linger": self.handle_end,
-            outside.ReadReadiness: self.handle_readiness,
+            "linger": self.handle_linger_end,
+            outside.ReadReadiness: self.handle_read_readiness,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Records the start."""
+        """Records the start of the host, and starts the timer."""
         return [
             self.context.record(event.now_s, "host-started"),
             effects.StartTimer(TIMER, TICK_S),
         ]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Forgets idle flows, and gives up those of targets that ended."""
+        """Expires idle flows, probes, and resets flows of ended targets."""
         now_s = event.now_s
-        self.judging.turn(now_s)
-        idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_S
-        self.tracker.forget_idle(now_s, idle_s)
+        self.detector.check_suspension(now_s)
+        idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
+        self.tracker.expire_idle(now_s, idle_s)
         if len(self.tracker.targets) > len(self.targets.by_name):
-            self.tracker.forget_targets(self.targets.by_name)
-        found: list[effects.Effect] = [
+            self.tracker.remove_targets(self.targets.by_name)
+        result: list[effects.Effect] = [
             effects.StartTimer(TIMER, TICK_S),
-            *self.probes.tick(now_s),
+            *self.probes.probe_dead(now_s),
         ]
         for entry in self.targets.by_name.values():
-            if entry.is_overdue and self.tracker.watch(entry).flows:
-                found += self.probes.ask(now_s, entry)
-            if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
-                found += self.answers.give_up(now_s, entry, "target-gone")
-        return found
+            if entry.is_overdue and self.tracker.activity_of(entry).flows:
+                result += self.probes.probe(now_s, entry)
+            if (
+                entry.gone_s is not None
+                and now_s - entry.gone_s >= WITHDRAWAL_GRACE_S
+            ):
+                result += self.rejector.reset_flows(now_s, entry, "target-gone")
+        return result
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Withdraws the readiness; packets are carried on for a while."""
+        """Withdraws readiness; packets are forwarded for a while."""
         if self.is_stopping:
             return []
         self.is_stopping = True
@@ -131,47 +135,49 @@
             effects.StartTimer("linger", LINGER_S),
         ]
 
-    def handle_end(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Ends the process after the fabric has turned elsewhere."""
+    def handle_linger_end(
+        self, event: events.TimerFired
+    ) -> list[effects.Effect]:
+        """Stops the process once the fabric sends packets to other hosts."""
         return [
             self.context.record(event.now_s, "host-stopped"),
             effects.Stop(0, "stop requested"),
         ]
 
-    def handle_readiness(
+    def handle_read_readiness(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Answers whether packets are welcome here."""
-        is_ready = self.mirror.is_synced and not self.is_stopping
+        """Responds whether the fabric may send packets to this host."""
+        is_ready = self.subscription.is_synced and not self.is_stopping
         return [effects.Respond(event.request_id, outside.Readiness(is_ready))]
 
     def handle_datagram(
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
-        """Forwards, refuses or drops a packet."""
-        self.judging.turn(event.now_s)
+        """Forwards, rejects or drops a packet."""
+        self.detector.check_suspension(event.now_s)
         packet = self.codec.decode(event.data)
         if isinstance(packet, failure.Failure):
-            return self.answers.drop(packet.reason)
+            return self.rejector.drop(packet.reason)
         if packet.is_opening:
-            return self._place(event.now_s, packet)
-        return self._carry(event.now_s, packet)
+            return self._handle_opening(event.now_s, packet)
+        return self._handle_flow_packet(event.now_s, packet)
 
-    def _place(
+    def _handle_opening(
         self, now_s: float, packet: flow_packets.FlowPacket
     ) -> list[effects.Effect]:
-        """Chooses a target for an opening, or refuses it."""
-        if not self.mirror.is_synced:
-            return self.answers.drop("opening-before-sync")
+        """Chooses a target for a new flow, or refuses the flow."""
+        if not self.subscription.is_synced:
+            return self.rejector.drop("opening-before-sync")
         route = self.routes.find(packet.flow)
         if route is None:
-            return self.answers.refuse(now_s, packet, "no-route")
+            return self.rejector.refuse(now_s, packet, "no-route")
         service = routes_lib.service_of(route, packet.flow)
         tried: tuple[str, ...] = ()
-        found: list[effects.Effect] = []
+        result: list[effects.Effect] = []
         if packet.copy_number:
-            tried = self.tracker.note_unanswered(now_s, packet.flow)
-            found = self._ask_unanswered(now_s, packet.flow)
+            tried = self.tracker.observe_repeated_opening(now_s, packet.flow)
+            result = self._probe_unresponsive(now_s, packet.flow)
         candidates = self.targets.by_service.get(service, {}).values()
         entry = target_choice.choose(
             candidates,
@@ -183,31 +189,31 @@
         )
         if entry is None:
             if candidates:
-                return self.answers.refuse(
+                return self.rejector.refuse(
                     now_s, packet, "targets-dead", service
                 )
-            if not self.mirror.is_settled:
-                return self.answers.drop("opening-before-targets")
-            return self.answers.refuse(now_s, packet, "no-target", service)
-        return found + self._open(now_s, packet, entry)
+            if not self.subscription.is_settled:
+                return self.rejector.drop("opening-before-targets")
+            return self.rejector.refuse(now_s, packet, "no-target", service)
+        return result + self._forward_opening(now_s, packet, entry)
 
-    def _ask_unanswered(
+    def _probe_unresponsive(
         self, now_s: float, key: flow_packets.FlowKey
     ) -> list[effects.Effect]:
-        """Asks the target that did not answer an opening."""
+        """Probes the target that did not reply to an opening packet."""
         flow = self.tracker.flows.get(key)
         if flow is None or flow.is_open:
             return []
-        return self.probes.ask(now_s, flow.target)
+        return self.probes.probe(now_s, flow.target)
 
-    def _open(
+    def _forward_opening(
         self,
         now_s: float,
         packet: flow_packets.FlowPacket,
-        entry: target_table.Entry,
+        entry: target_table.TargetEntry,
     ) -> list[effects.Effect]:
-        """Sends an opening to a target."""
-        self.tracker.note_opening(now_s, packet.flow, entry)
+        """Sends an opening packet to a target, and records the choice."""
+        self.tracker.observe_opening(now_s, packet.flow, entry)
         self.context.counters["flows-placed"] += 1
         if packet.copy_number:
             self.context.counters["flows-placed-again"] += 1
@@ -220,55 +226,61 @@
             version=self.routes.number,
             detail=f"copy {packet.copy_number} tag {entry.tag:08x}",
         )
-        return [*self._forward(packet, entry), record]
+        return [*self._send_to_target(packet, entry), record]
 
-    def _carry(
+    def _handle_flow_packet(
         self, now_s: float, packet: flow_packets.FlowPacket
     ) -> list[effects.Effect]:
-        """Hands a packet of an open flow to the target that it names."""
+        """Forwards a packet of an open flow to the target of its cookie."""
         entry = self.targets.by_tag.get(packet.cookie)
         if entry is None:
-            # The target may be unknown here alone, so nobody is told.
+            # Other entry hosts may know the target, so the flow isn't reset.
             reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
-            return self.answers.drop(reason)
-        if self.mirror.is_synced and self.routes.find(packet.flow) is None:
-            return self._reset_packet(now_s, packet, entry, "route-removed")
-        if entry.gone_s is not None and now_s - entry.gone_s >= END_S:
-            return self._reset_packet(now_s, packet, entry, "target-gone")
+            return self.rejector.drop(reason)
+        if (
+            self.subscription.is_synced
+            and self.routes.find(packet.flow) is None
+        ):
+            return self._reset_flow(now_s, packet, entry, "route-removed")
+        if (
+            entry.gone_s is not None
+            and now_s - entry.gone_s >= WITHDRAWAL_GRACE_S
+        ):
+            return self._reset_flow(now_s, packet, entry, "target-gone")
         if packet.is_reset or packet.is_last:
             if packet.is_reset:
-                self.tracker.end(packet.flow)
-            return self._forward(packet, entry)
-        is_repeated = self.tracker.note_packet(now_s, entry, packet)
-        if self.judging.is_dead(now_s, entry):
-            return self._reset_packet(now_s, packet, entry, "target-silent")
-        found = self._forward(packet, entry)
-        if is_repeated:
-            found += self.probes.ask(now_s, entry)
-        return found
+                self.tracker.remove_flow(packet.flow)
+            return self._send_to_target(packet, entry)
+        is_retransmission = self.tracker.observe_packet(now_s, entry, packet)
+        if self.detector.is_dead(now_s, entry):
+            return self._reset_flow(now_s, packet, entry, "target-silent")
+        result = self._send_to_target(packet, entry)
+        if is_retransmission:
+            result += self.probes.probe(now_s, entry)
+        return result
 
-    def _forward(
-        self, packet: flow_packets.FlowPacket, entry: target_table.Entry
+    def _send_to_target(
+        self, packet: flow_packets.FlowPacket, entry: target_table.TargetEntry
     ) -> list[effects.Effect]:
-        """Returns the effect that hands a packet to a target."""
+        """Returns the effect that sends a packet to a target."""
         target = entry.target
         data = self.codec.encode_forward(packet, target.name, entry.tag)
         if data is None:
-            return self.answers.drop("target-name")
+            return self.rejector.drop("target-name")
         self.context.counters["packets-forwarded"] += 1
         return [effects.SendDatagram(target.endpoint, data)]
 
-    def _reset_packet(
+    def _reset_flow(
         self,
         now_s: float,
         packet: flow_packets.FlowPacket,
-        entry: target_table.Entry,
+        entry: target_table.TargetEntry,
         reason: str,
     ) -> list[effects.Effect]:
-        """Resets the flow of a packet, unless that is what it asks for."""
+        """Resets the flow of a packet, unless the packet is a reset itself."""
         if packet.is_reset:
-            self.tracker.end(packet.flow)
-            return self.answers.drop(reason)
-        return self.answers.reset(
+            self.tracker.remove_flow(packet.flow)
+            return self.rejector.drop(reason)
+        return self.rejector.reset_flow(
             now_s, packet.flow, packet.acknowledged, entry, reason
         )
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -13,13 +13,13 @@
 
 
 class RouteEntry(msgspec.Struct):
-    """A route for openings.
+    """Route of new flows.
 
     Attributes:
         shares: Services with weights.
         total: Sum of the weights.
         kind: Whether its requests may be repeated.
-        timeout_s: Time that its requests have, in seconds.
+        timeout_s: Timeout of its requests, in seconds.
     """
 
     shares: tuple[documents.Share, ...]
@@ -33,20 +33,20 @@
 
     Attributes:
         number: Number of the document in force; 0 for none.
-        by_endpoint: Routes by packed address and port.
-        idle_timeout_s: Time after which an idle flow may be forgotten.
+        by_endpoint: Routes by numeric address and port.
+        idle_timeout_s: Time after which an idle flow may expire, in seconds.
     """
 
     __slots__ = ("by_endpoint", "idle_timeout_s", "number")
 
     def __init__(self) -> None:
-        """Creates a table without a document."""
+        """Initializes a route table without a document."""
         self.number = 0
         self.by_endpoint: dict[tuple[int, int], RouteEntry] = {}
         self.idle_timeout_s = 0.0
 
     def put(self, update: sync.DocumentUpdate) -> bool:
-        """Takes an update if it fits and is newer.
+        """Applies an update if its base is held and it is newer.
 
         Args:
             update: Routes that changed.
@@ -59,11 +59,14 @@
         if update.base == 0:
             self.by_endpoint.clear()
         for route in update.routes:
-            place = (flow_packets.address_to_number(route.address), route.port)
+            endpoint = (
+                flow_packets.address_to_number(route.address),
+                route.port,
+            )
             if route.shares:
-                self.by_endpoint[place] = _entry(route)
+                self.by_endpoint[endpoint] = _route_entry(route)
             else:
-                self.by_endpoint.pop(place, None)
+                self.by_endpoint.pop(endpoint, None)
         self.number = update.number
         self.idle_timeout_s = update.idle_timeout_ms / 1000
         return True
@@ -73,8 +76,8 @@
         return self.by_endpoint.get((flow[2], flow[3]))
 
 
-def _entry(route: sync.RouteChange) -> RouteEntry:
-    """Returns the form of a route that is looked up."""
+def _route_entry(route: sync.RouteChange) -> RouteEntry:
+    """Returns the entry that is looked up for a route."""
     return RouteEntry(
         shares=route.shares,
         total=sum(share.weight for share in route.shares),
@@ -86,8 +89,8 @@
 def service_of(route: RouteEntry, flow: flow_packets.FlowKey) -> str:
     """Returns the service of a new flow.
 
-    The choice follows from the flow alone, so that copies of an opening reach
-    one service through whichever host they come.
+    The choice depends on the flow alone, so that all copies of an opening
+    packet reach the same service, whichever host they pass through.
 
     Args:
         route: Route of the flow.
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -1,9 +1,10 @@
-"""Keeps the copy of targets and routes at an entry host up to date.
+"""Keeps the targets and routes of an entry host up to date.
 
-The host follows one control host, of its own failure domain if one answers,
-so that each change crosses between domains once. A follower that hears
-nothing asks the others; one that has just started asks all that it knows in
-turn, since each may answer with a whole document.
+The host subscribes to one control host, in the local failure domain if one
+responds, so that each change crosses between domains once. If the publisher
+does not respond, the host sends requests to others. A host that has just
+started sends requests to all known control hosts, one at a time, since each
+may respond with a whole document.
 """
 
 from tamarack_core import context as context_lib
@@ -17,61 +18,66 @@
 
 TIMER = "mirror"
 
-ASK_INTERVAL_S = 1.0
-"""Time between questions to the followed control host, in seconds; a change
-that was lost on its way is made good by the next question."""
+REQUEST_INTERVAL_S = 1.0
+"""Interval of requests to the publisher, in seconds. The response to the next
+request repairs the loss of a pushed change."""
 
-ANSWER_S = 0.25
-"""Time after which an unanswered question goes to another control host."""
+RESPONSE_TIMEOUT_S = 0.25
+"""Time after which a request without a response is sent to another control
+host, in seconds."""
 
-FIRST_INTERVAL_S = 0.1
-"""Time between questions while nothing is known, in seconds."""
+INITIAL_INTERVAL_S = 0.1
+"""Interval of the timer, in seconds. Before the first document, each run sends
+a request."""
 
-GAP_S = 0.8
-"""Time without a turn of the loop after which this host has been away."""
+SUSPENSION_S = 0.8
+"""Time without a run of the timer, in seconds, after which this host counts as
+suspended."""
 
-HOME_INTERVAL_S = 3.0
-"""Time after which a host that follows another domain asks its own again."""
+LOCAL_INTERVAL_S = 3.0
+"""Interval of requests to local control hosts while the publisher is in another
+failure domain, in seconds."""
 
-_TURNS = 1 << 16
+_ROTATION_RANGE = 1 << 16
 
 
 class ControlSubscription:
-    """Part that follows a control host.
+    """Component that subscribes to the changes of a control host.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         routes: Routes in force.
         targets: Known targets.
-        seeds: Control hosts that the settings name.
-        controls: Control hosts that a control host named.
-        followed: The control host that is followed, if any.
-        run: Run of the followed host.
+        seeds: Control hosts named by the settings.
+        controls: Control hosts named by the publisher.
+        publisher: The control host that this host subscribes to, if any.
+        run: Run of the publisher.
         position: Last change of that run that is held.
-        is_settled: Whether a settled control host has told all its targets.
-        asked_s: Time of the last question, in seconds.
-        answered_s: Time of the last update, in seconds.
-        woke_s: Time of the last turn of the timer.
-        home_s: Time of the last question to the own domain while another one
-            is followed.
-        turn: Counts the questions of a host that holds no document.
+        is_settled: Whether a settled control host has sent all its targets.
+        requested_s: Time of the last request, in seconds.
+        updated_s: Time of the last update, in seconds.
+        ticked_s: Time of the last run of the timer, in seconds.
+        local_requested_s: Time of the last request to the local domain while
+            the publisher is in another one, in seconds.
+        rotation: Number that selects the control host for the next request
+            before the first document.
     """
 
     __slots__ = (
-        "answered_s",
-        "asked_s",
         "context",
         "controls",
-        "followed",
-        "home_s",
         "is_settled",
+        "local_requested_s",
         "position",
+        "publisher",
+        "requested_s",
+        "rotation",
         "routes",
         "run",
         "seeds",
         "targets",
-        "turn",
-        "woke_s",
+        "ticked_s",
+        "updated_s",
     )
 
     def __init__(
@@ -81,28 +87,29 @@
         targets: target_table.TargetTable,
         seeds: tuple[peers.Peer, ...],
     ) -> None:
-        """Creates the part.
+        """Initializes the subscription.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             routes: Routes in force.
             targets: Known targets.
-            seeds: Control hosts that the settings name.
+            seeds: Control hosts named by the settings.
         """
         self.context = context
         self.routes = routes
         self.targets = targets
         self.seeds = seeds
         self.controls: tuple[peers.Peer, ...] = ()
-        self.followed: peers.Peer | None = None
+        self.publisher: peers.Peer | None = None
         self.run = ""
         self.position = 0
         self.is_settled = False
-        self.asked_s = float("-inf")
-        self.answered_s = float("-inf")
-        self.woke_s = float("inf")
-        self.home_s = float("-inf")
-        self.turn = context.random.randrange(_TURNS)
+        self.requested_s = float("-inf")
+        self.updated_s = float("-inf")
+        self.ticked_s = float("inf")
+        self.local_requested_s = float("-inf")
+        self.rotation = context.random.randrange(_ROTATION_RANGE)
 
     @property
     def is_synced(self) -> bool:
@@ -110,7 +117,7 @@
         return self.routes.number > 0
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_timer,
             events.SeedsChanged: self.handle_seeds,
@@ -119,93 +126,97 @@
         }
 
     def handle_seeds(self, event: events.SeedsChanged) -> list[effects.Effect]:
-        """Takes other seeds; what was learned stays."""
+        """Replaces the seeds; control hosts learned from others are kept."""
         self.seeds = event.seeds
         return []
 
     def handle_timer(
         self, event: events.TimerFired | events.Started
     ) -> list[effects.Effect]:
-        """Asks again where an answer or the next question is due."""
+        """Sends the requests that are due, and removes targets long gone."""
         now_s = event.now_s
-        found: list[effects.Effect] = []
-        if now_s - self.woke_s > GAP_S:
-            found.append(self._note_gap(now_s))
-        self.woke_s = now_s
-        self.targets.forget(now_s)
-        found += self._ask_next(now_s)
-        found.append(effects.StartTimer(TIMER, FIRST_INTERVAL_S))
-        return found
-
-    def _note_gap(self, now_s: float) -> effects.Effect:
-        """Takes note that this host was away, and asks at once."""
-        self.asked_s = float("-inf")
+        result: list[effects.Effect] = []
+        if now_s - self.ticked_s > SUSPENSION_S:
+            result.append(self._handle_suspension(now_s))
+        self.ticked_s = now_s
+        self.targets.expire_gone(now_s)
+        result += self._due_requests(now_s)
+        result.append(effects.StartTimer(TIMER, INITIAL_INTERVAL_S))
+        return result
+
+    def _handle_suspension(self, now_s: float) -> effects.Effect:
+        """Records a suspension, and makes the next request due at once."""
+        self.requested_s = float("-inf")
         return self.context.record(
             now_s,
             "host-was-away",
-            detail=f"{now_s - self.woke_s:.1f} s without a turn",
+            detail=f"event loop did not run for {now_s - self.ticked_s:.1f} s",
         )
 
-    def _ask_next(self, now_s: float) -> list[effects.Effect]:
-        """Returns the questions that are due."""
+    def _due_requests(self, now_s: float) -> list[effects.Effect]:
+        """Returns the requests that are due."""
         if not self.is_synced:
-            self.asked_s = now_s
-            return self._ask_in_turn()
-        is_silent = self.answered_s < self.asked_s
-        if is_silent and now_s - self.asked_s >= ANSWER_S:
-            return self._replace_followed(now_s)
-        if now_s - self.asked_s >= ASK_INTERVAL_S and self.followed:
-            self.asked_s = now_s
-            return [self._ask(self.followed), *self._ask_home(now_s)]
+            self.requested_s = now_s
+            return self._request_next()
+        is_unanswered = self.updated_s < self.requested_s
+        if is_unanswered and now_s - self.requested_s >= RESPONSE_TIMEOUT_S:
+            return self._replace_publisher(now_s)
+        if now_s - self.requested_s >= REQUEST_INTERVAL_S and self.publisher:
+            self.requested_s = now_s
+            return [self._request(self.publisher), *self._request_local(now_s)]
         return []
 
-    def _ask_in_turn(self) -> list[effects.Effect]:
-        """Asks the next control host; the first is drawn by lot."""
-        known = self._known()
+    def _request_next(self) -> list[effects.Effect]:
+        """Requests updates from the next control host; the first is random."""
+        known = self._control_hosts()
         if not known:
             return []
-        self.turn += 1
-        return [self._ask(known[self.turn % len(known)])]
-
-    def _replace_followed(self, now_s: float) -> list[effects.Effect]:
-        """Asks another control host in place of a silent one."""
-        self.asked_s = now_s
-        known = self._known()
-        others = [peer for peer in known if peer != self.followed] or known
+        self.rotation += 1
+        return [self._request(known[self.rotation % len(known)])]
+
+    def _replace_publisher(self, now_s: float) -> list[effects.Effect]:
+        """Sends requests to others in place of an unresponsive publisher."""
+        self.requested_s = now_s
+        known = self._control_hosts()
+        others = [peer for peer in known if peer != self.publisher] or known
         if not others:
             return []
-        found: list[effects.Effect] = []
-        if self.followed is not None:
-            found.append(
+        result: list[effects.Effect] = []
+        if self.publisher is not None:
+            result.append(
                 self.context.record(
                     now_s,
                     "control-host-silent",
-                    detail=self.followed.host,
+                    detail=self.publisher.host,
                     version=self.routes.number,
                 )
             )
-        self.followed = None
-        asked = self.context.random.sample(others, min(2, len(others)))
-        return [*found, *map(self._ask, asked)]
-
-    def _ask_home(self, now_s: float) -> list[effects.Effect]:
-        """Asks the control hosts of the own domain, if others are followed."""
-        own = self.context.host.domain
-        if self.followed is None or self.followed.domain == own:
+        self.publisher = None
+        chosen = self.context.random.sample(others, min(2, len(others)))
+        return [*result, *map(self._request, chosen)]
+
+    def _request_local(self, now_s: float) -> list[effects.Effect]:
+        """Sends requests to local control hosts if the publisher is not one."""
+        local_domain = self.context.host.domain
+        if self.publisher is None or self.publisher.domain == local_domain:
             return []
-        if now_s - self.home_s < HOME_INTERVAL_S:
+        if now_s - self.local_requested_s < LOCAL_INTERVAL_S:
             return []
-        self.home_s = now_s
-        return [self._ask(peer) for peer in self.controls if peer.domain == own]
+        self.local_requested_s = now_s
+        return [
+            self._request(peer)
+            for peer in self.controls
+            if peer.domain == local_domain
+        ]
 
-    def _known(self) -> list[peers.Peer]:
-        """Returns the control hosts to ask, without repetition."""
+    def _control_hosts(self) -> list[peers.Peer]:
+        """Returns the known control hosts without duplicates."""
         by_endpoint = {peer.control: peer for peer in self.seeds}
         by_endpoint.update((peer.control, peer) for peer in self.controls)
         return list(by_endpoint.values())
 
-    def _ask(self, peer: peers.Peer) -> effects.Effect:
-        """Returns a question to a control host."""
+    def _request(self, peer: peers.Peer) -> effects.Effect:
+        """Returns the effect that requests updates from a control host."""
         request = sync.SyncRequest(
             self.run,
             self.position,
@@ -217,44 +228,49 @@
     def handle_update(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes an update of the followed host, or follows its sender."""
+        """Applies an update.
+
+        Updates of hosts other than the publisher only contribute a newer
+        document, unless their sender becomes the publisher.
+        """
         update = event.message
         assert isinstance(update, sync.SyncUpdate)
-        if not self._follows(event.now_s, event.sender, update):
-            return self._take_document(event.now_s, update)
-        self.answered_s = event.now_s
+        if not self._accepts_publisher(event.now_s, event.sender, update):
+            return self._apply_document(event.now_s, update)
+        self.updated_s = event.now_s
         if update.controls:
             self.controls = update.controls
-        found = self._take_document(event.now_s, update)
+        result = self._apply_document(event.now_s, update)
         if not self.is_synced:
-            # It has no document yet; another one may.
-            found += self._ask_in_turn()
+            # The publisher has no document yet; another control host may.
+            result += self._request_next()
         held = self.position if update.run == self.run else 0
         if update.base > held:
-            # A change was lost on its way.
-            return [*found, self._ask(event.sender)]
-        found += self._take_targets(event.now_s, update)
-        return found
+            # A pushed change was lost.
+            return [*result, self._request(event.sender)]
+        result += self._apply_targets(event.now_s, update)
+        return result
 
-    def _follows(
+    def _accepts_publisher(
         self, now_s: float, sender: peers.Peer, update: sync.SyncUpdate
     ) -> bool:
-        """Returns whether updates of this sender are followed from now on."""
-        own = self.context.host.domain
-        if self.followed is not None and sender.host == self.followed.host:
+        """Returns whether the sender is the publisher, or becomes it."""
+        local_domain = self.context.host.domain
+        if self.publisher is not None and sender.host == self.publisher.host:
             return True
-        is_nearer = self.followed is not None and (
-            sender.domain == own and self.followed.domain != own
+        is_closer = self.publisher is not None and (
+            sender.domain == local_domain
+            and self.publisher.domain != local_domain
         )
-        if self.followed is None or is_nearer:
-            self.followed = sender
+        if self.publisher is None or is_closer:
+            self.publisher = sender
             return True
         return False
 
-    def _take_document(
+    def _apply_document(
         self, now_s: float, update: sync.SyncUpdate
     ) -> list[effects.Effect]:
-        """Puts routes into force if they are newer."""
+        """Applies the routes of an update if they are newer."""
         if update.document is None or not self.routes.put(update.document):
             return []
         return [
@@ -263,11 +279,11 @@
             )
         ]
 
-    def _take_targets(
+    def _apply_targets(
         self, now_s: float, update: sync.SyncUpdate
     ) -> list[effects.Effect]:
-        """Takes the targets of an update that fits."""
-        found = [
+        """Applies the targets of an update whose base is held."""
+        result = [
             self._record_target(now_s, entry)
             for known in update.targets
             if (entry := self.targets.put(now_s, known)) is not None
@@ -275,19 +291,19 @@
         is_whole = update.base == 0
         if is_whole and update.is_settled:
             names = {known.target.name for known in update.targets}
-            found += [
+            result += [
                 self._record_target(now_s, entry)
-                for entry in self.targets.doubt(names)
+                for entry in self.targets.mark_overdue(names)
             ]
         if update.run != self.run:
             self.run = update.run
             self.position = 0
         self.position = max(self.position, update.position)
         self.is_settled = self.is_settled or update.is_settled
-        return found
+        return result
 
     def _record_target(
-        self, now_s: float, entry: target_table.Entry
+        self, now_s: float, entry: target_table.TargetEntry
     ) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         target = entry.target
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -1,8 +1,8 @@
 """Chooses the target of a new flow.
 
-The load that it answers: long flows with pauses beside short ones, opened
-through several hosts that share no table, while targets start cold, drain,
-fall silent and come back.
+The choice has to suit long flows with pauses beside short ones, opened through
+several hosts that share no table, while targets start cold, drain, become
+unresponsive and recover.
 """
 
 from collections.abc import Collection
@@ -13,57 +13,62 @@
 from tamarack_core.internal.cookie import target_table
 
 COLD_FACTOR = 1.6
-"""Factor by which a cold target counts its flows; targets that have just
-started run their work that much slower."""
+"""Factor by which the load of a cold target is multiplied. Targets that have
+just started take that much longer for their work."""
 
 
 def choose(
-    candidates: Collection[target_table.Entry],
+    candidates: Collection[target_table.TargetEntry],
     tracker: flow_tracker.FlowTracker,
     probes: target_probes.TargetProbes,
     now_s: float,
     tried: Collection[str],
     generator: random.Random,
-) -> target_table.Entry | None:
+) -> target_table.TargetEntry | None:
     """Returns the target for a new flow, or None if there is none.
 
-    Targets that don't answer probes get none: when these are all, the opening
-    is to be refused at once. Targets that did not answer this opening come
-    last. Then those whose announcements are missed, then those that several
-    flows find silent, alone or with all of their failure domain; one opening a
-    second still tests each of these. When all are silent, the cause may be
-    near, and all are used. Among the others the least loaded as seen here is
-    taken, by lot among equals.
+    Targets that were found dead by probes are excluded; if none remains, the
+    flow is to be refused at once. Lower preference is given, in this order, to
+    targets that did not reply to this opening packet, to overdue targets, and
+    to targets that are suspect, alone or with their failure domain. A suspect
+    target still gets one new flow per second as a trial. If all are suspect,
+    the cause may be close to this host, and all are used. Of the targets that
+    remain, the one with the least load through this host is chosen, at random
+    among equals.
 
     Args:
-        candidates: Targets of the service that take new flows.
-        tracker: What the packets show.
-        probes: What probes show.
+        candidates: Targets of the service that accept new flows.
+        tracker: State of flows and targets, observed in packets.
+        probes: State of the target probes.
         now_s: Monotonic time in seconds.
-        tried: Targets that were sent this opening before.
-        generator: Seeded generator.
+        tried: Targets that were sent this opening packet before.
+        generator: Seeded random generator.
     """
-    living = [entry for entry in candidates if not probes.is_dead(entry)]
-    if not living:
+    alive = [entry for entry in candidates if not probes.is_dead(entry)]
+    if not alive:
         return None
-    untried = [entry for entry in living if entry.target.name not in tried]
-    fresh = [entry for entry in untried if not entry.is_overdue]
-    usable = fresh or untried or living
-    sound = [
-        entry for entry in usable if not tracker.watch(entry).is_avoided(now_s)
+    untried = [entry for entry in alive if entry.target.name not in tried]
+    announced = [entry for entry in untried if not entry.is_overdue]
+    usable = announced or untried or alive
+    responsive = [
+        entry
+        for entry in usable
+        if not tracker.activity_of(entry).is_avoided(now_s)
     ]
     return min(
-        sound or usable,
+        responsive or usable,
         key=lambda entry: (_load(entry, tracker, now_s), generator.random()),
     )
 
 
 def _load(
-    entry: target_table.Entry, tracker: flow_tracker.FlowTracker, now_s: float
+    entry: target_table.TargetEntry,
+    tracker: flow_tracker.FlowTracker,
+    now_s: float,
 ) -> float:
-    """Returns the work that a target has through this host, by slot."""
-    watch = tracker.watch(entry)
-    work = 1.0 + watch.flows + watch.waiting
+    """Returns the load of a target through this host, per slot."""
+    activity = tracker.activity_of(entry)
+    work = 1.0 + activity.flows + activity.pending
     if now_s < entry.warm_at_s:
         work *= COLD_FACTOR
     return work / max(entry.target.slots, 1)
--- a/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
@@ -1,109 +1,121 @@
-"""Who does not answer, judged by several flows at once.
+"""Liveness of targets and failure domains, based on several flows each.
 
-The load that it answers: targets that crash without a word, and failure
-domains that are cut off, while single packets are lost and single requests
-take long. Replies go straight to callers; a host sees only that a caller
-repeats a packet, or that it acknowledges more.
+It has to detect targets that crash without closing their flows and failure
+domains that are cut off, although single packets are lost and single requests
+take long. Replies bypass this host: it only sees that a caller retransmits a
+packet, or that its acknowledgement number advances.
 """
 
 import msgspec
 
 from tamarack_core import flow_packets
 
-RETRY_S = 1.0
-"""Time after which one opening tests who is suspect, in seconds."""
+TRIAL_INTERVAL_S = 1.0
+"""Shortest time between two new flows that are sent to a suspect target as a
+trial, in seconds."""
 
 
-FRESH_S = 2.0
-"""Time after which silence says nothing of now, in seconds; a caller that waits
-repeats at least each 1.6 s."""
+EVIDENCE_LIFETIME_S = 2.0
+"""Time after the last retransmission for which stalled flows are evidence, in
+seconds. A caller that waits retransmits at least every 1.6 s."""
 
 
-class Patience(msgspec.Struct, frozen=True):
-    """How much silence it takes.
+class Thresholds(msgspec.Struct, frozen=True):
+    """Evidence that is needed to suspect a target, or to reset its flows.
 
     Attributes:
-        suspect_flows: Silent flows that keep openings away.
-        suspect_s: Time without any answer that does, in seconds.
-        dark_flows: Silent flows that reset open flows.
-        dark_s: Time for which they must have been silent, in seconds.
+        suspect_flows: Stalled flows from which on new flows are avoided.
+        suspect_s: Time without a reply that is needed as well, in seconds.
+        unresponsive_flows: Stalled flows from which on open flows are reset.
+        unresponsive_s: Time for which flows must have been stalled as well, in
+            seconds.
     """
 
     suspect_flows: int
     suspect_s: float
-    dark_flows: int
-    dark_s: float
+    unresponsive_flows: int
+    unresponsive_s: float
 
 
-TARGET = Patience(suspect_flows=2, suspect_s=0.18, dark_flows=3, dark_s=0.6)
-"""Of one target. Callers repeat after 0.2 s, and one packet in a thousand is
-lost, so a single repetition says little. No request takes 0.6 s in which no
-other one of the target ends."""
+TARGET = Thresholds(
+    suspect_flows=2, suspect_s=0.18, unresponsive_flows=3, unresponsive_s=0.6
+)
+"""Thresholds for one target. Callers retransmit after 0.2 s, and one packet in
+a thousand is lost, so a single retransmission is weak evidence. There are no
+0.6 s in which a target runs requests and completes none."""
 
-DOMAIN = Patience(suspect_flows=4, suspect_s=0.18, dark_flows=5, dark_s=0.35)
-"""Of all targets of a failure domain together, of which some always answer."""
+DOMAIN = Thresholds(
+    suspect_flows=4, suspect_s=0.18, unresponsive_flows=5, unresponsive_s=0.35
+)
+"""Thresholds for all targets of a failure domain together. Some of them always
+reply, so less time is needed."""
 
 
-class Silence(msgspec.Struct):
-    """The flows of one target or failure domain that wait in vain.
+class Liveness(msgspec.Struct):
+    """Stalled flows of one target or failure domain.
 
     Attributes:
-        patience: How much silence it takes.
-        flows: Flows that repeated a packet since the last answer.
-        since_s: Time of the first of these repetitions, in seconds.
-        repeated_s: Time of the last of them, in seconds.
-        answered_s: Time of the last answer, in seconds.
-        tested_s: Time of the last opening sent while suspect, in seconds.
+        thresholds: Evidence that is needed.
+        stalled_flows: Flows with a retransmission since the last reply.
+        stalled_since_s: Time of the first of these retransmissions, in seconds.
+        last_retransmission_s: Time of the last one, in seconds.
+        last_reply_s: Time of the last reply, in seconds.
+        last_trial_s: Time of the last opening packet sent while suspect, in
+            seconds.
     """
 
-    patience: Patience
-    flows: set[flow_packets.FlowKey] = msgspec.field(default_factory=set)
-    since_s: float = 0.0
-    repeated_s: float = float("-inf")
-    answered_s: float = float("-inf")
-    tested_s: float = float("-inf")
-
-    def note_repetition(self, now_s: float, key: flow_packets.FlowKey) -> None:
-        """Takes note that a flow repeats a packet."""
-        if now_s - self.repeated_s > FRESH_S:
-            self.flows.clear()
-        if not self.flows:
-            self.since_s = now_s
-        self.repeated_s = now_s
-        self.flows.add(key)
-
-    def note_answer(self, now_s: float) -> None:
-        """Takes note of a sign of life."""
-        self.answered_s = now_s
-        if self.flows:
-            self.flows.clear()
-
-    def note_opening(self, now_s: float) -> None:
-        """Takes note of an opening, which is a test of who is suspect."""
+    thresholds: Thresholds
+    stalled_flows: set[flow_packets.FlowKey] = msgspec.field(
+        default_factory=set
+    )
+    stalled_since_s: float = 0.0
+    last_retransmission_s: float = float("-inf")
+    last_reply_s: float = float("-inf")
+    last_trial_s: float = float("-inf")
+
+    def observe_retransmission(
+        self, now_s: float, key: flow_packets.FlowKey
+    ) -> None:
+        """Records that a caller repeated a packet of a flow."""
+        if now_s - self.last_retransmission_s > EVIDENCE_LIFETIME_S:
+            self.stalled_flows.clear()
+        if not self.stalled_flows:
+            self.stalled_since_s = now_s
+        self.last_retransmission_s = now_s
+        self.stalled_flows.add(key)
+
+    def observe_reply(self, now_s: float) -> None:
+        """Records a reply, which clears the stalled flows."""
+        self.last_reply_s = now_s
+        if self.stalled_flows:
+            self.stalled_flows.clear()
+
+    def observe_opening(self, now_s: float) -> None:
+        """Records an opening packet, which is a trial of a suspect target."""
         if self.is_suspect(now_s):
-            self.tested_s = now_s
+            self.last_trial_s = now_s
 
     def is_suspect(self, now_s: float) -> bool:
-        """Returns whether openings had better go elsewhere."""
+        """Returns whether new flows should go to other targets."""
         return (
-            self._is_fresh(now_s)
-            and len(self.flows) >= self.patience.suspect_flows
-            and now_s - self.answered_s > self.patience.suspect_s
+            self._has_recent_evidence(now_s)
+            and len(self.stalled_flows) >= self.thresholds.suspect_flows
+            and now_s - self.last_reply_s > self.thresholds.suspect_s
         )
 
     def is_avoided(self, now_s: float) -> bool:
-        """Returns whether it is suspect, and no test is due."""
-        is_tested = now_s - self.tested_s <= RETRY_S
-        return is_tested and self.is_suspect(now_s)
+        """Returns whether it is suspect, and no trial is due."""
+        is_trial_recent = now_s - self.last_trial_s <= TRIAL_INTERVAL_S
+        return is_trial_recent and self.is_suspect(now_s)
 
-    def is_dark(self, now_s: float) -> bool:
-        """Returns whether open flows had better be given up."""
+    def is_unresponsive(self, now_s: float) -> bool:
+        """Returns whether open flows should be reset."""
         return (
-            self._is_fresh(now_s)
-            and len(self.flows) >= self.patience.dark_flows
-            and now_s - self.since_s >= self.patience.dark_s
+            self._has_recent_evidence(now_s)
+            and len(self.stalled_flows) >= self.thresholds.unresponsive_flows
+            and now_s - self.stalled_since_s >= self.thresholds.unresponsive_s
         )
 
-    def _is_fresh(self, now_s: float) -> bool:
-        """Returns whether a caller has waited in vain just now."""
-        return now_s - self.repeated_s <= FRESH_S
+    def _has_recent_evidence(self, now_s: float) -> bool:
+        """Returns whether a caller has retransmitted recently."""
+        return now_s - self.last_retransmission_s <= EVIDENCE_LIFETIME_S
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -1,13 +1,14 @@
-"""Asks a silent target itself before its flows are given up.
+"""Probes suspect targets before their flows are reset.
 
-The load that it answers: a target crashes without a word while each entry
-host has two or three flows with it, too few to judge by. One repeated packet
-is enough to ask. A probe asks for several connections, as one packet may be
-lost; none is sent while all is well.
+If a target crashes without closing its flows, each entry host may have only
+two or three flows with it, too few as evidence. One retransmission is enough
+to start a probe. A probe makes several connection attempts, since one packet
+may be lost. No probe is sent while nothing is suspect.
 
-A probe in vain is believed once another target, asked afterwards, answers:
-where a large document fills the link of this host, or the host is cut off, all
-are silent. What the flows of the target show goes before what probes show.
+A failed probe counts only once another target, the reference, has replied to a
+later probe: if a large document fills the link of this host, or the host is
+cut off, no target replies. Progress of the flows of a target outweighs a
+failed probe.
 """
 
 from collections.abc import Iterable
@@ -18,41 +19,41 @@
 from tamarack_core.internal.cookie import target_table
 
 ATTEMPTS = 3
-"""Connections that a probe asks for; where one packet in forty is lost, one
-probe in 8,000 of a live target is in vain."""
+"""Connection attempts of a probe. If one packet in forty is lost, one probe in
+8,000 of a live target fails."""
 
 SPACING_S = 0.06
-"""Time between these connections, in seconds."""
+"""Time between these attempts, in seconds."""
 
 TIMEOUT_S = 0.25
-"""Time that a target has to take one of them, in seconds; the longest way
-between failure domains and back takes 0.02 s, and a host with a quota of
-processor time may pause for 0.1 s."""
+"""Time in which a target must accept one of the connections, in seconds. The
+longest round trip between failure domains takes 0.02 s, and a host with a
+processor quota may pause for 0.1 s."""
 
-ASK_INTERVAL_S = 0.5
-"""Time between probes of a target that answers them, in seconds."""
+PROBE_INTERVAL_S = 0.5
+"""Shortest time between probes of a target that is not dead, in seconds."""
 
-RETURN_INTERVAL_S = 0.5
-"""Time between probes of a dead target, in seconds."""
+RECOVERY_INTERVAL_S = 0.5
+"""Interval of the probes of a dead target, in seconds."""
 
 
-class Probe(msgspec.Struct):
-    """What probes show of a target.
+class ProbeState(msgspec.Struct):
+    """State of the probes of a target.
 
     Attributes:
         entry: The target.
-        asked_s: Time of the last probe, in seconds.
-        is_running: Whether a probe is on its way.
-        is_hinted: Whether another host said that the target is dead.
-        reference: Target whose answer is waited for before a probe in vain
-            is believed; empty for none.
-        is_dead: Whether the target is held to be dead.
+        sent_s: Time of the last probe, in seconds.
+        is_running: Whether a probe is in flight.
+        is_reported: Whether the probe was started by a report of another host.
+        reference: Target whose reply confirms a failed probe; empty if no
+            failure is unconfirmed.
+        is_dead: Whether the target was found dead.
     """
 
-    entry: target_table.Entry
-    asked_s: float = float("-inf")
+    entry: target_table.TargetEntry
+    sent_s: float = float("-inf")
     is_running: bool = False
-    is_hinted: bool = False
+    is_reported: bool = False
     reference: str = ""
     is_dead: bool = False
 
@@ -61,62 +62,62 @@
     """Probes by name of the target.
 
     Attributes:
-        probes: What probes show.
+        probes: State of the probes by name of the target.
     """
 
     __slots__ = ("probes",)
 
     def __init__(self) -> None:
-        """Knows no target."""
-        self.probes: dict[str, Probe] = {}
+        """Initializes the probes without any target."""
+        self.probes: dict[str, ProbeState] = {}
 
-    def is_dead(self, entry: target_table.Entry) -> bool:
-        """Returns whether a target is held to be dead, in this life."""
+    def is_dead(self, entry: target_table.TargetEntry) -> bool:
+        """Returns whether a target was found dead since its last start."""
         probe = self.probes.get(entry.target.name)
         return (
             probe is not None
             and probe.is_dead
-            and not is_reborn(probe.entry, entry)
+            and not is_restarted(probe.entry, entry)
         )
 
-    def ask(
+    def probe(
         self,
         now_s: float,
-        entry: target_table.Entry,
+        entry: target_table.TargetEntry,
         *,
-        is_hinted: bool = False,
+        is_reported: bool = False,
     ) -> list[effects.Effect]:
-        """Returns a probe of a suspected target, if none was sent lately.
+        """Returns a probe of a suspect target, if none was sent recently.
 
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
-            is_hinted: Whether another host said that it is dead.
+            is_reported: Whether another host reported it as dead.
         """
-        probe = self._probe_of(entry)
-        is_waiting = probe.is_running or bool(probe.reference)
-        if is_waiting or now_s - probe.asked_s < ASK_INTERVAL_S:
+        probe = self._state_of(entry)
+        is_pending = probe.is_running or bool(probe.reference)
+        if is_pending or now_s - probe.sent_s < PROBE_INTERVAL_S:
             return []
-        probe.is_hinted = is_hinted
-        return [_send(now_s, probe)]
+        probe.is_reported = is_reported
+        return [_send_probe(now_s, probe)]
 
-    def _probe_of(self, entry: target_table.Entry) -> Probe:
-        """Returns the probe of a target, a new one for each of its lives."""
+    def _state_of(self, entry: target_table.TargetEntry) -> ProbeState:
+        """Returns the probe state of a target, a new one after a restart."""
         name = entry.target.name
         probe = self.probes.get(name)
-        if probe is None or is_reborn(probe.entry, entry):
-            probe = self.probes[name] = Probe(entry)
+        if probe is None or is_restarted(probe.entry, entry):
+            probe = self.probes[name] = ProbeState(entry)
         probe.entry = entry
         return probe
 
-    def note_answer(self, name: str) -> bool:
-        """Takes note that a target answered a probe.
+    def handle_success(self, name: str) -> bool:
+        """Handles a successful probe.
 
         Args:
             name: Name of the target.
 
         Returns:
-            Whether it was held to be dead.
+            Whether the target had been found dead.
         """
         probe = self.probes.get(name)
         if probe is None or not probe.is_running:
@@ -126,82 +127,87 @@
         probe.reference = ""
         return was_dead
 
-    def note_failure(
-        self, now_s: float, name: str, references: Iterable[target_table.Entry]
+    def handle_failure(
+        self,
+        now_s: float,
+        name: str,
+        references: Iterable[target_table.TargetEntry],
     ) -> list[effects.Effect]:
-        """Takes note that a probe was in vain.
+        """Handles a failed probe.
 
         Args:
             now_s: Monotonic time in seconds.
             name: Name of the target.
-            references: Targets that answered lately, the last one first.
+            references: Targets that have replied, the most recent one first.
 
         Returns:
-            A probe of the first reference that no probe doubts.
+            A probe of the first reference without a failed probe of its own.
         """
         probe = self.probes.get(name)
         if probe is None or not probe.is_running:
             return []
         probe.is_running = False
-        self._doubt_waiting(name)
+        self._discard_failures(name)
         if probe.is_dead:
             return []
         for entry in references:
-            other = self._probe_of(entry)
+            other = self._state_of(entry)
             if other is probe or other.is_dead or other.reference:
                 continue
             probe.reference = entry.target.name
-            return [] if other.is_running else [_send(now_s, other)]
+            return [] if other.is_running else [_send_probe(now_s, other)]
         return []
 
-    def _doubt_waiting(self, reference: str) -> None:
-        """Forgets the failures that a silent reference was to confirm."""
-        for probe in self.waiting_for(reference):
+    def _discard_failures(self, reference: str) -> None:
+        """Discards failures that wait for a reference that failed itself."""
+        for probe in self.awaiting_reference(reference):
             probe.reference = ""
 
-    def waiting_for(self, reference: str) -> list[Probe]:
-        """Returns the probes in vain that wait for the answer of a target."""
+    def awaiting_reference(self, reference: str) -> list[ProbeState]:
+        """Returns the failed probes that wait for a reply of a reference."""
         return [
             probe
             for probe in self.probes.values()
             if probe.reference == reference
         ]
 
-    def forgive(self) -> None:
-        """Forgets failures, also of probes on their way.
+    def reset_pending(self) -> None:
+        """Discards unconfirmed failures and the probes in flight.
 
-        This host was away itself, and may have missed the answers.
+        This host was suspended and may have missed the replies.
         """
         for probe in self.probes.values():
             probe.reference = ""
             probe.is_running = False
 
-    def tick(self, now_s: float) -> list[effects.Effect]:
-        """Returns the probes that find dead targets alive again."""
+    def probe_dead(self, now_s: float) -> list[effects.Effect]:
+        """Returns probes of dead targets, which may have recovered."""
         for name in [
             name for name, probe in self.probes.items() if probe.entry.is_gone
         ]:
             del self.probes[name]
         return [
-            _send(now_s, probe, attempts=1)
+            _send_probe(now_s, probe, attempts=1)
             for probe in self.probes.values()
             if probe.is_dead
             and not probe.is_running
-            and now_s - probe.asked_s >= RETURN_INTERVAL_S
+            and now_s - probe.sent_s >= RECOVERY_INTERVAL_S
         ]
 
 
-def is_reborn(held: target_table.Entry, entry: target_table.Entry) -> bool:
-    """Returns whether a target has begun another life."""
+def is_restarted(
+    held: target_table.TargetEntry, entry: target_table.TargetEntry
+) -> bool:
+    """Returns whether a target has restarted."""
     return held.target.born_ms != entry.target.born_ms
 
 
-def _send(
-    now_s: float, probe: Probe, attempts: int = ATTEMPTS
+def _send_probe(
+    now_s: float, probe: ProbeState, attempts: int = ATTEMPTS
 ) -> effects.Effect:
-    """Returns a probe."""
+    """Returns the effect that sends a probe."""
     probe.is_running = True
-    probe.asked_s = now_s
+    probe.sent_s = now_s
     target = probe.entry.target
     return effects.ProbeTarget(
         target.name, target.endpoint, TIMEOUT_S, attempts, SPACING_S
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -16,17 +16,17 @@
 TICK_S = 0.25
 """Time between searches for overdue targets, in seconds."""
 
-HEARD_INTERVAL_S = 0.5
+AGES_INTERVAL_S = 0.5
 """Time between two messages to the other control hosts about who announced
 itself, in seconds."""
 
-FOLLOW_INTERVAL_S = 1.0
+SYNC_INTERVAL_S = 1.0
 """Time between questions to each other control host, in seconds."""
 
 SAVE_INTERVAL_S = 1.0
 """Shortest time between two savings of the targets, in seconds."""
 
-GAP_S = 0.8
+SUSPENSION_S = 0.8
 """Time without a turn of the loop after which this host has been away."""
 
 MS_PER_S = 1000
@@ -40,30 +40,30 @@
         registry: Announced targets.
         publisher: Pushes changes to followers.
         contacts: The other control hosts.
-        targets: Targets that an earlier start left, if any.
+        restorable: Targets that an earlier start left, if any.
         positions: Run and position followed at each other control host.
-        directly: Time of the last announcement to this host, by name, for
+        unreported_s: Time of the last announcement to this host, by name, for
             those that the other hosts have not heard of.
-        heard_s: Time of the last `AnnouncementAges` message, in seconds.
-        asked_s: Time of the last questions, in seconds.
+        ages_sent_s: Time of the last `AnnouncementAges` message, in seconds.
+        sync_sent_s: Time of the last questions, in seconds.
         ticked_s: Time of the last tick, in seconds.
-        saved: Position that was saved last.
+        saved_position: Position that was saved last.
         saved_s: Time of the last saving, in seconds.
     """
 
     __slots__ = (
-        "asked_s",
+        "ages_sent_s",
         "contacts",
         "context",
-        "directly",
-        "heard_s",
         "positions",
         "publisher",
         "registry",
-        "saved",
+        "restorable",
+        "saved_position",
         "saved_s",
-        "targets",
+        "sync_sent_s",
         "ticked_s",
+        "unreported_s",
     )
 
     def __init__(
@@ -81,19 +81,19 @@
             registry: Announced targets.
             publisher: Pushes changes to followers.
             contacts: The other control hosts.
-            targets: Targets that an earlier start left, if any.
+            restorable: Targets that an earlier start left, if any.
         """
         self.context = context
         self.registry = registry
         self.publisher = publisher
         self.contacts = contacts
         self.positions: dict[str, tuple[str, int]] = {}
-        self.directly: dict[str, float] = {}
-        self.heard_s = float("-inf")
-        self.asked_s = float("-inf")
+        self.unreported_s: dict[str, float] = {}
+        self.ages_sent_s = float("-inf")
+        self.sync_sent_s = float("-inf")
         self.ticked_s = float("inf")
-        self.targets = targets
-        self.saved = 0
+        self.restorable = targets
+        self.saved_position = 0
         self.saved_s = float("-inf")
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -104,24 +104,24 @@
             outside.AnnounceTarget: self.handle_announce,
             outside.WithdrawTarget: self.handle_withdraw,
             sync.SyncUpdate: self.handle_update,
-            sync.AnnouncementAges: self.handle_heard,
+            sync.AnnouncementAges: self.handle_ages,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
         """Takes over the targets that an earlier start left."""
-        found = self.handle_tick(event)
-        if self.targets is None:
-            return found
-        refused = self.registry.restore(event.now_s, self.targets)
-        self.targets = None
-        self.saved = self.registry.position
+        result = self.handle_tick(event)
+        if self.restorable is None:
+            return result
+        refused = self.registry.restore(event.now_s, self.restorable)
+        self.restorable = None
+        self.saved_position = self.registry.position
         record = self.context.record(
             event.now_s,
             "targets-restored",
             reason=refused.reason if refused is not None else "",
             detail=f"{len(self.registry.records)} targets",
         )
-        return [*found, record]
+        return [*result, record]
 
     def handle_announce(
         self, event: events.RequestArrived
@@ -133,16 +133,16 @@
         is_changed = self.registry.put(event.now_s, target)
         held = self.registry.records.get(target.name)
         if held is not None and held.target.order == target.order:
-            self.directly[target.name] = event.now_s
-        found: list[effects.Effect] = []
+            self.unreported_s[target.name] = event.now_s
+        result: list[effects.Effect] = []
         if is_changed:
-            found.append(self._record(event.now_s, target))
-            found += self.publisher.push(event.now_s)
-        noted = outside.TargetNoted(self._home_of(target))
-        found.append(effects.Respond(event.request_id, noted))
-        return found
+            result.append(self._record(event.now_s, target))
+            result += self.publisher.push(event.now_s)
+        response = outside.TargetNoted(self._control_address(target))
+        result.append(effects.Respond(event.request_id, response))
+        return result
 
-    def _home_of(self, target: target_announcement.Announcement) -> str:
+    def _control_address(self, target: target_announcement.Announcement) -> str:
         """Returns the address of a control host of the target's domain."""
         if target.domain == self.context.host.domain:
             return self.context.host.control.address
@@ -157,9 +157,9 @@
         """Takes the end of a target."""
         request = event.request
         assert isinstance(request, outside.WithdrawTarget)
-        noted = outside.TargetNoted()
-        answer = effects.Respond(event.request_id, noted)
-        self.directly.pop(request.name, None)
+        response = outside.TargetNoted()
+        answer = effects.Respond(event.request_id, response)
+        self.unreported_s.pop(request.name, None)
         if not self.registry.withdraw(
             event.now_s, request.name, request.born_ms
         ):
@@ -176,49 +176,49 @@
     ) -> list[effects.Effect]:
         """Finds overdue targets, and speaks to the other control hosts."""
         now_s = event.now_s
-        if now_s - self.ticked_s > GAP_S:
-            self.registry.excuse(now_s)
+        if now_s - self.ticked_s > SUSPENSION_S:
+            self.registry.extend_deadlines(now_s)
         self.ticked_s = now_s
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
         if self.registry.tick(now_s):
-            found += self.publisher.push(now_s)
-        if self._is_saving_due(now_s):
-            self.saved = self.registry.position
+            result += self.publisher.push(now_s)
+        if self._is_save_due(now_s):
+            self.saved_position = self.registry.position
             self.saved_s = now_s
-            found.append(effects.SaveTargets(self.registry.encode()))
+            result.append(effects.SaveTargets(self.registry.encode()))
         others = self.contacts.others()
-        if now_s - self.heard_s >= HEARD_INTERVAL_S:
-            found += self._tell_heard(now_s)
-        if now_s - self.asked_s >= FOLLOW_INTERVAL_S:
-            self.asked_s = now_s
-            found += [
-                effects.SendMessage(peer, self._question(peer.host))
+        if now_s - self.ages_sent_s >= AGES_INTERVAL_S:
+            result += self._broadcast_ages(now_s)
+        if now_s - self.sync_sent_s >= SYNC_INTERVAL_S:
+            self.sync_sent_s = now_s
+            result += [
+                effects.SendMessage(peer, self._sync_request(peer.host))
                 for peer in others
             ]
-        return found
+        return result
 
-    def _is_saving_due(self, now_s: float) -> bool:
+    def _is_save_due(self, now_s: float) -> bool:
         """Returns whether targets changed and the last saving is over."""
-        is_changed = self.saved != self.registry.position
+        is_changed = self.saved_position != self.registry.position
         return is_changed and now_s - self.saved_s >= SAVE_INTERVAL_S
 
-    def _tell_heard(self, now_s: float) -> list[effects.Effect]:
+    def _broadcast_ages(self, now_s: float) -> list[effects.Effect]:
         """Tells the other control hosts who announced itself here."""
-        self.heard_s = now_s
-        if not self.directly:
+        self.ages_sent_s = now_s
+        if not self.unreported_s:
             return []
         ages_ms = {
             name: int((now_s - at_s) * MS_PER_S)
-            for name, at_s in self.directly.items()
+            for name, at_s in self.unreported_s.items()
         }
-        self.directly.clear()
+        self.unreported_s.clear()
         message = sync.AnnouncementAges(ages_ms)
         return [
             effects.SendMessage(peer, message)
             for peer in self.contacts.others()
         ]
 
-    def _question(self, host: str) -> sync.SyncRequest:
+    def _sync_request(self, host: str) -> sync.SyncRequest:
         """Returns the question to another control host."""
         run, position = self.positions.get(host, ("", 0))
         return sync.SyncRequest(run, position, 0, is_control=True)
@@ -233,14 +233,16 @@
         if update.run != run:
             position = 0
         if update.base > position:
-            question = self._question(event.sender.host)
-            return [effects.SendMessage(event.sender, question)]
+            request = self._sync_request(event.sender.host)
+            return [effects.SendMessage(event.sender, request)]
         held = (update.run, max(position, update.position))
         self.positions[event.sender.host] = held
         changed = [
             known.target
             for known in update.targets
-            if self.registry.put(event.now_s, known.target, self._age_s(known))
+            if self.registry.put(
+                event.now_s, known.target, self._assumed_age_s(known)
+            )
         ]
         if not changed:
             return []
@@ -249,19 +251,17 @@
             *self.publisher.push(event.now_s),
         ]
 
-    def _age_s(self, known: target_announcement.KnownTarget) -> float:
+    def _assumed_age_s(self, known: target_announcement.KnownTarget) -> float:
         """Returns the age to assume of what another control host tells."""
-        return 2 * self.registry.patience_s if known.is_overdue else 0.0
+        return 2 * self.registry.overdue_after_s if known.is_overdue else 0.0
 
-    def handle_heard(
-        self, event: events.MessageArrived
-    ) -> list[effects.Effect]:
+    def handle_ages(self, event: events.MessageArrived) -> list[effects.Effect]:
         """Takes note of whom another control host heard."""
         message = event.message
         assert isinstance(message, sync.AnnouncementAges)
         is_changed = False
         for name, age_ms in message.ages_ms.items():
-            is_changed |= self.registry.hear(
+            is_changed |= self.registry.observe(
                 event.now_s, name, age_ms / MS_PER_S
             )
         return self.publisher.push(event.now_s) if is_changed else []
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -19,7 +19,7 @@
 """Announcement intervals after which a control host that started without any
 knowledge holds that all live targets have announced themselves."""
 
-REPEAT_S = 0.3
+MIN_REPEAT_S = 0.3
 """Time within which a host that holds nothing is not answered twice; a host
 that starts asks faster than a large document arrives."""
 
@@ -40,7 +40,7 @@
         position: Last change that it holds, or was sent.
         number: Number of the document that it holds, or was sent.
         is_control: Whether it is a control host.
-        asked_s: Time of its last question, in seconds.
+        requested_s: Time of its last question, in seconds.
         controls: Control hosts that it was told of.
     """
 
@@ -48,7 +48,7 @@
     position: int
     number: int
     is_control: bool
-    asked_s: float
+    requested_s: float
     controls: tuple[peers.Peer, ...] = ()
 
 
@@ -120,11 +120,11 @@
         request = event.message
         assert isinstance(request, sync.SyncRequest)
         held = self.subscribers.get(event.sender.host)
-        asked_s = float("-inf") if held is None else held.asked_s
-        if request.is_first and event.now_s - asked_s < REPEAT_S:
+        requested_s = float("-inf") if held is None else held.requested_s
+        if request.is_first and event.now_s - requested_s < MIN_REPEAT_S:
             return []
         is_same_run = request.run == self.run
-        follower = Subscriber(
+        subscriber = Subscriber(
             event.sender,
             request.position if is_same_run else 0,
             request.number,
@@ -132,10 +132,10 @@
             event.now_s,
             held.controls if held is not None and is_same_run else (),
         )
-        self.subscribers[event.sender.host] = follower
-        found = [self._update(event.now_s, follower)]
+        self.subscribers[event.sender.host] = subscriber
+        result = [self._update(event.now_s, subscriber)]
         if not is_same_run:
-            found.append(
+            result.append(
                 self.context.record(
                     event.now_s,
                     "follower-joined",
@@ -143,7 +143,7 @@
                     detail=event.sender.host,
                 )
             )
-        return found
+        return result
 
     def publish_documents(
         self, now_s: float, machine: machines.DocumentMachine
@@ -191,55 +191,57 @@
     def _push(self, now_s: float) -> list[effects.Effect]:
         """Sends the followers what they lack."""
         self.pushed_s = now_s
-        for name, follower in list(self.subscribers.items()):
-            if now_s - follower.asked_s > SUBSCRIPTION_S:
+        for name, subscriber in list(self.subscribers.items()):
+            if now_s - subscriber.requested_s > SUBSCRIPTION_S:
                 del self.subscribers[name]
         return [
-            self._update(now_s, follower)
-            for follower in self.subscribers.values()
-            if self._lacks(follower)
+            self._update(now_s, subscriber)
+            for subscriber in self.subscribers.values()
+            if self._is_behind(subscriber)
         ]
 
     def entry_subscribers(self, now_s: float) -> list[peers.Peer]:
         """Returns the entry hosts that asked lately."""
         return [
-            follower.peer
-            for follower in self.subscribers.values()
-            if not follower.is_control
-            and now_s - follower.asked_s <= SUBSCRIPTION_S
+            subscriber.peer
+            for subscriber in self.subscribers.values()
+            if not subscriber.is_control
+            and now_s - subscriber.requested_s <= SUBSCRIPTION_S
         ]
 
-    def _lacks(self, follower: Subscriber) -> bool:
+    def _is_behind(self, subscriber: Subscriber) -> bool:
         """Returns whether there is news for a follower."""
-        if follower.position < self.registry.position:
+        if subscriber.position < self.registry.position:
             return True
-        if follower.is_control:
+        if subscriber.is_control:
             return False
         return (
-            follower.number < self.routes.document.number
-            or follower.controls != self.controls
+            subscriber.number < self.routes.document.number
+            or subscriber.controls != self.controls
         )
 
-    def _update(self, now_s: float, follower: Subscriber) -> effects.Effect:
+    def _update(self, now_s: float, subscriber: Subscriber) -> effects.Effect:
         """Returns the message that brings a follower up to date."""
-        base = follower.position
+        base = subscriber.position
         document = None
-        if not follower.is_control:
-            document = self.routes.changes_since(follower.number)
-        is_told = follower.is_control or follower.controls == self.controls
-        follower.position = self.registry.position
-        follower.number = max(follower.number, self.routes.document.number)
-        follower.controls = self.controls
+        if not subscriber.is_control:
+            document = self.routes.changes_since(subscriber.number)
+        knows_controls = (
+            subscriber.is_control or subscriber.controls == self.controls
+        )
+        subscriber.position = self.registry.position
+        subscriber.number = max(subscriber.number, self.routes.document.number)
+        subscriber.controls = self.controls
         update = sync.SyncUpdate(
             run=self.run,
             base=base,
             position=self.registry.position,
             is_settled=self._is_settled(now_s),
             targets=self.registry.changes_since(base),
-            controls=() if is_told else self.controls,
+            controls=() if knows_controls else self.controls,
             document=document,
         )
-        return effects.SendMessage(follower.peer, update)
+        return effects.SendMessage(subscriber.peer, update)
 
     def _is_settled(self, now_s: float) -> bool:
         """Returns whether all live targets had time to announce themselves."""
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -28,13 +28,13 @@
         """Takes the document that follows on the one held."""
         before = {route.place: route for route in self.document.routes}
         after = {route.place: route for route in document.routes}
-        for place in before.keys() | after.keys():
-            if before.get(place) != after.get(place):
-                self.changed_at[place] = document.number
+        for endpoint in before.keys() | after.keys():
+            if before.get(endpoint) != after.get(endpoint):
+                self.changed_at[endpoint] = document.number
         if self.document.number == 0:
             self.horizon = document.number
         self.document = document
-        self._forget_removed(after)
+        self._trim_removed(after)
 
     def reset_to(self, document: documents.Document) -> None:
         """Takes a document after others that nobody here has seen.
@@ -48,18 +48,18 @@
             route.place: document.number for route in document.routes
         }
 
-    def _forget_removed(
+    def _trim_removed(
         self, after: dict[tuple[str, int], documents.Route]
     ) -> None:
         """Forgets the oldest removed places beyond the limit."""
         removed = sorted(
-            (number, place)
-            for place, number in self.changed_at.items()
-            if place not in after
+            (number, endpoint)
+            for endpoint, number in self.changed_at.items()
+            if endpoint not in after
         )
-        for number, place in removed[:-MAX_REMOVED]:
+        for number, endpoint in removed[:-MAX_REMOVED]:
             self.horizon = max(self.horizon, number)
-            del self.changed_at[place]
+            del self.changed_at[endpoint]
 
     def changes_since(self, number: int) -> sync.DocumentUpdate | None:
         """Returns what a host with document `number` lacks, or None."""
@@ -68,16 +68,16 @@
             return None
         is_whole = number < self.horizon
         routes = [
-            _change(route)
+            _route_change(route)
             for route in document.routes
             if is_whole or self.changed_at[route.place] > number
         ]
         if not is_whole:
             present = {route.place for route in document.routes}
             routes += [
-                _removal(place)
-                for place, changed in self.changed_at.items()
-                if changed > number and place not in present
+                _route_removal(endpoint)
+                for endpoint, changed in self.changed_at.items()
+                if changed > number and endpoint not in present
             ]
         return sync.DocumentUpdate(
             base=0 if is_whole else number,
@@ -87,11 +87,11 @@
         )
 
 
-def _change(route: documents.Route) -> sync.RouteChange:
+def _route_change(route: documents.Route) -> sync.RouteChange:
     return sync.RouteChange(
         route.address, route.port, route.shares, route.kind, route.timeout_ms
     )
 
 
-def _removal(place: tuple[str, int]) -> sync.RouteChange:
-    return sync.RouteChange(*place, (), documents.WorkKind.IDEMPOTENT, 0.0)
+def _route_removal(endpoint: tuple[str, int]) -> sync.RouteChange:
+    return sync.RouteChange(*endpoint, (), documents.WorkKind.IDEMPOTENT, 0.0)
--- a/packages/core/src/tamarack_core/internal/registry/suspicion_relay.py
+++ b/packages/core/src/tamarack_core/internal/registry/suspicion_relay.py
@@ -12,7 +12,7 @@
 from tamarack_core import sync
 from tamarack_core.internal.registry import publisher as publishers
 
-QUIET_S = 1.0
+REPEAT_INTERVAL_S = 1.0
 """Time for which a target is not passed on again, in seconds; hosts that find
 out by themselves do so within it."""
 
@@ -23,10 +23,10 @@
     Attributes:
         context: Identity, chance, time and counters.
         publisher: Knows the followers and the other control hosts.
-        told_s: Times at which targets were passed on last, by name.
+        relayed_s: Times at which targets were passed on last, by name.
     """
 
-    __slots__ = ("context", "publisher", "told_s")
+    __slots__ = ("context", "publisher", "relayed_s")
 
     def __init__(
         self, context: context_lib.Context, publisher: publishers.Publisher
@@ -39,7 +39,7 @@
         """
         self.context = context
         self.publisher = publisher
-        self.told_s: dict[str, float] = {}
+        self.relayed_s: dict[str, float] = {}
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the handlers of this part."""
@@ -51,10 +51,10 @@
         """Tells followers and, unless one of them says it, control hosts."""
         message = event.message
         assert isinstance(message, sync.SuspectTargets)
-        news = self._news(event.now_s, message.targets)
-        if not news:
+        unrelayed = self._select_unrelayed(event.now_s, message.targets)
+        if not unrelayed:
             return []
-        doubt = sync.SuspectTargets(news)
+        notice = sync.SuspectTargets(unrelayed)
         controls = {peer.host for peer in self.publisher.controls}
         receivers = self.publisher.entry_subscribers(event.now_s)
         if event.sender.host not in controls:
@@ -66,24 +66,26 @@
         record = self.context.record(
             event.now_s,
             "targets-doubted",
-            detail=f"{event.sender.host}: {' '.join(news)}",
+            detail=f"{event.sender.host}: {' '.join(unrelayed)}",
         )
         return [
             record,
             *(
-                effects.SendMessage(peer, doubt)
+                effects.SendMessage(peer, notice)
                 for peer in receivers
                 if peer.host != event.sender.host
             ),
         ]
 
-    def _news(self, now_s: float, names: tuple[str, ...]) -> tuple[str, ...]:
+    def _select_unrelayed(
+        self, now_s: float, names: tuple[str, ...]
+    ) -> tuple[str, ...]:
         """Returns the targets that were not passed on just now."""
-        self.told_s = {
+        self.relayed_s = {
             name: at_s
-            for name, at_s in self.told_s.items()
-            if now_s - at_s < QUIET_S
+            for name, at_s in self.relayed_s.items()
+            if now_s - at_s < REPEAT_INTERVAL_S
         }
-        news = tuple(name for name in names if name not in self.told_s)
-        self.told_s.update(dict.fromkeys(news, now_s))
-        return news
+        unrelayed = tuple(name for name in names if name not in self.relayed_s)
+        self.relayed_s.update(dict.fromkeys(unrelayed, now_s))
+        return unrelayed
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -11,13 +11,13 @@
 """Intervals without an announcement after which a target is overdue; one may
 be lost and the next be late."""
 
-LATENESS_S = 0.2
+MAX_DELAY_S = 0.2
 """Time that an announcement may be late besides, in seconds."""
 
 GONE_RETENTION_S = 120.0
 """Time after which a target that is gone is forgotten, in seconds."""
 
-ABANDON_S = 60.0
+PRESUMED_GONE_S = 60.0
 """Time without an announcement after which a target is held to be gone."""
 
 GONE_SEQUENCE = 1 << 62
@@ -32,14 +32,14 @@
 
     Attributes:
         target: Its newest announcement.
-        heard_s: Time of its last announcement to any control host, as far as
+        announced_s: Time of its last announcement to any control host, as far as
             this one knows, in seconds.
         changed_at: Position of the last change that others must hear of.
         is_overdue: Whether its announcements are missed.
     """
 
     target: target_announcement.Announcement
-    heard_s: float
+    announced_s: float
     changed_at: int
     is_overdue: bool = False
 
@@ -83,27 +83,27 @@
             Whether others must hear of it.
         """
         held = self.records.get(target.name)
-        if held is not None and not _may_follow(held.target, target):
+        if held is not None and not _may_replace(held.target, target):
             return False
         if target.phase is not target_announcement.Phase.GONE:
             if self._is_superseded(target):
                 return False
-            self._take_endpoint(now_s, target)
-        heard_s = now_s - age_s
+            self._claim_endpoint(now_s, target)
+        announced_s = now_s - age_s
         if held is None or _differs(held, target):
-            record = Record(target, heard_s, 0)
+            record = Record(target, announced_s, 0)
             record.is_overdue = self._is_late(now_s, record)
-            self._note_change(record)
+            self._record_change(record)
             return True
         held.target = target
-        return self.hear(now_s, target.name, age_s)
+        return self.observe(now_s, target.name, age_s)
 
-    def hear(self, now_s: float, name: str, age_s: float) -> bool:
+    def observe(self, now_s: float, name: str, age_s: float) -> bool:
         """Takes note that a target announced itself; returns as `put`."""
         held = self.records.get(name)
         if held is None:
             return False
-        held.heard_s = max(held.heard_s, now_s - age_s)
+        held.announced_s = max(held.announced_s, now_s - age_s)
         if held.is_overdue and not self._is_late(now_s, held):
             return self._set_overdue(held, False)
         return False
@@ -115,26 +115,26 @@
             return False
         if born_ms is not None and born_ms < held.target.born_ms:
             return False
-        return self._end(now_s, held)
+        return self._mark_gone(now_s, held)
 
     def tick(self, now_s: float) -> bool:
         """Finds targets that are overdue or forgotten; returns as `put`."""
         is_changed = False
         for record in list(self.records.values()):
-            silent_s = now_s - record.heard_s
+            age_s = now_s - record.announced_s
             if record.target.phase is target_announcement.Phase.GONE:
-                if silent_s > GONE_RETENTION_S:
-                    self._forget(record)
-            elif silent_s > ABANDON_S:
-                is_changed |= self._end(now_s, record)
+                if age_s > GONE_RETENTION_S:
+                    self._remove(record)
+            elif age_s > PRESUMED_GONE_S:
+                is_changed |= self._mark_gone(now_s, record)
             elif not record.is_overdue and self._is_late(now_s, record):
                 is_changed |= self._set_overdue(record, True)
         return is_changed
 
-    def excuse(self, now_s: float) -> None:
+    def extend_deadlines(self, now_s: float) -> None:
         """Counts all as heard just now, after this host was away itself."""
         for record in self.records.values():
-            record.heard_s = max(record.heard_s, now_s)
+            record.announced_s = max(record.announced_s, now_s)
 
     def changes_since(
         self, position: int
@@ -150,9 +150,9 @@
         )
 
     @property
-    def patience_s(self) -> float:
+    def overdue_after_s(self) -> float:
         """Time without an announcement after which a target is overdue."""
-        return MISSED_ANNOUNCEMENTS * self.interval_s + LATENESS_S
+        return MISSED_ANNOUNCEMENTS * self.interval_s + MAX_DELAY_S
 
     def encode(self) -> bytes:
         """Returns the targets that have not ended, for the next start."""
@@ -186,14 +186,14 @@
         return None
 
     def _is_late(self, now_s: float, record: Record) -> bool:
-        return now_s - record.heard_s > self.patience_s
+        return now_s - record.announced_s > self.overdue_after_s
 
     def _set_overdue(self, record: Record, is_overdue: bool) -> bool:
         record.is_overdue = is_overdue
-        self._note_change(record)
+        self._record_change(record)
         return True
 
-    def _note_change(self, record: Record) -> None:
+    def _record_change(self, record: Record) -> None:
         """Gives a record the newest position, and moves it to the end."""
         self.position += 1
         record.changed_at = self.position
@@ -202,24 +202,24 @@
 
     def _is_superseded(self, target: target_announcement.Announcement) -> bool:
         """Returns whether a target born later has the address."""
-        name = self._by_endpoint.get(_place(target))
+        name = self._by_endpoint.get(_endpoint_key(target))
         if name is None or name == target.name:
             return False
         holder = self.records[name].target
         is_gone = holder.phase is target_announcement.Phase.GONE
         return not is_gone and holder.born_ms > target.born_ms
 
-    def _take_endpoint(
+    def _claim_endpoint(
         self, now_s: float, target: target_announcement.Announcement
     ) -> None:
         """Ends the target that had the address before."""
-        place = _place(target)
-        name = self._by_endpoint.get(place)
+        key = _endpoint_key(target)
+        name = self._by_endpoint.get(key)
         if name is not None and name != target.name:
-            self._end(now_s, self.records[name])
-        self._by_endpoint[place] = target.name
+            self._mark_gone(now_s, self.records[name])
+        self._by_endpoint[key] = target.name
 
-    def _end(self, now_s: float, record: Record) -> bool:
+    def _mark_gone(self, now_s: float, record: Record) -> bool:
         if record.target.phase is target_announcement.Phase.GONE:
             return False
         record.target = msgspec.structs.replace(
@@ -227,23 +227,23 @@
             phase=target_announcement.Phase.GONE,
             sequence=GONE_SEQUENCE,
         )
-        record.heard_s = now_s
+        record.announced_s = now_s
         record.is_overdue = False
-        self._note_change(record)
+        self._record_change(record)
         return True
 
-    def _forget(self, record: Record) -> None:
+    def _remove(self, record: Record) -> None:
         target = record.target
         del self.records[target.name]
-        if self._by_endpoint.get(_place(target)) == target.name:
-            del self._by_endpoint[_place(target)]
+        if self._by_endpoint.get(_endpoint_key(target)) == target.name:
+            del self._by_endpoint[_endpoint_key(target)]
 
 
-def _place(target: target_announcement.Announcement) -> tuple[str, int]:
+def _endpoint_key(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
 
-def _may_follow(
+def _may_replace(
     held: target_announcement.Announcement,
     target: target_announcement.Announcement,
 ) -> bool:
--- a/packages/core/src/tamarack_core/signing.py
+++ b/packages/core/src/tamarack_core/signing.py
@@ -173,11 +173,11 @@
 def parse_keys(data: bytes) -> Keyring | failure.Failure:
     """Returns the keys in a key file, or what is wrong with it."""
     try:
-        found = msgspec.json.decode(data, type=KeyFile).keys
-        secrets = {key.id: bytes.fromhex(key.secret) for key in found}
+        keys = msgspec.json.decode(data, type=KeyFile).keys
+        secrets = {key.id: bytes.fromhex(key.secret) for key in keys}
     except (msgspec.DecodeError, ValueError) as error:
         return failure.Failure("bad-keys", str(error))
-    if not found or len(secrets) < len(found):
+    if not keys or len(secrets) < len(keys):
         return failure.Failure("bad-keys", "give keys with different ids")
     for key_id, secret in secrets.items():
         if not key_id or not key_id.isascii() or not key_id.isprintable():
@@ -188,7 +188,7 @@
                 f"key {key_id!r}: use no space in the id, and at least"
                 f" {2 * MIN_SECRET_BYTES} hexadecimal digits",
             )
-    return Keyring(found[0].id, secrets)
+    return Keyring(keys[0].id, secrets)
 
 
 def _signature(secret: bytes, line: str, receiver: str, body: bytes) -> str:
