--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -13,21 +13,21 @@
 from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import forwarder
 from tamarack_core.internal.cookie import routes
-from tamarack_core.internal.cookie import subscription as mirrors
+from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_table
 
 MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
-"""Translates the messages that an entry host takes and sends."""
+"""Codec for the messages that an entry host sends and receives."""
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """What an entry host is made of.
+    """Configuration of an entry host.
 
     Attributes:
         host: Identity and addresses of this host.
-        seed: Seed of the generator.
-        seeds: Control hosts to begin with.
-        codec: Form of packets on the wire.
+        seed: Seed of the random generator.
+        seeds: Control hosts to contact first.
+        codec: Wire format of packets.
     """
 
     host: peers.Peer
@@ -40,15 +40,15 @@
     """Returns the state of an entry host that has not started.
 
     Args:
-        plan: What the host is made of.
+        plan: Configuration of the host.
     """
     context = context_lib.Context(plan.host, plan.seed)
-    mirror = mirrors.ControlSubscription(
+    subscription = subscriptions.ControlSubscription(
         context, routes.RouteTable(), target_table.TargetTable(), plan.seeds
     )
-    told = flow_rejection.FlowRejector(
-        context, plan.codec, mirror.routes, flow_tracker.FlowTracker()
+    rejector = flow_rejection.FlowRejector(
+        context, plan.codec, subscription.routes, flow_tracker.FlowTracker()
     )
-    judge = failure_detector.TargetFailureDetector(told, mirror)
-    path = forwarder.Forwarder(told, judge, mirror)
-    return reducer.Node(context, (path, judge, mirror))
+    detector = failure_detector.TargetFailureDetector(rejector, subscription)
+    packet_forwarder = forwarder.Forwarder(rejector, detector, subscription)
+    return reducer.Node(context, (packet_forwarder, detector, subscription))
--- a/packages/core/src/tamarack_core/failure.py
+++ b/packages/core/src/tamarack_core/failure.py
@@ -1,4 +1,4 @@
-"""Sentinel value that a function returns in place of a result."""
+"""Value that a function returns in place of a result."""
 
 import msgspec
 
@@ -10,9 +10,9 @@
     handles each reason by name. Test for it with `isinstance`.
 
     Attributes:
-        reason: Short constant name, fit for a metric label.
-        detail: Sentence for an operator; names the value and the fix.
-        path: JSON pointer of the value at fault, if it lies in a document.
+        reason: Short constant name, suitable as a metric label.
+        detail: Message for an operator, with the wrong value and the fix.
+        path: JSON pointer of the wrong value, if it is in a document.
     """
 
     reason: str
@@ -20,5 +20,5 @@
     path: str = ""
 
     def __bool__(self) -> bool:
-        """Returns False, so that `if not result` catches a failure."""
+        """Returns False, so that `if not result` detects a failure."""
         return False
--- a/packages/core/src/tamarack_core/flow_packets.py
+++ b/packages/core/src/tamarack_core/flow_packets.py
@@ -1,7 +1,7 @@
-"""Packets of flows whose form the platform fixes.
+"""Packets of flows, independent of their wire format.
 
-The core decides on the fields below; a codec, handed in by the adapter of the
-platform, knows the form on the wire.
+The core uses the fields below. The wire format is that of the platform, whose
+adapter supplies a codec for it.
 """
 
 from typing import Protocol
@@ -20,13 +20,13 @@
 
     Attributes:
         flow: The flow that it belongs to.
-        is_opening: Whether it asks to open the flow.
-        is_reset: Whether it ends the flow at once.
+        is_opening: Whether it requests to open the flow.
+        is_reset: Whether it aborts the flow.
         is_last: Whether the caller sends nothing after it.
-        cookie: Tag that the flow carries; 0 before a target answered.
-        copy_number: Of an opening, how many copies were sent before.
-        sequence: Place of the payload in what the caller sends.
-        acknowledged: How much the caller has received.
+        cookie: Tag that the flow carries; 0 before a target has replied.
+        copy_number: Of an opening packet, how many copies were sent before.
+        sequence: Sequence number of the payload.
+        acknowledged: Acknowledgement number of the caller.
         payload_bytes: Length of the payload.
         data: The packet as it arrived.
     """
@@ -44,7 +44,7 @@
 
 
 class PacketCodec(Protocol):
-    """Translates between packets and their form on the wire."""
+    """Decodes and encodes packets in their wire format."""
 
     def decode(self, data: bytes) -> FlowPacket | failure.Failure:
         """Returns the packet in a datagram, or why there is none."""
@@ -52,32 +52,33 @@
     def encode_forward(
         self, packet: FlowPacket, target: str, cookie: int
     ) -> bytes | None:
-        """Returns the datagram that hands a packet to a target.
+        """Returns the datagram that forwards a packet to a target.
 
         Args:
             packet: The packet.
-            target: Name of the target, which drops what names another.
-            cookie: Tag that the flow shall carry.
+            target: Name of the target, which drops packets for other names.
+            cookie: Tag that the flow is to carry.
 
         Returns:
-            The datagram; None if the name can't be written in it.
+            The datagram; None if the name can't be encoded.
         """
 
     def encode_reset(
         self, key: FlowKey, acknowledged: int
     ) -> tuple[peers.Endpoint, bytes]:
-        """Returns where a reset for the caller goes, and the datagram.
+        """Returns the endpoint for a reset of a flow, and the datagram.
 
         Args:
             key: The flow.
-            acknowledged: How much the caller has received.
+            acknowledged: Acknowledgement number of the caller.
         """
 
 
 def address_to_number(address: str) -> int:
-    """Returns the number of an IPv4 address that was checked before.
+    """Converts an IPv4 address that is known to be valid to a number.
 
-    The module `ipaddress` would add a fiftieth to the start of an entry host.
+    Importing the module `ipaddress` would lengthen the start of an entry host
+    by a fiftieth.
     """
     return int.from_bytes(bytes(map(int, address.split("."))), "big")
 
--- a/packages/core/src/tamarack_core/fragments.py
+++ b/packages/core/src/tamarack_core/fragments.py
@@ -1,8 +1,9 @@
-"""Envelopes in several datagrams.
+"""Fragments: envelopes split into several datagrams.
 
-After a loss of all hosts a control host tells a hundred entry hosts the whole
-document within a moment. A connection for each takes several milliseconds of a
-small host; a few datagrams take a tenth of that. Whoever misses one asks again.
+After a loss of all hosts, a control host sends the whole document to a hundred
+entry hosts at about the same time. A connection for each takes several
+milliseconds of a small host's time; a few datagrams take a tenth of that. A
+receiver that misses a fragment repeats its request.
 """
 
 import collections
@@ -15,14 +16,15 @@
 """First byte of a fragment; no envelope begins with it."""
 
 DATAGRAM_BYTES = 1400
-"""A datagram of this size is not split on a link of 1,500 bytes."""
+"""Size of a datagram; a link with an MTU of 1,500 bytes does not split it."""
 
 MAX_FRAGMENTS = 12
-"""Most fragments of an envelope; larger ones need a connection, which sends
-again what is lost."""
+"""Maximum number of fragments of an envelope. Larger envelopes need a
+connection, which retransmits what is lost."""
 
 MAX_UNFINISHED = 32
-"""Envelopes of which fragments are kept; 0.5 MB at the largest size."""
+"""Maximum number of incomplete envelopes that are kept; 0.5 MB at the largest
+size."""
 
 _head = struct.Struct("!BQBB")
 _BODY_BYTES = DATAGRAM_BYTES - _head.size
@@ -33,20 +35,20 @@
 
 
 class Fragmenter:
-    """Cuts envelopes into fragments.
+    """Splits envelopes into fragments.
 
     Attributes:
-        ids: Identifiers of the envelopes to come.
+        ids: Identifiers of the next envelopes.
     """
 
     __slots__ = ("ids",)
 
     def __init__(self, first: int) -> None:
-        """Creates a splitter.
+        """Initializes the fragmenter.
 
         Args:
-            first: Identifier of the first envelope, drawn by lot, so that no
-                other host uses the same.
+            first: Identifier of the first envelope, drawn at random, so that
+                hosts use different ones.
         """
         self.ids = itertools.count(first)
 
@@ -54,7 +56,7 @@
         """Returns the fragments of an envelope.
 
         Args:
-            data: The envelope, of `MAX_BYTES` at most.
+            data: The envelope, of at most `MAX_BYTES`.
         """
         pieces = [
             data[start : start + _BODY_BYTES]
@@ -72,7 +74,7 @@
 
     Attributes:
         count: Number of its fragments.
-        pieces: What has arrived, by place.
+        pieces: Contents of the fragments that have arrived, by index.
     """
 
     count: int
@@ -80,7 +82,7 @@
 
 
 class Reassembler:
-    """Joins fragments to envelopes; old unfinished ones are forgotten.
+    """Reassembles envelopes; drops the oldest incomplete ones if many are held.
 
     Attributes:
         unfinished: Envelopes with missing fragments, the oldest first.
@@ -89,20 +91,20 @@
     __slots__ = ("unfinished",)
 
     def __init__(self) -> None:
-        """Holds no fragment."""
+        """Initializes a reassembler without fragments."""
         self.unfinished: collections.OrderedDict[int, _Unfinished] = (
             collections.OrderedDict()
         )
 
     def reassemble(self, data: bytes) -> bytes | None:
-        """Takes a fragment.
+        """Adds a fragment.
 
         Args:
             data: A datagram that begins with `MARKER`.
 
         Returns:
             The envelope that it completes; None if others are missing, or the
-            fragment makes no sense.
+            fragment is invalid.
         """
         if len(data) <= _head.size:
             return None
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -28,13 +28,13 @@
     """Returns the target for a new flow, or None if there is none.
 
     Targets that were found dead by probes are excluded; if none remains, the
-    flow is to be refused at once. Lower preference is given, in this order, to
-    targets that did not reply to this opening packet, to overdue targets, and
-    to targets that are suspect, alone or with their failure domain. A suspect
+    flow is to be refused at once. Targets that did not reply to this opening
+    packet are the last choice, overdue targets the next to last, and then
+    targets that are suspect, alone or with their failure domain. A suspect
     target still gets one new flow per second as a trial. If all are suspect,
-    the cause may be close to this host, and all are used. Of the targets that
-    remain, the one with the least load through this host is chosen, at random
-    among equals.
+    the cause may be close to this host, and all are used. Of the best targets,
+    the one with the least load through this host is chosen, at random among
+    equals.
 
     Args:
         candidates: Targets of the service that accept new flows.
--- a/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
@@ -41,8 +41,8 @@
     suspect_flows=2, suspect_s=0.18, unresponsive_flows=3, unresponsive_s=0.6
 )
 """Thresholds for one target. Callers retransmit after 0.2 s, and one packet in
-a thousand is lost, so a single retransmission is weak evidence. There are no
-0.6 s in which a target runs requests and completes none."""
+a thousand is lost, so a single retransmission is weak evidence. No request
+lasts 0.6 s without another one of the same target completing meanwhile."""
 
 DOMAIN = Thresholds(
     suspect_flows=4, suspect_s=0.18, unresponsive_flows=5, unresponsive_s=0.35
--- a/packages/core/src/tamarack_core/internal/registry/__init__.py
+++ b/packages/core/src/tamarack_core/internal/registry/__init__.py
@@ -1,1 +1,1 @@
-"""Announced targets at control hosts, and their copy at entry hosts."""
+"""Registry of announced targets at control hosts, and its publication."""
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -1,4 +1,4 @@
-"""Takes announcements, and shares them among the control hosts."""
+"""Receives announcements and shares them among the control hosts."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -14,41 +14,42 @@
 TIMER = "registry"
 
 TICK_S = 0.25
-"""Time between searches for overdue targets, in seconds."""
+"""Interval of the checks for overdue targets, in seconds."""
 
 AGES_INTERVAL_S = 0.5
-"""Time between two messages to the other control hosts about who announced
-itself, in seconds."""
+"""Interval of the reports of announcements to the other control hosts, in
+seconds."""
 
 SYNC_INTERVAL_S = 1.0
-"""Time between questions to each other control host, in seconds."""
+"""Interval of the sync requests to each other control host, in seconds."""
 
 SAVE_INTERVAL_S = 1.0
-"""Shortest time between two savings of the targets, in seconds."""
+"""Shortest time between two writes of the targets to disk, in seconds."""
 
 SUSPENSION_S = 0.8
-"""Time without a turn of the loop after which this host has been away."""
+"""Time without a run of the timer, in seconds, after which this host counts as
+suspended."""
 
 MS_PER_S = 1000
 
 
 class AnnouncementReceiver:
-    """Part that keeps the registry of a control host.
+    """Component that maintains the target registry of a control host.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         registry: Announced targets.
-        publisher: Pushes changes to followers.
+        publisher: Pushes changes to subscribers.
         contacts: The other control hosts.
-        restorable: Targets that an earlier start left, if any.
-        positions: Run and position followed at each other control host.
-        unreported_s: Time of the last announcement to this host, by name, for
-            those that the other hosts have not heard of.
+        restorable: Encoded targets that an earlier start saved, if any.
+        positions: Run and last known position of each other control host.
+        unreported_s: Time of the last announcement to this host, in seconds,
+            by name of the target; only those not yet reported to the others.
         ages_sent_s: Time of the last `AnnouncementAges` message, in seconds.
-        sync_sent_s: Time of the last questions, in seconds.
-        ticked_s: Time of the last tick, in seconds.
-        saved_position: Position that was saved last.
-        saved_s: Time of the last saving, in seconds.
+        sync_sent_s: Time of the last sync requests, in seconds.
+        ticked_s: Time of the last run of the timer, in seconds.
+        saved_position: Registry position at the last write to disk.
+        saved_s: Time of the last write to disk, in seconds.
     """
 
     __slots__ = (
@@ -72,16 +73,17 @@
         registry: target_registry.TargetRegistry,
         publisher: publishers.Publisher,
         contacts: contacts_lib.Contacts,
-        targets: bytes | None,
+        restorable: bytes | None,
     ) -> None:
-        """Creates the part.
+        """Initializes the announcement receiver.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             registry: Announced targets.
-            publisher: Pushes changes to followers.
+            publisher: Pushes changes to subscribers.
             contacts: The other control hosts.
-            restorable: Targets that an earlier start left, if any.
+            restorable: Encoded targets that an earlier start saved, if any.
         """
         self.context = context
         self.registry = registry
@@ -92,12 +94,12 @@
         self.ages_sent_s = float("-inf")
         self.sync_sent_s = float("-inf")
         self.ticked_s = float("inf")
-        self.restorable = targets
+        self.restorable = restorable
         self.saved_position = 0
         self.saved_s = float("-inf")
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_tick,
@@ -108,7 +110,7 @@
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Takes over the targets that an earlier start left."""
+        """Starts the timer, and restores the targets that were saved."""
         result = self.handle_tick(event)
         if self.restorable is None:
             return result
@@ -126,7 +128,7 @@
     def handle_announce(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Takes an announcement of a target."""
+        """Applies an announcement, and pushes what changed."""
         request = event.request
         assert isinstance(request, outside.AnnounceTarget)
         target = request.target
@@ -143,7 +145,7 @@
         return result
 
     def _control_address(self, target: target_announcement.Announcement) -> str:
-        """Returns the address of a control host of the target's domain."""
+        """Returns the address of a control host in the target's domain."""
         if target.domain == self.context.host.domain:
             return self.context.host.control.address
         for peer in self.publisher.controls:
@@ -154,19 +156,19 @@
     def handle_withdraw(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Takes the end of a target."""
+        """Marks a target as gone, and pushes the change."""
         request = event.request
         assert isinstance(request, outside.WithdrawTarget)
         response = outside.TargetNoted()
-        answer = effects.Respond(event.request_id, response)
+        effect = effects.Respond(event.request_id, response)
         self.unreported_s.pop(request.name, None)
         if not self.registry.withdraw(
             event.now_s, request.name, request.born_ms
         ):
-            return [answer]
+            return [effect]
         target = self.registry.records[request.name].target
         return [
-            answer,
+            effect,
             self._record(event.now_s, target),
             *self.publisher.push(event.now_s),
         ]
@@ -174,13 +176,13 @@
     def handle_tick(
         self, event: events.TimerFired | events.Started
     ) -> list[effects.Effect]:
-        """Finds overdue targets, and speaks to the other control hosts."""
+        """Finds overdue targets, saves, and sends what is due to others."""
         now_s = event.now_s
         if now_s - self.ticked_s > SUSPENSION_S:
             self.registry.extend_deadlines(now_s)
         self.ticked_s = now_s
         result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
-        if self.registry.tick(now_s):
+        if self.registry.check_overdue(now_s):
             result += self.publisher.push(now_s)
         if self._is_save_due(now_s):
             self.saved_position = self.registry.position
@@ -198,12 +200,12 @@
         return result
 
     def _is_save_due(self, now_s: float) -> bool:
-        """Returns whether targets changed and the last saving is over."""
+        """Returns whether changed targets are to be written to disk."""
         is_changed = self.saved_position != self.registry.position
         return is_changed and now_s - self.saved_s >= SAVE_INTERVAL_S
 
     def _broadcast_ages(self, now_s: float) -> list[effects.Effect]:
-        """Tells the other control hosts who announced itself here."""
+        """Reports the targets that announced themselves here to the others."""
         self.ages_sent_s = now_s
         if not self.unreported_s:
             return []
@@ -219,14 +221,14 @@
         ]
 
     def _sync_request(self, host: str) -> sync.SyncRequest:
-        """Returns the question to another control host."""
+        """Returns the sync request for another control host."""
         run, position = self.positions.get(host, ("", 0))
         return sync.SyncRequest(run, position, 0, is_control=True)
 
     def handle_update(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes what another control host knows of targets."""
+        """Applies the targets that another control host sent."""
         update = event.message
         assert isinstance(update, sync.SyncUpdate)
         run, position = self.positions.get(event.sender.host, ("", 0))
@@ -252,11 +254,11 @@
         ]
 
     def _assumed_age_s(self, known: target_announcement.KnownTarget) -> float:
-        """Returns the age to assume of what another control host tells."""
+        """Returns the age to assume for an announcement of another host."""
         return 2 * self.registry.overdue_after_s if known.is_overdue else 0.0
 
     def handle_ages(self, event: events.MessageArrived) -> list[effects.Effect]:
-        """Takes note of whom another control host heard."""
+        """Applies the announcement ages that another control host reported."""
         message = event.message
         assert isinstance(message, sync.AnnouncementAges)
         is_changed = False
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -1,4 +1,4 @@
-"""Hands changes of targets and routes to the hosts that follow this one."""
+"""Publishes changes of targets and routes to subscribed hosts."""
 
 import msgspec
 
@@ -13,19 +13,19 @@
 from tamarack_core.internal.registry import target_registry
 
 SUBSCRIPTION_S = 3.5
-"""Time after its last question for which a host is sent changes."""
+"""Time after its last request for which a host is sent changes, in seconds."""
 
 SETTLE_INTERVALS = 2.0
-"""Announcement intervals after which a control host that started without any
-knowledge holds that all live targets have announced themselves."""
+"""Announcement intervals after which all live targets have announced themselves
+to a control host that started without any targets."""
 
 MIN_REPEAT_S = 0.3
-"""Time within which a host that holds nothing is not answered twice; a host
-that starts asks faster than a large document arrives."""
+"""Time in which a host without a document gets no second response, in seconds.
+A host that starts repeats its request before a large document has arrived."""
 
 PUSH_INTERVAL_S = 0.03
 """Shortest time between two pushes, in seconds. When thousands of targets
-announce themselves at once, their changes travel together."""
+announce themselves at once, their changes are sent together."""
 
 TIMER = "push"
 
@@ -33,15 +33,15 @@
 
 
 class Subscriber(msgspec.Struct):
-    """A host that asked lately.
+    """A host that sent a request recently.
 
     Attributes:
         peer: The host.
         position: Last change that it holds, or was sent.
         number: Number of the document that it holds, or was sent.
         is_control: Whether it is a control host.
-        requested_s: Time of its last question, in seconds.
-        controls: Control hosts that it was told of.
+        requested_s: Time of its last request, in seconds.
+        controls: Control hosts that it was sent.
     """
 
     peer: peers.Peer
@@ -53,18 +53,18 @@
 
 
 class Publisher:
-    """Part that answers questions and pushes changes.
+    """Component that responds to sync requests and pushes changes.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         registry: Announced targets.
-        routes: Changes of the document.
-        run: Identifier of this life of the process.
-        subscribers: Hosts that asked lately, by name.
+        routes: History of the routes.
+        run: Identifier of this run of the process.
+        subscribers: Hosts that sent a request recently, by name.
         controls: Live control hosts.
         started_s: Time of the start, in seconds.
         pushed_s: Time of the last push, in seconds.
-        is_push_due: Whether a push waits for its time.
+        is_push_due: Whether the timer of a delayed push is running.
     """
 
     __slots__ = (
@@ -84,10 +84,11 @@
         context: context_lib.Context,
         registry: target_registry.TargetRegistry,
     ) -> None:
-        """Creates the part.
+        """Initializes the publisher.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             registry: Announced targets.
         """
         self.context = context
@@ -101,7 +102,7 @@
         self.is_push_due = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             sync.SyncRequest: self.handle_request,
@@ -109,14 +110,14 @@
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Takes note of the start."""
+        """Records the time of the start."""
         self.started_s = event.now_s
         return []
 
     def handle_request(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Answers with what the sender lacks."""
+        """Subscribes the sender, and sends it what it lacks."""
         request = event.message
         assert isinstance(request, sync.SyncRequest)
         held = self.subscribers.get(event.sender.host)
@@ -163,14 +164,14 @@
     def set_controls(
         self, now_s: float, controls: tuple[peers.Peer, ...]
     ) -> list[effects.Effect]:
-        """Takes the control hosts that are alive, and tells the followers."""
+        """Sets the live control hosts, and pushes them if they changed."""
         if controls == self.controls:
             return []
         self.controls = controls
         return self.push(now_s)
 
     def push(self, now_s: float) -> list[effects.Effect]:
-        """Sends the followers what they lack, now or a little later.
+        """Sends subscribers what they lack, now or when the timer fires.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -189,7 +190,7 @@
         return self._push(event.now_s)
 
     def _push(self, now_s: float) -> list[effects.Effect]:
-        """Sends the followers what they lack."""
+        """Removes expired subscribers, and sends the others what they lack."""
         self.pushed_s = now_s
         for name, subscriber in list(self.subscribers.items()):
             if now_s - subscriber.requested_s > SUBSCRIPTION_S:
@@ -201,7 +202,7 @@
         ]
 
     def entry_subscribers(self, now_s: float) -> list[peers.Peer]:
-        """Returns the entry hosts that asked lately."""
+        """Returns the subscribed entry hosts."""
         return [
             subscriber.peer
             for subscriber in self.subscribers.values()
@@ -210,7 +211,7 @@
         ]
 
     def _is_behind(self, subscriber: Subscriber) -> bool:
-        """Returns whether there is news for a follower."""
+        """Returns whether a subscriber lacks a change."""
         if subscriber.position < self.registry.position:
             return True
         if subscriber.is_control:
@@ -221,7 +222,7 @@
         )
 
     def _update(self, now_s: float, subscriber: Subscriber) -> effects.Effect:
-        """Returns the message that brings a follower up to date."""
+        """Returns the message with all changes that a subscriber lacks."""
         base = subscriber.position
         document = None
         if not subscriber.is_control:
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -1,31 +1,32 @@
-"""Which routes changed with which number of the document."""
+"""History of routes: the document number at which each route last changed."""
 
 from tamarack_core import documents
 from tamarack_core import sync
 
 MAX_REMOVED = 2_000
-"""Removed routes that are remembered; older ones force a whole document."""
+"""Number of removed routes that are kept. A host that holds a document from
+before the removal of an older one is sent the whole document."""
 
 
 class RouteHistory:
-    """Finds what a host lacks that holds an earlier document.
+    """Finds the changes for hosts that hold an earlier document.
 
     Attributes:
         document: The document in force.
-        changed_at: Number with which each place changed last.
-        horizon: Changes before this number are not known.
+        changed_at: Number of the document in which each endpoint last changed.
+        horizon: Number of the oldest document from which changes are known.
     """
 
     __slots__ = ("changed_at", "document", "horizon")
 
     def __init__(self) -> None:
-        """Holds no document."""
+        """Initializes a history without a document."""
         self.document = documents.Document(0)
         self.changed_at: dict[tuple[str, int], int] = {}
         self.horizon = 0
 
     def put(self, document: documents.Document) -> None:
-        """Takes the document that follows on the one held."""
+        """Adds the document that directly follows the one held."""
         before = {route.place: route for route in self.document.routes}
         after = {route.place: route for route in document.routes}
         for endpoint in before.keys() | after.keys():
@@ -37,10 +38,10 @@
         self._trim_removed(after)
 
     def reset_to(self, document: documents.Document) -> None:
-        """Takes a document after others that nobody here has seen.
+        """Adds a document after others that this host has not received.
 
-        A route may have come and gone in between; whoever holds an earlier
-        document gets the whole one.
+        A route may have been added and removed in between, so hosts with an
+        earlier document are sent the whole one.
         """
         self.document = document
         self.horizon = document.number
@@ -51,7 +52,7 @@
     def _trim_removed(
         self, after: dict[tuple[str, int], documents.Route]
     ) -> None:
-        """Forgets the oldest removed places beyond the limit."""
+        """Removes the oldest removed endpoints beyond the limit."""
         removed = sorted(
             (number, endpoint)
             for endpoint, number in self.changed_at.items()
@@ -62,7 +63,7 @@
             del self.changed_at[endpoint]
 
     def changes_since(self, number: int) -> sync.DocumentUpdate | None:
-        """Returns what a host with document `number` lacks, or None."""
+        """Returns the changes after document `number`, or None without any."""
         document = self.document
         if number >= document.number:
             return None
--- a/packages/core/src/tamarack_core/internal/registry/suspicion_relay.py
+++ b/packages/core/src/tamarack_core/internal/registry/suspicion_relay.py
@@ -1,8 +1,9 @@
-"""Passes on which targets an entry host found dead.
+"""Relays suspicions of dead targets between hosts.
 
-The load that it answers: a target crashes without a word, and each of many
-entry hosts would let a caller of its own wait to find out. Who is told asks the
-target itself; nobody loses a flow for the word of another host.
+When a target crashes without closing its flows, each of many entry hosts would
+otherwise detect it only by a retransmission of one of its own callers. A host
+that receives a suspicion probes the target itself, so that no flow is reset on
+the report of another host alone.
 """
 
 from tamarack_core import context as context_lib
@@ -13,17 +14,17 @@
 from tamarack_core.internal.registry import publisher as publishers
 
 REPEAT_INTERVAL_S = 1.0
-"""Time for which a target is not passed on again, in seconds; hosts that find
-out by themselves do so within it."""
+"""Time for which a suspicion of a target is not relayed again, in seconds.
+Hosts that detect the failure on their own do so within it."""
 
 
 class SuspicionRelay:
-    """Part of a control host that passes doubts on.
+    """Component of a control host that relays suspicions.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        publisher: Knows the followers and the other control hosts.
-        relayed_s: Times at which targets were passed on last, by name.
+        context: Identity, random generator, clocks and counters of the host.
+        publisher: Knows the subscribers and the other control hosts.
+        relayed_s: Time of the last relay of each target, in seconds.
     """
 
     __slots__ = ("context", "publisher", "relayed_s")
@@ -31,24 +32,28 @@
     def __init__(
         self, context: context_lib.Context, publisher: publishers.Publisher
     ) -> None:
-        """Creates the part.
+        """Initializes the suspicion relay.
 
         Args:
-            context: Identity, chance, time and counters.
-            publisher: Knows the followers and the other control hosts.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            publisher: Knows the subscribers and the other control hosts.
         """
         self.context = context
         self.publisher = publisher
         self.relayed_s: dict[str, float] = {}
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {sync.SuspectTargets: self.handle_suspects}
 
     def handle_suspects(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Tells followers and, unless one of them says it, control hosts."""
+        """Relays suspect targets to subscribed entry hosts and control hosts.
+
+        Control hosts are left out if the sender is one of them.
+        """
         message = event.message
         assert isinstance(message, sync.SuspectTargets)
         unrelayed = self._select_unrelayed(event.now_s, message.targets)
@@ -80,7 +85,7 @@
     def _select_unrelayed(
         self, now_s: float, names: tuple[str, ...]
     ) -> tuple[str, ...]:
-        """Returns the targets that were not passed on just now."""
+        """Returns the targets that were not relayed recently."""
         self.relayed_s = {
             name: at_s
             for name, at_s in self.relayed_s.items()
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -1,4 +1,4 @@
-"""Announced targets at a control host."""
+"""Registry of announced targets at a control host."""
 
 import itertools
 
@@ -8,34 +8,36 @@
 from tamarack_core import target_announcement
 
 MISSED_ANNOUNCEMENTS = 2.2
-"""Intervals without an announcement after which a target is overdue; one may
-be lost and the next be late."""
+"""Intervals without an announcement after which a target is overdue; one
+announcement may be lost, and the next one delayed."""
 
 MAX_DELAY_S = 0.2
-"""Time that an announcement may be late besides, in seconds."""
+"""Additional delay that an announcement may have, in seconds."""
 
 GONE_RETENTION_S = 120.0
-"""Time after which a target that is gone is forgotten, in seconds."""
+"""Time after which a target that is gone is removed, in seconds."""
 
 PRESUMED_GONE_S = 60.0
-"""Time without an announcement after which a target is held to be gone."""
+"""Time without an announcement after which a target counts as gone, in
+seconds."""
 
 GONE_SEQUENCE = 1 << 62
-"""Sequence of the end of a target, later than all its announcements."""
+"""Sequence number of the end of a target, higher than that of any
+announcement."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[target_announcement.Announcement])
 
 
-class Record(msgspec.Struct):
-    """A target and what this host knows of it.
+class TargetRecord(msgspec.Struct):
+    """A target and its state at this host.
 
     Attributes:
         target: Its newest announcement.
-        announced_s: Time of its last announcement to any control host, as far as
-            this one knows, in seconds.
-        changed_at: Position of the last change that others must hear of.
-        is_overdue: Whether its announcements are missed.
+        announced_s: Time of its last announcement to any control host, as far
+            as this host knows, in seconds.
+        changed_at: Position of the last change that others must receive.
+        is_overdue: Whether its announcements are overdue.
     """
 
     target: target_announcement.Announcement
@@ -45,7 +47,7 @@
 
 
 class TargetRegistry:
-    """Targets by name; every change has a position.
+    """Announced targets by name; each change has a position.
 
     Attributes:
         interval_s: Time between the announcements of a target, in seconds.
@@ -56,13 +58,13 @@
     __slots__ = ("_by_endpoint", "interval_s", "position", "records")
 
     def __init__(self, interval_s: float) -> None:
-        """Creates an empty registry.
+        """Initializes an empty registry.
 
         Args:
-            interval_s: Time between the announcements of a target.
+            interval_s: Time between the announcements of a target, in seconds.
         """
         self.interval_s = interval_s
-        self.records: dict[str, Record] = {}
+        self.records: dict[str, TargetRecord] = {}
         self.position = 0
         self._by_endpoint: dict[tuple[str, int], str] = {}
 
@@ -72,15 +74,15 @@
         target: target_announcement.Announcement,
         age_s: float = 0.0,
     ) -> bool:
-        """Takes an announcement unless a newer one is held.
+        """Applies an announcement unless a newer one is held.
 
         Args:
             now_s: Monotonic time in seconds.
             target: The announcement.
-            age_s: Seconds since a control host received it.
+            age_s: Time since a control host received it, in seconds.
 
         Returns:
-            Whether others must hear of it.
+            Whether others must receive a change.
         """
         held = self.records.get(target.name)
         if held is not None and not _may_replace(held.target, target):
@@ -91,7 +93,7 @@
             self._claim_endpoint(now_s, target)
         announced_s = now_s - age_s
         if held is None or _differs(held, target):
-            record = Record(target, announced_s, 0)
+            record = TargetRecord(target, announced_s, 0)
             record.is_overdue = self._is_late(now_s, record)
             self._record_change(record)
             return True
@@ -99,7 +101,7 @@
         return self.observe(now_s, target.name, age_s)
 
     def observe(self, now_s: float, name: str, age_s: float) -> bool:
-        """Takes note that a target announced itself; returns as `put`."""
+        """Records an announcement of a known target; returns as `put`."""
         held = self.records.get(name)
         if held is None:
             return False
@@ -109,7 +111,7 @@
         return False
 
     def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
-        """Takes note that a target ends; returns as `put`."""
+        """Marks a target as gone, unless it has restarted; returns as `put`."""
         held = self.records.get(name)
         if held is None:
             return False
@@ -117,8 +119,8 @@
             return False
         return self._mark_gone(now_s, held)
 
-    def tick(self, now_s: float) -> bool:
-        """Finds targets that are overdue or forgotten; returns as `put`."""
+    def check_overdue(self, now_s: float) -> bool:
+        """Marks overdue targets, and removes those gone; returns as `put`."""
         is_changed = False
         for record in list(self.records.values()):
             age_s = now_s - record.announced_s
@@ -132,7 +134,7 @@
         return is_changed
 
     def extend_deadlines(self, now_s: float) -> None:
-        """Counts all as heard just now, after this host was away itself."""
+        """Counts all targets as announced now, after a suspension."""
         for record in self.records.values():
             record.announced_s = max(record.announced_s, now_s)
 
@@ -155,7 +157,7 @@
         return MISSED_ANNOUNCEMENTS * self.interval_s + MAX_DELAY_S
 
     def encode(self) -> bytes:
-        """Returns the targets that have not ended, for the next start."""
+        """Returns the targets that are not gone, encoded for the next start."""
         return _encoder.encode(
             [
                 record.target
@@ -165,10 +167,10 @@
         )
 
     def restore(self, now_s: float, data: bytes) -> failure.Failure | None:
-        """Takes over what an earlier start left.
+        """Restores the targets that an earlier start saved.
 
-        Each target counts as heard now: it has an interval or two to announce
-        itself before it is overdue.
+        Each target counts as announced now, so it has an interval or two to
+        announce itself before it is overdue.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -185,23 +187,23 @@
             self.put(now_s, target)
         return None
 
-    def _is_late(self, now_s: float, record: Record) -> bool:
+    def _is_late(self, now_s: float, record: TargetRecord) -> bool:
         return now_s - record.announced_s > self.overdue_after_s
 
-    def _set_overdue(self, record: Record, is_overdue: bool) -> bool:
+    def _set_overdue(self, record: TargetRecord, is_overdue: bool) -> bool:
         record.is_overdue = is_overdue
         self._record_change(record)
         return True
 
-    def _record_change(self, record: Record) -> None:
-        """Gives a record the newest position, and moves it to the end."""
+    def _record_change(self, record: TargetRecord) -> None:
+        """Assigns the newest position to a record, and moves it to the end."""
         self.position += 1
         record.changed_at = self.position
         self.records.pop(record.target.name, None)
         self.records[record.target.name] = record
 
     def _is_superseded(self, target: target_announcement.Announcement) -> bool:
-        """Returns whether a target born later has the address."""
+        """Returns whether a target started later has the same endpoint."""
         name = self._by_endpoint.get(_endpoint_key(target))
         if name is None or name == target.name:
             return False
@@ -212,14 +214,14 @@
     def _claim_endpoint(
         self, now_s: float, target: target_announcement.Announcement
     ) -> None:
-        """Ends the target that had the address before."""
+        """Assigns an endpoint to a target; marks its earlier target as gone."""
         key = _endpoint_key(target)
         name = self._by_endpoint.get(key)
         if name is not None and name != target.name:
             self._mark_gone(now_s, self.records[name])
         self._by_endpoint[key] = target.name
 
-    def _mark_gone(self, now_s: float, record: Record) -> bool:
+    def _mark_gone(self, now_s: float, record: TargetRecord) -> bool:
         if record.target.phase is target_announcement.Phase.GONE:
             return False
         record.target = msgspec.structs.replace(
@@ -232,7 +234,7 @@
         self._record_change(record)
         return True
 
-    def _remove(self, record: Record) -> None:
+    def _remove(self, record: TargetRecord) -> None:
         target = record.target
         del self.records[target.name]
         if self._by_endpoint.get(_endpoint_key(target)) == target.name:
@@ -247,14 +249,16 @@
     held: target_announcement.Announcement,
     target: target_announcement.Announcement,
 ) -> bool:
-    """Returns whether an announcement is not older than the one held."""
+    """Returns whether an announcement may replace the one held."""
     if held.phase is target_announcement.Phase.GONE:
         return target.born_ms > held.born_ms
     return target.order >= held.order
 
 
-def _differs(held: Record, target: target_announcement.Announcement) -> bool:
-    """Returns whether an announcement says more than that a target lives."""
+def _differs(
+    held: TargetRecord, target: target_announcement.Announcement
+) -> bool:
+    """Returns whether an announcement is more than a renewal."""
     ignored = {"sequence": 0, "cold_ms": 0}
     return msgspec.structs.replace(
         held.target, **ignored
--- a/packages/core/src/tamarack_core/peers.py
+++ b/packages/core/src/tamarack_core/peers.py
@@ -16,7 +16,7 @@
 
 
 class Peer(msgspec.Struct, frozen=True):
-    """A host of the system, as other hosts reach it.
+    """A host of the system, with the endpoints at which others reach it.
 
     Attributes:
         host: Name that is unique in the system.
--- a/packages/core/src/tamarack_core/refusal.py
+++ b/packages/core/src/tamarack_core/refusal.py
@@ -1,4 +1,4 @@
-"""The answer that refuses a request, whatever it asked for."""
+"""The response that refuses a request of any kind."""
 
 import msgspec
 
@@ -8,9 +8,9 @@
 
     Attributes:
         reason: Constant name of the cause.
-        detail: Sentence for an operator.
-        retry_after_s: Seconds after which the same request may be taken; 0
-            where it must be changed first.
+        detail: Message for an operator.
+        retry_after_s: Seconds after which the same request may be repeated; 0
+            if it must be changed first.
     """
 
     reason: str
--- a/packages/core/src/tamarack_core/signing.py
+++ b/packages/core/src/tamarack_core/signing.py
@@ -1,8 +1,8 @@
-"""Signs messages between hosts with a shared key, and refuses replays.
+"""Signs messages between hosts with a shared key, and rejects replays.
 
 A signed message is one line, `KEY BOOT COUNTER TIME SIGNATURE`, and the body.
 The signature covers the line, the name of the receiver and the body. A host
-draws a new BOOT at each start, so that its COUNTER may start anew.
+draws a new BOOT at each start, so that its COUNTER may start from 0 again.
 """
 
 import hashlib
@@ -17,7 +17,7 @@
 MIN_SECRET_BYTES = 16
 SIGNATURE_BYTES = 16
 BOOT_BITS = 64
-# Clocks of hosts may differ by so much, and a message may be so late.
+# Maximum difference between the clocks of two hosts, message delay included.
 MAX_SKEW_MS = 30_000
 WINDOW_MESSAGES = 1_024
 MAX_SENDERS = 20_000
@@ -46,7 +46,7 @@
 
 
 class Keyring:
-    """Keys that were checked.
+    """Validated keys.
 
     Attributes:
         signing_id: Name of the key that signs.
@@ -56,28 +56,28 @@
     __slots__ = ("secrets", "signing_id")
 
     def __init__(self, signing_id: str, secrets: dict[str, bytes]) -> None:
-        """Creates a keyring; use `parse_keys` for untrusted input."""
+        """Initializes the keyring; use `parse_keys` for untrusted input."""
         self.signing_id = signing_id
         self.secrets = secrets
 
 
 class ReplayWindow:
-    """Counters of one sender that were seen.
+    """Counters of one sender that were received.
 
     Attributes:
         highest: The highest one.
-        seen: Bit n is set if `highest - n` was seen.
+        seen: Bit n is set if `highest - n` was received.
     """
 
     __slots__ = ("highest", "seen")
 
     def __init__(self) -> None:
-        """Starts with none."""
+        """Initializes a window without counters."""
         self.highest = -1
         self.seen = 0
 
     def accept(self, counter: int) -> bool:
-        """Returns whether a counter is new; from then on it is seen."""
+        """Returns whether a counter is new, and marks it as received."""
         if counter > self.highest:
             shift = min(counter - self.highest, WINDOW_MESSAGES)
             mask = (1 << WINDOW_MESSAGES) - 1
@@ -99,7 +99,7 @@
         keyring: Keys; replaced to rotate them.
         boot: Identifier of this start of the host.
         counter: Messages signed so far.
-        windows: Counters seen, by boot of the sender.
+        windows: Received counters by boot of the sender, in order of use.
     """
 
     __slots__ = ("boot", "counter", "host", "keyring", "windows")
@@ -107,12 +107,12 @@
     def __init__(
         self, host: str, keyring: Keyring, generator: random.Random
     ) -> None:
-        """Creates a signer.
+        """Initializes the signer.
 
         Args:
             host: Name of this host.
             keyring: Keys.
-            generator: Source of the boot identifier; it must differ from
+            generator: Source of the boot identifier, which must differ from
                 start to start.
         """
         self.host = host
@@ -137,7 +137,7 @@
         return f"{line} {signature}\n".encode() + body
 
     def verify(self, data: bytes, wall_ms: int) -> bytes | failure.Failure:
-        """Returns the body of a signed message, or why it is refused.
+        """Returns the body of a signed message, or why it is rejected.
 
         Args:
             data: The signed message.
@@ -162,7 +162,7 @@
         return body
 
     def _window(self, boot: str) -> ReplayWindow:
-        """Returns the window of a sender; forgets the least recent ones."""
+        """Returns the window of a sender; evicts the least recently used."""
         window = self.windows.pop(boot, None) or ReplayWindow()
         self.windows[boot] = window
         if len(self.windows) > MAX_SENDERS:
@@ -178,10 +178,14 @@
     except (msgspec.DecodeError, ValueError) as error:
         return failure.Failure("bad-keys", str(error))
     if not keys or len(secrets) < len(keys):
-        return failure.Failure("bad-keys", "give keys with different ids")
+        return failure.Failure(
+            "bad-keys", "give at least one key, each with its own id"
+        )
     for key_id, secret in secrets.items():
         if not key_id or not key_id.isascii() or not key_id.isprintable():
-            return failure.Failure("bad-keys", f"bad key id {key_id!r}")
+            return failure.Failure(
+                "bad-keys", f"key id {key_id!r}: use printable ASCII characters"
+            )
         if " " in key_id or len(secret) < MIN_SECRET_BYTES:
             return failure.Failure(
                 "bad-keys",
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -1,4 +1,4 @@
-"""Messages that carry targets and documents to other hosts as changes."""
+"""Messages that carry changes of targets and documents to other hosts."""
 
 import msgspec
 
@@ -8,14 +8,15 @@
 
 
 class SyncRequest(msgspec.Struct, frozen=True, tag="sync-request"):
-    """A host asks for what it lacks, and for changes to come.
+    """Request for the changes that the sender lacks and for those to come.
 
     Attributes:
-        run: Run of the receiver that the sender followed; empty for none.
+        run: Run of the receiver that the sender holds changes of; empty for
+            none.
         position: Last change of that run that the sender holds.
         number: Number of the document that the sender holds.
         is_control: Whether the sender is a control host.
-        is_first: Whether the sender has just started and holds nothing.
+        is_first: Whether the sender has just started and holds no document.
     """
 
     run: str
@@ -26,14 +27,14 @@
 
 
 class RouteChange(msgspec.Struct, frozen=True, array_like=True):
-    """A route as entry hosts need it.
+    """A route in the form that entry hosts use.
 
     Attributes:
         address: Service address.
         port: Service port.
         shares: Services with weights; empty for a removed route.
         kind: Whether its requests may be repeated.
-        timeout_ms: Time that its requests have, in milliseconds.
+        timeout_ms: Timeout of its requests, in milliseconds.
     """
 
     address: str
@@ -44,14 +45,15 @@
 
 
 class DocumentUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Routes that changed after a number.
+    """Routes that changed after a document.
 
     Attributes:
-        base: Fits on documents with this number and later ones; 0 stands for
+        base: Number of the oldest document that the update applies to; 0 for
             a whole document.
-        number: Number that it leads to.
+        number: Number of the document after the update.
         routes: The routes that changed.
-        idle_timeout_ms: Time after which an idle flow may be forgotten.
+        idle_timeout_ms: Time after which an idle flow may expire, in
+            milliseconds.
     """
 
     base: int
@@ -61,17 +63,17 @@
 
 
 class SyncUpdate(msgspec.Struct, frozen=True, tag="sync-update"):
-    """What changed at a control host.
+    """Changes at a control host.
 
     Attributes:
-        run: Run of the sender; a restart begins another.
-        base: Last change that the receiver must hold; 0 for all.
-        position: Last change that the update holds.
+        run: Run of the sender; each start begins a new one.
+        base: Last change that the receiver must hold; 0 for all changes.
+        position: Last change in the update.
         is_settled: Whether the sender has run for long enough to know all
             targets that announce themselves.
         targets: Targets that changed.
         controls: Control hosts that the sender knows; empty if unchanged.
-        document: What changed in the document, if anything.
+        document: Changes of the document, if any.
     """
 
     run: str
@@ -84,7 +86,7 @@
 
 
 class AnnouncementAges(msgspec.Struct, frozen=True, tag="heard"):
-    """A control host tells the others whose announcements reached it.
+    """Ages of the announcements that a control host received directly.
 
     Attributes:
         ages_ms: Milliseconds since the last announcement, by target name.
@@ -94,7 +96,7 @@
 
 
 class SuspectTargets(msgspec.Struct, frozen=True, tag="doubt"):
-    """Targets that a host found dead, for others to ask themselves.
+    """Targets that a host found dead, for other hosts to probe.
 
     Attributes:
         targets: Names of the targets.
@@ -104,11 +106,11 @@
 
 
 class ControlHello(msgspec.Struct, frozen=True, tag="control-hello"):
-    """A control host names itself to the others.
+    """Introduces a control host to the others.
 
     Attributes:
         incarnation: Identifier of its data folder.
-        known: Control hosts that the sender heard lately.
+        known: Control hosts known to the sender to be alive.
     """
 
     incarnation: str
--- a/packages/core/src/tamarack_core/target_announcement.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -1,4 +1,4 @@
-"""What targets announce of themselves, as control and entry hosts keep it."""
+"""Announcements of targets, as control and entry hosts store them."""
 
 import enum
 
@@ -8,7 +8,7 @@
 
 
 class Phase(enum.IntEnum):
-    """Where a target is in its life; a later phase never goes back."""
+    """Phase in the life of a target; it never returns to an earlier one."""
 
     READY = 0
     DRAINING = 1
@@ -18,18 +18,18 @@
 class Announcement(msgspec.Struct, frozen=True, array_like=True):
     """One announcement of a target.
 
-    A target that starts again under its name has a later birth, and nothing
-    of its earlier life holds for it.
+    A target that restarts under its name has a later start time, which makes
+    all earlier announcements under that name void.
 
     Attributes:
         name: Name of the target, unique at any moment.
-        born_ms: Wall-clock time of its start in milliseconds; compared only
-            with that of the same name or address.
+        born_ms: Start time of the target by its wall clock, in milliseconds;
+            compared only with that of the same name or address.
         sequence: Number that rises with each announcement since its start.
         service: Service that it belongs to.
-        endpoint: Address and port at which it takes packets.
+        endpoint: Address and port at which it receives packets.
         domain: Failure domain.
-        slots: Requests that it runs at once.
+        slots: Requests that it runs concurrently.
         phase: Ready, draining or gone.
         cold_ms: Time for which it is still slow, in milliseconds.
     """
@@ -46,16 +46,16 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Orders the announcements of one name."""
+        """Key that orders the announcements of one name."""
         return (self.born_ms, self.sequence)
 
 
 class KnownTarget(msgspec.Struct, frozen=True, array_like=True):
-    """A target as a control host sees it.
+    """A target as known to a control host.
 
     Attributes:
         target: Its newest announcement.
-        is_overdue: Whether no control host has heard of it for too long.
+        is_overdue: Whether its announcements are overdue at all control hosts.
     """
 
     target: Announcement
--- a/packages/core/src/tamarack_core/timeline.py
+++ b/packages/core/src/tamarack_core/timeline.py
@@ -1,4 +1,4 @@
-"""Time line: events of all hosts in one order that respects causality."""
+"""Time line: events of all hosts in an order that respects causality."""
 
 from collections.abc import Iterable
 
@@ -21,13 +21,13 @@
     """Hybrid logical clock of one host.
 
     Attributes:
-        latest: Last stamp given out or received.
+        latest: Last stamp issued or received.
     """
 
     __slots__ = ("latest",)
 
     def __init__(self) -> None:
-        """Starts at the epoch; the first `tick` moves to wall time."""
+        """Initializes the clock at the epoch; the first `tick` moves it."""
         self.latest = Stamp(0, 0)
 
     def tick(self, wall_ms: int) -> Stamp:
@@ -43,7 +43,7 @@
         return self.latest
 
     def observe(self, remote: Stamp) -> None:
-        """Moves past a stamp received from another host."""
+        """Advances to a stamp received from another host."""
         self.latest = max(self.latest, remote)
 
 
@@ -60,7 +60,7 @@
         version: Configuration version concerned, if any.
         verdict: Outcome of the request concerned, if any.
         reason: Constant name of the cause, if any.
-        detail: Sentence for an operator.
+        detail: Message for an operator.
     """
 
     stamp: Stamp
@@ -76,5 +76,5 @@
 
 
 def encode(entries: Iterable[Entry]) -> bytes:
-    """Returns entries as JSON, as hosts answer with them."""
+    """Returns entries as JSON, the form in which hosts respond with them."""
     return msgspec.json.encode(list(entries))
--- a/packages/core/src/tamarack_core/verdict.py
+++ b/packages/core/src/tamarack_core/verdict.py
@@ -1,4 +1,4 @@
-"""Verdict on a request: may it have run at a target?"""
+"""Verdict on a request: whether it may have run at a target."""
 
 import dataclasses
 import enum
@@ -18,14 +18,14 @@
 
     Attributes:
         outcome: Whether the request may have run.
-        reason: Short constant name, fit for a metric label.
+        reason: Short constant name, suitable as a metric label.
     """
 
     outcome: Outcome
     reason: str
 
     def is_safe_to_retry(self) -> bool:
-        """Returns True when a non-idempotent request may be sent again."""
+        """Returns whether a non-idempotent request may be sent again."""
         return self.outcome is Outcome.NOT_RUN
 
 
@@ -35,10 +35,10 @@
 
 
 def may_have_run(reason: str) -> Verdict:
-    """Returns the verdict that payload has left for a target."""
+    """Returns the verdict that payload was sent to a target."""
     return Verdict(Outcome.MAY_HAVE_RUN, reason)
 
 
 def unknown(reason: str) -> Verdict:
-    """Returns the verdict for a request whose progress was not seen."""
+    """Returns the verdict for a request whose progress was not observed."""
     return Verdict(Outcome.UNKNOWN, reason)
