--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -56,8 +56,8 @@
         pending: Flows whose last request has no reply.
     """
 
-    liveness: target_liveness.Liveness
-    domain_liveness: target_liveness.Liveness
+    liveness: target_liveness.TargetLiveness
+    domain_liveness: target_liveness.TargetLiveness
     flows: int = 0
     pending: int = 0
 
@@ -107,7 +107,7 @@
         """Initializes an empty flow tracker."""
         self.flows: dict[flow_packets.FlowKey, Flow] = {}
         self.targets: dict[str, TargetActivity] = {}
-        self.domains: dict[str, target_liveness.Liveness] = {}
+        self.domains: dict[str, target_liveness.TargetLiveness] = {}
         self.responsive: dict[str, None] = {}
         self.last_event_s = float("inf")
 
@@ -133,11 +133,11 @@
             name = entry.target.domain
             domain = self.domains.get(name)
             if domain is None:
-                domain = self.domains[name] = target_liveness.Liveness(
+                domain = self.domains[name] = target_liveness.TargetLiveness(
                     target_liveness.DOMAIN
                 )
             activity = TargetActivity(
-                target_liveness.Liveness(target_liveness.TARGET), domain
+                target_liveness.TargetLiveness(target_liveness.TARGET), domain
             )
             self.targets[entry.target.name] = activity
         return activity
--- a/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
@@ -51,7 +51,7 @@
 reply, so less time is needed."""
 
 
-class Liveness(msgspec.Struct):
+class TargetLiveness(msgspec.Struct):
     """Stalled flows of one target or failure domain.
 
     Attributes:
