--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -16,7 +16,7 @@
 from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_table
 
-MESSAGES = envelopes.Codec(envelopes.Envelope[sync.Message])
+CODEC = envelopes.Codec(envelopes.Envelope[sync.Message])
 """Codec for the messages that an entry host sends and receives."""
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -2,9 +2,9 @@
 
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
-from tamarack_core import outside
 from tamarack_core import reducer
 from tamarack_core.internal.cookie import failure_detector
 from tamarack_core.internal.cookie import flow_rejection
@@ -93,7 +93,7 @@
             events.StopRequested: self.handle_stop,
             TIMER: self.handle_timer,
             "linger": self.handle_linger_end,
-            outside.ReadReadiness: self.handle_read_readiness,
+            external_requests.ReadReadiness: self.handle_read_readiness,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -149,7 +149,11 @@
     ) -> list[effects.Effect]:
         """Responds whether the fabric may send packets to this host."""
         is_ready = self.subscription.is_synced and not self.is_stopping
-        return [effects.Respond(event.request_id, outside.Readiness(is_ready))]
+        return [
+            effects.Respond(
+                event.request_id, external_requests.Readiness(is_ready)
+            )
+        ]
 
     def handle_datagram(
         self, event: events.DatagramArrived
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -22,7 +22,7 @@
         timeout_s: Timeout of its requests, in seconds.
     """
 
-    shares: tuple[documents.Share, ...]
+    shares: tuple[documents.WeightedService, ...]
     total: int
     kind: documents.WorkKind
     timeout_s: float
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -3,11 +3,11 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
-from tamarack_core import outside
+from tamarack_core import external_requests
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core import target_announcement
-from tamarack_core.internal.group import contacts as contacts_lib
+from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import target_registry
 
@@ -40,7 +40,7 @@
         context: Identity, random generator, clocks and counters of the host.
         registry: Announced targets.
         publisher: Pushes changes to subscribers.
-        contacts: The other control hosts.
+        directory: The other control hosts.
         restorable: Encoded targets that an earlier start saved, if any.
         positions: Run and last known position of each other control host.
         unreported_s: Time of the last announcement to this host, in seconds,
@@ -54,8 +54,8 @@
 
     __slots__ = (
         "ages_sent_s",
-        "contacts",
         "context",
+        "directory",
         "positions",
         "publisher",
         "registry",
@@ -72,7 +72,7 @@
         context: context_lib.Context,
         registry: target_registry.TargetRegistry,
         publisher: publishers.Publisher,
-        contacts: contacts_lib.Contacts,
+        directory: host_directory.ControlHostDirectory,
         restorable: bytes | None,
     ) -> None:
         """Initializes the announcement receiver.
@@ -82,13 +82,13 @@
                 host.
             registry: Announced targets.
             publisher: Pushes changes to subscribers.
-            contacts: The other control hosts.
+            directory: The other control hosts.
             restorable: Encoded targets that an earlier start saved, if any.
         """
         self.context = context
         self.registry = registry
         self.publisher = publisher
-        self.contacts = contacts
+        self.directory = directory
         self.positions: dict[str, tuple[str, int]] = {}
         self.unreported_s: dict[str, float] = {}
         self.ages_sent_s = float("-inf")
@@ -103,8 +103,8 @@
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_tick,
-            outside.AnnounceTarget: self.handle_announce,
-            outside.WithdrawTarget: self.handle_withdraw,
+            external_requests.AnnounceTarget: self.handle_announce,
+            external_requests.WithdrawTarget: self.handle_withdraw,
             sync.SyncUpdate: self.handle_update,
             sync.AnnouncementAges: self.handle_ages,
         }
@@ -130,7 +130,7 @@
     ) -> list[effects.Effect]:
         """Applies an announcement, and pushes what changed."""
         request = event.request
-        assert isinstance(request, outside.AnnounceTarget)
+        assert isinstance(request, external_requests.AnnounceTarget)
         target = request.target
         is_changed = self.registry.put(event.now_s, target)
         held = self.registry.records.get(target.name)
@@ -140,7 +140,9 @@
         if is_changed:
             result.append(self._record(event.now_s, target))
             result += self.publisher.push(event.now_s)
-        response = outside.TargetNoted(self._control_address(target))
+        response = external_requests.TargetAcknowledged(
+            self._control_address(target)
+        )
         result.append(effects.Respond(event.request_id, response))
         return result
 
@@ -158,8 +160,8 @@
     ) -> list[effects.Effect]:
         """Marks a target as gone, and pushes the change."""
         request = event.request
-        assert isinstance(request, outside.WithdrawTarget)
-        response = outside.TargetNoted()
+        assert isinstance(request, external_requests.WithdrawTarget)
+        response = external_requests.TargetAcknowledged()
         effect = effects.Respond(event.request_id, response)
         self.unreported_s.pop(request.name, None)
         if not self.registry.withdraw(
@@ -188,7 +190,7 @@
             self.saved_position = self.registry.position
             self.saved_s = now_s
             result.append(effects.SaveTargets(self.registry.encode()))
-        others = self.contacts.others()
+        others = self.directory.others()
         if now_s - self.ages_sent_s >= AGES_INTERVAL_S:
             result += self._broadcast_ages(now_s)
         if now_s - self.sync_sent_s >= SYNC_INTERVAL_S:
@@ -217,7 +219,7 @@
         message = sync.AnnouncementAges(ages_ms)
         return [
             effects.SendMessage(peer, message)
-            for peer in self.contacts.others()
+            for peer in self.directory.others()
         ]
 
     def _sync_request(self, host: str) -> sync.SyncRequest:
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -27,8 +27,8 @@
 
     def put(self, document: documents.Document) -> None:
         """Adds the document that directly follows the one held."""
-        before = {route.place: route for route in self.document.routes}
-        after = {route.place: route for route in document.routes}
+        before = {route.endpoint: route for route in self.document.routes}
+        after = {route.endpoint: route for route in document.routes}
         for endpoint in before.keys() | after.keys():
             if before.get(endpoint) != after.get(endpoint):
                 self.changed_at[endpoint] = document.number
@@ -46,7 +46,7 @@
         self.document = document
         self.horizon = document.number
         self.changed_at = {
-            route.place: document.number for route in document.routes
+            route.endpoint: document.number for route in document.routes
         }
 
     def _trim_removed(
@@ -71,10 +71,10 @@
         routes = [
             _route_change(route)
             for route in document.routes
-            if is_whole or self.changed_at[route.place] > number
+            if is_whole or self.changed_at[route.endpoint] > number
         ]
         if not is_whole:
-            present = {route.place for route in document.routes}
+            present = {route.endpoint for route in document.routes}
             routes += [
                 _route_removal(endpoint)
                 for endpoint, changed in self.changed_at.items()
