--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -293,7 +293,7 @@
             names = {known.target.name for known in update.targets}
             result += [
                 self._record_target(now_s, entry)
-                for entry in self.targets.mark_overdue(names)
+                for entry in self.targets.mark_missing_overdue(names)
             ]
         if update.run != self.run:
             self.run = update.run
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -149,11 +149,12 @@
             if self.by_tag.get(entry.tag) is entry:
                 del self.by_tag[entry.tag]
 
-    def mark_overdue(self, names: set[str]) -> list[TargetEntry]:
+    def mark_missing_overdue(self, names: set[str]) -> list[TargetEntry]:
         """Marks the targets overdue that a control host does not know.
 
         This is weak evidence, as the control host may have been suspended when
-        the target started. The target keeps its flows.
+        the target started. New flows prefer other targets; the target keeps
+        its open flows.
 
         Args:
             names: Names of the targets that the control host knows.
