--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -1,46 +1,47 @@
-"""Which routes changed with which number of the document."""
+"""History of routes: the document number at which each route last changed."""
 
 from tamarack_core import documents
 from tamarack_core import sync
 
 MAX_REMOVED = 2_000
-"""Removed routes that are remembered; older ones force a whole document."""
+"""Number of removed routes that are kept. A host that holds a document from
+before the removal of an older one is sent the whole document."""
 
 
 class RouteHistory:
-    """Finds what a host lacks that holds an earlier document.
+    """Finds the changes for hosts that hold an earlier document.
 
     Attributes:
         document: The document in force.
-        changed_at: Number with which each place changed last.
-        horizon: Changes before this number are not known.
+        changed_at: Number of the document in which each endpoint last changed.
+        horizon: Number of the oldest document from which changes are known.
     """
 
     __slots__ = ("changed_at", "document", "horizon")
 
     def __init__(self) -> None:
-        """Holds no document."""
+        """Initializes a history without a document."""
         self.document = documents.Document(0)
         self.changed_at: dict[tuple[str, int], int] = {}
         self.horizon = 0
 
     def put(self, document: documents.Document) -> None:
-        """Takes the document that follows on the one held."""
+        """Adds the document that directly follows the one held."""
         before = {route.endpoint: route for route in self.document.routes}
         after = {route.endpoint: route for route in document.routes}
-        for place in before.keys() | after.keys():
-            if before.get(place) != after.get(place):
-                self.changed_at[place] = document.number
+        for endpoint in before.keys() | after.keys():
+            if before.get(endpoint) != after.get(endpoint):
+                self.changed_at[endpoint] = document.number
         if self.document.number == 0:
             self.horizon = document.number
         self.document = document
-        self._forget_removed(after)
+        self._trim_removed(after)
 
     def reset_to(self, document: documents.Document) -> None:
-        """Takes a document after others that nobody here has seen.
+        """Adds a document after others that this host has not received.
 
-        A route may have come and gone in between; whoever holds an earlier
-        document gets the whole one.
+        A route may have been added and removed in between, so hosts with an
+        earlier document are sent the whole one.
         """
         self.document = document
         self.horizon = document.number
@@ -48,36 +49,36 @@
             route.endpoint: document.number for route in document.routes
         }
 
-    def _forget_removed(
+    def _trim_removed(
         self, after: dict[tuple[str, int], documents.Route]
     ) -> None:
-        """Forgets the oldest removed places beyond the limit."""
+        """Removes the oldest removed endpoints beyond the limit."""
         removed = sorted(
-            (number, place)
-            for place, number in self.changed_at.items()
-            if place not in after
+            (number, endpoint)
+            for endpoint, number in self.changed_at.items()
+            if endpoint not in after
         )
-        for number, place in removed[:-MAX_REMOVED]:
+        for number, endpoint in removed[:-MAX_REMOVED]:
             self.horizon = max(self.horizon, number)
-            del self.changed_at[place]
+            del self.changed_at[endpoint]
 
     def changes_since(self, number: int) -> sync.DocumentUpdate | None:
-        """Returns what a host with document `number` lacks, or None."""
+        """Returns the changes after document `number`, or None without any."""
         document = self.document
         if number >= document.number:
             return None
         is_whole = number < self.horizon
         routes = [
-            _change(route)
+            _route_change(route)
             for route in document.routes
             if is_whole or self.changed_at[route.endpoint] > number
         ]
         if not is_whole:
             present = {route.endpoint for route in document.routes}
             routes += [
-                _removal(place)
-                for place, changed in self.changed_at.items()
-                if changed > number and place not in present
+                _route_removal(endpoint)
+                for endpoint, changed in self.changed_at.items()
+                if changed > number and endpoint not in present
             ]
         return sync.DocumentUpdate(
             base=0 if is_whole else number,
@@ -87,11 +88,11 @@
         )
 
 
-def _change(route: documents.Route) -> sync.RouteChange:
+def _route_change(route: documents.Route) -> sync.RouteChange:
     return sync.RouteChange(
         route.address, route.port, route.shares, route.kind, route.timeout_ms
     )
 
 
-def _removal(place: tuple[str, int]) -> sync.RouteChange:
-    return sync.RouteChange(*place, (), documents.WorkKind.IDEMPOTENT, 0.0)
+def _route_removal(endpoint: tuple[str, int]) -> sync.RouteChange:
+    return sync.RouteChange(*endpoint, (), documents.WorkKind.IDEMPOTENT, 0.0)
