Reword load balancing and admission control

Comments, docstrings and private names say load, reply, slow start, passive health and load shedding. LoadTable.own, others and forget() are local, remote and remove_host(); PassiveHealth.answer() and fail() are record_handshake() and record_failure(); MAX_EJECTED_SHARE is MAX_EJECTED_FRACTION. The tests follow these names and check the same.

--- a/packages/core/src/tamarack_core/internal/admission/__init__.py
+++ b/packages/core/src/tamarack_core/internal/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Overload: sheds openings before their handshake completes."""
+"""Admission control: load shedding and retry budgets."""
--- a/packages/core/src/tamarack_core/internal/balancing/__init__.py
+++ b/packages/core/src/tamarack_core/internal/balancing/__init__.py
@@ -1,1 +1,1 @@
-"""Choice of a target from the work in flight and the health seen."""
+"""Choice of a target by load and observed health."""
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -1,4 +1,4 @@
-"""Choice of the least loaded target over all hosts of a failure domain."""
+"""Choice of the least loaded target, as seen over all hosts of a domain."""
 
 from collections.abc import Sequence
 
@@ -17,14 +17,15 @@
 from tamarack_core.internal.targets import lease_table
 
 HELD_WEIGHT = 0.01
-"""Weight of a held unit beside an active one when a bounded flow opens."""
+"""Weight of a held work unit relative to an active one for a bounded flow."""
 
 TIE_UNITS = 0.25
-"""Work units within which two loads count as equal."""
+"""Difference in work units up to which two loads count as equal."""
 
 MAX_SLACK_UNITS = 4.0
-"""Work units that a target may be above the least loaded one when broken
-flows are all that a service weighs."""
+"""Work units by which a target may exceed the least loaded one.
+
+The maximum applies to a service that weighs nothing but broken flows."""
 
 _FAILURES = frozenset(
     {
@@ -35,15 +36,15 @@
 
 
 class BalancingChooser:
-    """Gives each flow the target with the least work for its capacity.
+    """Gives each flow the target with the least load for its capacity.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         targets: Announced targets.
-        load_table: Work in flight by target.
-        health: Health by target.
-        slow_start: Capacity of targets that have just started.
-        limiter: Admits openings within the limits.
+        load_table: Load by target.
+        health: Passive health by target.
+        slow_start: Reduces the capacity of targets that have just started.
+        limiter: Admits openings within the leased quota.
         load_shedder: Sheds openings of overloaded services.
         budgets: Retry budget of each service.
     """
@@ -66,13 +67,14 @@
         load_table: load_table_lib.LoadTable,
         limiter: quota_limiter.QuotaLimiter,
     ) -> None:
-        """Creates a chooser.
+        """Initializes the chooser without observations.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             targets: Announced targets.
-            load_table: Work in flight by target.
-            limiter: Admits openings within the limits.
+            load_table: Load by target.
+            limiter: Admits openings within the leased quota.
         """
         self.context = context
         self.targets = targets
@@ -86,35 +88,35 @@
     def choose(
         self, now_s: float, opening: target_choice.Opening
     ) -> target_choice.Choice | target_choice.Refusal:
-        """Returns the target for a connection, or the refusal of it."""
+        """Returns the target for a connection, or why it is refused."""
         port = opening.port
         ready = self.targets.ready(now_s, port.service, len(port.address))
         if not ready:
             return target_choice.Refusal(
                 verdict.not_run(target_choice.NO_READY_TARGET)
             )
-        room = [target for target in ready if self._has_room(target, port)]
-        if not room:
+        available = [target for target in ready if self._has_room(target, port)]
+        if not available:
             return target_choice.Refusal(verdict.not_run("connections-full"))
-        eligible = self.health.eligible(now_s, room)
+        eligible = self.health.eligible(now_s, available)
         if self._must_shed(now_s, port, eligible):
             return target_choice.Refusal(verdict.not_run("overload"))
         refused = self.limiter.admit(now_s, port)
         if refused is not None:
             return target_choice.Refusal(refused)
         target = opening.preferred
-        if target not in room:
-            target = self._pick(now_s, opening, eligible)
+        if target not in available:
+            target = self._pick_least_loaded(now_s, opening, eligible)
         self.load_table.add(now_s, target, port.settings)
         self.load_shedder.add(port)
         self._budget(port.service).add_opening()
         return target_choice.Choice(target)
 
     def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
-        """Returns whether an unanswered opening may go to another target.
+        """Returns whether an opening without a reply may be retried.
 
-        Retries are a fraction of the openings, and there are none while the
-        service sheds openings.
+        The retry goes to another target. Retries are limited to a fraction
+        of the openings, and none is allowed while the service sheds load.
         """
         if self.load_shedder.is_shedding(now_s, port.service):
             return False
@@ -127,7 +129,7 @@
     def observe(
         self, now_s: float, observation: target_choice.Observation
     ) -> None:
-        """Counts a step in the life of a flow."""
+        """Updates load, health and quota by an event of a flow."""
         progress = observation.progress
         target = observation.target
         settings = observation.port.settings
@@ -136,65 +138,75 @@
             self.load_shedder.add(observation.port)
             self.limiter.add(observation.port)
         elif progress is target_choice.Progress.ESTABLISHED:
-            if self.health.answer(now_s, target, observation.elapsed_s):
+            if self.health.record_handshake(
+                now_s, target, observation.elapsed_s
+            ):
                 self.slow_start.restart(now_s, target)
         elif progress is target_choice.Progress.REPLIED:
-            self._answer(now_s, observation)
-        if progress in _FAILURES and self._is_fault(now_s, target):
-            self.health.fail(now_s, target)
+            self._observe_reply(now_s, observation)
+        if progress in _FAILURES and self._is_target_fault(now_s, target):
+            self.health.record_failure(now_s, target)
         if progress in target_choice.FINAL_PROGRESS:
-            answered = progress is target_choice.Progress.CLOSED
-            self.load_table.remove(target, observation.port, answered)
+            has_reply = progress is target_choice.Progress.CLOSED
+            self.load_table.remove(target, observation.port, has_reply)
             self.load_shedder.remove(observation.port)
             self.limiter.remove(observation.port)
 
-    def _answer(
+    def _observe_reply(
         self, now_s: float, observation: target_choice.Observation
     ) -> None:
-        """Counts the first reply on a connection."""
+        """Records the first reply on a connection."""
         port = observation.port
         targets = self.targets.ready(now_s, port.service, len(port.address))
         has_queue = self._active(now_s, targets) > self._slots(targets)
         self.load_shedder.record_reply(port, observation.elapsed_s, has_queue)
-        self.load_table.answer(now_s, observation.target, port.settings)
+        self.load_table.record_reply(now_s, observation.target, port.settings)
 
     def _must_shed(
         self, now_s: float, port: lookup.ServicePort, targets: list[bytes]
     ) -> bool:
-        """Returns whether the service is overloaded for this opening."""
+        """Returns whether this opening must be refused because of overload."""
         active = self._active(now_s, targets)
         slots = self._slots(targets)
         return self.load_shedder.must_shed(now_s, port, active, slots)
 
     def _active(self, now_s: float, targets: Sequence[bytes]) -> float:
-        """Returns the work units that occupy slots of some targets."""
+        """Returns the sum of the active work units of some targets."""
         return sum(self.load_table.active(now_s, target) for target in targets)
 
     def _slots(self, targets: Sequence[bytes]) -> float:
-        """Returns the work units that some targets run at once."""
+        """Returns the sum of the slots of some targets."""
         entries = (self.targets.targets[target] for target in targets)
         return float(sum(entry.announcement.slots for entry in entries))
 
-    def _is_fault(self, now_s: float, target: bytes) -> bool:
-        """Returns False for a target that refuses since it is full."""
-        held = self.targets.targets.get(target)
-        slots = held.announcement.slots if held else 1
+    def _is_target_fault(self, now_s: float, target: bytes) -> bool:
+        """Returns whether a failed opening counts against the health.
+
+        A target with more load than slots refuses openings because it is
+        full, which is no fault.
+        """
+        lease = self.targets.targets.get(target)
+        slots = lease.announcement.slots if lease else 1
         return self.load_table.active(now_s, target) <= slots
 
     def _has_room(self, target: bytes, port: lookup.ServicePort) -> bool:
-        """Returns whether a target can hold one more connection."""
+        """Returns whether a target has room for one more connection.
+
+        The announced number of connections limits the long-lived ones.
+        """
         announcement = self.targets.targets[target].announcement
         cost = port.settings.cost
         held = self.load_table.held(target) / cost if cost else 0.0
         return held < announcement.connections
 
-    def _pick(
+    def _pick_least_loaded(
         self, now_s: float, opening: target_choice.Opening, targets: list[bytes]
     ) -> bytes:
-        """Returns a target with little work for its capacity.
+        """Returns a target with low load for its capacity.
 
-        Among targets that count as equal the default one is taken: a flow at
-        its default target survives the loss of every host that knows of it.
+        Among targets whose loads count as equal, the one with the highest
+        hash weight is chosen, the default target of the flow. A flow at its
+        default target survives the loss of every host that knows the flow.
         """
         loads = self._loads(now_s, opening.port, targets)
         capacities = self._capacities(now_s, targets)
@@ -203,19 +215,21 @@
             (load + slack) / capacity
             for load, capacity in zip(loads, capacities, strict=True)
         )
-        low = [
+        candidates = [
             target
             for target, load, capacity in zip(
                 targets, loads, capacities, strict=True
             )
             if load / capacity <= bound
         ]
-        return max(low, key=lambda target: hashing.weight(opening.flow, target))
+        return max(
+            candidates, key=lambda target: hashing.weight(opening.flow, target)
+        )
 
     def _loads(
         self, now_s: float, port: lookup.ServicePort, targets: Sequence[bytes]
     ) -> list[float]:
-        """Returns the work units at each target that count for a flow."""
+        """Returns the load of each target, weighted for the work class."""
         bounded = port.settings.lifetime is configuration.Lifetime.BOUNDED
         weight = HELD_WEIGHT if bounded else 1.0
         return [
@@ -246,13 +260,15 @@
 
 
 def _slack(weights: configuration.Weights) -> float:
-    """Returns the work units that the default target may be above the least.
+    """Returns the work units by which the default target may exceed others.
+
+    The others are the least loaded ones.
 
-    A service that weighs broken flows more than imbalance keeps more flows
+    A service that weighs broken flows higher than imbalance keeps more flows
     at their default targets.
     """
     total = weights.broken_flows + weights.imbalance
     if not total:
         return 0.0
-    lead = (weights.broken_flows - weights.imbalance) / total
-    return MAX_SLACK_UNITS * max(0.0, lead)
+    preference = (weights.broken_flows - weights.imbalance) / total
+    return MAX_SLACK_UNITS * max(0.0, preference)
--- a/packages/core/src/tamarack_core/internal/balancing/health.py
+++ b/packages/core/src/tamarack_core/internal/balancing/health.py
@@ -1,4 +1,4 @@
-"""Health of targets as seen on their connections, with ejection."""
+"""Passive health checks of targets by their connections, with ejection."""
 
 from collections.abc import Sequence
 import dataclasses
@@ -7,37 +7,37 @@
 FAILURES_TO_EJECT = 3
 EJECTION_S = 5.0
 MAX_EJECTION_S = 60.0
-MAX_EJECTED_SHARE = 0.34
-HANDSHAKE_GAIN = 0.2
+MAX_EJECTED_FRACTION = 0.34
+HANDSHAKE_SMOOTHING = 0.2
 SLOW_FACTOR = 3.0
 SLOW_FLOOR_S = 0.002
 MIN_SLOW_CAPACITY = 0.25
-EVIDENCE_S = 10.0
-UNPROVEN_CAPACITY = 0.5
+EVIDENCE_LIFETIME_S = 10.0
+UNHEALTHY_CAPACITY = 0.5
 
 
 @dataclasses.dataclass(slots=True)
-class Health:
-    """What was seen of one target.
+class TargetHealth:
+    """Observed health of one target.
 
     Attributes:
         failures: Failed openings since the last handshake.
-        ejections: Ejections in a row without a handshake between them.
+        ejections: Consecutive ejections without a handshake in between.
         ejected_until_s: Time at which the ejection ends, in seconds.
-        handshake_s: Smoothed duration of a handshake in seconds; 0 if none
-            was seen.
-        answered_s: Time of the last handshake in seconds.
+        handshake_duration_s: Smoothed duration of a handshake in seconds; 0
+            before the first one.
+        last_handshake_s: Time of the last handshake in seconds.
     """
 
     failures: int = 0
     ejections: int = 0
     ejected_until_s: float = float("-inf")
-    handshake_s: float = 0.0
-    answered_s: float = float("-inf")
+    handshake_duration_s: float = 0.0
+    last_handshake_s: float = float("-inf")
 
 
 class PassiveHealth:
-    """Health by target.
+    """Observed health by target.
 
     Attributes:
         targets: Health by packed address.
@@ -46,38 +46,45 @@
     __slots__ = ("targets",)
 
     def __init__(self) -> None:
-        """Creates a book that holds every target to be healthy."""
-        self.targets: dict[bytes, Health] = {}
+        """Initializes the table; unknown targets count as healthy."""
+        self.targets: dict[bytes, TargetHealth] = {}
 
-    def answer(self, now_s: float, target: bytes, elapsed_s: float) -> bool:
-        """Takes note of a completed handshake.
+    def record_handshake(
+        self, now_s: float, target: bytes, elapsed_s: float
+    ) -> bool:
+        """Records a completed handshake, which ends an ejection.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            target: Packed address of the target.
+            elapsed_s: Duration of the handshake in seconds.
 
         Returns:
-            Whether the target comes back from an ejection by it.
+            Whether the target had been ejected.
         """
-        health = self.targets.setdefault(target, Health())
-        came_back = health.ejections > 0
+        health = self.targets.setdefault(target, TargetHealth())
+        was_ejected = health.ejections > 0
         health.failures = 0
         health.ejections = 0
         health.ejected_until_s = float("-inf")
-        health.answered_s = now_s
-        if health.handshake_s:
-            difference_s = elapsed_s - health.handshake_s
-            health.handshake_s += HANDSHAKE_GAIN * difference_s
+        health.last_handshake_s = now_s
+        if health.handshake_duration_s:
+            difference_s = elapsed_s - health.handshake_duration_s
+            health.handshake_duration_s += HANDSHAKE_SMOOTHING * difference_s
         else:
-            health.handshake_s = elapsed_s
-        return came_back
+            health.handshake_duration_s = elapsed_s
+        return was_ejected
 
-    def fail(self, now_s: float, target: bytes) -> bool:
-        """Takes note of an opening without a handshake.
+    def record_failure(self, now_s: float, target: bytes) -> bool:
+        """Records an opening that failed before its handshake completed.
 
-        After an ejection has ended, one more failure ejects again, for twice
-        the time.
+        After an ejection has ended, a single failure ejects the target
+        again, for twice the time.
 
         Returns:
-            Whether the target is ejected by it.
+            Whether this failure ejects the target.
         """
-        health = self.targets.setdefault(target, Health())
+        health = self.targets.setdefault(target, TargetHealth())
         health.failures += 1
         if health.ejected_until_s > now_s:
             return False
@@ -91,8 +98,9 @@
     def eligible(self, now_s: float, targets: Sequence[bytes]) -> list[bytes]:
         """Returns the targets that are not ejected.
 
-        At most `MAX_EJECTED_SHARE` of the targets, and one of two or more,
-        stay ejected; those with the fewest failures are let in beyond it.
+        At most `MAX_EJECTED_FRACTION` of the targets can stay ejected, but
+        one always can if there are two or more. Beyond that limit, the
+        targets with the fewest failures are readmitted.
         """
         ejected = [
             target
@@ -102,24 +110,24 @@
         ]
         if not ejected:
             return list(targets)
-        cap = _ejection_cap(len(targets))
+        limit = _ejection_cap(len(targets))
         ejected.sort(key=lambda target: -self.targets[target].failures)
-        out = set(ejected[:cap])
-        return [target for target in targets if target not in out]
+        excluded = set(ejected[:limit])
+        return [target for target in targets if target not in excluded]
 
     def capacity_factors(
         self, now_s: float, targets: Sequence[bytes], unhealthy: set[bytes]
     ) -> list[float]:
-        """Returns a factor from 0 to 1 on the capacity of each target.
+        """Returns a factor from 0 to 1 for the capacity of each target.
 
         Args:
             now_s: Monotonic time in seconds.
             targets: Targets of one service.
-            unhealthy: Targets whose health endpoint says that they are
-                unhealthy; a recent handshake outweighs it.
+            unhealthy: Targets whose health endpoint reports them as
+                unhealthy; a recent handshake overrides the report.
         """
         known = [self.targets.get(target) for target in targets]
-        seen = [health.handshake_s for health in known if health]
+        seen = [health.handshake_duration_s for health in known if health]
         median_s = statistics.median(filter(None, seen)) if any(seen) else 0.0
         return [
             _factor(now_s, health, median_s, target in unhealthy)
@@ -129,18 +137,21 @@
 
 def _ejection_cap(count: int) -> int:
     """Returns how many of the targets may be ejected at once."""
-    return min(max(1, int(MAX_EJECTED_SHARE * count)), count - 1)
+    return min(max(1, int(MAX_EJECTED_FRACTION * count)), count - 1)
 
 
 def _factor(
-    now_s: float, health: Health | None, median_s: float, unhealthy: bool
+    now_s: float, health: TargetHealth | None, median_s: float, unhealthy: bool
 ) -> float:
-    """Returns the factor on the capacity of one target."""
-    proven = health is not None and now_s - health.answered_s < EVIDENCE_S
-    factor = UNPROVEN_CAPACITY if unhealthy and not proven else 1.0
-    if health is None or health.handshake_s <= SLOW_FLOOR_S:
+    """Returns the factor for the capacity of one target."""
+    has_evidence = (
+        health is not None
+        and now_s - health.last_handshake_s < EVIDENCE_LIFETIME_S
+    )
+    factor = UNHEALTHY_CAPACITY if unhealthy and not has_evidence else 1.0
+    if health is None or health.handshake_duration_s <= SLOW_FLOOR_S:
         return factor
     bound_s = SLOW_FACTOR * median_s
-    if median_s and health.handshake_s > bound_s:
-        factor *= max(MIN_SLOW_CAPACITY, bound_s / health.handshake_s)
+    if median_s and health.handshake_duration_s > bound_s:
+        factor *= max(MIN_SLOW_CAPACITY, bound_s / health.handshake_duration_s)
     return factor
--- a/packages/core/src/tamarack_core/internal/balancing/load_reporter.py
+++ b/packages/core/src/tamarack_core/internal/balancing/load_reporter.py
@@ -1,4 +1,4 @@
-"""Reports of work in flight to the other hosts that own flows."""
+"""Reports of the load of targets to the other hosts that own flows."""
 
 from collections.abc import Callable
 import dataclasses
@@ -16,53 +16,56 @@
 
 TIMER = "work-report"
 INTERVAL_S = 0.5
-REPORTS_TO_FULL = 20
-HELD_STEP_SHARE = 0.02
+FULL_REPORT_ROUNDS = 20
+HELD_STEP_FRACTION = 0.02
 ACTIVE_STEP = 0.25
 
 STANDBY_HOSTS = 1
-"""Hosts after the owner group that hold the work in case they join it."""
+"""Hosts next in order after the owner group that also get the reports.
 
-FORGET_S = 30.0
-"""Time after which the work of a host that is gone no longer counts."""
+They know the load already when they become owners."""
+
+ABSENT_HOST_EXPIRY_S = 30.0
+"""Time after which the load of an absent host no longer counts."""
 
 
 @dataclasses.dataclass(slots=True)
-class Sent:
-    """What one service has reported.
+class LastReport:
+    """Last report about the targets of one service.
 
     Attributes:
         hosts: Receivers of the last report.
-        work: Work as last reported, by packed address.
-        round: Number of the last report.
+        loads: Load as last reported, by packed address.
+        rounds: Number of reporting rounds so far.
     """
 
     hosts: frozenset[str] = frozenset()
-    work: dict[bytes, load_table_lib.ReportedLoad] = dataclasses.field(
+    loads: dict[bytes, load_table_lib.ReportedLoad] = dataclasses.field(
         default_factory=dict
     )
-    round: int = 0
+    rounds: int = 0
 
 
 class LoadReporter:
-    """Part that reports changes of work and takes in those of others.
+    """Component that reports load changes and applies those of other hosts.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         config_store: Configuration in force.
-        load_table: Work in flight by target.
+        load_table: Load by target.
         members: Returns the other live entry hosts of the failure domain.
-        sent: What was reported, by service.
-        absent: Time since which a reporting host has been gone, in seconds.
+        last_reports: Last report by service.
+        absent_since_s: Time in seconds since which a reporting host has been
+            absent from the live members, by host.
     """
 
     __slots__ = (
-        "absent",
+        "absent_since_s",
         "config_store",
         "context",
+        "last_reports",
         "load_table",
         "members",
-        "sent",
     )
 
     def __init__(
@@ -72,12 +75,13 @@
         load_table: load_table_lib.LoadTable,
         live_members: Callable[[], tuple[peers.Peer, ...]],
     ) -> None:
-        """Creates the part.
+        """Initializes the load reporter.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             config_store: Configuration in force.
-            load_table: Work in flight by target.
+            load_table: Load by target.
             live_members: Returns the other live entry hosts of the failure
                 domain.
         """
@@ -85,11 +89,11 @@
         self.config_store = config_store
         self.load_table = load_table
         self.members = live_members
-        self.sent: dict[str, Sent] = {}
-        self.absent: dict[str, float] = {}
+        self.last_reports: dict[str, LastReport] = {}
+        self.absent_since_s: dict[str, float] = {}
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_timer,
@@ -102,50 +106,50 @@
         return [effects.StartTimer(TIMER, delay_s)]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Reports the work that has changed."""
+        """Reports the loads that have changed."""
         live = self.members()
-        self._forget_absent(event.now_s, {peer.host for peer in live})
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, INTERVAL_S)]
-        for service, work in self._work_by_service(event.now_s).items():
-            found.extend(self._report(service, work, live))
-        return found
+        self._remove_absent_hosts(event.now_s, {peer.host for peer in live})
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, INTERVAL_S)]
+        for service, loads in self._loads_by_service(event.now_s).items():
+            result.extend(self._report(service, loads, live))
+        return result
 
     def handle_report(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes in the work of another host."""
+        """Applies the loads that another host reports."""
         report = event.message
         assert isinstance(report, balancing.TargetLoadReport)
-        work = [
+        loads = [
             (
                 ip.pack_address(item.address),
                 load_table_lib.ReportedLoad(item.active, item.held),
             )
             for item in report.targets
         ]
-        self.load_table.apply_report(event.sender.host, work)
+        self.load_table.apply_report(event.sender.host, loads)
         return []
 
-    def _work_by_service(
+    def _loads_by_service(
         self, now_s: float
     ) -> dict[str, dict[bytes, load_table_lib.ReportedLoad]]:
-        """Returns the present work of this host by service and target."""
-        found: dict[str, dict[bytes, load_table_lib.ReportedLoad]] = {}
-        for target, work in self.load_table.own.items():
+        """Returns the current load of this host by service and target."""
+        result: dict[str, dict[bytes, load_table_lib.ReportedLoad]] = {}
+        for target, load in self.load_table.local.items():
             service = self.config_store.lookup.find_service(target)
             reported = load_table_lib.ReportedLoad(
-                work.active(now_s), work.held
+                load.active(now_s), load.held
             )
-            found.setdefault(service, {})[target] = reported
-        return found
+            result.setdefault(service, {})[target] = reported
+        return result
 
     def _report(
         self,
         service: str,
-        work: dict[bytes, load_table_lib.ReportedLoad],
+        loads: dict[bytes, load_table_lib.ReportedLoad],
         live: tuple[peers.Peer, ...],
     ) -> list[effects.Effect]:
-        """Reports the work of one service if there is something to say."""
+        """Returns the reports about one service; none without a change."""
         settings = self.config_store.numbered.configuration.services.get(
             service
         )
@@ -153,53 +157,58 @@
             return []
         size = settings.opening_hosts + STANDBY_HOSTS
         group = owner_group.members(service, (self.context.host, *live), size)
-        sent = self.sent.setdefault(service, Sent())
-        sent.round += 1
+        last = self.last_reports.setdefault(service, LastReport())
+        last.rounds += 1
         hosts = frozenset(peer.host for peer in group)
-        full = hosts != sent.hosts or sent.round % REPORTS_TO_FULL == 0
-        sent.hosts = hosts
+        full = hosts != last.hosts or last.rounds % FULL_REPORT_ROUNDS == 0
+        last.hosts = hosts
         changed = {
-            target: units
-            for target, units in work.items()
-            if full or _differs(sent.work.get(target), units)
+            target: load
+            for target, load in loads.items()
+            if full or _is_significant(last.loads.get(target), load)
         }
         if not changed:
             return []
-        sent.work.update(changed)
-        report = balancing.TargetLoadReport(tuple(map(_item, changed.items())))
+        last.loads.update(changed)
+        report = balancing.TargetLoadReport(
+            tuple(map(_to_message, changed.items()))
+        )
         return [
             effects.SendMessage(peer, report)
             for peer in group
             if peer.host != self.context.host.host
         ]
 
-    def _forget_absent(self, now_s: float, live: set[str]) -> None:
-        """Drops the work of hosts that have been gone for `FORGET_S`."""
-        for host in list(self.load_table.others):
+    def _remove_absent_hosts(self, now_s: float, live: set[str]) -> None:
+        """Removes hosts that have been absent for `ABSENT_HOST_EXPIRY_S`."""
+        for host in list(self.load_table.remote):
             if host in live:
-                self.absent.pop(host, None)
-            elif now_s - self.absent.setdefault(host, now_s) > FORGET_S:
-                self.load_table.forget(host)
-                del self.absent[host]
+                self.absent_since_s.pop(host, None)
+            elif (
+                now_s - self.absent_since_s.setdefault(host, now_s)
+                > ABSENT_HOST_EXPIRY_S
+            ):
+                self.load_table.remove_host(host)
+                del self.absent_since_s[host]
 
 
-def _item(
-    work: tuple[bytes, load_table_lib.ReportedLoad],
+def _to_message(
+    item: tuple[bytes, load_table_lib.ReportedLoad],
 ) -> balancing.TargetLoad:
-    """Returns the form of work that is sent."""
-    target, units = work
+    """Returns the load of one target as it is sent."""
+    target, load = item
     return balancing.TargetLoad(
-        ip.format_address(target), round(units.active, 2), round(units.held, 2)
+        ip.format_address(target), round(load.active, 2), round(load.held, 2)
     )
 
 
-def _differs(
+def _is_significant(
     old: load_table_lib.ReportedLoad | None, new: load_table_lib.ReportedLoad
 ) -> bool:
-    """Returns whether a change of work is worth a report."""
+    """Returns whether a load has changed enough to be reported."""
     if old is None:
         return new.active > 0 or new.held > 0
     if abs(new.active - old.active) >= ACTIVE_STEP:
         return True
-    step = max(1.0, HELD_STEP_SHARE * old.held)
+    step = max(1.0, HELD_STEP_FRACTION * old.held)
     return abs(new.held - old.held) >= step
--- a/packages/core/src/tamarack_core/internal/balancing/load_table.py
+++ b/packages/core/src/tamarack_core/internal/balancing/load_table.py
@@ -1,4 +1,4 @@
-"""Work in flight at each target, own and reported by other hosts."""
+"""Load of each target: that of this host and that of the other hosts."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -8,18 +8,19 @@
 from tamarack_core.internal.entry import lookup
 
 OPENING_DECAY_S = 5.0
-"""Time constant after which the opening of a long-lived flow is over."""
+"""Time constant with which the load of an opening long-lived flow decays."""
 
 
 @dataclasses.dataclass(slots=True)
 class LocalLoad:
-    """Work at one target, in work units.
+    """Load that this host puts on one target, in work units.
 
     Attributes:
-        bounded: Bounded connections.
-        opening: Long-lived connections without a reply so far.
-        held: All long-lived connections.
-        decayed_s: Time to which `opening` has decayed, in seconds.
+        bounded: Load of bounded connections.
+        opening: Decaying load of long-lived connections that have had no
+            reply yet.
+        held: Load of all long-lived connections.
+        decayed_s: Time up to which `opening` has been decayed, in seconds.
     """
 
     bounded: float = 0.0
@@ -28,7 +29,11 @@
     decayed_s: float = 0.0
 
     def active(self, now_s: float) -> float:
-        """Returns the units that occupy slots at a time in seconds."""
+        """Returns the work units that occupy slots.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
         elapsed_s = now_s - self.decayed_s
         if self.opening and elapsed_s > 0.0:
             self.opening *= math.exp(-elapsed_s / OPENING_DECAY_S)
@@ -38,118 +43,118 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedLoad:
-    """Work that another host has reported for one target.
+    """Load that another host has reported for one target, in work units.
 
     Attributes:
-        active: Units that occupy slots.
-        held: Units of long-lived connections.
+        active: Load that occupies slots.
+        held: Load of long-lived connections.
     """
 
     active: float
     held: float
 
 
-_NOTHING = ReportedLoad(0.0, 0.0)
+_NO_LOAD = ReportedLoad(0.0, 0.0)
 
 
 class LoadTable:
-    """Work in flight by target.
+    """Load by target.
 
     Attributes:
-        own: Work of this host by packed address.
-        others: Reported work by host and packed address.
+        local: Load of this host by packed address.
+        remote: Reported load by host and packed address.
     """
 
-    __slots__ = ("_active", "_held", "others", "own")
+    __slots__ = ("_active", "_held", "local", "remote")
 
     def __init__(self) -> None:
-        """Creates a book without work."""
-        self.own: dict[bytes, LocalLoad] = {}
-        self.others: dict[str, dict[bytes, ReportedLoad]] = {}
+        """Initializes an empty load table."""
+        self.local: dict[bytes, LocalLoad] = {}
+        self.remote: dict[str, dict[bytes, ReportedLoad]] = {}
         self._active: dict[bytes, float] = {}
         self._held: dict[bytes, float] = {}
 
     def add(
         self, now_s: float, target: bytes, settings: configuration.WorkClass
     ) -> None:
-        """Counts a connection that this host has opened."""
+        """Adds the load of a connection that this host opens."""
         self.take_over(target, settings)
         if settings.lifetime is configuration.Lifetime.BOUNDED:
             return
-        work = self.own[target]
-        work.active(now_s)
-        work.decayed_s = now_s
-        work.opening += settings.cost
+        load = self.local[target]
+        load.active(now_s)
+        load.decayed_s = now_s
+        load.opening += settings.cost
 
     def take_over(
         self, target: bytes, settings: configuration.WorkClass
     ) -> None:
-        """Counts a connection that another host has opened."""
-        work = self.own.setdefault(target, LocalLoad())
+        """Adds the load of a connection that another host opened."""
+        load = self.local.setdefault(target, LocalLoad())
         if settings.lifetime is configuration.Lifetime.BOUNDED:
-            work.bounded += settings.cost
+            load.bounded += settings.cost
         else:
-            work.held += settings.cost
+            load.held += settings.cost
 
-    def answer(
+    def record_reply(
         self, now_s: float, target: bytes, settings: configuration.WorkClass
     ) -> None:
-        """Counts the first reply on a connection."""
-        work = self.own.get(target)
-        if work is None or settings.lifetime is configuration.Lifetime.BOUNDED:
+        """Ends the opening load of a connection at its first reply."""
+        load = self.local.get(target)
+        if load is None or settings.lifetime is configuration.Lifetime.BOUNDED:
             return
-        work.active(now_s)
-        work.opening = max(0.0, work.opening - settings.cost)
+        load.active(now_s)
+        load.opening = max(0.0, load.opening - settings.cost)
 
     def remove(
-        self, target: bytes, port: lookup.ServicePort, answered: bool
+        self, target: bytes, port: lookup.ServicePort, has_reply: bool
     ) -> None:
-        """Counts the end of a connection that this host owned."""
-        work = self.own.get(target)
-        if work is None:
+        """Removes the load of a connection that this host owned."""
+        load = self.local.get(target)
+        if load is None:
             return
         cost = port.settings.cost
         if port.settings.lifetime is configuration.Lifetime.BOUNDED:
-            work.bounded = max(0.0, work.bounded - cost)
+            load.bounded = max(0.0, load.bounded - cost)
             return
-        work.held = max(0.0, work.held - cost)
-        if not answered:
-            work.opening = max(0.0, work.opening - cost)
+        load.held = max(0.0, load.held - cost)
+        if not has_reply:
+            load.opening = max(0.0, load.opening - cost)
 
     def apply_report(
-        self, host: str, work: Iterable[tuple[bytes, ReportedLoad]]
+        self, host: str, loads: Iterable[tuple[bytes, ReportedLoad]]
     ) -> None:
-        """Replaces what another host has reported for some targets.
+        """Replaces the load that another host reported for some targets.
 
         Args:
             host: Name of the host.
-            work: Work by target.
+            loads: Load by packed address of the target.
         """
-        held = self.others.setdefault(host, {})
-        for target, reported in work:
-            self._apply(target, held.get(target, _NOTHING), reported)
-            held[target] = reported
+        known = self.remote.setdefault(host, {})
+        for target, reported in loads:
+            self._apply(target, known.get(target, _NO_LOAD), reported)
+            known[target] = reported
 
-    def forget(self, host: str) -> None:
-        """Drops the work of a host that is gone."""
-        for target, reported in self.others.pop(host, {}).items():
-            self._apply(target, reported, _NOTHING)
+    def remove_host(self, host: str) -> None:
+        """Removes the load that a host reported."""
+        for target, reported in self.remote.pop(host, {}).items():
+            self._apply(target, reported, _NO_LOAD)
 
     def active(self, now_s: float, target: bytes) -> float:
-        """Returns the units that occupy slots of a target."""
-        own = self.own.get(target)
+        """Returns the work units of all hosts that occupy slots of a target."""
+        local = self.local.get(target)
         reported = self._active.get(target, 0.0)
-        return reported + (own.active(now_s) if own else 0.0)
+        return reported + (local.active(now_s) if local else 0.0)
 
     def held(self, target: bytes) -> float:
-        """Returns the units of long-lived connections at a target."""
-        own = self.own.get(target)
-        return self._held.get(target, 0.0) + (own.held if own else 0.0)
+        """Returns the work units of all long-lived connections at a target."""
+        local = self.local.get(target)
+        return self._held.get(target, 0.0) + (local.held if local else 0.0)
 
     def _apply(
         self, target: bytes, old: ReportedLoad, new: ReportedLoad
     ) -> None:
-        """Moves the sums from an old report to a new one."""
+        """Updates the sums over the other hosts by the change of a report."""
         active = self._active.get(target, 0.0) + new.active - old.active
         held = self._held.get(target, 0.0) + new.held - old.held
         self._active[target] = max(0.0, active)
--- a/packages/core/src/tamarack_core/internal/balancing/owner_group.py
+++ b/packages/core/src/tamarack_core/internal/balancing/owner_group.py
@@ -1,7 +1,8 @@
-"""Hosts that own the flows of a service.
+"""Group of hosts that own the flows of a service.
 
-A service with few slots is balanced best by few hosts with exact knowledge,
-so its flows are owned by a group that each host derives from the members.
+A service with few slots is balanced best by few hosts that know the load
+exactly. So a group of hosts owns its flows; each host derives the group from
+the live members by rendezvous hashing.
 """
 
 from collections.abc import Iterable
@@ -19,7 +20,7 @@
 
     Args:
         service: Name of the service.
-        live: Entry hosts of the failure domain that are held to be alive.
+        live: Live entry hosts of the failure domain.
         size: Number of hosts in the group, at least 1.
     """
     ranked = sorted(
--- a/packages/core/src/tamarack_core/messages/balancing.py
+++ b/packages/core/src/tamarack_core/messages/balancing.py
@@ -1,10 +1,10 @@
-"""Messages that spread the work in flight inside a failure domain."""
+"""Messages that report the load of targets inside a failure domain."""
 
 import msgspec
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Work that one host has in flight at one target.
+    """Load that the sender puts on one target.
 
     Attributes:
         address: IP address of the target.
@@ -18,10 +18,10 @@
 
 
 class TargetLoadReport(msgspec.Struct, frozen=True, tag="work"):
-    """Work of the sender that has changed since its last report.
+    """Loads of the sender that have changed since its last report.
 
     Attributes:
-        targets: Work by target.
+        targets: Load of each target that has changed.
     """
 
     targets: tuple[TargetLoad, ...]
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -173,7 +173,7 @@
     def fail(self, health, number, times=health_lib.FAILURES_TO_EJECT):
         """Lets openings at a target fail."""
         for _ in range(times):
-            health.fail(NOW_S, address(number))
+            health.record_failure(NOW_S, address(number))
 
     def test_the_ejected_share_is_capped(self):
         health = health_lib.PassiveHealth()
@@ -181,7 +181,9 @@
         for number in range(1, 8):
             self.fail(health, number)
         left = health.eligible(NOW_S, targets)
-        self.assertEqual(7 - int(health_lib.MAX_EJECTED_SHARE * 7), len(left))
+        self.assertEqual(
+            7 - int(health_lib.MAX_EJECTED_FRACTION * 7), len(left)
+        )
 
     def test_the_last_target_is_never_ejected(self):
         health = health_lib.PassiveHealth()
@@ -194,8 +196,8 @@
         later_s = NOW_S + health_lib.EJECTION_S + 0.1
         targets = [address(1), address(2), address(3)]
         self.assertEqual(targets, health.eligible(later_s, targets))
-        health.fail(later_s, address(1))
+        health.record_failure(later_s, address(1))
         later_s += health_lib.EJECTION_S + 0.1
         self.assertNotIn(address(1), health.eligible(later_s, targets))
-        health.answer(later_s, address(1), 0.001)
+        health.record_handshake(later_s, address(1), 0.001)
         self.assertEqual(targets, health.eligible(later_s, targets))
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -234,7 +234,7 @@
     @stateful.invariant()
     def the_ejected_share_stays_within_the_cap(self):
         now_s = self.ours.queue.now_s
-        most = max(1, int(health_lib.MAX_EJECTED_SHARE * TARGETS))
+        most = max(1, int(health_lib.MAX_EJECTED_FRACTION * TARGETS))
         targets = [
             ip.pack_address(address)
             for address, announcement in self.announced.items()
