Reword the quota leases

Comments and private names say quota, lease, coordinator and demand. The detail of the failure late-request, which nothing emits or matches, says what happened. Usage.share, never encoded, is Usage.quota.

--- a/packages/core/src/tamarack_core/internal/limits/__init__.py
+++ b/packages/core/src/tamarack_core/internal/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Limits over all hosts, held by leased shares."""
+"""Limits over the hosts of all failure domains, enforced by leased quotas."""
--- a/packages/core/src/tamarack_core/internal/limits/ledger.py
+++ b/packages/core/src/tamarack_core/internal/limits/ledger.py
@@ -1,4 +1,4 @@
-"""Ledger of one limit: what is leased out never exceeds the total."""
+"""Ledger of one limit: the sum of its leases never exceeds the total."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -6,11 +6,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
-    """The most that a holder may use until a time.
+    """Maximum that a lease holder may use until a time.
 
     Attributes:
-        amount: The greater of what it held and what it was granted.
-        until_s: Time at which its lease has surely ended, in seconds.
+        amount: Maximum of the amount held before and the amount granted. The
+            holder uses the former until it receives the grant.
+        until_s: Time in seconds by which the lease has ended at the holder,
+            whatever the drift of its clock.
     """
 
     amount: float
@@ -19,11 +21,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """What a holder uses and wants.
+    """Demand of a lease holder.
 
     Attributes:
-        used: What open connections occupy.
-        wanted: What it could use on top of that.
+        used: Amount that open connections occupy.
+        wanted: Amount that the holder could use in addition.
     """
 
     used: float
@@ -34,32 +36,34 @@
     """Leases of one limit.
 
     Attributes:
-        total: What may be leased out in all.
-        is_whole: Whether only whole units count.
+        total: Amount that may be leased out in all.
+        is_whole: Whether the limit is counted in whole units.
         grants: Latest grant of each holder.
-        demands: Latest need of each holder.
+        demands: Latest demand of each holder.
     """
 
     __slots__ = ("demands", "grants", "is_whole", "total")
 
     def __init__(self, total: float, is_whole: bool) -> None:
-        """Creates a ledger with nothing leased out.
+        """Initializes the ledger without grants.
 
         Args:
-            total: What may be leased out in all.
-            is_whole: Whether only whole units count.
+            total: Amount that may be leased out in all.
+            is_whole: Whether the limit is counted in whole units.
         """
         self.total = total
         self.is_whole = is_whole
         self.grants: dict[str, Grant] = {}
         self.demands: dict[str, Demand] = {}
 
-    def outstanding(self, now_s: float, but: str = "") -> float:
-        """Returns what holders may use at a time in seconds.
+    def outstanding(self, now_s: float, excluding: str = "") -> float:
+        """Returns the sum of the grants that have not ended.
+
+        Grants that have ended are removed.
 
         Args:
-            now_s: Time of the keeper in seconds.
-            but: Holder that is left out.
+            now_s: Monotonic time of the coordinator in seconds.
+            excluding: Name of a holder to leave out.
         """
         self.grants = {
             name: grant
@@ -67,74 +71,89 @@
             if grant.until_s > now_s
         }
         amounts = (
-            grant.amount for name, grant in self.grants.items() if name != but
+            grant.amount
+            for name, grant in self.grants.items()
+            if name != excluding
         )
         return sum(amounts)
 
     def lease(
         self, now_s: float, holder: str, held: float, until_s: float
     ) -> float:
-        """Leases out a share by need and returns it.
+        """Leases an amount by demand and returns it.
 
         Args:
-            now_s: Time of the keeper in seconds.
-            holder: Who takes the share.
-            held: What it holds until it takes the share.
-            until_s: Time at which the lease has surely ended, in seconds.
+            now_s: Monotonic time of the coordinator in seconds.
+            holder: Name of the host that gets the lease.
+            held: Amount that the host holds until it receives the lease.
+            until_s: Time in seconds by which the lease has ended at the
+                holder, whatever the drift of its clock.
         """
         free = self.total - self.outstanding(now_s, holder)
-        amount = max(0.0, min(self._share(holder), free))
+        amount = max(0.0, min(self._allotment(holder), free))
         self.grants[holder] = Grant(max(held, amount), until_s)
         return amount
 
     def renew(
         self, now_s: float, holder: str, held: float, until_s: float
     ) -> float:
-        """Renews a share that an earlier keeper has granted.
+        """Renews a lease that an earlier coordinator has granted.
 
         Args:
-            now_s: Time of the keeper in seconds.
-            holder: Who holds the share.
-            held: The share.
-            until_s: Time at which the lease has surely ended, in seconds.
+            now_s: Monotonic time of the coordinator in seconds.
+            holder: Name of the host that holds the lease.
+            held: Amount of the lease.
+            until_s: Time in seconds by which the lease has ended at the
+                holder, whatever the drift of its clock.
         """
         free = self.total - self.outstanding(now_s, holder)
         amount = max(0.0, min(held, free))
         self.grants[holder] = Grant(held, until_s)
         return amount
 
-    def keep_needs(self, config_stores: Iterable[str]) -> None:
-        """Drops the needs of all but the given holders."""
-        kept = set(config_stores)
+    def retain_demands(self, holders: Iterable[str]) -> None:
+        """Removes the demands of all but the given holders."""
+        kept = set(holders)
         self.demands = {
-            name: need for name, need in self.demands.items() if name in kept
+            name: demand
+            for name, demand in self.demands.items()
+            if name in kept
         }
 
-    def _share(self, holder: str) -> float:
-        """Returns the fair share, in whole units where only these count.
+    def _allotment(self, holder: str) -> float:
+        """Returns the fair allotment, in whole units if the limit is.
 
-        Units that are left over go to those who lack the largest parts.
+        The units left after rounding down go to the holders with the largest
+        remainders.
         """
-        fair = self._fair(holder)
+        fair = self._fair_allotment(holder)
         if not self.is_whole:
             return fair
-        parts = {name: self._fair(name) % 1.0 for name in self.demands}
-        floors = sum(self._fair(name) - parts[name] for name in self.demands)
-        left = int(self.total - floors)
-        ranked = sorted(parts, key=lambda name: (-parts[name], name))
-        return fair - parts[holder] + (holder in ranked[: max(0, left)])
+        remainders = {
+            name: self._fair_allotment(name) % 1.0 for name in self.demands
+        }
+        floor_sum = sum(
+            self._fair_allotment(name) - remainders[name]
+            for name in self.demands
+        )
+        remaining = int(self.total - floor_sum)
+        ranked = sorted(remainders, key=lambda name: (-remainders[name], name))
+        return (
+            fair - remainders[holder] + (holder in ranked[: max(0, remaining)])
+        )
 
-    def _fair(self, holder: str) -> float:
-        """Returns the share by need: what is used first, then the wanted.
+    def _fair_allotment(self, holder: str) -> float:
+        """Returns the allotment by demand, which may be a fraction.
 
-        What nobody wants is spread evenly, so that openings after a pause
-        find a share.
+        The used amount comes first, then the wanted amount. What nobody
+        wants is divided evenly, so that openings after an idle period find
+        some quota.
         """
-        need = self.demands[holder]
+        demand = self.demands[holder]
         used = sum(other.used for other in self.demands.values())
         wanted = sum(other.wanted for other in self.demands.values())
         free = max(0.0, self.total - used)
         if wanted > free:
-            return need.used + free * need.wanted / wanted
+            return demand.used + free * demand.wanted / wanted
         spare = (free - wanted) / len(self.demands)
-        return need.used + need.wanted + spare
+        return demand.used + demand.wanted + spare
--- a/packages/core/src/tamarack_core/internal/limits/quota_coordinator.py
+++ b/packages/core/src/tamarack_core/internal/limits/quota_coordinator.py
@@ -1,10 +1,11 @@
-"""Keeper of the limits of a failure domain.
+"""Coordinator that leases the quotas of a failure domain to its hosts.
 
-A keeper grants shares only while more than half of the entry hosts of the
-failure domain promise to ask no other keeper. A new keeper renews what hosts
-report to hold; it leases out the rest once all leases of an earlier keeper
-have ended. So the sum of the shares stays within the limit through deaths
-and partitions, without a disk.
+A coordinator grants leases only while more than half of the entry hosts of
+the failure domain promise to query no other coordinator. A new coordinator
+first only renews the quota that hosts report to hold. It leases out the rest
+once all leases of an earlier coordinator have ended. So the sum of the
+leased quotas stays within the limit in spite of host failures and
+partitions, without persistent state.
 """
 
 from tamarack_core import failure
@@ -15,48 +16,52 @@
 LEASE_S = 4.0
 PROMISE_S = 4.0
 CLOCK_DRIFT = 0.01
-"""Greatest difference between the rates of two clocks."""
+"""Maximum relative difference between the rates of two clocks."""
 
 
 class QuotaCoordinator:
-    """State of a host that others may ask for shares.
+    """State of a host that others may query for quota.
 
     Attributes:
-        configured_hosts: Number of entry hosts of the failure domain.
+        configured_hosts: Number of entry hosts of the failure domain by the
+            settings, whether alive or not.
         promises: Time at which the promise of each host ends, in seconds.
         ledgers: Ledger of each limit.
-        numbers: Number of the last request of each host.
-        since_s: Time since which this host has been the keeper without a
-            break, in seconds; None while it is not.
+        last_numbers: Number of the last request of each host.
+        since_s: Time since which this host has been the coordinator without
+            interruption, in seconds; None while it is not.
         started_s: Time at which this host started, in seconds.
     """
 
     __slots__ = (
         "configured_hosts",
+        "last_numbers",
         "ledgers",
-        "numbers",
         "promises",
         "since_s",
         "started_s",
     )
 
     def __init__(self, configured_hosts: int) -> None:
-        """Creates the state of a host that has not been asked.
+        """Initializes the coordinator without promises.
 
         Args:
-            configured_hosts: Number of entry hosts of the failure domain.
+            configured_hosts: Number of entry hosts of the failure domain by
+                the settings, whether alive or not.
         """
         self.configured_hosts = configured_hosts
         self.promises: dict[str, float] = {}
         self.ledgers: dict[str, ledger_lib.Ledger] = {}
-        self.numbers: dict[str, int] = {}
+        self.last_numbers: dict[str, int] = {}
         self.since_s: float | None = None
         self.started_s = 0.0
 
     def is_coordinator(self, now_s: float) -> bool:
-        """Returns whether this host may grant shares."""
-        promised = sum(until_s > now_s for until_s in self.promises.values())
-        if 2 * promised <= self.configured_hosts:
+        """Returns whether a majority of promises lets this host grant quota."""
+        promise_count = sum(
+            until_s > now_s for until_s in self.promises.values()
+        )
+        if 2 * promise_count <= self.configured_hosts:
             self.since_s = None
             return False
         if self.since_s is None:
@@ -71,43 +76,45 @@
         request: limits.QuotaRequest,
         totals: dict[str, float],
     ) -> limits.QuotaResponse | failure.Failure:
-        """Answers a request, or tells why it is out of date.
+        """Returns the response to a request, or why the request is stale.
 
         Args:
-            now_s: Time of this host in seconds.
-            host: Name of the host that asks.
+            now_s: Monotonic time of this host in seconds.
+            host: Name of the requesting host.
             request: The request.
-            totals: This failure domain's part of each limit.
+            totals: Quota of this failure domain by key of the limit.
         """
-        if request.number <= self.numbers.get(host, 0):
-            return failure.Failure("late-request", f"of {host}")
-        self.numbers[host] = request.number
+        if request.number <= self.last_numbers.get(host, 0):
+            return failure.Failure(
+                "late-request", f"{host} has sent a later request"
+            )
+        self.last_numbers[host] = request.number
         if self.started_s <= request.echo_s <= now_s:
             until_s = request.echo_s + PROMISE_S * (1.0 - CLOCK_DRIFT)
             self.promises[host] = until_s
         is_keeper = self.is_coordinator(now_s)
-        shares: tuple[limits.QuotaLease, ...] = ()
+        leases: tuple[limits.QuotaLease, ...] = ()
         if is_keeper:
-            shares = tuple(
-                self._answer(now_s, host, claim, totals[claim.limit])
+            leases = tuple(
+                self._grant(now_s, host, claim, totals[claim.limit])
                 for claim in request.claims
                 if claim.limit in totals
             )
-        return limits.QuotaResponse(request.number, now_s, is_keeper, shares)
+        return limits.QuotaResponse(request.number, now_s, is_keeper, leases)
 
-    def _answer(
+    def _grant(
         self, now_s: float, host: str, claim: limits.Claim, total: float
     ) -> limits.QuotaLease:
-        """Returns the share that answers a claim."""
+        """Returns the lease that is granted for a claim."""
         ledger = self.ledgers.setdefault(
             claim.limit,
             ledger_lib.Ledger(total, quotas.is_whole(claim.limit)),
         )
         ledger.total = total
-        promised = (
+        promising = (
             name for name, until_s in self.promises.items() if until_s > now_s
         )
-        ledger.keep_needs(promised)
+        ledger.retain_demands(promising)
         ledger.demands[host] = ledger_lib.Demand(claim.used, claim.wanted)
         until_s = now_s + LEASE_S * (1.0 + CLOCK_DRIFT)
         assert self.since_s is not None
--- a/packages/core/src/tamarack_core/internal/limits/quota_lease_manager.py
+++ b/packages/core/src/tamarack_core/internal/limits/quota_lease_manager.py
@@ -1,4 +1,4 @@
-"""Asks the keeper of the failure domain for shares, and answers as one."""
+"""Requests and renews quota leases, and grants them as the coordinator."""
 
 from collections.abc import Callable
 import dataclasses
@@ -25,13 +25,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Promise:
-    """Promise to ask no other keeper.
+    """Promise of this host to query no other coordinator.
 
     Attributes:
-        coordinator: Name of the keeper; empty after a start, when an earlier
-            process of this host may have made a promise.
+        coordinator: Name of the coordinator; empty after a start, when an
+            earlier process of this host may have made a promise.
         until_s: Time at which the promise ends, in seconds.
-        echo_s: Last time that this keeper stated, in its own seconds.
+        echo_s: Last time that this coordinator reported, in seconds of its
+            own clock; negative if none.
     """
 
     coordinator: str
@@ -40,14 +41,14 @@
 
 
 class QuotaLeaseManager:
-    """Part that keeps the shares of this host leased.
+    """Component that keeps the quota of this host leased.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         config_store: Configuration in force.
-        limiter: Admits openings within the shares.
+        limiter: Admits openings within the leased quota.
         members: Returns the other live entry hosts of the failure domain.
-        coordinator: State of this host as a keeper.
+        coordinator: State of this host as a coordinator.
         promise: Promise of this host.
         number: Number of the last request.
         sent_s: Time of the last request in seconds.
@@ -72,12 +73,13 @@
         live_members: Callable[[], tuple[peers.Peer, ...]],
         configured_hosts: int,
     ) -> None:
-        """Creates the part.
+        """Initializes the quota lease manager.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             config_store: Configuration in force.
-            limiter: Admits openings within the shares.
+            limiter: Admits openings within the leased quota.
             live_members: Returns the other live entry hosts of the failure
                 domain.
             configured_hosts: Number of entry hosts of the failure domain by the
@@ -93,7 +95,7 @@
         self.sent_s = 0.0
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_timer,
@@ -102,25 +104,26 @@
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Waits for promises of an earlier process of this host to end."""
+        """Waits out the promises of an earlier process of this host."""
         self.coordinator.started_s = event.now_s
         self.promise = Promise("", event.now_s + quota_coordinator.PROMISE_S)
-        # Numbers must rise over restarts, since a keeper outlives this host.
+        # Numbers must rise across restarts of this host, since the
+        # coordinator remembers the last one.
         self.number = event.wall_ms
         delay_s = self.context.random.random() * INTERVAL_S
         return [effects.StartTimer(TIMER, delay_s)]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Asks the keeper for shares."""
+        """Requests quota from the coordinator."""
         now_s = event.now_s
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, INTERVAL_S)]
-        totals = self._totals()
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, INTERVAL_S)]
+        totals = self._quotas()
         if not totals:
-            return found
+            return result
         peer = self._choose_coordinator()
         if peer.host != self.promise.coordinator:
             if now_s < self.promise.until_s:
-                return found
+                return result
             self.promise = Promise(peer.host, now_s)
         self.promise.until_s = now_s + quota_coordinator.PROMISE_S
         self.number += 1
@@ -129,20 +132,20 @@
             self.number, self.promise.echo_s, self._claims(now_s, totals)
         )
         if peer.host != self.context.host.host:
-            return [*found, effects.SendMessage(peer, request)]
+            return [*result, effects.SendMessage(peer, request)]
         response = self.coordinator.respond(now_s, peer.host, request, totals)
         if isinstance(response, limits.QuotaResponse):
             self._apply(peer.host, response)
-        return found
+        return result
 
     def handle_request(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Answers another host as a keeper."""
+        """Responds to another host as the coordinator."""
         request = event.message
         assert isinstance(request, limits.QuotaRequest)
         response = self.coordinator.respond(
-            event.now_s, event.sender.host, request, self._totals()
+            event.now_s, event.sender.host, request, self._quotas()
         )
         if isinstance(response, failure.Failure):
             self.context.counters[response.reason] += 1
@@ -152,14 +155,14 @@
     def handle_response(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes the shares that the keeper leases to this host."""
+        """Applies the leases that the coordinator grants to this host."""
         response = event.message
         assert isinstance(response, limits.QuotaResponse)
         self._apply(event.sender.host, response)
         return []
 
     def _apply(self, coordinator: str, response: limits.QuotaResponse) -> None:
-        """Takes the shares of a response to the last request."""
+        """Applies the leases of a response, if it is to the last request."""
         if (
             coordinator != self.promise.coordinator
             or response.number != self.number
@@ -169,15 +172,15 @@
         if not response.is_keeper:
             return
         expires_s = self.sent_s + quota_coordinator.LEASE_S
-        for share in response.shares:
-            usage = self.limiter.usage(share.limit)
-            usage.share = share.amount
+        for lease in response.shares:
+            usage = self.limiter.usage(lease.limit)
+            usage.quota = lease.amount
             usage.expires_s = expires_s
 
     def _claims(
         self, now_s: float, totals: dict[str, float]
     ) -> tuple[limits.Claim, ...]:
-        """Returns the claims of this host and ages what it wants."""
+        """Returns the claims of this host and decays its wanted amounts."""
         live = (self.context.host, *self.members())
         claims = []
         for limit in totals:
@@ -185,26 +188,26 @@
             held = usage.valid_quota(now_s)
             wanted = round(usage.wanted, 2)
             usage.wanted *= quota_limiter.DEMAND_DECAY
-            if held or usage.used or wanted or self._owns(limit, live):
+            if held or usage.used or wanted or self._owns_service(limit, live):
                 claim = limits.Claim(limit, held, usage.used, wanted)
                 claims.append(claim)
         return tuple(claims)
 
-    def _owns(self, limit: str, live: tuple[peers.Peer, ...]) -> bool:
-        """Returns whether this host opens the connections of a limit."""
+    def _owns_service(self, limit: str, live: tuple[peers.Peer, ...]) -> bool:
+        """Returns whether this host owns flows of the service of a limit."""
         name = quotas.service_of(limit)
         services = self.config_store.numbered.configuration.services
         group = owner_group.members(name, live, services[name].opening_hosts)
         return self.context.host in group
 
-    def _totals(self) -> dict[str, float]:
-        """Returns this failure domain's part of each limit."""
+    def _quotas(self) -> dict[str, float]:
+        """Returns the quota of this failure domain by key of the limit."""
         return quotas.totals(
             self.config_store.numbered.configuration, self.context.host.domain
         )
 
     def _choose_coordinator(self) -> peers.Peer:
-        """Returns the member with the highest weight."""
+        """Returns the live member with the highest rendezvous weight."""
         return max(
             (self.context.host, *self.members()),
             key=lambda peer: hashlib.blake2b(
--- a/packages/core/src/tamarack_core/internal/limits/quotas.py
+++ b/packages/core/src/tamarack_core/internal/limits/quotas.py
@@ -1,4 +1,4 @@
-"""Limits that the configuration states, and this domain's part of each."""
+"""Configured limits of work classes and the quota of one failure domain."""
 
 from collections.abc import Iterator
 
@@ -9,17 +9,17 @@
 
 
 def is_whole(key: str) -> bool:
-    """Returns whether only whole units of a limit count."""
+    """Returns whether a limit is counted in whole units."""
     return key.endswith(_CONCURRENT)
 
 
 def concurrent_key(port: lookup.ServicePort) -> str:
-    """Returns the key of the limit on open connections of a class."""
+    """Returns the key of the limit on open connections of a work class."""
     return f"{port.service}/{port.work_class}/{_CONCURRENT}"
 
 
 def rate_key(port: lookup.ServicePort) -> str:
-    """Returns the key of the limit on new connections of a class."""
+    """Returns the key of the limit on the opening rate of a work class."""
     return f"{port.service}/{port.work_class}/rate"
 
 
@@ -29,27 +29,28 @@
 
 
 def totals(
-    document: configuration.Configuration, domain: str
+    config: configuration.Configuration, domain: str
 ) -> dict[str, float]:
-    """Returns this failure domain's part of each limit, by key.
+    """Returns the quota of a failure domain for each limit, by key.
 
-    A limit is divided evenly over the failure domains; connections that do
-    not divide go to the first domains in the order of their names.
+    A limit is divided evenly among the failure domains of its service. The
+    remainder of a limit in whole connections goes to the first domains in
+    the order of their names.
 
     Args:
-        document: Configuration in force.
+        config: Configuration in force.
         domain: Name of the failure domain.
     """
     return {
-        key: _part(key, limit, service, domain)
-        for key, limit, service in _limits(document)
+        key: _domain_quota(key, limit, service, domain)
+        for key, limit, service in _configured_quotas(config)
     }
 
 
-def _part(
+def _domain_quota(
     key: str, limit: float, service: configuration.Service, domain: str
 ) -> float:
-    """Returns one part of a limit; whole connections stay whole."""
+    """Returns the quota of a domain; whole connections stay whole."""
     domains = sorted(service.failure_domains) or [domain]
     if domain not in domains:
         return 0.0
@@ -59,11 +60,11 @@
     return float(each + (1 if domains.index(domain) < rest else 0))
 
 
-def _limits(
-    document: configuration.Configuration,
+def _configured_quotas(
+    config: configuration.Configuration,
 ) -> Iterator[tuple[str, float, configuration.Service]]:
-    """Yields key, amount and service of each limit."""
-    for name, service in document.services.items():
+    """Yields key, amount and service of each configured limit."""
+    for name, service in config.services.items():
         for class_name, work_class in service.classes.items():
             prefix = f"{name}/{class_name}"
             if work_class.max_concurrent:
--- a/packages/core/src/tamarack_core/messages/limits.py
+++ b/packages/core/src/tamarack_core/messages/limits.py
@@ -1,16 +1,16 @@
-"""Messages that lease shares of limits to the hosts of a failure domain."""
+"""Messages that lease quota of limits to the hosts of a failure domain."""
 
 import msgspec
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True):
-    """What a host uses and wants of one limit.
+    """Quota of one limit that a host holds, uses and wants.
 
     Attributes:
         limit: Key of the limit.
-        held: Share that the host holds now.
-        used: Part of it that open connections occupy.
-        wanted: What it could use on top of that.
+        held: Leased quota that the host holds now.
+        used: Amount that open connections occupy.
+        wanted: Amount that the host could use in addition.
     """
 
     limit: str
@@ -20,13 +20,13 @@
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, tag="share-request"):
-    """The sender asks its keeper for shares, and promises to ask no other.
+    """Request for quota; the sender promises to query no other coordinator.
 
     Attributes:
         number: Number that rises with each request of the sender's process.
-        echo_s: Keeper's time in the last response of this keeper, in
-            seconds; negative if there was none. The promise lasts for
-            `PROMISE_S` after it at least.
+        echo_s: Time in the last response of this coordinator, in seconds of
+            its clock; negative if there was none. The promise lasts for at
+            least `PROMISE_S` after it.
         claims: The claims.
     """
 
@@ -36,11 +36,11 @@
 
 
 class QuotaLease(msgspec.Struct, frozen=True, array_like=True):
-    """A leased share of one limit.
+    """Leased quota of one limit.
 
     Attributes:
         limit: Key of the limit.
-        amount: Connections, or connections a second.
+        amount: Connections, or connections per second.
     """
 
     limit: str
@@ -48,14 +48,15 @@
 
 
 class QuotaResponse(msgspec.Struct, frozen=True, tag="share-response"):
-    """Answer of the keeper.
+    """Response of the coordinator to a `QuotaRequest`.
 
     Attributes:
         number: Number of the request.
-        time_s: Keeper's monotonic time in seconds.
-        is_keeper: Whether the sender may grant shares at present; if not,
-            the receiver's shares stay as they are until their leases end.
-        shares: Shares in place of all that the receiver holds.
+        time_s: Monotonic time of the coordinator in seconds.
+        is_keeper: Whether the sender may grant quota at present; if not, the
+            leases of the receiver stay as they are until they end.
+        shares: Leases in place of all that the receiver holds for the same
+            limits.
     """
 
     number: int
