--- a/packages/core/src/tamarack_core/internal/membership/dissemination.py
+++ b/packages/core/src/tamarack_core/internal/membership/dissemination.py
@@ -1,4 +1,4 @@
-"""Spread of membership changes on messages that are sent anyway."""
+"""Dissemination of membership changes, piggybacked on probes and acks."""
 
 import math
 
@@ -6,20 +6,21 @@
 from tamarack_core.messages import membership
 
 UPDATES_PER_MESSAGE = 3
-SPREAD_FACTOR = 3
+RETRANSMIT_FACTOR = 3
 
 
 class Dissemination:
-    """Changes that still have to be passed on.
+    """Queue of membership changes to disseminate.
 
     Attributes:
-        remaining: Number of messages that a change still rides on, by host.
+        remaining: Number of messages that are yet to carry the state of a
+            member, by host name.
     """
 
     __slots__ = ("remaining",)
 
     def __init__(self) -> None:
-        """Creates an empty queue."""
+        """Initializes an empty queue."""
         self.remaining: dict[str, int] = {}
 
     def add(self, host: str, members: int) -> None:
@@ -27,20 +28,23 @@
 
         Args:
             host: Name of the member that changed.
-            members: Number of members, which sets how often it is passed on.
+            members: Number of members, which determines how often the state
+                is sent.
         """
-        self.remaining[host] = SPREAD_FACTOR * math.ceil(math.log2(members + 2))
+        self.remaining[host] = RETRANSMIT_FACTOR * math.ceil(
+            math.log2(members + 2)
+        )
 
-    def take(
+    def select_updates(
         self, known: view.MembershipView, receiver: str
     ) -> tuple[membership.Update, ...]:
-        """Returns the changes that ride on the next message.
+        """Returns the updates that the next message carries.
 
-        A receiver that is not held to be alive is told so first, so that it
-        can refute.
+        If the receiver is not alive in the view, its own state comes first,
+        so that it can refute it.
 
         Args:
-            known: View of this host.
+            known: View of the members at this host.
             receiver: Name of the host that the message goes to.
         """
         chosen = sorted(
@@ -49,18 +53,18 @@
             reverse=True,
         )[:UPDATES_PER_MESSAGE]
         for host in chosen:
-            self._count(host)
-        about_receiver = known.members.get(receiver)
+            self._count_transmission(host)
+        receiver_member = known.members.get(receiver)
         if (
-            about_receiver is not None
-            and about_receiver.state is not membership.State.ALIVE
+            receiver_member is not None
+            and receiver_member.state is not membership.State.ALIVE
             and receiver not in chosen
         ):
             chosen = [receiver, *chosen[: UPDATES_PER_MESSAGE - 1]]
         return tuple(known.members[host].to_update() for host in chosen)
 
-    def _count(self, host: str) -> None:
-        """Counts one message that carries a change."""
+    def _count_transmission(self, host: str) -> None:
+        """Counts one message that carries the state of a member."""
         self.remaining[host] -= 1
         if not self.remaining[host]:
             del self.remaining[host]
--- a/packages/core/src/tamarack_core/internal/membership/host_membership.py
+++ b/packages/core/src/tamarack_core/internal/membership/host_membership.py
@@ -1,4 +1,4 @@
-"""Part that runs the membership of an entry host behind the reducer."""
+"""Component that runs the membership protocol of an entry host."""
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
@@ -9,10 +9,11 @@
 from tamarack_core.internal.membership import view
 from tamarack_core.messages import membership
 
-# A host that starts alone, or cut off from all its seeds, serves after this.
-JOIN_PATIENCE_S = 3.0
+# A host that starts alone, or cut off from all its seeds, is ready after this
+# time.
+JOIN_TIMEOUT_S = 3.0
 
-_RECORDED = {
+_EVENT_NAMES = {
     membership.State.ALIVE: "member-alive",
     membership.State.SUSPECT: "member-suspected",
     membership.State.LEAVING: "member-leaving",
@@ -25,9 +26,9 @@
     """Membership of this host in its failure domain.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        swim: Failure detection and joins.
-        started_s: Monotonic time of the start.
+        context: Identity, random generator, clocks and counters of the host.
+        swim: Membership protocol of this host.
+        started_s: Monotonic time of the start in seconds.
         is_stopping: Whether a graceful stop has begun.
     """
 
@@ -36,10 +37,11 @@
     def __init__(
         self, context: context_lib.Context, seeds: tuple[peers.Peer, ...]
     ) -> None:
-        """Creates the part.
+        """Initializes the membership of this host.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             seeds: Peers from the settings.
         """
         self.context = context
@@ -50,8 +52,8 @@
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
-        found: dict[reducer.Key, reducer.Handler] = {
+        """Returns the event handlers by key."""
+        result: dict[reducer.Key, reducer.Handler] = {
             events.Started: self.handle_started,
             events.StopRequested: self.handle_stop,
             swim_protocol.PROBE_TIMER: self.handle_timer,
@@ -65,38 +67,37 @@
             membership.MembersFetch,
             membership.MembersPage,
         ):
-            found[message_type] = self.handle_message
-        return found
+            result[message_type] = self.handle_message
+        return result
 
     def view(self) -> view.MembershipView:
-        """Returns what this host holds about each member."""
+        """Returns the view of the members at this host."""
         return self.swim.view
 
     def other_members(self) -> tuple[peers.Peer, ...]:
-        """Returns the other members that are reachable or only suspected."""
+        """Returns the other members that are alive, suspect or leaving."""
         return tuple(
             member.peer
             for member in self.swim.view.present(self.context.host.host)
         )
 
     def joined(self) -> tuple[str, ...]:
-        """Returns the names of the others, once this host has joined them."""
+        """Returns the names of the other members; none before the join."""
         if self.swim.is_joining:
             return ()
         return tuple(peer.host for peer in self.other_members())
 
     def is_ready(self, now_s: float) -> bool:
-        """Returns whether this host may take decisions about flows.
+        """Returns whether this host may decide about flows.
 
-        A host that does not know its peers yet would take itself for the
-        owner of every flow.
+        A host that does not know the other members yet would consider itself
+        the owner of every flow.
 
         Args:
             now_s: Monotonic time in seconds.
         """
         return (
-            not self.swim.is_joining
-            or now_s >= self.started_s + JOIN_PATIENCE_S
+            not self.swim.is_joining or now_s >= self.started_s + JOIN_TIMEOUT_S
         )
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -107,7 +108,7 @@
     def handle_message(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Hands a message to the detector."""
+        """Passes a message to the protocol and records state changes."""
         message = event.message
         assert isinstance(message, membership.Message)
         before = self._states()
@@ -115,13 +116,13 @@
         return sent + self._record_changes(event.now_s, before)
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Hands a timer to the detector."""
+        """Passes a timer to the protocol and records state changes."""
         before = self._states()
         sent = self.swim.handle_timer(event.now_s, event.timer)
         return sent + self._record_changes(event.now_s, before)
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
-        """Gives up the ownership of all flows, then ends the process."""
+        """Begins a graceful leave; stops at once without other members."""
         if self.is_stopping:
             return []
         self.is_stopping = True
@@ -156,10 +157,10 @@
     def _record_changes(
         self, now_s: float, before: dict[str, membership.State]
     ) -> list[effects.Effect]:
-        """Returns time line entries for the members that changed state."""
+        """Returns the time line records of members that changed state."""
         return [
             self.context.record(
-                now_s, _RECORDED[member.state], detail=f"member {host}"
+                now_s, _EVENT_NAMES[member.state], detail=f"member {host}"
             )
             for host, member in self.swim.view.members.items()
             if before.get(host) is not member.state
--- a/packages/core/src/tamarack_core/internal/membership/view.py
+++ b/packages/core/src/tamarack_core/internal/membership/view.py
@@ -1,4 +1,4 @@
-"""A host's view of the members of its failure domain."""
+"""View of the members of a failure domain at one host."""
 
 import zlib
 
@@ -16,13 +16,13 @@
 
 
 class Member:
-    """One member, as this host sees it.
+    """One member in the view of this host.
 
     Attributes:
         peer: Identity and addresses.
-        incarnation: Highest incarnation heard of.
+        incarnation: Highest known incarnation.
         state: State at that incarnation.
-        since_s: Monotonic time of the last change of state.
+        since_s: Monotonic time of the last change of state, in seconds.
     """
 
     __slots__ = ("incarnation", "peer", "since_s", "state")
@@ -34,14 +34,14 @@
         state: membership.State,
         since_s: float,
     ) -> None:
-        """Creates a member from the first report on it."""
+        """Initializes a member from the first update about it."""
         self.peer = peer
         self.incarnation = incarnation
         self.state = state
         self.since_s = since_s
 
     def to_update(self) -> membership.Update:
-        """Returns the member in the form that hosts exchange."""
+        """Returns the update that describes the member."""
         return membership.Update(
             self.peer.host,
             self.peer.control,
@@ -51,9 +51,10 @@
         )
 
     def fingerprint(self) -> int:
-        """Returns a number that stands for name, incarnation and state.
+        """Returns a checksum of name, incarnation and state.
 
-        Suspicion is left out, since it passes.
+        Alive and suspect members have the same fingerprint, because
+        suspicion is temporary.
         """
         state = max(self.state, membership.State.SUSPECT)
         text = f"{self.peer.host}/{self.incarnation}/{state}"
@@ -61,19 +62,20 @@
 
 
 class MembershipView:
-    """All members that this host has heard of.
+    """All members that this host knows.
 
     Attributes:
         domain: Failure domain.
-        members: Members by host name, this host included.
-        epoch: Number that rises when the set of owning members changes.
+        members: Members by host name, including this host.
+        epoch: Number that rises when the set of members that may own flows
+            changes.
         digest: Digest of the view; equal at hosts with equal views.
     """
 
     __slots__ = ("digest", "domain", "epoch", "members")
 
     def __init__(self, domain: str) -> None:
-        """Creates an empty view.
+        """Initializes an empty view.
 
         Args:
             domain: Failure domain whose members the view holds.
@@ -84,11 +86,14 @@
         self.digest = 0
 
     def apply(self, update: membership.Update, now_s: float) -> bool:
-        """Takes in a report; returns whether it was news.
+        """Applies an update unless it is outdated.
 
         Args:
-            update: The report.
+            update: State of a member, as another host or this host sees it.
             now_s: Monotonic time in seconds.
+
+        Returns:
+            Whether the update changed the view.
         """
         member = self.members.get(update.host)
         if member is None:
@@ -113,12 +118,12 @@
         self.epoch += was_owning != (member.state in OWNING_STATES)
         return True
 
-    def forget(self, host: str) -> None:
-        """Drops a member that died or left long ago."""
+    def remove(self, host: str) -> None:
+        """Removes a member that died or left long ago."""
         self.digest ^= self.members.pop(host).fingerprint()
 
     def owning(self) -> list[peers.Peer]:
-        """Returns the members that may own flows, this host included."""
+        """Returns the members that may own flows, including this host."""
         return [
             member.peer
             for member in self.members.values()
@@ -126,7 +131,7 @@
         ]
 
     def present(self, without: str = "") -> list[Member]:
-        """Returns the members that are reachable or only suspected.
+        """Returns the members that are alive, suspect or leaving.
 
         Args:
             without: Name of a member to leave out.
@@ -137,8 +142,8 @@
             if host != without and member.state in PRESENT_STATES
         ]
 
-    def gone(self) -> list[Member]:
-        """Returns the members that are held to be dead."""
+    def dead(self) -> list[Member]:
+        """Returns the dead members; those that have left are not among them."""
         return [
             member
             for member in self.members.values()
@@ -146,17 +151,17 @@
         ]
 
     def page(self, after: str, limit: int) -> list[Member]:
-        """Returns members in order of their names.
+        """Returns a page of members in order of their names.
 
         Args:
-            after: Name after which to begin; empty for the first page.
-            limit: Largest number of members to return.
+            after: Name after which the page begins; empty for the first page.
+            limit: Maximum number of members to return.
         """
         names = sorted(host for host in self.members if host > after)
         return [self.members[host] for host in names[:limit]]
 
     def _add(self, update: membership.Update, now_s: float) -> Member:
-        """Adds a member heard of for the first time."""
+        """Adds a member that was unknown so far."""
         member = Member(
             self._peer(update), update.incarnation, update.state, now_s
         )
--- a/packages/core/src/tamarack_core/messages/membership.py
+++ b/packages/core/src/tamarack_core/messages/membership.py
@@ -1,4 +1,4 @@
-"""Messages by which the entry hosts of a failure domain know each other."""
+"""Messages of the membership protocol of entry hosts."""
 
 import enum
 
@@ -8,10 +8,10 @@
 
 
 class State(enum.IntEnum):
-    """State of a member; of two reports on one incarnation, the higher wins.
+    """State of a member; of two states of one incarnation, the higher wins.
 
-    A suspect member and one that is leaving still carry packets. A member
-    that is leaving owns no flow any more.
+    Suspect and leaving members still forward packets. A leaving member no
+    longer owns flows.
     """
 
     ALIVE = 0
@@ -22,13 +22,14 @@
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
-    """What the sender holds about a member of its failure domain.
+    """State of a member of the failure domain in the view of the sender.
 
     Attributes:
         host: Name of the member.
         control: Endpoint of its control socket.
         data: Endpoint of its data socket.
-        incarnation: Number that only the member itself raises.
+        incarnation: Number that only the member itself raises, for example to
+            refute a wrong state.
         state: State of the member.
     """
 
@@ -40,10 +41,10 @@
 
 
 class Probe(msgspec.Struct, frozen=True, tag="probe"):
-    """The sender asks for an `Ack`.
+    """Probe of the receiver, which responds with an `Ack`.
 
     Attributes:
-        sequence: Number that the answer repeats.
+        sequence: Number that the `Ack` repeats.
         digest: Digest of the sender's view.
         updates: Recent changes.
     """
@@ -54,7 +55,7 @@
 
 
 class ProbeRequest(msgspec.Struct, frozen=True, tag="probe-request"):
-    """The sender asks the receiver to probe a third member for it.
+    """Request to probe a third member on behalf of the sender.
 
     Attributes:
         sequence: Number that the relayed `Ack` repeats.
@@ -66,7 +67,7 @@
 
 
 class Ack(msgspec.Struct, frozen=True, tag="probe-ack"):
-    """The probed member is alive.
+    """Response to a `Probe`, possibly relayed: the member is alive.
 
     Attributes:
         sequence: Number of the probe or of the probe request.
@@ -80,11 +81,12 @@
 
 
 class MembersFetch(msgspec.Struct, frozen=True, tag="members-fetch"):
-    """The sender asks for one page of the receiver's view.
+    """Request for one page of the receiver's view.
 
     Attributes:
-        after: Name of the last member that the sender has read.
-        subject: The sender itself, which thereby joins.
+        after: Name of the last member that the sender has fetched; empty for
+            the first page.
+        subject: State of the sender itself, which joins by this message.
     """
 
     after: str
@@ -92,7 +94,7 @@
 
 
 class MembersPage(msgspec.Struct, frozen=True, tag="members-page"):
-    """One page of the sender's view, in order of names.
+    """One page of the sender's view, ordered by name.
 
     Attributes:
         members: Members of the page.
