Reword configuration distribution and target leases

Comments and private names say query, response, subscriber, broadcast and acknowledge. The refusal bad-capacity asks to announce the capacity of the target; no test or tool matches the text.

--- a/packages/core/src/tamarack_core/internal/distribution/__init__.py
+++ b/packages/core/src/tamarack_core/internal/distribution/__init__.py
@@ -1,1 +1,1 @@
-"""Spreads the numbered configuration over all hosts."""
+"""Distribution of the versioned configuration to all hosts."""
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
@@ -1,8 +1,8 @@
-"""Spreads versions from control hosts over relays to entry hosts and peers.
+"""Distribution of configurations from control hosts over relays to entry hosts.
 
-Each host asks one host upstream and one peer of its failure domain in turn.
-Whoever is asked answers with what is missing, and pushes newer versions for a
-while. A lost push is made good by the next question.
+Each host queries an upstream host and a peer of its failure domain in turn.
+The queried host responds with the changes that are missing and then pushes
+newer versions for a while. The next query repairs a lost push.
 """
 
 from tamarack_core import configuration
@@ -16,38 +16,39 @@
 from tamarack_core.internal.distribution import subscribers
 from tamarack_core.messages import distribution
 
-ASK_INTERVAL_S = 2.0
-ASK_JITTER_S = 0.5
-# A host that has just started asks several hosts for the newest version.
-FIRST_QUESTIONS = 8
-SILENT_QUESTIONS = 2
+QUERY_INTERVAL_S = 2.0
+QUERY_JITTER_S = 0.5
+# A host that has just started queries several hosts for the newest version.
+INITIAL_QUERIES = 8
+MAX_UNANSWERED_QUERIES = 2
 _TIMER = "distribution-ask"
 
 
 class ConfigurationDistributor:
-    """Part that keeps the configuration of this host up to date.
+    """Component that keeps the configuration of this host up to date.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         config_store: Configuration in force.
         upstream: Hosts that are nearer to the control hosts.
-        fallback: Hosts to choose from as well when one upstream is silent.
+        fallback: Additional hosts to choose from when the selected upstream
+            host is unresponsive.
         neighbours: Peers of the failure domain.
-        chosen: The upstream host that is asked, if any.
-        unanswered: Questions to it since it last answered.
-        subscribers: Hosts that ask this one.
-        is_neighbour_next: Whether the next question goes to a peer.
+        selected_upstream: Upstream host that is queried, if any.
+        unanswered_queries: Queries to it since its last message.
+        subscribers: Hosts that query this one.
+        is_neighbour_next: Whether the next query goes to a peer.
     """
 
     __slots__ = (
-        "chosen",
         "config_store",
         "context",
         "fallback",
         "is_neighbour_next",
         "neighbours",
+        "selected_upstream",
         "subscribers",
-        "unanswered",
+        "unanswered_queries",
         "upstream",
     )
 
@@ -59,28 +60,29 @@
         neighbours: tuple[peers.Peer, ...],
         fallback: tuple[peers.Peer, ...] = (),
     ) -> None:
-        """Creates the part.
+        """Initializes the configuration distributor.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             config_store: Configuration in force.
             upstream: Hosts that are nearer to the control hosts.
             neighbours: Peers of the failure domain.
-            fallback: Hosts to choose from as well when one upstream is
-                silent.
+            fallback: Additional hosts to choose from when the selected
+                upstream host is unresponsive.
         """
         self.context = context
         self.fallback = fallback
         self.config_store = config_store
         self.upstream = upstream
         self.neighbours = neighbours
-        self.chosen: peers.Peer | None = None
-        self.unanswered = 0
+        self.selected_upstream: peers.Peer | None = None
+        self.unanswered_queries = 0
         self.subscribers = subscribers.Subscribers()
         self.is_neighbour_next = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             _TIMER: self.handle_timer,
@@ -91,45 +93,45 @@
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Asks several hosts for the newest version."""
+        """Queries several hosts for the newest version."""
         known = list({*self.upstream, *self.neighbours})
         known.sort(key=lambda peer: peer.host)
-        count = min(FIRST_QUESTIONS, len(known))
-        asked = self.context.random.sample(known, count)
-        return [*map(self._ask, asked), self._timer()]
+        count = min(INITIAL_QUERIES, len(known))
+        queried = self.context.random.sample(known, count)
+        return [*map(self._query, queried), self._timer()]
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Asks the next host."""
-        self.subscribers.forget(event.now_s)
+        """Queries the next host and removes expired subscribers."""
+        self.subscribers.expire(event.now_s)
         receiver = self._next_receiver()
         if receiver is None:
             return [self._timer()]
-        return [self._ask(receiver), self._timer()]
+        return [self._query(receiver), self._timer()]
 
     def handle_offer(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Answers a question, or asks a host that holds a newer version."""
+        """Responds to a query, or queries a host that holds a newer version."""
         offer = event.message
         assert isinstance(offer, distribution.VersionOffer)
-        self._note_answer(event.sender)
+        self._record_response(event.sender)
         held = self.config_store.numbered.version
         if offer.wants_answer:
-            self.subscribers.note(event.now_s, event.sender, offer)
-            return [self._answer(event.sender, offer.version)]
+            self.subscribers.subscribe(event.now_s, event.sender, offer)
+            return [self._respond(event.sender, offer.version)]
         if offer.version > held:
-            return [self._ask(event.sender)]
+            return [self._query(event.sender)]
         return []
 
     def handle_delta(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Puts a delta into force; asks again if it doesn't fit."""
+        """Puts a delta into force; queries the sender if it doesn't fit."""
         delta = event.message
         assert isinstance(delta, distribution.Delta)
-        self._note_answer(event.sender)
+        self._record_response(event.sender)
         if delta.base_version > self.config_store.numbered.version:
-            return [self._ask(event.sender)]
+            return [self._query(event.sender)]
         return self.put_delta(event.now_s, delta)
 
     def handle_snapshot(
@@ -138,16 +140,16 @@
         """Puts a received configuration into force if it is newer."""
         message = event.message
         assert isinstance(message, distribution.Snapshot)
-        self._note_answer(event.sender)
+        self._record_response(event.sender)
         return self.put(event.now_s, message.numbered)
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
-        """Answers which version is in force at the hosts that ask this one."""
-        answer = requests.RolloutRead(
+        """Responds with the versions in force at the subscribers."""
+        response = requests.RolloutRead(
             self.config_store.numbered.version,
             self.subscribers.report(event.now_s),
         )
-        return [effects.Respond(event.request_id, answer)]
+        return [effects.Respond(event.request_id, response)]
 
     def put(
         self, now_s: float, numbered: configuration.Numbered
@@ -176,19 +178,19 @@
         return self._push(now_s)
 
     def _push(self, now_s: float) -> list[effects.Effect]:
-        """Sends a version that came into force to those behind."""
+        """Pushes a version that came into force to outdated subscribers."""
         version = self.config_store.numbered.version
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             self.context.record(now_s, "version-in-force", version=version)
         ]
-        for subscriber in self.subscribers.behind(now_s, version):
-            message = self.config_store.newer_than(subscriber.assumed)
-            subscriber.assumed = version
-            found.append(effects.SendMessage(subscriber.peer, message))
-        return found
-
-    def _answer(self, peer: peers.Peer, version: int) -> effects.Effect:
-        """Returns the answer to a host that holds a version."""
+        for subscriber in self.subscribers.outdated(now_s, version):
+            message = self.config_store.newer_than(subscriber.assumed_version)
+            subscriber.assumed_version = version
+            result.append(effects.SendMessage(subscriber.peer, message))
+        return result
+
+    def _respond(self, peer: peers.Peer, version: int) -> effects.Effect:
+        """Returns the response to a host that holds a version."""
         numbered = self.config_store.numbered
         if version < numbered.version:
             message = self.config_store.newer_than(version)
@@ -196,8 +198,8 @@
         offer = distribution.VersionOffer(numbered.version)
         return effects.SendMessage(peer, offer)
 
-    def _ask(self, peer: peers.Peer) -> effects.Effect:
-        """Returns a question to a host."""
+    def _query(self, peer: peers.Peer) -> effects.Effect:
+        """Returns a query to a host."""
         offer = distribution.VersionOffer(
             self.config_store.numbered.version,
             self.config_store.since_ms,
@@ -206,27 +208,30 @@
         return effects.SendMessage(peer, offer)
 
     def _timer(self) -> effects.Effect:
-        """Returns the timer of the next question."""
-        jitter_s = self.context.random.uniform(-ASK_JITTER_S, ASK_JITTER_S)
-        return effects.StartTimer(_TIMER, ASK_INTERVAL_S + jitter_s)
+        """Returns the effect that starts the timer of the next query."""
+        jitter_s = self.context.random.uniform(-QUERY_JITTER_S, QUERY_JITTER_S)
+        return effects.StartTimer(_TIMER, QUERY_INTERVAL_S + jitter_s)
 
     def _next_receiver(self) -> peers.Peer | None:
-        """Returns whom to ask: upstream and peers in turn."""
+        """Returns the host to query: upstream and peers in turn."""
         self.is_neighbour_next = not self.is_neighbour_next
         if self.neighbours and (self.is_neighbour_next or not self.upstream):
             return self.context.random.choice(self.neighbours)
         if not self.upstream:
             return None
-        is_silent = self.unanswered >= SILENT_QUESTIONS
-        if self.chosen is None or is_silent:
-            fallback = self.fallback if is_silent else ()
+        is_unresponsive = self.unanswered_queries >= MAX_UNANSWERED_QUERIES
+        if self.selected_upstream is None or is_unresponsive:
+            fallback = self.fallback if is_unresponsive else ()
             choices = self.upstream + fallback
-            self.chosen = self.context.random.choice(choices)
-            self.unanswered = 0
-        self.unanswered += 1
-        return self.chosen
-
-    def _note_answer(self, sender: peers.Peer) -> None:
-        """Takes note that a host is reachable."""
-        if self.chosen is not None and sender.host == self.chosen.host:
-            self.unanswered = 0
+            self.selected_upstream = self.context.random.choice(choices)
+            self.unanswered_queries = 0
+        self.unanswered_queries += 1
+        return self.selected_upstream
+
+    def _record_response(self, sender: peers.Peer) -> None:
+        """Records that a host is responsive."""
+        if (
+            self.selected_upstream is not None
+            and sender.host == self.selected_upstream.host
+        ):
+            self.unanswered_queries = 0
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
@@ -1,4 +1,4 @@
-"""Configuration in force at this host; its version only rises."""
+"""Configuration in force at this host; its version never decreases."""
 
 import dataclasses
 import itertools
@@ -8,9 +8,9 @@
 from tamarack_core.messages import distribution
 
 MAX_CHANGES = 1_000
-# A delta of more services than this share of all is no smaller than a
+# A delta of more than this fraction of all services is no smaller than a
 # snapshot.
-MAX_DELTA_SHARE = 0.5
+MAX_DELTA_FRACTION = 0.5
 MIN_DELTA_SERVICES = 16
 
 
@@ -19,9 +19,9 @@
     """Services that changed between two versions.
 
     Attributes:
-        base_version: The version before.
-        version: The version after.
-        names: Names of the services.
+        base_version: Version before the change.
+        version: Version after the change.
+        names: Names of the changed services.
     """
 
     base_version: int
@@ -30,26 +30,26 @@
 
 
 class ConfigurationStore:
-    """Holds the newest configuration that this host has received.
+    """Store of the newest configuration that this host has received.
 
     Attributes:
         numbered: Configuration in force.
         lookup: Lookup tables derived from it.
         since_ms: Wall-clock time in ms at which it came into force.
-        changes: The newest changes without a gap, the oldest first.
+        changes: Newest consecutive changes, the oldest first.
     """
 
     __slots__ = ("changes", "lookup", "numbered", "since_ms")
 
     def __init__(self) -> None:
-        """Holds the empty configuration, version 0."""
+        """Initializes the store with the empty configuration, version 0."""
         self.numbered = configuration.Numbered(0, configuration.Configuration())
         self.lookup = lookup.Lookup(self.numbered.configuration)
         self.since_ms = 0
         self.changes: list[Change] = []
 
     def put(self, numbered: configuration.Numbered, wall_ms: int) -> bool:
-        """Puts a configuration into force unless a newer one is.
+        """Puts a configuration into force if it is newer.
 
         Args:
             numbered: The configuration.
@@ -63,12 +63,12 @@
         self.lookup = lookup.Lookup(numbered.configuration)
         self.numbered = numbered
         self.since_ms = wall_ms
-        # What changed since the last version isn't known.
+        # It is unknown which services differ from the previous version.
         self.changes.clear()
         return True
 
     def put_delta(self, delta: distribution.Delta, wall_ms: int) -> bool:
-        """Puts a delta into force unless it is old or doesn't fit.
+        """Puts a delta into force if it fits and is newer.
 
         Args:
             delta: The delta.
@@ -77,8 +77,8 @@
         Returns:
             Whether a newer version came into force.
         """
-        held = self.numbered.version
-        if not delta.base_version <= held < delta.version:
+        current_version = self.numbered.version
+        if not delta.base_version <= current_version < delta.version:
             return False
         services = dict(self.numbered.configuration.services)
         for name, service in delta.changes.items():
@@ -90,7 +90,9 @@
             delta.version, configuration.Configuration(services)
         )
         self.since_ms = wall_ms
-        change = Change(held, delta.version, frozenset(delta.changes))
+        change = Change(
+            current_version, delta.version, frozenset(delta.changes)
+        )
         self.changes.append(change)
         del self.changes[:-MAX_CHANGES]
         return True
@@ -98,10 +100,10 @@
     def newer_than(
         self, version: int
     ) -> distribution.Delta | distribution.Snapshot:
-        """Returns the smaller message that brings a host up to date.
+        """Returns the smaller message that updates a host: delta or snapshot.
 
         Args:
-            version: Version that the host holds.
+            version: Version in force at the host.
         """
         if not self.changes or version < self.changes[0].base_version:
             return distribution.Snapshot(self.numbered)
@@ -113,7 +115,7 @@
                 if change.version > version
             )
         )
-        limit = max(MIN_DELTA_SERVICES, MAX_DELTA_SHARE * len(services))
+        limit = max(MIN_DELTA_SERVICES, MAX_DELTA_FRACTION * len(services))
         if len(names) > limit:
             return distribution.Snapshot(self.numbered)
         return distribution.Delta(
--- a/packages/core/src/tamarack_core/internal/targets/__init__.py
+++ b/packages/core/src/tamarack_core/internal/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Announced targets: leases, states and their spread in the domain."""
+"""Announced targets: their leases and states, replicated in the domain."""
--- a/packages/core/src/tamarack_core/internal/targets/announcement_validator.py
+++ b/packages/core/src/tamarack_core/internal/targets/announcement_validator.py
@@ -1,4 +1,4 @@
-"""Checks the announcements of targets at the host that receives them."""
+"""Validation of announcements at the host that receives them."""
 
 import ipaddress
 
@@ -8,66 +8,67 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core.internal.distribution import configuration_store
-from tamarack_core.internal.targets import lease_aggregator as aggregation_lib
+from tamarack_core.internal.targets import lease_aggregator
 
 MAX_LEASE_S = 60.0
 
 
 class AnnouncementValidator:
-    """Part that handles the announcements of targets.
+    """Component that validates and accepts the announcements of targets.
 
     Attributes:
-        context: Identity, chance, time and counters.
-        config_store: Configuration in force, which names the target networks.
-        aggregation: Keeps the leases.
+        context: Identity, random generator, clocks and counters of the host.
+        config_store: Configuration in force, which lists the target networks.
+        aggregator: Keeps the leases.
     """
 
-    __slots__ = ("aggregation", "config_store", "context")
+    __slots__ = ("aggregator", "config_store", "context")
 
     def __init__(
         self,
         context: context_lib.Context,
         config_store: configuration_store.ConfigurationStore,
-        aggregation: aggregation_lib.LeaseAggregator,
+        aggregator: lease_aggregator.LeaseAggregator,
     ) -> None:
-        """Creates the part.
+        """Initializes the announcement validator.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             config_store: Configuration in force.
-            aggregation: Keeps the leases.
+            aggregator: Keeps the leases.
         """
         self.context = context
         self.config_store = config_store
-        self.aggregation = aggregation
+        self.aggregator = aggregator
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {requests.Announce: self.handle_announce}
 
     def handle_announce(
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
-        """Refuses an announcement, or hands it to the aggregation."""
+        """Refuses an announcement, or passes it to the lease aggregator."""
         announcement = event.request
         assert isinstance(announcement, requests.Announce)
-        refusal = self._check(announcement)
+        refusal = self._check_content(announcement)
         if refusal is None:
-            refusal = self._check_held(event.now_s, announcement)
+            refusal = self._check_incarnation(event.now_s, announcement)
         if refusal is not None:
             return [effects.Respond(event.request_id, refusal)]
-        answer = requests.Announced(announcement.lease_s)
+        response = requests.Announced(announcement.lease_s)
         return [
-            *self.aggregation.accept(event.now_s, announcement),
-            effects.Respond(event.request_id, answer),
+            *self.aggregator.accept(event.now_s, announcement),
+            effects.Respond(event.request_id, response),
         ]
 
-    def _check_held(
+    def _check_incarnation(
         self, now_s: float, announcement: requests.Announce
     ) -> requests.Refused | None:
-        """Returns why an announcement clashes with the one held."""
+        """Returns the refusal if the stored announcement is newer."""
         address = ipaddress.ip_address(announcement.address).packed
-        held = self.aggregation.table.targets.get(address)
+        held = self.aggregator.table.targets.get(address)
         if held is None or held.expires_s <= now_s:
             return None
         newest = held.announcement.incarnation
@@ -80,10 +81,10 @@
             "raise it at each start of the target",
         )
 
-    def _check(
+    def _check_content(
         self, announcement: requests.Announce
     ) -> requests.Refused | None:
-        """Returns why an announcement is refused, if it is."""
+        """Returns the refusal if the announcement is invalid."""
         try:
             address = ipaddress.ip_address(announcement.address).packed
         except ValueError:
@@ -97,7 +98,7 @@
                 "bad-capacity",
                 f"slots {announcement.slots} and connections "
                 f"{announcement.connections} must be at least 1; "
-                "announce what the target can take",
+                "announce the capacity of the target",
             )
         if not 0 < announcement.lease_s <= MAX_LEASE_S:
             return requests.Refused(
--- a/packages/core/src/tamarack_core/internal/targets/lease_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_aggregator.py
@@ -1,6 +1,7 @@
 """Leases of targets: each target has one aggregator among the entry hosts.
 
-Renewals end at the aggregator; only changes travel on to the other hosts.
+Renewals go no further than the aggregator; it sends only changes to the other
+hosts.
 """
 
 from collections.abc import Callable
@@ -20,22 +21,22 @@
 
 TIMER = "target-leases"
 TICK_S = 0.5
-FORGET_S = 600.0
-"""Time after which an expired target is forgotten."""
+EXPIRED_RETENTION_S = 600.0
+"""Time after which an expired target is removed."""
 
 FORWARD_S = 5.0
-"""Time for which a change is forwarded until the aggregator spreads it."""
+"""Time for which a change is resent until the aggregator broadcasts it."""
 
 _DIGEST_BYTES = 8
 
 
 @dataclasses.dataclass(slots=True)
-class Forward:
-    """A change that this host received and another one aggregates.
+class ForwardedChange:
+    """A change that this host received and another host aggregates.
 
     Attributes:
-        announcement: What the target announced.
-        received_s: Time at which this host received it, in seconds.
+        announcement: Announcement of the target.
+        received_s: Monotonic time in seconds at which this host received it.
     """
 
     announcement: requests.Announce
@@ -43,27 +44,27 @@
 
 
 class LeaseAggregator:
-    """Part that keeps the leases of targets and spreads their changes.
+    """Component that keeps the leases of targets and broadcasts changes.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         table: Announced targets.
         members: Returns the other live entry hosts of the failure domain.
-        outbox: Changes that other hosts have not confirmed.
-        announced_s: Time in seconds at which each target that this host
-            aggregates was last announced, by packed address.
-        forwards: Changes that the aggregator has not spread so far, by
-            packed address.
+        outbox: Changes that other hosts have not acknowledged.
+        announced_s: Monotonic time in seconds of the last announcement of
+            each target that this host aggregates, by packed address.
+        forwards: Changes that the aggregator has not broadcast yet, by packed
+            address.
         unconfirmed: Targets that have not been announced since this host
             became their aggregator.
-        known: Names of the members at the last tick.
+        known_members: Names of the other live members at the last tick.
     """
 
     __slots__ = (
         "announced_s",
         "context",
         "forwards",
-        "known",
+        "known_members",
         "members",
         "outbox",
         "table",
@@ -76,10 +77,11 @@
         target_table: lease_table.TargetLeaseTable,
         live_members: Callable[[], tuple[peers.Peer, ...]],
     ) -> None:
-        """Creates the part.
+        """Initializes the lease aggregator.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             target_table: Table to keep up to date.
             live_members: Returns the other live entry hosts of the failure
                 domain.
@@ -89,12 +91,12 @@
         self.members = live_members
         self.outbox = outbox_lib.Outbox()
         self.announced_s: dict[bytes, float] = {}
-        self.forwards: dict[bytes, Forward] = {}
+        self.forwards: dict[bytes, ForwardedChange] = {}
         self.unconfirmed: set[bytes] = set()
-        self.known: set[str] = set()
+        self.known_members: set[str] = set()
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             TIMER: self.handle_timer,
@@ -110,11 +112,11 @@
     def accept(
         self, now_s: float, announcement: requests.Announce, age_s: float = 0.0
     ) -> list[effects.Effect]:
-        """Takes in an announcement at the host that received it.
+        """Accepts an announcement at the host that received it.
 
         Args:
             now_s: Monotonic time in seconds.
-            announcement: What the target announced.
+            announcement: Announcement of the target.
             age_s: Seconds since a host received it.
         """
         address = ip.pack_address(announcement.address)
@@ -123,34 +125,34 @@
             return self._renew(now_s, address, announcement, age_s)
         self.forwards.pop(address, None)
         held = self.table.targets.get(address)
-        if held is None or _differs(held.announcement, announcement):
-            self.forwards[address] = Forward(announcement, now_s)
+        if held is None or _is_change(held.announcement, announcement):
+            self.forwards[address] = ForwardedChange(announcement, now_s)
         message = target_messages.TargetForwarded(announcement, age_s)
         return [effects.SendMessage(aggregator, message)]
 
-    def _forward_again(self, now_s: float) -> list[effects.Effect]:
-        """Forwards the changes that their aggregators have not spread."""
-        waiting = self.forwards
+    def _resend_forwards(self, now_s: float) -> list[effects.Effect]:
+        """Resends the changes that their aggregators have not broadcast."""
+        forwards = self.forwards
         self.forwards = {}
-        found = []
-        for address, forward in waiting.items():
+        result = []
+        for address, forward in forwards.items():
             held = self.table.targets.get(address)
             age_s = now_s - forward.received_s
             if age_s > FORWARD_S:
                 continue
-            if held and not _differs(held.announcement, forward.announcement):
+            if held and not _is_change(held.announcement, forward.announcement):
                 continue
-            found.extend(self.accept(now_s, forward.announcement, age_s))
+            result.extend(self.accept(now_s, forward.announcement, age_s))
             self.forwards[address] = forward
-        return found
+        return result
 
     def handle_forwarded(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes in an announcement that another host received.
+        """Accepts an announcement that another host received.
 
-        A host that is not the aggregator in its own view takes it as well,
-        since views differ for a while when members come and go.
+        A host that is not the aggregator in its own view accepts it as well,
+        since views differ for a while when members join or leave.
         """
         message = event.message
         assert isinstance(message, target_messages.TargetForwarded)
@@ -172,7 +174,7 @@
             announcement, message.sequence, event.sender.host, expires_s
         )
         held = self.table.targets.get(address)
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             effects.SendMessage(
                 event.sender,
                 target_messages.TargetReceived(
@@ -181,45 +183,47 @@
             )
         ]
         if held is not None and held.order >= target.order:
-            return found
+            return result
         if self._aggregator(address).host == self.context.host.host:
             self.unconfirmed.add(address)
             if not message.expired:
                 target.expires_s = event.now_s + announcement.lease_s
         self.table.put(target)
-        found.extend(self._record(event.now_s, held, target))
-        return found
+        result.extend(self._record(event.now_s, held, target))
+        return result
 
     def handle_received(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Takes note of a confirmation."""
+        """Handles the acknowledgement of a change."""
         message = event.message
         assert isinstance(message, target_messages.TargetReceived)
-        self.outbox.confirm(
+        self.outbox.acknowledge(
             event.sender.host, message.address, message.sequence
         )
         return []
 
     def handle_timer(self, event: events.TimerFired) -> list[effects.Effect]:
-        """Ends leases, greets new members and sends again what was lost."""
+        """Expires leases, sends targets to new members and resends changes."""
         now_s = event.now_s
         live = self.members()
         names = {peer.host for peer in live}
-        found: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
-        found.extend(self.outbox.resend(now_s, names))
-        found.extend(self._forward_again(now_s))
-        arrived = [peer for peer in live if peer.host not in self.known]
-        has_changed = names != self.known
-        self.known = names
+        result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
+        result.extend(self.outbox.resend(now_s, names))
+        result.extend(self._resend_forwards(now_s))
+        new_members = [
+            peer for peer in live if peer.host not in self.known_members
+        ]
+        has_changed = names != self.known_members
+        self.known_members = names
         for address, target in list(self.table.targets.items()):
-            if not self._is_own(address):
+            if not self._is_aggregator(address):
                 self.announced_s.pop(address, None)
                 continue
             if has_changed:
-                found.extend(self._take_over(now_s, target, arrived))
-            found.extend(self._expire(now_s, address, target))
-        return found
+                result.extend(self._take_over(now_s, target, new_members))
+            result.extend(self._expire(now_s, address, target))
+        return result
 
     def _renew(
         self,
@@ -228,7 +232,7 @@
         announcement: requests.Announce,
         age_s: float,
     ) -> list[effects.Effect]:
-        """Renews the lease of a target; spreads what has changed."""
+        """Renews the lease of a target; broadcasts what has changed."""
         at_s = now_s - age_s
         held = self.table.targets.get(address)
         if at_s < self.announced_s.get(address, at_s):
@@ -242,7 +246,7 @@
         if (
             held
             and is_confirmed
-            and not _differs(held.announcement, announcement)
+            and not _is_change(held.announcement, announcement)
         ):
             held.announcement = announcement
             held.expires_s = expires_s
@@ -254,17 +258,20 @@
             announcement, sequence, host, expires_s
         )
         self.table.put(target)
-        found = self._record(now_s, held, target)
+        result = self._record(now_s, held, target)
         message = target_messages.TargetChanged(announcement, sequence)
-        return found + self.outbox.send(now_s, self.members(), message)
+        return result + self.outbox.send(now_s, self.members(), message)
 
     def _take_over(
         self,
         now_s: float,
         target: lease_table.TargetLease,
-        arrived: list[peers.Peer],
+        new_members: list[peers.Peer],
     ) -> list[effects.Effect]:
-        """Starts the lease of a target that this host aggregates from now."""
+        """Starts the lease of a target that this host aggregates from now on.
+
+        The target is also sent to the members that have just joined.
+        """
         address = ip.pack_address(target.announcement.address)
         if target.expires_s == lease_table.NEVER_S:
             self.unconfirmed.add(address)
@@ -272,15 +279,15 @@
         message = target_messages.TargetChanged(
             target.announcement, target.sequence, target.expires_s <= now_s
         )
-        return self.outbox.send(now_s, arrived, message)
+        return self.outbox.send(now_s, new_members, message)
 
     def _expire(
         self, now_s: float, address: bytes, target: lease_table.TargetLease
     ) -> list[effects.Effect]:
-        """Ends the lease of a target when its time has come."""
+        """Ends a lease that has run out; later removes the target."""
         if target.expires_s > now_s:
             return []
-        if now_s - target.expires_s > FORGET_S:
+        if now_s - target.expires_s > EXPIRED_RETENTION_S:
             self.table.remove(address)
             self.announced_s.pop(address, None)
             return []
@@ -293,7 +300,7 @@
         message = target_messages.TargetChanged(
             target.announcement, target.sequence, expired=True
         )
-        found: list[effects.Effect] = [
+        result: list[effects.Effect] = [
             self.context.record(
                 now_s,
                 "target-expired",
@@ -302,16 +309,16 @@
                 reason="lease-ran-out",
             )
         ]
-        return found + self.outbox.send(now_s, self.members(), message)
+        return result + self.outbox.send(now_s, self.members(), message)
 
     def _aggregator(self, address: bytes) -> peers.Peer:
-        """Returns the host with the highest weight for a target."""
+        """Returns the live host with the highest weight for a target."""
         return max(
             (self.context.host, *self.members()),
             key=lambda peer: _weight(address, peer.host),
         )
 
-    def _is_own(self, address: bytes) -> bool:
+    def _is_aggregator(self, address: bytes) -> bool:
         """Returns whether this host aggregates a target."""
         return self._aggregator(address).host == self.context.host.host
 
@@ -321,7 +328,7 @@
         before: lease_table.TargetLease | None,
         after: lease_table.TargetLease,
     ) -> list[effects.Effect]:
-        """Records a change of state of a target at this host."""
+        """Returns the time line record of a change of state at this host."""
         state = _state(after)
         if before is not None and _state(before) == state:
             return []
@@ -336,12 +343,12 @@
 
 
 def _state(target: lease_table.TargetLease) -> str:
-    """Returns the constant name of the state of a target."""
+    """Returns the state of a target as text, for event names."""
     return str(target.announcement.state)
 
 
-def _differs(old: requests.Announce, new: requests.Announce) -> bool:
-    """Returns whether an announcement says more than a renewal."""
+def _is_change(old: requests.Announce, new: requests.Announce) -> bool:
+    """Returns whether an announcement is more than a renewal."""
     return (
         old.service,
         old.domain,
--- a/packages/core/src/tamarack_core/internal/targets/lease_table.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_table.py
@@ -1,4 +1,4 @@
-"""Targets that have announced themselves."""
+"""Table of announced targets with their leases."""
 
 import dataclasses
 
@@ -10,14 +10,15 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetLease:
-    """An announced target.
+    """An announced target with its lease.
 
     Attributes:
-        announcement: What the target last announced.
-        sequence: Number of that change.
-        aggregator: Host that accepted the change.
-        expires_s: Monotonic time in seconds at which the lease runs out; at
-            hosts other than the aggregator infinite until they are told.
+        announcement: Last announcement of the target.
+        sequence: Sequence number of its last change.
+        aggregator: Name of the host that accepted the change.
+        expires_s: Monotonic time in seconds at which the lease ends. At hosts
+            other than the aggregator it is infinite until the aggregator
+            reports the end.
     """
 
     announcement: requests.Announce
@@ -27,26 +28,26 @@
 
     @property
     def order(self) -> tuple[int, int, str]:
-        """What decides between two changes of the same target."""
+        """Sort key by which the newer of two changes of a target wins."""
         return self.announcement.incarnation, self.sequence, self.aggregator
 
 
 class TargetLeaseTable:
-    """Targets by address.
+    """Announced targets with their leases.
 
     Attributes:
-        targets: Announced targets by packed IP address.
+        targets: Leases by packed IP address of the target.
     """
 
     __slots__ = ("_by_service", "targets")
 
     def __init__(self) -> None:
-        """Creates an empty table."""
+        """Initializes an empty table."""
         self.targets: dict[bytes, TargetLease] = {}
         self._by_service: dict[str, dict[bytes, TargetLease]] = {}
 
     def put(self, target: TargetLease) -> None:
-        """Stores a target in place of what was held for its address."""
+        """Stores a target; it replaces an earlier one with the same address."""
         address = ip.pack_address(target.announcement.address)
         self.remove(address)
         self.targets[address] = target
@@ -54,7 +55,7 @@
         self._by_service.setdefault(service, {})[address] = target
 
     def remove(self, address: bytes) -> None:
-        """Forgets a target, if it is held."""
+        """Removes a target, if there is one with the address."""
         held = self.targets.pop(address, None)
         if held is not None:
             del self._by_service[held.announcement.service][address]
@@ -62,12 +63,12 @@
     def ready(
         self, now_s: float, service: str, address_bytes: int
     ) -> list[bytes]:
-        """Returns the targets of a service that may take new flows.
+        """Returns the targets of a service that accept new flows.
 
         Args:
             now_s: Monotonic time in seconds.
             service: Name of the service.
-            address_bytes: Length of a packed address of the IP version.
+            address_bytes: Length of a packed address of the wanted IP version.
         """
         return [
             address
--- a/packages/core/src/tamarack_core/internal/targets/outbox.py
+++ b/packages/core/src/tamarack_core/internal/targets/outbox.py
@@ -1,4 +1,4 @@
-"""Messages about targets that are sent again until they are received."""
+"""Outbox: changes of targets that are resent until they are acknowledged."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -7,17 +7,17 @@
 from tamarack_core import peers
 from tamarack_core.messages import targets as target_messages
 
-RESEND_S = 0.5
+RESEND_INTERVAL_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
-class Unreceived:
-    """A change that a host has not confirmed.
+class PendingChange:
+    """A change that a host has not acknowledged.
 
     Attributes:
         peer: The host.
         message: The change.
-        sent_s: Time of the last sending in seconds.
+        sent_s: Monotonic time in seconds at which it was last sent.
     """
 
     peer: peers.Peer
@@ -26,17 +26,17 @@
 
 
 class Outbox:
-    """Newest unconfirmed change by host and target.
+    """Newest unacknowledged change by host and target.
 
     Attributes:
-        waiting: Unconfirmed changes by host name and target address.
+        pending: Unacknowledged changes by host name and target address.
     """
 
-    __slots__ = ("waiting",)
+    __slots__ = ("pending",)
 
     def __init__(self) -> None:
-        """Creates an empty outbox."""
-        self.waiting: dict[tuple[str, str], Unreceived] = {}
+        """Initializes an empty outbox."""
+        self.pending: dict[tuple[str, str], PendingChange] = {}
 
     def send(
         self,
@@ -44,40 +44,40 @@
         receivers: Iterable[peers.Peer],
         message: target_messages.TargetChanged,
     ) -> list[effects.Effect]:
-        """Sends a change, in place of an earlier one of the same target."""
-        found: list[effects.Effect] = []
+        """Sends a change; it replaces an earlier one of the same target."""
+        result: list[effects.Effect] = []
         for peer in receivers:
             key = (peer.host, message.announcement.address)
-            self.waiting[key] = Unreceived(peer, message, now_s)
-            found.append(effects.SendMessage(peer, message))
-        return found
+            self.pending[key] = PendingChange(peer, message, now_s)
+            result.append(effects.SendMessage(peer, message))
+        return result
 
-    def confirm(self, host: str, address: str, sequence: int) -> None:
-        """Takes note that a host has a change or a later one."""
-        waiting = self.waiting.get((host, address))
-        if waiting is not None and waiting.message.sequence <= sequence:
-            del self.waiting[host, address]
+    def acknowledge(self, host: str, address: str, sequence: int) -> None:
+        """Removes a change unless it is newer than the acknowledged one."""
+        pending = self.pending.get((host, address))
+        if pending is not None and pending.message.sequence <= sequence:
+            del self.pending[host, address]
 
     def resend(self, now_s: float, live: set[str]) -> list[effects.Effect]:
-        """Sends again what is overdue; drops what is for absent hosts.
+        """Resends overdue changes; removes those for hosts that are not live.
 
         Args:
             now_s: Monotonic time in seconds.
-            live: Names of the hosts that are held to be alive.
+            live: Names of the live hosts.
         """
-        self.waiting = {
-            key: waiting
-            for key, waiting in self.waiting.items()
+        self.pending = {
+            key: pending
+            for key, pending in self.pending.items()
             if key[0] in live
         }
         overdue = [
-            waiting
-            for waiting in self.waiting.values()
-            if now_s - waiting.sent_s >= RESEND_S
+            pending
+            for pending in self.pending.values()
+            if now_s - pending.sent_s >= RESEND_INTERVAL_S
         ]
-        for waiting in overdue:
-            waiting.sent_s = now_s
+        for pending in overdue:
+            pending.sent_s = now_s
         return [
-            effects.SendMessage(waiting.peer, waiting.message)
-            for waiting in overdue
+            effects.SendMessage(pending.peer, pending.message)
+            for pending in overdue
         ]
--- a/packages/core/src/tamarack_core/messages/distribution.py
+++ b/packages/core/src/tamarack_core/messages/distribution.py
@@ -1,4 +1,4 @@
-"""Messages that spread the configuration."""
+"""Messages that distribute the configuration."""
 
 import msgspec
 
@@ -6,13 +6,14 @@
 
 
 class VersionOffer(msgspec.Struct, frozen=True, tag="version-offer"):
-    """The sender holds this configuration version.
+    """Version in force at the sender, and optionally a query for newer ones.
 
     Attributes:
         version: Version in force at the sender.
         since_ms: Wall-clock time in ms at which it came into force there.
-        wants_answer: Whether the receiver is to answer with what it holds;
-            it also sends newer versions for a while.
+        wants_answer: Whether this is a query: the receiver responds with its
+            version or the missing changes, and pushes newer versions for a
+            while.
     """
 
     version: int
@@ -24,8 +25,9 @@
     """All services that changed between two versions.
 
     Attributes:
-        base_version: The delta fits on this version and on later ones.
-        version: Version that it leads to.
+        base_version: Oldest version that the delta applies to; it also applies
+            to later ones.
+        version: Version after the delta.
         changes: Services as of `version`; None for a removed one.
     """
 
@@ -35,7 +37,7 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
-    """A whole configuration.
+    """A complete configuration.
 
     Attributes:
         numbered: The configuration with its version.
--- a/packages/core/src/tamarack_core/messages/targets.py
+++ b/packages/core/src/tamarack_core/messages/targets.py
@@ -1,4 +1,4 @@
-"""Messages that spread announced targets inside a failure domain."""
+"""Messages that replicate announced targets inside a failure domain."""
 
 import msgspec
 
@@ -6,12 +6,12 @@
 
 
 class TargetForwarded(msgspec.Struct, frozen=True, tag="target-forwarded"):
-    """A target announced itself to the sender.
+    """Announcement that a target sent to the sender of this message.
 
     The receiver is the aggregator of the target.
 
     Attributes:
-        announcement: What the target announced.
+        announcement: Announcement of the target.
         age_s: Seconds since the sender received it.
     """
 
@@ -20,11 +20,11 @@
 
 
 class TargetChanged(msgspec.Struct, frozen=True, tag="target-changed"):
-    """The aggregator of a target accepted a change of it.
+    """Change of a target that its aggregator accepted.
 
     Attributes:
-        announcement: What the target announced.
-        sequence: Number that orders changes of one target.
+        announcement: Announcement of the target.
+        sequence: Sequence number that orders the changes of one target.
         expired: Whether the lease of the target has run out.
     """
 
@@ -34,7 +34,7 @@
 
 
 class TargetReceived(msgspec.Struct, frozen=True, tag="target-received"):
-    """The sender has applied a change, or holds a later one.
+    """Acknowledgement: the sender has applied a change, or holds a later one.
 
     Attributes:
         address: IP address of the target.
