Reword the tests of balancing, quotas, membership and distribution

Assertions, bounds, seeds and settings are unchanged. The bodies of the property tests and state machines are left as they are, because Hypothesis derives the examples of a derandomized test from its source.

--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -78,7 +78,7 @@
         return choice.target[-1]
 
     def observe(self, number, progress, elapsed_s=0.001):
-        """Tells the chooser what was seen of a flow."""
+        """Passes an observation of a flow to the chooser."""
         self.chooser.observe(
             NOW_S,
             target_choice.Observation(
@@ -143,7 +143,7 @@
         chosen = [self.choose() for _ in range(70)]
         self.assertTrue(0 < chosen.count(1) < 10, chosen.count(1))
 
-    def test_a_silent_target_is_ejected(self):
+    def test_an_unresponsive_target_is_ejected(self):
         for _ in range(health_lib.FAILURES_TO_EJECT):
             self.observe(1, target_choice.Progress.UNRESPONSIVE)
         self.assertNotIn(1, [self.choose() for _ in range(70)])
@@ -168,10 +168,10 @@
 
 
 class EjectionTest(testtools.TestCase):
-    """Ejection and the way back."""
+    """Ejection and readmission of targets."""
 
     def fail(self, health, number, times=health_lib.FAILURES_TO_EJECT):
-        """Lets openings at a target fail."""
+        """Records failed openings at a target."""
         for _ in range(times):
             health.record_failure(NOW_S, address(number))
 
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -1,4 +1,4 @@
-"""Versions spread to all hosts and never go back."""
+"""Versions reach all hosts and never decrease."""
 
 import json
 
@@ -41,7 +41,7 @@
     return requests.SubmitPatch(f"p{number}", base, raw, "ana")
 
 
-class SpreadingTest(testtools.TestCase):
+class ConfigurationDistributorTest(testtools.TestCase):
     """One control host, one relay and the entry hosts of a domain."""
 
     def setUp(self):
@@ -108,7 +108,7 @@
         services = read.numbered.configuration.services
         self.assertEqual({f"s{n}": service(n) for n in (1, 2, 3)}, services)
 
-    def test_a_host_that_missed_a_push_asks_for_it(self):
+    def test_a_host_that_missed_a_push_queries_for_it(self):
         self.network.isolate("entry3")
         self.accept(1)
         self.network.run(TARGET_S)
@@ -118,12 +118,12 @@
 
     def test_a_host_without_a_relay_learns_from_its_neighbours(self):
         self.network.cut |= {("relay", "entry3"), ("entry3", "relay")}
-        # The questions of its start are forgotten by then.
+        # By then, its subscriptions from the start have expired.
         self.network.run(2 * subscribers.SUBSCRIPTION_S)
         self.accept(1)
         self.wait_for(1, self.entries)
 
-    def test_a_domain_without_its_relay_passes_on_what_a_peer_holds(self):
+    def test_a_domain_without_its_relay_distributes_what_a_peer_holds(self):
         self.accept(1)
         self.wait_for(1, ["relay"])
         self.network.kill("relay")
@@ -139,7 +139,7 @@
         self.accept(1)
         self.wait_for(1, self.entries)
 
-    def test_the_relay_says_who_lags(self):
+    def test_the_relay_reports_who_lags(self):
         self.wait_for(0, self.entries)
         self.network.isolate("entry3")
         self.accept(1)
@@ -162,7 +162,7 @@
 
 
 class ConfigurationStoreTest(testtools.TestCase):
-    """Whatever a host holds, one message brings it up to date."""
+    """Whatever version a host holds, one message brings it up to date."""
 
     @hypothesis.given(_changes, strategies.data())
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
@@ -187,7 +187,7 @@
             )
 
     def catch_up(self, other, teacher):
-        """Hands a host the message of another; its version never sinks."""
+        """Applies the message of another host; the version never decreases."""
         before = other.numbered.version
         message = teacher.newer_than(before)
         if isinstance(message, distribution.Snapshot):
@@ -199,11 +199,11 @@
         )
 
     def test_an_older_or_unfitting_version_is_not_put_into_force(self):
-        held = configuration_store.ConfigurationStore()
-        held.put_delta(distribution.Delta(0, 5, {"s1": service(1)}), 1)
+        store = configuration_store.ConfigurationStore()
+        store.put_delta(distribution.Delta(0, 5, {"s1": service(1)}), 1)
         old = configuration.Numbered(4, configuration.Configuration())
-        self.assertFalse(held.put(old, 2))
-        self.assertFalse(held.put_delta(distribution.Delta(0, 5, {}), 2))
-        self.assertFalse(held.put_delta(distribution.Delta(6, 7, {}), 2))
-        self.assertEqual(5, held.numbered.version)
-        self.assertEqual(1, held.since_ms)
+        self.assertFalse(store.put(old, 2))
+        self.assertFalse(store.put_delta(distribution.Delta(0, 5, {}), 2))
+        self.assertFalse(store.put_delta(distribution.Delta(6, 7, {}), 2))
+        self.assertEqual(5, store.numbered.version)
+        self.assertEqual(1, store.since_ms)
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -1,4 +1,4 @@
-"""Overload: what is shed, and what is not."""
+"""Load shedding: which openings are shed."""
 
 import testtools
 
@@ -23,37 +23,37 @@
 
 
 class OverloadTest(testtools.TestCase):
-    """A service of ten slots that answers in a second when unloaded."""
+    """A service of ten slots that replies within a second when unloaded."""
 
     def setUp(self):
         super().setUp()
         self.load_shedder = load_shedder_lib.LoadShedder()
-        for asked in (REPORT, CERTIFICATE):
-            self.load_shedder.record_reply(asked, 1.0, has_queue=False)
+        for opened in (REPORT, CERTIFICATE):
+            self.load_shedder.record_reply(opened, 1.0, has_queue=False)
 
-    def answer_slowly(self):
-        """Lets answers take three times as long."""
+    def reply_slowly(self):
+        """Records replies that take three times as long."""
         for _ in range(20):
             self.load_shedder.record_reply(CERTIFICATE, 3.0, has_queue=True)
 
-    def sheds(self, asked, queue):
-        """Returns whether an opening is shed at a queue."""
-        return self.load_shedder.must_shed(NOW_S, asked, queue * SLOTS, SLOTS)
+    def sheds(self, opened, queue):
+        """Returns whether an opening is shed at a queue length per slot."""
+        return self.load_shedder.must_shed(NOW_S, opened, queue * SLOTS, SLOTS)
 
-    def test_a_long_queue_with_quick_answers_is_no_overload(self):
+    def test_a_long_queue_with_quick_replies_is_no_overload(self):
         self.assertFalse(self.sheds(CERTIFICATE, 50.0))
-        self.answer_slowly()
+        self.reply_slowly()
         self.assertTrue(self.sheds(CERTIFICATE, 50.0))
 
     def test_idempotent_work_is_shed_first(self):
-        self.answer_slowly()
+        self.reply_slowly()
         between = load_shedder_lib.NON_IDEMPOTENT_QUEUE - 0.1
         self.assertTrue(self.sheds(CERTIFICATE, between))
         self.assertFalse(self.sheds(REPORT, between))
         self.assertTrue(self.sheds(REPORT, between + 0.2))
 
     def test_a_class_within_its_even_part_is_shed_last(self):
-        self.answer_slowly()
+        self.reply_slowly()
         self.sheds(REPORT, 0.0)
         for _ in range(5):
             self.load_shedder.add(REPORT)
@@ -62,7 +62,7 @@
         self.assertTrue(self.sheds(REPORT, between))
 
     def test_a_burst_at_two_slots_is_no_overload_but_a_long_queue_is(self):
-        self.answer_slowly()
+        self.reply_slowly()
         shed = [
             self.load_shedder.must_shed(NOW_S, CERTIFICATE, active, 2.0)
             for active in (3.0, 4.0, 12.0)
--- a/tests/slow/membership_network.py
+++ b/tests/slow/membership_network.py
@@ -1,4 +1,4 @@
-"""A seeded queue of messages between membership detectors."""
+"""A simulated network between hosts that run the membership protocol."""
 
 import heapq
 import itertools
@@ -26,7 +26,7 @@
 
 
 class Network:
-    """Detectors joined by a network that loses and delays messages."""
+    """Hosts on a seeded network that loses and delays messages."""
 
     def __init__(self, count, seed, loss=0.0, delay_s=0.003):
         self.random = random.Random(seed)
@@ -56,7 +56,7 @@
         self.carry_out(peer, node.start(self.now_s, wall_ms))
 
     def kill(self, peer):
-        """Ends a host without a word."""
+        """Ends a host without a graceful leave."""
         del self.detectors[peer.host]
 
     def cut(self, source, destination):
@@ -91,7 +91,7 @@
         heapq.heappush(self.queue, (at_s, number, effect.peer, arrival))
 
     def run(self, duration_s):
-        """Lets time pass."""
+        """Processes all events of a duration."""
         end_s = self.now_s + duration_s
         while self.queue and self.queue[0][0] <= end_s:
             self.now_s, number, peer, item = heapq.heappop(self.queue)
@@ -112,7 +112,7 @@
         self.now_s = end_s
 
     def states(self, subject):
-        """Returns the states in which the others hold a host."""
+        """Returns the states of a host in the views of the others."""
         return {
             node.view.members[subject.host].state
             for host, node in self.detectors.items()
@@ -120,7 +120,7 @@
         }
 
     def is_settled(self):
-        """Returns whether every host holds exactly the running ones."""
+        """Returns whether all views contain exactly the running hosts."""
         running = set(self.detectors)
         return all(
             {peer.host for peer in node.view.owning()} == running
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -1,4 +1,4 @@
-"""Choice of targets under faults, beside the naive version."""
+"""Choice of targets under faults, compared with the naive version."""
 
 import os
 
@@ -35,7 +35,7 @@
 
 
 class Version:
-    """Entry hosts of one version on a network of their own."""
+    """Entry hosts of one version on a separate network."""
 
     def __init__(self, version):
         self.version = version
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -1,4 +1,4 @@
-"""Leased shares of limits under faults and wrong views of the members."""
+"""Leased quotas under faults and wrong views of the members."""
 
 import os
 
@@ -71,21 +71,21 @@
                 if f"entry-{other}" != name
             )
 
-        part = quota_lease_manager.QuotaLeaseManager(
+        manager = quota_lease_manager.QuotaLeaseManager(
             context, config_store, limiter, members, HOSTS
         )
         self.limiters[name] = limiter
-        self.network.add(reducer.Node(context, (part,))).start()
+        self.network.add(reducer.Node(context, (manager,))).start()
 
     def live_limiters(self):
-        """Returns the gates of the hosts that run."""
+        """Returns the quota limiters of the running hosts by name."""
         return {
             host.peer.host: self.limiters[host.peer.host]
             for host in self.network.live("a")
         }
 
-    def share_sum(self, key):
-        """Returns the sum of the shares that hosts may use now."""
+    def quota_sum(self, key):
+        """Returns the sum of the quotas that running hosts may use now."""
         return sum(
             limiter.usage(key).valid_quota(self.queue.now_s)
             for limiter in self.live_limiters().values()
@@ -101,7 +101,7 @@
     def check(self):
         """Raises AssertionError if more is leased out than the limit."""
         for key, limit in TOTALS.items():
-            total = self.share_sum(key)
+            total = self.quota_sum(key)
             if total > limit + 1e-6:
                 raise AssertionError(f"{key}: {total} above {limit}")
 
@@ -183,7 +183,7 @@
 
 
 class MovementTest(testtools.TestCase):
-    """Shares move to demand."""
+    """Quota moves to the hosts with demand."""
 
     def setUp(self):
         super().setUp()
@@ -191,7 +191,7 @@
         self.domain.queue.run_until(START_S)
 
     def push(self, number, seconds):
-        """Keeps trying to open connections at one host."""
+        """Tries to open connections at one host for some seconds."""
         admitted = 0
         for _ in range(int(seconds * 10)):
             admitted += self.domain.open(number, 3)
@@ -199,14 +199,14 @@
             self.domain.check()
         return admitted
 
-    def test_an_unused_share_moves_to_demand_within_seconds(self):
+    def test_unused_quota_moves_to_demand_within_seconds(self):
         for number in range(HOSTS):
             admitted = self.push(number, MOVE_S)
             self.assertTrue(admitted >= LIMIT * 0.75, admitted)
             for _ in range(admitted):
                 self.domain.limiters[f"entry-{number}"].remove(PORT)
 
-    def test_the_share_of_a_dead_host_comes_back_after_its_lease(self):
+    def test_the_quota_of_a_dead_host_returns_after_its_lease(self):
         admitted = self.push(1, MOVE_S)
         self.assertTrue(admitted >= LIMIT * 0.75, admitted)
         self.domain.network.hosts["entry-1"].alive = False
@@ -218,7 +218,7 @@
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
-    def test_a_host_that_starts_late_is_served_by_a_settled_keeper(self):
+    def test_a_host_that_starts_late_gets_quota_of_a_settled_coordinator(self):
         self.domain.network.hosts["entry-1"].alive = False
         self.domain.queue.run_until(START_S * 2)
         self.domain.start(1)
@@ -228,7 +228,7 @@
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
-    def test_a_minority_loses_its_shares_and_the_majority_keeps_serving(self):
+    def test_a_minority_loses_its_quota_and_the_majority_keeps_serving(self):
         cut = {0, 1}
         rest = {2, 3, 4}
         for number in range(HOSTS):
@@ -244,14 +244,14 @@
         self.assertTrue(self.domain.open(2, 5) > 0)
 
 
-class CatalogueTest(testtools.TestCase):
+class QuotasTest(testtools.TestCase):
     """Division of limits over the failure domains."""
 
-    def test_the_parts_of_all_domains_make_up_the_limit(self):
+    def test_the_quotas_of_all_domains_add_up_to_the_limit(self):
         names = ("c", "a", "b")
         service = msgspec.structs.replace(SERVICE, failure_domains=names)
         document = configuration.Configuration({"agenda": service})
         key = quotas.concurrent_key(PORT)
-        parts = [quotas.totals(document, name)[key] for name in names]
-        self.assertEqual([6.0, 7.0, 7.0], parts)
+        amounts = [quotas.totals(document, name)[key] for name in names]
+        self.assertEqual([6.0, 7.0, 7.0], amounts)
         self.assertEqual(0.0, quotas.totals(document, "other")[key])
--- a/tests/slow/test_membership.py
+++ b/tests/slow/test_membership.py
@@ -1,4 +1,4 @@
-"""Membership under loss, cuts, slowness, death and planned stops."""
+"""Membership under loss, cuts, slow hosts, failures and planned stops."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -14,14 +14,14 @@
 
 
 class FailureDetectionTest(testtools.TestCase):
-    """Who is held to be dead, and who isn't."""
+    """Which hosts are declared dead, and which are not."""
 
     def test_hosts_that_know_three_seeds_find_all_others(self):
         network = membership_network.Network(20, seed=1)
         network.run(JOIN_S)
         self.assertTrue(network.is_settled())
 
-    def test_a_dead_host_is_found_by_all_and_no_other_is(self):
+    def test_all_hosts_declare_a_dead_host_dead_and_no_other(self):
         network = membership_network.Network(7, seed=2)
         network.run(JOIN_S)
         network.kill(network.peers[4])
@@ -50,11 +50,11 @@
     def test_a_host_that_can_send_but_not_receive_is_declared_dead(self):
         network = membership_network.Network(7, seed=5)
         network.run(JOIN_S)
-        deaf = network.peers[5]
+        unreachable = network.peers[5]
         for peer in network.peers:
-            network.cut(peer, deaf)
+            network.cut(peer, unreachable)
         network.run(20.0)
-        self.assertEqual({membership.State.DEAD}, network.states(deaf))
+        self.assertEqual({membership.State.DEAD}, network.states(unreachable))
 
     def test_both_sides_of_a_healed_cut_find_each_other(self):
         network = membership_network.Network(7, seed=6)
@@ -118,7 +118,7 @@
 
 
 class RandomFaultsTest(testtools.TestCase):
-    """Any mixture of faults, then quiet."""
+    """Any mixture of faults, then a time without faults."""
 
     @settings(derandomize=True, database=None, deadline=None, max_examples=12)
     @given(data=strategies.data())
--- a/tests/slow/test_targets.py
+++ b/tests/slow/test_targets.py
@@ -58,11 +58,11 @@
             )
 
         leases = lease_aggregator.LeaseAggregator(context, targets, members)
-        edge = announcement_validator.AnnouncementValidator(
+        validator = announcement_validator.AnnouncementValidator(
             context, config_store, leases
         )
         self.tables[context.host.host] = targets
-        host = self.network.add(reducer.Node(context, (leases, edge)))
+        host = self.network.add(reducer.Node(context, (leases, validator)))
         host.start()
 
     def announce(self, host=None, **changes):
@@ -77,13 +77,13 @@
         return host.responses[number]
 
     def renew_until(self, end_s):
-        """Lets the target renew its lease every three seconds."""
+        """Renews the lease of the target every three seconds until a time."""
         while self.queue.now_s < end_s:
             self.announce()
             self.queue.run_until(min(end_s, self.queue.now_s + 3.0))
 
     def ready(self):
-        """Returns the live hosts that hold the target to be ready."""
+        """Returns the live hosts at which the target is ready."""
         packed = ip.pack_address(ADDRESS)
         return {
             host.peer.host
@@ -116,7 +116,7 @@
         self.queue.run_until(9.0 + DRAIN_S)
         self.assertEqual(set(), self.ready())
 
-    def test_a_lease_that_is_not_renewed_runs_out_everywhere(self):
+    def test_a_lease_that_is_not_renewed_expires_everywhere(self):
         self.renew_until(9.0)
         self.queue.run_until(9.0 + LEASE_S + DRAIN_S)
         self.assertEqual(set(), self.ready())
@@ -133,7 +133,7 @@
             self.renew_until(self.queue.now_s + 3.0)
             self.assertEqual(HOSTS, len(self.ready()))
 
-    def test_a_host_that_was_cut_off_learns_what_it_missed(self):
+    def test_a_host_that_was_cut_off_receives_what_it_missed(self):
         self.renew_until(9.0)
         for number in range(1, HOSTS):
             self.network.cut |= {
@@ -147,7 +147,7 @@
         self.queue.run_until(12.0 + DRAIN_S)
         self.assertEqual(set(), self.ready())
 
-    def test_renewals_do_not_travel_beyond_the_aggregator(self):
+    def test_renewals_are_not_sent_beyond_the_aggregator(self):
         self.renew_until(9.0)
         before = sum(host.bytes_sent for host in self.network.live("a"))
         self.renew_until(39.0)
