--- a/packages/lab/src/tamarack_lab/attachment.py
+++ b/packages/lab/src/tamarack_lab/attachment.py
@@ -11,7 +11,7 @@
 from tamarack_lab.tcp import connection as connections
 from tamarack_lab.tcp import stack as stacks
 
-ConnectionCall = Callable[[connections.Connection], None]
+ConnectionCallback = Callable[[connections.Connection], None]
 
 # A long batch would keep the loop from its timers and other sockets.
 _BATCH_DATAGRAMS = 64
@@ -81,25 +81,27 @@
 
     def connect(
         self,
-        path: connections.Path,
+        path: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
         """Opens a connection; see `Stack.connect`."""
         connection = self.stack.connect(self.clock(), path, application)
-        self.wake()
+        self.schedule_flush()
         return connection
 
-    def send_datagram(self, path: connections.Path, payload: bytes) -> None:
+    def send_datagram(
+        self, path: connections.FourTuple, payload: bytes
+    ) -> None:
         """Sends UDP payload; it may be lost."""
         self.stack.send_datagram(path, payload)
-        self.wake()
+        self.schedule_flush()
 
-    def use(self, connection: connections.Connection) -> None:
+    def flush_soon(self, connection: connections.Connection) -> None:
         """Sends what an application has queued outside of `notify`."""
-        self.stack.touch(connection)
-        self.wake()
+        self.stack.mark_changed(connection)
+        self.schedule_flush()
 
-    def wake(self) -> None:
+    def schedule_flush(self) -> None:
         """Flushes the stack in the next iteration of the loop."""
         if not self._flush_due:
             self._flush_due = True
--- a/packages/lab/src/tamarack_lab/caller/datagram_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/datagram_flow.py
@@ -58,7 +58,7 @@
         self._sent_at_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def open(self, path: connections.Path) -> None:
+    def open(self, path: connections.FourTuple) -> None:
         """Sends the request."""
         self.counts.tried += 1
         self.counts.requests += 1
@@ -74,7 +74,7 @@
     def finish(self) -> None:
         """Does nothing; a request ends with its answer."""
 
-    def _receive(self, path: connections.Path, payload: bytes) -> None:
+    def _receive(self, path: connections.FourTuple, payload: bytes) -> None:
         """Judges an answer."""
         reader = exchange.LineReader(exchange.Answer)
         try:
@@ -86,7 +86,9 @@
         for answer in answers:
             self._judge(path, answer)
 
-    def _judge(self, path: connections.Path, answer: exchange.Answer) -> None:
+    def _judge(
+        self, path: connections.FourTuple, answer: exchange.Answer
+    ) -> None:
         """Counts an answer as right or wrong."""
         expected = (self.load.service, self.load.work_class)
         if (answer.service, answer.work_class) != expected:
@@ -100,12 +102,12 @@
             self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
             self._end(path)
 
-    def _miss(self, path: connections.Path) -> None:
+    def _miss(self, path: connections.FourTuple) -> None:
         """Gives up on an answer that doesn't come."""
         self.counts.broken[verdict.unknown("no-answer")] += 1
         self._end(path)
 
-    def _end(self, path: connections.Path) -> None:
+    def _end(self, path: connections.FourTuple) -> None:
         """Marks the outcome as counted."""
         self.is_over = True
         if self._timer is not None:
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -11,9 +11,9 @@
 from tamarack_lab import attachment as attachments
 from tamarack_lab import web_server
 from tamarack_lab.caller import datagram_flow
-from tamarack_lab.caller import flow as flows
 from tamarack_lab.caller import report as reports
 from tamarack_lab.caller import settings as caller_settings
+from tamarack_lab.caller import stream_flow as flows
 from tamarack_lab.tcp import connection as connections
 from tamarack_lab.tcp import stack as stacks
 
@@ -23,14 +23,14 @@
 _FORGET_EVERY = 1000
 _KINDS: dict[
     configuration.Protocol,
-    type[flows.Flow] | type[datagram_flow.DatagramFlow],
+    type[flows.StreamFlow] | type[datagram_flow.DatagramFlow],
 ] = {
-    configuration.Protocol.TCP: flows.Flow,
+    configuration.Protocol.TCP: flows.StreamFlow,
     configuration.Protocol.UDP: datagram_flow.DatagramFlow,
 }
 
 
-class Process:
+class CallerProcess:
     """Opens connections for a time and reports what became of them.
 
     Attributes:
@@ -68,7 +68,7 @@
         self.counts = [reports.Counts() for _ in settings.loads]
         self.http = settings.http
         self._random = random.Random(settings.seed)
-        self._flows: list[flows.Flow | datagram_flow.DatagramFlow] = []
+        self._flows: list[flows.StreamFlow | datagram_flow.DatagramFlow] = []
         self._runner: web.AppRunner | None = None
         _check(settings)
         packed = [ipaddress.ip_address(a).packed for a in settings.addresses]
@@ -96,7 +96,7 @@
             self._runner = served.runner
             self.http = served.endpoint
 
-    async def run(self) -> reports.Report:
+    async def run(self) -> reports.CallerReport:
         """Opens connections for the duration and closes them in order.
 
         Returns:
@@ -114,10 +114,10 @@
             await self._runner.cleanup()
         self.attachment.close()
 
-    def report(self) -> reports.Report:
+    def report(self) -> reports.CallerReport:
         """Returns the counts so far."""
         loads = zip(self.settings.loads, self.counts, strict=True)
-        return reports.Report(
+        return reports.CallerReport(
             tuple(
                 counts.report(load.service, load.work_class)
                 for load, counts in loads
@@ -143,7 +143,7 @@
         """Opens a connection."""
         remote = ipaddress.ip_address(load.address).packed
         port, address = next(self._paths[len(remote)])
-        path = connections.Path(address, port, remote, load.port)
+        path = connections.FourTuple(address, port, remote, load.port)
         name = f"{self.settings.seed}-{load.work_class}-{counts.tried}"
         kind = _KINDS[load.protocol]
         flow = kind(load, counts, self.attachment, name)
--- a/packages/lab/src/tamarack_lab/caller/report.py
+++ b/packages/lab/src/tamarack_lab/caller/report.py
@@ -45,7 +45,7 @@
     latency_p99_s: float
 
 
-class Report(msgspec.Struct, frozen=True):
+class CallerReport(msgspec.Struct, frozen=True):
     """What became of all connections.
 
     Attributes:
--- a/packages/lab/src/tamarack_lab/caller/flow.py
+++ b/packages/lab/src/tamarack_lab/caller/stream_flow.py
@@ -13,10 +13,10 @@
 from tamarack_lab.caller import settings as caller_settings
 from tamarack_lab.tcp import connection as connections
 
-Occurrence = connections.Occurrence
+ConnectionEvent = connections.ConnectionEvent
 
 
-class Flow:
+class StreamFlow:
     """Sends requests and judges the answers.
 
     Attributes:
@@ -75,7 +75,7 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
 
-    def open(self, path: connections.Path) -> None:
+    def open(self, path: connections.FourTuple) -> None:
         """Opens the connection."""
         self.counts.tried += 1
         self.connection = self.attachment.connect(path, self)
@@ -89,22 +89,22 @@
             self._complete(self.connection)
 
     def notify(
-        self, connection: connections.Connection, event: Occurrence
+        self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
         """Reacts to an occurrence of the connection."""
         if self.is_over:
             return
-        if event is Occurrence.CONNECTED:
+        if event is ConnectionEvent.CONNECTED:
             self.is_open = True
             self.counts.opened += 1
             self._send(connection)
-        elif event is Occurrence.READABLE:
+        elif event is ConnectionEvent.READABLE:
             self._read(connection)
-        elif event is Occurrence.REFUSED:
+        elif event is ConnectionEvent.REFUSED:
             self._refuse("connection-refused")
-        elif event is Occurrence.TIMED_OUT and not connection.receiver:
+        elif event is ConnectionEvent.TIMED_OUT and not connection.receiver:
             self._refuse("no-answer-to-syn")
-        elif event is not Occurrence.WRITABLE:
+        elif event is not ConnectionEvent.WRITABLE:
             self._break(connection, f"connection-{event}")
 
     def _send(self, connection: connections.Connection) -> None:
@@ -116,7 +116,7 @@
         self.counts.requests += 1
         request = exchange.Request(self.awaited, self.load.answer_bytes)
         connection.write(exchange.encode(request))
-        self.attachment.use(connection)
+        self.attachment.flush_soon(connection)
         self._schedule(self.load.answer_timeout_s, self._miss, connection)
 
     def _read(self, connection: connections.Connection) -> None:
@@ -157,7 +157,7 @@
         self.counts.completed += 1
         self._close()
         connection.finish()
-        self.attachment.use(connection)
+        self.attachment.flush_soon(connection)
 
     def _refuse(self, reason: str) -> None:
         """Counts a connection that was never established."""
@@ -173,7 +173,7 @@
         self.counts.broken[found] += 1
         if connection.state is connections.State.CLOSE_WAIT:
             connection.finish()
-            self.attachment.use(connection)
+            self.attachment.flush_soon(connection)
 
     def _miss(self, connection: connections.Connection) -> None:
         """Gives up on an answer that doesn't come."""
@@ -184,7 +184,7 @@
         """Resets the connection and counts it as broken."""
         self._break(connection, reason)
         connection.abort()
-        self.attachment.use(connection)
+        self.attachment.flush_soon(connection)
 
     def _close(self) -> None:
         """Marks the outcome as counted."""
@@ -195,7 +195,7 @@
     def _schedule(
         self,
         delay_s: float,
-        call: attachments.ConnectionCall,
+        call: attachments.ConnectionCallback,
         connection: connections.Connection,
     ) -> None:
         """Replaces the timer."""
--- a/packages/lab/src/tamarack_lab/demo/summary.py
+++ b/packages/lab/src/tamarack_lab/demo/summary.py
@@ -29,8 +29,8 @@
     """
 
     name: str
-    callers: reports.Report
-    targets: list[servers.Report]
+    callers: reports.CallerReport
+    targets: list[servers.TargetReport]
     version: int
     versions: dict[str, list[int]]
     exit_statuses: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -85,14 +85,14 @@
                 yield f"{name}: exit status {status}"
 
 
-def imbalance(targets: list[servers.Report]) -> float:
+def imbalance(targets: list[servers.TargetReport]) -> float:
     """Returns the work of the busiest target by that of the mean one."""
     work = [target.work for target in targets]
     mean = sum(work) / len(work) if work else 0.0
     return max(work) / mean if mean else 0.0
 
 
-def imbalance_in_domains(targets: list[servers.Report]) -> float:
+def imbalance_in_domains(targets: list[servers.TargetReport]) -> float:
     """Returns the highest imbalance within a failure domain.
 
     The callers of a failure domain reach its own targets only, so that domains
@@ -117,7 +117,7 @@
     )
 
 
-def _render_loads(callers: reports.Report) -> str:
+def _render_loads(callers: reports.CallerReport) -> str:
     """Returns the table of what the callers saw."""
     rows = [
         (
@@ -149,7 +149,9 @@
 
 def _render_services(outcome: Outcome) -> str:
     """Returns the table of how even the work was."""
-    by_service: dict[str, list[servers.Report]] = collections.defaultdict(list)
+    by_service: dict[str, list[servers.TargetReport]] = collections.defaultdict(
+        list
+    )
     for target in outcome.targets:
         # A drained target has had less work on purpose.
         if target.state is requests.TargetState.READY:
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -184,12 +184,12 @@
         """Returns where the entry hosts of a failure domain take HTTP."""
         return tuple(entry.control for entry in self.in_domain(domain))
 
-    def members(self) -> list[target_settings.Member]:
+    def members(self) -> list[target_settings.TargetSpec]:
         """Returns all targets, spread over the failure domains."""
         numbers = itertools.count()
         domains = self.plan.domains
         return [
-            target_settings.Member(
+            target_settings.TargetSpec(
                 service=service.name,
                 address=_address(service.network, number),
                 domain=domains[next(numbers) % len(domains)],
--- a/packages/lab/src/tamarack_lab/deployment/run.py
+++ b/packages/lab/src/tamarack_lab/deployment/run.py
@@ -126,7 +126,7 @@
         settings = self.layout.caller_settings(duration_s, grace_s)
         await self._start_stand_in("caller", settings)
 
-    async def finish_callers(self, timeout_s: float) -> reports.Report:
+    async def finish_callers(self, timeout_s: float) -> reports.CallerReport:
         """Waits for the end of the callers and returns their report.
 
         Raises:
@@ -141,18 +141,18 @@
         if status:
             raise DeploymentError(f"the callers failed: {child.log_tail()}")
         output = child.output_file.read_bytes()
-        return msgspec.json.decode(output, type=reports.Report)
+        return msgspec.json.decode(output, type=reports.CallerReport)
 
-    async def read_callers(self) -> reports.Report | failure.Failure:
+    async def read_callers(self) -> reports.CallerReport | failure.Failure:
         """Returns the report of the callers so far."""
         found = await self.client.call(
             "GET", self.layout.callers_http, "/v1/report"
         )
         if isinstance(found, failure.Failure):
             return found
-        return msgspec.convert(found.body, reports.Report)
+        return msgspec.convert(found.body, reports.CallerReport)
 
-    async def read_targets(self) -> list[servers.Report]:
+    async def read_targets(self) -> list[servers.TargetReport]:
         """Returns the reports of all targets.
 
         Raises:
@@ -163,7 +163,9 @@
         )
         if isinstance(found, failure.Failure):
             raise DeploymentError(found.detail)
-        return msgspec.convert(found.body["targets"], list[servers.Report])
+        return msgspec.convert(
+            found.body["targets"], list[servers.TargetReport]
+        )
 
     async def submit(
         self, operations: list[dict[str, Any]], note: str
--- a/packages/lab/src/tamarack_lab/experiments/packet_ends.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_ends.py
@@ -55,10 +55,10 @@
     def notify(
         self,
         connection: connections.Connection,
-        event: connections.Occurrence,
+        event: connections.ConnectionEvent,
     ) -> None:
         """Reacts to an occurrence of the connection."""
-        occurrences = connections.Occurrence
+        occurrences = connections.ConnectionEvent
         if event is occurrences.CONNECTED:
             self.ask(connection)
         elif event is occurrences.READABLE:
@@ -104,12 +104,12 @@
     def notify(
         self,
         connection: connections.Connection,
-        event: connections.Occurrence,
+        event: connections.ConnectionEvent,
     ) -> None:
         """Reacts to an occurrence of the connection."""
-        if event is connections.Occurrence.ENDED:
+        if event is connections.ConnectionEvent.ENDED:
             connection.finish()
-        if event is not connections.Occurrence.READABLE:
+        if event is not connections.ConnectionEvent.READABLE:
             return
         self.buffer += connection.read()
         while len(self.buffer) >= RECORD_BYTES:
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -203,7 +203,7 @@
         self.open_callers[uid] = caller
         caller.since_s = self.queue.now_s
         port = next(iter(self.plan.service.settings.classes.values())).port
-        path = connections.Path(
+        path = connections.FourTuple(
             bytes((100, 64, uid >> 8, uid & 255)),
             CALLER_PORTS + uid,
             ip.pack_address(self.plan.service.settings.addresses[0]),
@@ -235,7 +235,7 @@
 
     def wake(self, connection: connections.Connection) -> None:
         """Sends what a caller's connection has queued."""
-        self.callers.touch(connection)
+        self.callers.mark_changed(connection)
         self._flush(self.callers)
 
     def _flush(self, stack: stacks.Stack) -> None:
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -74,7 +74,7 @@
     routes: tuple[Route, ...] = ()
 
 
-class Owner(msgspec.Struct, frozen=True):
+class AddressOwner(msgspec.Struct, frozen=True):
     """Where packets for an address go.
 
     Attributes:
@@ -86,7 +86,7 @@
     domain: str
 
 
-class Table:
+class RoutingTable:
     """Decides where a datagram goes.
 
     Attributes:
@@ -121,11 +121,11 @@
         self.entries: dict[str, list[SocketAddress]] = {}
         self.known: set[SocketAddress] = set()
         self.services: dict[bytes, tuple[str, ...]] = {}
-        self.networks: dict[int, dict[int, dict[bytes, Owner]]] = {}
-        self.owners: dict[bytes, Owner | None] = {}
+        self.networks: dict[int, dict[int, dict[bytes, AddressOwner]]] = {}
+        self.owners: dict[bytes, AddressOwner | None] = {}
         self.counters: collections.Counter[str] = collections.Counter()
 
-    def set_entries(
+    def set_entry_hosts(
         self, domain: str, endpoints: tuple[peers.Endpoint, ...]
     ) -> None:
         """Replaces the entry hosts of a failure domain."""
@@ -133,7 +133,7 @@
         self.entries[domain] = chosen
         self.known.update(chosen)
 
-    def add_host(self, endpoint: peers.Endpoint) -> None:
+    def add_known_host(self, endpoint: peers.Endpoint) -> None:
         """Adds an entry host that may send and isn't sprayed over so far."""
         self.known.add((endpoint.address, endpoint.port))
 
@@ -157,7 +157,7 @@
         to = (route.endpoint.address, route.endpoint.port)
         by_length = self.networks.setdefault(network.max_prefixlen, {})
         same_length = by_length.setdefault(network.prefixlen, {})
-        same_length[packed] = Owner(to, route.domain)
+        same_length[packed] = AddressOwner(to, route.domain)
         self.owners.clear()
 
     def forward(
@@ -183,7 +183,7 @@
             return self._deliver(receiver)
         return self._spray(sender, receiver)
 
-    def owner(self, address: bytes) -> Owner | None:
+    def owner(self, address: bytes) -> AddressOwner | None:
         """Returns the owner of an address by longest prefix."""
         if address not in self.owners:
             self.owners[address] = self._look_up(address)
@@ -215,7 +215,7 @@
         self.counters["sprayed"] += 1
         return candidates[int(self.random.random() * len(candidates))]
 
-    def _look_up(self, address: bytes) -> Owner | None:
+    def _look_up(self, address: bytes) -> AddressOwner | None:
         """Returns the owner of an address, longest prefix first."""
         bits = len(address) * 8
         whole = int.from_bytes(address, "big")
@@ -233,15 +233,15 @@
         return None
 
 
-def build_table(settings: Settings) -> Table:
+def build_table(settings: Settings) -> RoutingTable:
     """Returns the table that settings describe.
 
     Raises:
         ValueError: An address or a network is malformed.
     """
-    table = Table(settings.seed)
+    table = RoutingTable(settings.seed)
     for domain, endpoints in settings.domains.items():
-        table.set_entries(domain, endpoints)
+        table.set_entry_hosts(domain, endpoints)
     for service in settings.services:
         table.add_service(service)
     for route in settings.routes:
@@ -334,12 +334,14 @@
         """Replaces the entry hosts of a failure domain."""
         form = tuple[peers.Endpoint, ...]
         endpoints = await web_server.read(request, form)
-        self.table.set_entries(request.match_info["domain"], endpoints)
+        self.table.set_entry_hosts(request.match_info["domain"], endpoints)
         return web_server.answer({})
 
     async def _put_host(self, request: web.Request) -> web.Response:
         """Adds an entry host that may send."""
-        self.table.add_host(await web_server.read(request, peers.Endpoint))
+        self.table.add_known_host(
+            await web_server.read(request, peers.Endpoint)
+        )
         return web_server.answer({})
 
     async def _put_route(self, request: web.Request) -> web.Response:
--- a/packages/lab/src/tamarack_lab/gateway/joint.py
+++ b/packages/lab/src/tamarack_lab/gateway/bridge.py
@@ -7,15 +7,19 @@
 from tamarack_lab import attachment as attachments
 from tamarack_lab.tcp import connection as connections
 
-Occurrence = connections.Occurrence
+ConnectionEvent = connections.ConnectionEvent
 
 # Above this much unsent payload the ordinary side is not read any more.
 MOST_UNSENT_BYTES = 256 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_CUT = (Occurrence.REFUSED, Occurrence.RESET, Occurrence.TIMED_OUT)
+_CUT = (
+    ConnectionEvent.REFUSED,
+    ConnectionEvent.RESET,
+    ConnectionEvent.TIMED_OUT,
+)
 
 
-class Joint(asyncio.Protocol):
+class ConnectionBridge(asyncio.Protocol):
     """Passes payload, ends and resets from each side to the other.
 
     Attributes:
@@ -60,13 +64,13 @@
         self.connection.write(data)
         if len(self.connection.sender.buffer) > MOST_UNSENT_BYTES:
             self.transport.pause_reading()
-        self.attachment.use(self.connection)
+        self.attachment.flush_soon(self.connection)
 
     def eof_received(self) -> bool:
         """Passes the end of the ordinary side on; the other may go on."""
         if self.connection is not None:
             self.connection.finish()
-            self.attachment.use(self.connection)
+            self.attachment.flush_soon(self.connection)
         return not self._is_finished()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -76,14 +80,14 @@
             self.abort()
             return
         self.connection.finish()
-        self.attachment.use(self.connection)
+        self.attachment.flush_soon(self.connection)
 
     def abort(self) -> None:
         """Resets the side of the stand-ins, now or once it is known."""
         self._is_lost = True
         if self.connection is not None:
             self.connection.abort()
-            self.attachment.use(self.connection)
+            self.attachment.flush_soon(self.connection)
 
     def pause_writing(self) -> None:
         """Leaves payload unread, which closes the receive window."""
@@ -95,21 +99,21 @@
         self._pass_on()
 
     def notify(
-        self, connection: connections.Connection, event: Occurrence
+        self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
         """Passes an occurrence at the side of the stand-ins on."""
         self.connection = connection
-        if event is Occurrence.CONNECTED:
+        if event is ConnectionEvent.CONNECTED:
             self._start(connection)
-        elif event is Occurrence.READABLE:
+        elif event is ConnectionEvent.READABLE:
             self._pass_on()
-        elif event is Occurrence.WRITABLE:
+        elif event is ConnectionEvent.WRITABLE:
             self._read_again(connection)
-        elif event is Occurrence.ENDED:
+        elif event is ConnectionEvent.ENDED:
             self._pass_end_on()
         elif event in _CUT:
             self._cut()
-        elif event is Occurrence.CLOSED and self.transport is not None:
+        elif event is ConnectionEvent.CLOSED and self.transport is not None:
             self.transport.close()
 
     def _start(self, connection: connections.Connection) -> None:
@@ -138,7 +142,7 @@
             if not data:
                 break
             self.transport.write(data)
-        self.attachment.use(self.connection)
+        self.attachment.flush_soon(self.connection)
         self._pass_end_on()
 
     def _pass_end_on(self) -> None:
--- a/packages/lab/src/tamarack_lab/gateway/process.py
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -11,7 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import requests
 from tamarack_lab import attachment as attachments
-from tamarack_lab.gateway import joint as joints
+from tamarack_lab.gateway import bridge as joints
 from tamarack_lab.gateway import settings as gateway_settings
 from tamarack_lab.target import announcer as announcers
 from tamarack_lab.target import settings as target_settings
@@ -22,20 +22,20 @@
 LAST_PORT = 60_000
 
 
-class Near:
+class CallerSide:
     """The side of the callers.
 
     Attributes:
         settings: Settings.
         attachment: Carries the packets.
-        doors: Where ordinary connections are accepted, once started.
+        endpoints: Where ordinary connections are accepted, once started.
     """
 
-    __slots__ = ("_ports", "_servers", "attachment", "doors", "settings")
+    __slots__ = ("_ports", "_servers", "attachment", "endpoints", "settings")
 
     def __init__(
         self,
-        settings: gateway_settings.Near,
+        settings: gateway_settings.CallerSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
         """Creates the side.
@@ -46,7 +46,7 @@
         """
         self.settings = settings
         self.attachment = attachment
-        self.doors: list[peers.Endpoint] = []
+        self.endpoints: list[peers.Endpoint] = []
         self._servers: list[asyncio.Server] = []
         self._ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 
@@ -66,21 +66,25 @@
             server.close()
         self.attachment.close()
 
-    async def _listen(self, door: gateway_settings.Door) -> None:
+    async def _listen(self, door: gateway_settings.LoopbackPort) -> None:
         """Listens at one door."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: NearJoint(self, door), door.listen.address, door.listen.port
+            lambda: CallerBridge(self, door),
+            door.listen.address,
+            door.listen.port,
         )
         self._servers.append(server)
         name = server.sockets[0].getsockname()
-        self.doors.append(peers.Endpoint(name[0], name[1]))
+        self.endpoints.append(peers.Endpoint(name[0], name[1]))
 
     def connect(
-        self, door: gateway_settings.Door, joint: joints.Joint
+        self,
+        door: gateway_settings.LoopbackPort,
+        joint: joints.ConnectionBridge,
     ) -> connections.Connection:
         """Opens a connection to the service behind a door."""
-        path = connections.Path(
+        path = connections.FourTuple(
             ipaddress.ip_address(self.settings.address).packed,
             next(self._ports),
             ipaddress.ip_address(door.address).packed,
@@ -89,42 +93,44 @@
         return self.attachment.connect(path, joint)
 
 
-class NearJoint(joints.Joint):
+class CallerBridge(joints.ConnectionBridge):
     """Joint that opens its connection when an ordinary one is accepted.
 
     Attributes:
-        near: The side that it belongs to.
+        caller_side: The side that it belongs to.
         door: Where the ordinary connection was accepted.
     """
 
-    __slots__ = ("door", "near")
+    __slots__ = ("caller_side", "door")
 
-    def __init__(self, near: Near, door: gateway_settings.Door) -> None:
+    def __init__(
+        self, caller_side: CallerSide, door: gateway_settings.LoopbackPort
+    ) -> None:
         """Creates a joint without sides.
 
         Args:
-            near: The side that it belongs to.
+            caller_side: The side that it belongs to.
             door: Where the ordinary connection is accepted.
         """
-        super().__init__(near.attachment)
-        self.near = near
+        super().__init__(caller_side.attachment)
+        self.caller_side = caller_side
         self.door = door
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Opens the connection of the stand-ins."""
-        self.connection = self.near.connect(self.door, self)
+        self.connection = self.caller_side.connect(self.door, self)
         super().connection_made(transport)
 
 
 @dataclasses.dataclass(slots=True)
-class FarTarget:
+class GatewayTarget:
     """A target that hands its connections to ordinary servers.
 
     Attributes:
         member: Address and failure domain.
     """
 
-    member: target_settings.Member
+    member: target_settings.TargetSpec
 
     def announcement(
         self, lease_s: float, incarnation: int
@@ -139,7 +145,7 @@
         )
 
 
-class Far:
+class TargetSide:
     """The side of the targets.
 
     Attributes:
@@ -153,7 +159,7 @@
 
     def __init__(
         self,
-        settings: gateway_settings.Far,
+        settings: gateway_settings.TargetSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
         """Creates the side.
@@ -165,7 +171,7 @@
         self.settings = settings
         self.attachment = attachment
         self.announcer = announcers.Announcer(
-            [FarTarget(member) for member in settings.targets],
+            [GatewayTarget(member) for member in settings.targets],
             dict(settings.entries),
             settings.lease_s,
             int(time.time()),
@@ -195,16 +201,18 @@
         self.attachment.close()
 
     def join(
-        self, address: str, server: gateway_settings.Server
-    ) -> joints.Joint:
+        self, address: str, server: gateway_settings.RealServer
+    ) -> joints.ConnectionBridge:
         """Returns the joint of a new connection."""
         self.accepted[address] = self.accepted.get(address, 0) + 1
-        joint = joints.Joint(self.attachment)
+        joint = joints.ConnectionBridge(self.attachment)
         self._start_task(self._connect(joint, server))
         return joint
 
     async def _connect(
-        self, joint: joints.Joint, server: gateway_settings.Server
+        self,
+        joint: joints.ConnectionBridge,
+        server: gateway_settings.RealServer,
     ) -> None:
         """Connects a joint to its server, or resets its connection."""
         loop = asyncio.get_running_loop()
@@ -226,31 +234,31 @@
     """Accepts the connections of one port of a target.
 
     Attributes:
-        far: The side that it belongs to.
+        target_side: The side that it belongs to.
         address: Address of the target.
         server: The server behind the port.
     """
 
-    far: Far
+    target_side: TargetSide
     address: str
-    server: gateway_settings.Server
+    server: gateway_settings.RealServer
 
     def accept(
-        self, path: connections.Path, sequence: int
+        self, path: connections.FourTuple, sequence: int
     ) -> connections.Application:
         """Returns the joint of a new connection."""
-        return self.far.join(self.address, self.server)
+        return self.target_side.join(self.address, self.server)
 
 
-class Process:
+class GatewayProcess:
     """The gateway.
 
     Attributes:
-        near: The side of the callers; None for none.
-        far: The side of the targets; None for none.
+        caller_side: The side of the callers; None for none.
+        target_side: The side of the targets; None for none.
     """
 
-    __slots__ = ("far", "near")
+    __slots__ = ("caller_side", "target_side")
 
     def __init__(self, settings: gateway_settings.Settings) -> None:
         """Creates a gateway that isn't started; needs a running loop.
@@ -258,14 +266,14 @@
         Args:
             settings: Settings.
         """
-        self.near: Near | None = None
-        self.far: Far | None = None
+        self.caller_side: CallerSide | None = None
+        self.target_side: TargetSide | None = None
         if settings.near is not None:
             attachment = _attach(settings, settings.near.listen, 0)
-            self.near = Near(settings.near, attachment)
+            self.caller_side = CallerSide(settings.near, attachment)
         if settings.far is not None:
             attachment = _attach(settings, settings.far.listen, 1)
-            self.far = Far(settings.far, attachment)
+            self.target_side = TargetSide(settings.far, attachment)
 
     async def start(self) -> None:
         """Binds the sockets.
@@ -273,13 +281,13 @@
         Raises:
             OSError: An endpoint can't be bound.
         """
-        for side in (self.far, self.near):
+        for side in (self.target_side, self.caller_side):
             if side is not None:
                 await side.start()
 
     async def close(self) -> None:
         """Closes all sockets."""
-        for side in (self.near, self.far):
+        for side in (self.caller_side, self.target_side):
             if side is not None:
                 await side.close()
 
--- a/packages/lab/src/tamarack_lab/gateway/settings.py
+++ b/packages/lab/src/tamarack_lab/gateway/settings.py
@@ -6,7 +6,7 @@
 from tamarack_lab.target import settings as target_settings
 
 
-class Door(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class LoopbackPort(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A loopback port whose connections are carried to a service.
 
     Attributes:
@@ -20,7 +20,9 @@
     port: int
 
 
-class Near(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class CallerSideSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
     """The side of the callers.
 
     Attributes:
@@ -31,10 +33,10 @@
 
     listen: peers.Endpoint
     address: str
-    doors: tuple[Door, ...]
+    doors: tuple[LoopbackPort, ...]
 
 
-class Server(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RealServer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An ordinary server behind a port of the targets.
 
     Attributes:
@@ -46,7 +48,9 @@
     connect: peers.Endpoint
 
 
-class Far(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class TargetSideSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
     """The side of the targets.
 
     Attributes:
@@ -59,8 +63,8 @@
     """
 
     listen: peers.Endpoint
-    targets: tuple[target_settings.Member, ...]
-    servers: tuple[Server, ...]
+    targets: tuple[target_settings.TargetSpec, ...]
+    servers: tuple[RealServer, ...]
     entries: dict[str, tuple[peers.Endpoint, ...]] = {}
     lease_s: float = 10.0
 
@@ -77,7 +81,7 @@
     """
 
     fabric: peers.Endpoint
-    near: Near | None = None
-    far: Far | None = None
+    near: CallerSideSettings | None = None
+    far: TargetSideSettings | None = None
     mss: int = 1400
     seed: int = 0
--- a/packages/lab/src/tamarack_lab/proxy/datagrams.py
+++ b/packages/lab/src/tamarack_lab/proxy/datagrams.py
@@ -20,7 +20,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Ways:
+class ChannelPair:
     """Both directions of a link, and the clock of the proxy.
 
     Attributes:
@@ -30,9 +30,9 @@
         clock: Returns the seconds since the start of the proxy.
     """
 
-    forward: faults_lib.Way
-    back: faults_lib.Way
-    faults: faults_lib.Faults
+    forward: faults_lib.Channel
+    back: faults_lib.Channel
+    faults: faults_lib.FaultInjector
     clock: Callable[[], float]
 
 
@@ -41,23 +41,25 @@
 
     Attributes:
         link: Settings.
-        ways: Both directions.
+        channels: Both directions.
         listen: Where it listens, once started.
         outward: Sockets towards `to`, by sender; the one key is None when
             the link has a fixed outward endpoint.
     """
 
-    __slots__ = ("_inward", "link", "listen", "outward", "ways")
+    __slots__ = ("_inward", "channels", "link", "listen", "outward")
 
-    def __init__(self, link: proxy_settings.Link, ways: Ways) -> None:
+    def __init__(
+        self, link: proxy_settings.Link, channels: ChannelPair
+    ) -> None:
         """Creates a link that isn't started.
 
         Args:
             link: Settings.
-            ways: Both directions.
+            channels: Both directions.
         """
         self.link = link
-        self.ways = ways
+        self.channels = channels
         self.listen = link.listen
         self.outward: dict[SocketAddress | None, socket.socket] = {}
         self._inward: socket.socket | None = None
@@ -95,7 +97,7 @@
         for data, sender in batch:
             outward = self._outward_of(sender)
             if outward is not None:
-                self._carry(self.ways.forward, outward, data, to, sender[0])
+                self._carry(self.channels.forward, outward, data, to, sender[0])
 
     def _read_outward(
         self, outward: socket.socket, back_to: SocketAddress
@@ -104,7 +106,7 @@
         for data in sockets.drain(outward, _BATCH_DATAGRAMS):
             if self._inward is not None:
                 self._carry(
-                    self.ways.back, self._inward, data, back_to, back_to[0]
+                    self.channels.back, self._inward, data, back_to, back_to[0]
                 )
 
     def _outward_of(self, sender: SocketAddress) -> socket.socket | None:
@@ -133,7 +135,7 @@
 
     def _carry(
         self,
-        way: faults_lib.Way,
+        channel: faults_lib.Channel,
         leaving: socket.socket,
         data: bytes,
         to: SocketAddress,
@@ -142,8 +144,8 @@
         """Sends the copies of a datagram that are not lost."""
         send = functools.partial(sockets.send, leaving, data, to)
         loop = asyncio.get_running_loop()
-        for delay_s in self.ways.faults.datagram_delays(
-            way, self.ways.clock(), sender
+        for delay_s in self.channels.faults.datagram_delays(
+            channel, self.channels.clock(), sender
         ):
             if delay_s <= 0.0:
                 send()
--- a/packages/lab/src/tamarack_lab/proxy/faults.py
+++ b/packages/lab/src/tamarack_lab/proxy/faults.py
@@ -13,7 +13,7 @@
 TCP_RETRANSMISSION_S = 0.2
 
 
-class Way:
+class Channel:
     """One direction of a link, with a chance of its own.
 
     What passes on one way doesn't change what becomes of the rest.
@@ -58,7 +58,7 @@
         self.reordered = 0
 
 
-class Faults:
+class FaultInjector:
     """Faults in force over time.
 
     Attributes:
@@ -75,11 +75,13 @@
         """
         self.schedule = list(schedule)
 
-    def active(self, way: Way, now_s: float, sender: str) -> list[Fault]:
+    def active(
+        self, channel: Channel, now_s: float, sender: str
+    ) -> list[Fault]:
         """Returns the faults of a way at a time.
 
         Args:
-            way: The way.
+            channel: The way.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
         """
@@ -88,71 +90,77 @@
             for fault in self.schedule
             if fault.from_s <= now_s
             and (fault.until_s is None or now_s < fault.until_s)
-            and fault.direction in (way.direction, "both")
-            and _matches(way.link, fault.links)
+            and fault.direction in (channel.direction, "both")
+            and _matches(channel.link, fault.links)
             and _matches(sender, fault.senders)
         ]
 
-    def is_partitioned(self, way: Way, now_s: float, sender: str) -> bool:
+    def is_partitioned(
+        self, channel: Channel, now_s: float, sender: str
+    ) -> bool:
         """Returns True when nothing passes a way; see `active`."""
-        active = self.active(way, now_s, sender)
+        active = self.active(channel, now_s, sender)
         return any(fault.partition for fault in active)
 
     def datagram_delays(
-        self, way: Way, now_s: float, sender: str
+        self, channel: Channel, now_s: float, sender: str
     ) -> list[float]:
         """Returns the delay of each copy of a datagram in seconds.
 
         Args:
-            way: The way that it takes.
+            channel: The way that it takes.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
 
         Returns:
             No delay when the datagram is lost, two when it is duplicated.
         """
-        active = self.active(way, now_s, sender)
+        active = self.active(channel, now_s, sender)
         if not active:
-            return self._pass(way, now_s, 0.0)
+            return self._pass(channel, now_s, 0.0)
         if any(fault.partition for fault in active) or any(
-            _happens(way, fault.loss) for fault in active
+            _happens(channel, fault.loss) for fault in active
         ):
-            way.lost += 1
+            channel.lost += 1
             return []
-        delay_s = _delay(way, active)
-        copies = self._pass(way, now_s, delay_s)
-        held = [f for f in active if _happens(way, f.reorder)]
+        delay_s = _delay(channel, active)
+        copies = self._pass(channel, now_s, delay_s)
+        held = [f for f in active if _happens(channel, f.reorder)]
         if held:
-            way.reordered += 1
+            channel.reordered += 1
             copies = [delay_s + max(f.reorder_s for f in held)]
-        if any(_happens(way, fault.duplicate) for fault in active):
-            way.duplicated += 1
-            copies.append(copies[0] + _delay(way, active))
+        if any(_happens(channel, fault.duplicate) for fault in active):
+            channel.duplicated += 1
+            copies.append(copies[0] + _delay(channel, active))
         return copies
 
-    def stream_delay(self, way: Way, now_s: float, sender: str) -> float:
+    def stream_delay(
+        self, channel: Channel, now_s: float, sender: str
+    ) -> float:
         """Returns the delay of a piece of data on TCP in seconds.
 
         The delay of a partition is not part of it, since its end may change.
 
         Args:
-            way: The way that it takes.
+            channel: The way that it takes.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
         """
-        active = self.active(way, now_s, sender)
-        delay_s = _delay(way, active)
-        if any(_happens(way, fault.loss) for fault in active):
-            way.lost += 1
+        active = self.active(channel, now_s, sender)
+        delay_s = _delay(channel, active)
+        if any(_happens(channel, fault.loss) for fault in active):
+            channel.lost += 1
             delay_s += TCP_RETRANSMISSION_S
-        (delay_s,) = self._pass(way, now_s, delay_s)
+        (delay_s,) = self._pass(channel, now_s, delay_s)
         return delay_s
 
-    def _pass(self, way: Way, now_s: float, delay_s: float) -> list[float]:
+    def _pass(
+        self, channel: Channel, now_s: float, delay_s: float
+    ) -> list[float]:
         """Returns a delay that keeps the order of a way."""
-        way.passed += 1
-        way.last_s = max(way.last_s, now_s + delay_s)
-        return [way.last_s - now_s]
+        channel.passed += 1
+        channel.last_s = max(channel.last_s, now_s + delay_s)
+        return [channel.last_s - now_s]
 
 
 def _matches(text: str, patterns: tuple[str, ...]) -> bool:
@@ -160,15 +168,15 @@
     return any(fnmatch.fnmatchcase(text, pattern) for pattern in patterns)
 
 
-def _happens(way: Way, probability: float) -> bool:
+def _happens(channel: Channel, probability: float) -> bool:
     """Returns True with a probability; draws only when it isn't certain."""
-    return probability > 0.0 and way.random.random() < probability
+    return probability > 0.0 and channel.random.random() < probability
 
 
-def _delay(way: Way, active: list[Fault]) -> float:
+def _delay(channel: Channel, active: list[Fault]) -> float:
     """Returns the sum of the delays of some faults in seconds."""
     return sum(
-        fault.delay_s + fault.jitter_s * way.random.random()
+        fault.delay_s + fault.jitter_s * channel.random.random()
         if fault.jitter_s
         else fault.delay_s
         for fault in active
--- a/packages/lab/src/tamarack_lab/proxy/process.py
+++ b/packages/lab/src/tamarack_lab/proxy/process.py
@@ -46,7 +46,7 @@
         """
         proxy_settings.check(settings)
         self.settings = settings
-        self.faults = faults_lib.Faults(settings.schedule)
+        self.faults = faults_lib.FaultInjector(settings.schedule)
         self.http = settings.http
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
@@ -89,14 +89,14 @@
     def counters(self) -> dict[str, dict[str, int]]:
         """Returns counts of each way, by link and direction."""
         return {
-            f"{way.link}/{way.direction}": {
-                "passed": way.passed,
-                "lost": way.lost,
-                "duplicated": way.duplicated,
-                "reordered": way.reordered,
+            f"{channel.link}/{channel.direction}": {
+                "passed": channel.passed,
+                "lost": channel.lost,
+                "duplicated": channel.duplicated,
+                "reordered": channel.reordered,
             }
             for link in self.links.values()
-            for way in (link.ways.forward, link.ways.back)
+            for channel in (link.channels.forward, link.channels.back)
         }
 
     def _build(
@@ -104,15 +104,15 @@
     ) -> datagrams.DatagramLink | streams.StreamLink:
         """Returns a link."""
         seed = self.settings.seed
-        ways = datagrams.Ways(
-            faults_lib.Way(seed, link.name, Direction.FORWARD),
-            faults_lib.Way(seed, link.name, Direction.BACK),
+        channels = datagrams.ChannelPair(
+            faults_lib.Channel(seed, link.name, Direction.FORWARD),
+            faults_lib.Channel(seed, link.name, Direction.BACK),
             self.faults,
             self.clock,
         )
         if link.protocol is proxy_settings.Protocol.UDP:
-            return datagrams.DatagramLink(link, ways)
-        return streams.StreamLink(link, ways)
+            return datagrams.DatagramLink(link, channels)
+        return streams.StreamLink(link, channels)
 
     def _application(self) -> web.Application:
         """Returns the HTTP interface."""
--- a/packages/lab/src/tamarack_lab/proxy/streams.py
+++ b/packages/lab/src/tamarack_lab/proxy/streams.py
@@ -35,21 +35,23 @@
 
     Attributes:
         link: Settings.
-        ways: Both directions.
+        channels: Both directions.
         listen: Where it listens, once started.
     """
 
-    __slots__ = ("_server", "_tasks", "link", "listen", "ways")
+    __slots__ = ("_server", "_tasks", "channels", "link", "listen")
 
-    def __init__(self, link: proxy_settings.Link, ways: datagrams.Ways) -> None:
+    def __init__(
+        self, link: proxy_settings.Link, channels: datagrams.ChannelPair
+    ) -> None:
         """Creates a link that isn't started.
 
         Args:
             link: Settings.
-            ways: Both directions.
+            channels: Both directions.
         """
         self.link = link
-        self.ways = ways
+        self.channels = channels
         self.listen = link.listen
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -92,8 +94,8 @@
     ) -> None:
         """Carries one connection until both directions have ended."""
         sender: str = writer.get_extra_info("peername")[0]
-        await self._wait_open(self.ways.forward, sender)
-        await self._wait_open(self.ways.back, sender)
+        await self._wait_open(self.channels.forward, sender)
+        await self._wait_open(self.channels.back, sender)
         to = self.link.to
         with contextlib.suppress(OSError), contextlib.closing(writer):
             far_reader, far_writer = await asyncio.open_connection(
@@ -103,31 +105,35 @@
                 async with asyncio.TaskGroup() as group:
                     group.create_task(
                         self._pump(
-                            self.ways.forward, reader, far_writer, sender
+                            self.channels.forward, reader, far_writer, sender
                         )
                     )
                     group.create_task(
-                        self._pump(self.ways.back, far_reader, writer, sender)
+                        self._pump(
+                            self.channels.back, far_reader, writer, sender
+                        )
                     )
 
     async def _pump(
         self,
-        way: faults_lib.Way,
+        channel: faults_lib.Channel,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         sender: str,
     ) -> None:
         """Carries one direction; a reset is passed on as an end."""
         waiting: asyncio.Queue[_Piece] = asyncio.Queue(_MOST_WAITING)
-        taking = asyncio.create_task(self._take(way, reader, waiting, sender))
+        taking = asyncio.create_task(
+            self._take(channel, reader, waiting, sender)
+        )
         try:
-            await self._give(way, waiting, writer, sender)
+            await self._give(channel, waiting, writer, sender)
         finally:
             taking.cancel()
 
     async def _take(
         self,
-        way: faults_lib.Way,
+        channel: faults_lib.Channel,
         reader: asyncio.StreamReader,
         waiting: asyncio.Queue[_Piece],
         sender: str,
@@ -138,15 +144,15 @@
                 data = await reader.read(_READ_BYTES)
             except OSError:
                 data = b""
-            now_s = self.ways.clock()
-            delay_s = self.ways.faults.stream_delay(way, now_s, sender)
+            now_s = self.channels.clock()
+            delay_s = self.channels.faults.stream_delay(channel, now_s, sender)
             await waiting.put(_Piece(now_s + delay_s, data))
             if not data:
                 return
 
     async def _give(
         self,
-        way: faults_lib.Way,
+        channel: faults_lib.Channel,
         waiting: asyncio.Queue[_Piece],
         writer: asyncio.StreamWriter,
         sender: str,
@@ -154,10 +160,10 @@
         """Writes pieces when they are due and the way is open."""
         while True:
             piece = await waiting.get()
-            wait_s = piece.leave_s - self.ways.clock()
+            wait_s = piece.leave_s - self.channels.clock()
             if wait_s > 0.0:
                 await asyncio.sleep(wait_s)
-            await self._wait_open(way, sender)
+            await self._wait_open(channel, sender)
             try:
                 await _write(writer, piece.data)
             except OSError:
@@ -167,10 +173,12 @@
             if not piece.data:
                 return
 
-    async def _wait_open(self, way: faults_lib.Way, sender: str) -> None:
+    async def _wait_open(
+        self, channel: faults_lib.Channel, sender: str
+    ) -> None:
         """Waits for the end of a partition."""
-        ways = self.ways
-        while ways.faults.is_partitioned(way, ways.clock(), sender):
+        channels = self.channels
+        while channels.faults.is_partitioned(channel, channels.clock(), sender):
             await asyncio.sleep(_PARTITION_POLL_S)
 
 
--- a/packages/lab/src/tamarack_lab/stand_in_commands.py
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -96,7 +96,7 @@
     """Runs targets until a signal, then drains them."""
     stop = running.stop_event()
     with settings_lib.problems_shown():
-        process = target_process.Process(settings)
+        process = target_process.TargetProcess(settings)
     async with running.started(process):
         await stop.wait()
         await process.drain()
@@ -106,7 +106,7 @@
     """Runs the gateway until a signal."""
     stop = running.stop_event()
     with settings_lib.problems_shown():
-        process = gateway_process.Process(settings)
+        process = gateway_process.GatewayProcess(settings)
     async with running.started(process):
         await stop.wait()
 
@@ -126,7 +126,7 @@
     """Runs callers to their end, or until a signal."""
     stop = running.stop_event()
     with settings_lib.problems_shown():
-        process = caller_process.Process(settings)
+        process = caller_process.CallerProcess(settings)
     async with running.started(process):
         run = asyncio.create_task(process.run())
         waiting = asyncio.create_task(stop.wait())
--- a/packages/lab/src/tamarack_lab/target/announcer.py
+++ b/packages/lab/src/tamarack_lab/target/announcer.py
@@ -13,14 +13,14 @@
 from tamarack_lab.target import settings as target_settings
 
 
-class Announced(Protocol):
+class AnnouncedTarget(Protocol):
     """What can be announced.
 
     Attributes:
         member: Address and failure domain of the target.
     """
 
-    member: target_settings.Member
+    member: target_settings.TargetSpec
 
     def announcement(
         self, lease_s: float, incarnation: int
@@ -57,7 +57,7 @@
 
     def __init__(
         self,
-        targets: Sequence[Announced],
+        targets: Sequence[AnnouncedTarget],
         entries: dict[str, tuple[peers.Endpoint, ...]],
         lease_s: float,
         incarnation: int,
@@ -78,7 +78,7 @@
         self._changed = asyncio.Event()
         self._turn = itertools.count()
 
-    def wake(self) -> None:
+    def announce_now(self) -> None:
         """Announces now, as when a target has changed its state."""
         self._changed.set()
 
@@ -112,7 +112,7 @@
             return
 
     async def _announce_one(
-        self, session: aiohttp.ClientSession, target: Announced
+        self, session: aiohttp.ClientSession, target: AnnouncedTarget
     ) -> bool:
         """Announces a target to the first entry host that accepts."""
         entries = self.entries.get(target.member.domain, ())
--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -30,7 +30,7 @@
     state: requests.TargetState
 
 
-class Mute(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class MuteCommand(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Order to a target.
 
     Attributes:
@@ -40,7 +40,7 @@
     muted: bool
 
 
-class Process:
+class TargetProcess:
     """Runs targets until closed.
 
     Attributes:
@@ -107,7 +107,7 @@
         """Announces draining and waits until all connections have ended."""
         for target in self.targets.values():
             target.enter(requests.TargetState.DRAINING)
-        self.announcer.wake()
+        self.announcer.announce_now()
         deadline_s = time.monotonic() + self.settings.drain_s
         while time.monotonic() < deadline_s:
             if not any(target.open for target in self.targets.values()):
@@ -122,11 +122,11 @@
             await self._runner.cleanup()
         self.attachment.close()
 
-    def reports(self) -> list[servers.Report]:
+    def reports(self) -> list[servers.TargetReport]:
         """Returns what each target has done."""
         return [target.report() for target in self.targets.values()]
 
-    def _build(self, member: target_settings.Member) -> servers.Server:
+    def _build(self, member: target_settings.TargetSpec) -> servers.TargetServer:
         """Returns a target."""
         service = self.settings.services.get(member.service)
         if service is None:
@@ -135,7 +135,7 @@
                 "among $.services; add it there"
             )
         slots = work.Slots(service.slots, service.unit_s)
-        return servers.Server(member, service, self.attachment, slots)
+        return servers.TargetServer(member, service, self.attachment, slots)
 
     def _application(self) -> web.Application:
         """Returns the HTTP interface."""
@@ -150,7 +150,7 @@
         router.add_put("/v1/entries/{domain}", self._put_entries)
         return application
 
-    def _target(self, request: web.Request) -> servers.Server:
+    def _target(self, request: web.Request) -> servers.TargetServer:
         """Returns the target that a request names."""
         target = self.targets.get(request.match_info["address"])
         if target is None:
@@ -174,8 +174,8 @@
     async def _put_lie(self, request: web.Request) -> web.Response:
         """Makes a target lie, or tell the truth again."""
         target = self._target(request)
-        target.lie = await web_server.read(request, servers.Lie)
-        self.announcer.wake()
+        target.override = await web_server.read(request, servers.ReportOverride)
+        self.announcer.announce_now()
         return web_server.answer({})
 
     async def _put_state(self, request: web.Request) -> web.Response:
@@ -183,13 +183,13 @@
         target = self._target(request)
         change = await web_server.read(request, StateChange)
         target.enter(change.state)
-        self.announcer.wake()
+        self.announcer.announce_now()
         return web_server.answer({})
 
     async def _put_mute(self, request: web.Request) -> web.Response:
         """Makes a target lose all packets, or hear them again."""
         target = self._target(request)
-        order = await web_server.read(request, Mute)
+        order = await web_server.read(request, MuteCommand)
         packed = ipaddress.ip_address(target.member.address).packed
         muted = self.attachment.stack.muted
         if order.muted:
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -17,16 +17,16 @@
 from tamarack_lab.target import work
 from tamarack_lab.tcp import connection as connections
 
-Occurrence = connections.Occurrence
+ConnectionEvent = connections.ConnectionEvent
 _ENDINGS = (
-    Occurrence.CLOSED,
-    Occurrence.RESET,
-    Occurrence.TIMED_OUT,
-    Occurrence.REFUSED,
+    ConnectionEvent.CLOSED,
+    ConnectionEvent.RESET,
+    ConnectionEvent.TIMED_OUT,
+    ConnectionEvent.REFUSED,
 )
 
 
-class Lie(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ReportOverride(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a target says in place of the truth; None stands for the truth.
 
     Attributes:
@@ -38,7 +38,7 @@
     load: float | None = None
 
 
-class LateOpening(msgspec.Struct, frozen=True):
+class LateConnection(msgspec.Struct, frozen=True):
     """A connection that a target accepted although it was leaving.
 
     Attributes:
@@ -52,7 +52,7 @@
     after_s: float
 
 
-class Report(msgspec.Struct, frozen=True):
+class TargetReport(msgspec.Struct, frozen=True):
     """What a target has done.
 
     Attributes:
@@ -81,11 +81,11 @@
     repeated: int
     work: float
     in_use: float
-    late: tuple[LateOpening, ...] = ()
+    late: tuple[LateConnection, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
-class Server:
+class TargetServer:
     """A target.
 
     Attributes:
@@ -94,7 +94,7 @@
         attachment: Carries its packets.
         slots: Runs its requests.
         state: Ready or draining.
-        lie: What it says in place of the truth.
+        override: What it says in place of the truth.
         open: Connections open now.
         opened: Connections accepted, by work class.
         refused: Connections refused because too many were open, each with
@@ -107,17 +107,17 @@
         late: Connections accepted while draining.
     """
 
-    member: target_settings.Member
+    member: target_settings.TargetSpec
     service: target_settings.Service
     attachment: attachments.Attachment
     slots: work.Slots
     state: requests.TargetState = requests.TargetState.READY
-    lie: Lie = dataclasses.field(default_factory=Lie)
+    override: ReportOverride = dataclasses.field(default_factory=ReportOverride)
     open: int = 0
     opened: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    refused: set[tuple[connections.Path, int]] = dataclasses.field(
+    refused: set[tuple[connections.FourTuple, int]] = dataclasses.field(
         default_factory=set
     )
     ran: collections.Counter[str] = dataclasses.field(
@@ -128,7 +128,7 @@
     )
     work_units: float = 0.0
     draining_since_s: float = 0.0
-    late: list[LateOpening] = dataclasses.field(default_factory=list)
+    late: list[LateConnection] = dataclasses.field(default_factory=list)
 
     def listen(self) -> None:
         """Accepts connections at all ports of the service."""
@@ -187,15 +187,15 @@
 
     def stated_health(self) -> bool:
         """Returns the health that the target states."""
-        return True if self.lie.healthy is None else self.lie.healthy
+        return True if self.override.healthy is None else self.override.healthy
 
     def stated_load(self) -> float:
         """Returns the work units in use that the target states."""
-        return self.slots.in_use if self.lie.load is None else self.lie.load
+        return self.slots.in_use if self.override.load is None else self.override.load
 
-    def report(self) -> Report:
+    def report(self) -> TargetReport:
         """Returns what the target has done."""
-        return Report(
+        return TargetReport(
             service=self.member.service,
             address=self.member.address,
             domain=self.member.domain,
@@ -217,7 +217,7 @@
         self.state = state
 
     def count_opening(
-        self, port: target_settings.Port, path: connections.Path
+        self, port: target_settings.Port, path: connections.FourTuple
     ) -> None:
         """Counts a connection, or a datagram that stands for one."""
         self.opened[port.work_class] += 1
@@ -226,7 +226,7 @@
         after_s = time.monotonic() - self.draining_since_s
         address = ipaddress.ip_address(path.remote_address)
         self.late.append(
-            LateOpening(
+            LateConnection(
                 f"{address}:{path.remote_port}", port.work_class, after_s
             )
         )
@@ -241,11 +241,11 @@
         port: The port.
     """
 
-    server: Server
+    server: TargetServer
     port: target_settings.Port
 
     def accept(
-        self, path: connections.Path, sequence: int
+        self, path: connections.FourTuple, sequence: int
     ) -> connections.Application | None:
         """Returns the application of a new connection; None to refuse."""
         if self.server.open >= self.server.service.connections:
@@ -255,7 +255,7 @@
         self.server.count_opening(self.port, path)
         return _Session(self.server, self.port)
 
-    def answer(self, path: connections.Path, payload: bytes) -> None:
+    def answer(self, path: connections.FourTuple, payload: bytes) -> None:
         """Answers the requests in a datagram; a malformed one is dropped."""
         reader = exchange.LineReader(exchange.Request)
         send = self.server.attachment.send_datagram
@@ -280,7 +280,7 @@
 
     __slots__ = ("port", "reader", "server")
 
-    def __init__(self, server: Server, port: target_settings.Port) -> None:
+    def __init__(self, server: TargetServer, port: target_settings.Port) -> None:
         """Creates a session without requests.
 
         Args:
@@ -292,12 +292,12 @@
         self.reader = exchange.LineReader(exchange.Request)
 
     def notify(
-        self, connection: connections.Connection, event: Occurrence
+        self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
         """Reacts to an occurrence of the connection."""
-        if event is Occurrence.READABLE:
+        if event is ConnectionEvent.READABLE:
             self._read(connection)
-        elif event is Occurrence.ENDED:
+        elif event is ConnectionEvent.ENDED:
             connection.finish()
         elif event in _ENDINGS:
             self.server.open -= 1
@@ -319,6 +319,6 @@
         def reply(answer: bytes) -> None:
             if connection.state is not connections.State.CLOSED:
                 connection.write(answer)
-                self.server.attachment.use(connection)
+                self.server.attachment.flush_soon(connection)
 
         self.server.run(self.port, request, reply)
--- a/packages/lab/src/tamarack_lab/target/settings.py
+++ b/packages/lab/src/tamarack_lab/target/settings.py
@@ -38,7 +38,7 @@
     unit_s: float = 0.02
 
 
-class Member(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class TargetSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One target.
 
     Attributes:
@@ -72,7 +72,7 @@
     listen: peers.Endpoint
     fabric: peers.Endpoint
     services: dict[str, Service]
-    targets: tuple[Member, ...]
+    targets: tuple[TargetSpec, ...]
     http: peers.Endpoint | None = None
     entries: dict[str, tuple[peers.Endpoint, ...]] = {}
     lease_s: float = 10.0
--- a/packages/lab/src/tamarack_lab/tcp/connection.py
+++ b/packages/lab/src/tamarack_lab/tcp/connection.py
@@ -15,7 +15,7 @@
 _WINDOW_UPDATE_BYTES = receiving.BUFFER_BYTES // 2
 
 
-class Path(NamedTuple):
+class FourTuple(NamedTuple):
     """Addresses and ports of a connection, seen from one end.
 
     Attributes:
@@ -46,7 +46,7 @@
     TIME_WAIT = "time-wait"
 
 
-class Occurrence(enum.StrEnum):
+class ConnectionEvent(enum.StrEnum):
     """What an application is told.
 
     `REFUSED` is a reset in answer to the SYN, `RESET` one at any later time.
@@ -65,7 +65,7 @@
 class Application(Protocol):
     """What uses a connection."""
 
-    def notify(self, connection: "Connection", event: Occurrence) -> None:
+    def notify(self, connection: "Connection", event: ConnectionEvent) -> None:
         """Reacts to an occurrence; `connection` may be used at once."""
 
 
@@ -117,7 +117,7 @@
     )
 
     def __init__(
-        self, path: Path, initial: int, mss: int, application: Application
+        self, path: FourTuple, initial: int, mss: int, application: Application
     ) -> None:
         """Creates a closed connection.
 
@@ -200,10 +200,10 @@
     def expire(self, now_s: float) -> None:
         """Handles a timer that has run out."""
         if self.time_wait_until_s is not None:
-            self._end(Occurrence.CLOSED)
+            self._end(ConnectionEvent.CLOSED)
             return
         if self.sender.retries >= sending.MAX_RETRIES:
-            self._end(Occurrence.TIMED_OUT)
+            self._end(ConnectionEvent.TIMED_OUT)
             return
         chunks = self.sender.expire(now_s)
         if self.state in (State.SYN_SENT, State.SYN_RECEIVED):
@@ -230,7 +230,7 @@
         if not is_answer:
             return
         if segment.flags & segments.RST:
-            self._end(Occurrence.REFUSED)
+            self._end(ConnectionEvent.REFUSED)
         elif segment.flags & segments.SYN:
             self._start_receiving(segment)
             self.sender.acknowledge(
@@ -292,7 +292,7 @@
         if number != receiver.next:
             self._emit(self.sender.highest, segments.ACK)
             return
-        self._end(Occurrence.RESET)
+        self._end(ConnectionEvent.RESET)
 
     def _receive_acknowledgment(
         self, now_s: float, segment: segments.Segment
@@ -314,7 +314,7 @@
         if sender.is_closing and sender.is_acknowledged and not was_finished:
             self._receive_last_acknowledgment(now_s)
         elif sender.unacknowledged > before:
-            self.application.notify(self, Occurrence.WRITABLE)
+            self.application.notify(self, ConnectionEvent.WRITABLE)
 
     def _receive_last_acknowledgment(self, now_s: float) -> None:
         """Handles the acknowledgment of the own FIN."""
@@ -322,7 +322,7 @@
         if self.state is State.TIME_WAIT:
             self._wait(now_s)
         elif self.state is State.CLOSED:
-            self._end(Occurrence.CLOSED)
+            self._end(ConnectionEvent.CLOSED)
 
     def _receive_payload(
         self,
@@ -345,7 +345,7 @@
         if receiver.next == before:
             return
         if receiver.unread:
-            self.application.notify(self, Occurrence.READABLE)
+            self.application.notify(self, ConnectionEvent.READABLE)
         if receiver.is_finished:
             self._receive_end(now_s)
 
@@ -357,7 +357,7 @@
         self.state = after
         if after is State.TIME_WAIT:
             self._wait(now_s)
-        self.application.notify(self, Occurrence.ENDED)
+        self.application.notify(self, ConnectionEvent.ENDED)
 
     def _start_receiving(self, syn: segments.Segment) -> None:
         """Takes the peer's initial sequence number and segment size."""
@@ -371,14 +371,14 @@
         self.state = State.ESTABLISHED
         if self.sender.is_closing:
             self.state = State.FIN_WAIT_1
-        self.application.notify(self, Occurrence.CONNECTED)
+        self.application.notify(self, ConnectionEvent.CONNECTED)
 
     def _wait(self, now_s: float) -> None:
         """Enters TIME_WAIT."""
         self.sender.deadline_s = None
         self.time_wait_until_s = now_s + TIME_WAIT_S
 
-    def _end(self, event: Occurrence) -> None:
+    def _end(self, event: ConnectionEvent) -> None:
         """Closes without a segment and tells the application."""
         self._close()
         self.application.notify(self, event)
--- a/packages/lab/src/tamarack_lab/tcp/stack.py
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -13,10 +13,12 @@
 
 DEFAULT_MSS_BYTES = 1400
 
-Listener = Callable[[connections.Path, int], connections.Application | None]
+Listener = Callable[
+    [connections.FourTuple, int], connections.Application | None
+]
 """Takes the path of a new connection and the sequence number of its SYN, which
 a copy of the SYN repeats."""
-DatagramHandler = Callable[[connections.Path, bytes], None]
+DatagramHandler = Callable[[connections.FourTuple, bytes], None]
 
 
 class Stack:
@@ -58,11 +60,13 @@
             seed: Seed of the initial sequence numbers.
             mss: Longest TCP payload of a packet in bytes.
         """
-        self.connections: dict[connections.Path, connections.Connection] = {}
+        self.connections: dict[
+            connections.FourTuple, connections.Connection
+        ] = {}
         self.listeners: dict[tuple[bytes, int], Listener] = {}
         self.datagram_handlers: dict[tuple[bytes, int], DatagramHandler] = {}
         self.packets: list[bytes] = []
-        self.changed: dict[connections.Path, connections.Connection] = {}
+        self.changed: dict[connections.FourTuple, connections.Connection] = {}
         self.timers: list[tuple[float, int, connections.Connection]] = []
         self.timer_number = 0
         self.random = random.Random(seed)
@@ -73,7 +77,7 @@
     def connect(
         self,
         now_s: float,
-        path: connections.Path,
+        path: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
         """Opens a connection.
@@ -87,11 +91,13 @@
         connection.connect(now_s)
         return connection
 
-    def touch(self, connection: connections.Connection) -> None:
+    def mark_changed(self, connection: connections.Connection) -> None:
         """Marks a connection that was used outside of `notify`."""
         self.changed[connection.path] = connection
 
-    def send_datagram(self, path: connections.Path, payload: bytes) -> None:
+    def send_datagram(
+        self, path: connections.FourTuple, payload: bytes
+    ) -> None:
         """Sends a UDP datagram."""
         header = dpkt.udp.UDP(
             sport=path.port,
@@ -139,7 +145,7 @@
             deadline_s = connection.deadline_s
             if deadline_s is not None and deadline_s <= now_s:
                 connection.expire(now_s)
-            self.touch(connection)
+            self.mark_changed(connection)
 
     def next_deadline(self) -> float | None:
         """Returns when `expire` must be called; None for never."""
@@ -147,7 +153,7 @@
 
     def _create(
         self,
-        path: connections.Path,
+        path: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
         """Adds a connection."""
@@ -156,12 +162,12 @@
             path, initial, self.mss, application
         )
         self.connections[path] = connection
-        self.touch(connection)
+        self.mark_changed(connection)
         return connection
 
     def _receive_segment(self, now_s: float, segment: segments.Segment) -> None:
         """Gives a segment to its connection or listener."""
-        path = connections.Path(
+        path = connections.FourTuple(
             segment.destination,
             segment.destination_port,
             segment.source,
@@ -177,7 +183,7 @@
             connection = self._reuse(segment, connection)
         if connection is not None:
             connection.receive(now_s, segment)
-            self.touch(connection)
+            self.mark_changed(connection)
         elif is_opening:
             self._accept(now_s, path, segment)
         elif not segment.flags & segments.RST:
@@ -194,7 +200,7 @@
         return None if number > receiver.next else connection
 
     def _accept(
-        self, now_s: float, path: connections.Path, syn: segments.Segment
+        self, now_s: float, path: connections.FourTuple, syn: segments.Segment
     ) -> None:
         """Opens a connection for a SYN, or refuses it."""
         listener = self.listeners.get((path.address, path.port))
@@ -233,7 +239,7 @@
         if not isinstance(header, dpkt.udp.UDP):
             self._drop("protocol")
             return
-        path = connections.Path(
+        path = connections.FourTuple(
             opened.dst, header.dport, opened.src, header.sport
         )
         handler = self.datagram_handlers.get((path.address, path.port))
--- a/tests/cover/test_demo_summary.py
+++ b/tests/cover/test_demo_summary.py
@@ -25,7 +25,7 @@
     latency_p50_s=0.0,
     latency_p99_s=0.0,
 )
-TARGET = servers.Report(
+TARGET = servers.TargetReport(
     service="agenda",
     address="10.1.1.1",
     domain="a",
@@ -44,7 +44,7 @@
     """Returns a good outcome with some changes."""
     fields = {
         "name": "demo",
-        "callers": reports.Report(
+        "callers": reports.CallerReport(
             (msgspec.structs.replace(LOAD, **(load or {})),), unreadable or {}
         ),
         "targets": [msgspec.structs.replace(TARGET, **(target or {}))],
@@ -57,7 +57,7 @@
 
 def late(after_s):
     """Returns a connection that a draining target accepted."""
-    return servers.LateOpening("10.7.0.1:10000", "routes", after_s)
+    return servers.LateConnection("10.7.0.1:10000", "routes", after_s)
 
 
 class SummaryTest(testtools.TestCase):
--- a/tests/cover/test_fabric.py
+++ b/tests/cover/test_fabric.py
@@ -84,7 +84,7 @@
         )
 
     def test_a_withdrawn_entry_host_may_send_but_gets_nothing(self):
-        self.table.set_entries("a", ENTRIES[1:])
+        self.table.set_entry_hosts("a", ENTRIES[1:])
         found = {
             self.forward("10.7.0.1", "10.9.0.1", CALLER) for _ in range(PACKETS)
         }
@@ -96,7 +96,7 @@
     def test_a_new_entry_host_may_send_before_it_gets_packets(self):
         new = peers.Endpoint("127.0.0.1", 77)
         self.assertEqual(None, self.forward("10.1.0.1", "10.200.0.1", new))
-        self.table.add_host(new)
+        self.table.add_known_host(new)
         self.assertEqual(
             place(CALLER), self.forward("10.9.0.1", "10.7.0.1", new)
         )
@@ -105,7 +105,7 @@
         self.forward("10.7.0.1", "10.200.0.1", CALLER)
         self.forward("10.200.0.1", "10.9.0.1", CALLER)
         self.forward("10.7.0.1", "10.200.0.1", ENTRIES[0])
-        self.table.set_entries("a", ())
+        self.table.set_entry_hosts("a", ())
         self.forward("10.7.0.1", "10.9.0.1", CALLER)
         self.table.forward(b"", place(CALLER))
         self.table.forward(geneve.encapsulate(b"\x45"), place(CALLER))
--- a/tests/cover/test_fault_proxy.py
+++ b/tests/cover/test_fault_proxy.py
@@ -10,7 +10,7 @@
 from tamarack_core import peers
 from tamarack_lab.proxy import faults as faults_lib
 from tamarack_lab.proxy import settings as proxy_settings
-from tamarack_lab.proxy import thread
+from tamarack_lab.proxy import threaded_proxy
 
 Direction = proxy_settings.Direction
 Directions = proxy_settings.Directions
@@ -25,10 +25,10 @@
 
 def delays(schedule, seed=1, link="a-b", spacing_s=0.001, sender="127.0.0.1"):
     """Returns the delays of the copies of each of some datagrams."""
-    way = faults_lib.Way(seed, link, Direction.FORWARD)
-    faults = faults_lib.Faults(schedule)
+    channel = faults_lib.Channel(seed, link, Direction.FORWARD)
+    faults = faults_lib.FaultInjector(schedule)
     return [
-        faults.datagram_delays(way, number * spacing_s, sender)
+        faults.datagram_delays(channel, number * spacing_s, sender)
         for number in range(COUNT)
     ]
 
@@ -84,8 +84,8 @@
             [n for n, copies in enumerate(found) if not copies],
         )
         self.assertNotIn([], delays(schedule, link="c-d"))
-        back = faults_lib.Way(1, "a-b", Direction.BACK)
-        faults = faults_lib.Faults(schedule)
+        back = faults_lib.Channel(1, "a-b", Direction.BACK)
+        faults = faults_lib.FaultInjector(schedule)
         self.assertFalse(faults.is_partitioned(back, 0.15, ""))
 
     def test_a_fault_may_concern_some_senders_only(self):
@@ -105,7 +105,7 @@
 
     def start(self, *links, schedule=()):
         settings = proxy_settings.Settings(links, 1, schedule)
-        proxy = thread.ThreadedProxy(settings)
+        proxy = threaded_proxy.ThreadedProxy(settings)
         proxy.start()
         self.addCleanup(proxy.close)
         return proxy
--- a/tests/cover/test_lab_tcp.py
+++ b/tests/cover/test_lab_tcp.py
@@ -20,7 +20,7 @@
 EXAMPLES = 300 if IS_SOAK else 25
 STEP_S = 0.05
 LIMIT_S = 300.0
-Occurrence = connections.Occurrence
+ConnectionEvent = connections.ConnectionEvent
 ADDRESSES = {
     4: (b"\x0a\0\0\1", b"\x0a\0\0\2"),
     6: (b"\xfd" + bytes(14) + b"\1", b"\xfd" + bytes(14) + b"\2"),
@@ -31,18 +31,18 @@
     """Keeps what a connection tells, and echoes if asked to."""
 
     def __init__(self, echoes: bool = False) -> None:
-        self.events: list[Occurrence] = []
+        self.events: list[ConnectionEvent] = []
         self.data = b""
         self.echoes = echoes
 
     def notify(self, connection, event):
         self.events.append(event)
-        if event is Occurrence.READABLE:
+        if event is ConnectionEvent.READABLE:
             data = connection.read()
             self.data += data
             if self.echoes:
                 connection.write(data)
-        elif event is Occurrence.ENDED:
+        elif event is ConnectionEvent.ENDED:
             connection.finish()
 
 
@@ -58,7 +58,7 @@
         self.server = stacks.Stack(seed + 1)
         self.server_application = Recorder(echoes=True)
         client, server = ADDRESSES[version]
-        self.path = connections.Path(client, 40000, server, 80)
+        self.path = connections.FourTuple(client, 40000, server, 80)
         self.server.listeners[(server, 80)] = lambda *_: self.server_application
         self.application = Recorder()
 
@@ -107,20 +107,22 @@
         wire.connection.write(data)
         wire.run(lambda: len(wire.application.data) >= size)
         wire.connection.finish()
-        wire.client.touch(wire.connection)
+        wire.client.mark_changed(wire.connection)
         wire.run(
             lambda: not (wire.client.connections or wire.server.connections)
         )
         self.assertEqual(size, len(wire.application.data))
         self.assertTrue(data == wire.application.data)
-        self.assertEqual(Occurrence.CLOSED, wire.application.events[-1])
-        self.assertEqual(Occurrence.CLOSED, wire.server_application.events[-1])
+        self.assertEqual(ConnectionEvent.CLOSED, wire.application.events[-1])
+        self.assertEqual(
+            ConnectionEvent.CLOSED, wire.server_application.events[-1]
+        )
         self.assertEqual({}, wire.client.unreadable)
 
     def test_a_lost_segment_is_sent_again_without_waiting_for_the_timer(self):
         wire = Wire(seed=1)
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         sender = wire.connection.sender
         wire.connection.write(bytes(sender.mss * 10))
         packets = [
@@ -137,7 +139,7 @@
     def test_a_reader_that_stops_closes_the_window_and_reopens_it(self):
         wire = Wire(seed=2)
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         data = random.Random(2).randbytes(200_000)
         paused = connections.Connection.read
         reader = wire.server_application
@@ -150,7 +152,7 @@
         got = b""
         while len(got) < len(data) and wire.now_s < LIMIT_S:
             got += paused(server)
-            wire.server.touch(server)
+            wire.server.mark_changed(server)
             wire.step()
         self.assertEqual(len(data), len(got))
         self.assertTrue(data == got)
@@ -164,22 +166,22 @@
         wire.server.listeners.clear()
         wire.connect()
         wire.run(lambda: not wire.client.connections)
-        self.assertEqual([Occurrence.REFUSED], wire.application.events)
+        self.assertEqual([ConnectionEvent.REFUSED], wire.application.events)
 
     def test_a_peer_that_forgot_the_connection_resets_it(self):
         wire = Wire(seed=4)
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         wire.server.connections.clear()
         wire.connection.write(b"lost")
-        wire.client.touch(wire.connection)
+        wire.client.mark_changed(wire.connection)
         wire.run(lambda: not wire.client.connections)
-        self.assertEqual(Occurrence.RESET, wire.application.events[-1])
+        self.assertEqual(ConnectionEvent.RESET, wire.application.events[-1])
 
     def test_a_reset_with_a_guessed_number_does_not_end_a_connection(self):
         wire = Wire(seed=5)
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         path = wire.path
         guessed = segments.Segment(
             path.remote_address,
@@ -197,13 +199,13 @@
         wire = Wire(seed=6, loss=1.0)
         wire.connect()
         wire.run(lambda: not wire.client.connections)
-        self.assertEqual([Occurrence.TIMED_OUT], wire.application.events)
+        self.assertEqual([ConnectionEvent.TIMED_OUT], wire.application.events)
         self.assertEqual(sending.MAX_RETRIES, wire.connection.sender.retries)
 
     def test_a_late_segment_of_an_earlier_incarnation_is_not_delivered(self):
         wire = Wire(seed=7)
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         wire.connection.write(b"old")
         (late,) = (segments.encode(s) for s in wire.connection.flush(0.0))
         wire.server.connections.clear()
@@ -211,7 +213,7 @@
         wire.application = Recorder()
         wire.server_application.data = b""
         wire.connect()
-        wire.run(lambda: Occurrence.CONNECTED in wire.application.events)
+        wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         wire.server.receive(wire.now_s, late)
         wire.step()
         self.assertEqual(b"", wire.server_application.data)
@@ -249,7 +251,7 @@
         )
         wire.client.send_datagram(path, b"hello")
         wire.step()
-        swapped = connections.Path(
+        swapped = connections.FourTuple(
             path.remote_address, 80, path.address, path.port
         )
         self.assertEqual([(swapped, b"hello")], seen)
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -69,7 +69,7 @@
             Wire, (LOOPBACK, 0)
         )
         place = peers.Endpoint(*transport.get_extra_info("sockname"))
-        target = target_process.Process(
+        target = target_process.TargetProcess(
             target_settings.Settings(
                 listen=ANY,
                 fabric=place,
@@ -83,12 +83,12 @@
                     for name in ("agenda", "informe")
                 },
                 targets=(
-                    target_settings.Member("agenda", AGENDA, "a"),
-                    target_settings.Member("informe", INFORME, "a"),
+                    target_settings.TargetSpec("agenda", AGENDA, "a"),
+                    target_settings.TargetSpec("informe", INFORME, "a"),
                 ),
             )
         )
-        caller = caller_process.Process(
+        caller = caller_process.CallerProcess(
             caller_settings.Settings(
                 listen=ANY,
                 fabric=place,
@@ -211,7 +211,7 @@
         async def order(target, wire):
             client = api.Client()
             path = f"/v1/targets/{AGENDA}"
-            lie = servers.Lie(healthy=False, load=7.5)
+            lie = servers.ReportOverride(healthy=False, load=7.5)
             await client.call("PUT", target.http, f"{path}/lie", lie)
             for name in ("health", "load"):
                 found = await client.call("GET", target.http, f"{path}/{name}")
--- a/tests/slow/test_control_hosts.py
+++ b/tests/slow/test_control_hosts.py
@@ -13,7 +13,7 @@
 
 from tamarack_core import peers
 from tamarack_lab.proxy import settings as proxy_settings
-from tamarack_lab.proxy import thread
+from tamarack_lab.proxy import threaded_proxy
 from tests import processes
 
 PATCHES_EACH = 100
@@ -185,7 +185,7 @@
         self.ports = [processes.free_port() for _ in self.names]
         self.write_keys("old")
         found = links(self.names, self.ports)
-        self.proxy = thread.ThreadedProxy(
+        self.proxy = threaded_proxy.ThreadedProxy(
             proxy_settings.Settings(tuple(found), SEED, (BASE,))
         )
         self.proxy.start()
--- a/tests/slow/test_gateway.py
+++ b/tests/slow/test_gateway.py
@@ -99,7 +99,7 @@
         self.echo_port = echo.sockets[0].getsockname()[1]
         layout = layouts.build(PLAN, str(self.folder), seed=1)
         deployment = runs.Deployment(layout, self.folder)
-        gateway = gateway_process.Process(self.settings(layout))
+        gateway = gateway_process.GatewayProcess(self.settings(layout))
         try:
             await deployment.start_system()
             document = msgspec.to_builtins(PLAN.document())["services"]
@@ -128,20 +128,20 @@
         service = PLAN.services[0]
         return gateway_settings.Settings(
             fabric=layout.fabric,
-            near=gateway_settings.Near(
+            near=gateway_settings.CallerSideSettings(
                 listen=layout.callers,
                 address="10.7.0.1",
                 doors=(
-                    gateway_settings.Door(ANY, service.address, 80),
-                    gateway_settings.Door(ANY, service.address, 7),
+                    gateway_settings.LoopbackPort(ANY, service.address, 80),
+                    gateway_settings.LoopbackPort(ANY, service.address, 7),
                 ),
             ),
-            far=gateway_settings.Far(
+            far=gateway_settings.TargetSideSettings(
                 listen=layout.targets,
                 targets=tuple(layout.members()),
                 servers=(
-                    gateway_settings.Server(80, self.web),
-                    gateway_settings.Server(
+                    gateway_settings.RealServer(80, self.web),
+                    gateway_settings.RealServer(
                         7, peers.Endpoint("127.0.0.1", self.echo_port)
                     ),
                 ),
@@ -156,7 +156,7 @@
         writer.close()
 
     async def download_while_killing(self, deployment, gateway):
-        files, echo = gateway.near.doors
+        files, echo = gateway.caller_side.endpoints
         reader, writer = await asyncio.open_connection(echo.address, echo.port)
         writer.write(b"before")
         echoes = [await reader.readexactly(6)]
@@ -177,7 +177,9 @@
         return digest, echoes
 
     async def fetch_status(self, deployment, gateway):
-        curl = await self.curl(gateway.near.doors[0], self.folder / "none")
+        curl = await self.curl(
+            gateway.caller_side.endpoints[0], self.folder / "none"
+        )
         return await curl.wait()
 
     async def curl(self, door, output):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,7 +5,7 @@
 import tempfile
 
 from tamarack_lab.proxy import settings as proxy_settings
-from tamarack_lab.proxy import thread
+from tamarack_lab.proxy import threaded_proxy
 from tests.soak import ends
 from tests.soak import hosts as hosts_lib
 from tests.soak import orders
@@ -151,7 +151,7 @@
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         world = World(faults, folder, f"127.0.{80 + slot}", seed)
-        proxy = thread.ThreadedProxy(
+        proxy = threaded_proxy.ThreadedProxy(
             proxy_settings.Settings(
                 tuple(world.hosts.links),
                 seed,
