--- a/packages/lab/src/tamarack_lab/capacity/probes/domains.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/domains.py
@@ -20,7 +20,7 @@
 from tamarack_lab.capacity.probes import configurations
 from tamarack_lab.capacity.probes import measuring
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network as network_lib
+from tamarack_lab.experiments import simulated_network as network_lib
 
 # Larger domains take too long on one machine: when all hosts start at once,
 # the pages of members that they fetch grow with the square of the number.
@@ -37,7 +37,7 @@
 _STAMP = timeline.Stamp(network_lib.WALL_MS, 0)
 
 
-class CountingNetwork(network_lib.Network):
+class CountingNetwork(network_lib.SimulatedNetwork):
     """Network that counts the bytes of each kind of message.
 
     Attributes:
@@ -58,7 +58,7 @@
 
     def send(
         self,
-        sender: network_lib.Host,
+        sender: network_lib.SimulatedHost,
         receiver: peers.Peer,
         message: messages.Message,
     ) -> None:
--- a/packages/lab/src/tamarack_lab/consensus_costs.py
+++ b/packages/lab/src/tamarack_lab/consensus_costs.py
@@ -101,7 +101,7 @@
         "writes",
     )
 
-    def __init__(self, network: replica_network.Network) -> None:
+    def __init__(self, network: replica_network.ReplicaNetwork) -> None:
         """Starts to observe a network."""
         self.network = network
         self.reset()
@@ -114,7 +114,9 @@
         self.bytes_by_host = dict.fromkeys(self.network.hosts, 0)
         self.applied_s: list[float] = []
 
-    def observe(self, host: replica_network.Host, step: outputs.Step) -> None:
+    def observe(
+        self, host: replica_network.ReplicaHost, step: outputs.Step
+    ) -> None:
         """Counts the effects of one step."""
         for effect in step.effects:
             if isinstance(effect, effects.SendMessage):
@@ -130,7 +132,7 @@
             ]
 
     def _count_bytes(
-        self, host: replica_network.Host, effect: effects.SendMessage
+        self, host: replica_network.ReplicaHost, effect: effects.SendMessage
     ) -> None:
         stamp = timeline.Stamp(time.time_ns() // 1_000_000, 0)
         envelope = messages.Envelope(host.peer, stamp, (effect.message,))
@@ -138,21 +140,23 @@
         self.bytes_by_host[host.peer.host] += size_bytes
 
 
-def _started(seed: int, voters: int) -> replica_network.Network:
-    network = replica_network.Network(seed, voters)
+def _started(seed: int, voters: int) -> replica_network.ReplicaNetwork:
+    network = replica_network.ReplicaNetwork(seed, voters)
     network.start()
     network.run_for(SETTLE_S)
     return network
 
 
-def _leader(network: replica_network.Network) -> replica_network.Host:
+def _leader(
+    network: replica_network.ReplicaNetwork,
+) -> replica_network.ReplicaHost:
     leader = network.leader()
     if leader is None:
         raise click.ClickException("no leader was elected")
     return leader
 
 
-def _propose(network: replica_network.Network, count: int) -> None:
+def _propose(network: replica_network.ReplicaNetwork, count: int) -> None:
     leader = _leader(network)
     generator = random.Random(network.now_s)
     for _ in range(count):
@@ -163,7 +167,9 @@
         network.carry_out(leader, result.step)
 
 
-def _run_commands(network: replica_network.Network, burst: int) -> list[float]:
+def _run_commands(
+    network: replica_network.ReplicaNetwork, burst: int
+) -> list[float]:
     """Proposes all commands in bursts and returns the commit times in s."""
     proposed_s: list[float] = []
     for _ in range(COMMANDS // burst):
@@ -238,7 +244,7 @@
 
 
 def _run_for(
-    network: replica_network.Network, duration_s: float
+    network: replica_network.ReplicaNetwork, duration_s: float
 ) -> list[float]:
     """Proposes at the steady rate and returns the times of proposal."""
     proposed_s: list[float] = []
--- a/packages/lab/src/tamarack_lab/demo/command.py
+++ b/packages/lab/src/tamarack_lab/demo/command.py
@@ -9,9 +9,9 @@
 
 from tamarack_lab.demo import script
 from tamarack_lab.demo import summary
+from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import ports as ports_lib
-from tamarack_lab.deployment import run as runs
+from tamarack_lab.deployment import port_allocator as port_allocators
 
 EXIT_BROKEN = 1
 TIMEOUT_S = 58.0
@@ -41,7 +41,7 @@
         base = folder or pathlib.Path(temporary)
         try:
             outcomes = asyncio.run(_run(chosen, base, seed))
-        except (runs.DeploymentError, TimeoutError) as error:
+        except (deployments.DeploymentError, TimeoutError) as error:
             click.echo(f"the demo failed: {error or 'out of time'}", err=True)
             sys.exit(EXIT_BROKEN)
     for outcome in outcomes:
@@ -55,11 +55,11 @@
 
 
 async def _run(
-    chosen: list[plans.Plan], base: pathlib.Path, seed: int
+    chosen: list[plans.DeploymentPlan], base: pathlib.Path, seed: int
 ) -> list[summary.Outcome]:
     """Runs the demonstrations side by side."""
     demos = []
-    ports = ports_lib.Ports()
+    ports = port_allocators.PortAllocator()
     for plan in chosen:
         folder = base / plan.name
         folder.mkdir(parents=True, exist_ok=True)
--- a/packages/lab/src/tamarack_lab/demo/script.py
+++ b/packages/lab/src/tamarack_lab/demo/script.py
@@ -10,10 +10,10 @@
 
 from tamarack_core import requests
 from tamarack_lab.demo import summary
+from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import ports as ports_lib
-from tamarack_lab.deployment import run as runs
+from tamarack_lab.deployment import port_allocator as port_allocators
 
 LOAD_S = 20.0
 GRACE_S = 8.0
@@ -36,10 +36,10 @@
 
     def __init__(
         self,
-        plan: plans.Plan,
+        plan: plans.DeploymentPlan,
         folder: pathlib.Path,
         seed: int,
-        ports: ports_lib.Ports,
+        ports: port_allocators.PortAllocator,
         show: Show,
     ) -> None:
         """Creates a demonstration that isn't started.
@@ -52,7 +52,7 @@
             show: Shows a line of progress.
         """
         layout = layouts.build(plan, str(folder), seed, ports)
-        self.deployment = runs.Deployment(layout, folder)
+        self.deployment = deployments.Deployment(layout, folder)
         self.show = show
         self.started_s = time.monotonic()
 
@@ -130,7 +130,9 @@
         """Submits a patch and waits until it is in force."""
         found = await self.deployment.submit(operations, note)
         if found.state is not requests.PatchState.ACCEPTED:
-            raise runs.DeploymentError(f"patch {found.state}: {found.reason}")
+            raise deployments.DeploymentError(
+                f"patch {found.state}: {found.reason}"
+            )
         await self.deployment.wait_version()
         self.say(f"version {found.version} is in force everywhere: {note}")
 
--- a/packages/lab/src/tamarack_lab/deployment/children.py
+++ b/packages/lab/src/tamarack_lab/deployment/child_processes.py
@@ -14,7 +14,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Child:
+class ChildProcess:
     """A child process.
 
     Attributes:
@@ -61,7 +61,7 @@
         return "\n".join(text.splitlines()[-lines:])
 
 
-class Children:
+class ChildProcesses:
     """All child processes of a run.
 
     Attributes:
@@ -78,11 +78,11 @@
             folder: Folder of settings and logs; must exist.
         """
         self.folder = folder
-        self.running: dict[str, Child] = {}
+        self.running: dict[str, ChildProcess] = {}
 
     async def start(
         self, name: str, command: Sequence[str], settings: msgspec.Struct
-    ) -> Child:
+    ) -> ChildProcess:
         """Starts a program of this installation with a settings file.
 
         Args:
@@ -104,7 +104,7 @@
                 stdout=output,
                 stderr=log,
             )
-        child = Child(name, process, log_file, output_file)
+        child = ChildProcess(name, process, log_file, output_file)
         self.running[name] = child
         return child
 
--- a/packages/lab/src/tamarack_lab/deployment/run.py
+++ b/packages/lab/src/tamarack_lab/deployment/deployment.py
@@ -13,8 +13,8 @@
 from tamarack_core import peers
 from tamarack_core import requests
 from tamarack_lab.caller import report as reports
-from tamarack_lab.deployment import api
-from tamarack_lab.deployment import children as children_lib
+from tamarack_lab.deployment import child_processes as child_processes
+from tamarack_lab.deployment import http_client
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.target import process as target_process
 from tamarack_lab.target import server as servers
@@ -49,8 +49,8 @@
             folder: Folder of settings, logs and state; must exist.
         """
         self.layout = layout
-        self.children = children_lib.Children(folder)
-        self.client = api.Client()
+        self.children = child_processes.ChildProcesses(folder)
+        self.client = http_client.HttpClient()
         self.version = 0
 
     async def close(self) -> dict[str, int]:
@@ -89,8 +89,10 @@
 
         async def answers() -> bool:
             self._check_running(host.host)
-            found = await self.client.call("GET", host.control, "/v1/health")
-            return isinstance(found, api.Answer) and found.status == _OK
+            found = await self.client.request("GET", host.control, "/v1/health")
+            return (
+                isinstance(found, http_client.Response) and found.status == _OK
+            )
 
         await wait_until(answers, f"{host.host} answers")
 
@@ -145,7 +147,7 @@
 
     async def read_callers(self) -> reports.CallerReport | failure.Failure:
         """Returns the report of the callers so far."""
-        found = await self.client.call(
+        found = await self.client.request(
             "GET", self.layout.callers_http, "/v1/report"
         )
         if isinstance(found, failure.Failure):
@@ -158,7 +160,7 @@
         Raises:
             DeploymentError: The target process doesn't answer.
         """
-        found = await self.client.call(
+        found = await self.client.request(
             "GET", self.layout.targets_http, "/v1/targets"
         )
         if isinstance(found, failure.Failure):
@@ -247,10 +249,10 @@
         await self._put(self.layout.fabric_http, "/v1/hosts", endpoint)
         await self.start_host(found)
         await self.wait_host(found)
-        await self.tell_targets(found.domain)
+        await self.announce_entry_hosts(found.domain)
         await self.wait_version_at(found)
         await self.wait_targets(found)
-        await self.set_fabric(found.domain)
+        await self.update_fabric(found.domain)
         return found
 
     async def withdraw_entry(self, entry: peers.Peer) -> None:
@@ -262,11 +264,11 @@
         ]
         await self._put_entries(entry.domain, left)
 
-    async def set_fabric(self, domain: str) -> None:
+    async def update_fabric(self, domain: str) -> None:
         """Makes the fabric spray over all entry hosts of a domain."""
         await self._put_entries(domain, self.layout.data_endpoints(domain))
 
-    async def tell_targets(self, domain: str) -> None:
+    async def announce_entry_hosts(self, domain: str) -> None:
         """Tells the targets of a domain where its entry hosts are."""
         await self._put(
             self.layout.targets_http,
@@ -288,7 +290,7 @@
 
     async def _put(self, at: peers.Endpoint, path: str, body: object) -> None:
         """Sends an order to a stand-in."""
-        found = await self.client.call("PUT", at, path, body)
+        found = await self.client.request("PUT", at, path, body)
         if isinstance(found, failure.Failure):
             raise DeploymentError(found.detail)
         if found.status != _OK:
@@ -298,7 +300,7 @@
         self, host: peers.Peer, body: dict[str, Any]
     ) -> list[requests.PatchVerdict]:
         """Returns the verdict of a control host, if it gives one."""
-        found = await self.client.call(
+        found = await self.client.request(
             "POST", host.control, "/v1/patches", body
         )
         if isinstance(found, failure.Failure) or found.body is None:
@@ -311,7 +313,7 @@
     async def _status_field(self, host: peers.Peer, name: str) -> int:
         """Returns a number of a host's status; -1 without an answer."""
         self._check_running(host.host)
-        found = await self.client.call("GET", host.control, "/v1/status")
+        found = await self.client.request("GET", host.control, "/v1/status")
         if isinstance(found, failure.Failure) or found.status != _OK:
             return -1
         return int(found.body[name])
--- a/packages/lab/src/tamarack_lab/deployment/api.py
+++ b/packages/lab/src/tamarack_lab/deployment/http_client.py
@@ -14,7 +14,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Response:
     """Answer over HTTP.
 
     Attributes:
@@ -26,7 +26,7 @@
     body: Any
 
 
-class Client:
+class HttpClient:
     """Sends JSON over HTTP.
 
     Attributes:
@@ -43,9 +43,9 @@
         """Closes the connections."""
         await self.session.close()
 
-    async def call(
+    async def request(
         self, method: str, at: peers.Endpoint, path: str, body: object = None
-    ) -> Answer | failure.Failure:
+    ) -> Response | failure.Failure:
         """Returns the answer to a request, or why there is none.
 
         Args:
@@ -60,7 +60,7 @@
             async with self.session.request(method, url, data=data) as got:
                 raw = await got.read()
                 decoded = msgspec.json.decode(raw) if raw else None
-                return Answer(got.status, decoded)
+                return Response(got.status, decoded)
         except (aiohttp.ClientError, TimeoutError) as error:
             return failure.Failure("no-answer", f"{url}: {error}")
         except msgspec.DecodeError as error:
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -9,7 +9,7 @@
 from tamarack_lab import fabric as fabric_lib
 from tamarack_lab.caller import settings as caller_settings
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import ports as ports_lib
+from tamarack_lab.deployment import port_allocator as port_allocators
 from tamarack_lab.proxy import settings as proxy_lib
 from tamarack_lab.target import settings as target_settings
 from tamarack_node import settings as node_settings
@@ -51,7 +51,7 @@
             is between them; hosts reach each other through it.
     """
 
-    plan: plans.Plan
+    plan: plans.DeploymentPlan
     folder: str
     seed: int
     fabric: peers.Endpoint
@@ -62,7 +62,7 @@
     callers_http: peers.Endpoint
     entries: list[peers.Peer]
     controls: list[peers.Peer]
-    ports: ports_lib.Ports
+    ports: port_allocators.PortAllocator
     listening: dict[str, Listening] = dataclasses.field(default_factory=dict)
 
     @property
@@ -143,8 +143,8 @@
         for host in self.hosts:
             address = domain_address(numbers[host.domain])
             self.listening[host.host] = Listening(
-                self.ports.take(address),
-                self.ports.take(address) if host.data else None,
+                self.ports.allocate(address),
+                self.ports.allocate(address) if host.data else None,
             )
 
     def proxy_settings(self) -> proxy_lib.Settings:
@@ -158,7 +158,7 @@
             seed=self.seed,
         )
 
-    def partition(self, domain: str) -> list[proxy_lib.Fault]:
+    def partition_faults(self, domain: str) -> list[proxy_lib.Fault]:
         """Returns faults that cut a failure domain off from the others."""
         number = self.plan.domains.index(domain) + 1
         inside = domain_address(number)
@@ -267,10 +267,10 @@
 
 
 def build(
-    plan: plans.Plan,
+    plan: plans.DeploymentPlan,
     folder: str,
     seed: int,
-    ports: ports_lib.Ports | None = None,
+    ports: port_allocators.PortAllocator | None = None,
 ) -> Layout:
     """Returns the layout of a deployment on free loopback ports.
 
@@ -280,7 +280,7 @@
         seed: Seed of all chance.
         ports: Gives out free ports; shared by deployments side by side.
     """
-    ports = ports or ports_lib.Ports()
+    ports = ports or port_allocators.PortAllocator()
     domains = itertools.cycle(plan.domains)
     entries = [
         _entry(f"{plan.name}-entry-{number + 1}", next(domains), ports)
@@ -289,7 +289,7 @@
     domains = itertools.cycle(plan.domains)
     controls = [
         peers.Peer(
-            f"{plan.name}-control-{number + 1}", next(domains), ports.take()
+            f"{plan.name}-control-{number + 1}", next(domains), ports.allocate()
         )
         for number in range(plan.control_hosts)
     ]
@@ -297,21 +297,23 @@
         plan=plan,
         folder=folder,
         seed=seed,
-        fabric=ports.take(),
-        fabric_http=ports.take(),
-        targets=ports.take(),
-        targets_http=ports.take(),
-        callers=ports.take(),
-        callers_http=ports.take(),
+        fabric=ports.allocate(),
+        fabric_http=ports.allocate(),
+        targets=ports.allocate(),
+        targets_http=ports.allocate(),
+        callers=ports.allocate(),
+        callers_http=ports.allocate(),
         entries=entries,
         controls=controls,
         ports=ports,
     )
 
 
-def _entry(name: str, domain: str, ports: ports_lib.Ports) -> peers.Peer:
+def _entry(
+    name: str, domain: str, ports: port_allocators.PortAllocator
+) -> peers.Peer:
     """Returns an entry host on free ports."""
-    return peers.Peer(name, domain, ports.take(), ports.take())
+    return peers.Peer(name, domain, ports.allocate(), ports.allocate())
 
 
 def _address(network: str, number: int) -> str:
--- a/packages/lab/src/tamarack_lab/deployment/plan.py
+++ b/packages/lab/src/tamarack_lab/deployment/plan.py
@@ -79,7 +79,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
+class DeploymentPlan:
     """A deployment.
 
     Attributes:
@@ -105,7 +105,7 @@
         )
 
 
-ASOCIACION = Plan(
+ASOCIACION = DeploymentPlan(
     name="asociacion",
     domains=("stgo-a", "stgo-b", "rancagua"),
     entry_hosts=7,
@@ -163,7 +163,7 @@
     ),
 )
 
-GLOCKENTON = Plan(
+GLOCKENTON = DeploymentPlan(
     name="glockenton",
     domains=("at-east-a", "at-east-b", "at-east-c", "at-east-d"),
     entry_hosts=7,
--- a/packages/lab/src/tamarack_lab/deployment/ports.py
+++ b/packages/lab/src/tamarack_lab/deployment/port_allocator.py
@@ -12,7 +12,7 @@
 LAST_PORT = 32_000
 
 
-class Ports:
+class PortAllocator:
     """Finds free ports and gives out each once.
 
     Attributes:
@@ -27,7 +27,7 @@
         self.given: set[int] = set()
         self.random = random.SystemRandom()
 
-    def take(self, address: str = LOOPBACK) -> peers.Endpoint:
+    def allocate(self, address: str = LOOPBACK) -> peers.Endpoint:
         """Returns a loopback endpoint that is free for TCP and UDP.
 
         Another process may bind it before it is used.
--- a/packages/lab/src/tamarack_lab/experiments/balance_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/balance_plans.py
@@ -8,7 +8,7 @@
 from tamarack_lab.experiments import entities
 from tamarack_lab.experiments import plans as plan_lib
 from tamarack_lab.experiments import run as run_lib
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import workloads
 
 LOAD = 0.7
 WORK_S = 1.0
@@ -26,13 +26,13 @@
 _UNBROKEN = plan_lib.Bound("broken_flows", most=0)
 
 
-def plans() -> tuple[plan_lib.Plan, ...]:
+def plans() -> tuple[plan_lib.ExperimentPlan, ...]:
     """Returns the experiments on the choice of a target."""
-    base = plan_lib.Plan(
+    base = plan_lib.ExperimentPlan(
         "steady-seconds",
         "Agenda at 70% load, work of a second.",
-        (users.agenda(),),
-        users.agenda_traffic(users.units_at(LOAD, 7, WORK_S), WORK_S),
+        (workloads.agenda(),),
+        workloads.agenda_traffic(workloads.units_at(LOAD, 7, WORK_S), WORK_S),
         duration_s=320.0,
         bounds=(*NEVER_BROKEN, _EVEN, _CONTROL, _UNBROKEN),
     )
@@ -44,15 +44,17 @@
             base,
             name="steady-milliseconds",
             summary="Agenda at 70% load, work of 20 ms.",
-            streams=users.agenda_traffic(users.units_at(LOAD, 7, 0.02), 0.02),
+            streams=workloads.agenda_traffic(
+                workloads.units_at(LOAD, 7, 0.02), 0.02
+            ),
             duration_s=60.0,
         ),
         dataclasses.replace(
             base,
             name="target-drain",
             summary="One of seven targets drains, comes back, at 60% load.",
-            streams=users.agenda_traffic(
-                users.units_at(0.6, 7, WORK_S), WORK_S
+            streams=workloads.agenda_traffic(
+                workloads.units_at(0.6, 7, WORK_S), WORK_S
             ),
             script=_drain,
             duration_s=160.0,
@@ -62,8 +64,8 @@
             base,
             name="target-death",
             summary="One of seven targets dies at 60% load.",
-            streams=users.agenda_traffic(
-                users.units_at(0.6, 7, WORK_S), WORK_S
+            streams=workloads.agenda_traffic(
+                workloads.units_at(0.6, 7, WORK_S), WORK_S
             ),
             script=_kill,
             duration_s=160.0,
@@ -87,8 +89,8 @@
             base,
             name="cold-start",
             summary="A target starts four times slower than a warm one.",
-            streams=users.agenda_traffic(
-                users.units_at(0.6, 7, WORK_S), WORK_S
+            streams=workloads.agenda_traffic(
+                workloads.units_at(0.6, 7, WORK_S), WORK_S
             ),
             script=_cold_start,
             duration_s=160.0,
@@ -104,14 +106,14 @@
     )
 
 
-def _cl_centro(base: plan_lib.Plan) -> plan_lib.Plan:
+def _cl_centro(base: plan_lib.ExperimentPlan) -> plan_lib.ExperimentPlan:
     """Returns today's sizes of agenda and informe."""
-    certificates = users.units_at(LOAD, 3, WORK_S)
+    certificates = workloads.units_at(LOAD, 3, WORK_S)
     return dataclasses.replace(
         base,
         name="today-cl-centro",
         summary="Agenda with 7 and informe with 3 targets at 70% load.",
-        services=(users.agenda(), users.informe()),
+        services=(workloads.agenda(), workloads.informe()),
         streams=(
             *base.streams,
             plan_lib.Stream(
@@ -125,15 +127,15 @@
     )
 
 
-def _at_east(base: plan_lib.Plan) -> plan_lib.Plan:
+def _at_east(base: plan_lib.ExperimentPlan) -> plan_lib.ExperimentPlan:
     """Returns today's sizes of schedule-svc and chime-store."""
-    each = users.units_at(LOAD, 7, WORK_S) / 2
-    downloads = users.units_at(LOAD, 4, WORK_S)
+    each = workloads.units_at(LOAD, 7, WORK_S) / 2
+    downloads = workloads.units_at(LOAD, 4, WORK_S)
     return dataclasses.replace(
         base,
         name="today-at-east",
         summary="Schedule-svc with 7 and chime-store with 4 targets at 70%.",
-        services=(users.schedule(), users.chimes()),
+        services=(workloads.schedule(), workloads.chimes()),
         streams=(
             plan_lib.Stream(
                 "schedule-svc",
--- a/packages/lab/src/tamarack_lab/experiments/catalogue.py
+++ b/packages/lab/src/tamarack_lab/experiments/catalogue.py
@@ -6,7 +6,7 @@
 from tamarack_lab.experiments import packet_run
 from tamarack_lab.experiments import plans
 
-Plan = plans.Plan | packet_run.PacketPlan
+Plan = plans.ExperimentPlan | packet_run.PacketPlan
 
 _PLANS: tuple[Plan, ...] = (
     *balance_plans.plans(),
--- a/packages/lab/src/tamarack_lab/experiments/entities.py
+++ b/packages/lab/src/tamarack_lab/experiments/entities.py
@@ -4,8 +4,8 @@
 
 from tamarack_core import requests
 from tamarack_core.internal.entry import lookup
-from tamarack_lab.experiments import machine as machine_lib
 from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import target_queue as target_queues
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -20,7 +20,7 @@
         flows: Connections that it holds.
     """
 
-    machine: machine_lib.Machine
+    machine: target_queues.TargetQueue
     announcement: requests.Announce
     domain: str
     drained_s: float = float("inf")
@@ -59,7 +59,7 @@
     key: bytes = b""
     owner: str = ""
     target: Target | None = None
-    job: machine_lib.Job | None = None
+    job: target_queues.Job | None = None
     tried_s: float = 0.0
     runs: int = 0
     over: bool = False
--- a/packages/lab/src/tamarack_lab/experiments/limit_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/limit_plans.py
@@ -8,11 +8,11 @@
 from tamarack_lab.experiments import balance_plans
 from tamarack_lab.experiments import plans as plan_lib
 from tamarack_lab.experiments import run as run_lib
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import workloads
 
 WORK_S = 0.5
 PATIENCE_S = 4.0
-KNEE_UNITS_S = 7 * users.SLOTS / WORK_S
+KNEE_UNITS_S = 7 * workloads.SLOTS / WORK_S
 GOODPUT_SHARE = 0.95
 LIMIT = 12
 SAMPLE_S = 0.5
@@ -23,25 +23,25 @@
 _WITHIN = plan_lib.Bound("over_limit", most=0)
 
 _ONE_CLASS = msgspec.structs.replace(
-    users.INFORME,
+    workloads.INFORME,
     classes={"certificate": configuration.WorkClass(443, 8443)},
 )
 _LIMITED = msgspec.structs.replace(
-    users.INFORME,
+    workloads.INFORME,
     classes={
         "certificate": configuration.WorkClass(443, 8443, max_concurrent=LIMIT)
     },
 )
 
 
-def plans() -> tuple[plan_lib.Plan, ...]:
+def plans() -> tuple[plan_lib.ExperimentPlan, ...]:
     """Returns the experiments on limits, overload and failure domains."""
     knee = _overload("overload-knee", 1.0)
     double = _overload("overload-double", 2.0)
-    limited = plan_lib.Plan(
+    limited = plan_lib.ExperimentPlan(
         "limit-host-death",
         f"Limit of {LIMIT} connections; an owner dies and starts again.",
-        (plan_lib.ServicePlan("informe", _LIMITED, 12, users.SLOTS),),
+        (plan_lib.ServicePlan("informe", _LIMITED, 12, workloads.SLOTS),),
         (
             plan_lib.Stream(
                 "informe",
@@ -68,13 +68,13 @@
     )
 
 
-def _overload(name: str, factor: float) -> plan_lib.Plan:
+def _overload(name: str, factor: float) -> plan_lib.ExperimentPlan:
     """Returns an experiment at a multiple of the capacity."""
     rate = KNEE_UNITS_S * factor
-    return plan_lib.Plan(
+    return plan_lib.ExperimentPlan(
         name,
         f"Openings at {factor:g} times the capacity; callers try three times.",
-        (plan_lib.ServicePlan("informe", _ONE_CLASS, 7, users.SLOTS),),
+        (plan_lib.ServicePlan("informe", _ONE_CLASS, 7, workloads.SLOTS),),
         (
             plan_lib.Stream(
                 "informe",
@@ -112,8 +112,8 @@
 def _cut_domain(run: run_lib.Run) -> None:
     """Cuts a failure domain off and lets it come back."""
     _watch_limit(run)
-    run.queue.at(CUT_S, lambda: run.network.cut_domains.add("a"))
-    run.queue.at(HEAL_S, run.network.cut_domains.clear)
+    run.queue.at(CUT_S, lambda: run.network.isolated_domains.add("a"))
+    run.queue.at(HEAL_S, run.network.isolated_domains.clear)
 
 
 def _watch_limit(run: run_lib.Run) -> None:
--- a/packages/lab/src/tamarack_lab/experiments/measure.py
+++ b/packages/lab/src/tamarack_lab/experiments/measurements.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tamarack_lab.experiments import machine
+from tamarack_lab.experiments import target_queue
 
 
 class Figures(msgspec.Struct):
@@ -68,7 +68,7 @@
 
     __slots__ = ("machines", "samples", "spreads")
 
-    def __init__(self, machines: Sequence[machine.Machine]) -> None:
+    def __init__(self, machines: Sequence[target_queue.TargetQueue]) -> None:
         """Creates a meter over the targets of one service."""
         self.machines = list(machines)
         self.samples: list[list[float]] = []
--- a/packages/lab/src/tamarack_lab/experiments/packet_ends.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import measurements
 from tamarack_lab.tcp import connection as connections
 
 THINK_S = 2.0
@@ -23,7 +23,7 @@
 
     queue: event_queue.EventQueue
     random: random.Random
-    figures: measure.Figures
+    figures: measurements.Figures
 
     def refuse(self, caller: "Caller") -> None:
         """Counts a refusal, which promises that nothing has run."""
--- a/packages/lab/src/tamarack_lab/experiments/packet_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_plans.py
@@ -6,7 +6,7 @@
 from tamarack_lab.experiments import balance_plans
 from tamarack_lab.experiments import packet_run
 from tamarack_lab.experiments import plans as plan_lib
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import workloads
 
 FAULT_S = 25.0
 BETWEEN_DEATHS_S = 10.0
@@ -21,7 +21,7 @@
     base = packet_run.PacketPlan(
         "host-death",
         "One of six entry hosts dies under held feeds.",
-        users.schedule(),
+        workloads.schedule(),
         script=lambda run: _kill(run, 0, FAULT_S),
         bounds=(*balance_plans.NEVER_BROKEN, _UNBROKEN),
     )
@@ -96,8 +96,8 @@
 def _cut_one_way(run: packet_run.PacketRun) -> None:
     """Cuts one direction between two hosts for 30 s."""
     pair = (run.peers[0].host, run.peers[1].host)
-    run.queue.at(FAULT_S, lambda: run.network.cut.add(pair))
-    run.queue.at(FAULT_S + 30.0, run.network.cut.clear)
+    run.queue.at(FAULT_S, lambda: run.network.cut_links.add(pair))
+    run.queue.at(FAULT_S + 30.0, run.network.cut_links.clear)
 
 
 def _join(run: packet_run.PacketRun) -> None:
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -21,11 +21,11 @@
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import measure
-from tamarack_lab.experiments import network as network_lib
-from tamarack_lab.experiments import packet_ends
+from tamarack_lab.experiments import measurements
+from tamarack_lab.experiments import packet_endpoints
 from tamarack_lab.experiments import packet_versions
 from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import simulated_network as network_lib
 from tamarack_lab.tcp import connection as connections
 from tamarack_lab.tcp import stack as stacks
 
@@ -88,15 +88,15 @@
         self.build = build
         self.queue = event_queue.EventQueue()
         self.random = random.Random(seed)
-        self.network = network_lib.Network(self.queue, seed)
+        self.network = network_lib.SimulatedNetwork(self.queue, seed)
         self.network.datagrams = self._send_datagram
-        self.figures = measure.Figures()
+        self.figures = measurements.Figures()
         self.callers = stacks.Stack(seed)
         self.targets: dict[bytes, stacks.Stack] = {}
         self.announcements: dict[bytes, requests.Announce] = {}
         self.fabric: set[str] = set()
         self.executed: set[bytes] = set()
-        self.open_callers: dict[int, packet_ends.Caller] = {}
+        self.open_callers: dict[int, packet_endpoints.Caller] = {}
         self.hops = 0
         self.packets = 0
         self.seed = seed
@@ -151,7 +151,7 @@
         stack = stacks.Stack(self.seed * 100 + number)
         for work_class in settings.classes.values():
             key = (address, work_class.target_port)
-            stack.listeners[key] = lambda *_: packet_ends.Server(self)
+            stack.listeners[key] = lambda *_: packet_endpoints.Server(self)
         self.targets[address] = stack
         self.announcements[address] = requests.Announce(
             self.plan.service.name,
@@ -184,7 +184,7 @@
         self.random.choice(live).handle(event)
         self.queue.after(RENEWAL_S, functools.partial(self._renew, address))
 
-    def execute(self) -> measure.Figures:
+    def execute(self) -> measurements.Figures:
         """Runs the plan and returns its figures."""
         for uid in range(self.plan.flows):
             at_s = 5.0 + 10.0 * self.random.random()
@@ -197,7 +197,7 @@
 
     def open(self, uid: int) -> None:
         """Opens the connection of a caller."""
-        caller = packet_ends.Caller(self, uid)
+        caller = packet_endpoints.Caller(self, uid)
         self.figures.openings += 1
         self.figures.attempts += 1
         self.open_callers[uid] = caller
@@ -212,7 +212,7 @@
         self.callers.connect(self.queue.now_s, path, caller)
         self._flush(self.callers)
 
-    def refuse(self, caller: packet_ends.Caller) -> None:
+    def refuse(self, caller: packet_endpoints.Caller) -> None:
         """Counts a refusal, which promises that nothing has run."""
         self.figures.refused += 1
         caller.is_over = True
@@ -220,7 +220,7 @@
         if caller.asked:
             self.figures.false_verdicts += 1
 
-    def break_off(self, caller: packet_ends.Caller) -> None:
+    def break_off(self, caller: packet_endpoints.Caller) -> None:
         """Counts a connection that broke."""
         if not caller.is_over:
             self.figures.broken_flows += 1
@@ -276,7 +276,7 @@
         self.queue.after(delay_s, arrive)
 
     def _send_datagram(
-        self, sender: network_lib.Host, effect: effects.SendDatagram
+        self, sender: network_lib.SimulatedHost, effect: effects.SendDatagram
     ) -> None:
         """Carries a datagram of a host to another or to the fabric."""
         if effect.endpoint is not None:
@@ -320,7 +320,7 @@
                 self.break_off(caller)
         self.queue.after(SAMPLE_S, self._sample)
 
-    def _conclude(self) -> measure.Figures:
+    def _conclude(self) -> measurements.Figures:
         """Returns the figures of the run."""
         figures = self.figures
         totals = [sum(column) for column in zip(*self.samples, strict=True)]
@@ -329,7 +329,7 @@
                 max(totals) * len(totals) / sum(totals)
             )
         spreads = [
-            measure.deviation([float(count) for count in row])
+            measurements.deviation([float(count) for count in row])
             for row in self.samples
         ]
         figures.imbalance_spread_units = sum(spreads) / len(spreads)
--- a/packages/lab/src/tamarack_lab/experiments/plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/plans.py
@@ -55,7 +55,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
+class ExperimentPlan:
     """One experiment.
 
     Attributes:
--- a/packages/lab/src/tamarack_lab/experiments/report.py
+++ b/packages/lab/src/tamarack_lab/experiments/report.py
@@ -8,7 +8,7 @@
 import msgspec
 import tabulate
 
-from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import measurements
 from tamarack_lab.experiments import packet_run
 from tamarack_lab.experiments import plans
 
@@ -46,8 +46,8 @@
 
     name: str
     seed: int
-    tamarackford: measure.Figures
-    naive: measure.Figures
+    tamarackford: measurements.Figures
+    naive: measurements.Figures
     broken: list[Broken]
 
 
@@ -66,7 +66,7 @@
 
 
 def check(
-    figures: measure.Figures, bounds: Sequence[plans.Bound]
+    figures: measurements.Figures, bounds: Sequence[plans.Bound]
 ) -> list[Broken]:
     """Returns the promises that the figures do not keep."""
     found = []
@@ -82,7 +82,7 @@
 
 def write(
     directory: pathlib.Path,
-    plan: plans.Plan | packet_run.PacketPlan,
+    plan: plans.ExperimentPlan | packet_run.PacketPlan,
     outcome: Outcome,
     series: Sequence[Series],
 ) -> None:
@@ -103,7 +103,7 @@
 
 
 def _text(
-    plan: plans.Plan | packet_run.PacketPlan,
+    plan: plans.ExperimentPlan | packet_run.PacketPlan,
     outcome: Outcome,
     series: Sequence[Series],
 ) -> str:
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -21,10 +21,10 @@
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import entities
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import machine as machine_lib
-from tamarack_lab.experiments import measure
-from tamarack_lab.experiments import network as network_lib
+from tamarack_lab.experiments import measurements
 from tamarack_lab.experiments import plans
+from tamarack_lab.experiments import simulated_network as network_lib
+from tamarack_lab.experiments import target_queue as target_queues
 from tamarack_lab.experiments import versions
 
 RENEWAL_S = 3.0
@@ -52,7 +52,7 @@
     """
 
     def __init__(
-        self, plan: plans.Plan, version: versions.Version, seed: int
+        self, plan: plans.ExperimentPlan, version: versions.Version, seed: int
     ) -> None:
         """Builds hosts and targets.
 
@@ -65,7 +65,7 @@
         self.version = version
         self.queue = event_queue.EventQueue()
         self.random = random.Random(seed)
-        self.network = network_lib.Network(self.queue, seed)
+        self.network = network_lib.SimulatedNetwork(self.queue, seed)
         self.numbered = configuration.VersionedConfiguration(
             1,
             configuration.Configuration(
@@ -77,11 +77,11 @@
         ] = {}
         self.choosers: dict[str, target_choice.Chooser] = {}
         self.targets: dict[bytes, entities.Target] = {}
-        self.figures = measure.Figures()
+        self.figures = measurements.Figures()
         self.flows: dict[str, set[entities.Flow]] = collections.defaultdict(set)
         self.waits: list[float] = []
         self.completed_units = 0.0
-        self.meters: list[measure.BalanceMeter] = []
+        self.meters: list[measurements.BalanceMeter] = []
         self.timeline: list[tuple[float, list[float]]] = []
         self._numbers = itertools.count(1)
         self._seed = seed
@@ -98,7 +98,7 @@
         for domain in plan.domains:
             self._add_targets(domain)
 
-    def start_host(self, name: str, domain: str) -> network_lib.Host:
+    def start_host(self, name: str, domain: str) -> network_lib.SimulatedHost:
         """Starts an entry host, or starts it anew without its state."""
         number = self._seed * 1000 + next(self._numbers)
         context = network_lib.context(name, domain, number)
@@ -121,7 +121,7 @@
             self.plan.hosts,
         )
         self.choosers[name] = parts.chooser
-        host = self.network.add(reducer.Node(context, parts.parts))
+        host = self.network.add(reducer.Node(context, parts.components))
         host.start()
         return host
 
@@ -135,7 +135,7 @@
             for index in range(item.targets):
                 address = (base + index + 1).to_bytes(4, "big")
                 target = entities.Target(
-                    machine_lib.Machine(self.queue, address, item.slots),
+                    target_queues.TargetQueue(self.queue, address, item.slots),
                     requests.Announce(
                         item.name,
                         ip.format_address(address),
@@ -154,7 +154,7 @@
                     functools.partial(self.renew, target),
                 )
             if found:
-                self.meters.append(measure.BalanceMeter(found))
+                self.meters.append(measurements.BalanceMeter(found))
 
     def renew(self, target: entities.Target) -> None:
         """Announces a target now and from then on."""
@@ -171,7 +171,7 @@
         event = events.RequestArrived(self.queue.now_s, 1, target.announcement)
         self.random.choice(hosts).handle(event)
 
-    def execute(self) -> measure.Figures:
+    def execute(self) -> measurements.Figures:
         """Runs the plan and returns its figures."""
         for stream in self.plan.streams:
             for domain in stream.domains or self.plan.domains:
@@ -268,7 +268,7 @@
             HANDSHAKE_S,
             lambda: self.observe(flow, target_choice.Progress.ESTABLISHED),
         )
-        job = machine_lib.Job(
+        job = target_queues.Job(
             flow.port.settings.cost,
             flow.work_s,
             lambda: self._answered(flow),
@@ -319,7 +319,7 @@
         if flow.target is not None:
             flow.target.flows.discard(flow)
 
-    def _give_up(self, flow: entities.Flow, job: machine_lib.Job) -> None:
+    def _give_up(self, flow: entities.Flow, job: target_queues.Job) -> None:
         """Cancels a connection that got no answer in time."""
         if flow.over or flow.job is not job or flow.runs:
             return
@@ -383,7 +383,7 @@
         self.timeline.append((self.queue.now_s, work))
         self.queue.after(SAMPLE_S, self._sample)
 
-    def _conclude(self) -> measure.Figures:
+    def _conclude(self) -> measurements.Figures:
         """Returns the figures of the run."""
         figures = self.figures
         meters = [meter for meter in self.meters if any(meter.samples[-1])]
@@ -405,12 +405,12 @@
         )
         measured_s = self.plan.duration_s - self.plan.warm_up_s
         figures.goodput_units_s = self.completed_units / measured_s
-        figures.wait_p99_s = measure.percentile(self.waits, 0.99)
+        figures.wait_p99_s = measurements.percentile(self.waits, 0.99)
         return figures
 
 
 def _in_domains(
-    plan: plans.Plan, item: plans.ServicePlan
+    plan: plans.ExperimentPlan, item: plans.ServicePlan
 ) -> configuration.Service:
     """Returns a service whose limits the failure domains divide."""
     return msgspec.structs.replace(item.settings, failure_domains=plan.domains)
--- a/packages/lab/src/tamarack_lab/experiments/network.py
+++ b/packages/lab/src/tamarack_lab/experiments/simulated_network.py
@@ -33,7 +33,7 @@
     loss: float = 0.0
 
 
-class Host:
+class SimulatedHost:
     """A reducer that runs on the simulated network.
 
     Attributes:
@@ -55,7 +55,7 @@
         "timers",
     )
 
-    def __init__(self, network: "Network", node: reducer.Node) -> None:
+    def __init__(self, network: "SimulatedNetwork", node: reducer.Node) -> None:
         """Creates a host; `start` sets it going."""
         self._network = network
         self.node = node
@@ -120,10 +120,10 @@
         queue.after(effect.delay_s, fire)
 
 
-DatagramCarrier = Callable[[Host, effects.SendDatagram], None]
+DatagramCarrier = Callable[[SimulatedHost, effects.SendDatagram], None]
 
 
-class Network:
+class SimulatedNetwork:
     """All hosts of a run and the links between them.
 
     Attributes:
@@ -132,18 +132,18 @@
         hosts: Hosts by name.
         inside: Quality inside a failure domain.
         between: Quality between failure domains.
-        cut: Pairs of host names, sender and receiver, that are cut off.
+        cut_links: Pairs of host names, sender and receiver, that are cut off.
         datagrams: Carries datagrams of the data sockets; None loses them.
-        cut_domains: Failure domains that are cut off from all others.
+        isolated_domains: Failure domains that are cut off from all others.
     """
 
     __slots__ = (
         "between",
-        "cut",
-        "cut_domains",
+        "cut_links",
         "datagrams",
         "hosts",
         "inside",
+        "isolated_domains",
         "queue",
         "random",
     )
@@ -157,23 +157,23 @@
         """
         self.queue = queue
         self.random = random.Random(seed)
-        self.hosts: dict[str, Host] = {}
+        self.hosts: dict[str, SimulatedHost] = {}
         self.inside = Link()
         self.between = Link(0.004, 0.002, 0.005)
-        self.cut: set[tuple[str, str]] = set()
-        self.cut_domains: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
+        self.isolated_domains: set[str] = set()
         self.datagrams: DatagramCarrier | None = None
 
-    def add(self, node: reducer.Node) -> Host:
+    def add(self, node: reducer.Node) -> SimulatedHost:
         """Adds a host, in place of one of the same name."""
-        host = Host(self, node)
+        host = SimulatedHost(self, node)
         replaced = self.hosts.get(host.peer.host)
         if replaced is not None:
             host.bytes_sent = replaced.bytes_sent
         self.hosts[host.peer.host] = host
         return host
 
-    def live(self, domain: str) -> list[Host]:
+    def live(self, domain: str) -> list[SimulatedHost]:
         """Returns the hosts of a failure domain that run."""
         return [
             host
@@ -183,13 +183,16 @@
 
     def is_cut(self, sender: peers.Peer, receiver: peers.Peer) -> bool:
         """Returns whether messages from one host to another are lost."""
-        if (sender.host, receiver.host) in self.cut:
+        if (sender.host, receiver.host) in self.cut_links:
             return True
         domains = {sender.domain, receiver.domain}
-        return len(domains) > 1 and bool(domains & self.cut_domains)
+        return len(domains) > 1 and bool(domains & self.isolated_domains)
 
     def send(
-        self, sender: Host, receiver: peers.Peer, message: messages.Message
+        self,
+        sender: SimulatedHost,
+        receiver: peers.Peer,
+        message: messages.Message,
     ) -> None:
         """Delivers a message later, or loses it."""
         origin = sender.peer
--- a/packages/lab/src/tamarack_lab/experiments/machine.py
+++ b/packages/lab/src/tamarack_lab/experiments/target_queue.py
@@ -25,7 +25,7 @@
     cancelled: bool = False
 
 
-class Machine:
+class TargetQueue:
     """A target that runs `slots` work units at once and queues the rest.
 
     Attributes:
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -23,16 +23,16 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Parts:
+class HostComponents:
     """What one host of a version consists of.
 
     Attributes:
         chooser: Chooses the target of each connection.
-        parts: Parts behind the reducer.
+        components: Parts behind the reducer.
     """
 
     chooser: target_choice.Chooser
-    parts: tuple[reducer.Component, ...]
+    components: tuple[reducer.Component, ...]
 
 
 class Version(Protocol):
@@ -44,7 +44,7 @@
         config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
-    ) -> Parts:
+    ) -> HostComponents:
         """Returns the parts of one host.
 
         Args:
@@ -64,7 +64,7 @@
         config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
-    ) -> Parts:
+    ) -> HostComponents:
         """Returns the parts of one host."""
         targets = lease_table.TargetLeaseTable()
         leases = lease_aggregator.LeaseAggregator(context, targets, live_peers)
@@ -74,7 +74,7 @@
         chooser = naive_chooser.NaiveChooser(
             targets, hosts, _domains(config_store)
         )
-        return Parts(chooser, (leases, announced))
+        return HostComponents(chooser, (leases, announced))
 
 
 class Tamarackford:
@@ -86,7 +86,7 @@
         config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
-    ) -> Parts:
+    ) -> HostComponents:
         """Returns the parts of one host."""
         targets = lease_table.TargetLeaseTable()
         load_table = load_table_lib.LoadTable()
@@ -104,7 +104,7 @@
         report = load_reporter.LoadReporter(
             context, config_store, load_table, live_peers
         )
-        return Parts(chooser, (leases, announced, report, shares))
+        return HostComponents(chooser, (leases, announced, report, shares))
 
 
 class Central:
@@ -112,7 +112,7 @@
 
     def __init__(self) -> None:
         """Starts a run without hosts."""
-        self.shared: Parts | None = None
+        self.shared: HostComponents | None = None
 
     def build(
         self,
@@ -120,7 +120,7 @@
         config_store: configuration_store.ConfigurationStore,
         live_peers: LivePeers,
         hosts: int,
-    ) -> Parts:
+    ) -> HostComponents:
         """Returns the parts of one host; all share one chooser."""
         if self.shared is None:
             self.shared = Tamarackford().build(
--- a/packages/lab/src/tamarack_lab/internal/replica_network.py
+++ b/packages/lab/src/tamarack_lab/internal/replica_network.py
@@ -48,7 +48,7 @@
     sync_max_s: float = 0.004
 
 
-class Disk:
+class SimulatedDisk:
     """Disk of one incarnation.
 
     Attributes:
@@ -89,7 +89,7 @@
         self.running.clear()
 
 
-class Register:
+class CommandLog:
     """The naive state machine: all commands ever applied, in order.
 
     Attributes:
@@ -116,37 +116,37 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Host:
+class ReplicaHost:
     """One host with at most one running replica.
 
     Attributes:
         peer: Identity and address.
         incarnation: Incarnation of its data folder.
         disk: Its disk.
-        machine: State machine of the running or last replica.
+        state_machine: State machine of the running or last replica.
         replica: The running or last replica.
         is_up: Whether the replica runs.
-        boots: Number of starts; events of earlier ones are dropped.
+        starts: Number of starts; events of earlier ones are dropped.
         initial: Membership before the first entry.
         timers: Number of timers set; only the last one fires.
     """
 
     peer: peers.Peer
     incarnation: str
-    disk: Disk
-    machine: Register
+    disk: SimulatedDisk
+    state_machine: CommandLog
     replica: replica.Replica
     initial: Sequence[membership.Member]
     is_up: bool = True
-    boots: int = 1
+    starts: int = 1
     timers: int = 0
 
 
-def _ignore(host: Host, step: outputs.Step) -> None:
+def _ignore(host: ReplicaHost, step: outputs.Step) -> None:
     """Stands in for an observer where none is wanted."""
 
 
-class Network:
+class ReplicaNetwork:
     """Hosts, the messages between them, and their disks.
 
     Attributes:
@@ -193,7 +193,7 @@
         self.faults = faults or Faults()
         self.parameters = parameters or log_parameters.LogParameters()
         self.cuts: set[tuple[str, str]] = set()
-        self.observer: Callable[[Host, outputs.Step], None] = _ignore
+        self.observer: Callable[[ReplicaHost, outputs.Step], None] = _ignore
         self._counter = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         members = [_member(number) for number in range(voters + spares)]
@@ -209,22 +209,27 @@
         self,
         own: membership.Member,
         initial: Sequence[membership.Member],
-    ) -> Host:
-        machine = Register()
-        created = self._replica(own, initial, machine)
-        return Host(
-            own.peer, own.incarnation, Disk(), machine, created, initial
+    ) -> ReplicaHost:
+        state_machine = CommandLog()
+        created = self._replica(own, initial, state_machine)
+        return ReplicaHost(
+            own.peer,
+            own.incarnation,
+            SimulatedDisk(),
+            state_machine,
+            created,
+            initial,
         )
 
     def _replica(
         self,
         own: membership.Member,
         initial: Sequence[membership.Member],
-        machine: Register,
+        state_machine: CommandLog,
     ) -> replica.Replica:
         generator = random.Random(self.random.getrandbits(64))
         return replica.Replica(
-            own, initial, generator, machine, self.parameters
+            own, initial, generator, state_machine, self.parameters
         )
 
     def start(self) -> None:
@@ -236,7 +241,7 @@
         """Ends a replica; what is not synced may be lost."""
         host = self.hosts[name]
         host.is_up = False
-        host.boots += 1
+        host.starts += 1
         host.timers += 1
         host.disk.crash(self.random)
 
@@ -244,8 +249,8 @@
         """Starts a crashed replica from its disk."""
         host = self.hosts[name]
         own = membership.Member(host.peer, host.incarnation)
-        host.machine = Register()
-        host.replica = self._replica(own, host.initial, host.machine)
+        host.state_machine = CommandLog()
+        host.replica = self._replica(own, host.initial, host.state_machine)
         refused = host.replica.recover(host.disk.snapshot, host.disk.records)
         if refused is None:
             host.is_up = True
@@ -255,11 +260,11 @@
     def replace_disk(self, name: str) -> None:
         """Gives a crashed host an empty disk and a new incarnation."""
         host = self.hosts[name]
-        host.incarnation = f"{host.peer.host}.{host.boots}"
-        host.disk = Disk()
+        host.incarnation = f"{host.peer.host}.{host.starts}"
+        host.disk = SimulatedDisk()
         host.initial = []
 
-    def carry_out(self, host: Host, step: outputs.Step) -> None:
+    def carry_out(self, host: ReplicaHost, step: outputs.Step) -> None:
         """Queues the effects of a step, then calls the observer."""
         for effect in step.effects:
             match effect:
@@ -275,7 +280,7 @@
         entry = (self.now_s + delay_s, next(self._counter), action)
         heapq.heappush(self._queue, entry)
 
-    def _send(self, host: Host, effect: effects.SendMessage) -> None:
+    def _send(self, host: ReplicaHost, effect: effects.SendMessage) -> None:
         copies = 1 + (self.random.random() < self.faults.duplication)
         for _ in range(copies):
             if self.random.random() < self.faults.loss:
@@ -305,7 +310,7 @@
                 ),
             )
 
-    def _start_timer(self, host: Host, delay_s: float) -> None:
+    def _start_timer(self, host: ReplicaHost, delay_s: float) -> None:
         host.timers += 1
         number = host.timers
 
@@ -317,13 +322,13 @@
         self._at(delay_s, fire)
 
     def _write(
-        self, host: Host, effect: effects.Persist | effects.SaveSnapshot
+        self, host: ReplicaHost, effect: effects.Persist | effects.SaveSnapshot
     ) -> None:
         host.disk.running.append(effect)
-        boots = host.boots
+        starts = host.starts
 
         def complete() -> None:
-            if host.boots != boots or not host.is_up:
+            if host.starts != starts or not host.is_up:
                 return
             sequence = host.disk.sync_next()
             step = host.replica.handle_write_completed(self.now_s, sequence)
@@ -349,7 +354,7 @@
             self.run_event()
         self.now_s = end_s
 
-    def leader(self) -> Host | None:
+    def leader(self) -> ReplicaHost | None:
         """Returns the leader of the highest term among running hosts."""
         leaders = [
             host
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -13,8 +13,8 @@
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.limits import quota_limiter
 from tamarack_core.internal.targets import lease_table
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
+from tamarack_lab.experiments import workloads
 
 NOW_S = 100.0
 
@@ -26,7 +26,7 @@
     return lookup.ServicePort(
         "agenda",
         name,
-        users.AGENDA.classes[name],
+        workloads.AGENDA.classes[name],
         weights or configuration.Weights(1.0, 1.0),
         b"\x0a\x09\x00\x01",
         444,
@@ -47,7 +47,7 @@
         self.table = lease_table.TargetLeaseTable()
         self.load_table = load_table_lib.LoadTable()
         self.chooser = chooser_lib.BalancingChooser(
-            network.context("entry", "a", 1),
+            simulated_network.context("entry", "a", 1),
             self.table,
             self.load_table,
             quota_limiter.QuotaLimiter(),
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -25,7 +25,7 @@
 
 def running(voters=5, spares=0, **options):
     """Returns a network with a leader."""
-    network = replica_network.Network(SEED, voters, spares, **options)
+    network = replica_network.ReplicaNetwork(SEED, voters, spares, **options)
     network.start()
     network.run_for(ELECTED_S)
     return network
@@ -49,7 +49,7 @@
     """Who leads, and for how long."""
 
     def test_a_single_voter_leads_only_once_its_vote_is_synced(self):
-        network = replica_network.Network(SEED, 1)
+        network = replica_network.ReplicaNetwork(SEED, 1)
         alone = network.hosts["control-0"].replica
         alone.start(0.0)
         step = alone.handle_timer(ELECTED_S)
@@ -88,7 +88,7 @@
         network.run_for(network.parameters.heartbeat_interval_s)
         self.assertFalse(old.replica.state.is_leader)
         self.assertIsNot(None, network.leader())
-        self.assertEqual(COMMANDS, len(network.leader().machine.commands))
+        self.assertEqual(COMMANDS, len(network.leader().state_machine.commands))
 
 
 class StaleAnswerTest(testtools.TestCase):
@@ -403,7 +403,7 @@
         )
         propose(network, COMMANDS)
         network.run_for(1.0)
-        self.assertEqual(COMMANDS, len(receiver.machine.commands))
+        self.assertEqual(COMMANDS, len(receiver.state_machine.commands))
         # The first goes alone, all others gather behind it.
         self.assertThat(sent, matchers.HasLength(2))
 
@@ -418,7 +418,7 @@
     def test_damaged_records_give_a_named_failure(self):
         member = membership.Member(follower(running(2)).peer, "x")
         fresh = replica.Replica(
-            member, [member], random.Random(1), replica_network.Register()
+            member, [member], random.Random(1), replica_network.CommandLog()
         )
         for snapshot, records, reason in (
             (None, [b"\xc1"], "bad-record"),
--- a/tests/cover/test_limit_shares.py
+++ b/tests/cover/test_limit_shares.py
@@ -12,7 +12,7 @@
 from tamarack_core.internal.limits import quota_limiter
 from tamarack_core.messages import limits
 from tamarack_lab.experiments import limit_plans
-from tamarack_lab.experiments import network
+from tamarack_lab.experiments import simulated_network
 
 LIMIT = "informe/certificate/concurrent"
 START_S = 100.0
@@ -89,12 +89,15 @@
         config_store.put(configuration.VersionedConfiguration(1, document), 0)
         self.limiter = quota_limiter.QuotaLimiter()
         self.live = ()
-        own = network.context("e0", "a", 1)
+        own = simulated_network.context("e0", "a", 1)
         self.manager = quota_lease_manager.QuotaLeaseManager(
             own, config_store, self.limiter, lambda: self.live, 3
         )
         # Hosts by rising weight as coordinators, the host under test first.
-        peers = [network.context(f"e{n}", "a", n).host for n in range(2, 60)]
+        peers = [
+            simulated_network.context(f"e{n}", "a", n).host
+            for n in range(2, 60)
+        ]
         self.first = next(peer for peer in peers if self.is_above(peer))
         self.second = next(
             peer
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -5,7 +5,7 @@
 from tamarack_core.internal.admission import load_shedder as load_shedder_lib
 from tamarack_core.internal.admission import retry_budget
 from tamarack_core.internal.entry import lookup
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import workloads
 
 NOW_S = 100.0
 SLOTS = 10.0
@@ -14,12 +14,12 @@
 def port(name, settings):
     """Returns a service port."""
     return lookup.ServicePort(
-        "agenda", name, settings, users.AGENDA.weights, b"", 444, 8444
+        "agenda", name, settings, workloads.AGENDA.weights, b"", 444, 8444
     )
 
 
-REPORT = port("report", users.AGENDA.classes["report"])
-CERTIFICATE = port("certificate", users.INFORME.classes["certificate"])
+REPORT = port("report", workloads.AGENDA.classes["report"])
+CERTIFICATE = port("certificate", workloads.INFORME.classes["certificate"])
 
 
 class OverloadTest(testtools.TestCase):
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -13,7 +13,7 @@
 from tamarack_core.packets import geneve
 from tamarack_lab.caller import process as caller_process
 from tamarack_lab.caller import settings as caller_settings
-from tamarack_lab.deployment import api
+from tamarack_lab.deployment import http_client
 from tamarack_lab.target import process as target_process
 from tamarack_lab.target import server as servers
 from tamarack_lab.target import settings as target_settings
@@ -209,15 +209,17 @@
         seen = []
 
         async def order(target, wire):
-            client = api.Client()
+            client = http_client.HttpClient()
             path = f"/v1/targets/{AGENDA}"
             lie = servers.ReportOverride(healthy=False, load=7.5)
-            await client.call("PUT", target.http, f"{path}/lie", lie)
+            await client.request("PUT", target.http, f"{path}/lie", lie)
             for name in ("health", "load"):
-                found = await client.call("GET", target.http, f"{path}/{name}")
+                found = await client.request(
+                    "GET", target.http, f"{path}/{name}"
+                )
                 seen.append(found.body)
             body = {"state": "draining"}
-            await client.call("PUT", target.http, f"{path}/state", body)
+            await client.request("PUT", target.http, f"{path}/state", body)
             announced = target.targets[AGENDA].announcement(1.0, 0)
             seen.append(msgspec.to_builtins(announced))
             await client.close()
--- a/tests/slow/consensus_checker.py
+++ b/tests/slow/consensus_checker.py
@@ -156,7 +156,7 @@
         """Returns whether the log of a host differs from the last check."""
         state = host.replica.state
         log = state.log
-        key = (state.commit_index, log.last_index, log.last_term, host.boots)
+        key = (state.commit_index, log.last_index, log.last_term, host.starts)
         if self.checked.get(host.incarnation) == key:
             return False
         self.checked[host.incarnation] = key
@@ -370,7 +370,7 @@
 
     def check_applied(self, host):
         """Applied sequences are prefixes of one another."""
-        commands = host.machine.commands
+        commands = host.state_machine.commands
         shared = min(len(commands), len(self.applied))
         require(
             commands[:shared] == self.applied[:shared],
@@ -390,13 +390,15 @@
         key = (host.incarnation, output.index, output.term)
         command = self.proposals.pop(key, None)
         if command is not None:
-            require(command in host.machine.commands, "acknowledged, lost")
+            require(
+                command in host.state_machine.commands, "acknowledged, lost"
+            )
             self.acknowledged.append(command)
 
     def check_read(self, host, output):
         """A read sees all that was acknowledged or read before it began."""
         acknowledged, seen = self.reads[output.token]
-        commands = host.machine.commands
+        commands = host.state_machine.commands
         missing = set(self.acknowledged[:acknowledged]).difference(commands)
         require(not missing, "stale read", output, missing)
         require(len(commands) >= seen, "read goes back", output, seen)
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -16,9 +16,9 @@
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
 from tamarack_lab.experiments import versions
+from tamarack_lab.experiments import workloads
 
 HOSTS = 4
 TARGETS = 4
@@ -26,7 +26,7 @@
 DRAIN_S = 3.0
 LEASE_S = 8.0
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
-SERVICES = {"agenda": users.AGENDA, "informe": users.INFORME}
+SERVICES = {"agenda": workloads.AGENDA, "informe": workloads.INFORME}
 NETWORKS = {"agenda": "10.20.0", "informe": "10.21.0"}
 FAILURES = (
     target_choice.Progress.UNRESPONSIVE,
@@ -40,14 +40,14 @@
     def __init__(self, version):
         self.version = version
         self.queue = event_queue.EventQueue()
-        self.network = network.Network(self.queue, 1)
+        self.network = simulated_network.SimulatedNetwork(self.queue, 1)
         self.choosers = {}
         for number in range(HOSTS):
             self.start(number)
 
     def start(self, number):
         """Starts a host without state."""
-        context = network.context(f"entry-{number}", "a", number)
+        context = simulated_network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
         config_store.put(configuration.VersionedConfiguration(1, document), 0)
@@ -65,7 +65,7 @@
 
         parts = self.version.build(context, config_store, members, HOSTS)
         self.choosers[context.host.host] = parts.chooser
-        self.network.add(reducer.Node(context, parts.parts)).start()
+        self.network.add(reducer.Node(context, parts.components)).start()
 
     def announce(self, number, announcement):
         """Announces a target at a live host near a number."""
--- a/tests/slow/test_consensus_model.py
+++ b/tests/slow/test_consensus_model.py
@@ -51,7 +51,7 @@
         faults = replica_network.Faults(
             loss, duplication, straggling, sync_max_s=0.1
         )
-        self.network = replica_network.Network(
+        self.network = replica_network.ReplicaNetwork(
             seed, VOTERS, SPARES, faults, LOG_PARAMETERS
         )
         self.checker = consensus_checker.Checker(self.network)
@@ -266,7 +266,7 @@
             host.incarnation
             for host in self.network.hosts.values()
             if host.incarnation in members
-            and host.machine.commands != self.checker.applied
+            and host.state_machine.commands != self.checker.applied
         ]
         consensus_checker.require(not behind, "behind", behind)
 
--- a/tests/slow/test_gateway.py
+++ b/tests/slow/test_gateway.py
@@ -15,9 +15,9 @@
 
 from tamarack_core import configuration
 from tamarack_core import peers
+from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import run as runs
 from tamarack_lab.gateway import process as gateway_process
 from tamarack_lab.gateway import settings as gateway_settings
 
@@ -34,7 +34,7 @@
     )
 
 
-PLAN = plans.Plan(
+PLAN = plans.DeploymentPlan(
     name="gateway",
     domains=("a",),
     entry_hosts=2,
@@ -98,7 +98,7 @@
         echo = await asyncio.start_server(self.echo, "127.0.0.1", 0)
         self.echo_port = echo.sockets[0].getsockname()[1]
         layout = layouts.build(PLAN, str(self.folder), seed=1)
-        deployment = runs.Deployment(layout, self.folder)
+        deployment = deployments.Deployment(layout, self.folder)
         gateway = gateway_process.GatewayProcess(self.settings(layout))
         try:
             await deployment.start_system()
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -16,8 +16,8 @@
 from tamarack_core.internal.limits import quota_limiter
 from tamarack_core.internal.limits import quotas
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
+from tamarack_lab.experiments import workloads
 
 HOSTS = 5
 LIMIT = 20
@@ -27,12 +27,12 @@
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
 
 WORK_CLASS = msgspec.structs.replace(
-    users.AGENDA.classes["report"],
+    workloads.AGENDA.classes["report"],
     max_concurrent=LIMIT,
     max_opening_rate=RATE,
 )
 SERVICE = msgspec.structs.replace(
-    users.AGENDA, classes={"report": WORK_CLASS}, opening_hosts=HOSTS
+    workloads.AGENDA, classes={"report": WORK_CLASS}, opening_hosts=HOSTS
 )
 PORT = lookup.ServicePort(
     "agenda", "report", WORK_CLASS, SERVICE.weights, b"", 444, 8444
@@ -48,7 +48,7 @@
 
     def __init__(self):
         self.queue = event_queue.EventQueue()
-        self.network = network.Network(self.queue, 1)
+        self.network = simulated_network.SimulatedNetwork(self.queue, 1)
         self.limiters = {}
         self.views = {}
         for number in range(HOSTS):
@@ -56,7 +56,7 @@
 
     def start(self, number):
         """Starts a host without state."""
-        context = network.context(f"entry-{number}", "a", number)
+        context = simulated_network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration({"agenda": SERVICE})
         config_store.put(configuration.VersionedConfiguration(1, document), 0)
@@ -154,11 +154,13 @@
     )
     def cut_one_way(self, pair):
         sender, receiver = pair
-        self.domain.network.cut.add((f"entry-{sender}", f"entry-{receiver}"))
+        self.domain.network.cut_links.add(
+            (f"entry-{sender}", f"entry-{receiver}")
+        )
 
     @stateful.rule()
     def heal(self):
-        self.domain.network.cut.clear()
+        self.domain.network.cut_links.clear()
 
     @stateful.rule(
         number=st.integers(0, HOSTS - 1), count=st.integers(1, LIMIT)
@@ -234,7 +236,7 @@
         for number in range(HOSTS):
             side = cut if number in cut else rest
             self.domain.views[f"entry-{number}"] = frozenset(side)
-            self.domain.network.cut |= {
+            self.domain.network.cut_links |= {
                 (f"entry-{number}", f"entry-{other}")
                 for other in range(HOSTS)
                 if other not in side
--- a/tests/slow/test_partition.py
+++ b/tests/slow/test_partition.py
@@ -11,9 +11,9 @@
 
 from tamarack_core import configuration
 from tamarack_core import requests
+from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import run as runs
 from tamarack_lab.proxy import process as proxy_process
 from tamarack_lab.proxy import settings as proxy_settings
 
@@ -30,7 +30,7 @@
     )
 
 
-PLAN = plans.Plan(
+PLAN = plans.DeploymentPlan(
     name="partition",
     domains=("a", "b", "c"),
     entry_hosts=3,
@@ -69,7 +69,7 @@
         layout.put_behind_proxy()
         self.proxy = proxy_process.Proxy(layout.proxy_settings())
         self.proxy.set_faults([WAN])
-        self.deployment = runs.Deployment(layout, self.folder)
+        self.deployment = deployments.Deployment(layout, self.folder)
         try:
             await self.proxy.start()
             await self.deployment.start_system()
@@ -88,7 +88,7 @@
             await self.proxy.close()
 
     async def cut_and_heal(self, layout):
-        self.proxy.set_faults([WAN, *layout.partition("c")])
+        self.proxy.set_faults([WAN, *layout.partition_faults("c")])
         inside = [e for e in layout.entries if e.domain == "c"]
         outside = [e for e in layout.entries if e.domain != "c"]
         await self.patch("/services/agenda/weights/imbalance", 3.0)
@@ -96,7 +96,7 @@
             await self.deployment.wait_version_at(entry)
         versions = await self.deployment.versions()
         self.assertEqual([1] * len(inside), versions["c"])
-        await runs.wait_until(
+        await deployments.wait_until(
             lambda: self.is_refused_inside(layout), "no quorum inside"
         )
         self.proxy.set_faults([WAN])
@@ -126,7 +126,7 @@
             ],
             "author": "test",
         }
-        found = await self.deployment.client.call(
+        found = await self.deployment.client.request(
             "POST", control.control, "/v1/patches", body
         )
         self.assertIn(found.body["state"], ("unknown", "no-quorum"))
--- a/tests/slow/test_protocols.py
+++ b/tests/slow/test_protocols.py
@@ -10,9 +10,9 @@
 from testtools import matchers
 
 from tamarack_core import configuration
+from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import layout as layouts
 from tamarack_lab.deployment import plan as plans
-from tamarack_lab.deployment import run as runs
 
 LOAD_S = 3.0
 GRACE_S = 5.0
@@ -39,7 +39,7 @@
     )
 
 
-PLAN = plans.Plan(
+PLAN = plans.DeploymentPlan(
     name="protocols",
     domains=("a",),
     entry_hosts=2,
@@ -77,7 +77,7 @@
 
     async def run_all(self, folder):
         layout = layouts.build(PLAN, str(folder), seed=1)
-        deployment = runs.Deployment(layout, folder)
+        deployment = deployments.Deployment(layout, folder)
         try:
             await deployment.start_system()
             document = msgspec.to_builtins(PLAN.document())
--- a/tests/slow/test_targets.py
+++ b/tests/slow/test_targets.py
@@ -16,8 +16,8 @@
 from tamarack_core.internal.targets import lease_table
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
+from tamarack_lab.experiments import workloads
 
 HOSTS = 5
 ADDRESS = "10.20.0.1"
@@ -31,7 +31,7 @@
     def setUp(self):
         super().setUp()
         self.queue = event_queue.EventQueue()
-        self.network = network.Network(self.queue, 1)
+        self.network = simulated_network.SimulatedNetwork(self.queue, 1)
         self.random = random.Random(2)
         self.tables = {}
         self.requests = itertools.count(1)
@@ -43,9 +43,9 @@
 
     def start(self, number):
         """Starts a host without state."""
-        context = network.context(f"entry-{number}", "a", number)
+        context = simulated_network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
-        services = {"agenda": users.AGENDA, "informe": users.INFORME}
+        services = {"agenda": workloads.AGENDA, "informe": workloads.INFORME}
         document = configuration.Configuration(services)
         config_store.put(configuration.VersionedConfiguration(1, document), 0)
         targets = lease_table.TargetLeaseTable()
@@ -136,14 +136,14 @@
     def test_a_host_that_was_cut_off_receives_what_it_missed(self):
         self.renew_until(9.0)
         for number in range(1, HOSTS):
-            self.network.cut |= {
+            self.network.cut_links |= {
                 ("entry-0", f"entry-{number}"),
                 (f"entry-{number}", "entry-0"),
             }
         other = self.network.hosts["entry-1"]
         self.announce(other, state=requests.TargetState.DRAINING)
         self.queue.run_until(12.0)
-        self.network.cut.clear()
+        self.network.cut_links.clear()
         self.queue.run_until(12.0 + DRAIN_S)
         self.assertEqual(set(), self.ready())
 
