--- a/packages/core/src/tamarack_core/storage/summary.py
+++ b/packages/core/src/tamarack_core/storage/summary.py
@@ -26,7 +26,7 @@
         patch_ids: Number of patch ids whose verdict is kept.
     """
 
-    numbered: configuration.Numbered
+    numbered: configuration.VersionedConfiguration
     term: int
     commit_index: int
     last_index: int
--- a/packages/lab/src/tamarack_lab/experiments/packet_ends.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import measure
+from tamarack_lab.experiments import measurements
 from tamarack_lab.tcp import connection as connections
 
 THINK_S = 2.0
@@ -23,7 +23,7 @@
 
     queue: event_queue.EventQueue
     random: random.Random
-    figures: measure.Figures
+    figures: measurements.Figures
 
     def refuse(self, caller: "Caller") -> None:
         """Counts a refusal, which promises that nothing has run."""
@@ -55,10 +55,10 @@
     def notify(
         self,
         connection: connections.Connection,
-        event: connections.Occurrence,
+        event: connections.ConnectionEvent,
     ) -> None:
         """Reacts to an occurrence of the connection."""
-        occurrences = connections.Occurrence
+        occurrences = connections.ConnectionEvent
         if event is occurrences.CONNECTED:
             self.ask(connection)
         elif event is occurrences.READABLE:
@@ -104,12 +104,12 @@
     def notify(
         self,
         connection: connections.Connection,
-        event: connections.Occurrence,
+        event: connections.ConnectionEvent,
     ) -> None:
         """Reacts to an occurrence of the connection."""
-        if event is connections.Occurrence.ENDED:
+        if event is connections.ConnectionEvent.ENDED:
             connection.finish()
-        if event is not connections.Occurrence.READABLE:
+        if event is not connections.ConnectionEvent.READABLE:
             return
         self.buffer += connection.read()
         while len(self.buffer) >= RECORD_BYTES:
--- a/tests/slow/test_limits.py
+++ b/tests/slow/test_limits.py
@@ -1,4 +1,4 @@
-"""Leased shares of limits under faults and wrong views of the members."""
+"""Leased quotas under faults and wrong views of the members."""
 
 import os
 
@@ -16,8 +16,8 @@
 from tamarack_core.internal.limits import quota_limiter
 from tamarack_core.internal.limits import quotas
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
+from tamarack_lab.experiments import workloads
 
 HOSTS = 5
 LIMIT = 20
@@ -27,12 +27,12 @@
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
 
 WORK_CLASS = msgspec.structs.replace(
-    users.AGENDA.classes["report"],
+    workloads.AGENDA.classes["report"],
     max_concurrent=LIMIT,
     max_opening_rate=RATE,
 )
 SERVICE = msgspec.structs.replace(
-    users.AGENDA, classes={"report": WORK_CLASS}, opening_hosts=HOSTS
+    workloads.AGENDA, classes={"report": WORK_CLASS}, opening_hosts=HOSTS
 )
 PORT = lookup.ServicePort(
     "agenda", "report", WORK_CLASS, SERVICE.weights, b"", 444, 8444
@@ -48,7 +48,7 @@
 
     def __init__(self):
         self.queue = event_queue.EventQueue()
-        self.network = network.Network(self.queue, 1)
+        self.network = simulated_network.SimulatedNetwork(self.queue, 1)
         self.limiters = {}
         self.views = {}
         for number in range(HOSTS):
@@ -56,10 +56,10 @@
 
     def start(self, number):
         """Starts a host without state."""
-        context = network.context(f"entry-{number}", "a", number)
+        context = simulated_network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
         document = configuration.Configuration({"agenda": SERVICE})
-        config_store.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.VersionedConfiguration(1, document), 0)
         limiter = quota_limiter.QuotaLimiter()
         name = context.host.host
         self.views[name] = frozenset(range(HOSTS))
@@ -71,21 +71,21 @@
                 if f"entry-{other}" != name
             )
 
-        part = quota_lease_manager.QuotaLeaseManager(
+        manager = quota_lease_manager.QuotaLeaseManager(
             context, config_store, limiter, members, HOSTS
         )
         self.limiters[name] = limiter
-        self.network.add(reducer.Node(context, (part,))).start()
+        self.network.add(reducer.Node(context, (manager,))).start()
 
     def live_limiters(self):
-        """Returns the gates of the hosts that run."""
+        """Returns the quota limiters of the running hosts by name."""
         return {
             host.peer.host: self.limiters[host.peer.host]
             for host in self.network.live("a")
         }
 
-    def share_sum(self, key):
-        """Returns the sum of the shares that hosts may use now."""
+    def quota_sum(self, key):
+        """Returns the sum of the quotas that running hosts may use now."""
         return sum(
             limiter.usage(key).valid_quota(self.queue.now_s)
             for limiter in self.live_limiters().values()
@@ -101,7 +101,7 @@
     def check(self):
         """Raises AssertionError if more is leased out than the limit."""
         for key, limit in TOTALS.items():
-            total = self.share_sum(key)
+            total = self.quota_sum(key)
             if total > limit + 1e-6:
                 raise AssertionError(f"{key}: {total} above {limit}")
 
@@ -154,11 +154,13 @@
     )
     def cut_one_way(self, pair):
         sender, receiver = pair
-        self.domain.network.cut.add((f"entry-{sender}", f"entry-{receiver}"))
+        self.domain.network.cut_links.add(
+            (f"entry-{sender}", f"entry-{receiver}")
+        )
 
     @stateful.rule()
     def heal(self):
-        self.domain.network.cut.clear()
+        self.domain.network.cut_links.clear()
 
     @stateful.rule(
         number=st.integers(0, HOSTS - 1), count=st.integers(1, LIMIT)
@@ -183,7 +185,7 @@
 
 
 class MovementTest(testtools.TestCase):
-    """Shares move to demand."""
+    """Quota moves to the hosts with demand."""
 
     def setUp(self):
         super().setUp()
@@ -191,7 +193,7 @@
         self.domain.queue.run_until(START_S)
 
     def push(self, number, seconds):
-        """Keeps trying to open connections at one host."""
+        """Tries to open connections at one host for some seconds."""
         admitted = 0
         for _ in range(int(seconds * 10)):
             admitted += self.domain.open(number, 3)
@@ -199,14 +201,14 @@
             self.domain.check()
         return admitted
 
-    def test_an_unused_share_moves_to_demand_within_seconds(self):
+    def test_unused_quota_moves_to_demand_within_seconds(self):
         for number in range(HOSTS):
             admitted = self.push(number, MOVE_S)
             self.assertTrue(admitted >= LIMIT * 0.75, admitted)
             for _ in range(admitted):
                 self.domain.limiters[f"entry-{number}"].remove(PORT)
 
-    def test_the_share_of_a_dead_host_comes_back_after_its_lease(self):
+    def test_the_quota_of_a_dead_host_returns_after_its_lease(self):
         admitted = self.push(1, MOVE_S)
         self.assertTrue(admitted >= LIMIT * 0.75, admitted)
         self.domain.network.hosts["entry-1"].alive = False
@@ -218,7 +220,7 @@
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
-    def test_a_host_that_starts_late_is_served_by_a_settled_keeper(self):
+    def test_a_host_that_starts_late_gets_quota_of_a_settled_coordinator(self):
         self.domain.network.hosts["entry-1"].alive = False
         self.domain.queue.run_until(START_S * 2)
         self.domain.start(1)
@@ -228,13 +230,13 @@
         )
         self.assertTrue(usage.used >= LIMIT * 0.75, usage)
 
-    def test_a_minority_loses_its_shares_and_the_majority_keeps_serving(self):
+    def test_a_minority_loses_its_quota_and_the_majority_keeps_serving(self):
         cut = {0, 1}
         rest = {2, 3, 4}
         for number in range(HOSTS):
             side = cut if number in cut else rest
             self.domain.views[f"entry-{number}"] = frozenset(side)
-            self.domain.network.cut |= {
+            self.domain.network.cut_links |= {
                 (f"entry-{number}", f"entry-{other}")
                 for other in range(HOSTS)
                 if other not in side
@@ -244,14 +246,14 @@
         self.assertTrue(self.domain.open(2, 5) > 0)
 
 
-class CatalogueTest(testtools.TestCase):
+class QuotasTest(testtools.TestCase):
     """Division of limits over the failure domains."""
 
-    def test_the_parts_of_all_domains_make_up_the_limit(self):
+    def test_the_quotas_of_all_domains_add_up_to_the_limit(self):
         names = ("c", "a", "b")
         service = msgspec.structs.replace(SERVICE, failure_domains=names)
         document = configuration.Configuration({"agenda": service})
         key = quotas.concurrent_key(PORT)
-        parts = [quotas.totals(document, name)[key] for name in names]
-        self.assertEqual([6.0, 7.0, 7.0], parts)
+        amounts = [quotas.totals(document, name)[key] for name in names]
+        self.assertEqual([6.0, 7.0, 7.0], amounts)
         self.assertEqual(0.0, quotas.totals(document, "other")[key])
--- a/tests/slow/test_targets.py
+++ b/tests/slow/test_targets.py
@@ -16,8 +16,8 @@
 from tamarack_core.internal.targets import lease_table
 from tamarack_core.packets import ip
 from tamarack_lab.experiments import event_queue
-from tamarack_lab.experiments import network
-from tamarack_lab.experiments import users
+from tamarack_lab.experiments import simulated_network
+from tamarack_lab.experiments import workloads
 
 HOSTS = 5
 ADDRESS = "10.20.0.1"
@@ -31,7 +31,7 @@
     def setUp(self):
         super().setUp()
         self.queue = event_queue.EventQueue()
-        self.network = network.Network(self.queue, 1)
+        self.network = simulated_network.SimulatedNetwork(self.queue, 1)
         self.random = random.Random(2)
         self.tables = {}
         self.requests = itertools.count(1)
@@ -43,11 +43,11 @@
 
     def start(self, number):
         """Starts a host without state."""
-        context = network.context(f"entry-{number}", "a", number)
+        context = simulated_network.context(f"entry-{number}", "a", number)
         config_store = configuration_store.ConfigurationStore()
-        services = {"agenda": users.AGENDA, "informe": users.INFORME}
+        services = {"agenda": workloads.AGENDA, "informe": workloads.INFORME}
         document = configuration.Configuration(services)
-        config_store.put(configuration.Numbered(1, document), 0)
+        config_store.put(configuration.VersionedConfiguration(1, document), 0)
         targets = lease_table.TargetLeaseTable()
 
         def members():
@@ -58,11 +58,11 @@
             )
 
         leases = lease_aggregator.LeaseAggregator(context, targets, members)
-        edge = announcement_validator.AnnouncementValidator(
+        validator = announcement_validator.AnnouncementValidator(
             context, config_store, leases
         )
         self.tables[context.host.host] = targets
-        host = self.network.add(reducer.Node(context, (leases, edge)))
+        host = self.network.add(reducer.Node(context, (leases, validator)))
         host.start()
 
     def announce(self, host=None, **changes):
@@ -77,13 +77,13 @@
         return host.responses[number]
 
     def renew_until(self, end_s):
-        """Lets the target renew its lease every three seconds."""
+        """Renews the lease of the target every three seconds until a time."""
         while self.queue.now_s < end_s:
             self.announce()
             self.queue.run_until(min(end_s, self.queue.now_s + 3.0))
 
     def ready(self):
-        """Returns the live hosts that hold the target to be ready."""
+        """Returns the live hosts at which the target is ready."""
         packed = ip.pack_address(ADDRESS)
         return {
             host.peer.host
@@ -116,7 +116,7 @@
         self.queue.run_until(9.0 + DRAIN_S)
         self.assertEqual(set(), self.ready())
 
-    def test_a_lease_that_is_not_renewed_runs_out_everywhere(self):
+    def test_a_lease_that_is_not_renewed_expires_everywhere(self):
         self.renew_until(9.0)
         self.queue.run_until(9.0 + LEASE_S + DRAIN_S)
         self.assertEqual(set(), self.ready())
@@ -133,21 +133,21 @@
             self.renew_until(self.queue.now_s + 3.0)
             self.assertEqual(HOSTS, len(self.ready()))
 
-    def test_a_host_that_was_cut_off_learns_what_it_missed(self):
+    def test_a_host_that_was_cut_off_receives_what_it_missed(self):
         self.renew_until(9.0)
         for number in range(1, HOSTS):
-            self.network.cut |= {
+            self.network.cut_links |= {
                 ("entry-0", f"entry-{number}"),
                 (f"entry-{number}", "entry-0"),
             }
         other = self.network.hosts["entry-1"]
         self.announce(other, state=requests.TargetState.DRAINING)
         self.queue.run_until(12.0)
-        self.network.cut.clear()
+        self.network.cut_links.clear()
         self.queue.run_until(12.0 + DRAIN_S)
         self.assertEqual(set(), self.ready())
 
-    def test_renewals_do_not_travel_beyond_the_aggregator(self):
+    def test_renewals_are_not_sent_beyond_the_aggregator(self):
         self.renew_until(9.0)
         before = sum(host.bytes_sent for host in self.network.live("a"))
         self.renew_until(39.0)
