Reword the validation, configuration and declarations of services

Docstrings and comments in plain terms, private names likewise: faults of a service are errors, found is patches, wanted is declared, steps of a pointer are reference tokens (RFC 6901).

--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -1,7 +1,7 @@
-"""The numbered configuration that operators patch.
+"""The versioned configuration that operators patch.
 
-The document is JSON: `{"services": {NAME: SERVICE}}`. Every field has a
-default or is required; unknown fields are refused.
+The document is JSON: `{"services": {NAME: SERVICE}}`. Fields without a default
+are required; unknown fields are rejected.
 """
 
 import enum
@@ -52,11 +52,11 @@
 
 
 class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a service values; each is a non-negative factor.
+    """Relative weights of a service's goals; none is negative.
 
     Attributes:
-        broken_flows: Weight of broken connections.
-        imbalance: Weight of uneven load.
+        broken_flows: Weight of avoiding broken connections.
+        imbalance: Weight of avoiding uneven load on targets.
     """
 
     broken_flows: float = 1.0
@@ -71,10 +71,11 @@
         classes: Work classes by name.
         target_networks: Networks in CIDR form that hold the targets of this
             service and of no other.
-        weights: What the service values.
-        opening_hosts: Hosts of a failure domain that choose the targets of
-            new connections, at least 1; fewer know the load better, more
-            share the opening packets.
+        weights: Relative weights of the service's goals.
+        opening_hosts: Number of hosts in a failure domain that choose targets
+            for new connections, at least 1. With fewer hosts, each knows the
+            load of the targets better; with more, each handles fewer opening
+            packets.
         failure_domains: Failure domains that divide the limits of the
             classes; empty for one failure domain.
     """
@@ -88,7 +89,7 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The whole document.
+    """The whole configuration document.
 
     Attributes:
         services: Services by name.
@@ -101,7 +102,7 @@
     """A configuration with its version.
 
     Attributes:
-        version: Number that only rises; 0 is the empty configuration.
+        version: Number that only increases; 0 is the empty configuration.
         configuration: The document.
     """
 
--- a/packages/core/src/tamarack_core/declarations.py
+++ b/packages/core/src/tamarack_core/declarations.py
@@ -14,7 +14,7 @@
 from tamarack_core.internal.validation import json_pointers
 from tamarack_core.internal.validation import validated_configuration
 
-# Leaves room for author, note and the frame of the command.
+# Leaves room for the author, the note and the encoding of the command.
 MAX_PATCH_BYTES = commands.MAX_OPERATIONS_BYTES
 MAX_PATCH_OPERATIONS = operations.MAX_OPERATIONS
 
@@ -65,10 +65,10 @@
 def plan(
     current: configuration.Configuration, declared: DeclaredServices
 ) -> list[Operation]:
-    """Returns the operations that turn `current` into what is declared.
+    """Returns the operations that turn `current` into the declared services.
 
-    The operations are exact: applied to `current` they give the declared
-    services and no other, and there are none if nothing differs.
+    Applied to `current`, the operations give exactly the declared services.
+    The list is empty if nothing differs.
     """
     names = sorted({*current.services, *declared.services})
     return list(
@@ -82,25 +82,26 @@
 
 
 def split_into_patches(planned: list[Operation]) -> list[list[Operation]]:
-    """Splits operations into patches that a control host takes.
+    """Splits operations into patches that a control host accepts.
 
-    Removals come first, so that what they free can be used again. Only a plan
-    of more than one patch can be in force in part.
+    Removals come first, so that later operations can reuse the ports and
+    networks that they release. A plan that fits into one patch takes effect
+    as a whole; one that needs several may be in force in part.
     """
     ordered = sorted(planned, key=lambda operation: operation.op != "remove")
     if _fits(ordered):
         return [ordered] if ordered else []
-    found: list[list[Operation]] = [[]]
+    patches: list[list[Operation]] = [[]]
     size = 0
     for operation in ordered:
         length = len(msgspec.json.encode(operation)) + 1
-        is_full = len(found[-1]) >= MAX_PATCH_OPERATIONS
-        if found[-1] and (is_full or size + length > MAX_PATCH_BYTES - 2):
-            found.append([])
+        is_full = len(patches[-1]) >= MAX_PATCH_OPERATIONS
+        if patches[-1] and (is_full or size + length > MAX_PATCH_BYTES - 2):
+            patches.append([])
             size = 0
-        found[-1].append(operation)
+        patches[-1].append(operation)
         size += length
-    return found
+    return patches
 
 
 def _fits(planned: list[Operation]) -> bool:
@@ -112,36 +113,36 @@
 def _plan_service(
     name: str,
     current: configuration.Service | None,
-    wanted: configuration.Service | None,
+    declared: configuration.Service | None,
 ) -> Iterator[Operation]:
     """Yields the operations for one service."""
     path = json_pointers.join("services", name)
-    if wanted is None:
+    if declared is None:
         yield Operation("remove", path)
     elif current is None:
-        yield _with_value("add", path, wanted)
+        yield _with_value("add", path, declared)
     else:
         for field in _FIELDS:
-            value = getattr(wanted, field)
+            value = getattr(declared, field)
             if value != getattr(current, field):
                 yield _with_value("replace", f"{path}/{field}", value)
-        yield from _plan_classes(path, current.classes, wanted.classes)
+        yield from _plan_classes(path, current.classes, declared.classes)
 
 
 def _plan_classes(
     path: str,
     current: Mapping[str, configuration.WorkClass],
-    wanted: Mapping[str, configuration.WorkClass],
+    declared: Mapping[str, configuration.WorkClass],
 ) -> Iterator[Operation]:
     """Yields the operations for the classes of one service."""
-    for name in sorted({*current, *wanted}):
-        place = path + json_pointers.join("classes", name)
-        if name not in wanted:
-            yield Operation("remove", place)
+    for name in sorted({*current, *declared}):
+        class_path = path + json_pointers.join("classes", name)
+        if name not in declared:
+            yield Operation("remove", class_path)
         elif name not in current:
-            yield _with_value("add", place, wanted[name])
-        elif wanted[name] != current[name]:
-            yield _with_value("replace", place, wanted[name])
+            yield _with_value("add", class_path, declared[name])
+        elif declared[name] != current[name]:
+            yield _with_value("replace", class_path, declared[name])
 
 
 def _with_value(op: str, path: str, value: object) -> Operation:
--- a/packages/core/src/tamarack_core/internal/validation/address_checks.py
+++ b/packages/core/src/tamarack_core/internal/validation/address_checks.py
@@ -11,7 +11,7 @@
 
 
 def parse_address(text: str) -> Address | None:
-    """Returns the address in its one canonical text form, or None."""
+    """Returns the address, or None if the text is not its canonical form."""
     try:
         address = ipaddress.ip_address(text)
     except ValueError:
@@ -20,7 +20,7 @@
 
 
 def parse_network(text: str) -> Network | None:
-    """Returns the network in its one canonical text form, or None."""
+    """Returns the network, or None if the text is not its canonical form."""
     try:
         network = ipaddress.ip_network(text)
     except ValueError:
@@ -28,23 +28,23 @@
     return network if str(network) == text else None
 
 
-def service_faults(
+def service_errors(
     service: configuration.Service, prefix: str
 ) -> Iterator[failure.Failure]:
-    """Yields the faults of one service's addresses and networks.
+    """Yields the errors in the addresses and networks of one service.
 
     Args:
         service: The service.
         prefix: JSON pointer of the service.
     """
-    yield from _address_faults(service, prefix)
-    yield from _network_faults(service, prefix)
+    yield from _address_errors(service, prefix)
+    yield from _network_errors(service, prefix)
 
 
-def _address_faults(
+def _address_errors(
     service: configuration.Service, prefix: str
 ) -> Iterator[failure.Failure]:
-    """Yields malformed, unusable and surplus service addresses."""
+    """Yields errors for malformed, unusable and surplus service addresses."""
     versions: set[int] = set()
     for index, text in enumerate(service.addresses):
         path = f"{prefix}/addresses/{index}"
@@ -56,7 +56,7 @@
                 path,
             )
             continue
-        if not _is_usable(address):
+        if not _is_routable(address):
             yield failure.Failure(
                 "bad-address",
                 f"{text} can't receive connections; give a unicast address",
@@ -72,8 +72,8 @@
         versions.add(address.version)
 
 
-def _is_usable(address: Address) -> bool:
-    """Returns False for addresses that no packet can be routed to."""
+def _is_routable(address: Address) -> bool:
+    """Returns whether packets to a single host can have this destination."""
     is_mapped = (
         isinstance(address, ipaddress.IPv6Address)
         and address.ipv4_mapped is not None
@@ -89,10 +89,10 @@
     )
 
 
-def _network_faults(
+def _network_errors(
     service: configuration.Service, prefix: str
 ) -> Iterator[failure.Failure]:
-    """Yields malformed networks and those that no address leads to."""
+    """Yields errors for malformed networks and unserved IP versions."""
     served = {
         address.version
         for address in map(parse_address, service.addresses)
--- a/packages/core/src/tamarack_core/internal/validation/clash_index.py
+++ b/packages/core/src/tamarack_core/internal/validation/clash_index.py
@@ -1,7 +1,7 @@
-"""Checks of services against each other, in time that doesn't grow with all.
+"""Checks of services against each other.
 
-The index is changed service by service, so that a patch of one service costs
-the same among ten services and among sixteen thousand.
+The index is updated service by service, so that a patch of one service costs
+the same with ten services as with sixteen thousand.
 """
 
 import bisect
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PortKey:
-    """What a packet of a caller is looked up by.
+    """Key by which the service of a packet from a caller is looked up.
 
     Attributes:
         address: Service address.
@@ -29,24 +29,24 @@
 
 
 class _Ranges:
-    """Disjoint ranges of addresses of one IP version, in order.
+    """Disjoint address ranges of one IP version, sorted by address.
 
     Attributes:
         firsts: First address of each range, as a number.
-        lasts: Last address of each range.
+        lasts: Last address of each range, as a number.
         owners: Service that owns each range.
     """
 
     __slots__ = ("firsts", "lasts", "owners")
 
     def __init__(self) -> None:
-        """Starts with no range."""
+        """Initializes the ranges without an entry."""
         self.firsts: list[int] = []
         self.lasts: list[int] = []
         self.owners: list[str] = []
 
     def find(self, first: int, last: int) -> str | None:
-        """Returns the owner of a range that overlaps, or None."""
+        """Returns the owner of a range that overlaps the given one, or None."""
         position = bisect.bisect_right(self.firsts, last)
         if position and self.lasts[position - 1] >= first:
             return self.owners[position - 1]
@@ -68,19 +68,19 @@
 
 
 class ClashIndex:
-    """Which service holds each port and each target network.
+    """Index of the service that owns each port and each target network.
 
     Attributes:
-        ports: Service that holds each port of each address.
+        ports: Service that owns each port of each address.
         networks: Target networks by IP version.
-        addresses: Service addresses by IP version, as numbers in order, one
-            for each service that holds the address.
+        addresses: Service addresses by IP version, as sorted numbers. An
+            address occurs once for each service that has it.
     """
 
     __slots__ = ("addresses", "networks", "ports")
 
     def __init__(self) -> None:
-        """Starts with no service."""
+        """Initializes the index without a service."""
         self.ports: dict[PortKey, str] = {}
         self.networks = {4: _Ranges(), 6: _Ranges()}
         self.addresses: dict[int, list[int]] = {4: [], 6: []}
@@ -91,17 +91,17 @@
         """Adds a service that passed its own checks.
 
         Returns:
-            None, or the clash with a service that is there already; the index
-            is then as it was.
+            None, or the clash with a service in the index, which then stays
+            unchanged.
         """
         for find in (
             self._find_port_clash,
             self._find_network_clash,
             self._find_address_clash,
         ):
-            refused = find(name, service)
-            if refused is not None:
-                return refused
+            clash = find(name, service)
+            if clash is not None:
+                return clash
         self.ports.update(dict.fromkeys(_port_keys(service), name))
         for network in configuration.parse_target_networks(service):
             ranges = self.networks[network.version]
@@ -123,7 +123,7 @@
     def _find_port_clash(
         self, name: str, service: configuration.Service
     ) -> failure.Failure | None:
-        """Finds a port of an address that another service holds."""
+        """Finds a port of an address that another service owns."""
         for class_name, work_class in sorted(service.classes.items()):
             for address in service.addresses:
                 key = PortKey(address, work_class.protocol, work_class.port)
@@ -142,7 +142,7 @@
     def _find_network_clash(
         self, name: str, service: configuration.Service
     ) -> failure.Failure | None:
-        """Finds a target network that overlaps another or an address."""
+        """Finds a target network that overlaps another or holds an address."""
         own = {4: _Ranges(), 6: _Ranges()}
         for index, network in enumerate(
             configuration.parse_target_networks(service)
@@ -159,7 +159,7 @@
                     f"{network} overlaps a target network of service {owner}",
                     path,
                 )
-            if self._holds_address(network.version, first, last):
+            if self._contains_address(network.version, first, last):
                 return failure.Failure(
                     "network-clash",
                     f"{network} contains a service address, which can't be a"
@@ -169,8 +169,8 @@
             own[network.version].add(first, last, name)
         return None
 
-    def _holds_address(self, version: int, first: int, last: int) -> bool:
-        """Returns True if a service address lies in the range."""
+    def _contains_address(self, version: int, first: int, last: int) -> bool:
+        """Returns whether a service address lies in the range."""
         numbers = self.addresses[version]
         position = bisect.bisect_left(numbers, first)
         return position < len(numbers) and numbers[position] <= last
@@ -198,7 +198,7 @@
 
 
 def _port_keys(service: configuration.Service) -> list[PortKey]:
-    """Returns all keys that lead to a service."""
+    """Returns the keys of all ports of a service."""
     return [
         PortKey(address, work_class.protocol, work_class.port)
         for address in service.addresses
--- a/packages/core/src/tamarack_core/internal/validation/json_pointers.py
+++ b/packages/core/src/tamarack_core/internal/validation/json_pointers.py
@@ -10,16 +10,16 @@
 _UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]*)`")
 _MISSING_FIELD = re.compile(r"missing required field `(?P<name>[^`]*)`")
 _LOCATION = re.compile(r" - at `(?:key in )?\$(?P<steps>[^`]*)`$")
-_STEP = re.compile(r"\.(?P<name>[^.\[]+)|\[(?P<index>[^\]]*)\]")
+_TOKEN = re.compile(r"\.(?P<name>[^.\[]+)|\[(?P<index>[^\]]*)\]")
 
 
-def join(*steps: str) -> str:
-    """Returns the pointer that leads through `steps`, each unescaped."""
-    return "".join("/" + jsonpointer.escape(step) for step in steps)
+def join(*tokens: str) -> str:
+    """Returns the pointer with the given reference tokens, each unescaped."""
+    return "".join("/" + jsonpointer.escape(token) for token in tokens)
 
 
 def split(pointer: str) -> list[str] | None:
-    """Returns the unescaped steps of a pointer; None if it is malformed."""
+    """Returns the unescaped reference tokens; None if it is malformed."""
     try:
         return list(jsonpointer.JsonPointer(pointer).get_parts())
     except (jsonpointer.JsonPointerException, TypeError):
@@ -27,7 +27,7 @@
 
 
 def from_error(prefix: str, error: msgspec.ValidationError) -> failure.Failure:
-    """Returns the failure that a conversion error stands for.
+    """Returns the failure for a conversion error.
 
     Args:
         prefix: Pointer of the value that was converted.
@@ -35,17 +35,17 @@
     """
     text = str(error)
     located = _LOCATION.search(text)
-    steps = _steps(located["steps"]) if located else []
+    tokens = _tokens(located["steps"]) if located else []
     named = _UNKNOWN_FIELD.search(text) or _MISSING_FIELD.search(text)
     if named:
-        steps.append(named["name"])
-    sentence = _LOCATION.sub("", text)
+        tokens.append(named["name"])
+    detail = _LOCATION.sub("", text)
     reason = "unknown-field" if _UNKNOWN_FIELD.search(text) else "bad-value"
-    return failure.Failure(reason, sentence, prefix + join(*steps))
+    return failure.Failure(reason, detail, prefix + join(*tokens))
 
 
-def _steps(location: str) -> list[str]:
-    """Returns the steps of a location such as `.addresses[1]`."""
+def _tokens(location: str) -> list[str]:
+    """Returns the reference tokens of a location such as `.addresses[1]`."""
     return [
-        match["name"] or match["index"] for match in _STEP.finditer(location)
+        match["name"] or match["index"] for match in _TOKEN.finditer(location)
     ]
--- a/packages/core/src/tamarack_core/internal/validation/service_checks.py
+++ b/packages/core/src/tamarack_core/internal/validation/service_checks.py
@@ -1,4 +1,4 @@
-"""Checks of one service on its own: types, ranges and its own ports."""
+"""Checks of a single service: types, ranges and clashes of its own ports."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -69,32 +69,32 @@
         value: Decoded JSON.
 
     Returns:
-        The service, or a failure with the pointer of the value at fault.
+        The service, or a failure with the pointer of the invalid value.
     """
     prefix = json_pointers.join("services", name)
-    refused = _check_name(name, prefix)
-    if refused is None:
-        refused = _check_classes(value, prefix)
-    if refused is not None:
-        return refused
+    rejection = _check_name(name, prefix)
+    if rejection is None:
+        rejection = _check_classes(value, prefix)
+    if rejection is not None:
+        return rejection
     try:
         service = msgspec.convert(value, configuration.Service)
     except msgspec.ValidationError as error:
         return json_pointers.from_error(prefix, error)
-    fault = check_service(name, service)
-    return service if fault is None else fault
+    rejection = check_service(name, service)
+    return service if rejection is None else rejection
 
 
 def check_service(
     name: str, service: configuration.Service
 ) -> failure.Failure | None:
-    """Returns why a well-typed service can't be put in force, or None."""
+    """Returns the first error of a well-typed service, or None."""
     prefix = json_pointers.join("services", name)
-    return next(_faults(service, prefix), None)
+    return next(_service_errors(service, prefix), None)
 
 
 def _check_name(name: str, prefix: str) -> failure.Failure | None:
-    """Refuses names that don't fit log lines and metric labels."""
+    """Rejects names that are unfit for log lines and metric labels."""
     if _NAME.fullmatch(name):
         return None
     return failure.Failure(
@@ -106,15 +106,15 @@
 
 
 def _check_classes(value: object, prefix: str) -> failure.Failure | None:
-    """Converts each class alone, so that a failure names the class."""
+    """Converts each class on its own, so that a failure names the class."""
     classes = value.get("classes") if isinstance(value, dict) else None
     if not isinstance(classes, dict):
         return None
     for name, work_class in sorted(classes.items()):
         path = prefix + json_pointers.join("classes", name)
-        refused = _check_name(name, path)
-        if refused is not None:
-            return refused
+        rejection = _check_name(name, path)
+        if rejection is not None:
+            return rejection
         try:
             msgspec.convert(work_class, configuration.WorkClass)
         except msgspec.ValidationError as error:
@@ -122,46 +122,46 @@
     return None
 
 
-def _faults(
+def _service_errors(
     service: configuration.Service, prefix: str
 ) -> Iterator[failure.Failure]:
-    """Yields the faults of one service in a fixed order."""
-    yield from _size_faults(service, prefix)
-    yield from address_checks.service_faults(service, prefix)
-    yield from _range_faults(service, _SERVICE_RANGES, prefix)
-    yield from _range_faults(
+    """Yields the errors of one service in a fixed order."""
+    yield from _count_errors(service, prefix)
+    yield from address_checks.service_errors(service, prefix)
+    yield from _range_errors(service, _SERVICE_RANGES, prefix)
+    yield from _range_errors(
         service.weights, _WEIGHT_RANGES, prefix + "/weights"
     )
-    named = sorted(service.classes.items())
-    for name, work_class in named:
+    classes = sorted(service.classes.items())
+    for name, work_class in classes:
         path = prefix + json_pointers.join("classes", name)
-        yield from _class_faults(work_class, path)
-    yield from _port_faults(named, prefix)
+        yield from _class_errors(work_class, path)
+    yield from _port_errors(classes, prefix)
 
 
-def _size_faults(
+def _count_errors(
     service: configuration.Service, prefix: str
 ) -> Iterator[failure.Failure]:
-    """Yields faults in the number of addresses, classes and networks."""
-    limits = (
+    """Yields errors in the number of addresses, classes and networks."""
+    counts = (
         ("addresses", len(service.addresses), 2),
         ("classes", len(service.classes), MAX_CLASSES),
         ("target_networks", len(service.target_networks), MAX_NETWORKS),
     )
-    for field, count, most in limits:
-        if not 1 <= count <= most:
+    for field, count, maximum in counts:
+        if not 1 <= count <= maximum:
             yield failure.Failure(
                 "bad-count",
-                f"{field} has {count} members; give 1 to {most}",
+                f"{field} has {count} members; give 1 to {maximum}",
                 f"{prefix}/{field}",
             )
 
 
-def _class_faults(
+def _class_errors(
     work_class: configuration.WorkClass, path: str
 ) -> Iterator[failure.Failure]:
-    """Yields the faults of one work class."""
-    yield from _range_faults(work_class, _CLASS_RANGES, path)
+    """Yields the errors of one work class."""
+    yield from _range_errors(work_class, _CLASS_RANGES, path)
     is_udp = work_class.protocol is configuration.Protocol.UDP
     if is_udp and not work_class.idempotent:
         yield failure.Failure(
@@ -172,45 +172,49 @@
         )
 
 
-def _range_faults(
+def _range_errors(
     value: msgspec.Struct, ranges: tuple[_Range, ...], path: str
 ) -> Iterator[failure.Failure]:
-    """Yields the numeric fields of `value` that lie outside their range."""
-    for limit in ranges:
-        number = getattr(value, limit.field)
-        if not (math.isfinite(number) and limit.low <= number <= limit.high):
+    """Yields errors for numeric fields of `value` outside their range."""
+    for allowed in ranges:
+        number = getattr(value, allowed.field)
+        if not (
+            math.isfinite(number) and allowed.low <= number <= allowed.high
+        ):
             yield failure.Failure(
                 "out-of-range",
-                f"{limit.field} is {number}; give"
-                f" {limit.low:g} to {limit.high:g}",
-                f"{path}/{limit.field}",
+                f"{allowed.field} is {number}; give"
+                f" {allowed.low:g} to {allowed.high:g}",
+                f"{path}/{allowed.field}",
             )
 
 
-_Named = tuple[str, configuration.WorkClass]
+_NamedClass = tuple[str, configuration.WorkClass]
 
 
-def _port_faults(named: list[_Named], prefix: str) -> Iterator[failure.Failure]:
-    """Yields classes of one service that can't be told apart by port."""
-    yield from _repeated(
-        named, prefix, "port", lambda work_class: work_class.port
+def _port_errors(
+    classes: list[_NamedClass], prefix: str
+) -> Iterator[failure.Failure]:
+    """Yields errors for classes that can't be told apart by port."""
+    yield from _duplicate_errors(
+        classes, prefix, "port", lambda work_class: work_class.port
     )
-    yield from _repeated(
-        named,
+    yield from _duplicate_errors(
+        classes,
         prefix,
         "target_port",
         lambda work_class: (work_class.target_port, work_class.protocol),
     )
 
 
-def _repeated(
-    named: list[_Named],
+def _duplicate_errors(
+    classes: list[_NamedClass],
     prefix: str,
     field: str,
     key: Callable[[configuration.WorkClass], object],
 ) -> Iterator[failure.Failure]:
-    """Yields pairs of classes with equal keys."""
-    for (first, one), (second, other) in itertools.combinations(named, 2):
+    """Yields an error for each pair of classes with equal keys."""
+    for (first, one), (second, other) in itertools.combinations(classes, 2):
         if key(one) == key(other):
             yield failure.Failure(
                 "port-clash",
--- a/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
+++ b/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
@@ -1,4 +1,4 @@
-"""Checks of a whole document and of changes to one that passed."""
+"""Checks of a whole configuration and of changes to a validated one."""
 
 from collections.abc import Mapping
 
@@ -12,18 +12,18 @@
 
 
 class ValidatedConfiguration:
-    """A configuration that every entry host can put in force.
+    """A configuration that passed all checks; see the package docstring.
 
     Attributes:
-        services: Services by name. The mapping is replaced, never changed, so
-            that a reader may keep it.
+        services: Services by name. The mapping is replaced, never modified,
+            so that a reader may keep a reference to it.
         index: Ports and networks in use.
     """
 
     __slots__ = ("index", "services")
 
     def __init__(self) -> None:
-        """Starts with the empty configuration."""
+        """Initializes the empty configuration."""
         self.services: dict[str, configuration.Service] = {}
         self.index = clash_index.ClashIndex()
 
@@ -37,28 +37,28 @@
                 removes the service.
 
         Returns:
-            None, or the failure that leaves the configuration as it was.
+            None, or the failure; the configuration then stays unchanged.
         """
-        kept = dict(self.services)
+        updated = dict(self.services)
         for name, service in changes.items():
-            kept.pop(name, None)
+            updated.pop(name, None)
             if service is not None:
-                kept[name] = service
-        if len(kept) > MAX_SERVICES:
+                updated[name] = service
+        if len(updated) > MAX_SERVICES:
             return failure.Failure(
                 "too-many-services",
-                f"{len(kept)} services; give at most {MAX_SERVICES}",
+                f"{len(updated)} services; give at most {MAX_SERVICES}",
                 "/services",
             )
-        refused = self._reindex(changes)
-        if refused is None:
-            self.services = kept
-        return refused
+        rejection = self._reindex(changes)
+        if rejection is None:
+            self.services = updated
+        return rejection
 
     def _reindex(
         self, changes: Mapping[str, configuration.Service | None]
     ) -> failure.Failure | None:
-        """Moves the index to the changed services, or leaves it alone."""
+        """Updates the index, or leaves it unchanged if a service clashes."""
         replaced = {
             name: self.services[name]
             for name in changes
@@ -70,10 +70,10 @@
         for name, changed in sorted(changes.items()):
             if changed is None:
                 continue
-            refused = self.index.add(name, changed)
-            if refused is not None:
+            rejection = self.index.add(name, changed)
+            if rejection is not None:
                 self._restore(added, replaced)
-                return refused
+                return rejection
             added.append(changed)
         return None
 
@@ -82,7 +82,7 @@
         added: list[configuration.Service],
         replaced: Mapping[str, configuration.Service],
     ) -> None:
-        """Takes back a change of the index that met a clash."""
+        """Rolls back a change of the index after a clash."""
         for service in added:
             self.index.remove(service)
         for name, service in replaced.items():
@@ -90,14 +90,14 @@
 
 
 def check(document: object) -> ValidatedConfiguration | failure.Failure:
-    """Checks a whole document.
+    """Checks a whole configuration.
 
     Args:
         document: Decoded JSON.
 
     Returns:
-        The checked configuration, or a failure with the pointer of the first
-        value at fault in a fixed order.
+        The validated configuration, or a failure with the pointer of the first
+        invalid value in a fixed order.
     """
     services = _services(document)
     if isinstance(services, failure.Failure):
@@ -109,8 +109,8 @@
             return service
         converted[name] = service
     checked = ValidatedConfiguration()
-    refused = checked.replace(converted)
-    return checked if refused is None else refused
+    rejection = checked.replace(converted)
+    return checked if rejection is None else rejection
 
 
 def _services(
