--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -1,4 +1,4 @@
-"""Hands changes of targets and routes to the hosts that follow this one."""
+"""Publishes changes of targets and routes to subscribed hosts."""
 
 import msgspec
 
@@ -13,19 +13,19 @@
 from tamarack_core.internal.registry import target_registry
 
 SUBSCRIPTION_S = 3.5
-"""Time after its last question for which a host is sent changes."""
+"""Time after its last request for which a host is sent changes, in seconds."""
 
 SETTLE_INTERVALS = 2.0
-"""Announcement intervals after which a control host that started without any
-knowledge holds that all live targets have announced themselves."""
+"""Announcement intervals after which all live targets have announced themselves
+to a control host that started without any targets."""
 
-REPEAT_S = 0.3
-"""Time within which a host that holds nothing is not answered twice; a host
-that starts asks faster than a large document arrives."""
+MIN_REPEAT_S = 0.3
+"""Time in which a host without a document gets no second response, in seconds.
+A host that starts repeats its request before a large document has arrived."""
 
 PUSH_INTERVAL_S = 0.03
 """Shortest time between two pushes, in seconds. When thousands of targets
-announce themselves at once, their changes travel together."""
+announce themselves at once, their changes are sent together."""
 
 TIMER = "push"
 
@@ -33,38 +33,38 @@
 
 
 class Subscriber(msgspec.Struct):
-    """A host that asked lately.
+    """A host that sent a request recently.
 
     Attributes:
         peer: The host.
         position: Last change that it holds, or was sent.
         number: Number of the document that it holds, or was sent.
         is_control: Whether it is a control host.
-        asked_s: Time of its last question, in seconds.
-        controls: Control hosts that it was told of.
+        requested_s: Time of its last request, in seconds.
+        controls: Control hosts that it was sent.
     """
 
     peer: peers.Peer
     position: int
     number: int
     is_control: bool
-    asked_s: float
+    requested_s: float
     controls: tuple[peers.Peer, ...] = ()
 
 
 class Publisher:
-    """Part that answers questions and pushes changes.
+    """Component that responds to sync requests and pushes changes.
 
     Attributes:
-        context: Identity, chance, time and counters.
+        context: Identity, random generator, clocks and counters of the host.
         registry: Announced targets.
-        routes: Changes of the document.
-        run: Identifier of this life of the process.
-        subscribers: Hosts that asked lately, by name.
+        routes: History of the routes.
+        run: Identifier of this run of the process.
+        subscribers: Hosts that sent a request recently, by name.
         controls: Live control hosts.
         started_s: Time of the start, in seconds.
         pushed_s: Time of the last push, in seconds.
-        is_push_due: Whether a push waits for its time.
+        is_push_due: Whether the timer of a delayed push is running.
     """
 
     __slots__ = (
@@ -84,10 +84,11 @@
         context: context_lib.Context,
         registry: target_registry.TargetRegistry,
     ) -> None:
-        """Creates the part.
+        """Initializes the publisher.
 
         Args:
-            context: Identity, chance, time and counters.
+            context: Identity, random generator, clocks and counters of the
+                host.
             registry: Announced targets.
         """
         self.context = context
@@ -101,7 +102,7 @@
         self.is_push_due = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {
             events.Started: self.handle_started,
             sync.SyncRequest: self.handle_request,
@@ -109,22 +110,22 @@
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
-        """Takes note of the start."""
+        """Records the time of the start."""
         self.started_s = event.now_s
         return []
 
     def handle_request(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
-        """Answers with what the sender lacks."""
+        """Subscribes the sender, and sends it what it lacks."""
         request = event.message
         assert isinstance(request, sync.SyncRequest)
         held = self.subscribers.get(event.sender.host)
-        asked_s = float("-inf") if held is None else held.asked_s
-        if request.is_first and event.now_s - asked_s < REPEAT_S:
+        requested_s = float("-inf") if held is None else held.requested_s
+        if request.is_first and event.now_s - requested_s < MIN_REPEAT_S:
             return []
         is_same_run = request.run == self.run
-        follower = Subscriber(
+        subscriber = Subscriber(
             event.sender,
             request.position if is_same_run else 0,
             request.number,
@@ -132,10 +133,10 @@
             event.now_s,
             held.controls if held is not None and is_same_run else (),
         )
-        self.subscribers[event.sender.host] = follower
-        found = [self._update(event.now_s, follower)]
+        self.subscribers[event.sender.host] = subscriber
+        result = [self._update(event.now_s, subscriber)]
         if not is_same_run:
-            found.append(
+            result.append(
                 self.context.record(
                     event.now_s,
                     "follower-joined",
@@ -143,7 +144,7 @@
                     detail=event.sender.host,
                 )
             )
-        return found
+        return result
 
     def publish_documents(
         self, now_s: float, machine: machines.DocumentStateMachine
@@ -163,14 +164,14 @@
     def set_controls(
         self, now_s: float, controls: tuple[peers.Peer, ...]
     ) -> list[effects.Effect]:
-        """Takes the control hosts that are alive, and tells the followers."""
+        """Sets the live control hosts, and pushes them if they changed."""
         if controls == self.controls:
             return []
         self.controls = controls
         return self.push(now_s)
 
     def push(self, now_s: float) -> list[effects.Effect]:
-        """Sends the followers what they lack, now or a little later.
+        """Sends subscribers what they lack, now or when the timer fires.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -189,57 +190,59 @@
         return self._push(event.now_s)
 
     def _push(self, now_s: float) -> list[effects.Effect]:
-        """Sends the followers what they lack."""
+        """Removes expired subscribers, and sends the others what they lack."""
         self.pushed_s = now_s
-        for name, follower in list(self.subscribers.items()):
-            if now_s - follower.asked_s > SUBSCRIPTION_S:
+        for name, subscriber in list(self.subscribers.items()):
+            if now_s - subscriber.requested_s > SUBSCRIPTION_S:
                 del self.subscribers[name]
         return [
-            self._update(now_s, follower)
-            for follower in self.subscribers.values()
-            if self._lacks(follower)
+            self._update(now_s, subscriber)
+            for subscriber in self.subscribers.values()
+            if self._is_behind(subscriber)
         ]
 
     def entry_subscribers(self, now_s: float) -> list[peers.Peer]:
-        """Returns the entry hosts that asked lately."""
+        """Returns the subscribed entry hosts."""
         return [
-            follower.peer
-            for follower in self.subscribers.values()
-            if not follower.is_control
-            and now_s - follower.asked_s <= SUBSCRIPTION_S
+            subscriber.peer
+            for subscriber in self.subscribers.values()
+            if not subscriber.is_control
+            and now_s - subscriber.requested_s <= SUBSCRIPTION_S
         ]
 
-    def _lacks(self, follower: Subscriber) -> bool:
-        """Returns whether there is news for a follower."""
-        if follower.position < self.registry.position:
+    def _is_behind(self, subscriber: Subscriber) -> bool:
+        """Returns whether a subscriber lacks a change."""
+        if subscriber.position < self.registry.position:
             return True
-        if follower.is_control:
+        if subscriber.is_control:
             return False
         return (
-            follower.number < self.routes.document.number
-            or follower.controls != self.controls
+            subscriber.number < self.routes.document.number
+            or subscriber.controls != self.controls
         )
 
-    def _update(self, now_s: float, follower: Subscriber) -> effects.Effect:
-        """Returns the message that brings a follower up to date."""
-        base = follower.position
+    def _update(self, now_s: float, subscriber: Subscriber) -> effects.Effect:
+        """Returns the message with all changes that a subscriber lacks."""
+        base = subscriber.position
         document = None
-        if not follower.is_control:
-            document = self.routes.changes_since(follower.number)
-        is_told = follower.is_control or follower.controls == self.controls
-        follower.position = self.registry.position
-        follower.number = max(follower.number, self.routes.document.number)
-        follower.controls = self.controls
+        if not subscriber.is_control:
+            document = self.routes.changes_since(subscriber.number)
+        knows_controls = (
+            subscriber.is_control or subscriber.controls == self.controls
+        )
+        subscriber.position = self.registry.position
+        subscriber.number = max(subscriber.number, self.routes.document.number)
+        subscriber.controls = self.controls
         update = sync.SyncUpdate(
             run=self.run,
             base=base,
             position=self.registry.position,
             is_settled=self._is_settled(now_s),
             targets=self.registry.changes_since(base),
-            controls=() if is_told else self.controls,
+            controls=() if knows_controls else self.controls,
             document=document,
         )
-        return effects.SendMessage(follower.peer, update)
+        return effects.SendMessage(subscriber.peer, update)
 
     def _is_settled(self, now_s: float) -> bool:
         """Returns whether all live targets had time to announce themselves."""
--- a/tests/slow/test_choosing.py
+++ b/tests/slow/test_choosing.py
@@ -1,4 +1,4 @@
-"""Choice of targets under faults, beside the naive version."""
+"""Choice of targets under faults, compared with the naive version."""
 
 import os
 
@@ -35,7 +35,7 @@
 
 
 class Version:
-    """Entry hosts of one version on a network of their own."""
+    """Entry hosts of one version on a separate network."""
 
     def __init__(self, version):
         self.version = version
@@ -234,7 +234,7 @@
     @stateful.invariant()
     def the_ejected_share_stays_within_the_cap(self):
         now_s = self.ours.queue.now_s
-        most = max(1, int(health_lib.MAX_EJECTED_SHARE * TARGETS))
+        most = max(1, int(health_lib.MAX_EJECTED_FRACTION * TARGETS))
         targets = [
             ip.pack_address(address)
             for address, announcement in self.announced.items()
