--- a/packages/core/src/tamarack_core/internal/validation/clash_index.py
+++ b/packages/core/src/tamarack_core/internal/validation/clash_index.py
@@ -143,7 +143,7 @@
         self, name: str, service: configuration.Service
     ) -> failure.Failure | None:
         """Finds a target network that overlaps another or holds an address."""
-        own = {4: _Ranges(), 6: _Ranges()}
+        own_ranges = {4: _Ranges(), 6: _Ranges()}
         for index, network in enumerate(
             configuration.parse_target_networks(service)
         ):
@@ -152,7 +152,7 @@
                 "services", name, "target_networks", str(index)
             )
             owner = self.networks[network.version].find(first, last)
-            owner = owner or own[network.version].find(first, last)
+            owner = owner or own_ranges[network.version].find(first, last)
             if owner is not None:
                 return failure.Failure(
                     "network-clash",
@@ -166,7 +166,7 @@
                     " target",
                     path,
                 )
-            own[network.version].add(first, last, name)
+            own_ranges[network.version].add(first, last, name)
         return None
 
     def _contains_address(self, version: int, first: int, last: int) -> bool:
@@ -179,12 +179,14 @@
         self, name: str, service: configuration.Service
     ) -> failure.Failure | None:
         """Finds a service address that lies in a target network."""
-        own = configuration.parse_target_networks(service)
+        own_networks = configuration.parse_target_networks(service)
         for index, text in enumerate(service.addresses):
             address = ipaddress.ip_address(text)
             number = int(address)
             owner = self.networks[address.version].find(number, number)
-            if owner is None and any(address in network for network in own):
+            if owner is None and any(
+                address in network for network in own_networks
+            ):
                 owner = name
             if owner is not None:
                 return failure.Failure(
