Rename the light driver's module and HTTP classes in field terms

tamarack_node.light -> light_driver holds LightDriver tamarack_node.internal.connects -> tcp_probe active TCP check of a target connects.is_answered -> tcp_probe.accepts_connection HttpReply -> HttpResponse term of HTTP light.Dialect -> light_driver.HttpCodec as ControlHttpCodec, EntryHttpCodec light_disk.disk_of -> disk_contents returns DiskContents light_disk.writer -> start_writer starts the writer's thread

Uses in platform and tests follow; the tests check the same as before.

--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -56,7 +56,7 @@
     body: bytes
 
 
-class HttpReply(msgspec.Struct):
+class HttpResponse(msgspec.Struct):
     """An answer.
 
     Attributes:
@@ -72,7 +72,7 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
 class HttpError(Exception):
@@ -186,7 +186,7 @@
 
     def _refuse(self, status: int) -> None:
         if self._transport is not None:
-            self._transport.write(_encode_reply(HttpReply(status), False))
+            self._transport.write(_encode_reply(HttpResponse(status), False))
             self._transport.close()
 
     async def _answer_all(self) -> None:
@@ -206,7 +206,7 @@
             self._busy = None
 
 
-def _encode_reply(reply: HttpReply, is_kept: bool) -> bytes:
+def _encode_reply(reply: HttpResponse, is_kept: bool) -> bytes:
     """Returns the bytes of an answer."""
     lines = [
         f"HTTP/1.1 {reply.status} {_PHRASES.get(reply.status, '')}",
--- a/packages/node/src/tamarack_node/internal/connects.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -7,7 +7,7 @@
 from tamarack_core import effects
 
 
-async def is_answered(probe: effects.ProbeTarget, local: str) -> bool:
+async def accepts_connection(probe: effects.ProbeTarget, local: str) -> bool:
     """Returns whether a target takes a connection in time.
 
     Further connections are asked for while none is taken, as a packet may be
--- a/packages/node/src/tamarack_node/light_disk.py
+++ b/packages/node/src/tamarack_node/light_disk.py
@@ -6,7 +6,7 @@
 import time
 
 from tamarack_core.storage import disk as disks
-from tamarack_node import light
+from tamarack_node import light_driver
 from tamarack_node.internal import disk_writer
 from tamarack_node.internal import logs
 from tamarack_node.internal.storage import errors as storage_errors
@@ -46,7 +46,7 @@
         await asyncio.sleep(RETRY_S)
 
 
-def disk_of(folder: folders.DataFolder) -> disks.DiskContents:
+def disk_contents(folder: folders.DataFolder) -> disks.DiskContents:
     """Returns what a data folder held when it was opened."""
     return disks.DiskContents(
         folder.identity.incarnation,
@@ -56,8 +56,8 @@
     )
 
 
-def writer(
-    folder: folders.DataFolder, driver: light.LightDriver
+def start_writer(
+    folder: folders.DataFolder, driver: light_driver.LightDriver
 ) -> disk_writer.DiskWriter:
     """Returns what writes to a folder and tells the driver."""
     return disk_writer.DiskWriter(
--- a/packages/node/src/tamarack_node/light.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -28,11 +28,11 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import timeline
-from tamarack_node.internal import connects
 from tamarack_node.internal import http1
 from tamarack_node.internal import light_sender
 from tamarack_node.internal import log_stream
 from tamarack_node.internal import logs
+from tamarack_node.internal import tcp_probe
 from tamarack_node.internal import text_metrics
 from tamarack_node.internal import timers
 from tamarack_node.internal import transport
@@ -42,7 +42,7 @@
     from tamarack_core import requests
 
 HttpRequest = http1.HttpRequest
-HttpReply = http1.HttpReply
+HttpResponse = http1.HttpResponse
 
 DATAGRAMS_PER_TURN = 64
 RECEIVE_BYTES = 4096
@@ -60,17 +60,17 @@
 exporter for Prometheus."""
 
 
-class Dialect(Protocol):
+class HttpCodec(Protocol):
     """Translates between HTTP and the requests of the core."""
 
     def decode(
         self, request: http1.HttpRequest
-    ) -> requests.Request | http1.HttpReply:
+    ) -> requests.Request | http1.HttpResponse:
         """Returns the request of the core, or the answer that refuses it."""
 
     def encode(
         self, request: http1.HttpRequest, response: requests.Response
-    ) -> http1.HttpReply:
+    ) -> http1.HttpResponse:
         """Returns the form of the answer to a request."""
 
 
@@ -137,7 +137,7 @@
         self,
         node: reducer.Node,
         addresses: Addresses,
-        dialect: Dialect,
+        dialect: HttpCodec,
         codec: envelopes.Codec,
     ) -> None:
         """Creates a host that has not started.
@@ -258,21 +258,21 @@
 
     async def _answer_metrics(
         self, request: http1.HttpRequest
-    ) -> http1.HttpReply:
+    ) -> http1.HttpResponse:
         """Answers who reads metrics or the time line."""
         path, _, _ = request.path.partition("?")
         if request.method == "GET" and path == METRICS_PATH:
-            return http1.HttpReply(
+            return http1.HttpResponse(
                 200, self._metrics(), text_metrics.CONTENT_TYPE
             )
         if request.method == "GET" and path == TIMELINE_PATH:
-            return http1.HttpReply(200, timeline.encode(self.entries))
-        return http1.HttpReply(404)
+            return http1.HttpResponse(200, timeline.encode(self.entries))
+        return http1.HttpResponse(404)
 
     async def _listen(
         self,
         endpoint: peers.Endpoint,
-        handler: Callable[[http1.HttpRequest], Awaitable[http1.HttpReply]],
+        handler: Callable[[http1.HttpRequest], Awaitable[http1.HttpResponse]],
     ) -> None:
         """Opens one HTTP listener."""
         listener = http1.HttpListener(handler)
@@ -354,7 +354,7 @@
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
         """Asks a target for a connection, and tells the core."""
-        is_answered = await connects.is_answered(
+        is_answered = await tcp_probe.accepts_connection(
             effect, self.addresses.internal.address
         )
         self.handle(
@@ -377,11 +377,11 @@
 
     async def _answer_public(
         self, request: http1.HttpRequest
-    ) -> http1.HttpReply:
+    ) -> http1.HttpResponse:
         """Answers the platform, operators and targets."""
         began_s = time.monotonic()
         decoded = self._dialect.decode(request)
-        if isinstance(decoded, http1.HttpReply):
+        if isinstance(decoded, http1.HttpResponse):
             self.node.context.counters["requests-refused"] += 1
             return decoded
         reply = self._dialect.encode(request, await self._ask(decoded))
@@ -404,13 +404,13 @@
 
     async def _answer_internal(
         self, request: http1.HttpRequest
-    ) -> http1.HttpReply:
+    ) -> http1.HttpResponse:
         """Answers other hosts."""
         call = (request.method, request.path)
         if call != ("POST", transport.MESSAGES_PATH):
-            return http1.HttpReply(404)
+            return http1.HttpResponse(404)
         self.transport.handle_bytes(request.body)
-        return http1.HttpReply(200)
+        return http1.HttpResponse(200)
 
     def _metrics(self) -> bytes:
         """Returns all metrics as text."""
--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -9,7 +9,7 @@
 
 from tamarack_core import effects
 from tamarack_core import peers
-from tamarack_node.internal import connects
+from tamarack_node.internal import tcp_probe
 
 LOOPBACK = "127.0.0.1"
 
@@ -29,7 +29,7 @@
 
     def ask(self, during=None):
         async def run():
-            asking = connects.is_answered(self.probe(), LOOPBACK)
+            asking = tcp_probe.accepts_connection(self.probe(), LOOPBACK)
             task = asyncio.create_task(asking)
             if during is not None:
                 await asyncio.sleep(0.03)
@@ -69,5 +69,5 @@
         self.assertTrue(is_answered)
 
     def test_an_address_that_is_not_ours_is_no_answer(self):
-        asking = connects.is_answered(self.probe(), "192.0.2.1")
+        asking = tcp_probe.accepts_connection(self.probe(), "192.0.2.1")
         self.assertFalse(asyncio.run(asking))
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -14,7 +14,7 @@
 from tamarack_core import flow_packets
 from tamarack_core import peers
 from tamarack_core import target_announcement
-from tamarack_node import light
+from tamarack_node import light_driver
 from tamarack_platform import control_http
 from tamarack_platform import documents
 from tamarack_platform import entry_http
@@ -102,7 +102,7 @@
 def post(path, body):
     """Returns a request with a JSON body."""
     data = body if isinstance(body, bytes) else json.dumps(body).encode()
-    return light.HttpRequest("POST", path, data)
+    return light_driver.HttpRequest("POST", path, data)
 
 
 def without(mapping, name):
@@ -353,12 +353,14 @@
 
     def test_an_unknown_call_is_refused(self):
         for method, path in (("GET", "/"), ("GET", "/config/replace")):
-            reply = self.dialect.decode(light.HttpRequest(method, path, b""))
+            reply = self.dialect.decode(
+                light_driver.HttpRequest(method, path, b"")
+            )
             self.assertEqual(404, reply.status)
 
     def test_readiness_is_a_status(self):
         entry = entry_http.EntryHttpCodec()
-        request = light.HttpRequest("GET", "/ready", b"")
+        request = light_driver.HttpRequest("GET", "/ready", b"")
         self.assertEqual(
             external_requests.ReadReadiness(), entry.decode(request)
         )
--- a/tests/cover/test_small_http.py
+++ b/tests/cover/test_small_http.py
@@ -17,7 +17,7 @@
 
         async def answer(request):
             await asyncio.sleep(0.01)
-            return http1.HttpReply(200, request.path.encode())
+            return http1.HttpResponse(200, request.path.encode())
 
         async def run():
             listener = http1.HttpListener(answer)
--- a/tests/soak/host_program.py
+++ b/tests/soak/host_program.py
@@ -15,13 +15,13 @@
 import typing
 
 from tamarack_core import peers
-from tamarack_node import light
+from tamarack_node import light_driver
 
 CLOCK, FULL, SLOW = "clock-offset", "disk-full", "disk-slow"
 STANDARD_ERROR = 2
 
 
-class RoutedDriver(light.LightDriver):
+class RoutedDriver(light_driver.LightDriver):
     """A driver whose messages go through the proxy."""
 
     __slots__ = ()
@@ -66,7 +66,7 @@
     RoutedDriver.routes = {
         name: peers.Endpoint(*endpoint) for name, endpoint in stored.items()
     }
-    light.LightDriver = RoutedDriver
+    light_driver.LightDriver = RoutedDriver
     bring_faults_in(folder)
     importlib.import_module(f"tamarack_platform.{program}").main()
 
