Rename modules of the command line and the lab in field terms

Module names are nouns that say what the file holds: - ctl: declaring -> plan_apply, patching -> patches - lab: running -> process_lifecycle, demo/script -> demo/scenario, bench/subject -> bench/entry_process, bench/measures -> bench/measurements, capacity/measure -> capacity/slopes_command, capacity/probes/measuring -> capacity/probes/measurement - lab/web_server: Served -> RunningServer, answer -> json_response, read -> read_json

--- a/packages/ctl/src/tamarack_ctl/internal/declaring.py
+++ b/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
@@ -16,7 +16,7 @@
 from tamarack_ctl.internal import client
 from tamarack_ctl.internal import options
 from tamarack_ctl.internal import output
-from tamarack_ctl.internal import patching
+from tamarack_ctl.internal import patches
 
 PATTERN = "*.json"
 PATCH_ID_CHARACTERS = 32
@@ -69,7 +69,7 @@
         _show(as_json, numbered.version, planned)
     for number, batch in enumerate(batches):
         body = _body(numbered.version + number, batch, author, note)
-        exit_code = patching.submit(hosts, body, as_json)
+        exit_code = patches.submit(hosts, body, as_json)
         if exit_code != output.EXIT_OK:
             if number:
                 click.echo(
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -4,11 +4,11 @@
 
 from tamarack_ctl.internal import completion
 from tamarack_ctl.internal import data
-from tamarack_ctl.internal import declaring
 from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import history
 from tamarack_ctl.internal import members
-from tamarack_ctl.internal import patching
+from tamarack_ctl.internal import patches
+from tamarack_ctl.internal import plan_apply
 from tamarack_ctl.internal import rollout
 from tamarack_ctl.internal import services
 from tamarack_ctl.internal import status
@@ -23,9 +23,9 @@
 
 main.add_command(status.status)
 main.add_command(services.services)
-main.add_command(patching.patch)
-main.add_command(declaring.plan)
-main.add_command(declaring.apply)
+main.add_command(patches.patch)
+main.add_command(plan_apply.plan)
+main.add_command(plan_apply.apply)
 main.add_command(history.log)
 main.add_command(history.diff)
 main.add_command(data.data)
--- a/packages/lab/src/tamarack_lab/bench/command.py
+++ b/packages/lab/src/tamarack_lab/bench/command.py
@@ -6,7 +6,7 @@
 import click
 import msgspec
 
-from tamarack_lab.bench import measures
+from tamarack_lab.bench import measurements
 from tamarack_lab.bench import profile as profile_lib
 
 DEFAULT_RUNS = 5
@@ -34,7 +34,7 @@
     if profile:
         click.echo(profile_lib.run(targets))
         return
-    results = msgspec.to_builtins(measures.run(runs, targets))
+    results = msgspec.to_builtins(measurements.run(runs, targets))
     output.parent.mkdir(parents=True, exist_ok=True)
     text = json.dumps(results, indent=2)
     output.write_text(text + "\n")
--- a/packages/lab/src/tamarack_lab/bench/measures.py
+++ b/packages/lab/src/tamarack_lab/bench/measurements.py
@@ -10,7 +10,7 @@
 
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
-from tamarack_lab.bench import subject as subject_lib
+from tamarack_lab.bench import entry_process as subject_lib
 from tamarack_lab.bench import traffic
 
 FLOWS_PER_RUN = 10_000
--- a/packages/lab/src/tamarack_lab/bench/profile.py
+++ b/packages/lab/src/tamarack_lab/bench/profile.py
@@ -13,7 +13,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core.messages import distribution
-from tamarack_lab.bench import subject
+from tamarack_lab.bench import entry_process
 from tamarack_lab.bench import traffic
 
 FLOWS = 2_000
@@ -50,7 +50,8 @@
     node = assembly.assemble(assembly.Plan(host, roles, seed=1))
     reducer.reduce(node, events.Started(0.0, 0))
     document = msgspec.convert(
-        {"services": {"agenda": subject.SERVICE}}, configuration.Configuration
+        {"services": {"agenda": entry_process.SERVICE}},
+        configuration.Configuration,
     )
     message = distribution.Snapshot(
         configuration.VersionedConfiguration(1, document)
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -166,7 +166,7 @@
 
     async def _read_report(self, request: web.Request) -> web.Response:
         """Answers with the counts so far."""
-        return web_server.answer(self.report())
+        return web_server.json_response(self.report())
 
 
 def _check(settings: caller_settings.Settings) -> None:
--- a/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
@@ -11,7 +11,7 @@
 from tamarack_core.internal.patches import commands
 from tamarack_core.internal.patches import state_machine
 from tamarack_lab.capacity import slopes
-from tamarack_lab.capacity.probes import measuring
+from tamarack_lab.capacity.probes import measurement
 
 SERVICES = (1_000, 4_000, 16_000)
 CHANGES = 200
@@ -72,26 +72,26 @@
     measured = slopes.Source.MEASURED
     counted = slopes.Source.COUNTED
     return [
-        measuring.series(
+        measurement.series(
             "service_bytes", "bytes/service", measured, SERVICES, _held_bytes
         ).fit(),
-        measuring.series(
+        measurement.series(
             "change_us", "us/change", measured, SERVICES, _change_us
         ).constant(),
-        measuring.series(
+        measurement.series(
             "voter_patch_us", "us/patch", measured, SERVICES, _patch_us
         ).constant(),
-        measuring.series(
+        measurement.series(
             "snapshot_bytes",
             "bytes/service",
             counted,
             SERVICES,
             _snapshot_bytes,
         ).fit(),
-        measuring.series(
+        measurement.series(
             "snapshot_load_us", "us/service", measured, SERVICES, _load_us
         ).fit(),
-        measuring.series(
+        measurement.series(
             "delta_bytes", "bytes/change", counted, SERVICES, _delta_bytes
         ).constant(),
     ]
@@ -104,7 +104,7 @@
 
 def _held_bytes(count: int) -> float:
     """Returns the memory of a configuration with its tables."""
-    return measuring.memory_bytes(functools.partial(_tables, count))
+    return measurement.memory_bytes(functools.partial(_tables, count))
 
 
 def _change_us(count: int) -> float:
@@ -117,7 +117,7 @@
             tables.apply({name: service(number, cost=2.0)})
 
     return (
-        measuring.processor_us(functools.partial(_tables, count), change)
+        measurement.processor_us(functools.partial(_tables, count), change)
         / CHANGES
     )
 
@@ -181,7 +181,7 @@
         _check_accepted(state, PATCHES)
 
     prepare = functools.partial(_machine, count)
-    return measuring.processor_us(prepare, decide) / PATCHES
+    return measurement.processor_us(prepare, decide) / PATCHES
 
 
 def _snapshot_bytes(count: int) -> float:
@@ -199,7 +199,7 @@
             msgspec.json.decode(encoded, type=configuration.Configuration)
         )
 
-    return measuring.processor_us(lambda: data, load)
+    return measurement.processor_us(lambda: data, load)
 
 
 def _delta_bytes(count: int) -> float:
--- a/packages/lab/src/tamarack_lab/capacity/probes/domains.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/domains.py
@@ -18,7 +18,7 @@
 from tamarack_core.messages import membership
 from tamarack_lab.capacity import slopes
 from tamarack_lab.capacity.probes import configurations
-from tamarack_lab.capacity.probes import measuring
+from tamarack_lab.capacity.probes import measurement
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import simulated_network as network_lib
 
@@ -135,13 +135,13 @@
     measured = slopes.Source.MEASURED
     return [
         *_quiet_slopes(),
-        measuring.series(
+        measurement.series(
             "flow_bytes", "bytes/flow", measured, FLOWS, _flow_bytes
         ).fit(),
-        measuring.series(
+        measurement.series(
             "target_bytes", "bytes/target", measured, TARGETS, _target_bytes
         ).fit(),
-        measuring.series(
+        measurement.series(
             "renewal_us", "us/renewal", measured, TARGETS, _renewal_us
         ).constant(),
     ]
@@ -161,12 +161,14 @@
         for name, module in kinds.items():
             point = slopes.Point(count, domain.bytes_per_s(module))
             found[name].append(point)
-        share_us = domain.processor_s * measuring.US_PER_S / QUIET_S / count
+        share_us = domain.processor_s * measurement.US_PER_S / QUIET_S / count
         busy.append(slopes.Point(count, share_us))
     counted = slopes.Source.COUNTED
     return [
         *(
-            measuring.Series(name, "bytes/s", counted, tuple(points)).constant()
+            measurement.Series(
+                name, "bytes/s", counted, tuple(points)
+            ).constant()
             for name, points in found.items()
         ),
         *_busy_slopes(tuple(busy)),
@@ -175,7 +177,7 @@
 
 def _busy_slopes(points: tuple[slopes.Point, ...]) -> list[slopes.Slope]:
     """Returns the processor time of a quiet host, fixed and by member."""
-    by_member = measuring.Series(
+    by_member = measurement.Series(
         "member_us_per_s", "us/s/member", slopes.Source.MEASURED, points
     ).fit()
     fixed = slopes.Slope(
@@ -184,8 +186,8 @@
         unit="us/s",
         source=slopes.Source.MEASURED,
         sizes=by_member.sizes,
-        command=measuring.COMMAND,
-        date=measuring.today(),
+        command=measurement.COMMAND,
+        date=measurement.today(),
     )
     return [fixed, by_member]
 
@@ -202,7 +204,7 @@
             table.put(key, b"\x0a\x01\x00\x01", 1.0)
         return table
 
-    return measuring.memory_bytes(build)
+    return measurement.memory_bytes(build)
 
 
 def _announcement(number: int) -> requests.Announce:
@@ -233,7 +235,7 @@
             )
         return table
 
-    return measuring.memory_bytes(build)
+    return measurement.memory_bytes(build)
 
 
 def _aggregator(count: int) -> reducer.Node:
@@ -273,4 +275,4 @@
             _renew(node, 11.0, number)
 
     prepare = functools.partial(_aggregator, count)
-    return measuring.processor_us(prepare, renew) / RENEWALS
+    return measurement.processor_us(prepare, renew) / RENEWALS
--- a/packages/lab/src/tamarack_lab/capacity/probes/relays.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/relays.py
@@ -14,7 +14,7 @@
 from tamarack_core.messages import distribution
 from tamarack_lab.capacity import slopes
 from tamarack_lab.capacity.probes import configurations
-from tamarack_lab.capacity.probes import measuring
+from tamarack_lab.capacity.probes import measurement
 
 CHILDREN = (50, 125, 250)
 SERVICES = 16_000
@@ -146,26 +146,26 @@
         slopes.Point(
             count,
             (relay.processor_s - quiet[count].processor_s)
-            * measuring.US_PER_S
+            * measurement.US_PER_S
             / CHANGES,
         )
         for count, relay in busy.items()
     ]
     counted = slopes.Source.COUNTED
-    time_fit = measuring.Series(
+    time_fit = measurement.Series(
         "relay_child_us",
         "us/change/child",
         slopes.Source.MEASURED,
         tuple(change_time),
     ).fit()
     return [
-        measuring.Series(
+        measurement.Series(
             "relay_child_bytes_per_s",
             "bytes/s/child",
             counted,
             tuple(idle_traffic),
         ).fit(),
-        measuring.Series(
+        measurement.Series(
             "relay_change_bytes",
             "bytes/change/child",
             counted,
@@ -178,8 +178,8 @@
             unit="us/change",
             source=slopes.Source.MEASURED,
             sizes=CHILDREN,
-            command=measuring.COMMAND,
-            date=measuring.today(),
+            command=measurement.COMMAND,
+            date=measurement.today(),
         ),
     ]
 
--- a/packages/lab/src/tamarack_lab/demo/command.py
+++ b/packages/lab/src/tamarack_lab/demo/command.py
@@ -7,7 +7,7 @@
 
 import click
 
-from tamarack_lab.demo import script
+from tamarack_lab.demo import scenario
 from tamarack_lab.demo import summary
 from tamarack_lab.deployment import deployment as deployments
 from tamarack_lab.deployment import plan as plans
@@ -63,7 +63,7 @@
     for plan in chosen:
         folder = base / plan.name
         folder.mkdir(parents=True, exist_ok=True)
-        demos.append(script.Demo(plan, folder, seed, ports, click.echo))
+        demos.append(scenario.Demo(plan, folder, seed, ports, click.echo))
     async with asyncio.timeout(TIMEOUT_S):
         found = await asyncio.gather(
             *(demo.run() for demo in demos), return_exceptions=True
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -323,7 +323,7 @@
 
     async def _read_state(self, request: web.Request) -> web.Response:
         """Answers with counters and entry hosts."""
-        return web_server.answer(
+        return web_server.json_response(
             {
                 "counters": dict(self.table.counters),
                 "domains": self.table.entries,
@@ -333,22 +333,22 @@
     async def _put_entries(self, request: web.Request) -> web.Response:
         """Replaces the entry hosts of a failure domain."""
         form = tuple[peers.Endpoint, ...]
-        endpoints = await web_server.read(request, form)
+        endpoints = await web_server.read_json(request, form)
         self.table.set_entry_hosts(request.match_info["domain"], endpoints)
-        return web_server.answer({})
+        return web_server.json_response({})
 
     async def _put_host(self, request: web.Request) -> web.Response:
         """Adds an entry host that may send."""
         self.table.add_known_host(
-            await web_server.read(request, peers.Endpoint)
+            await web_server.read_json(request, peers.Endpoint)
         )
-        return web_server.answer({})
+        return web_server.json_response({})
 
     async def _put_route(self, request: web.Request) -> web.Response:
         """Adds or replaces the owner of a network."""
-        route = await web_server.read(request, Route)
+        route = await web_server.read_json(request, Route)
         try:
             self.table.add_route(route)
         except ValueError as error:
             raise web.HTTPBadRequest(text=str(error)) from error
-        return web_server.answer({})
+        return web_server.json_response({})
--- a/packages/lab/src/tamarack_lab/proxy/process.py
+++ b/packages/lab/src/tamarack_lab/proxy/process.py
@@ -123,7 +123,7 @@
 
     async def _read_state(self, request: web.Request) -> web.Response:
         """Answers with the clock, the faults and the counters."""
-        return web_server.answer(
+        return web_server.json_response(
             {
                 "now_s": self.clock(),
                 "schedule": self.faults.schedule,
@@ -134,5 +134,5 @@
     async def _put_faults(self, request: web.Request) -> web.Response:
         """Replaces all faults."""
         form = tuple[proxy_settings.Fault, ...]
-        self.set_faults(await web_server.read(request, form))
-        return web_server.answer({})
+        self.set_faults(await web_server.read_json(request, form))
+        return web_server.json_response({})
--- a/packages/lab/src/tamarack_lab/stand_in_commands.py
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tamarack_lab import fabric as fabric_lib
-from tamarack_lab import running
+from tamarack_lab import process_lifecycle
 from tamarack_lab import settings as settings_lib
 from tamarack_lab.caller import process as caller_process
 from tamarack_lab.caller import settings as caller_settings
@@ -85,38 +85,38 @@
 
 async def _run_fabric(settings: fabric_lib.Settings) -> None:
     """Runs the fabric until a signal."""
-    stop = running.stop_event()
+    stop = process_lifecycle.stop_event()
     with settings_lib.problems_shown():
         process = fabric_lib.Fabric(settings)
-    async with running.started(process):
+    async with process_lifecycle.started(process):
         await stop.wait()
 
 
 async def _run_target(settings: target_settings.Settings) -> None:
     """Runs targets until a signal, then drains them."""
-    stop = running.stop_event()
+    stop = process_lifecycle.stop_event()
     with settings_lib.problems_shown():
         process = target_process.TargetProcess(settings)
-    async with running.started(process):
+    async with process_lifecycle.started(process):
         await stop.wait()
         await process.drain()
 
 
 async def _run_gateway(settings: gateway_settings.Settings) -> None:
     """Runs the gateway until a signal."""
-    stop = running.stop_event()
+    stop = process_lifecycle.stop_event()
     with settings_lib.problems_shown():
         process = gateway_process.GatewayProcess(settings)
-    async with running.started(process):
+    async with process_lifecycle.started(process):
         await stop.wait()
 
 
 async def _run_proxy(settings: proxy_settings.Settings) -> None:
     """Runs the proxy until a signal."""
-    stop = running.stop_event()
+    stop = process_lifecycle.stop_event()
     with settings_lib.problems_shown():
         process = proxy_process.Proxy(settings)
-    async with running.started(process):
+    async with process_lifecycle.started(process):
         await stop.wait()
 
 
@@ -124,10 +124,10 @@
     settings: caller_settings.Settings,
 ) -> msgspec.Struct:
     """Runs callers to their end, or until a signal."""
-    stop = running.stop_event()
+    stop = process_lifecycle.stop_event()
     with settings_lib.problems_shown():
         process = caller_process.CallerProcess(settings)
-    async with running.started(process):
+    async with process_lifecycle.started(process):
         run = asyncio.create_task(process.run())
         waiting = asyncio.create_task(stop.wait())
         await asyncio.wait((run, waiting), return_when=asyncio.FIRST_COMPLETED)
--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -159,48 +159,48 @@
 
     async def _read_targets(self, request: web.Request) -> web.Response:
         """Answers with the reports of all targets."""
-        return web_server.answer({"targets": self.reports()})
+        return web_server.json_response({"targets": self.reports()})
 
     async def _read_health(self, request: web.Request) -> web.Response:
         """Answers with the health that a target states."""
-        return web_server.answer(
+        return web_server.json_response(
             {"healthy": self._target(request).stated_health()}
         )
 
     async def _read_load(self, request: web.Request) -> web.Response:
         """Answers with the load that a target states."""
-        return web_server.answer({"load": self._target(request).stated_load()})
+        return web_server.json_response({"load": self._target(request).stated_load()})
 
     async def _put_lie(self, request: web.Request) -> web.Response:
         """Makes a target lie, or tell the truth again."""
         target = self._target(request)
-        target.override = await web_server.read(request, servers.ReportOverride)
+        target.override = await web_server.read_json(request, servers.ReportOverride)
         self.announcer.announce_now()
-        return web_server.answer({})
+        return web_server.json_response({})
 
     async def _put_state(self, request: web.Request) -> web.Response:
         """Changes the state that a target announces."""
         target = self._target(request)
-        change = await web_server.read(request, StateChange)
+        change = await web_server.read_json(request, StateChange)
         target.enter(change.state)
         self.announcer.announce_now()
-        return web_server.answer({})
+        return web_server.json_response({})
 
     async def _put_mute(self, request: web.Request) -> web.Response:
         """Makes a target lose all packets, or hear them again."""
         target = self._target(request)
-        order = await web_server.read(request, MuteCommand)
+        order = await web_server.read_json(request, MuteCommand)
         packed = ipaddress.ip_address(target.member.address).packed
         muted = self.attachment.stack.muted
         if order.muted:
             muted.add(packed)
         else:
             muted.discard(packed)
-        return web_server.answer({})
+        return web_server.json_response({})
 
     async def _put_entries(self, request: web.Request) -> web.Response:
         """Replaces the entry hosts to announce to in a failure domain."""
         form = tuple[peers.Endpoint, ...]
-        endpoints = await web_server.read(request, form)
+        endpoints = await web_server.read_json(request, form)
         self.announcer.entries[request.match_info["domain"]] = endpoints
-        return web_server.answer({})
+        return web_server.json_response({})
--- a/packages/lab/src/tamarack_lab/web_server.py
+++ b/packages/lab/src/tamarack_lab/web_server.py
@@ -14,7 +14,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Served:
+class RunningServer:
     """A running HTTP interface.
 
     Attributes:
@@ -26,7 +26,9 @@
     endpoint: peers.Endpoint
 
 
-async def serve(application: web.Application, at: peers.Endpoint) -> Served:
+async def serve(
+    application: web.Application, at: peers.Endpoint
+) -> RunningServer:
     """Starts an HTTP interface.
 
     Args:
@@ -47,17 +49,17 @@
         await runner.cleanup()
         raise
     name = runner.addresses[0]
-    return Served(runner, peers.Endpoint(name[0], name[1]))
+    return RunningServer(runner, peers.Endpoint(name[0], name[1]))
 
 
-def answer(body: Mapping[str, object] | msgspec.Struct) -> web.Response:
+def json_response(body: Mapping[str, object] | msgspec.Struct) -> web.Response:
     """Returns a JSON response."""
     return web.Response(
         body=msgspec.json.encode(body), content_type="application/json"
     )
 
 
-async def read(request: web.Request, form: type[T]) -> T:
+async def read_json(request: web.Request, form: type[T]) -> T:
     """Returns the JSON body of a request.
 
     Raises:
