--- a/packages/node/src/tamarack_node/internal/storage/errors.py
+++ b/packages/node/src/tamarack_node/internal/storage/errors.py
@@ -1,10 +1,10 @@
-"""Errors of the data folder; each stops the process."""
+"""Errors of the data folder."""
 
 import pathlib
 
 FULL = "disk-full"
-"""Reason of a write that the disk refused for want of space; nothing of it
-counts, and it may be tried again."""
+"""Reason of a write that failed because the disk is full. None of its data
+takes effect, and the write may be retried."""
 
 REJOIN = (
     "move the folder away, start the host with an empty one, add it as a"
@@ -13,25 +13,25 @@
 
 
 class StorageError(Exception):
-    """The data folder can't be used.
+    """The data folder can't be used, or a write to it failed.
 
     Attributes:
         reason: Constant name of the cause.
-        path: File or folder concerned.
-        detail: What is wrong.
-        remedy: What the operator can do.
+        path: Affected file or folder.
+        detail: Description of the problem.
+        remedy: Action that the operator can take.
     """
 
     def __init__(
         self, reason: str, path: pathlib.Path, detail: str, remedy: str
     ) -> None:
-        """Creates the error.
+        """Initializes the error.
 
         Args:
             reason: Constant name of the cause.
-            path: File or folder concerned.
-            detail: What is wrong.
-            remedy: What the operator can do.
+            path: Affected file or folder.
+            detail: Description of the problem.
+            remedy: Action that the operator can take.
         """
         super().__init__(f"{reason}: {path}: {detail}; {remedy}")
         self.reason = reason
--- a/packages/node/src/tamarack_node/internal/storage/files.py
+++ b/packages/node/src/tamarack_node/internal/storage/files.py
@@ -1,4 +1,4 @@
-"""Access to files, behind a protocol so that tests can make it fail."""
+"""File operations, behind a protocol so that tests can inject failures."""
 
 import os
 import pathlib
@@ -9,13 +9,13 @@
 
 
 class Files(Protocol):
-    """The file operations that the data folder needs; each raises OSError."""
+    """File operations of the data folder; each raises OSError on failure."""
 
     def read(self, path: pathlib.Path) -> bytes:
         """Returns the contents of a file."""
 
     def open(self, path: pathlib.Path) -> int:
-        """Opens a file for appending, creates it if missing."""
+        """Opens a file for appending and creates it if it is missing."""
 
     def close(self, descriptor: int) -> None:
         """Closes a file."""
@@ -24,13 +24,13 @@
         """Writes all of `data` to the end of a file."""
 
     def truncate(self, descriptor: int, size: int) -> None:
-        """Cuts a file to `size` bytes."""
+        """Truncates a file to `size` bytes."""
 
     def sync(self, descriptor: int) -> None:
-        """Returns when the contents of a file are on disk."""
+        """Syncs the contents of a file to disk."""
 
     def sync_folder(self, path: pathlib.Path) -> None:
-        """Returns when the names in a folder are on disk."""
+        """Syncs the directory entries of a folder to disk."""
 
     def rename(self, old: pathlib.Path, new: pathlib.Path) -> None:
         """Renames a file, replacing `new`."""
@@ -40,7 +40,7 @@
 
 
 class SystemFiles:
-    """Files of the operating system."""
+    """File operations of the operating system."""
 
     __slots__ = ()
 
@@ -49,7 +49,7 @@
         return path.read_bytes()
 
     def open(self, path: pathlib.Path) -> int:
-        """Opens a file for appending, creates it if missing."""
+        """Opens a file for appending and creates it if it is missing."""
         flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
         return os.open(path, flags, FILE_MODE)
 
@@ -65,15 +65,15 @@
             remaining = remaining[written:]
 
     def truncate(self, descriptor: int, size: int) -> None:
-        """Cuts a file to `size` bytes."""
+        """Truncates a file to `size` bytes."""
         os.ftruncate(descriptor, size)
 
     def sync(self, descriptor: int) -> None:
-        """Returns when the contents of a file are on disk."""
+        """Syncs the contents of a file to disk."""
         os.fsync(descriptor)
 
     def sync_folder(self, path: pathlib.Path) -> None:
-        """Returns when the names in a folder are on disk."""
+        """Syncs the directory entries of a folder to disk."""
         descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -1,4 +1,4 @@
-"""The data folder: lock, identity and the log file of one generation."""
+"""The data folder: lock, identity, log file and announced targets."""
 
 import errno
 import fcntl
@@ -29,15 +29,16 @@
 class DataFolder:
     """Durable state of one control host.
 
-    Every method that writes returns only when the data is synced. After a
-    write that was refused for want of space, what is synced stays and the
-    write may be repeated. After any other error the folder takes no further
-    write, as nobody can know what reached the disk; the process has to stop.
+    Every method that writes returns only once the data is synced. After a
+    write that failed because the disk is full, the data synced before remains
+    and the write may be retried. After any other error the folder rejects
+    further writes, because it is unknown which data reached the disk; the
+    process has to stop.
 
     Attributes:
         path: The folder.
-        identity: Who it belongs to.
-        contents: What the log file held when the folder was opened.
+        identity: Host and incarnation that the folder belongs to.
+        contents: Contents of the log file when the folder was opened.
     """
 
     __slots__ = (
@@ -66,18 +67,18 @@
             path: The folder.
             host: Name of this host.
             created_ms: Wall-clock time in milliseconds, for a new folder.
-            files: Access to files.
-            incarnation: Incarnation of a new folder; drawn if empty.
+            files: File operations; those of the operating system if None.
+            incarnation: Incarnation of a new folder; drawn at random if empty.
 
         Raises:
-            StorageError: The folder is in use, damaged, of another host or of
-                another format, or the disk failed.
+            StorageError: The folder is in use, is damaged, belongs to another
+                host or has another format, or the disk failed.
         """
         self.path = path
         self._files = files or files_lib.SystemFiles()
         self._has_failed = False
         self._descriptor = -1
-        self._lock = self._take_lock()
+        self._lock = self._acquire_lock()
         try:
             self.identity = self._open_identity(host, created_ms, incarnation)
             self.contents = self._open_log()
@@ -92,36 +93,38 @@
         """Appends records and syncs them.
 
         Raises:
-            StorageError: The disk failed; the process has to stop.
+            StorageError: The disk is full, or it failed and the process has
+                to stop.
         """
         batch = frames.encode_batch(
             frames.Kind.RECORD, records, self._generation, self._size
         )
-        self._guard()
+        self._check_writable()
         try:
             self._files.append(self._descriptor, batch)
         except OSError as error:
-            raise self._refused(error) from error
+            raise self._recover_append(error) from error
         try:
             self._files.sync(self._descriptor)
         except OSError as error:
             raise self._disk_error(error) from error
         self._size += len(batch)
-        self._try_mark()
+        self._try_mark_synced()
 
     def save_snapshot(self, data: bytes, records: tuple[bytes, ...]) -> None:
         """Replaces the log file by a snapshot and the records after it.
 
         Raises:
-            StorageError: The disk failed; the process has to stop.
+            StorageError: The disk is full, or it failed and the process has
+                to stop.
         """
-        self._guard()
+        self._check_writable()
         old = log_path(self.path, self._generation)
         previous = self._descriptor
         try:
             self._create_log(self._generation + 1, data, records)
         except OSError as error:
-            raise self._refused_creation(error) from error
+            raise self._recover_creation(error) from error
         try:
             self._files.close(previous)
             self._files.remove(old)
@@ -135,19 +138,19 @@
         Raises:
             StorageError: The disk is full or failed.
         """
-        self._guard()
+        self._check_writable()
         try:
             self._create_file(self.path / TARGETS_NAME, data)
         except OSError as error:
-            raise self._refused_creation(error) from error
+            raise self._recover_creation(error) from error
 
     def load_targets(self) -> bytes | None:
-        """Returns the file of announced targets; None without one."""
+        """Returns the announced targets, or None if none were saved."""
         path = self.path / TARGETS_NAME
         return self._files.read(path) if path.exists() else None
 
     def close(self) -> None:
-        """Gives up the lock; everything written is synced already."""
+        """Closes the log file and releases the lock."""
         self._close_log()
         os.close(self._lock)
 
@@ -157,32 +160,32 @@
             self._files.close(self._descriptor)
             self._descriptor = -1
 
-    def _refused(self, error: OSError) -> errors.StorageError:
-        """Returns the error of an append, after undoing a part of it."""
+    def _recover_append(self, error: OSError) -> errors.StorageError:
+        """Returns the error of an append, after removing a partial write."""
         if error.errno not in _FULL:
             return self._disk_error(error)
         try:
             self._files.truncate(self._descriptor, self._size)
-        except OSError as second:
-            return self._disk_error(second)
+        except OSError as cleanup_error:
+            return self._disk_error(cleanup_error)
         return self._storage_error(errors.FULL, error)
 
-    def _refused_creation(self, error: OSError) -> errors.StorageError:
-        """Returns the error of a log file that did not come to be.
+    def _recover_creation(self, error: OSError) -> errors.StorageError:
+        """Returns the error of a file that could not be created.
 
-        The file that holds for now is untouched. A file of the next
-        generation can't be there: it is renamed only once it is synced.
+        The file in use is unchanged. The new one does not exist under its
+        final name, because it is renamed only after it was synced.
         """
         if error.errno not in _FULL:
             return self._disk_error(error)
         try:
             self._remove_temporary()
-        except OSError as second:
-            return self._disk_error(second)
+        except OSError as cleanup_error:
+            return self._disk_error(cleanup_error)
         return self._storage_error(errors.FULL, error)
 
-    def _try_mark(self) -> None:
-        """Marks what is synced; a full disk only costs the mark."""
+    def _try_mark_synced(self) -> None:
+        """Appends a SYNCED frame, and omits it if the disk is full."""
         try:
             self._mark_synced()
         except OSError as error:
@@ -191,13 +194,13 @@
             self._files.truncate(self._descriptor, self._size)
 
     def _mark_synced(self) -> None:
-        """Marks all that is in the log file as synced."""
+        """Appends the frame that marks the log file up to here as synced."""
         mark = frames.encode_synced(self._generation, self._size)
         self._files.append(self._descriptor, mark)
         self._size += len(mark)
 
-    def _guard(self) -> None:
-        """Refuses a write after one that failed."""
+    def _check_writable(self) -> None:
+        """Raises an error if an earlier write failed."""
         if self._has_failed:
             raise errors.StorageError(
                 "disk-failed",
@@ -207,7 +210,7 @@
             )
 
     def _disk_error(self, error: OSError) -> errors.StorageError:
-        """Returns the error for a failed file operation."""
+        """Returns the error of a file operation; rejects later writes."""
         self._has_failed = True
         reason = errors.FULL if error.errno in _FULL else "disk-failed"
         return self._storage_error(reason, error)
@@ -215,17 +218,17 @@
     def _storage_error(
         self, reason: str, error: OSError
     ) -> errors.StorageError:
-        """Returns an error with a reason."""
+        """Returns the storage error for an error of the operating system."""
         return errors.StorageError(
             reason,
             self.path,
             str(error),
             "check the disk and its free space, then start the process again;"
-            " it cuts what was not acknowledged",
+            " it removes data that was not acknowledged",
         )
 
-    def _take_lock(self) -> int:
-        """Returns the descriptor of the locked lock file."""
+    def _acquire_lock(self) -> int:
+        """Locks the lock file and returns its descriptor."""
         try:
             self.path.mkdir(files_lib.FOLDER_MODE, parents=True, exist_ok=True)
             lock = os.open(
@@ -250,7 +253,7 @@
     def _open_identity(
         self, host: str, created_ms: int, incarnation: str
     ) -> identity_lib.Identity:
-        """Returns the identity of the folder; creates a new folder's."""
+        """Returns the identity of the folder, and creates it in a new one."""
         path = self.path / IDENTITY_NAME
         self._remove_temporary()
         if not path.exists():
@@ -272,19 +275,23 @@
     def _create_identity(
         self, host: str, created_ms: int, incarnation: str
     ) -> identity_lib.Identity:
-        """Creates the first log file, then the identity that completes it."""
+        """Creates the first log file, then the identity.
+
+        A folder without an identity counts as new, so a crash between the two
+        leaves a folder that can be opened again.
+        """
         self._check_is_new()
         self._create_log(1, None, ())
         self._close_log()
-        drawn = incarnation or os.urandom(INCARNATION_BYTES).hex()
-        identity = identity_lib.Identity(host, drawn, created_ms)
+        chosen = incarnation or os.urandom(INCARNATION_BYTES).hex()
+        identity = identity_lib.Identity(host, chosen, created_ms)
         self._create_file(
             self.path / IDENTITY_NAME, identity_lib.encode(identity)
         )
         return identity
 
     def _check_is_new(self) -> None:
-        """Refuses to create an identity beside a log that holds data."""
+        """Raises an error if a log file holds data or is damaged."""
         for path in self._log_paths():
             contents = frames.decode(self._files.read(path))
             is_empty = (
@@ -301,7 +308,7 @@
                 )
 
     def _open_log(self) -> frames.Contents:
-        """Reads the newest log file, cuts a torn end, removes older files."""
+        """Reads the newest log file; removes its torn end and older files."""
         paths = self._log_paths()
         if not paths:
             raise errors.StorageError(
@@ -326,8 +333,8 @@
         self._descriptor = self._files.open(newest)
         if contents.torn_bytes:
             self._files.truncate(self._descriptor, contents.end)
-        # Also what a dead process wrote but didn't sync must not be lost
-        # after it was read.
+        # The log may hold data that an earlier process wrote but did not sync.
+        # It is synced here, because it must not be lost after it was read.
         self._files.sync(self._descriptor)
         self._generation = contents.generation
         self._size = contents.end
@@ -353,7 +360,7 @@
         data += frames.encode_batch(
             frames.Kind.RECORD, records, generation, len(data)
         )
-        # The file appears whole or not at all, so the mark is in it at once.
+        # The file is created atomically, so it can include the SYNCED frame.
         data += frames.encode_synced(generation, len(data))
         path = log_path(self.path, generation)
         self._create_file(path, bytes(data))
@@ -362,7 +369,7 @@
         self._size = len(data)
 
     def _create_file(self, path: pathlib.Path, data: bytes) -> None:
-        """Creates a file that appears whole or not at all."""
+        """Creates or replaces a file atomically."""
         temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
         descriptor = self._files.open(temporary)
         try:
@@ -383,7 +390,7 @@
         )
 
     def _remove_temporary(self) -> None:
-        """Removes files whose creation was cut short."""
+        """Removes files whose creation was interrupted."""
         for path in self.path.glob("*" + TEMPORARY_SUFFIX):
             self._files.remove(path)
 
@@ -391,20 +398,21 @@
 def discard(path: pathlib.Path, files: files_lib.Files | None = None) -> None:
     """Empties a data folder that can't be used any more.
 
-    The host comes back under a new incarnation, and is a new member.
+    The next start creates a new incarnation, which joins as a new member.
 
     Args:
         path: The folder.
-        files: Access to files.
+        files: File operations; those of the operating system if None.
 
     Raises:
         OSError: A file can't be removed.
     """
-    access = files or files_lib.SystemFiles()
-    # The identity goes first: without it, nothing else in the folder counts.
-    found = sorted(
+    operations = files or files_lib.SystemFiles()
+    # The identity is removed first: without it the folder counts as new, or
+    # as unusable while a log file holds data.
+    entries = sorted(
         path.iterdir(), key=lambda entry: entry.name != IDENTITY_NAME
     )
-    for entry in found:
-        access.remove(entry)
-        access.sync_folder(path)
+    for entry in entries:
+        operations.remove(entry)
+        operations.sync_folder(path)
