Reword HTTP, transport and the driver of tamarackd

internal.keys -> message_signer (holds MessageSigner); CannotStart -> StartFailure; ask -> handle_request; _carry_out -> _execute; MAX_MESSAGES_PER_ENVELOPE -> DATAGRAMS_PER_READ, as it bounds datagrams read. The docstring of request_stop claimed that a second call ends the process at once; it does not, so the docstring names the time limit instead. The detail of a request that timed out says "no response within".

--- a/packages/node/src/tamarack_node/internal/aiohttp_sender.py
+++ b/packages/node/src/tamarack_node/internal/aiohttp_sender.py
@@ -1,4 +1,4 @@
-"""Sends large envelopes with aiohttp."""
+"""Sender of large envelopes on aiohttp."""
 
 import aiohttp
 
@@ -6,23 +6,24 @@
 from tamarack_node.internal import transport
 
 POST_TIMEOUT_S = 5.0
+"""Timeout of one envelope, in seconds."""
 
 
 class AiohttpSender:
-    """Sends with one session of aiohttp.
+    """Sends all envelopes through one client session.
 
     Attributes:
-        session: The HTTP client; None before `open`.
+        session: The client session; None before `open`.
     """
 
     __slots__ = ("session",)
 
     def __init__(self) -> None:
-        """Creates a sender that is not open."""
+        """Initializes the sender; `open` creates the session."""
         self.session: aiohttp.ClientSession | None = None
 
     def open(self, endpoint: peers.Endpoint) -> None:
-        """Prepares to send from an address."""
+        """Creates a session that sends from an address."""
         timeout = aiohttp.ClientTimeout(total=POST_TIMEOUT_S)
         connector = aiohttp.TCPConnector(local_addr=(endpoint.address, 0))
         self.session = aiohttp.ClientSession(
@@ -32,7 +33,7 @@
     async def post(
         self, endpoint: peers.Endpoint, path: str, data: bytes
     ) -> None:
-        """Sends one body; see `transport.LargeSender`."""
+        """Posts one body; see `transport.LargeSender`."""
         assert self.session is not None
         url = f"http://{transport.format_endpoint(endpoint)}{path}"
         try:
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -1,4 +1,4 @@
-"""Carries out the effects of the core on one event loop."""
+"""Runs a host on one event loop and executes the effects of the core."""
 
 import asyncio
 import collections
@@ -21,8 +21,8 @@
 from tamarack_node import settings as settings_lib
 from tamarack_node.internal import aiohttp_sender
 from tamarack_node.internal import http_server
-from tamarack_node.internal import keys
 from tamarack_node.internal import logs
+from tamarack_node.internal import message_signer
 from tamarack_node.internal import metrics
 from tamarack_node.internal import timers
 from tamarack_node.internal import transport
@@ -31,10 +31,15 @@
 
 TIMELINE_ENTRIES = 20_000
 RECEIVE_BYTES = 65536
-DATAGRAMS_PER_TURN = 128
+DATAGRAMS_PER_READ = 128
+"""Datagrams handled in one iteration of the event loop."""
+
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
-# A graceful stop that hangs must not outlive the patience of an operator.
+
 STOP_TIMEOUT_S = 30.0
+"""Time limit of a graceful stop, in seconds. It bounds how long an operator
+waits for a stop that hangs."""
+
 MS_PER_S = 1000
 EXIT_DISK_FAILED = 4
 
@@ -44,8 +49,8 @@
 
     Attributes:
         settings: Settings of the host.
-        node: State of the host.
-        transport: Messages to and from other hosts.
+        node: State of the host in the core.
+        transport: Sends and receives messages of other hosts.
         entries: Newest entries of the time line.
         stopped: Resolves to the `Stop` effect that ends the process.
     """
@@ -67,17 +72,23 @@
     )
 
     def __init__(self, settings: settings_lib.Settings, seed: int) -> None:
-        """Creates a host that has not started.
+        """Initializes the driver and opens the data folder.
 
         Args:
             settings: Settings of the host.
-            seed: Seed of the generator.
+            seed: Seed of the random generator.
+
+        Raises:
+            StorageError: The data folder can't be used.
+            ValueError: The key file can't be used.
         """
         loop = asyncio.get_running_loop()
         self.settings = settings
-        self._signer = _load_keys(settings)
+        self._signer = _create_signer(settings)
         self._folder = _open_folder(settings)
-        self.node = assembly.assemble(_plan(settings, seed, self._folder))
+        self.node = assembly.assemble(
+            _create_plan(settings, seed, self._folder)
+        )
         self.transport = transport.Transport(
             self.node.context,
             self._handle_envelope,
@@ -96,7 +107,7 @@
         self._data_socket: socket.socket | None = None
         self._fabric: tuple[str, int] | None = None
         self._server = http_server.HttpServer(
-            self.ask,
+            self.handle_request,
             self.transport,
             metrics.Metrics(self.node.context, {}),
             self._entries_since,
@@ -106,7 +117,7 @@
         """Runs the host until it stops.
 
         Returns:
-            Why it stopped.
+            The reason of the stop and the exit code.
 
         Raises:
             OSError: A socket can't be bound.
@@ -121,7 +132,7 @@
             await self._close()
 
     def request_stop(self) -> None:
-        """Starts a graceful stop; a second call ends the process at once."""
+        """Starts a graceful stop, which `STOP_TIMEOUT_S` limits."""
         loop = asyncio.get_running_loop()
         loop.call_later(
             STOP_TIMEOUT_S,
@@ -130,27 +141,29 @@
         )
         self._handle(events.StopRequested(time.monotonic()))
 
-    async def ask(self, request: requests.Request) -> requests.Response:
-        """Hands a request to the reducer and waits for the response.
+    async def handle_request(
+        self, request: requests.Request
+    ) -> requests.Response:
+        """Passes a request to the reducer and returns the response.
 
         Args:
             request: The request.
         """
         request_id = next(self._request_ids)
-        answer: asyncio.Future[requests.Response] = (
+        future: asyncio.Future[requests.Response] = (
             asyncio.get_running_loop().create_future()
         )
-        self._pending[request_id] = answer
+        self._pending[request_id] = future
         try:
             self._handle(
                 events.RequestArrived(time.monotonic(), request_id, request)
             )
-            return await answer
+            return await future
         finally:
             del self._pending[request_id]
 
     async def _open(self) -> None:
-        """Opens all sockets."""
+        """Opens all sockets and installs the signal handlers."""
         control = self.settings.control_listen or self.settings.control
         self.transport.open(control)
         await self._server.open(control.address, control.port)
@@ -172,7 +185,7 @@
             self._fabric = (fabric.address, fabric.port)
 
     async def _close(self) -> None:
-        """Closes all sockets."""
+        """Cancels the timers and closes all sockets and the data folder."""
         self._timers.stop()
         if self._data_socket is not None:
             asyncio.get_running_loop().remove_reader(self._data_socket)
@@ -189,10 +202,10 @@
         ]
 
     def _read_datagrams(self) -> None:
-        """Handles the datagrams that have arrived, a bounded number."""
+        """Handles a bounded number of datagrams that have arrived."""
         data_socket = self._data_socket
         assert data_socket is not None
-        for _ in range(DATAGRAMS_PER_TURN):
+        for _ in range(DATAGRAMS_PER_READ):
             try:
                 data = data_socket.recv(RECEIVE_BYTES)
             except (BlockingIOError, ConnectionRefusedError):
@@ -200,34 +213,34 @@
             self._handle(events.DatagramArrived(time.monotonic(), data))
 
     def _handle_envelope(self, envelope: messages.Envelope) -> None:
-        """Handles the messages of another host."""
+        """Handles the messages in an envelope from another host."""
         now_s = time.monotonic()
         for message in envelope.messages:
             self._handle(events.MessageArrived(now_s, envelope.sender, message))
 
     def _handle_timer(self, timer: str) -> None:
-        """Handles a timer that has run out."""
+        """Handles a timer that has expired."""
         self._handle(events.TimerFired(time.monotonic(), timer))
 
     def _handle(self, event: events.Event) -> None:
-        """Applies an event and carries out the effects."""
+        """Applies an event and executes the effects."""
         for effect in reducer.reduce(self.node, event):
             if type(effect) is effects.SendDatagram:
                 self._send_datagram(effect)
             else:
-                self._carry_out(effect)
+                self._execute(effect)
 
-    def _carry_out(self, effect: effects.Effect) -> None:
-        """Carries out an effect other than a datagram."""
+    def _execute(self, effect: effects.Effect) -> None:
+        """Executes an effect other than `SendDatagram`."""
         match effect:
             case effects.SendMessage(peer, message):
                 self.transport.send(peer, message)
             case effects.StartTimer(timer, delay_s):
                 self._timers.start(timer, delay_s)
             case effects.Respond(request_id, response):
-                answer = self._pending.get(request_id)
-                if answer is not None and not answer.done():
-                    answer.set_result(response)
+                future = self._pending.get(request_id)
+                if future is not None and not future.done():
+                    future.set_result(response)
             case effects.Record(entry):
                 self._record(entry)
             case effects.Persist() | effects.SaveSnapshot():
@@ -235,13 +248,13 @@
             case effects.Stop():
                 self._finish(effect)
             case _:
-                raise AssertionError(f"no driver for {type(effect)}")
+                raise AssertionError(f"unsupported effect: {type(effect)}")
 
     def _write(self, effect: effects.Persist | effects.SaveSnapshot) -> None:
         """Writes to the data folder; a failure ends the process.
 
-        Nobody can know what reached the disk after a failed write, so the
-        host must not answer on the strength of it, nor try again.
+        After a failed write it is unknown which data reached the disk, so the
+        host must neither acknowledge the write nor retry it.
         """
         assert self._folder is not None
         try:
@@ -259,12 +272,12 @@
         )
 
     def _complete_write(self, sequence: int) -> None:
-        """Tells the core that a write is synced."""
+        """Notifies the core that a write is synced."""
         if not self.stopped.done():
             self._handle(events.WriteCompleted(time.monotonic(), sequence))
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
-        """Sends a Geneve datagram; a full socket buffer loses it."""
+        """Sends a Geneve datagram; drops it if the socket buffer is full."""
         if effect.endpoint is None:
             address = self._fabric
         else:
@@ -281,24 +294,26 @@
         logs.entry(entry)
 
     def _finish(self, stop: effects.Stop) -> None:
-        """Ends the run."""
+        """Ends `run`, unless an earlier stop has ended it."""
         if not self.stopped.done():
             self.stopped.set_result(stop)
 
 
-def _load_keys(
+def _create_signer(
     settings: settings_lib.Settings,
-) -> keys.MessageSigner | None:
-    """Returns the signer of messages; None without a key file."""
+) -> message_signer.MessageSigner | None:
+    """Returns the signer of messages, or None without a key file."""
     if not settings.key_file:
         return None
-    return keys.MessageSigner(pathlib.Path(settings.key_file), settings.host)
+    return message_signer.MessageSigner(
+        pathlib.Path(settings.key_file), settings.host
+    )
 
 
 def _open_folder(
     settings: settings_lib.Settings,
 ) -> folders.DataFolder | None:
-    """Returns the data folder of a control host; None for other hosts."""
+    """Opens the data folder of a control host; None for other hosts."""
     if assembly.Role.CONTROL not in settings.roles:
         return None
     created_ms = int(time.time() * MS_PER_S)
@@ -306,8 +321,10 @@
     return folders.DataFolder(path, settings.host, created_ms)
 
 
-def _disk(folder: folders.DataFolder | None) -> disks.DiskContents | None:
-    """Returns what a data folder held when it was opened."""
+def _disk_contents(
+    folder: folders.DataFolder | None,
+) -> disks.DiskContents | None:
+    """Returns the contents of a data folder at its opening."""
     if folder is None:
         return None
     return disks.DiskContents(
@@ -317,12 +334,12 @@
     )
 
 
-def _plan(
+def _create_plan(
     settings: settings_lib.Settings,
     seed: int,
     folder: folders.DataFolder | None,
 ) -> assembly.Plan:
-    """Returns what a host is made of."""
+    """Returns the plan from which the core of the host is assembled."""
     return assembly.Plan(
         host=settings.peer(),
         roles=frozenset(settings.roles),
@@ -335,16 +352,16 @@
         sources=settings.upstream_peers(),
         fallback_sources=settings.fallback_peers(),
         voters=settings.voter_peers(),
-        disk=_disk(folder),
+        disk=_disk_contents(folder),
     )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CannotStart:
+class StartFailure:
     """The host can't start.
 
     Attributes:
-        reason: Sentence for the operator; names the fix.
+        reason: Error message for the operator, with the fix.
     """
 
     reason: str
@@ -352,16 +369,19 @@
 
 async def run(
     settings: settings_lib.Settings, seed: int
-) -> effects.Stop | CannotStart:
+) -> effects.Stop | StartFailure:
     """Runs a host until it stops.
 
     Args:
         settings: Settings of the host.
-        seed: Seed of the generator.
+        seed: Seed of the random generator.
+
+    Returns:
+        The stop that ended the host, or why it could not start.
     """
     try:
         return await Driver(settings, seed).run()
     except (storage_errors.StorageError, ValueError) as error:
-        return CannotStart(str(error))
+        return StartFailure(str(error))
     except OSError as error:
-        return CannotStart(f"{error.strerror}; free the address or change it")
+        return StartFailure(f"{error.strerror}; free the address or change it")
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -1,8 +1,8 @@
 """A small HTTP/1.1 server and client on httptools, for hosts that start often.
 
-`aiohttp` takes more processor time to load than a small entry host has in a
-second; this module serves the same purpose there with what is needed: bounded
-requests, keep-alive, and one request at a time on a connection.
+Loading `aiohttp` takes more processor time than a small entry host has in a
+second. This module replaces it there and supports only what the host needs:
+bounded requests, keep-alive, and one request at a time on a connection.
 """
 
 import asyncio
@@ -14,15 +14,17 @@
 import msgspec
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-"""Largest body that is taken; a document of 16,000 routes has 4 MB."""
+"""Largest body that is accepted; a document of 16,000 routes takes 4 MB."""
 
 MAX_HEADER_BYTES = 16 * 1024
+"""Largest total of header names and values of a request."""
+
 IDLE_TIMEOUT_S = 20.0
-"""Time after which a connection without a whole request is closed."""
+"""Time after which a connection without a complete request is closed."""
 
 MAX_CONNECTIONS = 3_000
-"""Connections at once; further ones are closed at once. A host of 4,096
-descriptors takes the announcements of as many targets."""
+"""Open connections at once; further ones are aborted. With its limit of 4,096
+descriptors, a host can accept the announcements of as many targets."""
 
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
@@ -43,11 +45,11 @@
 
 
 class HttpRequest(msgspec.Struct):
-    """A request that arrived whole.
+    """A complete request.
 
     Attributes:
-        method: Method in capitals.
-        path: Path with its query.
+        method: Method in upper case.
+        path: Path with its query string.
         body: The body.
     """
 
@@ -57,12 +59,12 @@
 
 
 class HttpResponse(msgspec.Struct):
-    """An answer.
+    """A response.
 
     Attributes:
         status: Status code.
         body: The body.
-        content_type: Type of the body.
+        content_type: Media type of the body.
         headers: Further headers.
     """
 
@@ -76,14 +78,14 @@
 
 
 class HttpError(Exception):
-    """A request over HTTP failed.
+    """A request to another host failed.
 
     Attributes:
         reason: Constant name of the cause.
     """
 
     def __init__(self, reason: str) -> None:
-        """Creates the error.
+        """Initializes the error.
 
         Args:
             reason: Constant name of the cause.
@@ -93,65 +95,67 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection from a client."""
 
     __slots__ = (
         "_body",
-        "_busy",
         "_handler",
         "_header_bytes",
-        "_idle",
-        "_open",
+        "_idle_timer",
+        "_open_connections",
         "_parser",
         "_path",
         "_queue",
         "_transport",
+        "_worker",
     )
 
-    def __init__(self, handler: Handler, opened: set["_Connection"]) -> None:
+    def __init__(
+        self, handler: Handler, open_connections: set["_Connection"]
+    ) -> None:
         self._handler = handler
-        self._open = opened
+        self._open_connections = open_connections
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._path = bytearray()
         self._body = bytearray()
         self._header_bytes = 0
         self._queue: list[tuple[HttpRequest, bool]] = []
-        self._busy: asyncio.Task[None] | None = None
-        self._idle: asyncio.TimerHandle | None = None
+        self._worker: asyncio.Task[None] | None = None
+        self._idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        if len(self._open) >= MAX_CONNECTIONS:
+        if len(self._open_connections) >= MAX_CONNECTIONS:
             transport.abort()
             return
-        self._open.add(self)
-        self._await_request()
+        self._open_connections.add(self)
+        self._restart_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._open.discard(self)
-        if self._idle is not None:
-            self._idle.cancel()
-        if self._busy is not None:
-            self._busy.cancel()
+        self._open_connections.discard(self)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        if self._worker is not None:
+            self._worker.cancel()
         self._transport = None
 
     def abort(self) -> None:
         if self._transport is not None:
             self._transport.abort()
 
-    def _await_request(self) -> None:
-        if self._idle is not None:
-            self._idle.cancel()
+    def _restart_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
         loop = asyncio.get_running_loop()
-        self._idle = loop.call_later(IDLE_TIMEOUT_S, self.abort)
+        self._idle_timer = loop.call_later(IDLE_TIMEOUT_S, self.abort)
 
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._refuse(BAD_REQUEST)
+            self._reject(BAD_REQUEST)
 
     def on_message_begin(self) -> None:
         self._path.clear()
@@ -164,12 +168,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > MAX_HEADER_BYTES:
-            self._refuse(HEADERS_TOO_LARGE)
+            self._reject(HEADERS_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
-            self._refuse(BODY_TOO_LARGE)
+            self._reject(BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         request = HttpRequest(
@@ -177,69 +181,69 @@
             self._path.decode("latin-1"),
             bytes(self._body),
         )
-        # The parser forgets what a request says of the connection with the
-        # next byte, so that the answer can't ask for it.
+        # The parser resets this flag with the next byte, so it is read here
+        # and not when the response is sent.
         self._queue.append((request, self._parser.should_keep_alive()))
-        if self._busy is None:
+        if self._worker is None:
             loop = asyncio.get_running_loop()
-            self._busy = loop.create_task(self._answer_all())
+            self._worker = loop.create_task(self._handle_requests())
 
-    def _refuse(self, status: int) -> None:
+    def _reject(self, status: int) -> None:
         if self._transport is not None:
-            self._transport.write(_encode_reply(HttpResponse(status), False))
+            self._transport.write(_encode_response(HttpResponse(status), False))
             self._transport.close()
 
-    async def _answer_all(self) -> None:
-        """Answers requests in their order."""
+    async def _handle_requests(self) -> None:
+        """Handles the queued requests in order and sends the responses."""
         try:
             while self._queue:
-                request, is_kept = self._queue.pop(0)
-                reply = await self._handler(request)
+                request, keeps_alive = self._queue.pop(0)
+                response = await self._handler(request)
                 if self._transport is None:
                     return
-                self._transport.write(_encode_reply(reply, is_kept))
-                if not is_kept:
+                self._transport.write(_encode_response(response, keeps_alive))
+                if not keeps_alive:
                     self._transport.close()
                     return
-                self._await_request()
+                self._restart_idle_timer()
         finally:
-            self._busy = None
+            self._worker = None
 
 
-def _encode_reply(reply: HttpResponse, is_kept: bool) -> bytes:
-    """Returns the bytes of an answer."""
+def _encode_response(response: HttpResponse, keeps_alive: bool) -> bytes:
+    """Returns the encoded response."""
     lines = [
-        f"HTTP/1.1 {reply.status} {_PHRASES.get(reply.status, '')}",
-        f"Content-Type: {reply.content_type}",
-        f"Content-Length: {len(reply.body)}",
-        *(f"{name}: {value}" for name, value in reply.headers),
-        f"Connection: {'keep-alive' if is_kept else 'close'}",
+        f"HTTP/1.1 {response.status} {_PHRASES.get(response.status, '')}",
+        f"Content-Type: {response.content_type}",
+        f"Content-Length: {len(response.body)}",
+        *(f"{name}: {value}" for name, value in response.headers),
+        f"Connection: {'keep-alive' if keeps_alive else 'close'}",
     ]
-    return "\r\n".join([*lines, "\r\n"]).encode("latin-1") + reply.body
+    return "\r\n".join([*lines, "\r\n"]).encode("latin-1") + response.body
 
 
 class HttpListener:
     """Serves HTTP on one address.
 
     Attributes:
-        handler: Answers a request.
-        connections: Connections that are open.
+        handler: Returns the response to a request.
+        connections: Open connections.
     """
 
     __slots__ = ("_server", "connections", "handler")
 
     def __init__(self, handler: Handler) -> None:
-        """Creates a listener that is not open.
+        """Initializes the listener; `open` binds its address.
 
         Args:
-            handler: Answers a request.
+            handler: Returns the response to a request.
         """
         self.handler = handler
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
 
     async def open(self, address: str, port: int) -> None:
-        """Binds the address.
+        """Binds an address and starts to listen.
 
         Args:
             address: IP address.
@@ -257,15 +261,15 @@
         )
 
     def close(self) -> None:
-        """Closes the listener and all connections."""
+        """Closes the listener and aborts all connections."""
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
             connection.abort()
 
 
-class _Response:
-    """Callbacks of the parser of an answer."""
+class _ResponseCallbacks:
+    """Callbacks of the response parser."""
 
     __slots__ = ("is_complete",)
 
@@ -277,27 +281,33 @@
 
 
 async def post(
-    host: str, port: int, path: str, body: bytes, local: str, timeout_s: float
+    host: str,
+    port: int,
+    path: str,
+    body: bytes,
+    local_address: str,
+    timeout_s: float,
 ) -> int:
-    """Sends a POST request on a connection of its own.
+    """Sends a POST request on a new connection.
 
     Args:
         host: IP address of the receiver.
         port: Port of the receiver.
         path: Path of the request.
         body: The body.
-        local: IP address to send from.
-        timeout_s: Seconds until it fails.
+        local_address: IP address to send from.
+        timeout_s: Seconds until the request fails.
 
     Returns:
-        The status of the answer.
+        The status code of the response.
 
     Raises:
-        HttpError: There was no whole answer in time.
+        HttpError: The request failed, or no complete response arrived in
+            time.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            return await _post(host, port, path, body, local)
+            return await _post(host, port, path, body, local_address)
     except TimeoutError as error:
         raise HttpError("timeout") from error
     except OSError as error:
@@ -305,22 +315,22 @@
 
 
 async def _post(
-    host: str, port: int, path: str, body: bytes, local: str
+    host: str, port: int, path: str, body: bytes, local_address: str
 ) -> int:
     reader, writer = await asyncio.open_connection(
-        host, port, local_addr=(local, 0)
+        host, port, local_addr=(local_address, 0)
     )
     try:
         set_keepalive(writer.get_extra_info("socket"))
-        head = (
+        header = (
             f"POST {path} HTTP/1.1\r\nHost: {host}:{port}\r\n"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
         )
-        writer.write(head.encode("latin-1") + body)
-        response = _Response()
-        parser = httptools.HttpResponseParser(response)
-        while not response.is_complete:
+        writer.write(header.encode("latin-1") + body)
+        callbacks = _ResponseCallbacks()
+        parser = httptools.HttpResponseParser(callbacks)
+        while not callbacks.is_complete:
             data = await reader.read(MAX_HEADER_BYTES)
             if not data:
                 raise HttpError("answer-cut-short")
@@ -334,7 +344,7 @@
 
 
 def set_keepalive(connection: socket.socket) -> None:
-    """Lets the system find a connection whose other end is gone.
+    """Enables TCP keep-alive, which detects a peer that is gone.
 
     Args:
         connection: A connected TCP socket.
--- a/packages/node/src/tamarack_node/internal/http_server.py
+++ b/packages/node/src/tamarack_node/internal/http_server.py
@@ -16,7 +16,7 @@
 
 REQUEST_TIMEOUT_S = 10.0
 RETRY_AFTER_S = 1.0
-"""When to ask again after no answer in time, in seconds."""
+"""Delay before a request that timed out is worth repeating, in seconds."""
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 DEFAULT_FLOWS = 100
@@ -35,45 +35,47 @@
     "_Posted", requests.Announce, requests.SubmitPatch, requests.ChangeMember
 )
 
-Ask = Callable[[requests.Request], Awaitable[requests.Response]]
+RequestHandler = Callable[[requests.Request], Awaitable[requests.Response]]
 
 
 class HttpServer:
     """Serves the HTTP interface.
 
     Attributes:
-        ask: Hands a request to the reducer and waits for the response.
+        handle_request: Passes a request to the reducer and returns the
+            response.
         transport: Receives envelopes posted by other hosts.
         metrics: Metrics to scrape.
         entries: Returns the entries of the time line since a time in ms.
-        runner: The running server.
+        runner: The running server; None before `open`.
     """
 
-    __slots__ = ("ask", "entries", "metrics", "runner", "transport")
+    __slots__ = ("entries", "handle_request", "metrics", "runner", "transport")
 
     def __init__(
         self,
-        ask: Ask,
+        handle_request: RequestHandler,
         transport: transport_lib.Transport,
         metrics: metrics_lib.Metrics,
         entries: Callable[[int], list[timeline.Entry]],
     ) -> None:
-        """Creates a server that does not listen.
+        """Initializes the server; `open` starts to listen.
 
         Args:
-            ask: Hands a request to the reducer and waits for the response.
+            handle_request: Passes a request to the reducer and returns the
+                response.
             transport: Receives envelopes posted by other hosts.
             metrics: Metrics to scrape.
             entries: Returns the entries of the time line since a time in ms.
         """
-        self.ask = ask
+        self.handle_request = handle_request
         self.transport = transport
         self.metrics = metrics
         self.entries = entries
         self.runner: web.AppRunner | None = None
 
     async def open(self, address: str, port: int) -> None:
-        """Starts to listen.
+        """Binds the address and starts to listen.
 
         Args:
             address: IP address to listen on.
@@ -106,7 +108,7 @@
         await web.TCPSite(self.runner, address, port).start()
 
     async def close(self) -> None:
-        """Stops listening."""
+        """Stops listening and closes all connections."""
         if self.runner is not None:
             await self.runner.cleanup()
 
@@ -114,7 +116,7 @@
         """Handles the announcement of a target."""
         fields = await _read_json(request)
         fields["address"] = request.match_info["address"]
-        return await self._answer(_convert(fields, requests.Announce))
+        return await self._handle(_convert(fields, requests.Announce))
 
     async def post_patch(self, request: web.Request) -> web.Response:
         """Handles a patch of an operator."""
@@ -122,11 +124,11 @@
         if "operations" in fields:
             encoded = msgspec.json.encode(fields["operations"])
             fields["operations"] = msgspec.Raw(encoded)
-        return await self._answer(_convert(fields, requests.SubmitPatch))
+        return await self._handle(_convert(fields, requests.SubmitPatch))
 
     async def get_configuration(self, request: web.Request) -> web.Response:
         """Handles a read of the configuration."""
-        return await self._answer(requests.ReadConfiguration())
+        return await self._handle(requests.ReadConfiguration())
 
     async def get_log(self, request: web.Request) -> web.Response:
         """Handles a read of the accepted patches."""
@@ -135,30 +137,30 @@
             refused = requests.Refused(
                 "bad-request", f"after {after!r} is not a version"
             )
-            return _respond(refused)
-        return await self._answer(requests.ReadLog(int(after)))
+            return _encode_response(refused)
+        return await self._handle(requests.ReadLog(int(after)))
 
     async def get_rollout(self, request: web.Request) -> web.Response:
-        """Handles a read of the versions in force downstream."""
-        return await self._answer(requests.ReadRollout())
+        """Handles a read of the versions that the hosts downstream apply."""
+        return await self._handle(requests.ReadRollout())
 
     async def get_members(self, request: web.Request) -> web.Response:
         """Handles a read of the members of the replicated log."""
-        return await self._answer(requests.ReadMembers())
+        return await self._handle(requests.ReadMembers())
 
     async def post_member(self, request: web.Request) -> web.Response:
         """Handles a change of one member."""
         fields = await _read_json(request)
-        return await self._answer(_convert(fields, requests.ChangeMember))
+        return await self._handle(_convert(fields, requests.ChangeMember))
 
     async def get_status(self, request: web.Request) -> web.Response:
         """Handles a read of the state of this host."""
-        return await self._answer(requests.ReadStatus())
+        return await self._handle(requests.ReadStatus())
 
     async def get_targets(self, request: web.Request) -> web.Response:
         """Handles a read of the targets."""
         service = request.query.get("service", "")
-        return await self._answer(requests.ReadTargets(service))
+        return await self._handle(requests.ReadTargets(service))
 
     async def get_flows(self, request: web.Request) -> web.Response:
         """Handles a read of the open flows."""
@@ -168,13 +170,13 @@
                 "bad-request",
                 f"limit {limit!r} is not a number up to {MAX_FLOWS}",
             )
-            return _respond(refused)
+            return _encode_response(refused)
         read = requests.ReadFlows(
             request.query.get("service", ""),
             request.query.get("target", ""),
             int(limit),
         )
-        return await self._answer(read)
+        return await self._handle(read)
 
     async def get_timeline(self, request: web.Request) -> web.Response:
         """Handles a read of the time line of this host."""
@@ -183,40 +185,40 @@
             refused = requests.Refused(
                 "bad-request", f"since_ms {since!r} is not a time in ms"
             )
-            return _respond(refused)
+            return _encode_response(refused)
         data = timeline.encode(self.entries(int(since)))
         return web.Response(body=data, content_type=JSON_TYPE)
 
     async def get_health(self, request: web.Request) -> web.Response:
-        """Answers that the event loop runs."""
+        """Handles a health check; a response shows that the loop runs."""
         return web.json_response({"healthy": True})
 
     async def get_metrics(self, request: web.Request) -> web.Response:
-        """Handles a scrape."""
+        """Handles a scrape of the metrics."""
         headers = {"Content-Type": metrics_lib.CONTENT_TYPE}
         return web.Response(body=self.metrics.scrape(), headers=headers)
 
     async def post_messages(self, request: web.Request) -> web.Response:
-        """Handles an envelope of another host."""
+        """Handles an envelope from another host."""
         self.transport.handle_bytes(await request.read())
         return web.Response(status=204)
 
-    async def _answer(
+    async def _handle(
         self, request: requests.Request | requests.Refused
     ) -> web.Response:
-        """Returns the HTTP response to a request of the core."""
+        """Passes a request to the core and returns the HTTP response."""
         if isinstance(request, requests.Refused):
-            return _respond(request)
+            return _encode_response(request)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                return _respond(await self.ask(request))
+                return _encode_response(await self.handle_request(request))
         except TimeoutError:
-            return _respond(_timed_out(request))
+            return _encode_response(_timeout_response(request))
 
 
-def _timed_out(request: requests.Request) -> requests.Response:
-    """Returns the response to a request that got no answer in time."""
-    detail = f"no answer within {REQUEST_TIMEOUT_S:g} s"
+def _timeout_response(request: requests.Request) -> requests.Response:
+    """Returns the response to a request that timed out."""
+    detail = f"no response within {REQUEST_TIMEOUT_S:g} s"
     if isinstance(request, requests.SubmitPatch):
         return requests.PatchVerdict(
             requests.PatchState.UNKNOWN,
@@ -225,8 +227,8 @@
     return requests.Refused("timeout", detail, RETRY_AFTER_S)
 
 
-def _respond(response: requests.Response) -> web.Response:
-    """Returns the HTTP form of a response of the core."""
+def _encode_response(response: requests.Response) -> web.Response:
+    """Returns the HTTP response for a response of the core."""
     status = 200
     headers = {}
     if isinstance(response, requests.Refused):
@@ -243,7 +245,7 @@
 
 
 async def _read_json(request: web.Request) -> dict[str, object]:
-    """Returns the JSON object in the body; an empty one without JSON."""
+    """Returns the JSON object in the body, or an empty one if invalid."""
     try:
         document = msgspec.json.decode(await request.read())
     except (msgspec.DecodeError, RecursionError):
@@ -255,7 +257,7 @@
     fields: dict[str, object],
     kind: type[_Posted],
 ) -> _Posted | requests.Refused:
-    """Returns the request in decoded fields, or why there is none."""
+    """Returns the request with the decoded fields, or a refusal."""
     try:
         return msgspec.convert(fields, kind)
     except msgspec.ValidationError as error:
--- a/packages/node/src/tamarack_node/internal/keys.py
+++ b/packages/node/src/tamarack_node/internal/message_signer.py
@@ -1,4 +1,4 @@
-"""Loads the key file and keeps the signer up to date."""
+"""Signer of messages that loads and reloads the key file."""
 
 import logging
 import pathlib
@@ -13,11 +13,11 @@
 
 
 class MessageSigner:
-    """Signs and verifies with the keys of a file.
+    """Signs and verifies messages with the keys of a file.
 
     Attributes:
         path: The key file.
-        signer: The signer.
+        signer: Signer with the keys loaded last.
     """
 
     __slots__ = ("path", "signer")
@@ -30,19 +30,20 @@
             host: Name of this host.
 
         Raises:
-            ValueError: The file can't be read or holds no good keys.
+            ValueError: The file can't be read or holds no valid keys.
         """
-        keyring = _load(path)
+        keyring = _load_keyring(path)
         if isinstance(keyring, failure.Failure):
             raise ValueError(f"{path}: {keyring.detail}")
         self.path = path
-        # Not the seeded generator: a repeated boot identifier would make
-        # others take the messages of this start for replays.
+        # The boot identifier must not come from the seeded generator: if it
+        # repeated, other hosts would reject the messages of this start as
+        # replays.
         self.signer = signing.Signer(host, keyring, random.SystemRandom())
 
     def reload(self) -> None:
-        """Loads the file again; bad keys leave the old ones in force."""
-        keyring = _load(self.path)
+        """Loads the file again; keeps the current keys if it is invalid."""
+        keyring = _load_keyring(self.path)
         if isinstance(keyring, failure.Failure):
             fields = {"reason": keyring.reason, "detail": keyring.detail}
             logs.event("keys-refused", logging.ERROR, fields)
@@ -51,16 +52,16 @@
         logs.event("keys-loaded", logging.INFO, {"signing": keyring.signing_id})
 
     def sign(self, receiver: str, body: bytes) -> bytes:
-        """Returns the signed form of a message to a host."""
+        """Returns a message to a host with its signature."""
         return self.signer.sign(receiver, body, _wall_ms())
 
     def verify(self, data: bytes) -> bytes | failure.Failure:
-        """Returns the body of a signed message, or why it is refused."""
+        """Returns the body of a signed message, or why it is rejected."""
         return self.signer.verify(data, _wall_ms())
 
 
-def _load(path: pathlib.Path) -> signing.Keyring | failure.Failure:
-    """Returns the keys in a file, or what is wrong with it."""
+def _load_keyring(path: pathlib.Path) -> signing.Keyring | failure.Failure:
+    """Returns the keys in a file, or why they can't be used."""
     try:
         return signing.parse_keys(path.read_bytes())
     except OSError as error:
--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -1,4 +1,4 @@
-"""Asks a host whether it takes a TCP connection."""
+"""TCP probe: checks whether a target accepts a connection."""
 
 import asyncio
 import errno
@@ -7,74 +7,79 @@
 from tamarack_core import effects
 
 
-async def accepts_connection(probe: effects.ProbeTarget, local: str) -> bool:
-    """Returns whether a target takes a connection in time.
+async def accepts_connection(
+    probe: effects.ProbeTarget, local_address: str
+) -> bool:
+    """Returns whether a target accepts a connection before the timeout.
 
-    Further connections are asked for while none is taken, as a packet may be
-    lost. A connection that is refused ends the probe at once.
+    While none is accepted, further connections are attempted, as a packet may
+    be lost. A connection that is refused ends the probe at once.
 
     Args:
-        probe: The target, and the time that it has.
-        local: IP address to connect from.
+        probe: The target, the timeout and the number of attempts.
+        local_address: IP address to connect from.
     """
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + probe.timeout_s
+    deadline_s = loop.time() + probe.timeout_s
     outcome: asyncio.Future[bool] = loop.create_future()
-    tried: list[socket.socket] = []
+    connections: list[socket.socket] = []
     try:
         for _ in range(probe.attempts):
-            tried.append(_begin(loop, probe, local, outcome))
+            connections.append(
+                _start_connecting(loop, probe, local_address, outcome)
+            )
             await asyncio.wait((outcome,), timeout=probe.spacing_s)
             if outcome.done():
                 return outcome.result()
-        await asyncio.wait((outcome,), timeout=end_s - loop.time())
+        await asyncio.wait((outcome,), timeout=deadline_s - loop.time())
         if outcome.done():
             return outcome.result()
-        # This process may have paused, and the answer wait to be read.
-        return any(_is_connected(connection) for connection in tried)
+        # After a stall of this process, a connection may be established
+        # although the event loop has not handled it yet.
+        return any(_is_connected(connection) for connection in connections)
     finally:
-        for connection in tried:
+        for connection in connections:
             loop.remove_writer(connection)
             connection.close()
 
 
-def _begin(
+def _start_connecting(
     loop: asyncio.AbstractEventLoop,
     probe: effects.ProbeTarget,
-    local: str,
+    local_address: str,
     outcome: asyncio.Future[bool],
 ) -> socket.socket:
-    """Begins to connect; the outcome is set once it is known."""
-    family = socket.AF_INET6 if ":" in local else socket.AF_INET
+    """Starts to connect; sets the outcome once it is known."""
+    family = socket.AF_INET6 if ":" in local_address else socket.AF_INET
     connection = socket.socket(family, socket.SOCK_STREAM)
     connection.setblocking(False)
 
-    def conclude() -> None:
+    def handle_connected() -> None:
         loop.remove_writer(connection)
         error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        _settle(outcome, error)
+        _set_outcome(outcome, error)
 
     try:
-        connection.bind((local, 0))
+        connection.bind((local_address, 0))
         endpoint = probe.endpoint
         error = connection.connect_ex((endpoint.address, endpoint.port))
-    except OSError as failed:
-        error = failed.errno or errno.EIO
+    except OSError as os_error:
+        error = os_error.errno or errno.EIO
     if error == errno.EINPROGRESS:
-        loop.add_writer(connection, conclude)
+        loop.add_writer(connection, handle_connected)
     else:
-        _settle(outcome, error)
+        _set_outcome(outcome, error)
     return connection
 
 
-def _settle(outcome: asyncio.Future[bool], error: int) -> None:
-    """Ends the probe, unless another connection has ended it."""
+def _set_outcome(outcome: asyncio.Future[bool], error: int) -> None:
+    """Sets the outcome, unless another connection has set it."""
     if not outcome.done():
         outcome.set_result(error == 0)
 
 
 def _is_connected(connection: socket.socket) -> bool:
-    """Returns whether the other end has taken a connection."""
+    """Returns whether a connection is established."""
     try:
         connection.getpeername()
     except OSError:
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -1,7 +1,7 @@
-"""Carries messages between hosts: JSON over UDP, or over HTTP when large.
+"""Messages between hosts: JSON over UDP, or over HTTP when large.
 
-An envelope that does not fit a datagram goes in fragments, and one that is
-larger still over a connection.
+An envelope that does not fit into a datagram is sent in fragments, and an even
+larger one over an HTTP connection.
 """
 
 from __future__ import annotations
@@ -24,16 +24,19 @@
 
 if typing.TYPE_CHECKING:
     from tamarack_core import messages
-    from tamarack_node.internal import keys
+    from tamarack_node.internal import message_signer
+
+DATAGRAMS_PER_READ = 64
+"""Datagrams received in one iteration of the event loop."""
 
-MAX_MESSAGES_PER_ENVELOPE = 64
 RECEIVE_BYTES = 65536
 ID_BYTES = 8
-"""Random bytes of which the identifiers of fragments begin."""
+"""Random bytes from which the first identifier of fragments is made."""
 
 CLOSE_TIMEOUT_S = 5.0
-"""Time that large envelopes on their way have when a host ends; no sender
-waits longer for an answer."""
+"""Time that `close` waits for large envelopes that are being sent; no sender
+waits longer for a response."""
+
 MESSAGES_PATH = "/v1/messages"
 _FRAGMENT_START = bytes([fragments.MARKER])
 
@@ -43,10 +46,10 @@
 
 
 class LargeSender(Protocol):
-    """Sends envelopes that do not fit a datagram."""
+    """Sends envelopes that are too large for datagrams."""
 
     def open(self, endpoint: peers.Endpoint) -> None:
-        """Prepares to send from the address of an endpoint."""
+        """Sets the endpoint whose address the connections leave from."""
 
     async def post(
         self, endpoint: peers.Endpoint, path: str, data: bytes
@@ -54,11 +57,11 @@
         """Sends one body over HTTP.
 
         Raises:
-            SendError: It was not answered.
+            SendError: No response arrived.
         """
 
     async def close(self) -> None:
-        """Ends what is open."""
+        """Closes open connections."""
 
 
 class Transport:
@@ -67,14 +70,15 @@
     Attributes:
         context: Identity, clock and counters.
         receive: Called with each envelope received.
-        routes: Endpoint of each host that the settings name; it goes before
-            the one that the host states itself, as the way may lead through
-            an address translation.
-        signer: Signs and verifies; None where messages carry no signature.
+        routes: Endpoint of each host that the settings name. It takes
+            precedence over the endpoint that the host itself announces, as
+            there may be an address translation in between.
+        signer: Signs and verifies messages; None if they carry no signature.
         socket: UDP socket bound to the control endpoint.
-        outbox: Messages that wait for the end of the loop turn, by receiver.
+        outbox: Messages to send at the end of this iteration of the event
+            loop, by receiver.
         sender: Sends large envelopes.
-        codec: Translates envelopes.
+        codec: Encodes and decodes envelopes.
     """
 
     __slots__ = (
@@ -99,17 +103,17 @@
         routes: Mapping[str, peers.Endpoint],
         sender: LargeSender,
         codec: envelopes.Codec,
-        signer: keys.MessageSigner | None = None,
+        signer: message_signer.MessageSigner | None = None,
     ) -> None:
-        """Creates a transport that is not open.
+        """Initializes the transport; `open` binds its socket.
 
         Args:
             context: Identity, clock and counters.
             receive: Called with each envelope received.
             routes: Endpoint of each host that the settings name.
             sender: Sends large envelopes.
-            codec: Translates envelopes.
-            signer: Signs and verifies; None for no signatures.
+            codec: Encodes and decodes envelopes.
+            signer: Signs and verifies messages; None for no signatures.
         """
         self.signer = signer
         self.context = context
@@ -127,7 +131,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     def open(self, endpoint: peers.Endpoint) -> None:
-        """Binds the socket and starts to receive.
+        """Binds the socket and starts receiving.
 
         Args:
             endpoint: Address and port to bind. Connections to other hosts
@@ -142,7 +146,7 @@
         self.sender.open(endpoint)
 
     async def close(self) -> None:
-        """Sends what waits and closes the socket."""
+        """Sends the outbox and closes the socket."""
         self._flush()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
@@ -152,7 +156,7 @@
         await self.sender.close()
 
     def send(self, peer: peers.Peer, message: messages.Message) -> None:
-        """Sends a message at the end of this loop turn.
+        """Sends a message at the end of this iteration of the event loop.
 
         Args:
             peer: The receiver.
@@ -164,10 +168,10 @@
             asyncio.get_running_loop().call_soon(self._flush)
 
     def handle_bytes(self, data: bytes) -> None:
-        """Decodes an envelope; counts and drops a refused one.
+        """Decodes and delivers an envelope; drops and counts an invalid one.
 
         Args:
-            data: JSON form of an envelope, signed where there are keys.
+            data: Encoded envelope, signed if there is a signer.
         """
         self.context.counters["control-received-bytes"] += len(data)
         body = data if self.signer is None else self.signer.verify(data)
@@ -182,13 +186,13 @@
         self.receive(envelope)
 
     def _route(self, peer: peers.Peer) -> peers.Endpoint:
-        """Returns the endpoint to reach a host at."""
+        """Returns the endpoint at which to reach a host."""
         return self.routes.get(peer.host, peer.control)
 
     def _read(self) -> None:
-        """Receives the datagrams that have arrived."""
+        """Receives a bounded number of datagrams that have arrived."""
         assert self.socket is not None
-        for _ in range(MAX_MESSAGES_PER_ENVELOPE):
+        for _ in range(DATAGRAMS_PER_READ):
             try:
                 data = self.socket.recv(RECEIVE_BYTES)
             except (BlockingIOError, ConnectionRefusedError):
@@ -196,7 +200,7 @@
             self._receive_datagram(data)
 
     def _receive_datagram(self, data: bytes) -> None:
-        """Handles an envelope, or a fragment of one."""
+        """Handles an envelope or a fragment of one."""
         if data[:1] != _FRAGMENT_START:
             self.handle_bytes(data)
             return
@@ -205,16 +209,20 @@
             self.handle_bytes(joined)
 
     def _flush(self) -> None:
-        """Sends the messages that wait, joined by receiver."""
+        """Sends the outbox, with the messages to each receiver joined."""
         self._flush_scheduled = False
-        waiting, self.outbox = self.outbox, {}
-        for peer, batch in waiting.items():
+        outbox, self.outbox = self.outbox, {}
+        for peer, batch in outbox.items():
             self._send_batch(peer, batch)
 
     def _send_batch(
         self, peer: peers.Peer, batch: list[messages.Message]
     ) -> None:
-        """Sends messages in as few datagrams as hold them."""
+        """Sends messages, split until each envelope fits into a datagram.
+
+        A single message that does not fit is sent in fragments, or over HTTP
+        if it is too large for fragments.
+        """
         envelope = envelopes.Envelope(
             self.context.host, self.context.clock.latest, tuple(batch)
         )
@@ -238,7 +246,7 @@
             task.add_done_callback(self._tasks.discard)
 
     def _send_datagram(self, peer: peers.Peer, data: bytes) -> None:
-        """Sends one datagram; a full socket buffer loses it."""
+        """Sends one datagram; drops it if the socket buffer is full."""
         assert self.socket is not None
         self.context.counters["control-sent-bytes"] += len(data)
         try:
@@ -253,7 +261,7 @@
             )
 
     async def _post(self, peer: peers.Peer, data: bytes) -> None:
-        """Sends one large envelope over HTTP."""
+        """Sends one large envelope over HTTP; counts a failure."""
         self.context.counters["control-sent-bytes"] += len(data)
         try:
             await self.sender.post(self._route(peer), MESSAGES_PATH, data)
@@ -267,7 +275,7 @@
 
 
 def bind_udp(endpoint: peers.Endpoint) -> socket.socket:
-    """Returns a non-blocking UDP socket.
+    """Returns a bound, non-blocking UDP socket.
 
     Args:
         endpoint: Address and port to bind.
@@ -287,7 +295,7 @@
 
 
 def format_endpoint(endpoint: peers.Endpoint) -> str:
-    """Returns an endpoint as in a URL."""
+    """Returns an endpoint in the form that URLs use."""
     if ":" in endpoint.address:
         return f"[{endpoint.address}]:{endpoint.port}"
     return f"{endpoint.address}:{endpoint.port}"
--- a/packages/node/src/tamarack_node/main.py
+++ b/packages/node/src/tamarack_node/main.py
@@ -1,4 +1,4 @@
-"""Entry point of `tamarackd`."""
+"""Command line of `tamarackd`."""
 
 import asyncio
 import logging
@@ -36,14 +36,14 @@
         return
     if settings_file is None:
         raise click.UsageError("name a settings file with --settings FILE")
-    settings = _load(settings_file)
+    settings = _load_or_exit(settings_file)
     logs.set_up(settings.log_level)
     seed = settings.seed
     if seed is None:
         seed = secrets.randbits(SEED_BITS)
     logs.event("starting", logging.INFO, {"host": settings.host, "seed": seed})
     stop = asyncio.run(driver.run(settings, seed))
-    if isinstance(stop, driver.CannotStart):
+    if isinstance(stop, driver.StartFailure):
         logs.event("cannot-start", logging.ERROR, {"reason": stop.reason})
         sys.exit(EXIT_CANNOT_START)
     fields = {"host": settings.host, "reason": stop.reason}
@@ -60,16 +60,16 @@
     help="Settings file in JSON.",
 )
 def check(settings_file: pathlib.Path) -> None:
-    """Checks a settings file and names each bad setting.
+    """Checks a settings file and lists each invalid setting.
 
     Example: tamarackd check --settings entry-a-1.json
     """
-    _load(settings_file)
+    _load_or_exit(settings_file)
     click.echo(f"{settings_file}: good")
 
 
-def _load(settings_file: pathlib.Path) -> settings_lib.Settings:
-    """Returns the settings in a file; ends the process if they are bad."""
+def _load_or_exit(settings_file: pathlib.Path) -> settings_lib.Settings:
+    """Returns the settings in a file; exits if they are invalid."""
     settings = settings_lib.load(settings_file)
     if isinstance(settings, settings_lib.Settings):
         return settings
