Reword the light driver, settings, logs, timers and metrics

LightDriver.turn -> packet_times, answers -> request_times (the names of the histograms stay); dialect -> http_codec; LogStream.left_out -> dropped_lines (the event log-lines-left-out stays); BOUNDS_S -> BUCKET_BOUNDS_S. Two fixes of settings problems say what the role requires.

--- a/packages/node/src/tamarack_node/__init__.py
+++ b/packages/node/src/tamarack_node/__init__.py
@@ -1,1 +1,1 @@
-"""The tamarackd daemon: carries out the effects of the core."""
+"""The tamarackd daemon: executes the effects of the core."""
--- a/packages/node/src/tamarack_node/internal/disk_writer.py
+++ b/packages/node/src/tamarack_node/internal/disk_writer.py
@@ -1,4 +1,4 @@
-"""Writes the log on a thread, so that a slow disk does not stop the loop."""
+"""Disk writes on a thread, so that a slow disk does not block the loop."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,21 +13,23 @@
 from tamarack_node.internal.storage import folder as folders
 
 RETRY_S = 0.25
-"""Time between attempts while a disk takes no bytes, in seconds."""
+"""Time between attempts while the disk is full, in seconds."""
 
 Write = effects.Persist | effects.SaveSnapshot | effects.SaveTargets
 
 
 class DiskWriter:
-    """Carries out writes in their order.
+    """Executes writes in order on its own thread.
 
-    A write that the disk refuses for want of space is tried again until it
-    succeeds; nothing is acknowledged meanwhile. After any other error nobody
-    knows what reached the disk, and the process ends.
+    A write that fails because the disk is full is retried until it succeeds;
+    meanwhile no write is acknowledged. Saving the targets is not retried, as
+    they are only advice for the next start. After any other error it is
+    unknown which data reached the disk, and the process ends.
 
     Attributes:
         folder: The data folder.
-        completed: Called on the loop with the sequence of a synced write.
+        completed: Called on the loop with the sequence number of a synced
+            write.
         failed: Called on the loop with the error that ends the process.
     """
 
@@ -39,12 +41,13 @@
         completed: Callable[[int], None],
         failed: Callable[[storage_errors.StorageError], None],
     ) -> None:
-        """Starts the thread.
+        """Initializes the writer and starts its thread.
 
         Args:
             folder: The data folder.
-            completed: Called with the sequence of a synced write.
-            failed: Called with the error that ends the process.
+            completed: Called on the loop with the sequence number of a synced
+                write.
+            failed: Called on the loop with the error that ends the process.
         """
         self.folder = folder
         self.completed = completed
@@ -55,19 +58,19 @@
         self._thread.start()
 
     def write(self, effect: Write) -> None:
-        """Hands over a write.
+        """Queues a write.
 
         Args:
-            effect: What to write.
+            effect: The write.
         """
         self._queue.put(effect)
 
     def close(self) -> None:
-        """Lets the thread end after the writes that wait."""
+        """Ends the thread after the queued writes, without waiting for it."""
         self._queue.put(None)
 
     def _run(self) -> None:
-        """Carries out the writes until the end."""
+        """Executes the queued writes until the writer is closed."""
         while (effect := self._queue.get()) is not None:
             try:
                 self._write(effect)
@@ -78,7 +81,7 @@
                 self._loop.call_soon_threadsafe(self.completed, effect.sequence)
 
     def _write(self, effect: Write) -> None:
-        """Writes, again and again while the disk is full."""
+        """Executes one write; retries it while the disk is full."""
         is_reported = False
         while True:
             try:
--- a/packages/node/src/tamarack_node/internal/log_stream.py
+++ b/packages/node/src/tamarack_node/internal/log_stream.py
@@ -1,81 +1,90 @@
-"""Lines for standard output: bounded in number, and never waited for."""
+"""Rate-limited log output that never blocks the event loop."""
 
 import os
 import time
 
 LINES_PER_S = 60.0
-"""Lines that a host writes on average; each costs it processor time."""
+"""Sustained rate of lines; limits the processor time that logging takes."""
 
 BURST_LINES = 240.0
-"""Lines that may come at once after a quiet time."""
+"""Lines that may be written at once after a time without lines."""
 
 BLOCKED_BYTES = 256 * 1024
-"""Bytes that wait for a reader that does not read; later lines are left
-out."""
+"""Bytes buffered while the reader does not read. Further lines are dropped
+once the buffer is larger."""
 
 
 class LogStream:
-    """Writes lines without ever blocking, and says what was left out.
+    """Writes lines without blocking, and reports how many were dropped.
 
     Attributes:
-        descriptor: Where lines go.
-        left_out: Lines left out since the last one written.
+        descriptor: File descriptor to write to.
+        dropped_lines: Lines dropped since the last one written.
     """
 
-    __slots__ = ("_allowance", "_at_s", "_pending", "descriptor", "left_out")
+    __slots__ = (
+        "_allowance",
+        "_pending",
+        "_refilled_s",
+        "descriptor",
+        "dropped_lines",
+    )
 
     def __init__(self, descriptor: int) -> None:
-        """Creates the stream; the descriptor becomes non-blocking.
+        """Initializes the stream and makes the descriptor non-blocking.
 
         Args:
-            descriptor: Where lines go.
+            descriptor: File descriptor to write to.
         """
         self.descriptor = descriptor
-        self.left_out = 0
+        self.dropped_lines = 0
         self._allowance = BURST_LINES
-        self._at_s = time.monotonic()
+        self._refilled_s = time.monotonic()
         self._pending = b""
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Writes whole lines, or leaves them out.
+        """Writes whole lines, or drops them when over the limit.
 
         Args:
-            text: Lines with their ends.
+            text: Lines, each with its newline.
 
         Returns:
             The length of the text, as for any stream.
         """
         if not self._is_allowed():
-            self.left_out += 1
+            self.dropped_lines += 1
             return len(text)
-        if self.left_out:
-            text = f"event=log-lines-left-out count={self.left_out}\n{text}"
-            self.left_out = 0
+        if self.dropped_lines:
+            text = (
+                f"event=log-lines-left-out count={self.dropped_lines}\n{text}"
+            )
+            self.dropped_lines = 0
         self._pending += text.encode(errors="replace")
         self.flush()
         return len(text)
 
     def flush(self) -> None:
-        """Hands over what the reader takes now."""
+        """Writes as many buffered bytes as the reader accepts now."""
         while self._pending:
             try:
                 written = os.write(self.descriptor, self._pending)
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads any more; there is no place to say so.
+                # The reader is gone, and so is the only place to report it.
                 self._pending = b""
                 return
             self._pending = self._pending[written:]
 
     def _is_allowed(self) -> bool:
-        """Returns whether the budget has room for a line."""
+        """Returns whether the rate limit and the buffer allow a line."""
         now_s = time.monotonic()
         self._allowance = min(
-            BURST_LINES, self._allowance + (now_s - self._at_s) * LINES_PER_S
+            BURST_LINES,
+            self._allowance + (now_s - self._refilled_s) * LINES_PER_S,
         )
-        self._at_s = now_s
+        self._refilled_s = now_s
         if self._allowance < 1 or len(self._pending) > BLOCKED_BYTES:
             return False
         self._allowance -= 1
--- a/packages/node/src/tamarack_node/internal/logs.py
+++ b/packages/node/src/tamarack_node/internal/logs.py
@@ -1,4 +1,4 @@
-"""Logs: one line of key=value pairs for each event."""
+"""Structured logs: one line of key=value pairs for each event."""
 
 from collections.abc import Mapping
 import json
@@ -11,7 +11,7 @@
 from tamarack_core import timeline
 
 FIELDS_ATTRIBUTE = "fields"
-_BARE_CHARACTERS = frozenset(
+_UNQUOTED_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:/@+>-"
 )
 
@@ -19,13 +19,13 @@
 
 
 class Stream(Protocol):
-    """Where lines go."""
+    """Text stream that log lines are written to."""
 
     def write(self, text: str, /) -> int:
         """Writes lines and returns the length of the text."""
 
     def flush(self) -> None:
-        """Hands over what waits."""
+        """Writes the buffered text."""
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -46,16 +46,16 @@
 
 
 def set_up(level: str, stream: Stream | None = None) -> None:
-    """Sends the log to a stream.
+    """Configures logging to a stream.
 
     Args:
         level: Lowest level that is logged, such as `info`.
-        stream: Where lines go; standard error if None.
+        stream: Stream to write to; standard error if None.
     """
     handler = logging.StreamHandler(sys.stderr if stream is None else stream)
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
-    # One line a request would drown the events of the system.
+    # Access logs, one line for each request, would obscure the events.
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
 
 
@@ -68,7 +68,7 @@
 
     Args:
         name: Constant name of the event.
-        level: Level from `logging`.
+        level: Level of the module `logging`.
         fields: Values by key.
     """
     if logger.isEnabledFor(level):
@@ -76,9 +76,9 @@
 
 
 def _quote(value: object) -> str:
-    """Returns a value, quoted as JSON where it holds other characters."""
+    """Returns a value as text, as a JSON string if it needs quotes."""
     text = str(value)
-    if text and _BARE_CHARACTERS.issuperset(text):
+    if text and _UNQUOTED_CHARACTERS.issuperset(text):
         return text
     return json.dumps(text)
 
--- a/packages/node/src/tamarack_node/internal/metrics.py
+++ b/packages/node/src/tamarack_node/internal/metrics.py
@@ -1,4 +1,4 @@
-"""OpenTelemetry metrics with a scrape endpoint."""
+"""OpenTelemetry metrics in the text format of Prometheus."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -18,7 +18,7 @@
     """Metrics of one host.
 
     Attributes:
-        provider: Meter provider; shut it down at the end.
+        provider: Meter provider of the OpenTelemetry SDK.
     """
 
     __slots__ = ("provider",)
@@ -28,11 +28,11 @@
         context: context_lib.Context,
         gauges: dict[str, Callable[[], float]],
     ) -> None:
-        """Registers the instruments.
+        """Initializes the metrics and registers the instruments.
 
         Args:
             context: Counters to export.
-            gauges: Function that reads the value of each gauge, by name.
+            gauges: Functions that read the gauges, by name of the gauge.
         """
         resource = resources.Resource.create(
             {
@@ -57,14 +57,14 @@
             )
 
     def scrape(self) -> bytes:
-        """Returns all metrics in the Prometheus text form."""
+        """Returns all metrics in the text format of Prometheus."""
         return prometheus_client.generate_latest()
 
 
 def _counter_callback(
     context: context_lib.Context,
 ) -> Callable[[api.CallbackOptions], Iterable[api.Observation]]:
-    """Returns a callback that reads the counters of a host."""
+    """Returns the callback that observes the counters of a host."""
 
     def read(options: api.CallbackOptions) -> Iterable[api.Observation]:
         return [
@@ -78,7 +78,7 @@
 def _gauge_callback(
     read_value: Callable[[], float],
 ) -> Callable[[api.CallbackOptions], Iterable[api.Observation]]:
-    """Returns a callback that reads one gauge."""
+    """Returns the callback that observes one gauge."""
 
     def read(options: api.CallbackOptions) -> Iterable[api.Observation]:
         return [api.Observation(read_value())]
--- a/packages/node/src/tamarack_node/internal/text_metrics.py
+++ b/packages/node/src/tamarack_node/internal/text_metrics.py
@@ -1,7 +1,8 @@
-"""Counters and histograms in the text form of Prometheus.
+"""Counters, gauges and histograms in the text format of Prometheus.
 
-The OpenTelemetry SDK takes longer to load than a small entry host may take to
-start; this is its nearest kin there, with the same names of instruments.
+It replaces the OpenTelemetry SDK on small entry hosts, where the SDK takes
+longer to load than the host may take to start. The names of the instruments
+are the same.
 """
 
 import bisect
@@ -9,28 +10,40 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
-BOUNDS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0)
-"""Upper bounds of the classes of a latency histogram, in seconds."""
+BUCKET_BOUNDS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+)
+"""Upper bounds of the buckets of a latency histogram, in seconds."""
 
 
 class Histogram:
-    """Latencies by class.
+    """Histogram of latencies.
 
     Attributes:
-        counts: Observations by class; the last class has no upper bound.
+        counts: Observations by bucket; the last bucket has no upper bound.
         total_s: Sum of all observations, in seconds.
     """
 
     __slots__ = ("counts", "total_s")
 
     def __init__(self) -> None:
-        """Creates an empty histogram."""
-        self.counts = [0] * (len(BOUNDS_S) + 1)
+        """Initializes an empty histogram."""
+        self.counts = [0] * (len(BUCKET_BOUNDS_S) + 1)
         self.total_s = 0.0
 
     def observe(self, seconds: float) -> None:
-        """Adds an observation."""
-        self.counts[bisect.bisect_left(BOUNDS_S, seconds)] += 1
+        """Adds an observation in seconds."""
+        self.counts[bisect.bisect_left(BUCKET_BOUNDS_S, seconds)] += 1
         self.total_s += seconds
 
 
@@ -40,11 +53,11 @@
     gauges: Mapping[str, float],
     histograms: Mapping[str, Histogram],
 ) -> bytes:
-    """Returns all metrics as text.
+    """Returns all metrics in the text format.
 
     Args:
         host: Name of the host.
-        counters: Counters by name of the event.
+        counters: Counts of events by event name.
         gauges: Values by name.
         histograms: Latencies by name.
     """
@@ -62,11 +75,11 @@
 
 
 def _render_histogram(host: str, name: str, histogram: Histogram) -> list[str]:
-    """Returns the lines of one histogram."""
+    """Returns the lines of one histogram, with cumulative counts."""
     full = f"tamarackford_{name}_seconds"
     lines = [f"# TYPE {full} histogram"]
     count = 0
-    bounds = [*(f"{bound:g}" for bound in BOUNDS_S), "+Inf"]
+    bounds = [*(f"{bound:g}" for bound in BUCKET_BOUNDS_S), "+Inf"]
     for bound, observed in zip(bounds, histogram.counts, strict=True):
         count += observed
         lines.append(f'{full}_bucket{{host="{host}",le="{bound}"}} {count}')
--- a/packages/node/src/tamarack_node/internal/timers.py
+++ b/packages/node/src/tamarack_node/internal/timers.py
@@ -5,12 +5,12 @@
 
 
 class TimerService:
-    """Fires named timers once; parts subscribe by name.
+    """Runs named one-shot timers.
 
     Attributes:
-        loop: Event loop that keeps the time.
-        fire: Called with the name of a timer that has run out.
-        running: Running timers by name.
+        loop: Event loop that runs the timers.
+        fire: Called with the name of a timer that has expired.
+        running: Handles of the running timers by name.
     """
 
     __slots__ = ("fire", "loop", "running")
@@ -18,28 +18,29 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, fire: Callable[[str], None]
     ) -> None:
-        """Creates the service.
+        """Initializes the timer service.
 
         Args:
-            loop: Event loop that keeps the time.
-            fire: Called with the name of a timer that has run out.
+            loop: Event loop that runs the timers.
+            fire: Called with the name of a timer that has expired.
         """
         self.loop = loop
         self.fire = fire
         self.running: dict[str, asyncio.TimerHandle] = {}
 
     def start(self, timer: str, delay_s: float) -> None:
-        """Starts a timer; a running timer of that name is replaced.
+        """Starts a timer; replaces a running timer of the same name.
 
         Args:
             timer: Name of the timer.
-            delay_s: Seconds from now; zero or less fires at once.
+            delay_s: Seconds from now; with zero or less the timer fires on the
+                next iteration of the event loop.
         """
         running = self.running.pop(timer, None)
         if running is not None:
             running.cancel()
         self.running[timer] = self.loop.call_later(
-            max(delay_s, 0.0), self._run_out, timer
+            max(delay_s, 0.0), self._expire, timer
         )
 
     def stop(self) -> None:
@@ -48,7 +49,7 @@
             handle.cancel()
         self.running.clear()
 
-    def _run_out(self, timer: str) -> None:
-        """Fires a timer that has run out."""
+    def _expire(self, timer: str) -> None:
+        """Fires a timer that has expired."""
         self.running.pop(timer, None)
         self.fire(timer)
--- a/packages/node/src/tamarack_node/light_disk.py
+++ b/packages/node/src/tamarack_node/light_disk.py
@@ -1,4 +1,4 @@
-"""The data folder of a control host that the light driver runs."""
+"""Data folder of a control host that the light driver runs."""
 
 import asyncio
 import logging
@@ -13,7 +13,7 @@
 from tamarack_node.internal.storage import folder as folders
 
 RETRY_S = 0.25
-"""Time between attempts to open a folder on a full disk, in seconds."""
+"""Time between attempts to open a folder, in seconds."""
 
 MS_PER_S = 1000
 
@@ -21,15 +21,17 @@
 async def open_folder(
     path: pathlib.Path, host: str, incarnation: str
 ) -> folders.DataFolder:
-    """Opens a data folder, or begins a new one where it is of no use.
+    """Opens a data folder, and replaces one that can't be used.
 
-    A folder that is damaged is emptied, and the host joins as a new member;
-    what it had acknowledged is held by the others.
+    While the disk is full or fails, opening is retried. After any other error,
+    such as damage, the folder is emptied and the host joins as a new member;
+    the other control hosts hold the data that it had acknowledged.
 
     Args:
         path: The folder.
         host: Name of this host.
-        incarnation: Incarnation of a new folder; drawn if empty.
+        incarnation: Incarnation of a new folder; drawn at random if empty or
+            if the folder had to be emptied.
     """
     while True:
         try:
@@ -47,7 +49,7 @@
 
 
 def disk_contents(folder: folders.DataFolder) -> disks.DiskContents:
-    """Returns what a data folder held when it was opened."""
+    """Returns the contents of a data folder at its opening."""
     return disks.DiskContents(
         folder.identity.incarnation,
         folder.contents.snapshot,
@@ -59,7 +61,7 @@
 def start_writer(
     folder: folders.DataFolder, driver: light_driver.LightDriver
 ) -> disk_writer.DiskWriter:
-    """Returns what writes to a folder and tells the driver."""
+    """Starts a writer for a folder that reports its results to the driver."""
     return disk_writer.DiskWriter(
         folder, driver.complete_write, driver.fail_write
     )
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -1,8 +1,8 @@
-"""Runs a host with little to load: cookie entry hosts and document control.
+"""Driver of cookie entry hosts and document control that loads quickly.
 
 `tamarack_node.internal.driver` serves the product's own interface with
-aiohttp and the OpenTelemetry SDK. Where a host has a quarter of a core and is
-restarted often, this driver carries out the same effects with less.
+aiohttp and the OpenTelemetry SDK. On hosts that have a quarter of a core and
+restart often, this driver executes the same effects without these libraries.
 """
 
 from __future__ import annotations
@@ -44,7 +44,9 @@
 HttpRequest = http1.HttpRequest
 HttpResponse = http1.HttpResponse
 
-DATAGRAMS_PER_TURN = 64
+DATAGRAMS_PER_READ = 64
+"""Datagrams handled in one iteration of the event loop."""
+
 RECEIVE_BYTES = 4096
 SOCKET_BUFFER_BYTES = 1024 * 1024
 TIMELINE_ENTRIES = 2_000
@@ -52,48 +54,49 @@
 METRICS_PATH = "/metrics"
 TIMELINE_PATH = "/v1/timeline"
 METRICS_DELAY_S = 1.0
-"""Time after the start at which the metrics open, in seconds."""
+"""Time after the start at which the metrics are served, in seconds."""
 EXIT_DISK_FAILED = 4
 
 METRICS_PORT = 9464
-"""Port of the metrics, on the address of the host; that of the OpenTelemetry
-exporter for Prometheus."""
+"""Port of the metrics, on the internal address of the host; the default port
+of the OpenTelemetry exporter for Prometheus."""
 
 
 class HttpCodec(Protocol):
-    """Translates between HTTP and the requests of the core."""
+    """Translates between HTTP and the requests and responses of the core."""
 
     def decode(
         self, request: http1.HttpRequest
     ) -> requests.Request | http1.HttpResponse:
-        """Returns the request of the core, or the answer that refuses it."""
+        """Returns the request of the core, or the response that refuses it."""
 
     def encode(
         self, request: http1.HttpRequest, response: requests.Response
     ) -> http1.HttpResponse:
-        """Returns the form of the answer to a request."""
+        """Returns the HTTP response for a response of the core."""
 
 
 class Writer(Protocol):
-    """Carries out writes; see `disk_writer.DiskWriter`."""
+    """Executes writes; see `disk_writer.DiskWriter`."""
 
     def write(
         self,
         effect: effects.Persist | effects.SaveSnapshot | effects.SaveTargets,
     ) -> None:
-        """Hands over a write."""
+        """Queues a write."""
 
     def close(self) -> None:
-        """Lets it end after the writes that wait."""
+        """Ends the writer after the queued writes."""
 
 
 class Addresses(msgspec.Struct, frozen=True):
-    """What a host listens on.
+    """Endpoints that a host listens on.
 
     Attributes:
-        internal: Messages of other hosts.
-        public: HTTP of the platform: readiness, or orders and announcements.
-        data: Packets; None on a control host.
+        internal: Endpoint of messages from other hosts.
+        public: Endpoint of HTTP for the platform: readiness on entry hosts;
+            publish requests and announcements on control hosts.
+        data: Endpoint of packets; None on a control host.
     """
 
     internal: peers.Endpoint
@@ -105,31 +108,32 @@
     """Runs one host.
 
     Attributes:
-        node: State of the host.
-        addresses: What the host listens on.
+        node: State of the host in the core.
+        addresses: Endpoints that the host listens on.
         entries: Newest entries of the time line.
         stopped: Resolves to the `Stop` effect that ends the process.
-        writer: Carries out writes; None on a host without a disk.
-        turn: Time that the handling of one batch of packets takes.
-        answers: Time that the answer of a request takes.
+        transport: Sends and receives messages of other hosts.
+        writer: Executes writes; None on a host without a disk.
+        packet_times: Times taken to handle one batch of packets.
+        request_times: Times taken to respond to a public request.
     """
 
     __slots__ = (
         "_data_socket",
-        "_dialect",
+        "_http_codec",
         "_listeners",
-        "_opening",
+        "_metrics_task",
         "_pending",
         "_probes",
         "_request_ids",
         "_timers",
         "addresses",
-        "answers",
         "entries",
         "node",
+        "packet_times",
+        "request_times",
         "stopped",
         "transport",
-        "turn",
         "writer",
     )
 
@@ -137,16 +141,16 @@
         self,
         node: reducer.Node,
         addresses: Addresses,
-        dialect: HttpCodec,
+        http_codec: HttpCodec,
         codec: envelopes.Codec,
     ) -> None:
-        """Creates a host that has not started.
+        """Initializes the driver; `run` starts the host.
 
         Args:
-            node: State of the host.
-            addresses: What the host listens on.
-            dialect: Translates HTTP.
-            codec: Translates envelopes.
+            node: State of the host in the core.
+            addresses: Endpoints that the host listens on.
+            http_codec: Translates HTTP to requests of the core.
+            codec: Encodes and decodes envelopes.
         """
         loop = asyncio.get_running_loop()
         self.node = node
@@ -156,8 +160,8 @@
         )
         self.stopped: asyncio.Future[effects.Stop] = loop.create_future()
         self.writer: Writer | None = None
-        self.turn = text_metrics.Histogram()
-        self.answers = text_metrics.Histogram()
+        self.packet_times = text_metrics.Histogram()
+        self.request_times = text_metrics.Histogram()
         self.transport = transport.Transport(
             node.context,
             self._handle_envelope,
@@ -165,20 +169,20 @@
             light_sender.LightSender(),
             codec,
         )
-        self._dialect = dialect
+        self._http_codec = http_codec
         self._timers = timers.TimerService(loop, self._handle_timer)
         self._pending: dict[int, asyncio.Future[requests.Response]] = {}
         self._probes: set[asyncio.Task[None]] = set()
         self._request_ids = itertools.count(1)
         self._data_socket: socket.socket | None = None
         self._listeners: list[http1.HttpListener] = []
-        self._opening: asyncio.Task[None] | None = None
+        self._metrics_task: asyncio.Task[None] | None = None
 
     async def run(self) -> effects.Stop:
         """Runs the host until it stops.
 
         Returns:
-            Why it stopped.
+            The reason of the stop and the exit code.
 
         Raises:
             OSError: A socket can't be bound.
@@ -192,7 +196,7 @@
             await self._close()
 
     def handle(self, event: events.Event) -> None:
-        """Applies an event and carries out the effects.
+        """Applies an event and executes the effects.
 
         Args:
             event: The event.
@@ -201,29 +205,29 @@
             if type(effect) is effects.SendDatagram:
                 self._send_datagram(effect)
             else:
-                self._carry_out(effect)
+                self._execute(effect)
 
     def complete_write(self, sequence: int) -> None:
-        """Tells the core that a write is synced.
+        """Notifies the core that a write is synced.
 
         Args:
-            sequence: Number of the write.
+            sequence: Sequence number of the write.
         """
         if not self.stopped.done():
             self.handle(events.WriteCompleted(time.monotonic(), sequence))
 
     def fail_write(self, error: Exception) -> None:
-        """Ends the process, as nobody knows what reached the disk.
+        """Ends the process, as it is unknown which data reached the disk.
 
         Args:
-            error: The error.
+            error: Error of the failed write.
         """
         fields = {"detail": str(error)}
         logs.event("write-failed", logging.CRITICAL, fields)
         self._finish(effects.Stop(EXIT_DISK_FAILED, str(error)))
 
     async def _open(self) -> None:
-        """Opens all sockets, those of packets first."""
+        """Opens all sockets, the one for packets first."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._request_stop)
         loop.add_signal_handler(signal.SIGINT, self._request_stop)
@@ -236,34 +240,34 @@
                 )
             loop.add_reader(self._data_socket, self._read_datagrams)
         self.transport.open(self.addresses.internal)
-        await self._listen(self.addresses.internal, self._answer_internal)
-        await self._listen(self.addresses.public, self._answer_public)
-        # Metrics wait until packets flow.
+        await self._listen(self.addresses.internal, self._handle_internal)
+        await self._listen(self.addresses.public, self._handle_public)
+        # The metrics are opened later, so that they don't delay packets.
         loop.call_later(METRICS_DELAY_S, self._open_metrics)
 
     def _open_metrics(self) -> None:
-        """Opens the metrics; a host runs on without them."""
+        """Starts to open the metrics; without them the host keeps running."""
         loop = asyncio.get_running_loop()
-        self._opening = loop.create_task(self._listen_for_metrics())
+        self._metrics_task = loop.create_task(self._listen_for_metrics())
 
     async def _listen_for_metrics(self) -> None:
-        """Opens the port of the metrics."""
+        """Opens the listener of the metrics; logs a failure."""
         address = self.addresses.internal.address
         try:
             await self._listen(
-                peers.Endpoint(address, METRICS_PORT), self._answer_metrics
+                peers.Endpoint(address, METRICS_PORT), self._handle_metrics
             )
         except OSError as error:
             log_event("metrics-unavailable", str(error))
 
-    async def _answer_metrics(
+    async def _handle_metrics(
         self, request: http1.HttpRequest
     ) -> http1.HttpResponse:
-        """Answers who reads metrics or the time line."""
+        """Handles a read of the metrics or the time line."""
         path, _, _ = request.path.partition("?")
         if request.method == "GET" and path == METRICS_PATH:
             return http1.HttpResponse(
-                200, self._metrics(), text_metrics.CONTENT_TYPE
+                200, self._render_metrics(), text_metrics.CONTENT_TYPE
             )
         if request.method == "GET" and path == TIMELINE_PATH:
             return http1.HttpResponse(200, timeline.encode(self.entries))
@@ -274,13 +278,13 @@
         endpoint: peers.Endpoint,
         handler: Callable[[http1.HttpRequest], Awaitable[http1.HttpResponse]],
     ) -> None:
-        """Opens one HTTP listener."""
+        """Opens an HTTP listener."""
         listener = http1.HttpListener(handler)
         await listener.open(endpoint.address, endpoint.port)
         self._listeners.append(listener)
 
     async def _close(self) -> None:
-        """Closes all sockets."""
+        """Cancels the timers and closes all sockets and the writer."""
         self._timers.stop()
         if self._data_socket is not None:
             asyncio.get_running_loop().remove_reader(self._data_socket)
@@ -296,41 +300,41 @@
         self.handle(events.StopRequested(time.monotonic()))
 
     def _read_datagrams(self) -> None:
-        """Handles the datagrams that have arrived, a bounded number."""
+        """Handles a bounded number of datagrams that have arrived."""
         data_socket = self._data_socket
         assert data_socket is not None
         now_s = time.monotonic()
-        for _ in range(DATAGRAMS_PER_TURN):
+        for _ in range(DATAGRAMS_PER_READ):
             try:
                 data = data_socket.recv(RECEIVE_BYTES)
             except (BlockingIOError, ConnectionRefusedError):
                 break
             self.handle(events.DatagramArrived(now_s, data))
-        self.turn.observe(time.monotonic() - now_s)
+        self.packet_times.observe(time.monotonic() - now_s)
 
     def _handle_envelope(
         self, envelope: envelopes.Envelope[messages.Message]
     ) -> None:
-        """Handles the messages of another host."""
+        """Handles the messages in an envelope from another host."""
         now_s = time.monotonic()
         for message in envelope.messages:
             self.handle(events.MessageArrived(now_s, envelope.sender, message))
 
     def _handle_timer(self, timer: str) -> None:
-        """Handles a timer that has run out."""
+        """Handles a timer that has expired."""
         self.handle(events.TimerFired(time.monotonic(), timer))
 
-    def _carry_out(self, effect: effects.Effect) -> None:
-        """Carries out an effect other than a datagram."""
+    def _execute(self, effect: effects.Effect) -> None:
+        """Executes an effect other than `SendDatagram`."""
         match effect:
             case effects.SendMessage(peer, message):
                 self.transport.send(peer, message)
             case effects.StartTimer(timer, delay_s):
                 self._timers.start(timer, delay_s)
             case effects.Respond(request_id, response):
-                answer = self._pending.get(request_id)
-                if answer is not None and not answer.done():
-                    answer.set_result(response)
+                future = self._pending.get(request_id)
+                if future is not None and not future.done():
+                    future.set_result(response)
             case effects.Record(entry):
                 self.entries.append(entry)
                 logs.entry(entry)
@@ -350,19 +354,19 @@
             case effects.Stop():
                 self._finish(effect)
             case _:
-                raise AssertionError(f"no driver for {type(effect)}")
+                raise AssertionError(f"unsupported effect: {type(effect)}")
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
-        """Asks a target for a connection, and tells the core."""
-        is_answered = await tcp_probe.accepts_connection(
+        """Probes a target and passes the result to the core."""
+        has_accepted = await tcp_probe.accepts_connection(
             effect, self.addresses.internal.address
         )
         self.handle(
-            events.TargetProbed(time.monotonic(), effect.target, is_answered)
+            events.TargetProbed(time.monotonic(), effect.target, has_accepted)
         )
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
-        """Sends a packet; a full socket buffer loses it."""
+        """Sends a packet; drops it if the socket buffer is full."""
         assert self._data_socket is not None and effect.endpoint is not None
         address = (effect.endpoint.address, effect.endpoint.port)
         try:
@@ -371,59 +375,66 @@
             self.node.context.counters["data-send-failed"] += 1
 
     def _finish(self, stop: effects.Stop) -> None:
-        """Ends the run."""
+        """Ends `run`, unless an earlier stop has ended it."""
         if not self.stopped.done():
             self.stopped.set_result(stop)
 
-    async def _answer_public(
+    async def _handle_public(
         self, request: http1.HttpRequest
     ) -> http1.HttpResponse:
-        """Answers the platform, operators and targets."""
-        began_s = time.monotonic()
-        decoded = self._dialect.decode(request)
+        """Handles a request of the platform, an operator or a target."""
+        started_s = time.monotonic()
+        decoded = self._http_codec.decode(request)
         if isinstance(decoded, http1.HttpResponse):
             self.node.context.counters["requests-refused"] += 1
             return decoded
-        reply = self._dialect.encode(request, await self._ask(decoded))
-        self.answers.observe(time.monotonic() - began_s)
-        return reply
+        response = self._http_codec.encode(
+            request, await self._handle_request(decoded)
+        )
+        self.request_times.observe(time.monotonic() - started_s)
+        return response
 
-    async def _ask(self, request: requests.Request) -> requests.Response:
-        """Hands a request to the reducer and waits for the response."""
+    async def _handle_request(
+        self, request: requests.Request
+    ) -> requests.Response:
+        """Passes a request to the reducer and returns the response."""
         request_id = next(self._request_ids)
         loop = asyncio.get_running_loop()
-        answer: asyncio.Future[requests.Response] = loop.create_future()
-        self._pending[request_id] = answer
+        future: asyncio.Future[requests.Response] = loop.create_future()
+        self._pending[request_id] = future
         try:
             self.handle(
                 events.RequestArrived(time.monotonic(), request_id, request)
             )
-            return await answer
+            return await future
         finally:
             del self._pending[request_id]
 
-    async def _answer_internal(
+    async def _handle_internal(
         self, request: http1.HttpRequest
     ) -> http1.HttpResponse:
-        """Answers other hosts."""
+        """Handles a request of another host: an envelope of messages."""
         call = (request.method, request.path)
         if call != ("POST", transport.MESSAGES_PATH):
             return http1.HttpResponse(404)
         self.transport.handle_bytes(request.body)
         return http1.HttpResponse(200)
 
-    def _metrics(self) -> bytes:
-        """Returns all metrics as text."""
+    def _render_metrics(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
         return text_metrics.render(
             self.node.context.host.host,
             self.node.context.counters,
             {"pending_requests": len(self._pending)},
-            {"packet_turn": self.turn, "request_answer": self.answers},
+            {
+                "packet_turn": self.packet_times,
+                "request_answer": self.request_times,
+            },
         )
 
 
 def set_up_log(level: str) -> None:
-    """Sends the log to standard output, bounded and never waited for.
+    """Configures logging to standard output, rate-limited and non-blocking.
 
     Args:
         level: Lowest level that is logged, such as `info`.
@@ -432,22 +443,22 @@
 
 
 def log_event(name: str, detail: str) -> None:
-    """Logs an event outside the core.
+    """Logs an event that occurs outside the core.
 
     Args:
         name: Constant name of the event.
-        detail: Sentence for the operator.
+        detail: Description for the operator.
     """
     logs.event(name, logging.INFO, {"detail": detail})
 
 
 def end_process(stop: effects.Stop) -> None:
-    """Logs why the process ends and ends it.
+    """Logs the reason of a stop and exits at once.
 
-    Threads that wait for a disk are not waited for.
+    Threads that are blocked on a disk are not joined.
 
     Args:
-        stop: Why it ends.
+        stop: The reason and the exit code.
     """
     logs.event("stopped", logging.INFO, {"reason": stop.reason})
     os._exit(stop.exit_code)
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -1,4 +1,4 @@
-"""Settings of `tamarackd`: a JSON file, checked as a whole."""
+"""Settings of `tamarackd`: loads and checks the JSON file."""
 
 import dataclasses
 import ipaddress
@@ -23,19 +23,20 @@
         host: Name that is unique in the system.
         domain: Failure domain of the host.
         roles: Roles of the host: entry, relay, control.
-        control: Address and port of HTTP and of messages between hosts.
+        control: Address and port of HTTP and of messages from other hosts.
         data: Address and port of Geneve; required for the entry role.
-        control_listen: Address and port to bind in place of `control`, when
-            other hosts reach this one by another address.
-        data_listen: Address and port to bind in place of `data`.
+        control_listen: Address and port to bind instead of `control`, if
+            other hosts reach this one at a translated address.
+        data_listen: Address and port to bind instead of `data`.
         fabric: Address and port of the fabric; required for the entry role.
-        peers: Other hosts that this host knows at its start.
+        peers: Other hosts that this host knows when it starts.
         data_folder: Folder of durable state; required for the control role.
-        voters: Names of the control hosts that found the system, the founder
-            first; by default a host with the control role founds it alone.
-        key_file: File of the keys that sign messages between hosts; without
-            one, messages carry no signature and none is asked for.
-        seed: Seed of the generator; chosen at random without one.
+        voters: Names of the control hosts that are the first voters of the
+            replicated log, beginning with the one that bootstraps it; by
+            default a host with the control role is the only voter.
+        key_file: File with the keys that sign messages between hosts; without
+            it, messages are neither signed nor verified.
+        seed: Seed of the random generator; drawn at random if None.
         log_level: Lowest level that is logged.
     """
 
@@ -55,14 +56,15 @@
     log_level: str = "info"
 
     def peer(self) -> peers_lib.Peer:
-        """Returns this host as other hosts reach it."""
+        """Returns this host with the endpoints that other hosts use."""
         return peers_lib.Peer(self.host, self.domain, self.control, self.data)
 
     def upstream_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the hosts to fetch the configuration from.
 
-        An entry host asks the relays of its failure domain, and without any
-        the control hosts. A relay is a peer without data that is no voter.
+        An entry host uses the relays of its failure domain, or the control
+        hosts if there are none. A relay is a peer without a data endpoint
+        that is not a voter.
         """
         if assembly.Role.CONTROL in self.roles:
             return ()
@@ -86,13 +88,13 @@
         return control
 
     def fallback_peers(self) -> tuple[peers_lib.Peer, ...]:
-        """Returns the hosts to ask as well when a relay is silent."""
+        """Returns the hosts to query as well if a source doesn't respond."""
         if assembly.Role.CONTROL in self.roles:
             return ()
         return tuple(peer for peer in self.peers if peer.host in self.voters)
 
     def voter_peers(self) -> tuple[peers_lib.Peer, ...]:
-        """Returns the control hosts that found the system, in order."""
+        """Returns the first voters of the replicated log, in order."""
         known = {peer.host: peer for peer in (*self.peers, self.peer())}
         is_alone = not self.voters and assembly.Role.CONTROL in self.roles
         names = (self.host,) if is_alone else self.voters
@@ -101,12 +103,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
-    """A bad setting.
+    """An invalid setting.
 
     Attributes:
         path: JSON path of the setting.
-        value: The value found.
-        fix: What to do.
+        value: The invalid value.
+        fix: How to correct it.
     """
 
     path: str
@@ -114,12 +116,12 @@
     fix: str
 
     def __str__(self) -> str:
-        """Returns one line for the operator."""
+        """Returns the error message, on one line."""
         return f"{self.path}: {self.value!r}: {self.fix}"
 
 
 def load(path: pathlib.Path) -> Settings | list[Problem]:
-    """Returns the settings in a file, or all that is wrong with them.
+    """Returns the settings in a file, or all problems found in it.
 
     Args:
         path: The settings file.
@@ -136,7 +138,7 @@
 
 
 def parse(document: Any) -> Settings | list[Problem]:
-    """Returns the settings in a decoded document, or all that is wrong.
+    """Returns the settings in a decoded document, or all its problems.
 
     Args:
         document: The decoded JSON.
@@ -152,7 +154,7 @@
 
 
 def _check_fields(document: dict[str, Any]) -> list[Problem]:
-    """Returns the fields that are unknown, missing or of a wrong type."""
+    """Returns the fields that are unknown, missing or of the wrong type."""
     fields = {field.name: field for field in msgspec.structs.fields(Settings)}
     problems = [
         Problem(f"$.{name}", document[name], "unknown setting; remove it")
@@ -172,7 +174,7 @@
 
 
 def _check_values(settings: Settings) -> list[Problem]:
-    """Returns the fields whose values don't go together."""
+    """Returns problems of values, alone and in combination."""
     problems = list(
         itertools.chain(
             _check_endpoint("$.control", settings.control),
@@ -198,7 +200,7 @@
 def _check_endpoint(
     path: str, endpoint: peers_lib.Endpoint | None
 ) -> list[Problem]:
-    """Returns what is wrong with an address and port."""
+    """Returns the problems of an address and port."""
     if endpoint is None:
         return []
     problems = []
@@ -214,7 +216,7 @@
 
 
 def _check_names(settings: Settings) -> list[Problem]:
-    """Returns what is wrong with names and the log level."""
+    """Returns the problems of names and the log level."""
     problems = [
         Problem(f"$.{name}", value, "use a non-empty name")
         for name, value in (
@@ -235,14 +237,14 @@
 
 
 def _check_roles(settings: Settings) -> list[Problem]:
-    """Returns what the roles of the host need and lack."""
+    """Returns the problems of the roles and of the settings they require."""
     problems = []
     if not settings.roles:
         fix = "name at least one of entry, relay, control"
         problems.append(Problem("$.roles", settings.roles, fix))
     if assembly.Role.ENTRY in settings.roles:
         problems.extend(
-            Problem(f"$.{name}", None, "the entry role needs this setting")
+            Problem(f"$.{name}", None, "the entry role requires this setting")
             for name, value in (
                 ("data", settings.data),
                 ("fabric", settings.fabric),
@@ -259,6 +261,6 @@
         fix = f"name at most {MAX_VOTERS} hosts"
         problems.append(Problem("$.voters", settings.voters, fix))
     if assembly.Role.CONTROL in settings.roles and not settings.data_folder:
-        fix = "the control role needs a folder"
+        fix = "set a folder; the control role requires one"
         problems.append(Problem("$.data_folder", "", fix))
     return problems
