--- a/packages/node/src/tamarack_node/internal/log_stream.py
+++ b/packages/node/src/tamarack_node/internal/log_stream.py
@@ -9,7 +9,7 @@
 BURST_LINES = 240.0
 """Lines that may be written at once after a time without lines."""
 
-BLOCKED_BYTES = 256 * 1024
+MAX_PENDING_BYTES = 256 * 1024
 """Bytes buffered while the reader does not read. Further lines are dropped
 once the buffer is larger."""
 
@@ -85,7 +85,7 @@
             self._allowance + (now_s - self._refilled_s) * LINES_PER_S,
         )
         self._refilled_s = now_s
-        if self._allowance < 1 or len(self._pending) > BLOCKED_BYTES:
+        if self._allowance < 1 or len(self._pending) > MAX_PENDING_BYTES:
             return False
         self._allowance -= 1
         return True
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -171,10 +171,10 @@
         return self._storage_error(errors.FULL, error)
 
     def _recover_creation(self, error: OSError) -> errors.StorageError:
-        """Returns the error of a file that could not be created.
+        """Returns the error of a failed file creation, after cleaning up.
 
-        The file in use is unchanged. The new one does not exist under its
-        final name, because it is renamed only after it was synced.
+        The file in use is unchanged, as a new file gets its final name only
+        once it is synced. Only the temporary file has to be removed.
         """
         if error.errno not in _FULL:
             return self._disk_error(error)
--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -54,7 +54,7 @@
     connection = socket.socket(family, socket.SOCK_STREAM)
     connection.setblocking(False)
 
-    def handle_connected() -> None:
+    def handle_writable() -> None:
         loop.remove_writer(connection)
         error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         _set_outcome(outcome, error)
@@ -66,7 +66,7 @@
     except OSError as os_error:
         error = os_error.errno or errno.EIO
     if error == errno.EINPROGRESS:
-        loop.add_writer(connection, handle_connected)
+        loop.add_writer(connection, handle_writable)
     else:
         _set_outcome(outcome, error)
     return connection
