--- a/packages/node/src/tamarack_node/internal/__init__.py
+++ b/packages/node/src/tamarack_node/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of the node package; not for use outside it."""
+"""Internal modules of the node package; not for use outside it."""
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -23,8 +23,9 @@
 """Time after which a connection without a complete request is closed."""
 
 MAX_CONNECTIONS = 3_000
-"""Open connections at once; further ones are aborted. With its limit of 4,096
-descriptors, a host can accept the announcements of as many targets."""
+"""Most connections open at once; further ones are aborted. A host with 4,096
+file descriptors can hold this many connections of targets that announce
+themselves."""
 
 KEEPALIVE_IDLE_S = 3
 KEEPALIVE_INTERVAL_S = 1
