--- a/packages/lab/src/tamarack_lab/attachment.py
+++ b/packages/lab/src/tamarack_lab/attachment.py
@@ -1,4 +1,4 @@
-"""Attaches a TCP stack to the fabric through one UDP socket."""
+"""Connects a user-space TCP stack to the fabric through one UDP socket."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,22 +13,22 @@
 
 ConnectionCallback = Callable[[connections.Connection], None]
 
-# A long batch would keep the loop from its timers and other sockets.
+# A longer batch would delay the timers and other sockets of the event loop.
 _BATCH_DATAGRAMS = 64
 
 
 class Attachment:
-    """Runs a stack on the loop.
+    """Runs a TCP stack on the event loop.
 
     Attributes:
         stack: The stack.
         fabric: Endpoint of the fabric.
-        endpoint: Own endpoint, once started.
+        endpoint: Endpoint of the UDP socket; the bound one after `start`.
         clock: Returns the monotonic time in seconds.
     """
 
     __slots__ = (
-        "_flush_due",
+        "_is_flush_scheduled",
         "_loop",
         "_socket",
         "_timer",
@@ -44,12 +44,12 @@
         fabric: peers.Endpoint,
         endpoint: peers.Endpoint,
     ) -> None:
-        """Creates an attachment that isn't started.
+        """Initializes an attachment that is not started.
 
         Args:
             stack: The stack to run.
             fabric: Endpoint of the fabric.
-            endpoint: Own endpoint; port 0 takes a free port.
+            endpoint: Endpoint to bind; port 0 selects a free port.
         """
         self.stack = stack
         self.fabric = fabric
@@ -58,20 +58,20 @@
         self.clock: Callable[[], float] = self._loop.time
         self._socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._flush_due = False
+        self._is_flush_scheduled = False
 
     def start(self) -> None:
-        """Binds the socket.
+        """Binds the socket and starts reading from it.
 
         Raises:
-            OSError: The endpoint can't be bound.
+            OSError: The endpoint cannot be bound.
         """
         self._socket = sockets.bind_datagram(self.endpoint)
         self.endpoint = sockets.endpoint_of(self._socket)
         self._loop.add_reader(self._socket.fileno(), self._read)
 
     def close(self) -> None:
-        """Closes the socket; connections end without a segment."""
+        """Closes the socket without sending a FIN or RST to any peer."""
         if self._timer is not None:
             self._timer.cancel()
         if self._socket is not None:
@@ -81,34 +81,38 @@
 
     def connect(
         self,
-        path: connections.FourTuple,
+        four_tuple: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
-        """Opens a connection; see `Stack.connect`."""
-        connection = self.stack.connect(self.clock(), path, application)
+        """Opens a connection, see `Stack.connect`."""
+        connection = self.stack.connect(self.clock(), four_tuple, application)
         self.schedule_flush()
         return connection
 
     def send_datagram(
-        self, path: connections.FourTuple, payload: bytes
+        self, four_tuple: connections.FourTuple, payload: bytes
     ) -> None:
-        """Sends UDP payload; it may be lost."""
-        self.stack.send_datagram(path, payload)
+        """Sends a UDP datagram without any delivery guarantee."""
+        self.stack.send_datagram(four_tuple, payload)
         self.schedule_flush()
 
     def flush_soon(self, connection: connections.Connection) -> None:
-        """Sends what an application has queued outside of `notify`."""
+        """Schedules the sending of data queued outside of `notify`.
+
+        Applications call this after they have used a connection in any other
+        place than `Application.notify`.
+        """
         self.stack.mark_changed(connection)
         self.schedule_flush()
 
     def schedule_flush(self) -> None:
-        """Flushes the stack in the next iteration of the loop."""
-        if not self._flush_due:
-            self._flush_due = True
+        """Flushes the stack in the next iteration of the event loop."""
+        if not self._is_flush_scheduled:
+            self._is_flush_scheduled = True
             self._loop.call_soon(self._flush)
 
     def _read(self) -> None:
-        """Reads the datagrams that have arrived."""
+        """Passes the next batch of received datagrams to the stack."""
         if self._socket is None:
             return
         now_s = self.clock()
@@ -119,8 +123,8 @@
         self._flush()
 
     def _flush(self) -> None:
-        """Sends what must leave and sets the timer."""
-        self._flush_due = False
+        """Sends all outgoing packets of the stack and sets the timer."""
+        self._is_flush_scheduled = False
         if self._socket is None:
             return
         fabric = (self.fabric.address, self.fabric.port)
@@ -140,7 +144,7 @@
             self._timer = self._loop.call_at(deadline_s, self._expire)
 
     def _expire(self) -> None:
-        """Handles the timers of the stack."""
+        """Handles the expired timers of the stack."""
         self._timer = None
         self.stack.expire(self.clock())
         self._flush()
--- a/packages/lab/src/tamarack_lab/caller/datagram_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/datagram_flow.py
@@ -58,23 +58,25 @@
         self._sent_at_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def open(self, path: connections.FourTuple) -> None:
+    def open(self, four_tuple: connections.FourTuple) -> None:
         """Sends the request."""
         self.counts.tried += 1
         self.counts.requests += 1
         self._sent_at_s = self._loop.time()
         handlers = self.attachment.stack.datagram_handlers
-        handlers[(path.address, path.port)] = self._receive
+        handlers[(four_tuple.address, four_tuple.port)] = self._receive
         request = exchange.Request(self.name, self.load.answer_bytes)
-        self.attachment.send_datagram(path, exchange.encode(request))
+        self.attachment.send_datagram(four_tuple, exchange.encode(request))
         self._timer = self._loop.call_later(
-            self.load.answer_timeout_s, self._miss, path
+            self.load.answer_timeout_s, self._time_out, four_tuple
         )
 
     def finish(self) -> None:
         """Does nothing; a request ends with its answer."""
 
-    def _receive(self, path: connections.FourTuple, payload: bytes) -> None:
+    def _receive(
+        self, four_tuple: connections.FourTuple, payload: bytes
+    ) -> None:
         """Judges an answer."""
         reader = exchange.LineReader(exchange.Answer)
         try:
@@ -84,10 +86,10 @@
         if not answers:
             self.counts.mixed_up += 1
         for answer in answers:
-            self._judge(path, answer)
+            self._check_answer(four_tuple, answer)
 
-    def _judge(
-        self, path: connections.FourTuple, answer: exchange.Answer
+    def _check_answer(
+        self, four_tuple: connections.FourTuple, answer: exchange.Answer
     ) -> None:
         """Counts an answer as right or wrong."""
         expected = (self.load.service, self.load.work_class)
@@ -100,17 +102,17 @@
             self.counts.completed += 1
             self.counts.answers += 1
             self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
-            self._end(path)
+            self._mark_over(four_tuple)
 
-    def _miss(self, path: connections.FourTuple) -> None:
+    def _time_out(self, four_tuple: connections.FourTuple) -> None:
         """Gives up on an answer that doesn't come."""
         self.counts.broken[verdict.unknown("no-answer")] += 1
-        self._end(path)
+        self._mark_over(four_tuple)
 
-    def _end(self, path: connections.FourTuple) -> None:
+    def _mark_over(self, four_tuple: connections.FourTuple) -> None:
         """Marks the outcome as counted."""
         self.is_over = True
         if self._timer is not None:
             self._timer.cancel()
         handlers = self.attachment.stack.datagram_handlers
-        handlers.pop((path.address, path.port), None)
+        handlers.pop((four_tuple.address, four_tuple.port), None)
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -20,8 +20,8 @@
 FIRST_PORT = 10_000
 LAST_PORT = 60_000
 _POLL_S = 0.05
-_FORGET_EVERY = 1000
-_KINDS: dict[
+_PRUNE_EVERY = 1000
+_FLOW_CLASSES: dict[
     configuration.Protocol,
     type[flows.StreamFlow] | type[datagram_flow.DatagramFlow],
 ] = {
@@ -42,7 +42,7 @@
 
     __slots__ = (
         "_flows",
-        "_paths",
+        "_four_tuples",
         "_random",
         "_runner",
         "attachment",
@@ -72,7 +72,7 @@
         self._runner: web.AppRunner | None = None
         _check(settings)
         packed = [ipaddress.ip_address(a).packed for a in settings.addresses]
-        self._paths = {
+        self._four_tuples = {
             size: itertools.cycle(
                 itertools.product(
                     range(FIRST_PORT, LAST_PORT),
@@ -142,13 +142,13 @@
     def _open(self, load: caller_settings.Load, counts: reports.Counts) -> None:
         """Opens a connection."""
         remote = ipaddress.ip_address(load.address).packed
-        port, address = next(self._paths[len(remote)])
-        path = connections.FourTuple(address, port, remote, load.port)
+        port, address = next(self._four_tuples[len(remote)])
+        four_tuple = connections.FourTuple(address, port, remote, load.port)
         name = f"{self.settings.seed}-{load.work_class}-{counts.tried}"
-        kind = _KINDS[load.protocol]
-        flow = kind(load, counts, self.attachment, name)
-        flow.open(path)
-        if not counts.tried % _FORGET_EVERY:
+        flow_class = _FLOW_CLASSES[load.protocol]
+        flow = flow_class(load, counts, self.attachment, name)
+        flow.open(four_tuple)
+        if not counts.tried % _PRUNE_EVERY:
             self._flows = [f for f in self._flows if not f.is_over]
         self._flows.append(flow)
 
--- a/packages/lab/src/tamarack_lab/caller/report.py
+++ b/packages/lab/src/tamarack_lab/caller/report.py
@@ -113,8 +113,8 @@
             opened=self.opened,
             completed=self.completed,
             open=self.unfinished,
-            broken=_name(self.broken),
-            refused=_name(self.refused),
+            broken=_by_verdict_text(self.broken),
+            refused=_by_verdict_text(self.refused),
             requests=self.requests,
             answers=self.answers,
             wrong_service=self.wrong_service,
@@ -124,13 +124,15 @@
         )
 
 
-def _name(counts: collections.Counter[verdict.Verdict]) -> dict[str, int]:
+def _by_verdict_text(
+    counts: collections.Counter[verdict.Verdict],
+) -> dict[str, int]:
     """Returns counts by the text form of the verdict."""
     return {f"{v.outcome}: {v.reason}": n for v, n in counts.items()}
 
 
-def _quantile(ordered: list[float], share: float) -> float:
+def _quantile(ordered: list[float], fraction: float) -> float:
     """Returns a quantile of sorted values; 0 without any."""
     if not ordered:
         return 0.0
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
--- a/packages/lab/src/tamarack_lab/caller/stream_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/stream_flow.py
@@ -25,7 +25,7 @@
         attachment: Carries the packets.
         name: Prefix of the request identifiers.
         connection: The connection; None before it is opened.
-        awaited: Identifier of the request without answer; empty for none.
+        pending_request: Identifier of the request without answer; empty for none.
         is_open: Whether the connection is established.
         is_over: Whether the outcome has been counted.
     """
@@ -37,13 +37,13 @@
         "_sent_at_s",
         "_timer",
         "attachment",
-        "awaited",
         "connection",
         "counts",
         "is_open",
         "is_over",
         "load",
         "name",
+        "pending_request",
     )
 
     def __init__(
@@ -66,7 +66,7 @@
         self.attachment = attachment
         self.name = name
         self.connection: connections.Connection | None = None
-        self.awaited = ""
+        self.pending_request = ""
         self.is_open = False
         self.is_over = False
         self._reader = exchange.LineReader(exchange.Answer)
@@ -75,14 +75,14 @@
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
 
-    def open(self, path: connections.FourTuple) -> None:
+    def open(self, four_tuple: connections.FourTuple) -> None:
         """Opens the connection."""
         self.counts.tried += 1
-        self.connection = self.attachment.connect(path, self)
+        self.connection = self.attachment.connect(four_tuple, self)
 
     def finish(self) -> None:
         """Closes a connection that has nothing outstanding."""
-        if self.connection is None or self.is_over or self.awaited:
+        if self.connection is None or self.is_over or self.pending_request:
             return
         # One that is still being established ends once it is.
         if self.is_open:
@@ -101,51 +101,51 @@
         elif event is ConnectionEvent.READABLE:
             self._read(connection)
         elif event is ConnectionEvent.REFUSED:
-            self._refuse("connection-refused")
+            self._count_refused("connection-refused")
         elif event is ConnectionEvent.TIMED_OUT and not connection.receiver:
-            self._refuse("no-answer-to-syn")
+            self._count_refused("no-answer-to-syn")
         elif event is not ConnectionEvent.WRITABLE:
-            self._break(connection, f"connection-{event}")
+            self._count_broken(connection, f"connection-{event}")
 
     def _send(self, connection: connections.Connection) -> None:
         """Sends the next request."""
         if self.is_over:
             return
-        self.awaited = f"{self.name}-{next(self._numbers)}"
+        self.pending_request = f"{self.name}-{next(self._numbers)}"
         self._sent_at_s = self._loop.time()
         self.counts.requests += 1
-        request = exchange.Request(self.awaited, self.load.answer_bytes)
+        request = exchange.Request(self.pending_request, self.load.answer_bytes)
         connection.write(exchange.encode(request))
         self.attachment.flush_soon(connection)
-        self._schedule(self.load.answer_timeout_s, self._miss, connection)
+        self._schedule(self.load.answer_timeout_s, self._time_out, connection)
 
     def _read(self, connection: connections.Connection) -> None:
         """Judges the answers that have arrived."""
         try:
             for answer in self._reader.feed(connection.read()):
-                self._judge(answer)
+                self._check_answer(answer)
         except msgspec.DecodeError:
             self.counts.mixed_up += 1
-            self._cut(connection, "unreadable-answer")
+            self._reset(connection, "unreadable-answer")
             return
-        if not self.awaited:
-            self._go_on(connection)
+        if not self.pending_request:
+            self._continue(connection)
 
-    def _judge(self, answer: exchange.Answer) -> None:
+    def _check_answer(self, answer: exchange.Answer) -> None:
         """Counts an answer as right or wrong."""
         expected = (self.load.service, self.load.work_class)
         if (answer.service, answer.work_class) != expected:
             self.counts.wrong_service += 1
             return
         is_whole = len(answer.filling) == self.load.answer_bytes
-        if answer.id != self.awaited or not is_whole:
+        if answer.id != self.pending_request or not is_whole:
             self.counts.mixed_up += 1
             return
         self.counts.answers += 1
         self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
-        self.awaited = ""
+        self.pending_request = ""
 
-    def _go_on(self, connection: connections.Connection) -> None:
+    def _continue(self, connection: connections.Connection) -> None:
         """Closes a bounded connection, or waits for the next request."""
         if self.load.lifetime is configuration.Lifetime.BOUNDED:
             self._complete(connection)
@@ -155,38 +155,40 @@
     def _complete(self, connection: connections.Connection) -> None:
         """Closes the connection in order."""
         self.counts.completed += 1
-        self._close()
+        self._mark_over()
         connection.finish()
         self.attachment.flush_soon(connection)
 
-    def _refuse(self, reason: str) -> None:
+    def _count_refused(self, reason: str) -> None:
         """Counts a connection that was never established."""
         self.is_over = True
         self.counts.refused[verdict.not_run(reason)] += 1
 
-    def _break(self, connection: connections.Connection, reason: str) -> None:
+    def _count_broken(
+        self, connection: connections.Connection, reason: str
+    ) -> None:
         """Counts a connection that was cut."""
-        self._close()
-        found = verdict.may_have_run(reason)
+        self._mark_over()
+        outcome = verdict.may_have_run(reason)
         if not connection.sent_payload:
-            found = verdict.not_run(reason)
-        self.counts.broken[found] += 1
+            outcome = verdict.not_run(reason)
+        self.counts.broken[outcome] += 1
         if connection.state is connections.State.CLOSE_WAIT:
             connection.finish()
             self.attachment.flush_soon(connection)
 
-    def _miss(self, connection: connections.Connection) -> None:
+    def _time_out(self, connection: connections.Connection) -> None:
         """Gives up on an answer that doesn't come."""
         if not self.is_over:
-            self._cut(connection, "no-answer")
+            self._reset(connection, "no-answer")
 
-    def _cut(self, connection: connections.Connection, reason: str) -> None:
+    def _reset(self, connection: connections.Connection, reason: str) -> None:
         """Resets the connection and counts it as broken."""
-        self._break(connection, reason)
+        self._count_broken(connection, reason)
         connection.abort()
         self.attachment.flush_soon(connection)
 
-    def _close(self) -> None:
+    def _mark_over(self) -> None:
         """Marks the outcome as counted."""
         self.is_over = True
         if self._timer is not None:
@@ -195,10 +197,10 @@
     def _schedule(
         self,
         delay_s: float,
-        call: attachments.ConnectionCallback,
+        callback: attachments.ConnectionCallback,
         connection: connections.Connection,
     ) -> None:
         """Replaces the timer."""
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._loop.call_later(delay_s, call, connection)
+        self._timer = self._loop.call_later(delay_s, callback, connection)
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -1,8 +1,8 @@
-"""Stand-in for the fabric: sprays packets over entry hosts.
+"""Stand-in for the network fabric, with ECMP-like spraying over entry hosts.
 
-A packet from a caller or a target goes to a random entry host of its failure
-domain. A packet from an entry host goes to the owner of its inner
-destination.
+A packet from a caller or a target is sent to a random entry host of its
+failure domain. A packet from an entry host is sent to the stand-in that owns
+the destination address of the inner packet.
 """
 
 import asyncio
@@ -27,13 +27,15 @@
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Owner of the addresses of a network.
+    """Assigns the addresses of a network to a stand-in.
 
     Attributes:
-        network: Addresses of callers or targets, in CIDR form; a single
-            address stands for itself.
-        endpoint: UDP endpoint of the stand-in that owns them.
-        domain: Failure domain over whose entry hosts its packets are sprayed.
+        network: Addresses of callers or targets in CIDR notation, or a single
+            address without prefix length.
+        endpoint: UDP endpoint of the stand-in that owns the addresses.
+        domain: Failure domain of the stand-in. Packets that it sends are
+            sprayed over the entry hosts of this domain, unless the service
+            that they are sent to names other domains.
     """
 
     network: str
@@ -46,8 +48,8 @@
 
     Attributes:
         address: IPv4 or IPv6 address.
-        domains: Failure domains whose entry hosts get the packets for it;
-            empty for the failure domain of the sender.
+        domains: Failure domains whose entry hosts receive packets for the
+            service. If empty, the failure domain of the sender is used.
     """
 
     address: str
@@ -58,9 +60,9 @@
     """Settings of the fabric.
 
     Attributes:
-        listen: Endpoint of Geneve over UDP.
-        http: Endpoint of the HTTP interface; None for none.
-        seed: Seed of the choice among entry hosts.
+        listen: UDP endpoint for Geneve packets.
+        http: Endpoint of the HTTP interface, or None to disable it.
+        seed: Seed for the random choice of entry hosts.
         domains: Data endpoints of the entry hosts by failure domain.
         services: Service addresses.
         routes: Owners of caller and target addresses.
@@ -75,7 +77,7 @@
 
 
 class AddressOwner(msgspec.Struct, frozen=True):
-    """Where packets for an address go.
+    """Stand-in that owns an address.
 
     Attributes:
         to: Socket address of the stand-in.
@@ -87,55 +89,55 @@
 
 
 class RoutingTable:
-    """Decides where a datagram goes.
+    """Determines the next hop of each datagram.
 
     Attributes:
-        random: Chooses among entry hosts.
-        entries: Entry hosts by failure domain.
-        known: Every entry host that has been in the table; one that is no
-            longer chosen may still have packets to send.
+        random: Random generator for the choice of entry hosts.
+        entry_hosts: Entry hosts that receive packets, by failure domain.
+        known_hosts: Every entry host that has ever been in the table. A host
+            that no longer receives packets may still have packets to send.
         services: Failure domains by service address.
-        networks: Owners by bits of an address, prefix length and network
+        prefixes: Owners by address length in bits, prefix length and network
             address.
-        owners: Owners already looked up, by address.
-        counters: Datagrams by what became of them.
+        owner_cache: Results of `find_owner` by address.
+        counters: Number of datagrams by outcome.
     """
 
     __slots__ = (
         "counters",
-        "entries",
-        "known",
-        "networks",
-        "owners",
+        "entry_hosts",
+        "known_hosts",
+        "owner_cache",
+        "prefixes",
         "random",
         "services",
     )
 
     def __init__(self, seed: int) -> None:
-        """Creates an empty table.
+        """Initializes an empty routing table.
 
         Args:
-            seed: Seed of the choice among entry hosts.
+            seed: Seed for the random choice of entry hosts.
         """
         self.random = random.Random(seed)
-        self.entries: dict[str, list[SocketAddress]] = {}
-        self.known: set[SocketAddress] = set()
+        self.entry_hosts: dict[str, list[SocketAddress]] = {}
+        self.known_hosts: set[SocketAddress] = set()
         self.services: dict[bytes, tuple[str, ...]] = {}
-        self.networks: dict[int, dict[int, dict[bytes, AddressOwner]]] = {}
-        self.owners: dict[bytes, AddressOwner | None] = {}
+        self.prefixes: dict[int, dict[int, dict[bytes, AddressOwner]]] = {}
+        self.owner_cache: dict[bytes, AddressOwner | None] = {}
         self.counters: collections.Counter[str] = collections.Counter()
 
     def set_entry_hosts(
         self, domain: str, endpoints: tuple[peers.Endpoint, ...]
     ) -> None:
         """Replaces the entry hosts of a failure domain."""
-        chosen = [(e.address, e.port) for e in endpoints]
-        self.entries[domain] = chosen
-        self.known.update(chosen)
+        addresses = [(e.address, e.port) for e in endpoints]
+        self.entry_hosts[domain] = addresses
+        self.known_hosts.update(addresses)
 
     def add_known_host(self, endpoint: peers.Endpoint) -> None:
-        """Adds an entry host that may send and isn't sprayed over so far."""
-        self.known.add((endpoint.address, endpoint.port))
+        """Adds an entry host that may send packets but receives none yet."""
+        self.known_hosts.add((endpoint.address, endpoint.port))
 
     def add_service(self, service: Service) -> None:
         """Adds a service address.
@@ -150,23 +152,23 @@
         """Adds or replaces the owner of a network.
 
         Raises:
-            ValueError: The network is not in CIDR form.
+            ValueError: The network is not in CIDR notation.
         """
         network = ipaddress.ip_network(route.network)
         packed = network.network_address.packed
         to = (route.endpoint.address, route.endpoint.port)
-        by_length = self.networks.setdefault(network.max_prefixlen, {})
+        by_length = self.prefixes.setdefault(network.max_prefixlen, {})
         same_length = by_length.setdefault(network.prefixlen, {})
         same_length[packed] = AddressOwner(to, route.domain)
-        self.owners.clear()
+        self.owner_cache.clear()
 
     def forward(
         self, data: bytes, source: SocketAddress
     ) -> SocketAddress | None:
-        """Returns where a datagram goes; None when it is dropped.
+        """Returns the next hop of a datagram, or None if it is dropped.
 
         Args:
-            data: The datagram, starting with the Geneve header.
+            data: Payload of the datagram, starting with the Geneve header.
             source: Socket address of the sender.
         """
         inner = geneve.decapsulate(data)
@@ -179,62 +181,62 @@
             sender, receiver = packet[12:16], packet[16:20]
         else:
             sender, receiver = packet[8:24], packet[24:40]
-        if source in self.known:
+        if source in self.known_hosts:
             return self._deliver(receiver)
         return self._spray(sender, receiver)
 
-    def owner(self, address: bytes) -> AddressOwner | None:
-        """Returns the owner of an address by longest prefix."""
-        if address not in self.owners:
-            self.owners[address] = self._look_up(address)
-        return self.owners[address]
+    def find_owner(self, address: bytes) -> AddressOwner | None:
+        """Returns the owner of an address, or None if no route matches."""
+        if address not in self.owner_cache:
+            self.owner_cache[address] = self._match_longest_prefix(address)
+        return self.owner_cache[address]
 
     def _deliver(self, receiver: bytes) -> SocketAddress | None:
-        """Returns the stand-in that owns an address."""
-        owner = self.owner(receiver)
+        """Returns the socket address of the owner of the destination."""
+        owner = self.find_owner(receiver)
         if owner is None:
             return self._drop("no-route")
         self.counters["delivered"] += 1
         return owner.to
 
     def _spray(self, sender: bytes, receiver: bytes) -> SocketAddress | None:
-        """Returns a random entry host for a packet of a stand-in."""
-        owner = self.owner(sender)
+        """Returns a random entry host for a packet from a stand-in."""
+        owner = self.find_owner(sender)
         if owner is None:
             return self._drop("unknown-source")
         domains = self.services.get(receiver)
-        if domains is None and self.owner(receiver) is None:
+        if domains is None and self.find_owner(receiver) is None:
             return self._drop("no-route")
         candidates = [
             entry
             for domain in domains or (owner.domain,)
-            for entry in self.entries.get(domain, ())
+            for entry in self.entry_hosts.get(domain, ())
         ]
         if not candidates:
             return self._drop("no-entry-host")
         self.counters["sprayed"] += 1
         return candidates[int(self.random.random() * len(candidates))]
 
-    def _look_up(self, address: bytes) -> AddressOwner | None:
-        """Returns the owner of an address, longest prefix first."""
+    def _match_longest_prefix(self, address: bytes) -> AddressOwner | None:
+        """Returns the owner of the longest prefix that matches an address."""
         bits = len(address) * 8
-        whole = int.from_bytes(address, "big")
-        by_length = self.networks.get(bits, {})
+        number = int.from_bytes(address, "big")
+        by_length = self.prefixes.get(bits, {})
         for length in sorted(by_length, reverse=True):
-            masked = whole >> (bits - length) << (bits - length)
-            found = by_length[length].get(masked.to_bytes(len(address), "big"))
-            if found is not None:
-                return found
+            masked = number >> (bits - length) << (bits - length)
+            owner = by_length[length].get(masked.to_bytes(len(address), "big"))
+            if owner is not None:
+                return owner
         return None
 
     def _drop(self, reason: str) -> SocketAddress | None:
-        """Counts a datagram that goes nowhere, and returns None."""
+        """Counts a dropped datagram by reason and returns None."""
         self.counters[reason] += 1
         return None
 
 
 def build_table(settings: Settings) -> RoutingTable:
-    """Returns the table that settings describe.
+    """Returns the routing table that the settings describe.
 
     Raises:
         ValueError: An address or a network is malformed.
@@ -250,21 +252,22 @@
 
 
 class Fabric:
-    """Runs a table over one UDP socket.
+    """Forwards datagrams over one UDP socket by a routing table.
 
     Attributes:
-        table: Decides where datagrams go.
-        endpoint: Own endpoint, once started.
-        http: Endpoint of the HTTP interface, once started; None for none.
+        table: Routing table.
+        endpoint: Endpoint of the UDP socket; the bound one after `start`.
+        http: Endpoint of the HTTP interface, the bound one after `start`;
+            None if it is disabled.
     """
 
     __slots__ = ("_runner", "_socket", "endpoint", "http", "table")
 
     def __init__(self, settings: Settings) -> None:
-        """Creates a fabric that isn't started.
+        """Initializes a fabric that is not started.
 
         Args:
-            settings: Its settings; port 0 takes a free port.
+            settings: Settings. Port 0 selects a free port.
 
         Raises:
             ValueError: An address or a network is malformed.
@@ -276,15 +279,15 @@
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
-        """Binds the sockets.
+        """Binds the sockets and starts forwarding.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self._socket = sockets.bind_datagram(self.endpoint)
         self.endpoint = sockets.endpoint_of(self._socket)
         loop = asyncio.get_running_loop()
-        loop.add_reader(self._socket.fileno(), self._read)
+        loop.add_reader(self._socket.fileno(), self._forward_arrived)
         if self.http is not None:
             served = await web_server.serve(self._application(), self.http)
             self._runner = served.runner
@@ -299,8 +302,8 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def _read(self) -> None:
-        """Forwards the datagrams that have arrived."""
+    def _forward_arrived(self) -> None:
+        """Forwards the next batch of received datagrams."""
         bound = self._socket
         if bound is None:
             return
@@ -311,7 +314,7 @@
                 sockets.send(bound, data, to)
 
     def _application(self) -> web.Application:
-        """Returns the HTTP interface."""
+        """Returns the application of the HTTP interface."""
         application = web.Application()
         application.router.add_get("/v1/state", self._read_state)
         application.router.add_put(
@@ -322,11 +325,11 @@
         return application
 
     async def _read_state(self, request: web.Request) -> web.Response:
-        """Answers with counters and entry hosts."""
+        """Responds with the counters and the entry hosts."""
         return web_server.answer(
             {
                 "counters": dict(self.table.counters),
-                "domains": self.table.entries,
+                "domains": self.table.entry_hosts,
             }
         )
 
@@ -338,7 +341,7 @@
         return web_server.answer({})
 
     async def _put_host(self, request: web.Request) -> web.Response:
-        """Adds an entry host that may send."""
+        """Adds an entry host that may send packets but receives none yet."""
         self.table.add_known_host(
             await web_server.read(request, peers.Endpoint)
         )
--- a/packages/lab/src/tamarack_lab/gateway/bridge.py
+++ b/packages/lab/src/tamarack_lab/gateway/bridge.py
@@ -10,9 +10,9 @@
 ConnectionEvent = connections.ConnectionEvent
 
 # Above this much unsent payload the ordinary side is not read any more.
-MOST_UNSENT_BYTES = 256 * 1024
+MAX_UNSENT_BYTES = 256 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_CUT = (
+_RESET_EVENTS = (
     ConnectionEvent.REFUSED,
     ConnectionEvent.RESET,
     ConnectionEvent.TIMED_OUT,
@@ -29,8 +29,8 @@
     """
 
     __slots__ = (
-        "_is_full",
-        "_is_lost",
+        "_is_aborted",
+        "_is_write_paused",
         "attachment",
         "connection",
         "transport",
@@ -45,8 +45,8 @@
         self.attachment = attachment
         self.connection: connections.Connection | None = None
         self.transport: asyncio.Transport | None = None
-        self._is_full = False
-        self._is_lost = False
+        self._is_write_paused = False
+        self._is_aborted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the ordinary side."""
@@ -55,14 +55,14 @@
         if self.connection is None:
             # A server that speaks first must wait for its caller.
             transport.pause_reading()
-        self._pass_on()
+        self._forward_payload()
 
     def data_received(self, data: bytes) -> None:
         """Passes payload of the ordinary side on."""
         if self.connection is None or self.transport is None:
             return
         self.connection.write(data)
-        if len(self.connection.sender.buffer) > MOST_UNSENT_BYTES:
+        if len(self.connection.sender.buffer) > MAX_UNSENT_BYTES:
             self.transport.pause_reading()
         self.attachment.flush_soon(self.connection)
 
@@ -84,19 +84,19 @@
 
     def abort(self) -> None:
         """Resets the side of the stand-ins, now or once it is known."""
-        self._is_lost = True
+        self._is_aborted = True
         if self.connection is not None:
             self.connection.abort()
             self.attachment.flush_soon(self.connection)
 
     def pause_writing(self) -> None:
         """Leaves payload unread, which closes the receive window."""
-        self._is_full = True
+        self._is_write_paused = True
 
     def resume_writing(self) -> None:
         """Reads payload again."""
-        self._is_full = False
-        self._pass_on()
+        self._is_write_paused = False
+        self._forward_payload()
 
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
@@ -104,21 +104,21 @@
         """Passes an occurrence at the side of the stand-ins on."""
         self.connection = connection
         if event is ConnectionEvent.CONNECTED:
-            self._start(connection)
+            self._start_reading(connection)
         elif event is ConnectionEvent.READABLE:
-            self._pass_on()
+            self._forward_payload()
         elif event is ConnectionEvent.WRITABLE:
-            self._read_again(connection)
+            self._resume_reading(connection)
         elif event is ConnectionEvent.ENDED:
-            self._pass_end_on()
-        elif event in _CUT:
-            self._cut()
+            self._forward_end()
+        elif event in _RESET_EVENTS:
+            self._reset_kernel_side()
         elif event is ConnectionEvent.CLOSED and self.transport is not None:
             self.transport.close()
 
-    def _start(self, connection: connections.Connection) -> None:
+    def _start_reading(self, connection: connections.Connection) -> None:
         """Reads the ordinary side once both sides are known."""
-        if self._is_lost:
+        if self._is_aborted:
             connection.abort()
         elif self.transport is not None:
             self.transport.resume_reading()
@@ -132,20 +132,20 @@
             and not receiver.unread
         )
 
-    def _pass_on(self) -> None:
+    def _forward_payload(self) -> None:
         """Writes the payload of the stand-ins to the ordinary side."""
         if self.connection is None or self.transport is None:
             return
         # One write may fill the transport; the rest then stays unread.
-        while not self._is_full:
+        while not self._is_write_paused:
             data = self.connection.read()
             if not data:
                 break
             self.transport.write(data)
         self.attachment.flush_soon(self.connection)
-        self._pass_end_on()
+        self._forward_end()
 
-    def _pass_end_on(self) -> None:
+    def _forward_end(self) -> None:
         """Ends the ordinary side once all payload has been written to it."""
         transport = self.transport
         if transport is None or self.connection is None:
@@ -156,19 +156,19 @@
         if self.connection.sender.is_closing:
             transport.close()
 
-    def _read_again(self, connection: connections.Connection) -> None:
+    def _resume_reading(self, connection: connections.Connection) -> None:
         """Reads the ordinary side again when there is room."""
         if self.transport is None or self.transport.is_closing():
             return
-        if len(connection.sender.buffer) <= MOST_UNSENT_BYTES // 2:
+        if len(connection.sender.buffer) <= MAX_UNSENT_BYTES // 2:
             self.transport.resume_reading()
 
-    def _cut(self) -> None:
+    def _reset_kernel_side(self) -> None:
         """Resets the ordinary side."""
         if self.transport is None:
             return
-        ordinary = self.transport.get_extra_info("socket")
-        ordinary.setsockopt(
+        kernel_socket = self.transport.get_extra_info("socket")
+        kernel_socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
         )
         self.transport.abort()
--- a/packages/lab/src/tamarack_lab/gateway/process.py
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -11,7 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import requests
 from tamarack_lab import attachment as attachments
-from tamarack_lab.gateway import bridge as joints
+from tamarack_lab.gateway import bridge as bridges
 from tamarack_lab.gateway import settings as gateway_settings
 from tamarack_lab.target import announcer as announcers
 from tamarack_lab.target import settings as target_settings
@@ -57,8 +57,8 @@
             OSError: An endpoint can't be bound.
         """
         self.attachment.start()
-        for door in self.settings.doors:
-            await self._listen(door)
+        for loopback_port in self.settings.doors:
+            await self._listen(loopback_port)
 
     async def close(self) -> None:
         """Closes all sockets."""
@@ -66,13 +66,15 @@
             server.close()
         self.attachment.close()
 
-    async def _listen(self, door: gateway_settings.LoopbackPort) -> None:
+    async def _listen(
+        self, loopback_port: gateway_settings.LoopbackPort
+    ) -> None:
         """Listens at one door."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerBridge(self, door),
-            door.listen.address,
-            door.listen.port,
+            lambda: CallerBridge(self, loopback_port),
+            loopback_port.listen.address,
+            loopback_port.listen.port,
         )
         self._servers.append(server)
         name = server.sockets[0].getsockname()
@@ -80,45 +82,47 @@
 
     def connect(
         self,
-        door: gateway_settings.LoopbackPort,
-        joint: joints.ConnectionBridge,
+        loopback_port: gateway_settings.LoopbackPort,
+        bridge: bridges.ConnectionBridge,
     ) -> connections.Connection:
         """Opens a connection to the service behind a door."""
-        path = connections.FourTuple(
+        four_tuple = connections.FourTuple(
             ipaddress.ip_address(self.settings.address).packed,
             next(self._ports),
-            ipaddress.ip_address(door.address).packed,
-            door.port,
+            ipaddress.ip_address(loopback_port.address).packed,
+            loopback_port.port,
         )
-        return self.attachment.connect(path, joint)
+        return self.attachment.connect(four_tuple, bridge)
 
 
-class CallerBridge(joints.ConnectionBridge):
+class CallerBridge(bridges.ConnectionBridge):
     """Joint that opens its connection when an ordinary one is accepted.
 
     Attributes:
         caller_side: The side that it belongs to.
-        door: Where the ordinary connection was accepted.
+        loopback_port: Where the ordinary connection was accepted.
     """
 
-    __slots__ = ("caller_side", "door")
+    __slots__ = ("caller_side", "loopback_port")
 
     def __init__(
-        self, caller_side: CallerSide, door: gateway_settings.LoopbackPort
+        self,
+        caller_side: CallerSide,
+        loopback_port: gateway_settings.LoopbackPort,
     ) -> None:
         """Creates a joint without sides.
 
         Args:
             caller_side: The side that it belongs to.
-            door: Where the ordinary connection is accepted.
+            loopback_port: Where the ordinary connection is accepted.
         """
         super().__init__(caller_side.attachment)
         self.caller_side = caller_side
-        self.door = door
+        self.loopback_port = loopback_port
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Opens the connection of the stand-ins."""
-        self.connection = self.caller_side.connect(self.door, self)
+        self.connection = self.caller_side.connect(self.loopback_port, self)
         super().connection_made(transport)
 
 
@@ -127,19 +131,19 @@
     """A target that hands its connections to ordinary servers.
 
     Attributes:
-        member: Address and failure domain.
+        spec: Address and failure domain.
     """
 
-    member: target_settings.TargetSpec
+    spec: target_settings.TargetSpec
 
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
         """Returns what the target announces."""
         return requests.Announce(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             incarnation=incarnation,
             lease_s=lease_s,
         )
@@ -171,7 +175,7 @@
         self.settings = settings
         self.attachment = attachment
         self.announcer = announcers.Announcer(
-            [GatewayTarget(member) for member in settings.targets],
+            [GatewayTarget(spec) for spec in settings.targets],
             dict(settings.entries),
             settings.lease_s,
             int(time.time()),
@@ -187,10 +191,10 @@
         """
         self.attachment.start()
         listeners = self.attachment.stack.listeners
-        for member in self.settings.targets:
-            packed = ipaddress.ip_address(member.address).packed
+        for spec in self.settings.targets:
+            packed = ipaddress.ip_address(spec.address).packed
             for server in self.settings.servers:
-                listener = _Listener(self, member.address, server)
+                listener = _Listener(self, spec.address, server)
                 listeners[(packed, server.port)] = listener.accept
         self._start_task(self.announcer.run())
 
@@ -200,31 +204,31 @@
             task.cancel()
         self.attachment.close()
 
-    def join(
+    def create_bridge(
         self, address: str, server: gateway_settings.RealServer
-    ) -> joints.ConnectionBridge:
+    ) -> bridges.ConnectionBridge:
         """Returns the joint of a new connection."""
         self.accepted[address] = self.accepted.get(address, 0) + 1
-        joint = joints.ConnectionBridge(self.attachment)
-        self._start_task(self._connect(joint, server))
-        return joint
+        bridge = bridges.ConnectionBridge(self.attachment)
+        self._start_task(self._connect(bridge, server))
+        return bridge
 
     async def _connect(
         self,
-        joint: joints.ConnectionBridge,
+        bridge: bridges.ConnectionBridge,
         server: gateway_settings.RealServer,
     ) -> None:
         """Connects a joint to its server, or resets its connection."""
         loop = asyncio.get_running_loop()
         to = server.connect
         try:
-            await loop.create_connection(lambda: joint, to.address, to.port)
+            await loop.create_connection(lambda: bridge, to.address, to.port)
         except OSError:
-            joint.abort()
+            bridge.abort()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine and keeps it until it is done."""
-        task = asyncio.create_task(work)
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -244,10 +248,10 @@
     server: gateway_settings.RealServer
 
     def accept(
-        self, path: connections.FourTuple, sequence: int
+        self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application:
         """Returns the joint of a new connection."""
-        return self.target_side.join(self.address, self.server)
+        return self.target_side.create_bridge(self.address, self.server)
 
 
 class GatewayProcess:
--- a/packages/lab/src/tamarack_lab/proxy/datagrams.py
+++ b/packages/lab/src/tamarack_lab/proxy/datagrams.py
@@ -11,8 +11,9 @@
 from tamarack_lab.proxy import faults as faults_lib
 from tamarack_lab.proxy import settings as proxy_settings
 
-# Senders beyond this many are not served, so that sockets stay bounded.
-MOST_SENDERS = 256
+# Each sender needs a socket. Datagrams of further senders are dropped, which
+# bounds the number of open sockets.
+MAX_SENDERS = 256
 _BATCH_DATAGRAMS = 64
 _ANY_PORT = 0
 
@@ -21,12 +22,12 @@
 
 @dataclasses.dataclass(slots=True)
 class ChannelPair:
-    """Both directions of a link, and the clock of the proxy.
+    """Both directions of a link, with the faults and the clock of the proxy.
 
     Attributes:
-        forward: From `listen` towards `to`.
-        back: The other direction.
-        faults: Faults in force.
+        forward: Direction from `listen` to `to`.
+        back: Direction from `to` to the sender.
+        faults: Fault injector, shared by all links of the proxy.
         clock: Returns the seconds since the start of the proxy.
     """
 
@@ -37,14 +38,14 @@
 
 
 class DatagramLink:
-    """Carries datagrams between two endpoints.
+    """Forwards datagrams between two endpoints.
 
     Attributes:
-        link: Settings.
+        link: Settings of the link.
         channels: Both directions.
-        listen: Where it listens, once started.
-        outward: Sockets towards `to`, by sender; the one key is None when
-            the link has a fixed outward endpoint.
+        listen: Endpoint to listen at; the bound one after `start`.
+        outward: Sockets that send to `to`, by sender. If the link has a fixed
+            outward endpoint, None is the only key.
     """
 
     __slots__ = ("_inward", "channels", "link", "listen", "outward")
@@ -52,10 +53,10 @@
     def __init__(
         self, link: proxy_settings.Link, channels: ChannelPair
     ) -> None:
-        """Creates a link that isn't started.
+        """Initializes a link that is not started.
 
         Args:
-            link: Settings.
+            link: Settings of the link.
             channels: Both directions.
         """
         self.link = link
@@ -68,7 +69,7 @@
         """Binds the sockets.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self._inward = sockets.bind_datagram(self.link.listen)
         self.listen = sockets.endpoint_of(self._inward)
@@ -79,7 +80,7 @@
             self._open_outward(None, self.link.outward, back_to)
 
     async def close(self) -> None:
-        """Closes the sockets; what is delayed is lost."""
+        """Closes the sockets; delayed datagrams are lost."""
         loop = asyncio.get_running_loop()
         bound = list(self.outward.values())
         if self._inward is not None:
@@ -91,49 +92,61 @@
             each.close()
 
     def _read_inward(self, inward: socket.socket) -> None:
-        """Passes datagrams forward."""
+        """Forwards the next batch of datagrams from `listen` to `to`."""
         to = (self.link.to.address, self.link.to.port)
         batch = sockets.drain_with_source(inward, _BATCH_DATAGRAMS)
         for data, sender in batch:
-            outward = self._outward_of(sender)
+            outward = self._outward_socket(sender)
             if outward is not None:
-                self._carry(self.channels.forward, outward, data, to, sender[0])
+                self._send_copies(
+                    self.channels.forward, outward, data, to, sender[0]
+                )
 
     def _read_outward(
         self, outward: socket.socket, back_to: SocketAddress
     ) -> None:
-        """Passes datagrams back."""
+        """Forwards the next batch of datagrams back to the sender."""
         for data in sockets.drain(outward, _BATCH_DATAGRAMS):
             if self._inward is not None:
-                self._carry(
+                self._send_copies(
                     self.channels.back, self._inward, data, back_to, back_to[0]
                 )
 
-    def _outward_of(self, sender: SocketAddress) -> socket.socket | None:
-        """Returns the socket for a sender; None when there are too many."""
+    def _outward_socket(self, sender: SocketAddress) -> socket.socket | None:
+        """Returns the outward socket of a sender, opening it if needed.
+
+        Returns:
+            The socket, or None if `MAX_SENDERS` sockets are open already.
+        """
         if self.link.outward is not None:
             return self.outward.get(None)
-        found = self.outward.get(sender)
-        if found is None and len(self.outward) < MOST_SENDERS:
-            place = peers.Endpoint(self.link.listen.address, _ANY_PORT)
-            found = self._open_outward(sender, place, sender)
-        return found
+        outward = self.outward.get(sender)
+        if outward is None and len(self.outward) < MAX_SENDERS:
+            endpoint = peers.Endpoint(self.link.listen.address, _ANY_PORT)
+            outward = self._open_outward(sender, endpoint, sender)
+        return outward
 
     def _open_outward(
         self,
         key: SocketAddress | None,
-        place: peers.Endpoint,
+        endpoint: peers.Endpoint,
         back_to: SocketAddress,
     ) -> socket.socket:
-        """Opens a socket towards `to`."""
-        outward = sockets.bind_datagram(place)
+        """Opens a socket that sends to `to` and receives the replies.
+
+        Args:
+            key: Key of the socket in `outward`.
+            endpoint: Endpoint to bind.
+            back_to: Destination of the datagrams received on the socket.
+        """
+        outward = sockets.bind_datagram(endpoint)
         self.outward[key] = outward
         asyncio.get_running_loop().add_reader(
             outward.fileno(), self._read_outward, outward, back_to
         )
         return outward
 
-    def _carry(
+    def _send_copies(
         self,
         channel: faults_lib.Channel,
         leaving: socket.socket,
@@ -141,7 +154,15 @@
         to: SocketAddress,
         sender: str,
     ) -> None:
-        """Sends the copies of a datagram that are not lost."""
+        """Sends the copies of a datagram that the faults leave, with delays.
+
+        Args:
+            channel: Direction of the datagram.
+            leaving: Socket to send from.
+            data: The datagram.
+            to: Destination.
+            sender: IP address of the end that sends to `listen`.
+        """
         send = functools.partial(sockets.send, leaving, data, to)
         loop = asyncio.get_running_loop()
         for delay_s in self.channels.faults.datagram_delays(
--- a/packages/lab/src/tamarack_lab/proxy/faults.py
+++ b/packages/lab/src/tamarack_lab/proxy/faults.py
@@ -1,4 +1,4 @@
-"""Decides what becomes of each datagram; seeded and without I/O."""
+"""Decisions on loss, delay and duplication; seeded and without I/O."""
 
 from collections.abc import Iterable
 import fnmatch
@@ -9,30 +9,34 @@
 Direction = proxy_settings.Direction
 Fault = proxy_settings.Fault
 
-# Data that TCP had to send again is late by about this much.
+# Approximate delay that a TCP retransmission adds to lost data.
 TCP_RETRANSMISSION_S = 0.2
 
 
 class Channel:
-    """One direction of a link, with a chance of its own.
+    """One direction of a link, with its own random generator.
 
-    What passes on one way doesn't change what becomes of the rest.
+    Because of the separate generator, the traffic of one channel does not
+    influence the faults of the others.
 
     Attributes:
         link: Name of the link.
         direction: The direction.
-        random: Seeded generator.
-        last_s: When the latest datagram in order leaves, in seconds.
-        passed: Datagrams or pieces of data passed on.
-        lost: Datagrams lost.
-        duplicated: Datagrams passed on twice.
-        reordered: Datagrams held back for later ones.
+        random: Generator seeded by the proxy's seed, the link and the
+            direction.
+        last_departure_s: Latest in-order departure time so far, in seconds
+            since the start of the proxy.
+        passed: Number of datagrams or stream chunks passed on.
+        lost: Number of datagrams or stream chunks that were hit by a loss.
+        duplicated: Number of datagrams sent twice.
+        reordered: Number of datagrams held back so that later ones overtake
+            them.
     """
 
     __slots__ = (
         "direction",
         "duplicated",
-        "last_s",
+        "last_departure_s",
         "link",
         "lost",
         "passed",
@@ -41,17 +45,17 @@
     )
 
     def __init__(self, seed: int, link: str, direction: Direction) -> None:
-        """Creates a way that nothing has passed.
+        """Initializes a channel without traffic.
 
         Args:
-            seed: Seed of the whole proxy.
+            seed: Seed of the proxy.
             link: Name of the link.
             direction: The direction.
         """
         self.link = link
         self.direction = direction
         self.random = random.Random(f"{seed}/{link}/{direction}")
-        self.last_s = 0.0
+        self.last_departure_s = 0.0
         self.passed = 0
         self.lost = 0
         self.duplicated = 0
@@ -59,29 +63,30 @@
 
 
 class FaultInjector:
-    """Faults in force over time.
+    """Applies a schedule of faults to datagrams and stream data.
 
     Attributes:
-        schedule: All faults.
+        schedule: All faults, active or not.
     """
 
     __slots__ = ("schedule",)
 
     def __init__(self, schedule: Iterable[Fault]) -> None:
-        """Takes a schedule.
+        """Initializes the injector.
 
         Args:
-            schedule: All faults; their times are those given to the methods.
+            schedule: All faults. Their times refer to the same clock as
+                `now_s` of the methods.
         """
         self.schedule = list(schedule)
 
     def active(
         self, channel: Channel, now_s: float, sender: str
     ) -> list[Fault]:
-        """Returns the faults of a way at a time.
+        """Returns the faults that apply to a channel at a given time.
 
         Args:
-            channel: The way.
+            channel: The channel.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
         """
@@ -98,7 +103,7 @@
     def is_partitioned(
         self, channel: Channel, now_s: float, sender: str
     ) -> bool:
-        """Returns True when nothing passes a way; see `active`."""
+        """Returns True if a partition blocks a channel; see `active`."""
         active = self.active(channel, now_s, sender)
         return any(fault.partition for fault in active)
 
@@ -108,73 +113,84 @@
         """Returns the delay of each copy of a datagram in seconds.
 
         Args:
-            channel: The way that it takes.
+            channel: Channel that carries it.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
 
         Returns:
-            No delay when the datagram is lost, two when it is duplicated.
+            An empty list if the datagram is lost, two delays if it is
+            duplicated, otherwise one delay.
         """
         active = self.active(channel, now_s, sender)
         if not active:
-            return self._pass(channel, now_s, 0.0)
+            return self._keep_order(channel, now_s, 0.0)
         if any(fault.partition for fault in active) or any(
-            _happens(channel, fault.loss) for fault in active
+            _draw(channel, fault.loss) for fault in active
         ):
             channel.lost += 1
             return []
-        delay_s = _delay(channel, active)
-        copies = self._pass(channel, now_s, delay_s)
-        held = [f for f in active if _happens(channel, f.reorder)]
+        delay_s = _total_delay(channel, active)
+        copies = self._keep_order(channel, now_s, delay_s)
+        held = [f for f in active if _draw(channel, f.reorder)]
         if held:
             channel.reordered += 1
             copies = [delay_s + max(f.reorder_s for f in held)]
-        if any(_happens(channel, fault.duplicate) for fault in active):
+        if any(_draw(channel, fault.duplicate) for fault in active):
             channel.duplicated += 1
-            copies.append(copies[0] + _delay(channel, active))
+            copies.append(copies[0] + _total_delay(channel, active))
         return copies
 
     def stream_delay(
         self, channel: Channel, now_s: float, sender: str
     ) -> float:
-        """Returns the delay of a piece of data on TCP in seconds.
+        """Returns the delay of a chunk of TCP data in seconds.
 
-        The delay of a partition is not part of it, since its end may change.
+        The delay does not include the rest of a partition, because the end of
+        the partition may still change.
 
         Args:
-            channel: The way that it takes.
+            channel: Channel that carries it.
             now_s: Seconds since the start of the proxy.
             sender: IP address of the end that sends forward.
         """
         active = self.active(channel, now_s, sender)
-        delay_s = _delay(channel, active)
-        if any(_happens(channel, fault.loss) for fault in active):
+        delay_s = _total_delay(channel, active)
+        if any(_draw(channel, fault.loss) for fault in active):
             channel.lost += 1
             delay_s += TCP_RETRANSMISSION_S
-        (delay_s,) = self._pass(channel, now_s, delay_s)
+        (delay_s,) = self._keep_order(channel, now_s, delay_s)
         return delay_s
 
-    def _pass(
+    def _keep_order(
         self, channel: Channel, now_s: float, delay_s: float
     ) -> list[float]:
-        """Returns a delay that keeps the order of a way."""
+        """Counts a passed item and returns its delay without reordering.
+
+        The delay is extended if the item would overtake an earlier one.
+        """
         channel.passed += 1
-        channel.last_s = max(channel.last_s, now_s + delay_s)
-        return [channel.last_s - now_s]
+        channel.last_departure_s = max(
+            channel.last_departure_s, now_s + delay_s
+        )
+        return [channel.last_departure_s - now_s]
 
 
 def _matches(text: str, patterns: tuple[str, ...]) -> bool:
-    """Returns True when a text matches one of some patterns."""
+    """Returns True if a text matches any of the glob patterns."""
     return any(fnmatch.fnmatchcase(text, pattern) for pattern in patterns)
 
 
-def _happens(channel: Channel, probability: float) -> bool:
-    """Returns True with a probability; draws only when it isn't certain."""
+def _draw(channel: Channel, probability: float) -> bool:
+    """Returns True with the given probability.
+
+    A probability of 0 consumes no random number, so that unused faults do not
+    change the sequence of the generator.
+    """
     return probability > 0.0 and channel.random.random() < probability
 
 
-def _delay(channel: Channel, active: list[Fault]) -> float:
-    """Returns the sum of the delays of some faults in seconds."""
+def _total_delay(channel: Channel, active: list[Fault]) -> float:
+    """Returns the sum of the fixed and random delays of faults in seconds."""
     return sum(
         fault.delay_s + fault.jitter_s * channel.random.random()
         if fault.jitter_s
--- a/packages/lab/src/tamarack_lab/proxy/process.py
+++ b/packages/lab/src/tamarack_lab/proxy/process.py
@@ -1,4 +1,4 @@
-"""The proxy, in a process of its own or inside a test."""
+"""The proxy, run by its own process or embedded in a test."""
 
 import asyncio
 from collections.abc import Sequence
@@ -16,13 +16,14 @@
 
 
 class Proxy:
-    """Carries links and brings about their faults.
+    """Forwards the traffic of links and injects faults.
 
     Attributes:
         settings: Settings.
-        faults: Faults in force; may be changed while running.
+        faults: Fault injector; its schedule may change while running.
         links: Links by name.
-        http: Endpoint of the HTTP interface, once started; None for none.
+        http: Endpoint of the HTTP interface, the bound one after `start`;
+            None if it is disabled.
     """
 
     __slots__ = (
@@ -36,13 +37,15 @@
     )
 
     def __init__(self, settings: proxy_settings.Settings) -> None:
-        """Creates a proxy that isn't started; needs a running loop.
+        """Initializes a proxy that is not started.
+
+        Requires a running event loop.
 
         Args:
             settings: Settings.
 
         Raises:
-            ValueError: A setting is bad.
+            ValueError: A setting is invalid.
         """
         proxy_settings.check(settings)
         self.settings = settings
@@ -54,10 +57,10 @@
         self.links = {link.name: self._build(link) for link in settings.links}
 
     async def start(self) -> None:
-        """Binds all sockets and starts the clock of the schedule.
+        """Binds all sockets and restarts the clock of the schedule.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         for link in self.links.values():
             await link.start()
@@ -75,19 +78,23 @@
             await self._runner.cleanup()
 
     def clock(self) -> float:
-        """Returns the seconds since the start."""
+        """Returns the seconds since the start of the proxy."""
         return self._loop.time() - self._started_s
 
     def endpoint(self, name: str) -> peers.Endpoint:
-        """Returns where a link listens."""
+        """Returns the endpoint at which a link listens."""
         return self.links[name].listen
 
     def set_faults(self, schedule: Sequence[proxy_settings.Fault]) -> None:
-        """Replaces all faults; their times count from the start."""
+        """Replaces all faults.
+
+        Args:
+            schedule: The new faults, with times since the start of the proxy.
+        """
         self.faults.schedule = list(schedule)
 
     def counters(self) -> dict[str, dict[str, int]]:
-        """Returns counts of each way, by link and direction."""
+        """Returns the counters of each channel, by link and direction."""
         return {
             f"{channel.link}/{channel.direction}": {
                 "passed": channel.passed,
@@ -102,7 +109,7 @@
     def _build(
         self, link: proxy_settings.Link
     ) -> datagrams.DatagramLink | streams.StreamLink:
-        """Returns a link."""
+        """Returns a link by its protocol, with new channels."""
         seed = self.settings.seed
         channels = datagrams.ChannelPair(
             faults_lib.Channel(seed, link.name, Direction.FORWARD),
@@ -115,14 +122,14 @@
         return streams.StreamLink(link, channels)
 
     def _application(self) -> web.Application:
-        """Returns the HTTP interface."""
+        """Returns the application of the HTTP interface."""
         application = web.Application()
         application.router.add_get("/v1/state", self._read_state)
         application.router.add_put("/v1/faults", self._put_faults)
         return application
 
     async def _read_state(self, request: web.Request) -> web.Response:
-        """Answers with the clock, the faults and the counters."""
+        """Responds with the clock, the faults and the counters."""
         return web_server.answer(
             {
                 "now_s": self.clock(),
--- a/packages/lab/src/tamarack_lab/proxy/settings.py
+++ b/packages/lab/src/tamarack_lab/proxy/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the proxy: links, and the schedule of their faults."""
+"""Settings of the proxy: links and the schedule of their faults."""
 
 import enum
 from typing import Annotated
@@ -19,14 +19,14 @@
 
 
 class Direction(enum.StrEnum):
-    """Direction on a link; forward is from `listen` towards `to`."""
+    """Direction on a link; forward is from `listen` to `to`."""
 
     FORWARD = "forward"
     BACK = "back"
 
 
 class Directions(enum.StrEnum):
-    """Directions that a fault concerns."""
+    """Directions that a fault applies to."""
 
     FORWARD = "forward"
     BACK = "back"
@@ -34,17 +34,18 @@
 
 
 class Link(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A way between two processes.
+    """A proxied connection between two processes.
 
     Attributes:
         name: Name that faults refer to.
         protocol: UDP or TCP.
-        listen: Where the proxy takes what goes forward.
-        to: Where that goes to.
-        outward: UDP endpoint that the proxy sends to `to` from, and where it
-            takes what goes back; None for a socket of its own for each
-            sender.
-        back_to: Where that goes to; required with `outward`.
+        listen: Endpoint at which the proxy receives forward traffic.
+        to: Destination of the forward traffic.
+        outward: UDP endpoint from which the proxy sends to `to`, and at which
+            it receives the traffic that goes back. If None, each sender gets
+            its own socket.
+        back_to: Destination of the traffic that goes back; required with
+            `outward`.
     """
 
     name: str
@@ -56,26 +57,29 @@
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What is wrong with some links for some time.
+    """Impairment of some links for a period of time.
 
     Attributes:
-        links: Names of links; `*` and `?` stand for any text and character.
-        senders: IP addresses of those who send to `listen`, with `*` and `?`
-            as above. What goes back to them is concerned as well.
-        direction: Directions concerned.
-        from_s: Start in seconds after the start of the proxy.
-        until_s: End in seconds after the start of the proxy; None for never.
-        loss: Probability that a datagram is lost. On TCP the data is late by
-            a retransmission timeout instead.
-        delay_s: Delay in seconds.
-        jitter_s: Highest random delay on top of that, in seconds. It doesn't
-            change the order.
+        links: Names of the affected links as glob patterns: `*` matches any
+            text and `?` any character.
+        senders: IP addresses of the affected ends that send to `listen`, as
+            glob patterns. Traffic back to these ends is affected as well.
+        direction: Affected directions.
+        from_s: Start, in seconds since the start of the proxy.
+        until_s: End, in seconds since the start of the proxy; None for no
+            end.
+        loss: Probability that a datagram is lost. TCP data is delayed by a
+            retransmission timeout instead.
+        delay_s: Fixed delay in seconds.
+        jitter_s: Upper bound of a random delay in addition to `delay_s`, in
+            seconds. Jitter does not reorder datagrams.
         duplicate: Probability that a datagram arrives twice; UDP only.
         reorder: Probability that a datagram is overtaken by later ones; UDP
             only.
-        reorder_s: Delay of such a datagram on top of others, in seconds.
-        partition: Whether nothing passes. No end is told: datagrams are lost,
-            and data on TCP waits for the end of the partition.
+        reorder_s: Additional delay of a reordered datagram in seconds.
+        partition: Whether all traffic is blocked. Neither end is notified:
+            datagrams are lost, and TCP data waits for the end of the
+            partition.
     """
 
     links: tuple[str, ...] = ("*",)
@@ -97,9 +101,10 @@
 
     Attributes:
         links: The links.
-        seed: Seed of all chance.
+        seed: Seed of all random decisions.
         schedule: Faults.
-        http: Endpoint to read counters and change faults at; None for none.
+        http: Endpoint of the HTTP interface, which shows the counters and
+            replaces the faults; None to disable it.
     """
 
     links: tuple[Link, ...]
@@ -109,20 +114,20 @@
 
 
 def check(settings: Settings) -> None:
-    """Checks what the types alone don't.
+    """Checks constraints that the types of the fields do not express.
 
     Raises:
-        ValueError: A value is bad; the message names it and the fix.
+        ValueError: A value is invalid. The message names it and the fix.
     """
     names = [link.name for link in settings.links]
     for index, link in enumerate(settings.links):
         path = f"$.links[{index}]"
         if names.index(link.name) != index:
-            raise ValueError(f"{path}.name {link.name!r}: use a name once")
+            raise ValueError(f"{path}.name {link.name!r}: use each name once")
         if (link.outward is None) != (link.back_to is None):
-            raise ValueError(f"{path}: give both outward and back_to, or none")
+            raise ValueError(f"{path}: set outward and back_to, or neither")
         if link.outward and link.protocol is Protocol.TCP:
-            raise ValueError(f"{path}.outward: only UDP links have it")
+            raise ValueError(f"{path}.outward: only UDP links support it")
     for index, fault in enumerate(settings.schedule):
         if fault.until_s is not None and fault.until_s < fault.from_s:
             raise ValueError(
--- a/packages/lab/src/tamarack_lab/proxy/streams.py
+++ b/packages/lab/src/tamarack_lab/proxy/streams.py
@@ -12,31 +12,32 @@
 from tamarack_lab.proxy import settings as proxy_settings
 
 _READ_BYTES = 65536
-# Pieces that wait for their delay; more are left in the sender's kernel.
-_MOST_WAITING = 64
+# Chunks that wait for their departure. Beyond this number, reading stops and
+# flow control keeps the data in the kernel of the sender.
+_MAX_QUEUED = 64
 _PARTITION_POLL_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Piece:
-    """Data on its way.
+class _Chunk:
+    """Stream data that waits for its departure.
 
     Attributes:
-        leave_s: When it leaves, in seconds since the start of the proxy.
+        departure_s: Departure time, in seconds since the start of the proxy.
         data: The data; empty for the end of the stream.
     """
 
-    leave_s: float
+    departure_s: float
     data: bytes
 
 
 class StreamLink:
-    """Carries TCP connections between two endpoints.
+    """Forwards TCP connections between two endpoints.
 
     Attributes:
-        link: Settings.
+        link: Settings of the link.
         channels: Both directions.
-        listen: Where it listens, once started.
+        listen: Endpoint to listen at; the bound one after `start`.
     """
 
     __slots__ = ("_server", "_tasks", "channels", "link", "listen")
@@ -44,10 +45,10 @@
     def __init__(
         self, link: proxy_settings.Link, channels: datagrams.ChannelPair
     ) -> None:
-        """Creates a link that isn't started.
+        """Initializes a link that is not started.
 
         Args:
-            link: Settings.
+            link: Settings of the link.
             channels: Both directions.
         """
         self.link = link
@@ -57,14 +58,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Listens.
+        """Starts to accept connections.
 
         Raises:
-            OSError: The endpoint can't be bound.
+            OSError: The endpoint cannot be bound.
         """
-        place = self.link.listen
+        listen = self.link.listen
         self._server = await asyncio.start_server(
-            self._accept, place.address, place.port
+            self._accept, listen.address, listen.port
         )
         name = self._server.sockets[0].getsockname()
         self.listen = peers.Endpoint(name[0], name[1])
@@ -80,65 +81,68 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Carries a new connection."""
-        self._start_task(self._carry(reader, writer))
+        """Starts to forward an accepted connection."""
+        self._start_task(self._forward(reader, writer))
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine and keeps it until it is done."""
-        task = asyncio.create_task(work)
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine and keeps a reference to its task until it ends."""
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _carry(
+    async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Carries one connection until both directions have ended."""
+        """Forwards one connection until both directions have ended."""
         sender: str = writer.get_extra_info("peername")[0]
-        await self._wait_open(self.channels.forward, sender)
-        await self._wait_open(self.channels.back, sender)
+        await self._wait_partition_end(self.channels.forward, sender)
+        await self._wait_partition_end(self.channels.back, sender)
         to = self.link.to
         with contextlib.suppress(OSError), contextlib.closing(writer):
-            far_reader, far_writer = await asyncio.open_connection(
+            remote_reader, remote_writer = await asyncio.open_connection(
                 to.address, to.port
             )
-            with contextlib.closing(far_writer):
+            with contextlib.closing(remote_writer):
                 async with asyncio.TaskGroup() as group:
                     group.create_task(
-                        self._pump(
-                            self.channels.forward, reader, far_writer, sender
+                        self._forward_direction(
+                            self.channels.forward, reader, remote_writer, sender
                         )
                     )
                     group.create_task(
-                        self._pump(
-                            self.channels.back, far_reader, writer, sender
+                        self._forward_direction(
+                            self.channels.back, remote_reader, writer, sender
                         )
                     )
 
-    async def _pump(
+    async def _forward_direction(
         self,
         channel: faults_lib.Channel,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         sender: str,
     ) -> None:
-        """Carries one direction; a reset is passed on as an end."""
-        waiting: asyncio.Queue[_Piece] = asyncio.Queue(_MOST_WAITING)
-        taking = asyncio.create_task(
-            self._take(channel, reader, waiting, sender)
+        """Forwards one direction of a connection.
+
+        A reset of the incoming side is forwarded as an end of stream.
+        """
+        queue: asyncio.Queue[_Chunk] = asyncio.Queue(_MAX_QUEUED)
+        reading = asyncio.create_task(
+            self._read_chunks(channel, reader, queue, sender)
         )
         try:
-            await self._give(channel, waiting, writer, sender)
+            await self._write_chunks(channel, queue, writer, sender)
         finally:
-            taking.cancel()
+            reading.cancel()
 
-    async def _take(
+    async def _read_chunks(
         self,
         channel: faults_lib.Channel,
         reader: asyncio.StreamReader,
-        waiting: asyncio.Queue[_Piece],
+        queue: asyncio.Queue[_Chunk],
         sender: str,
     ) -> None:
-        """Reads pieces and decides when they leave."""
+        """Reads chunks and queues them with their departure times."""
         while True:
             try:
                 data = await reader.read(_READ_BYTES)
@@ -146,44 +150,45 @@
                 data = b""
             now_s = self.channels.clock()
             delay_s = self.channels.faults.stream_delay(channel, now_s, sender)
-            await waiting.put(_Piece(now_s + delay_s, data))
+            await queue.put(_Chunk(now_s + delay_s, data))
             if not data:
                 return
 
-    async def _give(
+    async def _write_chunks(
         self,
         channel: faults_lib.Channel,
-        waiting: asyncio.Queue[_Piece],
+        queue: asyncio.Queue[_Chunk],
         writer: asyncio.StreamWriter,
         sender: str,
     ) -> None:
-        """Writes pieces when they are due and the way is open."""
+        """Writes each chunk once it is due and no partition blocks it."""
         while True:
-            piece = await waiting.get()
-            wait_s = piece.leave_s - self.channels.clock()
+            chunk = await queue.get()
+            wait_s = chunk.departure_s - self.channels.clock()
             if wait_s > 0.0:
                 await asyncio.sleep(wait_s)
-            await self._wait_open(channel, sender)
+            await self._wait_partition_end(channel, sender)
             try:
-                await _write(writer, piece.data)
+                await _write(writer, chunk.data)
             except OSError:
-                # The receiver is gone; closing its side ends the connection.
+                # The receiver has closed the connection. Closing the writer
+                # ends the other direction as well.
                 writer.close()
                 return
-            if not piece.data:
+            if not chunk.data:
                 return
 
-    async def _wait_open(
+    async def _wait_partition_end(
         self, channel: faults_lib.Channel, sender: str
     ) -> None:
-        """Waits for the end of a partition."""
+        """Waits until no partition blocks a channel."""
         channels = self.channels
         while channels.faults.is_partitioned(channel, channels.clock(), sender):
             await asyncio.sleep(_PARTITION_POLL_S)
 
 
 async def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Writes data, or the end of the stream if there is none."""
+    """Writes data, or ends the stream if the data is empty."""
     if not data:
         writer.write_eof()
         return
--- a/packages/lab/src/tamarack_lab/proxy/threaded_proxy.py
+++ b/packages/lab/src/tamarack_lab/proxy/threaded_proxy.py
@@ -1,4 +1,4 @@
-"""Runs a proxy beside code that has no event loop, such as a test."""
+"""Proxy in a background thread, for synchronous code such as tests."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -14,7 +14,7 @@
 
 
 class ThreadedProxy:
-    """A proxy on a loop in a thread of its own.
+    """Runs a proxy on an event loop in a separate thread.
 
     Attributes:
         settings: Settings.
@@ -23,7 +23,7 @@
     __slots__ = ("_loop", "_proxy", "_thread", "settings")
 
     def __init__(self, settings: proxy_settings.Settings) -> None:
-        """Creates a proxy that isn't started.
+        """Initializes a proxy that is not started.
 
         Args:
             settings: Settings.
@@ -37,21 +37,25 @@
 
     @property
     def proxy(self) -> process.Proxy:
-        """The running proxy."""
+        """The running proxy.
+
+        Raises:
+            RuntimeError: The proxy is not started.
+        """
         if self._proxy is None:
-            raise RuntimeError("the proxy isn't started; call start()")
+            raise RuntimeError("the proxy is not started; call start()")
         return self._proxy
 
     def start(self) -> None:
         """Starts the proxy.
 
         Raises:
-            OSError: An endpoint can't be bound.
-            ValueError: A setting is bad.
+            OSError: An endpoint cannot be bound.
+            ValueError: A setting is invalid.
         """
         self._thread.start()
         try:
-            self._wait(self._start())
+            self._run_on_loop(self._start())
         except BaseException:
             self.close()
             raise
@@ -59,25 +63,25 @@
     def close(self) -> None:
         """Closes the proxy and ends the thread."""
         if self._proxy is not None:
-            self._wait(self._proxy.close())
+            self._run_on_loop(self._proxy.close())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(_TIMEOUT_S)
         self._loop.close()
 
     def endpoint(self, name: str) -> peers.Endpoint:
-        """Returns where a link listens."""
+        """Returns the endpoint at which a link listens."""
         return self.proxy.endpoint(name)
 
     def set_faults(self, *schedule: proxy_settings.Fault) -> None:
-        """Replaces all faults; none at all heals every link."""
-        self._wait(self._set_faults(schedule))
+        """Replaces all faults; without arguments, removes them."""
+        self._run_on_loop(self._set_faults(schedule))
 
     def counters(self) -> dict[str, dict[str, int]]:
-        """Returns counts of each way, by link and direction."""
+        """Returns the counters of each channel, by link and direction."""
         return self.proxy.counters()
 
     async def _start(self) -> None:
-        """Starts the proxy on its loop."""
+        """Creates and starts the proxy on the event loop of the thread."""
         proxy = process.Proxy(self.settings)
         self._proxy = proxy
         await proxy.start()
@@ -85,9 +89,11 @@
     async def _set_faults(
         self, schedule: Sequence[proxy_settings.Fault]
     ) -> None:
-        """Replaces all faults on the loop."""
+        """Replaces all faults on the event loop of the thread."""
         self.proxy.set_faults(schedule)
 
-    def _wait(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine on the loop and waits for it."""
-        asyncio.run_coroutine_threadsafe(work, self._loop).result(_TIMEOUT_S)
+    def _run_on_loop(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine on the event loop of the thread and waits for it."""
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(
+            _TIMEOUT_S
+        )
--- a/packages/lab/src/tamarack_lab/target/announcer.py
+++ b/packages/lab/src/tamarack_lab/target/announcer.py
@@ -17,10 +17,10 @@
     """What can be announced.
 
     Attributes:
-        member: Address and failure domain of the target.
+        spec: Address and failure domain of the target.
     """
 
-    member: target_settings.TargetSpec
+    spec: target_settings.TargetSpec
 
     def announcement(
         self, lease_s: float, incarnation: int
@@ -47,7 +47,7 @@
 
     __slots__ = (
         "_changed",
-        "_turn",
+        "_rotation",
         "entries",
         "failures",
         "incarnation",
@@ -76,7 +76,7 @@
         self.incarnation = incarnation
         self.failures = 0
         self._changed = asyncio.Event()
-        self._turn = itertools.count()
+        self._rotation = itertools.count()
 
     def announce_now(self) -> None:
         """Announces now, as when a target has changed its state."""
@@ -115,15 +115,15 @@
         self, session: aiohttp.ClientSession, target: AnnouncedTarget
     ) -> bool:
         """Announces a target to the first entry host that accepts."""
-        entries = self.entries.get(target.member.domain, ())
+        entries = self.entries.get(target.spec.domain, ())
         if not entries:
             return False
         # The turn spreads renewals, and moves on when a host has died.
-        first = next(self._turn) % len(entries)
+        first = next(self._rotation) % len(entries)
         announcement = target.announcement(self.lease_s, self.incarnation)
         body = msgspec.json.encode(announcement)
         for entry in entries[first:] + entries[:first]:
-            if await _put(session, entry, target.member.address, body):
+            if await _put(session, entry, target.spec.address, body):
                 return True
         return False
 
--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -52,7 +52,7 @@
     """
 
     __slots__ = (
-        "_announcing",
+        "_announcer_task",
         "_runner",
         "announcer",
         "attachment",
@@ -76,7 +76,7 @@
             stack, settings.fabric, settings.listen
         )
         self.targets = {
-            member.address: self._build(member) for member in settings.targets
+            spec.address: self._build(spec) for spec in settings.targets
         }
         self.announcer = announcers.Announcer(
             list(self.targets.values()),
@@ -86,7 +86,7 @@
         )
         self.http = settings.http
         self._runner: web.AppRunner | None = None
-        self._announcing: asyncio.Task[None] | None = None
+        self._announcer_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Binds the sockets and announces the targets.
@@ -101,12 +101,12 @@
             served = await web_server.serve(self._application(), self.http)
             self._runner = served.runner
             self.http = served.endpoint
-        self._announcing = asyncio.create_task(self.announcer.run())
+        self._announcer_task = asyncio.create_task(self.announcer.run())
 
     async def drain(self) -> None:
         """Announces draining and waits until all connections have ended."""
         for target in self.targets.values():
-            target.enter(requests.TargetState.DRAINING)
+            target.set_state(requests.TargetState.DRAINING)
         self.announcer.announce_now()
         deadline_s = time.monotonic() + self.settings.drain_s
         while time.monotonic() < deadline_s:
@@ -116,8 +116,8 @@
 
     async def close(self) -> None:
         """Closes the sockets."""
-        if self._announcing is not None:
-            self._announcing.cancel()
+        if self._announcer_task is not None:
+            self._announcer_task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
         self.attachment.close()
@@ -126,16 +126,16 @@
         """Returns what each target has done."""
         return [target.report() for target in self.targets.values()]
 
-    def _build(self, member: target_settings.TargetSpec) -> servers.TargetServer:
+    def _build(self, spec: target_settings.TargetSpec) -> servers.TargetServer:
         """Returns a target."""
-        service = self.settings.services.get(member.service)
+        service = self.settings.services.get(spec.service)
         if service is None:
             raise ValueError(
-                f"target {member.address}: service {member.service!r} is not "
+                f"target {spec.address}: service {spec.service!r} is not "
                 "among $.services; add it there"
             )
         slots = work.Slots(service.slots, service.unit_s)
-        return servers.TargetServer(member, service, self.attachment, slots)
+        return servers.TargetServer(spec, service, self.attachment, slots)
 
     def _application(self) -> web.Application:
         """Returns the HTTP interface."""
@@ -164,12 +164,12 @@
     async def _read_health(self, request: web.Request) -> web.Response:
         """Answers with the health that a target states."""
         return web_server.answer(
-            {"healthy": self._target(request).stated_health()}
+            {"healthy": self._target(request).reported_health()}
         )
 
     async def _read_load(self, request: web.Request) -> web.Response:
         """Answers with the load that a target states."""
-        return web_server.answer({"load": self._target(request).stated_load()})
+        return web_server.answer({"load": self._target(request).reported_load()})
 
     async def _put_lie(self, request: web.Request) -> web.Response:
         """Makes a target lie, or tell the truth again."""
@@ -182,17 +182,17 @@
         """Changes the state that a target announces."""
         target = self._target(request)
         change = await web_server.read(request, StateChange)
-        target.enter(change.state)
+        target.set_state(change.state)
         self.announcer.announce_now()
         return web_server.answer({})
 
     async def _put_mute(self, request: web.Request) -> web.Response:
         """Makes a target lose all packets, or hear them again."""
         target = self._target(request)
-        order = await web_server.read(request, MuteCommand)
-        packed = ipaddress.ip_address(target.member.address).packed
+        command = await web_server.read(request, MuteCommand)
+        packed = ipaddress.ip_address(target.spec.address).packed
         muted = self.attachment.stack.muted
-        if order.muted:
+        if command.muted:
             muted.add(packed)
         else:
             muted.discard(packed)
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -18,7 +18,7 @@
 from tamarack_lab.tcp import connection as connections
 
 ConnectionEvent = connections.ConnectionEvent
-_ENDINGS = (
+_END_EVENTS = (
     ConnectionEvent.CLOSED,
     ConnectionEvent.RESET,
     ConnectionEvent.TIMED_OUT,
@@ -89,7 +89,7 @@
     """A target.
 
     Attributes:
-        member: Its address and failure domain.
+        spec: Its address and failure domain.
         service: Settings of its service.
         attachment: Carries its packets.
         slots: Runs its requests.
@@ -100,14 +100,14 @@
         refused: Connections refused because too many were open, each with
             the sequence number of its SYN; a late caller repeats a SYN whose
             refusal is on its way.
-        ran: How often each request ran, by identifier.
+        run_counts: How often each request ran, by identifier.
         request_counts: Requests run, by work class.
         work_units: Work units of all requests so far.
         draining_since_s: Monotonic time of the start of its drain, in seconds.
         late: Connections accepted while draining.
     """
 
-    member: target_settings.TargetSpec
+    spec: target_settings.TargetSpec
     service: target_settings.Service
     attachment: attachments.Attachment
     slots: work.Slots
@@ -120,7 +120,7 @@
     refused: set[tuple[connections.FourTuple, int]] = dataclasses.field(
         default_factory=set
     )
-    ran: collections.Counter[str] = dataclasses.field(
+    run_counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
     request_counts: collections.Counter[str] = dataclasses.field(
@@ -132,7 +132,7 @@
 
     def listen(self) -> None:
         """Accepts connections at all ports of the service."""
-        packed = ipaddress.ip_address(self.member.address).packed
+        packed = ipaddress.ip_address(self.spec.address).packed
         stack = self.attachment.stack
         for port in self.service.ports:
             listener = _Listener(self, port)
@@ -154,14 +154,14 @@
             request: The request.
             reply: Takes the encoded answer.
         """
-        self.ran[request.id] += 1
+        self.run_counts[request.id] += 1
         self.request_counts[port.work_class] += 1
         self.work_units += port.cost
         answer = exchange.Answer(
             id=request.id,
-            service=self.member.service,
+            service=self.spec.service,
             work_class=port.work_class,
-            target=self.member.address,
+            target=self.spec.address,
             filling="." * request.answer_bytes,
         )
         self.slots.submit(
@@ -173,61 +173,61 @@
     ) -> requests.Announce:
         """Returns what the target announces, lies included."""
         return requests.Announce(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             state=self.state,
             slots=self.service.slots,
             connections=self.service.connections,
             incarnation=incarnation,
             lease_s=lease_s,
-            load=self.stated_load(),
-            healthy=self.stated_health(),
+            load=self.reported_load(),
+            healthy=self.reported_health(),
         )
 
-    def stated_health(self) -> bool:
+    def reported_health(self) -> bool:
         """Returns the health that the target states."""
         return True if self.override.healthy is None else self.override.healthy
 
-    def stated_load(self) -> float:
+    def reported_load(self) -> float:
         """Returns the work units in use that the target states."""
         return self.slots.in_use if self.override.load is None else self.override.load
 
     def report(self) -> TargetReport:
         """Returns what the target has done."""
         return TargetReport(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             state=self.state,
             connections=self.open,
             opened=dict(self.opened),
             refused=len(self.refused),
             requests=dict(self.request_counts),
-            repeated=sum(1 for count in self.ran.values() if count > 1),
+            repeated=sum(1 for count in self.run_counts.values() if count > 1),
             work=self.work_units,
             in_use=self.slots.in_use,
             late=tuple(self.late),
         )
 
-    def enter(self, state: requests.TargetState) -> None:
+    def set_state(self, state: requests.TargetState) -> None:
         """Changes the state that is announced from now on."""
         if state is not self.state:
             self.draining_since_s = time.monotonic()
         self.state = state
 
-    def count_opening(
-        self, port: target_settings.Port, path: connections.FourTuple
+    def count_connection(
+        self, port: target_settings.Port, four_tuple: connections.FourTuple
     ) -> None:
         """Counts a connection, or a datagram that stands for one."""
         self.opened[port.work_class] += 1
         if self.state is requests.TargetState.READY:
             return
         after_s = time.monotonic() - self.draining_since_s
-        address = ipaddress.ip_address(path.remote_address)
+        address = ipaddress.ip_address(four_tuple.remote_address)
         self.late.append(
             LateConnection(
-                f"{address}:{path.remote_port}", port.work_class, after_s
+                f"{address}:{four_tuple.remote_port}", port.work_class, after_s
             )
         )
 
@@ -245,25 +245,25 @@
     port: target_settings.Port
 
     def accept(
-        self, path: connections.FourTuple, sequence: int
+        self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application | None:
         """Returns the application of a new connection; None to refuse."""
         if self.server.open >= self.server.service.connections:
-            self.server.refused.add((path, sequence))
+            self.server.refused.add((four_tuple, sequence))
             return None
         self.server.open += 1
-        self.server.count_opening(self.port, path)
+        self.server.count_connection(self.port, four_tuple)
         return _Session(self.server, self.port)
 
-    def answer(self, path: connections.FourTuple, payload: bytes) -> None:
+    def answer(self, four_tuple: connections.FourTuple, payload: bytes) -> None:
         """Answers the requests in a datagram; a malformed one is dropped."""
         reader = exchange.LineReader(exchange.Request)
         send = self.server.attachment.send_datagram
         try:
             for request in reader.feed(payload):
-                self.server.count_opening(self.port, path)
+                self.server.count_connection(self.port, four_tuple)
                 self.server.run(
-                    self.port, request, functools.partial(send, path)
+                    self.port, request, functools.partial(send, four_tuple)
                 )
         except msgspec.DecodeError:
             return
@@ -299,7 +299,7 @@
             self._read(connection)
         elif event is ConnectionEvent.ENDED:
             connection.finish()
-        elif event in _ENDINGS:
+        elif event in _END_EVENTS:
             self.server.open -= 1
 
     def _read(self, connection: connections.Connection) -> None:
--- a/packages/lab/src/tamarack_lab/tcp/connection.py
+++ b/packages/lab/src/tamarack_lab/tcp/connection.py
@@ -4,15 +4,15 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from tamarack_lab.tcp import receiver as receiving
+from tamarack_lab.tcp import receiver as receivers
 from tamarack_lab.tcp import segment as segments
-from tamarack_lab.tcp import sender as sending
+from tamarack_lab.tcp import sender as senders
 from tamarack_lab.tcp import sequence
 
 # Twice a maximum segment lifetime of 30 s.
 TIME_WAIT_S = 60.0
 # How many bytes of room an application must free before the peer is told.
-_WINDOW_UPDATE_BYTES = receiving.BUFFER_BYTES // 2
+_WINDOW_UPDATE_BYTES = receivers.BUFFER_BYTES // 2
 
 
 class FourTuple(NamedTuple):
@@ -89,7 +89,7 @@
     """A connection between two ends.
 
     Attributes:
-        path: Addresses and ports.
+        four_tuple: Addresses and ports.
         state: State by RFC 9293.
         sender: Sending half.
         receiver: Receiving half; None before the peer's SYN.
@@ -104,10 +104,10 @@
 
     __slots__ = (
         "application",
+        "four_tuple",
         "is_acknowledgment_due",
         "mss",
         "outgoing",
-        "path",
         "receiver",
         "sender",
         "sent_payload",
@@ -117,20 +117,24 @@
     )
 
     def __init__(
-        self, path: FourTuple, initial: int, mss: int, application: Application
+        self,
+        four_tuple: FourTuple,
+        initial: int,
+        mss: int,
+        application: Application,
     ) -> None:
         """Creates a closed connection.
 
         Args:
-            path: Addresses and ports.
+            four_tuple: Addresses and ports.
             initial: Initial sequence number, 32 bits.
             mss: Longest payload that this side accepts, in bytes.
             application: What uses the connection.
         """
-        self.path = path
+        self.four_tuple = four_tuple
         self.state = State.CLOSED
-        self.sender = sending.Sender(initial, mss)
-        self.receiver: receiving.Receiver | None = None
+        self.sender = senders.Sender(initial, mss)
+        self.receiver: receivers.Receiver | None = None
         self.application = application
         self.outgoing: list[segments.Segment] = []
         self.mss = mss
@@ -155,7 +159,7 @@
     def accept(self, now_s: float, syn: segments.Segment) -> None:
         """Opens the connection in answer to a SYN."""
         self.state = State.SYN_RECEIVED
-        self._start_receiving(syn)
+        self._create_receiver(syn)
         self.sender.open(now_s)
         self._send_syn()
 
@@ -167,9 +171,9 @@
         """Returns the payload received in order so far."""
         if self.receiver is None:
             return b""
-        room = self.receiver.window
+        window_before = self.receiver.window
         data = self.receiver.read()
-        if room < _WINDOW_UPDATE_BYTES <= self.receiver.window:
+        if window_before < _WINDOW_UPDATE_BYTES <= self.receiver.window:
             self.is_acknowledgment_due = True
         return data
 
@@ -183,27 +187,27 @@
     def abort(self) -> None:
         """Resets the connection; the application isn't told."""
         if self.state is not State.CLOSED:
-            self._emit(self.sender.next, segments.RST | segments.ACK)
+            self._queue_segment(self.sender.next, segments.RST | segments.ACK)
         self._close()
 
     def flush(self, now_s: float) -> list[segments.Segment]:
         """Returns all segments that may leave now."""
         if self.state not in (State.CLOSED, State.SYN_SENT, State.SYN_RECEIVED):
-            for chunk in self.sender.pull(now_s):
+            for chunk in self.sender.take_sendable(now_s):
                 self._send_chunk(chunk)
         if self.is_acknowledgment_due and self.state is not State.CLOSED:
-            self._emit(self.sender.highest, segments.ACK)
-        leaving = self.outgoing
+            self._queue_segment(self.sender.highest, segments.ACK)
+        outgoing = self.outgoing
         self.outgoing = []
-        return leaving
+        return outgoing
 
     def expire(self, now_s: float) -> None:
         """Handles a timer that has run out."""
         if self.time_wait_until_s is not None:
-            self._end(ConnectionEvent.CLOSED)
+            self._terminate(ConnectionEvent.CLOSED)
             return
-        if self.sender.retries >= sending.MAX_RETRIES:
-            self._end(ConnectionEvent.TIMED_OUT)
+        if self.sender.retries >= senders.MAX_RETRIES:
+            self._terminate(ConnectionEvent.TIMED_OUT)
             return
         chunks = self.sender.expire(now_s)
         if self.state in (State.SYN_SENT, State.SYN_RECEIVED):
@@ -223,40 +227,40 @@
     ) -> None:
         """Handles the answer to a SYN."""
         expected = self.sender.base & sequence.MASK
-        is_answer = bool(segment.flags & segments.ACK)
-        if is_answer and segment.acknowledgment != expected:
-            self._refuse(segment)
+        has_ack = bool(segment.flags & segments.ACK)
+        if has_ack and segment.acknowledgment != expected:
+            self._reset_half_open(segment)
             return
-        if not is_answer:
+        if not has_ack:
             return
         if segment.flags & segments.RST:
-            self._end(ConnectionEvent.REFUSED)
+            self._terminate(ConnectionEvent.REFUSED)
         elif segment.flags & segments.SYN:
-            self._start_receiving(segment)
+            self._create_receiver(segment)
             self.sender.acknowledge(
                 now_s, self.sender.base, segment.window, False
             )
             self._establish()
             self.is_acknowledgment_due = True
 
-    def _refuse(self, segment: segments.Segment) -> None:
+    def _reset_half_open(self, segment: segments.Segment) -> None:
         """Resets what is left of an earlier connection at the peer."""
         if not segment.flags & segments.RST:
-            self._emit(segment.acknowledgment, segments.RST)
+            self._queue_segment(segment.acknowledgment, segments.RST)
 
     def _receive_synchronized(
         self,
         now_s: float,
         segment: segments.Segment,
-        receiver: receiving.Receiver,
+        receiver: receivers.Receiver,
     ) -> None:
         """Handles a segment once both initial sequence numbers are known."""
         number = sequence.unwrap(segment.sequence, receiver.next)
         if not self._is_acceptable(number, segment, receiver):
             if not segment.flags & segments.RST:
-                self._emit(self.sender.highest, segments.ACK)
+                self._queue_segment(self.sender.highest, segments.ACK)
             if self.state is State.TIME_WAIT and segment.flags & segments.FIN:
-                self._wait(now_s)
+                self._enter_time_wait(now_s)
             return
         if segment.flags & segments.RST:
             self._receive_reset(number, receiver)
@@ -264,7 +268,7 @@
         if segment.flags & segments.SYN:
             # RFC 5961: a SYN in a synchronized state gets a challenge ACK. A
             # SYN that is sent again in SYN_RECEIVED falls outside the window.
-            self._emit(self.sender.highest, segments.ACK)
+            self._queue_segment(self.sender.highest, segments.ACK)
             return
         if not segment.flags & segments.ACK:
             return
@@ -276,7 +280,7 @@
         self,
         number: int,
         segment: segments.Segment,
-        receiver: receiving.Receiver,
+        receiver: receivers.Receiver,
     ) -> bool:
         """Returns True when a segment touches the receive window."""
         after = number + segment.length
@@ -287,12 +291,12 @@
             number <= receiver.next + receiver.window
         )
 
-    def _receive_reset(self, number: int, receiver: receiving.Receiver) -> None:
+    def _receive_reset(self, number: int, receiver: receivers.Receiver) -> None:
         """Handles a reset; only an exact one counts (RFC 5961)."""
         if number != receiver.next:
-            self._emit(self.sender.highest, segments.ACK)
+            self._queue_segment(self.sender.highest, segments.ACK)
             return
-        self._end(ConnectionEvent.RESET)
+        self._terminate(ConnectionEvent.RESET)
 
     def _receive_acknowledgment(
         self, now_s: float, segment: segments.Segment
@@ -305,13 +309,17 @@
                 return
             self._establish()
         before = sender.unacknowledged
-        was_finished = sender.is_closing and sender.is_acknowledged
+        was_finished = sender.is_closing and sender.is_all_acknowledged
         resent = sender.acknowledge(
             now_s, number, segment.window, not segment.length
         )
         for chunk in resent:
             self._send_chunk(chunk)
-        if sender.is_closing and sender.is_acknowledged and not was_finished:
+        if (
+            sender.is_closing
+            and sender.is_all_acknowledged
+            and not was_finished
+        ):
             self._receive_last_acknowledgment(now_s)
         elif sender.unacknowledged > before:
             self.application.notify(self, ConnectionEvent.WRITABLE)
@@ -320,16 +328,16 @@
         """Handles the acknowledgment of the own FIN."""
         self.state = _AFTER_FIN_ACKNOWLEDGED.get(self.state, self.state)
         if self.state is State.TIME_WAIT:
-            self._wait(now_s)
+            self._enter_time_wait(now_s)
         elif self.state is State.CLOSED:
-            self._end(ConnectionEvent.CLOSED)
+            self._terminate(ConnectionEvent.CLOSED)
 
     def _receive_payload(
         self,
         now_s: float,
         number: int,
         segment: segments.Segment,
-        receiver: receiving.Receiver,
+        receiver: receivers.Receiver,
     ) -> None:
         """Handles payload and FIN of a segment."""
         if not segment.length:
@@ -341,27 +349,27 @@
         else:
             # Each segment out of order is answered, so that the peer can
             # count duplicate acknowledgments.
-            self._emit(self.sender.highest, segments.ACK)
+            self._queue_segment(self.sender.highest, segments.ACK)
         if receiver.next == before:
             return
         if receiver.unread:
             self.application.notify(self, ConnectionEvent.READABLE)
         if receiver.is_finished:
-            self._receive_end(now_s)
+            self._receive_fin(now_s)
 
-    def _receive_end(self, now_s: float) -> None:
+    def _receive_fin(self, now_s: float) -> None:
         """Handles the FIN of the peer once all before it has arrived."""
         after = _AFTER_FIN_RECEIVED.get(self.state)
         if after is None:
             return
         self.state = after
         if after is State.TIME_WAIT:
-            self._wait(now_s)
+            self._enter_time_wait(now_s)
         self.application.notify(self, ConnectionEvent.ENDED)
 
-    def _start_receiving(self, syn: segments.Segment) -> None:
+    def _create_receiver(self, syn: segments.Segment) -> None:
         """Takes the peer's initial sequence number and segment size."""
-        self.receiver = receiving.Receiver(syn.sequence + 1)
+        self.receiver = receivers.Receiver(syn.sequence + 1)
         offered = syn.mss or segments.DEFAULT_MSS_BYTES
         self.sender.mss = min(self.sender.mss, offered)
         self.sender.window = syn.window
@@ -373,12 +381,12 @@
             self.state = State.FIN_WAIT_1
         self.application.notify(self, ConnectionEvent.CONNECTED)
 
-    def _wait(self, now_s: float) -> None:
+    def _enter_time_wait(self, now_s: float) -> None:
         """Enters TIME_WAIT."""
         self.sender.deadline_s = None
         self.time_wait_until_s = now_s + TIME_WAIT_S
 
-    def _end(self, event: ConnectionEvent) -> None:
+    def _terminate(self, event: ConnectionEvent) -> None:
         """Closes without a segment and tells the application."""
         self._close()
         self.application.notify(self, event)
@@ -394,9 +402,9 @@
         flags = segments.SYN
         if self.receiver is not None:
             flags |= segments.ACK
-        self._emit(self.sender.base - 1, flags, mss=self.mss)
+        self._queue_segment(self.sender.base - 1, flags, mss=self.mss)
 
-    def _send_chunk(self, chunk: sending.Chunk) -> None:
+    def _send_chunk(self, chunk: senders.Chunk) -> None:
         """Sends payload, a FIN or both."""
         flags = segments.ACK
         if chunk.payload:
@@ -404,25 +412,25 @@
             self.sent_payload = True
         if chunk.is_last:
             flags |= segments.FIN
-        self._emit(chunk.sequence, flags, chunk.payload)
+        self._queue_segment(chunk.sequence, flags, chunk.payload)
 
-    def _emit(
+    def _queue_segment(
         self, number: int, flags: int, payload: bytes = b"", mss: int = 0
     ) -> None:
         """Adds a segment to the outgoing ones."""
         receiver = self.receiver
-        path = self.path
+        four_tuple = self.four_tuple
         self.is_acknowledgment_due = False
         self.outgoing.append(
             segments.Segment(
-                path.address,
-                path.port,
-                path.remote_address,
-                path.remote_port,
+                four_tuple.address,
+                four_tuple.port,
+                four_tuple.remote_address,
+                four_tuple.remote_port,
                 number & sequence.MASK,
                 (receiver.next & sequence.MASK) if receiver else 0,
                 flags,
-                receiver.window if receiver else receiving.BUFFER_BYTES,
+                receiver.window if receiver else receivers.BUFFER_BYTES,
                 mss,
                 payload,
             )
--- a/packages/lab/src/tamarack_lab/tcp/receiver.py
+++ b/packages/lab/src/tamarack_lab/tcp/receiver.py
@@ -9,11 +9,11 @@
     Attributes:
         next: Next sequence number expected, unbounded.
         unread: Payload in order that the application has not read.
-        early: Payload that arrived out of order, by sequence number.
-        end: Sequence number of the peer's FIN; None before it has arrived.
+        out_of_order: Payload that arrived out of order, by sequence number.
+        fin_sequence: Sequence number of the peer's FIN; None before it has arrived.
     """
 
-    __slots__ = ("early", "end", "next", "unread")
+    __slots__ = ("fin_sequence", "next", "out_of_order", "unread")
 
     def __init__(self, first: int) -> None:
         """Starts to expect payload.
@@ -23,8 +23,8 @@
         """
         self.next = first
         self.unread = bytearray()
-        self.early: dict[int, bytes] = {}
-        self.end: int | None = None
+        self.out_of_order: dict[int, bytes] = {}
+        self.fin_sequence: int | None = None
 
     @property
     def window(self) -> int:
@@ -34,7 +34,7 @@
     @property
     def is_finished(self) -> bool:
         """True when everything up to the peer's FIN has arrived."""
-        return self.end is not None and self.next > self.end
+        return self.fin_sequence is not None and self.next > self.fin_sequence
 
     def accept(self, sequence: int, payload: bytes, is_last: bool) -> bool:
         """Takes the payload of a segment.
@@ -49,14 +49,14 @@
         """
         after = sequence + len(payload)
         if is_last:
-            self.end = after
+            self.fin_sequence = after
         in_order = sequence <= self.next
         # What lies beyond the window was sent in spite of it.
         if after > self.next and after <= self.next + self.window:
-            longest = self.early.get(sequence, b"")
+            longest = self.out_of_order.get(sequence, b"")
             if len(payload) > len(longest):
-                self.early[sequence] = payload
-        self._join()
+                self.out_of_order[sequence] = payload
+        self._reassemble()
         return in_order
 
     def read(self) -> bytes:
@@ -65,23 +65,23 @@
         self.unread.clear()
         return data
 
-    def _join(self) -> None:
+    def _reassemble(self) -> None:
         """Moves early payload that is now in order to the unread bytes."""
-        while self.early:
-            payload = self.early.pop(self.next, None)
+        while self.out_of_order:
+            payload = self.out_of_order.pop(self.next, None)
             if payload is None:
-                payload = self._overlapping()
+                payload = self._take_overlapping()
             if payload is None:
                 break
             self.unread += payload
             self.next += len(payload)
-        if self.end is not None and self.next == self.end:
+        if self.fin_sequence is not None and self.next == self.fin_sequence:
             self.next += 1
 
-    def _overlapping(self) -> bytes | None:
+    def _take_overlapping(self) -> bytes | None:
         """Takes early payload that starts before the expected number."""
-        for sequence in [s for s in self.early if s < self.next]:
-            payload = self.early.pop(sequence)[self.next - sequence :]
+        for sequence in [s for s in self.out_of_order if s < self.next]:
+            payload = self.out_of_order.pop(sequence)[self.next - sequence :]
             if payload:
                 return payload
         return None
--- a/packages/lab/src/tamarack_lab/tcp/segment.py
+++ b/packages/lab/src/tamarack_lab/tcp/segment.py
@@ -26,7 +26,7 @@
 _TIME_TO_LIVE = 64
 _MSS_OPTION_WORDS = 1
 _HEADER_WORDS = 5
-_UNREADABLE = (dpkt.Error, struct.error, IndexError, ValueError)
+_PARSE_ERRORS = (dpkt.Error, struct.error, IndexError, ValueError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,12 +80,12 @@
         opts=options,
         data=segment.payload,
     )
-    return wrap(
+    return encode_packet(
         segment.source, segment.destination, dpkt.ip.IP_PROTO_TCP, header
     )
 
 
-def wrap(
+def encode_packet(
     source: bytes, destination: bytes, protocol: int, header: dpkt.Packet
 ) -> bytes:
     """Returns an IP packet around a transport header, with checksums.
@@ -122,16 +122,16 @@
     Args:
         packet: A whole IP packet. Its checksums are verified.
     """
-    opened = unwrap(packet)
-    if isinstance(opened, failure.Failure):
-        return opened
-    header = opened.data
+    parsed = decode_packet(packet)
+    if isinstance(parsed, failure.Failure):
+        return parsed
+    header = parsed.data
     if not isinstance(header, dpkt.tcp.TCP):
         return failure.Failure("not-tcp")
     return Segment(
-        opened.src,
+        parsed.src,
         header.sport,
-        opened.dst,
+        parsed.dst,
         header.dport,
         header.seq,
         header.ack,
@@ -142,7 +142,7 @@
     )
 
 
-def unwrap(packet: bytes) -> dpkt.ip.IP | dpkt.ip6.IP6 | failure.Failure:
+def decode_packet(packet: bytes) -> dpkt.ip.IP | dpkt.ip6.IP6 | failure.Failure:
     """Returns the parsed IP packet with its transport header.
 
     Args:
@@ -152,33 +152,35 @@
         return failure.Failure("truncated")
     try:
         if packet[0] >> 4 == _IPV4_BYTES:
-            opened = dpkt.ip.IP(packet)
-            header_bytes = opened.hl * 4
+            parsed = dpkt.ip.IP(packet)
+            header_bytes = parsed.hl * 4
         else:
-            opened = dpkt.ip6.IP6(packet)
-            header_bytes = len(packet) - opened.plen
-    except _UNREADABLE as error:
+            parsed = dpkt.ip6.IP6(packet)
+            header_bytes = len(packet) - parsed.plen
+    except _PARSE_ERRORS as error:
         return failure.Failure("unreadable", str(error))
-    if isinstance(opened, dpkt.ip.IP) and dpkt.in_cksum(packet[:header_bytes]):
+    if isinstance(parsed, dpkt.ip.IP) and dpkt.in_cksum(packet[:header_bytes]):
         return failure.Failure("ip-checksum")
-    if not _is_sound(opened, packet[header_bytes:]):
+    if not _has_valid_checksum(parsed, packet[header_bytes:]):
         return failure.Failure("transport-checksum")
-    return opened
+    return parsed
 
 
-def _is_sound(opened: dpkt.ip.IP | dpkt.ip6.IP6, transport: bytes) -> bool:
+def _has_valid_checksum(
+    parsed: dpkt.ip.IP | dpkt.ip6.IP6, transport: bytes
+) -> bool:
     """Returns True when the checksum of a transport header is right."""
-    header = opened.data
+    header = parsed.data
     if isinstance(header, dpkt.udp.UDP) and header.sum == 0:
-        return isinstance(opened, dpkt.ip.IP)
+        return isinstance(parsed, dpkt.ip.IP)
     length = len(transport)
-    if isinstance(opened, dpkt.ip.IP):
+    if isinstance(parsed, dpkt.ip.IP):
         pseudo = struct.pack(
-            "!4s4sxBH", opened.src, opened.dst, opened.p, length
+            "!4s4sxBH", parsed.src, parsed.dst, parsed.p, length
         )
     else:
         pseudo = struct.pack(
-            "!16s16sIxxxB", opened.src, opened.dst, length, opened.nxt
+            "!16s16sIxxxB", parsed.src, parsed.dst, length, parsed.nxt
         )
     total = dpkt.dpkt.in_cksum_add(0, pseudo)
     total = dpkt.dpkt.in_cksum_add(total, transport)
@@ -192,5 +194,5 @@
     try:
         values = dict(dpkt.tcp.parse_opts(options))
         return int.from_bytes(values.get(dpkt.tcp.TCP_OPT_MSS, b""), "big")
-    except _UNREADABLE:
+    except _PARSE_ERRORS:
         return 0
--- a/packages/lab/src/tamarack_lab/tcp/sender.py
+++ b/packages/lab/src/tamarack_lab/tcp/sender.py
@@ -47,16 +47,16 @@
         highest: Highest sequence number sent so far, plus one.
         window: Receive window of the peer in bytes.
         congestion_window: Congestion window in bytes.
-        threshold: Slow start threshold in bytes.
+        slow_start_threshold: Slow start threshold in bytes.
         duplicates: Duplicate acknowledgments in a row.
         recovery_end: Where fast recovery ends; None outside of it.
         is_closing: Whether a FIN follows the buffer.
         rtt_s: Smoothed round-trip time in seconds; None before a sample.
-        variation_s: Variation of the round-trip time in seconds.
+        rtt_variation_s: Variation of the round-trip time in seconds.
         rto_s: Retransmission timeout in seconds.
         deadline_s: When the retransmission timer fires; None when stopped.
         retries: Timeouts in a row without progress.
-        timed: Sequence number whose round-trip time is measured.
+        timed_sequence: Sequence number whose round-trip time is measured.
         timed_at_s: When it was sent.
         retransmitted: Segments sent again.
     """
@@ -76,11 +76,11 @@
         "retries",
         "rto_s",
         "rtt_s",
-        "threshold",
-        "timed",
+        "rtt_variation_s",
+        "slow_start_threshold",
         "timed_at_s",
+        "timed_sequence",
         "unacknowledged",
-        "variation_s",
         "window",
     )
 
@@ -99,16 +99,16 @@
         self.highest = initial
         self.window = 0
         self.congestion_window = INITIAL_WINDOW_SEGMENTS * mss
-        self.threshold = 1 << 20
+        self.slow_start_threshold = 1 << 20
         self.duplicates = 0
         self.recovery_end: int | None = None
         self.is_closing = False
         self.rtt_s: float | None = None
-        self.variation_s = 0.0
+        self.rtt_variation_s = 0.0
         self.rto_s = INITIAL_RTO_S
         self.deadline_s: float | None = None
         self.retries = 0
-        self.timed: int | None = None
+        self.timed_sequence: int | None = None
         self.timed_at_s = 0.0
         self.retransmitted = 0
 
@@ -123,7 +123,7 @@
         return self.next - self.unacknowledged
 
     @property
-    def is_acknowledged(self) -> bool:
+    def is_all_acknowledged(self) -> bool:
         """True when the peer has everything, a FIN included."""
         return self.unacknowledged == self.end
 
@@ -131,19 +131,19 @@
         """Counts the SYN as sent."""
         self.next = self.base
         self.highest = self.base
-        self.timed = self.unacknowledged
+        self.timed_sequence = self.unacknowledged
         self.timed_at_s = now_s
         self.deadline_s = now_s + self.rto_s
 
-    def pull(self, now_s: float) -> Iterator[Chunk]:
+    def take_sendable(self, now_s: float) -> Iterator[Chunk]:
         """Yields the chunks that the windows let through."""
         limit = self.unacknowledged + min(self.window, self.congestion_window)
         while self.next < self.end:
             size = min(self.mss, limit - self.next)
             if size <= 0:
                 break
-            chunk = self._chunk(self.next, size)
-            self._count(now_s, chunk)
+            chunk = self._make_chunk(self.next, size)
+            self._record_sent(now_s, chunk)
             yield chunk
         # With a closed window only the timer can find out that it has opened.
         if self.deadline_s is None and self.next < self.end:
@@ -168,49 +168,49 @@
         if number > self.highest or number < self.unacknowledged:
             return []
         if number > self.unacknowledged:
-            return self._advance(now_s, number)
+            return self._acknowledge_new(now_s, number)
         if is_pure and same_window and self.in_flight:
-            return self._duplicate(now_s)
+            return self._acknowledge_duplicate(now_s)
         return []
 
     def expire(self, now_s: float) -> list[Chunk]:
         """Handles the retransmission timer.
 
         Returns:
-            Chunks to send again at once; the rest follows from `pull`.
+            Chunks to send again at once; the rest follows from `take_sendable`.
         """
         self.retries += 1
         self.rto_s = min(MAX_RTO_S, self.rto_s * 2)
         self.deadline_s = now_s + self.rto_s
-        self.timed = None
+        self.timed_sequence = None
         if self.unacknowledged < self.base:
             return []
         if not self.window:
-            return self._probe()
-        self.threshold = max(self.in_flight // 2, 2 * self.mss)
+            return self._probe_window()
+        self.slow_start_threshold = max(self.in_flight // 2, 2 * self.mss)
         self.congestion_window = self.mss
         self.recovery_end = None
         self.duplicates = 0
-        chunk = self._chunk(self.unacknowledged, self.mss)
-        self.next = self._after(chunk)
+        chunk = self._make_chunk(self.unacknowledged, self.mss)
+        self.next = self._end_of(chunk)
         self.highest = max(self.highest, self.next)
         self.retransmitted += 1
         return [chunk]
 
-    def _probe(self) -> list[Chunk]:
+    def _probe_window(self) -> list[Chunk]:
         """Returns one byte beyond a closed window."""
-        chunk = self._chunk(self.unacknowledged, 1)
+        chunk = self._make_chunk(self.unacknowledged, 1)
         # The probe stays outside of `next`, so that an open window sends the
         # byte again with what follows it.
-        self.highest = max(self.highest, self._after(chunk))
+        self.highest = max(self.highest, self._end_of(chunk))
         # The peer may keep its window closed for as long as it likes.
         self.retries = 0
         return [chunk]
 
-    def _advance(self, now_s: float, number: int) -> list[Chunk]:
+    def _acknowledge_new(self, now_s: float, number: int) -> list[Chunk]:
         """Takes an acknowledgment of something new."""
         acknowledged = number - self.unacknowledged
-        self._measure(now_s, number)
+        self._sample_round_trip(now_s, number)
         data_end = self.base + len(self.buffer)
         del self.buffer[: max(0, number - self.base)]
         self.base = min(max(self.base, number), data_end)
@@ -219,12 +219,14 @@
         self.duplicates = 0
         self.retries = 0
         self.deadline_s = now_s + self.rto_s if self.in_flight else None
-        return self._recover(number, acknowledged)
+        return self._update_congestion_window(number, acknowledged)
 
-    def _recover(self, number: int, acknowledged: int) -> list[Chunk]:
+    def _update_congestion_window(
+        self, number: int, acknowledged: int
+    ) -> list[Chunk]:
         """Grows the congestion window, or goes on with fast recovery."""
         if self.recovery_end is None:
-            if self.congestion_window < self.threshold:
+            if self.congestion_window < self.slow_start_threshold:
                 self.congestion_window += min(acknowledged, self.mss * 2)
             else:
                 gain = self.mss * acknowledged // self.congestion_window
@@ -232,12 +234,12 @@
             return []
         if number >= self.recovery_end:
             self.recovery_end = None
-            self.congestion_window = self.threshold
+            self.congestion_window = self.slow_start_threshold
             return []
         # A partial acknowledgment points at the next lost segment.
-        return self._resend()
+        return self._retransmit_first()
 
-    def _duplicate(self, now_s: float) -> list[Chunk]:
+    def _acknowledge_duplicate(self, now_s: float) -> list[Chunk]:
         """Takes a duplicate acknowledgment."""
         self.duplicates += 1
         if self.recovery_end is not None:
@@ -245,53 +247,55 @@
             return []
         if self.duplicates < DUPLICATE_THRESHOLD:
             return []
-        self.threshold = max(self.in_flight // 2, 2 * self.mss)
-        self.congestion_window = self.threshold
+        self.slow_start_threshold = max(self.in_flight // 2, 2 * self.mss)
+        self.congestion_window = self.slow_start_threshold
         self.recovery_end = self.next
         self.deadline_s = now_s + self.rto_s
-        return self._resend()
+        return self._retransmit_first()
 
-    def _resend(self) -> list[Chunk]:
+    def _retransmit_first(self) -> list[Chunk]:
         """Returns the first chunk without acknowledgment."""
-        self.timed = None
+        self.timed_sequence = None
         self.retransmitted += 1
-        return [self._chunk(self.unacknowledged, self.mss)]
+        return [self._make_chunk(self.unacknowledged, self.mss)]
 
-    def _measure(self, now_s: float, number: int) -> None:
+    def _sample_round_trip(self, now_s: float, number: int) -> None:
         """Takes a sample of the round-trip time (RFC 6298)."""
-        if self.timed is None or number <= self.timed:
+        if self.timed_sequence is None or number <= self.timed_sequence:
             return
         sample_s = now_s - self.timed_at_s
-        self.timed = None
+        self.timed_sequence = None
         if self.rtt_s is None:
             self.rtt_s = sample_s
-            self.variation_s = sample_s / 2
+            self.rtt_variation_s = sample_s / 2
         else:
             error_s = abs(self.rtt_s - sample_s)
-            self.variation_s += _VARIATION_GAIN * (error_s - self.variation_s)
+            self.rtt_variation_s += _VARIATION_GAIN * (
+                error_s - self.rtt_variation_s
+            )
             self.rtt_s += _RTT_GAIN * (sample_s - self.rtt_s)
-        rto_s = self.rtt_s + _VARIATION_FACTOR * self.variation_s
+        rto_s = self.rtt_s + _VARIATION_FACTOR * self.rtt_variation_s
         self.rto_s = min(MAX_RTO_S, max(MIN_RTO_S, rto_s))
 
-    def _chunk(self, sequence: int, size: int) -> Chunk:
+    def _make_chunk(self, sequence: int, size: int) -> Chunk:
         """Returns a chunk of the buffer."""
         start = sequence - self.base
         payload = bytes(self.buffer[start : start + size])
         is_last = self.is_closing and start + len(payload) == len(self.buffer)
         return Chunk(sequence, payload, is_last)
 
-    def _after(self, chunk: Chunk) -> int:
+    def _end_of(self, chunk: Chunk) -> int:
         """Returns the sequence number after a chunk."""
         return chunk.sequence + len(chunk.payload) + chunk.is_last
 
-    def _count(self, now_s: float, chunk: Chunk) -> None:
+    def _record_sent(self, now_s: float, chunk: Chunk) -> None:
         """Counts a chunk as sent."""
         if chunk.sequence < self.highest:
             self.retransmitted += 1
-        elif self.timed is None:
-            self.timed = chunk.sequence
+        elif self.timed_sequence is None:
+            self.timed_sequence = chunk.sequence
             self.timed_at_s = now_s
-        self.next = self._after(chunk)
+        self.next = self._end_of(chunk)
         self.highest = max(self.highest, self.next)
         if self.deadline_s is None:
             self.deadline_s = now_s + self.rto_s
--- a/packages/lab/src/tamarack_lab/tcp/stack.py
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -77,38 +77,38 @@
     def connect(
         self,
         now_s: float,
-        path: connections.FourTuple,
+        four_tuple: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
         """Opens a connection.
 
         Args:
             now_s: Monotonic time in seconds.
-            path: Addresses and ports; not in use by another connection.
+            four_tuple: Addresses and ports; not in use by another connection.
             application: What uses the connection.
         """
-        connection = self._create(path, application)
+        connection = self._create(four_tuple, application)
         connection.connect(now_s)
         return connection
 
     def mark_changed(self, connection: connections.Connection) -> None:
         """Marks a connection that was used outside of `notify`."""
-        self.changed[connection.path] = connection
+        self.changed[connection.four_tuple] = connection
 
     def send_datagram(
-        self, path: connections.FourTuple, payload: bytes
+        self, four_tuple: connections.FourTuple, payload: bytes
     ) -> None:
         """Sends a UDP datagram."""
         header = dpkt.udp.UDP(
-            sport=path.port,
-            dport=path.remote_port,
+            sport=four_tuple.port,
+            dport=four_tuple.remote_port,
             ulen=dpkt.udp.UDP_HDR_LEN + len(payload),
             data=payload,
         )
         self.packets.append(
-            segments.wrap(
-                path.address,
-                path.remote_address,
+            segments.encode_packet(
+                four_tuple.address,
+                four_tuple.remote_address,
                 dpkt.ip.IP_PROTO_UDP,
                 header,
             )
@@ -116,13 +116,13 @@
 
     def receive(self, now_s: float, packet: bytes) -> None:
         """Handles an IP packet; what leaves is collected by `flush`."""
-        opened = segments.decode(packet)
-        if isinstance(opened, segments.Segment):
-            self._receive_segment(now_s, opened)
-        elif opened.reason == "not-tcp":
+        parsed = segments.decode(packet)
+        if isinstance(parsed, segments.Segment):
+            self._receive_segment(now_s, parsed)
+        elif parsed.reason == "not-tcp":
             self._receive_datagram(packet)
         else:
-            self._drop(opened.reason)
+            self._drop(parsed.reason)
 
     def flush(self, now_s: float) -> list[bytes]:
         """Returns the packets that must leave now."""
@@ -153,43 +153,43 @@
 
     def _create(
         self,
-        path: connections.FourTuple,
+        four_tuple: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
         """Adds a connection."""
         initial = self.random.getrandbits(32)
         connection = connections.Connection(
-            path, initial, self.mss, application
+            four_tuple, initial, self.mss, application
         )
-        self.connections[path] = connection
+        self.connections[four_tuple] = connection
         self.mark_changed(connection)
         return connection
 
     def _receive_segment(self, now_s: float, segment: segments.Segment) -> None:
         """Gives a segment to its connection or listener."""
-        path = connections.FourTuple(
+        four_tuple = connections.FourTuple(
             segment.destination,
             segment.destination_port,
             segment.source,
             segment.source_port,
         )
-        if path.address in self.muted:
+        if four_tuple.address in self.muted:
             return
-        connection = self.connections.get(path)
+        connection = self.connections.get(four_tuple)
         is_opening = segment.flags & (segments.SYN | segments.ACK) == (
             segments.SYN
         )
         if connection is not None and is_opening:
-            connection = self._reuse(segment, connection)
+            connection = self._replace_time_wait(segment, connection)
         if connection is not None:
             connection.receive(now_s, segment)
             self.mark_changed(connection)
         elif is_opening:
-            self._accept(now_s, path, segment)
+            self._accept(now_s, four_tuple, segment)
         elif not segment.flags & segments.RST:
             self._reset(segment)
 
-    def _reuse(
+    def _replace_time_wait(
         self, segment: segments.Segment, connection: connections.Connection
     ) -> connections.Connection | None:
         """Lets a new incarnation replace a connection in TIME_WAIT."""
@@ -200,15 +200,18 @@
         return None if number > receiver.next else connection
 
     def _accept(
-        self, now_s: float, path: connections.FourTuple, syn: segments.Segment
+        self,
+        now_s: float,
+        four_tuple: connections.FourTuple,
+        syn: segments.Segment,
     ) -> None:
         """Opens a connection for a SYN, or refuses it."""
-        listener = self.listeners.get((path.address, path.port))
-        application = listener(path, syn.sequence) if listener else None
+        listener = self.listeners.get((four_tuple.address, four_tuple.port))
+        application = listener(four_tuple, syn.sequence) if listener else None
         if application is None:
             self._reset(syn)
             return
-        self._create(path, application).accept(now_s, syn)
+        self._create(four_tuple, application).accept(now_s, syn)
 
     def _reset(self, segment: segments.Segment) -> None:
         """Answers a segment that belongs to no connection."""
@@ -218,7 +221,7 @@
             flags |= segments.ACK
             number = 0
         after = (segment.sequence + segment.length) & sequence.MASK
-        answer = segments.Segment(
+        reply = segments.Segment(
             segment.destination,
             segment.destination_port,
             segment.source,
@@ -227,37 +230,39 @@
             after if flags & segments.ACK else 0,
             flags,
         )
-        self.packets.append(segments.encode(answer))
+        self.packets.append(segments.encode(reply))
 
     def _receive_datagram(self, packet: bytes) -> None:
         """Gives UDP payload to its handler."""
-        opened = segments.unwrap(packet)
-        if isinstance(opened, failure.Failure):
-            self._drop(opened.reason)
+        parsed = segments.decode_packet(packet)
+        if isinstance(parsed, failure.Failure):
+            self._drop(parsed.reason)
             return
-        header = opened.data
+        header = parsed.data
         if not isinstance(header, dpkt.udp.UDP):
             self._drop("protocol")
             return
-        path = connections.FourTuple(
-            opened.dst, header.dport, opened.src, header.sport
+        four_tuple = connections.FourTuple(
+            parsed.dst, header.dport, parsed.src, header.sport
+        )
+        handler = self.datagram_handlers.get(
+            (four_tuple.address, four_tuple.port)
         )
-        handler = self.datagram_handlers.get((path.address, path.port))
         if handler is None:
             self._drop("udp-port")
             return
-        handler(path, bytes(header.data))
+        handler(four_tuple, bytes(header.data))
 
     def _flush_connection(
         self, now_s: float, connection: connections.Connection
     ) -> None:
         """Collects the segments of a connection and sets its timer."""
-        leaving = connection.flush(now_s)
-        if connection.path.address not in self.muted:
-            self.packets.extend(segments.encode(s) for s in leaving)
+        outgoing = connection.flush(now_s)
+        if connection.four_tuple.address not in self.muted:
+            self.packets.extend(segments.encode(s) for s in outgoing)
         if connection.state is connections.State.CLOSED:
-            if self.connections.get(connection.path) is connection:
-                del self.connections[connection.path]
+            if self.connections.get(connection.four_tuple) is connection:
+                del self.connections[connection.four_tuple]
             return
         deadline_s = connection.deadline_s
         if deadline_s is not None:
