--- a/packages/lab/src/tamarack_lab/gateway/__init__.py
+++ b/packages/lab/src/tamarack_lab/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Gateway: joins ordinary TCP sockets to connections of the stand-ins."""
+"""Gateway between kernel TCP sockets and connections of the stand-ins."""
--- a/packages/lab/src/tamarack_lab/gateway/bridge.py
+++ b/packages/lab/src/tamarack_lab/gateway/bridge.py
@@ -1,4 +1,4 @@
-"""Joins one ordinary TCP connection to one of the stand-ins."""
+"""Bridges a TCP connection of the kernel and one of the lab's TCP stack."""
 
 import asyncio
 import socket
@@ -9,7 +9,7 @@
 
 ConnectionEvent = connections.ConnectionEvent
 
-# Above this much unsent payload the ordinary side is not read any more.
+# While more than this is unsent on the lab side, the kernel side is not read.
 MAX_UNSENT_BYTES = 256 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _RESET_EVENTS = (
@@ -20,12 +20,14 @@
 
 
 class ConnectionBridge(asyncio.Protocol):
-    """Passes payload, ends and resets from each side to the other.
+    """Forwards payload, ends of stream and resets between the two sides.
 
     Attributes:
-        attachment: Carries the packets.
-        connection: Side of the stand-ins; None before it is known.
-        transport: Ordinary side; None before it is connected.
+        attachment: Sends and receives the packets of the lab side.
+        connection: Lab side, a connection of the lab's TCP stack; None
+            before it is known.
+        transport: Kernel side; None before it is connected and after it is
+            lost.
     """
 
     __slots__ = (
@@ -37,10 +39,10 @@
     )
 
     def __init__(self, attachment: attachments.Attachment) -> None:
-        """Creates a joint without sides.
+        """Initializes a bridge without connections.
 
         Args:
-            attachment: Carries the packets.
+            attachment: Sends and receives the packets of the lab side.
         """
         self.attachment = attachment
         self.connection: connections.Connection | None = None
@@ -49,16 +51,17 @@
         self._is_aborted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes the ordinary side."""
+        """Attaches the kernel side."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         if self.connection is None:
-            # A server that speaks first must wait for its caller.
+            # A server that sends first has to wait until the lab side is
+            # known, because its data could not be forwarded before.
             transport.pause_reading()
         self._forward_payload()
 
     def data_received(self, data: bytes) -> None:
-        """Passes payload of the ordinary side on."""
+        """Forwards payload of the kernel side."""
         if self.connection is None or self.transport is None:
             return
         self.connection.write(data)
@@ -67,14 +70,18 @@
         self.attachment.flush_soon(self.connection)
 
     def eof_received(self) -> bool:
-        """Passes the end of the ordinary side on; the other may go on."""
+        """Forwards the end of the kernel side's stream.
+
+        Returns:
+            True to keep the transport open while the lab side still sends.
+        """
         if self.connection is not None:
             self.connection.finish()
             self.attachment.flush_soon(self.connection)
         return not self._is_finished()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Passes a reset of the ordinary side on."""
+        """Forwards the close or reset of the kernel side."""
         self.transport = None
         if exc is not None or self.connection is None:
             self.abort()
@@ -83,25 +90,25 @@
         self.attachment.flush_soon(self.connection)
 
     def abort(self) -> None:
-        """Resets the side of the stand-ins, now or once it is known."""
+        """Resets the lab side, now or as soon as it is connected."""
         self._is_aborted = True
         if self.connection is not None:
             self.connection.abort()
             self.attachment.flush_soon(self.connection)
 
     def pause_writing(self) -> None:
-        """Leaves payload unread, which closes the receive window."""
+        """Stops reading the lab side, which closes its receive window."""
         self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Reads payload again."""
+        """Resumes reading the lab side."""
         self._is_write_paused = False
         self._forward_payload()
 
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
-        """Passes an occurrence at the side of the stand-ins on."""
+        """Forwards an event of the lab side."""
         self.connection = connection
         if event is ConnectionEvent.CONNECTED:
             self._start_reading(connection)
@@ -117,14 +124,14 @@
             self.transport.close()
 
     def _start_reading(self, connection: connections.Connection) -> None:
-        """Reads the ordinary side once both sides are known."""
+        """Starts reading the kernel side once the lab side is connected."""
         if self._is_aborted:
             connection.abort()
         elif self.transport is not None:
             self.transport.resume_reading()
 
     def _is_finished(self) -> bool:
-        """Returns True when the stand-ins have ended and all is passed on."""
+        """Returns True if the lab side has ended and all payload is read."""
         receiver = self.connection.receiver if self.connection else None
         return (
             receiver is not None
@@ -133,10 +140,11 @@
         )
 
     def _forward_payload(self) -> None:
-        """Writes the payload of the stand-ins to the ordinary side."""
+        """Writes the received payload of the lab side to the kernel side."""
         if self.connection is None or self.transport is None:
             return
-        # One write may fill the transport; the rest then stays unread.
+        # A write may fill the transport's buffer and call pause_writing(). The
+        # rest then stays unread.
         while not self._is_write_paused:
             data = self.connection.read()
             if not data:
@@ -146,7 +154,7 @@
         self._forward_end()
 
     def _forward_end(self) -> None:
-        """Ends the ordinary side once all payload has been written to it."""
+        """Ends the kernel side's stream after all payload is written to it."""
         transport = self.transport
         if transport is None or self.connection is None:
             return
@@ -157,14 +165,14 @@
             transport.close()
 
     def _resume_reading(self, connection: connections.Connection) -> None:
-        """Reads the ordinary side again when there is room."""
+        """Resumes reading the kernel side if the send buffer has room."""
         if self.transport is None or self.transport.is_closing():
             return
         if len(connection.sender.buffer) <= MAX_UNSENT_BYTES // 2:
             self.transport.resume_reading()
 
     def _reset_kernel_side(self) -> None:
-        """Resets the ordinary side."""
+        """Resets the kernel side."""
         if self.transport is None:
             return
         kernel_socket = self.transport.get_extra_info("socket")
--- a/packages/lab/src/tamarack_lab/gateway/process.py
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -1,4 +1,4 @@
-"""The gateway as a process."""
+"""The gateway process, which bridges kernel TCP and the lab's TCP stack."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -23,12 +23,13 @@
 
 
 class CallerSide:
-    """The side of the callers.
+    """Caller side: carries connections from kernel clients to services.
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
-        endpoints: Where ordinary connections are accepted, once started.
+        attachment: Sends and receives packets through the fabric.
+        endpoints: Bound endpoints that accept kernel connections, in the
+            order of the settings; empty before `start`.
     """
 
     __slots__ = ("_ports", "_servers", "attachment", "endpoints", "settings")
@@ -38,11 +39,11 @@
         settings: gateway_settings.CallerSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
-        """Creates the side.
+        """Initializes a caller side that is not started.
 
         Args:
             settings: Settings.
-            attachment: Carries the packets.
+            attachment: Sends and receives packets through the fabric.
         """
         self.settings = settings
         self.attachment = attachment
@@ -51,10 +52,10 @@
         self._ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 
     async def start(self) -> None:
-        """Listens at the doors.
+        """Binds the sockets and accepts connections at all loopback ports.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self.attachment.start()
         for loopback_port in self.settings.doors:
@@ -69,7 +70,7 @@
     async def _listen(
         self, loopback_port: gateway_settings.LoopbackPort
     ) -> None:
-        """Listens at one door."""
+        """Accepts connections at one loopback port."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
             lambda: CallerBridge(self, loopback_port),
@@ -85,7 +86,7 @@
         loopback_port: gateway_settings.LoopbackPort,
         bridge: bridges.ConnectionBridge,
     ) -> connections.Connection:
-        """Opens a connection to the service behind a door."""
+        """Opens a connection to the service of a loopback port."""
         four_tuple = connections.FourTuple(
             ipaddress.ip_address(self.settings.address).packed,
             next(self._ports),
@@ -96,11 +97,11 @@
 
 
 class CallerBridge(bridges.ConnectionBridge):
-    """Joint that opens its connection when an ordinary one is accepted.
+    """Bridge that opens its lab side once the kernel side is accepted.
 
     Attributes:
-        caller_side: The side that it belongs to.
-        loopback_port: Where the ordinary connection was accepted.
+        caller_side: Caller side that the bridge belongs to.
+        loopback_port: Loopback port at which the connection is accepted.
     """
 
     __slots__ = ("caller_side", "loopback_port")
@@ -110,28 +111,28 @@
         caller_side: CallerSide,
         loopback_port: gateway_settings.LoopbackPort,
     ) -> None:
-        """Creates a joint without sides.
+        """Initializes a bridge without connections.
 
         Args:
-            caller_side: The side that it belongs to.
-            loopback_port: Where the ordinary connection is accepted.
+            caller_side: Caller side that the bridge belongs to.
+            loopback_port: Loopback port at which the connection is accepted.
         """
         super().__init__(caller_side.attachment)
         self.caller_side = caller_side
         self.loopback_port = loopback_port
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Opens the connection of the stand-ins."""
+        """Opens the lab side and attaches the kernel side."""
         self.connection = self.caller_side.connect(self.loopback_port, self)
         super().connection_made(transport)
 
 
 @dataclasses.dataclass(slots=True)
 class GatewayTarget:
-    """A target that hands its connections to ordinary servers.
+    """A target whose connections are bridged to real servers.
 
     Attributes:
-        spec: Address and failure domain.
+        spec: Service, address and failure domain of the target.
     """
 
     spec: target_settings.TargetSpec
@@ -139,7 +140,7 @@
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
-        """Returns what the target announces."""
+        """Returns the announcement of the target."""
         return requests.Announce(
             service=self.spec.service,
             address=self.spec.address,
@@ -150,13 +151,13 @@
 
 
 class TargetSide:
-    """The side of the targets.
+    """Target side: carries connections of targets to real servers.
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
-        announcer: Renews the leases.
-        accepted: Connections accepted, by target address.
+        attachment: Sends and receives packets through the fabric.
+        announcer: Announces the targets and renews their leases.
+        accepted: Number of accepted connections by target address.
     """
 
     __slots__ = ("_tasks", "accepted", "announcer", "attachment", "settings")
@@ -166,11 +167,11 @@
         settings: gateway_settings.TargetSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
-        """Creates the side.
+        """Initializes a target side that is not started.
 
         Args:
             settings: Settings.
-            attachment: Carries the packets.
+            attachment: Sends and receives packets through the fabric.
         """
         self.settings = settings
         self.attachment = attachment
@@ -184,10 +185,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Listens at all targets and announces them.
+        """Accepts connections at all targets and announces the targets.
 
         Raises:
-            OSError: The endpoint can't be bound.
+            OSError: The endpoint cannot be bound.
         """
         self.attachment.start()
         listeners = self.attachment.stack.listeners
@@ -207,7 +208,12 @@
     def create_bridge(
         self, address: str, server: gateway_settings.RealServer
     ) -> bridges.ConnectionBridge:
-        """Returns the joint of a new connection."""
+        """Returns the bridge of a new connection of a target.
+
+        Args:
+            address: Address of the target.
+            server: Server that the bridge connects to.
+        """
         self.accepted[address] = self.accepted.get(address, 0) + 1
         bridge = bridges.ConnectionBridge(self.attachment)
         self._start_task(self._connect(bridge, server))
@@ -218,7 +224,7 @@
         bridge: bridges.ConnectionBridge,
         server: gateway_settings.RealServer,
     ) -> None:
-        """Connects a joint to its server, or resets its connection."""
+        """Connects a bridge to its server, or resets its lab side."""
         loop = asyncio.get_running_loop()
         to = server.connect
         try:
@@ -227,7 +233,7 @@
             bridge.abort()
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine and keeps it until it is done."""
+        """Runs a coroutine and keeps a reference to its task until it ends."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -238,9 +244,9 @@
     """Accepts the connections of one port of a target.
 
     Attributes:
-        target_side: The side that it belongs to.
+        target_side: Target side that the listener belongs to.
         address: Address of the target.
-        server: The server behind the port.
+        server: Server that connections are bridged to.
     """
 
     target_side: TargetSide
@@ -250,22 +256,24 @@
     def accept(
         self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application:
-        """Returns the joint of a new connection."""
+        """Returns the bridge of a new connection."""
         return self.target_side.create_bridge(self.address, self.server)
 
 
 class GatewayProcess:
-    """The gateway.
+    """Runs the caller side, the target side or both.
 
     Attributes:
-        caller_side: The side of the callers; None for none.
-        target_side: The side of the targets; None for none.
+        caller_side: Caller side, or None if the settings have none.
+        target_side: Target side, or None if the settings have none.
     """
 
     __slots__ = ("caller_side", "target_side")
 
     def __init__(self, settings: gateway_settings.Settings) -> None:
-        """Creates a gateway that isn't started; needs a running loop.
+        """Initializes a gateway that is not started.
+
+        Requires a running event loop.
 
         Args:
             settings: Settings.
@@ -280,10 +288,10 @@
             self.target_side = TargetSide(settings.far, attachment)
 
     async def start(self) -> None:
-        """Binds the sockets.
+        """Starts both sides.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         for side in (self.target_side, self.caller_side):
             if side is not None:
@@ -299,6 +307,13 @@
 def _attach(
     settings: gateway_settings.Settings, listen: peers.Endpoint, side: int
 ) -> attachments.Attachment:
-    """Returns the attachment of one side."""
+    """Returns the attachment of one side.
+
+    Args:
+        settings: Settings of the gateway.
+        listen: Endpoint to bind.
+        side: 0 for the caller side and 1 for the target side, so that the two
+            stacks have different seeds.
+    """
     stack = stacks.Stack(2 * settings.seed + side, settings.mss)
     return attachments.Attachment(stack, settings.fabric, listen)
--- a/packages/lab/src/tamarack_lab/gateway/settings.py
+++ b/packages/lab/src/tamarack_lab/gateway/settings.py
@@ -7,10 +7,11 @@
 
 
 class LoopbackPort(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A loopback port whose connections are carried to a service.
+    """A loopback port whose connections are forwarded to a service.
 
     Attributes:
-        listen: Endpoint of ordinary TCP; port 0 takes a free port.
+        listen: TCP endpoint to accept connections at; port 0 selects a free
+            port.
         address: Service address.
         port: Service port.
     """
@@ -23,12 +24,12 @@
 class CallerSideSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True
 ):
-    """The side of the callers.
+    """Settings of the caller side.
 
     Attributes:
-        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
-        address: IP address of the caller that the gateway stands for.
-        doors: Ports to accept connections at.
+        listen: UDP endpoint for Geneve packets; port 0 selects a free port.
+        address: IP address of the caller that the gateway represents.
+        doors: Loopback ports to accept connections at.
     """
 
     listen: peers.Endpoint
@@ -37,7 +38,7 @@
 
 
 class RealServer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """An ordinary server behind a port of the targets.
+    """A real server behind a port of the targets.
 
     Attributes:
         port: Port of the targets.
@@ -51,15 +52,15 @@
 class TargetSideSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True
 ):
-    """The side of the targets.
+    """Settings of the target side.
 
     Attributes:
-        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
-        targets: Targets that the gateway stands for.
+        listen: UDP endpoint for Geneve packets; port 0 selects a free port.
+        targets: Targets that the gateway represents.
         servers: Servers behind the ports of each target.
-        entries: HTTP endpoints of entry hosts to announce to, by failure
-            domain.
-        lease_s: Lease that is asked for, in seconds.
+        entries: HTTP endpoints of the entry hosts that the targets are
+            announced to, by failure domain.
+        lease_s: Requested duration of a lease in seconds.
     """
 
     listen: peers.Endpoint
@@ -70,13 +71,13 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of the gateway; it may have one side or both.
+    """Settings of the gateway, which may have one side or both.
 
     Attributes:
         fabric: Endpoint of the fabric.
-        near: The side of the callers; None for none.
-        far: The side of the targets; None for none.
-        mss: Longest TCP payload of a packet in bytes.
+        near: Caller side; None to disable it.
+        far: Target side; None to disable it.
+        mss: Maximum TCP payload of a packet in bytes.
         seed: Seed of the initial sequence numbers.
     """
 
