--- a/packages/lab/src/tamarack_lab/target/__init__.py
+++ b/packages/lab/src/tamarack_lab/target/__init__.py
@@ -1,1 +1,1 @@
-"""Target stand-in."""
+"""Target stand-in: serves requests and announces itself to entry hosts."""
--- a/packages/lab/src/tamarack_lab/target/announcer.py
+++ b/packages/lab/src/tamarack_lab/target/announcer.py
@@ -14,10 +14,10 @@
 
 
 class AnnouncedTarget(Protocol):
-    """What can be announced.
+    """A target that can be announced.
 
     Attributes:
-        spec: Address and failure domain of the target.
+        spec: Service, address and failure domain of the target.
     """
 
     spec: target_settings.TargetSpec
@@ -25,24 +25,29 @@
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
-        """Returns what the target announces."""
+        """Returns the announcement of the target.
+
+        Args:
+            lease_s: Requested duration of the lease in seconds.
+            incarnation: Number that increases when the process restarts.
+        """
 
 
-# A lease survives the loss of two renewals in a row.
+# With three renewals per lease, a lease survives the loss of two in a row.
 RENEWALS_PER_LEASE = 3
 _TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 _ACCEPTED = 200
 
 
 class Announcer:
-    """Keeps the leases of some targets.
+    """Announces targets and renews their leases.
 
     Attributes:
         targets: The targets.
         entries: HTTP endpoints of entry hosts by failure domain.
-        lease_s: Lease that is asked for, in seconds.
-        incarnation: Number that rises when the process restarts.
-        failures: Announcements that no entry host accepted.
+        lease_s: Requested duration of a lease in seconds.
+        incarnation: Number that increases when the process restarts.
+        failures: Number of announcements that no entry host accepted.
     """
 
     __slots__ = (
@@ -62,13 +67,13 @@
         lease_s: float,
         incarnation: int,
     ) -> None:
-        """Creates an announcer that doesn't run.
+        """Initializes an announcer that is not running.
 
         Args:
             targets: The targets.
             entries: HTTP endpoints of entry hosts by failure domain.
-            lease_s: Lease that is asked for, in seconds.
-            incarnation: Number that rises when the process restarts.
+            lease_s: Requested duration of a lease in seconds.
+            incarnation: Number that increases when the process restarts.
         """
         self.targets = targets
         self.entries = entries
@@ -79,11 +84,11 @@
         self._rotation = itertools.count()
 
     def announce_now(self) -> None:
-        """Announces now, as when a target has changed its state."""
+        """Announces all targets now, for example after a change of state."""
         self._changed.set()
 
     async def run(self) -> None:
-        """Announces until cancelled."""
+        """Announces the targets periodically until cancelled."""
         async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
             while True:
                 self._changed.clear()
@@ -94,7 +99,7 @@
         """Announces all targets once.
 
         Returns:
-            True when each was accepted by an entry host.
+            True if an entry host accepted each announcement.
         """
         accepted = await asyncio.gather(
             *(self._announce_one(session, target) for target in self.targets)
@@ -103,7 +108,12 @@
         return all(accepted)
 
     async def _wait(self, accepted: bool) -> None:
-        """Waits for the next renewal, or until something has changed."""
+        """Waits for the next renewal or a call of `announce_now`.
+
+        Args:
+            accepted: Whether all announcements were accepted. If not, they
+                are repeated after 0.5 s.
+        """
         wait_s = self.lease_s / RENEWALS_PER_LEASE if accepted else 0.5
         try:
             async with asyncio.timeout(wait_s):
@@ -114,11 +124,16 @@
     async def _announce_one(
         self, session: aiohttp.ClientSession, target: AnnouncedTarget
     ) -> bool:
-        """Announces a target to the first entry host that accepts."""
+        """Announces a target to the first entry host that accepts it.
+
+        Returns:
+            True if an entry host accepted the announcement.
+        """
         entries = self.entries.get(target.spec.domain, ())
         if not entries:
             return False
-        # The turn spreads renewals, and moves on when a host has died.
+        # The rotation distributes the renewals over the entry hosts. If one of
+        # them is dead, the next one is tried.
         first = next(self._rotation) % len(entries)
         announcement = target.announcement(self.lease_s, self.incarnation)
         body = msgspec.json.encode(announcement)
@@ -134,7 +149,17 @@
     address: str,
     body: bytes,
 ) -> bool:
-    """Returns True when an entry host accepts an announcement."""
+    """Sends an announcement to an entry host.
+
+    Args:
+        session: HTTP session.
+        entry: HTTP endpoint of the entry host.
+        address: IP address of the target.
+        body: Encoded announcement.
+
+    Returns:
+        True if the entry host accepted it.
+    """
     url = f"http://{entry.address}:{entry.port}/v1/targets/{address}"
     try:
         async with session.put(url, data=body) as response:
--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -1,4 +1,4 @@
-"""A process with one or several targets."""
+"""A process that runs one or several targets."""
 
 import asyncio
 import ipaddress
@@ -21,7 +21,7 @@
 
 
 class StateChange(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Order to a target.
+    """Command that changes the announced state of a target.
 
     Attributes:
         state: State to announce from now on.
@@ -31,10 +31,11 @@
 
 
 class MuteCommand(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Order to a target.
+    """Command that makes a target lose all TCP packets, or ends the loss.
 
     Attributes:
-        muted: Whether it loses every packet from now on.
+        muted: Whether all TCP packets from and to the target are lost from
+            now on.
     """
 
     muted: bool
@@ -45,10 +46,11 @@
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
+        attachment: Sends and receives packets through the fabric.
         targets: Targets by address.
-        announcer: Renews the leases.
-        http: Endpoint of the HTTP interface, once started; None for none.
+        announcer: Announces the targets and renews their leases.
+        http: Endpoint of the HTTP interface, the bound one after `start`;
+            None if it is disabled.
     """
 
     __slots__ = (
@@ -62,13 +64,15 @@
     )
 
     def __init__(self, settings: target_settings.Settings) -> None:
-        """Creates targets that aren't started; needs a running loop.
+        """Initializes targets that are not started.
+
+        Requires a running event loop.
 
         Args:
             settings: Settings.
 
         Raises:
-            ValueError: A target names a service that isn't in the settings.
+            ValueError: A target names a service that is not in the settings.
         """
         self.settings = settings
         stack = stacks.Stack(settings.seed, settings.mss)
@@ -92,7 +96,7 @@
         """Binds the sockets and announces the targets.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self.attachment.start()
         for target in self.targets.values():
@@ -104,7 +108,10 @@
         self._announcer_task = asyncio.create_task(self.announcer.run())
 
     async def drain(self) -> None:
-        """Announces draining and waits until all connections have ended."""
+        """Announces draining and waits until all connections have ended.
+
+        The wait ends after `settings.drain_s` at the latest.
+        """
         for target in self.targets.values():
             target.set_state(requests.TargetState.DRAINING)
         self.announcer.announce_now()
@@ -115,7 +122,7 @@
             await asyncio.sleep(_POLL_S)
 
     async def close(self) -> None:
-        """Closes the sockets."""
+        """Stops the announcements and closes the sockets."""
         if self._announcer_task is not None:
             self._announcer_task.cancel()
         if self._runner is not None:
@@ -123,11 +130,15 @@
         self.attachment.close()
 
     def reports(self) -> list[servers.TargetReport]:
-        """Returns what each target has done."""
+        """Returns the report of each target."""
         return [target.report() for target in self.targets.values()]
 
     def _build(self, spec: target_settings.TargetSpec) -> servers.TargetServer:
-        """Returns a target."""
+        """Returns a target that is not started.
+
+        Raises:
+            ValueError: The service of the target is not in the settings.
+        """
         service = self.settings.services.get(spec.service)
         if service is None:
             raise ValueError(
@@ -138,41 +149,45 @@
         return servers.TargetServer(spec, service, self.attachment, slots)
 
     def _application(self) -> web.Application:
-        """Returns the HTTP interface."""
+        """Returns the application of the HTTP interface."""
         application = web.Application()
         router = application.router
         router.add_get("/v1/targets", self._read_targets)
         router.add_get("/v1/targets/{address}/health", self._read_health)
         router.add_get("/v1/targets/{address}/load", self._read_load)
-        router.add_put("/v1/targets/{address}/lie", self._put_lie)
+        router.add_put("/v1/targets/{address}/lie", self._put_override)
         router.add_put("/v1/targets/{address}/state", self._put_state)
         router.add_put("/v1/targets/{address}/mute", self._put_mute)
         router.add_put("/v1/entries/{domain}", self._put_entries)
         return application
 
     def _target(self, request: web.Request) -> servers.TargetServer:
-        """Returns the target that a request names."""
+        """Returns the target named by the path of a request.
+
+        Raises:
+            web.HTTPNotFound: The process does not run the target.
+        """
         target = self.targets.get(request.match_info["address"])
         if target is None:
             raise web.HTTPNotFound(text="no such target")
         return target
 
     async def _read_targets(self, request: web.Request) -> web.Response:
-        """Answers with the reports of all targets."""
+        """Responds with the reports of all targets."""
         return web_server.answer({"targets": self.reports()})
 
     async def _read_health(self, request: web.Request) -> web.Response:
-        """Answers with the health that a target states."""
+        """Responds with the health that a target reports."""
         return web_server.answer(
             {"healthy": self._target(request).reported_health()}
         )
 
     async def _read_load(self, request: web.Request) -> web.Response:
-        """Answers with the load that a target states."""
+        """Responds with the load that a target reports."""
         return web_server.answer({"load": self._target(request).reported_load()})
 
-    async def _put_lie(self, request: web.Request) -> web.Response:
-        """Makes a target lie, or tell the truth again."""
+    async def _put_override(self, request: web.Request) -> web.Response:
+        """Sets or clears false values that a target reports."""
         target = self._target(request)
         target.override = await web_server.read(request, servers.ReportOverride)
         self.announcer.announce_now()
@@ -187,7 +202,7 @@
         return web_server.answer({})
 
     async def _put_mute(self, request: web.Request) -> web.Response:
-        """Makes a target lose all packets, or hear them again."""
+        """Starts or ends the loss of all TCP packets of a target."""
         target = self._target(request)
         command = await web_server.read(request, MuteCommand)
         packed = ipaddress.ip_address(target.spec.address).packed
@@ -199,7 +214,7 @@
         return web_server.answer({})
 
     async def _put_entries(self, request: web.Request) -> web.Response:
-        """Replaces the entry hosts to announce to in a failure domain."""
+        """Replaces the entry hosts that get the announcements of a domain."""
         form = tuple[peers.Endpoint, ...]
         endpoints = await web_server.read(request, form)
         self.announcer.entries[request.match_info["domain"]] = endpoints
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -1,4 +1,4 @@
-"""One target: its connections, requests and what it says of itself."""
+"""One target: its connections, requests, announcements and reports."""
 
 import collections
 from collections.abc import Callable
@@ -27,11 +27,11 @@
 
 
 class ReportOverride(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a target says in place of the truth; None stands for the truth.
+    """False values that a target reports in place of the true ones.
 
     Attributes:
-        healthy: Health that it states.
-        load: Work units in use that it states.
+        healthy: Reported health; None for the true one.
+        load: Reported work units in use; None for the true number.
     """
 
     healthy: bool | None = None
@@ -39,12 +39,12 @@
 
 
 class LateConnection(msgspec.Struct, frozen=True):
-    """A connection that a target accepted although it was leaving.
+    """A connection that a target accepted while draining.
 
     Attributes:
         caller: Address and port of the caller.
         work_class: Work class.
-        after_s: Seconds since the target announced that it was leaving.
+        after_s: Seconds from the start of draining to the connection.
     """
 
     caller: str
@@ -53,20 +53,20 @@
 
 
 class TargetReport(msgspec.Struct, frozen=True):
-    """What a target has done.
+    """Counters and state of a target.
 
     Attributes:
-        service: Service that it belongs to.
+        service: Service of the target.
         address: IP address.
         domain: Failure domain.
         state: Ready or draining.
-        connections: Connections open now.
-        opened: Connections accepted, by work class.
-        refused: Connections refused because too many were open.
-        requests: Requests run, by work class.
-        repeated: Requests that ran more than once.
+        connections: Number of open connections.
+        opened: Number of accepted connections by work class.
+        refused: Number of connections refused at the connection limit.
+        requests: Number of executed requests by work class.
+        repeated: Number of requests that ran more than once.
         work: Work units of all requests so far.
-        in_use: Work units running or waiting now.
+        in_use: Work units of running and queued requests.
         late: Connections accepted while draining.
     """
 
@@ -86,24 +86,26 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetServer:
-    """A target.
+    """Serves the requests of a target and reports its state.
 
     Attributes:
-        spec: Its address and failure domain.
-        service: Settings of its service.
-        attachment: Carries its packets.
-        slots: Runs its requests.
+        spec: Service, address and failure domain.
+        service: Settings of the service.
+        attachment: Sends and receives packets through the fabric.
+        slots: Runs the requests.
         state: Ready or draining.
-        override: What it says in place of the truth.
-        open: Connections open now.
-        opened: Connections accepted, by work class.
-        refused: Connections refused because too many were open, each with
-            the sequence number of its SYN; a late caller repeats a SYN whose
-            refusal is on its way.
-        run_counts: How often each request ran, by identifier.
-        request_counts: Requests run, by work class.
+        override: False values to report in place of the true ones.
+        open: Number of open connections.
+        opened: Number of accepted connections by work class.
+        refused: Connections refused at the connection limit, each with the
+            sequence number of its SYN. The number identifies a
+            retransmission: a caller on a delayed event loop repeats its SYN
+            while the refusal is on its way, which must not count twice.
+        run_counts: Number of executions by request identifier.
+        request_counts: Number of executed requests by work class.
         work_units: Work units of all requests so far.
-        draining_since_s: Monotonic time of the start of its drain, in seconds.
+        draining_since_s: Monotonic time of the latest change of state, which
+            is the start of draining while draining, in seconds.
         late: Connections accepted while draining.
     """
 
@@ -131,7 +133,7 @@
     late: list[LateConnection] = dataclasses.field(default_factory=list)
 
     def listen(self) -> None:
-        """Accepts connections at all ports of the service."""
+        """Accepts connections and datagrams at all ports of the service."""
         packed = ipaddress.ip_address(self.spec.address).packed
         stack = self.attachment.stack
         for port in self.service.ports:
@@ -147,12 +149,12 @@
         request: exchange.Request,
         reply: Callable[[bytes], None],
     ) -> None:
-        """Runs a request and replies once it is done.
+        """Runs a request and replies when it is completed.
 
         Args:
-            port: Where the request arrived.
+            port: Port that received the request.
             request: The request.
-            reply: Takes the encoded answer.
+            reply: Called with the encoded answer.
         """
         self.run_counts[request.id] += 1
         self.request_counts[port.work_class] += 1
@@ -171,7 +173,7 @@
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
-        """Returns what the target announces, lies included."""
+        """Returns the announcement of the target, with overridden values."""
         return requests.Announce(
             service=self.spec.service,
             address=self.spec.address,
@@ -186,15 +188,15 @@
         )
 
     def reported_health(self) -> bool:
-        """Returns the health that the target states."""
+        """Returns the health that the target reports."""
         return True if self.override.healthy is None else self.override.healthy
 
     def reported_load(self) -> float:
-        """Returns the work units in use that the target states."""
+        """Returns the work units in use that the target reports."""
         return self.slots.in_use if self.override.load is None else self.override.load
 
     def report(self) -> TargetReport:
-        """Returns what the target has done."""
+        """Returns the counters and the state of the target."""
         return TargetReport(
             service=self.spec.service,
             address=self.spec.address,
@@ -211,7 +213,7 @@
         )
 
     def set_state(self, state: requests.TargetState) -> None:
-        """Changes the state that is announced from now on."""
+        """Sets the state that the target announces from now on."""
         if state is not self.state:
             self.draining_since_s = time.monotonic()
         self.state = state
@@ -219,7 +221,10 @@
     def count_connection(
         self, port: target_settings.Port, four_tuple: connections.FourTuple
     ) -> None:
-        """Counts a connection, or a datagram that stands for one."""
+        """Counts an accepted connection, or a UDP request as one.
+
+        While the target is draining, the connection is recorded in `late`.
+        """
         self.opened[port.work_class] += 1
         if self.state is requests.TargetState.READY:
             return
@@ -247,7 +252,12 @@
     def accept(
         self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application | None:
-        """Returns the application of a new connection; None to refuse."""
+        """Returns the application of a new connection, or None to refuse it.
+
+        Args:
+            four_tuple: Addresses and ports of the connection.
+            sequence: Sequence number of the SYN.
+        """
         if self.server.open >= self.server.service.connections:
             self.server.refused.add((four_tuple, sequence))
             return None
@@ -256,7 +266,7 @@
         return _Session(self.server, self.port)
 
     def answer(self, four_tuple: connections.FourTuple, payload: bytes) -> None:
-        """Answers the requests in a datagram; a malformed one is dropped."""
+        """Runs the requests of a datagram; a malformed one is dropped."""
         reader = exchange.LineReader(exchange.Request)
         send = self.server.attachment.send_datagram
         try:
@@ -270,18 +280,18 @@
 
 
 class _Session:
-    """Answers the requests of one connection.
+    """Runs the requests of one connection.
 
     Attributes:
         server: The target.
         port: The port.
-        reader: Cuts the stream into requests.
+        reader: Splits the stream into requests.
     """
 
     __slots__ = ("port", "reader", "server")
 
     def __init__(self, server: TargetServer, port: target_settings.Port) -> None:
-        """Creates a session without requests.
+        """Initializes a session without requests.
 
         Args:
             server: The target.
@@ -294,7 +304,7 @@
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
-        """Reacts to an occurrence of the connection."""
+        """Handles an event of the connection."""
         if event is ConnectionEvent.READABLE:
             self._read(connection)
         elif event is ConnectionEvent.ENDED:
@@ -303,7 +313,7 @@
             self.server.open -= 1
 
     def _read(self, connection: connections.Connection) -> None:
-        """Runs the requests that have arrived."""
+        """Runs the received requests, or resets a malformed stream."""
         try:
             for request in self.reader.feed(connection.read()):
                 self._run(connection, request)
@@ -314,7 +324,7 @@
     def _run(
         self, connection: connections.Connection, request: exchange.Request
     ) -> None:
-        """Runs a request and answers it unless the connection has ended."""
+        """Runs a request and replies unless the connection is closed."""
 
         def reply(answer: bytes) -> None:
             if connection.state is not connections.State.CLOSED:
--- a/packages/lab/src/tamarack_lab/target/settings.py
+++ b/packages/lab/src/tamarack_lab/target/settings.py
@@ -12,8 +12,8 @@
     Attributes:
         work_class: Name of the work class.
         port: Port number.
-        protocol: TCP, or UDP with one request in each datagram.
-        cost: Work units that one request takes.
+        protocol: TCP, or UDP with one request per datagram.
+        cost: Work units of one request.
     """
 
     work_class: str
@@ -23,12 +23,13 @@
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What the targets of one service have in common.
+    """Settings that all targets of a service share.
 
     Attributes:
-        ports: Ports that are served.
-        slots: Work units that a target runs at once.
-        connections: Connections that a target holds; it refuses more.
+        ports: Ports that the targets serve.
+        slots: Number of requests that a target runs concurrently.
+        connections: Maximum number of open connections of a target. It
+            refuses further ones.
         unit_s: Seconds that one slot needs for one work unit.
     """
 
@@ -39,10 +40,10 @@
 
 
 class TargetSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One target.
+    """Service, address and failure domain of a target.
 
     Attributes:
-        service: Service that it belongs to.
+        service: Name of the service.
         address: IP address.
         domain: Failure domain.
     """
@@ -53,19 +54,20 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of one process with one or several targets.
+    """Settings of a process that runs one or several targets.
 
     Attributes:
-        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
+        listen: UDP endpoint for Geneve packets; port 0 selects a free port.
         fabric: Endpoint of the fabric.
-        http: Endpoint of health, load and faults; None for none.
+        http: Endpoint of the HTTP interface, which shows health and load and
+            injects faults; None to disable it.
         services: Services by name.
         targets: The targets.
-        entries: HTTP endpoints of entry hosts to announce to, by failure
-            domain.
-        lease_s: Lease that is asked for, in seconds.
-        drain_s: Longest duration of a graceful stop in seconds.
-        mss: Longest TCP payload of a packet in bytes.
+        entries: HTTP endpoints of the entry hosts that the targets are
+            announced to, by failure domain.
+        lease_s: Requested duration of a lease in seconds.
+        drain_s: Maximum duration of a graceful stop in seconds.
+        mss: Maximum TCP payload of a packet in bytes.
         seed: Seed of the initial sequence numbers.
     """
 
--- a/packages/lab/src/tamarack_lab/target/work.py
+++ b/packages/lab/src/tamarack_lab/target/work.py
@@ -1,4 +1,4 @@
-"""Slots of a target: requests run at once, the rest wait in order."""
+"""Work slots of a target, with a first-in, first-out queue of requests."""
 
 import asyncio
 import collections
@@ -12,7 +12,7 @@
 
     Attributes:
         cost: Work units.
-        finish: Called once it has run.
+        finish: Called when the request is completed.
     """
 
     cost: float
@@ -20,23 +20,23 @@
 
 
 class Slots:
-    """Runs jobs.
+    """Runs a bounded number of jobs concurrently.
 
     Attributes:
-        count: Jobs that run at once.
+        count: Maximum number of concurrent jobs.
         unit_s: Seconds that one slot needs for one work unit.
-        running: Jobs that run.
-        waiting: Jobs that wait, oldest first.
-        in_use: Work units of all jobs that run or wait.
+        running: Number of running jobs.
+        waiting: Queued jobs, oldest first.
+        in_use: Work units of all running and queued jobs.
     """
 
     __slots__ = ("count", "in_use", "running", "unit_s", "waiting")
 
     def __init__(self, count: int, unit_s: float) -> None:
-        """Creates free slots.
+        """Initializes the slots without jobs.
 
         Args:
-            count: Jobs that run at once.
+            count: Maximum number of concurrent jobs.
             unit_s: Seconds that one slot needs for one work unit.
         """
         self.count = count
@@ -52,7 +52,7 @@
         self._start()
 
     def _start(self) -> None:
-        """Starts waiting jobs in free slots."""
+        """Starts queued jobs in free slots."""
         while self.waiting and self.running < self.count:
             job = self.waiting.popleft()
             self.running += 1
@@ -60,7 +60,7 @@
             loop.call_later(job.cost * self.unit_s, self._finish, job)
 
     def _finish(self, job: Job) -> None:
-        """Ends a job and starts the next."""
+        """Completes a job and starts queued ones."""
         self.running -= 1
         self.in_use -= job.cost
         job.finish()
