--- a/packages/lab/src/tamarack_lab/caller/__init__.py
+++ b/packages/lab/src/tamarack_lab/caller/__init__.py
@@ -1,1 +1,1 @@
-"""Caller stand-in."""
+"""Caller stand-in: opens connections and checks the answers."""
--- a/packages/lab/src/tamarack_lab/caller/datagram_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/datagram_flow.py
@@ -1,4 +1,4 @@
-"""One request of a caller over UDP."""
+"""One UDP request of a caller."""
 
 import asyncio
 
@@ -13,12 +13,12 @@
 
 
 class DatagramFlow:
-    """Sends a request once and judges the answer.
+    """Sends a request once and checks the answer.
 
     Attributes:
-        load: What the request is for.
-        counts: Counts of the work class.
-        attachment: Carries the packets.
+        load: Load that the request belongs to.
+        counts: Counters of the load.
+        attachment: Sends and receives packets through the fabric.
         name: Identifier of the request.
         is_over: Whether the outcome has been counted.
     """
@@ -41,13 +41,13 @@
         attachment: attachments.Attachment,
         name: str,
     ) -> None:
-        """Creates a request that isn't sent.
+        """Initializes a request that is not sent.
 
         Args:
-            load: What the request is for.
-            counts: Counts of the work class.
-            attachment: Carries the packets.
-            name: Identifier that no other request has.
+            load: Load that the request belongs to.
+            counts: Counters of the load.
+            attachment: Sends and receives packets through the fabric.
+            name: Unique identifier of the request.
         """
         self.load = load
         self.counts = counts
@@ -59,7 +59,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def open(self, four_tuple: connections.FourTuple) -> None:
-        """Sends the request."""
+        """Sends the request and starts the answer timeout."""
         self.counts.tried += 1
         self.counts.requests += 1
         self._sent_at_s = self._loop.time()
@@ -72,12 +72,12 @@
         )
 
     def finish(self) -> None:
-        """Does nothing; a request ends with its answer."""
+        """Does nothing: a request ends with its answer or its timeout."""
 
     def _receive(
         self, four_tuple: connections.FourTuple, payload: bytes
     ) -> None:
-        """Judges an answer."""
+        """Checks the answers of a received datagram."""
         reader = exchange.LineReader(exchange.Answer)
         try:
             answers = list(reader.feed(payload))
@@ -91,7 +91,7 @@
     def _check_answer(
         self, four_tuple: connections.FourTuple, answer: exchange.Answer
     ) -> None:
-        """Counts an answer as right or wrong."""
+        """Counts an answer as correct or wrong."""
         expected = (self.load.service, self.load.work_class)
         if (answer.service, answer.work_class) != expected:
             self.counts.wrong_service += 1
@@ -105,12 +105,12 @@
             self._mark_over(four_tuple)
 
     def _time_out(self, four_tuple: connections.FourTuple) -> None:
-        """Gives up on an answer that doesn't come."""
+        """Counts a missing answer and ends the flow."""
         self.counts.broken[verdict.unknown("no-answer")] += 1
         self._mark_over(four_tuple)
 
     def _mark_over(self, four_tuple: connections.FourTuple) -> None:
-        """Marks the outcome as counted."""
+        """Marks the outcome as counted and releases timer and handler."""
         self.is_over = True
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/lab/src/tamarack_lab/caller/process.py
+++ b/packages/lab/src/tamarack_lab/caller/process.py
@@ -1,4 +1,4 @@
-"""A process with one or several callers."""
+"""A process that runs one or several callers."""
 
 import asyncio
 import ipaddress
@@ -31,20 +31,21 @@
 
 
 class CallerProcess:
-    """Opens connections for a time and reports what became of them.
+    """Opens connections for a fixed duration and reports their outcome.
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
-        counts: Counts of each load, in the order of the settings.
-        http: Endpoint of the HTTP interface, once started; None for none.
+        attachment: Sends and receives packets through the fabric.
+        counts: Counters of each load, in the order of the settings.
+        http: Endpoint of the HTTP interface, the bound one after `start`;
+            None if it is disabled.
     """
 
     __slots__ = (
         "_flows",
-        "_four_tuples",
         "_random",
         "_runner",
+        "_source_endpoints",
         "attachment",
         "counts",
         "http",
@@ -52,13 +53,16 @@
     )
 
     def __init__(self, settings: caller_settings.Settings) -> None:
-        """Creates callers that aren't started; needs a running loop.
+        """Initializes callers that are not started.
+
+        Requires a running event loop.
 
         Args:
             settings: Settings.
 
         Raises:
-            ValueError: An address is malformed.
+            ValueError: An address is malformed, or no caller has the IP
+                version of a load.
         """
         self.settings = settings
         stack = stacks.Stack(settings.seed, settings.mss)
@@ -72,7 +76,7 @@
         self._runner: web.AppRunner | None = None
         _check(settings)
         packed = [ipaddress.ip_address(a).packed for a in settings.addresses]
-        self._four_tuples = {
+        self._source_endpoints = {
             size: itertools.cycle(
                 itertools.product(
                     range(FIRST_PORT, LAST_PORT),
@@ -86,7 +90,7 @@
         """Binds the sockets.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self.attachment.start()
         if self.http is not None:
@@ -97,10 +101,11 @@
             self.http = served.endpoint
 
     async def run(self) -> reports.CallerReport:
-        """Opens connections for the duration and closes them in order.
+        """Opens connections for the set duration, then closes them.
 
         Returns:
-            The final report; connections still open in it were stuck.
+            The final report. Connections that it counts as open did not
+            finish within the grace period.
         """
         async with asyncio.TaskGroup() as group:
             for index, load in enumerate(self.settings.loads):
@@ -115,7 +120,7 @@
         self.attachment.close()
 
     def report(self) -> reports.CallerReport:
-        """Returns the counts so far."""
+        """Returns the report so far."""
         loads = zip(self.settings.loads, self.counts, strict=True)
         return reports.CallerReport(
             tuple(
@@ -128,7 +133,7 @@
     async def _generate(
         self, load: caller_settings.Load, counts: reports.Counts
     ) -> None:
-        """Opens connections at random times with the rate of a load."""
+        """Opens the connections of a load as a Poisson process."""
         loop = asyncio.get_running_loop()
         next_s = loop.time()
         end_s = next_s + self.settings.duration_s
@@ -140,9 +145,9 @@
         await asyncio.sleep(end_s - loop.time())
 
     def _open(self, load: caller_settings.Load, counts: reports.Counts) -> None:
-        """Opens a connection."""
+        """Opens a connection, or sends a UDP request."""
         remote = ipaddress.ip_address(load.address).packed
-        port, address = next(self._four_tuples[len(remote)])
+        port, address = next(self._source_endpoints[len(remote)])
         four_tuple = connections.FourTuple(address, port, remote, load.port)
         name = f"{self.settings.seed}-{load.work_class}-{counts.tried}"
         flow_class = _FLOW_CLASSES[load.protocol]
@@ -153,7 +158,10 @@
         self._flows.append(flow)
 
     async def _finish(self) -> None:
-        """Closes long-lived connections and waits for bounded ones."""
+        """Closes long-lived connections and waits for bounded ones.
+
+        The wait ends after `settings.grace_s` at the latest.
+        """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + self.settings.grace_s
         while any(not flow.is_over for flow in self._flows):
@@ -165,15 +173,15 @@
             await asyncio.sleep(_POLL_S)
 
     async def _read_report(self, request: web.Request) -> web.Response:
-        """Answers with the counts so far."""
+        """Responds with the report so far."""
         return web_server.answer(self.report())
 
 
 def _check(settings: caller_settings.Settings) -> None:
-    """Checks that each load has a caller of its IP version.
+    """Checks that each load has a caller with its IP version.
 
     Raises:
-        ValueError: A load has none.
+        ValueError: No caller has the IP version of a load.
     """
     versions = {ipaddress.ip_address(a).version for a in settings.addresses}
     for index, load in enumerate(settings.loads):
--- a/packages/lab/src/tamarack_lab/caller/report.py
+++ b/packages/lab/src/tamarack_lab/caller/report.py
@@ -1,4 +1,4 @@
-"""Counts of a caller."""
+"""Counters and reports of the caller stand-in."""
 
 import collections
 import dataclasses
@@ -10,21 +10,23 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """What became of the connections to one work class.
+    """Outcome of the connections to one work class.
 
     Attributes:
         service: The service.
         work_class: The work class.
-        tried: Connections tried.
-        opened: Connections established.
-        completed: Connections that ended as their caller meant them to.
-        open: Connections open or being established now.
-        broken: Established connections that were cut, by verdict and reason.
-        refused: Connections never established, by verdict and reason.
-        requests: Requests sent.
-        answers: Right answers received.
-        wrong_service: Answers of another service or work class.
-        mixed_up: Answers to another request.
+        tried: Number of attempted connections.
+        opened: Number of established connections.
+        completed: Number of connections that the caller closed normally.
+        open: Number of connections that are open or being established.
+        broken: Number of established connections that were interrupted, by
+            verdict and reason.
+        refused: Number of connections never established, by verdict and
+            reason.
+        requests: Number of requests sent.
+        answers: Number of correct answers.
+        wrong_service: Number of answers from another service or work class.
+        mixed_up: Number of malformed answers and answers to another request.
         latency_p50_s: Median time from request to answer in seconds.
         latency_p99_s: 99th percentile of that time in seconds.
     """
@@ -46,11 +48,12 @@
 
 
 class CallerReport(msgspec.Struct, frozen=True):
-    """What became of all connections.
+    """Outcome of all connections.
 
     Attributes:
-        loads: Report of each work class.
-        unreadable: Packets dropped, by reason; bad checksums among them.
+        loads: Report of each load, in the order of the settings.
+        unreadable: Number of dropped packets by reason, for example an
+            invalid checksum.
     """
 
     loads: tuple[LoadReport, ...]
@@ -59,19 +62,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Counts:
-    """Counts of one work class, as they grow.
+    """Running counters of one load.
 
     Attributes:
-        tried: Connections tried.
-        opened: Connections established.
-        completed: Connections that ended as their caller meant them to.
-        broken: Established connections that were cut, by verdict.
-        refused: Connections never established, by verdict.
-        requests: Requests sent.
-        answers: Right answers received.
-        wrong_service: Answers of another service or work class.
-        mixed_up: Answers to another request.
-        latencies_s: Time from request to answer in seconds.
+        tried: Number of attempted connections.
+        opened: Number of established connections.
+        completed: Number of connections that the caller closed normally.
+        broken: Number of established connections that were interrupted, by
+            verdict.
+        refused: Number of connections never established, by verdict.
+        requests: Number of requests sent.
+        answers: Number of correct answers.
+        wrong_service: Number of answers from another service or work class.
+        mixed_up: Number of malformed answers and answers to another request.
+        latencies_s: Time from request to answer of each correct answer in
+            seconds.
     """
 
     tried: int = 0
@@ -91,7 +96,7 @@
 
     @property
     def unfinished(self) -> int:
-        """Connections that are open or being established."""
+        """Number of connections that are open or being established."""
         return (
             self.tried
             - self.completed
@@ -99,7 +104,7 @@
         )
 
     def report(self, service: str, work_class: str) -> LoadReport:
-        """Returns the counts so far.
+        """Returns the report of the load so far.
 
         Args:
             service: The service.
@@ -127,12 +132,12 @@
 def _by_verdict_text(
     counts: collections.Counter[verdict.Verdict],
 ) -> dict[str, int]:
-    """Returns counts by the text form of the verdict."""
+    """Returns the counts by verdict and reason as text."""
     return {f"{v.outcome}: {v.reason}": n for v, n in counts.items()}
 
 
 def _quantile(ordered: list[float], fraction: float) -> float:
-    """Returns a quantile of sorted values; 0 without any."""
+    """Returns a quantile of sorted values, or 0 if there are none."""
     if not ordered:
         return 0.0
     return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
--- a/packages/lab/src/tamarack_lab/caller/settings.py
+++ b/packages/lab/src/tamarack_lab/caller/settings.py
@@ -7,20 +7,20 @@
 
 
 class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Connections to one work class.
+    """Load that callers put on one work class.
 
     Attributes:
-        service: Service that must answer.
-        work_class: Work class that must answer.
+        service: Service expected to answer.
+        work_class: Work class expected to answer.
         address: Service address.
         port: Service port.
-        protocol: TCP, or UDP with one request in each datagram.
-        lifetime: Bounded connections carry one request each; long-lived ones
-            carry requests until the end.
-        rate: New connections a second.
-        most: Most connections open at once; 0 is no bound.
-        request_interval_s: Seconds between requests of a long-lived
-            connection.
+        protocol: TCP, or UDP with one request per datagram.
+        lifetime: Bounded connections carry one request each. Long-lived ones
+            carry requests until the end of the run.
+        rate: Mean number of new connections per second.
+        most: Maximum number of unfinished connections; 0 for no limit.
+        request_interval_s: Seconds from an answer to the next request of a
+            long-lived connection.
         answer_bytes: Length of the filling of each answer.
         answer_timeout_s: Seconds after which an answer counts as missing.
     """
@@ -39,18 +39,19 @@
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of one process with one or several callers.
+    """Settings of a process that runs one or several callers.
 
     Attributes:
-        listen: Endpoint of Geneve over UDP; port 0 takes a free port.
+        listen: UDP endpoint for Geneve packets; port 0 selects a free port.
         fabric: Endpoint of the fabric.
         addresses: IP addresses of the callers.
-        loads: Connections to open.
-        http: Endpoint of the report; None for none.
+        loads: Loads to generate.
+        http: Endpoint of the HTTP interface, which shows the report; None to
+            disable it.
         duration_s: Seconds during which connections are opened.
-        grace_s: Seconds given to bounded connections after that.
-        mss: Longest TCP payload of a packet in bytes.
-        seed: Seed of all chance.
+        grace_s: Seconds that open connections then have to finish.
+        mss: Maximum TCP payload of a packet in bytes.
+        seed: Seed of all random decisions.
     """
 
     listen: peers.Endpoint
--- a/packages/lab/src/tamarack_lab/caller/stream_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/stream_flow.py
@@ -1,4 +1,4 @@
-"""One connection of a caller."""
+"""One TCP connection of a caller."""
 
 import asyncio
 import itertools
@@ -17,16 +17,17 @@
 
 
 class StreamFlow:
-    """Sends requests and judges the answers.
+    """Sends requests over a connection and checks the answers.
 
     Attributes:
-        load: What the connection is for.
-        counts: Counts of the work class.
-        attachment: Carries the packets.
+        load: Load that the connection belongs to.
+        counts: Counters of the load.
+        attachment: Sends and receives packets through the fabric.
         name: Prefix of the request identifiers.
         connection: The connection; None before it is opened.
-        pending_request: Identifier of the request without answer; empty for none.
-        is_open: Whether the connection is established.
+        pending_request: Identifier of the unanswered request; empty if there
+            is none.
+        is_open: Whether the connection has been established.
         is_over: Whether the outcome has been counted.
     """
 
@@ -53,13 +54,13 @@
         attachment: attachments.Attachment,
         name: str,
     ) -> None:
-        """Creates a flow that isn't opened.
+        """Initializes a flow that is not opened.
 
         Args:
-            load: What the connection is for.
-            counts: Counts of the work class.
-            attachment: Carries the packets.
-            name: Prefix of the request identifiers, used by no other flow.
+            load: Load that the connection belongs to.
+            counts: Counters of the load.
+            attachment: Sends and receives packets through the fabric.
+            name: Unique prefix of the request identifiers.
         """
         self.load = load
         self.counts = counts
@@ -81,17 +82,18 @@
         self.connection = self.attachment.connect(four_tuple, self)
 
     def finish(self) -> None:
-        """Closes a connection that has nothing outstanding."""
+        """Closes the connection unless a request is unanswered."""
         if self.connection is None or self.is_over or self.pending_request:
             return
-        # One that is still being established ends once it is.
+        # A connection that is still being established is left open here. A
+        # later call closes it.
         if self.is_open:
             self._complete(self.connection)
 
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
-        """Reacts to an occurrence of the connection."""
+        """Handles an event of the connection."""
         if self.is_over:
             return
         if event is ConnectionEvent.CONNECTED:
@@ -120,7 +122,7 @@
         self._schedule(self.load.answer_timeout_s, self._time_out, connection)
 
     def _read(self, connection: connections.Connection) -> None:
-        """Judges the answers that have arrived."""
+        """Checks the received answers and continues with the next step."""
         try:
             for answer in self._reader.feed(connection.read()):
                 self._check_answer(answer)
@@ -132,7 +134,7 @@
             self._continue(connection)
 
     def _check_answer(self, answer: exchange.Answer) -> None:
-        """Counts an answer as right or wrong."""
+        """Counts an answer as correct or wrong."""
         expected = (self.load.service, self.load.work_class)
         if (answer.service, answer.work_class) != expected:
             self.counts.wrong_service += 1
@@ -146,14 +148,14 @@
         self.pending_request = ""
 
     def _continue(self, connection: connections.Connection) -> None:
-        """Closes a bounded connection, or waits for the next request."""
+        """Closes a bounded connection, or schedules the next request."""
         if self.load.lifetime is configuration.Lifetime.BOUNDED:
             self._complete(connection)
         else:
             self._schedule(self.load.request_interval_s, self._send, connection)
 
     def _complete(self, connection: connections.Connection) -> None:
-        """Closes the connection in order."""
+        """Closes the connection normally and counts it as completed."""
         self.counts.completed += 1
         self._mark_over()
         connection.finish()
@@ -167,7 +169,10 @@
     def _count_broken(
         self, connection: connections.Connection, reason: str
     ) -> None:
-        """Counts a connection that was cut."""
+        """Counts an established connection that was interrupted.
+
+        Without any payload sent, no request can have run.
+        """
         self._mark_over()
         outcome = verdict.may_have_run(reason)
         if not connection.sent_payload:
@@ -178,7 +183,7 @@
             self.attachment.flush_soon(connection)
 
     def _time_out(self, connection: connections.Connection) -> None:
-        """Gives up on an answer that doesn't come."""
+        """Resets the connection because an answer is missing."""
         if not self.is_over:
             self._reset(connection, "no-answer")
 
@@ -189,7 +194,7 @@
         self.attachment.flush_soon(connection)
 
     def _mark_over(self) -> None:
-        """Marks the outcome as counted."""
+        """Marks the outcome as counted and stops the timer."""
         self.is_over = True
         if self._timer is not None:
             self._timer.cancel()
