--- a/packages/lab/src/tamarack_lab/tcp/__init__.py
+++ b/packages/lab/src/tamarack_lab/tcp/__init__.py
@@ -1,1 +1,1 @@
-"""A small TCP for stand-ins: sans I/O, over whole IP packets."""
+"""User-space TCP of the stand-ins: sans I/O, on whole IP packets."""
--- a/packages/lab/src/tamarack_lab/tcp/connection.py
+++ b/packages/lab/src/tamarack_lab/tcp/connection.py
@@ -11,7 +11,7 @@
 
 # Twice a maximum segment lifetime of 30 s.
 TIME_WAIT_S = 60.0
-# How many bytes of room an application must free before the peer is told.
+# A window update is sent when a read increases the window to this size.
 _WINDOW_UPDATE_BYTES = receivers.BUFFER_BYTES // 2
 
 
@@ -47,9 +47,12 @@
 
 
 class ConnectionEvent(enum.StrEnum):
-    """What an application is told.
+    """Event that an application is notified of.
 
-    `REFUSED` is a reset in answer to the SYN, `RESET` one at any later time.
+    `READABLE` means that payload has arrived, `WRITABLE` that the peer has
+    acknowledged something, `ENDED` that the peer has sent its FIN, and
+    `CLOSED` that both sides have closed normally. `REFUSED` is a reset in
+    response to the SYN, `RESET` a reset at any later time.
     """
 
     CONNECTED = "connected"
@@ -63,10 +66,15 @@
 
 
 class Application(Protocol):
-    """What uses a connection."""
+    """User of a connection."""
 
     def notify(self, connection: "Connection", event: ConnectionEvent) -> None:
-        """Reacts to an occurrence; `connection` may be used at once."""
+        """Handles an event.
+
+        Args:
+            connection: The connection, which the call may use directly.
+            event: The event.
+        """
 
 
 _AFTER_FIN_ACKNOWLEDGED = {
@@ -86,20 +94,21 @@
 
 
 class Connection:
-    """A connection between two ends.
+    """One end of a TCP connection.
 
     Attributes:
         four_tuple: Addresses and ports.
         state: State by RFC 9293.
         sender: Sending half.
         receiver: Receiving half; None before the peer's SYN.
-        application: What uses the connection.
+        application: User of the connection.
         outgoing: Segments to send, oldest first.
-        mss: Longest payload that this side accepts, in bytes.
-        is_acknowledgment_due: Whether an ACK must leave with the next flush.
-        time_wait_until_s: When TIME_WAIT ends; None in other states.
+        mss: Maximum payload of a segment that this side accepts, in bytes.
+        is_acknowledgment_due: Whether the next flush must send an ACK.
+        time_wait_until_s: Time at which TIME_WAIT ends; None in other states.
         sent_payload: Whether any payload has been sent.
-        timer_at_s: When the timer that the stack runs for this fires.
+        timer_at_s: Time at which the stack's timer for this connection fires;
+            None if there is no timer.
     """
 
     __slots__ = (
@@ -123,13 +132,13 @@
         mss: int,
         application: Application,
     ) -> None:
-        """Creates a closed connection.
+        """Initializes a closed connection.
 
         Args:
             four_tuple: Addresses and ports.
             initial: Initial sequence number, 32 bits.
-            mss: Longest payload that this side accepts, in bytes.
-            application: What uses the connection.
+            mss: Maximum payload of a segment that this side accepts, in bytes.
+            application: User of the connection.
         """
         self.four_tuple = four_tuple
         self.state = State.CLOSED
@@ -145,30 +154,30 @@
 
     @property
     def deadline_s(self) -> float | None:
-        """When `expire` must be called; None for never."""
+        """Time at which `expire` must be called, or None if no timer runs."""
         if self.time_wait_until_s is not None:
             return self.time_wait_until_s
         return self.sender.deadline_s
 
     def connect(self, now_s: float) -> None:
-        """Opens the connection from this side."""
+        """Opens the connection actively by sending a SYN."""
         self.state = State.SYN_SENT
         self.sender.open(now_s)
         self._send_syn()
 
     def accept(self, now_s: float, syn: segments.Segment) -> None:
-        """Opens the connection in answer to a SYN."""
+        """Opens the connection passively in response to a SYN."""
         self.state = State.SYN_RECEIVED
         self._create_receiver(syn)
         self.sender.open(now_s)
         self._send_syn()
 
     def write(self, data: bytes) -> None:
-        """Queues payload; it leaves with the next flush."""
+        """Queues payload for the next flush."""
         self.sender.buffer += data
 
     def read(self) -> bytes:
-        """Returns the payload received in order so far."""
+        """Removes and returns the payload received in order so far."""
         if self.receiver is None:
             return b""
         window_before = self.receiver.window
@@ -178,20 +187,20 @@
         return data
 
     def finish(self) -> None:
-        """Closes this side once all queued payload has been sent."""
+        """Closes the sending side after all queued payload has been sent."""
         if self.sender.is_closing or self.state is State.CLOSED:
             return
         self.sender.is_closing = True
         self.state = _AFTER_FIN_SENT.get(self.state, self.state)
 
     def abort(self) -> None:
-        """Resets the connection; the application isn't told."""
+        """Resets the connection without notifying the application."""
         if self.state is not State.CLOSED:
             self._queue_segment(self.sender.next, segments.RST | segments.ACK)
         self._close()
 
     def flush(self, now_s: float) -> list[segments.Segment]:
-        """Returns all segments that may leave now."""
+        """Returns all segments that may be sent now."""
         if self.state not in (State.CLOSED, State.SYN_SENT, State.SYN_RECEIVED):
             for chunk in self.sender.take_sendable(now_s):
                 self._send_chunk(chunk)
@@ -202,7 +211,7 @@
         return outgoing
 
     def expire(self, now_s: float) -> None:
-        """Handles a timer that has run out."""
+        """Handles an expired timer."""
         if self.time_wait_until_s is not None:
             self._terminate(ConnectionEvent.CLOSED)
             return
@@ -216,7 +225,7 @@
             self._send_chunk(chunk)
 
     def receive(self, now_s: float, segment: segments.Segment) -> None:
-        """Handles a segment of the peer."""
+        """Handles a segment from the peer."""
         if self.state is State.SYN_SENT:
             self._receive_in_syn_sent(now_s, segment)
         elif self.receiver is not None:
@@ -225,7 +234,7 @@
     def _receive_in_syn_sent(
         self, now_s: float, segment: segments.Segment
     ) -> None:
-        """Handles the answer to a SYN."""
+        """Handles the response to a SYN."""
         expected = self.sender.base & sequence.MASK
         has_ack = bool(segment.flags & segments.ACK)
         if has_ack and segment.acknowledgment != expected:
@@ -244,7 +253,7 @@
             self.is_acknowledgment_due = True
 
     def _reset_half_open(self, segment: segments.Segment) -> None:
-        """Resets what is left of an earlier connection at the peer."""
+        """Resets a stale connection that the peer still has (half-open)."""
         if not segment.flags & segments.RST:
             self._queue_segment(segment.acknowledgment, segments.RST)
 
@@ -260,14 +269,15 @@
             if not segment.flags & segments.RST:
                 self._queue_segment(self.sender.highest, segments.ACK)
             if self.state is State.TIME_WAIT and segment.flags & segments.FIN:
-                self._enter_time_wait(now_s)
+                self._start_time_wait(now_s)
             return
         if segment.flags & segments.RST:
             self._receive_reset(number, receiver)
             return
         if segment.flags & segments.SYN:
-            # RFC 5961: a SYN in a synchronized state gets a challenge ACK. A
-            # SYN that is sent again in SYN_RECEIVED falls outside the window.
+            # RFC 5961: a SYN in a synchronized state is answered with a
+            # challenge ACK. A SYN retransmitted in SYN_RECEIVED lies outside
+            # the window and is handled above.
             self._queue_segment(self.sender.highest, segments.ACK)
             return
         if not segment.flags & segments.ACK:
@@ -282,17 +292,22 @@
         segment: segments.Segment,
         receiver: receivers.Receiver,
     ) -> bool:
-        """Returns True when a segment touches the receive window."""
+        """Returns True if a segment overlaps the receive window."""
         after = number + segment.length
         if segment.length and after <= receiver.next:
             return False
-        # A segment that carries nothing new may be one behind (keepalive).
+        # A keepalive segment carries no new data and may start one sequence
+        # number before the expected one.
         return receiver.next - 1 <= after and (
             number <= receiver.next + receiver.window
         )
 
     def _receive_reset(self, number: int, receiver: receivers.Receiver) -> None:
-        """Handles a reset; only an exact one counts (RFC 5961)."""
+        """Handles a reset.
+
+        Only a reset with exactly the expected sequence number is accepted.
+        Others are answered with a challenge ACK (RFC 5961).
+        """
         if number != receiver.next:
             self._queue_segment(self.sender.highest, segments.ACK)
             return
@@ -325,10 +340,10 @@
             self.application.notify(self, ConnectionEvent.WRITABLE)
 
     def _receive_last_acknowledgment(self, now_s: float) -> None:
-        """Handles the acknowledgment of the own FIN."""
+        """Handles the acknowledgment of this side's FIN."""
         self.state = _AFTER_FIN_ACKNOWLEDGED.get(self.state, self.state)
         if self.state is State.TIME_WAIT:
-            self._enter_time_wait(now_s)
+            self._start_time_wait(now_s)
         elif self.state is State.CLOSED:
             self._terminate(ConnectionEvent.CLOSED)
 
@@ -339,7 +354,7 @@
         segment: segments.Segment,
         receiver: receivers.Receiver,
     ) -> None:
-        """Handles payload and FIN of a segment."""
+        """Handles the payload and the FIN of a segment."""
         if not segment.length:
             return
         before = receiver.next
@@ -347,8 +362,8 @@
         if receiver.accept(number, segment.payload, is_last):
             self.is_acknowledgment_due = True
         else:
-            # Each segment out of order is answered, so that the peer can
-            # count duplicate acknowledgments.
+            # Each out-of-order segment is acknowledged at once, so that the
+            # peer can count duplicate acknowledgments.
             self._queue_segment(self.sender.highest, segments.ACK)
         if receiver.next == before:
             return
@@ -358,17 +373,20 @@
             self._receive_fin(now_s)
 
     def _receive_fin(self, now_s: float) -> None:
-        """Handles the FIN of the peer once all before it has arrived."""
+        """Handles the peer's FIN after all payload before it has arrived."""
         after = _AFTER_FIN_RECEIVED.get(self.state)
         if after is None:
             return
         self.state = after
         if after is State.TIME_WAIT:
-            self._enter_time_wait(now_s)
+            self._start_time_wait(now_s)
         self.application.notify(self, ConnectionEvent.ENDED)
 
     def _create_receiver(self, syn: segments.Segment) -> None:
-        """Takes the peer's initial sequence number and segment size."""
+        """Creates the receiving half from the peer's SYN.
+
+        The peer's maximum segment size limits the segments of this side.
+        """
         self.receiver = receivers.Receiver(syn.sequence + 1)
         offered = syn.mss or segments.DEFAULT_MSS_BYTES
         self.sender.mss = min(self.sender.mss, offered)
@@ -381,31 +399,31 @@
             self.state = State.FIN_WAIT_1
         self.application.notify(self, ConnectionEvent.CONNECTED)
 
-    def _enter_time_wait(self, now_s: float) -> None:
-        """Enters TIME_WAIT."""
+    def _start_time_wait(self, now_s: float) -> None:
+        """Starts or restarts the timer of TIME_WAIT."""
         self.sender.deadline_s = None
         self.time_wait_until_s = now_s + TIME_WAIT_S
 
     def _terminate(self, event: ConnectionEvent) -> None:
-        """Closes without a segment and tells the application."""
+        """Closes without sending a segment and notifies the application."""
         self._close()
         self.application.notify(self, event)
 
     def _close(self) -> None:
-        """Enters CLOSED."""
+        """Enters CLOSED and stops all timers."""
         self.state = State.CLOSED
         self.sender.deadline_s = None
         self.time_wait_until_s = None
 
     def _send_syn(self) -> None:
-        """Sends the SYN, or the SYN with ACK, of this side."""
+        """Queues the SYN or SYN-ACK of this side."""
         flags = segments.SYN
         if self.receiver is not None:
             flags |= segments.ACK
         self._queue_segment(self.sender.base - 1, flags, mss=self.mss)
 
     def _send_chunk(self, chunk: senders.Chunk) -> None:
-        """Sends payload, a FIN or both."""
+        """Queues a segment with payload, a FIN or both."""
         flags = segments.ACK
         if chunk.payload:
             flags |= segments.PSH
@@ -417,7 +435,7 @@
     def _queue_segment(
         self, number: int, flags: int, payload: bytes = b"", mss: int = 0
     ) -> None:
-        """Adds a segment to the outgoing ones."""
+        """Queues an outgoing segment, which also carries a due ACK."""
         receiver = self.receiver
         four_tuple = self.four_tuple
         self.is_acknowledgment_due = False
--- a/packages/lab/src/tamarack_lab/tcp/receiver.py
+++ b/packages/lab/src/tamarack_lab/tcp/receiver.py
@@ -4,19 +4,20 @@
 
 
 class Receiver:
-    """Puts payload back in order.
+    """Reassembles the payload of a connection.
 
     Attributes:
-        next: Next sequence number expected, unbounded.
-        unread: Payload in order that the application has not read.
+        next: Next expected sequence number, unbounded.
+        unread: In-order payload that the application has not read.
         out_of_order: Payload that arrived out of order, by sequence number.
-        fin_sequence: Sequence number of the peer's FIN; None before it has arrived.
+        fin_sequence: Sequence number of the peer's FIN; None before it has
+            arrived.
     """
 
     __slots__ = ("fin_sequence", "next", "out_of_order", "unread")
 
     def __init__(self, first: int) -> None:
-        """Starts to expect payload.
+        """Initializes the receiving half of a connection.
 
         Args:
             first: Sequence number of the first byte of payload.
@@ -28,16 +29,16 @@
 
     @property
     def window(self) -> int:
-        """Bytes that may still be sent to this side."""
+        """Receive window: number of bytes that the peer may send."""
         return max(0, BUFFER_BYTES - len(self.unread))
 
     @property
     def is_finished(self) -> bool:
-        """True when everything up to the peer's FIN has arrived."""
+        """Whether everything up to the peer's FIN has arrived."""
         return self.fin_sequence is not None and self.next > self.fin_sequence
 
     def accept(self, sequence: int, payload: bytes, is_last: bool) -> bool:
-        """Takes the payload of a segment.
+        """Stores the payload of a segment.
 
         Args:
             sequence: Unbounded sequence number of the first byte.
@@ -45,13 +46,15 @@
             is_last: Whether a FIN follows the payload.
 
         Returns:
-            True when the segment was the next one expected.
+            True if the segment starts at or before the next expected sequence
+            number.
         """
         after = sequence + len(payload)
         if is_last:
             self.fin_sequence = after
         in_order = sequence <= self.next
-        # What lies beyond the window was sent in spite of it.
+        # Payload that ends beyond the window is discarded, because the peer
+        # sent it despite the window.
         if after > self.next and after <= self.next + self.window:
             longest = self.out_of_order.get(sequence, b"")
             if len(payload) > len(longest):
@@ -60,13 +63,13 @@
         return in_order
 
     def read(self) -> bytes:
-        """Returns all payload that is in order, and frees its buffer."""
+        """Removes and returns all in-order payload."""
         data = bytes(self.unread)
         self.unread.clear()
         return data
 
     def _reassemble(self) -> None:
-        """Moves early payload that is now in order to the unread bytes."""
+        """Moves payload that is now in order to the unread bytes."""
         while self.out_of_order:
             payload = self.out_of_order.pop(self.next, None)
             if payload is None:
@@ -79,7 +82,12 @@
             self.next += 1
 
     def _take_overlapping(self) -> bytes | None:
-        """Takes early payload that starts before the expected number."""
+        """Removes out-of-order payload that overlaps the expected number.
+
+        Returns:
+            The part from the expected sequence number on, or None if no
+            payload reaches it.
+        """
         for sequence in [s for s in self.out_of_order if s < self.next]:
             payload = self.out_of_order.pop(sequence)[self.next - sequence :]
             if payload:
--- a/packages/lab/src/tamarack_lab/tcp/segment.py
+++ b/packages/lab/src/tamarack_lab/tcp/segment.py
@@ -1,7 +1,7 @@
-"""Segments and their form as whole IP packets, through dpkt.
+"""TCP segments and their encoding as whole IP packets with dpkt.
 
-The codec shares no code with the balancer, so that an error of its rewriting
-shows as a bad checksum here.
+The codec shares no code with the load balancer. If the load balancer rewrites
+a packet incorrectly, the checksum verification of this module detects it.
 """
 
 import dataclasses
@@ -42,7 +42,8 @@
         acknowledgment: Acknowledgment number, 32 bits.
         flags: TCP flags.
         window: Receive window in bytes.
-        mss: Maximum segment size option in bytes; 0 without one.
+        mss: Value of the maximum segment size option in bytes; 0 if the
+            option is absent.
         payload: Payload.
     """
 
@@ -59,13 +60,13 @@
 
     @property
     def length(self) -> int:
-        """Sequence numbers that the segment occupies."""
+        """Number of sequence numbers that the segment occupies."""
         control = bool(self.flags & SYN) + bool(self.flags & FIN)
         return len(self.payload) + control
 
 
 def encode(segment: Segment) -> bytes:
-    """Returns the IP packet of a segment, with both checksums."""
+    """Returns the IP packet of a segment, with IP and TCP checksums."""
     options = b""
     if segment.mss:
         options = struct.pack("!BBH", dpkt.tcp.TCP_OPT_MSS, 4, segment.mss)
@@ -94,7 +95,7 @@
         source: Source address in network byte order.
         destination: Destination address in network byte order.
         protocol: IP protocol number.
-        header: Transport header with its payload; its checksum is filled in.
+        header: Transport header with payload; the checksum is filled in.
     """
     if len(source) == _IPV4_BYTES:
         packet = dpkt.ip.IP(
@@ -117,7 +118,7 @@
 
 
 def decode(packet: bytes) -> Segment | failure.Failure:
-    """Returns the segment in an IP packet, or why there is none.
+    """Returns the TCP segment of an IP packet, or the reason of a failure.
 
     Args:
         packet: A whole IP packet. Its checksums are verified.
@@ -143,7 +144,7 @@
 
 
 def decode_packet(packet: bytes) -> dpkt.ip.IP | dpkt.ip6.IP6 | failure.Failure:
-    """Returns the parsed IP packet with its transport header.
+    """Returns the parsed IP packet with its transport header, or a failure.
 
     Args:
         packet: A whole IP packet. Its checksums are verified.
@@ -169,7 +170,10 @@
 def _has_valid_checksum(
     parsed: dpkt.ip.IP | dpkt.ip6.IP6, transport: bytes
 ) -> bool:
-    """Returns True when the checksum of a transport header is right."""
+    """Returns True if the checksum of the transport header is valid.
+
+    UDP over IPv4 may omit the checksum.
+    """
     header = parsed.data
     if isinstance(header, dpkt.udp.UDP) and header.sum == 0:
         return isinstance(parsed, dpkt.ip.IP)
@@ -188,7 +192,7 @@
 
 
 def _read_mss(options: bytes) -> int:
-    """Returns the maximum segment size among options; 0 without one."""
+    """Returns the maximum segment size option, or 0 if it is absent."""
     if not options:
         return 0
     try:
--- a/packages/lab/src/tamarack_lab/tcp/sender.py
+++ b/packages/lab/src/tamarack_lab/tcp/sender.py
@@ -1,6 +1,7 @@
-"""Sending half of a connection: buffer, retransmission and congestion.
+"""Sending half of a connection: buffer, retransmission, congestion control.
 
-Loss recovery follows NewReno (RFC 6582) and the timer RFC 6298.
+Loss recovery follows NewReno (RFC 6582). The retransmission timer follows RFC
+6298.
 """
 
 from collections.abc import Iterator
@@ -11,8 +12,8 @@
 MAX_RTO_S = 4.0
 MAX_RETRIES = 14
 INITIAL_WINDOW_SEGMENTS = 10
-# A fabric that sprays packets over hosts reorders them, so that a few
-# duplicate acknowledgments are no sign of loss.
+# A fabric that sprays packets over hosts reorders them. A few duplicate
+# acknowledgments are therefore no sign of loss.
 DUPLICATE_THRESHOLD = 8
 
 _RTT_GAIN = 1 / 8
@@ -22,12 +23,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Chunk:
-    """Payload to send.
+    """Payload of one segment to send.
 
     Attributes:
         sequence: Unbounded sequence number of the first byte.
         payload: The payload.
-        is_last: Whether a FIN follows it.
+        is_last: Whether a FIN follows the payload.
     """
 
     sequence: int
@@ -36,29 +37,32 @@
 
 
 class Sender:
-    """Decides what to send and when to send it again.
+    """Determines what to send and when to retransmit it.
 
     Attributes:
-        mss: Longest payload of a segment in bytes.
-        buffer: Payload not yet acknowledged; starts at `base`.
+        mss: Maximum payload of a segment in bytes.
+        buffer: Payload that is not acknowledged yet; starts at `base`.
         base: Sequence number of the first byte of `buffer`.
-        unacknowledged: Lowest sequence number without acknowledgment.
+        unacknowledged: Lowest unacknowledged sequence number.
         next: Next sequence number to send.
-        highest: Highest sequence number sent so far, plus one.
+        highest: Highest sequence number ever sent, plus one.
         window: Receive window of the peer in bytes.
         congestion_window: Congestion window in bytes.
         slow_start_threshold: Slow start threshold in bytes.
-        duplicates: Duplicate acknowledgments in a row.
-        recovery_end: Where fast recovery ends; None outside of it.
+        duplicates: Number of consecutive duplicate acknowledgments.
+        recovery_end: Sequence number whose acknowledgment ends fast recovery;
+            None outside of fast recovery.
         is_closing: Whether a FIN follows the buffer.
         rtt_s: Smoothed round-trip time in seconds; None before a sample.
         rtt_variation_s: Variation of the round-trip time in seconds.
         rto_s: Retransmission timeout in seconds.
-        deadline_s: When the retransmission timer fires; None when stopped.
-        retries: Timeouts in a row without progress.
-        timed_sequence: Sequence number whose round-trip time is measured.
-        timed_at_s: When it was sent.
-        retransmitted: Segments sent again.
+        deadline_s: Time at which the retransmission timer fires; None if it
+            is stopped.
+        retries: Number of consecutive timeouts without progress.
+        timed_sequence: Sequence number whose round-trip time is measured;
+            None if there is no measurement.
+        timed_at_s: Time at which it was sent.
+        retransmitted: Number of retransmitted segments.
     """
 
     __slots__ = (
@@ -85,11 +89,11 @@
     )
 
     def __init__(self, initial: int, mss: int) -> None:
-        """Starts before the SYN.
+        """Initializes the sending half, before the SYN is sent.
 
         Args:
             initial: Initial sequence number.
-            mss: Longest payload of a segment in bytes.
+            mss: Maximum payload of a segment in bytes.
         """
         self.mss = mss
         self.buffer = bytearray()
@@ -114,21 +118,21 @@
 
     @property
     def end(self) -> int:
-        """Sequence number after the buffer, and after the FIN if any."""
+        """Sequence number after the buffer and the FIN, if there is one."""
         return self.base + len(self.buffer) + self.is_closing
 
     @property
     def in_flight(self) -> int:
-        """Sequence numbers sent and not acknowledged."""
+        """Number of sequence numbers that are sent and unacknowledged."""
         return self.next - self.unacknowledged
 
     @property
     def is_all_acknowledged(self) -> bool:
-        """True when the peer has everything, a FIN included."""
+        """Whether the peer has acknowledged everything, including a FIN."""
         return self.unacknowledged == self.end
 
     def open(self, now_s: float) -> None:
-        """Counts the SYN as sent."""
+        """Records that the SYN is sent and starts its timer."""
         self.next = self.base
         self.highest = self.base
         self.timed_sequence = self.unacknowledged
@@ -136,7 +140,11 @@
         self.deadline_s = now_s + self.rto_s
 
     def take_sendable(self, now_s: float) -> Iterator[Chunk]:
-        """Yields the chunks that the windows let through."""
+        """Yields the chunks that the two windows allow to be sent.
+
+        The windows are the peer's receive window and the congestion window.
+        Each yielded chunk is recorded as sent.
+        """
         limit = self.unacknowledged + min(self.window, self.congestion_window)
         while self.next < self.end:
             size = min(self.mss, limit - self.next)
@@ -145,14 +153,15 @@
             chunk = self._make_chunk(self.next, size)
             self._record_sent(now_s, chunk)
             yield chunk
-        # With a closed window only the timer can find out that it has opened.
+        # While the window is closed, only the probe that the timer triggers
+        # can detect that it has opened again.
         if self.deadline_s is None and self.next < self.end:
             self.deadline_s = now_s + self.rto_s
 
     def acknowledge(
         self, now_s: float, number: int, window: int, is_pure: bool
     ) -> list[Chunk]:
-        """Takes an acknowledgment.
+        """Handles an acknowledgment.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -161,7 +170,7 @@
             is_pure: Whether the segment had neither payload nor FIN.
 
         Returns:
-            Chunks to send again at once.
+            Chunks to retransmit immediately.
         """
         same_window = window == self.window
         self.window = window
@@ -174,10 +183,10 @@
         return []
 
     def expire(self, now_s: float) -> list[Chunk]:
-        """Handles the retransmission timer.
+        """Handles the expiry of the retransmission timer.
 
         Returns:
-            Chunks to send again at once; the rest follows from `take_sendable`.
+            Chunks to send immediately. `take_sendable` yields the rest.
         """
         self.retries += 1
         self.rto_s = min(MAX_RTO_S, self.rto_s * 2)
@@ -198,17 +207,18 @@
         return [chunk]
 
     def _probe_window(self) -> list[Chunk]:
-        """Returns one byte beyond a closed window."""
+        """Returns a window probe: one byte beyond the closed window."""
         chunk = self._make_chunk(self.unacknowledged, 1)
-        # The probe stays outside of `next`, so that an open window sends the
-        # byte again with what follows it.
+        # `next` does not include the probe. When the window opens, the byte is
+        # sent again together with the payload after it.
         self.highest = max(self.highest, self._end_of(chunk))
-        # The peer may keep its window closed for as long as it likes.
+        # A peer may keep its window closed indefinitely, so that probes must
+        # not lead to a timeout.
         self.retries = 0
         return [chunk]
 
     def _acknowledge_new(self, now_s: float, number: int) -> list[Chunk]:
-        """Takes an acknowledgment of something new."""
+        """Handles an acknowledgment of new data."""
         acknowledged = number - self.unacknowledged
         self._sample_round_trip(now_s, number)
         data_end = self.base + len(self.buffer)
@@ -224,7 +234,15 @@
     def _update_congestion_window(
         self, number: int, acknowledged: int
     ) -> list[Chunk]:
-        """Grows the congestion window, or goes on with fast recovery."""
+        """Increases the congestion window, or continues fast recovery.
+
+        Args:
+            number: Unbounded acknowledgment number.
+            acknowledged: Number of newly acknowledged sequence numbers.
+
+        Returns:
+            Chunks to retransmit immediately.
+        """
         if self.recovery_end is None:
             if self.congestion_window < self.slow_start_threshold:
                 self.congestion_window += min(acknowledged, self.mss * 2)
@@ -236,11 +254,14 @@
             self.recovery_end = None
             self.congestion_window = self.slow_start_threshold
             return []
-        # A partial acknowledgment points at the next lost segment.
+        # A partial acknowledgment means that the next segment is lost, too.
         return self._retransmit_first()
 
     def _acknowledge_duplicate(self, now_s: float) -> list[Chunk]:
-        """Takes a duplicate acknowledgment."""
+        """Handles a duplicate acknowledgment.
+
+        At `DUPLICATE_THRESHOLD`, fast recovery starts with a retransmission.
+        """
         self.duplicates += 1
         if self.recovery_end is not None:
             self.congestion_window += self.mss
@@ -254,13 +275,13 @@
         return self._retransmit_first()
 
     def _retransmit_first(self) -> list[Chunk]:
-        """Returns the first chunk without acknowledgment."""
+        """Returns the first unacknowledged chunk for retransmission."""
         self.timed_sequence = None
         self.retransmitted += 1
         return [self._make_chunk(self.unacknowledged, self.mss)]
 
     def _sample_round_trip(self, now_s: float, number: int) -> None:
-        """Takes a sample of the round-trip time (RFC 6298)."""
+        """Updates the estimated round-trip time and timeout (RFC 6298)."""
         if self.timed_sequence is None or number <= self.timed_sequence:
             return
         sample_s = now_s - self.timed_at_s
@@ -289,7 +310,7 @@
         return chunk.sequence + len(chunk.payload) + chunk.is_last
 
     def _record_sent(self, now_s: float, chunk: Chunk) -> None:
-        """Counts a chunk as sent."""
+        """Records that a chunk is sent and starts the timer if stopped."""
         if chunk.sequence < self.highest:
             self.retransmitted += 1
         elif self.timed_sequence is None:
--- a/packages/lab/src/tamarack_lab/tcp/sequence.py
+++ b/packages/lab/src/tamarack_lab/tcp/sequence.py
@@ -1,4 +1,4 @@
-"""Sequence numbers (RFC 9293, section 3.4) as integers that never wrap."""
+"""Sequence numbers (RFC 9293, section 3.4) as unbounded integers."""
 
 MASK = 0xFFFFFFFF
 _HALF = 1 << 31
--- a/packages/lab/src/tamarack_lab/tcp/stack.py
+++ b/packages/lab/src/tamarack_lab/tcp/stack.py
@@ -1,4 +1,4 @@
-"""All connections of one machine, or of several that share a process."""
+"""TCP and UDP stack of one machine, or of several that share a process."""
 
 from collections.abc import Callable
 import heapq
@@ -16,27 +16,31 @@
 Listener = Callable[
     [connections.FourTuple, int], connections.Application | None
 ]
-"""Takes the path of a new connection and the sequence number of its SYN, which
-a copy of the SYN repeats."""
+"""Called with the four-tuple of a new connection and the sequence number of
+its SYN, which identifies retransmissions of the SYN."""
 DatagramHandler = Callable[[connections.FourTuple, bytes], None]
 
 
 class Stack:
-    """Gives each packet to its connection and collects what leaves.
+    """Dispatches packets to connections and collects outgoing packets.
 
     Attributes:
-        connections: Connections by path.
-        listeners: Makes the application of a new connection, by address and
-            port; a listener that returns None refuses.
-        datagram_handlers: Takes UDP payload, by address and port.
-        packets: Packets that must leave, oldest first.
-        changed: Connections that must be flushed.
-        timers: Heap of deadlines in seconds, with a number and a connection.
-        timer_number: Orders timers of the same deadline.
+        connections: Connections by four-tuple.
+        listeners: Functions that return the application of a new connection,
+            by address and port. A listener that returns None refuses the
+            connection.
+        datagram_handlers: Functions that handle UDP payload, by address and
+            port.
+        packets: Outgoing packets, oldest first.
+        changed: Connections to flush, by four-tuple.
+        timers: Heap of deadlines in seconds, each with a number and a
+            connection.
+        timer_number: Number of the latest timer, which orders timers with
+            equal deadlines.
         random: Generator of initial sequence numbers.
-        mss: Longest TCP payload of a packet in bytes.
-        muted: Own addresses at which all packets are lost, both ways.
-        unreadable: Packets dropped, by reason.
+        mss: Maximum TCP payload of a packet in bytes.
+        muted: Local addresses that lose all TCP packets in both directions.
+        unreadable: Number of dropped packets by reason.
     """
 
     __slots__ = (
@@ -54,11 +58,11 @@
     )
 
     def __init__(self, seed: int, mss: int = DEFAULT_MSS_BYTES) -> None:
-        """Creates a stack without connections.
+        """Initializes a stack without connections.
 
         Args:
             seed: Seed of the initial sequence numbers.
-            mss: Longest TCP payload of a packet in bytes.
+            mss: Maximum TCP payload of a packet in bytes.
         """
         self.connections: dict[
             connections.FourTuple, connections.Connection
@@ -84,15 +88,18 @@
 
         Args:
             now_s: Monotonic time in seconds.
-            four_tuple: Addresses and ports; not in use by another connection.
-            application: What uses the connection.
+            four_tuple: Addresses and ports, which no other connection uses.
+            application: User of the connection.
         """
         connection = self._create(four_tuple, application)
         connection.connect(now_s)
         return connection
 
     def mark_changed(self, connection: connections.Connection) -> None:
-        """Marks a connection that was used outside of `notify`."""
+        """Marks a connection for the next flush.
+
+        Required after a connection is used outside of `Application.notify`.
+        """
         self.changed[connection.four_tuple] = connection
 
     def send_datagram(
@@ -115,7 +122,7 @@
         )
 
     def receive(self, now_s: float, packet: bytes) -> None:
-        """Handles an IP packet; what leaves is collected by `flush`."""
+        """Handles an IP packet; `flush` returns the resulting packets."""
         parsed = segments.decode(packet)
         if isinstance(parsed, segments.Segment):
             self._receive_segment(now_s, parsed)
@@ -125,7 +132,7 @@
             self._drop(parsed.reason)
 
     def flush(self, now_s: float) -> list[bytes]:
-        """Returns the packets that must leave now."""
+        """Removes and returns the outgoing packets."""
         while self.changed:
             batch = self.changed
             self.changed = {}
@@ -136,7 +143,7 @@
         return packets
 
     def expire(self, now_s: float) -> None:
-        """Handles all timers that have run out."""
+        """Handles all expired timers."""
         while self.timers and self.timers[0][0] <= now_s:
             at_s, _, connection = heapq.heappop(self.timers)
             if at_s != connection.timer_at_s:
@@ -148,7 +155,7 @@
             self.mark_changed(connection)
 
     def next_deadline(self) -> float | None:
-        """Returns when `expire` must be called; None for never."""
+        """Returns when `expire` is due, or None if no timer runs."""
         return self.timers[0][0] if self.timers else None
 
     def _create(
@@ -156,7 +163,7 @@
         four_tuple: connections.FourTuple,
         application: connections.Application,
     ) -> connections.Connection:
-        """Adds a connection."""
+        """Adds a connection in the state CLOSED."""
         initial = self.random.getrandbits(32)
         connection = connections.Connection(
             four_tuple, initial, self.mss, application
@@ -166,7 +173,7 @@
         return connection
 
     def _receive_segment(self, now_s: float, segment: segments.Segment) -> None:
-        """Gives a segment to its connection or listener."""
+        """Passes a segment to its connection or listener."""
         four_tuple = connections.FourTuple(
             segment.destination,
             segment.destination_port,
@@ -192,7 +199,11 @@
     def _replace_time_wait(
         self, segment: segments.Segment, connection: connections.Connection
     ) -> connections.Connection | None:
-        """Lets a new incarnation replace a connection in TIME_WAIT."""
+        """Decides whether a SYN replaces a connection in TIME_WAIT.
+
+        Returns:
+            None if the SYN opens a new incarnation, otherwise the connection.
+        """
         receiver = connection.receiver
         if connection.state is not connections.State.TIME_WAIT or not receiver:
             return connection
@@ -214,7 +225,7 @@
         self._create(four_tuple, application).accept(now_s, syn)
 
     def _reset(self, segment: segments.Segment) -> None:
-        """Answers a segment that belongs to no connection."""
+        """Replies with a reset to a segment that belongs to no connection."""
         flags = segments.RST
         number = segment.acknowledgment
         if not segment.flags & segments.ACK:
@@ -233,7 +244,7 @@
         self.packets.append(segments.encode(reply))
 
     def _receive_datagram(self, packet: bytes) -> None:
-        """Gives UDP payload to its handler."""
+        """Passes UDP payload to its handler."""
         parsed = segments.decode_packet(packet)
         if isinstance(parsed, failure.Failure):
             self._drop(parsed.reason)
@@ -271,7 +282,7 @@
     def _schedule(
         self, deadline_s: float, connection: connections.Connection
     ) -> None:
-        """Adds a timer unless one that fires no later is running."""
+        """Adds a timer unless one with an equal or earlier deadline runs."""
         running_s = connection.timer_at_s
         if running_s is not None and running_s <= deadline_s:
             return
@@ -280,5 +291,5 @@
         heapq.heappush(self.timers, (deadline_s, self.timer_number, connection))
 
     def _drop(self, reason: str) -> None:
-        """Counts a packet that can't be handled."""
+        """Counts a dropped packet."""
         self.unreadable[reason] = self.unreadable.get(reason, 0) + 1
