--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -169,7 +169,7 @@
         """
         target = self.targets.get(request.match_info["address"])
         if target is None:
-            raise web.HTTPNotFound(text="no such target")
+            raise web.HTTPNotFound(text="no target has this address")
         return target
 
     async def _read_targets(self, request: web.Request) -> web.Response:
