--- a/packages/lab/src/tamarack_lab/target/process.py
+++ b/packages/lab/src/tamarack_lab/target/process.py
@@ -184,7 +184,9 @@
 
     async def _read_load(self, request: web.Request) -> web.Response:
         """Responds with the load that a target reports."""
-        return web_server.answer({"load": self._target(request).reported_load()})
+        return web_server.answer(
+            {"load": self._target(request).reported_load()}
+        )
 
     async def _put_override(self, request: web.Request) -> web.Response:
         """Sets or clears false values that a target reports."""
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -193,7 +193,11 @@
 
     def reported_load(self) -> float:
         """Returns the work units in use that the target reports."""
-        return self.slots.in_use if self.override.load is None else self.override.load
+        return (
+            self.slots.in_use
+            if self.override.load is None
+            else self.override.load
+        )
 
     def report(self) -> TargetReport:
         """Returns the counters and the state of the target."""
@@ -290,7 +294,9 @@
 
     __slots__ = ("port", "reader", "server")
 
-    def __init__(self, server: TargetServer, port: target_settings.Port) -> None:
+    def __init__(
+        self, server: TargetServer, port: target_settings.Port
+    ) -> None:
         """Initializes a session without requests.
 
         Args:
