--- a/packages/lab/src/tamarack_lab/caller/datagram_flow.py
+++ b/packages/lab/src/tamarack_lab/caller/datagram_flow.py
@@ -1,4 +1,4 @@
-"""One request of a caller over UDP."""
+"""One UDP request of a caller."""
 
 import asyncio
 
@@ -13,12 +13,12 @@
 
 
 class DatagramFlow:
-    """Sends a request once and judges the answer.
+    """Sends a request once and checks the answer.
 
     Attributes:
-        load: What the request is for.
-        counts: Counts of the work class.
-        attachment: Carries the packets.
+        load: Load that the request belongs to.
+        counts: Counters of the load.
+        attachment: Sends and receives packets through the fabric.
         name: Identifier of the request.
         is_over: Whether the outcome has been counted.
     """
@@ -41,13 +41,13 @@
         attachment: attachments.Attachment,
         name: str,
     ) -> None:
-        """Creates a request that isn't sent.
+        """Initializes a request that is not sent.
 
         Args:
-            load: What the request is for.
-            counts: Counts of the work class.
-            attachment: Carries the packets.
-            name: Identifier that no other request has.
+            load: Load that the request belongs to.
+            counts: Counters of the load.
+            attachment: Sends and receives packets through the fabric.
+            name: Unique identifier of the request.
         """
         self.load = load
         self.counts = counts
@@ -58,24 +58,26 @@
         self._sent_at_s = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
-    def open(self, path: connections.FourTuple) -> None:
-        """Sends the request."""
+    def open(self, four_tuple: connections.FourTuple) -> None:
+        """Sends the request and starts the answer timeout."""
         self.counts.tried += 1
         self.counts.requests += 1
         self._sent_at_s = self._loop.time()
         handlers = self.attachment.stack.datagram_handlers
-        handlers[(path.address, path.port)] = self._receive
+        handlers[(four_tuple.address, four_tuple.port)] = self._receive
         request = exchange.Request(self.name, self.load.answer_bytes)
-        self.attachment.send_datagram(path, exchange.encode(request))
+        self.attachment.send_datagram(four_tuple, exchange.encode(request))
         self._timer = self._loop.call_later(
-            self.load.answer_timeout_s, self._miss, path
+            self.load.answer_timeout_s, self._time_out, four_tuple
         )
 
     def finish(self) -> None:
-        """Does nothing; a request ends with its answer."""
+        """Does nothing: a request ends with its answer or its timeout."""
 
-    def _receive(self, path: connections.FourTuple, payload: bytes) -> None:
-        """Judges an answer."""
+    def _receive(
+        self, four_tuple: connections.FourTuple, payload: bytes
+    ) -> None:
+        """Checks the answers of a received datagram."""
         reader = exchange.LineReader(exchange.Answer)
         try:
             answers = list(reader.feed(payload))
@@ -84,12 +86,12 @@
         if not answers:
             self.counts.mixed_up += 1
         for answer in answers:
-            self._judge(path, answer)
+            self._check_answer(four_tuple, answer)
 
-    def _judge(
-        self, path: connections.FourTuple, answer: exchange.Answer
+    def _check_answer(
+        self, four_tuple: connections.FourTuple, answer: exchange.Answer
     ) -> None:
-        """Counts an answer as right or wrong."""
+        """Counts an answer as correct or wrong."""
         expected = (self.load.service, self.load.work_class)
         if (answer.service, answer.work_class) != expected:
             self.counts.wrong_service += 1
@@ -100,17 +102,17 @@
             self.counts.completed += 1
             self.counts.answers += 1
             self.counts.latencies_s.append(self._loop.time() - self._sent_at_s)
-            self._end(path)
+            self._mark_over(four_tuple)
 
-    def _miss(self, path: connections.FourTuple) -> None:
-        """Gives up on an answer that doesn't come."""
+    def _time_out(self, four_tuple: connections.FourTuple) -> None:
+        """Counts a missing answer and ends the flow."""
         self.counts.broken[verdict.unknown("no-answer")] += 1
-        self._end(path)
+        self._mark_over(four_tuple)
 
-    def _end(self, path: connections.FourTuple) -> None:
-        """Marks the outcome as counted."""
+    def _mark_over(self, four_tuple: connections.FourTuple) -> None:
+        """Marks the outcome as counted and releases timer and handler."""
         self.is_over = True
         if self._timer is not None:
             self._timer.cancel()
         handlers = self.attachment.stack.datagram_handlers
-        handlers.pop((path.address, path.port), None)
+        handlers.pop((four_tuple.address, four_tuple.port), None)
--- a/packages/lab/src/tamarack_lab/target/server.py
+++ b/packages/lab/src/tamarack_lab/target/server.py
@@ -1,4 +1,4 @@
-"""One target: its connections, requests and what it says of itself."""
+"""One target: its connections, requests, announcements and reports."""
 
 import collections
 from collections.abc import Callable
@@ -18,7 +18,7 @@
 from tamarack_lab.tcp import connection as connections
 
 ConnectionEvent = connections.ConnectionEvent
-_ENDINGS = (
+_END_EVENTS = (
     ConnectionEvent.CLOSED,
     ConnectionEvent.RESET,
     ConnectionEvent.TIMED_OUT,
@@ -27,11 +27,11 @@
 
 
 class ReportOverride(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a target says in place of the truth; None stands for the truth.
+    """False values that a target reports in place of the true ones.
 
     Attributes:
-        healthy: Health that it states.
-        load: Work units in use that it states.
+        healthy: Reported health; None for the true one.
+        load: Reported work units in use; None for the true number.
     """
 
     healthy: bool | None = None
@@ -39,12 +39,12 @@
 
 
 class LateConnection(msgspec.Struct, frozen=True):
-    """A connection that a target accepted although it was leaving.
+    """A connection that a target accepted while draining.
 
     Attributes:
         caller: Address and port of the caller.
         work_class: Work class.
-        after_s: Seconds since the target announced that it was leaving.
+        after_s: Seconds from the start of draining to the connection.
     """
 
     caller: str
@@ -53,20 +53,20 @@
 
 
 class TargetReport(msgspec.Struct, frozen=True):
-    """What a target has done.
+    """Counters and state of a target.
 
     Attributes:
-        service: Service that it belongs to.
+        service: Service of the target.
         address: IP address.
         domain: Failure domain.
         state: Ready or draining.
-        connections: Connections open now.
-        opened: Connections accepted, by work class.
-        refused: Connections refused because too many were open.
-        requests: Requests run, by work class.
-        repeated: Requests that ran more than once.
+        connections: Number of open connections.
+        opened: Number of accepted connections by work class.
+        refused: Number of connections refused at the connection limit.
+        requests: Number of executed requests by work class.
+        repeated: Number of requests that ran more than once.
         work: Work units of all requests so far.
-        in_use: Work units running or waiting now.
+        in_use: Work units of running and queued requests.
         late: Connections accepted while draining.
     """
 
@@ -86,28 +86,30 @@
 
 @dataclasses.dataclass(slots=True)
 class TargetServer:
-    """A target.
+    """Serves the requests of a target and reports its state.
 
     Attributes:
-        member: Its address and failure domain.
-        service: Settings of its service.
-        attachment: Carries its packets.
-        slots: Runs its requests.
+        spec: Service, address and failure domain.
+        service: Settings of the service.
+        attachment: Sends and receives packets through the fabric.
+        slots: Runs the requests.
         state: Ready or draining.
-        override: What it says in place of the truth.
-        open: Connections open now.
-        opened: Connections accepted, by work class.
-        refused: Connections refused because too many were open, each with
-            the sequence number of its SYN; a late caller repeats a SYN whose
-            refusal is on its way.
-        ran: How often each request ran, by identifier.
-        request_counts: Requests run, by work class.
+        override: False values to report in place of the true ones.
+        open: Number of open connections.
+        opened: Number of accepted connections by work class.
+        refused: Connections refused at the connection limit, each with the
+            sequence number of its SYN. The number identifies a
+            retransmission: a caller on a delayed event loop repeats its SYN
+            while the refusal is on its way, which must not count twice.
+        run_counts: Number of executions by request identifier.
+        request_counts: Number of executed requests by work class.
         work_units: Work units of all requests so far.
-        draining_since_s: Monotonic time of the start of its drain, in seconds.
+        draining_since_s: Monotonic time of the latest change of state, which
+            is the start of draining while draining, in seconds.
         late: Connections accepted while draining.
     """
 
-    member: target_settings.TargetSpec
+    spec: target_settings.TargetSpec
     service: target_settings.Service
     attachment: attachments.Attachment
     slots: work.Slots
@@ -120,7 +122,7 @@
     refused: set[tuple[connections.FourTuple, int]] = dataclasses.field(
         default_factory=set
     )
-    ran: collections.Counter[str] = dataclasses.field(
+    run_counts: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
     request_counts: collections.Counter[str] = dataclasses.field(
@@ -131,8 +133,8 @@
     late: list[LateConnection] = dataclasses.field(default_factory=list)
 
     def listen(self) -> None:
-        """Accepts connections at all ports of the service."""
-        packed = ipaddress.ip_address(self.member.address).packed
+        """Accepts connections and datagrams at all ports of the service."""
+        packed = ipaddress.ip_address(self.spec.address).packed
         stack = self.attachment.stack
         for port in self.service.ports:
             listener = _Listener(self, port)
@@ -147,21 +149,21 @@
         request: exchange.Request,
         reply: Callable[[bytes], None],
     ) -> None:
-        """Runs a request and replies once it is done.
+        """Runs a request and replies when it is completed.
 
         Args:
-            port: Where the request arrived.
+            port: Port that received the request.
             request: The request.
-            reply: Takes the encoded answer.
+            reply: Called with the encoded answer.
         """
-        self.ran[request.id] += 1
+        self.run_counts[request.id] += 1
         self.request_counts[port.work_class] += 1
         self.work_units += port.cost
         answer = exchange.Answer(
             id=request.id,
-            service=self.member.service,
+            service=self.spec.service,
             work_class=port.work_class,
-            target=self.member.address,
+            target=self.spec.address,
             filling="." * request.answer_bytes,
         )
         self.slots.submit(
@@ -171,63 +173,70 @@
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
-        """Returns what the target announces, lies included."""
+        """Returns the announcement of the target, with overridden values."""
         return requests.Announce(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             state=self.state,
             slots=self.service.slots,
             connections=self.service.connections,
             incarnation=incarnation,
             lease_s=lease_s,
-            load=self.stated_load(),
-            healthy=self.stated_health(),
+            load=self.reported_load(),
+            healthy=self.reported_health(),
         )
 
-    def stated_health(self) -> bool:
-        """Returns the health that the target states."""
+    def reported_health(self) -> bool:
+        """Returns the health that the target reports."""
         return True if self.override.healthy is None else self.override.healthy
 
-    def stated_load(self) -> float:
-        """Returns the work units in use that the target states."""
-        return self.slots.in_use if self.override.load is None else self.override.load
+    def reported_load(self) -> float:
+        """Returns the work units in use that the target reports."""
+        return (
+            self.slots.in_use
+            if self.override.load is None
+            else self.override.load
+        )
 
     def report(self) -> TargetReport:
-        """Returns what the target has done."""
+        """Returns the counters and the state of the target."""
         return TargetReport(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             state=self.state,
             connections=self.open,
             opened=dict(self.opened),
             refused=len(self.refused),
             requests=dict(self.request_counts),
-            repeated=sum(1 for count in self.ran.values() if count > 1),
+            repeated=sum(1 for count in self.run_counts.values() if count > 1),
             work=self.work_units,
             in_use=self.slots.in_use,
             late=tuple(self.late),
         )
 
-    def enter(self, state: requests.TargetState) -> None:
-        """Changes the state that is announced from now on."""
+    def set_state(self, state: requests.TargetState) -> None:
+        """Sets the state that the target announces from now on."""
         if state is not self.state:
             self.draining_since_s = time.monotonic()
         self.state = state
 
-    def count_opening(
-        self, port: target_settings.Port, path: connections.FourTuple
+    def count_connection(
+        self, port: target_settings.Port, four_tuple: connections.FourTuple
     ) -> None:
-        """Counts a connection, or a datagram that stands for one."""
+        """Counts an accepted connection, or a UDP request as one.
+
+        While the target is draining, the connection is recorded in `late`.
+        """
         self.opened[port.work_class] += 1
         if self.state is requests.TargetState.READY:
             return
         after_s = time.monotonic() - self.draining_since_s
-        address = ipaddress.ip_address(path.remote_address)
+        address = ipaddress.ip_address(four_tuple.remote_address)
         self.late.append(
             LateConnection(
-                f"{address}:{path.remote_port}", port.work_class, after_s
+                f"{address}:{four_tuple.remote_port}", port.work_class, after_s
             )
         )
 
@@ -245,43 +254,50 @@
     port: target_settings.Port
 
     def accept(
-        self, path: connections.FourTuple, sequence: int
+        self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application | None:
-        """Returns the application of a new connection; None to refuse."""
+        """Returns the application of a new connection, or None to refuse it.
+
+        Args:
+            four_tuple: Addresses and ports of the connection.
+            sequence: Sequence number of the SYN.
+        """
         if self.server.open >= self.server.service.connections:
-            self.server.refused.add((path, sequence))
+            self.server.refused.add((four_tuple, sequence))
             return None
         self.server.open += 1
-        self.server.count_opening(self.port, path)
+        self.server.count_connection(self.port, four_tuple)
         return _Session(self.server, self.port)
 
-    def answer(self, path: connections.FourTuple, payload: bytes) -> None:
-        """Answers the requests in a datagram; a malformed one is dropped."""
+    def answer(self, four_tuple: connections.FourTuple, payload: bytes) -> None:
+        """Runs the requests of a datagram; a malformed one is dropped."""
         reader = exchange.LineReader(exchange.Request)
         send = self.server.attachment.send_datagram
         try:
             for request in reader.feed(payload):
-                self.server.count_opening(self.port, path)
+                self.server.count_connection(self.port, four_tuple)
                 self.server.run(
-                    self.port, request, functools.partial(send, path)
+                    self.port, request, functools.partial(send, four_tuple)
                 )
         except msgspec.DecodeError:
             return
 
 
 class _Session:
-    """Answers the requests of one connection.
+    """Runs the requests of one connection.
 
     Attributes:
         server: The target.
         port: The port.
-        reader: Cuts the stream into requests.
+        reader: Splits the stream into requests.
     """
 
     __slots__ = ("port", "reader", "server")
 
-    def __init__(self, server: TargetServer, port: target_settings.Port) -> None:
-        """Creates a session without requests.
+    def __init__(
+        self, server: TargetServer, port: target_settings.Port
+    ) -> None:
+        """Initializes a session without requests.
 
         Args:
             server: The target.
@@ -294,16 +310,16 @@
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
-        """Reacts to an occurrence of the connection."""
+        """Handles an event of the connection."""
         if event is ConnectionEvent.READABLE:
             self._read(connection)
         elif event is ConnectionEvent.ENDED:
             connection.finish()
-        elif event in _ENDINGS:
+        elif event in _END_EVENTS:
             self.server.open -= 1
 
     def _read(self, connection: connections.Connection) -> None:
-        """Runs the requests that have arrived."""
+        """Runs the received requests, or resets a malformed stream."""
         try:
             for request in self.reader.feed(connection.read()):
                 self._run(connection, request)
@@ -314,7 +330,7 @@
     def _run(
         self, connection: connections.Connection, request: exchange.Request
     ) -> None:
-        """Runs a request and answers it unless the connection has ended."""
+        """Runs a request and replies unless the connection is closed."""
 
         def reply(answer: bytes) -> None:
             if connection.state is not connections.State.CLOSED:
--- a/packages/lab/src/tamarack_lab/tcp/segment.py
+++ b/packages/lab/src/tamarack_lab/tcp/segment.py
@@ -1,7 +1,7 @@
-"""Segments and their form as whole IP packets, through dpkt.
+"""TCP segments and their encoding as whole IP packets with dpkt.
 
-The codec shares no code with the balancer, so that an error of its rewriting
-shows as a bad checksum here.
+The codec shares no code with the load balancer. If the load balancer rewrites
+a packet incorrectly, the checksum verification of this module detects it.
 """
 
 import dataclasses
@@ -26,7 +26,7 @@
 _TIME_TO_LIVE = 64
 _MSS_OPTION_WORDS = 1
 _HEADER_WORDS = 5
-_UNREADABLE = (dpkt.Error, struct.error, IndexError, ValueError)
+_PARSE_ERRORS = (dpkt.Error, struct.error, IndexError, ValueError)
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +42,8 @@
         acknowledgment: Acknowledgment number, 32 bits.
         flags: TCP flags.
         window: Receive window in bytes.
-        mss: Maximum segment size option in bytes; 0 without one.
+        mss: Value of the maximum segment size option in bytes; 0 if the
+            option is absent.
         payload: Payload.
     """
 
@@ -59,13 +60,13 @@
 
     @property
     def length(self) -> int:
-        """Sequence numbers that the segment occupies."""
+        """Number of sequence numbers that the segment occupies."""
         control = bool(self.flags & SYN) + bool(self.flags & FIN)
         return len(self.payload) + control
 
 
 def encode(segment: Segment) -> bytes:
-    """Returns the IP packet of a segment, with both checksums."""
+    """Returns the IP packet of a segment, with IP and TCP checksums."""
     options = b""
     if segment.mss:
         options = struct.pack("!BBH", dpkt.tcp.TCP_OPT_MSS, 4, segment.mss)
@@ -80,12 +81,12 @@
         opts=options,
         data=segment.payload,
     )
-    return wrap(
+    return encode_packet(
         segment.source, segment.destination, dpkt.ip.IP_PROTO_TCP, header
     )
 
 
-def wrap(
+def encode_packet(
     source: bytes, destination: bytes, protocol: int, header: dpkt.Packet
 ) -> bytes:
     """Returns an IP packet around a transport header, with checksums.
@@ -94,7 +95,7 @@
         source: Source address in network byte order.
         destination: Destination address in network byte order.
         protocol: IP protocol number.
-        header: Transport header with its payload; its checksum is filled in.
+        header: Transport header with payload; the checksum is filled in.
     """
     if len(source) == _IPV4_BYTES:
         packet = dpkt.ip.IP(
@@ -117,21 +118,21 @@
 
 
 def decode(packet: bytes) -> Segment | failure.Failure:
-    """Returns the segment in an IP packet, or why there is none.
+    """Returns the TCP segment of an IP packet, or the reason of a failure.
 
     Args:
         packet: A whole IP packet. Its checksums are verified.
     """
-    opened = unwrap(packet)
-    if isinstance(opened, failure.Failure):
-        return opened
-    header = opened.data
+    parsed = decode_packet(packet)
+    if isinstance(parsed, failure.Failure):
+        return parsed
+    header = parsed.data
     if not isinstance(header, dpkt.tcp.TCP):
         return failure.Failure("not-tcp")
     return Segment(
-        opened.src,
+        parsed.src,
         header.sport,
-        opened.dst,
+        parsed.dst,
         header.dport,
         header.seq,
         header.ack,
@@ -142,8 +143,8 @@
     )
 
 
-def unwrap(packet: bytes) -> dpkt.ip.IP | dpkt.ip6.IP6 | failure.Failure:
-    """Returns the parsed IP packet with its transport header.
+def decode_packet(packet: bytes) -> dpkt.ip.IP | dpkt.ip6.IP6 | failure.Failure:
+    """Returns the parsed IP packet with its transport header, or a failure.
 
     Args:
         packet: A whole IP packet. Its checksums are verified.
@@ -152,33 +153,38 @@
         return failure.Failure("truncated")
     try:
         if packet[0] >> 4 == _IPV4_BYTES:
-            opened = dpkt.ip.IP(packet)
-            header_bytes = opened.hl * 4
+            parsed = dpkt.ip.IP(packet)
+            header_bytes = parsed.hl * 4
         else:
-            opened = dpkt.ip6.IP6(packet)
-            header_bytes = len(packet) - opened.plen
-    except _UNREADABLE as error:
+            parsed = dpkt.ip6.IP6(packet)
+            header_bytes = len(packet) - parsed.plen
+    except _PARSE_ERRORS as error:
         return failure.Failure("unreadable", str(error))
-    if isinstance(opened, dpkt.ip.IP) and dpkt.in_cksum(packet[:header_bytes]):
+    if isinstance(parsed, dpkt.ip.IP) and dpkt.in_cksum(packet[:header_bytes]):
         return failure.Failure("ip-checksum")
-    if not _is_sound(opened, packet[header_bytes:]):
+    if not _has_valid_checksum(parsed, packet[header_bytes:]):
         return failure.Failure("transport-checksum")
-    return opened
+    return parsed
 
 
-def _is_sound(opened: dpkt.ip.IP | dpkt.ip6.IP6, transport: bytes) -> bool:
-    """Returns True when the checksum of a transport header is right."""
-    header = opened.data
+def _has_valid_checksum(
+    parsed: dpkt.ip.IP | dpkt.ip6.IP6, transport: bytes
+) -> bool:
+    """Returns True if the checksum of the transport header is valid.
+
+    UDP over IPv4 may omit the checksum.
+    """
+    header = parsed.data
     if isinstance(header, dpkt.udp.UDP) and header.sum == 0:
-        return isinstance(opened, dpkt.ip.IP)
+        return isinstance(parsed, dpkt.ip.IP)
     length = len(transport)
-    if isinstance(opened, dpkt.ip.IP):
+    if isinstance(parsed, dpkt.ip.IP):
         pseudo = struct.pack(
-            "!4s4sxBH", opened.src, opened.dst, opened.p, length
+            "!4s4sxBH", parsed.src, parsed.dst, parsed.p, length
         )
     else:
         pseudo = struct.pack(
-            "!16s16sIxxxB", opened.src, opened.dst, length, opened.nxt
+            "!16s16sIxxxB", parsed.src, parsed.dst, length, parsed.nxt
         )
     total = dpkt.dpkt.in_cksum_add(0, pseudo)
     total = dpkt.dpkt.in_cksum_add(total, transport)
@@ -186,11 +192,11 @@
 
 
 def _read_mss(options: bytes) -> int:
-    """Returns the maximum segment size among options; 0 without one."""
+    """Returns the maximum segment size option, or 0 if it is absent."""
     if not options:
         return 0
     try:
         values = dict(dpkt.tcp.parse_opts(options))
         return int.from_bytes(values.get(dpkt.tcp.TCP_OPT_MSS, b""), "big")
-    except _UNREADABLE:
+    except _PARSE_ERRORS:
         return 0
