--- a/packages/lab/src/tamarack_lab/deployment/__init__.py
+++ b/packages/lab/src/tamarack_lab/deployment/__init__.py
@@ -1,1 +1,1 @@
-"""Whole deployments of real processes on loopback addresses."""
+"""Complete deployments of real processes on loopback addresses."""
--- a/packages/lab/src/tamarack_lab/deployment/child_processes.py
+++ b/packages/lab/src/tamarack_lab/deployment/child_processes.py
@@ -1,4 +1,4 @@
-"""Child processes, each ended by its id."""
+"""Child processes of a run, each ended through its own handle."""
 
 import asyncio
 from collections.abc import Sequence
@@ -10,7 +10,7 @@
 import msgspec
 
 STOP_TIMEOUT_S = 10.0
-BINARIES = pathlib.Path(sys.executable).parent
+EXECUTABLES = pathlib.Path(sys.executable).parent
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,10 +18,10 @@
     """A child process.
 
     Attributes:
-        name: Name for messages and files.
-        process: The process.
-        log_file: What it writes to its standard error.
-        output_file: What it writes to its standard output.
+        name: Name used in messages and file names.
+        process: Handle of the process.
+        log_file: File that receives its standard error.
+        output_file: File that receives its standard output.
     """
 
     name: str
@@ -31,15 +31,15 @@
 
     @property
     def is_running(self) -> bool:
-        """True until the process has ended."""
+        """Whether the process is still running."""
         return self.process.returncode is None
 
     async def stop(self) -> int:
-        """Asks the process to stop and waits for its end.
+        """Sends SIGTERM and waits until the process exits.
 
         Returns:
-            The exit status; negative after a signal. A process that doesn't
-            stop within `STOP_TIMEOUT_S` is killed.
+            The exit status; negative if a signal ended the process. A process
+            that doesn't exit within `STOP_TIMEOUT_S` is killed.
         """
         with contextlib.suppress(ProcessLookupError):
             self.process.terminate()
@@ -50,13 +50,13 @@
             return await self.kill()
 
     async def kill(self) -> int:
-        """Ends the process without a chance to clean up."""
+        """Sends SIGKILL, so that the process can't clean up, and waits."""
         with contextlib.suppress(ProcessLookupError):
             self.process.kill()
         return await self.process.wait()
 
     def log_tail(self, lines: int = 5) -> str:
-        """Returns the last lines that the process wrote to its log."""
+        """Returns the last lines of the log of the process."""
         text = self.log_file.read_text(errors="replace")
         return "\n".join(text.splitlines()[-lines:])
 
@@ -65,17 +65,17 @@
     """All child processes of a run.
 
     Attributes:
-        folder: Folder of settings and logs.
-        running: Child processes by name.
+        folder: Folder for settings and logs.
+        running: Child processes by name, including those that exited.
     """
 
     __slots__ = ("folder", "running")
 
     def __init__(self, folder: pathlib.Path) -> None:
-        """Starts without a child.
+        """Initializes the collection without any process.
 
         Args:
-            folder: Folder of settings and logs; must exist.
+            folder: Folder for settings and logs; must exist.
         """
         self.folder = folder
         self.running: dict[str, ChildProcess] = {}
@@ -86,17 +86,17 @@
         """Starts a program of this installation with a settings file.
 
         Args:
-            name: Name for messages and files; not in use.
+            name: Name used in messages and file names; must be unused.
             command: Program and its arguments before `--settings`.
             settings: Contents of the settings file.
         """
         settings_file = self.folder / f"{name}.json"
-        settings_file.write_bytes(_encode(settings))
+        settings_file.write_bytes(_encode_settings(settings))
         log_file = self.folder / f"{name}.log"
         output_file = self.folder / f"{name}.out"
         with log_file.open("ab") as log, output_file.open("wb") as output:
             process = await asyncio.create_subprocess_exec(
-                BINARIES / command[0],
+                EXECUTABLES / command[0],
                 *command[1:],
                 "--settings",
                 settings_file,
@@ -109,10 +109,10 @@
         return child
 
     async def close(self) -> dict[str, int]:
-        """Stops every child that still runs.
+        """Stops all child processes that are still running.
 
         Returns:
-            Exit status by name.
+            Exit status of each stopped process by name.
         """
         stopping = [c for c in self.running.values() if c.is_running]
         statuses = await asyncio.gather(*(child.stop() for child in stopping))
@@ -120,8 +120,8 @@
         return dict(zip(names, statuses, strict=True))
 
 
-def _encode(settings: msgspec.Struct) -> bytes:
-    """Returns settings as JSON without the ones that are None."""
+def _encode_settings(settings: msgspec.Struct) -> bytes:
+    """Returns the settings as JSON, leaving out those that are None."""
     plain = msgspec.to_builtins(settings)
     return msgspec.json.encode(
         {key: value for key, value in plain.items() if value is not None}
--- a/packages/lab/src/tamarack_lab/deployment/deployment.py
+++ b/packages/lab/src/tamarack_lab/deployment/deployment.py
@@ -1,4 +1,4 @@
-"""Runs a deployment: starts its processes and brings about changes."""
+"""Running deployment: starts its processes and changes it at run time."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -22,31 +22,33 @@
 START_TIMEOUT_S = 30.0
 _POLL_S = 0.2
 _OK = 200
-_LAB = "tamarack"
+_PROGRAM = "tamarack"
 
 
 class DeploymentError(Exception):
-    """A deployment didn't do what was asked of it."""
+    """Raised when a deployment doesn't complete an operation."""
 
 
 class Deployment:
     """A running deployment.
 
     Attributes:
-        layout: Where everything is.
-        children: Its processes.
+        layout: Addresses, ports and folders.
+        children: Processes of the deployment.
         client: HTTP client.
-        version: Version of the last accepted patch.
+        version: Configuration version of the last accepted patch.
     """
 
     __slots__ = ("children", "client", "layout", "version")
 
     def __init__(self, layout: layouts.Layout, folder: pathlib.Path) -> None:
-        """Creates a deployment that isn't started; needs a running loop.
+        """Initializes the deployment; requires a running event loop.
+
+        No process is started.
 
         Args:
-            layout: Where everything is.
-            folder: Folder of settings, logs and state; must exist.
+            layout: Addresses, ports and folders.
+            folder: Folder for settings, logs and state; must exist.
         """
         self.layout = layout
         self.children = child_processes.ChildProcesses(folder)
@@ -54,19 +56,19 @@
         self.version = 0
 
     async def close(self) -> dict[str, int]:
-        """Stops all processes in order.
+        """Closes the HTTP client and stops all processes.
 
         Returns:
-            Exit status by name of the processes that still ran.
+            Exit status by name of the processes that were still running.
         """
         await self.client.close()
         return await self.children.close()
 
     async def start_system(self) -> None:
-        """Starts the fabric and all hosts, and waits until they answer.
+        """Starts the fabric and all hosts, and waits until they are healthy.
 
         Raises:
-            DeploymentError: A host doesn't answer in time.
+            DeploymentError: A host isn't healthy in time.
         """
         await self._start_stand_in("fabric", self.layout.fabric_settings())
         for host in self.layout.hosts:
@@ -76,31 +78,33 @@
         )
 
     async def start_host(self, host: peers.Peer) -> None:
-        """Starts a host of the system."""
+        """Starts the process of a control host or an entry host."""
         settings = self.layout.host_settings(host)
         await self.children.start(host.host, ["tamarackd"], settings)
 
     async def wait_host(self, host: peers.Peer) -> None:
-        """Waits until a host answers.
+        """Waits until a host responds to the health endpoint with success.
 
         Raises:
-            DeploymentError: It doesn't in time, or has ended.
+            DeploymentError: It doesn't in time, or its process has exited.
         """
 
-        async def answers() -> bool:
+        async def is_healthy() -> bool:
             self._check_running(host.host)
             found = await self.client.request("GET", host.control, "/v1/health")
             return (
                 isinstance(found, http_client.Response) and found.status == _OK
             )
 
-        await wait_until(answers, f"{host.host} answers")
+        await wait_until(is_healthy, f"{host.host} is healthy")
 
     async def start_targets(self) -> None:
-        """Starts the targets and waits until every entry host knows its own.
+        """Starts the targets and waits until all entry hosts know them.
+
+        An entry host knows only the targets of its own failure domain.
 
         Raises:
-            DeploymentError: That takes too long.
+            DeploymentError: An entry host doesn't know them in time.
         """
         settings = self.layout.target_settings()
         await self._start_stand_in("target", settings)
@@ -108,45 +112,51 @@
             await self.wait_targets(entry)
 
     async def wait_targets(self, entry: peers.Peer) -> None:
-        """Waits until an entry host knows the targets of its domain."""
+        """Waits until an entry host knows all targets of its domain."""
         expected = sum(
             member.domain == entry.domain for member in self.layout.members()
         )
 
-        async def knows() -> bool:
+        async def knows_targets() -> bool:
             return await self._status_field(entry, "targets") >= expected
 
-        await wait_until(knows, f"{entry.host} knows {expected} targets")
+        await wait_until(
+            knows_targets, f"{entry.host} knows {expected} targets"
+        )
 
     async def start_callers(self, duration_s: float, grace_s: float) -> None:
-        """Starts the callers.
+        """Starts the caller process.
 
         Args:
-            duration_s: Seconds during which connections are opened.
-            grace_s: Seconds given to bounded connections after that.
+            duration_s: Duration in seconds in which connections are opened.
+            grace_s: Seconds after that for bounded connections to finish.
         """
         settings = self.layout.caller_settings(duration_s, grace_s)
         await self._start_stand_in("caller", settings)
 
     async def finish_callers(self, timeout_s: float) -> reports.CallerReport:
-        """Waits for the end of the callers and returns their report.
+        """Waits until the caller process exits and returns its report.
 
         Raises:
-            DeploymentError: They don't end in time or without a report.
+            DeploymentError: It doesn't exit in time or reports a failure.
         """
         child = self.children.running["caller"]
         try:
             async with asyncio.timeout(timeout_s):
                 status = await child.process.wait()
         except TimeoutError as error:
-            raise DeploymentError("the callers don't end") from error
+            raise DeploymentError(
+                "the caller process did not exit in time"
+            ) from error
         if status:
-            raise DeploymentError(f"the callers failed: {child.log_tail()}")
+            raise DeploymentError(
+                f"the caller process failed: {child.log_tail()}"
+            )
         output = child.output_file.read_bytes()
         return msgspec.json.decode(output, type=reports.CallerReport)
 
     async def read_callers(self) -> reports.CallerReport | failure.Failure:
-        """Returns the report of the callers so far."""
+        """Returns the current report of the running caller process."""
         found = await self.client.request(
             "GET", self.layout.callers_http, "/v1/report"
         )
@@ -158,7 +168,7 @@
         """Returns the reports of all targets.
 
         Raises:
-            DeploymentError: The target process doesn't answer.
+            DeploymentError: The target process doesn't respond.
         """
         found = await self.client.request(
             "GET", self.layout.targets_http, "/v1/targets"
@@ -172,17 +182,17 @@
     async def submit(
         self, operations: list[dict[str, Any]], note: str
     ) -> requests.PatchVerdict:
-        """Submits a patch on top of the last accepted version.
+        """Submits a patch based on the last accepted version.
 
-        A control host that can't accept it now is passed over; the patch id
-        makes that safe.
+        If a control host can't decide, the patch is sent to the next one. The
+        patch id makes this safe: a patch is applied only once.
 
         Args:
-            operations: The patch (RFC 6902).
-            note: Why, in a sentence.
+            operations: JSON Patch operations (RFC 6902).
+            note: Reason for the change, in a sentence.
 
         Raises:
-            DeploymentError: No control host gives a final verdict in time.
+            DeploymentError: No control host returns a final verdict in time.
         """
         body = {
             "patch_id": f"{self.layout.plan.name}-{self.version + 1}",
@@ -207,15 +217,15 @@
         return verdicts[-1]
 
     async def wait_version(self) -> None:
-        """Waits until the last accepted version is in force everywhere."""
+        """Waits until the last accepted version is in force on all hosts."""
         for host in self.layout.entries:
             await self.wait_version_at(host)
 
     async def wait_version_at(self, host: peers.Peer) -> None:
-        """Waits until the last accepted version is in force at a host.
+        """Waits until the last accepted version is in force on a host.
 
         Raises:
-            DeploymentError: That takes too long.
+            DeploymentError: It isn't in force in time.
         """
 
         async def is_in_force() -> bool:
@@ -224,52 +234,52 @@
         await wait_until(is_in_force, f"{host.host}: version {self.version}")
 
     async def versions(self) -> dict[str, list[int]]:
-        """Returns the versions in force by failure domain."""
-        found: dict[str, list[int]] = {}
+        """Returns the versions in force on entry hosts, by failure domain."""
+        result: dict[str, list[int]] = {}
         for host in self.layout.entries:
             version = await self._status_field(host, "version")
-            found.setdefault(host.domain, []).append(version)
-        return found
+            result.setdefault(host.domain, []).append(version)
+        return result
 
     async def kill_entry(self, entry: peers.Peer) -> None:
-        """Kills an entry host; the fabric doesn't know of it yet."""
+        """Kills an entry host; the fabric isn't notified."""
         await self.children.running[entry.host].kill()
 
     async def replace_entry(self, lost: peers.Peer, name: str) -> peers.Peer:
-        """Starts a new entry host in the place of a lost one.
+        """Starts a new entry host as the replacement of a lost one.
 
-        The fabric sprays over it once it has the configuration in force and
-        knows the targets.
+        The fabric sends packets to it only after it has the configuration in
+        force and knows the targets.
 
         Raises:
-            DeploymentError: That takes too long.
+            DeploymentError: The new host isn't ready in time.
         """
-        found = self.layout.replace(lost, name)
-        endpoint = self.layout.data_endpoint(found)
+        replacement = self.layout.replace(lost, name)
+        endpoint = self.layout.data_endpoint(replacement)
         await self._put(self.layout.fabric_http, "/v1/hosts", endpoint)
-        await self.start_host(found)
-        await self.wait_host(found)
-        await self.announce_entry_hosts(found.domain)
-        await self.wait_version_at(found)
-        await self.wait_targets(found)
-        await self.update_fabric(found.domain)
-        return found
+        await self.start_host(replacement)
+        await self.wait_host(replacement)
+        await self.announce_entry_hosts(replacement.domain)
+        await self.wait_version_at(replacement)
+        await self.wait_targets(replacement)
+        await self.update_fabric(replacement.domain)
+        return replacement
 
     async def withdraw_entry(self, entry: peers.Peer) -> None:
-        """Takes an entry host out of the fabric."""
-        left = [
+        """Removes an entry host from the receivers of the fabric."""
+        remaining = [
             endpoint
             for endpoint in self.layout.data_endpoints(entry.domain)
             if endpoint != self.layout.data_endpoint(entry)
         ]
-        await self._put_entries(entry.domain, left)
+        await self._put_entries(entry.domain, remaining)
 
     async def update_fabric(self, domain: str) -> None:
-        """Makes the fabric spray over all entry hosts of a domain."""
+        """Makes the fabric send packets to all entry hosts of a domain."""
         await self._put_entries(domain, self.layout.data_endpoints(domain))
 
     async def announce_entry_hosts(self, domain: str) -> None:
-        """Tells the targets of a domain where its entry hosts are."""
+        """Sends the endpoints of a domain's entry hosts to its targets."""
         await self._put(
             self.layout.targets_http,
             f"/v1/entries/{domain}",
@@ -277,19 +287,23 @@
         )
 
     async def drain_target(self, address: str) -> None:
-        """Makes a target announce that it is leaving."""
+        """Makes a target announce that it is draining."""
         change = target_process.StateChange(requests.TargetState.DRAINING)
         await self._put(
             self.layout.targets_http, f"/v1/targets/{address}/state", change
         )
 
     async def _put_entries(self, domain: str, endpoints: object) -> None:
-        """Replaces the entry hosts that the fabric sprays over."""
+        """Replaces the entry hosts of a domain to which the fabric sends."""
         path = f"/v1/domains/{domain}/entries"
         await self._put(self.layout.fabric_http, path, endpoints)
 
     async def _put(self, at: peers.Endpoint, path: str, body: object) -> None:
-        """Sends an order to a stand-in."""
+        """Sends a PUT request to a stand-in.
+
+        Raises:
+            DeploymentError: The request fails.
+        """
         found = await self.client.request("PUT", at, path, body)
         if isinstance(found, failure.Failure):
             raise DeploymentError(found.detail)
@@ -299,7 +313,7 @@
     async def _submit_to(
         self, host: peers.Peer, body: dict[str, Any]
     ) -> list[requests.PatchVerdict]:
-        """Returns the verdict of a control host, if it gives one."""
+        """Submits a patch and returns the verdict; empty if there is none."""
         found = await self.client.request(
             "POST", host.control, "/v1/patches", body
         )
@@ -311,7 +325,7 @@
             return []
 
     async def _status_field(self, host: peers.Peer, name: str) -> int:
-        """Returns a number of a host's status; -1 without an answer."""
+        """Returns a field of a host's status; -1 without a valid response."""
         self._check_running(host.host)
         found = await self.client.request("GET", host.control, "/v1/status")
         if isinstance(found, failure.Failure) or found.status != _OK:
@@ -321,8 +335,10 @@
     async def _start_stand_in(
         self, kind: str, settings: msgspec.Struct
     ) -> None:
-        """Starts a stand-in and waits until it is ready."""
-        child = await self.children.start(kind, [_LAB, "lab", kind], settings)
+        """Starts a stand-in and waits until its log reports it ready."""
+        child = await self.children.start(
+            kind, [_PROGRAM, "lab", kind], settings
+        )
 
         async def is_ready() -> bool:
             self._check_running(kind)
@@ -331,29 +347,37 @@
         await wait_until(is_ready, f"{kind} is ready")
 
     def _check_running(self, name: str) -> None:
-        """Checks that a process has not ended."""
+        """Raises a DeploymentError if a process has exited."""
         child = self.children.running[name]
         if not child.is_running:
-            raise DeploymentError(f"{name} has ended: {child.log_tail()}")
+            raise DeploymentError(
+                f"{name} exited unexpectedly: {child.log_tail()}"
+            )
 
 
 async def wait_until(
-    condition: Callable[[], Awaitable[bool]], what: str
+    condition: Callable[[], Awaitable[bool]], description: str
 ) -> None:
-    """Waits until a condition holds.
+    """Polls a condition until it is true.
+
+    Args:
+        condition: Checked every `_POLL_S` seconds.
+        description: The condition in words, for the error message.
 
     Raises:
-        DeploymentError: It doesn't within `START_TIMEOUT_S`.
+        DeploymentError: It isn't true within `START_TIMEOUT_S`.
     """
     end_s = time.monotonic() + START_TIMEOUT_S
     while not await condition():
         if time.monotonic() > end_s:
-            raise DeploymentError(f"not within {START_TIMEOUT_S:g} s: {what}")
+            raise DeploymentError(
+                f"timed out after {START_TIMEOUT_S:g} s: {description}"
+            )
         await asyncio.sleep(_POLL_S)
 
 
 def _is_final(verdict: requests.PatchVerdict) -> bool:
-    """Returns True unless another control host may still accept the patch."""
+    """Returns False if another control host may still accept the patch."""
     return verdict.state not in (
         requests.PatchState.NO_QUORUM,
         requests.PatchState.UNKNOWN,
--- a/packages/lab/src/tamarack_lab/deployment/http_client.py
+++ b/packages/lab/src/tamarack_lab/deployment/http_client.py
@@ -9,17 +9,17 @@
 from tamarack_core import failure
 from tamarack_core import peers
 
-# Longer than a host may take to give a verdict on a patch.
+# Exceeds the time that a host may take to decide on a patch.
 _TIMEOUT = aiohttp.ClientTimeout(total=15.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Answer over HTTP.
+    """Response to an HTTP request.
 
     Attributes:
         status: Status code.
-        body: Decoded JSON; None without any.
+        body: Decoded JSON body; None if it is empty.
     """
 
     status: int
@@ -27,40 +27,40 @@
 
 
 class HttpClient:
-    """Sends JSON over HTTP.
+    """Client that sends and receives JSON over HTTP.
 
     Attributes:
-        session: Connections to the servers.
+        session: Session that pools the connections to the servers.
     """
 
     __slots__ = ("session",)
 
     def __init__(self) -> None:
-        """Creates a client; needs a running loop."""
+        """Initializes the client; requires a running event loop."""
         self.session = aiohttp.ClientSession(timeout=_TIMEOUT)
 
     async def close(self) -> None:
-        """Closes the connections."""
+        """Closes all pooled connections."""
         await self.session.close()
 
     async def request(
         self, method: str, at: peers.Endpoint, path: str, body: object = None
     ) -> Response | failure.Failure:
-        """Returns the answer to a request, or why there is none.
+        """Sends a request and returns the response, or the failure.
 
         Args:
             method: HTTP method.
-            at: The server.
-            path: Path with query.
-            body: Value to send as JSON; None for none.
+            at: Endpoint of the server.
+            path: Path, including the query string.
+            body: Value to send as JSON; None sends no body.
         """
         data = None if body is None else msgspec.json.encode(body)
         url = f"http://{at.address}:{at.port}{path}"
         try:
-            async with self.session.request(method, url, data=data) as got:
-                raw = await got.read()
+            async with self.session.request(method, url, data=data) as response:
+                raw = await response.read()
                 decoded = msgspec.json.decode(raw) if raw else None
-                return Response(got.status, decoded)
+                return Response(response.status, decoded)
         except (aiohttp.ClientError, TimeoutError) as error:
             return failure.Failure("no-answer", f"{url}: {error}")
         except msgspec.DecodeError as error:
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -14,16 +14,17 @@
 from tamarack_lab.target import settings as target_settings
 from tamarack_node import settings as node_settings
 
-_CALLERS = 20
+_CALLERS_PER_NETWORK = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Listening:
-    """Where a host binds its sockets behind a proxy.
+class BindEndpoints:
+    """Endpoints that a host binds its sockets to behind a proxy.
 
     Attributes:
-        control: Endpoint in place of the one that other hosts know.
-        data: The same for Geneve; None on a host without the entry role.
+        control: Endpoint for HTTP and messages; other hosts use the
+            advertised endpoint, which is that of the proxy.
+        data: Endpoint for Geneve; None on a host without the entry role.
     """
 
     control: peers.Endpoint
@@ -32,23 +33,23 @@
 
 @dataclasses.dataclass(slots=True)
 class Layout:
-    """Where everything of a deployment is.
+    """Addresses, ports and folders of a deployment.
 
     Attributes:
-        plan: The deployment.
+        plan: Description of the deployment.
         fabric: Endpoint of the fabric.
         fabric_http: HTTP endpoint of the fabric.
         targets: UDP endpoint of the target process.
         targets_http: HTTP endpoint of the target process.
         callers: UDP endpoint of the caller process.
         callers_http: HTTP endpoint of the caller process.
-        entries: Entry hosts, in the order of their start.
+        entries: Entry hosts in the order in which they are started.
         controls: Control hosts.
-        folder: Folder of durable state.
-        seed: Seed of all chance.
-        ports: Gives out free ports.
-        listening: Where the hosts bind their sockets, by name, when a proxy
-            is between them; hosts reach each other through it.
+        folder: Folder of the durable state.
+        seed: Seed of all random generators.
+        ports: Allocator of free ports.
+        bind_endpoints: Endpoints that the hosts bind, by host name, if they
+            reach each other through a proxy; otherwise empty.
     """
 
     plan: plans.DeploymentPlan
@@ -63,40 +64,42 @@
     entries: list[peers.Peer]
     controls: list[peers.Peer]
     ports: port_allocators.PortAllocator
-    listening: dict[str, Listening] = dataclasses.field(default_factory=dict)
+    bind_endpoints: dict[str, BindEndpoints] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def hosts(self) -> list[peers.Peer]:
-        """All hosts of the system."""
+        """All control hosts and entry hosts."""
         return [*self.controls, *self.entries]
 
-    def in_domain(self, domain: str) -> list[peers.Peer]:
+    def entries_in_domain(self, domain: str) -> list[peers.Peer]:
         """Returns the entry hosts of a failure domain."""
         return [entry for entry in self.entries if entry.domain == domain]
 
     def replace(self, lost: peers.Peer, name: str) -> peers.Peer:
-        """Returns a new entry host that stands in for a lost one.
+        """Replaces a lost entry host by a new one and returns the new one.
 
         Args:
-            lost: Entry host that is gone for good.
-            name: Name of the new one.
+            lost: Entry host that won't return.
+            name: Name of the new entry host.
         """
-        found = _entry(name, lost.domain, self.ports)
-        self.entries[self.entries.index(lost)] = found
-        return found
+        replacement = _entry(name, lost.domain, self.ports)
+        self.entries[self.entries.index(lost)] = replacement
+        return replacement
 
     def host_settings(self, host: peers.Peer) -> node_settings.Settings:
-        """Returns the settings of a host of the system."""
+        """Returns the settings of a control host or an entry host."""
         is_entry = host.data is not None
-        listening = self.listening.get(host.host)
+        bind_endpoints = self.bind_endpoints.get(host.host)
         return node_settings.Settings(
             host=host.host,
             domain=host.domain,
             roles=(assembly.Role.ENTRY if is_entry else assembly.Role.CONTROL,),
             control=host.control,
             data=host.data,
-            control_listen=listening.control if listening else None,
-            data_listen=listening.data if listening else None,
+            control_listen=bind_endpoints.control if bind_endpoints else None,
+            data_listen=bind_endpoints.data if bind_endpoints else None,
             fabric=self.fabric if is_entry else None,
             peers=tuple(peer for peer in self.hosts if peer != host),
             data_folder="" if is_entry else f"{self.folder}/{host.host}",
@@ -122,27 +125,29 @@
         )
 
     def data_endpoints(self, domain: str) -> tuple[peers.Endpoint, ...]:
-        """Returns where the entry hosts of a failure domain take packets."""
+        """Returns the endpoints for packets of a domain's entry hosts."""
         return tuple(
             endpoint
-            for endpoint in map(self.data_endpoint, self.in_domain(domain))
+            for endpoint in map(
+                self.data_endpoint, self.entries_in_domain(domain)
+            )
             if endpoint is not None
         )
 
     def data_endpoint(self, entry: peers.Peer) -> peers.Endpoint | None:
-        """Returns where the fabric sends the packets of an entry host."""
-        listening = self.listening.get(entry.host)
-        return listening.data if listening else entry.data
+        """Returns the endpoint to which the fabric sends packets of a host."""
+        bind_endpoints = self.bind_endpoints.get(entry.host)
+        return bind_endpoints.data if bind_endpoints else entry.data
 
     def put_behind_proxy(self) -> None:
-        """Gives each failure domain loopback addresses of its own.
+        """Gives each failure domain its own loopback address.
 
-        The endpoints that the hosts have so far become those of a proxy.
+        The previous endpoints of the hosts become those of a proxy.
         """
         numbers = {d: n for n, d in enumerate(self.plan.domains, start=1)}
         for host in self.hosts:
             address = domain_address(numbers[host.domain])
-            self.listening[host.host] = Listening(
+            self.bind_endpoints[host.host] = BindEndpoints(
                 self.ports.allocate(address),
                 self.ports.allocate(address) if host.data else None,
             )
@@ -153,13 +158,13 @@
             links=tuple(
                 link
                 for host in self.hosts
-                for link in _links(host, self.listening[host.host])
+                for link in _proxy_links(host, self.bind_endpoints[host.host])
             ),
             seed=self.seed,
         )
 
     def partition_faults(self, domain: str) -> list[proxy_lib.Fault]:
-        """Returns faults that cut a failure domain off from the others."""
+        """Returns the proxy faults that isolate a failure domain."""
         number = self.plan.domains.index(domain) + 1
         inside = domain_address(number)
         outside = tuple(
@@ -181,11 +186,11 @@
         ]
 
     def control_endpoints(self, domain: str) -> tuple[peers.Endpoint, ...]:
-        """Returns where the entry hosts of a failure domain take HTTP."""
-        return tuple(entry.control for entry in self.in_domain(domain))
+        """Returns the HTTP endpoints of the entry hosts of a domain."""
+        return tuple(entry.control for entry in self.entries_in_domain(domain))
 
     def members(self) -> list[target_settings.TargetSpec]:
-        """Returns all targets, spread over the failure domains."""
+        """Returns all targets, distributed over the failure domains."""
         numbers = itertools.count()
         domains = self.plan.domains
         return [
@@ -224,8 +229,8 @@
         """Returns the settings of the caller process.
 
         Args:
-            duration_s: Seconds during which connections are opened.
-            grace_s: Seconds given to bounded connections after that.
+            duration_s: Duration in seconds in which connections are opened.
+            grace_s: Seconds after that for bounded connections to finish.
         """
         return caller_settings.Settings(
             listen=self.callers,
@@ -243,12 +248,12 @@
         )
 
     def _caller_addresses(self) -> list[tuple[str, str]]:
-        """Returns the callers' addresses, each with its failure domain."""
+        """Returns the address and failure domain of each caller."""
         domains = itertools.cycle(self.plan.domains)
         return [
             (_address(network, number), next(domains))
             for network in self.plan.callers
-            for number in range(_CALLERS)
+            for number in range(_CALLERS_PER_NETWORK)
         ]
 
     def _caller_routes(self) -> list[fabric_lib.Route]:
@@ -272,13 +277,13 @@
     seed: int,
     ports: port_allocators.PortAllocator | None = None,
 ) -> Layout:
-    """Returns the layout of a deployment on free loopback ports.
+    """Allocates loopback ports and returns the layout of a deployment.
 
     Args:
-        plan: The deployment.
-        folder: Folder of durable state.
-        seed: Seed of all chance.
-        ports: Gives out free ports; shared by deployments side by side.
+        plan: Description of the deployment.
+        folder: Folder of the durable state.
+        seed: Seed of all random generators.
+        ports: Allocator of free ports; shared by concurrent deployments.
     """
     ports = ports or port_allocators.PortAllocator()
     domains = itertools.cycle(plan.domains)
@@ -312,43 +317,47 @@
 def _entry(
     name: str, domain: str, ports: port_allocators.PortAllocator
 ) -> peers.Peer:
-    """Returns an entry host on free ports."""
+    """Returns an entry host with newly allocated ports."""
     return peers.Peer(name, domain, ports.allocate(), ports.allocate())
 
 
 def _address(network: str, number: int) -> str:
-    """Returns an address of a network, counted from 0."""
+    """Returns the host address with an index, from 0, in a network."""
     return str(ipaddress.ip_network(network)[number + 1])
 
 
 def domain_address(number: int) -> str:
-    """Returns the loopback address of the hosts of a failure domain.
+    """Returns the loopback address that the hosts of a domain bind.
 
     Args:
-        number: Number of the failure domain, from 1.
+        number: Number of the failure domain, starting at 1.
     """
     return f"127.0.{number}.1"
 
 
-def _links(host: peers.Peer, listening: Listening) -> list[proxy_lib.Link]:
-    """Returns the links of the proxy to a host."""
+def _proxy_links(
+    host: peers.Peer, bind_endpoints: BindEndpoints
+) -> list[proxy_lib.Link]:
+    """Returns the proxy links that lead to a host."""
     name = f"{host.domain}/{host.host}"
     udp, tcp = proxy_lib.Protocol.UDP, proxy_lib.Protocol.TCP
     links = [
         proxy_lib.Link(
-            f"{name}/messages", udp, host.control, listening.control
+            f"{name}/messages", udp, host.control, bind_endpoints.control
+        ),
+        proxy_lib.Link(
+            f"{name}/http", tcp, host.control, bind_endpoints.control
         ),
-        proxy_lib.Link(f"{name}/http", tcp, host.control, listening.control),
     ]
-    if host.data is not None and listening.data is not None:
+    if host.data is not None and bind_endpoints.data is not None:
         links.append(
-            proxy_lib.Link(f"{name}/data", udp, host.data, listening.data)
+            proxy_lib.Link(f"{name}/data", udp, host.data, bind_endpoints.data)
         )
     return links
 
 
 def _target_service(service: plans.Service) -> target_settings.Service:
-    """Returns what the targets of a service have in common."""
+    """Returns the settings that all targets of a service share."""
     return target_settings.Service(
         ports=tuple(
             target_settings.Port(
--- a/packages/lab/src/tamarack_lab/deployment/plan.py
+++ b/packages/lab/src/tamarack_lab/deployment/plan.py
@@ -1,4 +1,4 @@
-"""What a deployment consists of, and the deployments of today's users."""
+"""Descriptions of deployments, including those of the current users."""
 
 import dataclasses
 
@@ -11,14 +11,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkClass:
-    """A work class with the load that the callers put on it.
+    """A work class and the load that callers generate for it.
 
     Attributes:
-        name: Name of the class.
+        name: Name of the work class.
         settings: Settings in the configuration.
-        rate: New connections a second.
-        most: Most connections open at once; 0 is no bound.
-        answer_bytes: Length of the filling of each answer.
+        rate: New connections per second.
+        most: Maximum number of concurrent connections; 0 for no limit.
+        answer_bytes: Length of the padding of each response in bytes.
     """
 
     name: str
@@ -28,7 +28,7 @@
     answer_bytes: int = 0
 
     def load(self, service: "Service") -> caller_settings.Load:
-        """Returns the load that the callers put on this class."""
+        """Returns the load that callers generate for this work class."""
         return caller_settings.Load(
             service=service.name,
             work_class=self.name,
@@ -44,17 +44,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service with its targets.
+    """A service and its targets.
 
     Attributes:
         name: Name of the service.
         address: Service address.
-        network: Network of its targets in CIDR form.
+        network: Network of its targets in CIDR notation.
         targets: Number of targets.
         classes: Work classes.
-        weights: What the service values.
-        slots: Work units that a target runs at once.
-        connections: Connections that a target holds.
+        weights: Costs that balancing weighs against each other.
+        slots: Work units that a target processes concurrently.
+        connections: Maximum number of connections of a target.
     """
 
     name: str
@@ -69,7 +69,7 @@
     connections: int = 2000
 
     def configuration(self) -> configuration.Service:
-        """Returns the service as the configuration has it."""
+        """Returns the configuration of the service."""
         return configuration.Service(
             addresses=(self.address,),
             classes={c.name: c.settings for c in self.classes},
@@ -80,15 +80,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeploymentPlan:
-    """A deployment.
+    """Description of a deployment.
 
     Attributes:
         name: Name of the deployment.
-        domains: Failure domains.
+        domains: Names of the failure domains.
         entry_hosts: Number of entry hosts, spread over the domains.
         control_hosts: Number of control hosts, spread over the domains.
-        services: Services.
-        callers: Networks of the callers in CIDR form.
+        services: Services and their targets.
+        callers: Networks of the callers in CIDR notation.
     """
 
     name: str
@@ -99,7 +99,7 @@
     callers: tuple[str, ...] = ("10.7.0.0/24",)
 
     def document(self) -> configuration.Configuration:
-        """Returns the configuration with all services."""
+        """Returns the configuration document with all services."""
         return configuration.Configuration(
             {service.name: service.configuration() for service in self.services}
         )
