--- a/packages/lab/src/tamarack_lab/deployment/deployment.py
+++ b/packages/lab/src/tamarack_lab/deployment/deployment.py
@@ -91,9 +91,12 @@
 
         async def is_healthy() -> bool:
             self._check_running(host.host)
-            found = await self.client.request("GET", host.control, "/v1/health")
+            response = await self.client.request(
+                "GET", host.control, "/v1/health"
+            )
             return (
-                isinstance(found, http_client.Response) and found.status == _OK
+                isinstance(response, http_client.Response)
+                and response.status == _OK
             )
 
         await wait_until(is_healthy, f"{host.host} is healthy")
@@ -157,12 +160,12 @@
 
     async def read_callers(self) -> reports.CallerReport | failure.Failure:
         """Returns the current report of the running caller process."""
-        found = await self.client.request(
+        response = await self.client.request(
             "GET", self.layout.callers_http, "/v1/report"
         )
-        if isinstance(found, failure.Failure):
-            return found
-        return msgspec.convert(found.body, reports.CallerReport)
+        if isinstance(response, failure.Failure):
+            return response
+        return msgspec.convert(response.body, reports.CallerReport)
 
     async def read_targets(self) -> list[servers.TargetReport]:
         """Returns the reports of all targets.
@@ -170,13 +173,13 @@
         Raises:
             DeploymentError: The target process doesn't respond.
         """
-        found = await self.client.request(
+        response = await self.client.request(
             "GET", self.layout.targets_http, "/v1/targets"
         )
-        if isinstance(found, failure.Failure):
-            raise DeploymentError(found.detail)
+        if isinstance(response, failure.Failure):
+            raise DeploymentError(response.detail)
         return msgspec.convert(
-            found.body["targets"], list[servers.TargetReport]
+            response.body["targets"], list[servers.TargetReport]
         )
 
     async def submit(
@@ -304,33 +307,33 @@
         Raises:
             DeploymentError: The request fails.
         """
-        found = await self.client.request("PUT", at, path, body)
-        if isinstance(found, failure.Failure):
-            raise DeploymentError(found.detail)
-        if found.status != _OK:
-            raise DeploymentError(f"PUT {path}: status {found.status}")
+        response = await self.client.request("PUT", at, path, body)
+        if isinstance(response, failure.Failure):
+            raise DeploymentError(response.detail)
+        if response.status != _OK:
+            raise DeploymentError(f"PUT {path}: status {response.status}")
 
     async def _submit_to(
         self, host: peers.Peer, body: dict[str, Any]
     ) -> list[requests.PatchVerdict]:
         """Submits a patch and returns the verdict; empty if there is none."""
-        found = await self.client.request(
+        response = await self.client.request(
             "POST", host.control, "/v1/patches", body
         )
-        if isinstance(found, failure.Failure) or found.body is None:
+        if isinstance(response, failure.Failure) or response.body is None:
             return []
         try:
-            return [msgspec.convert(found.body, requests.PatchVerdict)]
+            return [msgspec.convert(response.body, requests.PatchVerdict)]
         except msgspec.ValidationError:
             return []
 
     async def _status_field(self, host: peers.Peer, name: str) -> int:
         """Returns a field of a host's status; -1 without a valid response."""
         self._check_running(host.host)
-        found = await self.client.request("GET", host.control, "/v1/status")
-        if isinstance(found, failure.Failure) or found.status != _OK:
+        response = await self.client.request("GET", host.control, "/v1/status")
+        if isinstance(response, failure.Failure) or response.status != _OK:
             return -1
-        return int(found.body[name])
+        return int(response.body[name])
 
     async def _start_stand_in(
         self, kind: str, settings: msgspec.Struct
--- a/packages/lab/src/tamarack_lab/deployment/plan.py
+++ b/packages/lab/src/tamarack_lab/deployment/plan.py
@@ -52,7 +52,7 @@
         network: Network of its targets in CIDR notation.
         targets: Number of targets.
         classes: Work classes.
-        weights: Costs that balancing weighs against each other.
+        weights: Weights of broken connections and of uneven load.
         slots: Work units that a target processes concurrently.
         connections: Maximum number of connections of a target.
     """
--- a/packages/lab/src/tamarack_lab/experiments/__init__.py
+++ b/packages/lab/src/tamarack_lab/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments: scripted runs of the decisions by small fakes."""
+"""Experiments: scripted simulations that compare two versions of the core."""
--- a/packages/lab/src/tamarack_lab/experiments/catalogue.py
+++ b/packages/lab/src/tamarack_lab/experiments/catalogue.py
@@ -1,4 +1,4 @@
-"""The named experiments."""
+"""All experiments by name."""
 
 from tamarack_lab.experiments import balance_plans
 from tamarack_lab.experiments import limit_plans
@@ -6,12 +6,12 @@
 from tamarack_lab.experiments import packet_run
 from tamarack_lab.experiments import plans
 
-Plan = plans.ExperimentPlan | packet_run.PacketPlan
+AnyPlan = plans.ExperimentPlan | packet_run.PacketPlan
 
-_PLANS: tuple[Plan, ...] = (
+_PLANS: tuple[AnyPlan, ...] = (
     *balance_plans.plans(),
     *limit_plans.plans(),
     *packet_plans.plans(),
 )
 
-ALL: dict[str, Plan] = {plan.name: plan for plan in _PLANS}
+ALL: dict[str, AnyPlan] = {plan.name: plan for plan in _PLANS}
--- a/packages/lab/src/tamarack_lab/experiments/commands.py
+++ b/packages/lab/src/tamarack_lab/experiments/commands.py
@@ -17,7 +17,7 @@
 
 @click.group()
 def experiment() -> None:
-    """Runs scripted comparisons with the naive version."""
+    """Runs scripted comparisons of tamarackford with the naive version."""
 
 
 @experiment.command("list")
@@ -29,7 +29,12 @@
 
 @experiment.command("run")
 @click.argument("name", type=click.Choice(list(catalogue.ALL)))
-@click.option("--seed", default=1, show_default=True, help="Seed of the run.")
+@click.option(
+    "--seed",
+    default=1,
+    show_default=True,
+    help="Seed of the random generators.",
+)
 @click.option(
     "--output",
     type=click.Path(file_okay=False, path_type=pathlib.Path),
@@ -37,25 +42,25 @@
     help="Directory for result.json, report.md and plots.",
 )
 def run_experiment(name: str, seed: int, output: pathlib.Path) -> None:
-    """Runs an experiment; exits with 1 if a promise was broken."""
+    """Runs an experiment; exits with 1 if a figure violates its bound."""
     outcome = run_plan(catalogue.ALL[name], seed, output)
     for broken in outcome.broken:
-        click.echo(f"promise not kept: {broken}", err=True)
+        click.echo(f"bound violated: {broken}", err=True)
     sys.exit(1 if outcome.broken else 0)
 
 
 def run_plan(
-    plan: catalogue.Plan, seed: int, output: pathlib.Path
+    plan: catalogue.AnyPlan, seed: int, output: pathlib.Path
 ) -> report.Outcome:
-    """Runs a plan with both versions and writes the report.
+    """Runs an experiment with both versions and writes the report.
 
     Args:
-        plan: The plan.
-        seed: Seed of the run.
+        plan: The experiment.
+        seed: Seed of all random generators.
         output: Directory for the report.
     """
-    ours, naive = _runs(plan, seed)
-    figures = ours.execute()
+    tamarackford, naive = _runs(plan, seed)
+    figures = tamarackford.execute()
     outcome = report.Outcome(
         plan.name,
         seed,
@@ -63,13 +68,13 @@
         naive.execute(),
         report.check(figures, plan.bounds),
     )
-    series = [_series("tamarackford", ours), _series("naive", naive)]
+    series = [_series("tamarackford", tamarackford), _series("naive", naive)]
     report.write(output, plan, outcome, series)
     return outcome
 
 
-def _runs(plan: catalogue.Plan, seed: int) -> tuple[Runnable, Runnable]:
-    """Returns the runs of tamarackford and of the naive version."""
+def _runs(plan: catalogue.AnyPlan, seed: int) -> tuple[Runnable, Runnable]:
+    """Returns one run of tamarackford and one of the naive version."""
     if isinstance(plan, packet_run.PacketPlan):
         return (
             packet_run.PacketRun(
@@ -84,6 +89,6 @@
 
 
 def _series(label: str, run: Runnable) -> report.Series:
-    """Returns the work in flight over a run."""
+    """Returns the work in flight of each target during a run."""
     times_s = [time_s for time_s, _ in run.timeline]
     return report.Series(label, times_s, [work for _, work in run.timeline])
--- a/packages/lab/src/tamarack_lab/experiments/entities.py
+++ b/packages/lab/src/tamarack_lab/experiments/entities.py
@@ -1,4 +1,4 @@
-"""Targets and connections of a run."""
+"""Simulated targets and connections of a run."""
 
 import dataclasses
 
@@ -13,14 +13,15 @@
     """A simulated target and what it announces.
 
     Attributes:
-        machine: The slots.
-        announcement: What it announces next.
-        domain: Failure domain.
-        drained_s: Time at which it announced draining, in seconds.
-        flows: Connections that it holds.
+        target_queue: Slots and queue of the target.
+        announcement: Content of its next announcement.
+        domain: Failure domain of the target.
+        drained_s: Time in seconds at which it announced draining; infinite if
+            it isn't draining.
+        flows: Connections that are assigned to the target.
     """
 
-    machine: target_queues.TargetQueue
+    target_queue: target_queues.TargetQueue
     announcement: requests.Announce
     domain: str
     drained_s: float = float("inf")
@@ -29,23 +30,24 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Flow:
-    """A connection of a caller over all its tries.
+    """A connection of a caller, including all attempts to open it.
 
     Attributes:
         number: Number of the connection.
-        stream: The stream that it belongs to.
+        stream: Stream that the connection belongs to.
         port: Service port.
         domain: Failure domain of the caller.
-        work_s: Seconds of work.
-        hold_s: Seconds to stay open after the answer.
-        opened_s: Time of the first try in seconds.
-        tries: Tries so far.
-        key: Flow key of the present try.
+        work_s: Duration of its work in seconds at a target of normal speed.
+        hold_s: Seconds for which it stays open after the response.
+        opened_s: Time of the first attempt in seconds.
+        tries: Number of attempts so far.
+        key: Flow key of the current attempt.
         owner: Name of the owning host.
-        target: Its target.
-        job: Its work at the target.
-        runs: How often its work has started.
-        over: Whether the caller is done with it.
+        target: Chosen target; None before one is chosen.
+        job: Work that was submitted to the target.
+        tried_s: Time of the current attempt in seconds.
+        runs: Number of times that its work was completed.
+        is_finished: Whether the caller has closed it or given up.
     """
 
     number: int
@@ -62,4 +64,4 @@
     job: target_queues.Job | None = None
     tried_s: float = 0.0
     runs: int = 0
-    over: bool = False
+    is_finished: bool = False
--- a/packages/lab/src/tamarack_lab/experiments/limit_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/limit_plans.py
@@ -11,16 +11,16 @@
 from tamarack_lab.experiments import workloads
 
 WORK_S = 0.5
-PATIENCE_S = 4.0
-KNEE_UNITS_S = 7 * workloads.SLOTS / WORK_S
+TIMEOUT_S = 4.0
+CAPACITY_UNITS_S = 7 * workloads.SLOTS / WORK_S
 GOODPUT_SHARE = 0.95
 LIMIT = 12
 SAMPLE_S = 0.5
-CUT_S = 40.0
-HEAL_S = 80.0
+FAULT_S = 40.0
+RECOVERY_S = 80.0
 
-_BASE = balance_plans.NEVER_BROKEN
-_WITHIN = plan_lib.Bound("over_limit", most=0)
+_SAFETY_BOUNDS = balance_plans.SAFETY_BOUNDS
+_LIMIT_BOUND = plan_lib.Bound("over_limit", most=0)
 
 _ONE_CLASS = msgspec.structs.replace(
     workloads.INFORME,
@@ -37,10 +37,10 @@
 def plans() -> tuple[plan_lib.ExperimentPlan, ...]:
     """Returns the experiments on limits, overload and failure domains."""
     knee = _overload("overload-knee", 1.0)
-    double = _overload("overload-double", 2.0)
+    doubled = _overload("overload-double", 2.0)
     limited = plan_lib.ExperimentPlan(
         "limit-host-death",
-        f"Limit of {LIMIT} connections; an owner dies and starts again.",
+        f"Limit of {LIMIT} connections; an owner is killed and restarted.",
         (plan_lib.ServicePlan("informe", _LIMITED, 12, workloads.SLOTS),),
         (
             plan_lib.Stream(
@@ -51,26 +51,26 @@
                 tries=2,
             ),
         ),
-        script=_restart_owner,
-        bounds=(*_BASE, _WITHIN),
+        script=_kill_and_restart_host,
+        bounds=(*_SAFETY_BOUNDS, _LIMIT_BOUND),
     )
     return (
         knee,
-        double,
+        doubled,
         limited,
         dataclasses.replace(
             limited,
             name="limit-domain-cut",
-            summary=f"Limit of {LIMIT} over three domains; one is cut off.",
+            summary=f"Limit of {LIMIT} over three domains; one is isolated.",
             domains=("a", "b", "c"),
-            script=_cut_domain,
+            script=_isolate_domain,
         ),
     )
 
 
 def _overload(name: str, factor: float) -> plan_lib.ExperimentPlan:
-    """Returns an experiment at a multiple of the capacity."""
-    rate = KNEE_UNITS_S * factor
+    """Returns an experiment with openings at a multiple of the capacity."""
+    rate = CAPACITY_UNITS_S * factor
     return plan_lib.ExperimentPlan(
         name,
         f"Openings at {factor:g} times the capacity; callers try three times.",
@@ -81,44 +81,44 @@
                 "certificate",
                 plan_lib.constant(rate),
                 WORK_S,
-                patience_s=PATIENCE_S,
+                timeout_s=TIMEOUT_S,
                 tries=3,
             ),
         ),
         bounds=(
-            *_BASE,
+            *_SAFETY_BOUNDS,
             plan_lib.Bound(
-                "goodput_units_s", least=GOODPUT_SHARE * KNEE_UNITS_S
+                "goodput_units_s", least=GOODPUT_SHARE * CAPACITY_UNITS_S
             ),
         ),
     )
 
 
-def _restart_owner(run: run_lib.Run) -> None:
-    """Ends the host with the most flows and starts it anew later."""
-    _watch_limit(run)
+def _kill_and_restart_host(run: run_lib.Run) -> None:
+    """Kills the host that owns the most flows and restarts it later."""
+    _check_limit(run)
     names: list[str] = []
 
     def kill() -> None:
-        """Ends the host."""
+        """Kills the host that owns the most flows at that time."""
         name = max(run.flows, key=lambda name: len(run.flows[name]))
         names.append(name)
         run.kill_host(name)
 
-    run.queue.at(CUT_S, kill)
-    run.queue.at(HEAL_S, lambda: run.restart_host(names[0]))
+    run.queue.at(FAULT_S, kill)
+    run.queue.at(RECOVERY_S, lambda: run.restart_host(names[0]))
 
 
-def _cut_domain(run: run_lib.Run) -> None:
-    """Cuts a failure domain off and lets it come back."""
-    _watch_limit(run)
-    run.queue.at(CUT_S, lambda: run.network.isolated_domains.add("a"))
-    run.queue.at(HEAL_S, run.network.isolated_domains.clear)
+def _isolate_domain(run: run_lib.Run) -> None:
+    """Isolates a failure domain and reconnects it later."""
+    _check_limit(run)
+    run.queue.at(FAULT_S, lambda: run.network.isolated_domains.add("a"))
+    run.queue.at(RECOVERY_S, run.network.isolated_domains.clear)
 
 
-def _watch_limit(run: run_lib.Run) -> None:
-    """Compares the open connections with the limit again and again."""
+def _check_limit(run: run_lib.Run) -> None:
+    """Compares the open connections with the limit every `SAMPLE_S`."""
     open_flows = sum(len(target.flows) for target in run.targets.values())
     over = open_flows - LIMIT
     run.figures.over_limit = max(run.figures.over_limit, over)
-    run.queue.after(SAMPLE_S, lambda: _watch_limit(run))
+    run.queue.after(SAMPLE_S, lambda: _check_limit(run))
--- a/packages/lab/src/tamarack_lab/experiments/measurements.py
+++ b/packages/lab/src/tamarack_lab/experiments/measurements.py
@@ -1,4 +1,4 @@
-"""What a run is measured by."""
+"""Figures of a run and the meters that compute them."""
 
 from collections.abc import Sequence
 import itertools
@@ -10,30 +10,35 @@
 
 
 class Figures(msgspec.Struct):
-    """Result of one run of one version.
+    """Figures of one run of one version.
 
     Attributes:
-        openings: Connections that callers opened for the first time.
-        attempts: Openings with those that were tried again.
-        completed: Connections that ended as their callers wanted, in time.
+        openings: First attempts of callers to open a connection.
+        attempts: All attempts, including retries.
+        completed: Requests that got their response in time.
         refused: Attempts that were refused.
         broken_flows: Established connections that broke.
-        imbalance_peak_over_mean: Highest mean work in flight of a target over
-            the mean of all targets of its service; the worst service.
-        imbalance_window_peak_over_mean: The same, as the mean over windows.
-        imbalance_spread_units: Time-weighted standard deviation of the work
-            in flight between the targets of a service, in work units.
+        imbalance_peak_over_mean: Highest mean work in flight of a target
+            divided by the mean of all targets of its service; that of the
+            worst service.
+        imbalance_window_peak_over_mean: The same ratio as the mean over time
+            windows.
+        imbalance_spread_units: Standard deviation of the work in flight among
+            the targets of a service, averaged over time, in work units.
         at_most_once_violations: Non-idempotent requests that ran twice.
-        false_verdicts: Requests that ran though their verdict was not run.
+        false_verdicts: Requests that ran although the verdict said that they
+            did not run.
         late_new_flows: New flows at a draining target after the grace period.
         wrong_service: Flows that reached a target of another service.
-        over_limit: Greatest number of connections above a limit.
-        hops_per_packet: Mean number of hand-overs between hosts.
-        control_bytes_per_host_s: Control bytes a host and second.
-        goodput_units_s: Work units a second of completed connections.
-        wait_p99_s: 99th percentile of the wait for an answer, in seconds.
+        over_limit: Maximum number of connections in excess of a limit.
+        hops_per_packet: Mean number of times that a packet is forwarded from
+            one entry host to another.
+        control_bytes_per_host_s: Control bytes per host and second.
+        goodput_units_s: Work units of completed requests per second.
+        wait_p99_s: 99th percentile of the time to the response, in seconds.
         ejected_share: Greatest share of targets ejected at one host.
-        spilled_share: Share of attempts that left their failure domain.
+        spilled_share: Share of attempts whose target was in another failure
+            domain.
     """
 
     openings: int = 0
@@ -61,66 +66,70 @@
     """Samples the work in flight of the targets of one service.
 
     Attributes:
-        machines: Targets of the service that count.
-        samples: Integral of work in each target at each sample.
-        spreads: Standard deviation of the work in flight at each sample.
+        targets: Targets of the service.
+        samples: Integral of the work in flight of each target, by sample.
+        spreads: Standard deviation of the work in flight, by sample.
     """
 
-    __slots__ = ("machines", "samples", "spreads")
+    __slots__ = ("samples", "spreads", "targets")
 
-    def __init__(self, machines: Sequence[target_queue.TargetQueue]) -> None:
-        """Creates a meter over the targets of one service."""
-        self.machines = list(machines)
+    def __init__(self, targets: Sequence[target_queue.TargetQueue]) -> None:
+        """Initializes a meter for the targets of one service."""
+        self.targets = list(targets)
         self.samples: list[list[float]] = []
         self.spreads: list[float] = []
 
     def sample(self) -> None:
-        """Takes a sample; the caller takes them at even intervals."""
-        for target in self.machines:
-            target.settle()
-        self.samples.append([target.integral for target in self.machines])
-        work = [target.work for target in self.machines]
+        """Takes a sample; must be called at regular intervals."""
+        for target in self.targets:
+            target.update_integral()
+        self.samples.append([target.integral for target in self.targets])
+        work = [target.work for target in self.targets]
         self.spreads.append(deviation(work))
 
     def peak_over_mean(self) -> float:
-        """Returns the highest over the mean work, over the whole run."""
+        """Returns the peak-over-mean ratio of work, over all samples."""
         if len(self.samples) < 2:
             return 0.0
         return _peak_over_mean(self.samples[0], self.samples[-1])
 
     def window_peak_over_mean(self, window: int) -> float:
-        """Returns the mean peak over mean of windows of samples."""
-        found = [
+        """Returns the mean of the peak-over-mean ratios of time windows.
+
+        Args:
+            window: Length of a window in samples.
+        """
+        ratios = [
             _peak_over_mean(first, last)
             for first, last in itertools.pairwise(self.samples[::window])
         ]
-        return sum(found) / len(found) if found else 0.0
+        return sum(ratios) / len(ratios) if ratios else 0.0
 
     def spread(self) -> float:
-        """Returns the time-weighted spread in work units."""
+        """Returns the mean standard deviation in work units."""
         return sum(self.spreads) / len(self.spreads) if self.spreads else 0.0
 
 
 def _peak_over_mean(first: Sequence[float], last: Sequence[float]) -> float:
-    """Returns the highest over the mean growth of the integrals."""
-    grown = [b - a for a, b in zip(first, last, strict=True)]
-    total = sum(grown)
-    return max(grown) * len(grown) / total if total else 1.0
+    """Returns the highest growth of the integrals over the mean growth."""
+    growth = [b - a for a, b in zip(first, last, strict=True)]
+    total = sum(growth)
+    return max(growth) * len(growth) / total if total else 1.0
 
 
 def deviation(values: Sequence[float]) -> float:
-    """Returns the standard deviation of values."""
+    """Returns the population standard deviation of values."""
     mean = sum(values) / len(values)
     variance = sum((value - mean) ** 2 for value in values) / len(values)
     return math.sqrt(variance)
 
 
 def percentile(values: Sequence[float], share: float) -> float:
-    """Returns a percentile of values, 0 for none.
+    """Returns a percentile of values, or 0 if there are none.
 
     Args:
-        values: The values in any order.
-        share: From 0 to 1.
+        values: Values in any order.
+        share: Percentile as a fraction from 0 to 1.
     """
     if not values:
         return 0.0
--- a/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
@@ -1,4 +1,4 @@
-"""Callers and targets of the runs on packets."""
+"""TCP applications of callers and targets in packet-level runs."""
 
 import functools
 import random
@@ -8,48 +8,58 @@
 from tamarack_lab.experiments import measurements
 from tamarack_lab.tcp import connection as connections
 
-THINK_S = 2.0
+REQUEST_INTERVAL_S = 2.0
 RECORD_BYTES = 16
 
 
-class Run(Protocol):
-    """What callers and targets need of a run.
+class RunContext(Protocol):
+    """Interface of a run that callers and targets use.
 
     Attributes:
-        queue: The queue of timed actions.
-        random: Seeded generator.
-        figures: Counts of the run.
+        queue: Queue of timed actions.
+        random: Seeded random generator.
+        figures: Figures of the run.
     """
 
     queue: event_queue.EventQueue
     random: random.Random
     figures: measurements.Figures
 
-    def refuse(self, caller: "Caller") -> None:
-        """Counts a refusal, which promises that nothing has run."""
+    def count_refusal(self, caller: "Caller") -> None:
+        """Counts a refusal, which states that no request has run."""
 
-    def break_off(self, caller: "Caller") -> None:
-        """Counts a connection that broke."""
+    def count_broken(self, caller: "Caller") -> None:
+        """Counts a broken connection."""
 
-    def note_execution(self, record: bytes) -> None:
-        """Counts a request that a target runs."""
+    def record_execution(self, record: bytes) -> None:
+        """Records that a target runs a request."""
 
-    def wake(self, connection: connections.Connection) -> None:
-        """Sends what a caller's connection has queued."""
+    def flush_callers(self, connection: connections.Connection) -> None:
+        """Sends the queued data of a caller's connection."""
 
 
 class Caller:
-    """A caller that sends a numbered request every `THINK_S`."""
+    """Caller that sends a numbered request every `REQUEST_INTERVAL_S`.
 
-    __slots__ = ("answered", "asked", "is_over", "run", "since_s", "uid")
+    The interval is the mean; the next one starts with the response.
+    """
 
-    def __init__(self, run: Run, uid: int) -> None:
-        """Creates a caller that has not connected."""
+    __slots__ = (
+        "is_over",
+        "requests_sent",
+        "responses_received",
+        "run",
+        "uid",
+        "waiting_since_s",
+    )
+
+    def __init__(self, run: RunContext, uid: int) -> None:
+        """Initializes the caller without a connection."""
         self.run = run
         self.uid = uid
-        self.asked = 0
-        self.answered = 0
-        self.since_s = 0.0
+        self.requests_sent = 0
+        self.responses_received = 0
+        self.waiting_since_s = 0.0
         self.is_over = False
 
     def notify(
@@ -57,47 +67,49 @@
         connection: connections.Connection,
         event: connections.ConnectionEvent,
     ) -> None:
-        """Reacts to an occurrence of the connection."""
+        """Handles an occurrence on the connection."""
         occurrences = connections.ConnectionEvent
         if event is occurrences.CONNECTED:
-            self.ask(connection)
+            self.send_request(connection)
         elif event is occurrences.READABLE:
-            self._read(connection)
+            self._read_responses(connection)
         elif event is occurrences.REFUSED:
-            self.run.refuse(self)
+            self.run.count_refusal(self)
         elif event in (
             occurrences.RESET,
             occurrences.TIMED_OUT,
             occurrences.ENDED,
         ):
-            self.run.break_off(self)
+            self.run.count_broken(self)
 
-    def ask(self, connection: connections.Connection) -> None:
-        """Sends the next request."""
+    def send_request(self, connection: connections.Connection) -> None:
+        """Sends the next request unless the caller has finished."""
         if self.is_over:
             return
-        self.asked += 1
-        self.since_s = self.run.queue.now_s
-        record = f"{self.uid}:{self.asked}"
+        self.requests_sent += 1
+        self.waiting_since_s = self.run.queue.now_s
+        record = f"{self.uid}:{self.requests_sent}"
         connection.write(record.ljust(RECORD_BYTES).encode())
-        self.run.wake(connection)
+        self.run.flush_callers(connection)
 
-    def _read(self, connection: connections.Connection) -> None:
-        """Takes answers and plans the next request."""
+    def _read_responses(self, connection: connections.Connection) -> None:
+        """Counts the responses and schedules the next request."""
         count = len(connection.read()) // RECORD_BYTES
-        self.answered += count
+        self.responses_received += count
         self.run.figures.completed += count
-        delay_s = THINK_S * self.run.random.uniform(0.5, 1.5)
-        self.run.queue.after(delay_s, functools.partial(self.ask, connection))
+        delay_s = REQUEST_INTERVAL_S * self.run.random.uniform(0.5, 1.5)
+        self.run.queue.after(
+            delay_s, functools.partial(self.send_request, connection)
+        )
 
 
 class Server:
-    """A target that answers each request once it is whole."""
+    """Target that responds to each request once it is complete."""
 
     __slots__ = ("buffer", "run")
 
-    def __init__(self, run: Run) -> None:
-        """Creates the application of one connection."""
+    def __init__(self, run: RunContext) -> None:
+        """Initializes the application of one connection."""
         self.run = run
         self.buffer = b""
 
@@ -106,7 +118,7 @@
         connection: connections.Connection,
         event: connections.ConnectionEvent,
     ) -> None:
-        """Reacts to an occurrence of the connection."""
+        """Handles an occurrence on the connection."""
         if event is connections.ConnectionEvent.ENDED:
             connection.finish()
         if event is not connections.ConnectionEvent.READABLE:
@@ -115,5 +127,5 @@
         while len(self.buffer) >= RECORD_BYTES:
             record = self.buffer[:RECORD_BYTES]
             self.buffer = self.buffer[RECORD_BYTES:]
-            self.run.note_execution(record)
+            self.run.record_execution(record)
             connection.write(record)
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -1,7 +1,7 @@
-"""Runs of whole entry hosts with TCP callers and targets, packet by packet.
+"""Packet-level runs of complete entry hosts with TCP callers and targets.
 
-The fabric hands each packet to a random entry host, and goes on handing
-packets to a dead one for `FABRIC_NOTICES_S`.
+The fabric sends each packet to a random entry host. It keeps sending packets
+to a dead host for `FABRIC_DETECTION_S`.
 """
 
 from collections.abc import Callable
@@ -31,29 +31,29 @@
 
 DOMAIN = "a"
 DELAY_S = 0.0005
-FABRIC_NOTICES_S = 1.0
+FABRIC_DETECTION_S = 1.0
 RENEWAL_S = 3.0
 LEASE_S = 10.0
-GIVE_UP_S = 40.0
+STALL_TIMEOUT_S = 40.0
 SAMPLE_S = 1.0
 CALLER_PORTS = 20000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PacketPlan:
-    """One experiment on packets.
+    """Plan of a packet-level experiment.
 
     Attributes:
         name: Name on the command line.
-        summary: Sentence for `tamarack experiment list`.
-        service: The service.
+        summary: Description for `tamarack experiment list`.
+        service: Service that the callers use.
         targets: Number of targets.
-        first_targets: Targets that run from the start; 0 for all.
+        first_targets: Number of targets that run from the start; 0 for all.
         hosts: Number of entry hosts.
-        flows: Long-lived connections that are held all the time.
-        duration_s: Length of the run in seconds.
-        script: Schedules the faults of the run.
-        bounds: Promises that tamarackford must keep.
+        flows: Number of long-lived connections, open for the whole run.
+        duration_s: Duration of the run in seconds.
+        script: Function that schedules the faults of a run.
+        bounds: Bounds that the figures of tamarackford must meet.
     """
 
     name: str
@@ -69,21 +69,34 @@
 
 
 class PacketRun:
-    """State of a run.
+    """State of a packet-level run.
 
     Attributes:
-        plan: The plan.
-        queue: The queue of timed actions.
-        random: Seeded generator of traffic and faults.
-        network: Entry hosts.
-        targets: TCP stack of each live target by packed address.
-        figures: Counts of the run.
+        plan: Plan of the experiment.
+        queue: Queue of timed actions.
+        random: Seeded random generator of traffic and faults.
+        network: Network of the entry hosts.
+        callers: TCP stack of all callers.
+        targets: TCP stack of each running target by packed address.
+        announcements: Current announcement of each target by packed address.
+        fabric: Names of the entry hosts to which the fabric sends packets.
+        executed_records: Requests that a target has run.
+        open_callers: Callers with an open connection by number.
+        hops: Number of packets forwarded between entry hosts.
+        packets: Number of packets sent to the fabric.
+        figures: Figures of the run.
     """
 
     def __init__(
         self, plan: PacketPlan, build: packet_versions.Build, seed: int
     ) -> None:
-        """Builds hosts, targets and callers."""
+        """Initializes the run and starts its hosts and targets.
+
+        Args:
+            plan: Plan of the experiment.
+            build: Builds an entry host of the version under test.
+            seed: Seed of all random generators.
+        """
         self.plan = plan
         self.build = build
         self.queue = event_queue.EventQueue()
@@ -95,7 +108,7 @@
         self.targets: dict[bytes, stacks.Stack] = {}
         self.announcements: dict[bytes, requests.Announce] = {}
         self.fabric: set[str] = set()
-        self.executed: set[bytes] = set()
+        self.executed_records: set[bytes] = set()
         self.open_callers: dict[int, packet_endpoints.Caller] = {}
         self.hops = 0
         self.packets = 0
@@ -112,7 +125,7 @@
             self.start_target(number)
 
     def start_host(self, peer: peers.Peer) -> None:
-        """Starts an entry host, or starts it anew without its state."""
+        """Starts an entry host, or restarts it without its state."""
         others = tuple(other for other in self.peers if other != peer)
         seed = self.random.getrandbits(30)
         host = self.network.add(self.build(peer, others, seed))
@@ -124,27 +137,27 @@
         snapshot = distribution.Snapshot(numbered)
         now_s = self.queue.now_s
         host.handle(events.MessageArrived(now_s, self.peers[0], snapshot))
-        self.queue.after(FABRIC_NOTICES_S, lambda: self.fabric.add(peer.host))
+        self.queue.after(FABRIC_DETECTION_S, lambda: self.fabric.add(peer.host))
 
     def kill_host(self, peer: peers.Peer) -> None:
-        """Ends a host at once."""
+        """Kills a host without a graceful stop."""
         self.network.hosts[peer.host].alive = False
-        self.withdraw(peer)
+        self.remove_from_fabric(peer)
 
     def stop_host(self, peer: peers.Peer) -> None:
-        """Asks a host for a graceful stop."""
+        """Requests a graceful stop of a host."""
         host = self.network.hosts[peer.host]
         host.handle(events.StopRequested(self.queue.now_s))
-        self.withdraw(peer)
+        self.remove_from_fabric(peer)
 
-    def withdraw(self, peer: peers.Peer) -> None:
-        """Lets the fabric notice that a host goes."""
+    def remove_from_fabric(self, peer: peers.Peer) -> None:
+        """Removes a host from the fabric after `FABRIC_DETECTION_S`."""
         self.queue.after(
-            FABRIC_NOTICES_S, lambda: self.fabric.discard(peer.host)
+            FABRIC_DETECTION_S, lambda: self.fabric.discard(peer.host)
         )
 
     def start_target(self, number: int) -> None:
-        """Starts a target and lets it announce itself."""
+        """Starts a target that announces itself periodically."""
         settings = self.plan.service.settings
         network = configuration.parse_target_networks(settings)[0]
         address = (int(network.network_address) + 1 + number).to_bytes(4, "big")
@@ -164,17 +177,17 @@
         self._renew(address)
 
     def drain_target(self, address: bytes) -> None:
-        """Lets a target announce that it drains."""
+        """Makes the next announcements of a target report draining."""
         self.announcements[address] = msgspec.structs.replace(
             self.announcements[address], state=requests.TargetState.DRAINING
         )
 
     def kill_target(self, address: bytes) -> None:
-        """Ends a target with all its connections."""
+        """Kills a target with all its connections."""
         del self.targets[address]
 
     def _renew(self, address: bytes) -> None:
-        """Announces a target now and from then on."""
+        """Announces a target now and every `RENEWAL_S` while it runs."""
         if address not in self.targets:
             return
         live = self.network.live(DOMAIN)
@@ -185,7 +198,7 @@
         self.queue.after(RENEWAL_S, functools.partial(self._renew, address))
 
     def execute(self) -> measurements.Figures:
-        """Runs the plan and returns its figures."""
+        """Runs the experiment and returns its figures."""
         for uid in range(self.plan.flows):
             at_s = 5.0 + 10.0 * self.random.random()
             self.queue.at(at_s, functools.partial(self.open, uid))
@@ -193,15 +206,15 @@
         if self.plan.script is not None:
             self.plan.script(self)
         self.queue.run_until(self.plan.duration_s)
-        return self._conclude()
+        return self._compute_figures()
 
     def open(self, uid: int) -> None:
-        """Opens the connection of a caller."""
+        """Opens the connection of a caller with a number."""
         caller = packet_endpoints.Caller(self, uid)
         self.figures.openings += 1
         self.figures.attempts += 1
         self.open_callers[uid] = caller
-        caller.since_s = self.queue.now_s
+        caller.waiting_since_s = self.queue.now_s
         port = next(iter(self.plan.service.settings.classes.values())).port
         path = connections.FourTuple(
             bytes((100, 64, uid >> 8, uid & 255)),
@@ -212,51 +225,51 @@
         self.callers.connect(self.queue.now_s, path, caller)
         self._flush(self.callers)
 
-    def refuse(self, caller: packet_endpoints.Caller) -> None:
-        """Counts a refusal, which promises that nothing has run."""
+    def count_refusal(self, caller: packet_endpoints.Caller) -> None:
+        """Counts a refusal, which states that no request has run."""
         self.figures.refused += 1
         caller.is_over = True
         self.open_callers.pop(caller.uid, None)
-        if caller.asked:
+        if caller.requests_sent:
             self.figures.false_verdicts += 1
 
-    def break_off(self, caller: packet_endpoints.Caller) -> None:
-        """Counts a connection that broke."""
+    def count_broken(self, caller: packet_endpoints.Caller) -> None:
+        """Counts a broken connection unless the caller has finished."""
         if not caller.is_over:
             self.figures.broken_flows += 1
         caller.is_over = True
         self.open_callers.pop(caller.uid, None)
 
-    def note_execution(self, record: bytes) -> None:
-        """Counts a request that a target runs."""
-        if record in self.executed:
+    def record_execution(self, record: bytes) -> None:
+        """Records that a target runs a request; a repetition is a violation."""
+        if record in self.executed_records:
             self.figures.at_most_once_violations += 1
-        self.executed.add(record)
+        self.executed_records.add(record)
 
-    def wake(self, connection: connections.Connection) -> None:
-        """Sends what a caller's connection has queued."""
+    def flush_callers(self, connection: connections.Connection) -> None:
+        """Sends the queued data of a caller's connection."""
         self.callers.mark_changed(connection)
         self._flush(self.callers)
 
     def _flush(self, stack: stacks.Stack) -> None:
-        """Hands the packets of a stack to the fabric and sets its timer."""
+        """Sends the packets of a stack to the fabric and sets its timer."""
         now_s = self.queue.now_s
         for packet in stack.flush(now_s):
-            self._to_host(packet)
+            self._send_to_entry_host(packet)
         deadline_s = stack.next_deadline()
         if deadline_s is not None:
             self.queue.at(deadline_s, functools.partial(self._expire, stack))
 
     def _expire(self, stack: stacks.Stack) -> None:
-        """Handles the timers of a stack."""
+        """Handles the expired timers of a stack."""
         deadline_s = stack.next_deadline()
         if deadline_s is None or deadline_s > self.queue.now_s:
             return
         stack.expire(self.queue.now_s)
         self._flush(stack)
 
-    def _to_host(self, packet: bytes) -> None:
-        """Lets the fabric hand a packet to a random host."""
+    def _send_to_entry_host(self, packet: bytes) -> None:
+        """Sends a packet to a random host of the fabric, if there is any."""
         self.packets += 1
         if not self.fabric:
             return
@@ -264,10 +277,10 @@
         self._deliver(name, geneve.encapsulate(packet))
 
     def _deliver(self, name: str, data: bytes) -> None:
-        """Hands a datagram to a host after the delay."""
+        """Delivers a datagram to a host after the network delay."""
 
         def arrive() -> None:
-            """Hands it over if the host still runs."""
+            """Delivers the datagram; a dead host ignores it."""
             now_s = self.queue.now_s
             host = self.network.hosts[name]
             host.handle(events.DatagramArrived(now_s, data))
@@ -278,7 +291,7 @@
     def _send_datagram(
         self, sender: network_lib.SimulatedHost, effect: effects.SendDatagram
     ) -> None:
-        """Carries a datagram of a host to another or to the fabric."""
+        """Carries a datagram to another host, or to a target or caller."""
         if effect.endpoint is not None:
             self.hops += 1
             receivers = [
@@ -294,10 +307,12 @@
         if isinstance(datagram, failure.Failure):
             return
         packet = datagram.packet
-        self.queue.after(DELAY_S, functools.partial(self._arrive, packet))
+        self.queue.after(
+            DELAY_S, functools.partial(self._deliver_decapsulated, packet)
+        )
 
-    def _arrive(self, packet: bytes) -> None:
-        """Hands a packet to a target or to the callers."""
+    def _deliver_decapsulated(self, packet: bytes) -> None:
+        """Delivers a packet to a target or to the callers."""
         address = packet[16:20]
         if address[0] == 100:
             stack: stacks.Stack | None = self.callers
@@ -308,20 +323,26 @@
             self._flush(stack)
 
     def _sample(self) -> None:
-        """Samples the connections of each target; finds stalled callers."""
+        """Samples the connections of each target and counts stalled callers.
+
+        A caller without a response for `STALL_TIMEOUT_S` counts as broken.
+        """
         now_s = self.queue.now_s
         counts = [len(stack.connections) for stack in self.targets.values()]
         counts += [0] * (self.plan.targets - len(counts))
         self.samples.append(counts)
         self.timeline.append((now_s, [float(count) for count in counts]))
         for caller in list(self.open_callers.values()):
-            waits = caller.asked > caller.answered or not caller.asked
-            if waits and now_s - caller.since_s > GIVE_UP_S:
-                self.break_off(caller)
+            is_waiting = (
+                caller.requests_sent > caller.responses_received
+                or not caller.requests_sent
+            )
+            if is_waiting and now_s - caller.waiting_since_s > STALL_TIMEOUT_S:
+                self.count_broken(caller)
         self.queue.after(SAMPLE_S, self._sample)
 
-    def _conclude(self) -> measurements.Figures:
-        """Returns the figures of the run."""
+    def _compute_figures(self) -> measurements.Figures:
+        """Computes the remaining figures of the run and returns all."""
         figures = self.figures
         totals = [sum(column) for column in zip(*self.samples, strict=True)]
         if sum(totals):
--- a/packages/lab/src/tamarack_lab/experiments/packet_versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_versions.py
@@ -1,4 +1,4 @@
-"""Whole entry hosts of tamarackford and of the naive version."""
+"""Complete entry hosts of tamarackford and of the naive version."""
 
 from collections.abc import Callable
 
@@ -23,7 +23,7 @@
 def build_tamarackford(
     peer: peers.Peer, others: tuple[peers.Peer, ...], seed: int
 ) -> reducer.Node:
-    """Returns an entry host as the daemon assembles it."""
+    """Returns an entry host that is assembled as in the daemon."""
     roles = frozenset({assembly.Role.ENTRY})
     return assembly.assemble(assembly.Plan(peer, roles, seed, others))
 
--- a/packages/lab/src/tamarack_lab/experiments/plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/plans.py
@@ -16,9 +16,9 @@
 
     Attributes:
         name: Name of the service.
-        settings: Its configuration.
+        settings: Configuration of the service.
         targets: Number of targets in each failure domain.
-        slots: Slots of each target.
+        slots: Work units that each target processes concurrently.
     """
 
     name: str
@@ -29,17 +29,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stream:
-    """Connections that callers open to one work class.
+    """Stream of connections that callers open to one work class.
 
     Attributes:
         service: Name of the service.
         work_class: Name of the work class.
-        rate: Openings a second in each failure domain, by time in seconds.
-        work_s: Mean seconds of work at a warm target.
-        hold_s: Mean seconds that a long-lived connection stays open.
-        patience_s: Seconds after which a caller gives up.
-        tries: Openings that a caller tries in all after refusals.
-        backoff_s: Mean seconds between tries.
+        rate: Function from the time in seconds to the openings per second in
+            each failure domain.
+        work_s: Mean duration of work in seconds at a target of normal speed.
+        hold_s: Mean seconds for which a connection stays open after the
+            response.
+        timeout_s: Seconds after which a caller gives up.
+        tries: Maximum number of attempts per connection.
+        backoff_s: Mean seconds between attempts.
         domains: Failure domains of the callers; empty for all.
     """
 
@@ -48,7 +50,7 @@
     rate: Callable[[float], float]
     work_s: float
     hold_s: float = 0.0
-    patience_s: float = 60.0
+    timeout_s: float = 60.0
     tries: int = 1
     backoff_s: float = 1.0
     domains: tuple[str, ...] = ()
@@ -56,19 +58,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExperimentPlan:
-    """One experiment.
+    """Plan of an experiment.
 
     Attributes:
         name: Name on the command line.
-        summary: Sentence for `tamarack experiment list`.
-        services: The services.
-        streams: The traffic.
+        summary: Description for `tamarack experiment list`.
+        services: Services and their targets.
+        streams: Traffic of the callers.
         domains: Names of the failure domains.
-        hosts: Entry hosts in each failure domain.
-        duration_s: Length of the run in seconds.
-        warm_up_s: Seconds before the measure starts.
-        script: Schedules the faults of the run.
-        bounds: Promises that tamarackford must keep.
+        hosts: Number of entry hosts in each failure domain.
+        duration_s: Duration of the run in seconds.
+        warm_up_s: Seconds before load and goodput are measured.
+        script: Function that schedules the faults of a run.
+        bounds: Bounds that the figures of tamarackford must meet.
     """
 
     name: str
@@ -85,12 +87,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bound:
-    """A promise on one figure.
+    """Permitted range of one figure.
 
     Attributes:
-        figure: Name of the figure.
-        least: Least permitted value.
-        most: Greatest permitted value.
+        figure: Name of a field of `Figures`.
+        least: Smallest permitted value.
+        most: Largest permitted value.
     """
 
     figure: str
@@ -99,5 +101,5 @@
 
 
 def constant(rate: float) -> Callable[[float], float]:
-    """Returns a rate that does not change."""
+    """Returns a rate function that is constant over time."""
     return lambda _: rate
--- a/packages/lab/src/tamarack_lab/experiments/report.py
+++ b/packages/lab/src/tamarack_lab/experiments/report.py
@@ -17,14 +17,14 @@
 PLOT_INCHES = (9.0, 4.0)
 
 
-class Broken(msgspec.Struct):
-    """A promise that was not kept.
+class BrokenBound(msgspec.Struct):
+    """A figure outside its permitted range.
 
     Attributes:
         figure: Name of the figure.
-        value: Its value.
-        least: Least permitted value; None if there is none.
-        most: Greatest permitted value; None if there is none.
+        value: Value of the figure.
+        least: Smallest permitted value; None if there is none.
+        most: Largest permitted value; None if there is none.
     """
 
     figure: str
@@ -34,30 +34,30 @@
 
 
 class Outcome(msgspec.Struct):
-    """Result of both versions in one experiment.
+    """Results of both versions in one experiment.
 
     Attributes:
         name: Name of the experiment.
-        seed: Seed of the run.
+        seed: Seed of the runs.
         tamarackford: Figures of tamarackford.
         naive: Figures of the naive version.
-        broken: Promises that tamarackford has not kept.
+        broken: Bounds that the figures of tamarackford violate.
     """
 
     name: str
     seed: int
     tamarackford: measurements.Figures
     naive: measurements.Figures
-    broken: list[Broken]
+    broken: list[BrokenBound]
 
 
 class Series(msgspec.Struct):
-    """Work in flight of each target over time.
+    """Time series of the work in flight of each target.
 
     Attributes:
         label: Name of the version.
         times_s: Times of the samples in seconds.
-        work: Work units of each target at each time.
+        work: Work units of each target, by sample.
     """
 
     label: str
@@ -67,17 +67,17 @@
 
 def check(
     figures: measurements.Figures, bounds: Sequence[plans.Bound]
-) -> list[Broken]:
-    """Returns the promises that the figures do not keep."""
-    found = []
+) -> list[BrokenBound]:
+    """Returns the bounds that the figures violate."""
+    result = []
     for bound in bounds:
         value = float(getattr(figures, bound.figure))
         if bound.least <= value <= bound.most:
             continue
         least = bound.least if bound.least > float("-inf") else None
         most = bound.most if bound.most < float("inf") else None
-        found.append(Broken(bound.figure, value, least, most))
-    return found
+        result.append(BrokenBound(bound.figure, value, least, most))
+    return result
 
 
 def write(
@@ -89,9 +89,9 @@
     """Writes result.json, report.md and a plot of each version.
 
     Args:
-        directory: Directory to write to; made if absent.
-        plan: The plan that was run.
-        outcome: The figures.
+        directory: Directory to write to; created if it doesn't exist.
+        plan: Plan of the experiment.
+        outcome: Figures of both versions.
         series: Work in flight of each version.
     """
     directory.mkdir(parents=True, exist_ok=True)
@@ -108,9 +108,9 @@
     series: Sequence[Series],
 ) -> str:
     """Returns the report as Markdown."""
-    ours = msgspec.structs.asdict(outcome.tamarackford)
-    theirs = msgspec.structs.asdict(outcome.naive)
-    rows = [(name, ours[name], theirs[name]) for name in ours]
+    tamarackford = msgspec.structs.asdict(outcome.tamarackford)
+    naive = msgspec.structs.asdict(outcome.naive)
+    rows = [(name, tamarackford[name], naive[name]) for name in tamarackford]
     lines = [
         f"# Experiment {plan.name}, seed {outcome.seed}",
         "",
@@ -139,7 +139,7 @@
 
 
 def _plot(path: pathlib.Path, series: Series) -> None:
-    """Draws the work in flight of each target."""
+    """Plots the work in flight of each target over time."""
     canvas = figure.Figure(figsize=PLOT_INCHES)
     axes = canvas.subplots()
     for values in zip(*series.work, strict=True):
--- a/packages/lab/src/tamarack_lab/experiments/run.py
+++ b/packages/lab/src/tamarack_lab/experiments/run.py
@@ -1,4 +1,4 @@
-"""One run of a plan: hosts, targets and callers on the event queue."""
+"""Run of an experiment: hosts, targets and callers on an event queue."""
 
 import collections
 import functools
@@ -39,26 +39,32 @@
     """State of a run.
 
     Attributes:
-        plan: The plan.
-        queue: The queue of timed actions.
-        random: Seeded generator of traffic and faults.
-        network: Hosts and links.
-        choosers: Chooser of each host by name.
+        plan: Plan of the experiment.
+        version: Version under test.
+        queue: Queue of timed actions.
+        random: Seeded random generator of traffic and faults.
+        network: Simulated hosts and links.
+        numbered: Configuration that all hosts have in force.
+        config_stores: Configuration store of each host by name.
+        choosers: Target chooser of each host by name.
         targets: Targets by packed address.
-        figures: Counts of the run.
-        flows: Connections by owner.
-        waits: Seconds until the answer of each completed connection.
+        figures: Figures of the run.
+        flows: Open connections by name of the owning host.
+        response_times_s: Seconds from the first attempt to the response of
+            each completed connection.
         completed_units: Work units completed after the warm-up.
+        meters: One meter per service and failure domain.
+        timeline: Sample times and the work in flight of each target.
     """
 
     def __init__(
         self, plan: plans.ExperimentPlan, version: versions.Version, seed: int
     ) -> None:
-        """Builds hosts and targets.
+        """Initializes the run and starts its hosts and targets.
 
         Args:
-            plan: The plan.
-            version: The version of the decisions.
+            plan: Plan of the experiment.
+            version: Version under test.
             seed: Seed of traffic, faults and hosts.
         """
         self.plan = plan
@@ -69,7 +75,10 @@
         self.numbered = configuration.VersionedConfiguration(
             1,
             configuration.Configuration(
-                {item.name: _in_domains(plan, item) for item in plan.services}
+                {
+                    item.name: _with_failure_domains(plan, item)
+                    for item in plan.services
+                }
             ),
         )
         self.config_stores: dict[
@@ -79,7 +88,7 @@
         self.targets: dict[bytes, entities.Target] = {}
         self.figures = measurements.Figures()
         self.flows: dict[str, set[entities.Flow]] = collections.defaultdict(set)
-        self.waits: list[float] = []
+        self.response_times_s: list[float] = []
         self.completed_units = 0.0
         self.meters: list[measurements.BalanceMeter] = []
         self.timeline: list[tuple[float, list[float]]] = []
@@ -99,7 +108,7 @@
             self._add_targets(domain)
 
     def start_host(self, name: str, domain: str) -> network_lib.SimulatedHost:
-        """Starts an entry host, or starts it anew without its state."""
+        """Starts an entry host, or restarts it without its state."""
         number = self._seed * 1000 + next(self._numbers)
         context = network_lib.context(name, domain, number)
         config_store = configuration_store.ConfigurationStore()
@@ -114,24 +123,24 @@
                 if host.peer.host != name
             )
 
-        parts = self.version.build(
+        built = self.version.build(
             context,
             config_store,
             live_peers,
             self.plan.hosts,
         )
-        self.choosers[name] = parts.chooser
-        host = self.network.add(reducer.Node(context, parts.components))
+        self.choosers[name] = built.chooser
+        host = self.network.add(reducer.Node(context, built.components))
         host.start()
         return host
 
     def _add_targets(self, domain: str) -> None:
-        """Creates the targets of a failure domain."""
-        area = self.plan.domains.index(domain)
+        """Creates the targets of a failure domain and their meters."""
+        domain_index = self.plan.domains.index(domain)
         for item in self.plan.services:
             network = configuration.parse_target_networks(item.settings)[0]
-            base = int(network.network_address) + 256 * area
-            found = []
+            base = int(network.network_address) + 256 * domain_index
+            queues = []
             for index in range(item.targets):
                 address = (base + index + 1).to_bytes(4, "big")
                 target = entities.Target(
@@ -148,23 +157,23 @@
                     domain,
                 )
                 self.targets[address] = target
-                found.append(target.machine)
+                queues.append(target.target_queue)
                 self.queue.after(
                     self.random.random() * 0.1,
                     functools.partial(self.renew, target),
                 )
-            if found:
-                self.meters.append(measurements.BalanceMeter(found))
+            if queues:
+                self.meters.append(measurements.BalanceMeter(queues))
 
     def renew(self, target: entities.Target) -> None:
-        """Announces a target now and from then on."""
-        if not target.machine.alive:
+        """Announces a target now and every `RENEWAL_S` while it runs."""
+        if not target.target_queue.alive:
             return
         self.announce(target)
         self.queue.after(RENEWAL_S, functools.partial(self.renew, target))
 
     def announce(self, target: entities.Target) -> None:
-        """Announces a target once, to any host of its failure domain."""
+        """Announces a target once, at a random host of its failure domain."""
         hosts = self.network.live(target.domain)
         if not hosts:
             return
@@ -172,24 +181,24 @@
         self.random.choice(hosts).handle(event)
 
     def execute(self) -> measurements.Figures:
-        """Runs the plan and returns its figures."""
+        """Runs the experiment and returns its figures."""
         for stream in self.plan.streams:
             for domain in stream.domains or self.plan.domains:
                 self.queue.at(
-                    1.0, functools.partial(self._arrive, stream, domain)
+                    1.0, functools.partial(self._open_next, stream, domain)
                 )
         self.queue.at(self.plan.warm_up_s, self._sample)
         if self.plan.script is not None:
             self.plan.script(self)
         self.queue.run_until(self.plan.duration_s)
-        return self._conclude()
+        return self._compute_figures()
 
-    def _arrive(self, stream: plans.Stream, domain: str) -> None:
-        """Opens a connection and schedules the next one."""
+    def _open_next(self, stream: plans.Stream, domain: str) -> None:
+        """Opens a connection of a stream and schedules the next one."""
         rate = stream.rate(self.queue.now_s)
         delay_s = self.random.expovariate(rate) if rate > 0 else SAMPLE_S
         self.queue.after(
-            delay_s, functools.partial(self._arrive, stream, domain)
+            delay_s, functools.partial(self._open_next, stream, domain)
         )
         if rate <= 0:
             return
@@ -206,7 +215,7 @@
         self.open(flow)
 
     def open(self, flow: entities.Flow) -> None:
-        """Tries to open a connection."""
+        """Starts an attempt to open a connection."""
         flow.tries += 1
         self.figures.attempts += 1
         caller_port = 1024 + (flow.number * 7 + flow.tries) % 60000
@@ -221,7 +230,7 @@
         flow.owner = self.owner(flow)
         flow.tried_s = self.queue.now_s
         if not flow.owner:
-            self._refused(flow, verdict.unknown("no-host"))
+            self._handle_refusal(flow, verdict.unknown("no-host"))
             return
         self._choose(flow)
 
@@ -238,12 +247,12 @@
         return max(names, key=lambda name: _weight(flow.key, name), default="")
 
     def _choose(self, flow: entities.Flow) -> None:
-        """Lets the owner choose the target."""
+        """Chooses the target of a connection with the chooser of its owner."""
         chooser = self.choosers[flow.owner]
         opening = target_choice.Opening(flow.key, flow.port)
         choice = chooser.choose(self.queue.now_s, opening)
         if isinstance(choice, target_choice.Refusal):
-            self._refused(flow, choice.verdict)
+            self._handle_refusal(flow, choice.verdict)
             return
         target = self.targets[choice.target]
         if target.announcement.service != flow.port.service:
@@ -256,10 +265,13 @@
         self._submit(flow, target)
 
     def _submit(self, flow: entities.Flow, target: entities.Target) -> None:
-        """Hands the opening to the target."""
-        if not target.machine.alive:
+        """Submits the work of a connection to its target.
+
+        A dead target doesn't reply to the SYN packet.
+        """
+        if not target.target_queue.alive:
             self.queue.after(
-                SYN_TIMEOUT_S, functools.partial(self._syn_lost, flow)
+                SYN_TIMEOUT_S, functools.partial(self._handle_syn_timeout, flow)
             )
             return
         self.flows[flow.owner].add(flow)
@@ -271,84 +283,86 @@
         job = target_queues.Job(
             flow.port.settings.cost,
             flow.work_s,
-            lambda: self._answered(flow),
+            lambda: self._complete(flow),
         )
         flow.job = job
-        target.machine.submit(job)
+        target.target_queue.submit(job)
         self.queue.after(
-            flow.stream.patience_s, lambda: self._give_up(flow, job)
+            flow.stream.timeout_s, lambda: self._cancel_late(flow, job)
         )
 
     def observe(
         self, flow: entities.Flow, progress: target_choice.Progress
     ) -> None:
-        """Tells the owner of a flow what was seen of it."""
+        """Passes an observation of a flow to the chooser of its owner."""
         host = self.network.hosts.get(flow.owner)
         if host is None or not host.alive or flow.target is None:
             return
         elapsed_s = self.queue.now_s - flow.tried_s
         observation = target_choice.Observation(
-            progress, flow.target.machine.address, flow.port, elapsed_s
+            progress, flow.target.target_queue.address, flow.port, elapsed_s
         )
         self.choosers[flow.owner].observe(self.queue.now_s, observation)
 
-    def _answered(self, flow: entities.Flow) -> None:
-        """Takes the answer of the target to its caller."""
+    def _complete(self, flow: entities.Flow) -> None:
+        """Handles the response of the target to the caller."""
         flow.runs += 1
-        if flow.over:
+        if flow.is_finished:
             return
         self.observe(flow, target_choice.Progress.REPLIED)
-        self.waits.append(self.queue.now_s - flow.opened_s)
+        self.response_times_s.append(self.queue.now_s - flow.opened_s)
         self.figures.completed += 1
         if self.queue.now_s > self.plan.warm_up_s:
             self.completed_units += flow.port.settings.cost
         self.queue.after(flow.hold_s, functools.partial(self._close, flow))
 
     def _close(self, flow: entities.Flow) -> None:
-        """Ends a connection as its caller wants."""
-        if not flow.over:
+        """Closes a connection at the end of its holding time."""
+        if not flow.is_finished:
             self.end(flow, target_choice.Progress.CLOSED)
 
     def end(
         self, flow: entities.Flow, progress: target_choice.Progress
     ) -> None:
-        """Ends a connection and tells its owner."""
-        flow.over = True
+        """Ends a connection and reports this to the chooser of its owner."""
+        flow.is_finished = True
         self.observe(flow, progress)
         self.flows[flow.owner].discard(flow)
         if flow.target is not None:
             flow.target.flows.discard(flow)
 
-    def _give_up(self, flow: entities.Flow, job: target_queues.Job) -> None:
-        """Cancels a connection that got no answer in time."""
-        if flow.over or flow.job is not job or flow.runs:
+    def _cancel_late(self, flow: entities.Flow, job: target_queues.Job) -> None:
+        """Cancels a connection that got no response within its timeout."""
+        if flow.is_finished or flow.job is not job or flow.runs:
             return
         if flow.target is not None:
-            flow.target.machine.cancel(job)
+            flow.target.target_queue.cancel(job)
         self.end(flow, target_choice.Progress.CLOSED)
 
-    def _syn_lost(self, flow: entities.Flow) -> None:
-        """Handles an opening that a dead target never answered."""
+    def _handle_syn_timeout(self, flow: entities.Flow) -> None:
+        """Handles an opening to which a dead target did not reply."""
         self.observe(flow, target_choice.Progress.UNRESPONSIVE)
         self._retry(flow)
 
-    def _refused(self, flow: entities.Flow, outcome: verdict.Verdict) -> None:
-        """Handles a refusal of an opening."""
+    def _handle_refusal(
+        self, flow: entities.Flow, outcome: verdict.Verdict
+    ) -> None:
+        """Counts a refused opening and schedules the next attempt."""
         self.figures.refused += 1
         if flow.runs and outcome.outcome is verdict.Outcome.NOT_RUN:
             self.figures.false_verdicts += 1
         self._retry(flow)
 
     def _retry(self, flow: entities.Flow) -> None:
-        """Lets the caller try again if it still wants to."""
+        """Schedules the next attempt, up to the maximum number."""
         if flow.tries >= flow.stream.tries:
-            flow.over = True
+            flow.is_finished = True
             return
         delay_s = flow.stream.backoff_s * self.random.uniform(0.5, 1.5)
         self.queue.after(delay_s, functools.partial(self.open, flow))
 
     def kill_host(self, name: str) -> None:
-        """Ends a host at once; other hosts take over its flows."""
+        """Kills a host; other hosts take over its flows."""
         self.network.hosts[name].alive = False
         for flow in self.flows.pop(name, set()):
             flow.owner = self.owner(flow)
@@ -356,7 +370,7 @@
             self.observe(flow, target_choice.Progress.OPENED)
 
     def restart_host(self, name: str) -> None:
-        """Starts a host without state; flows move back to their owners."""
+        """Restarts a host without its state and moves flows to their owners."""
         domain = self.network.hosts[name].peer.domain
         self.start_host(name, domain)
         for old, flows in list(self.flows.items()):
@@ -369,22 +383,22 @@
                 self.observe(flow, target_choice.Progress.OPENED)
 
     def kill_target(self, target: entities.Target) -> None:
-        """Ends a target with all its connections."""
-        target.machine.die()
+        """Kills a target and breaks all its connections."""
+        target.target_queue.kill()
         for flow in list(target.flows):
             self.figures.broken_flows += 1
             self.end(flow, target_choice.Progress.UNRESPONSIVE)
 
     def _sample(self) -> None:
-        """Samples all meters."""
+        """Takes a sample with all meters every `SAMPLE_S`."""
         for meter in self.meters:
             meter.sample()
-        work = [target.machine.work for target in self.targets.values()]
+        work = [target.target_queue.work for target in self.targets.values()]
         self.timeline.append((self.queue.now_s, work))
         self.queue.after(SAMPLE_S, self._sample)
 
-    def _conclude(self) -> measurements.Figures:
-        """Returns the figures of the run."""
+    def _compute_figures(self) -> measurements.Figures:
+        """Computes the remaining figures of the run and returns all."""
         figures = self.figures
         meters = [meter for meter in self.meters if any(meter.samples[-1])]
         window = int(10 / SAMPLE_S)
@@ -405,17 +419,19 @@
         )
         measured_s = self.plan.duration_s - self.plan.warm_up_s
         figures.goodput_units_s = self.completed_units / measured_s
-        figures.wait_p99_s = measurements.percentile(self.waits, 0.99)
+        figures.wait_p99_s = measurements.percentile(
+            self.response_times_s, 0.99
+        )
         return figures
 
 
-def _in_domains(
+def _with_failure_domains(
     plan: plans.ExperimentPlan, item: plans.ServicePlan
 ) -> configuration.Service:
-    """Returns a service whose limits the failure domains divide."""
+    """Returns a service whose limits are divided among the domains."""
     return msgspec.structs.replace(item.settings, failure_domains=plan.domains)
 
 
 def _weight(flow: bytes, name: str) -> bytes:
-    """Returns the pseudo-random weight of a host for a flow."""
+    """Returns the rendezvous weight of a host for a flow."""
     return hashlib.blake2b(flow + name.encode(), digest_size=8).digest()
--- a/packages/lab/src/tamarack_lab/experiments/simulated_network.py
+++ b/packages/lab/src/tamarack_lab/experiments/simulated_network.py
@@ -1,4 +1,4 @@
-"""Carries messages between simulated hosts, with faults."""
+"""Simulated hosts and the links between them, with faults."""
 
 from collections.abc import Callable
 import dataclasses
@@ -20,12 +20,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Link:
-    """Quality of the links between two failure domains or within one.
+    """Delay and loss of the links between or within failure domains.
 
     Attributes:
         delay_s: One-way delay in seconds.
-        jitter_s: Greatest random addition to the delay in seconds.
-        loss: Share of messages that are lost.
+        jitter_s: Maximum random addition to the delay in seconds.
+        loss: Probability that a message is lost.
     """
 
     delay_s: float = 0.0002
@@ -34,15 +34,15 @@
 
 
 class SimulatedHost:
-    """A reducer that runs on the simulated network.
+    """Host that runs a reducer on the simulated network.
 
     Attributes:
         node: State of the host.
-        alive: Whether the host runs.
-        timers: Generation of each timer.
-        bytes_sent: Bytes of control messages with their headers.
+        alive: Whether the host is running.
+        timers: Generation of each timer by name; only the latest fires.
+        bytes_sent: Bytes of sent control messages, including headers.
         responses: Last response by request id.
-        entries: Entries of the time line.
+        entries: Recorded entries of the time line.
     """
 
     __slots__ = (
@@ -56,7 +56,7 @@
     )
 
     def __init__(self, network: "SimulatedNetwork", node: reducer.Node) -> None:
-        """Creates a host; `start` sets it going."""
+        """Initializes the host without starting it."""
         self._network = network
         self.node = node
         self.alive = True
@@ -67,16 +67,16 @@
 
     @property
     def peer(self) -> peers.Peer:
-        """Identity of the host."""
+        """Identity and addresses of the host."""
         return self.node.context.host
 
     def start(self) -> None:
-        """Tells the reducer that its driver is ready."""
+        """Delivers the event that the driver of the reducer has started."""
         now_s = self._network.queue.now_s
         self.handle(events.Started(now_s, WALL_MS + int(now_s * 1000)))
 
     def handle(self, event: events.Event) -> None:
-        """Applies an event and carries out its effects."""
+        """Applies an event to a running host and carries out the effects."""
         if not self.alive:
             return
         for effect in reducer.reduce(self.node, event):
@@ -99,7 +99,7 @@
             self.alive = False
 
     def _send(self, effect: effects.SendMessage) -> None:
-        """Hands a message to the network and counts its bytes."""
+        """Sends a message over the network and counts its bytes."""
         stamp = self.node.context.clock.latest
         envelope = messages.Envelope(self.peer, stamp, (effect.message,))
         self.bytes_sent += len(messages.encode(envelope))
@@ -107,13 +107,13 @@
         self._network.send(self, effect.peer, effect.message)
 
     def _start_timer(self, effect: effects.StartTimer) -> None:
-        """Starts or replaces a timer."""
+        """Starts a timer, or restarts it if it is running."""
         generation = self.timers.get(effect.timer, 0) + 1
         self.timers[effect.timer] = generation
         queue = self._network.queue
 
         def fire() -> None:
-            """Fires unless the timer was replaced."""
+            """Fires the timer unless it was restarted."""
             if self.timers[effect.timer] == generation:
                 self.handle(events.TimerFired(queue.now_s, effect.timer))
 
@@ -124,16 +124,17 @@
 
 
 class SimulatedNetwork:
-    """All hosts of a run and the links between them.
+    """Network of all simulated hosts of a run.
 
     Attributes:
-        queue: The queue of timed actions.
-        random: Seeded generator.
+        queue: Queue of timed actions.
+        random: Seeded random generator.
         hosts: Hosts by name.
-        inside: Quality inside a failure domain.
-        between: Quality between failure domains.
-        cut_links: Pairs of host names, sender and receiver, that are cut off.
-        datagrams: Carries datagrams of the data sockets; None loses them.
+        inside: Quality of links within a failure domain.
+        between: Quality of links between failure domains.
+        cut_links: Pairs of host names, sender and receiver, whose messages
+            in this direction are lost.
+        datagrams: Delivers datagrams of the data sockets; None drops them.
         isolated_domains: Failure domains that are cut off from all others.
     """
 
@@ -149,11 +150,11 @@
     )
 
     def __init__(self, queue: event_queue.EventQueue, seed: int) -> None:
-        """Creates a network without hosts.
+        """Initializes the network without hosts.
 
         Args:
-            queue: The queue of timed actions.
-            seed: Seed of the generator.
+            queue: Queue of timed actions.
+            seed: Seed of the random generator.
         """
         self.queue = queue
         self.random = random.Random(seed)
@@ -165,7 +166,10 @@
         self.datagrams: DatagramCarrier | None = None
 
     def add(self, node: reducer.Node) -> SimulatedHost:
-        """Adds a host, in place of one of the same name."""
+        """Adds a host, replacing one of the same name.
+
+        The new host continues the byte count of the replaced one.
+        """
         host = SimulatedHost(self, node)
         replaced = self.hosts.get(host.peer.host)
         if replaced is not None:
@@ -174,7 +178,7 @@
         return host
 
     def live(self, domain: str) -> list[SimulatedHost]:
-        """Returns the hosts of a failure domain that run."""
+        """Returns the running hosts of a failure domain."""
         return [
             host
             for host in self.hosts.values()
@@ -194,7 +198,7 @@
         receiver: peers.Peer,
         message: messages.Message,
     ) -> None:
-        """Delivers a message later, or loses it."""
+        """Schedules the delivery of a message, or drops it."""
         origin = sender.peer
         if self.is_cut(origin, receiver):
             return
@@ -205,7 +209,7 @@
         delay_s = link.delay_s + self.random.random() * link.jitter_s
 
         def deliver() -> None:
-            """Hands the message to the receiver if it still runs."""
+            """Delivers the message to the host that has the name by then."""
             target = self.hosts.get(receiver.host)
             if target is not None:
                 now_s = self.queue.now_s
@@ -220,7 +224,7 @@
     Args:
         name: Name of the host.
         domain: Failure domain of the host.
-        number: Number that makes addresses and seed unique.
+        number: Unique number from which address and seed are derived.
     """
     address = f"10.255.{number >> 8}.{number & 255}"
     peer = peers.Peer(
--- a/packages/lab/src/tamarack_lab/experiments/target_queue.py
+++ b/packages/lab/src/tamarack_lab/experiments/target_queue.py
@@ -1,4 +1,4 @@
-"""Stand-in for a target: a few slots and a queue."""
+"""Simulated work of a target: a few slots and a queue."""
 
 import collections
 from collections.abc import Callable
@@ -10,31 +10,32 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
-    """Work of one connection at a target.
+    """Work that one connection causes at a target.
 
     Attributes:
-        cost: Slots that the work occupies.
-        duration_s: Seconds of work at a warm target.
-        done: Called when the work is done.
+        cost: Number of slots that the work occupies.
+        duration_s: Duration in seconds at a target of normal speed.
+        on_done: Called when the work is completed, unless it was cancelled.
         cancelled: Whether the connection was reset before the work ended.
     """
 
     cost: float
     duration_s: float
-    done: Callable[[], None]
+    on_done: Callable[[], None]
     cancelled: bool = False
 
 
 class TargetQueue:
-    """A target that runs `slots` work units at once and queues the rest.
+    """Target that runs up to `slots` work units and queues the rest.
 
     Attributes:
         address: Packed IP address.
-        slots: Work units that run at once.
-        slowdown: Factor on the duration of work, such as at a cold start.
-        alive: Whether the target runs.
-        work: Work units that run or wait.
-        integral: Work units times seconds since the start of the measure.
+        slots: Maximum number of work units that run concurrently.
+        slowdown: Factor on the duration of work, above 1 at a cold start.
+        alive: Whether the target is running.
+        running: Work units that are running.
+        work: Work units that are running or queued.
+        integral: Integral of `work` over time, in work units times seconds.
         started: Number of jobs that have started.
     """
 
@@ -55,12 +56,12 @@
     def __init__(
         self, queue: event_queue.EventQueue, address: bytes, slots: int
     ) -> None:
-        """Creates a target.
+        """Initializes an idle target.
 
         Args:
-            queue: The queue of timed actions.
+            queue: Queue of timed actions.
             address: Packed IP address.
-            slots: Work units that run at once.
+            slots: Maximum number of work units that run concurrently.
         """
         self._queue = queue
         self._since_s = 0.0
@@ -75,37 +76,40 @@
         self.started = 0
 
     def submit(self, job: Job) -> None:
-        """Takes a job in."""
+        """Queues a job and starts it if slots are free."""
         self._change(job.cost)
         self._waiting.append(job)
         self._start_waiting()
 
     def cancel(self, job: Job) -> None:
-        """Takes a waiting job out; a running one runs to its end."""
+        """Cancels a job; a running job occupies its slots until its end."""
         if not job.cancelled and job in self._waiting:
             self._waiting.remove(job)
             self._change(-job.cost)
         job.cancelled = True
 
-    def die(self) -> None:
-        """Ends the target with all its work."""
+    def kill(self) -> None:
+        """Stops the target and discards all its work."""
         self.alive = False
         self._waiting.clear()
         self._change(-self.work)
 
-    def settle(self) -> None:
-        """Brings the integral of work up to the present."""
+    def update_integral(self) -> None:
+        """Updates the integral of work to the current time."""
         self._change(0.0)
 
     def _change(self, difference: float) -> None:
-        """Changes the work in flight."""
+        """Updates the integral and changes the work in flight."""
         now_s = self._queue.now_s
         self.integral += self.work * (now_s - self._since_s)
         self._since_s = now_s
         self.work += difference
 
     def _start_waiting(self) -> None:
-        """Starts jobs in order while slots are free."""
+        """Starts queued jobs in order while enough slots are free.
+
+        A job that needs more than all slots runs alone.
+        """
         while self._waiting:
             job = self._waiting[0]
             if self.running and self.running + job.cost > self.slots:
@@ -117,11 +121,11 @@
             self._queue.after(duration_s, functools.partial(self._finish, job))
 
     def _finish(self, job: Job) -> None:
-        """Ends a running job."""
+        """Completes a running job and starts queued ones."""
         if not self.alive:
             return
         self.running -= job.cost
         self._change(-job.cost)
         if not job.cancelled:
-            job.done()
+            job.on_done()
         self._start_waiting()
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -1,4 +1,4 @@
-"""Versions of the decisions that a run can compare."""
+"""Versions of target choice and limits that a run can compare."""
 
 from collections.abc import Callable
 import dataclasses
@@ -24,10 +24,10 @@
 
 @dataclasses.dataclass(slots=True)
 class HostComponents:
-    """What one host of a version consists of.
+    """Components of one host of a version.
 
     Attributes:
-        chooser: Chooses the target of each connection.
+        chooser: Chooser of the target of each connection.
         components: Parts behind the reducer.
     """
 
@@ -36,7 +36,7 @@
 
 
 class Version(Protocol):
-    """Builds the hosts of a run."""
+    """Builds the components of the hosts of a run."""
 
     def build(
         self,
@@ -45,18 +45,19 @@
         live_peers: LivePeers,
         hosts: int,
     ) -> HostComponents:
-        """Returns the parts of one host.
+        """Returns the components of one host.
 
         Args:
-            context: Identity, chance, time and counters.
-            config_store: Configuration in force.
-            live_peers: Returns the other entry hosts of the failure domain.
+            context: Identity, random generator, clocks and counters of the
+                host.
+            config_store: Store with the configuration in force.
+            live_peers: Returns the other running entry hosts of the domain.
             hosts: Number of entry hosts of each failure domain.
         """
 
 
 class Naive:
-    """Hash modulo the local list, with local limits."""
+    """Naive version: hash modulo the local list, with local limits."""
 
     def build(
         self,
@@ -65,7 +66,7 @@
         live_peers: LivePeers,
         hosts: int,
     ) -> HostComponents:
-        """Returns the parts of one host."""
+        """Returns the components of one host."""
         targets = lease_table.TargetLeaseTable()
         leases = lease_aggregator.LeaseAggregator(context, targets, live_peers)
         announced = announcement_validator.AnnouncementValidator(
@@ -78,7 +79,7 @@
 
 
 class Tamarackford:
-    """The decisions of the core."""
+    """Version with the target choice and limits of the core."""
 
     def build(
         self,
@@ -87,7 +88,7 @@
         live_peers: LivePeers,
         hosts: int,
     ) -> HostComponents:
-        """Returns the parts of one host."""
+        """Returns the components of one host."""
         targets = lease_table.TargetLeaseTable()
         load_table = load_table_lib.LoadTable()
         limiter = quota_limiter.QuotaLimiter()
@@ -107,12 +108,16 @@
         return HostComponents(chooser, (leases, announced, report, shares))
 
 
-class Central:
-    """One chooser with exact knowledge for all hosts; a bound to aim at."""
+class SharedChooser:
+    """Version with one chooser that all hosts share.
+
+    Its knowledge of the load is exact, so its figures are a bound for what
+    separate choosers can reach.
+    """
 
     def __init__(self) -> None:
-        """Starts a run without hosts."""
-        self.shared: HostComponents | None = None
+        """Initializes the version without components."""
+        self.components: HostComponents | None = None
 
     def build(
         self,
@@ -121,15 +126,15 @@
         live_peers: LivePeers,
         hosts: int,
     ) -> HostComponents:
-        """Returns the parts of one host; all share one chooser."""
-        if self.shared is None:
-            self.shared = Tamarackford().build(
+        """Returns the components of one host, which all hosts share."""
+        if self.components is None:
+            self.components = Tamarackford().build(
                 context, config_store, live_peers, hosts
             )
-        return self.shared
+        return self.components
 
 
 def _domains(config_store: configuration_store.ConfigurationStore) -> int:
-    """Returns the number of failure domains that divide the limits."""
+    """Returns the number of domains among which limits are divided."""
     services = config_store.numbered.configuration.services.values()
     return max((len(item.failure_domains) for item in services), default=1) or 1
--- a/packages/lab/src/tamarack_lab/experiments/workloads.py
+++ b/packages/lab/src/tamarack_lab/experiments/workloads.py
@@ -1,4 +1,4 @@
-"""Services and traffic of the sizes that are in use today."""
+"""Services and traffic with the sizes of the current deployments."""
 
 from tamarack_core import configuration
 from tamarack_lab.experiments import plans
@@ -45,34 +45,38 @@
 
 
 def agenda(targets: int = 7) -> plans.ServicePlan:
-    """Returns agenda with a number of targets in each failure domain."""
+    """Returns the plan of agenda.
+
+    Args:
+        targets: Number of targets in each failure domain.
+    """
     return plans.ServicePlan("agenda", AGENDA, targets, SLOTS)
 
 
 def informe() -> plans.ServicePlan:
-    """Returns informe with its three targets."""
+    """Returns the plan of informe, which has three targets."""
     return plans.ServicePlan("informe", INFORME, 3, SLOTS)
 
 
 def schedule() -> plans.ServicePlan:
-    """Returns schedule-svc with its seven targets."""
+    """Returns the plan of schedule-svc, which has seven targets."""
     return plans.ServicePlan("schedule-svc", SCHEDULE, 7, SLOTS)
 
 
 def chimes() -> plans.ServicePlan:
-    """Returns chime-store with its four targets."""
+    """Returns the plan of chime-store, which has four targets."""
     return plans.ServicePlan("chime-store", CHIMES, 4, SLOTS)
 
 
 def agenda_traffic(
     units_s: float, work_s: float, hold_s: float = 30.0
 ) -> tuple[plans.Stream, ...]:
-    """Returns as many routes as reports.
+    """Returns traffic of agenda with equal rates of routes and reports.
 
     Args:
-        units_s: Work units a second that are opened in a failure domain.
-        work_s: Mean seconds of work of either.
-        hold_s: Mean seconds that a route stays open.
+        units_s: Work units per second that are opened in a failure domain.
+        work_s: Mean duration of the work of both classes in seconds.
+        hold_s: Mean seconds for which a route stays open.
     """
     rate = units_s / (1.0 + AGENDA.classes["report"].cost)
     return (
@@ -84,11 +88,11 @@
 
 
 def units_at(load: float, targets: int, work_s: float) -> float:
-    """Returns the work units a second that make a load.
+    """Returns the work units per second that cause a given load.
 
     Args:
-        load: Share of the slots that are busy.
+        load: Mean share of the slots that are busy.
         targets: Number of targets.
-        work_s: Mean seconds that a work unit occupies a slot.
+        work_s: Mean seconds for which a work unit occupies a slot.
     """
     return load * targets * SLOTS / work_s
