--- a/packages/lab/src/tamarack_lab/internal/__init__.py
+++ b/packages/lab/src/tamarack_lab/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of the lab package; not for use outside it."""
+"""Internal modules of the lab package; not for use outside it."""
--- a/packages/lab/src/tamarack_lab/internal/replica_network.py
+++ b/packages/lab/src/tamarack_lab/internal/replica_network.py
@@ -1,6 +1,7 @@
-"""A fake network of replicas in one process, with seeded faults.
+"""Simulated network of replicas in one process, with seeded faults.
 
-Time is that of the queue of events; a run with one seed repeats exactly.
+The queue of events provides the time, so runs with the same seed are
+identical.
 """
 
 from collections.abc import Callable
@@ -24,18 +25,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Faults:
-    """Chances and delays of the network and the disks.
+    """Fault probabilities and delays of the network and the disks.
 
     Attributes:
-        loss: Chance that a message is lost.
-        duplication: Chance that a message arrives twice.
-        straggling: Chance that a message is delayed by up to
-            `straggle_max_s`, so that later ones overtake it.
+        loss: Probability that a message is lost.
+        duplication: Probability that a message is sent twice.
+        straggling: Probability that a message is delayed by up to
+            `straggle_max_s`, so that later ones may overtake it.
         straggle_max_s: Upper bound of that delay in seconds.
-        delay_min_s: Lower bound of the ordinary delay in seconds.
-        delay_max_s: Upper bound of the ordinary delay in seconds.
-        sync_min_s: Lower bound of the time of a disk write in seconds.
-        sync_max_s: Upper bound of the time of a disk write in seconds.
+        delay_min_s: Lower bound of the normal delay in seconds.
+        delay_max_s: Upper bound of the normal delay in seconds.
+        sync_min_s: Lower bound of the duration of a disk write in seconds.
+        sync_max_s: Upper bound of the duration of a disk write in seconds.
     """
 
     loss: float = 0.0
@@ -49,25 +50,25 @@
 
 
 class SimulatedDisk:
-    """Disk of one incarnation.
+    """Simulated disk of one incarnation of a host.
 
     Attributes:
-        snapshot: Data of the last synced snapshot.
-        records: Records synced after it.
-        running: Writes that are not synced, oldest first.
+        snapshot: Data of the last synced snapshot; None without any.
+        records: Records that were synced after the snapshot.
+        pending_writes: Writes that are not yet synced, oldest first.
     """
 
-    __slots__ = ("records", "running", "snapshot")
+    __slots__ = ("pending_writes", "records", "snapshot")
 
     def __init__(self) -> None:
-        """Creates an empty disk."""
+        """Initializes an empty disk."""
         self.snapshot: bytes | None = None
         self.records: list[bytes] = []
-        self.running: list[effects.Persist | effects.SaveSnapshot] = []
+        self.pending_writes: list[effects.Persist | effects.SaveSnapshot] = []
 
     def sync_next(self) -> int:
-        """Syncs the oldest running write and returns its sequence."""
-        write = self.running.pop(0)
+        """Syncs the oldest pending write and returns its sequence number."""
+        write = self.pending_writes.pop(0)
         if isinstance(write, effects.SaveSnapshot):
             self.snapshot = write.data
             self.records = list(write.records)
@@ -76,59 +77,65 @@
         return write.sequence
 
     def crash(self, generator: random.Random) -> None:
-        """Loses what is not synced, or only the end of it.
+        """Discards the pending writes, or only a random tail of them.
+
+        The first discarded write may be torn: some of its records stay.
 
         Args:
-            generator: Decides how much reached the disk all the same.
+            generator: Draws how many writes and records reached the disk.
         """
-        for _ in range(generator.randint(0, len(self.running))):
+        for _ in range(generator.randint(0, len(self.pending_writes))):
             self.sync_next()
-        if self.running and isinstance(self.running[0], effects.Persist):
-            torn = self.running[0].records
+        if self.pending_writes and isinstance(
+            self.pending_writes[0], effects.Persist
+        ):
+            torn = self.pending_writes[0].records
             self.records.extend(torn[: generator.randint(0, len(torn))])
-        self.running.clear()
+        self.pending_writes.clear()
 
 
 class CommandLog:
-    """The naive state machine: all commands ever applied, in order.
+    """State machine that keeps all applied commands in order.
 
     Attributes:
-        commands: The commands.
+        commands: Applied commands, oldest first.
     """
 
     __slots__ = ("commands",)
 
     def __init__(self) -> None:
-        """Creates an empty register."""
+        """Initializes the state machine without commands."""
         self.commands: list[bytes] = []
 
     def apply(self, index: int, command: bytes) -> None:
-        """Appends a command."""
+        """Appends a command; the index isn't used."""
         self.commands.append(command)
 
     def snapshot(self) -> bytes:
-        """Returns all commands."""
+        """Returns all commands, joined by newlines."""
         return b"\n".join(self.commands)
 
     def restore(self, data: bytes) -> None:
-        """Replaces the commands."""
+        """Replaces the commands by those of a snapshot."""
         self.commands = data.split(b"\n") if data else []
 
 
 @dataclasses.dataclass(slots=True)
 class ReplicaHost:
-    """One host with at most one running replica.
+    """Host with at most one running replica.
 
     Attributes:
         peer: Identity and address.
         incarnation: Incarnation of its data folder.
-        disk: Its disk.
+        disk: Disk of this incarnation.
         state_machine: State machine of the running or last replica.
         replica: The running or last replica.
-        is_up: Whether the replica runs.
-        starts: Number of starts; events of earlier ones are dropped.
-        initial: Membership before the first entry.
-        timers: Number of timers set; only the last one fires.
+        is_up: Whether the replica is running.
+        starts: Start number; a crash increments it, so that writes of
+            earlier starts are dropped.
+        initial: Membership before the first log entry.
+        timers: Timer number, incremented by each new timer and each crash;
+            only the timer with the current number fires.
     """
 
     peer: peers.Peer
@@ -142,20 +149,20 @@
     timers: int = 0
 
 
-def _ignore(host: ReplicaHost, step: outputs.Step) -> None:
-    """Stands in for an observer where none is wanted."""
+def _ignore_step(host: ReplicaHost, step: outputs.Step) -> None:
+    """Default observer, which does nothing."""
 
 
 class ReplicaNetwork:
-    """Hosts, the messages between them, and their disks.
+    """Simulated hosts, their disks and the messages between them.
 
     Attributes:
         now_s: Time of the last event in seconds.
-        random: Seeded generator of all faults.
-        faults: Chances and delays.
+        random: Seeded random generator of all faults.
+        faults: Fault probabilities and delays.
         parameters: Times and sizes of the replicas.
-        hosts: The hosts by name.
-        cuts: Pairs of sender and receiver between which all is lost.
+        hosts: Hosts by name.
+        cuts: Pairs of sender and receiver whose messages are lost.
         observer: Called after each step of a replica.
     """
 
@@ -179,13 +186,14 @@
         faults: Faults | None = None,
         parameters: log_parameters.LogParameters | None = None,
     ) -> None:
-        """Creates hosts that have not started.
+        """Initializes the network and its hosts without starting them.
 
         Args:
-            seed: Seed of all chance, that of the replicas included.
+            seed: Seed of all random generators, including the replicas'.
             voters: Number of initial voters.
-            spares: Number of hosts that are no members yet.
-            faults: Chances and delays; none by default.
+            spares: Number of hosts that are not yet members.
+            faults: Fault probabilities and delays; without loss,
+                duplication and stragglers by default.
             parameters: Times and sizes of the replicas.
         """
         self.now_s = 0.0
@@ -193,25 +201,27 @@
         self.faults = faults or Faults()
         self.parameters = parameters or log_parameters.LogParameters()
         self.cuts: set[tuple[str, str]] = set()
-        self.observer: Callable[[ReplicaHost, outputs.Step], None] = _ignore
+        self.observer: Callable[[ReplicaHost, outputs.Step], None] = (
+            _ignore_step
+        )
         self._counter = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         members = [_member(number) for number in range(voters + spares)]
         initial = members[:voters]
         self.hosts = {
-            member.peer.host: self._create(
+            member.peer.host: self._create_host(
                 member, initial if i < voters else []
             )
             for i, member in enumerate(members)
         }
 
-    def _create(
+    def _create_host(
         self,
         own: membership.Member,
         initial: Sequence[membership.Member],
     ) -> ReplicaHost:
         state_machine = CommandLog()
-        created = self._replica(own, initial, state_machine)
+        created = self._create_replica(own, initial, state_machine)
         return ReplicaHost(
             own.peer,
             own.incarnation,
@@ -221,7 +231,7 @@
             initial,
         )
 
-    def _replica(
+    def _create_replica(
         self,
         own: membership.Member,
         initial: Sequence[membership.Member],
@@ -238,7 +248,7 @@
             self.carry_out(host, host.replica.start(self.now_s))
 
     def crash(self, name: str) -> None:
-        """Ends a replica; what is not synced may be lost."""
+        """Stops a replica; writes that are not synced may be lost."""
         host = self.hosts[name]
         host.is_up = False
         host.starts += 1
@@ -246,16 +256,24 @@
         host.disk.crash(self.random)
 
     def restart(self, name: str) -> failure.Failure | None:
-        """Starts a crashed replica from its disk."""
+        """Restarts a crashed replica from its disk.
+
+        Returns:
+            The failure if the replica can't recover; it then stays stopped.
+        """
         host = self.hosts[name]
         own = membership.Member(host.peer, host.incarnation)
         host.state_machine = CommandLog()
-        host.replica = self._replica(own, host.initial, host.state_machine)
-        refused = host.replica.recover(host.disk.snapshot, host.disk.records)
-        if refused is None:
+        host.replica = self._create_replica(
+            own, host.initial, host.state_machine
+        )
+        recovery_failure = host.replica.recover(
+            host.disk.snapshot, host.disk.records
+        )
+        if recovery_failure is None:
             host.is_up = True
             self.carry_out(host, host.replica.start(self.now_s))
-        return refused
+        return recovery_failure
 
     def replace_disk(self, name: str) -> None:
         """Gives a crashed host an empty disk and a new incarnation."""
@@ -265,7 +283,7 @@
         host.initial = []
 
     def carry_out(self, host: ReplicaHost, step: outputs.Step) -> None:
-        """Queues the effects of a step, then calls the observer."""
+        """Schedules the effects of a step, then calls the observer."""
         for effect in step.effects:
             match effect:
                 case effects.SendMessage():
@@ -276,7 +294,7 @@
                     self._write(host, effect)
         self.observer(host, step)
 
-    def _at(self, delay_s: float, action: Callable[[], None]) -> None:
+    def _schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         entry = (self.now_s + delay_s, next(self._counter), action)
         heapq.heappush(self._queue, entry)
 
@@ -285,12 +303,12 @@
         for _ in range(copies):
             if self.random.random() < self.faults.loss:
                 continue
-            self._at(
-                self._delay_s(),
+            self._schedule(
+                self._draw_delay_s(),
                 lambda: self._deliver(host.peer, effect),
             )
 
-    def _delay_s(self) -> float:
+    def _draw_delay_s(self) -> float:
         if self.random.random() < self.faults.straggling:
             return self.random.uniform(0, self.faults.straggle_max_s)
         return self.random.uniform(
@@ -319,12 +337,12 @@
                 step = host.replica.handle_timer(self.now_s)
                 self.carry_out(host, step)
 
-        self._at(delay_s, fire)
+        self._schedule(delay_s, fire)
 
     def _write(
         self, host: ReplicaHost, effect: effects.Persist | effects.SaveSnapshot
     ) -> None:
-        host.disk.running.append(effect)
+        host.disk.pending_writes.append(effect)
         starts = host.starts
 
         def complete() -> None:
@@ -337,10 +355,10 @@
         delay_s = self.random.uniform(
             self.faults.sync_min_s, self.faults.sync_max_s
         )
-        self._at(delay_s, complete)
+        self._schedule(delay_s, complete)
 
     def run_event(self) -> bool:
-        """Runs the next event; returns False when there is none."""
+        """Runs the next event; returns False if there is none."""
         if not self._queue:
             return False
         self.now_s, _, action = heapq.heappop(self._queue)
@@ -355,7 +373,7 @@
         self.now_s = end_s
 
     def leader(self) -> ReplicaHost | None:
-        """Returns the leader of the highest term among running hosts."""
+        """Returns the running leader with the highest term, if any."""
         leaders = [
             host
             for host in self.hosts.values()
@@ -366,7 +384,7 @@
         )
 
     def isolate(self, name: str) -> None:
-        """Cuts a host off in both directions."""
+        """Isolates a host in both directions."""
         others = [other for other in self.hosts if other != name]
         self.cuts.update((name, other) for other in others)
         self.cuts.update((other, name) for other in others)
