--- a/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
@@ -45,7 +45,7 @@
     """
 
     __slots__ = (
-        "is_over",
+        "is_finished",
         "requests_sent",
         "responses_received",
         "run",
@@ -60,31 +60,31 @@
         self.requests_sent = 0
         self.responses_received = 0
         self.waiting_since_s = 0.0
-        self.is_over = False
+        self.is_finished = False
 
     def notify(
         self,
         connection: connections.Connection,
         event: connections.ConnectionEvent,
     ) -> None:
-        """Handles an occurrence on the connection."""
-        occurrences = connections.ConnectionEvent
-        if event is occurrences.CONNECTED:
+        """Handles an event of the connection."""
+        connection_events = connections.ConnectionEvent
+        if event is connection_events.CONNECTED:
             self.send_request(connection)
-        elif event is occurrences.READABLE:
+        elif event is connection_events.READABLE:
             self._read_responses(connection)
-        elif event is occurrences.REFUSED:
+        elif event is connection_events.REFUSED:
             self.run.count_refusal(self)
         elif event in (
-            occurrences.RESET,
-            occurrences.TIMED_OUT,
-            occurrences.ENDED,
+            connection_events.RESET,
+            connection_events.TIMED_OUT,
+            connection_events.ENDED,
         ):
             self.run.count_broken(self)
 
     def send_request(self, connection: connections.Connection) -> None:
         """Sends the next request unless the caller has finished."""
-        if self.is_over:
+        if self.is_finished:
             return
         self.requests_sent += 1
         self.waiting_since_s = self.run.queue.now_s
@@ -118,7 +118,7 @@
         connection: connections.Connection,
         event: connections.ConnectionEvent,
     ) -> None:
-        """Handles an occurrence on the connection."""
+        """Handles an event of the connection."""
         if event is connections.ConnectionEvent.ENDED:
             connection.finish()
         if event is not connections.ConnectionEvent.READABLE:
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -228,16 +228,16 @@
     def count_refusal(self, caller: packet_endpoints.Caller) -> None:
         """Counts a refusal, which states that no request has run."""
         self.figures.refused += 1
-        caller.is_over = True
+        caller.is_finished = True
         self.open_callers.pop(caller.uid, None)
         if caller.requests_sent:
             self.figures.false_verdicts += 1
 
     def count_broken(self, caller: packet_endpoints.Caller) -> None:
         """Counts a broken connection unless the caller has finished."""
-        if not caller.is_over:
+        if not caller.is_finished:
             self.figures.broken_flows += 1
-        caller.is_over = True
+        caller.is_finished = True
         self.open_callers.pop(caller.uid, None)
 
     def record_execution(self, record: bytes) -> None:
