--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -12,6 +12,6 @@
 for source in packages/core packages/node platform; do
   cp -r "$source"/src/* target/deps/
 done
-# Unchecked compiled files: a start does not compare them with their sources.
+# Unchecked compiled files save each start the comparison with every source.
 python3 -m compileall -q --invalidation-mode unchecked-hash target/deps
 echo "$sources" > target/built
