--- a/packages/lab/src/tamarack_lab/gateway/bridge.py
+++ b/packages/lab/src/tamarack_lab/gateway/bridge.py
@@ -1,4 +1,4 @@
-"""Joins one ordinary TCP connection to one of the stand-ins."""
+"""Bridges a TCP connection of the kernel and one of the lab's TCP stack."""
 
 import asyncio
 import socket
@@ -9,10 +9,10 @@
 
 ConnectionEvent = connections.ConnectionEvent
 
-# Above this much unsent payload the ordinary side is not read any more.
-MOST_UNSENT_BYTES = 256 * 1024
+# While more than this is unsent on the lab side, the kernel side is not read.
+MAX_UNSENT_BYTES = 256 * 1024
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_CUT = (
+_RESET_EVENTS = (
     ConnectionEvent.REFUSED,
     ConnectionEvent.RESET,
     ConnectionEvent.TIMED_OUT,
@@ -20,61 +20,68 @@
 
 
 class ConnectionBridge(asyncio.Protocol):
-    """Passes payload, ends and resets from each side to the other.
+    """Forwards payload, ends of stream and resets between the two sides.
 
     Attributes:
-        attachment: Carries the packets.
-        connection: Side of the stand-ins; None before it is known.
-        transport: Ordinary side; None before it is connected.
+        attachment: Sends and receives the packets of the lab side.
+        connection: Lab side, a connection of the lab's TCP stack; None
+            before it is known.
+        transport: Kernel side; None before it is connected and after it is
+            lost.
     """
 
     __slots__ = (
-        "_is_full",
-        "_is_lost",
+        "_is_aborted",
+        "_is_write_paused",
         "attachment",
         "connection",
         "transport",
     )
 
     def __init__(self, attachment: attachments.Attachment) -> None:
-        """Creates a joint without sides.
+        """Initializes a bridge without connections.
 
         Args:
-            attachment: Carries the packets.
+            attachment: Sends and receives the packets of the lab side.
         """
         self.attachment = attachment
         self.connection: connections.Connection | None = None
         self.transport: asyncio.Transport | None = None
-        self._is_full = False
-        self._is_lost = False
+        self._is_write_paused = False
+        self._is_aborted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes the ordinary side."""
+        """Attaches the kernel side."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         if self.connection is None:
-            # A server that speaks first must wait for its caller.
+            # A server that sends first has to wait until the lab side is
+            # known, because its data could not be forwarded before.
             transport.pause_reading()
-        self._pass_on()
+        self._forward_payload()
 
     def data_received(self, data: bytes) -> None:
-        """Passes payload of the ordinary side on."""
+        """Forwards payload of the kernel side."""
         if self.connection is None or self.transport is None:
             return
         self.connection.write(data)
-        if len(self.connection.sender.buffer) > MOST_UNSENT_BYTES:
+        if len(self.connection.sender.buffer) > MAX_UNSENT_BYTES:
             self.transport.pause_reading()
         self.attachment.flush_soon(self.connection)
 
     def eof_received(self) -> bool:
-        """Passes the end of the ordinary side on; the other may go on."""
+        """Forwards the end of the kernel side's stream.
+
+        Returns:
+            True to keep the transport open while the lab side still sends.
+        """
         if self.connection is not None:
             self.connection.finish()
             self.attachment.flush_soon(self.connection)
         return not self._is_finished()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Passes a reset of the ordinary side on."""
+        """Forwards the close or reset of the kernel side."""
         self.transport = None
         if exc is not None or self.connection is None:
             self.abort()
@@ -83,48 +90,48 @@
         self.attachment.flush_soon(self.connection)
 
     def abort(self) -> None:
-        """Resets the side of the stand-ins, now or once it is known."""
-        self._is_lost = True
+        """Resets the lab side, now or as soon as it is connected."""
+        self._is_aborted = True
         if self.connection is not None:
             self.connection.abort()
             self.attachment.flush_soon(self.connection)
 
     def pause_writing(self) -> None:
-        """Leaves payload unread, which closes the receive window."""
-        self._is_full = True
+        """Stops reading the lab side, which closes its receive window."""
+        self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Reads payload again."""
-        self._is_full = False
-        self._pass_on()
+        """Resumes reading the lab side."""
+        self._is_write_paused = False
+        self._forward_payload()
 
     def notify(
         self, connection: connections.Connection, event: ConnectionEvent
     ) -> None:
-        """Passes an occurrence at the side of the stand-ins on."""
+        """Forwards an event of the lab side."""
         self.connection = connection
         if event is ConnectionEvent.CONNECTED:
-            self._start(connection)
+            self._start_reading(connection)
         elif event is ConnectionEvent.READABLE:
-            self._pass_on()
+            self._forward_payload()
         elif event is ConnectionEvent.WRITABLE:
-            self._read_again(connection)
+            self._resume_reading(connection)
         elif event is ConnectionEvent.ENDED:
-            self._pass_end_on()
-        elif event in _CUT:
-            self._cut()
+            self._forward_end()
+        elif event in _RESET_EVENTS:
+            self._reset_kernel_side()
         elif event is ConnectionEvent.CLOSED and self.transport is not None:
             self.transport.close()
 
-    def _start(self, connection: connections.Connection) -> None:
-        """Reads the ordinary side once both sides are known."""
-        if self._is_lost:
+    def _start_reading(self, connection: connections.Connection) -> None:
+        """Starts reading the kernel side once the lab side is connected."""
+        if self._is_aborted:
             connection.abort()
         elif self.transport is not None:
             self.transport.resume_reading()
 
     def _is_finished(self) -> bool:
-        """Returns True when the stand-ins have ended and all is passed on."""
+        """Returns True if the lab side has ended and all payload is read."""
         receiver = self.connection.receiver if self.connection else None
         return (
             receiver is not None
@@ -132,21 +139,22 @@
             and not receiver.unread
         )
 
-    def _pass_on(self) -> None:
-        """Writes the payload of the stand-ins to the ordinary side."""
+    def _forward_payload(self) -> None:
+        """Writes the received payload of the lab side to the kernel side."""
         if self.connection is None or self.transport is None:
             return
-        # One write may fill the transport; the rest then stays unread.
-        while not self._is_full:
+        # A write may fill the transport's buffer and call pause_writing(). The
+        # rest then stays unread.
+        while not self._is_write_paused:
             data = self.connection.read()
             if not data:
                 break
             self.transport.write(data)
         self.attachment.flush_soon(self.connection)
-        self._pass_end_on()
+        self._forward_end()
 
-    def _pass_end_on(self) -> None:
-        """Ends the ordinary side once all payload has been written to it."""
+    def _forward_end(self) -> None:
+        """Ends the kernel side's stream after all payload is written to it."""
         transport = self.transport
         if transport is None or self.connection is None:
             return
@@ -156,19 +164,19 @@
         if self.connection.sender.is_closing:
             transport.close()
 
-    def _read_again(self, connection: connections.Connection) -> None:
-        """Reads the ordinary side again when there is room."""
+    def _resume_reading(self, connection: connections.Connection) -> None:
+        """Resumes reading the kernel side if the send buffer has room."""
         if self.transport is None or self.transport.is_closing():
             return
-        if len(connection.sender.buffer) <= MOST_UNSENT_BYTES // 2:
+        if len(connection.sender.buffer) <= MAX_UNSENT_BYTES // 2:
             self.transport.resume_reading()
 
-    def _cut(self) -> None:
-        """Resets the ordinary side."""
+    def _reset_kernel_side(self) -> None:
+        """Resets the kernel side."""
         if self.transport is None:
             return
-        ordinary = self.transport.get_extra_info("socket")
-        ordinary.setsockopt(
+        kernel_socket = self.transport.get_extra_info("socket")
+        kernel_socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
         )
         self.transport.abort()
--- a/packages/lab/src/tamarack_lab/gateway/process.py
+++ b/packages/lab/src/tamarack_lab/gateway/process.py
@@ -1,4 +1,4 @@
-"""The gateway as a process."""
+"""The gateway process, which bridges kernel TCP and the lab's TCP stack."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -11,7 +11,7 @@
 from tamarack_core import peers
 from tamarack_core import requests
 from tamarack_lab import attachment as attachments
-from tamarack_lab.gateway import bridge as joints
+from tamarack_lab.gateway import bridge as bridges
 from tamarack_lab.gateway import settings as gateway_settings
 from tamarack_lab.target import announcer as announcers
 from tamarack_lab.target import settings as target_settings
@@ -23,12 +23,13 @@
 
 
 class CallerSide:
-    """The side of the callers.
+    """Caller side: carries connections from kernel clients to services.
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
-        endpoints: Where ordinary connections are accepted, once started.
+        attachment: Sends and receives packets through the fabric.
+        endpoints: Bound endpoints that accept kernel connections, in the
+            order of the settings; empty before `start`.
     """
 
     __slots__ = ("_ports", "_servers", "attachment", "endpoints", "settings")
@@ -38,11 +39,11 @@
         settings: gateway_settings.CallerSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
-        """Creates the side.
+        """Initializes a caller side that is not started.
 
         Args:
             settings: Settings.
-            attachment: Carries the packets.
+            attachment: Sends and receives packets through the fabric.
         """
         self.settings = settings
         self.attachment = attachment
@@ -51,14 +52,14 @@
         self._ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 
     async def start(self) -> None:
-        """Listens at the doors.
+        """Binds the sockets and accepts connections at all loopback ports.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         self.attachment.start()
-        for door in self.settings.doors:
-            await self._listen(door)
+        for loopback_port in self.settings.doors:
+            await self._listen(loopback_port)
 
     async def close(self) -> None:
         """Closes all sockets."""
@@ -66,13 +67,15 @@
             server.close()
         self.attachment.close()
 
-    async def _listen(self, door: gateway_settings.LoopbackPort) -> None:
-        """Listens at one door."""
+    async def _listen(
+        self, loopback_port: gateway_settings.LoopbackPort
+    ) -> None:
+        """Accepts connections at one loopback port."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerBridge(self, door),
-            door.listen.address,
-            door.listen.port,
+            lambda: CallerBridge(self, loopback_port),
+            loopback_port.listen.address,
+            loopback_port.listen.port,
         )
         self._servers.append(server)
         name = server.sockets[0].getsockname()
@@ -80,79 +83,81 @@
 
     def connect(
         self,
-        door: gateway_settings.LoopbackPort,
-        joint: joints.ConnectionBridge,
+        loopback_port: gateway_settings.LoopbackPort,
+        bridge: bridges.ConnectionBridge,
     ) -> connections.Connection:
-        """Opens a connection to the service behind a door."""
-        path = connections.FourTuple(
+        """Opens a connection to the service of a loopback port."""
+        four_tuple = connections.FourTuple(
             ipaddress.ip_address(self.settings.address).packed,
             next(self._ports),
-            ipaddress.ip_address(door.address).packed,
-            door.port,
+            ipaddress.ip_address(loopback_port.address).packed,
+            loopback_port.port,
         )
-        return self.attachment.connect(path, joint)
+        return self.attachment.connect(four_tuple, bridge)
 
 
-class CallerBridge(joints.ConnectionBridge):
-    """Joint that opens its connection when an ordinary one is accepted.
+class CallerBridge(bridges.ConnectionBridge):
+    """Bridge that opens its lab side once the kernel side is accepted.
 
     Attributes:
-        caller_side: The side that it belongs to.
-        door: Where the ordinary connection was accepted.
+        caller_side: Caller side that the bridge belongs to.
+        loopback_port: Loopback port at which the connection is accepted.
     """
 
-    __slots__ = ("caller_side", "door")
+    __slots__ = ("caller_side", "loopback_port")
 
     def __init__(
-        self, caller_side: CallerSide, door: gateway_settings.LoopbackPort
+        self,
+        caller_side: CallerSide,
+        loopback_port: gateway_settings.LoopbackPort,
     ) -> None:
-        """Creates a joint without sides.
+        """Initializes a bridge without connections.
 
         Args:
-            caller_side: The side that it belongs to.
-            door: Where the ordinary connection is accepted.
+            caller_side: Caller side that the bridge belongs to.
+            loopback_port: Loopback port at which the connection is accepted.
         """
         super().__init__(caller_side.attachment)
         self.caller_side = caller_side
-        self.door = door
+        self.loopback_port = loopback_port
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Opens the connection of the stand-ins."""
-        self.connection = self.caller_side.connect(self.door, self)
+        """Opens the lab side and attaches the kernel side."""
+        self.connection = self.caller_side.connect(self.loopback_port, self)
         super().connection_made(transport)
 
 
 @dataclasses.dataclass(slots=True)
 class GatewayTarget:
-    """A target that hands its connections to ordinary servers.
+    """A target whose connections are bridged to real servers.
 
     Attributes:
-        member: Address and failure domain.
+        spec: Service, address and failure domain of the target.
     """
 
-    member: target_settings.TargetSpec
+    spec: target_settings.TargetSpec
 
     def announcement(
         self, lease_s: float, incarnation: int
     ) -> requests.Announce:
-        """Returns what the target announces."""
+        """Returns the announcement of the target."""
         return requests.Announce(
-            service=self.member.service,
-            address=self.member.address,
-            domain=self.member.domain,
+            service=self.spec.service,
+            address=self.spec.address,
+            domain=self.spec.domain,
             incarnation=incarnation,
             lease_s=lease_s,
         )
 
 
 class TargetSide:
-    """The side of the targets.
+    """Target side: carries connections of targets to real servers.
 
     Attributes:
         settings: Settings.
-        attachment: Carries the packets.
-        announcer: Renews the leases.
-        accepted: Connections accepted, by target address.
+        attachment: Sends and receives packets through the fabric.
+        announcer: Announces the targets and renews their leases.
+        accepted: Number of accepted connections by target address.
     """
 
     __slots__ = ("_tasks", "accepted", "announcer", "attachment", "settings")
@@ -162,16 +167,16 @@
         settings: gateway_settings.TargetSideSettings,
         attachment: attachments.Attachment,
     ) -> None:
-        """Creates the side.
+        """Initializes a target side that is not started.
 
         Args:
             settings: Settings.
-            attachment: Carries the packets.
+            attachment: Sends and receives packets through the fabric.
         """
         self.settings = settings
         self.attachment = attachment
         self.announcer = announcers.Announcer(
-            [GatewayTarget(member) for member in settings.targets],
+            [GatewayTarget(spec) for spec in settings.targets],
             dict(settings.entries),
             settings.lease_s,
             int(time.time()),
@@ -180,17 +185,17 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
-        """Listens at all targets and announces them.
+        """Accepts connections at all targets and announces the targets.
 
         Raises:
-            OSError: The endpoint can't be bound.
+            OSError: The endpoint cannot be bound.
         """
         self.attachment.start()
         listeners = self.attachment.stack.listeners
-        for member in self.settings.targets:
-            packed = ipaddress.ip_address(member.address).packed
+        for spec in self.settings.targets:
+            packed = ipaddress.ip_address(spec.address).packed
             for server in self.settings.servers:
-                listener = _Listener(self, member.address, server)
+                listener = _Listener(self, spec.address, server)
                 listeners[(packed, server.port)] = listener.accept
         self._start_task(self.announcer.run())
 
@@ -200,31 +205,36 @@
             task.cancel()
         self.attachment.close()
 
-    def join(
+    def create_bridge(
         self, address: str, server: gateway_settings.RealServer
-    ) -> joints.ConnectionBridge:
-        """Returns the joint of a new connection."""
+    ) -> bridges.ConnectionBridge:
+        """Returns the bridge of a new connection of a target.
+
+        Args:
+            address: Address of the target.
+            server: Server that the bridge connects to.
+        """
         self.accepted[address] = self.accepted.get(address, 0) + 1
-        joint = joints.ConnectionBridge(self.attachment)
-        self._start_task(self._connect(joint, server))
-        return joint
+        bridge = bridges.ConnectionBridge(self.attachment)
+        self._start_task(self._connect(bridge, server))
+        return bridge
 
     async def _connect(
         self,
-        joint: joints.ConnectionBridge,
+        bridge: bridges.ConnectionBridge,
         server: gateway_settings.RealServer,
     ) -> None:
-        """Connects a joint to its server, or resets its connection."""
+        """Connects a bridge to its server, or resets its lab side."""
         loop = asyncio.get_running_loop()
         to = server.connect
         try:
-            await loop.create_connection(lambda: joint, to.address, to.port)
+            await loop.create_connection(lambda: bridge, to.address, to.port)
         except OSError:
-            joint.abort()
+            bridge.abort()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        """Runs a coroutine and keeps it until it is done."""
-        task = asyncio.create_task(work)
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine and keeps a reference to its task until it ends."""
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -234,9 +244,9 @@
     """Accepts the connections of one port of a target.
 
     Attributes:
-        target_side: The side that it belongs to.
+        target_side: Target side that the listener belongs to.
         address: Address of the target.
-        server: The server behind the port.
+        server: Server that connections are bridged to.
     """
 
     target_side: TargetSide
@@ -244,24 +254,26 @@
     server: gateway_settings.RealServer
 
     def accept(
-        self, path: connections.FourTuple, sequence: int
+        self, four_tuple: connections.FourTuple, sequence: int
     ) -> connections.Application:
-        """Returns the joint of a new connection."""
-        return self.target_side.join(self.address, self.server)
+        """Returns the bridge of a new connection."""
+        return self.target_side.create_bridge(self.address, self.server)
 
 
 class GatewayProcess:
-    """The gateway.
+    """Runs the caller side, the target side or both.
 
     Attributes:
-        caller_side: The side of the callers; None for none.
-        target_side: The side of the targets; None for none.
+        caller_side: Caller side, or None if the settings have none.
+        target_side: Target side, or None if the settings have none.
     """
 
     __slots__ = ("caller_side", "target_side")
 
     def __init__(self, settings: gateway_settings.Settings) -> None:
-        """Creates a gateway that isn't started; needs a running loop.
+        """Initializes a gateway that is not started.
+
+        Requires a running event loop.
 
         Args:
             settings: Settings.
@@ -276,10 +288,10 @@
             self.target_side = TargetSide(settings.far, attachment)
 
     async def start(self) -> None:
-        """Binds the sockets.
+        """Starts both sides.
 
         Raises:
-            OSError: An endpoint can't be bound.
+            OSError: An endpoint cannot be bound.
         """
         for side in (self.target_side, self.caller_side):
             if side is not None:
@@ -295,6 +307,13 @@
 def _attach(
     settings: gateway_settings.Settings, listen: peers.Endpoint, side: int
 ) -> attachments.Attachment:
-    """Returns the attachment of one side."""
+    """Returns the attachment of one side.
+
+    Args:
+        settings: Settings of the gateway.
+        listen: Endpoint to bind.
+        side: 0 for the caller side and 1 for the target side, so that the two
+            stacks have different seeds.
+    """
     stack = stacks.Stack(2 * settings.seed + side, settings.mss)
     return attachments.Attachment(stack, settings.fabric, listen)
