Reword the operators' command line in plain terms

Comments, help texts and error messages of `tamarack` say what happens in the usual terms. The HTTP client has Response, request and get_all instead of Answer, ask and ask_all. Commands, options, JSON keys, exit codes and messages that tests match stay.

--- a/packages/ctl/src/tamarack_ctl/__init__.py
+++ b/packages/ctl/src/tamarack_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""The tamarack command line for operators."""
+"""Command line `tamarack` for operators."""
--- a/packages/ctl/src/tamarack_ctl/internal/__init__.py
+++ b/packages/ctl/src/tamarack_ctl/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Parts of the ctl package; not for use outside it."""
+"""Internal modules of the ctl package; not for use outside it."""
--- a/packages/ctl/src/tamarack_ctl/internal/client.py
+++ b/packages/ctl/src/tamarack_ctl/internal/client.py
@@ -1,4 +1,4 @@
-"""HTTP client that finds a host which answers."""
+"""HTTP client of the hosts' interface for operators."""
 
 from collections.abc import Sequence
 import http.client
@@ -9,16 +9,16 @@
 from tamarack_core import peers
 
 CONNECT_TIMEOUT_S = 3.0
-ANSWER_TIMEOUT_S = 15.0
+RESPONSE_TIMEOUT_S = 15.0
 
 
-class Answer:
-    """Answer of a host.
+class Response:
+    """HTTP response of a host.
 
     Attributes:
         status: HTTP status code.
         body: Decoded JSON.
-        endpoint: The host that answered.
+        endpoint: The host that responded.
     """
 
     __slots__ = ("body", "endpoint", "status")
@@ -26,59 +26,62 @@
     def __init__(
         self, status: int, body: Any, endpoint: peers.Endpoint
     ) -> None:
-        """Holds an answer."""
+        """Initializes the response."""
         self.status = status
         self.body = body
         self.endpoint = endpoint
 
 
-def ask(
+def request(
     hosts: Sequence[peers.Endpoint],
     method: str,
     path: str,
     body: Any = None,
-) -> Answer | failure.Failure:
-    """Asks the hosts in order until one answers.
+) -> Response | failure.Failure:
+    """Sends a request to the hosts in order until one responds.
 
     Args:
         hosts: Endpoints to try.
         method: HTTP method.
-        path: Path with query.
+        path: Path with query string.
         body: Value to send as JSON; None for no body.
 
     Returns:
-        The first answer; a failure that names what each host said.
+        The first response, whatever its status; a failure with the error of
+        each host if none responds.
     """
-    problems = []
+    errors = []
     for endpoint in hosts:
-        answer = _ask_one(endpoint, method, path, body)
-        if isinstance(answer, Answer):
-            return answer
-        problems.append(answer.detail)
-    return failure.Failure("no-host-answers", "; ".join(problems))
+        response = _request_one(endpoint, method, path, body)
+        if isinstance(response, Response):
+            return response
+        errors.append(response.detail)
+    return failure.Failure("no-host-answers", "; ".join(errors))
 
 
-def ask_all(
+def get_all(
     hosts: Sequence[peers.Endpoint], path: str
-) -> list[Answer | failure.Failure]:
-    """Returns what each host answers to a GET, in order."""
-    return [_ask_one(endpoint, "GET", path, None) for endpoint in hosts]
+) -> list[Response | failure.Failure]:
+    """Sends a GET request to every host and returns the results in order."""
+    return [_request_one(endpoint, "GET", path, None) for endpoint in hosts]
 
 
-def _ask_one(
+def _request_one(
     endpoint: peers.Endpoint, method: str, path: str, body: Any
-) -> Answer | failure.Failure:
-    """Returns the answer of one host."""
+) -> Response | failure.Failure:
+    """Returns the response of one host, or a failure that names the host."""
     connection = http.client.HTTPConnection(
         endpoint.address, endpoint.port, timeout=CONNECT_TIMEOUT_S
     )
     data = None if body is None else json.dumps(body).encode()
     try:
         connection.connect()
-        connection.sock.settimeout(ANSWER_TIMEOUT_S)
+        connection.sock.settimeout(RESPONSE_TIMEOUT_S)
         connection.request(method, path, data)
-        response = connection.getresponse()
-        return Answer(response.status, json.load(response), endpoint)
+        http_response = connection.getresponse()
+        return Response(
+            http_response.status, json.load(http_response), endpoint
+        )
     except (OSError, ValueError, http.client.HTTPException) as error:
         where = f"{endpoint.address}:{endpoint.port}"
         return failure.Failure("no-answer", f"{where}: {error}")
--- a/packages/ctl/src/tamarack_ctl/internal/completion.py
+++ b/packages/ctl/src/tamarack_ctl/internal/completion.py
@@ -13,12 +13,14 @@
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 @click.pass_context
 def completion(context: click.Context, shell: str) -> None:
-    """Prints the completion script of a shell.
+    """Prints the completion script for a shell.
 
     Example: source <(tamarack completion bash)
     """
     kind = shell_completion.get_completion_class(shell)
     if kind is None:
-        output.fail(output.EXIT_USAGE, f"no completion for {shell}")
+        output.fail(
+            output.EXIT_USAGE, f"no completion available for shell {shell}"
+        )
     root = context.find_root().command
     click.echo(kind(root, {}, PROGRAM, VARIABLE).source())
--- a/packages/ctl/src/tamarack_ctl/internal/data.py
+++ b/packages/ctl/src/tamarack_ctl/internal/data.py
@@ -1,4 +1,7 @@
-"""Commands `tamarack data`, which read a data folder without changing it."""
+"""Command group `tamarack data`, which reads data folders.
+
+The commands never write to a data folder.
+"""
 
 import pathlib
 from typing import BinaryIO
@@ -29,7 +32,7 @@
 @data.command(epilog=output.EXIT_CODES_HELP)
 @_folder
 def inspect(folder: pathlib.Path) -> None:
-    """Says what a data folder holds and whether it is damaged.
+    """Shows the contents of a data folder and whether it is damaged.
 
     Example: tamarack data inspect /var/lib/tamarackford
     """
@@ -37,7 +40,7 @@
     if isinstance(identity, failure.Failure):
         output.fail(output.EXIT_REFUSED, f"{IDENTITY_NAME}: {identity.detail}")
     path, contents = _contents(folder)
-    found = _summary(path, contents)
+    summary = _summary(path, contents)
     rows = [
         ("host", identity.host),
         ("incarnation", identity.incarnation),
@@ -45,14 +48,14 @@
         ("snapshot bytes", len(contents.snapshot or b"")),
         ("records", len(contents.records)),
         ("torn bytes", contents.torn_bytes),
-        ("term", found.term),
-        ("committed entry", found.commit_index),
-        ("last entry", found.last_index),
-        ("members", " ".join(found.members)),
-        ("configuration version", found.numbered.version),
-        ("services", len(found.numbered.configuration.services)),
-        ("patches in the log", found.patches),
-        ("patch ids kept", found.patch_ids),
+        ("term", summary.term),
+        ("committed entry", summary.commit_index),
+        ("last entry", summary.last_index),
+        ("members", " ".join(summary.members)),
+        ("configuration version", summary.numbered.version),
+        ("services", len(summary.numbered.configuration.services)),
+        ("patches in the log", summary.patches),
+        ("patch ids kept", summary.patch_ids),
     ]
     output.show(False, {}, (), rows)
 
@@ -66,14 +69,14 @@
     Example: tamarack data export /var/lib/tamarackford configuration.json
     """
     path, contents = _contents(folder)
-    found = _summary(path, contents)
-    encoded = msgspec.json.format(msgspec.json.encode(found.numbered))
+    summary = _summary(path, contents)
+    encoded = msgspec.json.format(msgspec.json.encode(summary.numbered))
     file.write(encoded + b"\n")
-    click.echo(f"version {found.numbered.version}", err=True)
+    click.echo(f"version {summary.numbered.version}", err=True)
 
 
 def _read(path: pathlib.Path) -> bytes:
-    """Returns the contents of a file; ends the process without it."""
+    """Returns the contents of a file; exits with an error without it."""
     try:
         return path.read_bytes()
     except OSError as error:
@@ -81,7 +84,10 @@
 
 
 def _contents(folder: pathlib.Path) -> tuple[pathlib.Path, frames.Contents]:
-    """Returns the newest log file and what it holds."""
+    """Returns the path and the decoded contents of the newest log file.
+
+    Exits with an error if there is no log file or it is damaged.
+    """
     paths = sorted(folder.glob(LOG_PATTERN))
     if not paths:
         output.fail(output.EXIT_REFUSED, f"{folder} holds no log file")
@@ -97,8 +103,11 @@
 def _summary(
     path: pathlib.Path, contents: frames.Contents
 ) -> summaries.Summary:
-    """Returns the state in a log file; ends the process without it."""
-    found = summaries.summarize(contents)
-    if isinstance(found, failure.Failure):
-        output.fail(output.EXIT_REFUSED, f"{path}: {found.detail}")
-    return found
+    """Returns a summary of the state in a log file.
+
+    Exits with an error if the state can't be decoded.
+    """
+    summary = summaries.summarize(contents)
+    if isinstance(summary, failure.Failure):
+        output.fail(output.EXIT_REFUSED, f"{path}: {summary.detail}")
+    return summary
--- a/packages/ctl/src/tamarack_ctl/internal/extensions.py
+++ b/packages/ctl/src/tamarack_ctl/internal/extensions.py
@@ -1,4 +1,4 @@
-"""Commands that other packages add to `tamarack`."""
+"""Commands that other packages add to `tamarack` by entry points."""
 
 import importlib.metadata
 
@@ -8,10 +8,10 @@
 
 
 class ExtensibleGroup(click.Group):
-    """Group that loads the commands of other packages when they are used.
+    """Command group that loads the commands of other packages on first use.
 
-    The commands of operators would otherwise wait for the import of plotting
-    and other libraries that only the lab needs.
+    Loading them eagerly would delay every operator command by the import of
+    plotting and other libraries that only the lab needs.
     """
 
     def list_commands(self, ctx: click.Context) -> list[str]:
@@ -33,6 +33,6 @@
 
 
 def _entry_points() -> dict[str, importlib.metadata.EntryPoint]:
-    """Returns the entry points of the commands by name."""
-    found = importlib.metadata.entry_points(group=COMMANDS_GROUP)
-    return {entry_point.name: entry_point for entry_point in found}
+    """Returns the entry points of the added commands by name."""
+    entry_points = importlib.metadata.entry_points(group=COMMANDS_GROUP)
+    return {entry_point.name: entry_point for entry_point in entry_points}
--- a/packages/ctl/src/tamarack_ctl/internal/history.py
+++ b/packages/ctl/src/tamarack_ctl/internal/history.py
@@ -17,11 +17,11 @@
 
 
 @click.command(epilog=output.EXIT_CODES_HELP)
-@click.option("--after", default=0, help="Only versions later than this.")
+@click.option("--after", default=0, help="Show only versions later than this.")
 @options.hosts
 @options.as_json
 def log(after: int, hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows who changed what, on top of which version, and why.
+    """Shows the accepted patches: author, base version, changes and note.
 
     Example: tamarack log --after 40
     """
@@ -37,12 +37,14 @@
 def diff(
     old: int, new: int, hosts: tuple[peers.Endpoint, ...], as_json: bool
 ) -> None:
-    """Shows the operations that led from version OLD to version NEW.
+    """Shows the operations between version OLD and version NEW.
 
     Example: tamarack diff 40 42
     """
     if not 0 <= old < new:
-        output.fail(output.EXIT_USAGE, f"{old} is not older than {new}")
+        output.fail(
+            output.EXIT_USAGE, f"version {old} is not older than version {new}"
+        )
     entries = [entry for entry in _read(hosts, old) if entry["version"] <= new]
     if [entry["version"] for entry in entries] != list(range(old + 1, new + 1)):
         output.fail(
@@ -65,18 +67,21 @@
 
 
 def _read(hosts: tuple[peers.Endpoint, ...], after: int) -> list[Any]:
-    """Returns the log after a version; ends the process without one."""
-    answer = client.ask(hosts, "GET", f"/v1/log?after={after}")
-    if isinstance(answer, failure.Failure):
-        output.fail(output.EXIT_NO_HOST, answer.detail)
-    if "entries" not in answer.body:
-        output.fail(output.EXIT_NO_HOST, str(answer.body.get("detail")))
-    entries: list[Any] = answer.body["entries"]
+    """Returns the log entries after a version.
+
+    Exits with an error if no host returns them.
+    """
+    response = client.request(hosts, "GET", f"/v1/log?after={after}")
+    if isinstance(response, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, response.detail)
+    if "entries" not in response.body:
+        output.fail(output.EXIT_NO_HOST, str(response.body.get("detail")))
+    entries: list[Any] = response.body["entries"]
     return entries
 
 
 def _row(entry: Any) -> list[object]:
-    """Returns the cells of one patch."""
+    """Returns the table row of one patch."""
     changed = entry["changed"]
     shown = " ".join(changed[:MAX_POINTERS_SHOWN])
     if len(changed) > MAX_POINTERS_SHOWN:
--- a/packages/ctl/src/tamarack_ctl/internal/log_lines.py
+++ b/packages/ctl/src/tamarack_ctl/internal/log_lines.py
@@ -1,4 +1,4 @@
-"""Reads the time line back from the log lines that hosts wrote."""
+"""Parses the time line out of the log lines of hosts."""
 
 from collections.abc import Iterable
 import json
@@ -8,20 +8,20 @@
 
 _PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|[^\s"]+)(?:\s|$)')
 _STAMP = re.compile(r"(\d+)\.(\d+)")
-_TEXTS = ("service", "target", "flow", "verdict", "reason", "detail")
+_TEXT_FIELDS = ("service", "target", "flow", "verdict", "reason", "detail")
 
 
 def read(lines: Iterable[str]) -> tuple[list[timeline.Entry], int]:
-    """Returns the entries in lines of logs.
+    """Returns the time line entries in log lines.
 
-    What stands before the pairs of a line is passed over, as collectors of logs
-    put the name of the host there.
+    Text before the key=value pairs of a line is ignored, because log collectors
+    prepend the host name.
 
     Args:
         lines: Lines of one or several hosts, in any order.
 
     Returns:
-        The entries, and the number of other lines.
+        The entries, and the number of lines without a complete entry.
     """
     parsed = [_entry(line) for line in lines]
     entries = [entry for entry in parsed if entry is not None]
@@ -29,7 +29,7 @@
 
 
 def _entry(line: str) -> timeline.Entry | None:
-    """Returns the entry that a line holds; None if it holds no whole one."""
+    """Returns the entry in a line, or None if it has no complete one."""
     pairs = {match[1]: _value(match[2]) for match in _PAIR.finditer(line)}
     stamp = _STAMP.fullmatch(pairs.get("stamp", ""))
     if stamp is None or not pairs.get("event") or not pairs.get("host"):
@@ -42,12 +42,12 @@
         host=pairs["host"],
         name=pairs["event"],
         version=int(version),
-        **{name: pairs[name] for name in _TEXTS if name in pairs},
+        **{name: pairs[name] for name in _TEXT_FIELDS if name in pairs},
     )
 
 
 def _value(text: str) -> str:
-    """Returns a value without its quotes; what can't be read stays as it is."""
+    """Returns a value without quotes; a malformed value is left unchanged."""
     if not text.startswith('"'):
         return text
     try:
--- a/packages/ctl/src/tamarack_ctl/internal/members.py
+++ b/packages/ctl/src/tamarack_ctl/internal/members.py
@@ -1,4 +1,4 @@
-"""Commands `tamarack member`."""
+"""Command group `tamarack member`."""
 
 import click
 
@@ -15,30 +15,30 @@
 
 @click.group()
 def member() -> None:
-    """Shows and changes the control hosts of the replicated log."""
+    """Shows and changes the members of the replicated log."""
 
 
 @member.command("list", epilog=output.EXIT_CODES_HELP)
 @options.hosts
 @options.as_json
 def list_members(hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows voters, learners and hosts that wait.
+    """Shows voters, learners and control hosts that wait to be added.
 
     Example: tamarack member list
     """
-    answer = client.ask(hosts, "GET", PATH)
-    if isinstance(answer, failure.Failure):
-        output.fail(output.EXIT_NO_HOST, answer.detail)
-    if "members" not in answer.body:
-        output.fail(output.EXIT_REFUSED, str(answer.body.get("detail")))
+    response = client.request(hosts, "GET", PATH)
+    if isinstance(response, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, response.detail)
+    if "members" not in response.body:
+        output.fail(output.EXIT_REFUSED, str(response.body.get("detail")))
     rows = [
         (
-            *(found[key] for key in HEADERS[:-1]),
-            "yes" if found["host"] == answer.body["leader"] else "",
+            *(control_host[key] for key in HEADERS[:-1]),
+            "yes" if control_host["host"] == response.body["leader"] else "",
         )
-        for found in answer.body["members"]
+        for control_host in response.body["members"]
     ]
-    output.show(as_json, answer.body, HEADERS, rows)
+    output.show(as_json, response.body, HEADERS, rows)
 
 
 @member.command(epilog=output.EXIT_CODES_HELP)
@@ -46,7 +46,9 @@
     "action", type=click.Choice([one.value for one in requests.MemberAction])
 )
 @click.argument("name")
-@click.option("--incarnation", default="", help="Which data folder.")
+@click.option(
+    "--incarnation", default="", help="Incarnation of the host's data folder."
+)
 @options.hosts
 def change(
     action: str,
@@ -54,21 +56,23 @@
     incarnation: str,
     hosts: tuple[peers.Endpoint, ...],
 ) -> None:
-    """Adds, promotes or removes control host NAME; the leader is found.
+    """Adds, promotes or removes control host NAME.
+
+    The hosts given are tried in order until one of them is the leader.
 
     Example: tamarack member change remove control-b
     """
     body = {"action": action, "host": name, "incarnation": incarnation}
-    detail = "no host given"
+    detail = "no host given; name one with --host"
     for endpoint in hosts:
-        answer = client.ask([endpoint], "POST", PATH, body)
-        if isinstance(answer, failure.Failure):
-            detail = answer.detail
+        response = client.request([endpoint], "POST", PATH, body)
+        if isinstance(response, failure.Failure):
+            detail = response.detail
             continue
-        if answer.body.get("type") == "member-change-started":
-            click.echo("started; see tamarack member list")
+        if response.body.get("type") == "member-change-started":
+            click.echo("started; follow it with tamarack member list")
             return
-        detail = str(answer.body.get("detail"))
-        if answer.body.get("reason") != "not-leader":
+        detail = str(response.body.get("detail"))
+        if response.body.get("reason") != "not-leader":
             output.fail(output.EXIT_REFUSED, detail)
     output.fail(output.EXIT_NO_HOST, detail)
--- a/packages/ctl/src/tamarack_ctl/internal/options.py
+++ b/packages/ctl/src/tamarack_ctl/internal/options.py
@@ -1,4 +1,4 @@
-"""Options that the commands share."""
+"""Command line options shared by several commands."""
 
 from collections.abc import Callable
 import ipaddress
@@ -12,7 +12,7 @@
 
 
 class EndpointType(click.ParamType[peers.Endpoint]):
-    """Address and port, such as `127.0.0.1:7001` or `[::1]:7001`."""
+    """Parameter type for `127.0.0.1:7001` or `[::1]:7001`."""
 
     name = "address:port"
 
@@ -22,7 +22,7 @@
         param: click.Parameter | None,
         ctx: click.Context | None,
     ) -> peers.Endpoint:
-        """Returns the endpoint in an argument."""
+        """Returns the endpoint that an argument names."""
         if isinstance(value, peers.Endpoint):
             return value
         address, _, port = str(value).rpartition(":")
@@ -35,7 +35,7 @@
 
 
 def _hosts(*, required: bool) -> Callable[..., Any]:
-    """Returns the option that names hosts."""
+    """Returns the option `--host`."""
     return click.option(
         "--host",
         "hosts",
@@ -44,14 +44,14 @@
         required=required,
         envvar=HOSTS_VARIABLE,
         help=(
-            "Host to ask; repeat it for others to try. Default: the "
+            "Host to query; may be repeated. Default: the "
             f"space-separated list in {HOSTS_VARIABLE}."
         ),
     )
 
 
 hosts = _hosts(required=True)
-hosts_if_any = _hosts(required=False)
+optional_hosts = _hosts(required=False)
 
 as_json: Callable[..., Any] = click.option(
     "--json", "as_json", is_flag=True, help="Print JSON."
--- a/packages/ctl/src/tamarack_ctl/internal/output.py
+++ b/packages/ctl/src/tamarack_ctl/internal/output.py
@@ -1,4 +1,4 @@
-"""Output as a table or as JSON, and the exit codes."""
+"""Output as a table or as JSON, and exit codes."""
 
 from collections.abc import Sequence
 import json
@@ -22,7 +22,7 @@
   1  refused or invalid; nothing changed
   2  wrong usage
   3  conflict with another patch; nothing changed
-  4  no host answers, or there is no quorum; nothing changed
+  4  no host responds, or there is no quorum; nothing changed
   5  unknown; send the patch again with the same id
 """
 
@@ -37,9 +37,9 @@
 
     Args:
         as_json: Whether to print JSON.
-        document: What JSON shows.
-        headers: Heads of the columns.
-        rows: Cells of the table.
+        document: Value to print as JSON.
+        headers: Column headers of the table.
+        rows: Rows of the table.
     """
     if as_json:
         click.echo(json.dumps(document, indent=2))
@@ -48,11 +48,11 @@
 
 
 def fail(exit_code: int, reason: str) -> NoReturn:
-    """Prints a reason to standard error and ends the process.
+    """Prints an error message to standard error and ends the process.
 
     Args:
-        exit_code: Exit status.
-        reason: Sentence for the operator.
+        exit_code: Exit status, one of the constants of this module.
+        reason: Message for the operator.
     """
     click.echo(f"tamarack: {reason}", err=True)
     sys.exit(exit_code)
--- a/packages/ctl/src/tamarack_ctl/internal/patches.py
+++ b/packages/ctl/src/tamarack_ctl/internal/patches.py
@@ -32,17 +32,21 @@
     "base_version",
     type=int,
     required=True,
-    help="Version that the patch was written against.",
+    help="Version that the patch is based on.",
+)
+@click.option(
+    "--id", "patch_id", help="Patch id; use the same one for a resend."
 )
-@click.option("--id", "patch_id", help="Patch id; a resend repeats it.")
 @click.option(
     "--resend",
     "is_resend",
     is_flag=True,
-    help="The patch was sent before, and its verdict is not known.",
+    help="The patch was sent before, and its verdict is unknown.",
+)
+@click.option("--author", required=True, help="Author of the patch.")
+@click.option(
+    "--note", default="", help="Reason for the change, in one sentence."
 )
-@click.option("--author", required=True, help="Who submits the patch.")
-@click.option("--note", default="", help="Why, in a sentence.")
 @options.hosts
 @options.as_json
 def patch(
@@ -55,7 +59,7 @@
     hosts: tuple[peers.Endpoint, ...],
     as_json: bool,
 ) -> None:
-    """Submits a JSON patch (RFC 6902) against a numbered version.
+    """Submits a JSON patch (RFC 6902) to a version of the configuration.
 
     Example: tamarack patch --on 41 --author ada --note "drain" drain.json
     """
@@ -63,9 +67,9 @@
         operations = json.load(file)
     except ValueError as error:
         output.fail(output.EXIT_USAGE, f"the patch is not JSON: {error}")
-    chosen = patch_id or secrets.token_hex(PATCH_ID_BYTES)
+    submitted_id = patch_id or secrets.token_hex(PATCH_ID_BYTES)
     body = {
-        "patch_id": chosen,
+        "patch_id": submitted_id,
         "base_version": base_version,
         "operations": operations,
         "author": author,
@@ -80,6 +84,8 @@
 ) -> int:
     """Submits a patch and prints the verdict.
 
+    Exits with an error if no host returns a verdict.
+
     Args:
         hosts: Endpoints to try.
         body: The patch.
@@ -88,18 +94,18 @@
     Returns:
         The exit code for the verdict.
     """
-    answer = _send(hosts, body)
-    chosen = body["patch_id"]
-    if isinstance(answer, failure.Failure):
+    response = _send(hosts, body)
+    submitted_id = body["patch_id"]
+    if isinstance(response, failure.Failure):
         output.fail(
             output.EXIT_UNKNOWN,
-            f"{answer.detail}; unknown whether the patch is accepted: "
-            f"send it again with --id {chosen} --resend",
+            f"{response.detail}; unknown whether the patch is accepted: "
+            f"send it again with --id {submitted_id} --resend",
         )
-    verdict = answer.body
+    verdict = response.body
     state = verdict.get("state", "refused")
     reason = verdict.get("reason", "") or verdict.get("detail", "")
-    row = [state, verdict.get("version", ""), chosen, reason]
+    row = [state, verdict.get("version", ""), submitted_id, reason]
     output.show(
         as_json, verdict, ("verdict", "version", "patch id", "reason"), [row]
     )
@@ -108,23 +114,23 @@
 
 def _send(
     hosts: tuple[peers.Endpoint, ...], body: dict[str, Any]
-) -> client.Answer | failure.Failure:
-    """Sends a patch to the hosts in order until there is a verdict.
+) -> client.Response | failure.Failure:
+    """Sends a patch to the hosts in order until one returns a verdict.
 
-    A sending that got no answer may have been accepted, so that each later
-    one says that it is a resend.
+    A request without a response may have been accepted, so every later request
+    is marked as a resend.
     """
-    problems = []
-    sent = dict(body)
+    errors = []
+    request = dict(body)
     for endpoint in hosts:
-        answer = client.ask([endpoint], "POST", "/v1/patches", sent)
-        if isinstance(answer, failure.Failure):
-            problems.append(answer.detail)
-            sent["is_resend"] = True
+        response = client.request([endpoint], "POST", "/v1/patches", request)
+        if isinstance(response, failure.Failure):
+            errors.append(response.detail)
+            request["is_resend"] = True
             continue
-        if answer.body.get("state") == requests.PatchState.UNKNOWN:
-            problems.append(str(answer.body.get("reason")))
-            sent["is_resend"] = True
+        if response.body.get("state") == requests.PatchState.UNKNOWN:
+            errors.append(str(response.body.get("reason")))
+            request["is_resend"] = True
             continue
-        return answer
-    return failure.Failure("no-verdict", "; ".join(problems))
+        return response
+    return failure.Failure("no-verdict", "; ".join(errors))
--- a/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
+++ b/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
@@ -34,19 +34,23 @@
 def plan(
     folder: pathlib.Path, hosts: tuple[peers.Endpoint, ...], as_json: bool
 ) -> None:
-    """Shows what `apply` would change; each service is a file NAME.json.
+    """Shows the operations that `apply` would submit.
+
+    FOLDER holds one file NAME.json for each service.
 
     Example: tamarack plan services/
     """
     numbered = read_configuration(hosts)
     planned = _plan(folder, numbered)
-    _show(as_json, numbered.version, planned)
+    _show_plan(as_json, numbered.version, planned)
 
 
 @click.command(epilog=output.EXIT_CODES_HELP)
 @_folder
-@click.option("--author", required=True, help="Who submits the patch.")
-@click.option("--note", default="", help="Why, in a sentence.")
+@click.option("--author", required=True, help="Author of the patch.")
+@click.option(
+    "--note", default="", help="Reason for the change, in one sentence."
+)
 @options.hosts
 @options.as_json
 def apply(
@@ -56,7 +60,7 @@
     hosts: tuple[peers.Endpoint, ...],
     as_json: bool,
 ) -> None:
-    """Makes the configuration equal to the files of a folder.
+    """Makes the configuration match the files in FOLDER.
 
     Services without a file are removed. A second run changes nothing.
 
@@ -66,9 +70,9 @@
     planned = _plan(folder, numbered)
     batches = declarations.split_into_patches(planned)
     if not batches:
-        _show(as_json, numbered.version, planned)
+        _show_plan(as_json, numbered.version, planned)
     for number, batch in enumerate(batches):
-        body = _body(numbered.version + number, batch, author, note)
+        body = _patch_body(numbered.version + number, batch, author, note)
         exit_code = patches.submit(hosts, body, as_json)
         if exit_code != output.EXIT_OK:
             if number:
@@ -83,21 +87,27 @@
 def read_configuration(
     hosts: tuple[peers.Endpoint, ...],
 ) -> configuration.VersionedConfiguration:
-    """Returns the newest configuration; ends the process without one."""
-    answer = client.ask(hosts, "GET", "/v1/configuration")
-    if isinstance(answer, failure.Failure):
-        output.fail(output.EXIT_NO_HOST, answer.detail)
-    if "numbered" not in answer.body:
-        output.fail(output.EXIT_NO_HOST, str(answer.body.get("detail")))
+    """Returns the newest configuration.
+
+    Exits with an error if no host returns one.
+    """
+    response = client.request(hosts, "GET", "/v1/configuration")
+    if isinstance(response, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, response.detail)
+    if "numbered" not in response.body:
+        output.fail(output.EXIT_NO_HOST, str(response.body.get("detail")))
     return msgspec.convert(
-        answer.body["numbered"], configuration.VersionedConfiguration
+        response.body["numbered"], configuration.VersionedConfiguration
     )
 
 
 def _plan(
     folder: pathlib.Path, numbered: configuration.VersionedConfiguration
 ) -> list[declarations.Operation]:
-    """Returns the operations for a folder; ends the process if it is bad."""
+    """Returns the operations that bring the configuration to a folder's state.
+
+    Exits with an error if the folder holds no services or an invalid one.
+    """
     services: dict[str, object] = {}
     for path in sorted(folder.glob(PATTERN)):
         try:
@@ -118,13 +128,16 @@
     return declarations.plan(numbered.configuration, declared)
 
 
-def _body(
+def _patch_body(
     base_version: int,
     batch: list[declarations.Operation],
     author: str,
     note: str,
 ) -> dict[str, Any]:
-    """Returns a patch whose id follows from its content."""
+    """Returns a patch whose id is derived from its content.
+
+    A repeated submission of the same patch therefore has the same id.
+    """
     body = {
         "base_version": base_version,
         "operations": msgspec.to_builtins(
@@ -137,10 +150,10 @@
     return {"patch_id": digest.hexdigest()[:PATCH_ID_CHARACTERS], **body}
 
 
-def _show(
+def _show_plan(
     as_json: bool, version: int, planned: list[declarations.Operation]
 ) -> None:
-    """Prints planned operations."""
+    """Prints the planned operations."""
     encoded = msgspec.json.decode(msgspec.json.encode(planned))
     if not planned and not as_json:
         click.echo(f"nothing to change on top of version {version}")
--- a/packages/ctl/src/tamarack_ctl/internal/rollout.py
+++ b/packages/ctl/src/tamarack_ctl/internal/rollout.py
@@ -21,37 +21,43 @@
 @options.hosts
 @options.as_json
 def rollout(hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows which version is in force in each failure domain, and who lags.
+    """Shows the version in force and the lagging hosts of each failure domain.
 
-    Ask all control hosts and relays: each knows the hosts that ask it.
+    Name all control hosts and relays: each knows only the hosts that fetch the
+    configuration from it.
 
     Example: tamarack rollout --host 10.0.0.1:7001 --host 10.0.1.1:7001
     """
-    answers = client.ask_all(hosts, "/v1/rollout")
-    found = [
-        answer.body for answer in answers if isinstance(answer, client.Answer)
+    responses = client.get_all(hosts, "/v1/rollout")
+    bodies = [
+        response.body
+        for response in responses
+        if isinstance(response, client.Response)
     ]
-    if not found:
-        output.fail(output.EXIT_NO_HOST, "no host answers")
-    newest = max(body["version"] for body in found)
-    known = _merge(found)
+    if not bodies:
+        output.fail(output.EXIT_NO_HOST, "no host responds")
+    newest = max(body["version"] for body in bodies)
+    known = _merge(bodies)
     rows = [
         _row(domain, members, newest)
         for domain, members in sorted(known.items())
     ]
     document = {"version": newest, "domains": known}
     output.show(as_json, document, HEADERS, rows)
-    for answer in answers:
-        if isinstance(answer, failure.Failure):
-            click.echo(f"tamarack: {answer.detail}", err=True)
-    if len(found) < len(answers):
-        output.fail(output.EXIT_NO_HOST, "the picture is not whole")
+    for response in responses:
+        if isinstance(response, failure.Failure):
+            click.echo(f"tamarack: {response.detail}", err=True)
+    if len(bodies) < len(responses):
+        output.fail(
+            output.EXIT_NO_HOST,
+            "the result is incomplete: some hosts do not respond",
+        )
 
 
-def _merge(found: list[Any]) -> dict[str, list[Any]]:
-    """Returns the latest word of each host, by failure domain."""
+def _merge(bodies: list[Any]) -> dict[str, list[Any]]:
+    """Returns the most recent report on each host, by failure domain."""
     latest: dict[str, Any] = {}
-    for body in found:
+    for body in bodies:
         for host in body["hosts"]:
             known = latest.get(host["host"])
             if known is None or host["age_ms"] < known["age_ms"]:
@@ -63,9 +69,9 @@
 
 
 def _row(domain: str, members: list[Any], newest: int) -> list[object]:
-    """Returns the cells of one failure domain."""
+    """Returns the table row of one failure domain."""
     lagging = [
-        f"{host['host']} has {host['version']}, heard"
+        f"{host['host']} has {host['version']}, reported"
         f" {host['age_ms'] // MS_PER_S} s ago"
         for host in members
         if host["version"] < newest
--- a/packages/ctl/src/tamarack_ctl/internal/services.py
+++ b/packages/ctl/src/tamarack_ctl/internal/services.py
@@ -32,12 +32,12 @@
 
     Example: tamarack services --host 127.0.0.1:7001
     """
-    answer = client.ask(hosts, "GET", "/v1/configuration")
-    if isinstance(answer, failure.Failure):
-        output.fail(output.EXIT_NO_HOST, answer.detail)
-    if "numbered" not in answer.body:
-        output.fail(output.EXIT_REFUSED, answer.body.get("detail", "refused"))
-    numbered = answer.body["numbered"]
+    response = client.request(hosts, "GET", "/v1/configuration")
+    if isinstance(response, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, response.detail)
+    if "numbered" not in response.body:
+        output.fail(output.EXIT_REFUSED, response.body.get("detail", "refused"))
+    numbered = response.body["numbered"]
     rows = [
         _row(name, service, class_name, work_class)
         for name, service in numbered["configuration"]["services"].items()
@@ -51,7 +51,7 @@
 def _row(
     name: str, service: Any, class_name: str, work_class: Any
 ) -> list[object]:
-    """Returns the cells of one work class."""
+    """Returns the table row of one work class."""
     return [
         name,
         ",".join(service["addresses"]),
--- a/packages/ctl/src/tamarack_ctl/internal/status.py
+++ b/packages/ctl/src/tamarack_ctl/internal/status.py
@@ -28,28 +28,30 @@
 @options.hosts
 @options.as_json
 def status(hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows the state of each host.
+    """Shows the status of each host.
 
     Example: tamarack status --host 127.0.0.1:7001 --host 127.0.0.1:7002
     """
-    answers = client.ask_all(hosts, "/v1/status")
-    found = [
-        answer.body for answer in answers if isinstance(answer, client.Answer)
+    responses = client.get_all(hosts, "/v1/status")
+    bodies = [
+        response.body
+        for response in responses
+        if isinstance(response, client.Response)
     ]
-    output.show(as_json, found, HEADERS, [_row(body) for body in found])
+    output.show(as_json, bodies, HEADERS, [_row(body) for body in bodies])
     missing = [
-        answer.detail
-        for answer in answers
-        if isinstance(answer, failure.Failure)
+        response.detail
+        for response in responses
+        if isinstance(response, failure.Failure)
     ]
     for detail in missing:
         click.echo(f"tamarack: {detail}", err=True)
     if missing:
-        output.fail(output.EXIT_NO_HOST, f"{len(missing)} hosts do not answer")
+        output.fail(output.EXIT_NO_HOST, f"{len(missing)} hosts do not respond")
 
 
 def _row(body: Any) -> list[object]:
-    """Returns the cells of one host."""
+    """Returns the table row of one host."""
     return [
         body["host"],
         body["domain"],
@@ -63,7 +65,7 @@
 
 
 def format_time(wall_ms: int) -> str:
-    """Returns a wall-clock time in ms as text in UTC."""
+    """Returns a wall-clock time in ms as UTC text; "-" for 0."""
     if not wall_ms:
         return "-"
     moment = datetime.datetime.fromtimestamp(wall_ms / MS_PER_S, datetime.UTC)
--- a/packages/ctl/src/tamarack_ctl/internal/timeline.py
+++ b/packages/ctl/src/tamarack_ctl/internal/timeline.py
@@ -21,7 +21,7 @@
 
 
 class Filter:
-    """Which entries of the time line to show.
+    """Filter for the entries of the time line.
 
     Attributes:
         service: Only this service; empty for all.
@@ -36,7 +36,7 @@
     def __init__(
         self, service: str, target: str, flow: str, version: int, name: str
     ) -> None:
-        """Creates a filter."""
+        """Initializes the filter."""
         self.service = service
         self.target = target
         self.flow = flow
@@ -44,7 +44,7 @@
         self.name = name
 
     def matches(self, entry: timeline_lib.Entry) -> bool:
-        """Returns whether to show an entry."""
+        """Returns whether an entry passes the filter."""
         return (
             self.service in ("", entry.service)
             and self.target in ("", entry.target)
@@ -57,7 +57,10 @@
 def merge(
     parts: Iterable[list[timeline_lib.Entry]],
 ) -> list[timeline_lib.Entry]:
-    """Returns the entries of several hosts in one causal order.
+    """Returns the entries of several hosts in causal order.
+
+    The stamps are hybrid logical clocks, so a cause sorts before its effects;
+    equal stamps are ordered by host name.
 
     Args:
         parts: Entries of each host.
@@ -67,24 +70,26 @@
 
 
 @click.command(epilog=output.EXIT_CODES_HELP)
-@options.hosts_if_any
+@options.optional_hosts
 @options.as_json
 @click.option("--service", default="", help="Only this service.")
 @click.option("--target", default="", help="Only this target.")
-@click.option("--flow", default="", help="Only flows that contain this text.")
-@click.option("--version", default=0, help="Only this version.")
-@click.option("--event", "name", default="", help="Only events named so.")
+@click.option("--flow", default="", help="Only flows whose text contains this.")
+@click.option("--version", default=0, help="Only this configuration version.")
+@click.option(
+    "--event", "name", default="", help="Only events whose name contains this."
+)
 @click.option(
     "--since",
     type=click.DateTime(),
-    help="Only entries from this time (UTC) on.",
+    help="Only entries at or after this time (UTC).",
 )
 @click.option(
     "--log",
     "logs",
     multiple=True,
     type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
-    help="Read log files of hosts, and ask no host.",
+    help="Read this log file instead of querying hosts; may be repeated.",
 )
 def timeline(
     hosts: tuple[peers.Endpoint, ...],
@@ -97,7 +102,7 @@
     since: datetime.datetime | None,
     logs: tuple[pathlib.Path, ...],
 ) -> None:
-    """Merges the time lines of all hosts named, or of log files.
+    """Merges the time lines of the hosts named, or of log files.
 
     Example: tamarack timeline --service agenda --since 2026-12-01T22:00:00
 
@@ -105,13 +110,13 @@
     """
     if not hosts and not logs:
         raise click.UsageError("name hosts with --host, or files with --log")
-    chosen = Filter(service, target, flow, version, name)
+    entry_filter = Filter(service, target, flow, version, name)
     since_ms = _since_ms(since)
-    parts, missing = _read(logs) if logs else _ask(hosts, since_ms)
+    parts, missing = _read(logs) if logs else _query(hosts, since_ms)
     entries = [
         entry
         for entry in merge(parts)
-        if entry.stamp.wall_ms >= since_ms and chosen.matches(entry)
+        if entry.stamp.wall_ms >= since_ms and entry_filter.matches(entry)
     ]
     output.show(
         as_json,
@@ -122,24 +127,28 @@
     if missing:
         output.fail(
             output.EXIT_NO_HOST,
-            f"the time line lacks hosts: {'; '.join(missing)}",
+            f"the time line is incomplete; hosts missing: {'; '.join(missing)}",
         )
 
 
-def _ask(
+def _query(
     hosts: tuple[peers.Endpoint, ...], since_ms: int
 ) -> tuple[list[list[timeline_lib.Entry]], list[str]]:
-    """Returns the entries of live hosts, and which did not answer."""
-    answers = client.ask_all(hosts, f"/v1/timeline?since_ms={since_ms}")
+    """Queries live hosts.
+
+    Returns:
+        The entries of each host that responds, and the errors of the others.
+    """
+    responses = client.get_all(hosts, f"/v1/timeline?since_ms={since_ms}")
     parts = [
-        msgspec.convert(answer.body, list[timeline_lib.Entry])
-        for answer in answers
-        if isinstance(answer, client.Answer)
+        msgspec.convert(response.body, list[timeline_lib.Entry])
+        for response in responses
+        if isinstance(response, client.Response)
     ]
     missing = [
-        answer.detail
-        for answer in answers
-        if isinstance(answer, failure.Failure)
+        response.detail
+        for response in responses
+        if isinstance(response, failure.Failure)
     ]
     return parts, missing
 
@@ -147,7 +156,7 @@
 def _read(
     logs: tuple[pathlib.Path, ...],
 ) -> tuple[list[list[timeline_lib.Entry]], list[str]]:
-    """Returns the entries of log files; says how many lines hold none."""
+    """Returns the entries of log files and reports lines without an entry."""
     parts = []
     for path in logs:
         with path.open(encoding="utf-8", errors="replace") as lines:
@@ -159,14 +168,14 @@
 
 
 def _since_ms(since: datetime.datetime | None) -> int:
-    """Returns a time in UTC as wall-clock time in ms; 0 without one."""
+    """Returns a UTC time in ms since the epoch; 0 if there is none."""
     if since is None:
         return 0
     return int(since.replace(tzinfo=datetime.UTC).timestamp() * MS_PER_S)
 
 
 def _row(entry: timeline_lib.Entry) -> list[object]:
-    """Returns the cells of an entry."""
+    """Returns the table row of an entry."""
     about = (
         entry.service,
         entry.target,
--- a/packages/ctl/src/tamarack_ctl/internal/traffic.py
+++ b/packages/ctl/src/tamarack_ctl/internal/traffic.py
@@ -41,23 +41,23 @@
 def targets(
     hosts: tuple[peers.Endpoint, ...], as_json: bool, service: str
 ) -> None:
-    """Shows the announced targets and the work at each.
+    """Shows the announced targets and the work in flight at each.
 
-    The open flows are the sum over all hosts named, so name all entry hosts
-    of the failure domain. Each flow is counted at its owner alone.
+    Open flows are summed over all hosts named, so name all entry hosts of the
+    failure domain. Each flow is counted only by its owner.
 
     Example: tamarack targets --service agenda
     """
-    answers = _read_all(hosts, "/v1/targets", {"service": service})
+    responses = _read_all(hosts, "/v1/targets", {"service": service})
     merged: dict[str, dict[str, Any]] = {}
-    for answer in answers:
-        for view in answer.body["targets"]:
-            held = merged.setdefault(
+    for response in responses:
+        for view in response.body["targets"]:
+            total = merged.setdefault(
                 view["address"], {**view, "owned_flows": 0}
             )
-            held["owned_flows"] += view["owned_flows"]
-            held["active"] = max(held["active"], view["active"])
-            held["held"] = max(held["held"], view["held"])
+            total["owned_flows"] += view["owned_flows"]
+            total["active"] = max(total["active"], view["active"])
+            total["held"] = max(total["held"], view["held"])
     found = [merged[address] for address in sorted(merged)]
     rows = [_target_row(view) for view in found]
     output.show(as_json, found, TARGET_HEADERS, rows)
@@ -69,7 +69,9 @@
 @click.option("--service", default="", help="Only this service.")
 @click.option("--target", default="", help="Only this target.")
 @click.option(
-    "--limit", default=DEFAULT_LIMIT, help="Most flows to read at each host."
+    "--limit",
+    default=DEFAULT_LIMIT,
+    help="Maximum number of flows to read from each host.",
 )
 def flows(
     hosts: tuple[peers.Endpoint, ...],
@@ -78,48 +80,55 @@
     target: str,
     limit: int,
 ) -> None:
-    """Shows the open flows that the hosts know.
+    """Shows the open flows in the flow tables of the hosts.
 
     Example: tamarack flows --service agenda --target 10.1.0.1
     """
     query = {"service": service, "target": target, "limit": str(limit)}
-    answers = _read_all(hosts, "/v1/flows", query)
+    responses = _read_all(hosts, "/v1/flows", query)
     found = [
-        {**view, "host": f"{answer.endpoint.address}:{answer.endpoint.port}"}
-        for answer in answers
-        for view in answer.body["flows"]
+        {
+            **view,
+            "host": f"{response.endpoint.address}:{response.endpoint.port}",
+        }
+        for response in responses
+        for view in response.body["flows"]
     ]
     rows = [_flow_row(view) for view in found]
     output.show(as_json, found, FLOW_HEADERS, rows)
-    if any(answer.body["is_cut"] for answer in answers):
+    if any(response.body["is_cut"] for response in responses):
         click.echo(
-            f"tamarack: a host has more than {limit} such flows; raise --limit",
+            f"tamarack: a host has more than {limit} matching flows; raise"
+            " --limit",
             err=True,
         )
 
 
 def _read_all(
     hosts: tuple[peers.Endpoint, ...], path: str, query: dict[str, str]
-) -> list[client.Answer]:
-    """Returns the answers of all hosts; ends the process without any."""
-    answers = client.ask_all(hosts, f"{path}?{urllib.parse.urlencode(query)}")
-    good = [
-        answer
-        for answer in answers
-        if isinstance(answer, client.Answer) and answer.status == 200
+) -> list[client.Response]:
+    """Returns the successful responses of all hosts.
+
+    Exits with an error if there is none.
+    """
+    responses = client.get_all(hosts, f"{path}?{urllib.parse.urlencode(query)}")
+    succeeded = [
+        response
+        for response in responses
+        if isinstance(response, client.Response) and response.status == 200
     ]
-    for answer in answers:
-        if isinstance(answer, failure.Failure):
-            click.echo(f"tamarack: {answer.detail}", err=True)
-        elif answer.status != 200:
-            click.echo(f"tamarack: {answer.body.get('detail')}", err=True)
-    if not good:
-        output.fail(output.EXIT_NO_HOST, "no host shows its targets and flows")
-    return good
+    for response in responses:
+        if isinstance(response, failure.Failure):
+            click.echo(f"tamarack: {response.detail}", err=True)
+        elif response.status != 200:
+            click.echo(f"tamarack: {response.body.get('detail')}", err=True)
+    if not succeeded:
+        output.fail(output.EXIT_NO_HOST, "no host returns its targets or flows")
+    return succeeded
 
 
 def _target_row(view: Any) -> list[object]:
-    """Returns the cells of a target."""
+    """Returns the table row of a target."""
     state = "expired" if view["is_expired"] else view["state"]
     return [
         view["address"],
@@ -134,7 +143,7 @@
 
 
 def _flow_row(view: Any) -> list[object]:
-    """Returns the cells of a flow."""
+    """Returns the table row of a flow."""
     return [
         view["flow"],
         view["service"],
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -1,4 +1,4 @@
-"""Entry point of `tamarack`."""
+"""Entry point of the `tamarack` command line."""
 
 import click
 
