--- a/packages/ctl/src/tamarack_ctl/internal/members.py
+++ b/packages/ctl/src/tamarack_ctl/internal/members.py
@@ -22,7 +22,7 @@
 @options.hosts
 @options.as_json
 def list_members(hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows voters, learners and control hosts that wait to be added.
+    """Shows voters, learners and control hosts outside the log.
 
     Example: tamarack member list
     """
--- a/packages/lab/src/tamarack_lab/bench/command.py
+++ b/packages/lab/src/tamarack_lab/bench/command.py
@@ -10,7 +10,7 @@
 from tamarack_lab.bench import profile as profile_lib
 
 DEFAULT_RUNS = 5
-# The most targets that a service has today.
+# Largest number of targets of one service today.
 DEFAULT_TARGETS = 7
 
 
@@ -19,15 +19,21 @@
     "--output",
     type=click.Path(path_type=pathlib.Path),
     default=pathlib.Path("out/bench.json"),
-    help="File for the figures.",
+    help="Output file in JSON.",
 )
-@click.option("--runs", default=DEFAULT_RUNS, help="Runs for each median.")
 @click.option(
-    "--targets", default=DEFAULT_TARGETS, help="Targets of the service."
+    "--runs", default=DEFAULT_RUNS, help="Number of runs behind each median."
+)
+@click.option(
+    "--targets",
+    default=DEFAULT_TARGETS,
+    help="Number of targets of the service.",
+)
+@click.option(
+    "--profile", is_flag=True, help="Print a profile of the data path instead."
 )
-@click.option("--profile", is_flag=True, help="Print a profile instead.")
 def bench(output: pathlib.Path, runs: int, targets: int, profile: bool) -> None:
-    """Measures one entry process on one core.
+    """Benchmarks one entry process on one core.
 
     Example: tamarack lab bench --output out/bench.json
     """
--- a/packages/lab/src/tamarack_lab/bench/entry_process.py
+++ b/packages/lab/src/tamarack_lab/bench/entry_process.py
@@ -1,4 +1,4 @@
-"""The entry process under measurement, and the socket of its fabric."""
+"""Entry process under test and the socket that acts as its fabric."""
 
 import json
 import pathlib
@@ -21,27 +21,27 @@
 POLL_S = 0.05
 LEASE_S = 60.0
 BUFFER_BYTES = 4 * 1024 * 1024
-# Small enough that neither socket buffer overflows.
+# Datagrams in flight; few enough that neither socket buffer overflows.
 WINDOW_DATAGRAMS = 256
 RECEIVE_BYTES = 65536
 KIB = 1024
 
 
-class Subject:
-    """A running entry host, alone in its failure domain.
+class EntryProcess:
+    """Running entry host that is alone in its failure domain.
 
     Attributes:
-        fabric: Socket that stands for the fabric.
-        data: Address and port of the data socket of the host.
-        port: Port of the HTTP interface.
+        fabric: Socket that acts as the fabric.
+        data: Address and port of the host's data socket.
+        port: Port of the host's HTTP interface.
         process: The process.
-        targets: Number of targets.
+        targets: Number of announced targets.
     """
 
     __slots__ = ("data", "fabric", "port", "process", "targets")
 
     def __init__(self, folder: pathlib.Path, targets: int) -> None:
-        """Starts the host, patches its configuration, announces targets.
+        """Starts the host, creates its service and announces the targets.
 
         Args:
             folder: Folder for settings, log and state.
@@ -70,46 +70,50 @@
         binary = pathlib.Path(sys.executable).parent / "tamarackd"
         self.process = subprocess.Popen([binary, "--settings", file])
         self.targets = targets
-        self._prepare()
+        self._configure()
 
     def call(self, method: str, path: str, body: object = None) -> bytes:
-        """Returns the body of an HTTP answer.
+        """Sends an HTTP request and returns the body of the response.
 
         Raises:
-            OSError: The host refuses or does not answer.
+            OSError: The host refuses the request or does not respond.
         """
         data = None if body is None else json.dumps(body).encode()
         request = urllib.request.Request(
             f"http://127.0.0.1:{self.port}{path}", data, method=method
         )
-        with urllib.request.urlopen(request, timeout=START_TIMEOUT_S) as answer:
-            found: bytes = answer.read()
-            return found
+        with urllib.request.urlopen(
+            request, timeout=START_TIMEOUT_S
+        ) as response:
+            received: bytes = response.read()
+            return received
 
     def exchange(self, datagrams: list[bytes]) -> list[bytes]:
-        """Sends datagrams, keeping a window in flight.
+        """Sends datagrams with a bounded number in flight.
+
+        Stops early when no datagram is received for `RECEIVE_TIMEOUT_S`.
 
         Args:
-            datagrams: What to send, in order.
+            datagrams: Datagrams to send, in order.
 
         Returns:
-            What the host sent to the fabric, in order.
+            Datagrams that the host sent to the fabric, in order.
         """
-        found: list[bytes] = []
+        received: list[bytes] = []
         sent = 0
         total = len(datagrams)
-        while len(found) < total:
-            while sent < total and sent - len(found) < WINDOW_DATAGRAMS:
+        while len(received) < total:
+            while sent < total and sent - len(received) < WINDOW_DATAGRAMS:
                 self.fabric.sendto(datagrams[sent], self.data)
                 sent += 1
             try:
-                found.append(self.fabric.recv(RECEIVE_BYTES))
+                received.append(self.fabric.recv(RECEIVE_BYTES))
             except TimeoutError:
                 break
-        return found
+        return received
 
     def flows(self) -> int:
-        """Returns the open flows that the host counts."""
+        """Returns the number of open flows that the host reports."""
         return int(json.loads(self.call("GET", "/v1/status"))["flows"])
 
     def resident_bytes(self) -> int:
@@ -131,25 +135,31 @@
         self.process.wait(STOP_TIMEOUT_S)
         self.fabric.close()
 
-    def _prepare(self) -> None:
-        """Waits for the start and puts service and targets in place."""
-        end_s = time.monotonic() + START_TIMEOUT_S
-        while not self._patch():
-            if time.monotonic() > end_s:
-                raise TimeoutError(f"no start within {START_TIMEOUT_S} s")
+    def _configure(self) -> None:
+        """Waits for the start, creates the service, announces the targets.
+
+        Raises:
+            TimeoutError: The host accepts no patch in time.
+        """
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while not self._submit_service():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(
+                    f"entry process did not start within {START_TIMEOUT_S} s"
+                )
             time.sleep(POLL_S)
         self.announce()
 
     def announce(self) -> None:
-        """Announces all targets or renews their leases."""
+        """Announces all targets, which renews the leases of known ones."""
         for number in range(self.targets):
             high, low = divmod(number, 250)
             body = {"service": "agenda", "domain": "bench", "lease_s": LEASE_S}
             path = f"/v1/targets/10.1.{high}.{low + 1}"
             self.call("PUT", path, {**body, "connections": 1_000_000})
 
-    def _patch(self) -> bool:
-        """Submits the service; returns whether it is accepted."""
+    def _submit_service(self) -> bool:
+        """Submits the service; returns whether the host accepts the request."""
         patch = {
             "patch_id": "bench",
             "base_version": 0,
--- a/packages/lab/src/tamarack_lab/bench/profile.py
+++ b/packages/lab/src/tamarack_lab/bench/profile.py
@@ -1,4 +1,4 @@
-"""Profile of the data path inside one process."""
+"""Profile of the data path of the core in one process."""
 
 import cProfile
 import io
@@ -19,17 +19,18 @@
 FLOWS = 2_000
 ROUNDS = 5
 LINES = 24
-# The host serves alone once it has waited for others.
+# By then the host, alone in its domain, has stopped waiting for other hosts
+# and serves.
 NOW_S = 20.0
 
 
 def run(targets: int) -> str:
-    """Returns the functions that take most of the time, as text.
+    """Returns the functions with the most time of their own, as text.
 
     Args:
         targets: Number of targets of the service, at most 254.
     """
-    node = _node(targets)
+    node = _create_entry_host(targets)
     datagrams = [flow.opening() for flow in traffic.flows(0, FLOWS)]
     datagrams += [flow.request() for flow in traffic.flows(0, FLOWS)] * ROUNDS
     profiler = cProfile.Profile()
@@ -42,8 +43,8 @@
     return text.getvalue()
 
 
-def _node(targets: int) -> reducer.Node:
-    """Returns an entry host with one service and its targets."""
+def _create_entry_host(targets: int) -> reducer.Node:
+    """Returns an entry host with one service and announced targets."""
     endpoint = peers.Endpoint("127.0.0.1", 1)
     host = peers.Peer("bench", "bench", endpoint, endpoint)
     roles = frozenset((assembly.Role.ENTRY,))
--- a/packages/lab/src/tamarack_lab/bench/traffic.py
+++ b/packages/lab/src/tamarack_lab/bench/traffic.py
@@ -61,7 +61,7 @@
 
 
 class Flow:
-    """One synthetic connection.
+    """Synthetic connection.
 
     Attributes:
         caller: Packed IP address of the caller.
@@ -72,10 +72,10 @@
     __slots__ = ("caller", "port", "target")
 
     def __init__(self, number: int) -> None:
-        """Creates a connection that no other number has.
+        """Initializes the connection; its number gives caller and port.
 
         Args:
-            number: Number of the connection, from 0.
+            number: Unique number of the connection, from 0.
         """
         caller, port = divmod(number, PORTS_PER_CALLER)
         self.caller = (FIRST_CALLER + caller).to_bytes(4, "big")
--- a/packages/lab/src/tamarack_lab/capacity/bursts.py
+++ b/packages/lab/src/tamarack_lab/capacity/bursts.py
@@ -1,4 +1,4 @@
-"""What a burst of events costs, beside the averages."""
+"""Cost of bursts of events, in addition to the average costs."""
 
 from collections.abc import Mapping
 
@@ -13,13 +13,13 @@
 
 
 class Burst(msgspec.Struct, frozen=True):
-    """One burst at one host.
+    """Cost of one burst at one host.
 
     Attributes:
-        name: What happens.
+        name: Event that causes the burst.
         bytes: Bytes that one host receives because of it.
-        seconds: Seconds that these take at the budget of a host.
-        note: What it means for the users.
+        seconds: Time in which the traffic budget of a host allows these bytes.
+        note: Effect of the event.
     """
 
     name: str
@@ -31,11 +31,11 @@
 def bursts(
     size: sizes.Size, budget: sizes.Budget, slope: Mapping[str, float]
 ) -> list[Burst]:
-    """Returns the bursts that the system must bear.
+    """Returns the bursts that the system must sustain.
 
     Args:
         size: Size of the system.
-        budget: What a host may spend.
+        budget: Budget of a host.
         slope: Value of each slope by name.
     """
     rack = min(RACK_HOSTS, max(size.hosts_per_domain / 2, 1))
--- a/packages/lab/src/tamarack_lab/capacity/command.py
+++ b/packages/lab/src/tamarack_lab/capacity/command.py
@@ -27,13 +27,13 @@
     "--slopes-file",
     type=click.Path(exists=True, path_type=pathlib.Path),
     default=slopes_lib.DATA_FILE,
-    help="Slopes in JSON. Default: the committed ones.",
+    help="Slopes in JSON. Default: the committed slopes.",
 )
 @click.option(
     "--page",
     "page_file",
     type=click.Path(exists=True, path_type=pathlib.Path),
-    help="Page whose tables and plot to bring up to date.",
+    help="Page whose tables and plot to update.",
 )
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def capacity(
--- a/packages/lab/src/tamarack_lab/capacity/model.py
+++ b/packages/lab/src/tamarack_lab/capacity/model.py
@@ -1,4 +1,4 @@
-"""Cost of each role at a given size."""
+"""Cost model of each role at a given system size."""
 
 from collections.abc import Mapping
 import enum
@@ -10,14 +10,15 @@
 
 US_PER_S = 1_000_000.0
 RENEWAL_INTERVAL_S = 3.0
-# A share of the targets drains, is ejected or restarts in a day.
+# Drains, ejections and restarts per target and day.
 TARGET_CHANGES_PER_DAY = 4.0
-# A host outside the owner and backup learns flows into a bounded table.
+# Capacity of the bounded table in which a host that is neither owner nor backup
+# of a flow caches its target.
 LEARNED_FLOWS = 65_536
 
 
 class Role(enum.StrEnum):
-    """Role whose cost is computed."""
+    """Role of a host whose cost is computed."""
 
     ENTRY = "entry"
     AGGREGATOR = "aggregator"
@@ -26,7 +27,7 @@
 
 
 class Resource(enum.StrEnum):
-    """What is spent."""
+    """Resource that a role consumes."""
 
     MEMORY = "memory"
     PROCESSOR = "processor"
@@ -34,15 +35,15 @@
 
 
 class Term(msgspec.Struct, frozen=True):
-    """One cost of a role.
+    """One term of the cost of a role.
 
     Attributes:
         role: The role.
-        resource: What is spent: memory in bytes, processor as a share of a
-            core, traffic in bytes a second.
-        name: What it is spent on.
-        amount: How much.
-        mechanism: What keeps the amount in bounds.
+        resource: Memory in bytes, processor as a share of a core, or traffic
+            in bytes per second.
+        name: Purpose for which the resource is consumed.
+        amount: Amount consumed.
+        mechanism: Mechanism that bounds the amount.
     """
 
     role: Role
@@ -53,14 +54,14 @@
 
 
 class Total(msgspec.Struct, frozen=True):
-    """Cost of a role in one resource against the budget.
+    """Cost of a role in one resource compared with the budget.
 
     Attributes:
         role: The role.
-        resource: What is spent.
+        resource: The resource.
         amount: Sum of the terms.
-        budget: Most that may be spent.
-        is_exceeded: Whether the sum is over the budget.
+        budget: Largest amount allowed.
+        is_exceeded: Whether the sum exceeds the budget.
         dominant: Name of the largest term.
     """
 
@@ -73,7 +74,7 @@
 
 
 def terms(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns the costs of all roles.
+    """Returns the cost terms of all roles.
 
     Args:
         size: Size of the system.
@@ -91,14 +92,14 @@
     )
 
 
-def totals(found: list[Term], budget: sizes.Budget) -> list[Total]:
+def totals(all_terms: list[Term], budget: sizes.Budget) -> list[Total]:
     """Returns the sums of terms by role and resource.
 
     An aggregator is an entry host, so its sum includes the entry role.
 
     Args:
-        found: Terms of one size.
-        budget: What a host may spend.
+        all_terms: Terms of one size.
+        budget: Budget of a host.
     """
     limits = {
         Resource.MEMORY: budget.memory_bytes,
@@ -107,16 +108,16 @@
     }
     sums = []
     for role, resource in itertools.product(Role, Resource):
-        chosen = [
+        selected = [
             term
-            for term in found
+            for term in all_terms
             if term.resource is resource
             and (
                 term.role is role
                 or (role is Role.AGGREGATOR and term.role is Role.ENTRY)
             )
         ]
-        amount = sum(term.amount for term in chosen)
+        amount = sum(term.amount for term in selected)
         sums.append(
             Total(
                 role=role,
@@ -124,14 +125,14 @@
                 amount=amount,
                 budget=limits[resource],
                 is_exceeded=amount > limits[resource],
-                dominant=max(chosen, key=lambda term: term.amount).name,
+                dominant=max(selected, key=lambda term: term.amount).name,
             )
         )
     return sums
 
 
 def _entry_memory(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns the state of an entry host."""
+    """Returns the memory terms of an entry host."""
     owned = size.flows_per_host
     in_domain = size.flows / size.domains
     learned = min(LEARNED_FLOWS, in_domain)
@@ -169,7 +170,7 @@
 def _entry_processor(
     size: sizes.Size, slope: Mapping[str, float]
 ) -> list[Term]:
-    """Returns the processor time of an entry host for control."""
+    """Returns the processor terms of an entry host for control work."""
     rows = (
         (
             "configuration changes",
@@ -200,7 +201,7 @@
 
 
 def _entry_traffic(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns the bytes a second of an entry host for control."""
+    """Returns the traffic terms of an entry host for control messages."""
     changes = size.membership_changes_per_domain
     target_changes = (
         size.targets_per_domain * TARGET_CHANGES_PER_DAY / sizes.SECONDS_PER_DAY
@@ -247,7 +248,7 @@
 
 
 def _aggregator(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns what the targets that renew at a host cost it."""
+    """Returns the terms for the targets that renew leases at a host."""
     renewals_per_s = (
         size.targets_per_domain / size.hosts_per_domain / RENEWAL_INTERVAL_S
     )
@@ -279,7 +280,7 @@
 
 
 def _relay(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns the cost of a relay."""
+    """Returns the terms of a relay."""
     children = size.children_per_relay if size.relays else 0.0
     memory = (
         ("process", slope["entry_base_bytes"], "one interpreter a host"),
@@ -325,7 +326,7 @@
 
 
 def _voter(size: sizes.Size, slope: Mapping[str, float]) -> list[Term]:
-    """Returns the cost of the leader among the voters."""
+    """Returns the terms of the leader among the voters."""
     followers = size.voters - 1
     receivers = max(size.relays, 1)
     memory = (
--- a/packages/lab/src/tamarack_lab/capacity/page.py
+++ b/packages/lab/src/tamarack_lab/capacity/page.py
@@ -1,4 +1,4 @@
-"""Keeps the tables and the plot of the capacity page up to date."""
+"""Updates the tables and the plot of the capacity page."""
 
 import pathlib
 
@@ -15,11 +15,11 @@
 
 
 def replace_tables(page: str, tables: str) -> str:
-    """Returns a page with new tables between its markers.
+    """Returns a page with the tables between its markers replaced.
 
     Args:
         page: Text of the page.
-        tables: The tables.
+        tables: New tables in Markdown.
 
     Raises:
         ValueError: The page lacks a marker.
@@ -36,17 +36,17 @@
     slopes: slopes_lib.SlopeFile,
     path: pathlib.Path,
 ) -> None:
-    """Draws the cost of each role over the sizes.
+    """Plots the cost of each role against the size.
 
     Args:
         targets: Sizes and budget.
         slopes: The slopes.
-        path: PNG file to write.
+        path: Output file in PNG format.
     """
     values = slopes.values()
     drawing = figure.Figure(figsize=(PLOT_WIDTH_IN, PLOT_HEIGHT_IN))
     panels = drawing.subplots(1, len(model.Resource))
-    found = [
+    totals_by_size = [
         model.totals(model.terms(size, values), targets.budget)
         for size in targets.sizes
     ]
@@ -55,7 +55,7 @@
         for role in model.Role:
             shares = [
                 total.amount / total.budget
-                for totals in found
+                for totals in totals_by_size
                 for total in totals
                 if total.role is role and total.resource is resource
             ]
@@ -67,5 +67,6 @@
         panel.set_ylabel("share of the budget")
     panels[0].legend()
     drawing.tight_layout()
-    # Without the metadata the file depends on the figures alone.
+    # The metadata would hold the version of matplotlib; without it the file
+    # depends only on the data.
     drawing.savefig(path, metadata={"Software": None})
--- a/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/configurations.py
@@ -1,4 +1,4 @@
-"""Cost of the configuration at hosts and voters."""
+"""Costs of the configuration at hosts and voters."""
 
 import functools
 import itertools
@@ -16,7 +16,7 @@
 SERVICES = (1_000, 4_000, 16_000)
 CHANGES = 200
 PATCHES = 50
-# Keeps a patch below the largest that the log takes.
+# Keeps each patch below the largest size that the log accepts.
 SERVICES_PER_FILL = 250
 _SERVICES_PER_NETWORK_BYTE = 16
 
@@ -26,7 +26,7 @@
 
     Args:
         number: Number of the service, below 65,536.
-        cost: Work units of a report.
+        cost: Work units of the class `reports`.
     """
     high, low = divmod(number, 256)
     second, rest = divmod(number, 16 * 256)
@@ -52,7 +52,7 @@
 
 
 def document(count: int) -> bytes:
-    """Returns the encoded configuration with a number of services."""
+    """Returns an encoded configuration with the given number of services."""
     services = {
         f"service-{number:05}": service(number) for number in range(count)
     }
@@ -60,7 +60,7 @@
 
 
 def configuration_of(count: int) -> configuration.VersionedConfiguration:
-    """Returns a configuration with a number of services as version 1."""
+    """Returns version 1 of a configuration with that many services."""
     decoded = msgspec.json.decode(
         document(count), type=configuration.Configuration
     )
@@ -68,12 +68,12 @@
 
 
 def probe() -> list[slopes.Slope]:
-    """Returns the slopes of this module."""
+    """Returns the slopes that this module measures."""
     measured = slopes.Source.MEASURED
     counted = slopes.Source.COUNTED
     return [
         measurement.series(
-            "service_bytes", "bytes/service", measured, SERVICES, _held_bytes
+            "service_bytes", "bytes/service", measured, SERVICES, _tables_bytes
         ).fit(),
         measurement.series(
             "change_us", "us/change", measured, SERVICES, _change_us
@@ -98,20 +98,20 @@
 
 
 def _tables(count: int) -> lookup.Lookup:
-    """Returns the lookup tables of a number of services."""
+    """Returns the lookup tables for the given number of services."""
     return lookup.Lookup(configuration_of(count).configuration)
 
 
-def _held_bytes(count: int) -> float:
-    """Returns the memory of a configuration with its tables."""
+def _tables_bytes(count: int) -> float:
+    """Returns the memory of a configuration and its lookup tables."""
     return measurement.memory_bytes(functools.partial(_tables, count))
 
 
 def _change_us(count: int) -> float:
-    """Returns the time of one change of the tables."""
+    """Returns the processor time of one change of the lookup tables in us."""
 
     def change(tables: lookup.Lookup) -> None:
-        """Changes services one by one."""
+        """Changes services one at a time."""
         for number in range(CHANGES):
             name = f"service-{number:05}"
             tables.apply({name: service(number, cost=2.0)})
@@ -122,8 +122,8 @@
     )
 
 
-def _machine(count: int) -> state_machine.PatchStateMachine:
-    """Returns the state of a voter with a number of services."""
+def _voter_state(count: int) -> state_machine.PatchStateMachine:
+    """Returns a voter's state machine with the given number of services."""
     state = state_machine.PatchStateMachine()
     for first in range(0, count, SERVICES_PER_FILL):
         last = min(first + SERVICES_PER_FILL, count)
@@ -143,10 +143,10 @@
 def _check_accepted(
     state: state_machine.PatchStateMachine, expected: int
 ) -> None:
-    """Ends the probe unless all patches are accepted.
+    """Aborts the probe unless all patches are accepted.
 
     Raises:
-        AssertionError: A patch is not accepted, so the cost means nothing.
+        AssertionError: A patch is not accepted, so the cost is meaningless.
     """
     verdicts = [decision.verdict for decision in state.take_decisions()]
     refused = [
@@ -161,7 +161,7 @@
 
 
 def _command(version: int, patch_id: str, operations: object) -> bytes:
-    """Returns the encoded command of a patch."""
+    """Returns the encoded log command that submits a patch."""
     patch = requests.SubmitPatch(
         patch_id, version, msgspec.Raw(msgspec.json.encode(operations)), "ada"
     )
@@ -169,10 +169,10 @@
 
 
 def _patch_us(count: int) -> float:
-    """Returns the time that a voter needs to decide on one patch."""
+    """Returns a voter's processor time to decide on one patch in us."""
 
     def decide(state: state_machine.PatchStateMachine) -> None:
-        """Decides on patches one after the other."""
+        """Decides on patches one at a time."""
         for number in range(PATCHES):
             path = f"/services/service-{number:05}/classes/reports/cost"
             operations = [{"op": "replace", "path": path, "value": 3.0}]
@@ -180,21 +180,21 @@
             state.apply(count + number, command)
         _check_accepted(state, PATCHES)
 
-    prepare = functools.partial(_machine, count)
+    prepare = functools.partial(_voter_state, count)
     return measurement.processor_us(prepare, decide) / PATCHES
 
 
 def _snapshot_bytes(count: int) -> float:
-    """Returns the size of an encoded configuration."""
+    """Returns the size of an encoded configuration in bytes."""
     return float(len(document(count)))
 
 
 def _load_us(count: int) -> float:
-    """Returns the time to decode a configuration and build its tables."""
+    """Returns the time to decode a configuration and build its tables in us."""
     data = document(count)
 
     def load(encoded: bytes) -> None:
-        """Decodes and builds."""
+        """Decodes the configuration and builds the lookup tables."""
         lookup.Lookup(
             msgspec.json.decode(encoded, type=configuration.Configuration)
         )
@@ -203,6 +203,6 @@
 
 
 def _delta_bytes(count: int) -> float:
-    """Returns the size of one changed service in encoded form."""
+    """Returns the encoded size of one changed service in bytes."""
     changed = itertools.islice(map(service, range(count)), 1)
     return float(sum(len(msgspec.json.encode(one)) for one in changed))
--- a/packages/lab/src/tamarack_lab/capacity/probes/domains.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/domains.py
@@ -1,4 +1,4 @@
-"""Cost of an entry host in failure domains of several sizes."""
+"""Costs of an entry host in failure domains of several sizes."""
 
 import collections
 import functools
@@ -22,36 +22,38 @@
 from tamarack_lab.experiments import event_queue
 from tamarack_lab.experiments import simulated_network as network_lib
 
-# Larger domains take too long on one machine: when all hosts start at once,
-# the pages of members that they fetch grow with the square of the number.
+# Larger domains take too long on one machine: when all hosts start at once, the
+# number of member pages that they fetch grows with the square of the number of
+# hosts.
 HOSTS = (50, 100, 200)
 FLOWS = (20_000, 80_000, 300_000)
 TARGETS = (500, 2_000, 6_800)
-SEEDS_KNOWN = 3
+SEED_PEERS = 3
 SETTLE_S = 60.0
-QUIET_S = 20.0
+IDLE_S = 20.0
 RENEWALS = 500
 DATAGRAM_HEADER_BYTES = 28
 SEED = 1
-# Within an hour of a start the counter of the clock has few digits.
+# A counter of 0 is representative: within an hour of a start the counter of the
+# clock has few digits.
 _STAMP = timeline.Stamp(network_lib.WALL_MS, 0)
 
 
 class CountingNetwork(network_lib.SimulatedNetwork):
-    """Network that counts the bytes of each kind of message.
+    """Network that counts the bytes sent by kind of message.
 
     Attributes:
-        sent: Bytes with headers by module of the message type.
+        sent: Bytes including headers, by module of the message type.
     """
 
     __slots__ = ("sent",)
 
     def __init__(self, queue: event_queue.EventQueue, seed: int) -> None:
-        """Creates a network without hosts.
+        """Initializes a network without hosts.
 
         Args:
-            queue: The queue of timed actions.
-            seed: Seed of the generator.
+            queue: Queue of timed actions.
+            seed: Seed of the random generator.
         """
         super().__init__(queue, seed)
         self.sent: collections.Counter[str] = collections.Counter()
@@ -62,7 +64,7 @@
         receiver: peers.Peer,
         message: messages.Message,
     ) -> None:
-        """Counts a message and delivers it."""
+        """Counts a message and sends it."""
         envelope = messages.Envelope(sender.peer, _STAMP, (message,))
         size = len(messages.encode(envelope)) + DATAGRAM_HEADER_BYTES
         self.sent[type(message).__module__] += size
@@ -70,18 +72,19 @@
 
 
 class Domain:
-    """A failure domain without callers.
+    """Failure domain without callers.
 
     Attributes:
-        queue: The queue of timed actions.
-        network: The hosts and their links.
-        processor_s: Processor time of the last run in seconds.
+        count: Number of hosts.
+        queue: Queue of timed actions.
+        network: Hosts and their links.
+        processor_s: Processor time of the last idle run in seconds.
     """
 
     __slots__ = ("count", "network", "processor_s", "queue")
 
     def __init__(self, count: int) -> None:
-        """Starts the hosts of a domain and lets them find each other.
+        """Starts the hosts and runs them until they know each other.
 
         Args:
             count: Number of hosts.
@@ -93,7 +96,7 @@
         known = [make_peer(number) for number in range(count)]
         for number in range(count):
             seeds = tuple(
-                peer for peer in known[:SEEDS_KNOWN] if peer != known[number]
+                peer for peer in known[:SEED_PEERS] if peer != known[number]
             )
             plan = assembly.Plan(
                 host=known[number],
@@ -105,21 +108,25 @@
             self.network.add(assembly.assemble(plan)).start()
         self.queue.run_until(SETTLE_S)
 
-    def rest(self) -> None:
-        """Lets time pass and counts what it costs."""
+    def run_idle(self) -> None:
+        """Runs the idle domain for `IDLE_S` and records its costs."""
         self.network.sent.clear()
         start_s = time.process_time()
-        self.queue.run_until(self.queue.now_s + QUIET_S)
+        self.queue.run_until(self.queue.now_s + IDLE_S)
         self.processor_s = time.process_time() - start_s
 
     def bytes_per_s(self, module: str) -> float:
-        """Returns the bytes a host and second of one kind, both ways."""
-        # What one host sends another receives.
-        return 2 * self.network.sent[module] / QUIET_S / self.count
+        """Returns the bytes per host and second, sent and received.
+
+        Args:
+            module: Module of the message types to count.
+        """
+        # Each byte that one host sends is received by another.
+        return 2 * self.network.sent[module] / IDLE_S / self.count
 
 
 def make_peer(number: int) -> peers.Peer:
-    """Returns the entry host with a number below 65,536."""
+    """Returns the entry host of a number, which must be below 65,536."""
     high, low = divmod(number, 256)
     address = f"10.255.{high}.{low}"
     return peers.Peer(
@@ -131,10 +138,10 @@
 
 
 def probe() -> list[slopes.Slope]:
-    """Returns the slopes of this module."""
+    """Returns the slopes that this module measures."""
     measured = slopes.Source.MEASURED
     return [
-        *_quiet_slopes(),
+        *_idle_slopes(),
         measurement.series(
             "flow_bytes", "bytes/flow", measured, FLOWS, _flow_bytes
         ).fit(),
@@ -147,36 +154,38 @@
     ]
 
 
-def _quiet_slopes() -> list[slopes.Slope]:
-    """Returns what a quiet host costs in domains of several sizes."""
-    kinds = {
+def _idle_slopes() -> list[slopes.Slope]:
+    """Returns the costs of an idle host in domains of several sizes."""
+    modules = {
         "membership_bytes_per_s": membership.__name__,
         "offer_bytes_per_s": distribution.__name__,
     }
-    found: dict[str, list[slopes.Point]] = {name: [] for name in kinds}
-    busy = []
+    points_by_name: dict[str, list[slopes.Point]] = {
+        name: [] for name in modules
+    }
+    processor_points = []
     for count in HOSTS:
         domain = Domain(count)
-        domain.rest()
-        for name, module in kinds.items():
+        domain.run_idle()
+        for name, module in modules.items():
             point = slopes.Point(count, domain.bytes_per_s(module))
-            found[name].append(point)
-        share_us = domain.processor_s * measurement.US_PER_S / QUIET_S / count
-        busy.append(slopes.Point(count, share_us))
+            points_by_name[name].append(point)
+        us_per_s = domain.processor_s * measurement.US_PER_S / IDLE_S / count
+        processor_points.append(slopes.Point(count, us_per_s))
     counted = slopes.Source.COUNTED
     return [
         *(
             measurement.Series(
                 name, "bytes/s", counted, tuple(points)
             ).constant()
-            for name, points in found.items()
+            for name, points in points_by_name.items()
         ),
-        *_busy_slopes(tuple(busy)),
+        *_processor_slopes(tuple(processor_points)),
     ]
 
 
-def _busy_slopes(points: tuple[slopes.Point, ...]) -> list[slopes.Slope]:
-    """Returns the processor time of a quiet host, fixed and by member."""
+def _processor_slopes(points: tuple[slopes.Point, ...]) -> list[slopes.Slope]:
+    """Returns an idle host's processor time, fixed and per member."""
     by_member = measurement.Series(
         "member_us_per_s", "us/s/member", slopes.Source.MEASURED, points
     ).fit()
@@ -193,10 +202,10 @@
 
 
 def _flow_bytes(count: int) -> float:
-    """Returns the memory of a table with a number of flows."""
+    """Returns the memory of a flow table with the given number of flows."""
 
     def build() -> flow_table.FlowTable:
-        """Fills a table."""
+        """Returns a filled flow table."""
         table = flow_table.FlowTable()
         suffix = b"\x0a\x09\x00\x01\x00\x50\x06"
         for number in range(count):
@@ -208,7 +217,10 @@
 
 
 def _announcement(number: int) -> requests.Announce:
-    """Returns the announcement of a target of `configurations.service`."""
+    """Returns the announcement of a target of a probe service.
+
+    The addresses are in the networks of `configurations.service`.
+    """
     service, low = divmod(number, 8)
     second, rest = divmod(service, 16 * 256)
     third, block = divmod(rest, 16)
@@ -222,10 +234,10 @@
 
 
 def _target_bytes(count: int) -> float:
-    """Returns the memory of a table with a number of targets."""
+    """Returns the memory of a lease table with the given number of targets."""
 
     def build() -> lease_table.TargetLeaseTable:
-        """Fills a table."""
+        """Returns a filled lease table."""
         table = lease_table.TargetLeaseTable()
         for number in range(count):
             table.put(
@@ -239,7 +251,7 @@
 
 
 def _aggregator(count: int) -> reducer.Node:
-    """Returns an entry host, alone, at which a number of targets renew."""
+    """Returns a lone entry host at which that many targets renew leases."""
     plan = assembly.Plan(
         make_peer(0), frozenset((assembly.Role.ENTRY,)), seed=SEED
     )
@@ -254,23 +266,27 @@
 
 
 def _renew(node: reducer.Node, now_s: float, number: int) -> None:
-    """Announces a target."""
+    """Announces a target, which renews its lease if it is known.
+
+    Raises:
+        AssertionError: The host refuses the announcement.
+    """
     request = _announcement(number)
-    found = reducer.reduce(node, events.RequestArrived(now_s, number, request))
-    answers = [
+    result = reducer.reduce(node, events.RequestArrived(now_s, number, request))
+    responses = [
         effect.response
-        for effect in found
+        for effect in result
         if isinstance(effect, effects.Respond)
     ]
-    if not isinstance(answers[0], requests.Announced):
-        raise AssertionError(f"{request.address}: {answers[0]}")
+    if not isinstance(responses[0], requests.Announced):
+        raise AssertionError(f"{request.address}: {responses[0]}")
 
 
 def _renewal_us(count: int) -> float:
-    """Returns the time of one renewal in the core."""
+    """Returns the processor time of one renewal in the core in us."""
 
     def renew(node: reducer.Node) -> None:
-        """Renews targets one by one."""
+        """Renews leases one at a time."""
         for number in range(RENEWALS):
             _renew(node, 11.0, number)
 
--- a/packages/lab/src/tamarack_lab/capacity/probes/measurement.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/measurement.py
@@ -1,4 +1,4 @@
-"""Measures memory and processor time of a piece of work."""
+"""Measurement of memory and processor time, and series of costs."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -21,12 +21,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Series:
-    """What a probe varies and measures.
+    """Costs that a probe measured at several sizes.
 
     Attributes:
         name: Name of the slope.
         unit: Unit of the slope.
-        source: Where the costs come from.
+        source: Origin of the costs.
         points: Cost at each size.
     """
 
@@ -36,13 +36,16 @@
     points: tuple[slopes.Point, ...]
 
     def fit(self) -> slopes.Slope:
-        """Returns the slope of the line through the points."""
+        """Returns the slope of the line fitted through the points."""
         return slopes.fit(
             self.name, self.unit, self.source, self.points, COMMAND, today()
         )
 
     def constant(self) -> slopes.Slope:
-        """Returns a slope with the cost at the largest size as its value."""
+        """Returns the cost at the largest size as a slope.
+
+        Meant for costs that don't depend on the size.
+        """
         largest = max(self.points, key=lambda point: point.size)
         return slopes.Slope(
             name=self.name,
@@ -56,15 +59,15 @@
 
 
 def today() -> str:
-    """Returns the date of the run."""
+    """Returns the current UTC date in ISO format."""
     return datetime.datetime.now(datetime.UTC).date().isoformat()
 
 
 def memory_bytes(build: Callable[[], Subject]) -> float:
-    """Returns the memory that a subject keeps, in bytes.
+    """Returns the memory that an object retains, in bytes.
 
     Args:
-        build: Builds the subject; it must not keep it anywhere else.
+        build: Builds the object; it must not keep another reference to it.
     """
     gc.collect()
     tracemalloc.start()
@@ -73,7 +76,7 @@
     gc.collect()
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    # Kept until here, so that the reading includes it.
+    # Deleted only here, so that the measurement includes it.
     del subject
     return float(after - before)
 
@@ -81,19 +84,19 @@
 def processor_us(
     prepare: Callable[[], Subject], work: Callable[[Subject], None]
 ) -> float:
-    """Returns the median processor time of work in microseconds.
+    """Returns the median processor time of a piece of work in microseconds.
 
     Args:
-        prepare: Returns what one repeat works on; not counted.
-        work: The work.
+        prepare: Returns the input of one repeat; not included in the time.
+        work: The work to measure.
     """
-    found = []
+    times_us = []
     for _ in range(REPEATS):
         subject = prepare()
         start_s = time.process_time()
         work(subject)
-        found.append((time.process_time() - start_s) * US_PER_S)
-    return statistics.median(found)
+        times_us.append((time.process_time() - start_s) * US_PER_S)
+    return statistics.median(times_us)
 
 
 def series(
@@ -103,13 +106,13 @@
     sizes: Sequence[int],
     measure: Callable[[int], float],
 ) -> Series:
-    """Measures one cost at several sizes.
+    """Measures a cost at several sizes.
 
     Args:
         name: Name of the slope.
         unit: Unit of the slope.
-        source: Where the costs come from.
-        sizes: The sizes.
+        source: Origin of the costs.
+        sizes: Sizes to measure.
         measure: Returns the cost at a size.
     """
     points = tuple(slopes.Point(size, measure(size)) for size in sizes)
--- a/packages/lab/src/tamarack_lab/capacity/probes/relays.py
+++ b/packages/lab/src/tamarack_lab/capacity/probes/relays.py
@@ -1,4 +1,4 @@
-"""Cost of a relay with several numbers of children."""
+"""Costs of a relay with different numbers of children."""
 
 import functools
 import time
@@ -21,43 +21,50 @@
 DURATION_S = 30
 CHANGE_INTERVAL_S = 1.25
 CHANGES = 22
-# A host asks every 2 s, upstream and a neighbour in turn.
-ASK_INTERVAL_S = 4.0
+# A host offers its version every 2 s, alternately to its upstream source and
+# to a neighbor, so a relay gets an offer from each child every 4 s.
+OFFER_INTERVAL_S = 4.0
 DATAGRAM_HEADER_BYTES = 28
 WALL_MS = 1_800_000_000_000
 SEED = 1
 
 
 class Relay:
-    """A relay whose children ask for versions while these change.
+    """Relay whose children fetch versions that may change meanwhile.
 
     Attributes:
         node: State of the relay.
-        held: Version that each child holds, by host name.
-        sent_bytes: Bytes sent, with headers.
-        received_bytes: Bytes received, with headers.
+        versions: Version that each child holds, by host name.
+        sent_bytes: Bytes sent, including headers.
+        received_bytes: Bytes received, including headers.
         processor_s: Processor time in seconds.
     """
 
-    __slots__ = ("held", "node", "processor_s", "received_bytes", "sent_bytes")
+    __slots__ = (
+        "node",
+        "processor_s",
+        "received_bytes",
+        "sent_bytes",
+        "versions",
+    )
 
     def __init__(self, children: int) -> None:
-        """Creates a relay that holds a configuration.
+        """Initializes the relay with a configuration.
 
         Args:
-            children: Number of hosts that ask it.
+            children: Number of hosts that fetch from the relay.
         """
         plan = assembly.Plan(
             _peer("relay", 0), frozenset((assembly.Role.RELAY,)), SEED
         )
         self.node = assembly.assemble(plan)
-        self.held = {_name(number): 1 for number in range(children)}
+        self.versions = {_name(number): 1 for number in range(children)}
         self.sent_bytes = 0
         self.received_bytes = 0
         self.processor_s = 0.0
         reducer.reduce(self.node, events.Started(0.0, WALL_MS))
         document = configurations.configuration_of(SERVICES)
-        self._take(0.0, _peer("voter", 1), distribution.Snapshot(document))
+        self._deliver(0.0, _peer("voter", 1), distribution.Snapshot(document))
         self.sent_bytes = 0
         self.received_bytes = 0
         self.processor_s = 0.0
@@ -67,89 +74,89 @@
         return self.sent_bytes + self.received_bytes
 
     def run(self, changes: bool) -> None:
-        """Lets children ask for `DURATION_S`.
+        """Delivers version offers of the children for `DURATION_S`.
 
         Args:
-            changes: Whether versions change `CHANGES` times meanwhile.
+            changes: Whether the version changes `CHANGES` times meanwhile.
         """
-        agenda: list[tuple[float, int]] = [
+        schedule: list[tuple[float, int]] = [
             (CHANGE_INTERVAL_S * number, -1)
             for number in range(1, CHANGES + 1)
             if changes
         ]
-        count = len(self.held)
-        agenda += [
-            (ASK_INTERVAL_S * (turn + child / count), child)
-            for turn in range(int(DURATION_S / ASK_INTERVAL_S))
+        count = len(self.versions)
+        schedule += [
+            (OFFER_INTERVAL_S * (round_number + child / count), child)
+            for round_number in range(int(DURATION_S / OFFER_INTERVAL_S))
             for child in range(count)
         ]
         version = 1
-        for now_s, child in sorted(agenda):
+        for now_s, child in sorted(schedule):
             if child < 0:
-                self._change(now_s, version)
+                self._deliver_change(now_s, version)
                 version += 1
             else:
-                self._ask(now_s, child)
+                self._deliver_version_offer(now_s, child)
 
-    def _change(self, now_s: float, version: int) -> None:
+    def _deliver_change(self, now_s: float, version: int) -> None:
         """Delivers the next version from upstream."""
         changes: dict[str, configuration.Service | None] = {
             f"service-{version:05}": configurations.service(version, cost=2.0)
         }
         delta = distribution.Delta(version, version + 1, changes)
-        self._take(now_s, _peer("voter", 1), delta)
+        self._deliver(now_s, _peer("voter", 1), delta)
 
-    def _ask(self, now_s: float, child: int) -> None:
-        """Lets a child ask for what it lacks."""
+    def _deliver_version_offer(self, now_s: float, child: int) -> None:
+        """Delivers a child's version offer, which requests newer versions."""
         name = _name(child)
-        offer = distribution.VersionOffer(self.held[name], WALL_MS, True)
-        self._take(now_s, _peer(name, child), offer)
+        offer = distribution.VersionOffer(self.versions[name], WALL_MS, True)
+        self._deliver(now_s, _peer(name, child), offer)
 
-    def _take(
+    def _deliver(
         self, now_s: float, sender: peers.Peer, message: messages.Message
     ) -> None:
-        """Hands a message to the relay and counts what follows."""
+        """Delivers a message to the relay and counts its costs."""
         self.received_bytes += _size(sender, message)
         start_s = time.process_time()
-        found = reducer.reduce(
+        result = reducer.reduce(
             self.node, events.MessageArrived(now_s, sender, message)
         )
         self.processor_s += time.process_time() - start_s
-        for effect in found:
+        for effect in result:
             if isinstance(effect, effects.SendMessage):
-                self._send(effect)
+                self._count_sent(effect)
 
-    def _send(self, effect: effects.SendMessage) -> None:
-        """Counts a message and lets the child hold what it carries."""
-        me = self.node.context.host
-        self.sent_bytes += _size(me, effect.message)
+    def _count_sent(self, effect: effects.SendMessage) -> None:
+        """Counts a message from the relay and updates the child's version."""
+        relay = self.node.context.host
+        self.sent_bytes += _size(relay, effect.message)
         if isinstance(effect.message, distribution.Delta):
-            self.held[effect.peer.host] = effect.message.version
+            self.versions[effect.peer.host] = effect.message.version
 
 
 def probe() -> list[slopes.Slope]:
-    """Returns the slopes of this module."""
-    quiet = {count: _run(count, changes=False) for count in CHILDREN}
-    busy = {count: _run(count, changes=True) for count in CHILDREN}
+    """Returns the slopes that this module measures."""
+    idle = {count: _run(count, changes=False) for count in CHILDREN}
+    changing = {count: _run(count, changes=True) for count in CHILDREN}
     idle_traffic = [
         slopes.Point(count, relay.traffic_bytes() / DURATION_S)
-        for count, relay in quiet.items()
+        for count, relay in idle.items()
     ]
     change_traffic = [
         slopes.Point(
             count,
-            (relay.traffic_bytes() - quiet[count].traffic_bytes()) / CHANGES,
+            (relay.traffic_bytes() - idle[count].traffic_bytes()) / CHANGES,
         )
-        for count, relay in busy.items()
+        for count, relay in changing.items()
     ]
     change_time = [
         slopes.Point(
             count,
-            (relay.processor_s - quiet[count].processor_s)
+            (relay.processor_s - idle[count].processor_s)
             * measurement.US_PER_S
             / CHANGES,
         )
-        for count, relay in busy.items()
+        for count, relay in changing.items()
     ]
     counted = slopes.Source.COUNTED
     time_fit = measurement.Series(
@@ -185,21 +192,21 @@
 
 
 def _run(children: int, changes: bool) -> Relay:
-    """Returns a relay after a run, with versions that change or not."""
+    """Returns a relay after a run with or without version changes."""
     relay = Relay(children)
     relay.run(changes)
     return relay
 
 
 def _size(sender: peers.Peer, message: messages.Message) -> int:
-    """Returns the bytes of a message on the wire."""
+    """Returns the size of a message on the wire in bytes."""
     envelope = messages.Envelope(sender, timeline.Stamp(WALL_MS, 0), (message,))
     return len(messages.encode(envelope)) + DATAGRAM_HEADER_BYTES
 
 
 @functools.cache
 def _peer(name: str, number: int) -> peers.Peer:
-    """Returns a host."""
+    """Returns the host of a name and number."""
     high, low = divmod(number, 256)
     endpoint = peers.Endpoint(f"10.255.{high}.{low}", 7000)
     return peers.Peer(name, "probe", endpoint, None)
--- a/packages/lab/src/tamarack_lab/capacity/render.py
+++ b/packages/lab/src/tamarack_lab/capacity/render.py
@@ -1,4 +1,4 @@
-"""Tables of the capacity model."""
+"""Renders the results of the capacity model as Markdown tables."""
 
 from collections.abc import Sequence
 
@@ -15,7 +15,7 @@
 
 
 def report(targets: sizes.TargetsFile, slopes: slopes_lib.SlopeFile) -> str:
-    """Returns all tables as Markdown.
+    """Returns all tables in Markdown.
 
     Args:
         targets: Sizes and budget.
@@ -35,7 +35,7 @@
 
 
 def _totals(targets: sizes.TargetsFile, values: dict[str, float]) -> str:
-    """Returns the sums of all sizes."""
+    """Returns the table of totals of all sizes."""
     rows = [
         [
             size.name,
@@ -49,12 +49,12 @@
         for size in targets.sizes
         for total in model.totals(model.terms(size, values), targets.budget)
     ]
-    heads = ("size", "role", "resource", "cost", "budget", "", "largest term")
-    return _table(heads, rows)
+    headers = ("size", "role", "resource", "cost", "budget", "", "largest term")
+    return _table(headers, rows)
 
 
 def _terms(terms: Sequence[model.Term]) -> str:
-    """Returns the terms of one size."""
+    """Returns the table of terms of one size."""
     rows = [
         [
             term.role,
@@ -69,7 +69,7 @@
 
 
 def _bursts(bursts: Sequence[bursts_lib.Burst]) -> str:
-    """Returns the bursts at the largest size."""
+    """Returns the table of bursts."""
     rows = [
         [
             burst.name,
@@ -79,12 +79,12 @@
         ]
         for burst in bursts
     ]
-    heads = ("burst", "bytes to one host", "at the budget", "meaning")
-    return _table(heads, rows)
+    headers = ("burst", "bytes to one host", "at the budget", "meaning")
+    return _table(headers, rows)
 
 
 def _slopes(slopes: Sequence[slopes_lib.Slope]) -> str:
-    """Returns the slopes with their sources."""
+    """Returns the table of slopes with their sources."""
     rows = [
         [
             slope.name,
@@ -97,16 +97,24 @@
         ]
         for slope in slopes
     ]
-    heads = ("slope", "value", "unit", "source", "residual", "command", "date")
-    return _table(heads, rows)
+    headers = (
+        "slope",
+        "value",
+        "unit",
+        "source",
+        "residual",
+        "command",
+        "date",
+    )
+    return _table(headers, rows)
 
 
 def format_amount(resource: model.Resource, amount: float) -> str:
     """Returns an amount with its unit.
 
     Args:
-        resource: What is spent.
-        amount: Bytes, share of a core, or bytes a second.
+        resource: Resource that determines the unit.
+        amount: Bytes, share of a core, or bytes per second.
     """
     match resource:
         case model.Resource.MEMORY:
@@ -117,8 +125,8 @@
             return f"{amount / KILOBYTE:,.3f} KB/s"
 
 
-def _table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+def _table(headers: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Returns a Markdown table."""
     return tabulate.tabulate(
-        rows, headers=heads, tablefmt="github", disable_numparse=True
+        rows, headers=headers, tablefmt="github", disable_numparse=True
     )
--- a/packages/lab/src/tamarack_lab/capacity/sizes.py
+++ b/packages/lab/src/tamarack_lab/capacity/sizes.py
@@ -1,4 +1,4 @@
-"""Sizes of a system and the budgets of its hosts."""
+"""System sizes and the budget of a host."""
 
 import pathlib
 
@@ -12,18 +12,18 @@
 
     Attributes:
         name: Name of the size.
-        hosts: Entry hosts.
-        targets: Targets.
-        addresses: Service addresses; one service has one address.
-        flows: Open flows.
-        openings_per_s: New flows a second.
-        regions: Regions.
-        domains: Failure domains.
-        changes_per_day: Configuration changes a day.
-        host_failures_per_day: Entry hosts that fail a day.
-        host_restarts_per_day: Entry hosts restarted or replaced a day.
-        voters: Control hosts that vote.
-        relays: Hosts that pass configurations on.
+        hosts: Number of entry hosts.
+        targets: Number of targets.
+        addresses: Number of service addresses; a service has one address.
+        flows: Number of open flows.
+        openings_per_s: New flows per second.
+        regions: Number of regions.
+        domains: Number of failure domains.
+        changes_per_day: Configuration changes per day.
+        host_failures_per_day: Entry hosts that fail per day.
+        host_restarts_per_day: Entry hosts restarted or replaced per day.
+        voters: Number of voting control hosts.
+        relays: Number of hosts that relay configurations.
     """
 
     name: str
@@ -42,12 +42,12 @@
 
     @property
     def hosts_per_domain(self) -> float:
-        """Entry hosts of one failure domain."""
+        """Entry hosts per failure domain."""
         return self.hosts / self.domains
 
     @property
     def targets_per_domain(self) -> float:
-        """Targets of one failure domain."""
+        """Targets per failure domain."""
         return self.targets / self.domains
 
     @property
@@ -57,35 +57,35 @@
 
     @property
     def openings_per_host(self) -> float:
-        """New flows a second that one entry host owns."""
+        """New flows per second that one entry host owns."""
         return self.openings_per_s / self.hosts
 
     @property
     def changes_per_s(self) -> float:
-        """Configuration changes a second."""
+        """Configuration changes per second."""
         return self.changes_per_day / SECONDS_PER_DAY
 
     @property
     def children_per_relay(self) -> float:
-        """Entry hosts that fetch from one relay."""
+        """Entry hosts that fetch the configuration from one relay."""
         return self.hosts / max(self.relays, 1)
 
     @property
     def membership_changes_per_domain(self) -> float:
-        """Entry hosts a second that leave or join one failure domain."""
+        """Entry hosts per second that leave or join one failure domain."""
         daily = 2 * (self.host_failures_per_day + self.host_restarts_per_day)
         return daily / SECONDS_PER_DAY / self.domains
 
 
 class Budget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a host may spend for control.
+    """Resources that a host may consume for control work.
 
     Attributes:
         processor_share: Share of a core.
         memory_bytes: Resident memory in bytes.
-        bytes_per_s: Bytes a second, sent and received.
-        in_force_s: Seconds until a configuration is in force everywhere.
-        control_hosts: Hosts that may be set aside for control.
+        bytes_per_s: Bytes per second, sent and received.
+        in_force_s: Seconds until a configuration is in force on all hosts.
+        control_hosts: Number of hosts that may be dedicated to control.
     """
 
     processor_share: float
@@ -96,11 +96,11 @@
 
 
 class TargetsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Sizes to compute and the budget to hold them against.
+    """Sizes to compute and the budget to compare them with.
 
     Attributes:
-        budget: What a host may spend for control.
-        sizes: Sizes from today's to the target.
+        budget: Resources that a host may consume for control work.
+        sizes: Sizes in ascending order, from today's to the target size.
     """
 
     budget: Budget
@@ -111,10 +111,11 @@
     """Returns the sizes in a file.
 
     Args:
-        path: The file.
+        path: Path of the JSON file.
 
     Raises:
-        msgspec.ValidationError: The file has another form; names the field.
+        msgspec.ValidationError: A field is missing, unknown or of another
+            type; the message names it.
         OSError: The file can't be read.
     """
     return msgspec.json.decode(path.read_bytes(), type=TargetsFile)
--- a/packages/lab/src/tamarack_lab/capacity/slopes.py
+++ b/packages/lab/src/tamarack_lab/capacity/slopes.py
@@ -1,4 +1,4 @@
-"""Slopes: what one more of something costs a role."""
+"""Slopes: marginal costs of a role per additional unit."""
 
 from collections.abc import Sequence
 import enum
@@ -11,7 +11,7 @@
 
 
 class Source(enum.StrEnum):
-    """Where the value of a slope comes from."""
+    """Origin of the value of a slope."""
 
     MEASURED = "measured"
     COUNTED = "counted"
@@ -19,19 +19,19 @@
 
 
 class Slope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Cost of one more unit.
+    """Marginal cost of one unit.
 
     Attributes:
-        name: Name that the model refers to.
+        name: Name that the model uses.
         value: Cost of one unit.
         unit: Unit of the value.
-        source: Measured (time or memory), counted (bytes or messages that the
-            effects of the core hold) or estimated.
+        source: Measured (time or memory), counted (bytes or messages in the
+            effects of the core) or estimated.
         intercept: Cost at size zero, in the same unit.
-        residual: Largest distance of a point from the fit, as a fraction of
-            the largest value; 0 for a slope from one point.
-        sizes: Sizes measured.
-        command: Command that made the value.
+        residual: Largest deviation of a point from the fit, as a fraction of
+            the largest cost; 0 for a slope without a fit.
+        sizes: Sizes that were measured.
+        command: Command that produced the value.
         date: Date of the run.
     """
 
@@ -47,7 +47,7 @@
 
 
 class SlopeFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The committed slopes.
+    """Contents of a slopes file.
 
     Attributes:
         slopes: All slopes.
@@ -64,10 +64,11 @@
     """Returns the slopes in a file.
 
     Args:
-        path: File in the form that `save` writes.
+        path: File in the format that `save` writes.
 
     Raises:
-        msgspec.ValidationError: The file has another form.
+        msgspec.ValidationError: A field is missing, unknown or of another
+            type.
         OSError: The file can't be read.
     """
     return msgspec.json.decode(path.read_bytes(), type=SlopeFile)
@@ -78,7 +79,7 @@
 
     Args:
         slopes: The slopes.
-        path: The file; its folder is made.
+        path: Output file; its folder is created if it is missing.
     """
     path.parent.mkdir(parents=True, exist_ok=True)
     data = msgspec.json.encode(SlopeFile(tuple(slopes)))
@@ -90,7 +91,7 @@
 
     Attributes:
         size: Number of units.
-        cost: Median cost of the repeats.
+        cost: Cost at this size; the median if the measurement was repeated.
     """
 
     size: int
@@ -105,12 +106,12 @@
     command: str,
     date: str,
 ) -> Slope:
-    """Returns the slope of a line through points by least squares.
+    """Fits a line through points by least squares and returns its slope.
 
     Args:
         name: Name of the slope.
         unit: Unit of the slope.
-        source: Where the costs come from.
+        source: Origin of the costs.
         points: At least two points of different size.
         command: Command that measured the points.
         date: Date of the run.
@@ -119,7 +120,9 @@
         ValueError: There are fewer than two points.
     """
     if len(points) < 2:
-        raise ValueError(f"{name}: {len(points)} points; measure two or more")
+        raise ValueError(
+            f"{name}: {len(points)} points; a fit needs at least two"
+        )
     line = statistics.linear_regression(
         [point.size for point in points], [point.cost for point in points]
     )
--- a/packages/lab/src/tamarack_lab/capacity/slopes_command.py
+++ b/packages/lab/src/tamarack_lab/capacity/slopes_command.py
@@ -22,22 +22,22 @@
     "--output",
     type=click.Path(path_type=pathlib.Path),
     default=pathlib.Path("out/slopes.json"),
-    help="File for the slopes.",
+    help="Output file in JSON.",
 )
 @click.option(
     "--commit",
     is_flag=True,
-    help="Also replace the committed slopes that were measured.",
+    help="Also update the committed slopes with the new values.",
 )
 def slopes(output: pathlib.Path, commit: bool) -> None:
-    """Measures what one more of something costs each role.
+    """Measures the marginal cost per unit for each role.
 
     Example: tamarack lab slopes --output out/slopes.json
     """
-    found = [slope for probe in PROBES for slope in _run(probe)]
-    slopes_lib.save(found, output)
+    fitted = [slope for probe in PROBES for slope in _run(probe)]
+    slopes_lib.save(fitted, output)
     if commit:
-        measured = {slope.name: slope for slope in found}
+        measured = {slope.name: slope for slope in fitted}
         known = {slope.name: slope for slope in slopes_lib.load().slopes}
         merged = {**known, **measured}
         slopes_lib.save(tuple(merged.values()), slopes_lib.DATA_FILE)
@@ -46,12 +46,12 @@
 def _run(
     probe: Callable[[], list[slopes_lib.Slope]],
 ) -> list[slopes_lib.Slope]:
-    """Runs a probe and prints its fits."""
-    found = probe()
-    for slope in found:
+    """Runs a probe and prints its slopes."""
+    fitted = probe()
+    for slope in fitted:
         click.echo(
             f"{slope.name}: {slope.value:,.3f} {slope.unit}"
             f" ({slope.source}, sizes {list(slope.sizes)},"
             f" residual {slope.residual:.1%})"
         )
-    return found
+    return fitted
--- a/packages/lab/src/tamarack_lab/commands.py
+++ b/packages/lab/src/tamarack_lab/commands.py
@@ -1,4 +1,4 @@
-"""Commands that the lab adds to `tamarack`."""
+"""Command group that the lab package adds to `tamarack`."""
 
 import click
 
--- a/packages/lab/src/tamarack_lab/consensus_costs.py
+++ b/packages/lab/src/tamarack_lab/consensus_costs.py
@@ -1,7 +1,7 @@
-"""Measures what the replicated log costs, on the fake network.
+"""Measures the costs of the replicated log on a simulated network.
 
-Messages and bytes are counted exactly from the effects; times between hosts
-are fake; processor time is that of this process.
+Messages and bytes are counted exactly from the effects. Times between hosts
+are simulated; processor time is that of this process.
 """
 
 import json
@@ -24,7 +24,7 @@
 IDLE_S = 600.0
 COMMANDS = 1000
 COMMAND_BYTES = 300
-# At 0.8 patches a second, the rate of 69,000 changes a day.
+# 0.8 patches per second, which is 69,000 changes per day.
 COMMAND_INTERVAL_S = 1.25
 BURST_COMMANDS = 20
 ISOLATION_S = 600.0
@@ -35,13 +35,13 @@
 
 
 class CommandCosts(msgspec.Struct, frozen=True):
-    """Costs of one command beyond those of an idle log.
+    """Costs of one command above those of an idle log.
 
     Attributes:
-        messages: Messages of all hosts.
-        leader_bytes: Bytes that the leader sends.
+        messages: Messages sent by all hosts.
+        leader_bytes: Bytes sent by the leader.
         writes: Synced writes of all hosts.
-        commit_p50_ms: Median fake time from proposal to commit, in ms.
+        commit_p50_ms: Median simulated time from proposal to commit, in ms.
     """
 
     messages: float
@@ -51,22 +51,24 @@
 
 
 class Costs(msgspec.Struct, frozen=True):
-    """Costs of a log with one number of voters.
+    """Costs of a log with a given number of voters.
 
     Attributes:
         voters: Number of voters.
-        idle_messages_s: Messages sent a second by all, without commands.
-        idle_leader_bytes_s: Bytes sent a second by the leader, idle.
-        idle_follower_bytes_s: Bytes sent a second by one follower, idle.
+        idle_messages_s: Messages per second sent by all hosts when idle.
+        idle_leader_bytes_s: Bytes per second sent by the leader when idle.
+        idle_follower_bytes_s: Mean bytes per second sent by a follower when
+            idle.
         steady: Costs of a command at a steady rate.
         burst: Costs of a command in a burst.
-        cpu_us: Processor time a command and replica, in microseconds, with
-            that of the fake network and of counting.
-        election_p50_s: Median fake time from the loss of the leader to the
-            next leader, in seconds.
+        cpu_us: Processor time per command and replica in microseconds,
+            including that of the simulated network.
+        election_p50_s: Median simulated time from the crash of the leader to
+            the election of the next, in seconds.
         election_max_s: Longest such time.
-        return_terms: Terms begun when a follower returns from isolation.
-        return_commit_max_ms: Longest commit while it returns, fake time.
+        return_terms: Terms started when a follower returns from isolation.
+        return_commit_max_ms: Longest time from proposal to commit while it
+            returns, simulated, in ms.
     """
 
     voters: int
@@ -82,14 +84,14 @@
     return_commit_max_ms: float
 
 
-class Meter:
-    """Counts the effects of all hosts of a network.
+class EffectCounter:
+    """Counts the effects of all hosts of a simulated network.
 
     Attributes:
-        network: The network.
+        network: The observed network.
         messages: Messages sent by all hosts.
-        bytes_by_host: Bytes sent, by host, one envelope for each message.
-        writes: Writes of all hosts.
+        bytes_by_host: Bytes sent by host, with one envelope per message.
+        writes: Synced writes of all hosts.
         applied_s: Times at which the leader applied a command.
     """
 
@@ -102,7 +104,7 @@
     )
 
     def __init__(self, network: replica_network.ReplicaNetwork) -> None:
-        """Starts to observe a network."""
+        """Initializes the counter and registers it as the observer."""
         self.network = network
         self.reset()
         network.observer = self.observe
@@ -140,14 +142,14 @@
         self.bytes_by_host[host.peer.host] += size_bytes
 
 
-def _started(seed: int, voters: int) -> replica_network.ReplicaNetwork:
+def _start_network(seed: int, voters: int) -> replica_network.ReplicaNetwork:
     network = replica_network.ReplicaNetwork(seed, voters)
     network.start()
     network.run_for(SETTLE_S)
     return network
 
 
-def _leader(
+def _require_leader(
     network: replica_network.ReplicaNetwork,
 ) -> replica_network.ReplicaHost:
     leader = network.leader()
@@ -157,7 +159,7 @@
 
 
 def _propose(network: replica_network.ReplicaNetwork, count: int) -> None:
-    leader = _leader(network)
+    leader = _require_leader(network)
     generator = random.Random(network.now_s)
     for _ in range(count):
         command = generator.randbytes(COMMAND_BYTES)
@@ -170,7 +172,7 @@
 def _run_commands(
     network: replica_network.ReplicaNetwork, burst: int
 ) -> list[float]:
-    """Proposes all commands in bursts and returns the commit times in s."""
+    """Proposes all commands in bursts and returns the times of proposal."""
     proposed_s: list[float] = []
     for _ in range(COMMANDS // burst):
         proposed_s += [network.now_s] * burst
@@ -180,35 +182,38 @@
 
 
 def _command_costs(
-    meter: Meter, burst: int, idle_messages_s: float, idle_bytes_s: float
+    counter: EffectCounter,
+    burst: int,
+    idle_messages_s: float,
+    idle_bytes_s: float,
 ) -> CommandCosts:
-    meter.reset()
-    leader = _leader(meter.network).peer.host
+    counter.reset()
+    leader = _require_leader(counter.network).peer.host
     duration_s = COMMANDS * COMMAND_INTERVAL_S
-    proposed_s = _run_commands(meter.network, burst)
-    times_s = zip(proposed_s, meter.applied_s, strict=True)
-    leader_bytes = meter.bytes_by_host[leader] - idle_bytes_s * duration_s
+    proposed_s = _run_commands(counter.network, burst)
+    times_s = zip(proposed_s, counter.applied_s, strict=True)
+    leader_bytes = counter.bytes_by_host[leader] - idle_bytes_s * duration_s
     return CommandCosts(
-        (meter.messages - idle_messages_s * duration_s) / COMMANDS,
+        (counter.messages - idle_messages_s * duration_s) / COMMANDS,
         leader_bytes / COMMANDS,
-        meter.writes / COMMANDS,
-        statistics.median((end - begin) * 1000 for begin, end in times_s),
+        counter.writes / COMMANDS,
+        statistics.median((end - start) * 1000 for start, end in times_s),
     )
 
 
 def _measure(voters: int, seed: int) -> Costs:
-    network = _started(seed, voters)
-    meter = Meter(network)
-    leader = _leader(network).peer.host
+    network = _start_network(seed, voters)
+    counter = EffectCounter(network)
+    leader = _require_leader(network).peer.host
     network.run_for(IDLE_S)
-    messages_s = meter.messages / IDLE_S
-    bytes_s = {host: n / IDLE_S for host, n in meter.bytes_by_host.items()}
+    messages_s = counter.messages / IDLE_S
+    bytes_s = {host: n / IDLE_S for host, n in counter.bytes_by_host.items()}
     steady, burst = (
-        _command_costs(meter, size, messages_s, bytes_s[leader])
+        _command_costs(counter, size, messages_s, bytes_s[leader])
         for size in (1, BURST_COMMANDS)
     )
     elections_s = [_election_s(voters, seed + i) for i in range(ELECTIONS)]
-    return_terms, return_commit_max_ms = _return(voters, seed)
+    return_terms, return_commit_max_ms = _measure_follower_return(voters, seed)
     followers = [size for host, size in bytes_s.items() if host != leader]
     return Costs(
         voters,
@@ -225,28 +230,35 @@
     )
 
 
-def _return(voters: int, seed: int) -> tuple[int, float]:
-    """Isolates a follower for long; returns what its return costs."""
-    network = _started(seed, voters)
-    meter = Meter(network)
-    leader = _leader(network)
+def _measure_follower_return(voters: int, seed: int) -> tuple[int, float]:
+    """Measures the return of a follower after a long isolation.
+
+    Returns:
+        The number of terms started, and the longest time from proposal to
+        commit in ms.
+    """
+    network = _start_network(seed, voters)
+    counter = EffectCounter(network)
+    leader = _require_leader(network)
     term = leader.replica.state.term
-    away = next(host for host in network.hosts.values() if host is not leader)
-    network.isolate(away.peer.host)
+    isolated = next(
+        host for host in network.hosts.values() if host is not leader
+    )
+    network.isolate(isolated.peer.host)
     _run_for(network, ISOLATION_S)
     network.cuts.clear()
-    meter.reset()
+    counter.reset()
     proposed_s = _run_for(network, RETURN_S)
-    times_s = zip(proposed_s, meter.applied_s, strict=True)
-    longest_s = max(end - begin for begin, end in times_s)
-    rise = _leader(network).replica.state.term - term
-    return rise, longest_s * 1000
+    times_s = zip(proposed_s, counter.applied_s, strict=True)
+    longest_s = max(end - start for start, end in times_s)
+    new_terms = _require_leader(network).replica.state.term - term
+    return new_terms, longest_s * 1000
 
 
 def _run_for(
     network: replica_network.ReplicaNetwork, duration_s: float
 ) -> list[float]:
-    """Proposes at the steady rate and returns the times of proposal."""
+    """Proposes commands at the steady rate and returns the proposal times."""
     proposed_s: list[float] = []
     for _ in range(int(duration_s / COMMAND_INTERVAL_S)):
         proposed_s.append(network.now_s)
@@ -256,35 +268,35 @@
 
 
 def _cpu_us(voters: int, seed: int) -> float:
-    network = _started(seed, voters)
-    begun_s = time.process_time()
+    network = _start_network(seed, voters)
+    start_s = time.process_time()
     for _ in range(COMMANDS):
         _propose(network, 1)
         network.run_for(0.1)
-    spent_s = time.process_time() - begun_s
+    spent_s = time.process_time() - start_s
     return spent_s / COMMANDS / voters * 1_000_000
 
 
 def _election_s(voters: int, seed: int) -> float:
-    network = _started(seed, voters)
-    old = _leader(network)
-    begun_s = network.now_s
+    network = _start_network(seed, voters)
+    old = _require_leader(network)
+    start_s = network.now_s
     network.crash(old.peer.host)
     while network.leader() is None:
         network.run_for(ELECTION_STEP_S)
-        if network.now_s - begun_s > ELECTION_LIMIT_S:
-            raise click.ClickException(f"no leader with seed {seed}")
-    return network.now_s - begun_s
+        if network.now_s - start_s > ELECTION_LIMIT_S:
+            raise click.ClickException(f"no leader elected with seed {seed}")
+    return network.now_s - start_s
 
 
 @click.command("consensus-costs")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--output", type=click.Path(path_type=pathlib.Path))
 def consensus_costs(seed: int, output: pathlib.Path | None) -> None:
-    """Measures messages, bytes and times of the replicated log."""
+    """Measures messages, bytes and latencies of the replicated log."""
     rows = [_measure(voters, seed) for voters in VOTER_COUNTS]
-    built = json.dumps(msgspec.to_builtins(rows), indent=1)
-    click.echo(built)
+    encoded = json.dumps(msgspec.to_builtins(rows), indent=1)
+    click.echo(encoded)
     if output is not None:
         output.parent.mkdir(parents=True, exist_ok=True)
-        output.write_text(built + "\n")
+        output.write_text(encoded + "\n")
--- a/packages/lab/src/tamarack_lab/demo/__init__.py
+++ b/packages/lab/src/tamarack_lab/demo/__init__.py
@@ -1,1 +1,1 @@
-"""Demonstration: both users' deployments through a kill and a drain."""
+"""Demonstration of two deployments with a host failure and a drain."""
--- a/packages/lab/src/tamarack_lab/demo/command.py
+++ b/packages/lab/src/tamarack_lab/demo/command.py
@@ -23,26 +23,31 @@
     "--only",
     type=click.Choice(sorted(_PLANS)),
     multiple=True,
-    help="Deployment to run; all without it.",
+    help="Deployment to run; may be repeated. Default: all.",
+)
+@click.option(
+    "--seed",
+    default=1,
+    show_default=True,
+    help="Seed of the random generators.",
 )
-@click.option("--seed", default=1, show_default=True, help="Seed of chance.")
 @click.option(
     "--folder",
     type=click.Path(path_type=pathlib.Path),
-    help="Folder for settings and logs; a temporary one without it.",
+    help="Folder for settings and logs. Default: a temporary folder.",
 )
 def demo(only: tuple[str, ...], seed: int, folder: pathlib.Path | None) -> None:
-    """Runs two deployments on loopback through a kill, a drain and a patch.
+    """Runs two deployments on loopback with a kill, a drain and a patch.
 
     Example: tamarack lab demo --only asociacion
     """
-    chosen = [_PLANS[name] for name in only or _PLANS]
+    selected = [_PLANS[name] for name in only or _PLANS]
     with tempfile.TemporaryDirectory(prefix="tamarack-demo-") as temporary:
         base = folder or pathlib.Path(temporary)
         try:
-            outcomes = asyncio.run(_run(chosen, base, seed))
+            outcomes = asyncio.run(_run(selected, base, seed))
         except (deployments.DeploymentError, TimeoutError) as error:
-            click.echo(f"the demo failed: {error or 'out of time'}", err=True)
+            click.echo(f"the demo failed: {error or 'timed out'}", err=True)
             sys.exit(EXIT_BROKEN)
     for outcome in outcomes:
         click.echo("\n" + summary.render(outcome))
@@ -51,25 +56,30 @@
         click.echo(f"BROKEN  {problem}", err=True)
     if problems:
         sys.exit(EXIT_BROKEN)
-    click.echo("\nnothing that must hold was broken")
+    click.echo("\nno violations found")
 
 
 async def _run(
-    chosen: list[plans.DeploymentPlan], base: pathlib.Path, seed: int
+    selected: list[plans.DeploymentPlan], base: pathlib.Path, seed: int
 ) -> list[summary.Outcome]:
-    """Runs the demonstrations side by side."""
+    """Runs the demonstrations concurrently.
+
+    Raises:
+        DeploymentError: A demonstration failed; raised after all have ended.
+        TimeoutError: The demonstrations took longer than `TIMEOUT_S`.
+    """
     demos = []
     ports = port_allocators.PortAllocator()
-    for plan in chosen:
+    for plan in selected:
         folder = base / plan.name
         folder.mkdir(parents=True, exist_ok=True)
         demos.append(scenario.Demo(plan, folder, seed, ports, click.echo))
     async with asyncio.timeout(TIMEOUT_S):
-        found = await asyncio.gather(
+        results = await asyncio.gather(
             *(demo.run() for demo in demos), return_exceptions=True
         )
     outcomes = []
-    for result in found:
+    for result in results:
         if isinstance(result, BaseException):
             raise result
         outcomes.append(result)
--- a/packages/lab/src/tamarack_lab/demo/scenario.py
+++ b/packages/lab/src/tamarack_lab/demo/scenario.py
@@ -1,4 +1,4 @@
-"""Course of a demonstration."""
+"""Scenario of a demonstration."""
 
 import asyncio
 from collections.abc import Callable
@@ -17,22 +17,22 @@
 
 LOAD_S = 20.0
 GRACE_S = 8.0
-# The fabric notices a dead entry host after this time.
+# Time in which the fabric detects a dead entry host.
 WITHDRAW_S = 0.5
 
-Show = Callable[[str], None]
+ProgressCallback = Callable[[str], None]
 
 
 class Demo:
-    """Takes one deployment through a kill, a drain and a patch.
+    """Runs one deployment through a host failure, a drain and a patch.
 
     Attributes:
         deployment: The deployment.
-        show: Shows a line of progress.
+        on_progress: Called with each line of progress.
         started_s: Monotonic time of the start in seconds.
     """
 
-    __slots__ = ("deployment", "show", "started_s")
+    __slots__ = ("deployment", "on_progress", "started_s")
 
     def __init__(
         self,
@@ -40,47 +40,47 @@
         folder: pathlib.Path,
         seed: int,
         ports: port_allocators.PortAllocator,
-        show: Show,
+        on_progress: ProgressCallback,
     ) -> None:
-        """Creates a demonstration that isn't started.
+        """Initializes the demonstration without starting it.
 
         Args:
-            plan: The deployment.
+            plan: Plan of the deployment.
             folder: Folder of settings, logs and state; must exist.
-            seed: Seed of all chance.
-            ports: Gives out free ports.
-            show: Shows a line of progress.
+            seed: Seed of all random generators.
+            ports: Allocates free ports.
+            on_progress: Called with each line of progress.
         """
         layout = layouts.build(plan, str(folder), seed, ports)
         self.deployment = deployments.Deployment(layout, folder)
-        self.show = show
+        self.on_progress = on_progress
         self.started_s = time.monotonic()
 
-    def say(self, text: str) -> None:
-        """Shows progress with the time since the start."""
+    def _report_progress(self, text: str) -> None:
+        """Reports progress with the time since the start."""
         elapsed_s = time.monotonic() - self.started_s
         name = self.deployment.layout.plan.name
-        self.show(f"{elapsed_s:5.1f} s  {name}: {text}")
+        self.on_progress(f"{elapsed_s:5.1f} s  {name}: {text}")
 
     async def run(self) -> summary.Outcome:
         """Runs the demonstration and stops all its processes.
 
         Raises:
-            DeploymentError: A step could not be taken.
+            DeploymentError: A step failed.
         """
         try:
             outcome = await self._run_steps()
         finally:
             statuses = await self.deployment.close()
         outcome.exit_statuses = statuses
-        self.say("all processes have stopped")
+        self._report_progress("all processes have stopped")
         return outcome
 
     async def _run_steps(self) -> summary.Outcome:
-        """Takes the steps in order."""
+        """Runs the steps in order and collects the outcome."""
         deployment = self.deployment
         await self._start()
-        self.say("callers open connections")
+        self._report_progress("callers open connections")
         await deployment.start_callers(LOAD_S, GRACE_S)
         await asyncio.sleep(LOAD_S * 0.2)
         await self._replace_entry()
@@ -94,9 +94,9 @@
                 }
                 for service in deployment.layout.plan.services
             ],
-            "value evenness more",
+            "increase the weight of imbalance",
         )
-        self.say("waiting for the callers to finish")
+        self._report_progress("waiting for the callers to finish")
         callers = await deployment.finish_callers(LOAD_S + GRACE_S + 5.0)
         return summary.Outcome(
             name=deployment.layout.plan.name,
@@ -107,10 +107,10 @@
         )
 
     async def _start(self) -> None:
-        """Starts everything but the callers."""
+        """Starts all processes except the callers."""
         deployment = self.deployment
         layout = deployment.layout
-        self.say(
+        self._report_progress(
             f"starting the fabric, {len(layout.controls)} control hosts and "
             f"{len(layout.entries)} entry hosts"
         )
@@ -123,34 +123,36 @@
             ],
             "create the services",
         )
-        self.say(f"starting {len(layout.members())} targets")
+        self._report_progress(f"starting {len(layout.members())} targets")
         await deployment.start_targets()
 
     async def _patch(self, operations: list[dict[str, Any]], note: str) -> None:
         """Submits a patch and waits until it is in force."""
-        found = await self.deployment.submit(operations, note)
-        if found.state is not requests.PatchState.ACCEPTED:
+        verdict = await self.deployment.submit(operations, note)
+        if verdict.state is not requests.PatchState.ACCEPTED:
             raise deployments.DeploymentError(
-                f"patch {found.state}: {found.reason}"
+                f"patch {verdict.state}: {verdict.reason}"
             )
         await self.deployment.wait_version()
-        self.say(f"version {found.version} is in force everywhere: {note}")
+        self._report_progress(
+            f"version {verdict.version} is in force everywhere: {note}"
+        )
 
     async def _replace_entry(self) -> None:
-        """Kills an entry host and starts another in its place."""
+        """Kills an entry host and starts a replacement."""
         deployment = self.deployment
-        lost = deployment.layout.entries[0]
-        self.say(f"killing {lost.host}")
-        await deployment.kill_entry(lost)
+        killed = deployment.layout.entries[0]
+        self._report_progress(f"killing {killed.host}")
+        await deployment.kill_entry(killed)
         await asyncio.sleep(WITHDRAW_S)
-        await deployment.withdraw_entry(lost)
-        name = f"{lost.host}-new"
-        self.say(f"starting {name} in its place")
-        await deployment.replace_entry(lost, name)
-        self.say(f"{name} takes packets")
+        await deployment.withdraw_entry(killed)
+        name = f"{killed.host}-new"
+        self._report_progress(f"starting {name} in its place")
+        await deployment.replace_entry(killed, name)
+        self._report_progress(f"{name} receives packets")
 
     async def _drain(self, address: str) -> None:
-        """Drains a target and lets the callers go on for a while."""
-        self.say(f"draining target {address}")
+        """Drains a target and waits for the end of its drain period."""
+        self._report_progress(f"draining target {address}")
         await self.deployment.drain_target(address)
         await asyncio.sleep(summary.DRAIN_S)
--- a/packages/lab/src/tamarack_lab/demo/summary.py
+++ b/packages/lab/src/tamarack_lab/demo/summary.py
@@ -1,4 +1,4 @@
-"""Summary of a demonstration and the verdict on it."""
+"""Summary of a demonstration and the violations found in it."""
 
 import collections
 from collections.abc import Iterator
@@ -11,13 +11,13 @@
 from tamarack_lab.caller import report as reports
 from tamarack_lab.target import server as servers
 
-# A leaving target gets no new work after this time.
+# Time after which a draining target must get no new connection.
 DRAIN_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """What was seen of one deployment.
+    """Observations of one deployment.
 
     Attributes:
         name: Name of the deployment.
@@ -25,7 +25,7 @@
         targets: Final reports of the targets.
         version: Last accepted version of the configuration.
         versions: Versions in force by failure domain.
-        exit_statuses: Exit status of each process that was stopped.
+        exit_statuses: Exit status by name of each process that was stopped.
     """
 
     name: str
@@ -36,7 +36,7 @@
     exit_statuses: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def problems(self) -> list[str]:
-        """Returns what must hold and did not."""
+        """Returns the violations as one line each."""
         return [
             f"{self.name}: {problem}"
             for problem in (
@@ -47,46 +47,48 @@
         ]
 
     def _caller_problems(self) -> Iterator[str]:
-        """Yields what the callers saw and should not have seen."""
+        """Yields the violations that the callers observed."""
         for load in self.callers.loads:
-            where = f"{load.service}/{load.work_class}"
+            load_name = f"{load.service}/{load.work_class}"
             if not load.opened:
-                yield f"{where}: no connection was opened"
+                yield f"{load_name}: no connection was opened"
             if load.broken:
-                yield f"{where}: broken connections {load.broken}"
+                yield f"{load_name}: broken connections {load.broken}"
             if load.refused:
-                yield f"{where}: refused connections {load.refused}"
+                yield f"{load_name}: refused connections {load.refused}"
             if load.open:
-                yield f"{where}: {load.open} connections did not end"
+                yield f"{load_name}: {load.open} connections did not end"
             if load.wrong_service or load.mixed_up:
                 yield (
-                    f"{where}: {load.wrong_service} answers of a wrong "
+                    f"{load_name}: {load.wrong_service} answers of a wrong "
                     f"service, {load.mixed_up} to a wrong request"
                 )
         if self.callers.unreadable:
             yield f"callers: unreadable packets {self.callers.unreadable}"
 
     def _target_problems(self) -> Iterator[str]:
-        """Yields what the targets saw and should not have seen."""
+        """Yields the violations that the targets observed."""
         for target in self.targets:
             if target.repeated:
                 yield f"{target.address}: {target.repeated} requests ran twice"
-            late = [found for found in target.late if found.after_s > DRAIN_S]
+            late = [
+                opening for opening in target.late if opening.after_s > DRAIN_S
+            ]
             if late:
                 yield f"{target.address}: connections after its drain: {late}"
 
     def _system_problems(self) -> Iterator[str]:
-        """Yields what the hosts did and should not have done."""
+        """Yields wrong versions and failed processes."""
         for domain, versions in self.versions.items():
             if set(versions) != {self.version}:
-                yield f"{domain}: versions {versions}, not {self.version}"
+                yield f"{domain}: versions {versions}, expected {self.version}"
         for name, status in self.exit_statuses.items():
             if status:
                 yield f"{name}: exit status {status}"
 
 
 def imbalance(targets: list[servers.TargetReport]) -> float:
-    """Returns the work of the busiest target by that of the mean one."""
+    """Returns the work of the busiest target divided by the mean work."""
     work = [target.work for target in targets]
     mean = sum(work) / len(work) if work else 0.0
     return max(work) / mean if mean else 0.0
@@ -95,8 +97,8 @@
 def imbalance_in_domains(targets: list[servers.TargetReport]) -> float:
     """Returns the highest imbalance within a failure domain.
 
-    The callers of a failure domain reach its own targets only, so that domains
-    with fewer targets have more work for each.
+    The callers of a failure domain reach only the targets of that domain, so
+    the targets of a domain with fewer of them have more work each.
     """
     ordered = sorted(targets, key=lambda target: target.domain)
     groups = itertools.groupby(ordered, key=lambda target: target.domain)
@@ -104,7 +106,7 @@
 
 
 def render(outcome: Outcome) -> str:
-    """Returns the summary as tables."""
+    """Returns the summary of a deployment as tables."""
     return "\n".join(
         (
             f"== {outcome.name}",
@@ -118,7 +120,7 @@
 
 
 def _render_loads(callers: reports.CallerReport) -> str:
-    """Returns the table of what the callers saw."""
+    """Returns the table of the callers' results."""
     rows = [
         (
             load.service,
@@ -148,12 +150,12 @@
 
 
 def _render_services(outcome: Outcome) -> str:
-    """Returns the table of how even the work was."""
+    """Returns the table of the work distribution over targets."""
     by_service: dict[str, list[servers.TargetReport]] = collections.defaultdict(
         list
     )
     for target in outcome.targets:
-        # A drained target has had less work on purpose.
+        # A drained target has less work by design.
         if target.state is requests.TargetState.READY:
             by_service[target.service].append(target)
     rows = [
@@ -177,7 +179,7 @@
 
 
 def _render_versions(outcome: Outcome) -> str:
-    """Returns the table of versions."""
+    """Returns the table of versions in force."""
     rows = [
         (domain, " ".join(str(version) for version in versions))
         for domain, versions in sorted(outcome.versions.items())
--- a/packages/lab/src/tamarack_lab/exchange.py
+++ b/packages/lab/src/tamarack_lab/exchange.py
@@ -1,7 +1,8 @@
 """Requests of the caller stand-in and answers of the target stand-in.
 
-Each is one line of JSON. An answer repeats what it answers and names who
-answers, so that a caller sees an answer that isn't its own.
+Each message is one line of JSON. An answer repeats the id of its request and
+names the target, so that a caller detects an answer to another request or from
+a wrong service.
 """
 
 from collections.abc import Iterator
@@ -15,11 +16,11 @@
 
 
 class Request(msgspec.Struct, frozen=True):
-    """A request.
+    """Request of a caller.
 
     Attributes:
-        id: Identifier that no other request has.
-        answer_bytes: Length of the filling that the answer must have.
+        id: Unique identifier of the request.
+        answer_bytes: Length of the filling in the answer.
     """
 
     id: str
@@ -27,14 +28,14 @@
 
 
 class Answer(msgspec.Struct, frozen=True):
-    """An answer.
+    """Answer of a target.
 
     Attributes:
         id: Identifier of the request.
         service: Service of the target.
-        work_class: Work class of the port that took the request.
+        work_class: Work class of the port that received the request.
         target: Address of the target.
-        filling: Text that makes the answer as long as requested.
+        filling: Padding of the requested length.
     """
 
     id: str
@@ -45,39 +46,39 @@
 
 
 def encode(message: Request | Answer) -> bytes:
-    """Returns the line of a message."""
+    """Returns a message as a line of JSON."""
     return msgspec.json.encode(message) + _LINE_END
 
 
 class LineReader(Generic[T]):
-    """Cuts a byte stream into messages.
+    """Splits a byte stream into messages.
 
     Attributes:
-        form: Type of the messages.
-        rest: Bytes after the last whole line.
+        message_type: Type of the messages.
+        remainder: Bytes after the last complete line.
     """
 
-    __slots__ = ("form", "rest")
+    __slots__ = ("message_type", "remainder")
 
-    def __init__(self, form: type[T]) -> None:
-        """Starts with an empty stream.
+    def __init__(self, message_type: type[T]) -> None:
+        """Initializes the reader of an empty stream.
 
         Args:
-            form: Type of the messages.
+            message_type: Type of the messages.
         """
-        self.form: type[T] = form
-        self.rest = bytearray()
+        self.message_type: type[T] = message_type
+        self.remainder = bytearray()
 
     def feed(self, data: bytes) -> Iterator[T]:
         """Yields the messages that `data` completes.
 
         Raises:
-            msgspec.DecodeError: A line is not such a message.
+            msgspec.DecodeError: A line is not a message of this type.
         """
-        self.rest += data
+        self.remainder += data
         if _LINE_END not in data:
             return
-        *lines, rest = bytes(self.rest).split(_LINE_END)
-        self.rest = bytearray(rest)
+        *lines, remainder = bytes(self.remainder).split(_LINE_END)
+        self.remainder = bytearray(remainder)
         for line in lines:
-            yield msgspec.json.decode(line, type=self.form)
+            yield msgspec.json.decode(line, type=self.message_type)
--- a/packages/lab/src/tamarack_lab/naive/__init__.py
+++ b/packages/lab/src/tamarack_lab/naive/__init__.py
@@ -1,1 +1,5 @@
-"""The naive version: hash modulo the local list, with local limits."""
+"""Naive load balancer, the baseline of the experiments.
+
+It chooses targets by hash modulo the local target list and enforces limits
+per host.
+"""
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -1,4 +1,4 @@
-"""Choice of a target by hash modulo the local list."""
+"""Choice of a target by flow hash modulo the local target list."""
 
 import hashlib
 
@@ -11,19 +11,19 @@
 
 
 class NaiveChooser:
-    """Gives each flow the target at its hash modulo the local list.
+    """Chooses the target at the flow's hash modulo the local target list.
 
-    Each host limits the concurrent connections of a class by itself, to its
-    even part of the limit.
+    Each host enforces an even part of the concurrent connection limit of a
+    work class, without coordination with other hosts.
 
     Attributes:
-        targets: Announced targets as this host knows them.
+        targets: Announced targets that this host knows.
         hosts: Number of entry hosts of a failure domain.
         domains: Number of failure domains that divide a limit.
-        concurrent: Open connections of this host by service port.
+        connection_counts: Open connections of this host by service port.
     """
 
-    __slots__ = ("concurrent", "domains", "hosts", "targets")
+    __slots__ = ("connection_counts", "domains", "hosts", "targets")
 
     def __init__(
         self,
@@ -31,44 +31,49 @@
         hosts: int,
         domains: int = 1,
     ) -> None:
-        """Creates a chooser.
+        """Initializes the chooser.
 
         Args:
-            targets: Announced targets as this host knows them.
+            targets: Announced targets that this host knows.
             hosts: Number of entry hosts of a failure domain.
             domains: Number of failure domains that divide a limit.
         """
         self.domains = domains
         self.targets = targets
         self.hosts = hosts
-        self.concurrent: dict[tuple[bytes, int], int] = {}
+        self.connection_counts: dict[tuple[bytes, int], int] = {}
 
     def choose(
         self, now_s: float, opening: target_choice.Opening
     ) -> target_choice.Choice | target_choice.Refusal:
-        """Returns the target for a connection, or the refusal of it."""
+        """Returns the target for a connection, or a refusal."""
         port = opening.port
         ready = self.targets.ready(now_s, port.service, len(port.address))
         if not ready:
             return target_choice.Refusal(verdict.not_run("no-ready-target"))
         key = (port.address, port.port)
-        count = self.concurrent.get(key, 0)
+        count = self.connection_counts.get(key, 0)
         limit = port.settings.max_concurrent
         if limit and count >= limit // (self.hosts * self.domains):
             return target_choice.Refusal(verdict.not_run("local-limit"))
-        self.concurrent[key] = count + 1
+        self.connection_counts[key] = count + 1
         digest = hashlib.blake2b(opening.flow, digest_size=_DIGEST_BYTES)
         index = int.from_bytes(digest.digest(), "big") % len(ready)
         return target_choice.Choice(sorted(ready)[index])
 
     def may_retry(self, now_s: float, port: lookup.ServicePort) -> bool:
-        """Returns True; there is no budget."""
+        """Returns True: the naive version has no retry budget."""
         return True
 
     def observe(
         self, now_s: float, observation: target_choice.Observation
     ) -> None:
-        """Counts a closed connection; nothing else matters to the hash."""
+        """Decrements the connection count when a connection closes.
+
+        Other observations don't affect the hash.
+        """
         if observation.progress in target_choice.FINAL_PROGRESS:
             key = (observation.port.address, observation.port.port)
-            self.concurrent[key] = max(0, self.concurrent.get(key, 0) - 1)
+            self.connection_counts[key] = max(
+                0, self.connection_counts.get(key, 0) - 1
+            )
--- a/packages/lab/src/tamarack_lab/naive/data_path.py
+++ b/packages/lab/src/tamarack_lab/naive/data_path.py
@@ -1,4 +1,4 @@
-"""Data path of the naive version: no record of any flow."""
+"""Data path of the naive version, which keeps no flow table."""
 
 from tamarack_core import effects
 from tamarack_core import events
@@ -14,11 +14,11 @@
 
 
 class NaiveDataPath:
-    """Part that hashes each packet anew.
+    """Component that chooses the target of each packet by hash.
 
     Attributes:
         config_store: Configuration in force.
-        chooser: Hash modulo the local list.
+        chooser: Chooses targets by hash modulo the local list.
     """
 
     __slots__ = ("chooser", "config_store")
@@ -28,18 +28,18 @@
         config_store: configuration_store.ConfigurationStore,
         chooser: target_choice.Chooser,
     ) -> None:
-        """Creates the part."""
+        """Initializes the data path."""
         self.config_store = config_store
         self.chooser = chooser
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
-        """Returns the handlers of this part."""
+        """Returns the event handlers by key."""
         return {events.DatagramArrived: self.handle_datagram}
 
     def handle_datagram(
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
-        """Rewrites a packet and sends it on."""
+        """Rewrites a packet and forwards it; ignores other datagrams."""
         datagram = geneve.decapsulate(event.data)
         if isinstance(datagram, failure.Failure):
             return []
@@ -48,16 +48,19 @@
             return []
         port = self.config_store.lookup.find_inbound(packet)
         if port is not None:
-            return self._carry_in(event.now_s, packet, port)
+            return self._forward_inbound(event.now_s, packet, port)
         port = self.config_store.lookup.find_outbound(packet)
         if port is None:
             return []
         return _send(rewrite.source(packet, port.address, port.port))
 
-    def _carry_in(
+    def _forward_inbound(
         self, now_s: float, packet: ip.Packet, port: lookup.ServicePort
     ) -> list[effects.Effect]:
-        """Sends a caller's packet where the hash says."""
+        """Forwards a caller's packet to the target that its hash selects.
+
+        A refused packet is replied to with a reset.
+        """
         opening = target_choice.Opening(lookup.flow_key(packet), port)
         choice = self.chooser.choose(now_s, opening)
         if isinstance(choice, target_choice.Refusal):
@@ -67,5 +70,5 @@
 
 
 def _send(packet: bytes) -> list[effects.Effect]:
-    """Returns the effect that hands a packet to the fabric."""
+    """Returns the effect that sends a packet to the fabric."""
     return [effects.SendDatagram(None, geneve.encapsulate(packet))]
--- a/packages/lab/src/tamarack_lab/process_lifecycle.py
+++ b/packages/lab/src/tamarack_lab/process_lifecycle.py
@@ -1,4 +1,4 @@
-"""Runs a stand-in as a process of its own."""
+"""Start, signal handling and shutdown of a stand-in process."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -10,27 +10,36 @@
 
 
 class Process(Protocol):
-    """A stand-in that can be started and closed."""
+    """Stand-in that can be started and closed."""
 
     async def start(self) -> None:
-        """Binds the sockets; raises OSError when one can't be bound."""
+        """Binds the sockets.
+
+        Raises:
+            OSError: A socket can't be bound.
+        """
 
     async def close(self) -> None:
         """Closes the sockets."""
 
 
 def stop_event() -> asyncio.Event:
-    """Returns an event that SIGTERM and SIGINT set; needs a running loop."""
+    """Returns an event that SIGTERM and SIGINT set.
+
+    Must be called inside a running event loop.
+    """
     event = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, event.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, event.set)
     return event
 
 
 @contextlib.asynccontextmanager
 async def started(process: Process) -> AsyncIterator[None]:
-    """Starts a stand-in and closes it at the end.
+    """Starts a stand-in and closes it when the context ends.
+
+    Prints "ready" to standard error after the start.
 
     Raises:
         click.ClickException: A socket can't be bound.
--- a/packages/lab/src/tamarack_lab/settings.py
+++ b/packages/lab/src/tamarack_lab/settings.py
@@ -11,18 +11,19 @@
 T = TypeVar("T")
 
 
-def load(path: pathlib.Path, form: type[T]) -> T:
+def load(path: pathlib.Path, settings_type: type[T]) -> T:
     """Returns the settings in a JSON file.
 
     Args:
-        path: The file.
-        form: Type of the settings; unknown fields are refused by the type.
+        path: Path of the file.
+        settings_type: Type of the settings; it decides whether unknown fields
+            are errors.
 
     Raises:
-        click.ClickException: The file can't be read or has a bad value.
+        click.ClickException: The file can't be read or a value is invalid.
     """
     try:
-        return msgspec.json.decode(path.read_bytes(), type=form)
+        return msgspec.json.decode(path.read_bytes(), type=settings_type)
     except OSError as error:
         raise click.ClickException(f"{path}: {error.strerror}") from error
     except msgspec.DecodeError as error:
@@ -30,8 +31,8 @@
 
 
 @contextlib.contextmanager
-def problems_shown() -> Iterator[None]:
-    """Turns a bad value into one line for the user.
+def report_value_errors() -> Iterator[None]:
+    """Converts a ValueError in the body to a one-line error for the user.
 
     Raises:
         click.ClickException: The body raised ValueError.
--- a/packages/lab/src/tamarack_lab/stand_in_commands.py
+++ b/packages/lab/src/tamarack_lab/stand_in_commands.py
@@ -1,4 +1,4 @@
-"""Commands that run one stand-in each."""
+"""Commands that each run one stand-in process."""
 
 import asyncio
 import pathlib
@@ -30,7 +30,7 @@
 @click.command()
 @settings_option
 def fabric(settings_file: pathlib.Path) -> None:
-    """Sprays packets over entry hosts until stopped.
+    """Distributes packets over entry hosts until stopped.
 
     Example: tamarack lab fabric --settings fabric.json
     """
@@ -41,7 +41,7 @@
 @click.command()
 @settings_option
 def target(settings_file: pathlib.Path) -> None:
-    """Runs targets; SIGTERM drains them before the process ends.
+    """Runs targets until SIGTERM, then drains them and exits.
 
     Example: tamarack lab target --settings targets.json
     """
@@ -52,7 +52,7 @@
 @click.command()
 @settings_option
 def caller(settings_file: pathlib.Path) -> None:
-    """Opens connections for a time and prints a report in JSON.
+    """Opens connections for a set time and prints a report in JSON.
 
     Example: tamarack lab caller --settings caller.json
     """
@@ -64,7 +64,7 @@
 @click.command()
 @settings_option
 def gateway(settings_file: pathlib.Path) -> None:
-    """Joins ordinary TCP connections to the stand-ins until stopped.
+    """Connects ordinary TCP clients to the stand-ins until stopped.
 
     Example: tamarack lab gateway --settings gateway.json
     """
@@ -75,7 +75,7 @@
 @click.command()
 @settings_option
 def proxy(settings_file: pathlib.Path) -> None:
-    """Carries links between processes and brings about faults.
+    """Relays the links between processes and injects faults into them.
 
     Example: tamarack lab proxy --settings proxy.json
     """
@@ -84,18 +84,18 @@
 
 
 async def _run_fabric(settings: fabric_lib.Settings) -> None:
-    """Runs the fabric until a signal."""
+    """Runs the fabric until SIGTERM or SIGINT."""
     stop = process_lifecycle.stop_event()
-    with settings_lib.problems_shown():
+    with settings_lib.report_value_errors():
         process = fabric_lib.Fabric(settings)
     async with process_lifecycle.started(process):
         await stop.wait()
 
 
 async def _run_target(settings: target_settings.Settings) -> None:
-    """Runs targets until a signal, then drains them."""
+    """Runs targets until SIGTERM or SIGINT, then drains them."""
     stop = process_lifecycle.stop_event()
-    with settings_lib.problems_shown():
+    with settings_lib.report_value_errors():
         process = target_process.TargetProcess(settings)
     async with process_lifecycle.started(process):
         await stop.wait()
@@ -103,18 +103,18 @@
 
 
 async def _run_gateway(settings: gateway_settings.Settings) -> None:
-    """Runs the gateway until a signal."""
+    """Runs the gateway until SIGTERM or SIGINT."""
     stop = process_lifecycle.stop_event()
-    with settings_lib.problems_shown():
+    with settings_lib.report_value_errors():
         process = gateway_process.GatewayProcess(settings)
     async with process_lifecycle.started(process):
         await stop.wait()
 
 
 async def _run_proxy(settings: proxy_settings.Settings) -> None:
-    """Runs the proxy until a signal."""
+    """Runs the proxy until SIGTERM or SIGINT."""
     stop = process_lifecycle.stop_event()
-    with settings_lib.problems_shown():
+    with settings_lib.report_value_errors():
         process = proxy_process.Proxy(settings)
     async with process_lifecycle.started(process):
         await stop.wait()
@@ -123,14 +123,20 @@
 async def _run_caller(
     settings: caller_settings.Settings,
 ) -> msgspec.Struct:
-    """Runs callers to their end, or until a signal."""
+    """Runs callers until they finish, or until SIGTERM or SIGINT.
+
+    Returns:
+        The report of the callers, also after a signal.
+    """
     stop = process_lifecycle.stop_event()
-    with settings_lib.problems_shown():
+    with settings_lib.report_value_errors():
         process = caller_process.CallerProcess(settings)
     async with process_lifecycle.started(process):
-        run = asyncio.create_task(process.run())
-        waiting = asyncio.create_task(stop.wait())
-        await asyncio.wait((run, waiting), return_when=asyncio.FIRST_COMPLETED)
-        waiting.cancel()
-        run.cancel()
+        run_task = asyncio.create_task(process.run())
+        stop_task = asyncio.create_task(stop.wait())
+        await asyncio.wait(
+            (run_task, stop_task), return_when=asyncio.FIRST_COMPLETED
+        )
+        stop_task.cancel()
+        run_task.cancel()
         return process.report()
--- a/packages/lab/src/tamarack_lab/web_server.py
+++ b/packages/lab/src/tamarack_lab/web_server.py
@@ -1,4 +1,4 @@
-"""HTTP interfaces of the stand-ins."""
+"""HTTP servers of the stand-ins."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -15,11 +15,11 @@
 
 @dataclasses.dataclass(slots=True)
 class RunningServer:
-    """A running HTTP interface.
+    """HTTP server that is listening.
 
     Attributes:
-        runner: Ends the interface with its `cleanup`.
-        endpoint: Where it listens.
+        runner: Its `cleanup` stops the server.
+        endpoint: Endpoint that the server listens on.
     """
 
     runner: web.AppRunner
@@ -27,13 +27,13 @@
 
 
 async def serve(
-    application: web.Application, at: peers.Endpoint
+    application: web.Application, endpoint: peers.Endpoint
 ) -> RunningServer:
-    """Starts an HTTP interface.
+    """Starts an HTTP server.
 
     Args:
-        application: What answers.
-        at: Where to listen; port 0 takes a free port.
+        application: Application that handles the requests.
+        endpoint: Endpoint to listen on; port 0 selects a free port.
 
     Raises:
         OSError: The endpoint can't be bound.
@@ -42,30 +42,30 @@
         application, access_log=None, shutdown_timeout=_SHUTDOWN_S
     )
     await runner.setup()
-    site = web.TCPSite(runner, at.address, at.port)
+    site = web.TCPSite(runner, endpoint.address, endpoint.port)
     try:
         await site.start()
     except OSError:
         await runner.cleanup()
         raise
-    name = runner.addresses[0]
-    return RunningServer(runner, peers.Endpoint(name[0], name[1]))
+    bound = runner.addresses[0]
+    return RunningServer(runner, peers.Endpoint(bound[0], bound[1]))
 
 
 def json_response(body: Mapping[str, object] | msgspec.Struct) -> web.Response:
-    """Returns a JSON response."""
+    """Returns a response with the body encoded as JSON."""
     return web.Response(
         body=msgspec.json.encode(body), content_type="application/json"
     )
 
 
-async def read_json(request: web.Request, form: type[T]) -> T:
-    """Returns the JSON body of a request.
+async def read_json(request: web.Request, body_type: type[T]) -> T:
+    """Returns the decoded JSON body of a request.
 
     Raises:
-        web.HTTPBadRequest: The body is not of the form.
+        web.HTTPBadRequest: The body is not JSON of this type.
     """
     try:
-        return msgspec.json.decode(await request.read(), type=form)
+        return msgspec.json.decode(await request.read(), type=body_type)
     except msgspec.DecodeError as error:
         raise web.HTTPBadRequest(text=str(error)) from error
