--- a/packages/ctl/src/tamarack_ctl/internal/traffic.py
+++ b/packages/ctl/src/tamarack_ctl/internal/traffic.py
@@ -58,9 +58,9 @@
             total["owned_flows"] += view["owned_flows"]
             total["active"] = max(total["active"], view["active"])
             total["held"] = max(total["held"], view["held"])
-    found = [merged[address] for address in sorted(merged)]
-    rows = [_target_row(view) for view in found]
-    output.show(as_json, found, TARGET_HEADERS, rows)
+    views = [merged[address] for address in sorted(merged)]
+    rows = [_target_row(view) for view in views]
+    output.show(as_json, views, TARGET_HEADERS, rows)
 
 
 @click.command(epilog=output.EXIT_CODES_HELP)
@@ -86,7 +86,7 @@
     """
     query = {"service": service, "target": target, "limit": str(limit)}
     responses = _read_all(hosts, "/v1/flows", query)
-    found = [
+    views = [
         {
             **view,
             "host": f"{response.endpoint.address}:{response.endpoint.port}",
@@ -94,8 +94,8 @@
         for response in responses
         for view in response.body["flows"]
     ]
-    rows = [_flow_row(view) for view in found]
-    output.show(as_json, found, FLOW_HEADERS, rows)
+    rows = [_flow_row(view) for view in views]
+    output.show(as_json, views, FLOW_HEADERS, rows)
     if any(response.body["is_cut"] for response in responses):
         click.echo(
             f"tamarack: a host has more than {limit} matching flows; raise"
--- a/packages/lab/src/tamarack_lab/bench/profile.py
+++ b/packages/lab/src/tamarack_lab/bench/profile.py
@@ -25,7 +25,7 @@
 
 
 def run(targets: int) -> str:
-    """Returns the functions with the most time of their own, as text.
+    """Returns a report of the functions with the highest internal time.
 
     Args:
         targets: Number of targets of the service, at most 254.
--- a/packages/lab/src/tamarack_lab/demo/scenario.py
+++ b/packages/lab/src/tamarack_lab/demo/scenario.py
@@ -1,4 +1,4 @@
-"""Scenario of a demonstration."""
+"""Steps of a demonstration: a kill, a drain and patches."""
 
 import asyncio
 from collections.abc import Callable
