--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -1,4 +1,4 @@
-"""An entry host that forwards by cookies, driven by hand."""
+"""Entry host that forwards by cookies; tests feed it events and time."""
 
 import ipaddress
 
@@ -24,7 +24,7 @@
 
 
 class FakeCodec:
-    """Packets as MessagePack, so that a test reads what left the host."""
+    """Codec that writes MessagePack, so that a test can read sent packets."""
 
     def decode(self, data: bytes) -> flow_packets.FlowPacket | failure.Failure:
         """Returns the packet in a datagram."""
@@ -37,20 +37,20 @@
     def encode_forward(
         self, packet: flow_packets.FlowPacket, target: str, cookie: int
     ) -> bytes:
-        """Returns who gets the packet, and its tag."""
+        """Returns an encoded record of the target and its cookie."""
         return msgspec.msgpack.encode(["forward", target, cookie])
 
     def encode_reset(
         self, key: flow_packets.FlowKey, acknowledged: int
     ) -> tuple[peers.Endpoint, bytes]:
-        """Returns a reset for the caller."""
+        """Returns the endpoint of the caller and an encoded reset."""
         address = str(ipaddress.IPv4Address(key[0]))
         endpoint = peers.Endpoint(address, CALLER_PORT)
         return endpoint, msgspec.msgpack.encode(["reset"])
 
 
 def flow(number: int) -> tuple[int, int, int, int]:
-    """Returns the key of a flow to the service."""
+    """Returns the key of the flow with a number to the service."""
     service = int(ipaddress.IPv4Address(SERVICE_ADDRESS))
     return (0x64400000 + number, 40000 + number, service, SERVICE_PORT)
 
@@ -93,7 +93,7 @@
     port: int = 80,
     slots: int = 2,
 ) -> target_announcement.Announcement:
-    """Returns an announcement."""
+    """Returns an announcement of a target."""
     return target_announcement.Announcement(
         name=name,
         born_ms=born_ms,
@@ -126,21 +126,21 @@
 
 
 def control(name: str, domain: str = DOMAIN) -> peers.Peer:
-    """Returns a control host."""
+    """Returns the peer of a control host."""
     last = sum(name.encode()) % 250 + 1
     return peers.Peer(name, domain, peers.Endpoint(f"10.9.0.{last}", 7000))
 
 
 class CookieHost:
-    """An entry host with a clock that the test moves.
+    """Entry host with a clock that the test advances.
 
     Attributes:
         now_s: Time in seconds.
         node: State of the host.
-        sent: Messages that left, by receiver.
-        records: Time line entries.
+        sent: Messages that the host sent, in order.
+        records: Time line entries that the host recorded.
         probes: Probes that the host sent.
-        resets: Endpoints of the callers that were sent a reset.
+        resets: Endpoints of the callers to which a reset was sent.
     """
 
     def __init__(
@@ -149,7 +149,7 @@
         """Starts the host.
 
         Args:
-            seed: Seed of its generator.
+            seed: Seed of the random generator of the host.
             controls: Names of the control hosts that its settings name.
         """
         self.now_s = 100.0
@@ -164,9 +164,9 @@
         self.handle(events.Started(self.now_s, 0))
 
     def handle(self, event: events.Event) -> list[effects.Effect]:
-        """Applies an event and returns what it made the host do."""
-        found = reducer.reduce(self.node, event)
-        for effect in found:
+        """Applies an event, records its effects and returns them."""
+        result = reducer.reduce(self.node, event)
+        for effect in result:
             if isinstance(effect, effects.SendMessage):
                 self.sent.append(effect)
             if isinstance(effect, effects.Record):
@@ -174,26 +174,26 @@
             if isinstance(effect, effects.ProbeTarget):
                 self.probes.append(effect)
             if isinstance(effect, effects.SendDatagram):
-                self._note_datagram(effect)
-        return found
+                self._record_reset(effect)
+        return result
 
     @property
     def probed(self) -> list[str]:
-        """Names of the targets that the host asked itself."""
+        """Names of the targets that the host probed, in order."""
         return [probe.target for probe in self.probes]
 
-    def _note_datagram(self, effect: effects.SendDatagram) -> None:
-        """Takes note of a reset."""
+    def _record_reset(self, effect: effects.SendDatagram) -> None:
+        """Records the receiver of a reset."""
         if msgspec.msgpack.decode(effect.data)[0] == "reset":
             assert effect.endpoint is not None
             self.resets.append(effect.endpoint)
 
-    def probe_ends(self, name: str, *, is_answered: bool) -> None:
-        """Ends the probe of a target."""
+    def complete_probe(self, name: str, *, is_answered: bool) -> None:
+        """Delivers the result of the probe of a target."""
         self.handle(events.TargetProbed(self.now_s, name, is_answered))
 
     def tick(self, seconds: float) -> None:
-        """Lets time pass with the timers of the host running."""
+        """Advances the time and fires the periodic timers of the host."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s = min(self.now_s + 0.1, end_s)
@@ -212,7 +212,7 @@
         document: sync.DocumentUpdate | None = None,
         controls: tuple[peers.Peer, ...] = (),
     ) -> None:
-        """Hands over an update of a control host."""
+        """Delivers a sync update of a control host."""
         message = sync.SyncUpdate(
             run=run,
             base=base,
@@ -230,26 +230,30 @@
         peer = sender or control("c1")
         self.handle(events.MessageArrived(self.now_s, peer, message))
 
-    def packet(self, data: bytes) -> list[object]:
-        """Hands over a packet; returns what left for it."""
-        found = self.handle(events.DatagramArrived(self.now_s, data))
-        left = [
+    def deliver(self, data: bytes) -> list[object]:
+        """Delivers a packet; returns the decoded datagram sent for it."""
+        result = self.handle(events.DatagramArrived(self.now_s, data))
+        datagrams = [
             effect
-            for effect in found
+            for effect in result
             if isinstance(effect, effects.SendDatagram)
         ]
-        return msgspec.msgpack.decode(left[0].data) if left else []
+        return msgspec.msgpack.decode(datagrams[0].data) if datagrams else []
 
     def open(self, number: int, copy_number: int = 0) -> str:
-        """Sends an opening; returns the chosen target, or what left."""
-        left = self.packet(
+        """Sends an opening packet.
+
+        Returns:
+            The chosen target; "reset" if it was refused; "" if it was dropped.
+        """
+        sent = self.deliver(
             packet(number, is_opening=True, copy_number=copy_number)
         )
-        if left and left[0] == "forward":
-            return str(left[1])
-        return str(left[0]) if left else ""
+        if sent and sent[0] == "forward":
+            return str(sent[1])
+        return str(sent[0]) if sent else ""
 
-    def carry(
+    def send(
         self,
         number: int,
         name: str,
@@ -258,8 +262,13 @@
         sequence: int = 1,
         payload_bytes: int = 0,
     ) -> str:
-        """Sends a packet of an open flow; returns where it went."""
-        left = self.packet(
+        """Sends a packet of an open flow.
+
+        Returns:
+            The target that got it; "reset" if the flow was reset; "" if the
+            packet was dropped.
+        """
+        sent = self.deliver(
             packet(
                 number,
                 cookie=target_table.tag_of(name),
@@ -268,18 +277,18 @@
                 payload_bytes=payload_bytes,
             )
         )
-        if left and left[0] == "forward":
-            return str(left[1])
-        return str(left[0]) if left else ""
+        if sent and sent[0] == "forward":
+            return str(sent[1])
+        return str(sent[0]) if sent else ""
 
     def is_ready(self) -> bool:
-        """Asks whether the host takes packets."""
-        found = self.handle(
+        """Returns whether the host reports that it is ready for packets."""
+        result = self.handle(
             events.RequestArrived(
                 self.now_s, 1, external_requests.ReadReadiness()
             )
         )
-        answer = found[0]
-        assert isinstance(answer, effects.Respond)
-        assert isinstance(answer.response, external_requests.Readiness)
-        return answer.response.is_ready
+        respond = result[0]
+        assert isinstance(respond, effects.Respond)
+        assert isinstance(respond.response, external_requests.Readiness)
+        return respond.response.is_ready
--- a/tests/cover/test_consensus.py
+++ b/tests/cover/test_consensus.py
@@ -1,4 +1,8 @@
-"""Faults of the replicated log that call for one exact sequence."""
+"""Regression tests of the replicated log.
+
+Each fault here needs an exact sequence of events, which a random simulation
+would rarely produce.
+"""
 
 import copy
 import random
@@ -24,7 +28,7 @@
 
 
 def running(voters=5, spares=0, **options):
-    """Returns a network with a leader."""
+    """Returns a network that has elected a leader."""
     network = replica_network.ReplicaNetwork(SEED, voters, spares, **options)
     network.start()
     network.run_for(ELECTED_S)
@@ -40,13 +44,13 @@
 
 
 def follower(network):
-    """Returns some host that does not lead."""
+    """Returns a host that is not the leader."""
     leader = network.leader()
     return next(h for h in network.hosts.values() if h is not leader)
 
 
 class ElectionTest(testtools.TestCase):
-    """Who leads, and for how long."""
+    """Elections, loss and transfer of the leadership."""
 
     def test_a_single_voter_leads_only_once_its_vote_is_synced(self):
         network = replica_network.ReplicaNetwork(SEED, 1)
@@ -60,14 +64,14 @@
 
     def test_a_host_that_returns_from_isolation_forces_no_election(self):
         network = running()
-        leader, away = network.leader(), follower(network)
+        leader, isolated = network.leader(), follower(network)
         term = leader.replica.state.term
-        network.isolate(away.peer.host)
+        network.isolate(isolated.peer.host)
         network.run_for(LONG_S)
         network.cuts.clear()
         network.run_for(ELECTED_S)
         self.assertIs(leader, network.leader())
-        self.assertEqual(term, away.replica.state.term)
+        self.assertEqual(term, isolated.replica.state.term)
 
     def test_a_leader_without_a_quorum_steps_down(self):
         network = running()
@@ -79,7 +83,7 @@
         self.assertEqual("not-leader", refused.reason)
         self.assertIsNot(old, network.leader())
 
-    def test_a_handover_moves_the_leadership_without_a_timeout(self):
+    def test_a_transfer_moves_the_leadership_without_a_timeout(self):
         network = running()
         old = network.leader()
         propose(network, COMMANDS)
@@ -91,10 +95,10 @@
         self.assertEqual(COMMANDS, len(network.leader().state_machine.commands))
 
 
-class StaleAnswerTest(testtools.TestCase):
-    """Answers that a leader of a later term must not count."""
+class StaleMessageTest(testtools.TestCase):
+    """Stale responses and log entries that must not be counted."""
 
-    def test_an_answer_to_an_earlier_term_confirms_nothing(self):
+    def test_a_response_to_an_earlier_term_confirms_nothing(self):
         network = running(3)
         leader, other = network.leader(), follower(network)
         stale_round = 10**6
@@ -131,9 +135,9 @@
 
 
 class IdentityTest(testtools.TestCase):
-    """Replicas that lost their disk, or got an old one back."""
+    """Replicas whose disk was lost or restored from an old copy."""
 
-    def test_a_disk_that_has_gone_back_is_refused_for_good(self):
+    def test_a_disk_restored_from_an_old_copy_is_refused_for_good(self):
         network = running()
         victim = follower(network)
         old_records = copy.copy(victim.disk.records)
@@ -148,30 +152,33 @@
             self.assertIsInstance(halted, outputs.Halted)
             self.assertEqual("identity-refused", halted.reason)
             network.crash(victim.peer.host)
-            # The second time nobody is there to refuse it again.
+            # The second restart is isolated: the refusal must come from the
+            # host's own disk, as no other host can repeat it.
             network.isolate(victim.peer.host)
 
-    def test_a_host_that_just_came_back_grants_no_vote(self):
+    def test_a_host_that_just_restarted_grants_no_vote(self):
         network = running(3)
-        back, leader = follower(network), network.leader()
+        restarted, leader = follower(network), network.leader()
         term = leader.replica.state.term
-        network.crash(back.peer.host)
+        network.crash(restarted.peer.host)
         network.crash(leader.peer.host)
-        network.restart(back.peer.host)
+        network.restart(restarted.peer.host)
         request = consensus.VoteRequest(
-            consensus.Header(term + 1, leader.incarnation, back.incarnation),
+            consensus.Header(
+                term + 1, leader.incarnation, restarted.incarnation
+            ),
             last_index=COMMANDS,
             last_term=term,
         )
         answers = []
         for wait_s in (0.0, network.parameters.election_timeout_min_s):
-            step = back.replica.handle_message(
+            step = restarted.replica.handle_message(
                 network.now_s + wait_s, leader.peer, request
             )
             answers.append(len(step.effects) > 0)
         self.assertEqual([False, True], answers)
 
-    def test_a_promise_of_an_earlier_term_is_never_given(self):
+    def test_an_acknowledgment_of_an_earlier_term_is_never_sent(self):
         network = running(3)
         target, leader = follower(network), network.leader()
         log = target.replica.state.log
@@ -216,7 +223,7 @@
         self.assertEqual([], step.effects)
         self.assertThat(target.replica.state.term, matchers.LessThan(99))
 
-    def test_an_answer_of_an_unknown_incarnation_is_not_counted(self):
+    def test_a_response_of_an_unknown_incarnation_is_ignored(self):
         network = running(3)
         leader, other = network.leader(), follower(network)
         header = consensus.Header(99, "stranger", leader.incarnation)
@@ -267,8 +274,8 @@
         self.assertEqual("would-lose-quorum", refused.reason)
 
 
-class ChangeTest(testtools.TestCase):
-    """Membership changes that a leader must refuse."""
+class MembershipChangeTest(testtools.TestCase):
+    """Membership changes, and which of them a leader must refuse."""
 
     def change(self, network, kind, incarnation, peer=None):
         leader = network.leader()
@@ -311,7 +318,7 @@
         self.assertEqual([0, 1, COMMANDS + 2], [p.index for p in placed])
         self.assertThat(voters, matchers.HasLength(3))
 
-    def test_a_learner_that_lags_is_not_promoted(self):
+    def test_a_lagging_learner_is_not_promoted(self):
         network = running(3, spares=1)
         spare = network.hosts["control-3"]
         kinds = membership.ChangeKind
@@ -337,29 +344,29 @@
         self.assertEqual("last-voter", refused.reason)
 
 
-class FlowTest(testtools.TestCase):
-    """Slow followers, sizes, and damaged input."""
+class FlowControlTest(testtools.TestCase):
+    """Flow control, size limits and damaged input."""
 
-    def test_a_silent_follower_is_sent_no_more_than_its_window(self):
+    def test_an_unresponsive_follower_is_sent_no_more_than_its_window(self):
         parameters = log_parameters.LogParameters(
             window_bytes=4096, append_bytes=1024
         )
         network = running(parameters=parameters)
-        silent = follower(network)
+        unresponsive = follower(network)
         sent = []
-        network.cuts.add((silent.peer.host, network.leader().peer.host))
+        network.cuts.add((unresponsive.peer.host, network.leader().peer.host))
 
-        def watch(host, step):
+        def observe(host, step):
             sent.extend(
                 len(entry.data)
                 for effect in step.effects
                 if isinstance(effect, effects.SendMessage)
-                and effect.peer == silent.peer
+                and effect.peer == unresponsive.peer
                 and isinstance(effect.message, consensus.AppendRequest)
                 for entry in effect.message.entries
             )
 
-        network.observer = watch
+        network.observer = observe
         leader = network.leader()
         for _ in range(COMMANDS):
             result = leader.replica.propose(network.now_s, b"x" * 512)
@@ -379,18 +386,18 @@
         refused = leader.replica.propose(network.now_s, b"one more")
         self.assertEqual("busy", refused.reason)
 
-    def test_a_forwarded_read_without_an_answer_fails(self):
+    def test_a_forwarded_read_without_a_response_fails(self):
         network = running(3)
-        asking = follower(network)
+        reader = follower(network)
         network.isolate(network.leader().peer.host)
         seen = []
         network.observer = lambda host, step: seen.extend(step.outputs)
-        step = asking.replica.read_index(network.now_s, 5)
-        network.carry_out(asking, step)
+        step = reader.replica.read_index(network.now_s, 5)
+        network.carry_out(reader, step)
         network.run_for(2 * network.parameters.read_timeout_s)
         self.assertIn(outputs.ReadFailed(5, "timeout"), seen)
 
-    def test_a_burst_goes_out_in_few_requests(self):
+    def test_a_burst_is_sent_in_few_requests(self):
         network = running(3)
         receiver = follower(network)
         sent = []
@@ -404,7 +411,8 @@
         propose(network, COMMANDS)
         network.run_for(1.0)
         self.assertEqual(COMMANDS, len(receiver.state_machine.commands))
-        # The first goes alone, all others gather behind it.
+        # The first command is sent alone; all others are batched while that
+        # request is in flight.
         self.assertThat(sent, matchers.HasLength(2))
 
     def test_a_command_beyond_the_limit_is_refused(self):
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -1,4 +1,4 @@
-"""The control role of several hosts on a fake network."""
+"""Several control hosts on a simulated network."""
 
 import json
 
@@ -19,7 +19,7 @@
 
 
 class ControlTest(testtools.TestCase):
-    """Three control hosts give one verdict on each patch."""
+    """Three control hosts agree on one verdict for each patch."""
 
     def setUp(self):
         super().setUp()
@@ -42,21 +42,25 @@
             ]
         )
 
-    def part(self, name):
-        """Returns the control part of a host."""
+    def component(self, name):
+        """Returns the component of a host that handles patches."""
         handlers = self.network.nodes[name].handlers[requests.SubmitPatch]
         return handlers[0].__self__
 
+    def log_state(self, name):
+        """Returns the state of the replicated log at a host."""
+        return self.component(name).replica.state
+
     def leader(self):
         """Returns the name of the host that leads, or None."""
         leading = [
             name
             for name in self.network.nodes
-            if self.part(name).replica.state.is_leader
+            if self.log_state(name).is_leader
         ]
         return leading[0] if len(leading) == 1 else None
 
-    def found(self):
+    def bootstrap(self):
         """Starts all hosts and waits until all of them are voters."""
         for name in self.names:
             self.network.start(name)
@@ -67,9 +71,7 @@
         self.network.run_until(
             lambda: (
                 self.leader() in names
-                and all(
-                    self.part(name).replica.state.is_voter for name in names
-                )
+                and all(self.log_state(name).is_voter for name in names)
             ),
             20.0,
         )
@@ -79,8 +81,8 @@
         leader = self.leader()
         return [name for name in self.network.nodes if name != leader]
 
-    def test_a_follower_hands_a_patch_to_the_leader(self):
-        self.found()
+    def test_a_follower_forwards_a_patch_to_the_leader(self):
+        self.bootstrap()
         verdict = self.network.answer(self.followers()[0], patch("a", 0))
         self.assertEqual((State.ACCEPTED, 1), (verdict.state, verdict.version))
         self.network.run(2.0)
@@ -88,8 +90,8 @@
             read = self.network.answer(name, requests.ReadConfiguration())
             self.assertEqual(1, read.numbered.version)
 
-    def test_a_resend_to_another_host_gets_the_first_answer(self):
-        self.found()
+    def test_a_resend_to_another_host_gets_the_first_verdict(self):
+        self.bootstrap()
         one, other = self.followers()
         first = self.network.answer(one, patch("a", 0))
         self.network.answer(other, patch("b", 1))
@@ -97,18 +99,18 @@
         again = self.network.answer(other, patch("a", 0, is_resend=True))
         self.assertEqual(first, again)
 
-    def test_a_host_without_a_leader_says_no_quorum(self):
-        self.found()
-        lonely = self.followers()[0]
-        self.network.isolate(lonely)
+    def test_a_host_without_a_leader_reports_no_quorum(self):
+        self.bootstrap()
+        isolated = self.followers()[0]
+        self.network.isolate(isolated)
         self.network.run(4.0)
-        verdict = self.network.answer(lonely, patch("a", 0))
+        verdict = self.network.answer(isolated, patch("a", 0))
         self.assertEqual(State.NO_QUORUM, verdict.state)
-        read = self.network.answer(lonely, requests.ReadConfiguration())
+        read = self.network.answer(isolated, requests.ReadConfiguration())
         self.assertEqual("no-quorum", read.reason)
 
-    def test_a_read_whose_question_is_lost_is_asked_again(self):
-        self.found()
+    def test_a_forwarded_read_that_is_lost_is_sent_again(self):
+        self.bootstrap()
         follower = self.followers()[0]
         self.network.cut = {(follower, self.leader())}
         number = self.network.ask(follower, requests.ReadConfiguration())
@@ -118,21 +120,21 @@
         self.assertIsInstance(read, requests.ConfigurationRead)
 
     def test_a_resend_without_a_leader_stays_unknown(self):
-        self.found()
-        lonely = self.followers()[0]
-        self.network.isolate(lonely)
+        self.bootstrap()
+        isolated = self.followers()[0]
+        self.network.isolate(isolated)
         self.network.run(4.0)
-        verdict = self.network.answer(lonely, patch("a", 0, is_resend=True))
+        verdict = self.network.answer(isolated, patch("a", 0, is_resend=True))
         self.assertEqual(State.UNKNOWN, verdict.state)
 
     def test_a_patch_in_the_log_of_an_isolated_leader_is_unknown(self):
-        self.found()
+        self.bootstrap()
         leader = self.leader()
         self.network.isolate(leader)
         verdict = self.network.answer(leader, patch("a", 0))
         self.assertEqual(State.UNKNOWN, verdict.state)
 
-    def test_nothing_is_accepted_before_a_majority_takes_part(self):
+    def test_no_patch_is_accepted_before_all_voters_have_started(self):
         for name in self.names[:2]:
             self.network.start(name)
         verdict = self.network.answer("c0", patch("a", 0))
@@ -142,38 +144,36 @@
         verdict = self.network.answer("c0", patch("a", 0, is_resend=True))
         self.assertEqual(State.ACCEPTED, verdict.state)
 
-    def test_a_founder_that_lost_its_disk_does_not_found_anew(self):
-        self.found()
+    def test_a_founder_that_lost_its_disk_does_not_bootstrap_again(self):
+        self.bootstrap()
         self.network.answer("c1", patch("a", 0))
         self.network.kill("c0", lose_disk=True)
         self.network.start("c0")
         self.network.run(15.0)
-        self.assertFalse(self.part("c0").replica.state.is_voter)
+        self.assertFalse(self.log_state("c0").is_voter)
         verdict = self.network.answer("c1", patch("b", 1))
         self.assertEqual(2, verdict.version)
 
-    def test_a_founder_that_lost_its_disk_early_does_not_found_anew(self):
+    def test_a_founder_that_lost_its_disk_early_does_not_bootstrap_again(self):
         for name in self.names:
             self.network.start(name)
         self.network.run_until(
-            lambda: (
-                len(self.part("c0").replica.state.latest_membership.voters) > 1
-            ),
+            lambda: len(self.log_state("c0").latest_membership.voters) > 1,
             20.0,
         )
         self.network.kill("c0", lose_disk=True)
         self.network.start("c0")
         self.network.run(15.0)
-        self.assertFalse(self.part("c0").replica.state.is_voter)
+        self.assertFalse(self.log_state("c0").is_voter)
 
     def test_a_host_that_lost_its_disk_votes_again_once_removed(self):
-        self.found()
+        self.bootstrap()
         lost = self.followers()[0]
-        before = self.part(lost).disk.incarnation
+        before = self.component(lost).disk.incarnation
         self.network.kill(lost, lose_disk=True)
         self.network.start(lost)
         self.network.run(5.0)
-        self.assertFalse(self.part(lost).replica.state.is_voter)
+        self.assertFalse(self.log_state(lost).is_voter)
         request = requests.ChangeMember(requests.MemberAction.REMOVE, lost)
         refused = self.network.answer(self.followers()[0], request)
         self.assertEqual("not-leader", refused.reason)
@@ -184,10 +184,10 @@
         self.assertEqual(3, len(incarnations))
         self.assertNotIn(before, incarnations)
 
-    def test_five_and_seven_hosts_outlive_the_loss_of_a_minority(self):
+    def test_five_and_seven_hosts_survive_the_loss_of_a_minority(self):
         for count in (1, 5, 7):
             self.create(count)
-            self.found()
+            self.bootstrap()
             self.network.answer("c0", patch("a", 0))
             for _ in range(count // 2):
                 self.network.kill(self.leader())
@@ -199,7 +199,7 @@
             self.assertEqual(1, first.version)
 
     def test_all_hosts_restart_from_their_disks(self):
-        self.found()
+        self.bootstrap()
         first = self.network.answer("c0", patch("a", 0))
         for name in self.names:
             self.network.kill(name)
@@ -208,8 +208,8 @@
         self.wait_for_voters(self.names)
         self.assertEqual(first, self.network.answer("c2", patch("a", 0)))
 
-    def test_a_planned_stop_hands_over_the_leadership(self):
-        self.found()
+    def test_a_graceful_stop_transfers_the_leadership(self):
+        self.bootstrap()
         leader = self.leader()
         event = fake_hosts.events.StopRequested(self.network.now_s)
         self.network.handle(leader, event)
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -1,4 +1,4 @@
-"""Control hosts found, mend and replace their group by themselves."""
+"""Control hosts bootstrap, repair and replace the voters of their group."""
 
 import testtools
 
@@ -9,17 +9,17 @@
 
 
 def started(count=3, tolerated=1, seed=1):
-    """Returns a group with one document."""
+    """Returns a network whose control hosts have published one document."""
     network = group_network.GroupNetwork(count, tolerated, seed)
     network.start_all()
     network.publish(1)
     return network
 
 
-class FoundingTest(testtools.TestCase):
-    """The first start."""
+class BootstrapTest(testtools.TestCase):
+    """Bootstrap of the group at the first start of its hosts."""
 
-    def test_three_seeds_found_one_group(self):
+    def test_three_seeds_bootstrap_one_group(self):
         network = started()
         self.assertEqual({"c1", "c2", "c3"}, network.voters("c1"))
         self.assertEqual(1, len(network.leaders()))
@@ -35,7 +35,7 @@
         self.assertEqual(1, network.read().number)
         self.assertEqual(1, len(network.leaders()))
 
-    def test_one_seed_alone_founds_nothing(self):
+    def test_one_seed_alone_bootstraps_no_group(self):
         network = group_network.GroupNetwork(3)
         network.start("c1", is_first_start=True)
         network.run(20.0)
@@ -44,7 +44,7 @@
         )
         self.assertIsInstance(answer, external_requests.Unavailable)
 
-    def test_hosts_that_restart_with_empty_disks_found_nothing(self):
+    def test_hosts_that_restart_with_empty_disks_bootstrap_no_group(self):
         network = group_network.GroupNetwork(3)
         for host in network.peers:
             network.start(host, is_first_start=False)
@@ -62,7 +62,7 @@
             ).document.number,
         )
 
-    def test_five_vote_where_two_may_be_lost(self):
+    def test_five_hosts_vote_when_two_may_fail(self):
         network = started(count=6, tolerated=2)
         network.run(4.0)
         self.assertEqual(5, len(network.voters("c1")))
@@ -72,8 +72,8 @@
         network.publish(2)
 
 
-class MendingTest(testtools.TestCase):
-    """Hosts that are lost come back, or others take their place."""
+class RepairTest(testtools.TestCase):
+    """Lost hosts return, or other hosts replace them."""
 
     def test_a_host_that_lost_its_disk_votes_again(self):
         network = started()
@@ -86,9 +86,11 @@
         network.publish(2)
 
     def test_an_empty_disk_gets_no_vote_before_it_holds_the_document(self):
-        # One host holds the document, one missed it, one lost its disk.
+        # c2 holds the latest document but is down, c3 was partitioned off when
+        # it was published, and c1 lost its disk. If the empty disk voted, c1
+        # and c3 would elect a leader without the document.
         network = started()
-        network.part(["c3"], ["c1", "c2"])
+        network.partition(["c3"], ["c1", "c2"])
         network.run(3.0)
         network.publish(2)
         network.kill("c1", lose_disk=True)
@@ -109,7 +111,7 @@
         network.kill("c1")
         network.publish(2)
 
-    def test_a_replaced_host_that_comes_back_does_no_harm(self):
+    def test_a_replaced_host_that_returns_does_not_disrupt_the_group(self):
         network = started()
         network.kill("c3")
         network.add(7)
@@ -121,7 +123,7 @@
         network.publish(2)
         self.assertEqual(2, network.read().number)
 
-    def test_a_host_that_waits_takes_the_place_of_one_that_is_lost(self):
+    def test_a_learner_replaces_a_lost_voter(self):
         network = started(count=4)
         network.run(3.0)
         lost = min(network.voters("c1") - network.leaders())
@@ -130,7 +132,7 @@
         self.assertIn("c4", network.voters("c4"))
         self.assertNotIn(lost, network.voters("c4"))
 
-    def test_a_host_whose_seeds_are_gone_finds_its_group_in_its_log(self):
+    def test_a_host_without_live_seeds_finds_its_group_in_its_log(self):
         network = started()
         for lost, new in ((1, 7), (2, 8), (3, 9)):
             network.kill(f"c{lost}", lose_disk=True)
@@ -141,7 +143,7 @@
             network.kill(host)
         network.run(1.0)
         for host in network.peers:
-            # The files still name the first three hosts.
+            # The settings files still name the first three hosts.
             network.seeds_of[host] = network.seeds
             network.start(host)
         network.publish(4)
@@ -152,7 +154,7 @@
         network.kill("c7")
         network.publish(5)
 
-    def test_all_lose_power_and_come_back(self):
+    def test_all_hosts_restart_after_a_power_failure(self):
         network = started()
         network.publish(5)
         for host in list(network.nodes):
@@ -168,7 +170,7 @@
 
 
 class PublishingTest(testtools.TestCase):
-    """Documents under outside numbers."""
+    """Documents whose numbers operators choose."""
 
     def test_the_highest_number_wins_and_a_resend_is_acknowledged(self):
         network = started()
@@ -181,13 +183,13 @@
             self.assertEqual(7, answer.number)
         self.assertEqual(7, network.read().number)
 
-    def test_other_content_under_a_held_number_changes_nothing(self):
+    def test_other_content_under_a_known_number_changes_nothing(self):
         network = started()
         network.publish(4, content="first")
         network.publish(4, content="second")
         self.assertEqual("first", network.read().remainder)
 
-    def test_two_operators_at_once_agree_on_one_content(self):
+    def test_two_concurrent_publish_requests_end_with_one_content(self):
         network = started()
         requests = [
             external_requests.PublishDocument(
@@ -208,7 +210,7 @@
         }
         self.assertEqual({"first"}, contents)
 
-    def test_eight_orders_at_once_end_at_the_highest(self):
+    def test_eight_concurrent_publish_requests_end_at_the_highest(self):
         network = started()
         leader = network.leaders().pop()
         numbers = [
@@ -227,18 +229,18 @@
             )
         self.assertEqual(18, network.read().number)
 
-    def test_a_minority_answers_nothing_it_can_not_know(self):
+    def test_a_minority_serves_no_read_and_no_publish_request(self):
         network = started()
         network.isolate("c1")
         network.run(2.0)
         read = network.try_at("c1", external_requests.ReadDocument())
-        order = network.try_at(
+        publish = network.try_at(
             "c1", external_requests.PublishDocument(group_network.document(2))
         )
-        for answer in (read, order):
+        for answer in (read, publish):
             self.assertIsInstance(answer, external_requests.Unavailable | None)
 
-    def test_a_host_that_was_away_asks_before_it_answers(self):
+    def test_an_isolated_host_serves_no_stale_read_after_its_return(self):
         network = started()
         network.isolate("c1")
         network.publish(6)
@@ -247,7 +249,7 @@
         if isinstance(answer, external_requests.DocumentRead):
             self.assertEqual(6, answer.document.number)
 
-    def test_invalid_documents_are_refused_with_the_reason(self):
+    def test_invalid_documents_are_refused_with_a_reason(self):
         network = started()
         good = group_network.route("a", 443)
         twice = group_network.route("b", 443)
@@ -276,17 +278,17 @@
             self.assertEqual(tuple(kept), network.read().routes)
 
 
-class AnnouncingTest(testtools.TestCase):
+class AnnouncementTest(testtools.TestCase):
     """Targets announce themselves to any control host."""
 
-    def known_at(self, network, host, name):
-        """Returns what a host knows of a target."""
-        part = network.part_of(host, external_requests.AnnounceTarget)
-        record = part.registry.records.get(name)
+    def known_announcement(self, network, host, name):
+        """Returns the announcement that a host holds of a target."""
+        component = network.component_of(host, external_requests.AnnounceTarget)
+        record = component.registry.records.get(name)
         return None if record is None else record.target
 
     def announce(self, network, host, **changes):
-        """Announces a target to a host."""
+        """Announces a target to a control host; returns the response."""
         changes.setdefault("name", "t-1")
         name = changes.pop("name")
         target = group_network.target(name, **changes)
@@ -301,7 +303,7 @@
         )
         network.run(0.05)
         for host in network.peers:
-            phase = self.known_at(network, host, "t-1").phase
+            phase = self.known_announcement(network, host, "t-1").phase
             self.assertEqual(target_announcement.Phase.DRAINING, phase)
 
     def test_a_late_announcement_changes_nothing(self):
@@ -313,9 +315,11 @@
         self.announce(network, "c2", sequence=4)
         network.run(1.0)
         for host in network.peers:
-            self.assertEqual(5, self.known_at(network, host, "t-1").sequence)
+            self.assertEqual(
+                5, self.known_announcement(network, host, "t-1").sequence
+            )
 
-    def test_a_birth_makes_all_earlier_things_void(self):
+    def test_a_restart_of_a_target_supersedes_earlier_announcements(self):
         network = started()
         self.announce(
             network, "c1", sequence=90, phase=target_announcement.Phase.DRAINING
@@ -324,10 +328,10 @@
         self.announce(network, "c1", sequence=1, born_ms=2000)
         network.run(1.0)
         for host in network.peers:
-            known = self.known_at(network, host, "t-1")
+            known = self.known_announcement(network, host, "t-1")
             self.assertEqual((2000, 1), known.order)
 
-    def test_the_dead_are_not_believed_at_an_address_used_again(self):
+    def test_a_target_whose_address_was_reused_stays_gone(self):
         network = started()
         self.announce(network, "c1")
         self.announce(network, "c1", name="t-2", born_ms=2000, service="b")
@@ -335,15 +339,15 @@
         self.announce(network, "c3", sequence=7)
         network.run(1.0)
         for host in network.peers:
-            phase = self.known_at(network, host, "t-1").phase
+            phase = self.known_announcement(network, host, "t-1").phase
             self.assertEqual(target_announcement.Phase.GONE, phase)
 
-    def test_a_silent_target_is_overdue_and_returns(self):
+    def test_a_target_without_announcements_is_overdue_until_the_next(self):
         network = started()
         self.announce(network, "c1")
         network.run(4.0)
-        part = network.part_of("c2", external_requests.AnnounceTarget)
-        self.assertTrue(part.registry.records["t-1"].is_overdue)
+        component = network.component_of("c2", external_requests.AnnounceTarget)
+        self.assertTrue(component.registry.records["t-1"].is_overdue)
         self.announce(network, "c1", sequence=2)
         network.run(1.0)
-        self.assertFalse(part.registry.records["t-1"].is_overdue)
+        self.assertFalse(component.registry.records["t-1"].is_overdue)
--- a/tests/cover/test_lookup.py
+++ b/tests/cover/test_lookup.py
@@ -1,4 +1,4 @@
-"""Lookup tables of the data path."""
+"""Address and port lookup of the data path."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -24,18 +24,18 @@
     )
 
 
-def tables(found):
+def tables(table):
     """Returns the names behind each key of the tables."""
     ports = {
         key: (port.service, port.work_class)
-        for key, port in found.inbound.items()
+        for key, port in table.inbound.items()
     }
-    replies = {key: port.work_class for key, port in found.outbound.items()}
-    return ports, replies, found.networks
+    replies = {key: port.work_class for key, port in table.outbound.items()}
+    return ports, replies, table.networks
 
 
 class LookupTest(testtools.TestCase):
-    """Changes of some services against a table built anew."""
+    """Incremental changes give the same tables as a full rebuild."""
 
     @settings(derandomize=True)
     @given(st.data())
@@ -59,13 +59,13 @@
             self.assertEqual(tables(new), tables(changed))
 
     def test_a_target_belongs_to_the_service_whose_network_holds_it(self):
-        found = lookup.Lookup(
+        table = lookup.Lookup(
             configuration.Configuration(
                 {"agenda": service(1, 16), "informe": service(2, 24)}
             )
         )
         names = [
-            found.find_service(ip.pack_address(address))
+            table.find_service(ip.pack_address(address))
             for address in ("10.1.255.7", "10.2.0.9", "10.2.1.9", "::1")
         ]
         self.assertEqual(["agenda", "informe", "", ""], names)
--- a/tests/cover/test_ownership.py
+++ b/tests/cover/test_ownership.py
@@ -1,4 +1,4 @@
-"""Owners and backups of flows."""
+"""Owner and backups of each flow."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -20,7 +20,7 @@
 
 
 class OwnershipTest(testtools.TestCase):
-    """Order of the members for each flow."""
+    """Order in which the members own or back up a flow."""
 
     def setUp(self):
         super().setUp()
--- a/tests/cover/test_publishing_load.py
+++ b/tests/cover/test_publishing_load.py
@@ -1,4 +1,8 @@
-"""Load: thousands of targets announce themselves at once at a control host."""
+"""Load: thousands of targets announce themselves at once to a control host.
+
+Changes must be pushed in batches, and each must cost the same however many
+targets are registered.
+"""
 
 import testtools
 
@@ -10,12 +14,12 @@
 from tamarack_core.internal.registry import target_registry
 from tests import cookie_host
 
-FOLLOWERS = 60
+SUBSCRIBERS = 60
 OWN = cookie_host.control("c1")
 
 
 class PublishingLoadTest(testtools.TestCase):
-    """What a control host sends while much changes."""
+    """What a control host pushes while many targets change."""
 
     def setUp(self):
         super().setUp()
@@ -23,60 +27,60 @@
         self.registry = target_registry.TargetRegistry(1.2)
         context = context_lib.Context(OWN, 1)
         self.publisher = publishers.Publisher(context, self.registry)
-        for number in range(FOLLOWERS):
-            self.ask(cookie_host.control(f"entry-{number}"))
+        for number in range(SUBSCRIBERS):
+            self.request_sync(cookie_host.control(f"entry-{number}"))
         self.sent = []
         self.timers = 0
 
-    def ask(self, sender, position=0):
-        """Lets a host ask; returns the answer."""
+    def request_sync(self, sender, position=0):
+        """Sends the sync request of a host; returns the response."""
         request = sync.SyncRequest(self.publisher.run, position, 0)
-        found = self.publisher.handle_request(
+        result = self.publisher.handle_request(
             events.MessageArrived(self.now_s, sender, request)
         )
-        return found[0].message
+        return result[0].message
 
-    def take(self, found):
-        """Carries effects out."""
-        for effect in found:
+    def record_effects(self, result):
+        """Records the messages and timers among the effects."""
+        for effect in result:
             if isinstance(effect, effects.SendMessage):
                 self.sent.append(effect)
             if isinstance(effect, effects.StartTimer):
                 self.timers += 1
 
     def announce(self, number):
-        """Lets a target announce itself."""
+        """Stores an announcement of a target and pushes the change."""
         target = cookie_host.target(f"t-{number}", port=1000 + number)
         if self.registry.put(self.now_s, target):
-            self.take(self.publisher.push(self.now_s))
+            self.record_effects(self.publisher.push(self.now_s))
 
-    def fire(self):
-        """Lets the timer of the publisher run out."""
+    def fire_timer(self):
+        """Fires the timer of the publisher."""
         self.now_s += publishers.PUSH_INTERVAL_S
         event = events.TimerFired(self.now_s, publishers.TIMER)
-        self.take(self.publisher.handle_timer(event))
+        self.record_effects(self.publisher.handle_timer(event))
 
     def test_the_first_change_is_pushed_at_once(self):
         self.announce(1)
-        self.assertEqual(FOLLOWERS, len(self.sent))
+        self.assertEqual(SUBSCRIBERS, len(self.sent))
         self.assertEqual(0, self.timers)
 
-    def test_changes_that_follow_are_pushed_together(self):
+    def test_later_changes_are_pushed_together(self):
         for number in range(500):
             self.announce(number)
-        self.assertEqual(FOLLOWERS, len(self.sent))
+        self.assertEqual(SUBSCRIBERS, len(self.sent))
         self.assertEqual(1, self.timers)
-        self.fire()
-        self.assertEqual(2 * FOLLOWERS, len(self.sent))
+        self.fire_timer()
+        self.assertEqual(2 * SUBSCRIBERS, len(self.sent))
         names = {known.target.name for known in self.sent[-1].message.targets}
         self.assertEqual({f"t-{number}" for number in range(1, 500)}, names)
-        # Nothing is left, so that nothing waits.
+        # Nothing is left to push, so that no new timer was started.
         self.assertEqual(1, self.timers)
         self.now_s += 1.0
         self.announce(500)
-        self.assertEqual(3 * FOLLOWERS, len(self.sent))
+        self.assertEqual(3 * SUBSCRIBERS, len(self.sent))
 
-    def test_a_change_costs_no_look_at_all_targets(self):
+    def test_listing_a_change_does_not_scan_all_targets(self):
         for number in range(3000):
             self.registry.put(self.now_s, cookie_host.target(f"t-{number}"))
         for number in range(3000):
@@ -84,13 +88,13 @@
             self.registry.put(self.now_s, target)
         position = self.registry.position
         self.registry.put(self.now_s, cookie_host.target("t-new", port=9999))
-        looked = CountingDict(self.registry.records)
-        self.registry.records = looked
-        found = self.registry.changes_since(position)
-        self.assertEqual(["t-new"], [known.target.name for known in found])
-        self.assertLess(looked.seen, 5)
+        counted_records = CountingDict(self.registry.records)
+        self.registry.records = counted_records
+        result = self.registry.changes_since(position)
+        self.assertEqual(["t-new"], [known.target.name for known in result])
+        self.assertLess(counted_records.read_count, 5)
 
-    def test_the_changes_since_any_position_are_those_after_it(self):
+    def test_changes_since_a_position_are_those_after_it(self):
         for number in range(40):
             name = f"t-{number % 13}"
             target = cookie_host.target(
@@ -103,21 +107,21 @@
                 for record in self.registry.records.values()
                 if record.changed_at > position
             }
-            found = self.registry.changes_since(position)
-            self.assertEqual(expected, {known.target.name for known in found})
+            result = self.registry.changes_since(position)
+            self.assertEqual(expected, {known.target.name for known in result})
 
 
 class CountingDict(dict):
-    """A dict that counts the values that are looked at."""
+    """Dict that counts how many of its values are read."""
 
-    seen = 0
+    read_count = 0
 
     def values(self):
         return CountingValues(self)
 
 
 class CountingValues:
-    """Values of a dict, counted as they are looked at."""
+    """View of the values of a dict that counts each one it yields."""
 
     def __init__(self, counted):
         self.counted = counted
@@ -125,7 +129,7 @@
     def __reversed__(self):
         """Yields the values, the last one first."""
         for name in reversed(self.counted):
-            self.counted.seen += 1
+            self.counted.read_count += 1
             yield self.counted[name]
 
     def __iter__(self):
--- a/tests/cover/test_route_history.py
+++ b/tests/cover/test_route_history.py
@@ -1,4 +1,4 @@
-"""What a control host tells a host that holds an earlier document."""
+"""Route updates for hosts that hold an earlier document."""
 
 import hypothesis
 from hypothesis import strategies
@@ -12,16 +12,17 @@
 
 
 def places(table):
-    """Returns the ports of the routes that an entry host knows."""
+    """Returns the ports of the routes in the table of an entry host."""
     return {place[1] for place in table.by_endpoint}
 
 
 class RouteHistoryTest(testtools.TestCase):
-    """Updates bring every earlier holder to the same routes."""
+    """An update gives every subscriber the routes of the latest document."""
 
-    def test_a_route_that_came_and_went_in_a_jump_is_removed(self):
-        # A control host that lost its disk takes document 4, then a snapshot
-        # with 25; an entry host holds 13, which had a route of its own.
+    def test_a_route_added_and_removed_before_a_snapshot_is_removed(self):
+        # A control host that lost its disk applies document 4 and then a
+        # snapshot with document 25. An entry host holds document 13, with a
+        # route that the control host never saw. The update must remove it.
         stays = group_network.route("stays", 443)
         history = histories.RouteHistory()
         history.put(group_network.document(4, stays))
--- a/tests/fake_hosts.py
+++ b/tests/fake_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts of the core on a small fake network, for tests without processes."""
+"""Hosts of the core on a simulated network, for tests without processes."""
 
 import dataclasses
 import heapq
@@ -18,14 +18,14 @@
 
 
 def peer(host, domain="a"):
-    """Returns a host of the given name."""
+    """Returns the peer of a host with a name."""
     number = sum(host.encode()) % 60000 + 1
     return peers.Peer(host, domain, peers.Endpoint("127.0.0.1", number))
 
 
 @dataclasses.dataclass
 class Disk:
-    """What a fake data folder holds."""
+    """Contents of a simulated data folder."""
 
     incarnation: str
     snapshot: bytes | None = None
@@ -33,7 +33,7 @@
 
 
 class Network:
-    """Runs hosts with simulated time; nothing is lost unless cut.
+    """Runs hosts in simulated time; only messages on cut links are lost.
 
     Attributes:
         now_s: Simulated time.
@@ -41,6 +41,7 @@
         disks: Data folders by host.
         cut: Pairs of host names whose messages are lost.
         answers: Responses by request number.
+        stopped: Stop effects by host.
         sent: Bytes sent by host.
     """
 
@@ -57,15 +58,15 @@
         self._order = itertools.count()
         self._requests = itertools.count(1)
         self._timers = {}
-        self._lives = itertools.count(1)
-        self._life = {}
+        self._start_numbers = itertools.count(1)
+        self._start_number = {}
 
     def start(self, host):
         """Starts a host from its disk."""
         plan = self.plans[host]
         if assembly.Role.CONTROL in plan.roles:
             disk = self.disks.setdefault(
-                host, Disk(f"{host}-{next(self._lives)}")
+                host, Disk(f"{host}-{next(self._start_numbers)}")
             )
             plan = dataclasses.replace(
                 plan,
@@ -73,12 +74,12 @@
                     disk.incarnation, disk.snapshot, tuple(disk.records)
                 ),
             )
-        self._life[host] = next(self._lives)
+        self._start_number[host] = next(self._start_numbers)
         self.nodes[host] = assembly.assemble(plan)
         self.handle(host, events.Started(self.now_s, int(self.now_s * 1000)))
 
     def kill(self, host, *, lose_disk=False):
-        """Ends a host at once."""
+        """Ends a host abruptly."""
         del self.nodes[host]
         if lose_disk:
             del self.disks[host]
@@ -94,29 +95,33 @@
         self.handle(host, events.RequestArrived(self.now_s, number, request))
         return number
 
-    def answer(self, host, request, patience_s=10.0):
+    def answer(self, host, request, timeout_s=10.0):
         """Sends a request and returns the response."""
         number = self.ask(host, request)
-        self.run_until(lambda: number in self.answers, patience_s)
+        self.run_until(lambda: number in self.answers, timeout_s)
         return self.answers[number]
 
-    def run_until(self, condition, patience_s):
-        """Runs until the condition holds; fails when it doesn't in time."""
-        end_s = self.now_s + patience_s
+    def run_until(self, condition, timeout_s):
+        """Runs until the condition holds.
+
+        Raises:
+            AssertionError: It does not hold within the timeout.
+        """
+        end_s = self.now_s + timeout_s
         while not condition():
             if not self._queue or self._queue[0][0] > end_s:
-                raise AssertionError(f"not within {patience_s} s")
+                raise AssertionError(f"not within {timeout_s} s")
             self._step()
 
     def run(self, duration_s):
-        """Runs for a while."""
+        """Runs for a duration in seconds."""
         end_s = self.now_s + duration_s
         while self._queue and self._queue[0][0] <= end_s:
             self._step()
         self.now_s = end_s
 
     def handle(self, host, event):
-        """Hands an event to a host and carries out the effects."""
+        """Applies an event to a host and carries out its effects."""
         node = self.nodes.get(host)
         if node is None:
             return
@@ -124,18 +129,27 @@
             self._carry_out(host, node, effect)
 
     def _step(self):
-        at_s, _, host, life, make = heapq.heappop(self._queue)
+        at_s, _, host, start_number, make = heapq.heappop(self._queue)
         self.now_s = max(self.now_s, at_s)
         event = make(self.now_s)
-        if event is not None and life in (None, self._life.get(host)):
+        if event is not None and start_number in (
+            None,
+            self._start_number.get(host),
+        ):
             self.handle(host, event)
 
-    def _schedule(self, delay_s, host, make, life=None):
-        entry = (self.now_s + delay_s, next(self._order), host, life, make)
+    def _schedule(self, delay_s, host, make, start_number=None):
+        entry = (
+            self.now_s + delay_s,
+            next(self._order),
+            host,
+            start_number,
+            make,
+        )
         heapq.heappush(self._queue, entry)
 
     def _carry_out(self, host, node, effect):
-        life = self._life[host]
+        start_number = self._start_number[host]
         match effect:
             case effects.SendMessage(receiver, message):
                 self._send(host, node, receiver, message)
@@ -150,26 +164,26 @@
                         if self._timers[host, timer] == started
                         else None
                     ),
-                    life,
+                    start_number,
                 )
             case effects.Respond(number, response):
                 self.answers[number] = response
             case effects.Persist(sequence, records):
                 self.disks[host].records.extend(records)
-                self._complete(host, life, sequence)
+                self._complete(host, start_number, sequence)
             case effects.SaveSnapshot(sequence, data, records):
                 self.disks[host].snapshot = data
                 self.disks[host].records = list(records)
-                self._complete(host, life, sequence)
+                self._complete(host, start_number, sequence)
             case effects.Stop():
                 self.stopped[host] = effect
 
-    def _complete(self, host, life, sequence):
+    def _complete(self, host, start_number, sequence):
         self._schedule(
             SYNC_S,
             host,
             lambda now_s: events.WriteCompleted(now_s, sequence),
-            life,
+            start_number,
         )
 
     def _send(self, host, node, receiver, message):
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -1,4 +1,4 @@
-"""Control hosts with numbered documents on the small fake network."""
+"""Control hosts with numbered documents on the simulated network."""
 
 import itertools
 
@@ -26,7 +26,7 @@
 
 
 def seed_of(control):
-    """Returns a host as a settings file names it: by its address alone."""
+    """Returns a host as settings name it: by its address alone."""
     address = control.control.address
     return peers.Peer(address, "", control.control)
 
@@ -46,7 +46,7 @@
 
 
 def document(number, *routes, content=""):
-    """Returns a document; `content` tells it from others of its number."""
+    """Returns a document; `content` distinguishes those of one number."""
     return documents.Document(
         number=number,
         routes=routes or (route("r", 443),),
@@ -57,7 +57,7 @@
 
 
 def target(name, **changes):
-    """Returns an announcement."""
+    """Returns an announcement of a target."""
     known = target_announcement.Announcement(
         name=name,
         born_ms=1000,
@@ -72,13 +72,12 @@
 
 
 class GroupNetwork(fake_hosts.Network):
-    """Control hosts that know three seeds and nothing else.
+    """Control hosts whose settings name three seeds and nothing else.
 
     Attributes:
         seeds: The seeds.
-        tolerated: Hosts that may be lost at once.
-        first_starts: Hosts that start with empty disks for the first time.
-        seeds_of: Seeds of hosts that came later.
+        tolerated: Number of hosts that may be lost at once.
+        seeds_of: Seeds of the hosts that were added later, by host.
     """
 
     def __init__(self, count, tolerated=1, seed=1):
@@ -90,7 +89,7 @@
         self.seeds = [seed_of(peer(n)) for n in (1, 2, 3)]
         self.seeds_of = {}
         self.sent = {}
-        self.lives_of = itertools.count(1)
+        self.incarnation_numbers = itertools.count(1)
 
     def add(self, number):
         """Adds a host that replaces another one.
@@ -114,17 +113,17 @@
         own = self.peers[host]
         if host not in self.disks:
             is_seed = any(s.control == own.control for s in self.seeds)
-            incarnation = f"{host}-{next(self.lives_of)}"
+            incarnation = f"{host}-{next(self.incarnation_numbers)}"
             if is_first_start and is_seed:
                 incarnation = document_control.founder_incarnation(own.control)
             self.disks[host] = fake_hosts.Disk(incarnation)
         disk = self.disks[host]
-        life = next(self._lives)
-        self._life[host] = life
+        start_number = next(self._start_numbers)
+        self._start_number[host] = start_number
         self.sent.setdefault(host, 0)
         plan = document_control.Plan(
             host=own,
-            seed=self.seed * 1000 + life,
+            seed=self.seed * 1000 + start_number,
             seeds=tuple(self.seeds_of.get(host, self.seeds)),
             disk=disks.DiskContents(
                 disk.incarnation, disk.snapshot, tuple(disk.records)
@@ -136,20 +135,20 @@
         self.handle(host, events.Started(self.now_s, int(self.now_s * 1000)))
 
     def _carry_out(self, host, node, effect):
-        life = self._life[host]
+        start_number = self._start_number[host]
         match effect:
             case effects.Persist(sequence, records):
                 write = (sequence, None, records)
-                self._sync(host, life, write)
+                self._sync(host, start_number, write)
             case effects.SaveSnapshot(sequence, data, records):
-                self._sync(host, life, (sequence, data, records))
+                self._sync(host, start_number, (sequence, data, records))
             case effects.SaveTargets() | effects.Record():
                 pass
             case _:
                 super()._carry_out(host, node, effect)
 
-    def _sync(self, host, life, write):
-        """A write is on disk, and may count, only after a while."""
+    def _sync(self, host, start_number, write):
+        """Stores a write and reports its completion after the sync time."""
 
         def finish(now_s):
             sequence, data, records = write
@@ -161,11 +160,14 @@
             return events.WriteCompleted(now_s, sequence)
 
         def finish_if_alive(now_s):
-            if self._life.get(host) != life or host not in self.nodes:
+            if (
+                self._start_number.get(host) != start_number
+                or host not in self.nodes
+            ):
                 return None
             return finish(now_s)
 
-        self._schedule(fake_hosts.SYNC_S, host, finish_if_alive, life)
+        self._schedule(fake_hosts.SYNC_S, host, finish_if_alive, start_number)
 
     def _send(self, host, node, receiver, message):
         envelope = envelopes.Envelope(
@@ -193,7 +195,7 @@
         )
 
     def kill(self, host, *, lose_disk=False):
-        """Ends a host at once; writes on their way are lost."""
+        """Ends a host abruptly; writes in flight are lost."""
         self.nodes.pop(host, None)
         if lose_disk:
             self.disks.pop(host, None)
@@ -203,31 +205,31 @@
         for other in self.peers:
             self.cut |= {(host, other), (other, host)}
 
-    def part(self, first, second):
-        """Cuts two sets of hosts from each other."""
-        for one in first:
-            for other in second:
+    def partition(self, one_side, other_side):
+        """Cuts all links between two sets of hosts."""
+        for one in one_side:
+            for other in other_side:
                 self.cut |= {(one, other), (other, one)}
 
-    def publish(self, number, *routes, content="", patience_s=8.0):
-        """Publishes as operators do, at one host after another."""
+    def publish(self, number, *routes, content="", timeout_s=8.0):
+        """Publishes a document, trying one host after another."""
         request = external_requests.PublishDocument(
             document(number, *routes, content=content)
         )
-        return self._insist(
-            request, external_requests.DocumentPublished, patience_s
+        return self._try_all(
+            request, external_requests.DocumentPublished, timeout_s
         )
 
-    def read(self, patience_s=8.0):
-        """Reads the document as operators do."""
-        return self._insist(
+    def read(self, timeout_s=8.0):
+        """Reads the document, trying one host after another."""
+        return self._try_all(
             external_requests.ReadDocument(),
             external_requests.DocumentRead,
-            patience_s,
+            timeout_s,
         ).document
 
-    def _insist(self, request, wanted, patience_s):
-        end_s = self.now_s + patience_s
+    def _try_all(self, request, wanted, timeout_s):
+        end_s = self.now_s + timeout_s
         for host in itertools.cycle(sorted(self.peers)):
             answer = self.try_at(host, request)
             if isinstance(answer, wanted):
@@ -237,7 +239,11 @@
                 raise AssertionError(f"no answer but {answer}")
 
     def try_at(self, host, request):
-        """Asks one host, follows where it points, waits for a second."""
+        """Sends a request to one host and follows its redirects.
+
+        Returns:
+            The response, or None if there was none within a second.
+        """
         for _ in range(3):
             if host not in self.nodes:
                 self.run(0.1)
@@ -259,13 +265,13 @@
             )
         return None
 
-    def part_of(self, host, kind):
-        """Returns the part of a host that handles a message or request."""
+    def component_of(self, host, kind):
+        """Returns the component that handles a kind of message or request."""
         return self.nodes[host].handlers[kind][0].__self__
 
     def voters(self, host):
         """Returns the names of the voters that a host knows."""
-        control = self.part_of(host, external_requests.PublishDocument)
+        control = self.component_of(host, external_requests.PublishDocument)
         state = control.replica.state
         by_endpoint = {p.control: name for name, p in self.peers.items()}
         return {
@@ -275,11 +281,11 @@
         }
 
     def leaders(self):
-        """Returns the hosts that hold themselves to lead."""
+        """Returns the hosts that consider themselves the leader."""
         return {
             host
             for host in self.nodes
-            if self.part_of(
+            if self.component_of(
                 host, external_requests.PublishDocument
             ).replica.state.is_leader
         }
