--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Lets a run pass over the tests that KNOWN-RED.txt names, and prints them."""
+"""Marks the tests that KNOWN-RED.txt lists as expected failures."""
 
 import pathlib
 
@@ -8,13 +8,13 @@
 
 
 def known_red():
-    """Returns the node ids at the start of the unindented lines."""
+    """Returns the node ids of the listed tests, one per unindented line."""
     lines = KNOWN_RED.read_text().splitlines()
     return {line.split()[0] for line in lines if line.startswith("tests/")}
 
 
 def pytest_collection_modifyitems(items):
-    """Expects the known red tests to fail; all others must pass."""
+    """Marks the listed tests as xfail; all others must pass."""
     names = known_red()
     for item in items:
         if item.nodeid in names:
@@ -23,7 +23,7 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Prints what became of the known red tests."""
+    """Prints the outcomes of the listed tests."""
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(
--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -1,4 +1,4 @@
-"""Probes over real sockets of this machine."""
+"""TCP probes of targets over real sockets."""
 
 import asyncio
 import socket
@@ -14,8 +14,8 @@
 LOOPBACK = "127.0.0.1"
 
 
-class ConnectTest(testtools.TestCase):
-    """What a probe says of a target."""
+class TcpProbeTest(testtools.TestCase):
+    """Results of a probe."""
 
     def setUp(self):
         super().setUp()
@@ -27,10 +27,10 @@
         endpoint = peers.Endpoint(*self.listener.getsockname())
         return effects.ProbeTarget("t-1", endpoint, 0.25, attempts, 0.06)
 
-    def ask(self, during=None):
+    def run_probe(self, during=None):
         async def run():
-            asking = tcp_probe.accepts_connection(self.probe(), LOOPBACK)
-            task = asyncio.create_task(asking)
+            pending = tcp_probe.accepts_connection(self.probe(), LOOPBACK)
+            task = asyncio.create_task(pending)
             if during is not None:
                 await asyncio.sleep(0.03)
                 during()
@@ -39,35 +39,35 @@
         began_s = time.monotonic()
         return asyncio.run(run()), time.monotonic() - began_s
 
-    def fill(self):
-        """Fills the queue of the listener; further openings are dropped."""
+    def fill_backlog(self):
+        """Fills the backlog of the listener, so that it drops further SYNs."""
         self.listener.listen(0)
         for _ in range(2):
-            waiting = socket.socket()
-            waiting.setblocking(False)
-            self.addCleanup(waiting.close)
-            waiting.connect_ex(self.listener.getsockname())
+            client = socket.socket()
+            client.setblocking(False)
+            self.addCleanup(client.close)
+            client.connect_ex(self.listener.getsockname())
 
-    def test_a_target_that_listens_answers(self):
+    def test_a_listening_target_accepts(self):
         self.listener.listen(8)
-        is_answered, took_s = self.ask()
+        is_answered, took_s = self.run_probe()
         self.assertTrue(is_answered)
         self.assertThat(took_s, matchers.LessThan(0.2))
 
-    def test_a_target_that_refuses_does_not_answer(self):
-        self.assertEqual(False, self.ask()[0])
+    def test_a_refused_connection_fails_the_probe(self):
+        self.assertEqual(False, self.run_probe()[0])
 
-    def test_a_silent_target_has_all_of_its_time(self):
-        self.fill()
-        is_answered, took_s = self.ask()
+    def test_an_unresponsive_target_fails_only_after_the_timeout(self):
+        self.fill_backlog()
+        is_answered, took_s = self.run_probe()
         self.assertFalse(is_answered)
         self.assertThat(took_s, matchers.GreaterThan(0.24))
 
-    def test_a_pause_of_this_process_hides_no_answer(self):
+    def test_a_stall_of_this_process_does_not_fail_the_probe(self):
         self.listener.listen(8)
-        is_answered, _ = self.ask(during=lambda: time.sleep(0.4))
+        is_answered, _ = self.run_probe(during=lambda: time.sleep(0.4))
         self.assertTrue(is_answered)
 
-    def test_an_address_that_is_not_ours_is_no_answer(self):
-        asking = tcp_probe.accepts_connection(self.probe(), "192.0.2.1")
-        self.assertFalse(asyncio.run(asking))
+    def test_an_address_of_another_machine_fails_the_probe(self):
+        pending = tcp_probe.accepts_connection(self.probe(), "192.0.2.1")
+        self.assertFalse(asyncio.run(pending))
--- a/tests/cover/test_declarations.py
+++ b/tests/cover/test_declarations.py
@@ -1,4 +1,4 @@
-"""Declared services against the configuration in force."""
+"""Plans that turn the configuration in force into the declared one."""
 
 import hypothesis
 from hypothesis import strategies
@@ -34,7 +34,7 @@
 
 
 def declare(described):
-    """Returns checked services."""
+    """Returns declared services that passed the check."""
     services = {
         f"s{number}": {
             "addresses": [f"192.0.{last}.{number}"],
@@ -51,19 +51,19 @@
     """Applies a plan and returns the number of patches."""
     current = state.numbered()
     planned = declarations.plan(current.configuration, declared)
-    found = declarations.split_into_patches(planned)
-    for number, batch in enumerate(found):
+    patches = declarations.split_into_patches(planned)
+    for number, batch in enumerate(patches):
         operations = msgspec.Raw(msgspec.json.encode(batch))
         version = current.version + number
         patch = requests.SubmitPatch(f"{version}", version, operations, "ana")
         state.apply(1, commands.encode(commands.Submit(patch, 0)))
         (decision,) = state.take_decisions()
         assert decision.verdict.state == "accepted", decision
-    return len(found)
+    return len(patches)
 
 
 class DeclarationTest(testtools.TestCase):
-    """A plan is exact, and a second one is empty."""
+    """A plan gives exactly the declared services; a second one is empty."""
 
     @hypothesis.given(_declared, _declared)
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
@@ -77,7 +77,7 @@
             self.assertEqual(declared.services, state.checked.services)
             self.assertEqual(0, apply(state, declared))
 
-    def test_a_large_plan_is_split_into_patches_that_are_taken(self):
+    def test_a_large_plan_is_split_into_patches_that_are_accepted(self):
         state = state_machine.PatchStateMachine()
         many = {
             f"s{number}": {
--- a/tests/cover/test_demo_summary.py
+++ b/tests/cover/test_demo_summary.py
@@ -1,4 +1,4 @@
-"""What the demo counts as broken."""
+"""Problems that the summary of the demo reports."""
 
 import msgspec
 import testtools
@@ -41,7 +41,7 @@
 
 
 def outcome(load=None, target=None, unreadable=None, **changes):
-    """Returns a good outcome with some changes."""
+    """Returns an outcome without problems, with some changes."""
     fields = {
         "name": "demo",
         "callers": reports.CallerReport(
@@ -61,14 +61,14 @@
 
 
 class SummaryTest(testtools.TestCase):
-    """Each thing that must hold is looked at."""
+    """Each condition of a good outcome is checked."""
 
     def test_a_good_outcome_has_no_problem(self):
         self.assertEqual([], outcome().problems())
 
     def test_a_connection_soon_after_a_drain_is_no_problem(self):
-        found = outcome(target={"late": (late(2.9),)})
-        self.assertEqual([], found.problems())
+        changed = outcome(target={"late": (late(2.9),)})
+        self.assertEqual([], changed.problems())
 
     def test_each_fault_is_a_problem_of_its_own(self):
         faulty = {
@@ -84,11 +84,11 @@
             "versions": outcome(versions={"a": [2, 1]}),
             "exit status": outcome(exit_statuses={"entry-1": -9}),
         }
-        for text, found in faulty.items():
-            (problem,) = found.problems()
+        for text, changed in faulty.items():
+            (problem,) = changed.problems()
             self.assertThat(problem, matchers.Contains(text))
 
-    def test_imbalance_is_the_busiest_by_the_mean(self):
+    def test_imbalance_is_the_peak_divided_by_the_mean(self):
         targets = [
             msgspec.structs.replace(TARGET, work=work, domain=domain)
             for work, domain in ((1.0, "a"), (1.0, "a"), (4.0, "b"))
--- a/tests/cover/test_envelopes.py
+++ b/tests/cover/test_envelopes.py
@@ -19,11 +19,11 @@
 """Routes of the largest document of the users' larger deployments."""
 
 LINK_BYTES_PER_S = 2_000_000 // 8
-"""Link of an entry host there."""
+"""Capacity of the link of an entry host there, in bytes per second."""
 
 RECOVERY_S = 0.1
-"""Time that a whole document may fill the link; callers repeat an opening
-after 0.2 s."""
+"""Time for which a whole document may fill the link, in seconds. Callers
+retransmit an opening after 0.2 s."""
 
 
 def large_document(count: int = ROUTES) -> sync.DocumentUpdate:
@@ -53,14 +53,14 @@
 
 
 def update() -> sync.SyncUpdate:
-    """Returns what a control host tells a host that has just started."""
+    """Returns the update that a control host sends to a starting host."""
     return sync.SyncUpdate("run", 0, 9, True, document=large_document())
 
 
 class EnvelopeSizeTest(testtools.TestCase):
-    """What crosses the link of an entry host."""
+    """Size and form of the envelopes that an entry host receives."""
 
-    def test_a_whole_document_takes_a_moment_of_a_slow_link(self):
+    def test_a_whole_document_fills_a_slow_link_only_briefly(self):
         data = cookie_entry.CODEC.encode(envelope(update()))
         self.assertLess(len(data), RECOVERY_S * LINK_BYTES_PER_S)
 
@@ -77,14 +77,14 @@
 
 
 class EnvelopeRefusalTest(testtools.TestCase):
-    """Bytes that nobody should have sent."""
+    """Malformed envelopes are refused."""
 
     def assert_refused(self, data):
         refused = cookie_entry.CODEC.decode(data)
         self.assertIsInstance(refused, failure.Failure)
         self.assertEqual("bad-envelope", refused.reason)
 
-    def test_a_body_that_grows_without_bound_is_refused(self):
+    def test_a_body_that_decompresses_beyond_the_limit_is_refused(self):
         zeros = bytes(envelopes.MAX_PLAIN_BYTES + 1)
         self.assert_refused(zlib.compress(zeros))
 
--- a/tests/cover/test_fabric.py
+++ b/tests/cover/test_fabric.py
@@ -1,4 +1,4 @@
-"""Choices of the fabric stand-in."""
+"""Forwarding decisions of the simulated fabric."""
 
 import ipaddress
 
@@ -16,7 +16,7 @@
 PACKETS = 300
 
 
-def place(endpoint):
+def socket_address(endpoint):
     """Returns the socket address of an endpoint."""
     return endpoint.address, endpoint.port
 
@@ -49,34 +49,44 @@
 
 
 class FabricTest(testtools.TestCase):
-    """Two failure domains, a service, callers and targets."""
+    """Forwarding between callers, entry hosts and targets."""
 
     def setUp(self):
         super().setUp()
         self.table = build_table(seed=1)
 
     def forward(self, source, destination, sender):
-        return self.table.forward(datagram(source, destination), place(sender))
+        return self.table.forward(
+            datagram(source, destination), socket_address(sender)
+        )
 
     def test_a_callers_packets_reach_every_entry_host_of_its_domain(self):
-        found = {
+        receivers = {
             self.forward("10.7.0.1", "10.9.0.1", CALLER) for _ in range(PACKETS)
         }
-        self.assertEqual({place(entry) for entry in ENTRIES}, found)
+        self.assertEqual(
+            {socket_address(entry) for entry in ENTRIES}, receivers
+        )
 
     def test_a_targets_replies_reach_every_entry_host_of_its_domain(self):
-        found = {
+        receivers = {
             self.forward("10.1.0.1", "10.7.0.1", TARGET) for _ in range(PACKETS)
         }
-        self.assertEqual({place(entry) for entry in ENTRIES}, found)
+        self.assertEqual(
+            {socket_address(entry) for entry in ENTRIES}, receivers
+        )
 
     def test_a_service_may_be_bound_to_a_domain(self):
-        found = self.forward("10.7.0.1", "10.9.0.2", CALLER)
-        self.assertEqual(place(OTHERS[0]), found)
+        receiver = self.forward("10.7.0.1", "10.9.0.2", CALLER)
+        self.assertEqual(socket_address(OTHERS[0]), receiver)
 
     def test_packets_of_an_entry_host_go_to_the_longest_prefix(self):
         self.assertEqual(
-            [place(TARGET), place(OTHERS[0]), place(CALLER)],
+            [
+                socket_address(TARGET),
+                socket_address(OTHERS[0]),
+                socket_address(CALLER),
+            ],
             [
                 self.forward("10.7.0.1", destination, ENTRIES[0])
                 for destination in ("10.1.0.1", "10.1.5.1", "10.7.9.9")
@@ -85,12 +95,13 @@
 
     def test_a_withdrawn_entry_host_may_send_but_gets_nothing(self):
         self.table.set_entry_hosts("a", ENTRIES[1:])
-        found = {
+        receivers = {
             self.forward("10.7.0.1", "10.9.0.1", CALLER) for _ in range(PACKETS)
         }
-        self.assertNotIn(place(ENTRIES[0]), found)
+        self.assertNotIn(socket_address(ENTRIES[0]), receivers)
         self.assertEqual(
-            place(TARGET), self.forward("10.7.0.1", "10.1.0.1", ENTRIES[0])
+            socket_address(TARGET),
+            self.forward("10.7.0.1", "10.1.0.1", ENTRIES[0]),
         )
 
     def test_a_new_entry_host_may_send_before_it_gets_packets(self):
@@ -98,17 +109,17 @@
         self.assertEqual(None, self.forward("10.1.0.1", "10.200.0.1", new))
         self.table.add_known_host(new)
         self.assertEqual(
-            place(CALLER), self.forward("10.9.0.1", "10.7.0.1", new)
+            socket_address(CALLER), self.forward("10.9.0.1", "10.7.0.1", new)
         )
 
-    def test_packets_without_a_way_are_counted_by_reason(self):
+    def test_undeliverable_packets_are_counted_by_reason(self):
         self.forward("10.7.0.1", "10.200.0.1", CALLER)
         self.forward("10.200.0.1", "10.9.0.1", CALLER)
         self.forward("10.7.0.1", "10.200.0.1", ENTRIES[0])
         self.table.set_entry_hosts("a", ())
         self.forward("10.7.0.1", "10.9.0.1", CALLER)
-        self.table.forward(b"", place(CALLER))
-        self.table.forward(geneve.encapsulate(b"\x45"), place(CALLER))
+        self.table.forward(b"", socket_address(CALLER))
+        self.table.forward(geneve.encapsulate(b"\x45"), socket_address(CALLER))
         self.assertEqual(
             {
                 "no-route": 2,
--- a/tests/cover/test_fault_proxy.py
+++ b/tests/cover/test_fault_proxy.py
@@ -1,4 +1,4 @@
-"""Fault-injecting proxy."""
+"""Proxy that injects network faults."""
 
 import random
 import socket
@@ -19,12 +19,12 @@
 UDP = proxy_settings.Protocol.UDP
 ANY = peers.Endpoint("127.0.0.1", 0)
 TIMEOUT_S = 10.0
-SILENCE_S = 0.2
+QUIET_S = 0.2
 COUNT = 400
 
 
 def delays(schedule, seed=1, link="a-b", spacing_s=0.001, sender="127.0.0.1"):
-    """Returns the delays of the copies of each of some datagrams."""
+    """Returns for each datagram the delays of its copies."""
     channel = faults_lib.Channel(seed, link, Direction.FORWARD)
     faults = faults_lib.FaultInjector(schedule)
     return [
@@ -33,40 +33,40 @@
     ]
 
 
-def where(endpoint):
+def socket_address(endpoint):
     """Returns the socket address of an endpoint."""
     return endpoint.address, endpoint.port
 
 
-class FaultsTest(testtools.TestCase):
-    """Decisions, without sockets."""
+class FaultInjectorTest(testtools.TestCase):
+    """Decisions of the fault injector, without sockets."""
 
-    def test_the_same_seed_gives_the_same_fates(self):
+    def test_the_same_seed_gives_the_same_delays(self):
         schedule = [Fault(loss=0.3, jitter_s=0.01, duplicate=0.2, reorder=0.2)]
         self.assertEqual(delays(schedule), delays(schedule))
         self.assertNotEqual(delays(schedule), delays(schedule, seed=2))
 
-    def test_loss_takes_about_its_share(self):
+    def test_loss_drops_about_its_fraction(self):
         lost = delays([Fault(loss=0.25)]).count([])
         self.assertThat(lost, matchers.GreaterThan(COUNT // 8))
         self.assertThat(lost, matchers.LessThan(COUNT // 2))
 
     def test_jitter_varies_the_delay_and_keeps_the_order(self):
-        found = delays([Fault(delay_s=0.003, jitter_s=0.01)])
-        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(found)]
+        results = delays([Fault(delay_s=0.003, jitter_s=0.01)])
+        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(results)]
         self.assertEqual(sorted(arrivals), arrivals)
         self.assertThat(
-            len({delay for (delay,) in found}), matchers.GreaterThan(9)
+            len({delay for (delay,) in results}), matchers.GreaterThan(9)
         )
 
     def test_reordering_lets_later_datagrams_pass(self):
-        found = delays([Fault(reorder=0.1, reorder_s=0.01)])
-        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(found)]
+        results = delays([Fault(reorder=0.1, reorder_s=0.01)])
+        arrivals = [n * 0.001 + delay for n, (delay,) in enumerate(results)]
         self.assertNotEqual(sorted(arrivals), arrivals)
 
     def test_duplication_gives_two_copies(self):
-        found = delays([Fault(duplicate=1.0)])
-        self.assertEqual({2}, {len(copies) for copies in found})
+        results = delays([Fault(duplicate=1.0)])
+        self.assertEqual({2}, {len(copies) for copies in results})
 
     def test_a_partition_holds_for_its_time_and_direction_only(self):
         schedule = [
@@ -78,10 +78,10 @@
                 partition=True,
             )
         ]
-        found = delays(schedule)
+        results = delays(schedule)
         self.assertEqual(
             list(range(100, 200)),
-            [n for n, copies in enumerate(found) if not copies],
+            [n for n, copies in enumerate(results) if not copies],
         )
         self.assertNotIn([], delays(schedule, link="c-d"))
         back = faults_lib.Channel(1, "a-b", Direction.BACK)
@@ -101,7 +101,7 @@
 
 
 class ProxyTest(testtools.TestCase):
-    """Real sockets on loopback."""
+    """Proxied traffic over real loopback sockets."""
 
     def start(self, *links, schedule=()):
         settings = proxy_settings.Settings(links, 1, schedule)
@@ -121,7 +121,7 @@
         server, one, two = self.udp(), self.udp(), self.udp()
         proxy = self.start(self.udp_link(server))
         for client, text in ((one, b"one"), (two, b"two")):
-            client.sendto(text, where(proxy.endpoint("link")))
+            client.sendto(text, socket_address(proxy.endpoint("link")))
             data, source = server.recvfrom(100)
             server.sendto(data.upper(), source)
         self.assertEqual((b"ONE", b"TWO"), (one.recv(100), two.recv(100)))
@@ -139,40 +139,42 @@
             peers.Endpoint(*near.getsockname()),
         )
         proxy = self.start(link)
-        far.sendto(b"first", where(outward))
+        far.sendto(b"first", socket_address(outward))
         data, source = near.recvfrom(100)
         self.assertEqual(b"first", data)
-        self.assertEqual(where(proxy.endpoint("link")), source)
+        self.assertEqual(socket_address(proxy.endpoint("link")), source)
         near.sendto(b"second", source)
-        self.assertEqual((b"second", where(outward)), far.recvfrom(100))
+        self.assertEqual(
+            (b"second", socket_address(outward)), far.recvfrom(100)
+        )
 
     def test_a_one_way_partition_lets_the_other_way_pass(self):
         server, client = self.udp(), self.udp()
         proxy = self.start(self.udp_link(server))
-        client.sendto(b"open", where(proxy.endpoint("link")))
+        client.sendto(b"open", socket_address(proxy.endpoint("link")))
         _, source = server.recvfrom(100)
         proxy.set_faults(Fault(direction=Directions.FORWARD, partition=True))
-        client.sendto(b"lost", where(proxy.endpoint("link")))
+        client.sendto(b"lost", socket_address(proxy.endpoint("link")))
         server.sendto(b"back", source)
         self.assertEqual(b"back", client.recv(100))
-        server.settimeout(SILENCE_S)
+        server.settimeout(QUIET_S)
         self.assertRaises(TimeoutError, server.recv, 100)
         self.assertEqual(1, proxy.counters()["link/forward"]["lost"])
 
-    def test_a_silent_partition_holds_tcp_and_heals_without_a_reset(self):
+    def test_a_partition_holds_tcp_data_and_heals_without_a_reset(self):
         server = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(server.close)
         to = peers.Endpoint(*server.getsockname())
         proxy = self.start(proxy_settings.Link("link", TCP, ANY, to))
         client = socket.create_connection(
-            where(proxy.endpoint("link")), TIMEOUT_S
+            socket_address(proxy.endpoint("link")), TIMEOUT_S
         )
         self.addCleanup(client.close)
         accepted, _ = server.accept()
         self.addCleanup(accepted.close)
         proxy.set_faults(Fault(partition=True))
         client.sendall(b"held")
-        accepted.settimeout(SILENCE_S)
+        accepted.settimeout(QUIET_S)
         self.assertRaises(TimeoutError, accepted.recv, 100)
         proxy.set_faults()
         accepted.settimeout(TIMEOUT_S)
@@ -186,10 +188,10 @@
         proxy = self.start(
             proxy_settings.Link("slow", UDP, ANY, to),
             proxy_settings.Link("fast", UDP, ANY, to),
-            schedule=(Fault(links=("slow",), delay_s=SILENCE_S),),
+            schedule=(Fault(links=("slow",), delay_s=QUIET_S),),
         )
-        client.sendto(b"slow", where(proxy.endpoint("slow")))
-        client.sendto(b"fast", where(proxy.endpoint("fast")))
+        client.sendto(b"slow", socket_address(proxy.endpoint("slow")))
+        client.sendto(b"fast", socket_address(proxy.endpoint("fast")))
         self.assertEqual(
             (b"fast", b"slow"), (server.recv(100), server.recv(100))
         )
@@ -198,11 +200,11 @@
         server, client = self.udp(), self.udp()
         proxy = self.start(self.udp_link(server))
         proxy.set_faults(Fault(senders=("127.0.9.9",), partition=True))
-        client.sendto(b"seen", where(proxy.endpoint("link")))
+        client.sendto(b"seen", socket_address(proxy.endpoint("link")))
         self.assertEqual(b"seen", server.recv(100))
         proxy.set_faults(Fault(senders=("127.0.0.1",), partition=True))
-        client.sendto(b"lost", where(proxy.endpoint("link")))
-        server.settimeout(SILENCE_S)
+        client.sendto(b"lost", socket_address(proxy.endpoint("link")))
+        server.settimeout(QUIET_S)
         self.assertRaises(TimeoutError, server.recv, 100)
 
     def test_delay_and_loss_on_tcp_change_neither_data_nor_order(self):
@@ -214,7 +216,7 @@
             schedule=(Fault(loss=0.2, delay_s=0.001, jitter_s=0.005),),
         )
         client = socket.create_connection(
-            where(proxy.endpoint("link")), TIMEOUT_S
+            socket_address(proxy.endpoint("link")), TIMEOUT_S
         )
         data = random.Random(1).randbytes(300_000)
         sending = threading.Thread(target=client.sendall, args=(data,))
--- a/tests/cover/test_fragments.py
+++ b/tests/cover/test_fragments.py
@@ -1,4 +1,4 @@
-"""Envelopes in several datagrams, some of which are lost or forged."""
+"""Envelopes split into datagrams, some of them lost or forged."""
 
 import hypothesis
 from hypothesis import strategies
@@ -10,7 +10,7 @@
 
 
 class FragmentTest(testtools.TestCase):
-    """What is joined is what was split, or nothing."""
+    """Reassembly gives the split data or nothing."""
 
     def split(self, size, first=5):
         data = bytes(number % 251 for number in range(size))
@@ -38,7 +38,7 @@
         self.assertIn(data, joined)
         self.assertEqual({data}, set(joined))
 
-    def test_a_lost_fragment_leaves_nothing_and_bounded_memory(self):
+    def test_a_lost_fragment_gives_no_data_and_bounded_memory(self):
         reassembler = fragments.Reassembler()
         for first in range(3 * fragments.MAX_UNFINISHED):
             _, pieces = self.split(5000, first)
--- a/tests/cover/test_lab_tcp.py
+++ b/tests/cover/test_lab_tcp.py
@@ -1,4 +1,4 @@
-"""The TCP of the stand-ins, over a wire that loses and reorders."""
+"""TCP of the simulated callers and targets, over a faulty wire."""
 
 import os
 import random
@@ -28,7 +28,7 @@
 
 
 class Recorder:
-    """Keeps what a connection tells, and echoes if asked to."""
+    """Application that records events and data, and may echo the data."""
 
     def __init__(self, echoes: bool = False) -> None:
         self.events: list[ConnectionEvent] = []
@@ -47,7 +47,7 @@
 
 
 class Wire:
-    """Two stacks and the packets between them."""
+    """Two TCP stacks and a wire that may lose and reorder packets."""
 
     def __init__(self, seed: int, version: int = 4, loss=0.0, reorder=0.0):
         self.random = random.Random(seed)
@@ -68,19 +68,19 @@
         )
 
     def step(self):
-        """Carries what both sides send, and lets time pass."""
+        """Advances the time by a step and delivers packets of both sides."""
         self.now_s += STEP_S
-        for here, there in (
+        for source_stack, peer_stack in (
             (self.client, self.server),
             (self.server, self.client),
         ):
-            here.expire(self.now_s)
-            packets = here.flush(self.now_s)
+            source_stack.expire(self.now_s)
+            packets = source_stack.flush(self.now_s)
             if self.random.random() < self.reorder:
                 self.random.shuffle(packets)
             for packet in packets:
                 if self.random.random() >= self.loss:
-                    there.receive(self.now_s, packet)
+                    peer_stack.receive(self.now_s, packet)
 
     def run(self, until):
         while not until() and self.now_s < LIMIT_S:
@@ -119,7 +119,7 @@
         )
         self.assertEqual({}, wire.client.unreadable)
 
-    def test_a_lost_segment_is_sent_again_without_waiting_for_the_timer(self):
+    def test_a_lost_segment_is_retransmitted_before_the_timer(self):
         wire = Wire(seed=1)
         wire.connect()
         wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
@@ -141,7 +141,7 @@
         wire.connect()
         wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
         data = random.Random(2).randbytes(200_000)
-        paused = connections.Connection.read
+        read = connections.Connection.read
         reader = wire.server_application
         reader.notify = lambda connection, event: None
         wire.connection.write(data)
@@ -149,17 +149,17 @@
             wire.step()
         (server,) = wire.server.connections.values()
         self.assertLess(server.receiver.window, wire.client.mss)
-        got = b""
-        while len(got) < len(data) and wire.now_s < LIMIT_S:
-            got += paused(server)
+        received = b""
+        while len(received) < len(data) and wire.now_s < LIMIT_S:
+            received += read(server)
             wire.server.mark_changed(server)
             wire.step()
-        self.assertEqual(len(data), len(got))
-        self.assertTrue(data == got)
+        self.assertEqual(len(data), len(received))
+        self.assertTrue(data == received)
 
 
 class EndingTest(testtools.TestCase):
-    """Refusal, reset and timeout are told apart."""
+    """Refusal, reset and timeout give different events."""
 
     def test_a_port_without_listener_refuses(self):
         wire = Wire(seed=3)
@@ -168,7 +168,7 @@
         wire.run(lambda: not wire.client.connections)
         self.assertEqual([ConnectionEvent.REFUSED], wire.application.events)
 
-    def test_a_peer_that_forgot_the_connection_resets_it(self):
+    def test_a_peer_without_the_connection_resets_it(self):
         wire = Wire(seed=4)
         wire.connect()
         wire.run(lambda: ConnectionEvent.CONNECTED in wire.application.events)
@@ -195,7 +195,7 @@
         wire.client.receive(wire.now_s, segments.encode(guessed))
         self.assertIs(connections.State.ESTABLISHED, wire.connection.state)
 
-    def test_silence_ends_in_a_timeout_after_all_retries(self):
+    def test_an_unresponsive_peer_gives_a_timeout_after_all_retries(self):
         wire = Wire(seed=6, loss=1.0)
         wire.connect()
         wire.run(lambda: not wire.client.connections)
@@ -221,7 +221,7 @@
 
 
 class CodecTest(testtools.TestCase):
-    """Packets of the stand-ins."""
+    """Encoding of segments and datagrams."""
 
     @given(st.binary(max_size=120))
     def test_any_bytes_decode_or_give_a_failure(self, data):
--- a/tests/cover/test_log_lines.py
+++ b/tests/cover/test_log_lines.py
@@ -1,4 +1,4 @@
-"""Log lines are read back as they were recorded."""
+"""Time line entries survive being logged and parsed again."""
 
 import json
 import logging
@@ -22,25 +22,25 @@
     """Returns the line that a host logs for an entry."""
     lines = []
 
-    class Keeper(logging.Handler):
+    class CapturingHandler(logging.Handler):
         def emit(self, record):
             lines.append(logs.KeyValueFormatter().format(record))
 
-    keeper = Keeper()
+    handler = CapturingHandler()
     level = logs.logger.level
-    logs.logger.addHandler(keeper)
+    logs.logger.addHandler(handler)
     logs.logger.setLevel(logging.INFO)
     try:
         logs.entry(entry)
     finally:
-        logs.logger.removeHandler(keeper)
+        logs.logger.removeHandler(handler)
         logs.logger.setLevel(level)
     (line,) = lines
     return line
 
 
 class LogLineTest(testtools.TestCase):
-    """Lines of one and of several hosts."""
+    """Parsing of log lines."""
 
     @hypothesis.given(
         entry=strategies.builds(
@@ -66,7 +66,7 @@
         self.assertEqual(1, len(line.splitlines()))
         self.assertEqual(([entry], 0), log_lines.read([line + "\n"]))
 
-    def test_what_a_collector_puts_first_is_passed_over(self):
+    def test_the_prefix_of_a_log_collector_is_skipped(self):
         line = (
             "  46.9409 frontend-a-1 time=2026-08-11T18:37:40.120Z level=info"
             " event=flow-refused host=frontend-a-1 stamp=1786473460122.3"
@@ -118,8 +118,8 @@
             "--log", first, "--log", second, "--flow", "1.2.3.4:5", "--json"
         )
         self.assertEqual(0, result.exit_code, result.output)
-        found = json.loads(result.stdout)
-        self.assertEqual(["b", "a"], [entry["host"] for entry in found])
+        printed = json.loads(result.stdout)
+        self.assertEqual(["b", "a"], [entry["host"] for entry in printed])
         self.assertIn("1 lines without an entry", result.stderr)
 
     def test_neither_hosts_nor_logs_is_a_usage_error(self):
--- a/tests/cover/test_packets_differential.py
+++ b/tests/cover/test_packets_differential.py
@@ -1,4 +1,4 @@
-"""Differential fuzz: the core's packet code against dpkt."""
+"""Differential fuzz tests of the core's packet code against dpkt."""
 
 import os
 
@@ -105,7 +105,7 @@
 
 
 def open_packet(data):
-    """Returns the packet as dpkt reads it."""
+    """Returns the packet as parsed by dpkt."""
     return dpkt.ip.IP(data) if data[0] >> 4 == 4 else dpkt.ip6.IP6(data)
 
 
@@ -155,7 +155,7 @@
 
 
 class ParseTest(testtools.TestCase):
-    """What the core reads is what dpkt reads."""
+    """The core parses the same headers as dpkt."""
 
     @fuzz
     @given(packets())
--- a/tests/cover/test_patches.py
+++ b/tests/cover/test_patches.py
@@ -1,4 +1,4 @@
-"""The replicated state machine of numbered patches."""
+"""Replicated state machine that applies patches."""
 
 import json
 
@@ -16,7 +16,7 @@
 
 
 def service(number):
-    """Returns a service in JSON that differs from others by number."""
+    """Returns a service as JSON; each number gives another one."""
     return {
         "addresses": [f"192.0.2.{number}"],
         "classes": {"routes": {"port": 80, "target_port": 8080}},
@@ -45,7 +45,7 @@
 
 
 class VerdictTest(testtools.TestCase):
-    """Each patch gets one verdict, and a resend gets it again."""
+    """Each patch gets one verdict, and a resend gets the same one."""
 
     def setUp(self):
         super().setUp()
@@ -66,7 +66,7 @@
         )
         self.assertEqual(1, self.state.version)
 
-    def test_a_resend_gets_the_first_answer_after_a_snapshot(self):
+    def test_a_resend_gets_the_first_verdict_after_a_snapshot(self):
         submit(self.state, patch("b", 1, add(2)))
         other = state_machine.PatchStateMachine()
         other.restore(self.state.snapshot())
@@ -84,7 +84,7 @@
         verdict = submit(self.state, patch("b", 7, add(2)))
         self.assertEqual(State.INVALID, verdict.state)
 
-    def test_a_forgotten_id_still_can_not_run_twice(self):
+    def test_a_patch_with_an_evicted_id_is_not_applied_twice(self):
         late_ms = history.ID_RETENTION_MS + 1
         submit(self.state, patch("b", 9), late_ms)
         self.assertNotIn("a", self.state.verdicts.by_id)
@@ -96,7 +96,7 @@
         submit(self.state, patch("c", 9), 400)
         self.assertEqual(500, self.state.verdicts.by_id["c"].time_ms)
 
-    def test_the_history_says_who_changed_what_on_top_of_what(self):
+    def test_the_history_records_author_note_and_changed_paths(self):
         submit(self.state, patch("b", 1, add(2), author="bea", note="move"))
         (entry,) = self.state.history.after(1)
         self.assertEqual(
@@ -104,7 +104,7 @@
             (entry.version, entry.author, entry.note, entry.changed),
         )
 
-    def test_a_conflict_with_a_forgotten_version_says_so(self):
+    def test_a_conflict_with_an_evicted_version_has_its_own_reason(self):
         for version in range(1, history.MAX_ENTRIES + 2):
             submit(self.state, patch(f"p{version}", version))
         verdict = submit(self.state, patch("late", 0, add(2)))
@@ -113,9 +113,9 @@
 
 
 class OperationTest(testtools.TestCase):
-    """Patches that fail change nothing, and name the value at fault."""
+    """A failing patch changes nothing, and its verdict has the path."""
 
-    def refuse(self, path, *operations):
+    def assert_invalid(self, path, *operations):
         """Checks that a patch on top of service s1 is invalid at `path`."""
         state = state_machine.PatchStateMachine()
         submit(state, patch("a", 0, add(1)))
@@ -127,32 +127,32 @@
     def test_a_failing_test_operation_refuses_the_whole_patch(self):
         path = "/services/s1/classes/routes/port"
         test = {"op": "test", "path": path, "value": 81}
-        self.refuse(path, add(2), test)
+        self.assert_invalid(path, add(2), test)
 
     def test_a_clash_with_another_service_is_refused(self):
         operation = add(2)
         operation["value"]["target_networks"] = ["10.0.0.0/16"]
-        self.refuse("/services/s2/target_networks/0", operation)
+        self.assert_invalid("/services/s2/target_networks/0", operation)
 
     def test_an_unknown_field_is_refused(self):
         path = "/services/s1/classes/routes/colour"
-        self.refuse(path, {"op": "add", "path": path, "value": 1})
+        self.assert_invalid(path, {"op": "add", "path": path, "value": 1})
 
-    def test_a_document_can_not_be_doubled_by_copies(self):
+    def test_repeated_copies_can_not_grow_a_document_without_bound(self):
         path = "/services/s1/classes"
         copy = {"op": "copy", "from": "/services/s1", "path": path}
-        self.refuse(path, *[copy] * 60)
+        self.assert_invalid(path, *[copy] * 60)
 
-    def test_a_deep_value_is_refused_before_it_is_walked(self):
+    def test_a_deeply_nested_value_is_refused_before_traversal(self):
         value = []
         for _ in range(100):
             value = [value]
         path = "/services/s2"
-        self.refuse(path, {"op": "add", "path": path, "value": value})
+        self.assert_invalid(path, {"op": "add", "path": path, "value": value})
 
     def test_moving_all_services_away_and_back_keeps_the_old_ones(self):
         port = "/x/s1/classes/routes/port"
-        self.refuse(
+        self.assert_invalid(
             "/services/s1/classes/routes/port",
             {"op": "move", "from": "/services", "path": "/x"},
             {"op": "replace", "path": port, "value": 0},
@@ -202,7 +202,7 @@
 
 
 class FuzzTest(testtools.TestCase):
-    """Any patch has a verdict, the same on every replica."""
+    """Any patch gets a verdict, which is the same on every replica."""
 
     @hypothesis.given(_patches, strategies.integers(0, 8))
     @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -1,4 +1,4 @@
-"""The adapter translates what is well formed and refuses the rest."""
+"""The adapter translates well-formed input and refuses all other."""
 
 import json
 import struct
@@ -113,11 +113,12 @@
 class SettingsTest(testtools.TestCase):
     """Settings of the platform."""
 
-    def test_the_fields_say_what_they_hold(self):
+    def test_the_fields_are_parsed(self):
         boot = settings.parse(SETTINGS)
         self.assertEqual(peers.Endpoint("10.1.0.10", 7720), boot.host.control)
         self.assertEqual(peers.Endpoint("10.1.0.10", 8172), boot.data)
-        # Seeds are the operators' addresses; hosts meet at the internal port.
+        # Seeds are given by the addresses for operators; hosts contact each
+        # other at the internal port.
         self.assertEqual(
             ["10.1.0.13", "10.2.0.42"],
             [seed.control.address for seed in boot.seeds],
@@ -136,8 +137,8 @@
             self.assertIsInstance(refused, failure.Failure)
             self.assertIn(name, refused.detail)
 
-    def test_a_garbled_value_is_named_with_the_fix(self):
-        for line, part in (
+    def test_an_invalid_value_is_reported_with_the_fix(self):
+        for line, expected_text in (
             ("ip=10.1.0", "IPv4"),
             ("ip=10.1.0.999", "IPv4"),
             ("heartbeat-ms=soon", "whole number"),
@@ -148,7 +149,7 @@
         ):
             refused = settings.parse(f"{SETTINGS}{line}\n")
             self.assertIsInstance(refused, failure.Failure)
-            self.assertIn(part, refused.detail)
+            self.assertIn(expected_text, refused.detail)
 
     @hypothesis.given(strategies.text())
     def test_no_text_raises(self, text):
@@ -166,7 +167,7 @@
 class PacketTest(testtools.TestCase):
     """Packets on the wire."""
 
-    # The example of the platform's own description.
+    # The example in the platform's specification.
     OPENING = bytes.fromhex(
         "44332211 00000000 bb01 419c 010012c6 07004064 d5c3b2a1 0800000000 0000"
     )
@@ -231,7 +232,7 @@
         self.assertIsNone(core_documents.check(document))
         self.assertEqual(DOCUMENT, json.loads(documents.encode(document)))
 
-    def test_it_is_read_back_after_a_change_by_difference(self):
+    def test_a_document_changed_by_a_difference_is_read_back(self):
         first = documents.decode(json.dumps(DOCUMENT).encode())
         later = dict(DOCUMENT, version=9, routes=DOCUMENT["routes"][::-1])
         second = documents.decode(json.dumps(later).encode())
@@ -239,7 +240,7 @@
         applied = core_documents.apply(first, change)
         self.assertEqual(later, json.loads(documents.encode(applied)))
 
-    def test_what_is_invalid_is_refused_with_its_reason(self):
+    def test_invalid_documents_are_refused_with_a_reason(self):
         route = DOCUMENT["routes"][1]
         twice = dict(route, name="r-3")
         split = {"traffic-split": [{"service": "web"}]}
@@ -263,7 +264,7 @@
                 found = core_documents.check(found)
             self.assertEqual(reason, found.reason, str(changed))
 
-    def test_a_body_that_was_cut_off_is_refused_wherever_it_was_cut(self):
+    def test_a_body_truncated_anywhere_is_refused(self):
         body = json.dumps(DOCUMENT).encode()
         for end in range(len(body)):
             self.assertIsInstance(documents.decode(body[:end]), failure.Failure)
@@ -287,17 +288,17 @@
             core_documents.check(found)
 
 
-class DialectTest(testtools.TestCase):
-    """Calls of operators and targets."""
+class HttpCodecTest(testtools.TestCase):
+    """HTTP requests of operators and targets."""
 
     def setUp(self):
         super().setUp()
-        self.dialect = control_http.ControlHttpCodec(8166)
+        self.http_codec = control_http.ControlHttpCodec(8166)
 
     def announce(self, body, name="i-7f3a91c2"):
         """Decodes a heartbeat."""
         request = post(f"/instances/{name}/heartbeat", body)
-        return self.dialect.decode(request)
+        return self.http_codec.decode(request)
 
     def test_a_heartbeat_becomes_an_announcement(self):
         target = self.announce(HEARTBEAT).target
@@ -305,7 +306,7 @@
         self.assertEqual(target_announcement.Phase.READY, target.phase)
         self.assertEqual(peers.Endpoint("10.128.0.9", 8080), target.endpoint)
 
-    def test_what_another_writer_sends_names_no_target(self):
+    def test_malformed_heartbeats_are_refused(self):
         needed = set(HEARTBEAT) - {"version", "warmup-left-ms", "born"}
         bodies = [without(HEARTBEAT, name) for name in sorted(needed)]
         bodies += [
@@ -320,18 +321,18 @@
             self.assertEqual(400, self.announce(body).status, str(body))
         self.assertEqual(400, self.announce(HEARTBEAT, "no-number").status)
 
-    def test_a_farewell_may_say_its_birth(self):
+    def test_a_deregistration_may_have_a_start_time(self):
         path = "/instances/i-7f3a91c2/deregister"
         for body, born_ms in ((b"", None), ({"born": 5}, 5)):
-            request = self.dialect.decode(post(path, body))
+            request = self.http_codec.decode(post(path, body))
             self.assertEqual(
                 external_requests.WithdrawTarget("i-7f3a91c2", born_ms), request
             )
 
-    def test_answers_take_the_form_of_the_platform(self):
+    def test_responses_are_encoded_for_the_platform(self):
         put = post("/config/replace", DOCUMENT)
         leader = peers.Peer("c", "a", peers.Endpoint("10.0.0.4", 7720))
-        moved = self.dialect.encode(put, external_requests.Elsewhere(leader))
+        moved = self.http_codec.encode(put, external_requests.Elsewhere(leader))
         self.assertEqual(307, moved.status)
         self.assertThat(
             moved.headers,
@@ -339,12 +340,12 @@
                 ("Location", "http://10.0.0.4:8166/config/replace")
             ),
         )
-        later = self.dialect.encode(
+        later = self.http_codec.encode(
             put, external_requests.Unavailable("no-leader", 0.5)
         )
         self.assertEqual(503, later.status)
         self.assertIn(("Retry-After", "0.5"), later.headers)
-        noted = self.dialect.encode(
+        noted = self.http_codec.encode(
             put, external_requests.TargetAcknowledged("10.0.0.4")
         )
         self.assertEqual(
@@ -353,7 +354,7 @@
 
     def test_an_unknown_call_is_refused(self):
         for method, path in (("GET", "/"), ("GET", "/config/replace")):
-            reply = self.dialect.decode(
+            reply = self.http_codec.decode(
                 light_driver.HttpRequest(method, path, b"")
             )
             self.assertEqual(404, reply.status)
--- a/tests/cover/test_signing.py
+++ b/tests/cover/test_signing.py
@@ -26,43 +26,48 @@
 
 
 class SigningTest(testtools.TestCase):
-    """Only fresh messages under a known key, meant for this host, pass."""
+    """Only fresh messages to this host, signed by a known key, are accepted."""
 
-    def refuse(self, reason, data, receiver=None, now_ms=NOW_MS):
+    def assert_refused(self, reason, data, receiver=None, now_ms=NOW_MS):
         """Checks that a message is refused for a reason."""
         receiver = receiver or signer("b", OLD)
         self.assertEqual(failure.Failure(reason), receiver.verify(data, now_ms))
 
-    def test_a_signed_message_passes_once(self):
+    def test_a_signed_message_is_accepted_once(self):
         receiver = signer("b", OLD)
         data = signer("a", OLD).sign("b", b"body\nmore", NOW_MS)
         self.assertEqual(b"body\nmore", receiver.verify(data, NOW_MS))
-        self.refuse("message-replayed", data, receiver)
+        self.assert_refused("message-replayed", data, receiver)
 
     def test_a_message_for_another_host_is_refused(self):
         data = signer("a", OLD).sign("c", b"body", NOW_MS)
-        self.refuse("message-bad-signature", data)
+        self.assert_refused("message-bad-signature", data)
 
     def test_an_unsigned_message_or_one_with_another_key_is_refused(self):
-        self.refuse("message-unsigned", b'{"sender": 1}')
+        self.assert_refused("message-unsigned", b'{"sender": 1}')
         data = signer("a", NEW).sign("b", b"body", NOW_MS)
-        self.refuse("message-unknown-key", data)
-        self.refuse("message-bad-signature", data.replace(b"new", b"old", 1))
+        self.assert_refused("message-unknown-key", data)
+        self.assert_refused(
+            "message-bad-signature", data.replace(b"new", b"old", 1)
+        )
 
     def test_a_late_message_is_refused(self):
         data = signer("a", OLD).sign("b", b"body", NOW_MS)
         late_ms = NOW_MS + signing.MAX_SKEW_MS + 1
-        self.refuse("message-late", data, now_ms=late_ms)
+        self.assert_refused("message-late", data, now_ms=late_ms)
 
     def test_keys_are_rotated_without_a_refusal(self):
         stages = [(OLD,), (OLD, NEW), (NEW, OLD), (NEW,)]
         for before, after in itertools.pairwise(stages):
-            for mine, theirs in ((before, after), (after, before)):
-                data = signer("a", *mine).sign("b", b"body", NOW_MS)
-                receiver = signer("b", *theirs)
+            for sender_keys, receiver_keys in (
+                (before, after),
+                (after, before),
+            ):
+                data = signer("a", *sender_keys).sign("b", b"body", NOW_MS)
+                receiver = signer("b", *receiver_keys)
                 self.assertEqual(b"body", receiver.verify(data, NOW_MS))
 
-    def test_a_restarted_sender_is_heard(self):
+    def test_messages_of_a_restarted_sender_are_accepted(self):
         receiver = signer("b", OLD)
         for seed in (1, 2):
             sender = signer("a", OLD, seed=seed)
--- a/tests/cover/test_small_http.py
+++ b/tests/cover/test_small_http.py
@@ -1,4 +1,4 @@
-"""The small HTTP listener over real sockets."""
+"""HTTP listener of the hosts, over real sockets."""
 
 import asyncio
 
@@ -10,17 +10,17 @@
 
 
 class ConnectionTest(testtools.TestCase):
-    """When a connection is kept."""
+    """Connections that are kept open or closed after a response."""
 
     def exchange(self, *requests):
-        """Sends requests, and returns all that comes until the end."""
+        """Sends requests; returns all bytes until the connection closes."""
 
-        async def answer(request):
+        async def respond(request):
             await asyncio.sleep(0.01)
             return http1.HttpResponse(200, request.path.encode())
 
         async def run():
-            listener = http1.HttpListener(answer)
+            listener = http1.HttpListener(respond)
             await listener.open(LOOPBACK, 0)
             port = listener._server.sockets[0].getsockname()[1]
             reader, writer = await asyncio.open_connection(LOOPBACK, port)
@@ -38,21 +38,21 @@
         lines = [f"GET {path} HTTP/{version}", "Host: h", *headers]
         return "\r\n".join([*lines, "\r\n"]).encode()
 
-    def test_a_connection_ends_after_the_answer_if_the_caller_says_so(self):
-        found = self.exchange(self.request("/a", "Connection: close"))
-        self.assertIn(b"\r\nConnection: close\r\n", found)
-        self.assertTrue(found.endswith(b"/a"))
+    def test_a_connection_closes_after_the_response_on_request(self):
+        received = self.exchange(self.request("/a", "Connection: close"))
+        self.assertIn(b"\r\nConnection: close\r\n", received)
+        self.assertTrue(received.endswith(b"/a"))
 
-    def test_requests_before_the_last_are_answered_in_order(self):
-        found = self.exchange(
+    def test_pipelined_requests_are_answered_in_order(self):
+        received = self.exchange(
             self.request("/a"),
             self.request("/b"),
             self.request("/c", "Connection: close"),
         )
-        self.assertEqual(3, found.count(b"HTTP/1.1 200"))
-        self.assertLess(found.index(b"/a"), found.index(b"/b"))
-        self.assertTrue(found.endswith(b"/c"))
+        self.assertEqual(3, received.count(b"HTTP/1.1 200"))
+        self.assertLess(received.index(b"/a"), received.index(b"/b"))
+        self.assertTrue(received.endswith(b"/c"))
 
-    def test_a_caller_of_the_old_version_gets_one_answer(self):
-        found = self.exchange(self.request("/a", version="1.0"))
-        self.assertTrue(found.endswith(b"/a"))
+    def test_an_http_1_0_connection_closes_after_one_response(self):
+        received = self.exchange(self.request("/a", version="1.0"))
+        self.assertTrue(received.endswith(b"/a"))
--- a/tests/cover/test_stand_ins.py
+++ b/tests/cover/test_stand_ins.py
@@ -1,4 +1,4 @@
-"""Caller and target stand-ins, joined without an entry host between."""
+"""Simulated callers and targets, connected without an entry host."""
 
 import asyncio
 import socket
@@ -25,12 +25,13 @@
 LONG_LIVED = configuration.Lifetime.LONG_LIVED
 CLOSED_PORT = 9999
 STALL_S = 1.3
-"""Time for which a loaded machine keeps the loop from running; openings are
-repeated after a second."""
+"""Time for which the event loop is stalled, as on a loaded machine, in
+seconds. It is longer than the second after which a caller retransmits its
+opening."""
 
 
 class Wire(asyncio.DatagramProtocol):
-    """Hands each datagram of one stand-in to the other."""
+    """Forwards the datagrams of each end to the other end."""
 
     def connection_made(self, transport):
         self.transport = transport
@@ -44,20 +45,20 @@
 
 
 class StallingWire:
-    """Loses nothing, but keeps the loop from running at one packet."""
+    """Loss rule that loses nothing but stalls the event loop at one packet."""
 
     def __init__(self, after):
-        self.left = after
+        self.remaining = after
 
     def __call__(self, packet):
-        self.left -= 1
-        if self.left == 0:
+        self.remaining -= 1
+        if self.remaining == 0:
             time.sleep(STALL_S)
         return False
 
 
-class StandInTest(testtools.TestCase):
-    """Counts of both ends."""
+class CallerTargetTest(testtools.TestCase):
+    """Reports of callers and targets agree."""
 
     def run_load(self, *loads, during=None, connections=100):
         """Returns the reports of caller and targets after some load."""
@@ -68,11 +69,11 @@
         transport, wire = await loop.create_datagram_endpoint(
             Wire, (LOOPBACK, 0)
         )
-        place = peers.Endpoint(*transport.get_extra_info("sockname"))
+        wire_endpoint = peers.Endpoint(*transport.get_extra_info("sockname"))
         target = target_process.TargetProcess(
             target_settings.Settings(
                 listen=ANY,
-                fabric=place,
+                fabric=wire_endpoint,
                 http=ANY,
                 services={
                     name: target_settings.Service(
@@ -91,7 +92,7 @@
         caller = caller_process.CallerProcess(
             caller_settings.Settings(
                 listen=ANY,
-                fabric=place,
+                fabric=wire_endpoint,
                 addresses=("10.7.0.1",),
                 loads=loads,
                 duration_s=0.5,
@@ -102,8 +103,7 @@
         await target.start()
         await caller.start()
         wire.ends = [
-            (LOOPBACK, side.attachment.endpoint.port)
-            for side in (target, caller)
+            (LOOPBACK, end.attachment.endpoint.port) for end in (target, caller)
         ]
         running = asyncio.create_task(caller.run())
         try:
@@ -121,7 +121,7 @@
             service, "requests", address, port, **settings
         )
 
-    def test_bounded_requests_are_answered_and_counted_alike(self):
+    def test_bounded_requests_are_counted_alike_by_both_ends(self):
         report, targets = self.run_load(self.load(answer_bytes=5000))
         (load,) = report.loads
         self.assertThat(load.opened, matchers.GreaterThan(5))
@@ -132,7 +132,7 @@
         self.assertEqual({"requests": load.opened}, targets[0].requests)
         self.assertEqual((0, 0), (targets[0].repeated, load.open))
 
-    def test_long_lived_connections_end_in_order_at_the_end(self):
+    def test_long_lived_connections_close_gracefully_at_the_end(self):
         report, _ = self.run_load(
             self.load(lifetime=LONG_LIVED, request_interval_s=0.05, most=5)
         )
@@ -140,21 +140,21 @@
         self.assertEqual((5, 5, {}), (load.opened, load.completed, load.broken))
         self.assertThat(load.answers, matchers.GreaterThan(5))
 
-    def test_an_answer_of_another_service_is_seen(self):
+    def test_a_response_of_another_service_is_counted(self):
         report, _ = self.run_load(
             self.load(address=INFORME, answer_timeout_s=0.2)
         )
         (load,) = report.loads
         self.assertEqual((0, load.opened), (load.answers, load.wrong_service))
 
-    def test_a_closed_port_is_a_refusal_that_means_not_run(self):
+    def test_a_closed_port_is_reported_as_not_run(self):
         report, _ = self.run_load(self.load(port=CLOSED_PORT))
         (load,) = report.loads
         self.assertEqual(
             {"not-run: connection-refused": load.tried}, load.refused
         )
 
-    def test_a_full_target_sheds_before_anything_runs(self):
+    def test_a_full_target_refuses_connections_as_not_run(self):
         report, targets = self.run_load(
             self.load(lifetime=LONG_LIVED), connections=3
         )
@@ -164,7 +164,7 @@
             {"not-run: connection-refused": targets[0].refused}, load.refused
         )
 
-    def test_a_refusal_counts_once_when_a_late_loop_repeats_its_opening(self):
+    def test_a_refusal_counts_once_after_a_stall_retransmits_its_opening(self):
         async def stall(target, wire):
             wire.lose = StallingWire(after=40)
 
@@ -176,7 +176,7 @@
             {"not-run: connection-refused": targets[0].refused}, load.refused
         )
 
-    def test_long_lived_connections_end_in_order_on_a_late_loop(self):
+    def test_long_lived_connections_close_gracefully_after_a_stall(self):
         async def stall(target, wire):
             wire.lose = StallingWire(after=40)
 
@@ -187,7 +187,7 @@
         (load,) = report.loads
         self.assertEqual((5, 5, {}), (load.opened, load.completed, load.broken))
 
-    def test_a_muted_target_is_seen_as_missing_answers(self):
+    def test_requests_to_a_muted_target_end_without_a_response(self):
         async def mute(target, wire):
             await asyncio.sleep(0.2)
             target.attachment.stack.muted.add(socket.inet_aton(AGENDA))
@@ -205,28 +205,28 @@
         (load,) = report.loads
         self.assertEqual({"may-have-run: no-answer": 1}, load.broken)
 
-    def test_a_target_lies_and_drains_when_told_to(self):
-        seen = []
+    def test_a_target_overrides_its_reports_and_drains_on_request(self):
+        bodies = []
 
-        async def order(target, wire):
+        async def override_and_drain(target, wire):
             client = http_client.HttpClient()
             path = f"/v1/targets/{AGENDA}"
             lie = servers.ReportOverride(healthy=False, load=7.5)
             await client.request("PUT", target.http, f"{path}/lie", lie)
             for name in ("health", "load"):
-                found = await client.request(
+                response = await client.request(
                     "GET", target.http, f"{path}/{name}"
                 )
-                seen.append(found.body)
+                bodies.append(response.body)
             body = {"state": "draining"}
             await client.request("PUT", target.http, f"{path}/state", body)
             announced = target.targets[AGENDA].announcement(1.0, 0)
-            seen.append(msgspec.to_builtins(announced))
+            bodies.append(msgspec.to_builtins(announced))
             await client.close()
 
-        _, targets = self.run_load(self.load(), during=order)
+        _, targets = self.run_load(self.load(), during=override_and_drain)
         self.assertThat(len(targets[0].late), matchers.GreaterThan(0))
-        health, load, announced = seen
+        health, load, announced = bodies
         self.assertEqual(({"healthy": False}, {"load": 7.5}), (health, load))
         self.assertEqual(
             ("draining", False, 7.5),
--- a/tests/cover/test_storage.py
+++ b/tests/cover/test_storage.py
@@ -1,4 +1,4 @@
-"""The data folder of a control host, with a disk that fails."""
+"""Data folder of a control host on a failing disk."""
 
 import errno
 import pathlib
@@ -24,7 +24,7 @@
         calls: Writing calls so far.
         paths: Path of each open file.
         synced: Synced size of each path.
-        undo: How to take back the unsynced changes of names.
+        undo: Functions that undo the unsynced renames and removals.
     """
 
     def __init__(self, fail_at=0, error=errno.EIO):
@@ -76,23 +76,23 @@
         super().remove(path)
         self.undo.append(lambda: path.write_bytes(data))
 
-    def lose_power(self, chance):
-        """Leaves on disk a random part of what was not synced."""
-        if chance.random() < 0.5:
+    def lose_power(self, generator):
+        """Keeps a random part of the unsynced data, possibly damaged."""
+        if generator.random() < 0.5:
             while self.undo:
                 self.undo.pop()()
         for path, synced in self.synced.items():
             if not path.exists():
                 continue
             data = bytearray(path.read_bytes())
-            size = chance.randint(min(synced, len(data)), len(data))
-            if size > synced and chance.random() < 0.5:
-                data[chance.randrange(synced, size)] ^= 0x40
+            size = generator.randint(min(synced, len(data)), len(data))
+            if size > synced and generator.random() < 0.5:
+                data[generator.randrange(synced, size)] ^= 0x40
             path.write_bytes(data[:size])
 
 
 class FolderTest(testtools.TestCase):
-    """What was acknowledged is there again, or the process refuses."""
+    """Acknowledged data is recovered, or the folder is refused."""
 
     def setUp(self):
         super().setUp()
@@ -104,8 +104,8 @@
         """Opens the data folder."""
         return folder_lib.DataFolder(self.path, host, 1, files)
 
-    def fill(self):
-        """Writes a snapshot and two batches; returns the log file."""
+    def write_log(self):
+        """Writes a snapshot and two batches; returns the path of the log."""
         folder = self.open()
         folder.append((b"old",))
         folder.save_snapshot(b"state", (b"one",))
@@ -114,14 +114,14 @@
         folder.close()
         return folder_lib.log_path(self.path, 2)
 
-    def refuse(self, reason, **arguments):
-        """Checks that the folder is refused with a remedy."""
+    def assert_open_refused(self, reason, **arguments):
+        """Checks that opening is refused with a reason and a remedy."""
         error = self.assertRaises(errors.StorageError, self.open, **arguments)
         self.assertEqual(reason, error.reason)
         self.assertTrue(error.remedy)
 
-    def test_a_restart_finds_all_that_was_written(self):
-        self.fill()
+    def test_a_restart_recovers_all_written_data(self):
+        self.write_log()
         folder = self.open()
         self.addCleanup(folder.close)
         self.assertEqual(b"state", folder.contents.snapshot)
@@ -130,17 +130,17 @@
             folder.contents.records,
         )
 
-    def test_a_second_process_is_kept_out(self):
+    def test_a_folder_in_use_is_refused(self):
         folder = self.open()
         self.addCleanup(folder.close)
-        self.refuse("in-use")
+        self.assert_open_refused("in-use")
 
     def test_the_folder_of_another_host_is_refused(self):
         self.open().close()
-        self.refuse("other-host", host="c2")
+        self.assert_open_refused("other-host", host="c2")
 
     def test_an_emptied_folder_gets_a_new_incarnation(self):
-        self.fill()
+        self.write_log()
         first = self.open()
         first.close()
         for path in self.path.iterdir():
@@ -152,16 +152,16 @@
         )
 
     def test_a_lost_log_or_identity_is_refused(self):
-        log = self.fill()
+        log = self.write_log()
         data = log.read_bytes()
         log.unlink()
-        self.refuse("log-lost")
+        self.assert_open_refused("log-lost")
         log.write_bytes(data)
         (self.path / folder_lib.IDENTITY_NAME).unlink()
-        self.refuse("identity-lost")
+        self.assert_open_refused("identity-lost")
 
-    def test_every_cut_leaves_a_prefix_and_can_be_written_again(self):
-        log = self.fill()
+    def test_a_log_truncated_anywhere_keeps_a_prefix_and_accepts_appends(self):
+        log = self.write_log()
         data = log.read_bytes()
         whole = frames.decode(data)
         for size in range(frames.HEADER_BYTES, len(data)):
@@ -176,7 +176,7 @@
             folder.close()
 
     def test_damage_to_acknowledged_data_is_refused(self):
-        log = self.fill()
+        log = self.write_log()
         data = log.read_bytes()
         last_mark = data.rindex(b"synced")
         mark_start = last_mark - 10
@@ -187,7 +187,7 @@
             error = self.assertRaises(errors.StorageError, self.open)
             self.assertIn(error.reason, ("damaged", "bad-header"))
 
-    def test_a_failed_write_stops_all_further_writes(self):
+    def test_no_write_is_accepted_after_a_failed_one(self):
         for error, reason in (
             (errno.EIO, "disk-failed"),
             (errno.ENOSPC, "disk-full"),
@@ -233,17 +233,17 @@
         allowed.append(attempted)
         self.assertIn(found, allowed)
 
-    def run_until_failure(self, files, chance, steps):
-        """Writes until a call fails, then loses power.
+    def run_until_failure(self, files, generator, steps):
+        """Writes until a call fails, then simulates a power loss.
 
         Returns:
-            The last state that was acknowledged, and the one attempted.
+            The last acknowledged state and the last attempted one.
         """
         acknowledged = attempted = (None, [])
         try:
             folder = self.open(files)
         except errors.StorageError:
-            files.lose_power(chance)
+            files.lose_power(generator)
             return acknowledged, attempted
         try:
             for number, step in enumerate(steps):
@@ -260,12 +260,12 @@
         except errors.StorageError:
             pass
         folder.close()
-        files.lose_power(chance)
+        files.lose_power(generator)
         return acknowledged, attempted
 
 
 class FrameTest(testtools.TestCase):
-    """The form of the log file."""
+    """Frames of the log file."""
 
     @hypothesis.given(strategies.binary(max_size=80))
     @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
@@ -273,7 +273,7 @@
         decoded = frames.decode(frames.encode_header(1) + data)
         self.assertIsInstance(decoded, (frames.Contents, failure.Failure))
 
-    def test_a_frame_is_valid_in_its_own_place_only(self):
+    def test_a_frame_is_valid_only_at_its_own_position(self):
         record = frames.encode(frames.Kind.RECORD, b"x", 1, frames.HEADER_BYTES)
         data = frames.encode_header(1) + record + record
         self.assertEqual([b"x"], frames.decode(data).records)
--- a/tests/cover/test_validation.py
+++ b/tests/cover/test_validation.py
@@ -183,7 +183,7 @@
 
 
 class DocumentTest(testtools.TestCase):
-    """A document is accepted whole or refused with the value at fault."""
+    """A document is accepted whole or refused with the path of the fault."""
 
     def test_a_valid_document_is_accepted(self):
         checked = validated_configuration.check(with_services())
@@ -196,7 +196,7 @@
                 self.assertIsInstance(refused, failure.Failure, value)
                 self.assertEqual(path, refused.path, refused)
 
-    def test_a_refused_change_leaves_the_index_as_it_was(self):
+    def test_a_refused_change_does_not_alter_the_index(self):
         checked = validated_configuration.check(with_services())
         ports = dict(checked.index.ports)
         clash = checked.services["one"]
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -30,19 +30,25 @@
 
 
 def call(port: int, method: str, path: str, body=None):
-    """Returns the status and the decoded JSON answer of a host."""
+    """Returns the status and the decoded JSON body of a response."""
     data = None if body is None else json.dumps(body).encode()
     url = f"http://127.0.0.1:{port}{path}"
     request = urllib.request.Request(url, data, method=method)
     try:
-        with urllib.request.urlopen(request, timeout=START_TIMEOUT_S) as answer:
-            return answer.status, json.load(answer)
+        with urllib.request.urlopen(
+            request, timeout=START_TIMEOUT_S
+        ) as response:
+            return response.status, json.load(response)
     except urllib.error.HTTPError as error:
         return error.code, json.load(error)
 
 
 def wait_until(condition, what: str, timeout_s: float = START_TIMEOUT_S):
-    """Returns the first true value of `condition`."""
+    """Returns the first true value of `condition`.
+
+    Raises:
+        AssertionError: There was none within the timeout.
+    """
     end_s = time.monotonic() + timeout_s
     while time.monotonic() < end_s:
         value = condition()
@@ -53,7 +59,7 @@
 
 
 class Daemon:
-    """A running `tamarackd`."""
+    """A running `tamarackd` process."""
 
     def __init__(self, folder: pathlib.Path, settings: dict):
         self.port = settings["control"][1]
@@ -69,9 +75,9 @@
             )
 
     def wait_started(self) -> None:
-        wait_until(self._answers, f"{self.file} answers")
+        wait_until(self._is_healthy, f"{self.file} answers")
 
-    def _answers(self) -> bool:
+    def _is_healthy(self) -> bool:
         if self.process.poll() is not None:
             raise AssertionError(self.log_file.read_text())
         try:
@@ -85,6 +91,6 @@
         return self.process.wait(STOP_TIMEOUT_S)
 
     def kill(self) -> None:
-        """Ends the process without a chance to clean up."""
+        """Kills the process without a graceful stop."""
         self.process.kill()
         self.process.wait(STOP_TIMEOUT_S)
--- a/tests/quality/test_capacity_page.py
+++ b/tests/quality/test_capacity_page.py
@@ -1,4 +1,4 @@
-"""The capacity page shows what the command computes."""
+"""The capacity page shows the output of the capacity command."""
 
 import pathlib
 
--- a/tests/quality/test_documentation.py
+++ b/tests/quality/test_documentation.py
@@ -1,4 +1,4 @@
-"""The documentation holds together."""
+"""Links and names in the documentation are valid."""
 
 import itertools
 import pathlib
@@ -12,7 +12,7 @@
 
 
 def pages():
-    """Returns all pages of documentation."""
+    """Returns the paths of all documentation pages."""
     return sorted(
         itertools.chain(
             ROOT.glob("*.md"),
