--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -47,16 +47,12 @@
         handlers = self.network.nodes[name].handlers[requests.SubmitPatch]
         return handlers[0].__self__
 
-    def log_state(self, name):
-        """Returns the state of the replicated log at a host."""
-        return self.component(name).replica.state
-
     def leader(self):
         """Returns the name of the host that leads, or None."""
         leading = [
             name
             for name in self.network.nodes
-            if self.log_state(name).is_leader
+            if self.component(name).replica.state.is_leader
         ]
         return leading[0] if len(leading) == 1 else None
 
@@ -71,7 +67,10 @@
         self.network.run_until(
             lambda: (
                 self.leader() in names
-                and all(self.log_state(name).is_voter for name in names)
+                and all(
+                    self.component(name).replica.state.is_voter
+                    for name in names
+                )
             ),
             20.0,
         )
@@ -150,7 +149,7 @@
         self.network.kill("c0", lose_disk=True)
         self.network.start("c0")
         self.network.run(15.0)
-        self.assertFalse(self.log_state("c0").is_voter)
+        self.assertFalse(self.component("c0").replica.state.is_voter)
         verdict = self.network.answer("c1", patch("b", 1))
         self.assertEqual(2, verdict.version)
 
@@ -158,13 +157,16 @@
         for name in self.names:
             self.network.start(name)
         self.network.run_until(
-            lambda: len(self.log_state("c0").latest_membership.voters) > 1,
+            lambda: (
+                len(self.component("c0").replica.state.latest_membership.voters)
+                > 1
+            ),
             20.0,
         )
         self.network.kill("c0", lose_disk=True)
         self.network.start("c0")
         self.network.run(15.0)
-        self.assertFalse(self.log_state("c0").is_voter)
+        self.assertFalse(self.component("c0").replica.state.is_voter)
 
     def test_a_host_that_lost_its_disk_votes_again_once_removed(self):
         self.bootstrap()
@@ -173,7 +175,7 @@
         self.network.kill(lost, lose_disk=True)
         self.network.start(lost)
         self.network.run(5.0)
-        self.assertFalse(self.log_state(lost).is_voter)
+        self.assertFalse(self.component(lost).replica.state.is_voter)
         request = requests.ChangeMember(requests.MemberAction.REMOVE, lost)
         refused = self.network.answer(self.followers()[0], request)
         self.assertEqual("not-leader", refused.reason)
