--- a/tests/slow/consensus_checker.py
+++ b/tests/slow/consensus_checker.py
@@ -1,4 +1,4 @@
-"""Oracle of the replicated log: checks every step of a fake network."""
+"""Invariant checks of the replicated log, run at each step of a network."""
 
 from tamarack_core import effects
 from tamarack_core import failure
@@ -19,7 +19,7 @@
 
 
 class SyncedState:
-    """What one disk holds, read from its bytes alone.
+    """Consensus state on one disk, decoded from its bytes alone.
 
     Attributes:
         term: Last synced term.
@@ -55,14 +55,14 @@
 
 
 class Checker:
-    """Watches a network.
+    """Observes all steps of a network and checks the invariants.
 
     Attributes:
-        network: The network.
+        network: The observed network.
         leaders: Leader by term.
         committed: Entry by committed index.
         applied: Longest sequence of applied commands.
-        acknowledged: Commands that a proposer was told are applied.
+        acknowledged: Commands whose application was reported to the proposer.
     """
 
     def __init__(self, network):
@@ -71,7 +71,7 @@
         self.leaders = {}
         self.entries = {}
         self.committed = {}
-        self.placed = {}
+        self.membership_entries = {}
         self.applied = []
         self.acknowledged = []
         self.disks = {}
@@ -81,15 +81,15 @@
         self.proposals = {}
         self.refused = set()
         self.reads = {}
-        self.seen_by_reads = 0
+        self.newest_read_length = 0
         self.completed_reads = 0
         self.snapshots_installed = 0
         network.observer = self.observe
 
     def possible_memberships(self):
-        """Returns the memberships that may count now or later.
+        """Returns the memberships that are or may come in force.
 
-        A membership entry may still be on its way after its leader is gone.
+        A membership entry may still be in flight after its leader has failed.
         """
         end = max(self.committed, default=0)
         current = self.committed_membership(end)
@@ -111,9 +111,9 @@
         return True
 
     def read(self, host):
-        """Begins a read at a host."""
+        """Starts a linearizable read at a host."""
         token = len(self.reads)
-        self.reads[token] = (len(self.acknowledged), self.seen_by_reads)
+        self.reads[token] = (len(self.acknowledged), self.newest_read_length)
         step = host.replica.read_index(self.network.now_s, token)
         self.network.carry_out(host, step)
 
@@ -125,13 +125,13 @@
             self.check_log(host)
             self.check_membership(host)
             self.check_applied(host)
-        self.check_vote_kept(host)
+        self.check_vote_persistence(host)
         self.check_effects(host, step)
         for output in step.outputs:
             self.check_output(host, output)
 
     def check_effects(self, host, step):
-        """Checks what a replica promises and writes."""
+        """Checks the messages and snapshots of a replica."""
         for effect in step.effects:
             if isinstance(effect, effects.SendMessage):
                 self.check_message(host, effect.message)
@@ -139,7 +139,7 @@
                 self.check_snapshot(effect)
 
     def check_output(self, host, output):
-        """Checks what a replica tells the part above it."""
+        """Checks an output of a replica to its state machine."""
         match output:
             case outputs.LeaderChanged(is_self=True):
                 self.check_leader(host, output.term)
@@ -163,21 +163,24 @@
         return True
 
     def check_log(self, host):
-        """Entries with one index and term are equal, and so all before."""
+        """Checks that entries with equal index and term match.
+
+        All entries before them match too.
+        """
         state = host.replica.state
         log = state.log
         self.check_compacted(host)
         previous_term = log.base_term
         for index, entry in log.numbered_after(log.base_index):
-            found = (entry, previous_term)
-            known = self.entries.setdefault((index, entry.term), found)
-            require(known == found, "log matching", host.incarnation, index)
+            observed = (entry, previous_term)
+            known = self.entries.setdefault((index, entry.term), observed)
+            require(known == observed, "log matching", host.incarnation, index)
             previous_term = entry.term
             if index <= state.commit_index:
                 self.check_committed(host, index, entry)
 
     def check_compacted(self, host):
-        """Entries that were committed and compacted in one step agree too."""
+        """Checks entries that were committed and compacted in one step."""
         log = host.replica.state.log
         index, term = log.base_index, log.base_term
         while index > 0 and index not in self.committed:
@@ -192,7 +195,7 @@
         )
 
     def check_committed(self, host, index, entry):
-        """A committed entry never changes, and a quorum has synced it."""
+        """Checks that a committed entry is final and synced by a quorum."""
         if index not in self.committed:
             self.commit(index, entry)
             if host.replica.state.is_leader:
@@ -202,21 +205,21 @@
         require(known == entry, "committed changed", host.incarnation, index)
 
     def check_commit_term(self, host):
-        """A leader commits by counting only up to an entry of its term."""
+        """Checks that a leader commits only with an entry of its own term."""
         state = host.replica.state
         term = state.log.term_at(state.commit_index)
         require(term == state.term, "commit of earlier term", term)
 
     def check_membership(self, host):
-        """The membership in force is the newest in the log."""
+        """Checks that the membership in force is the newest in the log."""
         state = host.replica.state
-        placed = [
+        membership_entries = [
             (index, entry)
             for index, entry in state.log.numbered_after(state.log.base_index)
             if entry.kind is consensus.EntryKind.MEMBERSHIP
         ]
-        if placed:
-            expected = membership.decode(placed[-1][1].data)
+        if membership_entries:
+            expected = membership.decode(membership_entries[-1][1].data)
         elif host.initial or state.log.base_index:
             expected = self.committed_membership(state.log.base_index)
         else:
@@ -229,19 +232,21 @@
 
     def committed_membership(self, end):
         """Returns the membership after the entry at `end`."""
-        newest = max((i for i in self.placed if i <= end), default=None)
+        newest = max(
+            (i for i in self.membership_entries if i <= end), default=None
+        )
         if newest is None:
             return membership.Membership(self.initial)
-        return self.placed[newest]
+        return self.membership_entries[newest]
 
     def commit(self, index, entry):
-        """Takes note of a committed entry."""
+        """Records a committed entry."""
         self.committed[index] = entry
         if entry.kind is consensus.EntryKind.MEMBERSHIP:
-            self.placed[index] = membership.decode(entry.data)
+            self.membership_entries[index] = membership.decode(entry.data)
 
     def synced(self, disk):
-        """Returns what a disk holds."""
+        """Returns the state on a disk, cached until the disk changes."""
         key = (len(disk.records), disk.snapshot)
         known = self.synced_states.get(id(disk))
         if known is None or known[0] != key:
@@ -250,7 +255,7 @@
         return known[1]
 
     def check_durable_index(self, host):
-        """What a replica holds to be synced is on its disk."""
+        """Checks that entries up to the durable index are on the disk."""
         state = host.replica.state
         index = state.journal.durable_index
         term = state.log.term_at(index)
@@ -264,12 +269,12 @@
         )
 
     def check_message(self, host, message):
-        """A promise is of the current term, and on disk when it leaves."""
+        """Checks that responses have the current term and are synced first."""
         state = host.replica.state
         synced = self.synced(host.disk)
         header = message.header
         if isinstance(message, consensus.AppendResponse):
-            require(header.term == state.term, "promise of an earlier term")
+            require(header.term == state.term, "response of an earlier term")
             index = message.match_index
             term = state.log.term_at(index)
             if term is None and index in self.committed:
@@ -285,14 +290,14 @@
         ):
             self.check_vote(host, synced, header)
 
-    def check_vote_kept(self, host):
-        """A replica remembers its vote, also after a restart."""
+    def check_vote_persistence(self, host):
+        """Checks that a replica keeps its vote, also after a restart."""
         state = host.replica.state
         vote = self.votes.get((host.incarnation, state.term))
-        require(vote in (None, state.voted_for), "vote forgotten", vote)
+        require(vote in (None, state.voted_for), "vote not kept", vote)
 
     def check_vote(self, host, synced, header):
-        """A vote is on disk when it leaves, and the only one of its term."""
+        """Checks that a sent vote is on disk and the only one of its term."""
         vote = (header.term, header.destination)
         require((synced.term, synced.voted_for) == vote, "unsynced vote", vote)
         known = self.votes.setdefault(
@@ -301,7 +306,7 @@
         require(known == header.destination, "two votes", vote, known)
 
     def check_snapshot(self, effect):
-        """A snapshot holds committed state only."""
+        """Checks that a snapshot has committed state only."""
         snapshot = records.decode_snapshot(effect.data)
         entry = self.committed.get(snapshot.index)
         require(
@@ -333,7 +338,7 @@
         ]
 
     def check_synced(self, host, index, term):
-        """A majority of the voters' disks hold an entry."""
+        """Checks that an entry is on the disks of a majority of voters."""
         voters = host.replica.state.latest_membership.voters
         holding = [
             voter
@@ -345,31 +350,39 @@
         require(enough, "unsynced commit", index, holding, voters)
 
     def check_leader(self, host, term):
-        """One leader a term, with all committed entries and synced votes."""
+        """Checks the only leader of a term.
+
+        It has all committed entries, and the votes for it are synced.
+        """
         known = self.leaders.setdefault(term, host.incarnation)
         require(known == host.incarnation, "two leaders", term, known)
         state = host.replica.state
         for index, entry in self.committed.items():
             kept = state.log.term_at(index)
             covered = index <= state.log.base_index
-            require(covered or kept == entry.term, "leader lacks", index, term)
+            require(
+                covered or kept == entry.term,
+                "leader lacks a committed entry",
+                index,
+                term,
+            )
         voters = state.latest_membership.voters
         votes = [self.synced_vote(voter, term) for voter in voters]
         granted = votes.count(host.incarnation)
         require(2 * granted > len(voters), "unsynced votes", term, votes)
 
     def synced_vote(self, voter, term):
-        """Returns whom a voter's disk names in a term."""
+        """Returns the vote on a voter's disk in a term."""
         if voter not in self.disks:
             return ""
         synced = self.synced(self.disks[voter])
-        # A voter that has moved on since may have voted for this leader.
+        # A voter in a later term may have voted for this leader before.
         if synced.term > term:
             return self.leaders[term]
         return synced.voted_for if synced.term == term else ""
 
     def check_applied(self, host):
-        """Applied sequences are prefixes of one another."""
+        """Checks that applied sequences are prefixes of each other."""
         commands = host.state_machine.commands
         shared = min(len(commands), len(self.applied))
         require(
@@ -386,21 +399,30 @@
         )
 
     def acknowledge(self, host, output):
-        """Takes note that a proposer learns of its command."""
+        """Records that the application of a command was reported."""
         key = (host.incarnation, output.index, output.term)
         command = self.proposals.pop(key, None)
         if command is not None:
             require(
-                command in host.state_machine.commands, "acknowledged, lost"
+                command in host.state_machine.commands,
+                "acknowledged command is lost",
             )
             self.acknowledged.append(command)
 
     def check_read(self, host, output):
-        """A read sees all that was acknowledged or read before it began."""
+        """Checks that a read is linearizable.
+
+        It sees all that was acknowledged or read before it began.
+        """
         acknowledged, seen = self.reads[output.token]
         commands = host.state_machine.commands
         missing = set(self.acknowledged[:acknowledged]).difference(commands)
         require(not missing, "stale read", output, missing)
-        require(len(commands) >= seen, "read goes back", output, seen)
-        self.seen_by_reads = max(self.seen_by_reads, len(commands))
+        require(
+            len(commands) >= seen,
+            "read is older than an earlier one",
+            output,
+            seen,
+        )
+        self.newest_read_length = max(self.newest_read_length, len(commands))
         self.completed_reads += 1
--- a/tests/slow/routing_figures.py
+++ b/tests/slow/routing_figures.py
@@ -151,14 +151,14 @@
     hops = network.counter("extra-hops") - hops
     ratio = hops / (network.packets - packets)
     if is_silent:
-        network.fall_silent()
+        network.pause_callers()
     event(network)
-    network.wake()
+    network.resume_callers()
     broken = FLOWS - network.count("open")
     fabric = "spray" if spray else "affinity"
     print(
         f"{name} | {fabric} | {is_silent} | {event.__name__} | {broken} |"
-        f" {ratio:.3f} | doubled {len(network.doubled())}"
+        f" {ratio:.3f} | doubled {len(network.flows_at_several_targets())}"
     )
 
 
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -1,4 +1,8 @@
-"""Entry hosts, callers and targets joined by a seeded queue of packets."""
+"""Simulated network of entry hosts, callers and targets.
+
+All packets go through one event queue whose delays and faults are drawn from
+a seeded random generator.
+"""
 
 import collections
 import heapq
@@ -24,9 +28,9 @@
 from tamarack_core.packets import ip
 
 WALL_MS = 1_700_000_000_000
-FABRIC_NOTICES_S = 1.0
-GIVE_UP_S = 45.0
-THINK_S = 1.0
+FABRIC_UPDATE_S = 1.0
+CALLER_TIMEOUT_S = 45.0
+REQUEST_PAUSE_S = 1.0
 SYN, ACK, FIN, RST = ip.TCP_SYN, ip.TCP_ACK, ip.TCP_FIN, ip.TCP_RST
 CLASSES = {
     "feeds": configuration.WorkClass(
@@ -68,8 +72,8 @@
     )
 
 
-class LeastChooser:
-    """Takes the target that holds the fewest flows of this host."""
+class FewestFlowsChooser:
+    """Chooses the target with the fewest flows of this entry host."""
 
     def __init__(self, ready):
         self.ready = ready
@@ -98,7 +102,7 @@
 
 
 class Target:
-    """A server that echoes payload and checks sequence numbers."""
+    """Server that echoes payload and checks sequence numbers."""
 
     def __init__(self, network, address):
         self.network = network
@@ -106,16 +110,16 @@
         self.connections = {}
 
     def receive(self, packet):
-        me = (self.address, packet.destination_port)
+        local = (self.address, packet.destination_port)
         caller = (packet.source, packet.source_port)
-        key = (caller, me)
+        key = (caller, local)
         if caller in self.network.muted:
             return
         held = self.connections.get(key)
         if len(packet.data) > packet.payload:
-            # Payload counts even where the numbers make the target refuse it.
+            # Payload is recorded even if its sequence numbers are rejected.
             uid = packet.data[packet.payload :]
-            self.network.note_payload(uid, self.address)
+            self.network.record_payload(uid, self.address)
         if packet.flags & RST:
             self.connections.pop(key, None)
         elif packet.flags & SYN:
@@ -125,34 +129,34 @@
                 self.connections[key] = held
             if held[0] == packet.sequence:
                 seq, flags = held[1], SYN | ACK
-                self.send(me, caller, flags, seq, packet.sequence + 1)
+                self.send(local, caller, flags, seq, packet.sequence + 1)
             else:
-                self.send(me, caller, ACK, held[1] + 1, held[0] + 1)
+                self.send(local, caller, ACK, held[1] + 1, held[0] + 1)
         elif held is None or packet.acknowledgment != (held[1] + 1) % 2**32:
             self.connections.pop(key, None)
-            self.send(me, caller, RST, packet.acknowledgment, 0)
+            self.send(local, caller, RST, packet.acknowledgment, 0)
         else:
-            self.exchange(me, caller, packet, key)
+            self.exchange(local, caller, packet, key)
 
-    def exchange(self, me, caller, packet, key):
+    def exchange(self, local, caller, packet, key):
         payload = packet.data[packet.payload :]
         seq = packet.acknowledgment
         if payload:
-            self.send(me, caller, ACK, seq, packet.sequence, payload)
+            self.send(local, caller, ACK, seq, packet.sequence, payload)
         elif packet.flags & FIN:
-            # The connection stays in TIME-WAIT for packets that come late.
+            # The connection stays in TIME-WAIT to handle late packets.
             self.connections[key][2] = True
-            self.send(me, caller, FIN | ACK, seq, packet.sequence + 1)
+            self.send(local, caller, FIN | ACK, seq, packet.sequence + 1)
 
-    def send(self, me, caller, flags, seq, ack, payload=b""):
+    def send(self, local, caller, flags, seq, ack, payload=b""):
         seq %= 2**32
         ack %= 2**32
-        data = segment(me, caller, flags, seq, ack, payload)
+        data = segment(local, caller, flags, seq, ack, payload)
         self.network.to_fabric(data)
 
 
 class Flow:
-    """One connection of a caller, which repeats what is not answered."""
+    """Connection of a caller, which retransmits what gets no reply."""
 
     def __init__(self, network, number, caller, service, work_class):
         self.network = network
@@ -165,27 +169,30 @@
         self.initial = network.random.getrandbits(32)
         self.server = 0
         self.state = "opening"
-        self.answered_s = network.now_s
-        self.waits = True
+        self.replied_s = network.now_s
+        self.is_waiting = True
         self.idle = False
         self.attempt = 0
         self.step()
 
     def step(self):
-        """Sends what is due and plans the next step."""
+        """Sends the segment that is due and schedules the retransmission."""
         if self.state in ("closed", "broken", "refused"):
             return
-        if self.waits and self.network.now_s - self.answered_s > GIVE_UP_S:
+        if (
+            self.is_waiting
+            and self.network.now_s - self.replied_s > CALLER_TIMEOUT_S
+        ):
             self.state = "broken"
             return
         if self.state == "opening":
             self.send(SYN, self.initial, 0)
         elif self.state == "closing":
             self.send(FIN | ACK, self.initial + 1, self.server + 1)
-        elif self.waits:
+        elif self.is_waiting:
             self.send(ACK, self.initial + 1, self.server + 1, self.uid)
         self.attempt += 1
-        delay_s = min(THINK_S * 2 ** min(self.attempt - 1, 3), 8.0)
+        delay_s = min(REQUEST_PAUSE_S * 2 ** min(self.attempt - 1, 3), 8.0)
         token = self.attempt
         self.network.after(delay_s, lambda: self.repeat(token))
 
@@ -193,27 +200,27 @@
         if token == self.attempt:
             self.step()
 
-    def act(self):
-        """Starts a request or the end now."""
+    def send_now(self):
+        """Sends a request or the FIN now and restarts the time-out."""
         self.attempt = 0
-        self.waits = True
-        self.answered_s = self.network.now_s
+        self.is_waiting = True
+        self.replied_s = self.network.now_s
         self.step()
 
-    def end_by_reset(self):
+    def handle_reset(self):
         if self.state == "opening":
             self.state = "refused"
         elif self.state != "closed":
             self.state = "broken"
 
-    def think(self):
-        if self.state == "open" and not self.idle and not self.waits:
-            self.act()
+    def send_request(self):
+        if self.state == "open" and not self.idle and not self.is_waiting:
+            self.send_now()
 
     def close(self):
         if self.state == "open":
             self.state = "closing"
-            self.act()
+            self.send_now()
 
     def send(self, flags, seq, ack, payload=b""):
         seq %= 2**32
@@ -223,7 +230,7 @@
         )
 
     def is_acceptable(self, packet):
-        """Returns whether the numbers belong to this connection."""
+        """Returns whether the sequence numbers fit this connection."""
         return (
             packet.sequence == (self.server + 1) % 2**32
             and packet.acknowledgment == (self.initial + 1) % 2**32
@@ -232,33 +239,46 @@
     def receive(self, packet):
         payload = packet.data[packet.payload :]
         if payload and not self.is_acceptable(packet):
-            # TCP discards what the old connection had still in flight.
+            # TCP discards segments of the previous connection on this port.
             return
         if payload and payload != self.uid:
-            self.network.wrong_answers += 1
+            self.network.wrong_replies += 1
             return
         if packet.flags & RST:
-            self.end_by_reset()
+            self.handle_reset()
         elif packet.flags & SYN and self.state == "opening":
             if packet.acknowledgment == (self.initial + 1) % 2**32:
                 self.server = packet.sequence
                 self.state = "open"
-                self.act()
+                self.send_now()
         elif packet.flags & FIN and self.state == "closing":
             self.state = "closed"
         elif self.state == "opening":
-            # An old connection still answers (RFC 9293, 3.10.7.3).
+            # The target still holds an older connection (RFC 9293, 3.10.7.3).
             self.send(RST, packet.acknowledgment, 0)
-        elif payload and self.waits:
-            self.waits = False
+        elif payload and self.is_waiting:
+            self.is_waiting = False
             self.attempt = 0
-            self.network.after(THINK_S, self.think)
+            self.network.after(REQUEST_PAUSE_S, self.send_request)
 
 
 class Network:
-    """Hosts, callers and targets."""
-
-    def __init__(self, seed, hosts=6, spray=True, chooser=LeastChooser):
+    """Simulated entry hosts, callers and targets.
+
+    Attributes:
+        spray: Whether the fabric sends each packet to a random entry host;
+            otherwise the host follows from the addresses and ports.
+        loss: Probability that a packet is lost.
+        duplication: Probability that a packet is duplicated.
+        cuts: Pairs of host names whose packets and messages are lost, from
+            the first to the second.
+        control_cuts: Pairs of host names whose messages alone are lost.
+        muted: Callers whose packets the targets ignore.
+        received: Addresses of the targets that payload of a flow reached, by
+            flow.
+    """
+
+    def __init__(self, seed, hosts=6, spray=True, chooser=FewestFlowsChooser):
         self.random = random.Random(seed)
         self.spray = spray
         self.chooser = chooser
@@ -271,9 +291,9 @@
         self.muted = set()
         self.now_s = 100.0
         self.queue = []
-        self.numbers = itertools.count()
+        self.event_numbers = itertools.count()
         self.uids = itertools.count(1)
-        self.ready = {name: list(found) for name, found in TARGETS.items()}
+        self.ready = {name: list(targets) for name, targets in TARGETS.items()}
         self.targets = {
             address: Target(self, address)
             for address in itertools.chain(*TARGETS.values())
@@ -281,7 +301,7 @@
         self.flows = {}
         self.all_flows = []
         self.received = collections.defaultdict(set)
-        self.wrong_answers = 0
+        self.wrong_replies = 0
         self.wrong_service = 0
         self.control_bytes = 0
         self.packets = 0
@@ -305,7 +325,7 @@
         self.run(8.0)
 
     def start(self, peer, seeds=()):
-        """Starts an entry host that knows some others from its settings."""
+        """Starts an entry host with some other hosts as seeds."""
         shared = context.Context(peer, self.random.getrandbits(32))
         held = configuration_store.ConfigurationStore()
         document = configuration.Configuration(SERVICES)
@@ -320,22 +340,22 @@
         self.paths[peer.host] = path
         self.nodes[peer.host] = reducer.Node(shared, (members, path))
         wall_ms = WALL_MS + int(self.now_s * 1000)
-        self.give(peer, events.Started(self.now_s, wall_ms))
-        self.after(FABRIC_NOTICES_S, lambda: self.in_fabric.append(peer))
+        self.handle(peer, events.Started(self.now_s, wall_ms))
+        self.after(FABRIC_UPDATE_S, lambda: self.in_fabric.append(peer))
 
     def kill(self, peer):
-        """Ends a host without a word."""
+        """Ends a host abruptly; the fabric notices after a delay."""
         self.nodes.pop(peer.host, None)
-        self.after(FABRIC_NOTICES_S, lambda: self.withdraw(peer))
+        self.after(FABRIC_UPDATE_S, lambda: self.withdraw(peer))
 
     def withdraw(self, peer):
         if peer in self.in_fabric:
             self.in_fabric.remove(peer)
 
     def stop(self, peer):
-        """Asks a host for a graceful stop."""
+        """Requests a graceful stop of a host."""
         self.withdraw(peer)
-        self.give(peer, events.StopRequested(self.now_s))
+        self.handle(peer, events.StopRequested(self.now_s))
 
     def split(self, left, right):
         """Returns all directed pairs between two groups of hosts."""
@@ -350,11 +370,11 @@
         return [peer for peer in self.peers if peer.host in self.nodes]
 
     def after(self, delay_s, action):
-        item = (self.now_s + delay_s, next(self.numbers), action)
+        item = (self.now_s + delay_s, next(self.event_numbers), action)
         heapq.heappush(self.queue, item)
 
     def run(self, duration_s):
-        """Lets time pass."""
+        """Processes the queued events until the end of a duration."""
         end_s = self.now_s + duration_s
         while self.queue and self.queue[0][0] <= end_s:
             self.now_s, _, action = heapq.heappop(self.queue)
@@ -362,7 +382,7 @@
         self.now_s = end_s
 
     def deliver(self, action):
-        """Queues a packet with the faults of the network."""
+        """Queues a packet with random loss, duplication and delay."""
         if self.random.random() < self.loss:
             return
         copies = 1 + (self.random.random() < self.duplication)
@@ -371,7 +391,7 @@
             self.after(delay_s, action)
 
     def to_fabric(self, packet):
-        """Hands an IP packet to some entry host."""
+        """Sends an IP packet to the entry host that the fabric chooses."""
         self.packets += 1
         if not self.in_fabric:
             return
@@ -381,23 +401,23 @@
             peer = self.in_fabric[index]
         data = geneve.encapsulate(packet)
         self.deliver(
-            lambda: self.give(peer, events.DatagramArrived(self.now_s, data))
+            lambda: self.handle(peer, events.DatagramArrived(self.now_s, data))
         )
 
-    def give(self, peer, event):
+    def handle(self, peer, event):
         """Applies an event to a host and carries out the effects."""
         node = self.nodes.get(peer.host)
         if node is not None:
             for effect in reducer.reduce(node, event):
-                self.carry_out(peer, effect)
+                self.apply_effect(peer, effect)
 
-    def carry_out(self, peer, effect):
+    def apply_effect(self, peer, effect):
         if isinstance(effect, effects.SendDatagram):
             self.send_datagram(peer, effect)
         elif isinstance(effect, effects.SendMessage):
             self.send_message(peer, effect)
         elif isinstance(effect, effects.StartTimer):
-            number = next(self.numbers)
+            number = next(self.event_numbers)
             self.timers[peer.host, effect.timer] = number
             self.after(
                 effect.delay_s, lambda: self.fire(peer, effect.timer, number)
@@ -409,7 +429,7 @@
 
     def fire(self, peer, timer, number):
         if self.timers.get((peer.host, timer)) == number:
-            self.give(peer, events.TimerFired(self.now_s, timer))
+            self.handle(peer, events.TimerFired(self.now_s, timer))
 
     def send_message(self, peer, effect):
         envelope = messages.Envelope(
@@ -422,7 +442,7 @@
         decoded = messages.decode(data)
         message = decoded.messages[0]
         self.deliver(
-            lambda: self.give(
+            lambda: self.handle(
                 effect.peer, events.MessageArrived(self.now_s, peer, message)
             )
         )
@@ -436,7 +456,7 @@
         if (peer.host, receiver.host) in self.cuts:
             return
         self.deliver(
-            lambda: self.give(
+            lambda: self.handle(
                 receiver, events.DatagramArrived(self.now_s, effect.data)
             )
         )
@@ -454,8 +474,8 @@
         ):
             flow.receive(packet)
 
-    def note_payload(self, uid, address):
-        """Notes that payload of a flow has reached a target."""
+    def record_payload(self, uid, address):
+        """Records that payload of a flow has reached a target."""
         self.received[uid].add(address)
         number = struct.unpack("!Q", uid)[0]
         service = self.all_flows[number - 1].service
@@ -463,10 +483,10 @@
             self.wrong_service += 1
 
     def open(self, number, service="schedule-svc", work_class="feeds"):
-        """Opens a flow from the caller address and port with a number."""
+        """Opens a flow from the numbered caller address and port."""
         caller = (bytes((10, 7, 0, number % 200 + 1)), 5000 + number // 200)
         if caller in self.flows:
-            # A caller has one connection for each of its ports.
+            # A new connection replaces the one on the same caller port.
             self.flows[caller].state = "closed"
         flow = Flow(self, next(self.uids), caller, service, work_class)
         self.flows[caller] = flow
@@ -484,26 +504,28 @@
             )
         self.run(6.0)
 
-    def fall_silent(self):
-        """Lets all callers stop sending, with their connections open."""
+    def pause_callers(self):
+        """Makes all callers idle, with their connections open."""
         for flow in self.all_flows:
             flow.idle = True
         self.run(3.0)
 
-    def wake(self):
-        """Lets all callers send again and waits for the answers."""
+    def resume_callers(self):
+        """Lets all callers send again and waits for the replies."""
         for flow in self.all_flows:
             flow.idle = False
-            if flow.state == "open" and not flow.waits:
-                flow.act()
-        self.run(GIVE_UP_S + 10.0)
+            if flow.state == "open" and not flow.is_waiting:
+                flow.send_now()
+        self.run(CALLER_TIMEOUT_S + 10.0)
 
     def count(self, state):
         return sum(flow.state == state for flow in self.all_flows)
 
-    def doubled(self):
+    def flows_at_several_targets(self):
         """Returns the flows whose payload reached more than one target."""
-        return [uid for uid, found in self.received.items() if len(found) > 1]
+        return [
+            uid for uid, targets in self.received.items() if len(targets) > 1
+        ]
 
     def counter(self, name):
         return sum(node.context.counters[name] for node in self.nodes.values())
--- a/tests/slow/test_consensus_model.py
+++ b/tests/slow/test_consensus_model.py
@@ -1,4 +1,9 @@
-"""Model checking of the replicated log on a fake network."""
+"""Model checking of the replicated log on a simulated network.
+
+Guards against violations of the Raft invariants under packet loss, partitions,
+crashes, lost disks and membership changes, and against a log that does not
+recover once the faults end.
+"""
 
 import os
 import random
@@ -42,7 +47,7 @@
 
 
 class ConsensusModel(stateful.RuleBasedStateMachine):
-    """Replicas under faults; the checker looks at every step."""
+    """Replicas under faults; the checker verifies every step."""
 
     @stateful.initialize(
         seed=NUMBERS, loss=CHANCES, duplication=CHANCES, straggling=CHANCES
@@ -272,7 +277,7 @@
 
 
 def settings(examples, is_same_each_time):
-    """Returns settings without shrinking, which takes minutes here."""
+    """Returns settings without shrinking, which would take minutes."""
     return hypothesis.settings(
         max_examples=examples,
         stateful_step_count=40,
@@ -285,7 +290,7 @@
 
 
 class ConsensusModelTest(testtools.TestCase):
-    """The log under loss, partition, crash, disk loss, membership change."""
+    """The replicated log keeps its invariants under faults."""
 
     def test_no_fault_breaks_an_invariant(self):
         stateful.run_state_machine_as_test(
--- a/tests/slow/test_control_hosts.py
+++ b/tests/slow/test_control_hosts.py
@@ -1,4 +1,9 @@
-"""Control hosts as real processes that are killed while operators race."""
+"""Control hosts as real processes under faults and concurrent patches.
+
+Guards against accepted patches that are lost or applied twice, and against
+stale reads, when hosts are killed, cut off or paused, packets and responses are
+lost and keys are rotated.
+"""
 
 import itertools
 import json
@@ -16,16 +21,16 @@
 from tamarack_lab.proxy import threaded_proxy
 from tests import processes
 
-PATCHES_EACH = 100
+PATCHES_PER_OPERATOR = 100
 VOTERS = 3
 SEED = 20261
-LOST_ANSWERS = 0.2
+LOST_RESPONSES = 0.2
 SECRETS = {"old": "0a" * 16, "new": "0b" * 16}
 RESEND_PAUSE_S = 0.05
 DEADLINE_S = 120.0
 PAUSE_S = 2.5
 REFUSED = 503
-"""Status of a read that can't be confirmed now; asked again, it will be."""
+"""Status of a read that can't be confirmed now; a retry succeeds later."""
 
 
 BASE = proxy_settings.Fault(
@@ -58,9 +63,9 @@
     ]
 
 
-def settings(names, ports, folder, found):
-    """Returns the settings of all control hosts, who meet at the links."""
-    through = {link.name: link.listen.port for link in found}
+def settings(names, ports, folder, all_links):
+    """Returns the settings of the control hosts, which use the links."""
+    through = {link.name: link.listen.port for link in all_links}
     return [
         {
             "host": name,
@@ -86,7 +91,7 @@
 
 
 def service(number):
-    """Returns a service that differs from others by number."""
+    """Returns a service whose addresses follow from its number."""
     return {
         "addresses": [f"10.1.{number // 250}.{number % 250 + 1}"],
         "classes": {"routes": {"port": 80, "target_port": 8080}},
@@ -95,16 +100,16 @@
 
 
 class Operator(threading.Thread):
-    """Adds services one by one, and resends until there is a verdict.
+    """Thread that adds services one by one and resends without a verdict.
 
     Attributes:
         ports: Ports of the control hosts.
         numbers: Numbers of the services to add.
-        accepted: Version by service, as told by verdicts.
-        conflicts: Number of conflicts met.
-        unknowns: Number of sendings without a verdict.
-        resends: Number of patches sent again after an answer.
-        error: What ended the thread early, if anything did.
+        accepted: Version by service, from the verdicts.
+        conflicts: Number of conflict verdicts.
+        unknowns: Number of attempts without a verdict.
+        resends: Number of patches resent after a response.
+        error: Exception that ended the thread early, or None.
     """
 
     def __init__(self, name, ports, numbers, seed):
@@ -127,13 +132,13 @@
             self.error = error
 
     def add(self, number):
-        """Adds one service, on top of whatever version is the newest."""
+        """Adds one service, retried on the newest version at a conflict."""
         base = len(self.accepted)
         for attempt in itertools.count():
             patch_id = f"{self.name}-{number}-{attempt}"
             verdict = self.send(patch_id, base, number)
-            if self.random.random() < LOST_ANSWERS:
-                # As if the answer was lost on its way.
+            if self.random.random() < LOST_RESPONSES:
+                # Simulates a lost response.
                 self.resends += 1
                 again = self.send(patch_id, base, number)
                 assert again == verdict, (again, verdict)
@@ -174,7 +179,7 @@
 
 
 class ControlHostsTest(testtools.TestCase):
-    """The final state equals the accepted patches, no more and no less."""
+    """The final configuration has exactly the accepted patches."""
 
     def setUp(self):
         super().setUp()
@@ -184,15 +189,15 @@
         self.names = [f"c{number}" for number in range(VOTERS)]
         self.ports = [processes.free_port() for _ in self.names]
         self.write_keys("old")
-        found = links(self.names, self.ports)
+        all_links = links(self.names, self.ports)
         self.proxy = threaded_proxy.ThreadedProxy(
-            proxy_settings.Settings(tuple(found), SEED, (BASE,))
+            proxy_settings.Settings(tuple(all_links), SEED, (BASE,))
         )
         self.proxy.start()
         self.addCleanup(self.proxy.close)
         self.daemons = [
             processes.Daemon(self.folder, one)
-            for one in settings(self.names, self.ports, self.folder, found)
+            for one in settings(self.names, self.ports, self.folder, all_links)
         ]
         for daemon in self.daemons:
             self.addCleanup(daemon.kill)
@@ -211,7 +216,7 @@
                 daemon.process.send_signal(signal.SIGHUP)
 
     def read(self, path, port):
-        """Returns what a host answers, or None."""
+        """Returns the response of a host, or None without a success."""
         try:
             status, body = processes.call(port, "GET", path)
         except OSError:
@@ -219,14 +224,14 @@
         return body if status == 200 else None
 
     def read_confirmed(self, port):
-        """Returns the configuration, asking again when told to."""
+        """Returns the configuration, retrying unconfirmed reads."""
 
-        def ask():
+        def attempt():
             status, body = processes.call(port, "GET", "/v1/configuration")
             self.assertIn(status, (200, REFUSED), body)
             return body if status == 200 else None
 
-        return processes.wait_until(ask, f"a confirmed read at port {port}")
+        return processes.wait_until(attempt, f"a confirmed read at port {port}")
 
     def wait_for_leader(self):
         """Waits until every host confirms reads."""
@@ -236,9 +241,9 @@
                 f"a confirmed read at port {port}",
             )
 
-    def bring_about(self, faults, chance):
-        """Brings faults about at different hosts, and takes them back."""
-        hosts = chance.sample(range(VOTERS), len(faults))
+    def inject_faults(self, faults, generator):
+        """Injects faults at different hosts and ends them."""
+        hosts = generator.sample(range(VOTERS), len(faults))
         cuts = []
         for fault, host in zip(faults, hosts, strict=True):
             name = self.names[host]
@@ -252,13 +257,13 @@
             self.proxy.set_faults(BASE, cut)
             time.sleep(CUT_S)
             self.proxy.set_faults(BASE)
-        time.sleep(chance.uniform(0.0, 0.5))
+        time.sleep(generator.uniform(0.0, 0.5))
         for fault, host in zip(faults, hosts, strict=True):
             if fault == "kill":
                 self.daemons[host].start()
 
     def test_a_read_beside_paused_hosts_is_the_newest_or_refused(self):
-        # A machine that is busy elsewhere pauses hosts for as long.
+        # A busy machine can suspend host processes for as long as this.
         self.wait_for_leader()
         operator = Operator("ana", self.ports, range(1), SEED)
         operator.run()
@@ -285,22 +290,24 @@
         self.assertIn(REFUSED, statuses)
 
     def test_faults_leave_exactly_the_accepted_patches(self):
-        chance = random.Random(SEED)
+        generator = random.Random(SEED)
         self.wait_for_leader()
         operators = [
             Operator(
                 name,
                 self.ports,
-                range(first, first + PATCHES_EACH),
+                range(first, first + PATCHES_PER_OPERATOR),
                 SEED + first,
             )
-            for name, first in (("ana", 0), ("bea", PATCHES_EACH))
+            for name, first in (("ana", 0), ("bea", PATCHES_PER_OPERATOR))
         ]
         for operator in operators:
             operator.start()
         self.rotate_keys()
         highest = 0
-        points = sorted(chance.sample(range(2 * PATCHES_EACH), len(FAULTS)))
+        points = sorted(
+            generator.sample(range(2 * PATCHES_PER_OPERATOR), len(FAULTS))
+        )
         for point, faults in zip(points, FAULTS, strict=True):
             processes.wait_until(
                 lambda point=point: (
@@ -311,8 +318,8 @@
                 f"{point} accepted patches",
                 DEADLINE_S,
             )
-            self.bring_about(faults, chance)
-            read = self.read("/v1/configuration", chance.choice(self.ports))
+            self.inject_faults(faults, generator)
+            read = self.read("/v1/configuration", generator.choice(self.ports))
             if read is not None:
                 version = read["numbered"]["version"]
                 self.assertTrue(version >= highest, (version, highest))
@@ -324,9 +331,10 @@
             accepted.update(operator.accepted)
         self.assertTrue(all(operator.resends for operator in operators))
         self.wait_for_leader()
-        self.assertEqual(2 * PATCHES_EACH, len(accepted))
+        self.assertEqual(2 * PATCHES_PER_OPERATOR, len(accepted))
         self.assertEqual(
-            list(range(1, 2 * PATCHES_EACH + 1)), sorted(accepted.values())
+            list(range(1, 2 * PATCHES_PER_OPERATOR + 1)),
+            sorted(accepted.values()),
         )
         for port in self.ports:
             counters = self.read("/v1/status", port)["counters"]
@@ -335,5 +343,5 @@
         for port in self.ports:
             numbered = self.read_confirmed(port)["numbered"]
             services = numbered["configuration"]["services"]
-            self.assertEqual(2 * PATCHES_EACH, numbered["version"])
+            self.assertEqual(2 * PATCHES_PER_OPERATOR, numbered["version"])
             self.assertEqual(sorted(accepted), sorted(services))
--- a/tests/slow/test_gateway.py
+++ b/tests/slow/test_gateway.py
@@ -1,4 +1,8 @@
-"""Real clients through the gateway, the fabric and real entry hosts."""
+"""Real clients through the gateway, the fabric and real entry hosts.
+
+Guards against connections of ordinary clients that break when an entry host is
+killed, and against clients that wait for a server that is down.
+"""
 
 import asyncio
 import hashlib
@@ -23,7 +27,7 @@
 
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
 FILE_BYTES = 50_000_000 if IS_SOAK else 5_000_000
-LIMIT_S = 60.0
+TIMEOUT_S = 60.0
 ANY = peers.Endpoint("127.0.0.1", 0)
 
 
@@ -55,14 +59,14 @@
 
 
 class FileHandler(http.server.SimpleHTTPRequestHandler):
-    """Python's own file server, without its log."""
+    """File server of the standard library, without its log."""
 
     def log_message(self, *args):
         pass
 
 
 class GatewayTest(testtools.TestCase):
-    """Ordinary sockets at both ends."""
+    """Ordinary sockets at both ends of the gateway."""
 
     def setUp(self):
         super().setUp()
@@ -117,7 +121,7 @@
             await gateway.start()
             for entry in layout.entries:
                 await deployment.wait_targets(entry)
-            async with asyncio.timeout(LIMIT_S):
+            async with asyncio.timeout(TIMEOUT_S):
                 return await body(deployment, gateway)
         finally:
             await gateway.close()
@@ -164,11 +168,11 @@
         curl = await self.curl(files, output)
         while not (output.exists() and output.stat().st_size > 100_000):
             await asyncio.sleep(0.01)
-        lost = deployment.layout.entries[0]
-        await deployment.kill_entry(lost)
+        killed = deployment.layout.entries[0]
+        await deployment.kill_entry(killed)
         self.assertLess(output.stat().st_size, FILE_BYTES)
         await asyncio.sleep(0.3)
-        await deployment.withdraw_entry(lost)
+        await deployment.withdraw_entry(killed)
         self.assertEqual(0, await curl.wait())
         writer.write(b"after")
         echoes.append(await reader.readexactly(5))
@@ -182,8 +186,8 @@
         )
         return await curl.wait()
 
-    async def curl(self, door, output):
-        url = f"http://{door.address}:{door.port}/file"
+    async def curl(self, endpoint, output):
+        url = f"http://{endpoint.address}:{endpoint.port}/file"
         return await asyncio.create_subprocess_exec(
             "curl", "--silent", "--noproxy", "*", "--output", output, url
         )
--- a/tests/slow/test_group_model.py
+++ b/tests/slow/test_group_model.py
@@ -1,4 +1,9 @@
-"""Control hosts under random faults: nothing acknowledged is lost."""
+"""Random faults of a group of control hosts.
+
+Guards against acknowledged documents that are lost, and against reads that
+return an older document, when hosts die, lose their disk, are cut off, are
+replaced or all lose power.
+"""
 
 import os
 import random
@@ -14,7 +19,7 @@
 
 
 def seeds():
-    """Returns the seeds to play: fixed ones in CI, more in a soak."""
+    """Returns the seeds to run: fixed ones in CI, more in a soak."""
     if os.environ.get("TAMARACK_PROFILE") == "soak":
         first = int(os.environ.get("TAMARACK_SOAK_SEED", "5000"))
         return range(first, first + SOAK_SEEDS)
@@ -24,14 +29,14 @@
 class History:
     """One random history of a group of control hosts.
 
-    At most one host is down, wiped or cut off at a time, as is tolerated;
-    besides, all may lose power at once. After a loss the host has time to
-    catch up, as the platform grants it.
+    At most one host is down, wiped or cut off at a time, which is the number
+    of failures that the group tolerates; besides, all may lose power at once.
+    After each fault the host has time to catch up, as on the platform.
 
     Attributes:
-        network: The hosts.
-        random: Seeded chance.
-        acknowledged: Highest number that was acknowledged.
+        network: Simulated network of the hosts.
+        random: Seeded random generator.
+        acknowledged: Highest document number that was acknowledged.
         sent: Number of the last document that was sent.
         next_host: Number of the next host that replaces one.
     """
@@ -47,7 +52,7 @@
         self.next_host = 11
 
     def step(self):
-        """Does one thing at random."""
+        """Runs one operation or fault, drawn at random."""
         self.random.choice(
             [
                 self.publish,
@@ -63,47 +68,47 @@
         )()
 
     def publish(self):
-        """Sends a document to any host, and notes an acknowledgement."""
+        """Sends a document to a random host; records an acknowledgement."""
         self.sent += self.random.randint(1, 3)
         host = self.random.choice(sorted(self.network.peers))
         ports = self.random.sample(range(1, 9), 4)
         routes = [group_network.route(f"r{port}", port) for port in ports]
         document = group_network.document(self.sent, *routes)
-        answer = self.network.try_at(
+        response = self.network.try_at(
             host, external_requests.PublishDocument(document)
         )
-        if isinstance(answer, external_requests.DocumentPublished):
-            self.acknowledged = max(self.acknowledged, answer.number)
+        if isinstance(response, external_requests.DocumentPublished):
+            self.acknowledged = max(self.acknowledged, response.number)
 
     def read(self):
-        """Reads at any host; what it says is never older."""
+        """Reads at a random host; an older document is an error."""
         known = self.acknowledged
         host = self.random.choice(sorted(self.network.peers))
-        answer = self.network.try_at(host, external_requests.ReadDocument())
-        if not isinstance(answer, external_requests.DocumentRead):
+        response = self.network.try_at(host, external_requests.ReadDocument())
+        if not isinstance(response, external_requests.DocumentRead):
             return
-        if answer.document.number < known:
+        if response.document.number < known:
             raise AssertionError(
-                f"{host} read {answer.document.number}, {known} was"
+                f"{host} read {response.document.number}, {known} was"
                 " acknowledged before"
             )
 
     def kill(self):
-        """Kills a host; it comes back with its disk."""
+        """Kills a host and restarts it with its disk."""
         host = self.random.choice(sorted(self.network.nodes))
         self.network.kill(host)
-        self._order_meanwhile()
+        self._publish_meanwhile()
         self.network.start(host)
-        self._settle()
+        self._wait_until_stable()
 
     def wipe(self):
-        """Kills a host right after an order; it comes back without a disk."""
+        """Kills a host right after a publish; restarts it without its disk."""
         self.publish()
         host = self.random.choice(sorted(self.network.nodes))
         self.network.kill(host, lose_disk=True)
-        self._order_meanwhile()
+        self._publish_meanwhile()
         self.network.start(host)
-        self._settle()
+        self._wait_until_stable()
 
     def cut(self):
         """Cuts a host off for a while, in one or both directions."""
@@ -113,41 +118,41 @@
         else:
             for other in self.network.peers:
                 self.network.cut.add((host, other))
-        self._order_meanwhile()
+        self._publish_meanwhile()
         self.read()
         self.network.cut.clear()
-        self._settle()
+        self._wait_until_stable()
 
     def replace(self):
-        """Takes a host away for good; another comes at a new address."""
+        """Removes a host permanently; another starts at a new address."""
         host = self.random.choice(sorted(self.network.nodes))
         self.network.kill(host, lose_disk=True)
         del self.network.peers[host]
-        self._order_meanwhile()
+        self._publish_meanwhile()
         self.network.add(self.next_host)
         self.next_host += 1
         self.network.run(10.0)
 
     def lose_power(self):
-        """Kills all hosts at once, right after an order."""
+        """Kills all hosts at once, right after a publish."""
         self.publish()
         for host in list(self.network.nodes):
             self.network.kill(host)
         for host in sorted(self.network.peers):
             self.network.run(self.random.uniform(0.0, 0.3))
             self.network.start(host)
-        self._settle()
+        self._wait_until_stable()
 
-    def _order_meanwhile(self):
+    def _publish_meanwhile(self):
         for _ in range(self.random.randint(0, 3)):
             self.publish()
         self.network.run(self.random.uniform(0.0, 4.0))
 
-    def _settle(self):
+    def _wait_until_stable(self):
         self.network.run(6.0)
 
-    def check_end(self):
-        """After all faults, the newest document is read everywhere."""
+    def check_recovery(self):
+        """Checks recovery: one leader, no acknowledged document lost."""
         self.network.run(10.0)
         document = self.network.read()
         if document.number < self.acknowledged:
@@ -160,7 +165,7 @@
 
 
 class GroupModelTest(testtools.TestCase):
-    """Random histories of the group."""
+    """Acknowledged documents survive random histories of faults."""
 
     def test_nothing_acknowledged_is_lost_or_read_older(self):
         for seed in seeds():
@@ -168,6 +173,6 @@
             try:
                 for _ in range(STEPS):
                     history.step()
-                history.check_end()
+                history.check_recovery()
             except AssertionError as error:
                 raise AssertionError(f"seed {seed}: {error}") from error
--- a/tests/slow/test_light_hosts.py
+++ b/tests/slow/test_light_hosts.py
@@ -1,4 +1,9 @@
-"""The programs of the platform as real processes on loopback."""
+"""Platform programs as real processes on loopback.
+
+Guards against a path from publish to delivered datagram that breaks when a
+control host is killed, and against an entry host that does not drain at
+SIGTERM.
+"""
 
 import http.client
 import json
@@ -24,8 +29,8 @@
 CALLER = "127.0.71.20"
 TARGET = "127.0.71.30"
 SERVICE = "127.0.71.40"
-PATIENCE_S = 20.0
-REPEAT_S = 0.2
+TIMEOUT_S = 20.0
+RESEND_INTERVAL_S = 0.2
 
 DOCUMENT = {
     "version": 3,
@@ -57,23 +62,23 @@
 
 def wait_for(condition):
     """Waits until a condition holds, and returns what it returned."""
-    end_s = time.monotonic() + PATIENCE_S
+    end_s = time.monotonic() + TIMEOUT_S
     while time.monotonic() < end_s:
-        found = condition()
-        if found:
-            return found
+        result = condition()
+        if result:
+            return result
         time.sleep(0.05)
     raise AssertionError("not in time")
 
 
 def call(address, port, method, path, body=None):
-    """Makes one HTTP call; returns status, headers and body, or None."""
+    """Sends an HTTP request; returns status, headers and body, or None."""
     connection = http.client.HTTPConnection(address, port, timeout=2)
     try:
         data = None if body is None else json.dumps(body)
         connection.request(method, path, data)
-        answer = connection.getresponse()
-        return answer.status, dict(answer.getheaders()), answer.read()
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
     except (OSError, http.client.HTTPException):
         return None
     finally:
@@ -89,9 +94,9 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         self.processes = {}
-        self.addCleanup(self.end_all)
+        self.addCleanup(self.kill_all)
 
-    def end_all(self):
+    def kill_all(self):
         for process in self.processes.values():
             process.kill()
             process.wait()
@@ -124,37 +129,37 @@
         )
 
     def publish(self, document):
-        """Publishes at any control host that acknowledges."""
+        """Publishes until some control host acknowledges."""
 
         def attempt():
             for address in CONTROLS:
-                answer = call(
+                response = call(
                     address,
                     CONTROL_PORT,
                     "POST",
                     "/config/replace",
                     document,
                 )
-                if answer and answer[0] == 200:
+                if response and response[0] == 200:
                     return True
             return False
 
         wait_for(attempt)
 
     def read(self):
-        """Reads the configuration at any control host."""
+        """Reads the configuration from the first control host that responds."""
 
         def attempt():
             for address in CONTROLS:
-                answer = call(address, CONTROL_PORT, "GET", "/config/get")
-                if answer and answer[0] == 200:
-                    return json.loads(answer[2])
+                response = call(address, CONTROL_PORT, "GET", "/config/get")
+                if response and response[0] == 200:
+                    return json.loads(response[2])
             return None
 
         return wait_for(attempt)
 
-    def open_flow(self, taker, port):
-        """Sends an opening; returns the datagram that a target gets."""
+    def open_flow(self, receiver, port):
+        """Sends an opening; returns the datagram that the target receives."""
         head = packets._header.pack(
             7,
             0,
@@ -167,12 +172,12 @@
             0,
             0,
         )
-        # Callers repeat an opening that nobody answers.
+        # Callers resend an opening that gets no reply.
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as caller:
-            for _ in range(int(PATIENCE_S / REPEAT_S)):
+            for _ in range(int(TIMEOUT_S / RESEND_INTERVAL_S)):
                 caller.sendto(head, (ENTRY, DATA_PORT))
                 try:
-                    return taker.recv(2000)
+                    return receiver.recv(2000)
                 except TimeoutError:
                     continue
         raise AssertionError("no opening reached the target")
@@ -182,7 +187,7 @@
             self.start("control", address)
         self.start("entry", ENTRY)
         self.publish(DOCUMENT)
-        noted = wait_for(
+        heartbeat = wait_for(
             lambda: call(
                 CONTROLS[0],
                 CONTROL_PORT,
@@ -193,14 +198,14 @@
         )
         self.assertEqual(
             f"{CONTROLS[0]}:{CONTROL_PORT}",
-            json.loads(noted[2])["heartbeat-addr"],
+            json.loads(heartbeat[2])["heartbeat-addr"],
         )
-        taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.addCleanup(taker.close)
-        taker.bind((TARGET, 8080))
-        taker.settimeout(REPEAT_S)
+        receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(receiver.close)
+        receiver.bind((TARGET, 8080))
+        receiver.settimeout(RESEND_INTERVAL_S)
         wait_for(self.is_ready)
-        data = self.open_flow(taker, 40001)
+        data = self.open_flow(receiver, 40001)
         self.assertEqual(0x7F3A91C2, int.from_bytes(data[:8], "big"))
 
         self.processes[CONTROLS[1]].kill()
@@ -219,15 +224,15 @@
 
         entry = self.processes[ENTRY]
         entry.send_signal(signal.SIGHUP)
-        self.open_flow(taker, 40002)
+        self.open_flow(receiver, 40002)
         metrics = wait_for(lambda: call(ENTRY, 9464, "GET", "/metrics"))
         self.assertIn(b'name="flows-placed"} ', metrics[2])
         entry.send_signal(signal.SIGTERM)
         wait_for(lambda: not self.is_ready())
-        self.open_flow(taker, 40003)
-        self.assertEqual(0, entry.wait(PATIENCE_S))
+        self.open_flow(receiver, 40003)
+        self.assertEqual(0, entry.wait(TIMEOUT_S))
 
     def is_ready(self):
-        """Returns whether the entry host says that it is ready."""
-        answer = call(ENTRY, READY_PORT, "GET", "/ready")
-        return answer is not None and answer[0] == 200
+        """Returns whether the entry host reports that it is ready."""
+        response = call(ENTRY, READY_PORT, "GET", "/ready")
+        return response is not None and response[0] == 200
--- a/tests/slow/test_partition.py
+++ b/tests/slow/test_partition.py
@@ -1,4 +1,8 @@
-"""Real processes with a fault-injecting proxy between them."""
+"""Partition of a failure domain, with real processes behind a proxy.
+
+Guards against flows that break while a domain is cut off, patches that it
+accepts without a quorum, and a domain that stays behind after the cut.
+"""
 
 import asyncio
 import itertools
@@ -19,7 +23,7 @@
 
 LOAD_S = 15.0
 GRACE_S = 5.0
-# About 3 ms one way, with delay that varies, and some loss.
+# One-way delay of about 3 ms with jitter, and 1% loss.
 WAN = proxy_settings.Fault(delay_s=0.003, jitter_s=0.002, loss=0.01)
 
 
@@ -53,7 +57,7 @@
 
 
 class PartitionTest(testtools.TestCase):
-    """A failure domain is cut off and comes back."""
+    """A failure domain is cut off and reconnected."""
 
     def setUp(self):
         super().setUp()
@@ -103,15 +107,16 @@
         await self.deployment.wait_version()
 
     async def patch(self, path, value):
-        found = await self.deployment.submit(
+        response = await self.deployment.submit(
             [{"op": "add", "path": path, "value": value}], "test"
         )
-        self.assertIs(requests.PatchState.ACCEPTED, found.state)
+        self.assertIs(requests.PatchState.ACCEPTED, response.state)
 
     async def is_refused_inside(self, layout):
-        """Returns whether a cut-off control host says that it has no quorum.
+        """Returns whether the cut-off control host reports no quorum.
 
-        Until it has missed its leader it may say unknown, but never accepted.
+        Until it detects the loss of its leader it may report unknown, but never
+        accepted.
         """
         (control,) = [c for c in layout.controls if c.domain == "c"]
         body = {
@@ -126,11 +131,11 @@
             ],
             "author": "test",
         }
-        found = await self.deployment.client.request(
+        response = await self.deployment.client.request(
             "POST", control.control, "/v1/patches", body
         )
-        self.assertIn(found.body["state"], ("unknown", "no-quorum"))
-        return found.body["state"] == "no-quorum"
+        self.assertIn(response.body["state"], ("unknown", "no-quorum"))
+        return response.body["state"] == "no-quorum"
 
     def check(self, report, targets):
         for load in report.loads:
--- a/tests/slow/test_routing.py
+++ b/tests/slow/test_routing.py
@@ -1,4 +1,9 @@
-"""Routing of flows under death, replacement, cuts, reuse and late answers."""
+"""Routing of flows under failures of hosts and of the network.
+
+Guards against flows that break or reach a second target when entry hosts die,
+are replaced or are cut off from each other, and when callers reuse ports while
+packets of an older flow are still in flight.
+"""
 
 import os
 
@@ -11,7 +16,7 @@
 from tests.slow import routing_network
 
 FLOWS = 120
-# Shrinking a run of many packets takes too long for CI.
+# Shrinking an example of many packets takes too long for CI.
 PHASES = (Phase.explicit, Phase.generate)
 EXAMPLES = 200 if os.environ.get("TAMARACK_PROFILE") == "soak" else 12
 
@@ -20,12 +25,12 @@
 
 
 class RoutingTest(testtools.TestCase):
-    """What every scenario must hold."""
+    """Checks that hold in every scenario."""
 
     def check(self, network):
-        self.assertEqual([], network.doubled())
+        self.assertEqual([], network.flows_at_several_targets())
         self.assertEqual(0, network.wrong_service)
-        self.assertEqual(0, network.wrong_answers)
+        self.assertEqual(0, network.wrong_replies)
         self.assertEqual(
             [],
             [
@@ -35,7 +40,7 @@
             ],
         )
 
-    def act(self, network, action, unused):
+    def apply_action(self, network, action, unused):
         hosts = network.live()
         if action == "open":
             network.open_many(20)
@@ -58,14 +63,14 @@
         self.assertEqual(len(network.all_flows), network.count("open"))
 
 
-class ChangeOfHostsTest(RoutingTest):
-    """Deaths and planned changes break nothing."""
+class HostChangeTest(RoutingTest):
+    """Failures and planned replacements of hosts break no flow."""
 
-    def network(self, seed, spray=True, is_silent=False):
+    def network(self, seed, spray=True, is_idle=False):
         network = routing_network.Network(seed, spray=spray)
         network.open_many(FLOWS)
-        if is_silent:
-            network.fall_silent()
+        if is_idle:
+            network.pause_callers()
         return network
 
     def test_one_death_breaks_no_flow(self):
@@ -84,36 +89,36 @@
             network.run(30.0)
             self.check_all_open(network)
 
-    def test_two_deaths_break_no_flow_that_is_silent_meanwhile(self):
+    def test_two_deaths_break_no_flow_that_is_idle_meanwhile(self):
         for seed, spray in enumerate((True, False)):
-            network = self.network(seed, spray, is_silent=True)
+            network = self.network(seed, spray, is_idle=True)
             network.kill(network.live()[2])
             network.run(10.0)
             network.kill(network.live()[2])
             network.run(10.0)
-            network.wake()
+            network.resume_callers()
             self.check_all_open(network)
 
-    def test_three_deaths_break_no_silent_flow_once_backups_are_repaired(self):
-        network = self.network(6, is_silent=True)
+    def test_three_deaths_break_no_idle_flow_once_backups_are_repaired(self):
+        network = self.network(6, is_idle=True)
         for _ in range(3):
             network.kill(network.live()[0])
             network.run(15.0)
-        network.wake()
+        network.resume_callers()
         self.check_all_open(network)
 
     def test_replacing_all_hosts_breaks_no_flow(self):
-        for is_silent in (False, True):
-            network = self.network(2, is_silent=is_silent)
+        for is_idle in (False, True):
+            network = self.network(2, is_idle=is_idle)
             old = network.live()
-            for number, leaver in enumerate(old):
+            for number, leaving in enumerate(old):
                 network.start(network.peers[len(old) + number])
                 network.run(4.0)
-                network.stop(leaver)
+                network.stop(leaving)
                 network.run(8.0)
             self.assertEqual(len(old), len(network.live()))
-            if is_silent:
-                network.wake()
+            if is_idle:
+                network.resume_callers()
             self.check_all_open(network)
 
     def test_lost_packets_and_a_death_break_no_flow(self):
@@ -126,8 +131,8 @@
         self.check_all_open(network)
 
 
-class ViewsTest(RoutingTest):
-    """Hosts that disagree on who is there."""
+class MembershipViewTest(RoutingTest):
+    """Hosts with different views of the membership keep flows."""
 
     def test_a_host_with_an_old_view_breaks_no_flow(self):
         network = routing_network.Network(4)
@@ -171,9 +176,9 @@
 
 
 class ReuseTest(RoutingTest):
-    """Flows that reuse addresses and ports."""
+    """Flows that reuse the addresses and ports of older flows."""
 
-    def test_late_answers_do_not_reach_a_new_flow_on_the_same_ports(self):
+    def test_late_replies_do_not_reach_a_new_flow_on_the_same_ports(self):
         network = routing_network.Network(7)
         network.jitter_s = 0.5
         network.duplication = 0.3
@@ -210,8 +215,8 @@
         )
 
 
-class AnythingTest(RoutingTest):
-    """Any mixture of faults and changes keeps the promises."""
+class FaultMixtureTest(RoutingTest):
+    """Random mixtures of faults and changes keep the invariants."""
 
     @settings(
         derandomize=True,
@@ -250,7 +255,7 @@
                 strategies.sampled_from(actions), min_size=2, max_size=8
             )
         ):
-            self.act(network, action, unused)
+            self.apply_action(network, action, unused)
             network.run(data.draw(strategies.floats(0.1, 12.0)))
             self.check(network)
         network.cuts = set()
@@ -259,7 +264,10 @@
 
 
 class ReuseUnderChangeTest(RoutingTest):
-    """Runs found by the soak profile, in which callers reuse open keys."""
+    """Callers reopen ports whose connections are open during a change.
+
+    The seeds and steps are examples that the soak profile found.
+    """
 
     def replay(self, seed, loss, steps):
         network = routing_network.Network(seed)
@@ -267,7 +275,7 @@
         unused = iter(network.peers[6:])
         network.open_many(20)
         for action, duration_s in steps:
-            self.act(network, action, unused)
+            self.apply_action(network, action, unused)
             network.run(duration_s)
         self.check(network)
 
--- a/tests/slow/test_silence.py
+++ b/tests/slow/test_silence.py
@@ -1,4 +1,8 @@
-"""Flows whose packets vanish between the two ends."""
+"""Detection of stalled flows, whose packets are lost on the way.
+
+Guards against stalled flows that are never reset, and against resets of idle
+flows or of all flows of a target that is cut off for a while.
+"""
 
 import collections
 
@@ -8,15 +12,16 @@
 from tests.slow import routing_network
 
 FLOWS = 60
-# A caller repeats its payload every 8 s, and half of the hosts see two of the
-# first six repetitions.
-FOUND_S = 44.0
-# Shorter than the patience of the callers, longer than several repetitions.
+# A caller retransmits its payload every 8 s, and half of the hosts see two of
+# the first six retransmissions.
+DETECTION_S = 44.0
+# Shorter than the time-out of the callers, longer than several
+# retransmissions.
 CUT_S = 34.0
 
 
 class SilenceTest(testtools.TestCase):
-    """Which flows are reset, and which are left alone."""
+    """Only stalled flows of a working target are reset."""
 
     def setUp(self):
         super().setUp()
@@ -29,7 +34,7 @@
             self.by_target[target].append(flow)
 
     def resets(self):
-        """Returns the recorded resets of silent flows."""
+        """Returns the recorded resets of stalled flows."""
         return [
             entry
             for entry in self.network.records
@@ -39,11 +44,11 @@
     def mute(self, flows):
         self.network.muted |= {flow.caller for flow in flows}
 
-    def test_a_silent_flow_is_reset_while_the_others_stay(self):
+    def test_a_stalled_flow_is_reset_while_the_others_stay(self):
         flows = max(self.by_target.values(), key=len)
         self.assertThat(len(flows), matchers.GreaterThan(2))
         self.mute(flows[:1])
-        self.network.run(FOUND_S)
+        self.network.run(DETECTION_S)
         self.assertEqual("broken", flows[0].state)
         self.assertThat(len(self.resets()), matchers.GreaterThan(0))
         self.assertEqual(
@@ -51,12 +56,12 @@
         )
         self.assertEqual(FLOWS - 1, self.network.count("open"))
 
-    def test_an_idle_flow_with_nothing_outstanding_is_left_alone(self):
+    def test_an_idle_flow_with_nothing_outstanding_is_not_reset(self):
         flows = max(self.by_target.values(), key=len)
         flows[0].idle = True
         self.network.run(5.0)
         self.mute(flows[:1])
-        self.network.run(3 * FOUND_S)
+        self.network.run(3 * DETECTION_S)
         self.assertEqual([], self.resets())
         self.assertEqual(FLOWS, self.network.count("open"))
 
