Reword the slow tests of commands, packets and the printed figures

Heads name the failure that each file guards against. Printed lines, assertions and numbers are unchanged.

--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -1,7 +1,7 @@
-"""Figures of entry hosts that forward by cookies.
+"""Prints costs of entry hosts that forward by cookies.
 
 Run it as `python -m tests.slow.cookie_figures`; seeds are fixed.
-`docs/CAPACITY.md` gives what it printed.
+`docs/CAPACITY.md` has its output.
 """
 
 import random
@@ -30,7 +30,7 @@
 
 
 def target(number):
-    """Returns an announcement with a name like the platform's."""
+    """Returns an announcement with a name as the platform gives it."""
     generator = random.Random(number)
     return target_announcement.Announcement(
         name=f"i-{generator.getrandbits(40):010x}",
@@ -46,36 +46,36 @@
     )
 
 
-def measured(work):
-    """Returns what some work returned, its seconds and the bytes it kept."""
+def measure(call):
+    """Returns the result of a call, its CPU seconds and the bytes it keeps."""
     tracemalloc.start()
-    found = work()
+    result = call()
     kept, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     began_s = time.process_time()
-    work()
-    return found, time.process_time() - began_s, kept
+    call()
+    return result, time.process_time() - began_s, kept
 
 
 def wire_bytes(update):
-    """Returns the size of an update on its way to an entry host."""
+    """Returns the encoded size of an update to an entry host."""
     envelope = envelopes.Envelope(SENDER, timeline.Stamp(0, 0), (update,))
     return len(cookie_entry.CODEC.encode(envelope))
 
 
 def print_targets(count):
-    """Prints what an entry host spends on so many targets."""
+    """Prints memory, time and traffic of a number of targets."""
     known = tuple(
         target_announcement.KnownTarget(target(n)) for n in range(count)
     )
 
-    def learn():
+    def build():
         table = target_table.TargetTable()
         for item in known:
             table.put(0.0, item)
         return table
 
-    _, took_s, kept = measured(learn)
+    _, took_s, kept = measure(build)
     size = wire_bytes(sync.SyncUpdate("run", 0, count, True, known))
     print(
         f"{count} targets: {kept / count:.0f} B kept and"
@@ -85,15 +85,15 @@
 
 
 def print_routes(count):
-    """Prints what an entry host spends on so many routes."""
+    """Prints memory, time and traffic of a number of routes."""
     document = test_envelopes.large_document(count)
 
-    def learn():
+    def build():
         table = routes.RouteTable()
         table.put(document)
         return table
 
-    _, took_s, kept = measured(learn)
+    _, took_s, kept = measure(build)
     size = wire_bytes(sync.SyncUpdate("run", 0, 1, True, document=document))
     print(
         f"{count} routes: {kept / count:.0f} B kept and"
@@ -103,16 +103,16 @@
 
 
 def print_choice(count):
-    """Prints how long the choice among so many targets takes."""
+    """Prints the time of a choice among a number of targets."""
     table = target_table.TargetTable()
     for number in range(count):
         table.put(0.0, target_announcement.KnownTarget(target(number * 700)))
     candidates = list(table.by_name.values())
-    seen, probes = flow_tracker.FlowTracker(), target_probes.TargetProbes()
+    tracker, probes = flow_tracker.FlowTracker(), target_probes.TargetProbes()
     generator = random.Random(1)
     began_s = time.process_time()
     for _ in range(CHOICES):
-        target_choice.choose(candidates, seen, probes, 1.0, (), generator)
+        target_choice.choose(candidates, tracker, probes, 1.0, (), generator)
     took_s = time.process_time() - began_s
     print(f"choice among {count}: {took_s / CHOICES * 1e6:.0f} us")
 
--- a/tests/slow/routing_figures.py
+++ b/tests/slow/routing_figures.py
@@ -22,13 +22,13 @@
 
 FLOWS = 400
 SEED = 11
-HELD_BY_OWNER = 66_000
+FLOWS_PER_OWNER = 66_000
 RATE_PER_HOST = 2000
 HOSTS = 4
 
 
 class HashPath:
-    """Data path that keeps no flow: a hash over the ready targets."""
+    """Stateless data path that hashes flows over the ready targets."""
 
     def __init__(self, held, ready, pick):
         self.held = held
@@ -68,20 +68,20 @@
 
 
 def drain(network):
-    """Two targets drain: they take no new flow but keep theirs."""
-    for found in network.ready.values():
-        found.pop(0)
+    """Drains one target of each service; it keeps its open flows."""
+    for targets in network.ready.values():
+        targets.pop(0)
     network.run(20.0)
 
 
 def one_death(network):
-    """One host dies."""
+    """Kills one host."""
     network.kill(network.live()[2])
     network.run(20.0)
 
 
 def two_deaths(network):
-    """Two hosts die 10 s apart."""
+    """Kills two hosts 10 s apart."""
     network.kill(network.live()[2])
     network.run(10.0)
     network.kill(network.live()[2])
@@ -89,17 +89,17 @@
 
 
 def replacement(network):
-    """All hosts are replaced, one after the other."""
+    """Replaces all hosts, one after the other."""
     old = network.live()
-    for number, leaver in enumerate(old):
+    for number, leaving in enumerate(old):
         network.start(network.peers[len(old) + number])
         network.run(4.0)
-        network.stop(leaver)
+        network.stop(leaving)
         network.run(8.0)
 
 
-def way(name, pick, spray):
-    """Returns a function that makes a network of one way of routing."""
+def network_factory(name, pick, spray):
+    """Returns a factory of networks with one routing scheme."""
 
     def make():
         if name.startswith("owner"):
@@ -122,59 +122,59 @@
 _AT_OPENING = flow_records.backups_at_opening
 
 
-def show_ways():
-    """Prints broken flows and hops of each way."""
+def show_schemes():
+    """Prints broken flows and extra hops of each routing scheme."""
     print("way | fabric | silent | event | broken | extra hops a packet")
-    ways = (
+    schemes = (
         ("modulo", modulo),
         ("rendezvous", rendezvous),
         ("owner-1", None),
         ("owner-2", None),
     )
-    chosen = [way for way in ways if way[0] in sys.argv] or ways
+    chosen = [scheme for scheme in schemes if scheme[0] in sys.argv] or schemes
     for name, pick in chosen:
         for event in (drain, one_death, two_deaths, replacement):
             if pick and event is replacement:
                 continue
             for spray in (True, False):
-                for is_silent in (False, True):
-                    show_run(name, pick, event, spray, is_silent)
+                for is_idle in (False, True):
+                    show_run(name, pick, event, spray, is_idle)
 
 
-def show_run(name, pick, event, spray, is_silent):
-    """Prints one line."""
-    network = way(name, pick, spray)()
+def show_run(name, pick, event, spray, is_idle):
+    """Runs one scenario and prints a row of the table."""
+    network = network_factory(name, pick, spray)()
     network.open_many(FLOWS)
     network.run(25.0)
     hops, packets = network.counter("extra-hops"), network.packets
     network.run(20.0)
     hops = network.counter("extra-hops") - hops
     ratio = hops / (network.packets - packets)
-    if is_silent:
+    if is_idle:
         network.pause_callers()
     event(network)
     network.resume_callers()
     broken = FLOWS - network.count("open")
     fabric = "spray" if spray else "affinity"
     print(
-        f"{name} | {fabric} | {is_silent} | {event.__name__} | {broken} |"
+        f"{name} | {fabric} | {is_idle} | {event.__name__} | {broken} |"
         f" {ratio:.3f} | doubled {len(network.flows_at_several_targets())}"
     )
 
 
 def fill(network):
-    """Stores open flows as if they had been opened long ago."""
+    """Stores flows that were opened 100 s ago at their hosts."""
     hosts = network.live()
     number = 0
     for service in routing_network.SERVICES.values():
         port = 80
         tail = ip.pack_address(service.addresses[0]) + bytes((0, port, 6))
         path = network.paths[hosts[0].host]
-        for _ in range(HELD_BY_OWNER * HOSTS // 2):
+        for _ in range(FLOWS_PER_OWNER * HOSTS // 2):
             number += 1
             key = (0x0A800000 + number).to_bytes(4, "big") + b"\x20\x00" + tail
-            found = path.config_store.lookup.find_key(key)
-            order = path.router.entry_hosts.order(found, key)
+            service_port = path.config_store.lookup.find_key(key)
+            order = path.router.entry_hosts.order(service_port, key)
             target = bytes((10, 1 + (tail[3] == 2), 0, 1 + number % 4))
             for peer in order:
                 store(network, network.paths[peer.host], key, target, order)
@@ -194,13 +194,15 @@
 
 
 def show_control():
-    """Prints control bytes at the stated load."""
+    """Prints control bytes at a load of RATE_PER_HOST new flows a second."""
     ownership.ORDER_HOSTS = 3
     flow_records.backups_at_opening = _AT_OPENING
     network = routing_network.Network(SEED, hosts=HOSTS)
     fill(network)
-    held = [len(network.paths[p.host].records.table) for p in network.live()]
-    print("held a host", held)
+    flow_counts = [
+        len(network.paths[p.host].records.table) for p in network.live()
+    ]
+    print("held a host", flow_counts)
     network.run(15.0)
     total = RATE_PER_HOST * HOSTS
     first = network.now_s
@@ -236,4 +238,4 @@
     if "control" in sys.argv:
         show_control()
     else:
-        show_ways()
+        show_schemes()
--- a/tests/slow/test_command_line.py
+++ b/tests/slow/test_command_line.py
@@ -1,4 +1,8 @@
-"""Operators' commands and bad starts, with real processes."""
+"""Operator commands and failing starts, with real processes.
+
+Guards against commands with a wrong exit status or output, and against a bad
+configuration that does not stop the start with a clear message.
+"""
 
 import json
 import pathlib
@@ -18,12 +22,12 @@
     "classes": {"routes": {"port": 80, "target_port": 8080}},
 }
 ADD_SERVICE = [{"op": "add", "path": "/services/agenda", "value": SERVICE}]
-SILENT_HOST = "127.0.0.1:9"
+UNRESPONSIVE_HOST = "127.0.0.1:9"
 COMMAND_TIMEOUT_S = 60
 
 
 def run(program, *arguments):
-    """Returns the finished run of one of the two programs."""
+    """Runs one of the two programs and returns the completed process."""
     return subprocess.run(
         [processes.BINARIES / program, *map(str, arguments)],
         capture_output=True,
@@ -33,7 +37,7 @@
 
 
 class HostCase(testtools.TestCase):
-    """A folder, and settings of a host with both roles."""
+    """Base of tests with a folder and settings of a host with both roles."""
 
     def setUp(self):
         super().setUp()
@@ -65,7 +69,7 @@
 
 
 class OperatorTest(HostCase):
-    """A night operator at work."""
+    """Commands of an operator, with one host that does not respond."""
 
     def setUp(self):
         super().setUp()
@@ -80,17 +84,19 @@
 
     def tamarack(self, command, *arguments):
         """Returns exit status, decoded output and error text."""
-        hosts = ("--host", SILENT_HOST, "--host", self.host, "--json")
-        done = run("tamarack", command, *arguments, *hosts)
-        document = json.loads(done.stdout) if done.stdout else None
-        return done.returncode, document, done.stderr
+        hosts = ("--host", UNRESPONSIVE_HOST, "--host", self.host, "--json")
+        completed = run("tamarack", command, *arguments, *hosts)
+        document = json.loads(completed.stdout) if completed.stdout else None
+        return completed.returncode, document, completed.stderr
 
     def patch(self, version, patch_id, operations):
         file = self.write("patch.json", operations)
         options = ("--on", version, "--id", patch_id, "--author", "ada")
         return self.tamarack("patch", file, *options)
 
-    def test_a_patch_goes_past_a_silent_host_and_a_resend_changes_nothing(self):
+    def test_a_patch_skips_an_unresponsive_host_and_a_resend_changes_nothing(
+        self,
+    ):
         first = self.patch(0, "p1", ADD_SERVICE)
         again = self.patch(0, "p1", ADD_SERVICE)
         self.assertEqual(
@@ -120,7 +126,7 @@
                 "--author",
                 "a",
                 "--host",
-                SILENT_HOST,
+                UNRESPONSIVE_HOST,
             ).returncode,
         ]
         self.assertEqual([3, 1, 5], codes)
@@ -130,7 +136,7 @@
         self.assertEqual(
             (4, ["both-1"]), (code, [host["host"] for host in hosts])
         )
-        self.assertThat(error, matchers.Contains(SILENT_HOST))
+        self.assertThat(error, matchers.Contains(UNRESPONSIVE_HOST))
 
     def test_the_time_line_shows_what_changed_and_can_be_filtered(self):
         self.patch(0, "p1", ADD_SERVICE)
@@ -154,10 +160,10 @@
         self.assertEqual([2], [entry["version"] for entry in entries])
 
 
-class BadStartTest(HostCase):
-    """One clear line and a status that is not zero."""
+class FailingStartTest(HostCase):
+    """A failing start gives a clear error and a non-zero exit status."""
 
-    def start_badly(self):
+    def run_daemon(self):
         file = self.write("bad.json", self.settings)
         return run("tamarackd", "--settings", file)
 
@@ -165,52 +171,56 @@
         self.settings.update(colour="red", log_level="loud", roles=["guard"])
         del self.settings["domain"]
         file = self.write("bad.json", self.settings)
-        done = run("tamarackd", "check", "--settings", file)
-        self.assertEqual(2, done.returncode)
+        completed = run("tamarackd", "check", "--settings", file)
+        self.assertEqual(2, completed.returncode)
         for path in ("$.colour", "$.domain", "$.roles"):
-            self.assertThat(done.stderr, matchers.Contains(f"{path}: "))
-        self.assertThat(done.stderr, matchers.Contains("guard"))
+            self.assertThat(completed.stderr, matchers.Contains(f"{path}: "))
+        self.assertThat(completed.stderr, matchers.Contains("guard"))
 
-    def test_values_that_do_not_go_together_are_named(self):
+    def test_values_that_do_not_fit_together_are_named(self):
         del self.settings["data"], self.settings["data_folder"]
         file = self.write("bad.json", self.settings)
-        done = run("tamarackd", "check", "--settings", file)
-        self.assertEqual(2, done.returncode)
+        completed = run("tamarackd", "check", "--settings", file)
+        self.assertEqual(2, completed.returncode)
         for path in ("$.data: ", "$.data_folder: "):
-            self.assertThat(done.stderr, matchers.Contains(path))
+            self.assertThat(completed.stderr, matchers.Contains(path))
 
     def test_a_port_in_use_ends_the_second_process(self):
         self.start()
         self.settings["data_folder"] = str(self.folder / "other")
-        done = self.start_badly()
-        self.assertEqual(3, done.returncode, done.stderr)
-        self.assertThat(done.stderr, matchers.Contains("event=cannot-start"))
+        completed = self.run_daemon()
+        self.assertEqual(3, completed.returncode, completed.stderr)
+        self.assertThat(
+            completed.stderr, matchers.Contains("event=cannot-start")
+        )
 
     def test_a_data_folder_that_is_a_file_ends_the_process(self):
         self.settings["data_folder"] = str(self.write("file", {}))
-        done = self.start_badly()
-        self.assertNotEqual(0, done.returncode)
+        completed = self.run_daemon()
+        self.assertNotEqual(0, completed.returncode)
         lines = [
-            line for line in done.stderr.splitlines() if "level=error" in line
+            line
+            for line in completed.stderr.splitlines()
+            if "level=error" in line
         ]
-        self.assertEqual(1, len(lines), done.stderr)
+        self.assertEqual(1, len(lines), completed.stderr)
         self.assertThat(
-            done.stderr, matchers.Not(matchers.Contains("Traceback"))
+            completed.stderr, matchers.Not(matchers.Contains("Traceback"))
         )
 
     def test_a_second_process_on_one_data_folder_is_refused(self):
         self.start()
         self.settings["control"][1] = processes.free_port()
         self.settings["data"][1] = processes.free_port()
-        done = self.start_badly()
-        self.assertNotEqual(0, done.returncode)
+        completed = self.run_daemon()
+        self.assertNotEqual(0, completed.returncode)
         self.assertThat(
-            done.stderr, matchers.Not(matchers.Contains("Traceback"))
+            completed.stderr, matchers.Not(matchers.Contains("Traceback"))
         )
 
 
 class TrafficTest(HostCase):
-    """Targets and flows as an operator sees them."""
+    """Targets and flows in the output of the commands."""
 
     def setUp(self):
         super().setUp()
@@ -240,9 +250,11 @@
 
     def read(self, command, *arguments):
         host = f"127.0.0.1:{self.daemon.port}"
-        done = run("tamarack", command, "--host", host, "--json", *arguments)
-        self.assertEqual(0, done.returncode, done.stderr)
-        return json.loads(done.stdout)
+        completed = run(
+            "tamarack", command, "--host", host, "--json", *arguments
+        )
+        self.assertEqual(0, completed.returncode, completed.stderr)
+        return json.loads(completed.stdout)
 
     def test_an_open_flow_is_shown_with_its_target(self):
         opening = traffic.Flow(0).opening()
--- a/tests/slow/test_experiments.py
+++ b/tests/slow/test_experiments.py
@@ -1,4 +1,4 @@
-"""Command `tamarack experiment`."""
+"""Command `tamarack experiment`: its results and exit status."""
 
 import dataclasses
 import json
@@ -12,11 +12,11 @@
 from tamarack_lab.experiments import commands
 from tamarack_lab.experiments import plans
 
-LEAST_EXPERIMENTS = 12
+MIN_EXPERIMENTS = 12
 
 
 class ExperimentsTest(testtools.TestCase):
-    """The command line of the experiments."""
+    """Runs of the command and their results."""
 
     def setUp(self):
         super().setUp()
@@ -36,7 +36,7 @@
 
     def test_there_are_at_least_twelve(self):
         lines = self.invoke("list").output.splitlines()
-        self.assertTrue(len(lines) >= LEAST_EXPERIMENTS, lines)
+        self.assertTrue(len(lines) >= MIN_EXPERIMENTS, lines)
 
     def test_a_run_writes_both_versions_side_by_side(self):
         status, result = self.run_one("target-death")
@@ -46,7 +46,7 @@
         self.assertTrue((self.output / "report.md").exists())
         self.assertTrue((self.output / "naive.png").stat().st_size > 0)
 
-    def test_a_broken_promise_gives_a_failing_status(self):
+    def test_an_exceeded_bound_gives_a_failing_status(self):
         plan = catalogue.ALL["target-death"]
         impossible = plans.Bound("completed", least=1e9)
         self.addCleanup(catalogue.ALL.__setitem__, plan.name, plan)
--- a/tests/slow/test_join.py
+++ b/tests/slow/test_join.py
@@ -1,4 +1,8 @@
-"""An entry host joins others that carry flows."""
+"""Replacement of an entry host under load.
+
+Guards against openings that are refused because a new host owns flows before
+the other hosts have it in their membership.
+"""
 
 import asyncio
 import pathlib
@@ -43,7 +47,7 @@
 
 
 class JoinTest(testtools.TestCase):
-    """A new host owns flows once the others see it."""
+    """A new host owns flows once the other hosts know it."""
 
     def test_no_opening_is_refused_while_an_entry_host_is_replaced(self):
         folder = pathlib.Path(tempfile.mkdtemp())
@@ -69,10 +73,10 @@
             await deployment.wait_version()
             await deployment.start_targets()
             await deployment.start_callers(LOAD_S, GRACE_S)
-            lost = layout.entries[0]
-            await deployment.kill_entry(lost)
-            await deployment.withdraw_entry(lost)
-            await deployment.replace_entry(lost, "join-entry-new")
+            killed = layout.entries[0]
+            await deployment.kill_entry(killed)
+            await deployment.withdraw_entry(killed)
+            await deployment.replace_entry(killed, "join-entry-new")
             return await deployment.finish_callers(LOAD_S + GRACE_S + 5.0)
         finally:
             await deployment.close()
--- a/tests/slow/test_operator_commands.py
+++ b/tests/slow/test_operator_commands.py
@@ -1,4 +1,8 @@
-"""The operator's commands against a real control host."""
+"""Operator commands against a real control host.
+
+Guards against declarations that are applied twice or not recorded in the log,
+and against a damaged log that `tamarack data inspect` or a start accepts.
+"""
 
 import json
 import pathlib
@@ -17,7 +21,7 @@
 
 
 class OperatorCommandTest(testtools.TestCase):
-    """Declarations are applied exactly, and the log and the disk show it."""
+    """Declarations are applied once and recorded in the log and on disk."""
 
     def setUp(self):
         super().setUp()
@@ -40,19 +44,21 @@
         self.declared.mkdir()
         (self.declared / "agenda.json").write_text(json.dumps(SERVICE))
 
-    def tamarack(self, *arguments, expect=0, asks=True):
-        """Runs a command and returns what it printed."""
-        hosts = ["--host", f"127.0.0.1:{self.port}"] if asks else []
-        done = subprocess.run(
+    def tamarack(self, *arguments, expect=0, needs_host=True):
+        """Runs a command and returns its output."""
+        hosts = ["--host", f"127.0.0.1:{self.port}"] if needs_host else []
+        completed = subprocess.run(
             [processes.BINARIES / "tamarack", *arguments, *hosts],
             capture_output=True,
             text=True,
             timeout=processes.START_TIMEOUT_S,
         )
-        self.assertEqual(expect, done.returncode, done.stdout + done.stderr)
-        return done.stdout + done.stderr
+        self.assertEqual(
+            expect, completed.returncode, completed.stdout + completed.stderr
+        )
+        return completed.stdout + completed.stderr
 
-    def test_declarations_are_applied_once_and_leave_a_trace(self):
+    def test_declarations_are_applied_once_and_logged(self):
         self.daemon.wait_started()
         processes.wait_until(
             lambda: (
@@ -74,32 +80,32 @@
         self.assertIn(
             "/services/agenda/addresses", self.tamarack("diff", "1", "2")
         )
-        late = self.folder / "late.json"
-        late.write_text("[]")
-        patch = ["patch", "--on", "1", "--author", "bea", late]
+        outdated = self.folder / "late.json"
+        outdated.write_text("[]")
+        patch = ["patch", "--on", "1", "--author", "bea", outdated]
         self.assertIn("conflict", self.tamarack(*patch, expect=3))
         clash = {**SERVICE, "target_networks": ["10.0.0.0/8"]}
         (self.declared / "informe.json").write_text(json.dumps(clash))
         self.assertIn("services/informe", self.tamarack(*apply, expect=1))
         self.daemon.stop()
         data = self.folder / "data"
-        shown = self.tamarack("data", "inspect", data, asks=False)
-        self.assertIn("configuration version", shown)
+        inspected = self.tamarack("data", "inspect", data, needs_host=False)
+        self.assertIn("configuration version", inspected)
         exported = self.folder / "exported.json"
-        self.tamarack("data", "export", data, exported, asks=False)
+        self.tamarack("data", "export", data, exported, needs_host=False)
         numbered = json.loads(exported.read_text())
         self.assertEqual(2, numbered["version"])
         self.damage(data)
         self.assertIn(
             "damaged",
-            self.tamarack("data", "inspect", data, expect=1, asks=False),
+            self.tamarack("data", "inspect", data, expect=1, needs_host=False),
         )
         self.daemon.start()
         self.assertEqual(3, self.daemon.process.wait(20))
         self.assertIn("move the folder away", self.daemon.log_file.read_text())
 
     def damage(self, data):
-        """Flips one bit of the newest log file's first frame."""
+        """Flips one bit in the first frame of the newest log file."""
         log = max(data.glob("log-*"))
         content = bytearray(log.read_bytes())
         content[60] ^= 1
--- a/tests/slow/test_protocols.py
+++ b/tests/slow/test_protocols.py
@@ -1,4 +1,7 @@
-"""Both IP versions and both protocols through real entry hosts."""
+"""TCP and UDP over IPv4 and IPv6 through real entry hosts.
+
+Guards against lost requests and wrong checksums of rewritten packets.
+"""
 
 import asyncio
 import pathlib
@@ -53,7 +56,7 @@
 
 
 class ProtocolsTest(testtools.TestCase):
-    """Every request is answered, and every checksum is right."""
+    """Every request gets its reply, and every checksum is correct."""
 
     def test_tcp_and_udp_pass_over_ipv4_and_ipv6(self):
         folder = pathlib.Path(tempfile.mkdtemp())
@@ -61,8 +64,8 @@
         report = asyncio.run(self.run_all(folder))
         self.assertEqual({}, report.unreadable)
         for load in report.loads:
-            where = f"{load.service} {load.work_class}"
-            self.assertThat(load.tried, matchers.GreaterThan(9), where)
+            label = f"{load.service} {load.work_class}"
+            self.assertThat(load.tried, matchers.GreaterThan(9), label)
             self.assertEqual(
                 (load.tried, {}, {}, 0, 0),
                 (
@@ -72,7 +75,7 @@
                     load.wrong_service,
                     load.mixed_up,
                 ),
-                where,
+                label,
             )
 
     async def run_all(self, folder):
@@ -86,8 +89,8 @@
                 "path": "/services",
                 "value": document["services"],
             }
-            found = await deployment.submit([operation], "create")
-            self.assertEqual("accepted", found.state, found.reason)
+            response = await deployment.submit([operation], "create")
+            self.assertEqual("accepted", response.state, response.reason)
             await deployment.wait_version()
             await deployment.start_targets()
             await deployment.start_callers(LOAD_S, GRACE_S)
--- a/tests/slow/test_whole_path.py
+++ b/tests/slow/test_whole_path.py
@@ -1,4 +1,8 @@
-"""A request goes through real processes from one end to the other."""
+"""Packets through real processes, from the caller to the target and back.
+
+Guards against entry and control hosts that work alone but not together: a patch
+that does not reach the data path, or a reply that another host can't return.
+"""
 
 import pathlib
 import socket
@@ -108,7 +112,7 @@
             )
 
     def send(self, entry, packet):
-        """Returns the packet that an entry host makes of another."""
+        """Sends a packet to an entry host; returns what it forwards."""
         self.fabric.sendto(
             geneve.encapsulate(packet), tuple(self.peers[entry]["data"])
         )
@@ -139,16 +143,16 @@
             "targets known at the other entry host",
         )
         opening = segment("10.7.0.1", 5000, "10.9.0.1", 80, dpkt.tcp.TH_SYN)
-        carried = self.send(0, opening)
-        target = socket.inet_ntoa(carried.dst)
+        forwarded = self.send(0, opening)
+        target = socket.inet_ntoa(forwarded.dst)
         self.assertIn(target, TARGETS)
-        self.assertEqual(8080, carried.data.dport)
+        self.assertEqual(8080, forwarded.data.dport)
         flags = dpkt.tcp.TH_SYN | dpkt.tcp.TH_ACK
         # Only a SYN-ACK that acknowledges the SYN belongs to this flow.
-        answer = segment(
-            target, 8080, "10.7.0.1", 5000, flags, carried.data.seq + 1
+        syn_ack = segment(
+            target, 8080, "10.7.0.1", 5000, flags, forwarded.data.seq + 1
         )
-        reply = self.send(1, answer)
+        reply = self.send(1, syn_ack)
         self.assertEqual("10.9.0.1", socket.inet_ntoa(reply.src))
         self.assertEqual((80, 5000), (reply.data.sport, reply.data.dport))
 
@@ -159,7 +163,7 @@
         path = "/services/agenda/classes/routes/target_port"
         self.assertEqual(
             (409, "conflict"),
-            (lambda answer: (answer[0], answer[1]["state"]))(
+            (lambda response: (response[0], response[1]["state"]))(
                 self.patch("p2", 0, path, 9090)
             ),
         )
