Reword the soak test and its checks

Renamed: World -> SoakRun, bring_about -> inject_fault, take_back -> end_fault, note_* -> record_*, breaks -> record_violation, life -> starts, home -> preferred, taken_s -> acknowledged_s, lose_answer -> send_and_reset, follow -> call_with_redirects.

--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -1,7 +1,8 @@
-"""The soak: real processes under overlapping faults; see tests/soak.
+"""Soak test of real processes under overlapping faults; see tests/soak.
 
-Fifty fresh seeds by hand: `python -m tests.soak FIRST 50`. A seed that broke a
-promise stays here as a case, with its cause.
+Guards against requests that run twice or are lost, and against documents that
+are lost, when faults overlap. `python -m tests.soak FIRST 50` runs fifty new
+seeds. A seed that broke a promise is kept here as a test, with its cause.
 """
 
 import os
@@ -18,64 +19,64 @@
 
 
 class SoakTest(testtools.TestCase):
-    """Callers, targets and operators get what they are promised."""
+    """Promises to callers, targets and operators hold under faults."""
 
     def test_promises_hold_under_overlapping_faults(self):
         for seed in range(FIRST, FIRST + RUNS):
             print(f"soak seed {seed}")
-            found = run.run(seed)
-            self.assertEqual([], found.broken, f"seed {seed}")
-            self.assertGreater(found.counts["served"], 0)
-            self.assertGreater(found.counts["published"], 0)
+            checks = run.run(seed)
+            self.assertEqual([], checks.broken, f"seed {seed}")
+            self.assertGreater(checks.counts["served"], 0)
+            self.assertGreater(checks.counts["published"], 0)
 
 
 class PromiseTest(testtools.TestCase):
-    """Each promise is seen to break."""
+    """Violations of each promise are detected."""
 
     def start(self, at_s, *faults):
-        """Returns promises at a time of the run."""
-        found = promises.Promises(list(faults))
-        found.began_s -= at_s
-        return found
+        """Returns checks whose run started `at_s` seconds ago."""
+        checks = promises.Promises(list(faults))
+        checks.started_s -= at_s
+        return checks
 
     def test_a_request_that_runs_twice(self):
-        found = self.start(1.0)
-        found.note_run("r-1", "t-1")
-        self.assertEqual([], found.broken)
-        found.note_run("r-1", "t-2")
-        self.assertEqual(1, len(found.broken))
+        checks = self.start(1.0)
+        checks.record_run("r-1", "t-1")
+        self.assertEqual([], checks.broken)
+        checks.record_run("r-1", "t-2")
+        self.assertEqual(1, len(checks.broken))
 
     def test_a_refusal_of_what_ran(self):
-        found = self.start(1.0)
-        found.note_refused(["r-1"])
-        self.assertEqual([], found.broken)
-        found.note_run("r-1", "t-1")
-        found.note_refused(["r-1"])
-        self.assertEqual(1, len(found.broken))
+        checks = self.start(1.0)
+        checks.record_refused(["r-1"])
+        self.assertEqual([], checks.broken)
+        checks.record_run("r-1", "t-1")
+        checks.record_refused(["r-1"])
+        self.assertEqual(1, len(checks.broken))
 
     def test_an_older_read_and_other_content(self):
-        found = self.start(1.0)
-        found.note_read(7, 7, "seven", {7: "seven"})
-        self.assertEqual([], found.broken)
-        found.note_read(6, 7, "six", {6: "six"})
-        found.note_read(7, 7, "other", {7: "seven"})
-        self.assertEqual(2, len(found.broken))
+        checks = self.start(1.0)
+        checks.record_read(7, 7, "seven", {7: "seven"})
+        self.assertEqual([], checks.broken)
+        checks.record_read(6, 7, "six", {6: "six"})
+        checks.record_read(7, 7, "other", {7: "seven"})
+        self.assertEqual(2, len(checks.broken))
 
     def test_what_only_a_calm_system_promises(self):
         fault = plan.Fault("kill", "e0", 10.0, 1.0)
         for at_s, expected in ((5.0, 0), (9.9, 4), (12.0, 0), (18.1, 4)):
-            found = self.start(at_s, fault)
-            found.note_reset("f-1", "t-1", is_alive=False)
-            found.note_reset("f-1", "t-1", is_alive=True)
-            found.note_unserved("f-1", "unanswered", at_s)
-            found.note_opening("t-1", at_s - 1.0)
-            found.note_opening("t-1", at_s - 4.0)
-            found.note_effect(7, "e0", "opened", "refused")
-            self.assertEqual(expected, len(found.broken), at_s)
+            checks = self.start(at_s, fault)
+            checks.record_reset("f-1", "t-1", is_alive=False)
+            checks.record_reset("f-1", "t-1", is_alive=True)
+            checks.record_unserved("f-1", "unanswered", at_s)
+            checks.record_opening("t-1", at_s - 1.0)
+            checks.record_opening("t-1", at_s - 4.0)
+            checks.record_effect(7, "e0", "opened", "refused")
+            self.assertEqual(expected, len(checks.broken), at_s)
 
 
 class PlanTest(testtools.TestCase):
-    """Faults are what a seed says."""
+    """The plan of faults follows from the seed."""
 
     def test_a_seed_draws_the_same_faults(self):
         self.assertEqual(plan.draw(7), plan.draw(7))
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Soak of real processes under overlapping faults from outside."""
+"""Soak test of real processes under overlapping injected faults."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs seeds by hand: python -m tests.soak FIRST COUNT [SLOT]."""
+"""Runs a range of seeds: python -m tests.soak FIRST COUNT [SLOT]."""
 
 import sys
 
@@ -7,7 +7,7 @@
 
 
 def main():
-    """Runs some seeds one after the other, and prints what they broke."""
+    """Runs the seeds one after the other and prints the violations."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     slot = int(sys.argv[3]) if len(sys.argv) > 3 else 0
     failed = []
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -1,4 +1,4 @@
-"""Callers and targets that speak the packets of the platform."""
+"""Simulated callers, targets and routers with the platform's packets."""
 
 import asyncio
 import ipaddress
@@ -13,11 +13,11 @@
 SERVICES = {"agenda": 80, "informe": 81}
 SERVICE_ADDRESS = "198.18.0.1"
 OPENING_WAITS_S = (0.2, 0.4, 0.8)
-REPEAT_WAITS_S = (0.2, 0.4, 0.8, 1.6)
-THINK_S = 0.25
+RETRANSMIT_WAITS_S = (0.2, 0.4, 0.8, 1.6)
+REQUEST_PAUSE_S = 0.25
 REQUESTS = 6
-SUM_OF_TARGETS = 1
-"""Sum in the packets of targets; the system's own resets have 0."""
+TARGET_CHECKSUM = 1
+"""Checksum in packets of targets; resets by the system have 0."""
 
 
 def number(address):
@@ -52,13 +52,13 @@
 
 
 class Target(asyncio.DatagramProtocol):
-    """A server that answers each request once.
+    """Server that runs each request once and replies.
 
     Attributes:
         name: Identifier in the platform's form.
         service: Its service.
-        address: IP address; the same for all lives.
-        life: Number of its life.
+        address: IP address, which a restart keeps.
+        starts: Number of its starts.
         is_alive: Whether it runs.
         drained_s: Time at which its drain was acknowledged, or None.
     """
@@ -69,7 +69,7 @@
         self.service = list(SERVICES)[index % len(SERVICES)]
         self.address = f"{network}.{40 + index}"
         self.promises = promises
-        self.life = 0
+        self.starts = 0
         self.is_alive = False
         self.is_draining = False
         self.drained_s = None
@@ -80,12 +80,12 @@
 
     @property
     def port(self):
-        """Port at which it takes packets and connections."""
+        """Port at which it receives packets and connections."""
         return 8080
 
     async def start(self):
-        """Begins another life, which knows nothing of the one before."""
-        self.life += 1
+        """Starts the target without any flows of the start before."""
+        self.starts += 1
         self.flows = {}
         self.is_draining, self.drained_s = False, None
         loop = asyncio.get_running_loop()
@@ -99,19 +99,19 @@
         self.is_alive = True
 
     def close(self):
-        """Ends for good."""
+        """Ends the target permanently."""
         self.crash()
         self.transport.close()
 
     def crash(self):
-        """Ends without a word."""
+        """Ends the target abruptly."""
         self.is_alive = False
         if self.server is not None:
             self.server.close()
             self.server = None
 
     def datagram_received(self, data, sender):
-        """Takes a packet that an entry host hands over."""
+        """Handles a packet from an entry host."""
         if not self.is_alive:
             return
         tag, packet = int.from_bytes(data[:8], "big"), data[8:]
@@ -122,7 +122,9 @@
         if service[1] in SERVICES.values() and (
             service[1] != SERVICES[self.service]
         ):
-            self.promises.breaks(f"{self.name} gets a packet for {service}")
+            self.promises.record_violation(
+                f"{self.name} gets a packet for {service}"
+            )
             return
         if flags & packets.OPENING_FLAG:
             self._open(ends, seq, echo)
@@ -130,17 +132,17 @@
             self._run(ends, seq, ack, echo, payload)
 
     def _open(self, ends, seq, echo):
-        """Takes an opening, or answers its copy."""
+        """Accepts an opening, or replies again to its copy."""
         if ends not in self.flows:
-            self.promises.note_opening(self.name, self.drained_s)
-            own = self.random.getrandbits(31)
-            self.flows[ends] = [own, seq + 1, own + 1, None]
-        own, expected, _, _ = self.flows[ends]
+            self.promises.record_opening(self.name, self.drained_s)
+            initial = self.random.getrandbits(31)
+            self.flows[ends] = [initial, seq + 1, initial + 1, None]
+        initial, expected, _, _ = self.flows[ends]
         flags = packets.OPENING_FLAG | packets.ACKNOWLEDGMENT_FLAG
-        self._send(ends, flags, own, expected, echo)
+        self._send(ends, flags, initial, expected, echo)
 
     def _run(self, ends, seq, ack, echo, payload):
-        """Runs a request, or answers its copy."""
+        """Runs a request, or replies again to its copy."""
         flow = self.flows.get(ends)
         if flow is None:
             self._send(ends, packets.RESET_FLAG, ack, 0, echo)
@@ -148,7 +150,7 @@
         _, expected, following, answer = flow
         if seq == expected and ack == following:
             request = payload.decode()
-            self.promises.note_run(request, self.name)
+            self.promises.record_run(request, self.name)
             answer = (following, json.dumps([request, self.service]).encode())
             flow[1] = expected + len(payload)
             flow[2] = following + len(answer[1])
@@ -164,7 +166,7 @@
             )
 
     def _send(self, ends, flags, seq, ack, echo, data=b""):
-        """Answers a caller directly."""
+        """Sends a packet to a caller directly."""
         caller, service = ends
         packet = encode(
             (service[0], service[1]),
@@ -174,19 +176,19 @@
             ack,
             echo,
             data,
-            SUM_OF_TARGETS,
+            TARGET_CHECKSUM,
         )
-        place = str(ipaddress.IPv4Address(caller[0]))
-        self.transport.sendto(packet, (place, hosts_lib.DATA_PORT))
+        destination = str(ipaddress.IPv4Address(caller[0]))
+        self.transport.sendto(packet, (destination, hosts_lib.DATA_PORT))
 
 
 async def _close(reader, writer):
-    """Takes a connection and closes it, as a probe asks."""
+    """Closes an accepted connection, which is enough for a probe."""
     writer.close()
 
 
 class Routers:
-    """The platform's routers: a hash over the entry hosts that are ready.
+    """Platform routers, which hash flows over the ready entry hosts.
 
     Attributes:
         ready: Addresses of the entry hosts in rotation.
@@ -196,25 +198,25 @@
         self.entries = [host.address for host in entries]
         self.ready = []
 
-    async def watch(self):
-        """Asks all entry hosts twice a second, and leaves out who is late."""
+    async def poll(self):
+        """Polls the entry hosts twice a second; removes unresponsive ones."""
         misses = dict.fromkeys(self.entries, 2)
         while True:
-            found = await asyncio.gather(*map(self._ask, self.entries))
-            for address, is_ready in zip(self.entries, found, strict=True):
+            results = await asyncio.gather(*map(self._is_ready, self.entries))
+            for address, is_ready in zip(self.entries, results, strict=True):
                 misses[address] = 0 if is_ready else misses[address] + 1
             ready = [one for one in self.entries if misses[one] < 2]
             is_half = 2 * len(ready) >= len(self.entries)
             self.ready = ready if is_half else self.entries
             await asyncio.sleep(0.5)
 
-    async def _ask(self, address):
-        """Returns whether an entry host says that it is ready."""
+    async def _is_ready(self, address):
+        """Returns whether an entry host reports that it is ready."""
         answer = await call(address, hosts_lib.READY_PORT, "GET", "/ready", 0.4)
         return answer is not None and answer[0] == 200
 
     def pick(self, key):
-        """Returns the entry host of a flow at this moment."""
+        """Returns the current entry host of a flow."""
         return self.ready[zlib.crc32(repr(key).encode()) % len(self.ready)]
 
 
@@ -231,46 +233,46 @@
         self.transport = None
 
     def datagram_received(self, data, sender):
-        """Hands a packet to its flow."""
+        """Passes a packet to its flow."""
         ends, *fields = decode(data)
         flow = self.flows.get(ends[1][1])
         if flow is not None:
             flow.inbox.put_nowait(fields)
 
     async def try_open(self, entry, port):
-        """Opens a flow through an entry host; returns what came of it."""
-        own = next(self.ports)
-        flow = Flow(self, own, ("probe", port), f"probe-{own}")
-        self.flows[own] = flow
+        """Opens a flow through an entry host and returns the outcome."""
+        local_port = next(self.ports)
+        flow = Flow(self, local_port, ("probe", port), f"probe-{local_port}")
+        self.flows[local_port] = flow
         flow.entry = entry
         try:
             return await flow.open()
         finally:
-            del self.flows[own]
+            del self.flows[local_port]
 
     def send(self, data, key, entry=None):
-        """Sends a packet to an entry host, or the one that routers pick."""
+        """Sends a packet to the given entry host or to the routers' choice."""
         if entry is not None:
             self.transport.sendto(data, (entry, hosts_lib.DATA_PORT))
             return
         if self.routers.ready:
-            place = (self.routers.pick(key), hosts_lib.DATA_PORT)
-            self.transport.sendto(data, place)
+            destination = (self.routers.pick(key), hosts_lib.DATA_PORT)
+            self.transport.sendto(data, destination)
 
     async def run(self, name, service, until_s):
-        """Opens one flow after another until a time of the run."""
+        """Runs one flow after another until a time of the run."""
         for index, port in enumerate(self.ports):
             if self.promises.now_s > until_s:
                 return
-            place = (service, SERVICES[service])
-            flow = Flow(self, port, place, f"{name}-{index}")
+            destination = (service, SERVICES[service])
+            flow = Flow(self, port, destination, f"{name}-{index}")
             self.flows[port] = flow
             await flow.run()
             del self.flows[port]
 
 
 class Flow:
-    """A connection that carries some requests, one after the other."""
+    """Connection that sends requests one after the other."""
 
     def __init__(self, caller, port, service, name):
         self.caller = caller
@@ -287,20 +289,20 @@
         self.sent = []
 
     async def run(self):
-        """Opens, sends its requests, and ends."""
-        began_s = self.promises.now_s
+        """Opens the flow and sends its requests."""
+        started_s = self.promises.now_s
         outcome = await self.open()
         if outcome != "opened":
-            self.promises.note_unserved(self.name, outcome, began_s)
+            self.promises.record_unserved(self.name, outcome, started_s)
             return
         for index in range(REQUESTS):
-            began_s = self.promises.now_s
+            started_s = self.promises.now_s
             outcome = await self._request(f"{self.name}-{index}")
             if outcome != "served":
                 if outcome == "unanswered":
-                    self.promises.note_unserved(self.name, outcome, began_s)
+                    self.promises.record_unserved(self.name, outcome, started_s)
                 return
-            await asyncio.sleep(THINK_S)
+            await asyncio.sleep(REQUEST_PAUSE_S)
 
     def _send(self, flags, ack, data=b""):
         """Sends a packet through the routers."""
@@ -317,16 +319,16 @@
             return None
 
     async def open(self):
-        """Opens the flow; returns what came of it."""
+        """Opens the flow and returns the outcome."""
         for copy, wait_s in enumerate(OPENING_WAITS_S):
             self._send(packets.OPENING_FLAG, copy)
-            found = await self._receive(wait_s)
-            if found is None:
+            received = await self._receive(wait_s)
+            if received is None:
                 continue
-            flags, seq, _, _, echo, _ = found
+            flags, seq, _, _, echo, _ = received
             if flags & packets.RESET_FLAG:
-                self.promises.note_refused(self.sent)
-                await asyncio.sleep(THINK_S)
+                self.promises.record_refused(self.sent)
+                await asyncio.sleep(REQUEST_PAUSE_S)
                 return "refused"
             self.seq, self.ack, self.echo = self.seq + 1, seq + 1, echo
             self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack)
@@ -334,33 +336,35 @@
         return "unopened"
 
     async def _request(self, request):
-        """Sends a request until it is answered; returns what came of it."""
+        """Sends a request until its reply and returns the outcome."""
         self.sent.append(request)
         data = request.encode()
-        for wait_s in REPEAT_WAITS_S:
+        for wait_s in RETRANSMIT_WAITS_S:
             self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack, data)
             end_s = self.promises.now_s + wait_s
             while (left_s := end_s - self.promises.now_s) > 0:
-                found = await self._receive(left_s)
-                if found is None:
+                received = await self._receive(left_s)
+                if received is None:
                     break
-                outcome = self._judge(request, data, found)
+                outcome = self._handle_packet(request, data, received)
                 if outcome:
                     return outcome
         return "unanswered"
 
-    def _judge(self, request, data, found):
-        """Returns what a packet says of a request, or an empty string."""
-        flags, seq, _, total, echo, payload = found
+    def _handle_packet(self, request, data, received):
+        """Returns the outcome of a request by a packet, or an empty string."""
+        flags, seq, _, total, echo, payload = received
         if flags & packets.RESET_FLAG:
-            if total != SUM_OF_TARGETS:
-                self._note_reset()
+            if total != TARGET_CHECKSUM:
+                self._record_reset()
             return "reset"
         if not payload or seq != self.ack:
             return ""
         answered, service = json.loads(payload)
         if (answered, service) != (request, self.expects):
-            self.promises.breaks(f"{request} gets the answer {payload!r}")
+            self.promises.record_violation(
+                f"{request} gets the answer {payload!r}"
+            )
         self.promises.counts["served"] += 1
         self.seq += len(data)
         self.ack += len(payload)
@@ -368,16 +372,16 @@
         self._send(packets.ACKNOWLEDGMENT_FLAG, self.ack)
         return "served"
 
-    def _note_reset(self):
-        """The system reset this flow, whose target ran its last request."""
+    def _record_reset(self):
+        """Records a reset by the system and whether the target is alive."""
         ran = [run for name in self.sent for run in self.promises.runs[name]]
         target = self.caller.targets.get(ran[-1]) if ran else None
         is_alive = target is not None and target.is_alive
-        self.promises.note_reset(self.name, ran[-1:] or "?", is_alive)
+        self.promises.record_reset(self.name, ran[-1:] or "?", is_alive)
 
 
 async def call(address, port, method, path, timeout_s, body=None):
-    """Makes one HTTP call; returns status, headers and body, or None."""
+    """Sends an HTTP request; returns status, headers and body, or None."""
     data = b"" if body is None else json.dumps(body).encode()
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {address}\r\n"
@@ -404,7 +408,7 @@
 
 
 def reset_connection(writer):
-    """Resets a connection, so that its answer is lost."""
+    """Resets a connection, so that its response is lost."""
     linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
     connection = writer.get_extra_info("socket")
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/tests/soak/host_program.py
+++ b/tests/soak/host_program.py
@@ -1,8 +1,8 @@
-"""Runs a program of the platform with what the soak does to it from outside.
+"""Runs a platform program with injected faults.
 
-Messages to other hosts leave through the links of the fault proxy. Files in
-the folder of the host, which the soak writes and removes, move its time of day,
-fill its disk and slow it down.
+Messages to other hosts go through the links of the fault proxy. Files in the
+folder of the host, which the soak test writes and removes, shift its wall
+clock, fill its disk and slow down its disk.
 """
 
 import errno
@@ -22,7 +22,7 @@
 
 
 class RoutedDriver(light_driver.LightDriver):
-    """A driver whose messages go through the proxy."""
+    """Driver whose messages go through the fault proxy."""
 
     __slots__ = ()
     routes: typing.ClassVar[dict[str, peers.Endpoint]] = {}
@@ -40,8 +40,8 @@
         return None
 
 
-def bring_faults_in(folder):
-    """Lets clock and disk obey the files in a folder."""
+def install_faults(folder):
+    """Patches clock and disk calls to follow the fault files of a folder."""
     wall_s, write, sync = time.time, os.write, os.fsync
 
     def shifted_wall_s():
@@ -67,7 +67,7 @@
         name: peers.Endpoint(*endpoint) for name, endpoint in stored.items()
     }
     light_driver.LightDriver = RoutedDriver
-    bring_faults_in(folder)
+    install_faults(folder)
     importlib.import_module(f"tamarack_platform.{program}").main()
 
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -1,4 +1,4 @@
-"""The programs of the platform as processes whose messages pass a proxy."""
+"""Platform programs as processes whose messages pass a fault proxy."""
 
 import itertools
 import json
@@ -16,7 +16,7 @@
 
 CONTROL_PORT, DATA_PORT, READY_PORT, INTERNAL_PORT = 18166, 18172, 18167, 17720
 FIRST_LINK_PORT = 20000
-"""Port of the first link of the proxy, on an address of the run alone."""
+"""Port of the first link of the proxy, on an address used by one run."""
 
 ANNOUNCE_MS = 600
 CLOCK_STEP_S = 300.0
@@ -24,17 +24,17 @@
 
 
 class Host:
-    """One process, which faults kill, stop and start again.
+    """Process of a host, which faults kill, stop and restart.
 
     Attributes:
         name: Name, such as `c0` or `e1`.
         address: IP address.
-        folder: Its settings, its disk and what the soak does to it.
+        folder: Folder of its settings, its disk and its fault files.
         seeds: Addresses of the control hosts that its settings name.
-        process: The running process; None while it is down on purpose.
+        process: The running process; None while a fault keeps it down.
         has_started: Whether it ran before.
-        is_stopping: Whether it was told to end.
-        ended: Exit codes of ends that nobody asked for.
+        is_stopping: Whether a graceful stop was requested.
+        ended: Exit codes of unexpected ends.
     """
 
     def __init__(self, name, address, folder, seeds):
@@ -109,7 +109,7 @@
             self.process = None
 
     def check(self):
-        """Notes an end that nobody asked for."""
+        """Records an unexpected end of the process."""
         code = self.process.poll() if self.process is not None else None
         if code is None:
             return
@@ -118,7 +118,7 @@
             self.ended.append(code)
 
     def stop(self):
-        """Tells the process to end in order."""
+        """Requests a graceful stop."""
         if self.process is not None:
             self.is_stopping = True
             self.signal(signal.SIGTERM)
@@ -130,7 +130,7 @@
 
 
 class Hosts:
-    """All processes, and the links between them.
+    """All hosts and the links between them.
 
     Attributes:
         by_name: Hosts by name.
@@ -142,7 +142,7 @@
         """Creates hosts that have not started.
 
         Args:
-            folder: Where their files go.
+            folder: Parent of their folders.
             network: First three parts of their addresses.
         """
         addresses = {
@@ -168,7 +168,7 @@
         return [self.by_name[name] for name in plan.names("entry")]
 
     def _link(self, sender):
-        """Gives a host its own links to all others."""
+        """Creates the links from a host to all others."""
         routes = {}
         for receiver in self.by_name.values():
             if receiver is sender:
@@ -181,24 +181,24 @@
                 self.links.append(
                     proxy_settings.Link(name, protocol, listen, to)
                 )
-            # Seeds are known by their address until they name themselves.
+            # Seeds are known by address until their first message names them.
             routes[receiver.name] = routes[receiver.address] = listen
         stored = {name: list(end) for name, end in _pairs(routes)}
         (sender.folder / "routes.json").write_text(json.dumps(stored))
 
     def start(self):
-        """Starts all for the first time."""
+        """Starts all hosts."""
         for host in self.by_name.values():
             host.start()
 
-    def end(self):
-        """Ends all."""
+    def kill_all(self):
+        """Kills all hosts, also suspended ones."""
         for host in self.by_name.values():
             host.signal(signal.SIGCONT)
             host.kill()
 
     def check(self):
-        """Notes ends that nobody asked for, and starts those hosts again."""
+        """Records unexpected ends and restarts those hosts."""
         for host in self.by_name.values():
             is_up = host.process is not None and not host.is_stopping
             host.check()
@@ -206,8 +206,8 @@
                 host.start()
 
     def proxy_faults(self, faults):
-        """Returns the faults that the proxy brings about by itself."""
-        found = []
+        """Returns the faults of the network, which the proxy injects."""
+        result = []
         for fault in faults:
             name = fault.subject
             lines = {
@@ -218,20 +218,20 @@
                 "loss": (("*",), {"loss": 0.1, "duplicate": 0.05}),
             }
             if fault.kind in lines:
-                links, wrong = lines[fault.kind]
-                found.append(
+                links, effect = lines[fault.kind]
+                result.append(
                     proxy_settings.Fault(
                         links,
                         from_s=fault.from_s,
                         until_s=fault.until_s,
-                        **wrong,
+                        **effect,
                     )
                 )
-        return found
+        return result
 
-    def begin(self, fault):
-        """Brings a fault of a process about."""
-        for host in self.concerned(fault):
+    def begin_fault(self, fault):
+        """Starts a fault of a process."""
+        for host in self.affected_hosts(fault):
             if fault.kind in ("kill", "kill-all", "kill-all-controls"):
                 host.kill()
             elif fault.kind == plan.LOSES_DISK:
@@ -248,9 +248,9 @@
             elif fault.kind == "disk-slow":
                 write(host, host_program.SLOW, str(SLOW_SYNC_S))
 
-    def take_back(self, fault):
+    def end_fault(self, fault):
         """Ends a fault of a process."""
-        for host in self.concerned(fault):
+        for host in self.affected_hosts(fault):
             if fault.kind == "freeze":
                 host.signal(signal.SIGCONT)
             elif host.process is None:
@@ -262,8 +262,8 @@
             ):
                 (host.folder / name).unlink(missing_ok=True)
 
-    def concerned(self, fault):
-        """Returns the hosts that a fault concerns."""
+    def affected_hosts(self, fault):
+        """Returns the hosts that a fault affects."""
         if fault.kind == "kill-all":
             return list(self.by_name.values())
         if fault.kind == "kill-all-controls":
@@ -273,12 +273,12 @@
 
 
 def write(host, name, text):
-    """Writes a file that the program of a host obeys."""
+    """Writes a fault file, which the program of a host reads."""
     (host.folder / name).write_text(text)
 
 
 def _pairs(routes):
-    """Returns names and endpoints as JSON holds them."""
+    """Returns pairs of name and endpoint that JSON can encode."""
     return itertools.starmap(
         lambda name, end: (name, (end.address, end.port)), routes.items()
     )
--- a/tests/soak/orders.py
+++ b/tests/soak/orders.py
@@ -1,4 +1,4 @@
-"""Operators and the announcements of targets, over HTTP to control hosts."""
+"""Operators and target announcements, over HTTP to control hosts."""
 
 import asyncio
 import json
@@ -12,20 +12,21 @@
 CALL_S = 1.0
 PAUSE_S = 0.35
 ANNOUNCE_S = hosts_lib.ANNOUNCE_MS / 1000
-LOST_ANSWERS = 0.15
+LOST_RESPONSES = 0.15
 PROBE_PORTS = (5000, 5999)
-"""Ports of routes that come and go."""
+"""First and last port of the routes that are added and removed."""
 
-KEPT_PROBES = 20
-"""Documents for which such a route stays."""
+KEPT_PROBE_ROUTES = 20
+"""Number of documents for which such a route is kept."""
 
 
 class Operator:
-    """Publishes documents, reads them back and looks at their effect.
+    """Publishes documents, reads them back and checks their effect.
 
     Attributes:
         sent: Documents by number, as they were sent.
-        taken_s: Times of acknowledgements by number, in seconds of the run.
+        acknowledged_s: Times of acknowledgements by number, in seconds since
+            the start of the run.
         acknowledged: Highest number that was acknowledged.
     """
 
@@ -35,18 +36,18 @@
         self.promises = promises
         self.random = random.Random(seed)
         self.sent = {}
-        self.taken_s = {}
+        self.acknowledged_s = {}
         self.acknowledged = 0
         self.number = 1
 
     def document(self, number):
-        """Returns a document with the services, and one route of its own."""
+        """Returns a document with all services and the newest probe routes."""
         routes = [
             route(name, port, name) for name, port in ends.SERVICES.items()
         ]
         routes += [
             route(f"probe-{kept}", probe_port(kept), "agenda")
-            for kept in [*self.sent, number][-KEPT_PROBES:]
+            for kept in [*self.sent, number][-KEPT_PROBE_ROUTES:]
         ]
         return {
             "version": number,
@@ -59,35 +60,39 @@
         }
 
     async def publish(self, until_s):
-        """Publishes one document after another, each until it is taken."""
+        """Publishes documents, each until it is acknowledged."""
         while self.promises.now_s < until_s:
             self.number += self.random.randint(1, 3)
             self.sent[self.number] = self.document(self.number)
-            await self._send_until_taken(self.number)
+            await self._send_until_acknowledged(self.number)
             await asyncio.sleep(self.random.uniform(0.05, 2 * PAUSE_S))
 
-    async def _send_until_taken(self, number):
+    async def _send_until_acknowledged(self, number):
         """Sends a document to any control host until it is acknowledged."""
         document = self.sent[number]
         while True:
             address = self.random.choice(self.addresses)
-            if self.random.random() < LOST_ANSWERS:
-                await lose_answer(address, "/config/replace", document)
+            if self.random.random() < LOST_RESPONSES:
+                await send_and_reset(address, "/config/replace", document)
                 continue
-            answer = await follow(address, "POST", "/config/replace", document)
-            status = 0 if answer is None else answer[0]
+            response = await call_with_redirects(
+                address, "POST", "/config/replace", document
+            )
+            status = 0 if response is None else response[0]
             if status == 200:
                 self.acknowledged = max(self.acknowledged, number)
-                self.taken_s[number] = self.promises.now_s
+                self.acknowledged_s[number] = self.promises.now_s
                 self.promises.counts["published"] += 1
                 return
             if 400 <= status < 500:
-                self.promises.breaks(f"document {number}: status {status}")
+                self.promises.record_violation(
+                    f"document {number}: status {status}"
+                )
                 return
             await asyncio.sleep(PAUSE_S)
 
     async def read(self, until_s):
-        """Reads at any control host; what it says is never older."""
+        """Reads repeatedly at random control hosts."""
         while self.promises.now_s < until_s:
             await self.read_once()
             await asyncio.sleep(PAUSE_S)
@@ -96,17 +101,19 @@
         """Reads once; returns the number, or None if the read was refused."""
         before = self.acknowledged
         address = self.random.choice(self.addresses)
-        answer = await ends.call(
+        response = await ends.call(
             address, hosts_lib.CONTROL_PORT, "GET", "/config/get", CALL_S
         )
-        if answer is None or answer[0] != 200 or not before:
+        if response is None or response[0] != 200 or not before:
             return None
-        content = json.loads(answer[2])
-        self.promises.note_read(content["version"], before, content, self.sent)
+        content = json.loads(response[2])
+        self.promises.record_read(
+            content["version"], before, content, self.sent
+        )
         return content["version"]
 
     async def check_effects(self, caller, until_s):
-        """Opens flows on routes that came, and on routes that went."""
+        """Opens flows on added and on removed routes, in calm only."""
         while self.promises.now_s < until_s:
             await asyncio.sleep(PAUSE_S)
             if self.promises.is_calm(self.promises.now_s):
@@ -114,39 +121,39 @@
                     await self._check_effect(caller, entry.address)
 
     async def _check_effect(self, caller, entry):
-        """Opens one flow of each kind through an entry host."""
+        """Opens a flow on an added and on a removed route of an entry host."""
         now_s = self.promises.now_s
         settled = [
             number
-            for number, at_s in self.taken_s.items()
+            for number, at_s in self.acknowledged_s.items()
             if now_s - at_s > promises_lib.APPLY_S
         ]
         if not settled:
             return
         newest, numbers = settled[-1], list(self.sent)
-        # No document that was sent since may have dropped its route.
-        if newest in numbers[-KEPT_PROBES // 2 :]:
-            await self._expect(caller, entry, newest, "opened")
-        dropped = max(0, numbers.index(newest) + 1 - KEPT_PROBES)
-        for number in numbers[:dropped][-1:]:
-            await self._expect(caller, entry, number, "refused")
-
-    async def _expect(self, caller, entry, number, expected):
-        """Opens a flow on the route of a number."""
-        found = await caller.try_open(entry, probe_port(number))
-        self.promises.note_effect(number, entry, found, expected)
+        # No document that was sent since may have removed the route.
+        if newest in numbers[-KEPT_PROBE_ROUTES // 2 :]:
+            await self._probe_route(caller, entry, newest, "opened")
+        removed = max(0, numbers.index(newest) + 1 - KEPT_PROBE_ROUTES)
+        for number in numbers[:removed][-1:]:
+            await self._probe_route(caller, entry, number, "refused")
+
+    async def _probe_route(self, caller, entry, number, expected):
+        """Opens a flow on the probe route of a document."""
+        outcome = await caller.try_open(entry, probe_port(number))
+        self.promises.record_effect(number, entry, outcome, expected)
 
     async def read_back(self, until_s):
-        """Reads until an answer comes; what was acknowledged is there."""
+        """Reads until a read succeeds, which checks what was acknowledged."""
         while self.promises.now_s < until_s:
             if await self.read_once() is not None:
                 return
             await asyncio.sleep(PAUSE_S)
-        self.promises.breaks("nobody answers a read at the end")
+        self.promises.record_violation("nobody answers a read at the end")
 
 
 def probe_port(number):
-    """Returns the port of the route that comes with a number."""
+    """Returns the port of the probe route of a document."""
     first, last = PROBE_PORTS
     return first + number % (last - first)
 
@@ -163,21 +170,21 @@
     }
 
 
-async def follow(address, method, path, body):
-    """Makes a call, and follows two redirections."""
-    answer = None
+async def call_with_redirects(address, method, path, body):
+    """Sends an HTTP request and follows up to two redirects."""
+    response = None
     for _ in range(3):
-        answer = await ends.call(
+        response = await ends.call(
             address, hosts_lib.CONTROL_PORT, method, path, CALL_S, body
         )
-        if answer is None or answer[0] != 307:
-            return answer
-        address = urllib.parse.urlsplit(answer[1]["location"]).hostname
-    return answer
+        if response is None or response[0] != 307:
+            return response
+        address = urllib.parse.urlsplit(response[1]["location"]).hostname
+    return response
 
 
-async def lose_answer(address, path, body):
-    """Sends an order and resets the connection before it is answered."""
+async def send_and_reset(address, path, body):
+    """Sends a request and resets the connection before the response."""
     data = json.dumps(body).encode()
     try:
         async with asyncio.timeout(CALL_S):
@@ -195,11 +202,11 @@
 
 
 class Announcer:
-    """Announces a target, as its own process would.
+    """Announces a target as its own process would.
 
     Attributes:
         target: The target.
-        home: Address that the last answer named, or None.
+        preferred: Address that the last response named, or None.
     """
 
     def __init__(self, target, hosts, promises):
@@ -207,15 +214,15 @@
         self.addresses = [host.address for host in hosts.controls()]
         self.promises = promises
         self.random = random.Random(target.index)
-        self.home = None
+        self.preferred = None
 
     async def run(self):
-        """Announces the target for as long as it lives."""
-        sequence, life, born = 0, 0, 0
+        """Announces the target periodically while it is alive."""
+        sequence, starts, born = 0, 0, 0
         while True:
             target = self.target
-            if life != target.life:
-                life, sequence = target.life, 0
+            if starts != target.starts:
+                starts, sequence = target.starts, 0
                 born = int(1000 * self.promises.now_s) + 1
             if target.is_alive:
                 sequence += 1
@@ -223,7 +230,7 @@
             await asyncio.sleep(ANNOUNCE_S)
 
     async def _announce(self, sequence, born):
-        """Announces the target at the first control host that answers."""
+        """Announces the target to the first control host that responds."""
         target = self.target
         is_draining = target.is_draining
         body = {
@@ -237,8 +244,8 @@
             "born": born,
         }
         order = self.random.sample(self.addresses, len(self.addresses))
-        for address in [self.home, *order] if self.home else order:
-            answer = await ends.call(
+        for address in [self.preferred, *order] if self.preferred else order:
+            response = await ends.call(
                 address,
                 hosts_lib.CONTROL_PORT,
                 "POST",
@@ -246,10 +253,10 @@
                 CALL_S,
                 body,
             )
-            if answer is not None and answer[0] == 200:
-                named = json.loads(answer[2]).get("heartbeat-addr", "")
-                self.home = named.rpartition(":")[0] or None
+            if response is not None and response[0] == 200:
+                named = json.loads(response[2]).get("heartbeat-addr", "")
+                self.preferred = named.rpartition(":")[0] or None
                 if is_draining and target.drained_s is None:
                     target.drained_s = self.promises.now_s
                 return
-            self.home = None
+            self.preferred = None
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -1,4 +1,4 @@
-"""Draws the faults of a run; the same seed draws the same ones."""
+"""Fault plan of a run, drawn at random from its seed."""
 
 import dataclasses
 import random
@@ -10,13 +10,13 @@
 FAULTS_FROM_S = 5.0
 FAULTS_UNTIL_S = 15.0
 END_S = 24.0
-"""Length of a run in seconds; nothing is wrong in the last nine."""
+"""Length of a run in seconds; the last nine have no faults."""
 
-FEWEST, MOST = 4, 9
-SHORTEST_S, LONGEST_S = 0.5, 4.0
+MIN_FAULTS, MAX_FAULTS = 4, 9
+MIN_FAULT_S, MAX_FAULT_S = 0.5, 4.0
 
 STOP_S = 3.0
-"""Time that a host has to end in order, in seconds."""
+"""Time that a host has for a graceful stop, in seconds."""
 
 LOSES_DISK = "wipe"
 KINDS = {
@@ -38,21 +38,21 @@
     "replace-target": "target",
     "drain-target": "target",
 }
-"""Kinds of fault, and whom they concern."""
+"""Kinds of fault, with the kind of host or target that they affect."""
 
 CATCH_UP_S = 6.0
-"""Time after the loss of a disk in which no other is lost, in seconds."""
+"""Minimum time between the losses of two disks, in seconds."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """Something that goes wrong.
+    """Fault of a host, a target or the network.
 
     Attributes:
         kind: One of `KINDS`.
         subject: Name of the host or target; empty for all.
         from_s: Start, in seconds after the start of the run.
-        for_s: How long it lasts, in seconds.
+        for_s: Duration, in seconds.
     """
 
     kind: str
@@ -81,20 +81,20 @@
 
 def draw(seed):
     """Returns the faults of a run in the order of their start."""
-    chance = random.Random(seed)
-    found = []
+    generator = random.Random(seed)
+    faults = []
     lost_disk_s = -CATCH_UP_S
-    for _ in range(chance.randint(FEWEST, MOST)):
-        kind = chance.choice(list(KINDS))
-        subject = chance.choice(names(KINDS[kind]))
-        from_s = chance.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S - SHORTEST_S)
-        longest_s = min(LONGEST_S, FAULTS_UNTIL_S - from_s)
-        for_s = chance.uniform(SHORTEST_S, max(SHORTEST_S, longest_s))
+    for _ in range(generator.randint(MIN_FAULTS, MAX_FAULTS)):
+        kind = generator.choice(list(KINDS))
+        subject = generator.choice(names(KINDS[kind]))
+        from_s = generator.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S - MIN_FAULT_S)
+        max_s = min(MAX_FAULT_S, FAULTS_UNTIL_S - from_s)
+        for_s = generator.uniform(MIN_FAULT_S, max(MIN_FAULT_S, max_s))
         if kind == "stop":
             for_s = max(for_s, STOP_S)
         if kind == LOSES_DISK:
             if abs(from_s - lost_disk_s) < CATCH_UP_S or lost_disk_s > 0:
                 continue
             lost_disk_s = from_s
-        found.append(Fault(kind, subject, from_s, for_s))
-    return sorted(found, key=lambda fault: fault.from_s)
+        faults.append(Fault(kind, subject, from_s, for_s))
+    return sorted(faults, key=lambda fault: fault.from_s)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One run of the soak: processes, both ends, faults, and what they broke."""
+"""One run of the soak test: processes, callers, targets and faults."""
 
 import asyncio
 import pathlib
@@ -14,22 +14,22 @@
 
 CALLERS = 6
 START_S = 3.0
-"""Time for the hosts to start before callers come, in seconds."""
+"""Time for the hosts to start before callers open flows, in seconds."""
 
-LOOK_S = 0.1
+CHECK_INTERVAL_S = 0.1
 
 
-class World:
-    """Everything in one run.
+class SoakRun:
+    """All processes and simulated endpoints of one run.
 
     Attributes:
-        promises: What was broken.
+        promises: Outcomes and violations.
         hosts: The processes.
-        targets: Stand-ins of servers.
-        operator: Publishes, reads and looks at the effect.
-        routers: Spread the packets of callers.
+        targets: Simulated servers.
+        operator: Publishes and reads documents and checks their effect.
+        routers: Distribute the packets of callers to entry hosts.
         callers: Open flows and send requests.
-        prober: Opens flows on routes that come and go.
+        prober: Opens flows on routes that are added and removed.
     """
 
     def __init__(self, faults, folder, network, seed):
@@ -52,7 +52,7 @@
         ]
 
     async def run(self):
-        """Runs from the start to the end, with all faults."""
+        """Runs callers, operator and faults until the end of the plan."""
         for target in self.targets:
             await target.start()
         loop = asyncio.get_running_loop()
@@ -65,13 +65,13 @@
             orders.Announcer(target, self.hosts, self.promises)
             for target in self.targets
         ]
-        endless = [
-            self.routers.watch(),
-            self.watch(),
+        coroutines = [
+            self.routers.poll(),
+            self.check_hosts(),
             *(announcer.run() for announcer in announcers),
-            *map(self.bring_about, self.promises.faults),
+            *map(self.inject_fault, self.promises.faults),
         ]
-        tasks = [asyncio.create_task(one) for one in endless]
+        tasks = [asyncio.create_task(one) for one in coroutines]
         try:
             await self.serve()
         finally:
@@ -87,7 +87,7 @@
                 raise task.exception()
 
     async def serve(self):
-        """Lets callers and operator work until the end."""
+        """Runs callers and operator until the end."""
         end_s = plan.END_S - 2.0
         publishing = asyncio.create_task(self.operator.publish(end_s))
         reading = asyncio.create_task(self.operator.read(end_s))
@@ -106,24 +106,24 @@
         publishing.cancel()
         await self.operator.read_back(self.promises.now_s + 5.0)
 
-    async def watch(self):
-        """Looks for processes that end by themselves."""
+    async def check_hosts(self):
+        """Checks periodically for processes that ended by themselves."""
         while True:
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
             self.hosts.check()
 
-    async def bring_about(self, fault):
-        """Brings one fault about and takes it back."""
+    async def inject_fault(self, fault):
+        """Injects one fault and ends it after its duration."""
         await asyncio.sleep(fault.from_s - self.promises.now_s)
         if fault.subject.startswith("t"):
             await self._change_target(fault)
             return
-        self.hosts.begin(fault)
+        self.hosts.begin_fault(fault)
         await asyncio.sleep(fault.for_s)
-        self.hosts.take_back(fault)
+        self.hosts.end_fault(fault)
 
     async def _change_target(self, fault):
-        """Lets a target crash, be replaced at once, or drain and end."""
+        """Crashes, replaces or drains a target."""
         target = self.targets[int(fault.subject[1:])]
         if fault.kind == "drain-target":
             target.is_draining = True
@@ -136,56 +136,56 @@
 
 
 def run(seed, slot=0):
-    """Runs a seed, and returns what callers, targets and operator saw.
+    """Runs a seed and returns its outcomes and violations.
 
     Args:
-        seed: Seed of the faults and of all chance of the stand-ins.
-        slot: Number of the network; runs beside one another take different
-            ones.
+        seed: Seed of the faults and of the random generators.
+        slot: Number of the network; concurrent runs need different
+            numbers.
     """
     return run_faults(plan.draw(seed), seed, slot)
 
 
 def run_faults(faults, seed=0, slot=0):
-    """Runs faults that were drawn or written down; see `run`."""
+    """Runs a given list of faults; see `run`."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        world = World(faults, folder, f"127.0.{80 + slot}", seed)
+        soak_run = SoakRun(faults, folder, f"127.0.{80 + slot}", seed)
         proxy = threaded_proxy.ThreadedProxy(
             proxy_settings.Settings(
-                tuple(world.hosts.links),
+                tuple(soak_run.hosts.links),
                 seed,
-                tuple(world.hosts.proxy_faults(faults)),
+                tuple(soak_run.hosts.proxy_faults(faults)),
             )
         )
         try:
             proxy.start()
-            world.hosts.start()
-            asyncio.run(world.run())
+            soak_run.hosts.start()
+            asyncio.run(soak_run.run())
         finally:
-            world.hosts.end()
+            soak_run.hosts.kill_all()
             proxy.close()
-        for host in world.hosts.by_name.values():
+        for host in soak_run.hosts.by_name.values():
             if host.ended:
-                world.promises.breaks(
+                soak_run.promises.record_violation(
                     f"{host.name} ended by itself: {host.ended}"
                     f" {_last_lines(host)}"
                 )
-        if world.promises.broken:
-            _keep_logs(world, seed)
-        return world.promises
+        if soak_run.promises.broken:
+            _keep_logs(soak_run, seed)
+        return soak_run.promises
 
 
 def _last_lines(host, count=6):
-    """Returns the end of the log of a host."""
+    """Returns the last lines of the log of a host."""
     return (host.folder / "log").read_text().splitlines()[-count:]
 
 
-def _keep_logs(world, seed):
+def _keep_logs(soak_run, seed):
     """Keeps the logs of a run that broke a promise."""
     kept = pathlib.Path("out") / f"soak-{seed}"
     kept.mkdir(parents=True, exist_ok=True)
-    for host in world.hosts.by_name.values():
+    for host in soak_run.hosts.by_name.values():
         text = (host.folder / "log").read_text()
         (kept / f"{host.name}.log").write_text(text)
-    (kept / "broken.txt").write_text("\n".join(world.promises.broken))
+    (kept / "broken.txt").write_text("\n".join(soak_run.promises.broken))
