--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -62,7 +62,7 @@
 
 
 def assemble(plan: Plan) -> reducer.Node:
-    """Returns the state of a host that has not started.
+    """Assembles a host that has not started.
 
     Args:
         plan: Description of the host.
@@ -143,7 +143,7 @@
             context,
             config_store,
             tuple(sorted(plan.roles)),
-            members.joined,
+            members.joined_names,
             lambda: len(targets.targets),
             lambda: len(path.records.table),
         )
--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -21,7 +21,7 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """Configuration of an entry host.
+    """Description of an entry host to assemble.
 
     Attributes:
         host: Identity and addresses of this host.
@@ -37,10 +37,10 @@
 
 
 def assemble(plan: Plan) -> reducer.Node:
-    """Returns the state of an entry host that has not started.
+    """Assembles an entry host that has not started.
 
     Args:
-        plan: Configuration of the host.
+        plan: Description of the host.
     """
     context = context_lib.Context(plan.host, plan.seed)
     subscription = subscriptions.ControlSubscription(
--- a/packages/core/src/tamarack_core/declarations.py
+++ b/packages/core/src/tamarack_core/declarations.py
@@ -31,7 +31,7 @@
     Attributes:
         op: add, remove or replace.
         path: JSON pointer.
-        value: New value as encoded JSON; empty to remove.
+        value: New value as encoded JSON; None to remove.
     """
 
     op: str
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -22,7 +22,7 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """Identity, settings and stored data of a control host.
+    """Description of a control host to assemble.
 
     Attributes:
         host: Identity and addresses of this host.
@@ -54,10 +54,10 @@
 
 
 def assemble(plan: Plan) -> reducer.Node:
-    """Returns the node of a control host that has not been started.
+    """Assembles a control host that has not started.
 
     Args:
-        plan: Identity, settings and stored data of the host.
+        plan: Description of the host.
     """
     context = context_lib.Context(plan.host, plan.seed)
     directory = host_directory.ControlHostDirectory(context, plan.seeds)
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -104,7 +104,7 @@
         refused = self.limiter.admit(now_s, port)
         if refused is not None:
             return target_choice.Refusal(refused)
-        target = opening.preferred
+        target = opening.required
         if target not in available:
             target = self._pick_least_loaded(now_s, opening, eligible)
         self.load_table.add(now_s, target, port.settings)
--- a/packages/core/src/tamarack_core/internal/balancing/health.py
+++ b/packages/core/src/tamarack_core/internal/balancing/health.py
@@ -9,10 +9,15 @@
 MAX_EJECTION_S = 60.0
 MAX_EJECTED_FRACTION = 0.34
 HANDSHAKE_SMOOTHING = 0.2
+# A target is slow if its handshakes take longer than this multiple of the median.
 SLOW_FACTOR = 3.0
+# A target is never slow if its handshakes take no longer than this.
 SLOW_FLOOR_S = 0.002
+# Lowest factor for the capacity of a slow target.
 MIN_SLOW_CAPACITY = 0.25
+# A handshake within this time outweighs the report that a target is unhealthy.
 EVIDENCE_LIFETIME_S = 10.0
+# Factor for the capacity of a target that is reported unhealthy.
 UNHEALTHY_CAPACITY = 0.5
 
 
--- a/packages/core/src/tamarack_core/internal/balancing/load_reporter.py
+++ b/packages/core/src/tamarack_core/internal/balancing/load_reporter.py
@@ -16,8 +16,11 @@
 
 TIMER = "work-report"
 INTERVAL_S = 0.5
+# Every such round reports all loads, not only those that changed.
 FULL_REPORT_ROUNDS = 20
+# Change of the held connections that is reported, as a fraction, at least 1.
 HELD_STEP_FRACTION = 0.02
+# Change of the active load that is reported.
 ACTIVE_STEP = 0.25
 
 STANDBY_HOSTS = 1
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -177,7 +177,7 @@
     ) -> None:
         detail = (
             f"this host once acknowledged entry {message.acknowledged_index}"
-            f" and now ends at {message.last_index}: its disk was rolled back;"
+            f" and now holds {message.last_index}: its disk has gone back;"
             " remove this member and rejoin with an empty data folder"
         )
         roles.become_follower(self.state, now_s, self.state.term, None)
--- a/packages/core/src/tamarack_core/internal/control/voter.py
+++ b/packages/core/src/tamarack_core/internal/control/voter.py
@@ -1,4 +1,7 @@
-"""Control role: replicated log, patches and reads at one control host."""
+"""Control role: replicated log, patches and reads at one control host.
+
+It runs on every control host, learners included.
+"""
 
 import random
 
--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -19,7 +19,8 @@
 
 RECENT_REPLY_S = 0.3
 """Time for which a reply outweighs a suspicion of another host, in seconds.
-Finding a target dead takes as long, so a later reply contradicts it."""
+A suspicion rests on a probe that takes about this long, so a reply within this
+time is newer."""
 
 
 class TargetFailureDetector:
@@ -185,7 +186,7 @@
             service=entry.target.service,
             target=entry.target.name,
             reason="probe",
-            detail=f"announced {now_s - entry.announced_s:.1f} s ago",
+            detail=f"last update {now_s - entry.updated_s:.1f} s ago",
         )
 
     def _references(self) -> Iterator[target_table.TargetEntry]:
@@ -195,7 +196,9 @@
             if entry is not None and not entry.is_gone:
                 yield entry
 
-    def is_dead(self, now_s: float, entry: target_table.TargetEntry) -> bool:
+    def should_reset_flows(
+        self, now_s: float, entry: target_table.TargetEntry
+    ) -> bool:
         """Returns whether the flows of a target are to be reset.
 
         Less evidence is needed if the target is overdue as well.
--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -81,7 +81,7 @@
                 version=self.routes.number,
                 verdict="may-have-run",
                 reason=reason,
-                detail=f"announced {now_s - entry.announced_s:.1f} s ago",
+                detail=f"last update {now_s - entry.updated_s:.1f} s ago",
             ),
         ]
 
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -74,13 +74,13 @@
         self.domain_liveness.observe_reply(now_s)
 
     def is_avoided(self, now_s: float) -> bool:
-        """Returns whether new flows should go to other targets."""
+        """Returns whether the target or its failure domain is avoided."""
         return self.liveness.is_avoided(
             now_s
         ) or self.domain_liveness.is_avoided(now_s)
 
     def is_suspect(self, now_s: float) -> bool:
-        """Returns whether several flows are stalled and none got a reply."""
+        """Returns whether the target is suspect, apart from its domain."""
         return self.liveness.is_suspect(now_s)
 
     def is_unresponsive(self, now_s: float) -> bool:
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -148,7 +148,7 @@
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
         """Responds whether the fabric may send packets to this host."""
-        is_ready = self.subscription.is_synced and not self.is_stopping
+        is_ready = self.subscription.has_document and not self.is_stopping
         return [
             effects.Respond(
                 event.request_id, external_requests.Readiness(is_ready)
@@ -171,7 +171,7 @@
         self, now_s: float, packet: flow_packets.FlowPacket
     ) -> list[effects.Effect]:
         """Chooses a target for a new flow, or refuses the flow."""
-        if not self.subscription.is_synced:
+        if not self.subscription.has_document:
             return self.rejector.drop("opening-before-sync")
         route = self.routes.find(packet.flow)
         if route is None:
@@ -242,7 +242,7 @@
             reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
             return self.rejector.drop(reason)
         if (
-            self.subscription.is_synced
+            self.subscription.has_document
             and self.routes.find(packet.flow) is None
         ):
             return self._reset_flow(now_s, packet, entry, "route-removed")
@@ -256,7 +256,7 @@
                 self.tracker.remove_flow(packet.flow)
             return self._send_to_target(packet, entry)
         is_retransmission = self.tracker.observe_packet(now_s, entry, packet)
-        if self.detector.is_dead(now_s, entry):
+        if self.detector.should_reset_flows(now_s, entry):
             return self._reset_flow(now_s, packet, entry, "target-silent")
         result = self._send_to_target(packet, entry)
         if is_retransmission:
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -26,7 +26,7 @@
 """Time after which a request without a response is sent to another control
 host, in seconds."""
 
-INITIAL_INTERVAL_S = 0.1
+TICK_S = 0.1
 """Interval of the timer, in seconds. Before the first document, each run sends
 a request."""
 
@@ -112,7 +112,7 @@
         self.rotation = context.random.randrange(_ROTATION_RANGE)
 
     @property
-    def is_synced(self) -> bool:
+    def has_document(self) -> bool:
         """Whether a document is held."""
         return self.routes.number > 0
 
@@ -141,7 +141,7 @@
         self.ticked_s = now_s
         self.targets.expire_gone(now_s)
         result += self._due_requests(now_s)
-        result.append(effects.StartTimer(TIMER, INITIAL_INTERVAL_S))
+        result.append(effects.StartTimer(TIMER, TICK_S))
         return result
 
     def _handle_suspension(self, now_s: float) -> effects.Effect:
@@ -155,7 +155,7 @@
 
     def _due_requests(self, now_s: float) -> list[effects.Effect]:
         """Returns the requests that are due."""
-        if not self.is_synced:
+        if not self.has_document:
             self.requested_s = now_s
             return self._request_next()
         is_unanswered = self.updated_s < self.requested_s
@@ -221,7 +221,7 @@
             self.run,
             self.position,
             self.routes.number,
-            is_first=not self.is_synced,
+            is_first=not self.has_document,
         )
         return effects.SendMessage(peer, request)
 
@@ -241,7 +241,7 @@
         if update.controls:
             self.controls = update.controls
         result = self._apply_document(event.now_s, update)
-        if not self.is_synced:
+        if not self.has_document:
             # The publisher has no document yet; another control host may.
             result += self._request_next()
         held = self.position if update.run == self.run else 0
--- a/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_liveness.py
@@ -41,8 +41,9 @@
     suspect_flows=2, suspect_s=0.18, unresponsive_flows=3, unresponsive_s=0.6
 )
 """Thresholds for one target. Callers retransmit after 0.2 s, and one packet in
-a thousand is lost, so a single retransmission is weak evidence. No request
-lasts 0.6 s without another one of the same target completing meanwhile."""
+a thousand is lost, so a single retransmission is weak evidence. It is
+assumed that no request lasts 0.6 s without another one of the same target
+completing meanwhile."""
 
 DOMAIN = Thresholds(
     suspect_flows=4, suspect_s=0.18, unresponsive_flows=5, unresponsive_s=0.35
@@ -96,7 +97,11 @@
             self.last_trial_s = now_s
 
     def is_suspect(self, now_s: float) -> bool:
-        """Returns whether new flows should go to other targets."""
+        """Returns whether new flows should go to other targets.
+
+        This needs `suspect_flows` stalled flows, a retransmission within
+        `EVIDENCE_LIFETIME_S`, and no reply for `suspect_s`.
+        """
         return (
             self._has_recent_evidence(now_s)
             and len(self.stalled_flows) >= self.thresholds.suspect_flows
@@ -104,7 +109,10 @@
         )
 
     def is_avoided(self, now_s: float) -> bool:
-        """Returns whether it is suspect, and no trial is due."""
+        """Returns whether it is suspect and a trial was sent recently.
+
+        Recently means within `TRIAL_INTERVAL_S`.
+        """
         is_trial_recent = now_s - self.last_trial_s <= TRIAL_INTERVAL_S
         return is_trial_recent and self.is_suspect(now_s)
 
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -15,8 +15,8 @@
 GONE_RETENTION_S = 90.0
 """Time for which the tag of a target that is gone is kept, in seconds.
 
-A flow lives for 60 s at most in deployments that state a bound; packets that
-arrive later are counted as unknown."""
+Deployments that limit the lifetime of flows limit it to 60 s; packets that
+arrive after the retention are counted as unknown."""
 
 
 def tag_of(name: str) -> int:
@@ -31,7 +31,7 @@
         target: Its newest announcement.
         tag: Tag of its flows.
         is_overdue: Whether its announcements are overdue.
-        announced_s: Time at which the newest announcement arrived here, in
+        updated_s: Time of the last change received from a control host, in
             seconds.
         warm_at_s: Time from which it runs at full speed, in seconds.
         gone_s: Time at which it became known to be gone, in seconds; None
@@ -41,7 +41,7 @@
     target: target_announcement.Announcement
     tag: int
     is_overdue: bool
-    announced_s: float
+    updated_s: float
     warm_at_s: float
     gone_s: float | None = None
 
@@ -94,7 +94,7 @@
             target=target,
             tag=tag_of(target.name),
             is_overdue=known.is_overdue,
-            announced_s=now_s,
+            updated_s=now_s,
             warm_at_s=now_s + target.cold_ms / 1000,
             gone_s=gone_s,
         )
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
@@ -33,19 +33,19 @@
         upstream: Hosts that are nearer to the control hosts.
         fallback: Additional hosts to choose from when the selected upstream
             host is unresponsive.
-        neighbours: Peers of the failure domain.
+        domain_peers: Peers of the failure domain.
         selected_upstream: Upstream host that is queried, if any.
         unanswered_queries: Queries to it since its last message.
         subscribers: Hosts that query this one.
-        is_neighbour_next: Whether the next query goes to a peer.
+        is_domain_peer_next: Whether the next query goes to a peer.
     """
 
     __slots__ = (
         "config_store",
         "context",
+        "domain_peers",
         "fallback",
-        "is_neighbour_next",
-        "neighbours",
+        "is_domain_peer_next",
         "selected_upstream",
         "subscribers",
         "unanswered_queries",
@@ -57,7 +57,7 @@
         context: context_lib.Context,
         config_store: configuration_store.ConfigurationStore,
         upstream: tuple[peers.Peer, ...],
-        neighbours: tuple[peers.Peer, ...],
+        domain_peers: tuple[peers.Peer, ...],
         fallback: tuple[peers.Peer, ...] = (),
     ) -> None:
         """Initializes the configuration distributor.
@@ -67,7 +67,7 @@
                 host.
             config_store: Configuration in force.
             upstream: Hosts that are nearer to the control hosts.
-            neighbours: Peers of the failure domain.
+            domain_peers: Peers of the failure domain.
             fallback: Additional hosts to choose from when the selected
                 upstream host is unresponsive.
         """
@@ -75,11 +75,11 @@
         self.fallback = fallback
         self.config_store = config_store
         self.upstream = upstream
-        self.neighbours = neighbours
+        self.domain_peers = domain_peers
         self.selected_upstream: peers.Peer | None = None
         self.unanswered_queries = 0
         self.subscribers = subscribers.Subscribers()
-        self.is_neighbour_next = False
+        self.is_domain_peer_next = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the event handlers by key."""
@@ -94,7 +94,7 @@
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
         """Queries several hosts for the newest version."""
-        known = list({*self.upstream, *self.neighbours})
+        known = list({*self.upstream, *self.domain_peers})
         known.sort(key=lambda peer: peer.host)
         count = min(INITIAL_QUERIES, len(known))
         queried = self.context.random.sample(known, count)
@@ -214,9 +214,11 @@
 
     def _next_receiver(self) -> peers.Peer | None:
         """Returns the host to query: upstream and peers in turn."""
-        self.is_neighbour_next = not self.is_neighbour_next
-        if self.neighbours and (self.is_neighbour_next or not self.upstream):
-            return self.context.random.choice(self.neighbours)
+        self.is_domain_peer_next = not self.is_domain_peer_next
+        if self.domain_peers and (
+            self.is_domain_peer_next or not self.upstream
+        ):
+            return self.context.random.choice(self.domain_peers)
         if not self.upstream:
             return None
         is_unresponsive = self.unanswered_queries >= MAX_UNANSWERED_QUERIES
--- a/packages/core/src/tamarack_core/internal/entry/data_path.py
+++ b/packages/core/src/tamarack_core/internal/entry/data_path.py
@@ -33,7 +33,7 @@
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
         config_store: Configuration in force.
-        records: The flow table.
+        records: Flow records of this host.
         rejector: Drops packets and resets flows.
         stall_detector: Finds and resets stalled flows.
         router: Handles all packets that the fast path does not.
--- a/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
+++ b/packages/core/src/tamarack_core/internal/entry/entry_hosts.py
@@ -19,7 +19,10 @@
 
 
 class EntryHosts:
-    """Owner and backups of each flow, by the latest membership view.
+    """Entry hosts of the failure domain, this host included.
+
+    Orders them for each flow, the owner first and then the backups, by the
+    latest membership view, and forwards packets to them.
 
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
--- a/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -34,16 +34,21 @@
 
 MAX_INCOMPLETE = 20_000
 
+# Time for which a closed flow is kept for late packets.
 CLOSED_LIFETIME_S = 40.0
+# Idle timeout of a flow without a complete handshake.
 OPENING_TIMEOUT_S = 15.0
+# Idle timeout of a flow of which this host is neither the owner nor a backup.
 LEARNED_IDLE_S = 60.0
+# Idle timeout of an open flow of a long-lived work class.
 LONG_LIVED_IDLE_S = 86400.0
+# Idle timeout of any other open flow, in addition to the deadline of its class.
 DEADLINE_GRACE_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Flows that are sent in one message.
+class BatchKey:
+    """Key of the flows that are sent in one message.
 
     Attributes:
         receiver: Host that is to store them.
@@ -61,7 +66,7 @@
 
     Attributes:
         entry_hosts: The other entry hosts.
-        records: The flow table.
+        records: Flow records of this host.
         queries: Queries about flows that this host does not know.
         config_store: Configuration in force.
         repairs: Keys of flows whose owner or backups have changed.
@@ -92,7 +97,7 @@
 
         Args:
             entry_hosts: The other entry hosts.
-            records: The flow table.
+            records: Flow records of this host.
             queries: Queries about flows that this host does not know.
             config_store: Configuration in force.
         """
@@ -281,7 +286,7 @@
     def _repair(self, now_s: float) -> list[effects.Effect]:
         """Reports flows to new owners and backups, within the budget."""
         budget = REPAIR_BYTES_PER_S
-        batches: dict[Batch, list[bytes]] = {}
+        batches: dict[BatchKey, list[bytes]] = {}
         while budget > 0:
             key = self._next_repair()
             if key is None:
@@ -305,7 +310,7 @@
                 return key
         return None
 
-    def _batches(self, now_s: float, key: bytes) -> list[Batch]:
+    def _batches(self, now_s: float, key: bytes) -> list[BatchKey]:
         """Returns the batches that a flow must be sent in."""
         table = self.records.table
         slot = self.records.find(now_s, key)
@@ -319,12 +324,12 @@
                 peer for peer in order[1:] if not self.entry_hosts.is_self(peer)
             )
             is_replicated = not placement.missing(table.placed[slot], others)
-            return [Batch(order[0], service, is_replicated)]
+            return [BatchKey(order[0], service, is_replicated)]
         lacking = placement.missing(table.placed[slot], order[1:])
         table.placed[slot] = placement.pack(order[1:])
-        return [Batch(peer, service, False) for peer in lacking]
+        return [BatchKey(peer, service, False) for peer in lacking]
 
-    def _copies(self, batch: Batch, keys: list[bytes]) -> flows.FlowCopies:
+    def _copies(self, batch: BatchKey, keys: list[bytes]) -> flows.FlowCopies:
         """Returns the message that reports flows."""
         table = self.records.table
         targets: dict[bytes, int] = {}
--- a/packages/core/src/tamarack_core/internal/entry/flow_owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -31,7 +31,7 @@
 
     Attributes:
         entry_hosts: The other entry hosts.
-        records: The flow table.
+        records: Flow records of this host.
         queries: Queries about flows that this host does not know.
         rejector: Drops packets and resets flows.
     """
@@ -49,7 +49,7 @@
 
         Args:
             entry_hosts: The other entry hosts.
-            records: The flow table.
+            records: Flow records of this host.
             queries: Queries about flows that this host does not know.
             rejector: Drops packets and resets flows.
         """
@@ -185,17 +185,17 @@
         return table.target_of(slot)
 
     def _choose_target(
-        self, transit: transit_lib.TransitPacket, preferred: bytes
+        self, transit: transit_lib.TransitPacket, required: bytes
     ) -> list[effects.Effect]:
         """Opens a flow with the target that the chooser returns."""
         now_s = transit.now_s
         port = transit.port
         choice = self.records.chooser.choose(
-            now_s, target_choice.Opening(transit.key, port, preferred)
+            now_s, target_choice.Opening(transit.key, port, required)
         )
         if isinstance(choice, target_choice.Refusal):
             return self._refuse(transit, choice.verdict)
-        if preferred and choice.target != preferred:
+        if required and choice.target != required:
             self._cancel_opening(transit, choice.target)
             return self.rejector.drop("time-wait")
         slot = self.records.store_owned(
--- a/packages/core/src/tamarack_core/internal/entry/flow_queries.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_queries.py
@@ -67,7 +67,7 @@
         self._tokens_s = 0.0
 
     def is_exhausted(self, transit: transit_lib.TransitPacket) -> bool:
-        """Returns whether no reachable host knows the flow.
+        """Returns whether no queried host knows the flow.
 
         A host that has left the failure domain since it was queried does not
         need to respond.
--- a/packages/core/src/tamarack_core/internal/entry/lookup.py
+++ b/packages/core/src/tamarack_core/internal/entry/lookup.py
@@ -29,7 +29,8 @@
         address: Service address in network byte order.
         port: Port of the service address.
         target_port: Port at each target.
-        opening_hosts: Hosts of a failure domain that own flows of the service.
+        opening_hosts: Number of hosts of a failure domain that own flows of the
+            service.
     """
 
     service: str
@@ -52,16 +53,22 @@
     that a host keeps up with frequent changes of a large configuration.
 
     Attributes:
-        documents: Services by name.
+        services_by_name: Services by name.
         inbound: Service port by destination address, protocol and port.
         outbound: Service port by service, address length, protocol and target
             port.
         networks: Service by network prefix, for each address length in bytes
             and prefix length in bits.
-        services: Service by target address; filled on demand.
+        service_by_target: Service by target address; filled on demand.
     """
 
-    __slots__ = ("documents", "inbound", "networks", "outbound", "services")
+    __slots__ = (
+        "inbound",
+        "networks",
+        "outbound",
+        "service_by_target",
+        "services_by_name",
+    )
 
     def __init__(self, document: configuration.Configuration) -> None:
         """Initializes the tables.
@@ -69,11 +76,11 @@
         Args:
             document: A configuration that passed validation.
         """
-        self.documents: dict[str, configuration.Service] = {}
+        self.services_by_name: dict[str, configuration.Service] = {}
         self.inbound: dict[tuple[bytes, int, int], ServicePort] = {}
         self.outbound: dict[tuple[str, int, int, int], ServicePort] = {}
         self.networks: dict[tuple[int, int], dict[int, str]] = {}
-        self.services: dict[bytes, str] = {}
+        self.service_by_target: dict[bytes, str] = {}
         self.apply(document.services)
 
     def apply(self, changes: Changes) -> None:
@@ -89,11 +96,11 @@
         for name, service in changes.items():
             if service is not None:
                 self._add(name, service)
-        self.services.clear()
+        self.service_by_target.clear()
 
     def _add(self, name: str, service: configuration.Service) -> None:
         """Adds the ports and networks of a service."""
-        self.documents[name] = service
+        self.services_by_name[name] = service
         for port in _ports(name, service):
             self.inbound[_inbound_key(port)] = port
             self.outbound[_outbound_key(port)] = port
@@ -103,7 +110,7 @@
 
     def _remove(self, name: str) -> None:
         """Removes the ports and networks of a service, if it exists."""
-        service = self.documents.pop(name, None)
+        service = self.services_by_name.pop(name, None)
         if service is None:
             return
         for port in _ports(name, service):
@@ -156,11 +163,11 @@
         Args:
             target: Packed IP address of the target.
         """
-        service = self.services.get(target)
+        service = self.service_by_target.get(target)
         if service is None:
             service = self._search_networks(target)
             if service:
-                self.services[target] = service
+                self.service_by_target[target] = service
         return service
 
     def _search_networks(self, target: bytes) -> str:
--- a/packages/core/src/tamarack_core/internal/entry/packet_router.py
+++ b/packages/core/src/tamarack_core/internal/entry/packet_router.py
@@ -22,7 +22,7 @@
 
     Attributes:
         entry_hosts: The other entry hosts.
-        records: The flow table.
+        records: Flow records of this host.
         owner: Serves the flows that this host owns.
         rejector: Drops packets and resets flows.
     """
@@ -40,7 +40,7 @@
 
         Args:
             entry_hosts: The other entry hosts.
-            records: The flow table.
+            records: Flow records of this host.
             owner: Serves the flows that this host owns.
             rejector: Drops packets and resets flows.
         """
--- a/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
+++ b/packages/core/src/tamarack_core/internal/entry/stalled_flows.py
@@ -64,7 +64,7 @@
 
     Attributes:
         entry_hosts: The other entry hosts.
-        records: The flow table.
+        records: Flow records of this host.
         rejector: Sends resets to callers.
         router: Routes the reset for the target to the owner of the flow.
         target_seen_s: Monotonic time of the last packet of each target, by
@@ -94,7 +94,7 @@
 
         Args:
             entry_hosts: The other entry hosts.
-            records: The flow table.
+            records: Flow records of this host.
             rejector: Sends resets to callers.
             router: Routes the reset for the target to the owner.
         """
--- a/packages/core/src/tamarack_core/internal/entry/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -19,14 +19,14 @@
         flow: Flow key, as returned by `lookup.flow_key`: packed caller
             address, caller port, service address, service port and protocol.
         port: Service port that the caller opens.
-        preferred: Packed IP address of the target of the last flow with this
-            key, if that flow was closed seconds ago. No other target can take
-            the new flow yet. Empty if any target can.
+        required: Packed IP address of the only target that can take the flow:
+            that of the last flow with this key, if that flow was closed
+            seconds ago. Empty if any target can take it.
     """
 
     flow: bytes
     port: lookup.ServicePort
-    preferred: bytes = b""
+    required: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +54,13 @@
 class Progress(enum.Enum):
     """Progress of a flow, as seen by its owner.
 
+    OPENED: a target was chosen, or the flow was taken over from another owner.
+    ESTABLISHED: the handshake is complete.
+    REPLIED: the target has sent payload.
+    CLOSED: the flow has ended, by FINs, a reset of the caller or its idle
+        timeout; it was cancelled, or released to another owner.
+    RESET_BY_TARGET: the target reset the flow after the handshake.
+    REFUSED_BY_TARGET: the target reset the flow before the handshake.
     UNRESPONSIVE: the target did not reply to the opening in time.
     """
 
--- a/packages/core/src/tamarack_core/internal/flows/hop_option.py
+++ b/packages/core/src/tamarack_core/internal/flows/hop_option.py
@@ -21,7 +21,8 @@
 class Kind(enum.IntEnum):
     """Why a packet comes from another host.
 
-    FORWARD: the sender does not know the flow; serve it as the owner.
+    FORWARD: the sender is not the owner; the receiver serves the packet as
+        the owner.
     RETURN: the owner or a queried host returns a packet; learn its target and
         send it to the fabric.
     COPY: the receiver is a backup; learn the target and forward the packet.
@@ -60,7 +61,7 @@
 
 
 def count_of(hop_value: int) -> int:
-    """Returns the number of hosts visited."""
+    """Returns the number of hosts visited or queried; see `pack`."""
     return hop_value & _COUNT_MASK
 
 
--- a/packages/core/src/tamarack_core/internal/flows/table.py
+++ b/packages/core/src/tamarack_core/internal/flows/table.py
@@ -21,7 +21,8 @@
     ESTABLISHED: the handshake is complete.
     CALLER_FIN: the caller has sent a FIN.
     TARGET_FIN: the target has sent a FIN.
-    CLOSED: both have, or one has sent a reset.
+    CLOSED: the flow is over: both have sent a FIN, it was reset, or the owner
+        has reported its end.
     BACKUP: this host is a backup that the owner relies on to keep the flow.
     REPLIED: the target has sent payload.
     """
@@ -67,8 +68,10 @@
             slot.
         payload_sequence: Sequence number of the caller's last payload, by
             slot.
-        unanswered_since_s: Monotonic time at which that payload was first
-            seen, in whole seconds, by slot.
+        unanswered_since_s: Monotonic time since which that payload has had no
+            known reply, in whole seconds, by slot. It starts when the payload
+            is first seen; evidence of a reply moves it forward, and a query of
+            another host sets it to the time given there.
         replied_s: Monotonic time of the last packet of the target through
             this host, in whole seconds, by slot.
         placed: Backups that hold the flow, by slot; see `placement`.
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -66,8 +66,8 @@
         machine: The replicated state machine.
         replica: The replicated log.
         publish_requests: Publish requests that have no response yet.
-        reads: Times of arrival of reads that wait for a read index, by request
-            number.
+        reads: Monotonic time in seconds at which each read that waits for a
+            read index arrived, by request id.
         wanted_voters: Number of voters needed to tolerate the configured
             number of lost hosts.
         unreadable: Why the data folder can't be read, or None.
--- a/packages/core/src/tamarack_core/internal/group/host_directory.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -14,7 +14,7 @@
 
 
 class KnownControlHost(msgspec.Struct):
-    """A control host that has sent a message to this host.
+    """A control host that has sent a `ControlHello` to this host.
 
     Attributes:
         peer: The host.
@@ -33,7 +33,7 @@
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
         seeds: Control hosts listed in the settings.
-        known_hosts: Control hosts that sent a message to this host, by
+        known_hosts: Control hosts that sent a `ControlHello` to this host, by
             endpoint.
         reported_hosts: Control hosts that other hosts or the log listed, and
             the time of the last report in seconds, by endpoint.
@@ -85,7 +85,10 @@
         }
 
     def live(self, now_s: float) -> tuple[peers.Peer, ...]:
-        """Returns the live control hosts, including this one, by endpoint."""
+        """Returns the live control hosts, in the order of their endpoints.
+
+        This host is included.
+        """
         others = [
             known.peer
             for known in self.known_hosts.values()
--- a/packages/core/src/tamarack_core/internal/group/membership_policy.py
+++ b/packages/core/src/tamarack_core/internal/group/membership_policy.py
@@ -3,7 +3,8 @@
 The policy repairs the group while publish requests continue, when one or
 several control hosts are killed, lose their disks, move to other addresses or
 are replaced. It makes one change at a time, and only changes that leave the
-group able to tolerate the configured number of lost hosts, as it was before.
+group able to tolerate the configured number of lost hosts, as it was before. A
+voter is removed only if it has lost its disk or a learner can replace it.
 """
 
 from collections.abc import Collection
--- a/packages/core/src/tamarack_core/internal/limits/quota_coordinator.py
+++ b/packages/core/src/tamarack_core/internal/limits/quota_coordinator.py
@@ -92,15 +92,17 @@
         if self.started_s <= request.echo_s <= now_s:
             until_s = request.echo_s + PROMISE_S * (1.0 - CLOCK_DRIFT)
             self.promises[host] = until_s
-        is_keeper = self.is_coordinator(now_s)
+        is_coordinator = self.is_coordinator(now_s)
         leases: tuple[limits.QuotaLease, ...] = ()
-        if is_keeper:
+        if is_coordinator:
             leases = tuple(
                 self._grant(now_s, host, claim, totals[claim.limit])
                 for claim in request.claims
                 if claim.limit in totals
             )
-        return limits.QuotaResponse(request.number, now_s, is_keeper, leases)
+        return limits.QuotaResponse(
+            request.number, now_s, is_coordinator, leases
+        )
 
     def _grant(
         self, now_s: float, host: str, claim: limits.Claim, total: float
--- a/packages/core/src/tamarack_core/internal/membership/host_membership.py
+++ b/packages/core/src/tamarack_core/internal/membership/host_membership.py
@@ -81,7 +81,7 @@
             for member in self.swim.view.present(self.context.host.host)
         )
 
-    def joined(self) -> tuple[str, ...]:
+    def joined_names(self) -> tuple[str, ...]:
         """Returns the names of the other members; none before the join."""
         if self.swim.is_joining:
             return ()
--- a/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
+++ b/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
@@ -70,7 +70,7 @@
     __slots__ = (
         "_digest_mismatches",
         "_extra_periods",
-        "_has_second_view",
+        "_has_refetched",
         "_indirect_probes",
         "_is_fetching",
         "_page_cursor",
@@ -124,7 +124,7 @@
         self._digest_mismatches = 0
         self._page_cursor = ""
         self.is_joining = bool(self.seeds)
-        self._has_second_view = False
+        self._has_refetched = False
         self._is_fetching = self.is_joining
 
     def start(self, now_s: float, wall_ms: int) -> list[effects.Effect]:
@@ -304,7 +304,7 @@
         ]
         if unknown:
             return [self._fetch(self.random.choice(unknown), "")]
-        if not self._has_second_view:
+        if not self._has_refetched:
             return self._fetch_second_view()
         dead = self.view.dead()
         if not dead:
@@ -320,7 +320,7 @@
         When a whole failure domain starts at once, the first view that a host
         fetches holds only few members.
         """
-        self._has_second_view = True
+        self._has_refetched = True
         others = [
             member.peer for member in self.view.present(self.local_peer.host)
         ]
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -13,17 +13,18 @@
 
     Attributes:
         document: The document in force.
-        changed_at: Number of the document in which each endpoint last changed.
-        horizon: Number of the oldest document from which changes are known.
+        changed_number: Number of the document in which each endpoint last
+            changed.
+        oldest_base: Number of the oldest document from which changes are known.
     """
 
-    __slots__ = ("changed_at", "document", "horizon")
+    __slots__ = ("changed_number", "document", "oldest_base")
 
     def __init__(self) -> None:
         """Initializes a history without a document."""
         self.document = documents.Document(0)
-        self.changed_at: dict[tuple[str, int], int] = {}
-        self.horizon = 0
+        self.changed_number: dict[tuple[str, int], int] = {}
+        self.oldest_base = 0
 
     def put(self, document: documents.Document) -> None:
         """Adds the document that directly follows the one held."""
@@ -31,9 +32,9 @@
         after = {route.endpoint: route for route in document.routes}
         for endpoint in before.keys() | after.keys():
             if before.get(endpoint) != after.get(endpoint):
-                self.changed_at[endpoint] = document.number
+                self.changed_number[endpoint] = document.number
         if self.document.number == 0:
-            self.horizon = document.number
+            self.oldest_base = document.number
         self.document = document
         self._trim_removed(after)
 
@@ -44,8 +45,8 @@
         earlier document are sent the whole one.
         """
         self.document = document
-        self.horizon = document.number
-        self.changed_at = {
+        self.oldest_base = document.number
+        self.changed_number = {
             route.endpoint: document.number for route in document.routes
         }
 
@@ -55,29 +56,29 @@
         """Removes the oldest removed endpoints beyond the limit."""
         removed = sorted(
             (number, endpoint)
-            for endpoint, number in self.changed_at.items()
+            for endpoint, number in self.changed_number.items()
             if endpoint not in after
         )
         for number, endpoint in removed[:-MAX_REMOVED]:
-            self.horizon = max(self.horizon, number)
-            del self.changed_at[endpoint]
+            self.oldest_base = max(self.oldest_base, number)
+            del self.changed_number[endpoint]
 
     def changes_since(self, number: int) -> sync.DocumentUpdate | None:
         """Returns the changes after document `number`, or None without any."""
         document = self.document
         if number >= document.number:
             return None
-        is_whole = number < self.horizon
+        is_whole = number < self.oldest_base
         routes = [
             _route_change(route)
             for route in document.routes
-            if is_whole or self.changed_at[route.endpoint] > number
+            if is_whole or self.changed_number[route.endpoint] > number
         ]
         if not is_whole:
             present = {route.endpoint for route in document.routes}
             routes += [
                 _route_removal(endpoint)
-                for endpoint, changed in self.changed_at.items()
+                for endpoint, changed in self.changed_number.items()
                 if changed > number and endpoint not in present
             ]
         return sync.DocumentUpdate(
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -7,7 +7,7 @@
 from tamarack_core import failure
 from tamarack_core import target_announcement
 
-MISSED_ANNOUNCEMENTS = 2.2
+OVERDUE_INTERVALS = 2.2
 """Intervals without an announcement after which a target is overdue; one
 announcement may be lost, and the next one delayed."""
 
@@ -36,13 +36,13 @@
         target: Its newest announcement.
         announced_s: Time of its last announcement to any control host, as far
             as this host knows, in seconds.
-        changed_at: Position of the last change that others must receive.
+        changed_position: Position of the last change that others must receive.
         is_overdue: Whether its announcements are overdue.
     """
 
     target: target_announcement.Announcement
     announced_s: float
-    changed_at: int
+    changed_position: int
     is_overdue: bool = False
 
 
@@ -101,7 +101,11 @@
         return self.observe(now_s, target.name, age_s)
 
     def observe(self, now_s: float, name: str, age_s: float) -> bool:
-        """Records an announcement of a known target; returns as `put`."""
+        """Records an announcement of a known target.
+
+        Returns:
+            Whether others must receive a change.
+        """
         held = self.records.get(name)
         if held is None:
             return False
@@ -111,7 +115,11 @@
         return False
 
     def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
-        """Marks a target as gone, unless it has restarted; returns as `put`."""
+        """Marks a target as gone, unless it has restarted.
+
+        Returns:
+            Whether others must receive a change.
+        """
         held = self.records.get(name)
         if held is None:
             return False
@@ -120,7 +128,15 @@
         return self._mark_gone(now_s, held)
 
     def check_overdue(self, now_s: float) -> bool:
-        """Marks overdue targets, and removes those gone; returns as `put`."""
+        """Marks targets overdue or gone, and removes those gone.
+
+        A target is overdue after `overdue_after_s` without an announcement,
+        counts as gone after `PRESUMED_GONE_S`, and is removed
+        `GONE_RETENTION_S` after it was marked as gone.
+
+        Returns:
+            Whether others must receive a change.
+        """
         is_changed = False
         for record in list(self.records.values()):
             age_s = now_s - record.announced_s
@@ -143,7 +159,7 @@
     ) -> tuple[target_announcement.KnownTarget, ...]:
         """Returns the targets that changed after a position."""
         newest_first = itertools.takewhile(
-            lambda record: record.changed_at > position,
+            lambda record: record.changed_position > position,
             reversed(self.records.values()),
         )
         return tuple(
@@ -154,7 +170,7 @@
     @property
     def overdue_after_s(self) -> float:
         """Time without an announcement after which a target is overdue."""
-        return MISSED_ANNOUNCEMENTS * self.interval_s + MAX_DELAY_S
+        return OVERDUE_INTERVALS * self.interval_s + MAX_DELAY_S
 
     def encode(self) -> bytes:
         """Returns the targets that are not gone, encoded for the next start."""
@@ -198,7 +214,7 @@
     def _record_change(self, record: TargetRecord) -> None:
         """Assigns the newest position to a record, and moves it to the end."""
         self.position += 1
-        record.changed_at = self.position
+        record.changed_position = self.position
         self.records.pop(record.target.name, None)
         self.records[record.target.name] = record
 
--- a/packages/core/src/tamarack_core/internal/validation/clash_index.py
+++ b/packages/core/src/tamarack_core/internal/validation/clash_index.py
@@ -1,7 +1,7 @@
 """Checks of services against each other.
 
-The index is updated service by service, so that a patch of one service costs
-the same with ten services as with sixteen thousand.
+The index is updated service by service, so that the cost of a change barely
+depends on the number of services, be it ten or sixteen thousand.
 """
 
 import bisect
--- a/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
+++ b/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
@@ -123,8 +123,8 @@
     if unknown:
         return failure.Failure(
             "unknown-field",
-            f"unknown field {unknown[0][:80]!r}; the document has the field"
-            " services alone",
+            f"unknown field {unknown[0][:80]!r}; the only field of the document"
+            " is services",
             json_pointers.join(unknown[0]),
         )
     services = document.get("services", {})
--- a/packages/core/src/tamarack_core/messages/limits.py
+++ b/packages/core/src/tamarack_core/messages/limits.py
@@ -23,7 +23,8 @@
     """Request for quota; the sender promises to query no other coordinator.
 
     Attributes:
-        number: Number that rises with each request of the sender's process.
+        number: Number that rises with each request of the sender, also across
+            restarts.
         echo_s: Time in the last response of this coordinator, in seconds of
             its clock; negative if there was none. The promise lasts for at
             least `PROMISE_S` after it.
--- a/packages/core/src/tamarack_core/reducer.py
+++ b/packages/core/src/tamarack_core/reducer.py
@@ -87,9 +87,10 @@
     """Refuses a request that no component of the host handles."""
     refused = refusal.Refused(
         "wrong-role",
-        "this host lacks the role for the request; send requests about "
-        "announcements, targets and flows to entry hosts, and those about "
-        "patches and members to control hosts",
+        "this host does not handle this kind of request; send it to a host "
+        "with the role for it: flows to entry hosts, patches and members to "
+        "control hosts, announcements and targets to either, depending on the "
+        "deployment",
     )
     return effects.Respond(event.request_id, refused)
 
--- a/packages/node/src/tamarack_node/internal/storage/folder.py
+++ b/packages/node/src/tamarack_node/internal/storage/folder.py
@@ -150,7 +150,10 @@
         return self._files.read(path) if path.exists() else None
 
     def close(self) -> None:
-        """Closes the log file and releases the lock."""
+        """Closes the log file and releases the lock.
+
+        Nothing is left to sync, since every write is synced already.
+        """
         self._close_log()
         os.close(self._lock)
 
--- a/tests/cover/test_publishing_load.py
+++ b/tests/cover/test_publishing_load.py
@@ -101,7 +101,7 @@
             expected = {
                 record.target.name
                 for record in self.registry.records.values()
-                if record.changed_at > position
+                if record.changed_position > position
             }
             found = self.registry.changes_since(position)
             self.assertEqual(expected, {known.target.name for known in found})
--- a/tests/slow/routing_network.py
+++ b/tests/slow/routing_network.py
@@ -79,8 +79,8 @@
         ready = self.ready[opening.port.service]
         if not ready:
             return target_choice.Refusal(verdict.not_run("no-ready-target"))
-        if opening.preferred in ready:
-            target = opening.preferred
+        if opening.required in ready:
+            target = opening.required
         else:
             target = min(ready, key=self.counts.__getitem__)
         self.counts[target] += 1
