--- a/packages/core/src/tamarack_core/internal/balancing/health.py
+++ b/packages/core/src/tamarack_core/internal/balancing/health.py
@@ -9,7 +9,8 @@
 MAX_EJECTION_S = 60.0
 MAX_EJECTED_FRACTION = 0.34
 HANDSHAKE_SMOOTHING = 0.2
-# A target is slow if its handshakes take longer than this multiple of the median.
+# A target is slow if its handshakes take longer than this multiple of the
+# median.
 SLOW_FACTOR = 3.0
 # A target is never slow if its handshakes take no longer than this.
 SLOW_FLOOR_S = 0.002
--- a/packages/core/src/tamarack_core/internal/limits/quotas.py
+++ b/packages/core/src/tamarack_core/internal/limits/quotas.py
@@ -33,7 +33,8 @@
 ) -> dict[str, float]:
     """Returns the quota of a failure domain for each limit, by key.
 
-    A limit is divided evenly among the failure domains of its service. The
+    A limit is divided evenly among the failure domains of its service; other
+    domains get 0. If the service lists none, the domain gets all of it. The
     remainder of a limit in whole connections goes to the first domains in
     the order of their names.
 
--- a/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
+++ b/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
@@ -315,7 +315,7 @@
         return [self._probe(peer, self._next_sequence())]
 
     def _fetch_second_view(self) -> list[effects.Effect]:
-        """Fetches a full view a second time.
+        """Fetches a full view a second time, if other members are present.
 
         When a whole failure domain starts at once, the first view that a host
         fetches holds only few members.
