--- a/packages/core/src/tamarack_core/internal/entry/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -21,7 +21,7 @@
         port: Service port that the caller opens.
         required: Packed IP address of the only target that can take the flow:
             that of the last flow with this key, if that flow was closed
-            seconds ago. The owner refuses the flow if another one is chosen.
+            seconds ago. The owner drops the packet if another one is chosen.
             Empty if any target can take it.
     """
 
