--- a/packages/ctl/src/tamarack_ctl/internal/output.py
+++ b/packages/ctl/src/tamarack_ctl/internal/output.py
@@ -22,8 +22,8 @@
   1  refused or invalid; nothing changed
   2  wrong usage
   3  conflict with another patch; nothing changed
-  4  no host responds, or there is no quorum; nothing changed
-  5  unknown; send the patch again with the same id
+  4  a host did not respond, or there is no quorum; nothing changed
+  5  unknown; send the patch again with --id and --resend
 """
 
 
--- a/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
+++ b/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
@@ -77,8 +77,8 @@
         if exit_code != output.EXIT_OK:
             if number:
                 click.echo(
-                    f"tamarack: {number} of {len(batches)} patches are in"
-                    " force; run apply again",
+                    f"tamarack: {number} of {len(batches)} patches were"
+                    " accepted; run apply again",
                     err=True,
                 )
             sys.exit(exit_code)
--- a/packages/ctl/src/tamarack_ctl/internal/rollout.py
+++ b/packages/ctl/src/tamarack_ctl/internal/rollout.py
@@ -21,7 +21,9 @@
 @options.hosts
 @options.as_json
 def rollout(hosts: tuple[peers.Endpoint, ...], as_json: bool) -> None:
-    """Shows the version in force and the lagging hosts of each failure domain.
+    """Shows how many hosts of each failure domain have the newest version.
+
+    It also lists the hosts that lag behind.
 
     Name all control hosts and relays: each knows only the hosts that fetch the
     configuration from it.
@@ -39,8 +41,8 @@
     newest = max(body["version"] for body in bodies)
     known = _merge(bodies)
     rows = [
-        _row(domain, members, newest)
-        for domain, members in sorted(known.items())
+        _row(domain, domain_hosts, newest)
+        for domain, domain_hosts in sorted(known.items())
     ]
     document = {"version": newest, "domains": known}
     output.show(as_json, document, HEADERS, rows)
@@ -68,23 +70,23 @@
     return dict(domains)
 
 
-def _row(domain: str, members: list[Any], newest: int) -> list[object]:
+def _row(domain: str, hosts: list[Any], newest: int) -> list[object]:
     """Returns the table row of one failure domain."""
     lagging = [
         f"{host['host']} has {host['version']}, reported"
         f" {host['age_ms'] // MS_PER_S} s ago"
-        for host in members
+        for host in hosts
         if host["version"] < newest
     ]
-    current = [host for host in members if host["version"] >= newest]
-    everywhere_ms = max((host["since_ms"] for host in current), default=0)
+    current = [host for host in hosts if host["version"] >= newest]
+    newest_since_ms = max((host["since_ms"] for host in current), default=0)
     shown = "; ".join(lagging[:MAX_NAMES_SHOWN])
     if len(lagging) > MAX_NAMES_SHOWN:
         shown += f"; and {len(lagging) - MAX_NAMES_SHOWN} more"
     return [
         domain,
-        len(members),
+        len(hosts),
         f"{newest} at {len(current)}",
-        status.format_time(everywhere_ms),
+        status.format_time(newest_since_ms),
         shown or "none",
     ]
--- a/packages/node/src/tamarack_node/internal/disk_writer.py
+++ b/packages/node/src/tamarack_node/internal/disk_writer.py
@@ -22,9 +22,9 @@
     """Executes writes in order on its own thread.
 
     A write that fails because the disk is full is retried until it succeeds;
-    meanwhile no write is acknowledged. Saving the targets is not retried, as
-    they are only advice for the next start. After any other error it is
-    unknown which data reached the disk, and the process ends.
+    meanwhile no write is acknowledged. Saving the targets is not retried
+    when the disk is full, as a host can start without them. After any other
+    error it is unknown which data reached the disk, and the process ends.
 
     Attributes:
         folder: The data folder.
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -1,4 +1,7 @@
-"""Runs a host on one event loop and executes the effects of the core."""
+"""Runs one host of `tamarackd` with aiohttp, on one event loop.
+
+It executes the effects of the core.
+"""
 
 import asyncio
 import collections
@@ -45,7 +48,7 @@
 
 
 class Driver:
-    """Runs one host.
+    """Runs one host of `tamarackd` with aiohttp.
 
     Attributes:
         settings: Settings of the host.
@@ -251,10 +254,11 @@
                 raise AssertionError(f"unsupported effect: {type(effect)}")
 
     def _write(self, effect: effects.Persist | effects.SaveSnapshot) -> None:
-        """Writes to the data folder; a failure ends the process.
+        """Writes to the data folder.
 
-        After a failed write it is unknown which data reached the disk, so the
-        host must neither acknowledge the write nor retry it.
+        Any failure ends the process, also a full disk. After other errors it
+        is unknown which data reached the disk, so the host must neither
+        acknowledge the write nor retry it.
         """
         assert self._folder is not None
         try:
@@ -277,7 +281,7 @@
             self._handle(events.WriteCompleted(time.monotonic(), sequence))
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
-        """Sends a Geneve datagram; drops it if the socket buffer is full."""
+        """Sends a Geneve datagram; drops and counts it if it can't be sent."""
         if effect.endpoint is None:
             address = self._fabric
         else:
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -1,8 +1,9 @@
-"""A small HTTP/1.1 server and client on httptools, for hosts that start often.
+"""A small HTTP/1.1 server and client on httptools, for the light driver.
 
-Loading `aiohttp` takes more processor time than a small entry host has in a
-second. This module replaces it there and supports only what the host needs:
-bounded requests, keep-alive, and one request at a time on a connection.
+Loading `aiohttp` takes more processor time than a host that the light driver
+runs has in a second. This module replaces it there and supports only what the
+host needs: bounded requests, keep-alive, and one request at a time on a
+connection.
 """
 
 import asyncio
@@ -20,7 +21,8 @@
 """Largest total of header names and values of a request."""
 
 IDLE_TIMEOUT_S = 20.0
-"""Time after which a connection without a complete request is closed."""
+"""Time after its opening or its last response at which a connection is closed,
+in seconds."""
 
 MAX_CONNECTIONS = 3_000
 """Most connections open at once; further ones are aborted. A host with 4,096
@@ -82,14 +84,14 @@
     """A request to another host failed.
 
     Attributes:
-        reason: Constant name of the cause.
+        reason: Cause: a constant name, or the text of the operating system.
     """
 
     def __init__(self, reason: str) -> None:
         """Initializes the error.
 
         Args:
-            reason: Constant name of the cause.
+            reason: Cause: a constant name, or the text of the operating system.
         """
         super().__init__(reason)
         self.reason = reason
--- a/packages/node/src/tamarack_node/internal/text_metrics.py
+++ b/packages/node/src/tamarack_node/internal/text_metrics.py
@@ -1,8 +1,8 @@
 """Counters, gauges and histograms in the text format of Prometheus.
 
-It replaces the OpenTelemetry SDK on small entry hosts, where the SDK takes
-longer to load than the host may take to start. The names of the instruments
-are the same.
+It replaces the OpenTelemetry SDK on hosts that the light driver runs, where
+the SDK takes longer to load than the host may take to start. The counter of
+events has the same name.
 """
 
 import bisect
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -146,7 +146,7 @@
         self.sender.open(endpoint)
 
     async def close(self) -> None:
-        """Sends the outbox and closes the socket."""
+        """Sends the outbox, waits for large envelopes and closes the socket."""
         self._flush()
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
@@ -246,7 +246,7 @@
             task.add_done_callback(self._tasks.discard)
 
     def _send_datagram(self, peer: peers.Peer, data: bytes) -> None:
-        """Sends one datagram; drops it if the socket buffer is full."""
+        """Sends one datagram; drops and counts it if it can't be sent."""
         assert self.socket is not None
         self.context.counters["control-sent-bytes"] += len(data)
         try:
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -1,4 +1,4 @@
-"""Driver of cookie entry hosts and document control that loads quickly.
+"""Driver that loads quickly; it runs one host without aiohttp.
 
 `tamarack_node.internal.driver` serves the product's own interface with
 aiohttp and the OpenTelemetry SDK. On hosts that have a quarter of a core and
@@ -366,7 +366,7 @@
         )
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
-        """Sends a packet; drops it if the socket buffer is full."""
+        """Sends a packet; drops and counts it if it can't be sent."""
         assert self._data_socket is not None and effect.endpoint is not None
         address = (effect.endpoint.address, effect.endpoint.port)
         try:
--- a/packages/node/src/tamarack_node/settings.py
+++ b/packages/node/src/tamarack_node/settings.py
@@ -62,20 +62,21 @@
     def upstream_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the hosts to fetch the configuration from.
 
-        An entry host uses the relays of its failure domain, or the control
-        hosts if there are none. A relay is a peer without a data endpoint
-        that is not a voter.
+        An entry host uses the relays of its failure domain, or the voters if
+        there are none. A relay uses the voters. Without `voters`, every peer
+        without a data endpoint is used. A relay among the peers is one without
+        a data endpoint that is not a voter.
         """
         if assembly.Role.CONTROL in self.roles:
             return ()
-        control = tuple(
+        without_entry_role = tuple(
             peer
             for peer in self.peers
             if peer.data is None or peer.host in self.voters
         )
         relays = tuple(
             peer
-            for peer in control
+            for peer in without_entry_role
             if peer.domain == self.domain and peer.host not in self.voters
         )
         is_relay = assembly.Role.RELAY in self.roles
@@ -85,7 +86,7 @@
             return tuple(
                 peer for peer in self.peers if peer.host in self.voters
             )
-        return control
+        return without_entry_role
 
     def fallback_peers(self) -> tuple[peers_lib.Peer, ...]:
         """Returns the hosts to query as well if a source doesn't respond."""
