Correct comments and names of the lab

Comments that did not match the code now say what it does; attributes of PacketRun are documented. Renames: members -> target_specs, TargetsFile -> SizesFile, drain -> receive_ready, DRAIN_S -> DRAIN_GRACE_S, START_TIMEOUT_S -> WAIT_TIMEOUT_S (deployment), _run_for -> _propose_for, starts/timers/initial -> start_number/timer_number/initial_members (ReplicaHost, never encoded), suffix _s -> _per_s for rates. Two slow test files follow the renames; their checks are unchanged.

--- a/packages/lab/src/tamarack_lab/attachment.py
+++ b/packages/lab/src/tamarack_lab/attachment.py
@@ -116,7 +116,7 @@
         if self._socket is None:
             return
         now_s = self.clock()
-        for data in sockets.drain(self._socket, _BATCH_DATAGRAMS):
+        for data in sockets.receive_ready(self._socket, _BATCH_DATAGRAMS):
             inner = geneve.decapsulate(data)
             if not isinstance(inner, failure.Failure):
                 self.stack.receive(now_s, inner.packet)
--- a/packages/lab/src/tamarack_lab/capacity/command.py
+++ b/packages/lab/src/tamarack_lab/capacity/command.py
@@ -47,26 +47,28 @@
     Example: tamarack capacity --targets-file docs/capacity/sizes.json
     """
     try:
-        targets = sizes.load(targets_file)
+        sizes_file = sizes.load(targets_file)
         slopes = slopes_lib.load(slopes_file)
     except msgspec.DecodeError as error:
         raise click.UsageError(str(error)) from error
     if page_file is not None:
-        tables = render.report(targets, slopes)
+        tables = render.report(sizes_file, slopes)
         text = page_lib.replace_tables(page_file.read_text(), tables)
         page_file.write_text(text)
-        page_lib.plot(targets, slopes, targets_file.with_name(PLOT_NAME))
+        page_lib.plot(sizes_file, slopes, targets_file.with_name(PLOT_NAME))
         return
     if not as_json:
-        click.echo(render.report(targets, slopes), nl=False)
+        click.echo(render.report(sizes_file, slopes), nl=False)
         return
     values = slopes.values()
     document = {
         size.name: {
-            "totals": model.totals(model.terms(size, values), targets.budget),
+            "totals": model.totals(
+                model.terms(size, values), sizes_file.budget
+            ),
             "terms": model.terms(size, values),
-            "bursts": bursts.bursts(size, targets.budget, values),
+            "bursts": bursts.bursts(size, sizes_file.budget, values),
         }
-        for size in targets.sizes
+        for size in sizes_file.sizes
     }
     click.echo(json.dumps(msgspec.to_builtins(document), indent=2))
--- a/packages/lab/src/tamarack_lab/capacity/page.py
+++ b/packages/lab/src/tamarack_lab/capacity/page.py
@@ -32,14 +32,14 @@
 
 
 def plot(
-    targets: sizes.TargetsFile,
+    sizes_file: sizes.SizesFile,
     slopes: slopes_lib.SlopeFile,
     path: pathlib.Path,
 ) -> None:
     """Plots the cost of each role against the size.
 
     Args:
-        targets: Sizes and budget.
+        sizes_file: Sizes and budget.
         slopes: The slopes.
         path: Output file in PNG format.
     """
@@ -47,10 +47,10 @@
     drawing = figure.Figure(figsize=(PLOT_WIDTH_IN, PLOT_HEIGHT_IN))
     panels = drawing.subplots(1, len(model.Resource))
     totals_by_size = [
-        model.totals(model.terms(size, values), targets.budget)
-        for size in targets.sizes
+        model.totals(model.terms(size, values), sizes_file.budget)
+        for size in sizes_file.sizes
     ]
-    hosts = [size.hosts for size in targets.sizes]
+    hosts = [size.hosts for size in sizes_file.sizes]
     for panel, resource in zip(panels, model.Resource, strict=True):
         for role in model.Role:
             shares = [
--- a/packages/lab/src/tamarack_lab/capacity/render.py
+++ b/packages/lab/src/tamarack_lab/capacity/render.py
@@ -14,27 +14,27 @@
 PERCENT = 100.0
 
 
-def report(targets: sizes.TargetsFile, slopes: slopes_lib.SlopeFile) -> str:
+def report(sizes_file: sizes.SizesFile, slopes: slopes_lib.SlopeFile) -> str:
     """Returns all tables in Markdown.
 
     Args:
-        targets: Sizes and budget.
+        sizes_file: Sizes and budget.
         slopes: The slopes.
     """
     values = slopes.values()
-    parts = ["## Totals\n", _totals(targets, values)]
-    for size in targets.sizes:
+    parts = ["## Totals\n", _totals(sizes_file, values)]
+    for size in sizes_file.sizes:
         parts.append(f"\n## Terms at size {size.name}\n")
         parts.append(_terms(model.terms(size, values)))
-    largest = targets.sizes[-1]
+    largest = sizes_file.sizes[-1]
     parts.append(f"\n## Bursts at size {largest.name}\n")
-    parts.append(_bursts(bursts_lib.bursts(largest, targets.budget, values)))
+    parts.append(_bursts(bursts_lib.bursts(largest, sizes_file.budget, values)))
     parts.append("\n## Slopes\n")
     parts.append(_slopes(slopes.slopes))
     return "\n".join(parts) + "\n"
 
 
-def _totals(targets: sizes.TargetsFile, values: dict[str, float]) -> str:
+def _totals(sizes_file: sizes.SizesFile, values: dict[str, float]) -> str:
     """Returns the table of totals of all sizes."""
     rows = [
         [
@@ -46,8 +46,8 @@
             "exceeded" if total.is_exceeded else "within",
             total.dominant,
         ]
-        for size in targets.sizes
-        for total in model.totals(model.terms(size, values), targets.budget)
+        for size in sizes_file.sizes
+        for total in model.totals(model.terms(size, values), sizes_file.budget)
     ]
     headers = ("size", "role", "resource", "cost", "budget", "", "largest term")
     return _table(headers, rows)
--- a/packages/lab/src/tamarack_lab/capacity/sizes.py
+++ b/packages/lab/src/tamarack_lab/capacity/sizes.py
@@ -95,7 +95,7 @@
     control_hosts: int
 
 
-class TargetsFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class SizesFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Sizes to compute and the budget to compare them with.
 
     Attributes:
@@ -107,7 +107,7 @@
     sizes: tuple[Size, ...]
 
 
-def load(path: pathlib.Path) -> TargetsFile:
+def load(path: pathlib.Path) -> SizesFile:
     """Returns the sizes in a file.
 
     Args:
@@ -118,4 +118,4 @@
             type; the message names it.
         OSError: The file can't be read.
     """
-    return msgspec.json.decode(path.read_bytes(), type=TargetsFile)
+    return msgspec.json.decode(path.read_bytes(), type=SizesFile)
--- a/packages/lab/src/tamarack_lab/consensus_costs.py
+++ b/packages/lab/src/tamarack_lab/consensus_costs.py
@@ -184,17 +184,17 @@
 def _command_costs(
     counter: EffectCounter,
     burst: int,
-    idle_messages_s: float,
-    idle_bytes_s: float,
+    idle_messages_per_s: float,
+    idle_bytes_per_s: float,
 ) -> CommandCosts:
     counter.reset()
     leader = _require_leader(counter.network).peer.host
     duration_s = COMMANDS * COMMAND_INTERVAL_S
     proposed_s = _run_commands(counter.network, burst)
     times_s = zip(proposed_s, counter.applied_s, strict=True)
-    leader_bytes = counter.bytes_by_host[leader] - idle_bytes_s * duration_s
+    leader_bytes = counter.bytes_by_host[leader] - idle_bytes_per_s * duration_s
     return CommandCosts(
-        (counter.messages - idle_messages_s * duration_s) / COMMANDS,
+        (counter.messages - idle_messages_per_s * duration_s) / COMMANDS,
         leader_bytes / COMMANDS,
         counter.writes / COMMANDS,
         statistics.median((end - start) * 1000 for start, end in times_s),
@@ -206,19 +206,21 @@
     counter = EffectCounter(network)
     leader = _require_leader(network).peer.host
     network.run_for(IDLE_S)
-    messages_s = counter.messages / IDLE_S
-    bytes_s = {host: n / IDLE_S for host, n in counter.bytes_by_host.items()}
+    messages_per_s = counter.messages / IDLE_S
+    bytes_per_s = {
+        host: n / IDLE_S for host, n in counter.bytes_by_host.items()
+    }
     steady, burst = (
-        _command_costs(counter, size, messages_s, bytes_s[leader])
+        _command_costs(counter, size, messages_per_s, bytes_per_s[leader])
         for size in (1, BURST_COMMANDS)
     )
     elections_s = [_election_s(voters, seed + i) for i in range(ELECTIONS)]
     return_terms, return_commit_max_ms = _measure_follower_return(voters, seed)
-    followers = [size for host, size in bytes_s.items() if host != leader]
+    followers = [size for host, size in bytes_per_s.items() if host != leader]
     return Costs(
         voters,
-        messages_s,
-        bytes_s[leader],
+        messages_per_s,
+        bytes_per_s[leader],
         statistics.mean(followers),
         steady,
         burst,
@@ -245,17 +247,17 @@
         host for host in network.hosts.values() if host is not leader
     )
     network.isolate(isolated.peer.host)
-    _run_for(network, ISOLATION_S)
+    _propose_for(network, ISOLATION_S)
     network.cuts.clear()
     counter.reset()
-    proposed_s = _run_for(network, RETURN_S)
+    proposed_s = _propose_for(network, RETURN_S)
     times_s = zip(proposed_s, counter.applied_s, strict=True)
     longest_s = max(end - start for start, end in times_s)
     new_terms = _require_leader(network).replica.state.term - term
     return new_terms, longest_s * 1000
 
 
-def _run_for(
+def _propose_for(
     network: replica_network.ReplicaNetwork, duration_s: float
 ) -> list[float]:
     """Proposes commands at the steady rate and returns the proposal times."""
--- a/packages/lab/src/tamarack_lab/demo/scenario.py
+++ b/packages/lab/src/tamarack_lab/demo/scenario.py
@@ -84,7 +84,7 @@
         await deployment.start_callers(LOAD_S, GRACE_S)
         await asyncio.sleep(LOAD_S * 0.2)
         await self._replace_entry()
-        await self._drain(deployment.layout.members()[0].address)
+        await self._drain(deployment.layout.target_specs()[0].address)
         await self._patch(
             [
                 {
@@ -123,7 +123,7 @@
             ],
             "create the services",
         )
-        self._report_progress(f"starting {len(layout.members())} targets")
+        self._report_progress(f"starting {len(layout.target_specs())} targets")
         await deployment.start_targets()
 
     async def _patch(self, operations: list[dict[str, Any]], note: str) -> None:
@@ -155,4 +155,4 @@
         """Drains a target and waits for the end of its drain period."""
         self._report_progress(f"draining target {address}")
         await self.deployment.drain_target(address)
-        await asyncio.sleep(summary.DRAIN_S)
+        await asyncio.sleep(summary.DRAIN_GRACE_S)
--- a/packages/lab/src/tamarack_lab/demo/summary.py
+++ b/packages/lab/src/tamarack_lab/demo/summary.py
@@ -12,7 +12,7 @@
 from tamarack_lab.target import server as servers
 
 # Time after which a draining target must get no new connection.
-DRAIN_S = 3.0
+DRAIN_GRACE_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,7 +72,9 @@
             if target.repeated:
                 yield f"{target.address}: {target.repeated} requests ran twice"
             late = [
-                opening for opening in target.late if opening.after_s > DRAIN_S
+                opening
+                for opening in target.late
+                if opening.after_s > DRAIN_GRACE_S
             ]
             if late:
                 yield f"{target.address}: connections after its drain: {late}"
--- a/packages/lab/src/tamarack_lab/deployment/deployment.py
+++ b/packages/lab/src/tamarack_lab/deployment/deployment.py
@@ -19,7 +19,7 @@
 from tamarack_lab.target import process as target_process
 from tamarack_lab.target import server as servers
 
-START_TIMEOUT_S = 30.0
+WAIT_TIMEOUT_S = 30.0
 _POLL_S = 0.2
 _OK = 200
 _PROGRAM = "tamarack"
@@ -117,7 +117,8 @@
     async def wait_targets(self, entry: peers.Peer) -> None:
         """Waits until an entry host knows all targets of its domain."""
         expected = sum(
-            member.domain == entry.domain for member in self.layout.members()
+            member.domain == entry.domain
+            for member in self.layout.target_specs()
         )
 
         async def knows_targets() -> bool:
@@ -220,7 +221,7 @@
         return verdicts[-1]
 
     async def wait_version(self) -> None:
-        """Waits until the last accepted version is in force on all hosts."""
+        """Waits until all entry hosts use the last accepted version."""
         for host in self.layout.entries:
             await self.wait_version_at(host)
 
@@ -368,13 +369,13 @@
         description: The condition in words, for the error message.
 
     Raises:
-        DeploymentError: It isn't true within `START_TIMEOUT_S`.
+        DeploymentError: It isn't true within `WAIT_TIMEOUT_S`.
     """
-    end_s = time.monotonic() + START_TIMEOUT_S
+    end_s = time.monotonic() + WAIT_TIMEOUT_S
     while not await condition():
         if time.monotonic() > end_s:
             raise DeploymentError(
-                f"timed out after {START_TIMEOUT_S:g} s: {description}"
+                f"timed out after {WAIT_TIMEOUT_S:g} s: {description}"
             )
         await asyncio.sleep(_POLL_S)
 
--- a/packages/lab/src/tamarack_lab/deployment/layout.py
+++ b/packages/lab/src/tamarack_lab/deployment/layout.py
@@ -189,7 +189,7 @@
         """Returns the HTTP endpoints of the entry hosts of a domain."""
         return tuple(entry.control for entry in self.entries_in_domain(domain))
 
-    def members(self) -> list[target_settings.TargetSpec]:
+    def target_specs(self) -> list[target_settings.TargetSpec]:
         """Returns all targets, distributed over the failure domains."""
         numbers = itertools.count()
         domains = self.plan.domains
@@ -213,7 +213,7 @@
                 service.name: _target_service(service)
                 for service in self.plan.services
             },
-            targets=tuple(self.members()),
+            targets=tuple(self.target_specs()),
             entries={
                 domain: self.control_endpoints(domain)
                 for domain in self.plan.domains
@@ -267,7 +267,7 @@
         """Returns the routes to the targets."""
         return [
             fabric_lib.Route(member.address, self.targets, member.domain)
-            for member in self.members()
+            for member in self.target_specs()
         ]
 
 
--- a/packages/lab/src/tamarack_lab/deployment/plan.py
+++ b/packages/lab/src/tamarack_lab/deployment/plan.py
@@ -53,7 +53,7 @@
         targets: Number of targets.
         classes: Work classes.
         weights: Weights of broken connections and of uneven load.
-        slots: Work units that a target processes concurrently.
+        slots: Requests that a target runs concurrently.
         connections: Maximum number of connections of a target.
     """
 
--- a/packages/lab/src/tamarack_lab/experiments/limit_plans.py
+++ b/packages/lab/src/tamarack_lab/experiments/limit_plans.py
@@ -12,7 +12,7 @@
 
 WORK_S = 0.5
 TIMEOUT_S = 4.0
-CAPACITY_UNITS_S = 7 * workloads.SLOTS / WORK_S
+CAPACITY_UNITS_PER_S = 7 * workloads.SLOTS / WORK_S
 GOODPUT_SHARE = 0.95
 LIMIT = 12
 SAMPLE_S = 0.5
@@ -70,7 +70,7 @@
 
 def _overload(name: str, factor: float) -> plan_lib.ExperimentPlan:
     """Returns an experiment with openings at a multiple of the capacity."""
-    rate = CAPACITY_UNITS_S * factor
+    rate = CAPACITY_UNITS_PER_S * factor
     return plan_lib.ExperimentPlan(
         name,
         f"Openings at {factor:g} times the capacity; callers try three times.",
@@ -88,7 +88,7 @@
         bounds=(
             *_SAFETY_BOUNDS,
             plan_lib.Bound(
-                "goodput_units_s", least=GOODPUT_SHARE * CAPACITY_UNITS_S
+                "goodput_units_s", least=GOODPUT_SHARE * CAPACITY_UNITS_PER_S
             ),
         ),
     )
--- a/packages/lab/src/tamarack_lab/experiments/measurements.py
+++ b/packages/lab/src/tamarack_lab/experiments/measurements.py
@@ -12,6 +12,9 @@
 class Figures(msgspec.Struct):
     """Figures of one run of one version.
 
+    In packet-level runs the work in flight of a target is its number of open
+    connections, and each request counts as one work unit.
+
     Attributes:
         openings: First attempts of callers to open a connection.
         attempts: All attempts, including retries.
@@ -36,7 +39,7 @@
         control_bytes_per_host_s: Control bytes per host and second.
         goodput_units_s: Work units of completed requests per second.
         wait_p99_s: 99th percentile of the time to the response, in seconds.
-        ejected_share: Greatest share of targets ejected at one host.
+        ejected_share: Not measured; always 0.
         spilled_share: Share of attempts whose target was in another failure
             domain.
     """
--- a/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_endpoints.py
@@ -104,7 +104,7 @@
 
 
 class Server:
-    """Target that responds to each request once it is complete."""
+    """One connection of a target; responds to each request once complete."""
 
     __slots__ = ("buffer", "run")
 
--- a/packages/lab/src/tamarack_lab/experiments/packet_run.py
+++ b/packages/lab/src/tamarack_lab/experiments/packet_run.py
@@ -73,6 +73,7 @@
 
     Attributes:
         plan: Plan of the experiment.
+        build: Builds an entry host of the version under test.
         queue: Queue of timed actions.
         random: Seeded random generator of traffic and faults.
         network: Network of the entry hosts.
@@ -85,6 +86,10 @@
         hops: Number of packets forwarded between entry hosts.
         packets: Number of packets sent to the fabric.
         figures: Figures of the run.
+        seed: Seed of all random generators.
+        peers: Identities and addresses of the entry hosts.
+        samples: Number of connections of each target at each sample.
+        timeline: Time of each sample in seconds, and its connection counts.
     """
 
     def __init__(
--- a/packages/lab/src/tamarack_lab/experiments/simulated_network.py
+++ b/packages/lab/src/tamarack_lab/experiments/simulated_network.py
@@ -71,7 +71,7 @@
         return self.node.context.host
 
     def start(self) -> None:
-        """Delivers the event that the driver of the reducer has started."""
+        """Delivers the event `Started`."""
         now_s = self._network.queue.now_s
         self.handle(events.Started(now_s, WALL_MS + int(now_s * 1000)))
 
@@ -130,8 +130,8 @@
         queue: Queue of timed actions.
         random: Seeded random generator.
         hosts: Hosts by name.
-        inside: Quality of links within a failure domain.
-        between: Quality of links between failure domains.
+        inside: Delay and loss of links within a failure domain.
+        between: Delay and loss of links between failure domains.
         cut_links: Pairs of host names, sender and receiver, whose messages
             in this direction are lost.
         datagrams: Delivers datagrams of the data sockets; None drops them.
--- a/packages/lab/src/tamarack_lab/experiments/workloads.py
+++ b/packages/lab/src/tamarack_lab/experiments/workloads.py
@@ -69,16 +69,16 @@
 
 
 def agenda_traffic(
-    units_s: float, work_s: float, hold_s: float = 30.0
+    units_per_s: float, work_s: float, hold_s: float = 30.0
 ) -> tuple[plans.Stream, ...]:
     """Returns traffic of agenda with equal rates of routes and reports.
 
     Args:
-        units_s: Work units per second that are opened in a failure domain.
+        units_per_s: Work units per second that are opened in a failure domain.
         work_s: Mean duration of the work of both classes in seconds.
         hold_s: Mean seconds for which a route stays open.
     """
-    rate = units_s / (1.0 + AGENDA.classes["report"].cost)
+    rate = units_per_s / (1.0 + AGENDA.classes["report"].cost)
     return (
         plans.Stream(
             "agenda", "route", plans.constant(rate), work_s, hold_s=hold_s
--- a/packages/lab/src/tamarack_lab/fabric.py
+++ b/packages/lab/src/tamarack_lab/fabric.py
@@ -308,7 +308,9 @@
         if bound is None:
             return
         forward = self.table.forward
-        for data, source in sockets.drain_with_source(bound, _BATCH_DATAGRAMS):
+        for data, source in sockets.receive_ready_with_source(
+            bound, _BATCH_DATAGRAMS
+        ):
             to = forward(data, source)
             if to is not None:
                 sockets.send(bound, data, to)
--- a/packages/lab/src/tamarack_lab/internal/replica_network.py
+++ b/packages/lab/src/tamarack_lab/internal/replica_network.py
@@ -131,11 +131,11 @@
         state_machine: State machine of the running or last replica.
         replica: The running or last replica.
         is_up: Whether the replica is running.
-        starts: Start number; a crash increments it, so that writes of
+        start_number: Start number; a crash increments it, so that writes of
             earlier starts are dropped.
-        initial: Membership before the first log entry.
-        timers: Timer number, incremented by each new timer and each crash;
-            only the timer with the current number fires.
+        initial_members: Membership before the first log entry.
+        timer_number: Timer number, incremented by each new timer and each
+            crash; only the timer with the current number fires.
     """
 
     peer: peers.Peer
@@ -143,10 +143,10 @@
     disk: SimulatedDisk
     state_machine: CommandLog
     replica: replica.Replica
-    initial: Sequence[membership.Member]
+    initial_members: Sequence[membership.Member]
     is_up: bool = True
-    starts: int = 1
-    timers: int = 0
+    start_number: int = 1
+    timer_number: int = 0
 
 
 def _ignore_step(host: ReplicaHost, step: outputs.Step) -> None:
@@ -251,8 +251,8 @@
         """Stops a replica; writes that are not synced may be lost."""
         host = self.hosts[name]
         host.is_up = False
-        host.starts += 1
-        host.timers += 1
+        host.start_number += 1
+        host.timer_number += 1
         host.disk.crash(self.random)
 
     def restart(self, name: str) -> failure.Failure | None:
@@ -265,7 +265,7 @@
         own = membership.Member(host.peer, host.incarnation)
         host.state_machine = CommandLog()
         host.replica = self._create_replica(
-            own, host.initial, host.state_machine
+            own, host.initial_members, host.state_machine
         )
         recovery_failure = host.replica.recover(
             host.disk.snapshot, host.disk.records
@@ -278,9 +278,9 @@
     def replace_disk(self, name: str) -> None:
         """Gives a crashed host an empty disk and a new incarnation."""
         host = self.hosts[name]
-        host.incarnation = f"{host.peer.host}.{host.starts}"
+        host.incarnation = f"{host.peer.host}.{host.start_number}"
         host.disk = SimulatedDisk()
-        host.initial = []
+        host.initial_members = []
 
     def carry_out(self, host: ReplicaHost, step: outputs.Step) -> None:
         """Schedules the effects of a step, then calls the observer."""
@@ -329,11 +329,11 @@
             )
 
     def _start_timer(self, host: ReplicaHost, delay_s: float) -> None:
-        host.timers += 1
-        number = host.timers
+        host.timer_number += 1
+        number = host.timer_number
 
         def fire() -> None:
-            if host.timers == number and host.is_up:
+            if host.timer_number == number and host.is_up:
                 step = host.replica.handle_timer(self.now_s)
                 self.carry_out(host, step)
 
@@ -343,10 +343,10 @@
         self, host: ReplicaHost, effect: effects.Persist | effects.SaveSnapshot
     ) -> None:
         host.disk.pending_writes.append(effect)
-        starts = host.starts
+        starts = host.start_number
 
         def complete() -> None:
-            if host.starts != starts or not host.is_up:
+            if host.start_number != starts or not host.is_up:
                 return
             sequence = host.disk.sync_next()
             step = host.replica.handle_write_completed(self.now_s, sequence)
--- a/packages/lab/src/tamarack_lab/naive/chooser.py
+++ b/packages/lab/src/tamarack_lab/naive/chooser.py
@@ -20,7 +20,8 @@
         targets: Announced targets that this host knows.
         hosts: Number of entry hosts of a failure domain.
         domains: Number of failure domains that divide a limit.
-        connection_counts: Open connections of this host by service port.
+        connection_counts: Open connections of this host by service port;
+            in packet-level runs: packets.
     """
 
     __slots__ = ("connection_counts", "domains", "hosts", "targets")
@@ -70,7 +71,7 @@
     ) -> None:
         """Decrements the connection count when a connection closes.
 
-        Other observations don't affect the hash.
+        Ignores other observations.
         """
         if observation.progress in target_choice.FINAL_PROGRESS:
             key = (observation.port.address, observation.port.port)
--- a/packages/lab/src/tamarack_lab/proxy/datagrams.py
+++ b/packages/lab/src/tamarack_lab/proxy/datagrams.py
@@ -94,7 +94,7 @@
     def _read_inward(self, inward: socket.socket) -> None:
         """Forwards the next batch of datagrams from `listen` to `to`."""
         to = (self.link.to.address, self.link.to.port)
-        batch = sockets.drain_with_source(inward, _BATCH_DATAGRAMS)
+        batch = sockets.receive_ready_with_source(inward, _BATCH_DATAGRAMS)
         for data, sender in batch:
             outward = self._outward_socket(sender)
             if outward is not None:
@@ -106,7 +106,7 @@
         self, outward: socket.socket, back_to: SocketAddress
     ) -> None:
         """Forwards the next batch of datagrams back to the sender."""
-        for data in sockets.drain(outward, _BATCH_DATAGRAMS):
+        for data in sockets.receive_ready(outward, _BATCH_DATAGRAMS):
             if self._inward is not None:
                 self._send_copies(
                     self.channels.back, self._inward, data, back_to, back_to[0]
--- a/packages/lab/src/tamarack_lab/sockets.py
+++ b/packages/lab/src/tamarack_lab/sockets.py
@@ -39,17 +39,17 @@
     return peers.Endpoint(address[0], address[1])
 
 
-def drain(sock: socket.socket, limit: int) -> Iterator[bytes]:
+def receive_ready(sock: socket.socket, limit: int) -> Iterator[bytes]:
     """Yields the datagrams that are ready to be read.
 
     Args:
         sock: A non-blocking socket.
         limit: Most datagrams to read.
     """
-    return (data for data, _ in drain_with_source(sock, limit))
+    return (data for data, _ in receive_ready_with_source(sock, limit))
 
 
-def drain_with_source(
+def receive_ready_with_source(
     sock: socket.socket, limit: int
 ) -> Iterator[tuple[bytes, tuple[str, int]]]:
     """Yields the datagrams that are ready, each with its source.
--- a/tests/slow/consensus_checker.py
+++ b/tests/slow/consensus_checker.py
@@ -67,7 +67,7 @@
 
     def __init__(self, network):
         self.network = network
-        self.initial = next(iter(network.hosts.values())).initial
+        self.initial = next(iter(network.hosts.values())).initial_members
         self.leaders = {}
         self.entries = {}
         self.committed = {}
@@ -156,7 +156,12 @@
         """Returns whether the log of a host differs from the last check."""
         state = host.replica.state
         log = state.log
-        key = (state.commit_index, log.last_index, log.last_term, host.starts)
+        key = (
+            state.commit_index,
+            log.last_index,
+            log.last_term,
+            host.start_number,
+        )
         if self.checked.get(host.incarnation) == key:
             return False
         self.checked[host.incarnation] = key
@@ -217,7 +222,7 @@
         ]
         if placed:
             expected = membership.decode(placed[-1][1].data)
-        elif host.initial or state.log.base_index:
+        elif host.initial_members or state.log.base_index:
             expected = self.committed_membership(state.log.base_index)
         else:
             return
--- a/tests/slow/test_gateway.py
+++ b/tests/slow/test_gateway.py
@@ -138,7 +138,7 @@
             ),
             far=gateway_settings.TargetSideSettings(
                 listen=layout.targets,
-                targets=tuple(layout.members()),
+                targets=tuple(layout.target_specs()),
                 servers=(
                     gateway_settings.RealServer(80, self.web),
                     gateway_settings.RealServer(
