--- a/packages/lab/src/tamarack_lab/capacity/render.py
+++ b/packages/lab/src/tamarack_lab/capacity/render.py
@@ -1,4 +1,4 @@
-"""Tables of the capacity model."""
+"""Renders the results of the capacity model as Markdown tables."""
 
 from collections.abc import Sequence
 
@@ -14,28 +14,28 @@
 PERCENT = 100.0
 
 
-def report(targets: sizes.TargetsFile, slopes: slopes_lib.SlopeFile) -> str:
-    """Returns all tables as Markdown.
+def report(sizes_file: sizes.SizesFile, slopes: slopes_lib.SlopeFile) -> str:
+    """Returns all tables in Markdown.
 
     Args:
-        targets: Sizes and budget.
+        sizes_file: Sizes and budget.
         slopes: The slopes.
     """
     values = slopes.values()
-    parts = ["## Totals\n", _totals(targets, values)]
-    for size in targets.sizes:
+    parts = ["## Totals\n", _totals(sizes_file, values)]
+    for size in sizes_file.sizes:
         parts.append(f"\n## Terms at size {size.name}\n")
         parts.append(_terms(model.terms(size, values)))
-    largest = targets.sizes[-1]
+    largest = sizes_file.sizes[-1]
     parts.append(f"\n## Bursts at size {largest.name}\n")
-    parts.append(_bursts(bursts_lib.bursts(largest, targets.budget, values)))
+    parts.append(_bursts(bursts_lib.bursts(largest, sizes_file.budget, values)))
     parts.append("\n## Slopes\n")
     parts.append(_slopes(slopes.slopes))
     return "\n".join(parts) + "\n"
 
 
-def _totals(targets: sizes.TargetsFile, values: dict[str, float]) -> str:
-    """Returns the sums of all sizes."""
+def _totals(sizes_file: sizes.SizesFile, values: dict[str, float]) -> str:
+    """Returns the table of totals of all sizes."""
     rows = [
         [
             size.name,
@@ -46,15 +46,15 @@
             "exceeded" if total.is_exceeded else "within",
             total.dominant,
         ]
-        for size in targets.sizes
-        for total in model.totals(model.terms(size, values), targets.budget)
+        for size in sizes_file.sizes
+        for total in model.totals(model.terms(size, values), sizes_file.budget)
     ]
-    heads = ("size", "role", "resource", "cost", "budget", "", "largest term")
-    return _table(heads, rows)
+    headers = ("size", "role", "resource", "cost", "budget", "", "largest term")
+    return _table(headers, rows)
 
 
 def _terms(terms: Sequence[model.Term]) -> str:
-    """Returns the terms of one size."""
+    """Returns the table of terms of one size."""
     rows = [
         [
             term.role,
@@ -69,7 +69,7 @@
 
 
 def _bursts(bursts: Sequence[bursts_lib.Burst]) -> str:
-    """Returns the bursts at the largest size."""
+    """Returns the table of bursts."""
     rows = [
         [
             burst.name,
@@ -79,12 +79,12 @@
         ]
         for burst in bursts
     ]
-    heads = ("burst", "bytes to one host", "at the budget", "meaning")
-    return _table(heads, rows)
+    headers = ("burst", "bytes to one host", "at the budget", "meaning")
+    return _table(headers, rows)
 
 
 def _slopes(slopes: Sequence[slopes_lib.Slope]) -> str:
-    """Returns the slopes with their sources."""
+    """Returns the table of slopes with their sources."""
     rows = [
         [
             slope.name,
@@ -97,16 +97,24 @@
         ]
         for slope in slopes
     ]
-    heads = ("slope", "value", "unit", "source", "residual", "command", "date")
-    return _table(heads, rows)
+    headers = (
+        "slope",
+        "value",
+        "unit",
+        "source",
+        "residual",
+        "command",
+        "date",
+    )
+    return _table(headers, rows)
 
 
 def format_amount(resource: model.Resource, amount: float) -> str:
     """Returns an amount with its unit.
 
     Args:
-        resource: What is spent.
-        amount: Bytes, share of a core, or bytes a second.
+        resource: Resource that determines the unit.
+        amount: Bytes, share of a core, or bytes per second.
     """
     match resource:
         case model.Resource.MEMORY:
@@ -117,8 +125,8 @@
             return f"{amount / KILOBYTE:,.3f} KB/s"
 
 
-def _table(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+def _table(headers: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
     """Returns a Markdown table."""
     return tabulate.tabulate(
-        rows, headers=heads, tablefmt="github", disable_numparse=True
+        rows, headers=headers, tablefmt="github", disable_numparse=True
     )
