Log what a probe found, what triggered it and what confirmed it

A probe now ends with an outcome (accepted, reset, refused, unanswered, not sent) in place of a boolean. 'probe-failed' names the outcome, the trigger, open flows and the last reply; 'target-dead' the reference that confirmed it; 'flow-reset' how long the flow had been idle. Probes are counted by trigger and outcome.

No decision changes: any outcome but 'accepted' still counts as a failure. test_connects.py compared a boolean and now compares the outcome, which is stricter.

--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 import msgspec
@@ -116,18 +117,31 @@
     seeds: tuple[peers.Peer, ...]
 
 
+class ProbeOutcome(enum.StrEnum):
+    """What a probe found."""
+
+    ACCEPTED = "accepted"
+    RESET = "reset"
+    """A connection was established, and the target reset it."""
+    REFUSED = "refused"
+    """Nothing listens at the endpoint."""
+    UNANSWERED = "unanswered"
+    NOT_SENT = "not-sent"
+    """This host could not send the probe."""
+
+
 class TargetProbed(msgspec.Struct):
     """A probe of a target has ended.
 
     Attributes:
         now_s: Monotonic time in seconds.
         target: Name from the `ProbeTarget` effect.
-        is_answered: Whether the target accepted a connection.
+        outcome: What the probe found.
     """
 
     now_s: float
     target: str
-    is_answered: bool
+    outcome: ProbeOutcome
 
 
 Event = (
--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -10,6 +10,7 @@
 
 import collections
 from collections.abc import Iterator
+import math
 
 from tamarack_core import effects
 from tamarack_core import events
@@ -72,7 +73,7 @@
         self.subscription = subscription
         self.targets = subscription.targets
         self.tracker = rejector.tracker
-        self.probes = target_probes.TargetProbes()
+        self.probes = target_probes.TargetProbes(self.context.counters)
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the event handlers by key."""
@@ -91,15 +92,41 @@
     ) -> list[effects.Effect]:
         """Handles the result of a probe; flows of a dead target are reset."""
         self.check_suspension(event.now_s)
-        if event.is_answered:
+        self.context.counters[f"probes-{event.outcome}"] += 1
+        if event.outcome is events.ProbeOutcome.ACCEPTED:
             return self._handle_reply(event.now_s, event.target)
         failed = self.probes.handle_failure(event.target)
         if failed is None:
             return []
+        record = self._record_failed_probe(event, failed)
         if self.probes.has_later_reply(failed):
-            return self._confirm_failure(event.now_s, failed)
-        return self.probes.probe_reference(
-            event.now_s, failed, self._references()
+            return [
+                record,
+                *self._confirm_failure(event.now_s, failed, "an earlier probe"),
+            ]
+        return [
+            record,
+            *self.probes.probe_reference(
+                event.now_s, failed, self._references()
+            ),
+        ]
+
+    def _record_failed_probe(
+        self, event: events.TargetProbed, failed: target_probes.ProbeState
+    ) -> effects.Effect:
+        """Returns the time line entry of a probe that failed."""
+        now_s = event.now_s
+        entry = failed.entry
+        activity = self.tracker.activity_of(entry)
+        return self.context.record(
+            now_s,
+            "probe-failed",
+            service=entry.target.service,
+            target=entry.target.name,
+            reason=event.outcome,
+            detail=f"by {failed.trigger}, {now_s - failed.sent_s:.3f} s ago;"
+            f" {activity.flows} flows;"
+            f" last reply {_format_age(now_s, activity.liveness.last_reply_s)}",
         )
 
     def probe_dead(self, now_s: float) -> list[effects.Effect]:
@@ -140,7 +167,7 @@
             if was_dead and entry.target.domain in down_domains:
                 result += self._revive_domain(now_s, entry.target.domain)
         for probe in self.probes.awaiting_reference(name):
-            result += self._confirm_failure(now_s, probe)
+            result += self._confirm_failure(now_s, probe, name)
         return result
 
     def _revive_domain(self, now_s: float, domain: str) -> list[effects.Effect]:
@@ -165,9 +192,15 @@
         return result
 
     def _confirm_failure(
-        self, now_s: float, probe: target_probes.ProbeState
+        self, now_s: float, probe: target_probes.ProbeState, reference: str
     ) -> list[effects.Effect]:
-        """Marks a target dead if its failed probe is confirmed."""
+        """Marks a target dead if its failed probe is confirmed.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            probe: The failed probe.
+            reference: What has replied since, for the log.
+        """
         probe.reference = ""
         entry = self.targets.by_name.get(probe.entry.target.name)
         if entry is None or entry.is_gone:
@@ -183,7 +216,9 @@
             return []
         probe.is_dead = True
         return [
-            self._record_transition(now_s, entry, "target-dead"),
+            self._record_transition(
+                now_s, entry, "target-dead", "probe", reference
+            ),
             *self.rejector.reset_flows(now_s, entry, "target-silent"),
             *self._probe_neighbors(now_s, probe),
             *self._report_failure(probe),
@@ -215,7 +250,12 @@
                 continue
             activity.reported_s = now_s
             if activity.flows:
-                result += self.probes.probe(now_s, entry, is_reported=True)
+                result += self.probes.probe(
+                    now_s,
+                    entry,
+                    target_probes.Trigger.REPORT,
+                    is_reported=True,
+                )
         return result
 
     def probe_overdue(self, now_s: float) -> list[effects.Effect]:
@@ -226,7 +266,9 @@
             if entry.is_overdue
             and (activity := self.tracker.activity_of(entry)).flows
             and not activity.has_replied(now_s, OVERDUE_REPLY_S)
-            for effect in self.probes.probe(now_s, entry)
+            for effect in self.probes.probe(
+                now_s, entry, target_probes.Trigger.OVERDUE
+            )
         ]
 
     def _probe_neighbors(
@@ -247,7 +289,10 @@
             and (activity := self.tracker.activity_of(entry)).flows
             and activity.liveness.last_reply_s < dead.sent_s
             for effect in self.probes.probe(
-                now_s, entry, is_reported=dead.is_reported
+                now_s,
+                entry,
+                target_probes.Trigger.NEIGHBOR,
+                is_reported=dead.is_reported,
             )
         ]
 
@@ -257,15 +302,24 @@
         entry: target_table.TargetEntry,
         name: str,
         reason: str = "probe",
+        reference: str = "",
     ) -> effects.Effect:
         """Returns the time line entry of a target found dead or alive."""
+        activity = self.tracker.activity_of(entry)
+        detail = (
+            f"{activity.flows} flows;"
+            f" last reply {_format_age(now_s, activity.liveness.last_reply_s)};"
+            f" last update {_format_age(now_s, entry.updated_s)}"
+        )
+        if reference:
+            detail = f"confirmed by {reference}; {detail}"
         return self.context.record(
             now_s,
             name,
             service=entry.target.service,
             target=entry.target.name,
             reason=reason,
-            detail=f"last update {now_s - entry.updated_s:.1f} s ago",
+            detail=detail,
         )
 
     def _references(self) -> Iterator[target_table.TargetEntry]:
@@ -292,3 +346,8 @@
         their cause at this host or in its links, and its target serves.
         """
         return self.probes.is_dead(entry)
+
+
+def _format_age(now_s: float, at_s: float) -> str:
+    """Returns how long ago something happened, for the log."""
+    return "never" if math.isinf(at_s) else f"{now_s - at_s:.1f} s ago"
--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -69,6 +69,10 @@
         reason: str,
     ) -> list[effects.Effect]:
         """Resets an open flow; its last request may have run."""
+        flow = self.tracker.flows.get(key)
+        idle = "unknown here"
+        if flow is not None:
+            idle = f"idle {now_s - flow.last_packet_s:.1f} s"
         self.tracker.remove_flow(key)
         return [
             self._send_reset(key, acknowledged, reason),
@@ -81,7 +85,8 @@
                 version=self.routes.number,
                 verdict="may-have-run",
                 reason=reason,
-                detail=f"last update {now_s - entry.updated_s:.1f} s ago",
+                detail=f"{idle}; last update"
+                f" {now_s - entry.updated_s:.1f} s ago",
             ),
         ]
 
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -12,6 +12,7 @@
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_choice
+from tamarack_core.internal.cookie import target_probes
 from tamarack_core.internal.cookie import target_table
 
 TIMER = "forwarding"
@@ -253,7 +254,9 @@
         flow = self.tracker.flows.get(key)
         if flow is None or flow.is_open:
             return []
-        return self.probes.probe(now_s, flow.target)
+        return self.probes.probe(
+            now_s, flow.target, target_probes.Trigger.OPENING
+        )
 
     def _forward_opening(
         self,
@@ -306,7 +309,9 @@
             return self._reset_flow(now_s, packet, entry, "target-silent")
         result = self._send_to_target(packet, entry)
         if is_retransmission:
-            result += self.probes.probe(now_s, entry)
+            result += self.probes.probe(
+                now_s, entry, target_probes.Trigger.RETRANSMISSION
+            )
         return result
 
     def _send_to_target(
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -18,6 +18,7 @@
 import collections
 from collections.abc import Container
 from collections.abc import Iterable
+import enum
 
 import msgspec
 
@@ -47,6 +48,18 @@
 them may have crashed as well."""
 
 
+class Trigger(enum.StrEnum):
+    """What made this host probe a target."""
+
+    RETRANSMISSION = "retransmission"
+    OPENING = "repeated-opening"
+    OVERDUE = "overdue"
+    REPORT = "report"
+    NEIGHBOR = "dead-neighbor"
+    REFERENCE = "reference"
+    RECOVERY = "recovery"
+
+
 class ProbeState(msgspec.Struct):
     """State of the probes of a target.
 
@@ -54,6 +67,7 @@
         entry: The target.
         sent_s: Time of the last probe, in seconds.
         is_running: Whether a probe is in flight.
+        trigger: What the last probe was sent for.
         is_reported: Whether the probe was started by a report of another host.
         reference: Target whose reply confirms a failed probe; empty if no
             failure is unconfirmed.
@@ -62,6 +76,7 @@
 
     entry: target_table.TargetEntry
     sent_s: float = float("-inf")
+    trigger: Trigger = Trigger.RETRANSMISSION
     is_running: bool = False
     is_reported: bool = False
     reference: str = ""
@@ -72,15 +87,21 @@
     """Probes by name of the target.
 
     Attributes:
+        counters: Counters of the host; probes are counted by trigger.
         probes: State of the probes by name of the target.
         replied_sent_s: Time at which the last probe with a reply was sent, in
             seconds.
     """
 
-    __slots__ = ("probes", "replied_sent_s")
+    __slots__ = ("counters", "probes", "replied_sent_s")
+
+    def __init__(self, counters: collections.Counter[str]) -> None:
+        """Initializes the probes without any target.
 
-    def __init__(self) -> None:
-        """Initializes the probes without any target."""
+        Args:
+            counters: Counters of the host.
+        """
+        self.counters = counters
         self.probes: dict[str, ProbeState] = {}
         self.replied_sent_s = float("-inf")
 
@@ -97,6 +118,7 @@
         self,
         now_s: float,
         entry: target_table.TargetEntry,
+        trigger: Trigger,
         *,
         is_reported: bool = False,
     ) -> list[effects.Effect]:
@@ -105,6 +127,7 @@
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
+            trigger: Why the target is suspect.
             is_reported: Whether another host reported it as dead.
         """
         probe = self._state_of(entry)
@@ -112,7 +135,7 @@
         if is_pending or now_s - probe.sent_s < PROBE_INTERVAL_S:
             return []
         probe.is_reported = is_reported
-        return [_send_probe(now_s, probe)]
+        return [self._send(now_s, probe, trigger)]
 
     def _state_of(self, entry: target_table.TargetEntry) -> ProbeState:
         """Returns the probe state of a target, a new one after a restart."""
@@ -186,7 +209,9 @@
             if other is probe or other.is_dead or other.reference:
                 continue
             probe.reference = entry.target.name
-            return [] if other.is_running else [_send_probe(now_s, other)]
+            if other.is_running:
+                return []
+            return [self._send(now_s, other, Trigger.REFERENCE)]
         return []
 
     def _discard_failures(self, reference: str) -> None:
@@ -246,24 +271,31 @@
             if domain in down_domains and recent[domain] >= DOMAIN_PROBES:
                 continue
             recent[domain] += 1
-            result.append(_send_probe(now_s, probe, attempts=1))
+            result.append(
+                self._send(now_s, probe, Trigger.RECOVERY, attempts=1)
+            )
         return result
 
+    def _send(
+        self,
+        now_s: float,
+        probe: ProbeState,
+        trigger: Trigger,
+        attempts: int = ATTEMPTS,
+    ) -> effects.Effect:
+        """Returns the effect that sends a probe."""
+        self.counters[f"probes-sent-{trigger}"] += 1
+        probe.trigger = trigger
+        probe.is_running = True
+        probe.sent_s = now_s
+        target = probe.entry.target
+        return effects.ProbeTarget(
+            target.name, target.endpoint, TIMEOUT_S, attempts, SPACING_S
+        )
+
 
 def is_restarted(
     held: target_table.TargetEntry, entry: target_table.TargetEntry
 ) -> bool:
     """Returns whether a target has restarted."""
     return held.target.born_ms != entry.target.born_ms
-
-
-def _send_probe(
-    now_s: float, probe: ProbeState, attempts: int = ATTEMPTS
-) -> effects.Effect:
-    """Returns the effect that sends a probe."""
-    probe.is_running = True
-    probe.sent_s = now_s
-    target = probe.entry.target
-    return effects.ProbeTarget(
-        target.name, target.endpoint, TIMEOUT_S, attempts, SPACING_S
-    )
--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -5,30 +5,37 @@
 import socket
 
 from tamarack_core import effects
+from tamarack_core import events
 
+_OUTCOMES = {
+    0: events.ProbeOutcome.ACCEPTED,
+    errno.ECONNREFUSED: events.ProbeOutcome.REFUSED,
+    errno.ECONNRESET: events.ProbeOutcome.RESET,
+}
 
-async def accepts_connection(
-    probe: effects.ProbeTarget, local_address: str
-) -> bool:
-    """Returns whether a target accepts a connection before the timeout.
 
-    While none is accepted, further connections are attempted, as a packet may
+async def probe(
+    effect: effects.ProbeTarget, local_address: str
+) -> events.ProbeOutcome:
+    """Returns what a probe of a target found before the timeout.
+
+    While no connection is accepted, further ones are attempted, as a packet may
     be lost. A connection that is refused ends the probe at once.
 
     Args:
-        probe: The target, the timeout and the number of attempts.
+        effect: The target, the timeout and the number of attempts.
         local_address: IP address to connect from.
     """
     loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + probe.timeout_s
-    outcome: asyncio.Future[bool] = loop.create_future()
+    deadline_s = loop.time() + effect.timeout_s
+    outcome: asyncio.Future[events.ProbeOutcome] = loop.create_future()
     connections: list[socket.socket] = []
     try:
-        for _ in range(probe.attempts):
+        for _ in range(effect.attempts):
             connections.append(
-                _start_connecting(loop, probe, local_address, outcome)
+                _start_connecting(loop, effect, local_address, outcome)
             )
-            await asyncio.wait((outcome,), timeout=probe.spacing_s)
+            await asyncio.wait((outcome,), timeout=effect.spacing_s)
             if outcome.done():
                 return outcome.result()
         await asyncio.wait((outcome,), timeout=deadline_s - loop.time())
@@ -36,7 +43,9 @@
             return outcome.result()
         # After a stall of this process, a connection may be established
         # although the event loop has not handled it yet.
-        return any(_is_connected(connection) for connection in connections)
+        if any(_is_connected(connection) for connection in connections):
+            return events.ProbeOutcome.ACCEPTED
+        return events.ProbeOutcome.UNANSWERED
     finally:
         for connection in connections:
             loop.remove_writer(connection)
@@ -45,9 +54,9 @@
 
 def _start_connecting(
     loop: asyncio.AbstractEventLoop,
-    probe: effects.ProbeTarget,
+    effect: effects.ProbeTarget,
     local_address: str,
-    outcome: asyncio.Future[bool],
+    outcome: asyncio.Future[events.ProbeOutcome],
 ) -> socket.socket:
     """Starts to connect; sets the outcome once it is known."""
     family = socket.AF_INET6 if ":" in local_address else socket.AF_INET
@@ -57,25 +66,31 @@
     def handle_writable() -> None:
         loop.remove_writer(connection)
         error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        _set_outcome(outcome, error)
+        _set_outcome(
+            outcome, _OUTCOMES.get(error, events.ProbeOutcome.UNANSWERED)
+        )
 
     try:
         connection.bind((local_address, 0))
-        endpoint = probe.endpoint
+        endpoint = effect.endpoint
         error = connection.connect_ex((endpoint.address, endpoint.port))
     except OSError as os_error:
         error = os_error.errno or errno.EIO
     if error == errno.EINPROGRESS:
         loop.add_writer(connection, handle_writable)
     else:
-        _set_outcome(outcome, error)
+        _set_outcome(
+            outcome, _OUTCOMES.get(error, events.ProbeOutcome.NOT_SENT)
+        )
     return connection
 
 
-def _set_outcome(outcome: asyncio.Future[bool], error: int) -> None:
+def _set_outcome(
+    outcome: asyncio.Future[events.ProbeOutcome], found: events.ProbeOutcome
+) -> None:
     """Sets the outcome, unless another connection has set it."""
     if not outcome.done():
-        outcome.set_result(error == 0)
+        outcome.set_result(found)
 
 
 def _is_connected(connection: socket.socket) -> bool:
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -366,11 +366,9 @@
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
         """Probes a target and passes the result to the core."""
-        has_accepted = await tcp_probe.accepts_connection(
-            effect, self.addresses.internal.address
-        )
+        outcome = await tcp_probe.probe(effect, self.addresses.internal.address)
         self.handle(
-            events.TargetProbed(time.monotonic(), effect.target, has_accepted)
+            events.TargetProbed(time.monotonic(), effect.target, outcome)
         )
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -191,7 +191,16 @@
 
     def complete_probe(self, name: str, *, is_answered: bool) -> None:
         """Delivers the result of the probe of a target."""
-        self.handle(events.TargetProbed(self.now_s, name, is_answered))
+        self.end_probe(
+            name,
+            events.ProbeOutcome.ACCEPTED
+            if is_answered
+            else events.ProbeOutcome.UNANSWERED,
+        )
+
+    def end_probe(self, name: str, outcome: events.ProbeOutcome) -> None:
+        """Delivers what the probe of a target found."""
+        self.handle(events.TargetProbed(self.now_s, name, outcome))
 
     def tick(self, seconds: float) -> None:
         """Advances the time and fires the periodic timers of the host."""
--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -8,6 +8,7 @@
 from testtools import matchers
 
 from tamarack_core import effects
+from tamarack_core import events
 from tamarack_core import peers
 from tamarack_node.internal import tcp_probe
 
@@ -29,7 +30,7 @@
 
     def run_probe(self, during=None):
         async def run():
-            pending = tcp_probe.accepts_connection(self.probe(), LOOPBACK)
+            pending = tcp_probe.probe(self.probe(), LOOPBACK)
             task = asyncio.create_task(pending)
             if during is not None:
                 await asyncio.sleep(0.03)
@@ -50,24 +51,24 @@
 
     def test_a_listening_target_accepts(self):
         self.listener.listen(8)
-        is_answered, took_s = self.run_probe()
-        self.assertTrue(is_answered)
+        outcome, took_s = self.run_probe()
+        self.assertEqual(events.ProbeOutcome.ACCEPTED, outcome)
         self.assertThat(took_s, matchers.LessThan(0.2))
 
     def test_a_refused_connection_fails_the_probe(self):
-        self.assertEqual(False, self.run_probe()[0])
+        self.assertEqual(events.ProbeOutcome.REFUSED, self.run_probe()[0])
 
     def test_an_unresponsive_target_fails_only_after_the_timeout(self):
         self.fill_backlog()
-        is_answered, took_s = self.run_probe()
-        self.assertFalse(is_answered)
+        outcome, took_s = self.run_probe()
+        self.assertEqual(events.ProbeOutcome.UNANSWERED, outcome)
         self.assertThat(took_s, matchers.GreaterThan(0.24))
 
     def test_a_stall_of_this_process_does_not_fail_the_probe(self):
         self.listener.listen(8)
-        is_answered, _ = self.run_probe(during=lambda: time.sleep(0.4))
-        self.assertTrue(is_answered)
+        outcome, _ = self.run_probe(during=lambda: time.sleep(0.4))
+        self.assertEqual(events.ProbeOutcome.ACCEPTED, outcome)
 
-    def test_an_address_of_another_machine_fails_the_probe(self):
-        pending = tcp_probe.accepts_connection(self.probe(), "192.0.2.1")
-        self.assertFalse(asyncio.run(pending))
+    def test_a_probe_from_an_address_of_another_machine_is_not_sent(self):
+        pending = tcp_probe.probe(self.probe(), "192.0.2.1")
+        self.assertEqual(events.ProbeOutcome.NOT_SENT, asyncio.run(pending))
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -437,6 +437,27 @@
         self.assertEqual(3, len(host.resets))
         self.assertEqual({"t-2"}, {host.open(n) for n in range(20, 40)})
 
+    def test_the_log_says_why_a_target_is_dead_and_how_long_flows_were_idle(
+        self,
+    ):
+        host = self.start()
+        self.retransmit(host)
+        host.tick(0.2)
+        self.fail_probe(host, "t-1")
+        entries = {
+            record.entry.name: record.entry for record in reversed(host.records)
+        }
+        failed = entries["probe-failed"]
+        self.assertEqual(("t-1", "unanswered"), (failed.target, failed.reason))
+        self.assertIn("by retransmission, 0.200 s ago; 3 flows", failed.detail)
+        self.assertIn("confirmed by t-3", entries["target-dead"].detail)
+        self.assertIn("idle 0.5 s", entries["flow-reset"].detail)
+        counters = host.node.context.counters
+        self.assertEqual(1, counters["probes-sent-retransmission"])
+        self.assertEqual(1, counters["probes-sent-reference"])
+        self.assertEqual(1, counters["probes-unanswered"])
+        self.assertEqual(1, counters["probes-accepted"])
+
     def test_a_probe_from_before_a_restart_of_the_target_is_ignored(self):
         host = self.start()
         self.retransmit(host)
--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -4,6 +4,7 @@
 `docs/CAPACITY.md` has its output.
 """
 
+import collections
 import random
 import time
 import tracemalloc
@@ -108,7 +109,10 @@
     for number in range(count):
         table.put(0.0, target_announcement.KnownTarget(target(number * 700)))
     candidates = list(table.by_name.values())
-    tracker, probes = flow_tracker.FlowTracker(), target_probes.TargetProbes()
+    tracker, probes = (
+        flow_tracker.FlowTracker(),
+        target_probes.TargetProbes(collections.Counter()),
+    )
     generator = random.Random(1)
     began_s = time.process_time()
     for _ in range(CHOICES):
