Add failing tests: probes that a target resets, or that were not sent, reset flows

A real listener that resets an accepted connection makes the probe fail on and on.

Beside it, errors of this host's own sockets count as failures too, and without a free descriptor the probe never ends.

--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -1,7 +1,10 @@
 """TCP probes of targets over real sockets."""
 
 import asyncio
+import resource
 import socket
+import struct
+import threading
 import time
 
 import testtools
@@ -64,6 +67,43 @@
         self.assertEqual(events.ProbeOutcome.UNANSWERED, outcome)
         self.assertThat(took_s, matchers.GreaterThan(0.24))
 
+    def test_a_connection_that_the_target_resets_was_established(self):
+        # The event loop is busy, so that it sees the reset first.
+        self.listener.listen(8)
+
+        def reset_next():
+            connection, _ = self.listener.accept()
+            no_linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+            )
+            connection.close()
+
+        thread = threading.Thread(target=reset_next)
+        thread.start()
+        self.addCleanup(thread.join)
+
+        async def run():
+            pending = tcp_probe.probe(self.probe(), LOOPBACK)
+            task = asyncio.create_task(pending)
+            asyncio.get_running_loop().call_soon(time.sleep, 0.1)
+            return await task
+
+        self.assertEqual(events.ProbeOutcome.RESET, asyncio.run(run()))
+
+    def test_a_probe_without_a_free_descriptor_is_not_sent(self):
+        self.listener.listen(8)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+        async def run():
+            resource.setrlimit(resource.RLIMIT_NOFILE, (3, limits[1]))
+            try:
+                return await tcp_probe.probe(self.probe(), LOOPBACK)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+        self.assertEqual(events.ProbeOutcome.NOT_SENT, asyncio.run(run()))
+
     def test_a_stall_of_this_process_does_not_fail_the_probe(self):
         self.listener.listen(8)
         outcome, _ = self.run_probe(during=lambda: time.sleep(0.4))
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -397,6 +397,24 @@
         self.assertEqual([], host.resets)
         self.assertEqual(["t-1"], host.probed)
 
+    def test_a_target_that_resets_the_probe_keeps_its_flows(self):
+        # Its queue of connections may be full while it serves its flows.
+        host = self.start()
+        self.retransmit(host)
+        host.end_probe("t-1", events.ProbeOutcome.RESET)
+        host.complete_probe("t-3", is_answered=True)
+        self.assertEqual([], host.resets)
+        self.assertIn("t-1", {host.open(n) for n in range(20, 40)})
+
+    def test_a_probe_that_could_not_be_sent_resets_no_flow(self):
+        # Such as without a free descriptor or local port.
+        host = self.start()
+        self.retransmit(host)
+        host.end_probe("t-1", events.ProbeOutcome.NOT_SENT)
+        host.complete_probe("t-3", is_answered=True)
+        self.assertEqual([], host.resets)
+        self.assertIn("t-1", {host.open(n) for n in range(20, 40)})
+
     def test_a_target_with_active_flows_is_not_dead(self):
         # The reply to a probe may be late where a link is full.
         host = self.start()
