Count a connection that the target resets as a reply to a probe

Cause: when most targets of a failure domain fall silent, all entry hosts probe its other targets within milliseconds. The target resets some of the established connections then; that its queue of connections is full is our reading, not shown. The probe saw ECONNRESET in place of silence, yet counted it as no answer; its reference answered, so the target was dead and all its flows were reset, idle ones too.

--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -129,6 +129,15 @@
     NOT_SENT = "not-sent"
     """This host could not send the probe."""
 
+    @property
+    def is_reply(self) -> bool:
+        """Whether the target replied.
+
+        A target whose queue of connections is full may reset one that was
+        established, while it serves its flows.
+        """
+        return self in (ProbeOutcome.ACCEPTED, ProbeOutcome.RESET)
+
 
 class TargetProbed(msgspec.Struct):
     """A probe of a target has ended.
--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -93,7 +93,7 @@
         """Handles the result of a probe; flows of a dead target are reset."""
         self.check_suspension(event.now_s)
         self.context.counters[f"probes-{event.outcome}"] += 1
-        if event.outcome is events.ProbeOutcome.ACCEPTED:
+        if event.outcome.is_reply:
             return self._handle_reply(event.now_s, event.target)
         failed = self.probes.handle_failure(event.target)
         if failed is None:
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -5,6 +5,10 @@
 to start a probe. A probe makes several connection attempts, since one packet
 may be lost. No probe is sent while nothing is suspect.
 
+A connection that the target resets is a reply as well: only silence and a
+refusal, which shows that nothing listens, make a probe fail. Hundreds of hosts
+may probe a target at the same moment, and fill its queue of connections.
+
 A failed probe counts only once another target, the reference, has replied to a
 later probe: if a large document fills the link of this host, or the host is
 cut off, no target replies. Progress of the flows of a target outweighs a
