Draw no conclusion from probes that this host could not send

Callers would see the flows of targets that serve reset, or openings kept from them, by a host that runs out of descriptors or local ports: an error of its own sockets counted as a failed probe, which any reference that answers later confirms. Without a free descriptor the probe even raised, so that it never ended and its target was never probed again; a dead target then stays dead at that host for good.

--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -95,6 +95,9 @@
         self.context.counters[f"probes-{event.outcome}"] += 1
         if event.outcome.is_reply:
             return self._handle_reply(event.now_s, event.target)
+        if event.outcome is events.ProbeOutcome.NOT_SENT:
+            unsent = self.probes.handle_unsent(event.target)
+            return [self._record_failed_probe(event, unsent)] if unsent else []
         failed = self.probes.handle_failure(event.target)
         if failed is None:
             return []
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -177,12 +177,26 @@
         Returns:
             The probe if it is unconfirmed, otherwise None.
         """
+        probe = self.handle_unsent(name)
+        return None if probe is None or probe.is_dead else probe
+
+    def handle_unsent(self, name: str) -> ProbeState | None:
+        """Handles a probe that this host could not send.
+
+        It shows nothing about the target, and confirms no failure of another.
+
+        Args:
+            name: Name of the target.
+
+        Returns:
+            The probe, or None if none was in flight.
+        """
         probe = self.probes.get(name)
         if probe is None or not probe.is_running:
             return None
         probe.is_running = False
         self._discard_failures(name)
-        return None if probe.is_dead else probe
+        return probe
 
     def has_later_reply(self, failed: ProbeState) -> bool:
         """Returns whether a probe sent after a failed one had a reply.
--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -20,7 +20,8 @@
     """Returns what a probe of a target found before the timeout.
 
     While no connection is accepted, further ones are attempted, as a packet may
-    be lost. A connection that is refused ends the probe at once.
+    be lost. A connection that is refused ends the probe at once. An error of
+    this host's own sockets says nothing about the target.
 
     Args:
         effect: The target, the timeout and the number of attempts.
@@ -32,9 +33,11 @@
     connections: list[socket.socket] = []
     try:
         for _ in range(effect.attempts):
-            connections.append(
-                _start_connecting(loop, effect, local_address, outcome)
-            )
+            connection = _start_connecting(loop, effect, local_address, outcome)
+            if connection is not None:
+                connections.append(connection)
+            elif not connections:
+                return events.ProbeOutcome.NOT_SENT
             await asyncio.wait((outcome,), timeout=effect.spacing_s)
             if outcome.done():
                 return outcome.result()
@@ -57,10 +60,18 @@
     effect: effects.ProbeTarget,
     local_address: str,
     outcome: asyncio.Future[events.ProbeOutcome],
-) -> socket.socket:
-    """Starts to connect; sets the outcome once it is known."""
+) -> socket.socket | None:
+    """Starts to connect; sets the outcome once it is known.
+
+    Returns:
+        The connection; None if this host can't open one.
+    """
     family = socket.AF_INET6 if ":" in local_address else socket.AF_INET
-    connection = socket.socket(family, socket.SOCK_STREAM)
+    endpoint = effect.endpoint
+    try:
+        connection = socket.socket(family, socket.SOCK_STREAM)
+    except OSError:
+        return None
     connection.setblocking(False)
 
     def handle_writable() -> None:
@@ -72,16 +83,16 @@
 
     try:
         connection.bind((local_address, 0))
-        endpoint = effect.endpoint
         error = connection.connect_ex((endpoint.address, endpoint.port))
     except OSError as os_error:
         error = os_error.errno or errno.EIO
     if error == errno.EINPROGRESS:
         loop.add_writer(connection, handle_writable)
+    elif error in _OUTCOMES:
+        _set_outcome(outcome, _OUTCOMES[error])
     else:
-        _set_outcome(
-            outcome, _OUTCOMES.get(error, events.ProbeOutcome.NOT_SENT)
-        )
+        connection.close()
+        return None
     return connection
 
 
