End a probe that fails unexpectedly, so that its target is probed again

Callers would wait on, or be kept from, a target that one entry host never probes again. An error that the probe doesn't expect, such as a port out of range (OverflowError), ended its task without a result, and the core waits for the result before the next probe.

The driver logs 'probe-error', counts it, and reports the probe as not sent. test_a_probe_that_fails_unexpectedly_ends_nevertheless failed before.

--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -365,8 +365,18 @@
                 raise AssertionError(f"unsupported effect: {type(effect)}")
 
     async def _probe(self, effect: effects.ProbeTarget) -> None:
-        """Probes a target and passes the result to the core."""
-        outcome = await tcp_probe.probe(effect, self.addresses.internal.address)
+        """Probes a target and passes the result to the core.
+
+        The core waits for the result before it probes the target again.
+        """
+        try:
+            outcome = await tcp_probe.probe(
+                effect, self.addresses.internal.address
+            )
+        except Exception as error:
+            outcome = events.ProbeOutcome.NOT_SENT
+            self.node.context.counters["probe-error"] += 1
+            log_event("probe-error", f"{effect.target}: {error!r}")
         self.handle(
             events.TargetProbed(time.monotonic(), effect.target, outcome)
         )
--- a/tests/cover/test_light_driver.py
+++ b/tests/cover/test_light_driver.py
@@ -48,18 +48,23 @@
         ticks: Number of timer events.
         handled: Types of the other events, in order.
         failing: Whether all handlers but that of a stop fail.
+        effects: Effects that the next datagram causes.
+        probed: Results of probes, in order.
     """
 
     def __init__(self):
         self.ticks = 0
         self.handled = []
         self.failing = False
+        self.effects = []
+        self.probed = []
 
     def handlers(self):
         return {
             events.Started: self.handle_tick,
             events.StopRequested: self.handle_stop,
-            events.DatagramArrived: self.handle_other,
+            events.DatagramArrived: self.handle_datagram,
+            events.TargetProbed: self.handle_probed,
             "tick": self.handle_tick,
             sync.ControlHello: self.handle_other,
             external_requests.ReadDocument: self.handle_other,
@@ -75,6 +80,15 @@
         self.handled.append(type(event))
         return []
 
+    def handle_datagram(self, event):
+        self.handle_other(event)
+        caused, self.effects = self.effects, []
+        return caused
+
+    def handle_probed(self, event):
+        self.probed.append((event.target, event.outcome))
+        return []
+
     def handle_stop(self, event):
         return [effects.Stop(0, "stop requested")]
 
@@ -152,6 +166,20 @@
 class UnexpectedErrorTest(DriverCase):
     """Faults: the handlers of all events fail for a while."""
 
+    def test_a_probe_that_fails_unexpectedly_ends_nevertheless(self):
+        # A target whose probe never ends is never probed again.
+        endpoint = peers.Endpoint(ADDRESS, 70_000)
+
+        async def play(driver, component):
+            component.effects = [effects.ProbeTarget("t-1", endpoint, 0.25)]
+            driver.handle(events.DatagramArrived(time.monotonic(), b""))
+            while not component.probed:
+                await asyncio.sleep(0.005)
+            return component.probed
+
+        probed = self.run_driver(play)
+        self.assertEqual([("t-1", events.ProbeOutcome.NOT_SENT)], probed)
+
     def test_the_host_goes_on(self):
         async def play(driver, component):
             component.failing = True
