--- a/tests/cover/test_light_driver.py
+++ b/tests/cover/test_light_driver.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import socket
 import time
 
@@ -22,7 +23,9 @@
 from tamarack_node.internal import event_handling
 from tamarack_node.internal import http1
 
-ADDRESS = "127.4.8.1"
+ADDRESS = "127.4.{}.{}".format(*divmod(os.getpid() % 62_500, 250))
+"""Differs between processes, as copies of this file may run side by side."""
+
 INTERNAL, PUBLIC, DATA = 17720, 18166, 18172
 OWN = peers.Peer("h1", "a", peers.Endpoint(ADDRESS, INTERNAL))
 TIMEOUT_S = 5.0
