Match the result of a probe to the probe by its number

Callers would see flows reset whose target serves: after a suspension of this host, or a restart of the target, the result of a probe from before counted for the probe that was sent since, and was confirmed by the next reference. A late reply of a reference confirmed as well.

--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -112,6 +112,7 @@
         attempts: Maximum number of connection attempts; more than one, as a
             packet may be lost.
         spacing_s: Seconds between the attempts.
+        number: Number of the probe, also in the `TargetProbed` event.
     """
 
     target: str
@@ -119,6 +120,7 @@
     timeout_s: float
     attempts: int = 1
     spacing_s: float = 0.0
+    number: int = 0
 
 
 class Record(msgspec.Struct):
--- a/packages/core/src/tamarack_core/events.py
+++ b/packages/core/src/tamarack_core/events.py
@@ -146,11 +146,13 @@
         now_s: Monotonic time in seconds.
         target: Name from the `ProbeTarget` effect.
         outcome: What the probe found.
+        number: Number from the `ProbeTarget` effect.
     """
 
     now_s: float
     target: str
     outcome: ProbeOutcome
+    number: int = 0
 
 
 Event = (
--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -94,11 +94,11 @@
         self.check_suspension(event.now_s)
         self.context.counters[f"probes-{event.outcome}"] += 1
         if event.outcome.is_reply:
-            return self._handle_reply(event.now_s, event.target)
+            return self._handle_reply(event)
         if event.outcome is events.ProbeOutcome.NOT_SENT:
-            unsent = self.probes.handle_unsent(event.target)
+            unsent = self.probes.handle_unsent(event.target, event.number)
             return [self._record_failed_probe(event, unsent)] if unsent else []
-        failed = self.probes.handle_failure(event.target)
+        failed = self.probes.handle_failure(event.target, event.number)
         if failed is None:
             return []
         record = self._record_failed_probe(event, failed)
@@ -155,10 +155,12 @@
             if count >= MIN_DOWN_TARGETS and 2 * count > known[domain]
         }
 
-    def _handle_reply(self, now_s: float, name: str) -> list[effects.Effect]:
+    def _handle_reply(self, event: events.TargetProbed) -> list[effects.Effect]:
         """Handles a reply, and confirms the failures that waited for it."""
+        now_s, name = event.now_s, event.target
         down_domains = self._down_domains() if self.probes.dead() else set()
-        was_dead = self.probes.handle_success(name)
+        is_current = self.probes.is_running(name, event.number)
+        was_dead = self.probes.handle_success(name, event.number)
         entry = self.targets.by_name.get(name)
         result: list[effects.Effect] = []
         if entry is not None:
@@ -169,8 +171,9 @@
                 )
             if was_dead and entry.target.domain in down_domains:
                 result += self._revive_domain(now_s, entry.target.domain)
-        for probe in self.probes.awaiting_reference(name):
-            result += self._confirm_failure(now_s, probe, name)
+        if is_current:
+            for probe in self.probes.awaiting_reference(name):
+                result += self._confirm_failure(now_s, probe, name)
         return result
 
     def _revive_domain(self, now_s: float, domain: str) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -71,6 +71,7 @@
         entry: The target.
         sent_s: Time of the last probe, in seconds.
         is_running: Whether a probe is in flight.
+        number: Number of the last probe.
         trigger: What the last probe was sent for.
         is_reported: Whether the probe was started by a report of another host.
         reference: Target whose reply confirms a failed probe; empty if no
@@ -80,6 +81,7 @@
 
     entry: target_table.TargetEntry
     sent_s: float = float("-inf")
+    number: int = 0
     trigger: Trigger = Trigger.RETRANSMISSION
     is_running: bool = False
     is_reported: bool = False
@@ -93,11 +95,12 @@
     Attributes:
         counters: Counters of the host; probes are counted by trigger.
         probes: State of the probes by name of the target.
+        sent: Number of probes sent.
         replied_sent_s: Time at which the last probe with a reply was sent, in
             seconds.
     """
 
-    __slots__ = ("counters", "probes", "replied_sent_s")
+    __slots__ = ("counters", "probes", "replied_sent_s", "sent")
 
     def __init__(self, counters: collections.Counter[str]) -> None:
         """Initializes the probes without any target.
@@ -107,6 +110,7 @@
         """
         self.counters = counters
         self.probes: dict[str, ProbeState] = {}
+        self.sent = 0
         self.replied_sent_s = float("-inf")
 
     def is_dead(self, entry: target_table.TargetEntry) -> bool:
@@ -150,54 +154,62 @@
         probe.entry = entry
         return probe
 
-    def handle_success(self, name: str) -> bool:
+    def handle_success(self, name: str, number: int) -> bool:
         """Handles a successful probe.
 
         Args:
             name: Name of the target.
+            number: Number of the probe.
 
         Returns:
             Whether the target had been found dead.
         """
-        probe = self.probes.get(name)
-        if probe is None or not probe.is_running:
+        if not self.is_running(name, number):
             return False
+        probe = self.probes[name]
         was_dead, probe.is_dead = probe.is_dead, False
         probe.is_running = False
         probe.reference = ""
         self.replied_sent_s = max(self.replied_sent_s, probe.sent_s)
         return was_dead
 
-    def handle_failure(self, name: str) -> ProbeState | None:
+    def handle_failure(self, name: str, number: int) -> ProbeState | None:
         """Handles a failed probe.
 
         Args:
             name: Name of the target.
+            number: Number of the probe.
 
         Returns:
             The probe if it is unconfirmed, otherwise None.
         """
-        probe = self.handle_unsent(name)
+        probe = self.handle_unsent(name, number)
         return None if probe is None or probe.is_dead else probe
 
-    def handle_unsent(self, name: str) -> ProbeState | None:
+    def handle_unsent(self, name: str, number: int) -> ProbeState | None:
         """Handles a probe that this host could not send.
 
         It shows nothing about the target, and confirms no failure of another.
 
         Args:
             name: Name of the target.
+            number: Number of the probe.
 
         Returns:
             The probe, or None if none was in flight.
         """
-        probe = self.probes.get(name)
-        if probe is None or not probe.is_running:
+        if not self.is_running(name, number):
             return None
+        probe = self.probes[name]
         probe.is_running = False
         self._discard_failures(name)
         return probe
 
+    def is_running(self, name: str, number: int) -> bool:
+        """Returns whether a probe was neither replaced nor discarded."""
+        probe = self.probes.get(name)
+        return probe is not None and probe.is_running and probe.number == number
+
     def has_later_reply(self, failed: ProbeState) -> bool:
         """Returns whether a probe sent after a failed one had a reply.
 
@@ -303,12 +315,19 @@
     ) -> effects.Effect:
         """Returns the effect that sends a probe."""
         self.counters[f"probes-sent-{trigger}"] += 1
+        self.sent += 1
+        probe.number = self.sent
         probe.trigger = trigger
         probe.is_running = True
         probe.sent_s = now_s
         target = probe.entry.target
         return effects.ProbeTarget(
-            target.name, target.endpoint, TIMEOUT_S, attempts, SPACING_S
+            target.name,
+            target.endpoint,
+            TIMEOUT_S,
+            attempts,
+            SPACING_S,
+            probe.number,
         )
 
 
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -378,7 +378,9 @@
             self.node.context.counters["probe-error"] += 1
             log_event("probe-error", f"{effect.target}: {error!r}")
         self.handle(
-            events.TargetProbed(time.monotonic(), effect.target, outcome)
+            events.TargetProbed(
+                time.monotonic(), effect.target, outcome, effect.number
+            )
         )
 
     def _send_datagram(self, effect: effects.SendDatagram) -> None:
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -141,6 +141,7 @@
         sent: Messages that the host sent, in order.
         records: Time line entries that the host recorded.
         probes: Probes that the host sent.
+        probe_numbers: Number of the last probe of each target.
         resets: Endpoints of the callers to which a reset was sent.
     """
 
@@ -161,6 +162,7 @@
         self.sent: list[effects.SendMessage] = []
         self.records: list[effects.Record] = []
         self.probes: list[effects.ProbeTarget] = []
+        self.probe_numbers: dict[str, int] = {}
         self.resets: list[peers.Endpoint] = []
         self.handle(events.Started(self.now_s, 0))
 
@@ -174,6 +176,7 @@
                 self.records.append(effect)
             if isinstance(effect, effects.ProbeTarget):
                 self.probes.append(effect)
+                self.probe_numbers[effect.target] = effect.number
             if isinstance(effect, effects.SendDatagram):
                 self._record_reset(effect)
         return result
@@ -198,9 +201,16 @@
             else events.ProbeOutcome.UNANSWERED,
         )
 
-    def end_probe(self, name: str, outcome: events.ProbeOutcome) -> None:
-        """Delivers what the probe of a target found."""
-        self.handle(events.TargetProbed(self.now_s, name, outcome))
+    def end_probe(
+        self,
+        name: str,
+        outcome: events.ProbeOutcome,
+        number: int | None = None,
+    ) -> None:
+        """Delivers what the last probe of a target found, or another one."""
+        if number is None:
+            number = self.probe_numbers.get(name, 0)
+        self.handle(events.TargetProbed(self.now_s, name, outcome, number))
 
     def tick(self, seconds: float) -> None:
         """Advances the time and fires the periodic timers of the host."""
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -485,6 +485,20 @@
         self.assertEqual([], host.resets)
         self.assertIn("t-1", {host.open(n) for n in range(20, 40)})
 
+    def test_a_result_from_before_a_restart_does_not_end_a_later_probe(self):
+        host = self.start()
+        self.retransmit(host)
+        host.update(cookie_host.target("t-1", born_ms=2000), base=1, position=2)
+        for _ in range(2):
+            host.send(80, "t-1", acknowledged=1, payload_bytes=10)
+            host.tick(0.1)
+        self.assertEqual(["t-1", "t-1"], host.probed)
+        host.end_probe(
+            "t-1", events.ProbeOutcome.REFUSED, host.probes[0].number
+        )
+        host.complete_probe("t-3", is_answered=True)
+        self.assertEqual([], host.resets)
+
     def test_a_dead_target_that_restarts_is_used_at_once(self):
         host = self.start()
         self.retransmit(host)
@@ -515,6 +529,19 @@
         self.fail_probe(host, "t-1")
         self.assertEqual([], host.resets)
 
+    def test_a_result_from_before_a_suspension_does_not_end_a_later_probe(self):
+        host = self.start()
+        self.retransmit(host)
+        host.now_s += 4.0
+        host.tick(0.2)
+        host.send(0, "t-1", acknowledged=600, sequence=11, payload_bytes=10)
+        self.assertEqual(["t-1", "t-1"], host.probed)
+        host.end_probe(
+            "t-1", events.ProbeOutcome.REFUSED, host.probes[0].number
+        )
+        host.complete_probe("t-3", is_answered=True)
+        self.assertEqual([], host.resets)
+
     def test_the_flows_of_a_target_that_ended_are_reset_at_once(self):
         host = self.start()
         host.update(
