Spread the probes that all entry hosts send for one reason

Cause: the neighbors of a dead target, and reported targets, were probed by all hosts with flows there at the same moment. Each host delays these probes at random now, within a window of a millisecond for each entry host, so that the rate at a target doesn't grow with the number of hosts. A retransmission of a caller has the target probed at once nevertheless, and replaces a probe that waits.

test_the_neighbors_of_a_dead_target_are_not_probed_in_one_burst and test_a_reported_target_is_not_probed_in_one_burst fail without the delay.

--- a/packages/core/src/tamarack_core/effects.py
+++ b/packages/core/src/tamarack_core/effects.py
@@ -112,6 +112,7 @@
         attempts: Maximum number of connection attempts; more than one, as a
             packet may be lost.
         spacing_s: Seconds between the attempts.
+        delay_s: Seconds until the first attempt.
         number: Number of the probe, also in the `TargetProbed` event.
     """
 
@@ -120,6 +121,7 @@
     timeout_s: float
     attempts: int = 1
     spacing_s: float = 0.0
+    delay_s: float = 0.0
     number: int = 0
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -36,6 +36,12 @@
 may have crashed independently, and probing each of them costs little."""
 
 
+PROBE_SPACING_S = 0.001
+"""Mean time between probes of one target that all entry hosts send for the same
+reason, in seconds. Without it the probes come within milliseconds and may fill
+the target's queue of connections."""
+
+
 class TargetFailureDetector:
     """Component that detects dead targets and resets their flows.
 
@@ -261,6 +267,7 @@
                     entry,
                     target_probes.Trigger.REPORT,
                     is_reported=True,
+                    delay_s=self._draw_delay_s(),
                 )
         return result
 
@@ -299,9 +306,15 @@
                 entry,
                 target_probes.Trigger.NEIGHBOR,
                 is_reported=dead.is_reported,
+                delay_s=self._draw_delay_s(),
             )
         ]
 
+    def _draw_delay_s(self) -> float:
+        """Returns the delay of a probe that many hosts send for one reason."""
+        window_s = PROBE_SPACING_S * self.subscription.entry_hosts
+        return self.context.random.uniform(0.0, window_s)
+
     def _record_transition(
         self,
         now_s: float,
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -129,21 +129,27 @@
         trigger: Trigger,
         *,
         is_reported: bool = False,
+        delay_s: float = 0.0,
     ) -> list[effects.Effect]:
         """Returns a probe of a suspect target, if none was sent recently.
 
+        A probe that is due at once replaces one that waits for its delay.
+
         Args:
             now_s: Monotonic time in seconds.
             entry: The target.
             trigger: Why the target is suspect.
             is_reported: Whether another host reported it as dead.
+            delay_s: Time until the probe is sent, in seconds.
         """
         probe = self._state_of(entry)
-        is_pending = probe.is_running or bool(probe.reference)
-        if is_pending or now_s - probe.sent_s < PROBE_INTERVAL_S:
-            return []
+        is_waiting = probe.is_running and now_s < probe.sent_s
+        if not is_waiting or delay_s:
+            is_pending = probe.is_running or bool(probe.reference)
+            if is_pending or now_s - probe.sent_s < PROBE_INTERVAL_S:
+                return []
         probe.is_reported = is_reported
-        return [self._send(now_s, probe, trigger)]
+        return [self._send(now_s, probe, trigger, delay_s=delay_s)]
 
     def _state_of(self, entry: target_table.TargetEntry) -> ProbeState:
         """Returns the probe state of a target, a new one after a restart."""
@@ -312,6 +318,7 @@
         probe: ProbeState,
         trigger: Trigger,
         attempts: int = ATTEMPTS,
+        delay_s: float = 0.0,
     ) -> effects.Effect:
         """Returns the effect that sends a probe."""
         self.counters[f"probes-sent-{trigger}"] += 1
@@ -319,7 +326,7 @@
         probe.number = self.sent
         probe.trigger = trigger
         probe.is_running = True
-        probe.sent_s = now_s
+        probe.sent_s = now_s + delay_s
         target = probe.entry.target
         return effects.ProbeTarget(
             target.name,
@@ -327,6 +334,7 @@
             TIMEOUT_S,
             attempts,
             SPACING_S,
+            delay_s,
             probe.number,
         )
 
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -369,6 +369,8 @@
 
         The core waits for the result before it probes the target again.
         """
+        if effect.delay_s:
+            await asyncio.sleep(effect.delay_s)
         try:
             outcome = await tcp_probe.probe(
                 effect, self.addresses.internal.address
--- a/tests/cover/test_light_driver.py
+++ b/tests/cover/test_light_driver.py
@@ -10,6 +10,7 @@
 import time
 
 import testtools
+from testtools import matchers
 
 from tamarack_core import context as context_lib
 from tamarack_core import document_control
@@ -89,7 +90,7 @@
         return caused
 
     def handle_probed(self, event):
-        self.probed.append((event.target, event.outcome))
+        self.probed.append((event.target, event.outcome, event.number))
         return []
 
     def handle_stop(self, event):
@@ -169,6 +170,23 @@
 class UnexpectedErrorTest(DriverCase):
     """Faults: the handlers of all events fail for a while."""
 
+    def test_a_delayed_probe_is_sent_later_and_ends_under_its_number(self):
+        endpoint = peers.Endpoint(ADDRESS, PUBLIC)
+        probe = effects.ProbeTarget("t-1", endpoint, 0.25, delay_s=0.1)
+        probe.number = 7
+
+        async def play(driver, component):
+            component.effects = [probe]
+            began_s = time.monotonic()
+            driver.handle(events.DatagramArrived(began_s, b""))
+            while not component.probed:
+                await asyncio.sleep(0.005)
+            return component.probed[0], time.monotonic() - began_s
+
+        probed, took_s = self.run_driver(play)
+        self.assertEqual(("t-1", events.ProbeOutcome.ACCEPTED, 7), probed)
+        self.assertThat(took_s, matchers.GreaterThan(0.09))
+
     def test_a_probe_that_fails_unexpectedly_ends_nevertheless(self):
         # A target whose probe never ends is never probed again.
         endpoint = peers.Endpoint(ADDRESS, 70_000)
@@ -181,7 +199,7 @@
             return component.probed
 
         probed = self.run_driver(play)
-        self.assertEqual([("t-1", events.ProbeOutcome.NOT_SENT)], probed)
+        self.assertEqual([("t-1", events.ProbeOutcome.NOT_SENT, 0)], probed)
 
     def test_the_host_goes_on(self):
         async def play(driver, component):
--- a/tests/cover/test_probe_storm.py
+++ b/tests/cover/test_probe_storm.py
@@ -2,11 +2,14 @@
 
 import msgspec
 import testtools
+from testtools import matchers
 
 from tamarack_core import events
+from tamarack_core import sync
 from tests import cookie_host
 
 HOSTS = 60
+MANY_HOSTS = 100
 DEAD = 15
 DOMAIN = "b"
 SOUND = "b-sound"
@@ -14,6 +17,9 @@
 LISTEN_QUEUE = 48
 """Connections that a target can have waiting; it resets the ones beyond."""
 
+BURST_S = 0.015
+"""Time in which a target can't work off its queue, in seconds."""
+
 
 def target(name, port, domain):
     """Returns a target of a failure domain."""
@@ -27,9 +33,9 @@
     def setUp(self):
         super().setUp()
         self.dead = [f"b-{number}" for number in range(DEAD)]
-        self.hosts = [self.start(seed) for seed in range(HOSTS)]
+        self.hosts = []
 
-    def start(self, seed):
+    def start(self, seed, entry_hosts=0):
         """Returns a host with one flow at each target."""
         host = cookie_host.CookieHost(seed)
         names = [*self.dead, SOUND]
@@ -37,6 +43,7 @@
             target(REFERENCE, 90, "a"),
             *(target(name, 100 + n, DOMAIN) for n, name in enumerate(names)),
             document=cookie_host.document(1),
+            entry_hosts=entry_hosts,
         )
         for number, name in enumerate([*names, REFERENCE]):
             host.send(number, name, acknowledged=500, payload_bytes=10)
@@ -67,13 +74,16 @@
             host.end_probe(name, outcome)
         return max(queued - LISTEN_QUEUE, 0)
 
+    def stall(self, host):
+        """Sends a request and its copy to the first dead target."""
+        for _ in range(2):
+            host.send(0, "b-0", acknowledged=600, sequence=11, payload_bytes=10)
+            host.tick(0.2)
+
     def test_a_target_whose_queue_is_full_of_probes_keeps_its_flows(self):
+        self.hosts = [self.start(seed) for seed in range(HOSTS)]
         for host in self.hosts:
-            for _ in range(2):
-                host.send(
-                    0, "b-0", acknowledged=600, sequence=11, payload_bytes=10
-                )
-                host.tick(0.2)
+            self.stall(host)
         refused = 0
         for _ in range(8):
             refused += self.end_probes()
@@ -87,3 +97,82 @@
             if record.entry.name == "flow-reset"
         }
         self.assertEqual(set(self.dead), reset)
+
+    def probe_times_s(self, host):
+        """Returns when the host probes the sound target, in seconds."""
+        return [
+            host.now_s + probe.delay_s
+            for probe in host.probes
+            if probe.target == SOUND
+        ]
+
+    def assert_spread(self, times_s):
+        """Asserts that each host probes, and that no burst fills the queue."""
+        self.assertEqual(MANY_HOSTS, len(times_s))
+        densest = max(
+            sum(start_s <= time_s < start_s + BURST_S for time_s in times_s)
+            for start_s in times_s
+        )
+        self.assertThat(densest, matchers.LessThan(LISTEN_QUEUE))
+
+    def test_the_neighbors_of_a_dead_target_are_not_probed_in_one_burst(self):
+        times_s = []
+        for seed in range(MANY_HOSTS):
+            host = self.start(seed, MANY_HOSTS)
+            self.stall(host)
+            host.end_probe("b-0", events.ProbeOutcome.UNANSWERED)
+            host.end_probe(REFERENCE, events.ProbeOutcome.ACCEPTED)
+            times_s += self.probe_times_s(host)
+        self.assert_spread(times_s)
+
+    def test_a_reported_target_is_not_probed_in_one_burst(self):
+        times_s = []
+        for seed in range(MANY_HOSTS):
+            host = self.start(seed, MANY_HOSTS)
+            suspects = sync.SuspectTargets((SOUND,))
+            sender = cookie_host.control("c1")
+            host.handle(events.MessageArrived(host.now_s, sender, suspects))
+            times_s += self.probe_times_s(host)
+        self.assert_spread(times_s)
+
+    def test_a_waiting_probe_gives_way_to_one_that_is_due_at_once(self):
+        # Otherwise callers would wait for the spread of many hosts.
+        host = self.start(1, 12_000)
+        self.stall(host)
+        host.end_probe("b-0", events.ProbeOutcome.UNANSWERED)
+        host.end_probe(REFERENCE, events.ProbeOutcome.ACCEPTED)
+        host.probes.clear()
+        for _ in range(2):
+            host.send(
+                DEAD, SOUND, acknowledged=600, sequence=11, payload_bytes=10
+            )
+            host.tick(0.2)
+        delays_s = [
+            probe.delay_s for probe in host.probes if probe.target == SOUND
+        ]
+        self.assertEqual([0.0], delays_s)
+
+    def test_the_result_of_a_replaced_probe_is_ignored(self):
+        host = self.start(1, 12_000)
+        self.stall(host)
+        host.end_probe("b-0", events.ProbeOutcome.UNANSWERED)
+        host.end_probe(REFERENCE, events.ProbeOutcome.ACCEPTED)
+        replaced = host.probe_numbers[SOUND]
+        for _ in range(2):
+            host.send(
+                DEAD, SOUND, acknowledged=600, sequence=11, payload_bytes=10
+            )
+            host.tick(0.2)
+        host.handle(
+            events.TargetProbed(
+                host.now_s, SOUND, events.ProbeOutcome.UNANSWERED, replaced
+            )
+        )
+        self.assertNotIn(
+            "probe-failed",
+            [
+                record.entry.name
+                for record in host.records
+                if record.entry.target == SOUND
+            ],
+        )
