Go on with a probe after a router has rejected one connection

A target that serves could be found silent by a probe that had lasted 1 to 2 ms: while routes change, a router may answer one packet with 'host unreachable', Linux ends that connection attempt with EHOSTUNREACH, and any error other than 'refused' and 'reset' ended the whole probe as unanswered. The other attempts were not made.

An error that does not come from the target now ends only its own attempt; the others are made, and the probe is unanswered at the timeout.

At the deadline, a connection that was established and reset before the event loop handled it counted as unanswered, since it has no peer any more. SO_ERROR tells it from one that waits for a reply. test_a_reset_not_yet_handled_at_the_deadline_is_a_reply failed before; it resets a real connection. Of several attempts, the strongest evidence that the target serves counts.

--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -12,6 +12,15 @@
     errno.ECONNREFUSED: events.ProbeOutcome.REFUSED,
     errno.ECONNRESET: events.ProbeOutcome.RESET,
 }
+"""What a connection attempt that ended shows about the target, by error. Others
+come from routers, and show nothing about it."""
+
+_OUTCOMES_BY_WEIGHT = (
+    events.ProbeOutcome.ACCEPTED,
+    events.ProbeOutcome.RESET,
+    events.ProbeOutcome.REFUSED,
+)
+"""What may be found, the strongest evidence that the target serves first."""
 
 
 async def probe(
@@ -20,8 +29,9 @@
     """Returns what a probe of a target found before the timeout.
 
     While no connection is accepted, further ones are attempted, as a packet may
-    be lost. A connection that is refused ends the probe at once. An error of
-    this host's own sockets says nothing about the target.
+    be lost, or a router may reject it while routes change. A connection that is
+    refused ends the probe at once. An error of this host's own sockets says
+    nothing about the target.
 
     Args:
         effect: The target, the timeout and the number of attempts.
@@ -44,10 +54,12 @@
         await asyncio.wait((outcome,), timeout=deadline_s - loop.time())
         if outcome.done():
             return outcome.result()
-        # After a stall of this process, a connection may be established
-        # although the event loop has not handled it yet.
-        if any(_is_connected(connection) for connection in connections):
-            return events.ProbeOutcome.ACCEPTED
+        # After a stall of this process, a connection may be established, or
+        # have ended, although the event loop hasn't handled it yet.
+        found = {_outcome_of(connection) for connection in connections}
+        for known in _OUTCOMES_BY_WEIGHT:
+            if known in found:
+                return known
         return events.ProbeOutcome.UNANSWERED
     finally:
         for connection in connections:
@@ -77,9 +89,8 @@
     def handle_writable() -> None:
         loop.remove_writer(connection)
         error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        _set_outcome(
-            outcome, _OUTCOMES.get(error, events.ProbeOutcome.UNANSWERED)
-        )
+        if error in _OUTCOMES:
+            _set_outcome(outcome, _OUTCOMES[error])
 
     try:
         connection.bind((local_address, 0))
@@ -104,10 +115,13 @@
         outcome.set_result(found)
 
 
-def _is_connected(connection: socket.socket) -> bool:
-    """Returns whether a connection is established."""
+def _outcome_of(connection: socket.socket) -> events.ProbeOutcome:
+    """Returns what a connection attempt shows about the target so far."""
+    error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        return _OUTCOMES.get(error, events.ProbeOutcome.UNANSWERED)
     try:
         connection.getpeername()
     except OSError:
-        return False
-    return True
+        return events.ProbeOutcome.UNANSWERED
+    return events.ProbeOutcome.ACCEPTED
--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -1,6 +1,7 @@
 """TCP probes of targets over real sockets."""
 
 import asyncio
+import errno
 import resource
 import socket
 import struct
@@ -52,6 +53,13 @@
             self.addCleanup(client.close)
             client.connect_ex(self.listener.getsockname())
 
+    def reset_next(self):
+        """Accepts the next connection and resets it."""
+        connection, _ = self.listener.accept()
+        no_linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+        connection.close()
+
     def test_a_listening_target_accepts(self):
         self.listener.listen(8)
         outcome, took_s = self.run_probe()
@@ -70,16 +78,7 @@
     def test_a_connection_that_the_target_resets_was_established(self):
         # The event loop is busy, so that it sees the reset first.
         self.listener.listen(8)
-
-        def reset_next():
-            connection, _ = self.listener.accept()
-            no_linger = struct.pack("ii", 1, 0)
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, no_linger
-            )
-            connection.close()
-
-        thread = threading.Thread(target=reset_next)
+        thread = threading.Thread(target=self.reset_next)
         thread.start()
         self.addCleanup(thread.join)
 
@@ -91,6 +90,38 @@
 
         self.assertEqual(events.ProbeOutcome.RESET, asyncio.run(run()))
 
+    def test_a_reset_not_yet_handled_at_the_deadline_is_a_reply(self):
+        # The event loop hasn't handled the connection, as after a stall.
+        self.listener.listen(8)
+        thread = threading.Thread(target=self.reset_next)
+        thread.start()
+        self.addCleanup(thread.join)
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            loop.add_writer = lambda *_: None
+            return await tcp_probe.probe(self.probe(attempts=1), LOOPBACK)
+
+        self.assertEqual(events.ProbeOutcome.RESET, asyncio.run(run()))
+
+    def test_one_unreachable_message_of_a_router_does_not_fail_the_probe(self):
+        # Linux ends a connection attempt at the first ICMP message.
+        self.listener.listen(8)
+        errors = [errno.EHOSTUNREACH]
+
+        class Connection(socket.socket):
+            """Socket whose first connection a router rejects."""
+
+            def getsockopt(self, level, option, *size):
+                found = super().getsockopt(level, option, *size)
+                if option == socket.SO_ERROR and errors:
+                    return errors.pop()
+                return found
+
+        self.patch(tcp_probe.socket, "socket", Connection)
+        self.assertEqual(events.ProbeOutcome.ACCEPTED, self.run_probe()[0])
+        self.assertEqual([], errors)
+
     def test_a_probe_without_a_free_descriptor_is_not_sent(self):
         self.listener.listen(8)
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
