Give suspects their time again after a suspension of the host

A host of tamarackd that resumed after a suspension found members dead that serve, and told others so; their flows changed owner. The timer runs before the socket is read, and expired suspicions whose refutation was waiting there. In the same way it suspected the member that it had probed last.

SUSPENSION_S is one constant now, in tamarack_core/internal/suspension.py; three modules had their own with the same value.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tamarack_core import flow_packets
+from tamarack_core.internal import suspension
 from tamarack_core.internal.cookie import target_liveness
 from tamarack_core.internal.cookie import target_table
 
@@ -48,10 +49,6 @@
 """Time for which a target that another host found dead gets no openings, in
 seconds. After it the announcements of a dead target are overdue."""
 
-SUSPENSION_S = 0.8
-"""Time without a packet or a timer, in seconds, after which this host counts as
-suspended. Retransmissions read after that prove nothing about targets."""
-
 SEQUENCE_SPACE = 1 << 32
 
 
@@ -246,12 +243,14 @@
     def check_suspension(self, now_s: float) -> bool:
         """Records that the event loop runs.
 
-        All targets count as having replied now if the host was suspended.
+        All targets count as having replied now if the host was suspended:
+        retransmissions read after that prove nothing about targets.
 
         Returns:
             Whether it was suspended since the last call.
         """
-        was_suspended = now_s - self.last_event_s > SUSPENSION_S
+        idle_s = now_s - self.last_event_s
+        was_suspended = idle_s > suspension.SUSPENSION_S
         if was_suspended:
             for activity in self.targets.values():
                 activity.observe_reply(now_s)
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -21,6 +21,7 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core.internal import change_entries
+from tamarack_core.internal import suspension
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
 
@@ -41,10 +42,6 @@
 """Interval of the timer before the first document, in seconds. Each run sends
 a request, as control hosts that start together become ready one by one."""
 
-SUSPENSION_S = 0.8
-"""Time without a run of the timer, in seconds, after which this host counts as
-suspended."""
-
 LOCAL_INTERVAL_S = 3.0
 """Interval of requests to local control hosts while the publisher is in another
 failure domain, in seconds."""
@@ -160,7 +157,7 @@
         """Sends the requests that are due, and removes targets long gone."""
         now_s = event.now_s
         result: list[effects.Effect] = []
-        if now_s - self.ticked_s > SUSPENSION_S:
+        if now_s - self.ticked_s > suspension.SUSPENSION_S:
             result.append(self._handle_suspension(now_s))
         self.ticked_s = now_s
         self.targets.expire_gone(now_s)
--- a/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
+++ b/packages/core/src/tamarack_core/internal/membership/swim_protocol.py
@@ -5,6 +5,7 @@
 
 from tamarack_core import effects
 from tamarack_core import peers
+from tamarack_core.internal import suspension
 from tamarack_core.internal.membership import dissemination
 from tamarack_core.internal.membership import view
 from tamarack_core.messages import membership
@@ -74,6 +75,7 @@
         "_indirect_probes",
         "_is_fetching",
         "_page_cursor",
+        "_period_due_s",
         "_probe_order",
         "_probed_host",
         "_probed_sequence",
@@ -118,6 +120,7 @@
         self._probe_order: list[str] = []
         self._probed_host = ""
         self._probed_sequence = 0
+        self._period_due_s = float("inf")
         self._extra_periods = 0
         self._recontact_s = 0.0
         self._indirect_probes: dict[int, IndirectProbe] = {}
@@ -139,6 +142,7 @@
         self._set_local_state(membership.State.ALIVE, wall_ms, now_s)
         self._recontact_s = now_s + RECONTACT_INTERVAL_S
         first = self.random.random() * PROBE_INTERVAL_S
+        self._period_due_s = now_s + first
         return [
             effects.StartTimer(PROBE_TIMER, first),
             *(self._fetch(seed, "") for seed in self.seeds),
@@ -214,6 +218,11 @@
 
     def _begin_period(self, now_s: float) -> list[effects.Effect]:
         """Checks the last probe, sends the next and expires suspicions."""
+        late_s = now_s - self._period_due_s
+        self._period_due_s = now_s + PROBE_INTERVAL_S
+        if late_s > suspension.SUSPENSION_S:
+            self._restart_suspicions(now_s)
+            return [effects.StartTimer(PROBE_TIMER, PROBE_INTERVAL_S)]
         if self._probed_host and self._extra_periods:
             # This host may be slow itself, so the probe gets another period.
             self._extra_periods -= 1
@@ -242,6 +251,16 @@
             sent.extend(self._recontact())
         return sent
 
+    def _restart_suspicions(self, now_s: float) -> None:
+        """Gives all suspects their time again, after a suspension.
+
+        Their refutations may not be read yet, nor may the `Ack` of the member
+        that was probed last, whose probe gets another period.
+        """
+        for member in self.view.members.values():
+            if member.state is membership.State.SUSPECT:
+                member.since_s = now_s
+
     def _suspect_unresponsive(self, now_s: float) -> None:
         """Suspects the member whose probe got no `Ack`, if there is one."""
         member = self.view.members.get(self._probed_host)
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -11,6 +11,7 @@
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
+from tamarack_core.internal import suspension
 from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import target_registry
@@ -30,10 +31,6 @@
 SAVE_INTERVAL_S = 1.0
 """Shortest time between two writes of the targets to disk, in seconds."""
 
-SUSPENSION_S = 0.8
-"""Time without a run of the timer, in seconds, after which this host counts as
-suspended."""
-
 MS_PER_S = 1000
 
 
@@ -193,7 +190,7 @@
     ) -> list[effects.Effect]:
         """Finds overdue targets, saves, and sends what is due to others."""
         now_s = event.now_s
-        if now_s - self.ticked_s > SUSPENSION_S:
+        if now_s - self.ticked_s > suspension.SUSPENSION_S:
             self.registry.extend_deadlines(now_s)
         self.ticked_s = now_s
         result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
