End a target only when another starts later at its own endpoint

What callers would see: an open flow is reset with `target-gone` although its target serves. A target restarts under its name at another endpoint; when a new target announces itself at the first endpoint, the control host marks the moved target as gone. That is final for the start, spreads to all control hosts, and each entry host resets all its flows of the target.

Cause: the registry kept one name for each endpoint and never removed a name that had moved, and did not compare start times when a target claimed an endpoint. With equal start times each control host ended the target that it had learned first, so two hosts together ended both. A gone target did not count against a delayed announcement of an earlier one at its endpoint, so control hosts that learned them in different order disagreed.

Evidence: tests/cover/test_target_registry.py.

The registry now indexes the records by the endpoint of their newest start, gone ones included. A start ends the earlier starts at its endpoint, and is itself ended if a later one is known there; both follow from the start times alone, so the order in which a host learns of them does not matter.

--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -150,8 +150,8 @@
         if held is not None and held.target.order == target.order:
             self.unreported_s[target.name] = event.now_s
         result: list[effects.Effect] = []
-        if is_changed:
-            result.append(self._record(event.now_s, target))
+        if is_changed and held is not None:
+            result.append(self._record(event.now_s, held.target))
             result += self.publisher.push(event.now_s)
         response = external_requests.TargetAcknowledged(
             self._control_address(target)
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -81,7 +81,7 @@
         self.interval_s = interval_s
         self.records: dict[str, TargetRecord] = {}
         self.position = 0
-        self._by_endpoint: dict[tuple[str, int], str] = {}
+        self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
 
     def put(
         self,
@@ -102,14 +102,17 @@
         held = self.records.get(target.name)
         if held is not None and not _may_replace(held.target, target):
             return False
-        if target.phase is not target_announcement.Phase.GONE:
-            if self._is_superseded(target):
-                return False
-            self._claim_endpoint(now_s, target)
+        if self._is_superseded(target):
+            target = _ended(target)
+        self._end_earlier(now_s, target)
         announced_s = now_s - age_s
         if held is None or _differs(held, target):
+            self._move(held, target)
             record = TargetRecord(target, announced_s, 0)
-            record.is_overdue = self._is_late(now_s, record)
+            record.is_overdue = (
+                target.phase is not target_announcement.Phase.GONE
+                and self._is_late(now_s, record)
+            )
             self._record_change(record)
             return True
         held.target = target
@@ -240,49 +243,82 @@
         self.records.pop(record.target.name, None)
         self.records[record.target.name] = record
 
+    def _others_at(
+        self, target: target_announcement.Announcement
+    ) -> list[TargetRecord]:
+        """Returns the records of other targets at the endpoint of a target.
+
+        Those that are gone are included: they were started there as well.
+        """
+        names = self._by_endpoint.get(_endpoint_key(target), ())
+        return [self.records[name] for name in names if name != target.name]
+
     def _is_superseded(self, target: target_announcement.Announcement) -> bool:
-        """Returns whether a target started later has the same endpoint."""
-        name = self._by_endpoint.get(_endpoint_key(target))
-        if name is None or name == target.name:
-            return False
-        holder = self.records[name].target
-        is_gone = holder.phase is target_announcement.Phase.GONE
-        return not is_gone and holder.born_ms > target.born_ms
+        """Returns whether a target started later at the same endpoint."""
+        return any(
+            other.target.born_ms > target.born_ms
+            for other in self._others_at(target)
+        )
 
-    def _claim_endpoint(
+    def _end_earlier(
         self, now_s: float, target: target_announcement.Announcement
     ) -> None:
-        """Assigns an endpoint to a target; marks its earlier target as gone."""
+        """Marks the targets as gone that started earlier at an endpoint.
+
+        Equal start times prove nothing about either target.
+        """
+        for other in self._others_at(target):
+            if other.target.born_ms < target.born_ms:
+                self._mark_gone(now_s, other)
+
+    def _move(
+        self,
+        held: TargetRecord | None,
+        target: target_announcement.Announcement,
+    ) -> None:
+        """Assigns a target to its endpoint instead of its earlier one."""
+        if held is not None:
+            self._leave_endpoint(held.target)
+        names = self._by_endpoint.setdefault(_endpoint_key(target), {})
+        names[target.name] = None
+
+    def _leave_endpoint(self, target: target_announcement.Announcement) -> None:
+        """Removes a target from those at its endpoint."""
         key = _endpoint_key(target)
-        name = self._by_endpoint.get(key)
-        if name is not None and name != target.name:
-            self._mark_gone(now_s, self.records[name])
-        self._by_endpoint[key] = target.name
+        names = self._by_endpoint[key]
+        del names[target.name]
+        if not names:
+            del self._by_endpoint[key]
 
     def _mark_gone(self, now_s: float, record: TargetRecord) -> bool:
         if record.target.phase is target_announcement.Phase.GONE:
             return False
-        record.target = msgspec.structs.replace(
-            record.target,
-            phase=target_announcement.Phase.GONE,
-            sequence=GONE_SEQUENCE,
-        )
+        record.target = _ended(record.target)
         record.announced_s = now_s
         record.is_overdue = False
         self._record_change(record)
         return True
 
     def _remove(self, record: TargetRecord) -> None:
-        target = record.target
-        del self.records[target.name]
-        if self._by_endpoint.get(_endpoint_key(target)) == target.name:
-            del self._by_endpoint[_endpoint_key(target)]
+        del self.records[record.target.name]
+        self._leave_endpoint(record.target)
 
 
 def _endpoint_key(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
 
+def _ended(
+    target: target_announcement.Announcement,
+) -> target_announcement.Announcement:
+    """Returns the announcement that a start of a target has ended."""
+    return msgspec.structs.replace(
+        target,
+        phase=target_announcement.Phase.GONE,
+        sequence=GONE_SEQUENCE,
+    )
+
+
 def _may_replace(
     held: target_announcement.Announcement,
     target: target_announcement.Announcement,
--- /dev/null
+++ b/tests/cover/test_target_registry.py
@@ -0,0 +1,144 @@
+"""A control host counts a target as gone only if something proves it."""
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from tamarack_core import target_announcement
+from tamarack_core.internal.registry import target_registry
+from tests import cookie_host
+
+GONE = target_announcement.Phase.GONE
+INTERVAL_S = 1.2
+OLD_PORT, NEW_PORT = 80, 81
+
+
+def registry():
+    """Returns an empty registry."""
+    return target_registry.TargetRegistry(INTERVAL_S)
+
+
+def is_gone(held, name):
+    """Returns whether a registry holds a target as gone; None if unknown."""
+    record = held.records.get(name)
+    return None if record is None else record.target.phase is GONE
+
+
+def exchange(source, receiver, position):
+    """Sends the changes after a position to another registry."""
+    for known in source.changes_since(position):
+        receiver.put(1.0, known.target)
+
+
+class Group:
+    """Three control hosts and the starts of targets that they learn of.
+
+    Attributes:
+        hosts: Their registries.
+        starts: Name and place of the target of each start.
+        withdrawn: The starts that were withdrawn.
+    """
+
+    def __init__(self, starts):
+        """Creates hosts that know no target."""
+        self.hosts = [registry() for _ in range(3)]
+        self.starts = starts
+        self.withdrawn = set()
+
+    def announce(self, host, start):
+        """Announces a start to a host."""
+        name, place = self.starts[start]
+        target = cookie_host.target(
+            f"t-{name}", born_ms=start, port=OLD_PORT + place
+        )
+        self.hosts[host].put(1.0, target)
+
+    def withdraw(self, host, start):
+        """Withdraws a start at a host."""
+        self.hosts[host].withdraw(1.0, f"t-{self.starts[start][0]}", start)
+        self.withdrawn.add(start)
+
+    def exchange_with_next(self, host, offset):
+        """Sends all that a host knows to another host."""
+        exchange(self.hosts[host], self.hosts[(host + offset + 1) % 3], 0)
+
+    def exchange_all(self):
+        """Sends all that each host knows to the others until all know it."""
+        for _ in range(3):
+            for source, receiver in itertools.permutations(self.hosts, 2):
+                exchange(source, receiver, 0)
+
+
+class EndpointTest(testtools.TestCase):
+    """Targets that were announced at the same endpoint."""
+
+    def test_a_target_that_moved_is_not_ended_by_another_at_its_old_place(self):
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1", born_ms=1, port=OLD_PORT))
+        held.put(1.0, cookie_host.target("t-1", born_ms=2, port=NEW_PORT))
+        held.put(1.0, cookie_host.target("t-2", born_ms=3, port=OLD_PORT))
+        self.assertFalse(is_gone(held, "t-1"))
+        self.assertFalse(is_gone(held, "t-2"))
+
+    def test_a_target_that_moved_back_is_known_at_its_old_endpoint(self):
+        held = registry()
+        for born_ms, port in ((1, OLD_PORT), (2, NEW_PORT), (3, OLD_PORT)):
+            held.put(1.0, cookie_host.target("t-1", born_ms=born_ms, port=port))
+        held.put(1.0, cookie_host.target("t-2", born_ms=4, port=OLD_PORT))
+        self.assertTrue(is_gone(held, "t-1"))
+
+    def test_equal_start_times_at_an_endpoint_end_neither_target(self):
+        # Otherwise each control host ends the one that it learned first, and
+        # both ends spread.
+        names = ("t-1", "t-2")
+        hosts = [registry(), registry()]
+        for host, order in zip(hosts, (names, names[::-1]), strict=True):
+            for name in order:
+                host.put(1.0, cookie_host.target(name, port=OLD_PORT))
+        exchange(hosts[0], hosts[1], 0)
+        exchange(hosts[1], hosts[0], 0)
+        for host in hosts:
+            self.assertEqual([False] * 2, [is_gone(host, n) for n in names])
+
+    def test_a_delayed_announcement_revives_no_target_at_a_reused_place(self):
+        held = registry()
+        held.put(1.0, cookie_host.target("t-2", born_ms=2, port=OLD_PORT))
+        held.withdraw(1.0, "t-2", 2)
+        held.put(1.0, cookie_host.target("t-1", born_ms=1, port=OLD_PORT))
+        self.assertTrue(is_gone(held, "t-1"))
+
+    @hypothesis.settings(deadline=None, max_examples=300)
+    @hypothesis.given(
+        # Each start has a name and an endpoint; its time is its index.
+        starts=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 3), strategies.integers(0, 2)
+            ),
+            min_size=1,
+            max_size=8,
+        ),
+        data=strategies.data(),
+    )
+    def test_hosts_agree_on_the_ended_targets_in_any_order(self, starts, data):
+        group = Group(starts)
+        numbers = strategies.integers(0, len(starts) - 1)
+        host_numbers = strategies.integers(0, 2)
+        steps = (group.announce, group.withdraw, group.exchange_with_next)
+        step = strategies.tuples(
+            strategies.sampled_from(steps), host_numbers, numbers
+        )
+        for take, host, start in data.draw(strategies.lists(step, max_size=30)):
+            take(host, start)
+        for start in range(len(starts)):
+            group.announce(data.draw(host_numbers), start)
+        group.exchange_all()
+        last_of_name = {name: start for start, (name, _) in enumerate(starts)}
+        last_at = {place: start for start, (_, place) in enumerate(starts)}
+        for name, start in last_of_name.items():
+            states = {is_gone(host, f"t-{name}") for host in group.hosts}
+            self.assertEqual(1, len(states), starts)
+            is_last = last_at[starts[start][1]] == start
+            if is_last and start not in group.withdrawn:
+                self.assertEqual({False}, states)
