Count no target as gone because its announcements are missing

What callers would see: open flows reset with `target-gone` although their target serves. A control host that gets no announcement of a target for 60 s, because it or the target is cut off, marked it as gone. That is final for the start: once the partition heals it spreads to the control hosts that did get the announcements, and each entry host resets all its flows of the target.

Cause: silence was taken for a proof that the target has ended.

Evidence: failed before, pass now: test_a_target_announced_beside_a_long_partition_is_not_gone (gone at all three hosts after 75 s), test_a_target_that_was_forgotten_in_a_partition_is_known_after, test_silence_alone_ends_no_target, and SilentTargetTest.test_nothing_is_kept_of_a_target_without_flows.

A silent target stays overdue: openings prefer others, and entry hosts with its flows probe it. Control hosts forget it after 120 s without sending a change; entry hosts forget it after as long, if it has no flow there and their control host is in contact with a quorum. An announcement adds it again. A control host that has had no update of another one for 60 s requests all its targets, since it may have forgotten those that announce themselves to that host alone.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -418,6 +418,12 @@
             count += flow.target.target.service == service
         return count
 
+    def used_targets(self) -> set[str]:
+        """Returns the names of the targets with flows through this host."""
+        return {
+            name for name, activity in self.targets.items() if activity.flows
+        }
+
     def remove_targets(self, known: Container[str]) -> None:
         """Removes targets that are no longer known and have no flows.
 
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -113,6 +113,8 @@
         self.detector.check_suspension(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
         self.tracker.expire(now_s, idle_s)
+        if self.subscription.follows_quorum(now_s):
+            self.targets.expire_silent(now_s, self.tracker.used_targets())
         if len(self.tracker.targets) > len(self.targets.by_name):
             self.tracker.remove_targets(self.targets.by_name)
         result: list[effects.Effect] = [
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -139,6 +139,14 @@
         """Whether a document is held."""
         return self.routes.number > 0
 
+    def follows_quorum(self, now_s: float) -> bool:
+        """Returns whether the publisher responds and has a quorum.
+
+        Otherwise it may not hear of the announcements of live targets.
+        """
+        is_responding = now_s - self.updated_s <= 2 * REQUEST_INTERVAL_S
+        return is_responding and self.is_confirmed
+
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the event handlers by key."""
         return {
@@ -368,7 +376,7 @@
         is_whole = update.base == 0
         if is_whole and update.is_settled:
             names = {known.target.name for known in update.targets}
-            changed += self.targets.mark_missing_overdue(names)
+            changed += self.targets.mark_missing_overdue(now_s, names)
         result = self._record_targets(now_s, changed)
         if update.run != self.run:
             self.run = update.run
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -6,6 +6,8 @@
 gone.
 """
 
+from collections.abc import Container
+from collections.abc import Iterable
 import zlib
 
 import msgspec
@@ -18,6 +20,10 @@
 Deployments that limit the lifetime of flows limit it to 60 s; packets that
 arrive after the retention are counted as unknown."""
 
+SILENCE_RETENTION_S = 120.0
+"""Time for which a target without flows is kept while its announcements are
+overdue, in seconds."""
+
 
 def tag_of(name: str) -> int:
     """Returns the tag of a target, which is never 0."""
@@ -138,18 +144,42 @@
 
     def expire_gone(self, now_s: float) -> None:
         """Removes targets that have been gone for `GONE_RETENTION_S`."""
-        expired = [
+        self._remove(
             entry
             for entry in self.by_name.values()
             if entry.gone_s is not None
             and now_s - entry.gone_s > GONE_RETENTION_S
-        ]
-        for entry in expired:
+        )
+
+    def expire_silent(self, now_s: float, used: Container[str]) -> None:
+        """Removes targets that have been overdue for `SILENCE_RETENTION_S`.
+
+        Control hosts forget them as well, without a change that they send. An
+        announcement adds the target again.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            used: Names of targets with flows, which are kept.
+        """
+        self._remove(
+            entry
+            for entry in self.by_name.values()
+            if entry.is_overdue
+            and now_s - entry.updated_s > SILENCE_RETENTION_S
+            and entry.target.name not in used
+        )
+
+    def _remove(self, entries: Iterable[TargetEntry]) -> None:
+        """Removes targets."""
+        for entry in list(entries):
             del self.by_name[entry.target.name]
+            self._remove_from_service(entry)
             if self.by_tag.get(entry.tag) is entry:
                 del self.by_tag[entry.tag]
 
-    def mark_missing_overdue(self, names: set[str]) -> list[TargetEntry]:
+    def mark_missing_overdue(
+        self, now_s: float, names: set[str]
+    ) -> list[TargetEntry]:
         """Marks the targets overdue that a control host does not know.
 
         This is weak evidence, as the control host may have been suspended when
@@ -157,6 +187,7 @@
         its open flows.
 
         Args:
+            now_s: Monotonic time in seconds.
             names: Names of the targets that the control host knows.
 
         Returns:
@@ -171,6 +202,7 @@
         ]
         for entry in overdue:
             entry.is_overdue = True
+            entry.updated_s = now_s
         return overdue
 
 
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import msgspec
+
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
@@ -34,9 +36,28 @@
 """Time without a run of the timer, in seconds, after which this host counts as
 suspended."""
 
+POSITION_LIFETIME_S = target_registry.SILENCE_RETENTION_S / 2
+"""Time without an update from another control host after which all its targets
+are requested again, in seconds. Those that announce themselves to it alone may
+have been forgotten here."""
+
 MS_PER_S = 1000
 
 
+class HeldPosition(msgspec.Struct):
+    """How far the changes of another control host are held.
+
+    Attributes:
+        run: Run of that host.
+        position: Last change of that run that is held.
+        updated_s: Time of its last update, in seconds.
+    """
+
+    run: str
+    position: int
+    updated_s: float
+
+
 class AnnouncementReceiver:
     """Component that maintains the target registry of a control host.
 
@@ -46,7 +67,7 @@
         publisher: Pushes changes to subscribers.
         directory: The other control hosts.
         restorable: Encoded targets that an earlier start saved, if any.
-        positions: Run and last known position of each other control host.
+        positions: How far the changes of each other control host are held.
         unreported_s: Time of the last announcement to this host, in seconds,
             by name of the target; only those not yet reported to the others.
         ages_sent_s: Time of the last `AnnouncementAges` message, in seconds.
@@ -95,7 +116,7 @@
         self.registry = registry
         self.publisher = publisher
         self.directory = directory
-        self.positions: dict[str, tuple[str, int]] = {}
+        self.positions: dict[str, HeldPosition] = {}
         self.unreported_s: dict[str, float] = {}
         self.ages_sent_s = float("-inf")
         self.sync_sent_s = float("-inf")
@@ -211,7 +232,7 @@
         if now_s - self.sync_sent_s >= SYNC_INTERVAL_S:
             self.sync_sent_s = now_s
             result += [
-                effects.SendMessage(peer, self._sync_request(peer.host))
+                effects.SendMessage(peer, self._sync_request(now_s, peer.host))
                 for peer in others
             ]
         return result
@@ -245,10 +266,17 @@
             for peer in self.directory.others()
         ]
 
-    def _sync_request(self, host: str) -> sync.SyncRequest:
+    def _sync_request(self, now_s: float, host: str) -> sync.SyncRequest:
         """Returns the sync request for another control host."""
-        run, position = self.positions.get(host, ("", 0))
-        return sync.SyncRequest(run, position, 0, is_control=True)
+        held = self._position(now_s, host)
+        return sync.SyncRequest(held.run, held.position, 0, is_control=True)
+
+    def _position(self, now_s: float, host: str) -> HeldPosition:
+        """Returns how far the changes of another control host are held."""
+        held = self.positions.get(host)
+        if held is None or now_s - held.updated_s > POSITION_LIFETIME_S:
+            return HeldPosition("", 0, now_s)
+        return held
 
     def handle_update(
         self, event: events.MessageArrived
@@ -256,14 +284,15 @@
         """Applies the targets that another control host sent."""
         update = event.message
         assert isinstance(update, sync.SyncUpdate)
-        run, position = self.positions.get(event.sender.host, ("", 0))
-        if update.run != run:
-            position = 0
+        host = event.sender.host
+        held = self._position(event.now_s, host)
+        position = held.position if update.run == held.run else 0
         if update.base > position:
-            request = self._sync_request(event.sender.host)
+            request = self._sync_request(event.now_s, host)
             return [effects.SendMessage(event.sender, request)]
-        held = (update.run, max(position, update.position))
-        self.positions[event.sender.host] = held
+        self.positions[host] = HeldPosition(
+            update.run, max(position, update.position), event.now_s
+        )
         changed = [
             known.target
             for known in update.targets
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -17,9 +17,10 @@
 GONE_RETENTION_S = 120.0
 """Time after which a target that is gone is removed, in seconds."""
 
-PRESUMED_GONE_S = 60.0
-"""Time without an announcement after which a target counts as gone, in
-seconds."""
+SILENCE_RETENTION_S = 120.0
+"""Time without an announcement after which a target is forgotten, in seconds.
+Silence does not prove that a target has ended: it may be cut off from the
+control hosts while it serves."""
 
 GONE_SEQUENCE = 1 << 62
 """Sequence number of the end of a target, higher than that of any
@@ -146,11 +147,11 @@
         return self._mark_gone(now_s, held)
 
     def check_overdue(self, now_s: float) -> bool:
-        """Marks targets overdue or gone, and removes those gone.
+        """Marks targets overdue, and removes those gone or silent for long.
 
-        A target is overdue after `overdue_after_s` without an announcement,
-        counts as gone after `PRESUMED_GONE_S`, and is removed
-        `GONE_RETENTION_S` after it was marked as gone.
+        A target is overdue after `overdue_after_s` without an announcement, and
+        is removed after `SILENCE_RETENTION_S`, or `GONE_RETENTION_S` after it
+        was marked as gone. A removal is no change that others receive.
 
         Returns:
             Whether others must receive a change.
@@ -161,8 +162,8 @@
             if record.target.phase is target_announcement.Phase.GONE:
                 if age_s > GONE_RETENTION_S:
                     self._remove(record)
-            elif age_s > PRESUMED_GONE_S:
-                is_changed |= self._mark_gone(now_s, record)
+            elif age_s > SILENCE_RETENTION_S:
+                self._remove(record)
             elif not record.is_overdue and self._is_late(now_s, record):
                 is_changed |= self._set_overdue(record, True)
         return is_changed
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -213,6 +213,7 @@
         document: sync.DocumentUpdate | None = None,
         controls: tuple[peers.Peer, ...] = (),
         entry_hosts: int = 0,
+        is_confirmed: bool = True,
     ) -> None:
         """Delivers a sync update of a control host."""
         message = sync.SyncUpdate(
@@ -229,6 +230,7 @@
             controls=controls,
             document=document,
             entry_hosts=entry_hosts,
+            is_confirmed=is_confirmed,
         )
         peer = sender or control("c1")
         self.handle(events.MessageArrived(self.now_s, peer, message))
@@ -292,6 +294,12 @@
         component = self.node.datagram_handler.__self__
         return component.tracker
 
+    @property
+    def targets(self) -> target_table.TargetTable:
+        """Targets that the host knows."""
+        component = self.node.datagram_handler.__self__
+        return component.targets
+
     def is_ready(self) -> bool:
         """Returns whether the host reports that it is ready for packets."""
         result = self.handle(
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -413,3 +413,36 @@
         self.announce(network, "c1", sequence=2)
         network.run(1.0)
         self.assertFalse(component.registry.records["t-1"].is_overdue)
+
+    def announce_for(self, network, host, seconds):
+        """Announces a target to one host in the usual interval."""
+        sequence = 1
+        end_s = network.now_s + seconds
+        while network.now_s < end_s:
+            sequence += 1
+            self.announce(network, host, sequence=sequence)
+            network.run(group_network.ANNOUNCE_INTERVAL_S)
+
+    def test_a_target_announced_beside_a_long_partition_is_not_gone(self):
+        # The hosts that hear nothing of it must not end it for all.
+        network = started()
+        self.announce(network, "c1")
+        network.run(1.0)
+        network.isolate("c1")
+        self.announce_for(network, "c1", 75.0)
+        network.cut.clear()
+        self.announce_for(network, "c1", 6.0)
+        for host in network.peers:
+            known = self.known_announcement(network, host, "t-1")
+            self.assertEqual(target_announcement.Phase.READY, known.phase)
+
+    def test_a_target_that_was_forgotten_in_a_partition_is_known_after(self):
+        network = started()
+        self.announce(network, "c1")
+        network.run(1.0)
+        network.isolate("c1")
+        self.announce_for(network, "c1", 130.0)
+        self.assertIsNone(self.known_announcement(network, "c2", "t-1"))
+        network.cut.clear()
+        self.announce_for(network, "c1", 6.0)
+        self.assertIsNotNone(self.known_announcement(network, "c2", "t-1"))
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -43,6 +43,63 @@
         self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(30, 40)})
 
 
+class SilentTargetTest(testtools.TestCase):
+    """Targets whose announcements reach no control host for minutes."""
+
+    def start(self):
+        """Returns a host with a target that has just become overdue."""
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        overdue = target_announcement.KnownTarget(
+            cookie_host.target("t-1"), is_overdue=True
+        )
+        host.update(overdue, base=1, position=2)
+        return host
+
+    def wait(self, host, is_confirmed=True):
+        """Lets minutes pass in which the publisher sends no change."""
+        for _ in range(200):
+            host.update(base=2, position=2, is_confirmed=is_confirmed)
+            host.tick(1.0)
+
+    def test_nothing_is_kept_of_a_target_without_flows(self):
+        host = self.start()
+        self.wait(host)
+        self.assertEqual({}, host.targets.by_name)
+        self.assertEqual({}, host.targets.by_tag)
+        self.assertEqual({}, host.targets.by_service["web"])
+
+    def test_a_target_with_an_open_flow_is_kept(self):
+        host = self.start()
+        for second in range(200):
+            host.update(base=2, position=2)
+            sent = host.send(7, "t-1", acknowledged=second)
+            self.assertEqual("t-1", sent)
+            host.tick(1.0)
+        self.assertEqual([], host.resets)
+
+    def test_a_host_whose_publisher_is_cut_off_keeps_its_targets(self):
+        host = self.start()
+        self.wait(host, is_confirmed=False)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+    def test_a_host_that_reaches_no_control_host_keeps_its_targets(self):
+        host = self.start()
+        host.tick(200.0)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+    def test_a_target_that_just_became_missing_is_kept(self):
+        # Its last change may be long ago, as renewals are not sent.
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        for _ in range(200):
+            host.update(base=1, position=1)
+            host.tick(1.0)
+        host.update(run="other")
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+
 def domain_target(name, domain):
     """Returns a target of a failure domain."""
     return msgspec.structs.replace(cookie_host.target(name), domain=domain)
--- a/tests/cover/test_target_registry.py
+++ b/tests/cover/test_target_registry.py
@@ -142,3 +142,33 @@
             is_last = last_at[starts[start][1]] == start
             if is_last and start not in group.withdrawn:
                 self.assertEqual({False}, states)
+
+
+class SilenceTest(testtools.TestCase):
+    """Targets whose announcements reach no control host."""
+
+    def phases(self, held, seconds):
+        """Checks a registry once a second; returns the phases it sends."""
+        phases = set()
+        for now_s in range(2, 2 + seconds):
+            held.check_overdue(float(now_s))
+            known = held.changes_since(0)
+            phases |= {item.target.phase for item in known}
+        return phases
+
+    def test_silence_alone_ends_no_target(self):
+        # The target may be cut off from the control hosts, and still serve.
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1"))
+        self.assertEqual(
+            {target_announcement.Phase.READY}, self.phases(held, 600)
+        )
+
+    def test_nothing_is_kept_of_a_target_that_stays_silent(self):
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1"))
+        self.phases(held, 600)
+        self.assertEqual({}, held.records)
+        held.put(700.0, cookie_host.target("t-1", sequence=9))
+        self.assertFalse(is_gone(held, "t-1"))
+        self.assertFalse(held.records["t-1"].is_overdue)
