Let a withdrawal without a start time end no target

What callers would see: a target restarts under its name, a late withdrawal of its earlier start arrives without a start time, and all its open flows are reset with `target-gone` while it serves. The end is final for the new start.

Cause: the registry took such a withdrawal for one of the start that it holds.

Evidence: failed before, pass now: test_a_withdrawal_without_a_start_time_ends_no_target, test_a_withdrawal_without_a_start_time_outlasts_older_news and test_a_target_that_drains_since_the_same_announcement_leaves. Tests that passed before show that a late withdrawal with an earlier start time, an announcement without a start time, and the end of an earlier start change nothing.

The withdrawal now sets the target to draining: openings stay away, flows stay open, and the next announcement of a live target makes it ready again. What is known of one announcement is ordered by its phase, so that an older update of another control host does not undo it.

--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -90,7 +90,7 @@
         held = self.by_name.get(target.name)
         if held is not None and not _is_newer(held, known):
             return None
-        if held is not None and target.order < held.target.order:
+        if held is not None and target.rank < held.target.rank:
             # Control hosts send renewals only along with the next change.
             target = held.target
         gone_s = (
@@ -213,6 +213,4 @@
     target = known.target
     if held.is_gone or target.born_ms != held.target.born_ms:
         return target.born_ms > held.target.born_ms
-    return (
-        target.order > held.target.order or known.is_overdue != held.is_overdue
-    )
+    return target.rank > held.target.rank or known.is_overdue != held.is_overdue
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -136,13 +136,24 @@
     def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
         """Marks a target as gone, unless it has restarted.
 
+        A withdrawal without a start time may be a late one of an earlier start.
+        The target gets no openings until it announces itself again.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            name: Name of the target.
+            born_ms: Start time of the target in milliseconds, or None if not
+                given.
+
         Returns:
             Whether others must receive a change.
         """
         held = self.records.get(name)
         if held is None:
             return False
-        if born_ms is not None and born_ms < held.target.born_ms:
+        if born_ms is None:
+            return self._set_draining(held)
+        if born_ms < held.target.born_ms:
             return False
         return self._mark_gone(now_s, held)
 
@@ -291,6 +302,15 @@
         if not names:
             del self._by_endpoint[key]
 
+    def _set_draining(self, record: TargetRecord) -> bool:
+        if record.target.phase is not target_announcement.Phase.READY:
+            return False
+        record.target = msgspec.structs.replace(
+            record.target, phase=target_announcement.Phase.DRAINING
+        )
+        self._record_change(record)
+        return True
+
     def _mark_gone(self, now_s: float, record: TargetRecord) -> bool:
         if record.target.phase is target_announcement.Phase.GONE:
             return False
@@ -327,7 +347,7 @@
     """Returns whether an announcement may replace the one held."""
     if held.phase is target_announcement.Phase.GONE:
         return target.born_ms > held.born_ms
-    return target.order >= held.order
+    return target.rank >= held.rank
 
 
 def _differs(
--- a/packages/core/src/tamarack_core/target_announcement.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -49,6 +49,15 @@
         """Key that orders the announcements of one name."""
         return (self.born_ms, self.sequence)
 
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Key that orders what is known of one name.
+
+        A withdrawal without a start time changes the phase of the newest
+        announcement.
+        """
+        return (self.born_ms, self.sequence, self.phase)
+
 
 class KnownTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target as known to a control host.
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -342,6 +342,29 @@
             table.put(1.0, target_announcement.KnownTarget(target))
         self.assertEqual({first}, self.names(table))
 
+    def test_a_target_that_drains_since_the_same_announcement_leaves(self):
+        table = target_table.TargetTable()
+        table.put(
+            1.0, target_announcement.KnownTarget(cookie_host.target("t-1"))
+        )
+        draining = cookie_host.target(
+            "t-1", phase=target_announcement.Phase.DRAINING
+        )
+        table.put(2.0, target_announcement.KnownTarget(draining))
+        self.assertEqual(set(), self.names(table))
+        # An older update of another control host does not return it.
+        table.put(
+            3.0, target_announcement.KnownTarget(cookie_host.target("t-1"))
+        )
+        self.assertEqual(set(), self.names(table))
+        table.put(
+            4.0,
+            target_announcement.KnownTarget(
+                cookie_host.target("t-1", sequence=2)
+            ),
+        )
+        self.assertEqual({"t-1"}, self.names(table))
+
     def test_adding_many_targets_takes_less_than_quadratic_time(self):
         # An entry host learns all targets at once when it starts. 16 times as
         # many targets must cost less than 64 times the processor time, which
--- a/tests/cover/test_target_registry.py
+++ b/tests/cover/test_target_registry.py
@@ -172,3 +172,62 @@
         held.put(700.0, cookie_host.target("t-1", sequence=9))
         self.assertFalse(is_gone(held, "t-1"))
         self.assertFalse(held.records["t-1"].is_overdue)
+
+
+class WithdrawalTest(testtools.TestCase):
+    """Withdrawals may be late, and may come without a start time."""
+
+    def phase(self, held):
+        """Returns the phase in which a registry holds the target."""
+        return held.records["t-1"].target.phase
+
+    def test_a_withdrawal_without_a_start_time_ends_no_target(self):
+        # It may be a late one of an earlier start under the same name.
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1", born_ms=2))
+        self.assertTrue(held.withdraw(1.0, "t-1", None))
+        self.assertIs(target_announcement.Phase.DRAINING, self.phase(held))
+        held.put(2.0, cookie_host.target("t-1", born_ms=2, sequence=2))
+        self.assertIs(target_announcement.Phase.READY, self.phase(held))
+
+    def test_a_withdrawal_without_a_start_time_outlasts_older_news(self):
+        held, other = registry(), registry()
+        for host in (held, other):
+            host.put(1.0, cookie_host.target("t-1", born_ms=2))
+        held.withdraw(1.0, "t-1", None)
+        exchange(other, held, 0)
+        exchange(held, other, 0)
+        for host in (held, other):
+            self.assertIs(target_announcement.Phase.DRAINING, self.phase(host))
+
+    def test_a_late_withdrawal_of_an_earlier_start_changes_nothing(self):
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1", born_ms=1))
+        held.put(1.0, cookie_host.target("t-1", born_ms=2))
+        self.assertFalse(held.withdraw(1.0, "t-1", 1))
+        self.assertIs(target_announcement.Phase.READY, self.phase(held))
+
+    def test_a_withdrawal_of_a_start_yet_unknown_does_not_end_that_start(self):
+        # The record of the earlier start ends; the later one is announced to
+        # another control host and decides for itself.
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1", born_ms=1))
+        held.withdraw(1.0, "t-1", 2)
+        held.put(2.0, cookie_host.target("t-1", born_ms=2))
+        self.assertIs(target_announcement.Phase.READY, self.phase(held))
+
+    def test_an_announcement_without_a_start_time_ends_no_other(self):
+        held = registry()
+        held.put(1.0, cookie_host.target("t-1", born_ms=2, sequence=3))
+        held.put(2.0, cookie_host.target("t-1", born_ms=0, sequence=9))
+        held.put(2.0, cookie_host.target("t-2", born_ms=0))
+        self.assertEqual((2, 3), held.records["t-1"].target.order)
+        self.assertIs(target_announcement.Phase.READY, self.phase(held))
+
+    def test_the_end_of_an_earlier_start_does_not_reach_the_later_one(self):
+        held, other = registry(), registry()
+        other.put(1.0, cookie_host.target("t-1", born_ms=1))
+        other.withdraw(1.0, "t-1", 1)
+        held.put(1.0, cookie_host.target("t-1", born_ms=2))
+        exchange(other, held, 0)
+        self.assertIs(target_announcement.Phase.READY, self.phase(held))
