Reset no flow for a route that this host never held

What callers would see: a flow that was opened on a route that had just been added is reset with `route-removed` when one of its packets reaches an entry host whose document is older. The flow's target serves and the route exists.

Cause: the forwarder took a route that it doesn't hold for a removed one. A host that is behind, or that has just started from a control host that is behind, can't tell a route that was removed from one that it has yet to learn of.

Evidence: failed before, pass now: test_a_flow_on_a_route_that_is_not_yet_here_is_not_reset, test_a_flow_on_a_route_that_was_added_again_is_not_reset and test_a_host_that_started_after_a_removal_resets_no_flow. Tests that passed before and still do: a flow from before the removal is reset, after a change and after a whole document.

The route table records when it learned of each removal, for 2,000 routes at most. A flow is reset only if its first packet at this host came before; any other packet goes to the target of its cookie. Openings without a route are refused as before. What changes for callers of a route that was removed: a host that first sees their flow after the removal no longer resets it, and its target serves it until it ends.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -60,6 +60,7 @@
 
     Attributes:
         target: The target.
+        first_packet_s: Time of its first packet at this host, in seconds.
         last_packet_s: Time of its last packet, in seconds.
         is_open: Whether a target has replied to the opening packet.
         tried: Targets that were sent the opening packet.
@@ -71,6 +72,7 @@
     """
 
     target: target_table.TargetEntry
+    first_packet_s: float
     last_packet_s: float
     is_open: bool = False
     tried: tuple[str, ...] = ()
@@ -245,7 +247,7 @@
                 tried = held.tried
         self.closed.pop(key, None)
         self.flows[key] = Flow(
-            target, now_s, tried=(*tried, target.target.name)
+            target, now_s, now_s, tried=(*tried, target.target.name)
         )
         activity = self.activity_of(target)
         activity.flows += 1
@@ -304,6 +306,7 @@
             flow = Flow(
                 target,
                 now_s,
+                now_s,
                 is_open=True,
                 acknowledged=packet.acknowledged,
                 sequence=packet.sequence,
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -288,10 +288,7 @@
             # Other entry hosts may know the target, so the flow isn't reset.
             reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
             return self.rejector.drop(reason)
-        if (
-            self.subscription.has_document
-            and self.routes.find(packet.flow) is None
-        ):
+        if self._has_lost_route(packet.flow):
             return self._reset_flow(now_s, packet, entry, "route-removed")
         if (
             entry.gone_s is not None
@@ -311,6 +308,19 @@
             result += self.probes.probe(now_s, entry)
         return result
 
+    def _has_lost_route(self, key: flow_packets.FlowKey) -> bool:
+        """Returns whether the route of a flow was removed while it was open.
+
+        A route that this host does not hold may be one that a newer document
+        adds, by which another host opened the flow.
+        """
+        if self.routes.find(key) is not None:
+            return False
+        flow = self.tracker.flows.get(key)
+        return flow is not None and self.routes.was_removed_since(
+            key, flow.first_packet_s
+        )
+
     def _send_to_target(
         self, packet: flow_packets.FlowPacket, entry: target_table.TargetEntry
     ) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -9,6 +9,10 @@
 from tamarack_core import flow_packets
 from tamarack_core import sync
 
+MAX_REMOVED = 2_000
+"""Number of removed routes that are kept. The flows of earlier ones are not
+reset."""
+
 _flow_form = struct.Struct("!IHIH")
 
 
@@ -34,21 +38,26 @@
     Attributes:
         number: Number of the document in force; 0 for none.
         by_endpoint: Routes by numeric address and port.
+        removed_s: Time at which this host learned of the removal of a route
+            that it held, in seconds, by numeric address and port, the earliest
+            first.
         idle_timeout_s: Time after which an idle flow may expire, in seconds.
     """
 
-    __slots__ = ("by_endpoint", "idle_timeout_s", "number")
+    __slots__ = ("by_endpoint", "idle_timeout_s", "number", "removed_s")
 
     def __init__(self) -> None:
         """Initializes a route table without a document."""
         self.number = 0
         self.by_endpoint: dict[tuple[int, int], RouteEntry] = {}
+        self.removed_s: dict[tuple[int, int], float] = {}
         self.idle_timeout_s = 0.0
 
-    def put(self, update: sync.DocumentUpdate) -> bool:
+    def put(self, now_s: float, update: sync.DocumentUpdate) -> bool:
         """Applies an update if its base is held and it is newer.
 
         Args:
+            now_s: Monotonic time in seconds.
             update: Routes that changed.
 
         Returns:
@@ -56,8 +65,8 @@
         """
         if not update.base <= self.number < update.number:
             return False
-        if update.base == 0:
-            self.by_endpoint.clear()
+        before = self.by_endpoint
+        self.by_endpoint = {} if update.base == 0 else before.copy()
         for route in update.routes:
             endpoint = (
                 flow_packets.address_to_number(route.address),
@@ -65,12 +74,35 @@
             )
             if route.shares:
                 self.by_endpoint[endpoint] = _route_entry(route)
+                self.removed_s.pop(endpoint, None)
             else:
                 self.by_endpoint.pop(endpoint, None)
+        self._record_removed(now_s, before)
         self.number = update.number
         self.idle_timeout_s = update.idle_timeout_ms / 1000
         return True
 
+    def _record_removed(
+        self, now_s: float, before: dict[tuple[int, int], RouteEntry]
+    ) -> None:
+        """Records the routes that were held before and no longer are."""
+        for endpoint in before:
+            if endpoint not in self.by_endpoint:
+                self.removed_s[endpoint] = now_s
+        while len(self.removed_s) > MAX_REMOVED:
+            del self.removed_s[next(iter(self.removed_s))]
+
+    def was_removed_since(
+        self, flow: flow_packets.FlowKey, seen_s: float
+    ) -> bool:
+        """Returns whether a route that is not held was removed after a time.
+
+        Args:
+            flow: A flow of the route.
+            seen_s: The time in seconds.
+        """
+        return seen_s < self.removed_s.get((flow[2], flow[3]), float("-inf"))
+
     def find(self, flow: flow_packets.FlowKey) -> RouteEntry | None:
         """Returns the route of a flow, or None."""
         return self.by_endpoint.get((flow[2], flow[3]))
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -223,7 +223,9 @@
         answer = event.message
         assert isinstance(answer, sync.DocumentAnswer)
         result: list[effects.Effect] = []
-        if answer.document is not None and self.routes.put(answer.document):
+        if answer.document is not None and self.routes.put(
+            event.now_s, answer.document
+        ):
             result.append(self._record_document(event.now_s))
         if answer.is_confirmed and not self.is_confirmed:
             self.publisher = event.sender
@@ -354,7 +356,9 @@
         self, now_s: float, update: sync.SyncUpdate
     ) -> list[effects.Effect]:
         """Applies the routes of an update if they are newer."""
-        if update.document is None or not self.routes.put(update.document):
+        if update.document is None or not self.routes.put(
+            now_s, update.document
+        ):
             return []
         return [self._record_document(now_s)]
 
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -9,6 +9,7 @@
 
 from tamarack_core import events
 from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
 from tests import cookie_host
 
@@ -43,6 +44,81 @@
         self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(30, 40)})
 
 
+class RemovedRouteTest(testtools.TestCase):
+    """Packets of open flows whose route a host does not hold."""
+
+    def start(self, number=1, **changes):
+        """Returns a host with a target and a document."""
+        host = cookie_host.CookieHost()
+        host.update(
+            cookie_host.target("t-1"),
+            document=cookie_host.document(number, **changes),
+        )
+        return host
+
+    def apply(self, host, document):
+        """Lets some time pass and delivers a document."""
+        host.tick(0.1)
+        host.update(base=1, position=1, document=document)
+        host.tick(0.1)
+
+    def remove_route(self, host, number):
+        """Delivers a document that removes the route."""
+        removal = cookie_host.document(number, service="", base=number - 1)
+        self.apply(host, removal)
+
+    def test_a_flow_on_a_route_that_is_not_yet_here_is_not_reset(self):
+        # Another host holds a newer document and opened the flow.
+        host = self.start(port=8443)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.send(1, "t-1", payload_bytes=10))
+
+    def test_a_flow_on_a_route_that_was_added_again_is_not_reset(self):
+        # This host has not received the document that adds it again.
+        host = self.start()
+        self.remove_route(host, 2)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.send(1, "t-1", payload_bytes=10))
+
+    def test_a_flow_from_before_the_removal_of_its_route_is_reset(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.assertEqual("t-1", host.send(2, "t-1"))
+        self.remove_route(host, 2)
+        for number in (1, 2):
+            self.assertEqual("reset", host.send(number, "t-1"))
+
+    def test_a_whole_document_without_a_route_removes_it(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.apply(host, cookie_host.document(9, port=8443))
+        self.assertEqual("reset", host.send(1, "t-1"))
+
+    def test_a_host_that_started_after_a_removal_resets_no_flow(self):
+        host = self.start(number=2, port=8443)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("reset", host.open(2))
+
+    def test_a_flow_goes_on_when_its_route_is_added_again(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.remove_route(host, 2)
+        self.apply(host, cookie_host.document(3, base=2))
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.open(2))
+        self.remove_route(host, 4)
+        self.assertEqual("reset", host.send(2, "t-1"))
+
+    def test_nothing_grows_with_each_removed_route(self):
+        table = routes_lib.RouteTable()
+        count = routes_lib.MAX_REMOVED + 10
+        for number in range(1, count):
+            added = cookie_host.document(number, base=number - 1, port=number)
+            table.put(float(number), added)
+        table.put(float(count), cookie_host.document(count, port=count))
+        self.assertEqual(routes_lib.MAX_REMOVED, len(table.removed_s))
+
+
 class SilentTargetTest(testtools.TestCase):
     """Targets whose announcements reach no control host for minutes."""
 
--- a/tests/cover/test_route_history.py
+++ b/tests/cover/test_route_history.py
@@ -31,9 +31,9 @@
         passing = group_network.route("passing", 80)
         other = histories.RouteHistory()
         other.put(group_network.document(13, stays, passing))
-        table.put(other.changes_since(0))
+        table.put(1.0, other.changes_since(0))
         self.assertEqual({80, 443}, places(table))
-        table.put(history.changes_since(13))
+        table.put(2.0, history.changes_since(13))
         self.assertEqual(25, table.number)
         self.assertEqual({443}, places(table))
 
@@ -74,10 +74,10 @@
         holder = histories.RouteHistory()
         if held:
             holder.put(versions[held - 1])
-            table.put(holder.changes_since(0))
+            table.put(1.0, holder.changes_since(0))
         update = history.changes_since(table.number)
         if update is not None:
-            table.put(update)
+            table.put(2.0, update)
         newest = max(history.document.number, held)
         if newest:
             self.assertEqual(set(steps[newest - 1]), places(table))
--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -90,7 +90,7 @@
 
     def build():
         table = routes.RouteTable()
-        table.put(document)
+        table.put(0.0, document)
         return table
 
     _, took_s, kept = measure(build)
