Keep the flows of a withdrawn target while it replies

What callers would see: a target withdraws, the response is lost, and it goes on until it has withdrawn at another control host. Its open flows are reset with `target-gone` 0.3 s after the first withdrawal, while it still replies on them.

Cause: the forwarder counted the grace from the withdrawal alone.

Evidence: test_a_withdrawn_target_keeps_its_flows_while_it_replies failed before (reset after 0.3 s) and passes now. A new test of the target table, which passed before as well, shows that a target that is gone returns only with a later start and that the end of an earlier start does not end a later one.

The grace now counts from the last reply that this host saw, if that is later. A reply after the withdrawal proves that the target runs. Idle flows give no such evidence: they are reset 0.3 s after the withdrawal as before.

--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -20,8 +20,9 @@
 """Interval of the checks for idle flows and ended targets, in seconds."""
 
 WITHDRAWAL_GRACE_S = 0.3
-"""Time between the withdrawal of a target and the reset of its flows, in
-seconds. The target may still be shutting down."""
+"""Time from the withdrawal of a target, or from its last reply if that is
+later, to the reset of its flows, in seconds. A target whose withdrawal was not
+acknowledged goes on for a while."""
 
 LINGER_S = 1.3
 """Time for which a stopping host still forwards packets, in seconds. The fabric
@@ -123,10 +124,7 @@
             *self.detector.probe_overdue(now_s),
         ]
         for entry in self.targets.by_name.values():
-            if (
-                entry.gone_s is not None
-                and now_s - entry.gone_s >= WITHDRAWAL_GRACE_S
-            ):
+            if self._has_ended(now_s, entry):
                 result += self.rejector.reset_flows(now_s, entry, "target-gone")
         return result
 
@@ -290,15 +288,14 @@
             return self.rejector.drop(reason)
         if self._has_lost_route(packet.flow):
             return self._reset_flow(now_s, packet, entry, "route-removed")
-        if (
-            entry.gone_s is not None
-            and now_s - entry.gone_s >= WITHDRAWAL_GRACE_S
-        ):
-            return self._reset_flow(now_s, packet, entry, "target-gone")
         if packet.is_reset:
             self.tracker.remove_flow(packet.flow)
+            if self._has_ended(now_s, entry):
+                return self.rejector.drop("target-gone")
             return self._send_to_target(packet, entry)
         is_retransmission = self.tracker.observe_packet(now_s, entry, packet)
+        if self._has_ended(now_s, entry):
+            return self._reset_flow(now_s, packet, entry, "target-gone")
         if packet.is_last and not packet.payload_bytes:
             return self._send_to_target(packet, entry)
         if self.detector.should_reset_flows(entry):
@@ -308,6 +305,16 @@
             result += self.probes.probe(now_s, entry)
         return result
 
+    def _has_ended(self, now_s: float, entry: target_table.TargetEntry) -> bool:
+        """Returns whether a target is gone and has stopped replying."""
+        if entry.gone_s is None:
+            return False
+        activity = self.tracker.targets.get(entry.target.name)
+        is_replying = activity is not None and activity.has_replied(
+            now_s, WITHDRAWAL_GRACE_S
+        )
+        return now_s - entry.gone_s >= WITHDRAWAL_GRACE_S and not is_replying
+
     def _has_lost_route(self, key: flow_packets.FlowKey) -> bool:
         """Returns whether the route of a flow was removed while it was open.
 
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -441,6 +441,22 @@
         )
         self.assertEqual({"t-1"}, self.names(table))
 
+    def test_a_target_that_is_gone_returns_only_with_a_later_start(self):
+        table = target_table.TargetTable()
+
+        def put(**changes):
+            target = cookie_host.target("t-1", **changes)
+            table.put(1.0, target_announcement.KnownTarget(target))
+            return table.by_name["t-1"].is_gone
+
+        gone = target_announcement.Phase.GONE
+        put(born_ms=2)
+        self.assertTrue(put(born_ms=2, sequence=5, phase=gone))
+        self.assertTrue(put(born_ms=2, sequence=9))
+        self.assertFalse(put(born_ms=3))
+        self.assertFalse(put(born_ms=2, sequence=99, phase=gone))
+        self.assertTrue(put(born_ms=4, phase=gone))
+
     def test_adding_many_targets_takes_less_than_quadratic_time(self):
         # An entry host learns all targets at once when it starts. 16 times as
         # many targets must cost less than 64 times the processor time, which
@@ -644,6 +660,22 @@
         host.tick(0.6)
         self.assertEqual(3, len(host.resets))
 
+    def test_a_withdrawn_target_keeps_its_flows_while_it_replies(self):
+        # The response to its withdrawal was lost, so it withdraws again before
+        # it exits.
+        host = self.start()
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        for reply in range(20):
+            host.tick(0.1)
+            sent = host.send(0, "t-1", acknowledged=700 + reply, sequence=11)
+            self.assertEqual("t-1", sent)
+        self.assertEqual([], host.resets)
+        host.tick(0.6)
+        self.assertEqual(3, len(host.resets))
+
     def test_an_opening_is_refused_at_once_when_all_targets_are_dead(self):
         # An entry host that is cut off: the caller's next attempt may reach
         # another one.
