Let only a target that runs end another one at its endpoint

What callers would see: a target whose start time is earlier than that of the last target at its address, because the clock of that machine was ahead then, is marked as gone when the record of the last one arrives from another control host. Its open flows are reset although it serves.

Cause: since a record that is gone ended the targets with earlier start times at its endpoint, and one that is overdue did so always. Start times come from wall clocks; beside a target that has ended or fallen silent they don't show which of the two started first.

Evidence: failed before, pass now: test_a_target_that_has_ended_ends_no_other_at_its_place and test_a_silent_target_ends_no_other_at_its_place.

Only a target that is neither gone nor overdue ends another one at its endpoint.

--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -103,9 +103,10 @@
         held = self.records.get(target.name)
         if held is not None and not _may_replace(held.target, target):
             return False
-        if self._is_superseded(target):
+        if self._is_superseded(now_s, target):
             target = _ended(target)
-        self._end_earlier(now_s, target)
+        elif age_s <= self.overdue_after_s:
+            self._end_earlier(now_s, target)
         announced_s = now_s - age_s
         if held is None or _differs(held, target):
             self._move(held, target)
@@ -258,17 +259,26 @@
     def _others_at(
         self, target: target_announcement.Announcement
     ) -> list[TargetRecord]:
-        """Returns the records of other targets at the endpoint of a target.
-
-        Those that are gone are included: they were started there as well.
-        """
+        """Returns the other targets at an endpoint that are not gone."""
         names = self._by_endpoint.get(_endpoint_key(target), ())
-        return [self.records[name] for name in names if name != target.name]
+        return [
+            record
+            for record in map(self.records.__getitem__, names)
+            if record.target.name != target.name
+            and record.target.phase is not target_announcement.Phase.GONE
+        ]
 
-    def _is_superseded(self, target: target_announcement.Announcement) -> bool:
-        """Returns whether a target started later at the same endpoint."""
+    def _is_superseded(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> bool:
+        """Returns whether a target started later runs at the same endpoint.
+
+        One that is silent does not count: if its clock was ahead, the other one
+        started after its end.
+        """
         return any(
             other.target.born_ms > target.born_ms
+            and not self._is_late(now_s, other)
             for other in self._others_at(target)
         )
 
@@ -279,6 +289,8 @@
 
         Equal start times prove nothing about either target.
         """
+        if target.phase is target_announcement.Phase.GONE:
+            return
         for other in self._others_at(target):
             if other.target.born_ms < target.born_ms:
                 self._mark_gone(now_s, other)
