Reset no flow of a start that this host does not know yet

What callers would see: a target that has ended starts again under its name. Another entry host opens a flow at the new start; when a packet of that flow reaches a host that still holds the end of the earlier start, the host resets the flow with `target-gone` although its target serves.

Cause: cookies name the target and not its start, and the forwarder reset each packet that names a target which is gone.

Evidence: RestartedTargetTest. Failed before, pass now: test_a_flow_of_a_start_that_is_not_yet_known_is_not_reset, test_a_flow_that_moved_here_after_the_end_is_reset_when_it_stalls (it was reset at its first packet) and test_a_host_that_is_cut_off_resets_no_flow_that_moved_to_it. Passed before as well: a caller that closes a flow of an ended target gets a reset.

Flows that this host saw before the end are reset as before, idle ones too. A flow that it first sees later goes on to the target, and is reset only when its caller retransmits while this host follows a control host with a quorum. A caller whose flow moves here after its target has ended learns of it 0.2 s later than before. Resets of callers are now passed on to a target that is gone, since they may be meant for its new start.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -42,19 +42,30 @@
         self.tracker = tracker
 
     def reset_flows(
-        self, now_s: float, entry: target_table.TargetEntry, reason: str
+        self,
+        now_s: float,
+        entry: target_table.TargetEntry,
+        reason: str,
+        seen_by_s: float | None = None,
     ) -> list[effects.Effect]:
         """Resets all known flows of a target, idle ones included.
 
         A later request on an idle flow would be lost, and the caller may not
         be able to repeat it.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            entry: The target.
+            reason: Tag of the cause.
+            seen_by_s: Time in seconds; flows whose first packet at this
+                host came later are left. None for all.
         """
         name = entry.target.name
         if not self.tracker.activity_of(entry).flows:
             return []
         result: list[effects.Effect] = []
         for key, flow in list(self.tracker.flows.items()):
-            if flow.target.target.name == name:
+            if flow.target.target.name == name and flow.was_seen_by(seen_by_s):
                 result += self.reset_flow(
                     now_s, key, flow.acknowledged, entry, reason
                 )
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -81,6 +81,10 @@
     pending_since_s: float | None = None
     is_closing: bool = False
 
+    def was_seen_by(self, time_s: float | None) -> bool:
+        """Returns whether its first packet came by a time; None for any."""
+        return time_s is None or self.first_packet_s <= time_s
+
 
 class TargetActivity(msgspec.Struct):
     """Flows of one target and evidence of its liveness.
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -125,7 +125,9 @@
         ]
         for entry in self.targets.by_name.values():
             if self._has_ended(now_s, entry):
-                result += self.rejector.reset_flows(now_s, entry, "target-gone")
+                result += self.rejector.reset_flows(
+                    now_s, entry, "target-gone", entry.gone_s
+                )
         return result
 
     def handle_stop(self, event: events.StopRequested) -> list[effects.Effect]:
@@ -290,11 +292,16 @@
             return self._reset_flow(now_s, packet, entry, "route-removed")
         if packet.is_reset:
             self.tracker.remove_flow(packet.flow)
-            if self._has_ended(now_s, entry):
-                return self.rejector.drop("target-gone")
             return self._send_to_target(packet, entry)
+        flow = self.tracker.flows.get(packet.flow)
         is_retransmission = self.tracker.observe_packet(now_s, entry, packet)
-        if self._has_ended(now_s, entry):
+        # A flow that was not seen here before the end of its target may be one
+        # of a later start of that target, which this host does not know yet.
+        is_of_ended = flow is not None and flow.was_seen_by(entry.gone_s)
+        is_stalled = is_retransmission and self.subscription.follows_quorum(
+            now_s
+        )
+        if self._has_ended(now_s, entry) and (is_of_ended or is_stalled):
             return self._reset_flow(now_s, packet, entry, "target-gone")
         if packet.is_last and not packet.payload_bytes:
             return self._send_to_target(packet, entry)
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -119,6 +119,64 @@
         self.assertEqual(routes_lib.MAX_REMOVED, len(table.removed_s))
 
 
+class RestartedTargetTest(testtools.TestCase):
+    """A target that is gone starts again under its name."""
+
+    def start(self):
+        """Returns a host that knows that a target has ended."""
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        host.send(1, "t-1", acknowledged=500)
+        host.tick(0.1)
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        host.tick(1.0)
+        self.assertEqual(1, len(host.resets))
+        return host
+
+    def test_a_flow_of_a_start_that_is_not_yet_known_is_not_reset(self):
+        # Another host knows the new start and opened the flow.
+        host = self.start()
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(2, "t-1", acknowledged=500))
+        started = cookie_host.target("t-1", born_ms=2000)
+        host.update(started, base=2, position=3)
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        self.assertEqual(1, len(host.resets))
+
+    def test_a_flow_that_moved_here_after_the_end_is_reset_when_it_stalls(self):
+        host = self.start()
+        host.update(base=2, position=2)
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        host.tick(0.2)
+        self.assertEqual("reset", host.send(2, "t-1", payload_bytes=10))
+
+    def test_a_host_that_is_cut_off_resets_no_flow_that_moved_to_it(self):
+        # It would not learn of a new start of the target.
+        host = self.start()
+        host.tick(5.0)
+        for _ in range(3):
+            self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+            host.tick(0.2)
+
+    def test_a_caller_that_closes_a_flow_of_an_ended_target_gets_a_reset(self):
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        host.send(1, "t-1", acknowledged=500)
+        host.tick(1.0)
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        host.now_s += 0.4
+        sent = host.send(1, "t-1", acknowledged=500, is_last=True)
+        self.assertEqual("reset", sent)
+
+
 class SilentTargetTest(testtools.TestCase):
     """Targets whose announcements reach no control host for minutes."""
 
