--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -60,6 +60,7 @@
 
     Attributes:
         target: The target.
+        first_packet_s: Time of its first packet at this host, in seconds.
         last_packet_s: Time of its last packet, in seconds.
         is_open: Whether a target has replied to the opening packet.
         tried: Targets that were sent the opening packet.
@@ -71,6 +72,7 @@
     """
 
     target: target_table.TargetEntry
+    first_packet_s: float
     last_packet_s: float
     is_open: bool = False
     tried: tuple[str, ...] = ()
@@ -79,6 +81,10 @@
     pending_since_s: float | None = None
     is_closing: bool = False
 
+    def was_seen_by(self, time_s: float | None) -> bool:
+        """Returns whether its first packet came by a time; None for any."""
+        return time_s is None or self.first_packet_s <= time_s
+
 
 class TargetActivity(msgspec.Struct):
     """Flows of one target and evidence of its liveness.
@@ -245,7 +251,7 @@
                 tried = held.tried
         self.closed.pop(key, None)
         self.flows[key] = Flow(
-            target, now_s, tried=(*tried, target.target.name)
+            target, now_s, now_s, tried=(*tried, target.target.name)
         )
         activity = self.activity_of(target)
         activity.flows += 1
@@ -304,6 +310,7 @@
             flow = Flow(
                 target,
                 now_s,
+                now_s,
                 is_open=True,
                 acknowledged=packet.acknowledged,
                 sequence=packet.sequence,
@@ -418,6 +425,12 @@
             count += flow.target.target.service == service
         return count
 
+    def used_targets(self) -> set[str]:
+        """Returns the names of the targets with flows through this host."""
+        return {
+            name for name, activity in self.targets.items() if activity.flows
+        }
+
     def remove_targets(self, known: Container[str]) -> None:
         """Removes targets that are no longer known and have no flows.
 
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -139,6 +139,14 @@
         """Whether a document is held."""
         return self.routes.number > 0
 
+    def follows_quorum(self, now_s: float) -> bool:
+        """Returns whether the publisher responds and has a quorum.
+
+        Otherwise it may not hear of the announcements of live targets.
+        """
+        is_responding = now_s - self.updated_s <= 2 * REQUEST_INTERVAL_S
+        return is_responding and self.is_confirmed
+
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
         """Returns the event handlers by key."""
         return {
@@ -215,7 +223,9 @@
         answer = event.message
         assert isinstance(answer, sync.DocumentAnswer)
         result: list[effects.Effect] = []
-        if answer.document is not None and self.routes.put(answer.document):
+        if answer.document is not None and self.routes.put(
+            event.now_s, answer.document
+        ):
             result.append(self._record_document(event.now_s))
         if answer.is_confirmed and not self.is_confirmed:
             self.publisher = event.sender
@@ -346,7 +356,9 @@
         self, now_s: float, update: sync.SyncUpdate
     ) -> list[effects.Effect]:
         """Applies the routes of an update if they are newer."""
-        if update.document is None or not self.routes.put(update.document):
+        if update.document is None or not self.routes.put(
+            now_s, update.document
+        ):
             return []
         return [self._record_document(now_s)]
 
@@ -368,7 +380,7 @@
         is_whole = update.base == 0
         if is_whole and update.is_settled:
             names = {known.target.name for known in update.targets}
-            changed += self.targets.mark_missing_overdue(names)
+            changed += self.targets.mark_missing_overdue(now_s, names)
         result = self._record_targets(now_s, changed)
         if update.run != self.run:
             self.run = update.run
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -17,9 +17,10 @@
 GONE_RETENTION_S = 120.0
 """Time after which a target that is gone is removed, in seconds."""
 
-PRESUMED_GONE_S = 60.0
-"""Time without an announcement after which a target counts as gone, in
-seconds."""
+SILENCE_RETENTION_S = 120.0
+"""Time without an announcement after which a target is forgotten, in seconds.
+Silence does not prove that a target has ended: it may be cut off from the
+control hosts while it serves."""
 
 GONE_SEQUENCE = 1 << 62
 """Sequence number of the end of a target, higher than that of any
@@ -81,7 +82,7 @@
         self.interval_s = interval_s
         self.records: dict[str, TargetRecord] = {}
         self.position = 0
-        self._by_endpoint: dict[tuple[str, int], str] = {}
+        self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
 
     def put(
         self,
@@ -102,14 +103,18 @@
         held = self.records.get(target.name)
         if held is not None and not _may_replace(held.target, target):
             return False
-        if target.phase is not target_announcement.Phase.GONE:
-            if self._is_superseded(target):
-                return False
-            self._claim_endpoint(now_s, target)
+        if self._is_superseded(now_s, target):
+            target = _ended(target)
+        elif age_s <= self.overdue_after_s:
+            self._end_earlier(now_s, target)
         announced_s = now_s - age_s
         if held is None or _differs(held, target):
+            self._move(held, target)
             record = TargetRecord(target, announced_s, 0)
-            record.is_overdue = self._is_late(now_s, record)
+            record.is_overdue = (
+                target.phase is not target_announcement.Phase.GONE
+                and self._is_late(now_s, record)
+            )
             self._record_change(record)
             return True
         held.target = target
@@ -132,22 +137,33 @@
     def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
         """Marks a target as gone, unless it has restarted.
 
+        A withdrawal without a start time may be a late one of an earlier start.
+        The target gets no openings until it announces itself again.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            name: Name of the target.
+            born_ms: Start time of the target in milliseconds, or None if not
+                given.
+
         Returns:
             Whether others must receive a change.
         """
         held = self.records.get(name)
         if held is None:
             return False
-        if born_ms is not None and born_ms < held.target.born_ms:
+        if born_ms is None:
+            return self._set_draining(held)
+        if born_ms < held.target.born_ms:
             return False
         return self._mark_gone(now_s, held)
 
     def check_overdue(self, now_s: float) -> bool:
-        """Marks targets overdue or gone, and removes those gone.
+        """Marks targets overdue, and removes those gone or silent for long.
 
-        A target is overdue after `overdue_after_s` without an announcement,
-        counts as gone after `PRESUMED_GONE_S`, and is removed
-        `GONE_RETENTION_S` after it was marked as gone.
+        A target is overdue after `overdue_after_s` without an announcement, and
+        is removed after `SILENCE_RETENTION_S`, or `GONE_RETENTION_S` after it
+        was marked as gone. A removal is no change that others receive.
 
         Returns:
             Whether others must receive a change.
@@ -158,8 +174,8 @@
             if record.target.phase is target_announcement.Phase.GONE:
                 if age_s > GONE_RETENTION_S:
                     self._remove(record)
-            elif age_s > PRESUMED_GONE_S:
-                is_changed |= self._mark_gone(now_s, record)
+            elif age_s > SILENCE_RETENTION_S:
+                self._remove(record)
             elif not record.is_overdue and self._is_late(now_s, record):
                 is_changed |= self._set_overdue(record, True)
         return is_changed
@@ -240,49 +256,102 @@
         self.records.pop(record.target.name, None)
         self.records[record.target.name] = record
 
-    def _is_superseded(self, target: target_announcement.Announcement) -> bool:
-        """Returns whether a target started later has the same endpoint."""
-        name = self._by_endpoint.get(_endpoint_key(target))
-        if name is None or name == target.name:
-            return False
-        holder = self.records[name].target
-        is_gone = holder.phase is target_announcement.Phase.GONE
-        return not is_gone and holder.born_ms > target.born_ms
+    def _others_at(
+        self, target: target_announcement.Announcement
+    ) -> list[TargetRecord]:
+        """Returns the other targets at an endpoint that are not gone."""
+        names = self._by_endpoint.get(_endpoint_key(target), ())
+        return [
+            record
+            for record in map(self.records.__getitem__, names)
+            if record.target.name != target.name
+            and record.target.phase is not target_announcement.Phase.GONE
+        ]
 
-    def _claim_endpoint(
+    def _is_superseded(
         self, now_s: float, target: target_announcement.Announcement
+    ) -> bool:
+        """Returns whether a target started later runs at the same endpoint.
+
+        One that is silent does not count: if its clock was ahead, the other one
+        started after its end.
+        """
+        return any(
+            other.target.born_ms > target.born_ms
+            and not self._is_late(now_s, other)
+            for other in self._others_at(target)
+        )
+
+    def _end_earlier(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> None:
+        """Marks the targets as gone that started earlier at an endpoint.
+
+        Equal start times prove nothing about either target.
+        """
+        if target.phase is target_announcement.Phase.GONE:
+            return
+        for other in self._others_at(target):
+            if other.target.born_ms < target.born_ms:
+                self._mark_gone(now_s, other)
+
+    def _move(
+        self,
+        held: TargetRecord | None,
+        target: target_announcement.Announcement,
     ) -> None:
-        """Assigns an endpoint to a target; marks its earlier target as gone."""
+        """Assigns a target to its endpoint instead of its earlier one."""
+        if held is not None:
+            self._leave_endpoint(held.target)
+        names = self._by_endpoint.setdefault(_endpoint_key(target), {})
+        names[target.name] = None
+
+    def _leave_endpoint(self, target: target_announcement.Announcement) -> None:
+        """Removes a target from those at its endpoint."""
         key = _endpoint_key(target)
-        name = self._by_endpoint.get(key)
-        if name is not None and name != target.name:
-            self._mark_gone(now_s, self.records[name])
-        self._by_endpoint[key] = target.name
+        names = self._by_endpoint[key]
+        del names[target.name]
+        if not names:
+            del self._by_endpoint[key]
 
-    def _mark_gone(self, now_s: float, record: TargetRecord) -> bool:
-        if record.target.phase is target_announcement.Phase.GONE:
+    def _set_draining(self, record: TargetRecord) -> bool:
+        if record.target.phase is not target_announcement.Phase.READY:
             return False
         record.target = msgspec.structs.replace(
-            record.target,
-            phase=target_announcement.Phase.GONE,
-            sequence=GONE_SEQUENCE,
+            record.target, phase=target_announcement.Phase.DRAINING
         )
+        self._record_change(record)
+        return True
+
+    def _mark_gone(self, now_s: float, record: TargetRecord) -> bool:
+        if record.target.phase is target_announcement.Phase.GONE:
+            return False
+        record.target = _ended(record.target)
         record.announced_s = now_s
         record.is_overdue = False
         self._record_change(record)
         return True
 
     def _remove(self, record: TargetRecord) -> None:
-        target = record.target
-        del self.records[target.name]
-        if self._by_endpoint.get(_endpoint_key(target)) == target.name:
-            del self._by_endpoint[_endpoint_key(target)]
+        del self.records[record.target.name]
+        self._leave_endpoint(record.target)
 
 
 def _endpoint_key(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
 
+def _ended(
+    target: target_announcement.Announcement,
+) -> target_announcement.Announcement:
+    """Returns the announcement that a start of a target has ended."""
+    return msgspec.structs.replace(
+        target,
+        phase=target_announcement.Phase.GONE,
+        sequence=GONE_SEQUENCE,
+    )
+
+
 def _may_replace(
     held: target_announcement.Announcement,
     target: target_announcement.Announcement,
@@ -290,7 +359,7 @@
     """Returns whether an announcement may replace the one held."""
     if held.phase is target_announcement.Phase.GONE:
         return target.born_ms > held.born_ms
-    return target.order >= held.order
+    return target.rank >= held.rank
 
 
 def _differs(
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -9,6 +9,7 @@
 
 from tamarack_core import events
 from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
 from tests import cookie_host
 
@@ -43,6 +44,196 @@
         self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(30, 40)})
 
 
+class RemovedRouteTest(testtools.TestCase):
+    """Packets of open flows whose route a host does not hold."""
+
+    def start(self, number=1, **changes):
+        """Returns a host with a target and a document."""
+        host = cookie_host.CookieHost()
+        host.update(
+            cookie_host.target("t-1"),
+            document=cookie_host.document(number, **changes),
+        )
+        return host
+
+    def apply(self, host, document):
+        """Lets some time pass and delivers a document."""
+        host.tick(0.1)
+        host.update(base=1, position=1, document=document)
+        host.tick(0.1)
+
+    def remove_route(self, host, number):
+        """Delivers a document that removes the route."""
+        removal = cookie_host.document(number, service="", base=number - 1)
+        self.apply(host, removal)
+
+    def test_a_flow_on_a_route_that_is_not_yet_here_is_not_reset(self):
+        # Another host holds a newer document and opened the flow.
+        host = self.start(port=8443)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.send(1, "t-1", payload_bytes=10))
+
+    def test_a_flow_on_a_route_that_was_added_again_is_not_reset(self):
+        # This host has not received the document that adds it again.
+        host = self.start()
+        self.remove_route(host, 2)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.send(1, "t-1", payload_bytes=10))
+
+    def test_a_flow_from_before_the_removal_of_its_route_is_reset(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.assertEqual("t-1", host.send(2, "t-1"))
+        self.remove_route(host, 2)
+        for number in (1, 2):
+            self.assertEqual("reset", host.send(number, "t-1"))
+
+    def test_a_whole_document_without_a_route_removes_it(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.apply(host, cookie_host.document(9, port=8443))
+        self.assertEqual("reset", host.send(1, "t-1"))
+
+    def test_a_host_that_started_after_a_removal_resets_no_flow(self):
+        host = self.start(number=2, port=8443)
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("reset", host.open(2))
+
+    def test_a_flow_goes_on_when_its_route_is_added_again(self):
+        host = self.start()
+        self.assertEqual("t-1", host.open(1))
+        self.remove_route(host, 2)
+        self.apply(host, cookie_host.document(3, base=2))
+        self.assertEqual("t-1", host.send(1, "t-1"))
+        self.assertEqual("t-1", host.open(2))
+        self.remove_route(host, 4)
+        self.assertEqual("reset", host.send(2, "t-1"))
+
+    def test_nothing_grows_with_each_removed_route(self):
+        table = routes_lib.RouteTable()
+        count = routes_lib.MAX_REMOVED + 10
+        for number in range(1, count):
+            added = cookie_host.document(number, base=number - 1, port=number)
+            table.put(float(number), added)
+        table.put(float(count), cookie_host.document(count, port=count))
+        self.assertEqual(routes_lib.MAX_REMOVED, len(table.removed_s))
+
+
+class RestartedTargetTest(testtools.TestCase):
+    """A target that is gone starts again under its name."""
+
+    def start(self):
+        """Returns a host that knows that a target has ended."""
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        host.send(1, "t-1", acknowledged=500)
+        host.tick(0.1)
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        host.tick(1.0)
+        self.assertEqual(1, len(host.resets))
+        return host
+
+    def test_a_flow_of_a_start_that_is_not_yet_known_is_not_reset(self):
+        # Another host knows the new start and opened the flow.
+        host = self.start()
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(2, "t-1", acknowledged=500))
+        started = cookie_host.target("t-1", born_ms=2000)
+        host.update(started, base=2, position=3)
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        self.assertEqual(1, len(host.resets))
+
+    def test_a_flow_that_moved_here_after_the_end_is_reset_when_it_stalls(self):
+        host = self.start()
+        host.update(base=2, position=2)
+        self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+        host.tick(0.2)
+        self.assertEqual("reset", host.send(2, "t-1", payload_bytes=10))
+
+    def test_a_host_that_is_cut_off_resets_no_flow_that_moved_to_it(self):
+        # It would not learn of a new start of the target.
+        host = self.start()
+        host.tick(5.0)
+        for _ in range(3):
+            self.assertEqual("t-1", host.send(2, "t-1", payload_bytes=10))
+            host.tick(0.2)
+
+    def test_a_caller_that_closes_a_flow_of_an_ended_target_gets_a_reset(self):
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        host.send(1, "t-1", acknowledged=500)
+        host.tick(1.0)
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        host.now_s += 0.4
+        sent = host.send(1, "t-1", acknowledged=500, is_last=True)
+        self.assertEqual("reset", sent)
+
+
+class SilentTargetTest(testtools.TestCase):
+    """Targets whose announcements reach no control host for minutes."""
+
+    def start(self):
+        """Returns a host with a target that has just become overdue."""
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        overdue = target_announcement.KnownTarget(
+            cookie_host.target("t-1"), is_overdue=True
+        )
+        host.update(overdue, base=1, position=2)
+        return host
+
+    def wait(self, host, is_confirmed=True):
+        """Lets minutes pass in which the publisher sends no change."""
+        for _ in range(200):
+            host.update(base=2, position=2, is_confirmed=is_confirmed)
+            host.tick(1.0)
+
+    def test_nothing_is_kept_of_a_target_without_flows(self):
+        host = self.start()
+        self.wait(host)
+        self.assertEqual({}, host.targets.by_name)
+        self.assertEqual({}, host.targets.by_tag)
+        self.assertEqual({}, host.targets.by_service["web"])
+
+    def test_a_target_with_an_open_flow_is_kept(self):
+        host = self.start()
+        for second in range(200):
+            host.update(base=2, position=2)
+            sent = host.send(7, "t-1", acknowledged=second)
+            self.assertEqual("t-1", sent)
+            host.tick(1.0)
+        self.assertEqual([], host.resets)
+
+    def test_a_host_whose_publisher_is_cut_off_keeps_its_targets(self):
+        host = self.start()
+        self.wait(host, is_confirmed=False)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+    def test_a_host_that_reaches_no_control_host_keeps_its_targets(self):
+        host = self.start()
+        host.tick(200.0)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+    def test_a_target_that_just_became_missing_is_kept(self):
+        # Its last change may be long ago, as renewals are not sent.
+        host = cookie_host.CookieHost()
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        for _ in range(200):
+            host.update(base=1, position=1)
+            host.tick(1.0)
+        host.update(run="other")
+        host.tick(1.0)
+        self.assertEqual("t-1", host.send(7, "t-1"))
+
+
 def domain_target(name, domain):
     """Returns a target of a failure domain."""
     return msgspec.structs.replace(cookie_host.target(name), domain=domain)
@@ -285,6 +476,45 @@
             table.put(1.0, target_announcement.KnownTarget(target))
         self.assertEqual({first}, self.names(table))
 
+    def test_a_target_that_drains_since_the_same_announcement_leaves(self):
+        table = target_table.TargetTable()
+        table.put(
+            1.0, target_announcement.KnownTarget(cookie_host.target("t-1"))
+        )
+        draining = cookie_host.target(
+            "t-1", phase=target_announcement.Phase.DRAINING
+        )
+        table.put(2.0, target_announcement.KnownTarget(draining))
+        self.assertEqual(set(), self.names(table))
+        # An older update of another control host does not return it.
+        table.put(
+            3.0, target_announcement.KnownTarget(cookie_host.target("t-1"))
+        )
+        self.assertEqual(set(), self.names(table))
+        table.put(
+            4.0,
+            target_announcement.KnownTarget(
+                cookie_host.target("t-1", sequence=2)
+            ),
+        )
+        self.assertEqual({"t-1"}, self.names(table))
+
+    def test_a_target_that_is_gone_returns_only_with_a_later_start(self):
+        table = target_table.TargetTable()
+
+        def put(**changes):
+            target = cookie_host.target("t-1", **changes)
+            table.put(1.0, target_announcement.KnownTarget(target))
+            return table.by_name["t-1"].is_gone
+
+        gone = target_announcement.Phase.GONE
+        put(born_ms=2)
+        self.assertTrue(put(born_ms=2, sequence=5, phase=gone))
+        self.assertTrue(put(born_ms=2, sequence=9))
+        self.assertFalse(put(born_ms=3))
+        self.assertFalse(put(born_ms=2, sequence=99, phase=gone))
+        self.assertTrue(put(born_ms=4, phase=gone))
+
     def test_adding_many_targets_takes_less_than_quadratic_time(self):
         # An entry host learns all targets at once when it starts. 16 times as
         # many targets must cost less than 64 times the processor time, which
@@ -554,6 +784,22 @@
         host.tick(0.6)
         self.assertEqual(3, len(host.resets))
 
+    def test_a_withdrawn_target_keeps_its_flows_while_it_replies(self):
+        # The response to its withdrawal was lost, so it withdraws again before
+        # it exits.
+        host = self.start()
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        for reply in range(20):
+            host.tick(0.1)
+            sent = host.send(0, "t-1", acknowledged=700 + reply, sequence=11)
+            self.assertEqual("t-1", sent)
+        self.assertEqual([], host.resets)
+        host.tick(0.6)
+        self.assertEqual(3, len(host.resets))
+
     def test_an_opening_is_refused_at_once_when_all_targets_are_dead(self):
         # An entry host that is cut off: the caller's next attempt may reach
         # another one.
--- a/tests/slow/cookie_figures.py
+++ b/tests/slow/cookie_figures.py
@@ -91,7 +91,7 @@
 
     def build():
         table = routes.RouteTable()
-        table.put(document)
+        table.put(0.0, document)
         return table
 
     _, took_s, kept = measure(build)
