Let a withdrawal without a start time end a target that drains

Callers would wait on flows of targets that have exited: where withdrawals carry no start time, as on the users' platform, let none of them end a target.

--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -137,8 +137,9 @@
     def withdraw(self, now_s: float, name: str, born_ms: int | None) -> bool:
         """Marks a target as gone, unless it has restarted.
 
-        A withdrawal without a start time may be a late one of an earlier start.
-        The target gets no openings until it announces itself again.
+        A withdrawal without a start time ends a target that drains. For one
+        that is ready it may be a late one of an earlier start: the target gets
+        no openings until it announces itself again.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -153,8 +154,9 @@
         if held is None:
             return False
         if born_ms is None:
-            return self._set_draining(held)
-        if born_ms < held.target.born_ms:
+            if held.target.phase is target_announcement.Phase.READY:
+                return self._set_draining(held)
+        elif born_ms < held.target.born_ms:
             return False
         return self._mark_gone(now_s, held)
 
--- a/tests/cover/test_target_registry.py
+++ b/tests/cover/test_target_registry.py
@@ -205,7 +205,14 @@
         """Returns the phase in which a registry holds the target."""
         return held.records["t-1"].target.phase
 
-    def test_a_withdrawal_without_a_start_time_ends_no_target(self):
+    def test_a_withdrawal_without_a_start_time_ends_a_draining_target(self):
+        held = registry()
+        draining = target_announcement.Phase.DRAINING
+        held.put(1.0, cookie_host.target("t-1", phase=draining))
+        self.assertTrue(held.withdraw(1.0, "t-1", None))
+        self.assertIs(GONE, self.phase(held))
+
+    def test_a_withdrawal_without_a_start_time_ends_no_ready_target(self):
         # It may be a late one of an earlier start under the same name.
         held = registry()
         held.put(1.0, cookie_host.target("t-1", born_ms=2))
