Keep the flows of a draining target that refuses new connections

Callers would see flows reset that their target was about to finish: many servers close their listener first when they drain, and a refused probe counted as proof that nothing runs there.

A refusal by a draining target proves nothing now; silence does.

--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -16,6 +16,7 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core import target_announcement
 from tamarack_core.internal.cookie import flow_rejection
 from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_probes
@@ -101,9 +102,9 @@
         self.context.counters[f"probes-{event.outcome}"] += 1
         if event.outcome.is_reply:
             return self._handle_reply(event)
-        if event.outcome is events.ProbeOutcome.NOT_SENT:
-            unsent = self.probes.handle_unsent(event.target, event.number)
-            return [self._record_failed_probe(event, unsent)] if unsent else []
+        if self._is_inconclusive(event):
+            ended = self.probes.handle_inconclusive(event.target, event.number)
+            return [self._record_failed_probe(event, ended)] if ended else []
         failed = self.probes.handle_failure(event.target, event.number)
         if failed is None:
             return []
@@ -122,6 +123,20 @@
             return self._probe_again(now_s, failed, "an earlier probe")
         return self.probes.probe_reference(now_s, failed, self._references())
 
+    def _is_inconclusive(self, event: events.TargetProbed) -> bool:
+        """Returns whether a probe without a reply shows nothing.
+
+        A target that drains may have closed its listener before its flows end.
+        """
+        entry = self.targets.by_name.get(event.target)
+        is_draining = (
+            entry is not None
+            and entry.target.phase is target_announcement.Phase.DRAINING
+        )
+        return event.outcome is events.ProbeOutcome.NOT_SENT or (
+            is_draining and event.outcome is events.ProbeOutcome.REFUSED
+        )
+
     def _record_failed_probe(
         self, event: events.TargetProbed, failed: target_probes.ProbeState
     ) -> effects.Effect:
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -215,10 +215,10 @@
         probe = self._end(name, number)
         return None if probe is None or probe.is_dead else probe
 
-    def handle_unsent(self, name: str, number: int) -> ProbeState | None:
-        """Handles a probe that this host could not send.
+    def handle_inconclusive(self, name: str, number: int) -> ProbeState | None:
+        """Handles a probe that shows nothing about its target.
 
-        It shows nothing about the target, and confirms no failure of another.
+        It confirms no failure of another target either.
 
         Args:
             name: Name of the target.
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -643,6 +643,26 @@
         self.assertEqual([], host.resets)
         self.assertIn("t-1", {host.open(n) for n in range(20, 40)})
 
+    def test_a_draining_target_that_refuses_new_connections_keeps_its_flows(
+        self,
+    ):
+        # Many servers close their listener first, and then finish their flows.
+        host = self.start()
+        host.update(
+            cookie_host.target(
+                "t-1",
+                sequence=9,
+                phase=target_announcement.Phase.DRAINING,
+            ),
+            base=1,
+            position=2,
+        )
+        self.retransmit(host)
+        host.end_probe("t-1", events.ProbeOutcome.REFUSED)
+        host.complete_probe("t-3", is_answered=True)
+        host.end_probe("t-1", events.ProbeOutcome.REFUSED)
+        self.assertEqual([], host.resets)
+
     def test_a_probe_that_could_not_be_sent_resets_no_flow(self):
         # Such as without a free descriptor or local port.
         host = self.start()
