Probe all overdue targets of a failure domain once one of it replies again

Callers would see open flows reset for seconds after a cut of a failure domain has healed: while announcements are overdue, because the control hosts are still cut off, only two dead targets of the domain were probed in each quarter of a second.

--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -203,15 +203,22 @@
         """Marks the targets of a failure domain alive after one has replied.
 
         The domain was cut off, so it isn't necessary that each host connects
-        to each of its targets. A target whose announcements are overdue
-        remains dead; it may have crashed.
+        to each of its targets. A target whose announcements are overdue may
+        have crashed, and is probed.
         """
-        result = []
+        result: list[effects.Effect] = []
         for probe in self.probes.dead():
             entry = self.targets.by_name.get(probe.entry.target.name)
             if entry is None or entry.target.domain != domain:
                 continue
-            if not entry.is_overdue:
+            if entry.is_overdue:
+                result += self.probes.probe(
+                    now_s,
+                    entry,
+                    target_probes.Trigger.RECOVERY,
+                    delay_s=self._draw_delay_s(),
+                )
+            else:
                 probe.is_dead = False
                 result.append(
                     self._record_transition(
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -933,6 +933,43 @@
         host.complete_probe("a-0", is_answered=True)
         self.assertEqual({"b-0", "a-0", "b-2", "b-3"}, set(host.probed))
 
+    def test_a_domain_with_overdue_targets_is_alive_soon_after_a_cut(self):
+        # Flows opened through other hosts are reset here until then.
+        host = cookie_host.CookieHost()
+        names = [f"b-{n}" for n in range(500)]
+        targets = [domain_target(name, "b") for name in names]
+        host.update(
+            domain_target("a-0", "a"),
+            *targets,
+            document=cookie_host.document(1),
+        )
+        for number, name in enumerate(["a-0", *names]):
+            host.send(number, name, acknowledged=500, payload_bytes=10)
+            host.send(number, name, acknowledged=600, sequence=11)
+        host.tick(0.2)
+        self.declare_dead(host, 1, "b-0")
+        for name in names[1:]:
+            host.complete_probe(name, is_answered=False)
+        host.complete_probe("a-0", is_answered=True)
+        for name in names[1:]:
+            host.complete_probe(name, is_answered=False)
+        self.assertEqual(500, len(host.resets))
+        host.update(
+            *(target_announcement.KnownTarget(each, True) for each in targets),
+            base=1,
+            position=2,
+        )
+        for _ in range(40):
+            host.tick(0.1)
+            sent, host.probes = host.probes, []
+            for name in {probe.target for probe in sent}:
+                host.complete_probe(name, is_answered=True)
+        sent = {
+            host.send(100 + n, name, payload_bytes=10)
+            for n, name in enumerate(names)
+        }
+        self.assertNotIn("reset", sent)
+
     def test_a_neighbor_that_replies_keeps_its_flows(self):
         host = self.start()
         self.declare_dead(host, 4, "b-0")
