--- a/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
+++ b/packages/core/src/tamarack_core/internal/cookie/failure_detector.py
@@ -157,7 +157,7 @@
 
     def probe_dead(self, now_s: float) -> list[effects.Effect]:
         """Returns probes of dead targets, which may have recovered."""
-        self.probes.remove_gone()
+        self.probes.remove_ended(self.targets.by_name)
         if not self.probes.dead():
             return []
         return self.probes.probe_dead(now_s, self._down_domains())
--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -23,6 +23,7 @@
 import collections
 from collections.abc import Container
 from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 
 import msgspec
@@ -303,10 +304,18 @@
             probe.confirmed_by = ""
             probe.is_running = False
 
-    def remove_gone(self) -> None:
-        """Removes the probes of targets that are gone."""
+    def remove_ended(
+        self, known: Mapping[str, target_table.TargetEntry]
+    ) -> None:
+        """Removes the probes of targets that are gone or no longer known.
+
+        Args:
+            known: The known targets by name.
+        """
         for name in [
-            name for name, probe in self.probes.items() if probe.entry.is_gone
+            name
+            for name in self.probes
+            if name not in known or known[name].is_gone
         ]:
             del self.probes[name]
 
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -813,6 +813,20 @@
         host.complete_probe("t-1", is_answered=True)
         self.assertEqual({"t-1", "t-2"}, {host.open(n) for n in range(20, 40)})
 
+    def test_a_dead_target_that_is_gone_is_no_longer_probed(self):
+        # Another target may have its address by then.
+        host = self.start()
+        self.retransmit(host)
+        self.fail_probe(host, "t-1")
+        gone = cookie_host.target(
+            "t-1", sequence=9, phase=target_announcement.Phase.GONE
+        )
+        host.update(gone, base=1, position=2)
+        host.tick(0.3)
+        host.probes.clear()
+        host.tick(3.0)
+        self.assertEqual([], host.probed)
+
     def test_a_suspended_host_ignores_the_result_of_its_probe(self):
         host = self.start()
         self.retransmit(host)
