Refuse announcements that no host can store, send or reach

Operators would see: after one call of another writer with a number beyond 64 bits (sequence, start time, slots, or a warm-up of 1e300 ms) the timer of each control host failed whenever targets had changed, with `handler-failed reason=OverflowError`, and the targets were never saved again while the odd one lived. With 10**400 slots each entry host dropped every opening of that service; with 1 << 62 slots it sent all of them to the odd target. A port over 65535 or a name in place of an address was pushed to all entry hosts, which send packets there.

Cause: the adapter checked types and the form of the address alone, and the core took each announcement as it came.

Deep nesting was refused before.

Why it works: `target_announcement.check` bounds each field to what msgpack, the arithmetic of the choice and a socket can hold, before the registry sees it. The receiver refuses the call with a reason, which the adapter returns as 400, and records `announcement-refused`. GONE_SEQUENCE moves beside the check, so that no announcement can reach the sequence that ends a target.

--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -10,8 +10,7 @@
 import msgspec
 
 from tamarack_core import failure
-
-MAX_PORT = 65535
+from tamarack_core import peers
 
 
 class WorkKind(enum.StrEnum):
@@ -162,10 +161,11 @@
             f"route {route.name!r} has a timeout of {route.timeout_ms} ms;"
             " use a positive one",
         )
-    if not 0 < route.port <= MAX_PORT:
+    if not 0 < route.port <= peers.MAX_PORT:
         return _invalid(
             "bad-port",
-            f"route {route.name!r} has port {route.port}; use 1 to {MAX_PORT}",
+            f"route {route.name!r} has port {route.port}; use 1 to"
+            f" {peers.MAX_PORT}",
         )
     for share in route.shares:
         if share.service not in known:
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -8,6 +8,7 @@
 from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import reducer
+from tamarack_core import refusal
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
@@ -145,6 +146,9 @@
         request = event.request
         assert isinstance(request, external_requests.AnnounceTarget)
         target = request.target
+        invalid = target_announcement.check(target)
+        if invalid is not None:
+            return self._refuse(event, invalid, target.name)
         is_changed = self.registry.put(event.now_s, target)
         held = self.registry.records.get(target.name)
         if held is not None and held.target.order == target.order:
@@ -159,6 +163,20 @@
         result.append(effects.Respond(event.request_id, response))
         return result
 
+    def _refuse(
+        self, event: events.RequestArrived, invalid: failure.Failure, name: str
+    ) -> list[effects.Effect]:
+        """Refuses an invalid announcement or withdrawal of a target."""
+        refused = refusal.Refused(invalid.reason, invalid.detail)
+        record = self.context.record(
+            event.now_s,
+            "announcement-refused",
+            target=name[: target_announcement.MAX_NAME_CHARACTERS],
+            reason=invalid.reason,
+            detail=invalid.detail,
+        )
+        return [record, effects.Respond(event.request_id, refused)]
+
     def _control_address(self, target: target_announcement.Announcement) -> str:
         """Returns the address of a control host in the target's domain."""
         if target.domain == self.context.host.domain:
@@ -174,6 +192,10 @@
         """Marks a target as gone, and pushes the change."""
         request = event.request
         assert isinstance(request, external_requests.WithdrawTarget)
+        if request.born_ms is not None:
+            invalid = target_announcement.check_born(request.born_ms)
+            if invalid is not None:
+                return self._refuse(event, invalid, request.name)
         response = external_requests.TargetAcknowledged()
         effect = effects.Respond(event.request_id, response)
         self.unreported_s.pop(request.name, None)
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -21,10 +21,6 @@
 """Time without an announcement after which a target counts as gone, in
 seconds."""
 
-GONE_SEQUENCE = 1 << 62
-"""Sequence number of the end of a target, higher than that of any
-announcement."""
-
 
 class SavedTargets(msgspec.Struct):
     """What the next start restores.
@@ -265,7 +261,7 @@
         record.target = msgspec.structs.replace(
             record.target,
             phase=target_announcement.Phase.GONE,
-            sequence=GONE_SEQUENCE,
+            sequence=target_announcement.GONE_SEQUENCE,
         )
         record.announced_s = now_s
         record.is_overdue = False
--- a/packages/core/src/tamarack_core/peers.py
+++ b/packages/core/src/tamarack_core/peers.py
@@ -2,13 +2,15 @@
 
 import msgspec
 
+MAX_PORT = 65535
+
 
 class Endpoint(msgspec.Struct, frozen=True, array_like=True):
     """IP address and port of a socket.
 
     Attributes:
         address: IPv4 or IPv6 address in text form.
-        port: Port number, 1 to 65535.
+        port: Port number, 1 to `MAX_PORT`.
     """
 
     address: str
--- a/packages/core/src/tamarack_core/target_announcement.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -1,11 +1,40 @@
 """Announcements of targets, as control and entry hosts store them."""
 
 import enum
+import re
 
 import msgspec
 
+from tamarack_core import failure
 from tamarack_core import peers
 
+MAX_NAME_CHARACTERS = 1024
+"""Longest name of a target, a service or a failure domain, in characters."""
+
+MAX_SLOTS = 100_000
+"""Most requests that one target can run concurrently."""
+
+MAX_BORN_MS = 253_402_300_799_999
+"""Latest start time, in milliseconds: the end of the year 9999."""
+
+MAX_COLD_MS = 86_400_000
+"""Longest time for which a target can still be slow, in milliseconds."""
+
+GONE_SEQUENCE = 1 << 62
+"""Sequence number of the end of a target, higher than that of any
+announcement."""
+
+_QUOTED_CHARACTERS = 80
+_QUOTED_BITS = 128
+
+# The IPv4 address of a single host. Names are refused, as resolving them would
+# block an entry host. A leading zero would make an octet octal for some
+# readers. Importing `ipaddress` would lengthen the start of an entry host.
+_unicast_address = re.compile(
+    r"(?:[1-9]|[1-9][0-9]|1[0-9]{2}|2[01][0-9]|22[0-3])"
+    r"(?:\.(?:[0-9]|[1-9][0-9]|1[0-9]{2}|2[0-4][0-9]|25[0-5])){3}"
+)
+
 
 class Phase(enum.IntEnum):
     """Phase in the life of a target; it never returns to an earlier one."""
@@ -60,3 +89,77 @@
 
     target: Announcement
     is_overdue: bool = False
+
+
+def check(target: Announcement) -> failure.Failure | None:
+    """Returns why an announcement is invalid, or None.
+
+    A target with a valid announcement can be stored, sent to other hosts, and
+    reached at its endpoint.
+
+    Args:
+        target: The announcement.
+    """
+    checks = (
+        _check_names(target),
+        _check_endpoint(target.endpoint),
+        check_born(target.born_ms),
+        _check_sequence(target),
+        _check_range("slots", target.slots, 1, MAX_SLOTS),
+        # A target that is no longer slow may count below zero.
+        _check_range("cold", target.cold_ms, -MAX_COLD_MS, MAX_COLD_MS),
+    )
+    return next((invalid for invalid in checks if invalid is not None), None)
+
+
+def check_born(born_ms: int) -> failure.Failure | None:
+    """Returns why a start time is invalid, or None.
+
+    Args:
+        born_ms: The start time in milliseconds.
+    """
+    return _check_range("born", born_ms, 0, MAX_BORN_MS)
+
+
+def _check_names(target: Announcement) -> failure.Failure | None:
+    for name in (target.name, target.service, target.domain):
+        if len(name) > MAX_NAME_CHARACTERS:
+            return failure.Failure(
+                "bad-name",
+                f"{name[:_QUOTED_CHARACTERS]!r}... has {len(name)} characters;"
+                f" use at most {MAX_NAME_CHARACTERS}",
+            )
+    return None
+
+
+def _check_endpoint(endpoint: peers.Endpoint) -> failure.Failure | None:
+    if _unicast_address.fullmatch(endpoint.address) is None:
+        return failure.Failure(
+            "bad-address",
+            f"{endpoint.address[:_QUOTED_CHARACTERS]!r} is not the IPv4 address"
+            " of a host",
+        )
+    return _check_range("port", endpoint.port, 1, peers.MAX_PORT)
+
+
+def _check_sequence(target: Announcement) -> failure.Failure | None:
+    if target.phase is Phase.GONE and target.sequence == GONE_SEQUENCE:
+        return None
+    return _check_range("sequence", target.sequence, 0, GONE_SEQUENCE - 1)
+
+
+def _check_range(
+    field: str, value: int, low: int, high: int
+) -> failure.Failure | None:
+    if low <= value <= high:
+        return None
+    return failure.Failure(
+        f"bad-{field}",
+        f"{field} {_quote(value)} is out of range; use {low} to {high}",
+    )
+
+
+def _quote(value: int) -> str:
+    """Returns a number as text, or its size if it has very many digits."""
+    bits = value.bit_length()
+    return str(value) if bits <= _QUOTED_BITS else f"of {bits} bits"
--- /dev/null
+++ b/tests/cover/test_odd_entries.py
@@ -0,0 +1,172 @@
+"""One odd entry of another writer affects no other target and no host.
+
+Seen by operators of a similar system: an entry that was very deeply nested, or
+had a number too large or a port out of range, ended the hosts that read the
+list, or kept them from following it.
+"""
+
+import json
+
+import testtools
+from testtools import matchers
+
+from tamarack_core import external_requests
+from tamarack_node import light_driver
+from tamarack_platform import control_http
+from tests import group_network
+
+DEPTH = 100_000
+"""Nesting beyond the limit of every decoder."""
+
+HUGE = 10**400
+"""Number that neither 64 bits nor a float can hold."""
+
+HEARTBEAT = {
+    "service": "web",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+ODD_FIELDS = (
+    ("address", "10.128.0.9:65536"),
+    ("address", "10.128.0.9:0"),
+    ("address", f"10.128.0.9:{HUGE}"),
+    ("address", "web.example:8080"),
+    ("address", f"{'a' * 70}.example:8080"),
+    ("address", "10.128.0.09:8080"),
+    ("address", "10.128.0:8080"),
+    ("address", "10.128.0.256:8080"),
+    ("address", f"{HUGE}.128.0.9:8080"),
+    ("address", f"{'9' * 100_000}.128.0.9:8080"),
+    ("address", "10.128.0.+9:8080"),
+    ("address", "10.128.0.9.9:8080"),
+    ("address", "10.128.0.9\0:8080"),
+    ("address", "fd00::9:8080"),
+    ("address", "0.0.0.0:8080"),
+    ("address", "224.0.0.9:8080"),
+    ("address", "255.255.255.255:8080"),
+    ("slots", HUGE),
+    ("slots", 1 << 62),
+    ("slots", 0),
+    ("slots", -1),
+    ("sequence", 1 << 64),
+    ("sequence", 1 << 62),
+    ("sequence", -1),
+    ("sequence", -HUGE),
+    ("born", 1 << 64),
+    ("born", 1 << 53),
+    ("born", -1),
+    ("warmup-left-ms", 1e300),
+    ("warmup-left-ms", float("inf")),
+    ("warmup-left-ms", float("nan")),
+    ("service", "s" * 100_000),
+    ("zone", "z" * 100_000),
+)
+"""Fields of heartbeats, each odd by itself."""
+
+VALID_FIELDS = (
+    ("address", "10.128.0.9:1"),
+    ("address", "10.128.0.9:65535"),
+    ("address", "223.255.255.255:8080"),
+    ("slots", 1),
+    ("slots", 4096),
+    ("sequence", 0),
+    ("sequence", 1 << 40),
+    ("born", 0),
+    ("born", 4102444800000),
+    ("warmup-left-ms", 30_000.5),
+    ("warmup-left-ms", -3.5),
+    ("zone", ""),
+    ("note", [{"of": "a later release"}]),
+)
+"""Fields of heartbeats, all of them valid."""
+
+
+def nested(depth):
+    """Returns the JSON of lists inside each other."""
+    return "[" * depth + "]" * depth
+
+
+def short(value):
+    """Returns the start of the text of a value."""
+    return repr(value)[:80]
+
+
+class AnnouncementTest(testtools.TestCase):
+    """A control host receives odd announcements among those of others."""
+
+    def setUp(self):
+        super().setUp()
+        self.codec = control_http.ControlHttpCodec(8166)
+        self.network = group_network.GroupNetwork(3)
+        self.network.start_all()
+        self.network.publish(1)
+
+    def call(self, body, name="i-7f3a91c2", call="heartbeat"):
+        """Sends a call of a target to c1; returns the HTTP response."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        request = light_driver.HttpRequest(
+            "POST", f"/instances/{name}/{call}", data
+        )
+        decoded = self.codec.decode(request)
+        if isinstance(decoded, light_driver.HttpResponse):
+            return decoded
+        return self.codec.encode(request, self.network.try_at("c1", decoded))
+
+    def known(self, host):
+        """Returns the names of the targets that a host holds."""
+        component = self.network.component_of(
+            host, external_requests.AnnounceTarget
+        )
+        return sorted(component.registry.records)
+
+    def test_an_odd_announcement_is_refused_and_the_others_are_followed(self):
+        for field, value in ODD_FIELDS:
+            response = self.call({**HEARTBEAT, field: value})
+            self.assertEqual(400, response.status, f"{field} {short(value)}")
+        self.call({**HEARTBEAT, "address": "10.128.0.8:80"}, "i-8")
+        self.network.run(3.0)
+        for host in self.network.peers:
+            self.assertEqual(["i-8"], self.known(host))
+
+    def test_a_refusal_states_the_reason_in_little_space(self):
+        for field, value in ODD_FIELDS:
+            body = self.call({**HEARTBEAT, field: value}).body
+            self.assertNotEqual("", json.loads(body)["error"])
+            self.assertThat(len(body), matchers.LessThan(4096))
+
+    def test_an_announcement_with_unusual_values_is_accepted(self):
+        for field, value in VALID_FIELDS:
+            response = self.call({**HEARTBEAT, field: value})
+            self.assertEqual(200, response.status, f"{field} {short(value)}")
+
+    def test_an_announcement_of_a_very_long_name_is_refused(self):
+        response = self.call(HEARTBEAT, f"{'i' * 100_000}-7f")
+        self.assertEqual(400, response.status)
+
+    def test_a_deeply_nested_announcement_is_refused(self):
+        text = json.dumps(HEARTBEAT)
+        for field in ("later", "born", "address"):
+            body = f'{text[:-1]}, "{field}": {nested(DEPTH)}}}'
+            self.assertEqual(400, self.call(body.encode()).status)
+        self.assertEqual(400, self.call(nested(DEPTH).encode()).status)
+
+    def test_an_odd_withdrawal_removes_no_target(self):
+        self.call(HEARTBEAT)
+        for born in (HUGE, 1 << 53, -1, 1.5, "5"):
+            response = self.call({"born": born}, call="deregister")
+            self.assertEqual(400, response.status, short(born))
+        body = f'{{"born": {nested(DEPTH)}}}'.encode()
+        self.assertEqual(400, self.call(body, call="deregister").status)
+        self.assertEqual(200, self.call(HEARTBEAT).status)
+        component = self.network.component_of(
+            "c1", external_requests.AnnounceTarget
+        )
+        phase = component.registry.records["i-7f3a91c2"].target.phase
+        self.assertEqual("READY", phase.name)
