Restore the saved targets without those that are invalid

Operators would see: a control host whose folder holds one odd target, saved by an earlier release, pushes it to all hosts again at each start. If one saved target can't be read, such as one of a later release after a rollback, the host starts without any target; if one is nested too deeply, the process ends at each start with RecursionError.

Cause: the file was decoded as a whole, its targets were not checked, and only DecodeError was caught.

Evidence: the three tests of ControlHostTest failed before: the odd target was restored, an unreadable one left none of the two others, and the start raised RecursionError.

Why it works: each target is decoded and checked by itself; an invalid one is skipped with one entry `targets-skipped` that gives their number and the first reason. A file that can't be read at all is reported as `bad-targets`, as other damage was before, and the host starts.

--- a/packages/core/src/tamarack_core/internal/change_entries.py
+++ b/packages/core/src/tamarack_core/internal/change_entries.py
@@ -1,9 +1,14 @@
 """Time line entries of many targets that changed at once."""
 
 import collections
+from collections.abc import Sequence
+
+import msgspec
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import failure
+from tamarack_core import target_announcement
 
 MAX_ENTRIES = 8
 """Targets changed by one message up to which each has an entry. A start of
@@ -25,3 +30,39 @@
     """
     counts = ", ".join(f"{count} {phase}" for phase, count in phases.items())
     return context.record(now_s, "targets-changed", detail=counts)
+
+
+class Skipped(msgspec.Struct):
+    """A target that a host leaves out of those that it received or saved.
+
+    Attributes:
+        name: Name of the target; empty if it can't be read.
+        invalid: Why it is invalid.
+    """
+
+    name: str
+    invalid: failure.Failure
+
+
+def record_skipped(
+    context: context_lib.Context, now_s: float, skipped: Sequence[Skipped]
+) -> list[effects.Effect]:
+    """Returns the entry of the targets that were skipped at once, if any.
+
+    Args:
+        context: Identity and clocks of the host.
+        now_s: Monotonic time in seconds.
+        skipped: The targets.
+    """
+    if not skipped:
+        return []
+    first = skipped[0]
+    return [
+        context.record(
+            now_s,
+            "targets-skipped",
+            target=first.name[: target_announcement.MAX_NAME_CHARACTERS],
+            reason=first.invalid.reason,
+            detail=f"{len(skipped)} invalid, such as: {first.invalid.detail}",
+        )
+    ]
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -130,6 +130,9 @@
         else:
             self.publisher.entry_hosts.saved = restored.entry_hosts
             self.saved_entry_hosts = restored.entry_hosts
+            result += change_entries.record_skipped(
+                self.context, event.now_s, restored.skipped
+            )
         self.saved_position = self.registry.position
         record = self.context.record(
             event.now_s,
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -6,6 +6,7 @@
 
 from tamarack_core import failure
 from tamarack_core import target_announcement
+from tamarack_core.internal import change_entries
 
 OVERDUE_INTERVALS = 2.2
 """Intervals without an announcement after which a target is overdue; one
@@ -23,21 +24,35 @@
 
 
 class SavedTargets(msgspec.Struct):
-    """What the next start restores.
+    """What `encode` returned, as the next start reads it.
 
     Attributes:
-        targets: The targets that are not gone.
+        targets: The encoded targets that are not gone. Each is decoded by
+            itself, so that one that can't be read leaves the others.
         entry_hosts: Number of entry hosts; 0 if unknown.
     """
 
-    targets: list[target_announcement.Announcement]
+    targets: list[msgspec.Raw]
     entry_hosts: int = 0
 
 
+class Restored(msgspec.Struct):
+    """What a start has restored.
+
+    Attributes:
+        targets: The targets.
+        entry_hosts: Number of entry hosts; 0 if unknown.
+        skipped: Saved targets that are invalid.
+    """
+
+    targets: list[target_announcement.Announcement]
+    entry_hosts: int
+    skipped: list[change_entries.Skipped]
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(
-    SavedTargets | list[target_announcement.Announcement]
-)
+_decoder = msgspec.msgpack.Decoder(SavedTargets | list[msgspec.Raw])
+_target_decoder = msgspec.msgpack.Decoder(target_announcement.Announcement)
 
 
 class TargetRecord(msgspec.Struct):
@@ -194,15 +209,13 @@
             for record in self.records.values()
             if record.target.phase is not target_announcement.Phase.GONE
         ]
-        return _encoder.encode(SavedTargets(targets, entry_hosts))
+        return _encoder.encode({"targets": targets, "entry_hosts": entry_hosts})
 
-    def restore(
-        self, now_s: float, data: bytes
-    ) -> SavedTargets | failure.Failure:
+    def restore(self, now_s: float, data: bytes) -> Restored | failure.Failure:
         """Restores the targets that an earlier start saved.
 
         Each target counts as announced now, so it has an interval or two to
-        announce itself before it is overdue.
+        announce itself before it is overdue. An invalid one is skipped.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -213,13 +226,19 @@
         """
         try:
             decoded = _decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return failure.Failure("bad-targets", str(error))
         # Earlier versions saved the targets alone.
         saved = SavedTargets(decoded) if isinstance(decoded, list) else decoded
-        for target in saved.targets:
-            self.put(now_s, target)
-        return saved
+        restored = Restored([], saved.entry_hosts, [])
+        for encoded in saved.targets:
+            target = _decode_target(encoded)
+            if isinstance(target, change_entries.Skipped):
+                restored.skipped.append(target)
+            else:
+                restored.targets.append(target)
+                self.put(now_s, target)
+        return restored
 
     def _is_late(self, now_s: float, record: TargetRecord) -> bool:
         return now_s - record.announced_s > self.overdue_after_s
@@ -275,6 +294,21 @@
             del self._by_endpoint[_endpoint_key(target)]
 
 
+def _decode_target(
+    encoded: msgspec.Raw,
+) -> target_announcement.Announcement | change_entries.Skipped:
+    """Returns a target that was saved, or why it is invalid."""
+    try:
+        target = _target_decoder.decode(encoded)
+    except (msgspec.DecodeError, RecursionError) as error:
+        unreadable = failure.Failure("bad-target", str(error))
+        return change_entries.Skipped("", unreadable)
+    invalid = target_announcement.check(target)
+    if invalid is not None:
+        return change_entries.Skipped(target.name, invalid)
+    return target
+
+
 def _endpoint_key(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -7,10 +7,18 @@
 
 import json
 
+import msgspec
 import testtools
 from testtools import matchers
 
+from tamarack_core import document_control
+from tamarack_core import effects
+from tamarack_core import events
 from tamarack_core import external_requests
+from tamarack_core import peers
+from tamarack_core import reducer
+from tamarack_core import target_announcement
+from tamarack_core.storage import disk as disks
 from tamarack_node import light_driver
 from tamarack_platform import control_http
 from tests import group_network
@@ -87,6 +95,52 @@
 )
 """Fields of heartbeats, all of them valid."""
 
+ODD_CHANGES = (
+    {"endpoint": peers.Endpoint("10.9.0.3", 65536)},
+    {"endpoint": peers.Endpoint("10.9.0.3", -1)},
+    {"endpoint": peers.Endpoint("web.example", 80)},
+    {"endpoint": peers.Endpoint("10.9.0.3\0", 80)},
+    {"sequence": 1 << 62},
+    {"sequence": 1 << 64},
+    {"born_ms": 1 << 64},
+    {"slots": HUGE},
+    {"slots": 1 << 62},
+    {"cold_ms": HUGE},
+    {"service": "s" * 100_000},
+    {"phase": target_announcement.Phase.GONE, "sequence": HUGE},
+)
+"""Odd targets that a host of an earlier release may hold."""
+
+
+def odd_targets():
+    """Returns odd targets, as a control host of an earlier release has them."""
+    return [
+        msgspec.structs.replace(
+            group_network.target(f"odd-{number}"),
+            **{"endpoint": peers.Endpoint("10.9.0.3", 80 + number), **changes},
+        )
+        for number, changes in enumerate(ODD_CHANGES)
+    ]
+
+
+def good_targets():
+    """Returns targets that another writer has not touched."""
+    return [
+        group_network.target(
+            f"good-{number}", endpoint=peers.Endpoint("10.9.0.2", 80 + number)
+        )
+        for number in range(2)
+    ]
+
+
+def records_named(result, name):
+    """Returns the time line entries of a name among effects."""
+    return [
+        effect.entry
+        for effect in result
+        if isinstance(effect, effects.Record) and effect.entry.name == name
+    ]
+
 
 def nested(depth):
     """Returns the JSON of lists inside each other."""
@@ -170,3 +224,61 @@
         )
         phase = component.registry.records["i-7f3a91c2"].target.phase
         self.assertEqual("READY", phase.name)
+
+
+class ControlHostTest(testtools.TestCase):
+    """A control host finds odd targets of an earlier release."""
+
+    def setUp(self):
+        super().setUp()
+        self.now_s = 100.0
+
+    def start(self, saved=None):
+        """Starts a host with saved targets; returns it and its effects."""
+        own = group_network.peer(1)
+        plan = document_control.Plan(
+            host=own,
+            seed=1,
+            seeds=(group_network.seed_of(own),),
+            disk=disks.DiskContents("i-1", None, (), saved),
+            tolerated_hosts=1,
+            announce_interval_s=group_network.ANNOUNCE_INTERVAL_S,
+        )
+        node = document_control.assemble(plan)
+        return node, reducer.reduce(node, events.Started(self.now_s, 1000))
+
+    def known(self, node):
+        """Returns the names of the targets that a host holds."""
+        component = node.handlers[external_requests.AnnounceTarget][0].__self__
+        return sorted(component.registry.records)
+
+    def check_restored(self, entries):
+        """Checks that a host restores the good ones of saved targets."""
+        for saved in (entries, {"targets": entries, "entry_hosts": 7}):
+            node, result = self.start(msgspec.msgpack.encode(saved))
+            self.assertEqual(["good-0", "good-1"], self.known(node))
+            self.assertEqual(1, len(records_named(result, "targets-skipped")))
+
+    def test_an_odd_target_on_disk_is_skipped(self):
+        for odd in odd_targets():
+            try:
+                msgspec.msgpack.encode(odd)
+            except OverflowError:
+                continue
+            self.check_restored([odd, *good_targets()])
+
+    def test_an_unreadable_target_on_disk_is_skipped(self):
+        valid = msgspec.to_builtins(group_network.target("odd"))
+        for position, value in ((7, 9), (1, "then"), (4, None), (0, 5)):
+            odd = [*valid[:position], value, *valid[position + 1 :]]
+            self.check_restored([odd, *good_targets()])
+        for odd in (5, {}, [], None):
+            self.check_restored([odd, *good_targets()])
+
+    def test_a_deeply_nested_target_on_disk_does_not_end_the_start(self):
+        deep = b"\x91" * DEPTH + b"\xc0"
+        fields = msgspec.msgpack.encode(good_targets()[0])[1:]
+        node, result = self.start(b"\x91\x9a" + fields + deep)
+        [restored] = records_named(result, "targets-restored")
+        self.assertEqual("bad-targets", restored.reason)
+        self.assertEqual([], self.known(node))
