Skip invalid targets that another control host sends

Operators would see: while a control host of an earlier release runs beside those of this one, an odd target that it accepted reaches all of them and their entry hosts. With a number beyond 64 bits the registry timer of each fails at every write of the targets, and nothing is saved.

Cause: only the host that a target calls checks its announcement; the targets in an update of another host were stored as they came.

Why it works: the receiver checks each target of an update, skips those that are invalid, and applies the rest and the position, so that the update counts as received and isn't requested again. One entry `targets-skipped` per update gives the number and the first reason.

--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -289,16 +289,24 @@
             return [effects.SendMessage(event.sender, request)]
         held = (update.run, max(position, update.position))
         self.positions[event.sender.host] = held
-        changed = [
-            known.target
-            for known in update.targets
-            if self.registry.put(
-                event.now_s, known.target, self._assumed_age_s(known)
-            )
-        ]
+        changed = []
+        skipped = []
+        for known in update.targets:
+            target = known.target
+            invalid = target_announcement.check(target)
+            if invalid is not None:
+                skipped.append(change_entries.Skipped(target.name, invalid))
+            elif self.registry.put(
+                event.now_s, target, self._assumed_age_s(known)
+            ):
+                changed.append(target)
+        result = change_entries.record_skipped(
+            self.context, event.now_s, skipped
+        )
         if not changed:
-            return []
+            return result
         return [
+            *result,
             *self._record_all(event.now_s, changed),
             *self.publisher.push(event.now_s),
         ]
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -17,7 +17,9 @@
 from tamarack_core import external_requests
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import sync
 from tamarack_core import target_announcement
+from tamarack_core.internal.registry import target_registry
 from tamarack_core.storage import disk as disks
 from tamarack_node import light_driver
 from tamarack_platform import control_http
@@ -133,6 +135,17 @@
     ]
 
 
+def update(targets):
+    """Returns the update of a control host that holds targets."""
+    return sync.SyncUpdate(
+        run="earlier release",
+        base=0,
+        position=len(targets),
+        is_settled=True,
+        targets=tuple(map(target_announcement.KnownTarget, targets)),
+    )
+
+
 def records_named(result, name):
     """Returns the time line entries of a name among effects."""
     return [
@@ -252,6 +265,34 @@
         component = node.handlers[external_requests.AnnounceTarget][0].__self__
         return sorted(component.registry.records)
 
+    def saved_later(self, node):
+        """Returns the names of the targets that the host saves next."""
+        found = []
+        for _ in range(10):
+            self.now_s += 0.25
+            event = events.TimerFired(self.now_s, "registry")
+            for effect in reducer.reduce(node, event):
+                if isinstance(effect, effects.SaveTargets):
+                    registry = target_registry.TargetRegistry(1.0)
+                    registry.restore(self.now_s, effect.data)
+                    found.append(sorted(registry.records))
+        return found
+
+    def test_an_odd_target_of_another_control_host_is_skipped(self):
+        node, _ = self.start()
+        targets = [*good_targets(), *odd_targets()]
+        result = reducer.reduce(
+            node,
+            events.MessageArrived(
+                self.now_s, group_network.peer(2), update(targets[::-1])
+            ),
+        )
+        self.assertEqual(["good-0", "good-1"], self.known(node))
+        [skipped] = records_named(result, "targets-skipped")
+        self.assertThat(skipped.reason, matchers.StartsWith("bad-"))
+        self.assertIn(str(len(ODD_CHANGES)), skipped.detail)
+        self.assertEqual([["good-0", "good-1"]], self.saved_later(node))
+
     def check_restored(self, entries):
         """Checks that a host restores the good ones of saved targets."""
         for saved in (entries, {"targets": entries, "entry_hosts": 7}):
