Skip invalid targets at entry hosts, and follow the others

Callers would see: an entry host whose control host holds one odd target stops following the list, or drops what it should forward. A warm-up of 10**400 ms fails the update half way: the targets after the odd one are unknown, the position isn't kept, and the whole list is requested each second and fails again. With 10**400 slots every opening of the service is dropped; with a port over 65535 or a name as address the packets of its flows are lost, or the host resolves the name while all other packets wait.

Cause: entry hosts took every target that a control host sent, and those of an earlier release check none.

Evidence: the three tests of EntryHostTest failed before (openings at the odd target, OverflowError in the update, a packet sent to port 70000).

Why it works: each target of an update is checked before it enters the table. An invalid one is skipped, with one entry `targets-skipped` per update; the rest and the position are applied. A known target keeps its last valid announcement.

--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -20,6 +20,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
@@ -360,16 +361,23 @@
         self, now_s: float, update: sync.SyncUpdate
     ) -> list[effects.Effect]:
         """Applies the targets of an update whose base is held."""
-        changed = [
-            entry
-            for known in update.targets
-            if (entry := self.targets.put(now_s, known)) is not None
-        ]
+        changed = []
+        skipped = []
+        for known in update.targets:
+            invalid = target_announcement.check(known.target)
+            if invalid is not None:
+                name = known.target.name
+                skipped.append(change_entries.Skipped(name, invalid))
+            elif (entry := self.targets.put(now_s, known)) is not None:
+                changed.append(entry)
         is_whole = update.base == 0
         if is_whole and update.is_settled:
             names = {known.target.name for known in update.targets}
             changed += self.targets.mark_missing_overdue(names)
-        result = self._record_targets(now_s, changed)
+        result = [
+            *change_entries.record_skipped(self.context, now_s, skipped),
+            *self._record_targets(now_s, changed),
+        ]
         if update.run != self.run:
             self.run = update.run
             self.position = 0
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -19,10 +19,12 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import target_table
 from tamarack_core.internal.registry import target_registry
 from tamarack_core.storage import disk as disks
 from tamarack_node import light_driver
 from tamarack_platform import control_http
+from tests import cookie_host
 from tests import group_network
 
 DEPTH = 100_000
@@ -323,3 +325,40 @@
         [restored] = records_named(result, "targets-restored")
         self.assertEqual("bad-targets", restored.reason)
         self.assertEqual([], self.known(node))
+
+
+class EntryHostTest(testtools.TestCase):
+    """An entry host follows a control host of an earlier release."""
+
+    def test_an_odd_target_is_skipped_and_the_others_get_the_flows(self):
+        for odd in odd_targets():
+            host = cookie_host.CookieHost()
+            host.update(odd, *good_targets(), document=cookie_host.document(1))
+            opened = {host.open(n) for n in range(20)}
+            self.assertEqual({"good-0", "good-1"}, opened, short(odd))
+            [skipped] = records_named(host.records, "targets-skipped")
+            self.assertEqual("odd", skipped.target[:3])
+            self.assertThat(skipped.reason, matchers.StartsWith("bad-"))
+
+    def test_an_update_with_an_odd_target_is_not_requested_again(self):
+        host = cookie_host.CookieHost()
+        host.update(document=cookie_host.document(1))
+        host.update(*odd_targets(), *good_targets(), base=1, position=2)
+        host.sent.clear()
+        host.tick(1.2)
+        self.assertEqual({2}, {effect.message.position for effect in host.sent})
+
+    def test_an_odd_announcement_of_a_known_target_leaves_its_flows(self):
+        host = cookie_host.CookieHost()
+        host.update(*good_targets(), document=cookie_host.document(1))
+        odd = msgspec.structs.replace(
+            good_targets()[0],
+            sequence=2,
+            endpoint=peers.Endpoint("10.9.0.2", 70000),
+        )
+        host.update(odd, base=1, position=2)
+        packet = cookie_host.packet(
+            3, cookie=target_table.tag_of("good-0"), payload_bytes=9
+        )
+        [sent] = host.handle(events.DatagramArrived(host.now_s, packet))
+        self.assertEqual(good_targets()[0].endpoint, sent.endpoint)
