Refuse documents that the replicated log or a message can't hold

Operators would see: one `POST /config/replace` with a version, a weight or a priority beyond 64 bits gets 500 instead of 4xx, and the leader is impaired until another one takes over: the timer of its maintenance fails every 0.5 s, so it sends no hello, repairs no membership and answers no publish request that waits. Infinite or NaN timeouts, which the adapter refuses but the core took, have no JSON form, and entry hosts can't decode an update that holds one.

Cause: `documents.check` had no upper bounds. The request was stored as pending before its encoding raised OverflowError, and each retry raised again.

Evidence: the new tests failed before. In a play of 3 s the leader counted 6 failed runs of the timer for each of version, weight and priority 1 << 64, and no answer. Documents with odd ports, addresses or times were refused before, as was deep nesting; these tests passed.

Why it works: the check bounds each integer to what MessagePack encodes, the widest range that has ever worked, and requires finite times; it runs before the request is stored. The refusal is a 400 with a reason.

--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -6,12 +6,18 @@
 """
 
 import enum
+import math
 
 import msgspec
 
 from tamarack_core import failure
 from tamarack_core import peers
 
+MIN_INTEGER = -(1 << 63)
+MAX_INTEGER = (1 << 64) - 1
+"""Range of the integers that MessagePack can encode; the replicated log and the
+snapshots hold documents in it."""
+
 
 class WorkKind(enum.StrEnum):
     """Whether the requests of a route may be repeated."""
@@ -128,6 +134,16 @@
     Args:
         document: The document.
     """
+    if not 0 < document.number <= MAX_INTEGER:
+        return _invalid(
+            "bad-number",
+            f"number {document.number} is out of range; use 1 to {MAX_INTEGER}",
+        )
+    if not 0 <= document.idle_timeout_ms < math.inf:
+        return _invalid(
+            "bad-timeout",
+            f"idle timeout of {document.idle_timeout_ms} ms; use a finite one",
+        )
     known = {service.name for service in document.services}
     if len(known) < len(document.services):
         return _invalid(
@@ -155,7 +171,7 @@
 
 def _check_route(route: Route, known: set[str]) -> failure.Failure | None:
     """Returns why a route is invalid, or None."""
-    if route.timeout_ms <= 0:
+    if not 0 < route.timeout_ms < math.inf:
         return _invalid(
             "bad-timeout",
             f"route {route.name!r} has a timeout of {route.timeout_ms} ms;"
@@ -167,6 +183,17 @@
             f"route {route.name!r} has port {route.port}; use 1 to"
             f" {peers.MAX_PORT}",
         )
+    if not MIN_INTEGER <= route.priority <= MAX_INTEGER:
+        return _invalid(
+            "bad-priority",
+            f"route {route.name!r} has priority {route.priority}; use"
+            f" {MIN_INTEGER} to {MAX_INTEGER}",
+        )
+    return _check_shares(route, known)
+
+
+def _check_shares(route: Route, known: set[str]) -> failure.Failure | None:
+    """Returns why the services or weights of a route are invalid, or None."""
     for share in route.shares:
         if share.service not in known:
             return _invalid(
@@ -174,11 +201,11 @@
                 f"route {route.name!r} refers to unknown service"
                 f" {share.service!r}; add the service",
             )
-        if share.weight < 0:
+        if not 0 <= share.weight <= MAX_INTEGER:
             return _invalid(
                 "bad-weight",
-                f"route {route.name!r} has weight {share.weight}; use 0 or"
-                " more",
+                f"route {route.name!r} has weight {share.weight}; use 0 to"
+                f" {MAX_INTEGER}",
             )
     if sum(share.weight for share in route.shares) <= 0:
         return _invalid(
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -17,6 +17,7 @@
 from tamarack_core import external_requests
 from tamarack_core import peers
 from tamarack_core import reducer
+from tamarack_core import refusal
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal.cookie import target_table
@@ -116,6 +117,69 @@
 """Odd targets that a host of an earlier release may hold."""
 
 
+ROUTE = {
+    "name": "r-1",
+    "host": "198.18.0.1",
+    "path-prefix": "/8443/",
+    "type": "idempotent",
+    "timeout-ms": 1500,
+    "priority": 2,
+    "traffic-split": [{"service": "web", "weight": 90}],
+}
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "web", "health-path": "/health"}],
+    "limits": {"idle-timeout-ms": 15000},
+}
+
+ODD_ROUTE_FIELDS = (
+    ("path-prefix", "/65536/"),
+    ("path-prefix", "/0/"),
+    ("path-prefix", "/-1/"),
+    ("path-prefix", f"/{HUGE}/"),
+    ("path-prefix", f"/{'9' * 100_000}/"),
+    ("host", "198.18.0.256"),
+    ("host", "web.example"),
+    ("timeout-ms", float("inf")),
+    ("timeout-ms", float("nan")),
+    ("timeout-ms", HUGE),
+    ("timeout-ms", -1),
+    ("timeout-ms", 0),
+    ("priority", 1 << 64),
+    ("priority", -HUGE),
+    ("traffic-split", [{"service": "web", "weight": 1 << 64}]),
+    ("traffic-split", [{"service": "web", "weight": HUGE}]),
+    ("traffic-split", [{"service": "web", "weight": -1}]),
+)
+"""Fields of routes, each odd by itself."""
+
+ODD_DOCUMENT_FIELDS = (
+    ("version", 1 << 64),
+    ("version", HUGE),
+    ("version", -1),
+    ("version", 7.5),
+    ("version", True),
+    ("limits", {"idle-timeout-ms": float("inf")}),
+    ("limits", {"idle-timeout-ms": HUGE}),
+    ("limits", {"idle-timeout-ms": -1}),
+)
+"""Fields of documents, each odd by itself."""
+
+VALID_ROUTE_FIELDS = (
+    ("path-prefix", "/1/"),
+    ("path-prefix", "/65535/"),
+    ("timeout-ms", 0.5),
+    ("timeout-ms", 1e308),
+    ("priority", (1 << 64) - 1),
+    ("priority", -(1 << 63)),
+    ("traffic-split", [{"service": "web", "weight": (1 << 64) - 1}]),
+    ("later", [HUGE]),
+)
+"""Fields of routes, all of them valid."""
+
+
 def odd_targets():
     """Returns odd targets, as a control host of an earlier release has them."""
     return [
@@ -362,3 +426,81 @@
         )
         [sent] = host.handle(events.DatagramArrived(host.now_s, packet))
         self.assertEqual(good_targets()[0].endpoint, sent.endpoint)
+
+
+class DocumentTest(testtools.TestCase):
+    """Operators publish odd documents to the leader."""
+
+    def setUp(self):
+        super().setUp()
+        self.codec = control_http.ControlHttpCodec(8166)
+        self.network = group_network.GroupNetwork(3)
+        self.network.start_all()
+        self.network.publish(1)
+        self.leader = self.network.leaders().pop()
+
+    def publish(self, body):
+        """Publishes a document at the leader; returns the HTTP response."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        request = light_driver.HttpRequest("POST", "/config/replace", data)
+        decoded = self.codec.decode(request)
+        if isinstance(decoded, light_driver.HttpResponse):
+            return decoded
+        response = self.network.try_at(self.leader, decoded)
+        return self.codec.encode(request, response)
+
+    def check_refused(self, body):
+        """Checks that a document is refused, and that the leader goes on."""
+        self.assertEqual(400, self.publish(body).status, short(body))
+        self.network.run(0.5)
+        self.assertEqual(1, self.network.read().number)
+
+    def test_an_odd_document_is_refused_and_the_leader_goes_on(self):
+        for field, value in ODD_DOCUMENT_FIELDS:
+            self.check_refused({**DOCUMENT, field: value})
+        for field, value in ODD_ROUTE_FIELDS:
+            route = {**ROUTE, field: value}
+            self.check_refused({**DOCUMENT, "routes": [route]})
+        self.assertEqual(200, self.publish(DOCUMENT).status)
+        self.assertEqual(7, self.network.read().number)
+
+    def test_a_deeply_nested_document_is_refused(self):
+        text = json.dumps(DOCUMENT)
+        deep = nested(DEPTH)
+        for body in (
+            deep,
+            f'{text[:-1]}, "later": {deep}}}',
+            text.replace('"priority": 2', f'"priority": {deep}'),
+            text.replace('"priority": 2', f'"later": {deep}'),
+            text.replace("15000", deep),
+        ):
+            self.check_refused(body.encode())
+
+    def test_a_document_with_unusual_values_is_accepted(self):
+        for number, (field, value) in enumerate(VALID_ROUTE_FIELDS, 2):
+            route = {**ROUTE, field: value}
+            body = {**DOCUMENT, "version": number, "routes": [route]}
+            response = self.publish(body)
+            self.assertEqual(200, response.status, f"{field} {short(value)}")
+            self.network.run(0.5)
+        body = {**DOCUMENT, "version": (1 << 64) - 1, "later": [[[HUGE]]]}
+        self.assertEqual(200, self.publish(body).status)
+        self.assertEqual(body["version"], self.network.read().number)
+
+    def test_a_document_whose_times_have_no_json_form_is_refused(self):
+        document = group_network.document(2)
+        route = document.routes[0]
+        for time_ms in (float("inf"), float("nan")):
+            for odd in (
+                msgspec.structs.replace(document, idle_timeout_ms=time_ms),
+                msgspec.structs.replace(
+                    document,
+                    routes=(
+                        msgspec.structs.replace(route, timeout_ms=time_ms),
+                    ),
+                ),
+            ):
+                request = external_requests.PublishDocument(odd)
+                response = self.network.try_at(self.leader, request)
+                self.assertIsInstance(response, refusal.Refused)
+                self.assertEqual("bad-timeout", response.reason)
