Send what follows an endpoint that no socket can use

Operators would see: a host that learned one endpoint with a port out of range, such as that of a host of an earlier release, sends nothing to those whose turn comes after it: one such control host among the known ones stops the messages of the replicated log to the others, and a stop of the process fails as it sends the rest. A target with such an endpoint is probed once and never again, so it is not found dead, and keeps getting openings.

Cause: the driver, the transport and the probe caught OSError alone. sendto and connect raise OverflowError for a port out of range and TypeError for an address with a null character. The error left the loop over the effects or the outbox; in a probe it ended the task, and the core waited for the result.

Why it works: these errors are counted as a failed send, or fail the probe, with a line `endpoint-unusable` that names the endpoint and the reason. The core checks targets before they get here; this holds for those it doesn't check.

--- a/packages/node/src/tamarack_node/internal/tcp_probe.py
+++ b/packages/node/src/tamarack_node/internal/tcp_probe.py
@@ -5,6 +5,7 @@
 import socket
 
 from tamarack_core import effects
+from tamarack_node.internal import endpoint_errors
 
 
 async def accepts_connection(
@@ -65,6 +66,9 @@
         error = connection.connect_ex((endpoint.address, endpoint.port))
     except OSError as os_error:
         error = os_error.errno or errno.EIO
+    except endpoint_errors.UNUSABLE as unusable:
+        endpoint_errors.log(probe.endpoint, unusable)
+        error = errno.EINVAL
     if error == errno.EINPROGRESS:
         loop.add_writer(connection, handle_writable)
     else:
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -20,6 +20,7 @@
 from tamarack_core import failure
 from tamarack_core import fragments
 from tamarack_core import peers
+from tamarack_node.internal import endpoint_errors
 from tamarack_node.internal import logs
 
 if typing.TYPE_CHECKING:
@@ -249,8 +250,8 @@
         """Sends one datagram; drops and counts it if it can't be sent."""
         assert self.socket is not None
         self.context.counters["control-sent-bytes"] += len(data)
+        endpoint = self._route(peer)
         try:
-            endpoint = self._route(peer)
             self.socket.sendto(data, (endpoint.address, endpoint.port))
         except OSError as error:
             self.context.counters["control-send-failed"] += 1
@@ -259,6 +260,9 @@
                 logging.DEBUG,
                 {"peer": peer.host, "reason": error.strerror},
             )
+        except endpoint_errors.UNUSABLE as error:
+            self.context.counters["control-send-failed"] += 1
+            endpoint_errors.log(endpoint, error)
 
     async def _post(self, peer: peers.Peer, data: bytes) -> None:
         """Sends one large envelope over HTTP; counts a failure."""
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -29,6 +29,7 @@
 from tamarack_core import reducer
 from tamarack_core import timeline
 from tamarack_node import start_signals
+from tamarack_node.internal import endpoint_errors
 from tamarack_node.internal import event_handling
 from tamarack_node.internal import http1
 from tamarack_node.internal import light_sender
@@ -381,6 +382,9 @@
             self._data_socket.sendto(effect.data, address)
         except OSError:
             self.node.context.counters["data-send-failed"] += 1
+        except endpoint_errors.UNUSABLE as error:
+            self.node.context.counters["data-send-failed"] += 1
+            endpoint_errors.log(effect.endpoint, error)
 
     def _finish(self, stop: effects.Stop) -> None:
         """Ends `run`, unless an earlier stop has ended it."""
--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -71,3 +71,11 @@
     def test_an_address_of_another_machine_fails_the_probe(self):
         pending = tcp_probe.accepts_connection(self.probe(), "192.0.2.1")
         self.assertFalse(asyncio.run(pending))
+
+    def test_an_endpoint_that_no_socket_takes_fails_the_probe(self):
+        for address, port in ((LOOPBACK, 65536), (LOOPBACK, -1), ("a\0b", 80)):
+            probe = effects.ProbeTarget(
+                "t-1", peers.Endpoint(address, port), 0.25, 3, 0.06
+            )
+            pending = tcp_probe.accepts_connection(probe, LOOPBACK)
+            self.assertFalse(asyncio.run(pending))
--- a/tests/cover/test_light_driver.py
+++ b/tests/cover/test_light_driver.py
@@ -189,3 +189,62 @@
         self.assertEqual(
             [effects.StartTimer("tick", event_handling.TIMER_RETRY_S)], result
         )
+
+
+class UnusableEndpointTest(DriverCase):
+    """Faults: endpoints that a socket can't use, among others in one batch."""
+
+    ODD = (
+        peers.Endpoint("127.0.0.1", 65536),
+        peers.Endpoint("127.0.0.1", -1),
+        peers.Endpoint("127.0.0.1", 10**400),
+        peers.Endpoint("a\0b", 80),
+        peers.Endpoint("127.0.0.1", 0),
+    )
+
+    def receiver(self):
+        """Returns a bound UDP socket and its endpoint."""
+        receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(receiver.close)
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(1.0)
+        return receiver, peers.Endpoint(*receiver.getsockname())
+
+    def execute(self, *given):
+        """Executes effects in one turn; returns the driver's counters."""
+
+        async def play(driver, component):
+            component.handle_other = lambda event: list(given)
+            driver.node.handlers[sync.ControlHello] = [component.handle_other]
+            driver.handle(
+                events.MessageArrived(
+                    time.monotonic(), OWN, sync.ControlHello("i-1")
+                )
+            )
+            await asyncio.sleep(3 * TICK_S)
+            return driver.node.context.counters
+
+        return self.run_driver(play)
+
+    def test_a_packet_after_those_to_unusable_endpoints_is_sent(self):
+        receiver, endpoint = self.receiver()
+        counters = self.execute(
+            *(effects.SendDatagram(odd, b"lost") for odd in self.ODD),
+            effects.SendDatagram(endpoint, b"sent"),
+        )
+        self.assertEqual(b"sent", receiver.recv(64))
+        self.assertEqual(len(self.ODD), counters["data-send-failed"])
+
+    def test_a_message_after_those_to_unusable_endpoints_is_sent(self):
+        receiver, endpoint = self.receiver()
+        message = sync.DocumentQuery(7)
+        hosts = [
+            peers.Peer(f"odd-{number}", "a", odd)
+            for number, odd in enumerate(self.ODD)
+        ]
+        counters = self.execute(
+            *(effects.SendMessage(host, message) for host in hosts),
+            effects.SendMessage(peers.Peer("h2", "a", endpoint), message),
+        )
+        self.assertIn(b'"number":7', receiver.recv(4096))
+        self.assertEqual(len(self.ODD), counters["control-send-failed"])
