Refuse numbers beyond the range of floats in a service

Operators would see (tamarackd): a patch that sets a port, a limit or the number of opening hosts to a number of more than 308 digits gets the verdict unknown, and after their next start all control hosts end, again and again, with OverflowError, as the patch is in their log.

Cause: the range check called math.isfinite, which converts an integer to a float and raises OverflowError if it is too large. The patch is checked as it is applied from the log, so the error came at every host and at every recovery.

Evidence: the new tests failed before with OverflowError. In a play with three simulated hosts the odd patch failed a handler at each of them, and the restart raised OverflowError in the handler of the start.

Why it works: integers and floats compare exactly at any size, and NaN compares as out of range, so the comparison needs no conversion. The patch gets the verdict invalid, also one that an earlier release has already put in the log.

--- a/packages/core/src/tamarack_core/internal/validation/service_checks.py
+++ b/packages/core/src/tamarack_core/internal/validation/service_checks.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 import dataclasses
 import itertools
-import math
 import re
 
 import msgspec
@@ -178,9 +177,9 @@
     """Yields errors for numeric fields of `value` outside their range."""
     for allowed in ranges:
         number = getattr(value, allowed.field)
-        if not (
-            math.isfinite(number) and allowed.low <= number <= allowed.high
-        ):
+        # NaN compares as out of range. An integer may be too large for the
+        # functions of `math`.
+        if not allowed.low <= number <= allowed.high:
             yield failure.Failure(
                 "out-of-range",
                 f"{allowed.field} is {number}; give"
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -11,6 +11,12 @@
 
 State = requests.PatchState
 
+SERVICE = {
+    "addresses": ["192.0.2.1"],
+    "classes": {"routes": {"port": 80, "target_port": 8080}},
+    "target_networks": ["10.0.1.0/24"],
+}
+
 
 def patch(patch_id, base, *operations, **more):
     """Returns a patch request."""
@@ -210,6 +216,26 @@
         self.wait_for_voters(self.names)
         self.assertEqual(first, self.network.answer("c2", patch("a", 0)))
 
+    def test_an_odd_patch_ends_no_host_and_delays_no_other_patch(self):
+        self.bootstrap()
+        port = "/services/s1/classes/routes/port"
+        for number, odd in enumerate(
+            ({"op": "add", "path": port, "value": 10**400},)
+        ):
+            add = {"op": "add", "path": "/services/s1", "value": SERVICE}
+            verdict = self.network.answer(
+                "c1", patch(f"o{number}", 0, add, odd)
+            )
+            self.assertEqual(State.INVALID, verdict.state)
+        accepted = self.network.answer("c2", patch("a", 0))
+        self.assertEqual(State.ACCEPTED, accepted.state)
+        for name in self.names:
+            self.network.kill(name)
+        for name in self.names:
+            self.network.start(name)
+        self.wait_for_voters(self.names)
+        self.assertEqual(accepted, self.network.answer("c0", patch("a", 0)))
+
     def test_a_graceful_stop_transfers_the_leadership(self):
         self.bootstrap()
         leader = self.leader()
--- a/tests/cover/test_patches.py
+++ b/tests/cover/test_patches.py
@@ -150,6 +150,16 @@
         path = "/services/s2"
         self.assert_invalid(path, {"op": "add", "path": path, "value": value})
 
+    def test_a_number_beyond_the_range_of_floats_is_refused(self):
+        for number in (10**400, -(10**400), 10**4299):
+            for field in ("port", "target_port", "max_concurrent", "cost"):
+                path = f"/services/s1/classes/routes/{field}"
+                operation = {"op": "add", "path": path, "value": number}
+                self.assert_invalid(path, operation)
+            path = "/services/s1/opening_hosts"
+            operation = {"op": "add", "path": path, "value": number}
+            self.assert_invalid(path, operation)
+
     def test_moving_all_services_away_and_back_keeps_the_old_ones(self):
         port = "/x/s1/classes/routes/port"
         self.assert_invalid(
--- a/tests/cover/test_validation.py
+++ b/tests/cover/test_validation.py
@@ -44,6 +44,9 @@
     (with_class(port="80"), "/services/one/classes/routes/port"),
     (with_class(port=0), "/services/one/classes/routes/port"),
     (with_class(port=65536), "/services/one/classes/routes/port"),
+    (with_class(port=10**400), "/services/one/classes/routes/port"),
+    (with_class(cost=float("nan")), "/services/one/classes/routes/cost"),
+    (with_class(cost=float("inf")), "/services/one/classes/routes/cost"),
     (with_class(cost=-1), "/services/one/classes/routes/cost"),
     (with_class(deadline_s=-1), "/services/one/classes/routes/deadline_s"),
     (
