Refuse a patch whose operation has a name that is no text

Operators would see (tamarackd): a patch with an array or an object as `op` gets the verdict unknown, and after their next start all control hosts end, again and again, with TypeError, as the patch is in their log.

Cause: the name was looked up in a dict, and arrays and objects have no hash. The patch is checked as it is applied from the log, so the error came at every host and at every recovery.

Evidence: the new test of the state machine failed before with TypeError, and the one of three control hosts does with the check left out.

Why it works: only text is looked up. The patch gets the verdict invalid, also one that an earlier release has already put in the log.

--- a/packages/core/src/tamarack_core/internal/patches/operations.py
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -143,7 +143,8 @@
 def _check_operation(operation: Operation, path: str) -> failure.Failure | None:
     """Returns why an operation is refused before it is applied, or None."""
     name = operation.raw.get("op")
-    if name not in jsonpatch.JsonPatch.operations:
+    is_known = isinstance(name, str) and name in jsonpatch.JsonPatch.operations
+    if not is_known:
         return failure.Failure(
             "bad-patch", f"unknown operation {str(name)[:40]!r}", path
         )
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -220,7 +220,10 @@
         self.bootstrap()
         port = "/services/s1/classes/routes/port"
         for number, odd in enumerate(
-            ({"op": "add", "path": port, "value": 10**400},)
+            (
+                {"op": "add", "path": port, "value": 10**400},
+                {"op": ["add"], "path": port, "value": 1},
+            )
         ):
             add = {"op": "add", "path": "/services/s1", "value": SERVICE}
             verdict = self.network.answer(
--- a/tests/cover/test_patches.py
+++ b/tests/cover/test_patches.py
@@ -150,6 +150,11 @@
         path = "/services/s2"
         self.assert_invalid(path, {"op": "add", "path": path, "value": value})
 
+    def test_an_operation_whose_name_is_no_text_is_refused(self):
+        for name in (["add"], {"add": 1}, 5, None):
+            path = "/services/s2"
+            self.assert_invalid(path, {"op": name, "path": path, "value": 1})
+
     def test_a_number_beyond_the_range_of_floats_is_refused(self):
         for number in (10**400, -(10**400), 10**4299):
             for field in ("port", "target_port", "max_concurrent", "cost"):
