Keep deeply nested patches out of the log

Operators would see (tamarackd): a patch with a very deeply nested field gets the verdict unknown. With about 900 levels in a field that no operation reads, control hosts could apply it or skip it, each by the depth of its stack at that moment, and hold different configurations under different versions.

Cause: only the values of operations were limited in depth, and only after they had been decoded. Whether a decoder fails depends on the depth of the stack.

Evidence: the new test failed before ("patch-failed" in place of "too-deep" at 100 levels).

Why it works: the nesting is counted in the bytes of the patch, without recursion, before the leader proposes it, and is limited to 64 levels. The decision on a patch in the log stays as it was, so that hosts of two releases agree while they run side by side.

--- a/packages/core/src/tamarack_core/internal/control/submissions.py
+++ b/packages/core/src/tamarack_core/internal/control/submissions.py
@@ -115,6 +115,8 @@
     ) -> outputs.Step:
         """Handles a patch from an operator or from another control host."""
         refused = commands.check(patch)
+        if refused is None:
+            refused = commands.check_nesting(patch)
         if refused is not None:
             verdict = requests.PatchVerdict(
                 requests.PatchState.INVALID,
--- a/packages/core/src/tamarack_core/internal/patches/commands.py
+++ b/packages/core/src/tamarack_core/internal/patches/commands.py
@@ -1,6 +1,7 @@
 """Commands of the replicated log and their encoding."""
 
 import hashlib
+import re
 
 import msgspec
 
@@ -12,6 +13,14 @@
 MAX_AUTHOR_LENGTH = 128
 MAX_NOTE_LENGTH = 1024
 MAX_OPERATIONS_BYTES = 192 * 1024
+MAX_NESTING = 64
+"""Levels of arrays and objects in a patch; decoders allow far more."""
+
+# Possessive, so that it takes linear time for any bytes.
+_string = re.compile(rb'"(?:[^"\\]|\\.)*+"?', re.DOTALL)
+_OPENING = b"[{"
+_CLOSING = b"]}"
+_NO_BRACKETS = bytes(set(range(256)) - set(_OPENING + _CLOSING))
 
 
 class Submit(msgspec.Struct, frozen=True, tag="submit"):
@@ -85,3 +94,28 @@
             f" {MAX_OPERATIONS_BYTES}",
         )
     return None
+
+
+def check_nesting(patch: requests.SubmitPatch) -> failure.Failure | None:
+    """Returns why the nesting of a patch must keep it out of the log, or None.
+
+    The depth at which a decoder fails depends on the depth of the stack, so
+    that hosts could decide differently on a patch in the log. For the same
+    reason this is no part of the decision: a log may hold such a patch.
+
+    Args:
+        patch: The operator's request.
+    """
+    brackets = _string.sub(b"", bytes(patch.operations)).translate(
+        None, delete=_NO_BRACKETS
+    )
+    level = 0
+    for bracket in brackets:
+        level += 1 if bracket in _OPENING else -1
+        if level > MAX_NESTING:
+            return failure.Failure(
+                "too-deep",
+                f"the patch has more than {MAX_NESTING} nested levels of arrays"
+                " and objects",
+            )
+    return None
--- a/tests/cover/test_control.py
+++ b/tests/cover/test_control.py
@@ -239,6 +239,34 @@
         self.wait_for_voters(self.names)
         self.assertEqual(accepted, self.network.answer("c0", patch("a", 0)))
 
+    def answer_later(self, later):
+        """Returns the verdict on a patch with JSON text in an unused field."""
+        text = f'[{{"op":"test","path":"/x","value":1,"later":{later}}}]'
+        raw = msgspec.Raw(text.encode())
+        request = requests.SubmitPatch(f"i{len(later)}", 0, raw, "ana")
+        return self.network.answer(self.leader(), request)
+
+    def test_a_deeply_nested_patch_is_refused_before_it_is_replicated(self):
+        # Whether such a patch can be decoded depends on the depth of the stack,
+        # so that the hosts could decide differently.
+        self.bootstrap()
+        for depth in (100, 900, 50_000):
+            deep = "[" * depth + "]" * depth
+            for later in (deep, f'["\\\\",{deep}]', f'{{"\\"]}}":{deep}}}'):
+                verdict = self.answer_later(later)
+                self.assertEqual(State.INVALID, verdict.state)
+                self.assertIn("too-deep", verdict.reason)
+
+    def test_brackets_in_a_string_of_a_patch_are_no_nesting(self):
+        self.bootstrap()
+        for later in (
+            f'"{"[" * 900}"',
+            f'"\\"{"{" * 900}\\\\"',
+            "[]," * 99 + "[]",
+        ):
+            verdict = self.answer_later(f"[{later}]")
+            self.assertIn("patch-failed", verdict.reason)
+
     def test_a_graceful_stop_transfers_the_leadership(self):
         self.bootstrap()
         leader = self.leader()
