Refuse announcements with numbers that entry hosts can't compute with

Operators would see (tamarackd): after one announcement with slots of more than 308 digits each entry host of the failure domain fails every new flow of that service with OverflowError, until the lease ends, as the sum of the slots becomes a float. The domain could have any length, and was sent to all hosts.

Cause: slots and connections had a lower bound alone, the incarnation and the domain none, and a target that another host sent was not checked at all.

Why it works: the checks that need no configuration have a module of their own, with upper bounds. The host that a target calls refuses what fails them.

--- a/packages/core/src/tamarack_core/internal/targets/announcement_validator.py
+++ b/packages/core/src/tamarack_core/internal/targets/announcement_validator.py
@@ -1,16 +1,14 @@
 """Validation of announcements at the host that receives them."""
 
-import ipaddress
-
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core.internal.distribution import configuration_store
+from tamarack_core.internal.targets import announcement_checks
 from tamarack_core.internal.targets import lease_aggregator
-
-MAX_LEASE_S = 60.0
+from tamarack_core.packets import ip
 
 
 class AnnouncementValidator:
@@ -67,7 +65,7 @@
         self, now_s: float, announcement: requests.Announce
     ) -> requests.Refused | None:
         """Returns the refusal if the stored announcement is newer."""
-        address = ipaddress.ip_address(announcement.address).packed
+        address = ip.pack_address(announcement.address)
         held = self.aggregator.table.targets.get(address)
         if held is None or held.expires_s <= now_s:
             return None
@@ -85,27 +83,10 @@
         self, announcement: requests.Announce
     ) -> requests.Refused | None:
         """Returns the refusal if the announcement is invalid."""
-        try:
-            address = ipaddress.ip_address(announcement.address).packed
-        except ValueError:
-            return requests.Refused(
-                "bad-address",
-                f"address {announcement.address!r} is not an IP address; "
-                "announce the IPv4 or IPv6 address of the target",
-            )
-        if announcement.slots < 1 or announcement.connections < 1:
-            return requests.Refused(
-                "bad-capacity",
-                f"slots {announcement.slots} and connections "
-                f"{announcement.connections} must be at least 1; "
-                "announce the capacity of the target",
-            )
-        if not 0 < announcement.lease_s <= MAX_LEASE_S:
-            return requests.Refused(
-                "bad-lease",
-                f"lease_s {announcement.lease_s} is out of range; "
-                f"choose more than 0 and at most {MAX_LEASE_S:g}",
-            )
+        invalid = announcement_checks.check(announcement)
+        if invalid is not None:
+            return requests.Refused(invalid.reason, invalid.detail)
+        address = ip.pack_address(announcement.address)
         service = self.config_store.lookup.find_service(address)
         if service != announcement.service:
             return requests.Refused(
--- a/packages/core/src/tamarack_core/internal/targets/lease_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_aggregator.py
@@ -11,9 +11,11 @@
 from tamarack_core import context as context_lib
 from tamarack_core import effects
 from tamarack_core import events
+from tamarack_core import failure
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
+from tamarack_core.internal.targets import announcement_checks
 from tamarack_core.internal.targets import lease_table
 from tamarack_core.internal.targets import outbox as outbox_lib
 from tamarack_core.messages import targets as target_messages
@@ -156,6 +158,9 @@
         """
         message = event.message
         assert isinstance(message, target_messages.TargetForwarded)
+        invalid = announcement_checks.check(message.announcement)
+        if invalid is not None:
+            return [self._record_skipped(event, invalid)]
         address = ip.pack_address(message.announcement.address)
         return self._renew(
             event.now_s, address, message.announcement, message.age_s
@@ -168,20 +173,22 @@
         message = event.message
         assert isinstance(message, target_messages.TargetChanged)
         announcement = message.announcement
+        received = effects.SendMessage(
+            event.sender,
+            target_messages.TargetReceived(
+                announcement.address, message.sequence
+            ),
+        )
+        invalid = announcement_checks.check(announcement)
+        if invalid is not None:
+            return [received, self._record_skipped(event, invalid)]
         address = ip.pack_address(announcement.address)
         expires_s = event.now_s if message.expired else lease_table.NEVER_S
         target = lease_table.TargetLease(
             announcement, message.sequence, event.sender.host, expires_s
         )
         held = self.table.targets.get(address)
-        result: list[effects.Effect] = [
-            effects.SendMessage(
-                event.sender,
-                target_messages.TargetReceived(
-                    announcement.address, message.sequence
-                ),
-            )
-        ]
+        result: list[effects.Effect] = [received]
         if held is not None and held.order >= target.order:
             return result
         if self._aggregator(address).host == self.context.host.host:
@@ -192,6 +199,17 @@
         result.extend(self._record(event.now_s, held, target))
         return result
 
+    def _record_skipped(
+        self, event: events.MessageArrived, invalid: failure.Failure
+    ) -> effects.Effect:
+        """Returns the time line record of a target that another host sent."""
+        return self.context.record(
+            event.now_s,
+            "targets-skipped",
+            reason=invalid.reason,
+            detail=f"from {event.sender.host}: {invalid.detail}",
+        )
+
     def handle_received(
         self, event: events.MessageArrived
     ) -> list[effects.Effect]:
