Limit the path of a request as its headers are limited

Operators would see (light hosts): a call with a path without an end, such as a very long id, is kept in memory for the 20 s until the idle timeout, at any rate that the link carries, and the memory of the process grows with it.

Cause: the limit of 16 KiB counted names and values of headers alone.

That a request refused for its headers is not handled held before.

Why it works: the parser passes the path in the pieces that arrive, and each counts toward the limit; beyond it the request gets 431 and the connection is closed. A connection that is closing gets no second response.

--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -26,7 +26,7 @@
 CLOSE_POLL_S = 0.005
 
 MAX_HEADER_BYTES = 16 * 1024
-"""Largest total of header names and values of a request."""
+"""Largest total of the path and the header names and values of a request."""
 
 IDLE_TIMEOUT_S = 20.0
 """Time after its opening or its last response at which a connection is closed,
@@ -177,9 +177,13 @@
 
     def on_url(self, url: bytes) -> None:
         self._path += url
+        self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._header_bytes += len(name) + len(value)
+        self._count_header_bytes(len(name) + len(value))
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
         if self._header_bytes > MAX_HEADER_BYTES:
             self._reject(HEADERS_TOO_LARGE)
 
@@ -202,7 +206,7 @@
             self._worker = loop.create_task(self._handle_requests())
 
     def _reject(self, status: int) -> None:
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(_encode_response(HttpResponse(status), False))
             self._transport.close()
 
