Refuse a heartbeat whose version is no text

Callers would see: a heartbeat of another writer with a `version` of another type names a server to use; flows go to its address until probes find it dead.

Cause: the adapter did not read the field, as nothing uses it, so its type was not checked. The platform's page says that an entry with a field of another type names no server.

Evidence: heartbeats with the versions 10**400, [[]] and null were accepted before; the test failed at the first.

A heartbeat without a version is accepted as before.

--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -80,6 +80,9 @@
     ("warmup-left-ms", float("nan")),
     ("service", "s" * 100_000),
     ("zone", "z" * 100_000),
+    ("version", HUGE),
+    ("version", [[]]),
+    ("version", None),
 )
 """Fields of heartbeats, each odd by itself."""
 
@@ -96,6 +99,7 @@
     ("warmup-left-ms", 30_000.5),
     ("warmup-left-ms", -3.5),
     ("zone", ""),
+    ("version", ""),
     ("note", [{"of": "a later release"}]),
 )
 """Fields of heartbeats, all of them valid."""
