Ignore a clock stamp that no clock can have reached

Operators would see: after one envelope whose stamp has a counter or a time of thousands of digits, each host that receives it adopts the stamp and passes it on; with the next tick it can be too large to encode, and the hosts send no message at all until each of them is restarted.

Cause: a hybrid clock takes the largest stamp, and had no bound.

Evidence: the new test failed before. In a play on the earlier code, a stamp with a counter of 4,300 digits was decoded and observed, and the next envelope raised ValueError ("Exceeds the limit (4300 digits)"). Deeply nested envelopes were refused before; the test for them passed.

Why it works: a stamp beyond the year 9999, or with a counter that counting can't reach, is not adopted; it is counted and logged as `stamp-out-of-range`. The messages of the envelope are handled as before, so that hosts whose clock is wrong stay in contact.

--- a/packages/core/src/tamarack_core/timeline.py
+++ b/packages/core/src/tamarack_core/timeline.py
@@ -4,6 +4,13 @@
 
 import msgspec
 
+MAX_WALL_MS = 253_402_300_799_999
+"""Latest wall-clock time of a stamp, in milliseconds: the end of the year
+9999."""
+
+MAX_COUNTER = (1 << 53) - 1
+"""Largest counter of a stamp that another host can have reached."""
+
 
 class Stamp(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Reading of a hybrid logical clock.
@@ -42,9 +49,19 @@
             self.latest = Stamp(self.latest.wall_ms, self.latest.counter + 1)
         return self.latest
 
-    def observe(self, remote: Stamp) -> None:
-        """Advances to a stamp received from another host."""
+    def observe(self, remote: Stamp) -> bool:
+        """Advances to a stamp received from another host.
+
+        A stamp out of range is ignored: all hosts would adopt it for good, and
+        their own stamps could become too large to encode.
+
+        Returns:
+            Whether the stamp is in range.
+        """
+        if remote.wall_ms > MAX_WALL_MS or remote.counter > MAX_COUNTER:
+            return False
         self.latest = max(self.latest, remote)
+        return True
 
 
 class Entry(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/node/src/tamarack_node/internal/transport.py
+++ b/packages/node/src/tamarack_node/internal/transport.py
@@ -183,7 +183,13 @@
         if isinstance(envelope, failure.Failure):
             self.context.counters[envelope.reason] += 1
             return
-        self.context.clock.observe(envelope.stamp)
+        if not self.context.clock.observe(envelope.stamp):
+            self.context.counters["stamp-out-of-range"] += 1
+            logs.event(
+                "stamp-out-of-range",
+                logging.WARNING,
+                {"peer": envelope.sender.host},
+            )
         self.receive(envelope)
 
     def _route(self, peer: peers.Peer) -> peers.Endpoint:
--- a/tests/cover/test_envelopes.py
+++ b/tests/cover/test_envelopes.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import testtools
 
 from tamarack_core import cookie_entry
@@ -15,6 +16,9 @@
 from tamarack_core import timeline
 from tests import cookie_host
 
+DEPTH = 100_000
+"""Nesting beyond the limit of every decoder."""
+
 ROUTES = 2_120
 """Routes of the largest document of the users' larger deployments."""
 
@@ -92,7 +96,50 @@
         data = cookie_entry.CODEC.encode(envelope(update()))
         self.assert_refused(data[:-20])
 
+    def test_a_deeply_nested_body_is_refused(self):
+        deep = b"[" * DEPTH + b"]" * DEPTH
+        text = cookie_entry.CODEC.encode(envelope())
+        for data in (
+            deep,
+            b'{"later":' + deep + b"}",
+            text[:-1] + b',"later":' + deep + b"}",
+            text.replace(b'"messages":[]', b'"messages":' + deep),
+        ):
+            self.assert_refused(data)
+            self.assert_refused(zlib.compress(data))
+
     @hypothesis.given(strategies.binary(max_size=200))
     def test_no_bytes_raise(self, data):
         self.assert_refused(b"x" + data)
         self.assert_refused(data)
+
+
+class ClockTest(testtools.TestCase):
+    """Stamps of other hosts advance the clock of this one."""
+
+    def test_a_stamp_that_no_clock_can_reach_leaves_the_clock(self):
+        clock = timeline.HybridClock()
+        clock.tick(1_700_000_000_000)
+        for stamp in (
+            timeline.Stamp(10**4300 - 1, 0),
+            timeline.Stamp(timeline.MAX_WALL_MS + 1, 0),
+            timeline.Stamp(1_800_000_000_000, 10**4300 - 1),
+        ):
+            data = cookie_entry.CODEC.encode(
+                msgspec.structs.replace(envelope(), stamp=stamp)
+            )
+            self.assertFalse(
+                clock.observe(cookie_entry.CODEC.decode(data).stamp)
+            )
+            later = clock.tick(0)
+            self.assertEqual(1_700_000_000_000, later.wall_ms)
+            cookie_entry.CODEC.encode(
+                msgspec.structs.replace(envelope(), stamp=later)
+            )
+
+    def test_a_stamp_ahead_of_this_host_advances_its_clock(self):
+        clock = timeline.HybridClock()
+        clock.tick(1_700_000_000_000)
+        ahead = timeline.Stamp(1_800_000_000_000, 7)
+        self.assertTrue(clock.observe(ahead))
+        self.assertGreater(clock.tick(1_700_000_000_001), ahead)
