--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -11,8 +11,10 @@
 import testtools
 from testtools import matchers
 
+from tamarack_core import cookie_entry
 from tamarack_core import document_control
 from tamarack_core import effects
+from tamarack_core import envelopes
 from tamarack_core import events
 from tamarack_core import external_requests
 from tamarack_core import peers
@@ -20,6 +22,7 @@
 from tamarack_core import refusal
 from tamarack_core import sync
 from tamarack_core import target_announcement
+from tamarack_core import timeline
 from tamarack_core.internal.cookie import target_table
 from tamarack_core.internal.registry import target_registry
 from tamarack_core.storage import disk as disks
@@ -408,6 +411,14 @@
             self.assertEqual("odd", skipped.target[:3])
             self.assertThat(skipped.reason, matchers.StartsWith("bad-"))
 
+    def test_an_update_with_odd_targets_can_be_decoded(self):
+        sender = cookie_host.control("c1")
+        sent = envelopes.Envelope(
+            sender, timeline.Stamp(0, 0), (update(odd_targets()),)
+        )
+        data = document_control.CODEC.encode(sent)
+        self.assertEqual(sent, cookie_entry.CODEC.decode(data))
+
     def test_an_update_with_an_odd_target_is_not_requested_again(self):
         host = cookie_host.CookieHost()
         host.update(document=cookie_host.document(1))
