--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -112,3 +112,11 @@
     def test_a_probe_from_an_address_of_another_machine_is_not_sent(self):
         pending = tcp_probe.probe(self.probe(), "192.0.2.1")
         self.assertEqual(events.ProbeOutcome.NOT_SENT, asyncio.run(pending))
+
+    def test_an_endpoint_that_no_socket_takes_is_not_probed(self):
+        for address, port in ((LOOPBACK, 65536), (LOOPBACK, -1), ("a\0b", 80)):
+            probe = effects.ProbeTarget(
+                "t-1", peers.Endpoint(address, port), 0.25, 3, 0.06
+            )
+            pending = tcp_probe.probe(probe, LOOPBACK)
+            self.assertEqual(events.ProbeOutcome.NOT_SENT, asyncio.run(pending))
