Ask control hosts again after a suspension without a publisher

Operators and callers would see an entry host that handles openings by an old document, and knows no new target, for the rest of its life: its publisher was unresponsive, so that it followed none, and it was frozen before another one answered. After the suspension the next request is due at once, which was recorded as 'no request was ever sent': nothing counted as unanswered, and the periodic request needs a publisher.

A host without a publisher now asks until one answers.

--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -192,7 +192,9 @@
         if not self.has_document:
             self.requested_s = now_s
             return self._request_next()
-        is_unanswered = self.updated_s < self.requested_s
+        is_unanswered = (
+            self.publisher is None or self.updated_s < self.requested_s
+        )
         if is_unanswered and now_s - self.requested_s >= RESPONSE_TIMEOUT_S:
             return self._replace_publisher(now_s)
         if now_s - self.requested_s >= REQUEST_INTERVAL_S and self.publisher:
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -259,6 +259,16 @@
         self.assertEqual([1, 1, 1], [len(names) for names in rounds])
         self.assertEqual({"c1", "c2", "c3"}, {names[0] for names in rounds})
 
+    def test_a_host_suspended_while_it_follows_no_control_host_asks_again(self):
+        # A cut took its publisher, and the messages of the suspension are lost.
+        host = cookie_host.CookieHost(controls=("c1", "c2", "c3"))
+        host.update(cookie_host.target("t-1"), document=cookie_host.document(1))
+        host.tick(2.0)
+        host.now_s += 4.0
+        host.sent.clear()
+        host.tick(0.3)
+        self.assertNotEqual([], self.queried_hosts(host))
+
     def test_a_response_without_a_document_makes_it_query_the_next(self):
         # A control host that lost its disk has no document until the others
         # replicate it.
--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -29,6 +29,11 @@
             self.assertGreater(checks.counts["served"], 0)
             self.assertGreater(checks.counts["published"], 0)
 
+    def test_a_host_cut_off_and_frozen_learns_of_new_documents_again(self):
+        # A host that was frozen while it followed no control host asked none
+        # for the rest of its life.
+        self.assertEqual([], run.run(31033).broken)
+
 
 class PromiseTest(testtools.TestCase):
     """Violations of each promise are detected."""
