Let the tests of reset connections wait for the reset

test_a_connection_that_the_target_resets_was_established failed in 1 of 5 runs while the load of the machine was near 28: the event loop was blocked for 0.1 s, and the thread that resets the connection may not have run by then. The event loop is now blocked until the thread has reset the connection, as the test means, and so it is in test_a_reset_not_yet_handled_at_the_deadline_is_a_reply.

--- a/tests/cover/test_connects.py
+++ b/tests/cover/test_connects.py
@@ -85,7 +85,7 @@
         async def run():
             pending = tcp_probe.probe(self.probe(), LOOPBACK)
             task = asyncio.create_task(pending)
-            asyncio.get_running_loop().call_soon(time.sleep, 0.1)
+            asyncio.get_running_loop().call_soon(thread.join)
             return await task
 
         self.assertEqual(events.ProbeOutcome.RESET, asyncio.run(run()))
@@ -100,7 +100,10 @@
         async def run():
             loop = asyncio.get_running_loop()
             loop.add_writer = lambda *_: None
-            return await tcp_probe.probe(self.probe(attempts=1), LOOPBACK)
+            pending = tcp_probe.probe(self.probe(attempts=1), LOOPBACK)
+            task = asyncio.create_task(pending)
+            loop.call_soon(thread.join)
+            return await task
 
         self.assertEqual(events.ProbeOutcome.RESET, asyncio.run(run()))
 
