--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -60,16 +60,14 @@
             seen_by_s: Time in seconds; flows whose first packet at this
                 host came later are left. None for all.
         """
-        name = entry.target.name
-        if not self.tracker.activity_of(entry).flows:
-            return []
-        result: list[effects.Effect] = []
-        for key, flow in list(self.tracker.flows.items()):
-            if flow.target.target.name == name and flow.was_seen_by(seen_by_s):
-                result += self.reset_flow(
-                    now_s, key, flow.acknowledged, entry, reason
-                )
-        return result
+        return [
+            effect
+            for flow in self.tracker.activity_of(entry).all_flows()
+            if flow.was_seen_by(seen_by_s)
+            for effect in self.reset_flow(
+                now_s, flow.key, flow.acknowledged, entry, reason
+            )
+        ]
 
     def reset_flow(
         self,
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -14,6 +14,7 @@
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
+from tamarack_core.internal import suspension
 from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import target_registry
@@ -33,10 +34,6 @@
 SAVE_INTERVAL_S = 1.0
 """Shortest time between two writes of the targets to disk, in seconds."""
 
-SUSPENSION_S = 0.8
-"""Time without a run of the timer, in seconds, after which this host counts as
-suspended."""
-
 POSITION_LIFETIME_S = target_registry.SILENCE_RETENTION_S / 2
 """Time without an update from another control host after which all its targets
 are requested again, in seconds. Those that announce themselves to it alone may
@@ -239,7 +236,7 @@
     ) -> list[effects.Effect]:
         """Finds overdue targets, saves, and sends what is due to others."""
         now_s = event.now_s
-        if now_s - self.ticked_s > SUSPENSION_S:
+        if now_s - self.ticked_s > suspension.SUSPENSION_S:
             self.registry.extend_deadlines(now_s)
         self.ticked_s = now_s
         result: list[effects.Effect] = [effects.StartTimer(TIMER, TICK_S)]
