Probe a target again whose reference has ended

Callers would wait on a dead target that one entry host never probes again: its failed probe waited for the reply of a reference that had ended meanwhile, and whose probe was dropped. Failures that wait for a dropped reference are discarded, so that the next retransmission starts anew. test_a_target_whose_reference_has_ended_is_probed_again failed before.

--- a/packages/core/src/tamarack_core/internal/cookie/target_probes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_probes.py
@@ -328,6 +328,7 @@
             if name not in known or known[name].is_gone
         ]:
             del self.probes[name]
+            self._discard_failures(name)
 
     def dead(self) -> list[ProbeState]:
         """Returns the probes of dead targets, the longest ago first."""
--- a/tests/cover/test_cookie_entry.py
+++ b/tests/cover/test_cookie_entry.py
@@ -857,6 +857,23 @@
         host.complete_probe("t-3", is_answered=True)
         self.assertEqual([], host.resets)
 
+    def test_a_target_whose_reference_has_ended_is_probed_again(self):
+        host = self.start()
+        self.retransmit(host)
+        host.complete_probe("t-1", is_answered=False)
+        reference = host.probed[-1]
+        host.update(
+            cookie_host.target(
+                reference, sequence=9, phase=target_announcement.Phase.GONE
+            ),
+            base=1,
+            position=2,
+        )
+        host.tick(0.6)
+        host.complete_probe(reference, is_answered=False)
+        host.send(0, "t-1", acknowledged=600, sequence=11, payload_bytes=10)
+        self.assertEqual(["t-1", reference, "t-1"], host.probed)
+
     def test_the_flows_of_a_target_that_ended_are_reset_at_once(self):
         host = self.start()
         host.update(
