--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -108,6 +108,11 @@
     )
 
 
+def domain_target(name: str, domain: str) -> target_announcement.Announcement:
+    """Returns an announcement of a target of a failure domain."""
+    return msgspec.structs.replace(target(name), domain=domain)
+
+
 def document(
     number: int,
     service: str = "web",
