Keep a reused key at its target until its handshake is complete

What callers would see: a caller that opens anew on a port within 30 s of the end of its last connection there, and gets no reply for 2.5 s, is sent to another target. Other hosts still hold leases of the old flow, so its payload then reaches both targets; the old one refuses it with a reset, which the owner drops. No host has to die for this.

Cause 2: a backup of the closed flow that forwarded the new opening cleared the time of the close, so when the owner had died, it chose freely as the next owner.

Fix: a flag, REUSED, in the free bit of the flags; `confirmed_s` of such a record keeps the time of the close until the handshake is complete. A lease is used for 30 s after its last confirmation (RETRY_S more if it is used just before that), so the target stays the same while a lease can be used, but for that second.

--- a/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_maintenance.py
@@ -227,6 +227,8 @@
         else:
             idle_s = now_s - table.seen_s[slot]
             is_over = idle_s > _idle_timeout_s(flags, port)
+            if is_over and not flags & table_lib.ESTABLISHED:
+                is_over = not self.records.required_target(now_s, slot)
         if not is_over:
             return False
         if flags & table_lib.OWNED:
--- a/packages/core/src/tamarack_core/internal/entry/flow_owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -113,10 +113,10 @@
         flags = table.flags[slot]
         if flags & table_lib.CLOSED:
             return self._choose_target(
-                transit, self._required_target(transit, slot)
+                transit, self.records.required_target(transit.now_s, slot)
             )
         if not flags & table_lib.ESTABLISHED:
-            if transit.now_s - table.opened_s[slot] >= OPENING_RETRY_S:
+            if self._may_leave_target(transit, slot):
                 return self._retry_opening(transit, slot)
         elif self._is_idle(transit, slot):
             return self._retry_opening(transit, slot)
@@ -145,6 +145,15 @@
             order[1], packet, hop_option.Kind.QUERY, 1
         )
 
+    def _may_leave_target(
+        self, transit: transit_lib.TransitPacket, slot: int
+    ) -> bool:
+        """Returns whether an opening may be tried on another target."""
+        age_s = transit.now_s - self.records.table.opened_s[slot]
+        return age_s >= OPENING_RETRY_S and not self.records.required_target(
+            transit.now_s, slot
+        )
+
     def _retry_opening(
         self, transit: transit_lib.TransitPacket, slot: int
     ) -> list[effects.Effect]:
@@ -167,23 +176,6 @@
         age_s = transit.now_s - self.records.table.seen_s[slot]
         return age_s > 2 * records_lib.COPY_LIFETIME_S
 
-    def _required_target(
-        self, transit: transit_lib.TransitPacket, slot: int
-    ) -> bytes:
-        """Returns the only target that a reused key may go to; empty for any.
-
-        Packets of the closed flow may still arrive, and other hosts may hold a
-        copy of it until the copy expires. Both are harmless if the target
-        stays the same.
-        """
-        table = self.records.table
-        age_s = transit.now_s - table.confirmed_s[slot]
-        if age_s > records_lib.COPY_LIFETIME_S:
-            return b""
-        if not table.flags[slot] & table_lib.ESTABLISHED:
-            return b""
-        return table.target_of(slot)
-
     def _choose_target(
         self, transit: transit_lib.TransitPacket, required: bytes
     ) -> list[effects.Effect]:
@@ -199,7 +191,11 @@
             self._cancel_opening(transit, choice.target)
             return self.rejector.drop("time-wait")
         slot = self.records.store_owned(
-            now_s, transit.key, choice.target, transit.packet.sequence
+            now_s,
+            transit.key,
+            choice.target,
+            transit.packet.sequence,
+            bool(required),
         )
         if slot is None:
             self._cancel_opening(transit, choice.target)
--- a/packages/core/src/tamarack_core/internal/entry/flow_records.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_records.py
@@ -77,12 +77,28 @@
             slot: Slot of the flow.
         """
         flags = self.table.flags[slot]
-        if not flags & table_lib.ESTABLISHED:
-            return False
-        if flags & table_lib.CLOSED:
-            return now_s - self.table.confirmed_s[slot] < COPY_LIFETIME_S
+        if flags & table_lib.CLOSED or not flags & table_lib.ESTABLISHED:
+            return bool(self.required_target(now_s, slot))
         return now_s - self.table.seen_s[slot] < 2 * COPY_LIFETIME_S
 
+    def required_target(self, now_s: float, slot: int) -> bytes:
+        """Returns the only target that a reused key may go to; empty for any.
+
+        Packets of the last established flow with the key may still arrive, and
+        other hosts may hold a copy of it until the copy expires. Both are
+        harmless if the target stays the same.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            slot: Slot of a flow that is closed or has no complete handshake.
+        """
+        flags = self.table.flags[slot]
+        if not flags & (table_lib.ESTABLISHED | table_lib.REUSED):
+            return b""
+        if now_s - self.table.confirmed_s[slot] > COPY_LIFETIME_S:
+            return b""
+        return self.table.target_of(slot)
+
     def observe(
         self,
         now_s: float,
@@ -102,19 +118,37 @@
         )
 
     def store_owned(
-        self, now_s: float, key: bytes, target: bytes, sequence: int
+        self,
+        now_s: float,
+        key: bytes,
+        target: bytes,
+        sequence: int,
+        is_required: bool,
     ) -> int | None:
         """Stores a new flow that this host owns and the chooser has counted.
 
+        Args:
+            now_s: Monotonic time in seconds.
+            key: Flow key.
+            target: Packed address of the target.
+            sequence: Initial sequence number of the caller.
+            is_required: Whether it is the `required_target` of the key.
+
         Returns:
             The slot; None if the table is full.
         """
+        flags = table_lib.OWNED
+        confirmed_s = now_s
         slot = self.table.slots.get(key)
         if slot is not None:
+            if is_required:
+                flags |= table_lib.REUSED
+                confirmed_s = self.table.confirmed_s[slot]
             self.table.remove(slot)
         slot = self.table.put(key, target, now_s)
         if slot is not None:
-            self.table.flags[slot] = table_lib.OWNED
+            self.table.flags[slot] = flags
+            self.table.confirmed_s[slot] = confirmed_s
             self.table.initial_sequence[slot] = sequence
         return slot
 
@@ -152,11 +186,12 @@
         progress: target_choice.Progress,
     ) -> None:
         """Marks a flow as closed; its record stays for late packets."""
-        if self.table.flags[slot] & table_lib.OWNED:
+        flags = self.table.flags[slot]
+        if flags & table_lib.OWNED:
             self.observe(now_s, slot, port, progress)
-        self.table.flags[slot] |= table_lib.CLOSED
-        self.table.flags[slot] &= ~table_lib.OWNED
-        self.table.confirmed_s[slot] = now_s
+        self.table.flags[slot] = (flags | table_lib.CLOSED) & ~table_lib.OWNED
+        if flags & table_lib.ESTABLISHED or not flags & table_lib.REUSED:
+            self.table.confirmed_s[slot] = now_s
         self.table.fast_until_s[slot] = now_s
 
     def learn(self, now_s: float, key: bytes, target: bytes) -> int | None:
--- a/packages/core/src/tamarack_core/internal/entry/packet_router.py
+++ b/packages/core/src/tamarack_core/internal/entry/packet_router.py
@@ -107,8 +107,11 @@
         if slot is None:
             return
         if transit.packet.flags & _STATE_FLAGS:
-            # The flow opens or closes, so the copy may soon be outdated.
-            table.confirmed_s[slot] = 0.0
+            # The flow opens or closes, so the copy may soon be outdated. Of a
+            # closed flow, the time of the close is still needed if this host
+            # becomes the owner.
+            if not table.flags[slot] & table_lib.CLOSED:
+                table.confirmed_s[slot] = 0.0
             table.fast_until_s[slot] = 0.0
             return
         age_s = transit.now_s - table.confirmed_s[slot]
--- a/packages/core/src/tamarack_core/internal/flows/table.py
+++ b/packages/core/src/tamarack_core/internal/flows/table.py
@@ -25,6 +25,8 @@
         has reported its end.
     BACKUP: this host is a backup that the owner relies on to keep the flow.
     REPLIED: the target has sent payload.
+    REUSED: when the flow was opened, an established flow with the same key had
+        ended shortly before.
     """
 
     OWNED = 1
@@ -34,6 +36,7 @@
     CLOSED = 16
     BACKUP = 32
     REPLIED = 64
+    REUSED = 128
 
 
 OWNED = int(Flag.OWNED)
@@ -43,6 +46,7 @@
 CLOSED = int(Flag.CLOSED)
 BACKUP = int(Flag.BACKUP)
 REPLIED = int(Flag.REPLIED)
+REUSED = int(Flag.REUSED)
 
 
 class FlowTable:
@@ -63,7 +67,8 @@
         fast_until_s: Monotonic time up to which the fast path serves packets of
             the flow, by slot.
         confirmed_s: Monotonic time of the last confirmation by the owner, by
-            slot. For a closed flow, when it was closed.
+            slot. For a closed flow, when it was closed. For a reused key
+            without a complete handshake, when the flow before was closed.
         forwarded: Packets that other hosts have forwarded, at most 255, by
             slot.
         payload_sequence: Sequence number of the caller's last payload, by
--- a/tests/cover/test_entry.py
+++ b/tests/cover/test_entry.py
@@ -6,6 +6,7 @@
 from tamarack_core import events
 from tamarack_core import reducer
 from tamarack_core.internal.entry import flow_records
+from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.flows import hop_option
 from tamarack_core.packets import geneve
 from tamarack_core.packets import ip
@@ -16,6 +17,7 @@
 FEEDS = (bytes((10, 9, 0, 1)), 80)
 SYN, ACK, RST = ip.TCP_SYN, ip.TCP_ACK, ip.TCP_RST
 INITIAL = 1000
+REOPENED = 5000
 SERVER = 7000
 
 
@@ -94,6 +96,48 @@
         self.assertEqual(first, again)
         self.assertNotEqual(first, other)
 
+    def close_flow(self):
+        """Opens and closes a flow; returns its target."""
+        target = self.from_caller(SYN, INITIAL)[0].destination
+        self.send_syn_ack(target)
+        self.from_caller(RST, INITIAL + 1)
+        return target
+
+    def test_a_reused_key_without_a_reply_is_not_tried_on_another_target(self):
+        target = self.close_flow()
+        self.from_caller(SYN, REOPENED)
+        self.network.ready["schedule-svc"].remove(target)
+        for _ in range(5):
+            self.network.now_s += 4.0
+            sent = self.from_caller(SYN, REOPENED)
+            self.assertEqual(target, sent[0].destination)
+        self.network.now_s += flow_records.COPY_LIFETIME_S
+        sent = self.from_caller(SYN, REOPENED)
+        self.assertNotEqual(target, sent[0].destination)
+
+    def test_a_reused_key_that_its_target_refuses_waits_no_longer(self):
+        target = self.close_flow()
+        self.network.now_s += flow_records.COPY_LIFETIME_S - 1.0
+        self.from_caller(SYN, REOPENED)
+        reset = routing_network.segment(
+            (target, 8080), CALLER, RST | ACK, 0, REOPENED + 1
+        )
+        self.assertEqual(1, len(self.send(reset)))
+        self.network.ready["schedule-svc"].remove(target)
+        self.assertEqual([], self.from_caller(SYN, REOPENED))
+        self.assertEqual(1, self.dropped_count("time-wait"))
+        self.network.now_s += 2.0
+        sent = self.from_caller(SYN, REOPENED)
+        self.assertNotEqual(target, sent[0].destination)
+
+    def test_an_idle_opening_of_a_reused_key_keeps_its_target(self):
+        target = self.close_flow()
+        self.from_caller(SYN, REOPENED)
+        self.network.ready["schedule-svc"].remove(target)
+        self.network.run(flow_records.COPY_LIFETIME_S - 1.0)
+        sent = self.from_caller(SYN, REOPENED)
+        self.assertEqual(target, sent[0].destination)
+
     def test_an_established_flow_keeps_its_target(self):
         target = self.from_caller(SYN, INITIAL)[0].destination
         self.send_syn_ack(target)
@@ -135,3 +179,24 @@
         self.assertEqual(slot, self.component.records.find(now_s, key))
         now_s += flow_records.COPY_LIFETIME_S
         self.assertIsNone(self.component.records.find(now_s, key))
+
+    def test_a_forwarded_opening_does_not_make_a_backup_forget_a_closed_flow(
+        self,
+    ):
+        packet = routing_network.segment(CALLER, FEEDS, SYN, REOPENED, 0)
+        entry_hosts = self.component.router.entry_hosts
+        port = self.component.config_store.lookup.find_inbound(ip.parse(packet))
+        key = lookup.flow_key(ip.parse(packet))
+        owner, _, self.peer = entry_hosts.order(port, key)
+        target = routing_network.TARGETS["schedule-svc"][-1]
+        copy = hop_option.pack(hop_option.Kind.COPY, 2, 2)
+        self.send_syn_ack(target, hop_word=copy)
+        closed = hop_option.pack(hop_option.Kind.CLOSED, 2, 2)
+        reset = routing_network.segment(
+            (target, 8080), CALLER, RST, SERVER + 1, 0
+        )
+        self.send(reset, closed)
+        self.network.kill(owner)
+        self.assertEqual(FEEDS[0], self.send(packet)[0].destination)
+        self.network.run(12.0)
+        self.assertEqual(target, self.send(packet)[0].destination)
--- a/tests/slow/test_routing.py
+++ b/tests/slow/test_routing.py
@@ -283,8 +283,9 @@
         actions = ("close", "open", "open", "open", "kill")
         durations = (0.1, 10.385033640435013, 2.9155484577875983)
         durations += (4.709423836793936, 20.0)
-        steps = zip(actions, durations, strict=True)
-        self.replay(4382, 0.02, steps)
+        steps = list(zip(actions, durations, strict=True))
+        for seed in (4382, 13, 278):
+            self.replay(seed, 0.02, steps)
 
     def test_a_key_reused_while_the_domain_is_cut_keeps_its_target(self):
         actions = ("drain", "open", "cut", "start", "open")
@@ -292,3 +293,35 @@
         durations += (6.543449775075225, 8.354987697916398, 20.0)
         steps = zip(actions, durations, strict=True)
         self.replay(43898770, 0.0, steps)
+
+    def closed_flows(self, seed):
+        """Returns a network whose 40 flows have just been closed."""
+        network = routing_network.Network(seed)
+        network.open_many(40)
+        network.run(6.0)
+        for flow in network.all_flows:
+            flow.close()
+        network.run(1.0)
+        self.assertEqual(40, network.count("closed"))
+        return network
+
+    def drain(self, network, count):
+        del network.ready["schedule-svc"][:count]
+
+    def test_a_reused_key_without_a_reply_reaches_no_second_target(self):
+        network = self.closed_flows(0)
+        network.muted = set(network.flows)
+        network.after(3.0, lambda: self.drain(network, 4))
+        network.open_many(40)
+        network.muted = set()
+        network.run(40.0)
+        self.check(network)
+        self.assertEqual(40, network.count("open"))
+
+    def test_a_key_reused_before_a_dead_host_is_detected_keeps_its_target(self):
+        network = self.closed_flows(1)
+        network.kill(network.live()[4])
+        network.open_many(40)
+        network.run(40.0)
+        self.check(network)
+        self.assertEqual(40, network.count("open"))
