Report the failures of listed tests in full

The logs of its hosts, which the test attaches to its failure, were lost with its folder, so the failure could not be traced.

Cause: pytest prints no traceback of an expected failure, and the summary of the listed tests printed only the name.

The summary now prints the whole report of each listed test that failed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,9 +23,11 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Prints the outcomes of the listed tests."""
+    """Prints the outcomes of the listed tests, and the failures in full."""
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(
                 f"known red, {outcome}: {report.nodeid}"
             )
+            if outcome == "xfailed":
+                terminalreporter.write_line(report.longreprtext)
