Review: scripts draw free ports, and an unexpected error is no verdict

Cause: an uncaught error of a script would have ended with status 1. Change: such an error ends with 2; ports are drawn anew for each run.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -18,6 +18,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -25,10 +26,13 @@
     "frontend": "python3 -P -S -m tamarack_platform.entry",
     "control": "python3 -P -S -m tamarack_platform.control",
 }
-CONTROL_PORT = 8166
-READY_PORT = 8167
-DATAGRAM_PORT = 8172
-INTERNAL_PORTS = "7720,7735"
+# The same ports on all machines, drawn anew for each run and found free.
+_FIRST_PORT = random.randrange(10_000, 30_000, 50)
+CONTROL_PORT = _FIRST_PORT
+READY_PORT = _FIRST_PORT + 1
+DATAGRAM_PORT = _FIRST_PORT + 2
+INTERNAL_PORT = _FIRST_PORT + 10
+INTERNAL_PORTS = f"{INTERNAL_PORT},{INTERNAL_PORT + 15}"
 RESTART_S = 0.3
 GRACE_S = 6.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -54,7 +58,7 @@
 
 
 def _is_free(address):
-    for port in (CONTROL_PORT, READY_PORT, DATAGRAM_PORT, 7720, 9464):
+    for port in (CONTROL_PORT, READY_PORT, DATAGRAM_PORT, INTERNAL_PORT):
         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
             with socket.socket(socket.AF_INET, kind) as probe:
                 if kind == socket.SOCK_STREAM:
@@ -402,6 +406,8 @@
     """Runs a case, and exits with 1 if the rule was broken, 0 if it held."""
     deployment = None
     status = 2
+    # A script that is stopped ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         deployment = Deployment(folder)
         deployment.record(f"trouble: {TROUBLE}")
@@ -412,6 +418,8 @@
         print(f"cannot run: {error}")
         if deployment is not None:
             deployment.record(f"cannot run: {error}")
+    except Exception:
+        traceback.print_exc()
     finally:
         if deployment is not None:
             deployment.close()
