--- a/review/lib/traffic.py
+++ b/review/lib/traffic.py
@@ -96,7 +96,17 @@
 class Server:
     """One start of a server."""
 
-    def __init__(self, deployment, control, service, zone, address, port, name):
+    def __init__(
+        self,
+        deployment,
+        control,
+        service,
+        zone,
+        address,
+        port,
+        name,
+        clock_offset_s=0.0,
+    ):
         self.record = deployment.record
         self.control = control
         self.service = service
@@ -105,9 +115,11 @@
         self.port = port
         self.name = name
         self.state = "ready"
-        self.born = int(time.time() * 1000)
+        # By its own time of day, which may differ from that of other machines.
+        self.born = int((time.time() + clock_offset_s) * 1000)
         self.flows = {}
         self.runs = []
+        self.openings = []
         self.is_alive = True
         self.is_beating = True
         self.acknowledged = {}
@@ -123,8 +135,13 @@
         self._tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._tcp.bind((address, port))
         self._tcp.listen(64)
-        for target in (self._receive, self._serve_health, self._beat):
-            threading.Thread(target=target, daemon=True).start()
+        self._threads = [
+            threading.Thread(target=target, daemon=True)
+            for target in (self._receive, self._serve_health)
+        ]
+        for thread in self._threads:
+            thread.start()
+        threading.Thread(target=self._beat, daemon=True).start()
 
     # Heartbeats.
 
@@ -183,6 +200,14 @@
 
     def stop(self):
         self.is_alive = False
+        for opened in (self._udp, self._tcp):
+            try:
+                # Wakes the thread that waits on the socket.
+                opened.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        for thread in self._threads:
+            thread.join(1.0)
         self._udp.close()
         self._tcp.close()
         self.record(f"server {self.name}: ended")
@@ -220,6 +245,8 @@
                 data = self._udp.recv(4096)
             except OSError:
                 return
+            if not self.is_alive:
+                return
             intended = int.from_bytes(data[:8], "big")
             if intended not in (0, self._number):
                 continue
@@ -264,11 +291,14 @@
             if packet.has(SYN):
                 if flow is None:
                     flow = self.flows[key] = _ServerFlow(packet.seq)
+                    self.openings.append(
+                        (time.monotonic(), text(packet.src), packet.sport)
+                    )
                 flow.echo = packet.echo
                 self._send(packet, flow, SYN | ACK, flow.own)
                 return
             if flow is None:
-                if not packet.has(RST):
+                if packet.data or not packet.has(FIN | RST | ACK):
                     self._reset(packet)
                 return
             flow.echo = packet.echo
@@ -320,6 +350,10 @@
             seq = flow.next_seq
             flow.next_seq = (flow.next_seq + len(answer)) & 0xFFFFFFFF
             self._send(packet, flow, ACK, seq, answer)
+            if self.state == "draining":
+                self._send(packet, flow, FIN | ACK, flow.next_seq)
+                key = (packet.src, packet.sport, packet.dst, packet.dport)
+                self.flows.pop(key, None)
 
 
 class Client:
@@ -334,7 +368,7 @@
         self.resets = []
         self.answers = []
         self.opened_at = None
-        self._ports = itertools.count(random.randint(20_000, 40_000))
+        self._ports = itertools.count(random.randint(1, 60) * 1_000)
         self._attempts = itertools.count(1)
         self._arrived = threading.Condition()
         self._packets = []
@@ -343,6 +377,7 @@
         threading.Thread(target=self._receive, daemon=True).start()
         self.server = None
         self.is_open = False
+        self.has_ended = False
 
     def _receive(self):
         while True:
@@ -352,7 +387,7 @@
                 return
             packet = Packet(data)
             with self._arrived:
-                if packet.dport == getattr(self, "_port", None):
+                if packet.dport == getattr(self, "port", None):
                     self._packets.append(packet)
                     self._observe(packet)
                 self._arrived.notify_all()
@@ -365,17 +400,19 @@
                 own = packet.is_genuine
                 self.resets.append((time.monotonic(), self.is_open, own))
                 self.record(
-                    f"client {self.name}: port {self._port} is reset by"
+                    f"client {self.name}: port {self.port} is reset by"
                     f" {'its server' if own else 'the system'},"
                     f" open: {self.is_open}, server {self.server}"
                 )
                 self.is_open = False
             return
         self._echo = packet.echo
+        if packet.has(FIN) and not packet.has(SYN):
+            self.has_ended = True
 
     def _entry(self):
         """The routers hash the addresses and ports over the hosts (`mod`)."""
-        key = f"{self.address}:{self._port}>{self.service}"
+        key = f"{self.address}:{self.port}>{self.service}"
         return self.entries[zlib.crc32(key.encode()) % len(self.entries)]
 
     def _send(self, flags, data=b"", ack=None):
@@ -384,7 +421,7 @@
             self._seq,
             self._ack if ack is None else ack,
             number(self.address),
-            self._port,
+            self.port,
             number(address),
             port,
             flags,
@@ -396,12 +433,13 @@
     def open(self):
         """Opens a flow; returns whether it opened."""
         with self._arrived:
-            self._port = next(self._ports)
+            self.port = next(self._ports)
             self._packets.clear()
             self._seq = random.getrandbits(32)
             self._ack = 0
             self._echo = 0
             self.is_open = False
+            self.has_ended = False
         started_s = time.monotonic()
         for copy, at_s in enumerate((0.0, 0.2, 0.6)):
             resets = len(self.resets)
