Promote the replacement of a silent voter before the voter is removed

Cause: the leader removed a voter that was silent for 2.5 s, and promoted the learner only afterwards. The removal is in force once appended; if another voter has just lost its disk, it can't be committed, the leader no longer asks the voter that returns, and that one's shorter log gets no vote. Change: the learner is promoted first, then the voter is removed; a voter that becomes surplus because the silent one returns is removed. The voters so never drop below the number that bears the tolerated losses.

--- a/packages/core/src/tamarack_core/internal/group/membership_policy.py
+++ b/packages/core/src/tamarack_core/internal/group/membership_policy.py
@@ -2,11 +2,13 @@
 
 The policy repairs the group while publish requests continue, when one or
 several control hosts are killed, lose their disks, move to other addresses or
-are replaced. It makes one change at a time, and only changes that leave the
-group able to tolerate the configured number of lost hosts, as it was before. A
-voter is removed only if it has lost its disk or a learner can replace it.
+are replaced. It makes one change at a time. A change is in force before it is
+committed, and any voter may lose its disk meanwhile. So a voter that may still
+hold its disk is removed only after its replacement has been promoted: at all
+times, the voters include a quorum besides the tolerated number of lost disks.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
 
@@ -17,8 +19,7 @@
 from tamarack_core.internal.group import host_directory
 
 VOTER_TIMEOUT_S = 2.5
-"""Time after which an unresponsive voter is removed if a learner can take its
-place."""
+"""Time after which an unresponsive voter is replaced by a learner."""
 
 LEARNER_TIMEOUT_S = 10.0
 """Time after which an unresponsive learner is removed."""
@@ -53,6 +54,10 @@
         answered_s = self.answered_s.get(incarnation, now_s)
         return now_s - answered_s > timeout_s
 
+    def is_leaving(self, now_s: float, incarnation: str) -> bool:
+        """Returns whether a voter is to be replaced by a learner."""
+        return self.is_unresponsive(now_s, incarnation, VOTER_TIMEOUT_S)
+
 
 def next_change(now_s: float, state: GroupState) -> membership.Change | None:
     """Returns the membership change to make now, or None.
@@ -63,8 +68,8 @@
     """
     return (
         _remove_lost_disk(state)
+        or _remove_surplus(now_s, state)
         or _promote(now_s, state)
-        or _replace_unresponsive(now_s, state)
         or _remove_learner(now_s, state)
         or _add_learner(now_s, state)
     )
@@ -89,9 +94,7 @@
     Learners of the failure domains with the fewest voters come first.
     """
     members = state.members.members.values()
-    voter_domains = [
-        _domain(state, member) for member in members if member.is_voter
-    ]
+    voter_domains = _voter_domains(now_s, state)
     ready = [
         member
         for member in members
@@ -103,13 +106,22 @@
     ]
     ready.sort(
         key=lambda member: (
-            voter_domains.count(_domain(state, member)),
+            voter_domains[_domain(state, member)],
             member.incarnation,
         )
     )
     return ready
 
 
+def _voter_domains(now_s: float, state: GroupState) -> collections.Counter[str]:
+    """Returns the number of voters that stay, by failure domain."""
+    return collections.Counter(
+        _domain(state, member)
+        for member in state.members.members.values()
+        if member.is_voter and not state.is_leaving(now_s, member.incarnation)
+    )
+
+
 def _domain(state: GroupState, member: membership.Member) -> str:
     """Returns the failure domain of a member.
 
@@ -121,8 +133,8 @@
 
 
 def _promote(now_s: float, state: GroupState) -> membership.Change | None:
-    """Makes a learner a voter while there are too few voters."""
-    if len(state.members.voters) >= state.wanted_voters:
+    """Makes a learner a voter while too few voters stay."""
+    if _voter_domains(now_s, state).total() >= state.wanted_voters:
         return None
     ready = _ready_learners(now_s, state)
     if not ready:
@@ -132,16 +144,32 @@
     )
 
 
-def _replace_unresponsive(
+def _remove_surplus(
     now_s: float, state: GroupState
 ) -> membership.Change | None:
-    """Removes an unresponsive voter if a learner can take its place."""
-    if not _ready_learners(now_s, state):
+    """Removes a voter once its replacement is a voter.
+
+    If all voters respond again, it is one of the failure domain with the most
+    voters, since the loss of that domain could leave no quorum of an even
+    number of voters. It rejoins as a learner.
+    """
+    if len(state.members.voters) <= state.wanted_voters:
         return None
-    for incarnation in sorted(state.members.voters):
-        if state.is_unresponsive(now_s, incarnation, VOTER_TIMEOUT_S):
-            return _remove(incarnation)
-    return None
+    voter_domains = _voter_domains(now_s, state)
+    surplus = min(
+        (
+            member
+            for member in state.members.members.values()
+            if member.is_voter and member.incarnation != state.own
+        ),
+        key=lambda member: (
+            not state.is_leaving(now_s, member.incarnation),
+            -voter_domains[_domain(state, member)],
+            state.answered_s.get(member.incarnation, now_s),
+            member.incarnation,
+        ),
+    )
+    return _remove(surplus.incarnation)
 
 
 def _remove_learner(
--- /dev/null
+++ b/tests/cover/test_overlapping_losses.py
@@ -0,0 +1,115 @@
+"""The group of control hosts recovers from losses that overlap.
+
+Any number of hosts may be down for seconds, and as many as the group tolerates
+lose their disks meanwhile. Once all are back, what was acknowledged is read.
+"""
+
+import itertools
+import random
+
+import testtools
+
+from tests import group_network
+
+SEEDS = (*range(40), 103, 153)
+"""Seeds of random losses; the last two once ended without a quorum."""
+
+RECOVERY_S = 12.0
+"""Time after the return of all hosts in which reads are answered, in
+seconds."""
+
+
+def started(count, tolerated, seed):
+    """Returns a settled group that has published one document."""
+    network = group_network.GroupNetwork(count, tolerated, seed)
+    network.start_all()
+    network.publish(1)
+    network.run(5.0)
+    return network
+
+
+def followers(network):
+    """Returns the voters that don't lead, sorted."""
+    leader = min(network.leaders())
+    return sorted(network.voters(leader) - {leader})
+
+
+class PowerLossTest(testtools.TestCase):
+    """Faults: a host is down for 3.5 s; meanwhile others lose their disks."""
+
+    def check(self, count, tolerated, lost_after_s, seed):
+        network = started(count, tolerated, seed)
+        down, *lost = followers(network)[: tolerated + 1]
+        network.publish(2)
+        network.kill(down)
+        network.run(lost_after_s)
+        for host in lost:
+            network.kill(host, lose_disk=True)
+        network.run(1.0)
+        for host in lost:
+            network.start(host)
+        network.run(max(0.0, 3.5 - lost_after_s - 1.0))
+        network.start(down)
+        self.assertEqual(2, network.read(RECOVERY_S).number)
+        network.publish(3)
+
+    # An unresponsive voter was removed before the learner replaced it; with
+    # the disk of another one lost, the voters left had no quorum for good.
+    def test_a_power_loss_and_a_lost_disk_leave_a_quorum(self):
+        groups = ((4, 1), (5, 1), (6, 2))
+        for (count, tolerated), tenths in itertools.product(
+            groups, range(10, 32, 2)
+        ):
+            self.check(count, tolerated, tenths / 10, seed=tenths)
+
+    # An even number of voters may lose its quorum with one failure domain.
+    def test_a_voter_that_returns_leaves_no_even_number_of_voters(self):
+        network = started(4, 1, seed=1)
+        down = followers(network)[0]
+        network.kill(down)
+        network.run(2.4)
+        while len(network.voters(min(network.leaders()))) == 3:
+            network.run(0.01)
+        network.start(down)
+        network.run(RECOVERY_S)
+        for host in network.peers:
+            self.assertEqual(3, len(network.voters(host)))
+
+
+class RandomLossesTest(testtools.TestCase):
+    """Faults: random hosts are down, cut off or wiped, all overlapping."""
+
+    def check(self, seed):
+        generator = random.Random(seed)
+        count, tolerated = generator.choice([(3, 1), (4, 1), (5, 1), (6, 2)])
+        network = started(count, tolerated, seed)
+        acknowledged = network.publish(2).number
+        hosts = sorted(network.peers)
+        generator.shuffle(hosts)
+        wiped = hosts[:tolerated]
+        others = hosts[tolerated:]
+        down = others[: generator.randint(1, len(others))]
+        faults = sorted(
+            (generator.uniform(0.0, 4.0), generator.uniform(0.3, 4.0), host)
+            for host in [*wiped, *down]
+        )
+        ends = sorted((at_s + for_s, host) for at_s, for_s, host in faults)
+        began_s = network.now_s
+        steps = [(at_s, True, host) for at_s, _, host in faults]
+        steps += [(at_s, False, host) for at_s, host in ends]
+        for at_s, is_loss, host in sorted(steps):
+            network.run(max(0.0, began_s + at_s - network.now_s))
+            if is_loss:
+                network.kill(host, lose_disk=host in wiped)
+            else:
+                network.start(host)
+        document = network.read(RECOVERY_S)
+        self.assertEqual(acknowledged, document.number)
+        network.publish(3)
+
+    def test_what_was_acknowledged_is_read_once_all_are_back(self):
+        for seed in SEEDS:
+            try:
+                self.check(seed)
+            except AssertionError as error:
+                raise AssertionError(f"seed {seed}: {error}") from error
