Count a follower as confirmed only if it holds what is committed

Cause: a follower that had heard the leader within 0.6 s counted as confirmed. The leader sent it one request with entries and then, without a response, only heartbeats, which state a commit index beyond the follower's last entry. The follower didn't compare the two, so entry hosts never left it. Change: a follower that has lacked a committed entry for two heartbeat intervals is not confirmed, nor is a restarted one before it has reached the commit index that a leader stated. A full disk and a restart with an older log of the same term had the same cause.

--- a/packages/core/src/tamarack_core/internal/consensus/follower.py
+++ b/packages/core/src/tamarack_core/internal/consensus/follower.py
@@ -41,9 +41,13 @@
 
 
 def handle_append(
-    state: states.State, sender: peers.Peer, request: consensus.AppendRequest
+    state: states.State,
+    now_s: float,
+    sender: peers.Peer,
+    request: consensus.AppendRequest,
 ) -> None:
     """Appends entries that match the log; responds once they are synced."""
+    state.observe_leader_commit(now_s, request.commit_index)
     hint = _find_mismatch(state, request)
     if hint is not None:
         _respond(state, sender, request, is_accepted=False, match_index=hint)
@@ -128,7 +132,10 @@
 
 
 def handle_chunk(
-    state: states.State, sender: peers.Peer, chunk: consensus.SnapshotChunk
+    state: states.State,
+    now_s: float,
+    sender: peers.Peer,
+    chunk: consensus.SnapshotChunk,
 ) -> None:
     """Receives a chunk of a snapshot.
 
@@ -136,6 +143,7 @@
     `AppendResponse` once the snapshot is synced, or at once if it covers only
     entries that are committed here.
     """
+    state.observe_leader_commit(now_s, chunk.index)
     if chunk.index > state.commit_index:
         received = snapshots.receive_chunk(state, chunk)
         if received < chunk.size:
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -146,13 +146,13 @@
             case consensus.VoteResponse():
                 elections.handle_vote_response(state, now_s, message)
             case consensus.AppendRequest():
-                follower.handle_append(state, sender, message)
+                follower.handle_append(state, now_s, sender, message)
             case consensus.AppendResponse():
                 replication.handle_append_response(
                     state, now_s, sender, message
                 )
             case consensus.SnapshotChunk():
-                follower.handle_chunk(state, sender, message)
+                follower.handle_chunk(state, now_s, sender, message)
             case consensus.SnapshotResponse():
                 replication.handle_snapshot_response(state, now_s, message)
             case consensus.TimeoutNow():
--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -314,8 +314,10 @@
     """Returns whether this replica learns of each entry that is committed.
 
     A leader needs recent responses of a quorum, another replica a recent
-    message of the leader. Either must have applied the first entry of the
-    term, so that it lacks no entry of earlier terms.
+    message of the leader and the entries that are committed according to it:
+    a leader that gets no responses may send messages without new entries.
+    Either must have applied the first entry of the term, so that it lacks no
+    entry of earlier terms.
     """
     if not has_committed_in_term(state):
         return False
@@ -325,6 +327,7 @@
     return (
         state.leader is not None
         and since_message_s < state.parameters.election_timeout_min_s
+        and not state.is_lagging(now_s)
     )
 
 
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -102,6 +102,10 @@
         restarted_s: Monotonic time at which this replica restarted with the
             state of an earlier run; negative infinity if it had none.
         commit_index: Highest index known to be committed and applied.
+        awaited_commit: Commit index of a leader that this replica has to
+            reach; infinity before the first message of a leader.
+        awaited_since_s: Monotonic time of the first message with a commit
+            index above that of this replica since it last reached one.
         recorded_commit: Highest commit index that was recorded.
         commit_deadline_s: Monotonic time at which the commit index is
             recorded.
@@ -124,6 +128,8 @@
     """
 
     __slots__ = (
+        "awaited_commit",
+        "awaited_since_s",
         "commit_deadline_s",
         "commit_index",
         "election_deadline_s",
@@ -180,6 +186,8 @@
         self.leader_seen_s = -math.inf
         self.restarted_s = -math.inf
         self.commit_index = 0
+        self.awaited_commit: float = math.inf
+        self.awaited_since_s = -math.inf
         self.recorded_commit = 0
         self.commit_deadline_s = math.inf
         self.snapshot: SavedSnapshot | None = None
@@ -301,6 +309,33 @@
                 self.machine.apply(entry_index, entry.data)
                 self.output(outputs.Applied(entry_index, entry.term))
 
+    def observe_leader_commit(self, now_s: float, index: int) -> None:
+        """Stores the commit index that a leader stated.
+
+        While this replica hasn't reached an earlier one, that one is kept.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            index: The commit index.
+        """
+        if self.commit_index >= self.awaited_commit:
+            self.awaited_since_s = now_s
+        elif self.awaited_commit < math.inf:
+            return
+        self.awaited_commit = index
+
+    def is_lagging(self, now_s: float) -> bool:
+        """Returns whether committed entries have been missing for long.
+
+        A replica that has just started lags until it reaches the commit index
+        that a leader stated. Later, one message of the leader may be lost.
+        """
+        lag_s = now_s - self.awaited_since_s
+        return (
+            self.commit_index < self.awaited_commit
+            and lag_s > 2 * self.parameters.heartbeat_interval_s
+        )
+
     def halt(self, reason: str, detail: str) -> None:
         """Stops the replica for good under its current incarnation."""
         self.halted = outputs.Halted(reason, detail)
--- a/tests/cover/test_confirmed_publisher.py
+++ b/tests/cover/test_confirmed_publisher.py
@@ -146,18 +146,106 @@
         control = network.component_of(host, external_requests.PublishDocument)
         return control.publisher.is_confirmed
 
+    def started(self, count, tolerated, seed):
+        """Returns a settled group of control hosts."""
+        network = group_network.GroupNetwork(count, tolerated, seed)
+        network.start_all()
+        network.publish(1)
+        network.run(2.0)
+        for host in network.peers:
+            self.assertTrue(self.is_confirmed(network, host))
+        return network
+
+    def follower(self, network):
+        """Returns a voter that doesn't lead."""
+        leader = min(network.leaders())
+        return max(network.voters(leader) - {leader})
+
+    def number(self, network, host):
+        """Returns the number of the document that a control host holds."""
+        control = network.component_of(host, external_requests.PublishDocument)
+        return control.machine.document.number
+
+    def check_lagging(self, stop, resume, seed):
+        """Lets a follower hear the leader and not answer; it must say so.
+
+        Args:
+            stop: Stops the answers of a host.
+            resume: Undoes it.
+            seed: Seed of the network.
+        """
+        for count, tolerated in ((3, 1), (4, 1), (5, 2)):
+            network = self.started(count, tolerated, seed)
+            lagging = self.follower(network)
+            stop(network, lagging)
+            for number in range(2, 6):
+                network.publish(number)
+                network.run(0.3)
+            published_s = network.now_s
+            while self.is_confirmed(network, lagging):
+                network.run(0.05)
+                waited_s = network.now_s - published_s
+                self.assertThat(waited_s, matchers.LessThan(APPLY_S / 2))
+            self.assertThat(self.number(network, lagging), matchers.LessThan(5))
+            network.run(2.0)
+            self.assertFalse(self.is_confirmed(network, lagging))
+            resume(network, lagging)
+            network.run(APPLY_S)
+            self.assertTrue(self.is_confirmed(network, lagging))
+            self.assertEqual(5, self.number(network, lagging))
+
+    # A host that heard the leader said that it learns of each document, though
+    # it learned from the same messages that it lacked some.
+    def test_a_follower_that_nobody_hears_is_not_confirmed(self):
+        def cut_answers(network, host):
+            network.cut |= {(host, other) for other in network.peers}
+
+        for seed in range(4):
+            self.check_lagging(
+                cut_answers, lambda network, _: network.cut.clear(), seed
+            )
+
+    def test_a_follower_whose_disk_is_full_is_not_confirmed(self):
+        for seed in range(4):
+            self.check_lagging(
+                group_network.GroupNetwork.fill_disk,
+                group_network.GroupNetwork.free_disk,
+                seed,
+            )
+
+    def test_a_restarted_follower_that_nobody_hears_is_never_confirmed(self):
+        for seed in range(4):
+            network = self.started(3, 1, seed)
+            lagging = self.follower(network)
+            network.kill(lagging)
+            network.publish(2)
+            network.cut |= {(lagging, other) for other in network.peers}
+            network.start(lagging)
+            for _ in range(100):
+                network.run(0.03)
+                self.assertFalse(self.is_confirmed(network, lagging))
+            network.cut.clear()
+            network.run(APPLY_S)
+            self.assertTrue(self.is_confirmed(network, lagging))
+
+    def test_followers_stay_confirmed_while_documents_follow_quickly(self):
+        for count, tolerated in ((3, 1), (5, 2)):
+            network = self.started(count, tolerated, seed=1)
+            for number in range(2, 60):
+                routes = [
+                    group_network.route(f"r{number}-{port}", port)
+                    for port in range(1, 40)
+                ]
+                network.publish(number, *routes)
+                for host in network.peers:
+                    self.assertTrue(self.is_confirmed(network, host))
+
     def check(self, choose):
         """Cuts a host off; it must say so well within `APPLY_S`."""
         for count, tolerated in ((3, 1), (5, 2)):
             for seed in range(4):
-                network = group_network.GroupNetwork(count, tolerated, seed)
-                network.start_all()
-                network.publish(1)
-                network.run(2.0)
+                network = self.started(count, tolerated, seed)
                 hosts = set(network.peers)
-                self.assertTrue(
-                    all(self.is_confirmed(network, host) for host in hosts)
-                )
                 lost = choose(network)
                 network.isolate(lost)
                 network.run(APPLY_S / 2)
