Let an announcement of an unknown service displace no target

What callers saw: one heartbeat of another writer, with an id of its own, a service that no configuration names and the endpoint of a live target. Cause: an announcement at an endpoint ends the targets that started earlier there, whatever its service, though one of an unknown service names no target. Evidence: on the simulated network the target is gone at all control hosts right after the heartbeat, without any entry host. Change: until the document in force names its service, an announcement neither ends another target at its endpoint nor is ended by one, and is deferred under the name of a target of a known service, which it took over before.

--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -170,6 +170,8 @@
         invalid = target_announcement.check(target)
         if invalid is not None:
             return self._refuse(event, invalid, target.name)
+        if target.service not in self.registry.services:
+            self.context.counters["announcement-of-unknown-service"] += 1
         is_changed = self.registry.put(event.now_s, target)
         held = self.registry.records.get(target.name)
         if held is not None and held.target.order == target.order:
@@ -367,11 +369,13 @@
         self, now_s: float, target: target_announcement.Announcement
     ) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
+        is_known = target.service in self.registry.services
         return self.context.record(
             now_s,
             "target-changed",
             service=target.service,
             target=target.name,
+            reason="" if is_known else "unknown-service",
             detail=f"{target.phase.name.lower()} born {target.born_ms}"
             f" sequence {target.sequence}",
         )
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -178,6 +178,8 @@
             machine: The replicated state.
         """
         machine.flush_to(self.routes)
+        services = [service.name for service in self.routes.document.services]
+        self.registry.set_services(now_s, services)
         record = self.context.record(
             now_s, "version-in-force", version=self.routes.document.number
         )
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -1,5 +1,11 @@
-"""Registry of announced targets at a control host."""
+"""Registry of announced targets at a control host.
 
+An announcement whose service is not in the document in force is kept, since the
+document may follow, but until then it neither displaces a target nor is
+displaced by one.
+"""
+
+from collections.abc import Collection
 import itertools
 
 import msgspec
@@ -73,6 +79,18 @@
     is_overdue: bool = False
 
 
+class DeferredAnnouncement(msgspec.Struct):
+    """An announcement that takes effect once its service is known.
+
+    Attributes:
+        target: The announcement.
+        announced_s: Time at which a control host received it, in seconds.
+    """
+
+    target: target_announcement.Announcement
+    announced_s: float
+
+
 class TargetRegistry:
     """Announced targets by name; each change has a position.
 
@@ -80,9 +98,19 @@
         interval_s: Time between the announcements of a target, in seconds.
         records: The targets by name, in the order of their last changes.
         position: Position of the newest change.
+        services: Names of the services in the document in force.
+        deferred: Newest announcement of an unknown service under the name of a
+            target of a known one, by name.
     """
 
-    __slots__ = ("_by_endpoint", "interval_s", "position", "records")
+    __slots__ = (
+        "_by_endpoint",
+        "deferred",
+        "interval_s",
+        "position",
+        "records",
+        "services",
+    )
 
     def __init__(self, interval_s: float) -> None:
         """Initializes an empty registry.
@@ -93,6 +121,8 @@
         self.interval_s = interval_s
         self.records: dict[str, TargetRecord] = {}
         self.position = 0
+        self.services: frozenset[str] = frozenset()
+        self.deferred: dict[str, DeferredAnnouncement] = {}
         self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
 
     def put(
@@ -112,13 +142,21 @@
             Whether others must receive a change.
         """
         held = self.records.get(target.name)
-        if held is not None and not _may_replace(held.target, target):
-            return False
-        if self._is_superseded(now_s, target):
-            target = _ended(target)
-        elif age_s <= self.overdue_after_s:
-            self._end_earlier(now_s, target)
         announced_s = now_s - age_s
+        if held is not None:
+            is_newer = _may_replace(held.target, target)
+            if is_newer and self._is_weaker(target, held.target):
+                self._defer(target, announced_s)
+                return False
+            if not is_newer and self._is_weaker(held.target, target):
+                self._defer(held.target, held.announced_s)
+            elif not is_newer:
+                return False
+        if target.service in self.services:
+            if self._is_superseded(now_s, target):
+                target = _ended(target)
+            elif age_s <= self.overdue_after_s:
+                self._end_earlier(now_s, target)
         if held is None or _differs(held, target):
             self._move(held, target)
             record = TargetRecord(target, announced_s, 0)
@@ -131,6 +169,30 @@
         held.target = target
         return self.observe(now_s, target.name, age_s)
 
+    def set_services(self, now_s: float, services: Collection[str]) -> None:
+        """Sets the services in force; announcements of new ones take effect.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            services: Names of all services in the document in force.
+        """
+        added = frozenset(services) - self.services
+        self.services = frozenset(services)
+        if not added:
+            return
+        for name, deferred in list(self.deferred.items()):
+            if deferred.target.service in added:
+                del self.deferred[name]
+                age_s = now_s - deferred.announced_s
+                self.put(now_s, deferred.target, age_s)
+        for record in list(self.records.values()):
+            if record.target.service not in added:
+                continue
+            if self._is_superseded(now_s, record.target):
+                self._mark_gone(now_s, record)
+            elif not self._is_late(now_s, record):
+                self._end_earlier(now_s, record.target)
+
     def observe(self, now_s: float, name: str, age_s: float) -> bool:
         """Records an announcement of a known target.
 
@@ -164,6 +226,11 @@
         held = self.records.get(name)
         if held is None:
             return False
+        deferred = self.deferred.get(name)
+        if deferred is not None and (
+            born_ms is None or deferred.target.born_ms <= born_ms
+        ):
+            del self.deferred[name]
         if born_ms is None:
             if held.target.phase is target_announcement.Phase.READY:
                 return self._set_draining(held)
@@ -258,6 +325,30 @@
                 self.put(now_s, target)
         return restored
 
+    def _is_weaker(
+        self,
+        target: target_announcement.Announcement,
+        other: target_announcement.Announcement,
+    ) -> bool:
+        """Returns whether only the other one is of a known service.
+
+        What has ended is no weaker, whatever its service.
+        """
+        return (
+            target.phase is not target_announcement.Phase.GONE
+            and target.service not in self.services
+            and other.service in self.services
+        )
+
+    def _defer(
+        self, target: target_announcement.Announcement, announced_s: float
+    ) -> None:
+        """Keeps the newest announcement that has no effect yet."""
+        kept = self.deferred.get(target.name)
+        if kept is None or target.rank >= kept.target.rank:
+            deferred = DeferredAnnouncement(target, announced_s)
+            self.deferred[target.name] = deferred
+
     def _is_late(self, now_s: float, record: TargetRecord) -> bool:
         return now_s - record.announced_s > self.overdue_after_s
 
@@ -276,12 +367,16 @@
     def _others_at(
         self, target: target_announcement.Announcement
     ) -> list[TargetRecord]:
-        """Returns the other targets at an endpoint that are not gone."""
+        """Returns the other targets at an endpoint that are not gone.
+
+        Those of an unknown service are left out.
+        """
         names = self._by_endpoint.get(_endpoint_key(target), ())
         return [
             record
             for record in map(self.records.__getitem__, names)
             if record.target.name != target.name
+            and record.target.service in self.services
             and record.target.phase is not target_announcement.Phase.GONE
         ]
 
@@ -351,6 +446,7 @@
 
     def _remove(self, record: TargetRecord) -> None:
         del self.records[record.target.name]
+        self.deferred.pop(record.target.name, None)
         self._leave_endpoint(record.target)
 
 
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -395,6 +395,7 @@
 
     def test_a_target_whose_address_was_reused_stays_gone(self):
         network = started()
+        network.publish(2, services=("web", "b"))
         self.announce(network, "c1")
         self.announce(network, "c1", name="t-2", born_ms=2000, service="b")
         network.run(1.0)
@@ -404,6 +405,29 @@
             phase = self.known_announcement(network, host, "t-1").phase
             self.assertEqual(target_announcement.Phase.GONE, phase)
 
+    def test_an_unknown_service_ends_no_target_at_any_host(self):
+        network = started()
+        self.announce(network, "c1")
+        self.announce(network, "c2", name="x", born_ms=2000, service="none")
+        network.run(1.0)
+        network.kill("c3", lose_disk=True)
+        network.start("c3")
+        network.run(3.0)
+        for host in network.peers:
+            known = self.known_announcement(network, host, "t-1")
+            self.assertEqual(target_announcement.Phase.READY, known.phase)
+
+    def test_a_target_that_precedes_its_service_reaches_all_hosts(self):
+        network = started()
+        self.announce(network, "c1")
+        self.announce(network, "c2", born_ms=2000, service="b")
+        network.run(1.0)
+        network.publish(2, services=("web", "b"))
+        network.run(1.0)
+        for host in network.peers:
+            known = self.known_announcement(network, host, "t-1")
+            self.assertEqual("b", known.service)
+
     def test_a_target_without_announcements_is_overdue_until_the_next(self):
         network = started()
         self.announce(network, "c1")
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -45,12 +45,14 @@
     )
 
 
-def document(number, *routes, content=""):
+def document(number, *routes, content="", services=("web",)):
     """Returns a document; `content` distinguishes those of one number."""
     return documents.Document(
         number=number,
         routes=routes or (route("r", 443),),
-        services=(documents.Service("web", "/health", "{}"),),
+        services=tuple(
+            documents.Service(name, "/health", "{}") for name in services
+        ),
         idle_timeout_ms=15000.0,
         remainder=content,
     )
@@ -241,10 +243,10 @@
             for other in other_side:
                 self.cut |= {(one, other), (other, one)}
 
-    def publish(self, number, *routes, content="", timeout_s=8.0):
+    def publish(self, number, *routes, timeout_s=8.0, **content):
         """Publishes a document, trying one host after another."""
         request = external_requests.PublishDocument(
-            document(number, *routes, content=content)
+            document(number, *routes, **content)
         )
         return self._try_all(
             request, external_requests.DocumentPublished, timeout_s
