Order the starts of a target by who announces itself, not by its clock alone

Cause: starts of one id were ordered by their time of day alone, so each announcement of the second start counted as late and was dropped. Change: a control host takes a start that seems earlier for the later one when the held one is overdue and the other has announced itself repeatedly; the order found is part of the announcement. Before that, a start that seems earlier and drains pauses the target until the held start announces itself.

--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -139,8 +139,8 @@
         """Returns whether the holder of a tag must leave it to another one."""
         if holder is None or entry.is_gone or holder.is_gone:
             return False
-        claim = (entry.target.born_ms, entry.target.name)
-        return claim < (holder.target.born_ms, holder.target.name)
+        claim = (entry.target.place_ms, entry.target.name)
+        return claim < (holder.target.place_ms, holder.target.name)
 
     def _remove_from_service(self, entry: TargetEntry) -> None:
         """Removes a target from those that accept new flows."""
@@ -217,6 +217,6 @@
 ) -> bool:
     """Returns whether an announcement is newer or changes `is_overdue`."""
     target = known.target
-    if held.is_gone or target.born_ms != held.target.born_ms:
-        return target.born_ms > held.target.born_ms
+    if held.is_gone or target.place_ms != held.target.place_ms:
+        return target.place_ms > held.target.place_ms
     return target.rank > held.target.rank or known.is_overdue != held.is_overdue
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -172,9 +172,9 @@
             return self._refuse(event, invalid, target.name)
         if target.service not in self.registry.services:
             self.context.counters["announcement-of-unknown-service"] += 1
-        is_changed = self.registry.put(event.now_s, target)
+        is_changed = self.registry.announce(event.now_s, target)
         held = self.registry.records.get(target.name)
-        if held is not None and held.target.order == target.order:
+        if held is not None and _is_same(held.target, target):
             self.unreported_s[target.name] = event.now_s
         result: list[effects.Effect] = []
         if is_changed and held is not None:
@@ -379,3 +379,11 @@
             detail=f"{target.phase.name.lower()} born {target.born_ms}"
             f" sequence {target.sequence}",
         )
+
+
+def _is_same(
+    held: target_announcement.Announcement,
+    target: target_announcement.Announcement,
+) -> bool:
+    """Returns whether the announcement held is the one that arrived."""
+    return (held.born_ms, held.sequence) == (target.born_ms, target.sequence)
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -91,6 +91,20 @@
     announced_s: float
 
 
+class DisorderedStart(msgspec.Struct):
+    """A start that announces itself with an earlier start time than the held.
+
+    Attributes:
+        born_ms: Its start time in milliseconds.
+        sequence: Sequence number of its newest announcement.
+        since_s: Time of its first announcement, in seconds.
+    """
+
+    born_ms: int
+    sequence: int
+    since_s: float
+
+
 class TargetRegistry:
     """Announced targets by name; each change has a position.
 
@@ -101,11 +115,14 @@
         services: Names of the services in the document in force.
         deferred: Newest announcement of an unknown service under the name of a
             target of a known one, by name.
+        disordered: Start with an earlier start time than the one held, by
+            name.
     """
 
     __slots__ = (
         "_by_endpoint",
         "deferred",
+        "disordered",
         "interval_s",
         "position",
         "records",
@@ -123,8 +140,70 @@
         self.position = 0
         self.services: frozenset[str] = frozenset()
         self.deferred: dict[str, DeferredAnnouncement] = {}
+        self.disordered: dict[str, DisorderedStart] = {}
         self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
 
+    def announce(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> bool:
+        """Applies an announcement that a target itself sent to this host.
+
+        One of a start before the one held is either late or of a target that
+        restarted with its clock set back. If it drains, the target gets no
+        openings until the held start announces itself again.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            target: The announcement.
+
+        Returns:
+            Whether others must receive a change.
+        """
+        held = self.records.get(target.name)
+        if held is None or target.born_ms > held.target.place_ms:
+            return self.put(now_s, target)
+        floor_ms = held.target.floor_ms
+        if target.born_ms != held.target.born_ms:
+            if not self._is_restart(now_s, held, target):
+                return self._pause(held, target)
+            floor_ms = held.target.place_ms + 1
+        placed = msgspec.structs.replace(target, floor_ms=floor_ms)
+        return self.put(now_s, placed)
+
+    def _is_restart(
+        self,
+        now_s: float,
+        held: TargetRecord,
+        target: target_announcement.Announcement,
+    ) -> bool:
+        """Returns whether a start follows the one held, against its clock.
+
+        The one held must be silent, and the other one announce itself again
+        and again. Announcements that were delayed arrive together.
+        """
+        if held.target.phase is target_announcement.Phase.GONE:
+            return False
+        seen = self.disordered.get(target.name)
+        if seen is None or seen.born_ms != target.born_ms:
+            self.disordered[target.name] = DisorderedStart(
+                target.born_ms, target.sequence, now_s
+            )
+            return False
+        is_next = target.sequence > seen.sequence
+        seen.sequence = max(seen.sequence, target.sequence)
+        is_spaced = now_s - seen.since_s >= self.interval_s / 2
+        return is_next and is_spaced and self._is_late(now_s, held)
+
+    def _pause(
+        self, held: TargetRecord, target: target_announcement.Announcement
+    ) -> bool:
+        """Stops openings if a start that seems earlier drains."""
+        is_draining = (
+            target.phase is target_announcement.Phase.DRAINING
+            and target.service == held.target.service
+        )
+        return is_draining and self._set_draining(held)
+
     def put(
         self,
         now_s: float,
@@ -159,6 +238,7 @@
                 self._end_earlier(now_s, target)
         if held is None or _differs(held, target):
             self._move(held, target)
+            self.disordered.pop(target.name, None)
             record = TargetRecord(target, announced_s, 0)
             record.is_overdue = (
                 target.phase is not target_announcement.Phase.GONE
@@ -228,13 +308,15 @@
             return False
         deferred = self.deferred.get(name)
         if deferred is not None and (
-            born_ms is None or deferred.target.born_ms <= born_ms
+            born_ms is None or deferred.target.place_ms <= born_ms
         ):
             del self.deferred[name]
         if born_ms is None:
             if held.target.phase is target_announcement.Phase.READY:
                 return self._set_draining(held)
-        elif born_ms < held.target.born_ms:
+        elif born_ms != held.target.born_ms and (
+            born_ms < held.target.place_ms
+        ):
             return False
         return self._mark_gone(now_s, held)
 
@@ -389,7 +471,7 @@
         started after its end.
         """
         return any(
-            other.target.born_ms > target.born_ms
+            other.target.place_ms > target.place_ms
             and not self._is_late(now_s, other)
             for other in self._others_at(target)
         )
@@ -404,7 +486,7 @@
         if target.phase is target_announcement.Phase.GONE:
             return
         for other in self._others_at(target):
-            if other.target.born_ms < target.born_ms:
+            if other.target.place_ms < target.place_ms:
                 self._mark_gone(now_s, other)
 
     def _move(
@@ -447,6 +529,7 @@
     def _remove(self, record: TargetRecord) -> None:
         del self.records[record.target.name]
         self.deferred.pop(record.target.name, None)
+        self.disordered.pop(record.target.name, None)
         self._leave_endpoint(record.target)
 
 
@@ -486,7 +569,7 @@
 ) -> bool:
     """Returns whether an announcement may replace the one held."""
     if held.phase is target_announcement.Phase.GONE:
-        return target.born_ms > held.born_ms
+        return target.place_ms > held.place_ms
     return target.rank >= held.rank
 
 
--- a/packages/core/src/tamarack_core/target_announcement.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -17,6 +17,10 @@
 MAX_BORN_MS = 253_402_300_799_999
 """Latest start time, in milliseconds: the end of the year 9999."""
 
+MAX_FLOOR_MS = 2 * MAX_BORN_MS
+"""Highest lower bound of the place of a start, in milliseconds. It exceeds the
+start time before it by one for each start in disorder."""
+
 MAX_COLD_MS = 86_400_000
 """Longest time for which a target can still be slow, in milliseconds."""
 
@@ -47,8 +51,9 @@
 class Announcement(msgspec.Struct, frozen=True, array_like=True):
     """One announcement of a target.
 
-    A target that restarts under its name has a later start time, which makes
-    all earlier announcements under that name void.
+    A target that restarts under its name usually has a later start time, which
+    makes all earlier announcements under that name void. If its clock was set
+    back, a control host finds out that the start is a later one.
 
     Attributes:
         name: Name of the target, unique at any moment.
@@ -61,6 +66,8 @@
         slots: Requests that it runs concurrently.
         phase: Ready, draining or gone.
         cold_ms: Time for which it is still slow, in milliseconds.
+        floor_ms: Lower bound of its place among the starts of its name, in
+            milliseconds, if an earlier start had a later start time.
     """
 
     name: str
@@ -72,11 +79,17 @@
     slots: int
     phase: Phase
     cold_ms: int = 0
+    floor_ms: int = 0
+
+    @property
+    def place_ms(self) -> int:
+        """Key that orders the starts of one name or at one endpoint."""
+        return max(self.born_ms, self.floor_ms)
 
     @property
     def order(self) -> tuple[int, int]:
         """Key that orders the announcements of one name."""
-        return (self.born_ms, self.sequence)
+        return (self.place_ms, self.sequence)
 
     @property
     def rank(self) -> tuple[int, int, int]:
@@ -85,7 +98,7 @@
         A withdrawal without a start time changes the phase of the newest
         announcement.
         """
-        return (self.born_ms, self.sequence, self.phase)
+        return (self.place_ms, self.sequence, self.phase)
 
 
 class KnownTarget(msgspec.Struct, frozen=True, array_like=True):
@@ -113,6 +126,7 @@
         _check_names(target),
         _check_endpoint(target.endpoint),
         check_born(target.born_ms),
+        _check_range("floor", target.floor_ms, 0, MAX_FLOOR_MS),
         _check_sequence(target),
         _check_range("slots", target.slots, 1, MAX_SLOTS),
         # A target that is no longer slow may count below zero.
--- a/tests/cover/test_control_group.py
+++ b/tests/cover/test_control_group.py
@@ -405,6 +405,28 @@
             phase = self.known_announcement(network, host, "t-1").phase
             self.assertEqual(target_announcement.Phase.GONE, phase)
 
+    def test_a_target_that_restarted_with_its_clock_set_back_drains(self):
+        network = started()
+        self.announce(network, "c1", born_ms=5000)
+        network.run(1.0)
+        sequence = 0
+        for _ in range(10):
+            sequence += 1
+            self.announce(network, "c1", born_ms=3000, sequence=sequence)
+            network.run(group_network.ANNOUNCE_INTERVAL_S)
+        self.announce(
+            network,
+            "c1",
+            born_ms=3000,
+            sequence=sequence + 1,
+            phase=target_announcement.Phase.DRAINING,
+        )
+        network.run(0.1)
+        for host in network.peers:
+            known = self.known_announcement(network, host, "t-1")
+            self.assertEqual(3000, known.born_ms)
+            self.assertEqual(target_announcement.Phase.DRAINING, known.phase)
+
     def test_an_unknown_service_ends_no_target_at_any_host(self):
         network = started()
         self.announce(network, "c1")
