--- a/tests/slow/test_group_model.py
+++ b/tests/slow/test_group_model.py
@@ -1,8 +1,9 @@
 """Random faults of a group of control hosts.
 
-Guards against acknowledged documents that are lost, and against reads that
-return an older document, when hosts die, lose their disk, are cut off, are
-replaced or all lose power.
+Guards against acknowledged documents that are lost, against reads that return
+an older document, and against control hosts that say they are confirmed while
+they hold one, when hosts die, lose their disk, are cut off, are stopped or
+replaced, or all lose power.
 """
 
 import os
@@ -13,6 +14,9 @@
 from tamarack_core import external_requests
 from tests import group_network
 
+APPLY_S = 3.0
+"""Time in which an acknowledged document has to be in force, in seconds."""
+
 CI_SEEDS = 6
 SOAK_SEEDS = 60
 STEPS = 60
@@ -38,6 +42,8 @@
         random: Seeded random generator.
         acknowledged: Highest document number that was acknowledged.
         sent: Number of the last document that was sent.
+        acknowledged_s: Time of the first acknowledgement of each document, in
+            seconds.
         next_host: Number of the next host that replaces one.
     """
 
@@ -48,6 +54,7 @@
         self.network = group_network.GroupNetwork(count, seed=seed)
         self.network.start_all()
         self.acknowledged = 0
+        self.acknowledged_s = {}
         self.sent = 0
         self.next_host = 11
 
@@ -62,10 +69,14 @@
                 self.kill,
                 self.wipe,
                 self.cut,
+                self.cut,
                 self.replace,
+                self.replace_as_planned,
+                self.restart_as_planned,
                 self.lose_power,
             ]
         )()
+        self.check_confirmed()
 
     def publish(self):
         """Sends a document to a random host; records an acknowledgement."""
@@ -79,6 +90,29 @@
         )
         if isinstance(response, external_requests.DocumentPublished):
             self.acknowledged = max(self.acknowledged, response.number)
+            self.acknowledged_s.setdefault(response.number, self.network.now_s)
+        self.check_confirmed()
+
+    def check_confirmed(self):
+        """Checks that each confirmed host holds what it has to hold by now."""
+        due = max(
+            (
+                number
+                for number, at_s in self.acknowledged_s.items()
+                if self.network.now_s - at_s > APPLY_S
+            ),
+            default=0,
+        )
+        for host in self.network.nodes:
+            control = self.network.component_of(
+                host, external_requests.PublishDocument
+            )
+            held = control.machine.document.number
+            if control.publisher.is_confirmed and held < due:
+                raise AssertionError(
+                    f"{host} is confirmed and holds {held}; {due} was"
+                    f" acknowledged over {APPLY_S} s before"
+                )
 
     def read(self):
         """Reads at a random host; an older document is an error."""
@@ -133,6 +167,25 @@
         self.next_host += 1
         self.network.run(10.0)
 
+    def replace_as_planned(self):
+        """Starts a successor and stops a host; then another loses its disk."""
+        self.network.add(self.next_host)
+        self.next_host += 1
+        self.network.run(6.0)
+        stopped = self.random.choice(sorted(self.network.nodes))
+        self.network.stop(stopped)
+        del self.network.peers[stopped]
+        self.publish()
+        self.wipe()
+
+    def restart_as_planned(self):
+        """Stops a host and starts it again with its disk."""
+        host = self.random.choice(sorted(self.network.nodes))
+        self.network.stop(host)
+        self._publish_meanwhile()
+        self.network.start(host)
+        self._wait_until_stable()
+
     def lose_power(self):
         """Kills all hosts at once, right after a publish."""
         self.publish()
@@ -147,6 +200,7 @@
         for _ in range(self.random.randint(0, 3)):
             self.publish()
         self.network.run(self.random.uniform(0.0, 4.0))
+        self.check_confirmed()
 
     def _wait_until_stable(self):
         self.network.run(6.0)
