--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -325,10 +325,11 @@
         self.awaited_commit = index
 
     def is_lagging(self, now_s: float) -> bool:
-        """Returns whether committed entries have been missing for long.
+        """Returns whether a committed entry is known to have been missing.
 
+        It has been for longer than it takes to repair the loss of one message.
         A replica that has just started lags until it reaches the commit index
-        that a leader stated. Later, one message of the leader may be lost.
+        that a leader stated.
         """
         lag_s = now_s - self.awaited_since_s
         return (
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -92,7 +92,7 @@
 
 
 class DisorderedStart(msgspec.Struct):
-    """A start that announces itself with an earlier start time than the held.
+    """A start that announces itself although a later start time is held.
 
     Attributes:
         born_ms: Its start time in milliseconds.
@@ -115,8 +115,8 @@
         services: Names of the services in the document in force.
         deferred: Newest announcement of an unknown service under the name of a
             target of a known one, by name.
-        disordered: Start with an earlier start time than the one held, by
-            name.
+        disordered: Newest start that announced itself although a later start
+            time was held, by name.
     """
 
     __slots__ = (
@@ -224,10 +224,10 @@
         announced_s = now_s - age_s
         if held is not None:
             is_newer = _may_replace(held.target, target)
-            if is_newer and self._is_weaker(target, held.target):
+            if is_newer and self._yields_to(target, held.target):
                 self._defer(target, announced_s)
                 return False
-            if not is_newer and self._is_weaker(held.target, target):
+            if not is_newer and self._yields_to(held.target, target):
                 self._defer(held.target, held.announced_s)
             elif not is_newer:
                 return False
@@ -407,14 +407,14 @@
                 self.put(now_s, target)
         return restored
 
-    def _is_weaker(
+    def _yields_to(
         self,
         target: target_announcement.Announcement,
         other: target_announcement.Announcement,
     ) -> bool:
         """Returns whether only the other one is of a known service.
 
-        What has ended is no weaker, whatever its service.
+        The end of a target is kept, whatever its service.
         """
         return (
             target.phase is not target_announcement.Phase.GONE
