--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -5,6 +5,7 @@
 seeds. A seed that broke a promise is kept here as a test, with its cause.
 """
 
+import itertools
 import os
 
 import testtools
@@ -29,6 +30,14 @@
             self.assertGreater(checks.counts["served"], 0)
             self.assertGreater(checks.counts["published"], 0)
 
+    def test_promises_hold_while_voters_are_stopped_and_replaced(self):
+        for seed in range(FIRST, FIRST + RUNS):
+            print(f"soak seed {seed}, with a learner")
+            checks = run.run(seed, layout=plan.WITH_LEARNER)
+            self.assertEqual([], checks.broken, f"seed {seed}")
+            self.assertGreater(checks.counts["served"], 0)
+            self.assertGreater(checks.counts["published"], 0)
+
     def test_a_host_cut_off_and_frozen_learns_of_new_documents_again(self):
         # A host that was frozen while it followed no control host asked none
         # for the rest of its life.
@@ -88,11 +97,13 @@
         self.assertNotEqual(plan.draw(7), plan.draw(8))
 
     def test_all_faults_end_and_no_two_disks_are_lost(self):
-        for seed in range(300):
-            faults = plan.draw(seed)
+        for seed, layout in itertools.product(
+            range(300), plan.LAYOUTS.values()
+        ):
+            faults = plan.draw(seed, layout)
             lost = [fault for fault in faults if fault.kind == plan.LOSES_DISK]
             self.assertLess(len(lost), 2)
             for fault in faults:
-                self.assertIn(fault.kind, plan.KINDS)
+                self.assertIn(fault.kind, layout.kinds)
                 self.assertGreaterEqual(fault.from_s, plan.FAULTS_FROM_S)
                 self.assertLess(fault.until_s, plan.END_S - plan.STOP_S)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -20,6 +20,9 @@
 
 ANNOUNCE_MS = 600
 CLOCK_STEP_S = 300.0
+SEEDS = 3
+"""Number of control hosts that the settings name."""
+
 SLOW_SYNC_S = 0.3
 
 
@@ -133,23 +136,27 @@
     """All hosts and the links between them.
 
     Attributes:
+        layout: Kinds and number of the hosts.
         by_name: Hosts by name.
         network: First three parts of all addresses.
         links: Links of the proxy.
     """
 
-    def __init__(self, folder, network):
+    def __init__(self, folder, network, layout=plan.VOTERS_ALONE):
         """Creates hosts that have not started.
 
         Args:
             folder: Parent of their folders.
             network: First three parts of their addresses.
+            layout: Kinds and number of the hosts.
         """
+        self.layout = layout
         addresses = {
             name: f"{network}.{number}"
-            for number, name in enumerate(plan.names("host"), start=10)
+            for number, name in enumerate(plan.names("host", layout), start=10)
         }
-        seeds = [addresses[name] for name in plan.names("control")]
+        controls = plan.names("control", layout)
+        seeds = [addresses[name] for name in controls[:SEEDS]]
         self.by_name = {
             name: Host(name, address, folder, seeds)
             for name, address in addresses.items()
@@ -161,7 +168,8 @@
 
     def controls(self):
         """Returns the control hosts."""
-        return [self.by_name[name] for name in plan.names("control")]
+        controls = plan.names("control", self.layout)
+        return [self.by_name[name] for name in controls]
 
     def entries(self):
         """Returns the entry hosts."""
@@ -239,7 +247,7 @@
                 shutil.rmtree(host.disk, ignore_errors=True)
             elif fault.kind == "freeze":
                 host.signal(signal.SIGSTOP)
-            elif fault.kind == "stop":
+            elif fault.kind in ("stop", plan.STOPS_CONTROL):
                 host.stop()
             elif fault.kind == "clock":
                 write(host, host_program.CLOCK, str(CLOCK_STEP_S))
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -3,7 +3,6 @@
 import dataclasses
 import random
 
-CONTROLS = 3
 ENTRIES = 3
 TARGETS = 6
 
@@ -16,7 +15,10 @@
 MIN_FAULT_S, MAX_FAULT_S = 0.5, 4.0
 
 STOP_S = 3.0
-"""Time that a host has for a graceful stop, in seconds."""
+"""Time that an entry host has for a graceful stop, in seconds."""
+
+STOP_CONTROL_S = 4.0
+"""Time that a control host has for a graceful stop, in seconds."""
 
 LOSES_DISK = "wipe"
 KINDS = {
@@ -40,6 +42,32 @@
 }
 """Kinds of fault, with the kind of host or target that they affect."""
 
+STOPS_CONTROL = "stop-control"
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """Hosts of a run, and the faults that are drawn for them.
+
+    Attributes:
+        controls: Number of control hosts; the first three are seeds.
+        kinds: Kinds of fault, with the kind of host or target that they
+            affect.
+    """
+
+    controls: int
+    kinds: dict[str, str]
+
+
+VOTERS_ALONE = Layout(3, KINDS)
+"""All control hosts vote."""
+
+WITH_LEARNER = Layout(4, KINDS | {STOPS_CONTROL: "control"})
+"""A control host that can replace a voter, and voters that are stopped."""
+
+LAYOUTS = {"voters": VOTERS_ALONE, "learner": WITH_LEARNER}
+"""Layouts by name, for the command line."""
+
 CATCH_UP_S = 6.0
 """Minimum time between the losses of two disks, in seconds."""
 
@@ -49,7 +77,7 @@
     """Fault of a host, a target or the network.
 
     Attributes:
-        kind: One of `KINDS`.
+        kind: One of the kinds of the layout.
         subject: Name of the host or target; empty for all.
         from_s: Start, in seconds after the start of the run.
         for_s: Duration, in seconds.
@@ -66,9 +94,9 @@
         return self.from_s + self.for_s
 
 
-def names(kind):
+def names(kind, layout=VOTERS_ALONE):
     """Returns the names of the hosts or targets of a kind."""
-    controls = [f"c{number}" for number in range(CONTROLS)]
+    controls = [f"c{number}" for number in range(layout.controls)]
     entries = [f"e{number}" for number in range(ENTRIES)]
     return {
         "all": [""],
@@ -79,19 +107,21 @@
     }[kind]
 
 
-def draw(seed):
+def draw(seed, layout=VOTERS_ALONE):
     """Returns the faults of a run in the order of their start."""
     generator = random.Random(seed)
     faults = []
     lost_disk_s = -CATCH_UP_S
     for _ in range(generator.randint(MIN_FAULTS, MAX_FAULTS)):
-        kind = generator.choice(list(KINDS))
-        subject = generator.choice(names(KINDS[kind]))
+        kind = generator.choice(list(layout.kinds))
+        subject = generator.choice(names(layout.kinds[kind], layout))
         from_s = generator.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S - MIN_FAULT_S)
         max_s = min(MAX_FAULT_S, FAULTS_UNTIL_S - from_s)
         for_s = generator.uniform(MIN_FAULT_S, max(MIN_FAULT_S, max_s))
         if kind == "stop":
             for_s = max(for_s, STOP_S)
+        if kind == STOPS_CONTROL:
+            for_s = max(for_s, STOP_CONTROL_S)
         if kind == LOSES_DISK:
             if abs(from_s - lost_disk_s) < CATCH_UP_S or lost_disk_s > 0:
                 continue
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -32,9 +32,9 @@
         prober: Opens flows on routes that are added and removed.
     """
 
-    def __init__(self, faults, folder, network, seed):
+    def __init__(self, faults, folder, network, seed, layout):
         self.promises = promises_lib.Promises(faults)
-        self.hosts = hosts_lib.Hosts(folder, network)
+        self.hosts = hosts_lib.Hosts(folder, network, layout)
         self.targets = [
             ends.Target(index, network, self.promises)
             for index in range(plan.TARGETS)
@@ -135,22 +135,24 @@
             await target.start()
 
 
-def run(seed, slot=0):
+def run(seed, slot=0, layout=plan.VOTERS_ALONE):
     """Runs a seed and returns its outcomes and violations.
 
     Args:
         seed: Seed of the faults and of the random generators.
         slot: Number of the network; concurrent runs need different
             numbers.
+        layout: Kinds and number of the hosts.
     """
-    return run_faults(plan.draw(seed), seed, slot)
+    return run_faults(plan.draw(seed, layout), seed, slot, layout)
 
 
-def run_faults(faults, seed=0, slot=0):
+def run_faults(faults, seed=0, slot=0, layout=plan.VOTERS_ALONE):
     """Runs a given list of faults; see `run`."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        soak_run = SoakRun(faults, folder, f"127.0.{80 + slot}", seed)
+        network = f"127.0.{80 + slot}"
+        soak_run = SoakRun(faults, folder, network, seed, layout)
         proxy = threaded_proxy.ThreadedProxy(
             proxy_settings.Settings(
                 tuple(soak_run.hosts.links),
