--- a/tests/cover/test_full_disk.py
+++ b/tests/cover/test_full_disk.py
@@ -15,6 +15,7 @@
 import testtools
 
 from tamarack_core import effects
+from tamarack_node import light_disk
 from tamarack_node.internal import disk_writer
 from tamarack_node.internal.storage import files as files_lib
 from tamarack_node.internal.storage import folder as folder_lib
@@ -147,3 +148,64 @@
         )
         self.assertEqual([], completed)
         self.assertEqual(["injected"], [str(error) for error in failures])
+
+
+class FullAtStartTest(testtools.TestCase):
+    """Fault: the disk is full at any call while a process opens its folder."""
+
+    def setUp(self):
+        super().setUp()
+        parent = tempfile.TemporaryDirectory()
+        self.addCleanup(parent.cleanup)
+        self.parent = pathlib.Path(parent.name)
+        patcher = mock.patch.object(light_disk, "RETRY_S", RETRY_S)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def open(self, path, files):
+        """Opens a folder as a starting control host does."""
+
+        async def open_folder():
+            async with asyncio.timeout(TIMEOUT_S):
+                return await light_disk.open_folder(path, "c1", "first-c1")
+
+        with mock.patch.object(files_lib, "SystemFiles", lambda: files):
+            return asyncio.run(open_folder())
+
+    def check(self, fill):
+        """Opens folders on disks that are full at each of the first calls.
+
+        Args:
+            fill: Writes what the folder holds before; returns the records.
+        """
+        refusals = (("append",), ("append", "truncate"), CALLS)
+        cases = itertools.product(refusals, range(1, 12), (1, 3))
+        for number, (refused, full_from, full_calls) in enumerate(cases):
+            path = self.parent / str(number)
+            records = fill(path)
+            files = FullFiles(refused, full_from, full_calls)
+            folder = self.open(path, files)
+            self.assertEqual("first-c1", folder.identity.incarnation)
+            self.assertEqual(records, tuple(folder.contents.records))
+            files.full_calls = 0
+            folder.append((b"next",))
+            folder.close()
+            folder = folder_lib.DataFolder(path, "c1", 1)
+            self.addCleanup(folder.close)
+            self.assertEqual(
+                (*records, b"next"), tuple(folder.contents.records)
+            )
+
+    def test_a_new_folder_gets_the_incarnation_of_the_host(self):
+        self.check(lambda path: ())
+
+    def test_an_existing_folder_keeps_all_that_was_synced(self):
+        def fill(path):
+            folder = folder_lib.DataFolder(
+                path, "c1", 1, incarnation="first-c1"
+            )
+            folder.append((b"one", b"two"))
+            folder.close()
+            return (b"one", b"two")
+
+        self.check(fill)
