Let no property test fail because the machine paused

Evidence: with the process paused for 0.3 s at a time, test_lookup failed with DeadlineExceeded (304 ms) in the one run on unchanged code. For test_envelopes this was tried five times and not shown; the deadline is the only clock in it. What the tests check is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,14 @@
-"""Marks the tests that KNOWN-RED.txt lists as expected failures."""
+"""Settings of all tests; marks those that KNOWN-RED.txt lists."""
 
 import pathlib
 
+import hypothesis
 import pytest
 
+# An example that meets a pause of the machine is not a failure.
+hypothesis.settings.register_profile("untimed", deadline=None)
+hypothesis.settings.load_profile("untimed")
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
