--- a/tests/cover/test_target_registry.py
+++ b/tests/cover/test_target_registry.py
@@ -384,6 +384,17 @@
         restarted.announce(0.1, late)
         self.assertEqual(3000, restarted.records["t-1"].target.born_ms)
 
+    def test_a_start_time_ahead_displaces_a_live_target_for_seconds_only(self):
+        ahead = cookie_host.target("t-1", born_ms=9_000_000, port=NEW_PORT)
+        self.held.announce(2.0, ahead)
+        for number in range(2, 7):
+            now_s = 2.0 + (number - 1) * INTERVAL_S
+            live = cookie_host.target("t-1", born_ms=5000, sequence=number)
+            self.held.announce(now_s, live)
+            self.held.check_overdue(now_s)
+        self.assertEqual(5000, self.known.born_ms)
+        self.assertEqual(OLD_PORT, self.known.endpoint.port)
+
     def test_the_next_start_with_a_right_clock_replaces_it(self):
         self.announce(12.0)
         self.held.announce(15.0, cookie_host.target("t-1", born_ms=9000))
