--- a/tests/cover/test_confirmed_publisher.py
+++ b/tests/cover/test_confirmed_publisher.py
@@ -228,6 +228,35 @@
             network.run(APPLY_S)
             self.assertTrue(self.is_confirmed(network, lagging))
 
+    def test_a_follower_that_lacks_a_snapshot_is_never_confirmed(self):
+        network = self.started(3, 1, seed=1)
+        lagging = self.follower(network)
+        network.kill(lagging)
+        for number in range(2, 300):
+            network.publish(number)
+        network.cut |= {(lagging, other) for other in network.peers}
+        network.start(lagging)
+        for _ in range(100):
+            network.run(0.03)
+            self.assertFalse(self.is_confirmed(network, lagging))
+        network.cut.clear()
+        network.run(APPLY_S)
+        self.assertTrue(self.is_confirmed(network, lagging))
+        self.assertEqual(299, self.number(network, lagging))
+
+    def test_a_leader_that_nobody_hears_confirms_no_old_document(self):
+        # Its successor probes it, so it may hold each new document.
+        for count, tolerated in ((3, 1), (5, 2)):
+            network = self.started(count, tolerated, seed=1)
+            unheard = min(network.leaders())
+            network.cut |= {(unheard, other) for other in network.peers}
+            for number in range(2, 6):
+                network.publish(number)
+                network.run(APPLY_S / 2)
+                held = self.number(network, unheard)
+                is_confirmed = self.is_confirmed(network, unheard)
+                self.assertTrue(held == number or not is_confirmed)
+
     def test_followers_stay_confirmed_while_documents_follow_quickly(self):
         for count, tolerated in ((3, 1), (5, 2)):
             network = self.started(count, tolerated, seed=1)
