Evacuate failure domains by orders in the replicated log

Cause: an evacuation order was answered 404, and no state of it existed. An order that may be a delayed duplicate of one that was reversed is refused for now. The calls exist only where the settings bound them.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -4,6 +4,7 @@
 
 from tamarack_core import context as context_lib
 from tamarack_core import envelopes
+from tamarack_core import evacuations
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
@@ -32,6 +33,8 @@
         tolerated_hosts: Number of control hosts that may be lost at once.
         announce_interval_s: Time between the announcements of a target, in
             seconds.
+        evacuation: Settings of evacuations; without domains, orders are
+            refused.
     """
 
     host: peers.Peer
@@ -40,6 +43,7 @@
     disk: disks.DiskContents
     tolerated_hosts: int
     announce_interval_s: float
+    evacuation: evacuations.Settings = evacuations.Settings()
 
 
 def founder_incarnation(endpoint: peers.Endpoint) -> str:
@@ -70,6 +74,7 @@
         plan.disk,
         _founders(plan),
         plan.tolerated_hosts,
+        plan.evacuation,
     )
     announcements = announcement_receiver.AnnouncementReceiver(
         context, registry, publisher, directory, plan.disk.targets
--- a/packages/core/src/tamarack_core/external_requests.py
+++ b/packages/core/src/tamarack_core/external_requests.py
@@ -2,12 +2,13 @@
 
 Operators, targets and the fabric of a platform that numbers its configuration
 itself send them to control and entry hosts. They concern numbered documents,
-announced targets and readiness.
+evacuations of failure domains, announced targets and readiness.
 """
 
 import msgspec
 
 from tamarack_core import documents
+from tamarack_core import evacuations
 from tamarack_core import peers
 from tamarack_core import target_announcement
 
@@ -22,6 +23,16 @@
     document: documents.Document
 
 
+class OrderEvacuation(msgspec.Struct, frozen=True, tag="order-evacuation"):
+    """An operator starts or ends the evacuation of a failure domain.
+
+    Attributes:
+        order: The order.
+    """
+
+    order: evacuations.Order
+
+
 class ReadDocument(msgspec.Struct, frozen=True, tag="read-document"):
     """An operator reads the newest document."""
 
@@ -62,6 +73,28 @@
     number: int
 
 
+class EvacuationOrdered(msgspec.Struct, frozen=True, tag="evacuation-ordered"):
+    """The order is committed and applied.
+
+    Attributes:
+        revision: Revision of the evacuations in force.
+    """
+
+    revision: int
+
+
+class NotFound(msgspec.Struct, frozen=True, tag="not-found"):
+    """What the request names does not exist; nothing changed.
+
+    Attributes:
+        reason: Tag of the cause.
+        detail: What to do instead.
+    """
+
+    reason: str
+    detail: str
+
+
 class DocumentRead(msgspec.Struct, frozen=True, tag="document-read"):
     """Response to `ReadDocument`.
 
@@ -117,6 +150,7 @@
 
 Request = (
     PublishDocument
+    | OrderEvacuation
     | ReadDocument
     | AnnounceTarget
     | WithdrawTarget
@@ -124,6 +158,8 @@
 )
 Response = (
     DocumentPublished
+    | EvacuationOrdered
+    | NotFound
     | DocumentRead
     | TargetAcknowledged
     | Elsewhere
--- a/packages/core/src/tamarack_core/internal/change_entries.py
+++ b/packages/core/src/tamarack_core/internal/change_entries.py
@@ -1,4 +1,4 @@
-"""Time line entries of many targets that changed at once."""
+"""Time line entries of changes that several components receive."""
 
 import collections
 from collections.abc import Sequence
@@ -7,6 +7,7 @@
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import evacuations
 from tamarack_core import failure
 from tamarack_core import target_announcement
 
@@ -32,6 +33,26 @@
     return context.record(now_s, "targets-changed", detail=counts)
 
 
+def record_evacuations(
+    context: context_lib.Context,
+    now_s: float,
+    state: evacuations.Evacuations,
+) -> effects.Effect:
+    """Returns the entry of evacuations that have come into force.
+
+    Args:
+        context: Identity and clocks of the host.
+        now_s: Monotonic time in seconds.
+        state: The evacuated failure domains.
+    """
+    return context.record(
+        now_s,
+        "evacuation-in-force",
+        version=state.revision,
+        detail=" ".join(state.domains) or "none",
+    )
+
+
 class Skipped(msgspec.Struct):
     """A target that a host leaves out of those that it received or saved.
 
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -207,11 +207,27 @@
                 return self.rejector.refuse(
                     now_s, packet, "targets-dead", service
                 )
-            if not self.subscription.is_settled:
-                return self.rejector.drop("opening-before-targets")
-            return self.rejector.refuse(now_s, packet, "no-target", service)
+            return self._refuse_without_target(now_s, packet, service)
         return result + self._forward_opening(now_s, packet, entry)
 
+    def _refuse_without_target(
+        self, now_s: float, packet: flow_packets.FlowPacket, service: str
+    ) -> list[effects.Effect]:
+        """Refuses an opening for which no target accepts new flows.
+
+        An earlier copy of a repeated opening may have opened the flow before
+        the evacuation, so a repeated one is dropped.
+        """
+        if self.targets.has_evacuated(service):
+            if packet.copy_number:
+                return self.rejector.drop("opening-evacuated")
+            return self.rejector.refuse(
+                now_s, packet, "domain-evacuated", service
+            )
+        if not self.subscription.is_settled:
+            return self.rejector.drop("opening-before-targets")
+        return self.rejector.refuse(now_s, packet, "no-target", service)
+
     def _decide_admission(
         self,
         now_s: float,
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -16,6 +16,7 @@
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import evacuations
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
@@ -213,7 +214,9 @@
             if self.publisher is None or peer.control != self.publisher.control
         ]
         chosen = self.context.random.sample(others, min(QUERIES, len(others)))
-        query = sync.DocumentQuery(self.routes.number)
+        query = sync.DocumentQuery(
+            self.routes.number, self.targets.evacuations.revision
+        )
         return [effects.SendMessage(peer, query) for peer in chosen]
 
     def handle_answer(
@@ -227,6 +230,7 @@
             event.now_s, answer.document
         ):
             result.append(self._record_document(event.now_s))
+        result += self._apply_evacuations(event.now_s, answer.evacuations)
         if answer.is_confirmed and not self.is_confirmed:
             self.publisher = event.sender
             self.is_confirmed = True
@@ -299,6 +303,7 @@
             self.position,
             self.routes.number,
             is_first=not self.has_document,
+            revision=self.targets.evacuations.revision,
         )
         return effects.SendMessage(peer, request)
 
@@ -308,12 +313,14 @@
         """Applies an update.
 
         Updates of hosts other than the publisher only contribute a newer
-        document, unless their sender becomes the publisher.
+        document and newer evacuations, unless their sender becomes the
+        publisher.
         """
         update = event.message
         assert isinstance(update, sync.SyncUpdate)
+        applied = self._apply_evacuations(event.now_s, update.evacuations)
         if not self._accepts_publisher(event.now_s, event.sender, update):
-            return self._apply_document(event.now_s, update)
+            return [*applied, *self._apply_document(event.now_s, update)]
         self.updated_s = event.now_s
         if update.controls:
             self.controls = update.controls
@@ -322,7 +329,7 @@
             self.is_confirmed,
             update.is_confirmed,
         )
-        result = self._apply_document(event.now_s, update)
+        result = [*applied, *self._apply_document(event.now_s, update)]
         if was_confirmed and self.has_document:
             result += self._query_others()
         if not self.has_document:
@@ -362,6 +369,27 @@
             return []
         return [self._record_document(now_s)]
 
+    def _apply_evacuations(
+        self, now_s: float, state: evacuations.Evacuations | None
+    ) -> list[effects.Effect]:
+        """Applies evacuations if they are valid and newer."""
+        if state is None:
+            return []
+        invalid = evacuations.check(state)
+        if invalid is not None:
+            self.context.counters["evacuations-skipped"] += 1
+            return [
+                self.context.record(
+                    now_s,
+                    "evacuations-skipped",
+                    reason=invalid.reason,
+                    detail=invalid.detail,
+                )
+            ]
+        if not self.targets.set_evacuations(state):
+            return []
+        return [change_entries.record_evacuations(self.context, now_s, state)]
+
     def _record_document(self, now_s: float) -> effects.Effect:
         """Returns the time line entry of a newer document."""
         return self.context.record(
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from tamarack_core import evacuations as evacuations_lib
 from tamarack_core import target_announcement
 
 GONE_RETENTION_S = 90.0
@@ -66,9 +67,17 @@
         by_tag: The target of each tag.
         by_service: Targets that accept new flows, by service and name.
         domain_sizes: Number of targets that are not gone, by failure domain.
+        evacuations: Evacuated failure domains; their targets accept no new
+            flows and keep those that they have.
     """
 
-    __slots__ = ("by_name", "by_service", "by_tag", "domain_sizes")
+    __slots__ = (
+        "by_name",
+        "by_service",
+        "by_tag",
+        "domain_sizes",
+        "evacuations",
+    )
 
     def __init__(self) -> None:
         """Initializes an empty target table."""
@@ -76,6 +85,7 @@
         self.by_tag: dict[int, TargetEntry] = {}
         self.by_service: dict[str, dict[str, TargetEntry]] = {}
         self.domain_sizes: collections.Counter[str] = collections.Counter()
+        self.evacuations = evacuations_lib.Evacuations()
 
     def put(
         self, now_s: float, known: target_announcement.KnownTarget
@@ -113,12 +123,50 @@
             self.domain_sizes[held.target.domain] -= not held.is_gone
             self._remove_from_service(held)
         self._assign_tag(entry)
+        self._add_to_service(entry)
+        return entry
+
+    def set_evacuations(self, state: evacuations_lib.Evacuations) -> bool:
+        """Applies evacuations, unless they are as old as those held.
+
+        Args:
+            state: The evacuated failure domains.
+
+        Returns:
+            Whether they are newer.
+        """
+        if state.revision <= self.evacuations.revision:
+            return False
+        changed = set(state.domains) ^ set(self.evacuations.domains)
+        self.evacuations = state
+        for entry in self.by_name.values():
+            if entry.target.domain in changed:
+                self._remove_from_service(entry)
+                self._add_to_service(entry)
+        return True
+
+    def has_evacuated(self, service: str) -> bool:
+        """Returns whether a service has ready targets in evacuated domains.
+
+        Args:
+            service: Name of the service.
+        """
+        return any(
+            entry.target.service == service
+            and entry.target.domain in self.evacuations.domains
+            and entry.target.phase is target_announcement.Phase.READY
+            for entry in self.by_name.values()
+        )
+
+    def _add_to_service(self, entry: TargetEntry) -> None:
+        """Adds a target to those that accept new flows, if it does."""
+        target = entry.target
         if (
             target.phase is target_announcement.Phase.READY
             and self.by_tag[entry.tag] is entry
+            and target.domain not in self.evacuations.domains
         ):
             self.by_service.setdefault(target.service, {})[target.name] = entry
-        return entry
 
     def _assign_tag(self, entry: TargetEntry) -> None:
         """Assigns a tag to its target; of two, to the one started first."""
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/documents/evacuation_log.py
@@ -0,0 +1,108 @@
+"""Replicated state of evacuations, beside the document in the log."""
+
+import msgspec
+
+from tamarack_core import evacuations
+
+KIND = "evacuation"
+"""Kind of the commands in the log."""
+
+
+class Command(msgspec.Struct, frozen=True, array_like=True):
+    """Command of the log that applies an order.
+
+    Attributes:
+        order: The order.
+        token: Identifier of the request, unique over all control hosts.
+    """
+
+    order: evacuations.Order
+    token: str
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """State of the evacuations in a snapshot.
+
+    Attributes:
+        state: The evacuated domains.
+        ended: Domains whose evacuation has ended.
+    """
+
+    state: evacuations.Evacuations = evacuations.Evacuations()
+    ended: tuple[str, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Command)
+
+
+class EvacuationLog:
+    """Applies orders in the order of the log.
+
+    Attributes:
+        state: The evacuated domains.
+        ended: Domains whose evacuation has ended; a delayed duplicate of the
+            order that started it may still arrive.
+        new_commands: Commands applied since the last `take_new`.
+        has_changed: Whether the state changed since the last `take_new`.
+    """
+
+    __slots__ = ("ended", "has_changed", "new_commands", "state")
+
+    def __init__(self) -> None:
+        """Initializes the state without evacuations."""
+        self.state = evacuations.Evacuations()
+        self.ended: set[str] = set()
+        self.new_commands: list[Command] = []
+        self.has_changed = False
+
+    def apply(self, payload: bytes) -> None:
+        """Applies a committed command.
+
+        Args:
+            payload: The encoded command.
+        """
+        command = _decoder.decode(payload)
+        order = command.order
+        if order.action is evacuations.Action.START:
+            self.ended.discard(order.domain)
+        elif order.domain in self.state.domains:
+            self.ended.add(order.domain)
+        self.state = evacuations.apply(self.state, order)
+        self.new_commands.append(command)
+        self.has_changed = True
+
+    def snapshot(self) -> Snapshot:
+        """Returns the state after the last applied command."""
+        return Snapshot(self.state, tuple(sorted(self.ended)))
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replaces the state by that of a snapshot.
+
+        The orders that led to it count as applied now, as the time at which
+        they were applied is unknown.
+        """
+        self.state = snapshot.state
+        self.ended = set(snapshot.ended)
+        start, end = evacuations.Action.START, evacuations.Action.END
+        self.new_commands = [
+            Command(evacuations.Order(domain, action), "")
+            for domains, actions in (
+                (snapshot.ended, (start, end)),
+                (snapshot.state.domains, (start,)),
+            )
+            for domain in domains
+            for action in actions
+        ]
+        self.has_changed = True
+
+    def take_new(self) -> list[Command]:
+        """Returns the new commands, and forgets them."""
+        commands, self.new_commands = self.new_commands, []
+        self.has_changed = False
+        return commands
+
+
+def encode(command: Command) -> bytes:
+    """Returns the payload of a command."""
+    return _encoder.encode(command)
--- a/packages/core/src/tamarack_core/internal/documents/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -1,14 +1,35 @@
-"""Replicated state machine that holds the document with the highest number."""
+"""Replicated state machine of numbered documents and evacuations."""
 
 from typing import Protocol
 
 import msgspec
 
 from tamarack_core import documents
+from tamarack_core.internal.documents import evacuation_log
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """State of the machine in a snapshot.
+
+    Attributes:
+        document: The document in force.
+        evacuations: State of the evacuations.
+    """
+
+    document: documents.Document
+    evacuations: evacuation_log.Snapshot = evacuation_log.Snapshot()
+
 
 _encoder = msgspec.msgpack.Encoder()
-_change_decoder = msgspec.msgpack.Decoder(documents.Change)
-_document_decoder = msgspec.msgpack.Decoder(documents.Document)
+# Earlier versions wrote a change or a document alone, which is a map; commands
+# of other kinds and snapshots are arrays.
+_command_decoder = msgspec.msgpack.Decoder(
+    documents.Change | tuple[str, msgspec.Raw]
+)
+_snapshot_decoder = msgspec.msgpack.Decoder(
+    documents.Document | list[msgspec.Raw]
+)
+_parts_decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
 class DocumentHistory(Protocol):
@@ -29,32 +50,46 @@
 
     Attributes:
         document: The document in force.
+        evacuations: The evacuated failure domains.
         new_documents: Documents that came into force since the last
             `flush_to`.
         has_gap: Whether the documents before `new_documents` are unknown, as
             they are after a snapshot was restored.
     """
 
-    __slots__ = ("document", "has_gap", "new_documents")
+    __slots__ = ("document", "evacuations", "has_gap", "new_documents")
 
     def __init__(self) -> None:
         """Initializes the state with the empty document 0."""
         self.document = documents.Document(0)
+        self.evacuations = evacuation_log.EvacuationLog()
         self.new_documents: list[documents.Document] = []
         self.has_gap = False
 
     def apply(self, index: int, command: bytes) -> None:
-        """Applies a committed change if its base is in force.
+        """Applies a committed command.
 
-        A change with another base was proposed by a leader that had not yet
-        applied an entry committed by an earlier leader. It is skipped, so that
-        its publisher gets no acknowledgment and sends the document again.
+        A command of a kind that this version does not know is skipped.
 
         Args:
             index: Index in the log.
-            command: The encoded change.
+            command: The encoded command.
+        """
+        decoded = _command_decoder.decode(command)
+        if isinstance(decoded, documents.Change):
+            self._apply_change(decoded)
+            return
+        kind, payload = decoded
+        if kind == evacuation_log.KIND:
+            self.evacuations.apply(bytes(payload))
+
+    def _apply_change(self, change: documents.Change) -> None:
+        """Applies a change of the document if its base is in force.
+
+        A change with another base was proposed by a leader that had not yet
+        applied an entry committed by an earlier leader. It is skipped, so that
+        its publisher gets no acknowledgment and sends the document again.
         """
-        change = _change_decoder.decode(command)
         if change.base != self.document.number:
             return
         if change.number > self.document.number:
@@ -63,11 +98,19 @@
 
     def snapshot(self) -> bytes:
         """Returns the encoded state after the last applied command."""
-        return _encoder.encode(self.document)
+        return _encoder.encode(
+            Snapshot(self.document, self.evacuations.snapshot())
+        )
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by one that `snapshot` returned."""
-        self.document = _document_decoder.decode(data)
+        decoded = _snapshot_decoder.decode(data)
+        if isinstance(decoded, documents.Document):
+            snapshot = Snapshot(decoded)
+        else:
+            snapshot = _parts_decoder.decode(data)
+        self.document = snapshot.document
+        self.evacuations.restore(snapshot.evacuations)
         self.new_documents = [self.document]
         self.has_gap = True
 
@@ -89,3 +132,9 @@
 def encode(change: documents.Change) -> bytes:
     """Returns the command for the log that applies a change."""
     return _encoder.encode(change)
+
+
+def encode_order(command: evacuation_log.Command) -> bytes:
+    """Returns the command for the log that applies an order."""
+    payload = msgspec.Raw(evacuation_log.encode(command))
+    return _encoder.encode((evacuation_log.KIND, payload))
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -5,6 +5,7 @@
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import evacuations
 from tamarack_core import events
 from tamarack_core import external_requests
 from tamarack_core import failure
@@ -19,6 +20,7 @@
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.documents import state_machine as machines
+from tamarack_core.internal.group import evacuation_requests
 from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.group import membership_policy
 from tamarack_core.internal.group import planned_stop
@@ -38,6 +40,9 @@
 CHANGE_INTERVAL_S = 0.2
 """Time between two membership changes, in seconds."""
 
+MAX_LOGGED_CHARACTERS = 80
+"""Characters of an unchecked name in an order that are logged."""
+
 LOG_PARAMETERS = log_parameters.LogParameters(
     heartbeat_interval_s=0.15,
     election_timeout_min_s=0.6,
@@ -55,7 +60,7 @@
 
 
 class DocumentReplicator:
-    """Component that replicates documents and repairs the group membership.
+    """Component that replicates documents and orders, and repairs membership.
 
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
@@ -64,6 +69,7 @@
         machine: The replicated state machine.
         replica: The replicated log.
         publish_requests: Publish requests that have no response yet.
+        evacuation_requests: Evacuation orders that have no response yet.
         reads: Monotonic time in seconds at which each read that waits for a
             read index arrived, by request id.
         wanted_voters: Number of voters needed to tolerate the configured
@@ -78,6 +84,7 @@
         "changed_s",
         "context",
         "directory",
+        "evacuation_requests",
         "hello_s",
         "machine",
         "publish_requests",
@@ -97,6 +104,7 @@
         disk: disks.DiskContents,
         founders: tuple[membership.Member, ...],
         tolerated_hosts: int,
+        evacuation: evacuations.Settings,
         parameters: log_parameters.LogParameters = LOG_PARAMETERS,
     ) -> None:
         """Initializes the replicated log from the data folder.
@@ -110,6 +118,7 @@
             founders: Members of a system that starts for the first time;
                 empty on a host that joins.
             tolerated_hosts: Number of control hosts that may be lost at once.
+            evacuation: Settings of evacuations.
             parameters: Parameters of the replicated log.
         """
         own = membership.Member(context.host, disk.incarnation)
@@ -127,6 +136,9 @@
         self.publish_requests = publish_requests.PublishRequests(
             self.machine, self.replica
         )
+        self.evacuation_requests = evacuation_requests.EvacuationRequests(
+            context, evacuation, self.machine, self.replica
+        )
         self.reads: dict[int, float] = {}
         self.wanted_voters = 2 * tolerated_hosts + 1
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
@@ -151,6 +163,7 @@
                 sync.ControlHello: self.handle_hello,
                 sync.VoterReleased: self.handle_release,
                 external_requests.PublishDocument: self.handle_publish,
+                external_requests.OrderEvacuation: self.handle_evacuation,
                 external_requests.ReadDocument: self.handle_read,
             }
         )
@@ -289,9 +302,13 @@
             self.replica.state, now_s
         )
         result += self.publisher.set_confirmed(now_s, is_confirmed)
-        for step in self.publish_requests.retry(now_s):
+        for step in (
+            *self.publish_requests.retry(now_s),
+            *self.evacuation_requests.retry(now_s),
+        ):
             result += self._collect_effects(now_s, step)
         result += self.publish_requests.respond_to_pending(now_s)
+        result += self.evacuation_requests.expire(now_s)
         is_hello_due = now_s - self.hello_s >= HELLO_INTERVAL_S
         if is_hello_due or self.stop.is_requested:
             result += self._send_hellos(now_s)
@@ -385,24 +402,36 @@
         step: outputs.Step,
     ) -> effects.Effect:
         """Returns the time line entry of a publish request."""
-        responses = [
-            effect.response
-            for effect in step.effects
-            if isinstance(effect, effects.Respond)
-        ]
-        reason = verdict = ""
-        if responses and isinstance(responses[0], requests.Refused):
-            verdict, reason = "refused", responses[0].reason
-        elif responses:
-            verdict = type(responses[0]).__name__
+        verdict, reason = _describe_response(step)
         return self.context.record(
             now_s,
             "document-arrived",
             version=request.document.number,
-            verdict=verdict or "waiting",
+            verdict=verdict,
             reason=reason,
         )
 
+    def handle_evacuation(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Handles an evacuation order of an operator."""
+        request = event.request
+        assert isinstance(request, external_requests.OrderEvacuation)
+        order = request.order
+        step = self.evacuation_requests.submit(
+            event.now_s, event.request_id, order
+        )
+        verdict, reason = _describe_response(step)
+        self.context.counters["evacuation-orders"] += 1
+        record = self.context.record(
+            event.now_s,
+            "evacuation-ordered",
+            verdict=verdict,
+            reason=reason,
+            detail=f"{order.action} {order.domain[:MAX_LOGGED_CHARACTERS]!r}",
+        )
+        return [record, *self._collect_effects(event.now_s, step)]
+
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Requests a read index; the response follows once it is applied."""
         if self.stop.is_released:
@@ -421,6 +450,12 @@
         if self.machine.new_documents:
             result += self.publisher.publish_documents(now_s, self.machine)
             result += self.publish_requests.respond_to_pending(now_s)
+        if self.machine.evacuations.has_changed:
+            commands = self.machine.evacuations.take_new()
+            result += self.publisher.publish_evacuations(
+                now_s, self.machine.evacuations.state
+            )
+            result += self.evacuation_requests.observe_applied(now_s, commands)
         return result
 
     def _handle_output(
@@ -478,6 +513,28 @@
         )
 
 
+def _describe_response(step: outputs.Step) -> tuple[str, str]:
+    """Returns the verdict and reason of the response in a step."""
+    response = next(
+        (
+            effect.response
+            for effect in step.effects
+            if isinstance(effect, effects.Respond)
+        ),
+        None,
+    )
+    match response:
+        case None:
+            return ("waiting", "")
+        case requests.Refused(reason=reason):
+            return ("refused", reason)
+        case external_requests.NotFound(reason=reason):
+            return ("refused", reason)
+        case external_requests.Unavailable(reason=reason):
+            return ("Unavailable", reason)
+    return (type(response).__name__, "")
+
+
 def _unavailable(request_id: int, reason: str) -> effects.Effect:
     response = external_requests.Unavailable(
         reason, publish_requests.RETRY_AFTER_S
--- a/packages/core/src/tamarack_core/internal/group/publish_requests.py
+++ b/packages/core/src/tamarack_core/internal/group/publish_requests.py
@@ -10,6 +10,7 @@
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.consensus import replication
+from tamarack_core.internal.consensus import state as states
 from tamarack_core.internal.documents import state_machine as machines
 
 TIMEOUT_S = 0.9
@@ -96,21 +97,12 @@
             )
         state = self.replica.state
         if not state.is_leader:
-            return _respond(request_id, self._leader_response())
+            return _respond(request_id, leader_response(state))
         self.pending.append(
             PendingRequest(request_id, document, now_s + TIMEOUT_S)
         )
         return self._propose(now_s, document)
 
-    def _leader_response(
-        self,
-    ) -> external_requests.Elsewhere | external_requests.Unavailable:
-        """Returns the response that points the operator to the leader."""
-        leader = self.replica.state.leader
-        if leader is None:
-            return external_requests.Unavailable("no-leader", RETRY_AFTER_S)
-        return external_requests.Elsewhere(leader.peer)
-
     def _propose(
         self, now_s: float, document: documents.Document
     ) -> outputs.Step:
@@ -152,7 +144,7 @@
                     external_requests.DocumentPublished(number)
                 )
             elif not self.replica.state.is_leader:
-                response = self._leader_response()
+                response = leader_response(self.replica.state)
             elif now_s >= request.deadline_s:
                 response = external_requests.Unavailable(
                     "no-quorum", RETRY_AFTER_S
@@ -174,5 +166,18 @@
         return [self._propose(now_s, request.document) for request in ordered]
 
 
+def leader_response(
+    state: states.State,
+) -> external_requests.Elsewhere | external_requests.Unavailable:
+    """Returns the response that points the operator to the leader.
+
+    Args:
+        state: State of the replicated log.
+    """
+    if state.leader is None:
+        return external_requests.Unavailable("no-leader", RETRY_AFTER_S)
+    return external_requests.Elsewhere(state.leader.peer)
+
+
 def _respond(request_id: int, response: requests.Response) -> outputs.Step:
     return outputs.Step(effects=[effects.Respond(request_id, response)])
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -4,10 +4,12 @@
 
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import evacuations as evacuations_lib
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core.internal import change_entries
 from tamarack_core.internal.documents import state_machine as machines
 from tamarack_core.internal.registry import entry_host_count
 from tamarack_core.internal.registry import route_history as histories
@@ -44,6 +46,7 @@
         requested_s: Time of its last request, in seconds.
         controls: Control hosts that it was sent.
         is_confirmed: Whether it was told that this host is confirmed.
+        revision: Revision of the evacuations that it holds, or was sent.
     """
 
     peer: peers.Peer
@@ -53,6 +56,7 @@
     requested_s: float
     controls: tuple[peers.Peer, ...] = ()
     is_confirmed: bool = False
+    revision: int = 0
 
 
 class Publisher:
@@ -62,6 +66,7 @@
         context: Identity, random generator, clocks and counters of the host.
         registry: Announced targets.
         routes: History of the routes.
+        evacuations: The evacuated failure domains.
         run: Identifier of this run of the process.
         subscribers: Hosts that sent a request recently, by name.
         controls: Live control hosts.
@@ -77,6 +82,7 @@
         "context",
         "controls",
         "entry_hosts",
+        "evacuations",
         "is_confirmed",
         "is_push_due",
         "pushed_s",
@@ -102,6 +108,7 @@
         self.context = context
         self.registry = registry
         self.routes = histories.RouteHistory()
+        self.evacuations = evacuations_lib.Evacuations()
         self.run = f"{context.random.getrandbits(_RUN_BITS):012x}"
         self.subscribers: dict[str, Subscriber] = {}
         self.controls: tuple[peers.Peer, ...] = (context.host,)
@@ -143,6 +150,7 @@
             request.is_control,
             event.now_s,
             held.controls if held is not None and is_same_run else (),
+            revision=request.revision,
         )
         self.subscribers[event.sender.host] = subscriber
         result = [self._update(event.now_s, subscriber)]
@@ -164,7 +172,9 @@
         query = event.message
         assert isinstance(query, sync.DocumentQuery)
         answer = sync.DocumentAnswer(
-            self.is_confirmed, self.routes.changes_since(query.number)
+            self.is_confirmed,
+            self.routes.changes_since(query.number),
+            self._evacuations_since(query.revision),
         )
         return [effects.SendMessage(event.sender, answer)]
 
@@ -185,6 +195,29 @@
         )
         return [record, *self.push(now_s)]
 
+    def publish_evacuations(
+        self, now_s: float, state: evacuations_lib.Evacuations
+    ) -> list[effects.Effect]:
+        """Pushes the evacuations that have come into force.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            state: The evacuated failure domains.
+        """
+        if state.revision <= self.evacuations.revision:
+            return []
+        self.evacuations = state
+        record = change_entries.record_evacuations(self.context, now_s, state)
+        return [record, *self.push(now_s)]
+
+    def _evacuations_since(
+        self, revision: int
+    ) -> evacuations_lib.Evacuations | None:
+        """Returns the evacuations if they are newer than a revision."""
+        if self.evacuations.revision <= revision:
+            return None
+        return self.evacuations
+
     def set_controls(
         self, now_s: float, controls: tuple[peers.Peer, ...]
     ) -> list[effects.Effect]:
@@ -259,6 +292,7 @@
             return False
         return (
             subscriber.number < self.routes.document.number
+            or subscriber.revision < self.evacuations.revision
             or subscriber.controls != self.controls
             or subscriber.is_confirmed != self.is_confirmed
         )
@@ -266,9 +300,10 @@
     def _update(self, now_s: float, subscriber: Subscriber) -> effects.Effect:
         """Returns the message with all changes that a subscriber lacks."""
         base = subscriber.position
-        document = None
+        document = evacuations = None
         if not subscriber.is_control:
             document = self.routes.changes_since(subscriber.number)
+            evacuations = self._evacuations_since(subscriber.revision)
         knows_controls = (
             subscriber.is_control or subscriber.controls == self.controls
         )
@@ -276,6 +311,9 @@
         subscriber.number = max(subscriber.number, self.routes.document.number)
         subscriber.controls = self.controls
         subscriber.is_confirmed = self.is_confirmed
+        subscriber.revision = max(
+            subscriber.revision, self.evacuations.revision
+        )
         update = sync.SyncUpdate(
             run=self.run,
             base=base,
@@ -286,6 +324,7 @@
             document=document,
             is_confirmed=self.is_confirmed,
             entry_hosts=self.entry_hosts.estimate(now_s),
+            evacuations=evacuations,
         )
         return effects.SendMessage(subscriber.peer, update)
 
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from tamarack_core import documents
+from tamarack_core import evacuations as evacuations_lib
 from tamarack_core import peers
 from tamarack_core import target_announcement
 
@@ -17,6 +18,7 @@
         number: Number of the document that the sender holds.
         is_control: Whether the sender is a control host.
         is_first: Whether the sender has just started and holds no document.
+        revision: Revision of the evacuations that the sender holds.
     """
 
     run: str
@@ -24,6 +26,7 @@
     number: int
     is_control: bool = False
     is_first: bool = False
+    revision: int = 0
 
 
 class RouteChange(msgspec.Struct, frozen=True, array_like=True):
@@ -78,6 +81,8 @@
             control hosts, so that it learns of each new document.
         entry_hosts: Number of entry hosts, as far as the sender knows; 0 if it
             doesn't.
+        evacuations: Evacuated failure domains, if the receiver holds an
+            earlier revision.
     """
 
     run: str
@@ -89,6 +94,7 @@
     document: DocumentUpdate | None = None
     is_confirmed: bool = True
     entry_hosts: int = 0
+    evacuations: evacuations_lib.Evacuations | None = None
 
 
 class DocumentQuery(msgspec.Struct, frozen=True, tag="document-query"):
@@ -96,9 +102,11 @@
 
     Attributes:
         number: Number of the document that the sender holds.
+        revision: Revision of the evacuations that the sender holds.
     """
 
     number: int
+    revision: int = 0
 
 
 class DocumentAnswer(msgspec.Struct, frozen=True, tag="document-answer"):
@@ -108,10 +116,13 @@
         is_confirmed: Whether the sender is in contact with a quorum of the
             control hosts.
         document: Changes that the receiver lacks, if any.
+        evacuations: Evacuated failure domains, if the receiver holds an
+            earlier revision.
     """
 
     is_confirmed: bool
     document: DocumentUpdate | None = None
+    evacuations: evacuations_lib.Evacuations | None = None
 
 
 class AnnouncementAges(msgspec.Struct, frozen=True, tag="heard"):
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -7,6 +7,7 @@
 from tamarack_core import cookie_entry
 from tamarack_core import documents
 from tamarack_core import effects
+from tamarack_core import evacuations
 from tamarack_core import events
 from tamarack_core import external_requests
 from tamarack_core import failure
@@ -238,6 +239,7 @@
         controls: tuple[peers.Peer, ...] = (),
         entry_hosts: int = 0,
         is_confirmed: bool = True,
+        evacuated: evacuations.Evacuations | None = None,
     ) -> None:
         """Delivers a sync update of a control host."""
         message = sync.SyncUpdate(
@@ -255,6 +257,7 @@
             document=document,
             entry_hosts=entry_hosts,
             is_confirmed=is_confirmed,
+            evacuations=evacuated,
         )
         peer = sender or control("c1")
         self.handle(events.MessageArrived(self.now_s, peer, message))
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from testtools import matchers
 
 from tamarack_core import documents as core_documents
+from tamarack_core import evacuations
 from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
@@ -151,6 +152,17 @@
             self.assertIsInstance(refused, failure.Failure)
             self.assertIn(expected_text, refused.detail)
 
+    # Where no bound for evacuations is set, their calls are unknown calls.
+    def test_evacuations_are_used_only_where_their_bound_is_set(self):
+        zones = "zones.a=north\nzones.b=north\nbounds.ack-timeout-ms=6000\n"
+        self.assertIsNone(settings.parse(SETTINGS + zones).evacuation)
+        bound = "bounds.evacuate-ms=5000\n"
+        parsed = settings.parse(SETTINGS + zones + bound).evacuation
+        self.assertEqual(frozenset(("a", "b")), parsed.domains)
+        self.assertEqual(6.0, parsed.repeat_s)
+        refused = settings.parse(SETTINGS + bound)
+        self.assertIn("bounds.ack-timeout-ms", refused.detail)
+
     @hypothesis.given(strategies.text())
     def test_no_text_raises(self, text):
         self.assertIsInstance(settings.parse(text), failure.Failure)
@@ -359,6 +371,39 @@
             )
             self.assertEqual(404, reply.status)
 
+    def test_an_evacuation_is_an_order_where_the_deployment_uses_it(self):
+        codec = control_http.ControlHttpCodec(8166, accepts_evacuations=True)
+        for call, action in (
+            ("start", evacuations.Action.START),
+            ("end", evacuations.Action.END),
+        ):
+            request = light_driver.HttpRequest(
+                "POST", f"/evacuation/a%2D1/{call}", b""
+            )
+            # Names are compared as they are: an escaped one is unknown.
+            self.assertEqual(
+                evacuations.Order("a%2D1", action), codec.decode(request).order
+            )
+            self.assertEqual(404, self.http_codec.decode(request).status)
+        done = codec.encode(request, external_requests.EvacuationOrdered(3))
+        self.assertEqual(200, done.status)
+        unknown = external_requests.NotFound("unknown-domain", "")
+        self.assertEqual(404, codec.encode(request, unknown).status)
+
+    def test_other_calls_of_evacuations_are_refused(self):
+        codec = control_http.ControlHttpCodec(8166, accepts_evacuations=True)
+        for method, path, body, status in (
+            ("GET", "/evacuation/a/start", b"", 405),
+            ("DELETE", "/evacuation/a/end", b"", 405),
+            ("POST", "/evacuation//start", b"", 404),
+            ("POST", "/evacuation/a/b/start", b"", 404),
+            ("POST", "/evacuation/a/stop", b"", 404),
+            ("POST", "/evacuation/a", b"", 404),
+            ("POST", "/evacuation/a/start", b"x" * 70_000, 413),
+        ):
+            reply = codec.decode(light_driver.HttpRequest(method, path, body))
+            self.assertEqual(status, reply.status, path)
+
     def test_readiness_is_a_status(self):
         entry = entry_http.EntryHttpCodec()
         request = light_driver.HttpRequest("GET", "/ready", b"")
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -8,6 +8,7 @@
 from tamarack_core import documents
 from tamarack_core import effects
 from tamarack_core import envelopes
+from tamarack_core import evacuations
 from tamarack_core import events
 from tamarack_core import external_requests
 from tamarack_core import peers
@@ -17,6 +18,8 @@
 from tests import fake_hosts
 
 ANNOUNCE_INTERVAL_S = 1.2
+DOMAINS = frozenset(("zone-1", "zone-2"))
+REPEAT_S = 6.0
 
 
 def peer(number, domain=None):
@@ -134,6 +137,7 @@
             ),
             tolerated_hosts=self.tolerated,
             announce_interval_s=ANNOUNCE_INTERVAL_S,
+            evacuation=evacuations.Settings(DOMAINS, REPEAT_S),
         )
         self.nodes[host] = document_control.assemble(plan)
         self.handle(host, events.Started(self.now_s, int(self.now_s * 1000)))
@@ -252,6 +256,20 @@
             request, external_requests.DocumentPublished, timeout_s
         )
 
+    def order(self, action, domain="zone-1", timeout_s=8.0):
+        """Orders an evacuation or its end, trying one host after another."""
+        request = external_requests.OrderEvacuation(
+            evacuations.Order(domain, evacuations.Action(action))
+        )
+        return self._try_all(
+            request, external_requests.EvacuationOrdered, timeout_s
+        )
+
+    def evacuated(self, host):
+        """Returns the evacuated domains that a host tells entry hosts."""
+        control = self.component_of(host, external_requests.PublishDocument)
+        return control.publisher.evacuations.domains
+
     def read(self, timeout_s=8.0):
         """Reads the document, trying one host after another."""
         return self._try_all(
