Evacuate failure domains by a field of the configuration

Cause: tamarackd had no way to take the targets of a failure domain out of service while their connections go on; each target had to announce that it drains.

Entry hosts choose no target of these domains for a new connection, and refuse an opening at once (domain-evacuated) if no other target may serve. A copy of an opening that was sent to a target before is dropped, as that may have opened the flow. A delta states the domains only if they changed, so that a relay of an earlier release, which drops the field, ends no evacuation. Without evacuations all encodings are those of before, as earlier releases reject unknown fields. An order converts and distributes no services. Any well-formed name is valid: which domains exist isn't part of the configuration.

--- a/packages/core/src/tamarack_core/assembly.py
+++ b/packages/core/src/tamarack_core/assembly.py
@@ -86,7 +86,9 @@
     path = data_path.DataPath(
         context,
         config_store,
-        chooser.BalancingChooser(context, targets, load_table, limiter),
+        chooser.BalancingChooser(
+            context, config_store, targets, load_table, limiter
+        ),
         members,
     )
     components: list[reducer.Component] = [distributor]
--- a/packages/core/src/tamarack_core/configuration.py
+++ b/packages/core/src/tamarack_core/configuration.py
@@ -1,7 +1,7 @@
 """The versioned configuration that operators patch.
 
-The document is JSON: `{"services": {NAME: SERVICE}}`. Fields without a default
-are required; unknown fields are rejected.
+The document is JSON: `{"services": {NAME: SERVICE}, "evacuated_domains":
+[DOMAIN]}`. Fields without a default are required; unknown fields are rejected.
 """
 
 import enum
@@ -88,14 +88,32 @@
     failure_domains: tuple[str, ...] = ()
 
 
-class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+def _no_services() -> dict[str, Service]:
+    """Returns an empty mapping.
+
+    Unlike with `dict` as the factory, an empty mapping is still encoded:
+    clients read the field.
+    """
+    return {}
+
+
+class Configuration(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """The whole configuration document.
 
+    A document without evacuations is encoded as before the field existed, since
+    hosts of earlier releases reject unknown fields.
+
     Attributes:
         services: Services by name.
+        evacuated_domains: Failure domains whose targets get no new
+            connections. The names come from the settings of hosts and from
+            announcements, so any well-formed name is valid.
     """
 
-    services: dict[str, Service] = {}
+    services: dict[str, Service] = msgspec.field(default_factory=_no_services)
+    evacuated_domains: tuple[str, ...] = ()
 
 
 class VersionedConfiguration(msgspec.Struct, frozen=True):
--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -10,6 +10,7 @@
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.balancing import load_table as load_table_lib
 from tamarack_core.internal.balancing import slow_start
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import hashing
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
@@ -40,6 +41,7 @@
 
     Attributes:
         context: Identity, random generator, clocks and counters of the host.
+        config_store: Configuration in force.
         targets: Announced targets.
         load_table: Load by target.
         health: Passive health by target.
@@ -51,6 +53,7 @@
 
     __slots__ = (
         "budgets",
+        "config_store",
         "context",
         "health",
         "limiter",
@@ -63,6 +66,7 @@
     def __init__(
         self,
         context: context_lib.Context,
+        config_store: configuration_store.ConfigurationStore,
         targets: lease_table.TargetLeaseTable,
         load_table: load_table_lib.LoadTable,
         limiter: quota_limiter.QuotaLimiter,
@@ -72,11 +76,13 @@
         Args:
             context: Identity, random generator, clocks and counters of the
                 host.
+            config_store: Configuration in force.
             targets: Announced targets.
             load_table: Load by target.
             limiter: Admits openings within the leased quota.
         """
         self.context = context
+        self.config_store = config_store
         self.targets = targets
         self.load_table = load_table
         self.health = health_lib.PassiveHealth()
@@ -90,10 +96,10 @@
     ) -> target_choice.Choice | target_choice.Refusal:
         """Returns the target for a connection, or why it is refused."""
         port = opening.port
-        ready = self.targets.ready(now_s, port.service, len(port.address))
+        ready = self._usable(now_s, port)
         if not ready:
             return target_choice.Refusal(
-                verdict.not_run(target_choice.NO_READY_TARGET)
+                verdict.not_run(self._no_target_reason(now_s, port))
             )
         available = [target for target in ready if self._has_room(target, port)]
         if not available:
@@ -157,11 +163,31 @@
     ) -> None:
         """Records the first reply on a connection."""
         port = observation.port
-        targets = self.targets.ready(now_s, port.service, len(port.address))
+        targets = self._usable(now_s, port)
         has_queue = self._active(now_s, targets) > self._slots(targets)
         self.load_shedder.record_reply(port, observation.elapsed_s, has_queue)
         self.load_table.record_reply(now_s, observation.target, port.settings)
 
+    def _usable(self, now_s: float, port: lookup.ServicePort) -> list[bytes]:
+        """Returns the targets that accept new flows and aren't evacuated."""
+        evacuated = self.config_store.numbered.configuration.evacuated_domains
+        return self.targets.ready(
+            now_s, port.service, len(port.address), evacuated
+        )
+
+    def _no_target_reason(self, now_s: float, port: lookup.ServicePort) -> str:
+        """Returns why no target of a service may be used.
+
+        Once the targets of an evacuated domain are shut down, the hosts of the
+        domain know no target, and the evacuation is still the cause.
+        """
+        evacuated = self.config_store.numbered.configuration.evacuated_domains
+        if self.context.host.domain in evacuated or self.targets.ready(
+            now_s, port.service, len(port.address)
+        ):
+            return target_choice.DOMAIN_EVACUATED
+        return target_choice.NO_READY_TARGET
+
     def _must_shed(
         self, now_s: float, port: lookup.ServicePort, targets: list[bytes]
     ) -> bool:
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_distributor.py
@@ -8,10 +8,12 @@
 from tamarack_core import configuration
 from tamarack_core import context as context_lib
 from tamarack_core import effects
+from tamarack_core import evacuations
 from tamarack_core import events
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import requests
+from tamarack_core.internal import change_entries
 from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.distribution import subscribers
 from tamarack_core.messages import distribution
@@ -160,9 +162,10 @@
             now_s: Monotonic time in seconds.
             numbered: The configuration.
         """
+        before = self._evacuated_domains()
         if not self.config_store.put(numbered, self.context.wall_ms(now_s)):
             return []
-        return self._push(now_s)
+        return self._push(now_s, before)
 
     def put_delta(
         self, now_s: float, delta: distribution.Delta
@@ -173,16 +176,34 @@
             now_s: Monotonic time in seconds.
             delta: The delta.
         """
+        before = self._evacuated_domains()
         if not self.config_store.put_delta(delta, self.context.wall_ms(now_s)):
             return []
-        return self._push(now_s)
+        return self._push(now_s, before)
 
-    def _push(self, now_s: float) -> list[effects.Effect]:
-        """Pushes a version that came into force to outdated subscribers."""
+    def _evacuated_domains(self) -> tuple[str, ...]:
+        """Returns the domains that are evacuated by the version in force."""
+        return self.config_store.numbered.configuration.evacuated_domains
+
+    def _push(
+        self, now_s: float, evacuated_before: tuple[str, ...]
+    ) -> list[effects.Effect]:
+        """Pushes a version that came into force to outdated subscribers.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            evacuated_before: Domains that were evacuated before it.
+        """
         version = self.config_store.numbered.version
         result: list[effects.Effect] = [
             self.context.record(now_s, "version-in-force", version=version)
         ]
+        evacuated = self._evacuated_domains()
+        if evacuated != evacuated_before:
+            state = evacuations.Evacuations(version, evacuated)
+            result.append(
+                change_entries.record_evacuations(self.context, now_s, state)
+            )
         for subscriber in self.subscribers.outdated(now_s, version):
             message = self.config_store.newer_than(subscriber.assumed_version)
             subscriber.assumed_version = version
--- a/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
+++ b/packages/core/src/tamarack_core/internal/distribution/configuration_store.py
@@ -16,17 +16,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """Services that changed between two versions.
+    """What changed between two versions.
 
     Attributes:
         base_version: Version before the change.
         version: Version after the change.
         names: Names of the changed services.
+        has_evacuations: Whether the evacuated domains changed.
     """
 
     base_version: int
     version: int
     names: frozenset[str]
+    has_evacuations: bool = False
 
 
 class ConfigurationStore:
@@ -84,18 +86,27 @@
         current_version = self.numbered.version
         if not delta.base_version <= current_version < delta.version:
             return False
-        services = dict(self.numbered.configuration.services)
+        current = self.numbered.configuration
+        evacuated = delta.evacuated_domains
+        services = dict(current.services)
         for name, service in delta.changes.items():
             services.pop(name, None)
             if service is not None:
                 services[name] = service
         self.lookup.apply(delta.changes)
         self.numbered = configuration.VersionedConfiguration(
-            delta.version, configuration.Configuration(services)
+            delta.version,
+            configuration.Configuration(
+                services,
+                current.evacuated_domains if evacuated is None else evacuated,
+            ),
         )
         self.since_ms = wall_ms
         change = Change(
-            current_version, delta.version, frozenset(delta.changes)
+            current_version,
+            delta.version,
+            frozenset(delta.changes),
+            evacuated is not None,
         )
         self.changes.append(change)
         del self.changes[:-MAX_CHANGES]
@@ -111,13 +122,13 @@
         """
         if not self.changes or version < self.changes[0].base_version:
             return distribution.Snapshot(self.numbered)
-        services = self.numbered.configuration.services
+        current = self.numbered.configuration
+        services = current.services
+        missing = [
+            change for change in self.changes if change.version > version
+        ]
         names = set(
-            itertools.chain.from_iterable(
-                change.names
-                for change in self.changes
-                if change.version > version
-            )
+            itertools.chain.from_iterable(change.names for change in missing)
         )
         limit = max(MIN_DELTA_SERVICES, MAX_DELTA_FRACTION * len(services))
         if len(names) > limit:
@@ -126,4 +137,7 @@
             version,
             self.numbered.version,
             {name: services.get(name) for name in sorted(names)},
+            current.evacuated_domains
+            if any(change.has_evacuations for change in missing)
+            else None,
         )
--- a/packages/core/src/tamarack_core/internal/entry/flow_owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -209,16 +209,33 @@
     def _refuse(
         self, transit: transit_lib.TransitPacket, verdict: verdict_lib.Verdict
     ) -> list[effects.Effect]:
-        """Refuses an opening, or drops it while this host warms up.
+        """Refuses an opening, or drops it if a reset could be wrong.
 
         A host that has just joined may not know the targets yet. It drops the
-        opening, so that the caller's TCP retransmits it a second later.
+        opening, so that the caller's TCP retransmits it a second later. An
+        opening that was sent to a target before the evacuation may have opened
+        the flow there, so a copy of it is dropped too.
         """
-        has_no_target = verdict.reason == target_choice.NO_READY_TARGET
+        has_no_target = verdict.reason in target_choice.NO_TARGET_REASONS
         if has_no_target and self.entry_hosts.is_warming_up(transit.now_s):
             return self.rejector.drop("warming")
+        if verdict.reason == target_choice.DOMAIN_EVACUATED:
+            if self._is_copy_of_sent(transit):
+                return self.rejector.drop("opening-evacuated")
+            self.rejector.context.counters["refused-domain-evacuated"] += 1
         return self.rejector.refuse(transit, verdict)
 
+    def _is_copy_of_sent(self, transit: transit_lib.TransitPacket) -> bool:
+        """Returns whether the same opening was sent to a target before."""
+        slot = self.records.find(transit.now_s, transit.key)
+        table = self.records.table
+        return (
+            slot is not None
+            and transit.is_tcp()
+            and not table.flags[slot] & table_lib.ESTABLISHED
+            and table.initial_sequence[slot] == transit.packet.sequence
+        )
+
     def _cancel_opening(
         self, transit: transit_lib.TransitPacket, target: bytes
     ) -> None:
--- a/packages/core/src/tamarack_core/internal/entry/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -10,6 +10,13 @@
 NO_READY_TARGET = "no-ready-target"
 """Reason of a refusal when no target of the service takes new flows."""
 
+DOMAIN_EVACUATED = "domain-evacuated"
+"""Reason of a refusal when only the evacuation of failure domains keeps all
+targets of the service from taking new flows."""
+
+NO_TARGET_REASONS = frozenset({NO_READY_TARGET, DOMAIN_EVACUATED})
+"""Reasons of a refusal that another target, once known, would prevent."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opening:
--- a/packages/core/src/tamarack_core/internal/patches/operations.py
+++ b/packages/core/src/tamarack_core/internal/patches/operations.py
@@ -1,8 +1,8 @@
 """Applies a JSON patch (RFC 6902) to the services that it names.
 
-Only the services that a patch names are converted to JSON, patched and
-validated again, so that the cost of a patch doesn't grow with the
-configuration.
+Only the services that a patch names, and the evacuated domains, are converted
+to JSON, patched and validated again, so that the cost of a patch doesn't grow
+with the configuration.
 """
 
 from collections.abc import Iterator
@@ -16,8 +16,10 @@
 
 from tamarack_core import configuration
 from tamarack_core import failure
+from tamarack_core.internal.validation import evacuation_checks
 from tamarack_core.internal.validation import json_pointers
 from tamarack_core.internal.validation import service_checks
+from tamarack_core.internal.validation import validated_configuration
 
 MAX_OPERATIONS = 1_000
 MAX_DEPTH = 16
@@ -33,7 +35,18 @@
     ValueError,
 )
 
-Changes = dict[str, configuration.Service | None]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Result of a patch, each value checked by itself.
+
+    Attributes:
+        services: Services that the patch names; None for a removed one.
+        evacuated_domains: All evacuated domains; None if they didn't change.
+    """
+
+    services: dict[str, configuration.Service | None]
+    evacuated_domains: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,12 +93,14 @@
 
 def apply(
     services: Mapping[str, configuration.Service],
+    evacuated_domains: tuple[str, ...],
     operations: list[Operation],
 ) -> Changes | failure.Failure:
-    """Returns the services that a patch changes, each validated by itself.
+    """Returns what a patch changes, each value validated by itself.
 
     Args:
         services: The services before the patch; not modified.
+        evacuated_domains: The evacuated domains before the patch.
         operations: The operations in order.
     """
     names = _names(services, operations)
@@ -94,14 +109,21 @@
             name: msgspec.to_builtins(services[name])
             for name in names
             if name in services
-        }
+        },
+        evacuation_checks.FIELD: list(evacuated_domains),
     }
     for operation in operations:
         patched = _apply_one(document, operation.raw)
         if isinstance(patched, failure.Failure):
             return patched
         document = patched
-    return _convert(document, names)
+    changes = _convert(document, names)
+    if (
+        isinstance(changes, Changes)
+        and changes.evacuated_domains == evacuated_domains
+    ):
+        return Changes(changes.services)
+    return changes
 
 
 def changed_pointers(operations: list[Operation]) -> tuple[str, ...]:
@@ -197,6 +219,8 @@
             for operation in operations
         )
     )
+    # Otherwise an evacuation would convert and distribute all services.
+    paths = [path for path in paths if path[:1] != [evacuation_checks.FIELD]]
     named = {path[1] for path in paths if len(path) > 1}
     if any(len(path) < 2 for path in paths):
         named.update(services)
@@ -231,24 +255,18 @@
 def _convert(
     document: dict[str, object], names: list[str]
 ) -> Changes | failure.Failure:
-    """Returns the validated services of a patched document."""
-    unknown = sorted(set(document) - {"services"})
-    if unknown:
-        return failure.Failure(
-            "unknown-field",
-            f"unknown field {unknown[0][:80]!r}; the only field of the document"
-            " is services",
-            json_pointers.join(unknown[0]),
-        )
-    patched = document.get("services", {})
-    if not isinstance(patched, dict):
-        return failure.Failure(
-            "bad-value", "services is not an object", "/services"
-        )
-    changes: Changes = dict.fromkeys(names)
+    """Returns the validated fields of a patched document."""
+    fields = validated_configuration.split(document)
+    if isinstance(fields, failure.Failure):
+        return fields
+    patched, domains = fields
+    evacuated = evacuation_checks.convert_domains(domains)
+    if isinstance(evacuated, failure.Failure):
+        return evacuated
+    services: dict[str, configuration.Service | None] = dict.fromkeys(names)
     for name, value in sorted(patched.items()):
         service = service_checks.convert_service(name, value)
         if isinstance(service, failure.Failure):
             return service
-        changes[name] = service
-    return changes
+        services[name] = service
+    return Changes(services, evacuated)
--- a/packages/core/src/tamarack_core/internal/patches/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/patches/state_machine.py
@@ -98,7 +98,13 @@
     def numbered(self) -> configuration.VersionedConfiguration:
         """Returns the newest configuration with its version."""
         return configuration.VersionedConfiguration(
-            self.version, configuration.Configuration(self.checked.services)
+            self.version, self._configuration()
+        )
+
+    def _configuration(self) -> configuration.Configuration:
+        """Returns the newest configuration."""
+        return configuration.Configuration(
+            self.checked.services, self.checked.evacuated_domains
         )
 
     def recorded_verdict(
@@ -162,7 +168,7 @@
                 FORMAT_VERSION,
                 self.version,
                 self.time_ms,
-                configuration.Configuration(self.checked.services),
+                self._configuration(),
                 self.history.entries,
                 list(self.verdicts.items()),
             )
@@ -180,7 +186,10 @@
         """
         decoded = decode_snapshot(data)
         checked = validated_configuration.ValidatedConfiguration()
-        refused = checked.replace(decoded.configuration.services)
+        refused = checked.replace(
+            decoded.configuration.services,
+            decoded.configuration.evacuated_domains,
+        )
         if refused is not None:
             raise SnapshotError(f"{refused.path}: {refused.detail}")
         self.version = decoded.version
@@ -220,14 +229,23 @@
         parsed = operations.parse(patch.operations)
         if isinstance(parsed, failure.Failure):
             return _invalid(parsed)
-        changes = operations.apply(self.checked.services, parsed)
+        changes = operations.apply(
+            self.checked.services, self.checked.evacuated_domains, parsed
+        )
         if isinstance(changes, failure.Failure):
             return _invalid(changes)
-        refused = self.checked.replace(changes)
+        refused = self.checked.replace(
+            changes.services, changes.evacuated_domains
+        )
         if refused is not None:
             return _invalid(refused)
         self.deltas.append(
-            distribution.Delta(self.version, self.version + 1, changes)
+            distribution.Delta(
+                self.version,
+                self.version + 1,
+                changes.services,
+                changes.evacuated_domains,
+            )
         )
         self.version += 1
         changed = operations.changed_pointers(parsed)[: history.MAX_POINTERS]
--- a/packages/core/src/tamarack_core/internal/status.py
+++ b/packages/core/src/tamarack_core/internal/status.py
@@ -68,15 +68,17 @@
         self, event: events.RequestArrived
     ) -> list[effects.Effect]:
         """Responds with the status of this host."""
+        numbered = self.config_store.numbered
         response = requests.StatusRead(
             host=self.context.host.host,
             domain=self.context.host.domain,
             roles=self.roles,
-            version=self.config_store.numbered.version,
+            version=numbered.version,
             since_ms=self.config_store.since_ms,
             members=self.members(),
             targets=self.targets(),
             flows=self.flows(),
             counters=dict(self.context.counters),
+            evacuated_domains=numbered.configuration.evacuated_domains,
         )
         return [effects.Respond(event.request_id, response)]
--- a/packages/core/src/tamarack_core/internal/targets/lease_table.py
+++ b/packages/core/src/tamarack_core/internal/targets/lease_table.py
@@ -1,5 +1,6 @@
 """Table of announced targets with their leases."""
 
+from collections.abc import Collection
 import dataclasses
 
 from tamarack_core import requests
@@ -61,7 +62,11 @@
             del self._by_service[held.announcement.service][address]
 
     def ready(
-        self, now_s: float, service: str, address_bytes: int
+        self,
+        now_s: float,
+        service: str,
+        address_bytes: int,
+        evacuated_domains: Collection[str] = (),
     ) -> list[bytes]:
         """Returns the targets of a service that accept new flows.
 
@@ -69,6 +74,7 @@
             now_s: Monotonic time in seconds.
             service: Name of the service.
             address_bytes: Length of a packed address of the wanted IP version.
+            evacuated_domains: Failure domains whose targets are left out.
         """
         return [
             address
@@ -76,4 +82,5 @@
             if target.announcement.state is requests.TargetState.READY
             and target.expires_s > now_s
             and len(address) == address_bytes
+            and target.announcement.domain not in evacuated_domains
         ]
--- a/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
+++ b/packages/core/src/tamarack_core/internal/validation/validated_configuration.py
@@ -5,11 +5,14 @@
 from tamarack_core import configuration
 from tamarack_core import failure
 from tamarack_core.internal.validation import clash_index
+from tamarack_core.internal.validation import evacuation_checks
 from tamarack_core.internal.validation import json_pointers
 from tamarack_core.internal.validation import service_checks
 
 MAX_SERVICES = 65_536
 
+_FIELDS = frozenset({"services", evacuation_checks.FIELD})
+
 
 class ValidatedConfiguration:
     """A configuration that passed all checks; see the package docstring.
@@ -17,24 +20,30 @@
     Attributes:
         services: Services by name. The mapping is replaced, never modified,
             so that a reader may keep a reference to it.
+        evacuated_domains: Evacuated failure domains.
         index: Ports and networks in use.
     """
 
-    __slots__ = ("index", "services")
+    __slots__ = ("evacuated_domains", "index", "services")
 
     def __init__(self) -> None:
         """Initializes the empty configuration."""
         self.services: dict[str, configuration.Service] = {}
+        self.evacuated_domains: tuple[str, ...] = ()
         self.index = clash_index.ClashIndex()
 
     def replace(
-        self, changes: Mapping[str, configuration.Service | None]
+        self,
+        changes: Mapping[str, configuration.Service | None],
+        evacuated_domains: tuple[str, ...] | None = None,
     ) -> failure.Failure | None:
         """Replaces services if the result passes all checks.
 
         Args:
             changes: New services by name, each checked on its own; None
                 removes the service.
+            evacuated_domains: All evacuated domains, already checked; None
+                leaves them unchanged.
 
         Returns:
             None, or the failure; the configuration then stays unchanged.
@@ -53,6 +62,8 @@
         rejection = self._reindex(changes)
         if rejection is None:
             self.services = updated
+            if evacuated_domains is not None:
+                self.evacuated_domains = evacuated_domains
         return rejection
 
     def _reindex(
@@ -99,9 +110,13 @@
         The validated configuration, or a failure with the pointer of the first
         invalid value in a fixed order.
     """
-    services = _services(document)
-    if isinstance(services, failure.Failure):
-        return services
+    fields = split(document)
+    if isinstance(fields, failure.Failure):
+        return fields
+    services, domains = fields
+    evacuated = evacuation_checks.convert_domains(domains)
+    if isinstance(evacuated, failure.Failure):
+        return evacuated
     converted: dict[str, configuration.Service] = {}
     for name, value in sorted(services.items()):
         service = service_checks.convert_service(name, value)
@@ -109,22 +124,30 @@
             return service
         converted[name] = service
     checked = ValidatedConfiguration()
-    rejection = checked.replace(converted)
+    rejection = checked.replace(converted, evacuated)
     return checked if rejection is None else rejection
 
 
-def _services(
+def split(
     document: object,
-) -> dict[str, object] | failure.Failure:
-    """Returns the services of a document in decoded JSON."""
+) -> tuple[dict[str, object], object] | failure.Failure:
+    """Splits a document into its fields, which are not checked further.
+
+    Args:
+        document: Decoded JSON.
+
+    Returns:
+        The services by name and the evacuated domains, or a failure with the
+        pointer of an invalid field.
+    """
     if not isinstance(document, dict):
         return failure.Failure("bad-value", "the document is not an object")
-    unknown = sorted(set(document) - {"services"})
+    unknown = sorted(set(document) - _FIELDS)
     if unknown:
         return failure.Failure(
             "unknown-field",
-            f"unknown field {unknown[0][:80]!r}; the only field of the document"
-            " is services",
+            f"unknown field {unknown[0][:80]!r}; the fields of the document"
+            f" are {' and '.join(sorted(_FIELDS))}",
             json_pointers.join(unknown[0]),
         )
     services = document.get("services", {})
@@ -132,4 +155,4 @@
         return failure.Failure(
             "bad-value", "services is not an object", "/services"
         )
-    return services
+    return services, document.get(evacuation_checks.FIELD, [])
--- a/packages/core/src/tamarack_core/messages/distribution.py
+++ b/packages/core/src/tamarack_core/messages/distribution.py
@@ -21,7 +21,7 @@
     wants_answer: bool = False
 
 
-class Delta(msgspec.Struct, frozen=True, tag="delta"):
+class Delta(msgspec.Struct, frozen=True, omit_defaults=True, tag="delta"):
     """All services that changed between two versions.
 
     Attributes:
@@ -29,11 +29,14 @@
             to later ones.
         version: Version after the delta.
         changes: Services as of `version`; None for a removed one.
+        evacuated_domains: All evacuated domains as of `version`; None if they
+            didn't change. A host of an earlier release never states them.
     """
 
     base_version: int
     version: int
     changes: dict[str, configuration.Service | None]
+    evacuated_domains: tuple[str, ...] | None = None
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
--- a/packages/core/src/tamarack_core/requests.py
+++ b/packages/core/src/tamarack_core/requests.py
@@ -333,6 +333,8 @@
         targets: Targets with a valid lease.
         flows: Open flows that this host knows.
         counters: Counters by name.
+        evacuated_domains: Failure domains that are evacuated by the version
+            in force.
     """
 
     host: str
@@ -344,6 +346,7 @@
     targets: int
     flows: int
     counters: dict[str, int]
+    evacuated_domains: tuple[str, ...] = ()
 
 
 class TargetView(msgspec.Struct, frozen=True):
--- a/packages/lab/src/tamarack_lab/experiments/versions.py
+++ b/packages/lab/src/tamarack_lab/experiments/versions.py
@@ -93,7 +93,7 @@
         load_table = load_table_lib.LoadTable()
         limiter = quota_limiter.QuotaLimiter()
         chooser = chooser_lib.BalancingChooser(
-            context, targets, load_table, limiter
+            context, config_store, targets, load_table, limiter
         )
         shares = quota_lease_manager.QuotaLeaseManager(
             context, config_store, limiter, live_peers, hosts
--- a/tests/cover/test_balancing.py
+++ b/tests/cover/test_balancing.py
@@ -9,6 +9,7 @@
 from tamarack_core.internal.balancing import chooser as chooser_lib
 from tamarack_core.internal.balancing import health as health_lib
 from tamarack_core.internal.balancing import load_table as load_table_lib
+from tamarack_core.internal.distribution import configuration_store
 from tamarack_core.internal.entry import lookup
 from tamarack_core.internal.entry import target_choice
 from tamarack_core.internal.limits import quota_limiter
@@ -48,6 +49,7 @@
         self.load_table = load_table_lib.LoadTable()
         self.chooser = chooser_lib.BalancingChooser(
             simulated_network.context("entry", "a", 1),
+            configuration_store.ConfigurationStore(),
             self.table,
             self.load_table,
             quota_limiter.QuotaLimiter(),
--- a/tests/cover/test_odd_leases.py
+++ b/tests/cover/test_odd_leases.py
@@ -86,6 +86,7 @@
         self.node = reducer.Node(context, (aggregator, validator))
         self.chooser = chooser_lib.BalancingChooser(
             context,
+            store,
             self.table,
             load_table_lib.LoadTable(),
             quota_limiter.QuotaLimiter(),
--- a/tests/cover/test_patches.py
+++ b/tests/cover/test_patches.py
@@ -178,6 +178,7 @@
 _steps = strategies.sampled_from(
     [
         "services",
+        "evacuated_domains",
         "s1",
         "s2",
         "classes",
@@ -199,6 +200,7 @@
     | strategies.just(service(1))
     | strategies.just(service(2))
     | strategies.just({"s1": service(1)})
+    | strategies.lists(strategies.sampled_from(["a", "b", ""]), max_size=3)
 )
 _operations = strategies.fixed_dictionaries(
     {
