Add tamarack evacuate, and show evacuations in tamarack status

Cause: an order as a patch written by hand needs the version and all domains, and an operator can't see beforehand whether the rest carries the load.

Change: evacuate start, end and status. An order is sent as a patch on the newest version with an id derived from its content, and again on a newer version after a conflict. It is sent even if it changes nothing: the new version makes an earlier order without a verdict stale. A dry run computes the slots and the load that move from the targets that the entry hosts know. Commands that send patches skip hosts without the control role if others are named.

--- a/packages/ctl/src/tamarack_ctl/internal/patches.py
+++ b/packages/ctl/src/tamarack_ctl/internal/patches.py
@@ -1,5 +1,6 @@
 """Command `tamarack patch`."""
 
+import hashlib
 import json
 import secrets
 import sys
@@ -15,6 +16,10 @@
 from tamarack_ctl.internal import output
 
 PATCH_ID_BYTES = 8
+DERIVED_ID_CHARACTERS = 32
+
+NOT_A_CONTROL_HOST = "not-a-control-host"
+"""Reason of the refusal by a host that accepts no patches."""
 
 EXIT_CODES = {
     requests.PatchState.ACCEPTED: output.EXIT_OK,
@@ -79,6 +84,18 @@
     sys.exit(submit(hosts, body, as_json))
 
 
+def derive_id(body: dict[str, Any]) -> str:
+    """Returns a patch id that depends on nothing but the content of a patch.
+
+    A repeated submission of the same patch therefore has the same id.
+
+    Args:
+        body: The patch without an id.
+    """
+    digest = hashlib.sha256(json.dumps(body, sort_keys=True).encode())
+    return digest.hexdigest()[:DERIVED_ID_CHARACTERS]
+
+
 def submit(
     hosts: tuple[peers.Endpoint, ...], body: dict[str, Any], as_json: bool
 ) -> int:
@@ -94,7 +111,7 @@
     Returns:
         The exit code for the verdict.
     """
-    response = _send(hosts, body)
+    response = send(hosts, body)
     submitted_id = body["patch_id"]
     if isinstance(response, failure.Failure):
         output.fail(
@@ -112,15 +129,25 @@
     return EXIT_CODES.get(state, output.EXIT_REFUSED)
 
 
-def _send(
+def send(
     hosts: tuple[peers.Endpoint, ...], body: dict[str, Any]
 ) -> client.Response | failure.Failure:
     """Sends a patch to the hosts in order until one returns a verdict.
 
     A request without a response may have been accepted, so every later request
     is marked as a resend.
+
+    Args:
+        hosts: Endpoints to try.
+        body: The patch.
+
+    Returns:
+        The response with the verdict or a refusal, also if none of the hosts is
+        a control host; a failure with the error of
+        each host if it is unknown whether the patch is accepted.
     """
     errors = []
+    refused = None
     request = dict(body)
     for endpoint in hosts:
         response = client.request([endpoint], "POST", "/v1/patches", request)
@@ -132,5 +159,10 @@
             errors.append(str(response.body.get("reason")))
             request["is_resend"] = True
             continue
+        if response.body.get("reason") == NOT_A_CONTROL_HOST:
+            refused = response
+            continue
         return response
+    if refused is not None and not errors:
+        return refused
     return failure.Failure("no-verdict", "; ".join(errors))
--- a/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
+++ b/packages/ctl/src/tamarack_ctl/internal/plan_apply.py
@@ -1,6 +1,5 @@
 """Commands `tamarack plan` and `tamarack apply`."""
 
-import hashlib
 import json
 import pathlib
 import sys
@@ -19,7 +18,6 @@
 from tamarack_ctl.internal import patches
 
 PATTERN = "*.json"
-PATCH_ID_CHARACTERS = 32
 
 _folder = click.argument(
     "folder",
@@ -92,10 +90,25 @@
     Exits with an error if no host returns one.
     """
     response = client.request(hosts, "GET", "/v1/configuration")
+    numbered = decode_configuration(response)
+    if isinstance(numbered, failure.Failure):
+        output.fail(output.EXIT_NO_HOST, numbered.detail)
+    return numbered
+
+
+def decode_configuration(
+    response: client.Response | failure.Failure,
+) -> configuration.VersionedConfiguration | failure.Failure:
+    """Returns the configuration in a response, or why there is none.
+
+    Args:
+        response: Response of a host, or why there is none.
+    """
     if isinstance(response, failure.Failure):
-        output.fail(output.EXIT_NO_HOST, response.detail)
+        return response
     if "numbered" not in response.body:
-        output.fail(output.EXIT_NO_HOST, str(response.body.get("detail")))
+        detail = str(response.body.get("detail"))
+        return failure.Failure("no-configuration", detail)
     return msgspec.convert(
         response.body["numbered"], configuration.VersionedConfiguration
     )
@@ -146,8 +159,7 @@
         "author": author,
         "note": note,
     }
-    digest = hashlib.sha256(json.dumps(body, sort_keys=True).encode())
-    return {"patch_id": digest.hexdigest()[:PATCH_ID_CHARACTERS], **body}
+    return {"patch_id": patches.derive_id(body), **body}
 
 
 def _show_plan(
--- a/packages/ctl/src/tamarack_ctl/internal/status.py
+++ b/packages/ctl/src/tamarack_ctl/internal/status.py
@@ -21,6 +21,7 @@
     "members",
     "targets",
     "flows",
+    "evacuated",
 )
 
 
@@ -61,6 +62,8 @@
         len(body["members"]),
         body["targets"],
         body["flows"],
+        # A host of an earlier release doesn't state them.
+        " ".join(body.get("evacuated_domains", ())) or "none",
     ]
 
 
--- a/packages/ctl/src/tamarack_ctl/internal/traffic.py
+++ b/packages/ctl/src/tamarack_ctl/internal/traffic.py
@@ -1,5 +1,6 @@
 """Commands `tamarack targets` and `tamarack flows`."""
 
+from collections.abc import Iterable
 from typing import Any
 import urllib.parse
 
@@ -49,16 +50,7 @@
     Example: tamarack targets --service agenda
     """
     responses = _read_all(hosts, "/v1/targets", {"service": service})
-    merged: dict[str, dict[str, Any]] = {}
-    for response in responses:
-        for view in response.body["targets"]:
-            total = merged.setdefault(
-                view["address"], {**view, "owned_flows": 0}
-            )
-            total["owned_flows"] += view["owned_flows"]
-            total["active"] = max(total["active"], view["active"])
-            total["held"] = max(total["held"], view["held"])
-    views = [merged[address] for address in sorted(merged)]
+    views = merge_targets(responses)
     rows = [_target_row(view) for view in views]
     output.show(as_json, views, TARGET_HEADERS, rows)
 
@@ -104,6 +96,27 @@
         )
 
 
+def merge_targets(responses: Iterable[client.Response]) -> list[dict[str, Any]]:
+    """Returns the views of the targets of several hosts, sorted by address.
+
+    Each host knows the work of all hosts of its failure domain, but counts only
+    the open flows that it owns.
+
+    Args:
+        responses: Responses of hosts with their views of targets.
+    """
+    merged: dict[str, dict[str, Any]] = {}
+    for response in responses:
+        for view in response.body["targets"]:
+            total = merged.setdefault(
+                view["address"], {**view, "owned_flows": 0}
+            )
+            total["owned_flows"] += view["owned_flows"]
+            total["active"] = max(total["active"], view["active"])
+            total["held"] = max(total["held"], view["held"])
+    return [merged[address] for address in sorted(merged)]
+
+
 def _read_all(
     hosts: tuple[peers.Endpoint, ...], path: str, query: dict[str, str]
 ) -> list[client.Response]:
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -4,6 +4,7 @@
 
 from tamarack_ctl.internal import completion
 from tamarack_ctl.internal import data
+from tamarack_ctl.internal import evacuate
 from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import history
 from tamarack_ctl.internal import members
@@ -31,6 +32,7 @@
 main.add_command(data.data)
 main.add_command(members.member)
 main.add_command(rollout.rollout)
+main.add_command(evacuate.evacuate)
 main.add_command(traffic.targets)
 main.add_command(traffic.flows)
 main.add_command(timeline.timeline)
--- a/tests/cover/test_log_lines.py
+++ b/tests/cover/test_log_lines.py
@@ -140,6 +140,34 @@
             printed = json.loads(result.stdout)
             self.assertEqual(hosts, [entry["host"] for entry in printed])
 
+    # The lines are those of a control host and an entry host.
+    def test_the_lines_of_an_evacuation_are_read_in_order(self):
+        path = self.write(
+            self.entry(
+                "frontend",
+                5,
+                "flow-refused",
+                version=3,
+                verdict="not-run",
+                reason="domain-evacuated",
+            ),
+            self.entry(
+                "frontend", 4, "evacuation-in-force", version=1, detail="zone-1"
+            ),
+            self.entry(
+                "control",
+                2,
+                "evacuation-ordered",
+                verdict="waiting",
+                detail="start 'zone-1'",
+            ),
+        )
+        result = self.run_command("--log", path, "--event", "evacuation")
+        self.assertEqual(0, result.exit_code, result.output)
+        [*_, ordered, in_force] = result.stdout.splitlines()
+        self.assertIn("start 'zone-1'", ordered)
+        self.assertIn("version 1", in_force)
+
     def test_neither_hosts_nor_logs_is_a_usage_error(self):
         result = self.run_command()
         self.assertEqual(2, result.exit_code)
