--- a/tests/slow/test_operator_commands.py
+++ b/tests/slow/test_operator_commands.py
@@ -104,6 +104,30 @@
         self.assertEqual(3, self.daemon.process.wait(20))
         self.assertIn("move the folder away", self.daemon.log_file.read_text())
 
+    # A start from the disk alone must not return the targets to service.
+    def test_an_evacuation_survives_a_restart_of_the_process(self):
+        self.daemon.wait_started()
+        processes.wait_until(
+            lambda: (
+                processes.call(self.port, "GET", "/v1/configuration")[0] == 200
+            ),
+            "a leader",
+        )
+        order = ["evacuate", "start", "a", "--author", "ana"]
+        self.assertIn("accepted", self.tamarack(*order))
+        self.daemon.kill()
+        self.assertIn("nothing changed", self.tamarack(*order, expect=4))
+        self.daemon.start()
+        self.daemon.wait_started()
+        processes.wait_until(
+            lambda: (
+                "in service" not in self.tamarack("evacuate", "status", "a")
+            ),
+            "the evacuation is in force",
+        )
+        events = self.tamarack("timeline", "--event", "evacuation-in-force")
+        self.assertIn("version 1", events)
+
     def damage(self, data):
         """Flips one bit in the first frame of the newest log file."""
         log = max(data.glob("log-*"))
