Let no delayed duplicate revert an evacuation order

Cause: whether an order may be a delayed duplicate was decided when it arrived. A leader that had just been elected had not applied the last orders then, and an opposite order could be in progress, so that a duplicate of start was obeyed after end was acknowledged. Change: a leader proposes one order at a time, decides just before it does, and only after it has committed an entry of its term; equal orders that wait share an entry; at most 500 wait. Each answer to an order has a log line with its verdict, reason, revision and age, and a counter; evacuated domains and revision are gauges at the metrics address of control and entry hosts. Entry hosts: a host that waits for the first targets of a starting control host drops openings, as it does without evacuations; a busy host refuses at once if all targets are evacuated; a repeated opening is dropped also where the evacuated targets drain or the others are dead; services without evacuations search no targets; absurd revisions are skipped.

--- a/packages/core/src/tamarack_core/context.py
+++ b/packages/core/src/tamarack_core/context.py
@@ -18,10 +18,18 @@
         random: Seeded generator; the only source of randomness in the core.
         clock: Hybrid logical clock that stamps entries of the time line.
         counters: Counters by name, such as `dropped-ip-fragment`.
+        gauges: Current values by name, such as `evacuation_revision`.
         wall_offset_ms: Wall-clock time minus monotonic time, in milliseconds.
     """
 
-    __slots__ = ("clock", "counters", "host", "random", "wall_offset_ms")
+    __slots__ = (
+        "clock",
+        "counters",
+        "gauges",
+        "host",
+        "random",
+        "wall_offset_ms",
+    )
 
     def __init__(self, host: peers.Peer, seed: int) -> None:
         """Initializes the context of a host that has not started.
@@ -34,6 +42,7 @@
         self.random = random.Random(seed)
         self.clock = timeline.HybridClock()
         self.counters: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[str, float] = {}
         self.wall_offset_ms = 0
 
     def start(self, now_s: float, wall_ms: int) -> None:
--- a/packages/core/src/tamarack_core/evacuations.py
+++ b/packages/core/src/tamarack_core/evacuations.py
@@ -17,6 +17,11 @@
 """Longest name of a failure domain, in characters."""
 
 
+MAX_REVISION = 10**12
+"""Highest revision that a host accepts; a thousand orders a second reach it
+after 31 years. A host that accepted an absurd one would ignore all orders."""
+
+
 class Action(enum.StrEnum):
     """What an order asks for."""
 
@@ -92,9 +97,10 @@
     Args:
         state: The state.
     """
-    if state.revision < 0:
+    if not 0 <= state.revision <= MAX_REVISION:
         return failure.Failure(
-            "bad-revision", f"revision {state.revision} is negative"
+            "bad-revision",
+            f"revision {state.revision} is not in 0 to {MAX_REVISION}",
         )
     if len(state.domains) > MAX_DOMAINS:
         return failure.Failure(
--- a/packages/core/src/tamarack_core/internal/change_entries.py
+++ b/packages/core/src/tamarack_core/internal/change_entries.py
@@ -38,13 +38,15 @@
     now_s: float,
     state: evacuations.Evacuations,
 ) -> effects.Effect:
-    """Returns the entry of evacuations that have come into force.
+    """Sets the gauges and returns the entry of evacuations now in force.
 
     Args:
         context: Identity and clocks of the host.
         now_s: Monotonic time in seconds.
         state: The evacuated failure domains.
     """
+    context.gauges["evacuated_domains"] = len(state.domains)
+    context.gauges["evacuation_revision"] = state.revision
     return context.record(
         now_s,
         "evacuation-in-force",
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -189,6 +189,12 @@
             tried = self.tracker.observe_repeated_opening(now_s, packet.flow)
             result = self._probe_unresponsive(now_s, packet.flow)
         candidates = self.targets.by_service.get(service, {}).values()
+        if not candidates and self.targets.has_evacuated(service):
+            # Refused at once, however busy the targets are.
+            return [
+                *result,
+                *self._refuse_without_target(now_s, packet, service),
+            ]
         admitted = self._decide_admission(now_s, packet, service, route, tried)
         if admitted is admission.Admission.DEFERRED:
             return [*result, *self.rejector.drop("opening-deferred")]
@@ -203,30 +209,36 @@
             self.context.random,
         )
         if entry is None:
-            if candidates:
-                return self.rejector.refuse(
-                    now_s, packet, "targets-dead", service
-                )
-            return self._refuse_without_target(now_s, packet, service)
+            reason = "targets-dead" if candidates else ""
+            return self._refuse_without_target(now_s, packet, service, reason)
         return result + self._forward_opening(now_s, packet, entry)
 
     def _refuse_without_target(
-        self, now_s: float, packet: flow_packets.FlowPacket, service: str
+        self,
+        now_s: float,
+        packet: flow_packets.FlowPacket,
+        service: str,
+        reason: str = "",
     ) -> list[effects.Effect]:
-        """Refuses an opening for which no target accepts new flows.
+        """Refuses an opening that no target can get.
+
+        An earlier copy of a repeated opening may have opened the flow at a
+        target whose domain was evacuated since, so a repeated one is dropped.
 
-        An earlier copy of a repeated opening may have opened the flow before
-        the evacuation, so a repeated one is dropped.
+        Args:
+            now_s: Monotonic time in seconds.
+            packet: The opening.
+            service: Service of the flow.
+            reason: Why no target can get it; empty if none accepts new flows.
         """
-        if self.targets.has_evacuated(service):
-            if packet.copy_number:
-                return self.rejector.drop("opening-evacuated")
-            return self.rejector.refuse(
-                now_s, packet, "domain-evacuated", service
-            )
-        if not self.subscription.is_settled:
+        is_evacuated = self.targets.has_evacuated(service)
+        if packet.copy_number and is_evacuated:
+            return self.rejector.drop("opening-evacuated")
+        if not reason and not self.subscription.is_settled:
+            # Targets outside the evacuated domains may be unknown as yet.
             return self.rejector.drop("opening-before-targets")
-        return self.rejector.refuse(now_s, packet, "no-target", service)
+        reason = reason or ("domain-evacuated" if is_evacuated else "no-target")
+        return self.rejector.refuse(now_s, packet, reason, service)
 
     def _decide_admission(
         self,
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -146,15 +146,16 @@
         return True
 
     def has_evacuated(self, service: str) -> bool:
-        """Returns whether a service has ready targets in evacuated domains.
+        """Returns whether a service has targets in evacuated domains.
 
         Args:
             service: Name of the service.
         """
-        return any(
+        domains = self.evacuations.domains
+        return bool(domains) and any(
             entry.target.service == service
-            and entry.target.domain in self.evacuations.domains
-            and entry.target.phase is target_announcement.Phase.READY
+            and entry.target.domain in domains
+            and not entry.is_gone
             for entry in self.by_name.values()
         )
 
--- a/packages/core/src/tamarack_core/internal/documents/evacuation_log.py
+++ b/packages/core/src/tamarack_core/internal/documents/evacuation_log.py
@@ -25,7 +25,7 @@
 
     Attributes:
         state: The evacuated domains.
-        ended: Domains whose evacuation has ended.
+        ended: Domains for which an order to end was applied.
     """
 
     state: evacuations.Evacuations = evacuations.Evacuations()
@@ -41,13 +41,15 @@
 
     Attributes:
         state: The evacuated domains.
-        ended: Domains whose evacuation has ended; a delayed duplicate of the
-            order that started it may still arrive.
+        ended: Domains for which an order to end was applied, whether or not
+            they are evacuated again; delayed duplicates of that order, and of
+            the one that it reversed, may still arrive.
         new_commands: Commands applied since the last `take_new`.
         has_changed: Whether the state changed since the last `take_new`.
+        skipped: Number of commands that could not be read.
     """
 
-    __slots__ = ("ended", "has_changed", "new_commands", "state")
+    __slots__ = ("ended", "has_changed", "new_commands", "skipped", "state")
 
     def __init__(self) -> None:
         """Initializes the state without evacuations."""
@@ -55,18 +57,24 @@
         self.ended: set[str] = set()
         self.new_commands: list[Command] = []
         self.has_changed = False
+        self.skipped = 0
 
     def apply(self, payload: bytes) -> None:
         """Applies a committed command.
 
+        An order that only a later version knows is skipped: an error would
+        stop the replica for good.
+
         Args:
             payload: The encoded command.
         """
-        command = _decoder.decode(payload)
+        try:
+            command = _decoder.decode(payload)
+        except msgspec.DecodeError:
+            self.skipped += 1
+            return
         order = command.order
-        if order.action is evacuations.Action.START:
-            self.ended.discard(order.domain)
-        elif order.domain in self.state.domains:
+        if order.action is evacuations.Action.END:
             self.ended.add(order.domain)
         self.state = evacuations.apply(self.state, order)
         self.new_commands.append(command)
@@ -80,19 +88,19 @@
         """Replaces the state by that of a snapshot.
 
         The orders that led to it count as applied now, as the time at which
-        they were applied is unknown.
+        they were applied is unknown. A domain whose evacuation was ended has
+        been evacuated before.
         """
         self.state = snapshot.state
         self.ended = set(snapshot.ended)
-        start, end = evacuations.Action.START, evacuations.Action.END
+        started = sorted({*snapshot.ended, *snapshot.state.domains})
         self.new_commands = [
             Command(evacuations.Order(domain, action), "")
-            for domains, actions in (
-                (snapshot.ended, (start, end)),
-                (snapshot.state.domains, (start,)),
+            for domains, action in (
+                (started, evacuations.Action.START),
+                (snapshot.ended, evacuations.Action.END),
             )
             for domain in domains
-            for action in actions
         ]
         self.has_changed = True
 
--- a/packages/core/src/tamarack_core/internal/documents/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -97,7 +97,13 @@
             self.new_documents.append(self.document)
 
     def snapshot(self) -> bytes:
-        """Returns the encoded state after the last applied command."""
+        """Returns the encoded state after the last applied command.
+
+        Before the first order it is the document alone, which hosts of earlier
+        versions can read during an upgrade.
+        """
+        if self.evacuations.state.revision == 0:
+            return _encoder.encode(self.document)
         return _encoder.encode(
             Snapshot(self.document, self.evacuations.snapshot())
         )
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -40,9 +40,6 @@
 CHANGE_INTERVAL_S = 0.2
 """Time between two membership changes, in seconds."""
 
-MAX_LOGGED_CHARACTERS = 80
-"""Characters of an unchecked name in an order that are logged."""
-
 LOG_PARAMETERS = log_parameters.LogParameters(
     heartbeat_interval_s=0.15,
     election_timeout_min_s=0.6,
@@ -137,7 +134,7 @@
             self.machine, self.replica
         )
         self.evacuation_requests = evacuation_requests.EvacuationRequests(
-            context, evacuation, self.machine, self.replica
+            context, evacuation, self.machine, self.replica, directory
         )
         self.reads: dict[int, float] = {}
         self.wanted_voters = 2 * tolerated_hosts + 1
@@ -304,7 +301,7 @@
         result += self.publisher.set_confirmed(now_s, is_confirmed)
         for step in (
             *self.publish_requests.retry(now_s),
-            *self.evacuation_requests.retry(now_s),
+            self.evacuation_requests.propose_next(now_s),
         ):
             result += self._collect_effects(now_s, step)
         result += self.publish_requests.respond_to_pending(now_s)
@@ -331,6 +328,7 @@
             live,
             subscribed,
             self.stop.is_requested,
+            accepts_orders=True,
         )
         result = self.publisher.set_controls(now_s, live)
         result += [
@@ -417,20 +415,10 @@
         """Handles an evacuation order of an operator."""
         request = event.request
         assert isinstance(request, external_requests.OrderEvacuation)
-        order = request.order
         step = self.evacuation_requests.submit(
-            event.now_s, event.request_id, order
-        )
-        verdict, reason = _describe_response(step)
-        self.context.counters["evacuation-orders"] += 1
-        record = self.context.record(
-            event.now_s,
-            "evacuation-ordered",
-            verdict=verdict,
-            reason=reason,
-            detail=f"{order.action} {order.domain[:MAX_LOGGED_CHARACTERS]!r}",
+            event.now_s, event.request_id, request.order
         )
-        return [record, *self._collect_effects(event.now_s, step)]
+        return self._collect_effects(event.now_s, step)
 
     def handle_read(self, event: events.RequestArrived) -> list[effects.Effect]:
         """Requests a read index; the response follows once it is applied."""
@@ -456,8 +444,23 @@
                 now_s, self.machine.evacuations.state
             )
             result += self.evacuation_requests.observe_applied(now_s, commands)
+            next_step = self.evacuation_requests.propose_next(now_s)
+            result += self._collect_effects(now_s, next_step)
+        if self.machine.evacuations.skipped:
+            result.append(self._record_skipped(now_s))
         return result
 
+    def _record_skipped(self, now_s: float) -> effects.Effect:
+        """Returns the time line entry of orders that could not be read."""
+        count, self.machine.evacuations.skipped = (
+            self.machine.evacuations.skipped,
+            0,
+        )
+        self.context.counters["orders-skipped"] += count
+        return self.context.record(
+            now_s, "orders-skipped", reason="unreadable", detail=f"{count}"
+        )
+
     def _handle_output(
         self, now_s: float, output: outputs.Output
     ) -> list[effects.Effect]:
@@ -528,8 +531,6 @@
             return ("waiting", "")
         case requests.Refused(reason=reason):
             return ("refused", reason)
-        case external_requests.NotFound(reason=reason):
-            return ("refused", reason)
         case external_requests.Unavailable(reason=reason):
             return ("Unavailable", reason)
     return (type(response).__name__, "")
--- a/packages/core/src/tamarack_core/internal/group/evacuation_requests.py
+++ b/packages/core/src/tamarack_core/internal/group/evacuation_requests.py
@@ -9,7 +9,9 @@
 was acknowledged. Its content doesn't distinguish it from a new order. An order
 that would change the state is refused for now if the same order was applied
 within the time for which operators repeat orders: a new order is then repeated
-and obeyed within that time, a duplicate isn't.
+and obeyed within that time, a duplicate isn't. What an order would change is
+known only once all earlier orders are applied, so a leader proposes one order
+at a time, and the first one after it has committed an entry of its term.
 """
 
 import msgspec
@@ -25,8 +27,16 @@
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.documents import evacuation_log
 from tamarack_core.internal.documents import state_machine as machines
+from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.group import publish_requests
 
+MAX_PENDING = 500
+"""Most orders that wait at once. Each holds a connection of an operator, who
+repeats an order once a second at most."""
+
+MAX_LOGGED_CHARACTERS = 80
+"""Characters of an unchecked name in an order that are logged."""
+
 _TOKEN_BITS = 64
 
 
@@ -35,15 +45,16 @@
 
     Attributes:
         request_id: Number of the request.
-        command: The command that applies it.
-        deadline_s: Time at which the operator is told to retry, in seconds.
-        is_proposed: Whether the command is in the log of this leader.
+        order: The order.
+        arrived_s: Time at which it arrived, in seconds.
+        token: Identifier of the command that applies it; empty before it is in
+            the log of this leader.
     """
 
     request_id: int
-    command: evacuation_log.Command
-    deadline_s: float
-    is_proposed: bool = False
+    order: evacuations.Order
+    arrived_s: float
+    token: str = ""
 
 
 class EvacuationRequests:
@@ -54,16 +65,22 @@
         settings: Settings of evacuations.
         machine: The replicated state machine.
         replica: The replicated log.
+        directory: The known control hosts.
         applied_s: Time at which this host last applied an order, in seconds,
             by order.
         pending: Orders that have no response yet.
+        proposal_index: Index of the last proposal in the log.
+        proposal_term: Term of the last proposal.
     """
 
     __slots__ = (
         "applied_s",
         "context",
+        "directory",
         "machine",
         "pending",
+        "proposal_index",
+        "proposal_term",
         "replica",
         "settings",
     )
@@ -74,6 +91,7 @@
         settings: evacuations.Settings,
         machine: machines.DocumentStateMachine,
         replica: replicas.Replica,
+        directory: host_directory.ControlHostDirectory,
     ) -> None:
         """Initializes without pending orders.
 
@@ -83,13 +101,17 @@
             settings: Settings of evacuations.
             machine: The replicated state machine.
             replica: The replicated log.
+            directory: The known control hosts.
         """
         self.context = context
         self.settings = settings
         self.machine = machine
         self.replica = replica
+        self.directory = directory
         self.applied_s: dict[evacuations.Order, float] = {}
         self.pending: list[PendingOrder] = []
+        self.proposal_index = 0
+        self.proposal_term = 0
 
     def submit(
         self, now_s: float, request_id: int, order: evacuations.Order
@@ -101,32 +123,75 @@
             request_id: Number of the request.
             order: The order.
         """
+        self.context.counters["evacuation-orders"] += 1
+        pending = PendingOrder(request_id, order, now_s)
+        response = self._find_refusal(now_s, order)
+        if response is not None:
+            return outputs.Step(self._respond(now_s, pending, response))
+        self.pending.append(pending)
+        step = self.propose_next(now_s)
+        if pending in self.pending:
+            step.effects.insert(0, self._record(now_s, pending, "waiting"))
+        return step
+
+    def _find_refusal(
+        self, now_s: float, order: evacuations.Order
+    ) -> requests.Response | None:
+        """Returns the response to an order that can't be proposed, or None."""
         state = self.replica.state
-        response: requests.Response | None = None
         if order.domain not in self.settings.domains:
-            response = external_requests.NotFound(
+            return external_requests.NotFound(
                 "unknown-domain", "use a failure domain of the deployment"
             )
-        elif not state.is_leader:
-            response = publish_requests.leader_response(state)
-        elif replication.has_committed_in_term(
+        if not state.is_leader:
+            return publish_requests.leader_response(state)
+        if not self.directory.all_accept_orders(now_s):
+            return _unavailable("older-control-host")
+        if replication.has_committed_in_term(
             state
         ) and not replication.is_confirmed(state, now_s):
-            response = external_requests.Unavailable(
-                "no-quorum", publish_requests.RETRY_AFTER_S
+            return _unavailable("no-quorum")
+        if len(self.pending) >= MAX_PENDING:
+            return _unavailable("too-many-orders")
+        return None
+
+    def propose_next(self, now_s: float) -> outputs.Step:
+        """Proposes the order that waits longest, and its repeats with it.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        result: list[effects.Effect] = []
+        while self._can_propose():
+            waiting = [pending for pending in self.pending if not pending.token]
+            if not waiting:
+                break
+            order = waiting[0].order
+            repeats = [pending for pending in waiting if pending.order == order]
+            duplicate = self._check_duplicate(now_s, order)
+            if duplicate is None:
+                step = self._propose(now_s, order, repeats)
+                return outputs.Step([*result, *step.effects], step.outputs)
+            self.context.counters["evacuation-orders-ambiguous"] += 1
+            for pending in repeats:
+                self.pending.remove(pending)
+                result += self._respond(now_s, pending, duplicate)
+        return outputs.Step(result)
+
+    def _can_propose(self) -> bool:
+        """Returns whether this host leads and has applied all earlier orders.
+
+        Orders of earlier terms are applied once an entry of this term is.
+        """
+        state = self.replica.state
+        return (
+            state.is_leader
+            and replication.has_committed_in_term(state)
+            and (
+                self.proposal_term != state.term
+                or self.proposal_index <= state.commit_index
             )
-        else:
-            response = self._check_duplicate(now_s, order)
-        if response is not None:
-            return outputs.Step(effects=[effects.Respond(request_id, response)])
-        token = f"{self.context.random.getrandbits(_TOKEN_BITS):016x}"
-        pending = PendingOrder(
-            request_id,
-            evacuation_log.Command(order, token),
-            now_s + publish_requests.TIMEOUT_S,
         )
-        self.pending.append(pending)
-        return self._propose(now_s, pending)
 
     def _check_duplicate(
         self, now_s: float, order: evacuations.Order
@@ -138,31 +203,26 @@
         remaining_s = applied_s + self.settings.repeat_s - now_s
         if remaining_s <= 0.0:
             return None
-        self.context.counters["evacuation-orders-ambiguous"] += 1
         return external_requests.Unavailable("ambiguous-order", remaining_s)
 
-    def _propose(self, now_s: float, pending: PendingOrder) -> outputs.Step:
-        """Proposes an order, unless a new leader has to wait."""
-        if not replication.has_committed_in_term(self.replica.state):
-            return outputs.Step()
-        proposal = self.replica.propose(
-            now_s, machines.encode_order(pending.command)
-        )
+    def _propose(
+        self,
+        now_s: float,
+        order: evacuations.Order,
+        repeats: list[PendingOrder],
+    ) -> outputs.Step:
+        """Appends an order to the log; if that fails, it waits."""
+        token = f"{self.context.random.getrandbits(_TOKEN_BITS):016x}"
+        command = evacuation_log.Command(order, token)
+        proposal = self.replica.propose(now_s, machines.encode_order(command))
         if isinstance(proposal, failure.Failure):
             return outputs.Step()
-        pending.is_proposed = True
+        self.proposal_index = proposal.index
+        self.proposal_term = proposal.term
+        for pending in repeats:
+            pending.token = token
         return proposal.step
 
-    def retry(self, now_s: float) -> list[outputs.Step]:
-        """Proposes pending orders that could not be proposed before."""
-        if not self.replica.state.is_leader:
-            return []
-        return [
-            self._propose(now_s, pending)
-            for pending in list(self.pending)
-            if not pending.is_proposed
-        ]
-
     def observe_applied(
         self, now_s: float, commands: list[evacuation_log.Command]
     ) -> list[effects.Effect]:
@@ -177,34 +237,80 @@
         tokens = {command.token for command in commands}
         revision = self.machine.evacuations.state.revision
         response = external_requests.EvacuationOrdered(revision)
-        result: list[effects.Effect] = [
-            effects.Respond(pending.request_id, response)
-            for pending in self.pending
-            if pending.command.token in tokens
-        ]
-        self.pending = [
-            pending
-            for pending in self.pending
-            if pending.command.token not in tokens
-        ]
+        result: list[effects.Effect] = []
+        kept = []
+        for pending in self.pending:
+            if pending.token and pending.token in tokens:
+                result += self._respond(now_s, pending, response)
+            else:
+                kept.append(pending)
+        self.pending = kept
         return result
 
     def expire(self, now_s: float) -> list[effects.Effect]:
-        """Responds to orders that timed out, or that this host can't commit."""
-        state = self.replica.state
+        """Responds to orders that timed out, or that this host can't commit.
+
+        An order may be in the log of a new leader, so it is unknown whether it
+        will be applied.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
         result: list[effects.Effect] = []
         kept = []
         for pending in self.pending:
-            response: requests.Response
-            if not state.is_leader:
-                response = publish_requests.leader_response(state)
-            elif now_s >= pending.deadline_s:
-                response = external_requests.Unavailable(
-                    "no-quorum", publish_requests.RETRY_AFTER_S
-                )
+            if not self.replica.state.is_leader:
+                response = _unavailable("leadership-lost")
+            elif now_s - pending.arrived_s >= publish_requests.TIMEOUT_S:
+                response = _unavailable("no-quorum")
             else:
                 kept.append(pending)
                 continue
-            result.append(effects.Respond(pending.request_id, response))
+            result += self._respond(now_s, pending, response)
         self.pending = kept
         return result
+
+    def _respond(
+        self, now_s: float, pending: PendingOrder, response: requests.Response
+    ) -> list[effects.Effect]:
+        """Returns the response to an order and its time line entry."""
+        verdict, reason, revision = "refused", "", 0
+        match response:
+            case external_requests.EvacuationOrdered(revision):
+                verdict = "acknowledged"
+            case external_requests.Elsewhere(peer):
+                verdict, reason = "redirected", peer.host
+            case external_requests.NotFound(reason):
+                verdict = "refused"
+            case external_requests.Unavailable(reason):
+                verdict = "unavailable"
+        self.context.counters[f"evacuation-orders-{verdict}"] += 1
+        return [
+            self._record(now_s, pending, verdict, reason, revision),
+            effects.Respond(pending.request_id, response),
+        ]
+
+    def _record(
+        self,
+        now_s: float,
+        pending: PendingOrder,
+        verdict: str,
+        reason: str = "",
+        revision: int = 0,
+    ) -> effects.Effect:
+        """Returns the time line entry of an order."""
+        order = pending.order
+        return self.context.record(
+            now_s,
+            "evacuation-ordered",
+            version=revision,
+            verdict=verdict,
+            reason=reason,
+            detail=f"{order.action} {order.domain[:MAX_LOGGED_CHARACTERS]!r}"
+            f" after {now_s - pending.arrived_s:.3f} s",
+        )
+
+
+def _unavailable(reason: str) -> external_requests.Unavailable:
+    """Returns the response to an order that may be sent again."""
+    return external_requests.Unavailable(reason, publish_requests.RETRY_AFTER_S)
--- a/packages/core/src/tamarack_core/internal/group/host_directory.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -23,6 +23,7 @@
         seen_s: Time of its last message, in seconds.
         entry_hosts: Number of entry hosts that are subscribed to it.
         is_stopping: Whether a stop of the host was requested.
+        accepts_orders: Whether the host can apply evacuation orders.
     """
 
     peer: peers.Peer
@@ -30,6 +31,7 @@
     seen_s: float
     entry_hosts: int = 0
     is_stopping: bool = False
+    accepts_orders: bool = False
 
 
 class ControlHostDirectory:
@@ -71,6 +73,7 @@
             now_s,
             hello.entry_hosts,
             hello.is_stopping,
+            hello.accepts_orders,
         )
 
     def entry_hosts(self, now_s: float) -> int:
@@ -81,6 +84,18 @@
             if now_s - known.seen_s <= LIVENESS_TIMEOUT_S
         )
 
+    def all_accept_orders(self, now_s: float) -> bool:
+        """Returns whether all live control hosts can apply evacuation orders.
+
+        A host of an earlier version fails to apply the command of an order, and
+        the entry hosts that follow it would not learn of the order.
+        """
+        return all(
+            known.accepts_orders
+            for known in self.known_hosts.values()
+            if now_s - known.seen_s <= LIVENESS_TIMEOUT_S
+        )
+
     def add_reported(
         self, now_s: float, reported: tuple[peers.Peer, ...]
     ) -> None:
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -153,12 +153,15 @@
         known: Control hosts known to the sender to be alive.
         entry_hosts: Number of entry hosts that are subscribed to the sender.
         is_stopping: Whether a stop of the sender was requested.
+        accepts_orders: Whether the sender can apply evacuation orders; earlier
+            versions can't.
     """
 
     incarnation: str
     known: tuple[peers.Peer, ...] = ()
     entry_hosts: int = 0
     is_stopping: bool = False
+    accepts_orders: bool = False
 
 
 class VoterReleased(msgspec.Struct, frozen=True, tag="voter-released"):
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -445,7 +445,10 @@
         return text_metrics.render(
             self.node.context.host.host,
             self.node.context.counters,
-            {"pending_requests": len(self._pending)},
+            {
+                "pending_requests": len(self._pending),
+                **self.node.context.gauges,
+            },
             {
                 "packet_turn": self.packet_times,
                 "request_answer": self.request_times,
--- a/tests/cover/test_light_driver.py
+++ b/tests/cover/test_light_driver.py
@@ -167,6 +167,20 @@
             self.assertTrue(received.endswith(b"stopping"))
 
 
+class MetricsTest(DriverCase):
+    """What operators read at the metrics address."""
+
+    # The gauges of the core were not shown at all.
+    def test_gauges_of_the_core_are_shown(self):
+        async def play(driver, component):
+            driver.node.context.gauges["evacuated_domains"] = 2
+            request = http1.HttpRequest("GET", "/metrics", b"")
+            return await driver._handle_metrics(request)
+
+        line = b'tamarackford_evacuated_domains{host="h1"} 2\n'
+        self.assertIn(line, self.run_driver(play).body)
+
+
 class UnexpectedErrorTest(DriverCase):
     """Faults: the handlers of all events fail for a while."""
 
