--- a/packages/core/src/tamarack_core/internal/group/evacuation_requests.py
+++ b/packages/core/src/tamarack_core/internal/group/evacuation_requests.py
@@ -144,6 +144,10 @@
                 "unknown-domain", "use a failure domain of the deployment"
             )
         if not state.is_leader:
+            silence_s = now_s - state.leader_seen_s
+            if silence_s > state.parameters.election_timeout_max_s:
+                # A learner that is cut off never learns of another leader.
+                return _unavailable("no-leader")
             return publish_requests.leader_response(state)
         if not self.directory.all_accept_orders(now_s):
             return _unavailable("older-control-host")
--- a/tests/cover/test_evacuation_faults.py
+++ b/tests/cover/test_evacuation_faults.py
@@ -121,6 +121,14 @@
             network.answers[number], external_requests.Unavailable
         )
 
+    # An operator would wait a second for a leader that may be gone.
+    def test_a_learner_that_is_cut_off_names_no_leader(self):
+        network = started(4)
+        network.isolate("c4")
+        network.run(2.0)
+        response = network.try_at("c4", request("start"))
+        self.assertEqual("no-leader", response.reason)
+
     # Each entry of the log is synced to the disks and sent to all entry hosts.
     def test_repeats_that_wait_share_an_entry(self):
         network = started()
