Drop copies of earlier openings for any refusal beside an evacuation, and export its gauges

Cause: a copy of an opening that had been sent to a target of a domain evacuated since was reset if the targets that are left were full, although the earlier copy may have opened the flow. tamarackd exported no gauge of evacuations.

Change: a refusal states whether evacuations take targets of the service away; the owner then drops copies, whatever the reason of the refusal. tamarackd exports the gauges that the core sets.

--- a/packages/core/src/tamarack_core/internal/balancing/chooser.py
+++ b/packages/core/src/tamarack_core/internal/balancing/chooser.py
@@ -93,14 +93,25 @@
 
     def choose(
         self, now_s: float, opening: target_choice.Opening
+    ) -> target_choice.Choice | target_choice.Refusal:
+        """Returns the target for a connection, or why it is refused."""
+        choice = self._choose(now_s, opening)
+        if isinstance(choice, target_choice.Choice):
+            return choice
+        has_evacuated = self._has_evacuated(now_s, opening.port)
+        return target_choice.Refusal(choice.verdict, has_evacuated)
+
+    def _choose(
+        self, now_s: float, opening: target_choice.Opening
     ) -> target_choice.Choice | target_choice.Refusal:
         """Returns the target for a connection, or why it is refused."""
         port = opening.port
         ready = self._usable(now_s, port)
         if not ready:
-            return target_choice.Refusal(
-                verdict.not_run(self._no_target_reason(now_s, port))
-            )
+            reason = target_choice.NO_READY_TARGET
+            if self._has_evacuated(now_s, port):
+                reason = target_choice.DOMAIN_EVACUATED
+            return target_choice.Refusal(verdict.not_run(reason))
         available = [target for target in ready if self._has_room(target, port)]
         if not available:
             return target_choice.Refusal(verdict.not_run("connections-full"))
@@ -175,18 +186,19 @@
             now_s, port.service, len(port.address), evacuated
         )
 
-    def _no_target_reason(self, now_s: float, port: lookup.ServicePort) -> str:
-        """Returns why no target of a service may be used.
+    def _has_evacuated(self, now_s: float, port: lookup.ServicePort) -> bool:
+        """Returns whether evacuations take targets of a service away.
 
         Once the targets of an evacuated domain are shut down, the hosts of the
         domain know no target, and the evacuation is still the cause.
         """
         evacuated = self.config_store.numbered.configuration.evacuated_domains
-        if self.context.host.domain in evacuated or self.targets.ready(
-            now_s, port.service, len(port.address)
-        ):
-            return target_choice.DOMAIN_EVACUATED
-        return target_choice.NO_READY_TARGET
+        if not evacuated:
+            return False
+        ready = self.targets.ready(now_s, port.service, len(port.address))
+        return self.context.host.domain in evacuated or len(ready) > len(
+            self._usable(now_s, port)
+        )
 
     def _must_shed(
         self, now_s: float, port: lookup.ServicePort, targets: list[bytes]
--- a/packages/core/src/tamarack_core/internal/entry/flow_owner.py
+++ b/packages/core/src/tamarack_core/internal/entry/flow_owner.py
@@ -186,7 +186,7 @@
             now_s, target_choice.Opening(transit.key, port, required)
         )
         if isinstance(choice, target_choice.Refusal):
-            return self._refuse(transit, choice.verdict)
+            return self._refuse(transit, choice)
         if required and choice.target != required:
             self._cancel_opening(transit, choice.target)
             return self.rejector.drop("time-wait")
@@ -207,7 +207,9 @@
         return self._send_to_fabric(transit, slot)
 
     def _refuse(
-        self, transit: transit_lib.TransitPacket, verdict: verdict_lib.Verdict
+        self,
+        transit: transit_lib.TransitPacket,
+        refusal: target_choice.Refusal,
     ) -> list[effects.Effect]:
         """Refuses an opening, or drops it if a reset could be wrong.
 
@@ -216,12 +218,13 @@
         opening that was sent to a target before the evacuation may have opened
         the flow there, so a copy of it is dropped too.
         """
+        verdict = refusal.verdict
         has_no_target = verdict.reason in target_choice.NO_TARGET_REASONS
         if has_no_target and self.entry_hosts.is_warming_up(transit.now_s):
             return self.rejector.drop("warming")
+        if refusal.has_evacuated and self._is_copy_of_sent(transit):
+            return self.rejector.drop("opening-evacuated")
         if verdict.reason == target_choice.DOMAIN_EVACUATED:
-            if self._is_copy_of_sent(transit):
-                return self.rejector.drop("opening-evacuated")
             self.rejector.context.counters["refused-domain-evacuated"] += 1
         return self.rejector.refuse(transit, verdict)
 
--- a/packages/core/src/tamarack_core/internal/entry/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/entry/target_choice.py
@@ -54,9 +54,13 @@
 
     Attributes:
         verdict: Always `not-run`, with the reason.
+        has_evacuated: Whether the evacuation of failure domains takes targets
+            of the service away; an earlier copy of the opening may have opened
+            the flow at one of them.
     """
 
     verdict: verdict.Verdict
+    has_evacuated: bool = False
 
 
 class Progress(enum.Enum):
--- a/packages/node/src/tamarack_node/internal/driver.py
+++ b/packages/node/src/tamarack_node/internal/driver.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import logging
 import pathlib
 import signal
@@ -45,6 +46,9 @@
 """Time limit of a graceful stop, in seconds. It bounds how long an operator
 waits for a stop that hangs."""
 
+GAUGES = ("evacuated_domains", "evacuation_revision")
+"""Gauges of the context; each is 0 until the core sets it."""
+
 MS_PER_S = 1000
 EXIT_DISK_FAILED = 4
 
@@ -112,7 +116,10 @@
         self._server = http_server.HttpServer(
             self.handle_request,
             self.transport,
-            metrics.Metrics(self.node.context, {}),
+            metrics.Metrics(
+                self.node.context,
+                {name: functools.partial(self._gauge, name) for name in GAUGES},
+            ),
             self._entries_since,
         )
 
@@ -202,6 +209,10 @@
         if self._folder is not None:
             self._folder.close()
 
+    def _gauge(self, name: str) -> float:
+        """Returns the current value of a gauge."""
+        return self.node.context.gauges.get(name, 0.0)
+
     def _entries_since(self, since_ms: int) -> list[timeline.Entry]:
         """Returns the entries of the time line since a time in ms."""
         return [
--- a/tests/cover/test_configured_evacuation.py
+++ b/tests/cover/test_configured_evacuation.py
@@ -162,10 +162,10 @@
         records = [one for one in sent if isinstance(one, effects.Record)]
         return [record.entry for record in records]
 
-    def announce(self, number, domain):
-        announcement = requests.Announce(
-            "agenda", f"10.1.0.{number}", domain, slots=8, lease_s=60.0
-        )
+    def announce(self, number, domain, **changes):
+        address = f"10.1.0.{number}"
+        changes = {"slots": 8, "lease_s": 60.0, **changes}
+        announcement = requests.Announce("agenda", address, domain, **changes)
         event = events.RequestArrived(self.now_s, 1, announcement)
         reducer.reduce(self.node, event)
 
@@ -231,6 +231,18 @@
         _, [entry] = self.send(traffic.Flow(0).opening())
         self.assertEqual("domain-evacuated", entry.reason)
 
+    # The reason of the refusal makes no difference to the earlier copy.
+    def test_a_copy_is_not_reset_while_the_other_targets_are_full(self):
+        openings = [traffic.Flow(number).opening() for number in range(20)]
+        targets = [self.send(opening)[0][0] for opening in openings]
+        self.announce(2, "b", connections=1)
+        self.put(("a",))
+        self.now_s += 3.0
+        copy = openings[targets.index(1)]
+        self.assertEqual([], self.send(copy)[0])
+        found, [entry] = self.send(traffic.Flow(20).opening())
+        self.assertEqual((["reset"], "connections-full"), (found, entry.reason))
+
     # The earlier copy may have opened the flow at its target.
     def test_a_copy_of_an_earlier_opening_is_not_reset(self):
         opening = traffic.Flow(0).opening()
--- a/tests/slow/test_operator_commands.py
+++ b/tests/slow/test_operator_commands.py
@@ -8,6 +8,7 @@
 import pathlib
 import subprocess
 import tempfile
+import urllib.request
 
 import testtools
 
@@ -127,6 +128,12 @@
         )
         events = self.tamarack("timeline", "--event", "evacuation-in-force")
         self.assertIn("version 1", events)
+        url = f"http://127.0.0.1:{self.port}/metrics"
+        with urllib.request.urlopen(url) as response:
+            self.assertRegex(
+                response.read().decode(),
+                r"\ntamarackford_evacuated_domains\{[^}]*\} 1\.0\n",
+            )
 
     def damage(self, data):
         """Flips one bit in the first frame of the newest log file."""
