Explain at an entry host where a new flow would go, without changing its state

Cause: nothing says where a given request would go now and why; operators had to compare log lines, targets and documents by hand.

The explaining modules are loaded on the first request.

--- a/packages/core/src/tamarack_core/external_requests.py
+++ b/packages/core/src/tamarack_core/external_requests.py
@@ -5,6 +5,8 @@
 evacuations of failure domains, announced targets and readiness.
 """
 
+import typing
+
 import msgspec
 
 from tamarack_core import documents
@@ -12,6 +14,9 @@
 from tamarack_core import peers
 from tamarack_core import target_announcement
 
+if typing.TYPE_CHECKING:
+    from tamarack_core import flow_explanations
+
 
 class PublishDocument(msgspec.Struct, frozen=True, tag="publish-document"):
     """An operator publishes a whole numbered document.
@@ -63,6 +68,20 @@
     """The fabric queries whether this entry host accepts packets."""
 
 
+class ExplainFlow(msgspec.Struct, frozen=True, tag="explain-flow"):
+    """An operator asks where a new flow would go now, and why.
+
+    Attributes:
+        service: Service address (IPv4) and port.
+        caller: Address (IPv4) and port of the caller.
+        copy_number: Copies of the opening packet that were sent before.
+    """
+
+    service: peers.Endpoint
+    caller: peers.Endpoint
+    copy_number: int = 0
+
+
 class DocumentPublished(msgspec.Struct, frozen=True, tag="document-published"):
     """The document, or one with a higher number, is accepted.
 
@@ -148,6 +167,17 @@
     is_ready: bool
 
 
+class FlowExplained(msgspec.Struct, frozen=True, tag="flow-explained"):
+    """Response to `ExplainFlow`.
+
+    Attributes:
+        explanation: Where the flow would go, and why.
+    """
+
+    # Entry hosts load the type when they are first asked.
+    explanation: "flow_explanations.FlowExplanation"
+
+
 Request = (
     PublishDocument
     | OrderEvacuation
@@ -155,6 +185,7 @@
     | AnnounceTarget
     | WithdrawTarget
     | ReadReadiness
+    | ExplainFlow
 )
 Response = (
     DocumentPublished
@@ -165,4 +196,5 @@
     | Elsewhere
     | Unavailable
     | Readiness
+    | FlowExplained
 )
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -100,6 +100,7 @@
             TIMER: self.handle_timer,
             "linger": self.handle_linger_end,
             external_requests.ReadReadiness: self.handle_read_readiness,
+            external_requests.ExplainFlow: self.handle_explain_flow,
         }
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
@@ -161,6 +162,17 @@
             )
         ]
 
+    def handle_explain_flow(
+        self, event: events.RequestArrived
+    ) -> list[effects.Effect]:
+        """Responds where a new flow would go now; changes nothing."""
+        assert isinstance(event.request, external_requests.ExplainFlow)
+        # Loaded on the first request, as it would lengthen each start.
+        from tamarack_core.internal.cookie import flow_explanation
+
+        response = flow_explanation.explain(self, event.now_s, event.request)
+        return [effects.Respond(event.request_id, response)]
+
     def handle_datagram(
         self, event: events.DatagramArrived
     ) -> list[effects.Effect]:
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -42,9 +42,17 @@
             that it held, in seconds, by numeric address and port, the earliest
             first.
         idle_timeout_s: Time after which an idle flow may expire, in seconds.
+        in_force_s: Time at which the document came in force, in seconds; -inf
+            for none.
     """
 
-    __slots__ = ("by_endpoint", "idle_timeout_s", "number", "removed_s")
+    __slots__ = (
+        "by_endpoint",
+        "idle_timeout_s",
+        "in_force_s",
+        "number",
+        "removed_s",
+    )
 
     def __init__(self) -> None:
         """Initializes a route table without a document."""
@@ -52,6 +60,7 @@
         self.by_endpoint: dict[tuple[int, int], RouteEntry] = {}
         self.removed_s: dict[tuple[int, int], float] = {}
         self.idle_timeout_s = 0.0
+        self.in_force_s = float("-inf")
 
     def put(self, now_s: float, update: sync.DocumentUpdate) -> bool:
         """Applies an update if its base is held and it is newer.
@@ -79,6 +88,7 @@
                 self.by_endpoint.pop(endpoint, None)
         self._record_removed(now_s, before)
         self.number = update.number
+        self.in_force_s = now_s
         self.idle_timeout_s = update.idle_timeout_ms / 1000
         return True
 
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -103,3 +103,18 @@
     An idle flow counts as that share of a request.
     """
     return len(tracker.pending) / max(len(tracker.flows), 1)
+
+
+def load_of(
+    entry: target_table.TargetEntry,
+    tracker: flow_tracker.FlowTracker,
+    now_s: float,
+) -> float:
+    """Returns the load by which `choose` would compare a target now.
+
+    Args:
+        entry: The target.
+        tracker: State of flows and targets, observed in packets.
+        now_s: Monotonic time in seconds.
+    """
+    return _load(entry, tracker, now_s, _idle_flow_weight(tracker))
