Add tamarack explain flow and /v1/explain on the metrics address of light hosts

Cause: the request explain-flow of entry hosts had no interface for operators.

Change: GET /v1/explain?address=A&port=P&from=CALLER:PORT[&copy=N], once a second, on the metrics address; malformed requests get 400, control hosts answer 421, and a refusal 503 with its reason. The command shows the explanations of the hosts named as text or JSON, with an exit code each for a host without the route, a malformed argument, an unreachable host and one that doesn't know the call.

--- a/packages/ctl/src/tamarack_ctl/internal/client.py
+++ b/packages/ctl/src/tamarack_ctl/internal/client.py
@@ -17,7 +17,7 @@
 
     Attributes:
         status: HTTP status code.
-        body: Decoded JSON.
+        body: Decoded JSON; None for another body that `read` got.
         endpoint: The host that responded.
     """
 
@@ -66,8 +66,27 @@
     return [_request_one(endpoint, "GET", path, None) for endpoint in hosts]
 
 
+def read(endpoint: peers.Endpoint, path: str) -> Response | failure.Failure:
+    """Sends a GET request that the host may not know.
+
+    Args:
+        endpoint: The host.
+        path: Path with query string.
+
+    Returns:
+        The response, also if its body isn't JSON; a failure that names the
+        host if it doesn't respond.
+    """
+    return _request_one(endpoint, "GET", path, None, needs_json=False)
+
+
 def _request_one(
-    endpoint: peers.Endpoint, method: str, path: str, body: Any
+    endpoint: peers.Endpoint,
+    method: str,
+    path: str,
+    body: Any,
+    *,
+    needs_json: bool = True,
 ) -> Response | failure.Failure:
     """Returns the response of one host, or a failure that names the host."""
     connection = http.client.HTTPConnection(
@@ -79,9 +98,14 @@
         connection.sock.settimeout(RESPONSE_TIMEOUT_S)
         connection.request(method, path, data)
         http_response = connection.getresponse()
-        return Response(
-            http_response.status, json.load(http_response), endpoint
-        )
+        received = http_response.read()
+        try:
+            decoded = json.loads(received)
+        except ValueError:
+            if needs_json:
+                raise
+            decoded = None
+        return Response(http_response.status, decoded, endpoint)
     except (OSError, ValueError, http.client.HTTPException) as error:
         where = f"{endpoint.address}:{endpoint.port}"
         return failure.Failure("no-answer", f"{where}: {error}")
--- a/packages/ctl/src/tamarack_ctl/main.py
+++ b/packages/ctl/src/tamarack_ctl/main.py
@@ -5,6 +5,7 @@
 from tamarack_ctl.internal import completion
 from tamarack_ctl.internal import data
 from tamarack_ctl.internal import evacuate
+from tamarack_ctl.internal import explain
 from tamarack_ctl.internal import extensions
 from tamarack_ctl.internal import history
 from tamarack_ctl.internal import members
@@ -36,4 +37,5 @@
 main.add_command(traffic.targets)
 main.add_command(traffic.flows)
 main.add_command(timeline.timeline)
+main.add_command(explain.explain)
 main.add_command(completion.completion)
--- a/packages/node/src/tamarack_node/internal/http1.py
+++ b/packages/node/src/tamarack_node/internal/http1.py
@@ -49,6 +49,7 @@
     307: "Temporary Redirect",
     BAD_REQUEST: "Bad Request",
     404: "Not Found",
+    421: "Misdirected Request",
     BODY_TOO_LARGE: "Content Too Large",
     HEADERS_TOO_LARGE: "Request Header Fields Too Large",
     503: "Service Unavailable",
--- a/packages/node/src/tamarack_node/light_driver.py
+++ b/packages/node/src/tamarack_node/light_driver.py
@@ -57,6 +57,10 @@
 MS_PER_S = 1000
 METRICS_PATH = "/metrics"
 TIMELINE_PATH = "/v1/timeline"
+EXPLAIN_PATH = "/v1/explain"
+EXPLAIN_INTERVAL_S = 1.0
+"""Shortest time between explanations of a flow, in seconds. Each one delays the
+packets of a small host by up to 0.17 s."""
 METRICS_DELAY_S = 1.0
 """Time after the start at which the metrics are served, in seconds."""
 STOPPED_RETRY_S = 0.1
@@ -118,6 +122,7 @@
         node: State of the host in the core.
         addresses: Endpoints that the host listens on.
         entries: Newest entries of the time line.
+        explained_s: Time of the last explanation of a flow, in seconds.
         stopped: Resolves to the `Stop` effect that ends the process.
         transport: Sends and receives messages of other hosts.
         writer: Executes writes; None on a host without a disk.
@@ -135,6 +140,7 @@
         "_timers",
         "addresses",
         "entries",
+        "explained_s",
         "node",
         "packet_times",
         "request_times",
@@ -164,6 +170,7 @@
         self.entries: collections.deque[timeline.Entry] = collections.deque(
             maxlen=TIMELINE_ENTRIES
         )
+        self.explained_s = float("-inf")
         self.stopped: asyncio.Future[effects.Stop] = loop.create_future()
         self.writer: Writer | None = None
         self.packet_times = text_metrics.Histogram()
@@ -269,7 +276,7 @@
     async def _handle_metrics(
         self, request: http1.HttpRequest
     ) -> http1.HttpResponse:
-        """Handles a read of the metrics or the time line."""
+        """Handles a read of the metrics, the time line or a decision."""
         path, _, _ = request.path.partition("?")
         if request.method == "GET" and path == METRICS_PATH:
             return http1.HttpResponse(
@@ -277,8 +284,28 @@
             )
         if request.method == "GET" and path == TIMELINE_PATH:
             return http1.HttpResponse(200, timeline.encode(self.entries))
+        if request.method == "GET" and path == EXPLAIN_PATH:
+            return await self._explain(request)
         return http1.HttpResponse(404)
 
+    async def _explain(self, request: http1.HttpRequest) -> http1.HttpResponse:
+        """Handles a request to explain where a new flow would go."""
+        # Loaded on the first request, as it would lengthen each start.
+        from tamarack_node.internal import explain_http
+
+        decoded = explain_http.decode(request.path)
+        if isinstance(decoded, http1.HttpResponse):
+            return decoded
+        now_s = time.monotonic()
+        if now_s - self.explained_s < EXPLAIN_INTERVAL_S:
+            return explain_http.encode(
+                external_requests.Unavailable(
+                    "explained-recently", EXPLAIN_INTERVAL_S
+                )
+            )
+        self.explained_s = now_s
+        return explain_http.encode(await self._handle_request(decoded))
+
     async def _listen(
         self,
         endpoint: peers.Endpoint,
