Test the explanation with real processes, and name tamarackd in the error of a 404

Cause: the explanation was tested with the driver's handler only; the message about a host that doesn't know the call left out tamarackd.

Change: slow/test_light_hosts.py asks an entry process for an explanation, a second one within a second (503) and a malformed one (400).

--- a/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
@@ -306,7 +306,7 @@
     has_route = has_document and bool(service)
     details = {
         Rule.DOCUMENT: f"number {traced.routes.number}",
-        Rule.ROUTE: f"{len(traced.routes.by_endpoint)} routes in force",
+        Rule.ROUTE: f"routes in force: {len(traced.routes.by_endpoint)}",
         Rule.SERVICE: service,
         Rule.TARGETS: _describe_targets(targets),
         Rule.ADMISSION: _describe_admission(traced),
--- a/packages/ctl/src/tamarack_ctl/internal/explain.py
+++ b/packages/ctl/src/tamarack_ctl/internal/explain.py
@@ -202,7 +202,8 @@
         return Problem(
             EXIT_TOO_OLD,
             f"{where}: the host does not know /v1/explain; it is of an earlier"
-            " release, or this is not the port of its metrics",
+            " release, or run by tamarackd, or this is not the port of its"
+            " metrics",
         )
     body = response.body if isinstance(response.body, dict) else {}
     if response.status != 200:
--- a/tests/slow/test_light_hosts.py
+++ b/tests/slow/test_light_hosts.py
@@ -227,11 +227,25 @@
         self.open_flow(receiver, 40002)
         metrics = wait_for(lambda: call(ENTRY, 9464, "GET", "/metrics"))
         self.assertIn(b'name="flows-placed"} ', metrics[2])
+        self.check_explanation()
         entry.send_signal(signal.SIGTERM)
         wait_for(lambda: not self.is_ready())
         self.open_flow(receiver, 40003)
         self.assertEqual(0, entry.wait(TIMEOUT_S))
 
+    def check_explanation(self):
+        """Checks that the entry host explains a flow and goes on."""
+        query = f"address={SERVICE}&port=443&from={CALLER}:40009"
+        path = f"/v1/explain?{query}"
+        status, _, body = call(ENTRY, 9464, "GET", path)
+        found = json.loads(body)
+        self.assertEqual(
+            (200, "placed", 5), (status, found["outcome"], found["document"])
+        )
+        self.assertEqual(503, call(ENTRY, 9464, "GET", path)[0])
+        bad = call(ENTRY, 9464, "GET", "/v1/explain?address=x")
+        self.assertEqual(400, bad[0])
+
     def is_ready(self):
         """Returns whether the entry host reports that it is ready."""
         response = call(ENTRY, READY_PORT, "GET", "/ready")
