Report a decision that leaves no record and no counter instead of failing

Cause: the explanation raised an error if the decision on the copy placed, refused and dropped nothing, as a rule that is added later may do.

Change: such a decision is reported as dropped with the reason no-outcome.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
@@ -269,6 +269,9 @@
 ) -> tuple[Outcome, str, str]:
     """Returns the outcome of a decision, the target, and the reason.
 
+    A decision without a record and a counter is reported as `no-outcome`: a
+    read of an operator must not fail because a rule has neither.
+
     Args:
         found: Effects of the decision.
         dropped: What the decision added to the counters of dropped packets.
@@ -281,7 +284,7 @@
                 return Outcome.PLACED, effect.entry.target, ""
             if effect.entry.name == "flow-refused":
                 return Outcome.REFUSED, "", effect.entry.reason
-    raise AssertionError("an opening is placed, refused or dropped")
+    return Outcome.DROPPED, "", "no-outcome"
 
 
 def _report_rules(
--- a/tests/cover/test_explain_flow.py
+++ b/tests/cover/test_explain_flow.py
@@ -24,6 +24,7 @@
 from tamarack_core import refusal
 from tamarack_core import target_announcement
 from tamarack_core.internal.cookie import flow_explanation
+from tamarack_core.internal.cookie import forwarder
 from tamarack_ctl import main as commands
 from tamarack_node import light_driver
 from tamarack_node.internal import explain_http
@@ -253,6 +254,13 @@
         [report] = explain(host, 3001).targets
         self.assertEqual(3000, report.flows)
 
+    def test_a_decision_without_record_and_counter_is_reported(self):
+        # A rule added later may have neither; the read must not fail.
+        host = host_with(cookie_host.target("t-1"))
+        self.patch(forwarder.Forwarder, "_forward_opening", lambda *args: [])
+        explanation = explain(host, 1)
+        self.assertEqual("no-outcome", explanation.reason)
+
 
 class StartTest(testtools.TestCase):
     """Load: hosts of a small part of a core that restart often."""
