--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -8,6 +8,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core.internal.cold_targets import budget
 from tamarack_core.internal.cookie import failure_detector
 from tamarack_core.internal.cookie import flow_rejection
 from tamarack_core.internal.cookie import flow_tracker
@@ -28,12 +29,17 @@
         seed: Seed of the random generator.
         seeds: Control hosts to contact first.
         codec: Wire format of packets.
+        cold_overrun_factor: Factor by which the openings to a cold target may
+            exceed the rate that its service states.
+        cold_slack_requests: Openings in any second beyond that.
     """
 
     host: peers.Peer
     seed: int
     seeds: tuple[peers.Peer, ...]
     codec: flow_packets.PacketCodec
+    cold_overrun_factor: float = 1.0
+    cold_slack_requests: float = 0.0
 
 
 def assemble(plan: Plan) -> reducer.Node:
@@ -50,5 +56,10 @@
         context, plan.codec, subscription.routes, flow_tracker.FlowTracker()
     )
     detector = failure_detector.TargetFailureDetector(rejector, subscription)
-    packet_forwarder = forwarder.Forwarder(rejector, detector, subscription)
+    packet_forwarder = forwarder.Forwarder(
+        rejector,
+        detector,
+        subscription,
+        budget.Tolerance(plan.cold_overrun_factor, plan.cold_slack_requests),
+    )
     return reducer.Node(context, (packet_forwarder, detector, subscription))
--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -8,6 +8,7 @@
 from tamarack_core import peers
 from tamarack_core import reducer
 from tamarack_core import sync
+from tamarack_core.internal.cold_targets import budget
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.group import document_replication
 from tamarack_core.internal.group import host_directory
@@ -35,6 +36,9 @@
             seconds.
         evacuation: Settings of evacuations; without domains, orders are
             refused.
+        cold_overrun_factor: Factor by which the openings to a cold target may
+            exceed the rate that its service states.
+        cold_slack_requests: Openings in any second beyond that.
     """
 
     host: peers.Peer
@@ -44,6 +48,8 @@
     tolerated_hosts: int
     announce_interval_s: float
     evacuation: evacuations.Settings = evacuations.Settings()
+    cold_overrun_factor: float = 1.0
+    cold_slack_requests: float = 0.0
 
 
 def founder_incarnation(endpoint: peers.Endpoint) -> str:
@@ -75,6 +81,7 @@
         _founders(plan),
         plan.tolerated_hosts,
         plan.evacuation,
+        budget.Tolerance(plan.cold_overrun_factor, plan.cold_slack_requests),
     )
     announcements = announcement_receiver.AnnouncementReceiver(
         context, registry, publisher, directory, plan.disk.targets
--- a/packages/core/src/tamarack_core/documents.py
+++ b/packages/core/src/tamarack_core/documents.py
@@ -18,6 +18,12 @@
 """Range of the integers that MessagePack can encode; the replicated log and the
 snapshots hold documents in it."""
 
+MAX_WARM_UP_S = 86_400.0
+"""Longest warm-up time of a service, in seconds."""
+
+MAX_COLD_REQUESTS_PER_S = 1e6
+"""Highest rate of a cold target, in requests a second."""
+
 
 class WorkKind(enum.StrEnum):
     """Whether the requests of a route may be repeated."""
@@ -77,11 +83,22 @@
         health_path: Path of the health checks of its targets.
         source: The service as the external system encoded it; returned
             unchanged to readers.
+        warm_up_s: Time for which a target is cold after its start, in seconds;
+            0 if not stated.
+        cold_requests_per_s: Requests a second that a cold target can serve; 0
+            if not stated.
     """
 
     name: str
     health_path: str
     source: str = ""
+    warm_up_s: float = 0.0
+    cold_requests_per_s: float = 0.0
+
+    @property
+    def states_warm_up(self) -> bool:
+        """Whether the service states a warm-up time or a rate while cold."""
+        return self.warm_up_s > 0 or self.cold_requests_per_s > 0
 
 
 class Document(msgspec.Struct, frozen=True):
@@ -149,6 +166,10 @@
         return _invalid(
             "repeated-service", "two services have the same name; rename one"
         )
+    for service in document.services:
+        refused = _check_service(service)
+        if refused is not None:
+            return refused
     names: set[str] = set()
     endpoints: set[tuple[str, int]] = set()
     for route in document.routes:
@@ -169,6 +190,24 @@
     return None
 
 
+def _check_service(service: Service) -> failure.Failure | None:
+    """Returns why the warm-up of a service is invalid, or None."""
+    if not 0 <= service.warm_up_s <= MAX_WARM_UP_S:
+        return _invalid(
+            "bad-warm-up",
+            f"service {service.name!r} has a warm-up time of"
+            f" {service.warm_up_s} s; use 0 to {MAX_WARM_UP_S:g}",
+        )
+    if not 0 <= service.cold_requests_per_s <= MAX_COLD_REQUESTS_PER_S:
+        return _invalid(
+            "bad-warm-up",
+            f"service {service.name!r} has {service.cold_requests_per_s}"
+            " requests a second while cold; use 0 to"
+            f" {MAX_COLD_REQUESTS_PER_S:g}",
+        )
+    return None
+
+
 def _check_route(route: Route, known: set[str]) -> failure.Failure | None:
     """Returns why a route is invalid, or None."""
     if not 0 < route.timeout_ms < math.inf:
--- a/packages/core/src/tamarack_core/evacuations.py
+++ b/packages/core/src/tamarack_core/evacuations.py
@@ -50,16 +50,34 @@
     repeat_s: float = 0.0
 
 
+class Ended(msgspec.Struct, frozen=True, array_like=True):
+    """End of an evacuation; the targets of the domain may be cold since.
+
+    Attributes:
+        domain: Failure domain.
+        revision: Revision of the state after the end.
+        age_ms: Time since the sender applied the end, in milliseconds; 0 in
+            the replicated state, which contains no times.
+    """
+
+    domain: str
+    revision: int
+    age_ms: int = 0
+
+
 class Evacuations(msgspec.Struct, frozen=True, array_like=True):
     """Evacuated failure domains at one revision.
 
     Attributes:
         revision: Number of orders applied so far; 0 before the first.
         domains: Evacuated domains in alphabetical order.
+        ended: Last end of the evacuation of domains that returned to service
+            lately, in alphabetical order.
     """
 
     revision: int = 0
     domains: tuple[str, ...] = ()
+    ended: tuple[Ended, ...] = ()
 
 
 def is_in_force(state: Evacuations, order: Order) -> bool:
@@ -80,10 +98,19 @@
         state: The state before the order.
         order: The order.
     """
+    revision = state.revision + 1
     domains = set(state.domains) - {order.domain}
+    ended = {end.domain: end for end in state.ended}
     if order.action is Action.START:
         domains.add(order.domain)
-    return Evacuations(state.revision + 1, tuple(sorted(domains)))
+        ended.pop(order.domain, None)
+    elif order.domain in state.domains:
+        ended[order.domain] = Ended(order.domain, revision)
+    return Evacuations(
+        revision,
+        tuple(sorted(domains)),
+        tuple(ended[domain] for domain in sorted(ended)),
+    )
 
 
 def check(state: Evacuations) -> failure.Failure | None:
@@ -96,12 +123,19 @@
         return failure.Failure(
             "bad-revision", f"revision {state.revision} is negative"
         )
-    if len(state.domains) > MAX_DOMAINS:
+    names = (*state.domains, *(end.domain for end in state.ended))
+    if max(len(state.domains), len(state.ended)) > MAX_DOMAINS:
         return failure.Failure(
             "too-many-domains",
-            f"{len(state.domains)} domains; use at most {MAX_DOMAINS}",
+            f"{len(names)} domains; use at most {MAX_DOMAINS}",
+        )
+    if any(not 0 < end.revision <= state.revision for end in state.ended):
+        return failure.Failure(
+            "bad-revision", "an end is not of this revision or an earlier one"
         )
-    if any(not 0 < len(name) <= MAX_NAME_CHARACTERS for name in state.domains):
+    if any(end.age_ms < 0 for end in state.ended):
+        return failure.Failure("bad-age", "the age of an end is negative")
+    if any(not 0 < len(name) <= MAX_NAME_CHARACTERS for name in names):
         return failure.Failure(
             "bad-domain",
             f"use domain names of 1 to {MAX_NAME_CHARACTERS} characters",
--- a/packages/core/src/tamarack_core/internal/change_entries.py
+++ b/packages/core/src/tamarack_core/internal/change_entries.py
@@ -10,6 +10,7 @@
 from tamarack_core import evacuations
 from tamarack_core import failure
 from tamarack_core import target_announcement
+from tamarack_core.internal.cold_targets import allotment as allotment_lib
 
 MAX_ENTRIES = 8
 """Targets changed by one message up to which each has an entry. A start of
@@ -53,6 +54,40 @@
     )
 
 
+def record_allotments(
+    context: context_lib.Context,
+    now_s: float,
+    number: int,
+    allotments: Sequence[allotment_lib.Allotment],
+) -> list[effects.Effect]:
+    """Returns the entries of allotments that have come into force.
+
+    Args:
+        context: Identity and clocks of the host.
+        now_s: Monotonic time in seconds.
+        number: Number of the last one.
+        allotments: The new ones.
+    """
+    if len(allotments) > MAX_ENTRIES:
+        detail = f"{len(allotments)} cold targets"
+        return [
+            context.record(
+                now_s, "cold-targets-allotted", version=number, detail=detail
+            )
+        ]
+    return [
+        context.record(
+            now_s,
+            "cold-target-allotted",
+            target=allotment.key.target,
+            version=number,
+            detail=f"start {allotment.key.place_ms} revision"
+            f" {allotment.key.revision} hosts {' '.join(allotment.hosts)}",
+        )
+        for allotment in allotments
+    ]
+
+
 class Skipped(msgspec.Struct):
     """A target that a host leaves out of those that it received or saved.
 
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/cold_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of the openings that cold targets get from all entry hosts."""
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -6,7 +6,9 @@
 from tamarack_core import failure
 from tamarack_core import flow_packets
 from tamarack_core import reducer
+from tamarack_core.internal.cold_targets import budget
 from tamarack_core.internal.cookie import admission
+from tamarack_core.internal.cookie import cold_openings
 from tamarack_core.internal.cookie import failure_detector
 from tamarack_core.internal.cookie import flow_rejection
 from tamarack_core.internal.cookie import routes as routes_lib
@@ -49,12 +51,14 @@
         tracker: State of flows and targets, observed in packets.
         probes: State of the target probes.
         admission: Admits, defers or refuses openings.
+        cold: Limits of cold targets.
         is_stopping: Whether the host is shutting down.
     """
 
     __slots__ = (
         "admission",
         "codec",
+        "cold",
         "context",
         "detector",
         "is_stopping",
@@ -71,6 +75,7 @@
         rejector: flow_rejection.FlowRejector,
         detector: failure_detector.TargetFailureDetector,
         subscription: subscriptions.ControlSubscription,
+        tolerance: budget.Tolerance,
     ) -> None:
         """Initializes the forwarder.
 
@@ -78,6 +83,8 @@
             rejector: Resets flows and counts dropped packets.
             detector: Failure detector for targets.
             subscription: Subscription to a control host.
+            tolerance: By how much openings may exceed the rate of a cold
+                target.
         """
         self.context = rejector.context
         self.codec = rejector.codec
@@ -89,6 +96,9 @@
         self.tracker = rejector.tracker
         self.probes = detector.probes
         self.admission = admission.AdmissionControl()
+        self.cold = cold_openings.ColdOpenings(
+            self.routes, self.targets, tolerance
+        )
         self.is_stopping = False
 
     def handlers(self) -> dict[reducer.Key, reducer.Handler]:
@@ -104,6 +114,7 @@
 
     def handle_started(self, event: events.Started) -> list[effects.Effect]:
         """Records the start of the host, and starts the timer."""
+        self.cold.start(event.now_s)
         return [
             self.context.record(event.now_s, "host-started"),
             effects.StartTimer(TIMER, TICK_S),
@@ -113,6 +124,8 @@
         """Expires idle flows, probes, and resets flows of ended targets."""
         now_s = event.now_s
         self.detector.check_suspension(now_s)
+        self.cold.observe(now_s)
+        self.cold.limiter.expire(now_s)
         idle_s = self.routes.idle_timeout_s or DEFAULT_IDLE_TIMEOUT_S
         self.tracker.expire(now_s, idle_s)
         if self.subscription.follows_quorum(now_s):
@@ -166,6 +179,7 @@
     ) -> list[effects.Effect]:
         """Forwards, rejects or drops a packet."""
         self.detector.check_suspension(event.now_s)
+        self.cold.observe(event.now_s)
         packet = self.codec.decode(event.data)
         if isinstance(packet, failure.Failure):
             return self.rejector.drop(packet.reason)
@@ -194,8 +208,11 @@
             return [*result, *self.rejector.drop("opening-deferred")]
         if admitted is admission.Admission.REFUSED:
             return self.rejector.refuse(now_s, packet, "targets-busy", service)
+        if self.cold.is_resuming(now_s, service):
+            return [*result, *self.rejector.drop("opening-after-suspension")]
+        permitted = self.cold.permitted(now_s, service, candidates)
         entry = target_choice.choose(
-            candidates,
+            permitted,
             self.tracker,
             self.probes,
             now_s,
@@ -203,13 +220,34 @@
             self.context.random,
         )
         if entry is None:
-            if candidates:
+            if permitted:
                 return self.rejector.refuse(
                     now_s, packet, "targets-dead", service
                 )
+            if candidates:
+                return result + self._refuse_cold(now_s, packet, service)
             return self._refuse_without_target(now_s, packet, service)
         return result + self._forward_opening(now_s, packet, entry)
 
+    def _refuse_cold(
+        self, now_s: float, packet: flow_packets.FlowPacket, service: str
+    ) -> list[effects.Effect]:
+        """Refuses an opening while all targets are cold and without budget.
+
+        An earlier copy of a repeated opening may have opened the flow, so a
+        repeated one is dropped.
+        """
+        if packet.copy_number:
+            return self.rejector.drop("opening-cold")
+        candidates = self.targets.by_service[service].values()
+        return self.rejector.refuse(
+            now_s,
+            packet,
+            "targets-cold",
+            service,
+            self.cold.describe(now_s, candidates),
+        )
+
     def _refuse_without_target(
         self, now_s: float, packet: flow_packets.FlowPacket, service: str
     ) -> list[effects.Effect]:
@@ -284,7 +322,10 @@
     ) -> list[effects.Effect]:
         """Sends an opening packet to a target, and records the choice."""
         self.tracker.observe_opening(now_s, packet.flow, entry)
+        cold = self.cold.record(now_s, entry)
         self.context.counters["flows-placed"] += 1
+        if cold:
+            self.context.counters["flows-placed-cold"] += 1
         if packet.copy_number:
             self.context.counters["flows-placed-again"] += 1
         record = self.context.record(
@@ -294,7 +335,7 @@
             target=entry.target.name,
             flow=flow_packets.describe(packet.flow),
             version=self.routes.number,
-            detail=f"copy {packet.copy_number} tag {entry.tag:08x}",
+            detail=f"copy {packet.copy_number} tag {entry.tag:08x}{cold}",
         )
         return [*self._send_to_target(packet, entry), record]
 
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -42,9 +42,19 @@
             that it held, in seconds, by numeric address and port, the earliest
             first.
         idle_timeout_s: Time after which an idle flow may expire, in seconds.
+        warm_ups: Services that state a warm-up, by name.
+        invalid_warm_ups: Services of the last document whose warm-up is
+            invalid, by name.
     """
 
-    __slots__ = ("by_endpoint", "idle_timeout_s", "number", "removed_s")
+    __slots__ = (
+        "by_endpoint",
+        "idle_timeout_s",
+        "invalid_warm_ups",
+        "number",
+        "removed_s",
+        "warm_ups",
+    )
 
     def __init__(self) -> None:
         """Initializes a route table without a document."""
@@ -52,6 +62,8 @@
         self.by_endpoint: dict[tuple[int, int], RouteEntry] = {}
         self.removed_s: dict[tuple[int, int], float] = {}
         self.idle_timeout_s = 0.0
+        self.warm_ups: dict[str, sync.WarmUp] = {}
+        self.invalid_warm_ups: dict[str, sync.WarmUp] = {}
 
     def put(self, now_s: float, update: sync.DocumentUpdate) -> bool:
         """Applies an update if its base is held and it is newer.
@@ -80,6 +92,15 @@
         self._record_removed(now_s, before)
         self.number = update.number
         self.idle_timeout_s = update.idle_timeout_ms / 1000
+        stated = {item.service: item for item in update.warm_ups}
+        self.warm_ups = {
+            name: item for name, item in stated.items() if _is_valid(item)
+        }
+        self.invalid_warm_ups = {
+            name: item
+            for name, item in stated.items()
+            if name not in self.warm_ups
+        }
         return True
 
     def _record_removed(
@@ -108,6 +129,14 @@
         return self.by_endpoint.get((flow[2], flow[3]))
 
 
+def _is_valid(item: sync.WarmUp) -> bool:
+    """Returns whether a warm-up is within the range of documents."""
+    return (
+        0 <= item.warm_up_s <= documents.MAX_WARM_UP_S
+        and 0 <= item.cold_requests_per_s <= documents.MAX_COLD_REQUESTS_PER_S
+    )
+
+
 def _route_entry(route: sync.RouteChange) -> RouteEntry:
     """Returns the entry that is looked up for a route."""
     return RouteEntry(
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -24,6 +24,7 @@
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
 from tamarack_core.internal import suspension
+from tamarack_core.internal.cold_targets import held_allotments
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
 
@@ -226,10 +227,7 @@
         answer = event.message
         assert isinstance(answer, sync.DocumentAnswer)
         result: list[effects.Effect] = []
-        if answer.document is not None and self.routes.put(
-            event.now_s, answer.document
-        ):
-            result.append(self._record_document(event.now_s))
+        result += self._apply_document(event.now_s, answer.document)
         result += self._apply_evacuations(event.now_s, answer.evacuations)
         if answer.is_confirmed and not self.is_confirmed:
             self.publisher = event.sender
@@ -304,6 +302,7 @@
             self.routes.number,
             is_first=not self.has_document,
             revision=self.targets.evacuations.revision,
+            allotment=self.targets.allotments.number,
         )
         return effects.SendMessage(peer, request)
 
@@ -318,9 +317,13 @@
         """
         update = event.message
         assert isinstance(update, sync.SyncUpdate)
-        applied = self._apply_evacuations(event.now_s, update.evacuations)
+        applied = [
+            *self._apply_evacuations(event.now_s, update.evacuations),
+            *self._apply_allotments(event.now_s, update.allotments),
+            *self._apply_document(event.now_s, update.document),
+        ]
         if not self._accepts_publisher(event.now_s, event.sender, update):
-            return [*applied, *self._apply_document(event.now_s, update)]
+            return applied
         self.updated_s = event.now_s
         if update.controls:
             self.controls = update.controls
@@ -329,7 +332,7 @@
             self.is_confirmed,
             update.is_confirmed,
         )
-        result = [*applied, *self._apply_document(event.now_s, update)]
+        result = list(applied)
         if was_confirmed and self.has_document:
             result += self._query_others()
         if not self.has_document:
@@ -360,14 +363,61 @@
         return False
 
     def _apply_document(
-        self, now_s: float, update: sync.SyncUpdate
+        self, now_s: float, document: sync.DocumentUpdate | None
+    ) -> list[effects.Effect]:
+        """Applies routes and warm-ups if they are newer."""
+        if document is None or not self.routes.put(now_s, document):
+            return []
+        self.targets.set_warm_ups(
+            {
+                name: item.warm_up_s
+                for name, item in self.routes.warm_ups.items()
+            }
+        )
+        result = [self._record_document(now_s)]
+        for name in self.routes.invalid_warm_ups:
+            self.context.counters["warm-ups-skipped"] += 1
+            result.append(
+                self.context.record(
+                    now_s,
+                    "warm-up-skipped",
+                    service=name[: target_announcement.MAX_NAME_CHARACTERS],
+                    reason="bad-warm-up",
+                    version=self.routes.number,
+                )
+            )
+        return result
+
+    def _apply_allotments(
+        self, now_s: float, update: sync.AllotmentUpdate | None
     ) -> list[effects.Effect]:
-        """Applies the routes of an update if they are newer."""
-        if update.document is None or not self.routes.put(
-            now_s, update.document
-        ):
+        """Applies allotments if they are valid and newer."""
+        if update is None:
             return []
-        return [self._record_document(now_s)]
+        invalid = held_allotments.check(update)
+        if invalid is not None:
+            self.context.counters["allotments-skipped"] += 1
+            return [
+                self.context.record(
+                    now_s,
+                    "allotments-skipped",
+                    reason=invalid.reason,
+                    detail=invalid.detail,
+                )
+            ]
+        added = self.targets.allotments.put(now_s, update)
+        if not added:
+            return []
+        self.context.counters["cold-targets-allotted"] += added
+        return [
+            self.context.record(
+                now_s,
+                "cold-targets-allotted",
+                version=update.number,
+                detail=f"{added} cold targets to this host, after allotment"
+                f" {update.base}",
+            )
+        ]
 
     def _apply_evacuations(
         self, now_s: float, state: evacuations.Evacuations | None
@@ -386,7 +436,7 @@
                     detail=invalid.detail,
                 )
             ]
-        if not self.targets.set_evacuations(state):
+        if not self.targets.set_evacuations(now_s, state):
             return []
         return [change_entries.record_evacuations(self.context, now_s, state)]
 
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -15,6 +15,7 @@
 
 from tamarack_core import evacuations as evacuations_lib
 from tamarack_core import target_announcement
+from tamarack_core.internal.cold_targets import held_allotments
 
 GONE_RETENTION_S = 90.0
 """Time for which the tag of a target that is gone is kept, in seconds.
@@ -59,6 +60,20 @@
         return self.gone_s is not None
 
 
+class SeenEnd(msgspec.Struct, frozen=True):
+    """End of an evacuation, as this host learned of it.
+
+    Attributes:
+        revision: Revision of the state after the end.
+        learned_s: Time at which this host learned of it, in seconds.
+        age_s: Age of the end by then, in seconds.
+    """
+
+    revision: int
+    learned_s: float
+    age_s: float
+
+
 class TargetTable:
     """Targets by name, by tag and by service.
 
@@ -69,14 +84,21 @@
         domain_sizes: Number of targets that are not gone, by failure domain.
         evacuations: Evacuated failure domains; their targets accept no new
             flows and keep those that they have.
+        ends: Last end of the evacuation of a domain, by domain.
+        warm_up_s: Time for which targets are cold, in seconds, by service;
+            only services that state a warm-up.
+        allotments: Allotments of cold targets that name this host.
     """
 
     __slots__ = (
+        "allotments",
         "by_name",
         "by_service",
         "by_tag",
         "domain_sizes",
+        "ends",
         "evacuations",
+        "warm_up_s",
     )
 
     def __init__(self) -> None:
@@ -86,6 +108,9 @@
         self.by_service: dict[str, dict[str, TargetEntry]] = {}
         self.domain_sizes: collections.Counter[str] = collections.Counter()
         self.evacuations = evacuations_lib.Evacuations()
+        self.ends: dict[str, SeenEnd] = {}
+        self.warm_up_s: dict[str, float] = {}
+        self.allotments = held_allotments.HeldAllotments()
 
     def put(
         self, now_s: float, known: target_announcement.KnownTarget
@@ -103,9 +128,14 @@
         held = self.by_name.get(target.name)
         if held is not None and not _is_newer(held, known):
             return None
+        warm_at_s = now_s + target.cold_ms / 1000
         if held is not None and target.rank < held.target.rank:
             # Control hosts send renewals only along with the next change.
             target = held.target
+            if target.service in self.warm_up_s:
+                warm_at_s = held.warm_at_s
+            else:
+                warm_at_s = now_s + target.cold_ms / 1000
         gone_s = (
             now_s if target.phase is target_announcement.Phase.GONE else None
         )
@@ -114,9 +144,10 @@
             tag=tag_of(target.name),
             is_overdue=known.is_overdue,
             updated_s=now_s,
-            warm_at_s=now_s + target.cold_ms / 1000,
+            warm_at_s=warm_at_s,
             gone_s=gone_s,
         )
+        self._extend_cold(entry)
         self.by_name[target.name] = entry
         self.domain_sizes[target.domain] += not entry.is_gone
         if held is not None:
@@ -126,10 +157,13 @@
         self._add_to_service(entry)
         return entry
 
-    def set_evacuations(self, state: evacuations_lib.Evacuations) -> bool:
+    def set_evacuations(
+        self, now_s: float, state: evacuations_lib.Evacuations
+    ) -> bool:
         """Applies evacuations, unless they are as old as those held.
 
         Args:
+            now_s: Monotonic time in seconds.
             state: The evacuated failure domains.
 
         Returns:
@@ -138,13 +172,68 @@
         if state.revision <= self.evacuations.revision:
             return False
         changed = set(state.domains) ^ set(self.evacuations.domains)
+        for end in state.ended:
+            if end.revision > self.evacuations.revision:
+                self.ends[end.domain] = SeenEnd(
+                    end.revision, now_s, end.age_ms / 1000
+                )
+        for domain in state.domains:
+            self.ends.pop(domain, None)
         self.evacuations = state
         for entry in self.by_name.values():
+            self._extend_cold(entry)
             if entry.target.domain in changed:
                 self._remove_from_service(entry)
                 self._add_to_service(entry)
         return True
 
+    def set_warm_ups(self, warm_up_s: dict[str, float]) -> None:
+        """Sets the warm-up times of the services that state a warm-up.
+
+        Args:
+            warm_up_s: Times in seconds, by service.
+        """
+        if warm_up_s == self.warm_up_s:
+            return
+        self.warm_up_s = warm_up_s
+        for entry in self.by_name.values():
+            self._extend_cold(entry)
+
+    def end_revision(
+        self, now_s: float, target: target_announcement.Announcement
+    ) -> int:
+        """Returns the end of an evacuation by which a target is cold.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            target: The target.
+
+        Returns:
+            The revision of the end; 0 if there is none.
+        """
+        end = self.ends.get(target.domain)
+        if end is None or now_s >= self._warm_after_end_s(end, target):
+            return 0
+        return end.revision
+
+    def _extend_cold(self, entry: TargetEntry) -> None:
+        """Counts a target as cold since the end of an evacuation."""
+        end = self.ends.get(entry.target.domain)
+        if end is not None:
+            warm_at_s = self._warm_after_end_s(end, entry.target)
+            entry.warm_at_s = max(entry.warm_at_s, warm_at_s)
+
+    def _warm_after_end_s(
+        self, end: SeenEnd, target: target_announcement.Announcement
+    ) -> float:
+        """Returns the time from which a target is warm after an end.
+
+        A host that has just started may learn of an end at which all targets
+        have become warm in the meantime.
+        """
+        warm_up_s = self.warm_up_s.get(target.service, 0.0)
+        return end.learned_s + (warm_up_s if end.age_s < warm_up_s else 0.0)
+
     def has_evacuated(self, service: str) -> bool:
         """Returns whether a service has ready targets in evacuated domains.
 
--- a/packages/core/src/tamarack_core/internal/documents/evacuation_log.py
+++ b/packages/core/src/tamarack_core/internal/documents/evacuation_log.py
@@ -96,6 +96,27 @@
         ]
         self.has_changed = True
 
+    def forget_ended(self, warmed: tuple[evacuations.Ended, ...]) -> None:
+        """Removes ends of evacuations since which all targets are warm again.
+
+        The state for new flows stays as it is, and so does its revision.
+
+        Args:
+            warmed: The ends; later ones of the same domains are kept.
+        """
+        if not warmed:
+            return
+        removed = {(end.domain, end.revision) for end in warmed}
+        self.state = msgspec.structs.replace(
+            self.state,
+            ended=tuple(
+                end
+                for end in self.state.ended
+                if (end.domain, end.revision) not in removed
+            ),
+        )
+        self.has_changed = True
+
     def take_new(self) -> list[Command]:
         """Returns the new commands, and forgets them."""
         commands, self.new_commands = self.new_commands, []
--- a/packages/core/src/tamarack_core/internal/documents/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -1,10 +1,11 @@
-"""Replicated state machine of numbered documents and evacuations."""
+"""Replicated state machine of documents, evacuations and allotments."""
 
 from typing import Protocol
 
 import msgspec
 
 from tamarack_core import documents
+from tamarack_core.internal.documents import allotment_log
 from tamarack_core.internal.documents import evacuation_log
 
 
@@ -14,10 +15,12 @@
     Attributes:
         document: The document in force.
         evacuations: State of the evacuations.
+        allotments: Allotments of cold targets.
     """
 
     document: documents.Document
     evacuations: evacuation_log.Snapshot = evacuation_log.Snapshot()
+    allotments: allotment_log.Snapshot = allotment_log.Snapshot()
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -49,6 +52,7 @@
     """State machine of the replicated log.
 
     Attributes:
+        allotments: Allotments of cold targets.
         document: The document in force.
         evacuations: The evacuated failure domains.
         new_documents: Documents that came into force since the last
@@ -57,11 +61,18 @@
             they are after a snapshot was restored.
     """
 
-    __slots__ = ("document", "evacuations", "has_gap", "new_documents")
+    __slots__ = (
+        "allotments",
+        "document",
+        "evacuations",
+        "has_gap",
+        "new_documents",
+    )
 
     def __init__(self) -> None:
         """Initializes the state with the empty document 0."""
         self.document = documents.Document(0)
+        self.allotments = allotment_log.AllotmentLog()
         self.evacuations = evacuation_log.EvacuationLog()
         self.new_documents: list[documents.Document] = []
         self.has_gap = False
@@ -82,6 +93,9 @@
         kind, payload = decoded
         if kind == evacuation_log.KIND:
             self.evacuations.apply(bytes(payload))
+        elif kind == allotment_log.KIND:
+            warmed = self.allotments.apply(bytes(payload))
+            self.evacuations.forget_ended(warmed)
 
     def _apply_change(self, change: documents.Change) -> None:
         """Applies a change of the document if its base is in force.
@@ -99,7 +113,11 @@
     def snapshot(self) -> bytes:
         """Returns the encoded state after the last applied command."""
         return _encoder.encode(
-            Snapshot(self.document, self.evacuations.snapshot())
+            Snapshot(
+                self.document,
+                self.evacuations.snapshot(),
+                self.allotments.snapshot(),
+            )
         )
 
     def restore(self, data: bytes) -> None:
@@ -111,6 +129,7 @@
             snapshot = _parts_decoder.decode(data)
         self.document = snapshot.document
         self.evacuations.restore(snapshot.evacuations)
+        self.allotments.restore(snapshot.allotments)
         self.new_documents = [self.document]
         self.has_gap = True
 
@@ -138,3 +157,9 @@
     """Returns the command for the log that applies an order."""
     payload = msgspec.Raw(evacuation_log.encode(command))
     return _encoder.encode((evacuation_log.KIND, payload))
+
+
+def encode_allotments(command: allotment_log.Command) -> bytes:
+    """Returns the command for the log that adds allotments."""
+    payload = msgspec.Raw(allotment_log.encode(command))
+    return _encoder.encode((allotment_log.KIND, payload))
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -13,6 +13,7 @@
 from tamarack_core import reducer
 from tamarack_core import requests
 from tamarack_core import sync
+from tamarack_core.internal.cold_targets import budget
 from tamarack_core.internal.consensus import interface
 from tamarack_core.internal.consensus import log_parameters
 from tamarack_core.internal.consensus import membership
@@ -20,6 +21,7 @@
 from tamarack_core.internal.consensus import replica as replicas
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.documents import state_machine as machines
+from tamarack_core.internal.group import allotment_proposals
 from tamarack_core.internal.group import evacuation_requests
 from tamarack_core.internal.group import host_directory
 from tamarack_core.internal.group import membership_policy
@@ -40,6 +42,10 @@
 CHANGE_INTERVAL_S = 0.2
 """Time between two membership changes, in seconds."""
 
+NAMES_PER_HELLO = 8
+"""Entry hosts named by one `ControlHello`. The message crosses between failure
+domains, so its size must not grow with the number of entry hosts."""
+
 MAX_LOGGED_CHARACTERS = 80
 """Characters of an unchecked name in an order that are logged."""
 
@@ -70,6 +76,8 @@
         replica: The replicated log.
         publish_requests: Publish requests that have no response yet.
         evacuation_requests: Evacuation orders that have no response yet.
+        allotments: Proposes allotments of cold targets at the leader.
+        named_hosts: Number of entry hosts named in `ControlHello` messages.
         reads: Monotonic time in seconds at which each read that waits for a
             read index arrived, by request id.
         wanted_voters: Number of voters needed to tolerate the configured
@@ -81,12 +89,14 @@
     """
 
     __slots__ = (
+        "allotments",
         "changed_s",
         "context",
         "directory",
         "evacuation_requests",
         "hello_s",
         "machine",
+        "named_hosts",
         "publish_requests",
         "publisher",
         "reads",
@@ -105,6 +115,7 @@
         founders: tuple[membership.Member, ...],
         tolerated_hosts: int,
         evacuation: evacuations.Settings,
+        tolerance: budget.Tolerance,
         parameters: log_parameters.LogParameters = LOG_PARAMETERS,
     ) -> None:
         """Initializes the replicated log from the data folder.
@@ -119,6 +130,8 @@
                 empty on a host that joins.
             tolerated_hosts: Number of control hosts that may be lost at once.
             evacuation: Settings of evacuations.
+            tolerance: By how much openings may exceed the rate of a cold
+                target.
             parameters: Parameters of the replicated log.
         """
         own = membership.Member(context.host, disk.incarnation)
@@ -139,6 +152,16 @@
         self.evacuation_requests = evacuation_requests.EvacuationRequests(
             context, evacuation, self.machine, self.replica
         )
+        publisher.allotments = self.machine.allotments
+        self.allotments = allotment_proposals.AllotmentProposals(
+            context,
+            directory,
+            publisher,
+            self.machine,
+            self.replica,
+            tolerance,
+        )
+        self.named_hosts = 0
         self.reads: dict[int, float] = {}
         self.wanted_voters = 2 * tolerated_hosts + 1
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
@@ -305,6 +328,7 @@
         for step in (
             *self.publish_requests.retry(now_s),
             *self.evacuation_requests.retry(now_s),
+            *self.allotments.propose_due(now_s),
         ):
             result += self._collect_effects(now_s, step)
         result += self.publish_requests.respond_to_pending(now_s)
@@ -331,6 +355,7 @@
             live,
             subscribed,
             self.stop.is_requested,
+            self._next_names(now_s),
         )
         result = self.publisher.set_controls(now_s, live)
         result += [
@@ -338,6 +363,19 @@
         ]
         return result
 
+    def _next_names(self, now_s: float) -> tuple[str, ...]:
+        """Returns the next few of the subscribed entry hosts, in turn."""
+        names = sorted(
+            peer.host
+            for peer in self.publisher.entry_subscribers(now_s)
+            if 0 < len(peer.host) <= host_directory.MAX_NAME_CHARACTERS
+        )
+        if len(names) <= NAMES_PER_HELLO:
+            return tuple(names)
+        first = self.named_hosts % len(names)
+        self.named_hosts += NAMES_PER_HELLO
+        return tuple((names + names)[first : first + NAMES_PER_HELLO])
+
     def _members(self) -> tuple[peers.Peer, ...]:
         """Returns the member hosts in the log.
 
@@ -456,6 +494,10 @@
                 now_s, self.machine.evacuations.state
             )
             result += self.evacuation_requests.observe_applied(now_s, commands)
+        if self.machine.allotments.new_allotments:
+            allotments = self.machine.allotments.take_new()
+            self.allotments.observe_applied(now_s, allotments)
+            result += self.publisher.publish_allotments(now_s, allotments)
         return result
 
     def _handle_output(
--- a/packages/core/src/tamarack_core/internal/group/host_directory.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -9,6 +9,16 @@
 LIVENESS_TIMEOUT_S = 2.0
 """Time after its last message for which a control host counts as alive."""
 
+NAME_LIFETIME_S = 6.0
+"""Time for which an entry host that a control host named counts as subscribed,
+in seconds; each is named again within 2 s where a control host has up to 30."""
+
+MAX_NAMES = 10_000
+"""Most names of entry hosts that are kept."""
+
+MAX_NAME_CHARACTERS = 255
+"""Longest name of an entry host that is kept, in characters."""
+
 EXPIRY_S = 30.0
 """Time without a message after which a control host is removed from the
 directory unless it is a seed."""
@@ -42,9 +52,17 @@
             endpoint.
         reported_hosts: Control hosts that other hosts or the log listed, and
             the time of the last report in seconds, by endpoint.
+        entry_names: Time of the last message that named an entry host, in
+            seconds, by its name; the earliest first.
     """
 
-    __slots__ = ("context", "known_hosts", "reported_hosts", "seeds")
+    __slots__ = (
+        "context",
+        "entry_names",
+        "known_hosts",
+        "reported_hosts",
+        "seeds",
+    )
 
     def __init__(
         self, context: context_lib.Context, seeds: tuple[peers.Peer, ...]
@@ -60,6 +78,7 @@
         self.seeds = seeds
         self.known_hosts: dict[peers.Endpoint, KnownControlHost] = {}
         self.reported_hosts: dict[peers.Endpoint, tuple[peers.Peer, float]] = {}
+        self.entry_names: dict[str, float] = {}
 
     def observe(
         self, now_s: float, sender: peers.Peer, hello: sync.ControlHello
@@ -72,6 +91,14 @@
             hello.entry_hosts,
             hello.is_stopping,
         )
+        for name in hello.entry_names:
+            if 0 < len(name) <= MAX_NAME_CHARACTERS:
+                self.entry_names.pop(name, None)
+                self.entry_names[name] = now_s
+            else:
+                self.context.counters["entry-names-skipped"] += 1
+        while len(self.entry_names) > MAX_NAMES:
+            del self.entry_names[next(iter(self.entry_names))]
 
     def entry_hosts(self, now_s: float) -> int:
         """Returns the entry hosts subscribed to other live control hosts."""
@@ -100,6 +127,11 @@
             for endpoint, (peer, at_s) in self.reported_hosts.items()
             if now_s - at_s <= EXPIRY_S
         }
+        self.entry_names = {
+            name: at_s
+            for name, at_s in self.entry_names.items()
+            if now_s - at_s <= NAME_LIFETIME_S
+        }
 
     def live(self, now_s: float) -> tuple[peers.Peer, ...]:
         """Returns the live control hosts, in the order of their endpoints.
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -71,6 +71,7 @@
         ages_sent_s: Time of the last `AnnouncementAges` message, in seconds.
         sync_sent_s: Time of the last sync requests, in seconds.
         ticked_s: Time of the last run of the timer, in seconds.
+        saved_cold: Number of cold targets at the last write to disk.
         saved_entry_hosts: Number of entry hosts at the last write to disk.
         saved_position: Registry position at the last write to disk.
         saved_s: Time of the last write to disk, in seconds.
@@ -84,6 +85,7 @@
         "publisher",
         "registry",
         "restorable",
+        "saved_cold",
         "saved_entry_hosts",
         "saved_position",
         "saved_s",
@@ -120,6 +122,7 @@
         self.sync_sent_s = float("-inf")
         self.ticked_s = float("inf")
         self.restorable = restorable
+        self.saved_cold = 0
         self.saved_entry_hosts = 0
         self.saved_position = 0
         self.saved_s = float("-inf")
@@ -248,7 +251,8 @@
             self.saved_position = self.registry.position
             self.saved_s = now_s
             self.saved_entry_hosts = self._entry_hosts(now_s)
-            data = self.registry.encode(self.saved_entry_hosts)
+            self.saved_cold = len(self.registry.cold_records(now_s))
+            data = self.registry.encode(now_s, self.saved_entry_hosts)
             result.append(effects.SaveTargets(data))
         others = self.directory.others()
         if now_s - self.ages_sent_s >= AGES_INTERVAL_S:
@@ -266,6 +270,8 @@
         is_changed = (
             self.saved_position != self.registry.position
             or self.saved_entry_hosts != self._entry_hosts(now_s)
+            # A start would count those that are warm by then as cold.
+            or self.saved_cold > len(self.registry.cold_records(now_s))
         )
         return is_changed and now_s - self.saved_s >= SAVE_INTERVAL_S
 
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -1,5 +1,7 @@
 """Publishes changes of targets and routes to subscribed hosts."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from tamarack_core import context as context_lib
@@ -10,6 +12,8 @@
 from tamarack_core import reducer
 from tamarack_core import sync
 from tamarack_core.internal import change_entries
+from tamarack_core.internal.cold_targets import allotment as allotment_lib
+from tamarack_core.internal.documents import allotment_log
 from tamarack_core.internal.documents import state_machine as machines
 from tamarack_core.internal.registry import entry_host_count
 from tamarack_core.internal.registry import route_history as histories
@@ -32,6 +36,8 @@
 
 TIMER = "push"
 
+MS_PER_S = 1000
+
 _RUN_BITS = 48
 
 
@@ -47,6 +53,7 @@
         controls: Control hosts that it was sent.
         is_confirmed: Whether it was told that this host is confirmed.
         revision: Revision of the evacuations that it holds, or was sent.
+        allotment: Number of the last allotment that it was told of.
     """
 
     peer: peers.Peer
@@ -57,6 +64,7 @@
     controls: tuple[peers.Peer, ...] = ()
     is_confirmed: bool = False
     revision: int = 0
+    allotment: int = 0
 
 
 class Publisher:
@@ -67,6 +75,9 @@
         registry: Announced targets.
         routes: History of the routes.
         evacuations: The evacuated failure domains.
+        ended_s: Time at which this host learned of the end of an evacuation,
+            in seconds, by domain and revision.
+        allotments: Allotments of cold targets.
         run: Identifier of this run of the process.
         subscribers: Hosts that sent a request recently, by name.
         controls: Live control hosts.
@@ -79,8 +90,10 @@
     """
 
     __slots__ = (
+        "allotments",
         "context",
         "controls",
+        "ended_s",
         "entry_hosts",
         "evacuations",
         "is_confirmed",
@@ -109,6 +122,8 @@
         self.registry = registry
         self.routes = histories.RouteHistory()
         self.evacuations = evacuations_lib.Evacuations()
+        self.ended_s: dict[tuple[str, int], float] = {}
+        self.allotments = allotment_log.AllotmentLog()
         self.run = f"{context.random.getrandbits(_RUN_BITS):012x}"
         self.subscribers: dict[str, Subscriber] = {}
         self.controls: tuple[peers.Peer, ...] = (context.host,)
@@ -151,6 +166,7 @@
             event.now_s,
             held.controls if held is not None and is_same_run else (),
             revision=request.revision,
+            allotment=request.allotment,
         )
         self.subscribers[event.sender.host] = subscriber
         result = [self._update(event.now_s, subscriber)]
@@ -174,7 +190,7 @@
         answer = sync.DocumentAnswer(
             self.is_confirmed,
             self.routes.changes_since(query.number),
-            self._evacuations_since(query.revision),
+            self._evacuations_since(event.now_s, query.revision),
         )
         return [effects.SendMessage(event.sender, answer)]
 
@@ -188,8 +204,12 @@
             machine: The replicated state.
         """
         machine.flush_to(self.routes)
-        services = [service.name for service in self.routes.document.services]
-        self.registry.set_services(now_s, services)
+        services = self.routes.document.services
+        self.registry.set_services(
+            now_s,
+            [service.name for service in services],
+            [service.name for service in services if service.states_warm_up],
+        )
         record = self.context.record(
             now_s, "version-in-force", version=self.routes.document.number
         )
@@ -204,19 +224,72 @@
             now_s: Monotonic time in seconds.
             state: The evacuated failure domains.
         """
-        if state.revision <= self.evacuations.revision:
-            return []
+        is_newer = state.revision > self.evacuations.revision
         self.evacuations = state
+        self.ended_s = {
+            (end.domain, end.revision): self.ended_s.get(
+                (end.domain, end.revision), now_s
+            )
+            for end in state.ended
+        }
+        if not is_newer:
+            return []
         record = change_entries.record_evacuations(self.context, now_s, state)
         return [record, *self.push(now_s)]
 
     def _evacuations_since(
-        self, revision: int
+        self, now_s: float, revision: int
     ) -> evacuations_lib.Evacuations | None:
         """Returns the evacuations if they are newer than a revision."""
         if self.evacuations.revision <= revision:
             return None
-        return self.evacuations
+        ended = tuple(
+            msgspec.structs.replace(
+                end,
+                age_ms=int(
+                    (now_s - self.ended_s[end.domain, end.revision]) * MS_PER_S
+                ),
+            )
+            for end in self.evacuations.ended
+        )
+        return msgspec.structs.replace(self.evacuations, ended=ended)
+
+    def publish_allotments(
+        self, now_s: float, allotments: Sequence[allotment_lib.Allotment]
+    ) -> list[effects.Effect]:
+        """Pushes the allotments that have come into force.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            allotments: The new ones.
+        """
+        self.context.counters["cold-targets-allotted"] += len(allotments)
+        records = change_entries.record_allotments(
+            self.context, now_s, self.allotments.number, allotments
+        )
+        return [*records, *self.push(now_s)]
+
+    def _allotments_since(
+        self, subscriber: Subscriber
+    ) -> sync.AllotmentUpdate | None:
+        """Returns the allotments that name a subscriber, if any is new."""
+        if subscriber.allotment >= self.allotments.number:
+            return None
+        host = subscriber.peer.host
+        targets = [
+            sync.AllottedTarget(
+                target=allotment.key.target,
+                place_ms=allotment.key.place_ms,
+                revision=allotment.key.revision,
+                position=allotment.hosts.index(host),
+                hosts=len(allotment.hosts),
+            )
+            for allotment in self.allotments.since(subscriber.allotment)
+            if host in allotment.hosts
+        ]
+        return sync.AllotmentUpdate(
+            subscriber.allotment, self.allotments.number, tuple(targets)
+        )
 
     def set_controls(
         self, now_s: float, controls: tuple[peers.Peer, ...]
@@ -293,6 +366,7 @@
         return (
             subscriber.number < self.routes.document.number
             or subscriber.revision < self.evacuations.revision
+            or subscriber.allotment < self.allotments.number
             or subscriber.controls != self.controls
             or subscriber.is_confirmed != self.is_confirmed
         )
@@ -300,10 +374,11 @@
     def _update(self, now_s: float, subscriber: Subscriber) -> effects.Effect:
         """Returns the message with all changes that a subscriber lacks."""
         base = subscriber.position
-        document = evacuations = None
+        document = evacuations = allotments = None
         if not subscriber.is_control:
             document = self.routes.changes_since(subscriber.number)
-            evacuations = self._evacuations_since(subscriber.revision)
+            evacuations = self._evacuations_since(now_s, subscriber.revision)
+            allotments = self._allotments_since(subscriber)
         knows_controls = (
             subscriber.is_control or subscriber.controls == self.controls
         )
@@ -314,17 +389,19 @@
         subscriber.revision = max(
             subscriber.revision, self.evacuations.revision
         )
+        subscriber.allotment = max(subscriber.allotment, self.allotments.number)
         update = sync.SyncUpdate(
             run=self.run,
             base=base,
             position=self.registry.position,
             is_settled=self._is_settled(now_s),
-            targets=self.registry.changes_since(base),
+            targets=self.registry.changes_since(now_s, base),
             controls=() if knows_controls else self.controls,
             document=document,
             is_confirmed=self.is_confirmed,
             entry_hosts=self.entry_hosts.estimate(now_s),
             evacuations=evacuations,
+            allotments=allotments,
         )
         return effects.SendMessage(subscriber.peer, update)
 
--- a/packages/core/src/tamarack_core/internal/registry/route_history.py
+++ b/packages/core/src/tamarack_core/internal/registry/route_history.py
@@ -86,6 +86,13 @@
             number=document.number,
             routes=tuple(routes),
             idle_timeout_ms=document.idle_timeout_ms,
+            warm_ups=tuple(
+                sync.WarmUp(
+                    service.name, service.warm_up_s, service.cold_requests_per_s
+                )
+                for service in document.services
+                if service.states_warm_up
+            ),
         )
 
 
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection
 import itertools
+import math
 
 import msgspec
 
@@ -24,11 +25,17 @@
 GONE_RETENTION_S = 120.0
 """Time after which a target that is gone is removed, in seconds."""
 
+COLD_TOLERANCE_S = 0.3
+"""Time by which a renewal may extend the cold time of a target without being
+passed on, in seconds. Renewals are delayed by different times."""
+
 SILENCE_RETENTION_S = 120.0
 """Time without an announcement after which a target is forgotten, in seconds.
 Silence does not prove that a target has ended: it may be cut off from the
 control hosts while it serves."""
 
+MS_PER_S = 1000
+
 
 class SavedTargets(msgspec.Struct):
     """What `encode` returned, as the next start reads it.
@@ -71,12 +78,15 @@
             as this host knows, in seconds.
         changed_position: Position of the last change that others must receive.
         is_overdue: Whether its announcements are overdue.
+        warm_at_s: Time from which it runs at full speed, in seconds, by the
+            cold time that was passed on, or a shorter one stated since.
     """
 
     target: target_announcement.Announcement
     announced_s: float
     changed_position: int
     is_overdue: bool = False
+    warm_at_s: float = float("-inf")
 
 
 class DeferredAnnouncement(msgspec.Struct):
@@ -113,6 +123,8 @@
         records: The targets by name, in the order of their last changes.
         position: Position of the newest change.
         services: Names of the services in the document in force.
+        warm_up_services: Those of them that state a warm-up.
+        cold_names: Names of targets that are cold, and of some that were.
         deferred: Newest announcement of an unknown service under the name of a
             target of a known one, by name.
         disordered: Newest start that announced itself although a later start
@@ -121,12 +133,14 @@
 
     __slots__ = (
         "_by_endpoint",
+        "cold_names",
         "deferred",
         "disordered",
         "interval_s",
         "position",
         "records",
         "services",
+        "warm_up_services",
     )
 
     def __init__(self, interval_s: float) -> None:
@@ -139,6 +153,8 @@
         self.records: dict[str, TargetRecord] = {}
         self.position = 0
         self.services: frozenset[str] = frozenset()
+        self.warm_up_services: frozenset[str] = frozenset()
+        self.cold_names: set[str] = set()
         self.deferred: dict[str, DeferredAnnouncement] = {}
         self.disordered: dict[str, DisorderedStart] = {}
         self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
@@ -236,10 +252,17 @@
                 target = _ended(target)
             elif age_s <= self.overdue_after_s:
                 self._end_earlier(now_s, target)
-        if held is None or _differs(held, target):
+        warm_at_s = now_s + target.cold_ms / MS_PER_S
+        if warm_at_s > now_s:
+            self.cold_names.add(target.name)
+        if (
+            held is None
+            or _differs(held, target)
+            or self._is_cold_again(held, target, warm_at_s)
+        ):
             self._move(held, target)
             self.disordered.pop(target.name, None)
-            record = TargetRecord(target, announced_s, 0)
+            record = TargetRecord(target, announced_s, 0, warm_at_s=warm_at_s)
             record.is_overdue = (
                 target.phase is not target_announcement.Phase.GONE
                 and self._is_late(now_s, record)
@@ -247,15 +270,56 @@
             self._record_change(record)
             return True
         held.target = target
+        held.warm_at_s = min(held.warm_at_s, warm_at_s)
         return self.observe(now_s, target.name, age_s)
 
-    def set_services(self, now_s: float, services: Collection[str]) -> None:
+    def _is_cold_again(
+        self,
+        held: TargetRecord,
+        target: target_announcement.Announcement,
+        warm_at_s: float,
+    ) -> bool:
+        """Returns whether a renewal states a longer cold time than before.
+
+        Only a later announcement counts: one that another control host returns
+        would otherwise extend the cold time again and again.
+        """
+        return (
+            target.service in self.warm_up_services
+            and target.sequence > held.target.sequence
+            and target.cold_ms > 0
+            and warm_at_s > held.warm_at_s + COLD_TOLERANCE_S
+        )
+
+    def cold_records(self, now_s: float) -> list[TargetRecord]:
+        """Returns the cold targets of services that state a warm-up.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        result = []
+        for name in list(self.cold_names):
+            record = self.records.get(name)
+            if record is None or record.warm_at_s <= now_s:
+                self.cold_names.discard(name)
+            elif record.target.service in self.warm_up_services:
+                result.append(record)
+        return result
+
+    def set_services(
+        self,
+        now_s: float,
+        services: Collection[str],
+        warm_up_services: Collection[str] = (),
+    ) -> None:
         """Sets the services in force; announcements of new ones take effect.
 
         Args:
             now_s: Monotonic time in seconds.
             services: Names of all services in the document in force.
+            warm_up_services: Names of those that state a warm-up.
         """
+        self.warm_up_services = frozenset(warm_up_services)
         added = frozenset(services) - self.services
         self.services = frozenset(services)
         if not added:
@@ -348,15 +412,22 @@
             record.announced_s = max(record.announced_s, now_s)
 
     def changes_since(
-        self, position: int
+        self, now_s: float, position: int
     ) -> tuple[target_announcement.KnownTarget, ...]:
-        """Returns the targets that changed after a position."""
+        """Returns the targets that changed after a position.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            position: The position.
+        """
         newest_first = itertools.takewhile(
             lambda record: record.changed_position > position,
             reversed(self.records.values()),
         )
         return tuple(
-            target_announcement.KnownTarget(record.target, record.is_overdue)
+            target_announcement.KnownTarget(
+                self._aged(now_s, record), record.is_overdue
+            )
             for record in reversed(list(newest_first))
         )
 
@@ -365,14 +436,32 @@
         """Time without an announcement after which a target is overdue."""
         return OVERDUE_INTERVALS * self.interval_s + MAX_DELAY_S
 
-    def encode(self, entry_hosts: int = 0) -> bytes:
+    def _aged(
+        self, now_s: float, record: TargetRecord
+    ) -> target_announcement.Announcement:
+        """Returns a target with the cold time that remains.
+
+        A control host receives the renewals of targets of its own domain only.
+        Without the change, a host that starts hours later would count a target
+        of another domain as cold.
+        """
+        target = record.target
+        if target.service not in self.warm_up_services or target.cold_ms <= 0:
+            return target
+        remaining_s = max(record.warm_at_s - now_s, 0.0)
+        return msgspec.structs.replace(
+            target, cold_ms=math.ceil(remaining_s * MS_PER_S)
+        )
+
+    def encode(self, now_s: float, entry_hosts: int = 0) -> bytes:
         """Returns the targets that are not gone, encoded for the next start.
 
         Args:
+            now_s: Monotonic time in seconds.
             entry_hosts: Number of entry hosts; 0 if unknown.
         """
         targets = [
-            record.target
+            self._aged(now_s, record)
             for record in self.records.values()
             if record.target.phase is not target_announcement.Phase.GONE
         ]
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -19,6 +19,7 @@
         is_control: Whether the sender is a control host.
         is_first: Whether the sender has just started and holds no document.
         revision: Revision of the evacuations that the sender holds.
+        allotment: Number of the last allotment that the sender holds.
     """
 
     run: str
@@ -27,6 +28,7 @@
     is_control: bool = False
     is_first: bool = False
     revision: int = 0
+    allotment: int = 0
 
 
 class RouteChange(msgspec.Struct, frozen=True, array_like=True):
@@ -47,6 +49,22 @@
     timeout_ms: float
 
 
+class WarmUp(msgspec.Struct, frozen=True, array_like=True):
+    """Warm-up of the targets of a service.
+
+    Attributes:
+        service: Name of the service.
+        warm_up_s: Time for which a target is cold, in seconds; 0 if not
+            stated.
+        cold_requests_per_s: Requests a second that a cold target can serve; 0
+            if not stated.
+    """
+
+    service: str
+    warm_up_s: float
+    cold_requests_per_s: float
+
+
 class DocumentUpdate(msgspec.Struct, frozen=True, omit_defaults=True):
     """Routes that changed after a document.
 
@@ -57,12 +75,48 @@
         routes: The routes that changed.
         idle_timeout_ms: Time after which an idle flow may expire, in
             milliseconds.
+        warm_ups: All services of the document that state a warm-up.
     """
 
     base: int
     number: int
     routes: tuple[RouteChange, ...]
     idle_timeout_ms: float
+    warm_ups: tuple[WarmUp, ...] = ()
+
+
+class AllottedTarget(msgspec.Struct, frozen=True, array_like=True):
+    """A cold target that the receiver may open flows to.
+
+    Attributes:
+        target: Name of the target.
+        place_ms: Place of its start, in milliseconds.
+        revision: Revision of the end of an evacuation since which it is cold;
+            0 for a start.
+        position: Position of the receiver among the named hosts, from 0.
+        hosts: Number of the named hosts.
+    """
+
+    target: str
+    place_ms: int
+    revision: int
+    position: int
+    hosts: int
+
+
+class AllotmentUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """Allotments that name the receiver.
+
+    Attributes:
+        base: Number of the last allotment that the receiver must have been
+            told of.
+        number: Number of the last allotment that the update covers.
+        targets: Those of the allotments between them that name the receiver.
+    """
+
+    base: int
+    number: int
+    targets: tuple[AllottedTarget, ...] = ()
 
 
 class SyncUpdate(msgspec.Struct, frozen=True, tag="sync-update"):
@@ -83,6 +137,8 @@
             doesn't.
         evacuations: Evacuated failure domains, if the receiver holds an
             earlier revision.
+        allotments: Allotments of cold targets, if there are any that the
+            receiver has not been told of.
     """
 
     run: str
@@ -95,6 +151,7 @@
     is_confirmed: bool = True
     entry_hosts: int = 0
     evacuations: evacuations_lib.Evacuations | None = None
+    allotments: AllotmentUpdate | None = None
 
 
 class DocumentQuery(msgspec.Struct, frozen=True, tag="document-query"):
@@ -153,12 +210,15 @@
         known: Control hosts known to the sender to be alive.
         entry_hosts: Number of entry hosts that are subscribed to the sender.
         is_stopping: Whether a stop of the sender was requested.
+        entry_names: Names of some of these entry hosts. Successive messages
+            name all of them in turn, so that the size is bounded.
     """
 
     incarnation: str
     known: tuple[peers.Peer, ...] = ()
     entry_hosts: int = 0
     is_stopping: bool = False
+    entry_names: tuple[str, ...] = ()
 
 
 class VoterReleased(msgspec.Struct, frozen=True, tag="voter-released"):
--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -120,6 +120,7 @@
     *,
     base: int = 0,
     port: int = SERVICE_PORT,
+    warm_ups: tuple[sync.WarmUp, ...] = (),
 ) -> sync.DocumentUpdate:
     """Returns a document with one route."""
     route = sync.RouteChange(
@@ -129,7 +130,7 @@
         documents.WorkKind.IDEMPOTENT,
         1500.0,
     )
-    return sync.DocumentUpdate(base, number, (route,), 15000.0)
+    return sync.DocumentUpdate(base, number, (route,), 15000.0, warm_ups)
 
 
 def control(name: str, domain: str = DOMAIN) -> peers.Peer:
@@ -152,18 +153,24 @@
     """
 
     def __init__(
-        self, seed: int = 1, controls: tuple[str, ...] = ("c1",)
+        self,
+        seed: int = 1,
+        controls: tuple[str, ...] = ("c1",),
+        now_s: float = 100.0,
+        **settings: float,
     ) -> None:
         """Starts the host.
 
         Args:
             seed: Seed of the random generator of the host.
             controls: Names of the control hosts that its settings name.
+            now_s: Time of the start, in seconds.
+            settings: Other settings of the host.
         """
-        self.now_s = 100.0
+        self.now_s = now_s
         own = peers.Peer("entry", DOMAIN, peers.Endpoint("10.0.0.9", 7000))
         seeds = tuple(control(name) for name in controls)
-        plan = cookie_entry.Plan(own, seed, seeds, FakeCodec())
+        plan = cookie_entry.Plan(own, seed, seeds, FakeCodec(), **settings)
         self.node = cookie_entry.assemble(plan)
         self.sent: list[effects.SendMessage] = []
         self.records: list[effects.Record] = []
@@ -240,6 +247,7 @@
         entry_hosts: int = 0,
         is_confirmed: bool = True,
         evacuated: evacuations.Evacuations | None = None,
+        allotments: sync.AllotmentUpdate | None = None,
     ) -> None:
         """Delivers a sync update of a control host."""
         message = sync.SyncUpdate(
@@ -258,6 +266,7 @@
             entry_hosts=entry_hosts,
             is_confirmed=is_confirmed,
             evacuations=evacuated,
+            allotments=allotments,
         )
         peer = sender or control("c1")
         self.handle(events.MessageArrived(self.now_s, peer, message))
--- a/tests/cover/test_entry_host_count.py
+++ b/tests/cover/test_entry_host_count.py
@@ -52,7 +52,7 @@
         registry = target_registry.TargetRegistry(1.2)
         registry.put(1.0, cookie_host.target("t-1"))
         restored = target_registry.TargetRegistry(1.2).restore(
-            2.0, registry.encode(12)
+            2.0, registry.encode(2.0, 12)
         )
         self.assertEqual(12, restored.entry_hosts)
         self.assertEqual(["t-1"], [t.name for t in restored.targets])
--- a/tests/cover/test_publishing_load.py
+++ b/tests/cover/test_publishing_load.py
@@ -90,7 +90,7 @@
         self.registry.put(self.now_s, cookie_host.target("t-new", port=9999))
         counted_records = CountingDict(self.registry.records)
         self.registry.records = counted_records
-        result = self.registry.changes_since(position)
+        result = self.registry.changes_since(self.now_s, position)
         self.assertEqual(["t-new"], [known.target.name for known in result])
         self.assertLess(counted_records.read_count, 5)
 
@@ -107,7 +107,7 @@
                 for record in self.registry.records.values()
                 if record.changed_position > position
             }
-            result = self.registry.changes_since(position)
+            result = self.registry.changes_since(self.now_s, position)
             self.assertEqual(expected, {known.target.name for known in result})
 
 
--- a/tests/cover/test_start_order.py
+++ b/tests/cover/test_start_order.py
@@ -89,19 +89,19 @@
             target_table.TargetTable(),
         )
         test_target_registry.exchange(self.held, other, 0)
-        for known in self.held.changes_since(0):
+        for known in self.held.changes_since(1.0, 0):
             entry.put(1.0, known)
         self.announce(12.0)
         test_target_registry.exchange(other, self.held, 0)
         test_target_registry.exchange(self.held, other, 0)
-        for known in self.held.changes_since(0):
+        for known in self.held.changes_since(14.0, 0):
             entry.put(14.0, known)
         other.announce(15.0, self.target(20, DRAINING))
         for found in (other.records["t-1"], entry.by_name["t-1"]):
             self.assertEqual(3000, found.target.born_ms)
         self.assertIs(DRAINING, other.records["t-1"].target.phase)
         restarted = test_target_registry.registry()
-        restarted.restore(0.0, other.encode())
+        restarted.restore(0.0, other.encode(15.0))
         late = cookie_host.target("t-1", born_ms=5000, sequence=99)
         restarted.announce(0.1, late)
         self.assertEqual(3000, restarted.records["t-1"].target.born_ms)
--- a/tests/cover/test_target_registry.py
+++ b/tests/cover/test_target_registry.py
@@ -36,7 +36,7 @@
 
 def exchange(source, receiver, position):
     """Sends the changes after a position to another registry."""
-    for known in source.changes_since(position):
+    for known in source.changes_since(1.0, position):
         receiver.put(1.0, known.target)
 
 
@@ -137,7 +137,7 @@
             host.check_overdue(9.0)
         held.put(9.0, cookie_host.target("t-1", born_ms=1, port=OLD_PORT))
         self.assertFalse(is_gone(held, "t-1"))
-        (silent,) = other.changes_since(0)
+        (silent,) = other.changes_since(9.0, 0)
         held.put(9.0, silent.target, 2 * held.overdue_after_s)
         self.assertFalse(is_gone(held, "t-1"))
 
@@ -177,7 +177,7 @@
         phases = set()
         for now_s in range(2, 2 + seconds):
             held.check_overdue(float(now_s))
-            known = held.changes_since(0)
+            known = held.changes_since(float(now_s), 0)
             phases |= {item.target.phase for item in known}
         return phases
 
--- a/tests/cover/test_unknown_services.py
+++ b/tests/cover/test_unknown_services.py
@@ -50,7 +50,7 @@
         held = self.live()
         held.put(2.0, cookie_host.target("x", service="none", born_ms=9))
         restarted = test_target_registry.registry()
-        restarted.restore(0.0, held.encode())
+        restarted.restore(0.0, held.encode(2.0))
         self.assertIs(READY, self.phase(restarted, "t-1"))
 
     def test_an_unknown_service_takes_no_name_of_a_live_target(self):
--- a/tests/group_network.py
+++ b/tests/group_network.py
@@ -48,13 +48,18 @@
     )
 
 
-def document(number, *routes, content="", services=("web",)):
-    """Returns a document; `content` distinguishes those of one number."""
+def document(number, *routes, content="", services=("web",), warm_up=(0, 0)):
+    """Returns a document; `content` distinguishes those of one number.
+
+    `warm_up` holds the warm-up time of the services, in seconds, and the
+    requests a second of a cold target.
+    """
     return documents.Document(
         number=number,
         routes=routes or (route("r", 443),),
         services=tuple(
-            documents.Service(name, "/health", "{}") for name in services
+            documents.Service(name, "/health", "{}", *warm_up)
+            for name in services
         ),
         idle_timeout_ms=15000.0,
         remainder=content,
@@ -138,6 +143,8 @@
             tolerated_hosts=self.tolerated,
             announce_interval_s=ANNOUNCE_INTERVAL_S,
             evacuation=evacuations.Settings(DOMAINS, REPEAT_S),
+            cold_overrun_factor=1.5,
+            cold_slack_requests=2.0,
         )
         self.nodes[host] = document_control.assemble(plan)
         self.handle(host, events.Started(self.now_s, int(self.now_s * 1000)))
