--- a/packages/core/src/tamarack_core/internal/documents/allotment_log.py
+++ b/packages/core/src/tamarack_core/internal/documents/allotment_log.py
@@ -65,26 +65,35 @@
         number: Number of the last allotment.
         by_key: The allotments that are kept, the oldest first.
         new_allotments: Allotments applied since the last `take_new`.
+        skipped: Number of commands that could not be read.
     """
 
-    __slots__ = ("by_key", "new_allotments", "number")
+    __slots__ = ("by_key", "new_allotments", "number", "skipped")
 
     def __init__(self) -> None:
         """Initializes the state without allotments."""
         self.number = 0
         self.by_key: dict[allotment_lib.Key, Numbered] = {}
         self.new_allotments: list[allotment_lib.Allotment] = []
+        self.skipped = 0
 
     def apply(self, payload: bytes) -> tuple[evacuations.Ended, ...]:
         """Applies a committed command; repeated allotments are skipped.
 
+        A command that only a later version knows is skipped: an error would
+        stop the replica for good.
+
         Args:
             payload: The encoded command.
 
         Returns:
             Ends of evacuations since which all targets are warm again.
         """
-        command = _decoder.decode(payload)
+        try:
+            command = _decoder.decode(payload)
+        except msgspec.DecodeError:
+            self.skipped += 1
+            return ()
         for allotment in command.allotments:
             if allotment.key in self.by_key:
                 continue
--- a/packages/core/src/tamarack_core/internal/documents/state_machine.py
+++ b/packages/core/src/tamarack_core/internal/documents/state_machine.py
@@ -111,7 +111,16 @@
             self.new_documents.append(self.document)
 
     def snapshot(self) -> bytes:
-        """Returns the encoded state after the last applied command."""
+        """Returns the encoded state after the last applied command.
+
+        Before the first order and allotment it is the document alone, which
+        hosts of earlier versions can read during an upgrade.
+        """
+        is_document = (
+            self.evacuations.state.revision == 0 and self.allotments.number == 0
+        )
+        if is_document:
+            return _encoder.encode(self.document)
         return _encoder.encode(
             Snapshot(
                 self.document,
--- a/packages/core/src/tamarack_core/internal/group/allotment_proposals.py
+++ b/packages/core/src/tamarack_core/internal/group/allotment_proposals.py
@@ -148,6 +148,10 @@
         warmed = self._warmed(now_s, services)
         if not allotments and not warmed:
             return []
+        if not self.directory.all_accept_orders(now_s):
+            # Versions without evacuation orders have no allotments either.
+            self.context.counters["allotment-refused-older-control-host"] += 1
+            return []
         command = allotment_log.Command(allotments, warmed)
         proposal = self.replica.propose(
             now_s, machines.encode_allotments(command)
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -210,6 +210,8 @@
         known: Control hosts known to the sender to be alive.
         entry_hosts: Number of entry hosts that are subscribed to the sender.
         is_stopping: Whether a stop of the sender was requested.
+        accepts_orders: Whether the sender can apply evacuation orders; earlier
+            versions can't.
         entry_names: Names of some of these entry hosts. Successive messages
             name all of them in turn, so that the size is bounded.
     """
@@ -218,6 +220,7 @@
     known: tuple[peers.Peer, ...] = ()
     entry_hosts: int = 0
     is_stopping: bool = False
+    accepts_orders: bool = False
     entry_names: tuple[str, ...] = ()
 
 
--- a/tests/cover/test_cold_targets.py
+++ b/tests/cover/test_cold_targets.py
@@ -146,10 +146,19 @@
 
     def test_a_snapshot_of_an_earlier_version_has_none(self):
         machine = machines.DocumentStateMachine()
+        machine.evacuations.state = evacuations.Evacuations(1)
         earlier = msgspec.msgpack.decode(machine.snapshot())[:2]
         machine.restore(msgspec.msgpack.encode(earlier))
         self.assertEqual(0, machine.allotments.number)
 
+    def test_a_command_of_a_later_version_is_skipped(self):
+        machine = machines.DocumentStateMachine()
+        for payload in ({"a": 1}, [1], [[["t"]]], "x"):
+            command = msgspec.msgpack.encode((allotment_log.KIND, payload))
+            machine.apply(1, command)
+        self.assertEqual(4, machine.allotments.skipped)
+        self.assertEqual(0, machine.allotments.number)
+
     def test_the_oldest_allotments_are_dropped_alike_after_a_snapshot(self):
         many = [self.allotment(f"t-{number}", "a") for number in range(1200)]
         machine, other = self.machine(*many), self.machine(*many[:1100])
