--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -106,6 +106,12 @@
     return light_driver.HttpRequest("POST", path, data)
 
 
+def warming(field, value):
+    """Returns the services of the document, one with another field."""
+    first, second = DOCUMENT["services"]
+    return {"services": [{**first, field: value}, second]}
+
+
 def without(mapping, name):
     """Returns a mapping without one of its fields."""
     return {key: value for key, value in mapping.items() if key != name}
@@ -163,6 +169,18 @@
         refused = settings.parse(SETTINGS + bound)
         self.assertIn("bounds.ack-timeout-ms", refused.detail)
 
+    def test_the_overrun_of_cold_targets_is_optional(self):
+        parsed = settings.parse(SETTINGS)
+        found = (parsed.cold_overrun_factor, parsed.cold_slack_requests)
+        self.assertEqual((1.0, 0.0), found)
+        bounds = "bounds.warmup-overrun=1.5\nbounds.warmup-slack=5\n"
+        parsed = settings.parse(SETTINGS + bounds)
+        found = (parsed.cold_overrun_factor, parsed.cold_slack_requests)
+        self.assertEqual((1.5, 5.0), found)
+        for value in ("-1", "nan", "inf", "1e9", "x", "1" * 400):
+            refused = settings.parse(SETTINGS + f"bounds.warmup-slack={value}")
+            self.assertIn("bounds.warmup-slack", refused.detail)
+
     @hypothesis.given(strategies.text())
     def test_no_text_raises(self, text):
         self.assertIsInstance(settings.parse(text), failure.Failure)
@@ -252,6 +270,22 @@
         applied = core_documents.apply(first, change)
         self.assertEqual(later, json.loads(documents.encode(applied)))
 
+    def test_the_warm_up_of_services_is_optional(self):
+        for fields, expected in (
+            ({}, (0.0, 0.0)),
+            ({"warmup-s": None, "warmup-per-s": 0}, (0.0, 0.0)),
+            ({"warmup-s": 5, "warmup-per-s": 4.5}, (5.0, 4.5)),
+        ):
+            service = {**DOCUMENT["services"][0], **fields}
+            body = {**DOCUMENT, "services": [service, DOCUMENT["services"][1]]}
+            document = documents.decode(json.dumps(body).encode())
+            self.assertIsNone(core_documents.check(document))
+            found = document.services[0]
+            self.assertEqual(
+                expected, (found.warm_up_s, found.cold_requests_per_s)
+            )
+            self.assertEqual(body, json.loads(documents.encode(document)))
+
     def test_invalid_documents_are_refused_with_a_reason(self):
         route = DOCUMENT["routes"][1]
         twice = dict(route, name="r-3")
@@ -267,6 +301,10 @@
             ({"routes": [dict(route, type="none")]}, "unreadable"),
             ({"routes": [dict(route, host="nowhere")]}, "unreadable"),
             ({"routes": [dict(route, **{"path-prefix": "/"})]}, "unreadable"),
+            (warming("warmup-s", -1), "unreadable"),
+            (warming("warmup-s", "5"), "unreadable"),
+            (warming("warmup-s", 1e300), "bad-warm-up"),
+            (warming("warmup-per-s", 1e300), "bad-warm-up"),
             ({"version": "7"}, "unreadable"),
             ({"version": 0}, "unreadable"),
         ):
--- a/tests/quality/test_platform_words.py
+++ b/tests/quality/test_platform_words.py
@@ -11,7 +11,8 @@
 # `service`, are not listed.
 WORDS = re.compile(
     r"datagram-addr|heartbeat-addr|path-prefix|traffic-split|warmup-left-ms"
-    r"|TAMARACKFORD_BOOT|internal-ports|fault-tolerance|deregister"
+    r"|TAMARACKFORD_BOOT|internal-ports|fault-tolerance|deregister|warmup-per-s"
+    r"|warmup-overrun|warmup-slack"
     r"|X-Attempt-Id|X-Not-Executed|machine-class|listen-addrs"
 )
 
