Test the way from a cold target to the openings of all entry hosts

Three control hosts and 20 entry hosts exchange real messages; the leader is killed, entry hosts restart, a domain returns from an evacuation, and all targets are cold.

--- a/tests/cookie_host.py
+++ b/tests/cookie_host.py
@@ -157,6 +157,7 @@
         seed: int = 1,
         controls: tuple[str, ...] = ("c1",),
         now_s: float = 100.0,
+        name: str = "entry",
         **settings: float,
     ) -> None:
         """Starts the host.
@@ -165,10 +166,11 @@
             seed: Seed of the random generator of the host.
             controls: Names of the control hosts that its settings name.
             now_s: Time of the start, in seconds.
+            name: Name of the host.
             settings: Other settings of the host.
         """
         self.now_s = now_s
-        own = peers.Peer("entry", DOMAIN, peers.Endpoint("10.0.0.9", 7000))
+        own = peers.Peer(name, DOMAIN, peers.Endpoint("10.0.0.9", 7000))
         seeds = tuple(control(name) for name in controls)
         plan = cookie_entry.Plan(own, seed, seeds, FakeCodec(), **settings)
         self.node = cookie_entry.assemble(plan)
--- a/tests/cover/test_cold_target_allotments.py
+++ b/tests/cover/test_cold_target_allotments.py
@@ -1,5 +1,8 @@
 """Allotments of cold targets at control hosts, beside failures."""
 
+import collections
+import itertools
+
 import testtools
 from testtools import matchers
 
@@ -9,6 +12,7 @@
 from tamarack_core import peers
 from tamarack_core import sync
 from tamarack_core.internal.cold_targets import allotment as allotment_lib
+from tests import cookie_host
 from tests import group_network
 
 WARM_UP_S = 5.0
@@ -72,6 +76,87 @@
                     raise AssertionError(f"{key} allotted twice")
 
 
+class WholeNetwork(ColdNetwork):
+    """Control hosts with real entry hosts, all of which get openings.
+
+    Attributes:
+        entries: The entry hosts by name.
+        openings: Times of the openings, by target.
+    """
+
+    def __init__(self, count=3, entries=20):
+        self.entries = {}
+        super().__init__(count)
+        self.openings = collections.defaultdict(list)
+        self.numbers = itertools.count(1)
+        for number in range(entries):
+            self.start_entry(f"entry-{number}")
+
+    def subscribe(self, seconds):
+        """Runs; the entry hosts subscribe by themselves."""
+        self.run(seconds)
+
+    def start_entry(self, name):
+        """Starts an entry host, or restarts it without any memory."""
+        host = cookie_host.CookieHost(
+            seed=next(self.numbers),
+            controls=(),
+            now_s=self.now_s,
+            name=name,
+            cold_overrun_factor=1.5,
+            cold_slack_requests=2.0,
+        )
+        subscription = host.node.handlers[sync.SyncUpdate][0].__self__
+        subscription.seeds = tuple(self.peers.values())
+        self.entries[name] = host
+
+    def _send(self, host, node, receiver, message):
+        entry_host = self.entries.get(receiver.host)
+        if entry_host is None:
+            super()._send(host, node, receiver, message)
+            return
+        entry_host.now_s = self.now_s
+        arrived = events.MessageArrived(self.now_s, node.context.host, message)
+        entry_host.handle(arrived)
+
+    def serve(self, seconds):
+        """Runs; each entry host opens about 10 flows a second."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.run(0.05)
+            for host in list(self.entries.values()):
+                host.now_s = self.now_s
+                for timer in ("mirror", "forwarding"):
+                    host.handle(events.TimerFired(self.now_s, timer))
+                self._pass_on(host)
+                if host.node.context.random.random() < 0.5:
+                    self.openings[host.open(next(self.numbers))].append(
+                        self.now_s
+                    )
+
+    def _pass_on(self, host):
+        """Delivers the messages of an entry host to control hosts."""
+        sent, host.sent = host.sent, []
+        for effect in sent:
+            for name, known in self.peers.items():
+                if known.control == effect.peer.control:
+                    arrived = events.MessageArrived(
+                        self.now_s, host.node.context.host, effect.message
+                    )
+                    self.handle(name, arrived)
+
+    def largest_second(self, name, until_s):
+        """Returns the most openings of a target in any second until a time."""
+        times = [at_s for at_s in self.openings[name] if at_s <= until_s]
+        return max(
+            (
+                sum(first_s <= at_s < first_s + 1.0 for at_s in times)
+                for first_s in times
+            ),
+            default=0,
+        )
+
+
 class AllotmentTest(testtools.TestCase):
     """Which control host allots what, and whether it stays."""
 
@@ -219,3 +304,62 @@
         self.assertEqual(("zone-1", 2), (end.domain, end.revision))
         self.assertThat(end.age_ms, matchers.GreaterThan(3700))
         self.assertIsNone(evacuations.check(state))
+
+
+class WholePathTest(testtools.TestCase):
+    """From the announcement to the openings of all entry hosts."""
+
+    def check_limit(self, network, name, until_s):
+        """Checks that the limit holds, and that the target is used."""
+        found = network.largest_second(name, until_s)
+        self.assertThat(found, matchers.LessThan(BUDGET + 1))
+        self.assertThat(found, matchers.GreaterThan(1))
+
+    def test_a_new_target_stays_within_its_limit_beside_failures(self):
+        network = WholeNetwork()
+        network.announce("t-1")
+        network.serve(4.0)
+        self.assertEqual(20, len(network.entries))
+        network.announce("t-2", host="c2", born_ms=2000, cold_ms=8000)
+        cold_until_s = network.now_s + 8.0
+        network.serve(1.0)
+        network.kill(min(network.leaders()))
+        network.serve(1.0)
+        for number in range(0, 20, 3):
+            network.start_entry(f"entry-{number}")
+        network.serve(5.0)
+        self.check_limit(network, "t-2", cold_until_s)
+        network.serve(3.0)
+        warm = network.largest_second("t-2", network.now_s)
+        self.assertThat(warm, matchers.GreaterThan(BUDGET))
+
+    def test_the_targets_of_a_domain_return_within_their_limit(self):
+        network = WholeNetwork()
+        for number in range(3):
+            endpoint = peers.Endpoint(f"10.9.1.{number + 1}", 80)
+            network.announce(f"t-{number}", endpoint=endpoint)
+        endpoint = peers.Endpoint("10.9.2.1", 80)
+        network.announce("other", domain="zone-2", endpoint=endpoint)
+        network.order("start")
+        network.serve(3.0)
+        network.openings.clear()
+        network.order("end")
+        ended_s = network.now_s
+        network.serve(WARM_UP_S - 0.2)
+        for number in range(3):
+            self.check_limit(network, f"t-{number}", ended_s + WARM_UP_S)
+        self.assertEqual([], network.openings["reset"])
+
+    def test_while_all_targets_are_cold_the_rest_is_refused(self):
+        network = WholeNetwork()
+        network.announce("t-1", cold_ms=6000)
+        network.serve(5.0)
+        self.check_limit(network, "t-1", network.now_s)
+        self.assertThat(
+            len(network.openings["reset"]), matchers.GreaterThan(100)
+        )
+        network.serve(3.0)
+        self.assertThat(
+            network.largest_second("t-1", network.now_s),
+            matchers.GreaterThan(BUDGET),
+        )
