Space the openings of named hosts by the stated rate of a cold target

Cause: a full budget of 8 hosts that send each 1.3 s gave a target that states 4 requests a second 6 openings a second for as long as all targets were cold (trial with 20 entry hosts), which fills its queue.

Change: a named host waits for the number of hosts divided by the rate, if that is longer than 1.3 s.

--- a/packages/core/src/tamarack_core/internal/cold_targets/held_allotments.py
+++ b/packages/core/src/tamarack_core/internal/cold_targets/held_allotments.py
@@ -7,7 +7,6 @@
 from tamarack_core import target_announcement
 from tamarack_core.internal.cold_targets import allotment as allotment_lib
 from tamarack_core.internal.cold_targets import budget
-from tamarack_core.internal.cold_targets import limiter
 
 MAX_ALLOTMENTS = 1_000
 """Allotments that are kept, as many as control hosts keep."""
@@ -22,13 +21,23 @@
     Attributes:
         position: Position of this host among the named ones, from 0.
         hosts: Number of the named hosts.
-        not_before_s: Time of the first opening, in seconds. The named hosts
-            learn of an allotment almost at once, and begin one after another.
+        learned_s: Time at which this host learned of it, in seconds.
     """
 
     position: int
     hosts: int
-    not_before_s: float
+    learned_s: float
+
+    def not_before_s(self, spacing_s: float) -> float:
+        """Returns the time of the first opening, in seconds.
+
+        The named hosts learn of an allotment almost at once, and begin one
+        after another.
+
+        Args:
+            spacing_s: Time between two openings of one host, in seconds.
+        """
+        return self.learned_s + spacing_s * self.position / self.hosts
 
 
 class HeldAllotments:
@@ -65,8 +74,7 @@
             key = allotment_lib.Key(item.target, item.place_ms, item.revision)
             if key in self.by_key:
                 continue
-            delay_s = limiter.SPACING_S * item.position / item.hosts
-            self.by_key[key] = Held(item.position, item.hosts, now_s + delay_s)
+            self.by_key[key] = Held(item.position, item.hosts, now_s)
             added += 1
         while len(self.by_key) > MAX_ALLOTMENTS:
             del self.by_key[next(iter(self.by_key))]
--- a/packages/core/src/tamarack_core/internal/cold_targets/limiter.py
+++ b/packages/core/src/tamarack_core/internal/cold_targets/limiter.py
@@ -5,10 +5,7 @@
 any second, also across its own restarts and suspensions.
 """
 
-SPACING_S = 1.3
-"""Least time between two openings to a cold target, in seconds: a second, and a
-margin of 0.3 s for differing delays, so that both can't arrive within one
-second."""
+from tamarack_core.internal.cold_targets import budget
 
 
 class ColdTargetLimiter:
@@ -40,7 +37,7 @@
         Args:
             now_s: Monotonic time in seconds.
         """
-        self.ready_s = now_s + SPACING_S
+        self.ready_s = now_s + budget.MIN_SPACING_S
 
     def observe(self, now_s: float) -> None:
         """Dates the openings that were sent before the clock was read.
@@ -56,20 +53,25 @@
                 del self.undated[target]
 
     def may_open(
-        self, now_s: float, target: str, not_before_s: float = float("-inf")
+        self,
+        now_s: float,
+        target: str,
+        spacing_s: float = budget.MIN_SPACING_S,
+        not_before_s: float = float("-inf"),
     ) -> bool:
         """Returns whether a flow may be opened to a target.
 
         Args:
             now_s: Monotonic time in seconds.
             target: Name of the target.
+            spacing_s: Time since the last opening to the target, in seconds.
             not_before_s: Time of the first opening that this host may send, in
                 seconds.
         """
         if now_s < max(self.ready_s, not_before_s) or target in self.undated:
             return False
         sent_s = self.sent_s.get(target, float("-inf"))
-        return now_s - sent_s >= SPACING_S
+        return now_s - sent_s >= spacing_s
 
     def record(self, now_s: float, target: str) -> None:
         """Records the decision to send an opening.
@@ -81,7 +83,7 @@
         self.undated[target] = now_s
 
     def expire(self, now_s: float) -> None:
-        """Removes openings that are old enough for the next one.
+        """Removes openings that are old enough for any next one.
 
         Args:
             now_s: Monotonic time in seconds.
@@ -89,5 +91,5 @@
         self.sent_s = {
             target: sent_s
             for target, sent_s in self.sent_s.items()
-            if now_s - sent_s < SPACING_S
+            if now_s - sent_s < budget.MAX_SPACING_S
         }
--- a/packages/core/src/tamarack_core/internal/cookie/cold_openings.py
+++ b/packages/core/src/tamarack_core/internal/cookie/cold_openings.py
@@ -108,25 +108,27 @@
         rate = self._rate(service)
         if not rate:
             return candidates
-        hosts = budget.host_count(rate, self.tolerance)
         return [
             entry
             for entry in candidates
-            if entry.warm_at_s <= now_s or self._may_open(now_s, entry, hosts)
+            if entry.warm_at_s <= now_s or self._may_open(now_s, entry, rate)
         ]
 
     def _may_open(
-        self, now_s: float, entry: target_table.TargetEntry, hosts: int
+        self, now_s: float, entry: target_table.TargetEntry, rate: float
     ) -> bool:
         """Returns whether this host may open a flow to a cold target.
 
         The budget may have shrunk since the allotment; its first hosts remain.
         """
         held = self._find_allotment(now_s, entry)
+        hosts = budget.host_count(rate, self.tolerance)
         if held is None or held.position >= hosts:
             return False
-        name = entry.target.name
-        return self.limiter.may_open(now_s, name, held.not_before_s)
+        spacing_s = budget.spacing_s(rate, min(held.hosts, hosts))
+        return self.limiter.may_open(
+            now_s, entry.target.name, spacing_s, held.not_before_s(spacing_s)
+        )
 
     def _find_allotment(
         self, now_s: float, entry: target_table.TargetEntry
--- a/tests/cover/test_cold_target_allotments.py
+++ b/tests/cover/test_cold_target_allotments.py
@@ -355,6 +355,8 @@
         network.announce("t-1", cold_ms=6000)
         network.serve(5.0)
         self.check_limit(network, "t-1", network.now_s)
+        sustained = len(network.openings["t-1"]) / 5.0
+        self.assertThat(sustained, matchers.LessThan(RATE + 0.01))
         self.assertThat(
             len(network.openings["reset"]), matchers.GreaterThan(100)
         )
--- a/tests/cover/test_cold_target_sum.py
+++ b/tests/cover/test_cold_target_sum.py
@@ -13,7 +13,7 @@
 from tamarack_core.internal.documents import state_machine as machines
 from tests import cookie_host
 
-RATE, FACTOR, SLACK = 1.0, 1.5, 3.0
+RATE, FACTOR, SLACK = 4.0, 1.0, 0.5
 BUDGET = 4
 HOSTS = [f"entry-{number}" for number in range(12)]
 HORIZON_S = 5.0
--- a/tests/cover/test_cold_targets.py
+++ b/tests/cover/test_cold_targets.py
@@ -103,12 +103,24 @@
         self.assertTrue(limiter.may_open(6.3, "other"))
         limiter.observe(9.0)
         self.assertFalse(limiter.may_open(10.2, "t"))
-        limiter.expire(10.2)
-        self.assertFalse(limiter.may_open(10.2, "t"))
-        limiter.expire(10.4)
         self.assertTrue(limiter.may_open(10.4, "t"))
+        self.assertFalse(limiter.may_open(68.9, "t", budget.MAX_SPACING_S))
+        limiter.expire(68.9)
+        self.assertFalse(limiter.may_open(68.9, "t", budget.MAX_SPACING_S))
+        limiter.expire(69.0)
         self.assertEqual({}, limiter.sent_s)
 
+    # The slack would otherwise fill the queue of a target that is cold for
+    # some seconds.
+    def test_the_hosts_together_keep_the_stated_rate(self):
+        for rate, hosts, spacing_s in (
+            (4.0, 11, 2.75),
+            (4.0, 4, 1.3),
+            (0.01, 5, budget.MAX_SPACING_S),
+            (1e-300, 5, budget.MAX_SPACING_S),
+        ):
+            self.assertEqual(spacing_s, budget.spacing_s(rate, hosts))
+
 
 class LogTest(testtools.TestCase):
     """Allotments in the replicated state machine."""
@@ -306,11 +318,12 @@
         self.assertThat(min(times) - began_s, matchers.GreaterThan(1.29))
 
     def test_a_smaller_budget_leaves_the_first_hosts(self):
-        smaller = (sync.WarmUp("web", WARM_UP_S, 0.1),)
+        smaller = (sync.WarmUp("web", WARM_UP_S, 0.6),)
+        target = msgspec.structs.replace(cold(), cold_ms=60_000)
         for position, count in ((4, 1), (5, 0)):
             update = allotted("t-cold", position=position, hosts=6)
-            host = limited_host(cold(), warm_ups=smaller, allotments=update)
-            self.assertEqual(count, len(self.times_of(host, "t-cold", 1.4)))
+            host = limited_host(target, warm_ups=smaller, allotments=update)
+            self.assertEqual(count, len(self.times_of(host, "t-cold", 9.0)))
 
     # A restart of a target during the suspension is unknown to the host, which
     # finds queued openings and updates at once.
