--- a/packages/core/src/tamarack_core/internal/change_entries.py
+++ b/packages/core/src/tamarack_core/internal/change_entries.py
@@ -16,6 +16,9 @@
 hundreds of hosts before hundreds of targets would make as many as both
 multiplied."""
 
+MAX_LOGGED_CHARACTERS = 400
+"""Characters of the names of evacuated domains that are logged."""
+
 
 def summarize(
     context: context_lib.Context,
@@ -51,7 +54,7 @@
         now_s,
         "evacuation-in-force",
         version=state.revision,
-        detail=" ".join(state.domains) or "none",
+        detail=" ".join(state.domains)[:MAX_LOGGED_CHARACTERS] or "none",
     )
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_rejection.py
@@ -105,6 +105,7 @@
         packet: flow_packets.FlowPacket,
         reason: str,
         service: str = "",
+        detail: str = "",
     ) -> list[effects.Effect]:
         """Refuses to open a flow; nothing of it has run."""
         return [
@@ -117,6 +118,7 @@
                 version=self.routes.number,
                 verdict="not-run",
                 reason=reason,
+                detail=detail,
             ),
         ]
 
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -237,8 +237,13 @@
         if not reason and not self.subscription.is_settled:
             # Targets outside the evacuated domains may be unknown as yet.
             return self.rejector.drop("opening-before-targets")
+        detail = ""
+        if is_evacuated:
+            detail = (
+                f"evacuations at revision {self.targets.evacuations.revision}"
+            )
         reason = reason or ("domain-evacuated" if is_evacuated else "no-target")
-        return self.rejector.refuse(now_s, packet, reason, service)
+        return self.rejector.refuse(now_s, packet, reason, service, detail)
 
     def _decide_admission(
         self,
--- a/tests/cover/test_evacuation_faults.py
+++ b/tests/cover/test_evacuation_faults.py
@@ -293,7 +293,9 @@
             evacuated=evacuations.Evacuations(1, ("a", "b")),
         )
         self.assertEqual("reset", host.open(999))
-        self.assertEqual("domain-evacuated", host.records[-1].entry.reason)
+        entry = host.records[-1].entry
+        self.assertEqual("domain-evacuated", entry.reason)
+        self.assertIn("revision 1", entry.detail)
 
     # An earlier copy may have opened the flow at a target of the domain.
     def test_a_repeated_opening_is_not_reset_where_the_others_drain(self):
