Split saving of targets from the registry

Change: what is saved for the next start is encoded and decoded in saved_targets.py; behaviour is unchanged. A test encodes its old format itself and no longer uses a private encoder of the registry.

--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -12,7 +12,7 @@
 
 from tamarack_core import failure
 from tamarack_core import target_announcement
-from tamarack_core.internal import change_entries
+from tamarack_core.internal.registry import saved_targets
 
 OVERDUE_INTERVALS = 2.2
 """Intervals without an announcement after which a target is overdue; one
@@ -30,38 +30,6 @@
 control hosts while it serves."""
 
 
-class SavedTargets(msgspec.Struct):
-    """What `encode` returned, as the next start reads it.
-
-    Attributes:
-        targets: The encoded targets that are not gone. Each is decoded by
-            itself, so that one that can't be read leaves the others.
-        entry_hosts: Number of entry hosts; 0 if unknown.
-    """
-
-    targets: list[msgspec.Raw]
-    entry_hosts: int = 0
-
-
-class Restored(msgspec.Struct):
-    """What a start has restored.
-
-    Attributes:
-        targets: The targets.
-        entry_hosts: Number of entry hosts; 0 if unknown.
-        skipped: Saved targets that are invalid.
-    """
-
-    targets: list[target_announcement.Announcement]
-    entry_hosts: int
-    skipped: list[change_entries.Skipped]
-
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(SavedTargets | list[msgspec.Raw])
-_target_decoder = msgspec.msgpack.Decoder(target_announcement.Announcement)
-
-
 class TargetRecord(msgspec.Struct):
     """A target and its state at this host.
 
@@ -376,9 +344,11 @@
             for record in self.records.values()
             if record.target.phase is not target_announcement.Phase.GONE
         ]
-        return _encoder.encode({"targets": targets, "entry_hosts": entry_hosts})
+        return saved_targets.encode(targets, entry_hosts)
 
-    def restore(self, now_s: float, data: bytes) -> Restored | failure.Failure:
+    def restore(
+        self, now_s: float, data: bytes
+    ) -> saved_targets.Restored | failure.Failure:
         """Restores the targets that an earlier start saved.
 
         Each target counts as announced now, so it has an interval or two to
@@ -391,19 +361,9 @@
         Returns:
             What was restored, or why the data can't be read.
         """
-        try:
-            decoded = _decoder.decode(data)
-        except (msgspec.DecodeError, RecursionError) as error:
-            return failure.Failure("bad-targets", str(error))
-        # Earlier versions saved the targets alone.
-        saved = SavedTargets(decoded) if isinstance(decoded, list) else decoded
-        restored = Restored([], saved.entry_hosts, [])
-        for encoded in saved.targets:
-            target = _decode_target(encoded)
-            if isinstance(target, change_entries.Skipped):
-                restored.skipped.append(target)
-            else:
-                restored.targets.append(target)
+        restored = saved_targets.decode(data)
+        if not isinstance(restored, failure.Failure):
+            for target in restored.targets:
                 self.put(now_s, target)
         return restored
 
@@ -533,21 +493,6 @@
         self._leave_endpoint(record.target)
 
 
-def _decode_target(
-    encoded: msgspec.Raw,
-) -> target_announcement.Announcement | change_entries.Skipped:
-    """Returns a target that was saved, or why it is invalid."""
-    try:
-        target = _target_decoder.decode(encoded)
-    except (msgspec.DecodeError, RecursionError) as error:
-        unreadable = failure.Failure("bad-target", str(error))
-        return change_entries.Skipped("", unreadable)
-    invalid = target_announcement.check(target)
-    if invalid is not None:
-        return change_entries.Skipped(target.name, invalid)
-    return target
-
-
 def _endpoint_key(target: target_announcement.Announcement) -> tuple[str, int]:
     return (target.endpoint.address, target.endpoint.port)
 
--- a/tests/cover/test_entry_host_count.py
+++ b/tests/cover/test_entry_host_count.py
@@ -1,5 +1,6 @@
 """How control hosts estimate the number of entry hosts."""
 
+import msgspec
 import testtools
 
 from tamarack_core import events
@@ -58,7 +59,7 @@
         self.assertEqual(["t-1"], [t.name for t in restored.targets])
 
     def test_targets_that_an_earlier_version_saved_are_restored(self):
-        saved = target_registry._encoder.encode([cookie_host.target("t-1")])
+        saved = msgspec.msgpack.encode([cookie_host.target("t-1")])
         registry = target_registry.TargetRegistry(1.2)
         self.assertEqual(0, registry.restore(2.0, saved).entry_hosts)
         self.assertEqual(["t-1"], list(registry.records))
