Examine all targets for allotments only within a warm-up time of an evacuation

Cause: until the end of an evacuation is removed from the state, a minute after the warm-up time, the leader examined every target ten times a second.

Change: ends older than the longest warm-up time are left out.

--- a/packages/core/src/tamarack_core/internal/group/allotment_proposals.py
+++ b/packages/core/src/tamarack_core/internal/group/allotment_proposals.py
@@ -211,9 +211,11 @@
         }
         if not limited:
             return []
+        longest_s = max(service.warm_up_s for service in limited.values())
         revisions = {
             end.domain: end.revision
             for end in self.machine.evacuations.state.ended
+            if now_s < self._ended_s(end) + longest_s
         }
         records = {
             record.target.name: record
@@ -228,8 +230,8 @@
             if service is None or not self._accepts_flows(target):
                 continue
             revision = revisions.get(target.domain, 0)
-            ended_s = self.publisher.ended_s.get((target.domain, revision))
-            if ended_s is None or now_s >= ended_s + service.warm_up_s:
+            end = evacuations.Ended(target.domain, revision)
+            if now_s >= self._ended_s(end) + service.warm_up_s:
                 revision = 0
             if revision or _is_cold(now_s, record):
                 key = allotment_lib.Key(target.name, target.place_ms, revision)
@@ -295,11 +297,17 @@
             end
             for end in self.machine.evacuations.state.ended
             if end not in self.forgotten
-            and now_s
-            - self.publisher.ended_s.get((end.domain, end.revision), now_s)
-            > longest_s + FORGET_S
+            and now_s > self._ended_s(end) + longest_s + FORGET_S
         )
 
+    def _ended_s(self, end: evacuations.Ended) -> float:
+        """Returns when this host learned of an end, in seconds.
+
+        Until then, the end counts as one that is still to come.
+        """
+        key = (end.domain, end.revision)
+        return self.publisher.ended_s.get(key, float("inf"))
+
 
 def _is_cold(now_s: float, record: target_registry.TargetRecord) -> bool:
     """Returns whether a target states that it is cold."""
