Order evacuations in the soak

Cause: no run of the real programs beside overlapping faults had evacuations. Change: an operator evacuates one domain after another, with lost answers and delayed duplicates.

--- a/tests/slow/test_soak.py
+++ b/tests/slow/test_soak.py
@@ -29,6 +29,7 @@
             self.assertEqual([], checks.broken, f"seed {seed}")
             self.assertGreater(checks.counts["served"], 0)
             self.assertGreater(checks.counts["published"], 0)
+            self.assertGreater(checks.counts["orders"], 0)
 
     def test_promises_hold_while_voters_are_stopped_and_replaced(self):
         for seed in range(FIRST, FIRST + RUNS):
@@ -76,6 +77,32 @@
         checks.record_read(7, 7, "other", {7: "seven"})
         self.assertEqual(2, len(checks.broken))
 
+    def test_a_flow_at_a_target_of_an_evacuated_domain(self):
+        cut = plan.Fault("cut", "e1", 12.0, 1.0)
+        freezes = [plan.Fault("freeze", f"c{n}", 20.0, 1.0) for n in (0, 1)]
+        for at_s, entry, expected in (
+            (9.9, "e0", 0),
+            (10.1, "e0", 1),
+            (13.0, "e0", 1),
+            (13.0, "e1", 0),
+            (18.1, "e1", 1),
+            (21.0, "e0", 0),
+            (26.1, "e0", 1),
+        ):
+            checks = self.start(at_s, cut, *freezes)
+            checks.evacuated_s["z0"] = 5.0
+            checks.entries = {"10.0.0.1": entry}
+            checks.record_domain("t-1", "z1", "10.0.0.1")
+            self.assertEqual([], checks.broken)
+            checks.record_domain("t-0", "z0", "10.0.0.1")
+            self.assertEqual(expected, len(checks.broken), (at_s, entry))
+
+    def test_an_order_that_is_not_acknowledged_in_time(self):
+        for took_s, expected in ((5.9, 0), (6.1, 1)):
+            checks = self.start(30.0, plan.Fault("kill", "c0", 5.0, 1.0))
+            checks.record_order("start z0", checks.now_s - took_s)
+            self.assertEqual(expected, len(checks.broken))
+
     def test_what_only_a_calm_system_promises(self):
         fault = plan.Fault("kill", "e0", 10.0, 1.0)
         for at_s, expected in ((5.0, 0), (9.9, 4), (12.0, 0), (18.1, 4)):
--- a/tests/soak/ends.py
+++ b/tests/soak/ends.py
@@ -9,6 +9,7 @@
 
 from tamarack_platform import packets
 from tests.soak import hosts as hosts_lib
+from tests.soak import plan
 
 SERVICES = {"agenda": 80, "informe": 81}
 SERVICE_ADDRESS = "198.18.0.1"
@@ -57,6 +58,7 @@
     Attributes:
         name: Identifier in the platform's form.
         service: Its service.
+        domain: Its failure domain.
         address: IP address, which a restart keeps.
         starts: Number of its starts.
         is_alive: Whether it runs.
@@ -67,6 +69,7 @@
         self.index = index
         self.name = f"i-{0xA0000000 + index:08x}"
         self.service = list(SERVICES)[index % len(SERVICES)]
+        self.domain = plan.DOMAINS[index % len(plan.DOMAINS)]
         self.address = f"{network}.{40 + index}"
         self.promises = promises
         self.starts = 0
@@ -127,14 +130,15 @@
             )
             return
         if flags & packets.OPENING_FLAG:
-            self._open(ends, seq, echo)
+            self._open(ends, seq, echo, sender[0])
         elif payload:
             self._run(ends, seq, ack, echo, payload)
 
-    def _open(self, ends, seq, echo):
+    def _open(self, ends, seq, echo, entry):
         """Accepts an opening, or replies again to its copy."""
         if ends not in self.flows:
             self.promises.record_opening(self.name, self.drained_s)
+            self.promises.record_domain(self.name, self.domain, entry)
             initial = self.random.getrandbits(31)
             self.flows[ends] = [initial, seq + 1, initial + 1, None]
         initial, expected, _, _ = self.flows[ends]
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -13,6 +13,7 @@
 from tamarack_lab.proxy import settings as proxy_settings
 from tests.soak import host_program
 from tests.soak import plan
+from tests.soak import promises
 
 CONTROL_PORT, DATA_PORT, READY_PORT, INTERNAL_PORT = 18166, 18172, 18167, 17720
 FIRST_LINK_PORT = 20000
@@ -79,6 +80,9 @@
             f"data-dir={self.disk}",
             f"heartbeat-ms={ANNOUNCE_MS}",
             "fault-tolerance.machines=1",
+            *(f"zones.{domain}=r" for domain in plan.DOMAINS),
+            f"bounds.evacuate-ms={promises.EVACUATE_S * 1000:.0f}",
+            f"bounds.ack-timeout-ms={promises.ACKNOWLEDGE_S * 1000:.0f}",
         ]
         (self.folder / "settings.conf").write_text("\n".join(lines))
 
--- a/tests/soak/orders.py
+++ b/tests/soak/orders.py
@@ -236,7 +236,7 @@
         body = {
             "service": target.service,
             "address": f"{target.address}:{target.port}",
-            "zone": f"z{target.index % 3}",
+            "zone": target.domain,
             "slots": 2,
             "state": "draining" if is_draining else "ready",
             "warmup-left-ms": 0,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -5,6 +5,8 @@
 
 ENTRIES = 3
 TARGETS = 6
+DOMAINS = ("z0", "z1", "z2")
+"""Failure domains; each has a target of each service."""
 
 FAULTS_FROM_S = 5.0
 FAULTS_UNTIL_S = 15.0
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,8 @@
 import collections
 import time
 
+from tests.soak import plan
+
 CALM_S = 7.0
 """Time after the last fault until all promises hold again, in seconds."""
 
@@ -17,6 +19,21 @@
 """Time until a draining target gets no new flow, in seconds."""
 
 
+EVACUATE_S = 5.0
+"""Time until the targets of an evacuated domain get no new flow, in seconds."""
+
+ACKNOWLEDGE_S = 6.0
+"""Time until an order is acknowledged in calm, in seconds."""
+
+CUTS = frozenset({"freeze", "cut", "cut-out", "cut-in"})
+"""Faults of an entry host that end its contact with the control hosts."""
+
+LOSSES = CUTS | {"kill", plan.LOSES_DISK, plan.STOPS_CONTROL, "disk-full"}
+"""Faults that disable a control host. The deployments tolerate one of them."""
+
+LOSSES_OF_ALL = frozenset({"kill-all", "kill-all-controls"})
+
+
 class Promises:
     """Records outcomes and collects violations.
 
@@ -26,6 +43,9 @@
         started_s: Monotonic time of the start of the run.
         runs: Targets that ran each request.
         counts: Number of times of each outcome.
+        entries: Names of the entry hosts by address.
+        evacuated_s: Times at which the evacuations in force were acknowledged,
+            in seconds, by domain.
     """
 
     def __init__(self, faults):
@@ -35,6 +55,8 @@
         self.started_s = time.monotonic()
         self.runs = collections.defaultdict(list)
         self.counts = collections.Counter()
+        self.entries = {}
+        self.evacuated_s = {}
 
     @property
     def now_s(self):
@@ -95,6 +117,61 @@
         if self.is_calm(self.now_s):
             self.record_violation(f"{target} gets a flow after its drain")
 
+    def is_in_contact(self, entry, at_s):
+        """Returns whether an entry host was in contact for `EVACUATE_S`.
+
+        It is in contact if it isn't cut off or frozen, and if no more control
+        hosts fail at once than the deployment tolerates.
+        """
+        recent = [
+            fault
+            for fault in self.faults
+            if fault.from_s <= at_s and fault.until_s > at_s - EVACUATE_S
+        ]
+        lost = {
+            fault.subject
+            for fault in recent
+            if fault.subject.startswith("c") and fault.kind in LOSSES
+        }
+        return len(lost) <= 1 and not any(
+            fault.kind in LOSSES_OF_ALL
+            or (fault.subject == entry and fault.kind in CUTS)
+            for fault in recent
+        )
+
+    def record_domain(self, target, domain, address):
+        """Records an opening; a violation long after an evacuation.
+
+        Args:
+            target: Name of the target.
+            domain: Its failure domain.
+            address: Address of the entry host that sent the opening.
+        """
+        since_s = self.now_s - EVACUATE_S
+        late = [one for one, at_s in self.evacuated_s.items() if at_s < since_s]
+        entry = self.entries.get(address, address)
+        if not late or not self.is_in_contact(entry, self.now_s):
+            return
+        self.counts["opened during an evacuation"] += 1
+        if domain in late:
+            self.record_violation(
+                f"{target} in {domain} gets a flow by {entry}, evacuated at"
+                f" {self.evacuated_s[domain]:.3f} s"
+            )
+
+    def record_order(self, order, began_s):
+        """Records an acknowledged order; a violation if it took long in calm.
+
+        Args:
+            order: The order.
+            began_s: Time at which it was first sent, in seconds.
+        """
+        self.counts["orders"] += 1
+        took_s = self.now_s - began_s
+        was_calm = self.is_calm(began_s) and self.is_calm(self.now_s)
+        if took_s > ACKNOWLEDGE_S and was_calm:
+            self.record_violation(f"{order} takes {took_s:.1f} s in calm")
+
     def record_effect(self, number, entry, outcome, expected):
         """Records a probe of a route, whose outcome is as expected in calm."""
         self.counts[f"probe {outcome}"] += 1
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 from tamarack_lab.proxy import settings as proxy_settings
 from tamarack_lab.proxy import threaded_proxy
 from tests.soak import ends
+from tests.soak import evacuations
 from tests.soak import hosts as hosts_lib
 from tests.soak import orders
 from tests.soak import plan
@@ -27,6 +28,7 @@
         hosts: The processes.
         targets: Simulated servers.
         operator: Publishes and reads documents and checks their effect.
+        evacuator: Orders evacuations and their ends.
         routers: Distribute the packets of callers to entry hosts.
         callers: Open flows and send requests.
         prober: Opens flows on routes that are added and removed.
@@ -40,6 +42,10 @@
             for index in range(plan.TARGETS)
         ]
         self.operator = orders.Operator(self.hosts, self.promises, seed)
+        self.evacuator = evacuations.Evacuator(self.hosts, self.promises, seed)
+        self.promises.entries = {
+            host.address: host.name for host in self.hosts.entries()
+        }
         self.routers = ends.Routers(self.hosts.entries())
         *self.callers, self.prober = [
             ends.Caller(
@@ -91,6 +97,7 @@
         end_s = plan.END_S - 2.0
         publishing = asyncio.create_task(self.operator.publish(end_s))
         reading = asyncio.create_task(self.operator.read(end_s))
+        evacuating = asyncio.create_task(self.evacuator.run(end_s))
         await asyncio.sleep(START_S)
         services = list(ends.SERVICES)
         await asyncio.gather(
@@ -104,6 +111,9 @@
             self.operator.check_effects(self.prober, end_s),
         )
         publishing.cancel()
+        evacuating.cancel()
+        if evacuating.done() and not evacuating.cancelled():
+            evacuating.result()
         await self.operator.read_back(self.promises.now_s + 5.0)
 
     async def check_hosts(self):
