Report reply times and openings from entry hosts

Cause: no host sees enough replies to tell the speed of a target, and no host knows the openings a second of all hosts. Change: messages LoadReport, LoadTotals and LoadSummary; entry hosts sum up the logarithms of reply time over the usual one of the route for each start of a target, count openings, and report both each second. The subscription offers opening_rates and own_opening_rates.

--- a/packages/core/src/tamarack_core/cookie_entry.py
+++ b/packages/core/src/tamarack_core/cookie_entry.py
@@ -15,6 +15,7 @@
 from tamarack_core.internal.cookie import routes
 from tamarack_core.internal.cookie import subscription as subscriptions
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import load_collector
 
 CODEC = envelopes.Codec(envelopes.Envelope[sync.Message])
 """Codec for the messages that an entry host sends and receives."""
@@ -51,4 +52,9 @@
     )
     detector = failure_detector.TargetFailureDetector(rejector, subscription)
     packet_forwarder = forwarder.Forwarder(rejector, detector, subscription)
-    return reducer.Node(context, (packet_forwarder, detector, subscription))
+    collector = load_collector.LoadCollector(
+        context, subscription, rejector.tracker.replies
+    )
+    return reducer.Node(
+        context, (packet_forwarder, detector, subscription, collector)
+    )
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -15,6 +15,7 @@
 from tamarack_core.internal import suspension
 from tamarack_core.internal.cookie import target_liveness
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import reply_statistics
 
 MAX_FLOWS = 50_000
 """Maximum number of tracked flows; 16 MB at about 330 bytes each."""
@@ -217,6 +218,7 @@
         domains: Liveness by failure domain.
         used: Names of targets with flows by failure domain.
         responsive: Names of targets that replied, the most recent one last.
+        replies: Reply times of targets since the last report.
         last_event_s: Time of the last packet or timer, in seconds.
     """
 
@@ -228,6 +230,7 @@
         "opening",
         "openings",
         "pending",
+        "replies",
         "responsive",
         "targets",
         "used",
@@ -244,6 +247,7 @@
         self.used: dict[str, dict[str, None]] = {}
         self.responsive: dict[str, None] = {}
         self.openings = 0
+        self.replies = reply_statistics.ReplyStatistics()
         self.last_event_s = float("inf")
 
     def check_suspension(self, now_s: float) -> bool:
@@ -260,6 +264,7 @@
         if was_suspended:
             for activity in self.targets.values():
                 activity.observe_reply(now_s)
+            self.replies.resumed_s = now_s
         self.last_event_s = now_s
         return was_suspended
 
@@ -373,6 +378,9 @@
             self.observe_reply(now_s, target)
             if flow.pending_since_s is not None:
                 activity.observe_reply_time(now_s - flow.pending_since_s)
+                self.replies.observe(
+                    now_s, key[2:4], target.start_tag, flow.pending_since_s
+                )
                 self._clear_pending(key, flow, activity)
         flow.acknowledged = packet.acknowledged
         is_retransmission = bool(
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -185,7 +185,9 @@
         service = routes_lib.service_of(route, packet.flow)
         tried: tuple[str, ...] = ()
         result: list[effects.Effect] = []
-        if packet.copy_number:
+        if not packet.copy_number:
+            self.subscription.load.observe_opening(service)
+        else:
             tried = self.tracker.observe_repeated_opening(now_s, packet.flow)
             result = self._probe_unresponsive(now_s, packet.flow)
         candidates = self.targets.by_service.get(service, {}).values()
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -26,6 +26,7 @@
 from tamarack_core.internal import suspension
 from tamarack_core.internal.cookie import routes as routes_lib
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import load_view
 
 TIMER = "mirror"
 
@@ -66,6 +67,7 @@
         controls: Control hosts named by the publisher.
         entry_hosts: Number of entry hosts, as far as the publisher knows; 0
             if it doesn't.
+        load: Load of services and weights of targets.
         publisher: The control host that this host subscribes to, if any.
         run: Run of the publisher.
         position: Last change of that run that is held.
@@ -87,6 +89,7 @@
         "entry_hosts",
         "is_confirmed",
         "is_settled",
+        "load",
         "local_requested_s",
         "position",
         "publisher",
@@ -122,6 +125,7 @@
         self.seeds = seeds
         self.controls: tuple[peers.Peer, ...] = ()
         self.entry_hosts = 0
+        self.load = load_view.LoadView()
         self.publisher: peers.Peer | None = None
         self.run = ""
         self.position = 0
@@ -138,6 +142,20 @@
         """Whether a document is held."""
         return self.routes.number > 0
 
+    def opening_rates(self, now_s: float) -> dict[str, float]:
+        """Returns openings a second over all entry hosts by service.
+
+        The result is empty if they are unknown or too old.
+        """
+        return self.load.opening_rates(now_s)
+
+    def own_opening_rates(self) -> dict[str, float]:
+        """Returns openings a second at this host by service.
+
+        They are updated with each report, once a second.
+        """
+        return self.load.own_rates
+
     def follows_quorum(self, now_s: float) -> bool:
         """Returns whether the publisher responds and has a quorum.
 
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -32,6 +32,15 @@
     return zlib.crc32(name.encode()) or 1
 
 
+def start_tag_of(target: target_announcement.Announcement) -> int:
+    """Returns the tag of one start of a target.
+
+    Another start under the same name has another one, so what was learned of
+    the earlier start does not apply to it.
+    """
+    return zlib.crc32(b"%d" % target.place_ms, tag_of(target.name))
+
+
 class TargetEntry(msgspec.Struct):
     """A target as known to an entry host.
 
@@ -44,6 +53,7 @@
         warm_at_s: Time from which it runs at full speed, in seconds.
         gone_s: Time at which it became known to be gone, in seconds; None
             before.
+        start_tag: Tag of its present start, by which its weight is known.
     """
 
     target: target_announcement.Announcement
@@ -52,6 +62,7 @@
     updated_s: float
     warm_at_s: float
     gone_s: float | None = None
+    start_tag: int = 0
 
     @property
     def is_gone(self) -> bool:
@@ -116,6 +127,7 @@
             updated_s=now_s,
             warm_at_s=now_s + target.cold_ms / 1000,
             gone_s=gone_s,
+            start_tag=start_tag_of(target),
         )
         self.by_name[target.name] = entry
         self.domain_sizes[target.domain] += not entry.is_gone
--- /dev/null
+++ b/packages/core/src/tamarack_core/internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load of targets and services: reports, weights and their distribution."""
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -145,6 +145,64 @@
     targets: tuple[str, ...]
 
 
+class TargetReplies(msgspec.Struct, frozen=True, array_like=True):
+    """Reply times of one target since the last report.
+
+    Attributes:
+        start_tag: Tag of the start of the target.
+        count: Number of replies.
+        log_milli: Sum of the logarithms of reply time over usual reply time,
+            in thousandths.
+    """
+
+    start_tag: int
+    count: int
+    log_milli: int
+
+
+class LoadReport(msgspec.Struct, frozen=True, tag="load-report"):
+    """What an entry host observed since its last report.
+
+    It goes to the control host that the entry host follows.
+
+    Attributes:
+        replies: Reply times of the targets that replied.
+        openings: Openings of callers by service, repeated ones not counted.
+    """
+
+    replies: tuple[TargetReplies, ...] = ()
+    openings: dict[str, int] = {}
+
+
+class LoadTotals(msgspec.Struct, frozen=True, tag="load-totals"):
+    """Sum of the reports that a control host received since its last totals.
+
+    It goes to the other control hosts.
+
+    Attributes:
+        replies: Reply times of the targets that replied.
+        openings: Openings of callers by service, repeated ones not counted.
+    """
+
+    replies: tuple[TargetReplies, ...] = ()
+    openings: dict[str, int] = {}
+
+
+class LoadSummary(msgspec.Struct, frozen=True, tag="load-summary"):
+    """Weights of targets and load of services over all entry hosts.
+
+    It goes from a control host to the entry hosts that follow it.
+
+    Attributes:
+        weights: Weights in percent by tag of the start of a target; those of
+            100 are left out.
+        openings_per_s: Openings a second by service.
+    """
+
+    weights: dict[int, int] = {}
+    openings_per_s: dict[str, float] = {}
+
+
 class ControlHello(msgspec.Struct, frozen=True, tag="control-hello"):
     """Introduces a control host to the others.
 
@@ -180,6 +238,9 @@
     | DocumentAnswer
     | AnnouncementAges
     | SuspectTargets
+    | LoadReport
+    | LoadTotals
+    | LoadSummary
     | ControlHello
     | VoterReleased
 )
