Weight targets by their speed

Cause: targets run at 0.6 to 1.6 times the mean speed and get equal shares. Openings take turns in proportion to the weights; with all weights at 100 the choice is that of before.

--- a/packages/core/src/tamarack_core/document_control.py
+++ b/packages/core/src/tamarack_core/document_control.py
@@ -11,6 +11,7 @@
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.group import document_replication
 from tamarack_core.internal.group import host_directory
+from tamarack_core.internal.load import load_aggregator
 from tamarack_core.internal.registry import announcement_receiver
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import suspicion_relay
@@ -80,8 +81,9 @@
         context, registry, publisher, directory, plan.disk.targets
     )
     suspicions = suspicion_relay.SuspicionRelay(context, publisher)
+    loads = load_aggregator.LoadAggregator(context, publisher, registry)
     return reducer.Node(
-        context, (publisher, replicator, announcements, suspicions)
+        context, (publisher, replicator, announcements, suspicions, loads)
     )
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -5,6 +5,7 @@
 acknowledgement number that advances shows that it replied.
 """
 
+import collections
 from collections.abc import Container
 from collections.abc import Iterable
 import itertools
@@ -106,6 +107,12 @@
         pending: Those of them whose last request has no reply.
         reply_s: Usual time from a request to its reply, in seconds.
         last_opening: Number of the last opening packet that it was sent.
+        last_turn: That number among the openings of its service, minus the
+            lateness. It is moved when the weight changes.
+        lateness: Openings by which the next opening packet is late, if the
+            choice is by weights.
+        weight: Weight in percent for which `last_turn` holds; 0 before the
+            first choice by weights.
         reported_s: Time of the last report that it is dead, in seconds.
     """
 
@@ -118,6 +125,9 @@
     pending: int = 0
     reply_s: float = 0.0
     last_opening: int = 0
+    last_turn: float = 0.0
+    lateness: float = 0.0
+    weight: int = 0
     reported_s: float = float("-inf")
 
     @property
@@ -212,6 +222,8 @@
         pending: Keys of the flows whose last request has no reply, the oldest
             request first.
         openings: Opening packets sent to targets since the start.
+        turns: Opening packets sent to targets of a service since the start, by
+            service.
         closed: Times at which flows were closed, in seconds, by key, the
             earliest first.
         targets: Activity by name of the target.
@@ -233,6 +245,7 @@
         "replies",
         "responsive",
         "targets",
+        "turns",
         "used",
     )
 
@@ -247,6 +260,7 @@
         self.used: dict[str, dict[str, None]] = {}
         self.responsive: dict[str, None] = {}
         self.openings = 0
+        self.turns: collections.Counter[str] = collections.Counter()
         self.replies = reply_statistics.ReplyStatistics()
         self.last_event_s = float("inf")
 
@@ -308,6 +322,10 @@
         activity.opening += 1
         self.openings += 1
         activity.last_opening = self.openings
+        service = target.target.service
+        self.turns[service] += 1
+        activity.last_turn = self.turns[service] - activity.lateness
+        activity.lateness = 0.0
         self.opening[key] = None
         activity.liveness.observe_opening(now_s)
         activity.domain_liveness.observe_opening(now_s)
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -203,6 +203,7 @@
             now_s,
             tried,
             self.context.random,
+            self.subscription.load.weights_at(now_s),
         )
         if entry is None:
             if candidates:
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -8,11 +8,13 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Mapping
 import random
 
 from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import target_probes
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import target_weights
 
 RECENT_REPLY_S = 2.0
 """Time for which a reply outweighs overdue announcements, in seconds. The
@@ -22,6 +24,8 @@
 """Factor by which the load of a cold target is multiplied. Targets that have
 just started take that much longer for their work."""
 
+_NO_WEIGHTS: Mapping[int, int] = {}
+
 
 def choose(
     candidates: Collection[target_table.TargetEntry],
@@ -30,6 +34,7 @@
     now_s: float,
     tried: Collection[str],
     generator: random.Random,
+    weights: Mapping[int, int] = _NO_WEIGHTS,
 ) -> target_table.TargetEntry | None:
     """Returns the target for a new flow, or None if there is none.
 
@@ -42,7 +47,9 @@
     the cause may be close to this host, and all are used. Of the best targets,
     the one with the least load through this host is chosen. Targets of equal
     load take turns: a host that is one of many rarely has two requests in
-    progress, and turns spread its openings more evenly than chance.
+    progress, and turns spread its openings more evenly than chance. Where
+    weights differ, work counts less at targets of higher weight, and turns
+    come more often.
 
     Args:
         candidates: Targets of the service that accept new flows.
@@ -51,6 +58,8 @@
         now_s: Monotonic time in seconds.
         tried: Targets that were sent this opening packet before.
         generator: Seeded random generator.
+        weights: Weights other than 100, in percent, by tag of the start of a
+            target.
     """
     alive = [entry for entry in candidates if not probes.is_dead(entry)]
     if not alive:
@@ -68,9 +77,14 @@
         for entry in usable
         if not tracker.activity_of(entry).is_avoided(now_s)
     ]
+    best = responsive or usable
     idle_share = _idle_flow_weight(tracker)
+    if weights and any(entry.start_tag in weights for entry in best):
+        return _choose_weighted(
+            best, tracker, now_s, idle_share, generator, weights
+        )
     return min(
-        responsive or usable,
+        best,
         key=lambda entry: (
             _load(entry, tracker, now_s, idle_share),
             tracker.activity_of(entry).last_opening,
@@ -79,19 +93,77 @@
     )
 
 
+def _choose_weighted(
+    entries: Collection[target_table.TargetEntry],
+    tracker: flow_tracker.FlowTracker,
+    now_s: float,
+    idle_share: float,
+    generator: random.Random,
+    weights: Mapping[int, int],
+) -> target_table.TargetEntry:
+    """Returns the target with the least load for its weight.
+
+    The next turn of a target is due as many openings after its last one as its
+    share of the weights implies. The first turn comes at a random place.
+    Otherwise hosts that started together take turns in step, and all of them
+    open flows at a new target at once.
+    """
+    total = sum(
+        weights.get(entry.start_tag, target_weights.FULL_PERCENT)
+        for entry in entries
+    )
+
+    def key(entry: target_table.TargetEntry) -> tuple[float, float, float]:
+        weight = weights.get(entry.start_tag, target_weights.FULL_PERCENT)
+        interval = total / weight
+        activity = tracker.activity_of(entry)
+        turns = tracker.turns[entry.target.service]
+        if not activity.weight:
+            activity.last_turn = turns - generator.uniform(0.0, interval)
+            activity.weight = weight
+        elif activity.weight != weight:
+            # The part of the interval that has passed stays the same.
+            # Otherwise a higher weight makes the turn of the target due at
+            # many hosts at the same moment.
+            passed = turns - activity.last_turn
+            activity.last_turn = turns - passed * activity.weight / weight
+            activity.weight = weight
+        return (
+            _load(entry, tracker, now_s, idle_share, weight),
+            activity.last_turn + interval,
+            generator.random(),
+        )
+
+    chosen = min(entries, key=key)
+    activity = tracker.activity_of(chosen)
+    interval = total / activity.weight
+    late = (
+        tracker.turns[chosen.target.service]
+        + 1
+        - (activity.last_turn + interval)
+    )
+    # A turn that was late by more than an interval is lost: the target was
+    # busy, and would get several openings at once.
+    activity.lateness = min(max(late, -interval), interval)
+    return chosen
+
+
 def _load(
     entry: target_table.TargetEntry,
     tracker: flow_tracker.FlowTracker,
     now_s: float,
     idle_share: float,
+    weight: int = target_weights.FULL_PERCENT,
 ) -> float:
     """Returns the load of a target through this host, per slot.
 
-    The new flow is included.
+    The new flow is included; it counts the same at all targets, so that those
+    without work are equal and take turns.
     """
     activity = tracker.activity_of(entry)
     idle = activity.flows - activity.work
-    work = 1.0 + activity.work + idle_share * idle
+    factor = target_weights.FULL_PERCENT / weight
+    work = 1.0 + factor * activity.work + factor * idle_share * idle
     if now_s < entry.warm_at_s:
         work *= COLD_FACTOR
     return work / max(entry.target.slots, 1)
--- a/packages/core/src/tamarack_core/internal/load/load_view.py
+++ b/packages/core/src/tamarack_core/internal/load/load_view.py
@@ -3,9 +3,7 @@
 import collections
 
 from tamarack_core import sync
-
-FULL_PERCENT = 100
-"""Weight of a target that gets an equal share, in percent."""
+from tamarack_core.internal.load import target_weights
 
 MIN_PERCENT, MAX_PERCENT = 1, 400
 """Range of the weights that a host accepts, in percent."""
@@ -74,17 +72,18 @@
             for tag, weight in summary.weights.items()
             if MIN_PERCENT <= weight <= MAX_PERCENT
         }
+        skipped = len(summary.weights) - len(self.weights)
+        self.weights = {
+            tag: weight
+            for tag, weight in self.weights.items()
+            if weight != target_weights.FULL_PERCENT
+        }
         self.rates = {
             service: rate
             for service, rate in summary.openings_per_s.items()
             if 0.0 <= rate <= MAX_PER_S
         }
-        return (
-            len(summary.weights)
-            - len(self.weights)
-            + len(summary.openings_per_s)
-            - len(self.rates)
-        )
+        return skipped + len(summary.openings_per_s) - len(self.rates)
 
     def weights_at(self, now_s: float) -> dict[int, int]:
         """Returns the weights that count now; empty if all are 100."""
