--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -199,7 +199,9 @@
         service = routes_lib.service_of(route, packet.flow)
         tried: tuple[str, ...] = ()
         result: list[effects.Effect] = []
-        if packet.copy_number:
+        if not packet.copy_number:
+            self.subscription.load.observe_opening(service)
+        else:
             tried = self.tracker.observe_repeated_opening(now_s, packet.flow)
             result = self._probe_unresponsive(now_s, packet.flow)
         candidates = self.targets.by_service.get(service, {}).values()
@@ -224,6 +226,7 @@
             now_s,
             tried,
             self.context.random,
+            self.subscription.load.weights_at(now_s),
         )
         if entry is None:
             if candidates and not permitted:
