--- a/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
@@ -226,6 +226,8 @@
     """Returns the report of a target."""
     target = entry.target
     activity = traced.tracker.activity_of(entry)
+    weights = traced.subscription.load.weights_at(now_s)
+    load = target_choice.load_of(entry, traced.tracker, now_s, weights)
     applies = {
         TargetState.DRAINING: (
             target.phase is not target_announcement.Phase.READY
@@ -249,7 +251,7 @@
         slots=target.slots,
         flows=activity.flows,
         requests=activity.work,
-        load=round(target_choice.load_of(entry, traced.tracker, now_s), 3),
+        load=round(load, 3),
     )
 
 
--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -5,6 +5,7 @@
 acknowledgement number that advances shows that it replied.
 """
 
+import collections
 from collections.abc import Container
 from collections.abc import Iterable
 import itertools
@@ -15,6 +16,7 @@
 from tamarack_core.internal import suspension
 from tamarack_core.internal.cookie import target_liveness
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import reply_statistics
 
 MAX_FLOWS = 50_000
 """Maximum number of tracked flows; 16 MB at about 330 bytes each."""
@@ -105,6 +107,12 @@
         pending: Those of them whose last request has no reply.
         reply_s: Usual time from a request to its reply, in seconds.
         last_opening: Number of the last opening packet that it was sent.
+        last_turn: That number among the openings of its service, minus the
+            lateness. It is moved when the weight changes.
+        lateness: Openings by which the next opening packet is late, if the
+            choice is by weights.
+        weight: Weight in percent for which `last_turn` holds; 0 before the
+            first choice by weights.
         reported_s: Time of the last report that it is dead, in seconds.
     """
 
@@ -117,6 +125,9 @@
     pending: int = 0
     reply_s: float = 0.0
     last_opening: int = 0
+    last_turn: float = 0.0
+    lateness: float = 0.0
+    weight: int = 0
     reported_s: float = float("-inf")
 
     @property
@@ -211,12 +222,15 @@
         pending: Keys of the flows whose last request has no reply, the oldest
             request first.
         openings: Opening packets sent to targets since the start.
+        turns: Opening packets sent to targets of a service since the start, by
+            service.
         closed: Times at which flows were closed, in seconds, by key, the
             earliest first.
         targets: Activity by name of the target.
         domains: Liveness by failure domain.
         used: Names of targets with flows by failure domain.
         responsive: Names of targets that replied, the most recent one last.
+        replies: Reply times of targets since the last report.
         last_event_s: Time of the last packet or timer, in seconds.
     """
 
@@ -228,8 +242,10 @@
         "opening",
         "openings",
         "pending",
+        "replies",
         "responsive",
         "targets",
+        "turns",
         "used",
     )
 
@@ -244,6 +260,8 @@
         self.used: dict[str, dict[str, None]] = {}
         self.responsive: dict[str, None] = {}
         self.openings = 0
+        self.turns: collections.Counter[str] = collections.Counter()
+        self.replies = reply_statistics.ReplyStatistics()
         self.last_event_s = float("inf")
 
     def check_suspension(self, now_s: float) -> bool:
@@ -260,6 +278,7 @@
         if was_suspended:
             for activity in self.targets.values():
                 activity.observe_reply(now_s)
+            self.replies.resumed_s = now_s
         self.last_event_s = now_s
         return was_suspended
 
@@ -303,6 +322,10 @@
         activity.opening += 1
         self.openings += 1
         activity.last_opening = self.openings
+        service = target.target.service
+        self.turns[service] += 1
+        activity.last_turn = self.turns[service] - activity.lateness
+        activity.lateness = 0.0
         self.opening[key] = None
         activity.liveness.observe_opening(now_s)
         activity.domain_liveness.observe_opening(now_s)
@@ -373,6 +396,9 @@
             self.observe_reply(now_s, target)
             if flow.pending_since_s is not None:
                 activity.observe_reply_time(now_s - flow.pending_since_s)
+                self.replies.observe(
+                    now_s, key[2:4], target.start_tag, flow.pending_since_s
+                )
                 self._clear_pending(key, flow, activity)
         flow.acknowledged = packet.acknowledged
         is_retransmission = bool(
--- a/packages/core/src/tamarack_core/internal/cookie/routes.py
+++ b/packages/core/src/tamarack_core/internal/cookie/routes.py
@@ -44,14 +44,19 @@
         idle_timeout_s: Time after which an idle flow may expire, in seconds.
         in_force_s: Time at which the document came in force, in seconds; -inf
             for none.
+        warm_ups: Services that state a warm-up, by name.
+        invalid_warm_ups: Services of the last document whose warm-up is
+            invalid, by name.
     """
 
     __slots__ = (
         "by_endpoint",
         "idle_timeout_s",
         "in_force_s",
+        "invalid_warm_ups",
         "number",
         "removed_s",
+        "warm_ups",
     )
 
     def __init__(self) -> None:
@@ -61,6 +66,8 @@
         self.removed_s: dict[tuple[int, int], float] = {}
         self.idle_timeout_s = 0.0
         self.in_force_s = float("-inf")
+        self.warm_ups: dict[str, sync.WarmUp] = {}
+        self.invalid_warm_ups: dict[str, sync.WarmUp] = {}
 
     def put(self, now_s: float, update: sync.DocumentUpdate) -> bool:
         """Applies an update if its base is held and it is newer.
@@ -90,6 +97,15 @@
         self.number = update.number
         self.in_force_s = now_s
         self.idle_timeout_s = update.idle_timeout_ms / 1000
+        stated = {item.service: item for item in update.warm_ups}
+        self.warm_ups = {
+            name: item for name, item in stated.items() if _is_valid(item)
+        }
+        self.invalid_warm_ups = {
+            name: item
+            for name, item in stated.items()
+            if name not in self.warm_ups
+        }
         return True
 
     def _record_removed(
@@ -118,6 +134,14 @@
         return self.by_endpoint.get((flow[2], flow[3]))
 
 
+def _is_valid(item: sync.WarmUp) -> bool:
+    """Returns whether a warm-up is within the range of documents."""
+    return (
+        0 <= item.warm_up_s <= documents.MAX_WARM_UP_S
+        and 0 <= item.cold_requests_per_s <= documents.MAX_COLD_REQUESTS_PER_S
+    )
+
+
 def _route_entry(route: sync.RouteChange) -> RouteEntry:
     """Returns the entry that is looked up for a route."""
     return RouteEntry(
