Ramp up new and returning targets by a weight that all hosts share

Cause: about 80 entry hosts each prefer a target that they never used. Change: control hosts give a target that starts or returns a low weight, which rises while it replies as fast as its peers. Where ramp-up is in force, the first turn of a host with a target comes at a random place in its rotation.

--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -210,6 +210,7 @@
             tried,
             self.context.random,
             self.subscription.load.weights_at(now_s),
+            is_ramped_up=self.subscription.load.is_ramped_up(now_s, service),
         )
         if entry is None:
             reason = "targets-dead" if candidates else ""
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -24,6 +24,11 @@
 """Factor by which the load of a cold target is multiplied. Targets that have
 just started take that much longer for their work."""
 
+LOST_INTERVALS = 3.0
+"""Intervals between turns after which a target counts as new to the host, if
+new targets are ramped up. Otherwise its turn is due at all hosts when it
+returns or restarts. A turn may be late by one interval."""
+
 _NO_WEIGHTS: Mapping[int, int] = {}
 
 
@@ -35,6 +40,8 @@
     tried: Collection[str],
     generator: random.Random,
     weights: Mapping[int, int] = _NO_WEIGHTS,
+    *,
+    is_ramped_up: bool = False,
 ) -> target_table.TargetEntry | None:
     """Returns the target for a new flow, or None if there is none.
 
@@ -60,6 +67,9 @@
         generator: Seeded random generator.
         weights: Weights other than 100, in percent, by tag of the start of a
             target.
+        is_ramped_up: Whether new targets of the service are ramped up. Their
+            weights then replace the factor of cold targets, and the first
+            turn of a target comes at a random place.
     """
     alive = [entry for entry in candidates if not probes.is_dead(entry)]
     if not alive:
@@ -79,9 +89,17 @@
     ]
     best = responsive or usable
     idle_share = _idle_flow_weight(tracker)
-    if weights and any(entry.start_tag in weights for entry in best):
+    if is_ramped_up or (
+        weights and any(entry.start_tag in weights for entry in best)
+    ):
         return _choose_weighted(
-            best, tracker, now_s, idle_share, generator, weights
+            best,
+            tracker,
+            now_s,
+            idle_share,
+            generator,
+            weights,
+            is_ramped_up=is_ramped_up,
         )
     return min(
         best,
@@ -100,6 +118,8 @@
     idle_share: float,
     generator: random.Random,
     weights: Mapping[int, int],
+    *,
+    is_ramped_up: bool,
 ) -> target_table.TargetEntry:
     """Returns the target with the least load for its weight.
 
@@ -118,18 +138,25 @@
         interval = total / weight
         activity = tracker.activity_of(entry)
         turns = tracker.turns[entry.target.service]
-        if not activity.weight:
+        passed = turns - activity.last_turn
+        is_lost = is_ramped_up and passed > LOST_INTERVALS * interval
+        if not activity.weight or is_lost:
             activity.last_turn = turns - generator.uniform(0.0, interval)
             activity.weight = weight
         elif activity.weight != weight:
             # The part of the interval that has passed stays the same.
             # Otherwise a higher weight makes the turn of the target due at
             # many hosts at the same moment.
-            passed = turns - activity.last_turn
             activity.last_turn = turns - passed * activity.weight / weight
             activity.weight = weight
         return (
-            _load(entry, tracker, now_s, idle_share, weight),
+            _load(
+                entry,
+                tracker,
+                float("inf") if is_ramped_up else now_s,
+                idle_share,
+                weight,
+            ),
             activity.last_turn + interval,
             generator.random(),
         )
--- a/packages/core/src/tamarack_core/internal/load/load_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/load/load_aggregator.py
@@ -18,7 +18,9 @@
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
+from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import target_table
+from tamarack_core.internal.load import ramp_up
 from tamarack_core.internal.load import reply_statistics
 from tamarack_core.internal.load import target_weights
 from tamarack_core.internal.registry import publisher as publishers
@@ -98,7 +100,12 @@
         context: Identity, random generator, clocks and counters of the host.
         publisher: Knows the subscribers and the other control hosts.
         registry: Announced targets.
-        weights: Decides the weights.
+        weights: Decides the weights by speed.
+        ramp_ups: Decides the weights of new targets.
+        warm_up_s: Stated warm-up times in seconds, by service; only services
+            that state one.
+        suspected_s: Time of the last report that a target is dead, in seconds,
+            by name of the target.
         own: Sums of the reports since the last totals.
         others: Sums of the totals of other control hosts since then.
         rates: Openings a second by service.
@@ -120,13 +127,16 @@
         "own",
         "position",
         "publisher",
+        "ramp_ups",
         "rates",
         "received_s",
         "registry",
         "services",
         "summary",
         "summary_s",
+        "suspected_s",
         "ticked_s",
+        "warm_up_s",
         "weights",
     )
 
@@ -148,6 +158,9 @@
         self.publisher = publisher
         self.registry = registry
         self.weights = target_weights.TargetWeights()
+        self.ramp_ups = ramp_up.RampUps()
+        self.warm_up_s: dict[str, float] = {}
+        self.suspected_s: dict[str, float] = {}
         self.own = Sums()
         self.others = Sums()
         self.rates: dict[str, float] = {}
@@ -167,6 +180,7 @@
             TIMER: self.handle_timer,
             sync.LoadReport: self.handle_report,
             sync.LoadTotals: self.handle_totals,
+            sync.SuspectTargets: self.handle_suspects,
         }
 
     def handle_report(
@@ -201,6 +215,40 @@
             )
         return []
 
+    def handle_suspects(
+        self, event: events.MessageArrived
+    ) -> list[effects.Effect]:
+        """Records targets that a host found dead; they are to be ramped up."""
+        message = event.message
+        assert isinstance(message, sync.SuspectTargets)
+        name = event.sender.host
+        if name in self.publisher.subscribers or any(
+            peer.host == name for peer in self.publisher.controls
+        ):
+            for target in message.targets:
+                if target in self.registry.records:
+                    self.suspected_s[target] = event.now_s
+        return []
+
+    def _unusable(self, now_s: float) -> set[int]:
+        """Returns the tags of the targets that hosts do not use."""
+        self.suspected_s = {
+            name: at_s
+            for name, at_s in self.suspected_s.items()
+            if now_s - at_s < flow_tracker.REPORT_LIFETIME_S
+        }
+        evacuated = self.publisher.evacuations.domains
+        return {
+            tag
+            for tag, name in self.names.items()
+            if (record := self.registry.records.get(name)) is not None
+            and (
+                record.is_overdue
+                or record.target.domain in evacuated
+                or name in self.suspected_s
+            )
+        }
+
     def _accepts(self, event: events.MessageArrived, *, is_known: bool) -> bool:
         """Returns whether a message counts; counts why it does not."""
         if not is_known:
@@ -318,16 +366,19 @@
             held_count, held_milli = sums.get(tag, (0, 0))
             sums[tag] = (held_count + count, held_milli + log_milli)
         self._refresh_services()
+        replies = {
+            tag: (count, log_milli / MILLI)
+            for tag, (count, log_milli) in sums.items()
+        }
+        result = self._update_ramp_ups(now_s, replies)
+        ramps = self.ramp_ups.ramps
+        steady = {
+            service: [tag for tag in tags if tag not in ramps]
+            for service, tags in self.services.items()
+        }
         before = self.weights.weights
-        if not self.weights.update(
-            now_s,
-            self.services,
-            {
-                tag: (count, log_milli / MILLI)
-                for tag, (count, log_milli) in sums.items()
-            },
-        ):
-            return []
+        if not self.weights.update(now_s, steady, replies):
+            return result
         after = self.weights.weights
         changed = [
             tag
@@ -339,31 +390,95 @@
             f" {after.get(tag, target_weights.FULL_PERCENT)}"
             for tag in changed[: change_entries.MAX_ENTRIES]
         )
-        replies = sum(count for count, _ in sums.values())
+        total = sum(count for count, _ in sums.values())
         return [
+            *result,
             self.context.record(
                 now_s,
                 "weights-changed",
                 detail=f"{len(changed)} changed, such as: {some};"
                 f" {len(after)} of {len(self.names)} other than 100,"
-                f" by {replies} replies",
+                f" by {total} replies",
+            ),
+        ]
+
+    def _ramped_up(self) -> dict[str, float]:
+        """Returns the warm-up times of the services with ramp-ups."""
+        return {
+            **dict.fromkeys(self.weights.uneven, 0.0),
+            **{
+                service: warm_up_s
+                for service, warm_up_s in self.warm_up_s.items()
+                if service in self.registry.services
+            },
+        }
+
+    def _update_ramp_ups(
+        self, now_s: float, replies: dict[int, tuple[int, float]]
+    ) -> list[effects.Effect]:
+        """Decides the weights of new targets, and records what changed."""
+        changes = self.ramp_ups.update(
+            now_s,
+            self.services,
+            self._ramped_up(),
+            self._unusable(now_s),
+            replies,
+        )
+        for tag, ramp in changes.ended.items():
+            if not ramp.is_complete():
+                self.weights.set_estimate(tag, -ramp.pace, ramp.variance)
+        return [
+            self._record_ramp_ups(now_s, kind, tags, replies)
+            for kind, tags in (
+                ("ramp-ups-begun", changes.begun),
+                ("ramp-ups-risen", changes.risen),
+                ("ramp-ups-fallen", changes.fallen),
+                ("ramp-ups-ended", list(changes.ended)),
             )
+            if tags
         ]
 
+    def _record_ramp_ups(
+        self,
+        now_s: float,
+        kind: str,
+        tags: list[int],
+        replies: dict[int, tuple[int, float]],
+    ) -> effects.Effect:
+        """Returns the time line entry of ramp-ups that changed alike."""
+        self.context.counters[kind] += len(tags)
+        weights = self.ramp_ups.weights
+        some = ", ".join(
+            f"{self.names.get(tag, 'gone')}"
+            f" {weights.get(tag, ramp_up.FULL_PERCENT)}"
+            for tag in tags[: change_entries.MAX_ENTRIES]
+        )
+        total = sum(replies[tag][0] for tag in tags if tag in replies)
+        return self.context.record(
+            now_s,
+            kind,
+            detail=f"{len(tags)} targets, such as: {some};"
+            f" {len(self.ramp_ups.ramps)} in progress, by {total} replies",
+        )
+
     def _send_summary(self, now_s: float) -> list[effects.Effect]:
         """Sends a summary to the entry hosts that lack it."""
+        weights = {**self.weights.weights, **self.ramp_ups.weights}
+        ramped_up = tuple(sorted(self._ramped_up()))
         is_changed = (
-            self.weights.weights != self.summary.weights
+            weights != self.summary.weights
+            or ramped_up != self.summary.ramped_up
             or self._have_rates_changed()
         )
         if is_changed or now_s - self.summary_s >= REPEAT_S:
             self.summary = sync.LoadSummary(
-                dict(self.weights.weights),
+                weights,
                 {service: round(r, 2) for service, r in self.rates.items()},
+                ramped_up,
             )
             self.summary_s = now_s
             self.informed.clear()
-        is_empty = not self.summary.weights and not self.summary.openings_per_s
+        is_empty = self.summary == sync.LoadSummary()
         if is_empty and not is_changed:
             return []
         receivers = [
--- a/packages/core/src/tamarack_core/internal/load/load_view.py
+++ b/packages/core/src/tamarack_core/internal/load/load_view.py
@@ -34,6 +34,7 @@
     Attributes:
         weights: Weights other than 100, in percent, by tag of the start of a
             target.
+        ramped_up: Services whose new targets are ramped up.
         received_s: Time of the last summary, in seconds.
         rates: Openings a second over all entry hosts by service.
         own_rates: Openings a second at this host by service.
@@ -45,6 +46,7 @@
         "counted_s",
         "openings",
         "own_rates",
+        "ramped_up",
         "rates",
         "received_s",
         "weights",
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         """Initializes a view without any summary."""
         self.weights: dict[int, int] = {}
+        self.ramped_up: frozenset[str] = frozenset()
         self.received_s = float("-inf")
         self.rates: dict[str, float] = {}
         self.own_rates: dict[str, float] = {}
@@ -67,6 +70,7 @@
             summary: The summary.
         """
         self.received_s = now_s
+        self.ramped_up = frozenset(summary.ramped_up)
         self.weights = {
             tag: weight
             for tag, weight in summary.weights.items()
@@ -91,6 +95,17 @@
             return {}
         return self.weights
 
+    def is_ramped_up(self, now_s: float, service: str) -> bool:
+        """Returns whether new targets of a service are ramped up.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            service: Name of the service.
+        """
+        if now_s - self.received_s > WEIGHTS_LIFETIME_S:
+            return False
+        return service in self.ramped_up
+
     def opening_rates(self, now_s: float) -> dict[str, float]:
         """Returns openings a second over all entry hosts by service.
 
--- a/packages/core/src/tamarack_core/internal/load/target_weights.py
+++ b/packages/core/src/tamarack_core/internal/load/target_weights.py
@@ -202,6 +202,17 @@
         self.noises: dict[str, Noise] = {}
         self.updated_s = float("inf")
 
+    def set_estimate(self, tag: int, log_speed: float, variance: float) -> None:
+        """Sets what was learned of a target while it was ramped up.
+
+        Args:
+            tag: Tag of the start of the target.
+            log_speed: Logarithm of its speed relative to its service.
+            variance: Variance of that.
+        """
+        # The weight goes on from the ramp-up, without a time at 100.
+        self.estimates[tag] = Estimate(log_speed, variance, DISTINCT_UPDATES)
+
     def update(
         self,
         now_s: float,
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -197,10 +197,12 @@
         weights: Weights in percent by tag of the start of a target; those of
             100 are left out.
         openings_per_s: Openings a second by service.
+        ramped_up: Services whose new targets are ramped up.
     """
 
     weights: dict[int, int] = {}
     openings_per_s: dict[str, float] = {}
+    ramped_up: tuple[str, ...] = ()
 
 
 class ControlHello(msgspec.Struct, frozen=True, tag="control-hello"):
--- a/tests/target_speeds.py
+++ b/tests/target_speeds.py
@@ -21,6 +21,7 @@
 WORK_S = 0.055
 LATENCY_S = 0.004
 REJECT_S = 0.002
+COLD_FACTOR = 1.6
 LONG_SHARE, LONG_FACTOR = 0.03, 7.0
 DELAY_S = 0.1
 
@@ -28,8 +29,10 @@
 class Target:
     """A target with slots and a queue; `served` holds its reply times."""
 
-    def __init__(self, speed):
+    def __init__(self, speed, warm_at_s=0.0):
         self.speed = speed
+        self.warm_at_s = warm_at_s
+        self.started_s = 0.0
         self.is_rejecting = False
         self.busy_s = 0.0
         self.served = []
@@ -62,6 +65,9 @@
         self.hosts = [flow_tracker.FlowTracker() for _ in range(hosts)]
         self.probes = target_probes.TargetProbes({})
         self.weights = target_weights.TargetWeights()
+        self.ramp_ups = None
+        self.is_ramped_up = False
+        self.unusable = set()
         self.given = {}
         self.history = []
         self.numbers = itertools.count(1)
@@ -71,7 +77,7 @@
 
     def add(self, name, speed, born_ms=1000, cold_ms=0):
         """Starts a target."""
-        self.targets[name] = Target(speed)
+        self.targets[name] = Target(speed, self.now_s + cold_ms / 1000)
         announced = cookie_host.target(name, born_ms=born_ms, cold_ms=cold_ms)
         known = target_announcement.KnownTarget(announced)
         return self.table.put(self.now_s, known)
@@ -100,6 +106,7 @@
             (),
             self.random,
             self.given,
+            is_ramped_up=self.is_ramped_up,
         )
         number = next(self.numbers)
         tracker.observe_opening(self.now_s, cookie_host.flow(number), entry)
@@ -127,6 +134,8 @@
         target = flow[-1]
         target.running += 1
         work_s = self.random.uniform(0.5, 1.5) * WORK_S / target.speed
+        if self.now_s < target.warm_at_s:
+            work_s *= COLD_FACTOR
         work_s /= 1 + LONG_SHARE * (LONG_FACTOR - 1)
         if self.random.random() < LONG_SHARE:
             work_s *= LONG_FACTOR
@@ -156,13 +165,28 @@
                 count, total = sums.get(tag, (0, 0.0))
                 sums[tag] = (count + one.count, total + one.log_ratio)
         tags = [e.start_tag for e in self.table.by_service["web"].values()]
-        self.weights.update(self.now_s, {"web": tags}, sums)
-        self.history.append(dict(self.weights.weights))
+        weights = self.decide(tags, sums)
+        self.history.append(weights)
         if self.is_weighted:
-            weights = dict(self.weights.weights)
             self.at(self.now_s + DELAY_S, self.give, weights)
         self.at(self.now_s + 1.0, self.report)
 
+    def decide(self, tags, sums):
+        """Returns the weights of an update."""
+        if self.ramp_ups is None:
+            self.weights.update(self.now_s, {"web": tags}, sums)
+            return dict(self.weights.weights)
+        in_force = {"web": 0.0}
+        changes = self.ramp_ups.update(
+            self.now_s, {"web": tags}, in_force, self.unusable, sums
+        )
+        for tag, ramp in changes.ended.items():
+            if not ramp.is_complete():
+                self.weights.set_estimate(tag, -ramp.pace, ramp.variance)
+        steady = [tag for tag in tags if tag not in self.ramp_ups.ramps]
+        self.weights.update(self.now_s, {"web": steady}, sums)
+        return {**self.weights.weights, **self.ramp_ups.weights}
+
     def give(self, weights):
         """Gives weights to all hosts."""
         self.given = weights
