Place turns of new and returning targets in the rotation of the others

Cause: a target that was absent for 20 s got 41 openings in its first half second, as its turn was the oldest at half of the hosts; of 20 targets that joined 40 others, each got 13 to 15 (equal share: 6.7), as the intervals of the others grew. Two steps of a clock ended a ramp-up. Change: a host notices absence by the openings without the target, and draws the first turn behind the earliest one of the known targets. Time between updates counts at most 2 s.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -113,6 +113,9 @@
             choice is by weights.
         weight: Weight in percent for which `last_turn` holds; 0 before the
             first choice by weights.
+        start_tag: Tag of its start at the last choice by weights.
+        considered: Openings of its service at the last choice by weights in
+            which it was a candidate.
         reported_s: Time of the last report that it is dead, in seconds.
     """
 
@@ -128,6 +131,8 @@
     last_turn: float = 0.0
     lateness: float = 0.0
     weight: int = 0
+    start_tag: int = 0
+    considered: int = 0
     reported_s: float = float("-inf")
 
     @property
--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -24,10 +24,11 @@
 """Factor by which the load of a cold target is multiplied. Targets that have
 just started take that much longer for their work."""
 
-LOST_INTERVALS = 3.0
-"""Intervals between turns after which a target counts as new to the host, if
-new targets are ramped up. Otherwise its turn is due at all hosts when it
-returns or restarts. A turn may be late by one interval."""
+MAX_ABSENT_TURNS = 3
+"""Openings of a service without a target among the candidates after which it
+counts as new to the host, if new targets are ramped up. Its turn would
+otherwise be due at many hosts when it returns. A repeated opening, which leaves
+out the targets tried before, is no absence."""
 
 _NO_WEIGHTS: Mapping[int, int] = {}
 
@@ -133,14 +134,20 @@
         for entry in entries
     )
 
+    new: dict[str, float] = {}
+    if is_ramped_up:
+        new = _new_turns(entries, tracker, generator, weights, total)
+
     def key(entry: target_table.TargetEntry) -> tuple[float, float, float]:
         weight = weights.get(entry.start_tag, target_weights.FULL_PERCENT)
         interval = total / weight
         activity = tracker.activity_of(entry)
         turns = tracker.turns[entry.target.service]
         passed = turns - activity.last_turn
-        is_lost = is_ramped_up and passed > LOST_INTERVALS * interval
-        if not activity.weight or is_lost:
+        if entry.target.name in new:
+            activity.last_turn = new[entry.target.name]
+            activity.weight = weight
+        elif not activity.weight:
             activity.last_turn = turns - generator.uniform(0.0, interval)
             activity.weight = weight
         elif activity.weight != weight:
@@ -175,6 +182,47 @@
     return chosen
 
 
+def _new_turns(
+    entries: Collection[target_table.TargetEntry],
+    tracker: flow_tracker.FlowTracker,
+    generator: random.Random,
+    weights: Mapping[int, int],
+    total: int,
+) -> dict[str, float]:
+    """Returns last turns of the targets that are new to this host, by name.
+
+    They are drawn so that the next turn comes at a random place after the
+    first one of the known targets. Places counted from now would come
+    before the turns of all of them: those are later when targets join.
+    """
+    new: list[tuple[str, float]] = []
+    first_due = float("inf")
+    now_turn = 0.0
+    for entry in entries:
+        activity = tracker.activity_of(entry)
+        turns = tracker.turns[entry.target.service]
+        now_turn = float(turns)
+        interval = total / weights.get(
+            entry.start_tag, target_weights.FULL_PERCENT
+        )
+        if (
+            not activity.weight
+            or activity.start_tag != entry.start_tag
+            or turns - activity.considered > MAX_ABSENT_TURNS
+        ):
+            new.append((entry.target.name, interval))
+        else:
+            first_due = min(first_due, activity.last_turn + interval)
+        activity.start_tag = entry.start_tag
+        activity.considered = turns
+    if first_due == float("inf"):
+        first_due = now_turn
+    return {
+        name: first_due - generator.uniform(0.0, interval)
+        for name, interval in new
+    }
+
+
 def _load(
     entry: target_table.TargetEntry,
     tracker: flow_tracker.FlowTracker,
--- a/packages/core/src/tamarack_core/internal/load/ramp_up.py
+++ b/packages/core/src/tamarack_core/internal/load/ramp_up.py
@@ -54,8 +54,9 @@
 LIMIT_WARM_UPS = 2.0
 """Stated warm-up times after which it ends, if that is later."""
 
-MAX_ELAPSED_S = 5.0
-"""Longest time between updates that counts, in seconds."""
+MAX_ELAPSED_S = 2.0
+"""Longest time between updates that counts, in seconds. With 5 s, two steps of
+a clock end a ramp-up."""
 
 MAX_PEER_LOAD = 1.25
 """Largest factor by which ramp-ups increase the load of the other targets of a
