Place no first turn of a new target in the past

Cause: a late or busy target can be the earliest one. Change: only idle targets count, and no turn is drawn before the present one.

--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -192,7 +192,7 @@
     """Returns last turns of the targets that are new to this host, by name.
 
     They are drawn so that the next turn comes at a random place after the
-    first one of the known targets. Places counted from now would come
+    first one of the known idle targets. Places counted from now would come
     before the turns of all of them: those are later when targets join.
     """
     new: list[tuple[str, float]] = []
@@ -211,10 +211,14 @@
             or turns - activity.considered > MAX_ABSENT_TURNS
         ):
             new.append((entry.target.name, interval))
-        else:
+        elif not activity.work:
+            # A busy target may have missed its turn long ago.
             first_due = min(first_due, activity.last_turn + interval)
         activity.start_tag = entry.start_tag
         activity.considered = turns
+    # A lower weight makes a turn that was late later still, so it must not
+    # place the new targets in the past, where all hosts would use them at once.
+    first_due = max(first_due, now_turn)
     if first_due == float("inf"):
         first_due = now_turn
     return {
