--- a/tests/cover/test_evacuation_faults.py
+++ b/tests/cover/test_evacuation_faults.py
@@ -293,7 +293,9 @@
             evacuated=evacuations.Evacuations(1, ("a", "b")),
         )
         self.assertEqual("reset", host.open(999))
-        self.assertEqual("domain-evacuated", host.records[-1].entry.reason)
+        entry = host.records[-1].entry
+        self.assertEqual("domain-evacuated", entry.reason)
+        self.assertIn("revision 1", entry.detail)
 
     # An earlier copy may have opened the flow at a target of the domain.
     def test_a_repeated_opening_is_not_reset_where_the_others_drain(self):
@@ -326,3 +328,28 @@
             )
         counters = host.node.context.counters
         self.assertEqual(2, counters["evacuations-skipped"])
+
+    # A refusal would name an evacuation that keeps no target from service.
+    def test_an_ended_target_of_the_domain_is_no_evacuated_one(self):
+        host = self.host()
+        host.update(
+            base=1, position=1, evacuated=evacuations.Evacuations(1, ("a", "b"))
+        )
+        for phase, expected in (
+            (target_announcement.Phase.DRAINING, True),
+            (target_announcement.Phase.GONE, False),
+        ):
+            changed = [
+                msgspec.structs.replace(
+                    cookie_host.domain_target(name, domain),
+                    sequence=5 + phase.value,
+                    phase=phase,
+                )
+                for name, domain in (("t-1", "a"), ("t-2", "b"))
+            ]
+            host.update(*changed, base=1, position=2)
+            service = changed[0].service
+            self.assertEqual(expected, host.targets.has_evacuated(service))
+        host.tick(100.0)
+        self.assertEqual({}, host.targets.by_name)
+        self.assertFalse(host.targets.has_evacuated(service))
