--- a/packages/core/src/tamarack_core/internal/load/load_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/load/load_aggregator.py
@@ -102,8 +102,6 @@
         registry: Announced targets.
         weights: Decides the weights by speed.
         ramp_ups: Decides the weights of new targets.
-        warm_up_s: Stated warm-up times in seconds, by service; only services
-            that state one.
         suspected_s: Time of the last report that a target is dead, in seconds,
             by name of the target.
         own: Sums of the reports since the last totals.
@@ -136,7 +134,6 @@
         "summary_s",
         "suspected_s",
         "ticked_s",
-        "warm_up_s",
         "weights",
     )
 
@@ -159,7 +156,6 @@
         self.registry = registry
         self.weights = target_weights.TargetWeights()
         self.ramp_ups = ramp_up.RampUps()
-        self.warm_up_s: dict[str, float] = {}
         self.suspected_s: dict[str, float] = {}
         self.own = Sums()
         self.others = Sums()
@@ -407,9 +403,9 @@
         return {
             **dict.fromkeys(self.weights.uneven, 0.0),
             **{
-                service: warm_up_s
-                for service, warm_up_s in self.warm_up_s.items()
-                if service in self.registry.services
+                service.name: service.warm_up_s
+                for service in self.publisher.routes.document.services
+                if service.warm_up_s > 0
             },
         }
 
--- a/tests/cover/test_ramp_up.py
+++ b/tests/cover/test_ramp_up.py
@@ -306,9 +306,9 @@
         self.net = group_network.GroupNetwork(3)
         self.net.start_all()
         self.net.run(3.0)
-        self.net.publish(1)
+        self.net.publish(1, warm_up=(2.0, 0))
+        self.net.run(0.5)
         self.loads = self.net.component_of("c1", sync.LoadReport)
-        self.loads.warm_up_s = {"web": 2.0}
 
     def announce(self, number, born_ms=1000):
         """Lets a target announce itself to the first control host."""
