--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -24,6 +24,12 @@
 """Factor by which the load of a cold target is multiplied. Targets that have
 just started take that much longer for their work."""
 
+MAX_ABSENT_TURNS = 3
+"""Openings of a service without a target among the candidates after which it
+counts as new to the host, if new targets are ramped up. Its turn would
+otherwise be due at many hosts when it returns. A repeated opening, which leaves
+out the targets tried before, is no absence."""
+
 _NO_WEIGHTS: Mapping[int, int] = {}
 
 
@@ -35,6 +41,8 @@
     tried: Collection[str],
     generator: random.Random,
     weights: Mapping[int, int] = _NO_WEIGHTS,
+    *,
+    is_ramped_up: bool = False,
 ) -> target_table.TargetEntry | None:
     """Returns the target for a new flow, or None if there is none.
 
@@ -60,6 +68,9 @@
         generator: Seeded random generator.
         weights: Weights other than 100, in percent, by tag of the start of a
             target.
+        is_ramped_up: Whether new targets of the service are ramped up. Their
+            weights then replace the factor of cold targets, and the first
+            turn of a target comes at a random place.
     """
     alive = [entry for entry in candidates if not probes.is_dead(entry)]
     if not alive:
@@ -79,9 +90,17 @@
     ]
     best = responsive or usable
     idle_share = _idle_flow_weight(tracker)
-    if weights and any(entry.start_tag in weights for entry in best):
+    if is_ramped_up or (
+        weights and any(entry.start_tag in weights for entry in best)
+    ):
         return _choose_weighted(
-            best, tracker, now_s, idle_share, generator, weights
+            best,
+            tracker,
+            now_s,
+            idle_share,
+            generator,
+            weights,
+            is_ramped_up=is_ramped_up,
         )
     return min(
         best,
@@ -100,6 +119,8 @@
     idle_share: float,
     generator: random.Random,
     weights: Mapping[int, int],
+    *,
+    is_ramped_up: bool,
 ) -> target_table.TargetEntry:
     """Returns the target with the least load for its weight.
 
@@ -113,23 +134,36 @@
         for entry in entries
     )
 
+    new: dict[str, float] = {}
+    if is_ramped_up:
+        new = _new_turns(entries, tracker, generator, weights, total)
+
     def key(entry: target_table.TargetEntry) -> tuple[float, float, float]:
         weight = weights.get(entry.start_tag, target_weights.FULL_PERCENT)
         interval = total / weight
         activity = tracker.activity_of(entry)
         turns = tracker.turns[entry.target.service]
-        if not activity.weight:
+        passed = turns - activity.last_turn
+        if entry.target.name in new:
+            activity.last_turn = new[entry.target.name]
+            activity.weight = weight
+        elif not activity.weight:
             activity.last_turn = turns - generator.uniform(0.0, interval)
             activity.weight = weight
         elif activity.weight != weight:
             # The part of the interval that has passed stays the same.
             # Otherwise a higher weight makes the turn of the target due at
             # many hosts at the same moment.
-            passed = turns - activity.last_turn
             activity.last_turn = turns - passed * activity.weight / weight
             activity.weight = weight
         return (
-            _load(entry, tracker, now_s, idle_share, weight),
+            _load(
+                entry,
+                tracker,
+                float("inf") if is_ramped_up else now_s,
+                idle_share,
+                weight,
+            ),
             activity.last_turn + interval,
             generator.random(),
         )
@@ -148,6 +182,51 @@
     return chosen
 
 
+def _new_turns(
+    entries: Collection[target_table.TargetEntry],
+    tracker: flow_tracker.FlowTracker,
+    generator: random.Random,
+    weights: Mapping[int, int],
+    total: int,
+) -> dict[str, float]:
+    """Returns last turns of the targets that are new to this host, by name.
+
+    They are drawn so that the next turn comes at a random place after the
+    first one of the known idle targets. Places counted from now would come
+    before the turns of all of them: those are later when targets join.
+    """
+    new: list[tuple[str, float]] = []
+    first_due = float("inf")
+    now_turn = 0.0
+    for entry in entries:
+        activity = tracker.activity_of(entry)
+        turns = tracker.turns[entry.target.service]
+        now_turn = float(turns)
+        interval = total / weights.get(
+            entry.start_tag, target_weights.FULL_PERCENT
+        )
+        if (
+            not activity.weight
+            or activity.start_tag != entry.start_tag
+            or turns - activity.considered > MAX_ABSENT_TURNS
+        ):
+            new.append((entry.target.name, interval))
+        elif not activity.work:
+            # A busy target may have missed its turn long ago.
+            first_due = min(first_due, activity.last_turn + interval)
+        activity.start_tag = entry.start_tag
+        activity.considered = turns
+    # A lower weight makes a turn that was late later still, so it must not
+    # place the new targets in the past, where all hosts would use them at once.
+    first_due = max(first_due, now_turn)
+    if first_due == float("inf"):
+        first_due = now_turn
+    return {
+        name: first_due - generator.uniform(0.0, interval)
+        for name, interval in new
+    }
+
+
 def _load(
     entry: target_table.TargetEntry,
     tracker: flow_tracker.FlowTracker,
