Move the state of flows out of the flow tracker

Flows, closed flows and the activity of targets are in flow_state.py now; nothing else changes. The tests of flow accounting, suspicions, load reports and explanations pass.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_tracker.py
@@ -10,10 +10,9 @@
 from collections.abc import Iterable
 import itertools
 
-import msgspec
-
 from tamarack_core import flow_packets
 from tamarack_core.internal import suspension
+from tamarack_core.internal.cookie import flow_state
 from tamarack_core.internal.cookie import target_liveness
 from tamarack_core.internal.cookie import target_table
 from tamarack_core.internal.load import reply_statistics
@@ -29,218 +28,11 @@
 """Time after which a request without a reply no longer counts as work of its
 target, in seconds. Its caller has given up without closing the flow."""
 
-MIN_MOVED_S = 0.5
-"""Shortest time after which a request without a reply may count as moved to
-another host, in seconds."""
-
-MOVED_REPLY_TIMES = 4.0
-"""Usual reply times of a target after which a request without a reply counts as
-moved to another host, if the target has replied to others since. The fabric
-moves nearly all flows when an entry host joins or leaves, and the reply is then
-acknowledged through another host."""
-
-REPLY_TIME_WEIGHT = 1 / 16
-"""Weight of the newest reply in the usual reply time of a target."""
-
 CLOSED_RETENTION_S = 3.0
 """Time for which a closed flow is remembered, in seconds. Acknowledgements that
 its caller sends after the last packet don't count as a flow that was opened
 through another host."""
 
-REPORT_LIFETIME_S = 3.0
-"""Time for which a target that another host found dead gets no openings, in
-seconds. After it the announcements of a dead target are overdue."""
-
-SEQUENCE_SPACE = 1 << 32
-
-MAX_LATE_BYTES = 1 << 16
-"""Distance in bytes by which a late copy of a payload is behind the end of its
-flow. The sequence numbers of a new flow on the same port are hardly ever that
-close to those of the closed one."""
-
-
-class Flow(msgspec.Struct, eq=False):
-    """State of a flow as observed by this host.
-
-    The flows of a target are linked, because a set of flows at each target
-    would take more memory: at most hosts a target has one or two.
-
-    Attributes:
-        key: Its addresses and ports.
-        target: The target.
-        first_packet_s: Time of its first packet at this host, in seconds.
-        last_packet_s: Time of its last packet, in seconds.
-        is_open: Whether a target has replied to the opening packet.
-        tried: Targets that were sent the opening packet.
-        acknowledged: Last acknowledgement number of the caller.
-        sequence: Sequence number after the last payload of the caller.
-        pending_since_s: Time since which a request has no reply, in seconds;
-            None if no request is pending.
-        is_closing: Whether the caller has sent its last packet.
-        newer: Next flow of the same target, None if it is the newest.
-        older: Previous flow of the same target, None if it is the oldest.
-    """
-
-    key: flow_packets.FlowKey
-    target: target_table.TargetEntry
-    first_packet_s: float
-    last_packet_s: float
-    is_open: bool = False
-    tried: tuple[str, ...] = ()
-    acknowledged: int = 0
-    sequence: int = 0
-    pending_since_s: float | None = None
-    is_closing: bool = False
-    newer: "Flow | None" = None
-    older: "Flow | None" = None
-
-    def was_seen_by(self, time_s: float | None) -> bool:
-        """Returns whether its first packet came by a time; None for any."""
-        return time_s is None or self.first_packet_s <= time_s
-
-
-class ClosedFlow(msgspec.Struct):
-    """A flow that its caller has closed.
-
-    Attributes:
-        closed_s: Time at which it was closed, in seconds.
-        sequence: Sequence number after the last payload of the caller.
-    """
-
-    closed_s: float
-    sequence: int
-
-    def has_sent(self, packet: flow_packets.FlowPacket) -> bool:
-        """Returns whether a packet has no payload that is new."""
-        if not packet.payload_bytes:
-            return True
-        end = packet.sequence + packet.payload_bytes
-        behind = (self.sequence - end) % SEQUENCE_SPACE
-        return behind < MAX_LATE_BYTES
-
-
-class TargetActivity(msgspec.Struct):
-    """Flows of one target and evidence of its liveness.
-
-    Attributes:
-        domain: Its failure domain.
-        liveness: Evidence from flows of the target.
-        domain_liveness: Evidence from all flows of its failure domain.
-        newest: The flow that was added last; None if it has no flows.
-        flows: Flows that are open, or being opened, through this host.
-        opening: Those of them that the target has not accepted yet.
-        pending: Those of them whose last request has no reply.
-        reply_s: Usual time from a request to its reply, in seconds.
-        last_opening: Number of the last opening packet that it was sent.
-        last_turn: That number among the openings of its service, minus the
-            lateness. It is moved when the weight changes.
-        lateness: Openings by which the next opening packet is late, if the
-            choice is by weights.
-        weight: Weight in percent for which `last_turn` holds; 0 before the
-            first choice by weights.
-        start_tag: Tag of its start at the last choice by weights.
-        considered: Openings of its service at the last choice by weights in
-            which it was a candidate.
-        reported_s: Time of the last report that it is dead, in seconds.
-    """
-
-    domain: str
-    liveness: target_liveness.TargetLiveness
-    domain_liveness: target_liveness.TargetLiveness
-    newest: Flow | None = None
-    flows: int = 0
-    opening: int = 0
-    pending: int = 0
-    reply_s: float = 0.0
-    last_opening: int = 0
-    last_turn: float = 0.0
-    lateness: float = 0.0
-    weight: int = 0
-    start_tag: int = 0
-    considered: int = 0
-    reported_s: float = float("-inf")
-
-    @property
-    def work(self) -> int:
-        """Requests in progress, including those about to be sent."""
-        return self.opening + self.pending
-
-    def add(self, flow: Flow) -> None:
-        """Adds a flow to those of the target."""
-        if self.newest is not None:
-            flow.older = self.newest
-            self.newest.newer = flow
-        self.newest = flow
-        self.flows += 1
-
-    def remove(self, flow: Flow) -> None:
-        """Removes one of the flows of the target."""
-        if flow.newer is None:
-            self.newest = flow.older
-        else:
-            flow.newer.older = flow.older
-        if flow.older is not None:
-            flow.older.newer = flow.newer
-        flow.newer = flow.older = None
-        self.flows -= 1
-
-    def all_flows(self) -> list[Flow]:
-        """Returns the flows of the target, the newest first."""
-        found = []
-        flow = self.newest
-        while flow is not None:
-            found.append(flow)
-            flow = flow.older
-        return found
-
-    def observe_retransmission(
-        self, now_s: float, key: flow_packets.FlowKey
-    ) -> None:
-        """Records that a caller repeated a packet of a flow."""
-        self.liveness.observe_retransmission(now_s, key)
-        self.domain_liveness.observe_retransmission(now_s, key)
-
-    def observe_reply_time(self, reply_s: float) -> None:
-        """Records the time from a request to its reply, in seconds."""
-        weight = REPLY_TIME_WEIGHT if self.reply_s else 1.0
-        self.reply_s += weight * (reply_s - self.reply_s)
-
-    def has_moved(self, now_s: float, since_s: float) -> bool:
-        """Returns whether the reply to a request went through another host.
-
-        Args:
-            now_s: Monotonic time in seconds.
-            since_s: Time of the request, in seconds.
-        """
-        usual_s = max(MIN_MOVED_S, MOVED_REPLY_TIMES * self.reply_s)
-        return now_s - since_s > usual_s and (
-            self.liveness.last_reply_s > since_s
-        )
-
-    def observe_reply(self, now_s: float) -> None:
-        """Records that the target replied."""
-        self.liveness.observe_reply(now_s)
-        self.domain_liveness.observe_reply(now_s)
-
-    def has_replied(self, now_s: float, within_s: float) -> bool:
-        """Returns whether the target replied within some seconds."""
-        return now_s - self.liveness.last_reply_s <= within_s
-
-    def is_avoided(self, now_s: float) -> bool:
-        """Returns whether the target or its failure domain is avoided."""
-        return (
-            self.liveness.is_avoided(now_s)
-            or self.domain_liveness.is_avoided(now_s)
-            or self._is_reported(now_s)
-        )
-
-    def _is_reported(self, now_s: float) -> bool:
-        """Returns whether it was reported dead and has not replied since."""
-        return (
-            now_s - self.reported_s < REPORT_LIFETIME_S
-            and self.liveness.last_reply_s < self.reported_s
-        )
-
 
 class FlowTracker:
     """Tracks flows and targets by the packets of callers.
@@ -280,11 +72,11 @@
 
     def __init__(self) -> None:
         """Initializes an empty flow tracker."""
-        self.flows: dict[flow_packets.FlowKey, Flow] = {}
+        self.flows: dict[flow_packets.FlowKey, flow_state.Flow] = {}
         self.opening: dict[flow_packets.FlowKey, None] = {}
         self.pending: dict[flow_packets.FlowKey, None] = {}
-        self.closed: dict[flow_packets.FlowKey, ClosedFlow] = {}
-        self.targets: dict[str, TargetActivity] = {}
+        self.closed: dict[flow_packets.FlowKey, flow_state.ClosedFlow] = {}
+        self.targets: dict[str, flow_state.TargetActivity] = {}
         self.domains: dict[str, target_liveness.TargetLiveness] = {}
         self.used: dict[str, dict[str, None]] = {}
         self.responsive: dict[str, None] = {}
@@ -311,7 +103,9 @@
         self.last_event_s = now_s
         return was_suspended
 
-    def activity_of(self, entry: target_table.TargetEntry) -> TargetActivity:
+    def activity_of(
+        self, entry: target_table.TargetEntry
+    ) -> flow_state.TargetActivity:
         """Returns the activity of a target; creates it if it is new."""
         activity = self.targets.get(entry.target.name)
         if activity is None:
@@ -321,7 +115,7 @@
                 domain = self.domains[name] = target_liveness.TargetLiveness(
                     target_liveness.DOMAIN
                 )
-            activity = TargetActivity(
+            activity = flow_state.TargetActivity(
                 name,
                 target_liveness.TargetLiveness(target_liveness.TARGET),
                 domain,
@@ -345,7 +139,9 @@
         self.closed.pop(key, None)
         activity = self.activity_of(target)
         self._add(
-            Flow(key, target, now_s, now_s, tried=(*tried, target.target.name)),
+            flow_state.Flow(
+                key, target, now_s, now_s, tried=(*tried, target.target.name)
+            ),
             activity,
         )
         activity.opening += 1
@@ -407,7 +203,7 @@
             if flow is not None:
                 self._release(key, flow)
             self.closed.pop(key, None)
-            flow = Flow(
+            flow = flow_state.Flow(
                 key,
                 target,
                 now_s,
@@ -441,11 +237,11 @@
             self._close(now_s, flow)
         return is_retransmission
 
-    def _close(self, now_s: float, flow: Flow) -> None:
+    def _close(self, now_s: float, flow: flow_state.Flow) -> None:
         """Removes a flow that its caller has closed."""
         self.remove_flow(flow.key)
         self.closed.pop(flow.key, None)
-        self.closed[flow.key] = ClosedFlow(now_s, flow.sequence)
+        self.closed[flow.key] = flow_state.ClosedFlow(now_s, flow.sequence)
         if len(self.closed) > MAX_FLOWS:
             del self.closed[next(iter(self.closed))]
 
@@ -464,14 +260,14 @@
     def _observe_payload(
         self,
         now_s: float,
-        flow: Flow,
+        flow: flow_state.Flow,
         packet: flow_packets.FlowPacket,
-        activity: TargetActivity,
+        activity: flow_state.TargetActivity,
     ) -> bool:
         """Records payload; returns whether it is a retransmission."""
         end = packet.sequence + packet.payload_bytes
-        ahead = (end - flow.sequence) % SEQUENCE_SPACE
-        if 0 < ahead < SEQUENCE_SPACE // 2:
+        ahead = (end - flow.sequence) % flow_state.SEQUENCE_SPACE
+        if 0 < ahead < flow_state.SEQUENCE_SPACE // 2:
             flow.sequence = end
             if flow.pending_since_s is None:
                 flow.pending_since_s = now_s
@@ -482,7 +278,10 @@
         return True
 
     def _accept(
-        self, key: flow_packets.FlowKey, flow: Flow, activity: TargetActivity
+        self,
+        key: flow_packets.FlowKey,
+        flow: flow_state.Flow,
+        activity: flow_state.TargetActivity,
     ) -> None:
         """Marks a flow as accepted by its target, unless it is."""
         if not flow.is_open:
@@ -491,7 +290,10 @@
             del self.opening[key]
 
     def _clear_pending(
-        self, key: flow_packets.FlowKey, flow: Flow, activity: TargetActivity
+        self,
+        key: flow_packets.FlowKey,
+        flow: flow_state.Flow,
+        activity: flow_state.TargetActivity,
     ) -> None:
         """Clears the pending request of a flow, if it has one."""
         if flow.pending_since_s is not None:
@@ -505,7 +307,9 @@
         if flow is not None:
             self._release(key, flow)
 
-    def _add(self, flow: Flow, activity: TargetActivity) -> None:
+    def _add(
+        self, flow: flow_state.Flow, activity: flow_state.TargetActivity
+    ) -> None:
         """Adds a flow as the one with the last packet."""
         self.flows[flow.key] = flow
         activity.add(flow)
@@ -513,7 +317,9 @@
             names = self.used.setdefault(activity.domain, {})
             names[flow.target.target.name] = None
 
-    def _release(self, key: flow_packets.FlowKey, flow: Flow) -> None:
+    def _release(
+        self, key: flow_packets.FlowKey, flow: flow_state.Flow
+    ) -> None:
         """Removes a flow from those of its target."""
         activity = self.activity_of(flow.target)
         activity.remove(flow)
--- a/packages/core/src/tamarack_core/internal/load/load_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/load/load_aggregator.py
@@ -18,7 +18,7 @@
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
-from tamarack_core.internal.cookie import flow_tracker
+from tamarack_core.internal.cookie import flow_state
 from tamarack_core.internal.cookie import target_table
 from tamarack_core.internal.load import ramp_up
 from tamarack_core.internal.load import reply_statistics
@@ -231,7 +231,7 @@
         self.suspected_s = {
             name: at_s
             for name, at_s in self.suspected_s.items()
-            if now_s - at_s < flow_tracker.REPORT_LIFETIME_S
+            if now_s - at_s < flow_state.REPORT_LIFETIME_S
         }
         evacuated = self.publisher.evacuations.domains
         return {
--- a/tests/cover/test_flow_accounting.py
+++ b/tests/cover/test_flow_accounting.py
@@ -8,6 +8,7 @@
 from testtools import matchers
 
 from tamarack_core import target_announcement
+from tamarack_core.internal.cookie import flow_state
 from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import target_choice
 from tests import cookie_host
@@ -211,7 +212,7 @@
         host.tick(0.1)
         request(host, 20, "t-1")
         self.assertEqual((11, 10), work_of(host, "t-1"))
-        host.tick(flow_tracker.MIN_MOVED_S + 0.4)
+        host.tick(flow_state.MIN_MOVED_S + 0.4)
         self.assertEqual((11, 0), work_of(host, "t-1"))
 
     def test_requests_at_a_target_that_does_not_reply_count_on(self):
@@ -220,7 +221,7 @@
         host.open(1)
         host.send(1, "t-1")
         host.send(1, "t-1", payload_bytes=10)
-        host.tick(flow_tracker.MIN_MOVED_S + 2.0)
+        host.tick(flow_state.MIN_MOVED_S + 2.0)
         self.assertEqual((1, 1), work_of(host, "t-1"))
 
     def test_ports_used_again_count_as_a_new_flow(self):
--- a/tests/cover/test_suspicions.py
+++ b/tests/cover/test_suspicions.py
@@ -10,7 +10,7 @@
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import sync
-from tamarack_core.internal.cookie import flow_tracker
+from tamarack_core.internal.cookie import flow_state
 from tamarack_core.internal.registry import publisher as publishers
 from tamarack_core.internal.registry import suspicion_relay
 from tamarack_core.internal.registry import target_registry
@@ -146,7 +146,7 @@
         self.notify(host, "t-3")
         self.assertEqual([], host.probed)
         self.assertNotIn("t-3", [host.open(n) for n in range(10, 20)])
-        host.tick(flow_tracker.REPORT_LIFETIME_S)
+        host.tick(flow_state.REPORT_LIFETIME_S)
         self.assertIn("t-3", [host.open(n) for n in range(20, 30)])
 
     def test_a_target_that_replies_is_no_longer_avoided(self):
