Look up the activity and weight of a target once for each choice

Where ramp-up is in force, a choice passed twice over all targets and looked up each of them three times.

--- a/packages/core/src/tamarack_core/internal/cookie/target_choice.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_choice.py
@@ -11,6 +11,9 @@
 from collections.abc import Mapping
 import random
 
+import msgspec
+
+from tamarack_core.internal.cookie import flow_state
 from tamarack_core.internal.cookie import flow_tracker
 from tamarack_core.internal.cookie import target_probes
 from tamarack_core.internal.cookie import target_table
@@ -33,6 +36,20 @@
 _NO_WEIGHTS: Mapping[int, int] = {}
 
 
+class Candidate(msgspec.Struct):
+    """A target of a choice by weights.
+
+    Attributes:
+        entry: The target.
+        activity: Its flows and turns at this host.
+        weight: Its weight, in percent.
+    """
+
+    entry: target_table.TargetEntry
+    activity: flow_state.TargetActivity
+    weight: int
+
+
 def choose(
     candidates: Collection[target_table.TargetEntry],
     tracker: flow_tracker.FlowTracker,
@@ -105,7 +122,7 @@
     return min(
         best,
         key=lambda entry: (
-            _load(entry, tracker, now_s, idle_share),
+            _load(entry, tracker.activity_of(entry), now_s, idle_share),
             tracker.activity_of(entry).last_opening,
             generator.random(),
         ),
@@ -129,21 +146,28 @@
     Otherwise hosts that started together take turns in step, and all of them
     open flows at a new target at once.
     """
-    total = sum(
-        weights.get(entry.start_tag, target_weights.FULL_PERCENT)
+    rated = [
+        Candidate(
+            entry,
+            tracker.activity_of(entry),
+            weights.get(entry.start_tag, target_weights.FULL_PERCENT),
+        )
         for entry in entries
-    )
-
+    ]
+    total = sum(candidate.weight for candidate in rated)
+    turns = tracker.turns[rated[0].entry.target.service]
     new: dict[str, float] = {}
     if is_ramped_up:
-        new = _new_turns(entries, tracker, generator, weights, total)
+        new = _new_turns(rated, turns, generator, total)
+        now_s = float("inf")
 
-    def key(entry: target_table.TargetEntry) -> tuple[float, float, float]:
-        weight = weights.get(entry.start_tag, target_weights.FULL_PERCENT)
+    def key(candidate: Candidate) -> tuple[float, float, float]:
+        entry, activity, weight = (
+            candidate.entry,
+            candidate.activity,
+            candidate.weight,
+        )
         interval = total / weight
-        activity = tracker.activity_of(entry)
-        turns = tracker.turns[entry.target.service]
-        passed = turns - activity.last_turn
         if entry.target.name in new:
             activity.last_turn = new[entry.target.name]
             activity.weight = weight
@@ -154,39 +178,29 @@
             # The part of the interval that has passed stays the same.
             # Otherwise a higher weight makes the turn of the target due at
             # many hosts at the same moment.
+            passed = turns - activity.last_turn
             activity.last_turn = turns - passed * activity.weight / weight
             activity.weight = weight
         return (
-            _load(
-                entry,
-                tracker,
-                float("inf") if is_ramped_up else now_s,
-                idle_share,
-                weight,
-            ),
+            _load(entry, activity, now_s, idle_share, weight),
             activity.last_turn + interval,
             generator.random(),
         )
 
-    chosen = min(entries, key=key)
-    activity = tracker.activity_of(chosen)
+    chosen = min(rated, key=key)
+    activity = chosen.activity
     interval = total / activity.weight
-    late = (
-        tracker.turns[chosen.target.service]
-        + 1
-        - (activity.last_turn + interval)
-    )
+    late = turns + 1 - (activity.last_turn + interval)
     # A turn that was late by more than an interval is lost: the target was
     # busy, and would get several openings at once.
     activity.lateness = min(max(late, -interval), interval)
-    return chosen
+    return chosen.entry
 
 
 def _new_turns(
-    entries: Collection[target_table.TargetEntry],
-    tracker: flow_tracker.FlowTracker,
+    candidates: list[Candidate],
+    turns: int,
     generator: random.Random,
-    weights: Mapping[int, int],
     total: int,
 ) -> dict[str, float]:
     """Returns last turns of the targets that are new to this host, by name.
@@ -197,14 +211,9 @@
     """
     new: list[tuple[str, float]] = []
     first_due = float("inf")
-    now_turn = 0.0
-    for entry in entries:
-        activity = tracker.activity_of(entry)
-        turns = tracker.turns[entry.target.service]
-        now_turn = float(turns)
-        interval = total / weights.get(
-            entry.start_tag, target_weights.FULL_PERCENT
-        )
+    for candidate in candidates:
+        entry, activity = candidate.entry, candidate.activity
+        interval = total / candidate.weight
         if (
             not activity.weight
             or activity.start_tag != entry.start_tag
@@ -218,9 +227,9 @@
         activity.considered = turns
     # A lower weight makes a turn that was late later still, so it must not
     # place the new targets in the past, where all hosts would use them at once.
-    first_due = max(first_due, now_turn)
     if first_due == float("inf"):
-        first_due = now_turn
+        first_due = turns
+    first_due = max(first_due, turns)
     return {
         name: first_due - generator.uniform(0.0, interval)
         for name, interval in new
@@ -229,7 +238,7 @@
 
 def _load(
     entry: target_table.TargetEntry,
-    tracker: flow_tracker.FlowTracker,
+    activity: flow_state.TargetActivity,
     now_s: float,
     idle_share: float,
     weight: int = target_weights.FULL_PERCENT,
@@ -239,7 +248,6 @@
     The new flow is included; it counts the same at all targets, so that those
     without work are equal and take turns.
     """
-    activity = tracker.activity_of(entry)
     idle = activity.flows - activity.work
     factor = target_weights.FULL_PERCENT / weight
     work = 1.0 + factor * activity.work + factor * idle_share * idle
@@ -272,4 +280,5 @@
             target.
     """
     weight = weights.get(entry.start_tag, target_weights.FULL_PERCENT)
-    return _load(entry, tracker, now_s, _idle_flow_weight(tracker), weight)
+    activity = tracker.activity_of(entry)
+    return _load(entry, activity, now_s, _idle_flow_weight(tracker), weight)
