review/7: leaving servers get flows through a one-way cut control host

Cause: a control host whose messages to the others are lost gets no changes of targets any more, yet counts as confirmed, so the entry hosts that follow it open flows to servers that left long ago. Change: review/7 shows it as a script with a router that drops one way. The product is unchanged.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,66 @@
+"""A control host that can't send to the others keeps entry hosts on old targets."""
+
+import asyncio
+import pathlib
+import sys
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+from lib2 import platform  # noqa: E402
+from lib2 import scene as scenes  # noqa: E402
+
+BEFORE_S = platform.CONTACT_S + 2.0
+"""From the cut to the first leaving server: the core is stable again then, and
+the machines outside the cut are in touch."""
+
+SERVES_ON_S = 6.0
+"""Time for which a server goes on after the acknowledgement."""
+
+
+async def play(scene, has_trouble):
+    hidden = scene.controls[-1]
+    others = {host.address for host in scene.controls[:-1]}
+    if has_trouble:
+        # Only what the host sends to the other two control hosts is lost.
+        scene.translator.cut = frozenset((10, 11))
+        scene.record(
+            f"cut: {hidden.name} no longer reaches the other control hosts;"
+            " they reach it, and all other machines reach it both ways"
+        )
+    await asyncio.sleep(BEFORE_S)
+    # Servers of the two other zones, which announce themselves there.
+    leaving = [
+        next(
+            server
+            for server in scene.servers
+            if server.service == service and server.zone == zone
+        )
+        for service, zone in (("agenda", "stgo-a"), ("agenda", "stgo-b"))
+    ]
+    for server in leaving:
+        server.drain()
+        await asyncio.sleep(1.0)
+    for server in leaving:
+        if server.drained is None:
+            raise scenes.CannotRunError(f"{server.name} isn't acknowledged")
+        by = server.drained[1].partition(":")[0]
+        if by not in others:
+            raise scenes.CannotRunError(f"{server.name} left through {by}")
+    await asyncio.sleep(SERVES_ON_S)
+    # Entry hosts, the two control hosts and the servers were never disturbed.
+    late = [
+        opening
+        for server in leaving
+        for opening in scenes.late_openings(scene.record, server)
+    ]
+    scene.translator.cut = frozenset()
+    if has_trouble:
+        scene.record(f"the cut heals; {scene.translator.dropped} messages lost")
+    for server in leaving:
+        await server.leave()
+    await asyncio.sleep(2.0)
+    return late
+
+
+scenes.run(FOLDER, play, translated=True)
