review: the stand-in of the operator follows answers in one place

Cause: Operator.send used the status of an earlier call after a failed one. Change: a call with its redirects is a function of its own; formatter.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Control hosts that restart after many changes need more memory than they have."""
+"""Control hosts that restart after many changes exceed their memory."""
 
 import asyncio
 import json
@@ -33,7 +33,13 @@
         for name, place in scenes.PLACES.items()
     ]
     routes += [
-        (f"r-{i}", f"198.18.{1 + i // 250}.{1 + i % 250}", 80, "download", "informe")
+        (
+            f"r-{i}",
+            f"198.18.{1 + i // 250}.{1 + i % 250}",
+            80,
+            "download",
+            "informe",
+        )
         for i in range(ROUTES)
     ]
     document = http.document(version, tuple(scenes.SIZES), routes)
@@ -75,7 +81,9 @@
                         " killed"
                     )
                 if not host.is_running():
-                    since_s = down_s.setdefault(host.name, self.scene.record.now())
+                    since_s = down_s.setdefault(
+                        host.name, self.scene.record.now()
+                    )
                     if self.scene.record.now() - since_s >= RESTART_S:
                         del down_s[host.name]
                         host.start()
@@ -87,7 +95,9 @@
     scene.tasks.append(asyncio.create_task(memory.watch()))
     newest = 1
     for version in range(2, 2 + CHANGES):
-        body = json.dumps(configuration(version), separators=(",", ":")).encode()
+        body = json.dumps(
+            configuration(version), separators=(",", ":")
+        ).encode()
         assert len(body) <= MAX_BODY_BYTES, len(body)
         result = await scene.operator.send("POST", "/config/replace", body)
         if result is None or result[0] != 200:
@@ -114,7 +124,9 @@
             read = json.loads(result[2])["version"]
             break
         scene.record("the read of the configuration isn't answered")
-    scene.record(f"read back: {'nothing' if read is None else f'version {read}'}")
+    scene.record(
+        f"read back: {'nothing' if read is None else f'version {read}'}"
+    )
     scene.record(f"killed for memory: {memory.ends}; most: {memory.most_mb}")
     if read is None:
         scene.record(
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -30,7 +30,13 @@
         for name, place in scenes.PLACES.items()
     ]
     routes += [
-        (f"r-{i}", f"198.18.{1 + i // 250}.{1 + i % 250}", 80, "download", "informe")
+        (
+            f"r-{i}",
+            f"198.18.{1 + i // 250}.{1 + i % 250}",
+            80,
+            "download",
+            "informe",
+        )
         for i in range(ROUTES)
     ]
     document = http.document(version, tuple(scenes.SIZES), routes)
@@ -99,7 +105,9 @@
     read = None
     while read is None and scene.record.now() < end_s:
         read = await read_back(scene)
-    scene.record(f"read back: {'nothing' if read is None else f'version {read}'}")
+    scene.record(
+        f"read back: {'nothing' if read is None else f'version {read}'}"
+    )
     if has_trouble:
         leader = [
             line[-300:].rstrip()
@@ -109,7 +117,9 @@
         ]
         scene.record(f"memberships logged last: {sorted(leader)[-1:]}")
     if read is None:
-        scene.record("CONFIG: read back at the end, the configuration doesn't come")
+        scene.record(
+            "CONFIG: read back at the end, the configuration doesn't come"
+        )
     return read != newest
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A control host that can't send to the others keeps entry hosts on old targets."""
+"""A control host that can't send keeps entry hosts on old targets."""
 
 import asyncio
 import pathlib
--- a/review/lib2/http.py
+++ b/review/lib2/http.py
@@ -42,31 +42,31 @@
         self.record, self.controls = record, list(controls)
 
     async def send(self, method, path, body, tries=40):
-        """Returns status and body of the first clear answer, or None."""
+        """Returns status, address and body of the first clear answer, or None."""
         for attempt in range(tries):
             address = self.controls[attempt % len(self.controls)]
-            for _ in range(3):
-                try:
-                    status, headers, data = await call(
-                        address, method, path, body
-                    )
-                except (OSError, TimeoutError):
-                    break
-                if status != 307:
-                    break
-                address = (
-                    headers["location"].removeprefix("http://").split("/")[0]
-                )
-            else:
-                continue
-            try:
-                if status < 500 and status not in (307, 408, 429):
-                    return status, address, data
-            except UnboundLocalError:
-                pass
+            answer = await self._follow(address, method, path, body)
+            if answer is not None:
+                return answer
             await asyncio.sleep(min(0.1 * (attempt + 1), 0.5))
         return None
 
+    async def _follow(self, address, method, path, body):
+        """Calls one node and follows a 307 twice; None without clear answer."""
+        for _ in range(3):
+            try:
+                status, headers, data = await call(address, method, path, body)
+            except (OSError, TimeoutError):
+                return None
+            if status == 307:
+                location = headers["location"].removeprefix("http://")
+                address = location.split("/")[0]
+            elif status >= 500 or status in (408, 429):
+                return None
+            else:
+                return status, address, data
+        return None
+
     async def publish(self, document):
         body = json.dumps(document).encode()
         result = await self.send("POST", "/config/replace", body)
--- a/review/lib2/scene.py
+++ b/review/lib2/scene.py
@@ -12,7 +12,7 @@
 from lib2 import translator as translators
 
 SETTLE_S = 12.0
-"""Time from the start of the machines to that of the traffic, as in the site."""
+"""Time from the start of the machines to that of the traffic, in seconds."""
 
 PLACES = {
     "agenda": ("198.18.0.1", 8443),
@@ -38,7 +38,7 @@
         seeds = [f"{self.outside}{number}" for number in (10, 11, 12)]
         self.controls, self.entries = [], []
         self.translator = None
-        for number, zone in zip((10, 11, 12), platform.ZONES):
+        for number, zone in zip((10, 11, 12), platform.ZONES, strict=True):
             address, named = f"{self.outside}{number}", seeds
             if number == translated:
                 address = f"{self.inside}{number}"
@@ -50,7 +50,7 @@
                     f"core-{zone}-1", "control", zone, address, named
                 )
             )
-        for number, zone in zip((21, 22, 23), platform.ZONES):
+        for number, zone in zip((21, 22, 23), platform.ZONES, strict=True):
             self.entries.append(
                 self.deployment.add(
                     f"frontend-{zone}-1",
