--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,12 +1,13 @@
-"""One heartbeat of another writer, with fields missing.
+"""A control host is removed without SIGTERM; then another one loses its disk.
 
-Two services with two servers each serve traffic. Another writer sends a single
-heartbeat: it names a live server of `informe`, says that it is of `agenda`, and
-lacks `version` and `warmup-left-ms`. By the page it names no server to use.
+The successor of the removed host has run for 10 s before, so that the removed
+one doesn't count as lost any more, and one disk is lost.
 """
 
 import asyncio
+import json
 import pathlib
+import shutil
 import sys
 import time
 
@@ -15,68 +16,73 @@
 
 import world as lib  # noqa: E402
 
-PORTS = {"agenda": 80, "informe": 81}
-HOST = "198.18.0.1"
+SUCCESSOR_S = 10.0  # catch-up-s is 4
+SECOND_LOSS_S = 2.5
+DOWN_S = 1.0
+WATCHED_S = 45.0  # recovery-s is 12, skew-max-ms 12,000
 
 
-async def clients(world, client, service, number):
-    """Opens one flow after the other, each for one request."""
-    count = 0
-    while True:
-        count += 1
-        flow = lib.Flow(client, HOST, PORTS[service])
-        if await flow.connect() == "opened":
-            await flow.request(f"{service}-{number}-{count}")
-            flow.close()
-        await asyncio.sleep(0.3)
+def version(number):
+    """A configuration; only the time-out differs."""
+    route = lib.route("r-agenda", "198.18.0.1", 80, "non_idempotent", "agenda")
+    route["timeout-ms"] = 1000 + number
+    return lib.config(number, [route], ["agenda"])
+
+
+async def find_leader(world, number):
+    """The host that acknowledges a new version itself, without a redirect."""
+    for _ in range(20):
+        for name in world.control_names:
+            number += 1
+            answer = await lib.call(
+                world.hosts[name].address, world.control_port, "POST",
+                "/config/replace", version(number),
+            )
+            if answer is not None and answer[0] == 200:
+                world.note(f"version {number} is acknowledged by {name} itself")
+                return name
+        await asyncio.sleep(0.2)
+    raise lib.CannotRun("no host acknowledges a version")
 
 
 async def scenario(world, trouble):
-    world.start_hosts()
-    world.spawn(world.route_packets())
-    document = lib.config(
-        3,
-        [
-            lib.route("r-agenda", HOST, PORTS["agenda"], "non_idempotent", "agenda"),
-            lib.route("r-informe", HOST, PORTS["informe"], "download", "informe"),
-        ],
-        list(PORTS),
-    )
-    if await world.publish(document) is None:
+    *founders, added = world.control_names
+    world.control_names = founders
+    world.start_hosts(founders)
+    if await world.publish(version(3)) is None:
         raise lib.CannotRun("the first version is not acknowledged")
-    for index, service in enumerate(("agenda", "agenda", "informe", "informe")):
-        await lib.Server(world, index, service, lib.ZONES[index % 3]).start()
-    client = lib.Client(world, 0)
-    await client.start()
-    await lib.answered(world)
-    await asyncio.sleep(4.0)
-    for number in range(4):
-        world.spawn(clients(world, client, "agenda", number))
-        world.spawn(clients(world, client, "informe", number))
-    await asyncio.sleep(6.0)
-    if min(len(server.runs) for server in world.servers) == 0:
-        raise lib.CannotRun("a server gets no requests before the disruption")
-    victim = world.servers[2]
+    successor = world.hosts[added]
+    successor.first = False  # the system has started before
+    successor.start()
+    await asyncio.sleep(SUCCESSOR_S)
+    removed = await find_leader(world, 3)
+    removed_s = time.monotonic()
+    world.hosts[removed].kill()
+    world.note(f"{removed} is removed for good, without SIGTERM")
+    left = [name for name in founders if name != removed]
+    world.control_names = [*left, added]
+    newest = 100
+    if await world.publish(version(newest), 2.4) is None:
+        raise lib.CannotRun("version 100 is not acknowledged in time")
+    await asyncio.sleep(max(0.0, removed_s + SECOND_LOSS_S - time.monotonic()))
     if trouble:
-        beat = {
-            "service": "agenda",
-            "address": f"{victim.address}:{world.server_port}",
-            "zone": victim.zone,
-            "slots": 2,
-            "state": "ready",
-            "sequence": 1,
-            "born": int(time.time() * 1000),
-        }
-        control = world.hosts["core-0"]
-        answer = await lib.call(
-            control.address, world.control_port, "POST",
-            f"/instances/{victim.id}/heartbeat", beat,
-        )
-        world.note(f"another writer says of {victim.id} of informe: {beat}; answer {answer}")
-    await asyncio.sleep(20.0)
-    for server in world.servers:
-        world.note(f"server {server.id} of {server.service} ran {len(server.runs)} requests")
+        host = world.hosts[left[0]]
+        host.kill()
+        shutil.rmtree(host.folder / "data")
+        world.note(f"{host.name} has lost its disk")
+        await asyncio.sleep(DOWN_S)
+        host.start()
+    else:
+        await asyncio.sleep(DOWN_S)
+    await asyncio.sleep(WATCHED_S - 20.0)
+    read = await world.control_call("GET", "/config/get", limit_s=20.0)
+    if read is None or read[0] != 200:
+        world.broken("CONFIG", f"version {newest} is acknowledged, and no read succeeds")
+    elif json.loads(read[2])["version"] < newest:
+        world.broken("CONFIG", f"read {json.loads(read[2])['version']} after {newest}")
+    else:
+        world.note(f"read: version {json.loads(read[2])['version']}")
 
 
 if __name__ == "__main__":
-    lib.run_case(HERE, scenario)
+    lib.run_case(HERE, scenario, controls=4, entries=1)
--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -110,7 +110,7 @@
 
     def find_ports(self, count):
         found = []
-        addresses = [f"{self.net}.{i}" for i in (1, 11, 12, 13, 21, 22, 41, 42, 43, 44, 81)]
+        addresses = [f"{self.net}.{i}" for i in (1, 11, 12, 13, 14, 21, 22, 41, 42, 43, 44, 81)]
         while len(found) < count:
             port = self.random.randint(20000, 30000)
             if any(abs(port - other) < 20 for other in found) or 9450 < port < 9470:
