Bear a lost disk beside a voter that is gone for good

What callers saw: a control host was removed without a signal, its successor had run for 10 s; 2.5 s later another host lost its disk.

Cause: two rules. What a caught-up learner holds counted for nothing until it had replaced the silent voter, 2.5 s after an election. And the replacement promoted the learner beside that voter, so that three of four voters were needed, of which one was gone.

Ruled out: a learner that lags, and lost messages.

Change: a caught-up learner is a standby, without which nothing is committed. It may stand in for a voter that provably lost its disk, while a majority has lately confirmed that it is a standby. A voter is replaced by joint consensus, for which neither it nor its successor is needed, 1.2 s after it was last heard. The leader says when the group can't bear a lost disk, and why.

A test of overlapping losses waited for a membership other than of three voters, which lasts for milliseconds now. It waits until the voter has been replaced and checks the same end.

--- a/packages/core/src/tamarack_core/internal/consensus/elections.py
+++ b/packages/core/src/tamarack_core/internal/consensus/elections.py
@@ -8,9 +8,13 @@
 from tamarack_core import peers
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.consensus import roles
+from tamarack_core.internal.consensus import standing
 from tamarack_core.internal.consensus import state as states
 from tamarack_core.messages import consensus
 
+STAND_IN_CHANCE = 0.5
+"""Share of the elections of a voter that are with a stand-in it knows of."""
+
 
 def start_pre_vote(state: states.State, now_s: float) -> None:
     """Starts a pre-vote: would a majority vote for this replica?"""
@@ -18,10 +22,29 @@
     state.set_leader(None)
     state.reset_election_timer(now_s)
     state.votes = {state.own.incarnation}
-    _request_votes(state, state.term + 1, is_pre_vote=True, is_transfer=False)
+    state.election_stand_in = _choose_stand_in(state)
+    _request_votes(
+        state, _next_term(state), is_pre_vote=True, is_transfer=False
+    )
     _count_votes(state, now_s)
 
 
+def _choose_stand_in(state: states.State) -> consensus.StandIn | None:
+    """Returns the stand-in in the next election, if any.
+
+    A voter tries both kinds of election, as the voter that is lost to the
+    standby may not be needed.
+    """
+    stand_in = standing.valid_stand_in(state)
+    if stand_in is None or not state.is_voter:
+        return stand_in
+    return stand_in if state.random.random() < STAND_IN_CHANCE else None
+
+
+def _next_term(state: states.State) -> int:
+    return standing.next_term(state.term, state.election_stand_in)
+
+
 def start_election(
     state: states.State, now_s: float, is_transfer: bool
 ) -> None:
@@ -34,7 +57,9 @@
             transfer its leadership.
     """
     state.role = states.Role.CANDIDATE
-    state.set_term(state.term + 1, state.own.incarnation)
+    if is_transfer:
+        state.election_stand_in = None
+    state.set_term(_next_term(state), state.own.incarnation)
     state.set_leader(None)
     state.reset_election_timer(now_s)
     state.votes = set()
@@ -47,8 +72,12 @@
 def _request_votes(
     state: states.State, term: int, *, is_pre_vote: bool, is_transfer: bool
 ) -> None:
+    stand_in = state.election_stand_in
     for member in state.latest_membership.members.values():
-        if not member.is_voter or member.incarnation == state.own.incarnation:
+        is_voting = member.is_voter or (
+            stand_in is not None and member.incarnation == stand_in.standby
+        )
+        if not is_voting or member.incarnation == state.own.incarnation:
             continue
         request = consensus.VoteRequest(
             consensus.Header(term, state.own.incarnation, member.incarnation),
@@ -56,6 +85,7 @@
             state.log.last_term,
             is_pre_vote,
             is_transfer,
+            stand_in,
         )
         if is_pre_vote:
             state.send(member.peer, request)
@@ -73,7 +103,9 @@
 
 
 def _count_votes(state: states.State, now_s: float) -> None:
-    if not state.latest_membership.has_quorum(state.votes):
+    if not state.latest_membership.has_quorum(
+        state.votes, state.election_stand_in
+    ):
         return
     if state.role is states.Role.PRE_CANDIDATE:
         start_election(state, now_s, is_transfer=False)
@@ -97,6 +129,10 @@
     )
     if is_withheld and not request.is_transfer:
         return
+    if request.stand_in is not None and not standing.accept_stand_in(
+        state, request.header.source, request.stand_in
+    ):
+        return
     term = request.header.term
     if term > state.term and not request.is_pre_vote:
         roles.become_follower(state, now_s, term, None)
@@ -155,7 +191,7 @@
 ) -> None:
     """Counts a vote or pre-vote if it belongs to the current election."""
     expected = (
-        (states.Role.PRE_CANDIDATE, state.term + 1)
+        (states.Role.PRE_CANDIDATE, _next_term(state))
         if response.is_pre_vote
         else (states.Role.CANDIDATE, state.term)
     )
--- a/packages/core/src/tamarack_core/internal/consensus/log_parameters.py
+++ b/packages/core/src/tamarack_core/internal/consensus/log_parameters.py
@@ -45,6 +45,13 @@
         retained_bytes: Maximum bytes of these entries.
         promotion_entries: Maximum number of entries by which a learner may be
             behind when it becomes a voter.
+        standing_interval_s: Seconds between the requests by which a standby
+            keeps its standing.
+        standing_s: Seconds from a granted request for which the standing
+            lasts.
+        release_s: Seconds for which a quorum must hold the removal of a standby
+            that doesn't respond. It exceeds `standing_s` by the drift of clocks
+            in that time.
     """
 
     heartbeat_interval_s: float = 0.5
@@ -66,3 +73,6 @@
     retained_entries: int = 100
     retained_bytes: int = MIB
     promotion_entries: int = 100
+    standing_interval_s: float = 0.25
+    standing_s: float = 3.6
+    release_s: float = 4.0
--- a/packages/core/src/tamarack_core/internal/consensus/membership_checks.py
+++ b/packages/core/src/tamarack_core/internal/consensus/membership_checks.py
@@ -5,11 +5,21 @@
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.consensus import state as states
 
+_CHANGES_OF_CAUGHT_UP = (
+    membership.ChangeKind.PROMOTE,
+    membership.ChangeKind.REPLACE,
+    membership.ChangeKind.ADD_STANDBY,
+)
+
 
 def find_refusal(
     state: states.State, change: membership.Change
 ) -> failure.Failure | None:
     """Returns why the leader can't change the membership now, or None."""
+    # Nothing is committed without a standby that doesn't respond. Its removal
+    # leaves the voters as they are, so it may overlap any other change.
+    if change.kind is membership.ChangeKind.REMOVE_STANDBY:
+        return None
     if state.memberships[-1].index > state.commit_index:
         return failure.Failure(
             "change-running",
@@ -22,11 +32,11 @@
         return failure.Failure(
             "leader-starting", "the leader has just been elected; retry"
         )
-    if change.incarnation == state.own.incarnation:
+    if state.own.incarnation in (change.incarnation, change.replaced):
         return failure.Failure(
             "is-leader", "the member leads; transfer the leadership first"
         )
-    if change.kind is membership.ChangeKind.PROMOTE:
+    if change.kind in _CHANGES_OF_CAUGHT_UP:
         return _find_learner_lag(state, change.incarnation)
     return None
 
--- a/packages/core/src/tamarack_core/internal/consensus/outputs.py
+++ b/packages/core/src/tamarack_core/internal/consensus/outputs.py
@@ -101,6 +101,16 @@
     members: tuple[membership.Member, ...]
 
 
+class StandInStarted(msgspec.Struct, frozen=True):
+    """A voter has lost its disk, and this standby votes in its place.
+
+    Attributes:
+        lost: Incarnation of the voter.
+    """
+
+    lost: str
+
+
 class Halted(msgspec.Struct, frozen=True):
     """This replica has stopped for good under its current incarnation.
 
@@ -120,6 +130,7 @@
     | ReadFailed
     | LeaderChanged
     | MembershipChanged
+    | StandInStarted
     | Halted
 )
 
--- a/packages/core/src/tamarack_core/internal/consensus/progress.py
+++ b/packages/core/src/tamarack_core/internal/consensus/progress.py
@@ -48,6 +48,10 @@
         snapshot_transfer: Snapshot transfer in progress, if any.
         is_refused: Whether the replica lost entries that it had synced; it no
             longer counts towards a quorum.
+        expected_index: Index that a majority of the voters held at
+            `expected_s`.
+        expected_s: Monotonic time at which the replica was last known to hold
+            what a majority had held before.
     """
 
     __slots__ = (
@@ -55,6 +59,8 @@
         "answered_round",
         "answered_s",
         "barrier_round",
+        "expected_index",
+        "expected_s",
         "is_awaiting_probe",
         "is_probing",
         "is_refused",
@@ -86,6 +92,8 @@
         self.answered_s = now_s
         self.snapshot_transfer: SnapshotTransfer | None = None
         self.is_refused = False
+        self.expected_index = 0
+        self.expected_s = now_s
         self._requests: collections.deque[_Request] = collections.deque()
 
     @property
@@ -131,6 +139,23 @@
         ):
             self._requests.popleft()
 
+    def observe_majority(self, now_s: float, index: int) -> None:
+        """Records what a majority holds, once the replica holds the earlier.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            index: Last index that a majority of the voters has synced.
+        """
+        if self.match_index >= self.expected_index:
+            self.expected_index = index
+            self.expected_s = now_s
+
+    def lag_s(self, now_s: float) -> float:
+        """Returns for how long the replica has lacked what a majority held."""
+        if self.match_index >= self.expected_index:
+            return 0.0
+        return now_s - self.expected_s
+
     def record_rejection(self, hint_index: int, leader_round: int) -> None:
         """Returns to probing after a rejected request.
 
--- a/packages/core/src/tamarack_core/internal/consensus/replica.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replica.py
@@ -19,6 +19,7 @@
 from tamarack_core.internal.consensus import replication
 from tamarack_core.internal.consensus import roles
 from tamarack_core.internal.consensus import snapshots
+from tamarack_core.internal.consensus import standing
 from tamarack_core.internal.consensus import state as states
 from tamarack_core.messages import consensus
 
@@ -98,6 +99,10 @@
         if self._should_handle(message):
             if isinstance(message, consensus.VoteRequest):
                 elections.handle_vote_request(state, now_s, sender, message)
+            elif isinstance(message, consensus.StandingRequest):
+                standing.handle_request(state, sender, message)
+            elif isinstance(message, consensus.StandingResponse):
+                standing.handle_response(state, now_s, sender, message)
             elif self._observe_term(now_s, sender, message):
                 self._dispatch(now_s, sender, message)
         return self._finish(now_s)
@@ -105,7 +110,11 @@
     def _should_handle(self, message: consensus.Message) -> bool:
         state = self.state
         header = message.header
-        if state.halted or header.destination != state.own.incarnation:
+        if state.halted:
+            return False
+        if isinstance(message, consensus.StandingRequest):
+            return True
+        if header.destination != state.own.incarnation:
             return False
         if isinstance(message, _MEMBER_ONLY_MESSAGES):
             return header.source in state.latest_membership.members
@@ -191,6 +200,8 @@
         read_forwarding.fail_expired(state, now_s)
         if now_s >= state.commit_deadline_s:
             self._record_commit()
+        if now_s >= self._standing_deadline_s():
+            standing.request_standing(state, now_s)
         if state.is_leader and now_s >= state.heartbeat_deadline_s:
             replication.tick(state, now_s)
         elif self._is_election_due(now_s):
@@ -199,10 +210,28 @@
 
     def _is_election_due(self, now_s: float) -> bool:
         state = self.state
-        is_candidate = state.is_voter and not state.is_leader
+        is_candidate = self._may_campaign() and not state.is_leader
         is_due = now_s >= state.election_deadline_s
         return is_candidate and is_due and not state.halted
 
+    def _may_campaign(self) -> bool:
+        """Returns whether this replica may start elections."""
+        return (
+            self.state.is_voter
+            or standing.valid_stand_in(self.state) is not None
+        )
+
+    def _standing_deadline_s(self) -> float:
+        """Returns when a standby next asks the voters for its standing.
+
+        It goes on while it is replacing a voter, so that it learns of losses.
+        """
+        state = self.state
+        own = state.latest_membership.members.get(state.own.incarnation)
+        if own is None or not own.is_standby:
+            return math.inf
+        return state.standing.deadline_s
+
     def handle_write_completed(
         self, now_s: float, sequence: int
     ) -> outputs.Step:
@@ -210,7 +239,7 @@
         state = self.state
         state.journal.complete(sequence)
         if state.is_leader:
-            replication.advance_commit(state)
+            replication.advance_commit(state, now_s)
         else:
             elections.count_own_vote(state, now_s)
         return self._finish(now_s)
@@ -326,6 +355,7 @@
         """Completes a call: sends, writes, compacts and sets the timer."""
         state = self.state
         if state.is_leader:
+            replication.finish_replacement(state, now_s)
             replication.start_read_round(state)
             replication.send_pending_entries(state)
         read_forwarding.complete_applied(state)
@@ -362,13 +392,13 @@
 
     def _arm_timer(self, now_s: float) -> None:
         state = self.state
-        deadlines_s = [state.commit_deadline_s]
+        deadlines_s = [state.commit_deadline_s, self._standing_deadline_s()]
         deadlines_s += [
             read.deadline_s for read in state.forwarded_reads.values()
         ]
         if state.is_leader:
             deadlines_s.append(state.heartbeat_deadline_s)
-        elif state.is_voter:
+        elif self._may_campaign():
             deadlines_s.append(state.election_deadline_s)
         next_s = min(deadlines_s)
         if state.halted or next_s >= state.timer_due_s:
--- a/packages/core/src/tamarack_core/internal/consensus/replication.py
+++ b/packages/core/src/tamarack_core/internal/consensus/replication.py
@@ -1,11 +1,14 @@
 """Leader: replicates entries, counts acknowledgments, commits."""
 
+from collections.abc import Collection
+
 from tamarack_core import peers
 from tamarack_core.internal.consensus import membership
 from tamarack_core.internal.consensus import outputs
 from tamarack_core.internal.consensus import progress as progresses
 from tamarack_core.internal.consensus import reads
 from tamarack_core.internal.consensus import roles
+from tamarack_core.internal.consensus import standing
 from tamarack_core.internal.consensus import state as states
 from tamarack_core.messages import consensus
 
@@ -16,11 +19,13 @@
     state.votes.clear()
     state.round = 0
     state.reads = reads.LeaderReads()
+    state.release = None
     state.progress.clear()
     track_members(state, now_s)
     state.set_leader(state.own)
     # Entries of earlier terms are committed only through one of this term.
     state.append(_first_entry(state))
+    track_members(state, now_s)
     state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
 
 
@@ -28,8 +33,16 @@
     """Returns the entry that a new leader appends first.
 
     In an empty log it contains the initial membership, so that a replica that
-    joins without knowing it receives it with the log.
+    joins without knowing it receives it with the log. After an election with
+    a stand-in it makes the standby a voter.
     """
+    if state.election_stand_in is not None:
+        changed = membership.apply_stand_in(
+            state.latest_membership, state.election_stand_in
+        )
+        return consensus.Entry(
+            state.term, consensus.EntryKind.MEMBERSHIP, changed.encode()
+        )
     if state.log.last_index > 0:
         return consensus.Entry(state.term, consensus.EntryKind.NOOP)
     return consensus.Entry(
@@ -62,7 +75,9 @@
         return
     state.heartbeat_deadline_s = now_s + state.parameters.heartbeat_interval_s
     _update_leadership_transfer(state, now_s)
+    majority_index = _quorum_index(state)
     for progress in state.progress.values():
+        progress.observe_majority(now_s, majority_index)
         progress.is_awaiting_probe = False
         if progress.snapshot_transfer is not None:
             _send_chunk(state, progress)
@@ -253,7 +268,7 @@
         _refuse_identity(state, sender, progress, response.last_index)
     elif response.is_accepted:
         progress.record_match(response.match_index, state.round)
-        advance_commit(state)
+        advance_commit(state, now_s)
     elif (
         progress.snapshot_transfer is None
         and response.round > progress.barrier_round
@@ -302,23 +317,59 @@
         _send_chunk(state, progress)
 
 
-def advance_commit(state: states.State) -> None:
-    """Commits the entries that a quorum of voters has synced."""
-    durable = sorted(
-        _durable_index(state, voter) for voter in state.latest_membership.voters
-    )
-    index = durable[(len(durable) - 1) // 2]
+def advance_commit(state: states.State, now_s: float) -> None:
+    """Commits the entries that a quorum and all standbys have synced."""
+    index = _quorum_index(state)
     # An entry of an earlier term may still be replaced, even if a majority
     # has it.
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return
+    index = int(min(index, standing.commit_limit(state, now_s)))
     if index > state.commit_index and state.log.term_at(index) == state.term:
         state.commit(index)
 
 
-def _durable_index(state: states.State, incarnation: str) -> int:
-    if incarnation == state.own.incarnation:
-        return state.journal.durable_index
-    progress = state.progress[incarnation]
-    return 0 if progress.is_refused else progress.match_index
+def _quorum_index(state: states.State) -> int:
+    """Returns the last index that a quorum of the voters has synced."""
+    return min(
+        _majority_index(state, voters)
+        for voters in state.latest_membership.voter_sets
+    )
+
+
+def _majority_index(state: states.State, voters: Collection[str]) -> int:
+    """Returns the last index that a majority of `voters` has synced."""
+    durable = sorted(standing.durable_index(state, voter) for voter in voters)
+    return durable[(len(durable) - 1) // 2]
+
+
+def finish_replacement(state: states.State, now_s: float) -> None:
+    """Completes the replacement of a voter once its first entry is committed.
+
+    Args:
+        state: State of the leader.
+        now_s: Monotonic time in seconds.
+    """
+    latest = state.memberships[-1]
+    if (
+        not latest.membership.is_joint
+        or latest.index > state.commit_index
+        or not has_committed_in_term(state)
+    ):
+        return
+    own = latest.membership.members.get(state.own.incarnation)
+    if own is None or own.is_leaving:
+        # A leader has to be a voter after the replacement as well.
+        if state.leadership_transfer is None:
+            start_leadership_transfer(state, now_s)
+        return
+    finished = membership.finish_replacement(latest.membership)
+    state.append(
+        consensus.Entry(
+            state.term, consensus.EntryKind.MEMBERSHIP, finished.encode()
+        )
+    )
+    track_members(state, now_s)
 
 
 def has_committed_in_term(state: states.State) -> bool:
@@ -402,6 +453,7 @@
         progress
         for progress in state.progress.values()
         if progress.member.is_voter
+        and not progress.member.is_leaving
         and not progress.is_refused
         and progress.answered_s > oldest_s
     ]
--- a/packages/core/src/tamarack_core/internal/consensus/snapshots.py
+++ b/packages/core/src/tamarack_core/internal/consensus/snapshots.py
@@ -137,6 +137,7 @@
         if snapshot.index < entry.index <= state.log.last_index
     ]
     state.memberships = [restored, *later]
+    state.end_standing()
     state.commit_index = snapshot.index
     state.machine.restore(snapshot.state)
     state.output(outputs.Restored(snapshot.index))
--- a/packages/core/src/tamarack_core/internal/consensus/state.py
+++ b/packages/core/src/tamarack_core/internal/consensus/state.py
@@ -82,6 +82,39 @@
     is_timeout_now_sent: bool = False
 
 
+class Standing(msgspec.Struct):
+    """Standing of this replica while it is a standby.
+
+    Attributes:
+        round: Number of the last request to the voters.
+        sent_s: Monotonic time of each recent request, by its number.
+        granted_s: Monotonic time at which the last request was sent that a
+            voter granted, by incarnation.
+        deadline_s: Monotonic time of the next request.
+    """
+
+    round: int = 0
+    sent_s: dict[int, float] = {}
+    granted_s: dict[str, float] = {}
+    deadline_s: float = -math.inf
+
+
+class Release(msgspec.Struct):
+    """Removal of a standby that does not respond, at the leader.
+
+    Attributes:
+        index: Index of the entry that removes it.
+        held_s: Monotonic time since which a majority of the voters is known to
+            hold the entry; infinity before.
+        round: Round of the last request sent by the end of `release_s`; 0
+            before.
+    """
+
+    index: int
+    held_s: float = math.inf
+    round: int = 0
+
+
 class State:
     """State of one replica.
 
@@ -116,6 +149,7 @@
             election.
         heartbeat_deadline_s: Monotonic time of the leader's next heartbeat.
         votes: Incarnations that granted a vote or pre-vote to this replica.
+        election_stand_in: The stand-in in the current election, if any.
         vote_sequence: Sequence number of the write that syncs the replica's
             vote for itself.
         progress: At the leader, replication progress by incarnation.
@@ -123,6 +157,10 @@
         reads: At the leader, reads to confirm.
         forwarded_reads: Reads forwarded to the leader, by request number.
         leadership_transfer: Leadership transfer in progress, if any.
+        release: At the leader, the last removal of a standby that does not
+            respond, if any.
+        standing: Standing of this replica while it is a standby.
+        stand_in: The last stand-in that this replica learned of, if any.
         halted: Why this replica has stopped for good, if so.
         timer_due_s: Monotonic time at which the driver's timer fires.
         step: Result of the current call.
@@ -135,6 +173,7 @@
         "commit_deadline_s",
         "commit_index",
         "election_deadline_s",
+        "election_stand_in",
         "forwarded_reads",
         "halted",
         "heartbeat_deadline_s",
@@ -152,10 +191,13 @@
         "random",
         "reads",
         "recorded_commit",
+        "release",
         "restarted_s",
         "role",
         "round",
         "snapshot",
+        "stand_in",
+        "standing",
         "step",
         "term",
         "timer_due_s",
@@ -198,12 +240,16 @@
         self.election_deadline_s = math.inf
         self.heartbeat_deadline_s = math.inf
         self.votes: set[str] = set()
+        self.election_stand_in: consensus.StandIn | None = None
         self.vote_sequence = 0
         self.progress: dict[str, progress.Progress] = {}
         self.round = 0
         self.reads = reads.LeaderReads()
         self.forwarded_reads: dict[int, reads.ForwardedRead] = {}
         self.leadership_transfer: LeadershipTransfer | None = None
+        self.release: Release | None = None
+        self.standing = Standing()
+        self.stand_in: consensus.StandIn | None = None
         self.halted: outputs.Halted | None = None
         self.timer_due_s = math.inf
         self.step = outputs.Step()
@@ -299,8 +345,24 @@
         self.memberships.append(IndexedMembership(index, latest))
         self._report_membership()
 
+    def end_standing(self) -> None:
+        """Forgets the standing, as what was granted before counts no more.
+
+        A replica that becomes a standby again may lack entries that were
+        committed in between.
+        """
+        self.standing = Standing(self.standing.round)
+        if (
+            self.stand_in is not None
+            and self.stand_in.standby == self.own.incarnation
+        ):
+            self.stand_in = None
+
     def _report_membership(self) -> None:
         latest = self.memberships[-1]
+        own = latest.membership.members.get(self.own.incarnation)
+        if own is None or not own.is_standby:
+            self.end_standing()
         self.output(
             outputs.MembershipChanged(
                 latest.index, tuple(latest.membership.members.values())
--- a/packages/core/src/tamarack_core/internal/group/document_replication.py
+++ b/packages/core/src/tamarack_core/internal/group/document_replication.py
@@ -81,6 +81,8 @@
         wanted_voters: Number of voters needed to tolerate the configured
             number of lost hosts.
         unreadable: Why the data folder can't be read, or None.
+        exposure: Why the group can't bear another loss, at the leader; empty if
+            it can.
         hello_s: Time of the last `ControlHello`, in seconds.
         changed_s: Time of the last membership change, in seconds.
         stop: Progress of the stop of this host.
@@ -92,6 +94,7 @@
         "context",
         "directory",
         "evacuation_requests",
+        "exposure",
         "hello_s",
         "machine",
         "named_hosts",
@@ -163,6 +166,7 @@
         self.reads: dict[int, float] = {}
         self.wanted_voters = 2 * tolerated_hosts + 1
         self.unreadable = self.replica.recover(disk.snapshot, disk.records)
+        self.exposure = ""
         self.hello_s = -math.inf
         self.changed_s = -math.inf
         self.stop = planned_stop.PlannedStop()
@@ -348,9 +352,26 @@
         if is_hello_due or self.stop.is_requested:
             result += self._send_hellos(now_s)
         if self.replica.state.is_leader and not self.stop.is_requested:
-            result += self._repair_membership(now_s)
+            group = self._group_state(now_s)
+            result += self._record_exposure(now_s, group)
+            result += self._repair_membership(now_s, group)
+        else:
+            self.exposure = ""
+            self.context.gauges.pop("loss_tolerated", None)
         return result
 
+    def _record_exposure(
+        self, now_s: float, group: membership_policy.GroupState
+    ) -> list[effects.Effect]:
+        """Returns the time line entry if it changed whether a loss is borne."""
+        exposure = membership_policy.find_exposure(now_s, group)
+        self.context.gauges["loss_tolerated"] = float(not exposure)
+        if exposure == self.exposure:
+            return []
+        self.exposure = exposure
+        name = "loss-not-tolerated" if exposure else "loss-tolerated"
+        return [self.context.record(now_s, name, reason=exposure)]
+
     def _find_doubt(self, now_s: float) -> str:
         """Returns why this host may hold an earlier state, or an empty string.
 
@@ -401,6 +422,7 @@
             self.stop.is_requested,
             accepts_orders=True,
             entry_names=self._next_names(now_s),
+            accepts_standbys=True,
         )
         result = self.publisher.set_controls(now_s, live)
         result += [
@@ -429,11 +451,13 @@
         members = self.replica.state.latest_membership.members.values()
         return tuple(member.peer for member in members)
 
-    def _repair_membership(self, now_s: float) -> list[effects.Effect]:
+    def _repair_membership(
+        self, now_s: float, group: membership_policy.GroupState
+    ) -> list[effects.Effect]:
         """Proposes the next membership change; called at the leader only."""
         if now_s - self.changed_s < CHANGE_INTERVAL_S:
             return []
-        change = membership_policy.next_change(now_s, self._group_state())
+        change = membership_policy.next_change(now_s, group)
         if change is None:
             return []
         proposal = self.replica.change_membership(now_s, change)
@@ -443,7 +467,26 @@
         self.changed_s = now_s
         return self._collect_effects(now_s, proposal.step)
 
-    def _group_state(self) -> membership_policy.GroupState:
+    def _heard_s(self) -> dict[str, float]:
+        """Returns when each other member was last heard, in seconds.
+
+        A new leader knows from the messages before its election which voters
+        are unresponsive.
+        """
+        known_hosts = self.directory.known_hosts
+        heard_s = {}
+        for incarnation, progress in self.replica.state.progress.items():
+            heard_s[incarnation] = progress.answered_s
+            known = known_hosts.get(progress.member.peer.control)
+            if (
+                progress.answered_round == 0
+                and known is not None
+                and known.incarnation == incarnation
+            ):
+                heard_s[incarnation] = known.seen_s
+        return heard_s
+
+    def _group_state(self, now_s: float) -> membership_policy.GroupState:
         """Returns the state of the group as the leader knows it."""
         state = self.replica.state
         newest = state.log.last_index - state.parameters.promotion_entries
@@ -451,8 +494,9 @@
             members=state.latest_membership,
             own=state.own.incarnation,
             known_hosts=self.directory.known_hosts,
-            answered_s={
-                incarnation: progress.answered_s
+            heard_s=self._heard_s(),
+            lag_s={
+                incarnation: progress.lag_s(now_s)
                 for incarnation, progress in state.progress.items()
             },
             caught_up={
@@ -576,6 +620,13 @@
                 return self._record_leader(now_s, output)
             case outputs.MembershipChanged():
                 return [self._record_membership(now_s, output)]
+            case outputs.StandInStarted(lost):
+                self.context.counters["stand-ins-started"] += 1
+                return [
+                    self.context.record(
+                        now_s, "stand-in-started", detail=f"for {lost}"
+                    )
+                ]
             case outputs.Halted(reason, detail):
                 return [effects.Stop(1, f"{reason}: {detail}")]
         return []
@@ -608,8 +659,7 @@
     ) -> effects.Effect:
         """Returns the time line entry of a membership change."""
         described = " ".join(
-            f"{member.peer.host}/{member.incarnation}"
-            f"{'' if member.is_voter else '(learner)'}"
+            f"{member.peer.host}/{member.incarnation}{_describe_role(member)}"
             for member in changed.members
         )
         return self.context.record(
@@ -617,6 +667,17 @@
         )
 
 
+def _describe_role(member: membership.Member) -> str:
+    """Returns the role of a member other than a voter, in brackets."""
+    if member.is_leaving:
+        return "(leaving)"
+    if member.is_joining:
+        return "(joining)"
+    if member.is_standby:
+        return "(standby)"
+    return "" if member.is_voter else "(learner)"
+
+
 def _describe_response(step: outputs.Step) -> tuple[str, str]:
     """Returns the verdict and reason of the response in a step."""
     response = next(
--- a/packages/core/src/tamarack_core/internal/group/host_directory.py
+++ b/packages/core/src/tamarack_core/internal/group/host_directory.py
@@ -39,6 +39,8 @@
         entry_hosts: Number of entry hosts that are subscribed to it.
         is_stopping: Whether a stop of the host was requested.
         accepts_orders: Whether the host can apply evacuation orders.
+        accepts_standbys: Whether the host knows standbys and the replacement
+            of a voter.
         heard: Endpoints of the control hosts that it hears.
     """
 
@@ -48,6 +50,7 @@
     entry_hosts: int = 0
     is_stopping: bool = False
     accepts_orders: bool = False
+    accepts_standbys: bool = False
     heard: frozenset[peers.Endpoint] = frozenset()
 
 
@@ -104,6 +107,7 @@
             hello.entry_hosts,
             hello.is_stopping,
             hello.accepts_orders,
+            hello.accepts_standbys,
             frozenset(peer.control for peer in hello.known),
         )
         for name in hello.entry_names:
--- a/packages/core/src/tamarack_core/messages/consensus.py
+++ b/packages/core/src/tamarack_core/messages/consensus.py
@@ -48,6 +48,18 @@
     destination: str
 
 
+class StandIn(msgspec.Struct, frozen=True, array_like=True):
+    """A standby that votes in place of a voter that has lost its disk.
+
+    Attributes:
+        lost: Incarnation of the voter.
+        standby: Incarnation of the standby.
+    """
+
+    lost: str
+    standby: str
+
+
 class VoteRequest(msgspec.Struct, frozen=True, tag="vote-request"):
     """A candidate requests a vote.
 
@@ -59,6 +71,7 @@
             response commits the voter to nothing.
         is_transfer: Whether the leader requested this election to transfer its
             leadership.
+        stand_in: The standby that votes in place of a voter, if any.
     """
 
     header: Header
@@ -66,6 +79,7 @@
     last_term: int
     is_pre_vote: bool = False
     is_transfer: bool = False
+    stand_in: StandIn | None = None
 
 
 class VoteResponse(msgspec.Struct, frozen=True, tag="vote-response"):
@@ -211,6 +225,36 @@
     last_index: int
 
 
+class StandingRequest(msgspec.Struct, frozen=True, tag="standing-request"):
+    """A standby asks a voter whether it still counts as a standby.
+
+    Attributes:
+        header: Sender, receiver, term.
+        round: Number of the request, increasing while the sender runs.
+    """
+
+    header: Header
+    round: int
+
+
+class StandingResponse(msgspec.Struct, frozen=True, tag="standing-response"):
+    """Response to a `StandingRequest`.
+
+    Attributes:
+        header: Sender, receiver, term.
+        round: Copied from the request.
+        is_granted: Whether the receiver is a standby in the newest membership
+            of the sender, and that is committed.
+        lost: Incarnation that the request was for, if the host of the sender
+            has another one by now; otherwise empty.
+    """
+
+    header: Header
+    round: int
+    is_granted: bool
+    lost: str = ""
+
+
 Message = (
     VoteRequest
     | VoteResponse
@@ -222,6 +266,8 @@
     | ReadRequest
     | ReadResponse
     | IdentityRefused
+    | StandingRequest
+    | StandingResponse
 )
 
 MESSAGE_TYPES: tuple[type, ...] = typing.get_args(Message)
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -280,6 +280,8 @@
             versions can't.
         entry_names: Names of some of these entry hosts. Successive messages
             name all of them in turn, so that the size is bounded.
+        accepts_standbys: Whether the sender knows standbys and the replacement
+            of a voter; earlier versions don't.
     """
 
     incarnation: str
@@ -288,6 +290,7 @@
     is_stopping: bool = False
     accepts_orders: bool = False
     entry_names: tuple[str, ...] = ()
+    accepts_standbys: bool = False
 
 
 class VoterReleased(msgspec.Struct, frozen=True, tag="voter-released"):
--- a/tests/cover/test_overlapping_losses.py
+++ b/tests/cover/test_overlapping_losses.py
@@ -77,9 +77,9 @@
         network = started(4, 1, seed=1)
         down = followers(network)[0]
         network.kill(down)
-        network.run(2.4)
-        while len(network.voters(min(network.leaders()))) == 3:
-            network.run(0.01)
+        network.run_until(
+            lambda: down not in network.voters(min(network.leaders())), 4.0
+        )
         network.start(down)
         network.run(RECOVERY_S)
         for host in network.peers:
--- a/tests/slow/consensus_checker.py
+++ b/tests/slow/consensus_checker.py
@@ -63,6 +63,7 @@
         committed: Entry by committed index.
         applied: Longest sequence of applied commands.
         acknowledged: Commands whose application was reported to the proposer.
+        elected_with_stand_in: Number of leaders elected with a stand-in.
     """
 
     def __init__(self, network):
@@ -84,6 +85,7 @@
         self.newest_read_length = 0
         self.completed_reads = 0
         self.snapshots_installed = 0
+        self.elected_with_stand_in = 0
         network.observer = self.observe
 
     def possible_memberships(self):
@@ -343,16 +345,23 @@
         ]
 
     def check_synced(self, host, index, term):
-        """Checks that an entry is on the disks of a majority of voters."""
-        voters = host.replica.state.latest_membership.voters
-        holding = [
-            voter
-            for voter in voters
-            if voter in self.disks
-            and self.synced(self.disks[voter]).holds(index, term)
-        ]
-        enough = 2 * len(holding) > len(voters)
-        require(enough, "unsynced commit", index, holding, voters)
+        """Checks that an entry is on the disks of a quorum of voters.
+
+        While a voter is being replaced, that is a majority of the voters before
+        and of those after the replacement.
+        """
+        members = host.replica.state.latest_membership
+        holding = {
+            member
+            for member in members.members
+            if member in self.disks
+            and self.synced(self.disks[member]).holds(index, term)
+        }
+        for voters in members.voter_sets:
+            enough = 2 * len(holding & voters) > len(voters)
+            require(enough, "unsynced commit", index, holding, voters)
+        missing = members.standbys - holding
+        require(not missing, "commit without a standby", index, missing)
 
     def check_leader(self, host, term):
         """Checks the only leader of a term.
@@ -371,10 +380,13 @@
                 index,
                 term,
             )
-        voters = state.latest_membership.voters
-        votes = [self.synced_vote(voter, term) for voter in voters]
-        granted = votes.count(host.incarnation)
-        require(2 * granted > len(voters), "unsynced votes", term, votes)
+        # After an election with a stand-in, the first entry of the leader has
+        # made the standby a voter.
+        for voters in state.latest_membership.voter_sets:
+            votes = [self.synced_vote(voter, term) for voter in voters]
+            granted = votes.count(host.incarnation)
+            require(2 * granted > len(voters), "unsynced votes", term, votes)
+        self.elected_with_stand_in += state.election_stand_in is not None
 
     def synced_vote(self, voter, term):
         """Returns the vote on a voter's disk in a term."""
--- a/tests/slow/test_consensus_model.py
+++ b/tests/slow/test_consensus_model.py
@@ -5,6 +5,7 @@
 recover once the faults end.
 """
 
+import itertools
 import os
 import random
 
@@ -12,6 +13,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 import testtools
+from testtools import matchers
 
 from tamarack_core import failure
 from tamarack_core.internal.consensus import log_parameters
@@ -37,6 +39,7 @@
 )
 IS_SOAK = os.environ.get("TAMARACK_PROFILE") == "soak"
 CI_EXAMPLES = 40
+STAND_IN_CI_EXAMPLES = 200
 SOAK_EXAMPLES = 100
 SOAK_RUNS = int(os.environ.get("TAMARACK_SOAK_RUNS", "20"))
 
@@ -47,7 +50,13 @@
 
 
 class ConsensusModel(stateful.RuleBasedStateMachine):
-    """Replicas under faults; the checker verifies every step."""
+    """Replicas under faults; the checker verifies every step.
+
+    Attributes:
+        voters: Number of initial voters.
+    """
+
+    voters = VOTERS
 
     @stateful.initialize(
         seed=NUMBERS, loss=CHANCES, duplication=CHANCES, straggling=CHANCES
@@ -57,7 +66,7 @@
             loss, duplication, straggling, sync_max_s=0.1
         )
         self.network = replica_network.ReplicaNetwork(
-            seed, VOTERS, SPARES, faults, LOG_PARAMETERS
+            seed, self.voters, SPARES, faults, LOG_PARAMETERS
         )
         self.checker = consensus_checker.Checker(self.network)
         self.names = list(self.network.hosts)
@@ -67,7 +76,10 @@
         self.network.run_for(4.0)
 
     def host(self, number):
-        return self.network.hosts[self.names[number]]
+        return self.network.hosts[self.name(number)]
+
+    def name(self, number):
+        return self.names[number % len(self.names)]
 
     def leading(self):
         """Returns all hosts that believe to lead, old leaders included."""
@@ -123,7 +135,7 @@
     @stateful.rule(number=HOSTS)
     def crash(self, number):
         if self.host(number).is_up:
-            self.network.crash(self.names[number])
+            self.network.crash(self.name(number))
 
     @stateful.rule()
     def crash_leader(self):
@@ -133,7 +145,7 @@
     @stateful.rule(number=HOSTS)
     def restart(self, number):
         if not self.host(number).is_up:
-            refused = self.network.restart(self.names[number])
+            refused = self.network.restart(self.name(number))
             consensus_checker.require(refused is None, refused)
 
     @stateful.rule(number=HOSTS)
@@ -156,7 +168,7 @@
 
     @stateful.rule(number=HOSTS, rounds=CUT_ROUNDS)
     def isolate(self, number, rounds):
-        self.network.isolate(self.names[number])
+        self.network.isolate(self.name(number))
         self.work_and_heal(rounds)
 
     @stateful.rule(rounds=CUT_ROUNDS)
@@ -167,7 +179,7 @@
 
     @stateful.rule(sender=HOSTS, receiver=HOSTS, rounds=CUT_ROUNDS)
     def cut_one_way(self, sender, receiver, rounds):
-        self.network.cuts.add((self.names[sender], self.names[receiver]))
+        self.network.cuts.add((self.name(sender), self.name(receiver)))
         self.work_and_heal(rounds)
 
     @stateful.rule(size=st.integers(1, VOTERS + SPARES - 1), rounds=CUT_ROUNDS)
@@ -219,6 +231,22 @@
             for incarnation, member in known.items()
             if not member.is_voter
         ]
+        changes += [
+            membership.Change(kinds.REPLACE, learner, replaced=voter)
+            for learner, member in known.items()
+            for voter in sorted(current.voters)
+            if not member.is_voter
+        ]
+        changes += [
+            membership.Change(
+                kinds.REMOVE_STANDBY
+                if member.is_standby
+                else kinds.ADD_STANDBY,
+                incarnation,
+            )
+            for incarnation, member in known.items()
+            if not member.is_voter
+        ]
         changes += [
             membership.Change(kinds.REMOVE, incarnation)
             for incarnation, member in known.items()
@@ -239,7 +267,7 @@
         is_settled = (
             committed_term == state.term
             and state.memberships[-1].index <= state.commit_index
-        )
+        ) or change.kind is membership.ChangeKind.REMOVE_STANDBY
         result = host.replica.change_membership(self.network.now_s, change)
         if not isinstance(result, failure.Failure):
             consensus_checker.require(is_settled, "overlapping changes")
@@ -256,6 +284,7 @@
         for number, _ in enumerate(self.names):
             self.restart(number)
         self.network.run_for(HEAL_S)
+        self.remove_lost_standbys()
         leader = self.network.leader()
         consensus_checker.require(
             leader is not None, "no leader", self.checker.describe()
@@ -275,6 +304,165 @@
         ]
         consensus_checker.require(not behind, "behind", behind)
 
+    def remove_lost_standbys(self):
+        """Does what the owner of a log does if a standby doesn't respond."""
+        for host in self.leading():
+            for standby in host.replica.state.latest_membership.standbys:
+                if standby in self.lost:
+                    kind = membership.ChangeKind.REMOVE_STANDBY
+                    self.change(host, membership.Change(kind, standby))
+        self.network.run_for(SETTLE_S)
+
+
+class StandInModel(ConsensusModel):
+    """Three voters and a standby; a voter is gone while another one is lost.
+
+    Attributes:
+        elections: Number of leaders that were elected with a stand-in.
+    """
+
+    voters = 3
+    elections = 0
+
+    @stateful.rule()
+    def add_standby(self):
+        """Makes the first host that is no voter a standby."""
+        kinds = membership.ChangeKind
+        for host in self.leading():
+            current = host.replica.state.latest_membership
+            learners = sorted(set(current.members) - current.voters)
+            if current.standbys:
+                continue
+            if learners:
+                self.change(
+                    host, membership.Change(kinds.ADD_STANDBY, learners[0])
+                )
+                continue
+            for spare in self.network.hosts.values():
+                if spare.is_up and spare.incarnation not in current.members:
+                    self.change(
+                        host,
+                        membership.Change(
+                            kinds.ADD_LEARNER, spare.incarnation, spare.peer
+                        ),
+                    )
+        self.network.run_for(1.0)
+
+    @stateful.rule(
+        gone=HOSTS,
+        lost=HOSTS,
+        gap_s=st.floats(0.0, 3.0),
+        down_s=st.floats(0.0, 4.5),
+        rounds=st.integers(0, 4),
+    )
+    def lose_disk_beside_crash(self, gone, lost, gap_s, down_s, rounds):
+        """Crashes a voter, then takes the disk of another one."""
+        # Two changes make a spare host a standby.
+        self.add_standby()
+        self.add_standby()
+        voters = [
+            host
+            for host in self.network.hosts.values()
+            if any(
+                host.incarnation
+                in leader.replica.state.latest_membership.voters
+                for leader in self.leading()
+            )
+        ]
+        if len(voters) < self.voters:
+            return
+        first = voters.pop(gone % len(voters))
+        second = voters.pop(lost % len(voters))
+        if not self.leaves_quorum(self.lost | {second.incarnation}):
+            return
+        if first.is_up:
+            self.network.crash(first.peer.host)
+        self.work(rounds)
+        self.network.run_for(gap_s)
+        if second.is_up:
+            self.network.crash(second.peer.host)
+        self.lost.add(second.incarnation)
+        self.network.replace_disk(second.peer.host)
+        self.network.run_for(down_s)
+        self.network.restart(second.peer.host)
+        self.work(rounds)
+        self.network.run_for(4.0)
+
+    @stateful.rule(
+        order=st.permutations(range(3)),
+        is_gone_cut=st.booleans(),
+        removal_s=st.floats(0.0, 1.0),
+        gap_s=st.sampled_from([0.0, 0.1, 0.5, 2.0, 2.5, 3.5, 4.0, 4.5, 6.0]),
+        down_s=st.floats(0.0, 2.0),
+    )
+    def go_on_without_standby(
+        self, order, is_gone_cut, removal_s, gap_s, down_s
+    ):
+        """Cuts off the standby and a voter while the others go on.
+
+        Then one of those is gone, the other one loses its disk, and only the
+        standby and its voter are left for a while.
+        """
+        self.heal()
+        self.add_standby()
+        self.add_standby()
+        leader = self.network.leader()
+        if leader is None:
+            return
+        members = leader.replica.state.latest_membership
+        running = {
+            host.incarnation: host
+            for host in self.network.hosts.values()
+            if host.is_up
+        }
+        if (
+            not members.standbys
+            or len(members.voters) != self.voters
+            or not running.keys() >= members.members.keys()
+        ):
+            return
+        voters = sorted(members.voters)
+        beside, gone, lost = (running[voters[place]] for place in order)
+        if not self.leaves_quorum(self.lost | {lost.incarnation}):
+            return
+        cut = [beside, *(running[standby] for standby in members.standbys)]
+        self.cut_between(cut, [gone, lost])
+        self.network.run_for(removal_s)
+        for host, standby in itertools.product(
+            self.leading(), members.standbys
+        ):
+            kind = membership.ChangeKind.REMOVE_STANDBY
+            self.change(host, membership.Change(kind, standby))
+        self.propose(3)
+        self.network.run_for(gap_s)
+        self.propose(3)
+        self.network.run_for(0.1)
+        self.heal()
+        if is_gone_cut:
+            self.network.isolate(gone.peer.host)
+        else:
+            self.network.crash(gone.peer.host)
+        self.network.crash(lost.peer.host)
+        self.lost.add(lost.incarnation)
+        self.network.replace_disk(lost.peer.host)
+        self.network.run_for(down_s)
+        self.network.restart(lost.peer.host)
+        self.network.run_for(6.0)
+        self.heal()
+        self.restart(self.names.index(gone.peer.host))
+        self.network.run_for(4.0)
+
+    def cut_between(self, one_side, other_side):
+        """Cuts all links between two sets of hosts."""
+        for one, other in itertools.product(one_side, other_side):
+            names = (one.peer.host, other.peer.host)
+            self.network.cuts.update([names, names[::-1]])
+
+    def teardown(self):
+        super().teardown()
+        if hasattr(self, "checker"):
+            StandInModel.elections += self.checker.elected_with_stand_in
+
 
 def settings(examples, is_same_each_time):
     """Returns settings without shrinking, which would take minutes."""
@@ -297,13 +485,21 @@
             ConsensusModel, settings=settings(CI_EXAMPLES, True)
         )
 
+    def test_no_stand_in_breaks_an_invariant(self):
+        StandInModel.elections = 0
+        stateful.run_state_machine_as_test(
+            StandInModel, settings=settings(STAND_IN_CI_EXAMPLES, True)
+        )
+        self.assertThat(StandInModel.elections, matchers.GreaterThan(10))
+
     @testtools.skipUnless(IS_SOAK, "runs under TAMARACK_PROFILE=soak only")
     def test_no_fault_breaks_an_invariant_in_a_deep_run(self):
         first = os.environ.get("TAMARACK_SOAK_SEED")
         seed = int(first) if first else random.SystemRandom().randrange(10**9)
         for number in range(SOAK_RUNS):
             print(f"consensus soak seed {seed + number}", flush=True)
-            model = hypothesis.seed(seed + number)(ConsensusModel)
-            stateful.run_state_machine_as_test(
-                model, settings=settings(SOAK_EXAMPLES, False)
-            )
+            for kind in (ConsensusModel, StandInModel):
+                model = hypothesis.seed(seed + number)(kind)
+                stateful.run_state_machine_as_test(
+                    model, settings=settings(SOAK_EXAMPLES, False)
+                )
--- a/tests/slow/test_group_model.py
+++ b/tests/slow/test_group_model.py
@@ -152,6 +152,7 @@
                 self.cut,
                 self.replace,
                 self.replace_as_planned,
+                self.replace_beside_lost_disk,
                 self.restart_as_planned,
                 self.lose_power,
             ]
@@ -351,6 +352,28 @@
         self.publish()
         self.wipe()
 
+    def replace_beside_lost_disk(self):
+        """Starts a successor and removes a host; then another loses its disk.
+
+        The second loss follows after any time, also at the successor.
+        """
+        self.network.add(self.next_host)
+        self.next_host += 1
+        self.network.run(6.0)
+        removed = self.random.choice(sorted(self.network.nodes))
+        self.network.kill(removed, lose_disk=True)
+        del self.network.peers[removed]
+        if self.random.random() < 0.5:
+            self.publish()
+        self.network.run(self.random.uniform(0.0, 3.0))
+        wiped = self.random.choice(sorted(self.network.nodes))
+        self.network.kill(wiped, lose_disk=True)
+        self.network.run(self.random.uniform(0.3, 1.5))
+        self.network.start(wiped)
+        self._wait_until_stable()
+        self.publish()
+        self.read()
+
     def restart_as_planned(self):
         """Stops a host and starts it again with its disk."""
         host = self.random.choice(sorted(self.network.nodes))
