Give two targets with one checksum tags of their own

Cause: the tag in a flow's packets was the CRC-32 of the name and stood for one target. Of two, entry hosts gave it to the one that started earlier, also if it became known later, when flows had been opened under the tag.

Ruled out: a flow that moved to another entry host, as one host is enough.

Change: a target has salted tags beside the plain one. The control host to which it first announces itself marks it as salted if the plain tag is taken; all entry hosts are told, so that they agree in whatever order they learn. If two control hosts gave the tag away at once, both targets are marked as shared: new flows get salted tags, and old ones go where they were seen, or nowhere.

--- a/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
+++ b/packages/core/src/tamarack_core/internal/cookie/flow_explanation.py
@@ -235,9 +235,7 @@
         TargetState.EVACUATED: (
             target.domain in traced.targets.evacuations.domains
         ),
-        TargetState.TAG_TAKEN: (
-            traced.targets.by_tag.get(entry.tag) is not entry
-        ),
+        TargetState.TAG_TAKEN: entry.tag == 0,
         TargetState.DEAD: traced.probes.is_dead(entry),
         TargetState.OVERDUE: entry.is_overdue,
         TargetState.AVOIDED: activity.is_avoided(now_s),
--- a/packages/core/src/tamarack_core/internal/cookie/forwarder.py
+++ b/packages/core/src/tamarack_core/internal/cookie/forwarder.py
@@ -1,11 +1,14 @@
 """Forwards packets by the tags in their cookies, and assigns new flows."""
 
+from collections.abc import Sequence
+
 from tamarack_core import effects
 from tamarack_core import events
 from tamarack_core import external_requests
 from tamarack_core import failure
 from tamarack_core import flow_packets
 from tamarack_core import reducer
+from tamarack_core import target_announcement
 from tamarack_core.internal.cold_targets import budget
 from tamarack_core.internal.cookie import admission
 from tamarack_core.internal.cookie import cold_openings
@@ -376,10 +379,15 @@
         self, now_s: float, packet: flow_packets.FlowPacket
     ) -> list[effects.Effect]:
         """Forwards a packet of an open flow to the target of its cookie."""
-        entry = self.targets.by_tag.get(packet.cookie)
+        owners = self.targets.owners(packet.cookie)
+        entry = self._find_owner(packet.flow, packet.cookie, owners)
         if entry is None:
             # Other entry hosts may know the target, so the flow isn't reset.
-            reason = "no-cookie" if packet.cookie == 0 else "unknown-cookie"
+            reason = "unknown-cookie"
+            if packet.cookie == 0:
+                reason = "no-cookie"
+            elif owners:
+                reason = "shared-cookie"
             return self.rejector.drop(reason)
         if self._has_lost_route(packet.flow):
             return self._reset_flow(now_s, packet, entry, "route-removed")
@@ -407,6 +415,32 @@
             )
         return result
 
+    def _find_owner(
+        self,
+        key: flow_packets.FlowKey,
+        cookie: int,
+        owners: Sequence[target_table.TargetEntry],
+    ) -> target_table.TargetEntry | None:
+        """Returns the target of a flow, of those that may have its tag.
+
+        A target that doesn't hold the flow would reset it. If the others are
+        gone, no live target loses a flow by that.
+        """
+        is_shared = len(owners) > 1 or any(
+            entry.tag_use is target_announcement.TagUse.SHARED
+            and entry.tag != cookie
+            for entry in owners
+        )
+        if not is_shared:
+            return owners[0] if owners else None
+        flow = self.tracker.flows.get(key)
+        if flow is not None:
+            for entry in owners:
+                if entry.target.name == flow.target.target.name:
+                    return entry
+        live = [entry for entry in owners if not entry.is_gone]
+        return live[0] if len(live) == 1 < len(owners) else None
+
     def _has_ended(self, now_s: float, entry: target_table.TargetEntry) -> bool:
         """Returns whether a target is gone and has stopped replying."""
         if entry.gone_s is None:
@@ -435,7 +469,8 @@
     ) -> list[effects.Effect]:
         """Returns the effect that sends a packet to a target."""
         target = entry.target
-        data = self.codec.encode_forward(packet, target.name, entry.tag)
+        tag = entry.tag or packet.cookie
+        data = self.codec.encode_forward(packet, target.name, tag)
         if data is None:
             return self.rejector.drop("target-name")
         self.context.counters["packets-forwarded"] += 1
--- a/packages/core/src/tamarack_core/internal/cookie/subscription.py
+++ b/packages/core/src/tamarack_core/internal/cookie/subscription.py
@@ -475,7 +475,15 @@
             if invalid is not None:
                 name = known.target.name
                 skipped.append(change_entries.Skipped(name, invalid))
-            elif (entry := self.targets.put(now_s, known)) is not None:
+            elif (
+                entry := self.targets.put(
+                    now_s,
+                    known,
+                    update.tag_uses.get(
+                        known.target.name, target_announcement.TagUse.PLAIN
+                    ),
+                )
+            ) is not None:
                 changed.append(entry)
         is_whole = update.base == 0
         if is_whole and update.is_settled:
--- a/packages/core/src/tamarack_core/internal/cookie/target_table.py
+++ b/packages/core/src/tamarack_core/internal/cookie/target_table.py
@@ -1,20 +1,20 @@
-"""Tags of targets in flow cookies, and the targets that they stand for.
+"""Targets that an entry host knows, and those that the tags of flows stand for.
 
-A tag is a checksum of the target's name, so that all entry hosts compute the
-same one without coordination. If two names have the same tag, the target with
-the earlier start time keeps it; the other one gets no flows until the first is
-gone.
+A packet with a plain tag that several targets share goes to the target at which
+this host has seen the flow, or nowhere. A forwarded packet carries the tag
+under which its target gets new flows, so a flow leaves a shared tag with the
+next packet through a host that has seen it.
 """
 
 import collections
 from collections.abc import Container
 from collections.abc import Iterable
-import zlib
 
 import msgspec
 
 from tamarack_core import evacuations as evacuations_lib
 from tamarack_core import target_announcement
+from tamarack_core.internal import target_tags
 from tamarack_core.internal.cold_targets import held_allotments
 
 GONE_RETENTION_S = 90.0
@@ -28,26 +28,13 @@
 overdue, in seconds."""
 
 
-def tag_of(name: str) -> int:
-    """Returns the tag of a target, which is never 0."""
-    return zlib.crc32(name.encode()) or 1
-
-
-def start_tag_of(target: target_announcement.Announcement) -> int:
-    """Returns the tag of one start of a target.
-
-    Another start under the same name has another one, so what was learned of
-    the earlier start does not apply to it.
-    """
-    return zlib.crc32(b"%d" % target.place_ms, tag_of(target.name))
-
-
 class TargetEntry(msgspec.Struct):
     """A target as known to an entry host.
 
     Attributes:
         target: Its newest announcement.
-        tag: Tag of its flows.
+        tag: Tag under which it gets new flows; 0 if none is free.
+        tag_use: How it uses its plain tag.
         is_overdue: Whether its announcements are overdue.
         updated_s: Time of the last change received from a control host, in
             seconds.
@@ -58,12 +45,13 @@
     """
 
     target: target_announcement.Announcement
-    tag: int
     is_overdue: bool
     updated_s: float
     warm_at_s: float
     gone_s: float | None = None
     start_tag: int = 0
+    tag: int = 0
+    tag_use: target_announcement.TagUse = target_announcement.TagUse.PLAIN
 
     @property
     def is_gone(self) -> bool:
@@ -90,7 +78,8 @@
 
     Attributes:
         by_name: All targets, including those that are gone.
-        by_tag: The target of each tag.
+        by_tag: Targets that may have flows under each plain tag.
+        by_salted_tag: Targets by salted tag; only those that use one.
         by_service: Targets that accept new flows, by service and name.
         evacuated_by_service: Names of the targets in evacuated domains that
             are not gone, by service.
@@ -106,6 +95,7 @@
     __slots__ = (
         "allotments",
         "by_name",
+        "by_salted_tag",
         "by_service",
         "by_tag",
         "domain_sizes",
@@ -118,7 +108,8 @@
     def __init__(self) -> None:
         """Initializes an empty target table."""
         self.by_name: dict[str, TargetEntry] = {}
-        self.by_tag: dict[int, TargetEntry] = {}
+        self.by_tag: dict[int, tuple[TargetEntry, ...]] = {}
+        self.by_salted_tag: dict[int, tuple[TargetEntry, ...]] = {}
         self.by_service: dict[str, dict[str, TargetEntry]] = {}
         self.evacuated_by_service: dict[str, set[str]] = {}
         self.domain_sizes: collections.Counter[str] = collections.Counter()
@@ -128,21 +119,27 @@
         self.allotments = held_allotments.HeldAllotments()
 
     def put(
-        self, now_s: float, known: target_announcement.KnownTarget
+        self,
+        now_s: float,
+        known: target_announcement.KnownTarget,
+        tag_use: target_announcement.TagUse = target_announcement.TagUse.PLAIN,
     ) -> TargetEntry | None:
         """Applies an announcement, unless a newer one is held.
 
         Args:
             now_s: Monotonic time in seconds.
             known: The target as known to a control host.
+            tag_use: How it uses its plain tag, as known to a control host.
 
         Returns:
             The entry if anything changed, otherwise None.
         """
         target = known.target
         held = self.by_name.get(target.name)
-        if held is not None and not _is_newer(held, known):
-            return None
+        if held is not None:
+            tag_use = max(tag_use, held.tag_use)
+            if not _is_newer(held, known) and tag_use is held.tag_use:
+                return None
         warm_at_s = now_s + target.cold_ms / 1000
         if held is not None and target.rank < held.target.rank:
             # Control hosts send renewals only along with the next change.
@@ -156,12 +153,12 @@
         )
         entry = TargetEntry(
             target=target,
-            tag=tag_of(target.name),
             is_overdue=known.is_overdue,
             updated_s=now_s,
             warm_at_s=warm_at_s,
             gone_s=gone_s,
-            start_tag=start_tag_of(target),
+            start_tag=target_tags.start_tag_of(target),
+            tag_use=tag_use,
         )
         self._extend_cold(entry)
         self.by_name[target.name] = entry
@@ -169,8 +166,8 @@
         if held is not None:
             self.domain_sizes[held.target.domain] -= not held.is_gone
             self._remove_from_service(held)
-        self._assign_tag(entry)
-        self._add_to_service(entry)
+            self._release_tags(held)
+        self._hold_tags(entry)
         return entry
 
     def set_evacuations(
@@ -265,33 +262,72 @@
             if not entry.is_gone:
                 evacuated = self.evacuated_by_service
                 evacuated.setdefault(target.service, set()).add(target.name)
-        elif (
-            target.phase is target_announcement.Phase.READY
-            and self.by_tag[entry.tag] is entry
-        ):
+        elif entry.tag and target.phase is target_announcement.Phase.READY:
             self.by_service.setdefault(target.service, {})[target.name] = entry
 
+    def owners(self, tag: int) -> tuple[TargetEntry, ...]:
+        """Returns the targets that may have flows under a tag."""
+        if tag < target_tags.MIN_SALTED:
+            return self.by_tag.get(tag, ())
+        return self.by_salted_tag.get(tag, ())
+
+    def _hold_tags(self, entry: TargetEntry) -> None:
+        """Enters a target under its tags, and assigns those in use."""
+        plain = target_tags.tag_of(entry.target.name)
+        if entry.tag_use is target_announcement.TagUse.SALTED:
+            self._assign_tag(entry)
+            return
+        if (
+            entry.tag_use is target_announcement.TagUse.PLAIN
+            and plain not in self.by_tag
+        ):
+            self.by_tag[plain] = (entry,)
+            entry.tag = plain
+            self._add_to_service(entry)
+            return
+        for sharing in _add(self.by_tag, plain, entry):
+            self._assign_tag(sharing)
+
+    def _release_tags(self, entry: TargetEntry) -> None:
+        """Removes a target from its tags."""
+        plain = target_tags.tag_of(entry.target.name)
+        _discard(self.by_tag, plain, entry)
+        if entry.tag != plain:
+            for tag in target_tags.salted_tags_of(entry.target.name):
+                _discard(self.by_salted_tag, tag, entry)
+
     def _assign_tag(self, entry: TargetEntry) -> None:
-        """Assigns a tag to its target; of two, to the one started first."""
-        holder = self.by_tag.get(entry.tag)
-        is_free = (
-            holder is None
-            or holder.target.name == entry.target.name
-            or (holder.is_gone and not entry.is_gone)
+        """Assigns the tag under which a target gets new flows.
+
+        One that has used a salted tag goes on with salted ones. A target
+        without a tag gets no flows.
+        """
+        plain = target_tags.tag_of(entry.target.name)
+        is_plain = (
+            entry.tag_use is target_announcement.TagUse.PLAIN
+            and len(self.by_tag[plain]) == 1
+        )
+        if is_plain and entry.tag in (0, plain):
+            self._use_tag(entry, plain)
+            return
+        for tag in target_tags.salted_tags_of(entry.target.name):
+            for sharing in _add(self.by_salted_tag, tag, entry):
+                if sharing.tag == tag:
+                    self._use_tag(sharing, self._free_salted_tag(sharing))
+        self._use_tag(entry, self._free_salted_tag(entry))
+
+    def _free_salted_tag(self, entry: TargetEntry) -> int:
+        """Returns the first salted tag that a target has alone, or 0."""
+        tags = target_tags.salted_tags_of(entry.target.name)
+        return next(
+            (tag for tag in tags if len(self.by_salted_tag[tag]) == 1), 0
         )
-        if is_free or self._must_yield_tag(holder, entry):
-            if holder is not None:
-                self._remove_from_service(holder)
-            self.by_tag[entry.tag] = entry
 
-    def _must_yield_tag(
-        self, holder: TargetEntry | None, entry: TargetEntry
-    ) -> bool:
-        """Returns whether the holder of a tag must leave it to another one."""
-        if holder is None or entry.is_gone or holder.is_gone:
-            return False
-        claim = (entry.target.place_ms, entry.target.name)
-        return claim < (holder.target.place_ms, holder.target.name)
+    def _use_tag(self, entry: TargetEntry, tag: int) -> None:
+        """Lets a target get new flows under a tag, or none if it is 0."""
+        entry.tag = tag
+        self._remove_from_service(entry)
+        self._add_to_service(entry)
 
     def _remove_from_service(self, entry: TargetEntry) -> None:
         """Removes a target from those that accept new flows."""
@@ -334,8 +370,7 @@
             del self.by_name[entry.target.name]
             self.domain_sizes[entry.target.domain] -= not entry.is_gone
             self._remove_from_service(entry)
-            if self.by_tag.get(entry.tag) is entry:
-                del self.by_tag[entry.tag]
+            self._release_tags(entry)
 
     def mark_missing_overdue(
         self, now_s: float, names: set[str]
@@ -366,6 +401,26 @@
         return overdue
 
 
+def _add(
+    entries: dict[int, tuple[TargetEntry, ...]], tag: int, entry: TargetEntry
+) -> tuple[TargetEntry, ...]:
+    """Enters a target under a tag; returns all targets there."""
+    held = entries.get(tag, ())
+    if all(other is not entry for other in held):
+        held = entries[tag] = (*held, entry)
+    return held
+
+
+def _discard(
+    entries: dict[int, tuple[TargetEntry, ...]], tag: int, entry: TargetEntry
+) -> None:
+    kept = tuple(held for held in entries.get(tag, ()) if held is not entry)
+    if kept:
+        entries[tag] = kept
+    else:
+        entries.pop(tag, None)
+
+
 def _is_newer(
     held: TargetEntry, known: target_announcement.KnownTarget
 ) -> bool:
--- a/packages/core/src/tamarack_core/internal/load/load_aggregator.py
+++ b/packages/core/src/tamarack_core/internal/load/load_aggregator.py
@@ -18,8 +18,8 @@
 from tamarack_core import sync
 from tamarack_core import target_announcement
 from tamarack_core.internal import change_entries
+from tamarack_core.internal import target_tags
 from tamarack_core.internal.cookie import flow_state
-from tamarack_core.internal.cookie import target_table
 from tamarack_core.internal.load import ramp_up
 from tamarack_core.internal.load import reply_statistics
 from tamarack_core.internal.load import target_weights
@@ -295,7 +295,7 @@
         for record in self.registry.records.values():
             target = record.target
             if target.phase is not target_announcement.Phase.GONE:
-                tag = target_table.start_tag_of(target)
+                tag = target_tags.start_tag_of(target)
                 self.services.setdefault(target.service, []).append(tag)
                 self.names[tag] = target.name
 
--- a/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
+++ b/packages/core/src/tamarack_core/internal/registry/announcement_receiver.py
@@ -372,7 +372,12 @@
             if invalid is not None:
                 skipped.append(change_entries.Skipped(target.name, invalid))
             elif self.registry.put(
-                event.now_s, target, self._assumed_age_s(known)
+                event.now_s,
+                target,
+                self._assumed_age_s(known),
+                tag_use=update.tag_uses.get(
+                    target.name, target_announcement.TagUse.PLAIN
+                ),
             ):
                 changed.append(target)
         result = change_entries.record_skipped(
@@ -431,6 +436,10 @@
     ) -> effects.Effect:
         """Returns the time line entry of a target that changed."""
         is_known = target.service in self.registry.services
+        tag_use = "".join(
+            f" tag {use.name.lower()}"
+            for use in self.registry.tag_uses([target]).values()
+        )
         return self.context.record(
             now_s,
             "target-changed",
@@ -438,7 +447,7 @@
             target=target.name,
             reason="" if is_known else "unknown-service",
             detail=f"{target.phase.name.lower()} born {target.born_ms}"
-            f" sequence {target.sequence}",
+            f" sequence {target.sequence}{tag_use}",
         )
 
 
--- a/packages/core/src/tamarack_core/internal/registry/publisher.py
+++ b/packages/core/src/tamarack_core/internal/registry/publisher.py
@@ -398,12 +398,13 @@
             subscriber.revision, self.evacuations.revision
         )
         subscriber.allotment = max(subscriber.allotment, self.allotments.number)
+        targets = self.registry.changes_since(now_s, base)
         update = sync.SyncUpdate(
             run=self.run,
             base=base,
             position=self.registry.position,
             is_settled=self._is_settled(now_s),
-            targets=self.registry.changes_since(now_s, base),
+            targets=targets,
             controls=() if knows_controls else self.controls,
             document=document,
             is_confirmed=self.is_confirmed,
@@ -411,6 +412,7 @@
             evacuations=evacuations,
             allotments=allotments,
             round=subscriber.round,
+            tag_uses=self.registry.tag_uses(known.target for known in targets),
         )
         return effects.SendMessage(subscriber.peer, update)
 
--- a/packages/core/src/tamarack_core/internal/registry/saved_targets.py
+++ b/packages/core/src/tamarack_core/internal/registry/saved_targets.py
@@ -14,10 +14,13 @@
         targets: The encoded targets that are not gone. Each is decoded by
             itself, so that one that can't be read leaves the others.
         entry_hosts: Number of entry hosts; 0 if unknown.
+        tag_uses: How targets use their plain tags, by name; only those of which
+            it isn't `PLAIN`.
     """
 
     targets: list[msgspec.Raw]
     entry_hosts: int = 0
+    tag_uses: dict[str, target_announcement.TagUse] = {}
 
 
 class Restored(msgspec.Struct):
@@ -26,11 +29,14 @@
     Attributes:
         targets: The targets.
         entry_hosts: Number of entry hosts; 0 if unknown.
+        tag_uses: How targets use their plain tags, by name; only those of which
+            it isn't `PLAIN`.
         skipped: Saved targets that are invalid.
     """
 
     targets: list[target_announcement.Announcement]
     entry_hosts: int
+    tag_uses: dict[str, target_announcement.TagUse]
     skipped: list[change_entries.Skipped]
 
 
@@ -40,15 +46,21 @@
 
 
 def encode(
-    targets: list[target_announcement.Announcement], entry_hosts: int
+    targets: list[target_announcement.Announcement],
+    entry_hosts: int,
+    tag_uses: dict[str, target_announcement.TagUse],
 ) -> bytes:
     """Returns targets, encoded for the next start.
 
     Args:
         targets: The targets that are not gone.
         entry_hosts: Number of entry hosts; 0 if unknown.
+        tag_uses: How targets use their plain tags, by name; only those of which
+            it isn't `PLAIN`.
     """
-    return _encoder.encode({"targets": targets, "entry_hosts": entry_hosts})
+    return _encoder.encode(
+        {"targets": targets, "entry_hosts": entry_hosts, "tag_uses": tag_uses}
+    )
 
 
 def decode(data: bytes) -> Restored | failure.Failure:
@@ -66,7 +78,7 @@
         return failure.Failure("bad-targets", str(error))
     # Earlier versions saved the targets alone.
     saved = SavedTargets(decoded) if isinstance(decoded, list) else decoded
-    restored = Restored([], saved.entry_hosts, [])
+    restored = Restored([], saved.entry_hosts, saved.tag_uses, [])
     for encoded in saved.targets:
         target = _decode_target(encoded)
         if isinstance(target, change_entries.Skipped):
--- a/packages/core/src/tamarack_core/internal/registry/target_registry.py
+++ b/packages/core/src/tamarack_core/internal/registry/target_registry.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Iterable
 import itertools
 import math
 
@@ -13,6 +14,7 @@
 
 from tamarack_core import failure
 from tamarack_core import target_announcement
+from tamarack_core.internal import target_tags
 from tamarack_core.internal.registry import saved_targets
 
 OVERDUE_INTERVALS = 2.2
@@ -48,6 +50,7 @@
         is_overdue: Whether its announcements are overdue.
         warm_at_s: Time from which it runs at full speed, in seconds, by the
             cold time that was passed on, or a shorter one stated since.
+        tag_use: How it uses its plain tag.
     """
 
     target: target_announcement.Announcement
@@ -55,6 +58,7 @@
     changed_position: int
     is_overdue: bool = False
     warm_at_s: float = float("-inf")
+    tag_use: target_announcement.TagUse = target_announcement.TagUse.PLAIN
 
 
 class DeferredAnnouncement(msgspec.Struct):
@@ -101,6 +105,7 @@
 
     __slots__ = (
         "_by_endpoint",
+        "_by_tag",
         "cold_names",
         "deferred",
         "disordered",
@@ -126,6 +131,7 @@
         self.deferred: dict[str, DeferredAnnouncement] = {}
         self.disordered: dict[str, DisorderedStart] = {}
         self._by_endpoint: dict[tuple[str, int], dict[str, None]] = {}
+        self._by_tag: dict[int, tuple[str, ...]] = {}
 
     def announce(
         self, now_s: float, target: target_announcement.Announcement
@@ -193,6 +199,7 @@
         now_s: float,
         target: target_announcement.Announcement,
         age_s: float = 0.0,
+        tag_use: target_announcement.TagUse | None = None,
     ) -> bool:
         """Applies an announcement unless a newer one is held.
 
@@ -200,11 +207,86 @@
             now_s: Monotonic time in seconds.
             target: The announcement.
             age_s: Time since a control host received it, in seconds.
+            tag_use: How the target uses its plain tag, as known to the control
+                host that sent it; None if the target itself sent it.
 
         Returns:
             Whether others must receive a change.
         """
         held = self.records.get(target.name)
+        is_changed = self._put(now_s, target, age_s)
+        record = self.records.get(target.name)
+        if record is None:
+            return is_changed
+        if held is None:
+            return self._hold_plain_tag(record, tag_use) or is_changed
+        if tag_use is None or tag_use <= record.tag_use:
+            return is_changed
+        return self._hold_plain_tag(record, tag_use)
+
+    def _hold_plain_tag(
+        self,
+        record: TargetRecord,
+        tag_use: target_announcement.TagUse | None,
+    ) -> bool:
+        """Sets how a target uses its plain tag.
+
+        Returns:
+            Whether others must receive a change.
+        """
+        plain = target_tags.tag_of(record.target.name)
+        names = self._by_tag.get(plain, ())
+        if tag_use is None:
+            tag_use = (
+                target_announcement.TagUse.SALTED
+                if names
+                else target_announcement.TagUse.PLAIN
+            )
+        is_changed = record.tag_use is not tag_use
+        record.tag_use = tag_use
+        if tag_use is target_announcement.TagUse.SALTED:
+            return is_changed
+        if record.target.name not in names:
+            names = self._by_tag[plain] = (*names, record.target.name)
+        for sharing in map(self.records.__getitem__, names):
+            if len(names) > 1:
+                sharing.tag_use = target_announcement.TagUse.SHARED
+                self._record_change(sharing)
+                is_changed = True
+        if is_changed and len(names) == 1:
+            self._record_change(record)
+        return is_changed
+
+    def _release_plain_tag(self, record: TargetRecord) -> None:
+        plain = target_tags.tag_of(record.target.name)
+        names = self._by_tag.get(plain, ())
+        kept = tuple(name for name in names if name != record.target.name)
+        if kept:
+            self._by_tag[plain] = kept
+        else:
+            self._by_tag.pop(plain, None)
+
+    def tag_uses(
+        self, targets: Iterable[target_announcement.Announcement]
+    ) -> dict[str, target_announcement.TagUse]:
+        """Returns how targets use their plain tags, unless it is `PLAIN`."""
+        uses = {
+            target.name: self.records[target.name].tag_use for target in targets
+        }
+        return {
+            name: use
+            for name, use in uses.items()
+            if use is not target_announcement.TagUse.PLAIN
+        }
+
+    def _put(
+        self,
+        now_s: float,
+        target: target_announcement.Announcement,
+        age_s: float,
+    ) -> bool:
+        """Applies an announcement; see `put`."""
+        held = self.records.get(target.name)
         announced_s = now_s - age_s
         if held is not None:
             is_newer = _may_replace(held.target, target)
@@ -230,7 +312,15 @@
         ):
             self._move(held, target)
             self.disordered.pop(target.name, None)
-            record = TargetRecord(target, announced_s, 0, warm_at_s=warm_at_s)
+            record = TargetRecord(
+                target,
+                announced_s,
+                0,
+                warm_at_s=warm_at_s,
+                tag_use=target_announcement.TagUse.PLAIN
+                if held is None
+                else held.tag_use,
+            )
             record.is_overdue = (
                 target.phase is not target_announcement.Phase.GONE
                 and self._is_late(now_s, record)
@@ -433,7 +523,9 @@
             for record in self.records.values()
             if record.target.phase is not target_announcement.Phase.GONE
         ]
-        return saved_targets.encode(targets, entry_hosts)
+        return saved_targets.encode(
+            targets, entry_hosts, self.tag_uses(targets)
+        )
 
     def restore(
         self, now_s: float, data: bytes
@@ -453,7 +545,10 @@
         restored = saved_targets.decode(data)
         if not isinstance(restored, failure.Failure):
             for target in restored.targets:
-                self.put(now_s, target)
+                tag_use = restored.tag_uses.get(
+                    target.name, target_announcement.TagUse.PLAIN
+                )
+                self.put(now_s, target, tag_use=tag_use)
         return restored
 
     def _yields_to(
@@ -577,6 +672,7 @@
 
     def _remove(self, record: TargetRecord) -> None:
         del self.records[record.target.name]
+        self._release_plain_tag(record)
         self.deferred.pop(record.target.name, None)
         self.disordered.pop(record.target.name, None)
         self._leave_endpoint(record.target)
--- a/packages/core/src/tamarack_core/sync.py
+++ b/packages/core/src/tamarack_core/sync.py
@@ -121,7 +121,9 @@
     targets: tuple[AllottedTarget, ...] = ()
 
 
-class SyncUpdate(msgspec.Struct, frozen=True, tag="sync-update"):
+class SyncUpdate(
+    msgspec.Struct, frozen=True, tag="sync-update", omit_defaults=True
+):
     """Changes at a control host.
 
     Attributes:
@@ -142,6 +144,8 @@
         allotments: Allotments of cold targets, if there are any that the
             receiver has not been told of.
         round: Round of the last request that arrived from the receiver.
+        tag_uses: How targets use their plain tags, by name; only those of which
+            it isn't `PLAIN`.
     """
 
     run: str
@@ -156,6 +160,7 @@
     evacuations: evacuations_lib.Evacuations | None = None
     allotments: AllotmentUpdate | None = None
     round: int = 0
+    tag_uses: dict[str, target_announcement.TagUse] = {}
 
 
 class DocumentQuery(msgspec.Struct, frozen=True, tag="document-query"):
--- a/packages/core/src/tamarack_core/target_announcement.py
+++ b/packages/core/src/tamarack_core/target_announcement.py
@@ -48,6 +48,22 @@
     GONE = 2
 
 
+class TagUse(enum.IntEnum):
+    """How a target uses its plain tag; see `target_tags`.
+
+    Of two statements about one target, the higher one holds.
+    """
+
+    SALTED = 0
+    """No host has ever opened a flow of the target under it."""
+
+    PLAIN = 1
+    """It is that of the target alone."""
+
+    SHARED = 2
+    """Another target may have flows under it too."""
+
+
 class Announcement(msgspec.Struct, frozen=True, array_like=True):
     """One announcement of a target.
 
