List two standbys beside a silent voter as known red

A trial with two standbys that are removed while a voter is silent commits nothing in 15 s; the new test does the same and fails. The policy of the group makes one standby at most.

--- a/tests/cover/test_standing.py
+++ b/tests/cover/test_standing.py
@@ -144,3 +144,40 @@
                 self.followers[0].replica.state, self.standby.incarnation
             )
         )
+
+
+class TwoStandbysTest(testtools.TestCase):
+    """Faults: two standbys and a voter are down."""
+
+    # The leader tracks the release of one removed standby at a time, and starts
+    # anew whenever it turns to the other one.
+    def test_two_standbys_are_released_beside_a_silent_voter(self):
+        network = replica_network.ReplicaNetwork(1, 3, 2)
+        network.start()
+        network.run_for(6.0)
+        leader = network.leader()
+        spares = [network.hosts["control-3"], network.hosts["control-4"]]
+        kinds = membership.ChangeKind
+
+        def change(kind, host):
+            wanted = membership.Change(kind, host.incarnation, host.peer)
+            result = leader.replica.change_membership(network.now_s, wanted)
+            assert not isinstance(result, failure.Failure), result
+            network.carry_out(leader, result.step)
+
+        for kind in (kinds.ADD_LEARNER, kinds.ADD_STANDBY):
+            for host in spares:
+                change(kind, host)
+                network.run_for(0.5)
+        follower = next(
+            host
+            for host in network.hosts.values()
+            if host not in (leader, *spares)
+        )
+        for host in (*spares, follower):
+            network.crash(host.peer.host)
+        for host in spares:
+            change(kinds.REMOVE_STANDBY, host)
+        last_index = leader.replica.state.log.last_index
+        network.run_for(15.0)
+        self.assertEqual(last_index, leader.replica.state.commit_index)
